--- /dev/null
+++ b/packages/anvil/src/core.ts
@@ -0,0 +1,273 @@
+import { Map as Table } from 'immutable';
+import { Beats, Limits, Sizes } from '@reedyard/gauge';
+import { Acceptor, Ballots, emptyCell, majorityOf, type Ballot, type Cell, type Vote } from '@reedyard/latch';
+import type { Step } from '@reedyard/chute';
+
+/** One fact of the board: written once under its key, never changed. */
+export type Fact = { readonly key: string; readonly value: unknown };
+type Kept = Fact & { readonly seq: number; readonly at: number };
+
+/** A place on one anvil's board, in one life of its disk. */
+export type Cursor = { readonly disk: string; readonly seq: number };
+
+/** What may be asked of an anvil. */
+export type AnvilCall =
+  | { readonly kind: 'prepare'; readonly key: string; readonly ballot: Ballot }
+  | { readonly kind: 'accept'; readonly key: string; readonly ballot: Ballot; readonly value: unknown; readonly disk: string }
+  | { readonly kind: 'post'; readonly facts: readonly Fact[] }
+  | { readonly kind: 'pull'; readonly cursor: Cursor | null; readonly keys: readonly string[] }
+  | { readonly kind: 'fetch'; readonly key: string }
+  | { readonly kind: 'dump'; readonly after: string | null };
+
+/** What an anvil answers. `away` means that it may not vote yet. */
+export type AnvilReply =
+  | { readonly kind: 'away'; readonly disk: string }
+  | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
+  | { readonly kind: 'posted'; readonly disk: string }
+  | {
+    readonly kind: 'pulled'; readonly disk: string; readonly seq: number; readonly reset: boolean; readonly more: boolean;
+    readonly facts: readonly Fact[]; readonly ballots: Readonly<Record<string, Ballot>>;
+  }
+  | { readonly kind: 'fetched'; readonly disk: string; readonly accepted: Cell['accepted'] }
+  | { readonly kind: 'dumped'; readonly disk: string; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
+
+/** What goes to disk. Replaying a record twice changes nothing. */
+export type AnvilRecord =
+  | { readonly kind: 'disk'; readonly disk: string }
+  | { readonly kind: 'voting' }
+  /** The last place given on the board; kept apart, since the facts themselves age away. */
+  | { readonly kind: 'place'; readonly seq: number }
+  | { readonly kind: 'cell'; readonly key: string; readonly cell: Cell }
+  | { readonly kind: 'fact'; readonly seq: number; readonly fact: Fact };
+
+export type AnvilEvent =
+  | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilCall; readonly now: number }
+  | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply; readonly now: number }
+  | { readonly kind: 'lost'; readonly id: number; readonly now: number }
+  | { readonly kind: 'beat'; readonly now: number };
+
+export type AnvilEffect =
+  /** To disk, in order. */
+  | { readonly kind: 'append'; readonly records: readonly AnvilRecord[] }
+  /** Answer a call, only after all that was appended before is synced. */
+  | { readonly kind: 'tell'; readonly id: number; readonly body: AnvilReply }
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilCall }
+  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
+
+type Reading = { readonly after: string | null; readonly state: 'reading' | 'blank' | 'done'; readonly call: number | null; readonly sentAt: number };
+
+export type AnvilState = {
+  readonly name: string;
+  /** The others of the founding set: name and address. */
+  readonly others: Readonly<Record<string, string>>;
+  readonly disk: string;
+  readonly voting: boolean;
+  readonly cells: Table<string, Cell>;
+  readonly claimsSeen: Table<string, number>;
+  readonly facts: readonly Kept[];
+  readonly factKeys: Table<string, number>;
+  readonly seq: number;
+  /** Facts up to this place were dropped for age. */
+  readonly floor: number;
+  readonly readings: Readonly<Record<string, Reading>>;
+  readonly nextCall: number;
+  readonly sweptAt: number;
+};
+
+const dumpPage = 2_000;
+const claimPrefix = 'claim/';
+
+type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
+const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
+
+const keepCell = (work: Work, key: string, cell: Cell, now: number): void => {
+  set(work, { cells: work.state.cells.set(key, cell) });
+  if (key.startsWith(claimPrefix)) set(work, { claimsSeen: work.state.claimsSeen.set(key, now) });
+  work.effects.push({ kind: 'append', records: [{ kind: 'cell', key, cell }] });
+};
+
+const keepFacts = (work: Work, facts: readonly Fact[], now: number): void => {
+  const added: Kept[] = [];
+  let keys = work.state.factKeys;
+  let seq = work.state.seq;
+  for (const fact of facts) {
+    if (keys.has(fact.key)) continue;
+    seq += 1;
+    keys = keys.set(fact.key, seq);
+    added.push({ key: fact.key, value: fact.value, seq, at: now });
+  }
+  if (added.length === 0) return;
+  set(work, { facts: [...work.state.facts, ...added], factKeys: keys, seq });
+  work.effects.push({ kind: 'append', records: added.map((kept) => ({ kind: 'fact', seq: kept.seq, fact: { key: kept.key, value: kept.value } })) });
+};
+
+const vote = (work: Work, id: number, key: string, outcome: { readonly cell: Cell; readonly vote: Vote }, now: number): void => {
+  if (outcome.vote.kind === 'yes') keepCell(work, key, outcome.cell, now);
+  work.effects.push({ kind: 'tell', id, body: { kind: 'vote', disk: work.state.disk, vote: outcome.vote } });
+};
+
+const pulled = (state: AnvilState, cursor: Cursor | null, keys: readonly string[]): AnvilReply => {
+  const known = cursor !== null && cursor.disk === state.disk && cursor.seq >= state.floor && cursor.seq <= state.seq ? cursor.seq : null;
+  const from = known ?? state.floor;
+  const fresh = state.facts.filter((fact) => fact.seq > from);
+  const facts = fresh.slice(0, Sizes.purges);
+  const ballots = Object.fromEntries(keys.flatMap((key) => {
+    const accepted = state.cells.get(key)?.accepted;
+    return accepted ? [[key, accepted.ballot]] : [];
+  }));
+  return {
+    kind: 'pulled', disk: state.disk, seq: facts.at(-1)?.seq ?? Math.max(from, known ?? state.seq), reset: cursor !== null && known === null,
+    more: facts.length < fresh.length, facts: facts.map(({ key, value }) => ({ key, value })), ballots,
+  };
+};
+
+const dumped = (state: AnvilState, after: string | null): AnvilReply => {
+  if (!state.voting) return { kind: 'away', disk: state.disk };
+  const keys = [...state.cells.keys()].sort();
+  const page = keys.filter((key) => after === null || key > after).slice(0, dumpPage);
+  const last = page.at(-1);
+  const more = last !== undefined && last !== keys.at(-1);
+  return {
+    kind: 'dumped', disk: state.disk, next: more ? last : null,
+    cells: page.map((key) => [key, state.cells.get(key) ?? emptyCell]),
+    facts: more ? [] : state.facts.map(({ key, value }) => ({ key, value })),
+  };
+};
+
+const asked = (work: Work, id: number, body: AnvilCall, now: number): void => {
+  const { state } = work;
+  const tell = (reply: AnvilReply): void => { work.effects.push({ kind: 'tell', id, body: reply }); };
+  if (body.kind === 'dump') { tell(dumped(state, body.after)); return; }
+  if (!state.voting) { tell({ kind: 'away', disk: state.disk }); return; }
+  switch (body.kind) {
+    case 'prepare': vote(work, id, body.key, Acceptor.prepare(state.cells.get(body.key) ?? emptyCell, body.ballot), now); return;
+    case 'accept':
+      if (body.disk !== state.disk) { tell({ kind: 'away', disk: state.disk }); return; }
+      vote(work, id, body.key, Acceptor.accept(state.cells.get(body.key) ?? emptyCell, body.ballot, body.value), now);
+      return;
+    case 'post': keepFacts(work, body.facts, now); tell({ kind: 'posted', disk: state.disk }); return;
+    case 'pull': tell(pulled(state, body.cursor, body.keys)); return;
+    case 'fetch': tell({ kind: 'fetched', disk: state.disk, accepted: state.cells.get(body.key)?.accepted ?? null }); return;
+  }
+};
+
+/**
+ * Whether a wiped or new anvil has read enough to vote: with n voters, a majority that counted its
+ * lost vote left at least majority-1 others, so n-majority+1 voting others always meet them. Where
+ * every other one was reached, nothing more can be learned.
+ *
+ * @example
+ * mayVote(['done', 'done', 'done', 'reading'], 5) // true
+ */
+export const mayVote = (others: readonly Reading['state'][], voters: number): boolean =>
+  others.filter((each) => each === 'done').length >= voters - majorityOf(voters) + 1 || others.every((each) => each !== 'reading');
+
+const rejoin = (work: Work, now: number): void => {
+  const { state } = work;
+  for (const [name, address] of Object.entries(state.others)) {
+    const reading = work.state.readings[name] ?? { after: null, state: 'reading', call: null, sentAt: -Infinity };
+    if (reading.state === 'done' || (reading.call !== null && now - reading.sentAt < Limits.call)) continue;
+    if (now - reading.sentAt < Beats.rejoin) continue;
+    const id = work.state.nextCall;
+    set(work, { nextCall: id + 1, readings: { ...work.state.readings, [name]: { ...reading, call: id, sentAt: now } } });
+    work.effects.push({ kind: 'call', id, to: address, body: { kind: 'dump', after: reading.after } });
+  }
+  tryVote(work);
+};
+
+const tryVote = (work: Work): void => {
+  const names = Object.keys(work.state.others);
+  if (work.state.voting || !mayVote(names.map((name) => work.state.readings[name]?.state ?? 'reading'), names.length + 1)) return;
+  set(work, { voting: true, readings: {} });
+  work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: work.state.disk, cells: work.state.cells.size } });
+};
+
+const returned = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
+  const found = Object.entries(work.state.readings).find(([, reading]) => reading.call === id);
+  if (found === undefined || work.state.voting) return;
+  const [name, reading] = found;
+  const note = (next: Partial<Reading>): void => set(work, { readings: { ...work.state.readings, [name]: { ...reading, call: null, ...next } } });
+  if (body === null) { note({}); return; }
+  if (body.kind === 'away') { note({ state: 'blank' }); tryVote(work); return; }
+  if (body.kind !== 'dumped') { note({}); return; }
+  for (const [key, cell] of body.cells) {
+    const mine = work.state.cells.get(key) ?? emptyCell;
+    const merged = Acceptor.merge(mine, cell);
+    if (Ballots.compare(merged.promised, mine.promised) !== 0 || merged.accepted !== mine.accepted) keepCell(work, key, merged, now);
+  }
+  keepFacts(work, body.facts, now);
+  note(body.next === null ? { state: 'done' } : { after: body.next, state: 'reading', sentAt: -Infinity });
+  tryVote(work);
+};
+
+const sweep = (work: Work, now: number): void => {
+  const { state } = work;
+  if (now - state.sweptAt < 1_000) return;
+  const old = state.facts.filter((fact) => now - fact.at > Limits.fact);
+  const lapsed = [...state.claimsSeen.entries()].filter(([, at]) => now - at > Limits.claim).map(([key]) => key);
+  set(work, {
+    sweptAt: now,
+    facts: old.length === 0 ? state.facts : state.facts.slice(old.length),
+    factKeys: old.length === 0 ? state.factKeys : state.factKeys.deleteAll(old.map((fact) => fact.key)),
+    floor: old.at(-1)?.seq ?? state.floor,
+    cells: lapsed.length === 0 ? state.cells : state.cells.deleteAll(lapsed),
+    claimsSeen: lapsed.length === 0 ? state.claimsSeen : state.claimsSeen.deleteAll(lapsed),
+  });
+};
+
+export const Anvil = {
+  /**
+   * The state from what was on disk; a blank disk gets the new name given.
+   *
+   * @example
+   * Anvil.open({ name: 'core-1', others: {}, records: [], freshDisk: 'd1', now: 0 }).state.voting // true once its beat has run
+   */
+  open: (parts: {
+    readonly name: string; readonly others: Readonly<Record<string, string>>;
+    readonly records: readonly AnvilRecord[]; readonly freshDisk: string; readonly now: number;
+  }): Step<AnvilState, AnvilEffect> => {
+    let disk: string | null = null;
+    let voting = false;
+    let seq = 0;
+    const cells = new Map<string, Cell>();
+    const facts = new Map<string, Kept>();
+    for (const record of parts.records) {
+      if (record.kind === 'disk') disk = record.disk;
+      else if (record.kind === 'voting') voting = true;
+      else if (record.kind === 'place') seq = Math.max(seq, record.seq);
+      else if (record.kind === 'cell') cells.set(record.key, record.cell);
+      else { facts.set(record.fact.key, { ...record.fact, seq: record.seq, at: parts.now }); seq = Math.max(seq, record.seq); }
+    }
+    const kept = [...facts.values()].sort((a, b) => a.seq - b.seq);
+    return {
+      state: {
+        name: parts.name, others: parts.others, disk: disk ?? parts.freshDisk, voting, cells: Table(cells),
+        claimsSeen: Table([...cells.keys()].filter((key) => key.startsWith(claimPrefix)).map((key) => [key, parts.now])),
+        facts: kept, factKeys: Table(kept.map((fact) => [fact.key, fact.seq])), seq, floor: (kept[0]?.seq ?? seq + 1) - 1,
+        readings: {}, nextCall: 1, sweptAt: parts.now,
+      },
+      effects: disk === null ? [{ kind: 'append', records: [{ kind: 'disk', disk: parts.freshDisk }] }] : [],
+    };
+  },
+
+  /** The whole state as records, for a snapshot. @example Anvil.records(state).length // 1 for a new one */
+  records: (state: AnvilState): readonly AnvilRecord[] => [
+    { kind: 'disk', disk: state.disk },
+    ...(state.voting ? [{ kind: 'voting' } as const] : []),
+    { kind: 'place', seq: state.seq },
+    ...[...state.cells.entries()].map(([key, cell]) => ({ kind: 'cell', key, cell }) as const),
+    ...state.facts.map((fact) => ({ kind: 'fact', seq: fact.seq, fact: { key: fact.key, value: fact.value } }) as const),
+  ],
+
+  /** @example Anvil.reduce(state, { kind: 'beat', now: 200 }) */
+  reduce: (state: AnvilState, event: AnvilEvent): Step<AnvilState, AnvilEffect> => {
+    const work: Work = { state, effects: [] };
+    switch (event.kind) {
+      case 'asked': asked(work, event.id, event.body, event.now); break;
+      case 'returned': returned(work, event.id, event.body, event.now); break;
+      case 'lost': returned(work, event.id, null, event.now); break;
+      case 'beat': if (!state.voting) rejoin(work, event.now); sweep(work, event.now); break;
+    }
+    return { state: work.state, effects: work.effects };
+  },
+} as const;
--- /dev/null
+++ b/packages/anvil/src/index.ts
@@ -0,0 +1,1 @@
+export * from './core.js';
--- /dev/null
+++ b/packages/blank/src/index.ts
@@ -0,0 +1,155 @@
+import http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { createHash } from 'node:crypto';
+
+/** How a stand-in origin behaves. */
+export type Mode = {
+  /** ms before each answer. */
+  readonly slowMs: number;
+  /** Runs unsafe requests, then cuts the conn. */
+  readonly lose: boolean;
+  /** Answers with bytes that are no HTTP. */
+  readonly garbage: boolean;
+  /** Announces a longer body than it sends. */
+  readonly short: boolean;
+  /** Sends a second answer that nobody asked for after each one. */
+  readonly leftover: boolean;
+  /** Sends a body that does not match its digest. */
+  readonly corrupt: boolean;
+  readonly state: 'cold' | 'warm';
+  readonly draining: boolean;
+};
+
+export type BlankOptions = {
+  readonly service: string; readonly instance: string; readonly incarnation: number;
+  readonly host: string; readonly port: number; readonly hall: string; readonly region: string; readonly capacity: number;
+  /** APIs of jigs to describe itself to, in turn. */
+  readonly apis: readonly string[];
+  readonly announceMs: number;
+  readonly mode?: Partial<Mode>;
+  /** s. How long its reports may be kept. */
+  readonly maxAge: number;
+};
+
+/** A run of an unsafe request, by the id that its caller gave it. */
+export type Ran = { readonly id: string; readonly at: number };
+
+/** A running stand-in origin. */
+export type Blank = {
+  readonly address: string;
+  readonly mode: () => Mode;
+  readonly become: (mode: Partial<Mode>) => void;
+  /** Takes another identity at the same address. */
+  readonly rename: (identity: Partial<Pick<BlankOptions, 'service' | 'instance' | 'incarnation'>>) => void;
+  readonly ran: () => readonly Ran[];
+  readonly got: () => number;
+  /** A new generation of every report. */
+  readonly turn: () => number;
+  readonly announce: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+};
+
+const describe = (api: string, document: unknown): Promise<boolean> => new Promise((resolve) => {
+  const text = JSON.stringify(document);
+  const request = http.request(`http://${api}/v1/origins`, { method: 'POST', timeout: 2_000, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) } }, (response) => {
+    response.resume();
+    response.on('end', () => resolve((response.statusCode ?? 500) < 500));
+  });
+  request.on('timeout', () => request.destroy());
+  request.on('error', () => resolve(false));
+  request.end(text);
+});
+
+/**
+ * The body of a report: anyone can tell from it whose it is and of which generation.
+ *
+ * @example
+ * bodyOf('store', '/sheets/1', 0, 200).startsWith('store /sheets/1 generation=0 ') // true
+ */
+export const bodyOf = (service: string, target: string, generation: number, size: number): string => {
+  const head = `${service} ${target} generation=${generation} `;
+  return head + 'x'.repeat(Math.max(0, size - head.length));
+};
+
+/** Starts a stand-in origin in this process. */
+export const startBlank = async (options: BlankOptions): Promise<Blank> => {
+  let identity = { service: options.service, instance: options.instance, incarnation: options.incarnation };
+  let mode: Mode = { slowMs: 0, lose: false, garbage: false, short: false, leftover: false, corrupt: false, state: 'warm', draining: false, ...options.mode };
+  let generation = 0;
+  let got = 0;
+  const ran: Ran[] = [];
+
+  const answer = (request: http.IncomingMessage, response: http.ServerResponse, body: Buffer): void => {
+    const target = request.url ?? '/';
+    const stamp = `${identity.service}/${identity.instance}/${identity.incarnation}`;
+    if (target === '/.well-known/reedyard-identity') {
+      const text = JSON.stringify(identity);
+      response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) });
+      response.end(text);
+      return;
+    }
+    got += 1;
+    const marks = { 'reedyard-stamp': stamp, 'reedyard-leg': String(request.headers['reedyard-leg'] ?? '') };
+    if (request.headers['reedyard-expect'] !== stamp) {
+      response.writeHead(503, { ...marks, 'reedyard-outcome': 'not-run', 'content-length': 0 });
+      response.end();
+      return;
+    }
+    const unsafe = request.method !== 'GET' && request.method !== 'HEAD';
+    if (unsafe) ran.push({ id: String(request.headers['x-job'] ?? body.toString('utf8').slice(0, 100)), at: Date.now() });
+    if (mode.lose && unsafe) { request.socket.destroy(); return; }
+    if (mode.garbage) { request.socket.end('\u0000\u0001 not an answer\r\n\r\n'); return; }
+    const size = Number(/size=(\d+)/.exec(target)?.[1] ?? 2_000);
+    const text = unsafe ? JSON.stringify({ ran: String(request.headers['x-job'] ?? ''), by: stamp }) : bodyOf(identity.service, target, generation, size);
+    const tags = [...target.matchAll(/tag-(\w+)/g)].map((found) => found[1]).join(' ');
+    const headers: Record<string, string | number> = {
+      ...marks, 'content-type': unsafe ? 'application/json' : 'text/plain',
+      'content-length': Buffer.byteLength(text) + (mode.short ? 10 : 0),
+      'content-digest': `sha-256=:${createHash('sha256').update(mode.corrupt ? `${text}!` : text).digest('base64')}:`,
+      ...(unsafe ? { 'cache-control': 'no-store' } : { 'cache-control': `max-age=${options.maxAge}`, etag: `"${identity.service}-${generation}-${size}"` }),
+      ...(tags === '' ? {} : { 'surrogate-key': tags }),
+    };
+    response.writeHead(200, headers);
+    if (mode.short) { response.write(text); setTimeout(() => request.socket.destroy(), 5); return; }
+    response.end(request.method === 'HEAD' ? undefined : text, () => {
+      if (mode.leftover) request.socket.write(`HTTP/1.1 200 OK\r\nreedyard-stamp: ${stamp}\r\ncontent-length: 7\r\n\r\nforeign`);
+    });
+  };
+
+  const sockets = new Set<Socket>();
+  const server = http.createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('error', () => undefined);
+    request.on('end', () => {
+      const act = (): void => { if (!response.destroyed) answer(request, response, Buffer.concat(chunks)); };
+      if (mode.slowMs > 0) setTimeout(act, mode.slowMs); else act();
+    });
+  });
+  server.keepAliveTimeout = 60_000;
+  server.on('connection', (socket) => { sockets.add(socket); socket.on('close', () => sockets.delete(socket)); socket.on('error', () => undefined); });
+  await new Promise<void>((resolve, reject) => { server.once('error', reject); server.listen(options.port, options.host, resolve); });
+  const address = `${options.host}:${(server.address() as AddressInfo).port}`;
+
+  let which = 0;
+  const announce = async (): Promise<void> => {
+    for (let tries = 0; tries < options.apis.length; tries += 1) {
+      const api = options.apis[which % options.apis.length] ?? '';
+      which += 1;
+      if (await describe(api, { ...identity, address, region: options.region, hall: options.hall, capacity: options.capacity, state: mode.state, draining: mode.draining })) return;
+    }
+  };
+  const beat = setInterval(() => void announce(), options.announceMs);
+  void announce();
+  return {
+    address,
+    mode: () => mode,
+    become: (change) => { mode = { ...mode, ...change }; void announce(); },
+    rename: (change) => { identity = { ...identity, ...change }; void announce(); },
+    ran: () => ran,
+    got: () => got,
+    turn: () => { generation += 1; return generation; },
+    announce,
+    stop: () => new Promise((resolve) => { clearInterval(beat); server.close(() => resolve()); sockets.forEach((socket) => socket.destroy()); }),
+  };
+};
--- /dev/null
+++ b/packages/gauge/src/index.ts
@@ -0,0 +1,144 @@
+/**
+ * Every constant of reedyard, with its unit and the reason for its value.
+ * Times are milliseconds of a monotonic clock unless the name says otherwise.
+ */
+
+/** How often things are done. */
+export const Beats = {
+  /** ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. */
+  jig: 50,
+  /** ms. Pull from the anvils. Four pulls fit in a lease with room for two lost ones. */
+  pull: 250,
+  /** ms. One gossip exchange with one partner; a fact crosses 16 nodes in about 5 exchanges. */
+  gossip: 200,
+  /** ms. The lathe asks its jig for news. Adds at most this to the age of a snapshot. */
+  feed: 100,
+  /** ms. A node's own record gets a new serial, which is its heartbeat. */
+  heartbeat: 500,
+  /** ms. The duty holder renews its term and publishes a division. */
+  division: 1_000,
+  /** ms. A ping to each partner in the network (the paper: every few minutes; a changed delay
+   *  must be seen inside one closing fault, so seconds here). */
+  ping: 2_000,
+  /** ms. Utilisation is measured (the paper: one minute; ours is shorter since 2 s rules bind). */
+  measure: 2_000,
+  /** ms. A vector is sent again though nothing changed, so that a lost one heals. */
+  refresh: 30_000,
+  /** ms. Lathe's own beat: limits and holdings are looked at. */
+  lathe: 25,
+  /** ms. An anvil that may not vote yet asks the others again. */
+  rejoin: 200,
+} as const;
+
+/** How long things last or may take. */
+export const Limits = {
+  /** ms. Lease of a node from the moment its oldest counted pull was sent. The brief allows 2 s
+   *  from an acknowledgement to force; 1.5 s leaves 0.5 s for the feed and a slow process. */
+  lease: 1_500,
+  /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
+   *  plus the slack of a beat. */
+  regrant: 1_700,
+  /** ms. A duty holder whose beat stood still this long is given up: three missed renewals. */
+  vacancy: 3_000,
+  /** ms. One call between processes before it counts as lost. */
+  call: 1_000,
+  /** ms. One phase of a ballot before it is tried again with a higher one. */
+  ballotPhase: 600,
+  /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
+  proposal: 4_000,
+  /** ms. A partner whose heartbeat stood still this long gets no forwarded requests. */
+  partnerSilence: 2_500,
+  /** ms. A node's record is dropped after this silence. */
+  nodeForgotten: 30_000,
+  /** ms. An origin that does not describe itself this long is forgotten; it speaks every few s. */
+  originForgotten: 10_000,
+  /** ms. Facts stay on the board and in a snapshot: far over a lease, so a cursor is seldom lost. */
+  fact: 60_000,
+  /** ms. A claim is kept this long of the anvil's own running time. */
+  claim: 3_600_000,
+  /** ms. Default limit of a whole transaction. */
+  transaction: 10_000,
+  /** ms. Default limit of one leg to an origin. */
+  leg: 4_000,
+  /** ms. Opening a conn and proving who is at its other end. */
+  connect: 1_000,
+  /** ms. Longest wait in the holding for a slice's next token; past it the answer is 503 at once. */
+  holding: 400,
+  /** ms. An instance that failed a leg gets no ordinary traffic for this long. */
+  suspicion: 1_000,
+  /** ms. After an order to empty a hall was seen, its lathes still answer stragglers this long. */
+  emptyGrace: 2_000,
+  /** ms. SIGTERM to exit, at most. */
+  shutdown: 4_000,
+  /** ms. An idle conn to an origin is closed after this. */
+  idleConn: 10_000,
+  /** s. Told to callers in Retry-After when no better number is known. */
+  retryAfterSeconds: 1,
+  /** ms. A caller must have sent its whole head by then. */
+  callerHead: 10_000,
+} as const;
+
+/** How large things may get. */
+export const Sizes = {
+  /** bytes. A body up to this is read whole before its first byte is passed on, so that a short
+   *  one becomes a clean 502; a larger one is streamed and never kept. */
+  wholeBody: 2 * 1024 * 1024,
+  /** bytes. All copies of one lathe. */
+  cache: 256 * 1024 * 1024,
+  /** bytes. A caller's body, when its route sets no limit. */
+  callerBody: 1024 * 1024,
+  /** bytes. A caller's head. */
+  callerHead: 16 * 1024,
+  /** bytes. A policy document. Several thousand routes take about one megabyte. */
+  policy: 8 * 1024 * 1024,
+  /** bytes. Any other operator or origin document. */
+  document: 1024 * 1024,
+  /** bytes. One call between processes. */
+  call: 32 * 1024 * 1024,
+  /** objects told one by one in a vector; the rest of a route counts as one. */
+  busyObjects: 32,
+  /** partners in a partial view. */
+  view: 8,
+  /** partners swapped in one shuffle. */
+  shuffle: 4,
+  /** change ids remembered in a register, so that a lost proposer can learn its fate. */
+  recentChanges: 64,
+  /** bytes of log after which a snapshot is written and older segments are dropped. */
+  segment: 8 * 1024 * 1024,
+  /** transactions at work in one lathe; more are turned away at once. */
+  transactions: 4_096,
+  /** events waiting for one task. */
+  inbox: 65_536,
+  /** purge facts in one call. */
+  purges: 4_096,
+} as const;
+
+/** Numbers of the server selection and of the shares. */
+export const Weights = {
+  /** share of capacity. The paper's delta: a vector is sent again on this change of utilisation. */
+  delta: 0.1,
+  /** ratio. A ping that moved by more than this share (and by delayFloor) also sends again. */
+  delayChange: 0.5,
+  /** s. Changes of delay under this are noise of the machine. */
+  delayFloor: 0.002,
+  /** rounds of gradient projection at most; the paper saw a couple, overload needs a few more. */
+  iterations: 24,
+  /** ratio. Converged once a round lowers the cost by less than this share. */
+  convergence: 1e-6,
+  /** share of capacity past which the link cost goes on as a parabola, so F >= C has a cost. */
+  knee: 0.95,
+  /** s. Left-link delay of an edge that holds no copy and must fetch one, until measured. */
+  fetchPenalty: 0.02,
+  /** bits. A mean reply where none was measured (the paper's 12 KB). */
+  meanReply: 96_000,
+  /** repeats earned by one transaction. Under the brief's fifth. */
+  repeatShare: 0.15,
+  /** repeats a node may have saved. 16 nodes times 3 stay under the brief's 60. */
+  repeatSaved: 3,
+  /** s of a slice a bucket may save: the brief allows a tenth over 5 s, which is 0.5 s. */
+  burstSeconds: 0.2,
+  /** share of a ceiling kept for every possible edge whether it asks or not. */
+  floorShare: 0.1,
+  /** share of a cold instance's bearable rate that all edges may use together. */
+  coldShare: 1.0,
+} as const;
--- /dev/null
+++ b/packages/jig/src/api.ts
@@ -0,0 +1,97 @@
+import http from 'node:http';
+import { randomUUID } from 'node:crypto';
+import { Limits, Sizes } from '@reedyard/gauge';
+import { LayerError, textOf } from '@reedyard/scriber';
+import { Stencil, StencilError } from '@reedyard/stencil';
+import type { Action } from './terms.js';
+
+/** A request to the operators' and origins' API that can't be taken. */
+export class ApiError extends LayerError {
+  constructor(readonly status: number, title: string, readonly detail: string, readonly more: Readonly<Record<string, unknown>> = {}) { super(String(status), title); }
+}
+
+/** What is to be answered. */
+export type Reply = { readonly status: number; readonly body: unknown; readonly retryAfter?: number };
+
+const readBody = (request: http.IncomingMessage, most: number): Promise<unknown> => new Promise((resolve, reject) => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  request.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > most) { reject(new ApiError(413, 'Document too large', `Documents here have at most ${most} bytes.`)); request.pause(); } else chunks.push(chunk);
+  });
+  request.on('end', () => {
+    try { resolve(JSON.parse(Buffer.concat(chunks).toString('utf8'))); } catch (thrown) { reject(new ApiError(400, 'Not JSON', textOf(thrown))); }
+  });
+  request.on('error', reject);
+});
+
+const changeIdOf = (request: http.IncomingMessage): string => {
+  const given = request.headers['reedyard-change-id'];
+  if (given === undefined) return randomUUID();
+  if (typeof given !== 'string' || !/^[\w.:-]{1,128}$/.test(given)) throw new ApiError(400, 'Bad change id', 'Reedyard-Change-Id takes 1 to 128 letters, digits, dots, colons, dashes and underscores.');
+  return given;
+};
+
+const ifMatchOf = (request: http.IncomingMessage): number | null => {
+  const given = request.headers['if-match'];
+  if (given === undefined) return null;
+  const found = /^"?(\d{1,15})"?$/.exec(given);
+  if (found === null) throw new ApiError(400, 'Bad If-Match', 'If-Match takes the serial of a policy.');
+  return Number(found[1]);
+};
+
+const gets: Readonly<Record<string, Action['kind']>> = {
+  '/v1/policy': 'get-policy', '/v1/status': 'status', '/v1/shares': 'shares', '/v1/partners': 'partners', '/ready': 'ready', '/live': 'live',
+};
+
+const actionOf = async (request: http.IncomingMessage): Promise<Action> => {
+  const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
+  const method = request.method ?? 'GET';
+  const wanted = (allowed: readonly string[]): void => {
+    if (!allowed.includes(method)) throw new ApiError(405, 'Method not allowed', `${path} takes ${allowed.join(', ')}.`);
+  };
+  const hall = /^\/v1\/halls\/([a-z0-9][a-z0-9-]{0,62})$/.exec(path)?.[1];
+  if (hall !== undefined) {
+    wanted(['PUT']);
+    return { kind: 'hall', hall, order: Stencil.hallOrder(await readBody(request, Sizes.document)).order, changeId: changeIdOf(request) };
+  }
+  if (path === '/v1/origins') { wanted(['POST']); return { kind: 'describe', description: Stencil.description(await readBody(request, Sizes.document)) }; }
+  if (path === '/v1/purges') { wanted(['POST']); return { kind: 'purge', purge: Stencil.purge(await readBody(request, Sizes.document)), changeId: changeIdOf(request) }; }
+  const read = gets[path];
+  if (read === undefined) throw new ApiError(404, 'No such place', `${path} is not part of this API.`);
+  wanted(path === '/v1/policy' ? ['GET', 'PUT'] : ['GET']);
+  if (method === 'PUT') return { kind: 'put-policy', document: Stencil.policy(await readBody(request, Sizes.policy)), ifMatch: ifMatchOf(request), changeId: changeIdOf(request) };
+  return { kind: read } as Action;
+};
+
+const problemOf = (thrown: unknown): Reply => {
+  if (thrown instanceof ApiError) return { status: thrown.status, body: { type: 'about:blank', title: thrown.message, status: thrown.status, detail: thrown.detail, ...thrown.more } };
+  if (thrown instanceof StencilError) return { status: 422, body: { type: 'about:blank', title: 'Document not accepted', status: 422, detail: `${thrown.faults.length} fault(s); nothing was changed.`, faults: thrown.faults.slice(0, 50) } };
+  return { status: 500, body: { type: 'about:blank', title: 'Unexpected fault', status: 500, detail: textOf(thrown) } };
+};
+
+/**
+ * The HTTP side of the API. Every action is handed on, and its reply written.
+ *
+ * @example
+ * const server = apiServer((action) => perform(action));
+ */
+export const apiServer = (act: (action: Action) => Promise<Reply>): http.Server => {
+  const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 }, (request, response) => {
+    void actionOf(request).then(act).catch(problemOf).then((reply) => {
+      const text = JSON.stringify(reply.body);
+      const serial = (reply.body as { readonly serial?: unknown }).serial;
+      response.writeHead(reply.status, {
+        'content-type': reply.status >= 400 ? 'application/problem+json' : 'application/json',
+        'content-length': Buffer.byteLength(text),
+        ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
+        ...(typeof serial === 'number' && reply.status === 200 ? { etag: `"${serial}"` } : {}),
+        ...(reply.status === 413 ? { connection: 'close' } : {}),
+      });
+      response.end(text);
+    });
+  });
+  server.keepAliveTimeout = 30_000;
+  return server;
+};
--- /dev/null
+++ b/packages/jig/src/ballots.ts
@@ -0,0 +1,220 @@
+import { Limits, Sizes } from '@reedyard/gauge';
+import { Ballots, majorityOf, Proposer, type Ballot, type Change, type Turn } from '@reedyard/latch';
+import type { AnvilReply, Fact } from '@reedyard/anvil';
+import type { Plan } from '@reedyard/ladle';
+import { chance, log, send, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
+import type { ClaimState, ClaimValue, HallsValue, PolicyValue } from './terms.js';
+import { learnRegister } from './pulls.js';
+
+const isWatched = (key: string): key is Watched => (watched as readonly string[]).includes(key);
+
+const play = (work: Work, which: number, pursuit: Pursuit, turn: Turn): void => {
+  set(work, { pursuits: { ...work.state.pursuits, [which]: { ...pursuit, proposal: turn.proposal } } });
+  const { key } = turn.proposal;
+  for (const move of turn.moves) {
+    if (move.kind === 'prepare' || move.kind === 'accept') {
+      const anvil = work.state.anvils[move.to];
+      if (anvil === undefined) continue;
+      send(work, anvil.address, '/anvil',
+        move.kind === 'prepare' ? { kind: 'prepare', key, ballot: move.ballot } : { kind: 'accept', key, ballot: move.ballot, value: move.value, disk: move.disk },
+        { kind: 'vote', pursuit: which, anvil: move.to, phase: move.kind, ballot: move.ballot });
+    } else if (move.kind === 'outvoted') {
+      again(work, which);
+    } else {
+      set(work, { pursuits: without(work.state.pursuits, which) });
+      if (move.kind === 'chosen') {
+        if (isWatched(key) && move.ballot !== null) learnRegister(work, key, move.ballot, move.value);
+        finish(work, pursuit.purpose, { kind: 'chosen', value: move.value });
+      } else finish(work, pursuit.purpose, { kind: 'refused', reason: move.reason, value: move.value });
+    }
+  }
+};
+
+/** Opens a proposal again a little later, at random, so that two proposers do not outvote each other for ever. */
+const again = (work: Work, which: number): void => {
+  const pursuit = work.state.pursuits[which];
+  if (pursuit === undefined) return;
+  const wait = 10 + 120 * chance(work);
+  set(work, { pursuits: { ...work.state.pursuits, [which]: { ...pursuit, again: work.state.now + wait } } });
+};
+
+/** Opens a proposal; what becomes of it is told by its purpose. */
+export const pursue = (work: Work, key: string, change: Change, purpose: Purpose): void => {
+  const which = takeId(work);
+  const turn = Proposer.open(key, change, Object.keys(work.state.anvils), work.state.highestBallot, work.state.self.id);
+  play(work, which, { proposal: turn.proposal, purpose, openedAt: work.state.now, phaseAt: work.state.now, again: null }, turn);
+};
+
+export const tookVote = (work: Work, which: number, anvil: string, phase: 'prepare' | 'accept', ballot: Ballot, reply: AnvilReply): void => {
+  const pursuit = work.state.pursuits[which];
+  if (pursuit === undefined || reply.kind !== 'vote') return;
+  if (reply.vote.kind === 'no' && Ballots.compare(reply.vote.promised, work.state.highestBallot) > 0) set(work, { highestBallot: reply.vote.promised });
+  const before = pursuit.proposal.phase;
+  const turn = Proposer.voted(pursuit.proposal, anvil, reply.disk, phase, ballot, reply.vote);
+  play(work, which, turn.proposal.phase === before ? pursuit : { ...pursuit, phaseAt: work.state.now }, turn);
+};
+
+/** Looks after proposals that wait, hang or have taken too long. */
+export const tendPursuits = (work: Work): void => {
+  const { now } = work.state;
+  for (const [name, pursuit] of Object.entries(work.state.pursuits)) {
+    const which = Number(name);
+    if (now - pursuit.openedAt > Limits.proposal) {
+      set(work, { pursuits: without(work.state.pursuits, which) });
+      finish(work, pursuit.purpose, { kind: 'unknown' });
+    } else if (pursuit.again !== null ? now >= pursuit.again : now - pursuit.phaseAt > Limits.ballotPhase) {
+      const { key, change } = pursuit.proposal;
+      const above = Ballots.compare(work.state.highestBallot, pursuit.proposal.highest) > 0 ? work.state.highestBallot : pursuit.proposal.highest;
+      const turn = Proposer.open(key, change, Object.keys(work.state.anvils), above, work.state.self.id);
+      play(work, which, { ...pursuit, phaseAt: now, again: null }, turn);
+    }
+  }
+};
+
+type End = { readonly kind: 'chosen'; readonly value: unknown } | { readonly kind: 'refused'; readonly reason: string; readonly value: unknown } | { readonly kind: 'unknown' };
+
+export const unreached = (what: string): { readonly status: number; readonly body: unknown; readonly retryAfter: number } => ({
+  status: 503, retryAfter: Limits.retryAfterSeconds,
+  body: { type: 'about:blank', title: 'No majority reached', status: 503, detail: `${what} was not acknowledged; it may yet take effect. Repeat it with the same change id.` },
+});
+
+const finish = (work: Work, purpose: Purpose, end: End): void => {
+  switch (purpose.kind) {
+    case 'put-policy': {
+      if (end.kind === 'unknown') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The policy') }); return; }
+      const value = end.value as PolicyValue | null;
+      if (end.kind === 'refused') {
+        work.effects.push({ kind: 'answer', id: purpose.id, status: 412, body: { type: 'about:blank', title: 'Stale serial', status: 412, detail: end.reason, serial: value?.serial ?? 0 } });
+        return;
+      }
+      const serial = value?.changes.find((change) => change.id === purpose.changeId)?.serial ?? value?.serial ?? 0;
+      log(work, 'policy.acknowledged', { serial, change: purpose.changeId });
+      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial, changeId: purpose.changeId } });
+      return;
+    }
+    case 'get-policy': {
+      if (end.kind !== 'chosen') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The read') }); return; }
+      const value = end.value as PolicyValue | null;
+      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value?.serial ?? 0, policy: value?.document ?? { services: {}, routes: [] } } });
+      return;
+    }
+    case 'hall': {
+      if (end.kind !== 'chosen') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The order') }); return; }
+      const value = end.value as HallsValue;
+      log(work, 'halls.acknowledged', { serial: value.serial, emptied: value.emptied.join(',') });
+      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value.changes.find((change) => change.id === purpose.changeId)?.serial ?? value.serial, emptied: value.emptied } });
+      return;
+    }
+    case 'plan': {
+      const { state } = work;
+      const own = end.kind === 'chosen' ? (end.value as Plan) : null;
+      if (own === null || own.holder !== state.self.id || own.term !== purpose.goal.term || own.beat !== purpose.goal.beat) {
+        if (state.duty !== null) log(work, 'duty.lost', { term: purpose.goal.term, how: end.kind });
+        set(work, { duty: null });
+        return;
+      }
+      if (state.duty === null || state.duty.term !== own.term) {
+        log(work, 'duty.won', { term: own.term });
+        set(work, { duty: { term: own.term, held: [] } });
+      } else {
+        // Chosen now: from here on its forerunners last one lease more, no longer.
+        const last = state.now + Limits.regrant;
+        set(work, { duty: { ...state.duty, held: state.duty.held.map((each) => ({ ...each, until: Math.min(each.until, last) })) } });
+      }
+      return;
+    }
+    case 'claim':
+      work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'chosen' ? { kind: 'granted' }
+        : end.kind === 'refused' ? { kind: 'taken', state: (end.value as ClaimValue).state } : { kind: 'unreached' } });
+      return;
+    case 'settle':
+      work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' } });
+      return;
+    case 'repair': return;
+  }
+};
+
+const remember = (changes: PolicyValue['changes'], id: string, serial: number): PolicyValue['changes'] => [...changes, { id, serial }].slice(-Sizes.recentChanges);
+
+/** The changes that are made to registers. Each knows its own earlier work by an id in the value. */
+export const Changes = {
+  policy: (document: PolicyValue['document'], ifMatch: number | null, changeId: string): Change => (current) => {
+    const old = current as PolicyValue | null;
+    if (old?.changes.some((change) => change.id === changeId) === true) return { kind: 'keep' };
+    const serial = old?.serial ?? 0;
+    if (ifMatch !== null && ifMatch !== serial) return { kind: 'refuse', reason: `the policy in force has serial ${serial}, not ${ifMatch}` };
+    return { kind: 'write', value: { serial: serial + 1, document, changes: remember(old?.changes ?? [], changeId, serial + 1) } satisfies PolicyValue };
+  },
+  halls: (hall: string, order: 'empty' | 'take-back', changeId: string): Change => (current) => {
+    const old = (current ?? { serial: 0, emptied: [], changes: [] }) as HallsValue;
+    if (old.changes.some((change) => change.id === changeId)) return { kind: 'keep' };
+    const others = old.emptied.filter((each) => each !== hall);
+    return {
+      kind: 'write',
+      value: { serial: old.serial + 1, emptied: order === 'empty' ? [...others, hall] : others, changes: remember(old.changes, changeId, old.serial + 1) } satisfies HallsValue,
+    };
+  },
+  claim: (token: string): Change => (current) => {
+    const old = current as ClaimValue | null;
+    if (old === null || (old.state === 'not-run' && old.token !== token)) return { kind: 'write', value: { token, state: 'pending' } satisfies ClaimValue };
+    return old.token === token && old.state === 'pending' ? { kind: 'keep' } : { kind: 'refuse', reason: old.state };
+  },
+  settle: (token: string, state: ClaimState): Change => (current) => {
+    const old = current as ClaimValue | null;
+    return old === null || old.token !== token || old.state === state ? { kind: 'keep' } : { kind: 'write', value: { token, state } satisfies ClaimValue };
+  },
+  /** A holder's next division: fenced by the term. */
+  plan: (goal: Plan): Change => (current) => {
+    const old = current as Plan | null;
+    if (old !== null && old.term === goal.term && old.holder === goal.holder && old.beat === goal.beat) return { kind: 'keep' };
+    return old !== null && old.term === goal.term && old.holder === goal.holder && old.beat < goal.beat ? { kind: 'write', value: goal } : { kind: 'refuse', reason: 'fenced' };
+  },
+  /** A vacant duty: taken only if nothing moved since it was found vacant. */
+  takeDuty: (seen: Plan | null, goal: Plan): Change => (current) => {
+    const old = current as Plan | null;
+    if (old !== null && old.term === goal.term && old.holder === goal.holder) return { kind: 'keep' };
+    if ((old?.term ?? 0) !== (seen?.term ?? 0) || (old?.beat ?? 0) !== (seen?.beat ?? 0)) return { kind: 'refuse', reason: 'not vacant' };
+    return { kind: 'write', value: { ...goal, slices: old?.slices ?? {} } };
+  },
+  /** After all disks were lost: what this node was told is told again, if it is higher. */
+  retell: (known: { readonly serial?: number; readonly term?: number; readonly beat?: number }): Change => (current) => {
+    const rank = (value: typeof known | null): readonly [number, number] => [value?.serial ?? value?.term ?? 0, value?.beat ?? 0];
+    const [a, b] = [rank(current as typeof known | null), rank(known)];
+    return b[0] > a[0] || (b[0] === a[0] && b[1] > a[1]) ? { kind: 'write', value: known } : { kind: 'keep' };
+  },
+} as const;
+
+/** Puts facts on the board; the waiting side is answered once a majority has them on disk. */
+export const post = (work: Work, facts: readonly Fact[], id: number, done: unknown): void => {
+  const which = takeId(work);
+  set(work, { postings: { ...work.state.postings, [which]: { facts, acks: [], id, openedAt: work.state.now, sentAt: -Infinity, done } } });
+  tendPostings(work);
+};
+
+export const tookPost = (work: Work, which: number, anvil: string, reply: AnvilReply): void => {
+  const posting = work.state.postings[which];
+  if (posting === undefined || reply.kind !== 'posted' || posting.acks.includes(anvil)) return;
+  const acks = [...posting.acks, anvil];
+  if (acks.length < majorityOf(Object.keys(work.state.anvils).length)) {
+    set(work, { postings: { ...work.state.postings, [which]: { ...posting, acks } } });
+    return;
+  }
+  set(work, { postings: without(work.state.postings, which) });
+  work.effects.push({ kind: 'answer', id: posting.id, status: 200, body: posting.done });
+};
+
+export const tendPostings = (work: Work): void => {
+  const { now } = work.state;
+  for (const [name, posting] of Object.entries(work.state.postings)) {
+    const which = Number(name);
+    if (now - posting.openedAt > Limits.proposal) {
+      set(work, { postings: without(work.state.postings, which) });
+      work.effects.push({ kind: 'answer', id: posting.id, ...unreached('The order') });
+    } else if (now - posting.sentAt > Limits.ballotPhase) {
+      set(work, { postings: { ...work.state.postings, [which]: { ...posting, sentAt: now } } });
+      for (const [anvil, view] of Object.entries(work.state.anvils)) {
+        if (!posting.acks.includes(anvil)) send(work, view.address, '/anvil', { kind: 'post', facts: posting.facts }, { kind: 'post', posting: which, anvil });
+      }
+    }
+  }
+};
--- /dev/null
+++ b/packages/jig/src/core.ts
@@ -0,0 +1,217 @@
+import { Beats, Limits } from '@reedyard/gauge';
+import { Ballots, type Ballot } from '@reedyard/latch';
+import type { AnvilReply } from '@reedyard/anvil';
+import type { Step } from '@reedyard/chute';
+import { Spindle } from '@reedyard/spindle';
+import type { Description, Purge } from '@reedyard/stencil';
+import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
+import { tendDuty } from './duty.js';
+import { barred, computeSplit, delayTo, drainKey, gossip, heartbeat, learn, nodesOf, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing } from './network.js';
+import { lostPull, pullAll, renewLease, tookFetch, tookPull } from './pulls.js';
+import { hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, LatheCall, Report, Self } from './terms.js';
+
+const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
+  state.facts.flatMap((fact) => (fact.seq > seq && fact.key.startsWith('purge/') ? [{ seq: fact.seq, purge: fact.value as Purge }] : []));
+
+const feed = (state: JigState, report: Report): Feed => {
+  const policy = policyOf(state);
+  const plan = planOf(state);
+  return {
+    leaseMs: Math.max(0, state.lease - state.now), life: state.life, flushes: state.flushes,
+    policy: policy !== null && policy.serial !== report.policySerial ? { serial: policy.serial, document: policy.document } : null,
+    policySerial: policy?.serial ?? 0,
+    origins: originRows(state), partners: partnerRows(state), emptied: hallsOf(state)?.emptied ?? [], split: state.split,
+    slices: Object.fromEntries(Object.entries(policy?.document.services ?? {}).map(([name, service]) => {
+      const rate = Math.min(plan?.slices[name]?.[state.self.id] ?? 0, service.ceiling);
+      return [name, { rate, share: rate / service.ceiling }];
+    })),
+    purges: purgesAfter(state, report.life === state.life ? report.purgeSeq : 0), purgeSeq: state.factSeq,
+  };
+};
+
+const fed = (work: Work, id: number, body: LatheCall): void => {
+  const { state } = work;
+  switch (body.kind) {
+    case 'feed': {
+      const first = state.report === null || state.report.report.stopping !== body.report.stopping;
+      set(work, { report: { report: body.report, at: state.now } });
+      if (first) heartbeat(work);
+      if (body.report.measure !== null) tookMeasure(work, body.report.measure);
+      work.effects.push({ kind: 'tell', id, body: feed(work.state, body.report) });
+      return;
+    }
+    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token), { kind: 'claim', id, token: body.token }); return;
+    case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
+  }
+};
+
+const asked = (work: Work, id: number, body: JigCall): void => {
+  const tell = (reply: JigReply): void => { work.effects.push({ kind: 'tell', id, body: reply }); };
+  switch (body.kind) {
+    case 'ping': tell({ kind: 'ok' }); return;
+    case 'push': learn(work, body.tellings); tell({ kind: 'ok' }); return;
+    case 'exchange': {
+      const { from, digest, sample } = body.exchange;
+      const mine = Spindle.sample(work.state.spindle.view, { id: work.state.self.id, address: work.state.self.address }, (work.state.now % 97) / 97);
+      const compared = Spindle.compare(work.state.spindle, digest);
+      set(work, { spindle: { ...work.state.spindle, view: Spindle.shuffle(work.state.spindle.view, work.state.self.id, [...sample, { ...from, age: 0 }], mine) } });
+      tell({ kind: 'exchanged', exchanged: { ...compared, sample: mine } });
+      return;
+    }
+  }
+};
+
+const describe = (work: Work, id: number, description: Description): void => {
+  const key = `origin/${description.service}/${description.instance}`;
+  const known = Spindle.get(work.state.spindle, key) as Description | undefined;
+  if (known !== undefined && known !== null && known.incarnation > description.incarnation) {
+    work.effects.push({ kind: 'answer', id, status: 409, body: { type: 'about:blank', title: 'Older incarnation', status: 409, detail: `incarnation ${known.incarnation} of this instance has already described itself` } });
+    return;
+  }
+  const draining = description.draining || (known !== undefined && known !== null && known.incarnation === description.incarnation && known.draining);
+  const told: Description = { ...description, draining };
+  set(work, { spindle: Spindle.tell(work.state.spindle, key, told, work.state.now) });
+  const why = barred(work.state, told);
+  const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
+  if (draining) post(work, [{ key: drainKey(told), value: true }], id, done);
+  else work.effects.push({ kind: 'answer', id, status: 200, body: done });
+};
+
+const status = (state: JigState): unknown => ({
+  node: state.self.id, hall: state.self.hall, region: state.self.region,
+  leaseMs: Math.max(0, Math.round(state.lease - state.now)),
+  policySerial: policyOf(state)?.serial ?? 0,
+  emptiedHalls: hallsOf(state)?.emptied ?? [],
+  anvils: Object.entries(state.anvils).map(([name, view]) => ({ name, address: view.address, answered: view.pulled !== null && state.now - view.pulled.sentAt < Limits.lease })),
+  duty: planOf(state) === null ? null : { holder: planOf(state)?.holder, term: planOf(state)?.term },
+  origins: originsOf(state).map(({ description, barred: why }) => ({ ...description, admitted: why === null, ...(why === null ? {} : { reason: why }) })),
+  lathe: state.report === null ? null : state.report.report.counters,
+  notices: state.notices, splits: state.splits, split: state.split,
+});
+
+const isReady = (state: JigState): boolean =>
+  state.now < state.lease && policyOf(state) !== null && state.self.lathe !== null && state.report !== null && state.now - state.report.at < Limits.lease
+  && !state.report.report.stopping && hallsOf(state)?.emptied.includes(state.self.hall) !== true;
+
+const operator = (work: Work, id: number, action: Action): void => {
+  const { state } = work;
+  const answer = (code: number, body: unknown, retryAfter?: number): void => {
+    work.effects.push({ kind: 'answer', id, status: code, body, ...(retryAfter === undefined ? {} : { retryAfter }) });
+  };
+  switch (action.kind) {
+    case 'put-policy': pursue(work, 'policy', Changes.policy(action.document, action.ifMatch, action.changeId), { kind: 'put-policy', id, changeId: action.changeId }); return;
+    case 'get-policy': pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id }); return;
+    case 'hall': pursue(work, 'halls', Changes.halls(action.hall, action.order, action.changeId), { kind: 'hall', id, changeId: action.changeId }); return;
+    case 'purge': post(work, [{ key: `purge/${action.changeId}`, value: action.purge }], id, { changeId: action.changeId }); return;
+    case 'describe': describe(work, id, action.description); return;
+    case 'status': answer(200, status(state)); return;
+    case 'shares': {
+      if (state.now >= state.lease) { const gone = unreached('The read'); answer(gone.status, gone.body, gone.retryAfter); return; }
+      const plan = planOf(state);
+      answer(200, { holder: plan?.holder ?? null, term: plan?.term ?? 0, beat: plan?.beat ?? 0, services: Object.fromEntries(Object.entries(plan?.slices ?? {}).map(([name, slices]) =>
+        [name, { ceiling: policyOf(state)?.document.services[name]?.ceiling ?? 0, slices }])) });
+      return;
+    }
+    case 'partners': answer(200, { node: state.self.id, view: state.spindle.view.map((each) => each.id), partners: nodesOf(state).map(({ record, seenAt }) => ({
+      ...record, self: record.id === state.self.id, silentMs: Math.round(state.now - seenAt), delaySeconds: delayTo(state, record.id) })) }); return;
+    case 'ready': if (isReady(state)) answer(200, { ready: true }); else answer(503, { ready: false }, Limits.retryAfterSeconds); return;
+    case 'live': answer(200, { live: true }); return;
+  }
+};
+
+const returned = (work: Work, id: number, body: AnvilReply | JigReply): void => {
+  const pending = work.state.pending[id];
+  if (pending === undefined) return;
+  set(work, { pending: without(work.state.pending, id) });
+  switch (pending.kind) {
+    case 'pull': tookPull(work, pending.anvil, pending.sentAt, body as AnvilReply); return;
+    case 'fetch': tookFetch(work, pending.key, body as AnvilReply); return;
+    case 'vote': tookVote(work, pending.pursuit, pending.anvil, pending.phase, pending.ballot, body as AnvilReply); return;
+    case 'post': tookPost(work, pending.posting, pending.anvil, body as AnvilReply); return;
+    case 'ping': tookPing(work, pending.edge, (work.state.now - pending.sentAt) / 1_000); return;
+    case 'push': return;
+    case 'exchange': {
+      const reply = body as JigReply;
+      if (reply.kind !== 'exchanged') return;
+      learn(work, reply.exchanged.newer);
+      set(work, { spindle: { ...work.state.spindle, view: Spindle.shuffle(work.state.spindle.view, work.state.self.id, reply.exchanged.sample, []) } });
+      const wanted = Spindle.pick(work.state.spindle, reply.exchanged.wants);
+      if (Object.keys(wanted).length > 0) send(work, pending.to, '/jig', { kind: 'push', tellings: wanted }, { kind: 'push' });
+      return;
+    }
+  }
+};
+
+const lost = (work: Work, id: number): void => {
+  const pending = work.state.pending[id];
+  if (pending === undefined) return;
+  set(work, { pending: without(work.state.pending, id) });
+  if (pending.kind === 'pull') lostPull(work, pending.anvil);
+  if (pending.kind === 'exchange' && pending.partner !== null) {
+    set(work, { spindle: { ...work.state.spindle, view: work.state.spindle.view.filter((each) => each.id !== pending.partner) } });
+  }
+};
+
+const sweep = (work: Work): void => {
+  const { state } = work;
+  const swept = Spindle.sweep(state.spindle, state.now);
+  const facts = state.facts.filter((fact) => state.now - fact.at <= Limits.fact);
+  set(work, {
+    spindle: swept.state, splitStale: true, facts,
+    factKeys: facts.length === state.facts.length ? state.factKeys : Object.fromEntries(facts.map((fact) => [fact.key, true as const])),
+    pending: state.pending,
+  });
+};
+
+const beat = (work: Work): void => {
+  const { now } = work.state;
+  const due = (name: keyof JigState['due'], every: number, act: () => void): void => {
+    if (now < work.state.due[name]) return;
+    set(work, { due: { ...work.state.due, [name]: now + every } });
+    act();
+  };
+  tendPursuits(work);
+  tendPostings(work);
+  due('pull', Beats.pull, () => pullAll(work));
+  due('heartbeat', Beats.heartbeat, () => heartbeat(work));
+  due('gossip', Beats.gossip, () => gossip(work));
+  due('ping', Beats.ping, () => pingAll(work));
+  due('sweep', Beats.heartbeat, () => sweep(work));
+  due('division', Beats.division, () => tendDuty(work));
+  computeSplit(work);
+  renewLease(work);
+};
+
+export const Jig = {
+  /**
+   * A jig that knows only itself, its seeds and the founding anvils.
+   *
+   * @example
+   * Jig.open({ self, life: 'l1', seeds: [], founders: { 'core-1': '127.0.0.1:7101' }, seed: 1, now: 0 })
+   */
+  open: (parts: {
+    readonly self: Self; readonly life: string; readonly seeds: readonly string[];
+    readonly founders: Readonly<Record<string, string>>; readonly seed: number; readonly now: number;
+  }): JigState => ({
+    self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
+    anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null }])),
+    registers: {}, highestBallot: Ballots.none as Ballot, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, pursuits: {}, postings: {},
+    spindle: Spindle.empty, delays: {}, report: null, measure: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splits: 0,
+    planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
+  }),
+
+  /** @example Jig.reduce(state, { kind: 'beat', now: 50 }).effects */
+  reduce: (state: JigState, event: JigEvent): Step<JigState, JigEffect> => {
+    const work: Work = { state: { ...state, now: Math.max(state.now, event.now) }, effects: [] };
+    switch (event.kind) {
+      case 'beat': beat(work); break;
+      case 'asked': asked(work, event.id, event.body); break;
+      case 'fed': fed(work, event.id, event.body); break;
+      case 'operator': operator(work, event.id, event.action); break;
+      case 'returned': returned(work, event.id, event.body); break;
+      case 'lost': lost(work, event.id); break;
+    }
+    return { state: work.state, effects: work.effects };
+  },
+} as const;
--- /dev/null
+++ b/packages/jig/src/duty.ts
@@ -0,0 +1,44 @@
+import { Limits } from '@reedyard/gauge';
+import { differs, divide, toward, type Plan, type Seat, type Slices } from '@reedyard/ladle';
+import { Changes, pursue } from './ballots.js';
+import { chance, log, planOf, policyOf, set, type Work } from './state.js';
+import { servingNodes } from './network.js';
+
+const busy = (work: Work): boolean => Object.values(work.state.pursuits).some((pursuit) => pursuit.purpose.kind === 'plan');
+
+/** The holder's beat: renew the term and move slices to where the demand is. */
+const renew = (work: Work, current: Plan): void => {
+  const { state } = work;
+  const duty = state.duty;
+  if (duty === null) return;
+  const held = duty.held.filter((each) => each.until > state.now);
+  const nodes = servingNodes(state);
+  const seats: readonly Seat[] = nodes.map((record) => ({ edge: record.id, hall: record.hall, region: record.region }));
+  const services = policyOf(state)?.document.services ?? {};
+  const slices = Object.fromEntries(Object.entries(services).map(([name, service]): readonly [string, Slices] => {
+    const wants = Object.fromEntries(nodes.map((record) => [record.id, record.wants[name] ?? 0]));
+    const goal = divide(service.ceiling, seats, wants);
+    const now = current.slices[name] ?? {};
+    const earlier = [now, ...held.map((each) => each.slices[name] ?? {})];
+    const next = toward(goal, service.ceiling, earlier);
+    return [name, differs(next, now) ? next : now];
+  }));
+  const goal: Plan = { term: current.term, holder: state.self.id, beat: current.beat + 1, slices };
+  // What is in force now may be held by others for a lease after its successor is chosen.
+  set(work, { duty: { ...duty, held: [...held, { slices: current.slices, until: state.now + Limits.regrant + Limits.proposal }] } });
+  pursue(work, 'plan', Changes.plan(goal), { kind: 'plan', goal });
+};
+
+/** Renews the duty where this node has it, and takes it where nobody does. */
+export const tendDuty = (work: Work): void => {
+  const { state } = work;
+  if (state.now >= state.lease || busy(work)) return;
+  const current = planOf(state);
+  if (state.duty !== null && current !== null && current.holder === state.self.id && current.term === state.duty.term) { renew(work, current); return; }
+  if (state.duty !== null) { log(work, 'duty.lost', { term: state.duty.term, how: 'another holder' }); set(work, { duty: null }); }
+  if (policyOf(state) === null) return;
+  const vacant = current === null || state.now - state.planSeen.at > Limits.vacancy;
+  if (!vacant || chance(work) > 0.3) return;
+  const goal: Plan = { term: (current?.term ?? 0) + 1, holder: state.self.id, beat: 1, slices: current?.slices ?? {} };
+  pursue(work, 'plan', Changes.takeDuty(current, goal), { kind: 'plan', goal });
+};
--- /dev/null
+++ b/packages/jig/src/index.ts
@@ -0,0 +1,3 @@
+export * from './terms.js';
+export { Jig } from './core.js';
+export type { JigState } from './state.js';
--- /dev/null
+++ b/packages/jig/src/network.ts
@@ -0,0 +1,176 @@
+import { Beats, Limits, Weights } from '@reedyard/gauge';
+import { Spindle, type Exchanged, type Neighbour } from '@reedyard/spindle';
+import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
+import type { Description } from '@reedyard/stencil';
+import { chance, hallsOf, log, policyOf, send, set, type JigState, type Work } from './state.js';
+import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
+
+/** Tells this node's own record again; each new serial is a heartbeat. */
+export const heartbeat = (work: Work): void => {
+  const { self, report, now } = work.state;
+  const fed = report !== null && now - report.at < Limits.lease;
+  const record: NodeRecord = {
+    id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe, anvil: self.anvil,
+    ready: self.lathe !== null && fed && !report.report.stopping && now < work.state.lease,
+    wants: fed ? report.report.wants : {},
+  };
+  set(work, { spindle: Spindle.tell(work.state.spindle, `node/${self.id}`, record, now) });
+};
+
+/** Every node heard of that is not forgotten. */
+export const nodesOf = (state: JigState): readonly { readonly record: NodeRecord; readonly seenAt: number }[] =>
+  Spindle.all(state.spindle, 'node/').map(([, value, seenAt]) => ({ record: value as NodeRecord, seenAt }));
+
+const liveNow = (state: JigState, seenAt: number, id: string): boolean => id === state.self.id || state.now - seenAt < Limits.partnerSilence;
+
+/** Nodes with a lathe that may be given forwarded requests or slices. */
+export const servingNodes = (state: JigState): readonly NodeRecord[] => {
+  const emptied = hallsOf(state)?.emptied ?? [];
+  return nodesOf(state).flatMap(({ record, seenAt }) =>
+    (record.lathe !== null && record.ready && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall) ? [record] : []));
+};
+
+/** One gossip exchange with a neighbour, a seed, or now and then any node, so that cut parts meet again. */
+export const gossip = (work: Work): void => {
+  const { state } = work;
+  const draw = chance(work);
+  const nodes = nodesOf(state).filter(({ record }) => record.id !== state.self.id);
+  const seeds = state.seeds.filter((seed) => seed !== state.self.address);
+  const anySeed = seeds[Math.floor(chance(work) * seeds.length)];
+  const anyNode = nodes[Math.floor(chance(work) * nodes.length)];
+  const oldest = state.spindle.view.reduce<Neighbour | null>((best, each) => (best === null || each.age > best.age ? each : best), null);
+  const target = oldest === null || draw < 0.1 ? anySeed : draw < 0.2 && anyNode !== undefined ? anyNode.record.address : oldest.address;
+  if (target === undefined) return;
+  const self = { id: state.self.id, address: state.self.address };
+  const body: JigCall = { kind: 'exchange', exchange: { from: self, digest: Spindle.digest(state.spindle), sample: Spindle.sample(state.spindle.view, self, chance(work)) } };
+  send(work, target, '/jig', body, { kind: 'exchange', to: target, partner: oldest !== null && target === oldest.address ? oldest.id : null });
+  set(work, {
+    spindle: {
+      ...work.state.spindle,
+      view: work.state.spindle.view.map((each) => (oldest !== null && each.id === oldest.id ? { ...each, age: 0 } : { ...each, age: each.age + 1 })),
+    },
+  });
+};
+
+/** Takes in tellings; one's own that came back with a higher serial are told again above it. */
+export const learn = (work: Work, tellings: Exchanged['newer']): void => {
+  const learned = Spindle.learn(work.state.spindle, tellings, work.state.now);
+  set(work, { spindle: learned.state });
+  const own = [`node/${work.state.self.id}`, `vector/${work.state.self.id}`];
+  if (learned.news.includes(own[0] ?? '')) heartbeat(work);
+  if (learned.news.includes(own[1] ?? '') && work.state.sent !== null) {
+    set(work, { spindle: Spindle.tell(work.state.spindle, own[1] ?? '', work.state.sent, work.state.now) });
+  }
+  if (learned.news.some((key) => key.startsWith('vector/'))) set(work, { splitStale: true });
+  adoptAnvils(work);
+};
+
+/** An anvil's machine may come back at another address; its name stays its place among the voters. */
+const adoptAnvils = (work: Work): void => {
+  for (const { record } of nodesOf(work.state)) {
+    const view = work.state.anvils[record.id];
+    if (view !== undefined && record.anvil !== null && record.anvil.address !== view.address) {
+      log(work, 'anvil.moved', { anvil: record.id, address: record.anvil.address });
+      set(work, { anvils: { ...work.state.anvils, [record.id]: { ...view, address: record.anvil.address, call: null, pulled: null } } });
+    }
+  }
+};
+
+export const pingAll = (work: Work): void => {
+  if (work.state.self.lathe === null) return;
+  for (const { record } of nodesOf(work.state)) {
+    if (record.id === work.state.self.id || record.lathe === null) continue;
+    send(work, record.address, '/jig', { kind: 'ping' }, { kind: 'ping', edge: record.id, sentAt: work.state.now });
+  }
+};
+
+export const tookPing = (work: Work, edge: string, seconds: number): void => {
+  set(work, { delays: { ...work.state.delays, [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-3) } });
+};
+
+/** s. The least of the last three pings: what the path takes without the machine's own noise. */
+export const delayTo = (state: JigState, edge: string): number | null => {
+  const known = state.delays[edge];
+  return known === undefined || known.length === 0 ? null : Math.min(...known);
+};
+
+const vectorOf = (state: JigState, measure: Measure): Vector => {
+  const capacity = state.self.lathe?.capacityBps ?? 0;
+  const asked = Object.values(measure.demand).reduce((sum, bps) => sum + bps, 0);
+  return {
+    demand: measure.demand, copies: measure.copies, capacity,
+    utilisation: capacity > 0 ? measure.servedBps / capacity : 0, offered: capacity > 0 ? asked / capacity : 0,
+    delays: Object.fromEntries(Object.keys(state.delays).flatMap((edge) => { const delay = delayTo(state, edge); return delay === null ? [] : [[edge, delay]]; })),
+    meanReply: measure.meanReplyBits, fetchDelay: measure.fetchSeconds > 0 ? measure.fetchSeconds : Weights.fetchPenalty,
+  };
+};
+
+/** A new measurement: told to all only on a marked change, or when the slow refresh is due. */
+export const tookMeasure = (work: Work, measure: Measure): void => {
+  const vector = vectorOf(work.state, measure);
+  set(work, { measure });
+  const { sent, sentAt, now } = work.state;
+  if (!mustSend(vector, sent) && now - sentAt < Beats.refresh) return;
+  set(work, {
+    sent: vector, sentAt: now, notices: work.state.notices + 1, splitStale: true,
+    spindle: Spindle.tell(work.state.spindle, `vector/${work.state.self.id}`, vector, now),
+  });
+};
+
+/** Computes this edge's rows from the vectors it holds, once something they rest on has changed. */
+export const computeSplit = (work: Work): void => {
+  const { state } = work;
+  if (state.self.lathe === null || !state.splitStale || state.now - state.splitAt < Beats.pull) return;
+  const policy = policyOf(state);
+  const routes = new Map((policy?.document.routes ?? []).map((route) => [route.name, route]));
+  const serving = new Map(servingNodes(state).map((record) => [record.id, record]));
+  const me = { id: state.self.id, region: state.self.region };
+  const vectors: Record<string, Vector> = {};
+  for (const [key, value, seenAt] of Spindle.all(state.spindle, 'vector/')) {
+    const edge = key.slice('vector/'.length);
+    if (edge === me.id || (serving.has(edge) && state.now - seenAt < 3 * Beats.refresh)) vectors[edge] = value as Vector;
+  }
+  const split = vectors[me.id] === undefined ? { split: {}, iterations: 0, cost: 0 } : splitFor(me.id, vectors, (name) => {
+    const route = routes.get(name);
+    if (route === undefined) return null;
+    return { servers: (edge) => {
+      const region = edge === me.id ? me.region : serving.get(edge)?.region;
+      return region !== undefined && (edge === me.id || serving.has(edge)) && (route.homes === undefined || route.homes.includes(region));
+    } };
+  });
+  set(work, { split: split.split, splitAt: state.now, splitStale: false, splits: state.splits + 1 });
+};
+
+/** Why an origin gets no traffic, or null if it does. */
+export const barred = (state: JigState, description: Description): string | null => {
+  const service = policyOf(state)?.document.services[description.service];
+  if (service === undefined) return 'no policy allows this service';
+  if (service.instances !== undefined && !service.instances.includes(description.instance)) return 'the policy does not name this instance';
+  if (description.draining || state.factKeys[drainKey(description)] !== undefined) return 'draining';
+  if (hallsOf(state)?.emptied.includes(description.hall) === true) return 'its hall is emptied';
+  return null;
+};
+
+export const drainKey = (description: Description): string => `drain/${description.service}/${description.instance}/${description.incarnation}`;
+
+/** Every origin heard of. Of two at one address only the one heard later counts. */
+export const originsOf = (state: JigState): readonly { readonly description: Description; readonly barred: string | null }[] => {
+  const all = Spindle.all(state.spindle, 'origin/').map(([, value, seenAt]) => ({ description: value as Description, seenAt }));
+  return all.map(({ description, seenAt }) => ({
+    description,
+    barred: all.some((other) => other.description.address === description.address && other.seenAt > seenAt
+      && (other.description.service !== description.service || other.description.instance !== description.instance))
+      ? 'another origin has taken its address' : barred(state, description),
+  }));
+};
+
+export const originRows = (state: JigState): readonly OriginRow[] =>
+  originsOf(state).flatMap(({ description, barred: why }) => (why !== null ? [] : [{
+    service: description.service, instance: description.instance, incarnation: description.incarnation, address: description.address,
+    hall: description.hall, region: description.region, capacity: description.capacity, cold: description.state === 'cold',
+  }]));
+
+export const partnerRows = (state: JigState): readonly PartnerRow[] =>
+  servingNodes(state).flatMap((record) => (record.id === state.self.id || record.lathe === null ? [] : [{
+    id: record.id, hall: record.hall, region: record.region, address: record.lathe.partners, delay: delayTo(state, record.id) ?? Weights.fetchPenalty,
+  }])).sort((a, b) => a.delay - b.delay);
--- /dev/null
+++ b/packages/jig/src/pulls.ts
@@ -0,0 +1,115 @@
+import { Beats, Limits } from '@reedyard/gauge';
+import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
+import type { AnvilReply } from '@reedyard/anvil';
+import type { Plan } from '@reedyard/ladle';
+import { Changes, pursue } from './ballots.js';
+import { chance, log, send, set, watched, type AnvilView, type Watched, type Work } from './state.js';
+
+const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
+  const view = work.state.anvils[name];
+  if (view !== undefined) set(work, { anvils: { ...work.state.anvils, [name]: { ...view, ...part } } });
+};
+
+/** Asks every anvil for what is new; several times a second. */
+export const pullAll = (work: Work): void => {
+  for (const [name, view] of Object.entries(work.state.anvils)) {
+    if (view.call !== null && work.state.now - view.askedAt < Limits.call) continue;
+    const call = send(work, view.address, '/anvil', { kind: 'pull', cursor: view.cursor, keys: watched }, { kind: 'pull', anvil: name, sentAt: work.state.now });
+    change(work, name, { call, askedAt: work.state.now });
+  }
+};
+
+/** Takes in a value that is known to be chosen. A lower ballot than the known one is old news. */
+export const learnRegister = (work: Work, key: Watched, ballot: Ballot, value: unknown): void => {
+  const known = work.state.registers[key];
+  if (known !== undefined && Ballots.compare(ballot, known.ballot) <= 0) return;
+  set(work, { registers: { ...work.state.registers, [key]: { ballot, value, at: work.state.now } }, splitStale: true });
+  if (Ballots.compare(ballot, work.state.highestBallot) > 0) set(work, { highestBallot: ballot });
+  if (key === 'plan') {
+    const plan = value as Plan;
+    const { planSeen } = work.state;
+    if (plan.term !== planSeen.term || plan.beat !== planSeen.beat) set(work, { planSeen: { term: plan.term, beat: plan.beat, at: work.state.now } });
+  } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
+  renewLease(work);
+};
+
+/**
+ * The lease runs from the sending of the oldest of a majority of pulls, and counts a pull only if
+ * all it showed is known here: whatever was acknowledged before then is then known too.
+ */
+export const renewLease = (work: Work): void => {
+  const { state } = work;
+  const views = Object.values(state.anvils);
+  const counted = views.flatMap((view) => {
+    const { pulled } = view;
+    if (pulled === null || pulled.more) return [];
+    const known = watched.every((key) => Ballots.compare(pulled.ballots[key] ?? Ballots.none, state.registers[key]?.ballot ?? Ballots.none) <= 0);
+    return known ? [pulled.sentAt] : [];
+  }).sort((a, b) => b - a);
+  const oldest = counted[majorityOf(views.length) - 1];
+  if (oldest === undefined) return;
+  const lease = oldest + Limits.lease;
+  if (lease <= state.lease) return;
+  // Purges stay on the board for a minute; a node that was away half that long trusts no copy.
+  const missed = state.lease > 0 && lease - state.lease > Limits.fact / 2;
+  if (missed) log(work, 'lease.back', { awayMs: Math.round(lease - state.lease) });
+  set(work, { lease, flushes: state.flushes + (missed ? 1 : 0) });
+};
+
+/** What the last pulls show of each register: fetch what is chosen, repair what hangs. */
+const watchRegisters = (work: Work): void => {
+  for (const key of watched) {
+    const shown = Object.entries(work.state.anvils).flatMap(([name, view]) => {
+      const ballot = view.pulled?.ballots[key];
+      return view.pulled === null ? [] : [{ name, ballot: ballot ?? Ballots.none }];
+    });
+    const known = work.state.registers[key]?.ballot ?? Ballots.none;
+    const highest = shown.reduce<Ballot>((best, { ballot }) => (Ballots.compare(ballot, best) > 0 ? ballot : best), Ballots.none);
+    const majority = majorityOf(Object.keys(work.state.anvils).length);
+    if (Ballots.compare(highest, known) > 0) {
+      const holders = shown.filter(({ ballot }) => Ballots.compare(ballot, highest) === 0);
+      const busy = Object.values(work.state.pending).some((each) => each.kind === 'fetch' && each.key === key);
+      const repairing = Object.values(work.state.pursuits).some((pursuit) => pursuit.proposal.key === key);
+      if (holders.length >= majority) {
+        const chosenHolder = holders[Math.floor(chance(work) * holders.length)];
+        const address = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder.name]?.address;
+        if (!busy && address !== undefined) send(work, address, '/anvil', { kind: 'fetch', key }, { kind: 'fetch', key });
+      } else if (!repairing && chance(work) < 0.1) pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
+    } else if (Ballots.compare(known, Ballots.none) > 0 && chance(work) < 0.1
+      && Object.values(work.state.anvils).filter((view) => view.pulled !== null && view.pulled.sentAt > (work.state.registers[key]?.at ?? 0)
+        && Ballots.compare(view.pulled.ballots[key] ?? Ballots.none, known) < 0).length >= majority) {
+      // A majority lacks what this node was told: too many disks that held it are lost.
+      const value = work.state.registers[key]?.value as { readonly serial?: number };
+      log(work, 'register.retold', { key });
+      pursue(work, key, Changes.retell(value), { kind: 'repair' });
+    }
+  }
+};
+
+export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
+  if (reply.kind !== 'pulled') { change(work, name, { call: null, ...(reply.kind === 'away' ? { pulled: null } : {}) }); return; }
+  let { factSeq } = work.state;
+  const added = reply.facts.filter((fact) => work.state.factKeys[fact.key] === undefined)
+    .map((fact) => { factSeq += 1; return { ...fact, seq: factSeq, at: work.state.now }; });
+  if (added.length > 0) {
+    set(work, {
+      factSeq, facts: [...work.state.facts, ...added], splitStale: true,
+      factKeys: { ...work.state.factKeys, ...Object.fromEntries(added.map((fact) => [fact.key, true as const])) },
+    });
+  }
+  change(work, name, { call: null, cursor: { disk: reply.disk, seq: reply.seq }, pulled: { sentAt, more: reply.more, ballots: reply.ballots } });
+  watchRegisters(work);
+  renewLease(work);
+  if (reply.more) set(work, { due: { ...work.state.due, pull: work.state.now } });
+};
+
+export const tookFetch = (work: Work, key: Watched, reply: AnvilReply): void => {
+  if (reply.kind !== 'fetched' || reply.accepted === null) return;
+  const { accepted } = reply;
+  const holders = Object.values(work.state.anvils).filter((view) => Ballots.compare(view.pulled?.ballots[key] ?? Ballots.none, accepted.ballot) === 0).length;
+  if (holders >= majorityOf(Object.keys(work.state.anvils).length)) learnRegister(work, key, accepted.ballot, accepted.value);
+};
+
+export const lostPull = (work: Work, name: string): void => change(work, name, { call: null });
+
+export const pullEvery = Beats.pull;
--- /dev/null
+++ b/packages/jig/src/state.ts
@@ -0,0 +1,123 @@
+import type { Cursor, Fact } from '@reedyard/anvil';
+import type { Ballot, Proposal } from '@reedyard/latch';
+import type { SpindleState } from '@reedyard/spindle';
+import type { Plan, Slices } from '@reedyard/ladle';
+import type { Split, Vector } from '@reedyard/plumb';
+import type { Action, ClaimState, HallsValue, JigEffect, Measure, PolicyValue, Report, Self } from './terms.js';
+
+/** The registers that every jig watches. */
+export const watched = ['policy', 'halls', 'plan'] as const;
+export type Watched = (typeof watched)[number];
+
+/** How one anvil was last seen. */
+export type AnvilView = {
+  readonly address: string;
+  readonly cursor: Cursor | null;
+  readonly call: number | null;
+  readonly askedAt: number;
+  /** When the newest counted pull was sent, and the ballots it showed. */
+  readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
+};
+
+/** Who waits for a proposal, and what becomes of its end. */
+export type Purpose =
+  | { readonly kind: 'put-policy'; readonly id: number; readonly changeId: string }
+  | { readonly kind: 'get-policy'; readonly id: number }
+  | { readonly kind: 'hall'; readonly id: number; readonly changeId: string }
+  | { readonly kind: 'plan'; readonly goal: Plan }
+  | { readonly kind: 'claim'; readonly id: number; readonly token: string }
+  | { readonly kind: 'settle'; readonly id: number }
+  | { readonly kind: 'repair' };
+
+export type Pursuit = {
+  readonly proposal: Proposal; readonly purpose: Purpose;
+  readonly openedAt: number; readonly phaseAt: number; readonly again: number | null;
+};
+
+export type Posting = { readonly facts: readonly Fact[]; readonly acks: readonly string[]; readonly id: number; readonly openedAt: number; readonly sentAt: number; readonly done: unknown };
+
+export type Pending =
+  | { readonly kind: 'pull'; readonly anvil: string; readonly sentAt: number }
+  | { readonly kind: 'fetch'; readonly key: Watched }
+  | { readonly kind: 'vote'; readonly pursuit: number; readonly anvil: string; readonly phase: 'prepare' | 'accept'; readonly ballot: Ballot }
+  | { readonly kind: 'post'; readonly posting: number; readonly anvil: string }
+  | { readonly kind: 'exchange'; readonly to: string; readonly partner: string | null }
+  | { readonly kind: 'push' }
+  | { readonly kind: 'ping'; readonly edge: string; readonly sentAt: number };
+
+export type JigState = {
+  readonly self: Self;
+  readonly life: string;
+  readonly seeds: readonly string[];
+  readonly seed: number;
+  readonly now: number;
+  readonly nextId: number;
+  readonly pending: Readonly<Record<number, Pending>>;
+  readonly anvils: Readonly<Record<string, AnvilView>>;
+  readonly registers: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown; readonly at: number } };
+  readonly highestBallot: Ballot;
+  /** Monotonic ms until which this node may act on what it knows. */
+  readonly lease: number;
+  readonly flushes: number;
+  readonly facts: readonly (Fact & { readonly seq: number; readonly at: number })[];
+  readonly factKeys: Readonly<Record<string, true>>;
+  readonly factSeq: number;
+  readonly pursuits: Readonly<Record<number, Pursuit>>;
+  readonly postings: Readonly<Record<number, Posting>>;
+  readonly spindle: SpindleState;
+  readonly delays: Readonly<Record<string, readonly number[]>>;
+  readonly report: { readonly report: Report; readonly at: number } | null;
+  readonly measure: Measure | null;
+  readonly sent: Vector | null;
+  readonly sentAt: number;
+  readonly notices: number;
+  readonly split: Split;
+  readonly splitAt: number;
+  readonly splitStale: boolean;
+  readonly splits: number;
+  readonly planSeen: { readonly term: number; readonly beat: number; readonly at: number };
+  readonly duty: { readonly term: number; readonly held: readonly { readonly slices: Readonly<Record<string, Slices>>; readonly until: number }[] } | null;
+  readonly due: Readonly<Record<'pull' | 'gossip' | 'heartbeat' | 'division' | 'ping' | 'sweep', number>>;
+};
+
+/** What a reducer works with inside one step; the states themselves never change. */
+export type Work = { state: JigState; readonly effects: JigEffect[] };
+
+export const set = (work: Work, change: Partial<JigState>): void => { work.state = { ...work.state, ...change }; };
+
+/** A number in [0, 1) from the state's own seed, so that the same seed gives the same run. */
+export const chance = (work: Work): number => {
+  const next = (work.state.seed + 0x6d2b79f5) | 0;
+  set(work, { seed: next });
+  let mixed = Math.imul(next ^ (next >>> 15), 1 | next);
+  mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+  return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+};
+
+export const takeId = (work: Work): number => {
+  const id = work.state.nextId;
+  set(work, { nextId: id + 1 });
+  return id;
+};
+
+export const send = (work: Work, to: string, path: '/anvil' | '/jig', body: Extract<JigEffect, { kind: 'call' }>['body'], pending: Pending): number => {
+  const id = takeId(work);
+  set(work, { pending: { ...work.state.pending, [id]: pending } });
+  work.effects.push({ kind: 'call', id, to, path, body });
+  return id;
+};
+
+export const without = <T>(table: Readonly<Record<number | string, T>>, key: number | string): Readonly<Record<number | string, T>> => {
+  const { [key]: _gone, ...rest } = table;
+  return rest;
+};
+
+export const log = (work: Work, event: string, fields: Readonly<Record<string, string | number | boolean>> = {}): void => {
+  work.effects.push({ kind: 'log', event, fields });
+};
+
+export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
+export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls?.value ?? null) as HallsValue | null;
+export const planOf = (state: JigState): Plan | null => (state.registers.plan?.value ?? null) as Plan | null;
+
+export type { Action, ClaimState };
--- /dev/null
+++ b/packages/jig/src/terms.ts
@@ -0,0 +1,131 @@
+import type { AnvilCall, AnvilReply } from '@reedyard/anvil';
+import type { Description, HallOrder, Policy, Purge } from '@reedyard/stencil';
+import type { Exchange, Exchanged, Telling } from '@reedyard/spindle';
+import type { Split } from '@reedyard/plumb';
+
+/** Who and where a jig is, and what else runs on its machine. */
+export type Self = {
+  readonly id: string;
+  readonly hall: string;
+  readonly region: string;
+  readonly address: string;
+  readonly lathe: { readonly callers: string; readonly partners: string; readonly capacityBps: number } | null;
+  readonly anvil: { readonly address: string } | null;
+};
+
+/** A node's own record, told by gossip; a new serial of it is a heartbeat. */
+export type NodeRecord = {
+  readonly id: string; readonly hall: string; readonly region: string; readonly address: string;
+  readonly lathe: Self['lathe']; readonly anvil: Self['anvil'];
+  /** Whether its lathe takes transactions. */
+  readonly ready: boolean;
+  /** Legs a second that its lathe would like to make, by service. */
+  readonly wants: Readonly<Record<string, number>>;
+};
+
+/** What the policy register holds. */
+export type PolicyValue = {
+  readonly serial: number;
+  readonly document: Policy;
+  readonly changes: readonly { readonly id: string; readonly serial: number }[];
+};
+
+/** What the halls register holds. */
+export type HallsValue = {
+  readonly serial: number;
+  readonly emptied: readonly string[];
+  readonly changes: readonly { readonly id: string; readonly serial: number }[];
+};
+
+/** What a claim's register holds: never a body. */
+export type ClaimState = 'pending' | 'ran' | 'not-run' | 'unknown';
+export type ClaimValue = { readonly token: string; readonly state: ClaimState };
+
+/** What a lathe measured over one period. */
+export type Measure = {
+  /** bps its own callers asked for, by object key. */
+  readonly demand: Readonly<Record<string, number>>;
+  readonly copies: readonly string[];
+  /** bps it served in all, for its callers and for partners. */
+  readonly servedBps: number;
+  readonly meanReplyBits: number;
+  readonly fetchSeconds: number;
+};
+
+/** What a lathe tells with each question for news. */
+export type Report = {
+  readonly policySerial: number;
+  readonly life: string;
+  readonly purgeSeq: number;
+  readonly stopping: boolean;
+  readonly wants: Readonly<Record<string, number>>;
+  readonly measure: Measure | null;
+  readonly counters: Readonly<Record<string, number>>;
+};
+
+export type OriginRow = {
+  readonly service: string; readonly instance: string; readonly incarnation: number; readonly address: string;
+  readonly hall: string; readonly region: string; readonly capacity: number; readonly cold: boolean;
+};
+export type PartnerRow = { readonly id: string; readonly hall: string; readonly region: string; readonly address: string; readonly delay: number };
+
+/** What a jig feeds to its lathe. */
+export type Feed = {
+  /** ms that the lease still runs, from the moment the question was sent. */
+  readonly leaseMs: number;
+  /** Names this life of the jig; a new one makes old purge places worthless. */
+  readonly life: string;
+  readonly flushes: number;
+  /** Only where the lathe's serial is another. */
+  readonly policy: { readonly serial: number; readonly document: Policy } | null;
+  readonly policySerial: number;
+  readonly origins: readonly OriginRow[];
+  readonly partners: readonly PartnerRow[];
+  readonly emptied: readonly string[];
+  readonly split: Split;
+  /** Legs a second this lathe may make, and its share of the ceiling, by service. */
+  readonly slices: Readonly<Record<string, { readonly rate: number; readonly share: number }>>;
+  readonly purges: readonly { readonly seq: number; readonly purge: Purge }[];
+  readonly purgeSeq: number;
+};
+
+/** What a lathe asks of its jig. */
+export type LatheCall =
+  | { readonly kind: 'feed'; readonly report: Report }
+  | { readonly kind: 'claim'; readonly key: string; readonly token: string }
+  | { readonly kind: 'settle'; readonly key: string; readonly token: string; readonly state: ClaimState };
+
+export type ClaimReply =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'taken'; readonly state: ClaimState }
+  | { readonly kind: 'unreached' };
+
+/** What jigs ask of each other. */
+export type JigCall =
+  | { readonly kind: 'exchange'; readonly exchange: Exchange }
+  | { readonly kind: 'push'; readonly tellings: Readonly<Record<string, Telling>> }
+  | { readonly kind: 'ping' };
+export type JigReply = { readonly kind: 'exchanged'; readonly exchanged: Exchanged } | { readonly kind: 'ok' };
+
+/** What operators and origins ask. */
+export type Action =
+  | { readonly kind: 'put-policy'; readonly document: Policy; readonly ifMatch: number | null; readonly changeId: string }
+  | { readonly kind: 'get-policy' }
+  | { readonly kind: 'describe'; readonly description: Description }
+  | { readonly kind: 'purge'; readonly purge: Purge; readonly changeId: string }
+  | { readonly kind: 'hall'; readonly hall: string; readonly order: HallOrder['order']; readonly changeId: string }
+  | { readonly kind: 'status' | 'shares' | 'partners' | 'ready' | 'live' };
+
+export type JigEvent =
+  | { readonly kind: 'beat'; readonly now: number }
+  | { readonly kind: 'asked'; readonly id: number; readonly body: JigCall; readonly now: number }
+  | { readonly kind: 'fed'; readonly id: number; readonly body: LatheCall; readonly now: number }
+  | { readonly kind: 'operator'; readonly id: number; readonly action: Action; readonly now: number }
+  | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply | JigReply; readonly now: number }
+  | { readonly kind: 'lost'; readonly id: number; readonly now: number };
+
+export type JigEffect =
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/anvil' | '/jig'; readonly body: AnvilCall | JigCall }
+  | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | Feed | ClaimReply }
+  | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: unknown; readonly retryAfter?: number }
+  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- /dev/null
+++ b/packages/ladle/src/index.ts
@@ -0,0 +1,95 @@
+import { Weights } from '@reedyard/gauge';
+
+/** An edge that may hold slices, and where it stands. */
+export type Seat = { readonly edge: string; readonly hall: string; readonly region: string };
+
+/** Requests a second, by edge. */
+export type Slices = Readonly<Record<string, number>>;
+
+/** The division of every service, under one duty holder's term. */
+export type Plan = {
+  readonly term: number;
+  readonly holder: string;
+  /** Grows with each renewal; a still one means that the duty is vacant. */
+  readonly beat: number;
+  readonly slices: Readonly<Record<string, Slices>>;
+};
+
+const share = (total: number, wants: readonly number[], floors: readonly number[]): readonly number[] => {
+  const sumOf = (list: readonly number[]): number => list.reduce((sum, each) => sum + each, 0);
+  const wanted = sumOf(wants);
+  const floorTotal = sumOf(floors);
+  const reserve = floorTotal > 0 ? total * Weights.floorShare : 0;
+  return wants.map((want, index) => {
+    const floor = floorTotal > 0 ? (reserve * (floors[index] ?? 0)) / floorTotal : 0;
+    return floor + (total - reserve) * (wanted > 0 ? want / wanted : floorTotal > 0 ? (floors[index] ?? 0) / floorTotal : 0);
+  });
+};
+
+const grouped = <T>(list: readonly T[], key: (each: T) => string): readonly (readonly T[])[] => {
+  const groups = new Map<string, T[]>();
+  for (const each of list) { const group = groups.get(key(each)); if (group === undefined) groups.set(key(each), [each]); else group.push(each); }
+  return [...groups.values()];
+};
+
+/**
+ * What may be handed out of a ceiling: every edge's bucket may save a token besides its slice, so
+ * over 5 s the edges together would pass the ceiling by one request each. That is taken off first,
+ * as far as the brief's tenth does not already cover it.
+ *
+ * @example
+ * usable(100, 10) // 100
+ * usable(20, 11)  // 18.8
+ */
+export const usable = (ceiling: number, edges: number): number => Math.max(ceiling / 2, Math.min(ceiling, 1.05 * ceiling - edges / 5));
+
+/**
+ * Divides a ceiling from region to hall to edge, each time by what is asked for, with a tenth
+ * spread evenly so that nobody starts from nothing.
+ *
+ * @example
+ * divide(100, [{ edge: 'a', hall: 'h', region: 'r' }, { edge: 'b', hall: 'h', region: 'r' }], { a: 30, b: 10 })
+ */
+export const divide = (ceiling: number, seats: readonly Seat[], wants: Slices): Slices => {
+  const out: Record<string, number> = {};
+  const wantOf = (list: readonly Seat[]): number => list.reduce((sum, seat) => sum + (wants[seat.edge] ?? 0), 0);
+  const level = (total: number, list: readonly Seat[], keys: readonly ((seat: Seat) => string)[]): void => {
+    const [key, ...rest] = keys;
+    if (key === undefined) { for (const seat of list) out[seat.edge] = total; return; }
+    const groups = grouped(list, key);
+    const parts = share(total, groups.map(wantOf), groups.map((group) => group.length));
+    groups.forEach((group, index) => level(parts[index] ?? 0, group, rest));
+  };
+  level(usable(ceiling, seats.length), seats, [(seat) => seat.region, (seat) => seat.hall, (seat) => seat.edge]);
+  return out;
+};
+
+/**
+ * The next slices on the way to a goal: what an edge may still hold from any earlier division counts
+ * against the ceiling until it has lapsed, so slices fall at once and rise only into room.
+ *
+ * @example
+ * toward({ a: 20, b: 80 }, 100, [{ a: 90, b: 10 }]) // { a: 20, b: 10 }: b waits for a's old slice
+ */
+export const toward = (goal: Slices, ceiling: number, held: readonly Slices[]): Slices => {
+  const edges = new Set([...Object.keys(goal), ...held.flatMap((slices) => Object.keys(slices))]);
+  const heldBy = (edge: string): number => Math.max(0, ...held.map((slices) => slices[edge] ?? 0));
+  const committed = [...edges].reduce((sum, edge) => sum + heldBy(edge), 0);
+  const rises = Object.entries(goal).map(([edge, slice]) => [edge, Math.max(0, slice - heldBy(edge))] as const);
+  const wanted = rises.reduce((sum, [, rise]) => sum + rise, 0);
+  const room = Math.max(0, ceiling - committed);
+  const part = wanted > 0 ? Math.min(1, room / wanted) : 0;
+  return Object.fromEntries(Object.entries(goal).map(([edge, slice]) => [edge, Math.min(slice, heldBy(edge)) + Math.max(0, slice - heldBy(edge)) * part]));
+};
+
+/**
+ * Whether an edge's slices changed enough to be worth a new division.
+ *
+ * @example
+ * differs({ a: 10 }, { a: 10.1 }) // false
+ */
+export const differs = (next: Slices, old: Slices): boolean =>
+  [...new Set([...Object.keys(next), ...Object.keys(old)])].some((edge) => {
+    const [a, b] = [next[edge] ?? 0, old[edge] ?? 0];
+    return Math.abs(a - b) > 0.02 * Math.max(a, b) + 1e-9;
+  });
--- /dev/null
+++ b/packages/latch/src/acceptor.ts
@@ -0,0 +1,62 @@
+/** A ballot: a round and who opened it. Any two are ordered. */
+export type Ballot = readonly [round: number, proposer: string];
+
+/** What an acceptor keeps of one register. */
+export type Cell = {
+  readonly promised: Ballot;
+  readonly accepted: { readonly ballot: Ballot; readonly value: unknown } | null;
+};
+
+export const Ballots = {
+  none: [0, ''] as Ballot,
+  /** @example Ballots.compare([2, 'a'], [1, 'b']) // 1 */
+  compare: (left: Ballot, right: Ballot): number =>
+    left[0] !== right[0] ? Math.sign(left[0] - right[0]) : left[1] < right[1] ? -1 : left[1] > right[1] ? 1 : 0,
+  /** @example Ballots.after([3, 'a'], 'b') // [4, 'b'] */
+  after: (ballot: Ballot, proposer: string): Ballot => [ballot[0] + 1, proposer],
+} as const;
+
+export const emptyCell: Cell = { promised: Ballots.none, accepted: null };
+
+/** An acceptor's answer to either phase. */
+export type Vote =
+  | { readonly kind: 'yes'; readonly accepted: Cell['accepted'] }
+  | { readonly kind: 'no'; readonly promised: Ballot };
+
+export const Acceptor = {
+  /**
+   * First phase: promise to take part in no ballot below this one.
+   *
+   * @example
+   * Acceptor.prepare(emptyCell, [1, 'jig']).vote // { kind: 'yes', accepted: null }
+   */
+  prepare: (cell: Cell, ballot: Ballot): { readonly cell: Cell; readonly vote: Vote } =>
+    Ballots.compare(ballot, cell.promised) > 0
+      ? { cell: { ...cell, promised: ballot }, vote: { kind: 'yes', accepted: cell.accepted } }
+      : { cell, vote: { kind: 'no', promised: cell.promised } },
+
+  /**
+   * Second phase: take the value unless a higher ballot was promised.
+   *
+   * @example
+   * Acceptor.accept(emptyCell, [1, 'jig'], 'v').cell.accepted // { ballot: [1, 'jig'], value: 'v' }
+   */
+  accept: (cell: Cell, ballot: Ballot, value: unknown): { readonly cell: Cell; readonly vote: Vote } => {
+    if (Ballots.compare(ballot, cell.promised) < 0) return { cell, vote: { kind: 'no', promised: cell.promised } };
+    const accepted = { ballot, value };
+    return { cell: { promised: ballot, accepted }, vote: { kind: 'yes', accepted } };
+  },
+
+  /**
+   * Joins what two acceptors keep of one register: the higher promise, the newer value.
+   *
+   * @example
+   * Acceptor.merge(emptyCell, { promised: [2, 'a'], accepted: null }).promised // [2, 'a']
+   */
+  merge: (left: Cell, right: Cell): Cell => ({
+    promised: Ballots.compare(left.promised, right.promised) >= 0 ? left.promised : right.promised,
+    accepted: left.accepted === null ? right.accepted
+      : right.accepted === null ? left.accepted
+        : Ballots.compare(left.accepted.ballot, right.accepted.ballot) >= 0 ? left.accepted : right.accepted,
+  }),
+} as const;
--- /dev/null
+++ b/packages/latch/src/index.ts
@@ -0,0 +1,2 @@
+export * from './acceptor.js';
+export * from './proposer.js';
--- /dev/null
+++ b/packages/latch/src/proposer.ts
@@ -0,0 +1,107 @@
+import { Ballots, type Ballot, type Vote } from './acceptor.js';
+
+/** What a change makes of the value it reads: a new one, the same one, or a refusal. */
+export type Changed =
+  | { readonly kind: 'write'; readonly value: unknown }
+  | { readonly kind: 'keep' }
+  | { readonly kind: 'refuse'; readonly reason: string };
+
+/** A change is applied again on each try, so it must know its own earlier work by an id in the value. */
+export type Change = (current: unknown) => Changed;
+
+/** One anvil as a voter; disk names the life of its data, so votes of a wiped one never mix. */
+export type Voter = string;
+
+export type Proposal = {
+  readonly key: string;
+  readonly change: Change;
+  readonly voters: readonly Voter[];
+  readonly ballot: Ballot;
+  readonly highest: Ballot;
+  readonly phase: 'prepare' | 'accept' | 'done';
+  readonly promises: Readonly<Record<Voter, { readonly disk: string; readonly vote: Vote }>>;
+  readonly refusals: number;
+  readonly proposed: unknown;
+  readonly verdict: Changed | null;
+  readonly accepts: readonly Voter[];
+};
+
+/** What the proposer wants sent, or how it ended. */
+export type Move =
+  | { readonly kind: 'prepare'; readonly to: Voter; readonly ballot: Ballot }
+  | { readonly kind: 'accept'; readonly to: Voter; readonly ballot: Ballot; readonly value: unknown; readonly disk: string }
+  | { readonly kind: 'chosen'; readonly ballot: Ballot | null; readonly value: unknown; readonly wrote: boolean }
+  | { readonly kind: 'refused'; readonly reason: string; readonly value: unknown }
+  | { readonly kind: 'outvoted' };
+
+export type Turn = { readonly proposal: Proposal; readonly moves: readonly Move[] };
+
+/** @example majorityOf(5) // 3 */
+export const majorityOf = (count: number): number => Math.floor(count / 2) + 1;
+
+const still = (proposal: Proposal): Turn => ({ proposal, moves: [] });
+const ended = (proposal: Proposal, move: Move): Turn => ({ proposal: { ...proposal, phase: 'done' }, moves: [move] });
+
+const toAccept = (proposal: Proposal): Turn => {
+  const promises = Object.entries(proposal.promises).flatMap(([voter, { disk, vote }]) =>
+    vote.kind === 'yes' ? [{ voter, disk, accepted: vote.accepted }] : []);
+  if (promises.length < majorityOf(proposal.voters.length)) return still(proposal);
+  const newest = promises.reduce<{ ballot: Ballot; value: unknown } | null>((best, { accepted }) =>
+    accepted !== null && (best === null || Ballots.compare(accepted.ballot, best.ballot) > 0) ? accepted : best, null);
+  const current = newest === null ? null : newest.value;
+  const changed = proposal.change(current);
+  if (changed.kind !== 'write') {
+    const held = newest === null ? promises.length
+      : promises.filter(({ accepted }) => accepted !== null && Ballots.compare(accepted.ballot, newest.ballot) === 0).length;
+    if (held >= majorityOf(proposal.voters.length)) {
+      return ended(proposal, changed.kind === 'keep'
+        ? { kind: 'chosen', ballot: newest === null ? null : newest.ballot, value: current, wrote: false }
+        : { kind: 'refused', reason: changed.reason, value: current });
+    }
+  }
+  // A kept or refused value that no majority is seen to hold is written again first: only then is it true.
+  const proposed = changed.kind === 'write' ? changed.value : current;
+  return {
+    proposal: { ...proposal, phase: 'accept', proposed, verdict: changed, refusals: 0 },
+    moves: promises.map(({ voter, disk }) => ({ kind: 'accept', to: voter, ballot: proposal.ballot, value: proposed, disk })),
+  };
+};
+
+export const Proposer = {
+  /**
+   * Opens a proposal over a register with a ballot above any seen.
+   *
+   * @example
+   * Proposer.open('policy', () => ({ kind: 'write', value: 1 }), ['a', 'b', 'c'], [0, ''], 'jig').moves.length // 3
+   */
+  open: (key: string, change: Change, voters: readonly Voter[], above: Ballot, proposer: string): Turn => {
+    const ballot = Ballots.after(above, proposer);
+    return {
+      proposal: { key, change, voters, ballot, highest: ballot, phase: 'prepare', promises: {}, refusals: 0, proposed: undefined, verdict: null, accepts: [] },
+      moves: voters.map((to) => ({ kind: 'prepare', to, ballot })),
+    };
+  },
+
+  /**
+   * Takes in a vote; a vote of an earlier try is passed over.
+   *
+   * @example
+   * Proposer.voted(proposal, 'a', 'disk-1', 'prepare', [1, 'jig'], { kind: 'yes', accepted: null })
+   */
+  voted: (proposal: Proposal, voter: Voter, disk: string, phase: 'prepare' | 'accept', ballot: Ballot, vote: Vote): Turn => {
+    if (proposal.phase !== phase || Ballots.compare(ballot, proposal.ballot) !== 0) return still(proposal);
+    if (vote.kind === 'no') {
+      const highest = Ballots.compare(vote.promised, proposal.highest) > 0 ? vote.promised : proposal.highest;
+      const refusals = proposal.refusals + 1;
+      const next = { ...proposal, highest, refusals };
+      return refusals > proposal.voters.length - majorityOf(proposal.voters.length) ? { proposal: next, moves: [{ kind: 'outvoted' }] } : still(next);
+    }
+    if (phase === 'prepare') return toAccept({ ...proposal, promises: { ...proposal.promises, [voter]: { disk, vote } } });
+    if (proposal.accepts.includes(voter)) return still(proposal);
+    const next = { ...proposal, accepts: [...proposal.accepts, voter] };
+    if (next.accepts.length < majorityOf(next.voters.length)) return still(next);
+    return ended(next, next.verdict?.kind === 'refuse'
+      ? { kind: 'refused', reason: next.verdict.reason, value: next.proposed }
+      : { kind: 'chosen', ballot: next.ballot, value: next.proposed, wrote: true });
+  },
+} as const;
--- /dev/null
+++ b/packages/lathe/src/core.ts
@@ -0,0 +1,466 @@
+import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
+import type { Step } from '@reedyard/chute';
+import type { ClaimReply, ClaimState, Feed, Measure, Report } from '@reedyard/jig';
+import { objectKey } from '@reedyard/plumb';
+import { Sieve } from '@reedyard/sieve';
+import { Routes, type Route } from '@reedyard/stencil';
+import { Tally, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
+import { allowedPartners, atHome, drawServer, earnRepeat, giveBack, originName, rankOrigins, suspectFor, takeToken, waitFor } from './choice.js';
+import { change, count, log, set, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target, type Transaction, type Work } from './state.js';
+
+const headerText = (headers: Asked['headers'], name: string): string | null => {
+  const value = headers[name];
+  return value === undefined ? null : typeof value === 'string' ? value : value.join(',');
+};
+
+/** Answers that ask nothing of any origin: what the lathe itself has to say. */
+const turnAway = (work: Work, id: number, status: number, title: string, detail: string, more: Readonly<Record<string, string>> = {}, outcome: Outcome = 'not-run'): void => {
+  const wait: Readonly<Record<string, string>> = status === 502 || status === 503 || status === 504 ? { 'retry-after': String(Limits.retryAfterSeconds) } : {};
+  count(work, `status.${status}`);
+  work.effects.push({ kind: 'answer', id, answer: { status, headers: { 'reedyard-outcome': outcome, ...wait, ...more }, body: { kind: 'problem', title, detail, outcome } } });
+};
+
+const keeps = (route: Route, method: string): boolean => route.cache.keep !== 'never' && (method === 'GET' || method === 'HEAD');
+const joins = (transaction: Transaction): boolean =>
+  transaction.asked.method === 'GET' && keeps(transaction.route, 'GET') && headerText(transaction.asked.headers, 'authorization') === null;
+
+const settle = (work: Work, transaction: Transaction, state: ClaimState): void => {
+  if (transaction.claim === null) return;
+  work.effects.push({ kind: 'ask', id: transaction.id, call: { kind: 'settle', key: transaction.claim.key, token: transaction.token, state } });
+};
+
+const close = (work: Work, transaction: Transaction): void => {
+  const { [transaction.id]: _gone, ...rest } = work.state.transactions;
+  set(work, { transactions: rest });
+};
+
+/** Counts an answer in the vectors' measurements: demand only for this edge's own callers. */
+const measured = (work: Work, transaction: Transaction, size: number, here: boolean): void => {
+  const bits = 8 * (size + 300);
+  const { period } = work.state;
+  const own = transaction.asked.via === null;
+  const busy = objectKey(transaction.route.name, transaction.asked.target);
+  set(work, {
+    period: {
+      ...period, servedBits: period.servedBits + (here ? bits : 0), replies: period.replies + 1,
+      bits: own ? { ...period.bits, [busy]: (period.bits[busy] ?? 0) + bits } : period.bits,
+    },
+  });
+};
+
+const answerCopy = (work: Work, transaction: Transaction, copy: import('@reedyard/sieve').Copy): void => {
+  const age = Math.floor(copy.bornAge + (work.state.now - copy.takenAt) / 1_000);
+  const answer: Answer = { status: copy.status, headers: { ...copy.headers, age: String(age), 'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy' }, body: { kind: 'copy', copy } };
+  count(work, 'served.copy');
+  measured(work, transaction, copy.size, true);
+  work.effects.push({ kind: 'answer', id: transaction.id, answer });
+  close(work, transaction);
+};
+
+const giveUp = (work: Work, transaction: Transaction, status: 502 | 503 | 504, outcome: Outcome, why: string): void => {
+  settle(work, transaction, outcome);
+  count(work, 'given-up');
+  if (!transaction.callerGone) {
+    turnAway(work, transaction.id, status, status === 503 ? 'Not served' : 'No sound answer',
+      outcome === 'not-run' ? `It was not run: ${why}.` : `It is not known whether it ran: ${why}.`, {}, outcome);
+  }
+  log(work, 'transaction.given-up', { id: transaction.id, route: transaction.route.name, status, outcome, why, legs: transaction.legs.length });
+  close(work, transaction);
+  leaderEnded(work, transaction, null, { status, outcome, why });
+};
+
+/** A leader's fetch is over: its waiters are answered from it, or go on by themselves. */
+const leaderEnded = (work: Work, leader: Transaction, kept: import('@reedyard/sieve').Copy | null, failure: { readonly status: 502 | 503 | 504; readonly outcome: Outcome; readonly why: string } | null): void => {
+  if (!leader.leads) return;
+  const fetch = work.state.fetches[leader.key];
+  if (fetch === undefined || fetch.leader !== leader.id) return;
+  const { [leader.key]: _gone, ...rest } = work.state.fetches;
+  set(work, { fetches: rest });
+  for (const id of fetch.waiters) {
+    const waiter = work.state.transactions[id];
+    if (waiter === undefined) continue;
+    if (failure !== null) { giveUp(work, waiter, failure.status, failure.outcome, failure.why); continue; }
+    const fits = kept !== null && Object.entries(kept.vary).every(([name, value]) => (headerText(waiter.asked.headers, name) ?? '') === value);
+    if (fits && kept !== null) answerCopy(work, waiter, kept);
+    else fetchHere(work, waiter);
+  }
+};
+
+const open = (work: Work, transaction: Transaction, to: Target): void => {
+  const number = transaction.legs.length;
+  const id = to.kind === 'origin' ? originName(to.row) : to.row.id;
+  const legLimit = Math.min(transaction.limitAt, work.state.now + (transaction.route.limits.legMs ?? Limits.leg) + (to.kind === 'partner' ? Limits.holding : 0));
+  const next = change(work, transaction.id, {
+    phase: 'leg', place: to.kind === 'origin' ? 'self' : 'partner',
+    legs: [...transaction.legs, { number, to: { kind: to.kind, id }, openedAt: work.state.now, limitAt: legLimit, end: null }],
+  });
+  if (next === undefined) return;
+  if (number > 0) { set(work, { repeats: work.state.repeats - 1 }); count(work, 'repeats'); }
+  count(work, 'legs', to.kind === 'origin' ? 'legs.origin' : 'legs.partner');
+  set(work, { outstanding: { ...work.state.outstanding, [id]: (work.state.outstanding[id] ?? 0) + 1 } });
+  work.effects.push({
+    kind: 'open', id: transaction.id, leg: number, to, asked: transaction.asked, mark: `${transaction.token}-${number}`, limitMs: legLimit - work.state.now,
+    keep: joins(transaction) && to.kind === 'origin',
+  });
+};
+
+/** A leg to an origin, if the slice has a token now; else a short holding, or the final answer at once. */
+const legToOrigin = (work: Work, transaction: Transaction): void => {
+  const { service } = transaction.route;
+  const ranked = rankOrigins(work.state, transaction);
+  if (ranked.length === 0) { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `no instance of ${service} can be reached`); return; }
+  const slice = work.state.feed?.slices[service] ?? { rate: 0, share: 0 };
+  const bucket = `service/${service}`;
+  if (takeToken(work, bucket, slice.rate)) {
+    for (const row of ranked) {
+      if (row.cold) {
+        const coldRate = (work.state.policy?.document.services[service]?.coldRate ?? 0) * Weights.coldShare * slice.share;
+        if (!takeToken(work, `cold/${originName(row)}`, coldRate)) continue;
+      }
+      open(work, transaction, { kind: 'origin', row });
+      return;
+    }
+    giveBack(work, bucket);
+  }
+  const ahead = Object.values(work.state.transactions).filter((each) => each.phase === 'holding' && each.route.service === service && each.id !== transaction.id).length;
+  const wait = ranked.some((row) => !row.cold) ? waitFor(work.state, bucket, slice.rate, ahead) : 50;
+  const heldAt = transaction.phase === 'holding' ? transaction.heldAt : work.state.now;
+  if (work.state.now + (transaction.phase === 'holding' ? 0 : wait) - heldAt > Limits.holding || work.state.now >= transaction.limitAt) {
+    giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `the share of ${service} is used up`);
+    return;
+  }
+  if (transaction.phase !== 'holding') { count(work, 'held'); change(work, transaction.id, { phase: 'holding', heldAt }); }
+};
+
+/** This edge serves: from a copy, by joining a fetch under way, or by a leg of its own. */
+const serveHere = (work: Work, transaction: Transaction): void => {
+  if (keeps(transaction.route, transaction.asked.method)) {
+    const copy = Sieve.find(work.state.sieve, transaction.key, transaction.asked.headers, work.state.now);
+    if (copy !== undefined) {
+      set(work, { sieve: Sieve.touch(work.state.sieve, transaction.key) });
+      answerCopy(work, transaction, copy);
+      return;
+    }
+  }
+  if (joins(transaction) && transaction.legs.length === 0 && (work.state.unkept[transaction.key] ?? 0) <= work.state.now) {
+    const fetch = work.state.fetches[transaction.key];
+    if (fetch !== undefined && !fetch.closed) {
+      change(work, transaction.id, { phase: 'joined' });
+      set(work, { fetches: { ...work.state.fetches, [transaction.key]: { ...fetch, waiters: [...fetch.waiters, transaction.id] } } });
+      count(work, 'joined');
+      return;
+    }
+    if (fetch === undefined) {
+      const leader = change(work, transaction.id, { leads: true });
+      set(work, { fetches: { ...work.state.fetches, [transaction.key]: { leader: transaction.id, waiters: [], closed: false } } });
+      if (leader !== undefined) fetchHere(work, leader);
+      return;
+    }
+  }
+  fetchHere(work, transaction);
+};
+
+const want = (work: Work, service: string): void => {
+  const { period } = work.state;
+  set(work, { period: { ...period, wants: { ...period.wants, [service]: (period.wants[service] ?? 0) + 1 } } });
+};
+
+const fetchHere = (work: Work, transaction: Transaction): void => {
+  want(work, transaction.route.service);
+  legToOrigin(work, transaction);
+};
+
+/** First leg: the policy's draw says who serves. */
+const start = (work: Work, transaction: Transaction): void => {
+  const server = drawServer(work.state, transaction);
+  if (server === null) { giveUp(work, transaction, 503, 'not-run', 'no node that may serve it can be reached'); return; }
+  if (server === 'self') { serveHere(work, transaction); return; }
+  open(work, transaction, { kind: 'partner', row: server });
+};
+
+/** A later leg: itself where it may, else another partner. */
+const startAgain = (work: Work, transaction: Transaction): void => {
+  if (atHome(transaction.route.homes, work.state.self.region)) { serveHere(work, transaction); return; }
+  const partner = allowedPartners(work.state, transaction)[0];
+  if (partner === undefined) giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'no other node that may serve it can be reached');
+  else open(work, transaction, { kind: 'partner', row: partner });
+};
+
+const mayServe = (work: Work, id: number, via: string | null): boolean => {
+  const { state } = work;
+  if (state.stopping) { turnAway(work, id, 503, 'Leaving', 'This node is leaving.', { connection: 'close' }); return false; }
+  if (state.now >= state.lease || state.policy === null || state.feed === null) { turnAway(work, id, 503, 'Not ready', 'This node is cut off from the control state.'); return false; }
+  if (via === null && state.emptiedAt !== null && state.now - state.emptiedAt > Limits.emptyGrace) { turnAway(work, id, 503, 'Hall emptied', 'This hall is emptied.', { connection: 'close' }); return false; }
+  return true;
+};
+
+const arrived = (work: Work, id: number, asked: Asked, draws: readonly number[], token: string): void => {
+  const { state } = work;
+  count(work, asked.via === null ? 'transactions' : 'transactions.partner');
+  if (!mayServe(work, id, asked.via)) return;
+  const route = Routes.find(state.routes, asked.host, asked.target);
+  if (route === undefined) { turnAway(work, id, 404, 'No such place', 'No policy has a route for this host and path.'); return; }
+  if (!(route.methods as readonly string[]).includes(asked.method)) { turnAway(work, id, 405, 'Method not allowed', `This route takes ${route.methods.join(', ')}.`, { allow: route.methods.join(', ') }); return; }
+  if (asked.bodyBytes > (route.limits.bodyBytes ?? Sizes.callerBody)) { turnAway(work, id, 413, 'Body too large', `This route takes bodies of up to ${route.limits.bodyBytes ?? Sizes.callerBody} bytes.`); return; }
+  if (Object.keys(state.transactions).length >= Sizes.transactions) { turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.'); return; }
+  const safe = Tally.safe(asked.method);
+  const callerKey = safe || asked.via !== null ? null : headerText(asked.headers, 'idempotency-key');
+  const transaction: Transaction = {
+    id, asked, route, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: state.now + (route.limits.transactionMs ?? Limits.transaction),
+    draws, token, claim: callerKey === null ? null : { key: `${route.service}/${callerKey}`, state: 'asking' }, legs: [],
+    phase: callerKey === null ? 'leg' : 'claiming', place: 'self', heldAt: 0, leads: false, callerGone: false,
+  };
+  set(work, { transactions: { ...state.transactions, [id]: transaction } });
+  earnRepeat(work);
+  if (transaction.claim !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claim.key, token } });
+  else start(work, transaction);
+};
+
+const claimed = (work: Work, id: number, reply: ClaimReply): void => {
+  const transaction = work.state.transactions[id];
+  if (transaction === undefined || transaction.phase !== 'claiming' || transaction.claim === null) return;
+  if (reply.kind === 'granted') {
+    const held = change(work, id, { phase: 'leg', claim: { ...transaction.claim, state: 'held' } });
+    if (held === undefined) return;
+    if (held.callerGone || work.state.now >= work.state.lease) giveUp(work, held, 503, 'not-run', held.callerGone ? 'its caller left' : 'this node is cut off');
+    else start(work, held);
+    return;
+  }
+  if (reply.kind === 'unreached') { giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed'); return; }
+  close(work, transaction);
+  const known = reply.state === 'pending' ? 'in-progress' : reply.state;
+  count(work, 'claims.taken', 'status.409');
+  work.effects.push({ kind: 'answer', id, answer: {
+    status: 409, headers: { 'reedyard-outcome': known, ...(known === 'in-progress' ? { 'retry-after': String(Limits.retryAfterSeconds) } : {}) },
+    body: { kind: 'problem', title: 'Key already used', detail: `A request with this key was sent before; its outcome is: ${known}. It is not run again.`, outcome: known },
+  } });
+};
+
+const endLeg = (work: Work, transaction: Transaction, number: number, end: LegEnd): Transaction | undefined => {
+  const leg = transaction.legs[number];
+  if (leg === undefined || leg.end !== null) return undefined;
+  const under = (work.state.outstanding[leg.to.id] ?? 1) - 1;
+  const { [leg.to.id]: _gone, ...others } = work.state.outstanding;
+  set(work, { outstanding: under > 0 ? { ...others, [leg.to.id]: under } : others });
+  return change(work, transaction.id, { legs: transaction.legs.map((each) => (each.number === number ? { ...each, end } : each)) });
+};
+
+const derive = (work: Work, transaction: Transaction): void => {
+  const move = Tally.next({ safe: Tally.safe(transaction.asked.method), legs: transaction.legs, now: work.state.now, limitAt: transaction.limitAt, mayRepeat: work.state.repeats >= 1 });
+  if (transaction.callerGone && move.kind === 'open') { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'its caller left'); return; }
+  if (move.kind === 'open') startAgain(work, transaction);
+  else if (move.kind === 'give-up') giveUp(work, transaction, move.status, move.outcome, move.why);
+};
+
+const failed = (work: Work, id: number, number: number, sent: Sent, why: string): void => {
+  const transaction = work.state.transactions[id];
+  if (transaction === undefined) return;
+  const ended = endLeg(work, transaction, number, { kind: 'failed', sent, why });
+  if (ended === undefined) return;
+  const name = ended.legs[number]?.to.id ?? '';
+  if (why !== 'purged') suspectFor(work, name);
+  count(work, `leg-failed.${why}`);
+  log(work, 'leg.failed', { id, leg: number, to: name, sent, why });
+  derive(work, ended);
+};
+
+/** Why an answer can't be passed on, or null if it is sound. */
+const unsound = (transaction: Transaction, number: number, answer: LegAnswer): string | null => {
+  const leg = transaction.legs[number];
+  if (leg === undefined) return 'unknown leg';
+  if (headerText(answer.headers, 'reedyard-leg') !== `${transaction.token}-${number}`) return 'foreign';
+  const stamp = headerText(answer.headers, 'reedyard-stamp');
+  if (leg.to.kind === 'origin') return stamp === leg.to.id ? null : 'stamp';
+  const notServed = answer.status >= 400 && headerText(answer.headers, 'reedyard-outcome') !== null;
+  return notServed || stamp?.startsWith(`${transaction.route.service}/`) === true ? null : 'stamp';
+};
+
+const answered = (work: Work, id: number, number: number, answer: LegAnswer): void => {
+  const transaction = work.state.transactions[id];
+  const leg = transaction?.legs[number];
+  if (transaction === undefined || leg === undefined || leg.end !== null) return;
+  const { state } = work;
+  const bad = unsound(transaction, number, answer);
+  if (bad !== null) { work.effects.push({ kind: 'abort', id, leg: number }); failed(work, id, number, 'maybe', bad); return; }
+  const safe = Tally.safe(transaction.asked.method);
+  const tags = Sieve.tags(answer.headers, transaction.route.tagsHeader);
+  const purgedAt = keeps(transaction.route, transaction.asked.method) ? Sieve.purgedSince(state.sieve, transaction.key, tags, leg.openedAt) : null;
+  if (purgedAt !== null && state.now - purgedAt > 250) {
+    // It may be what the purge was meant to take away, and the time for that is nearly over.
+    work.effects.push({ kind: 'abort', id, leg: number });
+    failed(work, id, number, 'maybe', 'purged');
+    return;
+  }
+  const notRun = headerText(answer.headers, 'reedyard-outcome') === 'not-run' && answer.status === 503;
+  const turnedAway = answer.status === 429 || answer.status === 502 || answer.status === 503 || answer.status === 504;
+  // A word of being turned away is passed on for an unsafe request only where it is proved.
+  const final = !turnedAway || (safe && answer.status === 429);
+  const ended = endLeg(work, transaction, number, { kind: 'answered', status: answer.status, final, notRun });
+  if (ended === undefined) return;
+  if (!final) {
+    work.effects.push({ kind: 'abort', id, leg: number });
+    if (leg.to.kind === 'partner' && notRun) suspectFor(work, leg.to.id);
+    derive(work, ended);
+    return;
+  }
+  const fromOrigin = leg.to.kind === 'origin';
+  const legMs = state.now - leg.openedAt;
+  if (fromOrigin) { count(work, 'fetched'); const { period } = work.state; set(work, { period: { ...period, legMs: period.legMs + legMs, fetched: period.fetched + 1 } }); } else count(work, 'forwarded');
+  const copy = fromOrigin ? copyOf(work, transaction, leg.openedAt, answer, tags, purgedAt) : null;
+  if (copy !== null) set(work, { sieve: Sieve.keep(work.state.sieve, copy) });
+  else if (transaction.leads) set(work, { unkept: { ...Object.fromEntries(Object.entries(work.state.unkept).filter(([, until]) => until > state.now)), [transaction.key]: state.now + 5_000 } });
+  settle(work, ended, answer.status < 500 ? 'ran' : 'unknown');
+  measured(work, transaction, answer.size, fromOrigin);
+  count(work, `status.${answer.status}`);
+  if (!transaction.callerGone) {
+    work.effects.push({ kind: 'answer', id, answer: {
+      status: answer.status,
+      headers: {
+        ...answer.headers, 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
+        ...(safe ? {} : { 'reedyard-outcome': answer.status < 500 ? 'ran' : 'unknown' }),
+      },
+      body: { kind: 'leg', answer },
+    } });
+  } else work.effects.push({ kind: 'abort', id, leg: number });
+  close(work, ended);
+  leaderEnded(work, ended, copy, null);
+};
+
+const copyOf = (work: Work, transaction: Transaction, openedAt: number, answer: LegAnswer, tags: readonly string[], purgedAt: number | null): import('@reedyard/sieve').Copy | null => {
+  const { state } = work;
+  if (transaction.asked.method !== 'GET' || !answer.whole || answer.status === 206 || purgedAt !== null) return null;
+  if (!keeps(transaction.route, 'GET') || !atHome(transaction.route.homes, state.self.region)) return null;
+  const legMs = state.now - openedAt;
+  const allowed = Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
+  const life = Math.min(allowed, (transaction.route.cache.mostSeconds ?? Infinity) * 1_000 - legMs);
+  if (life <= 0) return null;
+  const { ['reedyard-leg']: _mark, ...headers } = answer.headers;
+  return {
+    key: transaction.key, route: transaction.route.name, status: answer.status, headers, body: answer.body, size: answer.size, tags,
+    vary: Sieve.vary(answer.headers, transaction.asked.headers), takenAt: state.now, freshUntil: state.now + life,
+    bornAge: Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
+  };
+};
+
+const fed = (work: Work, feed: Feed, askedAt: number): void => {
+  const { state } = work;
+  const policy = feed.policy ?? state.policy;
+  if (policy !== null && policy.serial < (state.policy?.serial ?? 0)) { log(work, 'policy.older', { serial: policy.serial }); return; }
+  const gone = state.life !== '' && (feed.life !== state.life || feed.flushes !== state.flushes || askedAt - state.fedAt > Limits.fact / 2);
+  if (gone) log(work, 'copies.flushed', { why: feed.life !== state.life ? 'jig restarted' : 'was away' });
+  let sieve = gone ? Sieve.flush(state.sieve) : state.sieve;
+  for (const { purge } of feed.purges) sieve = Sieve.purge(sieve, purge, state.now);
+  const purged = feed.purges.length > 0 || gone;
+  if (policy !== state.policy) {
+    log(work, 'policy.in-force', { serial: policy?.serial ?? 0 });
+    // A copy stays only while its route does, and no longer than the route now allows.
+    const byName = new Map((policy?.document.routes ?? []).map((route) => [route.name, route]));
+    sieve = { ...sieve, copies: sieve.copies.map((copy) => ({ ...copy, freshUntil: Math.min(copy.freshUntil, limitOf(byName.get(copy.route), state, copy)) })) };
+  }
+  const emptied = feed.emptied.includes(state.self.hall);
+  set(work, {
+    feed: { ...feed, policy: null, purges: [] }, life: feed.life, flushes: feed.flushes, fedAt: askedAt, purgeSeq: feed.purgeSeq, sieve,
+    lease: Math.max(state.lease, askedAt + feed.leaseMs), policy,
+    routes: policy === state.policy || policy === null ? state.routes : Routes.table(policy.document.routes),
+    emptiedAt: emptied ? state.emptiedAt ?? state.now : null,
+    fetches: purged ? Object.fromEntries(Object.entries(state.fetches).map(([key, fetch]) => [key, { ...fetch, closed: true }])) : state.fetches,
+  });
+};
+
+const limitOf = (route: Route | undefined, state: LatheState, copy: import('@reedyard/sieve').Copy): number =>
+  route === undefined || route.cache.keep === 'never' || !atHome(route.homes, state.self.region) ? 0
+    : route.cache.mostSeconds === undefined ? Infinity : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
+
+/** Closes a period of measuring: what the own callers asked for, object by object for the busiest. */
+const measure = (work: Work): Measure | null => {
+  const { state } = work;
+  const { period } = state;
+  const ms = state.now - period.since;
+  if (ms < Beats.measure) return null;
+  const perSecond = 1_000 / ms;
+  const entries = Object.entries(period.bits).sort(([, a], [, b]) => b - a);
+  const demand: Record<string, number> = {};
+  entries.forEach(([key, bits], index) => {
+    const to = index < Sizes.busyObjects ? key : key.split(' ', 1)[0] ?? key;
+    demand[to] = (demand[to] ?? 0) + bits * perSecond;
+  });
+  const hosts = new Map((state.policy?.document.routes ?? []).map((route) => [route.name, route.host]));
+  const copies = Object.keys(demand).filter((key) => {
+    const cut = key.indexOf(' ');
+    return cut > 0 && Sieve.find(state.sieve, Sieve.key(hosts.get(key.slice(0, cut)) ?? '', key.slice(cut + 1)), {}, state.now) !== undefined;
+  });
+  set(work, {
+    period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0, wants: {} },
+    wants: Object.fromEntries([...new Set([...Object.keys(state.wants), ...Object.keys(period.wants)])].map((service) =>
+      [service, 0.5 * (state.wants[service] ?? 0) + 0.5 * (period.wants[service] ?? 0) * perSecond])),
+    sieve: Sieve.sweep(state.sieve, state.now),
+  });
+  const allBits = entries.reduce((sum, [, bits]) => sum + bits, 0);
+  return {
+    demand, copies, servedBps: period.servedBits * perSecond, meanReplyBits: period.replies > 0 ? Math.max(allBits, period.servedBits) / period.replies : 0,
+    fetchSeconds: period.fetched > 0 ? period.legMs / period.fetched / 1_000 : 0,
+  };
+};
+
+const question = (work: Work): void => {
+  const measurement = measure(work);
+  const { state } = work;
+  const report: Report = {
+    policySerial: state.policy?.serial ?? 0, life: state.life, purgeSeq: state.purgeSeq, stopping: state.stopping, wants: state.wants, measure: measurement,
+    counters: { ...state.counters, underWay: Object.keys(state.transactions).length, copies: state.sieve.copies.size, copyBytes: state.sieve.bytes },
+  };
+  work.effects.push({ kind: 'question', report });
+};
+
+const left = (work: Work, id: number): void => {
+  const transaction = change(work, id, { callerGone: true });
+  // A leg that others wait for, or that may have run, is let finish; only safe ones alone are dropped.
+  if (transaction === undefined || !Tally.safe(transaction.asked.method) || transaction.leads || transaction.phase !== 'leg') return;
+  const leg = transaction.legs.at(-1);
+  if (leg === undefined || leg.end !== null) return;
+  work.effects.push({ kind: 'abort', id, leg: leg.number });
+  endLeg(work, transaction, leg.number, { kind: 'failed', sent: 'maybe', why: 'caller' });
+  close(work, transaction);
+};
+
+const beat = (work: Work): void => {
+  for (const transaction of Object.values(work.state.transactions)) {
+    if (work.state.transactions[transaction.id] === undefined) continue;
+    if (transaction.phase === 'holding') { legToOrigin(work, transaction); continue; }
+    const leg = transaction.legs.at(-1);
+    if (transaction.phase === 'leg' && leg !== undefined && leg.end === null && work.state.now >= leg.limitAt) {
+      work.effects.push({ kind: 'abort', id: transaction.id, leg: leg.number });
+      failed(work, transaction.id, leg.number, 'maybe', 'limit');
+    } else if (transaction.phase === 'joined' && work.state.now >= transaction.limitAt) giveUp(work, transaction, 504, 'unknown', 'limit');
+    else if (transaction.phase === 'claiming' && work.state.now >= transaction.limitAt) giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed in time');
+  }
+};
+
+export const Lathe = {
+  /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7 }, 0).lease // 0: nothing is served yet */
+  open: (self: LatheState['self'], now: number): LatheState => ({
+    self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty,
+    transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: 0, suspects: {}, outstanding: {}, stopping: false, counters: {},
+    period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0, wants: {} }, wants: {},
+  }),
+
+  /** Whether the platform may send callers here. @example Lathe.ready(state, 5) // false */
+  ready: (state: LatheState, now: number): boolean => now < state.lease && state.policy !== null && !state.stopping && state.emptiedAt === null,
+
+  /** @example Lathe.reduce(state, { kind: 'beat', now: 25 }).effects */
+  reduce: (state: LatheState, event: LatheEvent): Step<LatheState, LatheEffect> => {
+    const work: Work = { state: { ...state, now: Math.max(state.now, event.now) }, effects: [] };
+    switch (event.kind) {
+      case 'arrived': arrived(work, event.id, event.asked, event.draws, event.token); break;
+      case 'answered': answered(work, event.id, event.leg, event.answer); break;
+      case 'failed': failed(work, event.id, event.leg, event.sent, event.why); break;
+      case 'claimed': claimed(work, event.id, event.reply); break;
+      case 'left': left(work, event.id); break;
+      case 'fed': fed(work, event.feed, event.askedAt); break;
+      case 'ask': question(work); break;
+      case 'beat': beat(work); break;
+      case 'stop': set(work, { stopping: true }); break;
+    }
+    return { state: work.state, effects: work.effects };
+  },
+} as const;
--- /dev/null
+++ b/packages/lathe/src/state.ts
@@ -0,0 +1,119 @@
+import type { ClaimReply, Feed, LatheCall, OriginRow, PartnerRow, Report } from '@reedyard/jig';
+import type { Copy, Headers, SieveState } from '@reedyard/sieve';
+import type { Policy, Route, RouteTable } from '@reedyard/stencil';
+import type { Leg, Sent } from '@reedyard/tally';
+
+/** A caller's request, as far as the moves depend on it. Header names are in small letters. */
+export type Asked = {
+  readonly method: string;
+  readonly target: string;
+  readonly host: string;
+  readonly headers: Headers;
+  /** The partner that handed it on; null from a caller. */
+  readonly via: string | null;
+  readonly bodyBytes: number;
+};
+
+/** An answer to a leg, read whole up to Sizes.wholeBody, or still streaming. */
+export type LegAnswer = { readonly status: number; readonly headers: Headers; readonly body: unknown; readonly size: number; readonly whole: boolean };
+
+export type Target = { readonly kind: 'origin'; readonly row: OriginRow } | { readonly kind: 'partner'; readonly row: PartnerRow };
+
+export type Transaction = {
+  readonly id: number;
+  readonly asked: Asked;
+  readonly route: Route;
+  readonly key: string;
+  readonly arrivedAt: number;
+  readonly limitAt: number;
+  /** Random numbers and a token given with its arrival: the reducer draws none itself. */
+  readonly draws: readonly number[];
+  readonly token: string;
+  readonly claim: { readonly key: string; readonly state: 'asking' | 'held' } | null;
+  readonly legs: readonly Leg[];
+  readonly phase: 'claiming' | 'joined' | 'holding' | 'leg';
+  /** Where the next leg goes, once it is settled. */
+  readonly place: 'self' | 'partner';
+  readonly heldAt: number;
+  readonly leads: boolean;
+  readonly callerGone: boolean;
+};
+
+/** One fetch that several transactions wait for. */
+export type Fetch = { readonly leader: number; readonly waiters: readonly number[]; readonly closed: boolean };
+
+export type Bucket = { readonly tokens: number; readonly at: number; readonly rate: number };
+
+export type LatheState = {
+  readonly self: { readonly id: string; readonly hall: string; readonly region: string; readonly capacityBps: number };
+  readonly now: number;
+  readonly lease: number;
+  readonly life: string;
+  readonly flushes: number;
+  readonly fedAt: number;
+  readonly purgeSeq: number;
+  readonly policy: { readonly serial: number; readonly document: Policy } | null;
+  readonly routes: RouteTable;
+  readonly feed: Feed | null;
+  readonly emptiedAt: number | null;
+  readonly sieve: SieveState;
+  readonly transactions: Readonly<Record<number, Transaction>>;
+  readonly fetches: Readonly<Record<string, Fetch>>;
+  /** Objects lately found not to be keepable: their requests are not made to wait for each other. */
+  readonly unkept: Readonly<Record<string, number>>;
+  readonly buckets: Readonly<Record<string, Bucket>>;
+  readonly repeats: number;
+  readonly suspects: Readonly<Record<string, number>>;
+  readonly outstanding: Readonly<Record<string, number>>;
+  readonly stopping: boolean;
+  readonly counters: Readonly<Record<string, number>>;
+  readonly period: {
+    readonly since: number; readonly bits: Readonly<Record<string, number>>; readonly servedBits: number; readonly replies: number;
+    readonly legMs: number; readonly fetched: number; readonly wants: Readonly<Record<string, number>>;
+  };
+  readonly wants: Readonly<Record<string, number>>;
+};
+
+export type LatheEvent =
+  | { readonly kind: 'arrived'; readonly id: number; readonly asked: Asked; readonly draws: readonly number[]; readonly token: string; readonly now: number }
+  | { readonly kind: 'answered'; readonly id: number; readonly leg: number; readonly answer: LegAnswer; readonly now: number }
+  | { readonly kind: 'failed'; readonly id: number; readonly leg: number; readonly sent: Sent; readonly why: string; readonly now: number }
+  | { readonly kind: 'claimed'; readonly id: number; readonly reply: ClaimReply; readonly now: number }
+  | { readonly kind: 'left'; readonly id: number; readonly now: number }
+  | { readonly kind: 'fed'; readonly feed: Feed; readonly askedAt: number; readonly now: number }
+  | { readonly kind: 'ask'; readonly now: number }
+  | { readonly kind: 'beat'; readonly now: number }
+  | { readonly kind: 'stop'; readonly now: number };
+
+export type Answer = {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body:
+    | { readonly kind: 'problem'; readonly title: string; readonly detail: string; readonly outcome: string }
+    | { readonly kind: 'copy'; readonly copy: Copy }
+    | { readonly kind: 'leg'; readonly answer: LegAnswer };
+};
+
+export type LatheEffect =
+  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean }
+  | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
+  | { readonly kind: 'answer'; readonly id: number; readonly answer: Answer }
+  | { readonly kind: 'ask'; readonly id: number; readonly call: LatheCall }
+  | { readonly kind: 'question'; readonly report: Report }
+  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
+
+export type Work = { state: LatheState; readonly effects: LatheEffect[] };
+export const set = (work: Work, change: Partial<LatheState>): void => { work.state = { ...work.state, ...change }; };
+export const count = (work: Work, ...names: readonly string[]): void => {
+  set(work, { counters: names.reduce((all, name) => ({ ...all, [name]: (all[name] ?? 0) + 1 }), work.state.counters) });
+};
+export const change = (work: Work, id: number, part: Partial<Transaction>): Transaction | undefined => {
+  const old = work.state.transactions[id];
+  if (old === undefined) return undefined;
+  const next = { ...old, ...part };
+  set(work, { transactions: { ...work.state.transactions, [id]: next } });
+  return next;
+};
+export const log = (work: Work, event: string, fields: Readonly<Record<string, string | number | boolean>>): void => {
+  work.effects.push({ kind: 'log', event, fields });
+};
--- /dev/null
+++ b/packages/plumb/src/vectors.ts
@@ -0,0 +1,96 @@
+import { Weights } from '@reedyard/gauge';
+import { solve } from './index.js';
+
+/** What an edge tells the others: its load, its replicas, its delays. */
+export type Vector = {
+  /** bps that this edge's own clients ask of each object. */
+  readonly demand: Readonly<Record<string, number>>;
+  /** Busy objects of which it holds a copy. */
+  readonly copies: readonly string[];
+  /** bps it can serve. */
+  readonly capacity: number;
+  /** Share of the capacity in use. */
+  readonly utilisation: number;
+  /** Share of the capacity that its own clients ask for. */
+  readonly offered: number;
+  /** s. Pinged delay to each other edge. */
+  readonly delays: Readonly<Record<string, number>>;
+  /** bits. Mean reply. */
+  readonly meanReply: number;
+  /** s. What fetching a copy from an origin takes. */
+  readonly fetchDelay: number;
+};
+
+/** What of a route the split must know. */
+export type ObjectRule = { readonly servers: (edge: string) => boolean };
+
+/** Share of an object's demand by the edge that serves it. */
+export type Row = readonly (readonly [edge: string, share: number])[];
+export type Split = Readonly<Record<string, Row>>;
+
+/** The key of an object told one by one, or of the rest of its route. */
+export const objectKey = (route: string, path: string | null): string => (path === null ? route : `${route} ${path}`);
+/** @example routeOf('sheets /sheets/7') // 'sheets' */
+export const routeOf = (key: string): string => key.split(' ', 1)[0] ?? key;
+
+/**
+ * Whether a vector must be sent: the paper's |u_new - u_old| >= delta, the same for the demand of
+ * the edge's own clients (an edge at its limit shows no change of use), or a marked change of delay.
+ *
+ * @example
+ * mustSend({ ...old, utilisation: old.utilisation + 0.1 }, old) // true
+ */
+export const mustSend = (next: Vector, sent: Vector | null): boolean =>
+  sent === null
+  || Math.abs(next.utilisation - sent.utilisation) >= Weights.delta
+  || Math.abs(next.offered - sent.offered) >= Weights.delta
+  || Object.entries(next.delays).some(([edge, delay]) => {
+    const old = sent.delays[edge];
+    if (old === undefined) return true;
+    return Math.abs(delay - old) > Weights.delayFloor && Math.abs(delay - old) > Weights.delayChange * old;
+  });
+
+/**
+ * The rows of one edge, computed from everybody's vectors as that edge has them.
+ *
+ * @example
+ * splitFor('a', { a: vectorOfA, b: vectorOfB }, () => ({ servers: () => true }))
+ */
+export const splitFor = (self: string, vectors: Readonly<Record<string, Vector>>, ruleOf: (route: string) => ObjectRule | null): { readonly split: Split; readonly iterations: number; readonly cost: number } => {
+  const edges = Object.keys(vectors).sort();
+  const list = edges.flatMap((edge) => { const vector = vectors[edge]; return vector === undefined ? [] : [vector]; });
+  const replies = list.filter((vector) => vector.meanReply > 0);
+  const meanReply = replies.length === 0 ? Weights.meanReply : replies.reduce((sum, vector) => sum + vector.meanReply, 0) / replies.length;
+  const keys = [...new Set(list.flatMap((vector) => Object.keys(vector.demand)))].sort().flatMap((key) => {
+    const rule = ruleOf(routeOf(key));
+    return rule === null ? [] : [{ key, rule }];
+  });
+  const copies = list.map((vector) => new Set(vector.copies));
+  const delays = list.map((vector, j) => edges.map((edge, k) => (j === k ? 0 : vector.delays[edge] ?? list[k]?.delays[edges[j] ?? ''] ?? Weights.fetchPenalty)));
+  const solution = solve({
+    capacities: list.map((vector) => vector.capacity / meanReply),
+    delays,
+    objects: keys.map(({ key, rule }) => {
+      const allowed = edges.map((edge) => rule.servers(edge));
+      const held = copies.map((set, j) => allowed[j] === true && set.has(key));
+      const anyHeld = held.some(Boolean);
+      return {
+        demand: list.map((vector) => (vector.demand[key] ?? 0) / meanReply),
+        link: (j, k) => {
+          if (allowed[j] !== true) return null;
+          if (held[j] === true) return 0;
+          // No replica: the client's own edge may make one; others only where nobody has one.
+          return j === k || !anyHeld || allowed[k] !== true ? list[j]?.fetchDelay ?? Weights.fetchPenalty : null;
+        },
+      };
+    }),
+  });
+  const me = edges.indexOf(self);
+  const split: Record<string, Row> = {};
+  keys.forEach(({ key }, i) => {
+    const row = solution.flows[i]?.[me] ?? [];
+    const total = row.reduce((sum, flow) => sum + flow, 0);
+    if (total > 0) split[key] = row.flatMap((flow, j) => (flow / total > 1e-4 ? [[edges[j] ?? '', flow / total] as const] : []));
+  });
+  return { split, iterations: solution.iterations, cost: solution.cost };
+};
--- /dev/null
+++ b/packages/scriber/src/index.ts
@@ -0,0 +1,64 @@
+import { Logger } from 'tslog';
+
+/** Values a log line may carry. */
+export type Fields = Readonly<Record<string, string | number | boolean | undefined | null>>;
+
+const quoted = (value: string | number | boolean): string => {
+  const text = String(value);
+  return /^[\w.:/@+,%-]+$/.test(text) ? text : JSON.stringify(text);
+};
+
+/**
+ * One event as one line of key=value pairs.
+ *
+ * @example
+ * line('policy.applied', { serial: 7, by: 'jig' }) // 'event=policy.applied serial=7 by=jig'
+ */
+export const line = (event: string, fields: Fields): string =>
+  [`event=${quoted(event)}`, ...Object.entries(fields).flatMap(([key, value]) =>
+    value === undefined || value === null ? [] : [`${key}=${quoted(value)}`])].join(' ');
+
+/** A log bound to one process. */
+export type Scribe = {
+  readonly info: (event: string, fields?: Fields) => void;
+  readonly warn: (event: string, fields?: Fields) => void;
+  readonly error: (event: string, fields?: Fields) => void;
+};
+
+/**
+ * Opens the log of a process on standard error.
+ *
+ * @example
+ * const scribe = openScribe({ program: 'jig', node: 'front-1' });
+ * scribe.info('started', { port: 7001 }); // time=… level=INFO program=jig node=front-1 event=started port=7001
+ */
+export const openScribe = (fixed: Fields): Scribe => {
+  const logger = new Logger({
+    type: 'hidden',
+    attachedTransports: [(entry) => {
+      const meta = entry['_meta'] as { date: Date; logLevelName: string };
+      process.stderr.write(`time=${meta.date.toISOString()} level=${meta.logLevelName} ${String(entry['0'])}\n`);
+    }],
+  });
+  const lead = Object.entries(fixed).map(([key, value]) => `${key}=${quoted(value ?? '')}`).join(' ');
+  const write = (level: 'info' | 'warn' | 'error') => (event: string, fields: Fields = {}): void => {
+    logger[level](`${lead} ${line(event, fields)}`);
+  };
+  return { info: write('info'), warn: write('warn'), error: write('error') };
+};
+
+/** The base of every layer's errors: a code for programs, a text for people, the cause from below. */
+export class LayerError extends Error {
+  constructor(readonly code: string, message: string, options?: { readonly cause?: unknown }) {
+    super(message, options);
+    this.name = new.target.name;
+  }
+}
+
+/**
+ * The text of anything thrown.
+ *
+ * @example
+ * textOf(new Error('no')) // 'no'
+ */
+export const textOf = (thrown: unknown): string => (thrown instanceof Error ? thrown.message : String(thrown));
--- /dev/null
+++ b/packages/sieve/src/index.ts
@@ -0,0 +1,146 @@
+import CachePolicy from 'http-cache-semantics';
+import { Map as Table, OrderedMap, Set as Group } from 'immutable';
+import { Limits, Sizes } from '@reedyard/gauge';
+
+export type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/** A kept answer. The body is only carried; who carries it knows what it is. */
+export type Copy = {
+  readonly key: string;
+  readonly route: string;
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: unknown;
+  readonly size: number;
+  readonly tags: readonly string[];
+  /** Request fields that the answer varies by, with the values it was made for. */
+  readonly vary: Readonly<Record<string, string>>;
+  /** ms, monotonic: taken at, and fresh until. */
+  readonly takenAt: number;
+  readonly freshUntil: number;
+  /** s. Age that it had when it was taken. */
+  readonly bornAge: number;
+};
+
+/** A purge that was applied, and when. */
+export type Purged = { readonly objects: readonly string[]; readonly tags: readonly string[]; readonly at: number };
+
+export type SieveState = {
+  /** Least lately used first. */
+  readonly copies: OrderedMap<string, Copy>;
+  readonly byTag: Table<string, Group<string>>;
+  readonly bytes: number;
+  readonly purges: readonly Purged[];
+};
+
+/** Time stands still inside the library: ages are counted here, on a clock that does not jump. */
+class StillPolicy extends CachePolicy {
+  now(): number { return 0; }
+}
+
+const textOf = (headers: Headers, name: string): string => {
+  const value = headers[name];
+  return value === undefined ? '' : typeof value === 'string' ? value : value.join(',');
+};
+
+const plain = (headers: Headers): Record<string, string> =>
+  Object.fromEntries(Object.keys(headers).map((name) => [name, textOf(headers, name)]));
+
+const drop = (state: SieveState, key: string): SieveState => {
+  const copy = state.copies.get(key);
+  if (copy === undefined) return state;
+  const byTag = copy.tags.reduce((table, tag) => {
+    const group = (table.get(tag) ?? Group<string>()).delete(key);
+    return group.isEmpty() ? table.delete(tag) : table.set(tag, group);
+  }, state.byTag);
+  return { ...state, copies: state.copies.delete(key), byTag, bytes: state.bytes - copy.size };
+};
+
+export const Sieve = {
+  empty: { copies: OrderedMap<string, Copy>(), byTag: Table<string, Group<string>>(), bytes: 0, purges: [] } as SieveState,
+
+  /** The key of an object. @example Sieve.key('A.example:80', '/x') // 'a.example/x' */
+  key: (host: string, target: string): string => `${host.toLowerCase().replace(/:\d+$/, '')}${target}`,
+
+  /** The key that a purge means. @example Sieve.purgeKey('http://a.example/x') // 'a.example/x' */
+  purgeKey: (object: string): string => {
+    const bare = object.replace(/^https?:\/\//, '');
+    const cut = bare.indexOf('/');
+    return cut < 0 ? Sieve.key(bare, '/') : Sieve.key(bare.slice(0, cut), bare.slice(cut));
+  },
+
+  /** @example Sieve.tags({ 'surrogate-key': 'a b' }, 'surrogate-key') // ['a', 'b'] */
+  tags: (headers: Headers, name: string): readonly string[] => textOf(headers, name).split(/[\s,]+/).filter((tag) => tag !== ''),
+
+  /**
+   * How long an answer may be kept, by RFC 9111; 0 where it may not. The leg's own time is age.
+   *
+   * @example
+   * Sieve.life({ method: 'GET', url: '/', headers: {} }, { status: 200, headers: { 'cache-control': 'max-age=60' } }, 100) // 59_900
+   */
+  life: (request: { readonly method: string; readonly url: string; readonly headers: Headers }, answer: { readonly status: number; readonly headers: Headers }, legMs: number): number => {
+    const policy = new StillPolicy(
+      { method: request.method, url: request.url, headers: plain(request.headers) },
+      { status: answer.status, headers: plain(answer.headers) },
+      { shared: true, cacheHeuristic: 0 });
+    return policy.storable() ? Math.max(0, policy.timeToLive() - legMs) : 0;
+  },
+
+  /** The fields that an answer varies by, as this request had them. @example Sieve.vary({ vary: 'accept' }, { accept: 'a' }) // { accept: 'a' } */
+  vary: (answer: Headers, request: Headers): Readonly<Record<string, string>> =>
+    Object.fromEntries(textOf(answer, 'vary').split(',').map((name) => name.trim().toLowerCase()).filter((name) => name !== '')
+      .map((name) => [name, textOf(request, name)])),
+
+  /** A fresh copy that fits the request. @example Sieve.find(state, 'a.example/x', {}, 5) */
+  find: (state: SieveState, key: string, request: Headers, now: number): Copy | undefined => {
+    const copy = state.copies.get(key);
+    if (copy === undefined || now >= copy.freshUntil) return undefined;
+    return Object.entries(copy.vary).every(([name, value]) => textOf(request, name) === value) ? copy : undefined;
+  },
+
+  /** Marks a copy as just used. @example Sieve.touch(state, 'a.example/x') */
+  touch: (state: SieveState, key: string): SieveState => {
+    const copy = state.copies.get(key);
+    return copy === undefined ? state : { ...state, copies: state.copies.delete(key).set(key, copy) };
+  },
+
+  /** Keeps a copy, and lets the least lately used go when memory is full. @example Sieve.keep(state, copy) */
+  keep: (state: SieveState, copy: Copy, most: number = Sizes.cache): SieveState => {
+    let next = drop(state, copy.key);
+    next = {
+      ...next,
+      copies: next.copies.set(copy.key, copy),
+      byTag: copy.tags.reduce((table, tag) => table.set(tag, (table.get(tag) ?? Group<string>()).add(copy.key)), next.byTag),
+      bytes: next.bytes + copy.size,
+    };
+    while (next.bytes > most) {
+      const oldest = next.copies.keySeq().first();
+      if (oldest === undefined) break;
+      next = drop(next, oldest);
+    }
+    return next;
+  },
+
+  /** Whether a purge that came after `since` means this object. @example Sieve.purgedSince(state, 'a.example/x', [], 5) */
+  purgedSince: (state: SieveState, key: string, tags: readonly string[], since: number): number | null => {
+    const found = state.purges.find((purge) => purge.at >= since && (purge.objects.includes(key) || purge.tags.some((tag) => tags.includes(tag))));
+    return found === undefined ? null : found.at;
+  },
+
+  /** Takes objects and tagged groups out, and remembers it for fetches under way. @example Sieve.purge(state, { objects: [], tags: ['t'] }, 5) */
+  purge: (state: SieveState, purge: { readonly objects: readonly string[]; readonly tags: readonly string[] }, now: number): SieveState => {
+    const objects = purge.objects.map(Sieve.purgeKey);
+    const keys = [...objects, ...purge.tags.flatMap((tag) => [...(state.byTag.get(tag) ?? [])])];
+    return {
+      ...keys.reduce(drop, state),
+      purges: [...state.purges.filter((each) => now - each.at < Limits.fact), { objects, tags: purge.tags, at: now }],
+    };
+  },
+
+  /** Takes everything out. @example Sieve.flush(state).bytes // 0 */
+  flush: (state: SieveState): SieveState => ({ ...Sieve.empty, purges: state.purges }),
+
+  /** Drops copies whose life is over, some at a time. @example Sieve.sweep(state, 5) */
+  sweep: (state: SieveState, now: number): SieveState =>
+    state.copies.filter((copy) => now >= copy.freshUntil).keySeq().toArray().reduce(drop, state),
+} as const;
--- /dev/null
+++ b/packages/tally/src/index.ts
@@ -0,0 +1,63 @@
+/** How far a failed leg may have got. */
+export type Sent = 'nothing' | 'maybe';
+
+/** How a leg ended. */
+export type LegEnd =
+  | { readonly kind: 'answered'; readonly status: number; readonly final: boolean; readonly notRun: boolean }
+  | { readonly kind: 'failed'; readonly sent: Sent; readonly why: string };
+
+/** One attempt of a transaction. */
+export type Leg = {
+  readonly number: number;
+  readonly to: { readonly kind: 'origin' | 'partner'; readonly id: string };
+  readonly openedAt: number;
+  readonly limitAt: number;
+  readonly end: LegEnd | null;
+};
+
+/** What a caller learns of a transaction that was given up. */
+export type Outcome = 'not-run' | 'unknown';
+
+export type Move =
+  | { readonly kind: 'open' }
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'relay' }
+  | { readonly kind: 'give-up'; readonly status: 502 | 503 | 504; readonly outcome: Outcome; readonly why: string };
+
+/** Legs of one transaction at most. */
+const mostLegs = 3;
+
+const outcomeOf = (legs: readonly Leg[]): Outcome =>
+  legs.every(({ end }) => (end !== null && end.kind === 'failed' ? end.sent === 'nothing' : end !== null && end.notRun)) ? 'not-run' : 'unknown';
+
+export const Tally = {
+  /** @example Tally.safe('GET') // true */
+  safe: (method: string): boolean => method === 'GET' || method === 'HEAD' || method === 'OPTIONS',
+
+  outcomeOf,
+
+  /**
+   * The next move, from the ledger alone. An unsafe transaction gets a second leg only if every leg
+   * before it provably ran nothing.
+   *
+   * @example
+   * Tally.next({ safe: false, legs: [failedLeg('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
+   */
+  next: (ledger: { readonly safe: boolean; readonly legs: readonly Leg[]; readonly now: number; readonly limitAt: number; readonly mayRepeat: boolean }): Move => {
+    const { legs } = ledger;
+    const last = legs.at(-1);
+    const outcome = outcomeOf(legs);
+    const giveUp = (why: string, late: boolean): Move =>
+      ({ kind: 'give-up', status: outcome === 'not-run' ? 503 : late ? 504 : 502, outcome, why });
+    if (last === undefined) return ledger.now >= ledger.limitAt ? giveUp('the limit was reached before a leg was made', true) : { kind: 'open' };
+    if (last.end === null) return { kind: 'wait' };
+    if (last.end.kind === 'answered' && last.end.final) return { kind: 'relay' };
+    const why = last.end.kind === 'failed' ? last.end.why : `answered ${last.end.status}`;
+    const late = last.end.kind === 'failed' && last.end.why === 'limit';
+    if (!ledger.safe && outcome === 'unknown') return giveUp(why, late);
+    if (ledger.now >= ledger.limitAt) return giveUp(why, true);
+    if (legs.length >= mostLegs) return giveUp(why, late);
+    if (!ledger.mayRepeat) return giveUp(why, late);
+    return { kind: 'open' };
+  },
+} as const;
--- /dev/null
+++ b/packages/workbench/src/fleet.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import os from 'node:os';
+import path from 'node:path';
+import { mkdtempSync } from 'node:fs';
+import { feel } from '@reedyard/feeler';
+import { api, Fleet, type Deployment } from './index.js';
+
+const deployment: Deployment = {
+  name: 'small',
+  machines: [
+    { name: 'front-1', hall: 'west', region: 'home', kind: 'front', capacityBps: 8_000_000 },
+    { name: 'front-2', hall: 'north', region: 'home', kind: 'front', capacityBps: 8_000_000 },
+    { name: 'core-1', hall: 'west', region: 'home', kind: 'core' },
+    { name: 'core-2', hall: 'north', region: 'home', kind: 'core' },
+    { name: 'core-3', hall: 'north', region: 'home', kind: 'core' },
+  ],
+  origins: [
+    { service: 'store', instance: 'content-1', hall: 'west', region: 'home', capacity: 200 },
+    { service: 'application', instance: 'app-1', hall: 'north', region: 'home', capacity: 200 },
+  ],
+};
+const host = 'depot.example';
+const policy = {
+  services: { store: { ceiling: 300, coldRate: 20 }, application: { ceiling: 300, coldRate: 20 } },
+  routes: [
+    { name: 'sheets', host, path: '/sheets/', service: 'store' },
+    { name: 'handovers', host, path: '/handovers', service: 'application', methods: ['POST'], cache: { keep: 'never' } },
+  ],
+};
+
+test('a fleet of real processes: one policy, callers served, copies purged, a key run once, a kill survived', async (t) => {
+  const fleet = await Fleet.lay(deployment, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')));
+  t.teardown(() => fleet.end());
+  fleet.startAll();
+  await fleet.startOrigins();
+  await fleet.until('a majority of disks', async () => (await api(fleet.apiOf('front-2'), 'PUT', '/v1/policy', policy, { 'reedyard-change-id': 'first' })).status === 200);
+  await fleet.untilReady();
+
+  // A repeat under the same change id is harmless; a stale If-Match and a faulty policy change nothing.
+  t.is((await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy, { 'reedyard-change-id': 'first' })).status, 200);
+  t.is((await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy, { 'if-match': '7' })).status, 412);
+  const refused = await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', { ...policy, routes: [{ ...policy.routes[0], service: 'nobody', extra: 1 }] });
+  t.is(refused.status, 422);
+  t.regex(JSON.stringify(refused.body), /\/routes\/0/);
+  const read = await api(fleet.apiOf('core-3'), 'GET', '/v1/policy');
+  t.is((read.body as { serial: number }).serial, 1);
+
+  const get = (node: string, target: string): ReturnType<typeof feel> => feel({ at: fleet.callersOf(node), method: 'GET', host, target, service: 'store' });
+  await fleet.until('a first answer', async () => (await get('front-1', '/sheets/1')).status === 200);
+  const again = await get('front-1', '/sheets/1');
+  t.is(again.status, 200);
+  t.is(again.fault, null);
+  t.is(again.served, 'copy');
+  t.is((await get('front-1', '/elsewhere')).status, 404);
+
+  // After a purge the next answer is of the new generation.
+  fleet.blanks.get('content-1')?.turn();
+  t.is((await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', { objects: [`http://${host}/sheets/1`] })).status, 200);
+  await fleet.until('the purge in force', async () => (await get('front-1', '/sheets/1')).body.includes('generation=1'), 2_000);
+
+  // One key, three askers on two nodes: one run.
+  const post = (node: string, key: string): ReturnType<typeof feel> => feel({ at: fleet.callersOf(node), method: 'POST', host, target: '/handovers', service: 'application', key });
+  await fleet.until('an application share', async () => (await post('front-1', `warm-${Math.random()}`)).status === 200);
+  const before = fleet.blanks.get('app-1')?.ran().length ?? 0;
+  const three = await Promise.all([post('front-1', 'parcel-7'), post('front-2', 'parcel-7'), post('front-2', 'parcel-7')]);
+  t.true((fleet.blanks.get('app-1')?.ran().length ?? 0) - before <= 1);
+  t.true(three.filter((each) => each.status === 200).length <= 1);
+  t.true(three.every((each) => each.status === 200 || each.status === 409 || each.status === 503));
+
+  // One anvil killed: still acknowledged. Two: refused with a time to come back, and callers are told not ready.
+  await fleet.kill('core-1');
+  t.is((await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', { ...policy, routes: policy.routes.slice(0, 1) })).status, 200);
+  await fleet.until('the newer policy in force', async () => (await post('front-2', 'x')).status === 404, 2_500);
+  await fleet.kill('core-2');
+  await fleet.until('not ready without a majority', async () => (await get('front-1', '/sheets/1')).status === 503, 5_000);
+  const lost = await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', policy);
+  t.is(lost.status, 503);
+  t.truthy(lost.headers['retry-after']);
+
+  // Back with their disks: the newer policy, not the first.
+  fleet.start('core-1');
+  fleet.start('core-2');
+  await fleet.untilReady();
+  t.true(((await api(fleet.apiOf('core-1'), 'GET', '/v1/policy')).body as { serial: number }).serial >= 2);
+});
--- /dev/null
+++ b/packages/workbench/src/index.ts
@@ -0,0 +1,154 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs';
+import http from 'node:http';
+import net from 'node:net';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { startBlank, type Blank } from '@reedyard/blank';
+import { LayerError } from '@reedyard/scriber';
+
+/** A bench that can't be set up. */
+export class WorkbenchError extends LayerError {}
+
+export type Program = 'jig' | 'lathe' | 'anvil';
+
+export type Machine = { readonly name: string; readonly hall: string; readonly region: string; readonly kind: 'front' | 'store' | 'core'; readonly capacityBps?: number };
+export type Origin = { readonly service: string; readonly instance: string; readonly hall: string; readonly region: string; readonly capacity: number; readonly maxAge?: number };
+
+/** A deployment as the examples describe it. */
+export type Deployment = { readonly name: string; readonly machines: readonly Machine[]; readonly origins: readonly Origin[] };
+
+const packages = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
+const freePort = (): Promise<number> => new Promise((resolve, reject) => {
+  const server = net.createServer();
+  server.once('error', reject);
+  server.listen(0, '127.0.0.1', () => { const { port } = server.address() as net.AddressInfo; server.close(() => resolve(port)); });
+});
+
+/** An answer of the API. */
+export type ApiAnswer = { readonly status: number; readonly body: never; readonly headers: http.IncomingHttpHeaders };
+
+/**
+ * Asks a jig's API.
+ *
+ * @example
+ * await api('127.0.0.1:7080', 'GET', '/v1/status');
+ */
+export const api = (at: string, method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<ApiAnswer> => new Promise((resolve, reject) => {
+  const text = document === undefined ? '' : typeof document === 'string' ? document : JSON.stringify(document);
+  const request = http.request(`http://${at}${target}`, { method, timeout: 10_000, headers: { ...(text === '' ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...headers } }, (response) => {
+    const chunks: Buffer[] = [];
+    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.on('error', reject);
+    response.on('end', () => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: JSON.parse(Buffer.concat(chunks).toString('utf8') || 'null') as never }));
+  });
+  request.on('timeout', () => request.destroy(new Error('no answer')));
+  request.on('error', reject);
+  request.end(text);
+});
+
+type Member = { readonly machine: Machine; readonly host: string; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
+
+/** A whole fleet on this machine; each of its machines has a loopback address of its own. */
+export class Fleet {
+  readonly #members = new Map<string, Member>();
+  readonly blanks = new Map<string, Blank>();
+
+  private constructor(readonly deployment: Deployment, readonly folder: string, readonly network: string) {}
+
+  /** Lays out settings; starts nothing. @example const fleet = await Fleet.lay(deployment, '.run/small') */
+  static async lay(deployment: Deployment, folder: string): Promise<Fleet> {
+    // A network of its own, so that several benches may run at once.
+    const network = `127.${10 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
+    const fleet = new Fleet(deployment, path.resolve(folder), network);
+    rmSync(fleet.folder, { recursive: true, force: true });
+    const hostOf = (index: number): string => `${network}.${index + 1}`;
+    const disks = deployment.machines.filter((machine) => machine.kind !== 'front');
+    const founders = Object.fromEntries(disks.map((machine) => [machine.name, `${hostOf(deployment.machines.indexOf(machine))}:7101`]));
+    const seeds = disks.slice(0, 3).map((machine) => `${hostOf(deployment.machines.indexOf(machine))}:7001`);
+    for (const [index, machine] of deployment.machines.entries()) {
+      const home = path.join(fleet.folder, machine.name);
+      mkdirSync(home, { recursive: true });
+      const settings = {
+        name: machine.name, host: hostOf(index), hall: machine.hall, region: machine.region, seeds, founders, dataFolder: path.join(home, 'data'),
+        jig: { port: 7001, apiPort: 7080, feedPort: await freePort() },
+        ...(machine.kind === 'front' ? { lathe: { port: 8080, partnerPort: 8081, capacityBps: machine.capacityBps ?? 80_000_000 } } : { anvil: { port: 7101 } }),
+      };
+      const settingsFile = path.join(home, 'settings.json');
+      writeFileSync(settingsFile, `${JSON.stringify(settings, null, 2)}\n`);
+      fleet.#members.set(machine.name, { machine, host: hostOf(index), settingsFile, folder: home, processes: new Map() });
+    }
+    return fleet;
+  }
+
+  #member(name: string): Member {
+    const member = this.#members.get(name);
+    if (member === undefined) throw new WorkbenchError('unknown', `no machine is named ${name}`);
+    return member;
+  }
+
+  programs(name: string): readonly Program[] { return this.#member(name).machine.kind === 'front' ? ['jig', 'lathe'] : ['anvil', 'jig']; }
+  apiOf(name: string): string { return `${this.#member(name).host}:7080`; }
+  callersOf(name: string): string { return `${this.#member(name).host}:8080`; }
+  names(kind?: Machine['kind']): readonly string[] { return this.deployment.machines.filter((machine) => kind === undefined || machine.kind === kind).map((machine) => machine.name); }
+
+  /** Starts a machine's programs, or one of them. */
+  start(name: string, only?: Program): void {
+    const member = this.#member(name);
+    for (const program of this.programs(name)) {
+      if ((only !== undefined && only !== program) || member.processes.has(program)) continue;
+      const out = openSync(path.join(member.folder, `${program}.log`), 'a');
+      const child = spawn(process.execPath, [path.join(packages, program, 'dist/main.js'), '--settings', member.settingsFile], { stdio: ['ignore', out, out] });
+      closeSync(out);
+      child.on('exit', () => { if (member.processes.get(program) === child) member.processes.delete(program); });
+      member.processes.set(program, child);
+    }
+  }
+
+  #signal(name: string, signal: NodeJS.Signals, only?: Program): Promise<void> {
+    const ends = [...this.#member(name).processes].flatMap(([program, child]) => {
+      if (only !== undefined && only !== program) return [];
+      const end = new Promise<void>((resolve) => { if (child.exitCode !== null || child.signalCode !== null) resolve(); else child.once('exit', () => resolve()); });
+      child.kill(signal);
+      return [end];
+    });
+    return Promise.all(ends).then(() => undefined);
+  }
+
+  kill(name: string, only?: Program): Promise<void> { return this.#signal(name, 'SIGKILL', only); }
+  stop(name: string, only?: Program): Promise<void> { return this.#signal(name, 'SIGTERM', only); }
+  freeze(name: string, only?: Program): void { void this.#signal(name, 'SIGSTOP', only); }
+  thaw(name: string, only?: Program): void { void this.#signal(name, 'SIGCONT', only); }
+  /** Takes a dead machine's disk away. */
+  wipe(name: string): void { rmSync(path.join(this.#member(name).folder, 'data'), { recursive: true, force: true }); }
+
+  startAll(): void { for (const name of this.names()) this.start(name); }
+
+  async startOrigins(): Promise<void> {
+    const apis = this.names().map((name) => this.apiOf(name));
+    for (const [index, origin] of this.deployment.origins.entries()) {
+      this.blanks.set(origin.instance, await startBlank({
+        ...origin, incarnation: 1, host: `${this.network}.${200 + index}`, port: 9000, apis: [...apis.slice(index % apis.length), ...apis.slice(0, index % apis.length)], announceMs: 1_000, maxAge: origin.maxAge ?? 60,
+      }));
+    }
+  }
+
+  /** Waits for something to become true, asking every 50 ms; throws once the limit has passed. */
+  async until(what: string, holds: () => Promise<boolean>, limitMs = 30_000): Promise<void> {
+    const end = performance.now() + limitMs;
+    for (;;) {
+      if (await holds().catch(() => false)) return;
+      if (performance.now() > end) throw new WorkbenchError('limit', `${what}: not within ${limitMs} ms; logs are in ${this.folder}`);
+      await new Promise((resolve) => { setTimeout(resolve, 50); });
+    }
+  }
+
+  async untilReady(names: readonly string[] = this.names('front'), limitMs = 30_000): Promise<void> {
+    await this.until('all ready', async () => (await Promise.all(names.map((name) => api(this.callersOf(name), 'GET', '/.well-known/reedyard/ready')))).every((answer) => answer.status === 200), limitMs);
+  }
+
+  async end(): Promise<void> {
+    for (const name of this.names()) this.thaw(name);
+    await Promise.all([...this.names().map((name) => this.kill(name)), ...[...this.blanks.values()].map((blank) => blank.stop())]);
+  }
+}
