--- /dev/null
+++ b/packages/mallet/src/checks.ts
@@ -0,0 +1,191 @@
+import type { Policy } from '@reedyard/stencil';
+import { Routes } from '@reedyard/stencil';
+import type { Entry, Wrong } from './history.js';
+
+type Of<K extends Entry['kind']> = Extract<Entry, { kind: K }>;
+const only = <K extends Entry['kind']>(history: readonly Entry[], kind: K): readonly Of<K>[] => history.filter((entry): entry is Of<K> => entry.kind === kind);
+
+/** The most entries in any window, and when the window ended. */
+const busiest = (times: readonly number[], window: number): { readonly most: number; readonly at: number } => {
+  let [from, most, at] = [0, 0, 0];
+  times.forEach((time, index) => {
+    while ((times[from] ?? 0) <= time - window) from += 1;
+    if (index - from + 1 > most) { most = index - from + 1; at = time; }
+  });
+  return { most, at };
+};
+
+const groupBy = <T>(list: readonly T[], key: (each: T) => string): ReadonlyMap<string, readonly T[]> => {
+  const groups = new Map<string, T[]>();
+  for (const each of list) { const group = groups.get(key(each)); if (group === undefined) groups.set(key(each), [each]); else group.push(each); }
+  return groups;
+};
+
+/** The checkers, one for each point of the brief's "What must never happen". */
+export const Checks: Readonly<Record<number, (history: readonly Entry[]) => readonly Wrong[]>> = {
+  // 1. A handover confirmation or work order runs twice.
+  1: (history) => [...groupBy(only(history, 'ran'), (entry) => entry.job)].flatMap(([job, runs]) =>
+    (runs.length > 1 ? [{ rule: 1, at: runs[1]?.at ?? 0, what: `${job} ran ${runs.length} times` }] : [])),
+
+  // 2. Told that a request was turned away when it actually ran.
+  2: (history) => {
+    const ran = new Set(only(history, 'ran').map((entry) => entry.submission));
+    return only(history, 'got').flatMap((entry) => (entry.method === 'POST' && entry.outcome === 'not-run' && ran.has(entry.submission)
+      ? [{ rule: 2, at: entry.at, what: `${entry.job} was told not-run (${entry.status}) but ran` }] : []));
+  },
+
+  // 3. A success without stamp and whole body, or attached to another request.
+  3: (history) => only(history, 'got').flatMap((entry) => {
+    if (entry.status < 200 || entry.status > 299) return [];
+    const fault = !entry.whole ? 'not whole' : entry.body === null ? 'no body' : !entry.stamp.startsWith(`${entry.service}/`) ? `stamp "${entry.stamp}"`
+      : entry.body.service !== entry.service || entry.body.target !== entry.target ? `the body of ${entry.body.target}`
+        : entry.method === 'POST' && entry.body.job !== entry.job ? `the answer to ${entry.body.job}` : null;
+    return fault === null ? [] : [{ rule: 3, at: entry.at, what: `${entry.method} ${entry.target}: ${fault}` }];
+  }),
+
+  // 4. A request reaches a service that no configuration allowed, also at a reused address.
+  4: (history) => {
+    const puts = only(history, 'put');
+    const allowed = new Set(puts.flatMap((put) => Object.keys(put.document.services)));
+    return only(history, 'leg').flatMap((entry) => {
+      const me = `${entry.service}/${entry.instance}/${entry.incarnation}`;
+      return entry.expected !== me || !allowed.has(entry.service) ? [{ rule: 4, at: entry.at, what: `a leg for ${entry.expected} reached ${me}` }] : [];
+    });
+  },
+
+  // 5. A policy not in force 2 s after it was acknowledged, or a node falls back to an older one.
+  5: (history) => {
+    const puts = only(history, 'put');
+    const highest = new Map<string, number>();
+    return only(history, 'acted').flatMap((entry) => {
+      const due = puts.reduce((best, put) => (put.at <= entry.at - 2_000 ? Math.max(best, put.serial) : best), 0);
+      const before = highest.get(entry.node) ?? 0;
+      highest.set(entry.node, Math.max(before, entry.serial));
+      if (entry.serial < due) return [{ rule: 5, at: entry.at, what: `${entry.node} acted under ${entry.serial} although ${due} was acknowledged over 2 s before` }];
+      return entry.serial < before ? [{ rule: 5, at: entry.at, what: `${entry.node} fell back from ${before} to ${entry.serial}` }] : [];
+    });
+  },
+
+  // 6. The policy read back is older than the newest acknowledged one; and two acknowledged ones never share a serial.
+  6: (history) => {
+    const puts = only(history, 'put');
+    const twins = [...groupBy(puts, (put) => String(put.serial))].flatMap(([serial, list]) =>
+      (new Set(list.map((put) => JSON.stringify(put.document))).size > 1 ? [{ rule: 6, at: list[1]?.at ?? 0, what: `two policies were acknowledged under serial ${serial}` }] : []));
+    return [...twins, ...only(history, 'read').flatMap((entry) => {
+      const due = puts.reduce((best, put) => (put.at <= entry.askedAt ? Math.max(best, put.serial) : best), 0);
+      return entry.serial < due ? [{ rule: 6, at: entry.at, what: `read ${entry.serial} although ${due} was acknowledged` }] : [];
+    })];
+  },
+
+  // 7. A draining origin gets new work more than 2 s after its notice.
+  7: (history) => {
+    const notices = only(history, 'drained');
+    return only(history, 'leg').flatMap((entry) => {
+      const notice = notices.find((each) => each.instance === entry.instance && each.incarnation === entry.incarnation && entry.at > each.at + 2_000);
+      return notice === undefined ? [] : [{ rule: 7, at: entry.at, what: `${entry.instance} got work ${Math.round(entry.at - notice.at)} ms after its notice` }];
+    });
+  },
+
+  // 8. An emptied hall gets requests more than 5 s after the order.
+  8: (history) => {
+    const orders = only(history, 'hall');
+    const emptiedAt = (hall: string, at: number): number | null => {
+      const last = orders.filter((order) => order.hall === hall && order.at <= at).at(-1);
+      return last !== undefined && last.order === 'empty' ? last.at : null;
+    };
+    return history.flatMap((entry): readonly Wrong[] => {
+      if (entry.kind !== 'asked' && entry.kind !== 'leg') return [];
+      const since = emptiedAt(entry.hall, entry.at);
+      return since !== null && entry.at > since + 5_000 ? [{ rule: 8, at: entry.at, what: `${entry.hall} got ${entry.kind === 'asked' ? 'a caller' : 'a leg'} ${Math.round(entry.at - since)} ms after the order` }] : [];
+    });
+  },
+
+  // 9. A purged object served 2 s after, or a copy that outlives its life by more than 2 s.
+  9: (history) => {
+    const purges = only(history, 'purged');
+    return only(history, 'got').flatMap((entry): readonly Wrong[] => {
+      if (entry.status !== 200 || entry.body === null || entry.method !== 'GET') return [];
+      const { body } = entry;
+      const old = purges.find((purge) => entry.at > purge.at + 2_000 && body.madeAt < purge.turned && (purge.objects.some((object) => object.endsWith(body.target)) || purge.tags.some((tag) => body.tags.includes(tag))));
+      if (old !== undefined) return [{ rule: 9, at: entry.at, what: `${body.target} made at ${Math.round(body.madeAt)} served ${Math.round(entry.at - old.at)} ms after its purge` }];
+      const over = entry.at - body.madeAt - body.maxAgeMs;
+      return over > 2_000 ? [{ rule: 9, at: entry.at, what: `${body.target} outlived its life by ${Math.round(over)} ms` }] : [];
+    });
+  },
+
+  // 10. A service gets over a tenth above its ceiling in any 5 s; a cold origin over 1.5 times its rate.
+  10: (history) => {
+    const legs = only(history, 'leg');
+    const puts = only(history, 'put');
+    const ceilingOf = (service: string): number => Math.max(0, ...puts.map((put) => put.document.services[service]?.ceiling ?? 0));
+    const services = [...groupBy(legs, (leg) => leg.service)].flatMap(([service, list]) => {
+      const { most, at } = busiest(list.map((leg) => leg.at), 5_000);
+      const limit = 1.1 * 5 * ceilingOf(service);
+      return most > limit ? [{ rule: 10, at, what: `${service} got ${most} in 5 s; ${limit.toFixed(0)} are allowed` }] : [];
+    });
+    const cold = [...groupBy(legs.filter((leg) => leg.cold), (leg) => `${leg.instance}/${leg.incarnation}`)].flatMap(([name, list]) => {
+      const { most, at } = busiest(list.map((leg) => leg.at), 5_000);
+      const limit = 1.5 * 5 * (list[0]?.coldRate ?? 0);
+      return most > limit ? [{ rule: 10, at, what: `cold ${name} got ${most} in 5 s; ${limit.toFixed(0)} are allowed` }] : [];
+    });
+    return [...services, ...cold];
+  },
+
+  // 11. Repeats exceed a fifth of traffic plus 60 in any 10 s.
+  11: (history) => {
+    const asked = only(history, 'asked').map((entry) => entry.at);
+    const repeats = only(history, 'repeat').map((entry) => entry.at);
+    let from = 0;
+    return repeats.flatMap((at, index) => {
+      while ((repeats[from] ?? 0) <= at - 10_000) from += 1;
+      const traffic = asked.filter((time) => time > at - 10_000 && time <= at).length;
+      const most = 0.2 * traffic + 60;
+      return index - from + 1 > most ? [{ rule: 11, at, what: `${index - from + 1} repeats in 10 s for ${traffic} requests` }] : [];
+    }).slice(0, 5);
+  },
+
+  // 12. A report with home regions is fetched or stored outside them.
+  12: (history) => {
+    const puts = only(history, 'put');
+    const homesOf = (target: string): readonly string[] | undefined => {
+      const policy = puts.at(-1)?.document;
+      if (policy === undefined) return undefined;
+      const host = policy.routes[0]?.host ?? '';
+      return Routes.find(Routes.table(policy.routes), host, target)?.homes;
+    };
+    return history.flatMap((entry): readonly Wrong[] => {
+      if (entry.kind !== 'leg' && entry.kind !== 'stored') return [];
+      const homes = homesOf(entry.target);
+      if (homes === undefined || homes.includes(entry.region)) return [];
+      return [{ rule: 12, at: entry.at, what: `${entry.target} was ${entry.kind === 'leg' ? 'fetched' : 'stored'} in ${entry.region}` }];
+    });
+  },
+
+  // 13. After a full loss little is served 15 s after the machines return.
+  13: (history) => {
+    const back = only(history, 'fault').find((entry) => entry.what === 'all machines back');
+    if (back === undefined) return [];
+    const asked = new Set(only(history, 'asked').filter((entry) => entry.at > back.at + 15_000).map((entry) => entry.submission));
+    const good = only(history, 'got').filter((entry) => asked.has(entry.submission) && ((entry.status >= 200 && entry.status < 300) || entry.status === 409)).length;
+    return asked.size === 0 || good < 0.9 * asked.size ? [{ rule: 13, at: back.at + 15_000, what: `${good} of ${asked.size} served 15 s after the machines returned` }] : [];
+  },
+};
+
+/** All that was wrong in a run, a few of each rule. */
+export const judge = (history: readonly Entry[], rules: readonly number[] = Object.keys(Checks).map(Number)): readonly Wrong[] =>
+  rules.flatMap((rule) => (Checks[rule]?.(history) ?? []).slice(0, 3));
+
+/** Of what callers asked in a span, the share that was served, and what became of the rest. */
+export const available = (history: readonly Entry[], from = 0, to = Infinity): { readonly asked: number; readonly share: number; readonly rest: Readonly<Record<string, number>> } => {
+  const asked = new Set(only(history, 'asked').filter((entry) => entry.at >= from && entry.at < to).map((entry) => entry.submission));
+  const got = only(history, 'got').filter((entry) => asked.has(entry.submission));
+  const rest: Record<string, number> = {};
+  let good = 0;
+  for (const entry of got) {
+    if ((entry.status >= 200 && entry.status < 300) || entry.status === 409) good += 1;
+    else rest[`${entry.status} ${entry.outcome}`] = (rest[`${entry.status} ${entry.outcome}`] ?? 0) + 1;
+  }
+  return { asked: asked.size, share: asked.size === 0 ? 1 : good / asked.size, rest };
+};
+
+export type { Policy };
--- /dev/null
+++ b/packages/mallet/src/clockwork.ts
@@ -0,0 +1,64 @@
+/** Virtual time and seeded chance: the same seed gives the same run, event for event. */
+export class Clockwork {
+  #now = 0;
+  #order = 0;
+  #seed: number;
+  readonly #heap: { at: number; order: number; act: () => void }[] = [];
+
+  constructor(seed: number) { this.#seed = seed | 0; }
+
+  now(): number { return this.#now; }
+
+  /** @example new Clockwork(1).chance() // always the same number in [0, 1) */
+  chance(): number {
+    this.#seed = (this.#seed + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(this.#seed ^ (this.#seed >>> 15), 1 | this.#seed);
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  }
+
+  between(low: number, high: number): number { return low + (high - low) * this.chance(); }
+  pick<T>(list: readonly T[]): T | undefined { return list[Math.floor(this.chance() * list.length)]; }
+
+  in(ms: number, act: () => void): void {
+    const entry = { at: this.#now + Math.max(0, ms), order: this.#order, act };
+    this.#order += 1;
+    const heap = this.#heap;
+    heap.push(entry);
+    let index = heap.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!Clockwork.#before(entry, heap[parent])) break;
+      heap[index] = heap[parent] as typeof entry;
+      index = parent;
+    }
+    heap[index] = entry;
+  }
+
+  static #before(left: { at: number; order: number }, right: { at: number; order: number } | undefined): boolean {
+    return right !== undefined && (left.at < right.at || (left.at === right.at && left.order < right.order));
+  }
+
+  /** Runs until a moment of virtual time. */
+  runUntil(end: number): void {
+    const heap = this.#heap;
+    for (let top = heap[0]; top !== undefined && top.at <= end; top = heap[0]) {
+      this.#now = top.at;
+      const last = heap.pop();
+      if (last !== undefined && heap.length > 0 && last !== top) {
+        let index = 0;
+        for (;;) {
+          const left = 2 * index + 1;
+          if (left >= heap.length) break;
+          const child = left + 1 < heap.length && Clockwork.#before(heap[left + 1] as typeof last, heap[left]) ? left + 1 : left;
+          if (!Clockwork.#before(heap[child] as typeof last, last)) break;
+          heap[index] = heap[child] as typeof last;
+          index = child;
+        }
+        heap[index] = last;
+      }
+      top.act();
+    }
+    this.#now = Math.max(this.#now, end);
+  }
+}
--- /dev/null
+++ b/packages/mallet/src/fleet.ts
@@ -0,0 +1,555 @@
+import { Anvil, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilState } from '@reedyard/anvil';
+import { Beats, Limits } from '@reedyard/gauge';
+import { Jig, type Action, type ClaimReply, type Feed, type JigEffect, type JigEvent, type JigState } from '@reedyard/jig';
+import { Lathe, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target } from '@reedyard/lathe';
+import type { Description, Policy } from '@reedyard/stencil';
+import type { Deployment, Machine, Origin } from '@reedyard/workbench';
+import { Clockwork } from './clockwork.js';
+import type { Entry, SimBody } from './history.js';
+import { plantedClaim, plantedFeed, type Plant } from './plants.js';
+
+type Program = 'jig' | 'lathe' | 'anvil';
+type Reducers = { jig: { state: JigState; event: JigEvent; effect: JigEffect }; lathe: { state: LatheState; event: LatheEvent; effect: LatheEffect }; anvil: { state: AnvilState; event: AnvilEvent; effect: AnvilEffect } };
+
+/** One life of one process. Its monotonic clock starts anywhere and runs on while it is frozen. */
+type Process<P extends Program> = {
+  readonly program: P; readonly machine: Machine; readonly clockFrom: number;
+  state: Reducers[P]['state']; alive: boolean; frozen: boolean; readonly waiting: (() => void)[];
+  readonly asking: Map<number, (reply: unknown) => void>; nextAsk: number;
+};
+
+/** A disk: what is synced survives; what is not may be lost. */
+type Disk = { synced: AnvilRecord[]; unsynced: AnvilRecord[]; syncing: boolean; count: number; waiters: { readonly need: number; readonly act: () => void }[] };
+const blankDisk = (synced: AnvilRecord[] = []): Disk => ({ synced, unsynced: [], syncing: false, count: 0, waiters: [] });
+
+type Box = { readonly machine: Machine; jig: Process<'jig'> | null; lathe: Process<'lathe'> | null; anvil: Process<'anvil'> | null; disk: Disk; powered: boolean };
+
+export type OriginMode = { slowMs: number; lose: number; garbage: number; short: number; foreign: number };
+/** A stand-in origin: an identity at an address. */
+export type SimOrigin = {
+  readonly spec: Origin; readonly address: string; incarnation: number; service: string; instance: string; alive: boolean; cold: boolean; draining: boolean; mode: OriginMode; readonly coldRate: number;
+  previous: LegAnswer | null; servedSince: number;
+};
+
+/** What a submission is to become: an answer to the caller. */
+type Caller = { readonly submission: number; readonly done: (got: { status: number; headers: Record<string, unknown>; body: SimBody | null; whole: boolean; retryAfter: boolean } | null) => void };
+
+export type Tuning = { readonly loss: number; readonly plant: Plant; readonly regionsMs: number };
+
+/** A whole fleet in virtual time. */
+export class SimFleet {
+  readonly clock: Clockwork;
+  readonly history: Entry[] = [];
+  readonly boxes = new Map<string, Box>();
+  readonly origins: SimOrigin[] = [];
+  readonly #cuts = new Set<string>();
+  readonly #drained = new Map<string, Feed['origins'][number]>();
+  readonly counts = { messages: 0, events: 0 };
+  #lives = 0;
+  #marks = 0;
+
+  constructor(readonly deployment: Deployment, seed: number, readonly tuning: Tuning, coldRates: Readonly<Record<string, number>>) {
+    this.clock = new Clockwork(seed);
+    for (const machine of deployment.machines) {
+      this.boxes.set(machine.name, { machine, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk() });
+    }
+    for (const [index, spec] of deployment.origins.entries()) {
+      this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, coldRate: coldRates[spec.service] ?? 10, previous: null, servedSince: 0 });
+    }
+    for (const origin of this.origins) this.clock.in(this.clock.between(0, 1_000), () => this.#announce(origin));
+  }
+
+  #machineAt(place: string): Machine | undefined { return this.deployment.machines.find((machine) => machine.name === place); }
+  #where(place: string): { hall: string; region: string } {
+    const machine = this.#machineAt(place);
+    if (machine !== undefined) return machine;
+    return this.origins.find((origin) => origin.address === place)?.spec ?? { hall: 'outside', region: 'outside' };
+  }
+
+  /** ms one way between two places. */
+  delay(from: string, to: string): number {
+    const [a, b] = [this.#where(from), this.#where(to)];
+    const base = from === to ? 0.05 : a.region !== b.region && a.region !== 'outside' && b.region !== 'outside' ? this.tuning.regionsMs / 2 : a.hall !== b.hall ? 0.4 : 0.2;
+    return base + this.clock.chance() * 0.3;
+  }
+
+  cut(from: string, to: string): void { this.#cuts.add(`${from}>${to}`); }
+  /** Cuts a machine off, both ways or only what it sends or only what it hears. */
+  isolate(name: string, way: 'both' | 'out' | 'in' = 'both'): void {
+    for (const other of [...this.boxes.keys(), ...this.origins.map((origin) => origin.address)]) {
+      if (other === name) continue;
+      if (way !== 'in') this.cut(name, other);
+      if (way !== 'out') this.cut(other, name);
+    }
+  }
+  heal(): void { this.#cuts.clear(); }
+
+  /** Carries something to another place, or loses it. */
+  #carry(from: string, to: string, act: () => void): void {
+    this.counts.messages += 1;
+    if (this.#cuts.has(`${from}>${to}`)) return;
+    if (from !== to && this.clock.chance() < this.tuning.loss) return;
+    this.clock.in(this.delay(from, to), act);
+  }
+
+  #now(process: Process<Program>): number { return this.clock.now() - process.clockFrom; }
+
+  /** Does something inside a process: now, when it thaws, or never if it is dead by then. */
+  #inside(process: Process<Program>, act: () => void): void {
+    if (!process.alive) return;
+    if (process.frozen) { process.waiting.push(() => this.#inside(process, act)); return; }
+    act();
+  }
+
+  #step<P extends Program>(process: Process<P>, event: Reducers[P]['event']): void {
+    if (!process.alive) return;
+    this.counts.events += 1;
+    const reduce = (process.program === 'jig' ? Jig.reduce : process.program === 'lathe' ? Lathe.reduce : Anvil.reduce) as (state: unknown, event: unknown) => { state: Reducers[P]['state']; effects: readonly Reducers[P]['effect'][] };
+    const step = reduce(process.state, event);
+    process.state = step.state;
+    for (const effect of step.effects) {
+      if (!process.alive) return;
+      if (process.program === 'jig') this.#jigEffect(process as unknown as Process<'jig'>, effect as JigEffect);
+      else if (process.program === 'lathe') this.#latheEffect(process as unknown as Process<'lathe'>, effect as LatheEffect);
+      else this.#anvilEffect(process as unknown as Process<'anvil'>, effect as AnvilEffect);
+    }
+  }
+
+  #make<P extends Program>(program: P, machine: Machine, state: (now: number) => Reducers[P]['state']): Process<P> {
+    const clockFrom = this.clock.now() - this.clock.between(0, 1e6);
+    return { program, machine, clockFrom, state: state(this.clock.now() - clockFrom), alive: true, frozen: false, waiting: [], asking: new Map(), nextAsk: 1 };
+  }
+
+  #every(process: Process<Program>, ms: number, act: () => void): void {
+    this.clock.in(ms * this.clock.between(0.9, 1.1), () => this.#inside(process, () => { act(); this.#every(process, ms, act); }));
+  }
+
+  founders(): Record<string, string> {
+    return Object.fromEntries(this.deployment.machines.filter((machine) => machine.kind !== 'front').map((machine) => [machine.name, `${machine.name}/anvil`]));
+  }
+
+  /** Starts a machine's programs, each a little after the other. */
+  start(name: string): void {
+    const box = this.boxes.get(name);
+    if (box === undefined) return;
+    box.powered = true;
+    const { machine } = box;
+    if (machine.kind !== 'front' && box.anvil === null) this.clock.in(this.clock.between(50, 400), () => { if (box.powered && box.anvil === null) this.#startAnvil(box); });
+    if (box.jig === null) this.clock.in(this.clock.between(50, 400), () => { if (box.powered && box.jig === null) this.#startJig(box); });
+    if (machine.kind === 'front' && box.lathe === null) this.clock.in(this.clock.between(50, 400), () => { if (box.powered && box.lathe === null) this.#startLathe(box); });
+  }
+
+  #startAnvil(box: Box): void {
+    this.#lives += 1;
+    const { machine } = box;
+    const others = Object.fromEntries(Object.entries(this.founders()).filter(([name]) => name !== machine.name));
+    const records = this.tuning.plant === 'wiped-votes' && box.disk.synced.length === 0 ? [{ kind: 'disk', disk: `disk-${this.#lives}` } as const, { kind: 'voting' } as const] : box.disk.synced;
+    let effects: readonly AnvilEffect[] = [];
+    const process = this.#make('anvil', machine, (now) => {
+      const opened = Anvil.open({ name: machine.name, others, records, freshDisk: `disk-${this.#lives}`, now });
+      effects = opened.effects;
+      return opened.state;
+    });
+    box.anvil = process;
+    effects.forEach((effect) => this.#anvilEffect(process, effect));
+    this.#every(process, Beats.rejoin, () => { this.#step(process, { kind: 'beat', now: this.#now(process) }); this.#compact(box, process); });
+  }
+
+  /** Compaction rewrites the disk from the state, as the real log does. */
+  #compact(box: Box, process: Process<'anvil'>): void {
+    if (box.disk.synced.length > 4_000 && box.disk.unsynced.length === 0) box.disk.synced = [...Anvil.records(process.state)];
+  }
+
+  #startJig(box: Box): void {
+    this.#lives += 1;
+    const { machine } = box;
+    const fronts = machine.kind === 'front';
+    const seeds = this.deployment.machines.filter((each) => each.kind !== 'front').slice(0, 3).map((each) => `${each.name}/jig`);
+    const process = this.#make('jig', machine, (now) => Jig.open({
+      self: {
+        id: machine.name, hall: machine.hall, region: machine.region, address: `${machine.name}/jig`,
+        lathe: fronts ? { callers: `${machine.name}/lathe`, partners: `${machine.name}/partners`, capacityBps: machine.capacityBps ?? 8e6 } : null,
+        anvil: fronts ? null : { address: `${machine.name}/anvil` },
+      },
+      life: `life-${this.#lives}`, seeds, founders: this.founders(), seed: Math.floor(this.clock.chance() * 2 ** 31), now,
+    }));
+    box.jig = process;
+    this.#every(process, Beats.jig, () => this.#step(process, { kind: 'beat', now: this.#now(process) }));
+  }
+
+  #startLathe(box: Box): void {
+    const { machine } = box;
+    const process = this.#make('lathe', machine, (now) => Lathe.open({ id: machine.name, hall: machine.hall, region: machine.region, capacityBps: machine.capacityBps ?? 8e6 }, now));
+    box.lathe = process;
+    this.#every(process, Beats.lathe, () => this.#step(process, { kind: 'beat', now: this.#now(process) }));
+    this.#step(process, { kind: 'ask', now: this.#now(process) });
+  }
+
+  #end(process: Process<Program> | null): void {
+    if (process === null) return;
+    process.alive = false;
+    process.asking.clear();
+  }
+
+  /** Kills a machine's processes at once. Unsynced writes are lost, or some of them are. */
+  kill(name: string): void {
+    const box = this.boxes.get(name);
+    if (box === undefined) return;
+    this.#end(box.jig); this.#end(box.lathe); this.#end(box.anvil);
+    const lathe = box.lathe;
+    if (lathe !== null) for (const id of this.#callersOf(lathe)) id.done(null);
+    box.jig = null; box.lathe = null; box.anvil = null; box.powered = false;
+    const kept = Math.floor(this.clock.chance() * (box.disk.unsynced.length + 1));
+    box.disk = blankDisk([...box.disk.synced, ...box.disk.unsynced.slice(0, kept)]);
+  }
+  /** Takes a dead machine's disk away. */
+  wipe(name: string): void { const box = this.boxes.get(name); if (box !== undefined && !box.powered) box.disk = blankDisk(); }
+  freeze(name: string): void { const box = this.boxes.get(name); for (const process of [box?.jig, box?.lathe, box?.anvil]) if (process) process.frozen = true; }
+  thaw(name: string): void {
+    const box = this.boxes.get(name);
+    for (const process of [box?.jig, box?.lathe, box?.anvil]) {
+      if (!process || !process.frozen) continue;
+      process.frozen = false;
+      for (const act of process.waiting.splice(0)) act();
+    }
+  }
+  fault(what: string): void { this.history.push({ kind: 'fault', at: this.clock.now(), what }); }
+
+  // Calls between processes -----------------------------------------------------------------------
+
+  /** Asks a process of another machine; `lost` once the limit has passed without an answer. */
+  #call(from: Process<Program>, to: string, deliver: (target: Box, reply: (body: unknown) => void) => void, returned: (body: unknown) => void, lost: () => void, limitMs: number = Limits.call): void {
+    let over = false;
+    const name = to.split('/', 1)[0] ?? to;
+    this.clock.in(limitMs, () => this.#inside(from, () => { if (!over) { over = true; lost(); } }));
+    this.#carry(from.machine.name, name, () => {
+      const box = this.boxes.get(name);
+      if (box === undefined) return;
+      deliver(box, (body) => this.#carry(name, from.machine.name, () => this.#inside(from, () => { if (!over) { over = true; returned(body); } })));
+    });
+  }
+
+  #askJig(process: Process<'jig'>, event: (id: number) => JigEvent, reply: (body: unknown) => void): void {
+    this.#inside(process, () => {
+      const id = process.nextAsk;
+      process.nextAsk += 1;
+      process.asking.set(id, reply);
+      this.#step(process, event(id));
+    });
+  }
+
+  #jigEffect(process: Process<'jig'>, effect: JigEffect): void {
+    switch (effect.kind) {
+      case 'call':
+        this.#call(process, effect.to, (box, reply) => {
+          if (effect.path === '/jig') { const target = box.jig; if (target !== null) this.#askJig(target, (id) => ({ kind: 'asked', id, body: effect.body as never, now: this.#now(target) }), reply); return; }
+          const target = box.anvil;
+          if (target !== null) this.#askAnvil(target, effect.body as never, reply);
+        }, (body) => this.#step(process, { kind: 'returned', id: effect.id, body: body as never, now: this.#now(process) }),
+        () => this.#step(process, { kind: 'lost', id: effect.id, now: this.#now(process) }));
+        return;
+      case 'tell': process.asking.get(effect.id)?.(effect.body); process.asking.delete(effect.id); return;
+      case 'answer': process.asking.get(effect.id)?.(effect); process.asking.delete(effect.id); return;
+      case 'log': return;
+    }
+  }
+
+  #askAnvil(target: Process<'anvil'>, body: never, reply: (body: unknown) => void): void {
+    this.#inside(target, () => {
+      const id = target.nextAsk;
+      target.nextAsk += 1;
+      target.asking.set(id, reply);
+      this.#step(target, { kind: 'asked', id, body, now: this.#now(target) });
+    });
+  }
+
+  #anvilEffect(process: Process<'anvil'>, effect: AnvilEffect): void {
+    const box = this.boxes.get(process.machine.name);
+    if (box === undefined) return;
+    const { disk } = box;
+    switch (effect.kind) {
+      case 'append': disk.unsynced.push(...effect.records); this.#sync(box, disk); return;
+      case 'tell': {
+        const tell = (): void => { process.asking.get(effect.id)?.(effect.body); process.asking.delete(effect.id); };
+        if (disk.unsynced.length === 0 || this.tuning.plant === 'tell-unsynced') tell();
+        else disk.waiters.push({ need: disk.count + disk.unsynced.length, act: () => { if (process.alive) this.#inside(process, tell); } });
+        return;
+      }
+      case 'call':
+        this.#call(process, effect.to, (target, reply) => { if (target.anvil !== null) this.#askAnvil(target.anvil, effect.body as never, reply); },
+          (body) => this.#step(process, { kind: 'returned', id: effect.id, body: body as never, now: this.#now(process) }),
+          () => this.#step(process, { kind: 'lost', id: effect.id, now: this.#now(process) }));
+        return;
+      case 'log': return;
+    }
+  }
+
+  #sync(box: Box, disk: Disk): void {
+    if (disk.syncing) return;
+    disk.syncing = true;
+    const batch = disk.unsynced.length;
+    const slow = this.tuning.plant === 'tell-unsynced' ? 400 : 1;
+    this.clock.in(this.clock.between(1, 6) * slow, () => {
+      if (box.disk !== disk) return;
+      // What was appended while this sync ran waits for the next one; so do those who wait on it.
+      disk.synced.push(...disk.unsynced.splice(0, batch));
+      disk.count += batch;
+      disk.syncing = false;
+      const due = disk.waiters.filter((waiter) => waiter.need <= disk.count);
+      disk.waiters = disk.waiters.filter((waiter) => waiter.need > disk.count);
+      if (disk.unsynced.length > 0) this.#sync(box, disk);
+      for (const waiter of due) waiter.act();
+    });
+  }
+
+  // Lathes ----------------------------------------------------------------------------------------
+
+  readonly #callers = new Map<Process<'lathe'>, Map<number, Caller & { readonly mark: string | null }>>();
+  readonly #legs = new Map<string, { aborted: boolean }>();
+  readonly #submissions = new Map<Process<'lathe'>, Map<number, { readonly submission: number; readonly job: string }>>();
+  #callersOf(process: Process<'lathe'>): readonly Caller[] { const list = [...(this.#callers.get(process)?.values() ?? [])]; this.#callers.delete(process); return list; }
+
+  /** Hands a request to a lathe. */
+  #arrive(process: Process<'lathe'>, asked: Asked, about: { submission: number; job: string }, caller: Caller & { mark: string | null }): void {
+    this.#inside(process, () => {
+      const id = process.nextAsk;
+      process.nextAsk += 1;
+      const callers = this.#callers.get(process) ?? new Map();
+      callers.set(id, caller);
+      this.#callers.set(process, callers);
+      const submissions = this.#submissions.get(process) ?? new Map();
+      submissions.set(id, about);
+      this.#submissions.set(process, submissions);
+      this.#marks += 1;
+      this.#step(process, { kind: 'arrived', id, asked, draws: [0, 1, 2, 3, 4].map(() => this.clock.chance()), token: `mark-${this.#marks}`, now: this.#now(process) });
+    });
+  }
+
+  #latheEffect(process: Process<'lathe'>, effect: LatheEffect): void {
+    const name = process.machine.name;
+    const acted = (): void => { this.history.push({ kind: 'acted', at: this.clock.now(), node: name, serial: process.state.policy?.serial ?? 0 }); };
+    switch (effect.kind) {
+      case 'question': {
+        const askedAt = this.#now(process);
+        const box = this.boxes.get(name);
+        const again = (): void => { this.clock.in(Beats.feed * this.clock.between(0.9, 1.1), () => this.#inside(process, () => this.#step(process, { kind: 'ask', now: this.#now(process) }))); };
+        this.#call(process, name, (_target, reply) => { if (box?.jig) { const jig = box.jig; this.#askJig(jig, (id) => ({ kind: 'fed', id, body: { kind: 'feed', report: effect.report }, now: this.#now(jig) }), reply); } },
+          (body) => {
+            const feed = body as Feed;
+            for (const row of feed.origins) this.#drained.set(row.address, row);
+            this.#step(process, { kind: 'fed', feed: plantedFeed(this.tuning.plant, feed, [...this.#drained.values()]), askedAt, now: this.#now(process) });
+            if (this.tuning.plant === 'free-repeats') process.state = { ...process.state, repeats: 1e6, suspects: {} };
+            this.#watchCopies(process);
+            again();
+          }, again);
+        return;
+      }
+      case 'ask': {
+        const done = (reply: ClaimReply): void => { if (effect.call.kind === 'claim') this.#step(process, { kind: 'claimed', id: effect.id, reply, now: this.#now(process) }); };
+        if (plantedClaim(this.tuning.plant, effect.call)) { this.clock.in(1, () => this.#inside(process, () => done({ kind: 'granted' }))); return; }
+        const box = this.boxes.get(name);
+        this.#call(process, name, (_target, reply) => { if (box?.jig) { const jig = box.jig; this.#askJig(jig, (id) => ({ kind: 'fed', id, body: effect.call, now: this.#now(jig) }), reply); } },
+          (body) => done(body as ClaimReply), () => done({ kind: 'unreached' }), Limits.proposal + Limits.call);
+        return;
+      }
+      case 'open': {
+        acted();
+        if (effect.leg > 0) this.history.push({ kind: 'repeat', at: this.clock.now() });
+        const about = this.#submissions.get(process)?.get(effect.id) ?? { submission: -1, job: '' };
+        const state = { aborted: false };
+        this.#legs.set(`${name}/${process.clockFrom}/${effect.id}/${effect.leg}`, state);
+        const done = (answer: LegAnswer): void => this.#inside(process, () => { if (!state.aborted) this.#step(process, { kind: 'answered', id: effect.id, leg: effect.leg, answer, now: this.#now(process) }); });
+        const fail = (sent: 'nothing' | 'maybe', why: string): void => this.#inside(process, () => {
+          if (!state.aborted) this.#step(process, { kind: 'failed', id: effect.id, leg: effect.leg, sent: this.tuning.plant === 'repeat-unsafe' ? 'nothing' : sent, why, now: this.#now(process) });
+        });
+        if (effect.to.kind === 'origin') this.#toOrigin(process, effect.to, effect.asked, effect.mark, about, done, fail);
+        else this.#toPartner(process, effect.to, effect.asked, effect.mark, about, done, fail);
+        return;
+      }
+      case 'abort': { const leg = this.#legs.get(`${name}/${process.clockFrom}/${effect.id}/${effect.leg}`); if (leg !== undefined) leg.aborted = true; return; }
+      case 'answer': {
+        const caller = this.#callers.get(process)?.get(effect.id);
+        this.#callers.get(process)?.delete(effect.id);
+        if (effect.answer.status !== 503 && effect.answer.body.kind !== 'problem') acted();
+        caller?.done(this.#shown(effect.answer, caller.mark));
+        return;
+      }
+      case 'log': return;
+    }
+  }
+
+  #shown(answer: Answer, mark: string | null): Parameters<Caller['done']>[0] {
+    const body = answer.body.kind === 'copy' ? answer.body.copy.body as SimBody : answer.body.kind === 'leg' ? answer.body.answer.body as SimBody : null;
+    const headers = { ...answer.headers, ...(mark === null ? {} : { 'reedyard-leg': mark }) };
+    return { status: answer.status, headers, body, whole: true, retryAfter: answer.headers['retry-after'] !== undefined };
+  }
+
+  /** Copies held of homed routes, told to the checker of rule 12. */
+  #watchCopies(process: Process<'lathe'>): void {
+    for (const copy of process.state.sieve.copies.values()) {
+      const { target } = copy.body as SimBody;
+      this.history.push({ kind: 'stored', at: this.clock.now(), node: process.machine.name, region: process.machine.region, target });
+    }
+  }
+
+  #toOrigin(process: Process<'lathe'>, to: Extract<Target, { kind: 'origin' }>, asked: Asked, mark: string, about: { submission: number; job: string }, done: (answer: LegAnswer) => void, fail: (sent: 'nothing' | 'maybe', why: string) => void): void {
+    const from = process.machine;
+    const { row } = to;
+    const expected = `${row.service}/${row.instance}/${row.incarnation}`;
+    const origin = this.origins.find((each) => each.address === row.address);
+    if (origin === undefined || !origin.alive || this.#cuts.has(`${from.name}>${row.address}`) || this.#cuts.has(`${row.address}>${from.name}`)) {
+      // A refused conn answers at once; a cut one only by its limit.
+      this.clock.in(origin !== undefined && !origin.alive ? 1 : Limits.connect, () => fail('nothing', 'connect'));
+      return;
+    }
+    const identity = (): string => `${origin.service}/${origin.instance}/${origin.incarnation}`;
+    // The proof of identity comes first; nothing of the request is sent before.
+    this.clock.in(2 * this.delay(from.name, row.address), () => {
+      const life = origin.incarnation;
+      if (!origin.alive) { fail('nothing', 'connect'); return; }
+      if (identity() !== expected && this.tuning.plant !== 'no-identity') { fail('nothing', 'identity'); return; }
+      this.#carry(from.name, row.address, () => {
+        if (!origin.alive || (origin.incarnation !== life && this.tuning.plant !== 'no-identity')) { fail('maybe', 'cut'); return; }
+        const unsafe = asked.method !== 'GET' && asked.method !== 'HEAD';
+        this.history.push({ kind: 'leg', at: this.clock.now(), from: from.name, region: from.region, service: origin.service, instance: origin.instance, incarnation: origin.incarnation, hall: origin.spec.hall, cold: origin.cold, coldRate: origin.coldRate, expected, target: asked.target, method: asked.method, submission: about.submission });
+        if (unsafe) this.history.push({ kind: 'ran', at: this.clock.now(), submission: about.submission, job: about.job });
+        origin.servedSince += 1;
+        const madeAt = this.clock.now();
+        this.clock.in(origin.mode.slowMs * this.clock.between(0.5, 1.5), () => {
+          if (!origin.alive || (unsafe && this.clock.chance() < origin.mode.lose)) { this.clock.in(1, () => fail('maybe', 'cut')); return; }
+          if (this.clock.chance() < origin.mode.garbage) { fail('maybe', 'garbled'); return; }
+          if (this.clock.chance() < origin.mode.short) { fail('maybe', 'short'); return; }
+          const tags = [...asked.target.matchAll(/tag-(\w+)/g)].map((found) => found[1] ?? '');
+          const maxAgeMs = 1_000 * (origin.spec.maxAge ?? 60);
+          const body: SimBody = { service: origin.service, target: asked.target, job: about.job, tags, madeAt, maxAgeMs };
+          const answer: LegAnswer = {
+            status: 200, size: 2_000, whole: true, body,
+            headers: { 'reedyard-stamp': identity(), 'reedyard-leg': mark, 'content-length': '2000', ...(unsafe ? { 'cache-control': 'no-store' } : { 'cache-control': `max-age=${maxAgeMs / 1_000}` }), ...(tags.length === 0 ? {} : { 'surrogate-key': tags.join(' ') }) },
+          };
+          const foreign = this.clock.chance() < origin.mode.foreign ? origin.previous : null;
+          origin.previous = answer;
+          const sent = foreign === null ? answer : this.tuning.plant === 'no-marks' ? { ...foreign, headers: { ...foreign.headers, 'reedyard-leg': mark } } : foreign;
+          this.#carry(row.address, from.name, () => done(sent));
+        });
+      });
+    });
+  }
+
+  #toPartner(process: Process<'lathe'>, to: Extract<Target, { kind: 'partner' }>, asked: Asked, mark: string, about: { submission: number; job: string }, done: (answer: LegAnswer) => void, fail: (sent: 'nothing' | 'maybe', why: string) => void): void {
+    const from = process.machine.name;
+    const box = this.boxes.get(to.row.id);
+    if (box === undefined || box.lathe === null || this.#cuts.has(`${from}>${to.row.id}`) || this.#cuts.has(`${to.row.id}>${from}`)) { this.clock.in(box !== undefined && box.lathe === null ? 1 : Limits.connect, () => fail('nothing', 'connect')); return; }
+    this.#carry(from, to.row.id, () => {
+      if (box.lathe === null) { fail('maybe', 'cut'); return; }
+      this.#arrive(box.lathe, { ...asked, via: from }, about, { submission: about.submission, mark, done: (got) => {
+        if (got === null) { this.#carry(to.row.id, from, () => fail('maybe', 'cut')); return; }
+        this.#carry(to.row.id, from, () => done({ status: got.status, headers: got.headers as LegAnswer['headers'], body: got.body, size: 2_000, whole: true }));
+      } });
+    });
+  }
+
+  // What the outside does -------------------------------------------------------------------------
+
+  #announce(origin: SimOrigin): void {
+    this.clock.in(this.clock.between(900, 1_100), () => this.#announce(origin));
+    if (origin.alive) this.describe(origin);
+  }
+
+  /** An origin describes itself to some node. */
+  describe(origin: SimOrigin, noticeAt: number = this.clock.now()): void {
+    const description: Description = {
+      service: origin.service, instance: origin.instance, incarnation: origin.incarnation, address: origin.address, region: origin.spec.region, hall: origin.spec.hall,
+      capacity: origin.spec.capacity, state: origin.cold ? 'cold' : 'warm', draining: origin.draining,
+    };
+    const { draining } = origin;
+    this.operate({ kind: 'describe', description }, (reply) => {
+      if (draining && reply.status === 200 && !this.history.some((entry) => entry.kind === 'drained' && entry.instance === description.instance && entry.incarnation === description.incarnation)) {
+        this.history.push({ kind: 'drained', at: Math.max(noticeAt, this.clock.now()), instance: description.instance, incarnation: description.incarnation });
+      }
+    }, origin.address);
+  }
+
+  /** Sends an action to the API of some live node. */
+  operate(action: Action, done: (reply: { status: number; body: unknown }) => void, from = 'outside', node?: string): void {
+    const live = [...this.boxes.values()].filter((box) => box.jig !== null && !box.jig.frozen);
+    const box = node === undefined ? this.clock.pick(live) : this.boxes.get(node);
+    if (box?.jig === undefined || box.jig === null) { done({ status: 0, body: null }); return; }
+    const { jig } = box;
+    let over = false;
+    const end = (reply: { status: number; body: unknown }): void => { if (!over) { over = true; done(reply); } };
+    this.clock.in(8_000, () => end({ status: 0, body: null }));
+    this.#carry(from, box.machine.name, () => this.#askJig(jig, (id) => ({ kind: 'operator', id, action, now: this.#now(jig) }), (reply) => this.#carry(box.machine.name, from, () => end(reply as { status: number; body: unknown }))));
+  }
+
+  #changes = 0;
+  /** An operator sends a policy until it is acknowledged; the same change id each time. */
+  put(document: Policy, done: () => void = () => undefined, node?: string): void {
+    this.#changes += 1;
+    const changeId = `change-${this.#changes}`;
+    const attempt = (left: number): void => this.operate({ kind: 'put-policy', document, ifMatch: null, changeId }, (reply) => {
+      if (reply.status === 200) { this.history.push({ kind: 'put', at: this.clock.now(), serial: (reply.body as { serial: number }).serial, document }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
+    }, 'outside', left === 20 ? node : undefined);
+    attempt(20);
+  }
+  read(): void {
+    const askedAt = this.clock.now();
+    this.operate({ kind: 'get-policy' }, (reply) => { if (reply.status === 200) this.history.push({ kind: 'read', at: this.clock.now(), askedAt, serial: (reply.body as { serial: number }).serial }); });
+  }
+  purge(objects: readonly string[], tags: readonly string[]): void {
+    const turned = this.clock.now();
+    this.#changes += 1;
+    const changeId = `change-${this.#changes}`;
+    const attempt = (left: number): void => this.operate({ kind: 'purge', purge: { objects: [...objects], tags: [...tags] }, changeId }, (reply) => {
+      if (reply.status === 200) this.history.push({ kind: 'purged', at: this.clock.now(), objects, tags, turned }); else if (left > 0) this.clock.in(500, () => attempt(left - 1));
+    });
+    attempt(10);
+  }
+  hall(hall: string, order: 'empty' | 'take-back'): void {
+    this.#changes += 1;
+    const changeId = `change-${this.#changes}`;
+    const attempt = (left: number): void => this.operate({ kind: 'hall', hall, order, changeId }, (reply) => {
+      if (reply.status === 200) this.history.push({ kind: 'hall', at: this.clock.now(), hall, order }); else if (left > 0) this.clock.in(500, () => attempt(left - 1));
+    });
+    attempt(10);
+  }
+
+  /** What the platform knows: nodes that said they were ready when it last asked. */
+  readonly ready = new Map<string, boolean>();
+  watchReady(): void {
+    for (const box of this.boxes.values()) {
+      if (box.machine.kind !== 'front') continue;
+      const { lathe } = box;
+      const answers = lathe !== null && lathe.alive && !lathe.frozen && !this.#cuts.has(`${box.machine.name}>outside`);
+      this.ready.set(box.machine.name, answers && Lathe.ready(lathe.state, this.#now(lathe)));
+    }
+    this.clock.in(500, () => this.watchReady());
+  }
+
+  #submission = 0;
+  /** A caller's request to a node. */
+  ask(node: string, request: { method: string; host: string; target: string; service: string; job: string; key: string | null }, done: (status: number, outcome: string) => void): void {
+    this.#submission += 1;
+    const submission = this.#submission;
+    const box = this.boxes.get(node);
+    if (box === undefined) return;
+    const { lathe } = box;
+    let over = false;
+    const end = (status: number, outcome: string, more: Partial<Extract<Entry, { kind: 'got' }>> = {}): void => {
+      if (over) return;
+      over = true;
+      this.history.push({ kind: 'got', at: this.clock.now(), submission, job: request.job, node, status, outcome, served: '', retryAfter: false, stamp: '', body: null, whole: false, method: request.method, target: request.target, service: request.service, ...more });
+      done(status, outcome);
+    };
+    this.history.push({ kind: 'asked', at: this.clock.now(), submission, job: request.job, node, hall: box.machine.hall, method: request.method, target: request.target, key: request.key });
+    this.clock.in(12_000, () => end(0, 'no answer'));
+    if (lathe === null) { this.clock.in(1, () => end(0, 'refused')); return; }
+    const headers = { ...(request.key === null ? {} : { 'idempotency-key': request.key }) };
+    this.clock.in(this.delay('outside', node), () => this.#arrive(lathe, { method: request.method, target: request.target, host: request.host, headers, via: null, bodyBytes: 0 }, { submission, job: request.job }, {
+      submission, mark: null, done: (got) => {
+        if (got === null) { end(0, 'cut'); return; }
+        end(got.status, String(got.headers['reedyard-outcome'] ?? ''), { served: String(got.headers['reedyard-served'] ?? ''), stamp: String(got.headers['reedyard-stamp'] ?? ''), retryAfter: got.retryAfter, body: got.body, whole: got.whole });
+      },
+    }));
+  }
+}
+
--- /dev/null
+++ b/packages/mallet/src/plants.ts
@@ -0,0 +1,30 @@
+import type { Feed, LatheCall } from '@reedyard/jig';
+import type { Policy } from '@reedyard/stencil';
+
+/**
+ * Faults planted into the fleet, one at a time, to show that a checker can fail: each takes one
+ * safeguard away at the border of a process and leaves all other code as it is.
+ */
+export const plantNames = [
+  'none', 'deaf-lease', 'tell-unsynced', 'repeat-unsafe', 'claims-granted', 'no-identity', 'no-marks', 'wiped-votes',
+  'deaf-drain', 'deaf-halls', 'deaf-purges', 'no-buckets', 'free-repeats', 'no-homes', 'no-rejoin', 'forget-policy',
+] as const;
+export type Plant = (typeof plantNames)[number];
+
+const withoutHomes = (policy: Policy): Policy => ({ ...policy, routes: policy.routes.map(({ homes: _homes, ...route }) => route) });
+
+/** What a planted fault makes of the feed. */
+export const plantedFeed = (plant: Plant, feed: Feed, drained: Feed['origins']): Feed => {
+  switch (plant) {
+    case 'deaf-lease': return { ...feed, leaseMs: 1e9 };
+    case 'deaf-drain': return { ...feed, origins: [...feed.origins, ...drained.filter((row) => !feed.origins.some((each) => each.address === row.address))] };
+    case 'deaf-halls': return { ...feed, emptied: [], origins: [...feed.origins, ...drained.filter((row) => !feed.origins.some((each) => each.address === row.address))] };
+    case 'deaf-purges': return { ...feed, purges: [] };
+    case 'no-buckets': return { ...feed, slices: Object.fromEntries(Object.keys(feed.slices).map((name) => [name, { rate: 1e6, share: 1e3 }])) };
+    case 'no-homes': return feed.policy === null ? feed : { ...feed, policy: { ...feed.policy, document: withoutHomes(feed.policy.document) } };
+    default: return feed;
+  }
+};
+
+/** Whether a claim is granted without asking. */
+export const plantedClaim = (plant: Plant, call: LatheCall): boolean => plant === 'claims-granted' && call.kind === 'claim';
--- /dev/null
+++ b/packages/mallet/src/run.ts
@@ -0,0 +1,112 @@
+import { readFileSync } from 'node:fs';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Stencil, type Policy } from '@reedyard/stencil';
+import type { Deployment } from '@reedyard/workbench';
+import { available, judge } from './checks.js';
+import { SimFleet } from './fleet.js';
+import type { Wrong } from './history.js';
+import type { Plant } from './plants.js';
+import { scenarios } from './scenarios.js';
+
+const examples = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../../examples');
+
+/** An example's deployment and policy. @example exampleOf('brandlhuber').policy.routes.length // 4 */
+export const exampleOf = (name: string): { readonly deployment: Deployment; readonly policy: Policy } => ({
+  deployment: JSON.parse(readFileSync(path.join(examples, name, 'deployment.json'), 'utf8')) as Deployment,
+  policy: Stencil.policy(JSON.parse(readFileSync(path.join(examples, name, 'policy.json'), 'utf8'))),
+});
+
+export type RunOptions = { readonly scenario: string; readonly seed: number; readonly plant?: Plant; readonly example?: string; readonly rate?: number };
+
+export type Report = {
+  readonly scenario: string; readonly seed: number; readonly wrongs: readonly Wrong[]; readonly asked: number; readonly share: number; readonly rest: Readonly<Record<string, number>>;
+  readonly fleet: SimFleet; readonly replay: string;
+};
+
+/** One request of a kind that a deployment's callers send. */
+type Sample = { readonly method: string; readonly target: string; readonly service: string };
+
+/** What callers ask for, by deployment: the largest share first. */
+export const sampleOf = (example: string, fleet: SimFleet): Sample => {
+  const { clock } = fleet;
+  const draw = clock.chance();
+  const hot = (count: number): number => Math.floor(count * clock.chance() ** 2.5);
+  if (example === 'association') {
+    if (draw < 0.4) return { method: 'GET', target: `/icing/tag-${hot(8)}/${hot(60)}`, service: 'store' };
+    if (draw < 0.6) return { method: 'GET', target: `/reports/ticino/${hot(40)}`, service: 'application' };
+    if (draw < 0.75) return { method: 'GET', target: `/reports/romandie/${hot(40)}`, service: 'application' };
+    if (draw < 0.93) return { method: 'GET', target: `/alarms/${hot(20)}`, service: 'application' };
+    return { method: 'POST', target: '/orders', service: 'application' };
+  }
+  if (draw < 0.5) return { method: 'GET', target: `/sheets/tag-${hot(8)}/${hot(80)}`, service: 'store' };
+  if (draw < 0.78) return { method: 'GET', target: `/tracking/${hot(200)}`, service: 'application' };
+  if (draw < 0.92) return { method: 'GET', target: `/shelves/${hot(20)}`, service: 'application' };
+  return { method: 'POST', target: '/handovers', service: 'application' };
+};
+
+/** Starts callers: each goes to a ready node of its own hall, or to any ready one where its hall has none. */
+export const startCallers = (fleet: SimFleet, example: string, policy: Policy, rate: () => number, until: number, skew: () => string | null = () => null): void => {
+  const { clock } = fleet;
+  const host = policy.routes[0]?.host ?? '';
+  const fronts = fleet.deployment.machines.filter((machine) => machine.kind === 'front');
+  const halls = [...new Set(fronts.map((machine) => machine.hall))];
+  let job = 0;
+  const choose = (hall: string): string | undefined => {
+    const ready = fronts.filter((machine) => fleet.ready.get(machine.name) === true);
+    const own = ready.filter((machine) => machine.hall === hall);
+    return clock.pick(own.length > 0 ? own : ready)?.name;
+  };
+  const one = (): void => {
+    if (clock.now() > until) return;
+    clock.in((-Math.log(1 - clock.chance()) * 1_000) / rate(), one);
+    const hall = skew() ?? clock.pick(halls) ?? '';
+    const sample = sampleOf(example, fleet);
+    job += 1;
+    const unsafe = sample.method === 'POST';
+    const name = `job-${job}`;
+    const key = unsafe && clock.chance() < 0.7 ? name : null;
+    const attempt = (left: number): void => {
+      const node = choose(hall);
+      if (node === undefined) return;
+      fleet.ask(node, { ...sample, host, job: name, key }, (status) => {
+        // Only what carries a key is asked again after no good answer; so are reads.
+        const bad = status === 0 || status === 502 || status === 503 || status === 504;
+        if (bad && left > 0 && (key !== null || !unsafe)) clock.in(1_000 + 200 * clock.chance(), () => attempt(left - 1));
+      });
+      // An impatient caller sends the same key twice at once.
+      if (key !== null && left === 2 && clock.chance() < 0.1) { const other = choose(hall); if (other !== undefined) fleet.ask(other, { ...sample, host, job: name, key }, () => undefined); }
+    };
+    attempt(2);
+  };
+  one();
+};
+
+/**
+ * Runs one scenario from one seed and judges its history.
+ *
+ * @example
+ * run({ scenario: 'kills', seed: 7 }).wrongs // []
+ */
+export const run = (options: RunOptions): Report => {
+  const scenario = scenarios[options.scenario];
+  if (scenario === undefined) throw new Error(`no scenario is named ${options.scenario}; there are ${Object.keys(scenarios).join(', ')}`);
+  const example = options.example ?? scenario.example ?? 'brandlhuber';
+  const { deployment, policy } = exampleOf(example);
+  const used = scenario.policy?.(policy) ?? policy;
+  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12 }, Object.fromEntries(Object.entries(used.services).map(([name, service]) => [name, service.coldRate])));
+  for (const machine of deployment.machines) fleet.start(machine.name);
+  fleet.watchReady();
+  fleet.clock.in(500, () => fleet.put(used));
+  const end = scenario.seconds * 1_000;
+  const factor = { rate: options.rate ?? scenario.rate ?? 120, skew: null as string | null };
+  fleet.clock.in(6_000, () => startCallers(fleet, example, used, () => factor.rate, end - 2_000, () => factor.skew));
+  scenario.play({ fleet, policy: used, factor, end });
+  fleet.clock.runUntil(end + 14_000);
+  const wrongs = judge(fleet.history);
+  const measured = available(fleet.history, 8_000);
+  return {
+    scenario: options.scenario, seed: options.seed, wrongs, ...measured, fleet,
+    replay: `npm run mallet -- --scenario ${options.scenario} --seed ${options.seed}${options.plant === undefined || options.plant === 'none' ? '' : ` --plant ${options.plant}`}${options.example === undefined ? '' : ` --example ${options.example}`}`,
+  };
+};
--- /dev/null
+++ b/packages/mallet/src/scenarios.ts
@@ -0,0 +1,209 @@
+import type { Policy } from '@reedyard/stencil';
+import type { SimFleet, SimOrigin } from './fleet.js';
+
+export type Stage = { readonly fleet: SimFleet; readonly policy: Policy; readonly factor: { rate: number; skew: string | null }; readonly end: number };
+export type Scenario = {
+  readonly what: string; readonly seconds: number; readonly example?: string; readonly rate?: number; readonly loss?: number;
+  readonly policy?: (policy: Policy) => Policy;
+  readonly play: (stage: Stage) => void;
+};
+
+const names = (fleet: SimFleet, kind?: 'front' | 'core' | 'store'): readonly string[] => fleet.deployment.machines.filter((machine) => kind === undefined || machine.kind === kind).map((machine) => machine.name);
+const disks = (fleet: SimFleet): readonly string[] => [...names(fleet, 'core'), ...names(fleet, 'store')];
+const halls = (fleet: SimFleet): readonly string[] => [...new Set(fleet.deployment.machines.map((machine) => machine.hall))];
+
+/** Does something again and again between two moments. */
+const every = ({ fleet }: Stage, from: number, to: number, ms: number, act: () => void): void => {
+  const next = (): void => { if (fleet.clock.now() > to) return; act(); fleet.clock.in(ms * fleet.clock.between(0.6, 1.4), next); };
+  fleet.clock.in(from, next);
+};
+
+const restart = (fleet: SimFleet, name: string, afterMs: number, wiped = false): void => {
+  fleet.kill(name);
+  fleet.fault(`${name} killed${wiped ? ' and wiped' : ''}`);
+  if (wiped) fleet.wipe(name);
+  fleet.clock.in(afterMs, () => { fleet.start(name); });
+};
+
+const troubleOrigins = (fleet: SimFleet): void => {
+  for (const origin of fleet.origins) Object.assign(origin.mode, { lose: 0.1, garbage: 0.03, short: 0.03, foreign: 0.05 });
+};
+
+/** An origin comes back as a new incarnation, cold, and warms with the work it gets. */
+const replaceOrigin = (fleet: SimFleet, origin: SimOrigin, downMs: number): void => {
+  origin.alive = false;
+  fleet.clock.in(downMs, () => {
+    Object.assign(origin, { alive: true, cold: true, draining: false, incarnation: origin.incarnation + 1, servedSince: 0 });
+    fleet.describe(origin);
+    fleet.clock.in(8_000, () => { if (origin.alive) origin.cold = false; });
+  });
+};
+
+const drain = (fleet: SimFleet, origin: SimOrigin, thenDown: boolean): void => {
+  origin.draining = true;
+  fleet.describe(origin);
+  if (thenDown) fleet.clock.in(5_000, () => replaceOrigin(fleet, origin, 1_000));
+};
+
+/** A policy that differs from the first and from every other by one service's ceiling and one route. */
+const variant = (policy: Policy, number: number): Policy => ({
+  services: policy.services, routes: [...policy.routes, { ...(policy.routes[0] as Policy['routes'][number]), name: `extra-${number}`, path: `/extra-${number}/` }],
+});
+
+const faults: Readonly<Record<string, (stage: Stage) => void>> = {
+  kill: ({ fleet }) => { const name = fleet.clock.pick(names(fleet)); if (name !== undefined) restart(fleet, name, fleet.clock.between(500, 5_000)); },
+  herd: ({ fleet }) => { for (const name of names(fleet, 'front')) if (fleet.clock.chance() < 0.3) restart(fleet, name, fleet.clock.between(500, 4_000)); },
+  freeze: ({ fleet }) => { const name = fleet.clock.pick(names(fleet)); if (name !== undefined) { fleet.freeze(name); fleet.fault(`${name} frozen`); fleet.clock.in(fleet.clock.between(500, 9_000), () => fleet.thaw(name)); } },
+  cut: ({ fleet }) => {
+    const name = fleet.clock.pick(names(fleet));
+    if (name === undefined) return;
+    fleet.isolate(name, fleet.clock.pick(['both', 'in', 'out'] as const));
+    fleet.fault(`${name} cut off`);
+    fleet.clock.in(fleet.clock.between(1_000, 8_000), () => fleet.heal());
+  },
+  wipe: ({ fleet }) => { const name = fleet.clock.pick(disks(fleet)); if (name !== undefined) restart(fleet, name, fleet.clock.between(300, 3_000), true); },
+  drain: ({ fleet }) => { const origin = fleet.clock.pick(fleet.origins.filter((each) => each.alive && !each.draining)); if (origin !== undefined) drain(fleet, origin, true); },
+  crash: ({ fleet }) => { const origin = fleet.clock.pick(fleet.origins.filter((each) => each.alive)); if (origin !== undefined) replaceOrigin(fleet, origin, fleet.clock.between(300, 4_000)); },
+  slow: ({ fleet }) => { const origin = fleet.clock.pick(fleet.origins); if (origin !== undefined) { origin.mode.slowMs = 1_500; fleet.clock.in(4_000, () => { origin.mode.slowMs = 5; }); } },
+  purge: ({ fleet }) => { if (fleet.clock.chance() < 0.5) fleet.purge([], [String(Math.floor(8 * fleet.clock.chance()))]); else fleet.purge([`http://brandlhuber.example/tracking/${Math.floor(20 * fleet.clock.chance())}`], []); },
+  hall: ({ fleet }) => { const hall = fleet.clock.pick(halls(fleet)); if (hall !== undefined) { fleet.hall(hall, 'empty'); fleet.clock.in(9_000, () => fleet.hall(hall, 'take-back')); } },
+  read: ({ fleet }) => fleet.read(),
+};
+
+
+const putOne = (stage: Stage): void => { stage.fleet.put(variant(stage.policy, Math.floor(1e6 * stage.fleet.clock.chance()))); };
+
+/** Scenarios, by name. Each brings about what a point of the brief is about. */
+export const scenarios: Readonly<Record<string, Scenario>> = {
+  calm: { what: 'nothing fails', seconds: 30, play: () => undefined },
+  'lost-answers': { what: 'origins run and lose the answer, send garbage, short bodies and foreign answers; nodes are killed; callers repeat', seconds: 35, play: (stage) => {
+    stage.fleet.clock.in(7_000, () => troubleOrigins(stage.fleet));
+    every(stage, 9_000, 26_000, 2_500, () => faults.kill?.(stage));
+  } },
+  cuts: { what: 'machines cut off one after another, one way or both, while policies change and are read', seconds: 45, play: (stage) => {
+    every(stage, 8_000, 36_000, 4_000, () => faults.cut?.(stage));
+    every(stage, 9_000, 38_000, 3_000, () => putOne(stage));
+    every(stage, 9_000, 40_000, 700, () => faults.read?.(stage));
+    every(stage, 9_000, 38_000, 900, () => faults.purge?.(stage));
+  } },
+  'core-split': { what: 'the disks split into two sides, then heal', seconds: 40, play: (stage) => {
+    const { fleet } = stage;
+    fleet.clock.in(12_000, () => {
+      fleet.fault('the core split');
+      const left = new Set(disks(fleet).filter((_, index) => index % 2 === 0));
+      for (const a of fleet.boxes.keys()) for (const b of fleet.boxes.keys()) if ((left.has(a) || (a.charCodeAt(a.length - 1) % 2 === 0)) !== (left.has(b) || (b.charCodeAt(b.length - 1) % 2 === 0))) fleet.cut(a, b);
+    });
+    fleet.clock.in(24_000, () => { fleet.heal(); fleet.fault('healed'); });
+    every(stage, 9_000, 34_000, 2_500, () => putOne(stage));
+    every(stage, 9_000, 36_000, 600, () => faults.read?.(stage));
+  } },
+  freezes: { what: 'machines freeze and thaw while policies change, halls empty and objects are purged', seconds: 45, play: (stage) => {
+    every(stage, 8_000, 38_000, 2_000, () => faults.freeze?.(stage));
+    every(stage, 9_000, 38_000, 4_000, () => putOne(stage));
+    every(stage, 9_000, 38_000, 900, () => faults.purge?.(stage));
+    every(stage, 10_000, 36_000, 900, () => faults.read?.(stage));
+  } },
+  wipes: { what: 'disks are lost right after policies were acknowledged', seconds: 45, play: (stage) => {
+    every(stage, 9_000, 38_000, 2_200, () => { putOne(stage); stage.fleet.clock.in(stage.fleet.clock.between(5, 400), () => faults.wipe?.(stage)); });
+    every(stage, 9_000, 40_000, 400, () => faults.read?.(stage));
+  } },
+  'kill-after-ack': { what: 'all disks lose power just after a policy was acknowledged', seconds: 45, play: (stage) => {
+    const { fleet } = stage;
+    every(stage, 9_000, 34_000, 5_000, () => {
+     
+      fleet.put(variant(stage.policy, Math.floor(1e6 * fleet.clock.chance())), () => { for (const name of disks(fleet)) restart(fleet, name, fleet.clock.between(300, 900)); });
+    });
+    every(stage, 9_000, 40_000, 400, () => faults.read?.(stage));
+  } },
+  operators: { what: 'two operators send policies at once, on different nodes, and read', seconds: 40, play: (stage) => {
+    every(stage, 8_000, 34_000, 1_200, () => { putOne(stage); stage.fleet.clock.in(stage.fleet.clock.between(0, 30), () => putOne(stage)); });
+    every(stage, 8_000, 36_000, 300, () => faults.read?.(stage));
+    every(stage, 9_000, 32_000, 4_000, () => faults.kill?.(stage));
+  } },
+  drains: { what: 'origins drain, leave and come back cold, one by one; nodes freeze and are cut meanwhile', seconds: 45, play: (stage) => {
+    every(stage, 8_000, 36_000, 2_000, () => faults.drain?.(stage));
+    every(stage, 9_000, 36_000, 5_000, () => faults.freeze?.(stage));
+    every(stage, 11_000, 36_000, 7_000, () => faults.cut?.(stage));
+  } },
+  halls: { what: 'halls are emptied and taken back while nodes freeze and are cut', seconds: 50, play: (stage) => {
+    every(stage, 8_000, 36_000, 12_000, () => faults.hall?.(stage));
+    every(stage, 9_000, 40_000, 5_000, () => faults.freeze?.(stage));
+    every(stage, 11_000, 40_000, 7_000, () => faults.cut?.(stage));
+  } },
+  purges: { what: 'purges one by one and in storms, with slow origins, kills and cuts', seconds: 45, play: (stage) => {
+    every(stage, 8_000, 38_000, 500, () => faults.purge?.(stage));
+    every(stage, 14_000, 34_000, 9_000, () => { for (let each = 0; each < 60; each += 1) faults.purge?.(stage); });
+    every(stage, 9_000, 36_000, 3_000, () => faults.slow?.(stage));
+    every(stage, 9_000, 36_000, 5_000, () => faults.cut?.(stage));
+    every(stage, 9_000, 36_000, 6_000, () => faults.freeze?.(stage));
+  } },
+  ceilings: { what: 'demand far above a low ceiling that moves between halls, while the duty holder and others are killed, frozen and cut', seconds: 60, rate: 300,
+    policy: (policy) => ({ ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, { ...service, ceiling: name === 'application' ? 60 : 25 }])) }),
+    play: (stage) => {
+      const { fleet } = stage;
+      every(stage, 12_000, 52_000, 8_000, () => { stage.factor.skew = fleet.clock.pick([...halls(fleet), null]) ?? null; });
+      every(stage, 14_000, 52_000, 7_000, () => {
+        const holder = [...fleet.boxes.values()].find((box) => box.jig !== null && box.jig.state.duty !== null)?.machine.name;
+        if (holder === undefined) return;
+        const draw = fleet.clock.chance();
+        if (draw < 0.4) restart(fleet, holder, 3_000);
+        else if (draw < 0.7) { fleet.freeze(holder); fleet.clock.in(6_000, () => fleet.thaw(holder)); } else { fleet.isolate(holder); fleet.clock.in(6_000, () => fleet.heal()); }
+      });
+      every(stage, 12_000, 52_000, 6_000, () => faults.kill?.(stage));
+    } },
+  cold: { what: 'origins crash and come back cold under load', seconds: 50, rate: 250, play: (stage) => {
+    every(stage, 9_000, 42_000, 2_000, () => faults.crash?.(stage));
+    every(stage, 9_000, 42_000, 8_000, () => faults.kill?.(stage));
+  } },
+  repeats: { what: 'every origin fails most of what it gets', seconds: 40, rate: 300, play: (stage) => {
+    stage.fleet.clock.in(9_000, () => { for (const origin of stage.fleet.origins) Object.assign(origin.mode, { garbage: 0.7 }); });
+  } },
+  'reused-address': { what: 'origins lose their address to another service', seconds: 40, play: (stage) => {
+    const { fleet } = stage;
+    every(stage, 8_000, 34_000, 2_500, () => {
+      const a = fleet.clock.pick(fleet.origins.filter((each) => each.service === 'store'));
+      const b = fleet.clock.pick(fleet.origins.filter((each) => each.service === 'application'));
+      if (a === undefined || b === undefined) return;
+      const [first, second] = [{ service: a.service, instance: a.instance }, { service: b.service, instance: b.instance }];
+      Object.assign(a, second, { incarnation: a.incarnation + b.incarnation + 1 });
+      Object.assign(b, first, { incarnation: a.incarnation });
+    });
+  } },
+  homes: { what: 'two regions; homed reports, cuts between the regions, kills and freezes', seconds: 45, example: 'association', play: (stage) => {
+    every(stage, 9_000, 38_000, 4_000, () => faults.kill?.(stage));
+    every(stage, 9_000, 38_000, 5_000, () => faults.freeze?.(stage));
+    every(stage, 11_000, 38_000, 7_000, () => faults.cut?.(stage));
+  } },
+  'full-loss': { what: 'every machine loses power at once; some disks are wiped; then all return', seconds: 55, play: (stage) => {
+    const { fleet } = stage;
+    fleet.clock.in(15_000, () => { for (const name of names(fleet)) fleet.kill(name); fleet.fault('all machines lost'); const wiped = disks(fleet).filter(() => fleet.clock.chance() < 0.3).slice(0, 2); wiped.forEach((name) => fleet.wipe(name)); });
+    fleet.clock.in(20_000, () => { for (const name of names(fleet)) fleet.start(name); fleet.fault('all machines back'); });
+    every(stage, 9_000, 45_000, 2_000, () => faults.read?.(stage));
+  } },
+  'hall-power': { what: 'a hall loses power, with its machines and origins, and comes back', seconds: 45, play: (stage) => {
+    const { fleet } = stage;
+    fleet.clock.in(12_000, () => {
+      const hall = fleet.clock.pick(halls(fleet)) ?? '';
+      const lost = fleet.deployment.machines.filter((machine) => machine.hall === hall).map((machine) => machine.name);
+      fleet.fault(`${hall} lost power`);
+      lost.forEach((name) => fleet.kill(name));
+      for (const origin of fleet.origins.filter((each) => each.spec.hall === hall)) replaceOrigin(fleet, origin, 12_000);
+      fleet.clock.in(12_000, () => lost.forEach((name) => fleet.start(name)));
+    });
+    every(stage, 9_000, 40_000, 3_000, () => putOne(stage));
+    every(stage, 9_000, 40_000, 800, () => faults.read?.(stage));
+  } },
+  rolling: { what: 'every machine restarts in turn', seconds: 60, play: (stage) => {
+    const { fleet } = stage;
+    names(fleet).forEach((name, index) => fleet.clock.in(9_000 + 2_800 * index, () => restart(fleet, name, 1_200)));
+    every(stage, 9_000, 52_000, 5_000, () => putOne(stage));
+    every(stage, 9_000, 52_000, 900, () => faults.read?.(stage));
+  } },
+  everything: { what: 'every kind of fault at random', seconds: 60, play: (stage) => {
+    stage.fleet.clock.in(8_000, () => troubleOrigins(stage.fleet));
+    every(stage, 8_000, 48_000, 1_500, () => { const fault = stage.fleet.clock.pick(Object.values(faults)); fault?.(stage); });
+    every(stage, 9_000, 52_000, 4_000, () => putOne(stage));
+    every(stage, 9_000, 52_000, 700, () => faults.read?.(stage));
+    every(stage, 9_000, 52_000, 900, () => faults.purge?.(stage));
+  } },
+};
