Division: give what is asked, then spread what is left over evenly

Cause: nine tenths of a ceiling followed demand even where demand was small, so an edge whose callers had just moved to it held next to nothing for the seconds that a move takes. Conclusion: right, but not the whole cause: nodes that come back still begin without a share.

--- a/packages/ladle/src/index.ts
+++ b/packages/ladle/src/index.ts
@@ -15,15 +15,18 @@
   readonly slices: Readonly<Record<string, Slices>>;
 };
 
-const share = (total: number, wants: readonly number[], floors: readonly number[]): readonly number[] => {
+/**
+ * One level's shares. What is asked for is given first; what is left over is spread evenly, so that a
+ * caller's move to another edge finds room there. Where more is asked than there is, a tenth is still
+ * spread evenly and the rest goes by demand.
+ */
+const share = (total: number, wants: readonly number[], heads: readonly number[]): readonly number[] => {
   const sumOf = (list: readonly number[]): number => list.reduce((sum, each) => sum + each, 0);
-  const wanted = sumOf(wants);
-  const floorTotal = sumOf(floors);
-  const reserve = floorTotal > 0 ? total * Weights.floorShare : 0;
-  return wants.map((want, index) => {
-    const floor = floorTotal > 0 ? (reserve * (floors[index] ?? 0)) / floorTotal : 0;
-    return floor + (total - reserve) * (wanted > 0 ? want / wanted : floorTotal > 0 ? (floors[index] ?? 0) / floorTotal : 0);
-  });
+  const [wanted, people] = [sumOf(wants), sumOf(heads)];
+  const even = (index: number, part: number): number => (people > 0 ? (part * (heads[index] ?? 0)) / people : 0);
+  if (wanted <= total) return wants.map((want, index) => want + even(index, total - wanted));
+  const spread = total * Weights.floorShare;
+  return wants.map((want, index) => even(index, spread) + ((total - spread) * want) / wanted);
 };
 
 const grouped = <T>(list: readonly T[], key: (each: T) => string): readonly (readonly T[])[] => {
@@ -44,8 +47,7 @@
 export const usable = (ceiling: number, edges: number): number => Math.max(ceiling / 2, Math.min(ceiling, 1.05 * ceiling - edges / 5));
 
 /**
- * Divides a ceiling from region to hall to edge, each time by what is asked for, with a tenth
- * spread evenly so that nobody starts from nothing.
+ * Divides a ceiling from region to hall to edge, each time by what is asked for.
  *
  * @example
  * divide(100, [{ edge: 'a', hall: 'h', region: 'r' }, { edge: 'b', hall: 'h', region: 'r' }], { a: 30, b: 10 })
