--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -167,7 +167,8 @@
     if (back === undefined) return [];
     const asked = new Set(only(history, 'asked').filter((entry) => entry.at > back.at + 15_000).map((entry) => entry.submission));
     const good = only(history, 'got').filter((entry) => asked.has(entry.submission) && ((entry.status >= 200 && entry.status < 300) || entry.status === 409)).length;
-    return asked.size === 0 || good < 0.9 * asked.size ? [{ rule: 13, at: back.at + 15_000, what: `${good} of ${asked.size} served 15 s after the machines returned` }] : [];
+    const all = asked.size + only(history, 'unplaced').filter((entry) => entry.at > back.at + 15_000).length;
+    return all === 0 || good < 0.9 * all ? [{ rule: 13, at: back.at + 15_000, what: `${good} of ${all} served 15 s after the machines returned` }] : [];
   },
 };
 
@@ -188,7 +189,10 @@
       rest[what] = (rest[what] ?? 0) + 1;
     }
   }
-  return { asked: asked.size, share: asked.size === 0 ? 1 : good / asked.size, rest };
+  const unplaced = only(history, 'unplaced').filter((entry) => entry.at >= from && entry.at < to).length;
+  if (unplaced > 0) rest['no ready node'] = unplaced;
+  const all = asked.size + unplaced;
+  return { asked: all, share: all === 0 ? 1 : good / all, rest };
 };
 
 export type { Policy };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -200,6 +200,7 @@
     if (lathe !== null) for (const id of this.#callersOf(lathe)) id.done(null);
     box.jig = null; box.lathe = null; box.anvil = null; box.powered = false;
     const kept = Math.floor(this.clock.chance() * (box.disk.unsynced.length + 1));
+    if (this.tuning.plant === 'forgetful-disks') { box.disk = blankDisk(); return; }
     box.disk = blankDisk([...box.disk.synced, ...box.disk.unsynced.slice(0, kept)]);
   }
   /** Takes a dead machine's disk away. */
--- a/packages/mallet/src/history.ts
+++ b/packages/mallet/src/history.ts
@@ -4,6 +4,8 @@
 export type Entry =
   /** A caller's request set out for a node. */
   | { readonly kind: 'asked'; readonly at: number; readonly submission: number; readonly job: string; readonly node: string; readonly hall: string; readonly method: string; readonly target: string; readonly key: string | null }
+  /** A caller for whom the platform found no ready node. */
+  | { readonly kind: 'unplaced'; readonly at: number }
   /** What the caller got; status 0 where it got nothing. */
   | { readonly kind: 'got'; readonly at: number; readonly submission: number; readonly job: string; readonly node: string; readonly status: number; readonly outcome: string; readonly served: string; readonly retryAfter: boolean; readonly why: string;
     readonly stamp: string; readonly body: SimBody | null; readonly whole: boolean; readonly method: string; readonly target: string; readonly service: string }
--- /dev/null
+++ b/packages/mallet/src/planted.ts
@@ -0,0 +1,36 @@
+import type { ExecutionContext } from 'ava';
+import type { Plant } from './plants.js';
+import { run } from './run.js';
+
+/** One point of the brief: the safeguard taken away to see it broken, and the failure that then breaks it. */
+export type Case = { readonly rule: number; readonly what: string; readonly plant: Plant; readonly scenario: string };
+
+export const cases: readonly Case[] = [
+  { rule: 1, what: 'a leg that may have run is made again', plant: 'repeat-unsafe', scenario: 'lost-answers' },
+  { rule: 1, what: 'keys are used without a claim', plant: 'claims-granted', scenario: 'lost-answers' },
+  { rule: 2, what: 'a lost answer counts as not run', plant: 'repeat-unsafe', scenario: 'lost-answers' },
+  { rule: 3, what: 'an answer is taken whosever it is', plant: 'no-marks', scenario: 'lost-answers' },
+  { rule: 4, what: 'conns are used without a proof of identity', plant: 'no-identity', scenario: 'reused-address' },
+  { rule: 5, what: 'lathes do not heed the lease', plant: 'deaf-lease', scenario: 'freezes' },
+  { rule: 6, what: 'a wiped anvil votes at once', plant: 'wiped-votes', scenario: 'wiped-and-down' },
+  { rule: 6, what: 'anvils answer before they sync', plant: 'tell-unsynced', scenario: 'kill-after-ack' },
+  { rule: 7, what: 'drain notices are not heeded', plant: 'deaf-drain', scenario: 'drains' },
+  { rule: 8, what: 'hall orders are not heeded', plant: 'deaf-halls', scenario: 'halls' },
+  { rule: 9, what: 'purges are not heeded', plant: 'deaf-purges', scenario: 'purges' },
+  { rule: 10, what: 'slices are not heeded', plant: 'no-buckets', scenario: 'ceilings' },
+  { rule: 10, what: 'cold instances are treated as warm', plant: 'no-buckets', scenario: 'cold' },
+  { rule: 11, what: 'repeats are free', plant: 'free-repeats', scenario: 'repeats' },
+  { rule: 12, what: 'homes are not heeded', plant: 'no-homes', scenario: 'homes' },
+  { rule: 13, what: 'disks forget', plant: 'forgetful-disks', scenario: 'full-loss' },
+];
+
+/** Shows that the rule breaks with the safeguard away, and that nothing breaks with it in place. */
+export const show = (t: ExecutionContext, { rule, plant, scenario }: Case, seeds: readonly number[]): void => {
+  const broken = run({ scenario, seed: seeds[0] ?? 1, plant }).wrongs.map((wrong) => wrong.rule);
+  t.true(broken.includes(rule), `with ${plant}, rule ${rule} should break in ${scenario}`);
+  for (const seed of seeds) {
+    const report = run({ scenario, seed });
+    t.deepEqual(report.wrongs, [], report.replay);
+    t.true(report.asked > 500);
+  }
+};
--- a/packages/mallet/src/run.ts
+++ b/packages/mallet/src/run.ts
@@ -68,7 +68,7 @@
     const key = unsafe && clock.chance() < 0.7 ? name : null;
     const attempt = (left: number): void => {
       const node = choose(hall);
-      if (node === undefined) return;
+      if (node === undefined) { fleet.history.push({ kind: 'unplaced', at: clock.now() }); return; }
       fleet.ask(node, { ...sample, host, job: name, key }, (status) => {
         // Only what carries a key is asked again after no good answer; so are reads.
         const bad = status === 0 || status === 502 || status === 503 || status === 504;
--- /dev/null
+++ b/packages/mallet/src/scenarios.test.ts
@@ -0,0 +1,17 @@
+import test from 'ava';
+import { run } from './run.js';
+
+// What the rule tests do not run: each scenario once, and a share of callers that must be served through it.
+for (const [scenario, least] of [['calm', 0.995], ['cuts', 0.9], ['core-split', 0.85], ['wipes', 0.95], ['operators', 0.93], ['hall-power', 0.95], ['rolling', 0.97], ['everything', 0.75]] as const) {
+  test(`${scenario}: every rule kept, and callers served`, (t) => {
+    const report = run({ scenario, seed: 21 });
+    t.deepEqual(report.wrongs, [], report.replay);
+    t.true(report.share >= least, `${report.share} served; ${JSON.stringify(report.rest)}`);
+  });
+}
+
+test('the same seed gives the same run', (t) => {
+  const [first, second] = [run({ scenario: 'freezes', seed: 5 }), run({ scenario: 'freezes', seed: 5 })];
+  t.deepEqual(first.fleet.history, second.fleet.history);
+  t.notDeepEqual(first.fleet.counts, run({ scenario: 'freezes', seed: 6 }).fleet.counts);
+});
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -107,6 +107,23 @@
     every(stage, 9_000, 38_000, 2_200, () => { putOne(stage); stage.fleet.clock.in(stage.fleet.clock.between(5, 400), () => faults.wipe?.(stage)); });
     every(stage, 9_000, 40_000, 400, () => faults.read?.(stage));
   } },
+  'wiped-and-down': { what: 'a policy reaches a bare majority; two of its disks are wiped at once while the third is down', seconds: 45, play: (stage) => {
+    const { fleet } = stage;
+    every(stage, 10_000, 32_000, 9_000, () => {
+      const order = [...disks(fleet)].sort(() => fleet.clock.chance() - 0.5);
+      const [first, second, third, ...others] = order;
+      if (first === undefined || second === undefined || third === undefined) return;
+      others.forEach((name) => fleet.isolate(name));
+      fleet.fault(`${others.join(' and ')} cut off`);
+      fleet.put(variant(stage.policy, Math.floor(1e6 * fleet.clock.chance())), () => {
+        restart(fleet, first, 300, true);
+        restart(fleet, second, 300, true);
+        restart(fleet, third, 4_000);
+        fleet.heal();
+      }, fleet.clock.pick(names(fleet, 'front')));
+    });
+    every(stage, 9_000, 40_000, 300, () => faults.read?.(stage));
+  } },
   'kill-after-ack': { what: 'all disks lose power just after a policy was acknowledged', seconds: 45, play: (stage) => {
     const { fleet } = stage;
     every(stage, 9_000, 34_000, 5_000, () => {
@@ -151,7 +168,9 @@
       });
       every(stage, 12_000, 52_000, 6_000, () => faults.kill?.(stage));
     } },
-  cold: { what: 'origins crash and come back cold under load', seconds: 50, rate: 250, play: (stage) => {
+  cold: { what: 'origins crash and come back cold under load', seconds: 50, rate: 250,
+    policy: (policy) => ({ ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, { ...service, coldRate: 2 }])) }),
+    play: (stage) => {
     every(stage, 9_000, 42_000, 2_000, () => faults.crash?.(stage));
     every(stage, 9_000, 42_000, 8_000, () => faults.kill?.(stage));
   } },
