--- a/packages/plumb/src/index.ts
+++ b/packages/plumb/src/index.ts
@@ -102,7 +102,7 @@
  * // Two servers of 10, all clients at the first: overflow goes to the second.
  * solve({ capacities: [10, 10], delays: [[0, 0.001], [0.001, 0]], objects: [{ demand: [12, 0], link: () => 0 }] }).loads
  */
-export const solve = (network: Network): Solution => {
+export const solve = (network: Network, most: number = Weights.iterations): Solution => {
   const pairs = pairsOf(network);
   const loads = network.capacities.map(() => 0);
   for (const pair of pairs) {
@@ -115,7 +115,7 @@
     + pairs.reduce((sum, pair) => sum + pair.paths.reduce((inner, path) => inner + path.flow * path.fixed, 0), 0);
   let before = cost();
   let iterations = 0;
-  while (iterations < Weights.iterations) {
+  while (iterations < most) {
     iterations += 1;
     for (const pair of pairs) project(pair, loads, network.capacities);
     const after = cost();
--- a/packages/plumb/src/vectors.ts
+++ b/packages/plumb/src/vectors.ts
@@ -33,6 +33,9 @@
 /** @example routeOf('sheets /sheets/7') // 'sheets' */
 export const routeOf = (key: string): string => key.split(' ', 1)[0] ?? key;
 
+/** A change of delta or more; the last digits of a float don't count. */
+const changed = (next: number, old: number): boolean => Math.abs(next - old) >= Weights.delta - 1e-9;
+
 /**
  * Whether a vector must be sent: the paper's |u_new - u_old| >= delta, the same for the demand of
  * the edge's own clients (an edge at its limit shows no change of use), or a marked change of delay.
@@ -42,8 +45,8 @@
  */
 export const mustSend = (next: Vector, sent: Vector | null): boolean =>
   sent === null
-  || Math.abs(next.utilisation - sent.utilisation) >= Weights.delta
-  || Math.abs(next.offered - sent.offered) >= Weights.delta
+  || changed(next.utilisation, sent.utilisation)
+  || changed(next.offered, sent.offered)
   || Object.entries(next.delays).some(([edge, delay]) => {
     const old = sent.delays[edge];
     if (old === undefined) return true;
--- /dev/null
+++ b/packages/tally/src/tally.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import { Tally, type Leg, type LegEnd } from './index.js';
+
+const leg = (number: number, end: LegEnd | null): Leg => ({ number, to: { kind: 'origin', id: `o${number}` }, openedAt: 0, limitAt: 10, end });
+const ends: readonly LegEnd[] = [
+  { kind: 'failed', sent: 'nothing', why: 'connect' }, { kind: 'failed', sent: 'maybe', why: 'cut' }, { kind: 'failed', sent: 'maybe', why: 'limit' },
+  { kind: 'answered', status: 200, final: true, notRun: false }, { kind: 'answered', status: 503, final: false, notRun: true }, { kind: 'answered', status: 503, final: false, notRun: false },
+];
+const ran = (end: LegEnd): boolean => (end.kind === 'failed' ? end.sent === 'maybe' : !end.notRun);
+
+test('over every ledger of up to three legs: an unsafe one is never made again once a leg may have run', (t) => {
+  const ledgers = ends.flatMap((a) => [[a], ...ends.flatMap((b) => [[a, b], ...ends.map((c) => [a, b, c])])]);
+  t.is(ledgers.length, 6 + 36 + 216);
+  for (const list of ledgers) {
+    for (const mayRepeat of [true, false]) {
+      const legs = list.map((end, index) => leg(index, end));
+      const move = Tally.next({ safe: false, legs, now: 5, limitAt: 9, mayRepeat });
+      if (list.some(ran) && move.kind === 'open') t.fail(JSON.stringify(list));
+      // A 503 tells "not run", and is told only where no leg may have run; nothing else claims it.
+      if (move.kind === 'give-up') t.is(move.status === 503, !list.some(ran));
+      if (move.kind === 'give-up') t.is(move.outcome === 'not-run', !list.some(ran));
+      if (!mayRepeat) t.not(move.kind, 'open');
+    }
+  }
+});
+
+test('a safe one is made again within its limit and budget, then given up at once', (t) => {
+  const legs = [leg(0, ends[1] ?? null)];
+  t.is(Tally.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: true }).kind, 'open');
+  t.is(Tally.next({ safe: true, legs, now: 9, limitAt: 9, mayRepeat: true }).kind, 'give-up');
+  t.is(Tally.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: false }).kind, 'give-up');
+  t.is(Tally.next({ safe: true, legs: [leg(0, null)], now: 5, limitAt: 9, mayRepeat: true }).kind, 'wait');
+  t.is(Tally.next({ safe: true, legs: [0, 1, 2].map((n) => leg(n, ends[1] ?? null)), now: 5, limitAt: 9, mayRepeat: true }).kind, 'give-up');
+});
