--- a/packages/anvil/src/main.ts
+++ b/packages/anvil/src/main.ts
@@ -6,7 +6,7 @@
 import { Task } from '@reedyard/chute';
 import { openNotch } from '@reedyard/notch';
 import { openScribe, textOf } from '@reedyard/scriber';
-import { call, serveCalls } from '@reedyard/shuttle';
+import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
 import { Vise } from '@reedyard/vise';
 import { Anvil, type AnvilCall, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState } from './core.js';
 
@@ -16,6 +16,7 @@
 const stop = (code: number, event: string, thrown: unknown): never => { scribe.error(event, { text: textOf(thrown) }); process.exit(code); };
 
 const run = async (): Promise<void> => {
+  speakFrom(settings.host);
   const place = settings.anvil;
   const founders = settings.founders;
   const notch = await openNotch(path.join(settings.dataFolder, 'anvil'));
@@ -53,7 +54,7 @@
   opened.effects.forEach((effect) => perform(effect, task.put));
 
   let next = 1;
-  const listening = await serveCalls({ host: settings.host, port: place.port }, {
+  const listening = await serveCalls({ host: settings.listen ?? settings.host, port: place.port }, {
     '/anvil': (body) => new Promise((resolve, reject) => {
       const id = next;
       next += 1;
--- a/packages/jig/src/main.ts
+++ b/packages/jig/src/main.ts
@@ -4,7 +4,7 @@
 import { Beats, Limits } from '@reedyard/gauge';
 import { Task } from '@reedyard/chute';
 import { openScribe, textOf } from '@reedyard/scriber';
-import { call, serveCalls } from '@reedyard/shuttle';
+import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
 import { Vise } from '@reedyard/vise';
 import { apiServer, type Reply } from './api.js';
 import { Jig } from './core.js';
@@ -31,6 +31,8 @@
     }
   };
   const { host } = settings;
+  const listen = settings.listen ?? host;
+  speakFrom(host);
   const task = Task.run<JigState, JigEvent, JigEffect>({
     initial: Jig.open({
       self: {
@@ -49,11 +51,11 @@
     if (!task.put(event(id))) { asking.delete(id); reject(new Error('too busy')); }
   });
 
-  const calls = await serveCalls({ host, port: settings.jig.port }, { '/jig': (body) => ask((id) => ({ kind: 'asked', id, body: body as JigCall, now: now() })) });
+  const calls = await serveCalls({ host: listen, port: settings.jig.port }, { '/jig': (body) => ask((id) => ({ kind: 'asked', id, body: body as JigCall, now: now() })) });
   // Only processes of this machine may feed from it.
   const feeds = await serveCalls({ host: '127.0.0.1', port: settings.jig.feedPort }, { '/feed': (body) => ask((id) => ({ kind: 'fed', id, body: body as LatheCall, now: now() })) });
   const api = apiServer((action) => ask<Reply>((id) => ({ kind: 'operator', id, action, now: now() })));
-  await new Promise<void>((resolve, reject) => { api.once('error', reject); api.listen(settings.jig.apiPort, host, resolve); });
+  await new Promise<void>((resolve, reject) => { api.once('error', reject); api.listen(settings.jig.apiPort, listen, resolve); });
   setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.jig);
   scribe.info('started', { calls: calls.port, feed: feeds.port, api: settings.jig.apiPort, hall: settings.hall, region: settings.region });
 
--- a/packages/lathe/src/conns.ts
+++ b/packages/lathe/src/conns.ts
@@ -80,11 +80,14 @@
 export class OriginConns {
   readonly #idle = new Map<string, Conn[]>();
 
+  /** @param from the address that conns go out from */
+  constructor(private readonly from: string) {}
+
   /** Opens a conn and asks who is there; nothing of a transaction is sent before the answer fits. */
   #open(row: OriginRow): Promise<Conn> {
     return new Promise((resolve, reject) => {
       const cut = row.address.lastIndexOf(':');
-      const socket = net.connect({ host: row.address.slice(0, cut), port: Number(row.address.slice(cut + 1)) });
+      const socket = net.connect({ host: row.address.slice(0, cut), port: Number(row.address.slice(cut + 1)), localAddress: this.from });
       socket.setNoDelay(true);
       const fail = (why: string, thrown: unknown): void => { clearTimeout(beat); socket.destroy(); reject(new LegError('nothing', why, textOf(thrown), { cause: thrown })); };
       const beat = setTimeout(() => fail('connect', new Error('no proof of identity in time')), Limits.connect);
@@ -181,12 +184,12 @@
 const partnerAgent = new http.Agent({ keepAlive: true, maxSockets: 256 });
 
 /** Hands a transaction on to a partner. */
-export const sendToPartner = (address: string, out: Outgoing, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): Underway => {
+export const sendToPartner = (address: string, from: string, out: Outgoing, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): Underway => {
   let over = false;
   let connected = false;
   const failOnce = (error: LegError): void => { if (!over) { over = true; fail(error); } };
   const cut = address.lastIndexOf(':');
-  const request = http.request({ agent: partnerAgent, host: address.slice(0, cut), port: Number(address.slice(cut + 1)), method: out.method, path: out.path, headers: out.headers, setHost: false }, (response) => {
+  const request = http.request({ agent: partnerAgent, host: address.slice(0, cut), port: Number(address.slice(cut + 1)), localAddress: from, method: out.method, path: out.path, headers: out.headers, setHost: false }, (response) => {
     readAnswer(out.method, response, (answer) => { if (!over) { over = true; done(answer); } }, failOnce);
   });
   request.on('socket', (socket) => { if (socket.connecting) socket.once('connect', () => { connected = true; }); else connected = true; });
--- a/packages/lathe/src/main.ts
+++ b/packages/lathe/src/main.ts
@@ -26,7 +26,7 @@
 
 const run = async (): Promise<void> => {
   const opened = new Map<number, Open>();
-  const conns = new OriginConns();
+  const conns = new OriginConns(settings.host);
   const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
   let nextId = 1;
 
@@ -86,7 +86,7 @@
         const done = (answer: LegAnswer): void => { put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() }); };
         const fail = (error: LegError): void => { put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() }); };
         const out = outgoing(one, effect);
-        one.legs.set(effect.leg, effect.to.kind === 'origin' ? conns.send(effect.to.row, out, done, fail) : sendToPartner(effect.to.row.address, out, done, fail));
+        one.legs.set(effect.leg, effect.to.kind === 'origin' ? conns.send(effect.to.row, out, done, fail) : sendToPartner(effect.to.row.address, settings.host, out, done, fail));
         return;
       }
       case 'abort': opened.get(effect.id)?.legs.get(effect.leg)?.abort(); return;
@@ -167,7 +167,7 @@
     const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 60_000 }, take(fromPartner));
     server.keepAliveTimeout = 30_000;
     server.once('error', reject);
-    server.listen(port, settings.host, () => resolve(server));
+    server.listen(port, settings.listen ?? settings.host, () => resolve(server));
   });
   const servers = [await serve(false, settings.lathe.port), await serve(true, settings.lathe.partnerPort)];
   setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.lathe);
--- /dev/null
+++ b/packages/reedyard/src/base.ts
@@ -0,0 +1,30 @@
+import { randomUUID } from 'node:crypto';
+import { Command, Flags } from '@oclif/core';
+import { ask, ClientError, exitCodes } from './client.js';
+
+/** What every command has: nodes to ask, `--json`, and the exit codes. */
+export abstract class BaseCommand extends Command {
+  static override enableJsonFlag = true;
+  static override baseFlags = {
+    node: Flags.string({ char: 'n', multiple: true, env: 'REEDYARD_NODES', delimiter: ',', description: 'API of a node, IP:PORT; give several to have others tried', default: ['127.0.0.1:7080'] }),
+  };
+  static changeFlag = Flags.string({ description: 'change id: sent again with the same one, a change is made once', default: async () => randomUUID(), defaultHelp: async () => 'a random one' });
+
+  protected async call(nodes: readonly string[], method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> {
+    return ask(nodes, method, target, document, headers);
+  }
+
+  /** What people see where no `--json` is asked for. */
+  protected show(body: unknown): void { if (!this.jsonEnabled()) this.log(JSON.stringify(body, null, 2)); }
+
+  protected override async catch(error: Error & { exitCode?: number }): Promise<unknown> {
+    if (error instanceof ClientError) {
+      if (this.jsonEnabled()) process.stdout.write(`${JSON.stringify({ error: error.message, exit: error.exit, problem: error.document }, null, 2)}\n`);
+      else process.stderr.write(`${error.message}\n`);
+      return this.exit(error.exit);
+    }
+    return super.catch(error);
+  }
+}
+
+export { exitCodes };
--- /dev/null
+++ b/packages/reedyard/src/commands/ready.ts
@@ -0,0 +1,18 @@
+import { BaseCommand } from '../base.js';
+import { ClientError, exitCodes } from '../client.js';
+
+export default class Ready extends BaseCommand {
+  static override description = 'Whether a node takes callers: exit code 0 if it does, 5 if not.';
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(Ready);
+    try {
+      const body = await this.call(flags.node, 'GET', '/ready');
+      this.show(body);
+      return body;
+    } catch (thrown) {
+      if (thrown instanceof ClientError && thrown.exit === exitCodes.unreached) throw new ClientError(exitCodes.not, thrown.message);
+      throw thrown;
+    }
+  }
+}
--- a/packages/reedyard/src/index.ts
+++ b/packages/reedyard/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { BaseCommand } from './base.js';
+export { ask, ClientError, exitCodes, type Reply } from './client.js';
--- a/packages/shuttle/src/index.ts
+++ b/packages/shuttle/src/index.ts
@@ -26,7 +26,18 @@
     stream.on('close', () => reject(new ShuttleError('cut', 'the conn closed inside a call')));
   });
 
-const agent = new http.Agent({ keepAlive: true, maxSockets: 32, keepAliveMsecs: 5_000 });
+let agent = new http.Agent({ keepAlive: true, maxSockets: 32, keepAliveMsecs: 5_000 });
+
+/**
+ * Sets the address that calls go out from: on a machine with several, the one that others know.
+ *
+ * @example
+ * speakFrom('10.0.0.7');
+ */
+export const speakFrom = (host: string): void => {
+  agent.destroy();
+  agent = new http.Agent({ keepAlive: true, maxSockets: 32, keepAliveMsecs: 5_000, localAddress: host } as http.AgentOptions);
+};
 
 /**
  * Calls another process of the project and waits for its answer.
--- a/packages/vise/src/index.ts
+++ b/packages/vise/src/index.ts
@@ -17,7 +17,10 @@
 
 const schema = z.strictObject({
   name,
+  /** The address that others reach this machine at, and that it speaks from. */
   host,
+  /** The address to listen on, where it is another. */
+  listen: host.optional(),
   hall: name,
   region: name,
   /** Jigs to begin with; any three that are likely up. */
--- a/packages/workbench/src/index.ts
+++ b/packages/workbench/src/index.ts
@@ -47,22 +47,60 @@
   request.end(text);
 });
 
-type Member = { readonly machine: Machine; readonly host: string; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
+type Member = { readonly machine: Machine; readonly host: string; readonly behind: string; readonly relays: Relay[]; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
+
+/** Stands between a machine's address and its processes, so that its conns can be cut. */
+class Relay {
+  readonly #pairs = new Set<{ readonly from: string; readonly ends: readonly net.Socket[] }>();
+  #server: net.Server | null = null;
+  constructor(readonly host: string, readonly behind: string, readonly isCut: (from: string) => boolean) {}
+
+  open(port: number): Promise<void> {
+    this.#server = net.createServer((outer) => {
+      const from = outer.remoteAddress ?? '';
+      outer.on('error', () => undefined);
+      // Over a cut nothing comes back, not even a refusal.
+      if (this.isCut(from)) { outer.pause(); return; }
+      const inner = net.connect({ host: this.behind, port });
+      const pair = { from, ends: [outer, inner] };
+      this.#pairs.add(pair);
+      for (const end of pair.ends) {
+        end.on('error', () => pair.ends.forEach((each) => each.destroy()));
+        end.on('close', () => { this.#pairs.delete(pair); pair.ends.forEach((each) => each.destroy()); });
+      }
+      outer.pipe(inner);
+      inner.pipe(outer);
+    });
+    const server = this.#server;
+    return new Promise((resolve, reject) => { server.once('error', reject); server.listen(port, this.host, resolve); });
+  }
+
+  /** What is under way over a new cut stops without a word. */
+  applyCuts(): void {
+    for (const { from, ends } of this.#pairs) if (this.isCut(from)) for (const end of ends) { end.unpipe(); end.pause(); }
+  }
+  /** Conns that a cut has silenced are gone for good once it heals. */
+  drop(): void { for (const { ends } of this.#pairs) for (const end of ends) if (end.isPaused()) end.destroy(); }
+  close(): void { this.#server?.close(); for (const { ends } of this.#pairs) ends.forEach((end) => end.destroy()); }
+}
 
 /** A whole fleet on this machine; each of its machines has a loopback address of its own. */
 export class Fleet {
   readonly #members = new Map<string, Member>();
   readonly blanks = new Map<string, Blank>();
+  /** Pairs of addresses between which nothing passes, one way each. */
+  readonly #cuts = new Set<string>();
 
   private constructor(readonly deployment: Deployment, readonly folder: string, readonly network: string) {}
 
   /** Lays out settings; starts nothing. @example const fleet = await Fleet.lay(deployment, '.run/small') */
-  static async lay(deployment: Deployment, folder: string): Promise<Fleet> {
+  static async lay(deployment: Deployment, folder: string, options: { readonly relays?: boolean } = {}): Promise<Fleet> {
     // A network of its own, so that several benches may run at once.
     const network = `127.${10 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
     const fleet = new Fleet(deployment, path.resolve(folder), network);
     rmSync(fleet.folder, { recursive: true, force: true });
     const hostOf = (index: number): string => `${network}.${index + 1}`;
+    const behindOf = (index: number): string => (options.relays === true ? `${network}.${index + 101}` : hostOf(index));
     const disks = deployment.machines.filter((machine) => machine.kind !== 'front');
     const founders = Object.fromEntries(disks.map((machine) => [machine.name, `${hostOf(deployment.machines.indexOf(machine))}:7101`]));
     const seeds = disks.slice(0, 3).map((machine) => `${hostOf(deployment.machines.indexOf(machine))}:7001`);
@@ -70,13 +108,21 @@
       const home = path.join(fleet.folder, machine.name);
       mkdirSync(home, { recursive: true });
       const settings = {
-        name: machine.name, host: hostOf(index), hall: machine.hall, region: machine.region, seeds, founders, dataFolder: path.join(home, 'data'),
+        name: machine.name, host: hostOf(index), ...(options.relays === true ? { listen: behindOf(index) } : {}), hall: machine.hall, region: machine.region, seeds, founders, dataFolder: path.join(home, 'data'),
         jig: { port: 7001, apiPort: 7080, feedPort: await freePort() },
         ...(machine.kind === 'front' ? { lathe: { port: 8080, partnerPort: 8081, capacityBps: machine.capacityBps ?? 80_000_000 } } : { anvil: { port: 7101 } }),
       };
       const settingsFile = path.join(home, 'settings.json');
       writeFileSync(settingsFile, `${JSON.stringify(settings, null, 2)}\n`);
-      fleet.#members.set(machine.name, { machine, host: hostOf(index), settingsFile, folder: home, processes: new Map() });
+      const relays: Relay[] = [];
+      if (options.relays === true) {
+        for (const port of machine.kind === 'front' ? [7001, 7080, 8080, 8081] : [7001, 7080, 7101]) {
+          const relay = new Relay(hostOf(index), behindOf(index), (from) => fleet.#cuts.has(`${from}>${hostOf(index)}`));
+          await relay.open(port);
+          relays.push(relay);
+        }
+      }
+      fleet.#members.set(machine.name, { machine, host: hostOf(index), behind: behindOf(index), relays, settingsFile, folder: home, processes: new Map() });
     }
     return fleet;
   }
@@ -119,6 +165,20 @@
   stop(name: string, only?: Program): Promise<void> { return this.#signal(name, 'SIGTERM', only); }
   freeze(name: string, only?: Program): void { void this.#signal(name, 'SIGSTOP', only); }
   thaw(name: string, only?: Program): void { void this.#signal(name, 'SIGCONT', only); }
+  /** Cuts a machine off from all others, both ways, or only what it sends or hears. Needs relays. */
+  cut(name: string, way: 'both' | 'out' | 'in' = 'both'): void {
+    const { host } = this.#member(name);
+    for (const other of this.#members.values()) {
+      if (other.host === host) continue;
+      if (way !== 'in') this.#cuts.add(`${host}>${other.host}`);
+      if (way !== 'out') this.#cuts.add(`${other.host}>${host}`);
+    }
+    for (const member of this.#members.values()) member.relays.forEach((relay) => relay.applyCuts());
+  }
+  heal(): void {
+    this.#cuts.clear();
+    for (const member of this.#members.values()) member.relays.forEach((relay) => relay.drop());
+  }
   /** Takes a dead machine's disk away. */
   wipe(name: string): void { rmSync(path.join(this.#member(name).folder, 'data'), { recursive: true, force: true }); }
 
@@ -150,5 +210,6 @@
   async end(): Promise<void> {
     for (const name of this.names()) this.thaw(name);
     await Promise.all([...this.names().map((name) => this.kill(name)), ...[...this.blanks.values()].map((blank) => blank.stop())]);
+    for (const member of this.#members.values()) member.relays.forEach((relay) => relay.close());
   }
 }
