--- a/packages/blank/src/index.ts
+++ b/packages/blank/src/index.ts
@@ -88,7 +88,6 @@
       response.end(text);
       return;
     }
-    got += 1;
     const marks = { 'reedyard-stamp': stamp, 'reedyard-leg': String(request.headers['reedyard-leg'] ?? '') };
     if (request.headers['reedyard-expect'] !== stamp) {
       response.writeHead(503, { ...marks, 'reedyard-outcome': 'not-run', 'content-length': 0 });
@@ -122,6 +121,7 @@
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
     request.on('end', () => {
+      if (request.url !== '/.well-known/reedyard-identity') got += 1;
       const act = (): void => { if (!response.destroyed) answer(request, response, Buffer.concat(chunks)); };
       if (mode.slowMs > 0) setTimeout(act, mode.slowMs); else act();
     });
@@ -145,7 +145,8 @@
     address,
     mode: () => mode,
     become: (change) => { mode = { ...mode, ...change }; void announce(); },
-    rename: (change) => { identity = { ...identity, ...change }; void announce(); },
+    // Whoever takes an address over begins with no conns of the one before.
+    rename: (change) => { identity = { ...identity, ...change }; sockets.forEach((socket) => socket.destroy()); void announce(); },
     ran: () => ran,
     got: () => got,
     turn: () => { generation += 1; return generation; },
