--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -6,7 +6,7 @@
 import type { Deployment, Machine, Origin } from '@reedyard/workbench';
 import { Clockwork } from './clockwork.js';
 import type { Entry, SimBody } from './history.js';
-import { plantedClaim, plantedFeed, type Plant } from './plants.js';
+import { plantedClaim, plantedFeed, selected, type Plant, type Selection } from './plants.js';
 
 type Program = 'jig' | 'lathe' | 'anvil';
 type Reducers = { jig: { state: JigState; event: JigEvent; effect: JigEffect }; lathe: { state: LatheState; event: LatheEvent; effect: LatheEffect }; anvil: { state: AnvilState; event: AnvilEvent; effect: AnvilEffect } };
@@ -34,7 +34,7 @@
 /** What a submission is to become: an answer to the caller. */
 type Caller = { readonly submission: number; readonly done: (got: { status: number; headers: Record<string, unknown>; body: SimBody | null; whole: boolean; retryAfter: boolean; why: string } | null) => void };
 
-export type Tuning = { readonly loss: number; readonly plant: Plant; readonly regionsMs: number };
+export type Tuning = { readonly loss: number; readonly plant: Plant; readonly regionsMs: number; readonly selection?: Selection };
 
 /** A whole fleet in virtual time. */
 export class SimFleet {
@@ -45,6 +45,10 @@
   readonly #cuts = new Set<string>();
   readonly #drained = new Map<string, Feed['origins'][number]>();
   readonly counts = { messages: 0, events: 0 };
+  /** Time to the last byte of each answer that callers got, ms. */
+  readonly waits: { readonly at: number; readonly ms: number }[] = [];
+  /** When each lathe's link is free again: replies leave one after another at its capacity. */
+  readonly #busyUntil = new Map<string, number>();
   #lives = 0;
   #marks = 0;
 
@@ -338,7 +342,7 @@
           (body) => {
             const feed = body as Feed;
             for (const row of feed.origins) this.#drained.set(row.address, row);
-            this.#step(process, { kind: 'fed', feed: plantedFeed(this.tuning.plant, feed, [...this.#drained.values()]), askedAt, now: this.#now(process) });
+            this.#step(process, { kind: 'fed', feed: this.#select(plantedFeed(this.tuning.plant, feed, [...this.#drained.values()]), process), askedAt, now: this.#now(process) });
             if (this.tuning.plant === 'free-repeats') process.state = { ...process.state, repeats: 1e6, suspects: {} };
             this.#watchCopies(process);
             again();
@@ -373,13 +377,34 @@
         this.#callers.get(process)?.delete(effect.id);
         // A leg's answer was decided when the leg was made; a copy is decided on here and now.
         if (effect.answer.body.kind === 'copy') acted();
-        caller?.done(this.#shown(effect.answer, caller.mark));
+        if (caller !== undefined) {
+          const shown = this.#shown(effect.answer, caller.mark);
+          this.clock.in(this.#leave(name, process.machine.capacityBps ?? 8e6, effect.answer), () => caller.done(process.alive ? shown : null));
+        }
         return;
       }
       case 'log': return;
     }
   }
 
+  #selectedRoutes = new Map<string, Feed['policy']>();
+  #select(feed: Feed, process: Process<'lathe'>): Feed {
+    const { selection = 'paper' } = this.tuning;
+    if (feed.policy !== null) this.#selectedRoutes.set(process.machine.name, feed.policy);
+    return { ...selected(selection, { ...feed, policy: this.#selectedRoutes.get(process.machine.name) ?? null }, process.machine.name), policy: feed.policy };
+  }
+
+  /** ms until a reply has left a lathe. A relayed one costs a fifth: no look-up, no making. */
+  #leave(name: string, capacityBps: number, answer: Answer): number {
+    if (answer.body.kind === 'problem') return 0;
+    const size = answer.body.kind === 'copy' ? answer.body.copy.size : answer.body.answer.size;
+    const relayed = answer.headers['reedyard-served'] === 'partner';
+    const work = ((8 * (size + 300)) / capacityBps) * 1_000 * (relayed ? 0.2 : 1);
+    const until = Math.max(this.clock.now(), this.#busyUntil.get(name) ?? 0) + work;
+    this.#busyUntil.set(name, until);
+    return until - this.clock.now();
+  }
+
   #shown(answer: Answer, mark: string | null): Parameters<Caller['done']>[0] {
     const body = answer.body.kind === 'copy' ? answer.body.copy.body as SimBody : answer.body.kind === 'leg' ? answer.body.answer.body as SimBody : null;
     const headers = { ...answer.headers, ...(mark === null ? {} : { 'reedyard-leg': mark }) };
@@ -535,10 +560,12 @@
     const box = this.boxes.get(node);
     if (box === undefined) return;
     const { lathe } = box;
+    const askedAt = this.clock.now();
     let over = false;
     const end = (status: number, outcome: string, more: Partial<Extract<Entry, { kind: 'got' }>> = {}): void => {
       if (over) return;
       over = true;
+      if (status >= 200 && status < 300) this.waits.push({ at: this.clock.now(), ms: this.clock.now() - askedAt });
       this.history.push({ kind: 'got', at: this.clock.now(), submission, job: request.job, node, status, outcome, served: '', retryAfter: false, why: '', stamp: '', body: null, whole: false, method: request.method, target: request.target, service: request.service, ...more });
       done(status, outcome);
     };
--- a/packages/mallet/src/plants.ts
+++ b/packages/mallet/src/plants.ts
@@ -26,5 +26,16 @@
   }
 };
 
+/** Other ways to choose a server, for comparison with the paper's on the same seed. */
+export type Selection = 'paper' | 'proximity' | 'random';
+
+export const selected = (selection: Selection, feed: Feed, self: string): Feed => {
+  if (selection === 'paper') return feed;
+  if (selection === 'proximity') return { ...feed, split: {} };
+  const edges = [self, ...feed.partners.map((row) => row.id)];
+  const row = edges.map((edge) => [edge, 1 / edges.length] as const);
+  return { ...feed, split: Object.fromEntries((feed.policy?.document.routes ?? []).map((route) => [route.name, row])) };
+};
+
 /** Whether a claim is granted without asking. */
 export const plantedClaim = (plant: Plant, call: LatheCall): boolean => plant === 'claims-granted' && call.kind === 'claim';
--- a/packages/mallet/src/run.ts
+++ b/packages/mallet/src/run.ts
@@ -6,7 +6,7 @@
 import { available, judge } from './checks.js';
 import { SimFleet } from './fleet.js';
 import type { Wrong } from './history.js';
-import type { Plant } from './plants.js';
+import type { Plant, Selection } from './plants.js';
 import { scenarios } from './scenarios.js';
 
 const examples = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../../examples');
@@ -17,7 +17,7 @@
   policy: Stencil.policy(JSON.parse(readFileSync(path.join(examples, name, 'policy.json'), 'utf8'))),
 });
 
-export type RunOptions = { readonly scenario: string; readonly seed: number; readonly plant?: Plant; readonly example?: string; readonly rate?: number };
+export type RunOptions = { readonly scenario: string; readonly seed: number; readonly plant?: Plant; readonly example?: string; readonly rate?: number; readonly selection?: Selection; readonly capacityBps?: number };
 
 export type Report = {
   readonly scenario: string; readonly seed: number; readonly wrongs: readonly Wrong[]; readonly asked: number; readonly share: number; readonly rest: Readonly<Record<string, number>>;
@@ -92,9 +92,11 @@
   const scenario = scenarios[options.scenario];
   if (scenario === undefined) throw new Error(`no scenario is named ${options.scenario}; there are ${Object.keys(scenarios).join(', ')}`);
   const example = options.example ?? scenario.example ?? 'brandlhuber';
-  const { deployment, policy } = exampleOf(example);
+  const { deployment: asGiven, policy } = exampleOf(example);
+  const { capacityBps } = options;
+  const deployment = capacityBps === undefined ? asGiven : { ...asGiven, machines: asGiven.machines.map((machine) => ({ ...machine, capacityBps })) };
   const used = scenario.policy?.(policy) ?? policy;
-  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12 }, Object.fromEntries(Object.entries(used.services).map(([name, service]) => [name, service.coldRate])));
+  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12, ...(options.selection === undefined ? {} : { selection: options.selection }) }, Object.fromEntries(Object.entries(used.services).map(([name, service]) => [name, service.coldRate])));
   for (const machine of deployment.machines) fleet.start(machine.name);
   fleet.watchReady();
   fleet.clock.in(500, () => fleet.put(used));
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -76,6 +76,10 @@
 /** Scenarios, by name. Each brings about what a point of the brief is about. */
 export const scenarios: Readonly<Record<string, Scenario>> = {
   calm: { what: 'nothing fails', seconds: 30, play: () => undefined },
+  'crowded-hall': { what: 'most callers come to one hall, more than its lathes can serve', seconds: 90, rate: 300, play: (stage) => {
+    stage.fleet.clock.in(20_000, () => { stage.factor.skew = 'west'; });
+    stage.fleet.clock.in(70_000, () => { stage.factor.skew = null; });
+  } },
   'lost-answers': { what: 'origins run and lose the answer, send garbage, short bodies and foreign answers; nodes are killed; callers repeat', seconds: 35, play: (stage) => {
     stage.fleet.clock.in(7_000, () => troubleOrigins(stage.fleet));
     every(stage, 9_000, 26_000, 2_500, () => faults.kill?.(stage));
