--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -117,8 +117,6 @@
 export const Weights = {
   /** share of capacity. The paper's delta: a vector is sent again on this change of utilisation. */
   delta: 0.1,
-  /** share of the busy objects whose copies must have come or gone before a vector is sent for that. */
-  copiesShare: 0.25,
   /** ratio. A ping that moved by more than this share (and by delayFloor) also sends again. */
   delayChange: 0.5,
   /** s. Changes of delay under this are noise of the machine. */
--- a/packages/plumb/src/vectors.ts
+++ b/packages/plumb/src/vectors.ts
@@ -36,13 +36,6 @@
 /** A change of delta or more; the last digits of a float don't count. */
 const changed = (next: number, old: number): boolean => Math.abs(next - old) >= Weights.delta - 1e-9;
 
-/** Whether so many of the busy objects' copies came or went that rows would follow. */
-const copiesMoved = (next: Vector, sent: Vector): boolean => {
-  const [now, before] = [new Set(next.copies), new Set(sent.copies)];
-  const moved = next.copies.filter((key) => !before.has(key)).length + sent.copies.filter((key) => !now.has(key)).length;
-  return moved >= Math.max(1, Weights.copiesShare * Object.keys(next.demand).length);
-};
-
 /**
  * Whether a vector must be sent: the paper's |u_new - u_old| >= delta, the same for the demand of
  * the edge's own clients (an edge at its limit shows no change of use), or a marked change of delay.
@@ -54,7 +47,6 @@
   sent === null
   || changed(next.utilisation, sent.utilisation)
   || changed(next.offered, sent.offered)
-  || copiesMoved(next, sent)
   || Object.entries(next.delays).some(([edge, delay]) => {
     const old = sent.delays[edge];
     if (old === undefined) return true;
