Checker of rule 8: the order with the highest serial holds

Cause, in the checker alone: a hall was used between the choosing of its taking back and the word of it; and the late word of an order to empty (a repeat under the same change id) counted as newer than the taking back that had followed it. Ruled out: a node that acted on old orders; every leg was made under a lease on the newest register.

--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -89,9 +89,12 @@
   // 8. An emptied hall gets requests more than 5 s after the order.
   8: (history) => {
     const orders = only(history, 'hall');
+    // The order with the highest serial holds, however late the word of an earlier one came; and a hall
+    // may be used again from the moment that its taking back was sent.
     const emptiedAt = (hall: string, at: number): number | null => {
-      const last = orders.filter((order) => order.hall === hall && order.at <= at).at(-1);
-      return last !== undefined && last.order === 'empty' ? last.at : null;
+      const known = orders.filter((order) => order.hall === hall && (order.order === 'empty' ? order.at : order.sentAt) <= at);
+      const last = known.reduce<Of<'hall'> | null>((best, order) => (best === null || order.serial > best.serial ? order : best), null);
+      return last !== null && last.order === 'empty' ? last.at : null;
     };
     return history.flatMap((entry): readonly Wrong[] => {
       if (entry.kind !== 'asked' && entry.kind !== 'leg') return [];
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -534,8 +534,9 @@
   hall(hall: string, order: 'empty' | 'take-back'): void {
     this.#changes += 1;
     const changeId = `change-${this.#changes}`;
+    const sentAt = this.clock.now();
     const attempt = (left: number): void => this.operate({ kind: 'hall', hall, order, changeId }, (reply) => {
-      if (reply.status === 200) this.history.push({ kind: 'hall', at: this.clock.now(), hall, order }); else if (left > 0) this.clock.in(500, () => attempt(left - 1));
+      if (reply.status === 200) this.history.push({ kind: 'hall', at: this.clock.now(), sentAt, serial: (reply.body as { serial: number }).serial, hall, order }); else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     });
     attempt(10);
   }
--- a/packages/mallet/src/history.ts
+++ b/packages/mallet/src/history.ts
@@ -20,7 +20,8 @@
   | { readonly kind: 'put'; readonly at: number; readonly serial: number; readonly document: Policy }
   | { readonly kind: 'read'; readonly at: number; readonly askedAt: number; readonly serial: number }
   | { readonly kind: 'drained'; readonly at: number; readonly instance: string; readonly incarnation: number }
-  | { readonly kind: 'hall'; readonly at: number; readonly hall: string; readonly order: 'empty' | 'take-back' }
+  /** An order for a hall was acknowledged under a serial; `sentAt` is when it was first sent. */
+  | { readonly kind: 'hall'; readonly at: number; readonly sentAt: number; readonly serial: number; readonly hall: string; readonly order: 'empty' | 'take-back' }
   /** A purge was acknowledged; reports of that object or tag made before `turned` are old from then on. */
   | { readonly kind: 'purged'; readonly at: number; readonly objects: readonly string[]; readonly tags: readonly string[]; readonly turned: number }
   | { readonly kind: 'stored'; readonly at: number; readonly node: string; readonly region: string; readonly target: string }
