A hall just emptied keeps its slices while it still answers stragglers

Cause: the division took their slices away at once, while callers that the platform had already sent still came for up to two seconds.

--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -31,9 +31,10 @@
     (record.lathe !== null && record.ready && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall) ? [record] : []));
 };
 
-/** Nodes that hold slices. */
+/** Nodes that hold slices. Those of a hall just emptied keep them while they still answer stragglers. */
 export const seatedNodes = (state: JigState): readonly NodeRecord[] => {
-  const emptied = hallsOf(state)?.emptied ?? [];
+  const settled = state.now - (state.registers.halls?.at ?? 0) > Limits.lease + Limits.emptyGrace;
+  const emptied = settled ? hallsOf(state)?.emptied ?? [] : [];
   return nodesOf(state).flatMap(({ record, seenAt }) => (record.staying && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall) ? [record] : []));
 };
 
