--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -1,6 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import { Command, Flags } from '@oclif/core';
-import { ask, ClientError, exitCodes } from './client.js';
+import { parametersOf, PounceError, resolve } from '@reedyard/pounce';
+import { Stencil, StencilError, type Policy } from '@reedyard/stencil';
+import { ask, ClientError, exitCodes, readDocument } from './client.js';
 
 /** What every command has: nodes to ask, `--json`, and the exit codes. */
 export abstract class BaseCommand extends Command {
@@ -10,6 +12,20 @@
   };
   static changeFlag = Flags.string({ description: 'change id: sent again with the same one, a change is made once', default: async () => randomUUID(), defaultHelp: async () => 'a random one' });
 
+  static templateFlags = {
+    param: Flags.string({ multiple: true, description: 'parameter of the template, NAME=VALUE', default: [] as string[] }),
+    overlay: Flags.string({ multiple: true, description: 'overlay laid over the policy, a JSON merge patch; several in their order', default: [] as string[] }),
+  };
+
+  /** The one whole policy that a file, its parameters and its overlays come to, checked as a node checks it. */
+  protected policyOf(file: string, flags: { readonly param: readonly string[]; readonly overlay: readonly string[] }): Policy {
+    try { return Stencil.policy(resolve(readDocument(file), parametersOf(flags.param), flags.overlay.map(readDocument))); } catch (thrown) {
+      if (thrown instanceof StencilError) throw new ClientError(exitCodes.refused, thrown.faults.map((fault) => `${fault.path}: ${fault.message}`).join('\n'), { faults: thrown.faults });
+      if (thrown instanceof PounceError) throw new ClientError(exitCodes.usage, `${file}: ${thrown.message}`);
+      throw thrown;
+    }
+  }
+
   protected async call(nodes: readonly string[], method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> {
     return ask(nodes, method, target, document, headers);
   }
--- a/packages/reedyard/src/commands/plan.ts
+++ b/packages/reedyard/src/commands/plan.ts
@@ -1,9 +1,9 @@
 import { Flags } from '@oclif/core';
 import type { NodeRecord } from '@reedyard/jig';
-import { Stencil, StencilError, type Description, type Policy } from '@reedyard/stencil';
+import type { Description, Policy } from '@reedyard/stencil';
 import { plan, type Moves } from '@reedyard/trammel';
 import { BaseCommand } from '../base.js';
-import { ClientError, exitCodes, readDocument } from '../client.js';
+import { ClientError, exitCodes } from '../client.js';
 
 export default class Plan extends BaseCommand {
   static override description = 'Show what a policy or hall orders would move: routes, services, origins, shares and load by node. Nothing is sent.';
@@ -12,12 +12,13 @@
     policy: Flags.string({ description: 'policy to plan, a JSON file or - for standard input' }),
     empty: Flags.string({ multiple: true, description: 'hall to empty' }),
     'take-back': Flags.string({ multiple: true, description: 'hall to take back' }),
+    ...BaseCommand.templateFlags,
   };
 
   async run(): Promise<Moves> {
     const { flags } = await this.parse(Plan);
     if (flags.policy === undefined && flags.empty === undefined && flags['take-back'] === undefined) throw new ClientError(exitCodes.usage, 'wanted --policy, --empty or --take-back');
-    const next = flags.policy === undefined ? undefined : this.checked(readDocument(flags.policy));
+    const next = flags.policy === undefined ? undefined : this.policyOf(flags.policy, flags);
     const read = async <T>(target: string): Promise<T> => await this.call(flags.node, 'GET', target) as T;
     const [{ policy }, status, { partners }, { services }] = await Promise.all([
       read<{ policy: Policy }>('/v1/policy'), read<{ emptiedHalls: string[]; origins: Description[] }>('/v1/status'),
@@ -33,13 +34,6 @@
     return moves;
   }
 
-  private checked(document: unknown): Policy {
-    try { return Stencil.policy(document); } catch (thrown) {
-      if (thrown instanceof StencilError) throw new ClientError(exitCodes.refused, thrown.faults.map((fault) => `${fault.path}: ${fault.message}`).join('\n'), { faults: thrown.faults });
-      throw thrown;
-    }
-  }
-
   private tell(moves: Moves): void {
     const rate = (value: number): string => `${value.toFixed(1)}/s`;
     const lines = [
