Voters by disk, one place changed at a time by ballot

Until now an anvil's place was its name: a machine replaced while the old one still ran, cut off, gave two voters under one name, and two majorities that do not meet. Now a register names the disk that holds each place. Every call tells by which voters its answer will be counted; an anvil that knows newer ones refuses.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -10,6 +10,15 @@
 /** A place on one anvil's board, in one life of its disk. */
 export type Cursor = { readonly disk: string; readonly seq: number };
 
+/** Who votes: for each place among the founders, the disk that holds it. One place changes at a time. */
+export type Voters = { readonly epoch: number; readonly disks: Readonly<Record<string, string>> };
+/** Voters that are known to be chosen. */
+export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
+export const votersKey = 'voters';
+
+/** A call, with the voters that the caller counts by. */
+export type AnvilAsk = { readonly voters: VotersTold | null; readonly call: AnvilCall };
+
 /** What may be asked of an anvil. */
 export type AnvilCall =
   | { readonly kind: 'prepare'; readonly key: string; readonly ballot: Ballot }
@@ -19,9 +28,12 @@
   | { readonly kind: 'fetch'; readonly key: string }
   | { readonly kind: 'dump'; readonly after: string | null };
 
-/** What an anvil answers. `away` means that it may not vote yet. */
+/** What an anvil answers. */
 export type AnvilReply =
-  | { readonly kind: 'away'; readonly disk: string }
+  /** It may not vote; a fresh disk, which never did, may be given a place. */
+  | { readonly kind: 'away'; readonly disk: string; readonly fresh: boolean }
+  /** The caller counts by voters that are no longer in force. */
+  | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
   | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
   | { readonly kind: 'posted'; readonly disk: string }
   | {
@@ -41,7 +53,7 @@
   | { readonly kind: 'fact'; readonly seq: number; readonly fact: Fact };
 
 export type AnvilEvent =
-  | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilCall; readonly now: number }
+  | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilAsk; readonly now: number }
   | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply; readonly now: number }
   | { readonly kind: 'lost'; readonly id: number; readonly now: number }
   | { readonly kind: 'beat'; readonly now: number };
@@ -51,16 +63,21 @@
   | { readonly kind: 'append'; readonly records: readonly AnvilRecord[] }
   /** Answer a call, only after all that was appended before is synced. */
   | { readonly kind: 'tell'; readonly id: number; readonly body: AnvilReply }
-  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilCall }
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilAsk }
   | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
 
-type Reading = { readonly after: string | null; readonly state: 'reading' | 'blank' | 'done'; readonly call: number | null; readonly sentAt: number };
+type Reading = {
+  readonly after: string | null; readonly state: 'reading' | 'blank' | 'done'; readonly call: number | null; readonly sentAt: number;
+  /** The disk that answered, and the epoch that it was told of before it answered. */
+  readonly disk: string; readonly epoch: number; readonly askedEpoch: number;
+};
 
 export type AnvilState = {
   readonly name: string;
   /** The others of the founding set: name and address. */
   readonly others: Readonly<Record<string, string>>;
   readonly disk: string;
+  /** Whether this disk has ever voted; it does so now if the voters name it. */
   readonly voting: boolean;
   readonly cells: Table<string, Cell>;
   readonly claimsSeen: Table<string, number>;
@@ -80,6 +97,13 @@
 type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
 const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
 
+const votersOf = (state: AnvilState): VotersTold | null => {
+  const accepted = state.cells.get(votersKey)?.accepted ?? null;
+  return accepted === null ? null : { ballot: accepted.ballot, value: accepted.value as Voters };
+};
+
+const isVoter = (state: AnvilState): boolean => state.voting && votersOf(state)?.value.disks[state.name] === state.disk;
+
 const keepCell = (work: Work, key: string, cell: Cell, now: number): void => {
   set(work, { cells: work.state.cells.set(key, cell) });
   if (key.startsWith(claimPrefix)) set(work, { claimsSeen: work.state.claimsSeen.set(key, now) });
@@ -122,7 +146,7 @@
 };
 
 const dumped = (state: AnvilState, after: string | null): AnvilReply => {
-  if (!state.voting) return { kind: 'away', disk: state.disk };
+  if (!isVoter(state)) return { kind: 'away', disk: state.disk, fresh: !state.voting };
   const keys = [...state.cells.keys()].sort();
   const page = keys.filter((key) => after === null || key > after).slice(0, dumpPage);
   const last = page.at(-1);
@@ -134,15 +158,33 @@
   };
 };
 
-const asked = (work: Work, id: number, body: AnvilCall, now: number): void => {
+/** Voters told by a caller are chosen ones: they are taken over if they are newer. */
+const adopt = (work: Work, told: VotersTold | null, now: number): void => {
+  const mine = votersOf(work.state);
+  if (told === null || (mine !== null && Ballots.compare(told.ballot, mine.ballot) <= 0)) return;
+  const cell = work.state.cells.get(votersKey) ?? emptyCell;
+  keepCell(work, votersKey, { promised: Ballots.compare(cell.promised, told.ballot) > 0 ? cell.promised : told.ballot, accepted: told }, now);
+  work.effects.push({ kind: 'log', event: 'voters.learned', fields: { epoch: told.value.epoch, seated: told.value.disks[work.state.name] === work.state.disk } });
+};
+
+const asked = (work: Work, id: number, ask: AnvilAsk, now: number): void => {
+  adopt(work, ask.voters, now);
   const { state } = work;
+  const body = ask.call;
   const tell = (reply: AnvilReply): void => { work.effects.push({ kind: 'tell', id, body: reply }); };
   if (body.kind === 'dump') { tell(dumped(state, body.after)); return; }
-  if (!state.voting) { tell({ kind: 'away', disk: state.disk }); return; }
+  if (!state.voting) { tell({ kind: 'away', disk: state.disk, fresh: true }); return; }
+  const mine = votersOf(state);
+  const [epoch, known] = [ask.voters?.value.epoch ?? 0, mine?.value.epoch ?? 0];
+  // The step from one set of voters to the next is decided by the earlier set, so its members still
+  // vote on that; on all else only the newest set counts, and only by the disks that it names.
+  const onVoters = (body.kind === 'prepare' || body.kind === 'accept') && body.key === votersKey;
+  if (epoch < (onVoters ? known - 1 : known)) { tell({ kind: 'stale', disk: state.disk, voters: mine }); return; }
+  if (!onVoters && !isVoter(state)) { tell({ kind: 'away', disk: state.disk, fresh: false }); return; }
   switch (body.kind) {
     case 'prepare': vote(work, id, body.key, Acceptor.prepare(state.cells.get(body.key) ?? emptyCell, body.ballot), now); return;
     case 'accept':
-      if (body.disk !== state.disk) { tell({ kind: 'away', disk: state.disk }); return; }
+      if (body.disk !== state.disk) { tell({ kind: 'away', disk: state.disk, fresh: false }); return; }
       vote(work, id, body.key, Acceptor.accept(state.cells.get(body.key) ?? emptyCell, body.ballot, body.value), now);
       return;
     case 'post': keepFacts(work, body.facts, now); tell({ kind: 'posted', disk: state.disk }); return;
@@ -151,44 +193,77 @@
   }
 };
 
+const blankReading: Reading = { after: null, state: 'reading', call: null, sentAt: -Infinity, disk: '', epoch: 0, askedEpoch: 0 };
+const readingOf = (state: AnvilState, name: string): Reading => state.readings[name] ?? blankReading;
+
 /**
- * Whether a wiped or new anvil has read enough to vote: with n voters, a majority that counted its
- * lost vote left at least majority-1 others, so n-majority+1 voting others always meet them. Where
- * every other one was reached, nothing more can be learned.
+ * How a disk that does not vote comes to do so, from what it has read of the others.
+ *
+ * - `vote`: the voters name it, and it has read enough of the other voters, each after telling it of
+ *   these voters. With n voters, a majority that counted a lost vote of this place left at least
+ *   majority-1 others, so n-majority+1 of them always meet it; and whoever was told of the new voters
+ *   takes no more part in a choice by the old ones.
+ * - `found`: every other one was reached and too few have anything to make a majority.
  *
  * @example
- * mayVote(['done', 'done', 'done', 'reading'], 5) // true
+ * nextStep({ name: 'a', disk: 'd', voters: null, others: { b: { state: 'blank', disk: 'e', epoch: 0 } } }) // 'found'
  */
-export const mayVote = (others: readonly Reading['state'][], voters: number): boolean =>
-  others.filter((each) => each === 'done').length >= voters - majorityOf(voters) + 1 || others.every((each) => each !== 'reading');
+export const nextStep = (me: {
+  readonly name: string; readonly disk: string; readonly voters: Voters | null;
+  readonly others: Readonly<Record<string, { readonly state: Reading['state']; readonly disk: string; readonly epoch: number }>>;
+}): 'vote' | 'found' | 'wait' => {
+  const others = Object.entries(me.others);
+  const count = others.length + 1;
+  const majority = majorityOf(count);
+  const voters = me.voters;
+  if (voters !== null && voters.disks[me.name] === me.disk) {
+    const met = others.filter(([name, other]) => other.state === 'done' && other.epoch >= voters.epoch && other.disk === voters.disks[name]).length;
+    if (met >= count - majority + 1) return 'vote';
+  }
+  const reached = others.every(([, other]) => other.state !== 'reading');
+  return reached && others.filter(([, other]) => other.state === 'done').length < majority ? 'found' : 'wait';
+};
 
 const rejoin = (work: Work, now: number): void => {
-  const { state } = work;
-  for (const [name, address] of Object.entries(state.others)) {
-    const reading = work.state.readings[name] ?? { after: null, state: 'reading', call: null, sentAt: -Infinity };
-    if (reading.state === 'done' || (reading.call !== null && now - reading.sentAt < Limits.call)) continue;
-    if (now - reading.sentAt < Beats.rejoin) continue;
+  const epoch = votersOf(work.state)?.value.epoch ?? 0;
+  for (const [name, address] of Object.entries(work.state.others)) {
+    let reading = readingOf(work.state, name);
+    if (reading.call !== null && now - reading.sentAt < Limits.call) continue;
+    if (reading.state === 'done' && reading.epoch >= epoch) continue;
+    if (reading.after === null && now - reading.sentAt < Beats.rejoin) continue;
+    if (reading.state === 'done') reading = { ...reading, after: null };
     const id = work.state.nextCall;
-    set(work, { nextCall: id + 1, readings: { ...work.state.readings, [name]: { ...reading, call: id, sentAt: now } } });
-    work.effects.push({ kind: 'call', id, to: address, body: { kind: 'dump', after: reading.after } });
+    const askedEpoch = reading.after === null ? epoch : Math.min(epoch, reading.askedEpoch);
+    set(work, { nextCall: id + 1, readings: { ...work.state.readings, [name]: { ...reading, call: id, sentAt: now, askedEpoch } } });
+    work.effects.push({ kind: 'call', id, to: address, body: { voters: votersOf(work.state), call: { kind: 'dump', after: reading.after } } });
   }
-  tryVote(work);
+  tryVote(work, now);
 };
 
-const tryVote = (work: Work): void => {
-  const names = Object.keys(work.state.others);
-  if (work.state.voting || !mayVote(names.map((name) => work.state.readings[name]?.state ?? 'reading'), names.length + 1)) return;
+const tryVote = (work: Work, now: number): void => {
+  const { state } = work;
+  if (isVoter(state)) return;
+  const known = votersOf(state);
+  const others = Object.fromEntries(Object.keys(state.others).map((name) => [name, readingOf(state, name)]));
+  const step = nextStep({ name: state.name, disk: state.disk, voters: known?.value ?? null, others });
+  if (step === 'wait') return;
+  if (step === 'found') {
+    // All that found at once come to the same voters under the same ballot.
+    const disks = { ...known?.value.disks, ...Object.fromEntries(Object.entries(others).map(([name, other]) => [name, other.disk])), [state.name]: state.disk };
+    const ballot: Ballot = [(known?.ballot[0] ?? 0) + 1, 'founding'];
+    keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch: (known?.value.epoch ?? 0) + 1, disks } satisfies Voters } }, now);
+  }
   set(work, { voting: true, readings: {} });
-  work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: work.state.disk, cells: work.state.cells.size } });
+  work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: state.disk, cells: work.state.cells.size, step } });
 };
 
 const returned = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
   const found = Object.entries(work.state.readings).find(([, reading]) => reading.call === id);
-  if (found === undefined || work.state.voting) return;
+  if (found === undefined || isVoter(work.state)) return;
   const [name, reading] = found;
   const note = (next: Partial<Reading>): void => set(work, { readings: { ...work.state.readings, [name]: { ...reading, call: null, ...next } } });
   if (body === null) { note({}); return; }
-  if (body.kind === 'away') { note({ state: 'blank' }); tryVote(work); return; }
+  if (body.kind === 'away') { note({ state: 'blank', disk: body.disk, after: null }); tryVote(work, now); return; }
   if (body.kind !== 'dumped') { note({}); return; }
   for (const [key, cell] of body.cells) {
     const mine = work.state.cells.get(key) ?? emptyCell;
@@ -196,8 +271,8 @@
     if (Ballots.compare(merged.promised, mine.promised) !== 0 || merged.accepted !== mine.accepted) keepCell(work, key, merged, now);
   }
   keepFacts(work, body.facts, now);
-  note(body.next === null ? { state: 'done' } : { after: body.next, state: 'reading', sentAt: -Infinity });
-  tryVote(work);
+  note(body.next === null ? { state: 'done', after: null, disk: body.disk, epoch: reading.askedEpoch } : { after: body.next, sentAt: -Infinity });
+  tryVote(work, now);
 };
 
 const sweep = (work: Work, now: number): void => {
@@ -266,7 +341,7 @@
       case 'asked': asked(work, event.id, event.body, event.now); break;
       case 'returned': returned(work, event.id, event.body, event.now); break;
       case 'lost': returned(work, event.id, null, event.now); break;
-      case 'beat': if (!state.voting) rejoin(work, event.now); sweep(work, event.now); break;
+      case 'beat': if (!isVoter(state)) rejoin(work, event.now); sweep(work, event.now); break;
     }
     return { state: work.state, effects: work.effects };
   },
--- a/packages/anvil/src/main.ts
+++ b/packages/anvil/src/main.ts
@@ -8,7 +8,7 @@
 import { openScribe, textOf } from '@reedyard/scriber';
 import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
 import { Vise } from '@reedyard/vise';
-import { Anvil, type AnvilCall, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState } from './core.js';
+import { Anvil, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState } from './core.js';
 
 const settings = Vise.start('anvil', process.argv.slice(2));
 const scribe = openScribe({ program: 'anvil', node: settings.name });
@@ -59,7 +59,7 @@
       const id = next;
       next += 1;
       asking.set(id, resolve);
-      if (!task.put({ kind: 'asked', id, body: body as AnvilCall, now: now() })) { asking.delete(id); reject(new Error('too busy')); }
+      if (!task.put({ kind: 'asked', id, body: body as AnvilAsk, now: now() })) { asking.delete(id); reject(new Error('too busy')); }
     }),
   });
   setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.rejoin);
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -1,8 +1,8 @@
 import { Limits, Sizes } from '@reedyard/gauge';
 import { Ballots, majorityOf, Proposer, type Ballot, type Change, type Turn } from '@reedyard/latch';
-import type { AnvilReply, Fact } from '@reedyard/anvil';
+import type { AnvilReply, Fact, Voters } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
-import { chance, log, send, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
+import { chance, counts, log, sendToAnvil, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
 import type { ClaimState, ClaimValue, HallsValue, PolicyValue } from './terms.js';
 import { learnRegister } from './pulls.js';
 
@@ -15,7 +15,7 @@
     if (move.kind === 'prepare' || move.kind === 'accept') {
       const anvil = work.state.anvils[move.to];
       if (anvil === undefined) continue;
-      send(work, anvil.address, '/anvil',
+      sendToAnvil(work, anvil.address,
         move.kind === 'prepare' ? { kind: 'prepare', key, ballot: move.ballot } : { kind: 'accept', key, ballot: move.ballot, value: move.value, disk: move.disk },
         { kind: 'vote', pursuit: which, anvil: move.to, phase: move.kind, ballot: move.ballot });
     } else if (move.kind === 'outvoted') {
@@ -47,7 +47,7 @@
 
 export const tookVote = (work: Work, which: number, anvil: string, phase: 'prepare' | 'accept', ballot: Ballot, reply: AnvilReply): void => {
   const pursuit = work.state.pursuits[which];
-  if (pursuit === undefined || reply.kind !== 'vote') return;
+  if (pursuit === undefined || reply.kind !== 'vote' || !counts(work.state, anvil, reply.disk)) return;
   if (reply.vote.kind === 'no' && Ballots.compare(reply.vote.promised, work.state.highestBallot) > 0) set(work, { highestBallot: reply.vote.promised });
   const before = pursuit.proposal.phase;
   const turn = Proposer.voted(pursuit.proposal, anvil, reply.disk, phase, ballot, reply.vote);
@@ -131,6 +131,9 @@
       work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' } });
       return;
     case 'repair': return;
+    case 'seat':
+      if (end.kind === 'chosen') log(work, 'voters.seated', { anvil: purpose.anvil, disk: purpose.disk });
+      return;
   }
 };
 
@@ -176,6 +179,12 @@
     if ((old?.term ?? 0) !== (seen?.term ?? 0) || (old?.beat ?? 0) !== (seen?.beat ?? 0)) return { kind: 'refuse', reason: 'not vacant' };
     return { kind: 'write', value: { ...goal, slices: old?.slices ?? {} } };
   },
+  /** Gives an anvil's place to another disk: one at a time, and only by the voters just before. */
+  seat: (known: Voters, anvil: string, disk: string): Change => (current) => {
+    const old = current as Voters | null;
+    if (old === null || old.disks[anvil] === disk) return { kind: 'keep' };
+    return old.epoch === known.epoch ? { kind: 'write', value: { epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk } } satisfies Voters } : { kind: 'refuse', reason: 'the voters have changed' };
+  },
   /** After all disks were lost: what this node was told is told again, if it is higher. */
   retell: (known: { readonly serial?: number; readonly term?: number; readonly beat?: number }): Change => (current) => {
     const rank = (value: typeof known | null): readonly [number, number] => [value?.serial ?? value?.term ?? 0, value?.beat ?? 0];
@@ -184,6 +193,16 @@
   },
 } as const;
 
+/** Under new voters nothing counts that was counted by the old ones: all that is under way begins again. */
+export const countAnew = (work: Work): void => {
+  const { state } = work;
+  set(work, {
+    pursuits: Object.fromEntries(Object.entries(state.pursuits).map(([which, pursuit]) => [which, { ...pursuit, again: state.now }])),
+    postings: Object.fromEntries(Object.entries(state.postings).map(([which, posting]) => [which, { ...posting, acks: [], sentAt: -Infinity }])),
+    anvils: Object.fromEntries(Object.entries(state.anvils).map(([name, view]) => [name, { ...view, pulled: null }])),
+  });
+};
+
 /** Puts facts on the board; the waiting side is answered once a majority has them on disk. */
 export const post = (work: Work, facts: readonly Fact[], id: number, done: unknown): void => {
   const which = takeId(work);
@@ -193,7 +212,7 @@
 
 export const tookPost = (work: Work, which: number, anvil: string, reply: AnvilReply): void => {
   const posting = work.state.postings[which];
-  if (posting === undefined || reply.kind !== 'posted' || posting.acks.includes(anvil)) return;
+  if (posting === undefined || reply.kind !== 'posted' || posting.acks.includes(anvil) || !counts(work.state, anvil, reply.disk)) return;
   const acks = [...posting.acks, anvil];
   if (acks.length < majorityOf(Object.keys(work.state.anvils).length)) {
     set(work, { postings: { ...work.state.postings, [which]: { ...posting, acks } } });
@@ -213,7 +232,7 @@
     } else if (now - posting.sentAt > Limits.ballotPhase) {
       set(work, { postings: { ...work.state.postings, [which]: { ...posting, sentAt: now } } });
       for (const [anvil, view] of Object.entries(work.state.anvils)) {
-        if (!posting.acks.includes(anvil)) send(work, view.address, '/anvil', { kind: 'post', facts: posting.facts }, { kind: 'post', posting: which, anvil });
+        if (!posting.acks.includes(anvil)) sendToAnvil(work, view.address, { kind: 'post', facts: posting.facts }, { kind: 'post', posting: which, anvil });
       }
     }
   }
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -138,7 +138,7 @@
       learn(work, reply.exchanged.newer);
       set(work, { spindle: { ...work.state.spindle, view: Spindle.shuffle(work.state.spindle.view, work.state.self.id, reply.exchanged.sample, []) } });
       const wanted = Spindle.pick(work.state.spindle, reply.exchanged.wants);
-      if (Object.keys(wanted).length > 0) send(work, pending.to, '/jig', { kind: 'push', tellings: wanted }, { kind: 'push' });
+      if (Object.keys(wanted).length > 0) send(work, pending.to, { kind: 'push', tellings: wanted }, { kind: 'push' });
       return;
     }
   }
@@ -196,7 +196,7 @@
     readonly founders: Readonly<Record<string, string>>; readonly seed: number; readonly now: number;
   }): JigState => ({
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
-    anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null }])),
+    anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null, named: null }])),
     registers: {}, highestBallot: Ballots.none as Ballot, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, measure: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -51,7 +51,7 @@
   if (target === undefined) return;
   const self = { id: state.self.id, address: state.self.address };
   const body: JigCall = { kind: 'exchange', exchange: { from: self, digest: Spindle.digest(state.spindle), sample: Spindle.sample(state.spindle.view, self, chance(work)) } };
-  send(work, target, '/jig', body, { kind: 'exchange', to: target, partner: oldest !== null && target === oldest.address ? oldest.id : null });
+  send(work, target, body, { kind: 'exchange', to: target, partner: oldest !== null && target === oldest.address ? oldest.id : null });
   set(work, {
     spindle: {
       ...work.state.spindle,
@@ -88,7 +88,7 @@
   if (work.state.self.lathe === null) return;
   for (const { record } of nodesOf(work.state)) {
     if (record.id === work.state.self.id || record.lathe === null) continue;
-    send(work, record.address, '/jig', { kind: 'ping' }, { kind: 'ping', edge: record.id, sentAt: work.state.now });
+    send(work, record.address, { kind: 'ping' }, { kind: 'ping', edge: record.id, sentAt: work.state.now });
   }
 };
 
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -2,8 +2,8 @@
 import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
 import type { AnvilReply } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
-import { Changes, pursue } from './ballots.js';
-import { chance, log, send, set, watched, type AnvilView, type Watched, type Work } from './state.js';
+import { Changes, countAnew, pursue } from './ballots.js';
+import { chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
   const view = work.state.anvils[name];
@@ -14,7 +14,7 @@
 export const pullAll = (work: Work): void => {
   for (const [name, view] of Object.entries(work.state.anvils)) {
     if (view.call !== null && work.state.now - view.askedAt < Limits.call) continue;
-    const call = send(work, view.address, '/anvil', { kind: 'pull', cursor: view.cursor, keys: watched }, { kind: 'pull', anvil: name, sentAt: work.state.now });
+    const call = sendToAnvil(work, view.address, { kind: 'pull', cursor: view.cursor, keys: watched }, { kind: 'pull', anvil: name, sentAt: work.state.now });
     change(work, name, { call, askedAt: work.state.now });
   }
 };
@@ -29,6 +29,9 @@
     const plan = value as Plan;
     const { planSeen } = work.state;
     if (plan.term !== planSeen.term || plan.beat !== planSeen.beat) set(work, { planSeen: { term: plan.term, beat: plan.beat, at: work.state.now } });
+  } else if (key === 'voters') {
+    log(work, 'voters.in-force', { epoch: (value as { epoch: number }).epoch });
+    countAnew(work);
   } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
   renewLease(work);
 };
@@ -73,9 +76,9 @@
       if (holders.length >= majority) {
         const chosenHolder = holders[Math.floor(chance(work) * holders.length)];
         const address = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder.name]?.address;
-        if (!busy && address !== undefined) send(work, address, '/anvil', { kind: 'fetch', key }, { kind: 'fetch', key });
+        if (!busy && address !== undefined) sendToAnvil(work, address, { kind: 'fetch', key }, { kind: 'fetch', key });
       } else if (!repairing && chance(work) < 0.1) pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
-    } else if (Ballots.compare(known, Ballots.none) > 0 && chance(work) < 0.1
+    } else if (key !== 'voters' && Ballots.compare(known, Ballots.none) > 0 && chance(work) < 0.1
       && Object.values(work.state.anvils).filter((view) => view.pulled !== null && view.pulled.sentAt > (work.state.registers[key]?.at ?? 0)
         && Ballots.compare(view.pulled.ballots[key] ?? Ballots.none, known) < 0).length >= majority) {
       // A majority lacks what this node was told: too many disks that held it are lost.
@@ -86,8 +89,34 @@
   }
 };
 
+/** Voters that a majority of places name are chosen, and take the place of ours. */
+const learnVoters = (work: Work): void => {
+  const named = Object.values(work.state.anvils).flatMap((view) => (view.named === null ? [] : [view.named]));
+  const majority = majorityOf(Object.keys(work.state.anvils).length);
+  for (const each of named) {
+    if (named.filter((other) => Ballots.compare(other.ballot, each.ballot) === 0).length >= majority) learnRegister(work, 'voters', each.ballot, each.value);
+  }
+};
+
+/** A fresh disk at an anvil's place asks for it; some jig opens the ballot. */
+const seat = (work: Work, anvil: string, disk: string): void => {
+  const voters = votersOf(work.state);
+  const busy = Object.values(work.state.pursuits).some((pursuit) => pursuit.purpose.kind === 'seat');
+  if (voters === null || voters.value.disks[anvil] === disk || busy || chance(work) > 0.2) return;
+  pursue(work, 'voters', Changes.seat(voters.value, anvil, disk), { kind: 'seat', anvil, disk });
+};
+
 export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
-  if (reply.kind !== 'pulled') { change(work, name, { call: null, ...(reply.kind === 'away' ? { pulled: null } : {}) }); return; }
+  if (reply.kind === 'stale') {
+    change(work, name, { call: null, pulled: null, named: reply.voters });
+    learnVoters(work);
+    return;
+  }
+  if (reply.kind !== 'pulled' || !counts(work.state, name, reply.disk)) {
+    change(work, name, { call: null, pulled: null });
+    if (reply.kind === 'away' && reply.fresh) seat(work, name, reply.disk);
+    return;
+  }
   let { factSeq } = work.state;
   const added = reply.facts.filter((fact) => work.state.factKeys[fact.key] === undefined)
     .map((fact) => { factSeq += 1; return { ...fact, seq: factSeq, at: work.state.now }; });
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -1,12 +1,12 @@
-import type { Cursor, Fact } from '@reedyard/anvil';
+import type { AnvilAsk, AnvilCall, Cursor, Fact, Voters, VotersTold } from '@reedyard/anvil';
 import type { Ballot, Proposal } from '@reedyard/latch';
 import type { SpindleState } from '@reedyard/spindle';
 import type { Plan, Slices } from '@reedyard/ladle';
 import type { Split, Vector } from '@reedyard/plumb';
-import type { Action, ClaimState, HallsValue, JigEffect, Measure, PolicyValue, Report, Self } from './terms.js';
+import type { Action, ClaimState, HallsValue, JigCall, JigEffect, Measure, PolicyValue, Report, Self } from './terms.js';
 
 /** The registers that every jig watches. */
-export const watched = ['policy', 'halls', 'plan'] as const;
+export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
 export type Watched = (typeof watched)[number];
 
 /** How one anvil was last seen. */
@@ -17,6 +17,8 @@
   readonly askedAt: number;
   /** When the newest counted pull was sent, and the ballots it showed. */
   readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
+  /** The voters that it named when it found ours out of date. */
+  readonly named: VotersTold | null;
 };
 
 /** Who waits for a proposal, and what becomes of its end. */
@@ -27,7 +29,8 @@
   | { readonly kind: 'plan'; readonly goal: Plan }
   | { readonly kind: 'claim'; readonly id: number; readonly token: string }
   | { readonly kind: 'settle'; readonly id: number }
-  | { readonly kind: 'repair' };
+  | { readonly kind: 'repair' }
+  | { readonly kind: 'seat'; readonly anvil: string; readonly disk: string };
 
 export type Pursuit = {
   readonly proposal: Proposal; readonly purpose: Purpose;
@@ -100,13 +103,28 @@
   return id;
 };
 
-export const send = (work: Work, to: string, path: '/anvil' | '/jig', body: Extract<JigEffect, { kind: 'call' }>['body'], pending: Pending): number => {
+const sendTo = (work: Work, pending: Pending, part: { readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk } | { readonly to: string; readonly path: '/jig'; readonly body: JigCall }): number => {
   const id = takeId(work);
   set(work, { pending: { ...work.state.pending, [id]: pending } });
-  work.effects.push({ kind: 'call', id, to, path, body });
+  work.effects.push({ kind: 'call', id, ...part });
   return id;
 };
 
+export const send = (work: Work, to: string, body: JigCall, pending: Pending): number => sendTo(work, pending, { to, path: '/jig', body });
+
+/** Asks an anvil, with the voters that the answer will be counted by. */
+export const sendToAnvil = (work: Work, to: string, call: AnvilCall, pending: Pending): number =>
+  sendTo(work, pending, { to, path: '/anvil', body: { voters: votersOf(work.state), call } });
+
+/** The voters known to be chosen. */
+export const votersOf = (state: JigState): VotersTold | null => {
+  const known = state.registers.voters;
+  return known === undefined ? null : { ballot: known.ballot, value: known.value as Voters };
+};
+
+/** Whether an answer counts: it must come from the disk that holds the anvil's place. */
+export const counts = (state: JigState, anvil: string, disk: string): boolean => votersOf(state)?.value.disks[anvil] === disk;
+
 export const without = <T>(table: Readonly<Record<number | string, T>>, key: number | string): Readonly<Record<number | string, T>> => {
   const { [key]: _gone, ...rest } = table;
   return rest;
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -1,4 +1,4 @@
-import type { AnvilCall, AnvilReply } from '@reedyard/anvil';
+import type { AnvilAsk, AnvilReply } from '@reedyard/anvil';
 import type { Description, HallOrder, Policy, Purge } from '@reedyard/stencil';
 import type { Exchange, Exchanged, Telling } from '@reedyard/spindle';
 import type { Split } from '@reedyard/plumb';
@@ -127,7 +127,8 @@
   | { readonly kind: 'lost'; readonly id: number; readonly now: number };
 
 export type JigEffect =
-  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/anvil' | '/jig'; readonly body: AnvilCall | JigCall }
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk }
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/jig'; readonly body: JigCall }
   | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | Feed | ClaimReply }
   | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: unknown; readonly retryAfter?: number }
   | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -22,7 +22,7 @@
 type Disk = { synced: AnvilRecord[]; unsynced: AnvilRecord[]; syncing: boolean; count: number; waiters: { readonly need: number; readonly act: () => void }[] };
 const blankDisk = (synced: AnvilRecord[] = []): Disk => ({ synced, unsynced: [], syncing: false, count: 0, waiters: [] });
 
-type Box = { readonly machine: Machine; jig: Process<'jig'> | null; lathe: Process<'lathe'> | null; anvil: Process<'anvil'> | null; disk: Disk; powered: boolean };
+type Box = { readonly machine: Machine; jig: Process<'jig'> | null; lathe: Process<'lathe'> | null; anvil: Process<'anvil'> | null; disk: Disk; powered: boolean; namePlate: readonly AnvilRecord[] };
 
 export type OriginMode = { slowMs: number; lose: number; garbage: number; short: number; foreign: number };
 /** A stand-in origin: an identity at an address. */
@@ -55,7 +55,7 @@
   constructor(readonly deployment: Deployment, seed: number, readonly tuning: Tuning, coldRates: Readonly<Record<string, number>>) {
     this.clock = new Clockwork(seed);
     for (const machine of deployment.machines) {
-      this.boxes.set(machine.name, { machine, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk() });
+      this.boxes.set(machine.name, { machine, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
     }
     for (const [index, spec] of deployment.origins.entries()) {
       this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, coldRate: coldRates[spec.service] ?? 10, previous: null, servedSince: 0 });
@@ -147,7 +147,8 @@
     this.#lives += 1;
     const { machine } = box;
     const others = Object.fromEntries(Object.entries(this.founders()).filter(([name]) => name !== machine.name));
-    const records = this.tuning.plant === 'wiped-votes' && box.disk.synced.length === 0 ? [{ kind: 'disk', disk: `disk-${this.#lives}` } as const, { kind: 'voting' } as const] : box.disk.synced;
+    // A wiped disk that still goes by its old name votes as if it knew all that it promised.
+    const records = this.tuning.plant === 'wiped-votes' && box.disk.synced.length === 0 ? box.namePlate : box.disk.synced;
     let effects: readonly AnvilEffect[] = [];
     const process = this.#make('anvil', machine, (now) => {
       const opened = Anvil.open({ name: machine.name, others, records, freshDisk: `disk-${this.#lives}`, now });
@@ -208,7 +209,10 @@
     box.disk = blankDisk([...box.disk.synced, ...box.disk.unsynced.slice(0, kept)]);
   }
   /** Takes a dead machine's disk away. */
-  wipe(name: string): void { const box = this.boxes.get(name); if (box !== undefined && !box.powered) box.disk = blankDisk(); }
+  wipe(name: string): void { const box = this.boxes.get(name); if (box === undefined || box.powered) return;
+    box.namePlate = box.disk.synced.filter((record) => record.kind === 'disk' || record.kind === 'voting' || (record.kind === 'cell' && record.key === 'voters'));
+    box.disk = blankDisk();
+  }
   freeze(name: string): void { const box = this.boxes.get(name); for (const process of [box?.jig, box?.lathe, box?.anvil]) if (process) process.frozen = true; }
   thaw(name: string): void {
     const box = this.boxes.get(name);
