--- a/packages/mallet/src/figures.ts
+++ b/packages/mallet/src/figures.ts
@@ -4,6 +4,7 @@
 import type { SimFleet } from './fleet.js';
 import type { Selection } from './plants.js';
 import { run } from './run.js';
+import { scenarios } from './scenarios.js';
 
 /** Figures of one run, in virtual time: what docs/measurements.md holds. */
 const { values } = parseArgs({ options: {
@@ -21,6 +22,10 @@
   return most / (5 * ceiling);
 };
 
+/** Mean load of a service from 15 s on, over its ceiling. */
+const mean = (history: readonly Entry[], service: string, ceiling: number, seconds: number): number =>
+  history.filter((entry) => entry.kind === 'leg' && entry.service === service && entry.at > 15_000 && entry.at < 1_000 * (seconds - 2)).length / ((seconds - 17) * ceiling);
+
 const sumOf = (fleet: SimFleet, counter: string): number => [...fleet.boxes.values()].reduce((sum, box) => sum + (box.lathe?.state.counters[counter] ?? 0), 0);
 
 for (const selection of values.selection as Selection[]) {
@@ -34,5 +39,5 @@
   const notices = [...fleet.boxes.values()].reduce((sum, box) => sum + (box.jig?.state.notices ?? 0), 0);
   const part = (counter: string): string => `${((100 * sumOf(fleet, counter)) / own).toFixed(1)}%`;
   process.stdout.write(`${values.example} ${values.scenario} seed=${values.seed} selection=${selection} asked=${own} served=${(100 * report.share).toFixed(2)}% copies=${part('served.copy')} forwarded=${part('forwarded')} fetched=${part('fetched')} joined=${part('joined')} legs/transaction=${(sumOf(fleet, 'legs') / own).toFixed(3)} repeats=${sumOf(fleet, 'repeats')} notices/min/edge=${(notices / spanMinutes / fleet.deployment.machines.filter((machine) => machine.kind === 'front').length).toFixed(1)}`
-    + ` peak-load ${Object.entries(policy?.services ?? {}).map(([name, service]) => `${name}=${(100 * peak(history, name, service.ceiling)).toFixed(0)}%`).join(' ')} wait-ms mean=${(waits.reduce((sum, ms) => sum + ms, 0) / waits.length).toFixed(1)} p50=${quantile(waits, 0.5).toFixed(1)} p95=${quantile(waits, 0.95).toFixed(1)} p99=${quantile(waits, 0.99).toFixed(1)} broken=${report.wrongs.length}\n`);
+    + ` peak-load ${Object.entries(policy?.services ?? {}).map(([name, service]) => `${name}=${(100 * peak(history, name, service.ceiling)).toFixed(0)}% (mean ${(100 * mean(history, name, service.ceiling, scenarios[values.scenario]?.seconds ?? 0)).toFixed(0)}%)`).join(' ')} wait-ms mean=${(waits.reduce((sum, ms) => sum + ms, 0) / waits.length).toFixed(1)} p50=${quantile(waits, 0.5).toFixed(1)} p95=${quantile(waits, 0.95).toFixed(1)} p99=${quantile(waits, 0.99).toFixed(1)} broken=${report.wrongs.length}\n`);
 }
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -1,4 +1,4 @@
-import { Anvil, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilState } from '@reedyard/anvil';
+import { Anvil, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilState } from '@reedyard/anvil';
 import { Beats, Limits } from '@reedyard/gauge';
 import { Jig, type Action, type ClaimReply, type Feed, type JigEffect, type JigEvent, type JigState } from '@reedyard/jig';
 import { Lathe, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target } from '@reedyard/lathe';
@@ -22,7 +22,7 @@
 type Disk = { synced: AnvilRecord[]; unsynced: AnvilRecord[]; syncing: boolean; count: number; waiters: { readonly need: number; readonly act: () => void }[] };
 const blankDisk = (synced: AnvilRecord[] = []): Disk => ({ synced, unsynced: [], syncing: false, count: 0, waiters: [] });
 
-type Box = { readonly machine: Machine; jig: Process<'jig'> | null; lathe: Process<'lathe'> | null; anvil: Process<'anvil'> | null; disk: Disk; powered: boolean; namePlate: readonly AnvilRecord[] };
+type Box = { readonly machine: Machine; /** Name that it goes by; two machines may claim one. */ readonly as: string; jig: Process<'jig'> | null; lathe: Process<'lathe'> | null; anvil: Process<'anvil'> | null; disk: Disk; powered: boolean; namePlate: readonly AnvilRecord[] };
 
 export type OriginMode = { slowMs: number; lose: number; garbage: number; short: number; foreign: number };
 /** A stand-in origin: an identity at an address. */
@@ -55,7 +55,7 @@
   constructor(readonly deployment: Deployment, seed: number, readonly tuning: Tuning, coldRates: Readonly<Record<string, number>>) {
     this.clock = new Clockwork(seed);
     for (const machine of deployment.machines) {
-      this.boxes.set(machine.name, { machine, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
+      this.boxes.set(machine.name, { machine, as: machine.name, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
     }
     for (const [index, spec] of deployment.origins.entries()) {
       this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, coldRate: coldRates[spec.service] ?? 10, previous: null, servedSince: 0 });
@@ -63,7 +63,16 @@
     for (const origin of this.origins) this.clock.in(this.clock.between(0, 1_000), () => this.#announce(origin));
   }
 
-  #machineAt(place: string): Machine | undefined { return this.deployment.machines.find((machine) => machine.name === place); }
+  #machineAt(place: string): Machine | undefined { return this.boxes.get(place)?.machine; }
+
+  /** Another machine, with a blank disk, that goes by the name of one which may still run. */
+  twin(name: string): string {
+    const box = this.boxes.get(name);
+    const place = `${name}~2`;
+    if (box !== undefined) this.boxes.set(place, { machine: { ...box.machine, name: place }, as: name, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
+    this.start(place);
+    return place;
+  }
   #where(place: string): { hall: string; region: string } {
     const machine = this.#machineAt(place);
     if (machine !== undefined) return machine;
@@ -146,12 +155,12 @@
   #startAnvil(box: Box): void {
     this.#lives += 1;
     const { machine } = box;
-    const others = Object.fromEntries(Object.entries(this.founders()).filter(([name]) => name !== machine.name));
+    const others = Object.fromEntries(Object.entries(this.founders()).filter(([name]) => name !== box.as));
     // A wiped disk that still goes by its old name votes as if it knew all that it promised.
     const records = this.tuning.plant === 'wiped-votes' && box.disk.synced.length === 0 ? box.namePlate : box.disk.synced;
     let effects: readonly AnvilEffect[] = [];
     const process = this.#make('anvil', machine, (now) => {
-      const opened = Anvil.open({ name: machine.name, others, records, freshDisk: `disk-${this.#lives}`, now });
+      const opened = Anvil.open({ name: box.as, others, records, freshDisk: `disk-${this.#lives}`, now });
       effects = opened.effects;
       return opened.state;
     });
@@ -172,7 +181,7 @@
     const seeds = this.deployment.machines.filter((each) => each.kind !== 'front').slice(0, 3).map((each) => `${each.name}/jig`);
     const process = this.#make('jig', machine, (now) => Jig.open({
       self: {
-        id: machine.name, hall: machine.hall, region: machine.region, address: `${machine.name}/jig`,
+        id: box.as, hall: machine.hall, region: machine.region, address: `${machine.name}/jig`,
         lathe: fronts ? { callers: `${machine.name}/lathe`, partners: `${machine.name}/partners`, capacityBps: machine.capacityBps ?? 8e6 } : null,
         anvil: fronts ? null : { address: `${machine.name}/anvil` },
       },
@@ -251,9 +260,9 @@
     switch (effect.kind) {
       case 'call':
         this.#call(process, effect.to, (box, reply) => {
-          if (effect.path === '/jig') { const target = box.jig; if (target !== null) this.#askJig(target, (id) => ({ kind: 'asked', id, body: effect.body as never, now: this.#now(target) }), reply); return; }
+          if (effect.path === '/jig') { const { body } = effect; const target = box.jig; if (target !== null) this.#askJig(target, (id) => ({ kind: 'asked', id, body, now: this.#now(target) }), reply); return; }
           const target = box.anvil;
-          if (target !== null) this.#askAnvil(target, effect.body as never, reply);
+          if (target !== null) this.#askAnvil(target, effect.body, reply);
         }, (body) => this.#step(process, { kind: 'returned', id: effect.id, body: body as never, now: this.#now(process) }),
         () => this.#step(process, { kind: 'lost', id: effect.id, now: this.#now(process) }));
         return;
@@ -263,12 +272,14 @@
     }
   }
 
-  #askAnvil(target: Process<'anvil'>, body: never, reply: (body: unknown) => void): void {
+  #askAnvil(target: Process<'anvil'>, body: AnvilAsk, reply: (body: unknown) => void): void {
     this.#inside(target, () => {
       const id = target.nextAsk;
       target.nextAsk += 1;
       target.asking.set(id, reply);
-      this.#step(target, { kind: 'asked', id, body, now: this.#now(target) });
+      const accepted = target.state.cells.get('voters')?.accepted;
+      const heard = this.tuning.plant === 'deaf-voters' && accepted && body.voters !== null ? { ...body, voters: accepted as AnvilAsk['voters'] } : body;
+      this.#step(target, { kind: 'asked', id, body: heard, now: this.#now(target) });
     });
   }
 
@@ -285,7 +296,7 @@
         return;
       }
       case 'call':
-        this.#call(process, effect.to, (target, reply) => { if (target.anvil !== null) this.#askAnvil(target.anvil, effect.body as never, reply); },
+        this.#call(process, effect.to, (target, reply) => { if (target.anvil !== null) this.#askAnvil(target.anvil, effect.body, reply); },
           (body) => this.#step(process, { kind: 'returned', id: effect.id, body: body as never, now: this.#now(process) }),
           () => this.#step(process, { kind: 'lost', id: effect.id, now: this.#now(process) }));
         return;
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -128,6 +128,20 @@
     });
     every(stage, 9_000, 40_000, 300, () => faults.read?.(stage));
   } },
+  'core-replaced': { what: 'a core machine is cut off, replaced under its name while it still runs, then cut to one side with it', seconds: 45, play: (stage) => {
+    const { fleet } = stage;
+    const sides = (left: readonly string[]): void => {
+      for (const a of fleet.boxes.keys()) for (const b of fleet.boxes.keys()) if (left.includes(a) !== left.includes(b)) fleet.cut(a, b);
+    };
+    let number = 0;
+    const put = (node: string): void => { number += 1; fleet.put(variant(stage.policy, number), () => undefined, node); };
+    fleet.clock.in(12_000, () => { sides(['core-2', 'front-1']); fleet.fault('core-2 and front-1 cut off'); });
+    fleet.clock.in(13_000, () => { fleet.twin('core-2'); fleet.fault('core-2 replaced while it runs'); });
+    fleet.clock.in(21_000, () => { fleet.heal(); sides(['core-2', 'front-1', 'core-1', 'core-3']); fleet.fault('cut again: the old core-2 on one side, the new one on the other'); });
+    every(stage, 21_500, 29_000, 1_500, () => { put('front-1'); put('front-2'); });
+    fleet.clock.in(30_000, () => { fleet.heal(); fleet.kill('core-2'); fleet.fault('healed, the old core-2 gone'); });
+    every(stage, 9_000, 40_000, 300, () => faults.read?.(stage));
+  } },
   'kill-after-ack': { what: 'all disks lose power just after a policy was acknowledged', seconds: 45, play: (stage) => {
     const { fleet } = stage;
     every(stage, 9_000, 34_000, 5_000, () => {
