Division: wants counted every half second, slices moved every half second

Seen: mallet ceilings: demand many times over the ceilings, yet services got 36 % of them on average; in saturated (nothing fails, all callers move to one hall at 30 s) use fell to a quarter and took 12 s to come back. Cause: wants were smoothed over 2 s measuring periods, so the goal crept; each step frees room only after 1.7 s, and each small step paid that again.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -16,10 +16,12 @@
   /** ms. A node's own record gets a new serial, which is its heartbeat. */
   heartbeat: 500,
   /** ms. The duty holder renews its term and publishes a division. */
-  division: 1_000,
+  division: 500,
   /** ms. A ping to each partner in the network (the paper: every few minutes; a changed delay
    *  must be seen inside one closing fault, so seconds here). */
   ping: 2_000,
+  /** ms. What a lathe's callers want of each service is counted anew: slices follow it. */
+  wants: 500,
   /** ms. Utilisation is measured (the paper: one minute; ours is shorter since 2 s rules bind). */
   measure: 2_000,
   /** ms. A vector is sent again though nothing changed, so that a lost one heals. */
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -167,8 +167,8 @@
 };
 
 const want = (work: Work, service: string): void => {
-  const { period } = work.state;
-  set(work, { period: { ...period, wants: { ...period.wants, [service]: (period.wants[service] ?? 0) + 1 } } });
+  const { wanted } = work.state;
+  set(work, { wanted: { ...wanted, counts: { ...wanted.counts, [service]: (wanted.counts[service] ?? 0) + 1 } } });
 };
 
 const fetchHere = (work: Work, transaction: Transaction): void => {
@@ -398,9 +398,7 @@
     return cut > 0 && Sieve.find(state.sieve, Sieve.key(hosts.get(key.slice(0, cut)) ?? '', key.slice(cut + 1)), {}, state.now) !== undefined;
   });
   set(work, {
-    period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0, wants: {} },
-    wants: Object.fromEntries([...new Set([...Object.keys(state.wants), ...Object.keys(period.wants)])].map((service) =>
-      [service, 0.5 * (state.wants[service] ?? 0) + 0.5 * (period.wants[service] ?? 0) * perSecond])),
+    period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
     sieve: Sieve.sweep(state.sieve, state.now),
   });
   const allBits = entries.reduce((sum, [, bits]) => sum + bits, 0);
@@ -410,7 +408,20 @@
   };
 };
 
+/** What was wanted in the last beat counts half, what was known before the other half. */
+const renewWants = (work: Work): void => {
+  const { wants, wanted, now } = work.state;
+  const ms = now - wanted.since;
+  if (ms < Beats.wants) return;
+  const services = new Set([...Object.keys(wants), ...Object.keys(wanted.counts)]);
+  set(work, {
+    wanted: { since: now, counts: {} },
+    wants: Object.fromEntries([...services].map((service) => [service, 0.5 * (wants[service] ?? 0) + (0.5 * (wanted.counts[service] ?? 0) * 1_000) / ms])),
+  });
+};
+
 const question = (work: Work): void => {
+  renewWants(work);
   const measurement = measure(work);
   const { state } = work;
   const report: Report = {
@@ -455,7 +466,7 @@
   open: (self: LatheState['self'], now: number): LatheState => ({
     self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty,
     transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: 0, suspects: {}, outstanding: {}, stopping: false, counters: {},
-    period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0, wants: {} }, wants: {},
+    period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 }, wants: {}, wanted: { since: now, counts: {} },
   }),
 
   /** Whether the platform may send callers here. @example Lathe.ready(state, 5) // false */
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -69,9 +69,11 @@
   readonly counters: Readonly<Record<string, number>>;
   readonly period: {
     readonly since: number; readonly bits: Readonly<Record<string, number>>; readonly servedBits: number; readonly replies: number;
-    readonly legMs: number; readonly fetched: number; readonly wants: Readonly<Record<string, number>>;
+    readonly legMs: number; readonly fetched: number;
   };
+  /** Legs a second that were wanted lately, and those counted since. */
   readonly wants: Readonly<Record<string, number>>;
+  readonly wanted: { readonly since: number; readonly counts: Readonly<Record<string, number>> };
 };
 
 export type LatheEvent =
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -186,6 +186,9 @@
       });
       every(stage, 12_000, 52_000, 6_000, () => faults.kill?.(stage));
     } },
+  saturated: { what: 'demand far above a low ceiling, nothing fails; halfway all callers move to one hall', seconds: 50, rate: 300,
+    policy: (policy) => ({ ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, { ...service, ceiling: name === 'application' ? 60 : 25 }])) }),
+    play: (stage) => { stage.fleet.clock.in(30_000, () => { stage.factor.skew = 'north'; }); } },
   cold: { what: 'origins crash and come back cold under load', seconds: 50, rate: 250,
     policy: (policy) => ({ ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, { ...service, coldRate: 2 }])) }),
     play: (stage) => {
