Duty: given up after 2 s without a beat instead of 3

Cause: 3 s until the duty counts as vacant, beside renewals that now come twice a second. It stays over the 1.7 s after which an older division has lapsed, as taking the duty needs.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -40,8 +40,10 @@
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
-  /** ms. A duty holder whose beat stood still this long is given up: three missed renewals. */
-  vacancy: 3_000,
+  /** ms. A duty holder whose beat stood still this long is given up: three or four missed renewals.
+   *  It must stay over `regrant`: a new holder counts only the division it finds, and those before
+   *  that must have lapsed by then. */
+  vacancy: 2_000,
   /** ms. One call between processes before it counts as lost. */
   call: 1_000,
   /** ms. One phase of a ballot before it is tried again with a higher one. */
