Where every instance is suspected, use a suspected one; 503 only for what was not run

Cause: a failed leg bars an instance for a second; with all of them failing, all were barred. And giving up for want of an instance or a lease took 503 whatever the ledger said.

--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -69,8 +69,10 @@
 export const rankOrigins = (state: LatheState, transaction: Transaction): readonly OriginRow[] => {
   const tried = new Set(transaction.legs.map((leg) => leg.to.id));
   const rows = (state.feed?.origins ?? []).filter((row) => row.service === transaction.route.service && atHome(transaction.route.homes, row.region));
-  const fresh = rows.filter((row) => !tried.has(originName(row)) && !suspect(state, originName(row)));
-  const pool = fresh.length > 0 ? fresh : rows.filter((row) => !suspect(state, originName(row)));
+  const untried = rows.filter((row) => !tried.has(originName(row)));
+  const trusted = untried.filter((row) => !suspect(state, originName(row)));
+  // Where every one is suspected, a suspected one is still better than none.
+  const pool = trusted.length > 0 ? trusted : untried.length > 0 ? untried : rows;
   const near = pool.filter((row) => row.region === state.self.region);
   const order = (list: readonly OriginRow[]): readonly OriginRow[] => {
     const weights = list.map((row) => row.capacity / (1 + (state.outstanding[originName(row)] ?? 0)) ** 2);
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -62,7 +62,9 @@
   close(work, transaction);
 };
 
-const giveUp = (work: Work, transaction: Transaction, status: 502 | 503 | 504, outcome: Outcome, why: string): void => {
+const giveUp = (work: Work, transaction: Transaction, reached: 502 | 503 | 504, outcome: Outcome, why: string): void => {
+  // A 503 says "not run" and nothing else.
+  const status = reached === 503 && outcome === 'unknown' ? 502 : reached;
   settle(work, transaction, outcome);
   count(work, 'given-up');
   if (!transaction.callerGone) {
