--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -3,7 +3,8 @@
 import type { AnvilReply, Fact, Voters } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
 import { chance, counts, log, sendToAnvil, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
-import type { ClaimState, ClaimValue, HallsValue, PolicyValue } from './terms.js';
+import { Spindle } from '@reedyard/spindle';
+import type { ClaimState, ClaimValue, HallsValue, NodeRecord, PolicyValue } from './terms.js';
 import { learnRegister } from './pulls.js';
 
 const isWatched = (key: string): key is Watched => (watched as readonly string[]).includes(key);
@@ -125,7 +126,7 @@
     }
     case 'claim':
       work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'chosen' ? { kind: 'granted' }
-        : end.kind === 'refused' ? { kind: 'taken', state: (end.value as ClaimValue).state } : { kind: 'unreached' } });
+        : end.kind === 'refused' ? { kind: 'taken', state: claimState(work, end.value as ClaimValue) } : { kind: 'unreached' } });
       return;
     case 'settle':
       work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' } });
@@ -137,6 +138,13 @@
   }
 };
 
+/** A claim that is pending in a life that is over has no known outcome any more. */
+const claimState = (work: Work, claim: ClaimValue): ClaimState => {
+  if (claim.state !== 'pending') return claim.state;
+  const record = Spindle.get(work.state.spindle, `node/${claim.node}`) as NodeRecord | undefined | null;
+  return record && record.latheLife === claim.life ? 'pending' : 'unknown';
+};
+
 const remember = (changes: PolicyValue['changes'], id: string, serial: number): PolicyValue['changes'] => [...changes, { id, serial }].slice(-Sizes.recentChanges);
 
 /** The changes that are made to registers. Each knows its own earlier work by an id in the value. */
@@ -157,14 +165,14 @@
       value: { serial: old.serial + 1, emptied: order === 'empty' ? [...others, hall] : others, changes: remember(old.changes, changeId, old.serial + 1) } satisfies HallsValue,
     };
   },
-  claim: (token: string): Change => (current) => {
+  claim: (token: string, node: string, life: string): Change => (current) => {
     const old = current as ClaimValue | null;
-    if (old === null || (old.state === 'not-run' && old.token !== token)) return { kind: 'write', value: { token, state: 'pending' } satisfies ClaimValue };
+    if (old === null || (old.state === 'not-run' && old.token !== token)) return { kind: 'write', value: { token, state: 'pending', node, life } satisfies ClaimValue };
     return old.token === token && old.state === 'pending' ? { kind: 'keep' } : { kind: 'refuse', reason: old.state };
   },
   settle: (token: string, state: ClaimState): Change => (current) => {
     const old = current as ClaimValue | null;
-    return old === null || old.token !== token || old.state === state ? { kind: 'keep' } : { kind: 'write', value: { token, state } satisfies ClaimValue };
+    return old === null || old.token !== token || old.state === state ? { kind: 'keep' } : { kind: 'write', value: { ...old, state } satisfies ClaimValue };
   },
   /** A holder's next division: fenced by the term. */
   plan: (goal: Plan): Change => (current) => {
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -34,14 +34,14 @@
   const { state } = work;
   switch (body.kind) {
     case 'feed': {
-      const first = state.report === null || state.report.report.stopping !== body.report.stopping;
+      const first = state.report === null || state.report.report.latheLife !== body.report.latheLife || state.report.report.stopping !== body.report.stopping;
       set(work, { report: { report: body.report, at: state.now } });
       if (first) heartbeat(work);
       if (body.report.measure !== null) tookMeasure(work, body.report.measure);
       work.effects.push({ kind: 'tell', id, body: feed(work.state, body.report) });
       return;
     }
-    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token), { kind: 'claim', id, token: body.token }); return;
+    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life), { kind: 'claim', id, token: body.token }); return;
     case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
   }
 };
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -13,6 +13,7 @@
     id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe, anvil: self.anvil,
     ready: self.lathe !== null && fed && !report.report.stopping && now < work.state.lease,
     staying: self.lathe !== null && fed && !report.report.stopping,
+    latheLife: report?.report.latheLife ?? '',
     wants: fed ? report.report.wants : {},
   };
   set(work, { spindle: Spindle.tell(work.state.spindle, `node/${self.id}`, record, now) });
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -21,6 +21,8 @@
   readonly ready: boolean;
   /** Whether its lathe runs and is not leaving: it keeps its slices through a short loss of its lease. */
   readonly staying: boolean;
+  /** Names the life of its lathe; a claim of another life is nobody's any more. */
+  readonly latheLife: string;
   /** Legs a second that its lathe would like to make, by service. */
   readonly wants: Readonly<Record<string, number>>;
 };
@@ -41,7 +43,7 @@
 
 /** What a claim's register holds: never a body. */
 export type ClaimState = 'pending' | 'ran' | 'not-run' | 'unknown';
-export type ClaimValue = { readonly token: string; readonly state: ClaimState };
+export type ClaimValue = { readonly token: string; readonly state: ClaimState; readonly node: string; readonly life: string };
 
 /** What a lathe measured over one period. */
 export type Measure = {
@@ -58,6 +60,7 @@
 export type Report = {
   readonly policySerial: number;
   readonly life: string;
+  readonly latheLife: string;
   readonly purgeSeq: number;
   readonly stopping: boolean;
   readonly wants: Readonly<Record<string, number>>;
@@ -94,7 +97,7 @@
 /** What a lathe asks of its jig. */
 export type LatheCall =
   | { readonly kind: 'feed'; readonly report: Report }
-  | { readonly kind: 'claim'; readonly key: string; readonly token: string }
+  | { readonly kind: 'claim'; readonly key: string; readonly token: string; readonly life: string }
   | { readonly kind: 'settle'; readonly key: string; readonly token: string; readonly state: ClaimState };
 
 export type ClaimReply =
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -220,7 +220,7 @@
   };
   set(work, { transactions: { ...state.transactions, [id]: transaction } });
   earnRepeat(work);
-  if (transaction.claim !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claim.key, token } });
+  if (transaction.claim !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claim.key, token, life: state.self.life } });
   else start(work, transaction);
 };
 
@@ -427,7 +427,7 @@
   const measurement = measure(work);
   const { state } = work;
   const report: Report = {
-    policySerial: state.policy?.serial ?? 0, life: state.life, purgeSeq: state.purgeSeq, stopping: state.stopping, wants: state.wants, measure: measurement,
+    policySerial: state.policy?.serial ?? 0, life: state.life, latheLife: state.self.life, purgeSeq: state.purgeSeq, stopping: state.stopping, wants: state.wants, measure: measurement,
     counters: { ...state.counters, underWay: Object.keys(state.transactions).length, copies: state.sieve.copies.size, copyBytes: state.sieve.bytes },
   };
   work.effects.push({ kind: 'question', report });
@@ -464,7 +464,7 @@
 };
 
 export const Lathe = {
-  /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7 }, 0).lease // 0: nothing is served yet */
+  /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
   open: (self: LatheState['self'], now: number): LatheState => ({
     self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty,
     transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: 0, suspects: {}, outstanding: {}, stopping: false, counters: {},
--- a/packages/lathe/src/main.ts
+++ b/packages/lathe/src/main.ts
@@ -116,7 +116,7 @@
     }
   };
   const task = Task.run<LatheState, LatheEvent, LatheEffect>({
-    initial: Lathe.open({ id: settings.name, hall: settings.hall, region: settings.region, capacityBps: settings.lathe.capacityBps }, now()), reduce: Lathe.reduce, perform,
+    initial: Lathe.open({ id: settings.name, hall: settings.hall, region: settings.region, capacityBps: settings.lathe.capacityBps, life: randomUUID() }, now()), reduce: Lathe.reduce, perform,
   });
 
   const refuse = (response: http.ServerResponse, status: number, title: string, detail: string): void => {
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -45,7 +45,7 @@
 export type Bucket = { readonly tokens: number; readonly at: number; readonly rate: number };
 
 export type LatheState = {
-  readonly self: { readonly id: string; readonly hall: string; readonly region: string; readonly capacityBps: number };
+  readonly self: { readonly id: string; readonly hall: string; readonly region: string; readonly capacityBps: number; readonly life: string };
   readonly now: number;
   readonly lease: number;
   readonly life: string;
--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -30,8 +30,11 @@
   // 2. Told that a request was turned away when it actually ran.
   2: (history) => {
     const ran = new Set(only(history, 'ran').map((entry) => entry.submission));
-    return only(history, 'got').flatMap((entry) => (entry.method === 'POST' && entry.outcome === 'not-run' && ran.has(entry.submission)
-      ? [{ rule: 2, at: entry.at, what: `${entry.job} was told not-run (${entry.status}) but ran` }] : []));
+    return only(history, 'got').flatMap((entry) => {
+      if (entry.method === 'POST' && entry.outcome === 'not-run' && ran.has(entry.submission)) return [{ rule: 2, at: entry.at, what: `${entry.job} was told not-run (${entry.status}) but ran` }];
+      if (entry.status === 503 && entry.outcome !== 'not-run') return [{ rule: 2, at: entry.at, what: `a 503 that does not say not-run: ${entry.why}` }];
+      return entry.status >= 502 && entry.status <= 504 && !entry.retryAfter ? [{ rule: 2, at: entry.at, what: `a ${entry.status} that does not say when to come back` }] : [];
+    });
   },
 
   // 3. A success without stamp and whole body, or attached to another request.
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -192,8 +192,9 @@
   }
 
   #startLathe(box: Box): void {
+    this.#lives += 1;
     const { machine } = box;
-    const process = this.#make('lathe', machine, (now) => Lathe.open({ id: machine.name, hall: machine.hall, region: machine.region, capacityBps: machine.capacityBps ?? 8e6 }, now));
+    const process = this.#make('lathe', machine, (now) => Lathe.open({ id: machine.name, hall: machine.hall, region: machine.region, capacityBps: machine.capacityBps ?? 8e6, life: `lathe-${this.#lives}` }, now));
     box.lathe = process;
     this.#every(process, Beats.lathe, () => this.#step(process, { kind: 'beat', now: this.#now(process) }));
     this.#step(process, { kind: 'ask', now: this.#now(process) });
--- a/packages/trammel/src/trammel.test.ts
+++ b/packages/trammel/src/trammel.test.ts
@@ -3,7 +3,7 @@
 import { Stencil, type Description } from '@reedyard/stencil';
 import { plan, type Known } from './index.js';
 
-const node = (id: string, hall: string, region: string, want: number): NodeRecord => ({ id, hall, region, address: '', lathe: { callers: '', partners: '', capacityBps: 1 }, anvil: null, ready: true, staying: true, wants: { store: want } });
+const node = (id: string, hall: string, region: string, want: number): NodeRecord => ({ id, hall, region, address: '', lathe: { callers: '', partners: '', capacityBps: 1 }, anvil: null, ready: true, staying: true, latheLife: '', wants: { store: want } });
 const origin = (instance: string, hall: string): Description => ({ service: 'store', instance, incarnation: 1, address: '10.0.0.1:1', region: 'r', hall, capacity: 10, state: 'warm', draining: false });
 const policy = Stencil.policy({ services: { store: { ceiling: 100, coldRate: 5 } }, routes: [{ name: 'sheets', host: 'a.example', path: '/sheets/', service: 'store' }] });
 const known: Known = {
