Lathe: a transaction's end is told, so nothing is kept of callers who left

Seen on reading: a caller who left before its answer left an entry behind in the shell, which also made a warned stop wait its full four seconds.

--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -32,6 +32,7 @@
 const close = (work: Work, transaction: Transaction): void => {
   const { [transaction.id]: _gone, ...rest } = work.state.transactions;
   set(work, { transactions: rest });
+  work.effects.push({ kind: 'closed', id: transaction.id });
 };
 
 /** Counts an answer in the vectors' measurements: demand only for this edge's own callers. */
@@ -235,13 +236,13 @@
     return;
   }
   if (reply.kind === 'unreached') { giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed'); return; }
-  close(work, transaction);
   const known = reply.state === 'pending' ? 'in-progress' : reply.state;
   count(work, 'claims.taken', 'status.409');
   work.effects.push({ kind: 'answer', id, answer: {
     status: 409, headers: { 'reedyard-outcome': known, ...(known === 'in-progress' ? { 'retry-after': String(Limits.retryAfterSeconds) } : {}) },
     body: { kind: 'problem', title: 'Key already used', detail: `A request with this key was sent before; its outcome is: ${known}. It is not run again.`, outcome: known },
   } });
+  close(work, transaction);
 };
 
 const endLeg = (work: Work, transaction: Transaction, number: number, end: LegEnd): Transaction | undefined => {
--- a/packages/lathe/src/main.ts
+++ b/packages/lathe/src/main.ts
@@ -96,6 +96,7 @@
         opened.delete(effect.id);
         return;
       }
+      case 'closed': opened.delete(effect.id); return;
       case 'ask':
         call(feedAddress, '/feed', effect.call, Limits.proposal + Limits.call).then(
           (reply) => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: reply as ClaimReply, now: now() }); },
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -100,6 +100,8 @@
   | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean }
   | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
   | { readonly kind: 'answer'; readonly id: number; readonly answer: Answer }
+  /** A transaction is over: nothing more will be said of it. */
+  | { readonly kind: 'closed'; readonly id: number }
   | { readonly kind: 'ask'; readonly id: number; readonly call: LatheCall }
   | { readonly kind: 'question'; readonly report: Report }
   | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -387,6 +387,7 @@
         else this.#toPartner(process, effect.to, effect.asked, effect.mark, about, done, fail);
         return;
       }
+      case 'closed': this.#submissions.get(process)?.delete(effect.id); return;
       case 'abort': { const leg = this.#legs.get(`${name}/${process.clockFrom}/${effect.id}/${effect.leg}`); if (leg !== undefined) leg.aborted = true; return; }
       case 'answer': {
         const caller = this.#callers.get(process)?.get(effect.id);
