Founding: who comes later keeps the epoch that another has just founded

Seen: mallet spread at a loss of 5 %: no policy was ever acknowledged. Cause: an anvil that read an already founded one founded again, one epoch higher, although those voters named exactly the disks it saw. Five anvils ended with epochs 1, 2, 2, 3, 3: no majority names any.

--- /dev/null
+++ b/packages/anvil/src/anvil.test.ts
@@ -0,0 +1,132 @@
+import test from 'ava';
+import { Anvil, nextStep, votersKey, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState, type AnvilAsk, type Voters } from './core.js';
+
+const chanceFrom = (seed: number): (() => number) => { let state = seed + 1; return () => { state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0; return state / 4_294_967_296; }; };
+type Flying = { readonly to: string; readonly from: string; readonly id: number; readonly ask?: AnvilAsk; readonly reply?: AnvilReply };
+
+/** Anvils that talk over a bench where any message may come next, or get lost. */
+class Bench {
+  readonly states = new Map<string, AnvilState>();
+  readonly disks = new Map<string, AnvilRecord[]>();
+  flying: Flying[] = [];
+  now = 0;
+  readonly #asking = new Map<string, { from: string; id: number }>();
+  #asks = 0;
+  #lives = 0;
+  constructor(readonly names: readonly string[], readonly chance: () => number) { names.forEach((name) => this.open(name)); }
+
+  open(name: string): void {
+    this.#lives += 1;
+    const others = Object.fromEntries(this.names.filter((each) => each !== name).map((each) => [each, each]));
+    const opened = Anvil.open({ name, others, records: this.disks.get(name) ?? [], freshDisk: `disk-${this.#lives}`, now: this.now });
+    this.states.set(name, opened.state);
+    this.perform(name, opened.effects);
+  }
+  wipe(name: string): void { this.disks.set(name, []); this.flying = this.flying.filter((each) => each.from !== name && each.to !== name); this.open(name); }
+
+  perform(name: string, effects: readonly AnvilEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'append') this.disks.set(name, [...(this.disks.get(name) ?? []), ...effect.records]);
+      if (effect.kind === 'call') this.flying.push({ to: effect.to, from: name, id: effect.id, ask: effect.body });
+      if (effect.kind === 'tell') {
+        const asker = this.#asking.get(`${name}/${effect.id}`);
+        if (asker !== undefined) this.flying.push({ to: asker.from, from: name, id: asker.id, reply: effect.body });
+      }
+    }
+  }
+  step(name: string, event: AnvilEvent): void {
+    const state = this.states.get(name);
+    if (state === undefined) return;
+    const done = Anvil.reduce(state, event);
+    this.states.set(name, done.state);
+    this.perform(name, done.effects);
+  }
+  /** One thing happens: a beat somewhere, or a message comes or is lost. */
+  tick(loss: number): void {
+    this.now += 20;
+    const draw = this.chance();
+    if (this.flying.length === 0 || draw < 0.3) { this.step(this.names[Math.floor(this.chance() * this.names.length)] ?? '', { kind: 'beat', now: this.now }); return; }
+    const [message] = this.flying.splice(Math.floor(this.chance() * this.flying.length), 1);
+    if (message === undefined) return;
+    if (this.chance() < loss) {
+      if (message.reply === undefined) this.step(message.from, { kind: 'lost', id: message.id, now: this.now }); else this.step(message.to, { kind: 'lost', id: message.id, now: this.now });
+      return;
+    }
+    if (message.reply !== undefined) { this.step(message.to, { kind: 'returned', id: message.id, body: message.reply, now: this.now }); return; }
+    this.#asks += 1;
+    this.#asking.set(`${message.to}/${this.#asks}`, { from: message.from, id: message.id });
+    if (message.ask !== undefined) this.step(message.to, { kind: 'asked', id: this.#asks, body: message.ask, now: this.now });
+  }
+  voters(): readonly (Voters | undefined)[] { return this.names.map((name) => this.states.get(name)?.cells.get(votersKey)?.accepted?.value as Voters | undefined); }
+}
+
+test('founding: in whatever order they hear of each other, and whatever is lost, all come to the same voters', (t) => {
+  for (let seed = 0; seed < 400; seed += 1) {
+    const bench = new Bench(seed % 2 === 0 ? ['a', 'b', 'c'] : ['a', 'b', 'c', 'd', 'e'], chanceFrom(seed));
+    for (let each = 0; each < 900; each += 1) bench.tick(seed % 4 < 2 ? 0 : 0.15);
+    const voters = bench.voters();
+    t.true([...bench.states.values()].every((state) => state.voting), `seed ${seed}`);
+    t.is(new Set(voters.map((each) => JSON.stringify([each?.epoch, Object.entries(each?.disks ?? {}).sort()]))).size, 1, `seed ${seed}`);
+  }
+});
+
+test('a wiped anvil does not vote until the voters name its new disk and it has read the others', (t) => {
+  const bench = new Bench(['a', 'b', 'c'], chanceFrom(7));
+  for (let each = 0; each < 600; each += 1) bench.tick(0);
+  const before = bench.voters()[0];
+  bench.wipe('c');
+  for (let each = 0; each < 600; each += 1) bench.tick(0.1);
+  t.false(bench.states.get('c')?.voting);
+  const told = { ballot: [9, 'jig'] as const, value: { epoch: (before?.epoch ?? 0) + 1, disks: { ...before?.disks, c: bench.states.get('c')?.disk ?? '' } } };
+  bench.step('c', { kind: 'asked', id: 9_999, body: { voters: told, call: { kind: 'pull', cursor: null, keys: [] } }, now: bench.now });
+  for (let each = 0; each < 600; each += 1) bench.tick(0.1);
+  t.true(bench.states.get('c')?.voting);
+  // Whom it read was told first: nobody of them goes on in the old epoch.
+  t.true(bench.voters().every((each) => each?.epoch === told.value.epoch));
+});
+
+test('when a disk that does not vote may come to do so', (t) => {
+  const disks = { a: '1', b: '2', c: '3', d: '4', e: '5' };
+  const other = (state: 'reading' | 'blank' | 'done', disk: string, epoch = 2): { state: 'reading' | 'blank' | 'done'; disk: string; epoch: number } => ({ state, disk, epoch });
+  const me = (name: string, others: Parameters<typeof nextStep>[0]['others'], epoch = 2): ReturnType<typeof nextStep> => nextStep({ name: 'a', disk: name, voters: { epoch, disks }, others });
+  t.is(me('1', { b: other('done', '2'), c: other('done', '3'), d: other('done', '4'), e: other('reading', '') }), 'vote');
+  t.is(me('1', { b: other('done', '2'), c: other('done', '3'), d: other('reading', ''), e: other('reading', '') }), 'wait');
+  t.is(me('1', { b: other('done', '2', 1), c: other('done', '3'), d: other('done', '4'), e: other('reading', '') }), 'wait');
+  t.is(me('1', { b: other('done', 'old'), c: other('done', '3'), d: other('done', '4'), e: other('reading', '') }), 'wait');
+  t.is(me('new', { b: other('done', '2'), c: other('done', '3'), d: other('done', '4'), e: other('done', '5') }), 'wait');
+  t.is(me('new', { b: other('blank', '8'), c: other('blank', '9'), d: other('done', '4'), e: other('done', '5') }), 'found');
+  t.is(me('new', { b: other('blank', '8'), c: other('reading', ''), d: other('done', '4'), e: other('done', '5') }), 'wait');
+});
+
+test('an anvil that knows newer voters refuses a caller that counts by older ones', (t) => {
+  const bench = new Bench(['a', 'b', 'c'], chanceFrom(3));
+  for (let each = 0; each < 600; each += 1) bench.tick(0);
+  const [voters] = bench.voters();
+  const ballot = bench.states.get('a')?.cells.get(votersKey)?.accepted?.ballot ?? [0, ''];
+  const asked = (epoch: number): AnvilReply | undefined => {
+    const state = bench.states.get('a');
+    if (state === undefined || voters === undefined) return undefined;
+    const { effects } = Anvil.reduce(state, { kind: 'asked', id: 1, body: { voters: { ballot, value: { ...voters, epoch } }, call: { kind: 'pull', cursor: null, keys: [] } }, now: bench.now });
+    return effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []))[0];
+  };
+  t.is(asked(voters?.epoch ?? 0)?.kind, 'pulled');
+  t.is(asked((voters?.epoch ?? 0) - 1)?.kind, 'stale');
+});
+
+test('a place on the board survives a restart, so no cursor skips a fact', (t) => {
+  const bench = new Bench(['a'], chanceFrom(1));
+  bench.step('a', { kind: 'beat', now: 100 });
+  const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
+  const post = (key: string, id: number): void => bench.step('a', { kind: 'asked', id, body: { voters, call: { kind: 'post', facts: [{ key, value: 1 }] } }, now: bench.now });
+  post('purge/1', 1);
+  post('purge/2', 2);
+  const state = bench.states.get('a');
+  if (state === undefined) { t.fail(); return; }
+  // Everything aged away, then a snapshot, then a restart.
+  const aged = Anvil.reduce(state, { kind: 'beat', now: 1e9 }).state;
+  t.is(aged.facts.length, 0);
+  bench.disks.set('a', [...Anvil.records(aged)]);
+  bench.open('a');
+  post('purge/3', 3);
+  t.is(bench.states.get('a')?.facts[0]?.seq, 3);
+});
--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -250,8 +250,11 @@
   if (step === 'found') {
     // All that found at once come to the same voters under the same ballot.
     const disks = { ...known?.value.disks, ...Object.fromEntries(Object.entries(others).map(([name, other]) => [name, other.disk])), [state.name]: state.disk };
+    const names = Object.keys(disks);
+    const founded = known !== null && names.length === Object.keys(known.value.disks).length && names.every((name) => known.value.disks[name] === disks[name as keyof typeof disks]);
     const ballot: Ballot = [(known?.ballot[0] ?? 0) + 1, 'founding'];
-    keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch: (known?.value.epoch ?? 0) + 1, disks } satisfies Voters } }, now);
+    // Another may have founded the very same just before: then that epoch stands.
+    if (!founded) keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch: (known?.value.epoch ?? 0) + 1, disks } satisfies Voters } }, now);
   }
   set(work, { voting: true, readings: {} });
   work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: state.disk, cells: work.state.cells.size, step } });
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -71,12 +71,12 @@
     const majority = majorityOf(Object.keys(work.state.anvils).length);
     if (Ballots.compare(highest, known) > 0) {
       const holders = shown.filter(({ ballot }) => Ballots.compare(ballot, highest) === 0);
-      const busy = Object.values(work.state.pending).some((each) => each.kind === 'fetch' && each.key === key);
+      const busy = Object.values(work.state.pending).some((each) => each.kind === 'fetch' && each.key === key && work.state.now - each.sentAt < Beats.pull);
       const repairing = Object.values(work.state.pursuits).some((pursuit) => pursuit.proposal.key === key);
       if (holders.length >= majority) {
         const chosenHolder = holders[Math.floor(chance(work) * holders.length)];
         const address = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder.name]?.address;
-        if (!busy && address !== undefined) sendToAnvil(work, address, { kind: 'fetch', key }, { kind: 'fetch', key });
+        if (!busy && address !== undefined) sendToAnvil(work, address, { kind: 'fetch', key }, { kind: 'fetch', key, sentAt: work.state.now });
       } else if (!repairing && chance(work) < 0.1) pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
     } else if (key !== 'voters' && Ballots.compare(known, Ballots.none) > 0 && chance(work) < 0.1
       && Object.values(work.state.anvils).filter((view) => view.pulled !== null && view.pulled.sentAt > (work.state.registers[key]?.at ?? 0)
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -41,7 +41,7 @@
 
 export type Pending =
   | { readonly kind: 'pull'; readonly anvil: string; readonly sentAt: number }
-  | { readonly kind: 'fetch'; readonly key: Watched }
+  | { readonly kind: 'fetch'; readonly key: Watched; readonly sentAt: number }
   | { readonly kind: 'vote'; readonly pursuit: number; readonly anvil: string; readonly phase: 'prepare' | 'accept'; readonly ballot: Ballot }
   | { readonly kind: 'post'; readonly posting: number; readonly anvil: string }
   | { readonly kind: 'exchange'; readonly to: string; readonly partner: string | null }
