--- /dev/null
+++ b/packages/vise/src/vise.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import { Vise, ViseError } from './index.js';
+
+const good = { name: 'core-1', host: '10.0.0.1', hall: 'west', region: 'home', seeds: ['10.0.0.1:7001'], founders: { 'core-1': '10.0.0.1:7101' }, jig: { port: 7001, apiPort: 7080, feedPort: 7002 }, anvil: { port: 7101 } };
+const fault = (raw: unknown): string => { const error = (() => { try { Vise.check(raw, 'core-1.json'); return null; } catch (thrown) { return thrown; } })(); return error instanceof ViseError ? error.message : 'none'; };
+
+test('good settings are taken, with their defaults', (t) => {
+  t.is(Vise.check(good, 'x').dataFolder, 'data');
+  t.is(fault(good), 'none');
+});
+
+test('a fault names the file, the field, what was found and what is wanted', (t) => {
+  t.regex(fault({ ...good, host: 'localhost' }), /core-1\.json: host: found "localhost"; wanted an IP number/);
+  t.regex(fault({ ...good, name: 'Core 1' }), /name: found "Core 1"; wanted a name of small letters/);
+  t.regex(fault({ ...good, seeds: ['10.0.0.1'] }), /seeds\.0: found "10\.0\.0\.1"; wanted IP:PORT/);
+  t.regex(fault({ ...good, jig: { ...good.jig, port: 70_000 } }), /jig\.port: found 70000/);
+  t.regex(fault({ ...good, typo: 1 }), /typo/);
+  t.regex(fault({ ...good, founders: { other: '10.0.0.2:7101' } }), /wanted the founders to name core-1/);
+  t.regex(fault({}), /hall: found nothing/);
+});
+
+test('flags lie over the file', (t) => {
+  const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'vise-')), 'core-1.json');
+  writeFileSync(file, JSON.stringify(good));
+  const read = Vise.read(file, ['jig.port=8001', 'hall=north']);
+  t.is(read.jig.port, 8_001);
+  t.is(read.hall, 'north');
+  t.is(read.jig.apiPort, 7_080);
+  t.throws(() => Vise.read('/nowhere.json', []), { instanceOf: ViseError, message: /nowhere\.json: \(whole file\)/ });
+  t.throws(() => Vise.read(file, ['nonsense']), { instanceOf: ViseError });
+});
