reedyard: nodes from the environment are one text with commas

Seen on trying the README: with REEDYARD_NODES set every command asked nodes named '1', '2', '7' … Cause: a list flag of the command-line library takes its environment variable letter by letter. A test now runs the program itself against a stand-in of the API, with its nodes from the environment.

--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -8,7 +8,8 @@
 export abstract class BaseCommand extends Command {
   static override enableJsonFlag = true;
   static override baseFlags = {
-    node: Flags.string({ char: 'n', multiple: true, env: 'REEDYARD_NODES', delimiter: ',', description: 'API of a node, IP:PORT; give several to have others tried', default: ['127.0.0.1:7080'] }),
+    // One text, split here: a list flag takes its environment variable letter by letter.
+    node: Flags.string({ char: 'n', env: 'REEDYARD_NODES', description: 'API of a node, IP:PORT; several, with commas between, are tried in turn', default: '127.0.0.1:7080' }),
   };
   static changeFlag = Flags.string({ description: 'change id: sent again with the same one, a change is made once', default: async () => randomUUID(), defaultHelp: async () => 'a random one' });
 
@@ -26,8 +27,8 @@
     }
   }
 
-  protected async call(nodes: readonly string[], method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> {
-    return ask(nodes, method, target, document, headers);
+  protected async call(nodes: string, method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> {
+    return ask(nodes.split(',').map((node) => node.trim()).filter((node) => node !== ''), method, target, document, headers);
   }
 
   /** What people see where no `--json` is asked for. */
--- /dev/null
+++ b/packages/reedyard/src/reedyard.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { execFile } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
+const program = fileURLToPath(new URL('../bin/run.js', import.meta.url));
+const run = (args: readonly string[], nodes: string, input = ''): Promise<{ code: number; out: string; err: string }> => new Promise((resolve) => {
+  const child = execFile(process.execPath, [program, ...args], { env: { ...process.env, REEDYARD_NODES: nodes } }, (error, out, err) => resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err }));
+  child.stdin?.end(input);
+});
+
+test('the command line: nodes from the environment tried in turn, documents sent, exit codes kept', async (t) => {
+  const heard: { method: string; url: string; change: string; text: string }[] = [];
+  const server = http.createServer((request, response) => {
+    let text = '';
+    request.on('data', (chunk) => { text += String(chunk); });
+    request.on('end', () => {
+      heard.push({ method: request.method ?? '', url: request.url ?? '', change: String(request.headers['reedyard-change-id'] ?? ''), text });
+      const status = request.url === '/v1/halls/nowhere' ? 422 : request.url === '/ready' ? 503 : 200;
+      response.writeHead(status, { 'content-type': 'application/json' });
+      response.end(JSON.stringify(status === 200 ? { serial: 4 } : { title: 'No', status, detail: 'because', faults: [{ path: '/x', message: 'wrong' }] }));
+    });
+  });
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve); });
+  t.teardown(() => { server.close(); server.closeAllConnections(); });
+  const node = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const nodes = `127.0.0.1:1, ${node}`;
+
+  const policy = JSON.stringify({ services: { s: { ceiling: '{{c:5}}', coldRate: 1 } }, routes: [] });
+  const put = await run(['policy', 'put', '-', '--change', 'c-1', '--param', 'c=9', '--json'], nodes, policy);
+  t.is(put.code, 0);
+  t.deepEqual(JSON.parse(put.out), { serial: 4 });
+  t.deepEqual(heard[0], { method: 'PUT', url: '/v1/policy', change: 'c-1', text: '{"services":{"s":{"ceiling":9,"coldRate":1}},"routes":[]}' });
+
+  const refused = await run(['hall', 'empty', 'nowhere'], nodes);
+  t.is(refused.code, 3);
+  t.regex(refused.err, /422 No: because\n {2}\/x: wrong/);
+  t.is((await run(['policy', 'put', '-'], nodes, '{"services":')).code, 2);
+  t.is((await run(['policy', 'check', '-'], nodes, '{"services":{},"routes":[{}]}')).code, 3);
+  t.is((await run(['purge'], nodes)).code, 2);
+  t.is((await run(['nonsense'], nodes)).code, 2);
+  t.is((await run(['ready'], nodes)).code, 5);
+  const unreached = await run(['status', '--json'], '127.0.0.1:1');
+  t.is(unreached.code, 4);
+  t.is((JSON.parse(unreached.out) as { exit: number }).exit, 4);
+});
