--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -90,10 +90,18 @@
   notices: state.notices, splits: state.splits, split: state.split,
 });
 
-const isReady = (state: JigState): boolean =>
-  state.now < state.lease && policyOf(state) !== null && state.self.lathe !== null && state.report !== null && state.now - state.report.at < Limits.lease
-  && !state.report.report.stopping && hallsOf(state)?.emptied.includes(state.self.hall) !== true
-  && (Object.keys(policyOf(state)?.document.services ?? {}).length === 0 || Object.values(planOf(state)?.slices ?? {}).some((slices) => (slices[state.self.id] ?? 0) > 0));
+/** Why no callers should come to this node, or null if they may. */
+const notReady = (state: JigState): string | null => {
+  const policy = policyOf(state);
+  if (state.self.lathe === null) return 'this machine has no lathe';
+  if (state.now >= state.lease) return 'it is cut off from the control state';
+  if (policy === null) return 'no policy is known';
+  if (state.report === null || state.now - state.report.at >= Limits.lease) return 'its lathe does not ask for news';
+  if (state.report.report.stopping) return 'its lathe is leaving';
+  if (hallsOf(state)?.emptied.includes(state.self.hall) === true) return 'its hall is emptied';
+  const seated = Object.keys(policy.document.services).length === 0 || Object.values(planOf(state)?.slices ?? {}).some((slices) => (slices[state.self.id] ?? 0) > 0);
+  return seated ? null : 'the division does not know it yet';
+};
 
 const operator = (work: Work, id: number, action: Action): void => {
   const { state } = work;
@@ -116,7 +124,12 @@
     }
     case 'partners': answer(200, { node: state.self.id, view: state.spindle.view.map((each) => each.id), partners: nodesOf(state).map(({ record, seenAt }) => ({
       ...record, self: record.id === state.self.id, silentMs: Math.round(state.now - seenAt), delaySeconds: delayTo(state, record.id) })) }); return;
-    case 'ready': if (isReady(state)) answer(200, { ready: true }); else answer(503, { ready: false }, Limits.retryAfterSeconds); return;
+    case 'ready': {
+      const why = notReady(state);
+      if (why === null) answer(200, { ready: true });
+      else answer(503, { type: 'about:blank', title: 'Not ready', status: 503, detail: why, ready: false }, Limits.retryAfterSeconds);
+      return;
+    }
     case 'live': answer(200, { live: true }); return;
   }
 };
--- a/packages/notch/src/index.ts
+++ b/packages/notch/src/index.ts
@@ -86,13 +86,14 @@
 };
 
 /**
- * Opens the log in a folder: newest whole snapshot, then the segments after it.
+ * Opens the log in a folder: newest whole snapshot, then the segments after it. Segments are written
+ * through `files`, which a test may fill up.
  *
  * @example
  * const notch = await openNotch('/var/lib/reedyard/core-1');
  * await notch.append([{ kind: 'voting' }]); // on disk from here on
  */
-export const openNotch = async (folder: string): Promise<Notch> => {
+export const openNotch = async (folder: string, files: Pick<typeof fs, 'open'> = fs): Promise<Notch> => {
   const turned = (thrown: unknown): NotchError => thrown instanceof NotchError ? thrown
     : new NotchError((thrown as NodeJS.ErrnoException).code === 'ENOSPC' ? 'full' : 'disk', `${folder}: ${textOf(thrown)}`, { cause: thrown });
   try {
@@ -120,7 +121,7 @@
 
     let number = logNumbers.at(-1) ?? Math.max(snapNumber, 1);
     const openSegment = async (which: number): Promise<{ handle: fs.FileHandle; bytes: number }> => {
-      const handle = await fs.open(path.join(folder, nameOf('log', which)), 'a');
+      const handle = await files.open(path.join(folder, nameOf('log', which)), 'a');
       const { size } = await handle.stat();
       if (size === 0) { await handle.write(mark); await handle.sync(); await syncFolder(folder); }
       return { handle, bytes: size === 0 ? mark.length : size };
--- a/packages/notch/src/notch.test.ts
+++ b/packages/notch/src/notch.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import os from 'node:os';
 import path from 'node:path';
+import { promises as fs } from 'node:fs';
 import { appendFileSync, copyFileSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, truncateSync, writeFileSync } from 'node:fs';
 import { frame, NotchError, openNotch, unframe } from './index.js';
 
@@ -81,3 +82,30 @@
   for (const [number, record] of [[1, 'a'], [3, 'c']] as const) writeFileSync(path.join(home, `log-0000000${number}`), Buffer.concat([Buffer.from('reedyard-notch 1\n'), frame(record)]));
   await t.throwsAsync(openNotch(home), { instanceOf: NotchError, message: /log-00000002 is missing/ });
 });
+
+test('a full disk, or a sync that fails, acknowledges nothing from then on, and what was acknowledged is there', async (t) => {
+  for (const broken of ['write', 'datasync'] as const) {
+    const home = folder();
+    let full = false;
+    const open = async (...args: Parameters<typeof fs.open>): Promise<fs.FileHandle> => {
+      const handle = await fs.open(...args);
+      return new Proxy(handle, { get: (target, name) => {
+        if (full && name === broken) return async () => { throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' }); };
+        const value = Reflect.get(target, name) as unknown;
+        return typeof value === 'function' ? (value as (...rest: unknown[]) => unknown).bind(target) : value;
+      } });
+    };
+    const notch = await openNotch(home, { open: open as typeof fs.open });
+    await notch.append(['kept']);
+    full = true;
+    t.is((await t.throwsAsync(notch.append(['lost']), { instanceOf: NotchError }))?.code, 'full');
+    full = false;
+    // The disk has room again, but what the file holds is not known any more.
+    await t.throwsAsync(notch.append(['after']), { instanceOf: NotchError });
+    await t.throwsAsync(notch.settled(), { instanceOf: NotchError });
+    const again = await openNotch(home);
+    t.is(again.records[0], 'kept');
+    t.false(again.records.includes('after'));
+    await again.close();
+  }
+});
