--- a/packages/notch/src/notch.test.ts
+++ b/packages/notch/src/notch.test.ts
@@ -103,6 +103,7 @@
     // The disk has room again, but what the file holds is not known any more.
     await t.throwsAsync(notch.append(['after']), { instanceOf: NotchError });
     await t.throwsAsync(notch.settled(), { instanceOf: NotchError });
+    await notch.close();
     const again = await openNotch(home);
     t.is(again.records[0], 'kept');
     t.false(again.records.includes('after'));
--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { Command, Flags } from '@oclif/core';
+import { Args, Command, Flags } from '@oclif/core';
 import { parametersOf, PounceError, resolve } from '@reedyard/pounce';
 import { Stencil, StencilError, type Policy } from '@reedyard/stencil';
 import { ask, ClientError, exitCodes, readDocument } from './client.js';
@@ -44,4 +44,30 @@
   }
 }
 
+/** A command that reads one place of the API and shows it. */
+export abstract class ReadCommand extends BaseCommand {
+  protected abstract readonly target: string;
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(ReadCommand);
+    const body = await this.call(flags.node, 'GET', this.target);
+    this.show(body);
+    return body;
+  }
+}
+
+/** A command that gives one order for a hall. */
+export abstract class HallCommand extends BaseCommand {
+  static override args = { hall: Args.string({ required: true, description: 'name of the hall' }) };
+  static override flags = { change: BaseCommand.changeFlag };
+  protected abstract readonly order: 'empty' | 'take-back';
+
+  async run(): Promise<unknown> {
+    const { args, flags } = await this.parse(HallCommand);
+    const body = await this.call(flags.node, 'PUT', `/v1/halls/${encodeURIComponent(args.hall)}`, { order: this.order }, { 'reedyard-change-id': flags.change });
+    this.show(body);
+    return body;
+  }
+}
+
 export { exitCodes };
--- a/packages/reedyard/src/commands/shares.ts
+++ b/packages/reedyard/src/commands/shares.ts
@@ -1,12 +1,6 @@
-import { BaseCommand } from '../base.js';
+import { ReadCommand } from '../base.js';
 
-export default class Shares extends BaseCommand {
+export default class Shares extends ReadCommand {
   static override description = "How each service's ceiling is divided among the nodes.";
-
-  async run(): Promise<unknown> {
-    const { flags } = await this.parse(Shares);
-    const body = await this.call(flags.node, 'GET', '/v1/shares');
-    this.show(body);
-    return body;
-  }
+  protected override readonly target = '/v1/shares';
 }
--- a/packages/workbench/src/fleet.test.ts
+++ b/packages/workbench/src/fleet.test.ts
@@ -3,22 +3,9 @@
 import path from 'node:path';
 import { mkdtempSync } from 'node:fs';
 import { feel } from '@reedyard/feeler';
-import { api, Fleet, type Deployment } from './index.js';
+import { api, Fleet } from './index.js';
+import { small } from './small.js';
 
-const deployment: Deployment = {
-  name: 'small',
-  machines: [
-    { name: 'front-1', hall: 'west', region: 'home', kind: 'front', capacityBps: 8_000_000 },
-    { name: 'front-2', hall: 'north', region: 'home', kind: 'front', capacityBps: 8_000_000 },
-    { name: 'core-1', hall: 'west', region: 'home', kind: 'core' },
-    { name: 'core-2', hall: 'north', region: 'home', kind: 'core' },
-    { name: 'core-3', hall: 'north', region: 'home', kind: 'core' },
-  ],
-  origins: [
-    { service: 'store', instance: 'content-1', hall: 'west', region: 'home', capacity: 200 },
-    { service: 'application', instance: 'app-1', hall: 'north', region: 'home', capacity: 200 },
-  ],
-};
 const host = 'depot.example';
 const policy = {
   services: { store: { ceiling: 300, coldRate: 20 }, application: { ceiling: 300, coldRate: 20 } },
@@ -29,7 +16,7 @@
 };
 
 test('a fleet of real processes: one policy, callers served, copies purged, a key run once, a kill survived', async (t) => {
-  const fleet = await Fleet.lay(deployment, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')));
+  const fleet = await Fleet.lay(small, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')));
   t.teardown(() => fleet.end());
   fleet.startAll();
   await fleet.startOrigins();
--- a/packages/workbench/src/sockets.test.ts
+++ b/packages/workbench/src/sockets.test.ts
@@ -4,19 +4,9 @@
 import path from 'node:path';
 import { mkdtempSync } from 'node:fs';
 import { feel, type Seen } from '@reedyard/feeler';
-import { api, Fleet, type Deployment } from './index.js';
+import { api, Fleet } from './index.js';
+import { small } from './small.js';
 
-const deployment: Deployment = {
-  name: 'sockets',
-  machines: [
-    { name: 'front-1', hall: 'west', region: 'home', kind: 'front' }, { name: 'front-2', hall: 'north', region: 'home', kind: 'front' },
-    { name: 'core-1', hall: 'west', region: 'home', kind: 'core' }, { name: 'core-2', hall: 'north', region: 'home', kind: 'core' }, { name: 'core-3', hall: 'north', region: 'home', kind: 'core' },
-  ],
-  origins: [
-    { service: 'store', instance: 'content-1', hall: 'west', region: 'home', capacity: 500 },
-    { service: 'application', instance: 'app-1', hall: 'north', region: 'home', capacity: 500 },
-  ],
-};
 const host = 'depot.example';
 const policy = {
   services: { store: { ceiling: 2_000, coldRate: 50 }, application: { ceiling: 2_000, coldRate: 50 } },
@@ -39,7 +29,7 @@
 });
 
 test('over real sockets: origins that lie, lose, cut short or change who they are; callers that misbehave; a freeze and a cut', async (t) => {
-  const fleet = await Fleet.lay(deployment, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), { relays: true });
+  const fleet = await Fleet.lay(small, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), { relays: true });
   t.teardown(() => fleet.end());
   fleet.startAll();
   await fleet.startOrigins();
