--- a/packages/blank/src/index.ts
+++ b/packages/blank/src/index.ts
@@ -43,6 +43,8 @@
   readonly rename: (identity: Partial<Pick<BlankOptions, 'service' | 'instance' | 'incarnation'>>) => void;
   readonly ran: () => readonly Ran[];
   readonly got: () => number;
+  /** Header fields of the request heard last. */
+  readonly heard: () => http.IncomingHttpHeaders;
   /** A new generation of every report. */
   readonly turn: () => number;
   readonly announce: () => Promise<void>;
@@ -77,6 +79,7 @@
   let mode: Mode = { slowMs: 0, lose: false, garbage: false, short: false, leftover: false, corrupt: false, state: 'warm', draining: false, ...options.mode };
   let generation = 0;
   let got = 0;
+  let heard: http.IncomingHttpHeaders = {};
   const ran: Ran[] = [];
 
   const answer = (request: http.IncomingMessage, response: http.ServerResponse, body: Buffer): void => {
@@ -121,7 +124,7 @@
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
     request.on('end', () => {
-      if (request.url !== '/.well-known/reedyard-identity') got += 1;
+      if (request.url !== '/.well-known/reedyard-identity') { got += 1; heard = request.headers; }
       const act = (): void => { if (!response.destroyed) answer(request, response, Buffer.concat(chunks)); };
       if (mode.slowMs > 0) setTimeout(act, mode.slowMs); else act();
     });
@@ -149,6 +152,7 @@
     rename: (change) => { identity = { ...identity, ...change }; sockets.forEach((socket) => socket.destroy()); void announce(); },
     ran: () => ran,
     got: () => got,
+    heard: () => heard,
     turn: () => { generation += 1; return generation; },
     announce,
     stop: () => new Promise((resolve) => { clearInterval(beat); server.close(() => resolve()); sockets.forEach((socket) => socket.destroy()); }),
--- a/packages/workbench/src/sockets.test.ts
+++ b/packages/workbench/src/sockets.test.ts
@@ -116,7 +116,14 @@
   t.is((await feel({ at, method: 'POST', host, target: '/sheets/1', service: 'store' })).status, 405);
   t.is((await feel({ at, method: 'GET', host: 'nobody.example', target: '/', service: 'store' })).status, 404);
   // A caller can't pass itself off as a partner or set the project's own fields.
-  t.is((await get(`/live/${next()}`, { headers: { 'reedyard-expect': 'stranger/x/1', 'reedyard-via': 'front-2' } })).status, 200);
+  t.is((await get(`/live/${next()}`, { headers: { 'reedyard-expect': 'stranger/x/1', 'reedyard-via': 'front-2', 'x-forwarded-for': '192.0.2.1', connection: 'x-hop', 'x-hop': '1', 'x-end': '2' } })).status, 200);
+  const heard = store.heard();
+  t.is(heard.host, host);
+  t.regex(String(heard['x-forwarded-for']), /^192\.0\.2\.1, 127\./);
+  t.regex(String(heard.via), /^1\.1 front-1 \(reedyard\)/);
+  t.is(heard['reedyard-via'], undefined);
+  t.is(heard['x-hop'], undefined);
+  t.is(heard['x-end'], '2');
 
   // Frozen through a purge, a lathe serves no old copy when it thaws.
   const old = await get('/sheets/frozen');
