--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -44,6 +44,8 @@
   readonly origins: SimOrigin[] = [];
   readonly #cuts = new Set<string>();
   readonly #drained = new Map<string, Feed['origins'][number]>();
+  /** What settings name as seeds to those that start from now on. */
+  seeds: readonly string[] = [];
   readonly counts = { messages: 0, events: 0 };
   /** Time to the last byte of each answer that callers got, ms. */
   readonly waits: { readonly at: number; readonly ms: number }[] = [];
@@ -54,6 +56,7 @@
 
   constructor(readonly deployment: Deployment, seed: number, readonly tuning: Tuning, coldRates: Readonly<Record<string, number>>) {
     this.clock = new Clockwork(seed);
+    this.seeds = deployment.machines.filter((each) => each.kind !== 'front').slice(0, 3).map((each) => `${each.name}/jig`);
     for (const machine of deployment.machines) {
       this.boxes.set(machine.name, { machine, as: machine.name, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
     }
@@ -178,14 +181,13 @@
     this.#lives += 1;
     const { machine } = box;
     const fronts = machine.kind === 'front';
-    const seeds = this.deployment.machines.filter((each) => each.kind !== 'front').slice(0, 3).map((each) => `${each.name}/jig`);
     const process = this.#make('jig', machine, (now) => Jig.open({
       self: {
         id: box.as, hall: machine.hall, region: machine.region, address: `${machine.name}/jig`,
         lathe: fronts ? { callers: `${machine.name}/lathe`, partners: `${machine.name}/partners`, capacityBps: machine.capacityBps ?? 8e6 } : null,
         anvil: fronts ? null : { address: `${machine.name}/anvil` },
       },
-      life: `life-${this.#lives}`, seeds, founders: this.founders(), seed: Math.floor(this.clock.chance() * 2 ** 31), now,
+      life: `life-${this.#lives}`, seeds: this.seeds, founders: this.founders(), seed: Math.floor(this.clock.chance() * 2 ** 31), now,
     }));
     box.jig = process;
     this.#every(process, Beats.jig, () => this.#step(process, { kind: 'beat', now: this.#now(process) }));
--- a/packages/mallet/src/scenarios.test.ts
+++ b/packages/mallet/src/scenarios.test.ts
@@ -2,7 +2,7 @@
 import { run } from './run.js';
 
 // What the rule tests do not run: each scenario once, and a share of callers that must be served through it.
-for (const [scenario, least] of [['calm', 0.995], ['lossy', 0.95], ['cuts', 0.9], ['core-split', 0.85], ['wipes', 0.95], ['operators', 0.93], ['hall-power', 0.95], ['rolling', 0.97], ['everything', 0.75]] as const) {
+for (const [scenario, least] of [['calm', 0.995], ['lossy', 0.95], ['cuts', 0.9], ['core-split', 0.85], ['wipes', 0.95], ['operators', 0.93], ['hall-power', 0.95], ['rolling', 0.97], ['seeds-changed', 0.98], ['closing', 0.95], ['everything', 0.75]] as const) {
   test(`${scenario}: every rule kept, and callers served`, (t) => {
     const report = run({ scenario, seed: 21 });
     t.deepEqual(report.wrongs, [], report.replay);
@@ -10,6 +10,12 @@
   });
 }
 
+test('nodes that restart with new seeds while the old ones are gone find the fleet', (t) => {
+  const { fleet } = run({ scenario: 'seeds-changed', seed: 21 });
+  const late = fleet.history.flatMap((entry) => (entry.kind === 'got' && entry.at > 32_000 && entry.at < 36_000 && entry.status === 200 ? [entry.node] : []));
+  for (const name of ['front-5', 'front-6', 'front-7']) t.true(late.includes(name), name);
+});
+
 test('the same seed gives the same run', (t) => {
   const [first, second] = [run({ scenario: 'freezes', seed: 5 }), run({ scenario: 'freezes', seed: 5 })];
   t.deepEqual(first.fleet.history, second.fleet.history);
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -244,6 +244,28 @@
     every(stage, 9_000, 52_000, 5_000, () => putOne(stage));
     every(stage, 9_000, 52_000, 900, () => faults.read?.(stage));
   } },
+  'seeds-changed': { what: 'two old seeds go; others restart with new seeds, and find the fleet', seconds: 50, play: (stage) => {
+    const { fleet } = stage;
+    fleet.clock.in(10_000, () => { fleet.seeds = ['front-1/jig', 'front-2/jig', 'core-3/jig']; fleet.kill('store-1'); fleet.kill('store-2'); fleet.fault('two old seeds gone, new ones in the settings'); });
+    ['front-5', 'core-2', 'front-6', 'front-7'].forEach((name, index) => fleet.clock.in(14_000 + 4_000 * index, () => { fleet.warn(name); fleet.clock.in(2_000, () => restart(fleet, name, 800)); }));
+    fleet.clock.in(36_000, () => { fleet.start('store-1'); fleet.start('store-2'); });
+    every(stage, 9_000, 44_000, 900, () => faults.read?.(stage));
+    every(stage, 9_000, 42_000, 5_000, () => putOne(stage));
+  } },
+  closing: { what: 'a day that ends with a fault: a hall loses power, others freeze, origins drain, just before the end', seconds: 40, play: (stage) => {
+    const { fleet, end } = stage;
+    every(stage, 9_000, end, 2_000, () => faults.purge?.(stage));
+    fleet.clock.in(end - 4_000, () => {
+      const hall = fleet.clock.pick(halls(fleet)) ?? '';
+      putOne(stage);
+      for (const machine of fleet.deployment.machines.filter((each) => each.hall === hall)) fleet.kill(machine.name);
+      fleet.fault(`${hall} lost power for good`);
+      faults.freeze?.(stage);
+      faults.drain?.(stage);
+      faults.purge?.(stage);
+    });
+    every(stage, 9_000, end + 8_000, 900, () => faults.read?.(stage));
+  } },
   everything: { what: 'every kind of fault at random', seconds: 60, play: (stage) => {
     stage.fleet.clock.in(8_000, () => troubleOrigins(stage.fleet));
     every(stage, 8_000, 48_000, 1_500, () => { const fault = stage.fleet.clock.pick(Object.values(faults)); fault?.(stage); });
