--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -143,7 +143,9 @@
     fleet.clock.in(12_000, () => { sides(['core-2', 'front-1']); fleet.fault('core-2 and front-1 cut off'); });
     fleet.clock.in(13_000, () => { fleet.twin('core-2'); fleet.fault('core-2 replaced while it runs'); });
     fleet.clock.in(21_000, () => { fleet.heal(); sides(['core-2', 'front-1', 'core-1', 'core-3']); fleet.fault('cut again: the old core-2 on one side, the new one on the other'); });
-    every(stage, 21_500, 29_000, 1_500, () => { put('front-1'); put('front-2'); });
+    // At once after the cut, before gossip tells front-1 of the successor's address.
+    every(stage, 21_010, 22_000, 250, () => { put('front-1'); put('front-2'); });
+    every(stage, 22_500, 29_000, 1_500, () => { put('front-1'); put('front-2'); });
     fleet.clock.in(30_000, () => { fleet.heal(); fleet.kill('core-2'); fleet.fault('healed, the old core-2 gone'); });
     every(stage, 9_000, 40_000, 300, () => faults.read?.(stage));
   } },
