--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -117,7 +117,6 @@
 /** A new measurement: told to all only on a marked change, or when the slow refresh is due. */
 export const tookMeasure = (work: Work, measure: Measure): void => {
   const vector = vectorOf(work.state, measure);
-  set(work, { measure });
   const { sent, sentAt, now } = work.state;
   if (!mustSend(vector, sent) && now - sentAt < Beats.refresh) return;
   set(work, {
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -142,5 +142,3 @@
 };
 
 export const lostPull = (work: Work, name: string): void => change(work, name, { call: null });
-
-export const pullEvery = Beats.pull;
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -3,7 +3,7 @@
 import type { SpindleState } from '@reedyard/spindle';
 import type { Plan, Slices } from '@reedyard/ladle';
 import type { Split, Vector } from '@reedyard/plumb';
-import type { Action, ClaimState, HallsValue, JigCall, JigEffect, Measure, PolicyValue, Report, Self } from './terms.js';
+import type { HallsValue, JigCall, JigEffect, PolicyValue, Report, Self } from './terms.js';
 
 /** The registers that every jig watches. */
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
@@ -27,7 +27,7 @@
   | { readonly kind: 'get-policy'; readonly id: number }
   | { readonly kind: 'hall'; readonly id: number; readonly changeId: string }
   | { readonly kind: 'plan'; readonly goal: Plan }
-  | { readonly kind: 'claim'; readonly id: number; readonly token: string }
+  | { readonly kind: 'claim'; readonly id: number }
   | { readonly kind: 'settle'; readonly id: number }
   | { readonly kind: 'repair' }
   | { readonly kind: 'seat'; readonly anvil: string; readonly disk: string };
@@ -70,7 +70,6 @@
   readonly spindle: SpindleState;
   readonly delays: Readonly<Record<string, readonly number[]>>;
   readonly report: { readonly report: Report; readonly at: number } | null;
-  readonly measure: Measure | null;
   readonly sent: Vector | null;
   readonly sentAt: number;
   readonly notices: number;
@@ -137,5 +136,3 @@
 export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
 export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls?.value ?? null) as HallsValue | null;
 export const planOf = (state: JigState): Plan | null => (state.registers.plan?.value ?? null) as Plan | null;
-
-export type { Action, ClaimState };
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -2,7 +2,7 @@
 import type { Step } from '@reedyard/chute';
 import type { ClaimReply, ClaimState, Feed, Measure, Report } from '@reedyard/jig';
 import { objectKey } from '@reedyard/plumb';
-import { Sieve } from '@reedyard/sieve';
+import { Sieve, type Copy } from '@reedyard/sieve';
 import { Routes, type Route } from '@reedyard/stencil';
 import { Tally, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
 import { allowedPartners, atHome, drawServer, earnRepeat, giveBack, originName, rankOrigins, suspectFor, takeToken, waitFor } from './choice.js';
@@ -25,8 +25,8 @@
   transaction.asked.method === 'GET' && keeps(transaction.route, 'GET') && headerText(transaction.asked.headers, 'authorization') === null;
 
 const settle = (work: Work, transaction: Transaction, state: ClaimState): void => {
-  if (transaction.claim === null) return;
-  work.effects.push({ kind: 'ask', id: transaction.id, call: { kind: 'settle', key: transaction.claim.key, token: transaction.token, state } });
+  if (transaction.claimKey === null) return;
+  work.effects.push({ kind: 'ask', id: transaction.id, call: { kind: 'settle', key: transaction.claimKey, token: transaction.token, state } });
 };
 
 const close = (work: Work, transaction: Transaction): void => {
@@ -53,7 +53,7 @@
 const lapsed = (work: Work): boolean => work.state.now >= work.state.lease;
 const cutOff = 'this node is cut off from the control state';
 
-const answerCopy = (work: Work, transaction: Transaction, copy: import('@reedyard/sieve').Copy): void => {
+const answerCopy = (work: Work, transaction: Transaction, copy: Copy): void => {
   if (lapsed(work)) { giveUp(work, transaction, 503, 'not-run', cutOff); return; }
   const age = Math.floor(copy.bornAge + (work.state.now - copy.takenAt) / 1_000);
   const answer: Answer = { status: copy.status, headers: { ...copy.headers, age: String(age), 'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy' }, body: { kind: 'copy', copy } };
@@ -78,7 +78,7 @@
 };
 
 /** A leader's fetch is over: its waiters are answered from it, or go on by themselves. */
-const leaderEnded = (work: Work, leader: Transaction, kept: import('@reedyard/sieve').Copy | null, failure: { readonly status: 502 | 503 | 504; readonly outcome: Outcome; readonly why: string } | null): void => {
+const leaderEnded = (work: Work, leader: Transaction, kept: Copy | null, failure: { readonly status: 502 | 503 | 504; readonly outcome: Outcome; readonly why: string } | null): void => {
   if (!leader.leads) return;
   const fetch = work.state.fetches[leader.key];
   if (fetch === undefined || fetch.leader !== leader.id) return;
@@ -100,7 +100,7 @@
   const id = to.kind === 'origin' ? originName(to.row) : to.row.id;
   const legLimit = Math.min(transaction.limitAt, work.state.now + (transaction.route.limits.legMs ?? Limits.leg) + (to.kind === 'partner' ? Limits.holding : 0));
   const next = change(work, transaction.id, {
-    phase: 'leg', place: to.kind === 'origin' ? 'self' : 'partner',
+    phase: 'leg',
     legs: [...transaction.legs, { number, to: { kind: to.kind, id }, openedAt: work.state.now, limitAt: legLimit, end: null }],
   });
   if (next === undefined) return;
@@ -216,20 +216,20 @@
   const callerKey = safe || asked.via !== null ? null : headerText(asked.headers, 'idempotency-key');
   const transaction: Transaction = {
     id, asked, route, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: state.now + (route.limits.transactionMs ?? Limits.transaction),
-    draws, token, claim: callerKey === null ? null : { key: `${route.service}/${callerKey}`, state: 'asking' }, legs: [],
-    phase: callerKey === null ? 'leg' : 'claiming', place: 'self', heldAt: 0, leads: false, callerGone: false,
+    draws, token, claimKey: callerKey === null ? null : `${route.service}/${callerKey}`, legs: [],
+    phase: callerKey === null ? 'leg' : 'claiming', heldAt: 0, leads: false, callerGone: false,
   };
   set(work, { transactions: { ...state.transactions, [id]: transaction } });
   earnRepeat(work);
-  if (transaction.claim !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claim.key, token, life: state.self.life } });
+  if (transaction.claimKey !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claimKey, token, life: state.self.life } });
   else start(work, transaction);
 };
 
 const claimed = (work: Work, id: number, reply: ClaimReply): void => {
   const transaction = work.state.transactions[id];
-  if (transaction === undefined || transaction.phase !== 'claiming' || transaction.claim === null) return;
+  if (transaction === undefined || transaction.phase !== 'claiming') return;
   if (reply.kind === 'granted') {
-    const held = change(work, id, { phase: 'leg', claim: { ...transaction.claim, state: 'held' } });
+    const held = change(work, id, { phase: 'leg' });
     if (held === undefined) return;
     if (held.callerGone) giveUp(work, held, 503, 'not-run', 'its caller left');
     else start(work, held);
@@ -337,7 +337,7 @@
   leaderEnded(work, ended, copy, null);
 };
 
-const copyOf = (work: Work, transaction: Transaction, openedAt: number, answer: LegAnswer, tags: readonly string[], purgedAt: number | null): import('@reedyard/sieve').Copy | null => {
+const copyOf = (work: Work, transaction: Transaction, openedAt: number, answer: LegAnswer, tags: readonly string[], purgedAt: number | null): Copy | null => {
   const { state } = work;
   if (transaction.asked.method !== 'GET' || !answer.whole || answer.status === 206 || purgedAt !== null) return null;
   if (!keeps(transaction.route, 'GET') || !atHome(transaction.route.homes, state.self.region)) return null;
@@ -378,7 +378,7 @@
   });
 };
 
-const limitOf = (route: Route | undefined, state: LatheState, copy: import('@reedyard/sieve').Copy): number =>
+const limitOf = (route: Route | undefined, state: LatheState, copy: Copy): number =>
   route === undefined || route.cache.keep === 'never' || !atHome(route.homes, state.self.region) ? 0
     : route.cache.mostSeconds === undefined ? Infinity : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
 
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -29,11 +29,10 @@
   /** Random numbers and a token given with its arrival: the reducer draws none itself. */
   readonly draws: readonly number[];
   readonly token: string;
-  readonly claim: { readonly key: string; readonly state: 'asking' | 'held' } | null;
+  /** The register that its idempotency key claims. */
+  readonly claimKey: string | null;
   readonly legs: readonly Leg[];
   readonly phase: 'claiming' | 'joined' | 'holding' | 'leg';
-  /** Where the next leg goes, once it is settled. */
-  readonly place: 'self' | 'partner';
   readonly heldAt: number;
   readonly leads: boolean;
   readonly callerGone: boolean;
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -28,7 +28,7 @@
 /** A stand-in origin: an identity at an address. */
 export type SimOrigin = {
   readonly spec: Origin; readonly address: string; incarnation: number; service: string; instance: string; alive: boolean; cold: boolean; draining: boolean; mode: OriginMode; readonly coldRate: number;
-  previous: LegAnswer | null; servedSince: number;
+  previous: LegAnswer | null;
 };
 
 /** What a submission is to become: an answer to the caller. */
@@ -61,7 +61,7 @@
       this.boxes.set(machine.name, { machine, as: machine.name, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
     }
     for (const [index, spec] of deployment.origins.entries()) {
-      this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, coldRate: coldRates[spec.service] ?? 10, previous: null, servedSince: 0 });
+      this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, coldRate: coldRates[spec.service] ?? 10, previous: null });
     }
     for (const origin of this.origins) this.clock.in(this.clock.between(0, 1_000), () => this.#announce(origin));
   }
@@ -464,7 +464,6 @@
         const unsafe = asked.method !== 'GET' && asked.method !== 'HEAD';
         this.history.push({ kind: 'leg', at: this.clock.now(), from: from.name, region: from.region, service: origin.service, instance: origin.instance, incarnation: origin.incarnation, hall: origin.spec.hall, cold: origin.cold, coldRate: origin.coldRate, expected, target: asked.target, method: asked.method, submission: about.submission });
         if (unsafe) this.history.push({ kind: 'ran', at: this.clock.now(), submission: about.submission, job: about.job });
-        origin.servedSince += 1;
         const madeAt = this.clock.now();
         this.clock.in(origin.mode.slowMs * this.clock.between(0.5, 1.5), () => {
           if (!origin.alive || (unsafe && this.clock.chance() < origin.mode.lose)) { this.clock.in(1, () => fail('maybe', 'cut')); return; }
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -33,7 +33,7 @@
 const replaceOrigin = (fleet: SimFleet, origin: SimOrigin, downMs: number): void => {
   origin.alive = false;
   fleet.clock.in(downMs, () => {
-    Object.assign(origin, { alive: true, cold: true, draining: false, incarnation: origin.incarnation + 1, servedSince: 0 });
+    Object.assign(origin, { alive: true, cold: true, draining: false, incarnation: origin.incarnation + 1 });
     fleet.describe(origin);
     fleet.clock.in(8_000, () => { if (origin.alive) origin.cold = false; });
   });
--- a/packages/workbench/src/index.ts
+++ b/packages/workbench/src/index.ts
@@ -47,7 +47,7 @@
   request.end(text);
 });
 
-type Member = { readonly machine: Machine; readonly host: string; readonly behind: string; readonly relays: Relay[]; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
+type Member = { readonly machine: Machine; readonly host: string; readonly relays: Relay[]; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
 
 /** Stands between a machine's address and its processes, so that its conns can be cut. */
 class Relay {
@@ -122,7 +122,7 @@
           relays.push(relay);
         }
       }
-      fleet.#members.set(machine.name, { machine, host: hostOf(index), behind: behindOf(index), relays, settingsFile, folder: home, processes: new Map() });
+      fleet.#members.set(machine.name, { machine, host: hostOf(index), relays, settingsFile, folder: home, processes: new Map() });
     }
     return fleet;
   }
