--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -37,6 +37,10 @@
   /** ms. Lease of a node from the moment its oldest counted pull was sent. The brief allows 2 s
    *  from an acknowledgement to force; 1.5 s leaves 0.5 s for the feed and a slow process. */
   lease: 1_500,
+  /** ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy it
+   *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
+   *  shorter loss, which a few lost messages bring, costs no copies. */
+  unknowing: 300,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -126,7 +126,7 @@
     }
     case 'claim':
       work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'chosen' ? { kind: 'granted' }
-        : end.kind === 'refused' ? { kind: 'taken', state: claimState(work, end.value as ClaimValue) } : { kind: 'unreached' } });
+        : end.kind === 'refused' ? end.reason === 'other' ? { kind: 'other' } : { kind: 'taken', state: claimState(work, end.value as ClaimValue) } : { kind: 'unreached' } });
       return;
     case 'settle':
       work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' } });
@@ -165,9 +165,10 @@
       value: { serial: old.serial + 1, emptied: order === 'empty' ? [...others, hall] : others, changes: remember(old.changes, changeId, old.serial + 1) } satisfies HallsValue,
     };
   },
-  claim: (token: string, node: string, life: string): Change => (current) => {
+  claim: (token: string, node: string, life: string, digest: string): Change => (current) => {
     const old = current as ClaimValue | null;
-    if (old === null || (old.state === 'not-run' && old.token !== token)) return { kind: 'write', value: { token, state: 'pending', node, life } satisfies ClaimValue };
+    if (old !== null && old.digest !== digest) return { kind: 'refuse', reason: 'other' };
+    if (old === null || (old.state === 'not-run' && old.token !== token)) return { kind: 'write', value: { token, state: 'pending', node, life, digest } satisfies ClaimValue };
     return old.token === token && old.state === 'pending' ? { kind: 'keep' } : { kind: 'refuse', reason: old.state };
   },
   settle: (token: string, state: ClaimState): Change => (current) => {
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -46,7 +46,7 @@
       work.effects.push({ kind: 'tell', id, body: feed(work.state, body.report) });
       return;
     }
-    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life), { kind: 'claim', id }); return;
+    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
     case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
   }
 };
@@ -177,7 +177,7 @@
   const swept = Spindle.sweep(state.spindle, state.now);
   const facts = state.facts.filter((fact) => state.now - fact.at <= Limits.fact);
   set(work, {
-    spindle: swept.state, splitStale: true, facts,
+    spindle: swept.state, facts,
     factKeys: facts.length === state.facts.length ? state.factKeys : Object.fromEntries(facts.map((fact) => [fact.key, true as const])),
   });
 };
@@ -215,7 +215,7 @@
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
     anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null, named: null }])),
     registers: {}, highestBallot: Ballots.none as Ballot, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, pursuits: {}, postings: {},
-    spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splits: 0,
+    spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
 
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -128,10 +128,12 @@
 /** Computes this edge's rows from the vectors it holds, once something they rest on has changed. */
 export const computeSplit = (work: Work): void => {
   const { state } = work;
-  if (state.self.lathe === null || !state.splitStale || state.now - state.splitAt < Beats.pull) return;
+  if (state.self.lathe === null || state.now - state.splitAt < Beats.pull) return;
+  const serving = new Map(servingNodes(state).map((record) => [record.id, record]));
+  const over = [...serving.keys()].sort().join(' ');
+  if (!state.splitStale && over === state.splitOver) { set(work, { splitAt: state.now }); return; }
   const policy = policyOf(state);
   const routes = new Map((policy?.document.routes ?? []).map((route) => [route.name, route]));
-  const serving = new Map(servingNodes(state).map((record) => [record.id, record]));
   const me = { id: state.self.id, region: state.self.region };
   const vectors: Record<string, Vector> = {};
   for (const [key, value, seenAt] of Spindle.all(state.spindle, 'vector/')) {
@@ -146,7 +148,7 @@
       return region !== undefined && (edge === me.id || serving.has(edge)) && (route.homes === undefined || route.homes.includes(region));
     } };
   });
-  set(work, { split: split.split, splitAt: state.now, splitStale: false, splits: state.splits + 1 });
+  set(work, { split: split.split, splitAt: state.now, splitStale: false, splitOver: over, splits: state.splits + 1 });
 };
 
 /** Why an origin gets no traffic, or null if it does. */
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -23,7 +23,9 @@
 export const learnRegister = (work: Work, key: Watched, ballot: Ballot, value: unknown): void => {
   const known = work.state.registers[key];
   if (known !== undefined && Ballots.compare(ballot, known.ballot) <= 0) return;
-  set(work, { registers: { ...work.state.registers, [key]: { ballot, value, at: work.state.now } }, splitStale: true });
+  set(work, { registers: { ...work.state.registers, [key]: { ballot, value, at: work.state.now } } });
+  // The split rests on the policy's routes; which nodes serve is looked at each time.
+  if (key === 'policy') set(work, { splitStale: true });
   if (Ballots.compare(ballot, work.state.highestBallot) > 0) set(work, { highestBallot: ballot });
   if (key === 'plan') {
     const plan = value as Plan;
@@ -124,7 +126,7 @@
     .map((fact) => { factSeq += 1; return { ...fact, seq: factSeq, at: work.state.now }; });
   if (added.length > 0) {
     set(work, {
-      factSeq, facts: [...work.state.facts, ...added], splitStale: true,
+      factSeq, facts: [...work.state.facts, ...added],
       factKeys: { ...work.state.factKeys, ...Object.fromEntries(added.map((fact) => [fact.key, true as const])) },
     });
   }
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -74,8 +74,11 @@
   readonly sentAt: number;
   readonly notices: number;
   readonly split: Split;
+  /** When the split was last looked at. */
   readonly splitAt: number;
   readonly splitStale: boolean;
+  /** The nodes that the split was computed over. */
+  readonly splitOver: string;
   readonly splits: number;
   readonly planSeen: { readonly term: number; readonly beat: number; readonly at: number };
   readonly duty: { readonly term: number; readonly held: readonly { readonly slices: Readonly<Record<string, Slices>>; readonly until: number }[] } | null;
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -43,7 +43,7 @@
 
 /** What a claim's register holds: never a body. */
 export type ClaimState = 'pending' | 'ran' | 'not-run' | 'unknown';
-export type ClaimValue = { readonly token: string; readonly state: ClaimState; readonly node: string; readonly life: string };
+export type ClaimValue = { readonly token: string; readonly state: ClaimState; readonly node: string; readonly life: string; /** Of method, target and body. */ readonly digest: string };
 
 /** What a lathe measured over one period. */
 export type Measure = {
@@ -99,12 +99,14 @@
 /** What a lathe asks of its jig. */
 export type LatheCall =
   | { readonly kind: 'feed'; readonly report: Report }
-  | { readonly kind: 'claim'; readonly key: string; readonly token: string; readonly life: string }
+  | { readonly kind: 'claim'; readonly key: string; readonly token: string; readonly life: string; readonly digest: string }
   | { readonly kind: 'settle'; readonly key: string; readonly token: string; readonly state: ClaimState };
 
 export type ClaimReply =
   | { readonly kind: 'granted' }
   | { readonly kind: 'taken'; readonly state: ClaimState }
+  /** The key was used for a request with other content. */
+  | { readonly kind: 'other' }
   | { readonly kind: 'unreached' };
 
 /** What jigs ask of each other. */
--- a/packages/lathe/src/conns.ts
+++ b/packages/lathe/src/conns.ts
@@ -143,8 +143,8 @@
     }
   }
 
-  /** Makes one leg. */
-  send(row: OriginRow, out: Outgoing, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): Underway {
+  /** Makes one leg; nothing of it is sent once `sendBy` has passed, however long the conn took. */
+  send(row: OriginRow, out: Outgoing, sendBy: number, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): Underway {
     let over = false;
     let aborted = false;
     let conn: Conn | undefined;
@@ -154,6 +154,7 @@
     const use = (taken: Conn): void => {
       conn = taken;
       if (aborted) { taken.socket.destroy(); return; }
+      if (performance.now() >= sendBy) { failOnce(new LegError('nothing', 'lease', 'the lease ran out before the conn was there')); return; }
       try {
         const request = http.request({ agent: taken.agent, method: out.method, path: out.path, headers: out.headers, setHost: false }, (response) => {
           readAnswer(out.method, response, (answer) => {
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -3,7 +3,7 @@
 import type { ClaimReply, ClaimState, Feed, Measure, Report } from '@reedyard/jig';
 import { objectKey } from '@reedyard/plumb';
 import { Sieve, type Copy } from '@reedyard/sieve';
-import { Routes, type Route } from '@reedyard/stencil';
+import { Routes, type Route, type RouteTable } from '@reedyard/stencil';
 import { Tally, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
 import { allowedPartners, atHome, drawServer, earnRepeat, giveBack, originName, rankOrigins, suspectFor, takeToken, waitFor } from './choice.js';
 import { change, count, log, set, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target, type Transaction, type Work } from './state.js';
@@ -20,6 +20,16 @@
   work.effects.push({ kind: 'answer', id, answer: { status, headers: { 'reedyard-outcome': outcome, ...wait, ...more }, body: { kind: 'problem', title, detail, outcome } } });
 };
 
+/** Why a request gets nothing by its route, whatever the origins do; null where it may be made. */
+const refusalOf = (route: Route | undefined, asked: Asked): { readonly status: number; readonly title: string; readonly detail: string; readonly more?: Readonly<Record<string, string>> } | null => {
+  if (route === undefined) return { status: 404, title: 'No such place', detail: 'No policy has a route for this host and path.' };
+  if (!(route.methods as readonly string[]).includes(asked.method)) return { status: 405, title: 'Method not allowed', detail: `This route takes ${route.methods.join(', ')}.`, more: { allow: route.methods.join(', ') } };
+  const most = route.limits.bodyBytes ?? Sizes.callerBody;
+  if (asked.bodyBytes > most) return { status: 413, title: 'Body too large', detail: `This route takes bodies of up to ${most} bytes.` };
+  if (route.key === 'required' && !Tally.safe(asked.method) && headerText(asked.headers, 'idempotency-key') === null) return { status: 400, title: 'Key wanted', detail: 'This route takes such a request only with an Idempotency-Key.' };
+  return null;
+};
+
 const keeps = (route: Route, method: string): boolean => route.cache.keep !== 'never' && (method === 'GET' || method === 'HEAD');
 const joins = (transaction: Transaction): boolean =>
   transaction.asked.method === 'GET' && keeps(transaction.route, 'GET') && headerText(transaction.asked.headers, 'authorization') === null;
@@ -74,7 +84,8 @@
   }
   log(work, 'transaction.given-up', { id: transaction.id, route: transaction.route.name, status, outcome, why, legs: transaction.legs.length });
   close(work, transaction);
-  leaderEnded(work, transaction, null, { status, outcome, why });
+  // Its waiters share its fate, but for a caller who left.
+  leaderEnded(work, transaction, null, transaction.callerGone ? null : { status, outcome, why });
 };
 
 /** A leader's fetch is over: its waiters are answered from it, or go on by themselves. */
@@ -88,10 +99,38 @@
     const waiter = work.state.transactions[id];
     if (waiter === undefined) continue;
     if (failure !== null) { giveUp(work, waiter, failure.status, failure.outcome, failure.why); continue; }
-    const fits = kept !== null && Object.entries(kept.vary).every(([name, value]) => (headerText(waiter.asked.headers, name) ?? '') === value);
-    if (fits && kept !== null) answerCopy(work, waiter, kept);
-    else fetchHere(work, waiter);
+    const current = underPolicy(work, waiter);
+    if (current === null) continue;
+    const fits = kept !== null && kept.service === current.route.service && keeps(current.route, 'GET') && Object.entries(kept.vary).every(([name, value]) => (headerText(waiter.asked.headers, name) ?? '') === value);
+    if (fits && kept !== null) answerCopy(work, current, kept);
+    else startAgain(work, current);
+  }
+};
+
+/** Ends a transaction that provably ran nothing with an answer of the lathe's own. */
+const endUnrun = (work: Work, transaction: Transaction, refusal: NonNullable<ReturnType<typeof refusalOf>>): void => {
+  settle(work, transaction, 'not-run');
+  if (!transaction.callerGone) turnAway(work, transaction.id, refusal.status, refusal.title, refusal.detail, refusal.more);
+  close(work, transaction);
+  leaderEnded(work, transaction, null, null);
+};
+
+/**
+ * The policy in force rules at each move: the transaction under the route that it has now. Null once it
+ * was ended because that policy lets it go no further: as if it came now where nothing ran, and with an
+ * unknown outcome where a leg may have run.
+ */
+const underPolicy = (work: Work, transaction: Transaction): Transaction | null => {
+  const serial = work.state.policy?.serial ?? 0;
+  if (transaction.serial === serial) return transaction;
+  const route = Routes.find(work.state.routes, transaction.asked.host, transaction.asked.target);
+  const refusal = refusalOf(route, transaction.asked);
+  if (route !== undefined && refusal === null) {
+    return change(work, transaction.id, { route, serial, limitAt: transaction.arrivedAt + (route.limits.transactionMs ?? Limits.transaction) }) ?? null;
   }
+  if (refusal !== null && Tally.outcomeOf(transaction.legs) === 'not-run') endUnrun(work, transaction, refusal);
+  else giveUp(work, transaction, 502, 'unknown', 'a newer policy allows no other attempt');
+  return null;
 };
 
 const open = (work: Work, transaction: Transaction, to: Target): void => {
@@ -109,7 +148,7 @@
   set(work, { outstanding: { ...work.state.outstanding, [id]: (work.state.outstanding[id] ?? 0) + 1 } });
   work.effects.push({
     kind: 'open', id: transaction.id, leg: number, to, asked: transaction.asked, mark: `${transaction.token}-${number}`, limitMs: legLimit - work.state.now,
-    keep: joins(transaction) && to.kind === 'origin',
+    keep: joins(transaction) && to.kind === 'origin', sendBy: work.state.lease,
   });
 };
 
@@ -145,7 +184,7 @@
 const serveHere = (work: Work, transaction: Transaction): void => {
   if (keeps(transaction.route, transaction.asked.method)) {
     const copy = Sieve.find(work.state.sieve, transaction.key, transaction.asked.headers, work.state.now);
-    if (copy !== undefined) {
+    if (copy !== undefined && work.state.now < lifeEnd(transaction.route, work.state, copy)) {
       set(work, { sieve: Sieve.touch(work.state.sieve, transaction.key) });
       answerCopy(work, transaction, copy);
       return;
@@ -180,17 +219,21 @@
 };
 
 /** First leg: the policy's draw says who serves. */
-const start = (work: Work, transaction: Transaction): void => {
+const start = (work: Work, given: Transaction): void => {
+  const transaction = underPolicy(work, given);
+  if (transaction === null) return;
   const server = drawServer(work.state, transaction);
   if (server === null) { giveUp(work, transaction, 503, 'not-run', 'no node that may serve it can be reached'); return; }
   if (server === 'self') { serveHere(work, transaction); return; }
   open(work, transaction, { kind: 'partner', row: server });
 };
 
-/** A later leg: itself where it may, else another partner. */
-const startAgain = (work: Work, transaction: Transaction): void => {
+/** A later move: itself where it may, else another partner. */
+const startAgain = (work: Work, given: Transaction): void => {
+  const transaction = underPolicy(work, given);
+  if (transaction === null) return;
   if (atHome(transaction.route.homes, work.state.self.region)) { serveHere(work, transaction); return; }
-  const partner = allowedPartners(work.state, transaction)[0];
+  const partner = transaction.asked.via === null ? allowedPartners(work.state, transaction)[0] : undefined;
   if (partner === undefined) giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'no other node that may serve it can be reached');
   else open(work, transaction, { kind: 'partner', row: partner });
 };
@@ -208,20 +251,19 @@
   count(work, asked.via === null ? 'transactions' : 'transactions.partner');
   if (!mayServe(work, id, asked.via)) return;
   const route = Routes.find(state.routes, asked.host, asked.target);
-  if (route === undefined) { turnAway(work, id, 404, 'No such place', 'No policy has a route for this host and path.'); return; }
-  if (!(route.methods as readonly string[]).includes(asked.method)) { turnAway(work, id, 405, 'Method not allowed', `This route takes ${route.methods.join(', ')}.`, { allow: route.methods.join(', ') }); return; }
-  if (asked.bodyBytes > (route.limits.bodyBytes ?? Sizes.callerBody)) { turnAway(work, id, 413, 'Body too large', `This route takes bodies of up to ${route.limits.bodyBytes ?? Sizes.callerBody} bytes.`); return; }
+  const refusal = refusalOf(route, asked);
+  if (route === undefined || refusal !== null) { if (refusal !== null) turnAway(work, id, refusal.status, refusal.title, refusal.detail, refusal.more); return; }
   if (Object.keys(state.transactions).length >= Sizes.transactions) { turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.'); return; }
   const safe = Tally.safe(asked.method);
   const callerKey = safe || asked.via !== null ? null : headerText(asked.headers, 'idempotency-key');
   const transaction: Transaction = {
-    id, asked, route, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: state.now + (route.limits.transactionMs ?? Limits.transaction),
-    draws, token, claimKey: callerKey === null ? null : `${route.service}/${callerKey}`, legs: [],
+    id, asked, route, serial: state.policy?.serial ?? 0, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: state.now + (route.limits.transactionMs ?? Limits.transaction),
+    draws, token, claimKey: callerKey === null ? null : Sieve.key(asked.host, `/${callerKey}`), legs: [],
     phase: callerKey === null ? 'leg' : 'claiming', heldAt: 0, leads: false, callerGone: false,
   };
   set(work, { transactions: { ...state.transactions, [id]: transaction } });
   earnRepeat(work);
-  if (transaction.claimKey !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claimKey, token, life: state.self.life } });
+  if (transaction.claimKey !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claimKey, token, life: state.self.life, digest: asked.digest ?? '' } });
   else start(work, transaction);
 };
 
@@ -236,6 +278,15 @@
     return;
   }
   if (reply.kind === 'unreached') { giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed'); return; }
+  if (reply.kind === 'other') {
+    count(work, 'claims.other', 'status.422');
+    work.effects.push({ kind: 'answer', id, answer: {
+      status: 422, headers: { 'reedyard-outcome': 'not-run' },
+      body: { kind: 'problem', title: 'Key of another request', detail: 'Another request was sent with this key: another method, target or body. This one was not run.', outcome: 'not-run' },
+    } });
+    close(work, transaction);
+    return;
+  }
   const known = reply.state === 'pending' ? 'in-progress' : reply.state;
   count(work, 'claims.taken', 'status.409');
   work.effects.push({ kind: 'answer', id, answer: {
@@ -274,14 +325,16 @@
 };
 
 /** Why an answer can't be passed on, or null if it is sound. */
-const unsound = (transaction: Transaction, number: number, answer: LegAnswer): string | null => {
+const unsound = (transaction: Transaction, number: number, answer: LegAnswer, routes: RouteTable): string | null => {
   const leg = transaction.legs[number];
   if (leg === undefined) return 'unknown leg';
   if (headerText(answer.headers, 'reedyard-leg') !== `${transaction.token}-${number}`) return 'foreign';
   const stamp = headerText(answer.headers, 'reedyard-stamp');
   if (leg.to.kind === 'origin') return stamp === leg.to.id ? null : 'stamp';
   const notServed = answer.status >= 400 && headerText(answer.headers, 'reedyard-outcome') !== null;
-  return notServed || stamp?.startsWith(`${transaction.route.service}/`) === true ? null : 'stamp';
+  // The partner may have served under a newer policy than the one that the leg was made under.
+  const services = [transaction.route.service, Routes.find(routes, transaction.asked.host, transaction.asked.target)?.service];
+  return notServed || services.some((service) => service !== undefined && stamp?.startsWith(`${service}/`) === true) ? null : 'stamp';
 };
 
 const answered = (work: Work, id: number, number: number, answer: LegAnswer): void => {
@@ -289,7 +342,7 @@
   const leg = transaction?.legs[number];
   if (transaction === undefined || leg === undefined || leg.end !== null) return;
   const { state } = work;
-  const bad = unsound(transaction, number, answer);
+  const bad = unsound(transaction, number, answer, state.routes);
   if (bad !== null) { work.effects.push({ kind: 'abort', id, leg: number }); failed(work, id, number, 'maybe', bad); return; }
   const safe = Tally.safe(transaction.asked.method);
   const tags = Sieve.tags(answer.headers, transaction.route.tagsHeader);
@@ -337,22 +390,27 @@
   leaderEnded(work, ended, copy, null);
 };
 
+/** What is kept of an answer: only as the route in force now has it, and only if its service is still that one. */
 const copyOf = (work: Work, transaction: Transaction, openedAt: number, answer: LegAnswer, tags: readonly string[], purgedAt: number | null): Copy | null => {
   const { state } = work;
   if (transaction.asked.method !== 'GET' || !answer.whole || answer.status === 206 || purgedAt !== null) return null;
-  if (!keeps(transaction.route, 'GET') || !atHome(transaction.route.homes, state.self.region)) return null;
+  const route = Routes.find(state.routes, transaction.asked.host, transaction.asked.target);
   const legMs = state.now - openedAt;
-  const allowed = Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
-  const life = Math.min(allowed, (transaction.route.cache.mostSeconds ?? Infinity) * 1_000 - legMs);
-  if (life <= 0) return null;
+  const life = Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
   const { ['reedyard-leg']: _mark, ...headers } = answer.headers;
-  return {
-    key: transaction.key, route: transaction.route.name, status: answer.status, headers, body: answer.body, size: answer.size, tags,
+  const copy: Copy = {
+    key: transaction.key, service: transaction.route.service, status: answer.status, headers, body: answer.body, size: answer.size, tags,
     vary: Sieve.vary(answer.headers, transaction.asked.headers), takenAt: state.now, freshUntil: state.now + life,
     bornAge: Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
   };
+  return life > 0 && state.now < lifeEnd(route, state, copy) ? copy : null;
 };
 
+/** ms. Until when a route lets a copy live here, whatever its origin allows. */
+const lifeEnd = (route: Route | undefined, state: LatheState, copy: Copy): number =>
+  route === undefined || route.service !== copy.service || !keeps(route, 'GET') || !atHome(route.homes, state.self.region) ? 0
+    : route.cache.mostSeconds === undefined ? Infinity : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
+
 const fed = (work: Work, feed: Feed, askedAt: number): void => {
   const { state } = work;
   const policy = feed.policy ?? state.policy;
@@ -361,27 +419,23 @@
   if (gone) log(work, 'copies.flushed', { why: feed.life !== state.life ? 'jig restarted' : 'was away' });
   let sieve = gone ? Sieve.flush(state.sieve) : state.sieve;
   for (const { purge } of feed.purges) sieve = Sieve.purge(sieve, purge, state.now);
-  const purged = feed.purges.length > 0 || gone;
+  const routes = policy === state.policy || policy === null ? state.routes : Routes.table(policy.document.routes);
   if (policy !== state.policy) {
     log(work, 'policy.in-force', { serial: policy?.serial ?? 0 });
-    // A copy stays only while its route does, and no longer than the route now allows.
-    const byName = new Map((policy?.document.routes ?? []).map((route) => [route.name, route]));
-    sieve = { ...sieve, copies: sieve.copies.map((copy) => ({ ...copy, freshUntil: Math.min(copy.freshUntil, limitOf(byName.get(copy.route), state, copy)) })) };
+    const table = routes;
+    sieve = Sieve.dropWhere(sieve, (copy) => state.now >= lifeEnd(Routes.find(table, ...Sieve.place(copy.key)), state, copy));
   }
   const emptied = feed.emptied.includes(state.self.hall);
   set(work, {
     feed: { ...feed, policy: null, purges: [] }, life: feed.life, flushes: feed.flushes, fedAt: askedAt, purgeSeq: feed.purgeSeq, sieve,
-    lease: Math.max(state.lease, askedAt + feed.leaseMs), policy,
-    routes: policy === state.policy || policy === null ? state.routes : Routes.table(policy.document.routes),
+    lease: feed.leaseMs > 0 ? Math.max(state.lease, askedAt + feed.leaseMs) : state.lease, policy,
+    routes, abroad: state.abroad || feed.partners.some((row) => row.region !== state.self.region),
     emptiedAt: emptied ? state.emptiedAt ?? state.now : null,
-    fetches: purged ? Object.fromEntries(Object.entries(state.fetches).map(([key, fetch]) => [key, { ...fetch, closed: true }])) : state.fetches,
+    // Nobody joins a fetch that was begun before a purge or under an older policy.
+    fetches: feed.purges.length > 0 || gone || policy !== state.policy ? Object.fromEntries(Object.entries(state.fetches).map(([key, fetch]) => [key, { ...fetch, closed: true }])) : state.fetches,
   });
 };
 
-const limitOf = (route: Route | undefined, state: LatheState, copy: Copy): number =>
-  route === undefined || route.cache.keep === 'never' || !atHome(route.homes, state.self.region) ? 0
-    : route.cache.mostSeconds === undefined ? Infinity : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
-
 /** Closes a period of measuring: what the own callers asked for, object by object for the busiest. */
 const measure = (work: Work): Measure | null => {
   const { state } = work;
@@ -402,7 +456,7 @@
   });
   set(work, {
     period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
-    sieve: Sieve.sweep(state.sieve, state.now),
+    sieve: Sieve.dropWhere(state.sieve, (copy) => state.now >= copy.freshUntil),
   });
   const allBits = entries.reduce((sum, [, bits]) => sum + bits, 0);
   return {
@@ -446,9 +500,18 @@
 };
 
 const beat = (work: Work): void => {
+  const { abroad, now, lease, sieve } = work.state;
+  if (abroad && now - lease > Limits.unknowing && sieve.copies.size > 0) {
+    set(work, { sieve: Sieve.flush(sieve) });
+    log(work, 'copies.flushed', { why: 'homes may have moved' });
+  }
   for (const transaction of Object.values(work.state.transactions)) {
     if (work.state.transactions[transaction.id] === undefined) continue;
-    if (transaction.phase === 'holding') { legToOrigin(work, transaction); continue; }
+    if (transaction.phase === 'holding') {
+      // Under a newer policy it may be another's to serve, or another service's.
+      if (transaction.serial !== (work.state.policy?.serial ?? 0)) startAgain(work, transaction); else legToOrigin(work, transaction);
+      continue;
+    }
     const leg = transaction.legs.at(-1);
     if (transaction.phase === 'leg' && leg !== undefined && leg.end === null && work.state.now >= leg.limitAt) {
       work.effects.push({ kind: 'abort', id: transaction.id, leg: leg.number });
@@ -461,7 +524,7 @@
 export const Lathe = {
   /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
   open: (self: LatheState['self'], now: number): LatheState => ({
-    self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty,
+    self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty, abroad: false,
     transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: 0, suspects: {}, outstanding: {}, stoppingAt: null, counters: {},
     period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 }, wants: {}, wanted: { since: now, counts: {} },
   }),
--- a/packages/lathe/src/lathe.test.ts
+++ b/packages/lathe/src/lathe.test.ts
@@ -14,7 +14,7 @@
   leaseMs: Limits.lease, life: 'l', flushes: 0, policy: { serial: 1, document: policy }, policySerial: 1, origins: [origin], partners: [partner], emptied: [], split: {},
   slices: { store: { rate: 1_000, share: 1 } }, seated: true, purges: [], purgeSeq: 0, ...part,
 });
-const asked = (method: string, target = '/sheets/1'): Asked => ({ method, target, host: 'a.example', headers: {}, via: null, bodyBytes: 0 });
+const asked = (method: string, target = '/sheets/1'): Asked => ({ method, target, host: 'a.example', headers: {}, via: null, bodyBytes: 0, digest: null });
 const arrive = (id: number, method: string, now: number, target?: string): LatheEvent => ({ kind: 'arrived', id, asked: asked(method, target), draws: [0.5, 0.5, 0.5, 0.5, 0.5], token: `t${id}`, now });
 const answer = (mark: string, part: Partial<LegAnswer> = {}): LegAnswer => ({
   status: 200, size: 3, whole: true, body: 'abc', headers: { 'reedyard-stamp': 'store/o1/1', 'reedyard-leg': mark, 'cache-control': 'max-age=60' }, ...part,
@@ -106,6 +106,91 @@
   t.is(away, 70);
 });
 
+test('the policy in force rules at each move: in all orders of a claim, a policy, a failed leg and a beat, no leg is made that the newest policy bars', (t) => {
+  const [sheets, homed] = policy.routes;
+  if (sheets === undefined || homed === undefined) { t.fail(); return; }
+  const services = { ...policy.services, other: { ceiling: 1_000, coldRate: 10 } };
+  const next: Readonly<Record<string, typeof policy>> = {
+    removed: { ...policy, routes: [homed] }, moved: { services, routes: [{ ...sheets, service: 'other' }, homed] }, away: { ...policy, routes: [{ ...sheets, homes: ['far'] }, homed] },
+    methods: { ...policy, routes: [{ ...sheets, methods: ['OPTIONS'] }, homed] }, sooner: { ...policy, routes: [{ ...sheets, limits: { transactionMs: 5 } }, homed] },
+  };
+  for (const [name, document] of Object.entries(next)) for (const key of [true, false]) for (const method of ['GET', 'POST']) {
+    const happenings: readonly ((now: number) => LatheEvent)[] = [
+      (now) => ({ kind: 'claimed', id: 1, reply: { kind: 'granted' }, now }),
+      (now) => ({ kind: 'fed', feed: feedOf({ policy: { serial: 2, document }, policySerial: 2, slices: { store: { rate: 1_000, share: 1 }, other: { rate: 1_000, share: 1 } } }), askedAt: now, now }),
+      (now) => ({ kind: 'failed', id: 1, leg: 0, sent: 'nothing', why: 'connect', now }),
+      (now) => ({ kind: 'beat', now }),
+    ];
+    const first: LatheEvent = { ...(arrive(1, method, 1_000) as Extract<LatheEvent, { kind: 'arrived' }>), asked: { ...asked(method), headers: key ? { 'idempotency-key': 'k' } : {}, digest: key ? 'd' : null } };
+    for (const order of orders(happenings)) {
+      let state = begun();
+      const effects: LatheEffect[] = [];
+      let answers = 0;
+      for (const [index, event] of [first, ...order.map((make, place) => make(1_010 + place)), { kind: 'beat', now: 9_000 } as const, { kind: 'beat', now: 20_000 } as const].entries()) {
+        const step = Lathe.reduce(state, event);
+        state = step.state;
+        effects.push(...step.effects);
+        answers += only(step.effects, 'answer', 1).length;
+        const opens = only(step.effects, 'open', 1);
+        const label = `${name} ${method} ${key ? 'key' : 'no key'} at ${index}`;
+        if (state.policy?.serial === 2) t.false(opens.some(({ to }) => to.kind === 'origin' && name !== 'sooner'), label);
+        if (state.policy?.serial === 2 && (name === 'removed' || name === 'methods')) t.is(opens.length, 0, label);
+      }
+      t.true(answers <= 1);
+      t.is(Object.keys(state.transactions).length, 0);
+      // A key whose request provably ran nothing may be used again.
+      const [given] = only(effects, 'answer', 1);
+      if (key && method === 'POST' && given?.answer.headers['reedyard-outcome'] === 'not-run') t.true(only(effects, 'ask', 1).some(({ call }) => call.kind === 'settle' && call.state === 'not-run'));
+    }
+  }
+});
+
+test('copies end with what let them be kept: a route gone, moved, homed elsewhere, or kept for less', (t) => {
+  const kept = play([arrive(1, 'GET', 1_000), { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 1_010 }], begun()).state;
+  const [sheets, homed] = policy.routes;
+  if (sheets === undefined || homed === undefined) { t.fail(); return; }
+  const under = (routes: typeof policy.routes, now = 1_020): LatheState => play([{ kind: 'fed', feed: feedOf({ policy: { serial: 2, document: { services: { ...policy.services, other: { ceiling: 9, coldRate: 1 } }, routes } }, policySerial: 2 }), askedAt: now, now }], kept).state;
+  t.is(under([sheets, homed]).sieve.copies.size, 1);
+  t.is(under([homed]).sieve.copies.size, 0);
+  t.is(under([{ ...sheets, service: 'other' }, homed]).sieve.copies.size, 0);
+  t.is(under([sheets, homed, { ...sheets, name: 'deeper', path: '/sheets/1', service: 'other' }]).sieve.copies.size, 0);
+  t.is(under([{ ...sheets, homes: ['far'] }, homed]).sieve.copies.size, 0);
+  t.is(under([{ ...sheets, cache: { keep: 'never' } }, homed]).sieve.copies.size, 0);
+  const shorter = under([{ ...sheets, cache: { keep: 'origin', mostSeconds: 1 } }, homed]);
+  t.is(only(play([arrive(2, 'GET', 1_900)], shorter).effects, 'answer', 2)[0]?.answer.headers['reedyard-served'], 'copy');
+  t.is(only(play([arrive(2, 'GET', 2_015)], shorter).effects, 'open', 2).length, 1);
+  // Where there are other regions, a lathe that has long been without a lease keeps none.
+  t.is(play([{ kind: 'beat', now: kept.lease + Limits.unknowing - 1 }], kept).state.sieve.copies.size, 1);
+  t.is(play([{ kind: 'beat', now: kept.lease + Limits.unknowing + 1 }], kept).state.sieve.copies.size, 0);
+});
+
+test('a waiter of a fetch begun under an older policy is served as the newer one has it', (t) => {
+  const [sheets, homed] = policy.routes;
+  if (sheets === undefined || homed === undefined) { t.fail(); return; }
+  const moved = { services: { ...policy.services, other: { ceiling: 1_000, coldRate: 10 } }, routes: [{ ...sheets, service: 'other' }, homed] };
+  const feed = feedOf({ policy: { serial: 2, document: moved }, policySerial: 2, origins: [origin, { ...origin, service: 'other', instance: 'o2' }], slices: { other: { rate: 1_000, share: 1 } } });
+  const { effects, state } = play([
+    arrive(1, 'GET', 1_000), arrive(2, 'GET', 1_001), { kind: 'fed', feed, askedAt: 1_002, now: 1_002 }, arrive(3, 'GET', 1_003), { kind: 'beat', now: 1_400 },
+    { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 1_410 }, { kind: 'beat', now: 1_600 },
+  ], begun());
+  t.is(only(effects, 'answer', 1)[0]?.answer.status, 200);
+  t.is(state.sieve.copies.size, 0);
+  for (const id of [2, 3]) t.deepEqual(only(effects, 'open', id).map(({ to }) => to.kind === 'origin' && to.row.service), ['other'], String(id));
+});
+
+test('keys: wanted by a route, and of another request', (t) => {
+  const wanted = { ...policy, routes: policy.routes.map((route) => ({ ...route, key: 'required' as const })) };
+  const state = play([{ kind: 'fed', feed: feedOf({ policy: { serial: 2, document: wanted }, policySerial: 2 }), askedAt: 950, now: 950 }], begun()).state;
+  const without = play([arrive(1, 'POST', 1_000)], state).effects;
+  t.is(only(without, 'answer', 1)[0]?.answer.status, 400);
+  t.is(only(without, 'open', 1).length, 0);
+  t.is(only(play([arrive(1, 'GET', 1_000)], state).effects, 'open', 1).length, 1);
+  const withKey: LatheEvent = { ...(arrive(1, 'POST', 1_000) as Extract<LatheEvent, { kind: 'arrived' }>), asked: { ...asked('POST'), headers: { 'idempotency-key': 'k' }, digest: 'd' } };
+  const other = play([withKey, { kind: 'claimed', id: 1, reply: { kind: 'other' }, now: 1_010 }], state).effects;
+  t.is(only(other, 'answer', 1)[0]?.answer.status, 422);
+  t.is(only(other, 'open', 1).length, 0);
+});
+
 test('without a token the answer is given at once, or within the holding', (t) => {
   const none = begun(feedOf({ slices: { store: { rate: 0, share: 0 } } }));
   const { effects } = play([arrive(1, 'GET', 1_000)], none);
--- a/packages/lathe/src/main.ts
+++ b/packages/lathe/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import http from 'node:http';
-import { randomBytes, randomUUID } from 'node:crypto';
+import { createHash, randomBytes, randomUUID } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import type { Readable } from 'node:stream';
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
@@ -86,7 +86,7 @@
         const done = (answer: LegAnswer): void => { put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() }); };
         const fail = (error: LegError): void => { put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() }); };
         const out = outgoing(one, effect);
-        one.legs.set(effect.leg, effect.to.kind === 'origin' ? conns.send(effect.to.row, out, done, fail) : sendToPartner(effect.to.row.address, settings.host, out, done, fail));
+        one.legs.set(effect.leg, effect.to.kind === 'origin' ? conns.send(effect.to.row, out, effect.sendBy, done, fail) : sendToPartner(effect.to.row.address, settings.host, out, done, fail));
         return;
       }
       case 'abort': opened.get(effect.id)?.legs.get(effect.leg)?.abort(); return;
@@ -146,7 +146,10 @@
     nextId += 1;
     const begin = (): void => {
       const partner = request.headers['reedyard-via'];
-      const asked: Asked = { method: request.method ?? 'GET', target, host, headers: passable(request.headers), via: fromPartner ? String(partner ?? 'unnamed') : null, bodyBytes: size };
+      const method = request.method ?? 'GET';
+      const digest = fromPartner || request.headers['idempotency-key'] === undefined ? null
+        : createHash('sha256').update(JSON.stringify([method, target])).update(Buffer.concat(chunks)).digest('base64');
+      const asked: Asked = { method, target, host, headers: passable(request.headers), via: fromPartner ? String(partner ?? 'unnamed') : null, bodyBytes: size, digest };
       const mark = request.headers['reedyard-leg'];
       opened.set(id, { request, response, body: Buffer.concat(chunks), asked, legs: new Map(), mark: fromPartner && typeof mark === 'string' ? mark : null });
       response.on('close', () => { if (!response.writableFinished) task.put({ kind: 'left', id, now: now() }); });
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -12,6 +12,8 @@
   /** The partner that handed it on; null from a caller. */
   readonly via: string | null;
   readonly bodyBytes: number;
+  /** Tells apart requests of one key by method, target and body; null without a key. */
+  readonly digest: string | null;
 };
 
 /** An answer to a leg, read whole up to Sizes.wholeBody, or still streaming. */
@@ -22,7 +24,9 @@
 export type Transaction = {
   readonly id: number;
   readonly asked: Asked;
+  /** The route under the policy with this serial; looked up again at each move under a newer one. */
   readonly route: Route;
+  readonly serial: number;
   readonly key: string;
   readonly arrivedAt: number;
   readonly limitAt: number;
@@ -56,6 +60,8 @@
   readonly feed: Feed | null;
   readonly emptiedAt: number | null;
   readonly sieve: SieveState;
+  /** Whether partners in other regions were ever told of. */
+  readonly abroad: boolean;
   readonly transactions: Readonly<Record<number, Transaction>>;
   readonly fetches: Readonly<Record<string, Fetch>>;
   /** Objects lately found not to be keepable: their requests are not made to wait for each other. */
@@ -97,7 +103,9 @@
 };
 
 export type LatheEffect =
-  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean }
+  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean;
+    /** Nothing of the request is sent after this moment: what the leg was decided on is old then. */
+    readonly sendBy: number }
   | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
   | { readonly kind: 'answer'; readonly id: number; readonly answer: Answer }
   /** A transaction is over: nothing more will be said of it. */
--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -1,26 +1,71 @@
-import type { Policy } from '@reedyard/stencil';
-import { Routes } from '@reedyard/stencil';
+import { Routes, type Policy, type Route, type RouteTable } from '@reedyard/stencil';
 import type { Entry, Wrong } from './history.js';
 
 type Of<K extends Entry['kind']> = Extract<Entry, { kind: K }>;
 const only = <K extends Entry['kind']>(history: readonly Entry[], kind: K): readonly Of<K>[] => history.filter((entry): entry is Of<K> => entry.kind === kind);
 
-/** The most entries in any window, and when the window ended. */
-const busiest = (times: readonly number[], window: number): { readonly most: number; readonly at: number } => {
-  let [from, most, at] = [0, 0, 0];
-  times.forEach((time, index) => {
-    while ((times[from] ?? 0) <= time - window) from += 1;
-    if (index - from + 1 > most) { most = index - from + 1; at = time; }
-  });
-  return { most, at };
-};
-
 const groupBy = <T>(list: readonly T[], key: (each: T) => string): ReadonlyMap<string, readonly T[]> => {
   const groups = new Map<string, T[]>();
   for (const each of list) { const group = groups.get(key(each)); if (group === undefined) groups.set(key(each), [each]); else group.push(each); }
   return groups;
 };
 
+/** ms from an acknowledgement until what it takes away must be gone. */
+const grace = 2_000;
+
+/** A policy, and the span in which a node may act under it. */
+type Span = { readonly from: number; readonly until: number; readonly document: Policy; readonly routes: RouteTable; readonly found: Map<string, Route | undefined> };
+
+/** The route of a request under one policy, looked up once. */
+const routeIn = (span: Span, { host, target }: { readonly host: string; readonly target: string }): Route | undefined => {
+  const key = `${host}${target}`;
+  if (!span.found.has(key)) span.found.set(key, Routes.find(span.routes, host, target));
+  return span.found.get(key);
+};
+
+const spansBy = new WeakMap<readonly Entry[], readonly Span[]>();
+
+/**
+ * When each policy may have been in force: from its first sending until 2 s after a newer one was
+ * acknowledged. One that was never acknowledged may be in force at any time after its sending.
+ */
+const spans = (history: readonly Entry[]): readonly Span[] => {
+  const known = spansBy.get(history);
+  if (known !== undefined) return known;
+  const puts = only(history, 'put');
+  const made = only(history, 'proposed').map((proposed) => {
+    const put = puts.find((each) => each.changeId === proposed.changeId);
+    const newer = put === undefined ? [] : puts.filter((each) => each.serial > put.serial).map((each) => each.at);
+    return { from: proposed.at, until: Math.min(Infinity, ...newer) + grace, document: proposed.document, routes: Routes.table(proposed.document.routes), found: new Map() };
+  });
+  spansBy.set(history, made);
+  return made;
+};
+
+const during = (history: readonly Entry[], from: number, to: number = from): readonly Span[] => spans(history).filter((span) => span.from <= to && span.until >= from);
+
+/** The most that policies in force between two moments let through, in requests. */
+const allowance = (history: readonly Entry[], of: (policy: Policy) => number, from: number, to: number): number => {
+  const list = during(history, from, to);
+  const cuts = [...new Set([from, to, ...list.flatMap((span) => [span.from, span.until])])].filter((at) => at >= from && at <= to).sort((a, b) => a - b);
+  return cuts.slice(1).reduce((sum, end, index) => {
+    const begin = cuts[index] ?? from;
+    const rates = list.filter((span) => span.from < end && span.until > begin).map((span) => of(span.document));
+    return sum + (Math.max(0, ...rates) * (end - begin)) / 1_000;
+  }, 0);
+};
+
+/** Windows of 5 s that hold more than `share` of what is allowed in them. */
+const overloads = (times: readonly number[], allowed: (from: number, to: number) => number, share: number): readonly { readonly at: number; readonly most: number; readonly limit: number }[] => {
+  let from = 0;
+  return times.flatMap((at, index) => {
+    while ((times[from] ?? 0) <= at - 5_000) from += 1;
+    const most = index - from + 1;
+    const limit = share * allowed(at - 5_000, at);
+    return most > limit ? [{ at, most, limit }] : [];
+  });
+};
+
 /** The checkers, one for each point of the brief's "What must never happen". */
 export const Checks: Readonly<Record<number, (history: readonly Entry[]) => readonly Wrong[]>> = {
   // 1. A handover confirmation or work order runs twice.
@@ -40,33 +85,43 @@
   // 3. A success without stamp and whole body, or attached to another request.
   3: (history) => only(history, 'got').flatMap((entry) => {
     if (entry.status < 200 || entry.status > 299) return [];
-    const fault = !entry.whole ? 'not whole' : entry.body === null ? 'no body' : !entry.stamp.startsWith(`${entry.service}/`) ? `stamp "${entry.stamp}"`
-      : entry.body.service !== entry.service || entry.body.target !== entry.target ? `the body of ${entry.body.target}`
+    const fault = !entry.whole ? 'not whole' : entry.body === null ? 'no body' : !entry.stamp.startsWith(`${entry.body.service}/`) ? `stamp "${entry.stamp}" on a body of ${entry.body.service}`
+      : entry.body.target !== entry.target ? `the body of ${entry.body.target}`
         : entry.method === 'POST' && entry.body.job !== entry.job ? `the answer to ${entry.body.job}` : null;
     return fault === null ? [] : [{ rule: 3, at: entry.at, what: `${entry.method} ${entry.target}: ${fault}` }];
   }),
 
-  // 4. A request reaches a service that no configuration allowed, also at a reused address.
-  4: (history) => {
-    const puts = only(history, 'put');
-    const allowed = new Set(puts.flatMap((put) => Object.keys(put.document.services)));
-    return only(history, 'leg').flatMap((entry) => {
-      const me = `${entry.service}/${entry.instance}/${entry.incarnation}`;
-      return entry.expected !== me || !allowed.has(entry.service) ? [{ rule: 4, at: entry.at, what: `a leg for ${entry.expected} reached ${me}` }] : [];
-    });
-  },
+  // 4. A request reaches a service that no policy in force allowed, also at a reused address.
+  4: (history) => only(history, 'leg').flatMap((entry): readonly Wrong[] => {
+    const me = `${entry.service}/${entry.instance}/${entry.incarnation}`;
+    if (entry.expected !== me) return [{ rule: 4, at: entry.at, what: `a leg for ${entry.expected} reached ${me}` }];
+    const allows = (span: Span): boolean => {
+      const route = routeIn(span, entry);
+      const service = span.document.services[entry.service];
+      return route !== undefined && route.service === entry.service && service !== undefined && (service.instances === undefined || service.instances.includes(entry.instance))
+        && (route.methods as readonly string[]).includes(entry.method);
+    };
+    return during(history, entry.at).some(allows) ? [] : [{ rule: 4, at: entry.at, what: `${entry.method} ${entry.target} reached ${me}, which no policy in force allowed` }];
+  }),
 
   // 5. A policy not in force 2 s after it was acknowledged, or a node falls back to an older one.
   5: (history) => {
     const puts = only(history, 'put');
+    const askedAt = new Map(only(history, 'asked').map((entry) => [entry.submission, entry.at]));
     const highest = new Map<string, number>();
-    return only(history, 'acted').flatMap((entry) => {
+    const lateAnswers = only(history, 'got').flatMap((entry): readonly Wrong[] => {
+      const asked = askedAt.get(entry.submission);
+      if (entry.status < 200 || entry.status > 299 || asked === undefined) return [];
+      const known = during(history, asked, entry.at).some((span) => { const route = routeIn(span, entry); return route !== undefined && entry.stamp.startsWith(`${route.service}/`); });
+      return known ? [] : [{ rule: 5, at: entry.at, what: `${entry.method} ${entry.target} was answered by ${entry.stamp} although no policy in force since it was asked has such a route` }];
+    });
+    return [...lateAnswers, ...only(history, 'acted').flatMap((entry) => {
       const due = puts.reduce((best, put) => (put.at <= entry.at - 2_000 ? Math.max(best, put.serial) : best), 0);
       const before = highest.get(entry.node) ?? 0;
       highest.set(entry.node, Math.max(before, entry.serial));
       if (entry.serial < due) return [{ rule: 5, at: entry.at, what: `${entry.node} acted under ${entry.serial} although ${due} was acknowledged over 2 s before` }];
       return entry.serial < before ? [{ rule: 5, at: entry.at, what: `${entry.node} fell back from ${before} to ${entry.serial}` }] : [];
-    });
+    })];
   },
 
   // 6. The policy read back is older than the newest acknowledged one; and two acknowledged ones never share a serial.
@@ -114,7 +169,12 @@
       const { body } = entry;
       const old = purges.find((purge) => entry.at > purge.at + 2_000 && body.madeAt < purge.turned && (purge.objects.some((object) => object.endsWith(body.target)) || purge.tags.some((tag) => body.tags.includes(tag))));
       if (old !== undefined) return [{ rule: 9, at: entry.at, what: `${body.target} made at ${Math.round(body.madeAt)} served ${Math.round(entry.at - old.at)} ms after its purge` }];
-      const over = entry.at - body.madeAt - body.maxAgeMs;
+      // A copy lives as long as its origin says, and at most as long as a route in force keeps it.
+      const keeps = during(history, entry.at).map((span) => {
+        const route = routeIn(span, entry);
+        return route === undefined || route.cache.keep === 'never' ? 0 : 1_000 * (route.cache.mostSeconds ?? Infinity);
+      });
+      const over = entry.at - body.madeAt - Math.min(body.maxAgeMs, entry.copied ? Math.max(0, ...keeps) : Infinity);
       return over > 2_000 ? [{ rule: 9, at: entry.at, what: `${body.target} outlived its life by ${Math.round(over)} ms` }] : [];
     });
   },
@@ -122,18 +182,12 @@
   // 10. A service gets over a tenth above its ceiling in any 5 s; a cold origin over 1.5 times its rate.
   10: (history) => {
     const legs = only(history, 'leg');
-    const puts = only(history, 'put');
-    const ceilingOf = (service: string): number => Math.max(0, ...puts.map((put) => put.document.services[service]?.ceiling ?? 0));
-    const services = [...groupBy(legs, (leg) => leg.service)].flatMap(([service, list]) => {
-      const { most, at } = busiest(list.map((leg) => leg.at), 5_000);
-      const limit = 1.1 * 5 * ceilingOf(service);
-      return most > limit ? [{ rule: 10, at, what: `${service} got ${most} in 5 s; ${limit.toFixed(0)} are allowed` }] : [];
-    });
-    const cold = [...groupBy(legs.filter((leg) => leg.cold), (leg) => `${leg.instance}/${leg.incarnation}`)].flatMap(([name, list]) => {
-      const { most, at } = busiest(list.map((leg) => leg.at), 5_000);
-      const limit = 1.5 * 5 * (list[0]?.coldRate ?? 0);
-      return most > limit ? [{ rule: 10, at, what: `cold ${name} got ${most} in 5 s; ${limit.toFixed(0)} are allowed` }] : [];
-    });
+    const over = (list: readonly Of<'leg'>[], what: string, allowed: (from: number, to: number) => number, share: number): readonly Wrong[] =>
+      overloads(list.map((leg) => leg.at), allowed, share).slice(0, 1).map(({ at, most, limit }) => ({ rule: 10, at, what: `${what} got ${most} in 5 s; ${limit.toFixed(0)} are allowed` }));
+    const services = [...groupBy(legs, (leg) => leg.service)].flatMap(([service, list]) =>
+      over(list, service, (from, to) => allowance(history, (policy) => policy.services[service]?.ceiling ?? 0, from, to), 1.1));
+    const cold = [...groupBy(legs.filter((leg) => leg.cold), (leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`)].flatMap(([name, list]) =>
+      over(list, `cold ${name}`, (from, to) => allowance(history, (policy) => policy.services[list[0]?.service ?? '']?.coldRate ?? 0, from, to), 1.5));
     return [...services, ...cold];
   },
 
@@ -150,22 +204,14 @@
     }).slice(0, 5);
   },
 
-  // 12. A report with home regions is fetched or stored outside them.
-  12: (history) => {
-    const puts = only(history, 'put');
-    const homesOf = (target: string): readonly string[] | undefined => {
-      const policy = puts.at(-1)?.document;
-      if (policy === undefined) return undefined;
-      const host = policy.routes[0]?.host ?? '';
-      return Routes.find(Routes.table(policy.routes), host, target)?.homes;
-    };
-    return history.flatMap((entry): readonly Wrong[] => {
-      if (entry.kind !== 'leg' && entry.kind !== 'stored') return [];
-      const homes = homesOf(entry.target);
-      if (homes === undefined || homes.includes(entry.region)) return [];
-      return [{ rule: 12, at: entry.at, what: `${entry.target} was ${entry.kind === 'leg' ? 'fetched' : 'stored'} in ${entry.region}` }];
-    });
-  },
+  // 12. A report with home regions is fetched or stored outside those of every policy in force.
+  12: (history) => history.flatMap((entry): readonly Wrong[] => {
+    if (entry.kind !== 'leg' && entry.kind !== 'stored') return [];
+    const routes = during(history, entry.at).flatMap((span): readonly Route[] => { const route = routeIn(span, entry); return route === undefined ? [] : [route]; });
+    // Without a route there are no homes to keep to; that is rule 4's.
+    if (routes.length === 0 || routes.some(({ homes }) => homes === undefined || homes.includes(entry.region))) return [];
+    return [{ rule: 12, at: entry.at, what: `${entry.target} was ${entry.kind === 'leg' ? 'fetched' : 'stored'} in ${entry.region}` }];
+  }),
 
   // 13. After a full loss little is served 15 s after the machines return.
   13: (history) => {
@@ -201,4 +247,3 @@
   return { asked: all, share: all === 0 ? 1 : good / all, rest };
 };
 
-export type { Policy };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -27,7 +27,7 @@
 export type OriginMode = { slowMs: number; lose: number; garbage: number; short: number; foreign: number };
 /** A stand-in origin: an identity at an address. */
 export type SimOrigin = {
-  readonly spec: Origin; readonly address: string; incarnation: number; service: string; instance: string; alive: boolean; cold: boolean; draining: boolean; mode: OriginMode; readonly coldRate: number;
+  readonly spec: Origin; readonly address: string; incarnation: number; service: string; instance: string; alive: boolean; cold: boolean; draining: boolean; capacity: number; mode: OriginMode;
   previous: LegAnswer | null;
 };
 
@@ -54,14 +54,14 @@
   #lives = 0;
   #marks = 0;
 
-  constructor(readonly deployment: Deployment, seed: number, readonly tuning: Tuning, coldRates: Readonly<Record<string, number>>) {
+  constructor(readonly deployment: Deployment, seed: number, readonly tuning: Tuning) {
     this.clock = new Clockwork(seed);
     this.seeds = deployment.machines.filter((each) => each.kind !== 'front').slice(0, 3).map((each) => `${each.name}/jig`);
     for (const machine of deployment.machines) {
       this.boxes.set(machine.name, { machine, as: machine.name, jig: null, lathe: null, anvil: null, powered: false, disk: blankDisk(), namePlate: [] });
     }
     for (const [index, spec] of deployment.origins.entries()) {
-      this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, coldRate: coldRates[spec.service] ?? 10, previous: null });
+      this.origins.push({ spec, address: `10.9.0.${index + 1}:9000`, incarnation: 1, service: spec.service, instance: spec.instance, alive: true, cold: false, draining: false, capacity: spec.capacity, mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0 }, previous: null });
     }
     for (const origin of this.origins) this.clock.in(this.clock.between(0, 1_000), () => this.#announce(origin));
   }
@@ -366,6 +366,7 @@
             const feed = body as Feed;
             for (const row of feed.origins) this.#drained.set(row.address, row);
             this.#step(process, { kind: 'fed', feed: this.#select(plantedFeed(this.tuning.plant, feed, [...this.#drained.values()]), process), askedAt, now: this.#now(process) });
+            if (this.tuning.plant === 'route-at-arrival') process.state = { ...process.state, transactions: Object.fromEntries(Object.entries(process.state.transactions).map(([id, each]) => [id, { ...each, serial: process.state.policy?.serial ?? 0 }])) };
             if (this.tuning.plant === 'free-repeats') process.state = { ...process.state, repeats: 1e6, suspects: {} };
             this.#watchCopies(process);
             again();
@@ -390,7 +391,7 @@
         const fail = (sent: 'nothing' | 'maybe', why: string): void => this.#inside(process, () => {
           if (!state.aborted) this.#step(process, { kind: 'failed', id: effect.id, leg: effect.leg, sent: this.tuning.plant === 'repeat-unsafe' ? 'nothing' : sent, why, now: this.#now(process) });
         });
-        if (effect.to.kind === 'origin') this.#toOrigin(process, effect.to, effect.asked, effect.mark, about, done, fail);
+        if (effect.to.kind === 'origin') this.#toOrigin(process, effect.to, effect.asked, effect.mark, effect.sendBy, about, done, fail);
         else this.#toPartner(process, effect.to, effect.asked, effect.mark, about, done, fail);
         return;
       }
@@ -435,15 +436,19 @@
     return { status: answer.status, headers, body, whole: true, retryAfter: answer.headers['retry-after'] !== undefined, why: answer.body.kind === 'problem' ? answer.body.detail : '' };
   }
 
-  /** Copies held of homed routes, told to the checker of rule 12. */
+  readonly #watchedAt = new Map<string, number>();
+  /** Copies held, told a few times a second to the checker of rule 12. */
   #watchCopies(process: Process<'lathe'>): void {
+    const { name } = process.machine;
+    if (this.clock.now() - (this.#watchedAt.get(name) ?? -Infinity) < 400) return;
+    this.#watchedAt.set(name, this.clock.now());
     for (const copy of process.state.sieve.copies.values()) {
       const { target } = copy.body as SimBody;
-      this.history.push({ kind: 'stored', at: this.clock.now(), node: process.machine.name, region: process.machine.region, target });
+      this.history.push({ kind: 'stored', at: this.clock.now(), node: process.machine.name, region: process.machine.region, host: copy.key.slice(0, copy.key.indexOf('/')), target });
     }
   }
 
-  #toOrigin(process: Process<'lathe'>, to: Extract<Target, { kind: 'origin' }>, asked: Asked, mark: string, about: { submission: number; job: string }, done: (answer: LegAnswer) => void, fail: (sent: 'nothing' | 'maybe', why: string) => void): void {
+  #toOrigin(process: Process<'lathe'>, to: Extract<Target, { kind: 'origin' }>, asked: Asked, mark: string, sendBy: number, about: { submission: number; job: string }, done: (answer: LegAnswer) => void, fail: (sent: 'nothing' | 'maybe', why: string) => void): void {
     const from = process.machine;
     const { row } = to;
     const expected = `${row.service}/${row.instance}/${row.incarnation}`;
@@ -454,15 +459,16 @@
       return;
     }
     const identity = (): string => `${origin.service}/${origin.instance}/${origin.incarnation}`;
-    // The proof of identity comes first; nothing of the request is sent before.
-    this.clock.in(2 * this.delay(from.name, row.address), () => {
+    // The proof of identity comes first; nothing of the request is sent before, nor while this process is frozen.
+    this.clock.in(2 * this.delay(from.name, row.address), () => this.#inside(process, () => {
+      if (this.#now(process) >= sendBy) { fail('nothing', 'lease'); return; }
       const life = origin.incarnation;
       if (!origin.alive) { fail('nothing', 'connect'); return; }
       if (identity() !== expected && this.tuning.plant !== 'no-identity') { fail('nothing', 'identity'); return; }
       this.#carry(from.name, row.address, () => {
         if (!origin.alive || (origin.incarnation !== life && this.tuning.plant !== 'no-identity')) { fail('maybe', 'cut'); return; }
         const unsafe = asked.method !== 'GET' && asked.method !== 'HEAD';
-        this.history.push({ kind: 'leg', at: this.clock.now(), from: from.name, region: from.region, service: origin.service, instance: origin.instance, incarnation: origin.incarnation, hall: origin.spec.hall, cold: origin.cold, coldRate: origin.coldRate, expected, target: asked.target, method: asked.method, submission: about.submission });
+        this.history.push({ kind: 'leg', at: this.clock.now(), from: from.name, region: from.region, service: origin.service, instance: origin.instance, incarnation: origin.incarnation, hall: origin.spec.hall, cold: origin.cold, expected, host: asked.host, target: asked.target, method: asked.method, submission: about.submission });
         if (unsafe) this.history.push({ kind: 'ran', at: this.clock.now(), submission: about.submission, job: about.job });
         const madeAt = this.clock.now();
         this.clock.in(origin.mode.slowMs * this.clock.between(0.5, 1.5), () => {
@@ -482,7 +488,7 @@
           this.#carry(row.address, from.name, () => done(sent));
         });
       });
-    });
+    }));
   }
 
   #toPartner(process: Process<'lathe'>, to: Extract<Target, { kind: 'partner' }>, asked: Asked, mark: string, about: { submission: number; job: string }, done: (answer: LegAnswer) => void, fail: (sent: 'nothing' | 'maybe', why: string) => void): void {
@@ -509,7 +515,7 @@
   describe(origin: SimOrigin, noticeAt: number = this.clock.now()): void {
     const description: Description = {
       service: origin.service, instance: origin.instance, incarnation: origin.incarnation, address: origin.address, region: origin.spec.region, hall: origin.spec.hall,
-      capacity: origin.spec.capacity, state: origin.cold ? 'cold' : 'warm', draining: origin.draining,
+      capacity: origin.capacity, state: origin.cold ? 'cold' : 'warm', draining: origin.draining,
     };
     const { draining } = origin;
     this.operate({ kind: 'describe', description }, (reply) => {
@@ -536,8 +542,9 @@
   put(document: Policy, done: () => void = () => undefined, node?: string): void {
     this.#changes += 1;
     const changeId = `change-${this.#changes}`;
+    this.history.push({ kind: 'proposed', at: this.clock.now(), changeId, document });
     const attempt = (left: number): void => this.operate({ kind: 'put-policy', document, ifMatch: null, changeId }, (reply) => {
-      if (reply.status === 200) { this.history.push({ kind: 'put', at: this.clock.now(), serial: (reply.body as { serial: number }).serial, document }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
+      if (reply.status === 200) { this.history.push({ kind: 'put', at: this.clock.now(), changeId, serial: (reply.body as { serial: number }).serial, document }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     }, 'outside', left === 20 ? node : undefined);
     attempt(20);
   }
@@ -578,7 +585,7 @@
 
   #submission = 0;
   /** A caller's request to a node. */
-  ask(node: string, request: { method: string; host: string; target: string; service: string; job: string; key: string | null }, done: (status: number, outcome: string) => void): void {
+  ask(node: string, request: { method: string; host: string; target: string; job: string; key: string | null }, done: (status: number, outcome: string) => void): void {
     this.#submission += 1;
     const submission = this.#submission;
     const box = this.boxes.get(node);
@@ -590,17 +597,17 @@
       if (over) return;
       over = true;
       if (status >= 200 && status < 300) this.waits.push({ at: this.clock.now(), ms: this.clock.now() - askedAt });
-      this.history.push({ kind: 'got', at: this.clock.now(), submission, job: request.job, node, status, outcome, served: '', retryAfter: false, why: '', stamp: '', body: null, whole: false, method: request.method, target: request.target, service: request.service, ...more });
+      this.history.push({ kind: 'got', at: this.clock.now(), submission, job: request.job, node, status, outcome, served: '', retryAfter: false, why: '', stamp: '', body: null, whole: false, method: request.method, host: request.host, target: request.target, copied: false, ...more });
       done(status, outcome);
     };
     this.history.push({ kind: 'asked', at: this.clock.now(), submission, job: request.job, node, hall: box.machine.hall, method: request.method, target: request.target, key: request.key });
     this.clock.in(12_000, () => end(0, 'no answer'));
     if (lathe === null) { this.clock.in(1, () => end(0, 'refused')); return; }
     const headers = { ...(request.key === null ? {} : { 'idempotency-key': request.key }) };
-    this.clock.in(this.delay('outside', node), () => this.#arrive(lathe, { method: request.method, target: request.target, host: request.host, headers, via: null, bodyBytes: 0 }, { submission, job: request.job }, {
+    this.clock.in(this.delay('outside', node), () => this.#arrive(lathe, { method: request.method, target: request.target, host: request.host, headers, via: null, bodyBytes: 0, digest: request.key === null ? null : `${request.method} ${request.target} ${request.job}` }, { submission, job: request.job }, {
       submission, mark: null, done: (got) => {
         if (got === null) { end(0, 'cut'); return; }
-        end(got.status, String(got.headers['reedyard-outcome'] ?? ''), { served: String(got.headers['reedyard-served'] ?? ''), stamp: String(got.headers['reedyard-stamp'] ?? ''), retryAfter: got.retryAfter, why: got.why, body: got.body, whole: got.whole });
+        end(got.status, String(got.headers['reedyard-outcome'] ?? ''), { served: String(got.headers['reedyard-served'] ?? ''), stamp: String(got.headers['reedyard-stamp'] ?? ''), retryAfter: got.retryAfter, why: got.why, body: got.body, whole: got.whole, copied: got.headers['age'] !== undefined });
       },
     }));
   }
--- a/packages/mallet/src/history.ts
+++ b/packages/mallet/src/history.ts
@@ -8,23 +8,26 @@
   | { readonly kind: 'unplaced'; readonly at: number }
   /** What the caller got; status 0 where it got nothing. */
   | { readonly kind: 'got'; readonly at: number; readonly submission: number; readonly job: string; readonly node: string; readonly status: number; readonly outcome: string; readonly served: string; readonly retryAfter: boolean; readonly why: string;
-    readonly stamp: string; readonly body: SimBody | null; readonly whole: boolean; readonly method: string; readonly target: string; readonly service: string }
+    readonly stamp: string; readonly body: SimBody | null; readonly whole: boolean; readonly method: string; readonly host: string; readonly target: string; /** Whether a copy answered, here or at a partner. */ readonly copied: boolean }
   /** A leg reached an origin. */
-  | { readonly kind: 'leg'; readonly at: number; readonly from: string; readonly region: string; readonly service: string; readonly instance: string; readonly incarnation: number; readonly hall: string; readonly cold: boolean; readonly coldRate: number;
-    readonly expected: string; readonly target: string; readonly method: string; readonly submission: number }
+  | { readonly kind: 'leg'; readonly at: number; readonly from: string; readonly region: string; readonly service: string; readonly instance: string; readonly incarnation: number; readonly hall: string; readonly cold: boolean;
+    readonly expected: string; readonly host: string; readonly target: string; readonly method: string; readonly submission: number }
   /** An origin ran an unsafe request. */
   | { readonly kind: 'ran'; readonly at: number; readonly submission: number; readonly job: string }
   | { readonly kind: 'repeat'; readonly at: number }
   /** A lathe acted under a policy: it answered from it or made a leg. */
   | { readonly kind: 'acted'; readonly at: number; readonly node: string; readonly serial: number }
-  | { readonly kind: 'put'; readonly at: number; readonly serial: number; readonly document: Policy }
+  /** A policy was sent for the first time: from here on it may come into force. */
+  | { readonly kind: 'proposed'; readonly at: number; readonly changeId: string; readonly document: Policy }
+  /** It was acknowledged under a serial. */
+  | { readonly kind: 'put'; readonly at: number; readonly changeId: string; readonly serial: number; readonly document: Policy }
   | { readonly kind: 'read'; readonly at: number; readonly askedAt: number; readonly serial: number }
   | { readonly kind: 'drained'; readonly at: number; readonly instance: string; readonly incarnation: number }
   /** An order for a hall was acknowledged under a serial; `sentAt` is when it was first sent. */
   | { readonly kind: 'hall'; readonly at: number; readonly sentAt: number; readonly serial: number; readonly hall: string; readonly order: 'empty' | 'take-back' }
   /** A purge was acknowledged; reports of that object or tag made before `turned` are old from then on. */
   | { readonly kind: 'purged'; readonly at: number; readonly objects: readonly string[]; readonly tags: readonly string[]; readonly turned: number }
-  | { readonly kind: 'stored'; readonly at: number; readonly node: string; readonly region: string; readonly target: string }
+  | { readonly kind: 'stored'; readonly at: number; readonly node: string; readonly region: string; readonly host: string; readonly target: string }
   | { readonly kind: 'fault'; readonly at: number; readonly what: string };
 
 /** A report's body as the simulator carries it. */
--- a/packages/mallet/src/planted.ts
+++ b/packages/mallet/src/planted.ts
@@ -11,6 +11,7 @@
   { rule: 2, what: 'a lost answer counts as not run', plant: 'repeat-unsafe', scenario: 'lost-answers' },
   { rule: 3, what: 'an answer is taken whosever it is', plant: 'no-marks', scenario: 'lost-answers' },
   { rule: 4, what: 'conns are used without a proof of identity', plant: 'no-identity', scenario: 'reused-address' },
+  { rule: 4, what: 'a transaction keeps the route that it found at arrival', plant: 'route-at-arrival', scenario: 'policies', seeds: 4 },
   { rule: 5, what: 'lathes do not heed the lease', plant: 'deaf-lease', scenario: 'freezes' },
   { rule: 6, what: 'a wiped anvil votes at once', plant: 'wiped-votes', scenario: 'wiped-and-down' },
   { rule: 6, what: 'anvils answer before they sync', plant: 'tell-unsynced', scenario: 'kill-after-ack' },
--- a/packages/mallet/src/plants.ts
+++ b/packages/mallet/src/plants.ts
@@ -8,6 +8,7 @@
 export const plantNames = [
   'none', 'deaf-lease', 'tell-unsynced', 'repeat-unsafe', 'claims-granted', 'no-identity', 'no-marks', 'wiped-votes',
   'deaf-drain', 'deaf-halls', 'deaf-purges', 'no-buckets', 'free-repeats', 'no-homes', 'forgetful-disks', 'deaf-voters',
+  'route-at-arrival',
 ] as const;
 export type Plant = (typeof plantNames)[number];
 
--- a/packages/mallet/src/run.ts
+++ b/packages/mallet/src/run.ts
@@ -25,7 +25,7 @@
 };
 
 /** One request of a kind that a deployment's callers send. */
-type Sample = { readonly method: string; readonly target: string; readonly service: string };
+type Sample = { readonly method: string; readonly target: string };
 
 /** What callers ask for, by deployment: the largest share first. */
 export const sampleOf = (example: string, fleet: SimFleet): Sample => {
@@ -33,16 +33,16 @@
   const draw = clock.chance();
   const hot = (count: number): number => Math.floor(count * clock.chance() ** 2.5);
   if (example === 'association') {
-    if (draw < 0.4) return { method: 'GET', target: `/icing/tag-${hot(8)}/${hot(60)}`, service: 'store' };
-    if (draw < 0.6) return { method: 'GET', target: `/reports/ticino/${hot(40)}`, service: 'application' };
-    if (draw < 0.75) return { method: 'GET', target: `/reports/romandie/${hot(40)}`, service: 'application' };
-    if (draw < 0.93) return { method: 'GET', target: `/alarms/${hot(20)}`, service: 'application' };
-    return { method: 'POST', target: '/orders', service: 'application' };
+    if (draw < 0.4) return { method: 'GET', target: `/icing/tag-${hot(8)}/${hot(60)}` };
+    if (draw < 0.6) return { method: 'GET', target: `/reports/ticino/${hot(40)}` };
+    if (draw < 0.75) return { method: 'GET', target: `/reports/romandie/${hot(40)}` };
+    if (draw < 0.93) return { method: 'GET', target: `/alarms/${hot(20)}` };
+    return { method: 'POST', target: '/orders' };
   }
-  if (draw < 0.5) return { method: 'GET', target: `/sheets/tag-${hot(8)}/${hot(80)}`, service: 'store' };
-  if (draw < 0.78) return { method: 'GET', target: `/tracking/${hot(200)}`, service: 'application' };
-  if (draw < 0.92) return { method: 'GET', target: `/shelves/${hot(20)}`, service: 'application' };
-  return { method: 'POST', target: '/handovers', service: 'application' };
+  if (draw < 0.5) return { method: 'GET', target: `/sheets/tag-${hot(8)}/${hot(80)}` };
+  if (draw < 0.78) return { method: 'GET', target: `/tracking/${hot(200)}` };
+  if (draw < 0.92) return { method: 'GET', target: `/shelves/${hot(20)}` };
+  return { method: 'POST', target: '/handovers' };
 };
 
 /** Starts callers: each goes to a ready node of its own hall, or to any ready one where its hall has none. */
@@ -96,7 +96,7 @@
   const { capacityBps } = options;
   const deployment = capacityBps === undefined ? asGiven : { ...asGiven, machines: asGiven.machines.map((machine) => ({ ...machine, capacityBps })) };
   const used = scenario.policy?.(policy) ?? policy;
-  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12, ...(options.selection === undefined ? {} : { selection: options.selection }) }, Object.fromEntries(Object.entries(used.services).map(([name, service]) => [name, service.coldRate])));
+  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12, ...(options.selection === undefined ? {} : { selection: options.selection }) });
   for (const machine of deployment.machines) fleet.start(machine.name);
   fleet.watchReady();
   fleet.clock.in(500, () => fleet.put(used));
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -50,6 +50,67 @@
   services: policy.services, routes: [...policy.routes, { ...(policy.routes[0] as Policy['routes'][number]), name: `extra-${number}`, path: `/extra-${number}/` }],
 });
 
+type RouteOf = Policy['routes'][number];
+const onRoute = (policy: Policy, clock: SimFleet['clock'], fits: (route: RouteOf) => boolean, change: (route: RouteOf) => readonly RouteOf[]): Policy => {
+  const chosenRoute = clock.pick(policy.routes.filter(fits));
+  return { ...policy, routes: policy.routes.flatMap((route) => (route === chosenRoute ? change(route) : [route])) };
+};
+const onService = (policy: Policy, clock: SimFleet['clock'], change: (service: Policy['services'][string], name: string) => Policy['services'][string]): Policy => {
+  const chosenName = clock.pick(Object.keys(policy.services)) ?? '';
+  return { ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, name === chosenName ? change(service, name) : service])) };
+};
+
+/** What a next policy may take away, move or bring back; each put begins again from the first policy. */
+const mutations: Readonly<Record<string, (policy: Policy, fleet: SimFleet) => Policy>> = {
+  'route removed': (policy, { clock }) => onRoute(policy, clock, () => true, () => []),
+  'service removed': (policy, { clock }) => {
+    const chosenName = clock.pick(Object.keys(policy.services)) ?? '';
+    const { [chosenName]: _gone, ...services } = policy.services;
+    return { services, routes: policy.routes.filter((route) => route.service !== chosenName) };
+  },
+  'route moved': (policy, { clock }) => onRoute(policy, clock, () => true, (route) => [{ ...route, service: clock.pick(Object.keys(policy.services).filter((name) => name !== route.service)) ?? route.service }]),
+  'instances narrowed': (policy, { clock, origins }) => onService(policy, clock, (service, name) => {
+    const instances = origins.filter((origin) => origin.service === name).map((origin) => origin.instance);
+    const kept = instances.filter(() => clock.chance() < 0.4);
+    return { ...service, instances: kept.length > 0 ? kept : instances.slice(0, 1) };
+  }),
+  'ceiling changed': (policy, { clock }) => onService(policy, clock, (service) => ({ ...service, ceiling: clock.between(20, 150) })),
+  'cold rate changed': (policy, { clock }) => onService(policy, clock, (service) => ({ ...service, coldRate: clock.between(4, 40) })),
+  'homes narrowed': (policy, { clock, deployment }) => {
+    const regions = [...new Set(deployment.machines.map((machine) => machine.region))];
+    return onRoute(policy, clock, (route) => !route.methods.includes('POST'), (route) => [{ ...route, homes: [clock.pick(regions.filter((region) => route.homes?.includes(region) !== true)) ?? regions[0] ?? ''] }]);
+  },
+  'copies shortened': (policy, { clock }) => onRoute(policy, clock, (route) => route.cache.keep === 'origin', (route) => [{ ...route, cache: { keep: 'origin', mostSeconds: 1 } }]),
+  'copies ended': (policy, { clock }) => onRoute(policy, clock, (route) => route.cache.keep === 'origin', (route) => [{ ...route, cache: { keep: 'never' } }]),
+  'methods taken away': (policy, { clock }) => onRoute(policy, clock, () => true, (route) => [{ ...route, methods: ['OPTIONS'] }]),
+  'limits shortened': (policy, { clock }) => onRoute(policy, clock, () => true, (route) => [{ ...route, limits: { ...route.limits, transactionMs: 600, legMs: 300 } }]),
+};
+
+/** A policy with one to three changes. */
+const mutated = ({ fleet, policy }: Stage): Policy => {
+  let next = policy;
+  const count = 1 + Math.floor(3 * fleet.clock.chance());
+  const named: string[] = [];
+  for (let each = 0; each < count; each += 1) {
+    const name = fleet.clock.pick(Object.keys(mutations)) ?? '';
+    next = mutations[name]?.(next, fleet) ?? next;
+    named.push(name);
+  }
+  fleet.fault(`policy sent: ${named.join(', ')}`);
+  return next;
+};
+
+/** Policies that take things away, now and then the first one again, while origins are slow and machines fail. */
+const changing = (stage: Stage): void => {
+  const { fleet } = stage;
+  every(stage, 9_000, 46_000, 2_200, () => { if (fleet.clock.chance() < 0.25) fleet.put(stage.policy); else fleet.put(mutated(stage)); });
+  every(stage, 9_000, 46_000, 900, () => faults.slow?.(stage));
+  every(stage, 9_000, 46_000, 900, () => faults.read?.(stage));
+  every(stage, 10_000, 44_000, 4_000, () => faults.kill?.(stage));
+  every(stage, 11_000, 44_000, 4_000, () => faults.freeze?.(stage));
+  every(stage, 12_000, 44_000, 9_000, () => faults.cut?.(stage));
+};
+
 const faults: Readonly<Record<string, (stage: Stage) => void>> = {
   kill: ({ fleet }) => { const name = fleet.clock.pick(names(fleet)); if (name !== undefined) restart(fleet, name, fleet.clock.between(500, 5_000)); },
   herd: ({ fleet }) => { for (const name of names(fleet, 'front')) if (fleet.clock.chance() < 0.3) restart(fleet, name, fleet.clock.between(500, 4_000)); },
@@ -162,6 +223,8 @@
     every(stage, 8_000, 36_000, 300, () => faults.read?.(stage));
     every(stage, 9_000, 32_000, 4_000, () => faults.kill?.(stage));
   } },
+  policies: { what: 'policies that take routes, services, instances, methods and copies away, while origins are slow and nodes are killed, frozen and cut', seconds: 52, rate: 200, play: changing },
+  'policies-homes': { what: 'the same over two regions, with homes added, narrowed and moved', seconds: 52, rate: 200, example: 'association', play: changing },
   drains: { what: 'origins drain, leave and come back cold, one by one; nodes freeze and are cut meanwhile', seconds: 45, play: (stage) => {
     every(stage, 8_000, 36_000, 2_000, () => faults.drain?.(stage));
     every(stage, 9_000, 36_000, 5_000, () => faults.freeze?.(stage));
--- a/packages/mallet/src/spread.ts
+++ b/packages/mallet/src/spread.ts
@@ -6,7 +6,7 @@
 /** How long after its acknowledgement a policy is in force, or a purge applied, at the last lathe: virtual ms. */
 const { values } = parseArgs({ options: { example: { type: 'string', default: 'brandlhuber' }, seed: { type: 'string', default: '1' }, times: { type: 'string', default: '40' }, loss: { type: 'string', default: '0.001' } } });
 const { deployment, policy } = exampleOf(values.example);
-const fleet = new SimFleet(deployment, Number(values.seed), { loss: Number(values.loss), plant: 'none', regionsMs: 12 }, {});
+const fleet = new SimFleet(deployment, Number(values.seed), { loss: Number(values.loss), plant: 'none', regionsMs: 12 });
 for (const machine of deployment.machines) fleet.start(machine.name);
 fleet.clock.in(500, () => fleet.put(policy));
 fleet.clock.runUntil(8_000);
--- a/packages/sieve/src/index.ts
+++ b/packages/sieve/src/index.ts
@@ -7,7 +7,8 @@
 /** A kept answer. The body is only carried; who carries it knows what it is. */
 export type Copy = {
   readonly key: string;
-  readonly route: string;
+  /** The service that it came from. */
+  readonly service: string;
   readonly status: number;
   readonly headers: Headers;
   readonly body: unknown;
@@ -62,6 +63,9 @@
   /** The key of an object. @example Sieve.key('A.example:80', '/x') // 'a.example/x' */
   key: (host: string, target: string): string => `${host.toLowerCase().replace(/:\d+$/, '')}${target}`,
 
+  /** The host and target of a key. @example Sieve.place('a.example/x') // ['a.example', '/x'] */
+  place: (key: string): readonly [host: string, target: string] => { const cut = key.indexOf('/'); return [key.slice(0, cut), key.slice(cut)]; },
+
   /** The key that a purge means. @example Sieve.purgeKey('http://a.example/x') // 'a.example/x' */
   purgeKey: (object: string): string => {
     const bare = object.replace(/^https?:\/\//, '');
@@ -140,7 +144,6 @@
   /** Takes everything out. @example Sieve.flush(state).bytes // 0 */
   flush: (state: SieveState): SieveState => ({ ...Sieve.empty, purges: state.purges }),
 
-  /** Drops copies whose life is over, some at a time. @example Sieve.sweep(state, 5) */
-  sweep: (state: SieveState, now: number): SieveState =>
-    state.copies.filter((copy) => now >= copy.freshUntil).keySeq().toArray().reduce(drop, state),
+  /** Drops what is no longer fit. @example Sieve.dropWhere(state, (copy) => now >= copy.freshUntil) */
+  dropWhere: (state: SieveState, unfit: (copy: Copy) => boolean): SieveState => state.copies.filter(unfit).keySeq().toArray().reduce(drop, state),
 } as const;
--- a/packages/sieve/src/sieve.test.ts
+++ b/packages/sieve/src/sieve.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { Sieve, type Copy } from './index.js';
 
-const copy = (key: string, tags: readonly string[], size = 10, freshUntil = 1_000): Copy => ({ key, route: 'r', status: 200, headers: {}, body: key, size, tags, vary: {}, takenAt: 0, freshUntil, bornAge: 0 });
+const copy = (key: string, tags: readonly string[], size = 10, freshUntil = 1_000): Copy => ({ key, service: 's', status: 200, headers: {}, body: key, size, tags, vary: {}, takenAt: 0, freshUntil, bornAge: 0 });
 const request = { method: 'GET', url: '/x', headers: {} };
 const life = (headers: Record<string, string>, legMs = 0, asked: Record<string, string> = {}): number => Sieve.life({ ...request, headers: asked }, { status: 200, headers }, legMs);
 
@@ -33,7 +33,7 @@
   t.deepEqual([...state.copies.keys()], ['1', '3']);
   t.truthy(Sieve.find(state, '1', {}, 999));
   t.is(Sieve.find(state, '1', {}, 1_000), undefined);
-  t.is(Sieve.sweep(state, 1_000).bytes, 0);
+  t.is(Sieve.dropWhere(state, ({ freshUntil }) => freshUntil <= 1_000).bytes, 0);
 });
 
 test('a copy answers only requests that agree in the fields it varies by', (t) => {
--- a/packages/stencil/src/index.ts
+++ b/packages/stencil/src/index.ts
@@ -17,6 +17,9 @@
   const cut = text.lastIndexOf(':');
   return cut > 0 && isIP(text.slice(0, cut)) !== 0 && /^[1-9]\d{0,4}$/.test(text.slice(cut + 1)) && Number(text.slice(cut + 1)) <= 65_535;
 }, 'wanted IP:PORT');
+/** Characters of a route's path at most; no longer part of a target is looked for. */
+const longestPath = 2_048;
+
 const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'] as const;
 
 const service = z.strictObject({
@@ -31,7 +34,7 @@
 const route = z.strictObject({
   name,
   host: z.string().min(1).max(253).regex(/^[a-z0-9.-]+$/, 'wanted a host name in small letters, without a port'),
-  path: z.string().max(2_048).regex(/^\/[^?#\s]*$/, 'wanted a path prefix that begins with /'),
+  path: z.string().max(longestPath).regex(/^\/[^?#\s]*$/, 'wanted a path prefix that begins with /'),
   service: name,
   methods: z.array(z.enum(methods)).min(1).default(['GET', 'HEAD']),
   /** Whether copies are kept: as the origin's headers say, never, and for at most so long. */
@@ -43,6 +46,8 @@
     transactionMs: z.number().int().positive().max(120_000).optional(),
     legMs: z.number().int().positive().max(60_000).optional(),
   }).default({}),
+  /** `required`: an unsafe request without an Idempotency-Key is refused, since a repeat of it can't be told. */
+  key: z.enum(['required', 'optional']).optional(),
   /** Response header that carries the purge tags of an object, separated by spaces or commas. */
   tagsHeader: z.string().regex(/^[a-z0-9-]+$/).default('surrogate-key'),
 });
@@ -116,30 +121,38 @@
   hallOrder: checked(hallOrder as z.ZodType<HallOrder>),
 } as const;
 
-/** Routes by host, longest path first. */
-export type RouteTable = ReadonlyMap<string, readonly Route[]>;
+/** Routes by host and path. */
+export type RouteTable = ReadonlyMap<string, ReadonlyMap<string, Route>>;
 
 export const Routes = {
-  /** @example Routes.table(policy.routes).get('a.example') */
+  /** @example Routes.table(policy.routes).get('a.example')?.get('/sheets/') */
   table: (routes: readonly Route[]): RouteTable => {
-    const byHost = new Map<string, Route[]>();
+    const byHost = new Map<string, Map<string, Route>>();
     for (const each of routes) {
-      const rows = byHost.get(each.host);
-      if (rows === undefined) byHost.set(each.host, [each]); else rows.push(each);
+      const rows = byHost.get(each.host) ?? new Map<string, Route>();
+      rows.set(each.path, each);
+      byHost.set(each.host, rows);
     }
-    for (const rows of byHost.values()) rows.sort((left, right) => right.path.length - left.path.length);
     return byHost;
   },
 
   /**
-   * The route of a request: its host, and the longest prefix that ends where a path segment ends.
+   * The route of a request: its host, and the longest prefix that ends where a path segment ends. Looks
+   * up each such prefix, so that its cost follows the depth of the path and not the number of routes.
    *
    * @example
    * Routes.find(table, 'a.example:80', '/sheets/7?x=1')?.name // 'sheets' for the prefix /sheets
    */
   find: (table: RouteTable, host: string, target: string): Route | undefined => {
+    const rows = table.get(host.replace(/:\d+$/, '').toLowerCase());
+    if (rows === undefined) return undefined;
     const path = target.split('?', 1)[0] ?? '/';
-    const bare = host.replace(/:\d+$/, '').toLowerCase();
-    return table.get(bare)?.find((each) => path.startsWith(each.path) && (each.path.endsWith('/') || path.length === each.path.length || path[each.path.length] === '/'));
+    const whole = path.length <= longestPath ? rows.get(path) : undefined;
+    if (whole !== undefined) return whole;
+    for (let cut = path.lastIndexOf('/', longestPath); cut >= 0; cut = cut === 0 ? -1 : path.lastIndexOf('/', cut - 1)) {
+      const found = rows.get(path.slice(0, cut + 1)) ?? rows.get(path.slice(0, cut));
+      if (found !== undefined) return found;
+    }
+    return undefined;
   },
 } as const;
