--- a/packages/anvil/src/anvil.test.ts
+++ b/packages/anvil/src/anvil.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { Limits, Sizes } from '@reedyard/gauge';
 import { Anvil, nextStep, votersKey, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState, type AnvilAsk, type Voters } from './core.js';
 
 const chanceFrom = (seed: number): (() => number) => { let state = seed + 1; return () => { state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0; return state / 4_294_967_296; }; };
@@ -130,3 +131,41 @@
   post('purge/3', 3);
   t.is(bench.states.get('a')?.facts[0]?.seq, 3);
 });
+
+test('many claims: read page by page while more are written, let go after an hour, and refused when there is no room', (t) => {
+  const bench = new Bench(['a'], chanceFrom(1));
+  bench.step('a', { kind: 'beat', now: 100 });
+  const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
+  const disk = bench.states.get('a')?.disk ?? '';
+  let state = bench.states.get('a') as AnvilState;
+  const act = (event: AnvilEvent): readonly AnvilReply[] => { const step = Anvil.reduce(state, event); state = step.state; return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : [])); };
+  const ask = (call: AnvilAsk['call'], now: number): AnvilReply | undefined => act({ kind: 'asked', id: 1, body: { voters, call }, now })[0];
+  const claim = (index: number, now: number): void => { ask({ kind: 'accept', key: `claim/k${index}`, ballot: [1, 'x'], value: index, disk }, now); };
+  const count = Math.floor(2.5 * Sizes.dumpPage);
+  for (let index = 0; index < count; index += 1) claim(index, 1_000);
+  const got = new Set<string>();
+  let after: string | null = null;
+  for (let pages = 0; pages < 10; pages += 1) {
+    const reply = ask({ kind: 'dump', after }, 2_000);
+    if (reply?.kind !== 'dumped') { t.fail(); return; }
+    reply.cells.forEach(([key]) => got.add(key));
+    after = reply.next;
+    if (after === null) break;
+    claim(count + pages, 2_000);
+  }
+  t.is(after, null);
+  for (let index = 0; index < count; index += 1) t.true(got.has(`claim/k${index}`));
+  t.deepEqual(state.dumps, {});
+
+  // A claim written again late in the hour stays; the others go, some in each sweep.
+  claim(0, 3_000_000);
+  const over = 1_000 + Limits.claim + 120_000;
+  for (let sweeps = 0; sweeps < 3; sweeps += 1) act({ kind: 'beat', now: over + 2_000 * sweeps });
+  t.deepEqual([...state.cells.keys()].filter((key) => key.startsWith('claim/')), ['claim/k0']);
+  t.is(state.claimMinutes.size, 1);
+
+  const full = { ...state, claimsSeen: { ...state.claimsSeen, size: Sizes.claims } as AnvilState['claimsSeen'] };
+  const prepared = (key: string): string | undefined => Anvil.reduce(full, { kind: 'asked', id: 1, body: { voters, call: { kind: 'prepare', key, ballot: [9, 'x'] } }, now: over }).effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body.kind] : []))[0];
+  t.is(prepared('claim/new'), 'full');
+  t.is(prepared('policy'), 'vote');
+});
--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -1,4 +1,4 @@
-import { Map as Table } from 'immutable';
+import { Map as Table, Set as Group } from 'immutable';
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
 import { Acceptor, Ballots, emptyCell, majorityOf, type Ballot, type Cell, type Vote } from '@reedyard/latch';
 import type { Step } from '@reedyard/chute';
@@ -35,6 +35,8 @@
   /** The caller counts by voters that are no longer in force. */
   | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
   | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
+  /** It keeps as many claims as it may. */
+  | { readonly kind: 'full'; readonly disk: string }
   | { readonly kind: 'posted'; readonly disk: string }
   | {
     readonly kind: 'pulled'; readonly disk: string; readonly seq: number; readonly reset: boolean; readonly more: boolean;
@@ -80,7 +82,11 @@
   /** Whether this disk has ever voted; it does so now if the voters name it. */
   readonly voting: boolean;
   readonly cells: Table<string, Cell>;
+  /** Minute of the anvil's running time in which each claim was last written, and the claims of each minute. */
   readonly claimsSeen: Table<string, number>;
+  readonly claimMinutes: Table<number, Group<string>>;
+  /** Keys of the registers as they were when a reader began, by the name of its reading. */
+  readonly dumps: Readonly<Record<string, readonly string[]>>;
   readonly facts: readonly Kept[];
   readonly factKeys: Table<string, number>;
   readonly seq: number;
@@ -91,8 +97,8 @@
   readonly sweptAt: number;
 };
 
-const dumpPage = 2_000;
 const claimPrefix = 'claim/';
+const minuteOf = (now: number): number => Math.floor(now / 60_000);
 
 type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
 const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
@@ -104,9 +110,22 @@
 
 const isVoter = (state: AnvilState): boolean => state.voting && votersOf(state)?.value.disks[state.name] === state.disk;
 
+const withoutClaim = (minutes: AnvilState['claimMinutes'], minute: number, key: string): AnvilState['claimMinutes'] => {
+  const left = (minutes.get(minute) ?? Group<string>()).delete(key);
+  return left.isEmpty() ? minutes.delete(minute) : minutes.set(minute, left);
+};
+
+const seeClaim = (work: Work, key: string, minute: number): void => {
+  const { claimsSeen, claimMinutes } = work.state;
+  const before = claimsSeen.get(key);
+  if (before === minute) return;
+  const others = before === undefined ? claimMinutes : withoutClaim(claimMinutes, before, key);
+  set(work, { claimsSeen: claimsSeen.set(key, minute), claimMinutes: others.set(minute, (others.get(minute) ?? Group<string>()).add(key)) });
+};
+
 const keepCell = (work: Work, key: string, cell: Cell, now: number): void => {
   set(work, { cells: work.state.cells.set(key, cell) });
-  if (key.startsWith(claimPrefix)) set(work, { claimsSeen: work.state.claimsSeen.set(key, now) });
+  if (key.startsWith(claimPrefix)) seeClaim(work, key, minuteOf(now));
   work.effects.push({ kind: 'append', records: [{ kind: 'cell', key, cell }] });
 };
 
@@ -145,14 +164,24 @@
   };
 };
 
-const dumped = (state: AnvilState, after: string | null): AnvilReply => {
+/**
+ * One page of the registers for a reader. The keys are listed once, at its first page: a register that
+ * is written later was not written under voters that the reader's place took part in.
+ */
+const dumped = (work: Work, after: string | null): AnvilReply => {
+  const { state } = work;
   if (!isVoter(state)) return { kind: 'away', disk: state.disk, fresh: !state.voting };
-  const keys = [...state.cells.keys()].sort();
-  const page = keys.filter((key) => after === null || key > after).slice(0, dumpPage);
-  const last = page.at(-1);
-  const more = last !== undefined && last !== keys.at(-1);
+  const [given = '', at = '0'] = after === null ? [] : after.split(':');
+  const known = state.dumps[given];
+  const reading = known === undefined ? String(state.nextCall) : given;
+  const from = known === undefined ? 0 : Number(at);
+  const keys = known ?? [...state.cells.keys()];
+  const page = keys.slice(from, from + Sizes.dumpPage);
+  const more = from + page.length < keys.length;
+  const others = Object.entries(state.dumps).filter(([name]) => name !== reading);
+  set(work, { nextCall: state.nextCall + 1, dumps: Object.fromEntries(more ? [...others, [reading, keys] as const].slice(-Sizes.readers) : others) });
   return {
-    kind: 'dumped', disk: state.disk, next: more ? last : null,
+    kind: 'dumped', disk: state.disk, next: more ? `${reading}:${from + page.length}` : null,
     cells: page.map((key) => [key, state.cells.get(key) ?? emptyCell]),
     facts: more ? [] : state.facts.map(({ key, value }) => ({ key, value })),
   };
@@ -172,7 +201,7 @@
   const { state } = work;
   const body = ask.call;
   const tell = (reply: AnvilReply): void => { work.effects.push({ kind: 'tell', id, body: reply }); };
-  if (body.kind === 'dump') { tell(dumped(state, body.after)); return; }
+  if (body.kind === 'dump') { tell(dumped(work, body.after)); return; }
   if (!state.voting) { tell({ kind: 'away', disk: state.disk, fresh: true }); return; }
   const mine = votersOf(state);
   const [epoch, known] = [ask.voters?.value.epoch ?? 0, mine?.value.epoch ?? 0];
@@ -180,6 +209,7 @@
   // vote on that; on all else only the newest set counts, and only by the disks that it names.
   const onVoters = (body.kind === 'prepare' || body.kind === 'accept') && body.key === votersKey;
   if (epoch < (onVoters ? known - 1 : known)) { tell({ kind: 'stale', disk: state.disk, voters: mine }); return; }
+  if (body.kind === 'prepare' && body.key.startsWith(claimPrefix) && state.claimsSeen.size >= Sizes.claims && !state.cells.has(body.key)) { tell({ kind: 'full', disk: state.disk }); return; }
   if (!onVoters && !isVoter(state)) { tell({ kind: 'away', disk: state.disk, fresh: false }); return; }
   switch (body.kind) {
     case 'prepare': vote(work, id, body.key, Acceptor.prepare(state.cells.get(body.key) ?? emptyCell, body.ballot), now); return;
@@ -275,22 +305,23 @@
   }
   keepFacts(work, body.facts, now);
   note(body.next === null ? { state: 'done', after: null, disk: body.disk, epoch: reading.askedEpoch } : { after: body.next, sentAt: -Infinity });
-  tryVote(work, now);
+  if (body.next === null) tryVote(work, now); else rejoin(work, now);
 };
 
 const sweep = (work: Work, now: number): void => {
   const { state } = work;
   if (now - state.sweptAt < 1_000) return;
   const old = state.facts.filter((fact) => now - fact.at > Limits.fact);
-  const lapsed = [...state.claimsSeen.entries()].filter(([, at]) => now - at > Limits.claim).map(([key]) => key);
   set(work, {
     sweptAt: now,
     facts: old.length === 0 ? state.facts : state.facts.slice(old.length),
     factKeys: old.length === 0 ? state.factKeys : state.factKeys.deleteAll(old.map((fact) => fact.key)),
     floor: old.at(-1)?.seq ?? state.floor,
-    cells: lapsed.length === 0 ? state.cells : state.cells.deleteAll(lapsed),
-    claimsSeen: lapsed.length === 0 ? state.claimsSeen : state.claimsSeen.deleteAll(lapsed),
   });
+  const lapsed = [...state.claimMinutes].filter(([minute]) => minute < minuteOf(now - Limits.claim)).flatMap(([minute, keys]) => [...keys.take(Sizes.claimSweep)].map((key) => [minute, key] as const)).slice(0, Sizes.claimSweep);
+  if (lapsed.length === 0) return;
+  const keys = lapsed.map(([, key]) => key);
+  set(work, { cells: state.cells.deleteAll(keys), claimsSeen: state.claimsSeen.deleteAll(keys), claimMinutes: lapsed.reduce((minutes, [minute, key]) => withoutClaim(minutes, minute, key), state.claimMinutes) });
 };
 
 export const Anvil = {
@@ -316,11 +347,12 @@
       else if (record.kind === 'cell') cells.set(record.key, record.cell);
       else { facts.set(record.fact.key, { ...record.fact, seq: record.seq, at: parts.now }); seq = Math.max(seq, record.seq); }
     }
+    const claims = [...cells.keys()].filter((key) => key.startsWith(claimPrefix));
     const kept = [...facts.values()].sort((a, b) => a.seq - b.seq);
     return {
       state: {
         name: parts.name, others: parts.others, disk: disk ?? parts.freshDisk, voting, cells: Table(cells),
-        claimsSeen: Table([...cells.keys()].filter((key) => key.startsWith(claimPrefix)).map((key) => [key, parts.now])),
+        claimsSeen: Table(claims.map((key) => [key, minuteOf(parts.now)])), claimMinutes: claims.length === 0 ? Table() : Table([[minuteOf(parts.now), Group(claims)]]), dumps: {},
         facts: kept, factKeys: Table(kept.map((fact) => [fact.key, fact.seq])), seq, floor: (kept[0]?.seq ?? seq + 1) - 1,
         readings: {}, nextCall: 1, sweptAt: parts.now,
       },
@@ -328,14 +360,14 @@
     };
   },
 
-  /** The whole state as records, for a snapshot. @example Anvil.records(state).length // 1 for a new one */
-  records: (state: AnvilState): readonly AnvilRecord[] => [
-    { kind: 'disk', disk: state.disk },
-    ...(state.voting ? [{ kind: 'voting' } as const] : []),
-    { kind: 'place', seq: state.seq },
-    ...[...state.cells.entries()].map(([key, cell]) => ({ kind: 'cell', key, cell }) as const),
-    ...state.facts.map((fact) => ({ kind: 'fact', seq: fact.seq, fact: { key: fact.key, value: fact.value } }) as const),
-  ],
+  /** The whole state as records, for a snapshot. @example [...Anvil.records(state)].length // 1 for a new one */
+  * records(state: AnvilState): Iterable<AnvilRecord> {
+    yield { kind: 'disk', disk: state.disk };
+    if (state.voting) yield { kind: 'voting' };
+    yield { kind: 'place', seq: state.seq };
+    for (const [key, cell] of state.cells) yield { kind: 'cell', key, cell };
+    for (const { seq, key, value } of state.facts) yield { kind: 'fact', seq, fact: { key, value } };
+  },
 
   /** @example Anvil.reduce(state, { kind: 'beat', now: 200 }) */
   reduce: (state: AnvilState, event: AnvilEvent): Step<AnvilState, AnvilEffect> => {
--- a/packages/anvil/src/main.ts
+++ b/packages/anvil/src/main.ts
@@ -32,7 +32,8 @@
     switch (effect.kind) {
       case 'append':
         notch.append(effect.records).catch((thrown: unknown) => stop(5, 'disk.refused', thrown));
-        if (notch.segmentBytes() > Sizes.segment && !compacting) {
+        // Snapshots cost as much as they are large: the larger the last one, the later the next.
+        if (notch.segmentBytes() > Math.max(Sizes.segment, notch.snapshotBytes() / 2) && !compacting) {
           compacting = true;
           notch.compact(() => Anvil.records(task.peek())).then(() => { compacting = false; scribe.info('disk.compacted'); },
             (thrown: unknown) => stop(5, 'disk.refused', thrown));
--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -118,6 +118,14 @@
   recentChanges: 64,
   /** bytes of log after which a snapshot is written and older segments are dropped. */
   segment: 8 * 1024 * 1024,
+  /** claims that an anvil keeps: an hour of 139 a second, some 600 MB. A new one past that is refused. */
+  claims: 500_000,
+  /** lapsed claims let go in one sweep a second: some milliseconds. */
+  claimSweep: 2_000,
+  /** registers in one page for an anvil that reads another: some 10 ms of encoding. */
+  dumpPage: 500,
+  /** anvils that one anvil lets read it at once: all others of a founding set of nine. */
+  readers: 8,
   /** transactions at work in one lathe; more are turned away at once. */
   transactions: 4_096,
   /** events waiting for one task. */
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -48,6 +48,8 @@
 
 export const tookVote = (work: Work, which: number, anvil: string, phase: 'prepare' | 'accept', ballot: Ballot, reply: AnvilReply): void => {
   const pursuit = work.state.pursuits[which];
+  // There is no room for another key: told at once, not after its whole limit.
+  if (pursuit !== undefined && reply.kind === 'full') { set(work, { pursuits: without(work.state.pursuits, which) }); finish(work, pursuit.purpose, { kind: 'unknown' }); return; }
   if (pursuit === undefined || reply.kind !== 'vote' || !counts(work.state, anvil, reply.disk)) return;
   if (reply.vote.kind === 'no' && Ballots.compare(reply.vote.promised, work.state.highestBallot) > 0) set(work, { highestBallot: reply.vote.promised });
   const before = pursuit.proposal.phase;
--- a/packages/notch/src/index.ts
+++ b/packages/notch/src/index.ts
@@ -8,6 +8,8 @@
 export class NotchError extends LayerError {}
 
 const headSize = 12;
+/** bytes of a snapshot that are framed at once: a few milliseconds of work between two turns of the loop. */
+const snapshotChunk = 64 * 1024;
 const mark = Buffer.from('reedyard-notch 1\n');
 
 /**
@@ -80,8 +82,13 @@
   readonly settled: () => Promise<void>;
   /** Bytes in the segment at work. */
   readonly segmentBytes: () => number;
-  /** Writes the whole state as a snapshot, then drops what it makes needless. */
-  readonly compact: (state: () => readonly unknown[]) => Promise<void>;
+  /** Bytes of the newest snapshot. */
+  readonly snapshotBytes: () => number;
+  /**
+   * Writes the whole state as a snapshot, then drops what it makes needless. Appends go on meanwhile, in
+   * the next segment; the state is taken at one moment and written some records at a time.
+   */
+  readonly compact: (state: () => Iterable<unknown>) => Promise<void>;
   readonly close: () => Promise<void>;
 };
 
@@ -103,8 +110,13 @@
     for (const name of names.filter((each) => each.endsWith('.new'))) await fs.rm(path.join(folder, name));
     const snapNumber = numbersOf(names, 'snap').at(-1) ?? 0;
     const logNumbers = numbersOf(names, 'log').filter((number) => number >= snapNumber);
-    const records: unknown[] = [];
-    if (snapNumber > 0) records.push(...(await readMarked(path.join(folder, nameOf('snap', snapNumber)))).records);
+    const parts: (readonly unknown[])[] = [];
+    let snapshotBytes = 0;
+    if (snapNumber > 0) {
+      const read = await readMarked(path.join(folder, nameOf('snap', snapNumber)));
+      parts.push(read.records);
+      snapshotBytes = read.whole;
+    }
     if (logNumbers.length > 0 && snapNumber > 0 && logNumbers[0] !== snapNumber) throw new NotchError('damaged', `${folder}: ${nameOf('log', snapNumber)} is missing`);
     for (const [index, number] of logNumbers.entries()) {
       const file = path.join(folder, nameOf('log', number));
@@ -116,8 +128,9 @@
         const handle = await fs.open(file, 'r+');
         try { await handle.truncate(read.whole); await handle.sync(); } finally { await handle.close(); }
       }
-      records.push(...read.records);
+      parts.push(read.records);
     }
+    const records = parts.flat();
 
     let number = logNumbers.at(-1) ?? Math.max(snapNumber, 1);
     const openSegment = async (which: number): Promise<{ handle: fs.FileHandle; bytes: number }> => {
@@ -157,28 +170,55 @@
       if (holding.length === 1) work = work.then(flush);
     });
 
-    const compact = (state: () => readonly unknown[]): Promise<void> => {
-      const run = work.then(async () => {
+    let snapshot: Promise<void> = Promise.resolve();
+    /** Writes a snapshot beside the log, some records at a time, so that appends get their turn. */
+    const writeSnapshot = async (which: number, state: Iterable<unknown>): Promise<void> => {
+      const target = path.join(folder, nameOf('snap', which));
+      const handle = await files.open(`${target}.new`, 'w');
+      let bytes = 0;
+      try {
+        let chunk: Buffer[] = [mark];
+        let size = mark.length;
+        const write = async (): Promise<void> => {
+          for (let all = Buffer.concat(chunk); all.length > 0;) all = all.subarray((await handle.write(all)).bytesWritten);
+          bytes += size;
+          chunk = [];
+          size = 0;
+        };
+        for (const record of state) {
+          const framed = frame(record);
+          chunk.push(framed);
+          size += framed.length;
+          if (size >= snapshotChunk) await write();
+        }
+        await write();
+        await handle.sync();
+      } finally { await handle.close(); }
+      await fs.rename(`${target}.new`, target);
+      await syncFolder(folder);
+      snapshotBytes = bytes;
+      for (const name of await fs.readdir(folder)) {
+        const found = /^(?:log|snap)-(\d{8})$/.exec(name);
+        if (found && Number(found[1]) < which) await fs.rm(path.join(folder, name));
+      }
+    };
+    const compact = (state: () => Iterable<unknown>): Promise<void> => {
+      const begun = work.then(async () => {
         if (broken !== null) throw broken;
         // Taken here, where no write is under way: everything already framed is either in an older
-        // segment or will follow in the next one, and replaying it again changes nothing.
+        // segment or will follow in the next one, and replaying it again changes nothing. Until the
+        // snapshot has its name, the older snapshot and all segments since are what counts.
         const next = number + 1;
-        const bytes = Buffer.concat([mark, ...state().map(frame)]);
         const opened = await openSegment(next);
+        const taken = state();
         await segment.handle.close();
         segment = opened;
         number = next;
-        const target = path.join(folder, nameOf('snap', next));
-        const handle = await fs.open(`${target}.new`, 'w');
-        try { await handle.writeFile(bytes); await handle.sync(); } finally { await handle.close(); }
-        await fs.rename(`${target}.new`, target);
-        await syncFolder(folder);
-        for (const name of await fs.readdir(folder)) {
-          const found = /^(?:log|snap)-(\d{8})$/.exec(name);
-          if (found && Number(found[1]) < next) await fs.rm(path.join(folder, name));
-        }
-      }).catch((thrown: unknown) => { broken = turned(thrown); throw broken; });
-      work = run.catch(() => undefined);
+        return { next, taken };
+      });
+      work = begun.then(() => undefined, (thrown: unknown) => { broken = turned(thrown); });
+      const run = begun.then(({ next, taken }) => writeSnapshot(next, taken)).catch((thrown: unknown) => { broken = turned(thrown); throw broken; });
+      snapshot = run.catch(() => undefined);
       return run;
     };
 
@@ -187,8 +227,9 @@
       append,
       settled: () => append([]),
       segmentBytes: () => segment.bytes,
+      snapshotBytes: () => snapshotBytes,
       compact,
-      close: async () => { await work; await segment.handle.close(); },
+      close: async () => { await work; await snapshot; await work; await segment.handle.close(); },
     };
   } catch (thrown) {
     throw turned(thrown);
--- a/packages/notch/src/notch.test.ts
+++ b/packages/notch/src/notch.test.ts
@@ -110,3 +110,36 @@
     await again.close();
   }
 });
+
+test('while a snapshot is written, appends are synced and kept', async (t) => {
+  const home = folder();
+  const notch = await openNotch(home);
+  await notch.append(['before']);
+  const order: string[] = [];
+  let appended: Promise<void> | null = null;
+  // Each record fills a chunk; the append is made when half of them are written.
+  function* state(): Iterable<unknown> {
+    for (let each = 0; each < 60; each += 1) {
+      if (each === 30) appended = notch.append(['meanwhile']).then(() => { order.push('append'); });
+      yield { each, text: 'x'.repeat(70_000) };
+    }
+  }
+  await notch.compact(state).then(() => { order.push('snapshot'); });
+  await appended;
+  t.deepEqual(order, ['append', 'snapshot']);
+  t.true(notch.snapshotBytes() > 60 * 70_000);
+  await notch.close();
+  const again = await openNotch(home);
+  t.deepEqual([again.records.length, again.records.at(-1)], [61, 'meanwhile']);
+  await again.close();
+});
+
+test('as many records as an hour of orders leaves are read at a start', async (t) => {
+  const home = folder();
+  const notch = await openNotch(home);
+  await notch.append(Array.from({ length: 200_000 }, (_, index) => index));
+  await notch.close();
+  const again = await openNotch(home);
+  t.is(again.records.length, 200_000);
+  await again.close();
+});
