workbench trial: the simulator's scenarios on whole fleets of real processes, same checkers

One interface (StageFleet) that the simulator's fleet and one of processes both have; scenarios, callers and checkers are shared, not copied. Callers go through a stand-in of the platform; origins run in the bench; lathes' moves are read from their logs (setting lathe.trace). Relays carry 6 ms each way between regions.

--- a/packages/blank/src/index.ts
+++ b/packages/blank/src/index.ts
@@ -2,20 +2,27 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { createHash } from 'node:crypto';
 
-/** How a stand-in origin behaves. */
+/** How a stand-in origin behaves; a number is the share of its answers that are so. */
 export type Mode = {
   /** ms before each answer. */
   readonly slowMs: number;
   /** Runs unsafe requests, then cuts the conn. */
-  readonly lose: boolean;
+  readonly lose: boolean | number;
   /** Answers with bytes that are no HTTP. */
-  readonly garbage: boolean;
+  readonly garbage: boolean | number;
   /** Announces a longer body than it sends. */
-  readonly short: boolean;
+  readonly short: boolean | number;
   /** Sends a second answer that nobody asked for after each one. */
-  readonly leftover: boolean;
+  readonly leftover: boolean | number;
   /** Sends a body that does not match its digest. */
   readonly corrupt: boolean;
+  /** s that its answers are already old. */
+  readonly aged: number;
+  /** Share of answers too large to be read whole. */
+  readonly large: number;
+  /** Describes itself no more. */
+  readonly silent: boolean;
+  readonly capacity: number;
   readonly state: 'cold' | 'warm';
   readonly draining: boolean;
 };
@@ -29,6 +36,8 @@
   readonly mode?: Partial<Mode>;
   /** s. How long its reports may be kept. */
   readonly maxAge: number;
+  /** Told of each request that it takes, and whether it ran. */
+  readonly heard?: (request: http.IncomingMessage, by: { readonly service: string; readonly instance: string; readonly incarnation: number; readonly hall: string; readonly cold: boolean; readonly unsafe: boolean }) => void;
 };
 
 /** A run of an unsafe request, by the id that its caller gave it. */
@@ -38,7 +47,8 @@
 export type Blank = {
   readonly address: string;
   readonly mode: () => Mode;
-  readonly become: (mode: Partial<Mode>) => void;
+  /** Changes its ways; describes itself at once unless told not to. */
+  readonly become: (mode: Partial<Mode>, tell?: boolean) => void;
   /** Takes another identity at the same address. */
   readonly rename: (identity: Partial<Pick<BlankOptions, 'service' | 'instance' | 'incarnation'>>) => void;
   readonly ran: () => readonly Ran[];
@@ -48,6 +58,11 @@
   /** A new generation of every report. */
   readonly turn: () => number;
   readonly announce: () => Promise<void>;
+  /** Describes itself to one node; whether it was taken. */
+  readonly announceTo: (api: string) => Promise<boolean>;
+  /** Goes down as it stands, and comes back at the same address. */
+  readonly crash: () => void;
+  readonly revive: () => void;
   readonly stop: () => Promise<void>;
 };
 
@@ -68,15 +83,17 @@
  * @example
  * bodyOf('store', '/sheets/1', 0, 200).startsWith('store /sheets/1 generation=0 ') // true
  */
-export const bodyOf = (service: string, target: string, generation: number, size: number): string => {
-  const head = `${service} ${target} generation=${generation} `;
+export const bodyOf = (service: string, target: string, generation: number, size: number, times = { madeAt: 0, sentAt: 0, maxAgeMs: 0 }): string => {
+  const head = `${service} ${target} generation=${generation} made=${times.madeAt} sent=${times.sentAt} life=${times.maxAgeMs} `;
   return head + 'x'.repeat(Math.max(0, size - head.length));
 };
 
+const happens = (share: boolean | number): boolean => share === true || (typeof share === 'number' && share > 0 && Math.random() < share);
+
 /** Starts a stand-in origin in this process. */
 export const startBlank = async (options: BlankOptions): Promise<Blank> => {
   let identity = { service: options.service, instance: options.instance, incarnation: options.incarnation };
-  let mode: Mode = { slowMs: 0, lose: false, garbage: false, short: false, leftover: false, corrupt: false, state: 'warm', draining: false, ...options.mode };
+  let mode: Mode = { slowMs: 0, lose: false, garbage: false, short: false, leftover: false, corrupt: false, aged: 0, large: 0, silent: false, capacity: options.capacity, state: 'warm', draining: false, ...options.mode };
   let generation = 0;
   let got = 0;
   let heard: http.IncomingHttpHeaders = {};
@@ -98,23 +115,27 @@
       return;
     }
     const unsafe = request.method !== 'GET' && request.method !== 'HEAD';
+    options.heard?.(request, { ...identity, hall: options.hall, cold: mode.state === 'cold', unsafe });
     if (unsafe) ran.push({ id: String(request.headers['x-job'] ?? body.toString('utf8').slice(0, 100)), at: Date.now() });
-    if (mode.lose && unsafe) { request.socket.destroy(); return; }
-    if (mode.garbage) { request.socket.end('\u0000\u0001 not an answer\r\n\r\n'); return; }
-    const size = Number(/size=(\d+)/.exec(target)?.[1] ?? 2_000);
-    const text = unsafe ? JSON.stringify({ ran: String(request.headers['x-job'] ?? ''), by: stamp }) : bodyOf(identity.service, target, generation, size);
+    if (unsafe && happens(mode.lose)) { request.socket.destroy(); return; }
+    if (happens(mode.garbage)) { request.socket.end('\u0000\u0001 not an answer\r\n\r\n'); return; }
+    const short = happens(mode.short);
+    const sentAt = Date.now();
+    const size = happens(mode.large) ? 3_000_000 : Number(/size=(\d+)/.exec(target)?.[1] ?? 2_000);
+    const text = unsafe ? JSON.stringify({ ran: String(request.headers['x-job'] ?? ''), by: stamp }) : bodyOf(identity.service, target, generation, size, { madeAt: sentAt - 1_000 * mode.aged, sentAt, maxAgeMs: 1_000 * options.maxAge });
     const tags = [...target.matchAll(/tag-(\w+)/g)].map((found) => found[1]).join(' ');
     const headers: Record<string, string | number> = {
       ...marks, 'content-type': unsafe ? 'application/json' : 'text/plain',
-      'content-length': Buffer.byteLength(text) + (mode.short ? 10 : 0),
+      'content-length': Buffer.byteLength(text) + (short ? 10 : 0),
       'content-digest': `sha-256=:${createHash('sha256').update(mode.corrupt ? `${text}!` : text).digest('base64')}:`,
+      ...(mode.aged > 0 ? { age: mode.aged } : {}),
       ...(unsafe ? { 'cache-control': 'no-store' } : { 'cache-control': `max-age=${options.maxAge}`, etag: `"${identity.service}-${generation}-${size}"` }),
       ...(tags === '' ? {} : { 'surrogate-key': tags }),
     };
     response.writeHead(200, headers);
-    if (mode.short) { response.write(text); setTimeout(() => request.socket.destroy(), 5); return; }
+    if (short) { response.write(text); setTimeout(() => request.socket.destroy(), 5); return; }
     response.end(request.method === 'HEAD' ? undefined : text, () => {
-      if (mode.leftover) request.socket.write(`HTTP/1.1 200 OK\r\nreedyard-stamp: ${stamp}\r\ncontent-length: 7\r\n\r\nforeign`);
+      if (happens(mode.leftover)) request.socket.write(`HTTP/1.1 200 OK\r\nreedyard-stamp: ${stamp}\r\ncontent-length: 7\r\n\r\nforeign`);
     });
   };
 
@@ -135,21 +156,26 @@
   const address = `${options.host}:${(server.address() as AddressInfo).port}`;
 
   let which = 0;
+  let up = true;
+  const description = (): object => ({ ...identity, address, region: options.region, hall: options.hall, capacity: mode.capacity, state: mode.state, draining: mode.draining });
   const announce = async (): Promise<void> => {
     for (let tries = 0; tries < options.apis.length; tries += 1) {
       const api = options.apis[which % options.apis.length] ?? '';
       which += 1;
-      if (await describe(api, { ...identity, address, region: options.region, hall: options.hall, capacity: options.capacity, state: mode.state, draining: mode.draining })) return;
+      if (await describe(api, description())) return;
     }
   };
-  const beat = setInterval(() => void announce(), options.announceMs);
+  const beat = setInterval(() => { if (!mode.silent && up) void announce(); }, options.announceMs);
   void announce();
   return {
     address,
     mode: () => mode,
-    become: (change) => { mode = { ...mode, ...change }; void announce(); },
+    become: (change, tell = true) => { mode = { ...mode, ...change }; if (tell) void announce(); },
     // Whoever takes an address over begins with no conns of the one before.
-    rename: (change) => { identity = { ...identity, ...change }; sockets.forEach((socket) => socket.destroy()); void announce(); },
+    rename: (change) => { identity = { ...identity, ...change }; sockets.forEach((socket) => socket.destroy()); if (up && !mode.silent) void announce(); },
+    crash: () => { up = false; server.close(); sockets.forEach((socket) => socket.destroy()); },
+    revive: () => { up = true; server.listen(Number(address.slice(address.lastIndexOf(':') + 1)), options.host); void announce(); },
+    announceTo: async (api) => describe(api, description()),
     ran: () => ran,
     got: () => got,
     heard: () => heard,
--- a/packages/feeler/src/index.ts
+++ b/packages/feeler/src/index.ts
@@ -4,12 +4,12 @@
 /** One request as a caller saw it. */
 export type Seen = {
   readonly method: string; readonly target: string; readonly status: number; readonly outcome: string; readonly served: string; readonly stamp: string;
-  readonly ms: number; readonly retryAfter: boolean; readonly job: string; readonly body: string;
+  readonly ms: number; readonly retryAfter: boolean; readonly aged: boolean; readonly job: string; readonly body: string; readonly detail: string;
   /** What was wrong with a success, if anything. */
   readonly fault: string | null;
 };
 
-export type Ask = { readonly at: string; readonly method: string; readonly host: string; readonly target: string; readonly service: string; readonly job?: string; readonly body?: string; readonly key?: string; readonly headers?: Readonly<Record<string, string>>; readonly limitMs?: number };
+export type Ask = { readonly at: string; readonly method: string; readonly host: string; readonly target: string; /** The service that must have answered; left out, any. */ readonly service?: string; readonly job?: string; readonly body?: string; readonly key?: string; readonly headers?: Readonly<Record<string, string>>; readonly limitMs?: number };
 
 const agent = new http.Agent({ keepAlive: true, maxSockets: 512 });
 
@@ -17,12 +17,13 @@
   if (status < 200 || status > 299 || status === 206) return null;
   if (!complete) return 'not whole';
   const stamp = String(headers['reedyard-stamp'] ?? '');
-  if (!stamp.startsWith(`${ask.service}/`)) return `stamp "${stamp}"`;
+  const service = ask.service ?? stamp.split('/', 1)[0] ?? '';
+  if (service === '' || !stamp.startsWith(`${service}/`)) return `stamp "${stamp}"`;
   if (ask.method !== 'HEAD' && Number(headers['content-length']) !== body.length) return 'length';
   const digest = /sha-256=:([^:]+):/.exec(String(headers['content-digest'] ?? ''))?.[1];
   if (ask.method !== 'HEAD' && digest !== createHash('sha256').update(body).digest('base64')) return 'digest';
   const text = body.toString('utf8');
-  if (ask.method === 'GET' && !text.startsWith(`${ask.service} ${ask.target} `)) return 'another request\'s body';
+  if (ask.method === 'GET' && !text.startsWith(`${service} ${ask.target} `)) return 'another request\'s body';
   if (ask.method === 'POST' && ask.job !== undefined && (JSON.parse(text) as { ran?: string }).ran !== ask.job) return 'another request\'s body';
   return null;
 };
@@ -38,7 +39,7 @@
   const job = ask.job ?? randomUUID();
   const cut = ask.at.lastIndexOf(':');
   const done = (part: Partial<Seen>): void => resolve({
-    method: ask.method, target: ask.target, status: 0, outcome: '', served: '', stamp: '', retryAfter: false, fault: null, body: '', ...part, job, ms: performance.now() - began,
+    method: ask.method, target: ask.target, status: 0, outcome: '', served: '', stamp: '', retryAfter: false, aged: false, detail: '', fault: null, body: '', ...part, job, ms: performance.now() - began,
   });
   const body = ask.body ?? (ask.method === 'POST' ? JSON.stringify({ job }) : '');
   const request = http.request({
@@ -53,7 +54,7 @@
       const status = response.statusCode ?? 0;
       done({
         status, outcome: String(response.headers['reedyard-outcome'] ?? ''), served: String(response.headers['reedyard-served'] ?? ''),
-        stamp: String(response.headers['reedyard-stamp'] ?? ''), retryAfter: response.headers['retry-after'] !== undefined, body: whole.toString('utf8'),
+        stamp: String(response.headers['reedyard-stamp'] ?? ''), retryAfter: response.headers['retry-after'] !== undefined, aged: response.headers.age !== undefined, body: whole.toString('utf8'),
         fault: faultOf({ ...ask, job }, status, response.headers, whole, response.complete),
       });
     });
--- a/packages/lathe/src/main.ts
+++ b/packages/lathe/src/main.ts
@@ -78,6 +78,8 @@
     stream.pipe(response);
   };
 
+  /** What a trial wants to know of each move; nothing unless the settings ask for it. */
+  const trace = settings.lathe.trace === true ? (event: string, fields: Readonly<Record<string, string | number>>): void => scribe.info(event, fields) : null;
   const perform = (effect: LatheEffect, put: (event: LatheEvent) => boolean): void => {
     switch (effect.kind) {
       case 'open': {
@@ -86,12 +88,14 @@
         const done = (answer: LegAnswer): void => { put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() }); };
         const fail = (error: LegError): void => { put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() }); };
         const out = outgoing(one, effect);
+        trace?.('trace.leg', { serial: task.peek().policy?.serial ?? 0, leg: effect.leg });
         one.legs.set(effect.leg, effect.to.kind === 'origin' ? conns.send(effect.to.row, out, effect.sendBy, done, fail) : sendToPartner(effect.to.row.address, settings.host, out, done, fail));
         return;
       }
       case 'abort': opened.get(effect.id)?.legs.get(effect.leg)?.abort(); return;
       case 'answer': {
         const one = opened.get(effect.id);
+        if (effect.answer.body.kind === 'copy') trace?.('trace.copy', { serial: task.peek().policy?.serial ?? 0 });
         if (one !== undefined) write(one, effect.answer);
         opened.delete(effect.id);
         return;
@@ -146,6 +150,7 @@
     nextId += 1;
     const begin = (): void => {
       const partner = request.headers['reedyard-via'];
+      if (fromPartner) trace?.('trace.relay', { from: String(partner ?? ''), target });
       const method = request.method ?? 'GET';
       const digest = fromPartner || request.headers['idempotency-key'] === undefined ? null
         : createHash('sha256').update(JSON.stringify([method, target])).update(Buffer.concat(chunks)).digest('base64');
@@ -175,6 +180,7 @@
   });
   const servers = [await serve(false, settings.lathe.port), await serve(true, settings.lathe.partnerPort)];
   setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.lathe);
+  if (trace !== null) setInterval(() => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }), 1_000);
   task.put({ kind: 'ask', now: now() });
   scribe.info('started', { callers: settings.lathe.port, partners: settings.lathe.partnerPort });
 
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -3,8 +3,9 @@
 import { Jig, type Action, type ClaimReply, type Feed, type JigEffect, type JigEvent, type JigState } from '@reedyard/jig';
 import { Lathe, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target } from '@reedyard/lathe';
 import type { Description, Policy } from '@reedyard/stencil';
-import type { Deployment, Machine, Origin } from '@reedyard/workbench';
+import type { Deployment, Machine } from '@reedyard/blueprint';
 import { Clockwork } from './clockwork.js';
+import type { CalledFleet, StageOrigin } from './scenarios.js';
 import type { Entry, SimBody } from './history.js';
 import { plantedClaim, plantedFeed, selected, type Plant, type Selection } from './plants.js';
 
@@ -24,12 +25,8 @@
 
 type Box = { readonly machine: Machine; /** Name that it goes by; two machines may claim one. */ readonly as: string; jig: Process<'jig'> | null; lathe: Process<'lathe'> | null; anvil: Process<'anvil'> | null; disk: Disk; powered: boolean; namePlate: readonly AnvilRecord[] };
 
-export type OriginMode = { slowMs: number; lose: number; garbage: number; short: number; foreign: number; /** s that its answers are already old. */ aged: number; /** Share of answers too large to be read whole. */ large: number };
 /** A stand-in origin: an identity at an address. */
-export type SimOrigin = {
-  readonly spec: Origin; readonly address: string; incarnation: number; service: string; instance: string; alive: boolean; cold: boolean; draining: boolean; /** Lives, but describes itself no more. */ silent: boolean; capacity: number; mode: OriginMode;
-  previous: LegAnswer | null;
-};
+export type SimOrigin = StageOrigin & { readonly address: string; previous: LegAnswer | null };
 
 /** What a submission is to become: an answer to the caller. */
 type Caller = { readonly submission: number; readonly done: (got: { status: number; headers: Record<string, unknown>; body: SimBody | null; whole: boolean; retryAfter: boolean; why: string } | null) => void };
@@ -39,7 +36,7 @@
   readonly drift?: number };
 
 /** A whole fleet in virtual time. */
-export class SimFleet {
+export class SimFleet implements CalledFleet {
   readonly clock: Clockwork;
   readonly history: Entry[] = [];
   readonly boxes = new Map<string, Box>();
@@ -71,6 +68,11 @@
     for (const origin of this.origins) this.clock.in(this.clock.between(0, 1_000), () => this.#announce(origin));
   }
 
+  places(): readonly string[] { return [...this.boxes.keys()]; }
+  runs(name: string): boolean { return this.boxes.get(name)?.jig?.alive === true; }
+  /** The machine that has the duty. */
+  holder(): string | undefined { return [...this.boxes.values()].find((box) => box.jig !== null && box.jig.state.duty !== null)?.machine.name; }
+
   #machineAt(place: string): Machine | undefined { return this.boxes.get(place)?.machine; }
 
   /** Another machine, with a blank disk, that goes by the name of one which may still run. */
@@ -540,9 +542,9 @@
 
   readonly #carries = new Map<string, number>();
   /** An origin describes itself to some node. */
-  describe(origin: SimOrigin, noticed: () => void = () => undefined, node?: string): void {
+  describe(origin: StageOrigin, noticed: () => void = () => undefined, node?: string): void {
     const description: Description = {
-      service: origin.service, instance: origin.instance, incarnation: origin.incarnation, address: origin.address, region: origin.spec.region, hall: origin.spec.hall,
+      service: origin.service, instance: origin.instance, incarnation: origin.incarnation, address: this.#addressOf(origin), region: origin.spec.region, hall: origin.spec.hall,
       capacity: origin.capacity, state: origin.cold ? 'cold' : 'warm', draining: origin.draining,
     };
     const { draining } = origin;
@@ -555,8 +557,9 @@
         this.history.push({ kind: 'drained', at: this.clock.now(), instance: description.instance, incarnation: description.incarnation });
         noticed();
       }
-    }, origin.address, node);
+    }, this.#addressOf(origin), node);
   }
+  #addressOf(origin: StageOrigin): string { return this.origins.find((each) => each === origin)?.address ?? ''; }
 
   /** Sends an action to the API of some live node. */
   operate(action: Action, done: (reply: { status: number; body: unknown }) => void, from = 'outside', node?: string): void {
--- a/packages/mallet/src/run.ts
+++ b/packages/mallet/src/run.ts
@@ -2,12 +2,12 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { Stencil, type Policy } from '@reedyard/stencil';
-import type { Deployment } from '@reedyard/workbench';
+import type { Deployment } from '@reedyard/blueprint';
 import { available, judge } from './checks.js';
 import { SimFleet } from './fleet.js';
 import type { Wrong } from './history.js';
 import type { Plant, Selection } from './plants.js';
-import { scenarios } from './scenarios.js';
+import { scenarios, type CalledFleet, type StageFleet } from './scenarios.js';
 
 const examples = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../../examples');
 
@@ -28,8 +28,7 @@
 type Sample = { readonly method: string; readonly target: string };
 
 /** What callers ask for, by deployment: the largest share first. */
-export const sampleOf = (example: string, fleet: SimFleet): Sample => {
-  const { clock } = fleet;
+export const sampleOf = (example: string, clock: StageFleet['clock']): Sample => {
   const draw = clock.chance();
   const hot = (count: number): number => Math.floor(count * clock.chance() ** 2.5);
   if (example === 'association') {
@@ -46,7 +45,7 @@
 };
 
 /** Starts callers: each goes to a ready node of its own hall, or to any ready one where its hall has none. */
-export const startCallers = (fleet: SimFleet, example: string, policy: Policy, rate: () => number, until: number, skew: () => string | null = () => null): void => {
+export const startCallers = (fleet: CalledFleet, example: string, policy: Policy, rate: () => number, until: number, skew: () => string | null = () => null): void => {
   const { clock } = fleet;
   const host = policy.routes[0]?.host ?? '';
   const fronts = fleet.deployment.machines.filter((machine) => machine.kind === 'front');
@@ -61,7 +60,7 @@
     if (clock.now() > until) return;
     clock.in((-Math.log(1 - clock.chance()) * 1_000) / rate(), one);
     const hall = skew() ?? clock.pick(halls) ?? '';
-    const sample = sampleOf(example, fleet);
+    const sample = sampleOf(example, fleet.clock);
     job += 1;
     const unsafe = sample.method === 'POST';
     const name = `job-${job}`;
@@ -105,7 +104,7 @@
   const end = scenario.seconds * 1_000;
   const factor = { rate: options.rate ?? scenario.rate ?? 120, skew: null as string | null };
   fleet.clock.in(6_000, () => startCallers(fleet, example, used, () => factor.rate, end - 2_000, () => factor.skew));
-  scenario.play({ fleet, policy: used, factor, end, sample: () => sampleOf(example, fleet) });
+  scenario.play({ fleet, policy: used, factor, end, sample: () => sampleOf(example, fleet.clock) });
   fleet.clock.runUntil(end + 14_000);
   const wrongs = judge(fleet.history);
   const measured = available(fleet.history, 8_000);
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -1,7 +1,51 @@
 import type { Policy } from '@reedyard/stencil';
-import type { SimFleet, SimOrigin } from './fleet.js';
+import type { Deployment, Origin } from '@reedyard/blueprint';
+import type { Entry } from './history.js';
 
-export type Stage = { readonly fleet: SimFleet; readonly policy: Policy; readonly factor: { rate: number; skew: string | null }; readonly end: number;
+export type OriginMode = { slowMs: number; lose: number; garbage: number; short: number; foreign: number; /** s that its answers are already old. */ aged: number; /** Share of answers too large to be read whole. */ large: number };
+/** A stand-in origin as scenarios see and change it. */
+export type StageOrigin = {
+  readonly spec: Origin; incarnation: number; service: string; instance: string; alive: boolean; cold: boolean; draining: boolean;
+  /** Lives, but describes itself no more. */ silent: boolean; capacity: number; mode: OriginMode;
+};
+
+/** What a scenario plays on: the simulator's fleet, or one of real processes. */
+export type StageFleet = {
+  readonly clock: { now(): number; chance(): number; between(low: number, high: number): number; pick<T>(list: readonly T[]): T | undefined; in(ms: number, act: () => void): void };
+  readonly deployment: Deployment;
+  readonly origins: readonly StageOrigin[];
+  /** What settings name as seeds to those that start from now on: machine/jig. */
+  seeds: readonly string[];
+  places(): readonly string[];
+  runs(name: string): boolean;
+  holder(): string | undefined;
+  start(name: string): void;
+  kill(name: string): void;
+  warn(name: string): void;
+  wipe(name: string): void;
+  freeze(name: string): void;
+  thaw(name: string): void;
+  twin(name: string): string;
+  cut(from: string, to: string): void;
+  isolate(name: string, way?: 'both' | 'out' | 'in'): void;
+  heal(): void;
+  put(document: Policy, done?: () => void, node?: string): void;
+  read(): void;
+  purge(objects: readonly string[], tags: readonly string[], done?: () => void): void;
+  hall(hall: string, order: 'empty' | 'take-back', done?: () => void): void;
+  describe(origin: StageOrigin, noticed?: () => void, node?: string): void;
+  fault(what: string): void;
+};
+
+/** A fleet that callers ask. */
+export type CalledFleet = StageFleet & {
+  readonly history: Entry[];
+  /** What the platform knows: nodes that said they were ready when it last asked. */
+  readonly ready: ReadonlyMap<string, boolean>;
+  ask(node: string, request: { method: string; host: string; target: string; job: string; key: string | null; content?: string }, done: (status: number, outcome: string) => void): void;
+};
+
+export type Stage = { readonly fleet: StageFleet; readonly policy: Policy; readonly factor: { rate: number; skew: string | null }; readonly end: number;
   /** A request as callers of this deployment send it. */
   readonly sample: () => { readonly method: string; readonly target: string } };
 export type Scenario = {
@@ -10,11 +54,9 @@
   readonly play: (stage: Stage) => void;
 };
 
-const names = (fleet: SimFleet, kind?: 'front' | 'core' | 'store'): readonly string[] => fleet.deployment.machines.filter((machine) => kind === undefined || machine.kind === kind).map((machine) => machine.name);
-const disks = (fleet: SimFleet): readonly string[] => [...names(fleet, 'core'), ...names(fleet, 'store')];
-const halls = (fleet: SimFleet): readonly string[] => [...new Set(fleet.deployment.machines.map((machine) => machine.hall))];
-
-const holderOf = (fleet: SimFleet): string | undefined => [...fleet.boxes.values()].find((box) => box.jig !== null && box.jig.state.duty !== null)?.machine.name;
+const names = (fleet: StageFleet, kind?: 'front' | 'core' | 'store'): readonly string[] => fleet.deployment.machines.filter((machine) => kind === undefined || machine.kind === kind).map((machine) => machine.name);
+const disks = (fleet: StageFleet): readonly string[] => [...names(fleet, 'core'), ...names(fleet, 'store')];
+const halls = (fleet: StageFleet): readonly string[] => [...new Set(fleet.deployment.machines.map((machine) => machine.hall))];
 
 /** Does something again and again between two moments. */
 const every = ({ fleet }: Stage, from: number, to: number, ms: number, act: () => void): void => {
@@ -22,19 +64,19 @@
   fleet.clock.in(from, next);
 };
 
-const restart = (fleet: SimFleet, name: string, afterMs: number, wiped = false): void => {
+const restart = (fleet: StageFleet, name: string, afterMs: number, wiped = false): void => {
   fleet.kill(name);
   fleet.fault(`${name} killed${wiped ? ' and wiped' : ''}`);
   if (wiped) fleet.wipe(name);
   fleet.clock.in(afterMs, () => { fleet.start(name); });
 };
 
-const troubleOrigins = (fleet: SimFleet): void => {
+const troubleOrigins = (fleet: StageFleet): void => {
   for (const origin of fleet.origins) Object.assign(origin.mode, { lose: 0.1, aged: fleet.clock.chance() < 0.3 ? 1 : 0, large: 0.002, garbage: 0.03, short: 0.03, foreign: 0.05 });
 };
 
 /** An origin comes back as a new incarnation, cold, and warms with the work it gets. */
-const replaceOrigin = (fleet: SimFleet, origin: SimOrigin, downMs: number): void => {
+const replaceOrigin = (fleet: StageFleet, origin: StageOrigin, downMs: number): void => {
   origin.alive = false;
   fleet.clock.in(downMs, () => {
     Object.assign(origin, { alive: true, cold: true, draining: false, incarnation: origin.incarnation + 1 });
@@ -43,7 +85,7 @@
   });
 };
 
-const drain = (fleet: SimFleet, origin: SimOrigin, thenDown: boolean): void => {
+const drain = (fleet: StageFleet, origin: StageOrigin, thenDown: boolean): void => {
   origin.draining = true;
   fleet.describe(origin);
   if (thenDown) fleet.clock.in(5_000, () => replaceOrigin(fleet, origin, 1_000));
@@ -55,17 +97,17 @@
 });
 
 type RouteOf = Policy['routes'][number];
-const onRoute = (policy: Policy, clock: SimFleet['clock'], fits: (route: RouteOf) => boolean, change: (route: RouteOf) => readonly RouteOf[]): Policy => {
+const onRoute = (policy: Policy, clock: StageFleet['clock'], fits: (route: RouteOf) => boolean, change: (route: RouteOf) => readonly RouteOf[]): Policy => {
   const chosenRoute = clock.pick(policy.routes.filter(fits));
   return { ...policy, routes: policy.routes.flatMap((route) => (route === chosenRoute ? change(route) : [route])) };
 };
-const onService = (policy: Policy, clock: SimFleet['clock'], change: (service: Policy['services'][string], name: string) => Policy['services'][string]): Policy => {
+const onService = (policy: Policy, clock: StageFleet['clock'], change: (service: Policy['services'][string], name: string) => Policy['services'][string]): Policy => {
   const chosenName = clock.pick(Object.keys(policy.services)) ?? '';
   return { ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, name === chosenName ? change(service, name) : service])) };
 };
 
 /** What a next policy may take away, move or bring back; each put begins again from the first policy. */
-const mutations: Readonly<Record<string, (policy: Policy, fleet: SimFleet) => Policy>> = {
+const mutations: Readonly<Record<string, (policy: Policy, fleet: StageFleet) => Policy>> = {
   'route removed': (policy, { clock }) => onRoute(policy, clock, () => true, () => []),
   'service removed': (policy, { clock }) => {
     const chosenName = clock.pick(Object.keys(policy.services)) ?? '';
@@ -165,7 +207,7 @@
     fleet.clock.in(12_000, () => {
       fleet.fault('the core split');
       const left = new Set(disks(fleet).filter((_, index) => index % 2 === 0));
-      for (const a of fleet.boxes.keys()) for (const b of fleet.boxes.keys()) if ((left.has(a) || (a.charCodeAt(a.length - 1) % 2 === 0)) !== (left.has(b) || (b.charCodeAt(b.length - 1) % 2 === 0))) fleet.cut(a, b);
+      for (const a of fleet.places()) for (const b of fleet.places()) if ((left.has(a) || (a.charCodeAt(a.length - 1) % 2 === 0)) !== (left.has(b) || (b.charCodeAt(b.length - 1) % 2 === 0))) fleet.cut(a, b);
     });
     fleet.clock.in(24_000, () => { fleet.heal(); fleet.fault('healed'); });
     every(stage, 9_000, 34_000, 2_500, () => putOne(stage));
@@ -201,7 +243,7 @@
   'core-replaced': { what: 'a core machine is cut off, replaced under its name while it still runs, then cut to one side with it', seconds: 45, play: (stage) => {
     const { fleet } = stage;
     const sides = (left: readonly string[]): void => {
-      for (const a of fleet.boxes.keys()) for (const b of fleet.boxes.keys()) if (left.includes(a) !== left.includes(b)) fleet.cut(a, b);
+      for (const a of fleet.places()) for (const b of fleet.places()) if (left.includes(a) !== left.includes(b)) fleet.cut(a, b);
     };
     let number = 0;
     const put = (node: string): void => { number += 1; fleet.put(variant(stage.policy, number), () => undefined, node); };
@@ -254,7 +296,7 @@
     const { fleet } = stage;
     every(stage, 9_000, 38_000, 2_500, () => {
       const origin = fleet.clock.pick(fleet.origins.filter((each) => each.alive && !each.draining));
-      const node = fleet.clock.pick(names(fleet).filter((name) => fleet.boxes.get(name)?.jig?.alive === true));
+      const node = fleet.clock.pick(names(fleet).filter((name) => fleet.runs(name)));
       if (origin === undefined || node === undefined) return;
       Object.assign(origin, { draining: true, silent: true });
       fleet.describe(origin, () => {
@@ -284,7 +326,7 @@
       every(stage, 9_000, 42_000, 600, () => faults.purge?.(stage));
       every(stage, 9_000, 40_000, 6_000, () => faults.drain?.(stage));
       every(stage, 9_000, 44_000, 900, () => faults.read?.(stage));
-      every(stage, 12_000, 40_000, 9_000, () => { const holder = holderOf(stage.fleet); if (holder !== undefined) restart(stage.fleet, holder, 2_500); });
+      every(stage, 12_000, 40_000, 9_000, () => { const holder = stage.fleet.holder(); if (holder !== undefined) restart(stage.fleet, holder, 2_500); });
     } },
   'disks-wiped': { what: 'a majority of disks, then all, are wiped at once just after acknowledgements, while the other machines live on', seconds: 60, play: (stage) => {
     const { fleet } = stage;
@@ -335,7 +377,7 @@
       const { fleet } = stage;
       every(stage, 12_000, 52_000, 8_000, () => { stage.factor.skew = fleet.clock.pick([...halls(fleet), null]) ?? null; });
       every(stage, 14_000, 52_000, 7_000, () => {
-        const holder = holderOf(fleet);
+        const holder = fleet.holder();
         if (holder === undefined) return;
         const draw = fleet.clock.chance();
         if (draw < 0.4) restart(fleet, holder, 3_000);
@@ -355,7 +397,7 @@
   lowered: { what: 'ceilings and cold rates lowered and raised while demand stays and the duty holder is killed', seconds: 50, rate: 400, play: (stage) => {
     const { fleet, policy } = stage;
     const put = (): void => fleet.put({ ...policy, services: Object.fromEntries(Object.entries(policy.services).map(([name, service]) => [name, { ...service, ceiling: fleet.clock.between(10, 200), coldRate: fleet.clock.between(3, 40) }])) });
-    every(stage, 9_000, 42_000, 4_500, () => { const holder = holderOf(fleet); put(); if (holder !== undefined && fleet.clock.chance() < 0.5) restart(fleet, holder, 2_500); });
+    every(stage, 9_000, 42_000, 4_500, () => { const holder = fleet.holder(); put(); if (holder !== undefined && fleet.clock.chance() < 0.5) restart(fleet, holder, 2_500); });
     every(stage, 12_000, 42_000, 5_000, () => faults.crash?.(stage));
   } },
   capacities: { what: 'no ceilings: instances go one by one until one carries all, say they carry less, and come back cold; demand stays', seconds: 60, rate: 400,
--- a/packages/workbench/src/index.ts
+++ b/packages/workbench/src/index.ts
@@ -1,23 +1,22 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdirSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { startBlank, type Blank } from '@reedyard/blank';
+import { startBlank, type Blank, type BlankOptions } from '@reedyard/blank';
+import type { Deployment, Machine } from '@reedyard/blueprint';
 import { LayerError } from '@reedyard/scriber';
 
+export type { Deployment, Machine, Origin } from '@reedyard/blueprint';
+
 /** A bench that can't be set up. */
 export class WorkbenchError extends LayerError {}
 
 export type Program = 'jig' | 'lathe' | 'anvil';
 
-export type Machine = { readonly name: string; readonly hall: string; readonly region: string; readonly kind: 'front' | 'store' | 'core'; readonly capacityBps?: number };
-export type Origin = { readonly service: string; readonly instance: string; readonly hall: string; readonly region: string; readonly capacity: number; readonly maxAge?: number };
-
-/** A deployment as the examples describe it. */
-export type Deployment = { readonly name: string; readonly machines: readonly Machine[]; readonly origins: readonly Origin[] };
-
+/** ms one way between two regions. */
+const betweenRegions = 6;
 const packages = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const freePort = (): Promise<number> => new Promise((resolve, reject) => {
   const server = net.createServer();
@@ -53,7 +52,7 @@
 class Relay {
   readonly #pairs = new Set<{ readonly from: string; readonly ends: readonly net.Socket[] }>();
   #server: net.Server | null = null;
-  constructor(readonly host: string, readonly behind: string, readonly isCut: (from: string) => boolean) {}
+  constructor(readonly host: string, readonly behind: string, readonly isCut: (from: string) => boolean, readonly delayOf: (from: string) => number) {}
 
   open(port: number): Promise<void> {
     this.#server = net.createServer((outer) => {
@@ -68,8 +67,13 @@
         end.on('error', () => pair.ends.forEach((each) => each.destroy()));
         end.on('close', () => { this.#pairs.delete(pair); pair.ends.forEach((each) => each.destroy()); });
       }
-      outer.pipe(inner);
-      inner.pipe(outer);
+      const delay = this.delayOf(from);
+      if (delay === 0) { outer.pipe(inner); inner.pipe(outer); return; }
+      // Between regions: every piece, and the end, a little later and in order.
+      for (const [source, sink] of [[outer, inner], [inner, outer]] as const) {
+        source.on('data', (chunk: Buffer) => setTimeout(() => { if (!sink.destroyed) sink.write(chunk); }, delay));
+        source.on('end', () => setTimeout(() => { if (!sink.destroyed) sink.end(); }, delay));
+      }
     });
     const server = this.#server;
     return new Promise((resolve, reject) => { server.once('error', reject); server.listen(port, this.host, resolve); });
@@ -94,39 +98,56 @@
   private constructor(readonly deployment: Deployment, readonly folder: string, readonly network: string) {}
 
   /** Lays out settings; starts nothing. @example const fleet = await Fleet.lay(deployment, '.run/small') */
-  static async lay(deployment: Deployment, folder: string, options: { readonly relays?: boolean } = {}): Promise<Fleet> {
+  static async lay(deployment: Deployment, folder: string, options: { readonly relays?: boolean; readonly trace?: boolean } = {}): Promise<Fleet> {
     // A network of its own, so that several benches may run at once.
     const network = `127.${10 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
     const fleet = new Fleet(deployment, path.resolve(folder), network);
     rmSync(fleet.folder, { recursive: true, force: true });
-    const hostOf = (index: number): string => `${network}.${index + 1}`;
-    const behindOf = (index: number): string => (options.relays === true ? `${network}.${index + 101}` : hostOf(index));
-    const disks = deployment.machines.filter((machine) => machine.kind !== 'front');
-    const founders = Object.fromEntries(disks.map((machine) => [machine.name, `${hostOf(deployment.machines.indexOf(machine))}:7101`]));
-    const seeds = disks.slice(0, 3).map((machine) => `${hostOf(deployment.machines.indexOf(machine))}:7001`);
-    for (const [index, machine] of deployment.machines.entries()) {
-      const home = path.join(fleet.folder, machine.name);
-      mkdirSync(home, { recursive: true });
-      const settings = {
-        name: machine.name, host: hostOf(index), ...(options.relays === true ? { listen: behindOf(index) } : {}), hall: machine.hall, region: machine.region, seeds, founders, dataFolder: path.join(home, 'data'),
-        jig: { port: 7001, apiPort: 7080, feedPort: await freePort() },
-        ...(machine.kind === 'front' ? { lathe: { port: 8080, partnerPort: 8081, capacityBps: machine.capacityBps ?? 80_000_000 } } : { anvil: { port: 7101 } }),
-      };
-      const settingsFile = path.join(home, 'settings.json');
-      writeFileSync(settingsFile, `${JSON.stringify(settings, null, 2)}\n`);
-      const relays: Relay[] = [];
-      if (options.relays === true) {
-        for (const port of machine.kind === 'front' ? [7001, 7080, 8080, 8081] : [7001, 7080, 7101]) {
-          const relay = new Relay(hostOf(index), behindOf(index), (from) => fleet.#cuts.has(`${from}>${hostOf(index)}`));
-          await relay.open(port);
-          relays.push(relay);
-        }
+    for (const machine of deployment.machines) await fleet.add(machine, options.relays === true, options.trace === true);
+    return fleet;
+  }
+
+  #hostOf(index: number): string { return `${this.network}.${index + 1}`; }
+
+  /** Lays out one machine at the next address: one of the deployment, or another that goes by the name of one. */
+  async add(machine: Machine, relayed: boolean, trace: boolean, place: string = machine.name): Promise<void> {
+    const index = this.#members.size;
+    const host = this.#hostOf(index);
+    const behind = relayed ? `${this.network}.${index + 101}` : host;
+    const { machines } = this.deployment;
+    const disks = machines.filter((each) => each.kind !== 'front');
+    const founders = Object.fromEntries(disks.map((each) => [each.name, `${this.#hostOf(machines.indexOf(each))}:7101`]));
+    const home = path.join(this.folder, place);
+    mkdirSync(home, { recursive: true });
+    const settings = {
+      name: machine.name, host, ...(relayed ? { listen: behind } : {}), hall: machine.hall, region: machine.region, seeds: disks.slice(0, 3).map((each) => `${this.#hostOf(machines.indexOf(each))}:7001`), founders, dataFolder: path.join(home, 'data'),
+      jig: { port: 7001, apiPort: 7080, feedPort: await freePort() },
+      ...(machine.kind === 'front' ? { lathe: { port: 8080, partnerPort: 8081, capacityBps: machine.capacityBps ?? 80_000_000, ...(trace ? { trace } : {}) } } : { anvil: { port: 7101 } }),
+    };
+    const settingsFile = path.join(home, 'settings.json');
+    writeFileSync(settingsFile, `${JSON.stringify(settings, null, 2)}\n`);
+    const relays: Relay[] = [];
+    if (relayed) {
+      const regionOf = (from: string): string => machines.find((each) => this.#members.get(each.name)?.host === from)?.region ?? machine.region;
+      for (const port of machine.kind === 'front' ? [7001, 7080, 8080, 8081] : [7001, 7080, 7101]) {
+        const relay = new Relay(host, behind, (from) => this.#cuts.has(`${from}>${host}`), (from) => (regionOf(from) === machine.region ? 0 : betweenRegions));
+        await relay.open(port);
+        relays.push(relay);
       }
-      fleet.#members.set(machine.name, { machine, host: hostOf(index), relays, settingsFile, folder: home, processes: new Map() });
     }
-    return fleet;
+    this.#members.set(place, { machine, host, relays, settingsFile, folder: home, processes: new Map() });
   }
 
+  /** Names other seeds, by machine, in the settings of all that start from now on. */
+  setSeeds(names: readonly string[]): void {
+    const seeds = names.map((name) => `${this.#member(name).host}:7001`);
+    for (const { settingsFile } of this.#members.values()) writeFileSync(settingsFile, `${JSON.stringify({ ...JSON.parse(readFileSync(settingsFile, 'utf8')) as object, seeds }, null, 2)}\n`);
+  }
+  /** Files of a kind that a machine's programs wrote. */
+  logOf(name: string, program: Program): string { return path.join(this.#member(name).folder, `${program}.log`); }
+  runs(name: string, program: Program): boolean { return this.#member(name).processes.has(program); }
+  places(): readonly string[] { return [...this.#members.keys()]; }
+
   #member(name: string): Member {
     const member = this.#members.get(name);
     if (member === undefined) throw new WorkbenchError('unknown', `no machine is named ${name}`);
@@ -175,6 +196,11 @@
     }
     for (const member of this.#members.values()) member.relays.forEach((relay) => relay.applyCuts());
   }
+  /** Cuts one machine's way to another. */
+  cutWay(from: string, to: string): void {
+    this.#cuts.add(`${this.#member(from).host}>${this.#member(to).host}`);
+    this.#member(to).relays.forEach((relay) => relay.applyCuts());
+  }
   heal(): void {
     this.#cuts.clear();
     for (const member of this.#members.values()) member.relays.forEach((relay) => relay.drop());
@@ -184,11 +210,11 @@
 
   startAll(): void { for (const name of this.names()) this.start(name); }
 
-  async startOrigins(): Promise<void> {
+  async startOrigins(heard?: BlankOptions['heard']): Promise<void> {
     const apis = this.names().map((name) => this.apiOf(name));
     for (const [index, origin] of this.deployment.origins.entries()) {
       this.blanks.set(origin.instance, await startBlank({
-        ...origin, incarnation: 1, host: `${this.network}.${200 + index}`, port: 9000, apis: [...apis.slice(index % apis.length), ...apis.slice(0, index % apis.length)], announceMs: 1_000, maxAge: origin.maxAge ?? 60,
+        ...origin, incarnation: 1, host: `${this.network}.${200 + index}`, port: 9000, apis: [...apis.slice(index % apis.length), ...apis.slice(0, index % apis.length)], announceMs: 1_000, maxAge: origin.maxAge ?? 60, ...(heard === undefined ? {} : { heard }),
       }));
     }
   }
@@ -208,8 +234,8 @@
   }
 
   async end(): Promise<void> {
-    for (const name of this.names()) this.thaw(name);
-    await Promise.all([...this.names().map((name) => this.kill(name)), ...[...this.blanks.values()].map((blank) => blank.stop())]);
+    for (const name of this.places()) this.thaw(name);
+    await Promise.all([...this.places().map((name) => this.kill(name)), ...[...this.blanks.values()].map((blank) => blank.stop())]);
     for (const member of this.#members.values()) member.relays.forEach((relay) => relay.close());
   }
 }
--- a/packages/workbench/src/main.ts
+++ b/packages/workbench/src/main.ts
@@ -6,8 +6,13 @@
 import { startLoad, sumUp, type Kind } from '@reedyard/feeler';
 import { textOf } from '@reedyard/scriber';
 import { api, Fleet, type Deployment, type Program } from './index.js';
+import { runTrial } from './trials.js';
 
 const help = `workbench FOLDER [--rate N] [--folder RUN] [--no-policy] [--for SECONDS]
+workbench trial FOLDER --scenario NAME [--seed N] [--seconds N] [--rate N] [--folder RUN]
+
+  trial            plays a scenario of the simulator on real processes and judges it by the same
+                   checkers; exit code 1 if a rule broke. mallet --help names the scenarios
 
   FOLDER           an example: deployment.json, policy.json, callers.json
   --rate N         callers' requests a second (none if left out)
@@ -23,8 +28,9 @@
   report     nodes     quit
 `;
 const { values, positionals } = parseArgs({ allowPositionals: true, options: {
-  rate: { type: 'string' }, folder: { type: 'string', default: '.run' }, 'no-policy': { type: 'boolean', default: false }, for: { type: 'string' }, help: { type: 'boolean', default: false },
+  rate: { type: 'string' }, folder: { type: 'string', default: '.run' }, 'no-policy': { type: 'boolean', default: false }, for: { type: 'string' }, scenario: { type: 'string' }, seed: { type: 'string', default: '1' }, seconds: { type: 'string' }, help: { type: 'boolean', default: false },
 } });
+if (positionals[0] === 'trial') process.exit(await runTrial(positionals[1], values));
 const example = positionals[0];
 if (values.help || example === undefined) { process.stdout.write(help); process.exit(values.help ? 0 : 2); }
 const read = <T>(name: string): T => JSON.parse(readFileSync(path.join(example, name), 'utf8')) as T;
