--- a/packages/workbench/src/index.ts
+++ b/packages/workbench/src/index.ts
@@ -95,13 +95,13 @@
   /** Pairs of addresses between which nothing passes, one way each. */
   readonly #cuts = new Set<string>();
 
-  private constructor(readonly deployment: Deployment, readonly folder: string, readonly network: string) {}
+  private constructor(readonly deployment: Deployment, readonly folder: string, readonly network: string, readonly preload: readonly string[]) {}
 
   /** Lays out settings; starts nothing. @example const fleet = await Fleet.lay(deployment, '.run/small') */
-  static async lay(deployment: Deployment, folder: string, options: { readonly relays?: boolean; readonly trace?: boolean } = {}): Promise<Fleet> {
+  static async lay(deployment: Deployment, folder: string, options: { readonly relays?: boolean; readonly trace?: boolean; /** Modules that each program loads first. */ readonly preload?: readonly string[] } = {}): Promise<Fleet> {
     // A network of its own, so that several benches may run at once.
     const network = `127.${10 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
-    const fleet = new Fleet(deployment, path.resolve(folder), network);
+    const fleet = new Fleet(deployment, path.resolve(folder), network, options.preload ?? []);
     rmSync(fleet.folder, { recursive: true, force: true });
     for (const machine of deployment.machines) await fleet.add(machine, options.relays === true, options.trace === true);
     return fleet;
@@ -165,7 +165,7 @@
     for (const program of this.programs(name)) {
       if ((only !== undefined && only !== program) || member.processes.has(program)) continue;
       const out = openSync(path.join(member.folder, `${program}.log`), 'a');
-      const child = spawn(process.execPath, [path.join(packages, program, 'dist/main.js'), '--settings', member.settingsFile], { stdio: ['ignore', out, out] });
+      const child = spawn(process.execPath, [...this.preload.flatMap((module) => ['--import', module]), path.join(packages, program, 'dist/main.js'), '--settings', member.settingsFile], { stdio: ['ignore', out, out] });
       closeSync(out);
       child.on('exit', () => { if (member.processes.get(program) === child) member.processes.delete(program); });
       member.processes.set(program, child);
@@ -182,6 +182,8 @@
     return Promise.all(ends).then(() => undefined);
   }
 
+  /** Any signal, such as one that a preloaded module waits for. */
+  signal(name: string, signal: NodeJS.Signals): void { void this.#signal(name, signal); }
   kill(name: string, only?: Program): Promise<void> { return this.#signal(name, 'SIGKILL', only); }
   stop(name: string, only?: Program): Promise<void> { return this.#signal(name, 'SIGTERM', only); }
   freeze(name: string, only?: Program): void { void this.#signal(name, 'SIGSTOP', only); }
