A forwarded request earns its repeat once, where its caller came to

Cause: both the lathe that forwards and the one that it hands to earned 0.15 of a repeat for one request. Ruled out: the saved repeats (3 a node, 30 in all), and the checker's count of requests. Planted again (earn-twice) it breaks.

--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -256,7 +256,8 @@
     phase: callerKey === null ? 'leg' : 'claiming', heldAt: 0, leads: false, callerGone: false,
   };
   set(work, { transactions: { ...state.transactions, [id]: transaction } });
-  earnRepeat(work);
+  // A forwarded request earned its repeat where its caller came to.
+  if (asked.via === null) earnRepeat(work);
   if (transaction.claimKey !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claimKey, token, life: state.self.life, digest: asked.digest ?? '' } });
   else start(work, transaction);
 };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -357,6 +357,7 @@
       submissions.set(id, about);
       this.#submissions.set(process, submissions);
       this.#marks += 1;
+      if (this.tuning.plant === 'earn-twice' && asked.via !== null) process.state = { ...process.state, repeats: Math.min(3, process.state.repeats + 0.15) };
       this.#step(process, { kind: 'arrived', id, asked, draws: [0, 1, 2, 3, 4].map(() => this.clock.chance()), token: `mark-${this.#marks}`, now: this.#now(process) });
     });
   }
--- a/packages/mallet/src/planted.ts
+++ b/packages/mallet/src/planted.ts
@@ -32,6 +32,7 @@
   { rule: 10, what: 'what instances say they carry is not heeded', plant: 'no-capacities', scenario: 'capacities' },
   { rule: 10, what: 'slices keep the rate of an older ceiling', plant: 'old-rates', scenario: 'lowered' },
   { rule: 11, what: 'repeats are free', plant: 'free-repeats', scenario: 'repeats' },
+  { rule: 11, what: 'forwarded requests earn repeats where they are handed to as well', plant: 'earn-twice', scenario: 'repeats-relayed' },
   { rule: 12, what: 'homes are not heeded', plant: 'no-homes', scenario: 'homes' },
   { rule: 13, what: 'disks forget', plant: 'forgetful-disks', scenario: 'full-loss' },
 ];
--- a/packages/mallet/src/run.ts
+++ b/packages/mallet/src/run.ts
@@ -94,7 +94,7 @@
   if (scenario === undefined) throw new Error(`no scenario is named ${options.scenario}; there are ${Object.keys(scenarios).join(', ')}`);
   const example = options.example ?? scenario.example ?? 'brandlhuber';
   const { deployment: asGiven, policy } = exampleOf(example);
-  const { capacityBps } = options;
+  const capacityBps = options.capacityBps ?? scenario.capacityBps;
   const deployment = capacityBps === undefined ? asGiven : { ...asGiven, machines: asGiven.machines.map((machine) => ({ ...machine, capacityBps })) };
   const used = scenario.policy?.(policy) ?? policy;
   const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12, ...(scenario.drift === undefined ? {} : { drift: scenario.drift }), ...(options.selection === undefined ? {} : { selection: options.selection }) });
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -49,7 +49,7 @@
   /** A request as callers of this deployment send it. */
   readonly sample: () => { readonly method: string; readonly target: string } };
 export type Scenario = {
-  readonly what: string; readonly seconds: number; readonly example?: string; readonly rate?: number; readonly loss?: number; readonly drift?: number;
+  readonly what: string; readonly seconds: number; readonly example?: string; readonly rate?: number; readonly loss?: number; readonly drift?: number; /** Of each lathe, where it is not the deployment's. */ readonly capacityBps?: number;
   readonly policy?: (policy: Policy) => Policy;
   readonly play: (stage: Stage) => void;
 };
@@ -420,6 +420,11 @@
   repeats: { what: 'every origin fails most of what it gets', seconds: 40, rate: 300, play: (stage) => {
     stage.fleet.clock.in(9_000, () => { for (const origin of stage.fleet.origins) Object.assign(origin.mode, { garbage: 0.7 }); });
   } },
+  'repeats-relayed': { what: 'every origin fails most of what it gets, while one hall is crowded and hands most of it to partners', seconds: 60, rate: 400, capacityBps: 3_000_000, play: (stage) => {
+    const { fleet } = stage;
+    fleet.clock.in(8_000, () => { stage.factor.skew = 'west'; });
+    fleet.clock.in(25_000, () => { for (const origin of fleet.origins) Object.assign(origin.mode, { garbage: 0.9, slowMs: 5 }); });
+  } },
   'reused-address': { what: 'origins lose their address to another service', seconds: 40, play: (stage) => {
     const { fleet } = stage;
     every(stage, 8_000, 34_000, 2_500, () => {
