--- a/packages/workbench/src/index.ts
+++ b/packages/workbench/src/index.ts
@@ -46,7 +46,7 @@
   request.end(text);
 });
 
-type Member = { readonly machine: Machine; readonly host: string; readonly relays: Relay[]; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
+type Member = { readonly machine: Machine; readonly host: string; /** Where its programs listen: another address than the host's where relays stand before them. */ readonly behind: string; readonly relays: Relay[]; readonly settingsFile: string; readonly folder: string; readonly processes: Map<Program, ChildProcess> };
 
 /** Stands between a machine's address and its processes, so that its conns can be cut. */
 class Relay {
@@ -129,13 +129,14 @@
     const relays: Relay[] = [];
     if (relayed) {
       const regionOf = (from: string): string => machines.find((each) => this.#members.get(each.name)?.host === from)?.region ?? machine.region;
-      for (const port of machine.kind === 'front' ? [7001, 7080, 8080, 8081] : [7001, 7080, 7101]) {
+      // Cuts are between machines: callers, operators and origins come from outside, past the relays.
+      for (const port of machine.kind === 'front' ? [7001, 8081] : [7001, 7101]) {
         const relay = new Relay(host, behind, (from) => this.#cuts.has(`${from}>${host}`), (from) => (regionOf(from) === machine.region ? 0 : betweenRegions));
         await relay.open(port);
         relays.push(relay);
       }
     }
-    this.#members.set(place, { machine, host, relays, settingsFile, folder: home, processes: new Map() });
+    this.#members.set(place, { machine, host, behind, relays, settingsFile, folder: home, processes: new Map() });
   }
 
   /** Names other seeds, by machine, in the settings of all that start from now on. */
@@ -155,8 +156,8 @@
   }
 
   programs(name: string): readonly Program[] { return this.#member(name).machine.kind === 'front' ? ['jig', 'lathe'] : ['anvil', 'jig']; }
-  apiOf(name: string): string { return `${this.#member(name).host}:7080`; }
-  callersOf(name: string): string { return `${this.#member(name).host}:8080`; }
+  apiOf(name: string): string { return `${this.#member(name).behind}:7080`; }
+  callersOf(name: string): string { return `${this.#member(name).behind}:8080`; }
   names(kind?: Machine['kind']): readonly string[] { return this.deployment.machines.filter((machine) => kind === undefined || machine.kind === kind).map((machine) => machine.name); }
 
   /** Starts a machine's programs, or one of them. */
