A value shown by a minority is written again only once it has hung for 0.9 s

Cause: a write under way is for a moment on a minority of disks. A jig whose pull saw that took it, at one in ten, for a write that hangs and wrote the value again under a higher ballot, which other jigs then saw on a minority. With fifteen jigs and messages of tens of ms that feeds itself; a pull that shows an unknown ballot does not count for the lease. Also: the very first founding no longer settles where one anvil saw another's word of it. Planted: a short body as whole, two policies under one serial, a relayed answer kept.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -308,7 +308,7 @@
     const ballot: Ballot = [(known?.ballot[0] ?? 0) + 1, 'founding'];
     // Another may have founded the very same just before: then that epoch stands.
     // Not the first founding: what was lost is told again by those who know it, before anything new is decided.
-    if ((known?.value.epoch ?? 0) > 0) set(work, { settlingUntil: now + Limits.retelling });
+    if ((known?.value.epoch ?? 0) + (founded ? 0 : 1) > 1) set(work, { settlingUntil: now + Limits.retelling });
     if (!founded) keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch: (known?.value.epoch ?? 0) + 1, disks } satisfies Voters } }, now);
   }
   set(work, { voting: true, readings: {} });
--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -52,6 +52,9 @@
   call: 1_000,
   /** ms. A pull without an answer is sent again: two beats, so that a lost one costs no lease. */
   pull: 500,
+  /** ms. A value that only a minority shows is taken for hanging, and written again, after this long:
+   *  far over what a write takes that is merely under way on busy machines, and under a lease. */
+  hanging: 900,
   /** ms. One phase of a ballot before it is tried again with a higher one. */
   ballotPhase: 600,
   /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -218,7 +218,7 @@
   }): JigState => ({
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
     anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null, named: null, retold: null }])),
-    registers: {}, highestBallot: Ballots.none as Ballot, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
+    registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -79,7 +79,11 @@
         const chosenHolder = holders[Math.floor(chance(work) * holders.length)];
         const address = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder.name]?.address;
         if (!busy && address !== undefined) sendToAnvil(work, address, { kind: 'fetch', key }, { kind: 'fetch', key, sentAt: work.state.now });
-      } else if (!repairing && chance(work) < 0.1) pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
+        continue;
+      }
+      const seen = work.state.hanging[key];
+      if (seen === undefined || Ballots.compare(seen.ballot, highest) !== 0) set(work, { hanging: { ...work.state.hanging, [key]: { ballot: highest, since: work.state.now } } });
+      else if (work.state.now - seen.since > Limits.hanging && !repairing && chance(work) < 0.1) pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
     }
   }
 };
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -69,6 +69,8 @@
   readonly anvils: Readonly<Record<string, AnvilView>>;
   readonly registers: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown; readonly at: number } };
   readonly highestBallot: Ballot;
+  /** The newest ballot of a register that only a minority showed, and since when. */
+  readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
   /** Monotonic ms until which this node may act on what it knows. */
   readonly lease: number;
   readonly flushes: number;
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -2,6 +2,7 @@
 import { Beats, Limits } from '@reedyard/gauge';
 import { Jig, type Action, type ClaimReply, type Feed, type JigEffect, type JigEvent, type JigState } from '@reedyard/jig';
 import { Lathe, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target } from '@reedyard/lathe';
+import { Sieve } from '@reedyard/sieve';
 import type { Description, Policy } from '@reedyard/stencil';
 import type { Deployment, Machine } from '@reedyard/blueprint';
 import { Clockwork } from './clockwork.js';
@@ -32,6 +33,8 @@
 type Caller = { readonly submission: number; readonly done: (got: { status: number; headers: Record<string, unknown>; body: SimBody | null; whole: boolean; retryAfter: boolean; why: string } | null) => void };
 
 export type Tuning = { readonly loss: number; readonly plant: Plant; readonly regionsMs: number; readonly selection?: Selection;
+  /** ms that a message may wait more. */
+  readonly busyMs?: number;
   /** How far the clocks of machines may run from the true rate: a share of it, either way. */
   readonly drift?: number };
 
@@ -93,7 +96,7 @@
   delay(from: string, to: string): number {
     const [a, b] = [this.#where(from), this.#where(to)];
     const base = from === to ? 0.05 : a.region !== b.region && a.region !== 'outside' && b.region !== 'outside' ? this.tuning.regionsMs / 2 : a.hall !== b.hall ? 0.4 : 0.2;
-    return base + this.clock.chance() * 0.3;
+    return base + this.clock.chance() * (0.3 + (from === to ? 0 : this.tuning.busyMs ?? 0));
   }
 
   cut(from: string, to: string): void { this.#cuts.add(`${from}>${to}`); }
@@ -413,6 +416,7 @@
       case 'answer': {
         const caller = this.#callers.get(process)?.get(effect.id);
         this.#callers.get(process)?.delete(effect.id);
+        if (this.tuning.plant === 'keep-relayed' && effect.answer.body.kind === 'leg' && effect.answer.headers['reedyard-served'] === 'partner') this.#keepRelayed(process, effect.answer.body.answer);
         // A leg's answer was decided when the leg was made; a copy is decided on here and now.
         if (effect.answer.body.kind === 'copy') acted();
         if (caller !== undefined) {
@@ -444,6 +448,15 @@
     return { ...selected(selection, { ...feed, policy: this.#selectedRoutes.get(process.machine.name) ?? null }, process.machine.name), policy: feed.policy };
   }
 
+  /** A planted fault: an answer that came through a partner is kept all the same. */
+  #keepRelayed(process: Process<'lathe'>, answer: LegAnswer): void {
+    const body = answer.body as SimBody | null;
+    if (body === null || body.maxAgeMs === Infinity) return;
+    const now = this.#now(process);
+    const host = [...process.state.routes.keys()][0] ?? '';
+    process.state = { ...process.state, sieve: Sieve.keep(process.state.sieve, { key: Sieve.key(host, body.target), service: body.service, status: 200, headers: answer.headers, body, size: answer.size, tags: body.tags, vary: {}, takenAt: now, freshUntil: now + body.maxAgeMs, bornAge: 0 }) };
+  }
+
   /** ms until a reply has left a lathe. A relayed one costs a fifth: no look-up, no making. */
   #leave(name: string, capacityBps: number, answer: Answer): number {
     if (answer.body.kind === 'problem') return 0;
@@ -503,7 +516,10 @@
         this.clock.in(origin.mode.slowMs * this.clock.between(0.5, 1.5), () => {
           if (!origin.alive || (unsafe && this.clock.chance() < origin.mode.lose)) { this.clock.in(1, () => fail('maybe', 'cut')); return; }
           if (this.clock.chance() < origin.mode.garbage) { fail('maybe', 'garbled'); return; }
-          if (this.clock.chance() < origin.mode.short) { fail('maybe', 'short'); return; }
+          if (this.clock.chance() < origin.mode.short) {
+            if (this.tuning.plant === 'short-as-whole') done({ status: 200, size: 10, whole: true, body: null, headers: { 'reedyard-stamp': identity(), 'reedyard-leg': mark } }); else fail('maybe', 'short');
+            return;
+          }
           const tags = [...asked.target.matchAll(/tag-(\w+)/g)].map((found) => found[1] ?? '');
           const maxAgeMs = 1_000 * (origin.spec.maxAge ?? 60);
           const body: SimBody = { service: origin.service, target: asked.target, job: about.job, tags, madeAt, sentAt, maxAgeMs };
@@ -581,7 +597,7 @@
     const changeId = `change-${this.#changes}`;
     this.history.push({ kind: 'proposed', at: this.clock.now(), changeId, document });
     const attempt = (left: number): void => this.operate({ kind: 'put-policy', document, ifMatch: null, changeId }, (reply) => {
-      if (reply.status === 200) { this.history.push({ kind: 'put', at: this.clock.now(), changeId, serial: (reply.body as { serial: number }).serial, document }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
+      if (reply.status === 200) { this.history.push({ kind: 'put', at: this.clock.now(), changeId, serial: this.tuning.plant === 'same-serials' ? 1 : (reply.body as { serial: number }).serial, document }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     }, 'outside', left === 20 ? node : undefined);
     attempt(20);
   }
--- a/packages/mallet/src/planted.ts
+++ b/packages/mallet/src/planted.ts
@@ -11,6 +11,7 @@
   { rule: 1, what: 'a key is granted to a request of other content', plant: 'claims-of-any-content', scenario: 'calm', seeds: 2 },
   { rule: 2, what: 'a lost answer counts as not run', plant: 'repeat-unsafe', scenario: 'lost-answers' },
   { rule: 3, what: 'an answer is taken whosever it is', plant: 'no-marks', scenario: 'lost-answers' },
+  { rule: 3, what: 'a short body is taken as whole', plant: 'short-as-whole', scenario: 'lost-answers' },
   { rule: 4, what: 'conns are used without a proof of identity', plant: 'no-identity', scenario: 'reused-address' },
   { rule: 4, what: 'a transaction keeps the route that it found at arrival', plant: 'route-at-arrival', scenario: 'policies', seeds: 4 },
   { rule: 4, what: 'the instances that a policy names are not heeded', plant: 'deaf-instances', scenario: 'policies', seeds: 4 },
@@ -19,6 +20,7 @@
   { rule: 6, what: 'a wiped anvil votes at once', plant: 'wiped-votes', scenario: 'wiped-and-down' },
   { rule: 6, what: 'anvils answer before they sync', plant: 'tell-unsynced', scenario: 'kill-after-ack' },
   { rule: 6, what: 'anvils do not heed who votes', plant: 'deaf-voters', scenario: 'core-replaced', seeds: 16 },
+  { rule: 6, what: 'two policies get one serial', plant: 'same-serials', scenario: 'operators' },
   { rule: 7, what: 'drain notices are not heeded', plant: 'deaf-drain', scenario: 'drains' },
   { rule: 9, what: 'clocks run up to 45 % off', plant: 'wild-clocks', scenario: 'drifting', seeds: 2 },
   { rule: 8, what: 'partners in emptied halls get forwarded requests', plant: 'deaf-relays', scenario: 'region-emptied', seeds: 3 },
@@ -34,6 +36,7 @@
   { rule: 11, what: 'repeats are free', plant: 'free-repeats', scenario: 'repeats' },
   { rule: 11, what: 'forwarded requests earn repeats where they are handed to as well', plant: 'earn-twice', scenario: 'repeats-relayed' },
   { rule: 12, what: 'homes are not heeded', plant: 'no-homes', scenario: 'homes' },
+  { rule: 12, what: 'an answer that came through a partner is kept', plant: 'keep-relayed', scenario: 'homes' },
   { rule: 13, what: 'disks forget', plant: 'forgetful-disks', scenario: 'full-loss' },
 ];
 
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -49,7 +49,7 @@
   /** A request as callers of this deployment send it. */
   readonly sample: () => { readonly method: string; readonly target: string } };
 export type Scenario = {
-  readonly what: string; readonly seconds: number; readonly example?: string; readonly rate?: number; readonly loss?: number; readonly drift?: number; /** Of each lathe, where it is not the deployment's. */ readonly capacityBps?: number;
+  readonly what: string; readonly seconds: number; readonly example?: string; readonly rate?: number; readonly loss?: number; readonly drift?: number; /** ms that a message may wait more, where processes are busy. */ readonly busyMs?: number; /** Of each lathe, where it is not the deployment's. */ readonly capacityBps?: number;
   readonly policy?: (policy: Policy) => Policy;
   readonly play: (stage: Stage) => void;
 };
@@ -347,6 +347,12 @@
     fleet.clock.in(22_000, () => { fleet.put({ services: policy.services, routes: policy.routes.slice(0, -1) }, () => fleet.fault('served again from here')); });
     every(stage, 23_000, 50_000, 700, () => faults.read?.(stage));
   } },
+  busy: { what: 'busy machines: every message waits up to 80 ms more, while policies change and are read and nodes restart in turn', seconds: 45, busyMs: 80, play: (stage) => {
+    const { fleet } = stage;
+    every(stage, 9_000, 38_000, 3_000, () => putOne(stage));
+    every(stage, 9_000, 40_000, 700, () => faults.read?.(stage));
+    names(fleet, 'front').forEach((name, index) => fleet.clock.in(10_000 + 3_000 * index, () => { fleet.warn(name); fleet.clock.in(2_500, () => restart(fleet, name, 1_000)); }));
+  } },
   founding: { what: 'disks are lost while the fleet is being founded', seconds: 30, play: (stage) => {
     const { fleet } = stage;
     for (let each = 0; each < 2; each += 1) fleet.clock.in(fleet.clock.between(200, 2_500), () => faults.wipe?.(stage));
