--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -232,6 +232,8 @@
     const back = only(history, 'fault').find((entry) => entry.what === 'all machines back' || entry.what === 'served again from here');
     if (back === undefined) return [];
     const asked = new Set(only(history, 'asked').filter((entry) => entry.at > back.at + 15_000).map((entry) => entry.submission));
+    // What the policy now has no route for is not to be served.
+    only(history, 'got').forEach((entry) => { if (entry.status === 404) asked.delete(entry.submission); });
     const good = only(history, 'got').filter((entry) => asked.has(entry.submission) && ((entry.status >= 200 && entry.status < 300) || entry.status === 409)).length;
     const all = asked.size + only(history, 'unplaced').filter((entry) => entry.at > back.at + 15_000).length;
     return all === 0 || good < 0.9 * all ? [{ rule: 13, at: back.at + 15_000, what: `${good} of ${all} served 15 s after the machines returned` }] : [];
@@ -241,7 +243,9 @@
 /** What is left to judge once all state was lost for good: nothing from before may come back. */
 const sinceLoss = (history: readonly Entry[]): readonly Entry[] => {
   const lost = history.findLastIndex((entry) => entry.kind === 'fault' && entry.what === 'all state lost');
-  return lost < 0 ? history : history.filter((entry, index) => index >= lost || entry.kind === 'carries');
+  const lostAt = history[lost]?.at ?? 0;
+  // What was on its way to an origin at that moment belongs to before.
+  return lost < 0 ? history : history.filter((entry, index) => (index >= lost && !(entry.kind === 'leg' && entry.at < lostAt + 100)) || entry.kind === 'carries');
 };
 
 /** All that was wrong in a run, a few of each rule. */
