After a refounding every voter settles, not only those that founded it

Cause: of five voters only the two that founded the new epoch waited for what jigs tell again. The disk that was not lost, and two that joined by reading the founders before these were told, voted at once: a majority without the claim. Ruled out: the jig's memory (it held the claim and told it), the ballots, the length of the settling. The voters' value now names the last epoch founded after a loss; whoever takes it over settles for it once.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -11,7 +11,7 @@
 export type Cursor = { readonly disk: string; readonly seq: number };
 
 /** Who votes: for each place among the founders, the disk that holds it. One place changes at a time. */
-export type Voters = { readonly epoch: number; readonly disks: Readonly<Record<string, string>> };
+export type Voters = { readonly epoch: number; readonly disks: Readonly<Record<string, string>>; /** The last epoch that was founded after a loss; left out where none was. */ readonly refounded?: number };
 /** Voters that are known to be chosen. */
 export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
 export const votersKey = 'voters';
@@ -102,6 +102,8 @@
   readonly sweptAt: number;
   /** Until when it waits for what jigs tell again. */
   readonly settlingUntil: number;
+  /** The last founding after a loss that it has settled for. */
+  readonly settledFor: number;
 };
 
 const claimPrefix = 'claim/';
@@ -130,9 +132,18 @@
   set(work, { claimsSeen: claimsSeen.set(key, minute), claimMinutes: others.set(minute, (others.get(minute) ?? Group<string>()).add(key)) });
 };
 
+/**
+ * After most disks were lost every voter waits for what jigs tell again: also one that kept its disk, since
+ * it may lack what the others had, and one that read the others before they were told.
+ */
+const settleFor = (work: Work, refounded: number, now: number): void => {
+  if (refounded > work.state.settledFor) set(work, { settledFor: refounded, settlingUntil: now + Limits.retelling });
+};
+
 const keepCell = (work: Work, key: string, cell: Cell, now: number): void => {
   set(work, { cells: work.state.cells.set(key, cell) });
   if (key.startsWith(claimPrefix)) seeClaim(work, key, minuteOf(now));
+  if (key === votersKey) settleFor(work, (cell.accepted?.value as Voters | undefined)?.refounded ?? 0, now);
   work.effects.push({ kind: 'append', records: [{ kind: 'cell', key, cell }] });
 };
 
@@ -307,9 +318,8 @@
     const founded = known !== null && names.length === Object.keys(known.value.disks).length && names.every((name) => known.value.disks[name] === disks[name as keyof typeof disks]);
     const ballot: Ballot = [(known?.ballot[0] ?? 0) + 1, 'founding'];
     // Another may have founded the very same just before: then that epoch stands.
-    // Not the first founding: what was lost is told again by those who know it, before anything new is decided.
-    if ((known?.value.epoch ?? 0) + (founded ? 0 : 1) > 1) set(work, { settlingUntil: now + Limits.retelling });
-    if (!founded) keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch: (known?.value.epoch ?? 0) + 1, disks } satisfies Voters } }, now);
+    const epoch = (known?.value.epoch ?? 0) + 1;
+    if (!founded) keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch, disks, ...(epoch > 1 ? { refounded: epoch } : {}) } satisfies Voters } }, now);
   }
   set(work, { voting: true, readings: {} });
   work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: state.disk, cells: work.state.cells.size, step } });
@@ -379,7 +389,7 @@
         name: parts.name, others: parts.others, disk: disk ?? parts.freshDisk, voting, cells: Table(cells),
         claimsSeen: Table(claims.map((key) => [key, minuteOf(parts.now)])), claimMinutes: claims.length === 0 ? Table() : Table([[minuteOf(parts.now), Group(claims)]]), dumps: {},
         facts: kept, factKeys: Table(kept.map((fact) => [fact.key, fact.seq])), seq, floor: (kept[0]?.seq ?? seq + 1) - 1,
-        readings: {}, nextCall: 1, sweptAt: parts.now, settlingUntil: -Infinity,
+        readings: {}, nextCall: 1, sweptAt: parts.now, settlingUntil: -Infinity, settledFor: (cells.get(votersKey)?.accepted?.value as Voters | undefined)?.refounded ?? 0,
       },
       effects: disk === null ? [{ kind: 'append', records: [{ kind: 'disk', disk: parts.freshDisk }] }] : [],
     };
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -195,7 +195,7 @@
   seat: (known: Voters, anvil: string, disk: string): Change => (current) => {
     const old = current as Voters | null;
     if (old === null || old.disks[anvil] === disk) return { kind: 'keep' };
-    return old.epoch === known.epoch ? { kind: 'write', value: { epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk } } satisfies Voters } : { kind: 'refuse', reason: 'the voters have changed' };
+    return old.epoch === known.epoch ? { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk } } satisfies Voters } : { kind: 'refuse', reason: 'the voters have changed' };
   },
 } as const;
 
--- a/packages/mallet/src/scenarios.test.ts
+++ b/packages/mallet/src/scenarios.test.ts
@@ -19,6 +19,10 @@
   for (const name of ['front-5', 'front-6', 'front-7']) t.true(late.includes(name), name);
 });
 
+test('four of five disks lost while a key is claimed twice: every voter is told of the claim before it votes', (t) => {
+  t.deepEqual(run({ scenario: 'disks-wiped', seed: 3_000, example: 'association' }).wrongs, []);
+});
+
 test('the same seed gives the same run', (t) => {
   const [first, second] = [run({ scenario: 'freezes', seed: 5 }), run({ scenario: 'freezes', seed: 5 })];
   t.deepEqual(first.fleet.history, second.fleet.history);
