--- a/packages/workbench/src/trial.ts
+++ b/packages/workbench/src/trial.ts
@@ -30,7 +30,6 @@
   readonly refused: string[] = [];
   readonly #startedAt = Date.now();
   readonly #began = performance.now();
-  readonly #submissions = new Map<number, string>();
   readonly #applied = new Map<StageOrigin, string>();
   readonly #carries = new Map<string, number>();
   #holder: string | undefined;
@@ -173,7 +172,6 @@
   ask(node: string, request: { method: string; host: string; target: string; job: string; key: string | null; content?: string }, done: (status: number, outcome: string) => void): void {
     this.#submission += 1;
     const submission = this.#submission;
-    this.#submissions.set(submission, request.job);
     const { method, host, target, job, key } = request;
     const machine = this.deployment.machines.find((each) => each.name === node);
     this.history.push({ kind: 'asked', at: this.#now(), submission, job, node, hall: machine?.hall ?? '', method, target, key });
