--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -183,11 +183,11 @@
     if (why !== null) return [];
     const cold = description.state === 'cold';
     const mine = slices[description.service] ?? {};
-    const carried = rateOf(mine, state.self.id, description.capacity);
-    const bearable = (mine[state.self.id] ?? 0) * (services[description.service]?.coldRate ?? 0) * Weights.coldShare;
+    const carried = rateOf(mine, state.self.id, description.capacity ?? Infinity);
+    const bearable = (mine[state.self.id] ?? 0) * (services[description.service]?.coldRate ?? Infinity) * Weights.coldShare;
     return [{
       service: description.service, instance: description.instance, incarnation: description.incarnation, address: description.address,
-      hall: description.hall, region: description.region, capacity: description.capacity, cold, rate: cold ? Math.min(carried, bearable) : carried,
+      hall: description.hall, region: description.region, capacity: description.capacity ?? description.slots ?? 1, cold, rate: cold ? Math.min(carried, bearable) : carried,
     }];
   });
 };
@@ -196,7 +196,7 @@
 export const boundsOf = (state: JigState): Readonly<Record<string, number>> => {
   const admitted = originsOf(state).filter((each) => each.barred === null).map((each) => each.description);
   return Object.fromEntries(Object.entries(policyOf(state)?.document.services ?? {}).map(([name, service]) =>
-    [name, boundOf(service.ceiling, admitted.filter((each) => each.service === name).map((each) => each.capacity))]));
+    [name, boundOf(service.ceiling, admitted.filter((each) => each.service === name).map((each) => each.capacity ?? Infinity))]));
 };
 
 export const partnerRows = (state: JigState): readonly PartnerRow[] =>
--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -1,5 +1,6 @@
 import { Limits, Weights } from '@reedyard/gauge';
 import { objectKey } from '@reedyard/plumb';
+import { Routes } from '@reedyard/stencil';
 import type { OriginRow, PartnerRow } from '@reedyard/jig';
 import { set, type Bucket, type LatheState, type Transaction, type Work } from './state.js';
 
@@ -69,7 +70,7 @@
  */
 export const rankOrigins = (state: LatheState, transaction: Transaction): readonly OriginRow[] => {
   const tried = new Set(transaction.legs.map((leg) => leg.to.id));
-  const rows = (state.feed?.origins ?? []).filter((row) => row.service === transaction.route.service && atHome(transaction.route.homes, row.region));
+  const rows = (state.feed?.origins ?? []).filter((row) => row.service === Routes.mainService(transaction.route) && atHome(transaction.route.homes, row.region));
   const untried = rows.filter((row) => !tried.has(originName(row)));
   const trusted = untried.filter((row) => !suspect(state, originName(row)));
   // Where every one is suspected, a suspected one is still better than none.
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -101,7 +101,7 @@
     if (failure !== null) { giveUp(work, waiter, failure.status, failure.outcome, failure.why); continue; }
     const current = underPolicy(work, waiter);
     if (current === null) continue;
-    const fits = kept !== null && kept.service === current.route.service && keeps(current.route, 'GET') && Object.entries(kept.vary).every(([name, value]) => (headerText(waiter.asked.headers, name) ?? '') === value);
+    const fits = kept !== null && Routes.allows(current.route, kept.service) && keeps(current.route, 'GET') && Object.entries(kept.vary).every(([name, value]) => (headerText(waiter.asked.headers, name) ?? '') === value);
     if (fits && kept !== null) answerCopy(work, current, kept);
     else startAgain(work, current);
   }
@@ -154,7 +154,7 @@
 
 /** A leg to an origin, if the slice has a token now; else a short holding, or the final answer at once. */
 const legToOrigin = (work: Work, transaction: Transaction): void => {
-  const { service } = transaction.route;
+  const service = Routes.mainService(transaction.route);
   const ranked = rankOrigins(work.state, transaction);
   if (ranked.length === 0) { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `no instance of ${service} can be reached`); return; }
   const rate = work.state.feed?.slices[service] ?? 0;
@@ -164,7 +164,7 @@
     if (chosenRow !== undefined) { open(work, transaction, { kind: 'origin', row: chosenRow }); return; }
     giveBack(work, bucket);
   }
-  const ahead = Object.values(work.state.transactions).filter((each) => each.phase === 'holding' && each.route.service === service && each.id !== transaction.id).length;
+  const ahead = Object.values(work.state.transactions).filter((each) => each.phase === 'holding' && Routes.mainService(each.route) === service && each.id !== transaction.id).length;
   const wait = Math.max(waitFor(work.state, bucket, rate, ahead), Math.min(...ranked.map((row) => waitFor(work.state, `instance/${originName(row)}`, row.rate, 0))));
   const heldAt = transaction.phase === 'holding' ? transaction.heldAt : work.state.now;
   if (work.state.now + (transaction.phase === 'holding' ? 0 : wait) - heldAt > Limits.holding || work.state.now >= transaction.limitAt) {
@@ -208,7 +208,7 @@
 };
 
 const fetchHere = (work: Work, transaction: Transaction): void => {
-  want(work, transaction.route.service);
+  want(work, Routes.mainService(transaction.route));
   legToOrigin(work, transaction);
 };
 
@@ -328,8 +328,9 @@
   if (leg.to.kind === 'origin') return stamp === leg.to.id ? null : 'stamp';
   const notServed = answer.status >= 400 && headerText(answer.headers, 'reedyard-outcome') !== null;
   // The partner may have served under a newer policy than the one that the leg was made under.
-  const services = [transaction.route.service, Routes.find(routes, transaction.asked.host, transaction.asked.target)?.service];
-  return notServed || services.some((service) => service !== undefined && stamp?.startsWith(`${service}/`) === true) ? null : 'stamp';
+  const newer = Routes.find(routes, transaction.asked.host, transaction.asked.target);
+  const services = [...Routes.services(transaction.route), ...(newer === undefined ? [] : Routes.services(newer))];
+  return notServed || services.some(({ service }) => stamp?.startsWith(`${service}/`) === true) ? null : 'stamp';
 };
 
 const answered = (work: Work, id: number, number: number, answer: LegAnswer): void => {
@@ -394,7 +395,7 @@
   const life = Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
   const { ['reedyard-leg']: _mark, ...headers } = answer.headers;
   const copy: Copy = {
-    key: transaction.key, service: transaction.route.service, status: answer.status, headers, body: answer.body, size: answer.size, tags,
+    key: transaction.key, service: Routes.mainService(transaction.route), status: answer.status, headers, body: answer.body, size: answer.size, tags,
     vary: Sieve.vary(answer.headers, transaction.asked.headers), takenAt: state.now, freshUntil: state.now + life,
     bornAge: Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
   };
@@ -403,7 +404,7 @@
 
 /** ms. Until when a route lets a copy live here, whatever its origin allows. */
 const lifeEnd = (route: Route | undefined, state: LatheState, copy: Copy): number =>
-  route === undefined || route.service !== copy.service || !keeps(route, 'GET') || !atHome(route.homes, state.self.region) ? 0
+  route === undefined || !Routes.allows(route, copy.service) || !keeps(route, 'GET') || !atHome(route.homes, state.self.region) ? 0
     : route.cache.mostSeconds === undefined ? Infinity : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
 
 const fed = (work: Work, feed: Feed, askedAt: number): void => {
--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -106,7 +106,7 @@
     const allows = (span: Span): boolean => {
       const route = routeIn(span, entry);
       const service = span.document.services[entry.service];
-      return route !== undefined && route.service === entry.service && service !== undefined && (service.instances === undefined || service.instances.includes(entry.instance))
+      return route !== undefined && Routes.allows(route, entry.service) && service !== undefined && (service.instances === undefined || service.instances.includes(entry.instance))
         && (route.methods as readonly string[]).includes(entry.method);
     };
     return during(history, entry.at).some(allows) ? [] : [{ rule: 4, at: entry.at, what: `${entry.method} ${entry.target} reached ${me}, which no policy in force allowed` }];
@@ -120,7 +120,7 @@
     const lateAnswers = only(history, 'got').flatMap((entry): readonly Wrong[] => {
       const asked = askedAt.get(entry.submission);
       if (entry.status < 200 || entry.status > 299 || asked === undefined) return [];
-      const known = during(history, asked, entry.at).some((span) => { const route = routeIn(span, entry); return route !== undefined && entry.stamp.startsWith(`${route.service}/`); });
+      const known = during(history, asked, entry.at).some((span) => { const route = routeIn(span, entry); return route !== undefined && Routes.services(route).some(({ service }) => entry.stamp.startsWith(`${service}/`)); });
       return known ? [] : [{ rule: 5, at: entry.at, what: `${entry.method} ${entry.target} was answered by ${entry.stamp} although no policy in force since it was asked has such a route` }];
     });
     return [...lateAnswers, ...only(history, 'acted').flatMap((entry) => {
@@ -195,7 +195,7 @@
     const services = [...groupBy(legs, (leg) => leg.service)].flatMap(([service, list]) =>
       over(list, service, (from, to) => allowance(history, (policy) => (policy.services[service] === undefined ? 0 : policy.services[service]?.ceiling ?? Infinity), from, to), 1.1));
     const cold = [...groupBy(legs.filter((leg) => leg.cold), (leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`)].flatMap(([name, list]) =>
-      over(list, `cold ${name}`, (from, to) => allowance(history, (policy) => policy.services[list[0]?.service ?? '']?.coldRate ?? 0, from, to), 1.5));
+      over(list, `cold ${name}`, (from, to) => allowance(history, (policy) => { const service = policy.services[list[0]?.service ?? '']; return service === undefined ? 0 : service.coldRate ?? Infinity; }, from, to), 1.5));
     const told = groupBy(only(history, 'carries'), (entry) => `${entry.service}/${entry.instance}/${entry.incarnation}`);
     const instances = [...groupBy(legs, (leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`)].flatMap(([name, list]) => {
       const words = told.get(name) ?? [];
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -560,10 +560,10 @@
   readonly #carries = new Map<string, number>();
   /** An origin describes itself to some node. */
   describe(origin: StageOrigin, noticed: () => void = () => undefined, node?: string): void {
-    const description: Description = {
+    const description = {
       service: origin.service, instance: origin.instance, incarnation: origin.incarnation, address: this.#addressOf(origin), region: origin.spec.region, hall: origin.spec.hall,
       capacity: origin.capacity, state: origin.cold ? 'cold' : 'warm', draining: origin.draining,
-    };
+    } satisfies Description;
     const { draining } = origin;
     const sentAt = this.clock.now();
     this.operate({ kind: 'describe', description }, (reply) => {
--- a/packages/trammel/src/index.ts
+++ b/packages/trammel/src/index.ts
@@ -69,7 +69,7 @@
 
   /** What a service could get then: its ceiling, or less where its instances carry less. */
   const boundAfter = (service: string): number => (policy.services[service] === undefined ? 0
-    : boundOf(policy.services[service]?.ceiling, known.origins.filter((origin) => origin.service === service && standing(origin, policy, emptied) === 'takes work').map((origin) => origin.capacity)));
+    : boundOf(policy.services[service]?.ceiling, known.origins.filter((origin) => origin.service === service && standing(origin, policy, emptied) === 'takes work').map((origin) => origin.capacity ?? Infinity)));
 
   const shares = services.flatMap((service) => {
     const homes = Routes.homesOf(policy.routes, service);
