--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -80,10 +80,26 @@
   leg: 4_000,
   /** ms. Opening a conn and proving who is at its other end. */
   connect: 1_000,
+  /** ms. Opening a conn where nothing has to be proved first: regions are some 35 ms apart, and a
+   *  silent end must leave time for another within a caller's deadline. */
+  opening: 250,
   /** ms. Longest wait in the holding for a slice's next token; past it the answer is 503 at once. */
   holding: 400,
-  /** ms. An instance that failed a leg gets no ordinary traffic for this long. */
+  /** ms. An instance that failed a leg gets no ordinary traffic for this long; twice as long each time
+   *  that it fails again before a sound answer, up to the longest. */
   suspicion: 1_000,
+  /** ms. A dead instance is then tried by each node at most this seldom, until it is forgotten. */
+  longestSuspicion: 8_000,
+  /** ms. An origin that refused for being full is passed over: some requests end there meanwhile. */
+  fullRest: 150,
+  /** ms. What an origin told of its load counts for this long, fading: some times a request's own. */
+  loadMemory: 300,
+  /** ms. How long ago an origin's time to answer was met before it counts as the mean again, fading. */
+  standingMemory: 5_000,
+  /** ms. An attempt is silent after a few times what its origin usually takes, but not before this. */
+  leastSilence: 60,
+  /** ms. An origin with an attempt under way this long, and a few times its usual time, and nothing heard since is set aside. */
+  stalled: 300,
   /** ms. After an order to empty a hall was seen, its lathes still answer stragglers this long. */
   emptyGrace: 2_000,
   /** ms. After the warning to stop, a lathe that is no longer ready still serves who comes: the
@@ -93,6 +109,10 @@
   shutdown: 4_000,
   /** ms. An idle conn to an origin is closed after this. */
   idleConn: 10_000,
+  /** ms. A conn whose other end told when it will close it is left alone this much sooner. */
+  idleMargin: 1_000,
+  /** ms. Told to callers where another node, or the next instant, may well serve them. */
+  retrySoon: 100,
   /** s. Told to callers in Retry-After when no better number is known. */
   retryAfterSeconds: 1,
   /** ms. A caller must have sent its whole head by then. */
@@ -136,6 +156,8 @@
   retellPage: 1_000,
   /** anvils that one anvil lets read it at once: all others of a founding set of nine. */
   readers: 8,
+  /** numbers drawn by chance for one request: who serves, three origins for each of three attempts, and the service. */
+  draws: 11,
   /** transactions at work in one lathe; more are turned away at once. */
   transactions: 4_096,
   /** events waiting for one task. */
@@ -168,6 +190,27 @@
   repeatSaved: 3,
   /** s of a slice a bucket may save: the brief allows a tenth over 5 s, which is 0.5 s. */
   burstSeconds: 0.2,
+  /** requests that a node may always have under way at an origin. */
+  leastRoom: 2,
+  /** requests under way for each slot of an origin, over all nodes: what it works on, and as many waiting. */
+  roomPerSlot: 2,
+  /** share of an origin's conns that nodes use together: a restarted node's old ones may linger. */
+  connShare: 0.9,
+  /** origins that are drawn by chance for each attempt, the best of which is taken. */
+  originsDrawn: 3,
+  /** share by which a new answer's time moves an origin's usual one. */
+  standingGain: 0.2,
+  /** times an origin's usual time after which an attempt counts as silent, or the origin as stalled. */
+  silentTimes: 3,
+  stalledTimes: 4,
+  /** share of a request's time that is waited before a second attempt beside a silent one, at most. */
+  silentShare: 0.4,
+  /** ms that a byte between zones weighs in the choice of an origin: 100 kB weigh as 25 ms. */
+  zoneMsPerByte: 0.000_25,
+  /** ms that an origin in another region weighs more: it is taken where its own region has none. */
+  farRegionMs: 1_000,
+  /** share of a request's target that it may wait for its turn: refused by then, another try can still be in time. */
+  holdingShare: 0.2,
   /** share of a ceiling kept for every possible edge whether it asks or not. */
   floorShare: 0.1,
   /** share of its goal that a node's slices must have reached before it first says that it is ready. */
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -71,6 +71,8 @@
 export type OriginRow = {
   readonly service: string; readonly instance: string; readonly incarnation: number; readonly address: string;
   readonly hall: string; readonly region: string; readonly capacity: number; readonly cold: boolean;
+  /** Requests it works on at once, and conns it takes from all nodes together, where that is told. */
+  readonly slots?: number | null; readonly conns?: number | null;
   /** Legs a second that this node may make to it. */
   readonly rate: number;
 };
--- a/packages/lathe/src/conns.ts
+++ b/packages/lathe/src/conns.ts
@@ -6,6 +6,7 @@
 import { LayerError, textOf } from '@reedyard/scriber';
 import type { OriginRow } from '@reedyard/jig';
 import { originName } from './choice.js';
+import type { Dialect, ToOrigin } from './dialect.js';
 import type { LegAnswer } from './state.js';
 import type { Sent } from '@reedyard/tally';
 
@@ -30,10 +31,17 @@
     (value === undefined || hopByHop.has(name) || named.has(name) || (!own && name.startsWith('reedyard-')) ? [] : [[name, value]])));
 };
 
-/** One conn to one origin, whose identity was proved before anything else used it. */
-type Conn = { readonly agent: http.Agent; readonly socket: net.Socket; readonly bytesAtRest: number; readonly at: number };
+/** One conn to one origin, used by one attempt at a time. Where the dialect asks for it, its other end proved who it is before anything else. */
+type Conn = { readonly agent: http.Agent; readonly socket: net.Socket; readonly bytesAtRest: number; readonly at: number; /** ms that it may rest. */ readonly restMs: number };
 
-export type Outgoing = { readonly method: string; readonly path: string; readonly headers: Record<string, string | string[]>; readonly body: Buffer };
+export type Outgoing = { readonly method: string; readonly path: string; readonly headers: Record<string, string | string[]>; readonly body: Buffer; /** Whether it may be run again. */ readonly safe: boolean };
+
+/** ms that the other end lets a conn rest, by its own word, less what a message may take; null where it closes it now. */
+const restOf = (headers: http.IncomingHttpHeaders): number | null => {
+  if (/\bclose\b/i.test(headers.connection ?? '')) return null;
+  const told = /timeout=(\d+)/i.exec(String(headers['keep-alive'] ?? ''))?.[1];
+  return told === undefined ? Limits.idleConn : Math.min(Limits.idleConn, Math.max(0, Number(told) * 1_000 - Limits.idleMargin));
+};
 
 /** Where an answer goes as it comes, and how to break it off. */
 export type Underway = { readonly abort: () => void };
@@ -49,7 +57,7 @@
 };
 
 /** Reads an answer whole, or hands it on as a stream once it is too large for that. */
-const readAnswer = (method: string, response: http.IncomingMessage, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): void => {
+const readAnswer = (method: string, response: http.IncomingMessage, proof: LegAnswer['proof'], done: (answer: LegAnswer) => void, fail: (error: LegError) => void): void => {
   const status = response.statusCode ?? 0;
   const headers = passable(response.headers, true);
   if (!lengthKnown(method, response)) { response.destroy(); fail(new LegError('maybe', 'no-length', 'the answer tells neither its length nor its end')); return; }
@@ -63,13 +71,13 @@
     response.off('data', onData);
     response.off('end', onEnd);
     response.unshift(Buffer.concat(chunks));
-    done({ status, headers, body: response, size, whole: false });
+    done({ status, headers, body: response, size, whole: false, ...(proof === undefined ? {} : { proof }) });
   };
   const onEnd = (): void => {
     const body = Buffer.concat(chunks);
     if (!response.complete) fail(new LegError('maybe', 'short', 'the answer ended before its announced length'));
     else if (!digestHolds(response, body)) fail(new LegError('maybe', 'digest', 'the answer does not match its digest'));
-    else done({ status, headers, body, size: body.length, whole: true });
+    else done({ status, headers, body, size: body.length, whole: true, ...(proof === undefined ? {} : { proof }) });
   };
   response.on('data', onData);
   response.on('end', onEnd);
@@ -80,8 +88,8 @@
 export class OriginConns {
   readonly #idle = new Map<string, Conn[]>();
 
-  /** @param from the address that conns go out from */
-  constructor(private readonly from: string) {}
+  /** @param from the address that conns go out from @param dialect how origins are spoken to */
+  constructor(private readonly from: string, private readonly dialect: Dialect) {}
 
   /** Opens a conn and asks who is there; nothing of a transaction is sent before the answer fits. */
   #open(row: OriginRow): Promise<Conn> {
@@ -90,7 +98,8 @@
       const socket = net.connect({ host: row.address.slice(0, cut), port: Number(row.address.slice(cut + 1)), localAddress: this.from });
       socket.setNoDelay(true);
       const fail = (why: string, thrown: unknown): void => { clearTimeout(beat); socket.destroy(); reject(new LegError('nothing', why, textOf(thrown), { cause: thrown })); };
-      const beat = setTimeout(() => fail('connect', new Error('no proof of identity in time')), Limits.connect);
+      const proves = this.dialect.identity === 'asked';
+      const beat = setTimeout(() => fail('connect', new Error(proves ? 'no proof of identity in time' : 'no conn in time')), proves ? Limits.connect : Limits.opening);
       socket.once('error', (error) => fail('connect', error));
       socket.once('connect', () => {
         const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
@@ -100,6 +109,8 @@
           given = true;
           return socket;
         };
+        const opened = (): void => { clearTimeout(beat); resolve({ agent, socket, bytesAtRest: socket.bytesRead, at: performance.now(), restMs: Limits.idleConn }); };
+        if (!proves) { opened(); return; }
         try {
           const request = http.request({ agent, method: 'GET', path: identityPath, headers: { host: row.address, 'reedyard-expect': originName(row) } }, (response) => {
             let text = '';
@@ -111,8 +122,7 @@
                 const told = JSON.parse(text) as { service?: unknown; instance?: unknown; incarnation?: unknown };
                 if (response.statusCode !== 200 || `${String(told.service)}/${String(told.instance)}/${String(told.incarnation)}` !== originName(row)) throw new Error(`another one answers at ${row.address}`);
               } catch (thrown) { fail('identity', thrown); return; }
-              clearTimeout(beat);
-              setImmediate(() => (socket.destroyed ? fail('connect', new Error('closed after its proof')) : resolve({ agent, socket, bytesAtRest: socket.bytesRead, at: performance.now() })));
+              setImmediate(() => (socket.destroyed ? fail('connect', new Error('closed after its proof')) : opened()));
             });
           });
           request.on('error', (error) => fail('connect', error));
@@ -128,7 +138,7 @@
     while (list.length > 0) {
       const conn = list.pop();
       if (conn === undefined) break;
-      if (!conn.socket.destroyed && conn.socket.bytesRead === conn.bytesAtRest && conn.socket.readableLength === 0 && performance.now() - conn.at < mostIdleMs) return conn;
+      if (!conn.socket.destroyed && conn.socket.bytesRead === conn.bytesAtRest && conn.socket.readableLength === 0 && performance.now() - conn.at < Math.min(mostIdleMs, conn.restMs)) return conn;
       conn.socket.destroy();
     }
     return undefined;
@@ -144,26 +154,27 @@
   }
 
   /** Makes one leg; nothing of it is sent once `sendBy` has passed, however long the conn took. */
-  send(row: OriginRow, out: Outgoing, sendBy: number, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): Underway {
+  send(row: OriginRow, out: Outgoing, attempt: ToOrigin, sendBy: number, done: (answer: LegAnswer) => void, fail: (error: LegError) => void): Underway {
     let over = false;
     let aborted = false;
     let conn: Conn | undefined;
     const name = originName(row);
     const failOnce = (error: LegError): void => { if (!over) { over = true; conn?.socket.destroy(); fail(error); } };
-    const safe = out.method === 'GET' || out.method === 'HEAD';
     const use = (taken: Conn): void => {
       conn = taken;
       if (aborted) { taken.socket.destroy(); return; }
       if (performance.now() >= sendBy) { failOnce(new LegError('nothing', 'lease', 'the lease ran out before the conn was there')); return; }
       try {
         const request = http.request({ agent: taken.agent, method: out.method, path: out.path, headers: out.headers, setHost: false }, (response) => {
-          readAnswer(out.method, response, (answer) => {
+          const restMs = restOf(response.headers);
+          readAnswer(out.method, response, this.dialect.fromOrigin(response.statusCode ?? 0, response.headers, attempt), (answer) => {
             if (over) return;
             over = true;
             const rest = (): void => { setImmediate(() => {
               if (taken.socket.destroyed) return;
+              if (restMs === null || answer.proof?.unsound) { taken.socket.destroy(); return; }
               const list = this.#idle.get(name) ?? [];
-              list.push({ ...taken, bytesAtRest: taken.socket.bytesRead, at: performance.now() });
+              list.push({ ...taken, bytesAtRest: taken.socket.bytesRead, at: performance.now(), restMs });
               this.#idle.set(name, list);
             }); };
             if (answer.whole) rest(); else { response.once('end', rest); }
@@ -175,7 +186,7 @@
       } catch (thrown) { failOnce(new LegError('nothing', 'connect', textOf(thrown), { cause: thrown })); }
     };
     // A conn that rested may be closing at the other end: unsafe requests go only over fresh ones.
-    const idle = this.#take(name, safe ? Limits.idleConn : Limits.suspicion / 2);
+    const idle = this.#take(name, out.safe ? Limits.idleConn : Limits.suspicion / 2);
     if (idle !== undefined) use(idle);
     else this.#open(row).then(use, (thrown: unknown) => failOnce(thrown instanceof LegError ? thrown : new LegError('nothing', 'connect', textOf(thrown))));
     return { abort: () => { aborted = true; over = true; conn?.socket.destroy(); } };
@@ -191,8 +202,10 @@
   const failOnce = (error: LegError): void => { if (!over) { over = true; fail(error); } };
   const cut = address.lastIndexOf(':');
   const request = http.request({ agent: partnerAgent, host: address.slice(0, cut), port: Number(address.slice(cut + 1)), localAddress: from, method: out.method, path: out.path, headers: out.headers, setHost: false }, (response) => {
-    readAnswer(out.method, response, (answer) => { if (!over) { over = true; done(answer); } }, failOnce);
+    readAnswer(out.method, response, undefined, (answer) => { if (!over) { over = true; done(answer); } }, failOnce);
   });
+  const beat = setTimeout(() => { if (!connected) request.destroy(new Error('no conn in time')); }, Limits.opening);
+  request.on('close', () => clearTimeout(beat));
   request.on('socket', (socket) => { if (socket.connecting) socket.once('connect', () => { connected = true; }); else connected = true; });
   request.on('error', (error) => failOnce(new LegError(connected ? 'maybe' : 'nothing', connected ? 'cut' : 'connect', textOf(error), { cause: error })));
   request.end(out.body);
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -1,11 +1,11 @@
-import { Beats, Limits, Sizes } from '@reedyard/gauge';
+import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
 import type { Step } from '@reedyard/chute';
 import type { ClaimReply, ClaimState, Feed, Measure, Report } from '@reedyard/jig';
 import { objectKey } from '@reedyard/plumb';
 import { Sieve, type Copy } from '@reedyard/sieve';
 import { Routes, type Route, type RouteTable } from '@reedyard/stencil';
 import { Tally, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
-import { allowedPartners, atHome, drawServer, earnRepeat, giveBack, originName, rankOrigins, suspectFor, takeToken, waitFor } from './choice.js';
+import { allowedPartners, answerMs, atHome, drawServer, drawService, earnRepeat, giveBack, isSafe, mayRepeat, meanMs, originName, rankOrigins, restFor, roomAt, spendRepeat, suspectFor, takeToken, tookStanding, waitFor } from './choice.js';
 import { change, count, log, set, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target, type Transaction, type Work } from './state.js';
 
 const headerText = (headers: Asked['headers'], name: string): string | null => {
@@ -14,10 +14,13 @@
 };
 
 /** Answers that ask nothing of any origin: what the lathe itself has to say. */
-const turnAway = (work: Work, id: number, status: number, title: string, detail: string, more: Readonly<Record<string, string>> = {}, outcome: Outcome = 'not-run'): void => {
-  const wait: Readonly<Record<string, string>> = status === 502 || status === 503 || status === 504 ? { 'retry-after': String(Limits.retryAfterSeconds) } : {};
+const turnAway = (work: Work, id: number, status: number, title: string, detail: string, more: Readonly<Record<string, string>> = {}, outcome: Outcome = 'not-run', retryMs = 1_000 * Limits.retryAfterSeconds): void => {
+  const waits = status === 502 || status === 503 || status === 504;
   count(work, `status.${status}`);
-  work.effects.push({ kind: 'answer', id, answer: { status, headers: { 'reedyard-outcome': outcome, ...wait, ...more }, body: { kind: 'problem', title, detail, outcome } } });
+  work.effects.push({ kind: 'answer', id, answer: {
+    status, headers: { 'reedyard-outcome': outcome, ...(waits ? { 'retry-after': String(Math.ceil(retryMs / 1_000)) } : {}), ...more }, ...(waits ? { retryMs } : {}),
+    body: { kind: 'problem', title, detail, outcome },
+  } });
 };
 
 /** Why a request gets nothing by its route, whatever the origins do; null where it may be made. */
@@ -26,22 +29,30 @@
   if (!(route.methods as readonly string[]).includes(asked.method)) return { status: 405, title: 'Method not allowed', detail: `This route takes ${route.methods.join(', ')}.`, more: { allow: route.methods.join(', ') } };
   const most = route.limits.bodyBytes ?? Sizes.callerBody;
   if (asked.bodyBytes > most) return { status: 413, title: 'Body too large', detail: `This route takes bodies of up to ${most} bytes.` };
-  if (route.key === 'required' && !Tally.safe(asked.method) && headerText(asked.headers, 'idempotency-key') === null) return { status: 400, title: 'Key wanted', detail: 'This route takes such a request only with an Idempotency-Key.' };
+  if (route.key === 'required' && !isSafe(route, asked.method) && headerText(asked.headers, 'idempotency-key') === null) return { status: 400, title: 'Key wanted', detail: 'This route takes such a request only with an Idempotency-Key.' };
   return null;
 };
 
 const keeps = (route: Route, method: string): boolean => route.cache.keep !== 'never' && (method === 'GET' || method === 'HEAD');
+const keepsAlways = (route: Route): boolean => route.cache.keep === 'always';
 const joins = (transaction: Transaction): boolean =>
-  transaction.asked.method === 'GET' && keeps(transaction.route, 'GET') && headerText(transaction.asked.headers, 'authorization') === null;
+  transaction.asked.method === 'GET' && keeps(transaction.route, 'GET') && (keepsAlways(transaction.route) || headerText(transaction.asked.headers, 'authorization') === null);
 
 const settle = (work: Work, transaction: Transaction, state: ClaimState): void => {
   if (transaction.claimKey === null) return;
   work.effects.push({ kind: 'ask', id: transaction.id, call: { kind: 'settle', key: transaction.claimKey, token: transaction.token, state } });
 };
 
-const close = (work: Work, transaction: Transaction): void => {
+const forget = (work: Work, transaction: Transaction): void => {
   const { [transaction.id]: _gone, ...rest } = work.state.transactions;
   set(work, { transactions: rest });
+};
+
+/** Its caller has heard the last of it. An attempt beside the one that served is let end: breaking it off helps nobody. */
+const close = (work: Work, transaction: Transaction): void => {
+  const known = work.state.transactions[transaction.id];
+  if (known !== undefined && known.legs.some((leg) => leg.end === null)) change(work, transaction.id, { phase: 'over' });
+  else forget(work, transaction);
   work.effects.push({ kind: 'closed', id: transaction.id });
 };
 
@@ -66,21 +77,21 @@
 const answerCopy = (work: Work, transaction: Transaction, copy: Copy): void => {
   if (lapsed(work)) { giveUp(work, transaction, 503, 'not-run', cutOff); return; }
   const age = Math.floor(copy.bornAge + (work.state.now - copy.takenAt) / 1_000);
-  const answer: Answer = { status: copy.status, headers: { ...copy.headers, age: String(age), 'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy' }, body: { kind: 'copy', copy } };
+  const answer: Answer = { status: copy.status, headers: { ...copy.headers, age: String(age), ...(transaction.asked.via === null ? {} : { 'reedyard-service': copy.service }), 'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy' }, body: { kind: 'copy', copy } };
   count(work, 'served.copy');
   measured(work, transaction, copy.size, true);
   work.effects.push({ kind: 'answer', id: transaction.id, answer });
   close(work, transaction);
 };
 
-const giveUp = (work: Work, transaction: Transaction, reached: 502 | 503 | 504, outcome: Outcome, why: string): void => {
+const giveUp = (work: Work, transaction: Transaction, reached: 502 | 503 | 504, outcome: Outcome, why: string, retryMs?: number): void => {
   // A 503 says "not run" and nothing else.
   const status = reached === 503 && outcome === 'unknown' ? 502 : reached;
   settle(work, transaction, outcome);
   count(work, 'given-up');
   if (!transaction.callerGone) {
     turnAway(work, transaction.id, status, status === 503 ? 'Not served' : 'No sound answer',
-      outcome === 'not-run' ? `It was not run: ${why}.` : `It is not known whether it ran: ${why}.`, {}, outcome);
+      outcome === 'not-run' ? `It was not run: ${why}.` : `It is not known whether it ran: ${why}.`, {}, outcome, retryMs);
   }
   log(work, 'transaction.given-up', { id: transaction.id, route: transaction.route.name, status, outcome, why, legs: transaction.legs.length });
   close(work, transaction);
@@ -107,6 +118,14 @@
   }
 };
 
+/** Until when a request is worth serving: its route's limit, or less where its caller waits less. */
+const limitOf = (route: Route, asked: Asked, arrivedAt: number): number =>
+  arrivedAt + Math.min(route.limits.transactionMs ?? Limits.transaction, asked.deadlineMs ?? Infinity);
+
+/** Origins that a request may still be sent to. */
+const attemptsLeft = (transaction: Transaction): number =>
+  Math.min(transaction.route.limits.attempts ?? Infinity, transaction.asked.attempts ?? Infinity) - transaction.legs.filter((leg) => leg.to.kind === 'origin').length;
+
 /** Ends a transaction that provably ran nothing with an answer of the lathe's own. */
 const endUnrun = (work: Work, transaction: Transaction, refusal: NonNullable<ReturnType<typeof refusalOf>>): void => {
   settle(work, transaction, 'not-run');
@@ -126,7 +145,9 @@
   const route = Routes.find(work.state.routes, transaction.asked.host, transaction.asked.target);
   const refusal = refusalOf(route, transaction.asked);
   if (route !== undefined && refusal === null) {
-    return change(work, transaction.id, { route, serial, limitAt: transaction.arrivedAt + (route.limits.transactionMs ?? Limits.transaction) }) ?? null;
+    return change(work, transaction.id, {
+      route, serial, service: drawService(route, transaction.draws.at(-1) ?? 0, transaction.service), safe: isSafe(route, transaction.asked.method), limitAt: limitOf(route, transaction.asked, transaction.arrivedAt),
+    }) ?? null;
   }
   if (refusal !== null && Tally.outcomeOf(transaction.legs) === 'not-run') endUnrun(work, transaction, refusal);
   else giveUp(work, transaction, 502, 'unknown', 'a newer policy allows no other attempt');
@@ -143,37 +164,42 @@
     legs: [...transaction.legs, { number, to: { kind: to.kind, id }, openedAt: work.state.now, limitAt: legLimit, end: null }],
   });
   if (next === undefined) return;
-  if (number > 0) { set(work, { repeats: work.state.repeats - 1 }); count(work, 'repeats'); }
+  if (number > 0) { spendRepeat(work, transaction.service); count(work, 'repeats'); }
   count(work, 'legs', to.kind === 'origin' ? 'legs.origin' : 'legs.partner');
   set(work, { outstanding: { ...work.state.outstanding, [id]: (work.state.outstanding[id] ?? 0) + 1 } });
   work.effects.push({
     kind: 'open', id: transaction.id, leg: number, to, asked: transaction.asked, mark: `${transaction.token}-${number}`, limitMs: legLimit - work.state.now,
-    keep: joins(transaction) && to.kind === 'origin', sendBy: work.state.lease,
+    keep: joins(transaction) && to.kind === 'origin', safe: transaction.safe, attempts: Math.max(1, attemptsLeft(transaction)), sendBy: work.state.lease,
   });
 };
 
-/** A leg to an origin, if the slice has a token now; else a short holding, or the final answer at once. */
+/** An attempt at an origin, if the slice has a token now and an instance room; else a short holding, or the final answer at once. */
 const legToOrigin = (work: Work, transaction: Transaction): void => {
-  const service = Routes.mainService(transaction.route);
-  const ranked = rankOrigins(work.state, transaction);
-  if (ranked.length === 0) { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `no instance of ${service} can be reached`); return; }
+  const { service } = transaction;
+  const ranked = rankOrigins(work.state, transaction, work.state.replyBytes[transaction.route.name] ?? 0);
+  if (ranked.length === 0) { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `no instance of ${service} can be reached`, Limits.retrySoon); return; }
   const rate = work.state.feed?.slices[service] ?? 0;
   const bucket = `service/${service}`;
-  if (takeToken(work, bucket, rate)) {
-    const chosenRow = ranked.find((row) => takeToken(work, `instance/${originName(row)}`, row.rate));
+  const withRoom = ranked.filter((row) => (work.state.outstanding[originName(row)] ?? 0) < roomAt(work.state, row));
+  if (withRoom.length > 0 && takeToken(work, bucket, rate)) {
+    const chosenRow = withRoom.find((row) => takeToken(work, `instance/${originName(row)}`, row.rate));
     if (chosenRow !== undefined) { open(work, transaction, { kind: 'origin', row: chosenRow }); return; }
     giveBack(work, bucket);
   }
-  const ahead = Object.values(work.state.transactions).filter((each) => each.phase === 'holding' && Routes.mainService(each.route) === service && each.id !== transaction.id).length;
+  const ahead = Object.values(work.state.transactions).filter((each) => each.phase === 'holding' && each.service === service && each.id !== transaction.id).length;
   const wait = Math.max(waitFor(work.state, bucket, rate, ahead), Math.min(...ranked.map((row) => waitFor(work.state, `instance/${originName(row)}`, row.rate, 0))));
   const heldAt = transaction.phase === 'holding' ? transaction.heldAt : work.state.now;
-  if (work.state.now + (transaction.phase === 'holding' ? 0 : wait) - heldAt > Limits.holding || work.state.now >= transaction.limitAt) {
-    giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `the share of ${service} is used up`);
+  if (work.state.now + (transaction.phase === 'holding' ? 0 : wait) - heldAt > holdingOf(transaction) || work.state.now >= transaction.limitAt) {
+    giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), `the share of ${service} is used up`, Number.isFinite(wait) ? Math.max(Limits.retrySoon, wait) : undefined);
     return;
   }
   if (transaction.phase !== 'holding') { count(work, 'held'); change(work, transaction.id, { phase: 'holding', heldAt }); }
 };
 
+/** ms that a request may wait for its turn: a refusal must leave time for another try within its target. */
+const holdingOf = (transaction: Transaction): number =>
+  Math.min(Limits.holding, (transaction.route.targetMs ?? Infinity) * Weights.holdingShare);
+
 /** This edge serves: from a copy, by joining a fetch under way, or by a leg of its own. */
 const serveHere = (work: Work, transaction: Transaction): void => {
   if (keeps(transaction.route, transaction.asked.method)) {
@@ -208,7 +234,7 @@
 };
 
 const fetchHere = (work: Work, transaction: Transaction): void => {
-  want(work, Routes.mainService(transaction.route));
+  want(work, transaction.service);
   legToOrigin(work, transaction);
 };
 
@@ -248,16 +274,16 @@
   const refusal = refusalOf(route, asked);
   if (route === undefined || refusal !== null) { if (refusal !== null) turnAway(work, id, refusal.status, refusal.title, refusal.detail, refusal.more); return; }
   if (Object.keys(state.transactions).length >= Sizes.transactions) { turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.'); return; }
-  const safe = Tally.safe(asked.method);
-  const callerKey = safe || asked.via !== null ? null : headerText(asked.headers, 'idempotency-key');
+  const safe = isSafe(route, asked.method);
+  const callerKey = safe || route.repeat === 'never' || asked.via !== null ? null : headerText(asked.headers, 'idempotency-key');
   const transaction: Transaction = {
-    id, asked, route, serial: state.policy?.serial ?? 0, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: state.now + (route.limits.transactionMs ?? Limits.transaction),
+    id, asked, route, serial: state.policy?.serial ?? 0, service: drawService(route, draws.at(-1) ?? 0), safe, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: limitOf(route, asked, state.now),
     draws, token, claimKey: callerKey === null ? null : Sieve.key(asked.host, `/${callerKey}`), legs: [],
     phase: callerKey === null ? 'leg' : 'claiming', heldAt: 0, leads: false, callerGone: false,
   };
   set(work, { transactions: { ...state.transactions, [id]: transaction } });
   // A forwarded request earned its repeat where its caller came to.
-  if (asked.via === null) earnRepeat(work);
+  if (asked.via === null) earnRepeat(work, transaction.service);
   if (transaction.claimKey !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claimKey, token, life: state.self.life, digest: asked.digest ?? '' } });
   else start(work, transaction);
 };
@@ -301,7 +327,9 @@
 };
 
 const derive = (work: Work, transaction: Transaction): void => {
-  const move = Tally.next({ safe: Tally.safe(transaction.asked.method), legs: transaction.legs, now: work.state.now, limitAt: transaction.limitAt, mayRepeat: work.state.repeats >= 1 });
+  if (transaction.phase === 'over') { if (transaction.legs.every((leg) => leg.end !== null)) forget(work, transaction); return; }
+  const { legs, safe, limitAt } = transaction;
+  const move = Tally.next({ safe, legs, now: work.state.now, limitAt, mayRepeat: mayRepeat(work.state, transaction.service) && attemptsLeft(transaction) > 0 });
   if (transaction.callerGone && move.kind === 'open') { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'its caller left'); return; }
   if (move.kind === 'open') startAgain(work, transaction);
   else if (move.kind === 'give-up') giveUp(work, transaction, move.status, move.outcome, move.why);
@@ -323,16 +351,21 @@
 const unsound = (transaction: Transaction, number: number, answer: LegAnswer, routes: RouteTable): string | null => {
   const leg = transaction.legs[number];
   if (leg === undefined) return 'unknown leg';
+  if (answer.proof !== undefined) return answer.proof.unsound;
   if (headerText(answer.headers, 'reedyard-leg') !== `${transaction.token}-${number}`) return 'foreign';
   const stamp = headerText(answer.headers, 'reedyard-stamp');
   if (leg.to.kind === 'origin') return stamp === leg.to.id ? null : 'stamp';
   const notServed = answer.status >= 400 && headerText(answer.headers, 'reedyard-outcome') !== null;
+  const madeBy = headerText(answer.headers, 'reedyard-service');
   // The partner may have served under a newer policy than the one that the leg was made under.
   const newer = Routes.find(routes, transaction.asked.host, transaction.asked.target);
   const services = [...Routes.services(transaction.route), ...(newer === undefined ? [] : Routes.services(newer))];
-  return notServed || services.some(({ service }) => stamp?.startsWith(`${service}/`) === true) ? null : 'stamp';
+  return notServed || services.some(({ service }) => madeBy === service || stamp?.startsWith(`${service}/`) === true) ? null : 'stamp';
 };
 
+/** An origin's own word, under a dialect that tells what did not run by a field: its 502 or 504 is its answer and is passed on. */
+const passedOn = (answer: LegAnswer): boolean => answer.proof !== undefined && !answer.proof.notRun && (answer.status === 502 || answer.status === 504);
+
 const answered = (work: Work, id: number, number: number, answer: LegAnswer): void => {
   const transaction = work.state.transactions[id];
   const leg = transaction?.legs[number];
@@ -340,31 +373,39 @@
   const { state } = work;
   const bad = unsound(transaction, number, answer, state.routes);
   if (bad !== null) { work.effects.push({ kind: 'abort', id, leg: number }); failed(work, id, number, 'maybe', bad); return; }
-  const safe = Tally.safe(transaction.asked.method);
+  const { safe } = transaction;
   const tags = Sieve.tags(answer.headers, transaction.route.tagsHeader);
   const purgedAt = keeps(transaction.route, transaction.asked.method) ? Sieve.purgedSince(state.sieve, transaction.key, tags, leg.openedAt) : null;
   // It may be what a purge was meant to take away, and the time for that is nearly over, or such a
   // purge can't have been heard of: what only reads is then not passed on.
   const doubtful = safe && lapsed(work) ? 'lease' : purgedAt !== null && state.now - purgedAt > 250 ? 'purged' : null;
-  if (doubtful !== null) {
+  if (doubtful !== null && transaction.phase !== 'over') {
     work.effects.push({ kind: 'abort', id, leg: number });
     failed(work, id, number, 'maybe', doubtful);
     return;
   }
-  const notRun = headerText(answer.headers, 'reedyard-outcome') === 'not-run' && answer.status === 503;
-  const turnedAway = answer.status === 429 || answer.status === 502 || answer.status === 503 || answer.status === 504;
+  if (answer.proof?.misdirected === true) { work.effects.push({ kind: 'abort', id, leg: number }); failed(work, id, number, 'nothing', 'identity'); return; }
+  const notRun = answer.proof?.notRun ?? (headerText(answer.headers, 'reedyard-outcome') === 'not-run' && answer.status === 503);
+  const turnedAway = notRun || answer.status === 408 || answer.status === 421 || answer.status === 429 || answer.status === 502 || answer.status === 503 || answer.status === 504;
+  const mayTryAgain = safe && leg.to.kind === 'origin' && answer.status >= 500 && mayRepeat(state, transaction.service) && attemptsLeft(transaction) > 0 && state.now < transaction.limitAt;
   // A word of being turned away is passed on for an unsafe request only where it is proved.
-  const final = !turnedAway || (safe && answer.status === 429);
+  const final = (!turnedAway || (safe && answer.status === 429 && answer.proof === undefined) || passedOn(answer)) && !mayTryAgain;
   const ended = endLeg(work, transaction, number, { kind: 'answered', status: answer.status, final, notRun });
   if (ended === undefined) return;
+  if (leg.to.kind === 'origin' && !notRun) tookStanding(work, leg.to.id, state.now - leg.openedAt, answer.proof);
+  if (leg.to.kind === 'origin' && notRun) restFor(work, leg.to.id);
+  // What is read whole leaves its conn ready for the next.
+  const drop = (): void => { if (!answer.whole) work.effects.push({ kind: 'abort', id, leg: number }); };
+  if (transaction.phase === 'over') { drop(); derive(work, ended); return; }
   if (!final) {
-    work.effects.push({ kind: 'abort', id, leg: number });
+    drop();
     if (leg.to.kind === 'partner' && notRun) suspectFor(work, leg.to.id);
     derive(work, ended);
     return;
   }
   const fromOrigin = leg.to.kind === 'origin';
   const legMs = state.now - leg.openedAt;
+  if (fromOrigin) { const name = transaction.route.name; const old = state.replyBytes[name]; set(work, { replyBytes: { ...work.state.replyBytes, [name]: old === undefined ? answer.size : old + Weights.standingGain * (answer.size - old) } }); }
   if (fromOrigin) { count(work, 'fetched'); const { period } = work.state; set(work, { period: { ...period, legMs: period.legMs + legMs, fetched: period.fetched + 1 } }); } else count(work, 'forwarded');
   const copy = fromOrigin ? copyOf(work, transaction, leg.openedAt, answer, tags, purgedAt) : null;
   if (copy !== null) set(work, { sieve: Sieve.keep(work.state.sieve, copy) });
@@ -376,12 +417,12 @@
     work.effects.push({ kind: 'answer', id, answer: {
       status: answer.status,
       headers: {
-        ...answer.headers, 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
+        ...answer.headers, ...(transaction.asked.via === null ? {} : { 'reedyard-service': transaction.service }), 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
         ...(safe ? {} : { 'reedyard-outcome': answer.status < 500 ? 'ran' : 'unknown' }),
       },
       body: { kind: 'leg', answer },
     } });
-  } else work.effects.push({ kind: 'abort', id, leg: number });
+  } else drop();
   close(work, ended);
   leaderEnded(work, ended, copy, null);
 };
@@ -392,12 +433,13 @@
   if (transaction.asked.method !== 'GET' || !answer.whole || answer.status === 206 || purgedAt !== null) return null;
   const route = Routes.find(state.routes, transaction.asked.host, transaction.asked.target);
   const legMs = state.now - openedAt;
-  const life = Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
+  const life = route !== undefined && keepsAlways(route) ? (answer.status === 200 ? (route.cache.mostSeconds ?? 0) * 1_000 : 0)
+    : Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
   const { ['reedyard-leg']: _mark, ...headers } = answer.headers;
   const copy: Copy = {
-    key: transaction.key, service: Routes.mainService(transaction.route), status: answer.status, headers, body: answer.body, size: answer.size, tags,
+    key: transaction.key, service: transaction.service, status: answer.status, headers, body: answer.body, size: answer.size, tags,
     vary: Sieve.vary(answer.headers, transaction.asked.headers), takenAt: state.now, freshUntil: state.now + life,
-    bornAge: Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
+    bornAge: route !== undefined && keepsAlways(route) ? 0 : Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
   };
   return life > 0 && state.now < lifeEnd(route, state, copy) ? copy : null;
 };
@@ -487,12 +529,57 @@
 const left = (work: Work, id: number): void => {
   const transaction = change(work, id, { callerGone: true });
   // A leg that others wait for, or that may have run, is let finish; only safe ones alone are dropped.
-  if (transaction === undefined || !Tally.safe(transaction.asked.method) || transaction.leads || transaction.phase !== 'leg') return;
-  const leg = transaction.legs.at(-1);
-  if (leg === undefined || leg.end !== null) return;
-  work.effects.push({ kind: 'abort', id, leg: leg.number });
-  endLeg(work, transaction, leg.number, { kind: 'failed', sent: 'maybe', why: 'caller' });
-  close(work, transaction);
+  if (transaction === undefined || !transaction.safe || transaction.leads || transaction.phase !== 'leg') return;
+  const live = transaction.legs.filter((leg) => leg.end === null);
+  if (live.length === 0) return;
+  let ended = transaction;
+  for (const leg of live) {
+    work.effects.push({ kind: 'abort', id, leg: leg.number });
+    ended = endLeg(work, ended, leg.number, { kind: 'failed', sent: 'maybe', why: 'caller' }) ?? ended;
+  }
+  close(work, ended);
+};
+
+/** ms after which an attempt counts as silent: a few times what its other end usually takes, and early enough for a second one. */
+const silentAfter = (state: LatheState, transaction: Transaction): number => {
+  const rows = (state.feed?.origins ?? []).filter((row) => row.service === transaction.service);
+  const mean = meanMs(state, rows);
+  const to = transaction.legs.find((leg) => leg.end === null)?.to.id;
+  const row = rows.find((each) => originName(each) === to);
+  const met = row === undefined ? mean : answerMs(state, row, mean);
+  const usual = met > 0 ? met : (transaction.route.targetMs ?? 0) * Weights.silentShare;
+  return Math.min(Math.max(Limits.leastSilence, Weights.silentTimes * usual), Weights.silentShare * (transaction.limitAt - transaction.arrivedAt));
+};
+
+/** Looks after one request's attempts that are under way: those over their limit, stalled origins, and a second attempt beside a silent one. */
+const tendLegs = (work: Work, transaction: Transaction): void => {
+  const { now } = work.state;
+  for (const leg of transaction.legs) {
+    if (leg.end !== null) continue;
+    if (now >= leg.limitAt) {
+      work.effects.push({ kind: 'abort', id: transaction.id, leg: leg.number });
+      failed(work, transaction.id, leg.number, 'maybe', 'limit');
+      continue;
+    }
+    if (leg.to.kind !== 'origin' || now - leg.openedAt < Limits.stalled) continue;
+    const standing = work.state.standings[leg.to.id];
+    const heard = standing !== undefined && standing.heardAt >= leg.openedAt;
+    if (!heard && now - leg.openedAt > Weights.stalledTimes * (standing?.ms ?? 0) && (work.state.suspects[leg.to.id] ?? 0) <= now) { count(work, 'stalled'); suspectFor(work, leg.to.id); }
+  }
+  const current = work.state.transactions[transaction.id];
+  if (current === undefined || current.phase !== 'leg' || current.callerGone || lapsed(work)) return;
+  const may = mayRepeat(work.state, current.service) && attemptsLeft(current) > 0;
+  if (!may || !current.safe || current.legs.filter((leg) => leg.end === null).length !== 1) return;
+  if (!Tally.mayHedge({ safe: current.safe, legs: current.legs, now, limitAt: current.limitAt, mayRepeat: may, silentMs: silentAfter(work.state, current) })) return;
+  const given = underPolicy(work, current);
+  if (given === null) return;
+  if (!atHome(given.route.homes, work.state.self.region)) return;
+  const ranked = rankOrigins(work.state, given, work.state.replyBytes[given.route.name] ?? 0).filter((row) => !given.legs.some((leg) => leg.to.id === originName(row)) && (work.state.outstanding[originName(row)] ?? 0) < roomAt(work.state, row));
+  const [row] = ranked;
+  if (row === undefined || !takeToken(work, `service/${given.service}`, work.state.feed?.slices[given.service] ?? 0)) return;
+  if (!takeToken(work, `instance/${originName(row)}`, row.rate)) { giveBack(work, `service/${given.service}`); return; }
+  count(work, 'hedged');
+  open(work, given, { kind: 'origin', row });
 };
 
 const beat = (work: Work): void => {
@@ -508,10 +595,8 @@
       if (transaction.serial !== (work.state.policy?.serial ?? 0)) startAgain(work, transaction); else legToOrigin(work, transaction);
       continue;
     }
-    const leg = transaction.legs.at(-1);
-    if (transaction.phase === 'leg' && leg !== undefined && leg.end === null && work.state.now >= leg.limitAt) {
-      work.effects.push({ kind: 'abort', id: transaction.id, leg: leg.number });
-      failed(work, transaction.id, leg.number, 'maybe', 'limit');
+    if (transaction.phase === 'leg' || transaction.phase === 'over') {
+      tendLegs(work, transaction);
     } else if (transaction.phase === 'joined' && work.state.now >= transaction.limitAt) giveUp(work, transaction, 504, 'unknown', 'limit');
     else if (transaction.phase === 'claiming' && work.state.now >= transaction.limitAt) giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed in time');
   }
@@ -521,7 +606,7 @@
   /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
   open: (self: LatheState['self'], now: number): LatheState => ({
     self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty, abroad: false,
-    transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: 0, suspects: {}, outstanding: {}, stoppingAt: null, counters: {},
+    transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: {}, suspects: {}, outstanding: {}, standings: {}, replyBytes: {}, stoppingAt: null, counters: {},
     period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 }, wants: {}, wanted: { since: now, counts: {} },
   }),
 
--- /dev/null
+++ b/packages/lathe/src/dialect.ts
@@ -0,0 +1,58 @@
+import type http from 'node:http';
+import type { OriginRow } from '@reedyard/jig';
+import type { Headers } from '@reedyard/sieve';
+
+/** What an origin tells of itself with an answer: requests that it works on, that wait, and how many it works on at once. */
+export type Load = { readonly running: number; readonly waiting: number; readonly slots: number };
+
+/** What an origin's answer proves, as far as the next move depends on it. */
+export type Proof = {
+  /** Why it can't be taken for the answer to this attempt, or null if it is that. */
+  readonly unsound: string | null;
+  /** It says that the request did not run there. */
+  readonly notRun: boolean;
+  /** Another one than was meant has the address; nothing ran. */
+  readonly misdirected: boolean;
+  readonly load: Load | null;
+  /** ms. How much longer it says that it is cold; null where it says nothing. */
+  readonly coldMs: number | null;
+};
+
+/** One attempt at an origin. */
+export type ToOrigin = { readonly origin: OriginRow; readonly mark: string; /** ms that its answer is waited for. */ readonly leftMs: number; readonly headers: http.IncomingHttpHeaders };
+
+/** What of an answer its caller is shown. */
+export type ToCaller = { readonly status: number; readonly headers: Headers; readonly asked: Headers; /** ms after which to come again, where the lathe itself says so. */ readonly retryMs: number | null };
+
+/**
+ * How a lathe is spoken to by callers and speaks to origins: names of header fields and what they mean.
+ * It decides nothing. Peers speak the project's own way whatever the dialect.
+ */
+export type Dialect = {
+  /** Whether an origin proves who it is on each new connection, before anything else, or each request names the one it is meant for. */
+  readonly identity: 'asked' | 'named';
+  readonly readyPath: string;
+  readonly livePath: string | null;
+  /** ms that a caller will wait; null where it does not say. */
+  readonly deadlineMs: (headers: http.IncomingHttpHeaders) => number | null;
+  /** The fields that tell how much of that time is left. */
+  readonly left: (ms: number) => Readonly<Record<string, string>>;
+  readonly toOrigin: (attempt: ToOrigin) => Readonly<Record<string, string>>;
+  readonly fromOrigin: (status: number, headers: http.IncomingHttpHeaders, attempt: ToOrigin) => Proof;
+  readonly toCaller: (answer: ToCaller) => Headers;
+};
+
+const origin = (row: OriginRow): string => `${row.service}/${row.instance}/${row.incarnation}`;
+
+/** The project's own way (docs/api.md). */
+export const ownDialect: Dialect = {
+  identity: 'asked', readyPath: '/.well-known/reedyard/ready', livePath: '/.well-known/reedyard/live',
+  deadlineMs: () => null,
+  left: () => ({}),
+  toOrigin: ({ origin: row, mark }) => ({ 'reedyard-leg': mark, 'reedyard-expect': origin(row) }),
+  fromOrigin: (status, headers, { origin: row, mark }) => ({
+    unsound: headers['reedyard-leg'] !== mark ? 'foreign' : headers['reedyard-stamp'] !== origin(row) ? 'stamp' : null,
+    notRun: status === 503 && headers['reedyard-outcome'] === 'not-run', misdirected: false, load: null, coldMs: null,
+  }),
+  toCaller: ({ headers }) => headers,
+};
--- a/packages/lathe/src/index.ts
+++ b/packages/lathe/src/index.ts
@@ -1,3 +1,5 @@
 export { Lathe } from './core.js';
 export * from './state.js';
 export { present } from './present.js';
+export * from './dialect.js';
+export { runLathe, type LatheSettings } from './run.js';
--- /dev/null
+++ b/packages/lathe/src/run.ts
@@ -0,0 +1,229 @@
+import http from 'node:http';
+import { createHash, randomUUID } from 'node:crypto';
+import { performance } from 'node:perf_hooks';
+import type { Readable } from 'node:stream';
+import { Beats, Limits, Sizes } from '@reedyard/gauge';
+import { Task } from '@reedyard/chute';
+import type { ClaimReply, Feed } from '@reedyard/jig';
+import { openScribe } from '@reedyard/scriber';
+import { call } from '@reedyard/shuttle';
+import { Routes } from '@reedyard/stencil';
+import type { Settings } from '@reedyard/vise';
+import { originName } from './choice.js';
+import { OriginConns, passable, sendToPartner, type LegError, type Outgoing, type Underway } from './conns.js';
+import { Lathe } from './core.js';
+import { ownDialect, type Dialect } from './dialect.js';
+import { present } from './present.js';
+import type { Answer, Asked, LatheEffect, LatheEvent, LatheState, LegAnswer } from './state.js';
+
+const now = (): number => performance.now();
+
+/** A whole number in a field, or null. */
+const countOf = (field: string | string[] | undefined): number | null => (typeof field === 'string' && /^\d{1,4}$/.test(field) ? Number(field) : null);
+
+/** What the shell keeps of a caller's request; the core knows it by its number alone. */
+type Open = { readonly request: http.IncomingMessage; readonly response: http.ServerResponse; readonly body: Buffer; readonly asked: Asked; readonly mark: string | null };
+
+export type LatheSettings = Settings & { readonly lathe: NonNullable<Settings['lathe']> };
+
+/**
+ * Runs a lathe until it is told to stop.
+ *
+ * @example
+ * await runLathe(Vise.start('lathe', process.argv.slice(2)));
+ */
+export const runLathe = async (settings: LatheSettings, dialect: Dialect = ownDialect): Promise<void> => {
+  const scribe = openScribe({ program: 'lathe', node: settings.name });
+  const via = `1.1 ${settings.name} (reedyard)`;
+  const opened = new Map<number, Open>();
+  let stopping = false;
+  /** Attempts under way, by request and number; some outlast their request. */
+  const attempts = new Map<string, Underway>();
+  const conns = new OriginConns(settings.host, dialect);
+  const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
+  let nextId = 1;
+
+  const outgoing = (one: Open, effect: Extract<LatheEffect, { kind: 'open' }>): Outgoing => {
+    const headers = passable(one.request.headers);
+    if (effect.keep) for (const name of ['range', 'if-range', 'if-none-match', 'if-modified-since']) delete headers[name];
+    if (effect.keep) headers['accept-encoding'] = 'identity';
+    const forwardedFor = one.request.headers['x-forwarded-for'];
+    const caller = one.request.socket.remoteAddress ?? '';
+    headers['x-forwarded-for'] = one.asked.via !== null && typeof forwardedFor === 'string' ? forwardedFor : [forwardedFor, caller].flat().filter((part) => part !== undefined).join(', ');
+    headers.via = [one.request.headers.via, via].filter((part) => part !== undefined).join(', ');
+    headers.host = one.asked.host;
+    Object.assign(headers, dialect.left(effect.limitMs));
+    if (effect.to.kind === 'partner') Object.assign(headers, { 'reedyard-leg': effect.mark, 'reedyard-via': settings.name, 'reedyard-attempts': String(effect.attempts) });
+    delete headers['content-length'];
+    if (one.body.length > 0 || !['GET', 'HEAD', 'OPTIONS'].includes(one.asked.method)) headers['content-length'] = String(one.body.length);
+    return { method: one.asked.method, path: one.asked.target, headers, body: one.body, safe: effect.safe };
+  };
+
+  const write = (one: Open, answer: Answer): void => {
+    const { response, asked } = one;
+    if (response.destroyed || response.headersSent) return;
+    const extra: Record<string, string> = { via, ...(one.mark === null ? {} : { 'reedyard-leg': one.mark }), ...(stopping ? { connection: 'close' } : {}) };
+    const tidy = (headers: Answer['headers'], status = answer.status): http.OutgoingHttpHeaders => {
+      const { 'reedyard-leg': _leg, ...rest } = headers;
+      const shown = asked.via === null ? dialect.toCaller({ status, headers: rest, asked: asked.headers, retryMs: answer.retryMs ?? null }) : rest;
+      return { ...shown, ...extra } as http.OutgoingHttpHeaders;
+    };
+    if (answer.body.kind === 'problem') {
+      const text = JSON.stringify({ type: 'about:blank', title: answer.body.title, status: answer.status, detail: answer.body.detail, outcome: answer.body.outcome });
+      response.writeHead(answer.status, tidy({ ...answer.headers, 'content-type': 'application/problem+json', 'content-length': String(Buffer.byteLength(text)) }));
+      response.end(asked.method === 'HEAD' ? undefined : text);
+      return;
+    }
+    const held = answer.body.kind === 'copy' ? { body: answer.body.copy.body, size: answer.body.copy.size, whole: true } : answer.body.answer;
+    if (held.whole) {
+      const noBody = asked.method === 'HEAD' && answer.body.kind === 'leg';
+      if (noBody || answer.status === 204 || answer.status === 304) { response.writeHead(answer.status, tidy(answer.headers)); response.end(); return; }
+      const shown = present(asked.method, asked.headers, answer.status, answer.headers, held.size);
+      response.writeHead(shown.status, tidy(shown.headers, shown.status));
+      response.end(asked.method === 'HEAD' ? undefined : (held.body as Buffer).subarray(shown.from, shown.to));
+      return;
+    }
+    const stream = held.body as Readable;
+    response.writeHead(answer.status, tidy(answer.headers));
+    // A cut stream must not look like a whole one: the caller's conn is cut too.
+    stream.on('error', () => response.destroy());
+    stream.on('aborted', () => response.destroy());
+    response.on('close', () => { if (!response.writableFinished) stream.destroy(); });
+    stream.pipe(response);
+  };
+
+  /** What a trial wants to know of each move; nothing unless the settings ask for it. */
+  const trace = settings.lathe.trace === true ? (event: string, fields: Readonly<Record<string, string | number>>): void => scribe.info(event, fields) : null;
+  const perform = (effect: LatheEffect, put: (event: LatheEvent) => boolean): void => {
+    switch (effect.kind) {
+      case 'open': {
+        const one = opened.get(effect.id);
+        if (one === undefined) return;
+        const name = `${effect.id}/${effect.leg}`;
+        const done = (answer: LegAnswer): void => { attempts.delete(name); put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() }); };
+        const fail = (error: LegError): void => { attempts.delete(name); put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() }); };
+        const out = outgoing(one, effect);
+        trace?.('trace.leg', { serial: task.peek().policy?.serial ?? 0, leg: effect.leg });
+        if (effect.to.kind === 'partner') { attempts.set(name, sendToPartner(effect.to.row.address, settings.host, out, done, fail)); return; }
+        const attempt = { origin: effect.to.row, mark: effect.mark, leftMs: effect.limitMs, headers: one.request.headers };
+        Object.assign(out.headers, dialect.toOrigin(attempt));
+        attempts.set(name, conns.send(effect.to.row, out, attempt, effect.sendBy, done, fail));
+        return;
+      }
+      case 'abort': { const name = `${effect.id}/${effect.leg}`; attempts.get(name)?.abort(); attempts.delete(name); return; }
+      case 'answer': {
+        const one = opened.get(effect.id);
+        if (effect.answer.body.kind === 'copy') trace?.('trace.copy', { serial: task.peek().policy?.serial ?? 0 });
+        if (one !== undefined) write(one, effect.answer);
+        opened.delete(effect.id);
+        return;
+      }
+      case 'closed': opened.delete(effect.id); return;
+      case 'ask':
+        call(feedAddress, '/feed', effect.call, Limits.proposal + Limits.call).then(
+          (reply) => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: reply as ClaimReply, now: now() }); },
+          () => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: { kind: 'unreached' }, now: now() }); });
+        return;
+      case 'question': {
+        const askedAt = now();
+        call(feedAddress, '/feed', { kind: 'feed', report: effect.report }).then(
+          (reply) => {
+            const feed = reply as Feed;
+            put({ kind: 'fed', feed, askedAt, now: now() });
+            conns.keepOnly(new Set(feed.origins.map(originName)));
+          },
+          () => undefined).finally(() => setTimeout(() => put({ kind: 'ask', now: now() }), Beats.feed));
+        return;
+      }
+      case 'log': scribe.info(effect.event, effect.fields); return;
+    }
+  };
+  const task = Task.run<LatheState, LatheEvent, LatheEffect>({
+    initial: Lathe.open({ id: settings.name, hall: settings.hall, region: settings.region, capacityBps: settings.lathe.capacityBps, life: randomUUID() }, now()), reduce: Lathe.reduce, perform,
+  });
+
+  const refuse = (response: http.ServerResponse, status: number, title: string, detail: string): void => {
+    const text = JSON.stringify({ type: 'about:blank', title, status, detail, outcome: 'not-run' });
+    response.writeHead(status, { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(text), 'reedyard-outcome': 'not-run', connection: 'close' });
+    response.end(text);
+  };
+  const wellKnown = (request: http.IncomingMessage, response: http.ServerResponse): boolean => {
+    if (request.url !== dialect.readyPath && request.url !== dialect.livePath) return false;
+    const good = request.url === dialect.livePath || Lathe.ready(task.peek(), now());
+    const text = JSON.stringify({ ready: good });
+    response.writeHead(good ? 200 : 503, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...(good ? {} : { 'retry-after': String(Limits.retryAfterSeconds) }) });
+    response.end(text);
+    return true;
+  };
+  const take = (fromPartner: boolean) => (request: http.IncomingMessage, response: http.ServerResponse): void => {
+    const target = request.url ?? '/';
+    if (!fromPartner && settings.lathe.readyPort === undefined && wellKnown(request, response)) return;
+    const host = request.headers.host ?? '';
+    const path = target.split('?', 1)[0] ?? '/';
+    if (!target.startsWith('/') || host === '' || /\/(?:\.|%2e){1,2}(?:\/|$)/i.test(path)) { refuse(response, 400, 'Bad request', 'A request needs a host and a plain path.'); return; }
+    const most = Routes.find(task.peek().routes, host, target)?.limits.bodyBytes ?? Sizes.callerBody;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const id = nextId;
+    nextId += 1;
+    const begin = (): void => {
+      const partner = request.headers['reedyard-via'];
+      if (fromPartner) trace?.('trace.relay', { from: String(partner ?? ''), target });
+      const method = request.method ?? 'GET';
+      const digest = fromPartner || request.headers['idempotency-key'] === undefined ? null
+        : createHash('sha256').update(JSON.stringify([method, target])).update(Buffer.concat(chunks)).digest('base64');
+      const asked: Asked = { method, target, host, headers: passable(request.headers), via: fromPartner ? String(partner ?? 'unnamed') : null, bodyBytes: size, digest, deadlineMs: dialect.deadlineMs(request.headers), attempts: fromPartner ? countOf(request.headers['reedyard-attempts']) : null };
+      const mark = request.headers['reedyard-leg'];
+      opened.set(id, { request, response, body: Buffer.concat(chunks), asked, mark: fromPartner && typeof mark === 'string' ? mark : null });
+      response.on('close', () => { if (!response.writableFinished) task.put({ kind: 'left', id, now: now() }); });
+      const draws = Array.from({ length: Sizes.draws }, () => Math.random());
+      if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) { opened.delete(id); refuse(response, 503, 'Too busy', 'Too many events wait here.'); }
+    };
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= most) { chunks.push(chunk); return; }
+      request.removeAllListeners('data');
+      request.removeAllListeners('end');
+      request.resume();
+      refuse(response, 413, 'Body too large', `This route takes bodies of up to ${most} bytes.`);
+    });
+    request.on('end', begin);
+    request.on('error', () => response.destroy());
+  };
+  const serve = (fromPartner: boolean, port: number): Promise<http.Server> => new Promise((resolve, reject) => {
+    const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 60_000 }, take(fromPartner));
+    server.keepAliveTimeout = 30_000;
+    server.once('error', reject);
+    server.listen(port, settings.listen ?? settings.host, () => resolve(server));
+  });
+  const servers = [await serve(false, settings.lathe.port), await serve(true, settings.lathe.partnerPort)];
+  if (settings.lathe.readyPort !== undefined) {
+    const asks = http.createServer((request, response) => { if (!wellKnown(request, response)) refuse(response, 404, 'No such place', 'Only readiness is told here.'); });
+    await new Promise<void>((resolve, reject) => { asks.once('error', reject); asks.listen(settings.lathe.readyPort, settings.listen ?? settings.host, resolve); });
+    servers.push(asks);
+  }
+  setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.lathe);
+  if (trace !== null) setInterval(() => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }), 1_000);
+  task.put({ kind: 'ask', now: now() });
+  scribe.info('started', { callers: settings.lathe.port, partners: settings.lathe.partnerPort });
+
+  const leave = (): void => {
+    if (stopping) return;
+    stopping = true;
+    scribe.info('stopping', { underWay: opened.size });
+    task.put({ kind: 'stop', now: now() });
+    const { graceMs = Limits.leaveGrace, mostMs = Limits.shutdown } = settings.lathe.leave ?? {};
+    const warnedAt = now();
+    // Not ready first: callers are still answered until what is under way has ended.
+    setInterval(() => {
+      if ((opened.size === 0 && now() > warnedAt + graceMs) || now() > warnedAt + mostMs) {
+        servers.forEach((server) => { server.close(); server.closeAllConnections(); });
+        scribe.info('stopped', { cutOff: opened.size });
+        process.exit(0);
+      }
+    }, Beats.feed);
+  };
+  process.on('SIGTERM', leave);
+  process.on('SIGINT', leave);
+};
+
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -1,5 +1,6 @@
 import type { ClaimReply, Feed, LatheCall, OriginRow, PartnerRow, Report } from '@reedyard/jig';
 import type { Copy, Headers, SieveState } from '@reedyard/sieve';
+import type { Load, Proof } from './dialect.js';
 import type { Policy, Route, RouteTable } from '@reedyard/stencil';
 import type { Leg, Sent } from '@reedyard/tally';
 
@@ -14,10 +15,13 @@
   readonly bodyBytes: number;
   /** Tells apart requests of one key by method, target and body; null without a key. */
   readonly digest: string | null;
+  /** ms that its caller will wait, and origins that it may still be sent to; left out where nobody says. */
+  readonly deadlineMs?: number | null;
+  readonly attempts?: number | null;
 };
 
 /** An answer to a leg, read whole up to Sizes.wholeBody, or still streaming. */
-export type LegAnswer = { readonly status: number; readonly headers: Headers; readonly body: unknown; readonly size: number; readonly whole: boolean };
+export type LegAnswer = { readonly status: number; readonly headers: Headers; readonly body: unknown; readonly size: number; readonly whole: boolean; /** What an origin's answer proves, in the dialect that it was spoken to in; left out: by its own fields. */ readonly proof?: Proof };
 
 export type Target = { readonly kind: 'origin'; readonly row: OriginRow } | { readonly kind: 'partner'; readonly row: PartnerRow };
 
@@ -27,6 +31,10 @@
   /** The route under the policy with this serial; looked up again at each move under a newer one. */
   readonly route: Route;
   readonly serial: number;
+  /** The service drawn from the route's. */
+  readonly service: string;
+  /** Whether it may run more than once. */
+  readonly safe: boolean;
   readonly key: string;
   readonly arrivedAt: number;
   readonly limitAt: number;
@@ -36,7 +44,8 @@
   /** The register that its idempotency key claims. */
   readonly claimKey: string | null;
   readonly legs: readonly Leg[];
-  readonly phase: 'claiming' | 'joined' | 'holding' | 'leg';
+  /** `over`: its caller has an answer; attempts beside that one are let end. */
+  readonly phase: 'claiming' | 'joined' | 'holding' | 'leg' | 'over';
   readonly heldAt: number;
   readonly leads: boolean;
   readonly callerGone: boolean;
@@ -45,6 +54,17 @@
 /** One fetch that several transactions wait for. */
 export type Fetch = { readonly leader: number; readonly waiters: readonly number[]; readonly closed: boolean };
 
+/** What was met at an origin lately. */
+export type Standing = {
+  /** ms that its answers take, the newer ones counting more. */
+  readonly ms: number;
+  readonly heardAt: number;
+  /** What it last told of itself, and how many of that were ours. */
+  readonly load: (Load & { readonly at: number; readonly own: number }) | null;
+  /** Failures since it last answered soundly. */
+  readonly failures: number;
+};
+
 export type Bucket = { readonly tokens: number; readonly at: number; readonly rate: number };
 
 export type LatheState = {
@@ -67,9 +87,13 @@
   /** Objects lately found not to be keepable: their requests are not made to wait for each other. */
   readonly unkept: Readonly<Record<string, number>>;
   readonly buckets: Readonly<Record<string, Bucket>>;
-  readonly repeats: number;
+  /** Repeats saved, by service. */
+  readonly repeats: Readonly<Record<string, number>>;
   readonly suspects: Readonly<Record<string, number>>;
   readonly outstanding: Readonly<Record<string, number>>;
+  readonly standings: Readonly<Record<string, Standing>>;
+  /** bytes of a reply from an origin lately, by route. */
+  readonly replyBytes: Readonly<Record<string, number>>;
   /** When it was warned that it must stop. */
   readonly stoppingAt: number | null;
   readonly counters: Readonly<Record<string, number>>;
@@ -96,6 +120,8 @@
 export type Answer = {
   readonly status: number;
   readonly headers: Headers;
+  /** ms after which to come again; left out where the answer is not the lathe's own. */
+  readonly retryMs?: number;
   readonly body:
     | { readonly kind: 'problem'; readonly title: string; readonly detail: string; readonly outcome: string }
     | { readonly kind: 'copy'; readonly copy: Copy }
@@ -103,7 +129,7 @@
 };
 
 export type LatheEffect =
-  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean;
+  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean; readonly safe: boolean; /** Origins that it may still be sent to. */ readonly attempts: number;
     /** Nothing of the request is sent after this moment: what the leg was decided on is old then. */
     readonly sendBy: number }
   | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -360,7 +360,7 @@
       submissions.set(id, about);
       this.#submissions.set(process, submissions);
       this.#marks += 1;
-      if (this.tuning.plant === 'earn-twice' && asked.via !== null) process.state = { ...process.state, repeats: Math.min(3, process.state.repeats + 0.15) };
+      if (this.tuning.plant === 'earn-twice' && asked.via !== null) process.state = { ...process.state, repeats: Object.fromEntries(Object.entries(process.state.repeats).map(([service, saved]) => [service, Math.min(3, saved + 0.15)])) };
       this.#step(process, { kind: 'arrived', id, asked, draws: [0, 1, 2, 3, 4].map(() => this.clock.chance()), token: `mark-${this.#marks}`, now: this.#now(process) });
     });
   }
@@ -380,7 +380,7 @@
             for (const row of feed.origins) this.#drained.set(row.address, row);
             this.#step(process, { kind: 'fed', feed: this.#select(plantedFeed(this.tuning.plant, feed, [...this.#drained.values()], [...this.#partners.values()].filter((row) => row.id !== name)), process), askedAt, now: this.#now(process) });
             if (this.tuning.plant === 'route-at-arrival') process.state = { ...process.state, transactions: Object.fromEntries(Object.entries(process.state.transactions).map(([id, each]) => [id, { ...each, serial: process.state.policy?.serial ?? 0 }])) };
-            if (this.tuning.plant === 'free-repeats') process.state = { ...process.state, repeats: 1e6, suspects: {} };
+            if (this.tuning.plant === 'free-repeats') process.state = { ...process.state, repeats: Object.fromEntries(Object.keys(process.state.policy?.document.services ?? {}).map((service) => [service, 1e6])), suspects: {} };
             this.#watchCopies(process);
             again();
           }, again);
--- a/packages/tally/src/index.ts
+++ b/packages/tally/src/index.ts
@@ -24,7 +24,7 @@
   | { readonly kind: 'relay' }
   | { readonly kind: 'give-up'; readonly status: 502 | 503 | 504; readonly outcome: Outcome; readonly why: string };
 
-/** Legs of one transaction at most. */
+/** Legs of one transaction at most, where its route does not say. */
 const mostLegs = 3;
 
 const outcomeOf = (legs: readonly Leg[]): Outcome =>
@@ -43,21 +43,36 @@
    * @example
    * Tally.next({ safe: false, legs: [failedLeg('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
    */
-  next: (ledger: { readonly safe: boolean; readonly legs: readonly Leg[]; readonly now: number; readonly limitAt: number; readonly mayRepeat: boolean }): Move => {
+  next: (ledger: { readonly safe: boolean; readonly legs: readonly Leg[]; readonly now: number; readonly limitAt: number; readonly mayRepeat: boolean; readonly most?: number }): Move => {
     const { legs } = ledger;
     const last = legs.at(-1);
     const outcome = outcomeOf(legs);
     const giveUp = (why: string, late: boolean): Move =>
       ({ kind: 'give-up', status: outcome === 'not-run' ? 503 : late ? 504 : 502, outcome, why });
     if (last === undefined) return ledger.now >= ledger.limitAt ? giveUp('the limit was reached before a leg was made', true) : { kind: 'open' };
-    if (last.end === null) return { kind: 'wait' };
-    if (last.end.kind === 'answered' && last.end.final) return { kind: 'relay' };
+    if (legs.some((leg) => leg.end?.kind === 'answered' && leg.end.final)) return { kind: 'relay' };
+    if (last.end === null || legs.some((leg) => leg.end === null)) return { kind: 'wait' };
     const why = last.end.kind === 'failed' ? last.end.why : `answered ${last.end.status}`;
     const late = last.end.kind === 'failed' && last.end.why === 'limit';
     if (!ledger.safe && outcome === 'unknown') return giveUp(why, late);
     if (ledger.now >= ledger.limitAt) return giveUp(why, true);
-    if (legs.length >= mostLegs) return giveUp(why, late);
+    if (legs.length >= (ledger.most ?? mostLegs)) return giveUp(why, late);
     if (!ledger.mayRepeat) return giveUp(why, late);
     return { kind: 'open' };
   },
+
+  /**
+   * Whether a second attempt may be made beside one that is silent (a hedge): only where running twice does
+   * no harm, only beside a single one, and only while its answer could still be of use.
+   *
+   * @example
+   * Tally.mayHedge({ safe: true, legs: [silentLeg], now: 200, limitAt: 800, mayRepeat: true, silentMs: 150 }) // true
+   */
+  mayHedge: (ledger: { readonly safe: boolean; readonly legs: readonly Leg[]; readonly now: number; readonly limitAt: number; readonly mayRepeat: boolean; readonly most?: number; /** ms after which an attempt counts as silent. */ readonly silentMs: number }): boolean => {
+    const { legs } = ledger;
+    const live = legs.filter((leg) => leg.end === null);
+    const [only] = live;
+    return ledger.safe && ledger.mayRepeat && live.length === 1 && only !== undefined && legs.length < (ledger.most ?? mostLegs)
+      && ledger.now < ledger.limitAt && ledger.now - only.openedAt >= ledger.silentMs;
+  },
 } as const;
--- a/packages/tally/src/tally.test.ts
+++ b/packages/tally/src/tally.test.ts
@@ -32,3 +32,19 @@
   t.is(Tally.next({ safe: true, legs: [leg(0, null)], now: 5, limitAt: 9, mayRepeat: true }).kind, 'wait');
   t.is(Tally.next({ safe: true, legs: [0, 1, 2].map((n) => leg(n, ends[1] ?? null)), now: 5, limitAt: 9, mayRepeat: true }).kind, 'give-up');
 });
+
+test('beside a silent attempt a second one is made for a safe request alone, and nothing is given up while one is under way', (t) => {
+  const silent = leg(0, null);
+  const hedge = { safe: true, legs: [silent], now: 5, limitAt: 9, mayRepeat: true, silentMs: 5 };
+  t.true(Tally.mayHedge(hedge));
+  t.false(Tally.mayHedge({ ...hedge, safe: false }));
+  t.false(Tally.mayHedge({ ...hedge, mayRepeat: false }));
+  t.false(Tally.mayHedge({ ...hedge, now: 4 }));
+  t.false(Tally.mayHedge({ ...hedge, now: 9 }));
+  t.false(Tally.mayHedge({ ...hedge, most: 1 }));
+  t.false(Tally.mayHedge({ ...hedge, legs: [silent, leg(1, null)] }));
+  for (const end of ends) {
+    const move = Tally.next({ safe: true, legs: [silent, leg(1, end)], now: 5, limitAt: 9, mayRepeat: true });
+    t.is(move.kind, end.kind === 'answered' && end.final ? 'relay' : 'wait');
+  }
+});
--- a/packages/vise/src/index.ts
+++ b/packages/vise/src/index.ts
@@ -29,7 +29,13 @@
   /** The anvils that founded the state: name and address. The same on every machine. */
   founders: z.record(name, address).refine((all) => Object.keys(all).length > 0, 'wanted at least one founder'),
   jig: z.strictObject({ port, apiPort: port, feedPort: port }),
-  lathe: z.strictObject({ port, partnerPort: port, capacityBps: z.number().positive(), /** Logs every move, for tests. */ trace: z.boolean().optional() }).optional(),
+  lathe: z.strictObject({
+    port, partnerPort: port, capacityBps: z.number().positive(),
+    /** Where readiness is told, if not beside callers. */
+    readyPort: port.optional(),
+    /** From the warning to stop: how long it still serves who comes, and when it is gone at the latest. */
+    leave: z.strictObject({ graceMs: z.number().int().positive(), mostMs: z.number().int().positive() }).optional(),
+    /** Logs every move, for tests. */ trace: z.boolean().optional() }).optional(),
   anvil: z.strictObject({ port }).optional(),
 }).superRefine((all, context) => {
   if (all.anvil !== undefined && all.founders[all.name] === undefined) {
