Jig: versions, orders for origins, numbered descriptions, withdrawal, unbound rates

Cause: a policy with a version must never fall back, whoever of two operators writes last; a hall's origins may be closed while its nodes serve; an origin may be heard out of order and by several nodes; origins that say slots in place of a rate, and services without a ceiling, have no bound.

The version is compared inside the change that the ballot plays, so a race can't put a lower one on top. What an origin numbers is told under at least that serial, and an older word that comes by gossip is told over again. What says nothing new is told every 3 s, a third of the bytes.

Ruled out: leaving unbounded services out of the division. Their shares still say what each node bears of a cold instance's rate; they only keep no node from being seated.

A notice is posted once: known from this node's own posting to a majority. That one disk shows a fact, as the list of known facts does, was not enough.

A jig may serve its API in another form.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -26,6 +26,9 @@
   measure: 2_000,
   /** ms. A vector is sent again though nothing changed, so that a lost one heals. */
   refresh: 30_000,
+  /** ms. An origin that says nothing new is told by gossip again after this long: with the seconds between
+   *  two of its descriptions still twice within `originForgotten`, and a third of the bytes. */
+  originTold: 3_000,
   /** ms. Lathe's own beat: limits and holdings are looked at. */
   lathe: 25,
   /** ms. An anvil that may not vote yet asks the others again. */
@@ -65,6 +68,9 @@
   nodeForgotten: 30_000,
   /** ms. An origin that does not describe itself this long is forgotten; it speaks every few s. */
   originForgotten: 10_000,
+  /** ms. After a hall was taken back its origins count as cold until a description is heard this much later:
+   *  an earlier one may have been under way for a few exchanges of gossip. */
+  warmDoubt: 500,
   /** ms. Facts stay on the board and in a snapshot: far over a lease, so a cursor is seldom lost. */
   fact: 60_000,
   /** ms. Anvils that founded the state anew, after most disks were lost, take part in nothing until they
--- a/packages/jig/src/api.ts
+++ b/packages/jig/src/api.ts
@@ -13,19 +13,22 @@
 /** What is to be answered. */
 export type Reply = { readonly status: number; readonly body: unknown; readonly retryAfter?: number };
 
-const readBody = (request: http.IncomingMessage, most: number): Promise<unknown> => new Promise((resolve, reject) => {
+const readBytes = (request: http.IncomingMessage, most: number): Promise<Buffer> => new Promise((resolve, reject) => {
   const chunks: Buffer[] = [];
   let size = 0;
   request.on('data', (chunk: Buffer) => {
     size += chunk.length;
     if (size > most) { reject(new ApiError(413, 'Document too large', `Documents here have at most ${most} bytes.`)); request.pause(); } else chunks.push(chunk);
   });
-  request.on('end', () => {
-    try { resolve(JSON.parse(Buffer.concat(chunks).toString('utf8'))); } catch (thrown) { reject(new ApiError(400, 'Not JSON', textOf(thrown))); }
-  });
+  request.on('end', () => resolve(Buffer.concat(chunks)));
   request.on('error', reject);
 });
 
+const readBody = async (request: http.IncomingMessage, most: number): Promise<unknown> => {
+  const bytes = await readBytes(request, most);
+  try { return JSON.parse(bytes.toString('utf8')); } catch (thrown) { throw new ApiError(400, 'Not JSON', textOf(thrown)); }
+};
+
 const changeIdOf = (request: http.IncomingMessage): string => {
   const given = request.headers['reedyard-change-id'];
   if (given === undefined) return randomUUID();
@@ -54,8 +57,10 @@
   const hall = /^\/v1\/halls\/([a-z0-9][a-z0-9-]{0,62})$/.exec(path)?.[1];
   if (hall !== undefined) {
     wanted(['PUT']);
-    return { kind: 'hall', hall, order: Stencil.hallOrder(await readBody(request, Sizes.document)).order, changeId: changeIdOf(request) };
+    return { kind: 'hall', hall, ...Stencil.hallOrder(await readBody(request, Sizes.document)), changeId: changeIdOf(request) };
   }
+  const instance = /^\/v1\/origins\/([a-z0-9][a-z0-9._-]{0,62})$/i.exec(path)?.[1];
+  if (instance !== undefined) { wanted(['DELETE']); return { kind: 'withdraw', instance }; }
   if (path === '/v1/origins') { wanted(['POST']); return { kind: 'describe', description: Stencil.description(await readBody(request, Sizes.document)) }; }
   if (path === '/v1/purges') { wanted(['POST']); return { kind: 'purge', purge: Stencil.purge(await readBody(request, Sizes.document)), changeId: changeIdOf(request) }; }
   const read = gets[path];
@@ -95,3 +100,34 @@
   server.keepAliveTimeout = 30_000;
   return server;
 };
+
+/** A request and an answer of an API in another form. */
+export type ApiRequest = { readonly method: string; readonly target: string; readonly headers: http.IncomingHttpHeaders; readonly body: Buffer };
+export type ApiResponse = { readonly status: number; readonly headers: Readonly<Record<string, string>>; readonly body: string };
+export type Api = {
+  /** Bytes that the body of a request may have; a larger one is answered with 413. */
+  readonly mostBytes: (method: string, target: string) => number;
+  readonly answer: (request: ApiRequest) => Promise<ApiResponse>;
+};
+
+/**
+ * Serves an API in another form: it reads requests whole, and writes what they are answered.
+ *
+ * @example
+ * translatedServer({ mostBytes: () => 1_024, answer: async () => ({ status: 204, headers: {}, body: '' }) }).listen(8080);
+ */
+export const translatedServer = (api: Api): http.Server => {
+  const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 }, (request, response) => {
+    const [method, target] = [request.method ?? 'GET', request.url ?? '/'];
+    const failed = (thrown: unknown): ApiResponse => {
+      const { status, body } = problemOf(thrown);
+      return { status, headers: { 'content-type': 'application/problem+json' }, body: JSON.stringify(body) };
+    };
+    void readBytes(request, api.mostBytes(method, target)).then((body) => api.answer({ method, target, headers: request.headers, body })).catch(failed).then(({ status, headers, body }) => {
+      response.writeHead(status, { ...headers, 'content-length': String(Buffer.byteLength(body)), ...(status === 413 ? { connection: 'close' } : {}) });
+      response.end(body);
+    });
+  });
+  server.keepAliveTimeout = 30_000;
+  return server;
+};
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -2,6 +2,7 @@
 import { Ballots, majorityOf, Proposer, type Ballot, type Change, type Turn } from '@reedyard/latch';
 import type { AnvilReply, Fact, Voters } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
+import type { HallOrder } from '@reedyard/stencil';
 import { chance, counts, log, sendToAnvil, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
 import { Spindle } from '@reedyard/spindle';
 import type { ClaimState, ClaimValue, HallsValue, NodeRecord, PolicyValue } from './terms.js';
@@ -105,8 +106,8 @@
     case 'hall': {
       if (end.kind !== 'chosen') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The order') }); return; }
       const value = end.value as HallsValue;
-      log(work, 'halls.acknowledged', { serial: value.serial, emptied: value.emptied.join(',') });
-      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value.changes.find((change) => change.id === purpose.changeId)?.serial ?? value.serial, emptied: value.emptied } });
+      log(work, 'halls.acknowledged', { serial: value.serial, emptied: value.emptied.join(','), closedOrigins: value.closedOrigins.join(',') });
+      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value.changes.find((change) => change.id === purpose.changeId)?.serial ?? value.serial, emptied: value.emptied, closedOrigins: value.closedOrigins } });
       return;
     }
     case 'plan': {
@@ -157,15 +158,26 @@
     if (old?.changes.some((change) => change.id === changeId) === true) return { kind: 'keep' };
     const serial = old?.serial ?? 0;
     if (ifMatch !== null && ifMatch !== serial) return { kind: 'refuse', reason: `the policy in force has serial ${serial}, not ${ifMatch}` };
+    // Compared here, with what the ballot finds, so that of two operators at once the higher version stays.
+    const held = old?.document.version;
+    if (document.version !== undefined && held !== undefined && document.version <= held) return { kind: 'keep' };
     return { kind: 'write', value: { serial: serial + 1, document, changes: remember(old?.changes ?? [], changeId, serial + 1) } satisfies PolicyValue };
   },
-  halls: (hall: string, order: 'empty' | 'take-back', changeId: string): Change => (current) => {
-    const old = (current ?? { serial: 0, emptied: [], changes: [] }) as HallsValue;
+  halls: (hall: string, order: HallOrder['order'], of: HallOrder['of'], changeId: string): Change => (current) => {
+    const old = (current ?? { serial: 0, emptied: [], closedOrigins: [], reopened: {}, changes: [] }) as HallsValue;
     if (old.changes.some((change) => change.id === changeId)) return { kind: 'keep' };
-    const others = old.emptied.filter((each) => each !== hall);
+    const serial = old.serial + 1;
+    const but = (halls: readonly string[]): readonly string[] => halls.filter((each) => each !== hall);
+    const emptied = of === 'origins' ? old.emptied : order === 'empty' ? [...but(old.emptied), hall] : but(old.emptied);
+    // While a hall is emptied as a whole, its origins can't be taken back by themselves.
+    const wasClosed = old.closedOrigins.includes(hall);
+    const closed = order === 'empty' || emptied.includes(hall);
     return {
       kind: 'write',
-      value: { serial: old.serial + 1, emptied: order === 'empty' ? [...others, hall] : others, changes: remember(old.changes, changeId, old.serial + 1) } satisfies HallsValue,
+      value: {
+        serial, emptied, closedOrigins: closed ? [...but(old.closedOrigins), hall] : but(old.closedOrigins),
+        reopened: wasClosed && !closed ? { ...old.reopened, [hall]: serial } : old.reopened, changes: remember(old.changes, changeId, serial),
+      } satisfies HallsValue,
     };
   },
   claim: (token: string, node: string, life: string, digest: string): Change => (current) => {
@@ -224,7 +236,7 @@
     set(work, { postings: { ...work.state.postings, [which]: { ...posting, acks } } });
     return;
   }
-  set(work, { postings: without(work.state.postings, which) });
+  set(work, { postings: without(work.state.postings, which), posted: { ...work.state.posted, ...Object.fromEntries(posting.facts.map((fact) => [fact.key, true as const])) } });
   work.effects.push({ kind: 'answer', id: posting.id, status: 200, body: posting.done });
 };
 
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -8,9 +8,9 @@
 import type { Description, Purge } from '@reedyard/stencil';
 import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
 import { tendDuty } from './duty.js';
-import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, learn, nodesOf, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing } from './network.js';
+import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
 import { lostPull, pullAll, renewLease, tookFetch, tookPull, tookRetold } from './pulls.js';
-import { hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { closedOf, hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
 import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, LatheCall, Report, Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
@@ -66,27 +66,44 @@
   }
 };
 
+/** Whether all of a description but its number was told already, lately enough. */
+const isTold = (state: JigState, key: string, told: Description): boolean => {
+  const held = state.spindle.records[key];
+  if (held === undefined || held.forgotten || state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.hall, held.seenAt)) return false;
+  const known = held.value as Description;
+  return [...new Set([...Object.keys(told), ...Object.keys(known)] as (keyof Description)[])].every((field) => field === 'sequence' || told[field] === known[field]);
+};
+
 const describe = (work: Work, id: number, description: Description): void => {
-  const key = `origin/${description.service}/${description.instance}`;
-  const known = Spindle.get(work.state.spindle, key) as Description | undefined;
-  if (known !== undefined && known !== null && known.incarnation > description.incarnation) {
+  const key = originKey(description);
+  const known = Spindle.get(work.state.spindle, key) as Description | null | undefined ?? null;
+  if (known !== null && known.incarnation > description.incarnation) {
     work.effects.push({ kind: 'answer', id, status: 409, body: { type: 'about:blank', title: 'Older incarnation', status: 409, detail: `incarnation ${known.incarnation} of this instance has already described itself` } });
     return;
   }
-  const draining = description.draining || (known !== undefined && known !== null && known.incarnation === description.incarnation && known.draining);
-  const told: Description = { ...description, draining };
-  set(work, { spindle: Spindle.tell(work.state.spindle, key, told, work.state.now) });
+  const late = known !== null && isOld(work.state, description);
+  const draining = (late ? false : description.draining) || (known !== null && known.incarnation === description.incarnation && known.draining);
+  const told: Description = late ? known : { ...description, draining };
+  if (!late) {
+    set(work, { spindle: isTold(work.state, key, told) ? Spindle.note(work.state.spindle, key, told) : Spindle.tell(work.state.spindle, key, told, work.state.now, told.sequence) });
+  }
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
-  if (draining) post(work, [{ key: drainKey(told), value: true }], id, done);
+  if (draining) postOnce(work, drainKey(told), true, id, done);
   else work.effects.push({ kind: 'answer', id, status: 200, body: done });
 };
 
+/** Posts a fact, unless a majority of disks is known to hold it. */
+const postOnce = (work: Work, key: string, value: unknown, id: number, done: unknown): void => {
+  if (work.state.posted[key] === true) work.effects.push({ kind: 'answer', id, status: 200, body: done });
+  else post(work, [{ key, value }], id, done);
+};
+
 const status = (state: JigState): unknown => ({
   node: state.self.id, hall: state.self.hall, region: state.self.region,
   leaseMs: Math.max(0, Math.round(state.lease - state.now)),
   policySerial: policyOf(state)?.serial ?? 0,
-  emptiedHalls: hallsOf(state)?.emptied ?? [],
+  emptiedHalls: hallsOf(state)?.emptied ?? [], closedOrigins: closedOf(state),
   anvils: Object.entries(state.anvils).map(([name, view]) => ({ name, address: view.address, answered: view.pulled !== null && state.now - view.pulled.sentAt < Limits.lease })),
   duty: planOf(state) === null ? null : { holder: planOf(state)?.holder, term: planOf(state)?.term },
   origins: originsOf(state).map(({ description, barred: why }) => ({ ...description, admitted: why === null, ...(why === null ? {} : { reason: why }) })),
@@ -115,8 +132,9 @@
   switch (action.kind) {
     case 'put-policy': pursue(work, 'policy', Changes.policy(action.document, action.ifMatch, action.changeId), { kind: 'put-policy', id, changeId: action.changeId }); return;
     case 'get-policy': pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id }); return;
-    case 'hall': pursue(work, 'halls', Changes.halls(action.hall, action.order, action.changeId), { kind: 'hall', id, changeId: action.changeId }); return;
+    case 'hall': pursue(work, 'halls', Changes.halls(action.hall, action.order, action.of, action.changeId), { kind: 'hall', id, changeId: action.changeId }); return;
     case 'purge': post(work, [{ key: `purge/${action.changeId}`, value: action.purge }], id, { changeId: action.changeId }); return;
+    case 'withdraw': postOnce(work, withdrawnKey(action.instance), true, id, { withdrawn: action.instance }); return;
     case 'describe': describe(work, id, action.description); return;
     case 'status': answer(200, status(state)); return;
     case 'shares': {
@@ -183,6 +201,7 @@
     spindle: swept.state, facts,
     ...(spanOver ? { claims: [Table<string, never>(), ...state.claims.slice(0, -1)], claimsFrom: state.now } : {}),
     factKeys: facts.length === state.facts.length ? state.factKeys : Object.fromEntries(facts.map((fact) => [fact.key, true as const])),
+    posted: facts.length === state.facts.length ? state.posted : Object.fromEntries(facts.flatMap((fact) => (state.posted[fact.key] === true ? [[fact.key, true as const]] : []))),
   });
 };
 
@@ -218,7 +237,7 @@
   }): JigState => ({
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
     anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null, named: null, retold: null }])),
-    registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
+    registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
--- a/packages/jig/src/duty.ts
+++ b/packages/jig/src/duty.ts
@@ -27,7 +27,9 @@
     const next = toward(aim, [now, ...held.map((each) => each.slices[name] ?? {})]);
     return [name, differs(next, now) ? next : now];
   }));
-  const seated = seats.map((seat) => seat.edge).filter((edge) => current.seated.includes(edge) || isSeated(edge, goals, slices));
+  // A service without a bound keeps no node waiting for its share.
+  const bounded = Object.fromEntries(Object.entries(goals).filter(([name]) => bounds[name] !== Infinity));
+  const seated = seats.map((seat) => seat.edge).filter((edge) => current.seated.includes(edge) || isSeated(edge, bounded, slices));
   const goal: Plan = { term: current.term, holder: state.self.id, beat: current.beat + 1, slices, seated };
   // What is in force now may be held by others for a lease after its successor is chosen.
   set(work, { duty: { ...duty, held: [...held, { slices: current.slices, until: state.now + Limits.regrant + Limits.proposal }] } });
--- /dev/null
+++ b/packages/jig/src/jig.test.ts
@@ -0,0 +1,120 @@
+import test from 'ava';
+import { parse, stringify } from 'devalue';
+import { Beats, Limits } from '@reedyard/gauge';
+import { Spindle } from '@reedyard/spindle';
+import { Stencil, type Description } from '@reedyard/stencil';
+import { Changes } from './ballots.js';
+import { Jig } from './core.js';
+import { boundsOf, learn, originRows, originsOf } from './network.js';
+import { learnRegister } from './pulls.js';
+import type { JigState, Watched, Work } from './state.js';
+import type { Action, HallsValue, JigEffect, PolicyValue } from './terms.js';
+
+const self = { id: 'n', hall: 'west', region: 'r', address: '127.0.0.1:1', lathe: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 }, anvil: null };
+const opened = (now = 0): JigState => Jig.open({ self, life: 'l', seeds: [], founders: { a: '127.0.0.1:11', b: '127.0.0.1:12', c: '127.0.0.1:13' }, seed: 1, now });
+const written = (change: ReturnType<typeof Changes.policy>, current: unknown): unknown => { const done = change(current); return done.kind === 'write' ? done.value : done.kind; };
+const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
+  const work: Work = { state, effects: [] };
+  learnRegister(work, key, [round, 'x'], value);
+  return work.state;
+};
+const acted = (state: JigState, action: Action, now: number): { readonly state: JigState; readonly effects: readonly JigEffect[] } => Jig.reduce(state, { kind: 'operator', id: 1, action, now });
+const policyValue = (services: object, more: object = {}): PolicyValue => ({ serial: 1, document: Stencil.policy({ services, routes: [], ...more }), changes: [] });
+const told = (more: Partial<Description> = {}): Description => ({ service: 's', instance: 'i', incarnation: 0, address: '127.0.0.1:20', region: 'r', hall: 'west', slots: 8, state: 'warm', draining: false, sequence: 1, ...more });
+const plan = (shares: Readonly<Record<string, Readonly<Record<string, number>>>>): object => ({ term: 1, holder: 'n', beat: 1, slices: shares, seated: [] });
+const answers = (effects: readonly JigEffect[]): readonly number[] => effects.flatMap((effect) => (effect.kind === 'answer' ? [effect.status] : []));
+
+test('of two policies with a version the higher one stays, in whatever order they are written', (t) => {
+  const put = (version: number | undefined, id: string) => Changes.policy(Stencil.policy({ services: {}, routes: [], ...(version === undefined ? {} : { version }) }), null, id);
+  for (const order of [[3, 7, 5], [7, 5, 3], [5, 3, 7], [7, 7, 3]]) {
+    const end = order.reduce<unknown>((current, version, index) => { const next = written(put(version, `c-${index}`), current); return next === 'keep' ? current : next; }, null) as PolicyValue;
+    t.is(end.document.version, 7, order.join());
+  }
+  const seven = written(put(7, 'a'), null) as PolicyValue;
+  t.is(written(put(7, 'b'), seven), 'keep');
+  t.is((written(put(8, 'b'), seven) as PolicyValue).serial, 2);
+  const plain = written(put(undefined, 'b'), seven) as PolicyValue;
+  t.deepEqual([plain.serial, plain.document.version], [2, undefined]);
+  t.is((written(put(1, 'c'), plain) as PolicyValue).document.version, 1);
+});
+
+test('orders for the origins of a hall leave its nodes alone', (t) => {
+  const order = (current: unknown, what: 'empty' | 'take-back', of: 'all' | 'origins', id: string): HallsValue => written(Changes.halls('west', what, of, id), current) as HallsValue;
+  const closed = order(null, 'empty', 'origins', '1');
+  t.deepEqual([closed.emptied, closed.closedOrigins, closed.reopened], [[], ['west'], {}]);
+  const whole = order(closed, 'empty', 'all', '2');
+  t.deepEqual([whole.emptied, whole.closedOrigins], [['west'], ['west']]);
+  const still = order(whole, 'take-back', 'origins', '3');
+  t.deepEqual([still.emptied, still.closedOrigins, still.reopened], [['west'], ['west'], {}]);
+  const open = order(still, 'take-back', 'all', '4');
+  t.deepEqual([open.emptied, open.closedOrigins, open.reopened], [[], [], { west: 4 }]);
+});
+
+test('after a hall is taken back its origins count as cold until they are heard again', (t) => {
+  const halls = (serial: number, closed: readonly string[], reopened: object): object => ({ serial, emptied: [], closedOrigins: closed, reopened, changes: [] });
+  let state = learnt(learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 4, ceiling: 100 } })), 'plan', 1, plan({ s: { n: 0.5 } }));
+  const hear = (now: number, sequence: number): void => { state = acted(state, { kind: 'describe', description: told({ sequence }) }, now).state; };
+  const colds = (): readonly boolean[] => originRows(state).map((row) => row.cold);
+  hear(10, 1);
+  t.deepEqual(colds(), [false]);
+  state = learnt({ ...state, now: 20 }, 'halls', 1, halls(1, ['west'], {}));
+  t.deepEqual([colds(), originsOf(state)[0]?.barred], [[], 'the origins of its hall get nothing']);
+  state = learnt({ ...state, now: 2_000 }, 'halls', 2, halls(2, [], { west: 2 }));
+  t.deepEqual([colds(), originRows(state)[0]?.rate], [[true], 2]);
+  hear(2_000 + Limits.warmDoubt - 1, 2);
+  t.deepEqual(colds(), [true]);
+  hear(2_000 + Limits.warmDoubt, 3);
+  t.deepEqual([colds(), originRows(state)[0]?.rate], [[false], Infinity]);
+  state = learnt({ ...state, now: 3_000 }, 'halls', 3, halls(3, ['east'], { west: 2 }));
+  t.deepEqual(colds(), [false]);
+});
+
+test('an older description changes nothing, here and in what is heard from others', (t) => {
+  const key = 'origin/s/i';
+  const known = (state: JigState): Description => Spindle.get(state.spindle, key) as Description;
+  let state = acted(opened(), { kind: 'describe', description: told({ sequence: 5, state: 'cold' }) }, 1).state;
+  const late = acted(state, { kind: 'describe', description: told({ sequence: 4, draining: true }) }, 2);
+  t.deepEqual([answers(late.effects), known(late.state)], [[200], known(state)]);
+  const work: Work = { state, effects: [] };
+  learn(work, { [key]: { serial: 99, value: told({ sequence: 4 }) } });
+  t.deepEqual([known(work.state).sequence, work.state.spindle.records[key]?.serial, work.state.spindle.records[key]?.seenAt], [5, 100, 1]);
+  learn(work, { [key]: { serial: 101, value: told({ sequence: 6 }) } });
+  t.is(known(work.state).sequence, 6);
+  // The same words again are told only now and then; other ones at once.
+  const serial = (): number | undefined => state.spindle.records[key]?.serial;
+  const before = serial() ?? 0;
+  state = acted(state, { kind: 'describe', description: told({ sequence: 6, state: 'cold' }) }, 1_000).state;
+  t.deepEqual([serial(), known(state).sequence], [before, 6]);
+  state = acted(state, { kind: 'describe', description: told({ sequence: 7 }) }, 1_100).state;
+  t.is(serial(), 7);
+  state = acted(state, { kind: 'describe', description: told({ sequence: 8 }) }, 1_100 + Beats.originTold).state;
+  t.is(serial(), 8);
+});
+
+test('a withdrawn instance gets nothing, and the notice is posted once', (t) => {
+  let state = learnt(opened(), 'policy', 1, policyValue({ s: {} }));
+  state = acted(state, { kind: 'describe', description: told() }, 1).state;
+  t.is(originRows(state).length, 1);
+  const asked = acted(state, { kind: 'withdraw', instance: 'i' }, 2);
+  t.deepEqual(answers(asked.effects), []);
+  t.deepEqual(asked.effects.flatMap((effect) => (effect.kind === 'call' && 'voters' in effect.body && effect.body.call.kind === 'post' ? [effect.body.call.facts[0]?.key] : [])), ['withdrawn/i', 'withdrawn/i', 'withdrawn/i']);
+  const posted: JigState = { ...state, factKeys: { 'withdrawn/i': true }, posted: { 'withdrawn/i': true } };
+  t.deepEqual([originRows(posted).length, originsOf(posted)[0]?.barred], [0, 'withdrawn']);
+  t.deepEqual(answers(acted(posted, { kind: 'withdraw', instance: 'i' }, 3).effects), [200]);
+  // Seen on one disk alone it is not acknowledged yet.
+  t.deepEqual(answers(acted({ ...posted, posted: {} }, { kind: 'withdraw', instance: 'i' }, 3).effects), []);
+});
+
+test('without a ceiling and without capacities nothing bounds the rate, and cold ones keep theirs', (t) => {
+  let state = learnt(learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 10, instanceConns: 130 } })), 'plan', 1, plan({ s: { n: 0.25 } }));
+  state = acted(state, { kind: 'describe', description: told() }, 1).state;
+  state = acted(state, { kind: 'describe', description: told({ instance: 'j', address: '127.0.0.1:21', state: 'cold' }) }, 1).state;
+  t.deepEqual(boundsOf(state), { s: Infinity });
+  const rows = originRows(state);
+  t.deepEqual(rows.map((row) => [row.slots, row.conns, row.capacity, row.rate]), [[8, 130, 8, Infinity], [8, 130, 8, 2.5]]);
+  t.deepEqual(parse(stringify(rows)), rows);
+  const fed = Jig.reduce(state, { kind: 'fed', id: 9, now: 2, body: { kind: 'feed', report: { policySerial: 1, life: '', latheLife: 'x', purgeSeq: 0, stopping: false, wants: {}, measure: null, counters: {} } } });
+  t.deepEqual(fed.effects.flatMap((effect) => (effect.kind === 'tell' && effect.body !== undefined && 'slices' in effect.body ? [effect.body.slices] : [])), [{ s: Infinity }]);
+  // A cold one whose service sets no cold rate is bound by nothing either, also without a share.
+  t.deepEqual(originRows(learnt(learnt(state, 'policy', 2, policyValue({ s: {} })), 'plan', 2, plan({}))).map((row) => row.rate), [Infinity, Infinity]);
+});
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -3,7 +3,7 @@
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
-import { chance, hallsOf, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
+import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
 /** Tells this node's own record again; each new serial is a heartbeat. */
@@ -64,8 +64,15 @@
 
 /** Takes in tellings; one's own that came back with a higher serial are told again above it. */
 export const learn = (work: Work, tellings: Exchanged['newer']): void => {
-  const learned = Spindle.learn(work.state.spindle, tellings, work.state.now);
+  const before = work.state;
+  const learned = Spindle.learn(before.spindle, tellings, before.now);
   set(work, { spindle: learned.state });
+  // Two nodes may each have heard an origin without the other: what it said later is told again above.
+  for (const key of learned.news) {
+    const told = tellings[key]?.value as Description | null | undefined;
+    const held = before.spindle.records[key];
+    if (key.startsWith('origin/') && told && held !== undefined && isOld(before, told)) set(work, { spindle: Spindle.tell(work.state.spindle, key, held.value, held.seenAt) });
+  }
   const own = [`node/${work.state.self.id}`, `vector/${work.state.self.id}`];
   if (learned.news.includes(own[0] ?? '')) heartbeat(work);
   if (learned.news.includes(own[1] ?? '') && work.state.sent !== null) {
@@ -157,18 +164,36 @@
   const service = policyOf(state)?.document.services[description.service];
   if (service === undefined) return 'no policy allows this service';
   if (service.instances !== undefined && !service.instances.includes(description.instance)) return 'the policy does not name this instance';
+  if (state.factKeys[withdrawnKey(description.instance)] !== undefined) return 'withdrawn';
   if (description.draining || state.factKeys[drainKey(description)] !== undefined) return 'draining';
-  if (hallsOf(state)?.emptied.includes(description.hall) === true) return 'its hall is emptied';
+  if (closedOf(state).includes(description.hall)) return hallsOf(state)?.emptied.includes(description.hall) === true ? 'its hall is emptied' : 'the origins of its hall get nothing';
   return null;
 };
 
 export const drainKey = (description: Description): string => `drain/${description.service}/${description.instance}/${description.incarnation}`;
 
+/** Bars every life of an instance of this name, for as long as the fact lasts. */
+export const withdrawnKey = (instance: string): string => `withdrawn/${instance}`;
+
+/** Whether what an origin of a hall said at some time is too old to be trusted as warm: its hall was taken back since. */
+export const inDoubt = (state: JigState, hall: string, heardAt: number): boolean => heardAt < (state.reopened[hall] ?? -Infinity) + Limits.warmDoubt;
+
+const isOlder = (told: Description, known: Description): boolean => told.incarnation < known.incarnation
+  || (told.incarnation === known.incarnation && told.sequence !== undefined && known.sequence !== undefined && told.sequence < known.sequence);
+
+/** Whether a description is older than the one known of the same origin. */
+export const isOld = (state: JigState, description: Description): boolean => {
+  const known = Spindle.get(state.spindle, originKey(description)) as Description | null | undefined;
+  return known !== undefined && known !== null && isOlder(description, known);
+};
+
+export const originKey = (description: Description): string => `origin/${description.service}/${description.instance}`;
+
 /** Every origin heard of. Of two at one address only the one heard later counts. */
-export const originsOf = (state: JigState): readonly { readonly description: Description; readonly barred: string | null }[] => {
+export const originsOf = (state: JigState): readonly { readonly description: Description; readonly heardAt: number; readonly barred: string | null }[] => {
   const all = Spindle.all(state.spindle, 'origin/').map(([, value, seenAt]) => ({ description: value as Description, seenAt }));
   return all.map(({ description, seenAt }) => ({
-    description,
+    description, heardAt: seenAt,
     barred: all.some((other) => other.description.address === description.address && other.seenAt > seenAt
       && (other.description.service !== description.service || other.description.instance !== description.instance))
       ? 'another origin has taken its address' : barred(state, description),
@@ -179,15 +204,16 @@
 export const originRows = (state: JigState): readonly OriginRow[] => {
   const slices = planOf(state)?.slices ?? {};
   const services = policyOf(state)?.document.services ?? {};
-  return originsOf(state).flatMap(({ description, barred: why }): readonly OriginRow[] => {
+  return originsOf(state).flatMap(({ description, heardAt, barred: why }): readonly OriginRow[] => {
     if (why !== null) return [];
-    const cold = description.state === 'cold';
+    const cold = description.state === 'cold' || inDoubt(state, description.hall, heardAt);
     const mine = slices[description.service] ?? {};
     const carried = rateOf(mine, state.self.id, description.capacity ?? Infinity);
-    const bearable = (mine[state.self.id] ?? 0) * (services[description.service]?.coldRate ?? Infinity) * Weights.coldShare;
+    const service = services[description.service];
+    const bearable = service?.coldRate === undefined ? Infinity : (mine[state.self.id] ?? 0) * service.coldRate * Weights.coldShare;
     return [{
       service: description.service, instance: description.instance, incarnation: description.incarnation, address: description.address,
-      hall: description.hall, region: description.region, capacity: description.capacity ?? description.slots ?? 1, cold, rate: cold ? Math.min(carried, bearable) : carried,
+      hall: description.hall, region: description.region, capacity: description.capacity ?? description.slots ?? 1, slots: description.slots ?? null, conns: service?.instanceConns ?? null, cold, rate: cold ? Math.min(carried, bearable) : carried,
     }];
   });
 };
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -3,6 +3,7 @@
 import type { AnvilReply } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
 import { Changes, countAnew, pursue } from './ballots.js';
+import type { HallsValue } from './terms.js';
 import { chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
@@ -19,6 +20,12 @@
   }
 };
 
+/** Halls taken back since the orders known before: what their origins said until now is not trusted. */
+const noteReopened = (work: Work, before: HallsValue | undefined, now: HallsValue): void => {
+  const opened = Object.entries(now.reopened).filter(([, serial]) => serial > (before?.serial ?? 0));
+  if (opened.length > 0) set(work, { reopened: { ...work.state.reopened, ...Object.fromEntries(opened.map(([hall]) => [hall, work.state.now])) } });
+};
+
 /** Takes in a value that is known to be chosen. A lower ballot than the known one is old news. */
 export const learnRegister = (work: Work, key: Watched, ballot: Ballot, value: unknown): void => {
   const known = work.state.registers[key];
@@ -35,6 +42,7 @@
     log(work, 'voters.in-force', { epoch: (value as { epoch: number }).epoch });
     countAnew(work);
   } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
+  if (key === 'halls') noteReopened(work, known?.value as HallsValue | undefined, value as HallsValue);
   renewLease(work);
 };
 
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -77,6 +77,10 @@
   readonly facts: readonly (Fact & { readonly seq: number; readonly at: number })[];
   readonly factKeys: Readonly<Record<string, true>>;
   readonly factSeq: number;
+  /** Keys of facts that this node saw a majority of disks take. */
+  readonly posted: Readonly<Record<string, true>>;
+  /** When this node learnt that a hall's origins were taken back. */
+  readonly reopened: Readonly<Record<string, number>>;
   /** The newest span of them first. */
   readonly claims: readonly Claims[];
   readonly claimsFrom: number;
@@ -153,4 +157,6 @@
 
 export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
 export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls?.value ?? null) as HallsValue | null;
+/** Halls whose origins get nothing. */
+export const closedOf = (state: JigState): readonly string[] => hallsOf(state)?.closedOrigins ?? hallsOf(state)?.emptied ?? [];
 export const planOf = (state: JigState): Plan | null => (state.registers.plan?.value ?? null) as Plan | null;
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -38,6 +38,10 @@
 export type HallsValue = {
   readonly serial: number;
   readonly emptied: readonly string[];
+  /** Halls whose origins get nothing: the emptied ones, and those of which only the origins are. */
+  readonly closedOrigins: readonly string[];
+  /** Halls whose origins were taken back, and the serial that did. */
+  readonly reopened: Readonly<Record<string, number>>;
   readonly changes: readonly { readonly id: string; readonly serial: number }[];
 };
 
@@ -70,8 +74,14 @@
 
 export type OriginRow = {
   readonly service: string; readonly instance: string; readonly incarnation: number; readonly address: string;
-  readonly hall: string; readonly region: string; readonly capacity: number; readonly cold: boolean;
-  /** Legs a second that this node may make to it. */
+  readonly hall: string; readonly region: string; readonly cold: boolean;
+  /** How much it carries beside others of its service: requests a second, or its slots. */
+  readonly capacity: number;
+  /** Requests that it works on at once. */
+  readonly slots: number | null;
+  /** Connections that it accepts from all nodes together. */
+  readonly conns: number | null;
+  /** Legs a second that this node may make to it; Infinity where nothing bounds them. */
   readonly rate: number;
 };
 export type PartnerRow = { readonly id: string; readonly hall: string; readonly region: string; readonly address: string; readonly delay: number };
@@ -90,7 +100,7 @@
   readonly partners: readonly PartnerRow[];
   readonly emptied: readonly string[];
   readonly split: Split;
-  /** Legs a second that this lathe may make, by service. */
+  /** Legs a second that this lathe may make, by service; Infinity where nothing bounds them. */
   readonly slices: Readonly<Record<string, number>>;
   /** Whether the division has given this node most of its slices: until then it is not ready. */
   readonly seated: boolean;
@@ -123,8 +133,9 @@
   | { readonly kind: 'put-policy'; readonly document: Policy; readonly ifMatch: number | null; readonly changeId: string }
   | { readonly kind: 'get-policy' }
   | { readonly kind: 'describe'; readonly description: Description }
+  | { readonly kind: 'withdraw'; readonly instance: string }
   | { readonly kind: 'purge'; readonly purge: Purge; readonly changeId: string }
-  | { readonly kind: 'hall'; readonly hall: string; readonly order: HallOrder['order']; readonly changeId: string }
+  | { readonly kind: 'hall'; readonly hall: string; readonly order: HallOrder['order']; readonly of: HallOrder['of']; readonly changeId: string }
   | { readonly kind: 'status' | 'shares' | 'partners' | 'ready' | 'live' };
 
 export type JigEvent =
--- a/packages/ladle/src/index.ts
+++ b/packages/ladle/src/index.ts
@@ -63,12 +63,13 @@
   Math.min(ceiling ?? Infinity, capacities.reduce((sum, each) => sum + each, 0));
 
 /**
- * What one edge's share of a bound comes to, in requests a second.
+ * What one edge's share of a bound comes to, in requests a second. Without a bound every edge may make as many as it likes.
  *
  * @example
  * rateOf({ a: 0.25, b: 0.75 }, 'a', 100) // 25
  */
-export const rateOf = (slices: Slices, edge: string, bound: number): number => (slices[edge] ?? 0) * usable(bound, Object.keys(slices).length);
+export const rateOf = (slices: Slices, edge: string, bound: number): number => 
+  (bound === Infinity ? Infinity : (slices[edge] ?? 0) * usable(bound, Object.keys(slices).length));
 
 /**
  * Divides a bound from region to hall to edge, each time by what is asked for, into shares.
@@ -87,7 +88,8 @@
     groups.forEach((group, index) => level(parts[index] ?? 0, group, rest));
   };
   // Without anything to divide the shares still say who would have what.
-  const total = Math.max(1e-9, usable(bound, seats.length));
+  // Where there is no bound, they say what each bears of a cold instance's rate: as much for all as is asked for, and as much again.
+  const total = bound === Infinity ? Math.max(1, 2 * wantOf(seats)) : Math.max(1e-9, usable(bound, seats.length));
   level(total, seats, [(seat) => seat.region, (seat) => seat.hall, (seat) => seat.edge]);
   return Object.fromEntries(Object.entries(out).map(([edge, rate]) => [edge, rate / total]));
 };
--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -45,6 +45,7 @@
 
 /** Takes a token; a bucket begins empty, a changed rate counts only from now on, and a lowered one lets go of what it could not have saved. */
 export const takeToken = (work: Work, name: string, rate: number): boolean => {
+  if (rate === Infinity) return true;
   const old = work.state.buckets[name] ?? { tokens: 0, at: work.state.now, rate };
   const tokens = Math.min(most(rate), filled(old, work.state.now));
   const taken = tokens >= 1;
@@ -61,6 +62,7 @@
 export const waitFor = (state: LatheState, name: string, rate: number, ahead: number): number => {
   const bucket = state.buckets[name];
   const tokens = bucket === undefined ? 0 : filled(bucket, state.now);
+  if (rate === Infinity) return 0;
   return rate <= 0 ? Infinity : Math.max(0, ((1 + ahead - tokens) / rate) * 1_000);
 };
 
--- a/packages/lathe/src/conns.test.ts
+++ b/packages/lathe/src/conns.test.ts
@@ -14,7 +14,7 @@
   });
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve); });
   t.teardown(() => { server.closeAllConnections(); server.close(); });
-  const row = { service: 's', instance: 'i', incarnation: 1, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, hall: 'h', region: 'r', capacity: 1, cold: false, rate: 1 };
+  const row = { service: 's', instance: 'i', incarnation: 1, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, hall: 'h', region: 'r', capacity: 1, cold: false, slots: null, conns: null, rate: 1 };
   const send = (sendBy: number): Promise<string> => new Promise((resolve) => {
     new OriginConns('127.0.0.1').send(row, { method: 'GET', path: '/x', headers: { host: 'a.example' }, body: Buffer.alloc(0) }, sendBy, () => resolve('answered'), (error) => resolve(`${error.why} ${error.sent}`));
   });
--- a/packages/lathe/src/lathe.test.ts
+++ b/packages/lathe/src/lathe.test.ts
@@ -8,7 +8,7 @@
   services: { store: { ceiling: 1_000, coldRate: 10 } },
   routes: [{ name: 'sheets', host: 'a.example', path: '/sheets/', service: 'store', methods: ['GET', 'POST'] }, { name: 'homed', host: 'a.example', path: '/homed/', service: 'store', homes: ['far'] }],
 });
-const origin = { service: 'store', instance: 'o1', incarnation: 1, address: '10.0.0.1:1', hall: 'w', region: 'near', capacity: 100, cold: false, rate: 1_000 };
+const origin = { service: 'store', instance: 'o1', incarnation: 1, address: '10.0.0.1:1', hall: 'w', region: 'near', capacity: 100, cold: false, slots: null, conns: null, rate: 1_000 };
 const partner = { id: 'b', hall: 'w', region: 'far', address: '10.0.0.2:1', delay: 0.001 };
 const feedOf = (part: Partial<Feed> = {}): Feed => ({
   leaseMs: Limits.lease, life: 'l', flushes: 0, policy: { serial: 1, document: policy }, policySerial: 1, origins: [origin], partners: [partner], emptied: [], split: {},
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -618,7 +618,7 @@
     this.#changes += 1;
     const changeId = `change-${this.#changes}`;
     const sentAt = this.clock.now();
-    const attempt = (left: number): void => this.operate({ kind: 'hall', hall, order, changeId }, (reply) => {
+    const attempt = (left: number): void => this.operate({ kind: 'hall', hall, order, of: 'all', changeId }, (reply) => {
       if (reply.status === 200) { this.history.push({ kind: 'hall', at: this.clock.now(), sentAt, serial: (reply.body as { serial: number }).serial, hall, order }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     });
     attempt(10);
--- a/packages/reedyard/src/commands/plan.ts
+++ b/packages/reedyard/src/commands/plan.ts
@@ -21,14 +21,14 @@
     const next = flags.policy === undefined ? undefined : this.policyOf(flags.policy, flags);
     const read = async <T>(target: string): Promise<T> => await this.call(flags.node, 'GET', target) as T;
     const [{ policy }, status, { partners }, { services }] = await Promise.all([
-      read<{ policy: Policy }>('/v1/policy'), read<{ emptiedHalls: string[]; origins: Description[] }>('/v1/status'),
+      read<{ policy: Policy }>('/v1/policy'), read<{ emptiedHalls: string[]; closedOrigins?: string[]; origins: Description[] }>('/v1/status'),
       read<{ partners: NodeRecord[] }>('/v1/partners'), read<{ services: Record<string, { slices: Record<string, number> }> }>('/v1/shares'),
     ]);
     const halls = new Set(partners.map((node) => node.hall));
     const unknown = [...(flags.empty ?? []), ...(flags['take-back'] ?? [])].filter((hall) => !halls.has(hall));
     if (unknown.length > 0) throw new ClientError(exitCodes.refused, `no node stands in ${unknown.join(', ')}; halls are ${[...halls].sort().join(', ')}`);
     const moves = plan(
-      { policy, emptied: status.emptiedHalls, origins: status.origins, nodes: partners, slices: Object.fromEntries(Object.entries(services).map(([name, each]) => [name, each.slices])) },
+      { policy, emptied: status.emptiedHalls, ...(status.closedOrigins === undefined ? {} : { closedOrigins: status.closedOrigins }), origins: status.origins, nodes: partners, slices: Object.fromEntries(Object.entries(services).map(([name, each]) => [name, each.slices])) },
       { ...(next === undefined ? {} : { policy: next }), ...(flags.empty === undefined ? {} : { empty: flags.empty }), ...(flags['take-back'] === undefined ? {} : { takeBack: flags['take-back'] }) });
     if (!this.jsonEnabled()) this.tell(moves);
     return moves;
--- a/packages/spindle/src/index.ts
+++ b/packages/spindle/src/index.ts
@@ -32,12 +32,24 @@
   all: (state: SpindleState, prefix: string): readonly (readonly [key: string, value: unknown, seenAt: number])[] =>
     Object.entries(state.records).flatMap(([key, held]) => (key.startsWith(prefix) && !held.forgotten ? [[key, held.value, held.seenAt] as const] : [])),
 
-  /** Tells something of one's own (or a guest's), above any serial seen. @example Spindle.tell(state, 'node/a', {}, 5) */
-  tell: (state: SpindleState, key: string, value: unknown, now: number): SpindleState => ({
+  /**
+   * Tells something of one's own (or a guest's), above any serial seen. Where a guest numbers what it says,
+   * nodes that hear different words of it each take its number for the least serial, so that the later one wins.
+   *
+   * @example
+   * Spindle.tell(state, 'node/a', {}, 5)
+   */
+  tell: (state: SpindleState, key: string, value: unknown, now: number, least = 0): SpindleState => ({
     ...state,
-    records: { ...state.records, [key]: { serial: (state.records[key]?.serial ?? 0) + 1, value, seenAt: now, forgotten: false } },
+    records: { ...state.records, [key]: { serial: Math.max(least, (state.records[key]?.serial ?? 0) + 1), value, seenAt: now, forgotten: false } },
   }),
 
+  /** Changes a value held here without telling it to others. @example Spindle.note(state, 'origin/s/i', value) */
+  note: (state: SpindleState, key: string, value: unknown): SpindleState => {
+    const held = state.records[key];
+    return held === undefined ? state : { ...state, records: { ...state.records, [key]: { ...held, value } } };
+  },
+
   /** Takes in what others told; returns the keys that were news. @example Spindle.learn(state, newer, 5).news */
   learn: (state: SpindleState, tellings: Readonly<Record<string, Telling>>, now: number): { readonly state: SpindleState; readonly news: readonly string[] } => {
     const news = Object.keys(tellings).filter((key) => (tellings[key]?.serial ?? 0) > (state.records[key]?.serial ?? 0));
--- a/packages/trammel/src/index.ts
+++ b/packages/trammel/src/index.ts
@@ -6,6 +6,8 @@
 export type Known = {
   readonly policy: Policy;
   readonly emptied: readonly string[];
+  /** Halls whose origins get nothing, the emptied ones among them. */
+  readonly closedOrigins?: readonly string[];
   readonly nodes: readonly NodeRecord[];
   readonly origins: readonly Description[];
   readonly slices: Readonly<Record<string, Slices>>;
@@ -41,12 +43,12 @@
   };
 };
 
-const standing = (origin: Description, policy: Policy, emptied: readonly string[]): string => {
+const standing = (origin: Description, policy: Policy, closed: readonly string[], emptied: readonly string[]): string => {
   const service = policy.services[origin.service];
   if (service === undefined) return 'no policy allows this service';
   if (service.instances !== undefined && !service.instances.includes(origin.instance)) return 'the policy does not name this instance';
   if (origin.draining) return 'draining';
-  return emptied.includes(origin.hall) ? 'its hall is emptied' : 'takes work';
+  return emptied.includes(origin.hall) ? 'its hall is emptied' : closed.includes(origin.hall) ? 'the origins of its hall get nothing' : 'takes work';
 };
 
 /**
@@ -59,6 +61,8 @@
 export const plan = (known: Known, intent: Intent): Moves => {
   const policy = intent.policy ?? known.policy;
   const emptied = [...new Set([...known.emptied.filter((hall) => intent.takeBack?.includes(hall) !== true), ...(intent.empty ?? [])])];
+  const wereClosed = known.closedOrigins ?? known.emptied;
+  const closed = [...new Set([...wereClosed.filter((hall) => intent.takeBack?.includes(hall) !== true), ...(intent.empty ?? [])])];
   const fronts = known.nodes.filter((node) => node.lathe !== null);
   const left = fronts.filter((node) => !emptied.includes(node.hall));
   const seats: readonly Seat[] = left.map((node) => ({ edge: node.id, hall: node.hall, region: node.region }));
@@ -69,7 +73,7 @@
 
   /** What a service could get then: its ceiling, or less where its instances carry less. */
   const boundAfter = (service: string): number => (policy.services[service] === undefined ? 0
-    : boundOf(policy.services[service]?.ceiling, known.origins.filter((origin) => origin.service === service && standing(origin, policy, emptied) === 'takes work').map((origin) => origin.capacity ?? Infinity)));
+    : boundOf(policy.services[service]?.ceiling, known.origins.filter((origin) => origin.service === service && standing(origin, policy, closed, emptied) === 'takes work').map((origin) => origin.capacity ?? Infinity)));
 
   const shares = services.flatMap((service) => {
     const homes = Routes.homesOf(policy.routes, service);
@@ -77,6 +81,7 @@
     const bound = boundAfter(service);
     const after = bound === 0 || allowed.length === 0 ? {} : divide(bound, allowed, wantsAfter(service));
     return fronts.flatMap((node) => {
+      if (bound === Infinity) return [];
       const [was, will] = [known.slices[service]?.[node.id] ?? 0, rateOf(after, node.id, bound)];
       return Math.abs(was - will) > 0.05 * Math.max(was, will) ? [{ service, node: node.id, before: was, after: will }] : [];
     });
@@ -86,7 +91,7 @@
     after: emptied.includes(node.hall) ? 0 : services.reduce((sum, service) => sum + (policy.services[service] === undefined ? 0 : wantsAfter(service)[node.id] ?? 0), 0),
   }));
   const homeless = policy.routes.filter((route) => route.homes !== undefined && !left.some((node) => route.homes?.includes(node.region) === true));
-  const idle = Object.keys(policy.services).filter((service) => !known.origins.some((origin) => origin.service === service && standing(origin, policy, emptied) === 'takes work'));
+  const idle = Object.keys(policy.services).filter((service) => !known.origins.some((origin) => origin.service === service && standing(origin, policy, closed, emptied) === 'takes work'));
   const starved = services.filter((service) => policy.services[service] !== undefined && fronts.reduce((sum, node) => sum + wantOf(node, service), 0) > boundAfter(service));
   return {
     routes: routeMoves(known.policy, policy),
@@ -96,7 +101,7 @@
       return [{ service, change: was === undefined ? 'added' : will === undefined ? 'removed' : 'changed', ceiling: [was?.ceiling ?? null, will?.ceiling ?? null] }];
     }),
     origins: known.origins.flatMap((origin) => {
-      const [before, after] = [standing(origin, known.policy, known.emptied), standing(origin, policy, emptied)];
+      const [before, after] = [standing(origin, known.policy, wereClosed, known.emptied), standing(origin, policy, closed, emptied)];
       return before === after ? [] : [{ origin: `${origin.service}/${origin.instance}`, before, after }];
     }),
     nodes: fronts.flatMap((node) => {
