Voters may found themselves from seeds and change by ballots

The settings had to name every founder, with its address, and the same on every machine. Where a process knows three seeds at most, how many lost disks must be borne, and whether the whole system starts for the very first time, that is not possible. Second mode: voting { losses, firstStart, seeds }. Seeds found the first voters, only all together and blank; the register then carries disk and address of each place; jigs add places up to 2 x losses + 1, and give that of a silent machine to a blank disk elsewhere.

An anvil now votes only by voters that it was told are chosen, and keeps these apart from what it accepted; told of newer ones it refuses ballots of the older epoch also on the voters register. Before, a majority of the set before, with a replaced disk in it, could write its epoch again above the ballot of the next one. Voters are compared by epoch first.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -10,12 +10,31 @@
 /** A place on one anvil's board, in one life of its disk. */
 export type Cursor = { readonly disk: string; readonly seq: number };
 
-/** Who votes: for each place among the founders, the disk that holds it. One place changes at a time. */
-export type Voters = { readonly epoch: number; readonly disks: Readonly<Record<string, string>>; /** The last epoch that was founded after a loss; left out where none was. */ readonly refounded?: number };
+/** Who votes: for each place, the disk that holds it. One place changes at a time. */
+export type Voters = {
+  readonly epoch: number; readonly disks: Readonly<Record<string, string>>;
+  /** The last epoch that was founded after a loss; left out where none was. */
+  readonly refounded?: number;
+  /** Where each place's anvil is reached; left out where the settings name every founder. */
+  readonly addresses?: Readonly<Record<string, string>>;
+};
 /** Voters that are known to be chosen. */
 export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
 export const votersKey = 'voters';
 
+/**
+ * Whether voters known to be chosen are newer than others: epochs are chosen one after the other, so the epoch
+ * counts first. The same epoch may have been written again under a higher ballot, even after the next was chosen.
+ *
+ * @example
+ * newerVoters({ ballot: [3, 'x'], value: { epoch: 2, disks: {} } }, { ballot: [9, 'y'], value: { epoch: 1, disks: {} } }) // true
+ */
+export const newerVoters = (told: VotersTold, known: VotersTold | null): boolean => known === null || told.value.epoch > known.value.epoch
+  || (told.value.epoch === known.value.epoch && Ballots.compare(told.ballot, known.ballot) > 0);
+
+/** Where voters found themselves from seeds: what one anvil is told by its settings. */
+export type AnvilVoting = { readonly address: string; /** Anvils that found the state among themselves. */ readonly seeds: readonly string[]; /** True only when the whole system starts for the very first time. */ readonly firstStart: boolean };
+
 /** A call, with the voters that the caller counts by. */
 export type AnvilAsk = { readonly voters: VotersTold | null; readonly call: AnvilCall };
 
@@ -33,7 +52,7 @@
 /** What an anvil answers. */
 export type AnvilReply =
   /** It may not vote; a fresh disk, which never did, may be given a place. */
-  | { readonly kind: 'away'; readonly disk: string; readonly fresh: boolean }
+  | { readonly kind: 'away'; readonly disk: string; readonly fresh: boolean; /** Whether it has heard of voters. */ readonly informed: boolean }
   /** The caller counts by voters that are no longer in force. */
   | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
   | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
@@ -48,12 +67,16 @@
     readonly facts: readonly Fact[]; readonly ballots: Readonly<Record<string, Ballot>>;
   }
   | { readonly kind: 'fetched'; readonly disk: string; readonly accepted: Cell['accepted'] }
-  | { readonly kind: 'dumped'; readonly disk: string; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
+  | { readonly kind: 'dumped'; readonly disk: string; /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
 
 /** What goes to disk. Replaying a record twice changes nothing. */
 export type AnvilRecord =
   | { readonly kind: 'disk'; readonly disk: string }
   | { readonly kind: 'voting' }
+  /** Its place was given to another: all that was on this disk is gone, and it goes on under a new name. */
+  | { readonly kind: 'blanked'; readonly disk: string }
+  /** Voters that it was told are chosen. */
+  | { readonly kind: 'told'; readonly voters: VotersTold }
   /** The last place given on the board; kept apart, since the facts themselves age away. */
   | { readonly kind: 'place'; readonly seq: number }
   | { readonly kind: 'cell'; readonly key: string; readonly cell: Cell }
@@ -81,8 +104,12 @@
 
 export type AnvilState = {
   readonly name: string;
-  /** The others of the founding set: name and address. */
+  /** The others of the founding set: name and address. Not used where voters found themselves from seeds. */
   readonly others: Readonly<Record<string, string>>;
+  /** What the settings tell where voters found themselves from seeds; null where they name every founder. */
+  readonly seeded: AnvilVoting | null;
+  /** The newest voters that it knows to be chosen: it votes by these alone. */
+  readonly told: VotersTold | null;
   readonly disk: string;
   /** Whether this disk has ever voted; it does so now if the voters name it. */
   readonly voting: boolean;
@@ -112,12 +139,29 @@
 type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
 const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
 
-const votersOf = (state: AnvilState): VotersTold | null => {
-  const accepted = state.cells.get(votersKey)?.accepted ?? null;
-  return accepted === null ? null : { ballot: accepted.ballot, value: accepted.value as Voters };
-};
+const votersOf = (state: AnvilState): VotersTold | null => state.told;
+
+/** The place that voters give to this disk. Where they found themselves from seeds the disk alone tells, since machines move. */
+const placeOf = (state: AnvilState, voters: Voters): string | undefined => state.seeded === null
+  ? voters.disks[state.name] === state.disk ? state.name : undefined
+  : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
 
-const isVoter = (state: AnvilState): boolean => state.voting && votersOf(state)?.value.disks[state.name] === state.disk;
+const isNamed = (state: AnvilState): boolean => state.told !== null && placeOf(state, state.told.value) !== undefined;
+const isVoter = (state: AnvilState): boolean => state.voting && isNamed(state);
+
+/** Whether this anvil may take part in founding the state: only at the very first start, at a seed's address, blank and not told of voters. */
+const mayFound = (state: AnvilState): boolean =>
+  state.seeded !== null && state.seeded.firstStart && state.seeded.seeds.includes(state.seeded.address) && state.told === null && !state.voting;
+
+/** Whom it reads before it votes: name and address. */
+const othersOf = (state: AnvilState): Readonly<Record<string, string>> => {
+  if (state.seeded === null) return state.others;
+  const { address, seeds } = state.seeded;
+  const voters = state.told?.value;
+  const place = voters === undefined ? undefined : placeOf(state, voters);
+  if (voters !== undefined && place !== undefined) return Object.fromEntries(Object.entries(voters.addresses ?? {}).filter(([name]) => name !== place));
+  return mayFound(state) ? Object.fromEntries(seeds.filter((seed) => seed !== address).map((seed) => [seed, seed])) : {};
+};
 
 const withoutClaim = (minutes: AnvilState['claimMinutes'], minute: number, key: string): AnvilState['claimMinutes'] => {
   const left = (minutes.get(minute) ?? Group<string>()).delete(key);
@@ -143,7 +187,6 @@
 const keepCell = (work: Work, key: string, cell: Cell, now: number): void => {
   set(work, { cells: work.state.cells.set(key, cell) });
   if (key.startsWith(claimPrefix)) seeClaim(work, key, minuteOf(now));
-  if (key === votersKey) settleFor(work, (cell.accepted?.value as Voters | undefined)?.refounded ?? 0, now);
   work.effects.push({ kind: 'append', records: [{ kind: 'cell', key, cell }] });
 };
 
@@ -182,13 +225,15 @@
   };
 };
 
+const away = (state: AnvilState): AnvilReply => ({ kind: 'away', disk: state.disk, fresh: !state.voting, informed: state.told !== null });
+
 /**
  * One page of the registers for a reader. The keys are listed once, at its first page: a register that
  * is written later was not written under voters that the reader's place took part in.
  */
 const dumped = (work: Work, after: string | null): AnvilReply => {
   const { state } = work;
-  if (!isVoter(state)) return { kind: 'away', disk: state.disk, fresh: !state.voting };
+  if (!isVoter(state)) return away(state);
   const [given = '', at = '0'] = after === null ? [] : after.split(':');
   const known = state.dumps[given];
   const reading = known === undefined ? String(state.nextCall) : given;
@@ -199,19 +244,39 @@
   const others = Object.entries(state.dumps).filter(([name]) => name !== reading);
   set(work, { nextCall: state.nextCall + 1, dumps: Object.fromEntries(more ? [...others, [reading, keys] as const].slice(-Sizes.readers) : others) });
   return {
-    kind: 'dumped', disk: state.disk, next: more ? `${reading}:${from + page.length}` : null,
+    kind: 'dumped', disk: state.disk, voters: state.told, next: more ? `${reading}:${from + page.length}` : null,
     cells: page.map((key) => [key, state.cells.get(key) ?? emptyCell]),
     facts: more ? [] : state.facts.map(({ key, value }) => ({ key, value })),
   };
 };
 
-/** Voters told by a caller are chosen ones: they are taken over if they are newer. */
+/** Takes in voters that are known to be chosen, if they are newer than those it knew. */
 const adopt = (work: Work, told: VotersTold | null, now: number): void => {
-  const mine = votersOf(work.state);
-  if (told === null || (mine !== null && Ballots.compare(told.ballot, mine.ballot) <= 0)) return;
-  const cell = work.state.cells.get(votersKey) ?? emptyCell;
-  keepCell(work, votersKey, { promised: Ballots.compare(cell.promised, told.ballot) > 0 ? cell.promised : told.ballot, accepted: told }, now);
-  work.effects.push({ kind: 'log', event: 'voters.learned', fields: { epoch: told.value.epoch, seated: told.value.disks[work.state.name] === work.state.disk } });
+  const before = work.state;
+  if (told === null || !newerVoters(told, before.told)) return;
+  const epochBefore = before.told?.value.epoch ?? 0;
+  set(work, { told });
+  const cell = before.cells.get(votersKey) ?? emptyCell;
+  const accepted = cell.accepted === null ? null : { ballot: cell.accepted.ballot, value: cell.accepted.value as Voters };
+  if (newerVoters(told, accepted)) keepCell(work, votersKey, { promised: Ballots.compare(cell.promised, told.ballot) > 0 ? cell.promised : told.ballot, accepted: told }, now);
+  // After the register itself: told of voters, it must show no older ones to a ballot.
+  work.effects.push({ kind: 'append', records: [{ kind: 'told', voters: told }] });
+  settleFor(work, told.value.refounded ?? 0, now);
+  if (told.value.epoch > epochBefore) work.effects.push({ kind: 'log', event: 'voters.learned', fields: { epoch: told.value.epoch, seated: isNamed(work.state) } });
+  blankIfReplaced(work);
+};
+
+/** Its place was given to another disk, which reads from the others what this one's votes helped: so it may forget them, and waits as a blank one. */
+const blankIfReplaced = (work: Work): void => {
+  const { state } = work;
+  const { told } = state;
+  if (state.seeded === null || !state.voting || told === null || isNamed(state)) return;
+  const disk = `${state.disk.split('/', 1)[0] ?? ''}/${told.value.epoch}`;
+  set(work, {
+    disk, voting: false, cells: Table(), claimsSeen: Table(), claimMinutes: Table(), dumps: {}, facts: [], factKeys: Table(), floor: state.seq, readings: {},
+  });
+  work.effects.push({ kind: 'append', records: [{ kind: 'blanked', disk }, { kind: 'told', voters: told }, { kind: 'place', seq: state.seq }] },
+    { kind: 'log', event: 'anvil.replaced', fields: { epoch: told.value.epoch, disk } });
 };
 
 const asked = (work: Work, id: number, ask: AnvilAsk, now: number): void => {
@@ -220,21 +285,21 @@
   const body = ask.call;
   const tell = (reply: AnvilReply): void => { work.effects.push({ kind: 'tell', id, body: reply }); };
   if (body.kind === 'dump') { tell(dumped(work, body.after)); return; }
-  if (!state.voting) { tell({ kind: 'away', disk: state.disk, fresh: true }); return; }
   const mine = votersOf(state);
   const [epoch, known] = [ask.voters?.value.epoch ?? 0, mine?.value.epoch ?? 0];
-  // The step from one set of voters to the next is decided by the earlier set, so its members still
-  // vote on that; on all else only the newest set counts, and only by the disks that it names.
+  if (!state.voting && (state.seeded === null || epoch >= known)) { tell(away(state)); return; }
+  // Only the newest set that is known to be chosen counts, and only by the disks that it names. What it
+  // accepted but was not told of changes nothing: the earlier set, which decides on it, goes on.
   const onVoters = (body.kind === 'prepare' || body.kind === 'accept') && body.key === votersKey;
-  if (epoch < (onVoters ? known - 1 : known)) { tell({ kind: 'stale', disk: state.disk, voters: mine }); return; }
+  if (epoch < known) { tell({ kind: 'stale', disk: state.disk, voters: mine }); return; }
   if (body.kind === 'retell') { takeRetold(work, body, now); tell({ kind: 'retold', disk: state.disk }); return; }
   if (!onVoters && now < state.settlingUntil) { tell({ kind: 'settling', disk: state.disk, epoch: known }); return; }
   if (body.kind === 'prepare' && body.key.startsWith(claimPrefix) && state.claimsSeen.size >= Sizes.claims && !state.cells.has(body.key)) { tell({ kind: 'full', disk: state.disk }); return; }
-  if (!onVoters && !isVoter(state)) { tell({ kind: 'away', disk: state.disk, fresh: false }); return; }
+  if (!isVoter(state)) { tell(away(state)); return; }
   switch (body.kind) {
     case 'prepare': vote(work, id, body.key, Acceptor.prepare(state.cells.get(body.key) ?? emptyCell, body.ballot), now); return;
     case 'accept':
-      if (body.disk !== state.disk) { tell({ kind: 'away', disk: state.disk, fresh: false }); return; }
+      if (body.disk !== state.disk) { tell(away(state)); return; }
       vote(work, id, body.key, Acceptor.accept(state.cells.get(body.key) ?? emptyCell, body.ballot, body.value), now);
       return;
     case 'post': keepFacts(work, body.facts, now); tell({ kind: 'posted', disk: state.disk }); return;
@@ -290,7 +355,7 @@
 
 const rejoin = (work: Work, now: number): void => {
   const epoch = votersOf(work.state)?.value.epoch ?? 0;
-  for (const [name, address] of Object.entries(work.state.others)) {
+  for (const [name, address] of Object.entries(othersOf(work.state))) {
     let reading = readingOf(work.state, name);
     if (reading.call !== null && now - reading.sentAt < Limits.call) continue;
     if (reading.state === 'done' && reading.epoch >= epoch) continue;
@@ -308,7 +373,8 @@
   const { state } = work;
   if (isVoter(state)) return;
   const known = votersOf(state);
-  const others = Object.fromEntries(Object.keys(state.others).map((name) => [name, readingOf(state, name)]));
+  const others = Object.fromEntries(Object.keys(othersOf(state)).map((name) => [name, readingOf(state, name)]));
+  if (state.seeded !== null) { tryVoteSeeded(work, state.seeded, others, now); return; }
   const step = nextStep({ name: state.name, disk: state.disk, voters: known?.value ?? null, others });
   if (step === 'wait') return;
   if (step === 'found') {
@@ -319,10 +385,35 @@
     const ballot: Ballot = [(known?.ballot[0] ?? 0) + 1, 'founding'];
     // Another may have founded the very same just before: then that epoch stands.
     const epoch = (known?.value.epoch ?? 0) + 1;
-    if (!founded) keepCell(work, votersKey, { promised: ballot, accepted: { ballot, value: { epoch, disks, ...(epoch > 1 ? { refounded: epoch } : {}) } satisfies Voters } }, now);
+    if (!founded) adopt(work, { ballot, value: { epoch, disks, ...(epoch > 1 ? { refounded: epoch } : {}) } }, now);
   }
+  beginVoting(work, step);
+};
+
+const beginVoting = (work: Work, step: string): void => {
   set(work, { voting: true, readings: {} });
-  work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: state.disk, cells: work.state.cells.size, step } });
+  work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: work.state.disk, cells: work.state.cells.size, step } });
+};
+
+/**
+ * Where voters found themselves from seeds. A disk that the voters name votes once it has read enough, as ever;
+ * one that the first voters name has no earlier votes to lose. Founding takes every seed reached, blank, and
+ * without word of any voters: nothing is ever founded a second time.
+ */
+const tryVoteSeeded = (work: Work, seeded: AnvilVoting, others: Readonly<Record<string, Reading>>, now: number): void => {
+  const { state } = work;
+  const voters = state.told?.value;
+  const place = voters === undefined ? undefined : placeOf(state, voters);
+  if (voters !== undefined && place !== undefined) {
+    if (voters.epoch === 1 || nextStep({ name: place, disk: state.disk, voters, others }) === 'vote') beginVoting(work, 'vote');
+    return;
+  }
+  if (!mayFound(state) || Object.values(others).some((other) => other.state !== 'blank')) return;
+  const addresses = Object.fromEntries(seeded.seeds.map((seed) => [seed, seed]));
+  const disks = { ...Object.fromEntries(Object.entries(others).map(([name, other]) => [name, other.disk])), [seeded.address]: state.disk };
+  // All that found at once come to the same voters under the same ballot.
+  adopt(work, { ballot: [1, 'founding'], value: { epoch: 1, disks, addresses } }, now);
+  beginVoting(work, 'found');
 };
 
 const returned = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
@@ -331,11 +422,19 @@
   const [name, reading] = found;
   const note = (next: Partial<Reading>): void => set(work, { readings: { ...work.state.readings, [name]: { ...reading, call: null, ...next } } });
   if (body === null) { note({}); return; }
-  if (body.kind === 'away') { note({ state: 'blank', disk: body.disk, after: null }); tryVote(work, now); return; }
+  if (body.kind === 'away') {
+    const blankSeed = work.state.seeded === null || (body.fresh && !body.informed);
+    note({ state: blankSeed ? 'blank' : 'reading', disk: body.disk, after: null });
+    tryVote(work, now);
+    return;
+  }
   if (body.kind !== 'dumped') { note({}); return; }
+  adopt(work, body.voters, now);
+  if (work.state.readings[name] === undefined) return;
   for (const [key, cell] of body.cells) {
     const mine = work.state.cells.get(key) ?? emptyCell;
-    const merged = Acceptor.merge(mine, cell);
+    // Voters that another accepted need not be chosen: of that register only what was promised is taken over.
+    const merged = key === votersKey ? { ...mine, promised: Acceptor.merge(mine, cell).promised } : Acceptor.merge(mine, cell);
     if (Ballots.compare(merged.promised, mine.promised) !== 0 || merged.accepted !== mine.accepted) keepCell(work, key, merged, now);
   }
   keepFacts(work, body.facts, now);
@@ -369,27 +468,35 @@
   open: (parts: {
     readonly name: string; readonly others: Readonly<Record<string, string>>;
     readonly records: readonly AnvilRecord[]; readonly freshDisk: string; readonly now: number;
+    /** Where voters found themselves from seeds; `others` is then not looked at. */
+    readonly seeded?: AnvilVoting | null;
   }): Step<AnvilState, AnvilEffect> => {
     let disk: string | null = null;
     let voting = false;
+    let told: VotersTold | null = null;
     let seq = 0;
     const cells = new Map<string, Cell>();
     const facts = new Map<string, Kept>();
     for (const record of parts.records) {
       if (record.kind === 'disk') disk = record.disk;
       else if (record.kind === 'voting') voting = true;
+      else if (record.kind === 'blanked') { disk = record.disk; voting = false; cells.clear(); facts.clear(); }
+      else if (record.kind === 'told') told = told === null || newerVoters(record.voters, told) ? record.voters : told;
       else if (record.kind === 'place') seq = Math.max(seq, record.seq);
       else if (record.kind === 'cell') cells.set(record.key, record.cell);
       else { facts.set(record.fact.key, { ...record.fact, seq: record.seq, at: parts.now }); seq = Math.max(seq, record.seq); }
     }
+    // A disk of before voters were noted as told.
+    const accepted = cells.get(votersKey)?.accepted ?? null;
+    told ??= accepted === null ? null : { ballot: accepted.ballot, value: accepted.value as Voters };
     const claims = [...cells.keys()].filter((key) => key.startsWith(claimPrefix));
     const kept = [...facts.values()].sort((a, b) => a.seq - b.seq);
     return {
       state: {
-        name: parts.name, others: parts.others, disk: disk ?? parts.freshDisk, voting, cells: Table(cells),
+        name: parts.name, others: parts.others, seeded: parts.seeded ?? null, told, disk: disk ?? parts.freshDisk, voting, cells: Table(cells),
         claimsSeen: Table(claims.map((key) => [key, minuteOf(parts.now)])), claimMinutes: claims.length === 0 ? Table() : Table([[minuteOf(parts.now), Group(claims)]]), dumps: {},
         facts: kept, factKeys: Table(kept.map((fact) => [fact.key, fact.seq])), seq, floor: (kept[0]?.seq ?? seq + 1) - 1,
-        readings: {}, nextCall: 1, sweptAt: parts.now, settlingUntil: -Infinity, settledFor: (cells.get(votersKey)?.accepted?.value as Voters | undefined)?.refounded ?? 0,
+        readings: {}, nextCall: 1, sweptAt: parts.now, settlingUntil: -Infinity, settledFor: told?.value.refounded ?? 0,
       },
       effects: disk === null ? [{ kind: 'append', records: [{ kind: 'disk', disk: parts.freshDisk }] }] : [],
     };
@@ -399,6 +506,7 @@
   * records(state: AnvilState): Iterable<AnvilRecord> {
     yield { kind: 'disk', disk: state.disk };
     if (state.voting) yield { kind: 'voting' };
+    if (state.told !== null) yield { kind: 'told', voters: state.told };
     yield { kind: 'place', seq: state.seq };
     for (const [key, cell] of state.cells) yield { kind: 'cell', key, cell };
     for (const { seq, key, value } of state.facts) yield { kind: 'fact', seq, fact: { key, value } };
@@ -411,7 +519,7 @@
       case 'asked': asked(work, event.id, event.body, event.now); break;
       case 'returned': returned(work, event.id, event.body, event.now); break;
       case 'lost': returned(work, event.id, null, event.now); break;
-      case 'beat': if (!isVoter(state)) rejoin(work, event.now); sweep(work, event.now); break;
+      case 'beat': blankIfReplaced(work); if (!isVoter(work.state)) rejoin(work, event.now); sweep(work, event.now); break;
     }
     return { state: work.state, effects: work.effects };
   },
--- a/packages/anvil/src/main.ts
+++ b/packages/anvil/src/main.ts
@@ -18,11 +18,12 @@
 const run = async (): Promise<void> => {
   speakFrom(settings.host);
   const place = settings.anvil;
-  const founders = settings.founders;
+  const { founders = {}, voting } = settings;
   const notch = await openNotch(path.join(settings.dataFolder, 'anvil'));
   const opened = Anvil.open({
     name: settings.name,
     others: Object.fromEntries(Object.entries(founders).filter(([name]) => name !== settings.name)),
+    seeded: voting === undefined ? null : { address: `${settings.host}:${place.port}`, seeds: voting.seeds, firstStart: voting.firstStart },
     records: notch.records as readonly AnvilRecord[], freshDisk: randomUUID(), now: now(),
   });
   const asking = new Map<number, (reply: AnvilReply) => void>();
--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -67,6 +67,9 @@
   originForgotten: 10_000,
   /** ms. Facts stay on the board and in a snapshot: far over a lease, so a cursor is seldom lost. */
   fact: 60_000,
+  /** ms. A voter whose machine was silent this long, in gossip and to every pull, is taken for gone, and its
+   *  place given to another: longer than a restart, and than a cut of 6 s with 2 s to be heard of again. */
+  voterSilence: 8_000,
   /** ms. Anvils that founded the state anew, after most disks were lost, take part in nothing until they
    *  have heard no news this long from jigs that tell again what they knew: six of their pulls. */
   retelling: 1_500,
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -136,7 +136,7 @@
       return;
     case 'repair': return;
     case 'seat':
-      if (end.kind === 'chosen') log(work, 'voters.seated', { anvil: purpose.anvil, disk: purpose.disk });
+      if (end.kind === 'chosen') log(work, purpose.instead === undefined ? 'voters.seated' : 'voters.replaced', { anvil: purpose.anvil, disk: purpose.disk, ...(purpose.instead === undefined ? {} : { instead: purpose.instead }) });
       return;
   }
 };
@@ -192,10 +192,18 @@
     return { kind: 'write', value: { ...goal, slices: old?.slices ?? {}, seated: old?.seated ?? [] } };
   },
   /** Gives an anvil's place to another disk: one at a time, and only by the voters just before. */
-  seat: (known: Voters, anvil: string, disk: string): Change => (current) => {
+  seat: (known: Voters, anvil: string, disk: string, address?: string): Change => (current) => {
+    const old = current as Voters | null;
+    if (old === null || (old.disks[anvil] === disk && (address === undefined || old.addresses?.[anvil] === address))) return { kind: 'keep' };
+    if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
+    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk }, ...(address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } }) } satisfies Voters };
+  },
+  /** Gives a place up, and another, of a disk without one, in its stead. */
+  replace: (known: Voters, gone: string, anvil: string, disk: string, address: string): Change => (current) => {
     const old = current as Voters | null;
     if (old === null || old.disks[anvil] === disk) return { kind: 'keep' };
-    return old.epoch === known.epoch ? { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk } } satisfies Voters } : { kind: 'refuse', reason: 'the voters have changed' };
+    if (old.epoch !== known.epoch || old.disks[gone] === undefined) return { kind: 'refuse', reason: 'the voters have changed' };
+    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...without(old.disks, gone), [anvil]: disk }, addresses: { ...without(old.addresses ?? {}, gone), [anvil]: address } } satisfies Voters };
   },
 } as const;
 
@@ -203,7 +211,7 @@
 export const countAnew = (work: Work): void => {
   const { state } = work;
   set(work, {
-    pursuits: Object.fromEntries(Object.entries(state.pursuits).map(([which, pursuit]) => [which, { ...pursuit, again: state.now }])),
+    pursuits: Object.fromEntries(Object.entries(state.pursuits).map(([which, pursuit]) => [which, { ...pursuit, again: state.now, proposal: { ...pursuit.proposal, phase: 'done' as const } }])),
     postings: Object.fromEntries(Object.entries(state.postings).map(([which, posting]) => [which, { ...posting, acks: [], sentAt: -Infinity }])),
     anvils: Object.fromEntries(Object.entries(state.anvils).map(([name, view]) => [name, { ...view, pulled: null }])),
   });
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -9,9 +9,9 @@
 import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
 import { tendDuty } from './duty.js';
 import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, learn, nodesOf, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing } from './network.js';
-import { lostPull, pullAll, renewLease, tookFetch, tookPull, tookRetold } from './pulls.js';
-import { hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
-import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, LatheCall, Report, Self } from './terms.js';
+import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
+import { anvilView, bearsLosses, hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, JigVoting, LatheCall, Report, Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
   state.facts.flatMap((fact) => (fact.seq > seq && fact.key.startsWith('purge/') ? [{ seq: fact.seq, purge: fact.value as Purge }] : []));
@@ -45,7 +45,9 @@
       work.effects.push({ kind: 'tell', id, body: feed(work.state, body.report) });
       return;
     }
-    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
+    case 'claim':
+      if (!bearsLosses(work.state)) { work.effects.push({ kind: 'tell', id, body: { kind: 'unreached' } }); return; }
+      pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
     case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
   }
 };
@@ -66,6 +68,12 @@
   }
 };
 
+/** Told while fewer disks vote than are needed to bear the losses that must be borne. */
+const tooFew = {
+  status: 503, retryAfter: Limits.retryAfterSeconds,
+  body: { type: 'about:blank', title: 'Too few voters', status: 503, detail: 'Too few machines with a disk vote as yet; nothing was changed. Repeat it.' },
+} as const;
+
 const describe = (work: Work, id: number, description: Description): void => {
   const key = `origin/${description.service}/${description.instance}`;
   const known = Spindle.get(work.state.spindle, key) as Description | undefined;
@@ -78,7 +86,8 @@
   set(work, { spindle: Spindle.tell(work.state.spindle, key, told, work.state.now) });
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
-  if (draining) post(work, [{ key: drainKey(told), value: true }], id, done);
+  if (draining && !bearsLosses(work.state)) work.effects.push({ kind: 'answer', id, ...tooFew });
+  else if (draining) post(work, [{ key: drainKey(told), value: true }], id, done);
   else work.effects.push({ kind: 'answer', id, status: 200, body: done });
 };
 
@@ -112,6 +121,7 @@
   const answer = (code: number, body: unknown, retryAfter?: number): void => {
     work.effects.push({ kind: 'answer', id, status: code, body, ...(retryAfter === undefined ? {} : { retryAfter }) });
   };
+  if ((action.kind === 'put-policy' || action.kind === 'hall' || action.kind === 'purge') && !bearsLosses(state)) { answer(tooFew.status, tooFew.body, tooFew.retryAfter); return; }
   switch (action.kind) {
     case 'put-policy': pursue(work, 'policy', Changes.policy(action.document, action.ifMatch, action.changeId), { kind: 'put-policy', id, changeId: action.changeId }); return;
     case 'get-policy': pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id }); return;
@@ -146,6 +156,7 @@
   set(work, { pending: without(work.state.pending, id) });
   switch (pending.kind) {
     case 'pull': tookPull(work, pending.anvil, pending.sentAt, body as AnvilReply); return;
+    case 'look': tookLook(work, pending.address, body as AnvilReply); return;
     case 'fetch': tookFetch(work, pending.key, body as AnvilReply); return;
     case 'vote': tookVote(work, pending.pursuit, pending.anvil, pending.phase, pending.ballot, body as AnvilReply); return;
     case 'post': tookPost(work, pending.posting, pending.anvil, body as AnvilReply); return;
@@ -195,7 +206,7 @@
   };
   tendPursuits(work);
   tendPostings(work);
-  due('pull', Beats.pull, () => pullAll(work));
+  due('pull', Beats.pull, () => { pullAll(work); tendVoters(work); });
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
   due('gossip', Beats.gossip, () => gossip(work));
   due('ping', Beats.ping, () => pingAll(work));
@@ -215,9 +226,12 @@
   open: (parts: {
     readonly self: Self; readonly life: string; readonly seeds: readonly string[];
     readonly founders: Readonly<Record<string, string>>; readonly seed: number; readonly now: number;
+    /** Where voters found themselves from seeds; `founders` is then not looked at. */
+    readonly voting?: JigVoting | null;
   }): JigState => ({
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
-    anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null, named: null, retold: null }])),
+    voting: parts.voting ?? null, ownAnvil: null,
+    anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
     registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
--- a/packages/jig/src/main.ts
+++ b/packages/jig/src/main.ts
@@ -40,7 +40,7 @@
         lathe: settings.lathe === undefined ? null : { callers: `${host}:${settings.lathe.port}`, partners: `${host}:${settings.lathe.partnerPort}`, capacityBps: settings.lathe.capacityBps },
         anvil: settings.anvil === undefined ? null : { address: `${host}:${settings.anvil.port}` },
       },
-      life: randomUUID(), seeds: settings.seeds, founders: settings.founders, seed: randomInt(2 ** 31), now: now(),
+      life: randomUUID(), seeds: settings.seeds, founders: settings.founders ?? {}, voting: settings.voting ?? null, seed: randomInt(2 ** 31), now: now(),
     }),
     reduce: Jig.reduce, perform,
   });
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -9,9 +9,11 @@
 /** Tells this node's own record again; each new serial is a heartbeat. */
 export const heartbeat = (work: Work): void => {
   const { self, report, now } = work.state;
+  const own = work.state.ownAnvil;
   const fed = report !== null && now - report.at < Limits.lease;
   const record: NodeRecord = {
-    id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe, anvil: self.anvil,
+    id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe,
+    anvil: self.anvil === null || own === null || now - own.at > Limits.lease ? self.anvil : { ...self.anvil, disk: own.disk, fresh: own.fresh },
     ready: self.lathe !== null && fed && !report.report.stopping && now < work.state.lease,
     staying: self.lathe !== null && fed && !report.report.stopping,
     latheLife: report?.report.latheLife ?? '',
@@ -78,7 +80,8 @@
 /** An anvil's machine may come back at another address; its name stays its place among the voters. */
 const adoptAnvils = (work: Work): void => {
   for (const { record } of nodesOf(work.state)) {
-    const view = work.state.anvils[record.id];
+    // Where voters found themselves from seeds, a place's disk tells its machine, and `moveVoters` notes its address.
+    const view = work.state.voting === null ? work.state.anvils[record.id] : undefined;
     if (view !== undefined && record.anvil !== null && record.anvil.address !== view.address) {
       log(work, 'anvil.moved', { anvil: record.id, address: record.anvil.address });
       set(work, { anvils: { ...work.state.anvils, [record.id]: { ...view, address: record.anvil.address, call: null, pulled: null } } });
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -1,9 +1,10 @@
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
 import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
-import type { AnvilReply } from '@reedyard/anvil';
+import { newerVoters, type AnvilReply, type Voters, type VotersTold } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
 import { Changes, countAnew, pursue } from './ballots.js';
-import { chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
+import { nodesOf } from './network.js';
+import { anvilView, bearsLosses, chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
   const view = work.state.anvils[name];
@@ -17,12 +18,52 @@
     const call = sendToAnvil(work, view.address, { kind: 'pull', cursor: view.cursor, keys: watched }, { kind: 'pull', anvil: name, sentAt: work.state.now });
     change(work, name, { call, askedAt: work.state.now });
   }
+  lookAround(work);
+};
+
+/**
+ * Where voters found themselves from seeds: a jig without a lease asks the seeds' anvils, and those it heard of,
+ * for the voters. Its own it asks always, to tell by gossip which disk waits for a place.
+ */
+const lookAround = (work: Work): void => {
+  const { state } = work;
+  if (state.voting === null) return;
+  const own = state.self.anvil?.address;
+  const heard = nodesOf(state).flatMap(({ record }) => (record.anvil === null ? [] : [record.anvil.address]));
+  const known = Object.values(state.anvils).map((view) => view.address);
+  const wanted = state.now < state.lease ? [] : [...state.voting.seeds, ...heard];
+  const addresses = new Set([...wanted.filter((each) => !known.includes(each)), ...(own === undefined ? [] : [own])]);
+  for (const address of addresses) sendToAnvil(work, address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look', address });
+};
+
+/** What an anvil tells of itself and of the voters, wherever it was asked from. */
+export const tookLook = (work: Work, address: string, reply: AnvilReply): void => {
+  if (reply.kind === 'stale' && reply.voters !== null) learnTold(work, reply.voters);
+  if (address === work.state.self.anvil?.address && reply.kind !== 'stale') {
+    set(work, { ownAnvil: { disk: reply.disk, fresh: reply.kind === 'away' && reply.fresh, at: work.state.now } });
+  }
+};
+
+/** Voters that an anvil was told are chosen. */
+const learnTold = (work: Work, told: VotersTold): void => {
+  if (newerVoters(told, votersOf(work.state))) learnRegister(work, 'voters', told.ballot, told.value);
+};
+
+/** The places that are asked and counted are those of the voters; what is known of a place's disk is kept. */
+const takePlaces = (work: Work, before: Voters | undefined, voters: Voters): void => {
+  if (work.state.voting === null) return;
+  const { anvils, now } = work.state;
+  set(work, { anvils: Object.fromEntries(Object.entries(voters.addresses ?? {}).map(([place, address]) => {
+    const view = anvils[place];
+    return [place, view !== undefined && view.address === address && before?.disks[place] === voters.disks[place] ? view : anvilView(address, now)];
+  })) });
 };
 
 /** Takes in a value that is known to be chosen. A lower ballot than the known one is old news. */
 export const learnRegister = (work: Work, key: Watched, ballot: Ballot, value: unknown): void => {
   const known = work.state.registers[key];
-  if (known !== undefined && Ballots.compare(ballot, known.ballot) <= 0) return;
+  // A ballot may write an epoch again after the next one was chosen.
+  if (known !== undefined && (key === 'voters' ? !newerVoters({ ballot, value: value as Voters }, votersOf(work.state)) : Ballots.compare(ballot, known.ballot) <= 0)) return;
   set(work, { registers: { ...work.state.registers, [key]: { ballot, value, at: work.state.now } } });
   // The split rests on the policy's routes; which nodes serve is looked at each time.
   if (key === 'policy') set(work, { splitStale: true });
@@ -32,7 +73,9 @@
     const { planSeen } = work.state;
     if (plan.term !== planSeen.term || plan.beat !== planSeen.beat) set(work, { planSeen: { term: plan.term, beat: plan.beat, at: work.state.now } });
   } else if (key === 'voters') {
-    log(work, 'voters.in-force', { epoch: (value as { epoch: number }).epoch });
+    const voters = value as Voters;
+    log(work, 'voters.in-force', { epoch: voters.epoch, voters: Object.keys(voters.disks).length });
+    takePlaces(work, known?.value as Voters | undefined, voters);
     countAnew(work);
   } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
   renewLease(work);
@@ -120,8 +163,12 @@
   retell(work, name, epoch);
 };
 
-/** Voters that a majority of places name are chosen, and take the place of ours. */
-const learnVoters = (work: Work): void => {
+/**
+ * An anvil names only voters that it was told are chosen: one such word is enough. Where the state was founded
+ * anew after a loss, those who did so apart may differ, and a majority of places must name the same.
+ */
+const learnVoters = (work: Work, told: VotersTold | null): void => {
+  if (told !== null && (told.value.refounded ?? 0) === (votersOf(work.state)?.value.refounded ?? 0) && votersOf(work.state) !== null) { learnTold(work, told); return; }
   const named = Object.values(work.state.anvils).flatMap((view) => (view.named === null ? [] : [view.named]));
   const majority = majorityOf(Object.keys(work.state.anvils).length);
   for (const each of named) {
@@ -137,10 +184,59 @@
   pursue(work, 'voters', Changes.seat(voters.value, anvil, disk), { kind: 'seat', anvil, disk });
 };
 
+/** Live nodes whose anvil told its disk, as it was heard by gossip. */
+const liveAnvils = (state: JigState): readonly { readonly id: string; readonly hall: string; readonly address: string; readonly disk: string; readonly fresh: boolean }[] =>
+  nodesOf(state).flatMap(({ record, seenAt }) => {
+    const { anvil } = record;
+    const live = record.id === state.self.id || state.now - seenAt < Limits.partnerSilence;
+    return live && anvil !== null && anvil.disk !== undefined ? [{ id: record.id, hall: record.hall, address: anvil.address, disk: anvil.disk, fresh: anvil.fresh === true }] : [];
+  });
+
+/**
+ * Where voters found themselves from seeds: opens the next change of the voters that is due, if any. A place's disk
+ * that moved has its address noted; while too few vote, a blank disk gets a place of its own; else it gets
+ * that of a machine that is gone. One at a time, and only by a jig with a lease.
+ */
+export const tendVoters = (work: Work): void => {
+  const { state } = work;
+  const voters = votersOf(state)?.value;
+  if (state.voting === null || voters?.addresses === undefined || state.now >= state.lease) return;
+  if (Object.values(state.pursuits).some((pursuit) => pursuit.purpose.kind === 'seat') || chance(work) > 0.2) return;
+  const live = liveAnvils(state);
+  const places = Object.keys(voters.disks);
+  const addresses = voters.addresses;
+  const moved = live.find((each) => places.some((place) => voters.disks[place] === each.disk && addresses[place] !== each.address));
+  if (moved !== undefined) {
+    const place = places.find((each) => voters.disks[each] === moved.disk) ?? '';
+    pursue(work, 'voters', Changes.seat(voters, place, moved.disk, moved.address), { kind: 'seat', anvil: place, disk: moved.disk });
+    return;
+  }
+  const hallOf = new Map(live.map((each) => [each.disk, each.hall]));
+  const inHall = (hall: string): number => places.filter((place) => hallOf.get(voters.disks[place] ?? '') === hall).length;
+  const spares = live.filter((each) => each.fresh && !places.some((place) => voters.disks[place] === each.disk || addresses[place] === each.address));
+  // Every jig takes the same one, in the hall where fewest vote, so that they don't outvote each other.
+  const [spare] = [...spares].sort((a, b) => inHall(a.hall) - inHall(b.hall) || (a.id < b.id ? -1 : 1));
+  if (spare === undefined) return;
+  const name = places.includes(spare.address) ? `${spare.address}/${voters.epoch + 1}` : spare.address;
+  if (!bearsLosses(state)) {
+    pursue(work, 'voters', Changes.seat(voters, name, spare.disk, spare.address), { kind: 'seat', anvil: name, disk: spare.disk });
+    return;
+  }
+  const gone = places.find((place) => isGone(state, place, voters.disks[place] ?? '', addresses[place] ?? ''));
+  if (gone !== undefined) pursue(work, 'voters', Changes.replace(voters, gone, name, spare.disk, spare.address), { kind: 'seat', anvil: name, disk: spare.disk, instead: gone });
+};
+
+/** Whether neither gossip nor any answer has told of a place's machine for long. */
+const isGone = (state: JigState, place: string, disk: string, address: string): boolean => {
+  const heard = nodesOf(state).flatMap(({ record, seenAt }) => (record.anvil !== null && (record.anvil.disk === disk || record.anvil.address === address) ? [record.id === state.self.id ? state.now : seenAt] : []));
+  return state.now - Math.max(state.anvils[place]?.heardAt ?? state.now, ...heard) > Limits.voterSilence;
+};
+
 export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
+  change(work, name, { heardAt: work.state.now });
   if (reply.kind === 'stale') {
     change(work, name, { call: null, pulled: null, named: reply.voters });
-    learnVoters(work);
+    learnVoters(work, reply.voters);
     return;
   }
   if (reply.kind === 'settling' && counts(work.state, name, reply.disk)) {
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -4,7 +4,7 @@
 import type { SpindleState } from '@reedyard/spindle';
 import type { Plan, Slices } from '@reedyard/ladle';
 import type { Split, Vector } from '@reedyard/plumb';
-import type { HallsValue, JigCall, JigEffect, PolicyValue, Report, Self } from './terms.js';
+import type { HallsValue, JigCall, JigEffect, JigVoting, PolicyValue, Report, Self } from './terms.js';
 
 /** The registers that every jig watches. */
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
@@ -16,6 +16,8 @@
   readonly cursor: Cursor | null;
   readonly call: number | null;
   readonly askedAt: number;
+  /** When it last answered anything, or was first known. */
+  readonly heardAt: number;
   /** When the newest counted pull was sent, and the ballots it showed. */
   readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
   /** The voters that it named when it found ours out of date. */
@@ -39,7 +41,7 @@
   | { readonly kind: 'claim'; readonly id: number }
   | { readonly kind: 'settle'; readonly id: number }
   | { readonly kind: 'repair' }
-  | { readonly kind: 'seat'; readonly anvil: string; readonly disk: string };
+  | { readonly kind: 'seat'; readonly anvil: string; readonly disk: string; /** Whose place it is, where another machine gives it up. */ readonly instead?: string };
 
 export type Pursuit = {
   readonly proposal: Proposal; readonly purpose: Purpose;
@@ -50,6 +52,8 @@
 
 export type Pending =
   | { readonly kind: 'pull'; readonly anvil: string; readonly sentAt: number }
+  /** Asks an anvil that need have no place for the voters, and this machine's own for its disk. */
+  | { readonly kind: 'look'; readonly address: string }
   | { readonly kind: 'fetch'; readonly key: Watched; readonly sentAt: number }
   | { readonly kind: 'vote'; readonly pursuit: number; readonly anvil: string; readonly phase: 'prepare' | 'accept'; readonly ballot: Ballot }
   | { readonly kind: 'post'; readonly posting: number; readonly anvil: string }
@@ -62,6 +66,10 @@
   readonly self: Self;
   readonly life: string;
   readonly seeds: readonly string[];
+  /** Where voters found themselves from seeds; null where the settings name every founder. */
+  readonly voting: JigVoting | null;
+  /** This machine's own anvil as it last answered. */
+  readonly ownAnvil: { readonly disk: string; readonly fresh: boolean; readonly at: number } | null;
   readonly seed: number;
   readonly now: number;
   readonly nextId: number;
@@ -133,6 +141,13 @@
 export const sendToAnvil = (work: Work, to: string, call: AnvilCall, pending: Pending): number =>
   sendTo(work, pending, { to, path: '/anvil', body: { voters: votersOf(work.state), call } });
 
+export const anvilView = (address: string, now: number): AnvilView =>
+  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, pulled: null, named: null, retold: null });
+
+/** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
+export const bearsLosses = (state: JigState): boolean =>
+  state.voting === null || Object.keys(votersOf(state)?.value.disks ?? {}).length >= 2 * state.voting.losses + 1;
+
 /** The voters known to be chosen. */
 export const votersOf = (state: JigState): VotersTold | null => {
   const known = state.registers.voters;
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -13,10 +13,20 @@
   readonly anvil: { readonly address: string } | null;
 };
 
+/** Where voters found themselves from seeds: what a jig is told by its settings. */
+export type JigVoting = {
+  /** Lost disks that must be borne: there are to be 2 × losses + 1 voters. */
+  readonly losses: number;
+  /** Anvils to ask for the voters. */
+  readonly seeds: readonly string[];
+};
+
 /** A node's own record, told by gossip; a new serial of it is a heartbeat. */
 export type NodeRecord = {
   readonly id: string; readonly hall: string; readonly region: string; readonly address: string;
-  readonly lathe: Self['lathe']; readonly anvil: Self['anvil'];
+  readonly lathe: Self['lathe'];
+  /** Where its anvil is; and where voters found themselves from seeds, which disk it told last, and whether that is blank. */
+  readonly anvil: (NonNullable<Self['anvil']> & { readonly disk?: string; readonly fresh?: boolean }) | null;
   /** Whether its lathe takes transactions. */
   readonly ready: boolean;
   /** Whether its lathe runs and is not leaving: it keeps its slices through a short loss of its lease. */
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -296,8 +296,8 @@
       const id = target.nextAsk;
       target.nextAsk += 1;
       target.asking.set(id, reply);
-      const accepted = target.state.cells.get('voters')?.accepted;
-      const heard = this.tuning.plant === 'deaf-voters' && accepted && body.voters !== null ? { ...body, voters: accepted as AnvilAsk['voters'] } : body;
+      const { told } = target.state;
+      const heard = this.tuning.plant === 'deaf-voters' && told !== null && body.voters !== null ? { ...body, voters: told } : body;
       this.#step(target, { kind: 'asked', id, body: heard, now: this.#now(target) });
     });
   }
--- a/packages/vise/src/index.ts
+++ b/packages/vise/src/index.ts
@@ -27,12 +27,23 @@
   seeds: z.array(address).min(1, 'wanted at least one seed').max(9),
   dataFolder: z.string().min(1).default('data'),
   /** The anvils that founded the state: name and address. The same on every machine. */
-  founders: z.record(name, address).refine((all) => Object.keys(all).length > 0, 'wanted at least one founder'),
+  founders: z.record(name, address).refine((all) => Object.keys(all).length > 0, 'wanted at least one founder').optional(),
+  /** Instead of the founders: voters found themselves from seeds, and change by ballots. */
+  voting: z.strictObject({
+    /** Lost disks that must be borne: 2 × losses + 1 anvils vote. */
+    losses: z.number().int('wanted a whole number').min(0).max(4),
+    /** True only when the whole system starts for the very first time. */
+    firstStart: z.boolean(),
+    /** Anvils of the seeds' machines. */
+    seeds: z.array(address).min(1, 'wanted at least one seed').max(9).refine((all) => new Set(all).size === all.length, 'wanted each seed once'),
+  }).optional(),
   jig: z.strictObject({ port, apiPort: port, feedPort: port }),
   lathe: z.strictObject({ port, partnerPort: port, capacityBps: z.number().positive(), /** Logs every move, for tests. */ trace: z.boolean().optional() }).optional(),
   anvil: z.strictObject({ port }).optional(),
 }).superRefine((all, context) => {
-  if (all.anvil !== undefined && all.founders[all.name] === undefined) {
+  if (all.founders === undefined && all.voting === undefined) context.addIssue({ code: 'custom', path: ['founders'], message: 'wanted the founders, or voting instead' });
+  if (all.founders !== undefined && all.voting !== undefined) context.addIssue({ code: 'custom', path: ['voting'], message: 'wanted either founders or voting, not both' });
+  if (all.anvil !== undefined && all.founders !== undefined && all.founders[all.name] === undefined) {
     context.addIssue({ code: 'custom', path: ['founders'], message: `wanted the founders to name ${all.name}, since it has an anvil` });
   }
 });
