--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -9,9 +9,9 @@
 import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
 import { tendDuty } from './duty.js';
 import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
-import { lostPull, pullAll, renewLease, tookFetch, tookPull, tookRetold } from './pulls.js';
-import { closedOf, hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
-import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, LatheCall, Report, Self } from './terms.js';
+import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
+import { anvilView, bearsLosses, closedOf, hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, JigVoting, LatheCall, Report, Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
   state.facts.flatMap((fact) => (fact.seq > seq && fact.key.startsWith('purge/') ? [{ seq: fact.seq, purge: fact.value as Purge }] : []));
@@ -45,7 +45,9 @@
       work.effects.push({ kind: 'tell', id, body: feed(work.state, body.report) });
       return;
     }
-    case 'claim': pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
+    case 'claim':
+      if (!bearsLosses(work.state)) { work.effects.push({ kind: 'tell', id, body: { kind: 'unreached' } }); return; }
+      pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
     case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
   }
 };
@@ -73,6 +75,11 @@
   const known = held.value as Description;
   return [...new Set([...Object.keys(told), ...Object.keys(known)] as (keyof Description)[])].every((field) => field === 'sequence' || told[field] === known[field]);
 };
+/** Told while fewer disks vote than are needed to bear the losses that must be borne. */
+const tooFew = {
+  status: 503, retryAfter: Limits.retryAfterSeconds,
+  body: { type: 'about:blank', title: 'Too few voters', status: 503, detail: 'Too few machines with a disk vote as yet; nothing was changed. Repeat it.' },
+} as const;
 
 const describe = (work: Work, id: number, description: Description): void => {
   const key = originKey(description);
@@ -89,7 +96,8 @@
   }
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
-  if (draining) postOnce(work, drainKey(told), true, id, done);
+  if (draining && !bearsLosses(work.state)) work.effects.push({ kind: 'answer', id, ...tooFew });
+  else if (draining) postOnce(work, drainKey(told), true, id, done);
   else work.effects.push({ kind: 'answer', id, status: 200, body: done });
 };
 
@@ -129,6 +137,7 @@
   const answer = (code: number, body: unknown, retryAfter?: number): void => {
     work.effects.push({ kind: 'answer', id, status: code, body, ...(retryAfter === undefined ? {} : { retryAfter }) });
   };
+  if ((action.kind === 'put-policy' || action.kind === 'hall' || action.kind === 'purge' || action.kind === 'withdraw') && !bearsLosses(state)) { answer(tooFew.status, tooFew.body, tooFew.retryAfter); return; }
   switch (action.kind) {
     case 'put-policy': pursue(work, 'policy', Changes.policy(action.document, action.ifMatch, action.changeId), { kind: 'put-policy', id, changeId: action.changeId }); return;
     case 'get-policy': pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id }); return;
@@ -164,6 +173,7 @@
   set(work, { pending: without(work.state.pending, id) });
   switch (pending.kind) {
     case 'pull': tookPull(work, pending.anvil, pending.sentAt, body as AnvilReply); return;
+    case 'look': tookLook(work, pending.address, body as AnvilReply); return;
     case 'fetch': tookFetch(work, pending.key, body as AnvilReply); return;
     case 'vote': tookVote(work, pending.pursuit, pending.anvil, pending.phase, pending.ballot, body as AnvilReply); return;
     case 'post': tookPost(work, pending.posting, pending.anvil, body as AnvilReply); return;
@@ -214,7 +224,7 @@
   };
   tendPursuits(work);
   tendPostings(work);
-  due('pull', Beats.pull, () => pullAll(work));
+  due('pull', Beats.pull, () => { pullAll(work); tendVoters(work); });
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
   due('gossip', Beats.gossip, () => gossip(work));
   due('ping', Beats.ping, () => pingAll(work));
@@ -234,9 +244,12 @@
   open: (parts: {
     readonly self: Self; readonly life: string; readonly seeds: readonly string[];
     readonly founders: Readonly<Record<string, string>>; readonly seed: number; readonly now: number;
+    /** Where voters found themselves from seeds; `founders` is then not looked at. */
+    readonly voting?: JigVoting | null;
   }): JigState => ({
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
-    anvils: Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, { address, cursor: null, call: null, askedAt: -Infinity, pulled: null, named: null, retold: null }])),
+    voting: parts.voting ?? null, ownAnvil: null,
+    anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
     registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
