--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -3,7 +3,7 @@
 import type { AnvilReply, Fact, Voters } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
 import type { HallOrder } from '@reedyard/stencil';
-import { chance, counts, log, sendToAnvil, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
+import { chance, counts, hallsValueOf, log, sendToAnvil, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
 import { Spindle } from '@reedyard/spindle';
 import type { ClaimState, ClaimValue, HallsValue, NodeRecord, PolicyValue } from './terms.js';
 import { learnRegister } from './pulls.js';
@@ -105,7 +105,7 @@
     }
     case 'hall': {
       if (end.kind !== 'chosen') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The order') }); return; }
-      const value = end.value as HallsValue;
+      const value = hallsValueOf(end.value);
       log(work, 'halls.acknowledged', { serial: value.serial, emptied: value.emptied.join(','), closedOrigins: value.closedOrigins.join(',') });
       work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value.changes.find((change) => change.id === purpose.changeId)?.serial ?? value.serial, emptied: value.emptied, closedOrigins: value.closedOrigins } });
       return;
@@ -164,7 +164,7 @@
     return { kind: 'write', value: { serial: serial + 1, document, changes: remember(old?.changes ?? [], changeId, serial + 1) } satisfies PolicyValue };
   },
   halls: (hall: string, order: HallOrder['order'], of: HallOrder['of'], changeId: string): Change => (current) => {
-    const old = (current ?? { serial: 0, emptied: [], closedOrigins: [], reopened: {}, changes: [] }) as HallsValue;
+    const old = hallsValueOf(current);
     if (old.changes.some((change) => change.id === changeId)) return { kind: 'keep' };
     const serial = old.serial + 1;
     const but = (halls: readonly string[]): readonly string[] => halls.filter((each) => each !== hall);
--- a/packages/jig/src/jig.test.ts
+++ b/packages/jig/src/jig.test.ts
@@ -48,6 +48,10 @@
   t.deepEqual([still.emptied, still.closedOrigins, still.reopened], [['west'], ['west'], {}]);
   const open = order(still, 'take-back', 'all', '4');
   t.deepEqual([open.emptied, open.closedOrigins, open.reopened], [[], [], { west: 4 }]);
+  // A value written before there were such orders.
+  const older = order({ serial: 3, emptied: ['west'], changes: [] }, 'take-back', 'all', '5');
+  t.deepEqual([older.emptied, older.closedOrigins, older.reopened], [[], [], { west: 4 }]);
+  t.deepEqual(originRows(learnt(learnt(acted(opened(), { kind: 'describe', description: told() }, 1).state, 'policy', 1, policyValue({ s: {} })), 'halls', 1, { serial: 3, emptied: ['west'], changes: [] })), []);
 });
 
 test('after a hall is taken back its origins count as cold until they are heard again', (t) => {
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -5,7 +5,7 @@
 import { Changes, countAnew, pursue } from './ballots.js';
 import type { HallsValue } from './terms.js';
 import { nodesOf } from './network.js';
-import { anvilView, bearsLosses, chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
+import { hallsValueOf, anvilView, bearsLosses, chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
   const view = work.state.anvils[name];
@@ -61,8 +61,8 @@
 };
 
 /** Halls taken back since the orders known before: what their origins said until now is not trusted. */
-const noteReopened = (work: Work, before: HallsValue | undefined, now: HallsValue): void => {
-  const opened = Object.entries(now.reopened).filter(([, serial]) => serial > (before?.serial ?? 0));
+const noteReopened = (work: Work, before: HallsValue, now: HallsValue): void => {
+  const opened = Object.entries(now.reopened).filter(([, serial]) => serial > before.serial);
   if (opened.length > 0) set(work, { reopened: { ...work.state.reopened, ...Object.fromEntries(opened.map(([hall]) => [hall, work.state.now])) } });
 };
 
@@ -85,7 +85,7 @@
     takePlaces(work, known?.value as Voters | undefined, voters);
     countAnew(work);
   } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
-  if (key === 'halls') noteReopened(work, known?.value as HallsValue | undefined, value as HallsValue);
+  if (key === 'halls') noteReopened(work, hallsValueOf(known?.value), hallsValueOf(value));
   renewLease(work);
 };
 
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -171,7 +171,13 @@
 };
 
 export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
-export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls?.value ?? null) as HallsValue | null;
+/** What the halls register holds; one written before orders for origins alone has fewer fields. */
+export const hallsValueOf = (value: unknown): HallsValue => {
+  const known = (value ?? {}) as Partial<HallsValue>;
+  const emptied = known.emptied ?? [];
+  return { serial: known.serial ?? 0, emptied, closedOrigins: known.closedOrigins ?? emptied, reopened: known.reopened ?? {}, changes: known.changes ?? [] };
+};
+export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls === undefined ? null : hallsValueOf(state.registers.halls.value));
 /** Halls whose origins get nothing. */
-export const closedOf = (state: JigState): readonly string[] => hallsOf(state)?.closedOrigins ?? hallsOf(state)?.emptied ?? [];
+export const closedOf = (state: JigState): readonly string[] => hallsOf(state)?.closedOrigins ?? [];
 export const planOf = (state: JigState): Plan | null => (state.registers.plan?.value ?? null) as Plan | null;
--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -79,7 +79,6 @@
   if (rate === Infinity) return 0;
   const bucket = state.buckets[name];
   const tokens = bucket === undefined ? 0 : filled(bucket, state.now);
-  if (rate === Infinity) return 0;
   return rate <= 0 ? Infinity : Math.max(0, ((1 + ahead - tokens) / rate) * 1_000);
 };
 
