Heartbeats carry a node's record only where it changed; what is wanted is told in steps

Every heartbeat was a whole new record of the node, so each gossip exchange carried all of them, twice a second. A heartbeat is now a new serial of an unchanged value, and the value is left out towards one who holds a serial from which on it was told. What a node wants of a service moves its record only past a tenth and a quarter request a second. A life's serials begin at a drawn place and the record is told whole each 16th time, so that a node that came back without memory can't be taken for its earlier life. Ruled out: heartbeats under keys of their own, which doubles the digest.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -147,6 +147,11 @@
   call: 32 * 1024 * 1024,
   /** objects told one by one in a vector; the rest of a route counts as one. */
   busyObjects: 32,
+  /** heartbeats after which a node's record is told whole though nothing changed: a serial that two lives of
+   *  a node came to alike is then set right within 8 s. */
+  beatsToWhole: 16,
+  /** A life's first serial lies anywhere under this, so that two lives hardly come to the same one. */
+  firstSerial: 2 ** 20,
   /** partners in a partial view. */
   view: 8,
   /** partners swapped in one shuffle. */
@@ -222,6 +227,11 @@
   holdingShare: 0.2,
   /** share of a ceiling kept for every possible edge whether it asks or not. */
   floorShare: 0.1,
+  /** share by which what a node wants of a service may move before others are told: what is left over of a
+   *  service is spread evenly, and covers that. */
+  wantsSlack: 0.1,
+  /** requests a second that it may move besides: one request more or less in a few seconds is no change. */
+  wantsFloor: 0.25,
   /** share of its goal that a node's slices must have reached before it first says that it is ready. */
   seatedShare: 0.7,
   /** share of a cold instance's bearable rate that all edges may use together. */
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -1,4 +1,4 @@
-import { Beats, Limits, Weights } from '@reedyard/gauge';
+import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
 import { Spindle, type Exchanged, type Neighbour } from '@reedyard/spindle';
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
@@ -6,10 +6,20 @@
 import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
-/** Tells this node's own record again; each new serial is a heartbeat. */
-export const heartbeat = (work: Work): void => {
+/** What is wanted, as it was told before where it is still about that: a record that changes is told whole. */
+const steady = (wants: Readonly<Record<string, number>>, told: Readonly<Record<string, number>>): Readonly<Record<string, number>> =>
+  Object.fromEntries([...new Set([...Object.keys(told), ...Object.keys(wants)])].flatMap((name) => {
+    const [want, before] = [wants[name] ?? 0, told[name] ?? 0];
+    const next = Math.abs(want - before) <= Weights.wantsSlack * before + Weights.wantsFloor ? before : Math.round(want * 100) / 100;
+    return next > 0 ? [[name, next]] : [];
+  }));
+
+/** Tells this node's own record again; each new serial is a heartbeat. It is told whole where it changed, where a life begins and now and then. */
+export const heartbeat = (work: Work, whole = false): void => {
   const { self, report, now } = work.state;
   const own = work.state.ownAnvil;
+  const key = `node/${self.id}`;
+  const told = Spindle.get(work.state.spindle, key) as NodeRecord | null | undefined;
   const fed = report !== null && now - report.at < Limits.lease;
   const record: NodeRecord = {
     id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe,
@@ -17,9 +27,15 @@
     ready: self.lathe !== null && fed && !report.report.stopping && now < work.state.lease,
     staying: self.lathe !== null && fed && !report.report.stopping,
     latheLife: report?.report.latheLife ?? '',
-    wants: fed ? report.report.wants : {},
+    wants: fed ? steady(report.report.wants, told?.wants ?? {}) : {},
   };
-  set(work, { spindle: Spindle.tell(work.state.spindle, `node/${self.id}`, record, now) });
+  if (!whole && told && Spindle.beats(work.state.spindle, key) < Sizes.beatsToWhole && JSON.stringify(told) === JSON.stringify(record)) {
+    set(work, { spindle: Spindle.beat(work.state.spindle, key, now) });
+    return;
+  }
+  // A life begins anywhere, so that the serials of two lives do not pass for one row.
+  const least = told ? 1 : 1 + Math.floor(chance(work) * Sizes.firstSerial);
+  set(work, { spindle: Spindle.tell(work.state.spindle, key, record, now, least) });
 };
 
 /** Every node heard of that is not forgotten. */
@@ -76,12 +92,12 @@
     if (key.startsWith('origin/') && told && held !== undefined && isOld(before, told)) set(work, { spindle: Spindle.tell(work.state.spindle, key, held.value, held.seenAt) });
   }
   const own = [`node/${work.state.self.id}`, `vector/${work.state.self.id}`];
-  if (learned.news.includes(own[0] ?? '')) heartbeat(work);
+  if (learned.news.includes(own[0] ?? '')) heartbeat(work, true);
   if (learned.news.includes(own[1] ?? '') && work.state.sent !== null) {
     set(work, { spindle: Spindle.tell(work.state.spindle, own[1] ?? '', work.state.sent, work.state.now) });
   }
   if (learned.news.some((key) => key.startsWith('vector/'))) set(work, { splitStale: true });
-  adoptAnvils(work);
+  if (learned.values.some((key) => key.startsWith('node/'))) adoptAnvils(work);
 };
 
 /** An anvil's machine may come back at another address; its name stays its place among the voters. */
--- a/packages/spindle/src/index.ts
+++ b/packages/spindle/src/index.ts
@@ -1,8 +1,12 @@
 import { Limits, Sizes } from '@reedyard/gauge';
 
-/** One record: what an owner told last. A higher serial replaces; equal ones are the same. */
-export type Telling = { readonly serial: number; readonly value: unknown };
-type Held = Telling & { readonly seenAt: number; readonly forgotten: boolean };
+/**
+ * One record: what an owner told last. A higher serial replaces; equal ones are the same. The value is left
+ * out towards one who has it already: then the new serial is a heartbeat alone.
+ */
+export type Telling = { readonly serial: number; readonly value?: unknown };
+/** `since` is a serial from which on this value was told: who holds that serial or a later one has it. */
+type Held = { readonly serial: number; readonly value: unknown; readonly since: number; readonly seenAt: number; readonly forgotten: boolean };
 
 /** A neighbour in the partial view. */
 export type Neighbour = { readonly id: string; readonly address: string; readonly age: number };
@@ -14,11 +18,17 @@
 
 /** One exchange: what the asker holds, and a part of its view. */
 export type Exchange = { readonly from: { readonly id: string; readonly address: string }; readonly digest: Readonly<Record<string, number>>; readonly sample: readonly Neighbour[] };
-/** Its answer: what is newer there, what is wanted from the asker, and a part of the view in return. */
-export type Exchanged = { readonly newer: Readonly<Record<string, Telling>>; readonly wants: readonly string[]; readonly sample: readonly Neighbour[] };
+/** Its answer: what is newer there, what is wanted from the asker (and which serial is had), and a part of the view in return. */
+export type Exchanged = { readonly newer: Readonly<Record<string, Telling>>; readonly wants: Readonly<Record<string, number>>; readonly sample: readonly Neighbour[] };
 
 const lifeOf = (key: string): number => (key.startsWith('origin/') ? Limits.originForgotten : Limits.nodeForgotten);
 
+/** Live records of each kind that was asked for, found once for each table of records. */
+const kinds = new WeakMap<SpindleState['records'], Map<string, readonly (readonly [key: string, value: unknown, seenAt: number])[]>>();
+
+/** What is told of a record to one who holds a serial of it: 0 for none. */
+const tellingFor = (held: Held, serial: number): Telling => (serial >= held.since && !held.forgotten ? { serial: held.serial } : { serial: held.serial, value: held.forgotten ? null : held.value });
+
 export const Spindle = {
   empty: { records: {}, view: [] } as SpindleState,
 
@@ -29,8 +39,16 @@
   },
 
   /** All live records of a kind. @example Spindle.all(state, 'origin/') // [[key, value, seenAt], …] */
-  all: (state: SpindleState, prefix: string): readonly (readonly [key: string, value: unknown, seenAt: number])[] =>
-    Object.entries(state.records).flatMap(([key, held]) => (key.startsWith(prefix) && !held.forgotten ? [[key, held.value, held.seenAt] as const] : [])),
+  all: (state: SpindleState, prefix: string): readonly (readonly [key: string, value: unknown, seenAt: number])[] => {
+    let known = kinds.get(state.records);
+    if (known === undefined) { known = new Map(); kinds.set(state.records, known); }
+    let found = known.get(prefix);
+    if (found === undefined) {
+      found = Object.entries(state.records).flatMap(([key, held]) => (key.startsWith(prefix) && !held.forgotten ? [[key, held.value, held.seenAt] as const] : []));
+      known.set(prefix, found);
+    }
+    return found;
+  },
 
   /**
    * Tells something of one's own (or a guest's), above any serial seen. Where a guest numbers what it says,
@@ -39,10 +57,25 @@
    * @example
    * Spindle.tell(state, 'node/a', {}, 5)
    */
-  tell: (state: SpindleState, key: string, value: unknown, now: number, least = 0): SpindleState => ({
-    ...state,
-    records: { ...state.records, [key]: { serial: Math.max(least, (state.records[key]?.serial ?? 0) + 1), value, seenAt: now, forgotten: false } },
-  }),
+  tell: (state: SpindleState, key: string, value: unknown, now: number, least = 1): SpindleState => {
+    const serial = Math.max((state.records[key]?.serial ?? 0) + 1, least);
+    return { ...state, records: { ...state.records, [key]: { serial, value, since: serial, seenAt: now, forgotten: false } } };
+  },
+
+  /**
+   * Tells a value of one's own again that has not changed: its new serial says that one lives. Only for a
+   * key that nobody else tells, since who has an earlier serial is not given the value again.
+   *
+   * @example
+   * Spindle.beat(state, 'node/a', 500)
+   */
+  beat: (state: SpindleState, key: string, now: number): SpindleState => {
+    const held = state.records[key];
+    return held === undefined || held.forgotten ? state : { ...state, records: { ...state.records, [key]: { ...held, serial: held.serial + 1, seenAt: now } } };
+  },
+
+  /** Serials since the value under a key was last told whole. @example Spindle.beats(state, 'node/a') // 0 */
+  beats: (state: SpindleState, key: string): number => { const held = state.records[key]; return held === undefined ? 0 : held.serial - held.since; },
 
   /** Changes a value held here without telling it to others. @example Spindle.note(state, 'origin/s/i', value) */
   note: (state: SpindleState, key: string, value: unknown): SpindleState => {
@@ -51,11 +84,17 @@
   },
 
   /** Takes in what others told; returns the keys that were news. @example Spindle.learn(state, newer, 5).news */
-  learn: (state: SpindleState, tellings: Readonly<Record<string, Telling>>, now: number): { readonly state: SpindleState; readonly news: readonly string[] } => {
-    const news = Object.keys(tellings).filter((key) => (tellings[key]?.serial ?? 0) > (state.records[key]?.serial ?? 0));
-    if (news.length === 0) return { state, news };
-    const added = Object.fromEntries(news.map((key) => [key, { serial: tellings[key]?.serial ?? 0, value: tellings[key]?.value, seenAt: now, forgotten: tellings[key]?.value === null }]));
-    return { state: { ...state, records: { ...state.records, ...added } }, news };
+  learn: (state: SpindleState, tellings: Readonly<Record<string, Telling>>, now: number): { readonly state: SpindleState; readonly news: readonly string[]; /** Those of them with a value. */ readonly values: readonly string[] } => {
+    const added: Record<string, Held> = {};
+    const values: string[] = [];
+    for (const [key, { serial, ...rest }] of Object.entries(tellings)) {
+      const held = state.records[key];
+      if (serial <= (held?.serial ?? 0)) continue;
+      if ('value' in rest) { added[key] = { serial, value: rest.value, since: serial, seenAt: now, forgotten: rest.value === null }; values.push(key); }
+      else if (held !== undefined && !held.forgotten) added[key] = { ...held, serial, seenAt: now };
+    }
+    const news = Object.keys(added);
+    return { state: news.length === 0 ? state : { ...state, records: { ...state.records, ...added } }, news, values };
   },
 
   /** Forgets what went silent; its serial stays, so that a late copy does not bring it back. @example Spindle.sweep(state, 99_000) */
@@ -80,18 +119,20 @@
    * @example
    * Spindle.compare(state, {})
    */
-  compare: (state: SpindleState, digest: Readonly<Record<string, number>>): { readonly newer: Readonly<Record<string, Telling>>; readonly wants: readonly string[] } => ({
+  compare: (state: SpindleState, digest: Readonly<Record<string, number>>): { readonly newer: Readonly<Record<string, Telling>>; readonly wants: Readonly<Record<string, number>> } => ({
     newer: Object.fromEntries(Object.entries(state.records).flatMap(([key, held]) =>
-      (held.serial > (digest[key] ?? 0) && (!held.forgotten || digest[key] !== undefined)
-        ? [[key, { serial: held.serial, value: held.forgotten ? null : held.value }]] : []))),
-    wants: Object.entries(digest).flatMap(([key, serial]) => (serial > (state.records[key]?.serial ?? 0) ? [key] : [])),
+      (held.serial > (digest[key] ?? 0) && (!held.forgotten || digest[key] !== undefined) ? [[key, tellingFor(held, digest[key] ?? 0)]] : []))),
+    wants: Object.fromEntries(Object.entries(digest).flatMap(([key, serial]) => {
+      const held = state.records[key];
+      return serial > (held?.serial ?? 0) ? [[key, held === undefined || held.forgotten ? 0 : held.serial]] : [];
+    })),
   }),
 
-  /** The records asked for. @example Spindle.pick(state, ['node/a']) */
-  pick: (state: SpindleState, keys: readonly string[]): Readonly<Record<string, Telling>> =>
-    Object.fromEntries(keys.flatMap((key) => {
+  /** The records asked for, by the serials that the asker has. @example Spindle.pick(state, { 'node/a': 0 }) */
+  pick: (state: SpindleState, wants: Readonly<Record<string, number>>): Readonly<Record<string, Telling>> =>
+    Object.fromEntries(Object.entries(wants).flatMap(([key, serial]) => {
       const held = state.records[key];
-      return held === undefined || held.forgotten ? [] : [[key, { serial: held.serial, value: held.value }]];
+      return held === undefined || held.forgotten ? [] : [[key, tellingFor(held, serial)]];
     })),
 
   /**
--- a/packages/spindle/src/spindle.test.ts
+++ b/packages/spindle/src/spindle.test.ts
@@ -31,6 +31,31 @@
   t.is(Spindle.get(exchange(owner, swept.state, 20_100)[1], 'origin/s/i'), 'back');
 });
 
+test('a heartbeat carries no value to one who has it, and the value to one who has not', (t) => {
+  const told = Spindle.tell(Spindle.empty, 'node/a', { long: 'value' }, 0);
+  const beaten = Spindle.beat(Spindle.beat(told, 'node/a', 500), 'node/a', 1_000);
+  t.deepEqual(Spindle.compare(beaten, Spindle.digest(told)).newer, { 'node/a': { serial: 3 } });
+  t.deepEqual(Spindle.compare(beaten, {}).newer, { 'node/a': { serial: 3, value: { long: 'value' } } });
+  t.deepEqual(Spindle.pick(beaten, Spindle.compare(told, Spindle.digest(beaten)).wants), { 'node/a': { serial: 3 } });
+  t.deepEqual(Spindle.pick(beaten, Spindle.compare(Spindle.empty, Spindle.digest(beaten)).wants), { 'node/a': { serial: 3, value: { long: 'value' } } });
+  const [heard] = exchange(told, beaten, 2_000);
+  t.deepEqual(Spindle.all(heard, 'node/'), [['node/a', { long: 'value' }, 2_000]]);
+  // It is no sign of life of a record that was put away meanwhile, nor of one that was never had.
+  const swept = Spindle.sweep(told, Limits.nodeForgotten + 1).state;
+  t.deepEqual(Spindle.learn(swept, { 'node/a': { serial: 3 } }, 40_000), { state: swept, news: [], values: [] });
+  t.deepEqual(Spindle.learn(Spindle.empty, { 'node/a': { serial: 3 } }, 0).news, []);
+  t.is(Spindle.get(exchange(swept, beaten, 40_000)[0], 'node/a') !== undefined, true);
+});
+
+test('a changed value reaches those who hold any earlier serial, also over one who had only heartbeats since', (t) => {
+  const first = Spindle.tell(Spindle.empty, 'node/a', 'old', 0);
+  const early = first;
+  const changed = Spindle.beat(Spindle.tell(Spindle.beat(first, 'node/a', 1), 'node/a', 'new', 2), 'node/a', 3);
+  const [between] = exchange(first, changed, 4);
+  const later = exchange(between, Spindle.beat(changed, 'node/a', 5), 6)[0];
+  t.is(Spindle.get(exchange(early, later, 7)[0], 'node/a'), 'new');
+});
+
 test('a shuffle keeps the view bounded, never holds oneself, and prefers what was received', (t) => {
   const many = (names: string): readonly Neighbour[] => [...names].map((id, age) => ({ id, address: `${id}:1`, age }));
   const view = Spindle.shuffle(many('abcdefgh'), 'me', many('xyzme'.slice(0, 3)), many('ab'));
