Pulls, gossip, feeds, renewals and pings come less often, and within the same bounds

After the calls themselves became cheap, their number is what an idle fleet pays for. Pulls go twice a second instead of four times (three fit in a lease, so one may be lost), gossip each 400 instead of 200 ms, a lathe asks each 250 instead of 100 ms (its lease counts from its question, so only news are later), an unchanged division is renewed each second instead of twice, and given up after 2.5 instead of 2 s; partners are pinged each 10 s on the average, those not yet measured each 2 s, and the least of two pings counts instead of three, so that a changed delay is seen within 20 s.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -7,19 +7,26 @@
 export const Beats = {
   /** ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. */
   jig: 50,
-  /** ms. Pull from the anvils. Four pulls fit in a lease with room for two lost ones. */
-  pull: 250,
-  /** ms. One gossip exchange with one partner; a fact crosses 16 nodes in about 5 exchanges. */
-  gossip: 200,
+  /** ms. Pull from the anvils. Three pulls fit in a lease: one may be lost and the feed still has 0.25 s.
+   *  Each costs every jig a call to every anvil: twice as many saw nothing more than half as many. */
+  pull: 500,
+  /** ms. One gossip exchange with one partner. Each also answers one as often, so a heartbeat crosses 16 nodes
+   *  in three or four of them: with its own beat this stays under the 2.5 s of silence. */
+  gossip: 400,
   /** ms. The lathe asks its jig for news. Adds at most this to the age of a snapshot. */
-  feed: 100,
+  feed: 250,
   /** ms. A node's own record gets a new serial, which is its heartbeat. */
   heartbeat: 500,
-  /** ms. The duty holder renews its term and publishes a division. */
+  /** ms. The duty holder looks whether slices should move, and then publishes a division. */
   division: 500,
-  /** ms. A ping to each partner in the network (the paper: every few minutes; a changed delay
+  /** ms. It renews its term with an unchanged division: each costs two syncs of every anvil and a fetch of
+   *  every jig. Two of them fit in the time after which it is given up. */
+  renewal: 1_000,
+  /** ms. A ping to each partner in the network, on the average (the paper: every few minutes; a changed delay
    *  must be seen inside one closing fault, so seconds here). */
-  ping: 2_000,
+  ping: 10_000,
+  /** ms. Partners that were not yet measured are pinged, and of the others a drawn few. */
+  pingDraw: 2_000,
   /** ms. What a lathe's callers want of each service is counted anew: slices follow it. */
   wants: 500,
   /** ms. Utilisation is measured (the paper: one minute; ours is shorter since 2 s rules bind). */
@@ -47,10 +54,10 @@
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
-  /** ms. A duty holder whose beat stood still this long is given up: three or four missed renewals.
+  /** ms. A duty holder whose beat stood still this long is given up: two missed renewals, seen half a pull late.
    *  It must stay over `regrant`: a new holder counts only the division it finds, and those before
    *  that must have lapsed by then. */
-  vacancy: 2_000,
+  vacancy: 2_500,
   /** ms. One call between processes before it counts as lost. */
   call: 1_000,
   /** ms. A pull without an answer is sent again: two beats, so that a lost one costs no lease. */
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -227,7 +227,7 @@
   due('pull', Beats.pull, () => { pullAll(work); tendVoters(work); });
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
   due('gossip', Beats.gossip, () => gossip(work));
-  due('ping', Beats.ping, () => pingAll(work));
+  due('ping', Beats.pingDraw, () => pingAll(work));
   due('sweep', Beats.heartbeat, () => sweep(work));
   due('division', Beats.division, () => tendDuty(work));
   computeSplit(work);
--- a/packages/jig/src/duty.ts
+++ b/packages/jig/src/duty.ts
@@ -1,4 +1,4 @@
-import { Limits } from '@reedyard/gauge';
+import { Beats, Limits } from '@reedyard/gauge';
 import { differs, divide, isSeated, toward, type Plan, type Seat, type Slices } from '@reedyard/ladle';
 import { Routes } from '@reedyard/stencil';
 import { Changes, pursue } from './ballots.js';
@@ -30,6 +30,11 @@
   // A service without a bound keeps no node waiting for its share.
   const bounded = Object.fromEntries(Object.entries(goals).filter(([name]) => bounds[name] !== Infinity));
   const seated = seats.map((seat) => seat.edge).filter((edge) => current.seated.includes(edge) || isSeated(edge, bounded, slices));
+  const names = Object.keys(slices);
+  const still = names.length === Object.keys(current.slices).length && names.every((name) => slices[name] === current.slices[name])
+    && seated.length === current.seated.length && seated.every((edge) => current.seated.includes(edge));
+  // Half a division's beat early, since the last one was chosen a little after it was looked at.
+  if (still && state.now - state.planSeen.at < Beats.renewal - Beats.division / 2) return;
   const goal: Plan = { term: current.term, holder: state.self.id, beat: current.beat + 1, slices, seated };
   // What is in force now may be held by others for a lease after its successor is chosen.
   set(work, { duty: { ...duty, held: [...held, { slices: current.slices, until: state.now + Limits.regrant + Limits.proposal }] } });
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -112,19 +112,21 @@
   }
 };
 
+/** Pings partners that were not yet measured, and a drawn few of the others. */
 export const pingAll = (work: Work): void => {
   if (work.state.self.lathe === null) return;
   for (const { record } of nodesOf(work.state)) {
     if (record.id === work.state.self.id || record.lathe === null) continue;
+    if (work.state.delays[record.id] !== undefined && chance(work) >= Beats.pingDraw / Beats.ping) continue;
     send(work, record.address, { kind: 'ping' }, { kind: 'ping', edge: record.id, sentAt: work.state.now });
   }
 };
 
 export const tookPing = (work: Work, edge: string, seconds: number): void => {
-  set(work, { delays: { ...work.state.delays, [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-3) } });
+  set(work, { delays: { ...work.state.delays, [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-2) } });
 };
 
-/** s. The least of the last three pings: what the path takes without the machine's own noise. */
+/** s. The least of the last two pings: what the path takes without the machine's own noise. */
 export const delayTo = (state: JigState, edge: string): number | null => {
   const known = state.delays[edge];
   return known === undefined || known.length === 0 ? null : Math.min(...known);
