The feed tells its lathe only the parts that it does not hold

Origins, partners, emptied halls, the split and the slices each have a revision within a life of the jig; the lathe says which it holds. A part is compared by its text before it is told, so nothing has to say that it changed. Lease, purges, policy and the rest go as before; the lathe's reducer still gets a whole feed. An origin's conns are still looked at with each feed.

--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -11,7 +11,7 @@
 import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
 import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
 import { anvilView, bearsLosses, closedOf, hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
-import type { Action, Feed, JigCall, JigEffect, JigEvent, JigReply, JigVoting, LatheCall, Report, Self } from './terms.js';
+import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
   state.facts.flatMap((fact) => (fact.seq > seq && fact.key.startsWith('purge/') ? [{ seq: fact.seq, purge: fact.value as Purge }] : []));
@@ -34,6 +34,22 @@
   };
 };
 
+/** The feed without the parts that the lathe holds as they are; a part that changed gets a new revision. */
+const feedFor = (work: Work, report: Report, held: Holding | null): FeedTold => {
+  const whole = feed(work.state, report);
+  const before = work.state.fedParts;
+  const now = Object.fromEntries(feedParts.map((part) => {
+    const [value, known] = [whole[part], before[part]];
+    if (known !== undefined && known.value === value) return [part, known];
+    const text = JSON.stringify(value);
+    return [part, known !== undefined && known.text === text ? { ...known, value } : { revision: (known?.revision ?? 0) + 1, value, text }];
+  })) as Required<JigState['fedParts']>;
+  set(work, { fedParts: now });
+  const fresh = (part: FeedPart): boolean => held?.life !== work.state.life || held.revisions[part] !== now[part].revision;
+  const kept = Object.fromEntries(Object.entries(whole).filter(([name]) => now[name as FeedPart] === undefined || fresh(name as FeedPart))) as Omit<FeedTold, 'revisions'>;
+  return { ...kept, revisions: Object.fromEntries(feedParts.map((part) => [part, now[part].revision])) as Revisions };
+};
+
 const fed = (work: Work, id: number, body: LatheCall): void => {
   const { state } = work;
   switch (body.kind) {
@@ -42,7 +58,7 @@
       set(work, { report: { report: body.report, at: state.now } });
       if (first) heartbeat(work);
       if (body.report.measure !== null) tookMeasure(work, body.report.measure);
-      work.effects.push({ kind: 'tell', id, body: feed(work.state, body.report) });
+      work.effects.push({ kind: 'tell', id, body: feedFor(work, body.report, body.held) });
       return;
     }
     case 'claim':
@@ -251,7 +267,7 @@
     voting: parts.voting ?? null, ownAnvil: null,
     anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
     registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
-    spindle: Spindle.empty, delays: {}, report: null, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
+    spindle: Spindle.empty, delays: {}, report: null, fedParts: {}, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
 
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -4,7 +4,7 @@
 import type { SpindleState } from '@reedyard/spindle';
 import type { Plan, Slices } from '@reedyard/ladle';
 import type { Split, Vector } from '@reedyard/plumb';
-import type { HallsValue, JigCall, JigEffect, JigVoting, PolicyValue, Report, Self } from './terms.js';
+import type { FeedPart, HallsValue, JigCall, JigEffect, JigVoting, PolicyValue, Report, Self } from './terms.js';
 
 /** The registers that every jig watches. */
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
@@ -97,6 +97,8 @@
   readonly spindle: SpindleState;
   readonly delays: Readonly<Record<string, readonly number[]>>;
   readonly report: { readonly report: Report; readonly at: number } | null;
+  /** Parts of the feed as they were last told to the lathe. */
+  readonly fedParts: { readonly [K in FeedPart]?: { readonly revision: number; readonly value: unknown; readonly text: string } };
   readonly sent: Vector | null;
   readonly sentAt: number;
   readonly notices: number;
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -118,9 +118,19 @@
   readonly purgeSeq: number;
 };
 
+/** Parts of a feed that are told only to a lathe that does not hold them as they are. */
+export const feedParts = ['origins', 'partners', 'emptied', 'split', 'slices'] as const;
+export type FeedPart = (typeof feedParts)[number];
+/** For each part a number that grows when it changes, within one life of the jig. */
+export type Revisions = Readonly<Record<FeedPart, number>>;
+/** A feed as it goes to the lathe: without the parts that it holds. */
+export type FeedTold = Omit<Feed, FeedPart> & Partial<Pick<Feed, FeedPart>> & { readonly revisions: Revisions };
+/** What a lathe holds, and of which life of the jig. */
+export type Holding = { readonly life: string; readonly revisions: Revisions };
+
 /** What a lathe asks of its jig. */
 export type LatheCall =
-  | { readonly kind: 'feed'; readonly report: Report }
+  | { readonly kind: 'feed'; readonly report: Report; readonly held: Holding | null }
   | { readonly kind: 'claim'; readonly key: string; readonly token: string; readonly life: string; readonly digest: string }
   | { readonly kind: 'settle'; readonly key: string; readonly token: string; readonly state: ClaimState };
 
@@ -159,6 +169,6 @@
 export type JigEffect =
   | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk }
   | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/jig'; readonly body: JigCall }
-  | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | Feed | ClaimReply }
+  | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | FeedTold | ClaimReply }
   | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: unknown; readonly retryAfter?: number }
   | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- /dev/null
+++ b/packages/lathe/src/feeds.ts
@@ -0,0 +1,20 @@
+import type { Feed, FeedTold, Holding, Revisions } from '@reedyard/jig';
+
+/** The last feed as a lathe's shell holds it. */
+export type HeldFeed = { readonly feed: Feed; readonly revisions: Revisions };
+
+export const Feeds = {
+  /** What the jig is told to be held. @example Feeds.holding(null) // null */
+  holding: (held: HeldFeed | null): Holding | null => (held === null ? null : { life: held.feed.life, revisions: held.revisions }),
+
+  /**
+   * The whole feed from what the jig told and from what its question said was held.
+   *
+   * @example
+   * Feeds.merge(held, told).feed.origins // those told, or else those held
+   */
+  merge: (held: HeldFeed | null, told: FeedTold): HeldFeed => {
+    const { revisions, ...rest } = told;
+    return { feed: { ...held?.feed, ...rest } as Feed, revisions };
+  },
+} as const;
--- a/packages/lathe/src/index.ts
+++ b/packages/lathe/src/index.ts
@@ -3,3 +3,4 @@
 export { present } from './present.js';
 export * from './dialect.js';
 export { runLathe, type LatheSettings } from './run.js';
+export { Feeds, type HeldFeed } from './feeds.js';
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -4,13 +4,14 @@
 import type { Readable } from 'node:stream';
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
 import { Task } from '@reedyard/chute';
-import type { ClaimReply, Feed } from '@reedyard/jig';
+import type { ClaimReply, FeedTold, LatheCall } from '@reedyard/jig';
 import { openScribe } from '@reedyard/scriber';
 import { call } from '@reedyard/shuttle';
 import { Routes } from '@reedyard/stencil';
 import type { Settings } from '@reedyard/vise';
 import { originName } from './choice.js';
 import { OriginConns, passable, sendToPartner, type LegError, type Outgoing, type Underway } from './conns.js';
+import { Feeds, type HeldFeed } from './feeds.js';
 import { Lathe } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { present } from './present.js';
@@ -40,6 +41,7 @@
   /** Attempts under way, by request and number; some outlast their request. */
   const attempts = new Map<string, Underway>();
   const conns = new OriginConns(settings.host, dialect);
+  let held: HeldFeed | null = null;
   const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
   let nextId = 1;
 
@@ -126,9 +128,10 @@
         return;
       case 'question': {
         const askedAt = now();
-        call(feedAddress, '/feed', { kind: 'feed', report: effect.report }).then(
+        call(feedAddress, '/feed', { kind: 'feed', report: effect.report, held: Feeds.holding(held) } satisfies LatheCall).then(
           (reply) => {
-            const feed = reply as Feed;
+            held = Feeds.merge(held, reply as FeedTold);
+            const { feed } = held;
             put({ kind: 'fed', feed, askedAt, now: now() });
             conns.keepOnly(new Set(feed.origins.map(originName)));
           },
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -1,7 +1,7 @@
 import { Anvil, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilState } from '@reedyard/anvil';
 import { Beats, Limits } from '@reedyard/gauge';
-import { Jig, type Action, type ClaimReply, type Feed, type JigEffect, type JigEvent, type JigState } from '@reedyard/jig';
-import { Lathe, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target } from '@reedyard/lathe';
+import { Jig, type Action, type ClaimReply, type Feed, type FeedTold, type JigEffect, type JigEvent, type JigState } from '@reedyard/jig';
+import { Feeds, Lathe, type HeldFeed, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target } from '@reedyard/lathe';
 import { Sieve } from '@reedyard/sieve';
 import type { Description, Policy } from '@reedyard/stencil';
 import type { Deployment, Machine } from '@reedyard/blueprint';
@@ -381,10 +381,12 @@
         const askedAt = this.#now(process);
         const box = this.boxes.get(name);
         const again = (): void => { this.clock.in(Beats.feed * this.clock.between(0.9, 1.1), () => this.#inside(process, () => this.#step(process, { kind: 'ask', now: this.#now(process) }))); };
-        this.#call(process, name, (_target, reply) => { if (box?.jig) { const jig = box.jig; this.#askJig(jig, (id) => ({ kind: 'fed', id, body: { kind: 'feed', report: effect.report }, now: this.#now(jig) }), reply); } },
+        this.#call(process, name, (_target, reply) => { if (box?.jig) { const jig = box.jig; this.#askJig(jig, (id) => ({ kind: 'fed', id, body: { kind: 'feed', report: effect.report, held: Feeds.holding(this.#held.get(process) ?? null) }, now: this.#now(jig) }), reply); } },
           (body) => {
-            this.#everPartners(body as Feed);
-            const feed = this.tuning.plant === 'old-rates' ? this.#oldRates(name, body as Feed) : body as Feed;
+            const held = Feeds.merge(this.#held.get(process) ?? null, body as FeedTold);
+            this.#held.set(process, held);
+            this.#everPartners(held.feed);
+            const feed = this.tuning.plant === 'old-rates' ? this.#oldRates(name, held.feed) : held.feed;
             for (const row of feed.origins) this.#drained.set(row.address, row);
             this.#step(process, { kind: 'fed', feed: this.#select(plantedFeed(this.tuning.plant, feed, [...this.#drained.values()], [...this.#partners.values()].filter((row) => row.id !== name)), process), askedAt, now: this.#now(process) });
             if (this.tuning.plant === 'route-at-arrival') process.state = { ...process.state, transactions: Object.fromEntries(Object.entries(process.state.transactions).map(([id, each]) => [id, { ...each, serial: process.state.policy?.serial ?? 0 }])) };
@@ -437,6 +439,8 @@
     }
   }
 
+  /** What each lathe's shell holds of its feed. */
+  readonly #held = new WeakMap<Process<'lathe'>, HeldFeed>();
   readonly #partners = new Map<string, Feed['partners'][number]>();
   #everPartners(feed: Feed): void { for (const row of feed.partners) this.#partners.set(row.id, row); }
 
