--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -55,6 +55,13 @@
    *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
   unknowing: 300,
+  /** ms. Told to a lathe that may serve on while it is cut off, from question to question: two feeds. */
+  cutOffLease: 600,
+  /** ms. A beat that comes this late shows that the process, not the network, is slow. */
+  lateBeat: 400,
+  /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
+   *  was starved or frozen has unanswered pulls as well, but others may reach it. */
+  calm: 2_000,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
@@ -211,8 +218,9 @@
   meanReply: 96_000,
   /** repeats earned by one transaction. Under the brief's fifth. */
   repeatShare: 0.15,
-  /** repeats a node may have saved. 16 nodes times 3 stay under the brief's 60. */
+  /** repeats a node may have saved, and all nodes together: the brief's slack is 60. */
   repeatSaved: 3,
+  repeatSavedByAll: 45,
   /** s of a slice a bucket may save: the brief allows a tenth over 5 s, which is 0.5 s. */
   burstSeconds: 0.2,
   /** requests that a node may always have under way at an origin. */
@@ -245,6 +253,10 @@
   wantsFloor: 0.25,
   /** share of its goal that a node's slices must have reached before it first says that it is ready. */
   seatedShare: 0.7,
-  /** share of a cold instance's bearable rate that all edges may use together. */
-  coldShare: 1.0,
+  /** share of a cold instance's bearable rate that the nodes it is given to may use together: what
+   *  each of them saved comes on top. */
+  coldShare: 0.8,
+  /** requests a second to a cold instance that are worth a node's part: fewer nodes get more each, so that
+   *  what they may have saved, a request each, stays small beside it. */
+  coldPart: 3,
 } as const;
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -10,7 +10,7 @@
 import { tendDuty } from './duty.js';
 import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
 import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
-import { anvilView, bearsLosses, closedOf, hallsOf, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { anvilView, bearsLosses, closedOf, hallsOf, mayActFor, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
 import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
@@ -24,7 +24,7 @@
   const policy = policyOf(state);
   const plan = planOf(state);
   return {
-    leaseMs: Math.max(0, state.lease - state.now), life: state.life, flushes: state.flushes,
+    leaseMs: mayActFor(state), life: state.life, flushes: state.flushes,
     policy: policy !== null && policy.serial !== report.policySerial ? { serial: policy.serial, document: policy.document } : null,
     policySerial: policy?.serial ?? 0,
     origins: originRows(state), partners: partnerRows(state), emptied: hallsOf(state)?.emptied ?? [], split: state.split,
@@ -139,7 +139,7 @@
 const notReady = (state: JigState): string | null => {
   const policy = policyOf(state);
   if (state.self.lathe === null) return 'this machine has no lathe';
-  if (state.now >= state.lease) return 'it is cut off from the control state';
+  if (mayActFor(state) <= 0) return 'it is cut off from the control state';
   if (policy === null) return 'no policy is known';
   if (state.report === null || state.now - state.report.at >= Limits.lease) return 'its lathe does not ask for news';
   if (state.report.report.stopping) return 'its lathe is leaving';
@@ -238,6 +238,7 @@
     set(work, { due: { ...work.state.due, [name]: now + every } });
     act();
   };
+  noteBeat(work);
   tendPursuits(work);
   tendPostings(work);
   due('pull', Beats.pull, () => { pullAll(work); tendVoters(work); });
@@ -266,7 +267,7 @@
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
     voting: parts.voting ?? null, ownAnvil: null,
     anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
-    registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
+    registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, beatAt: parts.now, lateAt: parts.now, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, fedParts: {}, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -3,7 +3,7 @@
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
-import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
+import { chance, closedOf, hallsOf, mayActFor, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
 /** What is wanted, as it was told before where it is still about that: a record that changes is told whole. */
@@ -24,7 +24,7 @@
   const record: NodeRecord = {
     id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe,
     anvil: self.anvil === null || own === null || now - own.at > Limits.lease ? self.anvil : { ...self.anvil, disk: own.disk, fresh: own.fresh },
-    ready: self.lathe !== null && fed && !report.report.stopping && now < work.state.lease,
+    ready: self.lathe !== null && fed && !report.report.stopping && mayActFor(work.state) > 0,
     staying: self.lathe !== null && fed && !report.report.stopping,
     latheLife: report?.report.latheLife ?? '',
     wants: fed ? steady(report.report.wants, told?.wants ?? {}) : {},
@@ -221,6 +221,29 @@
   }));
 };
 
+/** An even spread of numbers over names, the same on every node. */
+const mixed = (text: string): number => {
+  let hash = 2_166_136_261;
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
+  hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
+  return (hash ^ (hash >>> 13)) >>> 0;
+};
+
+/**
+ * Requests a second that this node may send to a cold instance. Only a few nodes may, those that rendezvous
+ * hashing names for it: every node for itself comes to the same ones, as far as it knows the same nodes.
+ */
+const coldPartOf = (state: JigState, instance: string, rate: number): number => {
+  const plan = planOf(state);
+  // A node that has only just come knows few others: the division names them all.
+  if (plan === null) return 0;
+  const names = [...new Set([...plan.seated, ...nodesOf(state).flatMap(({ record }) => (record.lathe === null ? [] : [record.id]))])];
+  const parts = Math.max(1, Math.min(names.length, Math.floor(rate / Weights.coldPart)));
+  const own = mixed(`${instance} ${state.self.id}`);
+  const ahead = names.filter((name) => name !== state.self.id && mixed(`${instance} ${name}`) > own).length;
+  return ahead < parts ? (rate * Weights.coldShare) / parts : 0;
+};
+
 /** Instances that take work, each with this node's slice of what it carries. */
 export const originRows = (state: JigState): readonly OriginRow[] => {
   const slices = planOf(state)?.slices ?? {};
@@ -231,7 +254,7 @@
     const mine = slices[description.service] ?? {};
     const carried = rateOf(mine, state.self.id, description.capacity ?? Infinity);
     const service = services[description.service];
-    const bearable = service?.coldRate === undefined ? Infinity : (mine[state.self.id] ?? 0) * service.coldRate * Weights.coldShare;
+    const bearable = service?.coldRate === undefined ? Infinity : coldPartOf(state, `${description.instance}/${description.incarnation}`, service.coldRate);
     return [{
       service: description.service, instance: description.instance, incarnation: description.incarnation, address: description.address,
       hall: description.hall, region: description.region, capacity: description.capacity ?? description.slots ?? 1, slots: description.slots ?? null, conns: service?.instanceConns ?? null, cold, rate: cold ? Math.min(carried, bearable) : carried,
--- a/packages/jig/src/run.ts
+++ b/packages/jig/src/run.ts
@@ -46,7 +46,7 @@
   const task = Task.run<JigState, JigEvent, JigEffect>({
     initial: Jig.open({
       self: {
-        id: settings.name, hall: settings.hall, region: settings.region, address: `${host}:${settings.jig.port}`,
+        servesOn: settings.cutOff === 'serve', id: settings.name, hall: settings.hall, region: settings.region, address: `${host}:${settings.jig.port}`,
         lathe: settings.lathe === undefined ? null : { callers: `${host}:${settings.lathe.port}`, partners: `${host}:${settings.lathe.partnerPort}`, capacityBps: settings.lathe.capacityBps },
         anvil: settings.anvil === undefined ? null : { address: `${host}:${settings.anvil.port}` },
       },
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -1,3 +1,4 @@
+import { Limits } from '@reedyard/gauge';
 import type { Map as Table } from 'immutable';
 import type { AnvilAsk, AnvilCall, Cursor, Fact, Voters, VotersTold } from '@reedyard/anvil';
 import type { Ballot, Proposal } from '@reedyard/latch';
@@ -81,6 +82,9 @@
   readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
   /** Monotonic ms until which this node may act on what it knows. */
   readonly lease: number;
+  /** When the last beat came, and when one last came late. */
+  readonly beatAt: number;
+  readonly lateAt: number;
   readonly flushes: number;
   readonly facts: readonly (Fact & { readonly seq: number; readonly at: number })[];
   readonly factKeys: Readonly<Record<string, true>>;
@@ -172,6 +176,27 @@
   work.effects.push({ kind: 'log', event, fields });
 };
 
+/** Whether beats stopped for a while until now: whatever waits here waited for that. */
+const isLate = (state: JigState): boolean => state.now - state.beatAt > Limits.lateBeat;
+
+/** Notes that a beat came, and whether it came late. */
+export const noteBeat = (work: Work): void => {
+  const { state } = work;
+  set(work, { beatAt: state.now, lateAt: isLate(state) ? state.now : state.lateAt });
+};
+
+/**
+ * ms that this node may act on what it knows: what is left of its lease, or, where it provably can't reach a
+ * majority and its operators want it to serve on, until the next questions. A process that was itself held
+ * up can't tell: it waits for an answer.
+ */
+export const mayActFor = (state: JigState): number => {
+  const left = state.lease - state.now;
+  if (left > 0) return left;
+  const cutOff = state.self.servesOn === true && state.registers.policy !== undefined && !isLate(state) && state.now - state.lateAt > Limits.calm;
+  return cutOff ? Limits.cutOffLease : 0;
+};
+
 export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
 /** What the halls register holds; one written before orders for origins alone has fewer fields. */
 export const hallsValueOf = (value: unknown): HallsValue => {
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -5,6 +5,8 @@
 
 /** Who and where a jig is, and what else runs on its machine. */
 export type Self = {
+  /** Whether it serves on while provably cut off from a majority; left out: it does not. */
+  readonly servesOn?: boolean;
   readonly id: string;
   readonly hall: string;
   readonly region: string;
--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -173,7 +173,7 @@
 };
 
 export const earnRepeat = (work: Work, service: string): void =>
-  set(work, { repeats: { ...work.state.repeats, [service]: Math.min(Weights.repeatSaved, (work.state.repeats[service] ?? 0) + Weights.repeatShare) } });
+  set(work, { repeats: { ...work.state.repeats, [service]: Math.min(Math.max(1, Math.min(Weights.repeatSaved, Weights.repeatSavedByAll / nodes(work.state))), (work.state.repeats[service] ?? 0) + Weights.repeatShare) } });
 export const mayRepeat = (state: LatheState, service: string): boolean => (state.repeats[service] ?? 0) >= 1;
 export const spendRepeat = (work: Work, service: string): void =>
   set(work, { repeats: { ...work.state.repeats, [service]: (work.state.repeats[service] ?? 0) - 1 } });
--- a/packages/lathe/src/dialect.ts
+++ b/packages/lathe/src/dialect.ts
@@ -1,4 +1,3 @@
-import type http from 'node:http';
 import type { OriginRow } from '@reedyard/jig';
 import type { Headers } from '@reedyard/sieve';
 
@@ -19,7 +18,7 @@
 };
 
 /** One attempt at an origin. */
-export type ToOrigin = { readonly origin: OriginRow; readonly mark: string; /** ms that its answer is waited for. */ readonly leftMs: number; readonly headers: http.IncomingHttpHeaders };
+export type ToOrigin = { readonly origin: OriginRow; readonly mark: string; /** ms that its answer is waited for. */ readonly leftMs: number; readonly headers: Headers };
 
 /** What of an answer its caller is shown. */
 export type ToCaller = { readonly status: number; readonly headers: Headers; readonly asked: Headers; /** ms after which to come again, where the lathe itself says so. */ readonly retryMs: number | null };
@@ -34,11 +33,11 @@
   readonly readyPath: string;
   readonly livePath: string | null;
   /** ms that a caller will wait; null where it does not say. */
-  readonly deadlineMs: (headers: http.IncomingHttpHeaders) => number | null;
+  readonly deadlineMs: (headers: Headers) => number | null;
   /** The fields that tell how much of that time is left. */
   readonly left: (ms: number) => Readonly<Record<string, string>>;
   readonly toOrigin: (attempt: ToOrigin) => Readonly<Record<string, string>>;
-  readonly fromOrigin: (status: number, headers: http.IncomingHttpHeaders, attempt: ToOrigin) => Proof;
+  readonly fromOrigin: (status: number, headers: Headers, attempt: ToOrigin) => Proof;
   readonly toCaller: (answer: ToCaller) => Headers;
 };
 
--- a/packages/vise/src/index.ts
+++ b/packages/vise/src/index.ts
@@ -25,6 +25,8 @@
   region: name,
   /** Jigs to begin with; any three that are likely up. */
   seeds: z.array(address).min(1, 'wanted at least one seed').max(9),
+  /** What a node does that provably can't reach a majority: refuse, or serve on by what it last knew. */
+  cutOff: z.enum(['refuse', 'serve']).default('refuse'),
   dataFolder: z.string().min(1).default('data'),
   /** The anvils that founded the state: name and address. The same on every machine. */
   founders: z.record(name, address).refine((all) => Object.keys(all).length > 0, 'wanted at least one founder').optional(),
