--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -5,21 +5,29 @@
 
 /** How often things are done. */
 export const Beats = {
-  /** ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. */
-  jig: 50,
-  /** ms. Pull from the anvils. Four pulls fit in a lease with room for two lost ones. */
-  pull: 250,
-  /** ms. One gossip exchange with one partner; a fact crosses 16 nodes in about 5 exchanges. */
-  gossip: 200,
+  /** ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. To wake an idle
+   *  process costs some 0.13 ms, so ten times a second 0.13 % of a core. */
+  jig: 100,
+  /** ms. Pull from the anvils. Three pulls fit in a lease: one may be lost and the feed still has 0.25 s.
+   *  Each costs every jig a call to every anvil: twice as many saw nothing more than half as many. */
+  pull: 500,
+  /** ms. One gossip exchange with one partner. Each also answers one as often, so a heartbeat crosses 16 nodes
+   *  in three or four of them: with its own beat this stays under the 2.5 s of silence. */
+  gossip: 400,
   /** ms. The lathe asks its jig for news. Adds at most this to the age of a snapshot. */
-  feed: 100,
+  feed: 250,
   /** ms. A node's own record gets a new serial, which is its heartbeat. */
   heartbeat: 500,
-  /** ms. The duty holder renews its term and publishes a division. */
+  /** ms. The duty holder looks whether slices should move, and then publishes a division. */
   division: 500,
-  /** ms. A ping to each partner in the network (the paper: every few minutes; a changed delay
+  /** ms. It renews its term with an unchanged division: each costs two syncs of every anvil and a fetch of
+   *  every jig. Two of them fit in the time after which it is given up. */
+  renewal: 1_000,
+  /** ms. A ping to each partner in the network, on the average (the paper: every few minutes; a changed delay
    *  must be seen inside one closing fault, so seconds here). */
-  ping: 2_000,
+  ping: 10_000,
+  /** ms. Partners that were not yet measured are pinged, and of the others a drawn few. */
+  pingDraw: 2_000,
   /** ms. What a lathe's callers want of each service is counted anew: slices follow it. */
   wants: 500,
   /** ms. Utilisation is measured (the paper: one minute; ours is shorter since 2 s rules bind). */
@@ -31,6 +39,9 @@
   originTold: 3_000,
   /** ms. Lathe's own beat: limits and holdings are looked at. */
   lathe: 25,
+  /** ms. The same while no transaction is under way: then only copies may have to be dropped, at the latest
+   *  1.5 + 0.3 + 0.1 s after what allowed them was known, under the brief's 2 s. */
+  latheIdle: 100,
   /** ms. An anvil that may not vote yet asks the others again. */
   rejoin: 200,
 } as const;
@@ -44,13 +55,20 @@
    *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
   unknowing: 300,
+  /** ms. Told to a lathe that may serve on while it is cut off, from question to question: two feeds. */
+  cutOffLease: 600,
+  /** ms. A beat that comes this late shows that the process, not the network, is slow. */
+  lateBeat: 400,
+  /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
+   *  was starved or frozen has unanswered pulls as well, but others may reach it. */
+  calm: 2_000,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
-  /** ms. A duty holder whose beat stood still this long is given up: three or four missed renewals.
+  /** ms. A duty holder whose beat stood still this long is given up: two missed renewals, seen half a pull late.
    *  It must stay over `regrant`: a new holder counts only the division it finds, and those before
    *  that must have lapsed by then. */
-  vacancy: 2_000,
+  vacancy: 2_500,
   /** ms. One call between processes before it counts as lost. */
   call: 1_000,
   /** ms. A pull without an answer is sent again: two beats, so that a lost one costs no lease. */
@@ -147,6 +165,11 @@
   call: 32 * 1024 * 1024,
   /** objects told one by one in a vector; the rest of a route counts as one. */
   busyObjects: 32,
+  /** heartbeats after which a node's record is told whole though nothing changed: a serial that two lives of
+   *  a node came to alike is then set right within 8 s. */
+  beatsToWhole: 16,
+  /** A life's first serial lies anywhere under this, so that two lives hardly come to the same one. */
+  firstSerial: 2 ** 20,
   /** partners in a partial view. */
   view: 8,
   /** partners swapped in one shuffle. */
@@ -195,8 +218,9 @@
   meanReply: 96_000,
   /** repeats earned by one transaction. Under the brief's fifth. */
   repeatShare: 0.15,
-  /** repeats a node may have saved. 16 nodes times 3 stay under the brief's 60. */
+  /** repeats a node may have saved, and all nodes together: the brief's slack is 60. */
   repeatSaved: 3,
+  repeatSavedByAll: 45,
   /** s of a slice a bucket may save: the brief allows a tenth over 5 s, which is 0.5 s. */
   burstSeconds: 0.2,
   /** requests that a node may always have under way at an origin. */
@@ -222,8 +246,17 @@
   holdingShare: 0.2,
   /** share of a ceiling kept for every possible edge whether it asks or not. */
   floorShare: 0.1,
+  /** share by which what a node wants of a service may move before others are told: what is left over of a
+   *  service is spread evenly, and covers that. */
+  wantsSlack: 0.1,
+  /** requests a second that it may move besides: one request more or less in a few seconds is no change. */
+  wantsFloor: 0.25,
   /** share of its goal that a node's slices must have reached before it first says that it is ready. */
   seatedShare: 0.7,
-  /** share of a cold instance's bearable rate that all edges may use together. */
-  coldShare: 1.0,
+  /** share of a cold instance's bearable rate that the nodes it is given to may use together: what
+   *  each of them saved comes on top. */
+  coldShare: 0.8,
+  /** requests a second to a cold instance that are worth a node's part: fewer nodes get more each, so that
+   *  what they may have saved, a request each, stays small beside it. */
+  coldPart: 3,
 } as const;
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -1,25 +1,41 @@
-import { Beats, Limits, Weights } from '@reedyard/gauge';
+import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
 import { Spindle, type Exchanged, type Neighbour } from '@reedyard/spindle';
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
-import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
+import { chance, closedOf, hallsOf, mayActFor, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
-/** Tells this node's own record again; each new serial is a heartbeat. */
-export const heartbeat = (work: Work): void => {
+/** What is wanted, as it was told before where it is still about that: a record that changes is told whole. */
+const steady = (wants: Readonly<Record<string, number>>, told: Readonly<Record<string, number>>): Readonly<Record<string, number>> =>
+  Object.fromEntries([...new Set([...Object.keys(told), ...Object.keys(wants)])].flatMap((name) => {
+    const [want, before] = [wants[name] ?? 0, told[name] ?? 0];
+    const next = Math.abs(want - before) <= Weights.wantsSlack * before + Weights.wantsFloor ? before : Math.round(want * 100) / 100;
+    return next > 0 ? [[name, next]] : [];
+  }));
+
+/** Tells this node's own record again; each new serial is a heartbeat. It is told whole where it changed, where a life begins and now and then. */
+export const heartbeat = (work: Work, whole = false): void => {
   const { self, report, now } = work.state;
   const own = work.state.ownAnvil;
+  const key = `node/${self.id}`;
+  const told = Spindle.get(work.state.spindle, key) as NodeRecord | null | undefined;
   const fed = report !== null && now - report.at < Limits.lease;
   const record: NodeRecord = {
     id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe,
     anvil: self.anvil === null || own === null || now - own.at > Limits.lease ? self.anvil : { ...self.anvil, disk: own.disk, fresh: own.fresh },
-    ready: self.lathe !== null && fed && !report.report.stopping && now < work.state.lease,
+    ready: self.lathe !== null && fed && !report.report.stopping && mayActFor(work.state) > 0,
     staying: self.lathe !== null && fed && !report.report.stopping,
     latheLife: report?.report.latheLife ?? '',
-    wants: fed ? report.report.wants : {},
+    wants: fed ? steady(report.report.wants, told?.wants ?? {}) : {},
   };
-  set(work, { spindle: Spindle.tell(work.state.spindle, `node/${self.id}`, record, now) });
+  if (!whole && told && Spindle.beats(work.state.spindle, key) < Sizes.beatsToWhole && JSON.stringify(told) === JSON.stringify(record)) {
+    set(work, { spindle: Spindle.beat(work.state.spindle, key, now) });
+    return;
+  }
+  // A life begins anywhere, so that the serials of two lives do not pass for one row.
+  const least = told ? 1 : 1 + Math.floor(chance(work) * Sizes.firstSerial);
+  set(work, { spindle: Spindle.tell(work.state.spindle, key, record, now, least) });
 };
 
 /** Every node heard of that is not forgotten. */
@@ -76,12 +92,12 @@
     if (key.startsWith('origin/') && told && held !== undefined && isOld(before, told)) set(work, { spindle: Spindle.tell(work.state.spindle, key, held.value, held.seenAt) });
   }
   const own = [`node/${work.state.self.id}`, `vector/${work.state.self.id}`];
-  if (learned.news.includes(own[0] ?? '')) heartbeat(work);
+  if (learned.news.includes(own[0] ?? '')) heartbeat(work, true);
   if (learned.news.includes(own[1] ?? '') && work.state.sent !== null) {
     set(work, { spindle: Spindle.tell(work.state.spindle, own[1] ?? '', work.state.sent, work.state.now) });
   }
   if (learned.news.some((key) => key.startsWith('vector/'))) set(work, { splitStale: true });
-  adoptAnvils(work);
+  if (learned.values.some((key) => key.startsWith('node/'))) adoptAnvils(work);
 };
 
 /** An anvil's machine may come back at another address; its name stays its place among the voters. */
@@ -96,19 +112,21 @@
   }
 };
 
+/** Pings partners that were not yet measured, and a drawn few of the others. */
 export const pingAll = (work: Work): void => {
   if (work.state.self.lathe === null) return;
   for (const { record } of nodesOf(work.state)) {
     if (record.id === work.state.self.id || record.lathe === null) continue;
+    if (work.state.delays[record.id] !== undefined && chance(work) >= Beats.pingDraw / Beats.ping) continue;
     send(work, record.address, { kind: 'ping' }, { kind: 'ping', edge: record.id, sentAt: work.state.now });
   }
 };
 
 export const tookPing = (work: Work, edge: string, seconds: number): void => {
-  set(work, { delays: { ...work.state.delays, [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-3) } });
+  set(work, { delays: { ...work.state.delays, [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-2) } });
 };
 
-/** s. The least of the last three pings: what the path takes without the machine's own noise. */
+/** s. The least of the last two pings: what the path takes without the machine's own noise. */
 export const delayTo = (state: JigState, edge: string): number | null => {
   const known = state.delays[edge];
   return known === undefined || known.length === 0 ? null : Math.min(...known);
@@ -203,6 +221,29 @@
   }));
 };
 
+/** An even spread of numbers over names, the same on every node. */
+const mixed = (text: string): number => {
+  let hash = 2_166_136_261;
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
+  hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
+  return (hash ^ (hash >>> 13)) >>> 0;
+};
+
+/**
+ * Requests a second that this node may send to a cold instance. Only a few nodes may, those that rendezvous
+ * hashing names for it: every node for itself comes to the same ones, as far as it knows the same nodes.
+ */
+const coldPartOf = (state: JigState, instance: string, rate: number): number => {
+  const plan = planOf(state);
+  // A node that has only just come knows few others: the division names them all.
+  if (plan === null) return 0;
+  const names = [...new Set([...plan.seated, ...nodesOf(state).flatMap(({ record }) => (record.lathe === null ? [] : [record.id]))])];
+  const parts = Math.max(1, Math.min(names.length, Math.floor(rate / Weights.coldPart)));
+  const own = mixed(`${instance} ${state.self.id}`);
+  const ahead = names.filter((name) => name !== state.self.id && mixed(`${instance} ${name}`) > own).length;
+  return ahead < parts ? (rate * Weights.coldShare) / parts : 0;
+};
+
 /** Instances that take work, each with this node's slice of what it carries. */
 export const originRows = (state: JigState): readonly OriginRow[] => {
   const slices = planOf(state)?.slices ?? {};
@@ -213,7 +254,7 @@
     const mine = slices[description.service] ?? {};
     const carried = rateOf(mine, state.self.id, description.capacity ?? Infinity);
     const service = services[description.service];
-    const bearable = service?.coldRate === undefined ? Infinity : (mine[state.self.id] ?? 0) * service.coldRate * Weights.coldShare;
+    const bearable = service?.coldRate === undefined ? Infinity : coldPartOf(state, `${description.instance}/${description.incarnation}`, service.coldRate);
     return [{
       service: description.service, instance: description.instance, incarnation: description.incarnation, address: description.address,
       hall: description.hall, region: description.region, capacity: description.capacity ?? description.slots ?? 1, slots: description.slots ?? null, conns: service?.instanceConns ?? null, cold, rate: cold ? Math.min(carried, bearable) : carried,
--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -79,7 +79,6 @@
   if (rate === Infinity) return 0;
   const bucket = state.buckets[name];
   const tokens = bucket === undefined ? 0 : filled(bucket, state.now);
-  if (rate === Infinity) return 0;
   return rate <= 0 ? Infinity : Math.max(0, ((1 + ahead - tokens) / rate) * 1_000);
 };
 
@@ -174,7 +173,7 @@
 };
 
 export const earnRepeat = (work: Work, service: string): void =>
-  set(work, { repeats: { ...work.state.repeats, [service]: Math.min(Weights.repeatSaved, (work.state.repeats[service] ?? 0) + Weights.repeatShare) } });
+  set(work, { repeats: { ...work.state.repeats, [service]: Math.min(Math.max(1, Math.min(Weights.repeatSaved, Weights.repeatSavedByAll / nodes(work.state))), (work.state.repeats[service] ?? 0) + Weights.repeatShare) } });
 export const mayRepeat = (state: LatheState, service: string): boolean => (state.repeats[service] ?? 0) >= 1;
 export const spendRepeat = (work: Work, service: string): void =>
   set(work, { repeats: { ...work.state.repeats, [service]: (work.state.repeats[service] ?? 0) - 1 } });
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -4,13 +4,14 @@
 import type { Readable } from 'node:stream';
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
 import { Task } from '@reedyard/chute';
-import type { ClaimReply, Feed } from '@reedyard/jig';
+import type { ClaimReply, FeedTold, LatheCall } from '@reedyard/jig';
 import { openScribe } from '@reedyard/scriber';
 import { call } from '@reedyard/shuttle';
 import { Routes } from '@reedyard/stencil';
 import type { Settings } from '@reedyard/vise';
 import { originName } from './choice.js';
 import { OriginConns, passable, sendToPartner, type LegError, type Outgoing, type Underway } from './conns.js';
+import { Feeds, type HeldFeed } from './feeds.js';
 import { Lathe } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { present } from './present.js';
@@ -40,6 +41,7 @@
   /** Attempts under way, by request and number; some outlast their request. */
   const attempts = new Map<string, Underway>();
   const conns = new OriginConns(settings.host, dialect);
+  let held: HeldFeed | null = null;
   const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
   let nextId = 1;
 
@@ -126,9 +128,10 @@
         return;
       case 'question': {
         const askedAt = now();
-        call(feedAddress, '/feed', { kind: 'feed', report: effect.report }).then(
+        call(feedAddress, '/feed', { kind: 'feed', report: effect.report, held: Feeds.holding(held) } satisfies LatheCall).then(
           (reply) => {
-            const feed = reply as Feed;
+            held = Feeds.merge(held, reply as FeedTold);
+            const { feed } = held;
             put({ kind: 'fed', feed, askedAt, now: now() });
             conns.keepOnly(new Set(feed.origins.map(originName)));
           },
@@ -142,6 +145,15 @@
     initial: Lathe.open({ id: settings.name, hall: settings.hall, region: settings.region, capacityBps: settings.lathe.capacityBps, life: randomUUID() }, now()), reduce: Lathe.reduce, perform,
   });
 
+  let beating: NodeJS.Timeout | undefined;
+  const beatIn = (ms: number): void => {
+    beating = setTimeout(() => {
+      const idle = opened.size === 0 && Object.keys(task.peek().transactions).length === 0;
+      task.put({ kind: 'beat', now: now() });
+      beatIn(idle ? Beats.latheIdle : Beats.lathe);
+    }, ms);
+  };
+
   const refuse = (response: http.ServerResponse, status: number, title: string, detail: string): void => {
     const text = JSON.stringify({ type: 'about:blank', title, status, detail, outcome: 'not-run' });
     response.writeHead(status, { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(text), 'reedyard-outcome': 'not-run', connection: 'close' });
@@ -177,6 +189,7 @@
       opened.set(id, { request, response, body: Buffer.concat(chunks), asked, mark: fromPartner && typeof mark === 'string' ? mark : null });
       response.on('close', () => { if (!response.writableFinished) task.put({ kind: 'left', id, now: now() }); });
       const draws = Array.from({ length: Sizes.draws }, () => Math.random());
+      if (opened.size === 1) { clearTimeout(beating); beatIn(Beats.lathe); }
       if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) { opened.delete(id); refuse(response, 503, 'Too busy', 'Too many events wait here.'); }
     };
     request.on('data', (chunk: Buffer) => {
@@ -202,7 +215,7 @@
     await new Promise<void>((resolve, reject) => { asks.once('error', reject); asks.listen(settings.lathe.readyPort, settings.listen ?? settings.host, resolve); });
     servers.push(asks);
   }
-  setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.lathe);
+  beatIn(Beats.latheIdle);
   if (trace !== null) setInterval(() => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }), 1_000);
   task.put({ kind: 'ask', now: now() });
   scribe.info('started', { callers: settings.lathe.port, partners: settings.lathe.partnerPort });
