Objects of kept routes are placed by name in each zone; the split chooses who serves

Every edge now knows where an object is placed (rendezvous hashing over its zone's edges that may serve it), and the split has one row for each holder's part of a route: to the holder, or to its own edge at the price of a fetch where the holder is full. Besides: an attempt that went to a peer alone takes no repeat from the budget on kept routes, a silent peer is set aside and hedged as a silent origin is, outside the homes by another peer.

Ruled out: one holder for the whole fleet; bytes between zones cost more than the fetches it saves. Routes kept by their origins' headers stay as they were.

--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -1,7 +1,7 @@
 import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
 import { Spindle, type Exchanged, type Neighbour } from '@reedyard/spindle';
 import { boundOf, rateOf } from '@reedyard/ladle';
-import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
+import { holderOf, mixed, mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
 import { chance, closedOf, hallsOf, mayActFor, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
@@ -154,6 +154,20 @@
   });
 };
 
+/**
+ * Where a route's objects are placed for the clients of an edge: at the edges of its own zone, so that each is
+ * fetched once for a zone and few bytes leave it; where none there may serve the route, at those of another one.
+ */
+const placesOf = (allowed: readonly { readonly id: string; readonly hall: string }[], members: readonly { readonly id: string; readonly hall: string }[]): ((client: string) => readonly string[]) => {
+  const byZone = new Map<string, string[]>();
+  for (const { id, hall } of allowed) byZone.set(hall, [...(byZone.get(hall) ?? []), id]);
+  const zones = new Map(members.map(({ id, hall }) => [id, hall]));
+  return (client) => {
+    const zone = zones.get(client) ?? '';
+    return byZone.get(zone) ?? byZone.get(holderOf(zone, [...byZone.keys()]) ?? '') ?? [];
+  };
+};
+
 /** Computes this edge's rows from the vectors it holds, once something they rest on has changed. */
 export const computeSplit = (work: Work): void => {
   const { state } = work;
@@ -164,6 +178,7 @@
   const policy = policyOf(state);
   const routes = new Map((policy?.document.routes ?? []).map((route) => [route.name, route]));
   const me = { id: state.self.id, region: state.self.region };
+  const members = [...new Map([...[...serving.values()].map(({ id, hall }) => [id, hall] as const), [me.id, state.self.hall] as const])].map(([id, hall]) => ({ id, hall })).sort((a, b) => (a.id < b.id ? -1 : 1));
   const vectors: Record<string, Vector> = {};
   for (const [key, value, seenAt] of Spindle.all(state.spindle, 'vector/')) {
     const edge = key.slice('vector/'.length);
@@ -172,10 +187,11 @@
   const split = vectors[me.id] === undefined ? { split: {}, iterations: 0, cost: 0 } : splitFor(me.id, vectors, (name) => {
     const route = routes.get(name);
     if (route === undefined) return null;
-    return { servers: (edge) => {
+    const servers = (edge: string): boolean => {
       const region = edge === me.id ? me.region : serving.get(edge)?.region;
       return region !== undefined && (edge === me.id || serving.has(edge)) && (route.homes === undefined || route.homes.includes(region));
-    } };
+    };
+    return route.cache.keep === 'always' ? { servers, placed: placesOf(members.filter(({ id }) => servers(id)), members) } : { servers };
   });
   set(work, { split: split.split, splitAt: state.now, splitStale: false, splitOver: over, splits: state.splits + 1 });
 };
@@ -221,14 +237,6 @@
   }));
 };
 
-/** An even spread of numbers over names, the same on every node. */
-const mixed = (text: string): number => {
-  let hash = 2_166_136_261;
-  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
-  hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
-  return (hash ^ (hash >>> 13)) >>> 0;
-};
-
 /**
  * Requests a second that this node may send to a cold instance. Only a few nodes may, those that rendezvous
  * hashing names for it: every node for itself comes to the same ones, as far as it knows the same nodes.
--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -1,5 +1,5 @@
 import { Limits, Weights } from '@reedyard/gauge';
-import { objectKey } from '@reedyard/plumb';
+import { groupKey, holderOf, objectKey } from '@reedyard/plumb';
 import { Routes, type Route } from '@reedyard/stencil';
 import { Tally } from '@reedyard/tally';
 import type { OriginRow, PartnerRow } from '@reedyard/jig';
@@ -40,7 +40,9 @@
   const home = atHome(transaction.route.homes, state.self.region);
   if (transaction.asked.via !== null) return home ? 'self' : null;
   const split = state.feed?.split ?? {};
-  const row = split[objectKey(transaction.route.name, transaction.asked.target)] ?? split[objectKey(transaction.route.name, null)] ?? [];
+  const { name } = transaction.route;
+  const holder = holderOf(transaction.key, state.holders[name] ?? []);
+  const row = (holder === undefined ? split[objectKey(name, transaction.asked.target)] ?? split[objectKey(name, null)] : split[groupKey(name, holder)]) ?? [];
   if (home && row.every(([edge]) => edge === state.self.id)) return 'self';
   const partners = allowedPartners(state, transaction);
   const open = row.flatMap(([edge, share]): readonly (readonly ['self' | PartnerRow, number])[] => {
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -1,7 +1,7 @@
 import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
 import type { Step } from '@reedyard/chute';
 import type { ClaimReply, ClaimState, Feed, Measure, Report } from '@reedyard/jig';
-import { objectKey } from '@reedyard/plumb';
+import { holdersOf, objectKey } from '@reedyard/plumb';
 import { Sieve, type Copy } from '@reedyard/sieve';
 import { Routes, type Route, type RouteTable } from '@reedyard/stencil';
 import { Tally, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
@@ -61,7 +61,7 @@
   const bits = 8 * (size + 300);
   const { period } = work.state;
   const own = transaction.asked.via === null;
-  const busy = objectKey(transaction.route.name, transaction.asked.target);
+  const busy = objectKey(transaction.route.name, keepsAlways(transaction.route) ? null : transaction.asked.target);
   set(work, {
     period: {
       ...period, servedBits: period.servedBits + (here ? bits : 0), replies: period.replies + 1,
@@ -122,6 +122,10 @@
 const limitOf = (route: Route, asked: Asked, arrivedAt: number): number =>
   arrivedAt + Math.min(route.limits.transactionMs ?? Limits.transaction, asked.deadlineMs ?? Infinity);
 
+/** Whether another attempt adds little to what origins get: those before went to peers alone, which as a rule have a copy. */
+const isFree = (transaction: Transaction): boolean => keepsAlways(transaction.route) && transaction.legs.every((leg) => leg.to.kind === 'partner');
+const mayTryMore = (work: Work, transaction: Transaction): boolean => (isFree(transaction) || mayRepeat(work.state, transaction.service)) && attemptsLeft(transaction) > 0;
+
 /** Origins that a request may still be sent to. */
 const attemptsLeft = (transaction: Transaction): number =>
   Math.min(transaction.route.limits.attempts ?? Infinity, transaction.asked.attempts ?? Infinity) - transaction.legs.filter((leg) => leg.to.kind === 'origin').length;
@@ -164,7 +168,7 @@
     legs: [...transaction.legs, { number, to: { kind: to.kind, id }, openedAt: work.state.now, limitAt: legLimit, end: null }],
   });
   if (next === undefined) return;
-  if (number > 0) { spendRepeat(work, transaction.service); count(work, 'repeats'); }
+  if (number > 0) { if (!isFree(transaction)) spendRepeat(work, transaction.service); count(work, 'repeats'); }
   count(work, 'legs', to.kind === 'origin' ? 'legs.origin' : 'legs.partner');
   set(work, { outstanding: { ...work.state.outstanding, [id]: (work.state.outstanding[id] ?? 0) + 1 } });
   work.effects.push({
@@ -242,7 +246,9 @@
 const start = (work: Work, given: Transaction): void => {
   const transaction = underPolicy(work, given);
   if (transaction === null) return;
-  const server = drawServer(work.state, transaction);
+  // A copy that lies here costs nothing to reach.
+  const here = keepsAlways(transaction.route) && Sieve.find(work.state.sieve, transaction.key, transaction.asked.headers, work.state.now) !== undefined;
+  const server = here && atHome(transaction.route.homes, work.state.self.region) ? 'self' : drawServer(work.state, transaction);
   if (server === null) { giveUp(work, transaction, 503, 'not-run', 'no node that may serve it can be reached'); return; }
   if (server === 'self') { serveHere(work, transaction); return; }
   open(work, transaction, { kind: 'partner', row: server });
@@ -329,7 +335,7 @@
 const derive = (work: Work, transaction: Transaction): void => {
   if (transaction.phase === 'over') { if (transaction.legs.every((leg) => leg.end !== null)) forget(work, transaction); return; }
   const { legs, safe, limitAt } = transaction;
-  const move = Tally.next({ safe, legs, now: work.state.now, limitAt, mayRepeat: mayRepeat(work.state, transaction.service) && attemptsLeft(transaction) > 0 });
+  const move = Tally.next({ safe, legs, now: work.state.now, limitAt, mayRepeat: mayTryMore(work, transaction) });
   if (transaction.callerGone && move.kind === 'open') { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'its caller left'); return; }
   if (move.kind === 'open') startAgain(work, transaction);
   else if (move.kind === 'give-up') giveUp(work, transaction, move.status, move.outcome, move.why);
@@ -392,7 +398,7 @@
   const final = (!turnedAway || (safe && answer.status === 429 && answer.proof === undefined) || passedOn(answer)) && !mayTryAgain;
   const ended = endLeg(work, transaction, number, { kind: 'answered', status: answer.status, final, notRun });
   if (ended === undefined) return;
-  if (leg.to.kind === 'origin' && !notRun) tookStanding(work, leg.to.id, state.now - leg.openedAt, answer.proof);
+  if (!notRun) tookStanding(work, leg.to.id, state.now - leg.openedAt, answer.proof);
   if (leg.to.kind === 'origin' && notRun) restFor(work, leg.to.id);
   // What is read whole leaves its conn ready for the next.
   const drop = (): void => { if (!answer.whole) work.effects.push({ kind: 'abort', id, leg: number }); };
@@ -465,6 +471,7 @@
   }
   const emptied = feed.emptied.includes(state.self.hall);
   set(work, {
+    holders: feed.split === state.feed?.split ? state.holders : holdersOf(feed.split),
     feed: { ...feed, policy: null, purges: [] }, life: feed.life, flushes: feed.flushes, fedAt: askedAt, purgeSeq: feed.purgeSeq, sieve,
     lease: feed.leaseMs > 0 ? Math.max(state.lease, askedAt + feed.leaseMs) : state.lease, policy,
     routes, abroad: state.abroad || feed.partners.some((row) => row.region !== state.self.region),
@@ -561,19 +568,23 @@
       failed(work, transaction.id, leg.number, 'maybe', 'limit');
       continue;
     }
-    if (leg.to.kind !== 'origin' || now - leg.openedAt < Limits.stalled) continue;
+    if (now - leg.openedAt < Limits.stalled) continue;
     const standing = work.state.standings[leg.to.id];
     const heard = standing !== undefined && standing.heardAt >= leg.openedAt;
     if (!heard && now - leg.openedAt > Weights.stalledTimes * (standing?.ms ?? 0) && (work.state.suspects[leg.to.id] ?? 0) <= now) { count(work, 'stalled'); suspectFor(work, leg.to.id); }
   }
   const current = work.state.transactions[transaction.id];
   if (current === undefined || current.phase !== 'leg' || current.callerGone || lapsed(work)) return;
-  const may = mayRepeat(work.state, current.service) && attemptsLeft(current) > 0;
+  const may = mayTryMore(work, current);
   if (!may || !current.safe || current.legs.filter((leg) => leg.end === null).length !== 1) return;
   if (!Tally.mayHedge({ safe: current.safe, legs: current.legs, now, limitAt: current.limitAt, mayRepeat: may, silentMs: silentAfter(work.state, current) })) return;
   const given = underPolicy(work, current);
   if (given === null) return;
-  if (!atHome(given.route.homes, work.state.self.region)) return;
+  if (!atHome(given.route.homes, work.state.self.region)) {
+    const [partner] = given.asked.via === null ? allowedPartners(work.state, given) : [];
+    if (partner !== undefined) { count(work, 'hedged'); open(work, given, { kind: 'partner', row: partner }); }
+    return;
+  }
   const ranked = rankOrigins(work.state, given, work.state.replyBytes[given.route.name] ?? 0).filter((row) => !given.legs.some((leg) => leg.to.id === originName(row)) && (work.state.outstanding[originName(row)] ?? 0) < roomAt(work.state, row));
   const [row] = ranked;
   if (row === undefined || !takeToken(work, `service/${given.service}`, work.state.feed?.slices[given.service] ?? 0)) return;
@@ -605,7 +616,7 @@
 export const Lathe = {
   /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
   open: (self: LatheState['self'], now: number): LatheState => ({
-    self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, emptiedAt: null, sieve: Sieve.empty, abroad: false,
+    self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, holders: {}, emptiedAt: null, sieve: Sieve.empty, abroad: false,
     transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: {}, suspects: {}, outstanding: {}, standings: {}, replyBytes: {}, stoppingAt: null, counters: {},
     period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 }, wants: {}, wanted: { since: now, counts: {} },
   }),
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -78,6 +78,8 @@
   readonly policy: { readonly serial: number; readonly document: Policy } | null;
   readonly routes: RouteTable;
   readonly feed: Feed | null;
+  /** Edges at which a route's objects are placed, by route. */
+  readonly holders: Readonly<Record<string, readonly string[]>>;
   readonly emptiedAt: number | null;
   readonly sieve: SieveState;
   /** Whether partners in other regions were ever told of. */
--- a/packages/plumb/src/plumb.test.ts
+++ b/packages/plumb/src/plumb.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { costOf, mustSend, queueing, solve, splitFor, type Network, type Solution, type Vector } from './index.js';
+import { costOf, holderOf, holdersOf, mustSend, queueing, solve, splitFor, type Network, type Solution, type Vector } from './index.js';
 
 const chanceFrom = (seed: number): (() => number) => { let state = seed; return () => { state = (state * 1_103_515_245 + 12_345) % 2_147_483_648; return state / 2_147_483_648; }; };
 
@@ -95,6 +95,30 @@
   t.deepEqual(splitFor('a', { a, b }, () => ({ servers: () => false })).split, {});
 });
 
+test('placed objects go to their holder, which the same name gives everywhere, and overflow stays where it arrives', (t) => {
+  const edges = ['a', 'b', 'c'];
+  const counts = new Map<string, number>();
+  for (let each = 0; each < 3_000; each += 1) {
+    const holder = holderOf(`x.example/${each}`, edges) ?? '';
+    counts.set(holder, (counts.get(holder) ?? 0) + 1);
+    // Where one leaves, only its own objects move.
+    const left = holderOf(`x.example/${each}`, ['a', 'b']);
+    t.true(holder === 'c' || left === holder);
+    t.is(holderOf(`x.example/${each}`, ['c', 'b', 'a']), holder);
+  }
+  for (const edge of edges) t.true(Math.abs((counts.get(edge) ?? 0) - 1_000) < 150, `${edge} ${counts.get(edge)}`);
+  const delays = { a: 0.001, b: 0.001, c: 0.001 };
+  const near = (edge: string): readonly string[] => (edge === 'c' ? ['c'] : ['a', 'b']);
+  const rows = (demand: number, capacity = 8e6) => splitFor('a', Object.fromEntries(edges.map((edge) => [edge, vector({ demand: { sheets: demand }, delays, capacity })])), () => ({ servers: () => true, placed: near })).split;
+  t.deepEqual(rows(1e5), { 'sheets @a': [['a', 1]], 'sheets @b': [['b', 1]] });
+  t.deepEqual(holdersOf(rows(1e5)), { sheets: ['a', 'b'] });
+  // b is full of its own: some of what it holds is fetched where it is asked for.
+  const crowded = splitFor('a', { a: vector({ demand: { sheets: 1e6 }, delays }), b: vector({ demand: { heavy: 7.6e6 }, delays }) }, (route) => (route === 'heavy' ? { servers: (edge) => edge === 'b' } : { servers: () => true, placed: () => ['a', 'b'] })).split['sheets @b'];
+  t.true(crowded?.some(([edge, share]) => edge === 'a' && share > 0.1));
+  // Outside its homes nothing is fetched for oneself.
+  t.deepEqual(splitFor('c', { a: vector({ delays }), c: vector({ demand: { sheets: 1e5 }, delays }) }, () => ({ servers: (edge) => edge === 'a', placed: () => ['a'] })).split, { 'sheets @a': [['a', 1]] });
+});
+
 test('a vector is sent on a change of a tenth, on a marked change of delay, and else not', (t) => {
   const old = vector({ utilisation: 0.5, delays: { b: 0.01 } });
   t.true(mustSend(old, null));
--- a/packages/plumb/src/vectors.ts
+++ b/packages/plumb/src/vectors.ts
@@ -22,7 +22,45 @@
 };
 
 /** What of a route the split must know. */
-export type ObjectRule = { readonly servers: (edge: string) => boolean };
+export type ObjectRule = {
+  readonly servers: (edge: string) => boolean;
+  /** Where the route's objects are placed for the clients of an edge: each at one of these, drawn by its name. Left out: nowhere, copies lie where they happened to be made. */
+  readonly placed?: (client: string) => readonly string[];
+};
+
+/** An even spread of numbers over names, the same on every node. @example mixed('a') === mixed('a') // true */
+export const mixed = (text: string): number => {
+  let hash = 2_166_136_261;
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
+  hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
+  return (hash ^ (hash >>> 13)) >>> 0;
+};
+
+/**
+ * Which of some edges holds an object, by rendezvous hashing: where one leaves, only its objects move.
+ *
+ * @example
+ * holderOf('a.example/1', ['front-1', 'front-2']) // the same one everywhere
+ */
+export const holderOf = (object: string, edges: readonly string[]): string | undefined => {
+  const seed = mixed(object);
+  let best: string | undefined;
+  let highest = -1;
+  for (const edge of edges) { const score = mixed(`${edge} ${seed}`); if (score > highest) { highest = score; best = edge; } }
+  return best;
+};
+
+/** The key of those of a route's objects that are placed at one edge. @example groupKey('sheets', 'front-1') // 'sheets @front-1' */
+export const groupKey = (route: string, holder: string): string => `${route} @${holder}`;
+/** The holders that a split has rows for, by route. @example holdersOf({ 'sheets @front-1': [['front-1', 1]] }) // { sheets: ['front-1'] } */
+export const holdersOf = (split: Split): Readonly<Record<string, readonly string[]>> => {
+  const found: Record<string, string[]> = {};
+  for (const key of Object.keys(split)) {
+    const cut = key.indexOf(' @');
+    if (cut > 0) (found[key.slice(0, cut)] ??= []).push(key.slice(cut + 2));
+  }
+  return found;
+};
 
 /** Share of an object's demand by the edge that serves it. */
 export type Row = readonly (readonly [edge: string, share: number])[];
@@ -69,28 +107,42 @@
     return rule === null ? [] : [{ key, rule }];
   });
   const copies = list.map((vector) => new Set(vector.copies));
+  const grouped = keys.flatMap(({ key, rule }) => {
+    const { placed } = rule;
+    if (placed === undefined || key !== routeOf(key)) return [];
+    const places = edges.map((edge) => placed(edge));
+    return [...new Set(places.flat())].sort().map((holder) => ({
+      key: groupKey(key, holder),
+      object: {
+        demand: list.map((vector, k) => (places[k]?.includes(holder) === true ? (vector.demand[key] ?? 0) / meanReply / places[k].length : 0)),
+        // Its holder has a copy or makes one for all; the clients' own edge may make one for itself.
+        link: (j: number, k: number): number | null => (edges[j] === holder ? 0 : j === k && rule.servers(edges[j] ?? '') ? list[j]?.fetchDelay ?? Weights.fetchPenalty : null),
+      },
+    }));
+  });
+  const single = keys.filter(({ key, rule }) => rule.placed === undefined || key !== routeOf(key));
   const delays = list.map((vector, j) => edges.map((edge, k) => (j === k ? 0 : vector.delays[edge] ?? list[k]?.delays[edges[j] ?? ''] ?? Weights.fetchPenalty)));
   const solution = solve({
     capacities: list.map((vector) => vector.capacity / meanReply),
     delays,
-    objects: keys.map(({ key, rule }) => {
+    objects: [...grouped.map(({ object }) => object), ...single.map(({ key, rule }) => {
       const allowed = edges.map((edge) => rule.servers(edge));
       const held = copies.map((set, j) => allowed[j] === true && set.has(key));
       const anyHeld = held.some(Boolean);
       return {
         demand: list.map((vector) => (vector.demand[key] ?? 0) / meanReply),
-        link: (j, k) => {
+        link: (j: number, k: number): number | null => {
           if (allowed[j] !== true) return null;
           if (held[j] === true) return 0;
           // No replica: the client's own edge may make one; others only where nobody has one.
           return j === k || !anyHeld || allowed[k] !== true ? list[j]?.fetchDelay ?? Weights.fetchPenalty : null;
         },
       };
-    }),
+    })],
   });
   const me = edges.indexOf(self);
   const split: Record<string, Row> = {};
-  keys.forEach(({ key }, i) => {
+  [...grouped, ...single].forEach(({ key }, i) => {
     const row = solution.flows[i]?.[me] ?? [];
     const total = row.reduce((sum, flow) => sum + flow, 0);
     if (total > 0) split[key] = row.flatMap((flow, j) => (flow / total > 1e-4 ? [[edges[j] ?? '', flow / total] as const] : []));
