A node without a lease asks more often for five seconds; its lathe too

Cause: after a stop of all processes (closing faults of both sites) nodes came back 2 s after their start: a jig that had found the voters waited half a second for its next pull, and the lathe a quarter for its next question. Ruled out: asking that often as long as there is no lease; in a long outage of the core a large fleet would hinder its return.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -42,6 +42,8 @@
   /** ms. The same while no transaction is under way: then only copies may have to be dropped, at the latest
    *  1.5 + 0.3 + 0.1 s after what allowed them was known, under the brief's 2 s. */
   latheIdle: 100,
+  /** ms. While there is no lease, pulls and the lathe's questions come this often: callers wait for them. */
+  lapsed: 100,
   /** ms. An anvil that may not vote yet asks the others again. */
   rejoin: 200,
 } as const;
@@ -62,6 +64,9 @@
   /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
    *  was starved or frozen has unanswered pulls as well, but others may reach it. */
   calm: 2_000,
+  /** ms. A node without a lease asks more often for this long; then the core is really away, and all of
+   *  a large fleet asking that often would only hinder its return. */
+  eager: 5_000,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -81,6 +81,7 @@
   /** The newest ballot of a register that only a minority showed, and since when. */
   readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
   /** Monotonic ms until which this node may act on what it knows. */
+  readonly openedAt: number;
   readonly lease: number;
   /** When the last beat came, and when one last came late. */
   readonly beatAt: number;
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -135,7 +135,7 @@
             put({ kind: 'fed', feed, askedAt, now: now() });
             conns.keepOnly(new Set(feed.origins.map(originName)));
           },
-          () => undefined).finally(() => setTimeout(() => put({ kind: 'ask', now: now() }), Beats.feed));
+          () => undefined).finally(() => setTimeout(() => put({ kind: 'ask', now: now() }), now() < task.peek().lease ? Beats.feed : Beats.lapsed));
         return;
       }
       case 'log': scribe.info(effect.event, effect.fields); return;
