--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -36,7 +36,9 @@
   /** ms that a message may wait more. */
   readonly busyMs?: number;
   /** How far the clocks of machines may run from the true rate: a share of it, either way. */
-  readonly drift?: number };
+  readonly drift?: number;
+  /** Voters found themselves from the seeds' anvils, instead of being named by the settings. */
+  readonly voting?: { readonly losses: number } };
 
 /** A whole fleet in virtual time. */
 export class SimFleet implements CalledFleet {
@@ -48,6 +50,8 @@
   readonly #drained = new Map<string, Feed['origins'][number]>();
   /** What settings name as seeds to those that start from now on. */
   seeds: readonly string[] = [];
+  /** What settings say where voters found themselves: whether the whole system starts for the very first time. */
+  firstStart = true;
   readonly counts = { messages: 0, events: 0 };
   /** Time to the last byte of each answer that callers got, ms. */
   readonly waits: { readonly at: number; readonly ms: number }[] = [];
@@ -151,6 +155,9 @@
     this.clock.in((ms / process.clockRate) * this.clock.between(0.9, 1.1), () => this.#inside(process, () => { act(); this.#every(process, ms, act); }));
   }
 
+  /** The anvils of the machines that settings name as seeds. */
+  #anvilSeeds(): readonly string[] { return this.seeds.map((seed) => seed.replace(/\/jig$/, '/anvil')); }
+
   founders(): Record<string, string> {
     return Object.fromEntries(this.deployment.machines.filter((machine) => machine.kind !== 'front').map((machine) => [machine.name, `${machine.name}/anvil`]));
   }
@@ -174,7 +181,8 @@
     const records = this.tuning.plant === 'wiped-votes' && box.disk.synced.length === 0 ? box.namePlate : box.disk.synced;
     let effects: readonly AnvilEffect[] = [];
     const process = this.#make('anvil', machine, (now) => {
-      const opened = Anvil.open({ name: box.as, others, records, freshDisk: `disk-${this.#lives}`, now });
+      const seeded = this.tuning.voting === undefined ? null : { address: `${machine.name}/anvil`, seeds: this.#anvilSeeds(), firstStart: this.firstStart };
+      const opened = Anvil.open({ name: box.as, others, seeded, records, freshDisk: `disk-${this.#lives}`, now });
       effects = opened.effects;
       return opened.state;
     });
@@ -198,7 +206,7 @@
         lathe: fronts ? { callers: `${machine.name}/lathe`, partners: `${machine.name}/partners`, capacityBps: machine.capacityBps ?? 8e6 } : null,
         anvil: fronts ? null : { address: `${machine.name}/anvil` },
       },
-      life: `life-${this.#lives}`, seeds: this.seeds, founders: this.founders(), seed: Math.floor(this.clock.chance() * 2 ** 31), now,
+      life: `life-${this.#lives}`, seeds: this.seeds, founders: this.founders(), voting: this.tuning.voting === undefined ? null : { losses: this.tuning.voting.losses, seeds: this.#anvilSeeds() }, seed: Math.floor(this.clock.chance() * 2 ** 31), now,
     }));
     box.jig = process;
     this.#every(process, Beats.jig, () => this.#step(process, { kind: 'beat', now: this.#now(process) }));
--- a/packages/mallet/src/run.ts
+++ b/packages/mallet/src/run.ts
@@ -97,8 +97,9 @@
   const capacityBps = options.capacityBps ?? scenario.capacityBps;
   const deployment = capacityBps === undefined ? asGiven : { ...asGiven, machines: asGiven.machines.map((machine) => ({ ...machine, capacityBps })) };
   const used = scenario.policy?.(policy) ?? policy;
-  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12, ...(scenario.busyMs === undefined ? {} : { busyMs: scenario.busyMs }), ...(scenario.drift === undefined ? {} : { drift: scenario.drift }), ...(options.selection === undefined ? {} : { selection: options.selection }) });
+  const fleet = new SimFleet(deployment, options.seed, { loss: scenario.loss ?? 0.001, plant: options.plant ?? 'none', regionsMs: 12, ...(scenario.busyMs === undefined ? {} : { busyMs: scenario.busyMs }), ...(scenario.drift === undefined ? {} : { drift: scenario.drift }), ...(scenario.voting === undefined ? {} : { voting: scenario.voting }), ...(options.selection === undefined ? {} : { selection: options.selection }) });
   for (const machine of deployment.machines) fleet.start(machine.name);
+  fleet.clock.in(4_000, () => { fleet.firstStart = false; });
   fleet.watchReady();
   fleet.clock.in(500, () => fleet.put(used));
   const end = scenario.seconds * 1_000;
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -50,6 +50,8 @@
   readonly sample: () => { readonly method: string; readonly target: string } };
 export type Scenario = {
   readonly what: string; readonly seconds: number; readonly example?: string; readonly rate?: number; readonly loss?: number; readonly drift?: number; /** ms that a message may wait more, where processes are busy. */ readonly busyMs?: number; /** Of each lathe, where it is not the deployment's. */ readonly capacityBps?: number;
+  /** Voters found themselves from three seeds, and the loss of so many disks must be borne. Of real processes this is not played: there the settings name the founders. */
+  readonly voting?: { readonly losses: number };
   readonly policy?: (policy: Policy) => Policy;
   readonly play: (stage: Stage) => void;
 };
