--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -305,7 +305,7 @@
       target.nextAsk += 1;
       target.asking.set(id, reply);
       const { told } = target.state;
-      const heard = this.tuning.plant === 'deaf-voters' && told !== null && body.voters !== null ? { ...body, voters: told } : body;
+      const heard = this.tuning.plant === 'deaf-voters' && target.state.voting && told !== null && body.voters !== null ? { ...body, voters: told } : body;
       this.#step(target, { kind: 'asked', id, body: heard, now: this.#now(target) });
     });
   }
