--- a/packages/mallet/src/scenarios.test.ts
+++ b/packages/mallet/src/scenarios.test.ts
@@ -3,7 +3,7 @@
 
 // What the rule tests do not run: each scenario once, and a share of callers that must be served through it.
 for (const [scenario, least] of [['calm', 0.995], ['lossy', 0.95], ['cuts', 0.9], ['core-split', 0.85], ['wipes', 0.95], ['operators', 0.93], ['hall-power', 0.95], ['rolling', 0.97], ['seeds-changed', 0.98], ['closing', 0.95], ['everything', 0.75],
-  ['policies-homes', 0.6], ['drain-then-kill', 0.95], ['disks-wiped', 0.75], ['all-wiped', 0.6], ['founding', 0.97], ['busy', 0.97], ['loss-after-ack', 0.7]] as const) {
+  ['policies-homes', 0.6], ['drain-then-kill', 0.95], ['disks-wiped', 0.75], ['all-wiped', 0.6], ['founding', 0.97], ['busy', 0.97], ['loss-after-ack', 0.7], ['voters-replaced', 0.85], ['voters-grow', 0.95]] as const) {
   test.serial(`${scenario}: every rule kept, and callers served`, async (t) => {
     // Lets the runner tell what is done so far before the next long run.
     await new Promise((resolve) => { setImmediate(resolve); });
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -482,6 +482,28 @@
     every(stage, 9_000, 44_000, 900, () => faults.read?.(stage));
     every(stage, 9_000, 42_000, 5_000, () => putOne(stage));
   } },
+  'voters-replaced': { what: 'three seeds found the voters; machines with a voter go, their places pass to others, they return; disks are wiped, and all machines lose power once', seconds: 75, voting: { losses: 1 }, play: (stage) => {
+    const { fleet } = stage;
+    const gone = (at: number, name: string, forMs: number, wiped: boolean): void => {
+      fleet.clock.in(at, () => { putOne(stage); fleet.clock.in(fleet.clock.between(0, 300), () => restart(fleet, name, forMs, wiped)); });
+    };
+    gone(10_000, 'core-1', 14_000, false);
+    fleet.clock.in(20_500, () => { fleet.seeds = ['core-2/jig', 'core-3/jig', 'front-1/jig']; });
+    gone(27_000, 'store-1', 1_000, true);
+    gone(33_000, 'store-2', 13_000, true);
+    fleet.clock.in(49_500, () => { for (const name of names(fleet)) fleet.kill(name); fleet.fault('all machines lost'); });
+    fleet.clock.in(51_000, () => { for (const name of names(fleet)) fleet.start(name); fleet.fault('all machines back'); });
+    every(stage, 9_000, 66_000, 2_500, () => putOne(stage));
+    every(stage, 9_000, 66_000, 700, () => faults.read?.(stage));
+    every(stage, 9_000, 66_000, 900, () => faults.purge?.(stage));
+  } },
+  'voters-grow': { what: 'three seeds found the voters, and two more places are added; then two disks at once are wiped, again and again', seconds: 45, voting: { losses: 2 }, play: (stage) => {
+    const { fleet } = stage;
+    every(stage, 10_000, 32_000, 6_000, () => {
+      fleet.put(variant(stage.policy, Math.floor(1e6 * fleet.clock.chance())), () => { [...disks(fleet)].sort(() => fleet.clock.chance() - 0.5).slice(0, 2).forEach((name) => restart(fleet, name, fleet.clock.between(300, 1_500), true)); });
+    });
+    every(stage, 9_000, 40_000, 400, () => faults.read?.(stage));
+  } },
   closing: { what: 'a day that ends with a fault: a hall loses power, others freeze, origins drain, just before the end', seconds: 40, play: (stage) => {
     const { fleet, end } = stage;
     every(stage, 9_000, end, 2_000, () => faults.purge?.(stage));
--- a/packages/vise/src/vise.test.ts
+++ b/packages/vise/src/vise.test.ts
@@ -22,6 +22,19 @@
   t.regex(fault({}), /hall: found nothing/);
 });
 
+test('voters may found themselves from seeds, instead of founders that the settings name', (t) => {
+  const { founders: _founders, ...rest } = good;
+  const voting = { losses: 1, firstStart: false, seeds: ['10.0.0.1:7101', '10.0.0.2:7101', '10.0.0.3:7101'] };
+  t.deepEqual(Vise.check({ ...rest, voting }, 'x').voting, voting);
+  t.regex(fault(rest), /core-1.json: founders: found nothing; wanted the founders, or voting instead/);
+  t.regex(fault({ ...good, voting }), /wanted either founders or voting, not both/);
+  t.regex(fault({ ...rest, voting: { ...voting, firstStart: undefined } }), /voting.firstStart: found nothing/);
+  t.regex(fault({ ...rest, voting: { ...voting, losses: 1.5 } }), /voting.losses: found 1.5; wanted a whole number/);
+  t.regex(fault({ ...rest, voting: { ...voting, seeds: [] } }), /voting.seeds: found \[\]; wanted at least one seed/);
+  t.regex(fault({ ...rest, voting: { ...voting, seeds: ['10.0.0.1:7101', '10.0.0.1:7101'] } }), /wanted each seed once/);
+  t.regex(fault({ ...rest, voting: { ...voting, seeds: ['core-1:7101'] } }), /wanted IP:PORT/);
+});
+
 test('flags lie over the file', (t) => {
   const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'vise-')), 'core-1.json');
   writeFileSync(file, JSON.stringify(good));
