--- a/packages/mallet/src/voters.test.ts
+++ b/packages/mallet/src/voters.test.ts
@@ -162,8 +162,9 @@
     runFor(fleet, 6_000);
     t.is(placesOf(fleet, 1).length, 4, `seed ${seed}`);
     t.is(tryPut(fleet, 2, 'early'), 503);
+    t.is(answerOf(fleet, 2, { kind: 'withdraw', instance: 'x-1' }).status, 503);
     t.is(answerOf(fleet, 2, { kind: 'purge', purge: { objects: ['x/y'], tags: [] }, changeId: 'purge' }).status, 503);
-    t.is(answerOf(fleet, 2, { kind: 'hall', hall: 'hall-1', order: 'empty', changeId: 'hall' }).status, 503);
+    t.is(answerOf(fleet, 2, { kind: 'hall', hall: 'hall-1', order: 'empty', of: 'all', changeId: 'hall' }).status, 503);
     fleet.start('core-5');
     runFor(fleet, 6_000);
     t.deepEqual(placesOf(fleet, 1), ['core-1', 'core-2', 'core-3', 'core-4', 'core-5'], `seed ${seed}`);
