Voters that come back with their disk at another address are found by gossip at once

With every machine of the core at a new address no jig had a lease, so none opened the ballot that notes an address. Now a place's disk is asked where gossip tells that it is; answers count by the disk as ever. Another place's disk at the address of a place that is gone no longer counts as word of it, and a blank disk there gets the place only where the place's own disk lives nowhere else.

--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -3,7 +3,7 @@
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
-import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, type JigState, type Work } from './state.js';
+import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, votersOf, type JigState, type Work } from './state.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
 /** Tells this node's own record again; each new serial is a heartbeat. */
@@ -84,14 +84,27 @@
   adoptAnvils(work);
 };
 
-/** An anvil's machine may come back at another address; its name stays its place among the voters. */
+/** Anvils that told their disk by gossip, each disk once: where it was heard of last. Where voters found themselves from seeds. */
+export const anvilsHeard = (state: JigState): readonly { readonly id: string; readonly hall: string; readonly address: string; readonly disk: string; readonly fresh: boolean; readonly seenAt: number }[] => {
+  const heard = nodesOf(state).flatMap(({ record, seenAt }) => (record.anvil?.disk === undefined ? []
+    : [{ id: record.id, hall: record.hall, address: record.anvil.address, disk: record.anvil.disk, fresh: record.anvil.fresh === true, seenAt }]));
+  return heard.filter((each) => !heard.some((other) => other.disk === each.disk && other.seenAt > each.seenAt));
+};
+
+/**
+ * An anvil's machine may come back at another address; its name stays its place among the voters. Where voters
+ * found themselves from seeds its disk tells its place, and a ballot then notes the address.
+ */
 const adoptAnvils = (work: Work): void => {
-  for (const { record } of nodesOf(work.state)) {
-    // Where voters found themselves from seeds, a place's disk tells its machine, and `moveVoters` notes its address.
-    const view = work.state.voting === null ? work.state.anvils[record.id] : undefined;
-    if (view !== undefined && record.anvil !== null && record.anvil.address !== view.address) {
-      log(work, 'anvil.moved', { anvil: record.id, address: record.anvil.address });
-      set(work, { anvils: { ...work.state.anvils, [record.id]: { ...view, address: record.anvil.address, call: null, pulled: null } } });
+  const disks = votersOf(work.state)?.value.disks ?? {};
+  const heard = work.state.voting === null
+    ? nodesOf(work.state).flatMap(({ record }) => (record.anvil === null ? [] : [{ place: record.id, address: record.anvil.address }]))
+    : anvilsHeard(work.state).flatMap((each) => Object.keys(disks).filter((place) => disks[place] === each.disk).map((place) => ({ place, address: each.address })));
+  for (const { place, address } of heard) {
+    const view = work.state.anvils[place];
+    if (view !== undefined && address !== view.address) {
+      log(work, 'anvil.moved', { anvil: place, address });
+      set(work, { anvils: { ...work.state.anvils, [place]: { ...view, address, call: null, pulled: null } } });
     }
   }
 };
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -4,7 +4,7 @@
 import type { Plan } from '@reedyard/ladle';
 import { Changes, countAnew, pursue } from './ballots.js';
 import type { HallsValue } from './terms.js';
-import { nodesOf } from './network.js';
+import { anvilsHeard, nodesOf } from './network.js';
 import { anvilView, bearsLosses, chance, counts, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
@@ -56,7 +56,8 @@
   const { anvils, now } = work.state;
   set(work, { anvils: Object.fromEntries(Object.entries(voters.addresses ?? {}).map(([place, address]) => {
     const view = anvils[place];
-    return [place, view !== undefined && view.address === address && before?.disks[place] === voters.disks[place] ? view : anvilView(address, now)];
+    const same = before?.disks[place] === voters.disks[place] && (before?.addresses?.[place] === address || view?.address === address);
+    return [place, view !== undefined && same ? view : anvilView(address, now)];
   })) });
 };
 
@@ -184,22 +185,18 @@
   }
 };
 
+/** Whether a place's disk lives at another address, or may do so unheard of, since this jig has only just begun to hear. */
+const movedAway = (state: JigState, disk: string): boolean => state.voting !== null
+  && (state.now - state.openedAt < Limits.partnerSilence || anvilsHeard(state).some((each) => each.disk === disk && state.now - each.seenAt < Limits.partnerSilence));
+
 /** A fresh disk at an anvil's place asks for it; some jig opens the ballot. */
 const seat = (work: Work, anvil: string, disk: string): void => {
   const voters = votersOf(work.state);
   const busy = Object.values(work.state.pursuits).some((pursuit) => pursuit.purpose.kind === 'seat');
-  if (voters === null || voters.value.disks[anvil] === disk || busy || chance(work) > 0.2) return;
+  if (voters === null || voters.value.disks[anvil] === disk || busy || movedAway(work.state, voters.value.disks[anvil] ?? '') || chance(work) > 0.2) return;
   pursue(work, 'voters', Changes.seat(voters.value, anvil, disk), { kind: 'seat', anvil, disk });
 };
 
-/** Live nodes whose anvil told its disk, as it was heard by gossip. */
-const liveAnvils = (state: JigState): readonly { readonly id: string; readonly hall: string; readonly address: string; readonly disk: string; readonly fresh: boolean }[] =>
-  nodesOf(state).flatMap(({ record, seenAt }) => {
-    const { anvil } = record;
-    const live = record.id === state.self.id || state.now - seenAt < Limits.partnerSilence;
-    return live && anvil !== null && anvil.disk !== undefined ? [{ id: record.id, hall: record.hall, address: anvil.address, disk: anvil.disk, fresh: anvil.fresh === true }] : [];
-  });
-
 /**
  * Where voters found themselves from seeds: opens the next change of the voters that is due, if any. A place's disk
  * that moved has its address noted; while too few vote, a blank disk gets a place of its own; else it gets
@@ -210,7 +207,7 @@
   const voters = votersOf(state)?.value;
   if (state.voting === null || voters?.addresses === undefined || state.now >= state.lease) return;
   if (Object.values(state.pursuits).some((pursuit) => pursuit.purpose.kind === 'seat') || chance(work) > 0.2) return;
-  const live = liveAnvils(state);
+  const live = anvilsHeard(state).filter((each) => each.id === state.self.id || state.now - each.seenAt < Limits.partnerSilence);
   const places = Object.keys(voters.disks);
   const addresses = voters.addresses;
   const moved = live.find((each) => places.some((place) => voters.disks[place] === each.disk && addresses[place] !== each.address));
@@ -234,14 +231,17 @@
   if (gone !== undefined) pursue(work, 'voters', Changes.replace(voters, gone, name, spare.disk, spare.address), { kind: 'seat', anvil: name, disk: spare.disk, instead: gone });
 };
 
-/** Whether neither gossip nor any answer has told of a place's machine for long. */
+/**
+ * Whether neither gossip nor any answer has told of a place's machine for long. Another place's disk that came to
+ * its address is no word of it; a blank one is, and gets the place by itself.
+ */
 const isGone = (state: JigState, place: string, disk: string, address: string): boolean => {
-  const heard = nodesOf(state).flatMap(({ record, seenAt }) => (record.anvil !== null && (record.anvil.disk === disk || record.anvil.address === address) ? [record.id === state.self.id ? state.now : seenAt] : []));
+  const heard = nodesOf(state).flatMap(({ record, seenAt }) => (record.anvil !== null && (record.anvil.disk === disk || (record.anvil.address === address && (record.anvil.disk === undefined || record.anvil.fresh === true))) ? [record.id === state.self.id ? state.now : seenAt] : []));
   return state.now - Math.max(state.anvils[place]?.heardAt ?? state.now, ...heard) > Limits.voterSilence;
 };
 
 export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
-  change(work, name, { heardAt: work.state.now });
+  if (counts(work.state, name, reply.disk) || (reply.kind === 'away' && reply.fresh)) change(work, name, { heardAt: work.state.now });
   if (reply.kind === 'stale') {
     change(work, name, { call: null, pulled: null, named: reply.voters });
     learnVoters(work, reply.voters);
--- a/packages/mallet/src/voters.test.ts
+++ b/packages/mallet/src/voters.test.ts
@@ -203,6 +203,40 @@
   }
 });
 
+test('a voter that comes back with its disk at the address of another, which is gone: both places are looked after', (t) => {
+  for (const seed of seeds) {
+    const fleet = founded(seed, 4);
+    t.is(tryPut(fleet, 3, 'one'), 200);
+    fleet.kill('core-1');
+    fleet.kill('core-2');
+    const [gone, back] = [fleet.boxes.get('core-1'), fleet.boxes.get('core-2')];
+    if (gone === undefined || back === undefined) { t.fail(); return; }
+    gone.disk = back.disk;
+    runFor(fleet, 1_000);
+    fleet.start('core-1');
+    runFor(fleet, 16_000);
+    t.deepEqual(placesOf(fleet, 3), ['core-1', 'core-3', 'core-4'], `seed ${seed}`);
+    for (const index of [1, 3, 4]) t.true(votes(fleet, index), `seed ${seed}`);
+    t.is(serialAt(fleet, 4), 1);
+  }
+});
+
+test('all machines come back with their disks at other addresses', (t) => {
+  for (const seed of seeds) {
+    const fleet = founded(seed, 6);
+    t.is(tryPut(fleet, 4, 'one'), 200);
+    for (const index of [1, 2, 3, 4, 5, 6]) fleet.kill(machine(index));
+    const disks = [1, 2, 3].map((index) => fleet.boxes.get(machine(index))?.disk);
+    const blanks = [4, 5, 6].map((index) => fleet.boxes.get(machine(index))?.disk);
+    [4, 5, 6, 1, 2, 3].forEach((index, at) => { const box = fleet.boxes.get(machine(index)); const disk = [...disks, ...blanks][at]; if (box !== undefined && disk !== undefined) box.disk = disk; });
+    fleet.seeds = ['core-4/jig', 'core-1/jig', 'core-2/jig'];
+    for (const index of [1, 2, 3, 4, 5, 6]) fleet.start(machine(index));
+    runFor(fleet, 8_000);
+    t.is(serialAt(fleet, 1), 1, `seed ${seed}`);
+    t.deepEqual(placesOf(fleet, 1), ['core-4', 'core-5', 'core-6'], `seed ${seed}`);
+  }
+});
+
 test('a jig that was gone while every place changed hands finds the voters again', (t) => {
   for (const seed of seeds) {
     const fleet = founded(seed, 7);
