--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -69,6 +69,7 @@
   readonly seeds: readonly string[];
   /** Where voters found themselves from seeds; null where the settings name every founder. */
   readonly voting: JigVoting | null;
+  readonly openedAt: number;
   /** This machine's own anvil as it last answered. */
   readonly ownAnvil: { readonly disk: string; readonly fresh: boolean; readonly at: number } | null;
   readonly seed: number;
@@ -81,7 +82,6 @@
   /** The newest ballot of a register that only a minority showed, and since when. */
   readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
   /** Monotonic ms until which this node may act on what it knows. */
-  readonly openedAt: number;
   readonly lease: number;
   /** When the last beat came, and when one last came late. */
   readonly beatAt: number;
