Workbench: a hollow fleet that counts what each role sends, at any size, on its own clock

What a node costs at 1,100 nodes could not be known: a fleet of real processes ends at a few dozen on one machine. The hollow fleet runs the product's reducers, its calls over loopback sockets and the anvils' log on disk, many nodes to a process, under a clock that is advanced step by step once nothing is under way. So counts, bytes and times of the protocol do not depend on the machine. Ruled out: real time (39,600 pulls and some 600,000 pings a second do not fit), and a simulator without sockets (it would not show what encoding costs).

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -260,3 +260,33 @@
    *  what they may have saved, a request each, stays small beside it. */
   coldPart: 3,
 } as const;
+
+/** Numbers of the hollow fleet, the test that counts what each role sends and does. */
+export const Hollow = {
+  /** ms. One step of the fleet's common clock: a fifth of a jig's beat, so that times are told to that. */
+  step: 10,
+  /** ms. Nodes begin spread over this long, so that their beats don't fall together. */
+  spread: 500,
+  /** ms. An origin describes itself again: the bench's stand-ins do so as often. */
+  describe: 1_000,
+  /** ms. What is waited at most for anvils to found, for the duty to be taken, or for a change to reach all. */
+  patience: 20_000,
+  /** ms. Nodes run this long before anything is counted: two pings, four divisions, one lease. */
+  warm: 4_000,
+  /** real ms. A call that took this long is a fault of the test, not of what it measures. */
+  call: 600_000,
+  /** requests a second that a lathe wants of one service. */
+  want: 20,
+  /** bps that a lathe's callers ask of one object. */
+  demand: 200_000,
+  /** requests a second that one origin carries. */
+  capacity: 500,
+  /** origins of one service: the deployments have four to nine. */
+  originsOfService: 7,
+  /** bytes of one copy of what one node knows of another's vector, for each delay in it: an upper bound of the heap. */
+  bytesOfDelay: 64,
+  /** share of the machine's memory that a hollow fleet may take. */
+  memoryShare: 0.5,
+  /** bytes that one node holds of another without vectors: an upper bound, to refuse what can't fit. */
+  bytesOfNode: 4_000,
+} as const;
