Workbench: slopes and plots from runs of the hollow fleet

One file a run, named by what was moved in it; every figure is fitted by a straight line over it, with its points, and each role's bytes are drawn over the number of nodes. Lost calls are told with why.

--- a/packages/workbench/src/hollow-host.ts
+++ b/packages/workbench/src/hollow-host.ts
@@ -9,7 +9,7 @@
 import { Beats, Hollow, Sizes } from '@reedyard/gauge';
 import { Jig, type Action, type Feed, type JigCall, type JigEffect, type JigEvent, type JigState, type LatheCall, type Measure, type NodeRecord, type Report, type Self } from '@reedyard/jig';
 import { openNotch, type Notch } from '@reedyard/notch';
-import { LayerError } from '@reedyard/scriber';
+import { LayerError, textOf } from '@reedyard/scriber';
 import { call, serveCalls, type Listening } from '@reedyard/shuttle';
 
 /** A hollow fleet that can't be run. */
@@ -47,6 +47,8 @@
   readonly heap: number;
   readonly rss: number;
   readonly lost: number;
+  /** What the first lost calls were, and why. */
+  readonly faults: readonly string[];
   readonly answers: Readonly<Record<string, { readonly status: number; readonly at: number; readonly body: unknown }>>;
   /** ms of the fleet's clock at which each node had what was looked for. */
   readonly arrivals: Readonly<Record<string, readonly number[]>>;
@@ -116,6 +118,7 @@
   #open = 0;
   #started = 0;
   #lost = 0;
+  readonly #faults: string[] = [];
   #failed: unknown = null;
   #waiting: (() => void)[] = [];
   readonly #flows = new Map<string, { calls: number; asked: number; answered: number }>();
@@ -174,7 +177,11 @@
     const place = this.#directory[to];
     const sent = place === undefined ? Promise.reject(new HollowError('unknown', `nobody is at ${to}`))
       : call(`127.0.0.1:${place.port}`, `/${to}${where}?${this.#name};${role};${kindOf(body)}`, body, Hollow.call);
-    this.#during(sent, took, () => { this.#lost += 1; lost(); });
+    this.#during(sent, took, (thrown) => {
+      this.#lost += 1;
+      if (this.#faults.length < 10) this.#faults.push(`${(this.#now / 1_000).toFixed(2)} s ${role} ${kindOf(body)}: ${textOf(thrown)}`);
+      lost();
+    });
   }
 
   async listen(): Promise<number> {
@@ -407,7 +414,7 @@
       flows: [...this.#flows].map(([key, { calls, asked, answered }]) => { const [from, to, kind] = key.split(' '); return { from: from as Role, to: to as Role, kind: kind ?? '', calls, askedBytes: asked, answeredBytes: answered }; }),
       reduced: [...this.#reduced].map(([key, sum]) => { const [role, event] = key.split(' '); return { role: role as Role, event: event ?? '', ...sum }; }),
       cpuMs: (usage.user + usage.system) / 1_000,
-      heap: whole && collect !== undefined ? memory.heapUsed + memory.external : 0, rss: memory.rss, lost: this.#lost,
+      heap: whole && collect !== undefined ? memory.heapUsed + memory.external : 0, rss: memory.rss, lost: this.#lost, faults: [...this.#faults],
       answers: { ...this.#answers }, arrivals: Object.fromEntries(Object.entries(this.#arrivals).map(([tag, times]) => [tag, [...times]])), logs: { ...this.#logs },
       stateBytes: !whole ? {} : { ...(jig === undefined ? {} : { [jig.spec.role]: sizes(jig.state) }), ...(anvil === undefined ? {} : { anvil: sizes(anvil.state) }) },
     };
--- a/packages/workbench/src/hollow.ts
+++ b/packages/workbench/src/hollow.ts
@@ -52,6 +52,7 @@
   readonly policyBytes: number;
   /** Calls without an answer since the counting began. */
   readonly lost: number;
+  readonly faults: readonly string[];
   readonly logs: Readonly<Record<string, number>>;
 };
 
@@ -112,7 +113,7 @@
 export const hollow = async (options: HollowOptions, tell: (text: string) => void = () => undefined): Promise<HollowResult> => {
   const { nodes, anvils } = options;
   const parts: Part[] = options.processes === 0 ? ['anvils', 'holder', 'jigs-1', 'lathes'].map(here)
-    : [forked('anvils', 2_048), forked('holder', 3_072), ...Array.from({ length: options.processes }, (_, index) => forked(`jigs-${index + 1}`, Math.floor(8_192 / options.processes))), forked('lathes', 2_048)];
+    : [forked('anvils', 2_048), forked('holder', 3_072), ...Array.from({ length: options.processes }, (_, index) => forked(`jigs-${index + 1}`, Math.floor(12_288 / options.processes))), forked('lathes', 2_048)];
   const [anvilPart, holderPart, lathePart, ...jigParts] = [parts[0], parts[1], parts.at(-1), ...parts.slice(2, -1)] as [Part, Part, Part, ...Part[]];
   try {
     const ports = new Map(await Promise.all(parts.map(async (part) => [part, await part.host.listen()] as const)));
@@ -188,12 +189,10 @@
     tell('the duty is held');
 
     const known: readonly NodeRecord[] = members.map((self) => ({ ...self, ready: false, staying: false, latheLife: '', wants: {} }));
-    for (const [index] of members.entries()) {
-      if (index === holderIndex) continue;
-      const startAt = now + Hollow.spread * drawn(options.seed, 1_000_000 + index);
-      await partOf(index).host.jigs([jigSpec(index, known, startAt)]);
-      if (machines[index]?.lathe !== null) await lathePart.host.lathes([latheSpec(index, startAt)]);
-    }
+    // One message a process, so that what all know is sent once.
+    const others = members.flatMap((self, index) => (index === holderIndex ? [] : [{ self, index, startAt: now + Hollow.spread * drawn(options.seed, 1_000_000 + index) }]));
+    await Promise.all(jigParts.map((part) => part.host.jigs(others.filter(({ index }) => partOf(index) === part).map(({ index, startAt }) => jigSpec(index, known, startAt)))));
+    await lathePart.host.lathes(others.filter(({ self }) => self.lathe !== null).map(({ index, startAt }) => latheSpec(index, startAt)));
     await Promise.all([holderPart, ...jigParts].map((part) => part.host.origins(Array.from({ length: options.origins }, (_, index): OriginSpec => {
       const at = index % nodes;
       return { node: machines[at]?.address ?? '', startAt: now + Hollow.describe * drawn(options.seed, 2_000_000 + index), description: {
@@ -208,7 +207,7 @@
     // A board that runs long holds a minute of purges: they are put on it at once.
     const boarded = Math.round(options.purges * 60);
     await step(Array.from({ length: boarded }, (_, index) => purge(someNode(3_000_000 + index), `boarded-${index}`)));
-    for (let end = now + 1_000; now < end;) await step();
+    for (let end = now + (boarded > 0 ? 1_000 : 0); now < end;) await step();
     tell('warm');
 
     const before = await reports(true);
@@ -318,7 +317,7 @@
       probeBytes: Object.fromEntries(Object.entries(probeBytes).map(([kind, bytes]) => [kind, Math.max(0, Math.round((bytes - (steadyBytes.get(kind) ?? 0) * (probeSeconds / seconds)) / Math.max(1, options.probes)))])), probeSeconds,
       stateBytes: Object.assign({}, ...after.map((report) => report.stateBytes)) as HollowResult['stateBytes'],
       policyBytes: JSON.stringify(policyOf(options, 0)).length,
-      lost: last.reduce((sum, report) => sum + report.lost, 0) - before.reduce((sum, report) => sum + report.lost, 0),
+      lost: last.reduce((sum, report) => sum + report.lost, 0) - before.reduce((sum, report) => sum + report.lost, 0), faults: last.flatMap((report) => report.faults).slice(0, 20),
       logs: last.reduce<Record<string, number>>((sums, report) => { for (const [event, count] of Object.entries(report.logs)) sums[event] = (sums[event] ?? 0) + count; return sums; }, {}),
     };
   } finally {
--- a/packages/workbench/src/main.ts
+++ b/packages/workbench/src/main.ts
@@ -7,16 +7,19 @@
 import { textOf } from '@reedyard/scriber';
 import { runHollow } from './hollow.js';
 import { api, Fleet, type Deployment, type Program } from './index.js';
+import { runSlopes } from './slopes.js';
 import { runTrial } from './trials.js';
 
 const help = `workbench FOLDER [--rate N] [--folder RUN] [--no-policy] [--for SECONDS]
 workbench trial FOLDER --scenario NAME [--seed N] [--seconds N] [--rate N] [--folder RUN]
 workbench hollow --nodes N [...]
+workbench slopes FOLDER
 
   trial            plays a scenario of the simulator on real processes and judges it by the same
                    checkers; exit code 1 if a rule broke. mallet --help names the scenarios
 
   hollow           counts what each role of a large fleet sends and does; hollow --help tells its flags
+  slopes           fits the hollow runs kept in a folder (nodes-16.json, origins-70.json, ...): slopes.json and plots
 
   FOLDER           an example: deployment.json, policy.json, callers.json
   --rate N         callers' requests a second (none if left out)
@@ -32,6 +35,7 @@
   report     nodes     quit
 `;
 if (process.argv[2] === 'hollow') process.exit(await runHollow(process.argv.slice(3)));
+if (process.argv[2] === 'slopes') process.exit(runSlopes(process.argv[3]));
 const { values, positionals } = parseArgs({ allowPositionals: true, options: {
   rate: { type: 'string' }, folder: { type: 'string', default: '.run' }, 'no-policy': { type: 'boolean', default: false }, for: { type: 'string' }, scenario: { type: 'string' }, seed: { type: 'string', default: '1' }, seconds: { type: 'string' }, help: { type: 'boolean', default: false },
 } });
