--- a/packages/workbench/src/hollow.test.ts
+++ b/packages/workbench/src/hollow.test.ts
@@ -3,7 +3,7 @@
 import { fileURLToPath } from 'node:url';
 import { hollow, type HollowOptions, type HollowResult } from './hollow.js';
 
-const small: HollowOptions = { nodes: 8, anvils: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 2, objects: 0, warm: 2, seconds: 4, seed: 1, processes: 0, probes: 1 };
+const small: HollowOptions = { nodes: 8, anvils: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 2, lathes: 5, objects: 0, warm: 2, seconds: 4, seed: 1, processes: 0, probes: 1 };
 /** Calls or bytes that one node of a role sends in a second, of one kind. */
 const sent = (result: HollowResult, role: keyof HollowResult['roles'], kind: string, field: 'callsOut' | 'callsIn' | 'bytesOut' | 'bytesIn' = 'callsOut'): number => result.roles[role]?.byKind[kind]?.[field] ?? 0;
 /** How a figure grows from the smaller fleet to the larger one: its power of the number of nodes. */
@@ -11,7 +11,7 @@
 
 test('a hollow fleet in one process: what a node sends grows no faster with the fleet than the capacity page says', async (t) => {
   const few = await hollow(small);
-  const many = await hollow({ ...small, nodes: 16 });
+  const many = await hollow({ ...small, nodes: 16, lathes: 13 });
   const ratio = 16 / 8;
   for (const result of [few, many]) {
     t.is(result.lost, 0);
--- a/packages/workbench/src/hollow.ts
+++ b/packages/workbench/src/hollow.ts
@@ -16,6 +16,8 @@
   readonly origins: number; readonly services: number; readonly routes: number;
   /** Purges a second. */
   readonly purges: number;
+  /** Machines that run a lathe; the others run a jig alone, which is neither pinged nor given shares. */
+  readonly lathes: number;
   /** Objects that each lathe measures one by one; without any no vector is told and no split computed. */
   readonly objects: number;
   /** s of the fleet's clock before anything is counted, and s that are counted. */
@@ -107,7 +109,7 @@
  * Runs a hollow fleet and counts what each role sends and does.
  *
  * @example
- * const result = await hollow({ nodes: 16, anvils: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 1, objects: 0, warm: 4, seconds: 4, seed: 1, processes: 0, probes: 1 });
+ * const result = await hollow({ nodes: 16, anvils: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 1, lathes: 13, objects: 0, warm: 4, seconds: 4, seed: 1, processes: 0, probes: 1 });
  * result.roles.jig?.callsOut // calls that one jig makes in a second
  */
 export const hollow = async (options: HollowOptions, tell: (text: string) => void = () => undefined): Promise<HollowResult> => {
@@ -123,7 +125,7 @@
       const core = index < anvils;
       return {
         id: core ? `core-${index + 1}` : `front-${String(index + 1).padStart(4, '0')}`, hall: `zone-${zone}`, region: `region-${zone % options.regions}`, address: `${ip}:7001`,
-        lathe: core ? null : { callers: `${ip}:8080`, partners: `${ip}:8081`, capacityBps: 1_000_000_000 }, anvil: core ? { address: `${ip}:7101` } : null,
+        lathe: core || (index >= anvils + options.lathes && index < nodes) ? null : { callers: `${ip}:8080`, partners: `${ip}:8081`, capacityBps: 1_000_000_000 }, anvil: core ? { address: `${ip}:7101` } : null,
       };
     };
     // The newcomers of the probes are machines beyond the fleet's own.
@@ -300,7 +302,7 @@
         reducerMs: Object.values(byEvent).reduce((sum, event) => sum + event.ms, 0), byKind, byEvent,
       };
     };
-    const nodesIn = (part: Part): number => (part === anvilPart ? anvils : part === holderPart ? 1 : part === lathePart ? nodes - anvils : members.filter((_, index) => partOf(index) === part).length);
+    const nodesIn = (part: Part): number => (part === anvilPart ? anvils : part === holderPart ? 1 : part === lathePart ? options.lathes : members.filter((_, index) => partOf(index) === part).length);
     const probeFlows = less(last, after);
     const steadyBytes = new Map<string, number>();
     for (const flow of steady) steadyBytes.set(flow.kind, (steadyBytes.get(flow.kind) ?? 0) + flow.askedBytes + flow.answeredBytes);
@@ -326,9 +328,10 @@
 };
 
 const help = `workbench hollow --nodes N [--anvils A] [--zones Z] [--regions R] [--origins O] [--routes T] [--purges P]
-                 [--services S] [--objects D] [--warm W] [--seconds S] [--probes K] [--processes J] [--seed X] [--json FILE]
+                 [--services S] [--lathes L] [--objects D] [--warm W] [--seconds S] [--probes K] [--processes J] [--seed X] [--json FILE]
 
   --nodes N      machines in all, those of the anvils among them
+  --lathes L     machines with a lathe (all but those of the anvils); each pings each other
   --purges P     purges a second           --objects D    objects that each lathe measures (0: no vectors)
   --seconds S    s of the fleet's clock that are counted, after --warm W; --probes K changes are timed after them
   --processes J  processes that the jigs are spread over; three more hold the anvils, the duty's holder, the lathes
@@ -338,7 +341,7 @@
   const text = { type: 'string' } as const;
   const { values, positionals } = ((): { readonly values: Readonly<Record<string, string | boolean | undefined>>; readonly positionals: readonly string[] } => {
     try {
-      return parseArgs({ args: [...argv], allowPositionals: true, options: { nodes: text, anvils: text, zones: text, regions: text, origins: text, services: text, routes: text, purges: text, objects: text, warm: text, seconds: text, probes: text, processes: text, seed: text, json: text, help: { type: 'boolean' } } });
+      return parseArgs({ args: [...argv], allowPositionals: true, options: { nodes: text, anvils: text, zones: text, regions: text, origins: text, services: text, routes: text, purges: text, lathes: text, objects: text, warm: text, seconds: text, probes: text, processes: text, seed: text, json: text, help: { type: 'boolean' } } });
     } catch (thrown) { throw new HollowError('usage', textOf(thrown)); }
   })();
   if (values['help'] === true) return null;
@@ -357,7 +360,7 @@
   const origins = read('origins', 7, 0, 10_000);
   const options: HollowOptions = {
     nodes, anvils, zones, regions: read('regions', 1, 1, zones), origins, services: read('services', Math.max(1, Math.round(origins / Hollow.originsOfService)), 1, 5_000),
-    routes: read('routes', 20, 1, 50_000), purges: read('purges', 1, 0, 1_000, false), objects: read('objects', 0, 0, 1_000), warm: read('warm', Hollow.warm / 1_000, 1, 3_600), seconds: read('seconds', 4, 1, 3_600), seed: read('seed', 1, 0, 2 ** 31 - 1),
+    routes: read('routes', 20, 1, 50_000), purges: read('purges', 1, 0, 1_000, false), lathes: read('lathes', nodes - anvils, 1, nodes - anvils), objects: read('objects', 0, 0, 1_000), warm: read('warm', Hollow.warm / 1_000, 1, 3_600), seconds: read('seconds', 4, 1, 3_600), seed: read('seed', 1, 0, 2 ** 31 - 1),
     processes: read('processes', 1, 1, 24), probes: read('probes', 2, 0, 100),
   };
   // Each node holds a vector of each, and each vector a delay to each.
