--- a/packages/workbench/src/hollow-host.ts
+++ b/packages/workbench/src/hollow-host.ts
@@ -332,7 +332,7 @@
   #ask(node: LatheNode): void {
     node.asking = true;
     node.askAt = this.#now + Beats.feed;
-    this.#call('lathe', node.spec.address, '/feed', { kind: 'feed', report: this.#reportOf(node) } satisfies LatheCall, (body) => {
+    this.#call('lathe', node.spec.address, '/feed', { kind: 'feed', held: null, report: this.#reportOf(node) } satisfies LatheCall, (body) => {
       const feed = body as Feed;
       node.asking = false;
       if (feed.policy !== null) node.policy = feed.policy.document;
