A lathe warms itself up before callers come; log lines cost no stack trace

Code that has not run often is several times as dear. A second lathe in the process, with an origin and a peer on the loopback, plays some hundred requests through the same code at its start, until a caller comes.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -59,6 +59,8 @@
   unknowing: 300,
   /** ms. Told to a lathe that may serve on while it is cut off, from question to question: two feeds. */
   cutOffLease: 600,
+  /** ms. Warming up ends after this at the latest: a share of a core takes some seconds for it. */
+  warming: 4_000,
   /** ms. A beat that comes this late shows that the process, not the network, is slow. */
   lateBeat: 400,
   /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
@@ -195,6 +197,10 @@
   readers: 8,
   /** numbers drawn by chance for one request: who serves, three origins for each of three attempts, and the service. */
   draws: 11,
+  /** requests that a lathe warms itself up with, at once, and bytes of an answer: after some hundred the code of each step is compiled. */
+  warmRequests: 600,
+  warmAtOnce: 4,
+  warmBody: 6_000,
   /** transactions at work in one lathe; more are turned away at once. */
   transactions: 4_096,
   /** events waiting for one task. */
--- a/packages/lathe/src/dialect.ts
+++ b/packages/lathe/src/dialect.ts
@@ -39,6 +39,8 @@
   readonly toOrigin: (attempt: ToOrigin) => Readonly<Record<string, string>>;
   readonly fromOrigin: (status: number, headers: Headers, attempt: ToOrigin) => Proof;
   readonly toCaller: (answer: ToCaller) => Headers;
+  /** Fields of a sample request and of an origin's sound answer to it, to warm up with; left out: no warming up. */
+  readonly sample?: { readonly asked: (number: number) => Readonly<Record<string, string>>; readonly answered: (asked: Headers) => Readonly<Record<string, string>> };
 };
 
 const origin = (row: OriginRow): string => `${row.service}/${row.instance}/${row.incarnation}`;
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -3,9 +3,9 @@
 import { performance } from 'node:perf_hooks';
 import type { Readable } from 'node:stream';
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
-import { Task } from '@reedyard/chute';
+import { Task, type Chute } from '@reedyard/chute';
 import type { ClaimReply, FeedTold, LatheCall } from '@reedyard/jig';
-import { openScribe } from '@reedyard/scriber';
+import { openScribe, type Scribe } from '@reedyard/scriber';
 import { call } from '@reedyard/shuttle';
 import { Routes } from '@reedyard/stencil';
 import type { Settings } from '@reedyard/vise';
@@ -15,6 +15,7 @@
 import { Lathe } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { present } from './present.js';
+import { warmUp } from './warm.js';
 import type { Answer, Asked, LatheEffect, LatheEvent, LatheState, LegAnswer } from './state.js';
 
 const now = (): number => performance.now();
@@ -27,14 +28,30 @@
 
 export type LatheSettings = Settings & { readonly lathe: NonNullable<Settings['lathe']> };
 
+/** What a lathe needs of its surroundings: who answers for its jig, and where its log goes. */
+export type Around = { readonly scribe: Scribe; readonly askJig: (body: LatheCall, limitMs?: number) => Promise<unknown> };
+
+/** A lathe without its ports: what takes requests, and what it is doing. */
+export type Opened = {
+  readonly task: Chute<LatheEvent> & { readonly peek: () => LatheState };
+  readonly underWay: () => number;
+  /** Requests that were ever begun here. */
+  readonly begun: () => number;
+  readonly serve: (fromPartner: boolean, port: number) => Promise<http.Server>;
+  readonly serveReady: (port: number) => Promise<http.Server>;
+  readonly stop: () => void;
+  /** Ends its timers, where the process goes on without it. */
+  readonly end: () => void;
+};
+
 /**
- * Runs a lathe until it is told to stop.
+ * Opens a lathe: its task and shell, which callers and peers reach through the servers that it makes.
  *
  * @example
- * await runLathe(Vise.start('lathe', process.argv.slice(2)));
+ * const lathe = openLathe(settings, ownDialect, { scribe, askJig: (body) => call('127.0.0.1:7002', '/feed', body) });
  */
-export const runLathe = async (settings: LatheSettings, dialect: Dialect = ownDialect): Promise<void> => {
-  const scribe = openScribe({ program: 'lathe', node: settings.name });
+export const openLathe = (settings: LatheSettings, dialect: Dialect, { scribe, askJig }: Around): Opened => {
+  let ended = false;
   const via = `1.1 ${settings.name} (reedyard)`;
   const opened = new Map<number, Open>();
   let stopping = false;
@@ -42,7 +59,6 @@
   const attempts = new Map<string, Underway>();
   const conns = new OriginConns(settings.host, dialect);
   let held: HeldFeed | null = null;
-  const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
   let nextId = 1;
 
   const outgoing = (one: Open, effect: Extract<LatheEffect, { kind: 'open' }>): Outgoing => {
@@ -122,20 +138,20 @@
       }
       case 'closed': opened.delete(effect.id); return;
       case 'ask':
-        call(feedAddress, '/feed', effect.call, Limits.proposal + Limits.call).then(
+        askJig(effect.call, Limits.proposal + Limits.call).then(
           (reply) => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: reply as ClaimReply, now: now() }); },
           () => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: { kind: 'unreached' }, now: now() }); });
         return;
       case 'question': {
         const askedAt = now();
-        call(feedAddress, '/feed', { kind: 'feed', report: effect.report, held: Feeds.holding(held) } satisfies LatheCall).then(
+        askJig({ kind: 'feed', report: effect.report, held: Feeds.holding(held) }).then(
           (reply) => {
             held = Feeds.merge(held, reply as FeedTold);
             const { feed } = held;
             put({ kind: 'fed', feed, askedAt, now: now() });
             conns.keepOnly(new Set(feed.origins.map(originName)));
           },
-          () => undefined).finally(() => setTimeout(() => put({ kind: 'ask', now: now() }), now() < task.peek().lease ? Beats.feed : Beats.lapsed));
+          () => undefined).finally(() => { if (!ended) setTimeout(() => put({ kind: 'ask', now: now() }), now() < task.peek().lease ? Beats.feed : Beats.lapsed); });
         return;
       }
       case 'log': scribe.info(effect.event, effect.fields); return;
@@ -150,7 +166,7 @@
     beating = setTimeout(() => {
       const idle = opened.size === 0 && Object.keys(task.peek().transactions).length === 0;
       task.put({ kind: 'beat', now: now() });
-      beatIn(idle ? Beats.latheIdle : Beats.lathe);
+      if (!ended) beatIn(idle ? Beats.latheIdle : Beats.lathe);
     }, ms);
   };
 
@@ -209,29 +225,50 @@
     server.once('error', reject);
     server.listen(port, settings.listen ?? settings.host, () => resolve(server));
   });
-  const servers = [await serve(false, settings.lathe.port), await serve(true, settings.lathe.partnerPort)];
-  if (settings.lathe.readyPort !== undefined) {
-    const asks = http.createServer((request, response) => { if (!wellKnown(request, response)) refuse(response, 404, 'No such place', 'Only readiness is told here.'); });
-    await new Promise<void>((resolve, reject) => { asks.once('error', reject); asks.listen(settings.lathe.readyPort, settings.listen ?? settings.host, resolve); });
-    servers.push(asks);
-  }
+  const serveReady = (port: number): Promise<http.Server> => new Promise((resolve, reject) => {
+    const server = http.createServer((request, response) => { if (!wellKnown(request, response)) refuse(response, 404, 'No such place', 'Only readiness is told here.'); });
+    server.once('error', reject);
+    server.listen(port, settings.listen ?? settings.host, () => resolve(server));
+  });
   beatIn(Beats.latheIdle);
   if (trace !== null) setInterval(() => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }), 1_000);
   task.put({ kind: 'ask', now: now() });
+  return {
+    task, serve, serveReady, underWay: () => opened.size, begun: () => nextId - 1,
+    stop: () => { stopping = true; task.put({ kind: 'stop', now: now() }); },
+    end: () => { ended = true; clearTimeout(beating); conns.keepOnly(new Set()); },
+  };
+};
+
+/**
+ * Runs a lathe until it is told to stop.
+ *
+ * @example
+ * await runLathe(Vise.start('lathe', process.argv.slice(2)));
+ */
+export const runLathe = async (settings: LatheSettings, dialect: Dialect = ownDialect): Promise<void> => {
+  const scribe = openScribe({ program: 'lathe', node: settings.name });
+  const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
+  const lathe = openLathe(settings, dialect, { scribe, askJig: (body, limitMs) => call(feedAddress, '/feed', body, limitMs) });
+  const servers = [await lathe.serve(false, settings.lathe.port), await lathe.serve(true, settings.lathe.partnerPort)];
+  if (settings.lathe.readyPort !== undefined) servers.push(await lathe.serveReady(settings.lathe.readyPort));
   scribe.info('started', { callers: settings.lathe.port, partners: settings.lathe.partnerPort });
+  // Beside its start, and only until somebody really asks.
+  void warmUp(dialect, settings, () => lathe.begun() > 0).then(({ played, served }) => { if (played > 0) scribe.info('warmed', { requests: played, served }); }, () => undefined);
 
+  let warnedAt: number | null = null;
   const leave = (): void => {
-    if (stopping) return;
-    stopping = true;
-    scribe.info('stopping', { underWay: opened.size });
-    task.put({ kind: 'stop', now: now() });
+    if (warnedAt !== null) return;
+    const since = now();
+    warnedAt = since;
+    scribe.info('stopping', { underWay: lathe.underWay() });
+    lathe.stop();
     const { graceMs = Limits.leaveGrace, mostMs = Limits.shutdown } = settings.lathe.leave ?? {};
-    const warnedAt = now();
     // Not ready first: callers are still answered until what is under way has ended.
     setInterval(() => {
-      if ((opened.size === 0 && now() > warnedAt + graceMs) || now() > warnedAt + mostMs) {
+      if ((lathe.underWay() === 0 && now() > since + graceMs) || now() > since + mostMs) {
         servers.forEach((server) => { server.close(); server.closeAllConnections(); });
-        scribe.info('stopped', { cutOff: opened.size });
+        scribe.info('stopped', { cutOff: lathe.underWay() });
         process.exit(0);
       }
     }, Beats.feed);
@@ -239,4 +276,3 @@
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
 };
-
--- a/packages/scriber/src/index.ts
+++ b/packages/scriber/src/index.ts
@@ -35,6 +35,8 @@
 export const openScribe = (fixed: Fields): Scribe => {
   const logger = new Logger({
     type: 'hidden',
+    // Where a line was logged from is not told, and finding it out costs a stack trace each.
+    hideLogPositionForProduction: true,
     attachedTransports: [(entry) => {
       const meta = entry['_meta'] as { date: Date; logLevelName: string };
       process.stderr.write(`time=${meta.date.toISOString()} level=${meta.logLevelName} ${String(entry['0'])}\n`);
