A copy is labelled with the service that its attempt went to

The new test fails without the change. Ruled out: leaving the policy alone at a hedge; the second attempt would then go to a service that the policy in force bars.

--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -4,7 +4,7 @@
 import { holdersOf, objectKey } from '@reedyard/plumb';
 import { Sieve, type Copy } from '@reedyard/sieve';
 import { Routes, type Route, type RouteTable } from '@reedyard/stencil';
-import { Tally, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
+import { Tally, type Leg, type LegEnd, type Outcome, type Sent } from '@reedyard/tally';
 import { allowedPartners, answerMs, atHome, drawServer, drawService, earnRepeat, giveBack, isSafe, mayRepeat, meanMs, originName, rankOrigins, restFor, roomAt, spendRepeat, suspectFor, takeToken, tookStanding, waitFor } from './choice.js';
 import { change, count, log, set, type Answer, type Asked, type LatheEffect, type LatheEvent, type LatheState, type LegAnswer, type Target, type Transaction, type Work } from './state.js';
 
@@ -413,7 +413,7 @@
   const legMs = state.now - leg.openedAt;
   if (fromOrigin) { const name = transaction.route.name; const old = state.replyBytes[name]; set(work, { replyBytes: { ...work.state.replyBytes, [name]: old === undefined ? answer.size : old + Weights.standingGain * (answer.size - old) } }); }
   if (fromOrigin) { count(work, 'fetched'); const { period } = work.state; set(work, { period: { ...period, legMs: period.legMs + legMs, fetched: period.fetched + 1 } }); } else count(work, 'forwarded');
-  const copy = fromOrigin ? copyOf(work, transaction, leg.openedAt, answer, tags, purgedAt) : null;
+  const copy = fromOrigin ? copyOf(work, transaction, leg, answer, tags, purgedAt) : null;
   if (copy !== null) set(work, { sieve: Sieve.keep(work.state.sieve, copy) });
   else if (transaction.leads) set(work, { unkept: { ...Object.fromEntries(Object.entries(work.state.unkept).filter(([, until]) => until > state.now)), [transaction.key]: state.now + 5_000 } });
   settle(work, ended, answer.status < 500 ? 'ran' : 'unknown');
@@ -423,7 +423,7 @@
     work.effects.push({ kind: 'answer', id, answer: {
       status: answer.status,
       headers: {
-        ...answer.headers, ...(transaction.asked.via === null ? {} : { 'reedyard-service': transaction.service }), 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
+        ...answer.headers, ...(transaction.asked.via === null ? {} : { 'reedyard-service': fromOrigin ? serviceOf(leg) : transaction.service }), 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
         ...(safe ? {} : { 'reedyard-outcome': answer.status < 500 ? 'ran' : 'unknown' }),
       },
       body: { kind: 'leg', answer },
@@ -433,17 +433,20 @@
   leaderEnded(work, ended, copy, null);
 };
 
+/** The service that an attempt went to: the request's own may have been drawn anew since, under a newer policy. */
+const serviceOf = (leg: Leg): string => leg.to.id.slice(0, leg.to.id.indexOf('/'));
+
 /** What is kept of an answer: only as the route in force now has it, and only if its service is still that one. */
-const copyOf = (work: Work, transaction: Transaction, openedAt: number, answer: LegAnswer, tags: readonly string[], purgedAt: number | null): Copy | null => {
+const copyOf = (work: Work, transaction: Transaction, leg: Leg, answer: LegAnswer, tags: readonly string[], purgedAt: number | null): Copy | null => {
   const { state } = work;
   if (transaction.asked.method !== 'GET' || !answer.whole || answer.status === 206 || purgedAt !== null) return null;
   const route = Routes.find(state.routes, transaction.asked.host, transaction.asked.target);
-  const legMs = state.now - openedAt;
+  const legMs = state.now - leg.openedAt;
   const life = route !== undefined && keepsAlways(route) ? (answer.status === 200 ? (route.cache.mostSeconds ?? 0) * 1_000 : 0)
     : Sieve.life({ method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers }, answer, legMs);
   const { ['reedyard-leg']: _mark, ...headers } = answer.headers;
   const copy: Copy = {
-    key: transaction.key, service: transaction.service, status: answer.status, headers, body: answer.body, size: answer.size, tags,
+    key: transaction.key, service: serviceOf(leg), status: answer.status, headers, body: answer.body, size: answer.size, tags,
     vary: Sieve.vary(answer.headers, transaction.asked.headers), takenAt: state.now, freshUntil: state.now + life,
     bornAge: route !== undefined && keepsAlways(route) ? 0 : Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
   };
--- a/packages/lathe/src/lathe.test.ts
+++ b/packages/lathe/src/lathe.test.ts
@@ -205,3 +205,44 @@
   t.is(present('GET', { range: 'bytes=20-' }, 200, {}, 10).status, 416);
   t.is(present('POST', { range: 'bytes=0-1' }, 200, {}, 10).status, 200);
 });
+
+test('a copy is of the service that its attempt went to, also where a hedge has found a newer policy since', (t) => {
+  const [sheets, homed] = policy.routes;
+  if (sheets === undefined || homed === undefined) { t.fail(); return; }
+  const moved = { services: { ...policy.services, other: { ceiling: 1_000, coldRate: 10 } }, routes: [{ ...sheets, service: 'other' }, homed] };
+  const feed = feedOf({ policy: { serial: 2, document: moved }, policySerial: 2, origins: [origin, { ...origin, service: 'other', instance: 'o2' }], slices: { store: 1_000, other: 1_000 } });
+  const saved: LatheState = { ...begun(), repeats: { store: 3, other: 3 } };
+  const { effects, state } = play([
+    arrive(1, 'GET', 1_000), { kind: 'fed', feed, askedAt: 1_002, now: 1_002 }, { kind: 'beat', now: 1_700 }, { kind: 'beat', now: 2_300 }, { kind: 'beat', now: 2_900 },
+    { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 2_910 },
+  ], { ...saved, lease: 9_000 });
+  t.deepEqual(only(effects, 'open', 1).map(({ to }) => to.kind === 'origin' && to.row.service), ['store', 'other']);
+  t.is(only(effects, 'answer', 1)[0]?.answer.status, 200);
+  // What is from the store is nothing to keep for a route that is another service's by now.
+  t.is(state.sieve.copies.size, 0);
+  const late = play([{ kind: 'answered', id: 1, leg: 1, answer: answer('t1-1', { headers: { 'reedyard-stamp': 'other/o2/1', 'reedyard-leg': 't1-1', 'cache-control': 'max-age=60' } }), now: 2_920 }], state);
+  t.is(only(late.effects, 'answer', 1).length, 0);
+  t.is(Object.keys(late.state.transactions).length, 0);
+  t.deepEqual(late.state.outstanding, {});
+});
+
+test('beside a silent attempt a safe request gets a second one elsewhere; the first to answer serves, an unsafe one waits', (t) => {
+  const two = feedOf({ origins: [origin, { ...origin, instance: 'o2', address: '10.0.0.3:1' }] });
+  for (const method of ['GET', 'POST']) for (const first of [0, 1]) {
+    const state: LatheState = { ...begun(two), repeats: { store: 3 }, lease: 60_000 };
+    const opening = play([arrive(1, method, 1_000), { kind: 'beat', now: 2_000 }, { kind: 'beat', now: 2_600 }, { kind: 'beat', now: 3_200 }], state);
+    const opens = only(opening.effects, 'open', 1);
+    if (method === 'POST') { t.is(opens.length, 1); continue; }
+    t.deepEqual(opens.map(({ to }) => to.kind).sort(), ['origin', 'origin']);
+    t.not(opens[0]?.to.row, opens[1]?.to.row);
+    const reply = (leg: number): LegAnswer => { const to = opens[leg]?.to; return answer(`t1-${leg}`, { headers: { 'reedyard-stamp': to?.kind === 'origin' ? `store/${to.row.instance}/1` : '', 'reedyard-leg': `t1-${leg}` } }); };
+    const served = play([{ kind: 'answered', id: 1, leg: first, answer: reply(first), now: 3_210 }], opening.state);
+    t.is(only(served.effects, 'answer', 1)[0]?.answer.status, 200);
+    t.is(only(served.effects, 'closed', 1).length, 1);
+    // The other one is let end, and is answered to nobody.
+    const ended = play([{ kind: 'answered', id: 1, leg: 1 - first, answer: reply(1 - first), now: 3_220 }], served.state);
+    t.is(only(ended.effects, 'answer', 1).length + only(ended.effects, 'closed', 1).length, 0);
+    t.is(Object.keys(ended.state.transactions).length, 0);
+    t.deepEqual(ended.state.outstanding, {});
+  }
+});
