A jig that began to hear less than 8 s ago gives no place to a blank disk at its address

After a start of all machines at other addresses, gossip takes over 2.5 s to tell some jig of the disk that moved; that jig gave its place to the blank one found at the old address. Nothing was lost, but one disk fewer held what was acknowledged until the blank one had read. The time is now that after which a voter is taken for gone.

--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -187,7 +187,7 @@
 
 /** Whether a place's disk lives at another address, or may do so unheard of, since this jig has only just begun to hear. */
 const movedAway = (state: JigState, disk: string): boolean => state.voting !== null
-  && (state.now - state.openedAt < Limits.partnerSilence || anvilsHeard(state).some((each) => each.disk === disk && state.now - each.seenAt < Limits.partnerSilence));
+  && (state.now - state.openedAt < Limits.voterSilence || anvilsHeard(state).some((each) => each.disk === disk && state.now - each.seenAt < Limits.partnerSilence));
 
 /** A fresh disk at an anvil's place asks for it; some jig opens the ballot. */
 const seat = (work: Work, anvil: string, disk: string): void => {
--- a/packages/mallet/src/voters.test.ts
+++ b/packages/mallet/src/voters.test.ts
@@ -127,6 +127,8 @@
     runFor(fleet, 20_000);
     t.deepEqual(placesOf(fleet, 1), ['core-1', 'core-2', 'core-4'], `seed ${seed}`);
     t.true(votes(fleet, 1));
+    // A reply that is lost is missed after 8 s only.
+    runFor(fleet, 12_000);
     t.is(acknowledged, 60, `seed ${seed}`);
     t.is(serialAt(fleet, 1), 60);
   }
