--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -69,7 +69,6 @@
   readonly seeds: readonly string[];
   /** Where voters found themselves from seeds; null where the settings name every founder. */
   readonly voting: JigVoting | null;
-  readonly openedAt: number;
   /** This machine's own anvil as it last answered. */
   readonly ownAnvil: { readonly disk: string; readonly fresh: boolean; readonly at: number } | null;
   readonly seed: number;
