--- a/docs/capacity/runs.sh
+++ b/docs/capacity/runs.sh
@@ -7,6 +7,8 @@
 
 nodes="--anvils 9 --zones 26 --regions 7 --origins 21 --services 2 --routes 20 --purges 0 --warm 2 --seconds 2 --probes 1"
 for n in 16 64; do run nodes-$n $nodes --nodes $n; done
+# How much of gossip is the start: the same 64 nodes, counted later.
+run warm-15 --anvils 9 --zones 26 --regions 7 --origins 21 --services 2 --routes 20 --purges 0 --warm 15 --seconds 4 --probes 0 --nodes 64
 if [ "$1" = large ]; then
   run nodes-256 $nodes --nodes 256 --processes 2
   run members-1100 $nodes --nodes 1100 --lathes 55 --processes 3
