Attempts granted to a peer are counted, so that their sum keeps to the route

Cause: a node that handed a request to a peer granted it all the attempts left, and went on counting only its own attempts at origins.

Ruled out: the peer's own counting (it kept to its grant), and requests that joined a fetch (they have attempts of their own only after the fetch failed, and these were counted).

Now an attempt carries what it was granted; a peer's answer says what it used, and without an answer the whole grant counts as used, unless provably nothing was sent. A node keeps one attempt beside the caller where the route allows more than one: there it also passes over a peer that is slow or gone, which the same attempt at the peer can't.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -232,6 +232,9 @@
   /** repeats a node may have saved, and all nodes together: the brief's slack is 60. */
   repeatSaved: 3,
   repeatSavedByAll: 45,
+  /** attempts that a node keeps of a request that it hands to a peer, where its route allows more than one: a retry
+   *  beside the caller can pass over a peer that is slow, gone, or turned away by its origin; the peer's own can't. */
+  attemptsKept: 1,
   /** s of a slice a bucket may save: the brief allows a tenth over 5 s, which is 0.5 s. */
   burstSeconds: 0.2,
   /** requests that a node may always have under way at an origin. */
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -18,7 +18,7 @@
   const waits = status === 502 || status === 503 || status === 504;
   count(work, `status.${status}`);
   work.effects.push({ kind: 'answer', id, answer: {
-    status, headers: { 'reedyard-outcome': outcome, ...(waits ? { 'retry-after': String(Math.ceil(retryMs / 1_000)) } : {}), ...more }, ...(waits ? { retryMs } : {}),
+    status, headers: { 'reedyard-outcome': outcome, ...spentFields(work.state.transactions[id]), ...(waits ? { 'retry-after': String(Math.ceil(retryMs / 1_000)) } : {}), ...more }, ...(waits ? { retryMs } : {}),
     body: { kind: 'problem', title, detail, outcome },
   } });
 };
@@ -77,7 +77,7 @@
 const answerCopy = (work: Work, transaction: Transaction, copy: Copy): void => {
   if (lapsed(work)) { giveUp(work, transaction, 503, 'not-run', cutOff); return; }
   const age = Math.floor(copy.bornAge + (work.state.now - copy.takenAt) / 1_000);
-  const answer: Answer = { status: copy.status, headers: { ...copy.headers, age: String(age), ...(transaction.asked.via === null ? {} : { 'reedyard-service': copy.service }), 'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy' }, body: { kind: 'copy', copy } };
+  const answer: Answer = { status: copy.status, headers: { ...copy.headers, age: String(age), ...spentFields(transaction), ...(transaction.asked.via === null ? {} : { 'reedyard-service': copy.service }), 'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy' }, body: { kind: 'copy', copy } };
   count(work, 'served.copy');
   measured(work, transaction, copy.size, true);
   work.effects.push({ kind: 'answer', id: transaction.id, answer });
@@ -126,9 +126,25 @@
 const isFree = (transaction: Transaction): boolean => keepsAlways(transaction.route) && transaction.legs.every((leg) => leg.to.kind === 'partner');
 const mayTryMore = (work: Work, transaction: Transaction): boolean => (isFree(transaction) || mayRepeat(work.state, transaction.service)) && attemptsLeft(transaction) > 0;
 
-/** Origins that a request may still be sent to. */
-const attemptsLeft = (transaction: Transaction): number =>
-  Math.min(transaction.route.limits.attempts ?? Infinity, transaction.asked.attempts ?? Infinity) - transaction.legs.filter((leg) => leg.to.kind === 'origin').length;
+/** Origins that a request may still be sent to, from here or through peers. */
+const attemptsLeft = (transaction: Transaction): number => {
+  const most = Math.min(transaction.route.limits.attempts ?? Infinity, transaction.asked.attempts ?? Infinity);
+  return most === Infinity ? Infinity : most - Tally.spent(transaction.legs);
+};
+
+/** What a peer is granted of the attempts left: all but those kept for a retry beside the caller, which also outlives the peer. */
+const grantFor = (left: number): number => Math.max(1, left - Weights.attemptsKept);
+
+/** Told to the peer that handed a request on: attempts at origins that were made for it here. */
+const spentHeader = 'reedyard-spent';
+const spentFields = (transaction: Transaction | undefined): Readonly<Record<string, string>> => {
+  const spent = Tally.spent(transaction?.legs ?? []);
+  return Number.isFinite(spent) ? { [spentHeader]: String(spent) } : {};
+};
+const spentAt = (answer: LegAnswer): number | null => {
+  const told = headerText(answer.headers, spentHeader);
+  return told !== null && /^\d{1,3}$/.test(told) ? Number(told) : null;
+};
 
 /** Ends a transaction that provably ran nothing with an answer of the lathe's own. */
 const endUnrun = (work: Work, transaction: Transaction, refusal: NonNullable<ReturnType<typeof refusalOf>>): void => {
@@ -160,12 +176,15 @@
 
 const open = (work: Work, transaction: Transaction, to: Target): void => {
   if (lapsed(work)) { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), cutOff); return; }
+  const left = attemptsLeft(transaction);
+  if (left <= 0) { giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'its attempts are used up'); return; }
+  const granted = to.kind === 'origin' ? 1 : grantFor(left);
   const number = transaction.legs.length;
   const id = to.kind === 'origin' ? originName(to.row) : to.row.id;
   const legLimit = Math.min(transaction.limitAt, work.state.now + (transaction.route.limits.legMs ?? Limits.leg) + (to.kind === 'partner' ? Limits.holding : 0));
   const next = change(work, transaction.id, {
     phase: 'leg',
-    legs: [...transaction.legs, { number, to: { kind: to.kind, id }, openedAt: work.state.now, limitAt: legLimit, end: null }],
+    legs: [...transaction.legs, { number, to: { kind: to.kind, id }, openedAt: work.state.now, limitAt: legLimit, end: null, granted }],
   });
   if (next === undefined) return;
   if (number > 0) { if (!isFree(transaction)) spendRepeat(work, transaction.service); count(work, 'repeats'); }
@@ -173,7 +192,7 @@
   set(work, { outstanding: { ...work.state.outstanding, [id]: (work.state.outstanding[id] ?? 0) + 1 } });
   work.effects.push({
     kind: 'open', id: transaction.id, leg: number, to, asked: transaction.asked, mark: `${transaction.token}-${number}`, limitMs: legLimit - work.state.now,
-    keep: joins(transaction) && to.kind === 'origin', safe: transaction.safe, attempts: Math.max(1, attemptsLeft(transaction)), sendBy: work.state.lease,
+    keep: joins(transaction) && to.kind === 'origin', safe: transaction.safe, attempts: granted, sendBy: work.state.lease,
   });
 };
 
@@ -396,7 +415,7 @@
   const mayTryAgain = safe && leg.to.kind === 'origin' && answer.status >= 500 && mayRepeat(state, transaction.service) && attemptsLeft(transaction) > 0 && state.now < transaction.limitAt;
   // A word of being turned away is passed on for an unsafe request only where it is proved.
   const final = (!turnedAway || (safe && answer.status === 429 && answer.proof === undefined) || passedOn(answer)) && !mayTryAgain;
-  const ended = endLeg(work, transaction, number, { kind: 'answered', status: answer.status, final, notRun });
+  const ended = endLeg(work, transaction, number, { kind: 'answered', status: answer.status, final, notRun, spent: leg.to.kind === 'partner' ? spentAt(answer) : null });
   if (ended === undefined) return;
   if (!notRun) tookStanding(work, leg.to.id, state.now - leg.openedAt, answer.proof);
   if (leg.to.kind === 'origin' && notRun) restFor(work, leg.to.id);
@@ -423,7 +442,7 @@
     work.effects.push({ kind: 'answer', id, answer: {
       status: answer.status,
       headers: {
-        ...answer.headers, ...(transaction.asked.via === null ? {} : { 'reedyard-service': fromOrigin ? serviceOf(leg) : transaction.service }), 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
+        ...answer.headers, ...spentFields(ended), ...(transaction.asked.via === null ? {} : { 'reedyard-service': fromOrigin ? serviceOf(leg) : transaction.service }), 'reedyard-served': fromOrigin ? (transaction.asked.via === null ? 'origin' : 'partner-origin') : 'partner',
         ...(safe ? {} : { 'reedyard-outcome': answer.status < 500 ? 'ran' : 'unknown' }),
       },
       body: { kind: 'leg', answer },
--- a/packages/lathe/src/lathe.test.ts
+++ b/packages/lathe/src/lathe.test.ts
@@ -246,3 +246,44 @@
     t.deepEqual(ended.state.outstanding, {});
   }
 });
+
+/** A lathe whose route allows so many attempts, and which hands each request to its peer. */
+const forwarding = (attempts: number): LatheState => {
+  const limited = { ...policy, routes: policy.routes.map((route) => ({ ...route, limits: { attempts } })) };
+  const feed = feedOf({ policy: { serial: 1, document: limited }, split: { sheets: [['b', 1] as const] }, origins: [origin, { ...origin, instance: 'o2', address: '10.0.0.3:1' }] });
+  return { ...begun(feed), repeats: { store: 3 }, lease: 60_000 };
+};
+
+test('attempts granted to a peer are counted until it says what it used: the sum over both nodes stays within the route', (t) => {
+  const turnedAway = (spent: string | null): LatheEvent => ({ kind: 'answered', id: 1, leg: 0, now: 1_050, answer: {
+    ...answer('t1-0'), status: 503, headers: { 'reedyard-leg': 't1-0', 'reedyard-outcome': 'not-run', ...(spent === null ? {} : { 'reedyard-spent': spent }) },
+  } });
+  const failed = (sent: 'nothing' | 'maybe'): LatheEvent => ({ kind: 'failed', id: 1, leg: 0, sent, why: 'cut', now: 1_050 });
+  const silent: LatheEvent = { kind: 'beat', now: 2_000 };
+  const cases: readonly (readonly [attempts: number, granted: number, event: LatheEvent, opens: number])[] = [
+    [2, 1, silent, 2], [2, 1, failed('maybe'), 2], [2, 1, turnedAway('1'), 2], [2, 1, turnedAway(null), 2],
+    [1, 1, silent, 1], [1, 1, failed('maybe'), 1], [1, 1, turnedAway('1'), 1], [1, 1, turnedAway(null), 1],
+    [1, 1, failed('nothing'), 2], [1, 1, turnedAway('0'), 2], [3, 2, silent, 2], [3, 2, failed('maybe'), 2],
+  ];
+  for (const [attempts, granted, event, opens] of cases) {
+    const label = `${attempts} ${JSON.stringify(event)}`;
+    const { effects } = play([arrive(1, 'GET', 1_000), event, { kind: 'beat', now: 2_100 }], forwarding(attempts));
+    const opened = only(effects, 'open', 1);
+    t.is(opened[0]?.to.kind, 'partner', label);
+    t.is(opened[0]?.attempts, granted, label);
+    t.is(opened.length, opens, label);
+    t.true(opened.reduce((sum, each) => sum + each.attempts, 0) <= attempts || opens === 2, label);
+  }
+});
+
+test('a request handed on is spent within its grant, and its answer tells what was used', (t) => {
+  const handed: LatheEvent = { kind: 'arrived', id: 1, asked: { ...asked('GET'), via: 'z', attempts: 1 }, draws: [0.5, 0.5, 0.5, 0.5, 0.5], token: 't1', now: 1_000 };
+  const state = forwarding(3);
+  const silent = play([handed, { kind: 'beat', now: 2_000 }, { kind: 'beat', now: 2_600 }], state).effects;
+  t.is(only(silent, 'open', 1).length, 1);
+  const cut = play([handed, { kind: 'failed', id: 1, leg: 0, sent: 'maybe', why: 'cut', now: 1_050 }], state).effects;
+  t.is(only(cut, 'open', 1).length, 1);
+  t.is(only(cut, 'answer', 1)[0]?.answer.headers['reedyard-spent'], '1');
+  const refused = play([{ ...handed, now: 61_000 }], state).effects;
+  t.is(only(refused, 'answer', 1)[0]?.answer.headers['reedyard-spent'], '0');
+});
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -71,7 +71,7 @@
     headers.via = [one.request.headers.via, via].filter((part) => part !== undefined).join(', ');
     headers.host = one.asked.host;
     Object.assign(headers, dialect.left(effect.limitMs));
-    if (effect.to.kind === 'partner') Object.assign(headers, { 'reedyard-leg': effect.mark, 'reedyard-via': settings.name, 'reedyard-attempts': String(effect.attempts) });
+    if (effect.to.kind === 'partner') Object.assign(headers, { 'reedyard-leg': effect.mark, 'reedyard-via': settings.name, ...(Number.isFinite(effect.attempts) ? { 'reedyard-attempts': String(effect.attempts) } : {}) });
     delete headers['content-length'];
     if (one.body.length > 0 || !['GET', 'HEAD', 'OPTIONS'].includes(one.asked.method)) headers['content-length'] = String(one.body.length);
     return { method: one.asked.method, path: one.asked.target, headers, body: one.body, safe: effect.safe };
@@ -82,7 +82,8 @@
     if (response.destroyed || response.headersSent) return;
     const extra: Record<string, string> = { via, ...(one.mark === null ? {} : { 'reedyard-leg': one.mark }), ...(stopping ? { connection: 'close' } : {}) };
     const tidy = (headers: Answer['headers'], status = answer.status): http.OutgoingHttpHeaders => {
-      const { 'reedyard-leg': _leg, ...rest } = headers;
+      const { 'reedyard-leg': _leg, 'reedyard-spent': spent, ...callerHeaders } = headers;
+      const rest = asked.via === null || spent === undefined ? callerHeaders : { ...callerHeaders, 'reedyard-spent': spent };
       const shown = asked.via === null ? dialect.toCaller({ status, headers: rest, asked: asked.headers, retryMs: answer.retryMs ?? null }) : rest;
       return { ...shown, ...extra } as http.OutgoingHttpHeaders;
     };
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -131,7 +131,7 @@
 };
 
 export type LatheEffect =
-  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean; readonly safe: boolean; /** Origins that it may still be sent to. */ readonly attempts: number;
+  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean; readonly safe: boolean; /** Origins that it may be sent to through this attempt; Infinity without a bound. */ readonly attempts: number;
     /** Nothing of the request is sent after this moment: what the leg was decided on is old then. */
     readonly sendBy: number }
   | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
--- a/packages/mallet/src/checks.ts
+++ b/packages/mallet/src/checks.ts
@@ -238,6 +238,20 @@
     const all = asked.size + only(history, 'unplaced').filter((entry) => entry.at > back.at + 15_000).length;
     return all === 0 || good < 0.9 * all ? [{ rule: 13, at: back.at + 15_000, what: `${good} of ${all} served 15 s after the machines returned` }] : [];
   },
+
+  // 14. One request runs at more origins than its route allows, summed over all nodes.
+  14: (history) => [...groupBy(only(history, 'leg').filter((leg) => leg.submission >= 0), (leg) => String(leg.submission))].flatMap(([submission, legs]): readonly Wrong[] => {
+    const origins = new Set(legs.map((leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`));
+    const most = mostAttempts(history, legs);
+    return origins.size > most ? [{ rule: 14, at: legs.at(-1)?.at ?? 0, what: `request ${submission} ran at ${origins.size} origins; ${most} are allowed` }] : [];
+  }),
+};
+
+/** The most origins that one request may be sent to, by any policy in force while it was under way. */
+const mostAttempts = (history: readonly Entry[], legs: readonly Of<'leg'>[]): number => {
+  const [first, last] = [legs[0], legs.at(-1)];
+  if (first === undefined || last === undefined) return Infinity;
+  return Math.max(...during(history, first.at, last.at).map((span) => routeIn(span, first)?.limits.attempts ?? Infinity));
 };
 
 /** What is left to judge once all state was lost for good: nothing from before may come back. */
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -8,7 +8,7 @@
 import { Clockwork } from './clockwork.js';
 import type { CalledFleet, StageOrigin } from './scenarios.js';
 import type { Entry, SimBody } from './history.js';
-import { plantedClaim, plantedFeed, selected, type Plant, type Selection } from './plants.js';
+import { plantedClaim, plantedFeed, plantedGrant, selected, type Plant, type Selection } from './plants.js';
 
 type Program = 'jig' | 'lathe' | 'anvil';
 type Reducers = { jig: { state: JigState; event: JigEvent; effect: JigEffect }; lathe: { state: LatheState; event: LatheEvent; effect: LatheEffect }; anvil: { state: AnvilState; event: AnvilEvent; effect: AnvilEffect } };
@@ -418,7 +418,7 @@
           if (!state.aborted) this.#step(process, { kind: 'failed', id: effect.id, leg: effect.leg, sent: this.tuning.plant === 'repeat-unsafe' ? 'nothing' : sent, why, now: this.#now(process) });
         });
         if (effect.to.kind === 'origin') this.#toOrigin(process, effect.to, effect.asked, effect.mark, effect.sendBy, about, done, fail);
-        else this.#toPartner(process, effect.to, effect.asked, effect.mark, about, done, fail);
+        else this.#toPartner(process, effect.to, this.#granted(process, effect), effect.mark, about, done, fail);
         return;
       }
       case 'closed': this.#submissions.get(process)?.delete(effect.id); return;
@@ -439,6 +439,13 @@
     }
   }
 
+  /** The request as a peer is handed it, with the attempts at origins that it is granted. */
+  #granted(process: Process<'lathe'>, effect: Extract<LatheEffect, { kind: 'open' }>): Asked {
+    if (this.tuning.plant !== 'uncounted-grants') return { ...effect.asked, attempts: effect.attempts };
+    process.state = plantedGrant(process.state, effect.id, effect.leg);
+    return effect.asked;
+  }
+
   /** What each lathe's shell holds of its feed. */
   readonly #held = new WeakMap<Process<'lathe'>, HeldFeed>();
   readonly #partners = new Map<string, Feed['partners'][number]>();
--- a/packages/mallet/src/planted.ts
+++ b/packages/mallet/src/planted.ts
@@ -39,6 +39,7 @@
   { rule: 12, what: 'homes are not heeded', plant: 'no-homes', scenario: 'homes' },
   { rule: 12, what: 'an answer that came through a partner is kept', plant: 'keep-relayed', scenario: 'homes' },
   { rule: 13, what: 'disks forget', plant: 'forgetful-disks', scenario: 'full-loss' },
+  { rule: 14, what: 'attempts granted to a peer are not counted', plant: 'uncounted-grants', scenario: 'slow-peers', seeds: 4 },
 ];
 
 /** Files that the cases are spread over; those of one scenario stay together, so that its sound runs are made once. */
--- a/packages/mallet/src/plants.ts
+++ b/packages/mallet/src/plants.ts
@@ -1,4 +1,5 @@
 import type { Feed, LatheCall } from '@reedyard/jig';
+import type { LatheState } from '@reedyard/lathe';
 import type { Policy } from '@reedyard/stencil';
 
 /**
@@ -9,7 +10,7 @@
   'none', 'deaf-lease', 'tell-unsynced', 'repeat-unsafe', 'claims-granted', 'no-identity', 'no-marks', 'wiped-votes',
   'deaf-drain', 'deaf-halls', 'deaf-purges', 'no-buckets', 'free-repeats', 'no-homes', 'forgetful-disks', 'deaf-voters',
   'route-at-arrival', 'no-capacities', 'no-cold-rates', 'old-rates',
-  'deaf-relays', 'deaf-ready', 'deaf-tags', 'deaf-life', 'deaf-methods', 'deaf-instances', 'wild-clocks', 'claims-of-any-content', 'earn-twice', 'same-serials', 'short-as-whole', 'keep-relayed',
+  'deaf-relays', 'deaf-ready', 'deaf-tags', 'deaf-life', 'deaf-methods', 'deaf-instances', 'wild-clocks', 'claims-of-any-content', 'earn-twice', 'same-serials', 'short-as-whole', 'keep-relayed', 'uncounted-grants',
 ] as const;
 export type Plant = (typeof plantNames)[number];
 
@@ -47,5 +48,13 @@
   return { ...feed, split: Object.fromEntries((feed.policy?.document.routes ?? []).map((route) => [route.name, row])) };
 };
 
+/** What a lathe whose ledger does not count the attempts it granted to a peer makes of its state. */
+export const plantedGrant = (state: LatheState, id: number, leg: number): LatheState => {
+  const transaction = state.transactions[id];
+  if (transaction === undefined) return state;
+  const legs = transaction.legs.map((each) => (each.number === leg ? { ...each, granted: 0 } : each));
+  return { ...state, transactions: { ...state.transactions, [id]: { ...transaction, legs } } };
+};
+
 /** Whether a claim is granted without asking. */
 export const plantedClaim = (plant: Plant, call: LatheCall): boolean => plant === 'claims-granted' && call.kind === 'claim';
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/mallet/src/scenarios.ts
@@ -504,6 +504,21 @@
     });
     every(stage, 9_000, 40_000, 400, () => faults.read?.(stage));
   } },
+  'slow-peers': { what: 'routes allow two attempts; origins are slow at times, and peers slow, cut off or killed between taking a request and answering it', seconds: 40, rate: 200,
+    policy: (policy) => ({ ...policy, routes: policy.routes.map((route) => ({ ...route, limits: { ...route.limits, attempts: 2 } })) }),
+    play: (stage) => {
+      const { fleet } = stage;
+      every(stage, 8_000, 36_000, 2_000, () => {
+        for (const origin of fleet.origins) origin.mode.slowMs = fleet.clock.chance() < 0.4 ? fleet.clock.between(200, 900) : 20;
+        for (const origin of fleet.origins) origin.mode.garbage = fleet.clock.chance() < 0.3 ? 0.2 : 0;
+      });
+      every(stage, 10_000, 34_000, 5_000, () => {
+        const name = fleet.clock.pick(names(fleet, 'front')) ?? '';
+        if (fleet.clock.chance() < 0.5) { restart(fleet, name, 1_000); return; }
+        fleet.freeze(name);
+        fleet.clock.in(fleet.clock.between(300, 900), () => fleet.thaw(name));
+      });
+    } },
   closing: { what: 'a day that ends with a fault: a hall loses power, others freeze, origins drain, just before the end', seconds: 40, play: (stage) => {
     const { fleet, end } = stage;
     every(stage, 9_000, end, 2_000, () => faults.purge?.(stage));
--- a/packages/tally/src/index.ts
+++ b/packages/tally/src/index.ts
@@ -3,7 +3,11 @@
 
 /** How a leg ended. */
 export type LegEnd =
-  | { readonly kind: 'answered'; readonly status: number; readonly final: boolean; readonly notRun: boolean }
+  | {
+    readonly kind: 'answered'; readonly status: number; readonly final: boolean; readonly notRun: boolean;
+    /** Attempts at origins that a peer says it made for this answer; null where nobody says. */
+    readonly spent?: number | null;
+  }
   | { readonly kind: 'failed'; readonly sent: Sent; readonly why: string };
 
 /** One attempt of a transaction. */
@@ -13,6 +17,8 @@
   readonly openedAt: number;
   readonly limitAt: number;
   readonly end: LegEnd | null;
+  /** Attempts at origins that may be made through this one: those granted to a peer. Left out: one. */
+  readonly granted?: number;
 };
 
 /** What a caller learns of a transaction that was given up. */
@@ -30,12 +36,29 @@
 const outcomeOf = (legs: readonly Leg[]): Outcome =>
   legs.every(({ end }) => (end !== null && end.kind === 'failed' ? end.sent === 'nothing' : end !== null && end.notRun)) ? 'not-run' : 'unknown';
 
+/** Attempts at origins that one attempt has used up, or may still use. */
+const spentBy = (leg: Leg): number => {
+  const granted = leg.granted ?? 1;
+  if (leg.to.kind === 'origin' || leg.end === null) return granted;
+  if (leg.end.kind === 'failed') return leg.end.sent === 'nothing' ? 0 : granted;
+  return Math.min(granted, leg.end.spent ?? granted);
+};
+
 export const Tally = {
   /** @example Tally.safe('GET') // true */
   safe: (method: string): boolean => method === 'GET' || method === 'HEAD' || method === 'OPTIONS',
 
   outcomeOf,
 
+  /**
+   * Attempts at origins that a request has used up over all nodes, as far as this node can know: a peer holds
+   * what it was granted until its answer says what it used, and for ever where no answer comes.
+   *
+   * @example
+   * Tally.spent([originLeg, peerLegGrantedTwoUnanswered]) // 3
+   */
+  spent: (legs: readonly Leg[]): number => legs.reduce((sum, leg) => sum + spentBy(leg), 0),
+
   /**
    * The next move, from the ledger alone. An unsafe transaction gets a second leg only if every leg
    * before it provably ran nothing.
