--- /dev/null
+++ b/packages/notch/src/errors.ts
@@ -0,0 +1,22 @@
+/** What goes wrong with a write-ahead log, in a form that programs can tell apart. */
+import { LayerError, textOf } from '@reedyard/scriber';
+
+/**
+ * An error of the log. Its `code` is one of
+ * - `damaged`: something that was synced is missing or unreadable; only an operator can decide,
+ * - `full`: the disk has no room,
+ * - `disk`: the disk refused in another way.
+ *
+ * After `full` and `disk` the log can be recovered once the disk takes writes again.
+ */
+export class NotchError extends LayerError {}
+
+const outOfSpaceCodes: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT']);
+
+/** Turns anything that a file system throws into an error of the log. */
+export const toLogError = (thrown: unknown, folder: string): NotchError => {
+  if (thrown instanceof NotchError) return thrown;
+  const systemCode = (thrown as NodeJS.ErrnoException).code ?? '';
+  const code = outOfSpaceCodes.has(systemCode) ? 'full' : 'disk';
+  return new NotchError(code, `${folder}: ${textOf(thrown)}`, { cause: thrown });
+};
