replica: a disk that is full, refuses or hangs ends no process and holds nobody up

Every answer, also a pull of what was long on disk, waited for the newest sync; answers that waited behind a sync that hung were kept without a bound.

Now `ReplicaHost` keeps two states: the newest, and the one that is on disk. - A pull or fetch that changes nothing is answered from the state on disk, as if it had come before what is still on its way. All other answers wait for the sync that they rest on. - After a write or sync that failed, the newest state goes back to the one on disk. Calls that change nothing are answered; all that need the disk are refused at once with the new reply `unavailable`. The disk is tried again after 0.25 s, up to 4 s; then the replica votes again. One log line each way. - Once a sync takes over 0.6 s (a phase of a ballot) calls that need one are refused as well; what was admitted before is dropped when its caller's second is over.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -56,6 +56,8 @@
   /** The caller counts by voters that are no longer in force. */
   | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
   | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
+  /** Its disk takes no writes, or none in time: it counts as lost until it does. */
+  | { readonly kind: 'unavailable'; readonly disk: string }
   /** It keeps as many claims as it may. */
   | { readonly kind: 'full'; readonly disk: string }
   | { readonly kind: 'posted'; readonly disk: string }
--- a/packages/anvil/src/index.ts
+++ b/packages/anvil/src/index.ts
@@ -1,2 +1,3 @@
 export * from './core.js';
+export { ReplicaHost, type ReplicaLog, type ReplicaShell } from './replica-host.js';
 export { runAnvil, type AnvilSettings } from './run.js';
--- /dev/null
+++ b/packages/anvil/src/replica-host.ts
@@ -0,0 +1,358 @@
+/**
+ * Runs the replica's reducer on a log. It owns the state and its order, and guarantees that no answer tells
+ * of anything that is not on disk:
+ *
+ * - an answer that follows from unsynced records is held until they are synced,
+ * - pulls and fetches are answered at once, from the state that is on disk,
+ * - after a write or sync that failed, the state goes back to what is on disk; until the log has recovered,
+ *   only calls that change nothing are answered, and all others are refused at once,
+ * - while a sync hangs, calls that need one are refused as well, so that nobody waits for this disk.
+ *
+ * Time, calls and logging are handed in.
+ */
+import { Limits, Sizes } from '@reedyard/gauge';
+import type { Step } from '@reedyard/chute';
+import {
+  Anvil,
+  type AnvilAsk,
+  type AnvilEffect,
+  type AnvilEvent,
+  type AnvilRecord,
+  type AnvilReply,
+  type AnvilState,
+} from './core.js';
+
+/** The log as the replica needs it. */
+export type ReplicaLog = {
+  readonly available: () => boolean;
+  readonly failure: () => Error | null;
+  readonly append: (records: readonly AnvilRecord[]) => Promise<void>;
+  readonly recover: () => Promise<void>;
+  readonly compact: (state: () => Iterable<AnvilRecord>) => Promise<void>;
+  readonly segmentBytes: () => number;
+  readonly snapshotBytes: () => number;
+  readonly fragmented: () => boolean;
+};
+
+/** What the host does outside. */
+export type ReplicaShell = {
+  readonly now: () => number;
+  readonly call: (address: string, body: AnvilAsk) => Promise<AnvilReply>;
+  readonly log: (
+    level: 'info' | 'warn' | 'error',
+    event: string,
+    fields?: Readonly<Record<string, string | number | boolean>>,
+  ) => void;
+};
+
+/** Answers that wait for a sync at once; more are refused. */
+const mostHeldAnswers = 4_096;
+/** ms. A sync that takes this long is of no use to who waits for it: as long as a phase of a ballot. */
+const stalledAfter = Limits.ballotPhase;
+/** ms. First and longest pause between two tries to recover a disk that refuses. */
+const firstRecoveryPause = 250;
+const longestRecoveryPause = 4_000;
+/** ms. A disk that was well for this long is tried again soon after its next failure. */
+const calmAfterRecovery = 10_000;
+/** ms. After a snapshot that could not be written. */
+const snapshotPause = 2_000;
+
+type HeldAnswer = {
+  readonly askedAt: number;
+  readonly reply: AnvilReply;
+  readonly resolve: (reply: AnvilReply) => void;
+};
+
+/** Records on their way to the disk, and what follows once they are there. */
+type PendingAppend = {
+  readonly startedAt: number;
+  /** The state that is on disk once these records are. */
+  state: AnvilState;
+  readonly answers: HeldAnswer[];
+};
+
+type Asked = Extract<AnvilEvent, { kind: 'asked' }>;
+type TellEffect = Extract<AnvilEffect, { kind: 'tell' }>;
+
+const recordsIn = (effects: readonly AnvilEffect[]): readonly AnvilRecord[] =>
+  effects.flatMap((effect) => (effect.kind === 'append' ? effect.records : []));
+
+const tellIn = (effects: readonly AnvilEffect[]): TellEffect | undefined =>
+  effects.find((effect): effect is TellEffect => effect.kind === 'tell');
+
+export class ReplicaHost {
+  readonly #log: ReplicaLog;
+  readonly #shell: ReplicaShell;
+  readonly #openingRecords: readonly AnvilRecord[];
+  /** With all that was decided, also what is not on disk yet. */
+  #state: AnvilState;
+  /** As it is on disk. */
+  #durable: AnvilState;
+  /** Whether what the disk held at the start, and the opening records, are durable. */
+  #opened = false;
+  #pending: PendingAppend[] = [];
+  #heldAnswers = 0;
+  #failed = false;
+  #recovering = false;
+  #recoverAt = 0;
+  #recoveryPause = firstRecoveryPause;
+  #recoveredAt = -Infinity;
+  #stallLogged = false;
+  #compacting = false;
+  #compactAt = -Infinity;
+  #snapshotFailureLogged = false;
+  #nextAsk = 1;
+
+  constructor(opened: Step<AnvilState, AnvilEffect>, log: ReplicaLog, shell: ReplicaShell) {
+    this.#log = log;
+    this.#shell = shell;
+    this.#state = opened.state;
+    this.#durable = opened.state;
+    this.#openingRecords = recordsIn(opened.effects);
+    if (log.available()) this.#appendOpeningRecords();
+    else this.#fail();
+  }
+
+  /** The state with all that was decided. */
+  get state(): AnvilState {
+    return this.#state;
+  }
+
+  /** The state that is on disk. */
+  get durableState(): AnvilState {
+    return this.#durable;
+  }
+
+  /** Whether it takes part: everything that it is asked may be answered. */
+  get available(): boolean {
+    return this.#opened && !this.#failed && !this.#stalled();
+  }
+
+  /** Answers a call, perhaps with a refusal; late answers are given to nobody. */
+  ask(body: AnvilAsk): Promise<AnvilReply> {
+    if (!this.#opened) return Promise.resolve(this.#refusal());
+    const id = this.#nextAsk;
+    this.#nextAsk += 1;
+    const event: Asked = { kind: 'asked', id, body, now: this.#shell.now() };
+    const read = this.#readDurable(event);
+    if (read !== null) return Promise.resolve(read);
+    return new Promise((resolve) => {
+      if (!this.#apply(event, resolve)) resolve(this.#refusal());
+    });
+  }
+
+  /** What falls due: to be called a few times a second. */
+  tick(): void {
+    this.#reportStall();
+    this.#dropLateAnswers();
+    this.#recoverIfDue();
+    if (!this.#opened) return;
+    this.#apply({ kind: 'beat', now: this.#shell.now() });
+    this.#compactIfDue();
+  }
+
+  /** A pull or fetch that changes nothing, answered as if it had come before what is not on disk yet. */
+  #readDurable(event: Asked): AnvilReply | null {
+    const { kind } = event.body.call;
+    if (kind !== 'pull' && kind !== 'fetch') return null;
+    const { effects } = Anvil.reduce(this.#durable, event);
+    if (recordsIn(effects).length > 0) return null;
+    return tellIn(effects)?.body ?? null;
+  }
+
+  /** Takes an event, or refuses it as if it had never come: if it needs a disk that takes nothing. */
+  #apply(event: AnvilEvent, resolve?: (reply: AnvilReply) => void): boolean {
+    const step = Anvil.reduce(this.#state, event);
+    const records = recordsIn(step.effects);
+    if (records.length > 0 && !this.available) return false;
+    if (resolve !== undefined && this.#heldAnswers >= mostHeldAnswers) return false;
+    this.#state = step.state;
+    if (records.length > 0) this.#append(records);
+    else this.#followPending();
+    for (const effect of step.effects) this.#perform(effect, resolve);
+    return true;
+  }
+
+  #followPending(): void {
+    const last = this.#pending.at(-1);
+    if (last === undefined) this.#durable = this.#state;
+    else last.state = this.#state;
+  }
+
+  #perform(effect: AnvilEffect, resolve?: (reply: AnvilReply) => void): void {
+    switch (effect.kind) {
+      case 'append':
+        return;
+      case 'tell':
+        if (resolve !== undefined) this.#answerOnceSynced(effect.body, resolve);
+        return;
+      case 'call':
+        this.#call(effect.id, effect.to, effect.body);
+        return;
+      case 'log':
+        this.#shell.log('info', effect.event, effect.fields);
+        return;
+    }
+  }
+
+  #call(id: number, to: string, body: AnvilAsk): void {
+    this.#shell.call(to, body).then(
+      (reply) => this.#apply({ kind: 'returned', id, body: reply, now: this.#shell.now() }),
+      () => this.#apply({ kind: 'lost', id, now: this.#shell.now() }),
+    );
+  }
+
+  #answerOnceSynced(reply: AnvilReply, resolve: (reply: AnvilReply) => void): void {
+    const last = this.#pending.at(-1);
+    if (last === undefined) {
+      resolve(reply);
+      return;
+    }
+    this.#heldAnswers += 1;
+    last.answers.push({ askedAt: this.#shell.now(), reply, resolve });
+  }
+
+  #append(records: readonly AnvilRecord[]): void {
+    const pending: PendingAppend = {
+      startedAt: this.#shell.now(),
+      state: this.#state,
+      answers: [],
+    };
+    this.#pending.push(pending);
+    this.#log.append(records).then(
+      () => this.#synced(pending),
+      () => this.#fail(),
+    );
+    this.#compactIfDue();
+  }
+
+  /** Appends are acknowledged in order, so this is the oldest. */
+  #synced(pending: PendingAppend): void {
+    if (this.#pending[0] !== pending) return;
+    this.#pending.shift();
+    this.#durable = pending.state;
+    this.#heldAnswers -= pending.answers.length;
+    for (const answer of pending.answers) answer.resolve(this.#unlessLate(answer));
+    this.#reportStall();
+  }
+
+  #unlessLate({ askedAt, reply }: HeldAnswer): AnvilReply {
+    return this.#shell.now() - askedAt > Limits.call ? this.#refusal() : reply;
+  }
+
+  /** Whoever asked so long ago waits no more. */
+  #dropLateAnswers(): void {
+    const since = this.#shell.now() - Limits.call;
+    for (const { answers } of this.#pending) {
+      const late = answers.filter((answer) => answer.askedAt < since);
+      if (late.length === 0) continue;
+      this.#heldAnswers -= late.length;
+      for (const answer of late) answer.resolve(this.#refusal());
+      const held = answers.filter((answer) => answer.askedAt >= since);
+      answers.splice(0, answers.length, ...held);
+    }
+  }
+
+  /** Ids of calls are not used twice, also where the state goes back. */
+  #rollBack(): void {
+    this.#state = { ...this.#durable, nextCall: this.#state.nextCall };
+    this.#durable = this.#state;
+    const refusal = this.#refusal();
+    const answers = this.#pending.flatMap((pending) => pending.answers);
+    this.#pending = [];
+    this.#heldAnswers = 0;
+    for (const { resolve } of answers) resolve(refusal);
+  }
+
+  #fail(): void {
+    if (this.#failed) return;
+    this.#failed = true;
+    this.#rollBack();
+    const now = this.#shell.now();
+    if (now - this.#recoveredAt > calmAfterRecovery) this.#recoveryPause = firstRecoveryPause;
+    this.#recoverAt = now + this.#recoveryPause;
+    this.#shell.log('error', 'disk.unavailable', { text: this.#log.failure()?.message ?? '' });
+  }
+
+  #recoverIfDue(): void {
+    if (!this.#failed || this.#recovering || this.#shell.now() < this.#recoverAt) return;
+    this.#recovering = true;
+    this.#log.recover().then(
+      () => this.#recovered(),
+      () => this.#recoverLater(),
+    );
+  }
+
+  #recoverLater(): void {
+    this.#recovering = false;
+    this.#recoveryPause = Math.min(this.#recoveryPause * 2, longestRecoveryPause);
+    this.#recoverAt = this.#shell.now() + this.#recoveryPause;
+  }
+
+  #recovered(): void {
+    this.#recovering = false;
+    this.#failed = false;
+    this.#recoveredAt = this.#shell.now();
+    this.#recoveryPause = Math.min(this.#recoveryPause * 2, longestRecoveryPause);
+    this.#shell.log('info', 'disk.available');
+    if (!this.#opened) this.#appendOpeningRecords();
+  }
+
+  #appendOpeningRecords(): void {
+    if (this.#openingRecords.length === 0) {
+      this.#opened = true;
+      return;
+    }
+    this.#log.append(this.#openingRecords).then(
+      () => {
+        this.#opened = true;
+      },
+      () => this.#fail(),
+    );
+  }
+
+  #stalled(): boolean {
+    const oldest = this.#pending[0];
+    return oldest !== undefined && this.#shell.now() - oldest.startedAt > stalledAfter;
+  }
+
+  #reportStall(): void {
+    const stalled = this.#stalled();
+    if (stalled === this.#stallLogged) return;
+    this.#stallLogged = stalled;
+    if (stalled) this.#shell.log('warn', 'disk.stalled', { pending: this.#pending.length });
+    else this.#shell.log('info', 'disk.resumed');
+  }
+
+  /** Snapshots cost as much as they are large: the larger the last one, the later the next. */
+  #compactIfDue(): void {
+    if (this.#compacting || !this.available || this.#shell.now() < this.#compactAt) return;
+    const most = Math.max(Sizes.segment, this.#log.snapshotBytes() / 2);
+    if (this.#log.segmentBytes() <= most && !this.#log.fragmented()) return;
+    this.#compacting = true;
+    this.#log.compact(() => Anvil.records(this.#durable)).then(
+      () => this.#compacted(),
+      (thrown: unknown) => this.#compactionFailed(thrown),
+    );
+  }
+
+  #compacted(): void {
+    this.#compacting = false;
+    this.#snapshotFailureLogged = false;
+    this.#shell.log('info', 'disk.compacted', { bytes: this.#log.snapshotBytes() });
+  }
+
+  #compactionFailed(thrown: unknown): void {
+    this.#compacting = false;
+    this.#compactAt = this.#shell.now() + snapshotPause;
+    if (!this.#log.available()) this.#fail();
+    if (this.#snapshotFailureLogged) return;
+    this.#snapshotFailureLogged = true;
+    const text = thrown instanceof Error ? thrown.message : String(thrown);
+    this.#shell.log('warn', 'snapshot.failed', { text });
+  }
+
+  #refusal(): AnvilReply {
+    return { kind: 'unavailable', disk: this.#durable.disk };
+  }
+}
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -1,17 +1,64 @@
+/** The replica's process: its log, its port, and what falls due. */
 import { randomUUID } from 'node:crypto';
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
-import { Beats, Sizes } from '@reedyard/gauge';
-import { Task } from '@reedyard/chute';
-import { openNotch } from '@reedyard/notch';
-import { openScribe, textOf } from '@reedyard/scriber';
-import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
+import type { Step } from '@reedyard/chute';
+import { Beats, Limits } from '@reedyard/gauge';
+import { openNotch, type Notch } from '@reedyard/notch';
+import { openScribe, type Scribe } from '@reedyard/scriber';
+import { call, serveCalls, speakFrom, type Listening } from '@reedyard/shuttle';
 import type { Settings } from '@reedyard/vise';
-import { Anvil, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState } from './core.js';
+import {
+  Anvil,
+  type AnvilAsk,
+  type AnvilEffect,
+  type AnvilRecord,
+  type AnvilReply,
+  type AnvilState,
+} from './core.js';
+import { ReplicaHost, type ReplicaShell } from './replica-host.js';
+
+export type AnvilSettings = Settings & { readonly anvil: NonNullable<Settings['anvil']> };
+
+const callPath = '/anvil';
 
 const now = (): number => performance.now();
 
-export type AnvilSettings = Settings & { readonly anvil: NonNullable<Settings['anvil']> };
+/** The state from what the log holds; a blank disk gets a new name. */
+const openState = (settings: AnvilSettings, log: Notch): Step<AnvilState, AnvilEffect> => {
+  const { founders = {}, voting, name, host } = settings;
+  const others = Object.fromEntries(Object.entries(founders).filter(([each]) => each !== name));
+  const address = `${host}:${settings.anvil.port}`;
+  const seeded =
+    voting === undefined
+      ? null
+      : { address, seeds: voting.seeds, firstStart: voting.firstStart };
+  const records = log.records as readonly AnvilRecord[];
+  return Anvil.open({ name, others, seeded, records, freshDisk: randomUUID(), now: now() });
+};
+
+const shellOf = (scribe: Scribe): ReplicaShell => ({
+  now,
+  call: (address, body) => call(address, callPath, body) as Promise<AnvilReply>,
+  log: (level, event, fields) => scribe[level](event, fields),
+});
+
+/** Ends the process once its calls and its log are closed, and in time also if the disk hangs. */
+const stopOnSignals = (listening: Listening, log: Notch, scribe: Scribe): void => {
+  const exit = (): never => {
+    scribe.info('stopped');
+    process.exit(0);
+  };
+  const stop = (): void => {
+    setTimeout(exit, Limits.call);
+    void listening
+      .close()
+      .then(() => log.close())
+      .then(exit);
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+};
 
 /**
  * Runs an anvil until the process is told to end.
@@ -21,58 +68,16 @@
  */
 export const runAnvil = async (settings: AnvilSettings): Promise<void> => {
   const scribe = openScribe({ program: 'anvil', node: settings.name });
-  const stop = (code: number, event: string, thrown: unknown): never => { scribe.error(event, { text: textOf(thrown) }); process.exit(code); };
   speakFrom(settings.host);
-  const place = settings.anvil;
-  const { founders = {}, voting } = settings;
-  const notch = await openNotch(path.join(settings.dataFolder, 'anvil'));
-  const opened = Anvil.open({
-    name: settings.name,
-    others: Object.fromEntries(Object.entries(founders).filter(([name]) => name !== settings.name)),
-    seeded: voting === undefined ? null : { address: `${settings.host}:${place.port}`, seeds: voting.seeds, firstStart: voting.firstStart },
-    records: notch.records as readonly AnvilRecord[], freshDisk: randomUUID(), now: now(),
-  });
-  const asking = new Map<number, (reply: AnvilReply) => void>();
-  let compacting = false;
-
-  const perform = (effect: AnvilEffect, put: (event: AnvilEvent) => boolean): void => {
-    switch (effect.kind) {
-      case 'append':
-        notch.append(effect.records).catch((thrown: unknown) => stop(5, 'disk.refused', thrown));
-        // Snapshots cost as much as they are large: the larger the last one, the later the next.
-        if (notch.segmentBytes() > Math.max(Sizes.segment, notch.snapshotBytes() / 2) && !compacting) {
-          compacting = true;
-          notch.compact(() => Anvil.records(task.peek())).then(() => { compacting = false; scribe.info('disk.compacted'); },
-            (thrown: unknown) => stop(5, 'disk.refused', thrown));
-        }
-        return;
-      case 'tell':
-        notch.settled().then(() => { asking.get(effect.id)?.(effect.body); asking.delete(effect.id); },
-          (thrown: unknown) => stop(5, 'disk.refused', thrown));
-        return;
-      case 'call':
-        call(effect.to, '/anvil', effect.body).then(
-          (body) => put({ kind: 'returned', id: effect.id, body: body as AnvilReply, now: now() }),
-          () => put({ kind: 'lost', id: effect.id, now: now() }));
-        return;
-      case 'log': scribe.info(effect.event, effect.fields); return;
-    }
-  };
-  const task = Task.run<AnvilState, AnvilEvent, AnvilEffect>({ initial: opened.state, reduce: Anvil.reduce, perform });
-  opened.effects.forEach((effect) => perform(effect, task.put));
-
-  let next = 1;
-  const listening = await serveCalls({ host: settings.listen ?? settings.host, port: place.port }, {
-    '/anvil': (body) => new Promise((resolve, reject) => {
-      const id = next;
-      next += 1;
-      asking.set(id, resolve);
-      if (!task.put({ kind: 'asked', id, body: body as AnvilAsk, now: now() })) { asking.delete(id); reject(new Error('too busy')); }
-    }),
-  });
-  setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.rejoin);
-  scribe.info('started', { port: listening.port, disk: opened.state.disk, voting: opened.state.voting });
-  const leave = (): void => { void listening.close().then(() => notch.close()).then(() => { scribe.info('stopped'); process.exit(0); }); };
-  process.on('SIGTERM', leave);
-  process.on('SIGINT', leave);
+  const log = await openNotch(path.join(settings.dataFolder, 'anvil'));
+  const opened = openState(settings, log);
+  const replica = new ReplicaHost(opened, log, shellOf(scribe));
+  const listening = await serveCalls(
+    { host: settings.listen ?? settings.host, port: settings.anvil.port },
+    { [callPath]: (body) => replica.ask(body as AnvilAsk) },
+  );
+  setInterval(() => replica.tick(), Beats.rejoin);
+  const { disk, voting } = opened.state;
+  scribe.info('started', { port: listening.port, disk, voting });
+  stopOnSignals(listening, log, scribe);
 };
