--- a/packages/anvil/src/replica-host.test.ts
+++ b/packages/anvil/src/replica-host.test.ts
@@ -214,6 +214,33 @@
   }
 });
 
+test('a disk with no room for a snapshot: it votes on until nothing fits, and snapshots once there is room', async (t) => {
+  const disk = await votingDisk();
+  const bed = await Bed.open(disk);
+  const megabyte = 1024 * 1024;
+  disk.capacity = 9 * megabyte;
+  const writeRound = async (round: number): Promise<boolean> => {
+    const reply = await bed.accept(round, `value ${round} `.padEnd(megabyte, '.'));
+    await bed.tick(3_000);
+    return reply.kind === 'vote';
+  };
+  let round = 1;
+  while (await writeRound(round)) round += 1;
+  t.true(round > 8, `${round} rounds`);
+  t.true(bed.events.includes('snapshot.failed'));
+  t.true(bed.events.includes('disk.unavailable'));
+  t.is(bed.events.filter((event) => event === 'snapshot.failed').length, 1);
+  t.deepEqual(ballotShown(await bed.pull()), [round - 1, 'proposer']);
+  t.false([...disk.files().keys()].some((name) => name.startsWith('snapshot')));
+  disk.capacity = 30 * megabyte;
+  for (let each = 0; each < 5; each += 1) await bed.tick(5_000);
+  t.true(await writeRound(round));
+  for (let each = 0; each < 5; each += 1) await bed.tick(5_000);
+  t.true(bed.events.includes('disk.compacted'));
+  t.true(disk.totalBytes() < 4 * megabyte, `${disk.totalBytes()} bytes`);
+  t.regex(String(await acceptedOnDisk(disk)), new RegExp(`^value ${round} `));
+});
+
 test('while a sync hangs, pulls are answered from the disk, votes are refused, and nothing piles up', async (t) => {
   const disk = await votingDisk();
   const bed = await Bed.open(disk);
--- a/packages/notch/src/model-disk.ts
+++ b/packages/notch/src/model-disk.ts
@@ -73,6 +73,8 @@
   #nameChanges: NameChange[];
   #nextId: number;
   hook: DiskHook = () => null;
+  /** Bytes that fit on it; a write takes what still fits. */
+  capacity = Infinity;
 
   constructor(from?: ModelDisk) {
     this.#contents = new Map(
@@ -177,7 +179,10 @@
   async #write(name: string, id: number, bytes: Buffer): Promise<number> {
     const fault = await this.hook('write', name);
     if (fault?.kind === 'fail') throw systemError(fault.code);
-    const taken = fault?.kind === 'short' ? bytes.subarray(0, fault.bytes) : bytes;
+    const room = this.capacity === Infinity ? Infinity : this.capacity - this.totalBytes();
+    if (room <= 0) throw systemError('ENOSPC');
+    const most = Math.min(room, fault?.kind === 'short' ? fault.bytes : bytes.length);
+    const taken = bytes.subarray(0, most);
     const offset = this.#contentOf(id).length;
     if (taken.length > 0) this.#fileOf(id).writes.push({ offset, bytes: Buffer.from(taken) });
     if (fault?.kind === 'failAfter') throw systemError(fault.code);
--- a/packages/notch/src/power-loss.test.ts
+++ b/packages/notch/src/power-loss.test.ts
@@ -166,6 +166,53 @@
   }
 });
 
+test('a gap in any segment before the newest is refused, up to where the next one fences it', async (t) => {
+  const disk = new ModelDisk();
+  const recorder = new Recorder(disk, { issued: [], acknowledged: [] });
+  for (let start = 0; start < 3; start += 1) {
+    const log = await recorder.open();
+    for (let each = 1; each <= 3; each += 1) await recorder.append(log, start * 3 + each);
+    await log.close();
+  }
+  const files = disk.files();
+  const older = [...files.keys()].sort().slice(0, -1);
+  t.is(older.length, 2);
+  // The last batch of each is carried in the next segment's header.
+  const newestFrame = 24 + 3;
+  for (const name of older) {
+    const bytes = files.get(name) ?? Buffer.alloc(0);
+    for (let at = 0; at < bytes.length; at += 1) {
+      const broken = Buffer.from(bytes);
+      broken.writeUInt8(broken.readUInt8(at) ^ 0xa5, at);
+      const left = ModelDisk.of(new Map([...files, [name, broken]]));
+      if (at < bytes.length - newestFrame) await t.throwsAsync(reopen(left), undefined, `${name} ${at}`);
+      else t.deepEqual(await reopen(left), recorder.history.acknowledged);
+    }
+  }
+});
+
+test('a record that looks like the end of a snapshot does not end one', async (t) => {
+  const disk = new ModelDisk();
+  const log = await openNotch(folder, disk.fileSystem);
+  await log.append(['a']);
+  await log.compact(() => [{ records: 0 }, 'b']);
+  const written = disk.files().get('snapshot-00000002') ?? Buffer.alloc(0);
+  const before = new ModelDisk();
+  const again = await openNotch(folder, before.fileSystem);
+  await again.append(['a']);
+  const images: ModelDisk[] = [];
+  before.hook = (operation) => {
+    if (operation === 'sync') images.push(before.copy());
+    return null;
+  };
+  await again.compact(() => [{ records: 0 }, 'b']);
+  const image = images.find((each) => each.files().has('snapshot-00000002'));
+  for (let cut = 0; cut < written.length; cut += 1) {
+    const files = new Map([...(image?.files() ?? []), ['snapshot-00000002', written.subarray(0, cut)]]);
+    t.deepEqual(await reopen(ModelDisk.of(files)), ['a'], `cut at ${cut}`);
+  }
+});
+
 test('a file whose sync is certain and that is missing is refused', async (t) => {
   const { files } = await durableFiles();
   t.is(files.size, 2);
