proxy: a pure model decides about connections to origins and peers

What an attempt and its connection may do was spread over callbacks. connection.ts is now a reducer: which attempt a connection carries, what of it may have been sent, whose an answer is, and whether it may carry another one. exchange.ts reports what Node's client shows and performs its effects; conns.ts keeps the pool, for peers as well, whose connections were reused without any of these checks until now.

Faults found, each red on the state before (origin-sockets.test.ts run there): - an answer that comes before the request was written whole let the connection rest with the request still on it; the next attempt waited in the agent, and a reset then threw in an event handler and ended the process (uncaught "this conn is closed"); - bytes behind a whole answer took the answer away: 502 for a request that had run; - "not run" without a mark, on a connection that had carried other requests, was believed: a 503 that promises what nobody proved. Now only over a connection that carried nothing before; - a switch of protocols was neither answer nor failure: the attempt waited for its limit; - a streamed answer that was unsound, or whose caller had gone, was not broken off, since its attempt was forgotten when it began to come: the origin's connection stayed taken. A second attempt of what may not run twice goes over a new connection.

Ruled out: lost answers to resets of resting connections. Such an attempt is not repeated, and what may not run twice uses only connections that rested for half a second, as before.

--- a/packages/lathe/src/dialect.ts
+++ b/packages/lathe/src/dialect.ts
@@ -15,6 +15,8 @@
   readonly load: Load | null;
   /** ms. How much longer it says that it is cold; null where it says nothing. */
   readonly coldMs: number | null;
+  /** It names no request: nothing but its place on the connection ties it to this one. */
+  readonly anonymous?: boolean;
 };
 
 /** One attempt at an origin. */
--- /dev/null
+++ b/packages/lathe/src/origin-sockets.test.ts
@@ -0,0 +1,251 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { Sizes } from '@reedyard/gauge';
+import {
+  answerOf,
+  ownFields,
+  soundAnswer,
+  startScriptedOrigin,
+  type Script,
+  type ScriptedOrigin,
+} from './testing/scripted-origin.js';
+import {
+  originRow,
+  policyOf,
+  RawCaller,
+  startHarness,
+  until,
+  type Harness,
+} from './testing/lathe-harness.js';
+
+type Stage = { readonly origin: ScriptedOrigin; readonly harness: Harness };
+
+const stage = async (t: ExecutionContext, script: Script, limits: object = {}): Promise<Stage> => {
+  const origin = await startScriptedOrigin(script);
+  const policy = { serial: 1, document: policyOf({}, limits) };
+  const harness = await startHarness({ policy, origins: [originRow(origin.port)] });
+  t.teardown(async () => {
+    harness.close();
+    await origin.close();
+  });
+  return { origin, harness };
+};
+
+const ask = async (
+  { harness }: Stage,
+  method: string,
+  path: string,
+  id: string,
+  body = '',
+): Promise<RawCaller> => {
+  const caller = await RawCaller.connect(harness.port);
+  caller.send(method, path, id, body);
+  await caller.first(1);
+  return caller;
+};
+
+const statusOf = (caller: RawCaller): number | undefined => caller.answers()[0]?.status;
+
+test('a connection that breaks after the request: one run, and an answer that promises nothing', async (t) => {
+  for (const breakIt of ['reset', 'close', 'half-close'] as const) {
+    const setting = await stage(t, (_request, socket) => {
+      if (breakIt === 'reset') socket.resetAndDestroy();
+      else if (breakIt === 'close') socket.destroy();
+      else socket.end();
+    });
+    const caller = await ask(setting, 'POST', '/order/1', 'r1', 'pay');
+    t.is(statusOf(caller), 502, breakIt);
+    t.false(caller.text.includes('x-stamp'), breakIt);
+    t.is(setting.origin.requests.length, 1, breakIt);
+  }
+});
+
+test('what may not run twice goes over a new connection once the resting one is closed', async (t) => {
+  const setting = await stage(t, (request, socket) => {
+    socket.write(soundAnswer(request));
+  });
+  t.is(statusOf(await ask(setting, 'POST', '/order/1', 'r1', 'a')), 200);
+  const [first] = setting.origin.sockets;
+  first?.resetAndDestroy();
+  t.is(statusOf(await ask(setting, 'POST', '/order/2', 'r2', 'b')), 200);
+  t.deepEqual(
+    setting.origin.requests.map(({ body }) => body),
+    ['a', 'b'],
+  );
+});
+
+test('a surplus answer, with the last bytes or later, is given to nobody', async (t) => {
+  const setting = await stage(t, (request, socket) => {
+    const own = soundAnswer(request);
+    if (request.path === '/read/1') socket.write(own + answerOf(200, ownFields(request), 'surplus'));
+    else socket.write(own);
+  });
+  for (const number of [1, 2, 3]) {
+    const caller = await ask(setting, 'GET', `/read/${number}`, `r${number}`);
+    t.is(caller.answers()[0]?.body, `/read/${number}`);
+  }
+  t.not(setting.origin.requests[0]?.connection, setting.origin.requests[1]?.connection);
+  const [, resting] = setting.origin.sockets;
+  resting?.write(answerOf(200, { 'x-request': 'r3', 'x-stamp': 'sealed' }, 'stale'));
+  for (const number of [4, 5]) {
+    const caller = await ask(setting, 'GET', `/read/${number}`, `r${number}`);
+    t.false(caller.text.includes('stale'));
+    if (statusOf(caller) === 200) t.is(caller.answers()[0]?.body, `/read/${number}`);
+    else t.is(statusOf(caller), 502);
+  }
+});
+
+test('bytes that are no answer, behind a whole one, take nothing from it', async (t) => {
+  const setting = await stage(t, (request, socket) => {
+    socket.write(`${soundAnswer(request)}\0\0 no answer \0\0`);
+  });
+  const caller = await ask(setting, 'POST', '/order/1', 'r1', 'pay');
+  t.is(statusOf(caller), 200);
+  t.is(caller.answers()[0]?.body, '/order/1');
+  t.is(statusOf(await ask(setting, 'POST', '/order/2', 'r2', 'pay')), 200);
+  t.deepEqual(
+    setting.origin.requests.map(({ connection }) => connection),
+    [0, 1],
+  );
+});
+
+test('an answer after our timeout is given to nobody', async (t) => {
+  const late: { write: () => void }[] = [];
+  const setting = await stage(
+    t,
+    (request, socket) => {
+      if (request.path === '/read/1') late.push({ write: () => socket.write(soundAnswer(request)) });
+      else socket.write(soundAnswer(request));
+    },
+    { transactionMs: 300, legMs: 300 },
+  );
+  const first = await ask(setting, 'GET', '/read/1', 'r1');
+  t.is(statusOf(first), 504);
+  late.forEach(({ write }) => write());
+  const second = await ask(setting, 'GET', '/read/2', 'r2');
+  t.is(second.answers()[0]?.body, '/read/2');
+  t.is(setting.origin.requests.at(-1)?.connection, 1);
+});
+
+test('an answer cut short never looks whole: small, chunked and streamed', async (t) => {
+  const large = Sizes.wholeBody + 1_000_000;
+  const setting = await stage(t, (request, socket) => {
+    const fields = ownFields(request);
+    if (request.path === '/order/small') {
+      socket.end(answerOf(200, { ...fields, 'content-length': '10' }, 'short'));
+    } else if (request.path === '/order/chunked') {
+      const head = answerOf(200, { ...fields, 'transfer-encoding': 'chunked' }, '');
+      socket.end(`${head.replace(/content-length: 0\r\n/, '')}5\r\nshort\r\n`);
+    } else if (request.path === '/order/unbounded') {
+      socket.end(answerOf(200, fields, '').replace(/content-length: 0\r\n/, '') + 'short');
+    } else {
+      const head = answerOf(200, { ...fields, 'content-length': String(large) }, '');
+      socket.end(head + 'x'.repeat(large - 10_000));
+    }
+  });
+  for (const kind of ['small', 'chunked', 'unbounded']) {
+    const caller = await ask(setting, 'POST', `/order/${kind}`, kind, 'pay');
+    t.is(statusOf(caller), 502, kind);
+    t.false(caller.text.includes('x-stamp'), kind);
+  }
+  const caller = await ask(setting, 'GET', '/read/streamed', 'streamed');
+  t.deepEqual(caller.answers(), []);
+  t.true((caller.ended || caller.closed) && caller.text.length < large);
+});
+
+test('an answer before the whole request was read: passed on, and its connection not used again', async (t) => {
+  const moreThanBuffersHold = 24 * 1024 * 1024;
+  const setting = await stage(
+    t,
+    (request, socket) => {
+      socket.pause();
+      socket.write(answerOf(429, { ...ownFields(request), 'x-not-run': '1' }, ''));
+    },
+    { bodyBytes: moreThanBuffersHold },
+  );
+  setting.origin.readBodies = false;
+  const body = 'x'.repeat(moreThanBuffersHold);
+  t.is(statusOf(await ask(setting, 'POST', '/order/1', 'r1', body)), 503);
+  setting.origin.readBodies = true;
+  setting.origin.script = (request, socket) => {
+    socket.write(soundAnswer(request));
+  };
+  const second = ask(setting, 'POST', '/order/2', 'r2', 'pay');
+  await until(() => setting.origin.sockets.length === 2);
+  setting.origin.sockets[0]?.resetAndDestroy();
+  t.is(statusOf(await second), 200);
+});
+
+test('an origin that switches protocols has not answered, and is not waited for', async (t) => {
+  const setting = await stage(t, (_request, socket) => {
+    socket.write('HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n');
+  });
+  const caller = await ask(setting, 'POST', '/order/1', 'r1', 'pay');
+  t.is(statusOf(caller), 502);
+  t.true(setting.harness.logged.some((line) => line.includes('"why":"cut"')));
+});
+
+test('an unmarked "not run" is believed only where it can answer nothing else', async (t) => {
+  const setting = await stage(t, (request, socket) => {
+    const refusal = answerOf(503, { 'x-not-run': '1' }, '');
+    socket.write(request.path.startsWith('/read/') ? soundAnswer(request) : refusal);
+  });
+  // Over a new connection it can only be the answer to this request.
+  t.is(statusOf(await ask(setting, 'POST', '/order/1', 'r1', 'pay')), 503);
+  const before = setting.origin.sockets.length;
+  await ask(setting, 'GET', '/read/1', 'r2');
+  const caller = await ask(setting, 'POST', '/order/2', 'r3', 'pay');
+  t.is(setting.origin.sockets.length, before);
+  t.is(statusOf(caller), 502);
+});
+
+test('an origin restarted at its address under another id: proof that nothing ran, then the new one', async (t) => {
+  const setting = await stage(t, (request, socket) => {
+    socket.write(soundAnswer(request));
+  });
+  for (let number = 0; number < 10; number += 1) {
+    await ask(setting, 'GET', `/read/${number}`, `w${number}`);
+  }
+  let ran = 0;
+  setting.origin.script = (request, socket) => {
+    if (request.headers['x-intended'] === 'i2') {
+      ran += 1;
+      socket.write(soundAnswer(request));
+    } else {
+      socket.write(answerOf(421, { 'x-request': request.headers['x-request'] ?? '' }, ''));
+    }
+  };
+  const { port } = setting.origin;
+  setting.harness.feed.origins = [originRow(port, 'i1'), originRow(port, 'i2')];
+  const { task } = setting.harness.lathe;
+  await until(() => task.peek().feed?.origins.length === 2);
+  const bodies: (string | undefined)[] = [];
+  for (let number = 0; number < 8; number += 1) {
+    const caller = await ask(setting, 'POST', `/order/${number}`, `r${number}`, 'pay');
+    bodies.push(caller.answers()[0]?.body);
+  }
+  t.deepEqual(
+    bodies,
+    Array.from({ length: 8 }, (_each, number) => `/order/${number}`),
+  );
+  t.is(ran, 8);
+});
+
+test('a streamed answer that nobody takes gives its connection back', async (t) => {
+  const large = Sizes.wholeBody + 4_000_000;
+  const setting = await stage(t, (request, socket) => {
+    const fields = { ...ownFields(request), 'content-length': String(large) };
+    const foreign = { ...fields, 'x-request': 'another' };
+    const head = answerOf(200, request.path === '/order/foreign' ? foreign : fields, '');
+    socket.write(head + 'x'.repeat(large));
+  });
+  const caller = await ask(setting, 'POST', '/order/foreign', 'r1', 'pay');
+  t.is(statusOf(caller), 502);
+  await until(() => setting.origin.sockets[0]?.closed === true);
+  const leaver = await RawCaller.connect(setting.harness.port);
+  leaver.send('GET', '/read/left', 'r2');
+  await until(() => leaver.text.length > 0);
+  leaver.socket.destroy();
+  await until(() => setting.origin.sockets.every((socket) => socket.closed));
+  t.pass();
+});
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -10,11 +10,12 @@
 import { Routes } from '@reedyard/stencil';
 import type { Settings } from '@reedyard/vise';
 import { originName } from './choice.js';
-import { OriginConns, passable, sendToPartner, type LegError, type Outgoing, type Underway } from './conns.js';
+import { OriginConns, peerName, type LegError, type Outgoing, type Underway } from './conns.js';
 import { Feeds, type HeldFeed } from './feeds.js';
 import { Lathe } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { present } from './present.js';
+import { passable } from './read-answer.js';
 import { warmUp } from './warm.js';
 import type { Answer, Asked, LatheEffect, LatheEvent, LatheState, LegAnswer } from './state.js';
 
@@ -118,14 +119,27 @@
         const one = opened.get(effect.id);
         if (one === undefined) return;
         const name = `${effect.id}/${effect.leg}`;
-        const done = (answer: LegAnswer): void => { attempts.delete(name); put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() }); };
-        const fail = (error: LegError): void => { attempts.delete(name); put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() }); };
+        const done = (answer: LegAnswer): void => {
+          // One that still comes can be broken off until its end.
+          if (answer.whole) attempts.delete(name);
+          else (answer.body as Readable).on('close', () => attempts.delete(name));
+          put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() });
+        };
+        const fail = (error: LegError): void => {
+          attempts.delete(name);
+          put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() });
+        };
         const out = outgoing(one, effect);
+        // A second attempt of what may not run twice goes where no answer to the first can come.
+        const terms = { sendBy: effect.sendBy, fresh: !effect.safe && effect.leg > 0 };
         trace?.('trace.leg', { serial: task.peek().policy?.serial ?? 0, leg: effect.leg });
-        if (effect.to.kind === 'partner') { attempts.set(name, sendToPartner(effect.to.row.address, settings.host, out, done, fail)); return; }
+        if (effect.to.kind === 'partner') {
+          attempts.set(name, conns.sendToPeer(effect.to.row, out, terms, { done, fail }));
+          return;
+        }
         const attempt = { origin: effect.to.row, mark: effect.mark, leftMs: effect.limitMs, headers: one.request.headers };
         Object.assign(out.headers, dialect.toOrigin(attempt));
-        attempts.set(name, conns.send(effect.to.row, out, attempt, effect.sendBy, done, fail));
+        attempts.set(name, conns.send(effect.to.row, out, attempt, terms, { done, fail }));
         return;
       }
       case 'abort': { const name = `${effect.id}/${effect.leg}`; attempts.get(name)?.abort(); attempts.delete(name); return; }
@@ -149,7 +163,7 @@
             held = Feeds.merge(held, reply as FeedTold);
             const { feed } = held;
             put({ kind: 'fed', feed, askedAt, now: now() });
-            conns.keepOnly(new Set(feed.origins.map(originName)));
+            conns.keepOnly(new Set([...feed.origins.map(originName), ...feed.partners.map(peerName)]));
           },
           () => undefined).finally(() => { if (!ended) setTimeout(() => put({ kind: 'ask', now: now() }), now() < task.peek().lease ? Beats.feed : Beats.lapsed); });
         return;
