proxy: bounds on callers from the config in force; no refusal in an answer's place

They were stored and read back but not in force: rest was 30 s, a head 10 s looked at every 30 s, whatever the config said. A connection is kept a second longer than its `Keep-Alive` tells, which is never less than the config's rest; one that was opened ahead and never used is bounded by the rest too, not by the time for a head.

Now only the newest closes, and what is read behind an answer that closes is not begun; - streamed answers and those not yet taken by the caller were not counted as under way, so a stop cut them off after its first part; - a caller who left was seen only by the first of its pipelined requests: the others went on until their limits.

Ruled out: answering a caller who closed its sending half. Node can't tell that from one who left, and going on would spend attempts on callers who left.

--- /dev/null
+++ b/packages/lathe/src/caller-bounds.ts
@@ -0,0 +1,44 @@
+/**
+ * How much a caller may send and how long it may take, from the configuration in force. A config
+ * that leaves a bound out gets a default which turns no ordinary caller away.
+ */
+import { Limits, Sizes } from '@reedyard/gauge';
+import type { Policy } from '@reedyard/stencil';
+
+/** Bounds on what one caller sends over one connection. */
+export type CallerBounds = {
+  readonly headBytes: number;
+  readonly bodyBytes: number;
+  /** ms from the first byte of a head to its last. */
+  readonly headMs: number;
+  /** ms that a connection without a request may rest. */
+  readonly idleMs: number;
+};
+
+/** ms. Rest of a caller's connection where the config says nothing. */
+const DEFAULT_IDLE_MS = 30_000;
+/** ms. A connection is kept this much longer than was told: a request may be on its way by then. */
+const IDLE_MARGIN_MS = 1_000;
+/** ms. A whole request with its body must have been read by then. */
+const LEAST_REQUEST_MS = 60_000;
+
+/** Bounds on callers, and what a server does to keep them. */
+export const CallerBounds = {
+  /** @example CallerBounds.of({ idleMs: 15_000 }).idleMs // 15000 */
+  of: (callers: Policy['callers']): CallerBounds => ({
+    headBytes: callers?.headBytes ?? Sizes.callerHead,
+    bodyBytes: callers?.bodyBytes ?? Sizes.callerBody,
+    headMs: callers?.headMs ?? Limits.callerHead,
+    idleMs: callers?.idleMs ?? DEFAULT_IDLE_MS,
+  }),
+
+  /** Seconds told in `Keep-Alive`: whole ones, never less than the bound. */
+  promisedSeconds: ({ idleMs }: CallerBounds): number => Math.ceil(idleMs / 1_000),
+
+  /** ms that a resting connection is kept: what was told, and a margin. */
+  keptMs: (bounds: CallerBounds): number =>
+    CallerBounds.promisedSeconds(bounds) * 1_000 + IDLE_MARGIN_MS,
+
+  /** ms from the first byte of a request to the last of its body. */
+  requestMs: ({ headMs }: CallerBounds): number => Math.max(LEAST_REQUEST_MS, 2 * headMs),
+} as const;
--- /dev/null
+++ b/packages/lathe/src/caller-sockets.test.ts
@@ -0,0 +1,285 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import type { Socket } from 'node:net';
+import { Sizes } from '@reedyard/gauge';
+import {
+  answerOf,
+  ownFields,
+  soundAnswer,
+  startScriptedOrigin,
+  type Script,
+  type ScriptedOrigin,
+} from './testing/scripted-origin.js';
+import {
+  originRow,
+  policyOf,
+  RawCaller,
+  startHarness,
+  until,
+  type Harness,
+} from './testing/lathe-harness.js';
+
+type Stage = { readonly origin: ScriptedOrigin; readonly harness: Harness };
+type Callers = Parameters<typeof policyOf>[0];
+
+/** Holds back answers until the test lets them go, by path. */
+class HeldAnswers {
+  readonly #held = new Map<string, () => void>();
+
+  readonly script: Script = (request, socket) => {
+    this.#held.set(request.path, () => socket.write(soundAnswer(request)));
+  };
+
+  get paths(): readonly string[] {
+    return [...this.#held.keys()];
+  }
+
+  release(path: string): void {
+    this.#held.get(path)?.();
+    this.#held.delete(path);
+  }
+}
+
+const stage = async (
+  t: ExecutionContext,
+  script: Script,
+  callers: Callers = {},
+  limits: object = {},
+): Promise<Stage> => {
+  const origin = await startScriptedOrigin(script);
+  const policy = { serial: 1, document: policyOf(callers, limits) };
+  const harness = await startHarness({ policy, origins: [originRow(origin.port)] });
+  t.teardown(async () => {
+    harness.close();
+    await origin.close();
+  });
+  return { origin, harness };
+};
+
+const statuses = (caller: RawCaller): readonly number[] =>
+  caller.answers().map(({ status }) => status);
+
+const ended = (caller: RawCaller): boolean => caller.ended || caller.closed;
+
+test('pipelined requests: answers in their order, also where some are refused or time out', async (t) => {
+  const held = new HeldAnswers();
+  const { harness } = await stage(t, held.script);
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('GET', '/read/1', 'r1');
+  caller.send('GET', '/nowhere', 'r2');
+  caller.send('GET', '/read/silent', 'r3', '', 'x-left-ms: 300\r\n');
+  caller.send('GET', '/read/4', 'r4');
+  await until(() => held.paths.length === 3);
+  held.release('/read/4');
+  held.release('/read/1');
+  const answers = await caller.first(4);
+  t.deepEqual(statuses(caller), [200, 404, 504, 200]);
+  t.deepEqual([answers[0]?.body, answers[3]?.body], ['/read/1', '/read/4']);
+  t.is(caller.text.match(/x-stamp/g)?.length, 2);
+});
+
+test('bytes that are no request, behind one at work, are refused only after its own answer', async (t) => {
+  const cases = {
+    400: 'no request at all\r\n\r\n',
+    431: `GET /read/2 HTTP/1.1\r\nhost: a.example\r\nx-long: ${'x'.repeat(Sizes.callerHead)}\r\n\r\n`,
+  };
+  for (const [status, bytes] of Object.entries(cases)) {
+    const held = new HeldAnswers();
+    const { harness } = await stage(t, held.script);
+    const caller = await RawCaller.connect(harness.port);
+    caller.send('POST', '/order/1', 'r1', 'pay');
+    caller.socket.write(bytes);
+    await until(() => held.paths.length === 1);
+    const probe = await RawCaller.connect(harness.port);
+    probe.socket.write(bytes);
+    await probe.first(1);
+    t.deepEqual(statuses(probe), [Number(status)]);
+    t.deepEqual(statuses(caller), [], `an answer before its own: ${caller.text}`);
+    held.release('/order/1');
+    await until(() => ended(caller));
+    t.deepEqual(statuses(caller), [200, Number(status)]);
+    t.is(caller.answers()[0]?.body, '/order/1');
+  }
+});
+
+test('a head that is slow to come, behind a request at work, is refused only after its own answer', async (t) => {
+  const held = new HeldAnswers();
+  const { harness } = await stage(t, held.script, { headMs: 50 });
+  await until(() => harness.server.headersTimeout === 50);
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('POST', '/order/1', 'r1', 'pay');
+  caller.socket.write('GET /read/2 HTTP/1.1\r\nhost:');
+  await until(() => held.paths.length === 1);
+  const probe = await RawCaller.connect(harness.port);
+  probe.socket.write('GET /read/2 HTTP/1.1\r\nhost:');
+  await probe.first(1);
+  t.deepEqual(statuses(probe), [408]);
+  t.deepEqual(statuses(caller), []);
+  held.release('/order/1');
+  await until(() => ended(caller));
+  t.deepEqual(statuses(caller), [200, 408]);
+});
+
+test('a new connection that rests is not bounded by the time for a head', async (t) => {
+  const { harness } = await stage(
+    t,
+    (request, socket) => {
+      socket.write(soundAnswer(request));
+    },
+    { headMs: 50, idleMs: 60_000 },
+  );
+  await until(() => harness.server.headersTimeout === 50);
+  const resting = await RawCaller.connect(harness.port);
+  // Once this later one is refused, the resting one was looked at too.
+  const slow = await RawCaller.connect(harness.port);
+  slow.socket.write('GET /read/1 HTTP/1.1\r\n');
+  await slow.first(1);
+  t.deepEqual(statuses(slow), [408]);
+  resting.send('GET', '/read/1', 'r1');
+  await resting.first(1);
+  t.deepEqual(statuses(resting), [200]);
+});
+
+test('a caller who leaves takes all its pipelined requests along', async (t) => {
+  const held = new HeldAnswers();
+  const never = { transactionMs: 600_000, legMs: 600_000 };
+  const { origin, harness } = await stage(t, held.script, {}, never);
+  const caller = await RawCaller.connect(harness.port);
+  for (const number of [1, 2, 3]) caller.send('GET', `/read/${number}`, `r${number}`);
+  await until(() => held.paths.length === 3);
+  caller.socket.destroy();
+  await until(() => origin.sockets.every((socket) => socket.closed));
+  await until(() => harness.lathe.underWay() === 0);
+  t.deepEqual(harness.lathe.task.peek().transactions, {});
+});
+
+test('while it stops, each pipelined request at work gets its answer, and the last one closes', async (t) => {
+  const held = new HeldAnswers();
+  const { harness } = await stage(t, held.script);
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('GET', '/read/1', 'r1');
+  caller.send('POST', '/order/2', 'r2', 'pay');
+  caller.send('GET', '/read/3', 'r3');
+  await until(() => held.paths.length === 3);
+  harness.lathe.stop();
+  held.release('/read/1');
+  await caller.first(1);
+  held.release('/order/2');
+  await caller.first(2);
+  held.release('/read/3');
+  await until(() => ended(caller));
+  t.deepEqual(statuses(caller), [200, 200, 200]);
+  const closing = caller.answers().map(({ head }) => /connection: close/i.test(head));
+  t.deepEqual(closing, [false, false, true]);
+});
+
+test('what is sent behind an answer that closes is not begun', async (t) => {
+  const held = new HeldAnswers();
+  const { origin, harness } = await stage(t, held.script);
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('GET', '/read/1', 'r1');
+  caller.send('GET', '/read/2', 'r2');
+  await until(() => held.paths.length === 2);
+  harness.lathe.stop();
+  held.release('/read/2');
+  const { task } = harness.lathe;
+  await until(() => Object.keys(task.peek().transactions).length === 1);
+  caller.send('POST', '/order/3', 'r3', 'pay');
+  held.release('/read/1');
+  await until(() => ended(caller));
+  t.deepEqual(statuses(caller), [200, 200]);
+  t.deepEqual(
+    origin.requests.map(({ path }) => path),
+    ['/read/1', '/read/2'],
+  );
+});
+
+test('an answer is under way until its caller has all of it', async (t) => {
+  const size = Sizes.wholeBody + 8_000_000;
+  const { harness } = await stage(t, (request, socket) => {
+    const fields = { ...ownFields(request), 'content-length': String(size) };
+    socket.write(answerOf(200, fields, '') + 'x'.repeat(size));
+  });
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('GET', '/read/large', 'r1');
+  await until(() => caller.text.length > 0);
+  caller.socket.pause();
+  await until(() => Object.keys(harness.lathe.task.peek().transactions).length === 0);
+  harness.lathe.stop();
+  t.is(harness.lathe.underWay(), 1);
+  caller.socket.resume();
+  await caller.first(1);
+  t.is(caller.answers()[0]?.body.length, size);
+  await until(() => harness.lathe.underWay() === 0);
+});
+
+test('resting connections are kept for the time in force, and told no other', async (t) => {
+  const { harness } = await stage(
+    t,
+    (request, socket) => {
+      socket.write(soundAnswer(request));
+    },
+    { idleMs: 44_500 },
+  );
+  const accepted: Socket[] = [];
+  harness.server.on('connection', (socket: Socket) => accepted.push(socket));
+  const restOf = async (caller: RawCaller, id: string): Promise<readonly [string, number]> => {
+    const before = caller.answers().length;
+    caller.send('GET', '/read/1', id);
+    const answers = await caller.first(before + 1);
+    const told = /keep-alive: timeout=(\d+)/i.exec(answers[before]?.head ?? '')?.[1];
+    await until(() => accepted[0]?.timeout !== 0);
+    return [told ?? '', accepted[0]?.timeout ?? 0];
+  };
+  const caller = await RawCaller.connect(harness.port);
+  await until(() => accepted.length === 1 && harness.server.keepAliveTimeout === 45_000);
+  t.deepEqual(await restOf(caller, 'r1'), ['45', 46_000]);
+  // A newer config holds for the connections that are there.
+  harness.feed.policy = { serial: 2, document: policyOf({ idleMs: 90_000 }) };
+  await until(() => harness.server.keepAliveTimeout === 90_000);
+  t.deepEqual(await restOf(caller, 'r2'), ['90', 91_000]);
+  // One that says nothing goes back to the default.
+  harness.feed.policy = { serial: 3, document: policyOf() };
+  await until(() => harness.server.keepAliveTimeout === 30_000);
+  t.deepEqual(await restOf(caller, 'r3'), ['30', 31_000]);
+});
+
+test('no bound on rest while a request is at work', async (t) => {
+  const held = new HeldAnswers();
+  const { harness } = await stage(t, held.script, { idleMs: 1 });
+  const accepted: Socket[] = [];
+  harness.server.on('connection', (socket: Socket) => accepted.push(socket));
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('GET', '/read/1', 'r1');
+  caller.send('GET', '/read/2', 'r2');
+  await until(() => held.paths.length === 2);
+  t.is(accepted[0]?.timeout, 0);
+  held.release('/read/1');
+  await caller.first(1);
+  t.is(accepted[0]?.timeout, 0);
+  held.release('/read/2');
+  await caller.first(2);
+  t.deepEqual(statuses(caller), [200, 200]);
+});
+
+test('heads and bodies up to the bounds in force are taken, larger ones refused', async (t) => {
+  const { harness } = await stage(
+    t,
+    (request, socket) => {
+      socket.write(soundAnswer(request));
+    },
+    { headBytes: 40_000, bodyBytes: 5_000_000 },
+    { bodyBytes: 5_000_000 },
+  );
+  const probe = async (headBytes: number, bodyBytes: number): Promise<readonly number[]> => {
+    const caller = await RawCaller.connect(harness.port);
+    const more = `x-long: ${'x'.repeat(headBytes)}\r\n`;
+    caller.send('POST', '/order/1', 'r1', 'x'.repeat(bodyBytes), more);
+    await caller.first(1);
+    return statuses(caller);
+  };
+  await until(() => 'maxHeaderSize' in harness.server && harness.server.maxHeaderSize === 40_000);
+  t.deepEqual(await probe(39_000, 5_000_000), [200]);
+  t.deepEqual(await probe(41_000, 1), [431]);
+  t.deepEqual(await probe(10, 5_000_001), [413]);
+});
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -10,6 +10,8 @@
 import { Routes } from '@reedyard/stencil';
 import type { Settings } from '@reedyard/vise';
 import { originName } from './choice.js';
+import { CallerBounds } from './caller-bounds.js';
+import { openCallerServer, type CallerServer, type CallerTurn } from './caller-server.js';
 import { OriginConns, peerName, type LegError, type Outgoing, type Underway } from './conns.js';
 import { Feeds, type HeldFeed } from './feeds.js';
 import { Lathe } from './core.js';
@@ -21,11 +23,14 @@
 
 const now = (): number => performance.now();
 
+/** bytes. What a node adds to a request's head when it hands it on to a peer. */
+const PEER_HEAD_BYTES = 8 * 1024;
+
 /** A whole number in a field, or null. */
 const countOf = (field: string | string[] | undefined): number | null => (typeof field === 'string' && /^\d{1,4}$/.test(field) ? Number(field) : null);
 
 /** What the shell keeps of a caller's request; the core knows it by its number alone. */
-type Open = { readonly request: http.IncomingMessage; readonly response: http.ServerResponse; readonly body: Buffer; readonly asked: Asked; readonly mark: string | null };
+type Open = { readonly request: http.IncomingMessage; readonly response: http.ServerResponse; readonly body: Buffer; readonly asked: Asked; readonly mark: string | null; readonly turn: CallerTurn };
 
 export type LatheSettings = Settings & { readonly lathe: NonNullable<Settings['lathe']> };
 
@@ -61,6 +66,24 @@
   const conns = new OriginConns(settings.host, dialect);
   let held: HeldFeed | null = null;
   let nextId = 1;
+  /** Servers that callers and peers connect to; peers add fields of their own to a head. */
+  const servers: { readonly of: CallerServer; readonly fromPeer: boolean }[] = [];
+  /** Answers that are passed on as they come, by request. */
+  const streams = new Map<number, Readable>();
+  let boundsOf: unknown = null;
+
+  const boundsFor = (fromPeer: boolean): CallerBounds => {
+    const bounds = CallerBounds.of(task.peek().policy?.document.callers);
+    if (!fromPeer) return bounds;
+    return { ...CallerBounds.of(undefined), headBytes: bounds.headBytes + PEER_HEAD_BYTES };
+  };
+  /** Puts the bounds of the config in force to work; they hold for the connections that are there. */
+  const applyBounds = (): void => {
+    const callers = task.peek().policy?.document.callers;
+    if (callers === boundsOf) return;
+    boundsOf = callers;
+    for (const { of, fromPeer } of servers) of.setBounds(boundsFor(fromPeer));
+  };
 
   const outgoing = (one: Open, effect: Extract<LatheEffect, { kind: 'open' }>): Outgoing => {
     const headers = passable(one.request.headers);
@@ -78,10 +101,12 @@
     return { method: one.asked.method, path: one.asked.target, headers, body: one.body, safe: effect.safe };
   };
 
-  const write = (one: Open, answer: Answer): void => {
-    const { response, asked } = one;
+  const write = (id: number, one: Open, answer: Answer): void => {
+    const { response, asked, turn } = one;
     if (response.destroyed || response.headersSent) return;
-    const extra: Record<string, string> = { via, ...(one.mark === null ? {} : { 'reedyard-leg': one.mark }), ...(stopping ? { connection: 'close' } : {}) };
+    const { connection, ...answerHeaders } = answer.headers;
+    const close = turn.closes(stopping || connection === 'close');
+    const extra: Record<string, string> = { via, ...(one.mark === null ? {} : { 'reedyard-leg': one.mark }), ...(close ? { connection: 'close' } : {}) };
     const tidy = (headers: Answer['headers'], status = answer.status): http.OutgoingHttpHeaders => {
       const { 'reedyard-leg': _leg, ...rest } = headers;
       const shown = asked.via === null ? dialect.toCaller({ status, headers: rest, asked: asked.headers, retryMs: answer.retryMs ?? null }) : rest;
@@ -89,26 +114,31 @@
     };
     if (answer.body.kind === 'problem') {
       const text = JSON.stringify({ type: 'about:blank', title: answer.body.title, status: answer.status, detail: answer.body.detail, outcome: answer.body.outcome });
-      response.writeHead(answer.status, tidy({ ...answer.headers, 'content-type': 'application/problem+json', 'content-length': String(Buffer.byteLength(text)) }));
+      response.writeHead(answer.status, tidy({ ...answerHeaders, 'content-type': 'application/problem+json', 'content-length': String(Buffer.byteLength(text)) }));
       response.end(asked.method === 'HEAD' ? undefined : text);
       return;
     }
     const held = answer.body.kind === 'copy' ? { body: answer.body.copy.body, size: answer.body.copy.size, whole: true } : answer.body.answer;
     if (held.whole) {
       const noBody = asked.method === 'HEAD' && answer.body.kind === 'leg';
-      if (noBody || answer.status === 204 || answer.status === 304) { response.writeHead(answer.status, tidy(answer.headers)); response.end(); return; }
-      const shown = present(asked.method, asked.headers, answer.status, answer.headers, held.size);
+      if (noBody || answer.status === 204 || answer.status === 304) { response.writeHead(answer.status, tidy(answerHeaders)); response.end(); return; }
+      const shown = present(asked.method, asked.headers, answer.status, answerHeaders, held.size);
       response.writeHead(shown.status, tidy(shown.headers, shown.status));
       response.end(asked.method === 'HEAD' ? undefined : (held.body as Buffer).subarray(shown.from, shown.to));
       return;
     }
-    const stream = held.body as Readable;
-    response.writeHead(answer.status, tidy(answer.headers));
-    // A cut stream must not look like a whole one: the caller's conn is cut too.
-    stream.on('error', () => response.destroy());
-    stream.on('aborted', () => response.destroy());
-    response.on('close', () => { if (!response.writableFinished) stream.destroy(); });
-    stream.pipe(response);
+    response.writeHead(answer.status, tidy(answerHeaders));
+    stream(id, response, held.body as Readable);
+  };
+
+  /** Passes an answer on as it comes; one that was cut must not look like a whole one. */
+  const stream = (id: number, response: http.ServerResponse, body: Readable): void => {
+    streams.set(id, body);
+    body.on('error', () => response.destroy());
+    body.on('aborted', () => response.destroy());
+    body.on('close', () => streams.delete(id));
+    if (body.destroyed) response.destroy();
+    else body.pipe(response);
   };
 
   /** What a trial wants to know of each move; nothing unless the settings ask for it. */
@@ -146,7 +176,7 @@
       case 'answer': {
         const one = opened.get(effect.id);
         if (effect.answer.body.kind === 'copy') trace?.('trace.copy', { serial: task.peek().policy?.serial ?? 0 });
-        if (one !== undefined) write(one, effect.answer);
+        if (one !== undefined) write(effect.id, one, effect.answer);
         opened.delete(effect.id);
         return;
       }
@@ -180,15 +210,24 @@
     beating = setTimeout(() => {
       const idle = opened.size === 0 && Object.keys(task.peek().transactions).length === 0;
       task.put({ kind: 'beat', now: now() });
+      applyBounds();
       if (!ended) beatIn(idle ? Beats.latheIdle : Beats.lathe);
     }, ms);
   };
 
-  const refuse = (response: http.ServerResponse, status: number, title: string, detail: string): void => {
+  const refuse = (response: http.ServerResponse, turn: CallerTurn | null, status: number, title: string, detail: string): void => {
     const text = JSON.stringify({ type: 'about:blank', title, status, detail, outcome: 'not-run' });
-    response.writeHead(status, { 'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(text), 'reedyard-outcome': 'not-run', connection: 'close' });
+    const close = turn === null || turn.closes(true);
+    response.writeHead(status, {
+      'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(text),
+      'reedyard-outcome': 'not-run', ...(close ? { connection: 'close' } : {}),
+    });
     response.end(text);
   };
+  /** Refuses a request of which nothing was begun, and which perhaps was not read whole. */
+  const refuseUnread = (response: http.ServerResponse, turn: CallerTurn, status: number, title: string, detail: string): void => {
+    if (turn.begin(() => undefined)) refuse(response, turn, status, title, detail);
+  };
   const wellKnown = (request: http.IncomingMessage, response: http.ServerResponse): boolean => {
     if (request.url !== dialect.readyPath && request.url !== dialect.livePath) return false;
     const good = request.url === dialect.livePath || Lathe.ready(task.peek(), now());
@@ -197,13 +236,14 @@
     response.end(text);
     return true;
   };
-  const take = (fromPartner: boolean) => (request: http.IncomingMessage, response: http.ServerResponse): void => {
+  const take = (fromPartner: boolean) => (request: http.IncomingMessage, response: http.ServerResponse, turn: CallerTurn): void => {
     const target = request.url ?? '/';
     if (!fromPartner && settings.lathe.readyPort === undefined && wellKnown(request, response)) return;
     const host = request.headers.host ?? '';
     const path = target.split('?', 1)[0] ?? '/';
-    if (!target.startsWith('/') || host === '' || /\/(?:\.|%2e){1,2}(?:\/|$)/i.test(path)) { refuse(response, 400, 'Bad request', 'A request needs a host and a plain path.'); return; }
-    const most = Routes.find(task.peek().routes, host, target)?.limits.bodyBytes ?? Sizes.callerBody;
+    if (!target.startsWith('/') || host === '' || /\/(?:\.|%2e){1,2}(?:\/|$)/i.test(path)) { refuseUnread(response, turn, 400, 'Bad request', 'A request needs a host and a plain path.'); return; }
+    const { routes, policy } = task.peek();
+    const most = Routes.find(routes, host, target)?.limits.bodyBytes ?? CallerBounds.of(policy?.document.callers).bodyBytes;
     const chunks: Buffer[] = [];
     let size = 0;
     const id = nextId;
@@ -216,11 +256,15 @@
         : createHash('sha256').update(JSON.stringify([method, target])).update(Buffer.concat(chunks)).digest('base64');
       const asked: Asked = { method, target, host, headers: passable(request.headers), via: fromPartner ? String(partner ?? 'unnamed') : null, bodyBytes: size, digest, deadlineMs: dialect.deadlineMs(request.headers), attempts: fromPartner ? countOf(request.headers['reedyard-attempts']) : null };
       const mark = request.headers['reedyard-leg'];
-      opened.set(id, { request, response, body: Buffer.concat(chunks), asked, mark: fromPartner && typeof mark === 'string' ? mark : null });
-      response.on('close', () => { if (!response.writableFinished) task.put({ kind: 'left', id, now: now() }); });
+      const left = (): void => {
+        streams.get(id)?.destroy();
+        task.put({ kind: 'left', id, now: now() });
+      };
+      if (!turn.begin(left)) return;
+      opened.set(id, { request, response, body: Buffer.concat(chunks), asked, mark: fromPartner && typeof mark === 'string' ? mark : null, turn });
       const draws = Array.from({ length: Sizes.draws }, () => Math.random());
       if (opened.size === 1) { clearTimeout(beating); beatIn(Beats.lathe); }
-      if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) { opened.delete(id); refuse(response, 503, 'Too busy', 'Too many events wait here.'); }
+      if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) { opened.delete(id); refuse(response, turn, 503, 'Too busy', 'Too many events wait here.'); }
     };
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
@@ -228,19 +272,20 @@
       request.removeAllListeners('data');
       request.removeAllListeners('end');
       request.resume();
-      refuse(response, 413, 'Body too large', `This route takes bodies of up to ${most} bytes.`);
+      refuseUnread(response, turn, 413, 'Body too large', `This route takes bodies of up to ${most} bytes.`);
     });
     request.on('end', begin);
     request.on('error', () => response.destroy());
   };
   const serve = (fromPartner: boolean, port: number): Promise<http.Server> => new Promise((resolve, reject) => {
-    const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 60_000 }, take(fromPartner));
-    server.keepAliveTimeout = 30_000;
+    const of = openCallerServer(boundsFor(fromPartner), take(fromPartner));
+    const { server } = of;
+    servers.push({ of, fromPeer: fromPartner });
     server.once('error', reject);
     server.listen(port, settings.listen ?? settings.host, () => resolve(server));
   });
   const serveReady = (port: number): Promise<http.Server> => new Promise((resolve, reject) => {
-    const server = http.createServer((request, response) => { if (!wellKnown(request, response)) refuse(response, 404, 'No such place', 'Only readiness is told here.'); });
+    const server = http.createServer((request, response) => { if (!wellKnown(request, response)) refuse(response, null, 404, 'No such place', 'Only readiness is told here.'); });
     server.once('error', reject);
     server.listen(port, settings.listen ?? settings.host, () => resolve(server));
   });
@@ -248,7 +293,9 @@
   if (trace !== null) setInterval(() => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }), 1_000);
   task.put({ kind: 'ask', now: now() });
   return {
-    task, serve, serveReady, underWay: () => opened.size, begun: () => nextId - 1,
+    task, serve, serveReady,
+    // An answer is under way until the caller's connection has taken all of it.
+    underWay: () => Math.max(opened.size, servers.reduce((sum, { of }) => sum + of.unanswered(), 0)), begun: () => nextId - 1,
     stop: () => { stopping = true; task.put({ kind: 'stop', now: now() }); },
     end: () => { ended = true; clearTimeout(beating); conns.keepOnly(new Set()); },
   };
