proxy: an origin's stamp only with the status that the origin gave

A caller who asked for a part beyond a copy's end, or for a copy that was unchanged, got our own 416 or 304 with the fields of the 200 that the copy was made of, the origin's stamp among them: a failure under a stamp of a success. A dialect now names its stamps, and those are left out where the status shown is neither the origin's nor a part of its success.

--- a/packages/lathe/src/dialect.ts
+++ b/packages/lathe/src/dialect.ts
@@ -41,6 +41,8 @@
   readonly toOrigin: (attempt: ToOrigin) => Readonly<Record<string, string>>;
   readonly fromOrigin: (status: number, headers: Headers, attempt: ToOrigin) => Proof;
   readonly toCaller: (answer: ToCaller) => Headers;
+  /** Fields by which an origin vouches for an answer: shown only with the status that it gave. */
+  readonly stamps: readonly string[];
   /** Fields of a sample request and of an origin's sound answer to it, to warm up with; left out: no warming up. */
   readonly sample?: { readonly asked: (number: number) => Readonly<Record<string, string>>; readonly answered: (asked: Headers) => Readonly<Record<string, string>> };
 };
@@ -58,4 +60,5 @@
     notRun: status === 503 && headers['reedyard-outcome'] === 'not-run', misdirected: false, load: null, coldMs: null,
   }),
   toCaller: ({ headers }) => headers,
+  stamps: ['reedyard-stamp'],
 };
--- a/packages/lathe/src/present.ts
+++ b/packages/lathe/src/present.ts
@@ -35,3 +35,23 @@
   const { start, end } = ranges[0];
   return { status: 206, headers: { ...headers, 'content-range': `bytes ${start}-${end}/${size}`, 'content-length': String(end - start + 1) }, from: start, to: end + 1 };
 };
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+/**
+ * Header fields without the origin's stamps where it gave another status than is shown: it vouches
+ * for its own answer, of which a success may be shown whole or in part, and for no other one.
+ *
+ * @example
+ * stamped(416, 200, { seal: 'a', etag: '"b"' }, ['seal']) // { etag: '"b"' }
+ */
+export const stamped = (
+  status: number,
+  originStatus: number | null,
+  headers: Headers,
+  stamps: readonly string[],
+): Headers => {
+  const parts = originStatus !== null && isSuccess(originStatus) && isSuccess(status);
+  if (status === originStatus || parts) return headers;
+  return Object.fromEntries(Object.entries(headers).filter(([name]) => !stamps.includes(name)));
+};
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -16,7 +16,7 @@
 import { Feeds, type HeldFeed } from './feeds.js';
 import { Lathe } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
-import { present } from './present.js';
+import { present, stamped } from './present.js';
 import { passable } from './read-answer.js';
 import { warmUp } from './warm.js';
 import type { Answer, Asked, LatheEffect, LatheEvent, LatheState, LegAnswer } from './state.js';
@@ -101,14 +101,20 @@
     return { method: one.asked.method, path: one.asked.target, headers, body: one.body, safe: effect.safe };
   };
 
+  const originStatusOf = ({ body }: Answer): number | null => {
+    if (body.kind === 'problem') return null;
+    return body.kind === 'copy' ? body.copy.status : body.answer.status;
+  };
+
   const write = (id: number, one: Open, answer: Answer): void => {
     const { response, asked, turn } = one;
     if (response.destroyed || response.headersSent) return;
     const { connection, ...answerHeaders } = answer.headers;
     const close = turn.closes(stopping || connection === 'close');
     const extra: Record<string, string> = { via, ...(one.mark === null ? {} : { 'reedyard-leg': one.mark }), ...(close ? { connection: 'close' } : {}) };
+    const originStatus = originStatusOf(answer);
     const tidy = (headers: Answer['headers'], status = answer.status): http.OutgoingHttpHeaders => {
-      const { 'reedyard-leg': _leg, ...rest } = headers;
+      const { 'reedyard-leg': _leg, ...rest } = stamped(status, originStatus, headers, dialect.stamps);
       const shown = asked.via === null ? dialect.toCaller({ status, headers: rest, asked: asked.headers, retryMs: answer.retryMs ?? null }) : rest;
       return { ...shown, ...extra } as http.OutgoingHttpHeaders;
     };
--- a/packages/lathe/src/testing/lathe-harness.ts
+++ b/packages/lathe/src/testing/lathe-harness.ts
@@ -29,6 +29,7 @@
     const anonymous = echoed === undefined;
     return { unsound, notRun, misdirected, load: null, coldMs: null, anonymous };
   },
+  stamps: ['x-stamp'],
 };
 
 const routeOf = (name: string, more: object): Policy['routes'][number] =>
