proxy: a hang-up ends nothing

The proxy's own program left SIGHUP to its default, which ends the process with all that is under way; only the platform's start took it. Now both take it, and requests go on.

--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -340,6 +340,8 @@
       }
     }, Beats.feed);
   };
+  // A hang-up ends a process by itself; nothing that is under way may suffer from it.
+  process.on('SIGHUP', () => scribe.info('hangup', { underWay: lathe.underWay() }));
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
 };
