--- a/packages/lathe/src/dialect.ts
+++ b/packages/lathe/src/dialect.ts
@@ -15,6 +15,8 @@
   readonly load: Load | null;
   /** ms. How much longer it says that it is cold; null where it says nothing. */
   readonly coldMs: number | null;
+  /** It names no request: nothing but its place on the connection ties it to this one. */
+  readonly anonymous?: boolean;
 };
 
 /** One attempt at an origin. */
@@ -39,6 +41,8 @@
   readonly toOrigin: (attempt: ToOrigin) => Readonly<Record<string, string>>;
   readonly fromOrigin: (status: number, headers: Headers, attempt: ToOrigin) => Proof;
   readonly toCaller: (answer: ToCaller) => Headers;
+  /** Fields by which an origin vouches for an answer: shown only with the status that it gave. */
+  readonly stamps: readonly string[];
   /** Fields of a sample request and of an origin's sound answer to it, to warm up with; left out: no warming up. */
   readonly sample?: { readonly asked: (number: number) => Readonly<Record<string, string>>; readonly answered: (asked: Headers) => Readonly<Record<string, string>> };
 };
@@ -56,4 +60,5 @@
     notRun: status === 503 && headers['reedyard-outcome'] === 'not-run', misdirected: false, load: null, coldMs: null,
   }),
   toCaller: ({ headers }) => headers,
+  stamps: ['reedyard-stamp'],
 };
