agent: the status shows the membership, who is recovering, and how many losses are borne

Cause: the status told of each replica only whether a pull of it counted lately. An operator could not tell a dead replica from one that recovers or one whose disk was replaced, nor see the epoch or how many more losses the control state bears.

Status moves out of the core into a module of its own with a typed result. Each answer to a pull is noted with its time, disk and outcome; a member answers only if its last answer within a lease came from the very disk that the membership names. Losses borne are answering members less the quorum. The list of replicas under its old name is gone: nothing read it but people.

Ruled out: taking the state from the newest counted pull. It is reset with each membership change, so that every member would pass for silent for half a second after each.

--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -8,9 +8,10 @@
 import type { Description, Purge } from '@reedyard/stencil';
 import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
 import { tendDuty } from './duty.js';
-import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
+import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
 import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
-import { anvilView, bearsLosses, closedOf, hallsOf, mayActFor, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { anvilView, bearsLosses, hallsOf, mayActFor, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { nodeStatus } from './status.js';
 import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
@@ -123,18 +124,6 @@
   else post(work, [{ key, value }], id, done);
 };
 
-const status = (state: JigState): unknown => ({
-  node: state.self.id, hall: state.self.hall, region: state.self.region,
-  leaseMs: Math.max(0, Math.round(state.lease - state.now)),
-  policySerial: policyOf(state)?.serial ?? 0,
-  emptiedHalls: hallsOf(state)?.emptied ?? [], closedOrigins: closedOf(state),
-  anvils: Object.entries(state.anvils).map(([name, view]) => ({ name, address: view.address, answered: view.pulled !== null && state.now - view.pulled.sentAt < Limits.lease })),
-  duty: planOf(state) === null ? null : { holder: planOf(state)?.holder, term: planOf(state)?.term },
-  origins: originsOf(state).map(({ description, barred: why }) => ({ ...description, admitted: why === null, ...(why === null ? {} : { reason: why }) })),
-  lathe: state.report === null ? null : state.report.report.counters,
-  notices: state.notices, splits: state.splits, split: state.split,
-});
-
 /** Why no callers should come to this node, or null if they may. */
 const notReady = (state: JigState): string | null => {
   const policy = policyOf(state);
@@ -161,7 +150,7 @@
     case 'purge': post(work, [{ key: `purge/${action.changeId}`, value: action.purge }], id, { changeId: action.changeId }); return;
     case 'withdraw': postOnce(work, withdrawnKey(action.instance), true, id, { withdrawn: action.instance }); return;
     case 'describe': describe(work, id, action.description); return;
-    case 'status': answer(200, status(state)); return;
+    case 'status': answer(200, nodeStatus(state)); return;
     case 'shares': {
       if (state.now >= state.lease) { const gone = unreached('The read'); answer(gone.status, gone.body, gone.retryAfter); return; }
       const plan = planOf(state);
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -5,6 +5,7 @@
 import { Changes, countAnew, pursue } from './ballots.js';
 import type { HallsValue } from './terms.js';
 import { anvilsHeard, nodesOf } from './network.js';
+import { replicaAnswer } from './status.js';
 import { anvilView, bearsLosses, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
@@ -241,6 +242,7 @@
 };
 
 export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
+  change(work, name, { answered: replicaAnswer(work.state, name, reply) });
   if (counts(work.state, name, reply.disk) || (reply.kind === 'away' && reply.fresh)) change(work, name, { heardAt: work.state.now });
   if (reply.kind === 'stale') {
     change(work, name, { call: null, pulled: null, named: reply.voters });
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -11,6 +11,26 @@
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
 export type Watched = (typeof watched)[number];
 
+/** What a replica's last answer to a pull came to. */
+export type ReplicaOutcome =
+  | 'counted'
+  /** It is a member, and may not vote before it has read or heard what the others know. */
+  | 'recovering'
+  /** Its disk is blank and is not a member. */
+  | 'blank'
+  /** Its disk is not the member's. */
+  | 'not-a-member'
+  /** It knows of a newer membership than this node. */
+  | 'newer-membership'
+  | 'refused';
+
+/** How and when a replica last answered a pull, and with which disk. */
+export type ReplicaAnswer = {
+  readonly at: number;
+  readonly disk: string;
+  readonly outcome: ReplicaOutcome;
+};
+
 /** How one anvil was last seen. */
 export type AnvilView = {
   readonly address: string;
@@ -19,6 +39,8 @@
   readonly askedAt: number;
   /** When it last answered anything, or was first known. */
   readonly heardAt: number;
+  /** How it last answered a pull; null before the first answer. */
+  readonly answered: ReplicaAnswer | null;
   /** When the newest counted pull was sent, and the ballots it showed. */
   readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
   /** The voters that it named when it found ours out of date. */
@@ -153,7 +175,7 @@
   sendTo(work, pending, { to, path: '/anvil', body: { voters: votersOf(work.state), call } });
 
 export const anvilView = (address: string, now: number): AnvilView =>
-  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, pulled: null, named: null, retold: null });
+  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, answered: null, pulled: null, named: null, retold: null });
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
 export const bearsLosses = (state: JigState): boolean =>
--- /dev/null
+++ b/packages/jig/src/status.test.ts
@@ -0,0 +1,175 @@
+import test from 'ava';
+import { Limits } from '@reedyard/gauge';
+import type { AnvilReply, Voters } from '@reedyard/anvil';
+import { Jig } from './core.js';
+import { learnRegister } from './pulls.js';
+import { controlStatus, nodeStatus } from './status.js';
+import type { JigState, Work } from './state.js';
+
+const self = {
+  id: 'core-1',
+  hall: 'west',
+  region: 'r',
+  address: '127.0.0.1:1',
+  lathe: null,
+  anvil: { address: '127.0.0.1:11' },
+};
+const names = ['core-1', 'core-2', 'core-3', 'core-4', 'core-5'];
+const addresses = Object.fromEntries(
+  names.map((name, index) => [name, `127.0.0.1:${11 + index}`] as const),
+);
+const disksOf = (suffix: string): Readonly<Record<string, string>> =>
+  Object.fromEntries(names.map((name) => [name, `${name}/${suffix}`] as const));
+
+const opened = (): JigState =>
+  Jig.open({ self, life: 'l', seeds: [], founders: addresses, seed: 1, now: 0 });
+
+const withMembers = (state: JigState, epoch: number, disks: Voters['disks']): JigState => {
+  const work: Work = { state, effects: [] };
+  learnRegister(work, 'voters', [epoch, 'x'], { epoch, disks });
+  return work.state;
+};
+
+const pulled = (disk: string): AnvilReply => ({
+  kind: 'pulled',
+  disk,
+  seq: 0,
+  reset: false,
+  more: false,
+  facts: [],
+  ballots: {},
+});
+
+/** A beat that asks every replica, and what each of them answers at once; null for silence. */
+const asked = (
+  before: JigState,
+  now: number,
+  replyOf: (name: string) => AnvilReply | null,
+): JigState => {
+  const beat = Jig.reduce(before, { kind: 'beat', now });
+  return beat.effects.reduce((state, effect) => {
+    if (effect.kind !== 'call') return state;
+    const pending = beat.state.pending[effect.id];
+    if (pending?.kind !== 'pull') return state;
+    const body = replyOf(pending.anvil);
+    if (body === null) return Jig.reduce(state, { kind: 'lost', id: effect.id, now }).state;
+    return Jig.reduce(state, { kind: 'returned', id: effect.id, body, now }).state;
+  }, beat.state);
+};
+
+const founded = (): JigState => withMembers(opened(), 3, disksOf('a'));
+const allAnswer = (state: JigState, now: number): JigState =>
+  asked(state, now, (name) => pulled(`${name}/a`));
+
+test('the status shows epoch, quorum, and how many more losses are borne', (t) => {
+  const control = controlStatus(allAnswer(founded(), 100));
+  t.deepEqual(
+    [control.epoch, control.quorum, control.lossesBorne, control.configuredLosses],
+    [3, 3, 2, 2],
+  );
+  t.deepEqual(control.recovering, []);
+  t.deepEqual(
+    control.members.map((member) => [member.name, member.address, member.disk, member.state]),
+    names.map((name) => [name, addresses[name], `${name}/a`, 'answering']),
+  );
+});
+
+test('a replica that never answered is silent, and bears nothing', (t) => {
+  const control = controlStatus(founded());
+  t.deepEqual(
+    control.members.map((member) => [member.state, member.lastAnswerAgeMs, member.outcome]),
+    names.map(() => ['silent', null, null]),
+  );
+  t.is(control.lossesBorne, -3);
+});
+
+test('a member is silent once it has not answered for a whole lease, not before', (t) => {
+  const last = allAnswer(founded(), 100);
+  const at = (now: number): readonly string[] =>
+    controlStatus({ ...last, now }).members.map((member) => member.state);
+  t.deepEqual(at(100 + Limits.lease - 1), names.map(() => 'answering'));
+  t.deepEqual(at(100 + Limits.lease), names.map(() => 'silent'));
+  const oneGone = asked(last, 100 + Limits.lease, (name) =>
+    name === 'core-5' ? null : pulled(`${name}/a`),
+  );
+  const control = controlStatus(oneGone);
+  t.is(control.lossesBorne, 1);
+  t.deepEqual(
+    control.members.map((member) => [member.state, member.lastAnswerAgeMs]),
+    [...[1, 2, 3, 4].map(() => ['answering', 0]), ['silent', Limits.lease]],
+  );
+});
+
+test('refusal, recovery and a blank disk are told apart from silence, and none is counted', (t) => {
+  const replies: Readonly<Record<string, AnvilReply | null>> = {
+    'core-1': pulled('core-1/a'),
+    'core-2': { kind: 'settling', disk: 'core-2/a', epoch: 3 },
+    'core-3': { kind: 'away', disk: 'core-3/new', fresh: true, informed: true },
+    'core-4': { kind: 'stale', disk: 'core-4/a', voters: null },
+    'core-5': pulled('core-5/old'),
+  };
+  const state = asked(founded(), 100, (name) => replies[name] ?? null);
+  const control = controlStatus(state);
+  t.deepEqual(
+    control.members.map((member) => [member.state, member.outcome]),
+    [
+      ['answering', 'counted'],
+      ['recovering', 'recovering'],
+      ['recovering', 'blank'],
+      ['refusing', 'newer-membership'],
+      ['refusing', 'not-a-member'],
+    ],
+  );
+  t.deepEqual(control.recovering, ['core-2', 'core-3']);
+  t.is(control.lossesBorne, -2);
+});
+
+test('an answer of the disk that was replaced does not count for its successor', (t) => {
+  const state = withMembers(allAnswer(founded(), 100), 4, {
+    ...disksOf('a'),
+    'core-2': 'core-2/b',
+  });
+  const control = controlStatus(state);
+  t.is(control.epoch, 4);
+  t.is(control.lossesBorne, 1);
+  t.is(control.members.find((member) => member.name === 'core-2')?.state, 'refusing');
+});
+
+test('a named disk that still reads the others is recovering', (t) => {
+  const state = asked(founded(), 100, (name) =>
+    name === 'core-2'
+      ? { kind: 'away', disk: 'core-2/a', fresh: true, informed: true }
+      : pulled(`${name}/a`),
+  );
+  const member = controlStatus(state).members.find((each) => each.name === 'core-2');
+  t.deepEqual([member?.state, member?.outcome], ['recovering', 'recovering']);
+});
+
+test('a lease is shown as what is left of it, and as 0 when it is over', (t) => {
+  const state = allAnswer(founded(), 100);
+  t.is(nodeStatus({ ...state, now: 600 }).leaseMs, 100 + Limits.lease - 600);
+  t.is(nodeStatus({ ...state, now: 10_000 }).leaseMs, 0);
+});
+
+test('a member is shown with the machine and zone that gossip tells of it', (t) => {
+  const state = allAnswer(founded(), 100);
+  const [own, other] = controlStatus(state).members;
+  t.deepEqual([own?.node, own?.zone], ['core-1', 'west']);
+  t.deepEqual([other?.node, other?.zone], [null, null]);
+});
+
+test('with too few members found so far, what is wanted is shown beside what votes', (t) => {
+  const seeds = ['127.0.0.1:11', '127.0.0.1:12', '127.0.0.1:13'];
+  const parts = { self, life: 'l', seeds: [], founders: {}, seed: 1, now: 0 };
+  const state = Jig.open({ ...parts, voting: { losses: 2, seeds } });
+  const before = controlStatus(state);
+  t.deepEqual([before.epoch, before.members.length, before.wantedMembers], [0, 0, 5]);
+  t.true(before.lossesBorne < 0);
+  const work: Work = { state, effects: [] };
+  const disks = { a: 'da', b: 'db', c: 'dc' };
+  const places = { a: seeds[0] ?? '', b: seeds[1] ?? '', c: seeds[2] ?? '' };
+  const members = { epoch: 1, disks, addresses: places };
+  learnRegister(work, 'voters', [1, 'founding'], members);
+  const control = controlStatus(work.state);
+  t.deepEqual([control.members.length, control.quorum, control.wantedMembers], [3, 2, 5]);
+});
--- /dev/null
+++ b/packages/jig/src/status.ts
@@ -0,0 +1,244 @@
+/**
+ * What a node tells its operators: its own lease and counters, and the control state as it sees it.
+ *
+ * Owns no state; derives everything from the agent's. What it says of the members of the control
+ * state rests on their answers to this node's pulls alone, so two nodes may differ for a moment;
+ * only the word of a node with a lease (`leaseMs` above 0) is backed by a majority.
+ */
+import { Limits } from '@reedyard/gauge';
+import { majorityOf } from '@reedyard/latch';
+import type { AnvilReply } from '@reedyard/anvil';
+import type { Split } from '@reedyard/plumb';
+import type { Description } from '@reedyard/stencil';
+import { anvilsHeard, nodesOf, originsOf } from './network.js';
+import {
+  closedOf,
+  counts,
+  hallsOf,
+  planOf,
+  policyOf,
+  votersOf,
+  type AnvilView,
+  type JigState,
+  type ReplicaAnswer,
+  type ReplicaOutcome,
+} from './state.js';
+
+/**
+ * - `answering`: its answers count.
+ * - `recovering`: it runs, and is not yet allowed to vote: a new disk, or one that reads the others.
+ * - `refusing`: it answers, and its answers do not count for another reason.
+ * - `silent`: no answer to a pull for a whole lease.
+ */
+export type MemberState = 'answering' | 'recovering' | 'refusing' | 'silent';
+
+/** One member of the control state as this node sees it. */
+export type MemberStatus = {
+  readonly name: string;
+  /** The machine that it runs on, where gossip has told; null where it has not. */
+  readonly node: string | null;
+  readonly address: string;
+  /** The disk that holds the membership; null before any membership is known. */
+  readonly disk: string | null;
+  readonly zone: string | null;
+  readonly state: MemberState;
+  /** What its last answer was, and null where it never answered this node. */
+  readonly outcome: ReplicaOutcome | null;
+  readonly lastAnswerAgeMs: number | null;
+};
+
+/** A machine whose blank disk could become a member. */
+export type SpareStatus = {
+  readonly node: string;
+  readonly address: string;
+  readonly zone: string;
+};
+
+/** The membership of the control state and what it still bears. */
+export type ControlStatus = {
+  /** Epoch of the membership in force; 0 while none is known. */
+  readonly epoch: number;
+  readonly members: readonly MemberStatus[];
+  /** Names of the members that are recovering. */
+  readonly recovering: readonly string[];
+  /** Members that must answer for anything to be decided. */
+  readonly quorum: number;
+  /** Further losses borne now: answering members less the quorum; below 0 there is no majority. */
+  readonly lossesBorne: number;
+  /** Losses that the settings want borne when all members answer. */
+  readonly configuredLosses: number;
+  /** Members that are needed for that. */
+  readonly wantedMembers: number;
+  readonly spares: readonly SpareStatus[];
+};
+
+/** An origin as this node knows it, and whether it gets traffic. */
+export type OriginStatus = Description & { readonly admitted: boolean; readonly reason?: string };
+
+/** Everything that `GET /v1/status` answers. */
+export type NodeStatus = {
+  readonly node: string;
+  readonly hall: string;
+  readonly region: string;
+  /** What is left of this node's lease; 0 where it has none. */
+  readonly leaseMs: number;
+  readonly policySerial: number;
+  readonly emptiedHalls: readonly string[];
+  readonly closedOrigins: readonly string[];
+  readonly control: ControlStatus;
+  readonly duty: { readonly holder: string; readonly term: number } | null;
+  readonly origins: readonly OriginStatus[];
+  readonly lathe: Readonly<Record<string, number>> | null;
+  readonly notices: number;
+  readonly splits: number;
+  readonly split: Split;
+};
+
+const awayOutcome = (named: boolean, blank: boolean): ReplicaOutcome => {
+  if (named) return 'recovering';
+  return blank ? 'blank' : 'not-a-member';
+};
+
+/** What an answer to a pull tells of the replica that gave it. */
+const outcomeOf = (reply: AnvilReply, named: boolean): ReplicaOutcome => {
+  switch (reply.kind) {
+    case 'pulled':
+      return named ? 'counted' : 'not-a-member';
+    case 'settling':
+      return 'recovering';
+    case 'away':
+      return awayOutcome(named, reply.fresh);
+    case 'stale':
+      return 'newer-membership';
+    default:
+      return 'refused';
+  }
+};
+
+/**
+ * Notes how a replica answered a pull.
+ *
+ * @example
+ * replicaAnswer(state, 'core-1', reply).outcome // 'counted'
+ */
+export const replicaAnswer = (state: JigState, name: string, reply: AnvilReply): ReplicaAnswer => ({
+  at: state.now,
+  disk: reply.disk,
+  outcome: outcomeOf(reply, counts(state, name, reply.disk)),
+});
+
+const stateOf = (view: AnvilView, disk: string | null, now: number): MemberState => {
+  const { answered } = view;
+  if (answered === null || now - answered.at >= Limits.lease) return 'silent';
+  switch (answered.outcome) {
+    case 'counted':
+      return answered.disk === disk ? 'answering' : 'refusing';
+    case 'recovering':
+    case 'blank':
+      return 'recovering';
+    default:
+      return 'refusing';
+  }
+};
+
+/** The machine that a member runs on: by its disk, else by its address, else by its name. */
+const machineOf = (
+  state: JigState,
+  member: { readonly name: string; readonly disk: string | null; readonly address: string },
+): { readonly id: string; readonly hall: string } | null => {
+  const records = [...nodesOf(state)]
+    .sort((a, b) => b.seenAt - a.seenAt)
+    .map(({ record }) => record);
+  return (
+    records.find((record) => member.disk !== null && record.anvil?.disk === member.disk) ??
+    records.find((record) => record.anvil?.address === member.address) ??
+    records.find((record) => state.voting === null && record.id === member.name) ??
+    null
+  );
+};
+
+const memberOf = (state: JigState, name: string, view: AnvilView): MemberStatus => {
+  const disk = votersOf(state)?.value.disks[name] ?? null;
+  const machine = machineOf(state, { name, disk, address: view.address });
+  return {
+    name,
+    node: machine?.id ?? null,
+    address: view.address,
+    disk,
+    zone: machine?.hall ?? null,
+    state: stateOf(view, disk, state.now),
+    outcome: view.answered?.outcome ?? null,
+    lastAnswerAgeMs: view.answered === null ? null : Math.round(state.now - view.answered.at),
+  };
+};
+
+const sparesOf = (state: JigState): readonly SpareStatus[] => {
+  const disks = Object.values(votersOf(state)?.value.disks ?? {});
+  const isLive = (id: string, seenAt: number): boolean =>
+    id === state.self.id || state.now - seenAt < Limits.partnerSilence;
+  return anvilsHeard(state)
+    .filter((each) => each.fresh && !disks.includes(each.disk) && isLive(each.id, each.seenAt))
+    .map((each) => ({ node: each.id, address: each.address, zone: each.hall }));
+};
+
+/** Losses that the settings want borne: told where members found themselves, else what they allow. */
+const configuredLossesOf = (state: JigState): number =>
+  state.voting?.losses ?? Math.floor((Object.keys(state.anvils).length - 1) / 2);
+
+/**
+ * The membership of the control state as this node sees it.
+ *
+ * @example
+ * controlStatus(state).lossesBorne // 2 with five of five members answering
+ */
+export const controlStatus = (state: JigState): ControlStatus => {
+  const members = Object.entries(state.anvils).map(([name, view]) => memberOf(state, name, view));
+  const answering = members.filter((member) => member.state === 'answering').length;
+  const quorum = majorityOf(members.length);
+  const configuredLosses = configuredLossesOf(state);
+  return {
+    epoch: votersOf(state)?.value.epoch ?? 0,
+    members,
+    recovering: members
+      .filter((member) => member.state === 'recovering')
+      .map((member) => member.name),
+    quorum,
+    lossesBorne: answering - quorum,
+    configuredLosses,
+    wantedMembers: state.voting === null ? members.length : 2 * configuredLosses + 1,
+    spares: sparesOf(state),
+  };
+};
+
+const originStatuses = (state: JigState): readonly OriginStatus[] =>
+  originsOf(state).map(({ description, barred }) => ({
+    ...description,
+    admitted: barred === null,
+    ...(barred === null ? {} : { reason: barred }),
+  }));
+
+/**
+ * The whole status of a node.
+ *
+ * @example
+ * nodeStatus(state).leaseMs // 1_240
+ */
+export const nodeStatus = (state: JigState): NodeStatus => {
+  const plan = planOf(state);
+  return {
+    node: state.self.id,
+    hall: state.self.hall,
+    region: state.self.region,
+    leaseMs: Math.max(0, Math.round(state.lease - state.now)),
+    policySerial: policyOf(state)?.serial ?? 0,
+    emptiedHalls: hallsOf(state)?.emptied ?? [],
+    closedOrigins: closedOf(state),
+    control: controlStatus(state),
+    duty: plan === null ? null : { holder: plan.holder, term: plan.term },
+    origins: originStatuses(state),
+    lathe: state.report?.report.counters ?? null,
+    notices: state.notices,
+    splits: state.splits,
+    split: state.split,
+  };
+};
