reedyard: a status for people, and safe-to-stop with an exit code

An operator who wants to take a machine away had to read the list of replicas and count.

- safe-to-stop MACHINE (node id, member name, address) asks all given nodes at once and believes only one with a lease: of these the newest epoch, then the least hopeful.
Exit code 0 safe, 1 not safe with the reasons, 2 unknown.

Ruled out: believing the machine that is to go, or the first that answers; a cut-off node still answers and shows members as they were.

--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -27,8 +27,16 @@
     }
   }
 
+  /** The nodes of the `--node` flag. */
+  protected addressesOf(nodes: string): readonly string[] {
+    return nodes
+      .split(',')
+      .map((node) => node.trim())
+      .filter((node) => node !== '');
+  }
+
   protected async call(nodes: string, method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> {
-    return ask(nodes.split(',').map((node) => node.trim()).filter((node) => node !== ''), method, target, document, headers);
+    return ask(this.addressesOf(nodes), method, target, document, headers);
   }
 
   /** What people see where no `--json` is asked for. */
--- a/packages/reedyard/src/client.ts
+++ b/packages/reedyard/src/client.ts
@@ -21,9 +21,14 @@
 
 export type Reply = { readonly status: number; readonly body: unknown };
 
-const once = (node: string, method: string, target: string, text: string, headers: Readonly<Record<string, string>>): Promise<Reply> => new Promise((resolve, reject) => {
+/** ms. A node that is asked alone may take this long. */
+const longestAnswer = 10_000;
+/** ms. A node that is asked beside others: what the others said would grow old meanwhile. */
+const longestAnswerBeside = 2_000;
+
+const once = (node: string, method: string, target: string, text: string, headers: Readonly<Record<string, string>>, timeout = longestAnswer): Promise<Reply> => new Promise((resolve, reject) => {
   const request = http.request(`http://${node}${target}`, {
-    method, timeout: 10_000, headers: { accept: 'application/json', ...(text === '' ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...headers },
+    method, timeout, headers: { accept: 'application/json', ...(text === '' ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...headers },
   }, (response) => {
     const chunks: Buffer[] = [];
     response.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -32,7 +37,7 @@
       try { resolve({ status: response.statusCode ?? 0, body: JSON.parse(Buffer.concat(chunks).toString('utf8')) }); } catch (thrown) { reject(thrown); }
     });
   });
-  request.on('timeout', () => request.destroy(new Error('no answer in 10 s')));
+  request.on('timeout', () => request.destroy(new Error(`no answer in ${timeout} ms`)));
   request.on('error', reject);
   request.end(text);
 });
@@ -66,6 +71,28 @@
   throw new ClientError(exitCodes.unreached, failures.join('\n'));
 };
 
+/**
+ * Reads one place of every node at once; a node that does not answer, or not well, is left out.
+ *
+ * @example
+ * (await askEach(['127.0.0.1:7080'], '/v1/status')).get('127.0.0.1:7080')
+ */
+export const askEach = async (
+  nodes: readonly string[],
+  target: string,
+): Promise<ReadonlyMap<string, unknown>> => {
+  const replies = await Promise.allSettled(
+    nodes.map((node) => once(node, 'GET', target, '', {}, longestAnswerBeside)),
+  );
+  const bodies = new Map<string, unknown>();
+  replies.forEach((reply, index) => {
+    const node = nodes[index];
+    if (node === undefined || reply.status === 'rejected' || reply.value.status >= 400) return;
+    bodies.set(node, reply.value.body);
+  });
+  return bodies;
+};
+
 /** A JSON document from a file, or from standard input for `-`. @example readDocument('policy.json') */
 export const readDocument = (file: string): unknown => {
   try { return JSON.parse(readFileSync(file === '-' ? 0 : file, 'utf8')); } catch (thrown) {
--- a/packages/reedyard/src/commands/status.ts
+++ b/packages/reedyard/src/commands/status.ts
@@ -1,6 +1,13 @@
+import type { NodeStatus } from '@reedyard/jig';
 import { ReadCommand } from '../base.js';
+import { statusLines } from '../status-text.js';
 
 export default class Status extends ReadCommand {
-  static override description = 'How a node sees itself and its fleet: lease, serial, anvils, origins, counters, split.';
+  static override description =
+    'How a node sees itself and its fleet: lease, members of the control state, config, origins.';
   protected override readonly target = '/v1/status';
+
+  protected override show(body: unknown): void {
+    if (!this.jsonEnabled()) this.log(statusLines(body as NodeStatus).join('\n'));
+  }
 }
--- a/packages/reedyard/src/reedyard.test.ts
+++ b/packages/reedyard/src/reedyard.test.ts
@@ -45,3 +45,33 @@
   t.is(unreached.code, 4);
   t.is((JSON.parse(unreached.out) as { exit: number }).exit, 4);
 });
+
+test('safe-to-stop: asks several nodes, believes the one with a lease, exit codes 0, 1 and 2', async (t) => {
+  const member = (name: string, state: string): object => ({ name, node: name, address: `10.0.0.9:${name.length}`, disk: name, zone: 'west', state, outcome: null, lastAnswerAgeMs: 1 });
+  const statusOf = (leaseMs: number, states: readonly string[]): object => ({
+    leaseMs,
+    control: {
+      epoch: 2, members: states.map((state, index) => member(`m-${index}`, state)), recovering: [], quorum: 2,
+      lossesBorne: states.filter((state) => state === 'answering').length - 2, configuredLosses: 1, wantedMembers: 3, spares: [],
+    },
+  });
+  const serve = async (status: object): Promise<string> => {
+    const server = http.createServer((request, response) => {
+      response.writeHead(200, { 'content-type': 'application/json' });
+      response.end(JSON.stringify(request.url === '/v1/status' ? status : { partners: [] }));
+    });
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve); });
+    t.teardown(() => { server.close(); server.closeAllConnections(); });
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  };
+  const all = ['answering', 'answering', 'answering'];
+  const [leased, cutOff, worried] = await Promise.all([serve(statusOf(900, all)), serve(statusOf(0, all)), serve(statusOf(900, [...all.slice(1), 'silent']))]);
+  const safe = await run(['safe-to-stop', 'm-1', '--json'], `127.0.0.1:1,${cutOff},${leased}`);
+  t.is(safe.code, 0, safe.err);
+  t.is((JSON.parse(safe.out) as { verdict: string }).verdict, 'safe');
+  const unsafe = await run(['safe-to-stop', 'm-1'], `${leased},${worried}`);
+  t.is(unsafe.code, 1);
+  t.regex(unsafe.out, /m-2 is silent/);
+  t.is((await run(['safe-to-stop', 'm-1'], cutOff)).code, 2);
+  t.is((await run(['safe-to-stop', 'm-7'], leased)).code, 2);
+});
--- /dev/null
+++ b/packages/reedyard/src/status-text.ts
@@ -0,0 +1,91 @@
+/** How `reedyard status` shows a node's status to people: plain text in columns. */
+import type { ControlStatus, MemberStatus, NodeStatus, OriginStatus } from '@reedyard/jig';
+
+const columnGap = '  ';
+const secondMs = 1_000;
+
+const table = (rows: readonly (readonly string[])[]): readonly string[] => {
+  const widths = (rows[0] ?? []).map((_cell, column) =>
+    Math.max(...rows.map((row) => (row[column] ?? '').length)),
+  );
+  return rows.map((row) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join(columnGap)
+      .trimEnd(),
+  );
+};
+
+const listed = (names: readonly string[]): string =>
+  names.length === 0 ? 'none' : names.join(', ');
+
+const ageText = (ageMs: number | null): string =>
+  ageMs === null ? 'never' : `${(ageMs / secondMs).toFixed(1)} s`;
+
+const memberRow = (member: MemberStatus): readonly string[] => [
+  member.name,
+  member.node ?? '?',
+  member.address,
+  member.zone ?? '?',
+  member.disk ?? '?',
+  ageText(member.lastAnswerAgeMs),
+  member.state,
+  member.state === 'answering' ? '' : (member.outcome ?? ''),
+];
+
+const memberHeads = ['member', 'node', 'address', 'zone', 'disk', 'answered', 'state', ''];
+
+/**
+ * How many more losses are borne, in words.
+ *
+ * @example
+ * lossesText(-1) // 'NO MAJORITY: 1 more must answer'
+ */
+export const lossesText = (lossesBorne: number): string => {
+  if (lossesBorne < 0) return `NO MAJORITY: ${-lossesBorne} more must answer`;
+  if (lossesBorne === 0) return 'NO further loss is borne';
+  return lossesBorne === 1 ? '1 more loss is borne' : `${lossesBorne} more losses are borne`;
+};
+
+const controlLines = (control: ControlStatus): readonly string[] => {
+  const answering = control.members.filter((member) => member.state === 'answering').length;
+  const missing = control.wantedMembers - control.members.length;
+  return [
+    `control state: epoch ${control.epoch}, ${answering} of ${control.members.length} members answer, ` +
+      `quorum ${control.quorum}; ${lossesText(control.lossesBorne)}`,
+    ...(missing > 0 ? [`  ${missing} more members are needed before changes are taken`] : []),
+    ...table([memberHeads, ...control.members.map(memberRow)]).map((line) => `  ${line}`),
+    `  recovering: ${listed(control.recovering)}`,
+    `  spare disks: ${listed(control.spares.map((spare) => `${spare.node} (${spare.address})`))}`,
+  ];
+};
+
+const originLines = (origins: readonly OriginStatus[]): readonly string[] => {
+  const kept = origins.filter((origin) => !origin.admitted);
+  return [
+    `origins: ${origins.length} known, ${origins.length - kept.length} admitted`,
+    ...kept.map((origin) => `  ${origin.service}/${origin.instance}: ${origin.reason ?? '?'}`),
+  ];
+};
+
+const leaseText = (leaseMs: number): string =>
+  leaseMs > 0 ? `${leaseMs} ms left` : 'NONE: what follows may be out of date';
+
+/**
+ * A node's status as lines of text.
+ *
+ * @example
+ * statusLines(status).join('\n')
+ */
+export const statusLines = (status: NodeStatus): readonly string[] => [
+  `node ${status.node}, zone ${status.hall}, region ${status.region}`,
+  `lease: ${leaseText(status.leaseMs)}`,
+  ...controlLines(status.control),
+  `config: revision ${status.policySerial}`,
+  `evacuated zones: ${listed(status.emptiedHalls)}; ` +
+    `zones whose origins are closed: ${listed(status.closedOrigins)}`,
+  status.duty === null
+    ? 'quota leader: none yet'
+    : `quota leader: ${status.duty.holder}, term ${status.duty.term}`,
+  ...originLines(status.origins),
+];
