agent: a member whose disk takes no writes counts as lost in the status

Cause: a replica with a full disk may go on answering pulls from what is on disk, which is sound, and would pass for a member that votes: safe-to-stop would then let go a machine that is needed. An answer to a pull may now say that the replica takes no writes (readOnly); the status shows the member as refusing (read-only) and does not count it. The lease still counts the pull.

Ruled out: going by refused votes. Only nodes that propose see these.

The replica's side, setting readOnly while its log is unavailable, is not in this commit.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -65,6 +65,8 @@
   | {
     readonly kind: 'pulled'; readonly disk: string; readonly seq: number; readonly reset: boolean; readonly more: boolean;
     readonly facts: readonly Fact[]; readonly ballots: Readonly<Record<string, Ballot>>;
+    /** Its disk takes no writes: what it shows is sound, but it votes for nothing and counts as lost. */
+    readonly readOnly?: true;
   }
   | { readonly kind: 'fetched'; readonly disk: string; readonly accepted: Cell['accepted'] }
   | { readonly kind: 'dumped'; readonly disk: string; /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -14,6 +14,8 @@
 /** What a replica's last answer to a pull came to. */
 export type ReplicaOutcome =
   | 'counted'
+  /** Its disk takes no writes: it answers, and votes for nothing. */
+  | 'read-only'
   /** It is a member, and may not vote before it has read or heard what the others know. */
   | 'recovering'
   /** Its disk is blank and is not a member. */
--- a/packages/jig/src/status.test.ts
+++ b/packages/jig/src/status.test.ts
@@ -145,6 +145,17 @@
   t.deepEqual([member?.state, member?.outcome], ['recovering', 'recovering']);
 });
 
+test('a member whose disk takes no writes counts as lost, though its answers to pulls count', (t) => {
+  const state = asked(founded(), 100, (name) => {
+    const reply = pulled(`${name}/a`);
+    return name === 'core-2' && reply.kind === 'pulled' ? { ...reply, readOnly: true } : reply;
+  });
+  const control = controlStatus(state);
+  const member = control.members.find((each) => each.name === 'core-2');
+  t.deepEqual([member?.state, member?.outcome], ['refusing', 'read-only']);
+  t.is(control.lossesBorne, 1);
+});
+
 test('a lease is shown as what is left of it, and as 0 when it is over', (t) => {
   const state = allAnswer(founded(), 100);
   t.is(nodeStatus({ ...state, now: 600 }).leaseMs, 100 + Limits.lease - 600);
--- a/packages/jig/src/status.ts
+++ b/packages/jig/src/status.ts
@@ -25,9 +25,9 @@
 } from './state.js';
 
 /**
- * - `answering`: its answers count.
+ * - `answering`: its answers count, and it votes.
  * - `recovering`: it runs, and is not yet allowed to vote: a new disk, or one that reads the others.
- * - `refusing`: it answers, and its answers do not count for another reason.
+ * - `refusing`: it answers, and for another reason does not vote.
  * - `silent`: no answer to a pull for a whole lease.
  */
 export type MemberState = 'answering' | 'recovering' | 'refusing' | 'silent';
@@ -99,11 +99,16 @@
   return blank ? 'blank' : 'not-a-member';
 };
 
+const pulledOutcome = (named: boolean, readOnly: boolean): ReplicaOutcome => {
+  if (!named) return 'not-a-member';
+  return readOnly ? 'read-only' : 'counted';
+};
+
 /** What an answer to a pull tells of the replica that gave it. */
 const outcomeOf = (reply: AnvilReply, named: boolean): ReplicaOutcome => {
   switch (reply.kind) {
     case 'pulled':
-      return named ? 'counted' : 'not-a-member';
+      return pulledOutcome(named, reply.readOnly === true);
     case 'settling':
       return 'recovering';
     case 'away':
