agent: tests for five safeguards that no test was red without

The new tests work at the border of the reducer (calls and answers). The fixture with answered pulls is shared with status.test.

--- /dev/null
+++ b/packages/jig/src/answered-pulls.fixture.ts
@@ -0,0 +1,82 @@
+/** An agent with five founders, whose pulls are answered at once: for tests of what it makes of them. */
+import type { AnvilReply, Voters } from '@reedyard/anvil';
+import { Jig } from './core.js';
+import { learnRegister } from './pulls.js';
+import type { JigState, Work } from './state.js';
+import type { JigEffect } from './terms.js';
+
+export const self = {
+  id: 'core-1',
+  hall: 'west',
+  region: 'r',
+  address: '127.0.0.1:1',
+  lathe: null,
+  anvil: { address: '127.0.0.1:11' },
+};
+export const names = ['core-1', 'core-2', 'core-3', 'core-4', 'core-5'];
+export const addresses = Object.fromEntries(
+  names.map((name, index) => [name, `127.0.0.1:${11 + index}`] as const),
+);
+/** A disk for each member, told apart by a suffix. */
+export const disksOf = (suffix: string): Readonly<Record<string, string>> =>
+  Object.fromEntries(names.map((name) => [name, `${name}/${suffix}`] as const));
+
+export const opened = (): JigState =>
+  Jig.open({ self, life: 'l', seeds: [], founders: addresses, seed: 1, now: 0 });
+
+/** The agent after it learnt of a membership. */
+export const withMembers = (state: JigState, epoch: number, disks: Voters['disks']): JigState => {
+  const work: Work = { state, effects: [] };
+  learnRegister(work, 'voters', [epoch, 'x'], { epoch, disks });
+  return work.state;
+};
+
+export const pulled = (disk: string): AnvilReply => ({
+  kind: 'pulled',
+  disk,
+  seq: 0,
+  reset: false,
+  more: false,
+  facts: [],
+  ballots: {},
+});
+
+type Step = { readonly state: JigState; readonly effects: readonly JigEffect[] };
+
+/** What follows when the pulls of a step are answered at a moment; null for silence. */
+export const answeredPulls = (
+  step: Step,
+  now: number,
+  replyOf: (name: string) => AnvilReply | null,
+): Step => {
+  const seen: JigEffect[] = [];
+  const state = step.effects.reduce((reached, effect) => {
+    if (effect.kind !== 'call') return reached;
+    const pending = step.state.pending[effect.id];
+    if (pending?.kind !== 'pull') return reached;
+    const body = replyOf(pending.anvil);
+    const next = Jig.reduce(
+      reached,
+      body === null
+        ? { kind: 'lost', id: effect.id, now }
+        : { kind: 'returned', id: effect.id, body, now },
+    );
+    seen.push(...next.effects);
+    return next.state;
+  }, step.state);
+  return { state, effects: seen };
+};
+
+/** A beat that asks every replica, and what each of them answers at once; null for silence. */
+export const asked = (
+  before: JigState,
+  now: number,
+  replyOf: (name: string) => AnvilReply | null,
+): JigState => {
+  const beat = Jig.reduce(before, { kind: 'beat', now });
+  return answeredPulls(beat, now, replyOf).state;
+};
+
+export const founded = (): JigState => withMembers(opened(), 3, disksOf('a'));
+export const allAnswer = (state: JigState, now: number): JigState =>
+  asked(state, now, (name) => pulled(`${name}/a`));
--- /dev/null
+++ b/packages/jig/src/safeguards.test.ts
@@ -0,0 +1,94 @@
+/** Safeguards of the agent, each at the border of its reducer: red without the one that it names. */
+import test from 'ava';
+import type { AnvilCall, AnvilReply } from '@reedyard/anvil';
+import { Limits } from '@reedyard/gauge';
+import { Stencil } from '@reedyard/stencil';
+import {
+  allAnswer,
+  answeredPulls,
+  asked,
+  founded,
+  names,
+  pulled,
+} from './answered-pulls.fixture.js';
+import { Jig } from './core.js';
+import { learnRegister } from './pulls.js';
+import type { JigState, Watched, Work } from './state.js';
+import type { JigEffect } from './terms.js';
+
+const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
+  const work: Work = { state, effects: [] };
+  learnRegister(work, key, [round, 'x'], value);
+  return work.state;
+};
+
+type ReplicaCall = { readonly id: number; readonly call: AnvilCall };
+
+const replicaCalls = (effects: readonly JigEffect[]): readonly ReplicaCall[] =>
+  effects.flatMap((effect) =>
+    effect.kind === 'call' && effect.path === '/anvil'
+      ? [{ id: effect.id, call: effect.body.call }]
+      : [],
+  );
+
+const returned = (state: JigState, id: number, body: AnvilReply, now: number): ReturnType<typeof Jig.reduce> =>
+  Jig.reduce(state, { kind: 'returned', id, body, now });
+
+test('the lease runs from the sending of the pulls, however late their answers come', (t) => {
+  const beat = Jig.reduce(founded(), { kind: 'beat', now: 100 });
+  const { state } = answeredPulls(beat, 900, (name) => pulled(`${name}/a`));
+  t.is(state.lease, 100 + Limits.lease);
+});
+
+test('pulls answered by other disks than the members have, or by a minority, bring no lease', (t) => {
+  t.is(asked(founded(), 100, (name) => pulled(`${name}/other`)).lease, 0);
+  const minority = names.slice(0, 2);
+  const some = asked(founded(), 100, (name) => (minority.includes(name) ? pulled(`${name}/a`) : null));
+  t.is(some.lease, 0);
+});
+
+test('a node that was away for half of what the journal keeps drops its copies; after less it keeps them', (t) => {
+  const held = allAnswer(founded(), 100);
+  const soon = allAnswer(held, 100 + Limits.fact / 2 - 1_000);
+  t.is(soon.flushes, held.flushes);
+  const late = allAnswer(held, 100 + Limits.fact / 2 + 1_000);
+  t.is(late.flushes, held.flushes + 1);
+});
+
+test('a purge is acknowledged once a majority of the very disks of the members has it, not before', (t) => {
+  const purge = { objects: ['host.example/x'], tags: [] };
+  const action = { kind: 'purge', purge, changeId: 'c' } as const;
+  const opened = Jig.reduce(allAnswer(founded(), 100), { kind: 'operator', id: 7, action, now: 200 });
+  const posts = replicaCalls(opened.effects).filter(({ call }) => call.kind === 'post');
+  t.is(posts.length, names.length);
+  const disks = ['core-1/other', 'core-2/a', 'core-3/a', 'core-4/a'];
+  let { state } = opened;
+  const answered = disks.map((disk, index) => {
+    const step = returned(state, posts[index]?.id ?? -1, { kind: 'posted', disk }, 210);
+    ({ state } = step);
+    return step.effects.some((effect) => effect.kind === 'answer' && effect.status === 200);
+  });
+  t.deepEqual(answered, [false, false, false, true]);
+});
+
+test('a quota leader that was succeeded writes no allocation over the newer term, and gives the leadership up', (t) => {
+  const config = Stencil.policy({ services: { s: { ceiling: 10 } }, routes: [] });
+  const allocation = (term: number, holder: string): object => ({ term, holder, beat: 1, slices: {}, seated: [] });
+  const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
+  const leader = learnt(known, 'plan', 2, allocation(1, 'core-1'));
+  const leased: JigState = { ...leader, lease: 1e6, duty: { term: 1, held: [] } };
+  const beat = Jig.reduce(leased, { kind: 'beat', now: 2_000 });
+  const prepares = replicaCalls(beat.effects).filter(({ call }) => call.kind === 'prepare' && call.key === 'plan');
+  t.is(prepares.length, names.length);
+  const accepted = { ballot: [3, 'y'] as const, value: allocation(2, 'core-2') };
+  let { state } = beat;
+  const effects = prepares.flatMap(({ id }, index) => {
+    const reply = { kind: 'vote', disk: `${names[index] ?? ''}/a`, vote: { kind: 'yes', accepted } } as const;
+    const step = returned(state, id, reply, 2_010);
+    ({ state } = step);
+    return step.effects;
+  });
+  const written = replicaCalls(effects).flatMap(({ call }) => (call.kind === 'accept' ? [call.value] : []));
+  t.false(JSON.stringify(written).includes('"holder":"core-1"'));
+  t.is(state.duty, null);
+});
--- a/packages/jig/src/status.test.ts
+++ b/packages/jig/src/status.test.ts
@@ -1,65 +1,21 @@
 import test from 'ava';
 import { Limits } from '@reedyard/gauge';
-import type { AnvilReply, Voters } from '@reedyard/anvil';
+import type { AnvilReply } from '@reedyard/anvil';
+import {
+  addresses,
+  allAnswer,
+  asked,
+  disksOf,
+  founded,
+  names,
+  pulled,
+  self,
+  withMembers,
+} from './answered-pulls.fixture.js';
 import { Jig } from './core.js';
 import { learnRegister } from './pulls.js';
 import { controlStatus, nodeStatus } from './status.js';
-import type { JigState, Work } from './state.js';
-
-const self = {
-  id: 'core-1',
-  hall: 'west',
-  region: 'r',
-  address: '127.0.0.1:1',
-  lathe: null,
-  anvil: { address: '127.0.0.1:11' },
-};
-const names = ['core-1', 'core-2', 'core-3', 'core-4', 'core-5'];
-const addresses = Object.fromEntries(
-  names.map((name, index) => [name, `127.0.0.1:${11 + index}`] as const),
-);
-const disksOf = (suffix: string): Readonly<Record<string, string>> =>
-  Object.fromEntries(names.map((name) => [name, `${name}/${suffix}`] as const));
-
-const opened = (): JigState =>
-  Jig.open({ self, life: 'l', seeds: [], founders: addresses, seed: 1, now: 0 });
-
-const withMembers = (state: JigState, epoch: number, disks: Voters['disks']): JigState => {
-  const work: Work = { state, effects: [] };
-  learnRegister(work, 'voters', [epoch, 'x'], { epoch, disks });
-  return work.state;
-};
-
-const pulled = (disk: string): AnvilReply => ({
-  kind: 'pulled',
-  disk,
-  seq: 0,
-  reset: false,
-  more: false,
-  facts: [],
-  ballots: {},
-});
-
-/** A beat that asks every replica, and what each of them answers at once; null for silence. */
-const asked = (
-  before: JigState,
-  now: number,
-  replyOf: (name: string) => AnvilReply | null,
-): JigState => {
-  const beat = Jig.reduce(before, { kind: 'beat', now });
-  return beat.effects.reduce((state, effect) => {
-    if (effect.kind !== 'call') return state;
-    const pending = beat.state.pending[effect.id];
-    if (pending?.kind !== 'pull') return state;
-    const body = replyOf(pending.anvil);
-    if (body === null) return Jig.reduce(state, { kind: 'lost', id: effect.id, now }).state;
-    return Jig.reduce(state, { kind: 'returned', id: effect.id, body, now }).state;
-  }, beat.state);
-};
-
-const founded = (): JigState => withMembers(opened(), 3, disksOf('a'));
-const allAnswer = (state: JigState, now: number): JigState =>
-  asked(state, now, (name) => pulled(`${name}/a`));
+import type { Work } from './state.js';
 
 test('the status shows epoch, quorum, and how many more losses are borne', (t) => {
   const control = controlStatus(allAnswer(founded(), 100));
