--- a/packages/jig/src/safeguards.test.ts
+++ b/packages/jig/src/safeguards.test.ts
@@ -47,6 +47,21 @@
   t.is(some.lease, 0);
 });
 
+test('a pull that shows a value or journal entries not known here brings no lease until they are', (t) => {
+  const shown = { plan: [9, 'z'] as const };
+  const replyOf = (name: string): AnvilReply => ({ ...pulled(`${name}/a`), ballots: shown }) as AnvilReply;
+  const beat = Jig.reduce(founded(), { kind: 'beat', now: 100 });
+  const answered = answeredPulls(beat, 110, replyOf);
+  t.is(answered.state.lease, 0);
+  const fetch = replicaCalls(answered.effects).find(({ call }) => call.kind === 'fetch');
+  const value = { term: 1, holder: 'core-2', beat: 1, slices: {}, seated: [] };
+  const accepted = { ballot: shown.plan, value };
+  const reply = { kind: 'fetched', disk: 'core-1/a', accepted } as const;
+  t.is(returned(answered.state, fetch?.id ?? -1, reply, 120).state.lease, 100 + Limits.lease);
+  const partial = (name: string): AnvilReply => ({ ...pulled(`${name}/a`), more: true }) as AnvilReply;
+  t.is(asked(founded(), 100, partial).lease, 0);
+});
+
 test('a node that was away for half of what the journal keeps drops its copies; after less it keeps them', (t) => {
   const held = allAnswer(founded(), 100);
   const soon = allAnswer(held, 100 + Limits.fact / 2 - 1_000);
