A pull counts for the lease from when all it showed is known

With two registers written once or twice a second nearly every pull shows one of them under way; and a value fetched after the register had moved on was thrown away.

Now the pulls of the last lease are kept, and each counts from the moment that what it showed is known. Each register may be proven by a different majority: whoever acknowledged a value of it before the oldest of those pulls has a member among them. A fetched value that pulls do not show yet is kept until a majority was seen to have accepted its ballot. When less than 0.8 s of a lease is left, replicas whose pulls do not carry it are asked every 0.2 s; at rest 0.9 s are left when the next pull goes out, so nobody is asked more often there (a test counts it).

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -44,6 +44,9 @@
   latheIdle: 100,
   /** ms. While there is no lease, pulls and the lathe's questions come this often: callers wait for them. */
   lapsed: 100,
+  /** ms. While a lease runs low, replicas whose pulls do not carry it are asked this often: three times before
+   *  it is over. Not at rest, where each pull renews it: the fleet's control traffic does not grow. */
+  leaseLow: 200,
   /** ms. An anvil that may not vote yet asks the others again. */
   rejoin: 200,
 } as const;
@@ -53,6 +56,9 @@
   /** ms. Lease of a node from the moment its oldest counted pull was sent. The brief allows 2 s
    *  from an acknowledgement to force; 1.5 s leaves 0.5 s for the feed and a slow process. */
   lease: 1_500,
+  /** ms. A lease with less left than this runs low: at rest 0.9 s are left when the next pull is sent, and one that
+   *  counts brings it back to 1.5 s within a round trip. */
+  leaseLow: 800,
   /** ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy it
    *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -3,25 +3,39 @@
 import { newerVoters, type AnvilReply, type Voters, type VotersTold } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
 import { Changes, countAnew, pursue } from './ballots.js';
+import { hasAccepted, isLow, isOverdue, renewLease, stackPull } from './lease.js';
 import type { HallsValue } from './terms.js';
 import { anvilsHeard, nodesOf } from './network.js';
-import { anvilView, bearsLosses, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
+import { anvilView, bearsLosses, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, without, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
   const view = work.state.anvils[name];
   if (view !== undefined) set(work, { anvils: { ...work.state.anvils, [name]: { ...view, ...part } } });
 };
 
+const pull = (work: Work, name: string, view: AnvilView): void => {
+  const pending = { kind: 'pull', anvil: name, sentAt: work.state.now } as const;
+  const call = sendToAnvil(work, view.address, { kind: 'pull', cursor: view.cursor, keys: watched }, pending);
+  change(work, name, { call, askedAt: work.state.now });
+};
+
 /** Asks every anvil for what is new; several times a second. */
 export const pullAll = (work: Work): void => {
   for (const [name, view] of Object.entries(work.state.anvils)) {
     if (view.call !== null && work.state.now - view.askedAt < Limits.pull) continue;
-    const call = sendToAnvil(work, view.address, { kind: 'pull', cursor: view.cursor, keys: watched }, { kind: 'pull', anvil: name, sentAt: work.state.now });
-    change(work, name, { call, askedAt: work.state.now });
+    pull(work, name, view);
   }
   lookAround(work);
 };
 
+/** While the lease runs low, asks those anvils again at once whose pulls do not carry it. */
+export const pullOverdue = (work: Work): void => {
+  if (!isLow(work.state)) return;
+  for (const [name, view] of Object.entries(work.state.anvils)) {
+    if (isOverdue(work.state, view)) pull(work, name, view);
+  }
+};
+
 /**
  * Where voters found themselves from seeds: a jig without a lease asks the seeds' anvils, and those it heard of,
  * for the voters. Its own it asks always, to tell by gossip which disk waits for a place.
@@ -90,53 +104,67 @@
   renewLease(work);
 };
 
-/**
- * The lease runs from the sending of the oldest of a majority of pulls, and counts a pull only if
- * all it showed is known here: whatever was acknowledged before then is then known too.
- */
-export const renewLease = (work: Work): void => {
-  const { state } = work;
+/** The newest ballot of a register that any replica shows, and the replicas that show it now. */
+const highestShown = (state: JigState, key: Watched): { readonly ballot: Ballot; readonly at: readonly string[] } => {
+  const shown = Object.entries(state.anvils).flatMap(([name, view]) =>
+    view.pulled === null ? [] : [{ name, ballot: view.pulled.ballots[key] ?? Ballots.none }],
+  );
+  const ballot = shown.reduce<Ballot>(
+    (best, each) => (Ballots.compare(each.ballot, best) > 0 ? each.ballot : best),
+    Ballots.none,
+  );
+  const at = shown.filter((each) => Ballots.compare(each.ballot, ballot) === 0);
+  return { ballot, at: at.map(({ name }) => name) };
+};
+
+/** Whether a majority of replicas is known to have accepted a ballot: then it is chosen. */
+const isChosen = (state: JigState, key: Watched, ballot: Ballot): boolean => {
   const views = Object.values(state.anvils);
-  const counted = views.flatMap((view) => {
-    const { pulled } = view;
-    if (pulled === null || pulled.more) return [];
-    const known = watched.every((key) => Ballots.compare(pulled.ballots[key] ?? Ballots.none, state.registers[key]?.ballot ?? Ballots.none) <= 0);
-    return known ? [pulled.sentAt] : [];
-  }).sort((a, b) => b - a);
-  const oldest = counted[majorityOf(views.length) - 1];
-  if (oldest === undefined) return;
-  const lease = oldest + Limits.lease;
-  if (lease <= state.lease) return;
-  // Purges stay on the board for a minute; a node that was away half that long trusts no copy.
-  const missed = state.lease > 0 && lease - state.lease > Limits.fact / 2;
-  if (missed) log(work, 'lease.back', { awayMs: Math.round(lease - state.lease) });
-  set(work, { lease, flushes: state.flushes + (missed ? 1 : 0) });
+  return views.filter((view) => hasAccepted(view, key, ballot)).length >= majorityOf(views.length);
+};
+
+/** Learns a value that was fetched earlier, if it turns out to be chosen. */
+const learnCandidate = (work: Work, key: Watched): void => {
+  const candidate = work.state.candidates[key];
+  if (candidate === undefined || !isChosen(work.state, key, candidate.ballot)) return;
+  set(work, { candidates: without(work.state.candidates, key) });
+  learnRegister(work, key, candidate.ballot, candidate.value);
+};
+
+const isFetching = (state: JigState, key: Watched): boolean =>
+  Object.values(state.pending).some(
+    (each) => each.kind === 'fetch' && each.key === key && state.now - each.sentAt < Beats.pull,
+  );
+
+/** Fetches a value from one of the replicas that show its ballot. */
+const fetchFrom = (work: Work, key: Watched, replicas: readonly string[]): void => {
+  const chosenHolder = replicas[Math.floor(chance(work) * replicas.length)];
+  const view = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder];
+  if (isFetching(work.state, key) || view === undefined) return;
+  sendToAnvil(work, view.address, { kind: 'fetch', key }, { kind: 'fetch', key, sentAt: work.state.now });
+};
+
+/** Writes a value again that only a minority shows for long: its writer may be gone. */
+const repairHanging = (work: Work, key: Watched, ballot: Ballot): void => {
+  const { state } = work;
+  const seen = state.hanging[key];
+  if (seen === undefined || Ballots.compare(seen.ballot, ballot) !== 0) {
+    set(work, { hanging: { ...state.hanging, [key]: { ballot, since: state.now } } });
+    return;
+  }
+  const repairing = Object.values(state.pursuits).some((pursuit) => pursuit.proposal.key === key);
+  if (state.now - seen.since <= Limits.hanging || repairing || chance(work) >= 0.1) return;
+  pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
 };
 
 /** What the last pulls show of each register: fetch what is chosen, repair what hangs. */
 const watchRegisters = (work: Work): void => {
   for (const key of watched) {
-    const shown = Object.entries(work.state.anvils).flatMap(([name, view]) => {
-      const ballot = view.pulled?.ballots[key];
-      return view.pulled === null ? [] : [{ name, ballot: ballot ?? Ballots.none }];
-    });
-    const known = work.state.registers[key]?.ballot ?? Ballots.none;
-    const highest = shown.reduce<Ballot>((best, { ballot }) => (Ballots.compare(ballot, best) > 0 ? ballot : best), Ballots.none);
-    const majority = majorityOf(Object.keys(work.state.anvils).length);
-    if (Ballots.compare(highest, known) > 0) {
-      const holders = shown.filter(({ ballot }) => Ballots.compare(ballot, highest) === 0);
-      const busy = Object.values(work.state.pending).some((each) => each.kind === 'fetch' && each.key === key && work.state.now - each.sentAt < Beats.pull);
-      const repairing = Object.values(work.state.pursuits).some((pursuit) => pursuit.proposal.key === key);
-      if (holders.length >= majority) {
-        const chosenHolder = holders[Math.floor(chance(work) * holders.length)];
-        const address = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder.name]?.address;
-        if (!busy && address !== undefined) sendToAnvil(work, address, { kind: 'fetch', key }, { kind: 'fetch', key, sentAt: work.state.now });
-        continue;
-      }
-      const seen = work.state.hanging[key];
-      if (seen === undefined || Ballots.compare(seen.ballot, highest) !== 0) set(work, { hanging: { ...work.state.hanging, [key]: { ballot: highest, since: work.state.now } } });
-      else if (work.state.now - seen.since > Limits.hanging && !repairing && chance(work) < 0.1) pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
-    }
+    learnCandidate(work, key);
+    const { ballot, at } = highestShown(work.state, key);
+    if (Ballots.compare(ballot, work.state.registers[key]?.ballot ?? Ballots.none) <= 0) continue;
+    if (isChosen(work.state, key, ballot)) fetchFrom(work, key, at);
+    else repairHanging(work, key, ballot);
   }
 };
 
@@ -268,17 +296,21 @@
       factKeys: { ...work.state.factKeys, ...Object.fromEntries(added.map((fact) => [fact.key, true as const])) },
     });
   }
-  change(work, name, { call: null, cursor: { disk: reply.disk, seq: reply.seq }, pulled: { sentAt, more: reply.more, ballots: reply.ballots } });
+  const pulled = stackPull(work.state, newest ?? null, { sentAt, more: reply.more, ballots: reply.ballots });
+  change(work, name, { call: null, cursor: { disk: reply.disk, seq: reply.seq }, pulled });
   watchRegisters(work);
   renewLease(work);
   if (reply.more) set(work, { due: { ...work.state.due, pull: work.state.now } });
 };
 
+/** Learns a fetched value if it is known to be chosen; else it is kept until pulls show that it is. */
 export const tookFetch = (work: Work, key: Watched, reply: AnvilReply): void => {
   if (reply.kind !== 'fetched' || reply.accepted === null) return;
-  const { accepted } = reply;
-  const holders = Object.values(work.state.anvils).filter((view) => Ballots.compare(view.pulled?.ballots[key] ?? Ballots.none, accepted.ballot) === 0).length;
-  if (holders >= majorityOf(Object.keys(work.state.anvils).length)) learnRegister(work, key, accepted.ballot, accepted.value);
+  const { ballot } = reply.accepted;
+  const kept = work.state.candidates[key];
+  if (kept !== undefined && Ballots.compare(ballot, kept.ballot) < 0) return;
+  set(work, { candidates: { ...work.state.candidates, [key]: reply.accepted } });
+  learnCandidate(work, key);
 };
 
 export const lostPull = (work: Work, name: string): void => change(work, name, { call: null });
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -11,6 +11,16 @@
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
 export type Watched = (typeof watched)[number];
 
+/** What one counted pull showed: when it was sent, whether facts are left out, and the ballots accepted by then. */
+export type PullSeen = {
+  readonly sentAt: number;
+  readonly more: boolean;
+  readonly ballots: Readonly<Record<string, Ballot>>;
+};
+
+/** The newest counted pull, and those before it that may still carry the lease, the newest first. */
+export type Pulled = PullSeen & { readonly earlier: readonly PullSeen[] };
+
 /** How one anvil was last seen. */
 export type AnvilView = {
   readonly address: string;
@@ -19,8 +29,8 @@
   readonly askedAt: number;
   /** When it last answered anything, or was first known. */
   readonly heardAt: number;
-  /** When the newest counted pull was sent, and the ballots it showed. */
-  readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
+  /** The counted pulls; null where none counts any more. */
+  readonly pulled: Pulled | null;
   /** The voters that it named when it found ours out of date. */
   readonly named: VotersTold | null;
   /** How much of what this node knows was told again to this anvil, in its present settling. */
@@ -79,6 +89,8 @@
   readonly anvils: Readonly<Record<string, AnvilView>>;
   readonly registers: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown; readonly at: number } };
   readonly highestBallot: Ballot;
+  /** The newest value fetched of a register, until pulls show whether it is chosen. */
+  readonly candidates: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown } };
   /** The newest ballot of a register that only a minority showed, and since when. */
   readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
   /** Monotonic ms until which this node may act on what it knows. */
