A node counts as cut off only if no majority of replicas answers at all

With `cutOff: serve` a node whose lease had run out while its process ran on time served on by what it last knew. Replicas that answered and did not count (no member, blank, told of other members, waiting for what was known before, another disk, a ballot not known here) looked the same as silence; by the users' rules such a node is in touch, and what it holds may be old.

Now each replica's view notes when anything last came from its address, whatever it said. Only a node without a lease which no majority of replicas has answered for 1.2 s is cut off: two pulls, one of them lost, and a round trip; under the lease, so that a cut is known when the lease runs out. Which way of a one-way cut is open can't be known from here (a call that arrives and whose answer is lost looks like one that never arrived), and need not: in touch means both ways. A process that was held up itself refuses as before, since its answers waited as well.

A node tells once why its lease ran out (`lease.lost` with how many replicas answer), readiness says which of the two it is, and the status has `unreachable`.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -59,6 +59,9 @@
   /** ms. A lease with less left than this runs low: at rest 0.9 s are left when the next pull is sent, and one that
    *  counts brings it back to 1.5 s within a round trip. */
   leaseLow: 800,
+  /** ms. A replica without any answer for this long is silent: two pulls, one of them lost, and a round trip. Under
+   *  the lease, so that a node that is cut off knows it when its lease runs out. */
+  replicaSilence: 1_200,
   /** ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy it
    *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -11,7 +11,8 @@
 import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
 import { pullInterval, renewLease } from './lease.js';
 import { lostPull, pullAll, pullOverdue, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
-import { anvilView, bearsLosses, closedOf, hallsOf, mayActFor, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { anvilView, bearsLosses, closedOf, hallsOf, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { isUnreachable, mayActFor, noteAnswer, noteLeaseLost } from './reachability.js';
 import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
@@ -126,7 +127,7 @@
 
 const status = (state: JigState): unknown => ({
   node: state.self.id, hall: state.self.hall, region: state.self.region,
-  leaseMs: Math.max(0, Math.round(state.lease - state.now)),
+  leaseMs: Math.max(0, Math.round(state.lease - state.now)), unreachable: isUnreachable(state),
   policySerial: policyOf(state)?.serial ?? 0,
   emptiedHalls: hallsOf(state)?.emptied ?? [], closedOrigins: closedOf(state),
   anvils: Object.entries(state.anvils).map(([name, view]) => ({ name, address: view.address, answered: view.pulled !== null && state.now - view.pulled.sentAt < Limits.lease })),
@@ -140,7 +141,7 @@
 const notReady = (state: JigState): string | null => {
   const policy = policyOf(state);
   if (state.self.lathe === null) return 'this machine has no lathe';
-  if (mayActFor(state) <= 0) return 'it is cut off from the control state';
+  if (mayActFor(state) <= 0) return isUnreachable(state) ? 'it is cut off from the control state' : 'replicas answer, but its lease is not renewed yet';
   if (policy === null) return 'no policy is known';
   if (state.report === null || state.now - state.report.at >= Limits.lease) return 'its lathe does not ask for news';
   if (state.report.report.stopping) return 'its lathe is leaving';
@@ -148,7 +149,6 @@
   return isSeated(state) ? null : 'the division has not given it its slices yet';
 };
 
-
 const operator = (work: Work, id: number, action: Action): void => {
   const { state } = work;
   const answer = (code: number, body: unknown, retryAfter?: number): void => {
@@ -188,6 +188,7 @@
   const pending = work.state.pending[id];
   if (pending === undefined) return;
   set(work, { pending: without(work.state.pending, id) });
+  if ('anvil' in pending) noteAnswer(work, pending.anvil);
   switch (pending.kind) {
     case 'pull': tookPull(work, pending.anvil, pending.sentAt, body as AnvilReply); return;
     case 'look': tookLook(work, pending.address, body as AnvilReply); return;
@@ -239,7 +240,9 @@
     set(work, { due: { ...work.state.due, [name]: now + every } });
     act();
   };
+  const { beatAt } = work.state;
   noteBeat(work);
+  noteLeaseLost(work, beatAt);
   tendPursuits(work);
   tendPostings(work);
   due('pull', pullInterval(work.state), () => { pullAll(work); tendVoters(work); });
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -3,7 +3,8 @@
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { holderOf, mixed, mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
-import { chance, closedOf, hallsOf, mayActFor, log, planOf, policyOf, send, set, votersOf, type JigState, type Work } from './state.js';
+import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, votersOf, type JigState, type Work } from './state.js';
+import { mayActFor } from './reachability.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
 /** What is wanted, as it was told before where it is still about that: a record that changes is told whole. */
--- /dev/null
+++ b/packages/jig/src/reachability.ts
@@ -0,0 +1,61 @@
+import { Limits } from '@reedyard/gauge';
+import { majorityOf } from '@reedyard/latch';
+import { isLate, log, set } from './state.js';
+import type { JigState, Work } from './state.js';
+
+/**
+ * What this node can know of its connection to the replicas. Silence and refusal differ: a replica
+ * that answers anything, also that it is not a member, still settles or knows newer members, is in
+ * touch. Only a node that a majority of replicas leaves without any answer is cut off. Whether its
+ * calls or their answers are lost can't be known from here, and need not be: either way it is not in
+ * touch.
+ */
+
+/** How many replicas answered anything since a moment. */
+const answeredSince = (state: JigState, since: number): number =>
+  Object.values(state.anvils).filter((view) => view.answeredAt >= since).length;
+
+/** Whether a majority of replicas answered anything since a moment. */
+export const majorityAnsweredSince = (state: JigState, since: number): boolean => {
+  const replicas = Object.keys(state.anvils).length;
+  return replicas > 0 && answeredSince(state, since) >= majorityOf(replicas);
+};
+
+/** Whether this process was itself held up lately: its answers waited as well, so silence proves nothing. */
+const wasHeldUp = (state: JigState, withinMs: number): boolean =>
+  isLate(state) || state.now - state.lateAt <= withinMs;
+
+/** Whether this node has neither a lease nor any answer from a majority of replicas. */
+export const isUnreachable = (state: JigState): boolean =>
+  state.now >= state.lease &&
+  !majorityAnsweredSince(state, state.now - Limits.replicaSilence) &&
+  !wasHeldUp(state, Limits.replicaSilence);
+
+/** Notes that a replica answered, whatever it said. */
+export const noteAnswer = (work: Work, replica: string): void => {
+  const { state } = work;
+  const view = state.anvils[replica];
+  if (view === undefined) return;
+  set(work, { anvils: { ...state.anvils, [replica]: { ...view, answeredAt: state.now } } });
+};
+
+/**
+ * ms that this node may act on what it knows: what is left of its lease, or, where it is provably cut
+ * off and its operators want it to serve on, until the next questions. A process that was itself held
+ * up can't tell, since its answers wait as well: it refuses until it has pulled.
+ */
+export const mayActFor = (state: JigState): number => {
+  const left = state.lease - state.now;
+  if (left > 0) return left;
+  if (state.self.servesOn !== true || state.registers.policy === undefined) return 0;
+  if (wasHeldUp(state, Limits.calm)) return 0;
+  return isUnreachable(state) ? Limits.cutOffLease : 0;
+};
+
+/** Tells why this node has no lease, once, when it runs out. */
+export const noteLeaseLost = (work: Work, beatBefore: number): void => {
+  const { state } = work;
+  if (state.lease <= beatBefore || state.lease > state.now) return;
+  const answering = answeredSince(state, state.now - Limits.replicaSilence);
+  log(work, 'lease.lost', { answering, replicas: Object.keys(state.anvils).length });
+};
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -29,6 +29,8 @@
   readonly askedAt: number;
   /** When it last answered anything, or was first known. */
   readonly heardAt: number;
+  /** When any answer last came from its address, whether or not it counted, or when it was first known. */
+  readonly answeredAt: number;
   /** The counted pulls; null where none counts any more. */
   readonly pulled: Pulled | null;
   /** The voters that it named when it found ours out of date. */
@@ -165,7 +167,7 @@
   sendTo(work, pending, { to, path: '/anvil', body: { voters: votersOf(work.state), call } });
 
 export const anvilView = (address: string, now: number): AnvilView =>
-  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, pulled: null, named: null, retold: null });
+  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, answeredAt: now, pulled: null, named: null, retold: null });
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
 export const bearsLosses = (state: JigState): boolean =>
@@ -190,7 +192,7 @@
 };
 
 /** Whether beats stopped for a while until now: whatever waits here waited for that. */
-const isLate = (state: JigState): boolean => state.now - state.beatAt > Limits.lateBeat;
+export const isLate = (state: JigState): boolean => state.now - state.beatAt > Limits.lateBeat;
 
 /** Notes that a beat came, and whether it came late. */
 export const noteBeat = (work: Work): void => {
@@ -198,18 +200,6 @@
   set(work, { beatAt: state.now, lateAt: isLate(state) ? state.now : state.lateAt });
 };
 
-/**
- * ms that this node may act on what it knows: what is left of its lease, or, where it provably can't reach a
- * majority and its operators want it to serve on, until the next questions. A process that was itself held
- * up can't tell: it waits for an answer.
- */
-export const mayActFor = (state: JigState): number => {
-  const left = state.lease - state.now;
-  if (left > 0) return left;
-  const cutOff = state.self.servesOn === true && state.registers.policy !== undefined && !isLate(state) && state.now - state.lateAt > Limits.calm;
-  return cutOff ? Limits.cutOffLease : 0;
-};
-
 export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
 /** What the halls register holds; one written before orders for origins alone has fewer fields. */
 export const hallsValueOf = (value: unknown): HallsValue => {
