After a long cut a node asks eagerly again as soon as a replica answers

A node without a lease pulls ten times a second for 5 s, then twice: in a long cut that is over before the cut is. Whatever needs a second pull then (a value under way, a lost answer) waited for the slow rhythm. A replica that answers after 1.2 s of silence starts those 5 s anew. It is bounded: replicas that go on answering without giving a lease, or stay away, start nothing, so a fleet that has lost its majority is not asked more often by any number of nodes.

Test: the rhythm in silence, on return and 5 s later (reachability.test.ts); red with the return left out of the interval (planted into the built code), green with it.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -75,7 +75,7 @@
   /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
    *  was starved or frozen has unanswered pulls as well, but others may reach it. */
   calm: 2_000,
-  /** ms. A node without a lease asks more often for this long; then the core is really away, and all of
+  /** ms. A node without a lease asks more often for this long, and again when a silent replica answers; then the core is really away, and all of
    *  a large fleet asking that often would only hinder its return. */
   eager: 5_000,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -272,7 +272,7 @@
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
     voting: parts.voting ?? null, openedAt: parts.now, ownAnvil: null,
     anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
-    registers: {}, highestBallot: Ballots.none as Ballot, candidates: {}, hanging: {}, lease: 0, beatAt: parts.now, lateAt: parts.now, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
+    registers: {}, highestBallot: Ballots.none as Ballot, candidates: {}, hanging: {}, lease: 0, beatAt: parts.now, lateAt: parts.now, returnedAt: parts.now, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, fedParts: {}, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
--- a/packages/jig/src/lease.ts
+++ b/packages/jig/src/lease.ts
@@ -94,12 +94,12 @@
 };
 
 /**
- * ms between pulls. A node without a lease pulls more often for a while after its start and after the
- * lease ran out; not for longer, since then a majority is really away, and a large fleet that asks so
- * often would only hinder its return.
+ * ms between pulls. A node without a lease pulls more often for a while after its start, after the
+ * lease ran out and after a replica that had been silent answers again; not for longer, since then a
+ * majority is really away, and a large fleet that asks so often would only hinder its return.
  */
 export const pullInterval = (state: JigState): number => {
   if (state.now < state.lease) return Beats.pull;
-  const since = Math.max(state.lease, state.openedAt);
+  const since = Math.max(state.lease, state.openedAt, state.returnedAt);
   return state.now - since < Limits.eager ? Beats.lapsed : Beats.pull;
 };
--- a/packages/jig/src/reachability.test.ts
+++ b/packages/jig/src/reachability.test.ts
@@ -54,3 +54,19 @@
   t.is(mayActFor(agent.state), 0);
   t.true(agent.state.lease < agent.state.now);
 });
+
+test('a replica that answers again is asked ten times a second for a while, and only then', (t) => {
+  const agent = afterwards(silent, 30_000);
+  const pulls = (until: number, answers: boolean): number => {
+    let count = 0;
+    agent.run(until, ({ replica, call }) => {
+      if (call.kind !== 'pull' || replica !== 'a') return null;
+      count += 1;
+      return answers ? { kind: 'settling', disk: 'disk-a', epoch: 1 } : null;
+    });
+    return count;
+  };
+  t.is(pulls(35_000, false), 10, 'silent for long');
+  t.true(pulls(40_000, true) >= 40, 'it is back');
+  t.true(pulls(51_000, true) <= 30, 'it goes on refusing');
+});
--- a/packages/jig/src/reachability.ts
+++ b/packages/jig/src/reachability.ts
@@ -36,7 +36,11 @@
   const { state } = work;
   const view = state.anvils[replica];
   if (view === undefined) return;
-  set(work, { anvils: { ...state.anvils, [replica]: { ...view, answeredAt: state.now } } });
+  const wasSilent = state.now - view.answeredAt >= Limits.replicaSilence;
+  set(work, {
+    anvils: { ...state.anvils, [replica]: { ...view, answeredAt: state.now } },
+    ...(wasSilent ? { returnedAt: state.now } : {}),
+  });
 };
 
 /**
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -100,6 +100,8 @@
   /** When the last beat came, and when one last came late. */
   readonly beatAt: number;
   readonly lateAt: number;
+  /** When an anvil that had been silent last answered again. */
+  readonly returnedAt: number;
   readonly flushes: number;
   readonly facts: readonly (Fact & { readonly seq: number; readonly at: number })[];
   readonly factKeys: Readonly<Record<string, true>>;
