A node that reaches no majority says so at once, not after 4 s

An order, a read, a purge, a drain or a withdrawal that came to a cut-off node was proposed, and answered 503 when the proposal's 4 s were over. Callers give a second of silence before they go on to another node.

A node that has no lease and no answer from a majority of replicas now refuses these at once, with Retry-After 0 and without having sent anything ("nothing was changed"); a claim is told `unreached` as soon. It is not refused while a majority answers anything, right after the start, nor after a freeze: there the proposal may go on. Ordinary heartbeats of origins are still taken (they go by gossip); so is a drain that a majority is known to hold.

What is under way when the replicas fall silent ends with the 503 that says it may yet take effect: 0.6 s (and a beat) after a majority's last answer. While an order has been open for 0.2 s replicas are probed that often, so that so short a silence tells; not for claims, of which there are many: they go by 1.2 s. Settling a claim, divisions, repairs and members go on as before.

Tests in reachability.test.ts: seven kinds of calls at a cut-off node, what goes on without a lease, six kinds under way when replicas fall silent, the probing, a claim.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -62,6 +62,9 @@
   /** ms. A replica without any answer for this long is silent: two pulls, one of them lost, and a round trip. Under
    *  the lease, so that a node that is cut off knows it when its lease runs out. */
   replicaSilence: 1_200,
+  /** ms. What waits this long for a majority of which nobody has answered anything is given up: callers wait a
+   *  second for any word, and go on to another node. */
+  stranded: 600,
   /** ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy it
    *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
@@ -158,6 +161,8 @@
   retrySoon: 100,
   /** s. Told to callers in Retry-After when no better number is known. */
   retryAfterSeconds: 1,
+  /** s. The same where another node, which reaches a majority, may well do it at once. */
+  retryElsewhereSeconds: 0,
   /** ms. A caller must have sent its whole head by then. */
   callerHead: 10_000,
 } as const;
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -7,6 +7,7 @@
 import { Spindle } from '@reedyard/spindle';
 import type { ClaimState, ClaimValue, HallsValue, NodeRecord, PolicyValue } from './terms.js';
 import { learnRegister } from './pulls.js';
+import { isPostingStranded, isStranded } from './reachability.js';
 
 const isWatched = (key: string): key is Watched => (watched as readonly string[]).includes(key);
 
@@ -64,7 +65,7 @@
   const { now } = work.state;
   for (const [name, pursuit] of Object.entries(work.state.pursuits)) {
     const which = Number(name);
-    if (now - pursuit.openedAt > Limits.proposal) {
+    if (now - pursuit.openedAt > Limits.proposal || isStranded(work.state, pursuit)) {
       set(work, { pursuits: without(work.state.pursuits, which) });
       finish(work, pursuit.purpose, { kind: 'unknown' });
     } else if (pursuit.again !== null ? now >= pursuit.again : now - pursuit.phaseAt > Limits.ballotPhase) {
@@ -252,7 +253,7 @@
   const { now } = work.state;
   for (const [name, posting] of Object.entries(work.state.postings)) {
     const which = Number(name);
-    if (now - posting.openedAt > Limits.proposal) {
+    if (now - posting.openedAt > Limits.proposal || isPostingStranded(work.state, posting)) {
       set(work, { postings: without(work.state.postings, which) });
       work.effects.push({ kind: 'answer', id: posting.id, ...unreached('The order') });
     } else if (now - posting.sentAt > Limits.ballotPhase) {
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -12,7 +12,7 @@
 import { pullInterval, renewLease } from './lease.js';
 import { lostPull, pullAll, pullOverdue, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
 import { anvilView, bearsLosses, closedOf, hallsOf, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
-import { isUnreachable, mayActFor, noteAnswer, noteLeaseLost } from './reachability.js';
+import { isUnreachable, mayActFor, noteAnswer, noteLeaseLost, unreachableAnswer } from './reachability.js';
 import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
@@ -64,7 +64,7 @@
       return;
     }
     case 'claim':
-      if (!bearsLosses(work.state)) { work.effects.push({ kind: 'tell', id, body: { kind: 'unreached' } }); return; }
+      if (!bearsLosses(work.state) || isUnreachable(work.state)) { work.effects.push({ kind: 'tell', id, body: { kind: 'unreached' } }); return; }
       pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
     case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
   }
@@ -115,6 +115,7 @@
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
   if (draining && !bearsLosses(work.state)) work.effects.push({ kind: 'answer', id, ...tooFew });
+  else if (draining && isUnreachable(work.state) && work.state.posted[drainKey(told)] !== true) work.effects.push(unreachableAnswer(id));
   else if (draining) postOnce(work, drainKey(told), true, id, done);
   else work.effects.push({ kind: 'answer', id, status: 200, body: done });
 };
@@ -149,12 +150,28 @@
   return isSeated(state) ? null : 'the division has not given it its slices yet';
 };
 
+/** Whether an action can be acknowledged by a majority of replicas only. */
+const needsMajority = (state: JigState, action: Action): boolean => {
+  switch (action.kind) {
+    case 'put-policy':
+    case 'get-policy':
+    case 'hall':
+    case 'purge':
+      return true;
+    case 'withdraw':
+      return state.posted[withdrawnKey(action.instance)] !== true;
+    default:
+      return false;
+  }
+};
+
 const operator = (work: Work, id: number, action: Action): void => {
   const { state } = work;
   const answer = (code: number, body: unknown, retryAfter?: number): void => {
     work.effects.push({ kind: 'answer', id, status: code, body, ...(retryAfter === undefined ? {} : { retryAfter }) });
   };
   if ((action.kind === 'put-policy' || action.kind === 'hall' || action.kind === 'purge' || action.kind === 'withdraw') && !bearsLosses(state)) { answer(tooFew.status, tooFew.body, tooFew.retryAfter); return; }
+  if (needsMajority(state, action) && isUnreachable(state)) { work.effects.push(unreachableAnswer(id)); return; }
   switch (action.kind) {
     case 'put-policy': pursue(work, 'policy', Changes.policy(action.document, action.ifMatch, action.changeId), { kind: 'put-policy', id, changeId: action.changeId }); return;
     case 'get-policy': pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id }); return;
@@ -164,6 +181,7 @@
     case 'describe': describe(work, id, action.description); return;
     case 'status': answer(200, status(state)); return;
     case 'shares': {
+      if (isUnreachable(state)) { work.effects.push(unreachableAnswer(id)); return; }
       if (state.now >= state.lease) { const gone = unreached('The read'); answer(gone.status, gone.body, gone.retryAfter); return; }
       const plan = planOf(state);
       answer(200, { holder: plan?.holder ?? null, term: plan?.term ?? 0, beat: plan?.beat ?? 0, services: Object.fromEntries(Object.entries(boundsOf(state)).map(([name, bound]) => {
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -4,6 +4,7 @@
 import type { Plan } from '@reedyard/ladle';
 import { Changes, countAnew, pursue } from './ballots.js';
 import { hasAccepted, isLow, isOverdue, renewLease, stackPull } from './lease.js';
+import { isProbeDue, isProbing } from './reachability.js';
 import type { HallsValue } from './terms.js';
 import { anvilsHeard, nodesOf } from './network.js';
 import { anvilView, bearsLosses, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, without, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
@@ -28,11 +29,13 @@
   lookAround(work);
 };
 
-/** While the lease runs low, asks those anvils again at once whose pulls do not carry it. */
+/** Asks replicas before their turn: those that do not carry a lease that runs low, and all while an order hangs. */
 export const pullOverdue = (work: Work): void => {
-  if (!isLow(work.state)) return;
+  const [low, probing] = [isLow(work.state), isProbing(work.state)];
+  if (!low && !probing) return;
   for (const [name, view] of Object.entries(work.state.anvils)) {
-    if (isOverdue(work.state, view)) pull(work, name, view);
+    const isDue = (low && isOverdue(work.state, view)) || (probing && isProbeDue(work.state, view));
+    if (isDue) pull(work, name, view);
   }
 };
 
--- a/packages/jig/src/reachability.test.ts
+++ b/packages/jig/src/reachability.test.ts
@@ -1,10 +1,20 @@
 import test from 'ava';
 import type { AnvilReply } from '@reedyard/anvil';
-import { Limits } from '@reedyard/gauge';
+import { Beats, Limits } from '@reedyard/gauge';
+import { Jig } from './core.js';
+import { drainKey } from './network.js';
 import { isUnreachable, mayActFor } from './reachability.js';
 import { AgentUnderTest, ballotOf, pulledReply, type ReplicaCall } from './replicas.fixture.js';
+import type { Action } from './terms.js';
 
 const voters = { ballot: ballotOf(1), value: { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } } };
+const document = { services: {}, routes: [] };
+const description = {
+  service: 's', instance: 'i', incarnation: 0, address: '127.0.0.1:20', region: 'r', hall: 'west',
+  slots: 8, state: 'warm', draining: false, sequence: 1,
+} as const;
+const draining = { ...description, draining: true };
+
 const answered = ({ replica, call }: ReplicaCall): AnvilReply | null =>
   (call.kind === 'pull' ? pulledReply(replica) : null);
 const silent = (): null => null;
@@ -70,3 +80,90 @@
   t.true(pulls(40_000, true) >= 40, 'it is back');
   t.true(pulls(51_000, true) <= 30, 'it goes on refusing');
 });
+
+const needMajority: readonly Action[] = [
+  { kind: 'put-policy', document, ifMatch: null, changeId: 'one' },
+  { kind: 'get-policy' },
+  { kind: 'hall', hall: 'west', order: 'empty', of: 'all', changeId: 'two' },
+  { kind: 'purge', purge: { objects: ['x/y'], tags: [] }, changeId: 'three' },
+  { kind: 'withdraw', instance: 'i' },
+  { kind: 'describe', description: draining },
+  { kind: 'shares' },
+];
+
+test('what needs a majority is refused at once by a node that is cut off, and nothing is sent', (t) => {
+  for (const action of needMajority) {
+    const agent = afterwards(silent);
+    t.deepEqual(agent.operate(action, agent.state.now), [], action.kind);
+    t.deepEqual(agent.answers(), [503], action.kind);
+    const [answer] = agent.effects.filter((effect) => effect.kind === 'answer');
+    t.is(answer?.retryAfter, Limits.retryElsewhereSeconds);
+  }
+});
+
+test('a node that is cut off takes a heartbeat, and confirms a drain that a majority is known to hold', (t) => {
+  const agent = afterwards(silent);
+  agent.operate({ kind: 'describe', description }, agent.state.now);
+  t.deepEqual(agent.answers(), [200]);
+  agent.state = { ...agent.state, posted: { [drainKey(draining)]: true } };
+  agent.operate({ kind: 'describe', description: draining }, agent.state.now);
+  t.deepEqual(agent.answers(), [200]);
+});
+
+test('without a lease orders go on while a majority answers, right after the start and after a freeze', (t) => {
+  const [order] = needMajority;
+  if (order === undefined) { t.fail(); return; }
+  const refused = afterwards(({ replica, call }) => (call.kind === 'pull' ? { kind: 'settling', disk: `disk-${replica}`, epoch: 1 } : null));
+  t.is(refused.operate(order, refused.state.now).length, 3);
+  const started = new AgentUnderTest();
+  started.beat(100);
+  t.is(started.operate(order, 150).length, 3);
+  const frozen = afterwards(answered, 5_000);
+  t.is(frozen.operate(order, 15_000).length, 3);
+});
+
+test('what is under way when the replicas fall silent is answered well under a second; not while they answer', (t) => {
+  for (const action of needMajority.slice(0, 6)) {
+    const agent = afterwards(answered, 5_000);
+    const sentAt = agent.state.now;
+    t.is(agent.operate(action, sentAt).length, 3, action.kind);
+    const answeredAt = (until: number, answer: (call: ReplicaCall) => AnvilReply | null): number | undefined => {
+      for (let now = agent.state.now + Beats.jig; now <= until; now += Beats.jig) {
+        const calls = agent.beat(now);
+        if (agent.answers().length > 0) return now;
+        for (const call of calls) agent.answer(call, answer(call), now);
+      }
+      return undefined;
+    };
+    // A majority answers other calls: a slow ballot may yet succeed.
+    t.is(answeredAt(sentAt + 2_000, answered), undefined, action.kind);
+    const silentFrom = agent.state.now;
+    const at = answeredAt(sentAt + 5_000, silent) ?? NaN;
+    t.true(at - silentFrom <= Limits.stranded + Beats.jig, `${action.kind} ${at - silentFrom}`);
+    t.deepEqual(agent.answers(), [503]);
+  }
+});
+
+test('while an order is open replicas are probed, so that their silence is known soon', (t) => {
+  const [order] = needMajority;
+  if (order === undefined) { t.fail(); return; }
+  const agent = afterwards(answered, 5_000);
+  agent.operate(order, agent.state.now);
+  const pulls: string[] = [];
+  agent.run(6_000, (call) => {
+    if (call.call.kind === 'pull') pulls.push(call.replica);
+    return answered(call);
+  });
+  // At rest there are two in a second.
+  t.is(pulls.filter((each) => each === 'a').length, 5, pulls.join());
+});
+
+test('a claim is not waited for by a node that is cut off', (t) => {
+  const claim = { kind: 'claim', key: 'k', token: 'token', life: 'life', digest: 'd' } as const;
+  const told = (agent: AgentUnderTest): unknown => {
+    const step = Jig.reduce(agent.state, { kind: 'fed', id: 9, now: agent.state.now, body: claim });
+    return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
+  };
+  t.deepEqual(told(afterwards(silent)), [{ kind: 'unreached' }]);
+  t.deepEqual(told(afterwards(answered)), []);
+});
--- a/packages/jig/src/reachability.ts
+++ b/packages/jig/src/reachability.ts
@@ -1,7 +1,8 @@
-import { Limits } from '@reedyard/gauge';
+import { Beats, Limits } from '@reedyard/gauge';
 import { majorityOf } from '@reedyard/latch';
 import { isLate, log, set } from './state.js';
-import type { JigState, Work } from './state.js';
+import type { JigEffect } from './terms.js';
+import type { AnvilView, JigState, Posting, Purpose, Pursuit, Work } from './state.js';
 
 /**
  * What this node can know of its connection to the replicas. Silence and refusal differ: a replica
@@ -63,3 +64,52 @@
   const answering = answeredSince(state, state.now - Limits.replicaSilence);
   log(work, 'lease.lost', { answering, replicas: Object.keys(state.anvils).length });
 };
+
+/** Orders and reads of the API: their callers go on to another node after a second of silence. */
+const isOrder = ({ kind }: Purpose): boolean =>
+  kind === 'put-policy' || kind === 'get-policy' || kind === 'hall';
+
+/** Whether a call has gone on for long enough, with too few answers since a moment to progress. */
+const isStuck = (state: JigState, openedAt: number, since: number): boolean =>
+  state.now - openedAt >= Limits.stranded &&
+  !majorityAnsweredSince(state, Math.max(openedAt, since)) &&
+  !wasHeldUp(state, Limits.stranded);
+
+/**
+ * Whether a proposal that a caller waits for can't progress, since a majority of replicas is silent.
+ * While an order is open replicas are probed, so that a shorter silence tells.
+ */
+export const isStranded = (state: JigState, { purpose, openedAt }: Pursuit): boolean => {
+  if (isOrder(purpose)) return isStuck(state, openedAt, state.now - Limits.stranded);
+  return purpose.kind === 'claim' && isStuck(state, openedAt, state.now - Limits.replicaSilence);
+};
+
+/** The same for facts that wait for a majority of disks. */
+export const isPostingStranded = (state: JigState, { openedAt }: Posting): boolean =>
+  isStuck(state, openedAt, state.now - Limits.stranded);
+
+/** Whether an order has been open for so long that replicas are probed for any answer. */
+export const isProbing = (state: JigState): boolean => {
+  const orders = Object.values(state.pursuits).filter(({ purpose }) => isOrder(purpose));
+  return [...orders, ...Object.values(state.postings)].some(
+    ({ openedAt }) => state.now - openedAt >= Beats.leaseLow,
+  );
+};
+
+/** Whether a replica is to be asked for any answer. */
+export const isProbeDue = (state: JigState, view: AnvilView): boolean =>
+  state.now - Math.max(view.askedAt, view.answeredAt) >= Beats.leaseLow;
+
+/** The answer, at once, to what needs a majority at a node that reaches none: nothing was sent. */
+export const unreachableAnswer = (id: number): JigEffect => ({
+  kind: 'answer',
+  id,
+  status: 503,
+  retryAfter: Limits.retryElsewhereSeconds,
+  body: {
+    type: 'about:blank',
+    title: 'No majority reached',
+    status: 503,
+    detail: 'This node reaches no majority of replicas; nothing was changed. Ask another node.',
+  },
+});
