--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -44,6 +44,9 @@
   latheIdle: 100,
   /** ms. While there is no lease, pulls and the lathe's questions come this often: callers wait for them. */
   lapsed: 100,
+  /** ms. While a lease runs low, replicas whose pulls do not carry it are asked this often: three times before
+   *  it is over. Not at rest, where each pull renews it: the fleet's control traffic does not grow. */
+  leaseLow: 200,
   /** ms. An anvil that may not vote yet asks the others again. */
   rejoin: 200,
 } as const;
@@ -53,6 +56,15 @@
   /** ms. Lease of a node from the moment its oldest counted pull was sent. The brief allows 2 s
    *  from an acknowledgement to force; 1.5 s leaves 0.5 s for the feed and a slow process. */
   lease: 1_500,
+  /** ms. A lease with less left than this runs low: at rest 0.9 s are left when the next pull is sent, and one that
+   *  counts brings it back to 1.5 s within a round trip. */
+  leaseLow: 800,
+  /** ms. A replica without any answer for this long is silent: two pulls, one of them lost, and a round trip. Under
+   *  the lease, so that a node that is cut off knows it when its lease runs out. */
+  replicaSilence: 1_200,
+  /** ms. What waits this long for a majority of which nobody has answered anything is given up: callers wait a
+   *  second for any word, and go on to another node. */
+  stranded: 600,
   /** ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy it
    *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
@@ -66,7 +78,7 @@
   /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
    *  was starved or frozen has unanswered pulls as well, but others may reach it. */
   calm: 2_000,
-  /** ms. A node without a lease asks more often for this long; then the core is really away, and all of
+  /** ms. A node without a lease asks more often for this long, and again when a silent replica answers; then the core is really away, and all of
    *  a large fleet asking that often would only hinder its return. */
   eager: 5_000,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
@@ -149,6 +161,8 @@
   retrySoon: 100,
   /** s. Told to callers in Retry-After when no better number is known. */
   retryAfterSeconds: 1,
+  /** s. The same where another node, which reaches a majority, may well do it at once. */
+  retryElsewhereSeconds: 0,
   /** ms. A caller must have sent its whole head by then. */
   callerHead: 10_000,
 } as const;
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -9,8 +9,10 @@
 import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
 import { tendDuty } from './duty.js';
 import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
-import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
-import { anvilView, bearsLosses, hallsOf, mayActFor, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { pullInterval, renewLease } from './lease.js';
+import { lostPull, pullAll, pullOverdue, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
+import { anvilView, bearsLosses, hallsOf, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
+import { isUnreachable, mayActFor, noteAnswer, noteLeaseLost, unreachableAnswer } from './reachability.js';
 import { nodeStatus } from './status.js';
 import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
@@ -63,7 +65,7 @@
       return;
     }
     case 'claim':
-      if (!bearsLosses(work.state)) { work.effects.push({ kind: 'tell', id, body: { kind: 'unreached' } }); return; }
+      if (!bearsLosses(work.state) || isUnreachable(work.state)) { work.effects.push({ kind: 'tell', id, body: { kind: 'unreached' } }); return; }
       pursue(work, `claim/${body.key}`, Changes.claim(body.token, state.self.id, body.life, body.digest), { kind: 'claim', id }); return;
     case 'settle': pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id }); return;
   }
@@ -114,6 +116,7 @@
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
   if (draining && !bearsLosses(work.state)) work.effects.push({ kind: 'answer', id, ...tooFew });
+  else if (draining && isUnreachable(work.state) && work.state.posted[drainKey(told)] !== true) work.effects.push(unreachableAnswer(id));
   else if (draining) postOnce(work, drainKey(told), true, id, done);
   else work.effects.push({ kind: 'answer', id, status: 200, body: done });
 };
@@ -128,7 +131,7 @@
 const notReady = (state: JigState): string | null => {
   const policy = policyOf(state);
   if (state.self.lathe === null) return 'this machine has no lathe';
-  if (mayActFor(state) <= 0) return 'it is cut off from the control state';
+  if (mayActFor(state) <= 0) return isUnreachable(state) ? 'it is cut off from the control state' : 'replicas answer, but its lease is not renewed yet';
   if (policy === null) return 'no policy is known';
   if (state.report === null || state.now - state.report.at >= Limits.lease) return 'its lathe does not ask for news';
   if (state.report.report.stopping) return 'its lathe is leaving';
@@ -136,6 +139,20 @@
   return isSeated(state) ? null : 'the division has not given it its slices yet';
 };
 
+/** Whether an action can be acknowledged by a majority of replicas only. */
+const needsMajority = (state: JigState, action: Action): boolean => {
+  switch (action.kind) {
+    case 'put-policy':
+    case 'get-policy':
+    case 'hall':
+    case 'purge':
+      return true;
+    case 'withdraw':
+      return state.posted[withdrawnKey(action.instance)] !== true;
+    default:
+      return false;
+  }
+};
 
 const operator = (work: Work, id: number, action: Action): void => {
   const { state } = work;
@@ -143,6 +160,7 @@
     work.effects.push({ kind: 'answer', id, status: code, body, ...(retryAfter === undefined ? {} : { retryAfter }) });
   };
   if ((action.kind === 'put-policy' || action.kind === 'hall' || action.kind === 'purge' || action.kind === 'withdraw') && !bearsLosses(state)) { answer(tooFew.status, tooFew.body, tooFew.retryAfter); return; }
+  if (needsMajority(state, action) && isUnreachable(state)) { work.effects.push(unreachableAnswer(id)); return; }
   switch (action.kind) {
     case 'put-policy': pursue(work, 'policy', Changes.policy(action.document, action.ifMatch, action.changeId), { kind: 'put-policy', id, changeId: action.changeId }); return;
     case 'get-policy': pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id }); return;
@@ -152,6 +170,7 @@
     case 'describe': describe(work, id, action.description); return;
     case 'status': answer(200, nodeStatus(state)); return;
     case 'shares': {
+      if (isUnreachable(state)) { work.effects.push(unreachableAnswer(id)); return; }
       if (state.now >= state.lease) { const gone = unreached('The read'); answer(gone.status, gone.body, gone.retryAfter); return; }
       const plan = planOf(state);
       answer(200, { holder: plan?.holder ?? null, term: plan?.term ?? 0, beat: plan?.beat ?? 0, services: Object.fromEntries(Object.entries(boundsOf(state)).map(([name, bound]) => {
@@ -176,6 +195,7 @@
   const pending = work.state.pending[id];
   if (pending === undefined) return;
   set(work, { pending: without(work.state.pending, id) });
+  if ('anvil' in pending) noteAnswer(work, pending.anvil);
   switch (pending.kind) {
     case 'pull': tookPull(work, pending.anvil, pending.sentAt, body as AnvilReply); return;
     case 'look': tookLook(work, pending.address, body as AnvilReply); return;
@@ -227,12 +247,13 @@
     set(work, { due: { ...work.state.due, [name]: now + every } });
     act();
   };
+  const { beatAt } = work.state;
   noteBeat(work);
+  noteLeaseLost(work, beatAt);
   tendPursuits(work);
   tendPostings(work);
-  const { lease, openedAt } = work.state;
-  const eager = now >= lease && now - Math.max(lease, openedAt) < Limits.eager;
-  due('pull', eager ? Beats.lapsed : Beats.pull, () => { pullAll(work); tendVoters(work); });
+  due('pull', pullInterval(work.state), () => { pullAll(work); tendVoters(work); });
+  pullOverdue(work);
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
   due('gossip', Beats.gossip, () => gossip(work));
   due('ping', Beats.pingDraw, () => pingAll(work));
@@ -258,7 +279,7 @@
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
     voting: parts.voting ?? null, openedAt: parts.now, ownAnvil: null,
     anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
-    registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, beatAt: parts.now, lateAt: parts.now, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
+    registers: {}, highestBallot: Ballots.none as Ballot, candidates: {}, hanging: {}, lease: 0, beatAt: parts.now, lateAt: parts.now, returnedAt: parts.now, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, fedParts: {}, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
     planSeen: { term: 0, beat: 0, at: parts.now }, duty: null, due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
   }),
--- /dev/null
+++ b/packages/jig/src/reachability.ts
@@ -0,0 +1,115 @@
+import { Beats, Limits } from '@reedyard/gauge';
+import { majorityOf } from '@reedyard/latch';
+import { isLate, log, set } from './state.js';
+import type { JigEffect } from './terms.js';
+import type { AnvilView, JigState, Posting, Purpose, Pursuit, Work } from './state.js';
+
+/**
+ * What this node can know of its connection to the replicas. Silence and refusal differ: a replica
+ * that answers anything, also that it is not a member, still settles or knows newer members, is in
+ * touch. Only a node that a majority of replicas leaves without any answer is cut off. Whether its
+ * calls or their answers are lost can't be known from here, and need not be: either way it is not in
+ * touch.
+ */
+
+/** How many replicas answered anything since a moment. */
+const answeredSince = (state: JigState, since: number): number =>
+  Object.values(state.anvils).filter((view) => view.answeredAt >= since).length;
+
+/** Whether a majority of replicas answered anything since a moment. */
+export const majorityAnsweredSince = (state: JigState, since: number): boolean => {
+  const replicas = Object.keys(state.anvils).length;
+  return replicas > 0 && answeredSince(state, since) >= majorityOf(replicas);
+};
+
+/** Whether this process was itself held up lately: its answers waited as well, so silence proves nothing. */
+const wasHeldUp = (state: JigState, withinMs: number): boolean =>
+  isLate(state) || state.now - state.lateAt <= withinMs;
+
+/** Whether this node has neither a lease nor any answer from a majority of replicas. */
+export const isUnreachable = (state: JigState): boolean =>
+  state.now >= state.lease &&
+  !majorityAnsweredSince(state, state.now - Limits.replicaSilence) &&
+  !wasHeldUp(state, Limits.replicaSilence);
+
+/** Notes that a replica answered, whatever it said. */
+export const noteAnswer = (work: Work, replica: string): void => {
+  const { state } = work;
+  const view = state.anvils[replica];
+  if (view === undefined) return;
+  const wasSilent = state.now - view.answeredAt >= Limits.replicaSilence;
+  set(work, {
+    anvils: { ...state.anvils, [replica]: { ...view, answeredAt: state.now } },
+    ...(wasSilent ? { returnedAt: state.now } : {}),
+  });
+};
+
+/**
+ * ms that this node may act on what it knows: what is left of its lease, or, where it is provably cut
+ * off and its operators want it to serve on, until the next questions. A process that was itself held
+ * up can't tell, since its answers wait as well: it refuses until it has pulled.
+ */
+export const mayActFor = (state: JigState): number => {
+  const left = state.lease - state.now;
+  if (left > 0) return left;
+  if (state.self.servesOn !== true || state.registers.policy === undefined) return 0;
+  if (wasHeldUp(state, Limits.calm)) return 0;
+  return isUnreachable(state) ? Limits.cutOffLease : 0;
+};
+
+/** Tells why this node has no lease, once, when it runs out. */
+export const noteLeaseLost = (work: Work, beatBefore: number): void => {
+  const { state } = work;
+  if (state.lease <= beatBefore || state.lease > state.now) return;
+  const answering = answeredSince(state, state.now - Limits.replicaSilence);
+  log(work, 'lease.lost', { answering, replicas: Object.keys(state.anvils).length });
+};
+
+/** Orders and reads of the API: their callers go on to another node after a second of silence. */
+const isOrder = ({ kind }: Purpose): boolean =>
+  kind === 'put-policy' || kind === 'get-policy' || kind === 'hall';
+
+/** Whether a call has gone on for long enough, with too few answers since a moment to progress. */
+const isStuck = (state: JigState, openedAt: number, since: number): boolean =>
+  state.now - openedAt >= Limits.stranded &&
+  !majorityAnsweredSince(state, Math.max(openedAt, since)) &&
+  !wasHeldUp(state, Limits.stranded);
+
+/**
+ * Whether a proposal that a caller waits for can't progress, since a majority of replicas is silent.
+ * While an order is open replicas are probed, so that a shorter silence tells.
+ */
+export const isStranded = (state: JigState, { purpose, openedAt }: Pursuit): boolean => {
+  if (isOrder(purpose)) return isStuck(state, openedAt, state.now - Limits.stranded);
+  return purpose.kind === 'claim' && isStuck(state, openedAt, state.now - Limits.replicaSilence);
+};
+
+/** The same for facts that wait for a majority of disks. */
+export const isPostingStranded = (state: JigState, { openedAt }: Posting): boolean =>
+  isStuck(state, openedAt, state.now - Limits.stranded);
+
+/** Whether an order has been open for so long that replicas are probed for any answer. */
+export const isProbing = (state: JigState): boolean => {
+  const orders = Object.values(state.pursuits).filter(({ purpose }) => isOrder(purpose));
+  return [...orders, ...Object.values(state.postings)].some(
+    ({ openedAt }) => state.now - openedAt >= Beats.leaseLow,
+  );
+};
+
+/** Whether a replica is to be asked for any answer. */
+export const isProbeDue = (state: JigState, view: AnvilView): boolean =>
+  state.now - Math.max(view.askedAt, view.answeredAt) >= Beats.leaseLow;
+
+/** The answer, at once, to what needs a majority at a node that reaches none: nothing was sent. */
+export const unreachableAnswer = (id: number): JigEffect => ({
+  kind: 'answer',
+  id,
+  status: 503,
+  retryAfter: Limits.retryElsewhereSeconds,
+  body: {
+    type: 'about:blank',
+    title: 'No majority reached',
+    status: 503,
+    detail: 'This node reaches no majority of replicas; nothing was changed. Ask another node.',
+  },
+});
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -33,6 +33,16 @@
   readonly outcome: ReplicaOutcome;
 };
 
+/** What one counted pull showed: when it was sent, whether facts are left out, and the ballots accepted by then. */
+export type PullSeen = {
+  readonly sentAt: number;
+  readonly more: boolean;
+  readonly ballots: Readonly<Record<string, Ballot>>;
+};
+
+/** The newest counted pull, and those before it that may still carry the lease, the newest first. */
+export type Pulled = PullSeen & { readonly earlier: readonly PullSeen[] };
+
 /** How one anvil was last seen. */
 export type AnvilView = {
   readonly address: string;
@@ -43,8 +53,10 @@
   readonly heardAt: number;
   /** How it last answered a pull; null before the first answer. */
   readonly answered: ReplicaAnswer | null;
-  /** When the newest counted pull was sent, and the ballots it showed. */
-  readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
+  /** When any answer last came from its address, whether or not it counted, or when it was first known. */
+  readonly answeredAt: number;
+  /** The counted pulls; null where none counts any more. */
+  readonly pulled: Pulled | null;
   /** The voters that it named when it found ours out of date. */
   readonly named: VotersTold | null;
   /** How much of what this node knows was told again to this anvil, in its present settling. */
@@ -103,6 +115,8 @@
   readonly anvils: Readonly<Record<string, AnvilView>>;
   readonly registers: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown; readonly at: number } };
   readonly highestBallot: Ballot;
+  /** The newest value fetched of a register, until pulls show whether it is chosen. */
+  readonly candidates: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown } };
   /** The newest ballot of a register that only a minority showed, and since when. */
   readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
   /** Monotonic ms until which this node may act on what it knows. */
@@ -110,6 +124,8 @@
   /** When the last beat came, and when one last came late. */
   readonly beatAt: number;
   readonly lateAt: number;
+  /** When an anvil that had been silent last answered again. */
+  readonly returnedAt: number;
   readonly flushes: number;
   readonly facts: readonly (Fact & { readonly seq: number; readonly at: number })[];
   readonly factKeys: Readonly<Record<string, true>>;
@@ -177,7 +193,7 @@
   sendTo(work, pending, { to, path: '/anvil', body: { voters: votersOf(work.state), call } });
 
 export const anvilView = (address: string, now: number): AnvilView =>
-  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, answered: null, pulled: null, named: null, retold: null });
+  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, answered: null, answeredAt: now, pulled: null, named: null, retold: null });
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
 export const bearsLosses = (state: JigState): boolean =>
@@ -202,7 +218,7 @@
 };
 
 /** Whether beats stopped for a while until now: whatever waits here waited for that. */
-const isLate = (state: JigState): boolean => state.now - state.beatAt > Limits.lateBeat;
+export const isLate = (state: JigState): boolean => state.now - state.beatAt > Limits.lateBeat;
 
 /** Notes that a beat came, and whether it came late. */
 export const noteBeat = (work: Work): void => {
@@ -210,18 +226,6 @@
   set(work, { beatAt: state.now, lateAt: isLate(state) ? state.now : state.lateAt });
 };
 
-/**
- * ms that this node may act on what it knows: what is left of its lease, or, where it provably can't reach a
- * majority and its operators want it to serve on, until the next questions. A process that was itself held
- * up can't tell: it waits for an answer.
- */
-export const mayActFor = (state: JigState): number => {
-  const left = state.lease - state.now;
-  if (left > 0) return left;
-  const cutOff = state.self.servesOn === true && state.registers.policy !== undefined && !isLate(state) && state.now - state.lateAt > Limits.calm;
-  return cutOff ? Limits.cutOffLease : 0;
-};
-
 export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
 /** What the halls register holds; one written before orders for origins alone has fewer fields. */
 export const hallsValueOf = (value: unknown): HallsValue => {
--- a/packages/jig/src/status.ts
+++ b/packages/jig/src/status.ts
@@ -11,6 +11,7 @@
 import type { Split } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
 import { anvilsHeard, nodesOf, originsOf } from './network.js';
+import { isUnreachable } from './reachability.js';
 import {
   closedOf,
   counts,
@@ -82,6 +83,8 @@
   readonly region: string;
   /** What is left of this node's lease; 0 where it has none. */
   readonly leaseMs: number;
+  /** Whether no majority of replicas answers this node at all. */
+  readonly unreachable: boolean;
   readonly policySerial: number;
   readonly emptiedHalls: readonly string[];
   readonly closedOrigins: readonly string[];
@@ -235,6 +238,7 @@
     hall: state.self.hall,
     region: state.self.region,
     leaseMs: Math.max(0, Math.round(state.lease - state.now)),
+  unreachable: isUnreachable(state),
     policySerial: policyOf(state)?.serial ?? 0,
     emptiedHalls: hallsOf(state)?.emptied ?? [],
     closedOrigins: closedOf(state),
