consensus: use promises that come after the second phase began

A ballot sent its accepts to the first majority that promised, and to nobody else. If one of these had meanwhile promised a higher ballot, the others were no majority, too few had refused to call it outvoted, and it hung until the timeout of its phase (600 ms). Refusals of the first phase were forgotten as the second began.

A promise that comes late now gets the accept too, and a voter that refused either phase counts once. Ruled out: sending accepts to voters that did not promise (the accept names the disk that promised). The promises of a majority settle the value as before; a late one adds a voter, nothing else.

A proposal also tells what its change was applied to, for the ballots that make several changes.

Seen red on the old proposer: both new tests (`a promise that comes late ...`: no move to c; `a voter that refused either phase ...`: not outvoted at the third distinct refusal).

--- a/packages/latch/src/latch.test.ts
+++ b/packages/latch/src/latch.test.ts
@@ -96,3 +96,37 @@
   t.deepEqual(moves.map((move) => move.kind), ['accept', 'accept']);
   t.is(majorityOf(3), 2);
 });
+
+test('a promise that comes late is used: one refusal among a bare majority does not leave a ballot hanging', (t) => {
+  const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
+  let { proposal } = first;
+  let moves: readonly Move[] = [];
+  const vote = (voter: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
+    const cast = isTaken ? ({ kind: 'yes', accepted: null } as const) : ({ kind: 'no', promised: [9, 'q'] } as const);
+    ({ proposal, moves } = Proposer.voted(proposal, voter, `disk-${voter}`, phase, proposal.ballot, cast));
+  };
+  vote('a', 'prepare', true);
+  vote('b', 'prepare', true);
+  vote('a', 'accept', false);
+  vote('c', 'prepare', true);
+  t.deepEqual(moves.map((move) => (move.kind === 'accept' ? move.to : move.kind)), ['c']);
+  vote('b', 'accept', true);
+  vote('c', 'accept', true);
+  t.deepEqual(moves.map((move) => move.kind), ['chosen']);
+});
+
+test('a voter that refused either phase counts once; a majority of them ends the ballot', (t) => {
+  const first = Proposer.open('r', append('x'), ['a', 'b', 'c', 'd', 'e'], Ballots.none, 'p');
+  let { proposal } = first;
+  let moves: readonly Move[] = [];
+  const vote = (voter: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
+    const cast = isTaken ? ({ kind: 'yes', accepted: null } as const) : ({ kind: 'no', promised: [9, 'q'] } as const);
+    ({ proposal, moves } = Proposer.voted(proposal, voter, `disk-${voter}`, phase, proposal.ballot, cast));
+  };
+  vote('d', 'prepare', false);
+  for (const voter of ['a', 'b', 'c']) vote(voter, 'prepare', true);
+  vote('a', 'accept', false);
+  t.deepEqual(moves, []);
+  vote('b', 'accept', false);
+  t.deepEqual(moves.map((move) => move.kind), ['outvoted']);
+});
--- a/packages/latch/src/proposer.ts
+++ b/packages/latch/src/proposer.ts
@@ -20,7 +20,10 @@
   readonly highest: Ballot;
   readonly phase: 'prepare' | 'accept' | 'done';
   readonly promises: Readonly<Record<Voter, { readonly disk: string; readonly vote: Vote }>>;
-  readonly refusals: number;
+  /** Voters that promised a higher ballot, in either phase. */
+  readonly refusedBy: readonly Voter[];
+  /** What the change was applied to; known once a majority has promised. */
+  readonly read: unknown;
   readonly proposed: unknown;
   readonly verdict: Changed | null;
   readonly accepts: readonly Voter[];
@@ -30,7 +33,7 @@
 export type Move =
   | { readonly kind: 'prepare'; readonly to: Voter; readonly ballot: Ballot }
   | { readonly kind: 'accept'; readonly to: Voter; readonly ballot: Ballot; readonly value: unknown; readonly disk: string }
-  | { readonly kind: 'chosen'; readonly ballot: Ballot | null; readonly value: unknown; readonly wrote: boolean }
+  | { readonly kind: 'chosen'; readonly ballot: Ballot | null; readonly value: unknown; readonly wrote: boolean; /** What the change was applied to. */ readonly read: unknown }
   | { readonly kind: 'refused'; readonly reason: string; readonly value: unknown }
   | { readonly kind: 'outvoted' };
 
@@ -54,19 +57,39 @@
     const held = newest === null ? promises.length
       : promises.filter(({ accepted }) => accepted !== null && Ballots.compare(accepted.ballot, newest.ballot) === 0).length;
     if (held >= majorityOf(proposal.voters.length)) {
-      return ended(proposal, changed.kind === 'keep'
-        ? { kind: 'chosen', ballot: newest === null ? null : newest.ballot, value: current, wrote: false }
+      return ended({ ...proposal, read: current }, changed.kind === 'keep'
+        ? { kind: 'chosen', ballot: newest === null ? null : newest.ballot, value: current, wrote: false, read: current }
         : { kind: 'refused', reason: changed.reason, value: current });
     }
   }
   // A kept or refused value that no majority is seen to hold is written again first: only then is it true.
   const proposed = changed.kind === 'write' ? changed.value : current;
   return {
-    proposal: { ...proposal, phase: 'accept', proposed, verdict: changed, refusals: 0 },
+    proposal: { ...proposal, phase: 'accept', read: current, proposed, verdict: changed },
     moves: promises.map(({ voter, disk }) => ({ kind: 'accept', to: voter, ballot: proposal.ballot, value: proposed, disk })),
   };
 };
 
+/** A voter promised a higher ballot: without it, and others like it, there may be no majority left. */
+const refused = (proposal: Proposal, voter: Voter, promised: Ballot): Turn => {
+  const highest = Ballots.compare(promised, proposal.highest) > 0 ? promised : proposal.highest;
+  const refusedBy = proposal.refusedBy.includes(voter) ? proposal.refusedBy : [...proposal.refusedBy, voter];
+  const next = { ...proposal, highest, refusedBy };
+  const isOutvoted = refusedBy.length > proposal.voters.length - majorityOf(proposal.voters.length);
+  return isOutvoted ? { proposal: next, moves: [{ kind: 'outvoted' }] } : still(next);
+};
+
+/**
+ * A promise that comes after the second phase has begun: the voter may take the value as well. Without it the refusal
+ * of one of a bare majority would leave the ballot hanging.
+ */
+const lateToAccept = (proposal: Proposal, voter: Voter, disk: string, vote: Vote): Turn => {
+  if (proposal.promises[voter] !== undefined) return still(proposal);
+  const promises = { ...proposal.promises, [voter]: { disk, vote } };
+  const { ballot, proposed: value } = proposal;
+  return { proposal: { ...proposal, promises }, moves: [{ kind: 'accept', to: voter, ballot, value, disk }] };
+};
+
 export const Proposer = {
   /**
    * Opens a proposal over a register with a ballot above any seen.
@@ -77,7 +100,7 @@
   open: (key: string, change: Change, voters: readonly Voter[], above: Ballot, proposer: string): Turn => {
     const ballot = Ballots.after(above, proposer);
     return {
-      proposal: { key, change, voters, ballot, highest: ballot, phase: 'prepare', promises: {}, refusals: 0, proposed: undefined, verdict: null, accepts: [] },
+      proposal: { key, change, voters, ballot, highest: ballot, phase: 'prepare', promises: {}, refusedBy: [], read: undefined, proposed: undefined, verdict: null, accepts: [] },
       moves: voters.map((to) => ({ kind: 'prepare', to, ballot })),
     };
   },
@@ -89,19 +112,16 @@
    * Proposer.voted(proposal, 'a', 'disk-1', 'prepare', [1, 'jig'], { kind: 'yes', accepted: null })
    */
   voted: (proposal: Proposal, voter: Voter, disk: string, phase: 'prepare' | 'accept', ballot: Ballot, vote: Vote): Turn => {
-    if (proposal.phase !== phase || Ballots.compare(ballot, proposal.ballot) !== 0) return still(proposal);
-    if (vote.kind === 'no') {
-      const highest = Ballots.compare(vote.promised, proposal.highest) > 0 ? vote.promised : proposal.highest;
-      const refusals = proposal.refusals + 1;
-      const next = { ...proposal, highest, refusals };
-      return refusals > proposal.voters.length - majorityOf(proposal.voters.length) ? { proposal: next, moves: [{ kind: 'outvoted' }] } : still(next);
-    }
+    if (proposal.phase === 'done' || Ballots.compare(ballot, proposal.ballot) !== 0) return still(proposal);
+    if (proposal.phase === 'prepare' && phase === 'accept') return still(proposal);
+    if (vote.kind === 'no') return refused(proposal, voter, vote.promised);
+    if (phase === 'prepare' && proposal.phase === 'accept') return lateToAccept(proposal, voter, disk, vote);
     if (phase === 'prepare') return toAccept({ ...proposal, promises: { ...proposal.promises, [voter]: { disk, vote } } });
     if (proposal.accepts.includes(voter)) return still(proposal);
     const next = { ...proposal, accepts: [...proposal.accepts, voter] };
     if (next.accepts.length < majorityOf(next.voters.length)) return still(next);
     return ended(next, next.verdict?.kind === 'refuse'
       ? { kind: 'refused', reason: next.verdict.reason, value: next.proposed }
-      : { kind: 'chosen', ballot: next.ballot, value: next.proposed, wrote: true });
+      : { kind: 'chosen', ballot: next.ballot, value: next.proposed, wrote: true, read: next.read });
   },
 } as const;
