--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -85,6 +85,15 @@
   hanging: 900,
   /** ms. One phase of a ballot before it is tried again with a higher one. */
   ballotPhase: 600,
+  /** ms. The first try of a ballot's first phase before it is opened anew; each further one may take twice as
+   *  long. Over two trips between regions 35 ms apart and the syncs of a disk; the busiest processes take longer. */
+  firstPrepare: 150,
+  /** ms. Accepts and facts are sent again to replicas that have not answered: both may be taken twice. */
+  resend: 150,
+  /** ms. An order for a zone is proposed this long at most: its caller goes to another node after a second. */
+  zoneOrder: 1_000,
+  /** ms. A change may be sent again this long, and is then still made once: an operator repeats for seconds. */
+  repeatWindow: 30_000,
   /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
   proposal: 4_000,
   /** ms. A partner whose heartbeat stood still this long gets no forwarded requests. */
@@ -181,8 +190,8 @@
   view: 8,
   /** partners swapped in one shuffle. */
   shuffle: 4,
-  /** change ids remembered in a register, so that a lost proposer can learn its fate. */
-  recentChanges: 64,
+  /** bytes of the change ids remembered in a register: some 900 changes within the repeat window. */
+  recentChangeBytes: 64 * 1024,
   /** bytes of log after which a snapshot is written and older segments are dropped. */
   segment: 8 * 1024 * 1024,
   /** claims that an anvil keeps: an hour of 139 a second, some 600 MB. A new one past that is refused. */
--- /dev/null
+++ b/packages/jig/src/answers.ts
@@ -0,0 +1,42 @@
+/** Answers to operators and origins that several modules give. */
+import { Limits } from '@reedyard/gauge';
+
+/** What an operator's or origin's call is answered. */
+export type ApiAnswer = {
+  readonly status: number;
+  readonly body: unknown;
+  readonly retryAfter?: number;
+};
+
+const problem = (status: number, title: string, detail: string): ApiAnswer => ({
+  status,
+  body: { type: 'about:blank', title, status, detail },
+});
+
+/**
+ * A refusal that holds: the call is not to be repeated.
+ *
+ * @example
+ * refusal(412, 'Stale serial', 'Serial 7 is in force.').status // 412
+ */
+export const refusal = (status: number, title: string, detail: string): ApiAnswer =>
+  problem(status, title, detail);
+
+/** No clear answer: the call is to be repeated. */
+export const unavailable = (title: string, detail: string): ApiAnswer => ({
+  ...problem(503, title, detail),
+  retryAfter: Limits.retryAfterSeconds,
+});
+
+/** No majority answered in time. */
+export const unreached = (what: string): ApiAnswer =>
+  unavailable(
+    'No majority reached',
+    `${what} was not acknowledged; it may yet take effect. Repeat it with the same change id.`,
+  );
+
+/** Told while fewer disks vote than are needed to bear the losses that must be borne. */
+export const tooFewVoters: ApiAnswer = unavailable(
+  'Too few voters',
+  'Too few machines with a disk vote as yet; nothing was changed. Repeat it.',
+);
--- a/packages/jig/src/api.ts
+++ b/packages/jig/src/api.ts
@@ -13,6 +13,18 @@
 /** What is to be answered. */
 export type Reply = { readonly status: number; readonly body: unknown; readonly retryAfter?: number };
 
+/** Performs an action; the signal tells that its caller is gone. */
+export type Act = (action: Action, signal?: AbortSignal) => Promise<Reply>;
+
+/** A signal for the connection of a request: it is aborted where the caller closes before the answer is written. */
+const signalOf = (response: http.ServerResponse): AbortSignal => {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+};
+
 const readBytes = (request: http.IncomingMessage, most: number): Promise<Buffer> => new Promise((resolve, reject) => {
   const chunks: Buffer[] = [];
   let size = 0;
@@ -82,9 +94,10 @@
  * @example
  * const server = apiServer((action) => perform(action));
  */
-export const apiServer = (act: (action: Action) => Promise<Reply>): http.Server => {
+export const apiServer = (act: Act): http.Server => {
   const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 }, (request, response) => {
-    void actionOf(request).then(act).catch(problemOf).then((reply) => {
+    const signal = signalOf(response);
+    void actionOf(request).then((action) => act(action, signal)).catch(problemOf).then((reply) => {
       const text = JSON.stringify(reply.body);
       const serial = (reply.body as { readonly serial?: unknown }).serial;
       response.writeHead(reply.status, {
@@ -102,7 +115,7 @@
 };
 
 /** A request and an answer of an API in another form. */
-export type ApiRequest = { readonly method: string; readonly target: string; readonly headers: http.IncomingHttpHeaders; readonly body: Buffer };
+export type ApiRequest = { readonly method: string; readonly target: string; readonly headers: http.IncomingHttpHeaders; readonly body: Buffer; /** Aborted where the caller is gone. */ readonly signal?: AbortSignal };
 export type ApiResponse = { readonly status: number; readonly headers: Readonly<Record<string, string>>; readonly body: string };
 export type Api = {
   /** Bytes that the body of a request may have; a larger one is answered with 413. */
@@ -119,11 +132,12 @@
 export const translatedServer = (api: Api): http.Server => {
   const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 }, (request, response) => {
     const [method, target] = [request.method ?? 'GET', request.url ?? '/'];
+    const signal = signalOf(response);
     const failed = (thrown: unknown): ApiResponse => {
       const { status, body } = problemOf(thrown);
       return { status, headers: { 'content-type': 'application/problem+json' }, body: JSON.stringify(body) };
     };
-    void readBytes(request, api.mostBytes(method, target)).then((body) => api.answer({ method, target, headers: request.headers, body })).catch(failed).then(({ status, headers, body }) => {
+    void readBytes(request, api.mostBytes(method, target)).then((body) => api.answer({ method, target, headers: request.headers, body, signal })).catch(failed).then(({ status, headers, body }) => {
       response.writeHead(status, { ...headers, 'content-length': String(Buffer.byteLength(body)), ...(status === 413 ? { connection: 'close' } : {}) });
       response.end(body);
     });
--- /dev/null
+++ b/packages/jig/src/ballots.test.ts
@@ -0,0 +1,223 @@
+import test from 'ava';
+import { Limits } from '@reedyard/gauge';
+import { Ballots, type Ballot } from '@reedyard/latch';
+import type { AnvilCall, AnvilReply } from '@reedyard/anvil';
+import { Stencil } from '@reedyard/stencil';
+import { Jig } from './core.js';
+import { learnRegister } from './pulls.js';
+import type { JigState, Work } from './state.js';
+import type { Action, JigEffect, JigEvent } from './terms.js';
+
+const replicas = ['a', 'b', 'c'];
+const self = { id: 'n', hall: 'west', region: 'r', address: 'n/jig', lathe: null, anvil: null };
+
+/** A call of the agent to a replica that has not been answered yet. */
+type Call = { readonly id: number; readonly to: string; readonly call: AnvilCall };
+
+/** An agent whose replicas are played by the test. */
+class Bench {
+  state: JigState;
+  now = 0;
+  calls: Call[] = [];
+  readonly answers = new Map<number, { readonly status: number; readonly body: unknown }>();
+  readonly wakes: number[] = [];
+  #caller = 0;
+
+  constructor() {
+    const founders = Object.fromEntries(replicas.map((name) => [name, name]));
+    const opened = Jig.open({ self, life: 'l', seeds: [], founders, seed: 1, now: 0 });
+    const work: Work = { state: opened, effects: [] };
+    const disks = Object.fromEntries(replicas.map((name) => [name, `disk-${name}`]));
+    learnRegister(work, 'voters', [1, 'x'], { epoch: 1, disks });
+    this.state = work.state;
+  }
+
+  step(event: JigEvent): void {
+    const { state, effects } = Jig.reduce(this.state, event);
+    this.state = state;
+    for (const effect of effects) this.#take(effect);
+  }
+
+  #take(effect: JigEffect): void {
+    if (effect.kind === 'call' && effect.path === '/anvil') {
+      this.calls.push({ id: effect.id, to: effect.to, call: effect.body.call });
+    }
+    if (effect.kind === 'answer') this.answers.set(effect.id, effect);
+    if (effect.kind === 'wake') this.wakes.push(this.now + effect.inMs);
+  }
+
+  order(action: Action): number {
+    this.#caller += 1;
+    this.step({ kind: 'operator', id: this.#caller, action, now: this.now });
+    return this.#caller;
+  }
+
+  /** Answers every call of one kind that waits. */
+  vote(kind: 'prepare' | 'accept', accepted: { readonly ballot: Ballot; readonly value: unknown } | null = null): void {
+    const due = this.calls.filter(({ call }) => call.kind === kind);
+    this.calls = this.calls.filter(({ call }) => call.kind !== kind);
+    for (const { id, to } of due) {
+      const body: AnvilReply = { kind: 'vote', disk: `disk-${to}`, vote: { kind: 'yes', accepted } };
+      this.step({ kind: 'returned', id, body, now: this.now });
+    }
+  }
+
+  refuse(kind: 'prepare' | 'accept', promised: Ballot): void {
+    const due = this.calls.filter(({ call }) => call.kind === kind);
+    this.calls = this.calls.filter(({ call }) => call.kind !== kind);
+    for (const { id, to } of due) {
+      const body: AnvilReply = { kind: 'vote', disk: `disk-${to}`, vote: { kind: 'no', promised } };
+      this.step({ kind: 'returned', id, body, now: this.now });
+    }
+  }
+
+  /** Ballots of the calls of one kind that wait. */
+  ballots(kind: 'prepare' | 'accept'): readonly Ballot[] {
+    const all = this.calls.flatMap(({ call }) => (call.kind === 'prepare' || call.kind === 'accept' ? [call] : []));
+    const mine = all.filter((call) => call.kind === kind).map((call) => call.ballot);
+    return mine.filter((ballot, at) => mine.findIndex((each) => Ballots.compare(each, ballot) === 0) === at);
+  }
+
+  statusOf(id: number): number | undefined {
+    return this.answers.get(id)?.status;
+  }
+}
+
+const zoneOrder = (hall: string, order: 'empty' | 'take-back', changeId: string): Action => ({
+  kind: 'hall', hall, order, of: 'origins', changeId,
+});
+const put = (version: number, changeId: string, note = ''): Action => ({
+  kind: 'put-policy', ifMatch: null, changeId,
+  document: Stencil.policy({ version, services: {}, routes: [], notes: { note } }),
+});
+const closedIn = (body: unknown): readonly string[] =>
+  (body as { readonly closedOrigins: readonly string[] }).closedOrigins;
+
+test('eight orders at once on one register take two ballots, one after the other', (t) => {
+  const bench = new Bench();
+  const orders = Array.from({ length: 8 }, (_, index) => bench.order(zoneOrder(`zone-${index}`, 'empty', `id-${index}`)));
+  t.is(bench.ballots('prepare').length, 1);
+  bench.vote('prepare');
+  t.deepEqual(bench.calls.map(({ call }) => call.kind), ['accept', 'accept', 'accept']);
+  const [first] = bench.calls;
+  const accepted = first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
+  bench.vote('accept');
+  t.is(bench.statusOf(orders[0] ?? 0), 200);
+  t.deepEqual(orders.slice(1).map((id) => bench.statusOf(id)), Array.from({ length: 7 }, () => undefined));
+  const [second] = bench.ballots('prepare');
+  t.true(second !== undefined && accepted !== null && Ballots.compare(second, accepted.ballot) > 0);
+  bench.vote('prepare', accepted);
+  bench.vote('accept');
+  t.deepEqual(orders.map((id) => bench.statusOf(id)), orders.map(() => 200));
+  const serials = orders.map((id) => (bench.answers.get(id)?.body as { readonly serial: number }).serial);
+  t.deepEqual(serials, [1, 2, 3, 4, 5, 6, 7, 8]);
+  t.deepEqual(bench.state.runs, {});
+  t.deepEqual(bench.state.pursuits, {});
+});
+
+test('changes of one ballot are made in the order in which they came, and each is told its own end', (t) => {
+  const bench = new Bench();
+  const held = bench.order(put(7, 'a', 'x'));
+  const [same, other, older, newer] = [put(7, 'b', 'x'), put(7, 'c', 'y'), put(3, 'd'), put(9, 'e')].map((each) => bench.order(each));
+  const read = bench.order({ kind: 'get-policy' });
+  bench.vote('prepare');
+  const [first] = bench.calls;
+  const accepted = first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
+  bench.vote('accept');
+  bench.vote('prepare', accepted);
+  bench.vote('accept');
+  const ends = [held, same, other, older, newer].map((id) => bench.statusOf(id ?? 0));
+  t.deepEqual(ends, [200, 200, 412, 200, 200]);
+  const policy = (bench.answers.get(read)?.body as { readonly policy: { readonly version: number } }).policy;
+  t.is(policy.version, 9);
+});
+
+test('a read that comes while a ballot is under way joins none whose promises may be older than it', (t) => {
+  const bench = new Bench();
+  bench.order({ kind: 'get-policy' });
+  const second = bench.order({ kind: 'get-policy' });
+  bench.vote('prepare');
+  t.is(bench.statusOf(second), undefined);
+  t.is(bench.ballots('prepare').length, 1);
+  bench.vote('prepare');
+  t.is(bench.statusOf(second), 200);
+});
+
+test('an order whose caller is gone before its second phase is proposed no further; the others of its ballot are', (t) => {
+  const bench = new Bench();
+  const [gone, stays] = [bench.order(zoneOrder('west', 'empty', '1')), bench.order(zoneOrder('east', 'empty', '2'))];
+  bench.step({ kind: 'caller-gone', id: gone, now: 0 });
+  bench.vote('prepare');
+  bench.vote('accept');
+  bench.vote('prepare');
+  bench.vote('accept');
+  t.is(bench.statusOf(gone), undefined);
+  t.deepEqual(closedIn(bench.answers.get(stays)?.body), ['east']);
+});
+
+test('an order whose caller is gone in its second phase gets no further ballot', (t) => {
+  const bench = new Bench();
+  const gone = bench.order(zoneOrder('west', 'empty', '1'));
+  bench.vote('prepare');
+  bench.step({ kind: 'caller-gone', id: gone, now: 0 });
+  bench.refuse('accept', [9, 'z']);
+  bench.now = 5_000;
+  bench.step({ kind: 'woken', now: bench.now });
+  t.deepEqual(bench.ballots('prepare'), []);
+  t.deepEqual([bench.state.runs, bench.state.pursuits], [{}, {}]);
+});
+
+test('an order that was outvoted by a later one for its zone is not made after it', (t) => {
+  const bench = new Bench();
+  const late = bench.order(zoneOrder('west', 'empty', '1'));
+  bench.vote('prepare');
+  bench.refuse('accept', [9, 'z']);
+  bench.now = 300;
+  bench.step({ kind: 'woken', now: bench.now });
+  const value = { serial: 5, emptied: [], closedOrigins: [], reopened: {}, lastOrders: { west: 5 }, changes: [] };
+  bench.vote('prepare', { ballot: [9, 'z'], value });
+  t.is(bench.statusOf(late), 503);
+  t.deepEqual(bench.ballots('accept'), []);
+});
+
+test('an order that was taken though its node saw no majority of votes is acknowledged again, not refused', (t) => {
+  const bench = new Bench();
+  const order = bench.order(zoneOrder('west', 'empty', '1'));
+  bench.vote('prepare');
+  const [first] = bench.calls;
+  const accepted = first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
+  bench.calls = [];
+  bench.now = Limits.ballotPhase + 1;
+  bench.step({ kind: 'woken', now: bench.now });
+  bench.vote('prepare', accepted);
+  t.is(bench.statusOf(order), 200);
+  t.deepEqual(closedIn(bench.answers.get(order)?.body), ['west']);
+});
+
+test('accepts are sent again to replicas that have not answered, in the same ballot', (t) => {
+  const bench = new Bench();
+  bench.order(zoneOrder('west', 'empty', '1'));
+  bench.vote('prepare');
+  const [ballot] = bench.ballots('accept');
+  bench.calls = [];
+  t.deepEqual(bench.wakes, [Limits.resend]);
+  bench.now = Limits.resend;
+  bench.step({ kind: 'woken', now: bench.now });
+  t.deepEqual(bench.ballots('accept'), ballot === undefined ? [] : [ballot]);
+  t.deepEqual(bench.ballots('prepare'), []);
+});
+
+test('an outvoted proposer waits for a time that grows with each further try', (t) => {
+  const bench = new Bench();
+  bench.order(zoneOrder('west', 'empty', '1'));
+  const waits: number[] = [];
+  for (let round = 2; round < 12; round += 1) {
+    bench.refuse('prepare', [10 * round, 'z']);
+    const wake = bench.wakes.at(-1) ?? 0;
+    waits.push(wake - bench.now);
+    bench.now = wake;
+    bench.step({ kind: 'woken', now: bench.now });
+  }
+  t.true(Math.max(...waits.slice(0, 2)) < Math.max(...waits.slice(4)));
+  t.true(waits.every((wait) => wait <= 128), waits.join());
+});
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -1,265 +1,330 @@
-import { Limits, Sizes } from '@reedyard/gauge';
-import { Ballots, majorityOf, Proposer, type Ballot, type Change, type Turn } from '@reedyard/latch';
-import type { AnvilReply, Fact, Voters } from '@reedyard/anvil';
-import type { Plan } from '@reedyard/ladle';
-import type { HallOrder } from '@reedyard/stencil';
-import { chance, counts, hallsValueOf, log, sendToAnvil, set, takeId, watched, without, type Purpose, type Pursuit, type Watched, type Work } from './state.js';
-import { Spindle } from '@reedyard/spindle';
-import type { ClaimState, ClaimValue, HallsValue, NodeRecord, PolicyValue } from './terms.js';
+/**
+ * Ballots of this node. Each register has at most one under way here: changes that come meanwhile wait, and the next
+ * ballot makes all of them, each on what the one before it left. So changes of one node never outvote each other, and
+ * are made in the order in which they came.
+ *
+ * A change joins only a ballot that is opened after it came. Joining one whose promises may have been given before
+ * could answer a read with a value that was replaced before the read was asked for.
+ */
+import { Limits } from '@reedyard/gauge';
+import { Ballots, Proposer, type Ballot, type Change, type Changed, type Turn } from '@reedyard/latch';
+import type { AnvilReply } from '@reedyard/anvil';
+import { finish, type Outcome } from './completion.js';
+import type { Reading, RegisterChange } from './changes.js';
 import { learnRegister } from './pulls.js';
+import {
+  chance,
+  counts,
+  log,
+  sendToAnvil,
+  set,
+  takeId,
+  watched,
+  without,
+  type BallotRun,
+  type IncludedChange,
+  type JigState,
+  type Purpose,
+  type Pursuit,
+  type Retries,
+  type Watched,
+  type Work,
+} from './state.js';
+
+/**
+ * The wait of an outvoted proposer is drawn from a span that doubles each time: at first four times what an exchange
+ * with the replicas took, two ballots, so that the one that won can end; at most 32 times, which is room for sixteen.
+ */
+const Backoff = { leastExchange: 4, firstExchanges: 4, mostExchanges: 32, longest: 640 } as const;
+
+const noRetries: Retries = { outvoted: 0, timedOut: 0 };
 
 const isWatched = (key: string): key is Watched => (watched as readonly string[]).includes(key);
 
-const play = (work: Work, which: number, pursuit: Pursuit, turn: Turn): void => {
-  set(work, { pursuits: { ...work.state.pursuits, [which]: { ...pursuit, proposal: turn.proposal } } });
+/** The changes that wait for a ballot on a register, the oldest first. */
+const waitingFor = (state: JigState, key: string): readonly IncludedChange[] =>
+  Object.entries(state.pursuits).flatMap(([id, pursuit]) =>
+    pursuit.key === key ? [{ id: Number(id), pursuit }] : [],
+  );
+
+/** The changes of a ballot that are still wanted. */
+const wantedOf = (state: JigState, run: BallotRun): readonly IncludedChange[] =>
+  run.included.filter(({ id }) => state.pursuits[id] !== undefined);
+
+/** What a change made of the value it was applied to, and what it left. */
+type Applied = IncludedChange & { readonly changed: Changed; readonly value: unknown };
+
+/** Applies changes one after the other to what a ballot read; tells of each what it made and what it left. */
+const applyAll = (included: readonly IncludedChange[], read: unknown): readonly Applied[] => {
+  let current = read;
+  return included.map(({ id, pursuit }) => {
+    const reading: Reading | undefined =
+      pursuit.firstRead === null ? undefined : { first: pursuit.firstRead.value, now: read };
+    const changed = pursuit.change(current, reading);
+    if (changed.kind === 'write') current = changed.value;
+    return { id, pursuit, changed, value: current };
+  });
+};
+
+/** All changes of a ballot as one. Refusals are told to those they concern, and don't hold up the others. */
+const combine =
+  (included: readonly IncludedChange[]): Change =>
+  (current) => {
+    const applied = applyAll(included, current);
+    const last = applied.at(-1);
+    const isWritten = applied.some(({ changed }) => changed.kind === 'write');
+    return last !== undefined && isWritten ? { kind: 'write', value: last.value } : { kind: 'keep' };
+  };
+
+const setRun = (work: Work, key: string, run: BallotRun): void => {
+  set(work, { runs: { ...work.state.runs, [key]: run } });
+};
+
+const sendMoves = (work: Work, turn: Turn): void => {
   const { key } = turn.proposal;
   for (const move of turn.moves) {
-    if (move.kind === 'prepare' || move.kind === 'accept') {
-      const anvil = work.state.anvils[move.to];
-      if (anvil === undefined) continue;
-      sendToAnvil(work, anvil.address,
-        move.kind === 'prepare' ? { kind: 'prepare', key, ballot: move.ballot } : { kind: 'accept', key, ballot: move.ballot, value: move.value, disk: move.disk },
-        { kind: 'vote', pursuit: which, anvil: move.to, phase: move.kind, ballot: move.ballot });
-    } else if (move.kind === 'outvoted') {
-      again(work, which);
-    } else {
-      set(work, { pursuits: without(work.state.pursuits, which) });
-      if (move.kind === 'chosen') {
-        if (isWatched(key) && move.ballot !== null) learnRegister(work, key, move.ballot, move.value);
-        else if (move.ballot !== null) set(work, { claims: work.state.claims.map((span, index) => (index === 0 ? span.set(key, { ballot: move.ballot as Ballot, value: move.value }) : span)) });
-        finish(work, pursuit.purpose, { kind: 'chosen', value: move.value });
-      } else finish(work, pursuit.purpose, { kind: 'refused', reason: move.reason, value: move.value });
-    }
+    if (move.kind !== 'prepare' && move.kind !== 'accept') continue;
+    const anvil = work.state.anvils[move.to];
+    if (anvil === undefined) continue;
+    const { ballot } = move;
+    const call =
+      move.kind === 'prepare'
+        ? ({ kind: 'prepare', key, ballot } as const)
+        : ({ kind: 'accept', key, ballot, value: move.value, disk: move.disk } as const);
+    sendToAnvil(work, anvil.address, call, { kind: 'vote', key, anvil: move.to, phase: move.kind, ballot });
   }
 };
 
-/** Opens a proposal again a little later, at random, so that two proposers do not outvote each other for ever. */
-const again = (work: Work, which: number): void => {
-  const pursuit = work.state.pursuits[which];
-  if (pursuit === undefined) return;
-  const wait = 10 + 120 * chance(work);
-  set(work, { pursuits: { ...work.state.pursuits, [which]: { ...pursuit, again: work.state.now + wait } } });
+/** Drops the changes of a register whose callers are gone. */
+const dropAbandoned = (work: Work, key: string): void => {
+  for (const { id, pursuit } of waitingFor(work.state, key)) {
+    if (pursuit.isAbandoned) set(work, { pursuits: without(work.state.pursuits, id) });
+  }
 };
 
-/** Opens a proposal; what becomes of it is told by its purpose. */
-export const pursue = (work: Work, key: string, change: Change, purpose: Purpose): void => {
-  const which = takeId(work);
-  const turn = Proposer.open(key, change, Object.keys(work.state.anvils), work.state.highestBallot, work.state.self.id);
-  play(work, which, { proposal: turn.proposal, purpose, openedAt: work.state.now, phaseAt: work.state.now, again: null }, turn);
+/** Opens a ballot for all changes that wait for a register. */
+const openRun = (work: Work, key: string, retries: Retries = noRetries): void => {
+  dropAbandoned(work, key);
+  const waiting = waitingFor(work.state, key);
+  if (waiting.length === 0) {
+    set(work, { runs: without(work.state.runs, key) });
+    return;
+  }
+  const { state } = work;
+  const members = Object.keys(state.anvils);
+  const turn = Proposer.open(key, combine(waiting), members, state.highestBallot, state.self.id);
+  set(work, { highestBallot: turn.proposal.ballot });
+  setRun(work, key, {
+    proposal: turn.proposal,
+    included: waiting,
+    phaseAt: state.now,
+    sentAt: state.now,
+    retries,
+    retryAt: null,
+  });
+  sendMoves(work, turn);
 };
 
-export const tookVote = (work: Work, which: number, anvil: string, phase: 'prepare' | 'accept', ballot: Ballot, reply: AnvilReply): void => {
-  const pursuit = work.state.pursuits[which];
-  // There is no room for another key: told at once, not after its whole limit.
-  if (pursuit !== undefined && reply.kind === 'full') { set(work, { pursuits: without(work.state.pursuits, which) }); finish(work, pursuit.purpose, { kind: 'unknown' }); return; }
-  if (pursuit === undefined || reply.kind !== 'vote' || !counts(work.state, anvil, reply.disk)) return;
-  if (reply.vote.kind === 'no' && Ballots.compare(reply.vote.promised, work.state.highestBallot) > 0) set(work, { highestBallot: reply.vote.promised });
-  const before = pursuit.proposal.phase;
-  const turn = Proposer.voted(pursuit.proposal, anvil, reply.disk, phase, ballot, reply.vote);
-  play(work, which, turn.proposal.phase === before ? pursuit : { ...pursuit, phaseAt: work.state.now }, turn);
+/** Notes what the register held when changes were first applied. */
+const noteFirstRead = (work: Work, run: BallotRun, read: unknown): void => {
+  const noted = wantedOf(work.state, run).flatMap(({ id, pursuit }) =>
+    pursuit.firstRead === null ? [[id, { ...pursuit, firstRead: { value: read } }] as const] : [],
+  );
+  set(work, { pursuits: { ...work.state.pursuits, ...Object.fromEntries(noted) } });
 };
 
-/** Looks after proposals that wait, hang or have taken too long. */
-export const tendPursuits = (work: Work): void => {
-  const { now } = work.state;
-  for (const [name, pursuit] of Object.entries(work.state.pursuits)) {
-    const which = Number(name);
-    if (now - pursuit.openedAt > Limits.proposal) {
-      set(work, { pursuits: without(work.state.pursuits, which) });
-      finish(work, pursuit.purpose, { kind: 'unknown' });
-    } else if (pursuit.again !== null ? now >= pursuit.again : now - pursuit.phaseAt > Limits.ballotPhase) {
-      const { key, change } = pursuit.proposal;
-      const above = Ballots.compare(work.state.highestBallot, pursuit.proposal.highest) > 0 ? work.state.highestBallot : pursuit.proposal.highest;
-      const turn = Proposer.open(key, change, Object.keys(work.state.anvils), above, work.state.self.id);
-      play(work, which, { ...pursuit, phaseAt: now, again: null }, turn);
-    }
+const outcomeOf = ({ changed, value }: Applied): Outcome =>
+  changed.kind === 'refuse' ? { kind: 'refused', reason: changed.reason, value } : { kind: 'chosen', value };
+
+/** Takes in what a ballot chose, and tells each of its changes how it ended. */
+const conclude = (
+  work: Work,
+  run: BallotRun,
+  chosen: { readonly ballot: Ballot | null; readonly value: unknown; readonly read: unknown },
+): void => {
+  const { key } = run.proposal;
+  const isWanted = ({ id }: Applied): boolean => work.state.pursuits[id] !== undefined;
+  const applied = applyAll(run.included, chosen.read).filter(isWanted);
+  const pursuits = applied.reduce((left, { id }) => without(left, id), work.state.pursuits);
+  set(work, { pursuits, runs: without(work.state.runs, key) });
+  if (chosen.ballot !== null) learnChosen(work, key, chosen.ballot, chosen.value);
+  for (const each of applied) finish(work, each.pursuit.purpose, outcomeOf(each));
+  if (work.state.runs[key] === undefined) openRun(work, key);
+};
+
+const learnChosen = (work: Work, key: string, ballot: Ballot, value: unknown): void => {
+  if (isWatched(key)) {
+    learnRegister(work, key, ballot, value);
+    return;
   }
+  const [newest, ...older] = work.state.claims;
+  if (newest !== undefined) set(work, { claims: [newest.set(key, { ballot, value }), ...older] });
 };
 
-type End = { readonly kind: 'chosen'; readonly value: unknown } | { readonly kind: 'refused'; readonly reason: string; readonly value: unknown } | { readonly kind: 'unknown' };
+/** Waits before the next ballot, at random and longer each time, so that proposers don't outvote each other for ever. */
+const backOff = (work: Work, run: BallotRun): void => {
+  const exchange = Math.max(Backoff.leastExchange, work.state.now - run.phaseAt);
+  const exchanges = Math.min(Backoff.mostExchanges, Backoff.firstExchanges * 2 ** run.retries.outvoted);
+  const wait = Math.min(Backoff.longest, exchange * exchanges) * chance(work);
+  setRun(work, run.proposal.key, { ...run, retryAt: work.state.now + wait });
+  work.effects.push({ kind: 'wake', inMs: wait });
+};
 
-export const unreached = (what: string): { readonly status: number; readonly body: unknown; readonly retryAfter: number } => ({
-  status: 503, retryAfter: Limits.retryAfterSeconds,
-  body: { type: 'about:blank', title: 'No majority reached', status: 503, detail: `${what} was not acknowledged; it may yet take effect. Repeat it with the same change id.` },
-});
+/** Proposes a change of a register; what becomes of it is told by its purpose. */
+export const pursue = (work: Work, key: string, change: RegisterChange, purpose: Purpose): void => {
+  const id = takeId(work);
+  const pursuit: Pursuit = { key, change, purpose, openedAt: work.state.now, firstRead: null, isAbandoned: false };
+  set(work, { pursuits: { ...work.state.pursuits, [id]: pursuit } });
+  if (work.state.runs[key] === undefined) openRun(work, key);
+};
 
-const finish = (work: Work, purpose: Purpose, end: End): void => {
-  switch (purpose.kind) {
-    case 'put-policy': {
-      if (end.kind === 'unknown') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The policy') }); return; }
-      const value = end.value as PolicyValue | null;
-      if (end.kind === 'refused') {
-        work.effects.push({ kind: 'answer', id: purpose.id, status: 412, body: { type: 'about:blank', title: 'Stale serial', status: 412, detail: end.reason, serial: value?.serial ?? 0 } });
-        return;
-      }
-      const serial = value?.changes.find((change) => change.id === purpose.changeId)?.serial ?? value?.serial ?? 0;
-      log(work, 'policy.acknowledged', { serial, change: purpose.changeId });
-      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial, changeId: purpose.changeId } });
-      return;
-    }
-    case 'get-policy': {
-      if (end.kind !== 'chosen') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The read') }); return; }
-      const value = end.value as PolicyValue | null;
-      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value?.serial ?? 0, policy: value?.document ?? { services: {}, routes: [] } } });
-      return;
-    }
-    case 'hall': {
-      if (end.kind !== 'chosen') { work.effects.push({ kind: 'answer', id: purpose.id, ...unreached('The order') }); return; }
-      const value = hallsValueOf(end.value);
-      log(work, 'halls.acknowledged', { serial: value.serial, emptied: value.emptied.join(','), closedOrigins: value.closedOrigins.join(',') });
-      work.effects.push({ kind: 'answer', id: purpose.id, status: 200, body: { serial: value.changes.find((change) => change.id === purpose.changeId)?.serial ?? value.serial, emptied: value.emptied, closedOrigins: value.closedOrigins } });
-      return;
-    }
-    case 'plan': {
-      const { state } = work;
-      const own = end.kind === 'chosen' ? (end.value as Plan) : null;
-      if (own === null || own.holder !== state.self.id || own.term !== purpose.goal.term || own.beat !== purpose.goal.beat) {
-        if (state.duty !== null) log(work, 'duty.lost', { term: purpose.goal.term, how: end.kind });
-        set(work, { duty: null });
-        return;
-      }
-      if (state.duty === null || state.duty.term !== own.term) {
-        log(work, 'duty.won', { term: own.term });
-        set(work, { duty: { term: own.term, held: [] } });
-      } else {
-        // Chosen now: from here on its forerunners last one lease more, no longer.
-        const last = state.now + Limits.regrant;
-        set(work, { duty: { ...state.duty, held: state.duty.held.map((each) => ({ ...each, until: Math.min(each.until, last) })) } });
-      }
-      return;
-    }
-    case 'claim':
-      work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'chosen' ? { kind: 'granted' }
-        : end.kind === 'refused' ? end.reason === 'other' ? { kind: 'other' } : { kind: 'taken', state: claimState(work, end.value as ClaimValue) } : { kind: 'unreached' } });
-      return;
-    case 'settle':
-      work.effects.push({ kind: 'tell', id: purpose.id, body: end.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' } });
-      return;
-    case 'repair': return;
-    case 'seat':
-      if (end.kind === 'chosen') log(work, purpose.instead === undefined ? 'voters.seated' : 'voters.replaced', { anvil: purpose.anvil, disk: purpose.disk, ...(purpose.instead === undefined ? {} : { instead: purpose.instead }) });
-      return;
+export const tookVote = (
+  work: Work,
+  key: string,
+  anvil: string,
+  phase: 'prepare' | 'accept',
+  ballot: Ballot,
+  reply: AnvilReply,
+): void => {
+  const run = work.state.runs[key];
+  if (run === undefined) return;
+  if (reply.kind === 'full') {
+    // There is no room for another key: told at once, not after its whole limit.
+    for (const { id, pursuit } of wantedOf(work.state, run)) giveUp(work, id, pursuit);
+    openRun(work, key);
+    return;
   }
+  if (reply.kind !== 'vote' || !counts(work.state, anvil, reply.disk)) return;
+  const { vote } = reply;
+  if (vote.kind === 'no' && Ballots.compare(vote.promised, work.state.highestBallot) > 0) {
+    set(work, { highestBallot: vote.promised });
+  }
+  advance(work, run, Proposer.voted(run.proposal, anvil, reply.disk, phase, ballot, vote));
 };
 
-/** A claim that is pending in a life that is over has no known outcome any more. */
-const claimState = (work: Work, claim: ClaimValue): ClaimState => {
-  if (claim.state !== 'pending') return claim.state;
-  const record = Spindle.get(work.state.spindle, `node/${claim.node}`) as NodeRecord | undefined | null;
-  return record && record.latheLife === claim.life ? 'pending' : 'unknown';
+/** Goes on with a ballot after a vote. */
+const advance = (work: Work, run: BallotRun, turn: Turn): void => {
+  const { now } = work.state;
+  const isNewPhase = turn.proposal.phase !== run.proposal.phase;
+  const next: BallotRun = {
+    ...run,
+    proposal: turn.proposal,
+    phaseAt: isNewPhase ? now : run.phaseAt,
+    sentAt: isNewPhase ? now : run.sentAt,
+  };
+  setRun(work, turn.proposal.key, next);
+  if (isNewPhase && run.proposal.phase === 'prepare') noteFirstRead(work, next, turn.proposal.read);
+  sendMoves(work, turn);
+  if (isNewPhase && turn.proposal.phase === 'accept') work.effects.push({ kind: 'wake', inMs: Limits.resend });
+  for (const move of turn.moves) {
+    if (move.kind === 'outvoted' && next.retryAt === null) backOff(work, next);
+    if (move.kind === 'chosen') conclude(work, next, move);
+  }
 };
 
-const remember = (changes: PolicyValue['changes'], id: string, serial: number): PolicyValue['changes'] => [...changes, { id, serial }].slice(-Sizes.recentChanges);
+const timeoutOf = (purpose: Purpose): number => (purpose.kind === 'hall' ? Limits.zoneOrder : Limits.proposal);
 
-/** The changes that are made to registers. Each knows its own earlier work by an id in the value. */
-export const Changes = {
-  policy: (document: PolicyValue['document'], ifMatch: number | null, changeId: string): Change => (current) => {
-    const old = current as PolicyValue | null;
-    if (old?.changes.some((change) => change.id === changeId) === true) return { kind: 'keep' };
-    const serial = old?.serial ?? 0;
-    if (ifMatch !== null && ifMatch !== serial) return { kind: 'refuse', reason: `the policy in force has serial ${serial}, not ${ifMatch}` };
-    // Compared here, with what the ballot finds, so that of two operators at once the higher version stays.
-    const held = old?.document.version;
-    if (document.version !== undefined && held !== undefined && document.version <= held) return { kind: 'keep' };
-    return { kind: 'write', value: { serial: serial + 1, document, changes: remember(old?.changes ?? [], changeId, serial + 1) } satisfies PolicyValue };
-  },
-  halls: (hall: string, order: HallOrder['order'], of: HallOrder['of'], changeId: string): Change => (current) => {
-    const old = hallsValueOf(current);
-    if (old.changes.some((change) => change.id === changeId)) return { kind: 'keep' };
-    const serial = old.serial + 1;
-    const but = (halls: readonly string[]): readonly string[] => halls.filter((each) => each !== hall);
-    const emptied = of === 'origins' ? old.emptied : order === 'empty' ? [...but(old.emptied), hall] : but(old.emptied);
-    // While a hall is emptied as a whole, its origins can't be taken back by themselves.
-    const wasClosed = old.closedOrigins.includes(hall);
-    const closed = order === 'empty' || emptied.includes(hall);
-    return {
-      kind: 'write',
-      value: {
-        serial, emptied, closedOrigins: closed ? [...but(old.closedOrigins), hall] : but(old.closedOrigins),
-        reopened: wasClosed && !closed ? { ...old.reopened, [hall]: serial } : old.reopened, changes: remember(old.changes, changeId, serial),
-      } satisfies HallsValue,
-    };
-  },
-  claim: (token: string, node: string, life: string, digest: string): Change => (current) => {
-    const old = current as ClaimValue | null;
-    if (old !== null && old.digest !== digest) return { kind: 'refuse', reason: 'other' };
-    if (old === null || (old.state === 'not-run' && old.token !== token)) return { kind: 'write', value: { token, state: 'pending', node, life, digest } satisfies ClaimValue };
-    return old.token === token && old.state === 'pending' ? { kind: 'keep' } : { kind: 'refuse', reason: old.state };
-  },
-  settle: (token: string, state: ClaimState): Change => (current) => {
-    const old = current as ClaimValue | null;
-    return old === null || old.token !== token || old.state === state ? { kind: 'keep' } : { kind: 'write', value: { ...old, state } satisfies ClaimValue };
-  },
-  /** A holder's next division: fenced by the term. */
-  plan: (goal: Plan): Change => (current) => {
-    const old = current as Plan | null;
-    if (old !== null && old.term === goal.term && old.holder === goal.holder && old.beat === goal.beat) return { kind: 'keep' };
-    return old !== null && old.term === goal.term && old.holder === goal.holder && old.beat < goal.beat ? { kind: 'write', value: goal } : { kind: 'refuse', reason: 'fenced' };
-  },
-  /** A vacant duty: taken only if nothing moved since it was found vacant. */
-  takeDuty: (seen: Plan | null, goal: Plan): Change => (current) => {
-    const old = current as Plan | null;
-    if (old !== null && old.term === goal.term && old.holder === goal.holder) return { kind: 'keep' };
-    if ((old?.term ?? 0) !== (seen?.term ?? 0) || (old?.beat ?? 0) !== (seen?.beat ?? 0)) return { kind: 'refuse', reason: 'not vacant' };
-    return { kind: 'write', value: { ...goal, slices: old?.slices ?? {}, seated: old?.seated ?? [] } };
-  },
-  /** Gives an anvil's place to another disk: one at a time, and only by the voters just before. */
-  seat: (known: Voters, anvil: string, disk: string, address?: string): Change => (current) => {
-    const old = current as Voters | null;
-    if (old === null || (old.disks[anvil] === disk && (address === undefined || old.addresses?.[anvil] === address))) return { kind: 'keep' };
-    if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
-    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk }, ...(address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } }) } satisfies Voters };
-  },
-  /** Gives a place up, and another, of a disk without one, in its stead. */
-  replace: (known: Voters, gone: string, anvil: string, disk: string, address: string): Change => (current) => {
-    const old = current as Voters | null;
-    if (old === null || old.disks[anvil] === disk) return { kind: 'keep' };
-    if (old.epoch !== known.epoch || old.disks[gone] === undefined) return { kind: 'refuse', reason: 'the voters have changed' };
-    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...without(old.disks, gone), [anvil]: disk }, addresses: { ...without(old.addresses ?? {}, gone), [anvil]: address } } satisfies Voters };
-  },
-} as const;
+const giveUp = (work: Work, id: number, pursuit: Pursuit): void => {
+  set(work, { pursuits: without(work.state.pursuits, id) });
+  finish(work, pursuit.purpose, { kind: 'unknown' });
+};
 
-/** Under new voters nothing counts that was counted by the old ones: all that is under way begins again. */
-export const countAnew = (work: Work): void => {
-  const { state } = work;
-  set(work, {
-    pursuits: Object.fromEntries(Object.entries(state.pursuits).map(([which, pursuit]) => [which, { ...pursuit, again: state.now, proposal: { ...pursuit.proposal, phase: 'done' as const } }])),
-    postings: Object.fromEntries(Object.entries(state.postings).map(([which, posting]) => [which, { ...posting, acks: [], sentAt: -Infinity }])),
-    anvils: Object.fromEntries(Object.entries(state.anvils).map(([name, view]) => [name, { ...view, pulled: null }])),
-  });
+/** Leaves out of a ballot's first phase what is no longer wanted; without anything left it is not gone on with. */
+const leaveOut = (work: Work, key: string): void => {
+  const run = work.state.runs[key];
+  if (run === undefined) return;
+  const included = wantedOf(work.state, run);
+  if (included.length === run.included.length) return;
+  if (included.length === 0) {
+    openRun(work, key);
+    return;
+  }
+  // The second phase is out and can't be recalled.
+  if (run.proposal.phase === 'accept') return;
+  const proposal = { ...run.proposal, change: combine(included) };
+  setRun(work, key, { ...run, proposal, included });
 };
 
-/** Puts facts on the board; the waiting side is answered once a majority has them on disk. */
-export const post = (work: Work, facts: readonly Fact[], id: number, done: unknown): void => {
-  const which = takeId(work);
-  set(work, { postings: { ...work.state.postings, [which]: { facts, acks: [], id, openedAt: work.state.now, sentAt: -Infinity, done } } });
-  tendPostings(work);
+/** Sends the accepts of a ballot again to replicas that have not answered. */
+const resendAccepts = (work: Work, run: BallotRun): void => {
+  const { proposal } = run;
+  const moves = Object.entries(proposal.promises).flatMap(([to, { disk, vote }]) =>
+    vote.kind === 'yes' && !proposal.accepts.includes(to)
+      ? [{ kind: 'accept', to, ballot: proposal.ballot, value: proposal.proposed, disk } as const]
+      : [],
+  );
+  setRun(work, proposal.key, { ...run, sentAt: work.state.now });
+  sendMoves(work, { proposal, moves });
+  work.effects.push({ kind: 'wake', inMs: Limits.resend });
 };
 
-export const tookPost = (work: Work, which: number, anvil: string, reply: AnvilReply): void => {
-  const posting = work.state.postings[which];
-  if (posting === undefined || reply.kind !== 'posted' || posting.acks.includes(anvil) || !counts(work.state, anvil, reply.disk)) return;
-  const acks = [...posting.acks, anvil];
-  if (acks.length < majorityOf(Object.keys(work.state.anvils).length)) {
-    set(work, { postings: { ...work.state.postings, [which]: { ...posting, acks } } });
-    return;
+/** ms that a ballot's present phase may take. */
+const phaseTimeoutOf = (run: BallotRun): number =>
+  run.proposal.phase === 'prepare'
+    ? Math.min(Limits.ballotPhase, Limits.firstPrepare * 2 ** run.retries.timedOut)
+    : Limits.ballotPhase;
+
+const tendRun = (work: Work, key: string, run: BallotRun): void => {
+  const { now } = work.state;
+  const { outvoted, timedOut } = run.retries;
+  if (run.retryAt !== null) {
+    if (now >= run.retryAt) openRun(work, key, { outvoted: outvoted + 1, timedOut });
+  } else if (now - run.phaseAt > phaseTimeoutOf(run)) openRun(work, key, { outvoted, timedOut: timedOut + 1 });
+  else if (run.proposal.phase === 'accept' && now - run.sentAt >= Limits.resend) resendAccepts(work, run);
+};
+
+/** Looks after ballots that wait or hang, and changes that have taken too long. */
+export const tendPursuits = (work: Work): void => {
+  for (const [id, pursuit] of Object.entries(work.state.pursuits)) {
+    if (work.state.now - pursuit.openedAt <= timeoutOf(pursuit.purpose)) continue;
+    giveUp(work, Number(id), pursuit);
+    leaveOut(work, pursuit.key);
   }
-  set(work, { postings: without(work.state.postings, which), posted: { ...work.state.posted, ...Object.fromEntries(posting.facts.map((fact) => [fact.key, true as const])) } });
-  work.effects.push({ kind: 'answer', id: posting.id, status: 200, body: posting.done });
+  for (const [key, run] of Object.entries(work.state.runs)) tendRun(work, key, run);
 };
 
-export const tendPostings = (work: Work): void => {
-  const { now } = work.state;
-  for (const [name, posting] of Object.entries(work.state.postings)) {
-    const which = Number(name);
-    if (now - posting.openedAt > Limits.proposal) {
-      set(work, { postings: without(work.state.postings, which) });
-      work.effects.push({ kind: 'answer', id: posting.id, ...unreached('The order') });
-    } else if (now - posting.sentAt > Limits.ballotPhase) {
-      set(work, { postings: { ...work.state.postings, [which]: { ...posting, sentAt: now } } });
-      for (const [anvil, view] of Object.entries(work.state.anvils)) {
-        if (!posting.acks.includes(anvil)) sendToAnvil(work, view.address, { kind: 'post', facts: posting.facts }, { kind: 'post', posting: which, anvil });
-      }
+const isCallersPurpose = (purpose: Purpose, caller: number): boolean =>
+  (purpose.kind === 'put-policy' || purpose.kind === 'get-policy' || purpose.kind === 'hall') && purpose.id === caller;
+
+/**
+ * The caller of an operator's action is gone: it repeats its order at another node. What has not been proposed yet is
+ * dropped, and what is being proposed gets no further ballot, so that it can't undo an order that follows.
+ */
+export const dropCaller = (work: Work, caller: number): void => {
+  for (const [id, pursuit] of Object.entries(work.state.pursuits)) {
+    if (!isCallersPurpose(pursuit.purpose, caller)) continue;
+    if (isProposed(work.state, Number(id))) {
+      set(work, { pursuits: { ...work.state.pursuits, [id]: { ...pursuit, isAbandoned: true } } });
+      continue;
     }
+    set(work, { pursuits: without(work.state.pursuits, id) });
+    log(work, 'order.dropped', { kind: pursuit.purpose.kind });
+    leaveOut(work, pursuit.key);
   }
 };
+
+/** Whether a change is part of a ballot whose second phase is out. */
+const isProposed = (state: JigState, id: number): boolean =>
+  Object.values(state.runs).some(
+    (run) => run.proposal.phase === 'accept' && run.retryAt === null && run.included.some((each) => each.id === id),
+  );
+
+/** Under new members nothing counts that was counted by the old ones: all that is under way begins again. */
+export const countAnew = (work: Work): void => {
+  const { state } = work;
+  const runs = Object.entries(state.runs).map(([key, run]) => [
+    key,
+    { ...run, retryAt: state.now, proposal: { ...run.proposal, phase: 'done' as const } },
+  ]);
+  const postings = Object.entries(state.postings).map(([which, posting]) => [
+    which,
+    { ...posting, acks: [], sentAt: -Infinity },
+  ]);
+  const anvils = Object.entries(state.anvils).map(([name, view]) => [name, { ...view, pulled: null }]);
+  set(work, {
+    runs: Object.fromEntries(runs),
+    postings: Object.fromEntries(postings),
+    anvils: Object.fromEntries(anvils),
+  });
+  if (runs.length > 0) work.effects.push({ kind: 'wake', inMs: 0 });
+};
--- /dev/null
+++ b/packages/jig/src/changes.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+import { Limits, Sizes } from '@reedyard/gauge';
+import { Stencil, type Policy } from '@reedyard/stencil';
+import { lapsedSerial } from './change-ids.js';
+import { Changes, type RegisterChange } from './changes.js';
+import { hasSameContent } from './content.js';
+import { Jig } from './core.js';
+import { learnRegister } from './pulls.js';
+import { hallsValueOf, type JigState, type Work } from './state.js';
+import type { PolicyValue } from './terms.js';
+
+const self = { id: 'n', hall: 'west', region: 'r', address: 'n/jig', lathe: null, anvil: null };
+const document = (version: number | undefined, note: string): Policy =>
+  Stencil.policy({ ...(version === undefined ? {} : { version }), services: {}, routes: [], notes: { note } });
+const put = (sent: Policy, changeId: string, ifMatch: number | null = null): RegisterChange =>
+  Changes.policy({ document: sent, ifMatch, changeId, lapsed: 0 });
+const zone = (hall: string, order: 'empty' | 'take-back', changeId: string, lapsed = 0): RegisterChange =>
+  Changes.zone({ hall, order, of: 'origins', changeId, lapsed });
+
+/** The value that a change leaves. */
+const after = (change: RegisterChange, current: unknown): unknown => {
+  const changed = change(current);
+  return changed.kind === 'write' ? changed.value : current;
+};
+
+test('only the content that is held is acknowledged under its version', (t) => {
+  const held = after(put(document(7, 'x'), 'a'), null) as PolicyValue;
+  t.deepEqual(put(document(7, 'x'), 'b')(held), { kind: 'keep' });
+  t.deepEqual(put(document(7, 'y'), 'b')(held), { kind: 'refuse', reason: 'version-taken' });
+  t.deepEqual(put(document(6, 'y'), 'b')(held), { kind: 'keep' });
+  t.is((after(put(document(8, 'y'), 'b'), held) as PolicyValue).document.version, 8);
+});
+
+test('a configuration that was taken under If-Match is acknowledged again, also under another id', (t) => {
+  const first = after(put(document(undefined, 'x'), 'a', 0), null) as PolicyValue;
+  t.deepEqual(put(document(undefined, 'x'), 'b', 0)(first), { kind: 'keep' });
+  t.deepEqual(put(document(undefined, 'y'), 'b', 0)(first), { kind: 'refuse', reason: 'stale-serial' });
+});
+
+test('content is compared by its fields, in whatever order they were sent', (t) => {
+  t.true(hasSameContent({ a: 1, b: [{ c: 2, d: null }], e: undefined }, { b: [{ d: null, c: 2 }], a: 1 }));
+  for (const other of [{ a: 1 }, { a: 1, b: [2, 1] }, { a: 1, b: { 0: 1, 1: 2 } }, { a: 1, b: [1, 2], c: null }, null]) {
+    t.false(hasSameContent({ a: 1, b: [1, 2] }, other));
+  }
+  t.false(hasSameContent({ toString: undefined, a: 1 }, { a: 2 }));
+  t.false(hasSameContent({ constructor: 1 }, { other: 1 }));
+});
+
+test('of 500 changes under way or just made each is made once, whenever it is sent again', (t) => {
+  let value: unknown = null;
+  const orders = Array.from({ length: 500 }, (_, index) => zone(`zone-${index % 7}`, index % 2 === 0 ? 'empty' : 'take-back', `change-${index}-0123456789abcdef0123456789abcdef`));
+  for (const order of orders) value = after(order, value);
+  t.is(hallsValueOf(value).serial, 500);
+  t.true(orders.every((order) => order(value).kind === 'keep'));
+  let policy: unknown = null;
+  const puts = Array.from({ length: 500 }, (_, index) => put(document(undefined, `n-${index}`), `change-${index}`));
+  for (const each of puts) policy = after(each, policy);
+  t.true(puts.every((each) => each(policy).kind === 'keep'));
+});
+
+test('ids of changes that may no longer be sent again are let go; their bytes are bounded before that', (t) => {
+  let value: unknown = null;
+  for (let index = 0; index < 5_000; index += 1) value = after(zone('west', 'empty', `${index}-${'x'.repeat(100)}`), value);
+  const { changes } = hallsValueOf(value);
+  t.true(JSON.stringify(changes).length < 1.1 * Sizes.recentChangeBytes);
+  t.is(changes.at(-1)?.serial, 5_000);
+  const later = hallsValueOf(after(zone('west', 'empty', 'new', 4_990), value));
+  t.deepEqual(later.changes.map((each) => each.serial), [4_991, 4_992, 4_993, 4_994, 4_995, 4_996, 4_997, 4_998, 4_999, 5_000, 5_001]);
+});
+
+test('a serial counts as lapsed once this node has known it for the repeat window, by its own clock', (t) => {
+  let state: JigState = Jig.open({ self, life: 'l', seeds: [], founders: {}, seed: 1, now: 0 });
+  const learn = (serial: number, now: number): void => {
+    const work: Work = { state: { ...state, now }, effects: [] };
+    learnRegister(work, 'halls', [serial, 'x'], { ...hallsValueOf(null), serial });
+    state = Jig.reduce(work.state, { kind: 'beat', now }).state;
+  };
+  const at = (now: number): number => lapsedSerial({ ...state, now }, 'halls');
+  for (let index = 1; index <= 500; index += 1) learn(index, 100 * index);
+  t.is(at(50_000), (50_000 - Limits.repeatWindow) / 100 - 1);
+  t.is(at(50_000 + Limits.repeatWindow), 499);
+  t.is(at(50_001 + Limits.repeatWindow), 500);
+  t.true(state.learntSerials.halls.length <= Limits.repeatWindow / 100 + 2);
+  // A node that has just started knows nothing to be old.
+  t.is(lapsedSerial(Jig.open({ self, life: 'm', seeds: [], founders: {}, seed: 1, now: 90_000 }), 'halls'), 0);
+});
+
+test('every chosen order leaves its serial with its zone, also one that finds it so already', (t) => {
+  const closed = hallsValueOf(after(zone('west', 'empty', '1'), null));
+  const again = hallsValueOf(after(zone('west', 'empty', '2'), closed));
+  t.deepEqual([again.closedOrigins, again.lastOrders, again.reopened], [['west'], { west: 2 }, {}]);
+  const open = hallsValueOf(after(zone('west', 'take-back', '3'), again));
+  t.deepEqual([open.closedOrigins, open.lastOrders, open.reopened], [[], { west: 3 }, { west: 3 }]);
+  // A second take-back opens nothing: origins are not taken for cold once more.
+  t.deepEqual(hallsValueOf(after(zone('west', 'take-back', '4'), open)).reopened, { west: 3 });
+  // An order for another zone overtakes nothing.
+  const reading = { first: closed, now: hallsValueOf(after(zone('east', 'empty', '5'), closed)) };
+  t.is(zone('west', 'take-back', '6')(reading.now, reading).kind, 'write');
+  t.is(zone('west', 'take-back', '6')(open, { first: closed, now: open }).kind, 'keep');
+  t.is(zone('west', 'empty', '6')(open, { first: closed, now: open }).kind, 'refuse');
+});
--- /dev/null
+++ b/packages/jig/src/changes.ts
@@ -0,0 +1,189 @@
+/**
+ * The changes that are made to registers: pure functions from what a ballot reads to what it proposes. Each is applied
+ * again in every ballot of its proposal, and knows its own earlier work by an id or by content.
+ */
+import type { Voters } from '@reedyard/anvil';
+import type { Changed } from '@reedyard/latch';
+import type { Plan } from '@reedyard/ladle';
+import type { HallOrder, Policy } from '@reedyard/stencil';
+import { findChange, rememberChange } from './change-ids.js';
+import { hasSameContent } from './content.js';
+import { hallsValueOf, without } from './state.js';
+import type { ClaimState, ClaimValue, HallsValue, PolicyValue } from './terms.js';
+
+/** What the register held when a change was first applied, and what it holds in the present ballot. */
+export type Reading = { readonly first: unknown; readonly now: unknown };
+
+/** A change of a register; `reading` is given from the second ballot on. */
+export type RegisterChange = (current: unknown, reading?: Reading) => Changed;
+
+/** Why an operator's change was refused. */
+export const Refusals = {
+  staleSerial: 'stale-serial',
+  /** Another configuration is held under the same version. */
+  versionTaken: 'version-taken',
+  /** Another order for the same zone was chosen since this one first read the register. */
+  overtaken: 'overtaken',
+} as const;
+
+const keep: Changed = { kind: 'keep' };
+
+/** A configuration to be taken, with what tells a repeat of it from a new one. */
+export type PolicyOrder = {
+  readonly document: Policy;
+  readonly ifMatch: number | null;
+  readonly changeId: string;
+  /** Changes up to this serial may be forgotten. */
+  readonly lapsed: number;
+};
+
+/** What a configuration's version says about it beside the one held. */
+const compareVersions = (held: Policy, sent: Policy): 'newer' | 'older' | 'equal' => {
+  if (held.version === undefined || sent.version === undefined || sent.version > held.version) {
+    return 'newer';
+  }
+  return sent.version < held.version ? 'older' : 'equal';
+};
+
+/**
+ * Takes a configuration. What is held already is acknowledged again. An older version is acknowledged and changes
+ * nothing; another content under the version held is refused, since only one may be confirmed under a version.
+ */
+const policy = ({ document, ifMatch, changeId, lapsed }: PolicyOrder): RegisterChange => (current) => {
+  const old = current as PolicyValue | null;
+  if (findChange(old?.changes ?? [], changeId) !== undefined) return keep;
+  const order = old === null ? 'newer' : compareVersions(old.document, document);
+  const mayBeHeld = old !== null && (order === 'equal' || ifMatch !== null);
+  if (mayBeHeld && hasSameContent(old.document, document)) return keep;
+  const serial = old?.serial ?? 0;
+  if (ifMatch !== null && ifMatch !== serial) return { kind: 'refuse', reason: Refusals.staleSerial };
+  if (order === 'older') return keep;
+  if (order === 'equal') return { kind: 'refuse', reason: Refusals.versionTaken };
+  const made = { id: changeId, serial: serial + 1 };
+  const changes = rememberChange(old?.changes ?? [], made, lapsed);
+  return { kind: 'write', value: { serial: made.serial, document, changes } satisfies PolicyValue };
+};
+
+/** An order for a zone, with what tells a repeat of it from a new one. */
+export type ZoneOrder = {
+  readonly hall: string;
+  readonly order: HallOrder['order'];
+  readonly of: HallOrder['of'];
+  readonly changeId: string;
+  /** Changes up to this serial may be forgotten. */
+  readonly lapsed: number;
+};
+
+/** The lists of zones after an order. */
+const zonesAfter = (
+  old: HallsValue,
+  { hall, order, of }: ZoneOrder,
+): Pick<HallsValue, 'emptied' | 'closedOrigins'> => {
+  const others = (halls: readonly string[]): readonly string[] => halls.filter((each) => each !== hall);
+  const withZone = (halls: readonly string[], isIn: boolean): readonly string[] =>
+    isIn ? [...others(halls), hall] : others(halls);
+  const isEmptied = of === 'origins' ? old.emptied.includes(hall) : order === 'empty';
+  // While a zone is emptied as a whole, its origins can't be taken back by themselves.
+  const isClosed = order === 'empty' || isEmptied;
+  return {
+    emptied: of === 'origins' ? old.emptied : withZone(old.emptied, isEmptied),
+    closedOrigins: withZone(old.closedOrigins, isClosed),
+  };
+};
+
+const isInForce = (old: HallsValue, next: Pick<HallsValue, 'emptied' | 'closedOrigins'>, hall: string): boolean =>
+  old.emptied.includes(hall) === next.emptied.includes(hall) &&
+  old.closedOrigins.includes(hall) === next.closedOrigins.includes(hall);
+
+/** Whether another order for the zone was chosen since this one first read the register. */
+const isOvertaken = (reading: Reading | undefined, hall: string): boolean =>
+  reading !== undefined &&
+  hallsValueOf(reading.first).lastOrders[hall] !== hallsValueOf(reading.now).lastOrders[hall];
+
+/**
+ * Carries out an order for a zone. Every order that is chosen leaves its serial with the zone, also one that changes
+ * nothing else: an older order that is still being proposed finds then that it was overtaken, and does not undo it.
+ */
+const zone = (sent: ZoneOrder): RegisterChange => (current, reading) => {
+  const old = hallsValueOf(current);
+  if (findChange(old.changes, sent.changeId) !== undefined) return keep;
+  const { hall } = sent;
+  const next = zonesAfter(old, sent);
+  if (isOvertaken(reading, hall)) {
+    return isInForce(old, next, hall) ? keep : { kind: 'refuse', reason: Refusals.overtaken };
+  }
+  const serial = old.serial + 1;
+  const isReopened = old.closedOrigins.includes(hall) && !next.closedOrigins.includes(hall);
+  const value: HallsValue = {
+    ...next,
+    serial,
+    reopened: isReopened ? { ...old.reopened, [hall]: serial } : old.reopened,
+    lastOrders: { ...old.lastOrders, [hall]: serial },
+    changes: rememberChange(old.changes, { id: sent.changeId, serial }, sent.lapsed),
+  };
+  return { kind: 'write', value };
+};
+
+/** Claims a key for one request. */
+const claim = (token: string, node: string, life: string, digest: string): RegisterChange => (current) => {
+  const old = current as ClaimValue | null;
+  if (old !== null && old.digest !== digest) return { kind: 'refuse', reason: 'other' };
+  if (old === null || (old.state === 'not-run' && old.token !== token)) {
+    return { kind: 'write', value: { token, state: 'pending', node, life, digest } satisfies ClaimValue };
+  }
+  return old.token === token && old.state === 'pending' ? keep : { kind: 'refuse', reason: old.state };
+};
+
+/** Records what became of a claimed request. */
+const settle = (token: string, state: ClaimState): RegisterChange => (current) => {
+  const old = current as ClaimValue | null;
+  if (old === null || old.token !== token || old.state === state) return keep;
+  return { kind: 'write', value: { ...old, state } satisfies ClaimValue };
+};
+
+/** A quota leader's next allocation, fenced by its term. */
+const plan = (goal: Plan): RegisterChange => (current) => {
+  const old = current as Plan | null;
+  const isOwn = old !== null && old.term === goal.term && old.holder === goal.holder;
+  if (isOwn && old.beat === goal.beat) return keep;
+  return isOwn && old.beat < goal.beat ? { kind: 'write', value: goal } : { kind: 'refuse', reason: 'fenced' };
+};
+
+/** Takes the quota leadership where it was found vacant, unless anything moved since. */
+const takeDuty = (seen: Plan | null, goal: Plan): RegisterChange => (current) => {
+  const old = current as Plan | null;
+  if (old !== null && old.term === goal.term && old.holder === goal.holder) return keep;
+  if ((old?.term ?? 0) !== (seen?.term ?? 0) || (old?.beat ?? 0) !== (seen?.beat ?? 0)) {
+    return { kind: 'refuse', reason: 'not vacant' };
+  }
+  return { kind: 'write', value: { ...goal, slices: old?.slices ?? {}, seated: old?.seated ?? [] } };
+};
+
+/** Gives a place to another disk: one at a time, and only by the members just before. */
+const seat = (known: Voters, anvil: string, disk: string, address?: string): RegisterChange => (current) => {
+  const old = current as Voters | null;
+  const isThere = (held: Voters): boolean =>
+    held.disks[anvil] === disk && (address === undefined || held.addresses?.[anvil] === address);
+  if (old === null || isThere(old)) return keep;
+  if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
+  const addresses = address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } };
+  const disks = { ...old.disks, [anvil]: disk };
+  return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks, ...addresses } satisfies Voters };
+};
+
+/** Gives a place up, and another, of a disk without one, in its stead. */
+const replace =
+  (known: Voters, gone: string, anvil: string, disk: string, address: string): RegisterChange =>
+  (current) => {
+    const old = current as Voters | null;
+    if (old === null || old.disks[anvil] === disk) return keep;
+    if (old.epoch !== known.epoch || old.disks[gone] === undefined) {
+      return { kind: 'refuse', reason: 'the voters have changed' };
+    }
+    const disks = { ...without(old.disks, gone), [anvil]: disk };
+    const addresses = { ...without(old.addresses ?? {}, gone), [anvil]: address };
+    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks, addresses } satisfies Voters };
+  };
+
+/** Every change that is made to a register. */
+export const Changes = { policy, zone, claim, settle, plan, takeDuty, seat, replace } as const;
--- /dev/null
+++ b/packages/jig/src/completion.ts
@@ -0,0 +1,147 @@
+/** What is done with the end of each proposal: answers to its caller, and what this node notes for itself. */
+import { Limits } from '@reedyard/gauge';
+import { Spindle } from '@reedyard/spindle';
+import type { Plan } from '@reedyard/ladle';
+import { refusal, unavailable, unreached, type ApiAnswer } from './answers.js';
+import { findChange } from './change-ids.js';
+import { Refusals } from './changes.js';
+import { hallsValueOf, log, set, type Purpose, type Work } from './state.js';
+import type { ClaimReply, ClaimState, ClaimValue, NodeRecord, PolicyValue } from './terms.js';
+
+/** How a change of a register ended, and what the register held after it. */
+export type Outcome =
+  | { readonly kind: 'chosen'; readonly value: unknown }
+  | { readonly kind: 'refused'; readonly reason: string; readonly value: unknown }
+  | { readonly kind: 'unknown' };
+
+type Purposed<K extends Purpose['kind']> = Extract<Purpose, { kind: K }>;
+
+const answer = (work: Work, id: number, given: ApiAnswer): void => {
+  work.effects.push({ kind: 'answer', id, ...given });
+};
+
+const refusedPolicy = (reason: string, value: PolicyValue | null): ApiAnswer => {
+  const serial = value?.serial ?? 0;
+  const isTaken = reason === Refusals.versionTaken;
+  const detail = isTaken
+    ? `another policy is in force under version ${value?.document.version ?? 0}`
+    : `the policy in force has serial ${serial}`;
+  const refused = refusal(412, isTaken ? 'Version taken' : 'Stale serial', detail);
+  return { ...refused, body: { ...(refused.body as object), serial } };
+};
+
+const finishPutPolicy = (work: Work, purpose: Purposed<'put-policy'>, outcome: Outcome): void => {
+  if (outcome.kind === 'unknown') {
+    answer(work, purpose.id, unreached('The policy'));
+    return;
+  }
+  const value = outcome.value as PolicyValue | null;
+  if (outcome.kind === 'refused') {
+    log(work, 'policy.refused', { reason: outcome.reason, serial: value?.serial ?? 0, change: purpose.changeId });
+    answer(work, purpose.id, refusedPolicy(outcome.reason, value));
+    return;
+  }
+  const serial = findChange(value?.changes ?? [], purpose.changeId)?.serial ?? value?.serial ?? 0;
+  log(work, 'policy.acknowledged', { serial, change: purpose.changeId });
+  answer(work, purpose.id, { status: 200, body: { serial, changeId: purpose.changeId } });
+};
+
+const finishGetPolicy = (work: Work, purpose: Purposed<'get-policy'>, outcome: Outcome): void => {
+  if (outcome.kind !== 'chosen') {
+    answer(work, purpose.id, unreached('The read'));
+    return;
+  }
+  const value = outcome.value as PolicyValue | null;
+  const policy = value?.document ?? { services: {}, routes: [] };
+  answer(work, purpose.id, { status: 200, body: { serial: value?.serial ?? 0, policy } });
+};
+
+const finishZone = (work: Work, purpose: Purposed<'hall'>, outcome: Outcome): void => {
+  if (outcome.kind === 'unknown') {
+    answer(work, purpose.id, unreached('The order'));
+    return;
+  }
+  const value = hallsValueOf(outcome.value);
+  if (outcome.kind === 'refused') {
+    log(work, 'halls.overtaken', { serial: value.serial });
+    const detail = 'Another order for this zone was made meanwhile; nothing was changed. Repeat it.';
+    answer(work, purpose.id, unavailable('Overtaken', detail));
+    return;
+  }
+  const serial = findChange(value.changes, purpose.changeId)?.serial ?? value.serial;
+  const { emptied, closedOrigins } = value;
+  const lists = { emptied: emptied.join(','), closedOrigins: closedOrigins.join(',') };
+  log(work, 'halls.acknowledged', { serial: value.serial, ...lists });
+  answer(work, purpose.id, { status: 200, body: { serial, emptied, closedOrigins } });
+};
+
+const finishPlan = (work: Work, { goal }: Purposed<'plan'>, outcome: Outcome): void => {
+  const { state } = work;
+  const own = outcome.kind === 'chosen' ? (outcome.value as Plan) : null;
+  if (own === null || own.holder !== state.self.id || own.term !== goal.term || own.beat !== goal.beat) {
+    if (state.duty !== null) log(work, 'duty.lost', { term: goal.term, how: outcome.kind });
+    set(work, { duty: null });
+    return;
+  }
+  if (state.duty === null || state.duty.term !== own.term) {
+    log(work, 'duty.won', { term: own.term });
+    set(work, { duty: { term: own.term, held: [] } });
+    return;
+  }
+  // Chosen now: from here on its forerunners last one lease more, no longer.
+  const last = state.now + Limits.regrant;
+  const held = state.duty.held.map((each) => ({ ...each, until: Math.min(each.until, last) }));
+  set(work, { duty: { ...state.duty, held } });
+};
+
+/** A claim that is pending in a life that is over has no known outcome any more. */
+const claimState = (work: Work, claim: ClaimValue): ClaimState => {
+  if (claim.state !== 'pending') return claim.state;
+  const record = Spindle.get(work.state.spindle, `node/${claim.node}`) as NodeRecord | undefined | null;
+  return record && record.latheLife === claim.life ? 'pending' : 'unknown';
+};
+
+const claimReply = (work: Work, outcome: Outcome): ClaimReply => {
+  if (outcome.kind === 'chosen') return { kind: 'granted' };
+  if (outcome.kind === 'unknown') return { kind: 'unreached' };
+  if (outcome.reason === 'other') return { kind: 'other' };
+  return { kind: 'taken', state: claimState(work, outcome.value as ClaimValue) };
+};
+
+const finishSeat = (work: Work, purpose: Purposed<'seat'>, outcome: Outcome): void => {
+  if (outcome.kind !== 'chosen') return;
+  const { anvil, disk, instead } = purpose;
+  if (instead === undefined) log(work, 'voters.seated', { anvil, disk });
+  else log(work, 'voters.replaced', { anvil, disk, instead });
+};
+
+/** Does what is to be done at the end of a proposal. */
+export const finish = (work: Work, purpose: Purpose, outcome: Outcome): void => {
+  switch (purpose.kind) {
+    case 'put-policy':
+      finishPutPolicy(work, purpose, outcome);
+      return;
+    case 'get-policy':
+      finishGetPolicy(work, purpose, outcome);
+      return;
+    case 'hall':
+      finishZone(work, purpose, outcome);
+      return;
+    case 'plan':
+      finishPlan(work, purpose, outcome);
+      return;
+    case 'claim':
+      work.effects.push({ kind: 'tell', id: purpose.id, body: claimReply(work, outcome) });
+      return;
+    case 'settle': {
+      const body: ClaimReply = outcome.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' };
+      work.effects.push({ kind: 'tell', id: purpose.id, body });
+      return;
+    }
+    case 'seat':
+      finishSeat(work, purpose, outcome);
+      return;
+    case 'repair':
+      return;
+  }
+};
--- a/packages/jig/src/duty.ts
+++ b/packages/jig/src/duty.ts
@@ -1,7 +1,8 @@
 import { Beats, Limits } from '@reedyard/gauge';
 import { differs, divide, isSeated, toward, type Plan, type Seat, type Slices } from '@reedyard/ladle';
 import { Routes } from '@reedyard/stencil';
-import { Changes, pursue } from './ballots.js';
+import { pursue } from './ballots.js';
+import { Changes } from './changes.js';
 import { chance, log, planOf, policyOf, set, type Work } from './state.js';
 import { boundsOf, seatedNodes } from './network.js';
 
--- a/packages/jig/src/jig.test.ts
+++ b/packages/jig/src/jig.test.ts
@@ -3,7 +3,7 @@
 import { Beats, Limits, Weights } from '@reedyard/gauge';
 import { Spindle } from '@reedyard/spindle';
 import { Stencil, type Description } from '@reedyard/stencil';
-import { Changes } from './ballots.js';
+import { Changes, type RegisterChange } from './changes.js';
 import { Jig } from './core.js';
 import { boundsOf, learn, originRows, originsOf } from './network.js';
 import { learnRegister } from './pulls.js';
@@ -12,7 +12,7 @@
 
 const self = { id: 'n', hall: 'west', region: 'r', address: '127.0.0.1:1', lathe: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 }, anvil: null };
 const opened = (now = 0): JigState => Jig.open({ self, life: 'l', seeds: [], founders: { a: '127.0.0.1:11', b: '127.0.0.1:12', c: '127.0.0.1:13' }, seed: 1, now });
-const written = (change: ReturnType<typeof Changes.policy>, current: unknown): unknown => { const done = change(current); return done.kind === 'write' ? done.value : done.kind; };
+const written = (change: RegisterChange, current: unknown): unknown => { const done = change(current); return done.kind === 'write' ? done.value : done.kind; };
 const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
   const work: Work = { state, effects: [] };
   learnRegister(work, key, [round, 'x'], value);
@@ -25,7 +25,7 @@
 const answers = (effects: readonly JigEffect[]): readonly number[] => effects.flatMap((effect) => (effect.kind === 'answer' ? [effect.status] : []));
 
 test('of two policies with a version the higher one stays, in whatever order they are written', (t) => {
-  const put = (version: number | undefined, id: string) => Changes.policy(Stencil.policy({ services: {}, routes: [], ...(version === undefined ? {} : { version }) }), null, id);
+  const put = (version: number | undefined, id: string) => Changes.policy({ document: Stencil.policy({ services: {}, routes: [], ...(version === undefined ? {} : { version }) }), ifMatch: null, changeId: id, lapsed: 0 });
   for (const order of [[3, 7, 5], [7, 5, 3], [5, 3, 7], [7, 7, 3]]) {
     const end = order.reduce<unknown>((current, version, index) => { const next = written(put(version, `c-${index}`), current); return next === 'keep' ? current : next; }, null) as PolicyValue;
     t.is(end.document.version, 7, order.join());
@@ -39,7 +39,7 @@
 });
 
 test('orders for the origins of a hall leave its nodes alone', (t) => {
-  const order = (current: unknown, what: 'empty' | 'take-back', of: 'all' | 'origins', id: string): HallsValue => written(Changes.halls('west', what, of, id), current) as HallsValue;
+  const order = (current: unknown, what: 'empty' | 'take-back', of: 'all' | 'origins', id: string): HallsValue => written(Changes.zone({ hall: 'west', order: what, of, changeId: id, lapsed: 0 }), current) as HallsValue;
   const closed = order(null, 'empty', 'origins', '1');
   t.deepEqual([closed.emptied, closed.closedOrigins, closed.reopened], [[], ['west'], {}]);
   const whole = order(closed, 'empty', 'all', '2');
--- /dev/null
+++ b/packages/jig/src/operators.ts
@@ -0,0 +1,215 @@
+/** Calls of operators and origins: orders, reads, descriptions, and what this node tells about itself. */
+import { Beats, Limits } from '@reedyard/gauge';
+import { rateOf } from '@reedyard/ladle';
+import { Spindle } from '@reedyard/spindle';
+import type { Description } from '@reedyard/stencil';
+import { tooFewVoters, unreached, type ApiAnswer } from './answers.js';
+import { pursue } from './ballots.js';
+import { lapsedSerial } from './change-ids.js';
+import { Changes } from './changes.js';
+import { isSeated } from './feed.js';
+import { barred, boundsOf, delayTo, drainKey, inDoubt, isOld, nodesOf, originKey, originsOf, withdrawnKey } from './network.js';
+import { post } from './postings.js';
+import { bearsLosses, closedOf, hallsOf, mayActFor, planOf, policyOf, set, type JigState, type Work } from './state.js';
+import type { Action } from './terms.js';
+
+type ActionOf<K extends Action['kind']> = Extract<Action, { kind: K }>;
+
+const answer = (work: Work, id: number, given: ApiAnswer): void => {
+  work.effects.push({ kind: 'answer', id, ...given });
+};
+
+/** Whether all of a description but its number was told already, lately enough. */
+const isTold = (state: JigState, key: string, told: Description): boolean => {
+  const held = state.spindle.records[key];
+  if (held === undefined || held.forgotten) return false;
+  if (state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.hall, held.seenAt)) return false;
+  const known = held.value as Description;
+  const fields = new Set([...Object.keys(told), ...Object.keys(known)] as (keyof Description)[]);
+  return [...fields].every((field) => field === 'sequence' || told[field] === known[field]);
+};
+
+/** Posts a fact, unless a majority of disks is known to hold it. */
+const postOnce = (work: Work, key: string, id: number, done: unknown): void => {
+  if (work.state.posted[key] === true) answer(work, id, { status: 200, body: done });
+  else post(work, [{ key, value: true }], id, done);
+};
+
+const olderIncarnation = (known: Description): ApiAnswer => ({
+  status: 409,
+  body: {
+    type: 'about:blank',
+    title: 'Older incarnation',
+    status: 409,
+    detail: `incarnation ${known.incarnation} of this instance has already described itself`,
+  },
+});
+
+/** What is told of an origin after it described itself: one that drains goes on to do so in this incarnation. */
+const toldOf = (known: Description | null, sent: Description, isLate: boolean): Description => {
+  if (known !== null && isLate) return known;
+  const drainsOn = known !== null && known.incarnation === sent.incarnation && known.draining;
+  return { ...sent, draining: sent.draining || drainsOn };
+};
+
+const describe = (work: Work, id: number, description: Description): void => {
+  const key = originKey(description);
+  const known = (Spindle.get(work.state.spindle, key) as Description | null | undefined) ?? null;
+  if (known !== null && known.incarnation > description.incarnation) {
+    answer(work, id, olderIncarnation(known));
+    return;
+  }
+  const isLate = known !== null && isOld(work.state, description);
+  const told = toldOf(known, description, isLate);
+  if (!isLate) {
+    const { spindle, now } = work.state;
+    const next = isTold(work.state, key, told)
+      ? Spindle.note(spindle, key, told)
+      : Spindle.tell(spindle, key, told, now, told.sequence);
+    set(work, { spindle: next });
+  }
+  const why = barred(work.state, told);
+  const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
+  if (!told.draining) answer(work, id, { status: 200, body: done });
+  else if (!bearsLosses(work.state)) answer(work, id, tooFewVoters);
+  else postOnce(work, drainKey(told), id, done);
+};
+
+const anvilRows = (state: JigState): unknown =>
+  Object.entries(state.anvils).map(([name, view]) => ({
+    name,
+    address: view.address,
+    answered: view.pulled !== null && state.now - view.pulled.sentAt < Limits.lease,
+  }));
+
+const originStatus = (state: JigState): unknown =>
+  originsOf(state).map(({ description, barred: why }) => ({
+    ...description,
+    admitted: why === null,
+    ...(why === null ? {} : { reason: why }),
+  }));
+
+const status = (state: JigState): unknown => {
+  const plan = planOf(state);
+  return {
+    node: state.self.id,
+    hall: state.self.hall,
+    region: state.self.region,
+    leaseMs: Math.max(0, Math.round(state.lease - state.now)),
+    policySerial: policyOf(state)?.serial ?? 0,
+    emptiedHalls: hallsOf(state)?.emptied ?? [],
+    closedOrigins: closedOf(state),
+    anvils: anvilRows(state),
+    duty: plan === null ? null : { holder: plan.holder, term: plan.term },
+    origins: originStatus(state),
+    lathe: state.report === null ? null : state.report.report.counters,
+    notices: state.notices,
+    splits: state.splits,
+    split: state.split,
+  };
+};
+
+/** Why no callers should come to this node, or null if they may. */
+const notReady = (state: JigState): string | null => {
+  const policy = policyOf(state);
+  if (state.self.lathe === null) return 'this machine has no lathe';
+  if (mayActFor(state) <= 0) return 'it is cut off from the control state';
+  if (policy === null) return 'no policy is known';
+  if (state.report === null || state.now - state.report.at >= Limits.lease) return 'its lathe does not ask for news';
+  if (state.report.report.stopping) return 'its lathe is leaving';
+  if (hallsOf(state)?.emptied.includes(state.self.hall) === true) return 'its hall is emptied';
+  return isSeated(state) ? null : 'the division has not given it its slices yet';
+};
+
+const readiness = (state: JigState): ApiAnswer => {
+  const why = notReady(state);
+  if (why === null) return { status: 200, body: { ready: true } };
+  const body = { type: 'about:blank', title: 'Not ready', status: 503, detail: why, ready: false };
+  return { status: 503, body, retryAfter: Limits.retryAfterSeconds };
+};
+
+const shares = (state: JigState): ApiAnswer => {
+  if (state.now >= state.lease) return unreached('The read');
+  const plan = planOf(state);
+  const services = Object.entries(boundsOf(state)).map(([name, bound]) => {
+    const slices = plan?.slices[name] ?? {};
+    const rates = Object.keys(slices).map((edge) => [edge, rateOf(slices, edge, bound)] as const);
+    const ceiling = policyOf(state)?.document.services[name]?.ceiling ?? null;
+    return [name, { ceiling, bound, slices: Object.fromEntries(rates) }] as const;
+  });
+  const { holder = null, term = 0, beat = 0 } = plan ?? {};
+  return { status: 200, body: { holder, term, beat, services: Object.fromEntries(services) } };
+};
+
+const partners = (state: JigState): ApiAnswer => {
+  const rows = nodesOf(state).map(({ record, seenAt }) => ({
+    ...record,
+    self: record.id === state.self.id,
+    silentMs: Math.round(state.now - seenAt),
+    delaySeconds: delayTo(state, record.id),
+  }));
+  const view = state.spindle.view.map((each) => each.id);
+  return { status: 200, body: { node: state.self.id, view, partners: rows } };
+};
+
+const putPolicy = (work: Work, id: number, { document, ifMatch, changeId }: ActionOf<'put-policy'>): void => {
+  const lapsed = lapsedSerial(work.state, 'policy');
+  const change = Changes.policy({ document, ifMatch, changeId, lapsed });
+  pursue(work, 'policy', change, { kind: 'put-policy', id, changeId });
+};
+
+const orderZone = (work: Work, id: number, { hall, order, of, changeId }: ActionOf<'hall'>): void => {
+  const lapsed = lapsedSerial(work.state, 'halls');
+  const change = Changes.zone({ hall, order, of, changeId, lapsed });
+  pursue(work, 'halls', change, { kind: 'hall', id, changeId });
+};
+
+/** Whether an action changes what must survive the loss of disks. */
+const isOrder = (action: Action): boolean =>
+  action.kind === 'put-policy' || action.kind === 'hall' || action.kind === 'purge' || action.kind === 'withdraw';
+
+/** Takes a call of an operator or an origin. */
+export const operator = (work: Work, id: number, action: Action): void => {
+  const { state } = work;
+  if (isOrder(action) && !bearsLosses(state)) {
+    answer(work, id, tooFewVoters);
+    return;
+  }
+  switch (action.kind) {
+    case 'put-policy':
+      putPolicy(work, id, action);
+      return;
+    case 'get-policy':
+      pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id });
+      return;
+    case 'hall':
+      orderZone(work, id, action);
+      return;
+    case 'purge': {
+      const { changeId, purge } = action;
+      post(work, [{ key: `purge/${changeId}`, value: purge }], id, { changeId });
+      return;
+    }
+    case 'withdraw':
+      postOnce(work, withdrawnKey(action.instance), id, { withdrawn: action.instance });
+      return;
+    case 'describe':
+      describe(work, id, action.description);
+      return;
+    case 'status':
+      answer(work, id, { status: 200, body: status(state) });
+      return;
+    case 'shares':
+      answer(work, id, shares(state));
+      return;
+    case 'partners':
+      answer(work, id, partners(state));
+      return;
+    case 'ready':
+      answer(work, id, readiness(state));
+      return;
+    case 'live':
+      answer(work, id, { status: 200, body: { live: true } });
+      return;
+  }
+};
--- /dev/null
+++ b/packages/jig/src/postings.ts
@@ -0,0 +1,50 @@
+/** Facts on their way to the replicas' journals: the caller is answered once a majority has them on disk. */
+import { Limits } from '@reedyard/gauge';
+import { majorityOf } from '@reedyard/latch';
+import type { AnvilReply, Fact } from '@reedyard/anvil';
+import { unreached } from './answers.js';
+import { counts, sendToAnvil, set, takeId, without, type Work } from './state.js';
+
+/** Posts facts; the waiting caller is answered with `done` once a majority has them on disk. */
+export const post = (work: Work, facts: readonly Fact[], id: number, done: unknown): void => {
+  const which = takeId(work);
+  const posting = { facts, acks: [], id, openedAt: work.state.now, sentAt: -Infinity, done };
+  set(work, { postings: { ...work.state.postings, [which]: posting } });
+  tendPostings(work);
+};
+
+export const tookPost = (work: Work, which: number, anvil: string, reply: AnvilReply): void => {
+  const posting = work.state.postings[which];
+  if (posting === undefined || reply.kind !== 'posted') return;
+  if (posting.acks.includes(anvil) || !counts(work.state, anvil, reply.disk)) return;
+  const acks = [...posting.acks, anvil];
+  if (acks.length < majorityOf(Object.keys(work.state.anvils).length)) {
+    set(work, { postings: { ...work.state.postings, [which]: { ...posting, acks } } });
+    return;
+  }
+  const posted = Object.fromEntries(posting.facts.map((fact) => [fact.key, true as const]));
+  set(work, {
+    postings: without(work.state.postings, which),
+    posted: { ...work.state.posted, ...posted },
+  });
+  work.effects.push({ kind: 'answer', id: posting.id, status: 200, body: posting.done });
+};
+
+/** Sends facts again to replicas that did not answer; gives a posting up that has taken too long. */
+export const tendPostings = (work: Work): void => {
+  const { now } = work.state;
+  for (const [name, posting] of Object.entries(work.state.postings)) {
+    const which = Number(name);
+    if (now - posting.openedAt > Limits.proposal) {
+      set(work, { postings: without(work.state.postings, which) });
+      work.effects.push({ kind: 'answer', id: posting.id, ...unreached('The order') });
+    } else if (now - posting.sentAt >= Limits.resend) {
+      set(work, { postings: { ...work.state.postings, [which]: { ...posting, sentAt: now } } });
+      for (const [anvil, view] of Object.entries(work.state.anvils)) {
+        if (posting.acks.includes(anvil)) continue;
+        const pending = { kind: 'post', posting: which, anvil } as const;
+        sendToAnvil(work, view.address, { kind: 'post', facts: posting.facts }, pending);
+      }
+    }
+  }
+};
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -2,7 +2,8 @@
 import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
 import { newerVoters, type AnvilReply, type Voters, type VotersTold } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
-import { Changes, countAnew, pursue } from './ballots.js';
+import { countAnew, pursue } from './ballots.js';
+import { Changes } from './changes.js';
 import type { HallsValue } from './terms.js';
 import { anvilsHeard, nodesOf } from './network.js';
 import { anvilView, bearsLosses, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
@@ -126,7 +127,7 @@
     if (Ballots.compare(highest, known) > 0) {
       const holders = shown.filter(({ ballot }) => Ballots.compare(ballot, highest) === 0);
       const busy = Object.values(work.state.pending).some((each) => each.kind === 'fetch' && each.key === key && work.state.now - each.sentAt < Beats.pull);
-      const repairing = Object.values(work.state.pursuits).some((pursuit) => pursuit.proposal.key === key);
+      const repairing = Object.values(work.state.pursuits).some((pursuit) => pursuit.key === key);
       if (holders.length >= majority) {
         const chosenHolder = holders[Math.floor(chance(work) * holders.length)];
         const address = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder.name]?.address;
--- a/packages/jig/src/run.ts
+++ b/packages/jig/src/run.ts
@@ -5,17 +5,17 @@
 import { openScribe } from '@reedyard/scriber';
 import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
 import type { Settings } from '@reedyard/vise';
-import { apiServer, translatedServer, type Api, type Reply } from './api.js';
+import { apiServer, translatedServer, type Act, type Api, type Reply } from './api.js';
 import { Jig } from './core.js';
 import type { JigState } from './state.js';
-import type { Action, JigCall, JigEffect, JigEvent, LatheCall } from './terms.js';
+import type { JigCall, JigEffect, JigEvent, LatheCall } from './terms.js';
 
 const now = (): number => performance.now();
 
 export type JigSettings = Settings & { readonly jig: NonNullable<Settings['jig']> };
 export type JigOptions = {
   /** Takes requests in another form than this API's; it decides nothing, and hands on what it was asked for. */
-  readonly api?: (act: (action: Action) => Promise<Reply>) => Api;
+  readonly api?: (act: Act) => Api;
 };
 
 /**
@@ -37,6 +37,7 @@
         return;
       case 'tell': asking.get(effect.id)?.(effect.body); asking.delete(effect.id); return;
       case 'answer': asking.get(effect.id)?.({ status: effect.status, body: effect.body, ...(effect.retryAfter === undefined ? {} : { retryAfter: effect.retryAfter }) } satisfies Reply); asking.delete(effect.id); return;
+      case 'wake': setTimeout(() => put({ kind: 'woken', now: now() }), effect.inMs); return;
       case 'log': scribe.info(effect.event, effect.fields); return;
     }
   };
@@ -54,9 +55,11 @@
     }),
     reduce: Jig.reduce, perform,
   });
-  const ask = <T>(event: (id: number) => JigEvent): Promise<T> => new Promise((resolve, reject) => {
+  const ask = <T>(event: (id: number) => JigEvent, signal?: AbortSignal): Promise<T> => new Promise((resolve, reject) => {
     const id = next;
     next += 1;
+    signal?.addEventListener('abort', () => { if (asking.delete(id)) task.put({ kind: 'caller-gone', id, now: now() }); }, { once: true });
+    if (signal?.aborted === true) { reject(new Error('the caller is gone')); return; }
     asking.set(id, resolve as (reply: unknown) => void);
     if (!task.put(event(id))) { asking.delete(id); reject(new Error('too busy')); }
   });
@@ -64,7 +67,7 @@
   const calls = await serveCalls({ host: listen, port: settings.jig.port }, { '/jig': (body) => ask((id) => ({ kind: 'asked', id, body: body as JigCall, now: now() })) });
   // Only processes of this machine may feed from it.
   const feeds = await serveCalls({ host: '127.0.0.1', port: settings.jig.feedPort }, { '/feed': (body) => ask((id) => ({ kind: 'fed', id, body: body as LatheCall, now: now() })) });
-  const act = (action: Action): Promise<Reply> => ask<Reply>((id) => ({ kind: 'operator', id, action, now: now() }));
+  const act: Act = (action, signal) => ask<Reply>((id) => ({ kind: 'operator', id, action, now: now() }), signal);
   const api = options.api === undefined ? apiServer(act) : translatedServer(options.api(act));
   await new Promise<void>((resolve, reject) => { api.once('error', reject); api.listen(settings.jig.apiPort, listen, resolve); });
   setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.jig);
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -2,6 +2,8 @@
 import type { Map as Table } from 'immutable';
 import type { AnvilAsk, AnvilCall, Cursor, Fact, Voters, VotersTold } from '@reedyard/anvil';
 import type { Ballot, Proposal } from '@reedyard/latch';
+import type { Identified, LearntSerial } from './change-ids.js';
+import type { RegisterChange } from './changes.js';
 import type { SpindleState } from '@reedyard/spindle';
 import type { Plan, Slices } from '@reedyard/ladle';
 import type { Split, Vector } from '@reedyard/plumb';
@@ -44,9 +46,36 @@
   | { readonly kind: 'repair' }
   | { readonly kind: 'seat'; readonly anvil: string; readonly disk: string; /** Whose place it is, where another machine gives it up. */ readonly instead?: string };
 
+/** One change that is to be made to a register, until its ballot is decided or its time is over. */
 export type Pursuit = {
-  readonly proposal: Proposal; readonly purpose: Purpose;
-  readonly openedAt: number; readonly phaseAt: number; readonly again: number | null;
+  readonly key: string;
+  readonly change: RegisterChange;
+  readonly purpose: Purpose;
+  readonly openedAt: number;
+  /** What the register held when this change was first applied, once that is known. */
+  readonly firstRead: { readonly value: unknown } | null;
+  /** Its caller is gone: no further ballot is opened for it. */
+  readonly isAbandoned: boolean;
+};
+
+/** A change that is part of a ballot. */
+export type IncludedChange = { readonly id: number; readonly pursuit: Pursuit };
+
+/** How often a ballot was outvoted, and how often too few answered in time. */
+export type Retries = { readonly outvoted: number; readonly timedOut: number };
+
+/** The one ballot that this node has under way for a register, for all changes that waited when it was opened. */
+export type BallotRun = {
+  readonly proposal: Proposal;
+  /** The changes that it makes, as they were when it was opened. */
+  readonly included: readonly IncludedChange[];
+  /** When its present phase began, and when its calls were last sent. */
+  readonly phaseAt: number;
+  readonly sentAt: number;
+  /** How often it was opened anew, by reason. */
+  readonly retries: Retries;
+  /** When it is opened anew after it was outvoted. */
+  readonly retryAt: number | null;
 };
 
 export type Posting = { readonly facts: readonly Fact[]; readonly acks: readonly string[]; readonly id: number; readonly openedAt: number; readonly sentAt: number; readonly done: unknown };
@@ -56,7 +85,7 @@
   /** Asks an anvil that need have no place for the voters, and this machine's own for its disk. */
   | { readonly kind: 'look'; readonly address: string }
   | { readonly kind: 'fetch'; readonly key: Watched; readonly sentAt: number }
-  | { readonly kind: 'vote'; readonly pursuit: number; readonly anvil: string; readonly phase: 'prepare' | 'accept'; readonly ballot: Ballot }
+  | { readonly kind: 'vote'; readonly key: string; readonly anvil: string; readonly phase: 'prepare' | 'accept'; readonly ballot: Ballot }
   | { readonly kind: 'post'; readonly posting: number; readonly anvil: string }
   | { readonly kind: 'exchange'; readonly to: string; readonly partner: string | null }
   | { readonly kind: 'push' }
@@ -98,6 +127,10 @@
   readonly claims: readonly Claims[];
   readonly claimsFrom: number;
   readonly pursuits: Readonly<Record<number, Pursuit>>;
+  /** The ballots under way, by register. */
+  readonly runs: Readonly<Record<string, BallotRun>>;
+  /** Serials of registers, and when this node learnt of them. */
+  readonly learntSerials: Readonly<Record<Identified, readonly LearntSerial[]>>;
   readonly postings: Readonly<Record<number, Posting>>;
   readonly spindle: SpindleState;
   readonly delays: Readonly<Record<string, readonly number[]>>;
@@ -203,7 +236,7 @@
 export const hallsValueOf = (value: unknown): HallsValue => {
   const known = (value ?? {}) as Partial<HallsValue>;
   const emptied = known.emptied ?? [];
-  return { serial: known.serial ?? 0, emptied, closedOrigins: known.closedOrigins ?? emptied, reopened: known.reopened ?? {}, changes: known.changes ?? [] };
+  return { serial: known.serial ?? 0, emptied, closedOrigins: known.closedOrigins ?? emptied, reopened: known.reopened ?? {}, lastOrders: known.lastOrders ?? {}, changes: known.changes ?? [] };
 };
 export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls === undefined ? null : hallsValueOf(state.registers.halls.value));
 /** Halls whose origins get nothing. */
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -54,6 +54,8 @@
   readonly closedOrigins: readonly string[];
   /** Halls whose origins were taken back, and the serial that did. */
   readonly reopened: Readonly<Record<string, number>>;
+  /** For each hall the serial of the last order for it that was chosen. */
+  readonly lastOrders: Readonly<Record<string, number>>;
   readonly changes: readonly { readonly id: string; readonly serial: number }[];
 };
 
@@ -166,11 +168,17 @@
   | { readonly kind: 'fed'; readonly id: number; readonly body: LatheCall; readonly now: number }
   | { readonly kind: 'operator'; readonly id: number; readonly action: Action; readonly now: number }
   | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply | JigReply; readonly now: number }
-  | { readonly kind: 'lost'; readonly id: number; readonly now: number };
+  | { readonly kind: 'lost'; readonly id: number; readonly now: number }
+  /** The caller of an operator's action closed its connection before it was answered. */
+  | { readonly kind: 'caller-gone'; readonly id: number; readonly now: number }
+  /** The time that a `wake` effect asked for has come. */
+  | { readonly kind: 'woken'; readonly now: number };
 
 export type JigEffect =
   | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk }
   | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/jig'; readonly body: JigCall }
   | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | FeedTold | ClaimReply }
   | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: unknown; readonly retryAfter?: number }
+  /** Asks for a `woken` event after so many ms. */
+  | { readonly kind: 'wake'; readonly inMs: number }
   | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -295,6 +295,7 @@
         return;
       case 'tell': process.asking.get(effect.id)?.(effect.body); process.asking.delete(effect.id); return;
       case 'answer': process.asking.get(effect.id)?.(effect); process.asking.delete(effect.id); return;
+      case 'wake': this.clock.in(effect.inMs / process.clockRate, () => this.#inside(process, () => this.#step(process, { kind: 'woken', now: this.#now(process) }))); return;
       case 'log': return;
     }
   }
@@ -590,16 +591,28 @@
   }
   #addressOf(origin: StageOrigin): string { return this.origins.find((each) => each === origin)?.address ?? ''; }
 
-  /** Sends an action to the API of some live node. */
-  operate(action: Action, done: (reply: { status: number; body: unknown }) => void, from = 'outside', node?: string): void {
+  /** Sends an action to the API of some live node. The caller may leave before it is answered. */
+  operate(action: Action, done: (reply: { status: number; body: unknown }) => void, from = 'outside', node?: string): () => void {
     const live = [...this.boxes.values()].filter((box) => box.jig !== null && !box.jig.frozen);
     const box = node === undefined ? this.clock.pick(live) : this.boxes.get(node);
-    if (box?.jig === undefined || box.jig === null) { done({ status: 0, body: null }); return; }
+    if (box?.jig === undefined || box.jig === null) { done({ status: 0, body: null }); return () => undefined; }
     const { jig } = box;
     let over = false;
     const end = (reply: { status: number; body: unknown }): void => { if (!over) { over = true; done(reply); } };
     this.clock.in(8_000, () => end({ status: 0, body: null }));
-    this.#carry(from, box.machine.name, () => this.#askJig(jig, (id) => ({ kind: 'operator', id, action, now: this.#now(jig) }), (reply) => this.#carry(box.machine.name, from, () => end(reply as { status: number; body: unknown }))));
+    let askedAs: number | null = null;
+    let isGone = false;
+    const drop = (): void => this.#inside(jig, () => { if (askedAs !== null && jig.asking.delete(askedAs)) this.#step(jig, { kind: 'caller-gone', id: askedAs, now: this.#now(jig) }); });
+    this.#carry(from, box.machine.name, () => {
+      this.#askJig(jig, (id) => { askedAs = id; return { kind: 'operator', id, action, now: this.#now(jig) }; }, (reply) => this.#carry(box.machine.name, from, () => end(reply as { status: number; body: unknown })));
+      if (isGone) drop();
+    });
+    return () => {
+      if (over) return;
+      over = true;
+      isGone = true;
+      if (this.tuning.plant !== 'callers-unheeded') this.#carry(from, box.machine.name, drop);
+    };
   }
 
   #changes = 0;
@@ -608,7 +621,7 @@
     this.#changes += 1;
     const changeId = `change-${this.#changes}`;
     this.history.push({ kind: 'proposed', at: this.clock.now(), changeId, document });
-    const attempt = (left: number): void => this.operate({ kind: 'put-policy', document, ifMatch: null, changeId }, (reply) => {
+    const attempt = (left: number): unknown => this.operate({ kind: 'put-policy', document, ifMatch: null, changeId }, (reply) => {
       if (reply.status === 200) { this.history.push({ kind: 'put', at: this.clock.now(), changeId, serial: this.tuning.plant === 'same-serials' ? 1 : (reply.body as { serial: number }).serial, document }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     }, 'outside', left === 20 ? node : undefined);
     attempt(20);
@@ -621,7 +634,7 @@
     const turned = this.clock.now();
     this.#changes += 1;
     const changeId = `change-${this.#changes}`;
-    const attempt = (left: number): void => this.operate({ kind: 'purge', purge: { objects: [...objects], tags: [...tags] }, changeId }, (reply) => {
+    const attempt = (left: number): unknown => this.operate({ kind: 'purge', purge: { objects: [...objects], tags: [...tags] }, changeId }, (reply) => {
       if (reply.status === 200) { this.history.push({ kind: 'purged', at: this.clock.now(), objects, tags, turned }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     });
     attempt(10);
@@ -630,7 +643,7 @@
     this.#changes += 1;
     const changeId = `change-${this.#changes}`;
     const sentAt = this.clock.now();
-    const attempt = (left: number): void => this.operate({ kind: 'hall', hall, order, of: 'all', changeId }, (reply) => {
+    const attempt = (left: number): unknown => this.operate({ kind: 'hall', hall, order, of: 'all', changeId }, (reply) => {
       if (reply.status === 200) { this.history.push({ kind: 'hall', at: this.clock.now(), sentAt, serial: (reply.body as { serial: number }).serial, hall, order }); done(); } else if (left > 0) this.clock.in(500, () => attempt(left - 1));
     });
     attempt(10);
--- /dev/null
+++ b/packages/mallet/src/order-client.ts
@@ -0,0 +1,82 @@
+/**
+ * A control client of the simulator: it sends one order until it is acknowledged. After a second of silence or a
+ * 5xx it goes on to another node, with a pause that grows, and repeats the order unchanged, as operators do.
+ */
+import type { Action } from '@reedyard/jig';
+import type { SimFleet } from './fleet.js';
+
+/** ms without an answer after which the client gives a node up. */
+const silenceMs = 1_000;
+/** ms of the first pause before another node is tried; each further one is twice as long, up to the longest. */
+const firstPauseMs = 50;
+const longestPauseMs = 800;
+
+/** How an order ended for its client. */
+export type OrderOutcome = {
+  readonly kind: 'acknowledged' | 'refused' | 'given-up';
+  readonly status: number;
+  readonly body: unknown;
+  /** ms of virtual time from the first sending. */
+  readonly ms: number;
+  readonly attempts: number;
+};
+
+export type OrderOptions = {
+  /** The node that gets the first attempt; left out, any that is up. */
+  readonly firstNode?: string;
+  /** ms after which the client no longer repeats the order. */
+  readonly patienceMs: number;
+  /** The action of each attempt: a repeat without a shared identity gets a new change id. */
+  readonly action: (attempt: number) => Action;
+  /** Whether the answer to this attempt is lost on its way; left out: never. */
+  readonly losesAnswer?: (attempt: number) => boolean;
+};
+
+const isRefusal = (status: number): boolean => status >= 400 && status < 500;
+
+/**
+ * Sends an order until it is acknowledged, refused, or the client's patience is over.
+ *
+ * @example
+ * sendOrder(fleet, { patienceMs: 4_000, action: () => ({ kind: 'get-policy' }) }, (outcome) => outcome.ms);
+ */
+export const sendOrder = (
+  fleet: SimFleet,
+  options: OrderOptions,
+  done: (outcome: OrderOutcome) => void,
+): void => {
+  const sentAt = fleet.clock.now();
+  const attempt = (count: number, pauseMs: number): void => {
+    let isOver = false;
+    const end = (kind: OrderOutcome['kind'], status: number, body: unknown): void => {
+      done({ kind, status, body, ms: fleet.clock.now() - sentAt, attempts: count });
+    };
+    const goOn = (): void => {
+      if (fleet.clock.now() + pauseMs - sentAt > options.patienceMs) {
+        end('given-up', 0, null);
+        return;
+      }
+      fleet.clock.in(pauseMs, () => attempt(count + 1, Math.min(longestPauseMs, 2 * pauseMs)));
+    };
+    const isLost = options.losesAnswer?.(count) === true;
+    const leave = fleet.operate(
+      options.action(count),
+      (reply) => {
+        if (isOver || isLost || reply.status === 0) return;
+        isOver = true;
+        if (reply.status === 200) end('acknowledged', reply.status, reply.body);
+        else if (isRefusal(reply.status)) end('refused', reply.status, reply.body);
+        else goOn();
+      },
+      'outside',
+      count === 1 ? options.firstNode : undefined,
+    );
+    fleet.clock.in(silenceMs, () => {
+      if (isOver) return;
+      isOver = true;
+      leave();
+      goOn();
+    });
+  };
+  attempt(1, firstPauseMs);
+};
--- a/packages/workbench/src/hollow-host.ts
+++ b/packages/workbench/src/hollow-host.ts
@@ -94,7 +94,7 @@
 const headBytes = (first: string, headers: readonly (readonly [string, unknown])[]): number =>
   headers.reduce((sum, [name, value]) => sum + name.length + String(value).length + 4, first.length + 4);
 
-type JigNode = { readonly spec: JigSpec; state: JigState; beatAt: number; next: number; readonly asking: Map<number, (reply: unknown) => void>; readonly orders: Map<number, string> };
+type JigNode = { readonly spec: JigSpec; state: JigState; beatAt: number; /** When it wants to be woken, at the latest. */ wakeAt: number; next: number; readonly asking: Map<number, (reply: unknown) => void>; readonly orders: Map<number, string> };
 type AnvilNode = { readonly spec: AnvilSpec; state: AnvilState; readonly notch: Notch; beatAt: number; next: number; compacting: boolean; readonly asking: Map<number, (reply: AnvilReply) => void> };
 type LatheNode = { readonly spec: LatheSpec; askAt: number; asking: boolean; measuredAt: number; held: HeldFeed | null; policy: unknown; wants: Readonly<Record<string, number>>; wantsAt: number; draws: number };
 
@@ -236,6 +236,7 @@
         if (tag !== undefined && tag !== '') this.#answers[tag] = { status: effect.status, at: this.#now, body: effect.body };
         return;
       }
+      case 'wake': node.wakeAt = Math.min(node.wakeAt, this.#now + effect.inMs); return;
       case 'log': this.#logs[effect.event] = (this.#logs[effect.event] ?? 0) + 1; return;
     }
   }
@@ -282,7 +283,7 @@
   async jigs(specs: readonly JigSpec[]): Promise<void> {
     for (const spec of specs) {
       const node: JigNode = {
-        spec, beatAt: spec.startAt, next: 1, asking: new Map(), orders: new Map(),
+        spec, beatAt: spec.startAt, wakeAt: Infinity, next: 1, asking: new Map(), orders: new Map(),
         state: Jig.open({ self: spec.self, life: `life-of-${spec.self.id}`, seeds: spec.seeds, founders: spec.founders, seed: spec.seed, now: this.#now }),
       };
       this.#jigs.set(spec.self.address, node);
@@ -376,6 +377,10 @@
       this.#reduceAnvil(node, { kind: 'beat', now });
     }
     for (const node of this.#jigs.values()) {
+      if (now >= node.wakeAt) {
+        node.wakeAt = Infinity;
+        this.#reduceJig(node, { kind: 'woken', now });
+      }
       if (now < node.beatAt) continue;
       node.beatAt += Beats.jig;
       this.#reduceJig(node, { kind: 'beat', now });
