--- a/packages/jig/src/completion.ts
+++ b/packages/jig/src/completion.ts
@@ -43,7 +43,10 @@
   }
   const serial = findChange(value?.changes ?? [], purpose.changeId)?.serial ?? value?.serial ?? 0;
   log(work, 'policy.acknowledged', { serial, change: purpose.changeId });
-  answer(work, purpose.id, { status: 200, body: { serial, changeId: purpose.changeId } });
+  // The version in force: an older configuration is acknowledged though it is not this one.
+  const version = value?.document.version;
+  const body = { serial, changeId: purpose.changeId, ...(version === undefined ? {} : { version }) };
+  answer(work, purpose.id, { status: 200, body });
 };
 
 const finishGetPolicy = (work: Work, purpose: Purposed<'get-policy'>, outcome: Outcome): void => {
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -8,7 +8,7 @@
 import { Clockwork } from './clockwork.js';
 import type { CalledFleet, StageOrigin } from './scenarios.js';
 import type { Entry, SimBody } from './history.js';
-import { plantedClaim, plantedFeed, selected, type Plant, type Selection } from './plants.js';
+import { plantedClaim, plantedFeed, plantedReply, selected, type Plant, type Selection } from './plants.js';
 
 type Program = 'jig' | 'lathe' | 'anvil';
 type Reducers = { jig: { state: JigState; event: JigEvent; effect: JigEffect }; lathe: { state: LatheState; event: LatheEvent; effect: LatheEffect }; anvil: { state: AnvilState; event: AnvilEvent; effect: AnvilEffect } };
@@ -591,6 +591,15 @@
   }
   #addressOf(origin: StageOrigin): string { return this.origins.find((each) => each === origin)?.address ?? ''; }
 
+  /** A planted fault: an agent goes on with an order for 4 s, though its caller is gone. */
+  #goOn(jig: Process<'jig'>, action: Action): void {
+    for (let ms = 500; ms < Limits.proposal; ms += 500) {
+      this.clock.in(ms, () => {
+        if (jig.alive) this.#askJig(jig, (id) => ({ kind: 'operator', id, action, now: this.#now(jig) }), () => undefined);
+      });
+    }
+  }
+
   /** Sends an action to the API of some live node. The caller may leave before it is answered. */
   operate(action: Action, done: (reply: { status: number; body: unknown }) => void, from = 'outside', node?: string): () => void {
     const live = [...this.boxes.values()].filter((box) => box.jig !== null && !box.jig.frozen);
@@ -604,14 +613,15 @@
     let isGone = false;
     const drop = (): void => this.#inside(jig, () => { if (askedAs !== null && jig.asking.delete(askedAs)) this.#step(jig, { kind: 'caller-gone', id: askedAs, now: this.#now(jig) }); });
     this.#carry(from, box.machine.name, () => {
-      this.#askJig(jig, (id) => { askedAs = id; return { kind: 'operator', id, action, now: this.#now(jig) }; }, (reply) => this.#carry(box.machine.name, from, () => end(reply as { status: number; body: unknown })));
+      this.#askJig(jig, (id) => { askedAs = id; return { kind: 'operator', id, action, now: this.#now(jig) }; }, (reply) => this.#carry(box.machine.name, from, () => end(plantedReply(this.tuning.plant, reply as { status: number; body: unknown }))));
       if (isGone) drop();
     });
     return () => {
       if (over) return;
       over = true;
       isGone = true;
-      if (this.tuning.plant !== 'callers-unheeded') this.#carry(from, box.machine.name, drop);
+      if (this.tuning.plant === 'callers-unheeded') this.#goOn(jig, action);
+      else this.#carry(from, box.machine.name, drop);
     };
   }
 
--- /dev/null
+++ b/packages/mallet/src/order-trial.ts
@@ -0,0 +1,226 @@
+/**
+ * Operators' worst days: up to eight orders under way at once, answers lost on their way, each order repeated unchanged
+ * to any node, while agents are cut off, frozen and killed. Two operators race for the versions of the configuration;
+ * each zone has an operator of its own, who evacuates it and takes it back in turn.
+ */
+import { Limits } from '@reedyard/gauge';
+import type { Action, HallsValue, PolicyValue } from '@reedyard/jig';
+import type { Policy } from '@reedyard/stencil';
+import { SimFleet } from './fleet.js';
+import { sendOrder, type OrderOutcome } from './order-client.js';
+import type { Plant } from './plants.js';
+import { exampleOf } from './run.js';
+
+const warmUpMs = 8_000;
+const endMs = 40_000;
+const settleMs = 12_000;
+const patienceMs = 4_000;
+const zones = ['zone-1', 'zone-2', 'zone-3', 'zone-4', 'zone-5', 'zone-6'];
+
+export type TrialOptions = {
+  readonly seed: number;
+  readonly plant?: Plant;
+  readonly example?: string;
+  /** Share of answers that are lost. */
+  readonly lostAnswers?: number;
+  /** Whether machines fail meanwhile. */
+  readonly hasFaults?: boolean;
+};
+
+type SentPolicy = {
+  readonly version: number;
+  readonly content: string;
+  readonly outcome: OrderOutcome;
+};
+
+type ZoneEnd = { readonly order: 'empty' | 'take-back'; readonly outcome: OrderOutcome };
+
+/** What a trial found wrong, and how many orders ended how. */
+export type TrialReport = {
+  readonly wrongs: readonly string[];
+  readonly counts: Readonly<Record<string, number>>;
+  /** ms until acknowledged, sorted. */
+  readonly times: readonly number[];
+};
+
+/** Whether a configuration was acknowledged as the one in force, and not as one that a higher version has overtaken. */
+const isHeld = ({ version, outcome }: SentPolicy): boolean => {
+  if (outcome.kind !== 'acknowledged') return false;
+  const { version: held = version } = outcome.body as { readonly version?: number };
+  return held === version;
+};
+
+/** One trial while it runs. */
+class OrderTrial {
+  readonly fleet: SimFleet;
+  readonly policies: SentPolicy[] = [];
+  readonly zoneEnds = new Map<string, ZoneEnd[]>();
+  readonly sentContents = new Map<number, Set<string>>();
+  readonly wrongs: string[] = [];
+  readonly outcomes: OrderOutcome[] = [];
+  readonly #base: Policy;
+  readonly #lostAnswers: number;
+  #version = 10;
+  #ids = 0;
+
+  constructor(options: TrialOptions) {
+    const { deployment, policy } = exampleOf(options.example ?? 'brandlhuber');
+    const tuning = { loss: 0.001, plant: options.plant ?? 'none', regionsMs: 12 };
+    this.fleet = new SimFleet(deployment, options.seed, tuning);
+    this.#base = policy;
+    this.#lostAnswers = options.lostAnswers ?? 0.3;
+    for (const machine of deployment.machines) this.fleet.start(machine.name);
+  }
+
+  #order(action: () => Action, done: (outcome: OrderOutcome) => void): void {
+    const losesAnswer = (): boolean => this.fleet.clock.chance() < this.#lostAnswers;
+    sendOrder(this.fleet, { patienceMs, action, losesAnswer }, (outcome) => {
+      this.outcomes.push(outcome);
+      done(outcome);
+    });
+  }
+
+  #nextId(): string {
+    this.#ids += 1;
+    return `order-${this.#ids}`;
+  }
+
+  #document(version: number, content: string): Policy {
+    return { ...this.#base, version, notes: { content } };
+  }
+
+  /** An operator sends configurations one after the other; now and then one under a number that the other one takes. */
+  operatePolicies(operator: string): void {
+    if (this.fleet.clock.now() > endMs) return;
+    const isRace = this.fleet.clock.chance() < 0.5;
+    if (!isRace) this.#version += 1 + Math.floor(3 * this.fleet.clock.chance());
+    const version = this.#version;
+    const content = `${operator}-${this.#nextId()}`;
+    const contents = this.sentContents.get(version) ?? new Set();
+    this.sentContents.set(version, contents.add(content));
+    const document = this.#document(version, content);
+    const action = (): Action => ({ kind: 'put-policy', document, ifMatch: null, changeId: this.#nextId() });
+    this.#order(action, (outcome) => {
+      this.policies.push({ version, content, outcome });
+      this.fleet.clock.in(this.fleet.clock.between(0, 400), () => this.operatePolicies(operator));
+    });
+  }
+
+  /** An operator evacuates a zone and takes it back, again and again; gives some orders up early. */
+  operateZone(zone: string): void {
+    if (this.fleet.clock.now() > endMs) return;
+    const ends = this.zoneEnds.get(zone) ?? [];
+    this.zoneEnds.set(zone, ends);
+    const order = ends.at(-1)?.order === 'empty' ? 'take-back' : 'empty';
+    const action = (): Action => ({ kind: 'hall', hall: zone, order, of: 'origins', changeId: this.#nextId() });
+    this.#order(action, (outcome) => {
+      ends.push({ order, outcome });
+      const pauseMs = this.fleet.clock.between(0, 1_500);
+      this.fleet.clock.in(pauseMs, () => {
+        this.#checkZone(zone);
+        this.operateZone(zone);
+      });
+    });
+  }
+
+  /** Agents that may act, with what they know of the zones. */
+  #informed(): readonly HallsValue[] {
+    return [...this.fleet.boxes.values()].flatMap(({ jig }) => {
+      if (jig === null || jig.frozen || jig.state.now >= jig.state.lease) return [];
+      const halls = jig.state.registers.halls;
+      return halls === undefined ? [] : [halls.value as HallsValue];
+    });
+  }
+
+  /** After an acknowledged order, whoever has learnt of it finds the zone as it was ordered. */
+  #checkZone(zone: string): void {
+    const last = this.zoneEnds.get(zone)?.at(-1);
+    if (last === undefined || last.outcome.kind !== 'acknowledged') return;
+    const { serial } = last.outcome.body as { readonly serial: number };
+    for (const halls of this.#informed()) {
+      if (halls.serial < serial) continue;
+      const isClosed = halls.closedOrigins.includes(zone);
+      if (isClosed !== (last.order === 'empty')) this.wrongs.push(`${zone}: an acknowledged ${last.order} was undone`);
+    }
+  }
+
+  /** One fault a second or two: an agent's machine is cut off, frozen or killed for a while. */
+  makeFaults(): void {
+    const { fleet } = this;
+    const { clock } = fleet;
+    if (clock.now() > endMs) return;
+    const name = clock.pick(fleet.places()) ?? '';
+    const draw = clock.chance();
+    if (draw < 0.4) {
+      fleet.isolate(name);
+      clock.in(clock.between(500, 3_000), () => fleet.heal());
+    } else if (draw < 0.7) {
+      fleet.freeze(name);
+      clock.in(clock.between(300, 3_000), () => fleet.thaw(name));
+    } else {
+      fleet.kill(name);
+      clock.in(clock.between(300, 1_500), () => fleet.start(name));
+    }
+    clock.in(clock.between(1_000, 2_500), () => this.makeFaults());
+  }
+
+  /** What was acknowledged under one number, and what was refused without a rival. */
+  checkPolicies(): void {
+    const held = this.policies.filter(isHeld);
+    for (const each of held) {
+      const rival = held.find((other) => other.version === each.version && other.content !== each.content);
+      if (rival !== undefined) this.wrongs.push(`version ${each.version} was confirmed with two contents`);
+    }
+    for (const each of this.policies) {
+      const isAlone = this.sentContents.get(each.version)?.size === 1;
+      if (each.outcome.kind === 'refused' && isAlone) this.wrongs.push(`version ${each.version} was refused`);
+    }
+  }
+
+  /** What is read back at the end. */
+  checkEnd(policy: PolicyValue['document'] | null): void {
+    const acknowledged = this.policies.filter((each) => each.outcome.kind === 'acknowledged');
+    const newest = Math.max(0, ...acknowledged.map((each) => each.version));
+    const [version, content] = [policy?.version ?? 0, policy?.notes?.content];
+    if (version < newest) this.wrongs.push(`version ${version} was read back, ${newest} was acknowledged`);
+    for (const each of acknowledged) {
+      if (each.version !== version || each.content === content) continue;
+      this.wrongs.push(`version ${version} is not what was acknowledged`);
+    }
+    for (const zone of zones) this.#checkZone(zone);
+  }
+}
+
+const countsOf = (outcomes: readonly OrderOutcome[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  for (const { kind } of outcomes) counts[kind] = (counts[kind] ?? 0) + 1;
+  return counts;
+};
+
+/**
+ * Plays one trial and judges it.
+ *
+ * @example
+ * runOrderTrial({ seed: 3 }).wrongs // []
+ */
+export const runOrderTrial = (options: TrialOptions): TrialReport => {
+  const trial = new OrderTrial(options);
+  const { clock } = trial.fleet;
+  clock.in(warmUpMs, () => {
+    trial.operatePolicies('first');
+    trial.operatePolicies('second');
+    for (const zone of zones) trial.operateZone(zone);
+    if (options.hasFaults !== false) trial.makeFaults();
+  });
+  clock.runUntil(endMs + settleMs);
+  trial.checkPolicies();
+  let read: PolicyValue['document'] | null = null;
+  sendOrder(trial.fleet, { patienceMs, action: () => ({ kind: 'get-policy' }) }, ({ kind, body }) => {
+    if (kind === 'acknowledged') read = (body as { readonly policy: Policy }).policy;
+  });
+  clock.runUntil(endMs + settleMs + patienceMs + Limits.proposal);
+  trial.checkEnd(read);
+  const acknowledged = trial.outcomes.filter((each) => each.kind === 'acknowledged');
+  const times = acknowledged.map((each) => each.ms).sort((a, b) => a - b);
+  return { wrongs: [...new Set(trial.wrongs)], counts: countsOf(trial.outcomes), times };
+};
--- a/packages/mallet/src/plants.ts
+++ b/packages/mallet/src/plants.ts
@@ -9,7 +9,7 @@
   'none', 'deaf-lease', 'tell-unsynced', 'repeat-unsafe', 'claims-granted', 'no-identity', 'no-marks', 'wiped-votes',
   'deaf-drain', 'deaf-halls', 'deaf-purges', 'no-buckets', 'free-repeats', 'no-homes', 'forgetful-disks', 'deaf-voters',
   'route-at-arrival', 'no-capacities', 'no-cold-rates', 'old-rates',
-  'deaf-relays', 'deaf-ready', 'deaf-tags', 'deaf-life', 'deaf-methods', 'deaf-instances', 'wild-clocks', 'claims-of-any-content', 'earn-twice', 'same-serials', 'short-as-whole', 'keep-relayed', 'callers-unheeded',
+  'deaf-relays', 'deaf-ready', 'deaf-tags', 'deaf-life', 'deaf-methods', 'deaf-instances', 'wild-clocks', 'claims-of-any-content', 'earn-twice', 'same-serials', 'short-as-whole', 'keep-relayed', 'callers-unheeded', 'any-content-confirmed',
 ] as const;
 export type Plant = (typeof plantNames)[number];
 
@@ -49,3 +49,7 @@
 
 /** Whether a claim is granted without asking. */
 export const plantedClaim = (plant: Plant, call: LatheCall): boolean => plant === 'claims-granted' && call.kind === 'claim';
+
+/** What a planted fault makes of an agent's answer to an operator. */
+export const plantedReply = <T extends { readonly status: number }>(plant: Plant, reply: T): T =>
+  plant === 'any-content-confirmed' && reply.status === 412 ? { ...reply, status: 200 } : reply;
