--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -2,7 +2,8 @@
 import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
 import { newerVoters, type AnvilReply, type Voters, type VotersTold } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
-import { Changes, countAnew, pursue } from './ballots.js';
+import { countAnew, pursue } from './ballots.js';
+import { Changes } from './changes.js';
 import { hasAccepted, isLow, isOverdue, renewLease, stackPull } from './lease.js';
 import { isProbeDue, isProbing } from './reachability.js';
 import type { HallsValue } from './terms.js';
@@ -156,7 +157,7 @@
     set(work, { hanging: { ...state.hanging, [key]: { ballot, since: state.now } } });
     return;
   }
-  const repairing = Object.values(state.pursuits).some((pursuit) => pursuit.proposal.key === key);
+  const repairing = Object.values(state.pursuits).some((pursuit) => pursuit.key === key);
   if (state.now - seen.since <= Limits.hanging || repairing || chance(work) >= 0.1) return;
   pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
 };
--- a/packages/jig/src/reachability.ts
+++ b/packages/jig/src/reachability.ts
@@ -1,7 +1,7 @@
 import { Beats, Limits } from '@reedyard/gauge';
 import { majorityOf } from '@reedyard/latch';
+import { unavailable, type ApiAnswer } from './answers.js';
 import { isLate, log, set } from './state.js';
-import type { JigEffect } from './terms.js';
 import type { AnvilView, JigState, Posting, Purpose, Pursuit, Work } from './state.js';
 
 /**
@@ -101,15 +101,10 @@
   state.now - Math.max(view.askedAt, view.answeredAt) >= Beats.leaseLow;
 
 /** The answer, at once, to what needs a majority at a node that reaches none: nothing was sent. */
-export const unreachableAnswer = (id: number): JigEffect => ({
-  kind: 'answer',
-  id,
-  status: 503,
+export const unreachableAnswer: ApiAnswer = {
+  ...unavailable(
+    'No majority reached',
+    'This node reaches no majority of replicas; nothing was changed. Ask another node.',
+  ),
   retryAfter: Limits.retryElsewhereSeconds,
-  body: {
-    type: 'about:blank',
-    title: 'No majority reached',
-    status: 503,
-    detail: 'This node reaches no majority of replicas; nothing was changed. Ask another node.',
-  },
-});
+};
--- a/packages/reedyard/src/safe-to-stop.test.ts
+++ b/packages/reedyard/src/safe-to-stop.test.ts
@@ -38,6 +38,7 @@
   node: 'front-1',
   hall: 'west',
   region: 'r',
+  unreachable: false,
   leaseMs,
   policySerial: 7,
   emptiedHalls: [],
