agent: a stale If-Match is refused also where the content is held; zone orders answer before a second

The comparison by content let a policy under a stale If-Match through where it was the one held: `fleet.test` (412 wanted, 200 got; red in that run). Now only what was sent under the serial that it replaced, or under the one in force, counts as a repeat.

Orders for zones are given up after 800 ms instead of 1 s, so that the 503 reaches a caller that waits for a second.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -90,8 +90,9 @@
   firstPrepare: 150,
   /** ms. Accepts and facts are sent again to replicas that have not answered: both may be taken twice. */
   resend: 150,
-  /** ms. An order for a zone is proposed this long at most: its caller goes to another node after a second. */
-  zoneOrder: 1_000,
+  /** ms. An order for a zone is proposed this long at most: its caller goes to another node after a second, and is
+   *  told before that. */
+  zoneOrder: 800,
   /** ms. A change may be sent again this long, and is then still made once: an operator repeats for seconds. */
   repeatWindow: 30_000,
   /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
--- a/packages/jig/src/changes.test.ts
+++ b/packages/jig/src/changes.test.ts
@@ -35,6 +35,11 @@
   const first = after(put(document(undefined, 'x'), 'a', 0), null) as PolicyValue;
   t.deepEqual(put(document(undefined, 'x'), 'b', 0)(first), { kind: 'keep' });
   t.deepEqual(put(document(undefined, 'y'), 'b', 0)(first), { kind: 'refuse', reason: 'stale-serial' });
+  t.deepEqual(put(document(undefined, 'x'), 'b', 7)(first), { kind: 'refuse', reason: 'stale-serial' });
+  const versioned = after(put(document(7, 'x'), 'a', 0), null);
+  for (const ifMatch of [null, 0, 1]) t.deepEqual(put(document(7, 'x'), 'b', ifMatch)(versioned), { kind: 'keep' });
+  t.deepEqual(put(document(7, 'y'), 'b', 1)(versioned), { kind: 'refuse', reason: 'version-taken' });
+  t.deepEqual(put(document(7, 'x'), 'b', 7)(versioned), { kind: 'refuse', reason: 'stale-serial' });
 });
 
 test('content is compared by its fields, in whatever order they were sent', (t) => {
--- a/packages/jig/src/changes.ts
+++ b/packages/jig/src/changes.ts
@@ -53,9 +53,11 @@
   const old = current as PolicyValue | null;
   if (findChange(old?.changes ?? [], changeId) !== undefined) return keep;
   const order = old === null ? 'newer' : compareVersions(old.document, document);
-  const mayBeHeld = old !== null && (order === 'equal' || ifMatch !== null);
-  if (mayBeHeld && hasSameContent(old.document, document)) return keep;
   const serial = old?.serial ?? 0;
+  // Sent again under the serial that it replaced: it was taken then.
+  const isRepeat = ifMatch === serial - 1;
+  const mayBeHeld = isRepeat || (order === 'equal' && (ifMatch === null || ifMatch === serial));
+  if (old !== null && mayBeHeld && hasSameContent(old.document, document)) return keep;
   if (ifMatch !== null && ifMatch !== serial) return { kind: 'refuse', reason: Refusals.staleSerial };
   if (order === 'older') return keep;
   if (order === 'equal') return { kind: 'refuse', reason: Refusals.versionTaken };
