--- a/packages/anvil/src/history.test.ts
+++ b/packages/anvil/src/history.test.ts
@@ -1,4 +1,5 @@
-// Three replicas on real logs after many changes: what a restart and a wiped disk read, and what the disk holds.
+// Three replicas on real logs after many changes: what a restart and a wiped disk read, and what
+// the disk holds.
 import test, { type ExecutionContext } from 'ava';
 import { cpSync, mkdtempSync, readdirSync, rmSync, statSync } from 'node:fs';
 import os from 'node:os';
@@ -102,7 +103,7 @@
   }
 
   async run(ms: number): Promise<void> {
-    for (const until = this.now + ms; this.now < until; ) {
+    for (const until = this.now + ms; this.now < until;) {
       this.now += tickMs;
       for (const { host } of this.running.values()) host.tick();
       await this.settle();
--- a/packages/anvil/src/replica-host.test.ts
+++ b/packages/anvil/src/replica-host.test.ts
@@ -3,7 +3,13 @@
 import { Limits } from '@reedyard/gauge';
 import { openNotch, type Notch } from '@reedyard/notch';
 import { ModelDisk, type DiskFault, type DiskOperation } from '@reedyard/notch/model-disk';
-import { Anvil, type AnvilCall, type AnvilRecord, type AnvilReply, type VotersTold } from './core.js';
+import {
+  Anvil,
+  type AnvilCall,
+  type AnvilRecord,
+  type AnvilReply,
+  type VotersTold,
+} from './core.js';
 import { ReplicaHost } from './replica-host.js';
 
 const folder = 'model';
@@ -93,7 +99,8 @@
 
 /** What another process would read, and take part with, now. */
 const acceptedOnDisk = async (disk: ModelDisk): Promise<unknown> => {
-  const records = (await openNotch(folder, disk.copy().fileSystem)).records as readonly AnvilRecord[];
+  const records = (await openNotch(folder, disk.copy().fileSystem))
+    .records as readonly AnvilRecord[];
   const { state } = Anvil.open({ name: 'a', others: {}, records, freshDisk: 'another', now: 0 });
   return state.cells.get('config')?.accepted?.value;
 };
@@ -176,8 +183,14 @@
   t.deepEqual(records[0], { kind: 'disk', disk: diskName });
 });
 
-/** Calls of a few rounds, with all answers, while each operation of the disk in turn begins to fail. */
-const playWithFault = async (t: ExecutionContext, first: number, count: number): Promise<boolean> => {
+/**
+ * Calls of a few rounds, with all answers, while each operation of the disk in turn begins to fail.
+ */
+const playWithFault = async (
+  t: ExecutionContext,
+  first: number,
+  count: number,
+): Promise<boolean> => {
   const disk = await votingDisk();
   const bed = await Bed.open(disk);
   let seen = 0;
@@ -190,7 +203,8 @@
   for (let round = 1; round <= 12; round += 1) {
     const [vote, pull] = await Promise.all([bed.accept(round, `value ${round}`), bed.pull()]);
     if (vote.kind === 'vote') acknowledged = `value ${round}`;
-    // What any answer shows is what a process would find that starts on this disk after a loss of power.
+    // What any answer shows is what a process would find that starts on this disk after a loss of
+    // power.
     const shown = ballotShown(pull);
     for (const left of disk.powerLosses()) {
       const value = await acceptedOnDisk(left);
--- a/packages/anvil/src/replica-host.ts
+++ b/packages/anvil/src/replica-host.ts
@@ -1,12 +1,14 @@
 /**
- * Runs the replica's reducer on a log. It owns the state and its order, and guarantees that no answer tells
- * of anything that is not on disk:
+ * Runs the replica's reducer on a log. It owns the state and its order, and guarantees that no
+ * answer tells of anything that is not on disk:
  *
  * - an answer that follows from unsynced records is held until they are synced,
  * - pulls and fetches are answered at once, from the state that is on disk,
- * - after a write or sync that failed, the state goes back to what is on disk; until the log has recovered,
+ * - after a write or sync that failed, the state goes back to what is on disk; until the log has
+ *   recovered,
  *   only calls that change nothing are answered, and all others are refused at once,
- * - while a sync hangs, calls that need one are refused as well, so that nobody waits for this disk.
+ * - while a sync hangs, calls that need one are refused as well, so that nobody waits for this
+ *   disk.
  *
  * Time, calls and logging are handed in.
  */
@@ -47,7 +49,9 @@
 
 /** Answers that wait for a sync at once; more are refused. */
 const mostHeldAnswers = 4_096;
-/** ms. A sync that takes this long is of no use to who waits for it: as long as a phase of a ballot. */
+/**
+ * ms. A sync that takes this long is of no use to who waits for it: as long as a phase of a ballot.
+ */
 const stalledAfter = Limits.ballotPhase;
 /** ms. First and longest pause between two tries to recover a disk that refuses. */
 const firstRecoveryPause = 250;
@@ -151,7 +155,10 @@
     this.#compactIfDue();
   }
 
-  /** A pull or fetch that changes nothing, answered as if it had come before what is not on disk yet. */
+  /**
+   * A pull or fetch that changes nothing, answered as if it had come before what is not on disk
+   * yet.
+   */
   #readDurable(event: Asked): AnvilReply | null {
     const { kind } = event.body.call;
     if (kind !== 'pull' && kind !== 'fetch') return null;
@@ -160,7 +167,9 @@
     return tellIn(effects)?.body ?? null;
   }
 
-  /** Takes an event, or refuses it as if it had never come: if it needs a disk that takes nothing. */
+  /**
+   * Takes an event, or refuses it as if it had never come: if it needs a disk that takes nothing.
+   */
   #apply(event: AnvilEvent, resolve?: (reply: AnvilReply) => void): boolean {
     const step = Anvil.reduce(this.#state, event);
     const records = recordsIn(step.effects);
@@ -330,10 +339,12 @@
     const most = Math.max(Sizes.segment, this.#log.snapshotBytes() / 2);
     if (this.#log.segmentBytes() <= most && !this.#log.fragmented()) return;
     this.#compacting = true;
-    this.#log.compact(() => Anvil.records(this.#durable)).then(
-      () => this.#compacted(),
-      (thrown: unknown) => this.#compactionFailed(thrown),
-    );
+    this.#log
+      .compact(() => Anvil.records(this.#durable))
+      .then(
+        () => this.#compacted(),
+        (thrown: unknown) => this.#compactionFailed(thrown),
+      );
   }
 
   #compacted(): void {
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -30,10 +30,8 @@
   const others = Object.fromEntries(Object.entries(founders).filter(([each]) => each !== name));
   const address = `${host}:${settings.anvil.port}`;
   const seeded =
-    voting === undefined
-      ? null
-      : { address, seeds: voting.seeds, firstStart: voting.firstStart };
-  const records = log.records as readonly AnvilRecord[];
+    voting === undefined ? null : { address, seeds: voting.seeds, firstStart: voting.firstStart };
+  const records = log.takeRecords() as readonly AnvilRecord[];
   return Anvil.open({ name, others, seeded, records, freshDisk: randomUUID(), now: now() });
 };
 
--- a/packages/notch/src/disk-faults.test.ts
+++ b/packages/notch/src/disk-faults.test.ts
@@ -24,7 +24,12 @@
 ];
 
 /** Refuses so many operations from one on, then all is well again. */
-const faultAt = (disk: ModelDisk, first: number, count: number, fault: DiskFault): (() => number) => {
+const faultAt = (
+  disk: ModelDisk,
+  first: number,
+  count: number,
+  fault: DiskFault,
+): (() => number) => {
   let seen = 0;
   disk.hook = (operation) => {
     if (!refusable.has(operation)) return null;
@@ -34,7 +39,11 @@
   return () => seen;
 };
 
-type History = { readonly issued: number[]; readonly acknowledged: number[]; readonly refused: Set<number> };
+type History = {
+  readonly issued: number[];
+  readonly acknowledged: number[];
+  readonly refused: Set<number>;
+};
 
 const append = async (log: Notch, history: History, record: number): Promise<void> => {
   history.issued.push(record);
@@ -60,11 +69,20 @@
   }
 };
 
-/** What was acknowledged is there, in order; what was refused is not there before anything acknowledged. */
-const check = (t: ExecutionContext, records: readonly unknown[], history: History, what: string): void => {
+/**
+ * What was acknowledged is there, in order; what was refused is not there before anything
+ * acknowledged.
+ */
+const check = (
+  t: ExecutionContext,
+  records: readonly unknown[],
+  history: History,
+  what: string,
+): void => {
   const { acknowledged, refused } = history;
   t.deepEqual(records.slice(0, acknowledged.length), acknowledged, what);
-  for (const record of records.slice(acknowledged.length)) t.true(refused.has(record as number), what);
+  for (const record of records.slice(acknowledged.length))
+    t.true(refused.has(record as number), what);
 };
 
 const reopen = async (disk: ModelDisk): Promise<readonly unknown[]> =>
@@ -165,11 +183,17 @@
   const refuse = (operation: DiskOperation, name: string): DiskFault | null =>
     operation === 'write' && name.startsWith('snapshot') ? { kind: 'fail', code: 'ENOSPC' } : null;
   disk.hook = refuse;
-  const error = await t.throwsAsync(log.compact(() => [1, 2, 3]), { instanceOf: NotchError });
+  const error = await t.throwsAsync(
+    log.compact(() => [1, 2, 3]),
+    { instanceOf: NotchError },
+  );
   t.is(error?.code, 'full');
   t.true(log.available());
   await log.append([4]);
-  t.deepEqual([...disk.files().keys()].filter((name) => name.startsWith('snapshot')), []);
+  t.deepEqual(
+    [...disk.files().keys()].filter((name) => name.startsWith('snapshot')),
+    [],
+  );
   t.deepEqual(await reopen(disk.copy()), [1, 2, 3, 4]);
   disk.hook = () => null;
   await log.compact(() => [1, 2, 3, 4]);
--- a/packages/notch/src/file-system.ts
+++ b/packages/notch/src/file-system.ts
@@ -1,13 +1,15 @@
 /**
- * The few file operations that the log is built on. Tests put a model disk in place of the real one,
- * with faults and losses of power at every operation.
+ * The few file operations that the log is built on. Tests put a model disk in place of the real
+ * one, with faults and losses of power at every operation.
  */
 import { promises as fs } from 'node:fs';
 import path from 'node:path';
 
 /** A new file that is written from its start to its end. */
 export type WritableFile = {
-  /** Writes at the end of the file; tells how many bytes were taken, which may be fewer than given. */
+  /**
+   * Writes at the end of the file; tells how many bytes were taken, which may be fewer than given.
+   */
   readonly write: (bytes: Buffer) => Promise<number>;
   /** Resolves once all bytes written so far, and the file itself, outlast a loss of power. */
   readonly sync: () => Promise<void>;
--- a/packages/notch/src/frames.ts
+++ b/packages/notch/src/frames.ts
@@ -1,7 +1,7 @@
 /**
- * Records as bytes. A frame is a head and a payload, each with a checksum. The head tells the batch that
- * the frame was written in: all frames of a batch are covered by one sync, and the next batch is written
- * only after that sync. So a frame of batch n + 1 proves that batch n was synced.
+ * Records as bytes. A frame is a head and a payload, each with a checksum. The head tells the batch
+ * that the frame was written in: all frames of a batch are covered by one sync, and the next batch
+ * is written only after that sync. So a frame of batch n + 1 proves that batch n was synced.
  */
 import { crc32 } from 'node:zlib';
 import { parse, stringify } from 'devalue';
@@ -47,8 +47,8 @@
 export const encodeRecord = (record: unknown): Buffer => Buffer.from(stringify(record));
 
 /**
- * A frame around a payload. `fileId` goes into the checksum of the head: what an earlier file left on the
- * same blocks of the disk is never taken for a frame of this one.
+ * A frame around a payload. `fileId` goes into the checksum of the head: what an earlier file left
+ * on the same blocks of the disk is never taken for a frame of this one.
  *
  * @example
  * encodeFrame({ payload: encodeRecord('a'), batch: 1, lastOfBatch: true, fileId: 2 }).length // 29
@@ -102,7 +102,8 @@
 };
 
 /**
- * Reads the frames of a file up to the first that is missing or torn, and looks for heads behind it.
+ * Reads the frames of a file up to the first that is missing or torn, and looks for heads behind
+ * it.
  *
  * @example
  * scanFrames(Buffer.alloc(40), 2) // { frames: [], goodBytes: 0, batchBehindGap: null }
--- a/packages/notch/src/layout.ts
+++ b/packages/notch/src/layout.ts
@@ -1,6 +1,6 @@
 /**
- * Names and first records of the files of a log. `segment-N` holds what was appended since it was begun;
- * `snapshot-N` holds the whole state as it was when segment N was begun.
+ * Names and first records of the files of a log. `segment-N` holds what was appended since it was
+ * begun; `snapshot-N` holds the whole state as it was when segment N was begun.
  */
 import { encodeFrame, encodeRecord } from './frames.js';
 
@@ -13,8 +13,9 @@
 export type SegmentEnd = { readonly number: number; readonly bytes: number };
 
 /**
- * The first record of a segment, synced before anything else is written to it. It fences the segment before:
- * a frame behind `previous.bytes` counts for nothing, and one missing before it is damage.
+ * The first record of a segment, synced before anything else is written to it. It fences the
+ * segment before: a frame behind `previous.bytes` counts for nothing, and one missing before it is
+ * damage.
  */
 export type SegmentHeader = {
   readonly format: number;
@@ -38,7 +39,10 @@
 export const fileName = (kind: FileKind, number: number): string =>
   `${kind}-${String(number).padStart(numberDigits, '0')}`;
 
-/** Checksums of a file's frames begin with this, so that frames of different files are never mixed up. */
+/**
+ * Checksums of a file's frames begin with this, so that frames of different files are never mixed
+ * up.
+ */
 export const fileIdOf = (kind: FileKind, number: number): number =>
   number * 2 + (kind === 'snapshot' ? 1 : 0);
 
--- a/packages/notch/src/log.ts
+++ b/packages/notch/src/log.ts
@@ -1,7 +1,8 @@
 /**
- * The write-ahead log of one process: appended records are acknowledged once they are synced. A write or a
- * sync that fails seals the segment for good, since nothing is known of what it holds from there on; the
- * log takes appends again after `recover`, which begins a new segment that fences the old one.
+ * The write-ahead log of one process: appended records are acknowledged once they are synced. A
+ * write or a sync that fails seals the segment for good, since nothing is known of what it holds
+ * from there on; the log takes appends again after `recover`, which begins a new segment that
+ * fences the old one.
  */
 import { NotchError, toLogError } from './errors.js';
 import { nodeFileSystem, type LogFileSystem, type WritableFile } from './file-system.js';
@@ -22,20 +23,26 @@
 
 /** An open log. */
 export type Notch = {
-  /** What was on disk at opening, oldest first. */
+  /** What was on disk at opening, oldest first; empty once it was taken. */
   readonly records: readonly unknown[];
+  /** Gives `records` away, so that what newer ones replaced need not stay in memory. */
+  readonly takeRecords: () => readonly unknown[];
   /** Whether appends are taken. If not, `recover` must succeed first. */
   readonly available: () => boolean;
   /** Why appends are not taken. */
   readonly failure: () => NotchError | null;
   /**
-   * Adds records; resolves once they and all before them are synced. One sync serves all that wait. All
-   * that wait are rejected, and will not come back, if a write or sync fails and the log is recovered.
+   * Adds records; resolves once they and all before them are synced. One sync serves all that wait.
+   * All that wait are rejected, and will not come back, if a write or sync fails and the log is
+   * recovered.
    */
   readonly append: (records: readonly unknown[]) => Promise<void>;
   /** Resolves once all that was appended so far is synced. */
   readonly settled: () => Promise<void>;
-  /** Begins a new segment after a failure, and makes durable what `records` told if it is not certain. */
+  /**
+   * Begins a new segment after a failure, and makes durable what `records` told if it is not
+   * certain.
+   */
   readonly recover: () => Promise<void>;
   /** Bytes on disk that a new snapshot would make needless, without the newest snapshot. */
   readonly segmentBytes: () => number;
@@ -44,10 +51,10 @@
   /** Whether there are so many segments that a snapshot is due. */
   readonly fragmented: () => boolean;
   /**
-   * Writes the whole state as a snapshot, then drops what it makes needless. Appends go on meanwhile, in
-   * the next segment. `state` is called once, at a moment when all acknowledged records and no others
-   * were written, and must give exactly the state that these make. If the snapshot can't be written the
-   * call fails, but appends go on.
+   * Writes the whole state as a snapshot, then drops what it makes needless. Appends go on
+   * meanwhile, in the next segment. `state` is called once, at a moment when all acknowledged
+   * records and no others were written, and must give exactly the state that these make. If the
+   * snapshot can't be written the call fails, but appends go on.
    */
   readonly compact: (state: () => Iterable<unknown>) => Promise<void>;
   readonly close: () => Promise<void>;
@@ -74,7 +81,7 @@
 const closeQuietly = (file: WritableFile): Promise<void> => file.close().catch(() => undefined);
 
 class WriteAheadLog implements Notch {
-  readonly records: readonly unknown[];
+  records: readonly unknown[];
   readonly #files: LogFileSystem;
   readonly #folder: string;
   #segment: OpenSegment | null = null;
@@ -107,6 +114,12 @@
     this.#unreferencedSegments = recovered.unreferencedSegments;
   }
 
+  takeRecords(): readonly unknown[] {
+    const taken = this.records;
+    this.records = [];
+    return taken;
+  }
+
   available(): boolean {
     return this.#segment !== null;
   }
@@ -267,7 +280,8 @@
   }
 
   /**
-   * Goes on in a new segment. If that fails the old one may already be fenced, so it is sealed all the same.
+   * Goes on in a new segment. If that fails the old one may already be fenced, so it is sealed all
+   * the same.
    */
   async #rotate(
     state: () => Iterable<unknown>,
@@ -307,8 +321,8 @@
 }
 
 /**
- * Opens the log in a folder. It opens also with a disk that takes no writes: `available` is then false, and
- * `recover` must succeed before anything that `records` tells may be shown to others.
+ * Opens the log in a folder. It opens also with a disk that takes no writes: `available` is then
+ * false, and `recover` must succeed before anything that `records` tells may be shown to others.
  *
  * @example
  * const log = await openNotch('/var/lib/reedyard/core-1');
--- a/packages/notch/src/model-disk.ts
+++ b/packages/notch/src/model-disk.ts
@@ -1,11 +1,20 @@
 /**
- * A disk in memory for tests. It tells apart what was written, what was synced and which names are durable,
- * gives every state that a loss of power can leave, and fails or holds up any operation on demand.
+ * A disk in memory for tests. It tells apart what was written, what was synced and which names are
+ * durable, gives every state that a loss of power can leave, and fails or holds up any operation on
+ * demand.
  */
 import type { LogFileSystem, WritableFile } from './file-system.js';
 
 export type DiskOperation =
-  'createFolder' | 'list' | 'read' | 'create' | 'write' | 'sync' | 'close' | 'remove' | 'syncFolder';
+  | 'createFolder'
+  | 'list'
+  | 'read'
+  | 'create'
+  | 'write'
+  | 'sync'
+  | 'close'
+  | 'remove'
+  | 'syncFolder';
 
 /** What happens to one operation. */
 export type DiskFault =
@@ -30,13 +39,11 @@
 type WriteFate = 'there' | 'missing' | 'start' | 'end';
 const writeFates: readonly WriteFate[] = ['there', 'missing', 'start', 'end'];
 
-const systemError = (code: string): Error => Object.assign(new Error(`model disk: ${code}`), { code });
+const systemError = (code: string): Error =>
+  Object.assign(new Error(`model disk: ${code}`), { code });
 
 /** All ways to choose one of the options for each of so many things. */
-function* choices<Option>(
-  count: number,
-  options: readonly Option[],
-): Iterable<readonly Option[]> {
+function* choices<Option>(count: number, options: readonly Option[]): Iterable<readonly Option[]> {
   if (count === 0) {
     yield [];
     return;
@@ -107,9 +114,7 @@
 
   /** What processes read now. */
   files(): ReadonlyMap<string, Buffer> {
-    return new Map(
-      [...this.#names].map(([name, id]) => [name, this.#contentOf(id)]),
-    );
+    return new Map([...this.#names].map(([name, id]) => [name, this.#contentOf(id)]));
   }
 
   totalBytes(): number {
--- a/packages/notch/src/notch.test.ts
+++ b/packages/notch/src/notch.test.ts
@@ -123,7 +123,8 @@
   const whole = readFileSync(path.join(home, snapshot));
   for (const cut of [0, 1, Math.floor(whole.length / 2), whole.length - 1]) {
     const crashed = folder();
-    for (const name of readdirSync(home)) copyFileSync(path.join(home, name), path.join(crashed, name));
+    for (const name of readdirSync(home))
+      copyFileSync(path.join(home, name), path.join(crashed, name));
     writeFileSync(path.join(crashed, 'snapshot-00000003'), whole.subarray(0, cut));
     const third = await openNotch(crashed);
     t.deepEqual(third.records, [{ state: 49 }, { n: 50 }]);
--- a/packages/notch/src/power-loss.test.ts
+++ b/packages/notch/src/power-loss.test.ts
@@ -1,4 +1,5 @@
-// Every state that a loss of power, or the end of the process, can leave at every operation of the log.
+// Every state that a loss of power, or the end of the process, can leave at every operation of the
+// log.
 import test, { type ExecutionContext } from 'ava';
 import { openNotch, type Notch } from './index.js';
 import { ModelDisk, type DiskOperation } from './model-disk.js';
@@ -14,7 +15,9 @@
   acknowledged: [...acknowledged],
 });
 
-/** A log whose records are numbers, with a copy of disk and history before and after each operation. */
+/**
+ * A log whose records are numbers, with a copy of disk and history before and after each operation.
+ */
 class Recorder {
   readonly moments: Moment[] = [];
 
@@ -63,10 +66,7 @@
 const play = async (recorder: Recorder, first: number): Promise<void> => {
   const log = await recorder.open();
   await recorder.append(log, first);
-  await Promise.all([
-    recorder.append(log, first + 1, first + 2),
-    recorder.append(log, first + 3),
-  ]);
+  await Promise.all([recorder.append(log, first + 1, first + 2), recorder.append(log, first + 3)]);
   await Promise.all([recorder.compact(log), recorder.append(log, first + 4)]);
   await recorder.append(log, first + 5);
   await recorder.compact(log);
@@ -93,7 +93,10 @@
   for (const { disk, history } of recorder.moments) {
     for (const left of disk.powerLosses()) {
       const records = (await reopen(left.copy())) as number[];
-      const second = new Recorder(left, { issued: [...records], acknowledged: [...history.acknowledged] });
+      const second = new Recorder(left, {
+        issued: [...records],
+        acknowledged: [...history.acknowledged],
+      });
       const log = await second.open();
       second.history.acknowledged.splice(0, Infinity, ...records);
       await second.append(log, 100);
@@ -135,7 +138,10 @@
   t.true(states > 300, `${states} states`);
 });
 
-const durableFiles = async (): Promise<{ readonly files: ReadonlyMap<string, Buffer>; readonly records: readonly number[] }> => {
+const durableFiles = async (): Promise<{
+  readonly files: ReadonlyMap<string, Buffer>;
+  readonly records: readonly number[];
+}> => {
   const disk = new ModelDisk();
   const recorder = new Recorder(disk, { issued: [], acknowledged: [] });
   const log = await recorder.open();
@@ -185,7 +191,8 @@
       const broken = Buffer.from(bytes);
       broken.writeUInt8(broken.readUInt8(at) ^ 0xa5, at);
       const left = ModelDisk.of(new Map([...files, [name, broken]]));
-      if (at < bytes.length - newestFrame) await t.throwsAsync(reopen(left), undefined, `${name} ${at}`);
+      if (at < bytes.length - newestFrame)
+        await t.throwsAsync(reopen(left), undefined, `${name} ${at}`);
       else t.deepEqual(await reopen(left), recorder.history.acknowledged);
     }
   }
@@ -208,7 +215,10 @@
   await again.compact(() => [{ records: 0 }, 'b']);
   const image = images.find((each) => each.files().has('snapshot-00000002'));
   for (let cut = 0; cut < written.length; cut += 1) {
-    const files = new Map([...(image?.files() ?? []), ['snapshot-00000002', written.subarray(0, cut)]]);
+    const files = new Map([
+      ...(image?.files() ?? []),
+      ['snapshot-00000002', written.subarray(0, cut)],
+    ]);
     t.deepEqual(await reopen(ModelDisk.of(files)), ['a'], `cut at ${cut}`);
   }
 });
@@ -238,7 +248,10 @@
   t.is(removed.length, 5);
   for (let subset = 0; subset < 2 ** removed.length; subset += 1) {
     const back = removed.filter((_, index) => (subset & (1 << index)) !== 0);
-    t.deepEqual(await reopen(ModelDisk.of(new Map([...back, ...now]))), recorder.history.acknowledged);
+    t.deepEqual(
+      await reopen(ModelDisk.of(new Map([...back, ...now]))),
+      recorder.history.acknowledged,
+    );
   }
 });
 
--- a/packages/notch/src/recovery.ts
+++ b/packages/notch/src/recovery.ts
@@ -1,9 +1,10 @@
 /**
- * Reads a log back. Nothing is written here, so that a process starts also with a disk that takes no writes.
+ * Reads a log back. Nothing is written here, so that a process starts also with a disk that takes
+ * no writes.
  *
- * The newest segment with a whole header counts, and from it the chain of the segments before, up to a whole
- * snapshot or the first segment of all. Only the last batch of the newest segment may be missing in part:
- * everything else is known to have been synced, and a gap in it is damage.
+ * The newest segment with a whole header counts, and from it the chain of the segments before, up
+ * to a whole snapshot or the first segment of all. Only the last batch of the newest segment may be
+ * missing in part: everything else is known to have been synced, and a gap in it is damage.
  */
 import { NotchError } from './errors.js';
 import { scanFrames, type Frame, type Scan } from './frames.js';
@@ -76,7 +77,10 @@
   throw damaged(source, name, `a gap at byte ${scan.goodBytes} with newer records behind it`);
 };
 
-/** A segment; null if its header was never completed, so that nothing can have been written behind it. */
+/**
+ * A segment; null if its header was never completed, so that nothing can have been written behind
+ * it.
+ */
 const readSegment = async (source: Source, number: number): Promise<Segment | null> => {
   const name = fileName('segment', number);
   const scan = await source.scan('segment', number);
@@ -182,8 +186,8 @@
 };
 
 /**
- * How the next segment must begin. The newest batch may be in the cache of the system alone, and a sync that
- * failed is not told by a later one that succeeds: so it is fenced off and written again.
+ * How the next segment must begin. The newest batch may be in the cache of the system alone, and a
+ * sync that failed is not told by a later one that succeeds: so it is fenced off and written again.
  */
 const continuation = (
   newest: Segment,
--- a/packages/notch/src/snapshot-writer.ts
+++ b/packages/notch/src/snapshot-writer.ts
@@ -2,7 +2,9 @@
 import type { LogFileSystem, WritableFile } from './file-system.js';
 import { encodeSnapshotFrame, fileName, type SnapshotEnd } from './layout.js';
 
-/** Bytes that are framed at once: a few milliseconds of work between two turns of the event loop. */
+/**
+ * Bytes that are framed at once: a few milliseconds of work between two turns of the event loop.
+ */
 const chunkBytes = 64 * 1024;
 
 /** Writes all of the bytes, however few the file takes at a time. */
@@ -34,7 +36,10 @@
   yield Buffer.concat([...frames, encodeSnapshotFrame(number, end, true)]);
 }
 
-/** Writes and syncs `snapshot-NUMBER`; tells its size. What a failure leaves is removed if it can be. */
+/**
+ * Writes and syncs `snapshot-NUMBER`; tells its size. What a failure leaves is removed if it can
+ * be.
+ */
 export const writeSnapshot = async (
   files: LogFileSystem,
   number: number,
