replica: a disk with room again is used within a second, and a log line without room ends no process

Trial with a real process whose files were limited in size and set free again (prlimit): with a pause of up to 4 s between tries it voted again 2.2 s after there was room; the pause now ends at 1 s. With its log lines in a file under the same limit the process ended with code 1: Node turns the failed write into an error of the stream that nobody handles. It is handled now, and the same trial passes both ways.

--- a/packages/anvil/src/replica-host.ts
+++ b/packages/anvil/src/replica-host.ts
@@ -55,7 +55,7 @@
 const stalledAfter = Limits.ballotPhase;
 /** ms. First and longest pause between two tries to recover a disk that refuses. */
 const firstRecoveryPause = 250;
-const longestRecoveryPause = 4_000;
+const longestRecoveryPause = 1_000;
 /** ms. A disk that was well for this long is tried again soon after its next failure. */
 const calmAfterRecovery = 10_000;
 /** ms. After a snapshot that could not be written. */
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -41,6 +41,11 @@
   log: (level, event, fields) => scribe[level](event, fields),
 });
 
+/** Where logs go to a file on the same disk, a line that finds no room is lost, and nothing else. */
+const outliveFailedLogLines = (): void => {
+  process.stderr.on('error', () => undefined);
+};
+
 /** Ends the process once its calls and its log are closed, and in time also if the disk hangs. */
 const stopOnSignals = (listening: Listening, log: Notch, scribe: Scribe): void => {
   const exit = (): never => {
@@ -66,6 +71,7 @@
  */
 export const runAnvil = async (settings: AnvilSettings): Promise<void> => {
   const scribe = openScribe({ program: 'anvil', node: settings.name });
+  outliveFailedLogLines();
   speakFrom(settings.host);
   const log = await openNotch(path.join(settings.dataFolder, 'anvil'));
   const opened = openState(settings, log);
