model: the membership protocol in every order, and in long random runs

What was there (packages/anvil/src/voters.test.ts) plays 400 random runs with a membership change of the test's own making, and looks only at what askers see: two values of one epoch, one count given twice. It had no orders walked to the end, no crash that loses what was not synced, no pulls or facts, and one planted fault.

New, in packages/jig since the changes of members are the agent's (packages/anvil can't depend on it): the replicas are the product's reducer, opened again from the records that their disks kept; proposals are its Proposer with Changes.seat and Changes.replace; an observer looks at every disk after each step, so a fault shows before a client happens upon it.

--- /dev/null
+++ b/packages/jig/src/testing/membership-client.ts
@@ -0,0 +1,354 @@
+/**
+ * Test support: the part of an agent that the membership protocol sees, as a reducer without clocks.
+ *
+ * It counts answers by the members that it knows, learns newer members in the three ways that an
+ * agent does (a ballot of its own, a majority of pulls that show one ballot, a replica that was
+ * told), begins anew under them, and proposes with the real `Proposer` and the real `Changes`.
+ */
+import { newerVoters, votersKey } from '@reedyard/anvil';
+import type { AnvilCall, AnvilReply, Voters, VotersTold } from '@reedyard/anvil';
+import { Ballots, majorityOf, Proposer } from '@reedyard/latch';
+import type { Ballot, Move, Turn } from '@reedyard/latch';
+import type {
+  Attempt,
+  Client,
+  ClientCall,
+  ClientEffect,
+  ClientEvent,
+  ClientFaults,
+  Purpose,
+  View,
+} from './membership-client-types.js';
+import { changeOf, keyOf, watchedKeys } from './membership-goals.js';
+import type { Goal, WatchedKey } from './membership-goals.js';
+
+type Work = {
+  client: Client;
+  readonly effects: ClientEffect[];
+  readonly step: number;
+  readonly faults: ClientFaults;
+};
+
+/**
+ * A client that knows these members, or none yet.
+ *
+ * @example
+ * openClient('p', null).leaseFrom // -1
+ */
+export const openClient = (name: string, voters: VotersTold | null): Client => ({
+  name,
+  life: 1,
+  voters,
+  highest: voters?.ballot ?? Ballots.none,
+  attempts: {},
+  nextAttempt: 1,
+  posting: null,
+  views: {},
+  cursors: {},
+  data: null,
+  facts: [],
+  hanging: [],
+  leaseFrom: -1,
+});
+
+const set = (work: Work, change: Partial<Client>): void => {
+  work.client = { ...work.client, ...change };
+};
+
+const placesOf = (client: Client): readonly string[] =>
+  Object.keys(client.voters?.value.disks ?? {});
+
+const call = (work: Work, place: string, body: AnvilCall, purpose: Purpose): void => {
+  const { voters, life } = work.client;
+  const to = voters?.value.addresses?.[place] ?? place;
+  const ask = { voters, call: body };
+  const sent = { life, place, to, purpose, body: ask, sentAt: work.step };
+  work.effects.push({ kind: 'call', call: sent });
+};
+
+const open = (work: Work, number: number, goal: Goal, above: Ballot): void => {
+  const { client } = work;
+  const turn = Proposer.open(keyOf(goal), changeOf(goal), placesOf(client), above, client.name);
+  const attempt = { goal, proposal: turn.proposal, promisedBy: {}, outvoted: false };
+  set(work, { attempts: { ...client.attempts, [number]: attempt } });
+  turn.moves.forEach((move) => perform(work, number, move));
+};
+
+const perform = (work: Work, number: number, move: Move): void => {
+  const attempt = work.client.attempts[number];
+  if (attempt === undefined) return;
+  const key = keyOf(attempt.goal);
+  if (move.kind === 'prepare' || move.kind === 'accept') {
+    const { kind, to, ballot } = move;
+    const body: AnvilCall =
+      move.kind === 'prepare'
+        ? { kind: 'prepare', key, ballot }
+        : { kind: 'accept', key, ballot, value: move.value, disk: move.disk };
+    call(work, to, body, { kind: 'vote', attempt: number, phase: kind, ballot });
+    return;
+  }
+  if (move.kind === 'outvoted') {
+    set(work, { attempts: { ...work.client.attempts, [number]: { ...attempt, outvoted: true } } });
+    return;
+  }
+  const { [number]: _ended, ...attempts } = work.client.attempts;
+  set(work, { attempts });
+  if (move.kind === 'chosen') choose(work, key, attempt.goal, move);
+};
+
+const choose = (
+  work: Work,
+  key: WatchedKey,
+  goal: Goal,
+  { ballot, value }: Extract<Move, { kind: 'chosen' }>,
+): void => {
+  if (ballot === null) return;
+  work.effects.push({ kind: 'chosen', key, ballot, value });
+  learn(work, key, ballot, value);
+  if (goal.kind === 'append') work.effects.push({ kind: 'appended', id: goal.id });
+};
+
+/** Takes in a value that is known to be chosen. */
+const learn = (work: Work, key: WatchedKey, ballot: Ballot, value: unknown): void => {
+  if (key === votersKey) {
+    learnVoters(work, { ballot, value: value as Voters });
+    return;
+  }
+  const known = work.client.data?.ballot ?? Ballots.none;
+  if (Ballots.compare(ballot, known) <= 0) return;
+  set(work, { data: { ballot, value } });
+  raise(work, ballot);
+  renewLease(work);
+};
+
+const raise = (work: Work, ballot: Ballot): void => {
+  if (Ballots.compare(ballot, work.client.highest) > 0) set(work, { highest: ballot });
+};
+
+const learnVoters = (work: Work, told: VotersTold): void => {
+  if (!newerVoters(told, work.client.voters)) return;
+  set(work, { voters: told, views: {}, hanging: [] });
+  raise(work, told.ballot);
+  countAnew(work);
+};
+
+/** Nothing that was counted by the former members counts under the new ones. */
+const countAnew = (work: Work): void => {
+  const { attempts, posting } = work.client;
+  if (posting !== null) post(work, posting.fact);
+  for (const [name, attempt] of Object.entries(attempts)) {
+    if (work.faults.keepsPromises === true) resendAccepts(work, Number(name), attempt);
+    else open(work, Number(name), attempt.goal, aboveOf(work.client, attempt));
+  }
+};
+
+/** Planted fault: accepts that build on promises to the former members are sent to the new ones. */
+const resendAccepts = (work: Work, number: number, attempt: Attempt): void => {
+  const { ballot, promises, proposed, phase } = attempt.proposal;
+  if (phase !== 'accept') return;
+  const anew = { ...attempt, proposal: { ...attempt.proposal, accepts: [] } };
+  set(work, { attempts: { ...work.client.attempts, [number]: anew } });
+  for (const [to, { disk }] of Object.entries(promises)) {
+    perform(work, number, { kind: 'accept', to, ballot, value: proposed, disk });
+  }
+};
+
+const aboveOf = (client: Client, { proposal }: Attempt): Ballot =>
+  Ballots.compare(client.highest, proposal.highest) > 0 ? client.highest : proposal.highest;
+
+const counts = (client: Client, place: string, disk: string): boolean =>
+  client.voters?.value.disks[place] === disk;
+
+const tookVote = (work: Work, event: Extract<ClientEvent, { kind: 'replied' }>): void => {
+  const { purpose, place } = event.call;
+  const { body } = event;
+  if (purpose.kind !== 'vote' || body.kind !== 'vote') return;
+  const attempt = work.client.attempts[purpose.attempt];
+  if (attempt === undefined || !counts(work.client, place, body.disk)) return;
+  if (body.vote.kind === 'no') raise(work, body.vote.promised);
+  const { phase, ballot } = purpose;
+  const before = attempt.proposal;
+  const turn = Proposer.voted(before, place, body.disk, phase, ballot, body.vote);
+  noteLives(work, attempt, turn, event);
+  turn.moves.forEach((move) => perform(work, purpose.attempt, move));
+};
+
+/** Keeps the proposal, and compares the physical disk of an accept with that of its promise. */
+const noteLives = (
+  work: Work,
+  attempt: Attempt,
+  { proposal }: Turn,
+  { call: { place, purpose }, life }: Extract<ClientEvent, { kind: 'replied' }>,
+): void => {
+  if (purpose.kind !== 'vote') return;
+  const promised = proposal.promises !== attempt.proposal.promises;
+  const accepted = proposal.accepts.length > attempt.proposal.accepts.length;
+  const promisedBy = promised ? { ...attempt.promisedBy, [place]: life } : attempt.promisedBy;
+  if (accepted && promisedBy[place] !== life) {
+    work.effects.push({ kind: 'lives-mixed', place, ballot: purpose.ballot });
+  }
+  const next = { ...attempt, proposal, promisedBy };
+  set(work, { attempts: { ...work.client.attempts, [purpose.attempt]: next } });
+};
+
+const pull = (work: Work): void => {
+  for (const place of placesOf(work.client)) {
+    const disk = work.client.voters?.value.disks[place] ?? '';
+    const cursor = work.client.cursors[disk] ?? null;
+    call(work, place, { kind: 'pull', cursor, keys: watchedKeys }, { kind: 'pull' });
+  }
+};
+
+const tookPull = (work: Work, { place, sentAt }: ClientCall, body: AnvilReply): void => {
+  if (body.kind !== 'pulled' || !counts(work.client, place, body.disk)) return;
+  const { views, cursors, facts } = work.client;
+  if ((views[place]?.sentAt ?? -1) > sentAt) return;
+  const added = body.facts.map(({ key }) => key).filter((key) => !facts.includes(key));
+  set(work, {
+    facts: [...facts, ...added],
+    cursors: { ...cursors, [body.disk]: { disk: body.disk, seq: body.seq } },
+    views: { ...views, [place]: { sentAt, ballots: body.ballots } },
+    hanging: [],
+  });
+  watchedKeys.forEach((key) => watch(work, key));
+  renewLease(work);
+};
+
+const knownBallot = (client: Client, key: WatchedKey): Ballot =>
+  (key === votersKey ? client.voters?.ballot : client.data?.ballot) ?? Ballots.none;
+
+/** What a majority of pulls shows is fetched; what only a minority shows hangs. */
+const watch = (work: Work, key: WatchedKey): void => {
+  const { client } = work;
+  const shown = Object.entries(client.views).map(
+    ([place, view]) => [place, view.ballots[key] ?? Ballots.none] as const,
+  );
+  const highest = shown.reduce<Ballot>(
+    (best, [, ballot]) => (Ballots.compare(ballot, best) > 0 ? ballot : best),
+    Ballots.none,
+  );
+  if (Ballots.compare(highest, knownBallot(client, key)) <= 0) return;
+  const holders = shown.filter(([, ballot]) => Ballots.compare(ballot, highest) === 0);
+  const holder = holders[0]?.[0];
+  if (holder === undefined) return;
+  if (holders.length < majorityOf(placesOf(client).length)) {
+    set(work, { hanging: [...client.hanging, key] });
+  } else call(work, holder, { kind: 'fetch', key }, { kind: 'fetch', key });
+};
+
+const tookFetch = (work: Work, key: WatchedKey, body: AnvilReply): void => {
+  if (body.kind !== 'fetched' || body.accepted === null) return;
+  const { ballot, value } = body.accepted;
+  const { views } = work.client;
+  const holders = Object.values(views).filter(
+    (view) => Ballots.compare(view.ballots[key] ?? Ballots.none, ballot) === 0,
+  );
+  if (holders.length < majorityOf(placesOf(work.client).length)) return;
+  work.effects.push({ kind: 'chosen', key, ballot, value });
+  learn(work, key, ballot, value);
+};
+
+/** The lease runs from the sending of the oldest of a majority of pulls that show nothing unknown. */
+const renewLease = (work: Work): void => {
+  const { client } = work;
+  const counted = Object.values(client.views)
+    .filter((view) => watchedKeys.every((key) => isKnown(client, key, view)))
+    .map((view) => view.sentAt)
+    .sort((left, right) => right - left);
+  const from = counted[majorityOf(placesOf(client).length) - 1];
+  if (from === undefined || from <= client.leaseFrom) return;
+  set(work, { leaseFrom: from });
+  work.effects.push({
+    kind: 'lease',
+    from,
+    epoch: client.voters?.value.epoch ?? 0,
+    data: (client.data?.value ?? '') as string,
+    facts: client.facts,
+  });
+};
+
+const isKnown = (client: Client, key: WatchedKey, view: View): boolean =>
+  Ballots.compare(view.ballots[key] ?? Ballots.none, knownBallot(client, key)) <= 0;
+
+const post = (work: Work, fact: string): void => {
+  set(work, { posting: { fact, acks: [] } });
+  const body: AnvilCall = { kind: 'post', facts: [{ key: fact, value: null }] };
+  placesOf(work.client).forEach((place) => call(work, place, body, { kind: 'post', fact }));
+};
+
+const tookPost = (work: Work, place: string, fact: string, body: AnvilReply): void => {
+  const { posting } = work.client;
+  if (body.kind !== 'posted' || posting?.fact !== fact || posting.acks.includes(place)) return;
+  if (!counts(work.client, place, body.disk)) return;
+  const acks = [...posting.acks, place];
+  const done = acks.length >= majorityOf(placesOf(work.client).length);
+  set(work, { posting: done ? null : { fact, acks } });
+  if (done) work.effects.push({ kind: 'posted', fact });
+};
+
+const tookReply = (work: Work, event: Extract<ClientEvent, { kind: 'replied' }>): void => {
+  const { purpose, place } = event.call;
+  const { body } = event;
+  if (event.call.life !== work.client.life) return;
+  if (body.kind === 'stale' && body.voters !== null) {
+    learnVoters(work, body.voters);
+    return;
+  }
+  if (purpose.kind === 'vote') tookVote(work, event);
+  if (purpose.kind === 'pull') tookPull(work, event.call, body);
+  if (purpose.kind === 'fetch') tookFetch(work, purpose.key, body);
+  if (purpose.kind === 'post') tookPost(work, place, purpose.fact, body);
+};
+
+const retry = (work: Work, number: number): void => {
+  const attempt = work.client.attempts[number];
+  if (attempt !== undefined) open(work, number, attempt.goal, aboveOf(work.client, attempt));
+};
+
+const propose = (work: Work, goal: Goal): void => {
+  const number = work.client.nextAttempt;
+  set(work, { nextAttempt: number + 1 });
+  open(work, number, goal, work.client.highest);
+};
+
+/**
+ * One step of a client.
+ *
+ * @example
+ * reduceClient(client, { kind: 'pull' }, 7, {}).effects // one call for each member it knows
+ */
+export const reduceClient = (
+  client: Client,
+  event: ClientEvent,
+  step: number,
+  faults: ClientFaults,
+): { readonly client: Client; readonly effects: readonly ClientEffect[] } => {
+  const work: Work = { client, effects: [], step, faults };
+  switch (event.kind) {
+    case 'propose':
+      propose(work, event.goal);
+      break;
+    case 'retry':
+      retry(work, event.attempt);
+      break;
+    case 'pull':
+      pull(work);
+      break;
+    case 'look':
+      call(work, event.address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look' });
+      break;
+    case 'post':
+      post(work, event.fact);
+      break;
+    case 'restart':
+      work.client = { ...openClient(client.name, null), life: client.life + 1 };
+      break;
+    case 'outpaced':
+      set(work, { highest: [client.highest[0] + event.rounds, client.name] });
+      break;
+    case 'replied':
+      tookReply(work, event);
+      break;
+  }
+  return { client: work.client, effects: work.effects };
+};
--- /dev/null
+++ b/packages/jig/src/testing/membership-cluster.ts
@@ -0,0 +1,310 @@
+/**
+ * Test support: replicas with their disks, clients, and the messages between them.
+ *
+ * The replicas are the product's reducer, opened from the records that their disks kept. A cluster
+ * holds only immutable values, so `fork` costs nothing and a search can try every next step.
+ */
+import { Anvil } from '@reedyard/anvil';
+import type { AnvilEffect, AnvilEvent, AnvilRecord, AnvilState } from '@reedyard/anvil';
+import { openClient, reduceClient } from './membership-client.js';
+import type { Client, ClientEffect, ClientEvent } from './membership-client-types.js';
+import {
+  beginHistory,
+  checkLease,
+  checkQuorums,
+  noteAccept,
+  noteAppended,
+  noteBegun,
+  noteChosen,
+  noteLivesMixed,
+  notePosted,
+  noteRead,
+  noteTold,
+  noteVoting,
+} from './membership-history.js';
+import type { History } from './membership-history.js';
+import { foundReplicas } from './membership-founding.js';
+import type { Mutation } from './membership-mutations.js';
+import type { Caller, Message, Replica, Told } from './membership-network.js';
+
+/** How writes reach the disk: with each step, or only when the model says so. */
+export type Syncing = 'at-once' | 'later';
+
+/** Replicas, clients and messages, and the history that an observer makes of them. */
+export class Cluster {
+  replicas: Readonly<Record<string, Replica>> = {};
+  clients: Readonly<Record<string, Client>> = {};
+  messages: readonly Message[] = [];
+  history: History;
+  now = 0;
+  step = 0;
+  lives = 0;
+
+  private constructor(
+    readonly mutation: Mutation,
+    readonly syncing: Syncing,
+    history: History,
+  ) {
+    this.history = history;
+  }
+
+  /**
+   * Founders that came to their members by the product's own founding, blank spares, and clients
+   * that know the founders.
+   *
+   * @example
+   * Cluster.found({ founders: ['a', 'b', 'c'], spares: ['d'], clients: ['p'], mutation: none, syncing: 'at-once' })
+   */
+  static found(parts: {
+    readonly founders: readonly string[];
+    readonly spares: readonly string[];
+    readonly clients: readonly string[];
+    readonly mutation: Mutation;
+    readonly syncing: Syncing;
+  }): Cluster {
+    const { replicas, voters, lives } = foundReplicas(parts.founders);
+    const cluster = new Cluster(parts.mutation, parts.syncing, beginHistory(voters.value));
+    cluster.replicas = replicas;
+    cluster.lives = lives;
+    for (const address of parts.spares) cluster.plugIn(address, []);
+    cluster.clients = Object.fromEntries(
+      parts.clients.map((name) => [name, openClient(name, voters)]),
+    );
+    return cluster;
+  }
+
+  /** A copy that can go another way. */
+  fork(): Cluster {
+    return Object.assign(new Cluster(this.mutation, this.syncing, this.history), this);
+  }
+
+  /** Tells a client something; its calls go under way. */
+  tellClient(name: string, event: ClientEvent): void {
+    const client = this.clients[name];
+    if (client === undefined) return;
+    const done = reduceClient(client, event, this.step, this.mutation.client ?? {});
+    this.clients = { ...this.clients, [name]: done.client };
+    done.effects.forEach((effect) => this.#performClient(name, effect));
+  }
+
+  /** Tells a running replica something. */
+  tellReplica(address: string, event: AnvilEvent): void {
+    const replica = this.replicas[address];
+    if (replica?.running === true) this.#reduce(replica, event, null);
+  }
+
+  /** Takes a message off the network; `keep` leaves a copy of it there. */
+  deliver(index: number, keep = false): void {
+    const message = this.messages[index];
+    if (message === undefined) return;
+    if (!keep) this.drop(index);
+    if (message.kind === 'reply') {
+      this.#deliverReply(message);
+      return;
+    }
+    const replica = this.replicas[message.to];
+    if (replica?.running !== true) return;
+    const body = this.mutation.hears?.(replica.state, message.body) ?? message.body;
+    this.#reduce(replica, { kind: 'asked', id: 0, body, now: this.now }, message);
+  }
+
+  drop(index: number): void {
+    this.messages = this.messages.filter((_, at) => at !== index);
+  }
+
+  /** The caller gives a call up, though its message may still be under way. */
+  timeOut({ caller }: Message): void {
+    if (caller.kind !== 'replica') return;
+    this.tellReplica(caller.read.from, { kind: 'lost', id: caller.read.id, now: this.now });
+  }
+
+  /** What was appended is on disk now; answers that waited for it go out. */
+  sync(address: string): void {
+    const replica = this.replicas[address];
+    if (replica === undefined) return;
+    this.#put({
+      ...replica,
+      durable: [...replica.durable, ...replica.unsynced],
+      unsynced: [],
+      waiting: [],
+    });
+    replica.waiting.forEach((told) => this.#answer(replica, told));
+  }
+
+  /** The process ends; of what was not synced only the first records reached the disk. */
+  stop(address: string, kept = 0): void {
+    const replica = this.replicas[address];
+    if (replica?.running !== true) return;
+    const durable = [...replica.durable, ...replica.unsynced.slice(0, kept)];
+    const state = this.#open(address, durable, replica.state.disk).state;
+    this.#put({ ...replica, durable, state, running: false, unsynced: [], waiting: [] });
+  }
+
+  start(address: string): void {
+    const replica = this.replicas[address];
+    if (replica === undefined || replica.running) return;
+    this.plugIn(address, replica.durable, replica.life);
+  }
+
+  /** The disk is lost, and the process starts with a blank one. */
+  wipe(address: string): void {
+    const old = this.replicas[address]?.state.disk ?? '';
+    this.plugIn(address, [], undefined, this.mutation.wipedDisk?.(old));
+  }
+
+  /** Starts a process on a disk with these records. */
+  plugIn(
+    address: string,
+    records: readonly AnvilRecord[],
+    life: number = (this.lives += 1),
+    freshDisk = `disk-${life}`,
+  ): void {
+    const opened = this.#open(address, records, freshDisk);
+    const appended = opened.effects.flatMap((effect) =>
+      effect.kind === 'append' ? effect.records : [],
+    );
+    const { told, disk } = opened.state;
+    if (told !== null) this.history = noteTold(this.history, disk, told.value);
+    this.#put({
+      address,
+      life,
+      state: opened.state,
+      running: true,
+      durable: [...records, ...appended],
+      unsynced: [],
+      waiting: [],
+    });
+  }
+
+  #open(
+    address: string,
+    records: readonly AnvilRecord[],
+    freshDisk: string,
+  ): ReturnType<typeof Anvil.open> {
+    const seeded = { address, seeds: [], firstStart: false };
+    const kept = this.mutation.replays?.(records) ?? records;
+    const parts = { name: address, others: {}, seeded, records: kept, freshDisk, now: this.now };
+    return Anvil.open(parts);
+  }
+
+  #put(replica: Replica): void {
+    this.replicas = { ...this.replicas, [replica.address]: replica };
+  }
+
+  #reduce(
+    replica: Replica,
+    event: AnvilEvent,
+    request: Extract<Message, { kind: 'request' }> | null,
+  ): void {
+    const done = Anvil.reduce(replica.state, event);
+    const after = this.mutation.after?.(replica.state, done) ?? done;
+    if (after.state === replica.state && after.effects.length === 0) return;
+    const appended = after.effects.flatMap((effect) =>
+      effect.kind === 'append' ? effect.records : [],
+    );
+    const told = after.effects.flatMap((effect) =>
+      effect.kind === 'tell' && request !== null
+        ? [{ request, body: effect.body, by: after.state.told }]
+        : [],
+    );
+    const early = this.mutation.answersBeforeSync === true;
+    const unsynced = [...replica.unsynced, ...appended];
+    const waiting = early ? [] : [...replica.waiting, ...told];
+    this.#put({ ...replica, state: after.state, unsynced, waiting });
+    if (early) told.forEach((each) => this.#answer(replica, each));
+    after.effects.forEach((effect) => this.#call(replica, effect));
+    if (this.syncing === 'at-once') this.sync(replica.address);
+    const hasChanged = appended.length > 0 || after.state.voting !== replica.state.voting;
+    this.#noteBegun(replica.state, after.state);
+    if (hasChanged) this.checkQuorums();
+  }
+
+  #noteBegun(before: AnvilState, { voting, disk, told }: AnvilState): void {
+    if (told !== null && told !== before.told) {
+      this.history = noteTold(this.history, disk, told.value);
+    }
+    if (before.voting || !voting || told === null) return;
+    this.history = noteBegun(this.history, disk, told.value);
+  }
+
+  #call(replica: Replica, effect: AnvilEffect): void {
+    if (effect.kind !== 'call') return;
+    const read = { from: replica.address, to: effect.to, id: effect.id };
+    const body = this.mutation.reads?.(effect.body) ?? effect.body;
+    this.#send({ kind: 'request', caller: { kind: 'replica', read }, to: effect.to, body });
+  }
+
+  #send(message: Message): void {
+    this.messages = [...this.messages, message];
+  }
+
+  /** Sends an answer, and notes what it commits its replica to. */
+  #answer(replica: Replica, told: Told): void {
+    const { request, body } = told;
+    const { caller } = request;
+    const { life } = replica;
+    this.#noteAnswer(told);
+    this.#send({ kind: 'reply', caller, from: replica.address, body, life });
+  }
+
+  #noteAnswer({ request, body, by }: Told): void {
+    const { caller } = request;
+    const { voters, call } = request.body;
+    const commits = ['vote', 'posted', 'pulled', 'fetched'].includes(body.kind);
+    if (commits) this.history = noteVoting(this.history, body.disk, by?.value);
+    if (caller.kind === 'replica' && body.kind === 'dumped' && body.next === null) {
+      const reader = this.replicas[caller.read.from]?.state.disk ?? '';
+      const epoch = body.voters?.value.epoch ?? 0;
+      this.history = noteRead(this.history, reader, body.disk, epoch);
+    }
+    const accepts = call.kind === 'accept' && body.kind === 'vote' && body.vote.kind === 'yes';
+    if (!accepts || voters === null) return;
+    const { key, ballot, value } = call;
+    this.history = noteAccept(this.history, body.disk, voters.value, { key, ballot, value });
+  }
+
+  #deliverReply(message: Extract<Message, { kind: 'reply' }>): void {
+    const { caller, body, life } = message;
+    if (caller.kind === 'client') {
+      this.tellClient(caller.name, { kind: 'replied', call: caller.call, body, life });
+      return;
+    }
+    const { from, id } = caller.read;
+    this.tellReplica(from, { kind: 'returned', id, body, now: this.now });
+  }
+
+  #performClient(name: string, effect: ClientEffect): void {
+    const { history, step } = this;
+    switch (effect.kind) {
+      case 'call': {
+        const caller: Caller = { kind: 'client', name, call: effect.call };
+        this.#send({ kind: 'request', caller, to: effect.call.to, body: effect.call.body });
+        return;
+      }
+      case 'chosen':
+        this.history = noteChosen(history, effect);
+        this.checkQuorums();
+        return;
+      case 'appended':
+        this.history = noteAppended(history, effect.id, step);
+        return;
+      case 'posted':
+        this.history = notePosted(history, effect.fact, step);
+        this.checkQuorums();
+        return;
+      case 'lives-mixed':
+        this.history = noteLivesMixed(history, effect.place, effect.ballot);
+        return;
+      case 'lease':
+        this.history = checkLease(history, effect);
+        return;
+    }
+  }
+
+  checkQuorums(): void {
+    this.history = checkQuorums(
+      this.history,
+      Object.values(this.replicas).map(({ state }) => state),
+    );
+  }
+}
--- /dev/null
+++ b/packages/jig/src/testing/membership-history.ts
@@ -0,0 +1,313 @@
+/**
+ * Test support: what an observer who sees every disk and message knows of a run, and the checks
+ * that it makes. Values are immutable, so that a search can fork them.
+ */
+import { votersKey } from '@reedyard/anvil';
+import type { AnvilState, Voters } from '@reedyard/anvil';
+import { Ballots, majorityOf } from '@reedyard/latch';
+import type { Ballot } from '@reedyard/latch';
+import { dataKey } from './membership-goals.js';
+
+/** The invariants, by the letter that docs/control-model.md gives them. */
+export type Invariant =
+  | 'one-value-a-ballot'
+  | 'chosen-values-descend'
+  | 'one-membership-an-epoch'
+  | 'told-is-chosen'
+  | 'acknowledged-is-readable'
+  | 'quorums-of-epochs-meet'
+  | 'reads-before-voting'
+  | 'promise-and-vote-of-one-life'
+  | 'pull-shows-acknowledged';
+
+/** What a broken rule leads to: the rules of reading and of lives are left out. */
+export const harm: readonly Invariant[] = [
+  'one-value-a-ballot',
+  'chosen-values-descend',
+  'one-membership-an-epoch',
+  'told-is-chosen',
+  'acknowledged-is-readable',
+  'quorums-of-epochs-meet',
+  'pull-shows-acknowledged',
+];
+
+export type Violation = { readonly invariant: Invariant; readonly text: string };
+
+type Chosen = { readonly key: string; readonly ballot: Ballot; readonly value: unknown };
+type Tally = { readonly disks: readonly string[]; readonly value: unknown };
+type Acknowledged = { readonly id: string; readonly step: number };
+
+export type History = {
+  /** Every membership that was chosen. */
+  readonly epochs: Readonly<Record<number, Voters>>;
+  /** Disks that accepted a value, by register, ballot and the epoch that the caller counts by. */
+  readonly accepts: Readonly<Record<string, Tally>>;
+  /** In the order of their ballots. */
+  readonly chosen: readonly Chosen[];
+  readonly appended: readonly Acknowledged[];
+  readonly posted: readonly Acknowledged[];
+  /** How often a client got or prolonged its lease. */
+  readonly leases: number;
+  /** Whom each disk has read to the end, and by which epoch the read one was bound then. */
+  readonly reads: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /** The epoch that each disk went by when it last began to vote. */
+  readonly begun: Readonly<Record<string, number>>;
+  readonly violations: readonly Violation[];
+};
+
+/** One replica as its disk would have it, with its process up or down. */
+export type Disk = Pick<AnvilState, 'disk' | 'voting' | 'told' | 'cells' | 'factKeys'>;
+
+/**
+ * The history of a state that was just founded.
+ *
+ * @example
+ * beginHistory(voters).violations // []
+ */
+export const beginHistory = (founders: Voters): History => ({
+  epochs: { [founders.epoch]: founders },
+  accepts: {},
+  chosen: [],
+  appended: [],
+  posted: [],
+  leases: 0,
+  reads: {},
+  begun: {},
+  violations: [],
+});
+
+const violate = (history: History, invariant: Invariant, text: string): History => ({
+  ...history,
+  violations: [...history.violations, { invariant, text }],
+});
+
+const describe = ({ key, ballot, value }: Chosen): string =>
+  `${key} ${ballot.join('/')} ${key === votersKey ? describeVoters(value as Voters) : String(value)}`;
+
+const describeVoters = (voters: Voters): string =>
+  `${voters.epoch}:${Object.entries(voters.disks)
+    .map(([place, disk]) => `${place}=${disk}`)
+    .sort()
+    .join(',')}`;
+
+const sameValue = (key: string, left: unknown, right: unknown): boolean =>
+  key === votersKey
+    ? describeVoters(left as Voters) === describeVoters(right as Voters)
+    : left === right;
+
+const descends = (key: string, earlier: unknown, later: unknown): boolean => {
+  if (key !== votersKey) return (later as string).startsWith(earlier as string);
+  const [before, after] = [earlier as Voters, later as Voters];
+  return after.epoch > before.epoch || sameValue(key, before, after);
+};
+
+/**
+ * A value is chosen, as the observer or a client finds: it must be the only one of its ballot, and
+ * descend from those of lower ballots.
+ */
+export const noteChosen = (history: History, fresh: Chosen): History => {
+  const rivals = history.chosen.filter(({ key }) => key === fresh.key);
+  const same = rivals.find(({ ballot }) => Ballots.compare(ballot, fresh.ballot) === 0);
+  if (same !== undefined) {
+    return sameValue(fresh.key, same.value, fresh.value)
+      ? history
+      : violate(history, 'one-value-a-ballot', `${describe(same)} and ${describe(fresh)}`);
+  }
+  let next: History = { ...history, chosen: [...history.chosen, fresh] };
+  for (const rival of rivals) {
+    const isEarlier = Ballots.compare(rival.ballot, fresh.ballot) < 0;
+    const [earlier, later] = isEarlier ? [rival, fresh] : [fresh, rival];
+    if (!descends(fresh.key, earlier.value, later.value)) {
+      const text = `${describe(later)} after ${describe(earlier)}`;
+      next = violate(next, 'chosen-values-descend', text);
+    }
+  }
+  return fresh.key === votersKey ? noteEpoch(next, fresh.value as Voters) : next;
+};
+
+const noteEpoch = (history: History, voters: Voters): History => {
+  const known = history.epochs[voters.epoch];
+  if (known === undefined) {
+    return { ...history, epochs: { ...history.epochs, [voters.epoch]: voters } };
+  }
+  if (sameValue(votersKey, known, voters)) return history;
+  const text = `${describeVoters(known)} and ${describeVoters(voters)}`;
+  return violate(history, 'one-membership-an-epoch', text);
+};
+
+/** A replica goes by these members from now on: they must have been chosen. */
+export const noteTold = (history: History, disk: string, voters: Voters): History => {
+  const known = history.epochs[voters.epoch];
+  if (known !== undefined && sameValue(votersKey, known, voters)) return history;
+  return violate(history, 'told-is-chosen', `${disk} goes by ${describeVoters(voters)}`);
+};
+
+/** A disk has accepted a value for a caller that counts by these members. */
+export const noteAccept = (
+  history: History,
+  disk: string,
+  callersVoters: Voters,
+  accepted: Chosen,
+): History => {
+  const members = Object.values(callersVoters.disks);
+  if (!members.includes(disk)) return history;
+  const { key, ballot, value } = accepted;
+  const name = `${key} ${ballot.join('/')} ${callersVoters.epoch}`;
+  const before = history.accepts[name];
+  if (before !== undefined && !sameValue(key, before.value, value)) {
+    const text = `${describe({ key, ballot, value: before.value })} and ${describe(accepted)}`;
+    return violate(history, 'one-value-a-ballot', text);
+  }
+  const disks = [...new Set([...(before?.disks ?? []), disk])].sort();
+  const next = { ...history, accepts: { ...history.accepts, [name]: { disks, value } } };
+  return disks.length >= majorityOf(members.length) ? noteChosen(next, accepted) : next;
+};
+
+/** A disk was read to the end by another, and had been told of this epoch before. */
+export const noteRead = (
+  history: History,
+  reader: string,
+  read: string,
+  epoch: number,
+): History => ({
+  ...history,
+  reads: { ...history.reads, [reader]: { ...history.reads[reader], [read]: epoch } },
+});
+
+const isFounder = (history: History, disk: string): boolean =>
+  Object.values(history.epochs[1]?.disks ?? {}).includes(disk);
+
+/** A disk that is no founder begins to vote: it must have read enough of the others. */
+export const noteBegun = (history: History, disk: string, told: Voters): History => {
+  const members = Object.values(told.disks);
+  const needed = members.length - majorityOf(members.length) + 1;
+  const joined = joinedAt(history, disk, told);
+  const reads = Object.entries(history.reads[disk] ?? {});
+  const read = reads.filter(([other, epoch]) => epoch >= joined && members.includes(other)).length;
+  const next = { ...history, begun: { ...history.begun, [disk]: told.epoch } };
+  if (read >= needed) return next;
+  return violate(next, 'reads-before-voting', `${disk} has read ${read} of ${needed}`);
+};
+
+/** A disk answers as a member: it must have begun to vote since it became one. */
+export const noteVoting = (history: History, disk: string, told: Voters | undefined): History => {
+  if (told === undefined || isFounder(history, disk)) return history;
+  const joined = joinedAt(history, disk, told);
+  const begun = history.begun[disk] ?? 0;
+  if (begun >= joined) return history;
+  const text = `${disk} is a member since epoch ${joined} and read in ${begun}`;
+  return violate(history, 'reads-before-voting', text);
+};
+
+/** The epoch from which on a disk has been a member without a gap, up to the one told. */
+const joinedAt = (history: History, disk: string, told: Voters): number => {
+  let epoch = told.epoch;
+  while (Object.values(history.epochs[epoch - 1]?.disks ?? {}).includes(disk)) epoch -= 1;
+  return epoch;
+};
+
+export const noteAppended = (history: History, id: string, step: number): History => ({
+  ...history,
+  appended: [...history.appended, { id, step }],
+});
+
+export const notePosted = (history: History, id: string, step: number): History => ({
+  ...history,
+  posted: [...history.posted, { id, step }],
+});
+
+export const noteLivesMixed = (history: History, place: string, ballot: Ballot): History =>
+  violate(history, 'promise-and-vote-of-one-life', `${place} in ballot ${ballot.join('/')}`);
+
+/** A client may act on what it knows: it must know all that was acknowledged before its pulls. */
+export const checkLease = (
+  before: History,
+  lease: { readonly from: number; readonly data: string; readonly facts: readonly string[] },
+): History => {
+  const history = { ...before, leases: before.leases + 1 };
+  const missing = [
+    ...history.appended.filter(({ id }) => !lease.data.includes(`${id};`)),
+    ...history.posted.filter(({ id }) => !lease.facts.includes(id)),
+  ].find(({ step }) => step < lease.from);
+  if (missing === undefined) return history;
+  const text = `${missing.id} of step ${missing.step}, unknown at ${lease.from}`;
+  return violate(history, 'pull-shows-acknowledged', text);
+};
+
+/** Disks that a caller who counts by these members could still win over. */
+const gatherable = (disks: readonly Disk[], voters: Voters): readonly Disk[] => {
+  const members = Object.values(voters.disks);
+  const found = disks.filter(
+    ({ disk, voting, told }) =>
+      voting && members.includes(disk) && (told?.value.epoch ?? 0) <= voters.epoch,
+  );
+  return found.length >= majorityOf(members.length) ? found : [];
+};
+
+type Gathered = {
+  readonly voters: Voters;
+  readonly disks: readonly Disk[];
+  readonly quorum: number;
+};
+
+/** Whether two quorums can be taken out of these that share no disk. */
+const canBeDisjoint = (left: Gathered, right: Gathered): boolean => {
+  const shared = left.disks.filter(({ disk }) =>
+    right.disks.some((other) => other.disk === disk),
+  ).length;
+  const leftNeeds = Math.max(0, left.quorum - (left.disks.length - shared));
+  const rightNeeds = Math.max(0, right.quorum - (right.disks.length - shared));
+  return leftNeeds + rightNeeds <= shared;
+};
+
+const checkMeeting = (history: History, gathered: readonly Gathered[]): History => {
+  for (const [index, left] of gathered.entries()) {
+    for (const right of gathered.slice(index + 1)) {
+      if (!canBeDisjoint(left, right)) continue;
+      const text = `${describeVoters(left.voters)} and ${describeVoters(right.voters)}`;
+      return violate(history, 'quorums-of-epochs-meet', text);
+    }
+  }
+  return history;
+};
+
+const acceptedOf = ({ cells }: Disk): Chosen | null => {
+  const accepted = cells.get(dataKey)?.accepted ?? null;
+  return accepted === null ? null : { key: dataKey, ...accepted };
+};
+
+const byBallot = (left: Chosen | null, right: Chosen | null): number =>
+  Ballots.compare(left?.ballot ?? Ballots.none, right?.ballot ?? Ballots.none);
+
+/** Every quorum that could read must find the newest chosen value, or one that descends from it. */
+const checkReadable = (history: History, { disks, quorum, voters }: Gathered): History => {
+  const sorted = disks.map(acceptedOf).sort(byBallot);
+  const newest = history.chosen
+    .filter(({ key }) => key === dataKey)
+    .sort(byBallot)
+    .at(-1);
+  const bad = sorted
+    .slice(quorum - 1)
+    .find((held) => newest !== undefined && !descends(dataKey, newest.value, held?.value ?? ''));
+  if (bad !== undefined && newest !== undefined) {
+    const shown = bad === null ? 'nothing' : describe(bad);
+    const text = `epoch ${voters.epoch} may read ${shown} where ${describe(newest)} was chosen`;
+    return violate(history, 'acknowledged-is-readable', text);
+  }
+  const lost = history.posted.find(
+    ({ id }) => disks.filter(({ factKeys }) => !factKeys.has(id)).length >= quorum,
+  );
+  return lost === undefined
+    ? history
+    : violate(history, 'acknowledged-is-readable', `fact ${lost.id} in epoch ${voters.epoch}`);
+};
+
+/** Looks at every quorum that could still be gathered, under every epoch that was chosen. */
+export const checkQuorums = (history: History, disks: readonly Disk[]): History => {
+  const gathered = Object.values(history.epochs).flatMap((voters) => {
+    const found = gatherable(disks, voters);
+    const quorum = majorityOf(Object.keys(voters.disks).length);
+    return found.length === 0 ? [] : [{ voters, disks: found, quorum }];
+  });
+  return gathered.reduce(checkReadable, checkMeeting(history, gathered));
+};
--- /dev/null
+++ b/packages/jig/src/testing/membership-mutations.ts
@@ -0,0 +1,109 @@
+/**
+ * Test support: planted faults. Each takes one safeguard of the membership protocol away by
+ * changing what goes into a replica's reducer or comes out of it.
+ */
+import { newerVoters, votersKey } from '@reedyard/anvil';
+import type { AnvilAsk, AnvilEffect, AnvilRecord, AnvilState } from '@reedyard/anvil';
+import { majorityOf } from '@reedyard/latch';
+import type { ClientFaults } from './membership-client-types.js';
+
+type Step = { readonly state: AnvilState; readonly effects: readonly AnvilEffect[] };
+
+export type Mutation = {
+  readonly name: string;
+  /** What a replica hears of a call. */
+  readonly hears?: (state: AnvilState, ask: AnvilAsk) => AnvilAsk;
+  /** What a replica makes of a step. */
+  readonly after?: (before: AnvilState, step: Step) => Step;
+  /** The name that a wiped disk gets. */
+  readonly wipedDisk?: (old: string) => string;
+  /** The call by which a replica reads another. */
+  readonly reads?: (ask: AnvilAsk) => AnvilAsk;
+  /** What a restart finds on the disk. */
+  readonly replays?: (records: readonly AnvilRecord[]) => readonly AnvilRecord[];
+  readonly answersBeforeSync?: boolean;
+  readonly client?: ClientFaults;
+};
+
+export const sound: Mutation = { name: 'none' };
+
+const hearsAsCurrent = (state: AnvilState, ask: AnvilAsk): AnvilAsk => {
+  const { told } = state;
+  const isStale = told !== null && ask.voters !== null && newerVoters(told, ask.voters);
+  return isStale && state.voting ? { ...ask, voters: told } : ask;
+};
+
+const isMembershipCall = ({ call }: AnvilAsk): boolean =>
+  (call.kind === 'prepare' || call.kind === 'accept') && call.key === votersKey;
+
+const isNamed = ({ told, disk }: AnvilState): boolean =>
+  told !== null && Object.values(told.value.disks).includes(disk);
+
+/** Lets a replica vote once it has read this many members. */
+const votesAfter =
+  (enough: (members: number) => number) =>
+  (_before: AnvilState, step: Step): Step => {
+    const { state } = step;
+    if (state.voting || state.told === null || !isNamed(state)) return step;
+    const { epoch, disks } = state.told.value;
+    const read = Object.values(state.readings).filter(
+      (reading) => reading.state === 'done' && reading.epoch >= epoch,
+    );
+    if (read.length < enough(Object.keys(disks).length)) return step;
+    const append = { kind: 'append', records: [{ kind: 'voting' }] } as const;
+    return { state: { ...state, voting: true, readings: {} }, effects: [...step.effects, append] };
+  };
+
+const withoutBlanking = (before: AnvilState, step: Step): Step => {
+  if (!before.voting || step.state.voting) return step;
+  const records: readonly AnvilRecord[] = [{ kind: 'blanked', disk: before.disk }];
+  const renamed = step.effects.map((effect) =>
+    effect.kind === 'append' && effect.records.some((record) => record.kind === 'blanked')
+      ? { ...effect, records: [...records, ...effect.records.slice(1)] }
+      : effect,
+  );
+  return { state: { ...step.state, disk: before.disk }, effects: renamed };
+};
+
+export const mutations = {
+  votesBeforeReading: { name: 'a successor votes before it has read', after: votesAfter(() => 0) },
+  readsTooFew: {
+    name: 'a successor reads one member fewer than it must',
+    after: votesAfter((members) => members - majorityOf(members)),
+  },
+  takesStaleEpochs: { name: 'replicas take calls of older epochs', hears: hearsAsCurrent },
+  takesStaleMembership: {
+    name: 'replicas take ballots on the membership of older epochs',
+    hears: (state, ask) => (isMembershipCall(ask) ? hearsAsCurrent(state, ask) : ask),
+  },
+  keepsNameAfterWipe: { name: 'a wiped disk keeps its name', wipedDisk: (old) => old },
+  keepsNameAfterReplacement: {
+    name: 'a replaced disk keeps its name',
+    after: withoutBlanking,
+  },
+  acceptsForAnyDisk: {
+    name: 'an accept is not bound to the disk that promised',
+    hears: (state, ask) =>
+      ask.call.kind === 'accept' ? { ...ask, call: { ...ask.call, disk: state.disk } } : ask,
+  },
+  keepsPromises: {
+    name: 'a client keeps its promises over a change of members',
+    client: { keepsPromises: true },
+  },
+  readsWithoutTelling: {
+    name: 'a successor does not tell whom it reads of its epoch',
+    reads: (ask) => ({ ...ask, voters: null }),
+  },
+  forgetsTold: {
+    name: 'a restarted replica forgets the members that it was told of',
+    replays: (records) => records.filter((record) => record.kind !== 'told'),
+  },
+  answersBeforeSync: { name: 'replicas answer before they sync', answersBeforeSync: true },
+} as const satisfies Record<string, Mutation>;
+
+/** Two faults at once. */
+export const both = (left: Mutation, right: Mutation): Mutation => ({
+  ...left,
+  ...right,
+  name: `${left.name}; ${right.name}`,
+});
