replica: pulls tell when its disk takes no writes; the status tells cut off from a renewal

Cause: a replica with a full or hanging disk answers pulls soundly and votes for nothing; the status counted it as answering, and safe-to-stop would have let go a machine that is needed.

The text of a status without a lease says whether any majority of replicas answers at all.

Red without the mark (the new test).

--- a/packages/anvil/src/replica-host.test.ts
+++ b/packages/anvil/src/replica-host.test.ts
@@ -126,6 +126,22 @@
   t.is(await acceptedOnDisk(bed.disk), 'second');
 });
 
+test('a replica whose disk takes no writes says so with each pull, and no longer once it does', async (t) => {
+  const bed = await Bed.open(await votingDisk());
+  const isReadOnly = async (): Promise<boolean> => {
+    const reply = await bed.pull();
+    return reply.kind === 'pulled' && reply.readOnly === true;
+  };
+  await bed.accept(1, 'first');
+  t.false(await isReadOnly());
+  bed.disk.hook = fullDisk;
+  await bed.accept(2, 'second');
+  t.true(await isReadOnly());
+  bed.disk.hook = () => null;
+  for (let each = 0; each < 25 && !bed.host.available; each += 1) await bed.tick(200);
+  t.false(await isReadOnly());
+});
+
 test('what was decided on the way to a disk that refused is forgotten: it is shown nowhere', async (t) => {
   const bed = await Bed.open(await votingDisk());
   await bed.accept(1, 'first');
--- a/packages/anvil/src/replica-host.ts
+++ b/packages/anvil/src/replica-host.ts
@@ -157,7 +157,8 @@
     if (kind !== 'pull' && kind !== 'fetch') return null;
     const { effects } = Anvil.reduce(this.#durable, event);
     if (recordsIn(effects).length > 0) return null;
-    return tellIn(effects)?.body ?? null;
+    const reply = tellIn(effects)?.body ?? null;
+    return reply?.kind === 'pulled' && !this.available ? { ...reply, readOnly: true } : reply;
   }
 
   /** Takes an event, or refuses it as if it had never come: if it needs a disk that takes nothing. */
--- a/packages/reedyard/src/safe-to-stop.test.ts
+++ b/packages/reedyard/src/safe-to-stop.test.ts
@@ -38,8 +38,8 @@
   node: 'front-1',
   hall: 'west',
   region: 'r',
-  unreachable: false,
   leaseMs,
+  unreachable: leaseMs === 0,
   policySerial: 7,
   emptiedHalls: [],
   closedOrigins: [],
@@ -159,6 +159,6 @@
   t.regex(text, /place-5 +core-5 .*recovering/);
   t.regex(text, /recovering: place-5/);
   const lost = statusLines(statusOf(controlOf(['answering', 'silent', 'silent']), 0)).join('\n');
-  t.regex(lost, /lease: NONE/);
+  t.regex(lost, /lease: NONE, and no majority of replicas answers/);
   t.regex(lost, /NO MAJORITY: 1 more must answer/);
 });
--- a/packages/reedyard/src/status-text.ts
+++ b/packages/reedyard/src/status-text.ts
@@ -68,8 +68,11 @@
   ];
 };
 
-const leaseText = (leaseMs: number): string =>
-  leaseMs > 0 ? `${leaseMs} ms left` : 'NONE: what follows may be out of date';
+const leaseText = ({ leaseMs, unreachable }: NodeStatus): string => {
+  if (leaseMs > 0) return `${leaseMs} ms left`;
+  const why = unreachable ? 'no majority of replicas answers' : 'it is being renewed';
+  return `NONE, and ${why}: what follows may be out of date`;
+};
 
 /**
  * A node's status as lines of text.
@@ -79,7 +82,7 @@
  */
 export const statusLines = (status: NodeStatus): readonly string[] => [
   `node ${status.node}, zone ${status.hall}, region ${status.region}`,
-  `lease: ${leaseText(status.leaseMs)}`,
+  `lease: ${leaseText(status)}`,
   ...controlLines(status.control),
   `config: revision ${status.policySerial}`,
   `evacuated zones: ${listed(status.emptiedHalls)}; ` +
