--- a/packages/jig/src/testing/membership-goals.ts
+++ b/packages/jig/src/testing/membership-goals.ts
@@ -2,7 +2,7 @@
 import { votersKey } from '@reedyard/anvil';
 import type { Voters } from '@reedyard/anvil';
 import type { Change } from '@reedyard/latch';
-import { Changes } from '../ballots.js';
+import { Changes } from '../changes.js';
 
 /** The register that clients append to; its value is all ids in the order of their choice. */
 export const dataKey = 'data';
--- a/packages/jig/src/testing/membership-search.ts
+++ b/packages/jig/src/testing/membership-search.ts
@@ -188,9 +188,10 @@
     const promises = Object.entries(proposal.promises)
       .map(([place, { disk, vote }]) => [place, disk, JSON.stringify(vote)])
       .sort();
-    const { ballot, highest, phase, refusals } = proposal;
+    const { ballot, highest, phase } = proposal;
+    const refusedBy = [...proposal.refusedBy].sort();
     const accepts = [...proposal.accepts].sort();
-    return [goal.kind, ballot, highest, phase, refusals, promises, accepts];
+    return [goal.kind, ballot, highest, phase, refusedBy, promises, accepts];
   });
   const { voters, highest, data, views, leaseFrom } = client;
   return JSON.stringify([textOfTold(voters), highest, attempts, data, views, leaseFrom]);
