--- a/packages/anvil/src/anvil.test.ts
+++ b/packages/anvil/src/anvil.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava';
 import { Limits, Sizes } from '@reedyard/gauge';
-import { Anvil, nextStep, votersKey, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState, type AnvilAsk, type Voters } from './core.js';
+import { Anvil } from './core.js';
+import { votersKey, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type Voters } from './messages.js';
+import { nextStep } from './recovery.js';
+import type { AnvilState } from './state.js';
 
 const chanceFrom = (seed: number): (() => number) => { let state = seed + 1; return () => { state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0; return state / 4_294_967_296; }; };
 type Flying = { readonly to: string; readonly from: string; readonly id: number; readonly ask?: AnvilAsk; readonly reply?: AnvilReply };
--- /dev/null
+++ b/packages/anvil/src/messages.ts
@@ -0,0 +1,95 @@
+import { Ballots, type Ballot, type Cell, type Vote } from '@reedyard/latch';
+
+/** What a replica is asked, answers, writes to disk and does: the types of its messages. */
+
+/** One fact of the board: written once under its key, never changed. */
+export type Fact = { readonly key: string; readonly value: unknown };
+
+/** A place on one anvil's board, in one life of its disk. */
+export type Cursor = { readonly disk: string; readonly seq: number };
+
+/** Who votes: for each place, the disk that holds it. One place changes at a time. */
+export type Voters = {
+  readonly epoch: number; readonly disks: Readonly<Record<string, string>>;
+  /** The last epoch that was founded after a loss; left out where none was. */
+  readonly refounded?: number;
+  /** Where each place's anvil is reached; left out where the settings name every founder. */
+  readonly addresses?: Readonly<Record<string, string>>;
+};
+/** Voters that are known to be chosen. */
+export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
+export const votersKey = 'voters';
+
+/**
+ * Whether voters known to be chosen are newer than others: epochs are chosen one after the other, so the epoch
+ * counts first. The same epoch may have been written again under a higher ballot, even after the next was chosen.
+ *
+ * @example
+ * newerVoters({ ballot: [3, 'x'], value: { epoch: 2, disks: {} } }, { ballot: [9, 'y'], value: { epoch: 1, disks: {} } }) // true
+ */
+export const newerVoters = (told: VotersTold, known: VotersTold | null): boolean => known === null || told.value.epoch > known.value.epoch
+  || (told.value.epoch === known.value.epoch && Ballots.compare(told.ballot, known.ballot) > 0);
+
+/** Where voters found themselves from seeds: what one anvil is told by its settings. */
+export type AnvilVoting = { readonly address: string; /** Anvils that found the state among themselves. */ readonly seeds: readonly string[]; /** True only when the whole system starts for the very first time. */ readonly firstStart: boolean };
+
+/** A call, with the voters that the caller counts by. */
+export type AnvilAsk = { readonly voters: VotersTold | null; readonly call: AnvilCall };
+
+/** What may be asked of an anvil. */
+export type AnvilCall =
+  | { readonly kind: 'prepare'; readonly key: string; readonly ballot: Ballot }
+  | { readonly kind: 'accept'; readonly key: string; readonly ballot: Ballot; readonly value: unknown; readonly disk: string }
+  | { readonly kind: 'post'; readonly facts: readonly Fact[] }
+  | { readonly kind: 'pull'; readonly cursor: Cursor | null; readonly keys: readonly string[] }
+  | { readonly kind: 'fetch'; readonly key: string }
+  | { readonly kind: 'dump'; readonly after: string | null }
+  /** What a jig knows to have been chosen, told again after most disks were lost. */
+  | { readonly kind: 'retell'; readonly cells: readonly (readonly [string, NonNullable<Cell['accepted']>])[]; readonly facts: readonly Fact[] };
+
+/** What an anvil answers. */
+export type AnvilReply =
+  /** It may not vote; a fresh disk, which never did, may be given a place. */
+  | { readonly kind: 'away'; readonly disk: string; readonly fresh: boolean; /** Whether it has heard of voters. */ readonly informed: boolean }
+  /** The caller counts by voters that are no longer in force. */
+  | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
+  | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
+  /** It keeps as many claims as it may. */
+  | { readonly kind: 'full'; readonly disk: string }
+  | { readonly kind: 'posted'; readonly disk: string }
+  /** It founded the state anew and wants to be told again what is known; until then it takes part in nothing. */
+  | { readonly kind: 'settling'; readonly disk: string; readonly epoch: number }
+  | { readonly kind: 'retold'; readonly disk: string }
+  | {
+    readonly kind: 'pulled'; readonly disk: string; readonly seq: number; readonly reset: boolean; readonly more: boolean;
+    readonly facts: readonly Fact[]; readonly ballots: Readonly<Record<string, Ballot>>;
+  }
+  | { readonly kind: 'fetched'; readonly disk: string; readonly accepted: Cell['accepted'] }
+  | { readonly kind: 'dumped'; readonly disk: string; /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
+
+/** What goes to disk. Replaying a record twice changes nothing. */
+export type AnvilRecord =
+  | { readonly kind: 'disk'; readonly disk: string }
+  | { readonly kind: 'voting' }
+  /** Its place was given to another: all that was on this disk is gone, and it goes on under a new name. */
+  | { readonly kind: 'blanked'; readonly disk: string }
+  /** Voters that it was told are chosen. */
+  | { readonly kind: 'told'; readonly voters: VotersTold }
+  /** The last place given on the board; kept apart, since the facts themselves age away. */
+  | { readonly kind: 'place'; readonly seq: number }
+  | { readonly kind: 'cell'; readonly key: string; readonly cell: Cell }
+  | { readonly kind: 'fact'; readonly seq: number; readonly fact: Fact };
+
+export type AnvilEvent =
+  | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilAsk; readonly now: number }
+  | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply; readonly now: number }
+  | { readonly kind: 'lost'; readonly id: number; readonly now: number }
+  | { readonly kind: 'beat'; readonly now: number };
+
+export type AnvilEffect =
+  /** To disk, in order. */
+  | { readonly kind: 'append'; readonly records: readonly AnvilRecord[] }
+  /** Answer a call, only after all that was appended before is synced. */
+  | { readonly kind: 'tell'; readonly id: number; readonly body: AnvilReply }
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilAsk }
+  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -7,7 +7,9 @@
 import { openScribe, textOf } from '@reedyard/scriber';
 import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
 import type { Settings } from '@reedyard/vise';
-import { Anvil, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState } from './core.js';
+import { Anvil } from './core.js';
+import type { AnvilAsk, AnvilEffect, AnvilEvent, AnvilRecord, AnvilReply } from './messages.js';
+import type { AnvilState } from './state.js';
 
 const now = (): number => performance.now();
 
--- /dev/null
+++ b/packages/anvil/src/state.ts
@@ -0,0 +1,56 @@
+import type { Map as Table, Set as Group } from 'immutable';
+import type { Cell } from '@reedyard/latch';
+import type { AnvilEffect, AnvilVoting, Fact, Voters, VotersTold } from './messages.js';
+
+/** The state of a replica, and what every part of its reducer works with. */
+
+export type Kept = Fact & { readonly seq: number; readonly at: number };
+
+export type Reading = {
+  readonly after: string | null; readonly state: 'reading' | 'blank' | 'done'; readonly call: number | null; readonly sentAt: number;
+  /** The disk that answered, and the epoch that it was told of before it answered. */
+  readonly disk: string; readonly epoch: number; readonly askedEpoch: number;
+};
+
+export type AnvilState = {
+  readonly name: string;
+  /** The others of the founding set: name and address. Not used where voters found themselves from seeds. */
+  readonly others: Readonly<Record<string, string>>;
+  /** What the settings tell where voters found themselves from seeds; null where they name every founder. */
+  readonly seeded: AnvilVoting | null;
+  /** The newest voters that it knows to be chosen: it votes by these alone. */
+  readonly told: VotersTold | null;
+  readonly disk: string;
+  /** Whether this disk has ever voted; it does so now if the voters name it. */
+  readonly voting: boolean;
+  readonly cells: Table<string, Cell>;
+  /** Minute of the anvil's running time in which each claim was last written, and the claims of each minute. */
+  readonly claimsSeen: Table<string, number>;
+  readonly claimMinutes: Table<number, Group<string>>;
+  /** Keys of the registers as they were when a reader began, by the name of its reading. */
+  readonly dumps: Readonly<Record<string, readonly string[]>>;
+  readonly facts: readonly Kept[];
+  readonly factKeys: Table<string, number>;
+  readonly seq: number;
+  /** Facts up to this place were dropped for age. */
+  readonly floor: number;
+  readonly readings: Readonly<Record<string, Reading>>;
+  readonly nextCall: number;
+  readonly sweptAt: number;
+  /** Until when it waits for what jigs tell again. */
+  readonly settlingUntil: number;
+  /** The last founding after a loss that it has settled for. */
+  readonly settledFor: number;
+};
+export type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
+export const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
+
+export const votersOf = (state: AnvilState): VotersTold | null => state.told;
+
+/** The place that voters give to this disk. Where they found themselves from seeds the disk alone tells, since machines move. */
+export const placeOf = (state: AnvilState, voters: Voters): string | undefined => state.seeded === null
+  ? voters.disks[state.name] === state.disk ? state.name : undefined
+  : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
+
+export const isNamed = (state: AnvilState): boolean => state.told !== null && placeOf(state, state.told.value) !== undefined;
+export const isVoter = (state: AnvilState): boolean => state.voting && isNamed(state);
--- a/packages/anvil/src/voters.test.ts
+++ b/packages/anvil/src/voters.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import { Ballots, Proposer, type Ballot, type Change, type Proposal, type Turn } from '@reedyard/latch';
-import { Anvil, votersKey, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState, type AnvilVoting, type Voters, type VotersTold } from './core.js';
+import { Anvil } from './core.js';
+import { votersKey, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilVoting, type Voters, type VotersTold } from './messages.js';
+import type { AnvilState } from './state.js';
 
 // Voters that found themselves from seeds, on a bench where any message may come next, or get lost.
 
