A replaced replica keeps its data until its successor votes, which may read it alone

Cause: a replica that was told its place was given away forgot its data at once, while its successor still had to read n - majority + 1 other members. In between one loss less was borne, also after a wrong suspicion; and a replica that was told to stop went at once, though a blank one stood ready.

Now it retires: it accepts nothing more, lets its successor read it, and forgets only once that one is seen voting (or, where that one does not come to vote for 3 s or was itself replaced, once a majority votes without it). The membership notes each member's predecessor; a successor that has read it after it was told of the epoch holds what it held, so it votes by that alone or by n - majority + 1 others, whichever comes first. A page that is lost is asked for again after 250 ms, then ever later, instead of 1 s; a new member reads as soon as it is told, not at its next interval.

SIGTERM: a member says in its answers that it is leaving, votes on, and ends once it was replaced and its successor votes, after 2 s if nobody takes its place, at once if no caller knew of a blank replica.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -3,14 +3,19 @@
 import { Acceptor, emptyCell, type Cell } from '@reedyard/latch';
 import type { Step } from '@reedyard/chute';
 import { keepFacts, pulled } from './journal.js';
-import { adopt, blankIfReplaced } from './membership.js';
+import { adopt } from './membership.js';
 import { newerVoters, votersKey, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilVoting, type Voters, type VotersTold } from './messages.js';
 import { away, dumped, rejoin, returned, takeRetold } from './recovery.js';
 import { claimPrefix, minuteOf, vote, withoutClaim } from './registers.js';
-import { isVoter, set, votersOf, type AnvilState, type Kept, type Work } from './state.js';
+import { isPolled, notePoll, pollMembers, tendRetirement, tendStop } from './retirement.js';
+import { isNamed, isVoter, set, votersOf, type AnvilState, type Kept, type Work } from './state.js';
 
 const asked = (work: Work, id: number, ask: AnvilAsk, now: number): void => {
+  if (ask.spare === true) set(work, { spareHeardAt: now });
+  const wasNamed = isNamed(work.state);
   adopt(work, ask.voters, now);
+  if (!wasNamed && isNamed(work.state) && !isVoter(work.state)) rejoin(work, now);
+  tendRetirement(work, now);
   const { state } = work;
   const body = ask.call;
   const tell = (reply: AnvilReply): void => { work.effects.push({ kind: 'tell', id, body: reply }); };
@@ -54,6 +59,12 @@
   set(work, { cells: state.cells.deleteAll(keys), claimsSeen: state.claimsSeen.deleteAll(keys), claimMinutes: lapsed.reduce((minutes, [minute, key]) => withoutClaim(minutes, minute, key), state.claimMinutes) });
 };
 
+/** What came of a call of its own: to a member that goes on without it, or to one that it reads. */
+const answered = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
+  if (isPolled(work.state, id)) notePoll(work, id, body, now);
+  else returned(work, id, body, now);
+};
+
 export const Anvil = {
   /**
    * The state from what was on disk; a blank disk gets the new name given.
@@ -93,6 +104,7 @@
         claimsSeen: Table(claims.map((key) => [key, minuteOf(parts.now)])), claimMinutes: claims.length === 0 ? Table() : Table([[minuteOf(parts.now), Group(claims)]]), dumps: {},
         facts: kept, factKeys: Table(kept.map((fact) => [fact.key, fact.seq])), seq, floor: (kept[0]?.seq ?? seq + 1) - 1,
         readings: {}, nextCall: 1, sweptAt: parts.now, settlingUntil: -Infinity, settledFor: told?.value.refounded ?? 0,
+        retirement: null, stopAskedAt: null, spareHeardAt: -Infinity,
       },
       effects: disk === null ? [{ kind: 'append', records: [{ kind: 'disk', disk: parts.freshDisk }] }] : [],
     };
@@ -113,9 +125,16 @@
     const work: Work = { state, effects: [] };
     switch (event.kind) {
       case 'asked': asked(work, event.id, event.body, event.now); break;
-      case 'returned': returned(work, event.id, event.body, event.now); break;
-      case 'lost': returned(work, event.id, null, event.now); break;
-      case 'beat': blankIfReplaced(work); if (!isVoter(work.state)) rejoin(work, event.now); sweep(work, event.now); break;
+      case 'returned': answered(work, event.id, event.body, event.now); break;
+      case 'lost': answered(work, event.id, null, event.now); break;
+      case 'stop': set(work, { stopAskedAt: event.now }); tendStop(work, event.now); break;
+      case 'beat':
+        tendRetirement(work, event.now);
+        pollMembers(work);
+        if (!isVoter(work.state)) rejoin(work, event.now);
+        sweep(work, event.now);
+        tendStop(work, event.now);
+        break;
     }
     return { state: work.state, effects: work.effects };
   },
--- a/packages/anvil/src/journal.ts
+++ b/packages/anvil/src/journal.ts
@@ -31,5 +31,6 @@
   return {
     kind: 'pulled', disk: state.disk, seq: facts.at(-1)?.seq ?? Math.max(from, known ?? state.seq), reset: cursor !== null && known === null,
     more: facts.length < fresh.length, facts: facts.map(({ key, value }) => ({ key, value })), ballots,
+    ...(state.stopAskedAt === null ? {} : { leaving: true as const }),
   };
 };
--- a/packages/anvil/src/membership.ts
+++ b/packages/anvil/src/membership.ts
@@ -1,9 +1,9 @@
 import { Map as Table } from 'immutable';
 import { Limits } from '@reedyard/gauge';
 import { Ballots, emptyCell } from '@reedyard/latch';
-import { newerVoters, votersKey, type Voters, type VotersTold } from './messages.js';
+import { newerVoters, votersKey, type Predecessor, type Voters, type VotersTold } from './messages.js';
 import { keepCell } from './registers.js';
-import { isNamed, placeOf, set, type AnvilState, type Work } from './state.js';
+import { isNamed, isRetired, placeOf, set, type AnvilState, type Work } from './state.js';
 
 /** Membership as one replica knows it: which members are committed, and what follows for this disk. */
 
@@ -21,6 +21,17 @@
   return mayFound(state) ? Object.fromEntries(seeds.filter((seed) => seed !== address).map((seed) => [seed, seed])) : {};
 };
 
+/** Name of the reading of the disk that a new member took over from. */
+const predecessorReading = (disk: string): string => `predecessor ${disk}`;
+
+/** The disk that this one took over from, where it took over from another machine. */
+export const predecessorOf = (state: AnvilState): (Predecessor & { readonly reading: string }) | null => {
+  const voters = state.told?.value;
+  const place = voters === undefined || state.seeded === null ? undefined : placeOf(state, voters);
+  const found = place === undefined ? undefined : voters?.predecessors?.[place];
+  return found === undefined ? null : { ...found, reading: predecessorReading(found.disk) };
+};
+
 /**
  * After most disks were lost every voter waits for what jigs tell again: also one that kept its disk, since
  * it may lack what the others had, and one that read the others before they were told.
@@ -42,17 +53,16 @@
   work.effects.push({ kind: 'append', records: [{ kind: 'told', voters: told }] });
   settleFor(work, told.value.refounded ?? 0, now);
   if (told.value.epoch > epochBefore) work.effects.push({ kind: 'log', event: 'voters.learned', fields: { epoch: told.value.epoch, seated: isNamed(work.state) } });
-  blankIfReplaced(work);
 };
 
-/** Its place was given to another disk, which reads from the others what this one's votes helped: so it may forget them, and waits as a blank one. */
-export const blankIfReplaced = (work: Work): void => {
+/** Forgets all that this disk voted for, since its successor has it; it waits for a place as a blank one, under a new name. */
+export const blank = (work: Work): void => {
   const { state } = work;
   const { told } = state;
-  if (state.seeded === null || !state.voting || told === null || isNamed(state)) return;
+  if (told === null || !isRetired(state)) return;
   const disk = `${state.disk.split('/', 1)[0] ?? ''}/${told.value.epoch}`;
   set(work, {
-    disk, voting: false, cells: Table(), claimsSeen: Table(), claimMinutes: Table(), dumps: {}, facts: [], factKeys: Table(), floor: state.seq, readings: {},
+    disk, voting: false, cells: Table(), claimsSeen: Table(), claimMinutes: Table(), dumps: {}, facts: [], factKeys: Table(), floor: state.seq, readings: {}, retirement: null,
   });
   work.effects.push({ kind: 'append', records: [{ kind: 'blanked', disk }, { kind: 'told', voters: told }, { kind: 'place', seq: state.seq }] },
     { kind: 'log', event: 'anvil.replaced', fields: { epoch: told.value.epoch, disk } });
--- a/packages/anvil/src/messages.ts
+++ b/packages/anvil/src/messages.ts
@@ -15,7 +15,11 @@
   readonly refounded?: number;
   /** Where each place's anvil is reached; left out where the settings name every founder. */
   readonly addresses?: Readonly<Record<string, string>>;
+  /** For a member that took over from another machine: the disk whose place it got, and where that was reached. */
+  readonly predecessors?: Readonly<Record<string, Predecessor>>;
 };
+/** The disk that gave a member its place. Once told of that, its state is frozen, and a copy of it is enough to vote. */
+export type Predecessor = { readonly disk: string; readonly address: string };
 /** Voters that are known to be chosen. */
 export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
 export const votersKey = 'voters';
@@ -34,7 +38,12 @@
 export type AnvilVoting = { readonly address: string; /** Anvils that found the state among themselves. */ readonly seeds: readonly string[]; /** True only when the whole system starts for the very first time. */ readonly firstStart: boolean };
 
 /** A call, with the voters that the caller counts by. */
-export type AnvilAsk = { readonly voters: VotersTold | null; readonly call: AnvilCall };
+export type AnvilAsk = {
+  readonly voters: VotersTold | null;
+  readonly call: AnvilCall;
+  /** The caller knows of a live blank replica that could take a member's place. */
+  readonly spare?: true;
+};
 
 /** What may be asked of an anvil. */
 export type AnvilCall =
@@ -63,6 +72,8 @@
   | {
     readonly kind: 'pulled'; readonly disk: string; readonly seq: number; readonly reset: boolean; readonly more: boolean;
     readonly facts: readonly Fact[]; readonly ballots: Readonly<Record<string, Ballot>>;
+    /** It was told to stop, and would rather give its place away first. */
+    readonly leaving?: true;
   }
   | { readonly kind: 'fetched'; readonly disk: string; readonly accepted: Cell['accepted'] }
   | { readonly kind: 'dumped'; readonly disk: string; /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
@@ -84,7 +95,9 @@
   | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilAsk; readonly now: number }
   | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply; readonly now: number }
   | { readonly kind: 'lost'; readonly id: number; readonly now: number }
-  | { readonly kind: 'beat'; readonly now: number };
+  | { readonly kind: 'beat'; readonly now: number }
+  /** The process was told to stop. */
+  | { readonly kind: 'stop'; readonly now: number };
 
 export type AnvilEffect =
   /** To disk, in order. */
@@ -92,4 +105,6 @@
   /** Answer a call, only after all that was appended before is synced. */
   | { readonly kind: 'tell'; readonly id: number; readonly body: AnvilReply }
   | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilAsk }
+  /** It was told to stop, and nothing waits for it any more. */
+  | { readonly kind: 'end' }
   | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
--- a/packages/anvil/src/recovery.ts
+++ b/packages/anvil/src/recovery.ts
@@ -1,10 +1,10 @@
 import { Beats, Limits, Sizes } from '@reedyard/gauge';
 import { Acceptor, Ballots, emptyCell, majorityOf, type Ballot } from '@reedyard/latch';
 import { keepFacts } from './journal.js';
-import { adopt, mayFound, othersOf } from './membership.js';
+import { adopt, mayFound, othersOf, predecessorOf } from './membership.js';
 import { votersKey, type AnvilCall, type AnvilReply, type AnvilVoting, type Voters } from './messages.js';
 import { keepCell } from './registers.js';
-import { isVoter, placeOf, set, votersOf, type AnvilState, type Reading, type Work } from './state.js';
+import { isRetired, isVoter, placeOf, set, votersOf, type AnvilState, type Reading, type Work } from './state.js';
 
 /** Recovery: how a replica that may not vote yet reads the others, and how it is read by them. */
 
@@ -16,7 +16,8 @@
  */
 export const dumped = (work: Work, after: string | null): AnvilReply => {
   const { state } = work;
-  if (!isVoter(state)) return away(state);
+  // A retired replica accepts nothing more, so what it shows is all that it ever will.
+  if (!isVoter(state) && !isRetired(state)) return away(state);
   const [given = '', at = '0'] = after === null ? [] : after.split(':');
   const known = state.dumps[given];
   const reading = known === undefined ? String(state.nextCall) : given;
@@ -47,7 +48,7 @@
   if ((news || work.state.seq > seq) && now < work.state.settlingUntil) set(work, { settlingUntil: now + Limits.retelling });
 };
 
-const blankReading: Reading = { after: null, state: 'reading', call: null, sentAt: -Infinity, disk: '', epoch: 0, askedEpoch: 0 };
+const blankReading: Reading = { after: null, state: 'reading', call: null, sentAt: -Infinity, disk: '', epoch: 0, askedEpoch: 0, tries: 0 };
 const readingOf = (state: AnvilState, name: string): Reading => state.readings[name] ?? blankReading;
 
 /**
@@ -80,9 +81,14 @@
 
 export const rejoin = (work: Work, now: number): void => {
   const epoch = votersOf(work.state)?.value.epoch ?? 0;
-  for (const [name, address] of Object.entries(othersOf(work.state))) {
+  const predecessor = predecessorOf(work.state);
+  const targets = { ...othersOf(work.state), ...(predecessor === null ? {} : { [predecessor.reading]: predecessor.address }) };
+  for (const [name, address] of Object.entries(targets)) {
     let reading = readingOf(work.state, name);
-    if (reading.call !== null && now - reading.sentAt < Limits.call) continue;
+    // A page that takes long on a busy machine is given more time at each try.
+    const patience = Math.min(Limits.call, Limits.recoveryCall * (1 + reading.tries));
+    if (reading.call !== null && now - reading.sentAt < patience) continue;
+    if (reading.call !== null) reading = { ...reading, tries: reading.tries + 1 };
     if (reading.state === 'done' && reading.epoch >= epoch) continue;
     if (reading.after === null && now - reading.sentAt < Beats.rejoin) continue;
     if (reading.state === 'done') reading = { ...reading, after: null };
@@ -115,6 +121,17 @@
   beginVoting(work, step);
 };
 
+/**
+ * Whether this disk holds all that its predecessor did. That one was told of the successor's epoch, or a later
+ * one, before it was read, so it votes no more; with a copy of its state this disk counts wherever that one did.
+ */
+const hasReadPredecessor = (state: AnvilState): boolean => {
+  const predecessor = predecessorOf(state);
+  if (predecessor === null) return false;
+  const reading = readingOf(state, predecessor.reading);
+  return reading.state === 'done' && reading.disk === predecessor.disk && reading.epoch === state.told?.value.epoch;
+};
+
 const beginVoting = (work: Work, step: string): void => {
   set(work, { voting: true, readings: {} });
   work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: work.state.disk, cells: work.state.cells.size, step } });
@@ -131,6 +148,7 @@
   const place = voters === undefined ? undefined : placeOf(state, voters);
   if (voters !== undefined && place !== undefined) {
     if (voters.epoch === 1 || nextStep({ name: place, disk: state.disk, voters, others }) === 'vote') beginVoting(work, 'vote');
+    else if (hasReadPredecessor(state)) beginVoting(work, 'handover');
     return;
   }
   if (!mayFound(state) || Object.values(others).some((other) => other.state !== 'blank')) return;
@@ -145,7 +163,7 @@
   const found = Object.entries(work.state.readings).find(([, reading]) => reading.call === id);
   if (found === undefined || isVoter(work.state)) return;
   const [name, reading] = found;
-  const note = (next: Partial<Reading>): void => set(work, { readings: { ...work.state.readings, [name]: { ...reading, call: null, ...next } } });
+  const note = (next: Partial<Reading>): void => set(work, { readings: { ...work.state.readings, [name]: { ...reading, call: null, tries: 0, ...next } } });
   if (body === null) { note({}); return; }
   if (body.kind === 'away') {
     const blankSeed = work.state.seeded === null || (body.fresh && !body.informed);
--- /dev/null
+++ b/packages/anvil/src/retirement.test.ts
@@ -0,0 +1,214 @@
+import test from 'ava';
+import { Limits } from '@reedyard/gauge';
+import type { Ballot } from '@reedyard/latch';
+import { Anvil } from './core.js';
+import type { AnvilAsk, AnvilCall, AnvilEffect, AnvilEvent } from './messages.js';
+import { votersKey, type AnvilRecord, type AnvilReply, type VotersTold } from './messages.js';
+import type { AnvilState } from './state.js';
+
+// What a replica does once its place was given to another disk, or its process was told to stop.
+
+const membership = (
+  epoch: number,
+  disks: Readonly<Record<string, string>>,
+  more: Partial<VotersTold['value']> = {},
+): VotersTold => {
+  const ballot: Ballot = [epoch, epoch === 1 ? 'founding' : 'agent'];
+  const addresses = Object.fromEntries(Object.keys(disks).map((member) => [member, member]));
+  return { ballot, value: { epoch, disks, addresses, ...more } };
+};
+const first = membership(1, { a: 'A', b: 'B', c: 'C' });
+const predecessors = { d: { disk: 'A', address: 'a' } };
+const second = membership(2, { b: 'B', c: 'C', d: 'D' }, { predecessors });
+const third = membership(3, { b: 'B', c: 'C', e: 'E' }, {
+  predecessors: { e: { disk: 'D', address: 'd' } },
+});
+
+const pull: AnvilCall = { kind: 'pull', cursor: null, keys: [] };
+const dump: AnvilCall = { kind: 'dump', after: null };
+const prepare: AnvilCall = { kind: 'prepare', key: 'config', ballot: [9, 'agent'] };
+const entry: AnvilCall = { kind: 'post', facts: [{ key: 'purge/1', value: 1 }] };
+
+/** Records of a replica that voted in the first epoch. */
+const recordsOf = (disk: string): readonly AnvilRecord[] => [
+  { kind: 'disk', disk },
+  { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } },
+  { kind: 'told', voters: first },
+  { kind: 'voting' },
+];
+
+class Replica {
+  state: AnvilState;
+  readonly records: AnvilRecord[];
+  sent: Extract<AnvilEffect, { kind: 'call' }>[] = [];
+  ended = false;
+  now = 0;
+
+  constructor(readonly address: string, records: readonly AnvilRecord[], freshDisk = 'never') {
+    this.records = [...records];
+    const seeded = { address, seeds: [address], firstStart: true };
+    const opened = Anvil.open({ name: address, others: {}, seeded, records, freshDisk, now: 0 });
+    this.state = opened.state;
+    this.#take(opened.effects);
+  }
+
+  #take(effects: readonly AnvilEffect[]): readonly AnvilReply[] {
+    const replies: AnvilReply[] = [];
+    for (const effect of effects) {
+      if (effect.kind === 'append') this.records.push(...effect.records);
+      if (effect.kind === 'call') this.sent.push(effect);
+      if (effect.kind === 'end') this.ended = true;
+      if (effect.kind === 'tell') replies.push(effect.body);
+    }
+    return replies;
+  }
+
+  step(event: AnvilEvent): readonly AnvilReply[] {
+    const done = Anvil.reduce(this.state, event);
+    this.state = done.state;
+    return this.#take(done.effects);
+  }
+
+  ask(voters: VotersTold, call: AnvilCall, more: Partial<AnvilAsk> = {}): AnvilReply | undefined {
+    return this.step({ kind: 'asked', id: 1, body: { voters, call, ...more }, now: this.now })[0];
+  }
+
+  interval(ms = 200): void {
+    this.now += ms;
+    this.step({ kind: 'beat', now: this.now });
+  }
+
+  /** Answers what was asked of a machine last. */
+  answer(from: string, reply: AnvilReply): void {
+    const call = this.sent.filter((each) => each.to === from).at(-1);
+    if (call === undefined) throw new Error(`nothing was asked of ${from}`);
+    this.step({ kind: 'returned', id: call.id, body: reply, now: this.now });
+  }
+}
+
+const fetched = (disk: string): AnvilReply => ({ kind: 'fetched', disk, accepted: null });
+
+test('a replaced replica votes no more, and keeps its data, readable, until its successor votes', (t) => {
+  const replica = new Replica('a', recordsOf('A'));
+  replica.ask(first, entry);
+  t.deepEqual(replica.ask(second, pull), { kind: 'away', disk: 'A', fresh: false, informed: true });
+  t.is(replica.ask(second, prepare)?.kind, 'away');
+  t.is(replica.ask(first, prepare)?.kind, 'stale');
+  for (const holder of [replica, new Replica('a', replica.records)]) {
+    holder.interval();
+    const read = holder.ask(second, dump);
+    t.is(read?.kind === 'dumped' ? read.facts.length : 0, 1);
+    t.is(read?.kind === 'dumped' ? read.voters?.value.epoch : 0, 2);
+    holder.answer('b', fetched('B'));
+    holder.answer('c', fetched('C'));
+    t.is(holder.ask(second, pull)?.kind, 'away');
+    t.is(holder.state.disk, 'A', 'a majority that votes is not enough while the successor may still read');
+    holder.answer('d', fetched('D'));
+    const blank = { kind: 'away', disk: 'A/2', fresh: true, informed: true };
+    t.deepEqual(holder.ask(second, pull), blank);
+    for (const records of [holder.records, [...Anvil.records(holder.state)]]) {
+      const { state } = new Replica('a', records);
+      t.deepEqual([state.disk, state.voting, state.cells.size, state.facts.length], ['A/2', false, 0, 0]);
+      t.is(state.told?.value.epoch, 2);
+      t.false(Anvil.reduce(state, { kind: 'beat', now: 5_000 }).state.voting);
+    }
+  }
+});
+
+test('a successor that answers as a blank disk does not vote: the data is kept', (t) => {
+  const replica = new Replica('a', recordsOf('A'));
+  replica.ask(second, pull);
+  replica.interval();
+  replica.answer('d', { kind: 'away', disk: 'D', fresh: true, informed: true });
+  replica.answer('b', fetched('D'));
+  t.is(replica.state.disk, 'A');
+});
+
+test('without a successor that votes the data is kept until a majority votes without it', (t) => {
+  const replica = new Replica('a', recordsOf('A'));
+  replica.ask(second, pull);
+  replica.interval(Limits.retention + 200);
+  replica.answer('b', fetched('B'));
+  t.is(replica.state.disk, 'A', 'one of three');
+  replica.interval(Limits.retentionProof + 200);
+  replica.answer('c', fetched('C'));
+  t.is(replica.state.disk, 'A', 'two of three, but not at one time');
+  replica.answer('b', fetched('B'));
+  t.is(replica.state.disk, 'A/2');
+});
+
+test('a successor that was replaced in its turn is not waited for', (t) => {
+  const replica = new Replica('a', recordsOf('A'));
+  replica.ask(second, pull);
+  replica.interval();
+  replica.answer('b', { kind: 'stale', disk: 'B', voters: third });
+  t.is(replica.state.disk, 'A');
+  replica.interval();
+  replica.answer('b', fetched('B'));
+  replica.answer('e', fetched('E'));
+  t.is(replica.state.disk, 'A/3');
+});
+
+const dumped = (disk: string, voters: VotersTold): AnvilReply =>
+  ({ kind: 'dumped', disk, voters, cells: [], facts: [], next: null });
+
+test('a successor votes once it has read its predecessor, or enough other members', (t) => {
+  const joining = (): Replica => {
+    const replica = new Replica('d', [], 'D');
+    replica.ask(second, pull);
+    t.deepEqual(replica.sent.map((each) => each.to).sort(), ['a', 'b', 'c']);
+    t.true(replica.sent.every((each) => each.body.voters?.value.epoch === 2));
+    return replica;
+  };
+  const fromPredecessor = joining();
+  fromPredecessor.answer('a', dumped('A', second));
+  t.true(fromPredecessor.state.voting);
+
+  const fromOthers = joining();
+  fromOthers.answer('b', dumped('B', second));
+  t.false(fromOthers.state.voting, 'one of two others');
+  fromOthers.answer('c', dumped('C', second));
+  t.true(fromOthers.state.voting);
+
+  const fromAnother = joining();
+  fromAnother.answer('a', dumped('X', second));
+  t.false(fromAnother.state.voting, 'another disk at the address of its predecessor');
+});
+
+test('told to stop, a member without a spare ends at once; with one it says so and waits a while', (t) => {
+  const alone = new Replica('a', recordsOf('A'));
+  alone.step({ kind: 'stop', now: alone.now });
+  t.true(alone.ended);
+
+  const replica = new Replica('a', recordsOf('A'));
+  replica.ask(first, pull, { spare: true });
+  replica.step({ kind: 'stop', now: replica.now });
+  const answer = replica.ask(first, pull, { spare: true });
+  t.true(answer?.kind === 'pulled' && answer.leaving === true);
+  replica.interval();
+  t.false(replica.ended);
+  t.is(replica.ask(first, prepare)?.kind, 'vote', 'it votes on meanwhile');
+  replica.interval(Limits.handover);
+  t.true(replica.ended);
+});
+
+test('told to stop, a replaced member ends once its successor votes, or has taken too long', (t) => {
+  const leaving = (): Replica => {
+    const replica = new Replica('a', recordsOf('A'));
+    replica.ask(first, pull, { spare: true });
+    replica.step({ kind: 'stop', now: replica.now });
+    replica.ask(second, pull);
+    replica.interval();
+    t.false(replica.ended);
+    return replica;
+  };
+  const done = leaving();
+  done.answer('d', fetched('D'));
+  done.interval();
+  t.true(done.ended);
+
+  const late = leaving();
+  late.interval(Limits.retention);
+  t.true(late.ended);
+  t.is(late.state.disk, 'A', 'with its data');
+});
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
-import { Beats, Sizes } from '@reedyard/gauge';
+import { Beats, Limits, Sizes } from '@reedyard/gauge';
 import { Task } from '@reedyard/chute';
 import { openNotch } from '@reedyard/notch';
 import { openScribe, textOf } from '@reedyard/scriber';
@@ -57,6 +57,7 @@
           (body) => put({ kind: 'returned', id: effect.id, body: body as AnvilReply, now: now() }),
           () => put({ kind: 'lost', id: effect.id, now: now() }));
         return;
+      case 'end': leave(); return;
       case 'log': scribe.info(effect.event, effect.fields); return;
     }
   };
@@ -74,7 +75,17 @@
   });
   setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.rejoin);
   scribe.info('started', { port: listening.port, disk: opened.state.disk, voting: opened.state.voting });
-  const leave = (): void => { void listening.close().then(() => notch.close()).then(() => { scribe.info('stopped'); process.exit(0); }); };
-  process.on('SIGTERM', leave);
-  process.on('SIGINT', leave);
+  let ending = false;
+  const leave = (): void => {
+    if (ending) return;
+    ending = true;
+    void listening.close().then(() => notch.close()).then(() => { scribe.info('stopped'); process.exit(0); });
+  };
+  /** The reducer ends the process once its place is given away; the timer does so in any case. */
+  const stopSoon = (): void => {
+    setTimeout(leave, Limits.shutdown).unref();
+    if (!task.put({ kind: 'stop', now: now() })) leave();
+  };
+  process.on('SIGTERM', stopSoon);
+  process.on('SIGINT', stopSoon);
 };
--- a/packages/anvil/src/state.ts
+++ b/packages/anvil/src/state.ts
@@ -10,6 +10,8 @@
   readonly after: string | null; readonly state: 'reading' | 'blank' | 'done'; readonly call: number | null; readonly sentAt: number;
   /** The disk that answered, and the epoch that it was told of before it answered. */
   readonly disk: string; readonly epoch: number; readonly askedEpoch: number;
+  /** How often the present page was asked for in vain. */
+  readonly tries: number;
 };
 
 export type AnvilState = {
@@ -41,7 +43,23 @@
   readonly settlingUntil: number;
   /** The last founding after a loss that it has settled for. */
   readonly settledFor: number;
+  /** Set while its place is given away and it keeps its data for the successor. */
+  readonly retirement: Retirement | null;
+  /** When the process was told to stop. */
+  readonly stopAskedAt: number | null;
+  /** When a caller last knew of a blank replica that could take a place. */
+  readonly spareHeardAt: number;
 };
+
+/** What a replaced replica knows of the members that go on without it. */
+export type Retirement = {
+  readonly since: number;
+  /** Calls under way, and the member that each went to. */
+  readonly calls: Readonly<Record<number, string>>;
+  /** When each disk last answered as a voting member. */
+  readonly votingAt: Readonly<Record<string, number>>;
+};
+
 export type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
 export const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
 
@@ -53,4 +71,7 @@
   : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
 
 export const isNamed = (state: AnvilState): boolean => state.told !== null && placeOf(state, state.told.value) !== undefined;
+/** Whether its place was given away while it still holds what it voted for. */
+export const isRetired = (state: AnvilState): boolean =>
+  state.seeded !== null && state.voting && state.told !== null && !isNamed(state);
 export const isVoter = (state: AnvilState): boolean => state.voting && isNamed(state);
--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -85,6 +85,11 @@
   hanging: 900,
   /** ms. One phase of a ballot before it is tried again with a higher one. */
   ballotPhase: 600,
+  /** ms. The same for a ballot on the membership in its first second: while it lasts one loss less is borne, and
+   *  a lost message must not cost a third of the time that there is. */
+  membershipPhase: 200,
+  /** ms. After this a ballot on the membership is given as long as any other, since the machines are slow. */
+  membershipHaste: 1_000,
   /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
   proposal: 4_000,
   /** ms. A partner whose heartbeat stood still this long gets no forwarded requests. */
@@ -101,6 +106,25 @@
   /** ms. A voter whose machine was silent this long, in gossip and to every pull, is taken for gone, and its
    *  place given to another: longer than a restart, and than a cut of 6 s with 2 s to be heard of again. */
   voterSilence: 8_000,
+  /** ms. A page that a recovering replica asked for is asked for again, then after twice as long, and so on: far
+   *  over what one takes on a busy machine. */
+  recoveryCall: 250,
+  /** ms. Of half the time that a successor is given to catch up, what is kept for its join itself: to be heard
+   *  of, for one ballot, to be told and to read; measured in the simulator under all troubles. */
+  joinBudget: 1_000,
+  /** ms. A member is suspected no sooner, whatever the settings say: two pulls and the probes between them. */
+  leastSuspicion: 1_000,
+  /** ms. A silent member is asked more often after this: one pull and its answer. */
+  probing: 700,
+  /** ms. A blank replica must have answered within this time to be given a place of a suspected member. */
+  spareHeard: 700,
+  /** ms. A replica that was told to stop waits this long for its place to be given away, if a spare is known. */
+  handover: 2_000,
+  /** ms. A replaced replica keeps its data this long for a successor that does not come to vote; then it waits
+   *  for a majority that votes without it. */
+  retention: 3_000,
+  /** ms. How long ago members must have answered to count as that majority. */
+  retentionProof: 1_000,
   /** ms. Anvils that founded the state anew, after most disks were lost, take part in nothing until they
    *  have heard no news this long from jigs that tell again what they knew: six of their pulls. */
   retelling: 1_500,
