A lost member is replaced within half of the time that successors get to catch up

New: voting.catchUpMs. While a blank replica answers an agent's own calls, a member that answered none of at least four pulls within catchUpMs / 2 - 1 s is replaced; agents of machines with a replica probe both at each interval. Only an agent with a lease that was not itself held up decides, one replacement at a time, the member that was silent longest; a member that says it is leaving is replaced at once. A disk's last record at its own address no longer holds up the blank disk there. A blank machine makes itself known at once; a ballot on the membership that loses a message is tried again after 200 ms; who learns a membership passes it on at once. The membership part of pulls.ts is a module of its own, with typed changes.

--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -59,6 +59,12 @@
   play(work, which, turn.proposal.phase === before ? pursuit : { ...pursuit, phaseAt: work.state.now }, turn);
 };
 
+/** ms that one phase of a ballot may take before it is tried again. */
+const phaseLimit = (pursuit: Pursuit, now: number): number => {
+  const inHaste = pursuit.purpose.kind === 'seat' && now - pursuit.openedAt < Limits.membershipHaste;
+  return inHaste ? Limits.membershipPhase : Limits.ballotPhase;
+};
+
 /** Looks after proposals that wait, hang or have taken too long. */
 export const tendPursuits = (work: Work): void => {
   const { now } = work.state;
@@ -67,7 +73,7 @@
     if (now - pursuit.openedAt > Limits.proposal) {
       set(work, { pursuits: without(work.state.pursuits, which) });
       finish(work, pursuit.purpose, { kind: 'unknown' });
-    } else if (pursuit.again !== null ? now >= pursuit.again : now - pursuit.phaseAt > Limits.ballotPhase) {
+    } else if (pursuit.again !== null ? now >= pursuit.again : now - pursuit.phaseAt > phaseLimit(pursuit, now)) {
       const { key, change } = pursuit.proposal;
       const above = Ballots.compare(work.state.highestBallot, pursuit.proposal.highest) > 0 ? work.state.highestBallot : pursuit.proposal.highest;
       const turn = Proposer.open(key, change, Object.keys(work.state.anvils), above, work.state.self.id);
@@ -151,6 +157,12 @@
 
 const remember = (changes: PolicyValue['changes'], id: string, serial: number): PolicyValue['changes'] => [...changes, { id, serial }].slice(-Sizes.recentChanges);
 
+/** Predecessors of the members, but for one whose disk is now another; left out where there are none. */
+const predecessorsWithout = (voters: Voters, member: string | undefined): Pick<Voters, 'predecessors'> => {
+  if (voters.predecessors === undefined) return {};
+  return { predecessors: member === undefined ? voters.predecessors : without(voters.predecessors, member) };
+};
+
 /** The changes that are made to registers. Each knows its own earlier work by an id in the value. */
 export const Changes = {
   policy: (document: PolicyValue['document'], ifMatch: number | null, changeId: string): Change => (current) => {
@@ -208,14 +220,14 @@
     const old = current as Voters | null;
     if (old === null || (old.disks[anvil] === disk && (address === undefined || old.addresses?.[anvil] === address))) return { kind: 'keep' };
     if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
-    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk }, ...(address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } }) } satisfies Voters };
+    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...old.disks, [anvil]: disk }, ...(address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } }), ...predecessorsWithout(old, old.disks[anvil] === disk ? undefined : anvil) } satisfies Voters };
   },
   /** Gives a place up, and another, of a disk without one, in its stead. */
   replace: (known: Voters, gone: string, anvil: string, disk: string, address: string): Change => (current) => {
     const old = current as Voters | null;
     if (old === null || old.disks[anvil] === disk) return { kind: 'keep' };
     if (old.epoch !== known.epoch || old.disks[gone] === undefined) return { kind: 'refuse', reason: 'the voters have changed' };
-    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...without(old.disks, gone), [anvil]: disk }, addresses: { ...without(old.addresses ?? {}, gone), [anvil]: address } } satisfies Voters };
+    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks: { ...without(old.disks, gone), [anvil]: disk }, addresses: { ...without(old.addresses ?? {}, gone), [anvil]: address }, predecessors: { ...without(old.predecessors ?? {}, gone), [anvil]: { disk: old.disks[gone], address: old.addresses?.[gone] ?? '' } } } satisfies Voters };
   },
 } as const;
 
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -8,8 +8,9 @@
 import type { Description, Purge } from '@reedyard/stencil';
 import { Changes, post, pursue, tendPostings, tendPursuits, tookPost, tookVote, unreached } from './ballots.js';
 import { tendDuty } from './duty.js';
-import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
-import { lostPull, pullAll, renewLease, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
+import { barred, boundsOf, computeSplit, delayTo, drainKey, gossip, heartbeat, inDoubt, isJoining, isOld, learn, nodesOf, originKey, originRows, originsOf, partnerRows, pingAll, tookMeasure, tookPing, withdrawnKey } from './network.js';
+import { awaitOwnReplica, tendMembership } from './membership.js';
+import { lostPull, pullAll, renewLease, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
 import { anvilView, bearsLosses, closedOf, hallsOf, mayActFor, noteBeat, planOf, policyOf, send, set, without, type JigState, type Work } from './state.js';
 import { feedParts, type Action, type Feed, type FeedPart, type FeedTold, type Holding, type JigCall, type JigEffect, type JigEvent, type JigReply, type JigVoting, type LatheCall, type Report, type Revisions, type Self } from './terms.js';
 
@@ -243,9 +244,11 @@
   tendPostings(work);
   const { lease, openedAt } = work.state;
   const eager = now >= lease && now - Math.max(lease, openedAt) < Limits.eager;
-  due('pull', eager ? Beats.lapsed : Beats.pull, () => { pullAll(work); tendVoters(work); });
+  due('pull', eager ? Beats.lapsed : Beats.pull, () => { pullAll(work); if (work.state.self.anvil === null) tendMembership(work); });
+  awaitOwnReplica(work);
+  if (work.state.self.anvil !== null) tendMembership(work);
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
-  due('gossip', Beats.gossip, () => gossip(work));
+  due('gossip', isJoining(work.state) ? Beats.lapsed : Beats.gossip, () => gossip(work));
   due('ping', Beats.pingDraw, () => pingAll(work));
   due('sweep', Beats.heartbeat, () => sweep(work));
   due('division', Beats.division, () => tendDuty(work));
@@ -267,7 +270,7 @@
     readonly voting?: JigVoting | null;
   }): JigState => ({
     self: parts.self, life: parts.life, seeds: parts.seeds, seed: parts.seed, now: parts.now, nextId: 1, pending: {},
-    voting: parts.voting ?? null, openedAt: parts.now, ownAnvil: null,
+    voting: parts.voting ?? null, openedAt: parts.now, ownAnvil: null, spares: {},
     anvils: parts.voting ? {} : Object.fromEntries(Object.entries(parts.founders).map(([name, address]) => [name, anvilView(address, parts.now)])),
     registers: {}, highestBallot: Ballots.none as Ballot, hanging: {}, lease: 0, beatAt: parts.now, lateAt: parts.now, flushes: 0, facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {}, claims: [Table(), Table(), Table()], claimsFrom: parts.now, pursuits: {}, postings: {},
     spindle: Spindle.empty, delays: {}, report: null, fedParts: {}, sent: null, sentAt: 0, notices: 0, split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
--- /dev/null
+++ b/packages/jig/src/membership.ts
@@ -0,0 +1,299 @@
+import { Beats, Limits } from '@reedyard/gauge';
+import type { AnvilReply, Voters } from '@reedyard/anvil';
+import { Changes, pursue } from './ballots.js';
+import { anvilsHeard, heartbeat, nodesOf } from './network.js';
+import { pullNow } from './pulls.js';
+import {
+  bearsLosses,
+  chance,
+  liveSpares,
+  sendToAnvil,
+  set,
+  votersOf,
+  without,
+  type AnvilView,
+  type JigState,
+  type Work,
+} from './state.js';
+
+/**
+ * Membership: which replica should be a member next, and when an agent opens the ballot for it. Nothing here
+ * decides who votes: a change takes effect only once a majority of the present members has chosen it, and one
+ * that was opened on a wrong suspicion costs a change of place, and neither data nor a majority.
+ */
+
+/** How likely an agent on a machine with a replica opens a due change at one of its intervals. */
+const proposeChance = 0.5;
+/** The same for agents of other machines, which only help out; each at one of its pulls. */
+const helpChance = 0.05;
+
+/** A member is suspected only after this many pulls without an answer, so that a lost message or two are none. */
+const pullsToSuspect = 4;
+
+/** A change of the membership that is due. */
+type MembershipChange = {
+  readonly member: string;
+  readonly disk: string;
+  readonly address: string;
+  /** The member that gives up its place, where another machine takes it. */
+  readonly instead?: string;
+};
+
+type Spare = ReturnType<typeof anvilsHeard>[number];
+
+const hasReplica = (state: JigState): boolean => state.self.anvil !== null;
+
+/**
+ * ms without any answer after which a member is suspected, where a spare is live: what is left of half the
+ * time to catch up after the join itself. Not told how long that is, an agent waits as if there were no spare.
+ */
+export const suspicionMs = (state: JigState): number => {
+  const catchUpMs = state.voting?.catchUpMs;
+  if (catchUpMs === undefined) return Limits.voterSilence;
+  const left = catchUpMs / 2 - Limits.joinBudget;
+  return Math.min(Limits.voterSilence, Math.max(Limits.leastSuspicion, left));
+};
+
+// What this agent finds out about replicas -----------------------------------------------------------
+
+const look = (work: Work, address: string): void => {
+  sendToAnvil(work, address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look', address });
+};
+
+/**
+ * An agent without a lease asks the seeds' replicas, and those it heard of, for the membership. Its own it asks
+ * always, to tell by gossip which disk waits for a place.
+ */
+export const discoverMembers = (work: Work): void => {
+  const { state } = work;
+  if (state.voting === null) return;
+  const own = state.self.anvil?.address;
+  const heard = nodesOf(state).flatMap(({ record }) =>
+    record.anvil === null ? [] : [record.anvil.address],
+  );
+  const known = Object.values(state.anvils).map((view) => view.address);
+  const wanted = state.now < state.lease ? [] : [...state.voting.seeds, ...heard];
+  const others = wanted.filter((each) => !known.includes(each));
+  for (const address of new Set([...others, ...(own === undefined ? [] : [own])])) {
+    look(work, address);
+  }
+};
+
+/** Until this machine's own replica has answered once it is asked at each interval: it may wait for a place. */
+export const awaitOwnReplica = (work: Work): void => {
+  const { voting, self, ownAnvil } = work.state;
+  if (voting !== null && self.anvil !== null && ownAnvil === null) look(work, self.anvil.address);
+};
+
+/** What this machine's own replica tells of itself; news of it goes out by gossip at once. */
+export const noteOwnReplica = (work: Work, reply: AnvilReply): void => {
+  if (reply.kind === 'stale') return;
+  const fresh = reply.kind === 'away' && reply.fresh;
+  const before = work.state.ownAnvil;
+  set(work, { ownAnvil: { disk: reply.disk, fresh, at: work.state.now } });
+  if (before !== null && before.disk === reply.disk && before.fresh === fresh) return;
+  heartbeat(work);
+  if (fresh) set(work, { due: { ...work.state.due, gossip: work.state.now } });
+};
+
+/** Whether the replica that was asked waits for a place. */
+export const noteSpare = (work: Work, address: string, reply: AnvilReply): void => {
+  const { spares, now } = work.state;
+  if (reply.kind === 'away' && reply.fresh) {
+    set(work, { spares: { ...liveSpares(work.state), [address]: { disk: reply.disk, at: now } } });
+  } else if (spares[address] !== undefined) set(work, { spares: without(spares, address) });
+};
+
+const isAlive = (state: JigState, each: Spare): boolean =>
+  each.id === state.self.id || state.now - each.seenAt < Limits.partnerSilence;
+
+/** Blank replicas that gossip tells of and that have no place, nor stand at the address of one. */
+const sparesHeard = (state: JigState, voters: Voters): readonly Spare[] => {
+  const disks = Object.values(voters.disks);
+  const addresses = Object.values(voters.addresses ?? {});
+  return anvilsHeard(state).filter(
+    (each) =>
+      isAlive(state, each) &&
+      each.fresh &&
+      !disks.includes(each.disk) &&
+      !addresses.includes(each.address),
+  );
+};
+
+const isSilent = (state: JigState, view: AnvilView, ms: number): boolean =>
+  state.now - view.heardAt > ms;
+
+/** Keeps an eye on spares, and, while one is live, on members that have not answered the last pull. */
+const probe = (work: Work, voters: Voters): void => {
+  const spares = sparesHeard(work.state, voters);
+  if (spares.length === 0) return;
+  for (const { address } of spares) {
+    const heardAt = work.state.spares[address]?.at ?? -Infinity;
+    if (work.state.now - heardAt >= Limits.spareHeard / 2) look(work, address);
+  }
+  for (const [name, view] of Object.entries(work.state.anvils)) {
+    const askedLately = work.state.now - view.askedAt < Beats.jig;
+    if (isSilent(work.state, view, Limits.probing) && !askedLately) pullNow(work, name);
+  }
+};
+
+// Which change is due --------------------------------------------------------------------------------
+
+/** A member's disk that gossip tells of at another address than the membership does. */
+const movedMember = (state: JigState, voters: Voters): MembershipChange | null => {
+  for (const { disk, address, ...each } of anvilsHeard(state)) {
+    if (!isAlive(state, { disk, address, ...each })) continue;
+    const member = Object.keys(voters.disks).find((name) => voters.disks[name] === disk);
+    if (member !== undefined && voters.addresses?.[member] !== address) {
+      return { member, disk, address };
+    }
+  }
+  return null;
+};
+
+/** The spare in the zone with the fewest members; every agent takes the same one, so that they don't compete. */
+const bestSpare = (
+  state: JigState,
+  voters: Voters,
+  spares: readonly Spare[],
+): Spare | undefined => {
+  const disks = Object.values(voters.disks);
+  const members = anvilsHeard(state).filter(
+    (each) => isAlive(state, each) && disks.includes(each.disk),
+  );
+  const inZone = (zone: string): number => members.filter(({ hall }) => hall === zone).length;
+  return [...spares].sort((a, b) => inZone(a.hall) - inZone(b.hall) || (a.id < b.id ? -1 : 1))[0];
+};
+
+/**
+ * Whether neither gossip nor any answer has told of a member's machine for long. Another member's disk that came
+ * to its address is no word of it; a blank one is, and gets the place by itself.
+ */
+const isGone = (state: JigState, member: string, voters: Voters): boolean => {
+  const disk = voters.disks[member];
+  const address = voters.addresses?.[member];
+  const heard = nodesOf(state).flatMap(({ record, seenAt }) => {
+    const replica = record.anvil;
+    if (replica === null) return [];
+    const isBlank = replica.disk === undefined || replica.fresh === true;
+    const tells = replica.disk === disk || (replica.address === address && isBlank);
+    return tells ? [record.id === state.self.id ? state.now : seenAt] : [];
+  });
+  const answered = state.anvils[member]?.heardAt ?? state.now;
+  return state.now - Math.max(answered, ...heard) > Limits.voterSilence;
+};
+
+/**
+ * The member to replace at once, since a spare that answers this agent is live: one that was silent longest, and
+ * for longer than a suspicion takes; else one that was told to stop. Only an agent that was itself not held up
+ * suspects, and one replacement at a time: all members that are not silent must be seen voting.
+ */
+const memberToReplace = (state: JigState): string | null => {
+  const silence = suspicionMs(state);
+  if (!hasReplica(state) || silence >= Limits.voterSilence) return null;
+  const views = Object.entries(state.anvils);
+  const silent = views.filter(
+    ([, view]) => isSilent(state, view, silence) && view.unanswered >= pullsToSuspect,
+  );
+  const settled = views.every(
+    ([, view]) => isSilent(state, view, Limits.probing) || view.pulled !== null,
+  );
+  if (!settled) return null;
+  const wasHeldUp = state.now - Math.max(state.lateAt, state.openedAt) < silence;
+  const [longest] = wasHeldUp ? [] : silent.sort(([, a], [, b]) => a.heardAt - b.heardAt);
+  const leaving = views.find(([, view]) => view.leaving && !isSilent(state, view, Limits.probing));
+  return (longest ?? leaving)?.[0] ?? null;
+};
+
+const changeForSpare = (
+  voters: Voters,
+  spare: Spare,
+  instead?: string,
+): MembershipChange => {
+  const taken = Object.keys(voters.disks).includes(spare.address);
+  return {
+    member: taken ? `${spare.address}/${voters.epoch + 1}` : spare.address,
+    disk: spare.disk,
+    address: spare.address,
+    ...(instead === undefined ? {} : { instead }),
+  };
+};
+
+/** The change that is due by what this agent knows: a move, a further member, or a replacement. */
+const dueChange = (state: JigState, voters: Voters): MembershipChange | null => {
+  const moved = movedMember(state, voters);
+  if (moved !== null) return moved;
+  const spares = sparesHeard(state, voters);
+  const spare = bestSpare(state, voters, spares);
+  if (spare === undefined) return null;
+  if (!bearsLosses(state)) return changeForSpare(voters, spare);
+  const live = liveSpares(state);
+  const answering = spares.filter((each) => live[each.address]?.disk === each.disk);
+  const liveSpare = bestSpare(state, voters, answering);
+  const suspected = memberToReplace(state);
+  if (liveSpare !== undefined && suspected !== null) {
+    return changeForSpare(voters, liveSpare, suspected);
+  }
+  const gone = Object.keys(voters.disks).find((member) => isGone(state, member, voters));
+  return gone === undefined ? null : changeForSpare(voters, spare, gone);
+};
+
+// Opening a ballot -----------------------------------------------------------------------------------
+
+const isBusy = (state: JigState): boolean =>
+  Object.values(state.pursuits).some((each) => each.purpose.kind === 'seat');
+
+const drawsToPropose = (work: Work): boolean =>
+  chance(work) < (hasReplica(work.state) ? proposeChance : helpChance);
+
+/** A place at the member's own address is offered with a pull, at another moment by each agent: hardly two meet. */
+const drawsToOffer = (work: Work): boolean =>
+  hasReplica(work.state) || chance(work) < helpChance;
+
+const propose = (work: Work, voters: Voters, change: MembershipChange): void => {
+  const { member, disk, address, instead } = change;
+  const named = { kind: 'seat', anvil: member, disk } as const;
+  if (instead === undefined) {
+    pursue(work, 'voters', Changes.seat(voters, member, disk, address), named);
+  } else {
+    const register = Changes.replace(voters, instead, member, disk, address);
+    pursue(work, 'voters', register, { ...named, instead });
+  }
+};
+
+/** Opens the change that is due, if any: one at a time, and only by an agent with a lease. */
+export const tendMembership = (work: Work): void => {
+  const { state } = work;
+  const voters = votersOf(state)?.value;
+  if (state.voting === null || voters?.addresses === undefined) return;
+  if (state.now >= state.lease) return;
+  if (hasReplica(state)) probe(work, voters);
+  if (isBusy(work.state) || !drawsToPropose(work)) return;
+  const change = dueChange(work.state, voters);
+  if (change !== null) propose(work, voters, change);
+};
+
+/**
+ * Whether a member's disk lives at another address. An agent that only just began to hear may not have heard of
+ * it yet. The last record of a dead disk at its own address tells nothing.
+ */
+const livesElsewhere = (state: JigState, member: string, disk: string): boolean => {
+  if (state.voting === null) return false;
+  const own = state.anvils[member]?.address;
+  if (state.now - state.openedAt < suspicionMs(state)) return true;
+  return anvilsHeard(state).some(
+    (each) =>
+      each.disk === disk &&
+      each.address !== own &&
+      state.now - each.seenAt < Limits.partnerSilence,
+  );
+};
+
+/** A blank disk that answers at a member's own address gets its place back. */
+export const offerOwnPlace = (work: Work, member: string, disk: string): void => {
+  const voters = votersOf(work.state)?.value;
+  const held = voters?.disks[member];
+  if (voters === undefined || held === disk || isBusy(work.state)) return;
+  if (livesElsewhere(work.state, member, held ?? '') || !drawsToOffer(work)) return;
+  pursue(work, 'voters', Changes.seat(voters, member, disk), { kind: 'seat', anvil: member, disk });
+};
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -58,6 +58,26 @@
   return nodesOf(state).flatMap(({ record, seenAt }) => (record.staying && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall) ? [record] : []));
 };
 
+/** Whether this agent has only just begun, beside a blank replica that waits for a place: it makes itself known fast. */
+export const isJoining = (state: JigState): boolean =>
+  state.voting !== null && state.ownAnvil?.fresh === true && state.now - state.openedAt < Limits.eager;
+
+/** Agents of machines with a replica: who may give a blank one its place. */
+const replicaAgents = (state: JigState): readonly string[] =>
+  nodesOf(state).flatMap(({ record }) =>
+    record.anvil !== null && record.id !== state.self.id ? [record.address] : [],
+  );
+
+/** Tells this node's own record to all who may give its replica a place. */
+const announce = (work: Work): void => {
+  const { state } = work;
+  const tellings = Spindle.pick(state.spindle, { [`node/${state.self.id}`]: 0 });
+  const seeds = state.seeds.filter((seed) => seed !== state.self.address);
+  for (const address of new Set([...replicaAgents(state), ...seeds])) {
+    send(work, address, { kind: 'push', tellings }, { kind: 'push' });
+  }
+};
+
 /** One gossip exchange with a neighbour, a seed, or now and then any node, so that cut parts meet again. */
 export const gossip = (work: Work): void => {
   const { state } = work;
@@ -67,7 +87,10 @@
   const anySeed = seeds[Math.floor(chance(work) * seeds.length)];
   const anyNode = nodes[Math.floor(chance(work) * nodes.length)];
   const oldest = state.spindle.view.reduce<Neighbour | null>((best, each) => (best === null || each.age > best.age ? each : best), null);
-  const target = oldest === null || draw < 0.1 ? anySeed : draw < 0.2 && anyNode !== undefined ? anyNode.record.address : oldest.address;
+  if (isJoining(state)) announce(work);
+  const joinTargets = isJoining(state) ? [...replicaAgents(state), ...seeds] : [];
+  const joinTarget = joinTargets[Math.floor(draw * joinTargets.length)];
+  const target = joinTarget !== undefined ? joinTarget : oldest === null || draw < 0.1 ? anySeed : draw < 0.2 && anyNode !== undefined ? anyNode.record.address : oldest.address;
   if (target === undefined) return;
   const self = { id: state.self.id, address: state.self.address };
   const body: JigCall = { kind: 'exchange', exchange: { from: self, digest: Spindle.digest(state.spindle), sample: Spindle.sample(state.spindle.view, self, chance(work)) } };
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -2,47 +2,43 @@
 import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
 import { newerVoters, type AnvilReply, type Voters, type VotersTold } from '@reedyard/anvil';
 import type { Plan } from '@reedyard/ladle';
-import { Changes, countAnew, pursue } from './ballots.js';
+import { countAnew, pursue } from './ballots.js';
+import { discoverMembers, noteOwnReplica, noteSpare, offerOwnPlace } from './membership.js';
 import type { HallsValue } from './terms.js';
-import { anvilsHeard, nodesOf } from './network.js';
-import { anvilView, bearsLosses, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
+import { anvilView, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
   const view = work.state.anvils[name];
   if (view !== undefined) set(work, { anvils: { ...work.state.anvils, [name]: { ...view, ...part } } });
 };
 
+const pull = (work: Work, name: string, view: AnvilView): void => {
+  const { now } = work.state;
+  const call = { kind: 'pull', cursor: view.cursor, keys: watched } as const;
+  const id = sendToAnvil(work, view.address, call, { kind: 'pull', anvil: name, sentAt: now });
+  change(work, name, { call: id, askedAt: now, unanswered: view.unanswered + 1 });
+};
+
+/** Asks one member for what is new, whether or not an earlier call is under way. */
+export const pullNow = (work: Work, name: string): void => {
+  const view = work.state.anvils[name];
+  if (view !== undefined) pull(work, name, view);
+};
+
 /** Asks every anvil for what is new; several times a second. */
 export const pullAll = (work: Work): void => {
   for (const [name, view] of Object.entries(work.state.anvils)) {
     if (view.call !== null && work.state.now - view.askedAt < Limits.pull) continue;
-    const call = sendToAnvil(work, view.address, { kind: 'pull', cursor: view.cursor, keys: watched }, { kind: 'pull', anvil: name, sentAt: work.state.now });
-    change(work, name, { call, askedAt: work.state.now });
+    pull(work, name, view);
   }
-  lookAround(work);
+  discoverMembers(work);
 };
 
-/**
- * Where voters found themselves from seeds: a jig without a lease asks the seeds' anvils, and those it heard of,
- * for the voters. Its own it asks always, to tell by gossip which disk waits for a place.
- */
-const lookAround = (work: Work): void => {
-  const { state } = work;
-  if (state.voting === null) return;
-  const own = state.self.anvil?.address;
-  const heard = nodesOf(state).flatMap(({ record }) => (record.anvil === null ? [] : [record.anvil.address]));
-  const known = Object.values(state.anvils).map((view) => view.address);
-  const wanted = state.now < state.lease ? [] : [...state.voting.seeds, ...heard];
-  const addresses = new Set([...wanted.filter((each) => !known.includes(each)), ...(own === undefined ? [] : [own])]);
-  for (const address of addresses) sendToAnvil(work, address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look', address });
-};
-
-/** What an anvil tells of itself and of the voters, wherever it was asked from. */
+/** What a replica tells of itself and of the committed membership, wherever it was asked from. */
 export const tookLook = (work: Work, address: string, reply: AnvilReply): void => {
   if (reply.kind === 'stale' && reply.voters !== null) learnTold(work, reply.voters);
-  if (address === work.state.self.anvil?.address && reply.kind !== 'stale') {
-    set(work, { ownAnvil: { disk: reply.disk, fresh: reply.kind === 'away' && reply.fresh, at: work.state.now } });
-  }
+  noteSpare(work, address, reply);
+  if (address === work.state.self.anvil?.address) noteOwnReplica(work, reply);
 };
 
 /** Voters that an anvil was told are chosen. */
@@ -59,6 +55,10 @@
     const same = before?.disks[place] === voters.disks[place] && (before?.addresses?.[place] === address || view?.address === address);
     return [place, view !== undefined && same ? view : anvilView(address, now)];
   })) });
+  // A new member learns from this call that it is one.
+  for (const [name, view] of Object.entries(work.state.anvils)) {
+    if (view.askedAt === -Infinity) pull(work, name, view);
+  }
 };
 
 /** Halls taken back since the orders known before: what their origins said until now is not trusted. */
@@ -85,6 +85,8 @@
     log(work, 'voters.in-force', { epoch: voters.epoch, voters: Object.keys(voters.disks).length });
     takePlaces(work, known?.value as Voters | undefined, voters);
     countAnew(work);
+    // Those who don't know them yet learn them now, not with the next regular pull.
+    set(work, { due: { ...work.state.due, pull: work.state.now } });
   } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
   if (key === 'halls') noteReopened(work, hallsValueOf(known?.value), hallsValueOf(value));
   renewLease(work);
@@ -185,63 +187,11 @@
   }
 };
 
-/** Whether a place's disk lives at another address, or may do so unheard of, since this jig has only just begun to hear. */
-const movedAway = (state: JigState, disk: string): boolean => state.voting !== null
-  && (state.now - state.openedAt < Limits.voterSilence || anvilsHeard(state).some((each) => each.disk === disk && state.now - each.seenAt < Limits.partnerSilence));
-
-/** A fresh disk at an anvil's place asks for it; some jig opens the ballot. */
-const seat = (work: Work, anvil: string, disk: string): void => {
-  const voters = votersOf(work.state);
-  const busy = Object.values(work.state.pursuits).some((pursuit) => pursuit.purpose.kind === 'seat');
-  if (voters === null || voters.value.disks[anvil] === disk || busy || movedAway(work.state, voters.value.disks[anvil] ?? '') || chance(work) > 0.2) return;
-  pursue(work, 'voters', Changes.seat(voters.value, anvil, disk), { kind: 'seat', anvil, disk });
-};
-
-/**
- * Where voters found themselves from seeds: opens the next change of the voters that is due, if any. A place's disk
- * that moved has its address noted; while too few vote, a blank disk gets a place of its own; else it gets
- * that of a machine that is gone. One at a time, and only by a jig with a lease.
- */
-export const tendVoters = (work: Work): void => {
-  const { state } = work;
-  const voters = votersOf(state)?.value;
-  if (state.voting === null || voters?.addresses === undefined || state.now >= state.lease) return;
-  if (Object.values(state.pursuits).some((pursuit) => pursuit.purpose.kind === 'seat') || chance(work) > 0.2) return;
-  const live = anvilsHeard(state).filter((each) => each.id === state.self.id || state.now - each.seenAt < Limits.partnerSilence);
-  const places = Object.keys(voters.disks);
-  const addresses = voters.addresses;
-  const moved = live.find((each) => places.some((place) => voters.disks[place] === each.disk && addresses[place] !== each.address));
-  if (moved !== undefined) {
-    const place = places.find((each) => voters.disks[each] === moved.disk) ?? '';
-    pursue(work, 'voters', Changes.seat(voters, place, moved.disk, moved.address), { kind: 'seat', anvil: place, disk: moved.disk });
-    return;
-  }
-  const hallOf = new Map(live.map((each) => [each.disk, each.hall]));
-  const inHall = (hall: string): number => places.filter((place) => hallOf.get(voters.disks[place] ?? '') === hall).length;
-  const spares = live.filter((each) => each.fresh && !places.some((place) => voters.disks[place] === each.disk || addresses[place] === each.address));
-  // Every jig takes the same one, in the hall where fewest vote, so that they don't outvote each other.
-  const [spare] = [...spares].sort((a, b) => inHall(a.hall) - inHall(b.hall) || (a.id < b.id ? -1 : 1));
-  if (spare === undefined) return;
-  const name = places.includes(spare.address) ? `${spare.address}/${voters.epoch + 1}` : spare.address;
-  if (!bearsLosses(state)) {
-    pursue(work, 'voters', Changes.seat(voters, name, spare.disk, spare.address), { kind: 'seat', anvil: name, disk: spare.disk });
-    return;
-  }
-  const gone = places.find((place) => isGone(state, place, voters.disks[place] ?? '', addresses[place] ?? ''));
-  if (gone !== undefined) pursue(work, 'voters', Changes.replace(voters, gone, name, spare.disk, spare.address), { kind: 'seat', anvil: name, disk: spare.disk, instead: gone });
-};
-
-/**
- * Whether neither gossip nor any answer has told of a place's machine for long. Another place's disk that came to
- * its address is no word of it; a blank one is, and gets the place by itself.
- */
-const isGone = (state: JigState, place: string, disk: string, address: string): boolean => {
-  const heard = nodesOf(state).flatMap(({ record, seenAt }) => (record.anvil !== null && (record.anvil.disk === disk || (record.anvil.address === address && (record.anvil.disk === undefined || record.anvil.fresh === true))) ? [record.id === state.self.id ? state.now : seenAt] : []));
-  return state.now - Math.max(state.anvils[place]?.heardAt ?? state.now, ...heard) > Limits.voterSilence;
-};
-
 export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
-  if (counts(work.state, name, reply.disk) || (reply.kind === 'away' && reply.fresh)) change(work, name, { heardAt: work.state.now });
+  const isBlank = reply.kind === 'away' && reply.fresh;
+  if (counts(work.state, name, reply.disk) || isBlank) {
+    change(work, name, { heardAt: work.state.now, unanswered: 0 });
+  }
   if (reply.kind === 'stale') {
     change(work, name, { call: null, pulled: null, named: reply.voters });
     learnVoters(work, reply.voters);
@@ -254,7 +204,7 @@
   }
   if (reply.kind !== 'pulled' || !counts(work.state, name, reply.disk)) {
     change(work, name, { call: null, pulled: null });
-    if (reply.kind === 'away' && reply.fresh) seat(work, name, reply.disk);
+    if (isBlank) offerOwnPlace(work, name, reply.disk);
     return;
   }
   const newest = work.state.anvils[name]?.pulled;
@@ -268,7 +218,7 @@
       factKeys: { ...work.state.factKeys, ...Object.fromEntries(added.map((fact) => [fact.key, true as const])) },
     });
   }
-  change(work, name, { call: null, cursor: { disk: reply.disk, seq: reply.seq }, pulled: { sentAt, more: reply.more, ballots: reply.ballots } });
+  change(work, name, { call: null, cursor: { disk: reply.disk, seq: reply.seq }, pulled: { sentAt, more: reply.more, ballots: reply.ballots }, leaving: reply.leaving === true });
   watchRegisters(work);
   renewLease(work);
   if (reply.more) set(work, { due: { ...work.state.due, pull: work.state.now } });
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -23,6 +23,10 @@
   readonly pulled: { readonly sentAt: number; readonly more: boolean; readonly ballots: Readonly<Record<string, Ballot>> } | null;
   /** The voters that it named when it found ours out of date. */
   readonly named: VotersTold | null;
+  /** Pulls sent since it last answered. */
+  readonly unanswered: number;
+  /** Whether it last said that it was told to stop. */
+  readonly leaving: boolean;
   /** How much of what this node knows was told again to this anvil, in its present settling. */
   readonly retold: { readonly epoch: number; readonly told: Told; readonly count: number; readonly sentAt: number } | null;
 };
@@ -72,6 +76,8 @@
   readonly openedAt: number;
   /** This machine's own anvil as it last answered. */
   readonly ownAnvil: { readonly disk: string; readonly fresh: boolean; readonly at: number } | null;
+  /** Blank replicas that answered a call of this agent, by address: its own proof that they live. */
+  readonly spares: Readonly<Record<string, { readonly disk: string; readonly at: number }>>;
   readonly seed: number;
   readonly now: number;
   readonly nextId: number;
@@ -150,10 +156,24 @@
 
 /** Asks an anvil, with the voters that the answer will be counted by. */
 export const sendToAnvil = (work: Work, to: string, call: AnvilCall, pending: Pending): number =>
-  sendTo(work, pending, { to, path: '/anvil', body: { voters: votersOf(work.state), call } });
+  sendTo(work, pending, {
+    to,
+    path: '/anvil',
+    body: {
+      voters: votersOf(work.state),
+      call,
+      ...(Object.keys(liveSpares(work.state)).length > 0 ? { spare: true as const } : {}),
+    },
+  });
+
+/** Blank replicas that answered this agent lately. */
+export const liveSpares = (state: JigState): JigState['spares'] =>
+  Object.fromEntries(
+    Object.entries(state.spares).filter(([, { at }]) => state.now - at < Limits.spareHeard),
+  );
 
 export const anvilView = (address: string, now: number): AnvilView =>
-  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, pulled: null, named: null, retold: null });
+  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, pulled: null, named: null, unanswered: 0, leaving: false, retold: null });
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
 export const bearsLosses = (state: JigState): boolean =>
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -19,6 +19,8 @@
 export type JigVoting = {
   /** Lost disks that must be borne: there are to be 2 × losses + 1 voters. */
   readonly losses: number;
+  /** ms. How long a successor may take, from its start, until another loss must be borne; left out: not told. */
+  readonly catchUpMs?: number | undefined;
   /** Anvils to ask for the voters. */
   readonly seeds: readonly string[];
 };
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -38,7 +38,7 @@
   /** How far the clocks of machines may run from the true rate: a share of it, either way. */
   readonly drift?: number;
   /** Voters found themselves from the seeds' anvils, instead of being named by the settings. */
-  readonly voting?: { readonly losses: number } };
+  readonly voting?: { readonly losses: number; readonly catchUpMs?: number } };
 
 /** A whole fleet in virtual time. */
 export class SimFleet implements CalledFleet {
@@ -137,6 +137,7 @@
     const reduce = (process.program === 'jig' ? Jig.reduce : process.program === 'lathe' ? Lathe.reduce : Anvil.reduce) as (state: unknown, event: unknown) => { state: Reducers[P]['state']; effects: readonly Reducers[P]['effect'][] };
     const step = reduce(process.state, event);
     process.state = step.state;
+    if (process.program === 'anvil' && this.tuning.plant === 'forget-when-replaced') this.#forgetWhenReplaced(process as unknown as Process<'anvil'>);
     for (const effect of step.effects) {
       if (!process.alive) return;
       if (process.program === 'jig') this.#jigEffect(process as unknown as Process<'jig'>, effect as JigEffect);
@@ -145,6 +146,13 @@
     }
   }
 
+  /** A planted fault: a replica whose place was given away has nothing that its successor could read. */
+  #forgetWhenReplaced(process: Process<'anvil'>): void {
+    const { state } = process;
+    const disk = `${state.disk}/forgotten`;
+    if (state.retirement !== null) process.state = { ...state, voting: false, disk, retirement: null };
+  }
+
   #make<P extends Program>(program: P, machine: Machine, state: (now: number) => Reducers[P]['state']): Process<P> {
     const clockFrom = this.clock.now() - this.clock.between(0, 1e6);
     const clockRate = this.#clockRates.get(machine.name) ?? 1;
@@ -206,7 +214,7 @@
         lathe: fronts ? { callers: `${machine.name}/lathe`, partners: `${machine.name}/partners`, capacityBps: machine.capacityBps ?? 8e6 } : null,
         anvil: fronts ? null : { address: `${machine.name}/anvil` },
       },
-      life: `life-${this.#lives}`, seeds: this.seeds, founders: this.founders(), voting: this.tuning.voting === undefined ? null : { losses: this.tuning.voting.losses, seeds: this.#anvilSeeds() }, seed: Math.floor(this.clock.chance() * 2 ** 31), now,
+      life: `life-${this.#lives}`, seeds: this.seeds, founders: this.founders(), voting: this.tuning.voting === undefined ? null : { ...this.tuning.voting, seeds: this.#anvilSeeds() }, seed: Math.floor(this.clock.chance() * 2 ** 31), now,
     }));
     box.jig = process;
     this.#every(process, Beats.jig, () => this.#step(process, { kind: 'beat', now: this.#now(process) }));
@@ -244,6 +252,12 @@
     const lathe = this.boxes.get(name)?.lathe ?? null;
     if (lathe !== null) this.#inside(lathe, () => this.#step(lathe, { kind: 'stop', now: this.#now(lathe) }));
   }
+  /** Tells a machine's replica to stop; it ends by itself, as soon as nothing waits for it. */
+  stopReplica(name: string): void {
+    const replica = this.boxes.get(name)?.anvil ?? null;
+    if (replica === null) return;
+    this.#inside(replica, () => this.#step(replica, { kind: 'stop', now: this.#now(replica) }));
+  }
   /** Takes a dead machine's disk away. */
   wipe(name: string): void { const box = this.boxes.get(name); if (box === undefined || box.powered) return;
     box.namePlate = box.disk.synced.filter((record) => record.kind === 'disk' || record.kind === 'voting' || (record.kind === 'cell' && record.key === 'voters'));
@@ -327,6 +341,7 @@
           (body) => this.#step(process, { kind: 'returned', id: effect.id, body: body as never, now: this.#now(process) }),
           () => this.#step(process, { kind: 'lost', id: effect.id, now: this.#now(process) }));
         return;
+      case 'end': if (box.anvil === process) { this.#end(process); box.anvil = null; } return;
       case 'log': return;
     }
   }
--- a/packages/mallet/src/plants.ts
+++ b/packages/mallet/src/plants.ts
@@ -9,7 +9,7 @@
   'none', 'deaf-lease', 'tell-unsynced', 'repeat-unsafe', 'claims-granted', 'no-identity', 'no-marks', 'wiped-votes',
   'deaf-drain', 'deaf-halls', 'deaf-purges', 'no-buckets', 'free-repeats', 'no-homes', 'forgetful-disks', 'deaf-voters',
   'route-at-arrival', 'no-capacities', 'no-cold-rates', 'old-rates',
-  'deaf-relays', 'deaf-ready', 'deaf-tags', 'deaf-life', 'deaf-methods', 'deaf-instances', 'wild-clocks', 'claims-of-any-content', 'earn-twice', 'same-serials', 'short-as-whole', 'keep-relayed',
+  'deaf-relays', 'deaf-ready', 'deaf-tags', 'deaf-life', 'deaf-methods', 'deaf-instances', 'wild-clocks', 'claims-of-any-content', 'earn-twice', 'same-serials', 'short-as-whole', 'keep-relayed', 'forget-when-replaced',
 ] as const;
 export type Plant = (typeof plantNames)[number];
 
--- /dev/null
+++ b/packages/mallet/src/replacement-figures.ts
@@ -0,0 +1,37 @@
+#!/usr/bin/env node
+import { parseArgs } from 'node:util';
+import { figuresOf, replaceOne, Site, troubles, wipeOne } from './second-loss.js';
+
+/** Times from the start of a blank machine to a full member, over many seeds. */
+const { values } = parseArgs({
+  options: {
+    seeds: { type: 'string', default: '100' },
+    'catch-up': { type: 'string', default: '4000' },
+    wiped: { type: 'boolean', default: false },
+  },
+});
+const lose = values.wiped ? wipeOne : replaceOne;
+const catchUpMs = Number(values['catch-up']);
+const all: (number | null)[] = [];
+
+/** Every fourth site has five members of which two may be lost. */
+const siteFor = (seed: number, trouble: (typeof troubles)[number]): Site => {
+  const members = seed % 4 === 3 ? 5 : 3;
+  const losses = (members - 1) / 2;
+  const told = catchUpMs > 0 ? { catchUpMs } : {};
+  return new Site({ seed, members, successors: 1, losses, ...told, ...trouble });
+};
+
+const show = (what: string, times: readonly (number | null)[]): void => {
+  const { count, failed, median, p99, most } = figuresOf(times);
+  const line = `median ${median} ms, 99th ${p99} ms, most ${most} ms, of ${count}`;
+  process.stdout.write(`${what}: ${line}, not within 20 s ${failed}\n`);
+};
+
+for (const trouble of troubles) {
+  const seeds = Array.from({ length: Number(values.seeds) }, (_, index) => index + 1);
+  const times = seeds.map((seed) => lose(siteFor(seed, trouble)));
+  all.push(...times);
+  show(JSON.stringify(trouble), times);
+}
+show(`all, catch up ${catchUpMs} ms${values.wiped ? ', wiped' : ''}`, all);
--- /dev/null
+++ b/packages/mallet/src/second-loss.ts
@@ -0,0 +1,252 @@
+import type { Machine } from '@reedyard/blueprint';
+import type { Policy } from '@reedyard/stencil';
+import { SimFleet, type Tuning } from './fleet.js';
+
+/**
+ * Trials of membership changes: a fleet of a few front machines and of machines with a replica, in which
+ * members are lost, replaced, told to leave and lost again. Everything here is seeded and in virtual time.
+ */
+
+const emptyPolicy: Policy = { services: {}, routes: [] };
+const frontCount = 3;
+/** ms. How often the presence of a majority is sampled. */
+const samplePeriod = 10;
+/** ms. Until a site is founded, has grown to its members, and its agents take part in every decision. */
+const foundingMs = 9_000;
+/** ms. How long an operator waits for an answer before the order goes to another node. */
+const operatorPatience = 1_000;
+
+export type SiteOptions = {
+  readonly seed: number;
+  /** Machines with a replica: the members, and those that are started later as their successors. */
+  readonly members: number;
+  readonly successors: number;
+  readonly losses: number;
+  readonly loss?: number;
+  readonly busyMs?: number;
+  readonly drift?: number;
+  readonly catchUpMs?: number;
+  readonly plant?: Tuning['plant'];
+};
+
+export const coreName = (index: number): string => `core-${index}`;
+
+const machinesOf = ({ members, successors }: SiteOptions): readonly Machine[] => [
+  ...Array.from({ length: members + successors }, (_, index) => ({
+    name: coreName(index + 1),
+    hall: `zone-${(index % members) + 1}`,
+    region: 'home',
+    kind: 'core' as const,
+  })),
+  ...Array.from({ length: frontCount }, (_, index) => ({
+    name: `front-${index + 1}`,
+    hall: `zone-${(index % members) + 1}`,
+    region: 'home',
+    kind: 'front' as const,
+  })),
+];
+
+/** A fleet whose members are founded and whose successors are not started yet. */
+export class Site {
+  readonly fleet: SimFleet;
+  /** ms. The longest time without a voting majority since `resetGap`. */
+  longestGap = 0;
+  #gapSince: number | null = null;
+
+  constructor(readonly options: SiteOptions) {
+    const { seed, losses, loss = 0.002, busyMs, drift, catchUpMs, plant = 'none' } = options;
+    this.fleet = new SimFleet({ name: 'site', machines: machinesOf(options), origins: [] }, seed, {
+      loss,
+      plant,
+      regionsMs: 0,
+      voting: { losses, ...(catchUpMs === undefined ? {} : { catchUpMs }) },
+      ...(busyMs === undefined ? {} : { busyMs }),
+      ...(drift === undefined ? {} : { drift }),
+    });
+    for (let index = 1; index <= options.members; index += 1) this.fleet.start(coreName(index));
+    for (let index = 1; index <= frontCount; index += 1) this.fleet.start(`front-${index}`);
+    this.runFor(foundingMs);
+    this.fleet.firstStart = false;
+    this.#sample();
+  }
+
+  runFor(ms: number): void {
+    this.fleet.clock.runUntil(this.fleet.clock.now() + ms);
+  }
+
+  /** The disk with which a machine's replica votes, or null while it does not run, is no member, or still reads. */
+  votingDisk(machine: string): string | null {
+    const replica = this.fleet.boxes.get(machine)?.anvil ?? null;
+    if (replica === null || !replica.alive || replica.frozen) return null;
+    const { told, voting, disk } = replica.state;
+    return voting && told !== null && Object.values(told.value.disks).includes(disk) ? disk : null;
+  }
+
+  /** Whether a machine's replica is a full member: named, has read the others, and votes. */
+  votes(machine: string): boolean {
+    return this.votingDisk(machine) !== null;
+  }
+
+  /** The newest epoch that any replica was told is committed, and the disks that it names. */
+  committed(): { readonly epoch: number; readonly disks: readonly string[] } {
+    let newest: { readonly epoch: number; readonly disks: readonly string[] } = {
+      epoch: 0,
+      disks: [],
+    };
+    for (const box of this.fleet.boxes.values()) {
+      const told = box.anvil?.state.told ?? null;
+      if (told === null || told.value.epoch <= newest.epoch) continue;
+      newest = { epoch: told.value.epoch, disks: Object.values(told.value.disks) };
+    }
+    return newest;
+  }
+
+  /** Machines whose replica is a member of the newest epoch and votes. */
+  voting(): readonly string[] {
+    const { disks } = this.committed();
+    return [...this.fleet.boxes.keys()].filter((machine) => {
+      const disk = this.votingDisk(machine);
+      return disk !== null && disks.includes(disk);
+    });
+  }
+
+  /** Whether enough members of the newest epoch run and vote. */
+  hasMajority(): boolean {
+    return this.voting().length > this.committed().disks.length / 2;
+  }
+
+  #sample(): void {
+    const now = this.fleet.clock.now();
+    if (this.hasMajority()) this.#gapSince = null;
+    else {
+      this.#gapSince ??= now;
+      this.longestGap = Math.max(this.longestGap, now - this.#gapSince + samplePeriod);
+    }
+    this.fleet.clock.in(samplePeriod, () => this.#sample());
+  }
+
+  resetGap(): void {
+    this.longestGap = 0;
+    this.#gapSince = null;
+  }
+
+  /** Runs until a machine's replica is a full member; ms that it took, or null if it took too long. */
+  timeToMember(machine: string, limitMs: number): number | null {
+    const begun = this.fleet.clock.now();
+    while (!this.votes(machine)) {
+      if (this.fleet.clock.now() - begun >= limitMs) return null;
+      this.runFor(samplePeriod);
+    }
+    return this.fleet.clock.now() - begun;
+  }
+
+  /** Runs until a later epoch is committed, or for the time given. */
+  runUntilEpochAfter(epoch: number, limitMs: number): void {
+    const end = this.fleet.clock.now() + limitMs;
+    while (this.committed().epoch <= epoch && this.fleet.clock.now() < end) this.runFor(1);
+  }
+
+  /** Orders that were acknowledged so far. */
+  acknowledged = 0;
+
+  /**
+   * Sends an order to some live node, and again as an operator does; ms until its acknowledgement, or null if
+   * that took too long.
+   */
+  timeToAcknowledge(limitMs: number): number | null {
+    const begun = this.fleet.clock.now();
+    let done = false;
+    this.#orders += 1;
+    const changeId = `order-${this.#orders}`;
+    const action = { kind: 'put-policy', document: emptyPolicy, ifMatch: null, changeId } as const;
+    const send = (): void => {
+      if (done) return;
+      this.fleet.operate(action, ({ status }) => {
+        if (status === 200) done = true;
+      });
+      // A call without an answer is given up after a second, and another node is asked.
+      this.fleet.clock.in(operatorPatience, send);
+    };
+    send();
+    while (!done && this.fleet.clock.now() - begun < limitMs) this.runFor(samplePeriod);
+    if (!done) return null;
+    this.acknowledged += 1;
+    return this.fleet.clock.now() - begun;
+  }
+  #orders = 0;
+
+  /** Whether some node reads back a state with all that was acknowledged. */
+  keepsAcknowledged(): boolean {
+    let serial = -1;
+    for (let tries = 0; tries < 5 && serial < 0; tries += 1) {
+      this.fleet.operate({ kind: 'get-policy' }, ({ status, body }) => {
+        if (status === 200) serial = (body as { readonly serial: number }).serial;
+      });
+      this.runFor(2_000);
+    }
+    return serial >= this.acknowledged;
+  }
+
+  /** A machine with a replica that votes now. */
+  anyVoting(): string {
+    return this.fleet.clock.pick(this.voting()) ?? '';
+  }
+}
+
+export type Figures = {
+  readonly count: number;
+  readonly failed: number;
+  readonly median: number;
+  readonly p99: number;
+  readonly most: number;
+};
+
+/** Median, 99th percentile and largest of times; a null counts as failed and as endless. */
+export const figuresOf = (times: readonly (number | null)[]): Figures => {
+  const sorted = times.map((each) => each ?? Infinity).sort((a, b) => a - b);
+  const at = (share: number): number => sorted[Math.ceil(share * sorted.length) - 1] ?? 0;
+  return {
+    count: sorted.length,
+    failed: sorted.filter((each) => each === Infinity).length,
+    median: at(0.5),
+    p99: at(0.99),
+    most: at(1),
+  };
+};
+
+/** What may go wrong with messages and clocks meanwhile. */
+export const troubles: readonly Pick<SiteOptions, 'loss' | 'busyMs' | 'drift'>[] = [
+  {},
+  { loss: 0.03 },
+  { busyMs: 40 },
+  { drift: 0.05 },
+  { loss: 0.02, busyMs: 60 },
+];
+
+/** ms. A replacement that takes longer has failed. */
+const longest = 20_000;
+
+/** A member goes for good, its successor starts a little before or after. */
+export const replaceOne = (site: Site): number | null => {
+  const { fleet, options } = site;
+  const lost = site.anyVoting();
+  const successor = coreName(options.members + 1);
+  const ahead = fleet.clock.between(-300, 1_500);
+  if (ahead > 0) {
+    fleet.kill(lost);
+    site.runFor(ahead);
+  } else fleet.clock.in(-ahead, () => fleet.kill(lost));
+  fleet.start(successor);
+  return site.timeToMember(successor, longest);
+};
+
+/** A member's disk is lost, and its machine starts again at its address. */
+export const wipeOne = (site: Site): number | null => {
+  const { fleet } = site;
+  const lost = site.anyVoting();
+  fleet.kill(lost);
+  fleet.wipe(lost);
+  site.runFor(fleet.clock.between(200, 2_000));
+  fleet.start(lost);
+  return site.timeToMember(lost, longest);
+};
--- a/packages/vise/src/index.ts
+++ b/packages/vise/src/index.ts
@@ -36,6 +36,8 @@
     losses: z.number().int('wanted a whole number').min(0).max(4),
     /** True only when the whole system starts for the very first time. */
     firstStart: z.boolean(),
+    /** ms. How long a machine that takes another's place may need, from its start, until one more loss must be borne. */
+    catchUpMs: z.number().positive().max(600_000).optional(),
     /** Anvils of the seeds' machines. */
     seeds: z.array(address).min(1, 'wanted at least one seed').max(9).refine((all) => new Set(all).size === all.length, 'wanted each seed once'),
   }).optional(),
--- a/packages/vise/src/vise.test.ts
+++ b/packages/vise/src/vise.test.ts
@@ -26,6 +26,9 @@
   const { founders: _founders, ...rest } = good;
   const voting = { losses: 1, firstStart: false, seeds: ['10.0.0.1:7101', '10.0.0.2:7101', '10.0.0.3:7101'] };
   t.deepEqual(Vise.check({ ...rest, voting }, 'x').voting, voting);
+  const told = { ...voting, catchUpMs: 4_000 };
+  t.deepEqual(Vise.check({ ...rest, voting: told }, 'x').voting, told);
+  t.regex(fault({ ...rest, voting: { ...voting, catchUpMs: -1 } }), /voting.catchUpMs: found -1/);
   t.regex(fault(rest), /core-1.json: founders: found nothing; wanted the founders, or voting instead/);
   t.regex(fault({ ...good, voting }), /wanted either founders or voting, not both/);
   t.regex(fault({ ...rest, voting: { ...voting, firstStart: undefined } }), /voting.firstStart: found nothing/);
