--- a/packages/anvil/src/replica-host.ts
+++ b/packages/anvil/src/replica-host.ts
@@ -14,15 +14,9 @@
  */
 import { Limits, Sizes } from '@reedyard/gauge';
 import type { Step } from '@reedyard/chute';
-import {
-  Anvil,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilEvent,
-  type AnvilRecord,
-  type AnvilReply,
-  type AnvilState,
-} from './core.js';
+import { Anvil } from './core.js';
+import type { AnvilAsk, AnvilEffect, AnvilEvent, AnvilRecord, AnvilReply } from './messages.js';
+import type { AnvilState } from './state.js';
 
 /** The log as the replica needs it. */
 export type ReplicaLog = {
@@ -40,6 +34,8 @@
 export type ReplicaShell = {
   readonly now: () => number;
   readonly call: (address: string, body: AnvilAsk) => Promise<AnvilReply>;
+  /** Ends the process: it was told to stop, and nothing waits for it any more. */
+  readonly end: () => void;
   readonly log: (
     level: 'info' | 'warn' | 'error',
     event: string,
@@ -139,12 +135,21 @@
     this.#nextAsk += 1;
     const event: Asked = { kind: 'asked', id, body, now: this.#shell.now() };
     const read = this.#readDurable(event);
-    if (read !== null) return Promise.resolve(read);
+    if (read !== null) {
+      this.#noteSpare(event);
+      return Promise.resolve(read);
+    }
     return new Promise((resolve) => {
       if (!this.#apply(event, resolve)) resolve(this.#refusal());
     });
   }
 
+  /** The process was told to stop: it ends once nothing waits for this replica. */
+  stop(): void {
+    const isTaken = this.#opened && this.#apply({ kind: 'stop', now: this.#shell.now() });
+    if (!isTaken) this.#shell.end();
+  }
+
   /** What falls due: to be called a few times a second. */
   tick(): void {
     this.#reportStall();
@@ -168,6 +173,13 @@
     return reply?.kind === 'pulled' && !this.available ? { ...reply, readOnly: true } : reply;
   }
 
+  /** What a caller told of blank replicas counts also where it was answered from the disk's state. */
+  #noteSpare({ body, now }: Asked): void {
+    if (body.spare !== true) return;
+    this.#state = { ...this.#state, spareHeardAt: now };
+    this.#followPending();
+  }
+
   /**
    * Takes an event, or refuses it as if it had never come: if it needs a disk that takes nothing.
    */
@@ -199,6 +211,9 @@
       case 'call':
         this.#call(effect.id, effect.to, effect.body);
         return;
+      case 'end':
+        this.#shell.end();
+        return;
       case 'log':
         this.#shell.log('info', effect.event, effect.fields);
         return;
--- a/packages/anvil/src/safeguards.test.ts
+++ b/packages/anvil/src/safeguards.test.ts
@@ -8,7 +8,7 @@
   type AnvilReply,
   type AnvilState,
   type VotersTold,
-} from './core.js';
+} from './index.js';
 
 const membership: VotersTold = {
   ballot: [1, 'founding'],
