A node that serves on leaves no gap when its lease ends

A node with `cutOff: serve` told its proxy what was left of the lease until the very end, and 0.6 s from then on. A majority that has been silent for 1.2 s is silent at the last 0.3 s of the lease already, so 0.6 s are told from then on. What it may do then is what it may do 0.3 s later.

Test: the bounds of a cut in reachability.test.ts; red with the former rule planted into the built code (1 failed), green with this one.

--- a/packages/jig/src/reachability.test.ts
+++ b/packages/jig/src/reachability.test.ts
@@ -53,8 +53,15 @@
 test('a cut is known when the lease runs out, and is over with the first answers of a majority', (t) => {
   const agent = afterwards(silent, 3_000);
   const over = agent.state.lease;
+  // The feed just before has it last until the next one: no caller is refused in between.
+  agent.run(over - 4 * Beats.jig, silent);
+  t.is(mayActFor(agent.state), over - agent.state.now);
+  agent.run(over - Beats.jig, silent);
+  t.is(mayActFor(agent.state), Limits.cutOffLease);
+  t.false(isUnreachable(agent.state));
   agent.run(over, silent);
   t.is(mayActFor(agent.state), Limits.cutOffLease);
+  t.true(isUnreachable(agent.state));
   agent.run(30_000, silent);
   t.is(mayActFor(agent.state), Limits.cutOffLease);
   // What the answers show is not known here yet: in touch, and without a lease.
--- a/packages/jig/src/reachability.ts
+++ b/packages/jig/src/reachability.ts
@@ -26,10 +26,14 @@
 const wasHeldUp = (state: JigState, withinMs: number): boolean =>
   isLate(state) || state.now - state.lateAt <= withinMs;
 
+/** Whether a majority of replicas has been silent for so long that it can't be by chance. */
+const isMajoritySilent = (state: JigState): boolean =>
+  !majorityAnsweredSince(state, state.now - Limits.replicaSilence);
+
 /** Whether this node has neither a lease nor any answer from a majority of replicas. */
 export const isUnreachable = (state: JigState): boolean =>
   state.now >= state.lease &&
-  !majorityAnsweredSince(state, state.now - Limits.replicaSilence) &&
+  isMajoritySilent(state) &&
   !wasHeldUp(state, Limits.replicaSilence);
 
 /** Notes that a replica answered, whatever it said. */
@@ -44,17 +48,22 @@
   });
 };
 
+/** Whether this node may act without a lease: its operators want it, and it is provably cut off. */
+const mayServeOn = (state: JigState): boolean =>
+  state.self.servesOn === true &&
+  state.registers.policy !== undefined &&
+  isMajoritySilent(state) &&
+  !wasHeldUp(state, Limits.calm);
+
 /**
- * ms that this node may act on what it knows: what is left of its lease, or, where it is provably cut
- * off and its operators want it to serve on, until the next questions. A process that was itself held
- * up can't tell, since its answers wait as well: it refuses until it has pulled.
+ * ms that this node may act on what it knows: what is left of its lease, or, where it may serve on,
+ * until the next questions; so it does when the last of its lease runs out in silence, since no feed
+ * would come between. A process that was itself held up can't tell, since its answers wait as well:
+ * it refuses until it has pulled.
  */
 export const mayActFor = (state: JigState): number => {
-  const left = state.lease - state.now;
-  if (left > 0) return left;
-  if (state.self.servesOn !== true || state.registers.policy === undefined) return 0;
-  if (wasHeldUp(state, Limits.calm)) return 0;
-  return isUnreachable(state) ? Limits.cutOffLease : 0;
+  const left = Math.max(0, state.lease - state.now);
+  return mayServeOn(state) ? Math.max(left, Limits.cutOffLease) : left;
 };
 
 /** Tells why this node has no lease, once, when it runs out. */
