proxy: a connection half closed by either end is not quiet

What an answer of HTTP/1.0 or a closing origin leaves behind was seen only once the socket was gone; an attempt over it then failed unsent and was made again. Now it is passed over.

--- a/packages/lathe/src/exchange.ts
+++ b/packages/lathe/src/exchange.ts
@@ -71,8 +71,9 @@
 
   /** Whether it may be handed an attempt without waiting. */
   get quiet(): boolean {
-    const { destroyed, bytesRead, readableLength } = this.socket;
-    return !destroyed && bytesRead === this.bytesAtRest && readableLength === 0;
+    const { bytesRead, readable, readableLength, writable } = this.socket;
+    const open = readable && writable;
+    return open && bytesRead === this.bytesAtRest && readableLength === 0;
   }
 
   reduce(event: ConnectionEvent): readonly ConnectionEffect[] {
