--- /dev/null
+++ b/packages/lathe/src/body-bound.test.ts
@@ -0,0 +1,21 @@
+import test from 'ava';
+import { soundAnswer, startScriptedOrigin } from './testing/scripted-origin.js';
+import { originRow, policyOf, RawCaller, startHarness } from './testing/lathe-harness.js';
+
+// Fails for a fault in core.ts: `refusalOf` takes the default where the route sets no bound, and
+// not the one that the config sets for all callers, which the shell reads the body by.
+test.failing("a body up to the config's bound on callers is taken where its route sets none", async (t) => {
+  const origin = await startScriptedOrigin((request, socket) => {
+    socket.write(soundAnswer(request));
+  });
+  const policy = { serial: 1, document: policyOf({ bodyBytes: 5_000_000 }) };
+  const harness = await startHarness({ policy, origins: [originRow(origin.port)] });
+  t.teardown(async () => {
+    harness.close();
+    await origin.close();
+  });
+  const caller = await RawCaller.connect(harness.port);
+  caller.send('POST', '/order/1', 'r1', 'x'.repeat(2_000_000));
+  await caller.first(1);
+  t.is(caller.answers()[0]?.status, 200);
+});
