--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -10,13 +10,13 @@
 import { Routes } from '@reedyard/stencil';
 import type { Settings } from '@reedyard/vise';
 import { originName } from './choice.js';
+import { writeAnswer } from './caller-answer.js';
 import { CallerBounds } from './caller-bounds.js';
 import { openCallerServer, type CallerServer, type CallerTurn } from './caller-server.js';
 import { OriginConns, peerName, type LegError, type Outgoing, type Underway } from './conns.js';
 import { Feeds, type HeldFeed } from './feeds.js';
 import { Lathe } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
-import { present, stamped } from './present.js';
 import { passable } from './read-answer.js';
 import { warmUp } from './warm.js';
 import type { Answer, Asked, LatheEffect, LatheEvent, LatheState, LegAnswer } from './state.js';
@@ -101,50 +101,17 @@
     return { method: one.asked.method, path: one.asked.target, headers, body: one.body, safe: effect.safe };
   };
 
-  const originStatusOf = ({ body }: Answer): number | null => {
-    if (body.kind === 'problem') return null;
-    return body.kind === 'copy' ? body.copy.status : body.answer.status;
-  };
-
-  const write = (id: number, one: Open, answer: Answer): void => {
-    const { response, asked, turn } = one;
-    if (response.destroyed || response.headersSent) return;
-    const { connection, ...answerHeaders } = answer.headers;
-    const close = turn.closes(stopping || connection === 'close');
-    const extra: Record<string, string> = { via, ...(one.mark === null ? {} : { 'reedyard-leg': one.mark }), ...(close ? { connection: 'close' } : {}) };
-    const originStatus = originStatusOf(answer);
-    const tidy = (headers: Answer['headers'], status = answer.status): http.OutgoingHttpHeaders => {
-      const { 'reedyard-leg': _leg, ...rest } = stamped(status, originStatus, headers, dialect.stamps);
-      const shown = asked.via === null ? dialect.toCaller({ status, headers: rest, asked: asked.headers, retryMs: answer.retryMs ?? null }) : rest;
-      return { ...shown, ...extra } as http.OutgoingHttpHeaders;
+  const write = (id: number, { response, asked, turn, mark }: Open, answer: Answer): void => {
+    const close = turn.closes(stopping || answer.headers.connection === 'close');
+    const hopFields = {
+      via,
+      ...(mark === null ? {} : { 'reedyard-leg': mark }),
+      ...(close ? { connection: 'close' } : {}),
     };
-    if (answer.body.kind === 'problem') {
-      const text = JSON.stringify({ type: 'about:blank', title: answer.body.title, status: answer.status, detail: answer.body.detail, outcome: answer.body.outcome });
-      response.writeHead(answer.status, tidy({ ...answerHeaders, 'content-type': 'application/problem+json', 'content-length': String(Buffer.byteLength(text)) }));
-      response.end(asked.method === 'HEAD' ? undefined : text);
-      return;
-    }
-    const held = answer.body.kind === 'copy' ? { body: answer.body.copy.body, size: answer.body.copy.size, whole: true } : answer.body.answer;
-    if (held.whole) {
-      const noBody = asked.method === 'HEAD' && answer.body.kind === 'leg';
-      if (noBody || answer.status === 204 || answer.status === 304) { response.writeHead(answer.status, tidy(answerHeaders)); response.end(); return; }
-      const shown = present(asked.method, asked.headers, answer.status, answerHeaders, held.size);
-      response.writeHead(shown.status, tidy(shown.headers, shown.status));
-      response.end(asked.method === 'HEAD' ? undefined : (held.body as Buffer).subarray(shown.from, shown.to));
-      return;
-    }
-    response.writeHead(answer.status, tidy(answerHeaders));
-    stream(id, response, held.body as Readable);
-  };
-
-  /** Passes an answer on as it comes; one that was cut must not look like a whole one. */
-  const stream = (id: number, response: http.ServerResponse, body: Readable): void => {
-    streams.set(id, body);
-    body.on('error', () => response.destroy());
-    body.on('aborted', () => response.destroy());
-    body.on('close', () => streams.delete(id));
-    if (body.destroyed) response.destroy();
-    else body.pipe(response);
+    const stream = writeAnswer({ response, asked, dialect, hopFields }, answer);
+    if (stream === null) return;
+    streams.set(id, stream);
+    stream.on('close', () => streams.delete(id));
   };
 
   /** What a trial wants to know of each move; nothing unless the settings ask for it. */
