--- a/packages/jig/src/safeguards.test.ts
+++ b/packages/jig/src/safeguards.test.ts
@@ -1,16 +1,19 @@
 /** Safeguards of the agent, each at the border of its reducer: red without the one that it names. */
 import test from 'ava';
-import type { AnvilCall, AnvilReply } from '@reedyard/anvil';
+import type { AnvilCall, AnvilReply, Voters } from '@reedyard/anvil';
 import { Limits } from '@reedyard/gauge';
 import { Stencil } from '@reedyard/stencil';
 import {
+  addresses,
   allAnswer,
   answeredPulls,
   asked,
+  disksOf,
   founded,
   names,
   pulled,
 } from './answered-pulls.fixture.js';
+import { Changes } from './changes.js';
 import { Jig } from './core.js';
 import { learnRegister } from './pulls.js';
 import type { JigState, Watched, Work } from './state.js';
@@ -107,3 +110,39 @@
   t.false(JSON.stringify(written).includes('"holder":"core-1"'));
   t.is(state.duty, null);
 });
+
+test('the quota leadership is not taken from a leader that renewed since it was last seen', (t) => {
+  const config = Stencil.policy({ services: { s: { ceiling: 10 } }, routes: [] });
+  const allocation = (beat: number): object => ({ term: 1, holder: 'core-2', beat, slices: {}, seated: [] });
+  const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
+  let state: JigState = { ...learnt(known, 'plan', 2, allocation(1)), lease: 1e9 };
+  let prepares: readonly ReplicaCall[] = [];
+  for (let now = 2 * Limits.vacancy; prepares.length === 0 && now < 1e5; now += 500) {
+    const step = Jig.reduce(state, { kind: 'beat', now });
+    ({ state } = step);
+    prepares = replicaCalls(step.effects).filter(({ call }) => call.kind === 'prepare' && call.key === 'plan');
+  }
+  t.is(prepares.length, names.length);
+  const accepted = { ballot: [3, 'y'] as const, value: allocation(2) };
+  const { now } = state;
+  const effects = prepares.flatMap(({ id }, index) => {
+    const reply = { kind: 'vote', disk: `${names[index] ?? ''}/a`, vote: { kind: 'yes', accepted } } as const;
+    const step = returned(state, id, reply, now);
+    ({ state } = step);
+    return step.effects;
+  });
+  const written = replicaCalls(effects).flatMap(({ call }) => (call.kind === 'accept' ? [call.value] : []));
+  t.false(JSON.stringify(written).includes('"holder":"core-1"'));
+});
+
+test('a change of members is made from the very epoch that its proposer knew, or not at all', (t) => {
+  const known = { epoch: 3, disks: disksOf('a'), addresses };
+  const later = { ...known, epoch: 4 };
+  const joins = Changes.seat(known, 'core-1', 'core-1/b', '127.0.0.1:11');
+  const replaces = Changes.replace(known, 'core-1', 'core-6', 'core-6/a', '127.0.0.1:16');
+  for (const change of [joins, replaces]) {
+    const made = change(known);
+    t.is(made.kind === 'write' ? (made.value as Voters).epoch : made.kind, 4);
+    t.is(change(later).kind, 'refuse');
+  }
+});
