--- a/packages/jig/src/safeguards.test.ts
+++ b/packages/jig/src/safeguards.test.ts
@@ -1,7 +1,9 @@
 /** Safeguards of the agent, each at the border of its reducer: red without the one that it names. */
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import type { AnvilCall, AnvilReply, Voters } from '@reedyard/anvil';
 import { Limits } from '@reedyard/gauge';
+import type { Plan } from '@reedyard/ladle';
+import { Spindle } from '@reedyard/spindle';
 import { Stencil } from '@reedyard/stencil';
 import {
   addresses,
@@ -17,7 +19,7 @@
 import { Jig } from './core.js';
 import { learnRegister } from './pulls.js';
 import type { JigState, Watched, Work } from './state.js';
-import type { JigEffect } from './terms.js';
+import type { JigEffect, NodeRecord } from './terms.js';
 
 const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
   const work: Work = { state, effects: [] };
@@ -146,3 +148,50 @@
     t.is(change(later).kind, 'refuse');
   }
 });
+
+const frontRecord = (id: string, wanted: number): NodeRecord => ({
+  id,
+  hall: 'west',
+  region: 'r',
+  address: `${id}:1`,
+  lathe: { callers: `${id}:2`, partners: `${id}:3`, capacityBps: 1e6 },
+  anvil: null,
+  ready: true,
+  staying: true,
+  latheLife: 'x',
+  wants: { s: wanted },
+});
+
+/** What the leader writes next, where an earlier allocation may still be acted on. */
+const nextShares = (t: ExecutionContext, heldUntil: number): Readonly<Record<string, number>> => {
+  const now = 2_000;
+  const config = Stencil.policy({ services: { s: { ceiling: 100 } }, routes: [] });
+  const plan = { term: 1, holder: 'core-1', beat: 1, slices: { s: { 'front-1': 0.1 } }, seated: [] };
+  const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
+  const told = [frontRecord('front-1', 0), frontRecord('front-2', 100)].reduce(
+    (spindle, record) => Spindle.tell(spindle, `node/${record.id}`, record, now),
+    known.spindle,
+  );
+  const held = [{ slices: { s: { 'front-1': 0.9 } }, until: heldUntil }];
+  const leader = { ...learnt(known, 'plan', 2, plan), spindle: told, lease: 1e6, duty: { term: 1, held } };
+  const beat = Jig.reduce(leader, { kind: 'beat', now });
+  let { state } = beat;
+  const accepted = { ballot: [2, 'x'] as const, value: plan };
+  const accepts = replicaCalls(beat.effects)
+    .filter(({ call }) => call.kind === 'prepare' && call.key === 'plan')
+    .flatMap(({ id }, index) => {
+      const reply = { kind: 'vote', disk: `${names[index] ?? ''}/a`, vote: { kind: 'yes', accepted } } as const;
+      const step = returned(state, id, reply, now);
+      ({ state } = step);
+      return replicaCalls(step.effects).flatMap(({ call }) => (call.kind === 'accept' ? [call.value as Plan] : []));
+    });
+  t.true(accepts.length > 0);
+  return accepts[0]?.slices.s ?? {};
+};
+
+test('a quota rises only into what no earlier allocation that may still be acted on gave away', (t) => {
+  const lapsed = nextShares(t, 1_999);
+  t.true((lapsed['front-2'] ?? 0) > 0.5, JSON.stringify(lapsed));
+  const inForce = nextShares(t, 2_500);
+  t.true((inForce['front-2'] ?? 0) <= 0.1 + 1e-9, JSON.stringify(inForce));
+});
