model: a disk that gets a place twice votes on its first reading (red)

Shortened and written out as membership-reoffer.test.ts:

1. epoch 2 names d in place of c; d asks a and b for what they hold, and the answers are slow; 2. epoch 3 names e in place of d, which hears nothing of it; e reads a and b, and votes; 3. b and e choose p1 under epoch 3, a hears nothing of it; p1 is acknowledged; 4. epoch 4 names d in place of e (d is blank still, so it is offered); 5. the answers of step 1 come: d goes by epoch 2, has read two others told of it, and votes; 6. told of epoch 4, which names it, d goes on voting without having read anything of epoch 3; a and d are a majority and choose q1 on top of nothing. p1 is lost.

Cause: that a disk votes is kept as a yes or no, and holds for every later epoch that names it. It holds only for the place that it was given when it read. The same with a disk that voted under epoch 2, was out of epoch 3 unawares and is named in epoch 4.

Ruled out: answers on their way beyond the 1 s of a call (a reader that was not frozen calls them lost and asks anew); a disk that hears of epoch 3 (its reading is then of too old an epoch). So it takes a reader that stood still between asking and hearing, for as long as two replacements take, while it is told of as blank. With 8 s of silence before a replacement that is far off; it comes nearer as replacements get quicker.

The observer now asks the reducer itself whether a replica would answer as a member, instead of reasoning from its state: that a disk would vote is what the fix changes.

--- /dev/null
+++ b/packages/jig/src/membership-reoffer.test.ts
@@ -0,0 +1,94 @@
+// A blank disk that got a place, lost it before it had read the others, and gets one again.
+import test from 'ava';
+import { Cluster } from './testing/membership-cluster.js';
+import type { Goal } from './testing/membership-goals.js';
+import { sound } from './testing/membership-mutations.js';
+import type { Message } from './testing/membership-network.js';
+
+/** ms after which a replica asks again. */
+const wait = 2_000;
+
+const callerOf = ({ caller }: Message): string =>
+  caller.kind === 'client' ? caller.name : caller.read.from;
+
+/** Delivers all that goes neither to nor from these, until nothing else is under way. */
+const settle = (cluster: Cluster, apart: readonly string[] = []): void => {
+  const isFree = (message: Message): boolean => {
+    const replica = message.kind === 'request' ? message.to : message.from;
+    return !apart.includes(replica) && !apart.includes(callerOf(message));
+  };
+  for (;;) {
+    const next = cluster.messages.findIndex(isFree);
+    if (next < 0) return;
+    cluster.deliver(next);
+  }
+};
+
+const propose = (cluster: Cluster, name: string, goal: Goal, apart: readonly string[]): void => {
+  cluster.tellClient(name, { kind: 'propose', goal });
+  settle(cluster, apart);
+};
+
+const replace = (
+  cluster: Cluster,
+  gone: string,
+  [address, disk]: readonly [string, string],
+  apart: readonly string[],
+): void => {
+  const known = cluster.clients.p?.voters?.value;
+  if (known === undefined) throw new Error('the client knows no members');
+  propose(cluster, 'p', { kind: 'replace', known, gone, place: address, disk, address }, apart);
+};
+
+/** Tells a replica of the members that the client knows, and wakes it. */
+const wake = (cluster: Cluster, address: string, apart: readonly string[]): void => {
+  cluster.tellClient('p', { kind: 'look', address });
+  settle(cluster, apart);
+  cluster.now += wait;
+  cluster.tellReplica(address, { kind: 'beat', now: cluster.now });
+};
+
+test('a disk that is given a place for the second time reads again before it votes', (t) => {
+  const cluster = Cluster.found({
+    founders: ['a', 'b', 'c'],
+    spares: ['d', 'e'],
+    clients: ['p', 'q'],
+    mutation: sound,
+    syncing: 'at-once',
+  });
+  // Epoch 2 names d in place of c. d asks a and b for what they hold; the answers are slow.
+  replace(cluster, 'c', ['d', 'disk-4'], []);
+  wake(cluster, 'd', []);
+  cluster.messages.forEach(() => cluster.deliver(0));
+  const slow = cluster.messages;
+  t.deepEqual(
+    slow.map(({ kind }) => kind),
+    ['reply', 'reply'],
+  );
+  cluster.messages = [];
+  // Epoch 3 names e in place of d, which hears nothing of it. e reads a and b, and votes.
+  replace(cluster, 'd', ['e', 'disk-5'], ['d']);
+  wake(cluster, 'e', ['d']);
+  settle(cluster, ['d']);
+  t.true(cluster.replicas.e?.state.voting);
+  // b and e choose a value; nothing of it comes to a.
+  propose(cluster, 'p', { kind: 'append', id: 'p1' }, ['a', 'd']);
+  t.deepEqual(
+    cluster.history.appended.map(({ id }) => id),
+    ['p1'],
+  );
+  // Epoch 4 gives the place of e to d, which is blank still.
+  cluster.messages = [];
+  replace(cluster, 'e', ['d', 'disk-4'], ['d']);
+  t.is(cluster.clients.p?.voters?.value.epoch, 4);
+  // The answers of epoch 2 come; then a client of epoch 4 reaches a and d alone.
+  cluster.messages = slow;
+  settle(cluster);
+  for (const name of ['p', 'q']) {
+    cluster.tellClient(name, { kind: 'look', address: 'b' });
+    settle(cluster);
+  }
+  t.is(cluster.clients.q?.voters?.value.epoch, 4);
+  propose(cluster, 'q', { kind: 'append', id: 'q1' }, ['b', 'e']);
+  t.deepEqual(cluster.history.violations, []);
+});
--- a/packages/jig/src/testing/membership-history.ts
+++ b/packages/jig/src/testing/membership-history.ts
@@ -2,7 +2,7 @@
  * Test support: what an observer who sees every disk and message knows of a run, and the checks
  * that it makes. Values are immutable, so that a search can fork them.
  */
-import { votersKey } from '@reedyard/anvil';
+import { Anvil, votersKey } from '@reedyard/anvil';
 import type { AnvilState, Voters } from '@reedyard/anvil';
 import { Ballots, majorityOf } from '@reedyard/latch';
 import type { Ballot } from '@reedyard/latch';
@@ -55,9 +55,6 @@
   readonly violations: readonly Violation[];
 };
 
-/** One replica as its disk would have it, with its process up or down. */
-export type Disk = Pick<AnvilState, 'disk' | 'voting' | 'told' | 'cells' | 'factKeys'>;
-
 /**
  * The history of a state that was just founded.
  *
@@ -234,19 +231,29 @@
   return violate(history, 'pull-shows-acknowledged', text);
 };
 
+/** Whether a replica, told of these members by a caller who counts by them, answers as one. */
+const answersAsMember = (state: AnvilState, voters: Voters): boolean => {
+  const known = state.told?.value.epoch ?? 0;
+  if (known >= voters.epoch) return known === voters.epoch;
+  const told = { ballot: state.told?.ballot ?? Ballots.none, value: voters };
+  const call = { kind: 'pull', cursor: null, keys: [] } as const;
+  const event = { kind: 'asked', id: 0, body: { voters: told, call }, now: 0 } as const;
+  const { effects } = Anvil.reduce(state, event);
+  return effects.some((effect) => effect.kind === 'tell' && effect.body.kind === 'pulled');
+};
+
 /** Disks that a caller who counts by these members could still win over. */
-const gatherable = (disks: readonly Disk[], voters: Voters): readonly Disk[] => {
+const gatherable = (disks: readonly AnvilState[], voters: Voters): readonly AnvilState[] => {
   const members = Object.values(voters.disks);
   const found = disks.filter(
-    ({ disk, voting, told }) =>
-      voting && members.includes(disk) && (told?.value.epoch ?? 0) <= voters.epoch,
+    (state) => state.voting && members.includes(state.disk) && answersAsMember(state, voters),
   );
   return found.length >= majorityOf(members.length) ? found : [];
 };
 
 type Gathered = {
   readonly voters: Voters;
-  readonly disks: readonly Disk[];
+  readonly disks: readonly AnvilState[];
   readonly quorum: number;
 };
 
@@ -271,7 +278,7 @@
   return history;
 };
 
-const acceptedOf = ({ cells }: Disk): Chosen | null => {
+const acceptedOf = ({ cells }: AnvilState): Chosen | null => {
   const accepted = cells.get(dataKey)?.accepted ?? null;
   return accepted === null ? null : { key: dataKey, ...accepted };
 };
@@ -303,7 +310,7 @@
 };
 
 /** Looks at every quorum that could still be gathered, under every epoch that was chosen. */
-export const checkQuorums = (history: History, disks: readonly Disk[]): History => {
+export const checkQuorums = (history: History, disks: readonly AnvilState[]): History => {
   const gathered = Object.values(history.epochs).flatMap((voters) => {
     const found = gatherable(disks, voters);
     const quorum = majorityOf(Object.keys(voters.disks).length);
