--- a/packages/jig/src/membership-runs.test.ts
+++ b/packages/jig/src/membership-runs.test.ts
@@ -95,6 +95,9 @@
   { mutation: mutations.readsWithoutTelling, most: 50, watched: ['reads-before-voting'] },
   { mutation: mutations.takesStaleEpochs, most: 100, watched: harm },
   { mutation: mutations.keepsNameAfterWipe, most: 100, watched: harm },
+  { mutation: mutations.takesNoFacts, most: 50, watched: harm },
+  { mutation: mutations.leasesFromNewest, most: 50, watched: harm },
+  { mutation: mutations.countsUnknown, most: 50, watched: harm },
   { mutation: mutations.forgetsTold, most: 100, watched: harm },
   { mutation: mutations.answersBeforeSync, most: 300, watched: harm },
 ];
--- a/packages/jig/src/membership-search.test.ts
+++ b/packages/jig/src/membership-search.test.ts
@@ -7,6 +7,7 @@
 import { both, mutations, sound } from './testing/membership-mutations.js';
 import type { Mutation } from './testing/membership-mutations.js';
 import {
+  growWhileAppending,
   rejoinAfterWipe,
   replaceTwice,
   replaceWhileAppending,
@@ -62,6 +63,12 @@
     bounds: { ...bounds, delaysReads: true },
     least: 5_000,
   },
+  {
+    title: 'a fourth member joins beside an append',
+    make: growWhileAppending,
+    bounds,
+    least: 20_000,
+  },
   {
     title: 'a member wiped at any moment of an append joins again',
     make: rejoinAfterWipe,
@@ -91,19 +98,22 @@
   t.is(figures.epochs, 3);
 });
 
-test('search: promises kept over a change of members do no harm while accepts name a disk', (t) => {
-  const figures = explore(rejoinAfterWipe(mutations.keepsPromises, bounds));
-  logSearch(t, figures);
-  t.is(figures.violation, null);
-  t.true(figures.complete);
-});
+/** What alone takes nothing away, since another safeguard stands before it. */
+const secondLines: readonly (readonly [Mutation, Scenario])[] = [
+  [mutations.acceptsForAnyDisk, rejoinAfterWipe],
+  [mutations.keepsPromises, rejoinAfterWipe],
+  [mutations.takesNoPromises, rejoinAfterWipe],
+  [mutations.takesNoPromises, replaceWhileAppending],
+];
 
-test('search: accepts that name no disk do no harm while epochs are fenced', (t) => {
-  const figures = explore(rejoinAfterWipe(mutations.acceptsForAnyDisk, bounds));
-  logSearch(t, figures);
-  t.is(figures.violation, null);
-  t.true(figures.complete);
-});
+for (const [index, [mutation, make]] of secondLines.entries()) {
+  test(`search: alone no harm comes of this (${index}): ${mutation.name}`, (t) => {
+    const figures = explore(make(mutation, bounds));
+    logSearch(t, figures);
+    t.is(figures.violation, null);
+    t.true(figures.complete);
+  });
+}
 
 type PlantedSearch = {
   readonly mutation: Mutation;
--- a/packages/jig/src/testing/membership-client-types.ts
+++ b/packages/jig/src/testing/membership-client-types.ts
@@ -100,6 +100,8 @@
 export type ClientFaults = {
   /** Promises go on counting under members learned since. */
   readonly keepsPromises?: boolean;
-  /** Members that a majority of the known places shows count as chosen whatever their epoch. */
-  readonly trustsAccepted?: boolean;
+  /** A lease runs from the newest of the counted pulls, not from the oldest. */
+  readonly leasesFromNewest?: boolean;
+  /** Pulls count though they show what the client does not know yet. */
+  readonly countsUnknown?: boolean;
 };
--- a/packages/jig/src/testing/membership-client.ts
+++ b/packages/jig/src/testing/membership-client.ts
@@ -250,12 +250,14 @@
 
 /** The lease runs from the sending of the oldest of a majority of pulls that show nothing unknown. */
 const renewLease = (work: Work): void => {
-  const { client } = work;
+  const { client, faults } = work;
   const counted = Object.values(client.views)
-    .filter((view) => watchedKeys.every((key) => isKnown(client, key, view)))
+    .filter((view) => faults.countsUnknown === true || showsKnown(client, view))
     .map((view) => view.sentAt)
     .sort((left, right) => right - left);
-  const from = counted[majorityOf(placesOf(client).length) - 1];
+  const quorum = majorityOf(placesOf(client).length);
+  const oldest = counted[quorum - 1];
+  const from = faults.leasesFromNewest === true && oldest !== undefined ? counted[0] : oldest;
   if (from === undefined || from <= client.leaseFrom) return;
   set(work, { leaseFrom: from });
   work.effects.push({
@@ -267,8 +269,10 @@
   });
 };
 
-const isKnown = (client: Client, key: WatchedKey, view: View): boolean =>
-  Ballots.compare(view.ballots[key] ?? Ballots.none, knownBallot(client, key)) <= 0;
+const showsKnown = (client: Client, view: View): boolean =>
+  watchedKeys.every(
+    (key) => Ballots.compare(view.ballots[key] ?? Ballots.none, knownBallot(client, key)) <= 0,
+  );
 
 const post = (work: Work, fact: string): void => {
   set(work, { posting: { fact, acks: [] } });
--- a/packages/jig/src/testing/membership-cluster.ts
+++ b/packages/jig/src/testing/membership-cluster.ts
@@ -270,7 +270,8 @@
       return;
     }
     const { from, id } = caller.read;
-    this.tellReplica(from, { kind: 'returned', id, body, now: this.now });
+    const shown = this.mutation.shows?.(body) ?? body;
+    this.tellReplica(from, { kind: 'returned', id, body: shown, now: this.now });
   }
 
   #performClient(name: string, effect: ClientEffect): void {
--- a/packages/jig/src/testing/membership-mutations.ts
+++ b/packages/jig/src/testing/membership-mutations.ts
@@ -3,8 +3,9 @@
  * changing what goes into a replica's reducer or comes out of it.
  */
 import { newerVoters, votersKey } from '@reedyard/anvil';
-import type { AnvilAsk, AnvilEffect, AnvilRecord, AnvilState } from '@reedyard/anvil';
-import { majorityOf } from '@reedyard/latch';
+import type { AnvilAsk, AnvilEffect, AnvilRecord, AnvilReply, AnvilState } from '@reedyard/anvil';
+import { Ballots, majorityOf } from '@reedyard/latch';
+import type { Cell } from '@reedyard/latch';
 import type { ClientFaults } from './membership-client-types.js';
 
 type Step = { readonly state: AnvilState; readonly effects: readonly AnvilEffect[] };
@@ -19,6 +20,8 @@
   readonly wipedDisk?: (old: string) => string;
   /** The call by which a replica reads another. */
   readonly reads?: (ask: AnvilAsk) => AnvilAsk;
+  /** What a replica that reads another gets to see of the answer. */
+  readonly shows?: (body: AnvilReply) => AnvilReply;
   /** What a restart finds on the disk. */
   readonly replays?: (records: readonly AnvilRecord[]) => readonly AnvilRecord[];
   readonly answersBeforeSync?: boolean;
@@ -65,6 +68,12 @@
   return { state: { ...step.state, disk: before.disk }, effects: renamed };
 };
 
+const withoutPromise = ([key, cell]: readonly [string, Cell]): readonly [string, Cell] => [
+  key,
+  { ...cell, promised: cell.accepted?.ballot ?? Ballots.none },
+];
+
+/** Every planted fault, by a short name. */
 export const mutations = {
   votesBeforeReading: { name: 'a successor votes before it has read', after: votesAfter(() => 0) },
   readsTooFew: {
@@ -94,6 +103,23 @@
     name: 'a successor does not tell whom it reads of its epoch',
     reads: (ask) => ({ ...ask, voters: null }),
   },
+  takesNoPromises: {
+    name: 'a successor takes over what was accepted, not what was promised',
+    shows: (body) =>
+      body.kind === 'dumped' ? { ...body, cells: body.cells.map(withoutPromise) } : body,
+  },
+  takesNoFacts: {
+    name: 'a successor takes no facts over',
+    shows: (body) => (body.kind === 'dumped' ? { ...body, facts: [] } : body),
+  },
+  leasesFromNewest: {
+    name: 'a lease runs from the newest of a majority of pulls',
+    client: { leasesFromNewest: true },
+  },
+  countsUnknown: {
+    name: 'a pull counts that shows a value not known yet',
+    client: { countsUnknown: true },
+  },
   forgetsTold: {
     name: 'a restarted replica forgets the members that it was told of',
     replays: (records) => records.filter((record) => record.kind !== 'told'),
--- a/packages/jig/src/testing/membership-random.ts
+++ b/packages/jig/src/testing/membership-random.ts
@@ -7,7 +7,7 @@
 import { majorityOf } from '@reedyard/latch';
 import { Cluster } from './membership-cluster.js';
 import type { Syncing } from './membership-cluster.js';
-import type { Message, Replica } from './membership-network.js';
+import type { Replica } from './membership-network.js';
 import type { Goal } from './membership-goals.js';
 import type { Invariant, Violation } from './membership-history.js';
 import type { Mutation } from './membership-mutations.js';
@@ -190,7 +190,7 @@
   const chosen = draw.index(cluster.messages.length);
   const thaws = draw.next() < 0.5;
   cluster.messages = cluster.messages.map((message, index) =>
-    thaws || index === chosen ? ({ ...message, frozen: !thaws } as Message) : message,
+    thaws || index === chosen ? { ...message, frozen: !thaws } : message,
   );
 };
 
--- a/packages/jig/src/testing/membership-scenarios.ts
+++ b/packages/jig/src/testing/membership-scenarios.ts
@@ -73,6 +73,12 @@
   [[replace('p', 1, 'c', fourthDisk, 'd'), tell('p', 2, 'd')], [append('q', 'q1')]],
 );
 
+/** One client gives a spare a place of its own, while the other appends by the founders. */
+export const growWhileAppending = scenario(
+  ['d'],
+  [[join('p', 1, 'd', fourthDisk), tell('p', 2, 'd')], [append('q', 'q1')]],
+);
+
 /** c is wiped at some moment, and its blank disk given the place back. */
 export const rejoinAfterWipe = scenario(
   [],
