A disk votes only in the place that it had read the others for

Cause: that a disk votes was kept as yes or no and held for every later epoch that names it.

Ruled out: answers on their way beyond the time of a call, and a disk that hears of epoch 3.

Now the membership tells for each place in which epoch it was given to its disk, and a disk notes, on disk too, the epoch that it began to vote in; where the place is newer it reads again first.

--- a/packages/anvil/src/core.ts
+++ b/packages/anvil/src/core.ts
@@ -80,14 +80,15 @@
   }): Step<AnvilState, AnvilEffect> => {
     let disk: string | null = null;
     let voting = false;
+    let votingEpoch = 0;
     let told: VotersTold | null = null;
     let seq = 0;
     const cells = new Map<string, Cell>();
     const facts = new Map<string, Kept>();
     for (const record of parts.records) {
       if (record.kind === 'disk') disk = record.disk;
-      else if (record.kind === 'voting') voting = true;
-      else if (record.kind === 'blanked') { disk = record.disk; voting = false; cells.clear(); facts.clear(); }
+      else if (record.kind === 'voting') { voting = true; votingEpoch = Math.max(votingEpoch, record.epoch ?? 0); }
+      else if (record.kind === 'blanked') { disk = record.disk; voting = false; votingEpoch = 0; cells.clear(); facts.clear(); }
       else if (record.kind === 'told') told = told === null || newerVoters(record.voters, told) ? record.voters : told;
       else if (record.kind === 'place') seq = Math.max(seq, record.seq);
       else if (record.kind === 'cell') cells.set(record.key, record.cell);
@@ -100,7 +101,7 @@
     const kept = [...facts.values()].sort((a, b) => a.seq - b.seq);
     return {
       state: {
-        name: parts.name, others: parts.others, seeded: parts.seeded ?? null, told, disk: disk ?? parts.freshDisk, voting, cells: Table(cells),
+        name: parts.name, others: parts.others, seeded: parts.seeded ?? null, told, disk: disk ?? parts.freshDisk, voting, votingEpoch, cells: Table(cells),
         claimsSeen: Table(claims.map((key) => [key, minuteOf(parts.now)])), claimMinutes: claims.length === 0 ? Table() : Table([[minuteOf(parts.now), Group(claims)]]), dumps: {},
         facts: kept, factKeys: Table(kept.map((fact) => [fact.key, fact.seq])), seq, floor: (kept[0]?.seq ?? seq + 1) - 1,
         readings: {}, nextCall: 1, sweptAt: parts.now, settlingUntil: -Infinity, settledFor: told?.value.refounded ?? 0,
@@ -113,7 +114,7 @@
   /** The whole state as records, for a snapshot. @example [...Anvil.records(state)].length // 1 for a new one */
   * records(state: AnvilState): Iterable<AnvilRecord> {
     yield { kind: 'disk', disk: state.disk };
-    if (state.voting) yield { kind: 'voting' };
+    if (state.voting) yield { kind: 'voting', epoch: state.votingEpoch };
     if (state.told !== null) yield { kind: 'told', voters: state.told };
     yield { kind: 'place', seq: state.seq };
     for (const [key, cell] of state.cells) yield { kind: 'cell', key, cell };
--- a/packages/anvil/src/membership.ts
+++ b/packages/anvil/src/membership.ts
@@ -62,7 +62,7 @@
   if (told === null || !isRetired(state)) return;
   const disk = `${state.disk.split('/', 1)[0] ?? ''}/${told.value.epoch}`;
   set(work, {
-    disk, voting: false, cells: Table(), claimsSeen: Table(), claimMinutes: Table(), dumps: {}, facts: [], factKeys: Table(), floor: state.seq, readings: {}, retirement: null,
+    disk, voting: false, votingEpoch: 0, cells: Table(), claimsSeen: Table(), claimMinutes: Table(), dumps: {}, facts: [], factKeys: Table(), floor: state.seq, readings: {}, retirement: null,
   });
   work.effects.push({ kind: 'append', records: [{ kind: 'blanked', disk }, { kind: 'told', voters: told }, { kind: 'place', seq: state.seq }] },
     { kind: 'log', event: 'anvil.replaced', fields: { epoch: told.value.epoch, disk } });
--- a/packages/anvil/src/messages.ts
+++ b/packages/anvil/src/messages.ts
@@ -11,6 +11,8 @@
 /** Who votes: for each place, the disk that holds it. One place changes at a time. */
 export type Voters = {
   readonly epoch: number; readonly disks: Readonly<Record<string, string>>;
+  /** The epoch in which each place was given to its disk; left out for the disks of the founding. */
+  readonly joinedIn?: Readonly<Record<string, number>>;
   /** The last epoch that was founded after a loss; left out where none was. */
   readonly refounded?: number;
   /** Where each place's anvil is reached; left out where the settings name every founder. */
@@ -85,7 +87,8 @@
 /** What goes to disk. Replaying a record twice changes nothing. */
 export type AnvilRecord =
   | { readonly kind: 'disk'; readonly disk: string }
-  | { readonly kind: 'voting' }
+  /** It votes from now on, in the place that the membership of this epoch gives it. */
+  | { readonly kind: 'voting'; readonly epoch?: number }
   /** Its place was given to another: all that was on this disk is gone, and it goes on under a new name. */
   | { readonly kind: 'blanked'; readonly disk: string }
   /** Voters that it was told are chosen. */
--- a/packages/anvil/src/recovery.ts
+++ b/packages/anvil/src/recovery.ts
@@ -133,8 +133,9 @@
 };
 
 const beginVoting = (work: Work, step: string): void => {
-  set(work, { voting: true, readings: {} });
-  work.effects.push({ kind: 'append', records: [{ kind: 'voting' }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: work.state.disk, cells: work.state.cells.size, step } });
+  const epoch = work.state.told?.value.epoch ?? 0;
+  set(work, { voting: true, votingEpoch: epoch, readings: {} });
+  work.effects.push({ kind: 'append', records: [{ kind: 'voting', epoch }] }, { kind: 'log', event: 'anvil.votes', fields: { disk: work.state.disk, cells: work.state.cells.size, step } });
 };
 
 /**
--- a/packages/anvil/src/state.ts
+++ b/packages/anvil/src/state.ts
@@ -25,6 +25,8 @@
   readonly disk: string;
   /** Whether this disk has ever voted; it does so now if the voters name it. */
   readonly voting: boolean;
+  /** The epoch that it last began to vote in: what it read reaches up to there. */
+  readonly votingEpoch: number;
   readonly cells: Table<string, Cell>;
   /** Minute of the anvil's running time in which each claim was last written, and the claims of each minute. */
   readonly claimsSeen: Table<string, number>;
@@ -74,4 +76,13 @@
 /** Whether its place was given away while it still holds what it voted for. */
 export const isRetired = (state: AnvilState): boolean =>
   state.seeded !== null && state.voting && state.told !== null && !isNamed(state);
-export const isVoter = (state: AnvilState): boolean => state.voting && isNamed(state);
+/**
+ * Whether it may vote: it is named, and began to vote in this very place. Where its place was given away and given
+ * back unheard of, others may have chosen meanwhile what it never read: then it reads again first.
+ */
+export const isVoter = (state: AnvilState): boolean => {
+  const voters = state.told?.value;
+  const place = voters === undefined ? undefined : placeOf(state, voters);
+  if (!state.voting || place === undefined) return false;
+  return (voters?.joinedIn?.[place] ?? 0) <= state.votingEpoch;
+};
--- a/packages/jig/src/changes.ts
+++ b/packages/jig/src/changes.ts
@@ -181,7 +181,9 @@
   const addresses = address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } };
   const disks = { ...old.disks, [anvil]: disk };
   const predecessors = predecessorsWithout(old, old.disks[anvil] === disk ? undefined : anvil);
-  const value = { ...old, epoch: old.epoch + 1, disks, ...addresses, ...predecessors };
+  const isNewDisk = old.disks[anvil] !== disk;
+  const joinedIn = isNewDisk ? { joinedIn: { ...old.joinedIn, [anvil]: old.epoch + 1 } } : {};
+  const value = { ...old, epoch: old.epoch + 1, disks, ...addresses, ...predecessors, ...joinedIn };
   return { kind: 'write', value: value satisfies Voters };
 };
 
@@ -198,7 +200,8 @@
     const addresses = { ...without(old.addresses ?? {}, gone), [anvil]: address };
     const predecessor = { disk: old.disks[gone], address: old.addresses?.[gone] ?? '' };
     const predecessors = { ...without(old.predecessors ?? {}, gone), [anvil]: predecessor };
-    const value = { ...old, epoch: old.epoch + 1, disks, addresses, predecessors };
+    const joinedIn = { ...without(old.joinedIn ?? {}, gone), [anvil]: old.epoch + 1 };
+    const value = { ...old, epoch: old.epoch + 1, disks, addresses, predecessors, joinedIn };
     return { kind: 'write', value: value satisfies Voters };
   };
 
