consensus: a prepare that is sent again gets the same promise

A first phase in which too few answered began anew in a higher ballot and lost the promises it had. Now its calls are sent again after 150 and 450 ms to those that have not answered, as accepts are, and the promises count together; only after 600 ms is a new ballot opened. For that an acceptor promises an equal ballot again. This is sound while no ballot is opened twice: so a ballot now names the life of its process, which a restart changes. Ruled out: sending again at a fixed 150 ms, which writes a large value to a slow disk three times more.

--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -85,10 +85,8 @@
   hanging: 900,
   /** ms. One phase of a ballot before it is tried again with a higher one. */
   ballotPhase: 600,
-  /** ms. The first try of a ballot's first phase before it is opened anew; each further one may take twice as
-   *  long. Over two trips between regions 35 ms apart and the syncs of a disk; the busiest processes take longer. */
-  firstPrepare: 150,
-  /** ms. Accepts and facts are sent again to replicas that have not answered: both may be taken twice. */
+  /** ms. Calls of a ballot, and facts, are sent again to replicas that have not answered: all may be taken twice.
+   *  Over two trips between regions 35 ms apart and the syncs of a disk. */
   resend: 150,
   /** ms. An order for a zone is proposed this long at most: its caller goes to another node after a second, and is
    *  told before that. */
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -112,17 +112,21 @@
   }
   const { state } = work;
   const members = Object.keys(state.anvils);
-  const turn = Proposer.open(key, combine(waiting), members, state.highestBallot, state.self.id);
+  // A ballot belongs to one life of a process: a new one does not know which ballots the last one opened.
+  const proposer = `${state.self.id}/${state.life}`;
+  const turn = Proposer.open(key, combine(waiting), members, state.highestBallot, proposer);
   set(work, { highestBallot: turn.proposal.ballot });
   setRun(work, key, {
     proposal: turn.proposal,
     included: waiting,
     phaseAt: state.now,
     sentAt: state.now,
+    resends: 0,
     retries,
     retryAt: null,
   });
   sendMoves(work, turn);
+  work.effects.push({ kind: 'wake', inMs: Limits.resend });
 };
 
 /** Notes what the register held when changes were first applied. */
@@ -211,6 +215,7 @@
     proposal: turn.proposal,
     phaseAt: isNewPhase ? now : run.phaseAt,
     sentAt: isNewPhase ? now : run.sentAt,
+    resends: isNewPhase ? 0 : run.resends,
   };
   setRun(work, turn.proposal.key, next);
   if (isNewPhase && run.proposal.phase === 'prepare') noteFirstRead(work, next, turn.proposal.read);
@@ -245,32 +250,34 @@
   setRun(work, key, { ...run, proposal, included });
 };
 
-/** Sends the accepts of a ballot again to replicas that have not answered. */
-const resendAccepts = (work: Work, run: BallotRun): void => {
-  const { proposal } = run;
-  const moves = Object.entries(proposal.promises).flatMap(([to, { disk, vote }]) =>
-    vote.kind === 'yes' && !proposal.accepts.includes(to)
-      ? [{ kind: 'accept', to, ballot: proposal.ballot, value: proposal.proposed, disk } as const]
-      : [],
-  );
-  setRun(work, proposal.key, { ...run, sentAt: work.state.now });
-  sendMoves(work, { proposal, moves });
-  work.effects.push({ kind: 'wake', inMs: Limits.resend });
+/** Prepares for replicas that have not answered, and accepts for those that have promised and not accepted. */
+const unanswered = ({ proposal }: BallotRun): Turn['moves'] => {
+  const { ballot, promises, proposed: value } = proposal;
+  return proposal.voters.flatMap((to): Turn['moves'] => {
+    const promise = promises[to];
+    if (proposal.refusedBy.includes(to) || proposal.accepts.includes(to)) return [];
+    if (promise === undefined) return [{ kind: 'prepare', to, ballot }];
+    return proposal.phase === 'accept' ? [{ kind: 'accept', to, ballot, value, disk: promise.disk }] : [];
+  });
 };
 
-/** ms that a ballot's present phase may take. */
-const phaseTimeoutOf = (run: BallotRun): number =>
-  run.proposal.phase === 'prepare'
-    ? Math.min(Limits.ballotPhase, Limits.firstPrepare * 2 ** run.retries.timedOut)
-    : Limits.ballotPhase;
+/** ms after which the calls of a ballot are sent again: longer each time, since a slow replica is not helped by more. */
+const resendAfter = (run: BallotRun): number => Limits.resend * 2 ** run.resends;
+
+const resend = (work: Work, run: BallotRun): void => {
+  const next = { ...run, sentAt: work.state.now, resends: run.resends + 1 };
+  setRun(work, run.proposal.key, next);
+  sendMoves(work, { proposal: run.proposal, moves: unanswered(run) });
+  work.effects.push({ kind: 'wake', inMs: resendAfter(next) });
+};
 
 const tendRun = (work: Work, key: string, run: BallotRun): void => {
   const { now } = work.state;
   const { outvoted, timedOut } = run.retries;
   if (run.retryAt !== null) {
     if (now >= run.retryAt) openRun(work, key, { outvoted: outvoted + 1, timedOut });
-  } else if (now - run.phaseAt > phaseTimeoutOf(run)) openRun(work, key, { outvoted, timedOut: timedOut + 1 });
-  else if (run.proposal.phase === 'accept' && now - run.sentAt >= Limits.resend) resendAccepts(work, run);
+  } else if (now - run.phaseAt > Limits.ballotPhase) openRun(work, key, { outvoted, timedOut: timedOut + 1 });
+  else if (now - run.sentAt >= resendAfter(run)) resend(work, run);
 };
 
 /** Looks after ballots that wait or hang, and changes that have taken too long. */
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -72,6 +72,8 @@
   /** When its present phase began, and when its calls were last sent. */
   readonly phaseAt: number;
   readonly sentAt: number;
+  /** How often they were sent again in this phase. */
+  readonly resends: number;
   /** How often it was opened anew, by reason. */
   readonly retries: Retries;
   /** When it is opened anew after it was outvoted. */
--- a/packages/latch/src/acceptor.ts
+++ b/packages/latch/src/acceptor.ts
@@ -25,13 +25,14 @@
 
 export const Acceptor = {
   /**
-   * First phase: promise to take part in no ballot below this one.
+   * First phase: promise to take part in no ballot below this one. A prepare that is sent again gets the same promise:
+   * each ballot belongs to one proposal of one life of a proposer, and is never opened twice.
    *
    * @example
    * Acceptor.prepare(emptyCell, [1, 'jig']).vote // { kind: 'yes', accepted: null }
    */
   prepare: (cell: Cell, ballot: Ballot): { readonly cell: Cell; readonly vote: Vote } =>
-    Ballots.compare(ballot, cell.promised) > 0
+    Ballots.compare(ballot, cell.promised) >= 0
       ? { cell: { ...cell, promised: ballot }, vote: { kind: 'yes', accepted: cell.accepted } }
       : { cell, vote: { kind: 'no', promised: cell.promised } },
 
--- a/packages/latch/src/latch.test.ts
+++ b/packages/latch/src/latch.test.ts
@@ -79,6 +79,37 @@
   t.true(found);
 });
 
+/** Draws orders of all messages from a seed; tells whether one of them lost what was chosen. */
+const findsLoss = (first: World, runs: number): boolean => {
+  let seed = 1;
+  const draw = (count: number): number => {
+    seed = (Math.imul(seed, 1_103_515_245) + 12_345) & 0x7fffffff;
+    return Math.floor((seed / 0x80000000) * count);
+  };
+  return Array.from({ length: runs }).some(() => {
+    let world = first;
+    while (world.flying.length > 0 && sound(world.chosen)) world = deliver(world, draw(world.flying.length));
+    return !sound(world.chosen);
+  });
+};
+
+/** A world in which every first message is sent twice. */
+const sentTwice = (second: string): World => {
+  const world = opened();
+  const other = Proposer.open('r', append('y'), voters, Ballots.none, second);
+  const moves: readonly Message[] = other.moves.map((move) => ({ which: 1, move }));
+  const flying = [...world.flying.filter(({ which }) => which === 0), ...moves];
+  return { ...world, proposals: [world.proposals[0], other.proposal], flying: [...flying, ...flying] };
+};
+
+test('prepares that arrive twice are promised twice, and lose nothing that was chosen', (t) => {
+  t.false(findsLoss(sentTwice('q'), 20_000));
+});
+
+test('two proposals that open one and the same ballot are found to lose what was chosen', (t) => {
+  t.true(findsLoss(sentTwice('p'), 20_000));
+});
+
 test('a vote of another life of a disk is told apart by the accept that names it', (t) => {
   const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
   let proposal = first.proposal;
--- a/packages/mallet/src/fleet.ts
+++ b/packages/mallet/src/fleet.ts
@@ -591,7 +591,7 @@
   }
   #addressOf(origin: StageOrigin): string { return this.origins.find((each) => each === origin)?.address ?? ''; }
 
-  /** A planted fault: an agent goes on with an order for 4 s, though its caller is gone. */
+  /** A planted fault: an agent goes on for 4 s with an order that it has not acknowledged, though its caller is gone. */
   #goOn(jig: Process<'jig'>, action: Action): void {
     for (let ms = 500; ms < Limits.proposal; ms += 500) {
       this.clock.in(ms, () => {
@@ -613,7 +613,11 @@
     let isGone = false;
     const drop = (): void => this.#inside(jig, () => { if (askedAs !== null && jig.asking.delete(askedAs)) this.#step(jig, { kind: 'caller-gone', id: askedAs, now: this.#now(jig) }); });
     this.#carry(from, box.machine.name, () => {
-      this.#askJig(jig, (id) => { askedAs = id; return { kind: 'operator', id, action, now: this.#now(jig) }; }, (reply) => this.#carry(box.machine.name, from, () => end(plantedReply(this.tuning.plant, reply as { status: number; body: unknown }))));
+      this.#askJig(jig, (id) => { askedAs = id; return { kind: 'operator', id, action, now: this.#now(jig) }; }, (reply) => {
+        const told = plantedReply(this.tuning.plant, reply as { status: number; body: unknown });
+        if (this.tuning.plant === 'callers-unheeded' && told.status === 503) this.#goOn(jig, action);
+        this.#carry(box.machine.name, from, () => end(told));
+      });
       if (isGone) drop();
     });
     return () => {
