--- a/packages/anvil/src/history.test.ts
+++ b/packages/anvil/src/history.test.ts
@@ -16,7 +16,7 @@
   type AnvilReply,
   type Voters,
   type VotersTold,
-} from './core.js';
+} from './index.js';
 import { ReplicaHost } from './replica-host.js';
 
 const names = ['a', 'b', 'c'] as const;
@@ -78,6 +78,7 @@
     const host = new ReplicaHost(opened, log, {
       now: () => this.now,
       call: (address, body) => this.#track(this.#deliver(address, body)),
+      end: () => undefined,
       log: () => undefined,
     });
     this.running.set(name, { log, host });
--- a/packages/anvil/src/replica-host.test.ts
+++ b/packages/anvil/src/replica-host.test.ts
@@ -9,7 +9,7 @@
   type AnvilRecord,
   type AnvilReply,
   type VotersTold,
-} from './core.js';
+} from './index.js';
 import { ReplicaHost } from './replica-host.js';
 
 const folder = 'model';
@@ -50,6 +50,7 @@
     this.host = new ReplicaHost(opened, log, {
       now: () => this.now,
       call: () => Promise.reject(new Error('nobody is there')),
+      end: () => undefined,
       log: (_level, event) => this.events.push(event),
     });
   }
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -8,14 +8,9 @@
 import { openScribe, type Scribe } from '@reedyard/scriber';
 import { call, serveCalls, speakFrom, type Listening } from '@reedyard/shuttle';
 import type { Settings } from '@reedyard/vise';
-import {
-  Anvil,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilRecord,
-  type AnvilReply,
-  type AnvilState,
-} from './core.js';
+import { Anvil } from './core.js';
+import type { AnvilAsk, AnvilEffect, AnvilRecord, AnvilReply } from './messages.js';
+import type { AnvilState } from './state.js';
 import { ReplicaHost, type ReplicaShell } from './replica-host.js';
 
 export type AnvilSettings = Settings & { readonly anvil: NonNullable<Settings['anvil']> };
@@ -35,8 +30,9 @@
   return Anvil.open({ name, others, seeded, records, freshDisk: randomUUID(), now: now() });
 };
 
-const shellOf = (scribe: Scribe): ReplicaShell => ({
+const shellOf = (scribe: Scribe, end: () => void): ReplicaShell => ({
   now,
+  end,
   call: (address, body) => call(address, callPath, body) as Promise<AnvilReply>,
   log: (level, event, fields) => scribe[level](event, fields),
 });
@@ -47,20 +43,25 @@
 };
 
 /** Ends the process once its calls and its log are closed, and in time also if the disk hangs. */
-const stopOnSignals = (listening: Listening, log: Notch, scribe: Scribe): void => {
+const closeAndExit = (listening: Listening | null, log: Notch, scribe: Scribe): void => {
   const exit = (): never => {
     scribe.info('stopped');
     process.exit(0);
   };
+  setTimeout(exit, Limits.call);
+  void Promise.resolve(listening?.close())
+    .then(() => log.close())
+    .then(exit);
+};
+
+/** Tells the replica to stop; it ends the process itself, or else a timer does. */
+const stopOnSignals = (replica: ReplicaHost, leave: () => void): void => {
   const stop = (): void => {
-    setTimeout(exit, Limits.call);
-    void listening
-      .close()
-      .then(() => log.close())
-      .then(exit);
+    setTimeout(leave, Limits.shutdown).unref();
+    replica.stop();
   };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
 };
 
 /**
@@ -75,13 +76,20 @@
   speakFrom(settings.host);
   const log = await openNotch(path.join(settings.dataFolder, 'anvil'));
   const opened = openState(settings, log);
-  const replica = new ReplicaHost(opened, log, shellOf(scribe));
-  const listening = await serveCalls(
+  let listening: Listening | null = null;
+  let isLeaving = false;
+  const leave = (): void => {
+    if (isLeaving) return;
+    isLeaving = true;
+    closeAndExit(listening, log, scribe);
+  };
+  const replica = new ReplicaHost(opened, log, shellOf(scribe, leave));
+  listening = await serveCalls(
     { host: settings.listen ?? settings.host, port: settings.anvil.port },
     { [callPath]: (body) => replica.ask(body as AnvilAsk) },
   );
   setInterval(() => replica.tick(), Beats.rejoin);
   const { disk, voting } = opened.state;
   scribe.info('started', { port: listening.port, disk, voting });
-  stopOnSignals(listening, log, scribe);
+  stopOnSignals(replica, leave);
 };
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -8,7 +8,7 @@
  */
 import { Limits } from '@reedyard/gauge';
 import { Ballots, Proposer, type Ballot, type Change, type Changed, type Turn } from '@reedyard/latch';
-import type { AnvilReply } from '@reedyard/anvil';
+import { votersKey, type AnvilReply } from '@reedyard/anvil';
 import { finish, type Outcome } from './completion.js';
 import type { Reading, RegisterChange } from './changes.js';
 import { learnRegister } from './pulls.js';
@@ -259,18 +259,26 @@
   work.effects.push({ kind: 'wake', inMs: Limits.resend });
 };
 
+/** ms that one phase of a ballot may take at most: little at first where members change. */
+const longestPhaseOf = (run: BallotRun, now: number): number => {
+  const [oldest] = run.included;
+  const isYoung = oldest !== undefined && now - oldest.pursuit.openedAt < Limits.membershipHaste;
+  return isYoung && run.proposal.key === votersKey ? Limits.membershipPhase : Limits.ballotPhase;
+};
+
 /** ms that a ballot's present phase may take. */
-const phaseTimeoutOf = (run: BallotRun): number =>
-  run.proposal.phase === 'prepare'
-    ? Math.min(Limits.ballotPhase, Limits.firstPrepare * 2 ** run.retries.timedOut)
-    : Limits.ballotPhase;
+const phaseTimeoutOf = (run: BallotRun, now: number): number => {
+  const longest = longestPhaseOf(run, now);
+  if (run.proposal.phase !== 'prepare') return longest;
+  return Math.min(longest, Limits.firstPrepare * 2 ** run.retries.timedOut);
+};
 
 const tendRun = (work: Work, key: string, run: BallotRun): void => {
   const { now } = work.state;
   const { outvoted, timedOut } = run.retries;
   if (run.retryAt !== null) {
     if (now >= run.retryAt) openRun(work, key, { outvoted: outvoted + 1, timedOut });
-  } else if (now - run.phaseAt > phaseTimeoutOf(run)) openRun(work, key, { outvoted, timedOut: timedOut + 1 });
+  } else if (now - run.phaseAt > phaseTimeoutOf(run, now)) openRun(work, key, { outvoted, timedOut: timedOut + 1 });
   else if (run.proposal.phase === 'accept' && now - run.sentAt >= Limits.resend) resendAccepts(work, run);
 };
 
--- a/packages/jig/src/changes.ts
+++ b/packages/jig/src/changes.ts
@@ -161,6 +161,16 @@
   return { kind: 'write', value: { ...goal, slices: old?.slices ?? {}, seated: old?.seated ?? [] } };
 };
 
+/** Predecessors of the members, but for one whose disk is now another; left out where there are none. */
+const predecessorsWithout = (
+  voters: Voters,
+  member: string | undefined,
+): Pick<Voters, 'predecessors'> => {
+  if (voters.predecessors === undefined) return {};
+  if (member === undefined) return { predecessors: voters.predecessors };
+  return { predecessors: without(voters.predecessors, member) };
+};
+
 /** Gives a place to another disk: one at a time, and only by the members just before. */
 const seat = (known: Voters, anvil: string, disk: string, address?: string): RegisterChange => (current) => {
   const old = current as Voters | null;
@@ -170,7 +180,9 @@
   if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
   const addresses = address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } };
   const disks = { ...old.disks, [anvil]: disk };
-  return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks, ...addresses } satisfies Voters };
+  const predecessors = predecessorsWithout(old, old.disks[anvil] === disk ? undefined : anvil);
+  const value = { ...old, epoch: old.epoch + 1, disks, ...addresses, ...predecessors };
+  return { kind: 'write', value: value satisfies Voters };
 };
 
 /** Gives a place up, and another, of a disk without one, in its stead. */
@@ -184,7 +196,10 @@
     }
     const disks = { ...without(old.disks, gone), [anvil]: disk };
     const addresses = { ...without(old.addresses ?? {}, gone), [anvil]: address };
-    return { kind: 'write', value: { ...old, epoch: old.epoch + 1, disks, addresses } satisfies Voters };
+    const predecessor = { disk: old.disks[gone], address: old.addresses?.[gone] ?? '' };
+    const predecessors = { ...without(old.predecessors ?? {}, gone), [anvil]: predecessor };
+    const value = { ...old, epoch: old.epoch + 1, disks, addresses, predecessors };
+    return { kind: 'write', value: value satisfies Voters };
   };
 
 /** Every change that is made to a register. */
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -9,11 +9,12 @@
 import { noteSerials } from './change-ids.js';
 import { tendDuty } from './duty.js';
 import { fed } from './feed.js';
-import { computeSplit, gossip, heartbeat, learn, pingAll, tookPing } from './network.js';
+import { awaitOwnReplica, tendMembership } from './membership.js';
+import { computeSplit, gossip, heartbeat, isJoining, learn, pingAll, tookPing } from './network.js';
 import { operator } from './operators.js';
 import { tendPostings, tookPost } from './postings.js';
 import { pullInterval, renewLease } from './lease.js';
-import { lostPull, pullAll, pullOverdue, tendVoters, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
+import { lostPull, pullAll, pullOverdue, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
 import { noteAnswer, noteLeaseLost } from './reachability.js';
 import { anvilView, noteBeat, send, set, without, type JigState, type Work } from './state.js';
 import { sweep } from './sweep.js';
@@ -121,11 +122,13 @@
   tendPostings(work);
   due('pull', pullInterval(work.state), () => {
     pullAll(work);
-    tendVoters(work);
+    if (work.state.self.anvil === null) tendMembership(work);
   });
+  awaitOwnReplica(work);
+  if (work.state.self.anvil !== null) tendMembership(work);
   pullOverdue(work);
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
-  due('gossip', Beats.gossip, () => gossip(work));
+  due('gossip', isJoining(work.state) ? Beats.lapsed : Beats.gossip, () => gossip(work));
   due('ping', Beats.pingDraw, () => pingAll(work));
   due('sweep', Beats.heartbeat, () => sweep(work));
   due('division', Beats.division, () => tendDuty(work));
@@ -154,7 +157,7 @@
     const { self, life, seeds, seed, now } = parts;
     return {
       self, life, seeds, seed, now, nextId: 1, pending: {},
-      voting: parts.voting ?? null, openedAt: now, ownAnvil: null,
+      voting: parts.voting ?? null, openedAt: now, ownAnvil: null, spares: {},
       anvils: Object.fromEntries(founders.map(([name, address]) => [name, anvilView(address, now)])),
       registers: {}, highestBallot: Ballots.none as Ballot, candidates: {}, hanging: {},
       lease: 0, beatAt: now, lateAt: now, returnedAt: now, flushes: 0,
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -28,7 +28,7 @@
   count(work, asked.via === null ? 'transactions' : 'transactions.partner');
   if (!mayServe(work, id, asked.via)) return;
   const route = Routes.find(state.routes, asked.host, asked.target);
-  const refusal = refusalOf(route, asked);
+  const refusal = refusalOf(route, asked, state.policy?.document.callers);
   if (route === undefined || refusal !== null) { if (refusal !== null) turnAway(work, id, refusal.status, refusal.title, refusal.detail, refusal.more); return; }
   if (Object.keys(state.transactions).length >= Sizes.transactions) { turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.'); return; }
   const safe = isSafe(route, asked.method);
