reedyard: a member that was told to stop counts as gone for the others

Cause: a member that leaves on purpose votes on until its place is given away, at most for two seconds. Asked then, safe-to-stop would have let another go beside it. The status shows it as leaving; safe-to-stop counts only members that answer and stay.

--- a/packages/jig/src/status.ts
+++ b/packages/jig/src/status.ts
@@ -46,6 +46,8 @@
   /** What its last answer was, and null where it never answered this node. */
   readonly outcome: ReplicaOutcome | null;
   readonly lastAnswerAgeMs: number | null;
+  /** Whether it was told to stop: it votes until it has gone. */
+  readonly leaving: boolean;
 };
 
 /** A machine whose blank disk could become a member. */
@@ -177,6 +179,7 @@
     state: stateOf(view, disk, state.now),
     outcome: view.answered?.outcome ?? null,
     lastAnswerAgeMs: view.answered === null ? null : Math.round(state.now - view.answered.at),
+    leaving: view.leaving,
   };
 };
 
--- a/packages/reedyard/src/safe-to-stop.test.ts
+++ b/packages/reedyard/src/safe-to-stop.test.ts
@@ -12,6 +12,7 @@
   state,
   outcome: state === 'answering' ? 'counted' : null,
   lastAnswerAgeMs: state === 'silent' ? null : 100,
+  leaving: false,
 });
 
 const controlOf = (
@@ -97,6 +98,15 @@
   }
 });
 
+test('a member that was told to stop counts as gone for the others, though it still answers', (t) => {
+  const control = controlOf(all);
+  const members = control.members.map((member) => ({ ...member, leaving: member.name === 'place-5' }));
+  const { verdict, lossesBorneAfter, reasons } = judge('core-2', { ...control, members });
+  t.deepEqual([verdict, lossesBorneAfter], ['unsafe', 0]);
+  t.regex(reasons.join('\n'), /place-5 is leaving/);
+  t.is(judge('core-5', { ...control, members }).verdict, 'safe');
+});
+
 test('the very member that does not answer may go, and one that leaves no majority may not', (t) => {
   t.is(judge('core-5', controlOf(oneOf('recovering'))).verdict, 'safe');
   const two: readonly MemberState[] = ['answering', 'answering', 'silent'];
--- a/packages/reedyard/src/safe-to-stop.ts
+++ b/packages/reedyard/src/safe-to-stop.ts
@@ -92,10 +92,16 @@
 };
 
 const describeMembers = (members: readonly MemberStatus[]): string =>
-  members.map((member) => `${member.name} is ${member.state}`).join(', ');
+  members
+    .map((member) => `${member.name} is ${member.leaving ? 'leaving' : member.state}`)
+    .join(', ');
 
+const isStaying = (member: MemberStatus): boolean =>
+  member.state === 'answering' && !member.leaving;
+
+/** Members that don't vote, or that will soon have gone. */
 const absentOf = (control: ControlStatus): readonly MemberStatus[] =>
-  control.members.filter((member) => member.state !== 'answering');
+  control.members.filter((member) => !isStaying(member));
 
 /** What speaks against the loss of one more answer, whoever's it is. */
 const objections = (
@@ -119,8 +125,8 @@
 };
 
 const judgeMember = (control: ControlStatus, target: StopTarget, wanted: number): StopVerdict => {
-  const answers = target.member?.state === 'answering';
-  const after = control.lossesBorne - (answers ? 1 : 0);
+  const staying = control.members.filter((member) => member !== target.member && isStaying(member));
+  const after = staying.length - control.quorum;
   const reasons = objections(control, target, after, wanted);
   if (reasons.length > 0) return { verdict: 'unsafe', reasons, lossesBorneAfter: after };
   const answering = control.quorum + after;
--- a/packages/reedyard/src/status-text.ts
+++ b/packages/reedyard/src/status-text.ts
@@ -22,6 +22,11 @@
 const ageText = (ageMs: number | null): string =>
   ageMs === null ? 'never' : `${(ageMs / secondMs).toFixed(1)} s`;
 
+const noteOf = (member: MemberStatus): string => {
+  if (member.leaving) return 'leaving';
+  return member.state === 'answering' ? '' : (member.outcome ?? '');
+};
+
 const memberRow = (member: MemberStatus): readonly string[] => [
   member.name,
   member.node ?? '?',
@@ -30,7 +35,7 @@
   member.disk ?? '?',
   ageText(member.lastAnswerAgeMs),
   member.state,
-  member.state === 'answering' ? '' : (member.outcome ?? ''),
+  noteOf(member),
 ];
 
 const memberHeads = ['member', 'node', 'address', 'zone', 'disk', 'answered', 'state', ''];
