--- a/packages/lathe/src/caller-server.ts
+++ b/packages/lathe/src/caller-server.ts
@@ -54,7 +54,8 @@
 /** One connection: the reducer's state, and those to tell when the caller leaves. */
 class TrackedConnection {
   #state: CallerConnection = CallerConnections.open;
-  #newest: http.IncomingMessage | null = null;
+  /** The request that is being read; let go once it is begun. */
+  #reading: http.IncomingMessage | null = null;
   readonly #leavers = new Map<number, () => void>();
 
   constructor(private readonly socket: Socket) {}
@@ -82,15 +83,15 @@
   unreadable(status: RefusalStatus): void {
     const refuse = (): void => void this.dispatch({ kind: 'unreadable', status });
     // Its last bytes were parsed, and are handed up before the event loop turns.
-    if (this.#newest?.complete === true) setImmediate(refuse);
+    if (this.#reading?.complete === true) setImmediate(refuse);
     else refuse();
   }
 
   /** A request whose head was read. */
   turn(request: http.IncomingMessage, response: http.ServerResponse): CallerTurn {
     // Node bounds the rest after each answer by itself, but not the one before the first request.
-    if (this.#newest === null) this.socket.setTimeout(0);
-    this.#newest = request;
+    if (this.#state.newest === 0) this.socket.setTimeout(0);
+    this.#reading = request;
     this.dispatch({ kind: 'head-read' });
     const number = this.#state.newest;
     response.once('finish', () => {
@@ -99,6 +100,7 @@
     });
     return {
       begin: (left) => {
+        if (this.#reading === request) this.#reading = null;
         const begun = this.dispatch({ kind: 'request-read', number }).length > 0;
         if (begun) this.#leavers.set(number, left);
         return begun;
--- a/packages/lathe/src/conns.ts
+++ b/packages/lathe/src/conns.ts
@@ -219,13 +219,14 @@
 
   /** Opens a connection; nothing of the attempt is sent before who is there was proved. */
   async #open(to: Destination, attempt: number): Promise<OpenConnection> {
+    const { name } = to;
     const socket = net.connect({ ...splitAddress(to.address), localAddress: this.from });
     socket.setNoDelay(true);
     const limitMs = to.identity === null ? Limits.opening : Limits.connect;
     const late = setTimeout(() => socket.destroy(new Error('no connection in time')), limitMs);
     try {
       const connection = await this.#connected(socket, to);
-      socket.once('close', () => this.#drop(to.name, connection));
+      socket.once('close', () => this.#drop(name, connection));
       connection.reduce({ kind: 'assign', attempt, mostIdleMs: 0, now: performance.now() });
       return connection;
     } catch (thrown) {
