--- a/packages/jig/src/ballots.test.ts
+++ b/packages/jig/src/ballots.test.ts
@@ -200,8 +200,7 @@
   bench.vote('prepare');
   const [ballot] = bench.ballots('accept');
   bench.calls = [];
-  // Looked after in the agent's own interval: an ordinary ballot asks for no wake-up.
-  t.deepEqual(bench.wakes, []);
+  t.deepEqual(bench.wakes, [Limits.resend, Limits.resend]);
   bench.now = Limits.resend;
   bench.step({ kind: 'woken', now: bench.now });
   t.deepEqual(bench.ballots('accept'), ballot === undefined ? [] : [ballot]);
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -126,6 +126,7 @@
     retryAt: null,
   });
   sendMoves(work, turn);
+  work.effects.push({ kind: 'wake', inMs: Limits.resend });
 };
 
 /** Notes what the register held when changes were first applied. */
@@ -219,6 +220,7 @@
   setRun(work, turn.proposal.key, next);
   if (isNewPhase && run.proposal.phase === 'prepare') noteFirstRead(work, next, turn.proposal.read);
   sendMoves(work, turn);
+  if (isNewPhase && turn.proposal.phase === 'accept') work.effects.push({ kind: 'wake', inMs: Limits.resend });
   for (const move of turn.moves) {
     if (move.kind === 'outvoted' && next.retryAt === null) backOff(work, next);
     if (move.kind === 'chosen') conclude(work, next, move);
@@ -259,16 +261,14 @@
   });
 };
 
-/**
- * ms after which the calls of a ballot are sent again, at the next interval of the agent: longer each time, since a slow
- * replica is not helped by more.
- */
+/** ms after which the calls of a ballot are sent again: longer each time, since a slow replica is not helped by more. */
 const resendAfter = (run: BallotRun): number => Limits.resend * 2 ** run.resends;
 
 const resend = (work: Work, run: BallotRun): void => {
   const next = { ...run, sentAt: work.state.now, resends: run.resends + 1 };
   setRun(work, run.proposal.key, next);
   sendMoves(work, { proposal: run.proposal, moves: unanswered(run) });
+  work.effects.push({ kind: 'wake', inMs: resendAfter(next) });
 };
 
 const tendRun = (work: Work, key: string, run: BallotRun): void => {
