--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -5,13 +5,26 @@
 
 const root = path.resolve(import.meta.dirname, '..');
 /** The sources of each package of the workspace, so that nothing has to be compiled before. */
-const sources = Object.fromEntries(readdirSync(path.join(root, 'packages')).map((folder) => {
-  const { name } = JSON.parse(readFileSync(path.join(root, 'packages', folder, 'package.json'), 'utf8'));
-  return [name, path.join(root, 'packages', folder, 'src/index.ts')];
-}));
+const sources = Object.fromEntries(
+  readdirSync(path.join(root, 'packages')).map((folder) => {
+    const { name } = JSON.parse(
+      readFileSync(path.join(root, 'packages', folder, 'package.json'), 'utf8'),
+    );
+    return [name, path.join(root, 'packages', folder, 'src/index.ts')];
+  }),
+);
 
 await build({
-  absWorkingDir: root, entryPoints: ['lathe', 'jig', 'anvil'].map((program) => `platform/src/${program}.ts`),
-  outdir: 'target', outExtension: { '.js': '.cjs' }, bundle: true, platform: 'node', format: 'cjs', target: 'node20', minify: true, keepNames: true, logLevel: 'warning',
+  absWorkingDir: root,
+  entryPoints: ['lathe', 'jig', 'anvil'].map((program) => `platform/src/${program}.ts`),
+  outdir: 'target',
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  platform: 'node',
+  format: 'cjs',
+  target: 'node20',
+  minify: true,
+  keepNames: true,
+  logLevel: 'warning',
   alias: sources,
 });
--- a/packages/anvil/src/anvil.test.ts
+++ b/packages/anvil/src/anvil.test.ts
@@ -1,12 +1,32 @@
 import test from 'ava';
 import { Limits, Sizes } from '@reedyard/gauge';
 import { Anvil } from './core.js';
-import { votersKey, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type Voters } from './messages.js';
+import {
+  votersKey,
+  type AnvilAsk,
+  type AnvilEffect,
+  type AnvilEvent,
+  type AnvilRecord,
+  type AnvilReply,
+  type Voters,
+} from './messages.js';
 import { nextStep } from './recovery.js';
 import type { AnvilState } from './state.js';
 
-const chanceFrom = (seed: number): (() => number) => { let state = seed + 1; return () => { state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0; return state / 4_294_967_296; }; };
-type Flying = { readonly to: string; readonly from: string; readonly id: number; readonly ask?: AnvilAsk; readonly reply?: AnvilReply };
+const chanceFrom = (seed: number): (() => number) => {
+  let state = seed + 1;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 4_294_967_296;
+  };
+};
+type Flying = {
+  readonly to: string;
+  readonly from: string;
+  readonly id: number;
+  readonly ask?: AnvilAsk;
+  readonly reply?: AnvilReply;
+};
 
 /** Anvils that talk over a bench where any message may come next, or get lost. */
 class Bench {
@@ -17,24 +37,44 @@
   readonly #asking = new Map<string, { from: string; id: number }>();
   #asks = 0;
   #lives = 0;
-  constructor(readonly names: readonly string[], readonly chance: () => number) { names.forEach((name) => this.open(name)); }
+  constructor(
+    readonly names: readonly string[],
+    readonly chance: () => number,
+  ) {
+    names.forEach((name) => this.open(name));
+  }
 
   open(name: string): void {
     this.#lives += 1;
-    const others = Object.fromEntries(this.names.filter((each) => each !== name).map((each) => [each, each]));
-    const opened = Anvil.open({ name, others, records: this.disks.get(name) ?? [], freshDisk: `disk-${this.#lives}`, now: this.now });
+    const others = Object.fromEntries(
+      this.names.filter((each) => each !== name).map((each) => [each, each]),
+    );
+    const opened = Anvil.open({
+      name,
+      others,
+      records: this.disks.get(name) ?? [],
+      freshDisk: `disk-${this.#lives}`,
+      now: this.now,
+    });
     this.states.set(name, opened.state);
     this.perform(name, opened.effects);
   }
-  wipe(name: string): void { this.disks.set(name, []); this.flying = this.flying.filter((each) => each.from !== name && each.to !== name); this.open(name); }
+  wipe(name: string): void {
+    this.disks.set(name, []);
+    this.flying = this.flying.filter((each) => each.from !== name && each.to !== name);
+    this.open(name);
+  }
 
   perform(name: string, effects: readonly AnvilEffect[]): void {
     for (const effect of effects) {
-      if (effect.kind === 'append') this.disks.set(name, [...(this.disks.get(name) ?? []), ...effect.records]);
-      if (effect.kind === 'call') this.flying.push({ to: effect.to, from: name, id: effect.id, ask: effect.body });
+      if (effect.kind === 'append')
+        this.disks.set(name, [...(this.disks.get(name) ?? []), ...effect.records]);
+      if (effect.kind === 'call')
+        this.flying.push({ to: effect.to, from: name, id: effect.id, ask: effect.body });
       if (effect.kind === 'tell') {
         const asker = this.#asking.get(`${name}/${effect.id}`);
-        if (asker !== undefined) this.flying.push({ to: asker.from, from: name, id: asker.id, reply: effect.body });
+        if (asker !== undefined)
+          this.flying.push({ to: asker.from, from: name, id: asker.id, reply: effect.body });
       }
     }
   }
@@ -49,28 +89,63 @@
   tick(loss: number): void {
     this.now += 20;
     const draw = this.chance();
-    if (this.flying.length === 0 || draw < 0.3) { this.step(this.names[Math.floor(this.chance() * this.names.length)] ?? '', { kind: 'beat', now: this.now }); return; }
+    if (this.flying.length === 0 || draw < 0.3) {
+      this.step(this.names[Math.floor(this.chance() * this.names.length)] ?? '', {
+        kind: 'beat',
+        now: this.now,
+      });
+      return;
+    }
     const [message] = this.flying.splice(Math.floor(this.chance() * this.flying.length), 1);
     if (message === undefined) return;
     if (this.chance() < loss) {
-      if (message.reply === undefined) this.step(message.from, { kind: 'lost', id: message.id, now: this.now }); else this.step(message.to, { kind: 'lost', id: message.id, now: this.now });
+      if (message.reply === undefined)
+        this.step(message.from, { kind: 'lost', id: message.id, now: this.now });
+      else this.step(message.to, { kind: 'lost', id: message.id, now: this.now });
+      return;
+    }
+    if (message.reply !== undefined) {
+      this.step(message.to, {
+        kind: 'returned',
+        id: message.id,
+        body: message.reply,
+        now: this.now,
+      });
       return;
     }
-    if (message.reply !== undefined) { this.step(message.to, { kind: 'returned', id: message.id, body: message.reply, now: this.now }); return; }
     this.#asks += 1;
     this.#asking.set(`${message.to}/${this.#asks}`, { from: message.from, id: message.id });
-    if (message.ask !== undefined) this.step(message.to, { kind: 'asked', id: this.#asks, body: message.ask, now: this.now });
+    if (message.ask !== undefined)
+      this.step(message.to, { kind: 'asked', id: this.#asks, body: message.ask, now: this.now });
+  }
+  voters(): readonly (Voters | undefined)[] {
+    return this.names.map(
+      (name) => this.states.get(name)?.cells.get(votersKey)?.accepted?.value as Voters | undefined,
+    );
   }
-  voters(): readonly (Voters | undefined)[] { return this.names.map((name) => this.states.get(name)?.cells.get(votersKey)?.accepted?.value as Voters | undefined); }
 }
 
 test('founding: in whatever order they hear of each other, and whatever is lost, all come to the same voters', (t) => {
   for (let seed = 0; seed < 400; seed += 1) {
-    const bench = new Bench(seed % 2 === 0 ? ['a', 'b', 'c'] : ['a', 'b', 'c', 'd', 'e'], chanceFrom(seed));
+    const bench = new Bench(
+      seed % 2 === 0 ? ['a', 'b', 'c'] : ['a', 'b', 'c', 'd', 'e'],
+      chanceFrom(seed),
+    );
     for (let each = 0; each < 900; each += 1) bench.tick(seed % 4 < 2 ? 0 : 0.15);
     const voters = bench.voters();
-    t.true([...bench.states.values()].every((state) => state.voting), `seed ${seed}`);
-    t.is(new Set(voters.map((each) => JSON.stringify([each?.epoch, Object.entries(each?.disks ?? {}).sort()]))).size, 1, `seed ${seed}`);
+    t.true(
+      [...bench.states.values()].every((state) => state.voting),
+      `seed ${seed}`,
+    );
+    t.is(
+      new Set(
+        voters.map((each) =>
+          JSON.stringify([each?.epoch, Object.entries(each?.disks ?? {}).sort()]),
+        ),
+      ).size,
+      1,
+      `seed ${seed}`,
+    );
   }
 });
 
@@ -81,8 +156,19 @@
   bench.wipe('c');
   for (let each = 0; each < 600; each += 1) bench.tick(0.1);
   t.false(bench.states.get('c')?.voting);
-  const told = { ballot: [9, 'jig'] as const, value: { epoch: (before?.epoch ?? 0) + 1, disks: { ...before?.disks, c: bench.states.get('c')?.disk ?? '' } } };
-  bench.step('c', { kind: 'asked', id: 9_999, body: { voters: told, call: { kind: 'pull', cursor: null, keys: [] } }, now: bench.now });
+  const told = {
+    ballot: [9, 'jig'] as const,
+    value: {
+      epoch: (before?.epoch ?? 0) + 1,
+      disks: { ...before?.disks, c: bench.states.get('c')?.disk ?? '' },
+    },
+  };
+  bench.step('c', {
+    kind: 'asked',
+    id: 9_999,
+    body: { voters: told, call: { kind: 'pull', cursor: null, keys: [] } },
+    now: bench.now,
+  });
   for (let each = 0; each < 600; each += 1) bench.tick(0.1);
   t.true(bench.states.get('c')?.voting);
   // Whom it read was told first: nobody of them goes on in the old epoch.
@@ -91,15 +177,84 @@
 
 test('when a disk that does not vote may come to do so', (t) => {
   const disks = { a: '1', b: '2', c: '3', d: '4', e: '5' };
-  const other = (state: 'reading' | 'blank' | 'done', disk: string, epoch = 2): { state: 'reading' | 'blank' | 'done'; disk: string; epoch: number } => ({ state, disk, epoch });
-  const me = (name: string, others: Parameters<typeof nextStep>[0]['others'], epoch = 2): ReturnType<typeof nextStep> => nextStep({ name: 'a', disk: name, voters: { epoch, disks }, others });
-  t.is(me('1', { b: other('done', '2'), c: other('done', '3'), d: other('done', '4'), e: other('reading', '') }), 'vote');
-  t.is(me('1', { b: other('done', '2'), c: other('done', '3'), d: other('reading', ''), e: other('reading', '') }), 'wait');
-  t.is(me('1', { b: other('done', '2', 1), c: other('done', '3'), d: other('done', '4'), e: other('reading', '') }), 'wait');
-  t.is(me('1', { b: other('done', 'old'), c: other('done', '3'), d: other('done', '4'), e: other('reading', '') }), 'wait');
-  t.is(me('new', { b: other('done', '2'), c: other('done', '3'), d: other('done', '4'), e: other('done', '5') }), 'wait');
-  t.is(me('new', { b: other('blank', '8'), c: other('blank', '9'), d: other('done', '4'), e: other('done', '5') }), 'found');
-  t.is(me('new', { b: other('blank', '8'), c: other('reading', ''), d: other('done', '4'), e: other('done', '5') }), 'wait');
+  const other = (
+    state: 'reading' | 'blank' | 'done',
+    disk: string,
+    epoch = 2,
+  ): { state: 'reading' | 'blank' | 'done'; disk: string; epoch: number } => ({
+    state,
+    disk,
+    epoch,
+  });
+  const me = (
+    name: string,
+    others: Parameters<typeof nextStep>[0]['others'],
+    epoch = 2,
+  ): ReturnType<typeof nextStep> =>
+    nextStep({ name: 'a', disk: name, voters: { epoch, disks }, others });
+  t.is(
+    me('1', {
+      b: other('done', '2'),
+      c: other('done', '3'),
+      d: other('done', '4'),
+      e: other('reading', ''),
+    }),
+    'vote',
+  );
+  t.is(
+    me('1', {
+      b: other('done', '2'),
+      c: other('done', '3'),
+      d: other('reading', ''),
+      e: other('reading', ''),
+    }),
+    'wait',
+  );
+  t.is(
+    me('1', {
+      b: other('done', '2', 1),
+      c: other('done', '3'),
+      d: other('done', '4'),
+      e: other('reading', ''),
+    }),
+    'wait',
+  );
+  t.is(
+    me('1', {
+      b: other('done', 'old'),
+      c: other('done', '3'),
+      d: other('done', '4'),
+      e: other('reading', ''),
+    }),
+    'wait',
+  );
+  t.is(
+    me('new', {
+      b: other('done', '2'),
+      c: other('done', '3'),
+      d: other('done', '4'),
+      e: other('done', '5'),
+    }),
+    'wait',
+  );
+  t.is(
+    me('new', {
+      b: other('blank', '8'),
+      c: other('blank', '9'),
+      d: other('done', '4'),
+      e: other('done', '5'),
+    }),
+    'found',
+  );
+  t.is(
+    me('new', {
+      b: other('blank', '8'),
+      c: other('reading', ''),
+      d: other('done', '4'),
+      e: other('done', '5'),
+    }),
+    'wait',
+  );
 });
 
 test('an anvil that knows newer voters refuses a caller that counts by older ones', (t) => {
@@ -110,7 +265,15 @@
   const asked = (epoch: number): AnvilReply | undefined => {
     const state = bench.states.get('a');
     if (state === undefined || voters === undefined) return undefined;
-    const { effects } = Anvil.reduce(state, { kind: 'asked', id: 1, body: { voters: { ballot, value: { ...voters, epoch } }, call: { kind: 'pull', cursor: null, keys: [] } }, now: bench.now });
+    const { effects } = Anvil.reduce(state, {
+      kind: 'asked',
+      id: 1,
+      body: {
+        voters: { ballot, value: { ...voters, epoch } },
+        call: { kind: 'pull', cursor: null, keys: [] },
+      },
+      now: bench.now,
+    });
     return effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []))[0];
   };
   t.is(asked(voters?.epoch ?? 0)?.kind, 'pulled');
@@ -121,11 +284,20 @@
   const bench = new Bench(['a'], chanceFrom(1));
   bench.step('a', { kind: 'beat', now: 100 });
   const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
-  const post = (key: string, id: number): void => bench.step('a', { kind: 'asked', id, body: { voters, call: { kind: 'post', facts: [{ key, value: 1 }] } }, now: bench.now });
+  const post = (key: string, id: number): void =>
+    bench.step('a', {
+      kind: 'asked',
+      id,
+      body: { voters, call: { kind: 'post', facts: [{ key, value: 1 }] } },
+      now: bench.now,
+    });
   post('purge/1', 1);
   post('purge/2', 2);
   const state = bench.states.get('a');
-  if (state === undefined) { t.fail(); return; }
+  if (state === undefined) {
+    t.fail();
+    return;
+  }
   // Everything aged away, then a snapshot, then a restart.
   const aged = Anvil.reduce(state, { kind: 'beat', now: 1e9 }).state;
   t.is(aged.facts.length, 0);
@@ -141,16 +313,26 @@
   const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
   const disk = bench.states.get('a')?.disk ?? '';
   let state = bench.states.get('a') as AnvilState;
-  const act = (event: AnvilEvent): readonly AnvilReply[] => { const step = Anvil.reduce(state, event); state = step.state; return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : [])); };
-  const ask = (call: AnvilAsk['call'], now: number): AnvilReply | undefined => act({ kind: 'asked', id: 1, body: { voters, call }, now })[0];
-  const claim = (index: number, now: number): void => { ask({ kind: 'accept', key: `claim/k${index}`, ballot: [1, 'x'], value: index, disk }, now); };
+  const act = (event: AnvilEvent): readonly AnvilReply[] => {
+    const step = Anvil.reduce(state, event);
+    state = step.state;
+    return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
+  };
+  const ask = (call: AnvilAsk['call'], now: number): AnvilReply | undefined =>
+    act({ kind: 'asked', id: 1, body: { voters, call }, now })[0];
+  const claim = (index: number, now: number): void => {
+    ask({ kind: 'accept', key: `claim/k${index}`, ballot: [1, 'x'], value: index, disk }, now);
+  };
   const count = Math.floor(2.5 * Sizes.dumpPage);
   for (let index = 0; index < count; index += 1) claim(index, 1_000);
   const got = new Set<string>();
   let after: string | null = null;
   for (let pages = 0; pages < 10; pages += 1) {
     const reply = ask({ kind: 'dump', after }, 2_000);
-    if (reply?.kind !== 'dumped') { t.fail(); return; }
+    if (reply?.kind !== 'dumped') {
+      t.fail();
+      return;
+    }
     reply.cells.forEach(([key]) => got.add(key));
     after = reply.next;
     if (after === null) break;
@@ -164,11 +346,23 @@
   claim(0, 3_000_000);
   const over = 1_000 + Limits.claim + 120_000;
   for (let sweeps = 0; sweeps < 3; sweeps += 1) act({ kind: 'beat', now: over + 2_000 * sweeps });
-  t.deepEqual([...state.cells.keys()].filter((key) => key.startsWith('claim/')), ['claim/k0']);
+  t.deepEqual(
+    [...state.cells.keys()].filter((key) => key.startsWith('claim/')),
+    ['claim/k0'],
+  );
   t.is(state.claimMinutes.size, 1);
 
-  const full = { ...state, claimsSeen: { ...state.claimsSeen, size: Sizes.claims } as AnvilState['claimsSeen'] };
-  const prepared = (key: string): string | undefined => Anvil.reduce(full, { kind: 'asked', id: 1, body: { voters, call: { kind: 'prepare', key, ballot: [9, 'x'] } }, now: over }).effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body.kind] : []))[0];
+  const full = {
+    ...state,
+    claimsSeen: { ...state.claimsSeen, size: Sizes.claims } as AnvilState['claimsSeen'],
+  };
+  const prepared = (key: string): string | undefined =>
+    Anvil.reduce(full, {
+      kind: 'asked',
+      id: 1,
+      body: { voters, call: { kind: 'prepare', key, ballot: [9, 'x'] } },
+      now: over,
+    }).effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body.kind] : []))[0];
   t.is(prepared('claim/new'), 'full');
   t.is(prepared('policy'), 'vote');
 });
--- a/packages/anvil/src/journal.ts
+++ b/packages/anvil/src/journal.ts
@@ -16,21 +16,45 @@
   }
   if (added.length === 0) return;
   set(work, { facts: [...work.state.facts, ...added], factKeys: keys, seq });
-  work.effects.push({ kind: 'append', records: added.map((kept) => ({ kind: 'fact', seq: kept.seq, fact: { key: kept.key, value: kept.value } })) });
+  work.effects.push({
+    kind: 'append',
+    records: added.map((kept) => ({
+      kind: 'fact',
+      seq: kept.seq,
+      fact: { key: kept.key, value: kept.value },
+    })),
+  });
 };
 
-export const pulled = (state: AnvilState, cursor: Cursor | null, keys: readonly string[]): AnvilReply => {
-  const known = cursor !== null && cursor.disk === state.disk && cursor.seq >= state.floor && cursor.seq <= state.seq ? cursor.seq : null;
+export const pulled = (
+  state: AnvilState,
+  cursor: Cursor | null,
+  keys: readonly string[],
+): AnvilReply => {
+  const known =
+    cursor !== null &&
+    cursor.disk === state.disk &&
+    cursor.seq >= state.floor &&
+    cursor.seq <= state.seq
+      ? cursor.seq
+      : null;
   const from = known ?? state.floor;
   const fresh = state.facts.filter((fact) => fact.seq > from);
   const facts = fresh.slice(0, Sizes.purges);
-  const ballots = Object.fromEntries(keys.flatMap((key) => {
-    const accepted = state.cells.get(key)?.accepted;
-    return accepted ? [[key, accepted.ballot]] : [];
-  }));
+  const ballots = Object.fromEntries(
+    keys.flatMap((key) => {
+      const accepted = state.cells.get(key)?.accepted;
+      return accepted ? [[key, accepted.ballot]] : [];
+    }),
+  );
   return {
-    kind: 'pulled', disk: state.disk, seq: facts.at(-1)?.seq ?? Math.max(from, known ?? state.seq), reset: cursor !== null && known === null,
-    more: facts.length < fresh.length, facts: facts.map(({ key, value }) => ({ key, value })), ballots,
+    kind: 'pulled',
+    disk: state.disk,
+    seq: facts.at(-1)?.seq ?? Math.max(from, known ?? state.seq),
+    reset: cursor !== null && known === null,
+    more: facts.length < fresh.length,
+    facts: facts.map(({ key, value }) => ({ key, value })),
+    ballots,
     ...(state.stopAskedAt === null ? {} : { leaving: true as const }),
   };
 };
--- a/packages/anvil/src/membership.ts
+++ b/packages/anvil/src/membership.ts
@@ -1,15 +1,30 @@
 import { Map as Table } from 'immutable';
 import { Limits } from '@reedyard/gauge';
 import { Ballots, emptyCell } from '@reedyard/latch';
-import { newerVoters, votersKey, type Predecessor, type Voters, type VotersTold } from './messages.js';
+import {
+  newerVoters,
+  votersKey,
+  type Predecessor,
+  type Voters,
+  type VotersTold,
+} from './messages.js';
 import { keepCell } from './registers.js';
 import { isNamed, isRetired, placeOf, set, type AnvilState, type Work } from './state.js';
 
-/** Membership as one replica knows it: which members are committed, and what follows for this disk. */
+/**
+ * Membership as one replica knows it: which members are committed, and what follows for this disk.
+ */
 
-/** Whether this anvil may take part in founding the state: only at the very first start, at a seed's address, blank and not told of voters. */
+/**
+ * Whether this anvil may take part in founding the state: only at the very first start, at a seed's
+ * address, blank and not told of voters.
+ */
 export const mayFound = (state: AnvilState): boolean =>
-  state.seeded !== null && state.seeded.firstStart && state.seeded.seeds.includes(state.seeded.address) && state.told === null && !state.voting;
+  state.seeded !== null &&
+  state.seeded.firstStart &&
+  state.seeded.seeds.includes(state.seeded.address) &&
+  state.told === null &&
+  !state.voting;
 
 /** Whom it reads before it votes: name and address. */
 export const othersOf = (state: AnvilState): Readonly<Record<string, string>> => {
@@ -17,15 +32,22 @@
   const { address, seeds } = state.seeded;
   const voters = state.told?.value;
   const place = voters === undefined ? undefined : placeOf(state, voters);
-  if (voters !== undefined && place !== undefined) return Object.fromEntries(Object.entries(voters.addresses ?? {}).filter(([name]) => name !== place));
-  return mayFound(state) ? Object.fromEntries(seeds.filter((seed) => seed !== address).map((seed) => [seed, seed])) : {};
+  if (voters !== undefined && place !== undefined)
+    return Object.fromEntries(
+      Object.entries(voters.addresses ?? {}).filter(([name]) => name !== place),
+    );
+  return mayFound(state)
+    ? Object.fromEntries(seeds.filter((seed) => seed !== address).map((seed) => [seed, seed]))
+    : {};
 };
 
 /** Name of the reading of the disk that a new member took over from. */
 const predecessorReading = (disk: string): string => `predecessor ${disk}`;
 
 /** The disk that this one took over from, where it took over from another machine. */
-export const predecessorOf = (state: AnvilState): (Predecessor & { readonly reading: string }) | null => {
+export const predecessorOf = (
+  state: AnvilState,
+): (Predecessor & { readonly reading: string }) | null => {
   const voters = state.told?.value;
   const place = voters === undefined || state.seeded === null ? undefined : placeOf(state, voters);
   const found = place === undefined ? undefined : voters?.predecessors?.[place];
@@ -33,11 +55,12 @@
 };
 
 /**
- * After most disks were lost every voter waits for what jigs tell again: also one that kept its disk, since
- * it may lack what the others had, and one that read the others before they were told.
+ * After most disks were lost every voter waits for what jigs tell again: also one that kept its
+ * disk, since it may lack what the others had, and one that read the others before they were told.
  */
 const settleFor = (work: Work, refounded: number, now: number): void => {
-  if (refounded > work.state.settledFor) set(work, { settledFor: refounded, settlingUntil: now + Limits.retelling });
+  if (refounded > work.state.settledFor)
+    set(work, { settledFor: refounded, settlingUntil: now + Limits.retelling });
 };
 
 /** Takes in voters that are known to be chosen, if they are newer than those it knew. */
@@ -47,23 +70,63 @@
   const epochBefore = before.told?.value.epoch ?? 0;
   set(work, { told });
   const cell = before.cells.get(votersKey) ?? emptyCell;
-  const accepted = cell.accepted === null ? null : { ballot: cell.accepted.ballot, value: cell.accepted.value as Voters };
-  if (newerVoters(told, accepted)) keepCell(work, votersKey, { promised: Ballots.compare(cell.promised, told.ballot) > 0 ? cell.promised : told.ballot, accepted: told }, now);
+  const accepted =
+    cell.accepted === null
+      ? null
+      : { ballot: cell.accepted.ballot, value: cell.accepted.value as Voters };
+  if (newerVoters(told, accepted))
+    keepCell(
+      work,
+      votersKey,
+      {
+        promised: Ballots.compare(cell.promised, told.ballot) > 0 ? cell.promised : told.ballot,
+        accepted: told,
+      },
+      now,
+    );
   // After the register itself: told of voters, it must show no older ones to a ballot.
   work.effects.push({ kind: 'append', records: [{ kind: 'told', voters: told }] });
   settleFor(work, told.value.refounded ?? 0, now);
-  if (told.value.epoch > epochBefore) work.effects.push({ kind: 'log', event: 'voters.learned', fields: { epoch: told.value.epoch, seated: isNamed(work.state) } });
+  if (told.value.epoch > epochBefore)
+    work.effects.push({
+      kind: 'log',
+      event: 'voters.learned',
+      fields: { epoch: told.value.epoch, seated: isNamed(work.state) },
+    });
 };
 
-/** Forgets all that this disk voted for, since its successor has it; it waits for a place as a blank one, under a new name. */
+/**
+ * Forgets all that this disk voted for, since its successor has it; it waits for a place as a blank
+ * one, under a new name.
+ */
 export const blank = (work: Work): void => {
   const { state } = work;
   const { told } = state;
   if (told === null || !isRetired(state)) return;
   const disk = `${state.disk.split('/', 1)[0] ?? ''}/${told.value.epoch}`;
   set(work, {
-    disk, voting: false, votingEpoch: 0, cells: Table(), claimsSeen: Table(), claimMinutes: Table(), dumps: {}, facts: [], factKeys: Table(), floor: state.seq, readings: {}, retirement: null,
+    disk,
+    voting: false,
+    votingEpoch: 0,
+    cells: Table(),
+    claimsSeen: Table(),
+    claimMinutes: Table(),
+    dumps: {},
+    facts: [],
+    factKeys: Table(),
+    floor: state.seq,
+    readings: {},
+    retirement: null,
   });
-  work.effects.push({ kind: 'append', records: [{ kind: 'blanked', disk }, { kind: 'told', voters: told }, { kind: 'place', seq: state.seq }] },
-    { kind: 'log', event: 'anvil.replaced', fields: { epoch: told.value.epoch, disk } });
+  work.effects.push(
+    {
+      kind: 'append',
+      records: [
+        { kind: 'blanked', disk },
+        { kind: 'told', voters: told },
+        { kind: 'place', seq: state.seq },
+      ],
+    },
+    { kind: 'log', event: 'anvil.replaced', fields: { epoch: told.value.epoch, disk } },
+  );
 };
--- a/packages/anvil/src/messages.ts
+++ b/packages/anvil/src/messages.ts
@@ -10,34 +10,51 @@
 
 /** Who votes: for each place, the disk that holds it. One place changes at a time. */
 export type Voters = {
-  readonly epoch: number; readonly disks: Readonly<Record<string, string>>;
-  /** The epoch in which each place was given to its disk; left out for the disks of the founding. */
+  readonly epoch: number;
+  readonly disks: Readonly<Record<string, string>>;
+  /**
+   * The epoch in which each place was given to its disk; left out for the disks of the founding.
+   */
   readonly joinedIn?: Readonly<Record<string, number>>;
   /** The last epoch that was founded after a loss; left out where none was. */
   readonly refounded?: number;
   /** Where each place's anvil is reached; left out where the settings name every founder. */
   readonly addresses?: Readonly<Record<string, string>>;
-  /** For a member that took over from another machine: the disk whose place it got, and where that was reached. */
+  /**
+   * For a member that took over from another machine: the disk whose place it got, and where that
+   * was reached.
+   */
   readonly predecessors?: Readonly<Record<string, Predecessor>>;
 };
-/** The disk that gave a member its place. Once told of that, its state is frozen, and a copy of it is enough to vote. */
+/**
+ * The disk that gave a member its place. Once told of that, its state is frozen, and a copy of it
+ * is enough to vote.
+ */
 export type Predecessor = { readonly disk: string; readonly address: string };
 /** Voters that are known to be chosen. */
 export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
 export const votersKey = 'voters';
 
 /**
- * Whether voters known to be chosen are newer than others: epochs are chosen one after the other, so the epoch
- * counts first. The same epoch may have been written again under a higher ballot, even after the next was chosen.
+ * Whether voters known to be chosen are newer than others: epochs are chosen one after the other,
+ * so the epoch counts first. The same epoch may have been written again under a higher ballot, even
+ * after the next was chosen.
  *
  * @example
  * newerVoters({ ballot: [3, 'x'], value: { epoch: 2, disks: {} } }, { ballot: [9, 'y'], value: { epoch: 1, disks: {} } }) // true
  */
-export const newerVoters = (told: VotersTold, known: VotersTold | null): boolean => known === null || told.value.epoch > known.value.epoch
-  || (told.value.epoch === known.value.epoch && Ballots.compare(told.ballot, known.ballot) > 0);
+export const newerVoters = (told: VotersTold, known: VotersTold | null): boolean =>
+  known === null ||
+  told.value.epoch > known.value.epoch ||
+  (told.value.epoch === known.value.epoch && Ballots.compare(told.ballot, known.ballot) > 0);
 
 /** Where voters found themselves from seeds: what one anvil is told by its settings. */
-export type AnvilVoting = { readonly address: string; /** Anvils that found the state among themselves. */ readonly seeds: readonly string[]; /** True only when the whole system starts for the very first time. */ readonly firstStart: boolean };
+export type AnvilVoting = {
+  readonly address: string;
+  /** Anvils that found the state among themselves. */ readonly seeds: readonly string[];
+  /** True only when the whole system starts for the very first time. */
+  readonly firstStart: boolean;
+};
 
 /** A call, with the voters that the caller counts by. */
 export type AnvilAsk = {
@@ -50,18 +67,33 @@
 /** What may be asked of an anvil. */
 export type AnvilCall =
   | { readonly kind: 'prepare'; readonly key: string; readonly ballot: Ballot }
-  | { readonly kind: 'accept'; readonly key: string; readonly ballot: Ballot; readonly value: unknown; readonly disk: string }
+  | {
+      readonly kind: 'accept';
+      readonly key: string;
+      readonly ballot: Ballot;
+      readonly value: unknown;
+      readonly disk: string;
+    }
   | { readonly kind: 'post'; readonly facts: readonly Fact[] }
   | { readonly kind: 'pull'; readonly cursor: Cursor | null; readonly keys: readonly string[] }
   | { readonly kind: 'fetch'; readonly key: string }
   | { readonly kind: 'dump'; readonly after: string | null }
   /** What a jig knows to have been chosen, told again after most disks were lost. */
-  | { readonly kind: 'retell'; readonly cells: readonly (readonly [string, NonNullable<Cell['accepted']>])[]; readonly facts: readonly Fact[] };
+  | {
+      readonly kind: 'retell';
+      readonly cells: readonly (readonly [string, NonNullable<Cell['accepted']>])[];
+      readonly facts: readonly Fact[];
+    };
 
 /** What an anvil answers. */
 export type AnvilReply =
   /** It may not vote; a fresh disk, which never did, may be given a place. */
-  | { readonly kind: 'away'; readonly disk: string; readonly fresh: boolean; /** Whether it has heard of voters. */ readonly informed: boolean }
+  | {
+      readonly kind: 'away';
+      readonly disk: string;
+      readonly fresh: boolean;
+      /** Whether it has heard of voters. */ readonly informed: boolean;
+    }
   /** The caller counts by voters that are no longer in force. */
   | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
   | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
@@ -70,26 +102,47 @@
   /** It keeps as many claims as it may. */
   | { readonly kind: 'full'; readonly disk: string }
   | { readonly kind: 'posted'; readonly disk: string }
-  /** It founded the state anew and wants to be told again what is known; until then it takes part in nothing. */
+  /**
+   * It founded the state anew and wants to be told again what is known; until then it takes part in
+   * nothing.
+   */
   | { readonly kind: 'settling'; readonly disk: string; readonly epoch: number }
   | { readonly kind: 'retold'; readonly disk: string }
   | {
-    readonly kind: 'pulled'; readonly disk: string; readonly seq: number; readonly reset: boolean; readonly more: boolean;
-    readonly facts: readonly Fact[]; readonly ballots: Readonly<Record<string, Ballot>>;
-    /** Its disk takes no writes: what it shows is sound, but it votes for nothing and counts as lost. */
-    readonly readOnly?: true;
-    /** It was told to stop, and would rather give its place away first. */
-    readonly leaving?: true;
-  }
+      readonly kind: 'pulled';
+      readonly disk: string;
+      readonly seq: number;
+      readonly reset: boolean;
+      readonly more: boolean;
+      readonly facts: readonly Fact[];
+      readonly ballots: Readonly<Record<string, Ballot>>;
+      /**
+       * Its disk takes no writes: what it shows is sound, but it votes for nothing and counts as
+       * lost.
+       */
+      readonly readOnly?: true;
+      /** It was told to stop, and would rather give its place away first. */
+      readonly leaving?: true;
+    }
   | { readonly kind: 'fetched'; readonly disk: string; readonly accepted: Cell['accepted'] }
-  | { readonly kind: 'dumped'; readonly disk: string; /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null; readonly cells: readonly (readonly [string, Cell])[]; readonly facts: readonly Fact[]; readonly next: string | null };
+  | {
+      readonly kind: 'dumped';
+      readonly disk: string;
+      /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null;
+      readonly cells: readonly (readonly [string, Cell])[];
+      readonly facts: readonly Fact[];
+      readonly next: string | null;
+    };
 
 /** What goes to disk. Replaying a record twice changes nothing. */
 export type AnvilRecord =
   | { readonly kind: 'disk'; readonly disk: string }
   /** It votes from now on, in the place that the membership of this epoch gives it. */
   | { readonly kind: 'voting'; readonly epoch?: number }
-  /** Its place was given to another: all that was on this disk is gone, and it goes on under a new name. */
+  /**
+   * Its place was given to another: all that was on this disk is gone, and it goes on under a new
+   * name.
+   */
   | { readonly kind: 'blanked'; readonly disk: string }
   /** Voters that it was told are chosen. */
   | { readonly kind: 'told'; readonly voters: VotersTold }
@@ -100,7 +153,12 @@
 
 export type AnvilEvent =
   | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilAsk; readonly now: number }
-  | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply; readonly now: number }
+  | {
+      readonly kind: 'returned';
+      readonly id: number;
+      readonly body: AnvilReply;
+      readonly now: number;
+    }
   | { readonly kind: 'lost'; readonly id: number; readonly now: number }
   | { readonly kind: 'beat'; readonly now: number }
   /** The process was told to stop. */
@@ -114,4 +172,8 @@
   | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilAsk }
   /** It was told to stop, and nothing waits for it any more. */
   | { readonly kind: 'end' }
-  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
+  | {
+      readonly kind: 'log';
+      readonly event: string;
+      readonly fields: Readonly<Record<string, string | number | boolean>>;
+    };
--- a/packages/anvil/src/registers.ts
+++ b/packages/anvil/src/registers.ts
@@ -2,12 +2,18 @@
 import type { Cell, Vote } from '@reedyard/latch';
 import { set, type AnvilState, type Work } from './state.js';
 
-/** Registers: what was promised and accepted under each key, and when each claim was last written. */
+/**
+ * Registers: what was promised and accepted under each key, and when each claim was last written.
+ */
 
 export const claimPrefix = 'claim/';
 export const minuteOf = (now: number): number => Math.floor(now / 60_000);
 
-export const withoutClaim = (minutes: AnvilState['claimMinutes'], minute: number, key: string): AnvilState['claimMinutes'] => {
+export const withoutClaim = (
+  minutes: AnvilState['claimMinutes'],
+  minute: number,
+  key: string,
+): AnvilState['claimMinutes'] => {
   const left = (minutes.get(minute) ?? Group<string>()).delete(key);
   return left.isEmpty() ? minutes.delete(minute) : minutes.set(minute, left);
 };
@@ -17,7 +23,10 @@
   const before = claimsSeen.get(key);
   if (before === minute) return;
   const others = before === undefined ? claimMinutes : withoutClaim(claimMinutes, before, key);
-  set(work, { claimsSeen: claimsSeen.set(key, minute), claimMinutes: others.set(minute, (others.get(minute) ?? Group<string>()).add(key)) });
+  set(work, {
+    claimsSeen: claimsSeen.set(key, minute),
+    claimMinutes: others.set(minute, (others.get(minute) ?? Group<string>()).add(key)),
+  });
 };
 
 export const keepCell = (work: Work, key: string, cell: Cell, now: number): void => {
@@ -26,7 +35,17 @@
   work.effects.push({ kind: 'append', records: [{ kind: 'cell', key, cell }] });
 };
 
-export const vote = (work: Work, id: number, key: string, outcome: { readonly cell: Cell; readonly vote: Vote }, now: number): void => {
+export const vote = (
+  work: Work,
+  id: number,
+  key: string,
+  outcome: { readonly cell: Cell; readonly vote: Vote },
+  now: number,
+): void => {
   if (outcome.vote.kind === 'yes') keepCell(work, key, outcome.cell, now);
-  work.effects.push({ kind: 'tell', id, body: { kind: 'vote', disk: work.state.disk, vote: outcome.vote } });
+  work.effects.push({
+    kind: 'tell',
+    id,
+    body: { kind: 'vote', disk: work.state.disk, vote: outcome.vote },
+  });
 };
--- a/packages/anvil/src/replica-host.ts
+++ b/packages/anvil/src/replica-host.ts
@@ -173,7 +173,9 @@
     return reply?.kind === 'pulled' && !this.available ? { ...reply, readOnly: true } : reply;
   }
 
-  /** What a caller told of blank replicas counts also where it was answered from the disk's state. */
+  /**
+   * What a caller told of blank replicas counts also where it was answered from the disk's state.
+   */
   #noteSpare({ body, now }: Asked): void {
     if (body.spare !== true) return;
     this.#state = { ...this.#state, spareHeardAt: now };
--- a/packages/anvil/src/retirement.test.ts
+++ b/packages/anvil/src/retirement.test.ts
@@ -20,9 +20,13 @@
 const first = membership(1, { a: 'A', b: 'B', c: 'C' });
 const predecessors = { d: { disk: 'A', address: 'a' } };
 const second = membership(2, { b: 'B', c: 'C', d: 'D' }, { predecessors });
-const third = membership(3, { b: 'B', c: 'C', e: 'E' }, {
-  predecessors: { e: { disk: 'D', address: 'd' } },
-});
+const third = membership(
+  3,
+  { b: 'B', c: 'C', e: 'E' },
+  {
+    predecessors: { e: { disk: 'D', address: 'd' } },
+  },
+);
 
 const pull: AnvilCall = { kind: 'pull', cursor: null, keys: [] };
 const dump: AnvilCall = { kind: 'dump', after: null };
@@ -44,7 +48,11 @@
   ended = false;
   now = 0;
 
-  constructor(readonly address: string, records: readonly AnvilRecord[], freshDisk = 'never') {
+  constructor(
+    readonly address: string,
+    records: readonly AnvilRecord[],
+    freshDisk = 'never',
+  ) {
     this.records = [...records];
     const seeded = { address, seeds: [address], firstStart: true };
     const opened = Anvil.open({ name: address, others: {}, seeded, records, freshDisk, now: 0 });
@@ -102,13 +110,20 @@
     holder.answer('b', fetched('B'));
     holder.answer('c', fetched('C'));
     t.is(holder.ask(second, pull)?.kind, 'away');
-    t.is(holder.state.disk, 'A', 'a majority that votes is not enough while the successor may still read');
+    t.is(
+      holder.state.disk,
+      'A',
+      'a majority that votes is not enough while the successor may still read',
+    );
     holder.answer('d', fetched('D'));
     const blank = { kind: 'away', disk: 'A/2', fresh: true, informed: true };
     t.deepEqual(holder.ask(second, pull), blank);
     for (const records of [holder.records, [...Anvil.records(holder.state)]]) {
       const { state } = new Replica('a', records);
-      t.deepEqual([state.disk, state.voting, state.cells.size, state.facts.length], ['A/2', false, 0, 0]);
+      t.deepEqual(
+        [state.disk, state.voting, state.cells.size, state.facts.length],
+        ['A/2', false, 0, 0],
+      );
       t.is(state.told?.value.epoch, 2);
       t.false(Anvil.reduce(state, { kind: 'beat', now: 5_000 }).state.voting);
     }
@@ -149,8 +164,14 @@
   t.is(replica.state.disk, 'A/3');
 });
 
-const dumped = (disk: string, voters: VotersTold): AnvilReply =>
-  ({ kind: 'dumped', disk, voters, cells: [], facts: [], next: null });
+const dumped = (disk: string, voters: VotersTold): AnvilReply => ({
+  kind: 'dumped',
+  disk,
+  voters,
+  cells: [],
+  facts: [],
+  next: null,
+});
 
 test('a successor votes once it has read its predecessor, or enough other members', (t) => {
   const joining = (): Replica => {
--- a/packages/anvil/src/retirement.ts
+++ b/packages/anvil/src/retirement.ts
@@ -5,24 +5,27 @@
 import { isRetired, isVoter, set, type AnvilState, type Retirement, type Work } from './state.js';
 
 /**
- * Retirement: what a replica does once its place was given to another disk, or its process was told to stop.
+ * Retirement: what a replica does once its place was given to another disk, or its process was told
+ * to stop.
  *
- * A replaced replica votes no more but keeps its data, and lets its successor read it, until that one votes.
- * So a wrong suspicion or a planned leave never removes a copy before there is another in its stead. Only
- * then it forgets its data and waits for a place as a blank replica.
+ * A replaced replica votes no more but keeps its data, and lets its successor read it, until that
+ * one votes. So a wrong suspicion or a planned leave never removes a copy before there is another
+ * in its stead. Only then it forgets its data and waits for a place as a blank replica.
  */
 
 const begin = (now: number): Retirement => ({ since: now, calls: {}, votingAt: {} });
 
 /** The disk that took this one's place, while it is still a member. */
 const successorOf = (voters: Voters, disk: string): string | undefined => {
-  const [member] = Object.entries(voters.predecessors ?? {}).find(([, each]) => each.disk === disk) ?? [];
+  const [member] =
+    Object.entries(voters.predecessors ?? {}).find(([, each]) => each.disk === disk) ?? [];
   return member === undefined ? undefined : voters.disks[member];
 };
 
 /**
- * Whether nothing is lost if this replica forgets its data: its successor votes; or, where that one was replaced
- * in its turn or has not come to vote for long, a majority of the members votes without it.
+ * Whether nothing is lost if this replica forgets its data: its successor votes; or, where that one
+ * was replaced in its turn or has not come to vote for long, a majority of the members votes
+ * without it.
  */
 const mayForget = (state: AnvilState, retirement: Retirement, now: number): boolean => {
   const voters = state.told?.value;
@@ -99,8 +102,8 @@
 };
 
 /**
- * Whether a replica that was told to stop should still run: a member while a blank replica could take its
- * place, a replaced one until its successor has read it.
+ * Whether a replica that was told to stop should still run: a member while a blank replica could
+ * take its place, a replaced one until its successor has read it.
  */
 const isAwaited = (state: AnvilState, now: number): boolean => {
   const since = now - (state.stopAskedAt ?? now);
--- a/packages/anvil/src/run.ts
+++ b/packages/anvil/src/run.ts
@@ -37,7 +37,9 @@
   log: (level, event, fields) => scribe[level](event, fields),
 });
 
-/** Where logs go to a file on the same disk, a line that finds no room is lost, and nothing else. */
+/**
+ * Where logs go to a file on the same disk, a line that finds no room is lost, and nothing else.
+ */
 const outliveFailedLogLines = (): void => {
   process.stderr.on('error', () => undefined);
 };
--- a/packages/anvil/src/safeguards.test.ts
+++ b/packages/anvil/src/safeguards.test.ts
@@ -1,4 +1,6 @@
-/** Safeguards of the replica, each at the border of its reducer: red without the one that it names. */
+/**
+ * Safeguards of the replica, each at the border of its reducer: red without the one that it names.
+ */
 import test from 'ava';
 import {
   Anvil,
--- a/packages/anvil/src/state.ts
+++ b/packages/anvil/src/state.ts
@@ -7,18 +7,29 @@
 export type Kept = Fact & { readonly seq: number; readonly at: number };
 
 export type Reading = {
-  readonly after: string | null; readonly state: 'reading' | 'blank' | 'done'; readonly call: number | null; readonly sentAt: number;
+  readonly after: string | null;
+  readonly state: 'reading' | 'blank' | 'done';
+  readonly call: number | null;
+  readonly sentAt: number;
   /** The disk that answered, and the epoch that it was told of before it answered. */
-  readonly disk: string; readonly epoch: number; readonly askedEpoch: number;
+  readonly disk: string;
+  readonly epoch: number;
+  readonly askedEpoch: number;
   /** Earlier calls for the present page, under the same epoch, that may still be answered. */
   readonly earlierCalls: readonly number[];
 };
 
 export type AnvilState = {
   readonly name: string;
-  /** The others of the founding set: name and address. Not used where voters found themselves from seeds. */
+  /**
+   * The others of the founding set: name and address. Not used where voters found themselves from
+   * seeds.
+   */
   readonly others: Readonly<Record<string, string>>;
-  /** What the settings tell where voters found themselves from seeds; null where they name every founder. */
+  /**
+   * What the settings tell where voters found themselves from seeds; null where they name every
+   * founder.
+   */
   readonly seeded: AnvilVoting | null;
   /** The newest voters that it knows to be chosen: it votes by these alone. */
   readonly told: VotersTold | null;
@@ -28,7 +39,10 @@
   /** The epoch that it last began to vote in: what it read reaches up to there. */
   readonly votingEpoch: number;
   readonly cells: Table<string, Cell>;
-  /** Minute of the anvil's running time in which each claim was last written, and the claims of each minute. */
+  /**
+   * Minute of the anvil's running time in which each claim was last written, and the claims of each
+   * minute.
+   */
   readonly claimsSeen: Table<string, number>;
   readonly claimMinutes: Table<number, Group<string>>;
   /** Keys of the registers as they were when a reader began, by the name of its reading. */
@@ -63,22 +77,32 @@
 };
 
 export type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
-export const set = (work: Work, change: Partial<AnvilState>): void => { work.state = { ...work.state, ...change }; };
+export const set = (work: Work, change: Partial<AnvilState>): void => {
+  work.state = { ...work.state, ...change };
+};
 
 export const votersOf = (state: AnvilState): VotersTold | null => state.told;
 
-/** The place that voters give to this disk. Where they found themselves from seeds the disk alone tells, since machines move. */
-export const placeOf = (state: AnvilState, voters: Voters): string | undefined => state.seeded === null
-  ? voters.disks[state.name] === state.disk ? state.name : undefined
-  : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
+/**
+ * The place that voters give to this disk. Where they found themselves from seeds the disk alone
+ * tells, since machines move.
+ */
+export const placeOf = (state: AnvilState, voters: Voters): string | undefined =>
+  state.seeded === null
+    ? voters.disks[state.name] === state.disk
+      ? state.name
+      : undefined
+    : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
 
-export const isNamed = (state: AnvilState): boolean => state.told !== null && placeOf(state, state.told.value) !== undefined;
+export const isNamed = (state: AnvilState): boolean =>
+  state.told !== null && placeOf(state, state.told.value) !== undefined;
 /** Whether its place was given away while it still holds what it voted for. */
 export const isRetired = (state: AnvilState): boolean =>
   state.seeded !== null && state.voting && state.told !== null && !isNamed(state);
 /**
- * Whether it may vote: it is named, and began to vote in this very place. Where its place was given away and given
- * back unheard of, others may have chosen meanwhile what it never read: then it reads again first.
+ * Whether it may vote: it is named, and began to vote in this very place. Where its place was given
+ * away and given back unheard of, others may have chosen meanwhile what it never read: then it
+ * reads again first.
  */
 export const isVoter = (state: AnvilState): boolean => {
   const voters = state.told?.value;
--- a/packages/anvil/src/voters.test.ts
+++ b/packages/anvil/src/voters.test.ts
@@ -1,15 +1,44 @@
 import test from 'ava';
-import { Ballots, Proposer, type Ballot, type Change, type Proposal, type Turn } from '@reedyard/latch';
+import {
+  Ballots,
+  Proposer,
+  type Ballot,
+  type Change,
+  type Proposal,
+  type Turn,
+} from '@reedyard/latch';
 import { Anvil } from './core.js';
-import { votersKey, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilVoting, type Voters, type VotersTold } from './messages.js';
+import {
+  votersKey,
+  type AnvilAsk,
+  type AnvilEffect,
+  type AnvilEvent,
+  type AnvilRecord,
+  type AnvilReply,
+  type AnvilVoting,
+  type Voters,
+  type VotersTold,
+} from './messages.js';
 import type { AnvilState } from './state.js';
 
 // Voters that found themselves from seeds, on a bench where any message may come next, or get lost.
 
-const chanceFrom = (seed: number): (() => number) => { let state = seed + 1; return () => { state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0; return state / 4_294_967_296; }; };
+const chanceFrom = (seed: number): (() => number) => {
+  let state = seed + 1;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 4_294_967_296;
+  };
+};
 const pull = { kind: 'pull', cursor: null, keys: [] } as const;
 
-type Flying = { readonly to: string; readonly from: string; readonly id: number; readonly ask?: AnvilAsk; readonly reply?: AnvilReply };
+type Flying = {
+  readonly to: string;
+  readonly from: string;
+  readonly id: number;
+  readonly ask?: AnvilAsk;
+  readonly reply?: AnvilReply;
+};
 
 class Bench {
   readonly states = new Map<string, AnvilState>();
@@ -26,7 +55,14 @@
 
   open(address: string, seeded: Omit<AnvilVoting, 'address'>): void {
     this.lives += 1;
-    const opened = Anvil.open({ name: address, others: {}, seeded: { address, ...seeded }, records: this.disks.get(address) ?? [], freshDisk: `disk-${this.lives}`, now: this.now });
+    const opened = Anvil.open({
+      name: address,
+      others: {},
+      seeded: { address, ...seeded },
+      records: this.disks.get(address) ?? [],
+      freshDisk: `disk-${this.lives}`,
+      now: this.now,
+    });
     this.states.set(address, opened.state);
     this.perform(address, opened.effects);
   }
@@ -39,11 +75,20 @@
   perform(address: string, effects: readonly AnvilEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'log' && effect.fields.step === 'handover') this.onHandover();
-      if (effect.kind === 'append') this.disks.set(address, [...(this.disks.get(address) ?? []), ...effect.records]);
-      if (effect.kind === 'call') this.flying = [...this.flying, { to: effect.to, from: address, id: effect.id, ask: effect.body }];
+      if (effect.kind === 'append')
+        this.disks.set(address, [...(this.disks.get(address) ?? []), ...effect.records]);
+      if (effect.kind === 'call')
+        this.flying = [
+          ...this.flying,
+          { to: effect.to, from: address, id: effect.id, ask: effect.body },
+        ];
       if (effect.kind === 'tell') {
         const asker = this.#asking.get(`${address}/${effect.id}`);
-        if (asker !== undefined) this.flying = [...this.flying, { to: asker.from, from: address, id: asker.id, reply: effect.body }];
+        if (asker !== undefined)
+          this.flying = [
+            ...this.flying,
+            { to: asker.from, from: address, id: asker.id, reply: effect.body },
+          ];
       }
     }
   }
@@ -59,16 +104,39 @@
     if (message === undefined) return;
     this.flying = this.flying.filter((_, at) => at !== index);
     const asker = message.reply === undefined ? message.from : message.to;
-    if (lost || !this.states.has(message.to) && message.reply === undefined) { this.step(asker, { kind: 'lost', id: message.id, now: this.now }); return; }
-    if (message.reply !== undefined) { if (this.states.has(message.to)) this.step(message.to, { kind: 'returned', id: message.id, body: message.reply, now: this.now }); else this.onReply(message.to, message.id, message.reply); return; }
+    if (lost || (!this.states.has(message.to) && message.reply === undefined)) {
+      this.step(asker, { kind: 'lost', id: message.id, now: this.now });
+      return;
+    }
+    if (message.reply !== undefined) {
+      if (this.states.has(message.to))
+        this.step(message.to, {
+          kind: 'returned',
+          id: message.id,
+          body: message.reply,
+          now: this.now,
+        });
+      else this.onReply(message.to, message.id, message.reply);
+      return;
+    }
     this.#asks += 1;
     this.#asking.set(`${message.to}/${this.#asks}`, { from: message.from, id: message.id });
     const state = this.states.get(message.to);
-    if (message.ask !== undefined && state !== undefined) this.step(message.to, { kind: 'asked', id: this.#asks, body: this.hears(state, message.ask), now: this.now });
+    if (message.ask !== undefined && state !== undefined)
+      this.step(message.to, {
+        kind: 'asked',
+        id: this.#asks,
+        body: this.hears(state, message.ask),
+        now: this.now,
+      });
   }
   votes(address: string): boolean {
     const state = this.states.get(address);
-    return state !== undefined && state.voting && Object.values(state.told?.value.disks ?? {}).includes(state.disk);
+    return (
+      state !== undefined &&
+      state.voting &&
+      Object.values(state.told?.value.disks ?? {}).includes(state.disk)
+    );
   }
 }
 
@@ -77,31 +145,76 @@
   for (let seed = 0; seed < 600; seed += 1) {
     const bench = new Bench();
     const chance = chanceFrom(seed);
-    const waiting = [...seeds, 'x', 'y'].map((address) => ({ address, at: Math.floor(chance() * 400) }));
+    const waiting = [...seeds, 'x', 'y'].map((address) => ({
+      address,
+      at: Math.floor(chance() * 400),
+    }));
     for (let tick = 0; tick < 1_400; tick += 1) {
       bench.now += 20;
-      for (const each of waiting) if (each.at === tick) bench.open(each.address, { seeds, firstStart: true });
+      for (const each of waiting)
+        if (each.at === tick) bench.open(each.address, { seeds, firstStart: true });
       const up = [...bench.states.keys()];
-      if (bench.flying.length === 0 || chance() < 0.3) bench.step(up[Math.floor(chance() * up.length)] ?? '', { kind: 'beat', now: bench.now });
+      if (bench.flying.length === 0 || chance() < 0.3)
+        bench.step(up[Math.floor(chance() * up.length)] ?? '', { kind: 'beat', now: bench.now });
       else bench.deliver(Math.floor(chance() * bench.flying.length), chance() < (seed % 2) * 0.15);
-      if (seeds.some((each) => !bench.states.has(each))) t.false(up.some((each) => bench.votes(each)), `seed ${seed}`);
+      if (seeds.some((each) => !bench.states.has(each)))
+        t.false(
+          up.some((each) => bench.votes(each)),
+          `seed ${seed}`,
+        );
     }
     const told = seeds.map((each) => bench.states.get(each)?.told);
-    t.true(seeds.every((each) => bench.votes(each)), `seed ${seed}`);
-    t.is(new Set(told.map((each) => JSON.stringify([each?.ballot, each?.value.epoch, Object.entries(each?.value.disks ?? {}).sort(), Object.entries(each?.value.addresses ?? {}).sort()]))).size, 1, `seed ${seed}`);
+    t.true(
+      seeds.every((each) => bench.votes(each)),
+      `seed ${seed}`,
+    );
+    t.is(
+      new Set(
+        told.map((each) =>
+          JSON.stringify([
+            each?.ballot,
+            each?.value.epoch,
+            Object.entries(each?.value.disks ?? {}).sort(),
+            Object.entries(each?.value.addresses ?? {}).sort(),
+          ]),
+        ),
+      ).size,
+      1,
+      `seed ${seed}`,
+    );
     t.false(bench.votes('x') || bench.votes('y'));
   }
 });
 
 test('two seeds: all orders of their starts, beats and messages end in the same voters or in none yet', (t) => {
-  type Node = { readonly states: ReadonlyMap<string, AnvilState>; readonly flying: readonly Flying[]; readonly left: Readonly<Record<string, number>> };
+  type Node = {
+    readonly states: ReadonlyMap<string, AnvilState>;
+    readonly flying: readonly Flying[];
+    readonly left: Readonly<Record<string, number>>;
+  };
   const seeds = ['a', 'b'];
   const seen = new Set<string>();
   const founded = new Set<string>();
-  const note = (states: ReadonlyMap<string, AnvilState>): void => { for (const state of states.values()) if (state.voting) founded.add(JSON.stringify([state.told?.ballot, state.told?.value.epoch, Object.entries(state.told?.value.disks ?? {}).sort()])); };
+  const note = (states: ReadonlyMap<string, AnvilState>): void => {
+    for (const state of states.values())
+      if (state.voting)
+        founded.add(
+          JSON.stringify([
+            state.told?.ballot,
+            state.told?.value.epoch,
+            Object.entries(state.told?.value.disks ?? {}).sort(),
+          ]),
+        );
+  };
   const work: Node[] = [{ states: new Map(), flying: [], left: { a: 3, b: 3 } }];
   for (let node = work.pop(); node !== undefined; node = work.pop()) {
-    const key = JSON.stringify([[...node.states].sort(([x], [y]) => (x < y ? -1 : 1)).map(([name, state]) => [name, state.told, state.voting, state.readings, state.nextCall]), node.flying, node.left]);
+    const key = JSON.stringify([
+      [...node.states]
+        .sort(([x], [y]) => (x < y ? -1 : 1))
+        .map(([name, state]) => [name, state.told, state.voting, state.readings, state.nextCall]),
+      node.flying,
+      node.left,
+    ]);
     if (seen.has(key)) continue;
     seen.add(key);
     note(node.states);
@@ -115,34 +228,75 @@
     };
     for (const name of seeds) {
       const left = node.left[name] ?? 0;
-      if (!node.states.has(name)) next((bench) => { bench.lives = name === 'a' ? 0 : 1; bench.open(name, { seeds, firstStart: true }); });
-      else if (left > 0) next((bench) => bench.step(name, { kind: 'beat', now: bench.now }), { ...node.left, [name]: left - 1 });
+      if (!node.states.has(name))
+        next((bench) => {
+          bench.lives = name === 'a' ? 0 : 1;
+          bench.open(name, { seeds, firstStart: true });
+        });
+      else if (left > 0)
+        next((bench) => bench.step(name, { kind: 'beat', now: bench.now }), {
+          ...node.left,
+          [name]: left - 1,
+        });
     }
     // A question and its answer: each may be lost, and others' beats and questions come in between.
     node.flying.forEach((_, index) => {
       next((bench) => bench.deliver(index, true));
-      next((bench) => { bench.deliver(index); const answer = bench.flying.findIndex((message) => message.reply !== undefined); if (answer >= 0) bench.deliver(answer); });
+      next((bench) => {
+        bench.deliver(index);
+        const answer = bench.flying.findIndex((message) => message.reply !== undefined);
+        if (answer >= 0) bench.deliver(answer);
+      });
     });
   }
   t.true(seen.size > 200);
   t.is(founded.size, 1, [...founded].join('\n'));
 });
 
-const told = (epoch: number, disks: Readonly<Record<string, string>>, ballot: Ballot = [epoch, 'jig']): VotersTold => ({ ballot, value: { epoch, disks, addresses: Object.fromEntries(Object.keys(disks).map((place) => [place, place])) } });
+const told = (
+  epoch: number,
+  disks: Readonly<Record<string, string>>,
+  ballot: Ballot = [epoch, 'jig'],
+): VotersTold => ({
+  ballot,
+  value: {
+    epoch,
+    disks,
+    addresses: Object.fromEntries(Object.keys(disks).map((place) => [place, place])),
+  },
+});
 
 /** One anvil with a kept disk of the first voters, and what it answers. */
-const voter = (): { ask: (ask: AnvilAsk) => AnvilReply | undefined; state: () => AnvilState; records: () => readonly AnvilRecord[] } => {
+const voter = (): {
+  ask: (ask: AnvilAsk) => AnvilReply | undefined;
+  state: () => AnvilState;
+  records: () => readonly AnvilRecord[];
+} => {
   const first = told(1, { a: 'A', b: 'B', c: 'C' }, [1, 'founding']);
-  const records: AnvilRecord[] = [{ kind: 'disk', disk: 'A' }, { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } }, { kind: 'told', voters: first }, { kind: 'voting' }];
-  let state = Anvil.open({ name: 'a', others: {}, seeded: { address: 'a', seeds: ['x', 'y', 'z'], firstStart: false }, records, freshDisk: 'never', now: 0 }).state;
+  const records: AnvilRecord[] = [
+    { kind: 'disk', disk: 'A' },
+    { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } },
+    { kind: 'told', voters: first },
+    { kind: 'voting' },
+  ];
+  let state = Anvil.open({
+    name: 'a',
+    others: {},
+    seeded: { address: 'a', seeds: ['x', 'y', 'z'], firstStart: false },
+    records,
+    freshDisk: 'never',
+    now: 0,
+  }).state;
   return {
     ask: (ask) => {
       const done = Anvil.reduce(state, { kind: 'asked', id: 1, body: ask, now: 1 });
       state = done.state;
-      for (const effect of done.effects) if (effect.kind === 'append') records.push(...effect.records);
+      for (const effect of done.effects)
+        if (effect.kind === 'append') records.push(...effect.records);
       return done.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []))[0];
     },
-    state: () => state, records: () => records,
+    state: () => state,
+    records: () => records,
   };
 };
 const first = told(1, { a: 'A', b: 'B', c: 'C' }, [1, 'founding']);
@@ -150,15 +304,33 @@
 
 test('voters that an anvil accepted count only once it is told that they are chosen', (t) => {
   const anvil = voter();
-  t.is(anvil.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [2, 'p'] } })?.kind, 'vote');
-  t.is(anvil.ask({ voters: first, call: { kind: 'accept', key: votersKey, ballot: [2, 'p'], value: second.value, disk: 'A' } })?.kind, 'vote');
+  t.is(
+    anvil.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [2, 'p'] } })?.kind,
+    'vote',
+  );
+  t.is(
+    anvil.ask({
+      voters: first,
+      call: { kind: 'accept', key: votersKey, ballot: [2, 'p'], value: second.value, disk: 'A' },
+    })?.kind,
+    'vote',
+  );
   t.is(anvil.ask({ voters: first, call: pull })?.kind, 'pulled');
   t.is(anvil.ask({ voters: second, call: pull })?.kind, 'pulled');
   const stale = anvil.ask({ voters: first, call: pull });
   t.deepEqual(stale?.kind === 'stale' ? stale.voters : null, second);
   // Those who count by the set before decide nothing any more, not even who votes.
-  t.is(anvil.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [9, 'q'] } })?.kind, 'stale');
-  t.is(anvil.ask({ voters: first, call: { kind: 'accept', key: votersKey, ballot: [9, 'q'], value: second.value, disk: 'A' } })?.kind, 'stale');
+  t.is(
+    anvil.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [9, 'q'] } })?.kind,
+    'stale',
+  );
+  t.is(
+    anvil.ask({
+      voters: first,
+      call: { kind: 'accept', key: votersKey, ballot: [9, 'q'], value: second.value, disk: 'A' },
+    })?.kind,
+    'stale',
+  );
 });
 
 test('a later epoch under a lower ballot is newer, and stays so', (t) => {
@@ -173,11 +345,18 @@
 });
 
 // A jig in short: it knows voters that are chosen, and opens ballots by them.
-type Asker = { readonly name: string; voters: VotersTold; highest: Ballot; proposal: Proposal | null; goal: 'count' | 'voters'; since: number };
+type Asker = {
+  readonly name: string;
+  voters: VotersTold;
+  highest: Ballot;
+  proposal: Proposal | null;
+  goal: 'count' | 'voters';
+  since: number;
+};
 
 /**
- * Places change hands, and disks are wiped, while askers that know different voters count a register up. Returns
- * what must not be: two values chosen for one epoch, or a count given twice.
+ * Places change hands, and disks are wiped, while askers that know different voters count a
+ * register up. Returns what must not be: two values chosen for one epoch, or a count given twice.
  */
 const turmoil = (seed: number, deaf: 'none' | 'members' | 'read'): readonly string[] => {
   const chance = chanceFrom(seed);
@@ -188,30 +367,67 @@
   const founders = { a: 'disk-1', b: 'disk-2', c: 'disk-3' };
   const founding = told(1, founders, [1, 'founding']);
   for (const [place, disk] of Object.entries(founders)) {
-    bench.disks.set(place, [{ kind: 'disk', disk }, { kind: 'cell', key: votersKey, cell: { promised: founding.ballot, accepted: founding } }, { kind: 'told', voters: founding }, { kind: 'voting' }]);
+    bench.disks.set(place, [
+      { kind: 'disk', disk },
+      { kind: 'cell', key: votersKey, cell: { promised: founding.ballot, accepted: founding } },
+      { kind: 'told', voters: founding },
+      { kind: 'voting' },
+    ]);
   }
   const all = ['a', 'b', 'c', 'd', 'e', 'f'];
   bench.lives = 3;
   all.forEach((address) => bench.open(address, { seeds: [], firstStart: false }));
   // Who is read does not hear of the epoch that the reader joins.
-  if (deaf === 'read') bench.hears = (_state, ask) => (ask.call.kind === 'dump' ? { ...ask, voters: null } : ask);
-  if (deaf === 'members') bench.hears = (state, ask) => (state.told !== null && state.voting && ask.voters !== null ? { ...ask, voters: state.told } : ask);
-  const askers: Asker[] = ['p', 'q', 'r'].map((name) => ({ name, voters: founding, highest: [1, ''], proposal: null, goal: 'count', since: 0 }));
-  const calls = new Map<string, { asker: Asker; voter: string; phase: 'prepare' | 'accept'; ballot: Ballot }>();
+  if (deaf === 'read')
+    bench.hears = (_state, ask) => (ask.call.kind === 'dump' ? { ...ask, voters: null } : ask);
+  if (deaf === 'members')
+    bench.hears = (state, ask) =>
+      state.told !== null && state.voting && ask.voters !== null
+        ? { ...ask, voters: state.told }
+        : ask;
+  const askers: Asker[] = ['p', 'q', 'r'].map((name) => ({
+    name,
+    voters: founding,
+    highest: [1, ''],
+    proposal: null,
+    goal: 'count',
+    since: 0,
+  }));
+  const calls = new Map<
+    string,
+    { asker: Asker; voter: string; phase: 'prepare' | 'accept'; ballot: Ballot }
+  >();
   let ids = 0;
   let handovers = 0;
-  bench.onHandover = () => { handovers += 1; };
+  bench.onHandover = () => {
+    handovers += 1;
+  };
   const send = (asker: Asker, place: string, ask: AnvilAsk['call']): void => {
     ids += 1;
     const address = asker.voters.value.addresses?.[place] ?? '';
-    if (ask.kind === 'prepare' || ask.kind === 'accept') calls.set(`${asker.name}/${ids}`, { asker, voter: place, phase: ask.kind, ballot: ask.ballot });
-    bench.flying = [...bench.flying, { to: address, from: asker.name, id: ids, ask: { voters: asker.voters, call: ask } }];
+    if (ask.kind === 'prepare' || ask.kind === 'accept')
+      calls.set(`${asker.name}/${ids}`, {
+        asker,
+        voter: place,
+        phase: ask.kind,
+        ballot: ask.ballot,
+      });
+    bench.flying = [
+      ...bench.flying,
+      { to: address, from: asker.name, id: ids, ask: { voters: asker.voters, call: ask } },
+    ];
   };
   const learn = (asker: Asker, next: VotersTold): void => {
-    if (next.value.epoch < asker.voters.value.epoch || (next.value.epoch === asker.voters.value.epoch && Ballots.compare(next.ballot, asker.voters.ballot) <= 0)) return;
+    if (
+      next.value.epoch < asker.voters.value.epoch ||
+      (next.value.epoch === asker.voters.value.epoch &&
+        Ballots.compare(next.ballot, asker.voters.ballot) <= 0)
+    )
+      return;
     const text = JSON.stringify(Object.entries(next.value.disks).sort());
     const known = chosen.get(next.value.epoch);
-    if (known !== undefined && known !== text) wrongs.push(`epoch ${next.value.epoch}: ${known} and ${text}`);
+    if (known !== undefined && known !== text)
+      wrongs.push(`epoch ${next.value.epoch}: ${known} and ${text}`);
     chosen.set(next.value.epoch, text);
     asker.voters = next;
     asker.proposal = null;
@@ -219,14 +435,29 @@
   const play = (asker: Asker, turn: Turn): void => {
     asker.proposal = turn.proposal;
     for (const move of turn.moves) {
-      if (move.kind === 'prepare') send(asker, move.to, { kind: 'prepare', key: turn.proposal.key, ballot: move.ballot });
-      else if (move.kind === 'accept') send(asker, move.to, { kind: 'accept', key: turn.proposal.key, ballot: move.ballot, value: move.value, disk: move.disk });
+      if (move.kind === 'prepare')
+        send(asker, move.to, { kind: 'prepare', key: turn.proposal.key, ballot: move.ballot });
+      else if (move.kind === 'accept')
+        send(asker, move.to, {
+          kind: 'accept',
+          key: turn.proposal.key,
+          ballot: move.ballot,
+          value: move.value,
+          disk: move.disk,
+        });
       else {
-        if (Ballots.compare(turn.proposal.highest, asker.highest) > 0) asker.highest = turn.proposal.highest;
+        if (Ballots.compare(turn.proposal.highest, asker.highest) > 0)
+          asker.highest = turn.proposal.highest;
         asker.proposal = null;
         if (move.kind !== 'chosen' || move.ballot === null) continue;
-        if (asker.goal === 'voters') learn(asker, { ballot: move.ballot, value: move.value as Voters });
-        else if (move.wrote) { const { count, by } = move.value as { count: number; by: string }; if (by !== `${asker.name}/${asker.since}`) continue; if (counted.has(count)) wrongs.push(`count ${count} was given twice`); counted.add(count); }
+        if (asker.goal === 'voters')
+          learn(asker, { ballot: move.ballot, value: move.value as Voters });
+        else if (move.wrote) {
+          const { count, by } = move.value as { count: number; by: string };
+          if (by !== `${asker.name}/${asker.since}`) continue;
+          if (counted.has(count)) wrongs.push(`count ${count} was given twice`);
+          counted.add(count);
+        }
       }
     }
   };
@@ -235,15 +466,26 @@
     const asker = askers.find((each) => each.name === to);
     if (asker === undefined) return;
     if (reply.kind === 'stale' && reply.voters !== null) learn(asker, reply.voters);
-    if (reply.kind !== 'vote' || call === undefined || asker.proposal === null || asker.voters.value.disks[call.voter] !== reply.disk) return;
-    play(asker, Proposer.voted(asker.proposal, call.voter, reply.disk, call.phase, call.ballot, reply.vote));
+    if (
+      reply.kind !== 'vote' ||
+      call === undefined ||
+      asker.proposal === null ||
+      asker.voters.value.disks[call.voter] !== reply.disk
+    )
+      return;
+    play(
+      asker,
+      Proposer.voted(asker.proposal, call.voter, reply.disk, call.phase, call.ballot, reply.vote),
+    );
   };
   const open = (asker: Asker): void => {
     const { voters } = asker;
     const places = Object.keys(voters.value.disks);
-    const spares = all.filter((address) => !Object.values(voters.value.addresses ?? {}).includes(address));
+    const spares = all.filter(
+      (address) => !Object.values(voters.value.addresses ?? {}).includes(address),
+    );
     const gone = places[Math.floor(chance() * places.length)] ?? '';
-    const into = chance() < 0.5 ? gone : spares[Math.floor(chance() * spares.length)] ?? '';
+    const into = chance() < 0.5 ? gone : (spares[Math.floor(chance() * spares.length)] ?? '');
     const state = bench.states.get(into);
     const goal = chance() < 0.5 ? 'count' : 'voters';
     // Like a jig: only a disk that waits for a place is given one.
@@ -252,20 +494,46 @@
     asker.since += 1;
     const by = `${asker.name}/${asker.since}`;
     const grows = places.length < 5 && into !== gone && chance() < 0.3;
-    const change: Change = asker.goal === 'count'
-      ? (current) => { const old = current as { count: number; by: string } | null; return old?.by === by ? { kind: 'keep' } : { kind: 'write', value: { count: (old?.count ?? 0) + 1, by } }; }
-      : (current) => {
-        const old = current as Voters;
-        const disk = state?.disk ?? '';
-        if (old.epoch !== voters.value.epoch) return { kind: 'keep' };
-        const without = grows ? old.disks : Object.fromEntries(Object.entries(old.disks).filter(([place]) => place !== gone));
-        const disks = { ...without, [into]: disk };
-        const kept = Object.entries(old.predecessors ?? {}).filter(([place]) => place !== gone && place !== into);
-        const predecessor = { disk: old.disks[gone] ?? '', address: gone };
-        const predecessors = Object.fromEntries(grows || into === gone ? kept : [...kept, [into, predecessor]]);
-        return { kind: 'write', value: { epoch: old.epoch + 1, disks, addresses: Object.fromEntries(Object.keys(disks).map((place) => [place, place])), predecessors } };
-      };
-    const turn = Proposer.open(asker.goal === 'count' ? 'count' : votersKey, change, places, asker.highest, asker.name);
+    const change: Change =
+      asker.goal === 'count'
+        ? (current) => {
+            const old = current as { count: number; by: string } | null;
+            return old?.by === by
+              ? { kind: 'keep' }
+              : { kind: 'write', value: { count: (old?.count ?? 0) + 1, by } };
+          }
+        : (current) => {
+            const old = current as Voters;
+            const disk = state?.disk ?? '';
+            if (old.epoch !== voters.value.epoch) return { kind: 'keep' };
+            const without = grows
+              ? old.disks
+              : Object.fromEntries(Object.entries(old.disks).filter(([place]) => place !== gone));
+            const disks = { ...without, [into]: disk };
+            const kept = Object.entries(old.predecessors ?? {}).filter(
+              ([place]) => place !== gone && place !== into,
+            );
+            const predecessor = { disk: old.disks[gone] ?? '', address: gone };
+            const predecessors = Object.fromEntries(
+              grows || into === gone ? kept : [...kept, [into, predecessor]],
+            );
+            return {
+              kind: 'write',
+              value: {
+                epoch: old.epoch + 1,
+                disks,
+                addresses: Object.fromEntries(Object.keys(disks).map((place) => [place, place])),
+                predecessors,
+              },
+            };
+          };
+    const turn = Proposer.open(
+      asker.goal === 'count' ? 'count' : votersKey,
+      change,
+      places,
+      asker.highest,
+      asker.name,
+    );
     asker.highest = turn.proposal.ballot;
     play(asker, turn);
   };
@@ -279,22 +547,36 @@
     } else if (draw < 0.045) {
       // Wiped, or only restarted: never one of a majority that is not there to be read.
       const address = all[Math.floor(chance() * all.length)] ?? '';
-      const newest = [...bench.states.values()].map((state) => state.told).reduce((best, each) => (each !== null && (best === null || each.value.epoch > best.value.epoch) ? each : best), null);
+      const newest = [...bench.states.values()]
+        .map((state) => state.told)
+        .reduce(
+          (best, each) =>
+            each !== null && (best === null || each.value.epoch > best.value.epoch) ? each : best,
+          null,
+        );
       const places = Object.entries(newest?.value.disks ?? {});
-      const sound = places.filter(([place, disk]) => { const state = bench.states.get(place); return place !== address && state !== undefined && state.disk === disk && state.voting; }).length;
+      const sound = places.filter(([place, disk]) => {
+        const state = bench.states.get(place);
+        return place !== address && state !== undefined && state.disk === disk && state.voting;
+      }).length;
       bench.close(address, sound >= Math.floor(places.length / 2) + 1);
       bench.open(address, { seeds: [], firstStart: false });
     } else if (draw < 0.25 || bench.flying.length === 0) {
       bench.step(up[Math.floor(chance() * up.length)] ?? '', { kind: 'beat', now: bench.now });
       const asker = askers[Math.floor(chance() * askers.length)];
-      if (asker !== undefined && chance() < 0.3) { const places = Object.keys(asker.voters.value.disks); send(asker, places[Math.floor(chance() * places.length)] ?? '', pull); }
+      if (asker !== undefined && chance() < 0.3) {
+        const places = Object.keys(asker.voters.value.disks);
+        send(asker, places[Math.floor(chance() * places.length)] ?? '', pull);
+      }
     } else bench.deliver(Math.floor(chance() ** 2 * bench.flying.length), chance() < 0.05);
     if (bench.flying.length > 60) bench.flying = bench.flying.slice(1);
   }
   return [...wrongs, `epochs ${chosen.size}`, `counts ${counted.size}`, `handovers ${handovers}`];
 };
-const wrongsOf = (told_: readonly string[]): readonly string[] => told_.filter((each) => !/^(epochs|counts|handovers) /.test(each));
-const figure = (told_: readonly string[], what: string): number => Number(told_.find((each) => each.startsWith(`${what} `))?.slice(what.length + 1) ?? 0);
+const wrongsOf = (told_: readonly string[]): readonly string[] =>
+  told_.filter((each) => !/^(epochs|counts|handovers) /.test(each));
+const figure = (told_: readonly string[], what: string): number =>
+  Number(told_.find((each) => each.startsWith(`${what} `))?.slice(what.length + 1) ?? 0);
 
 test('places change hands and disks are wiped while askers know different voters: one value for each epoch, no count twice', (t) => {
   let [epochs, counts, handovers] = [0, 0, 0];
@@ -305,14 +587,25 @@
     counts += figure(found, 'counts');
     handovers += figure(found, 'handovers');
   }
-  t.true(epochs > 1_200 && counts > 2_000 && handovers > 50, `${epochs} epochs, ${counts} counts, ${handovers} handovers`);
+  t.true(
+    epochs > 1_200 && counts > 2_000 && handovers > 50,
+    `${epochs} epochs, ${counts} counts, ${handovers} handovers`,
+  );
   t.log(`${epochs} epochs, ${counts} counts, ${handovers} handovers`);
 });
 
 test('with anvils that do not heed by which voters a caller counts, a run is found where that breaks', (t) => {
-  t.true(Array.from({ length: 400 }, (_, seed) => seed).some((seed) => wrongsOf(turmoil(seed, 'members')).length > 0));
+  t.true(
+    Array.from({ length: 400 }, (_, seed) => seed).some(
+      (seed) => wrongsOf(turmoil(seed, 'members')).length > 0,
+    ),
+  );
 });
 
 test('with replicas that are read without being told of the epoch that the reader joins, a run is found where that breaks', (t) => {
-  t.true(Array.from({ length: 400 }, (_, seed) => seed).some((seed) => wrongsOf(turmoil(seed, 'read')).length > 0));
+  t.true(
+    Array.from({ length: 400 }, (_, seed) => seed).some(
+      (seed) => wrongsOf(turmoil(seed, 'read')).length > 0,
+    ),
+  );
 });
--- a/packages/blank/src/main.ts
+++ b/packages/blank/src/main.ts
@@ -4,34 +4,62 @@
 import { openScribe } from '@reedyard/scriber';
 import { startBlank, type Mode } from './index.js';
 
-const { values } = parseArgs({ options: {
-  service: { type: 'string' }, instance: { type: 'string' }, incarnation: { type: 'string', default: String(Date.now()) },
-  host: { type: 'string', default: '127.0.0.1' }, port: { type: 'string', default: '0' }, 'control-port': { type: 'string', default: '0' },
-  hall: { type: 'string', default: 'hall-1' }, region: { type: 'string', default: 'region-1' }, capacity: { type: 'string', default: '200' },
-  api: { type: 'string', multiple: true }, 'max-age': { type: 'string', default: '60' }, cold: { type: 'boolean', default: false },
-} });
+const { values } = parseArgs({
+  options: {
+    service: { type: 'string' },
+    instance: { type: 'string' },
+    incarnation: { type: 'string', default: String(Date.now()) },
+    host: { type: 'string', default: '127.0.0.1' },
+    port: { type: 'string', default: '0' },
+    'control-port': { type: 'string', default: '0' },
+    hall: { type: 'string', default: 'hall-1' },
+    region: { type: 'string', default: 'region-1' },
+    capacity: { type: 'string', default: '200' },
+    api: { type: 'string', multiple: true },
+    'max-age': { type: 'string', default: '60' },
+    cold: { type: 'boolean', default: false },
+  },
+});
 if (values.service === undefined || values.instance === undefined || values.api === undefined) {
-  process.stderr.write('blank --service NAME --instance NAME --api IP:PORT [--api …] [--host IP] [--port N] [--control-port N] [--hall H] [--region R] [--capacity N] [--max-age S] [--cold]\n');
+  process.stderr.write(
+    'blank --service NAME --instance NAME --api IP:PORT [--api …] [--host IP] [--port N] [--control-port N] [--hall H] [--region R] [--capacity N] [--max-age S] [--cold]\n',
+  );
   process.exit(2);
 }
 const scribe = openScribe({ program: 'blank', service: values.service, instance: values.instance });
 const blank = await startBlank({
-  service: values.service, instance: values.instance, incarnation: Number(values.incarnation), host: values.host, port: Number(values.port),
-  hall: values.hall, region: values.region, capacity: Number(values.capacity), apis: values.api, announceMs: 2_000, maxAge: Number(values['max-age']),
+  service: values.service,
+  instance: values.instance,
+  incarnation: Number(values.incarnation),
+  host: values.host,
+  port: Number(values.port),
+  hall: values.hall,
+  region: values.region,
+  capacity: Number(values.capacity),
+  apis: values.api,
+  announceMs: 2_000,
+  maxAge: Number(values['max-age']),
   mode: { state: values.cold ? 'cold' : 'warm' },
 });
 scribe.info('started', { address: blank.address });
 
 // Commands of the bench: POST /become with a part of a mode, /rename, /turn; GET /ran.
-http.createServer((request, response) => {
-  let text = '';
-  request.on('data', (chunk) => { text += String(chunk); });
-  request.on('end', () => {
-    const body = text === '' ? {} : JSON.parse(text) as Record<string, unknown>;
-    if (request.url === '/become') blank.become(body as Partial<Mode>);
-    if (request.url === '/rename') blank.rename(body);
-    if (request.url === '/turn') blank.turn();
-    response.end(JSON.stringify({ ran: blank.ran(), got: blank.got(), mode: blank.mode() }));
-  });
-}).listen(Number(values['control-port']), values.host);
-process.on('SIGTERM', () => { blank.become({ draining: true }); void blank.announce().then(() => process.exit(0)); });
+http
+  .createServer((request, response) => {
+    let text = '';
+    request.on('data', (chunk) => {
+      text += String(chunk);
+    });
+    request.on('end', () => {
+      const body = text === '' ? {} : (JSON.parse(text) as Record<string, unknown>);
+      if (request.url === '/become') blank.become(body as Partial<Mode>);
+      if (request.url === '/rename') blank.rename(body);
+      if (request.url === '/turn') blank.turn();
+      response.end(JSON.stringify({ ran: blank.ran(), got: blank.got(), mode: blank.mode() }));
+    });
+  })
+  .listen(Number(values['control-port']), values.host);
+process.on('SIGTERM', () => {
+  blank.become({ draining: true });
+  void blank.announce().then(() => process.exit(0));
+});
--- a/packages/blueprint/src/index.ts
+++ b/packages/blueprint/src/index.ts
@@ -1,5 +1,22 @@
-export type Machine = { readonly name: string; readonly hall: string; readonly region: string; readonly kind: 'front' | 'store' | 'core'; readonly capacityBps?: number };
-export type Origin = { readonly service: string; readonly instance: string; readonly hall: string; readonly region: string; readonly capacity: number; readonly maxAge?: number };
+export type Machine = {
+  readonly name: string;
+  readonly hall: string;
+  readonly region: string;
+  readonly kind: 'front' | 'store' | 'core';
+  readonly capacityBps?: number;
+};
+export type Origin = {
+  readonly service: string;
+  readonly instance: string;
+  readonly hall: string;
+  readonly region: string;
+  readonly capacity: number;
+  readonly maxAge?: number;
+};
 
 /** A deployment as the examples describe it. */
-export type Deployment = { readonly name: string; readonly machines: readonly Machine[]; readonly origins: readonly Origin[] };
+export type Deployment = {
+  readonly name: string;
+  readonly machines: readonly Machine[];
+  readonly origins: readonly Origin[];
+};
--- a/packages/chute/src/index.ts
+++ b/packages/chute/src/index.ts
@@ -48,6 +48,13 @@
         for (const effect of step.effects) parts.perform(effect, put);
       }
     });
-    return { put, peek: () => state, close: () => { open = false; channel.close(); } };
+    return {
+      put,
+      peek: () => state,
+      close: () => {
+        open = false;
+        channel.close();
+      },
+    };
   },
 } as const;
--- a/packages/chute/src/js-csp.d.ts
+++ b/packages/chute/src/js-csp.d.ts
@@ -1,5 +1,7 @@
 declare module 'js-csp' {
-  interface Channel { close(): void }
+  interface Channel {
+    close(): void;
+  }
   const csp: {
     readonly CLOSED: null;
     chan(buffer?: unknown): Channel;
--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -5,13 +5,20 @@
 
 /** How often things are done. */
 export const Beats = {
-  /** ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. To wake an idle
+  /**
+   * ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. To wake
+   * an idle
    *  process costs some 0.13 ms, so ten times a second 0.13 % of a core. */
   jig: 100,
-  /** ms. Pull from the anvils. Three pulls fit in a lease: one may be lost and the feed still has 0.25 s.
-   *  Each costs every jig a call to every anvil: twice as many saw nothing more than half as many. */
+  /**
+   * ms. Pull from the anvils. Three pulls fit in a lease: one may be lost and the feed still has
+   * 0.25 s.
+   *  Each costs every jig a call to every anvil: twice as many saw nothing more than half as many.
+   */
   pull: 500,
-  /** ms. One gossip exchange with one partner. Each also answers one as often, so a heartbeat crosses 16 nodes
+  /**
+   * ms. One gossip exchange with one partner. Each also answers one as often, so a heartbeat
+   * crosses 16 nodes
    *  in three or four of them: with its own beat this stays under the 2.5 s of silence. */
   gossip: 400,
   /** ms. The lathe asks its jig for news. Adds at most this to the age of a snapshot. */
@@ -20,10 +27,14 @@
   heartbeat: 500,
   /** ms. The duty holder looks whether slices should move, and then publishes a division. */
   division: 500,
-  /** ms. It renews its term with an unchanged division: each costs two syncs of every anvil and a fetch of
+  /**
+   * ms. It renews its term with an unchanged division: each costs two syncs of every anvil and a
+   * fetch of
    *  every jig. Two of them fit in the time after which it is given up. */
   renewal: 1_000,
-  /** ms. A ping to each partner in the network, on the average (the paper: every few minutes; a changed delay
+  /**
+   * ms. A ping to each partner in the network, on the average (the paper: every few minutes; a
+   * changed delay
    *  must be seen inside one closing fault, so seconds here). */
   ping: 10_000,
   /** ms. Partners that were not yet measured are pinged, and of the others a drawn few. */
@@ -34,18 +45,28 @@
   measure: 2_000,
   /** ms. A vector is sent again though nothing changed, so that a lost one heals. */
   refresh: 30_000,
-  /** ms. An origin that says nothing new is told by gossip again after this long: with the seconds between
+  /**
+   * ms. An origin that says nothing new is told by gossip again after this long: with the seconds
+   * between
    *  two of its descriptions still twice within `originForgotten`, and a third of the bytes. */
   originTold: 3_000,
   /** ms. Lathe's own beat: limits and holdings are looked at. */
   lathe: 25,
-  /** ms. The same while no transaction is under way: then only copies may have to be dropped, at the latest
+  /**
+   * ms. The same while no transaction is under way: then only copies may have to be dropped, at the
+   * latest
    *  1.5 + 0.3 + 0.1 s after what allowed them was known, under the brief's 2 s. */
   latheIdle: 100,
-  /** ms. While there is no lease, pulls and the lathe's questions come this often: callers wait for them. */
+  /**
+   * ms. While there is no lease, pulls and the lathe's questions come this often: callers wait for
+   * them.
+   */
   lapsed: 100,
-  /** ms. While a lease runs low, replicas whose pulls do not carry it are asked this often: three times before
-   *  it is over. Not at rest, where each pull renews it: the fleet's control traffic does not grow. */
+  /**
+   * ms. While a lease runs low, replicas whose pulls do not carry it are asked this often: three
+   * times before
+   *  it is over. Not at rest, where each pull renews it: the fleet's control traffic does not grow.
+   */
   leaseLow: 200,
   /** ms. An anvil that may not vote yet asks the others again. */
   rejoin: 200,
@@ -56,59 +77,89 @@
   /** ms. Lease of a node from the moment its oldest counted pull was sent. The brief allows 2 s
    *  from an acknowledgement to force; 1.5 s leaves 0.5 s for the feed and a slow process. */
   lease: 1_500,
-  /** ms. A lease with less left than this runs low: at rest 0.9 s are left when the next pull is sent, and one that
+  /**
+   * ms. A lease with less left than this runs low: at rest 0.9 s are left when the next pull is
+   * sent, and one that
    *  counts brings it back to 1.5 s within a round trip. */
   leaseLow: 800,
-  /** ms. A replica without any answer for this long is silent: two pulls, one of them lost, and a round trip. Under
+  /**
+   * ms. A replica without any answer for this long is silent: two pulls, one of them lost, and a
+   * round trip. Under
    *  the lease, so that a node that is cut off knows it when its lease runs out. */
   replicaSilence: 1_200,
-  /** ms. What waits this long for a majority of which nobody has answered anything is given up: callers wait a
+  /**
+   * ms. What waits this long for a majority of which nobody has answered anything is given up:
+   * callers wait a
    *  second for any word, and go on to another node. */
   stranded: 600,
-  /** ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy it
-   *  can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
+  /**
+   * ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy
+   * it can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
   unknowing: 300,
-  /** ms. Told to a lathe that may serve on while it is cut off, from question to question: two feeds. */
+  /**
+   * ms. Told to a lathe that may serve on while it is cut off, from question to question: two
+   * feeds.
+   */
   cutOffLease: 600,
   /** ms. Warming up ends after this at the latest: a share of a core takes some seconds for it. */
   warming: 4_000,
   /** ms. A beat that comes this late shows that the process, not the network, is slow. */
   lateBeat: 400,
-  /** ms. Only a process whose beats all came in time for this long may take itself for cut off: one that
+  /**
+   * ms. Only a process whose beats all came in time for this long may take itself for cut off: one
+   * that
    *  was starved or frozen has unanswered pulls as well, but others may reach it. */
   calm: 2_000,
-  /** ms. A node without a lease asks more often for this long, and again when a silent replica answers; then the core is really away, and all of
+  /**
+   * ms. A node without a lease asks more often for this long, and again when a silent replica
+   * answers; then the core is really away, and all of
    *  a large fleet asking that often would only hinder its return. */
   eager: 5_000,
   /** ms. A division may raise a slice only this long after the lower one was chosen: one lease
    *  plus the slack of a beat. */
   regrant: 1_700,
-  /** ms. A duty holder whose beat stood still this long is given up: two missed renewals, seen half a pull late.
-   *  It must stay over `regrant`: a new holder counts only the division it finds, and those before
+  /**
+   * ms. A duty holder whose beat stood still this long is given up: two missed renewals, seen half
+   * a pull late. It must stay over `regrant`: a new holder counts only the division it finds, and
+   * those before
    *  that must have lapsed by then. */
   vacancy: 2_500,
   /** ms. One call between processes before it counts as lost. */
   call: 1_000,
   /** ms. A pull without an answer is sent again: two beats, so that a lost one costs no lease. */
   pull: 500,
-  /** ms. A value that only a minority shows is taken for hanging, and written again, after this long:
+  /**
+   * ms. A value that only a minority shows is taken for hanging, and written again, after this
+   * long:
    *  far over what a write takes that is merely under way on busy machines, and under a lease. */
   hanging: 900,
   /** ms. One phase of a ballot before it is tried again with a higher one. */
   ballotPhase: 600,
-  /** ms. Calls of a ballot, and facts, are sent again to replicas that have not answered: all may be taken twice.
+  /**
+   * ms. Calls of a ballot, and facts, are sent again to replicas that have not answered: all may be
+   * taken twice.
    *  Over two trips between regions 35 ms apart and the syncs of a disk. */
   resend: 150,
-  /** ms. An order for a zone is proposed this long at most: its caller goes to another node after a second, and is
+  /**
+   * ms. An order for a zone is proposed this long at most: its caller goes to another node after a
+   * second, and is
    *  told before that. */
   zoneOrder: 800,
-  /** ms. A change may be sent again this long, and is then still made once: an operator repeats for seconds. */
+  /**
+   * ms. A change may be sent again this long, and is then still made once: an operator repeats for
+   * seconds.
+   */
   repeatWindow: 30_000,
-  /** ms. The same for a ballot on the membership in its first second: while it lasts one loss less is borne, and
+  /**
+   * ms. The same for a ballot on the membership in its first second: while it lasts one loss less
+   * is borne, and
    *  a lost message must not cost a third of the time that there is. */
   membershipPhase: 200,
-  /** ms. After this a ballot on the membership is given as long as any other, since the machines are slow. */
+  /**
+   * ms. After this a ballot on the membership is given as long as any other, since the machines are
+   * slow.
+   */
   membershipHaste: 1_000,
   /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
   proposal: 4_000,
@@ -118,34 +169,59 @@
   nodeForgotten: 30_000,
   /** ms. An origin that does not describe itself this long is forgotten; it speaks every few s. */
   originForgotten: 10_000,
-  /** ms. After a hall was taken back its origins count as cold until a description is heard this much later:
+  /**
+   * ms. After a hall was taken back its origins count as cold until a description is heard this
+   * much later:
    *  an earlier one may have been under way for a few exchanges of gossip. */
   warmDoubt: 500,
-  /** ms. Facts stay on the board and in a snapshot: far over a lease, so a cursor is seldom lost. */
+  /**
+   * ms. Facts stay on the board and in a snapshot: far over a lease, so a cursor is seldom lost.
+   */
   fact: 60_000,
-  /** ms. A voter whose machine was silent this long, in gossip and to every pull, is taken for gone, and its
-   *  place given to another: longer than a restart, and than a cut of 6 s with 2 s to be heard of again. */
+  /**
+   * ms. A voter whose machine was silent this long, in gossip and to every pull, is taken for gone,
+   * and its
+   *  place given to another: longer than a restart, and than a cut of 6 s with 2 s to be heard of
+   * again.
+   */
   voterSilence: 8_000,
-  /** ms. A page that a recovering replica asked for is asked for again, then after twice as long, and so on: far
+  /**
+   * ms. A page that a recovering replica asked for is asked for again, then after twice as long,
+   * and so on: far
    *  over what one takes on a busy machine. */
   recoveryCall: 250,
-  /** ms. Of half the time that a successor is given to catch up, what is kept for its join itself: to be heard
+  /**
+   * ms. Of half the time that a successor is given to catch up, what is kept for its join itself:
+   * to be heard
    *  of, for one ballot, to be told and to read; measured in the simulator under all troubles. */
   joinBudget: 1_000,
-  /** ms. A member is suspected no sooner, whatever the settings say: two pulls and the probes between them. */
+  /**
+   * ms. A member is suspected no sooner, whatever the settings say: two pulls and the probes
+   * between them.
+   */
   leastSuspicion: 1_000,
   /** ms. A silent member is asked more often after this: one pull and its answer. */
   probing: 700,
-  /** ms. A blank replica must have answered within this time to be given a place of a suspected member. */
+  /**
+   * ms. A blank replica must have answered within this time to be given a place of a suspected
+   * member.
+   */
   spareHeard: 700,
-  /** ms. A replica that was told to stop waits this long for its place to be given away, if a spare is known. */
+  /**
+   * ms. A replica that was told to stop waits this long for its place to be given away, if a spare
+   * is known.
+   */
   handover: 2_000,
-  /** ms. A replaced replica keeps its data this long for a successor that does not come to vote; then it waits
+  /**
+   * ms. A replaced replica keeps its data this long for a successor that does not come to vote;
+   * then it waits
    *  for a majority that votes without it. */
   retention: 3_000,
   /** ms. How long ago members must have answered to count as that majority. */
   retentionProof: 1_000,
-  /** ms. Anvils that founded the state anew, after most disks were lost, take part in nothing until they
+  /**
+   * ms. Anvils that founded the state anew, after most disks were lost, take part in nothing until
+   * they
    *  have heard no news this long from jigs that tell again what they knew: six of their pulls. */
   retelling: 1_500,
   /** ms. Jigs remember the claims they made in spans of half the claims' life; three are kept. */
@@ -161,22 +237,37 @@
   /** ms. Opening a conn where nothing has to be proved first: regions are some 35 ms apart, and a
    *  silent end must leave time for another within a caller's deadline. */
   opening: 250,
-  /** ms. Longest wait in the holding for a slice's next token; past it the answer is 503 at once. */
+  /**
+   * ms. Longest wait in the holding for a slice's next token; past it the answer is 503 at once.
+   */
   holding: 400,
-  /** ms. An instance that failed a leg gets no ordinary traffic for this long; twice as long each time
+  /**
+   * ms. An instance that failed a leg gets no ordinary traffic for this long; twice as long each
+   * time
    *  that it fails again before a sound answer, up to the longest. */
   suspicion: 1_000,
   /** ms. A dead instance is then tried by each node at most this seldom, until it is forgotten. */
   longestSuspicion: 8_000,
-  /** ms. An origin that refused for being full is passed over: some requests end there meanwhile. */
+  /**
+   * ms. An origin that refused for being full is passed over: some requests end there meanwhile.
+   */
   fullRest: 150,
-  /** ms. What an origin told of its load counts for this long, fading: some times a request's own. */
+  /**
+   * ms. What an origin told of its load counts for this long, fading: some times a request's own.
+   */
   loadMemory: 300,
-  /** ms. How long ago an origin's time to answer was met before it counts as the mean again, fading. */
+  /**
+   * ms. How long ago an origin's time to answer was met before it counts as the mean again, fading.
+   */
   standingMemory: 5_000,
-  /** ms. An attempt is silent after a few times what its origin usually takes, but not before this. */
+  /**
+   * ms. An attempt is silent after a few times what its origin usually takes, but not before this.
+   */
   leastSilence: 60,
-  /** ms. An origin with an attempt under way this long, and a few times its usual time, and nothing heard since is set aside. */
+  /**
+   * ms. An origin with an attempt under way this long, and a few times its usual time, and nothing
+   * heard since is set aside.
+   */
   stalled: 300,
   /** ms. After an order to empty a hall was seen, its lathes still answer stragglers this long. */
   emptyGrace: 2_000,
@@ -218,20 +309,29 @@
   call: 32 * 1024 * 1024,
   /** objects told one by one in a vector; the rest of a route counts as one. */
   busyObjects: 32,
-  /** heartbeats after which a node's record is told whole though nothing changed: a serial that two lives of
+  /**
+   * heartbeats after which a node's record is told whole though nothing changed: a serial that two
+   * lives of
    *  a node came to alike is then set right within 8 s. */
   beatsToWhole: 16,
-  /** A life's first serial lies anywhere under this, so that two lives hardly come to the same one. */
+  /**
+   * A life's first serial lies anywhere under this, so that two lives hardly come to the same one.
+   */
   firstSerial: 2 ** 20,
   /** partners in a partial view. */
   view: 8,
   /** partners swapped in one shuffle. */
   shuffle: 4,
-  /** bytes of the change ids remembered in a register: some 900 changes within the repeat window. */
+  /**
+   * bytes of the change ids remembered in a register: some 900 changes within the repeat window.
+   */
   recentChangeBytes: 64 * 1024,
   /** bytes of log after which a snapshot is written and older segments are dropped. */
   segment: 8 * 1024 * 1024,
-  /** claims that an anvil keeps: an hour of 139 a second, some 600 MB. A new one past that is refused. */
+  /**
+   * claims that an anvil keeps: an hour of 139 a second, some 600 MB. A new one past that is
+   * refused.
+   */
   claims: 500_000,
   /** lapsed claims let go in one sweep a second: some milliseconds. */
   claimSweep: 2_000,
@@ -241,9 +341,15 @@
   retellPage: 1_000,
   /** anvils that one anvil lets read it at once: all others of a founding set of nine. */
   readers: 8,
-  /** numbers drawn by chance for one request: who serves, three origins for each of three attempts, and the service. */
+  /**
+   * numbers drawn by chance for one request: who serves, three origins for each of three attempts,
+   * and the service.
+   */
   draws: 11,
-  /** requests that a lathe warms itself up with, at once, and bytes of an answer: after some hundred the code of each step is compiled. */
+  /**
+   * requests that a lathe warms itself up with, at once, and bytes of an answer: after some hundred
+   * the code of each step is compiled.
+   */
   warmRequests: 600,
   warmAtOnce: 4,
   warmBody: 6_000,
@@ -278,14 +384,21 @@
   /** repeats a node may have saved, and all nodes together: the brief's slack is 60. */
   repeatSaved: 3,
   repeatSavedByAll: 45,
-  /** attempts that a node keeps of a request that it hands to a peer, where its route allows more than one: a retry
-   *  beside the caller can pass over a peer that is slow, gone, or turned away by its origin; the peer's own can't. */
+  /**
+   * attempts that a node keeps of a request that it hands to a peer, where its route allows more
+   * than one: a retry
+   *  beside the caller can pass over a peer that is slow, gone, or turned away by its origin; the
+   * peer's own can't.
+   */
   attemptsKept: 1,
   /** s of a slice a bucket may save: the brief allows a tenth over 5 s, which is 0.5 s. */
   burstSeconds: 0.2,
   /** requests that a node may always have under way at an origin. */
   leastRoom: 2,
-  /** requests under way for each slot of an origin, over all nodes: what it works on, and as many waiting. */
+  /**
+   * requests under way for each slot of an origin, over all nodes: what it works on, and as many
+   * waiting.
+   */
   roomPerSlot: 2,
   /** share of an origin's conns that nodes use together: a restarted node's old ones may linger. */
   connShare: 0.9,
@@ -293,43 +406,65 @@
   originsDrawn: 3,
   /** share by which a new answer's time moves an origin's usual one. */
   standingGain: 0.2,
-  /** times an origin's usual time after which an attempt counts as silent, or the origin as stalled. */
+  /**
+   * times an origin's usual time after which an attempt counts as silent, or the origin as stalled.
+   */
   silentTimes: 3,
   stalledTimes: 4,
-  /** share of a request's time that is waited before a second attempt beside a silent one, at most. */
+  /**
+   * share of a request's time that is waited before a second attempt beside a silent one, at most.
+   */
   silentShare: 0.4,
   /** ms that a byte between zones weighs in the choice of an origin: 100 kB weigh as 25 ms. */
   zoneMsPerByte: 0.000_25,
   /** ms that an origin in another region weighs more: it is taken where its own region has none. */
   farRegionMs: 1_000,
-  /** share of a request's target that it may wait for its turn: refused by then, another try can still be in time. */
+  /**
+   * share of a request's target that it may wait for its turn: refused by then, another try can
+   * still be in time.
+   */
   holdingShare: 0.2,
   /** share of a ceiling kept for every possible edge whether it asks or not. */
   floorShare: 0.1,
-  /** share by which what a node wants of a service may move before others are told: what is left over of a
+  /**
+   * share by which what a node wants of a service may move before others are told: what is left
+   * over of a
    *  service is spread evenly, and covers that. */
   wantsSlack: 0.1,
-  /** requests a second that it may move besides: one request more or less in a few seconds is no change. */
+  /**
+   * requests a second that it may move besides: one request more or less in a few seconds is no
+   * change.
+   */
   wantsFloor: 0.25,
-  /** share of its goal that a node's slices must have reached before it first says that it is ready. */
+  /**
+   * share of its goal that a node's slices must have reached before it first says that it is ready.
+   */
   seatedShare: 0.7,
   /** share of a cold instance's bearable rate that the nodes it is given to may use together: what
    *  each of them saved comes on top. */
   coldShare: 0.8,
-  /** requests a second to a cold instance that are worth a node's part: fewer nodes get more each, so that
+  /**
+   * requests a second to a cold instance that are worth a node's part: fewer nodes get more each,
+   * so that
    *  what they may have saved, a request each, stays small beside it. */
   coldPart: 3,
 } as const;
 
 /** Numbers of the hollow fleet, the test that counts what each role sends and does. */
 export const Hollow = {
-  /** ms. One step of the fleet's common clock: a fifth of a jig's beat, so that times are told to that. */
+  /**
+   * ms. One step of the fleet's common clock: a fifth of a jig's beat, so that times are told to
+   * that.
+   */
   step: 10,
   /** ms. Nodes begin spread over this long, so that their beats don't fall together. */
   spread: 500,
   /** ms. An origin describes itself again: the bench's stand-ins do so as often. */
   describe: 1_000,
-  /** ms. What is waited at most for anvils to found, for the duty to be taken, or for a change to reach all. */
+  /**
+   * ms. What is waited at most for anvils to found, for the duty to be taken, or for a change to
+   * reach all.
+   */
   patience: 20_000,
   /** ms. Nodes run this long before anything is counted: two pings, four divisions, one lease. */
   warm: 4_000,
@@ -343,10 +478,15 @@
   capacity: 500,
   /** origins of one service: the deployments have four to nine. */
   originsOfService: 7,
-  /** bytes of one copy of what one node knows of another's vector, for each delay in it: an upper bound of the heap. */
+  /**
+   * bytes of one copy of what one node knows of another's vector, for each delay in it: an upper
+   * bound of the heap.
+   */
   bytesOfDelay: 64,
   /** share of the machine's memory that a hollow fleet may take. */
   memoryShare: 0.5,
-  /** bytes that one node holds of another without vectors: an upper bound, to refuse what can't fit. */
+  /**
+   * bytes that one node holds of another without vectors: an upper bound, to refuse what can't fit.
+   */
   bytesOfNode: 4_000,
 } as const;
--- a/packages/gauge/src/purity.test.ts
+++ b/packages/gauge/src/purity.test.ts
@@ -5,18 +5,49 @@
 
 const packages = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 /** Where time, chance and I/O may come from: the shells, and what is for tests alone. */
-const shells = new Set(['blank', 'feeler', 'workbench', 'mallet', 'reedyard', 'notch', 'scriber', 'shuttle', 'vise']);
-const shellFiles = new Set(['main.ts', 'run.ts', 'conns.ts', 'api.ts', 'warm.ts', 'caller-answer.ts', 'caller-server.ts', 'exchange.ts', 'read-answer.ts']);
+const shells = new Set([
+  'blank',
+  'feeler',
+  'workbench',
+  'mallet',
+  'reedyard',
+  'notch',
+  'scriber',
+  'shuttle',
+  'vise',
+]);
+const shellFiles = new Set([
+  'main.ts',
+  'run.ts',
+  'conns.ts',
+  'api.ts',
+  'warm.ts',
+  'caller-answer.ts',
+  'caller-server.ts',
+  'exchange.ts',
+  'read-answer.ts',
+]);
 
 test('no reducer looks at a clock, draws by chance or does I/O: clocks may jump, seeds replay', (t) => {
   let read = 0;
   for (const name of readdirSync(packages)) {
     if (shells.has(name)) continue;
     const folder = path.join(packages, name, 'src');
-    for (const file of readdirSync(folder).filter((each) => each.endsWith('.ts') && !each.endsWith('.test.ts') && !shellFiles.has(each))) {
+    for (const file of readdirSync(folder).filter(
+      (each) => each.endsWith('.ts') && !each.endsWith('.test.ts') && !shellFiles.has(each),
+    )) {
       const text = readFileSync(path.join(folder, file), 'utf8');
-      for (const word of ['Date.now', 'new Date', 'Math.random', 'performance.now', 'setTimeout', 'setInterval', "from 'node:"]) {
-        if (text.includes(word) && !(name === 'stencil' && word === "from 'node:")) t.fail(`${name}/${file}: ${word}`);
+      for (const word of [
+        'Date.now',
+        'new Date',
+        'Math.random',
+        'performance.now',
+        'setTimeout',
+        'setInterval',
+        "from 'node:",
+      ]) {
+        if (text.includes(word) && !(name === 'stencil' && word === "from 'node:"))
+          t.fail(`${name}/${file}: ${word}`);
       }
       read += 1;
     }
--- a/packages/jig/src/answered-pulls.fixture.ts
+++ b/packages/jig/src/answered-pulls.fixture.ts
@@ -1,4 +1,7 @@
-/** An agent with five founders, whose pulls are answered at once: for tests of what it makes of them. */
+/**
+ * An agent with five founders, whose pulls are answered at once: for tests of what it makes of
+ * them.
+ */
 import type { AnvilReply, Voters } from '@reedyard/anvil';
 import { Jig } from './core.js';
 import { learnRegister } from './pulls.js';
--- a/packages/jig/src/api.ts
+++ b/packages/jig/src/api.ts
@@ -7,16 +7,30 @@
 
 /** A request to the operators' and origins' API that can't be taken. */
 export class ApiError extends LayerError {
-  constructor(readonly status: number, title: string, readonly detail: string, readonly more: Readonly<Record<string, unknown>> = {}) { super(String(status), title); }
+  constructor(
+    readonly status: number,
+    title: string,
+    readonly detail: string,
+    readonly more: Readonly<Record<string, unknown>> = {},
+  ) {
+    super(String(status), title);
+  }
 }
 
 /** What is to be answered. */
-export type Reply = { readonly status: number; readonly body: unknown; readonly retryAfter?: number };
+export type Reply = {
+  readonly status: number;
+  readonly body: unknown;
+  readonly retryAfter?: number;
+};
 
 /** Performs an action; the signal tells that its caller is gone. */
 export type Act = (action: Action, signal?: AbortSignal) => Promise<Reply>;
 
-/** A signal for the connection of a request: it is aborted where the caller closes before the answer is written. */
+/**
+ * A signal for the connection of a request: it is aborted where the caller closes before the answer
+ * is written.
+ */
 const signalOf = (response: http.ServerResponse): AbortSignal => {
   const controller = new AbortController();
   response.once('close', () => {
@@ -25,26 +39,41 @@
   return controller.signal;
 };
 
-const readBytes = (request: http.IncomingMessage, most: number): Promise<Buffer> => new Promise((resolve, reject) => {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  request.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size > most) { reject(new ApiError(413, 'Document too large', `Documents here have at most ${most} bytes.`)); request.pause(); } else chunks.push(chunk);
+const readBytes = (request: http.IncomingMessage, most: number): Promise<Buffer> =>
+  new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > most) {
+        reject(
+          new ApiError(413, 'Document too large', `Documents here have at most ${most} bytes.`),
+        );
+        request.pause();
+      } else chunks.push(chunk);
+    });
+    request.on('end', () => resolve(Buffer.concat(chunks)));
+    request.on('error', reject);
   });
-  request.on('end', () => resolve(Buffer.concat(chunks)));
-  request.on('error', reject);
-});
 
 const readBody = async (request: http.IncomingMessage, most: number): Promise<unknown> => {
   const bytes = await readBytes(request, most);
-  try { return JSON.parse(bytes.toString('utf8')); } catch (thrown) { throw new ApiError(400, 'Not JSON', textOf(thrown)); }
+  try {
+    return JSON.parse(bytes.toString('utf8'));
+  } catch (thrown) {
+    throw new ApiError(400, 'Not JSON', textOf(thrown));
+  }
 };
 
 const changeIdOf = (request: http.IncomingMessage): string => {
   const given = request.headers['reedyard-change-id'];
   if (given === undefined) return randomUUID();
-  if (typeof given !== 'string' || !/^[\w.:-]{1,128}$/.test(given)) throw new ApiError(400, 'Bad change id', 'Reedyard-Change-Id takes 1 to 128 letters, digits, dots, colons, dashes and underscores.');
+  if (typeof given !== 'string' || !/^[\w.:-]{1,128}$/.test(given))
+    throw new ApiError(
+      400,
+      'Bad change id',
+      'Reedyard-Change-Id takes 1 to 128 letters, digits, dots, colons, dashes and underscores.',
+    );
   return given;
 };
 
@@ -52,40 +81,98 @@
   const given = request.headers['if-match'];
   if (given === undefined) return null;
   const found = /^"?(\d{1,15})"?$/.exec(given);
-  if (found === null) throw new ApiError(400, 'Bad If-Match', 'If-Match takes the serial of a policy.');
+  if (found === null)
+    throw new ApiError(400, 'Bad If-Match', 'If-Match takes the serial of a policy.');
   return Number(found[1]);
 };
 
 const gets: Readonly<Record<string, Action['kind']>> = {
-  '/v1/policy': 'get-policy', '/v1/status': 'status', '/v1/shares': 'shares', '/v1/partners': 'partners', '/ready': 'ready', '/live': 'live',
+  '/v1/policy': 'get-policy',
+  '/v1/status': 'status',
+  '/v1/shares': 'shares',
+  '/v1/partners': 'partners',
+  '/ready': 'ready',
+  '/live': 'live',
 };
 
 const actionOf = async (request: http.IncomingMessage): Promise<Action> => {
   const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
   const method = request.method ?? 'GET';
   const wanted = (allowed: readonly string[]): void => {
-    if (!allowed.includes(method)) throw new ApiError(405, 'Method not allowed', `${path} takes ${allowed.join(', ')}.`);
+    if (!allowed.includes(method))
+      throw new ApiError(405, 'Method not allowed', `${path} takes ${allowed.join(', ')}.`);
   };
   const hall = /^\/v1\/halls\/([a-z0-9][a-z0-9-]{0,62})$/.exec(path)?.[1];
   if (hall !== undefined) {
     wanted(['PUT']);
-    return { kind: 'hall', hall, ...Stencil.hallOrder(await readBody(request, Sizes.document)), changeId: changeIdOf(request) };
+    return {
+      kind: 'hall',
+      hall,
+      ...Stencil.hallOrder(await readBody(request, Sizes.document)),
+      changeId: changeIdOf(request),
+    };
   }
   const instance = /^\/v1\/origins\/([a-z0-9][a-z0-9._-]{0,62})$/i.exec(path)?.[1];
-  if (instance !== undefined) { wanted(['DELETE']); return { kind: 'withdraw', instance }; }
-  if (path === '/v1/origins') { wanted(['POST']); return { kind: 'describe', description: Stencil.description(await readBody(request, Sizes.document)) }; }
-  if (path === '/v1/purges') { wanted(['POST']); return { kind: 'purge', purge: Stencil.purge(await readBody(request, Sizes.document)), changeId: changeIdOf(request) }; }
+  if (instance !== undefined) {
+    wanted(['DELETE']);
+    return { kind: 'withdraw', instance };
+  }
+  if (path === '/v1/origins') {
+    wanted(['POST']);
+    return {
+      kind: 'describe',
+      description: Stencil.description(await readBody(request, Sizes.document)),
+    };
+  }
+  if (path === '/v1/purges') {
+    wanted(['POST']);
+    return {
+      kind: 'purge',
+      purge: Stencil.purge(await readBody(request, Sizes.document)),
+      changeId: changeIdOf(request),
+    };
+  }
   const read = gets[path];
-  if (read === undefined) throw new ApiError(404, 'No such place', `${path} is not part of this API.`);
+  if (read === undefined)
+    throw new ApiError(404, 'No such place', `${path} is not part of this API.`);
   wanted(path === '/v1/policy' ? ['GET', 'PUT'] : ['GET']);
-  if (method === 'PUT') return { kind: 'put-policy', document: Stencil.policy(await readBody(request, Sizes.policy)), ifMatch: ifMatchOf(request), changeId: changeIdOf(request) };
+  if (method === 'PUT')
+    return {
+      kind: 'put-policy',
+      document: Stencil.policy(await readBody(request, Sizes.policy)),
+      ifMatch: ifMatchOf(request),
+      changeId: changeIdOf(request),
+    };
   return { kind: read } as Action;
 };
 
 const problemOf = (thrown: unknown): Reply => {
-  if (thrown instanceof ApiError) return { status: thrown.status, body: { type: 'about:blank', title: thrown.message, status: thrown.status, detail: thrown.detail, ...thrown.more } };
-  if (thrown instanceof StencilError) return { status: 422, body: { type: 'about:blank', title: 'Document not accepted', status: 422, detail: `${thrown.faults.length} fault(s); nothing was changed.`, faults: thrown.faults.slice(0, 50) } };
-  return { status: 500, body: { type: 'about:blank', title: 'Unexpected fault', status: 500, detail: textOf(thrown) } };
+  if (thrown instanceof ApiError)
+    return {
+      status: thrown.status,
+      body: {
+        type: 'about:blank',
+        title: thrown.message,
+        status: thrown.status,
+        detail: thrown.detail,
+        ...thrown.more,
+      },
+    };
+  if (thrown instanceof StencilError)
+    return {
+      status: 422,
+      body: {
+        type: 'about:blank',
+        title: 'Document not accepted',
+        status: 422,
+        detail: `${thrown.faults.length} fault(s); nothing was changed.`,
+        faults: thrown.faults.slice(0, 50),
+      },
+    };
+  return {
+    status: 500,
+    body: { type: 'about:blank', title: 'Unexpected fault', status: 500, detail: textOf(thrown) },
+  };
 };
 
 /**
@@ -95,28 +182,44 @@
  * const server = apiServer((action) => perform(action));
  */
 export const apiServer = (act: Act): http.Server => {
-  const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 }, (request, response) => {
-    const signal = signalOf(response);
-    void actionOf(request).then((action) => act(action, signal)).catch(problemOf).then((reply) => {
-      const text = JSON.stringify(reply.body);
-      const serial = (reply.body as { readonly serial?: unknown }).serial;
-      response.writeHead(reply.status, {
-        'content-type': reply.status >= 400 ? 'application/problem+json' : 'application/json',
-        'content-length': Buffer.byteLength(text),
-        ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
-        ...(typeof serial === 'number' && reply.status === 200 ? { etag: `"${serial}"` } : {}),
-        ...(reply.status === 413 ? { connection: 'close' } : {}),
-      });
-      response.end(text);
-    });
-  });
+  const server = http.createServer(
+    { maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 },
+    (request, response) => {
+      const signal = signalOf(response);
+      void actionOf(request)
+        .then((action) => act(action, signal))
+        .catch(problemOf)
+        .then((reply) => {
+          const text = JSON.stringify(reply.body);
+          const serial = (reply.body as { readonly serial?: unknown }).serial;
+          response.writeHead(reply.status, {
+            'content-type': reply.status >= 400 ? 'application/problem+json' : 'application/json',
+            'content-length': Buffer.byteLength(text),
+            ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
+            ...(typeof serial === 'number' && reply.status === 200 ? { etag: `"${serial}"` } : {}),
+            ...(reply.status === 413 ? { connection: 'close' } : {}),
+          });
+          response.end(text);
+        });
+    },
+  );
   server.keepAliveTimeout = 30_000;
   return server;
 };
 
 /** A request and an answer of an API in another form. */
-export type ApiRequest = { readonly method: string; readonly target: string; readonly headers: http.IncomingHttpHeaders; readonly body: Buffer; /** Aborted where the caller is gone. */ readonly signal?: AbortSignal };
-export type ApiResponse = { readonly status: number; readonly headers: Readonly<Record<string, string>>; readonly body: string };
+export type ApiRequest = {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+  /** Aborted where the caller is gone. */ readonly signal?: AbortSignal;
+};
+export type ApiResponse = {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+};
 export type Api = {
   /** Bytes that the body of a request may have; a larger one is answered with 413. */
   readonly mostBytes: (method: string, target: string) => number;
@@ -130,18 +233,32 @@
  * translatedServer({ mostBytes: () => 1_024, answer: async () => ({ status: 204, headers: {}, body: '' }) }).listen(8080);
  */
 export const translatedServer = (api: Api): http.Server => {
-  const server = http.createServer({ maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 }, (request, response) => {
-    const [method, target] = [request.method ?? 'GET', request.url ?? '/'];
-    const signal = signalOf(response);
-    const failed = (thrown: unknown): ApiResponse => {
-      const { status, body } = problemOf(thrown);
-      return { status, headers: { 'content-type': 'application/problem+json' }, body: JSON.stringify(body) };
-    };
-    void readBytes(request, api.mostBytes(method, target)).then((body) => api.answer({ method, target, headers: request.headers, body, signal })).catch(failed).then(({ status, headers, body }) => {
-      response.writeHead(status, { ...headers, 'content-length': String(Buffer.byteLength(body)), ...(status === 413 ? { connection: 'close' } : {}) });
-      response.end(body);
-    });
-  });
+  const server = http.createServer(
+    { maxHeaderSize: Sizes.callerHead, headersTimeout: Limits.callerHead, requestTimeout: 30_000 },
+    (request, response) => {
+      const [method, target] = [request.method ?? 'GET', request.url ?? '/'];
+      const signal = signalOf(response);
+      const failed = (thrown: unknown): ApiResponse => {
+        const { status, body } = problemOf(thrown);
+        return {
+          status,
+          headers: { 'content-type': 'application/problem+json' },
+          body: JSON.stringify(body),
+        };
+      };
+      void readBytes(request, api.mostBytes(method, target))
+        .then((body) => api.answer({ method, target, headers: request.headers, body, signal }))
+        .catch(failed)
+        .then(({ status, headers, body }) => {
+          response.writeHead(status, {
+            ...headers,
+            'content-length': String(Buffer.byteLength(body)),
+            ...(status === 413 ? { connection: 'close' } : {}),
+          });
+          response.end(body);
+        });
+    },
+  );
   server.keepAliveTimeout = 30_000;
   return server;
 };
--- a/packages/jig/src/ballots.test.ts
+++ b/packages/jig/src/ballots.test.ts
@@ -53,11 +53,18 @@
   }
 
   /** Answers every call of one kind that waits. */
-  vote(kind: 'prepare' | 'accept', accepted: { readonly ballot: Ballot; readonly value: unknown } | null = null): void {
+  vote(
+    kind: 'prepare' | 'accept',
+    accepted: { readonly ballot: Ballot; readonly value: unknown } | null = null,
+  ): void {
     const due = this.calls.filter(({ call }) => call.kind === kind);
     this.calls = this.calls.filter(({ call }) => call.kind !== kind);
     for (const { id, to } of due) {
-      const body: AnvilReply = { kind: 'vote', disk: `disk-${to}`, vote: { kind: 'yes', accepted } };
+      const body: AnvilReply = {
+        kind: 'vote',
+        disk: `disk-${to}`,
+        vote: { kind: 'yes', accepted },
+      };
       this.step({ kind: 'returned', id, body, now: this.now });
     }
   }
@@ -73,9 +80,13 @@
 
   /** Ballots of the calls of one kind that wait. */
   ballots(kind: 'prepare' | 'accept'): readonly Ballot[] {
-    const all = this.calls.flatMap(({ call }) => (call.kind === 'prepare' || call.kind === 'accept' ? [call] : []));
+    const all = this.calls.flatMap(({ call }) =>
+      call.kind === 'prepare' || call.kind === 'accept' ? [call] : [],
+    );
     const mine = all.filter((call) => call.kind === kind).map((call) => call.ballot);
-    return mine.filter((ballot, at) => mine.findIndex((each) => Ballots.compare(each, ballot) === 0) === at);
+    return mine.filter(
+      (ballot, at) => mine.findIndex((each) => Ballots.compare(each, ballot) === 0) === at,
+    );
   }
 
   statusOf(id: number): number | undefined {
@@ -84,10 +95,16 @@
 }
 
 const zoneOrder = (hall: string, order: 'empty' | 'take-back', changeId: string): Action => ({
-  kind: 'hall', hall, order, of: 'origins', changeId,
+  kind: 'hall',
+  hall,
+  order,
+  of: 'origins',
+  changeId,
 });
 const put = (version: number, changeId: string, note = ''): Action => ({
-  kind: 'put-policy', ifMatch: null, changeId,
+  kind: 'put-policy',
+  ifMatch: null,
+  changeId,
   document: Stencil.policy({ version, services: {}, routes: [], notes: { note } }),
 });
 const closedIn = (body: unknown): readonly string[] =>
@@ -95,21 +112,35 @@
 
 test('eight orders at once on one register take two ballots, one after the other', (t) => {
   const bench = new Bench();
-  const orders = Array.from({ length: 8 }, (_, index) => bench.order(zoneOrder(`zone-${index}`, 'empty', `id-${index}`)));
+  const orders = Array.from({ length: 8 }, (_, index) =>
+    bench.order(zoneOrder(`zone-${index}`, 'empty', `id-${index}`)),
+  );
   t.is(bench.ballots('prepare').length, 1);
   bench.vote('prepare');
-  t.deepEqual(bench.calls.map(({ call }) => call.kind), ['accept', 'accept', 'accept']);
+  t.deepEqual(
+    bench.calls.map(({ call }) => call.kind),
+    ['accept', 'accept', 'accept'],
+  );
   const [first] = bench.calls;
-  const accepted = first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
+  const accepted =
+    first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
   bench.vote('accept');
   t.is(bench.statusOf(orders[0] ?? 0), 200);
-  t.deepEqual(orders.slice(1).map((id) => bench.statusOf(id)), Array.from({ length: 7 }, () => undefined));
+  t.deepEqual(
+    orders.slice(1).map((id) => bench.statusOf(id)),
+    Array.from({ length: 7 }, () => undefined),
+  );
   const [second] = bench.ballots('prepare');
   t.true(second !== undefined && accepted !== null && Ballots.compare(second, accepted.ballot) > 0);
   bench.vote('prepare', accepted);
   bench.vote('accept');
-  t.deepEqual(orders.map((id) => bench.statusOf(id)), orders.map(() => 200));
-  const serials = orders.map((id) => (bench.answers.get(id)?.body as { readonly serial: number }).serial);
+  t.deepEqual(
+    orders.map((id) => bench.statusOf(id)),
+    orders.map(() => 200),
+  );
+  const serials = orders.map(
+    (id) => (bench.answers.get(id)?.body as { readonly serial: number }).serial,
+  );
   t.deepEqual(serials, [1, 2, 3, 4, 5, 6, 7, 8]);
   t.deepEqual(bench.state.runs, {});
   t.deepEqual(bench.state.pursuits, {});
@@ -118,17 +149,25 @@
 test('changes of one ballot are made in the order in which they came, and each is told its own end', (t) => {
   const bench = new Bench();
   const held = bench.order(put(7, 'a', 'x'));
-  const [same, other, older, newer] = [put(7, 'b', 'x'), put(7, 'c', 'y'), put(3, 'd'), put(9, 'e')].map((each) => bench.order(each));
+  const [same, other, older, newer] = [
+    put(7, 'b', 'x'),
+    put(7, 'c', 'y'),
+    put(3, 'd'),
+    put(9, 'e'),
+  ].map((each) => bench.order(each));
   const read = bench.order({ kind: 'get-policy' });
   bench.vote('prepare');
   const [first] = bench.calls;
-  const accepted = first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
+  const accepted =
+    first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
   bench.vote('accept');
   bench.vote('prepare', accepted);
   bench.vote('accept');
   const ends = [held, same, other, older, newer].map((id) => bench.statusOf(id ?? 0));
   t.deepEqual(ends, [200, 200, 412, 200, 200]);
-  const policy = (bench.answers.get(read)?.body as { readonly policy: { readonly version: number } }).policy;
+  const policy = (
+    bench.answers.get(read)?.body as { readonly policy: { readonly version: number } }
+  ).policy;
   t.is(policy.version, 9);
 });
 
@@ -145,7 +184,10 @@
 
 test('an order whose caller is gone before its second phase is proposed no further; the others of its ballot are', (t) => {
   const bench = new Bench();
-  const [gone, stays] = [bench.order(zoneOrder('west', 'empty', '1')), bench.order(zoneOrder('east', 'empty', '2'))];
+  const [gone, stays] = [
+    bench.order(zoneOrder('west', 'empty', '1')),
+    bench.order(zoneOrder('east', 'empty', '2')),
+  ];
   bench.step({ kind: 'caller-gone', id: gone, now: 0 });
   bench.vote('prepare');
   bench.vote('accept');
@@ -174,7 +216,14 @@
   bench.refuse('accept', [9, 'z']);
   bench.now = 300;
   bench.step({ kind: 'woken', now: bench.now });
-  const value = { serial: 5, emptied: [], closedOrigins: [], reopened: {}, lastOrders: { west: 5 }, changes: [] };
+  const value = {
+    serial: 5,
+    emptied: [],
+    closedOrigins: [],
+    reopened: {},
+    lastOrders: { west: 5 },
+    changes: [],
+  };
   bench.vote('prepare', { ballot: [9, 'z'], value });
   t.is(bench.statusOf(late), 503);
   t.deepEqual(bench.ballots('accept'), []);
@@ -185,7 +234,8 @@
   const order = bench.order(zoneOrder('west', 'empty', '1'));
   bench.vote('prepare');
   const [first] = bench.calls;
-  const accepted = first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
+  const accepted =
+    first?.call.kind === 'accept' ? { ballot: first.call.ballot, value: first.call.value } : null;
   bench.calls = [];
   bench.now = Limits.ballotPhase + 1;
   bench.step({ kind: 'woken', now: bench.now });
@@ -215,11 +265,23 @@
   bench.vote('prepare');
   bench.now = Limits.resend;
   bench.step({ kind: 'woken', now: bench.now });
-  t.deepEqual(bench.calls.map(({ to, call }) => [to, call.kind]), [['b', 'prepare'], ['c', 'prepare']]);
+  t.deepEqual(
+    bench.calls.map(({ to, call }) => [to, call.kind]),
+    [
+      ['b', 'prepare'],
+      ['c', 'prepare'],
+    ],
+  );
   t.deepEqual(bench.ballots('prepare'), ballot === undefined ? [] : [ballot]);
   bench.calls = bench.calls.filter(({ to }) => to === 'b');
   bench.vote('prepare');
-  t.deepEqual(bench.calls.map(({ to, call }) => [to, call.kind]), [['a', 'accept'], ['b', 'accept']]);
+  t.deepEqual(
+    bench.calls.map(({ to, call }) => [to, call.kind]),
+    [
+      ['a', 'accept'],
+      ['b', 'accept'],
+    ],
+  );
 });
 
 test('no two lives of an agent open the same ballot', (t) => {
@@ -243,5 +305,8 @@
     bench.step({ kind: 'woken', now: bench.now });
   }
   t.true(Math.max(...waits.slice(0, 2)) < Math.max(...waits.slice(4)));
-  t.true(waits.every((wait) => wait <= 128), waits.join());
+  t.true(
+    waits.every((wait) => wait <= 128),
+    waits.join(),
+  );
 });
--- a/packages/jig/src/ballots.ts
+++ b/packages/jig/src/ballots.ts
@@ -1,13 +1,21 @@
 /**
- * Ballots of this node. Each register has at most one under way here: changes that come meanwhile wait, and the next
- * ballot makes all of them, each on what the one before it left. So changes of one node never outvote each other, and
- * are made in the order in which they came.
+ * Ballots of this node. Each register has at most one under way here: changes that come meanwhile
+ * wait, and the next ballot makes all of them, each on what the one before it left. So changes of
+ * one node never outvote each other, and are made in the order in which they came.
  *
- * A change joins only a ballot that is opened after it came. Joining one whose promises may have been given before
- * could answer a read with a value that was replaced before the read was asked for.
+ * A change joins only a ballot that is opened after it came. Joining one whose promises may have
+ * been given before could answer a read with a value that was replaced before the read was asked
+ * for.
  */
 import { Limits } from '@reedyard/gauge';
-import { Ballots, Proposer, type Ballot, type Change, type Changed, type Turn } from '@reedyard/latch';
+import {
+  Ballots,
+  Proposer,
+  type Ballot,
+  type Change,
+  type Changed,
+  type Turn,
+} from '@reedyard/latch';
 import { votersKey, type AnvilReply } from '@reedyard/anvil';
 import { finish, type Outcome } from './completion.js';
 import type { Reading, RegisterChange } from './changes.js';
@@ -33,8 +41,9 @@
 } from './state.js';
 
 /**
- * The wait of an outvoted proposer is drawn from a span that doubles each time: at first four times what an exchange
- * with the replicas took, two ballots, so that the one that won can end; at most 32 times, which is room for sixteen.
+ * The wait of an outvoted proposer is drawn from a span that doubles each time: at first four times
+ * what an exchange with the replicas took, two ballots, so that the one that won can end; at most
+ * 32 times, which is room for sixteen.
  */
 const Backoff = { leastExchange: 4, firstExchanges: 4, mostExchanges: 32, longest: 640 } as const;
 
@@ -55,7 +64,10 @@
 /** What a change made of the value it was applied to, and what it left. */
 type Applied = IncludedChange & { readonly changed: Changed; readonly value: unknown };
 
-/** Applies changes one after the other to what a ballot read; tells of each what it made and what it left. */
+/**
+ * Applies changes one after the other to what a ballot read; tells of each what it made and what it
+ * left.
+ */
 const applyAll = (included: readonly IncludedChange[], read: unknown): readonly Applied[] => {
   let current = read;
   return included.map(({ id, pursuit }) => {
@@ -67,14 +79,19 @@
   });
 };
 
-/** All changes of a ballot as one. Refusals are told to those they concern, and don't hold up the others. */
+/**
+ * All changes of a ballot as one. Refusals are told to those they concern, and don't hold up the
+ * others.
+ */
 const combine =
   (included: readonly IncludedChange[]): Change =>
   (current) => {
     const applied = applyAll(included, current);
     const last = applied.at(-1);
     const isWritten = applied.some(({ changed }) => changed.kind === 'write');
-    return last !== undefined && isWritten ? { kind: 'write', value: last.value } : { kind: 'keep' };
+    return last !== undefined && isWritten
+      ? { kind: 'write', value: last.value }
+      : { kind: 'keep' };
   };
 
 const setRun = (work: Work, key: string, run: BallotRun): void => {
@@ -92,7 +109,13 @@
       move.kind === 'prepare'
         ? ({ kind: 'prepare', key, ballot } as const)
         : ({ kind: 'accept', key, ballot, value: move.value, disk: move.disk } as const);
-    sendToAnvil(work, anvil.address, call, { kind: 'vote', key, anvil: move.to, phase: move.kind, ballot });
+    sendToAnvil(work, anvil.address, call, {
+      kind: 'vote',
+      key,
+      anvil: move.to,
+      phase: move.kind,
+      ballot,
+    });
   }
 };
 
@@ -113,7 +136,8 @@
   }
   const { state } = work;
   const members = Object.keys(state.anvils);
-  // A ballot belongs to one life of a process: a new one does not know which ballots the last one opened.
+  // A ballot belongs to one life of a process: a new one does not know which ballots the last one
+  // opened.
   const proposer = `${state.self.id}/${state.life}`;
   const turn = Proposer.open(key, combine(waiting), members, state.highestBallot, proposer);
   set(work, { highestBallot: turn.proposal.ballot });
@@ -139,7 +163,9 @@
 };
 
 const outcomeOf = ({ changed, value }: Applied): Outcome =>
-  changed.kind === 'refuse' ? { kind: 'refused', reason: changed.reason, value } : { kind: 'chosen', value };
+  changed.kind === 'refuse'
+    ? { kind: 'refused', reason: changed.reason, value }
+    : { kind: 'chosen', value };
 
 /** Takes in what a ballot chose, and tells each of its changes how it ended. */
 const conclude = (
@@ -166,10 +192,16 @@
   if (newest !== undefined) set(work, { claims: [newest.set(key, { ballot, value }), ...older] });
 };
 
-/** Waits before the next ballot, at random and longer each time, so that proposers don't outvote each other for ever. */
+/**
+ * Waits before the next ballot, at random and longer each time, so that proposers don't outvote
+ * each other for ever.
+ */
 const backOff = (work: Work, run: BallotRun): void => {
   const exchange = Math.max(Backoff.leastExchange, work.state.now - run.phaseAt);
-  const exchanges = Math.min(Backoff.mostExchanges, Backoff.firstExchanges * 2 ** run.retries.outvoted);
+  const exchanges = Math.min(
+    Backoff.mostExchanges,
+    Backoff.firstExchanges * 2 ** run.retries.outvoted,
+  );
   const wait = Math.min(Backoff.longest, exchange * exchanges) * chance(work);
   setRun(work, run.proposal.key, { ...run, retryAt: work.state.now + wait });
   work.effects.push({ kind: 'wake', inMs: wait });
@@ -178,7 +210,14 @@
 /** Proposes a change of a register; what becomes of it is told by its purpose. */
 export const pursue = (work: Work, key: string, change: RegisterChange, purpose: Purpose): void => {
   const id = takeId(work);
-  const pursuit: Pursuit = { key, change, purpose, openedAt: work.state.now, firstRead: null, isAbandoned: false };
+  const pursuit: Pursuit = {
+    key,
+    change,
+    purpose,
+    openedAt: work.state.now,
+    firstRead: null,
+    isAbandoned: false,
+  };
   set(work, { pursuits: { ...work.state.pursuits, [id]: pursuit } });
   if (work.state.runs[key] === undefined) openRun(work, key);
 };
@@ -221,21 +260,26 @@
   setRun(work, turn.proposal.key, next);
   if (isNewPhase && run.proposal.phase === 'prepare') noteFirstRead(work, next, turn.proposal.read);
   sendMoves(work, turn);
-  if (isNewPhase && turn.proposal.phase === 'accept') work.effects.push({ kind: 'wake', inMs: Limits.resend });
+  if (isNewPhase && turn.proposal.phase === 'accept')
+    work.effects.push({ kind: 'wake', inMs: Limits.resend });
   for (const move of turn.moves) {
     if (move.kind === 'outvoted' && next.retryAt === null) backOff(work, next);
     if (move.kind === 'chosen') conclude(work, next, move);
   }
 };
 
-const timeoutOf = (purpose: Purpose): number => (purpose.kind === 'hall' ? Limits.zoneOrder : Limits.proposal);
+const timeoutOf = (purpose: Purpose): number =>
+  purpose.kind === 'hall' ? Limits.zoneOrder : Limits.proposal;
 
 const giveUp = (work: Work, id: number, pursuit: Pursuit): void => {
   set(work, { pursuits: without(work.state.pursuits, id) });
   finish(work, pursuit.purpose, { kind: 'unknown' });
 };
 
-/** Leaves out of a ballot's first phase what is no longer wanted; without anything left it is not gone on with. */
+/**
+ * Leaves out of a ballot's first phase what is no longer wanted; without anything left it is not
+ * gone on with.
+ */
 const leaveOut = (work: Work, key: string): void => {
   const run = work.state.runs[key];
   if (run === undefined) return;
@@ -251,14 +295,19 @@
   setRun(work, key, { ...run, proposal, included });
 };
 
-/** Prepares for replicas that have not answered, and accepts for those that have promised and not accepted. */
+/**
+ * Prepares for replicas that have not answered, and accepts for those that have promised and not
+ * accepted.
+ */
 const unanswered = ({ proposal }: BallotRun): Turn['moves'] => {
   const { ballot, promises, proposed: value } = proposal;
   return proposal.voters.flatMap((to): Turn['moves'] => {
     const promise = promises[to];
     if (proposal.refusedBy.includes(to) || proposal.accepts.includes(to)) return [];
     if (promise === undefined) return [{ kind: 'prepare', to, ballot }];
-    return proposal.phase === 'accept' ? [{ kind: 'accept', to, ballot, value, disk: promise.disk }] : [];
+    return proposal.phase === 'accept'
+      ? [{ kind: 'accept', to, ballot, value, disk: promise.disk }]
+      : [];
   });
 };
 
@@ -269,7 +318,10 @@
   return isYoung && run.proposal.key === votersKey ? Limits.membershipPhase : Limits.ballotPhase;
 };
 
-/** ms after which the calls of a ballot are sent again: longer each time, since a slow replica is not helped by more. */
+/**
+ * ms after which the calls of a ballot are sent again: longer each time, since a slow replica is
+ * not helped by more.
+ */
 const resendAfter = (run: BallotRun): number => Limits.resend * 2 ** run.resends;
 
 const resend = (work: Work, run: BallotRun): void => {
@@ -284,7 +336,8 @@
   const { outvoted, timedOut } = run.retries;
   if (run.retryAt !== null) {
     if (now >= run.retryAt) openRun(work, key, { outvoted: outvoted + 1, timedOut });
-  } else if (now - run.phaseAt > longestPhaseOf(run, now)) openRun(work, key, { outvoted, timedOut: timedOut + 1 });
+  } else if (now - run.phaseAt > longestPhaseOf(run, now))
+    openRun(work, key, { outvoted, timedOut: timedOut + 1 });
   else if (now - run.sentAt >= resendAfter(run)) resend(work, run);
 };
 
@@ -300,11 +353,13 @@
 };
 
 const isCallersPurpose = (purpose: Purpose, caller: number): boolean =>
-  (purpose.kind === 'put-policy' || purpose.kind === 'get-policy' || purpose.kind === 'hall') && purpose.id === caller;
+  (purpose.kind === 'put-policy' || purpose.kind === 'get-policy' || purpose.kind === 'hall') &&
+  purpose.id === caller;
 
 /**
- * The caller of an operator's action is gone: it repeats its order at another node. What has not been proposed yet is
- * dropped, and what is being proposed gets no further ballot, so that it can't undo an order that follows.
+ * The caller of an operator's action is gone: it repeats its order at another node. What has not
+ * been proposed yet is dropped, and what is being proposed gets no further ballot, so that it can't
+ * undo an order that follows.
  */
 export const dropCaller = (work: Work, caller: number): void => {
   for (const [id, pursuit] of Object.entries(work.state.pursuits)) {
@@ -322,10 +377,16 @@
 /** Whether a change is part of a ballot whose second phase is out. */
 const isProposed = (state: JigState, id: number): boolean =>
   Object.values(state.runs).some(
-    (run) => run.proposal.phase === 'accept' && run.retryAt === null && run.included.some((each) => each.id === id),
+    (run) =>
+      run.proposal.phase === 'accept' &&
+      run.retryAt === null &&
+      run.included.some((each) => each.id === id),
   );
 
-/** Under new members nothing counts that was counted by the old ones: all that is under way begins again. */
+/**
+ * Under new members nothing counts that was counted by the old ones: all that is under way begins
+ * again.
+ */
 export const countAnew = (work: Work): void => {
   const { state } = work;
   const runs = Object.entries(state.runs).map(([key, run]) => [
@@ -336,7 +397,10 @@
     which,
     { ...posting, acks: [], sentAt: -Infinity },
   ]);
-  const anvils = Object.entries(state.anvils).map(([name, view]) => [name, { ...view, pulled: null }]);
+  const anvils = Object.entries(state.anvils).map(([name, view]) => [
+    name,
+    { ...view, pulled: null },
+  ]);
   set(work, {
     runs: Object.fromEntries(runs),
     postings: Object.fromEntries(postings),
--- a/packages/jig/src/change-ids.ts
+++ b/packages/jig/src/change-ids.ts
@@ -1,8 +1,9 @@
 /**
- * Ids of the changes that a register took lately, kept in its value: a change that is sent again under its id, by
- * whichever node, is made once. An id is remembered for as long as it may be sent again. Registers know no time, so
- * each node notes when it learnt a serial, by its own clock: whatever it has known for the whole repeat window is older
- * than that. A node that has just started has learnt nothing long ago, and lets nothing go.
+ * Ids of the changes that a register took lately, kept in its value: a change that is sent again
+ * under its id, by whichever node, is made once. An id is remembered for as long as it may be sent
+ * again. Registers know no time, so each node notes when it learnt a serial, by its own clock:
+ * whatever it has known for the whole repeat window is older than that. A node that has just
+ * started has learnt nothing long ago, and lets nothing go.
  */
 import { Limits, Sizes } from '@reedyard/gauge';
 import { hallsOf, policyOf, set, type JigState, type Work } from './state.js';
@@ -23,7 +24,10 @@
 const serialOf = (state: JigState, key: Identified): number =>
   (key === 'policy' ? policyOf(state) : hallsOf(state))?.serial ?? 0;
 
-/** Notes serials that are new since the last time; of those that are over the window the newest one is enough. */
+/**
+ * Notes serials that are new since the last time; of those that are over the window the newest one
+ * is enough.
+ */
 export const noteSerials = (work: Work): void => {
   const { now } = work.state;
   for (const key of identified) {
@@ -36,12 +40,17 @@
   }
 };
 
-/** The newest serial that this node has known for the whole repeat window: changes up to it may be forgotten. */
+/**
+ * The newest serial that this node has known for the whole repeat window: changes up to it may be
+ * forgotten.
+ */
 export const lapsedSerial = (state: JigState, key: Identified): number =>
-  state.learntSerials[key].findLast((each) => state.now - each.at > Limits.repeatWindow)?.serial ?? 0;
+  state.learntSerials[key].findLast((each) => state.now - each.at > Limits.repeatWindow)?.serial ??
+  0;
 
 /**
- * Adds a change, and lets those go that may no longer be sent again. Past the bound in bytes the oldest go first.
+ * Adds a change, and lets those go that may no longer be sent again. Past the bound in bytes the
+ * oldest go first.
  *
  * @example
  * rememberChange([{ id: 'a', serial: 1 }], { id: 'b', serial: 2 }, 1) // [{ id: 'b', serial: 2 }]
--- a/packages/jig/src/changes.test.ts
+++ b/packages/jig/src/changes.test.ts
@@ -11,11 +11,20 @@
 
 const self = { id: 'n', hall: 'west', region: 'r', address: 'n/jig', lathe: null, anvil: null };
 const document = (version: number | undefined, note: string): Policy =>
-  Stencil.policy({ ...(version === undefined ? {} : { version }), services: {}, routes: [], notes: { note } });
+  Stencil.policy({
+    ...(version === undefined ? {} : { version }),
+    services: {},
+    routes: [],
+    notes: { note },
+  });
 const put = (sent: Policy, changeId: string, ifMatch: number | null = null): RegisterChange =>
   Changes.policy({ document: sent, ifMatch, changeId, lapsed: 0 });
-const zone = (hall: string, order: 'empty' | 'take-back', changeId: string, lapsed = 0): RegisterChange =>
-  Changes.zone({ hall, order, of: 'origins', changeId, lapsed });
+const zone = (
+  hall: string,
+  order: 'empty' | 'take-back',
+  changeId: string,
+  lapsed = 0,
+): RegisterChange => Changes.zone({ hall, order, of: 'origins', changeId, lapsed });
 
 /** The value that a change leaves. */
 const after = (change: RegisterChange, current: unknown): unknown => {
@@ -34,17 +43,38 @@
 test('a configuration that was taken under If-Match is acknowledged again, also under another id', (t) => {
   const first = after(put(document(undefined, 'x'), 'a', 0), null) as PolicyValue;
   t.deepEqual(put(document(undefined, 'x'), 'b', 0)(first), { kind: 'keep' });
-  t.deepEqual(put(document(undefined, 'y'), 'b', 0)(first), { kind: 'refuse', reason: 'stale-serial' });
-  t.deepEqual(put(document(undefined, 'x'), 'b', 7)(first), { kind: 'refuse', reason: 'stale-serial' });
+  t.deepEqual(put(document(undefined, 'y'), 'b', 0)(first), {
+    kind: 'refuse',
+    reason: 'stale-serial',
+  });
+  t.deepEqual(put(document(undefined, 'x'), 'b', 7)(first), {
+    kind: 'refuse',
+    reason: 'stale-serial',
+  });
   const versioned = after(put(document(7, 'x'), 'a', 0), null);
-  for (const ifMatch of [null, 0, 1]) t.deepEqual(put(document(7, 'x'), 'b', ifMatch)(versioned), { kind: 'keep' });
-  t.deepEqual(put(document(7, 'y'), 'b', 1)(versioned), { kind: 'refuse', reason: 'version-taken' });
+  for (const ifMatch of [null, 0, 1])
+    t.deepEqual(put(document(7, 'x'), 'b', ifMatch)(versioned), { kind: 'keep' });
+  t.deepEqual(put(document(7, 'y'), 'b', 1)(versioned), {
+    kind: 'refuse',
+    reason: 'version-taken',
+  });
   t.deepEqual(put(document(7, 'x'), 'b', 7)(versioned), { kind: 'refuse', reason: 'stale-serial' });
 });
 
 test('content is compared by its fields, in whatever order they were sent', (t) => {
-  t.true(hasSameContent({ a: 1, b: [{ c: 2, d: null }], e: undefined }, { b: [{ d: null, c: 2 }], a: 1 }));
-  for (const other of [{ a: 1 }, { a: 1, b: [2, 1] }, { a: 1, b: { 0: 1, 1: 2 } }, { a: 1, b: [1, 2], c: null }, null]) {
+  t.true(
+    hasSameContent(
+      { a: 1, b: [{ c: 2, d: null }], e: undefined },
+      { b: [{ d: null, c: 2 }], a: 1 },
+    ),
+  );
+  for (const other of [
+    { a: 1 },
+    { a: 1, b: [2, 1] },
+    { a: 1, b: { 0: 1, 1: 2 } },
+    { a: 1, b: [1, 2], c: null },
+    null,
+  ]) {
     t.false(hasSameContent({ a: 1, b: [1, 2] }, other));
   }
   t.false(hasSameContent({ toString: undefined, a: 1 }, { a: 2 }));
@@ -53,24 +83,36 @@
 
 test('of 500 changes under way or just made each is made once, whenever it is sent again', (t) => {
   let value: unknown = null;
-  const orders = Array.from({ length: 500 }, (_, index) => zone(`zone-${index % 7}`, index % 2 === 0 ? 'empty' : 'take-back', `change-${index}-0123456789abcdef0123456789abcdef`));
+  const orders = Array.from({ length: 500 }, (_, index) =>
+    zone(
+      `zone-${index % 7}`,
+      index % 2 === 0 ? 'empty' : 'take-back',
+      `change-${index}-0123456789abcdef0123456789abcdef`,
+    ),
+  );
   for (const order of orders) value = after(order, value);
   t.is(hallsValueOf(value).serial, 500);
   t.true(orders.every((order) => order(value).kind === 'keep'));
   let policy: unknown = null;
-  const puts = Array.from({ length: 500 }, (_, index) => put(document(undefined, `n-${index}`), `change-${index}`));
+  const puts = Array.from({ length: 500 }, (_, index) =>
+    put(document(undefined, `n-${index}`), `change-${index}`),
+  );
   for (const each of puts) policy = after(each, policy);
   t.true(puts.every((each) => each(policy).kind === 'keep'));
 });
 
 test('ids of changes that may no longer be sent again are let go; their bytes are bounded before that', (t) => {
   let value: unknown = null;
-  for (let index = 0; index < 5_000; index += 1) value = after(zone('west', 'empty', `${index}-${'x'.repeat(100)}`), value);
+  for (let index = 0; index < 5_000; index += 1)
+    value = after(zone('west', 'empty', `${index}-${'x'.repeat(100)}`), value);
   const { changes } = hallsValueOf(value);
   t.true(JSON.stringify(changes).length < 1.1 * Sizes.recentChangeBytes);
   t.is(changes.at(-1)?.serial, 5_000);
   const later = hallsValueOf(after(zone('west', 'empty', 'new', 4_990), value));
-  t.deepEqual(later.changes.map((each) => each.serial), [4_991, 4_992, 4_993, 4_994, 4_995, 4_996, 4_997, 4_998, 4_999, 5_000, 5_001]);
+  t.deepEqual(
+    later.changes.map((each) => each.serial),
+    [4_991, 4_992, 4_993, 4_994, 4_995, 4_996, 4_997, 4_998, 4_999, 5_000, 5_001],
+  );
 });
 
 test('a serial counts as lapsed once this node has known it for the repeat window, by its own clock', (t) => {
@@ -87,7 +129,13 @@
   t.is(at(50_001 + Limits.repeatWindow), 500);
   t.true(state.learntSerials.halls.length <= Limits.repeatWindow / 100 + 2);
   // A node that has just started knows nothing to be old.
-  t.is(lapsedSerial(Jig.open({ self, life: 'm', seeds: [], founders: {}, seed: 1, now: 90_000 }), 'halls'), 0);
+  t.is(
+    lapsedSerial(
+      Jig.open({ self, life: 'm', seeds: [], founders: {}, seed: 1, now: 90_000 }),
+      'halls',
+    ),
+    0,
+  );
 });
 
 test('every chosen order leaves its serial with its zone, also one that finds it so already', (t) => {
--- a/packages/jig/src/changes.ts
+++ b/packages/jig/src/changes.ts
@@ -1,6 +1,7 @@
 /**
- * The changes that are made to registers: pure functions from what a ballot reads to what it proposes. Each is applied
- * again in every ballot of its proposal, and knows its own earlier work by an id or by content.
+ * The changes that are made to registers: pure functions from what a ballot reads to what it
+ * proposes. Each is applied again in every ballot of its proposal, and knows its own earlier work
+ * by an id or by content.
  */
 import type { Voters } from '@reedyard/anvil';
 import type { Changed } from '@reedyard/latch';
@@ -11,7 +12,9 @@
 import { hallsValueOf, without } from './state.js';
 import type { ClaimState, ClaimValue, HallsValue, PolicyValue } from './terms.js';
 
-/** What the register held when a change was first applied, and what it holds in the present ballot. */
+/**
+ * What the register held when a change was first applied, and what it holds in the present ballot.
+ */
 export type Reading = { readonly first: unknown; readonly now: unknown };
 
 /** A change of a register; `reading` is given from the second ballot on. */
@@ -46,25 +49,32 @@
 };
 
 /**
- * Takes a configuration. What is held already is acknowledged again. An older version is acknowledged and changes
- * nothing; another content under the version held is refused, since only one may be confirmed under a version.
+ * Takes a configuration. What is held already is acknowledged again. An older version is
+ * acknowledged and changes nothing; another content under the version held is refused, since only
+ * one may be confirmed under a version.
  */
-const policy = ({ document, ifMatch, changeId, lapsed }: PolicyOrder): RegisterChange => (current) => {
-  const old = current as PolicyValue | null;
-  if (findChange(old?.changes ?? [], changeId) !== undefined) return keep;
-  const order = old === null ? 'newer' : compareVersions(old.document, document);
-  const serial = old?.serial ?? 0;
-  // Sent again under the serial that it replaced: it was taken then.
-  const isRepeat = ifMatch === serial - 1;
-  const mayBeHeld = isRepeat || (order === 'equal' && (ifMatch === null || ifMatch === serial));
-  if (old !== null && mayBeHeld && hasSameContent(old.document, document)) return keep;
-  if (ifMatch !== null && ifMatch !== serial) return { kind: 'refuse', reason: Refusals.staleSerial };
-  if (order === 'older') return keep;
-  if (order === 'equal') return { kind: 'refuse', reason: Refusals.versionTaken };
-  const made = { id: changeId, serial: serial + 1 };
-  const changes = rememberChange(old?.changes ?? [], made, lapsed);
-  return { kind: 'write', value: { serial: made.serial, document, changes } satisfies PolicyValue };
-};
+const policy =
+  ({ document, ifMatch, changeId, lapsed }: PolicyOrder): RegisterChange =>
+  (current) => {
+    const old = current as PolicyValue | null;
+    if (findChange(old?.changes ?? [], changeId) !== undefined) return keep;
+    const order = old === null ? 'newer' : compareVersions(old.document, document);
+    const serial = old?.serial ?? 0;
+    // Sent again under the serial that it replaced: it was taken then.
+    const isRepeat = ifMatch === serial - 1;
+    const mayBeHeld = isRepeat || (order === 'equal' && (ifMatch === null || ifMatch === serial));
+    if (old !== null && mayBeHeld && hasSameContent(old.document, document)) return keep;
+    if (ifMatch !== null && ifMatch !== serial)
+      return { kind: 'refuse', reason: Refusals.staleSerial };
+    if (order === 'older') return keep;
+    if (order === 'equal') return { kind: 'refuse', reason: Refusals.versionTaken };
+    const made = { id: changeId, serial: serial + 1 };
+    const changes = rememberChange(old?.changes ?? [], made, lapsed);
+    return {
+      kind: 'write',
+      value: { serial: made.serial, document, changes } satisfies PolicyValue,
+    };
+  };
 
 /** An order for a zone, with what tells a repeat of it from a new one. */
 export type ZoneOrder = {
@@ -81,7 +91,8 @@
   old: HallsValue,
   { hall, order, of }: ZoneOrder,
 ): Pick<HallsValue, 'emptied' | 'closedOrigins'> => {
-  const others = (halls: readonly string[]): readonly string[] => halls.filter((each) => each !== hall);
+  const others = (halls: readonly string[]): readonly string[] =>
+    halls.filter((each) => each !== hall);
   const withZone = (halls: readonly string[], isIn: boolean): readonly string[] =>
     isIn ? [...others(halls), hall] : others(halls);
   const isEmptied = of === 'origins' ? old.emptied.includes(hall) : order === 'empty';
@@ -93,7 +104,11 @@
   };
 };
 
-const isInForce = (old: HallsValue, next: Pick<HallsValue, 'emptied' | 'closedOrigins'>, hall: string): boolean =>
+const isInForce = (
+  old: HallsValue,
+  next: Pick<HallsValue, 'emptied' | 'closedOrigins'>,
+  hall: string,
+): boolean =>
   old.emptied.includes(hall) === next.emptied.includes(hall) &&
   old.closedOrigins.includes(hall) === next.closedOrigins.includes(hall);
 
@@ -103,65 +118,89 @@
   hallsValueOf(reading.first).lastOrders[hall] !== hallsValueOf(reading.now).lastOrders[hall];
 
 /**
- * Carries out an order for a zone. Every order that is chosen leaves its serial with the zone, also one that changes
- * nothing else: an older order that is still being proposed finds then that it was overtaken, and does not undo it.
+ * Carries out an order for a zone. Every order that is chosen leaves its serial with the zone, also
+ * one that changes nothing else: an older order that is still being proposed finds then that it was
+ * overtaken, and does not undo it.
  */
-const zone = (sent: ZoneOrder): RegisterChange => (current, reading) => {
-  const old = hallsValueOf(current);
-  if (findChange(old.changes, sent.changeId) !== undefined) return keep;
-  const { hall } = sent;
-  const next = zonesAfter(old, sent);
-  if (isOvertaken(reading, hall)) {
-    return isInForce(old, next, hall) ? keep : { kind: 'refuse', reason: Refusals.overtaken };
-  }
-  const serial = old.serial + 1;
-  const isReopened = old.closedOrigins.includes(hall) && !next.closedOrigins.includes(hall);
-  const value: HallsValue = {
-    ...next,
-    serial,
-    reopened: isReopened ? { ...old.reopened, [hall]: serial } : old.reopened,
-    lastOrders: { ...old.lastOrders, [hall]: serial },
-    changes: rememberChange(old.changes, { id: sent.changeId, serial }, sent.lapsed),
+const zone =
+  (sent: ZoneOrder): RegisterChange =>
+  (current, reading) => {
+    const old = hallsValueOf(current);
+    if (findChange(old.changes, sent.changeId) !== undefined) return keep;
+    const { hall } = sent;
+    const next = zonesAfter(old, sent);
+    if (isOvertaken(reading, hall)) {
+      return isInForce(old, next, hall) ? keep : { kind: 'refuse', reason: Refusals.overtaken };
+    }
+    const serial = old.serial + 1;
+    const isReopened = old.closedOrigins.includes(hall) && !next.closedOrigins.includes(hall);
+    const value: HallsValue = {
+      ...next,
+      serial,
+      reopened: isReopened ? { ...old.reopened, [hall]: serial } : old.reopened,
+      lastOrders: { ...old.lastOrders, [hall]: serial },
+      changes: rememberChange(old.changes, { id: sent.changeId, serial }, sent.lapsed),
+    };
+    return { kind: 'write', value };
   };
-  return { kind: 'write', value };
-};
 
 /** Claims a key for one request. */
-const claim = (token: string, node: string, life: string, digest: string): RegisterChange => (current) => {
-  const old = current as ClaimValue | null;
-  if (old !== null && old.digest !== digest) return { kind: 'refuse', reason: 'other' };
-  if (old === null || (old.state === 'not-run' && old.token !== token)) {
-    return { kind: 'write', value: { token, state: 'pending', node, life, digest } satisfies ClaimValue };
-  }
-  return old.token === token && old.state === 'pending' ? keep : { kind: 'refuse', reason: old.state };
-};
+const claim =
+  (token: string, node: string, life: string, digest: string): RegisterChange =>
+  (current) => {
+    const old = current as ClaimValue | null;
+    if (old !== null && old.digest !== digest) return { kind: 'refuse', reason: 'other' };
+    if (old === null || (old.state === 'not-run' && old.token !== token)) {
+      return {
+        kind: 'write',
+        value: { token, state: 'pending', node, life, digest } satisfies ClaimValue,
+      };
+    }
+    return old.token === token && old.state === 'pending'
+      ? keep
+      : { kind: 'refuse', reason: old.state };
+  };
 
 /** Records what became of a claimed request. */
-const settle = (token: string, state: ClaimState): RegisterChange => (current) => {
-  const old = current as ClaimValue | null;
-  if (old === null || old.token !== token || old.state === state) return keep;
-  return { kind: 'write', value: { ...old, state } satisfies ClaimValue };
-};
+const settle =
+  (token: string, state: ClaimState): RegisterChange =>
+  (current) => {
+    const old = current as ClaimValue | null;
+    if (old === null || old.token !== token || old.state === state) return keep;
+    return { kind: 'write', value: { ...old, state } satisfies ClaimValue };
+  };
 
 /** A quota leader's next allocation, fenced by its term. */
-const plan = (goal: Plan): RegisterChange => (current) => {
-  const old = current as Plan | null;
-  const isOwn = old !== null && old.term === goal.term && old.holder === goal.holder;
-  if (isOwn && old.beat === goal.beat) return keep;
-  return isOwn && old.beat < goal.beat ? { kind: 'write', value: goal } : { kind: 'refuse', reason: 'fenced' };
-};
+const plan =
+  (goal: Plan): RegisterChange =>
+  (current) => {
+    const old = current as Plan | null;
+    const isOwn = old !== null && old.term === goal.term && old.holder === goal.holder;
+    if (isOwn && old.beat === goal.beat) return keep;
+    return isOwn && old.beat < goal.beat
+      ? { kind: 'write', value: goal }
+      : { kind: 'refuse', reason: 'fenced' };
+  };
 
 /** Takes the quota leadership where it was found vacant, unless anything moved since. */
-const takeDuty = (seen: Plan | null, goal: Plan): RegisterChange => (current) => {
-  const old = current as Plan | null;
-  if (old !== null && old.term === goal.term && old.holder === goal.holder) return keep;
-  if ((old?.term ?? 0) !== (seen?.term ?? 0) || (old?.beat ?? 0) !== (seen?.beat ?? 0)) {
-    return { kind: 'refuse', reason: 'not vacant' };
-  }
-  return { kind: 'write', value: { ...goal, slices: old?.slices ?? {}, seated: old?.seated ?? [] } };
-};
+const takeDuty =
+  (seen: Plan | null, goal: Plan): RegisterChange =>
+  (current) => {
+    const old = current as Plan | null;
+    if (old !== null && old.term === goal.term && old.holder === goal.holder) return keep;
+    if ((old?.term ?? 0) !== (seen?.term ?? 0) || (old?.beat ?? 0) !== (seen?.beat ?? 0)) {
+      return { kind: 'refuse', reason: 'not vacant' };
+    }
+    return {
+      kind: 'write',
+      value: { ...goal, slices: old?.slices ?? {}, seated: old?.seated ?? [] },
+    };
+  };
 
-/** Predecessors of the members, but for one whose disk is now another; left out where there are none. */
+/**
+ * Predecessors of the members, but for one whose disk is now another; left out where there are
+ * none.
+ */
 const predecessorsWithout = (
   voters: Voters,
   member: string | undefined,
@@ -172,20 +211,30 @@
 };
 
 /** Gives a place to another disk: one at a time, and only by the members just before. */
-const seat = (known: Voters, anvil: string, disk: string, address?: string): RegisterChange => (current) => {
-  const old = current as Voters | null;
-  const isThere = (held: Voters): boolean =>
-    held.disks[anvil] === disk && (address === undefined || held.addresses?.[anvil] === address);
-  if (old === null || isThere(old)) return keep;
-  if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
-  const addresses = address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } };
-  const disks = { ...old.disks, [anvil]: disk };
-  const predecessors = predecessorsWithout(old, old.disks[anvil] === disk ? undefined : anvil);
-  const isNewDisk = old.disks[anvil] !== disk;
-  const joinedIn = isNewDisk ? { joinedIn: { ...old.joinedIn, [anvil]: old.epoch + 1 } } : {};
-  const value = { ...old, epoch: old.epoch + 1, disks, ...addresses, ...predecessors, ...joinedIn };
-  return { kind: 'write', value: value satisfies Voters };
-};
+const seat =
+  (known: Voters, anvil: string, disk: string, address?: string): RegisterChange =>
+  (current) => {
+    const old = current as Voters | null;
+    const isThere = (held: Voters): boolean =>
+      held.disks[anvil] === disk && (address === undefined || held.addresses?.[anvil] === address);
+    if (old === null || isThere(old)) return keep;
+    if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
+    const addresses =
+      address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } };
+    const disks = { ...old.disks, [anvil]: disk };
+    const predecessors = predecessorsWithout(old, old.disks[anvil] === disk ? undefined : anvil);
+    const isNewDisk = old.disks[anvil] !== disk;
+    const joinedIn = isNewDisk ? { joinedIn: { ...old.joinedIn, [anvil]: old.epoch + 1 } } : {};
+    const value = {
+      ...old,
+      epoch: old.epoch + 1,
+      disks,
+      ...addresses,
+      ...predecessors,
+      ...joinedIn,
+    };
+    return { kind: 'write', value: value satisfies Voters };
+  };
 
 /** Gives a place up, and another, of a disk without one, in its stead. */
 const replace =
--- a/packages/jig/src/completion.ts
+++ b/packages/jig/src/completion.ts
@@ -1,4 +1,7 @@
-/** What is done with the end of each proposal: answers to its caller, and what this node notes for itself. */
+/**
+ * What is done with the end of each proposal: answers to its caller, and what this node notes for
+ * itself.
+ */
 import { Limits } from '@reedyard/gauge';
 import { Spindle } from '@reedyard/spindle';
 import type { Plan } from '@reedyard/ladle';
@@ -37,7 +40,11 @@
   }
   const value = outcome.value as PolicyValue | null;
   if (outcome.kind === 'refused') {
-    log(work, 'policy.refused', { reason: outcome.reason, serial: value?.serial ?? 0, change: purpose.changeId });
+    log(work, 'policy.refused', {
+      reason: outcome.reason,
+      serial: value?.serial ?? 0,
+      change: purpose.changeId,
+    });
     answer(work, purpose.id, refusedPolicy(outcome.reason, value));
     return;
   }
@@ -45,7 +52,11 @@
   log(work, 'policy.acknowledged', { serial, change: purpose.changeId });
   // The version in force: an older configuration is acknowledged though it is not this one.
   const version = value?.document.version;
-  const body = { serial, changeId: purpose.changeId, ...(version === undefined ? {} : { version }) };
+  const body = {
+    serial,
+    changeId: purpose.changeId,
+    ...(version === undefined ? {} : { version }),
+  };
   answer(work, purpose.id, { status: 200, body });
 };
 
@@ -67,7 +78,8 @@
   const value = hallsValueOf(outcome.value);
   if (outcome.kind === 'refused') {
     log(work, 'halls.overtaken', { serial: value.serial });
-    const detail = 'Another order for this zone was made meanwhile; nothing was changed. Repeat it.';
+    const detail =
+      'Another order for this zone was made meanwhile; nothing was changed. Repeat it.';
     answer(work, purpose.id, unavailable('Overtaken', detail));
     return;
   }
@@ -81,7 +93,12 @@
 const finishPlan = (work: Work, { goal }: Purposed<'plan'>, outcome: Outcome): void => {
   const { state } = work;
   const own = outcome.kind === 'chosen' ? (outcome.value as Plan) : null;
-  if (own === null || own.holder !== state.self.id || own.term !== goal.term || own.beat !== goal.beat) {
+  if (
+    own === null ||
+    own.holder !== state.self.id ||
+    own.term !== goal.term ||
+    own.beat !== goal.beat
+  ) {
     if (state.duty !== null) log(work, 'duty.lost', { term: goal.term, how: outcome.kind });
     set(work, { duty: null });
     return;
@@ -100,7 +117,8 @@
 /** A claim that is pending in a life that is over has no known outcome any more. */
 const claimState = (work: Work, claim: ClaimValue): ClaimState => {
   if (claim.state !== 'pending') return claim.state;
-  const record = Spindle.get(work.state.spindle, `node/${claim.node}`) as NodeRecord | undefined | null;
+  const record = Spindle.get(work.state.spindle, `node/${claim.node}`) as
+    NodeRecord | undefined | null;
   return record && record.latheLife === claim.life ? 'pending' : 'unknown';
 };
 
@@ -137,7 +155,8 @@
       work.effects.push({ kind: 'tell', id: purpose.id, body: claimReply(work, outcome) });
       return;
     case 'settle': {
-      const body: ClaimReply = outcome.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' };
+      const body: ClaimReply =
+        outcome.kind === 'unknown' ? { kind: 'unreached' } : { kind: 'granted' };
       work.effects.push({ kind: 'tell', id: purpose.id, body });
       return;
     }
--- a/packages/jig/src/content.ts
+++ b/packages/jig/src/content.ts
@@ -9,8 +9,8 @@
   Object.keys(tree).filter((field) => tree[field] !== undefined);
 
 /**
- * Compares by content: the order of an object's fields and fields without a value make no difference, the order of a
- * list does.
+ * Compares by content: the order of an object's fields and fields without a value make no
+ * difference, the order of a list does.
  *
  * @example
  * hasSameContent({ version: 7, routes: [] }, { routes: [], version: 7 }) // true
--- a/packages/jig/src/core.ts
+++ b/packages/jig/src/core.ts
@@ -14,7 +14,15 @@
 import { operator } from './operators.js';
 import { tendPostings, tookPost } from './postings.js';
 import { pullInterval, renewLease } from './lease.js';
-import { lostPull, pullAll, pullOverdue, tookFetch, tookLook, tookPull, tookRetold } from './pulls.js';
+import {
+  lostPull,
+  pullAll,
+  pullOverdue,
+  tookFetch,
+  tookLook,
+  tookPull,
+  tookRetold,
+} from './pulls.js';
 import { noteAnswer, noteLeaseLost } from './reachability.js';
 import { anvilView, noteBeat, send, set, without, type JigState, type Work } from './state.js';
 import { sweep } from './sweep.js';
@@ -25,7 +33,11 @@
 const tookExchange = (work: Work, { exchange }: ExchangeCall): JigReply => {
   const { from, digest, sample } = exchange;
   const { self, spindle, now } = work.state;
-  const mine = Spindle.sample(spindle.view, { id: self.id, address: self.address }, (now % 97) / 97);
+  const mine = Spindle.sample(
+    spindle.view,
+    { id: self.id, address: self.address },
+    (now % 97) / 97,
+  );
   const compared = Spindle.compare(spindle, digest);
   const view = Spindle.shuffle(spindle.view, self.id, [...sample, { ...from, age: 0 }], mine);
   set(work, { spindle: { ...spindle, view } });
@@ -57,7 +69,8 @@
   const view = Spindle.shuffle(spindle.view, self.id, reply.exchanged.sample, []);
   set(work, { spindle: { ...spindle, view } });
   const wanted = Spindle.pick(work.state.spindle, reply.exchanged.wants);
-  if (Object.keys(wanted).length > 0) send(work, to, { kind: 'push', tellings: wanted }, { kind: 'push' });
+  if (Object.keys(wanted).length > 0)
+    send(work, to, { kind: 'push', tellings: wanted }, { kind: 'push' });
 };
 
 const returned = (work: Work, id: number, body: AnvilReply | JigReply): void => {
@@ -156,17 +169,54 @@
     const founders = parts.voting ? [] : Object.entries(parts.founders);
     const { self, life, seeds, seed, now } = parts;
     return {
-      self, life, seeds, seed, now, nextId: 1, pending: {},
-      voting: parts.voting ?? null, openedAt: now, ownAnvil: null, spares: {},
-      anvils: Object.fromEntries(founders.map(([name, address]) => [name, anvilView(address, now)])),
-      registers: {}, highestBallot: Ballots.none as Ballot, candidates: {}, hanging: {},
-      lease: 0, beatAt: now, lateAt: now, returnedAt: now, flushes: 0,
-      facts: [], factKeys: {}, factSeq: 0, posted: {}, reopened: {},
-      claims: [Table(), Table(), Table()], claimsFrom: now,
-      pursuits: {}, runs: {}, learntSerials: { policy: [], halls: [] }, postings: {},
-      spindle: Spindle.empty, delays: {}, report: null, fedParts: {}, sent: null, sentAt: 0, notices: 0,
-      split: {}, splitAt: 0, splitStale: true, splitOver: '', splits: 0,
-      planSeen: { term: 0, beat: 0, at: now }, duty: null,
+      self,
+      life,
+      seeds,
+      seed,
+      now,
+      nextId: 1,
+      pending: {},
+      voting: parts.voting ?? null,
+      openedAt: now,
+      ownAnvil: null,
+      spares: {},
+      anvils: Object.fromEntries(
+        founders.map(([name, address]) => [name, anvilView(address, now)]),
+      ),
+      registers: {},
+      highestBallot: Ballots.none as Ballot,
+      candidates: {},
+      hanging: {},
+      lease: 0,
+      beatAt: now,
+      lateAt: now,
+      returnedAt: now,
+      flushes: 0,
+      facts: [],
+      factKeys: {},
+      factSeq: 0,
+      posted: {},
+      reopened: {},
+      claims: [Table(), Table(), Table()],
+      claimsFrom: now,
+      pursuits: {},
+      runs: {},
+      learntSerials: { policy: [], halls: [] },
+      postings: {},
+      spindle: Spindle.empty,
+      delays: {},
+      report: null,
+      fedParts: {},
+      sent: null,
+      sentAt: 0,
+      notices: 0,
+      split: {},
+      splitAt: 0,
+      splitStale: true,
+      splitOver: '',
+      splits: 0,
+      planSeen: { term: 0, beat: 0, at: now },
+      duty: null,
       due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
     };
   },
--- a/packages/jig/src/feed.test.ts
+++ b/packages/jig/src/feed.test.ts
@@ -1,15 +1,44 @@
 import test from 'ava';
 import { Jig, type FeedTold, type Holding, type JigState, type Report } from './index.js';
 
-const self = { id: 'front-1', hall: 'west', region: 'home', address: '127.0.0.1:7001', lathe: { callers: '127.0.0.1:8080', partners: '127.0.0.1:8081', capacityBps: 8e6 }, anvil: null };
-const open = (life: string): JigState => Jig.open({ self, life, seeds: [], founders: { 'core-1': '127.0.0.2:7101' }, seed: 1, now: 0 });
-const report: Report = { policySerial: 0, life: '', latheLife: 'l1', purgeSeq: 0, stopping: false, wants: {}, measure: null, counters: {} };
-const ask = (state: JigState, held: Holding | null): { readonly state: JigState; readonly told: FeedTold } => {
-  const step = Jig.reduce(state, { kind: 'fed', id: 1, body: { kind: 'feed', report, held }, now: state.now + 250 });
+const self = {
+  id: 'front-1',
+  hall: 'west',
+  region: 'home',
+  address: '127.0.0.1:7001',
+  lathe: { callers: '127.0.0.1:8080', partners: '127.0.0.1:8081', capacityBps: 8e6 },
+  anvil: null,
+};
+const open = (life: string): JigState =>
+  Jig.open({ self, life, seeds: [], founders: { 'core-1': '127.0.0.2:7101' }, seed: 1, now: 0 });
+const report: Report = {
+  policySerial: 0,
+  life: '',
+  latheLife: 'l1',
+  purgeSeq: 0,
+  stopping: false,
+  wants: {},
+  measure: null,
+  counters: {},
+};
+const ask = (
+  state: JigState,
+  held: Holding | null,
+): { readonly state: JigState; readonly told: FeedTold } => {
+  const step = Jig.reduce(state, {
+    kind: 'fed',
+    id: 1,
+    body: { kind: 'feed', report, held },
+    now: state.now + 250,
+  });
   const told = step.effects.find((effect) => effect.kind === 'tell');
-  return { state: step.state, told: told?.kind === 'tell' ? told.body as FeedTold : ({} as FeedTold) };
+  return {
+    state: step.state,
+    told: told?.kind === 'tell' ? (told.body as FeedTold) : ({} as FeedTold),
+  };
 };
-const parts = (told: FeedTold): readonly string[] => ['origins', 'partners', 'emptied', 'split', 'slices'].filter((part) => part in told);
+const parts = (told: FeedTold): readonly string[] =>
+  ['origins', 'partners', 'emptied', 'split', 'slices'].filter((part) => part in told);
 const all = ['origins', 'partners', 'emptied', 'split', 'slices'];
 
 test('a part of the feed goes to a lathe that does not hold it as it is, and to no other', (t) => {
@@ -26,7 +55,10 @@
   t.deepEqual(parts(ask(split.state, holding).told), ['split']);
   t.deepEqual(parts(ask(split.state, { life: 'j1', revisions: split.told.revisions }).told), []);
   // And back to what it was: that is a change too.
-  t.deepEqual(parts(ask({ ...split.state, split: {} }, { life: 'j1', revisions: split.told.revisions }).told), ['split']);
+  t.deepEqual(
+    parts(ask({ ...split.state, split: {} }, { life: 'j1', revisions: split.told.revisions }).told),
+    ['split'],
+  );
 });
 
 test('what was held of another life of the jig, or by a lathe without memory, is told whole', (t) => {
--- a/packages/jig/src/feed.ts
+++ b/packages/jig/src/feed.ts
@@ -19,10 +19,15 @@
 
 const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
   state.facts.flatMap((fact) =>
-    fact.seq > seq && fact.key.startsWith('purge/') ? [{ seq: fact.seq, purge: fact.value as Purge }] : [],
+    fact.seq > seq && fact.key.startsWith('purge/')
+      ? [{ seq: fact.seq, purge: fact.value as Purge }]
+      : [],
   );
 
-/** Whether the division has given this node most of its slices; without services there is nothing to divide. */
+/**
+ * Whether the division has given this node most of its slices; without services there is nothing to
+ * divide.
+ */
 export const isSeated = (state: JigState): boolean =>
   Object.keys(policyOf(state)?.document.services ?? {}).length === 0 ||
   planOf(state)?.seated.includes(state.self.id) === true;
@@ -80,14 +85,18 @@
   const told = Object.entries(whole).filter(
     ([name]) => now[name as FeedPart] === undefined || !isHeld(name as FeedPart),
   );
-  const revisions = Object.fromEntries(feedParts.map((part) => [part, now[part].revision])) as Revisions;
+  const revisions = Object.fromEntries(
+    feedParts.map((part) => [part, now[part].revision]),
+  ) as Revisions;
   return { ...(Object.fromEntries(told) as Omit<FeedTold, 'revisions'>), revisions };
 };
 
 const tookReport = (work: Work, report: Report): void => {
   const before = work.state.report?.report;
   const isChanged =
-    before === undefined || before.latheLife !== report.latheLife || before.stopping !== report.stopping;
+    before === undefined ||
+    before.latheLife !== report.latheLife ||
+    before.stopping !== report.stopping;
   set(work, { report: { report, at: work.state.now } });
   if (isChanged) heartbeat(work);
   if (report.measure !== null) tookMeasure(work, report.measure);
@@ -110,7 +119,10 @@
       return;
     }
     case 'settle':
-      pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), { kind: 'settle', id });
+      pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), {
+        kind: 'settle',
+        id,
+      });
       return;
   }
 };
