--- a/packages/jig/src/jig.test.ts
+++ b/packages/jig/src/jig.test.ts
@@ -10,24 +10,88 @@
 import type { JigState, Watched, Work } from './state.js';
 import type { Action, HallsValue, JigEffect, PolicyValue } from './terms.js';
 
-const self = { id: 'n', hall: 'west', region: 'r', address: '127.0.0.1:1', lathe: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 }, anvil: null };
-const opened = (now = 0): JigState => Jig.open({ self, life: 'l', seeds: [], founders: { a: '127.0.0.1:11', b: '127.0.0.1:12', c: '127.0.0.1:13' }, seed: 1, now });
-const written = (change: RegisterChange, current: unknown): unknown => { const done = change(current); return done.kind === 'write' ? done.value : done.kind; };
+const self = {
+  id: 'n',
+  hall: 'west',
+  region: 'r',
+  address: '127.0.0.1:1',
+  lathe: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 },
+  anvil: null,
+};
+const opened = (now = 0): JigState =>
+  Jig.open({
+    self,
+    life: 'l',
+    seeds: [],
+    founders: { a: '127.0.0.1:11', b: '127.0.0.1:12', c: '127.0.0.1:13' },
+    seed: 1,
+    now,
+  });
+const written = (change: RegisterChange, current: unknown): unknown => {
+  const done = change(current);
+  return done.kind === 'write' ? done.value : done.kind;
+};
 const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
   const work: Work = { state, effects: [] };
   learnRegister(work, key, [round, 'x'], value);
   return work.state;
 };
-const acted = (state: JigState, action: Action, now: number): { readonly state: JigState; readonly effects: readonly JigEffect[] } => Jig.reduce(state, { kind: 'operator', id: 1, action, now });
-const policyValue = (services: object, more: object = {}): PolicyValue => ({ serial: 1, document: Stencil.policy({ services, routes: [], ...more }), changes: [] });
-const told = (more: Partial<Description> = {}): Description => ({ service: 's', instance: 'i', incarnation: 0, address: '127.0.0.1:20', region: 'r', hall: 'west', slots: 8, state: 'warm', draining: false, sequence: 1, ...more });
-const plan = (shares: Readonly<Record<string, Readonly<Record<string, number>>>>): object => ({ term: 1, holder: 'n', beat: 1, slices: shares, seated: [] });
-const answers = (effects: readonly JigEffect[]): readonly number[] => effects.flatMap((effect) => (effect.kind === 'answer' ? [effect.status] : []));
+const acted = (
+  state: JigState,
+  action: Action,
+  now: number,
+): { readonly state: JigState; readonly effects: readonly JigEffect[] } =>
+  Jig.reduce(state, { kind: 'operator', id: 1, action, now });
+const policyValue = (services: object, more: object = {}): PolicyValue => ({
+  serial: 1,
+  document: Stencil.policy({ services, routes: [], ...more }),
+  changes: [],
+});
+const told = (more: Partial<Description> = {}): Description => ({
+  service: 's',
+  instance: 'i',
+  incarnation: 0,
+  address: '127.0.0.1:20',
+  region: 'r',
+  hall: 'west',
+  slots: 8,
+  state: 'warm',
+  draining: false,
+  sequence: 1,
+  ...more,
+});
+const plan = (shares: Readonly<Record<string, Readonly<Record<string, number>>>>): object => ({
+  term: 1,
+  holder: 'n',
+  beat: 1,
+  slices: shares,
+  seated: [],
+});
+const answers = (effects: readonly JigEffect[]): readonly number[] =>
+  effects.flatMap((effect) => (effect.kind === 'answer' ? [effect.status] : []));
 
 test('of two policies with a version the higher one stays, in whatever order they are written', (t) => {
-  const put = (version: number | undefined, id: string) => Changes.policy({ document: Stencil.policy({ services: {}, routes: [], ...(version === undefined ? {} : { version }) }), ifMatch: null, changeId: id, lapsed: 0 });
-  for (const order of [[3, 7, 5], [7, 5, 3], [5, 3, 7], [7, 7, 3]]) {
-    const end = order.reduce<unknown>((current, version, index) => { const next = written(put(version, `c-${index}`), current); return next === 'keep' ? current : next; }, null) as PolicyValue;
+  const put = (version: number | undefined, id: string) =>
+    Changes.policy({
+      document: Stencil.policy({
+        services: {},
+        routes: [],
+        ...(version === undefined ? {} : { version }),
+      }),
+      ifMatch: null,
+      changeId: id,
+      lapsed: 0,
+    });
+  for (const order of [
+    [3, 7, 5],
+    [7, 5, 3],
+    [5, 3, 7],
+    [7, 7, 3],
+  ]) {
+    const end = order.reduce<unknown>((current, version, index) => {
+      const next = written(put(version, `c-${index}`), current);
+      return next === 'keep' ? current : next;
+    }, null) as PolicyValue;
     t.is(end.document.version, 7, order.join());
   }
   const seven = written(put(7, 'a'), null) as PolicyValue;
@@ -39,7 +103,16 @@
 });
 
 test('orders for the origins of a hall leave its nodes alone', (t) => {
-  const order = (current: unknown, what: 'empty' | 'take-back', of: 'all' | 'origins', id: string): HallsValue => written(Changes.zone({ hall: 'west', order: what, of, changeId: id, lapsed: 0 }), current) as HallsValue;
+  const order = (
+    current: unknown,
+    what: 'empty' | 'take-back',
+    of: 'all' | 'origins',
+    id: string,
+  ): HallsValue =>
+    written(
+      Changes.zone({ hall: 'west', order: what, of, changeId: id, lapsed: 0 }),
+      current,
+    ) as HallsValue;
   const closed = order(null, 'empty', 'origins', '1');
   t.deepEqual([closed.emptied, closed.closedOrigins, closed.reopened], [[], ['west'], {}]);
   const whole = order(closed, 'empty', 'all', '2');
@@ -51,13 +124,41 @@
   // A value written before there were such orders.
   const older = order({ serial: 3, emptied: ['west'], changes: [] }, 'take-back', 'all', '5');
   t.deepEqual([older.emptied, older.closedOrigins, older.reopened], [[], [], { west: 4 }]);
-  t.deepEqual(originRows(learnt(learnt(acted(opened(), { kind: 'describe', description: told() }, 1).state, 'policy', 1, policyValue({ s: {} })), 'halls', 1, { serial: 3, emptied: ['west'], changes: [] })), []);
+  t.deepEqual(
+    originRows(
+      learnt(
+        learnt(
+          acted(opened(), { kind: 'describe', description: told() }, 1).state,
+          'policy',
+          1,
+          policyValue({ s: {} }),
+        ),
+        'halls',
+        1,
+        { serial: 3, emptied: ['west'], changes: [] },
+      ),
+    ),
+    [],
+  );
 });
 
 test('after a hall is taken back its origins count as cold until they are heard again', (t) => {
-  const halls = (serial: number, closed: readonly string[], reopened: object): object => ({ serial, emptied: [], closedOrigins: closed, reopened, changes: [] });
-  let state = learnt(learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 4, ceiling: 100 } })), 'plan', 1, plan({ s: { n: 0.5 } }));
-  const hear = (now: number, sequence: number): void => { state = acted(state, { kind: 'describe', description: told({ sequence }) }, now).state; };
+  const halls = (serial: number, closed: readonly string[], reopened: object): object => ({
+    serial,
+    emptied: [],
+    closedOrigins: closed,
+    reopened,
+    changes: [],
+  });
+  let state = learnt(
+    learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 4, ceiling: 100 } })),
+    'plan',
+    1,
+    plan({ s: { n: 0.5 } }),
+  );
+  const hear = (now: number, sequence: number): void => {
+    state = acted(state, { kind: 'describe', description: told({ sequence }) }, now).state;
+  };
   const colds = (): readonly boolean[] => originRows(state).map((row) => row.cold);
   hear(10, 1);
   t.deepEqual(colds(), [false]);
@@ -76,22 +177,45 @@
 test('an older description changes nothing, here and in what is heard from others', (t) => {
   const key = 'origin/s/i';
   const known = (state: JigState): Description => Spindle.get(state.spindle, key) as Description;
-  let state = acted(opened(), { kind: 'describe', description: told({ sequence: 5, state: 'cold' }) }, 1).state;
-  const late = acted(state, { kind: 'describe', description: told({ sequence: 4, draining: true }) }, 2);
+  let state = acted(
+    opened(),
+    { kind: 'describe', description: told({ sequence: 5, state: 'cold' }) },
+    1,
+  ).state;
+  const late = acted(
+    state,
+    { kind: 'describe', description: told({ sequence: 4, draining: true }) },
+    2,
+  );
   t.deepEqual([answers(late.effects), known(late.state)], [[200], known(state)]);
   const work: Work = { state, effects: [] };
   learn(work, { [key]: { serial: 99, value: told({ sequence: 4 }) } });
-  t.deepEqual([known(work.state).sequence, work.state.spindle.records[key]?.serial, work.state.spindle.records[key]?.seenAt], [5, 100, 1]);
+  t.deepEqual(
+    [
+      known(work.state).sequence,
+      work.state.spindle.records[key]?.serial,
+      work.state.spindle.records[key]?.seenAt,
+    ],
+    [5, 100, 1],
+  );
   learn(work, { [key]: { serial: 101, value: told({ sequence: 6 }) } });
   t.is(known(work.state).sequence, 6);
   // The same words again are told only now and then; other ones at once.
   const serial = (): number | undefined => state.spindle.records[key]?.serial;
   const before = serial() ?? 0;
-  state = acted(state, { kind: 'describe', description: told({ sequence: 6, state: 'cold' }) }, 1_000).state;
+  state = acted(
+    state,
+    { kind: 'describe', description: told({ sequence: 6, state: 'cold' }) },
+    1_000,
+  ).state;
   t.deepEqual([serial(), known(state).sequence], [before, 6]);
   state = acted(state, { kind: 'describe', description: told({ sequence: 7 }) }, 1_100).state;
   t.is(serial(), 7);
-  state = acted(state, { kind: 'describe', description: told({ sequence: 8 }) }, 1_100 + Beats.originTold).state;
+  state = acted(
+    state,
+    { kind: 'describe', description: told({ sequence: 8 }) },
+    1_100 + Beats.originTold,
+  ).state;
   t.is(serial(), 8);
 });
 
@@ -101,52 +225,180 @@
   t.is(originRows(state).length, 1);
   const asked = acted(state, { kind: 'withdraw', instance: 'i' }, 2);
   t.deepEqual(answers(asked.effects), []);
-  t.deepEqual(asked.effects.flatMap((effect) => (effect.kind === 'call' && 'voters' in effect.body && effect.body.call.kind === 'post' ? [effect.body.call.facts[0]?.key] : [])), ['withdrawn/i', 'withdrawn/i', 'withdrawn/i']);
-  const posted: JigState = { ...state, factKeys: { 'withdrawn/i': true }, posted: { 'withdrawn/i': true } };
+  t.deepEqual(
+    asked.effects.flatMap((effect) =>
+      effect.kind === 'call' && 'voters' in effect.body && effect.body.call.kind === 'post'
+        ? [effect.body.call.facts[0]?.key]
+        : [],
+    ),
+    ['withdrawn/i', 'withdrawn/i', 'withdrawn/i'],
+  );
+  const posted: JigState = {
+    ...state,
+    factKeys: { 'withdrawn/i': true },
+    posted: { 'withdrawn/i': true },
+  };
   t.deepEqual([originRows(posted).length, originsOf(posted)[0]?.barred], [0, 'withdrawn']);
   t.deepEqual(answers(acted(posted, { kind: 'withdraw', instance: 'i' }, 3).effects), [200]);
   // Seen on one disk alone it is not acknowledged yet.
-  t.deepEqual(answers(acted({ ...posted, posted: {} }, { kind: 'withdraw', instance: 'i' }, 3).effects), []);
+  t.deepEqual(
+    answers(acted({ ...posted, posted: {} }, { kind: 'withdraw', instance: 'i' }, 3).effects),
+    [],
+  );
 });
 
 test('without a ceiling and without capacities nothing bounds the rate, and cold ones keep theirs', (t) => {
-  let state = learnt(learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 10, instanceConns: 130 } })), 'plan', 1, plan({ s: { n: 0.25 } }));
+  let state = learnt(
+    learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 10, instanceConns: 130 } })),
+    'plan',
+    1,
+    plan({ s: { n: 0.25 } }),
+  );
   state = acted(state, { kind: 'describe', description: told() }, 1).state;
-  state = acted(state, { kind: 'describe', description: told({ instance: 'j', address: '127.0.0.1:21', state: 'cold' }) }, 1).state;
+  state = acted(
+    state,
+    {
+      kind: 'describe',
+      description: told({ instance: 'j', address: '127.0.0.1:21', state: 'cold' }),
+    },
+    1,
+  ).state;
   t.deepEqual(boundsOf(state), { s: Infinity });
   const rows = originRows(state);
-  t.deepEqual(rows.map((row) => [row.slots, row.conns, row.capacity, row.rate]), [[8, 130, 8, Infinity], [8, 130, 8, 10 * Weights.coldShare]]);
+  t.deepEqual(
+    rows.map((row) => [row.slots, row.conns, row.capacity, row.rate]),
+    [
+      [8, 130, 8, Infinity],
+      [8, 130, 8, 10 * Weights.coldShare],
+    ],
+  );
   t.deepEqual(parse(stringify(rows)), rows);
-  const fed = Jig.reduce(state, { kind: 'fed', id: 9, now: 2, body: { kind: 'feed', held: null, report: { policySerial: 1, life: '', latheLife: 'x', purgeSeq: 0, stopping: false, wants: {}, measure: null, counters: {} } } });
-  t.deepEqual(fed.effects.flatMap((effect) => (effect.kind === 'tell' && effect.body !== undefined && 'slices' in effect.body ? [effect.body.slices] : [])), [{ s: Infinity }]);
+  const fed = Jig.reduce(state, {
+    kind: 'fed',
+    id: 9,
+    now: 2,
+    body: {
+      kind: 'feed',
+      held: null,
+      report: {
+        policySerial: 1,
+        life: '',
+        latheLife: 'x',
+        purgeSeq: 0,
+        stopping: false,
+        wants: {},
+        measure: null,
+        counters: {},
+      },
+    },
+  });
+  t.deepEqual(
+    fed.effects.flatMap((effect) =>
+      effect.kind === 'tell' && effect.body !== undefined && 'slices' in effect.body
+        ? [effect.body.slices]
+        : [],
+    ),
+    [{ s: Infinity }],
+  );
   // A cold one whose service sets no cold rate is bound by nothing either, also without a share.
-  t.deepEqual(originRows(learnt(learnt(state, 'policy', 2, policyValue({ s: {} })), 'plan', 2, plan({}))).map((row) => row.rate), [Infinity, Infinity]);
+  t.deepEqual(
+    originRows(learnt(learnt(state, 'policy', 2, policyValue({ s: {} })), 'plan', 2, plan({}))).map(
+      (row) => row.rate,
+    ),
+    [Infinity, Infinity],
+  );
 });
 
 test('a cold instance is given to a few nodes, the same ones wherever it is worked out, and no more than its rate', (t) => {
   const nodes = Array.from({ length: 11 }, (_none, index) => `front-${index}`);
-  for (const [coldRate, few] of [[20, 6], [9.8, 3], [2, 1]] as const) for (const instance of ['i', 'j', 'k']) {
-    const rates = nodes.map((id) => {
-      const opening = Jig.open({ self: { ...self, id }, life: 'l', seeds: [], founders: { a: '127.0.0.1:11' }, seed: 1, now: 0 });
-      const state = learnt(learnt(opening, 'policy', 1, policyValue({ s: { coldRate } })), 'plan', 1, { term: 1, holder: 'n', beat: 1, slices: {}, seated: nodes });
-      return originRows(acted(state, { kind: 'describe', description: told({ instance, state: 'cold' }) }, 1).state)[0]?.rate ?? NaN;
-    });
-    t.is(rates.filter((rate) => rate > 0).length, few, `${coldRate} ${instance}`);
-    t.true(rates.reduce((sum, rate) => sum + rate, 0) <= coldRate * Weights.coldShare + 1e-9);
-  }
+  for (const [coldRate, few] of [
+    [20, 6],
+    [9.8, 3],
+    [2, 1],
+  ] as const)
+    for (const instance of ['i', 'j', 'k']) {
+      const rates = nodes.map((id) => {
+        const opening = Jig.open({
+          self: { ...self, id },
+          life: 'l',
+          seeds: [],
+          founders: { a: '127.0.0.1:11' },
+          seed: 1,
+          now: 0,
+        });
+        const state = learnt(
+          learnt(opening, 'policy', 1, policyValue({ s: { coldRate } })),
+          'plan',
+          1,
+          { term: 1, holder: 'n', beat: 1, slices: {}, seated: nodes },
+        );
+        return (
+          originRows(
+            acted(state, { kind: 'describe', description: told({ instance, state: 'cold' }) }, 1)
+              .state,
+          )[0]?.rate ?? NaN
+        );
+      });
+      t.is(rates.filter((rate) => rate > 0).length, few, `${coldRate} ${instance}`);
+      t.true(rates.reduce((sum, rate) => sum + rate, 0) <= coldRate * Weights.coldShare + 1e-9);
+    }
   // Without a division it is not known who else there is: nothing goes to it.
   const alone = learnt(opened(), 'policy', 1, policyValue({ s: { coldRate: 20 } }));
-  t.is(originRows(acted(alone, { kind: 'describe', description: told({ state: 'cold' }) }, 1).state)[0]?.rate, 0);
+  t.is(
+    originRows(acted(alone, { kind: 'describe', description: told({ state: 'cold' }) }, 1).state)[0]
+      ?.rate,
+    0,
+  );
 });
 
 test('cut off from a majority: refused, or served on where operators want that and the process was not itself held up', (t) => {
   const cut = (servesOn: boolean, beats: readonly number[], now: number): number => {
-    let state = learnt({ ...Jig.open({ self: { ...self, servesOn }, life: 'l', seeds: [], founders: { a: '127.0.0.1:11' }, seed: 1, now: 0 }), lease: 1_500 }, 'policy', 1, policyValue({}));
+    let state = learnt(
+      {
+        ...Jig.open({
+          self: { ...self, servesOn },
+          life: 'l',
+          seeds: [],
+          founders: { a: '127.0.0.1:11' },
+          seed: 1,
+          now: 0,
+        }),
+        lease: 1_500,
+      },
+      'policy',
+      1,
+      policyValue({}),
+    );
     for (const beat of beats) state = Jig.reduce(state, { kind: 'beat', now: beat }).state;
-    const { effects } = Jig.reduce(state, { kind: 'fed', id: 9, now, body: { kind: 'feed', held: null, report: { policySerial: 1, life: '', latheLife: 'x', purgeSeq: 0, stopping: false, wants: {}, measure: null, counters: {} } } });
-    return effects.flatMap((effect) => (effect.kind === 'tell' && effect.body !== undefined && 'leaseMs' in effect.body ? [effect.body.leaseMs] : []))[0] ?? NaN;
+    const { effects } = Jig.reduce(state, {
+      kind: 'fed',
+      id: 9,
+      now,
+      body: {
+        kind: 'feed',
+        held: null,
+        report: {
+          policySerial: 1,
+          life: '',
+          latheLife: 'x',
+          purgeSeq: 0,
+          stopping: false,
+          wants: {},
+          measure: null,
+          counters: {},
+        },
+      },
+    });
+    return (
+      effects.flatMap((effect) =>
+        effect.kind === 'tell' && effect.body !== undefined && 'leaseMs' in effect.body
+          ? [effect.body.leaseMs]
+          : [],
+      )[0] ?? NaN
+    );
   };
-  const steady = (until: number): readonly number[] => Array.from({ length: until / Beats.jig }, (_none, index) => (index + 1) * Beats.jig);
+  const steady = (until: number): readonly number[] =>
+    Array.from({ length: until / Beats.jig }, (_none, index) => (index + 1) * Beats.jig);
   const calm = Limits.calm + 2_000;
   t.is(cut(true, steady(1_000), 1_000), 500);
   t.is(cut(false, steady(calm), calm), 0);
@@ -154,6 +406,24 @@
   // Frozen and woken: what waits here is looked at before any beat, and after one.
   t.is(cut(true, steady(calm), calm + Limits.lateBeat + 1), 0);
   t.is(cut(true, [...steady(calm), calm + Limits.lateBeat + 1], calm + Limits.lateBeat + 1), 0);
-  t.is(cut(true, [...steady(calm), calm + 1_000, ...steady(1_000).map((beat) => calm + 1_000 + beat)], calm + 2_000), 0);
-  t.is(cut(true, [...steady(calm), calm + 1_000, ...steady(Limits.calm + 100).map((beat) => calm + 1_000 + beat)], calm + 1_100 + Limits.calm), Limits.cutOffLease);
+  t.is(
+    cut(
+      true,
+      [...steady(calm), calm + 1_000, ...steady(1_000).map((beat) => calm + 1_000 + beat)],
+      calm + 2_000,
+    ),
+    0,
+  );
+  t.is(
+    cut(
+      true,
+      [
+        ...steady(calm),
+        calm + 1_000,
+        ...steady(Limits.calm + 100).map((beat) => calm + 1_000 + beat),
+      ],
+      calm + 1_100 + Limits.calm,
+    ),
+    Limits.cutOffLease,
+  );
 });
--- a/packages/jig/src/lease.test.ts
+++ b/packages/jig/src/lease.test.ts
@@ -9,10 +9,27 @@
   calls.find(({ call }) => call.kind === 'fetch');
 
 /** Answers pulls, all showing one ballot of a register, and gives the calls that follow. */
-const answerAll = (agent: AgentUnderTest, calls: readonly ReplicaCall[], round: number, now: number): readonly ReplicaCall[] =>
-  calls.flatMap((call) => agent.answer(call, pulledReply(call.replica, { policy: ballotOf(1), plan: ballotOf(round) }), now));
+const answerAll = (
+  agent: AgentUnderTest,
+  calls: readonly ReplicaCall[],
+  round: number,
+  now: number,
+): readonly ReplicaCall[] =>
+  calls.flatMap((call) =>
+    agent.answer(
+      call,
+      pulledReply(call.replica, { policy: ballotOf(1), plan: ballotOf(round) }),
+      now,
+    ),
+  );
 
-const planOf = (round: number): object => ({ term: 1, holder: 'p', beat: round, slices: {}, seated: [] });
+const planOf = (round: number): object => ({
+  term: 1,
+  holder: 'p',
+  beat: round,
+  slices: {},
+  seated: [],
+});
 
 test('a pull counts from the moment that all it showed is known, also if a newer pull shows news again', (t) => {
   const agent = new AgentUnderTest();
@@ -21,20 +38,37 @@
   t.is(agent.state.lease, 0, 'the plan is not known yet');
   // Before it is fetched, the next pull shows a newer plan: the register is written all the time.
   answerAll(agent, pullsIn(agent.beat(700)), 2, 750);
-  if (fetch === undefined) { t.fail('the plan should be fetched'); return; }
-  agent.answer(fetch, { kind: 'fetched', disk: 'disk-a', accepted: { ballot: ballotOf(1), value: planOf(1) } }, 760);
+  if (fetch === undefined) {
+    t.fail('the plan should be fetched');
+    return;
+  }
+  agent.answer(
+    fetch,
+    { kind: 'fetched', disk: 'disk-a', accepted: { ballot: ballotOf(1), value: planOf(1) } },
+    760,
+  );
   t.is(agent.state.lease, 100 + Limits.lease);
 });
 
 test('a fetched value that is newer than what pulls show is learned once they show it, and not fetched twice', (t) => {
   const agent = new AgentUnderTest();
   const fetch = fetchIn(answerAll(agent, pullsIn(agent.beat(100)), 1, 150));
-  if (fetch === undefined) { t.fail('the plan should be fetched'); return; }
+  if (fetch === undefined) {
+    t.fail('the plan should be fetched');
+    return;
+  }
   // By now the replica has accepted the next plan. Whether that one is chosen is not known.
-  agent.answer(fetch, { kind: 'fetched', disk: 'disk-a', accepted: { ballot: ballotOf(2), value: planOf(2) } }, 160);
+  agent.answer(
+    fetch,
+    { kind: 'fetched', disk: 'disk-a', accepted: { ballot: ballotOf(2), value: planOf(2) } },
+    160,
+  );
   t.is(agent.state.registers.plan, undefined);
   const [one, two, three] = pullsIn(agent.beat(700));
-  if (one === undefined || two === undefined || three === undefined) { t.fail('three replicas should be asked'); return; }
+  if (one === undefined || two === undefined || three === undefined) {
+    t.fail('three replicas should be asked');
+    return;
+  }
   answerAll(agent, [one], 2, 750);
   t.is(agent.state.registers.plan, undefined, 'one of three shows it');
   t.is(fetchIn(answerAll(agent, [two], 2, 750)), undefined);
@@ -44,18 +78,31 @@
 
 test('each register may be proven by another majority, and none by less than one', (t) => {
   const agent = new AgentUnderTest();
-  const shown: Readonly<Record<string, object>> = { a: { policy: ballotOf(9) }, b: { halls: ballotOf(9) }, c: { plan: ballotOf(9) } };
-  for (const call of pullsIn(agent.beat(100))) agent.answer(call, pulledReply(call.replica, shown[call.replica] as never), 150);
+  const shown: Readonly<Record<string, object>> = {
+    a: { policy: ballotOf(9) },
+    b: { halls: ballotOf(9) },
+    c: { plan: ballotOf(9) },
+  };
+  for (const call of pullsIn(agent.beat(100)))
+    agent.answer(call, pulledReply(call.replica, shown[call.replica] as never), 150);
   t.is(agent.state.lease, 100 + Limits.lease);
   const other = new AgentUnderTest();
-  for (const call of pullsIn(other.beat(100))) other.answer(call, pulledReply(call.replica, call.replica === 'c' ? {} : { policy: ballotOf(9) }), 150);
+  for (const call of pullsIn(other.beat(100)))
+    other.answer(
+      call,
+      pulledReply(call.replica, call.replica === 'c' ? {} : { policy: ballotOf(9) }),
+      150,
+    );
   t.is(other.state.lease, 0, 'two of three show a policy that is not known here');
 });
 
 test('a lease that runs low asks those again that do not carry it; at rest nobody is asked more often', (t) => {
   const agent = new AgentUnderTest();
   /** Beats until a moment, and counts the pulls of each replica. */
-  const run = (until: number, answers: (replica: string, now: number) => boolean): Readonly<Record<string, number>> => {
+  const run = (
+    until: number,
+    answers: (replica: string, now: number) => boolean,
+  ): Readonly<Record<string, number>> => {
     const counts: Record<string, number> = { a: 0, b: 0, c: 0 };
     agent.run(until, ({ replica, call }) => {
       if (call.kind !== 'pull') return null;
@@ -65,8 +112,16 @@
     return counts;
   };
   run(1_000, () => true);
-  t.deepEqual(run(11_000, () => true), { a: 20, b: 20, c: 20 }, 'at rest, twice a second');
-  t.deepEqual(run(21_000, (replica) => replica !== 'c'), { a: 20, b: 20, c: 20 }, 'one replica is away');
+  t.deepEqual(
+    run(11_000, () => true),
+    { a: 20, b: 20, c: 20 },
+    'at rest, twice a second',
+  );
+  t.deepEqual(
+    run(21_000, (replica) => replica !== 'c'),
+    { a: 20, b: 20, c: 20 },
+    'one replica is away',
+  );
   // Two pulls in turn are lost: it is borne.
   const from = agent.state.now;
   run(from + 5_000, (_replica, now) => now < from + 700 || now > from + 1_700);
@@ -77,5 +132,8 @@
   run(low + 600, () => false);
   run(low + 800, (replica) => replica === 'a');
   t.true(isLow(agent.state));
-  t.deepEqual(agent.beat(low + 900).map(({ replica }) => replica), ['b', 'c']);
+  t.deepEqual(
+    agent.beat(low + 900).map(({ replica }) => replica),
+    ['b', 'c'],
+  );
 });
--- a/packages/jig/src/lease.ts
+++ b/packages/jig/src/lease.ts
@@ -14,8 +14,8 @@
 const subjects: readonly Subject[] = [...watched, 'facts'];
 
 /**
- * Whether all that a pull showed of a subject is known here. Once true it stays true: registers only
- * grow.
+ * Whether all that a pull showed of a subject is known here. Once true it stays true: registers
+ * only grow.
  */
 const isKnown = (state: JigState, { more, ballots }: PullSeen, subject: Subject): boolean => {
   if (subject === 'facts') return !more;
@@ -33,8 +33,8 @@
 
 /**
  * Adds a newer pull to those of a replica. Earlier ones stay as long as they may carry the lease: a
- * register that is being written shows a ballot that is not known here yet in nearly every pull, and
- * a pull whose ballots are learned later counts from then on.
+ * register that is being written shows a ballot that is not known here yet in nearly every pull,
+ * and a pull whose ballots are learned later counts from then on.
  */
 export const stackPull = (state: JigState, before: Pulled | null, newest: PullSeen): Pulled => {
   const live = pullsOf(before).filter((each) => state.now - each.sentAt < Limits.lease);
@@ -45,7 +45,9 @@
   return { ...newest, earlier };
 };
 
-/** Whether a replica is known to have accepted a ballot of a register, now or a little while ago. */
+/**
+ * Whether a replica is known to have accepted a ballot of a register, now or a little while ago.
+ */
 export const hasAccepted = (view: AnvilView, key: Watched, ballot: Ballot): boolean =>
   pullsOf(view.pulled).some(
     (each) => Ballots.compare(each.ballots[key] ?? Ballots.none, ballot) === 0,
@@ -66,9 +68,9 @@
 
 /**
  * Renews the lease. For each register it runs from the sending of the oldest of a majority of pulls
- * that show no ballot of it that is unknown here: any majority that acknowledged a value before then
- * has a member among them, so that value is known. The lease is the shortest of these; the majorities
- * need not be the same replicas.
+ * that show no ballot of it that is unknown here: any majority that acknowledged a value before
+ * then has a member among them, so that value is known. The lease is the shortest of these; the
+ * majorities need not be the same replicas.
  */
 export const renewLease = (work: Work): void => {
   const { state } = work;
@@ -95,8 +97,8 @@
 
 /**
  * ms between pulls. A node without a lease pulls more often for a while after its start, after the
- * lease ran out and after a replica that had been silent answers again; not for longer, since then a
- * majority is really away, and a large fleet that asks so often would only hinder its return.
+ * lease ran out and after a replica that had been silent answers again; not for longer, since then
+ * a majority is really away, and a large fleet that asks so often would only hinder its return.
  */
 export const pullInterval = (state: JigState): number => {
   if (state.now < state.lease) return Beats.pull;
--- a/packages/jig/src/membership-runs.test.ts
+++ b/packages/jig/src/membership-runs.test.ts
@@ -1,5 +1,6 @@
 // The membership protocol against its invariants (docs/control-model.md), with the product's own
-// reducers: long random runs of messages, losses, crashes and wipes, and planted faults to be found.
+// reducers: long random runs of messages, losses, crashes and wipes, and planted faults to be
+// found.
 import test from 'ava';
 import fc from 'fast-check';
 import { harm } from './testing/membership-history.js';
--- a/packages/jig/src/membership.test.ts
+++ b/packages/jig/src/membership.test.ts
@@ -17,7 +17,9 @@
 const spareAddress = 's';
 const spareDisk = 'disk-s';
 
-/** How a replica answers: at once, not at all, as a member that was told to stop, or as a blank one. */
+/**
+ * How a replica answers: at once, not at all, as a member that was told to stop, or as a blank one.
+ */
 type Manner = 'answers' | 'silent' | 'leaving' | 'blank';
 
 class Agent {
@@ -60,7 +62,8 @@
       const isBallot = call.kind === 'prepare' && call.key === 'voters';
       if (isBallot) this.prepared.push({ at: this.now, to: effect.to });
       const reply = isBallot ? null : this.#replyOf(effect.to, voters);
-      if (reply !== null) this.step({ kind: 'returned', id: effect.id, body: reply, now: this.now });
+      if (reply !== null)
+        this.step({ kind: 'returned', id: effect.id, body: reply, now: this.now });
     }
   }
 
@@ -106,9 +109,11 @@
     this.step({ kind: 'asked', id: this.#calls, body, now: this.now });
   }
 
-  /** Runs the agent's intervals; meanwhile gossip goes on to tell of a live spare, if one is there. */
+  /**
+   * Runs the agent's intervals; meanwhile gossip goes on to tell of a live spare, if one is there.
+   */
   runFor(ms: number, spare = this.manners[spareAddress] !== undefined): void {
-    for (const end = this.now + ms; this.now < end; ) {
+    for (const end = this.now + ms; this.now < end;) {
       this.now += Beats.jig;
       if (spare) this.hear('core-s', spareAddress, spareDisk, true);
       this.step({ kind: 'beat', now: this.now });
@@ -227,7 +232,7 @@
   t.is(agent.proposals[0], 'b by s');
 });
 
-test('a blank disk at a member\'s own address gets its place at once, though its dead disk was heard of just now', (t) => {
+test("a blank disk at a member's own address gets its place at once, though its dead disk was heard of just now", (t) => {
   const agent = settled(false);
   agent.hear('core-c', 'c', 'disk-c', false);
   agent.manners.c = 'blank';
@@ -235,7 +240,7 @@
   t.true(agent.prepared.length > 0);
 });
 
-test('an agent that has just begun gives no place to a blank disk at a member\'s address', (t) => {
+test("an agent that has just begun gives no place to a blank disk at a member's address", (t) => {
   const young = new Agent();
   young.manners.c = 'blank';
   young.runFor(800);
--- a/packages/jig/src/membership.ts
+++ b/packages/jig/src/membership.ts
@@ -19,9 +19,10 @@
 } from './state.js';
 
 /**
- * Membership: which replica should be a member next, and when an agent opens the ballot for it. Nothing here
- * decides who votes: a change takes effect only once a majority of the present members has chosen it, and one
- * that was opened on a wrong suspicion costs a change of place, and neither data nor a majority.
+ * Membership: which replica should be a member next, and when an agent opens the ballot for it.
+ * Nothing here decides who votes: a change takes effect only once a majority of the present members
+ * has chosen it, and one that was opened on a wrong suspicion costs a change of place, and neither
+ * data nor a majority.
  */
 
 /** How likely an agent on a machine with a replica opens a due change at one of its intervals. */
@@ -29,7 +30,10 @@
 /** The same for agents of other machines, which only help out; each at one of its pulls. */
 const helpChance = 0.05;
 
-/** A member is suspected only after this many pulls without an answer, so that a lost message or two are none. */
+/**
+ * A member is suspected only after this many pulls without an answer, so that a lost message or two
+ * are none.
+ */
 const pullsToSuspect = 4;
 
 /** A change of the membership that is due. */
@@ -44,8 +48,9 @@
 const hasReplica = (state: JigState): boolean => state.self.anvil !== null;
 
 /**
- * ms without any answer after which a member is suspected, where a spare is live: what is left of half the
- * time to catch up after the join itself. Not told how long that is, an agent waits as if there were no spare.
+ * ms without any answer after which a member is suspected, where a spare is live: what is left of
+ * half the time to catch up after the join itself. Not told how long that is, an agent waits as if
+ * there were no spare.
  */
 export const suspicionMs = (state: JigState): number => {
   const catchUpMs = state.voting?.catchUpMs;
@@ -54,15 +59,16 @@
   return Math.min(Limits.voterSilence, Math.max(Limits.leastSuspicion, left));
 };
 
-// What this agent finds out about replicas -----------------------------------------------------------
+// What this agent finds out about replicas
+// -----------------------------------------------------------
 
 const look = (work: Work, address: string): void => {
   sendToAnvil(work, address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look', address });
 };
 
 /**
- * An agent without a lease asks the seeds' replicas, and those it heard of, for the membership. Its own it asks
- * always, to tell by gossip which disk waits for a place.
+ * An agent without a lease asks the seeds' replicas, and those it heard of, for the membership. Its
+ * own it asks always, to tell by gossip which disk waits for a place.
  */
 export const discoverMembers = (work: Work): void => {
   const { state } = work;
@@ -79,7 +85,10 @@
   }
 };
 
-/** Until this machine's own replica has answered once it is asked at each interval: it may wait for a place. */
+/**
+ * Until this machine's own replica has answered once it is asked at each interval: it may wait for
+ * a place.
+ */
 export const awaitOwnReplica = (work: Work): void => {
   const { voting, self, ownAnvil } = work.state;
   if (voting !== null && self.anvil !== null && ownAnvil === null) look(work, self.anvil.address);
@@ -123,7 +132,9 @@
 const isSilent = (state: JigState, view: AnvilView, ms: number): boolean =>
   state.now - view.heardAt > ms;
 
-/** Keeps an eye on spares, and, while one is live, on members that have not answered the last pull. */
+/**
+ * Keeps an eye on spares, and, while one is live, on members that have not answered the last pull.
+ */
 const probe = (work: Work, voters: Voters): void => {
   const spares = sparesHeard(work.state, voters);
   if (spares.length === 0) return;
@@ -137,7 +148,8 @@
   }
 };
 
-// Which change is due --------------------------------------------------------------------------------
+// Which change is due
+// --------------------------------------------------------------------------------
 
 /** A member's disk that gossip tells of at another address than the membership does. */
 const movedMember = (state: JigState, voters: Voters): MembershipChange | null => {
@@ -151,7 +163,10 @@
   return null;
 };
 
-/** The spare in the zone with the fewest members; every agent takes the same one, so that they don't compete. */
+/**
+ * The spare in the zone with the fewest members; every agent takes the same one, so that they don't
+ * compete.
+ */
 const bestSpare = (
   state: JigState,
   voters: Voters,
@@ -166,8 +181,8 @@
 };
 
 /**
- * Whether neither gossip nor any answer has told of a member's machine for long. Another member's disk that came
- * to its address is no word of it; a blank one is, and gets the place by itself.
+ * Whether neither gossip nor any answer has told of a member's machine for long. Another member's
+ * disk that came to its address is no word of it; a blank one is, and gets the place by itself.
  */
 const isGone = (state: JigState, member: string, voters: Voters): boolean => {
   const disk = voters.disks[member];
@@ -184,9 +199,10 @@
 };
 
 /**
- * The member to replace at once, since a spare that answers this agent is live: one that was silent longest, and
- * for longer than a suspicion takes; else one that was told to stop. Only an agent that was itself not held up
- * suspects, and one replacement at a time: all members that are not silent must be seen voting.
+ * The member to replace at once, since a spare that answers this agent is live: one that was silent
+ * longest, and for longer than a suspicion takes; else one that was told to stop. Only an agent
+ * that was itself not held up suspects, and one replacement at a time: all members that are not
+ * silent must be seen voting.
  */
 const memberToReplace = (state: JigState): string | null => {
   const silence = suspicionMs(state);
@@ -238,7 +254,8 @@
   return gone === undefined ? null : changeForSpare(voters, spare, gone);
 };
 
-// Opening a ballot -----------------------------------------------------------------------------------
+// Opening a ballot
+// -----------------------------------------------------------------------------------
 
 const isBusy = (state: JigState): boolean =>
   Object.values(state.pursuits).some((each) => each.purpose.kind === 'seat');
@@ -246,9 +263,11 @@
 const drawsToPropose = (work: Work): boolean =>
   chance(work) < (hasReplica(work.state) ? proposeChance : helpChance);
 
-/** A place at the member's own address is offered with a pull, at another moment by each agent: hardly two meet. */
-const drawsToOffer = (work: Work): boolean =>
-  hasReplica(work.state) || chance(work) < helpChance;
+/**
+ * A place at the member's own address is offered with a pull, at another moment by each agent:
+ * hardly two meet.
+ */
+const drawsToOffer = (work: Work): boolean => hasReplica(work.state) || chance(work) < helpChance;
 
 const propose = (work: Work, voters: Voters, change: MembershipChange): void => {
   const { member, disk, address, instead } = change;
@@ -275,8 +294,8 @@
 };
 
 /**
- * Whether a member's disk lives at another address. An agent that only just began to hear may not have heard of
- * it yet. The last record of a dead disk at its own address tells nothing.
+ * Whether a member's disk lives at another address. An agent that only just began to hear may not
+ * have heard of it yet. The last record of a dead disk at its own address tells nothing.
  */
 const livesElsewhere = (state: JigState, member: string, disk: string): boolean => {
   if (state.voting === null) return false;
@@ -284,9 +303,7 @@
   if (state.now - state.openedAt < suspicionMs(state)) return true;
   return anvilsHeard(state).some(
     (each) =>
-      each.disk === disk &&
-      each.address !== own &&
-      state.now - each.seenAt < Limits.partnerSilence,
+      each.disk === disk && each.address !== own && state.now - each.seenAt < Limits.partnerSilence,
   );
 };
 
--- a/packages/jig/src/network.ts
+++ b/packages/jig/src/network.ts
@@ -3,19 +3,45 @@
 import { boundOf, rateOf } from '@reedyard/ladle';
 import { holderOf, mixed, mustSend, splitFor, type Vector } from '@reedyard/plumb';
 import type { Description } from '@reedyard/stencil';
-import { chance, closedOf, hallsOf, log, planOf, policyOf, send, set, votersOf, type JigState, type Work } from './state.js';
+import {
+  chance,
+  closedOf,
+  hallsOf,
+  log,
+  planOf,
+  policyOf,
+  send,
+  set,
+  votersOf,
+  type JigState,
+  type Work,
+} from './state.js';
 import { mayActFor } from './reachability.js';
 import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
-/** What is wanted, as it was told before where it is still about that: a record that changes is told whole. */
-const steady = (wants: Readonly<Record<string, number>>, told: Readonly<Record<string, number>>): Readonly<Record<string, number>> =>
-  Object.fromEntries([...new Set([...Object.keys(told), ...Object.keys(wants)])].flatMap((name) => {
-    const [want, before] = [wants[name] ?? 0, told[name] ?? 0];
-    const next = Math.abs(want - before) <= Weights.wantsSlack * before + Weights.wantsFloor ? before : Math.round(want * 100) / 100;
-    return next > 0 ? [[name, next]] : [];
-  }));
+/**
+ * What is wanted, as it was told before where it is still about that: a record that changes is told
+ * whole.
+ */
+const steady = (
+  wants: Readonly<Record<string, number>>,
+  told: Readonly<Record<string, number>>,
+): Readonly<Record<string, number>> =>
+  Object.fromEntries(
+    [...new Set([...Object.keys(told), ...Object.keys(wants)])].flatMap((name) => {
+      const [want, before] = [wants[name] ?? 0, told[name] ?? 0];
+      const next =
+        Math.abs(want - before) <= Weights.wantsSlack * before + Weights.wantsFloor
+          ? before
+          : Math.round(want * 100) / 100;
+      return next > 0 ? [[name, next]] : [];
+    }),
+  );
 
-/** Tells this node's own record again; each new serial is a heartbeat. It is told whole where it changed, where a life begins and now and then. */
+/**
+ * Tells this node's own record again; each new serial is a heartbeat. It is told whole where it
+ * changed, where a life begins and now and then.
+ */
 export const heartbeat = (work: Work, whole = false): void => {
   const { self, report, now } = work.state;
   const own = work.state.ownAnvil;
@@ -23,14 +49,26 @@
   const told = Spindle.get(work.state.spindle, key) as NodeRecord | null | undefined;
   const fed = report !== null && now - report.at < Limits.lease;
   const record: NodeRecord = {
-    id: self.id, hall: self.hall, region: self.region, address: self.address, lathe: self.lathe,
-    anvil: self.anvil === null || own === null || now - own.at > Limits.lease ? self.anvil : { ...self.anvil, disk: own.disk, fresh: own.fresh },
+    id: self.id,
+    hall: self.hall,
+    region: self.region,
+    address: self.address,
+    lathe: self.lathe,
+    anvil:
+      self.anvil === null || own === null || now - own.at > Limits.lease
+        ? self.anvil
+        : { ...self.anvil, disk: own.disk, fresh: own.fresh },
     ready: self.lathe !== null && fed && !report.report.stopping && mayActFor(work.state) > 0,
     staying: self.lathe !== null && fed && !report.report.stopping,
     latheLife: report?.report.latheLife ?? '',
     wants: fed ? steady(report.report.wants, told?.wants ?? {}) : {},
   };
-  if (!whole && told && Spindle.beats(work.state.spindle, key) < Sizes.beatsToWhole && JSON.stringify(told) === JSON.stringify(record)) {
+  if (
+    !whole &&
+    told &&
+    Spindle.beats(work.state.spindle, key) < Sizes.beatsToWhole &&
+    JSON.stringify(told) === JSON.stringify(record)
+  ) {
     set(work, { spindle: Spindle.beat(work.state.spindle, key, now) });
     return;
   }
@@ -40,28 +78,52 @@
 };
 
 /** Every node heard of that is not forgotten. */
-export const nodesOf = (state: JigState): readonly { readonly record: NodeRecord; readonly seenAt: number }[] =>
-  Spindle.all(state.spindle, 'node/').map(([, value, seenAt]) => ({ record: value as NodeRecord, seenAt }));
+export const nodesOf = (
+  state: JigState,
+): readonly { readonly record: NodeRecord; readonly seenAt: number }[] =>
+  Spindle.all(state.spindle, 'node/').map(([, value, seenAt]) => ({
+    record: value as NodeRecord,
+    seenAt,
+  }));
 
-const liveNow = (state: JigState, seenAt: number, id: string): boolean => id === state.self.id || state.now - seenAt < Limits.partnerSilence;
+const liveNow = (state: JigState, seenAt: number, id: string): boolean =>
+  id === state.self.id || state.now - seenAt < Limits.partnerSilence;
 
 /** Nodes with a lathe that may be given forwarded requests or slices. */
 export const servingNodes = (state: JigState): readonly NodeRecord[] => {
   const emptied = hallsOf(state)?.emptied ?? [];
   return nodesOf(state).flatMap(({ record, seenAt }) =>
-    (record.lathe !== null && record.ready && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall) ? [record] : []));
+    record.lathe !== null &&
+    record.ready &&
+    liveNow(state, seenAt, record.id) &&
+    !emptied.includes(record.hall)
+      ? [record]
+      : [],
+  );
 };
 
-/** Nodes that hold slices. Those of a hall just emptied keep them while they still answer stragglers. */
+/**
+ * Nodes that hold slices. Those of a hall just emptied keep them while they still answer
+ * stragglers.
+ */
 export const seatedNodes = (state: JigState): readonly NodeRecord[] => {
   const settled = state.now - (state.registers.halls?.at ?? 0) > Limits.lease + Limits.emptyGrace;
-  const emptied = settled ? hallsOf(state)?.emptied ?? [] : [];
-  return nodesOf(state).flatMap(({ record, seenAt }) => (record.staying && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall) ? [record] : []));
+  const emptied = settled ? (hallsOf(state)?.emptied ?? []) : [];
+  return nodesOf(state).flatMap(({ record, seenAt }) =>
+    record.staying && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall)
+      ? [record]
+      : [],
+  );
 };
 
-/** Whether this agent has only just begun, beside a blank replica that waits for a place: it makes itself known fast. */
+/**
+ * Whether this agent has only just begun, beside a blank replica that waits for a place: it makes
+ * itself known fast.
+ */
 export const isJoining = (state: JigState): boolean =>
-  state.voting !== null && state.ownAnvil?.fresh === true && state.now - state.openedAt < Limits.eager;
+  state.voting !== null &&
+  state.ownAnvil?.fresh === true &&
+  state.now - state.openedAt < Limits.eager;
 
 /** Agents of machines with a replica: who may give a blank one its place. */
 const replicaAgents = (state: JigState): readonly string[] =>
@@ -79,7 +141,10 @@
   }
 };
 
-/** One gossip exchange with a neighbour, a seed, or now and then any node, so that cut parts meet again. */
+/**
+ * One gossip exchange with a neighbour, a seed, or now and then any node, so that cut parts meet
+ * again.
+ */
 export const gossip = (work: Work): void => {
   const { state } = work;
   const draw = chance(work);
@@ -87,19 +152,44 @@
   const seeds = state.seeds.filter((seed) => seed !== state.self.address);
   const anySeed = seeds[Math.floor(chance(work) * seeds.length)];
   const anyNode = nodes[Math.floor(chance(work) * nodes.length)];
-  const oldest = state.spindle.view.reduce<Neighbour | null>((best, each) => (best === null || each.age > best.age ? each : best), null);
+  const oldest = state.spindle.view.reduce<Neighbour | null>(
+    (best, each) => (best === null || each.age > best.age ? each : best),
+    null,
+  );
   if (isJoining(state)) announce(work);
   const joinTargets = isJoining(state) ? [...replicaAgents(state), ...seeds] : [];
   const joinTarget = joinTargets[Math.floor(draw * joinTargets.length)];
-  const target = joinTarget !== undefined ? joinTarget : oldest === null || draw < 0.1 ? anySeed : draw < 0.2 && anyNode !== undefined ? anyNode.record.address : oldest.address;
+  const target =
+    joinTarget !== undefined
+      ? joinTarget
+      : oldest === null || draw < 0.1
+        ? anySeed
+        : draw < 0.2 && anyNode !== undefined
+          ? anyNode.record.address
+          : oldest.address;
   if (target === undefined) return;
   const self = { id: state.self.id, address: state.self.address };
-  const body: JigCall = { kind: 'exchange', exchange: { from: self, digest: Spindle.digest(state.spindle), sample: Spindle.sample(state.spindle.view, self, chance(work)) } };
-  send(work, target, body, { kind: 'exchange', to: target, partner: oldest !== null && target === oldest.address ? oldest.id : null });
+  const body: JigCall = {
+    kind: 'exchange',
+    exchange: {
+      from: self,
+      digest: Spindle.digest(state.spindle),
+      sample: Spindle.sample(state.spindle.view, self, chance(work)),
+    },
+  };
+  send(work, target, body, {
+    kind: 'exchange',
+    to: target,
+    partner: oldest !== null && target === oldest.address ? oldest.id : null,
+  });
   set(work, {
     spindle: {
       ...work.state.spindle,
-      view: work.state.spindle.view.map((each) => (oldest !== null && each.id === oldest.id ? { ...each, age: 0 } : { ...each, age: each.age + 1 })),
+      view: work.state.spindle.view.map((each) =>
+        oldest !== null && each.id === oldest.id
+          ? { ...each, age: 0 }
+          : { ...each, age: each.age + 1 },
+      ),
     },
   });
 };
@@ -109,16 +199,20 @@
   const before = work.state;
   const learned = Spindle.learn(before.spindle, tellings, before.now);
   set(work, { spindle: learned.state });
-  // Two nodes may each have heard an origin without the other: what it said later is told again above.
+  // Two nodes may each have heard an origin without the other: what it said later is told again
+  // above.
   for (const key of learned.news) {
     const told = tellings[key]?.value as Description | null | undefined;
     const held = before.spindle.records[key];
-    if (key.startsWith('origin/') && told && held !== undefined && isOld(before, told)) set(work, { spindle: Spindle.tell(work.state.spindle, key, held.value, held.seenAt) });
+    if (key.startsWith('origin/') && told && held !== undefined && isOld(before, told))
+      set(work, { spindle: Spindle.tell(work.state.spindle, key, held.value, held.seenAt) });
   }
   const own = [`node/${work.state.self.id}`, `vector/${work.state.self.id}`];
   if (learned.news.includes(own[0] ?? '')) heartbeat(work, true);
   if (learned.news.includes(own[1] ?? '') && work.state.sent !== null) {
-    set(work, { spindle: Spindle.tell(work.state.spindle, own[1] ?? '', work.state.sent, work.state.now) });
+    set(work, {
+      spindle: Spindle.tell(work.state.spindle, own[1] ?? '', work.state.sent, work.state.now),
+    });
   }
   if (learned.news.some((key) => key.startsWith('vector/'))) set(work, { splitStale: true });
   if (learned.values.some((key) => key.startsWith('node/'))) adoptAnvils(work);
@@ -148,7 +242,10 @@
 /** Found once for each table of records, since agents of members look ten times a second. */
 const replicasHeard = new WeakMap<JigState['spindle']['records'], readonly ReplicaHeard[]>();
 
-/** Replicas whose disk is known by gossip, each disk once: where it was heard of last. Where members found themselves. */
+/**
+ * Replicas whose disk is known by gossip, each disk once: where it was heard of last. Where members
+ * found themselves.
+ */
 export const anvilsHeard = (state: JigState): readonly ReplicaHeard[] => {
   const { records } = state.spindle;
   const known = replicasHeard.get(records);
@@ -159,19 +256,29 @@
 };
 
 /**
- * An anvil's machine may come back at another address; its name stays its place among the voters. Where voters
- * found themselves from seeds its disk tells its place, and a ballot then notes the address.
+ * An anvil's machine may come back at another address; its name stays its place among the voters.
+ * Where voters found themselves from seeds its disk tells its place, and a ballot then notes the
+ * address.
  */
 const adoptAnvils = (work: Work): void => {
   const disks = votersOf(work.state)?.value.disks ?? {};
-  const heard = work.state.voting === null
-    ? nodesOf(work.state).flatMap(({ record }) => (record.anvil === null ? [] : [{ place: record.id, address: record.anvil.address }]))
-    : anvilsHeard(work.state).flatMap((each) => Object.keys(disks).filter((place) => disks[place] === each.disk).map((place) => ({ place, address: each.address })));
+  const heard =
+    work.state.voting === null
+      ? nodesOf(work.state).flatMap(({ record }) =>
+          record.anvil === null ? [] : [{ place: record.id, address: record.anvil.address }],
+        )
+      : anvilsHeard(work.state).flatMap((each) =>
+          Object.keys(disks)
+            .filter((place) => disks[place] === each.disk)
+            .map((place) => ({ place, address: each.address })),
+        );
   for (const { place, address } of heard) {
     const view = work.state.anvils[place];
     if (view !== undefined && address !== view.address) {
       log(work, 'anvil.moved', { anvil: place, address });
-      set(work, { anvils: { ...work.state.anvils, [place]: { ...view, address, call: null, pulled: null } } });
+      set(work, {
+        anvils: { ...work.state.anvils, [place]: { ...view, address, call: null, pulled: null } },
+      });
     }
   }
 };
@@ -181,13 +288,24 @@
   if (work.state.self.lathe === null) return;
   for (const { record } of nodesOf(work.state)) {
     if (record.id === work.state.self.id || record.lathe === null) continue;
-    if (work.state.delays[record.id] !== undefined && chance(work) >= Beats.pingDraw / Beats.ping) continue;
-    send(work, record.address, { kind: 'ping' }, { kind: 'ping', edge: record.id, sentAt: work.state.now });
+    if (work.state.delays[record.id] !== undefined && chance(work) >= Beats.pingDraw / Beats.ping)
+      continue;
+    send(
+      work,
+      record.address,
+      { kind: 'ping' },
+      { kind: 'ping', edge: record.id, sentAt: work.state.now },
+    );
   }
 };
 
 export const tookPing = (work: Work, edge: string, seconds: number): void => {
-  set(work, { delays: { ...work.state.delays, [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-2) } });
+  set(work, {
+    delays: {
+      ...work.state.delays,
+      [edge]: [...(work.state.delays[edge] ?? []), seconds].slice(-2),
+    },
+  });
 };
 
 /** s. The least of the last two pings: what the path takes without the machine's own noise. */
@@ -200,10 +318,19 @@
   const capacity = state.self.lathe?.capacityBps ?? 0;
   const asked = Object.values(measure.demand).reduce((sum, bps) => sum + bps, 0);
   return {
-    demand: measure.demand, copies: measure.copies, capacity,
-    utilisation: capacity > 0 ? measure.servedBps / capacity : 0, offered: capacity > 0 ? asked / capacity : 0,
-    delays: Object.fromEntries(Object.keys(state.delays).flatMap((edge) => { const delay = delayTo(state, edge); return delay === null ? [] : [[edge, delay]]; })),
-    meanReply: measure.meanReplyBits, fetchDelay: measure.fetchSeconds > 0 ? measure.fetchSeconds : Weights.fetchPenalty,
+    demand: measure.demand,
+    copies: measure.copies,
+    capacity,
+    utilisation: capacity > 0 ? measure.servedBps / capacity : 0,
+    offered: capacity > 0 ? asked / capacity : 0,
+    delays: Object.fromEntries(
+      Object.keys(state.delays).flatMap((edge) => {
+        const delay = delayTo(state, edge);
+        return delay === null ? [] : [[edge, delay]];
+      }),
+    ),
+    meanReply: measure.meanReplyBits,
+    fetchDelay: measure.fetchSeconds > 0 ? measure.fetchSeconds : Weights.fetchPenalty,
   };
 };
 
@@ -213,16 +340,23 @@
   const { sent, sentAt, now } = work.state;
   if (!mustSend(vector, sent) && now - sentAt < Beats.refresh) return;
   set(work, {
-    sent: vector, sentAt: now, notices: work.state.notices + 1, splitStale: true,
+    sent: vector,
+    sentAt: now,
+    notices: work.state.notices + 1,
+    splitStale: true,
     spindle: Spindle.tell(work.state.spindle, `vector/${work.state.self.id}`, vector, now),
   });
 };
 
 /**
- * Where a route's objects are placed for the clients of an edge: at the edges of its own zone, so that each is
- * fetched once for a zone and few bytes leave it; where none there may serve the route, at those of another one.
+ * Where a route's objects are placed for the clients of an edge: at the edges of its own zone, so
+ * that each is fetched once for a zone and few bytes leave it; where none there may serve the
+ * route, at those of another one.
  */
-const placesOf = (allowed: readonly { readonly id: string; readonly hall: string }[], members: readonly { readonly id: string; readonly hall: string }[]): ((client: string) => readonly string[]) => {
+const placesOf = (
+  allowed: readonly { readonly id: string; readonly hall: string }[],
+  members: readonly { readonly id: string; readonly hall: string }[],
+): ((client: string) => readonly string[]) => {
   const byZone = new Map<string, string[]>();
   for (const { id, hall } of allowed) byZone.set(hall, [...(byZone.get(hall) ?? []), id]);
   const zones = new Map(members.map(({ id, hall }) => [id, hall]));
@@ -238,81 +372,153 @@
   if (state.self.lathe === null || state.now - state.splitAt < Beats.pull) return;
   const serving = new Map(servingNodes(state).map((record) => [record.id, record]));
   const over = [...serving.keys()].sort().join(' ');
-  if (!state.splitStale && over === state.splitOver) { set(work, { splitAt: state.now }); return; }
+  if (!state.splitStale && over === state.splitOver) {
+    set(work, { splitAt: state.now });
+    return;
+  }
   const policy = policyOf(state);
   const routes = new Map((policy?.document.routes ?? []).map((route) => [route.name, route]));
   const me = { id: state.self.id, region: state.self.region };
-  const members = [...new Map([...[...serving.values()].map(({ id, hall }) => [id, hall] as const), [me.id, state.self.hall] as const])].map(([id, hall]) => ({ id, hall })).sort((a, b) => (a.id < b.id ? -1 : 1));
+  const members = [
+    ...new Map([
+      ...[...serving.values()].map(({ id, hall }) => [id, hall] as const),
+      [me.id, state.self.hall] as const,
+    ]),
+  ]
+    .map(([id, hall]) => ({ id, hall }))
+    .sort((a, b) => (a.id < b.id ? -1 : 1));
   const vectors: Record<string, Vector> = {};
   for (const [key, value, seenAt] of Spindle.all(state.spindle, 'vector/')) {
     const edge = key.slice('vector/'.length);
-    if (edge === me.id || (serving.has(edge) && state.now - seenAt < 3 * Beats.refresh)) vectors[edge] = value as Vector;
+    if (edge === me.id || (serving.has(edge) && state.now - seenAt < 3 * Beats.refresh))
+      vectors[edge] = value as Vector;
   }
-  const split = vectors[me.id] === undefined ? { split: {}, iterations: 0, cost: 0 } : splitFor(me.id, vectors, (name) => {
-    const route = routes.get(name);
-    if (route === undefined) return null;
-    const servers = (edge: string): boolean => {
-      const region = edge === me.id ? me.region : serving.get(edge)?.region;
-      return region !== undefined && (edge === me.id || serving.has(edge)) && (route.homes === undefined || route.homes.includes(region));
-    };
-    return route.cache.keep === 'always' ? { servers, placed: placesOf(members.filter(({ id }) => servers(id)), members) } : { servers };
+  const split =
+    vectors[me.id] === undefined
+      ? { split: {}, iterations: 0, cost: 0 }
+      : splitFor(me.id, vectors, (name) => {
+          const route = routes.get(name);
+          if (route === undefined) return null;
+          const servers = (edge: string): boolean => {
+            const region = edge === me.id ? me.region : serving.get(edge)?.region;
+            return (
+              region !== undefined &&
+              (edge === me.id || serving.has(edge)) &&
+              (route.homes === undefined || route.homes.includes(region))
+            );
+          };
+          return route.cache.keep === 'always'
+            ? {
+                servers,
+                placed: placesOf(
+                  members.filter(({ id }) => servers(id)),
+                  members,
+                ),
+              }
+            : { servers };
+        });
+  set(work, {
+    split: split.split,
+    splitAt: state.now,
+    splitStale: false,
+    splitOver: over,
+    splits: state.splits + 1,
   });
-  set(work, { split: split.split, splitAt: state.now, splitStale: false, splitOver: over, splits: state.splits + 1 });
 };
 
 /** Why an origin gets no traffic, or null if it does. */
 export const barred = (state: JigState, description: Description): string | null => {
   const service = policyOf(state)?.document.services[description.service];
   if (service === undefined) return 'no policy allows this service';
-  if (service.instances !== undefined && !service.instances.includes(description.instance)) return 'the policy does not name this instance';
+  if (service.instances !== undefined && !service.instances.includes(description.instance))
+    return 'the policy does not name this instance';
   if (state.factKeys[withdrawnKey(description.instance)] !== undefined) return 'withdrawn';
-  if (description.draining || state.factKeys[drainKey(description)] !== undefined) return 'draining';
-  if (closedOf(state).includes(description.hall)) return hallsOf(state)?.emptied.includes(description.hall) === true ? 'its hall is emptied' : 'the origins of its hall get nothing';
+  if (description.draining || state.factKeys[drainKey(description)] !== undefined)
+    return 'draining';
+  if (closedOf(state).includes(description.hall))
+    return hallsOf(state)?.emptied.includes(description.hall) === true
+      ? 'its hall is emptied'
+      : 'the origins of its hall get nothing';
   return null;
 };
 
-export const drainKey = (description: Description): string => `drain/${description.service}/${description.instance}/${description.incarnation}`;
+export const drainKey = (description: Description): string =>
+  `drain/${description.service}/${description.instance}/${description.incarnation}`;
 
 /** Bars every life of an instance of this name, for as long as the fact lasts. */
 export const withdrawnKey = (instance: string): string => `withdrawn/${instance}`;
 
-/** Whether what an origin of a hall said at some time is too old to be trusted as warm: its hall was taken back since. */
-export const inDoubt = (state: JigState, hall: string, heardAt: number): boolean => heardAt < (state.reopened[hall] ?? -Infinity) + Limits.warmDoubt;
+/**
+ * Whether what an origin of a hall said at some time is too old to be trusted as warm: its hall was
+ * taken back since.
+ */
+export const inDoubt = (state: JigState, hall: string, heardAt: number): boolean =>
+  heardAt < (state.reopened[hall] ?? -Infinity) + Limits.warmDoubt;
 
-const isOlder = (told: Description, known: Description): boolean => told.incarnation < known.incarnation
-  || (told.incarnation === known.incarnation && told.sequence !== undefined && known.sequence !== undefined && told.sequence < known.sequence);
+const isOlder = (told: Description, known: Description): boolean =>
+  told.incarnation < known.incarnation ||
+  (told.incarnation === known.incarnation &&
+    told.sequence !== undefined &&
+    known.sequence !== undefined &&
+    told.sequence < known.sequence);
 
 /** Whether a description is older than the one known of the same origin. */
 export const isOld = (state: JigState, description: Description): boolean => {
-  const known = Spindle.get(state.spindle, originKey(description)) as Description | null | undefined;
+  const known = Spindle.get(state.spindle, originKey(description)) as
+    Description | null | undefined;
   return known !== undefined && known !== null && isOlder(description, known);
 };
 
-export const originKey = (description: Description): string => `origin/${description.service}/${description.instance}`;
+export const originKey = (description: Description): string =>
+  `origin/${description.service}/${description.instance}`;
 
 /** Every origin heard of. Of two at one address only the one heard later counts. */
-export const originsOf = (state: JigState): readonly { readonly description: Description; readonly heardAt: number; readonly barred: string | null }[] => {
-  const all = Spindle.all(state.spindle, 'origin/').map(([, value, seenAt]) => ({ description: value as Description, seenAt }));
+export const originsOf = (
+  state: JigState,
+): readonly {
+  readonly description: Description;
+  readonly heardAt: number;
+  readonly barred: string | null;
+}[] => {
+  const all = Spindle.all(state.spindle, 'origin/').map(([, value, seenAt]) => ({
+    description: value as Description,
+    seenAt,
+  }));
   return all.map(({ description, seenAt }) => ({
-    description, heardAt: seenAt,
-    barred: all.some((other) => other.description.address === description.address && other.seenAt > seenAt
-      && (other.description.service !== description.service || other.description.instance !== description.instance))
-      ? 'another origin has taken its address' : barred(state, description),
+    description,
+    heardAt: seenAt,
+    barred: all.some(
+      (other) =>
+        other.description.address === description.address &&
+        other.seenAt > seenAt &&
+        (other.description.service !== description.service ||
+          other.description.instance !== description.instance),
+    )
+      ? 'another origin has taken its address'
+      : barred(state, description),
   }));
 };
 
 /**
- * Requests a second that this node may send to a cold instance. Only a few nodes may, those that rendezvous
- * hashing names for it: every node for itself comes to the same ones, as far as it knows the same nodes.
+ * Requests a second that this node may send to a cold instance. Only a few nodes may, those that
+ * rendezvous hashing names for it: every node for itself comes to the same ones, as far as it knows
+ * the same nodes.
  */
 const coldPartOf = (state: JigState, instance: string, rate: number): number => {
   const plan = planOf(state);
   // A node that has only just come knows few others: the division names them all.
   if (plan === null) return 0;
-  const names = [...new Set([...plan.seated, ...nodesOf(state).flatMap(({ record }) => (record.lathe === null ? [] : [record.id]))])];
+  const names = [
+    ...new Set([
+      ...plan.seated,
+      ...nodesOf(state).flatMap(({ record }) => (record.lathe === null ? [] : [record.id])),
+    ]),
+  ];
   const parts = Math.max(1, Math.min(names.length, Math.floor(rate / Weights.coldPart)));
   const own = mixed(`${instance} ${state.self.id}`);
-  const ahead = names.filter((name) => name !== state.self.id && mixed(`${instance} ${name}`) > own).length;
+  const ahead = names.filter(
+    (name) => name !== state.self.id && mixed(`${instance} ${name}`) > own,
+  ).length;
   return ahead < parts ? (rate * Weights.coldShare) / parts : 0;
 };
 
@@ -326,22 +532,60 @@
     const mine = slices[description.service] ?? {};
     const carried = rateOf(mine, state.self.id, description.capacity ?? Infinity);
     const service = services[description.service];
-    const bearable = service?.coldRate === undefined ? Infinity : coldPartOf(state, `${description.instance}/${description.incarnation}`, service.coldRate);
-    return [{
-      service: description.service, instance: description.instance, incarnation: description.incarnation, address: description.address,
-      hall: description.hall, region: description.region, capacity: description.capacity ?? description.slots ?? 1, slots: description.slots ?? null, conns: service?.instanceConns ?? null, cold, rate: cold ? Math.min(carried, bearable) : carried,
-    }];
+    const bearable =
+      service?.coldRate === undefined
+        ? Infinity
+        : coldPartOf(state, `${description.instance}/${description.incarnation}`, service.coldRate);
+    return [
+      {
+        service: description.service,
+        instance: description.instance,
+        incarnation: description.incarnation,
+        address: description.address,
+        hall: description.hall,
+        region: description.region,
+        capacity: description.capacity ?? description.slots ?? 1,
+        slots: description.slots ?? null,
+        conns: service?.instanceConns ?? null,
+        cold,
+        rate: cold ? Math.min(carried, bearable) : carried,
+      },
+    ];
   });
 };
 
-/** What each service of the policy may get in all: its ceiling, or less where its instances carry less. */
+/**
+ * What each service of the policy may get in all: its ceiling, or less where its instances carry
+ * less.
+ */
 export const boundsOf = (state: JigState): Readonly<Record<string, number>> => {
-  const admitted = originsOf(state).filter((each) => each.barred === null).map((each) => each.description);
-  return Object.fromEntries(Object.entries(policyOf(state)?.document.services ?? {}).map(([name, service]) =>
-    [name, boundOf(service.ceiling, admitted.filter((each) => each.service === name).map((each) => each.capacity ?? Infinity))]));
+  const admitted = originsOf(state)
+    .filter((each) => each.barred === null)
+    .map((each) => each.description);
+  return Object.fromEntries(
+    Object.entries(policyOf(state)?.document.services ?? {}).map(([name, service]) => [
+      name,
+      boundOf(
+        service.ceiling,
+        admitted.filter((each) => each.service === name).map((each) => each.capacity ?? Infinity),
+      ),
+    ]),
+  );
 };
 
 export const partnerRows = (state: JigState): readonly PartnerRow[] =>
-  servingNodes(state).flatMap((record) => (record.id === state.self.id || record.lathe === null ? [] : [{
-    id: record.id, hall: record.hall, region: record.region, address: record.lathe.partners, delay: delayTo(state, record.id) ?? Weights.fetchPenalty,
-  }])).sort((a, b) => a.delay - b.delay);
+  servingNodes(state)
+    .flatMap((record) =>
+      record.id === state.self.id || record.lathe === null
+        ? []
+        : [
+            {
+              id: record.id,
+              hall: record.hall,
+              region: record.region,
+              address: record.lathe.partners,
+              delay: delayTo(state, record.id) ?? Weights.fetchPenalty,
+            },
+          ],
+    )
+    .sort((a, b) => a.delay - b.delay);
--- a/packages/jig/src/operators.ts
+++ b/packages/jig/src/operators.ts
@@ -1,4 +1,7 @@
-/** Calls of operators and origins: orders, reads, descriptions, and what this node tells about itself. */
+/**
+ * Calls of operators and origins: orders, reads, descriptions, and what this node tells about
+ * itself.
+ */
 import { Beats, Limits } from '@reedyard/gauge';
 import { rateOf } from '@reedyard/ladle';
 import { Spindle } from '@reedyard/spindle';
@@ -8,7 +11,17 @@
 import { lapsedSerial } from './change-ids.js';
 import { Changes } from './changes.js';
 import { isSeated } from './feed.js';
-import { barred, boundsOf, delayTo, drainKey, inDoubt, isOld, nodesOf, originKey, withdrawnKey } from './network.js';
+import {
+  barred,
+  boundsOf,
+  delayTo,
+  drainKey,
+  inDoubt,
+  isOld,
+  nodesOf,
+  originKey,
+  withdrawnKey,
+} from './network.js';
 import { post } from './postings.js';
 import { isUnreachable, mayActFor, unreachableAnswer } from './reachability.js';
 import { nodeStatus } from './status.js';
@@ -25,7 +38,8 @@
 const isTold = (state: JigState, key: string, told: Description): boolean => {
   const held = state.spindle.records[key];
   if (held === undefined || held.forgotten) return false;
-  if (state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.hall, held.seenAt)) return false;
+  if (state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.hall, held.seenAt))
+    return false;
   const known = held.value as Description;
   const fields = new Set([...Object.keys(told), ...Object.keys(known)] as (keyof Description)[]);
   return [...fields].every((field) => field === 'sequence' || told[field] === known[field]);
@@ -47,7 +61,10 @@
   },
 });
 
-/** What is told of an origin after it described itself: one that drains goes on to do so in this incarnation. */
+/**
+ * What is told of an origin after it described itself: one that drains goes on to do so in this
+ * incarnation.
+ */
 const toldOf = (known: Description | null, sent: Description, isLate: boolean): Description => {
   if (known !== null && isLate) return known;
   const drainsOn = known !== null && known.incarnation === sent.incarnation && known.draining;
@@ -74,12 +91,15 @@
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
   if (!told.draining) answer(work, id, { status: 200, body: done });
   else if (!bearsLosses(work.state)) answer(work, id, tooFewVoters);
-  else if (isUnreachable(work.state) && work.state.posted[drainKey(told)] !== true) answer(work, id, unreachableAnswer);
+  else if (isUnreachable(work.state) && work.state.posted[drainKey(told)] !== true)
+    answer(work, id, unreachableAnswer);
   else postOnce(work, drainKey(told), id, done);
 };
 
 const whyNoLease = (state: JigState): string =>
-  isUnreachable(state) ? 'it is cut off from the control state' : 'replicas answer, but its lease is not renewed yet';
+  isUnreachable(state)
+    ? 'it is cut off from the control state'
+    : 'replicas answer, but its lease is not renewed yet';
 
 /** Why no callers should come to this node, or null if they may. */
 const notReady = (state: JigState): string | null => {
@@ -87,7 +107,8 @@
   if (state.self.lathe === null) return 'this machine has no lathe';
   if (mayActFor(state) <= 0) return whyNoLease(state);
   if (policy === null) return 'no policy is known';
-  if (state.report === null || state.now - state.report.at >= Limits.lease) return 'its lathe does not ask for news';
+  if (state.report === null || state.now - state.report.at >= Limits.lease)
+    return 'its lathe does not ask for news';
   if (state.report.report.stopping) return 'its lathe is leaving';
   if (hallsOf(state)?.emptied.includes(state.self.hall) === true) return 'its hall is emptied';
   return isSeated(state) ? null : 'the division has not given it its slices yet';
@@ -125,13 +146,21 @@
   return { status: 200, body: { node: state.self.id, view, partners: rows } };
 };
 
-const putPolicy = (work: Work, id: number, { document, ifMatch, changeId }: ActionOf<'put-policy'>): void => {
+const putPolicy = (
+  work: Work,
+  id: number,
+  { document, ifMatch, changeId }: ActionOf<'put-policy'>,
+): void => {
   const lapsed = lapsedSerial(work.state, 'policy');
   const change = Changes.policy({ document, ifMatch, changeId, lapsed });
   pursue(work, 'policy', change, { kind: 'put-policy', id, changeId });
 };
 
-const orderZone = (work: Work, id: number, { hall, order, of, changeId }: ActionOf<'hall'>): void => {
+const orderZone = (
+  work: Work,
+  id: number,
+  { hall, order, of, changeId }: ActionOf<'hall'>,
+): void => {
   const lapsed = lapsedSerial(work.state, 'halls');
   const change = Changes.zone({ hall, order, of, changeId, lapsed });
   pursue(work, 'halls', change, { kind: 'hall', id, changeId });
@@ -139,7 +168,10 @@
 
 /** Whether an action changes what must survive the loss of disks. */
 const isOrder = (action: Action): boolean =>
-  action.kind === 'put-policy' || action.kind === 'hall' || action.kind === 'purge' || action.kind === 'withdraw';
+  action.kind === 'put-policy' ||
+  action.kind === 'hall' ||
+  action.kind === 'purge' ||
+  action.kind === 'withdraw';
 
 /** Whether an action can be acknowledged by a majority of replicas only. */
 const needsMajority = (state: JigState, action: Action): boolean => {
--- a/packages/jig/src/orders.model.test.ts
+++ b/packages/jig/src/orders.model.test.ts
@@ -1,6 +1,7 @@
 /**
- * Every order of steps of a bounded number of orders: what is sent, read, proposed, chosen, outvoted, answered, lost and
- * sent again. A register is taken as atomic here: that ballots make it so is shown by the tests of the consensus.
+ * Every order of steps of a bounded number of orders: what is sent, read, proposed, chosen,
+ * outvoted, answered, lost and sent again. A register is taken as atomic here: that ballots make it
+ * so is shown by the tests of the consensus.
  */
 import test from 'ava';
 import { Stencil, type Policy } from '@reedyard/stencil';
@@ -8,7 +9,10 @@
 import { hallsValueOf } from './state.js';
 import type { PolicyValue } from './terms.js';
 
-/** What an operator wants, and how it is changed into a change of the register; each attempt has an id of its own. */
+/**
+ * What an operator wants, and how it is changed into a change of the register; each attempt has an
+ * id of its own.
+ */
 type Order = { readonly operator: string; readonly change: (id: string) => RegisterChange };
 
 /** One attempt, at whichever node: independent of the others but for the register. */
@@ -51,8 +55,15 @@
 const sendAttempt = (world: World, order: number): World => {
   const id = `${order}.${world.attempts.filter((each) => each.order === order).length}`;
   const attempt: Attempt = {
-    order, id, phase: 'proposing', answer: null, isCallerGone: false,
-    firstRead: null, firstReadAt: null, base: 0, proposed: null,
+    order,
+    id,
+    phase: 'proposing',
+    answer: null,
+    isCallerGone: false,
+    firstRead: null,
+    firstReadAt: null,
+    base: 0,
+    proposed: null,
   };
   return { ...world, attempts: [...world.attempts, attempt] };
 };
@@ -64,7 +75,12 @@
 
 const choose = (world: World, index: number): World => {
   const attempt = world.attempts[index] as Attempt;
-  return { ...world, revision: world.revision + 1, value: attempt.proposed, chosen: [...world.chosen, attempt.id] };
+  return {
+    ...world,
+    revision: world.revision + 1,
+    value: attempt.proposed,
+    chosen: [...world.chosen, attempt.id],
+  };
 };
 
 /** A ballot reads the register and applies the change. */
@@ -72,14 +88,22 @@
   const attempt = world.attempts[index] as Attempt;
   const order = model.orders[attempt.order] as Order;
   const { firstRead } = attempt;
-  const reading = firstRead === null || !model.isFenced ? undefined : { first: firstRead.value, now: world.value };
+  const reading =
+    firstRead === null || !model.isFenced
+      ? undefined
+      : { first: firstRead.value, now: world.value };
   const changed = order.change(attempt.id)(world.value, reading);
   const noted = {
     firstRead: firstRead ?? { value: world.value },
     firstReadAt: attempt.firstReadAt ?? world.revision,
   };
   if (changed.kind === 'write') {
-    return withAttempt(world, index, { ...noted, phase: 'accepting', base: world.revision, proposed: changed.value });
+    return withAttempt(world, index, {
+      ...noted,
+      phase: 'accepting',
+      base: world.revision,
+      proposed: changed.value,
+    });
   }
   const answer = changed.kind === 'keep' ? 'acknowledged' : 'refused';
   return withAttempt(world, index, { ...noted, phase: 'answered', answer });
@@ -103,25 +127,44 @@
   ];
 };
 
-const endOrder = (world: World, order: number, end: 'acknowledged' | 'refused' | 'given-up'): World => ({
+const endOrder = (
+  world: World,
+  order: number,
+  end: 'acknowledged' | 'refused' | 'given-up',
+): World => ({
   ...world,
   ends: world.ends.map((each, at) => (at === order ? end : each)),
   lastAcknowledged: end === 'acknowledged' ? order : world.lastAcknowledged,
 });
 
-/** The steps of an attempt's caller: it takes the answer, or leaves and sends the order again, or gives it up. */
+/**
+ * The steps of an attempt's caller: it takes the answer, or leaves and sends the order again, or
+ * gives it up.
+ */
 const callerSteps = (model: Model, world: World, index: number): readonly World[] => {
   const attempt = world.attempts[index] as Attempt;
   if (attempt.isCallerGone || world.ends[attempt.order] !== null) return [];
   const taken =
     attempt.phase === 'answered' && attempt.answer !== null
-      ? [endOrder(withAttempt(world, index, { phase: 'ended', isCallerGone: true }), attempt.order, attempt.answer)]
+      ? [
+          endOrder(
+            withAttempt(world, index, { phase: 'ended', isCallerGone: true }),
+            attempt.order,
+            attempt.answer,
+          ),
+        ]
       : [];
-  const isDropped = attempt.phase === 'answered' || (model.noticesLeaving && attempt.phase === 'proposing');
-  const left = withAttempt(world, index, { isCallerGone: true, ...(isDropped ? { phase: 'ended' as const } : {}) });
+  const isDropped =
+    attempt.phase === 'answered' || (model.noticesLeaving && attempt.phase === 'proposing');
+  const left = withAttempt(world, index, {
+    isCallerGone: true,
+    ...(isDropped ? { phase: 'ended' as const } : {}),
+  });
   const sent = world.attempts.filter((each) => each.order === attempt.order).length;
   const next =
-    sent < model.attemptsEach ? sendAttempt(left, attempt.order) : endOrder(left, attempt.order, 'given-up');
+    sent < model.attemptsEach
+      ? sendAttempt(left, attempt.order)
+      : endOrder(left, attempt.order, 'given-up');
   return [...taken, next];
 };
 
@@ -134,7 +177,10 @@
 
 const stepsOf = (model: Model, world: World): readonly World[] => [
   ...startSteps(model, world),
-  ...world.attempts.flatMap((_, index) => [...nodeSteps(model, world, index), ...callerSteps(model, world, index)]),
+  ...world.attempts.flatMap((_, index) => [
+    ...nodeSteps(model, world, index),
+    ...callerSteps(model, world, index),
+  ]),
 ];
 
 /** Walks all worlds; tells how many there are, and what an invariant found wrong. */
@@ -145,9 +191,16 @@
   const seen = new Set<string>();
   const wrongs = new Set<string>();
   const first: World = {
-    revision: 0, value: null, chosen: [], attempts: [], ends: model.orders.map(() => null), lastAcknowledged: null,
+    revision: 0,
+    value: null,
+    chosen: [],
+    attempts: [],
+    ends: model.orders.map(() => null),
+    lastAcknowledged: null,
   };
-  const open: { readonly world: World; readonly before: World | null }[] = [{ world: first, before: null }];
+  const open: { readonly world: World; readonly before: World | null }[] = [
+    { world: first, before: null },
+  ];
   for (let next = open.pop(); next !== undefined; next = open.pop()) {
     const { world, before } = next;
     const wrong = wrongIn(world, before);
@@ -166,19 +219,29 @@
   Stencil.policy({ version, services: {}, routes: [], notes: { content } });
 
 type PolicyChange = (document: Policy, id: string) => RegisterChange;
-const sound: PolicyChange = (sent, changeId) => Changes.policy({ document: sent, ifMatch: null, changeId, lapsed: 0 });
+const sound: PolicyChange = (sent, changeId) =>
+  Changes.policy({ document: sent, ifMatch: null, changeId, lapsed: 0 });
 /** The fault: whatever is not above the version held is acknowledged. */
 const keepsAnyContent: PolicyChange = (sent, id) => (current) => {
   const held = (current as PolicyValue | null)?.document.version ?? -1;
-  return sent.version !== undefined && sent.version <= held ? { kind: 'keep' } : sound(sent, id)(current);
+  return sent.version !== undefined && sent.version <= held
+    ? { kind: 'keep' }
+    : sound(sent, id)(current);
 };
 
 const policyModel = (sent: readonly Policy[], change: PolicyChange): Model => ({
-  orders: sent.map((each, index) => ({ operator: `operator-${index}`, change: (id) => change(each, id) })),
-  isSequential: false, attemptsEach: 2, noticesLeaving: false, isFenced: true,
+  orders: sent.map((each, index) => ({
+    operator: `operator-${index}`,
+    change: (id) => change(each, id),
+  })),
+  isSequential: false,
+  attemptsEach: 2,
+  noticesLeaving: false,
+  isFenced: true,
 });
 
-const heldIn = (world: World): Policy | null => (world.value as PolicyValue | null)?.document ?? null;
+const heldIn = (world: World): Policy | null =>
+  (world.value as PolicyValue | null)?.document ?? null;
 
 const wrongPolicy =
   (sent: readonly Policy[]) =>
@@ -188,16 +251,21 @@
       const mine = sent[order] as Policy;
       const [version, content] = [mine.version ?? 0, mine.notes?.content];
       const heldVersion = held?.version ?? -1;
-      if (end === 'acknowledged' && heldVersion < version) return 'an acknowledged configuration is lost';
+      if (end === 'acknowledged' && heldVersion < version)
+        return 'an acknowledged configuration is lost';
       if (end === 'acknowledged' && heldVersion === version && held?.notes?.content !== content) {
         return 'another content is held under an acknowledged number';
       }
       const isNewEnd = before !== null && before.ends[order] !== end;
       const wasTaken = world.chosen.some((id) => id.startsWith(`${order}.`));
-      if (isNewEnd && end === 'refused' && wasTaken) return 'a configuration that was taken is refused';
+      if (isNewEnd && end === 'refused' && wasTaken)
+        return 'a configuration that was taken is refused';
       const isNoneAbove = sent.every((each) => (each.version ?? 0) <= version);
-      const others = sent.filter((each) => each.version === version && each.notes?.content !== content);
-      if (isNewEnd && end === 'refused' && others.length === 0) return 'a configuration without a rival is refused';
+      const others = sent.filter(
+        (each) => each.version === version && each.notes?.content !== content,
+      );
+      if (isNewEnd && end === 'refused' && others.length === 0)
+        return 'a configuration without a rival is refused';
       if (end === 'acknowledged' && isNoneAbove) {
         const rival = others.some((each) => world.ends[sent.indexOf(each)] === 'acknowledged');
         if (rival) return 'two contents are acknowledged under one number';
@@ -235,30 +303,44 @@
   (changeId: string): RegisterChange =>
     Changes.zone({ hall: 'west', order, of: 'origins', changeId, lapsed: 0 });
 
-/** One operator that evacuates a zone and takes it back, each until it is acknowledged or given up. */
+/**
+ * One operator that evacuates a zone and takes it back, each until it is acknowledged or given up.
+ */
 const zoneModel = (parts: Partial<Model>): Model => ({
   orders: [
     { operator: 'one', change: zoneChange('empty') },
     { operator: 'one', change: zoneChange('take-back') },
   ],
-  isSequential: true, attemptsEach: 2, noticesLeaving: true, isFenced: true, ...parts,
+  isSequential: true,
+  attemptsEach: 2,
+  noticesLeaving: true,
+  isFenced: true,
+  ...parts,
 });
 
-/** Once the take-back is acknowledged the zone stays open; an acknowledged evacuation holds until the take-back is sent. */
+/**
+ * Once the take-back is acknowledged the zone stays open; an acknowledged evacuation holds until
+ * the take-back is sent.
+ */
 const wrongZone = (world: World): string | null => {
   const isClosed = hallsValueOf(world.value).closedOrigins.includes('west');
   const isTakeBackSent = world.attempts.some((each) => each.order === 1);
   if (world.ends[1] === 'acknowledged' && isClosed) return lateReaders(world);
-  if (world.ends[0] === 'acknowledged' && !isTakeBackSent && !isClosed) return 'an evacuation is not in force';
+  if (world.ends[0] === 'acknowledged' && !isTakeBackSent && !isClosed)
+    return 'an evacuation is not in force';
   return null;
 };
 
 /** Whether what undid the take-back had read the register before that was chosen. */
 const lateReaders = (world: World): string => {
   const takenBackAt = world.chosen.findIndex((id) => id.startsWith('1.'));
-  const undoing = world.attempts.find((each) => each.order === 0 && each.id === world.chosen.at(-1));
+  const undoing = world.attempts.find(
+    (each) => each.order === 0 && each.id === world.chosen.at(-1),
+  );
   const hadRead = undoing !== undefined && (undoing.firstReadAt ?? Infinity) <= takenBackAt;
-  return hadRead ? 'undone by an order that had read before' : 'undone by an order that read only afterwards';
+  return hadRead
+    ? 'undone by an order that had read before'
+    : 'undone by an order that read only afterwards';
 };
 
 test('zones: an acknowledged order is not undone by an older one whose caller was seen to leave', (t) => {
--- a/packages/jig/src/postings.ts
+++ b/packages/jig/src/postings.ts
@@ -1,4 +1,7 @@
-/** Facts on their way to the replicas' journals: the caller is answered once a majority has them on disk. */
+/**
+ * Facts on their way to the replicas' journals: the caller is answered once a majority has them on
+ * disk.
+ */
 import { Limits } from '@reedyard/gauge';
 import { majorityOf } from '@reedyard/latch';
 import type { AnvilReply, Fact } from '@reedyard/anvil';
@@ -31,7 +34,9 @@
   work.effects.push({ kind: 'answer', id: posting.id, status: 200, body: posting.done });
 };
 
-/** Sends facts again to replicas that did not answer; gives a posting up that has taken too long. */
+/**
+ * Sends facts again to replicas that did not answer; gives a posting up that has taken too long.
+ */
 export const tendPostings = (work: Work): void => {
   const { now } = work.state;
   for (const [name, posting] of Object.entries(work.state.postings)) {
--- a/packages/jig/src/pulls.ts
+++ b/packages/jig/src/pulls.ts
@@ -8,16 +8,38 @@
 import { isProbeDue, isProbing } from './reachability.js';
 import type { HallsValue } from './terms.js';
 import { replicaAnswer } from './status.js';
-import { anvilView, chance, counts, hallsValueOf, log, sendToAnvil, set, votersOf, watched, without, type AnvilView, type JigState, type Told, type Watched, type Work } from './state.js';
+import {
+  anvilView,
+  chance,
+  counts,
+  hallsValueOf,
+  log,
+  sendToAnvil,
+  set,
+  votersOf,
+  watched,
+  without,
+  type AnvilView,
+  type JigState,
+  type Told,
+  type Watched,
+  type Work,
+} from './state.js';
 
 const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
   const view = work.state.anvils[name];
-  if (view !== undefined) set(work, { anvils: { ...work.state.anvils, [name]: { ...view, ...part } } });
+  if (view !== undefined)
+    set(work, { anvils: { ...work.state.anvils, [name]: { ...view, ...part } } });
 };
 
 const pull = (work: Work, name: string, view: AnvilView): void => {
   const pending = { kind: 'pull', anvil: name, sentAt: work.state.now } as const;
-  const call = sendToAnvil(work, view.address, { kind: 'pull', cursor: view.cursor, keys: watched }, pending);
+  const call = sendToAnvil(
+    work,
+    view.address,
+    { kind: 'pull', cursor: view.cursor, keys: watched },
+    pending,
+  );
   change(work, name, { call, askedAt: work.state.now, unanswered: view.unanswered + 1 });
 };
 
@@ -36,7 +58,10 @@
   discoverMembers(work);
 };
 
-/** Asks replicas before their turn: those that do not carry a lease that runs low, and all while an order hangs. */
+/**
+ * Asks replicas before their turn: those that do not carry a lease that runs low, and all while an
+ * order hangs.
+ */
 export const pullOverdue = (work: Work): void => {
   const [low, probing] = [isLow(work.state), isProbing(work.state)];
   if (!low && !probing) return;
@@ -55,43 +80,70 @@
 
 /** Voters that an anvil was told are chosen. */
 const learnTold = (work: Work, told: VotersTold): void => {
-  if (newerVoters(told, votersOf(work.state))) learnRegister(work, 'voters', told.ballot, told.value);
+  if (newerVoters(told, votersOf(work.state)))
+    learnRegister(work, 'voters', told.ballot, told.value);
 };
 
-/** The places that are asked and counted are those of the voters; what is known of a place's disk is kept. */
+/**
+ * The places that are asked and counted are those of the voters; what is known of a place's disk is
+ * kept.
+ */
 const takePlaces = (work: Work, before: Voters | undefined, voters: Voters): void => {
   if (work.state.voting === null) return;
   const { anvils, now } = work.state;
-  set(work, { anvils: Object.fromEntries(Object.entries(voters.addresses ?? {}).map(([place, address]) => {
-    const view = anvils[place];
-    const same = before?.disks[place] === voters.disks[place] && (before?.addresses?.[place] === address || view?.address === address);
-    return [place, view !== undefined && same ? view : anvilView(address, now)];
-  })) });
+  set(work, {
+    anvils: Object.fromEntries(
+      Object.entries(voters.addresses ?? {}).map(([place, address]) => {
+        const view = anvils[place];
+        const same =
+          before?.disks[place] === voters.disks[place] &&
+          (before?.addresses?.[place] === address || view?.address === address);
+        return [place, view !== undefined && same ? view : anvilView(address, now)];
+      }),
+    ),
+  });
   // A new member learns from this call that it is one.
   for (const [name, view] of Object.entries(work.state.anvils)) {
     if (view.askedAt === -Infinity) pull(work, name, view);
   }
 };
 
-/** Halls taken back since the orders known before: what their origins said until now is not trusted. */
+/**
+ * Halls taken back since the orders known before: what their origins said until now is not trusted.
+ */
 const noteReopened = (work: Work, before: HallsValue, now: HallsValue): void => {
   const opened = Object.entries(now.reopened).filter(([, serial]) => serial > before.serial);
-  if (opened.length > 0) set(work, { reopened: { ...work.state.reopened, ...Object.fromEntries(opened.map(([hall]) => [hall, work.state.now])) } });
+  if (opened.length > 0)
+    set(work, {
+      reopened: {
+        ...work.state.reopened,
+        ...Object.fromEntries(opened.map(([hall]) => [hall, work.state.now])),
+      },
+    });
 };
 
 /** Takes in a value that is known to be chosen. A lower ballot than the known one is old news. */
 export const learnRegister = (work: Work, key: Watched, ballot: Ballot, value: unknown): void => {
   const known = work.state.registers[key];
   // A ballot may write an epoch again after the next one was chosen.
-  if (known !== undefined && (key === 'voters' ? !newerVoters({ ballot, value: value as Voters }, votersOf(work.state)) : Ballots.compare(ballot, known.ballot) <= 0)) return;
-  set(work, { registers: { ...work.state.registers, [key]: { ballot, value, at: work.state.now } } });
+  if (
+    known !== undefined &&
+    (key === 'voters'
+      ? !newerVoters({ ballot, value: value as Voters }, votersOf(work.state))
+      : Ballots.compare(ballot, known.ballot) <= 0)
+  )
+    return;
+  set(work, {
+    registers: { ...work.state.registers, [key]: { ballot, value, at: work.state.now } },
+  });
   // The split rests on the policy's routes; which nodes serve is looked at each time.
   if (key === 'policy') set(work, { splitStale: true });
   if (Ballots.compare(ballot, work.state.highestBallot) > 0) set(work, { highestBallot: ballot });
   if (key === 'plan') {
     const plan = value as Plan;
     const { planSeen } = work.state;
-    if (plan.term !== planSeen.term || plan.beat !== planSeen.beat) set(work, { planSeen: { term: plan.term, beat: plan.beat, at: work.state.now } });
+    if (plan.term !== planSeen.term || plan.beat !== planSeen.beat)
+      set(work, { planSeen: { term: plan.term, beat: plan.beat, at: work.state.now } });
   } else if (key === 'voters') {
     const voters = value as Voters;
     log(work, 'voters.in-force', { epoch: voters.epoch, voters: Object.keys(voters.disks).length });
@@ -105,7 +157,10 @@
 };
 
 /** The newest ballot of a register that any replica shows, and the replicas that show it now. */
-const highestShown = (state: JigState, key: Watched): { readonly ballot: Ballot; readonly at: readonly string[] } => {
+const highestShown = (
+  state: JigState,
+  key: Watched,
+): { readonly ballot: Ballot; readonly at: readonly string[] } => {
   const shown = Object.entries(state.anvils).flatMap(([name, view]) =>
     view.pulled === null ? [] : [{ name, ballot: view.pulled.ballots[key] ?? Ballots.none }],
   );
@@ -141,7 +196,12 @@
   const chosenHolder = replicas[Math.floor(chance(work) * replicas.length)];
   const view = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder];
   if (isFetching(work.state, key) || view === undefined) return;
-  sendToAnvil(work, view.address, { kind: 'fetch', key }, { kind: 'fetch', key, sentAt: work.state.now });
+  sendToAnvil(
+    work,
+    view.address,
+    { kind: 'fetch', key },
+    { kind: 'fetch', key, sentAt: work.state.now },
+  );
 };
 
 /** Writes a value again that only a minority shows for long: its writer may be gone. */
@@ -171,7 +231,12 @@
 /** All that this node knows to have been chosen. Nothing of it changes while an anvil settles. */
 const toldBefore = (state: JigState): Told => ({
   cells: [
-    ...watched.flatMap((key) => { const known = state.registers[key]; return key === 'voters' || known === undefined ? [] : [[key, { ballot: known.ballot, value: known.value }] as const]; }),
+    ...watched.flatMap((key) => {
+      const known = state.registers[key];
+      return key === 'voters' || known === undefined
+        ? []
+        : [[key, { ballot: known.ballot, value: known.value }] as const];
+    }),
     ...[...state.claims].reverse().flatMap((span) => [...span]),
   ],
   facts: state.facts.map(({ key, value }) => ({ key, value })),
@@ -181,19 +246,37 @@
 const retell = (work: Work, name: string, epoch: number): void => {
   const view = work.state.anvils[name];
   if (view === undefined) return;
-  const begun = view.retold !== null && view.retold.epoch === epoch ? view.retold : { epoch, told: toldBefore(work.state), count: 0, sentAt: -Infinity };
+  const begun =
+    view.retold !== null && view.retold.epoch === epoch
+      ? view.retold
+      : { epoch, told: toldBefore(work.state), count: 0, sentAt: -Infinity };
   if (work.state.now - begun.sentAt < Limits.pull) return;
   const { cells, facts } = begun.told;
   const [from, to] = [begun.count, begun.count + Sizes.retellPage];
-  const page = { cells: cells.slice(from, to), facts: facts.slice(Math.max(0, from - cells.length), Math.max(0, to - cells.length)) };
+  const page = {
+    cells: cells.slice(from, to),
+    facts: facts.slice(Math.max(0, from - cells.length), Math.max(0, to - cells.length)),
+  };
   if (page.cells.length + page.facts.length === 0) return;
-  if (from === 0) log(work, 'register.retold', { anvil: name, registers: cells.length, facts: facts.length });
+  if (from === 0)
+    log(work, 'register.retold', { anvil: name, registers: cells.length, facts: facts.length });
   change(work, name, { retold: { ...begun, sentAt: work.state.now } });
-  sendToAnvil(work, view.address, { kind: 'retell', ...page }, { kind: 'retell', anvil: name, epoch, upTo: from + page.cells.length + page.facts.length });
+  sendToAnvil(
+    work,
+    view.address,
+    { kind: 'retell', ...page },
+    { kind: 'retell', anvil: name, epoch, upTo: from + page.cells.length + page.facts.length },
+  );
 };
 
 /** The page was taken: the next one follows. */
-export const tookRetold = (work: Work, name: string, epoch: number, upTo: number, reply: AnvilReply): void => {
+export const tookRetold = (
+  work: Work,
+  name: string,
+  epoch: number,
+  upTo: number,
+  reply: AnvilReply,
+): void => {
   const retold = work.state.anvils[name]?.retold;
   if (reply.kind !== 'retold' || !retold || retold.epoch !== epoch) return;
   change(work, name, { retold: { ...retold, count: upTo, sentAt: -Infinity } });
@@ -201,15 +284,28 @@
 };
 
 /**
- * An anvil names only voters that it was told are chosen: one such word is enough. Where the state was founded
- * anew after a loss, those who did so apart may differ, and a majority of places must name the same.
+ * An anvil names only voters that it was told are chosen: one such word is enough. Where the state
+ * was founded anew after a loss, those who did so apart may differ, and a majority of places must
+ * name the same.
  */
 const learnVoters = (work: Work, told: VotersTold | null): void => {
-  if (told !== null && (told.value.refounded ?? 0) === (votersOf(work.state)?.value.refounded ?? 0) && votersOf(work.state) !== null) { learnTold(work, told); return; }
-  const named = Object.values(work.state.anvils).flatMap((view) => (view.named === null ? [] : [view.named]));
+  if (
+    told !== null &&
+    (told.value.refounded ?? 0) === (votersOf(work.state)?.value.refounded ?? 0) &&
+    votersOf(work.state) !== null
+  ) {
+    learnTold(work, told);
+    return;
+  }
+  const named = Object.values(work.state.anvils).flatMap((view) =>
+    view.named === null ? [] : [view.named],
+  );
   const majority = majorityOf(Object.keys(work.state.anvils).length);
   for (const each of named) {
-    if (named.filter((other) => Ballots.compare(other.ballot, each.ballot) === 0).length >= majority) learnRegister(work, 'voters', each.ballot, each.value);
+    if (
+      named.filter((other) => Ballots.compare(other.ballot, each.ballot) === 0).length >= majority
+    )
+      learnRegister(work, 'voters', each.ballot, each.value);
   }
 };
 
@@ -237,15 +333,27 @@
   const newest = work.state.anvils[name]?.pulled;
   if (newest && newest.sentAt > sentAt) return;
   let { factSeq } = work.state;
-  const added = reply.facts.filter((fact) => work.state.factKeys[fact.key] === undefined)
-    .map((fact) => { factSeq += 1; return { ...fact, seq: factSeq, at: work.state.now }; });
+  const added = reply.facts
+    .filter((fact) => work.state.factKeys[fact.key] === undefined)
+    .map((fact) => {
+      factSeq += 1;
+      return { ...fact, seq: factSeq, at: work.state.now };
+    });
   if (added.length > 0) {
     set(work, {
-      factSeq, facts: [...work.state.facts, ...added],
-      factKeys: { ...work.state.factKeys, ...Object.fromEntries(added.map((fact) => [fact.key, true as const])) },
+      factSeq,
+      facts: [...work.state.facts, ...added],
+      factKeys: {
+        ...work.state.factKeys,
+        ...Object.fromEntries(added.map((fact) => [fact.key, true as const])),
+      },
     });
   }
-  const pulled = stackPull(work.state, newest ?? null, { sentAt, more: reply.more, ballots: reply.ballots });
+  const pulled = stackPull(work.state, newest ?? null, {
+    sentAt,
+    more: reply.more,
+    ballots: reply.ballots,
+  });
   change(work, name, {
     call: null,
     cursor: { disk: reply.disk, seq: reply.seq },
@@ -257,7 +365,9 @@
   if (reply.more) set(work, { due: { ...work.state.due, pull: work.state.now } });
 };
 
-/** Learns a fetched value if it is known to be chosen; else it is kept until pulls show that it is. */
+/**
+ * Learns a fetched value if it is known to be chosen; else it is kept until pulls show that it is.
+ */
 export const tookFetch = (work: Work, key: Watched, reply: AnvilReply): void => {
   if (reply.kind !== 'fetched' || reply.accepted === null) return;
   const { ballot } = reply.accepted;
--- a/packages/jig/src/reachability.test.ts
+++ b/packages/jig/src/reachability.test.ts
@@ -7,20 +7,34 @@
 import { AgentUnderTest, ballotOf, pulledReply, type ReplicaCall } from './replicas.fixture.js';
 import type { Action } from './terms.js';
 
-const voters = { ballot: ballotOf(1), value: { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } } };
+const voters = {
+  ballot: ballotOf(1),
+  value: { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } },
+};
 const document = { services: {}, routes: [] };
 const description = {
-  service: 's', instance: 'i', incarnation: 0, address: '127.0.0.1:20', region: 'r', hall: 'west',
-  slots: 8, state: 'warm', draining: false, sequence: 1,
+  service: 's',
+  instance: 'i',
+  incarnation: 0,
+  address: '127.0.0.1:20',
+  region: 'r',
+  hall: 'west',
+  slots: 8,
+  state: 'warm',
+  draining: false,
+  sequence: 1,
 } as const;
 const draining = { ...description, draining: true };
 
 const answered = ({ replica, call }: ReplicaCall): AnvilReply | null =>
-  (call.kind === 'pull' ? pulledReply(replica) : null);
+  call.kind === 'pull' ? pulledReply(replica) : null;
 const silent = (): null => null;
 
 /** An agent that had a lease, and whose replicas then answered as given until a moment. */
-const afterwards = (answer: (call: ReplicaCall) => AnvilReply | null, until = 10_000): AgentUnderTest => {
+const afterwards = (
+  answer: (call: ReplicaCall) => AnvilReply | null,
+  until = 10_000,
+): AgentUnderTest => {
   const agent = new AgentUnderTest(true);
   agent.run(3_000, answered);
   agent.run(until, answer);
@@ -29,11 +43,28 @@
 
 /** What a replica may say to a pull without being counted. */
 const refusals: Readonly<Record<string, (replica: string) => AnvilReply>> = {
-  'it is no member': (replica) => ({ kind: 'away', disk: `disk-${replica}`, fresh: false, informed: true }),
-  'its disk is blank': (replica) => ({ kind: 'away', disk: `new-${replica}`, fresh: true, informed: true }),
+  'it is no member': (replica) => ({
+    kind: 'away',
+    disk: `disk-${replica}`,
+    fresh: false,
+    informed: true,
+  }),
+  'its disk is blank': (replica) => ({
+    kind: 'away',
+    disk: `new-${replica}`,
+    fresh: true,
+    informed: true,
+  }),
   'it was told of other members': (replica) => ({ kind: 'stale', disk: `disk-${replica}`, voters }),
-  'it waits for what was known': (replica) => ({ kind: 'settling', disk: `disk-${replica}`, epoch: 1 }),
-  'it answers from another disk': (replica) => ({ ...pulledReply(replica), disk: `new-${replica}` }),
+  'it waits for what was known': (replica) => ({
+    kind: 'settling',
+    disk: `disk-${replica}`,
+    epoch: 1,
+  }),
+  'it answers from another disk': (replica) => ({
+    ...pulledReply(replica),
+    disk: `new-${replica}`,
+  }),
   'it shows what is not known here': (replica) => pulledReply(replica, { halls: ballotOf(9) }),
 };
 
@@ -44,7 +75,9 @@
     t.is(mayActFor(agent.state), 0);
     t.false(isUnreachable(agent.state));
     // A minority that answers is no majority.
-    const other = afterwards(({ replica, call }) => (call.kind === 'pull' && replica === 'a' ? reply(replica) : null));
+    const other = afterwards(({ replica, call }) =>
+      call.kind === 'pull' && replica === 'a' ? reply(replica) : null,
+    );
     t.is(mayActFor(other.state), Limits.cutOffLease);
     t.true(isUnreachable(other.state));
   });
@@ -66,7 +99,7 @@
   t.is(mayActFor(agent.state), Limits.cutOffLease);
   // What the answers show is not known here yet: in touch, and without a lease.
   const news = ({ replica, call }: ReplicaCall): AnvilReply | null =>
-    (call.kind === 'pull' ? pulledReply(replica, { policy: ballotOf(7) }) : null);
+    call.kind === 'pull' ? pulledReply(replica, { policy: ballotOf(7) }) : null;
   agent.run(30_600, news);
   t.is(mayActFor(agent.state), 0);
   t.true(agent.state.lease < agent.state.now);
@@ -119,8 +152,13 @@
 
 test('without a lease orders go on while a majority answers, right after the start and after a freeze', (t) => {
   const [order] = needMajority;
-  if (order === undefined) { t.fail(); return; }
-  const refused = afterwards(({ replica, call }) => (call.kind === 'pull' ? { kind: 'settling', disk: `disk-${replica}`, epoch: 1 } : null));
+  if (order === undefined) {
+    t.fail();
+    return;
+  }
+  const refused = afterwards(({ replica, call }) =>
+    call.kind === 'pull' ? { kind: 'settling', disk: `disk-${replica}`, epoch: 1 } : null,
+  );
   t.is(refused.operate(order, refused.state.now).length, 3);
   const started = new AgentUnderTest();
   started.beat(100);
@@ -134,7 +172,10 @@
     const agent = afterwards(answered, 5_000);
     const sentAt = agent.state.now;
     t.is(agent.operate(action, sentAt).length, 3, action.kind);
-    const answeredAt = (until: number, answer: (call: ReplicaCall) => AnvilReply | null): number | undefined => {
+    const answeredAt = (
+      until: number,
+      answer: (call: ReplicaCall) => AnvilReply | null,
+    ): number | undefined => {
       for (let now = agent.state.now + Beats.jig; now <= until; now += Beats.jig) {
         const calls = agent.beat(now);
         if (agent.answers().length > 0) return now;
@@ -154,7 +195,10 @@
 
 test('while an order is open replicas are probed, so that their silence is known soon', (t) => {
   const [order] = needMajority;
-  if (order === undefined) { t.fail(); return; }
+  if (order === undefined) {
+    t.fail();
+    return;
+  }
   const agent = afterwards(answered, 5_000);
   agent.operate(order, agent.state.now);
   const pulls: string[] = [];
--- a/packages/jig/src/reachability.ts
+++ b/packages/jig/src/reachability.ts
@@ -8,8 +8,8 @@
  * What this node can know of its connection to the replicas. Silence and refusal differ: a replica
  * that answers anything, also that it is not a member, still settles or knows newer members, is in
  * touch. Only a node that a majority of replicas leaves without any answer is cut off. Whether its
- * calls or their answers are lost can't be known from here, and need not be: either way it is not in
- * touch.
+ * calls or their answers are lost can't be known from here, and need not be: either way it is not
+ * in touch.
  */
 
 /** How many replicas answered anything since a moment. */
@@ -22,7 +22,10 @@
   return replicas > 0 && answeredSince(state, since) >= majorityOf(replicas);
 };
 
-/** Whether this process was itself held up lately: its answers waited as well, so silence proves nothing. */
+/**
+ * Whether this process was itself held up lately: its answers waited as well, so silence proves
+ * nothing.
+ */
 const wasHeldUp = (state: JigState, withinMs: number): boolean =>
   isLate(state) || state.now - state.lateAt <= withinMs;
 
@@ -32,9 +35,7 @@
 
 /** Whether this node has neither a lease nor any answer from a majority of replicas. */
 export const isUnreachable = (state: JigState): boolean =>
-  state.now >= state.lease &&
-  isMajoritySilent(state) &&
-  !wasHeldUp(state, Limits.replicaSilence);
+  state.now >= state.lease && isMajoritySilent(state) && !wasHeldUp(state, Limits.replicaSilence);
 
 /** Notes that a replica answered, whatever it said. */
 export const noteAnswer = (work: Work, replica: string): void => {
@@ -57,9 +58,9 @@
 
 /**
  * ms that this node may act on what it knows: what is left of its lease, or, where it may serve on,
- * until the next questions; so it does when the last of its lease runs out in silence, since no feed
- * would come between. A process that was itself held up can't tell, since its answers wait as well:
- * it refuses until it has pulled.
+ * until the next questions; so it does when the last of its lease runs out in silence, since no
+ * feed would come between. A process that was itself held up can't tell, since its answers wait as
+ * well: it refuses until it has pulled.
  */
 export const mayActFor = (state: JigState): number => {
   const left = Math.max(0, state.lease - state.now);
@@ -85,8 +86,8 @@
   !wasHeldUp(state, Limits.stranded);
 
 /**
- * Whether a proposal that a caller waits for can't progress, since a majority of replicas is silent.
- * While an order is open replicas are probed, so that a shorter silence tells.
+ * Whether a proposal that a caller waits for can't progress, since a majority of replicas is
+ * silent. While an order is open replicas are probed, so that a shorter silence tells.
  */
 export const isStranded = (state: JigState, { purpose, openedAt }: Pursuit): boolean => {
   if (isOrder(purpose)) return isStuck(state, openedAt, state.now - Limits.stranded);
--- a/packages/jig/src/replicas.fixture.ts
+++ b/packages/jig/src/replicas.fixture.ts
@@ -6,20 +6,40 @@
 import type { JigState, Watched, Work } from './state.js';
 import type { Action, JigEffect } from './terms.js';
 
-/** An agent beside replicas whose answers a test makes up: for tests of leases and of reachability. */
+/**
+ * An agent beside replicas whose answers a test makes up: for tests of leases and of reachability.
+ */
 
 /** A call to a replica that is under way. */
-export type ReplicaCall = { readonly id: number; readonly replica: string; readonly call: AnvilCall };
+export type ReplicaCall = {
+  readonly id: number;
+  readonly replica: string;
+  readonly call: AnvilCall;
+};
 
-const addresses: Readonly<Record<string, string>> = { a: '10.0.0.1:1', b: '10.0.0.2:1', c: '10.0.0.3:1' };
+const addresses: Readonly<Record<string, string>> = {
+  a: '10.0.0.1:1',
+  b: '10.0.0.2:1',
+  c: '10.0.0.3:1',
+};
 const voters: Voters = { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } };
-const self = { id: 'n', hall: 'west', region: 'r', address: '127.0.0.1:1', lathe: null, anvil: null };
+const self = {
+  id: 'n',
+  hall: 'west',
+  region: 'r',
+  address: '127.0.0.1:1',
+  lathe: null,
+  anvil: null,
+};
 
 /** A ballot of some proposer. */
 export const ballotOf = (round: number): Ballot => [round, 'p'];
 
 /** What a replica that counts answers a pull: the ballots that it accepted. */
-export const pulledReply = (replica: string, ballots: Readonly<Record<string, Ballot>> = {}): AnvilReply => ({
+export const pulledReply = (
+  replica: string,
+  ballots: Readonly<Record<string, Ballot>> = {},
+): AnvilReply => ({
   kind: 'pulled',
   disk: `disk-${replica}`,
   seq: 0,
@@ -35,7 +55,14 @@
   effects: readonly JigEffect[] = [];
 
   constructor(servesOn = false) {
-    this.state = Jig.open({ self: { ...self, servesOn }, life: 'l', seeds: [], founders: addresses, seed: 1, now: 0 });
+    this.state = Jig.open({
+      self: { ...self, servesOn },
+      life: 'l',
+      seeds: [],
+      founders: addresses,
+      seed: 1,
+      now: 0,
+    });
     this.learn('voters', 1, voters);
     this.learn('policy', 1, { serial: 1, document: { services: {}, routes: [] }, changes: [] });
   }
@@ -52,7 +79,10 @@
     return this.#take(Jig.reduce(this.state, { kind: 'beat', now }));
   }
 
-  /** Lets beats come on time until a moment; `answer` makes up what each replica answers, if anything. */
+  /**
+   * Lets beats come on time until a moment; `answer` makes up what each replica answers, if
+   * anything.
+   */
   run(until: number, answer: (call: ReplicaCall) => AnvilReply | null): void {
     for (let now = this.state.now + Beats.jig; now <= until; now += Beats.jig) {
       for (const call of this.beat(now)) this.answer(call, answer(call), now);
@@ -75,7 +105,10 @@
     return this.effects.flatMap((effect) => (effect.kind === 'answer' ? [effect.status] : []));
   }
 
-  #take(step: { readonly state: JigState; readonly effects: readonly JigEffect[] }): readonly ReplicaCall[] {
+  #take(step: {
+    readonly state: JigState;
+    readonly effects: readonly JigEffect[];
+  }): readonly ReplicaCall[] {
     this.state = step.state;
     this.effects = step.effects;
     return step.effects.flatMap((effect) => {
--- a/packages/jig/src/safeguards.test.ts
+++ b/packages/jig/src/safeguards.test.ts
@@ -1,4 +1,6 @@
-/** Safeguards of the agent, each at the border of its reducer: red without the one that it names. */
+/**
+ * Safeguards of the agent, each at the border of its reducer: red without the one that it names.
+ */
 import test, { type ExecutionContext } from 'ava';
 import type { AnvilCall, AnvilReply, Voters } from '@reedyard/anvil';
 import { Limits } from '@reedyard/gauge';
@@ -36,8 +38,12 @@
       : [],
   );
 
-const returned = (state: JigState, id: number, body: AnvilReply, now: number): ReturnType<typeof Jig.reduce> =>
-  Jig.reduce(state, { kind: 'returned', id, body, now });
+const returned = (
+  state: JigState,
+  id: number,
+  body: AnvilReply,
+  now: number,
+): ReturnType<typeof Jig.reduce> => Jig.reduce(state, { kind: 'returned', id, body, now });
 
 test('the lease runs from the sending of the pulls, however late their answers come', (t) => {
   const beat = Jig.reduce(founded(), { kind: 'beat', now: 100 });
@@ -48,13 +54,16 @@
 test('pulls answered by other disks than the members have, or by a minority, bring no lease', (t) => {
   t.is(asked(founded(), 100, (name) => pulled(`${name}/other`)).lease, 0);
   const minority = names.slice(0, 2);
-  const some = asked(founded(), 100, (name) => (minority.includes(name) ? pulled(`${name}/a`) : null));
+  const some = asked(founded(), 100, (name) =>
+    minority.includes(name) ? pulled(`${name}/a`) : null,
+  );
   t.is(some.lease, 0);
 });
 
 test('a pull that shows a value or journal entries not known here brings no lease until they are', (t) => {
   const shown = { plan: [9, 'z'] as const };
-  const replyOf = (name: string): AnvilReply => ({ ...pulled(`${name}/a`), ballots: shown }) as AnvilReply;
+  const replyOf = (name: string): AnvilReply =>
+    ({ ...pulled(`${name}/a`), ballots: shown }) as AnvilReply;
   const beat = Jig.reduce(founded(), { kind: 'beat', now: 100 });
   const answered = answeredPulls(beat, 110, replyOf);
   t.is(answered.state.lease, 0);
@@ -63,7 +72,8 @@
   const accepted = { ballot: shown.plan, value };
   const reply = { kind: 'fetched', disk: 'core-1/a', accepted } as const;
   t.is(returned(answered.state, fetch?.id ?? -1, reply, 120).state.lease, 100 + Limits.lease);
-  const partial = (name: string): AnvilReply => ({ ...pulled(`${name}/a`), more: true }) as AnvilReply;
+  const partial = (name: string): AnvilReply =>
+    ({ ...pulled(`${name}/a`), more: true }) as AnvilReply;
   t.is(asked(founded(), 100, partial).lease, 0);
 });
 
@@ -78,7 +88,12 @@
 test('a purge is acknowledged once a majority of the very disks of the members has it, not before', (t) => {
   const purge = { objects: ['host.example/x'], tags: [] };
   const action = { kind: 'purge', purge, changeId: 'c' } as const;
-  const opened = Jig.reduce(allAnswer(founded(), 100), { kind: 'operator', id: 7, action, now: 200 });
+  const opened = Jig.reduce(allAnswer(founded(), 100), {
+    kind: 'operator',
+    id: 7,
+    action,
+    now: 200,
+  });
   const posts = replicaCalls(opened.effects).filter(({ call }) => call.kind === 'post');
   t.is(posts.length, names.length);
   const disks = ['core-1/other', 'core-2/a', 'core-3/a', 'core-4/a'];
@@ -93,47 +108,75 @@
 
 test('a quota leader that was succeeded writes no allocation over the newer term, and gives the leadership up', (t) => {
   const config = Stencil.policy({ services: { s: { ceiling: 10 } }, routes: [] });
-  const allocation = (term: number, holder: string): object => ({ term, holder, beat: 1, slices: {}, seated: [] });
+  const allocation = (term: number, holder: string): object => ({
+    term,
+    holder,
+    beat: 1,
+    slices: {},
+    seated: [],
+  });
   const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
   const leader = learnt(known, 'plan', 2, allocation(1, 'core-1'));
   const leased: JigState = { ...leader, lease: 1e6, duty: { term: 1, held: [] } };
   const beat = Jig.reduce(leased, { kind: 'beat', now: 2_000 });
-  const prepares = replicaCalls(beat.effects).filter(({ call }) => call.kind === 'prepare' && call.key === 'plan');
+  const prepares = replicaCalls(beat.effects).filter(
+    ({ call }) => call.kind === 'prepare' && call.key === 'plan',
+  );
   t.is(prepares.length, names.length);
   const accepted = { ballot: [3, 'y'] as const, value: allocation(2, 'core-2') };
   let { state } = beat;
   const effects = prepares.flatMap(({ id }, index) => {
-    const reply = { kind: 'vote', disk: `${names[index] ?? ''}/a`, vote: { kind: 'yes', accepted } } as const;
+    const reply = {
+      kind: 'vote',
+      disk: `${names[index] ?? ''}/a`,
+      vote: { kind: 'yes', accepted },
+    } as const;
     const step = returned(state, id, reply, 2_010);
     ({ state } = step);
     return step.effects;
   });
-  const written = replicaCalls(effects).flatMap(({ call }) => (call.kind === 'accept' ? [call.value] : []));
+  const written = replicaCalls(effects).flatMap(({ call }) =>
+    call.kind === 'accept' ? [call.value] : [],
+  );
   t.false(JSON.stringify(written).includes('"holder":"core-1"'));
   t.is(state.duty, null);
 });
 
 test('the quota leadership is not taken from a leader that renewed since it was last seen', (t) => {
   const config = Stencil.policy({ services: { s: { ceiling: 10 } }, routes: [] });
-  const allocation = (beat: number): object => ({ term: 1, holder: 'core-2', beat, slices: {}, seated: [] });
+  const allocation = (beat: number): object => ({
+    term: 1,
+    holder: 'core-2',
+    beat,
+    slices: {},
+    seated: [],
+  });
   const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
   let state: JigState = { ...learnt(known, 'plan', 2, allocation(1)), lease: 1e9 };
   let prepares: readonly ReplicaCall[] = [];
   for (let now = 2 * Limits.vacancy; prepares.length === 0 && now < 1e5; now += 500) {
     const step = Jig.reduce(state, { kind: 'beat', now });
     ({ state } = step);
-    prepares = replicaCalls(step.effects).filter(({ call }) => call.kind === 'prepare' && call.key === 'plan');
+    prepares = replicaCalls(step.effects).filter(
+      ({ call }) => call.kind === 'prepare' && call.key === 'plan',
+    );
   }
   t.is(prepares.length, names.length);
   const accepted = { ballot: [3, 'y'] as const, value: allocation(2) };
   const { now } = state;
   const effects = prepares.flatMap(({ id }, index) => {
-    const reply = { kind: 'vote', disk: `${names[index] ?? ''}/a`, vote: { kind: 'yes', accepted } } as const;
+    const reply = {
+      kind: 'vote',
+      disk: `${names[index] ?? ''}/a`,
+      vote: { kind: 'yes', accepted },
+    } as const;
     const step = returned(state, id, reply, now);
     ({ state } = step);
     return step.effects;
   });
-  const written = replicaCalls(effects).flatMap(({ call }) => (call.kind === 'accept' ? [call.value] : []));
+  const written = replicaCalls(effects).flatMap(({ call }) =>
+    call.kind === 'accept' ? [call.value] : [],
+  );
   t.false(JSON.stringify(written).includes('"holder":"core-1"'));
 });
 
@@ -166,24 +209,41 @@
 const nextShares = (t: ExecutionContext, heldUntil: number): Readonly<Record<string, number>> => {
   const now = 2_000;
   const config = Stencil.policy({ services: { s: { ceiling: 100 } }, routes: [] });
-  const plan = { term: 1, holder: 'core-1', beat: 1, slices: { s: { 'front-1': 0.1 } }, seated: [] };
+  const plan = {
+    term: 1,
+    holder: 'core-1',
+    beat: 1,
+    slices: { s: { 'front-1': 0.1 } },
+    seated: [],
+  };
   const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
   const told = [frontRecord('front-1', 0), frontRecord('front-2', 100)].reduce(
     (spindle, record) => Spindle.tell(spindle, `node/${record.id}`, record, now),
     known.spindle,
   );
   const held = [{ slices: { s: { 'front-1': 0.9 } }, until: heldUntil }];
-  const leader = { ...learnt(known, 'plan', 2, plan), spindle: told, lease: 1e6, duty: { term: 1, held } };
+  const leader = {
+    ...learnt(known, 'plan', 2, plan),
+    spindle: told,
+    lease: 1e6,
+    duty: { term: 1, held },
+  };
   const beat = Jig.reduce(leader, { kind: 'beat', now });
   let { state } = beat;
   const accepted = { ballot: [2, 'x'] as const, value: plan };
   const accepts = replicaCalls(beat.effects)
     .filter(({ call }) => call.kind === 'prepare' && call.key === 'plan')
     .flatMap(({ id }, index) => {
-      const reply = { kind: 'vote', disk: `${names[index] ?? ''}/a`, vote: { kind: 'yes', accepted } } as const;
+      const reply = {
+        kind: 'vote',
+        disk: `${names[index] ?? ''}/a`,
+        vote: { kind: 'yes', accepted },
+      } as const;
       const step = returned(state, id, reply, now);
       ({ state } = step);
-      return replicaCalls(step.effects).flatMap(({ call }) => (call.kind === 'accept' ? [call.value as Plan] : []));
+      return replicaCalls(step.effects).flatMap(({ call }) =>
+        call.kind === 'accept' ? [call.value as Plan] : [],
+      );
     });
   t.true(accepts.length > 0);
   return accepts[0]?.slices.s ?? {};
--- a/packages/jig/src/state.ts
+++ b/packages/jig/src/state.ts
@@ -7,7 +7,16 @@
 import type { SpindleState } from '@reedyard/spindle';
 import type { Plan, Slices } from '@reedyard/ladle';
 import type { Split, Vector } from '@reedyard/plumb';
-import type { FeedPart, HallsValue, JigCall, JigEffect, JigVoting, PolicyValue, Report, Self } from './terms.js';
+import type {
+  FeedPart,
+  HallsValue,
+  JigCall,
+  JigEffect,
+  JigVoting,
+  PolicyValue,
+  Report,
+  Self,
+} from './terms.js';
 
 /** The registers that every jig watches. */
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
@@ -35,14 +44,19 @@
   readonly outcome: ReplicaOutcome;
 };
 
-/** What one counted pull showed: when it was sent, whether facts are left out, and the ballots accepted by then. */
+/**
+ * What one counted pull showed: when it was sent, whether facts are left out, and the ballots
+ * accepted by then.
+ */
 export type PullSeen = {
   readonly sentAt: number;
   readonly more: boolean;
   readonly ballots: Readonly<Record<string, Ballot>>;
 };
 
-/** The newest counted pull, and those before it that may still carry the lease, the newest first. */
+/**
+ * The newest counted pull, and those before it that may still carry the lease, the newest first.
+ */
 export type Pulled = PullSeen & { readonly earlier: readonly PullSeen[] };
 
 /** How one anvil was last seen. */
@@ -55,7 +69,10 @@
   readonly heardAt: number;
   /** How it last answered a pull; null before the first answer. */
   readonly answered: ReplicaAnswer | null;
-  /** When any answer last came from its address, whether or not it counted, or when it was first known. */
+  /**
+   * When any answer last came from its address, whether or not it counted, or when it was first
+   * known.
+   */
   readonly answeredAt: number;
   /** The counted pulls; null where none counts any more. */
   readonly pulled: Pulled | null;
@@ -66,11 +83,22 @@
   /** Whether it last said that it was told to stop. */
   readonly leaving: boolean;
   /** How much of what this node knows was told again to this anvil, in its present settling. */
-  readonly retold: { readonly epoch: number; readonly told: Told; readonly count: number; readonly sentAt: number } | null;
+  readonly retold: {
+    readonly epoch: number;
+    readonly told: Told;
+    readonly count: number;
+    readonly sentAt: number;
+  } | null;
 };
 
 /** What this node knows to have been chosen, as it was when an anvil first asked. */
-export type Told = { readonly cells: readonly (readonly [string, { readonly ballot: Ballot; readonly value: unknown }])[]; readonly facts: readonly Fact[] };
+export type Told = {
+  readonly cells: readonly (readonly [
+    string,
+    { readonly ballot: Ballot; readonly value: unknown },
+  ])[];
+  readonly facts: readonly Fact[];
+};
 
 /** Claims that this node saw chosen, by key, with the ballots they were chosen in. */
 export type Claims = Table<string, { readonly ballot: Ballot; readonly value: unknown }>;
@@ -84,7 +112,12 @@
   | { readonly kind: 'claim'; readonly id: number }
   | { readonly kind: 'settle'; readonly id: number }
   | { readonly kind: 'repair' }
-  | { readonly kind: 'seat'; readonly anvil: string; readonly disk: string; /** Whose place it is, where another machine gives it up. */ readonly instead?: string };
+  | {
+      readonly kind: 'seat';
+      readonly anvil: string;
+      readonly disk: string;
+      /** Whose place it is, where another machine gives it up. */ readonly instead?: string;
+    };
 
 /** One change that is to be made to a register, until its ballot is decided or its time is over. */
 export type Pursuit = {
@@ -104,7 +137,10 @@
 /** How often a ballot was outvoted, and how often too few answered in time. */
 export type Retries = { readonly outvoted: number; readonly timedOut: number };
 
-/** The one ballot that this node has under way for a register, for all changes that waited when it was opened. */
+/**
+ * The one ballot that this node has under way for a register, for all changes that waited when it
+ * was opened.
+ */
 export type BallotRun = {
   readonly proposal: Proposal;
   /** The changes that it makes, as they were when it was opened. */
@@ -120,18 +156,36 @@
   readonly retryAt: number | null;
 };
 
-export type Posting = { readonly facts: readonly Fact[]; readonly acks: readonly string[]; readonly id: number; readonly openedAt: number; readonly sentAt: number; readonly done: unknown };
+export type Posting = {
+  readonly facts: readonly Fact[];
+  readonly acks: readonly string[];
+  readonly id: number;
+  readonly openedAt: number;
+  readonly sentAt: number;
+  readonly done: unknown;
+};
 
 export type Pending =
   | { readonly kind: 'pull'; readonly anvil: string; readonly sentAt: number }
   /** Asks an anvil that need have no place for the voters, and this machine's own for its disk. */
   | { readonly kind: 'look'; readonly address: string }
   | { readonly kind: 'fetch'; readonly key: Watched; readonly sentAt: number }
-  | { readonly kind: 'vote'; readonly key: string; readonly anvil: string; readonly phase: 'prepare' | 'accept'; readonly ballot: Ballot }
+  | {
+      readonly kind: 'vote';
+      readonly key: string;
+      readonly anvil: string;
+      readonly phase: 'prepare' | 'accept';
+      readonly ballot: Ballot;
+    }
   | { readonly kind: 'post'; readonly posting: number; readonly anvil: string }
   | { readonly kind: 'exchange'; readonly to: string; readonly partner: string | null }
   | { readonly kind: 'push' }
-  | { readonly kind: 'retell'; readonly anvil: string; readonly epoch: number; readonly upTo: number }
+  | {
+      readonly kind: 'retell';
+      readonly anvil: string;
+      readonly epoch: number;
+      readonly upTo: number;
+    }
   | { readonly kind: 'ping'; readonly edge: string; readonly sentAt: number };
 
 export type JigState = {
@@ -143,19 +197,31 @@
   readonly openedAt: number;
   /** This machine's own anvil as it last answered. */
   readonly ownAnvil: { readonly disk: string; readonly fresh: boolean; readonly at: number } | null;
-  /** Blank replicas that answered a call of this agent, by address: its own proof that they live. */
+  /**
+   * Blank replicas that answered a call of this agent, by address: its own proof that they live.
+   */
   readonly spares: Readonly<Record<string, { readonly disk: string; readonly at: number }>>;
   readonly seed: number;
   readonly now: number;
   readonly nextId: number;
   readonly pending: Readonly<Record<number, Pending>>;
   readonly anvils: Readonly<Record<string, AnvilView>>;
-  readonly registers: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown; readonly at: number } };
+  readonly registers: {
+    readonly [K in Watched]?: {
+      readonly ballot: Ballot;
+      readonly value: unknown;
+      readonly at: number;
+    };
+  };
   readonly highestBallot: Ballot;
   /** The newest value fetched of a register, until pulls show whether it is chosen. */
-  readonly candidates: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown } };
+  readonly candidates: {
+    readonly [K in Watched]?: { readonly ballot: Ballot; readonly value: unknown };
+  };
   /** The newest ballot of a register that only a minority showed, and since when. */
-  readonly hanging: { readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number } };
+  readonly hanging: {
+    readonly [K in Watched]?: { readonly ballot: Ballot; readonly since: number };
+  };
   /** Monotonic ms until which this node may act on what it knows. */
   readonly lease: number;
   /** When the last beat came, and when one last came late. */
@@ -184,7 +250,13 @@
   readonly delays: Readonly<Record<string, readonly number[]>>;
   readonly report: { readonly report: Report; readonly at: number } | null;
   /** Parts of the feed as they were last told to the lathe. */
-  readonly fedParts: { readonly [K in FeedPart]?: { readonly revision: number; readonly value: unknown; readonly text: string } };
+  readonly fedParts: {
+    readonly [K in FeedPart]?: {
+      readonly revision: number;
+      readonly value: unknown;
+      readonly text: string;
+    };
+  };
   readonly sent: Vector | null;
   readonly sentAt: number;
   readonly notices: number;
@@ -196,14 +268,24 @@
   readonly splitOver: string;
   readonly splits: number;
   readonly planSeen: { readonly term: number; readonly beat: number; readonly at: number };
-  readonly duty: { readonly term: number; readonly held: readonly { readonly slices: Readonly<Record<string, Slices>>; readonly until: number }[] } | null;
-  readonly due: Readonly<Record<'pull' | 'gossip' | 'heartbeat' | 'division' | 'ping' | 'sweep', number>>;
+  readonly duty: {
+    readonly term: number;
+    readonly held: readonly {
+      readonly slices: Readonly<Record<string, Slices>>;
+      readonly until: number;
+    }[];
+  } | null;
+  readonly due: Readonly<
+    Record<'pull' | 'gossip' | 'heartbeat' | 'division' | 'ping' | 'sweep', number>
+  >;
 };
 
 /** What a reducer works with inside one step; the states themselves never change. */
 export type Work = { state: JigState; readonly effects: JigEffect[] };
 
-export const set = (work: Work, change: Partial<JigState>): void => { work.state = { ...work.state, ...change }; };
+export const set = (work: Work, change: Partial<JigState>): void => {
+  work.state = { ...work.state, ...change };
+};
 
 /** A number in [0, 1) from the state's own seed, so that the same seed gives the same run. */
 export const chance = (work: Work): number => {
@@ -220,14 +302,21 @@
   return id;
 };
 
-const sendTo = (work: Work, pending: Pending, part: { readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk } | { readonly to: string; readonly path: '/jig'; readonly body: JigCall }): number => {
+const sendTo = (
+  work: Work,
+  pending: Pending,
+  part:
+    | { readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk }
+    | { readonly to: string; readonly path: '/jig'; readonly body: JigCall },
+): number => {
   const id = takeId(work);
   set(work, { pending: { ...work.state.pending, [id]: pending } });
   work.effects.push({ kind: 'call', id, ...part });
   return id;
 };
 
-export const send = (work: Work, to: string, body: JigCall, pending: Pending): number => sendTo(work, pending, { to, path: '/jig', body });
+export const send = (work: Work, to: string, body: JigCall, pending: Pending): number =>
+  sendTo(work, pending, { to, path: '/jig', body });
 
 /** Asks an anvil, with the voters that the answer will be counted by. */
 export const sendToAnvil = (work: Work, to: string, call: AnvilCall, pending: Pending): number =>
@@ -247,12 +336,25 @@
     Object.entries(state.spares).filter(([, { at }]) => state.now - at < Limits.spareHeard),
   );
 
-export const anvilView = (address: string, now: number): AnvilView =>
-  ({ address, cursor: null, call: null, askedAt: -Infinity, heardAt: now, answered: null, answeredAt: now, pulled: null, named: null, unanswered: 0, leaving: false, retold: null });
+export const anvilView = (address: string, now: number): AnvilView => ({
+  address,
+  cursor: null,
+  call: null,
+  askedAt: -Infinity,
+  heardAt: now,
+  answered: null,
+  answeredAt: now,
+  pulled: null,
+  named: null,
+  unanswered: 0,
+  leaving: false,
+  retold: null,
+});
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
 export const bearsLosses = (state: JigState): boolean =>
-  state.voting === null || Object.keys(votersOf(state)?.value.disks ?? {}).length >= 2 * state.voting.losses + 1;
+  state.voting === null ||
+  Object.keys(votersOf(state)?.value.disks ?? {}).length >= 2 * state.voting.losses + 1;
 
 /** The voters known to be chosen. */
 export const votersOf = (state: JigState): VotersTold | null => {
@@ -261,14 +363,22 @@
 };
 
 /** Whether an answer counts: it must come from the disk that holds the anvil's place. */
-export const counts = (state: JigState, anvil: string, disk: string): boolean => votersOf(state)?.value.disks[anvil] === disk;
+export const counts = (state: JigState, anvil: string, disk: string): boolean =>
+  votersOf(state)?.value.disks[anvil] === disk;
 
-export const without = <T>(table: Readonly<Record<number | string, T>>, key: number | string): Readonly<Record<number | string, T>> => {
+export const without = <T>(
+  table: Readonly<Record<number | string, T>>,
+  key: number | string,
+): Readonly<Record<number | string, T>> => {
   const { [key]: _gone, ...rest } = table;
   return rest;
 };
 
-export const log = (work: Work, event: string, fields: Readonly<Record<string, string | number | boolean>> = {}): void => {
+export const log = (
+  work: Work,
+  event: string,
+  fields: Readonly<Record<string, string | number | boolean>> = {},
+): void => {
   work.effects.push({ kind: 'log', event, fields });
 };
 
@@ -281,14 +391,24 @@
   set(work, { beatAt: state.now, lateAt: isLate(state) ? state.now : state.lateAt });
 };
 
-export const policyOf = (state: JigState): PolicyValue | null => (state.registers.policy?.value ?? null) as PolicyValue | null;
+export const policyOf = (state: JigState): PolicyValue | null =>
+  (state.registers.policy?.value ?? null) as PolicyValue | null;
 /** What the halls register holds; one written before orders for origins alone has fewer fields. */
 export const hallsValueOf = (value: unknown): HallsValue => {
   const known = (value ?? {}) as Partial<HallsValue>;
   const emptied = known.emptied ?? [];
-  return { serial: known.serial ?? 0, emptied, closedOrigins: known.closedOrigins ?? emptied, reopened: known.reopened ?? {}, lastOrders: known.lastOrders ?? {}, changes: known.changes ?? [] };
+  return {
+    serial: known.serial ?? 0,
+    emptied,
+    closedOrigins: known.closedOrigins ?? emptied,
+    reopened: known.reopened ?? {},
+    lastOrders: known.lastOrders ?? {},
+    changes: known.changes ?? [],
+  };
 };
-export const hallsOf = (state: JigState): HallsValue | null => (state.registers.halls === undefined ? null : hallsValueOf(state.registers.halls.value));
+export const hallsOf = (state: JigState): HallsValue | null =>
+  state.registers.halls === undefined ? null : hallsValueOf(state.registers.halls.value);
 /** Halls whose origins get nothing. */
 export const closedOf = (state: JigState): readonly string[] => hallsOf(state)?.closedOrigins ?? [];
-export const planOf = (state: JigState): Plan | null => (state.registers.plan?.value ?? null) as Plan | null;
+export const planOf = (state: JigState): Plan | null =>
+  (state.registers.plan?.value ?? null) as Plan | null;
--- a/packages/jig/src/status.test.ts
+++ b/packages/jig/src/status.test.ts
@@ -43,8 +43,14 @@
   const last = allAnswer(founded(), 100);
   const at = (now: number): readonly string[] =>
     controlStatus({ ...last, now }).members.map((member) => member.state);
-  t.deepEqual(at(100 + Limits.lease - 1), names.map(() => 'answering'));
-  t.deepEqual(at(100 + Limits.lease), names.map(() => 'silent'));
+  t.deepEqual(
+    at(100 + Limits.lease - 1),
+    names.map(() => 'answering'),
+  );
+  t.deepEqual(
+    at(100 + Limits.lease),
+    names.map(() => 'silent'),
+  );
   const oneGone = asked(last, 100 + Limits.lease, (name) =>
     name === 'core-5' ? null : pulled(`${name}/a`),
   );
--- a/packages/jig/src/status.ts
+++ b/packages/jig/src/status.ts
@@ -27,7 +27,8 @@
 
 /**
  * - `answering`: its answers count, and it votes.
- * - `recovering`: it runs, and is not yet allowed to vote: a new disk, or one that reads the others.
+ * - `recovering`: it runs, and is not yet allowed to vote: a new disk, or one that reads the
+ * others.
  * - `refusing`: it answers, and for another reason does not vote.
  * - `silent`: no answer to a pull for a whole lease.
  */
@@ -192,7 +193,9 @@
     .map((each) => ({ node: each.id, address: each.address, zone: each.hall }));
 };
 
-/** Losses that the settings want borne: told where members found themselves, else what they allow. */
+/**
+ * Losses that the settings want borne: told where members found themselves, else what they allow.
+ */
 const configuredLossesOf = (state: JigState): number =>
   state.voting?.losses ?? Math.floor((Object.keys(state.anvils).length - 1) / 2);
 
@@ -241,7 +244,7 @@
     hall: state.self.hall,
     region: state.self.region,
     leaseMs: Math.max(0, Math.round(state.lease - state.now)),
-  unreachable: isUnreachable(state),
+    unreachable: isUnreachable(state),
     policySerial: policyOf(state)?.serial ?? 0,
     emptiedHalls: hallsOf(state)?.emptied ?? [],
     closedOrigins: closedOf(state),
--- a/packages/jig/src/terms.ts
+++ b/packages/jig/src/terms.ts
@@ -11,7 +11,11 @@
   readonly hall: string;
   readonly region: string;
   readonly address: string;
-  readonly lathe: { readonly callers: string; readonly partners: string; readonly capacityBps: number } | null;
+  readonly lathe: {
+    readonly callers: string;
+    readonly partners: string;
+    readonly capacityBps: number;
+  } | null;
   readonly anvil: { readonly address: string } | null;
 };
 
@@ -19,7 +23,10 @@
 export type JigVoting = {
   /** Lost disks that must be borne: there are to be 2 × losses + 1 voters. */
   readonly losses: number;
-  /** ms. How long a successor may take, from its start, until another loss must be borne; left out: not told. */
+  /**
+   * ms. How long a successor may take, from its start, until another loss must be borne; left out:
+   * not told.
+   */
   readonly catchUpMs?: number | undefined;
   /** Anvils to ask for the voters. */
   readonly seeds: readonly string[];
@@ -27,13 +34,23 @@
 
 /** A node's own record, told by gossip; a new serial of it is a heartbeat. */
 export type NodeRecord = {
-  readonly id: string; readonly hall: string; readonly region: string; readonly address: string;
+  readonly id: string;
+  readonly hall: string;
+  readonly region: string;
+  readonly address: string;
   readonly lathe: Self['lathe'];
-  /** Where its anvil is; and where voters found themselves from seeds, which disk it told last, and whether that is blank. */
-  readonly anvil: (NonNullable<Self['anvil']> & { readonly disk?: string; readonly fresh?: boolean }) | null;
+  /**
+   * Where its anvil is; and where voters found themselves from seeds, which disk it told last, and
+   * whether that is blank.
+   */
+  readonly anvil:
+    (NonNullable<Self['anvil']> & { readonly disk?: string; readonly fresh?: boolean }) | null;
   /** Whether its lathe takes transactions. */
   readonly ready: boolean;
-  /** Whether its lathe runs and is not leaving: it keeps its slices through a short loss of its lease. */
+  /**
+   * Whether its lathe runs and is not leaving: it keeps its slices through a short loss of its
+   * lease.
+   */
   readonly staying: boolean;
   /** Names the life of its lathe; a claim of another life is nobody's any more. */
   readonly latheLife: string;
@@ -63,7 +80,13 @@
 
 /** What a claim's register holds: never a body. */
 export type ClaimState = 'pending' | 'ran' | 'not-run' | 'unknown';
-export type ClaimValue = { readonly token: string; readonly state: ClaimState; readonly node: string; readonly life: string; /** Of method, target and body. */ readonly digest: string };
+export type ClaimValue = {
+  readonly token: string;
+  readonly state: ClaimState;
+  readonly node: string;
+  readonly life: string;
+  /** Of method, target and body. */ readonly digest: string;
+};
 
 /** What a lathe measured over one period. */
 export type Measure = {
@@ -89,8 +112,13 @@
 };
 
 export type OriginRow = {
-  readonly service: string; readonly instance: string; readonly incarnation: number; readonly address: string;
-  readonly hall: string; readonly region: string; readonly cold: boolean;
+  readonly service: string;
+  readonly instance: string;
+  readonly incarnation: number;
+  readonly address: string;
+  readonly hall: string;
+  readonly region: string;
+  readonly cold: boolean;
   /** How much it carries beside others of its service: requests a second, or its slots. */
   readonly capacity: number;
   /** Requests that it works on at once. */
@@ -100,7 +128,13 @@
   /** Legs a second that this node may make to it; Infinity where nothing bounds them. */
   readonly rate: number;
 };
-export type PartnerRow = { readonly id: string; readonly hall: string; readonly region: string; readonly address: string; readonly delay: number };
+export type PartnerRow = {
+  readonly id: string;
+  readonly hall: string;
+  readonly region: string;
+  readonly address: string;
+  readonly delay: number;
+};
 
 /** What a jig feeds to its lathe. */
 export type Feed = {
@@ -130,15 +164,27 @@
 /** For each part a number that grows when it changes, within one life of the jig. */
 export type Revisions = Readonly<Record<FeedPart, number>>;
 /** A feed as it goes to the lathe: without the parts that it holds. */
-export type FeedTold = Omit<Feed, FeedPart> & Partial<Pick<Feed, FeedPart>> & { readonly revisions: Revisions };
+export type FeedTold = Omit<Feed, FeedPart> &
+  Partial<Pick<Feed, FeedPart>> & { readonly revisions: Revisions };
 /** What a lathe holds, and of which life of the jig. */
 export type Holding = { readonly life: string; readonly revisions: Revisions };
 
 /** What a lathe asks of its jig. */
 export type LatheCall =
   | { readonly kind: 'feed'; readonly report: Report; readonly held: Holding | null }
-  | { readonly kind: 'claim'; readonly key: string; readonly token: string; readonly life: string; readonly digest: string }
-  | { readonly kind: 'settle'; readonly key: string; readonly token: string; readonly state: ClaimState };
+  | {
+      readonly kind: 'claim';
+      readonly key: string;
+      readonly token: string;
+      readonly life: string;
+      readonly digest: string;
+    }
+  | {
+      readonly kind: 'settle';
+      readonly key: string;
+      readonly token: string;
+      readonly state: ClaimState;
+    };
 
 export type ClaimReply =
   | { readonly kind: 'granted' }
@@ -152,24 +198,46 @@
   | { readonly kind: 'exchange'; readonly exchange: Exchange }
   | { readonly kind: 'push'; readonly tellings: Readonly<Record<string, Telling>> }
   | { readonly kind: 'ping' };
-export type JigReply = { readonly kind: 'exchanged'; readonly exchanged: Exchanged } | { readonly kind: 'ok' };
+export type JigReply =
+  { readonly kind: 'exchanged'; readonly exchanged: Exchanged } | { readonly kind: 'ok' };
 
 /** What operators and origins ask. */
 export type Action =
-  | { readonly kind: 'put-policy'; readonly document: Policy; readonly ifMatch: number | null; readonly changeId: string }
+  | {
+      readonly kind: 'put-policy';
+      readonly document: Policy;
+      readonly ifMatch: number | null;
+      readonly changeId: string;
+    }
   | { readonly kind: 'get-policy' }
   | { readonly kind: 'describe'; readonly description: Description }
   | { readonly kind: 'withdraw'; readonly instance: string }
   | { readonly kind: 'purge'; readonly purge: Purge; readonly changeId: string }
-  | { readonly kind: 'hall'; readonly hall: string; readonly order: HallOrder['order']; readonly of: HallOrder['of']; readonly changeId: string }
+  | {
+      readonly kind: 'hall';
+      readonly hall: string;
+      readonly order: HallOrder['order'];
+      readonly of: HallOrder['of'];
+      readonly changeId: string;
+    }
   | { readonly kind: 'status' | 'shares' | 'partners' | 'ready' | 'live' };
 
 export type JigEvent =
   | { readonly kind: 'beat'; readonly now: number }
   | { readonly kind: 'asked'; readonly id: number; readonly body: JigCall; readonly now: number }
   | { readonly kind: 'fed'; readonly id: number; readonly body: LatheCall; readonly now: number }
-  | { readonly kind: 'operator'; readonly id: number; readonly action: Action; readonly now: number }
-  | { readonly kind: 'returned'; readonly id: number; readonly body: AnvilReply | JigReply; readonly now: number }
+  | {
+      readonly kind: 'operator';
+      readonly id: number;
+      readonly action: Action;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'returned';
+      readonly id: number;
+      readonly body: AnvilReply | JigReply;
+      readonly now: number;
+    }
   | { readonly kind: 'lost'; readonly id: number; readonly now: number }
   /** The caller of an operator's action closed its connection before it was answered. */
   | { readonly kind: 'caller-gone'; readonly id: number; readonly now: number }
@@ -177,10 +245,32 @@
   | { readonly kind: 'woken'; readonly now: number };
 
 export type JigEffect =
-  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk }
-  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly path: '/jig'; readonly body: JigCall }
+  | {
+      readonly kind: 'call';
+      readonly id: number;
+      readonly to: string;
+      readonly path: '/anvil';
+      readonly body: AnvilAsk;
+    }
+  | {
+      readonly kind: 'call';
+      readonly id: number;
+      readonly to: string;
+      readonly path: '/jig';
+      readonly body: JigCall;
+    }
   | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | FeedTold | ClaimReply }
-  | { readonly kind: 'answer'; readonly id: number; readonly status: number; readonly body: unknown; readonly retryAfter?: number }
+  | {
+      readonly kind: 'answer';
+      readonly id: number;
+      readonly status: number;
+      readonly body: unknown;
+      readonly retryAfter?: number;
+    }
   /** Asks for a `woken` event after so many ms. */
   | { readonly kind: 'wake'; readonly inMs: number }
-  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
+  | {
+      readonly kind: 'log';
+      readonly event: string;
+      readonly fields: Readonly<Record<string, string | number | boolean>>;
+    };
--- a/packages/jig/src/testing/membership-client.ts
+++ b/packages/jig/src/testing/membership-client.ts
@@ -1,5 +1,6 @@
 /**
- * Test support: the part of an agent that the membership protocol sees, as a reducer without clocks.
+ * Test support: the part of an agent that the membership protocol sees, as a reducer without
+ * clocks.
  *
  * It counts answers by the members that it knows, learns newer members in the three ways that an
  * agent does (a ballot of its own, a majority of pulls that show one ballot, a replica that was
@@ -248,7 +249,9 @@
   learn(work, key, ballot, value);
 };
 
-/** The lease runs from the sending of the oldest of a majority of pulls that show nothing unknown. */
+/**
+ * The lease runs from the sending of the oldest of a majority of pulls that show nothing unknown.
+ */
 const renewLease = (work: Work): void => {
   const { client, faults } = work;
   const counted = Object.values(client.views)
--- a/packages/jig/src/testing/membership-mutations.ts
+++ b/packages/jig/src/testing/membership-mutations.ts
@@ -55,7 +55,10 @@
     if (read.length < enough(Object.keys(disks).length)) return step;
     const append = { kind: 'append', records: [{ kind: 'voting' }] } as const;
     const votingEpoch = state.told.value.epoch;
-    return { state: { ...state, voting: true, votingEpoch, readings: {} }, effects: [...step.effects, append] };
+    return {
+      state: { ...state, voting: true, votingEpoch, readings: {} },
+      effects: [...step.effects, append],
+    };
   };
 
 const withoutBlanking = (before: AnvilState, step: Step): Step => {
--- a/packages/ladle/src/index.ts
+++ b/packages/ladle/src/index.ts
@@ -7,9 +7,9 @@
 export type Slices = Readonly<Record<string, number>>;
 
 /**
- * The division of every service, under one duty holder's term. It tells shares, not rates: what a share
- * comes to follows from what each node knows now of the ceiling and of the instances, so that a lowered
- * ceiling needs no new division.
+ * The division of every service, under one duty holder's term. It tells shares, not rates: what a
+ * share comes to follows from what each node knows now of the ceiling and of the instances, so that
+ * a lowered ceiling needs no new division.
  */
 export type Plan = {
   readonly term: number;
@@ -17,19 +17,27 @@
   /** Grows with each renewal; a still one means that the duty is vacant. */
   readonly beat: number;
   readonly slices: Readonly<Record<string, Slices>>;
-  /** Edges whose slices have once come near what they are to have: only these say that they are ready. */
+  /**
+   * Edges whose slices have once come near what they are to have: only these say that they are
+   * ready.
+   */
   readonly seated: readonly string[];
 };
 
 /**
- * One level's shares. What is asked for is given first; what is left over is spread evenly, so that a
- * caller's move to another edge finds room there. Where more is asked than there is, a tenth is still
- * spread evenly and the rest goes by demand.
+ * One level's shares. What is asked for is given first; what is left over is spread evenly, so that
+ * a caller's move to another edge finds room there. Where more is asked than there is, a tenth is
+ * still spread evenly and the rest goes by demand.
  */
-const share = (total: number, wants: readonly number[], heads: readonly number[]): readonly number[] => {
+const share = (
+  total: number,
+  wants: readonly number[],
+  heads: readonly number[],
+): readonly number[] => {
   const sumOf = (list: readonly number[]): number => list.reduce((sum, each) => sum + each, 0);
   const [wanted, people] = [sumOf(wants), sumOf(heads)];
-  const even = (index: number, part: number): number => (people > 0 ? (part * (heads[index] ?? 0)) / people : 0);
+  const even = (index: number, part: number): number =>
+    people > 0 ? (part * (heads[index] ?? 0)) / people : 0;
   if (wanted <= total) return wants.map((want, index) => want + even(index, total - wanted));
   const spread = total * Weights.floorShare;
   return wants.map((want, index) => even(index, spread) + ((total - spread) * want) / wanted);
@@ -37,7 +45,11 @@
 
 const grouped = <T>(list: readonly T[], key: (each: T) => string): readonly (readonly T[])[] => {
   const groups = new Map<string, T[]>();
-  for (const each of list) { const group = groups.get(key(each)); if (group === undefined) groups.set(key(each), [each]); else group.push(each); }
+  for (const each of list) {
+    const group = groups.get(key(each));
+    if (group === undefined) groups.set(key(each), [each]);
+    else group.push(each);
+  }
   return [...groups.values()];
 };
 
@@ -50,7 +62,8 @@
  * usable(100, 10) // 100
  * usable(20, 11)  // 18.8
  */
-export const usable = (ceiling: number, edges: number): number => Math.max(ceiling / 2, Math.min(ceiling, 1.05 * ceiling - edges / 5));
+export const usable = (ceiling: number, edges: number): number =>
+  Math.max(ceiling / 2, Math.min(ceiling, 1.05 * ceiling - edges / 5));
 
 /**
  * What a service may get: the least of its ceiling and of what its instances say they carry.
@@ -60,16 +73,20 @@
  * boundOf(undefined, [200]) // 200
  */
 export const boundOf = (ceiling: number | undefined, capacities: readonly number[]): number =>
-  Math.min(ceiling ?? Infinity, capacities.reduce((sum, each) => sum + each, 0));
+  Math.min(
+    ceiling ?? Infinity,
+    capacities.reduce((sum, each) => sum + each, 0),
+  );
 
 /**
- * What one edge's share of a bound comes to, in requests a second. Without a bound every edge may make as many as it likes.
+ * What one edge's share of a bound comes to, in requests a second. Without a bound every edge may
+ * make as many as it likes.
  *
  * @example
  * rateOf({ a: 0.25, b: 0.75 }, 'a', 100) // 25
  */
-export const rateOf = (slices: Slices, edge: string, bound: number): number => 
-  (bound === Infinity ? Infinity : (slices[edge] ?? 0) * usable(bound, Object.keys(slices).length));
+export const rateOf = (slices: Slices, edge: string, bound: number): number =>
+  bound === Infinity ? Infinity : (slices[edge] ?? 0) * usable(bound, Object.keys(slices).length);
 
 /**
  * Divides a bound from region to hall to edge, each time by what is asked for, into shares.
@@ -79,24 +96,39 @@
  */
 export const divide = (bound: number, seats: readonly Seat[], wants: Slices): Slices => {
   const out: Record<string, number> = {};
-  const wantOf = (list: readonly Seat[]): number => list.reduce((sum, seat) => sum + (wants[seat.edge] ?? 0), 0);
-  const level = (total: number, list: readonly Seat[], keys: readonly ((seat: Seat) => string)[]): void => {
+  const wantOf = (list: readonly Seat[]): number =>
+    list.reduce((sum, seat) => sum + (wants[seat.edge] ?? 0), 0);
+  const level = (
+    total: number,
+    list: readonly Seat[],
+    keys: readonly ((seat: Seat) => string)[],
+  ): void => {
     const [key, ...rest] = keys;
-    if (key === undefined) { for (const seat of list) out[seat.edge] = total; return; }
+    if (key === undefined) {
+      for (const seat of list) out[seat.edge] = total;
+      return;
+    }
     const groups = grouped(list, key);
-    const parts = share(total, groups.map(wantOf), groups.map((group) => group.length));
+    const parts = share(
+      total,
+      groups.map(wantOf),
+      groups.map((group) => group.length),
+    );
     groups.forEach((group, index) => level(parts[index] ?? 0, group, rest));
   };
   // Without anything to divide the shares still say who would have what.
   // Where there is no bound, they say what each bears of a cold instance's rate: as much for all as is asked for, and as much again.
-  const total = bound === Infinity ? Math.max(1, 2 * wantOf(seats)) : Math.max(1e-9, usable(bound, seats.length));
+  const total =
+    bound === Infinity
+      ? Math.max(1, 2 * wantOf(seats))
+      : Math.max(1e-9, usable(bound, seats.length));
   level(total, seats, [(seat) => seat.region, (seat) => seat.hall, (seat) => seat.edge]);
   return Object.fromEntries(Object.entries(out).map(([edge, rate]) => [edge, rate / total]));
 };
 
 /**
- * The next slices on the way to a goal: what an edge may still hold from any earlier division counts
- * against the whole until it has lapsed, so slices fall at once and rise only into room.
+ * The next slices on the way to a goal: what an edge may still hold from any earlier division
+ * counts against the whole until it has lapsed, so slices fall at once and rise only into room.
  *
  * @example
  * toward({ a: 0.2, b: 0.8 }, [{ a: 0.9, b: 0.1 }]) // { a: 0.2, b: 0.1 }: b waits for a's old slice
@@ -105,11 +137,18 @@
   const edges = new Set([...Object.keys(goal), ...held.flatMap((slices) => Object.keys(slices))]);
   const heldBy = (edge: string): number => Math.max(0, ...held.map((slices) => slices[edge] ?? 0));
   const committed = [...edges].reduce((sum, edge) => sum + heldBy(edge), 0);
-  const rises = Object.entries(goal).map(([edge, slice]) => [edge, Math.max(0, slice - heldBy(edge))] as const);
+  const rises = Object.entries(goal).map(
+    ([edge, slice]) => [edge, Math.max(0, slice - heldBy(edge))] as const,
+  );
   const wanted = rises.reduce((sum, [, rise]) => sum + rise, 0);
   const room = Math.max(0, 1 - committed);
   const part = wanted > 0 ? Math.min(1, room / wanted) : 0;
-  return Object.fromEntries(Object.entries(goal).map(([edge, slice]) => [edge, Math.min(slice, heldBy(edge)) + Math.max(0, slice - heldBy(edge)) * part]));
+  return Object.fromEntries(
+    Object.entries(goal).map(([edge, slice]) => [
+      edge,
+      Math.min(slice, heldBy(edge)) + Math.max(0, slice - heldBy(edge)) * part,
+    ]),
+  );
 };
 
 /**
@@ -118,8 +157,14 @@
  * @example
  * isSeated('a', { s: { a: 10 } }, { s: { a: 8 } }) // true
  */
-export const isSeated = (edge: string, goals: Readonly<Record<string, Slices>>, slices: Readonly<Record<string, Slices>>): boolean =>
-  Object.entries(goals).every(([service, goal]) => (slices[service]?.[edge] ?? 0) >= Weights.seatedShare * (goal[edge] ?? 0));
+export const isSeated = (
+  edge: string,
+  goals: Readonly<Record<string, Slices>>,
+  slices: Readonly<Record<string, Slices>>,
+): boolean =>
+  Object.entries(goals).every(
+    ([service, goal]) => (slices[service]?.[edge] ?? 0) >= Weights.seatedShare * (goal[edge] ?? 0),
+  );
 
 /**
  * Whether an edge's slices changed enough to be worth a new division.
--- a/packages/ladle/src/ladle.test.ts
+++ b/packages/ladle/src/ladle.test.ts
@@ -2,12 +2,19 @@
 import { boundOf, divide, rateOf, toward, usable, type Seat, type Slices } from './index.js';
 
 const sum = (slices: Slices): number => Object.values(slices).reduce((all, each) => all + each, 0);
-const seats: readonly Seat[] = [['a', 'w', 'r'], ['b', 'w', 'r'], ['c', 'n', 'r'], ['d', 's', 'q']].map(([edge = '', hall = '', region = '']) => ({ edge, hall, region }));
+const seats: readonly Seat[] = [
+  ['a', 'w', 'r'],
+  ['b', 'w', 'r'],
+  ['c', 'n', 'r'],
+  ['d', 's', 'q'],
+].map(([edge = '', hall = '', region = '']) => ({ edge, hall, region }));
 
 test('a division never adds up to more than the ceiling, gives what is asked where it can, and leaves nobody out', (t) => {
   const easy = divide(100, seats, { a: 10, b: 5, c: 20 });
   t.true(Math.abs(sum(easy) - 1) < 1e-9);
-  t.true(rateOf(easy, 'a', 100) >= 10 && rateOf(easy, 'c', 100) >= 20 && rateOf(easy, 'd', 100) > 0);
+  t.true(
+    rateOf(easy, 'a', 100) >= 10 && rateOf(easy, 'c', 100) >= 20 && rateOf(easy, 'd', 100) > 0,
+  );
   // The same shares under a lower bound never come to more than that bound.
   t.true(seats.reduce((all, { edge }) => all + rateOf(easy, edge, 30), 0) <= 30 + 1e-9);
   const hard = divide(100, seats, { a: 400, d: 100 });
@@ -16,20 +23,35 @@
 });
 
 test('slices fall at once and rise only into room that has lapsed: in no order of steps is the whole passed', (t) => {
-  const goals = [divide(100, seats, { a: 400 }), divide(100, seats, { c: 400 }), divide(100, seats.slice(2), { c: 1, d: 300 })];
-  const orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+  const goals = [
+    divide(100, seats, { a: 400 }),
+    divide(100, seats, { c: 400 }),
+    divide(100, seats.slice(2), { c: 1, d: 300 }),
+  ];
+  const orders = [
+    [0, 1, 2],
+    [0, 2, 1],
+    [1, 0, 2],
+    [1, 2, 0],
+    [2, 0, 1],
+    [2, 1, 0],
+  ];
   for (const order of orders) {
     let [now, before]: [Slices, Slices] = [{}, {}];
     for (const index of order.flatMap((each) => [each, each, each])) {
       const next = toward(goals[index] ?? {}, [now, before]);
       // Any node may still act on any of the three, so the worst mix must fit.
       const edges = new Set([next, now, before].flatMap((slices) => Object.keys(slices)));
-      const worst = [...edges].reduce((all, edge) => all + Math.max(next[edge] ?? 0, now[edge] ?? 0, before[edge] ?? 0), 0);
+      const worst = [...edges].reduce(
+        (all, edge) => all + Math.max(next[edge] ?? 0, now[edge] ?? 0, before[edge] ?? 0),
+        0,
+      );
       t.true(worst <= 1 + 1e-6, `${order.join('')}: ${worst}`);
       [before, now] = [now, next];
     }
     const last = goals[order[2] ?? 0] ?? {};
-    for (const edge of Object.keys(last)) t.true(Math.abs((now[edge] ?? 0) - (last[edge] ?? 0)) < 1e-6);
+    for (const edge of Object.keys(last))
+      t.true(Math.abs((now[edge] ?? 0) - (last[edge] ?? 0)) < 1e-6);
   }
 });
 
@@ -39,5 +61,13 @@
 });
 
 test('a service is bound by its ceiling, and by what its instances carry', (t) => {
-  t.deepEqual([boundOf(400, [200, 100]), boundOf(250, [200, 100]), boundOf(undefined, [200, 100]), boundOf(400, [])], [300, 250, 300, 0]);
+  t.deepEqual(
+    [
+      boundOf(400, [200, 100]),
+      boundOf(250, [200, 100]),
+      boundOf(undefined, [200, 100]),
+      boundOf(400, []),
+    ],
+    [300, 250, 300, 0],
+  );
 });
--- a/packages/latch/src/acceptor.ts
+++ b/packages/latch/src/acceptor.ts
@@ -11,7 +11,13 @@
   none: [0, ''] as Ballot,
   /** @example Ballots.compare([2, 'a'], [1, 'b']) // 1 */
   compare: (left: Ballot, right: Ballot): number =>
-    left[0] !== right[0] ? Math.sign(left[0] - right[0]) : left[1] < right[1] ? -1 : left[1] > right[1] ? 1 : 0,
+    left[0] !== right[0]
+      ? Math.sign(left[0] - right[0])
+      : left[1] < right[1]
+        ? -1
+        : left[1] > right[1]
+          ? 1
+          : 0,
   /** @example Ballots.after([3, 'a'], 'b') // [4, 'b'] */
   after: (ballot: Ballot, proposer: string): Ballot => [ballot[0] + 1, proposer],
 } as const;
@@ -25,8 +31,9 @@
 
 export const Acceptor = {
   /**
-   * First phase: promise to take part in no ballot below this one. A prepare that is sent again gets the same promise:
-   * each ballot belongs to one proposal of one life of a proposer, and is never opened twice.
+   * First phase: promise to take part in no ballot below this one. A prepare that is sent again
+   * gets the same promise: each ballot belongs to one proposal of one life of a proposer, and is
+   * never opened twice.
    *
    * @example
    * Acceptor.prepare(emptyCell, [1, 'jig']).vote // { kind: 'yes', accepted: null }
@@ -42,8 +49,13 @@
    * @example
    * Acceptor.accept(emptyCell, [1, 'jig'], 'v').cell.accepted // { ballot: [1, 'jig'], value: 'v' }
    */
-  accept: (cell: Cell, ballot: Ballot, value: unknown): { readonly cell: Cell; readonly vote: Vote } => {
-    if (Ballots.compare(ballot, cell.promised) < 0) return { cell, vote: { kind: 'no', promised: cell.promised } };
+  accept: (
+    cell: Cell,
+    ballot: Ballot,
+    value: unknown,
+  ): { readonly cell: Cell; readonly vote: Vote } => {
+    if (Ballots.compare(ballot, cell.promised) < 0)
+      return { cell, vote: { kind: 'no', promised: cell.promised } };
     const accepted = { ballot, value };
     return { cell: { promised: ballot, accepted }, vote: { kind: 'yes', accepted } };
   },
@@ -56,8 +68,13 @@
    */
   merge: (left: Cell, right: Cell): Cell => ({
     promised: Ballots.compare(left.promised, right.promised) >= 0 ? left.promised : right.promised,
-    accepted: left.accepted === null ? right.accepted
-      : right.accepted === null ? left.accepted
-        : Ballots.compare(left.accepted.ballot, right.accepted.ballot) >= 0 ? left.accepted : right.accepted,
+    accepted:
+      left.accepted === null
+        ? right.accepted
+        : right.accepted === null
+          ? left.accepted
+          : Ballots.compare(left.accepted.ballot, right.accepted.ballot) >= 0
+            ? left.accepted
+            : right.accepted,
   }),
 } as const;
--- a/packages/latch/src/latch.test.ts
+++ b/packages/latch/src/latch.test.ts
@@ -1,21 +1,44 @@
 import test from 'ava';
-import { Acceptor, Ballots, emptyCell, majorityOf, Proposer, type Ballot, type Cell, type Change, type Move, type Proposal } from './index.js';
+import {
+  Acceptor,
+  Ballots,
+  emptyCell,
+  majorityOf,
+  Proposer,
+  type Ballot,
+  type Cell,
+  type Change,
+  type Move,
+  type Proposal,
+} from './index.js';
 
 const voters = ['a', 'b', 'c'];
 type Message = { readonly which: 0 | 1; readonly move: Move };
-type World = { readonly cells: Readonly<Record<string, Cell>>; readonly proposals: readonly [Proposal, Proposal]; readonly flying: readonly Message[]; readonly chosen: readonly { readonly ballot: Ballot; readonly value: readonly string[] }[] };
-
-const append = (name: string): Change => (current) => {
-  const old = (current ?? []) as readonly string[];
-  return old.includes(name) ? { kind: 'keep' } : { kind: 'write', value: [...old, name] };
+type World = {
+  readonly cells: Readonly<Record<string, Cell>>;
+  readonly proposals: readonly [Proposal, Proposal];
+  readonly flying: readonly Message[];
+  readonly chosen: readonly { readonly ballot: Ballot; readonly value: readonly string[] }[];
 };
 
+const append =
+  (name: string): Change =>
+  (current) => {
+    const old = (current ?? []) as readonly string[];
+    return old.includes(name) ? { kind: 'keep' } : { kind: 'write', value: [...old, name] };
+  };
+
 const opened = (): World => {
   const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
   const second = Proposer.open('r', append('y'), voters, Ballots.none, 'q');
   return {
-    cells: { a: emptyCell, b: emptyCell, c: emptyCell }, proposals: [first.proposal, second.proposal], chosen: [],
-    flying: [...first.moves.map((move) => ({ which: 0, move }) as const), ...second.moves.map((move) => ({ which: 1, move }) as const)],
+    cells: { a: emptyCell, b: emptyCell, c: emptyCell },
+    proposals: [first.proposal, second.proposal],
+    chosen: [],
+    flying: [
+      ...first.moves.map((move) => ({ which: 0, move }) as const),
+      ...second.moves.map((move) => ({ which: 1, move }) as const),
+    ],
   };
 };
 
@@ -23,19 +46,53 @@
 const deliver = (world: World, index: number): World => {
   const message = world.flying[index];
   const rest = world.flying.filter((_, each) => each !== index);
-  if (message === undefined || (message.move.kind !== 'prepare' && message.move.kind !== 'accept')) return { ...world, flying: rest };
+  if (message === undefined || (message.move.kind !== 'prepare' && message.move.kind !== 'accept'))
+    return { ...world, flying: rest };
   const { move, which } = message;
   const cell = world.cells[move.to] ?? emptyCell;
-  const outcome = move.kind === 'prepare' ? Acceptor.prepare(cell, move.ballot) : Acceptor.accept(cell, move.ballot, move.value);
-  let turn = Proposer.voted(world.proposals[which], move.to, `disk-${move.to}`, move.kind, move.ballot, outcome.vote);
+  const outcome =
+    move.kind === 'prepare'
+      ? Acceptor.prepare(cell, move.ballot)
+      : Acceptor.accept(cell, move.ballot, move.value);
+  let turn = Proposer.voted(
+    world.proposals[which],
+    move.to,
+    `disk-${move.to}`,
+    move.kind,
+    move.ballot,
+    outcome.vote,
+  );
   if (turn.moves.some((each) => each.kind === 'outvoted')) {
-    turn = turn.proposal.ballot[0] > 1 ? { proposal: { ...turn.proposal, phase: 'done' }, moves: [] } : Proposer.open('r', turn.proposal.change, voters, turn.proposal.highest, which === 0 ? 'p' : 'q');
+    turn =
+      turn.proposal.ballot[0] > 1
+        ? { proposal: { ...turn.proposal, phase: 'done' }, moves: [] }
+        : Proposer.open(
+            'r',
+            turn.proposal.change,
+            voters,
+            turn.proposal.highest,
+            which === 0 ? 'p' : 'q',
+          );
   }
-  const proposals: [Proposal, Proposal] = which === 0 ? [turn.proposal, world.proposals[1]] : [world.proposals[0], turn.proposal];
+  const proposals: [Proposal, Proposal] =
+    which === 0 ? [turn.proposal, world.proposals[1]] : [world.proposals[0], turn.proposal];
   return {
-    cells: { ...world.cells, [move.to]: outcome.cell }, proposals,
-    flying: [...rest, ...turn.moves.flatMap((each) => (each.kind === 'prepare' || each.kind === 'accept' ? [{ which, move: each }] : []))],
-    chosen: [...world.chosen, ...turn.moves.flatMap((each) => (each.kind === 'chosen' && each.ballot !== null ? [{ ballot: each.ballot, value: each.value as readonly string[] }] : []))],
+    cells: { ...world.cells, [move.to]: outcome.cell },
+    proposals,
+    flying: [
+      ...rest,
+      ...turn.moves.flatMap((each) =>
+        each.kind === 'prepare' || each.kind === 'accept' ? [{ which, move: each }] : [],
+      ),
+    ],
+    chosen: [
+      ...world.chosen,
+      ...turn.moves.flatMap((each) =>
+        each.kind === 'chosen' && each.ballot !== null
+          ? [{ ballot: each.ballot, value: each.value as readonly string[] }]
+          : [],
+      ),
+    ],
   };
 };
 
@@ -45,10 +102,18 @@
  */
 const sound = (chosen: World['chosen']): boolean => {
   const ordered = [...chosen].sort((left, right) => Ballots.compare(left.ballot, right.ballot));
-  return ordered.every(({ value }, index) => ordered.slice(index + 1).every((later) => value.every((name, at) => later.value[at] === name)));
+  return ordered.every(({ value }, index) =>
+    ordered.slice(index + 1).every((later) => value.every((name, at) => later.value[at] === name)),
+  );
 };
 
-const keyOf = (world: World): string => JSON.stringify([world.cells, world.proposals.map(({ change: _change, ...rest }) => rest), world.flying, world.chosen]);
+const keyOf = (world: World): string =>
+  JSON.stringify([
+    world.cells,
+    world.proposals.map(({ change: _change, ...rest }) => rest),
+    world.flying,
+    world.chosen,
+  ]);
 
 test('two proposers over three acceptors: no order of any prefix of messages loses what was chosen', (t) => {
   const seen = new Set<string>();
@@ -68,12 +133,20 @@
 
 test('with acceptors that forget their promise, an order is found that loses what was chosen', (t) => {
   // The same walk must be able to fail: acceptors here take every ballot.
-  const forgetful = (world: World): World => ({ ...world, cells: Object.fromEntries(Object.entries(world.cells).map(([name]) => [name, emptyCell])) });
+  const forgetful = (world: World): World => ({
+    ...world,
+    cells: Object.fromEntries(Object.entries(world.cells).map(([name]) => [name, emptyCell])),
+  });
   let found = false;
   const walk = (world: World, depth: number): void => {
     if (found || depth > 12) return;
-    if (!sound(world.chosen)) { found = true; return; }
-    world.flying.slice(0, 2).forEach((_, index) => walk(forgetful(deliver(world, index)), depth + 1));
+    if (!sound(world.chosen)) {
+      found = true;
+      return;
+    }
+    world.flying
+      .slice(0, 2)
+      .forEach((_, index) => walk(forgetful(deliver(world, index)), depth + 1));
   };
   walk(opened(), 0);
   t.true(found);
@@ -88,7 +161,8 @@
   };
   return Array.from({ length: runs }).some(() => {
     let world = first;
-    while (world.flying.length > 0 && sound(world.chosen)) world = deliver(world, draw(world.flying.length));
+    while (world.flying.length > 0 && sound(world.chosen))
+      world = deliver(world, draw(world.flying.length));
     return !sound(world.chosen);
   });
 };
@@ -99,7 +173,11 @@
   const other = Proposer.open('r', append('y'), voters, Ballots.none, second);
   const moves: readonly Message[] = other.moves.map((move) => ({ which: 1, move }));
   const flying = [...world.flying.filter(({ which }) => which === 0), ...moves];
-  return { ...world, proposals: [world.proposals[0], other.proposal], flying: [...flying, ...flying] };
+  return {
+    ...world,
+    proposals: [world.proposals[0], other.proposal],
+    flying: [...flying, ...flying],
+  };
 };
 
 test('prepares that arrive twice are promised twice, and lose nothing that was chosen', (t) => {
@@ -114,17 +192,37 @@
   const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
   let proposal = first.proposal;
   let moves: readonly Move[] = [];
-  for (const voter of ['a', 'b']) ({ proposal, moves } = Proposer.voted(proposal, voter, `life-1-${voter}`, 'prepare', proposal.ballot, { kind: 'yes', accepted: null }));
-  t.deepEqual(moves.map((move) => (move.kind === 'accept' ? move.disk : move.kind)), ['life-1-a', 'life-1-b']);
+  for (const voter of ['a', 'b'])
+    ({ proposal, moves } = Proposer.voted(
+      proposal,
+      voter,
+      `life-1-${voter}`,
+      'prepare',
+      proposal.ballot,
+      { kind: 'yes', accepted: null },
+    ));
+  t.deepEqual(
+    moves.map((move) => (move.kind === 'accept' ? move.disk : move.kind)),
+    ['life-1-a', 'life-1-b'],
+  );
 });
 
 test('a value that hangs on a minority is written again before a read tells it', (t) => {
   const held: Cell = { promised: [1, 'p'], accepted: { ballot: [1, 'p'], value: ['x'] } };
   let { proposal } = Proposer.open('r', () => ({ kind: 'keep' }), voters, [1, 'p'] as Ballot, 'q');
   let moves: readonly Move[] = [];
-  ({ proposal, moves } = Proposer.voted(proposal, 'a', 'd', 'prepare', proposal.ballot, { kind: 'yes', accepted: held.accepted }));
-  ({ proposal, moves } = Proposer.voted(proposal, 'b', 'd', 'prepare', proposal.ballot, { kind: 'yes', accepted: null }));
-  t.deepEqual(moves.map((move) => move.kind), ['accept', 'accept']);
+  ({ proposal, moves } = Proposer.voted(proposal, 'a', 'd', 'prepare', proposal.ballot, {
+    kind: 'yes',
+    accepted: held.accepted,
+  }));
+  ({ proposal, moves } = Proposer.voted(proposal, 'b', 'd', 'prepare', proposal.ballot, {
+    kind: 'yes',
+    accepted: null,
+  }));
+  t.deepEqual(
+    moves.map((move) => move.kind),
+    ['accept', 'accept'],
+  );
   t.is(majorityOf(3), 2);
 });
 
@@ -133,17 +231,32 @@
   let { proposal } = first;
   let moves: readonly Move[] = [];
   const vote = (voter: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
-    const cast = isTaken ? ({ kind: 'yes', accepted: null } as const) : ({ kind: 'no', promised: [9, 'q'] } as const);
-    ({ proposal, moves } = Proposer.voted(proposal, voter, `disk-${voter}`, phase, proposal.ballot, cast));
+    const cast = isTaken
+      ? ({ kind: 'yes', accepted: null } as const)
+      : ({ kind: 'no', promised: [9, 'q'] } as const);
+    ({ proposal, moves } = Proposer.voted(
+      proposal,
+      voter,
+      `disk-${voter}`,
+      phase,
+      proposal.ballot,
+      cast,
+    ));
   };
   vote('a', 'prepare', true);
   vote('b', 'prepare', true);
   vote('a', 'accept', false);
   vote('c', 'prepare', true);
-  t.deepEqual(moves.map((move) => (move.kind === 'accept' ? move.to : move.kind)), ['c']);
+  t.deepEqual(
+    moves.map((move) => (move.kind === 'accept' ? move.to : move.kind)),
+    ['c'],
+  );
   vote('b', 'accept', true);
   vote('c', 'accept', true);
-  t.deepEqual(moves.map((move) => move.kind), ['chosen']);
+  t.deepEqual(
+    moves.map((move) => move.kind),
+    ['chosen'],
+  );
 });
 
 test('a voter that refused either phase counts once; a majority of them ends the ballot', (t) => {
@@ -151,13 +264,25 @@
   let { proposal } = first;
   let moves: readonly Move[] = [];
   const vote = (voter: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
-    const cast = isTaken ? ({ kind: 'yes', accepted: null } as const) : ({ kind: 'no', promised: [9, 'q'] } as const);
-    ({ proposal, moves } = Proposer.voted(proposal, voter, `disk-${voter}`, phase, proposal.ballot, cast));
+    const cast = isTaken
+      ? ({ kind: 'yes', accepted: null } as const)
+      : ({ kind: 'no', promised: [9, 'q'] } as const);
+    ({ proposal, moves } = Proposer.voted(
+      proposal,
+      voter,
+      `disk-${voter}`,
+      phase,
+      proposal.ballot,
+      cast,
+    ));
   };
   vote('d', 'prepare', false);
   for (const voter of ['a', 'b', 'c']) vote(voter, 'prepare', true);
   vote('a', 'accept', false);
   t.deepEqual(moves, []);
   vote('b', 'accept', false);
-  t.deepEqual(moves.map((move) => move.kind), ['outvoted']);
+  t.deepEqual(
+    moves.map((move) => move.kind),
+    ['outvoted'],
+  );
 });
--- a/packages/latch/src/proposer.ts
+++ b/packages/latch/src/proposer.ts
@@ -6,7 +6,10 @@
   | { readonly kind: 'keep' }
   | { readonly kind: 'refuse'; readonly reason: string };
 
-/** A change is applied again on each try, so it must know its own earlier work by an id in the value. */
+/**
+ * A change is applied again on each try, so it must know its own earlier work by an id in the
+ * value.
+ */
 export type Change = (current: unknown) => Changed;
 
 /** One anvil as a voter; disk names the life of its data, so votes of a wiped one never mix. */
@@ -32,8 +35,20 @@
 /** What the proposer wants sent, or how it ended. */
 export type Move =
   | { readonly kind: 'prepare'; readonly to: Voter; readonly ballot: Ballot }
-  | { readonly kind: 'accept'; readonly to: Voter; readonly ballot: Ballot; readonly value: unknown; readonly disk: string }
-  | { readonly kind: 'chosen'; readonly ballot: Ballot | null; readonly value: unknown; readonly wrote: boolean; /** What the change was applied to. */ readonly read: unknown }
+  | {
+      readonly kind: 'accept';
+      readonly to: Voter;
+      readonly ballot: Ballot;
+      readonly value: unknown;
+      readonly disk: string;
+    }
+  | {
+      readonly kind: 'chosen';
+      readonly ballot: Ballot | null;
+      readonly value: unknown;
+      readonly wrote: boolean;
+      /** What the change was applied to. */ readonly read: unknown;
+    }
   | { readonly kind: 'refused'; readonly reason: string; readonly value: unknown }
   | { readonly kind: 'outvoted' };
 
@@ -43,51 +58,87 @@
 export const majorityOf = (count: number): number => Math.floor(count / 2) + 1;
 
 const still = (proposal: Proposal): Turn => ({ proposal, moves: [] });
-const ended = (proposal: Proposal, move: Move): Turn => ({ proposal: { ...proposal, phase: 'done' }, moves: [move] });
+const ended = (proposal: Proposal, move: Move): Turn => ({
+  proposal: { ...proposal, phase: 'done' },
+  moves: [move],
+});
 
 const toAccept = (proposal: Proposal): Turn => {
   const promises = Object.entries(proposal.promises).flatMap(([voter, { disk, vote }]) =>
-    vote.kind === 'yes' ? [{ voter, disk, accepted: vote.accepted }] : []);
+    vote.kind === 'yes' ? [{ voter, disk, accepted: vote.accepted }] : [],
+  );
   if (promises.length < majorityOf(proposal.voters.length)) return still(proposal);
-  const newest = promises.reduce<{ ballot: Ballot; value: unknown } | null>((best, { accepted }) =>
-    accepted !== null && (best === null || Ballots.compare(accepted.ballot, best.ballot) > 0) ? accepted : best, null);
+  const newest = promises.reduce<{ ballot: Ballot; value: unknown } | null>(
+    (best, { accepted }) =>
+      accepted !== null && (best === null || Ballots.compare(accepted.ballot, best.ballot) > 0)
+        ? accepted
+        : best,
+    null,
+  );
   const current = newest === null ? null : newest.value;
   const changed = proposal.change(current);
   if (changed.kind !== 'write') {
-    const held = newest === null ? promises.length
-      : promises.filter(({ accepted }) => accepted !== null && Ballots.compare(accepted.ballot, newest.ballot) === 0).length;
+    const held =
+      newest === null
+        ? promises.length
+        : promises.filter(
+            ({ accepted }) =>
+              accepted !== null && Ballots.compare(accepted.ballot, newest.ballot) === 0,
+          ).length;
     if (held >= majorityOf(proposal.voters.length)) {
-      return ended({ ...proposal, read: current }, changed.kind === 'keep'
-        ? { kind: 'chosen', ballot: newest === null ? null : newest.ballot, value: current, wrote: false, read: current }
-        : { kind: 'refused', reason: changed.reason, value: current });
+      return ended(
+        { ...proposal, read: current },
+        changed.kind === 'keep'
+          ? {
+              kind: 'chosen',
+              ballot: newest === null ? null : newest.ballot,
+              value: current,
+              wrote: false,
+              read: current,
+            }
+          : { kind: 'refused', reason: changed.reason, value: current },
+      );
     }
   }
   // A kept or refused value that no majority is seen to hold is written again first: only then is it true.
   const proposed = changed.kind === 'write' ? changed.value : current;
   return {
     proposal: { ...proposal, phase: 'accept', read: current, proposed, verdict: changed },
-    moves: promises.map(({ voter, disk }) => ({ kind: 'accept', to: voter, ballot: proposal.ballot, value: proposed, disk })),
+    moves: promises.map(({ voter, disk }) => ({
+      kind: 'accept',
+      to: voter,
+      ballot: proposal.ballot,
+      value: proposed,
+      disk,
+    })),
   };
 };
 
-/** A voter promised a higher ballot: without it, and others like it, there may be no majority left. */
+/**
+ * A voter promised a higher ballot: without it, and others like it, there may be no majority left.
+ */
 const refused = (proposal: Proposal, voter: Voter, promised: Ballot): Turn => {
   const highest = Ballots.compare(promised, proposal.highest) > 0 ? promised : proposal.highest;
-  const refusedBy = proposal.refusedBy.includes(voter) ? proposal.refusedBy : [...proposal.refusedBy, voter];
+  const refusedBy = proposal.refusedBy.includes(voter)
+    ? proposal.refusedBy
+    : [...proposal.refusedBy, voter];
   const next = { ...proposal, highest, refusedBy };
   const isOutvoted = refusedBy.length > proposal.voters.length - majorityOf(proposal.voters.length);
   return isOutvoted ? { proposal: next, moves: [{ kind: 'outvoted' }] } : still(next);
 };
 
 /**
- * A promise that comes after the second phase has begun: the voter may take the value as well. Without it the refusal
- * of one of a bare majority would leave the ballot hanging.
+ * A promise that comes after the second phase has begun: the voter may take the value as well.
+ * Without it the refusal of one of a bare majority would leave the ballot hanging.
  */
 const lateToAccept = (proposal: Proposal, voter: Voter, disk: string, vote: Vote): Turn => {
   if (proposal.promises[voter] !== undefined) return still(proposal);
   const promises = { ...proposal.promises, [voter]: { disk, vote } };
   const { ballot, proposed: value } = proposal;
-  return { proposal: { ...proposal, promises }, moves: [{ kind: 'accept', to: voter, ballot, value, disk }] };
+  return {
+    proposal: { ...proposal, promises },
+    moves: [{ kind: 'accept', to: voter, ballot, value, disk }],
+  };
 };
 
 export const Proposer = {
@@ -97,10 +148,29 @@
    * @example
    * Proposer.open('policy', () => ({ kind: 'write', value: 1 }), ['a', 'b', 'c'], [0, ''], 'jig').moves.length // 3
    */
-  open: (key: string, change: Change, voters: readonly Voter[], above: Ballot, proposer: string): Turn => {
+  open: (
+    key: string,
+    change: Change,
+    voters: readonly Voter[],
+    above: Ballot,
+    proposer: string,
+  ): Turn => {
     const ballot = Ballots.after(above, proposer);
     return {
-      proposal: { key, change, voters, ballot, highest: ballot, phase: 'prepare', promises: {}, refusedBy: [], read: undefined, proposed: undefined, verdict: null, accepts: [] },
+      proposal: {
+        key,
+        change,
+        voters,
+        ballot,
+        highest: ballot,
+        phase: 'prepare',
+        promises: {},
+        refusedBy: [],
+        read: undefined,
+        proposed: undefined,
+        verdict: null,
+        accepts: [],
+      },
       moves: voters.map((to) => ({ kind: 'prepare', to, ballot })),
     };
   },
@@ -111,17 +181,36 @@
    * @example
    * Proposer.voted(proposal, 'a', 'disk-1', 'prepare', [1, 'jig'], { kind: 'yes', accepted: null })
    */
-  voted: (proposal: Proposal, voter: Voter, disk: string, phase: 'prepare' | 'accept', ballot: Ballot, vote: Vote): Turn => {
-    if (proposal.phase === 'done' || Ballots.compare(ballot, proposal.ballot) !== 0) return still(proposal);
+  voted: (
+    proposal: Proposal,
+    voter: Voter,
+    disk: string,
+    phase: 'prepare' | 'accept',
+    ballot: Ballot,
+    vote: Vote,
+  ): Turn => {
+    if (proposal.phase === 'done' || Ballots.compare(ballot, proposal.ballot) !== 0)
+      return still(proposal);
     if (proposal.phase === 'prepare' && phase === 'accept') return still(proposal);
     if (vote.kind === 'no') return refused(proposal, voter, vote.promised);
-    if (phase === 'prepare' && proposal.phase === 'accept') return lateToAccept(proposal, voter, disk, vote);
-    if (phase === 'prepare') return toAccept({ ...proposal, promises: { ...proposal.promises, [voter]: { disk, vote } } });
+    if (phase === 'prepare' && proposal.phase === 'accept')
+      return lateToAccept(proposal, voter, disk, vote);
+    if (phase === 'prepare')
+      return toAccept({ ...proposal, promises: { ...proposal.promises, [voter]: { disk, vote } } });
     if (proposal.accepts.includes(voter)) return still(proposal);
     const next = { ...proposal, accepts: [...proposal.accepts, voter] };
     if (next.accepts.length < majorityOf(next.voters.length)) return still(next);
-    return ended(next, next.verdict?.kind === 'refuse'
-      ? { kind: 'refused', reason: next.verdict.reason, value: next.proposed }
-      : { kind: 'chosen', ballot: next.ballot, value: next.proposed, wrote: true, read: next.read });
+    return ended(
+      next,
+      next.verdict?.kind === 'refuse'
+        ? { kind: 'refused', reason: next.verdict.reason, value: next.proposed }
+        : {
+            kind: 'chosen',
+            ballot: next.ballot,
+            value: next.proposed,
+            wrote: true,
+            read: next.read,
+          },
+    );
   },
 } as const;
--- a/packages/lathe/src/attempt-budget.ts
+++ b/packages/lathe/src/attempt-budget.ts
@@ -1,28 +1,45 @@
-/** How many attempts at origins a request has left, what a peer is granted of them, and how both tell each other what was used. */
+/**
+ * How many attempts at origins a request has left, what a peer is granted of them, and how both
+ * tell each other what was used.
+ */
 import { Weights } from '@reedyard/gauge';
 import { Tally } from '@reedyard/tally';
 import { mayRepeat } from './choice.js';
 import type { LegAnswer, Transaction, Work } from './state.js';
 import { headerText, keepsAlways } from './request-rules.js';
 
-/** Whether another attempt adds little to what origins get: those before went to peers alone, which as a rule have a copy. */
-export const isFree = (transaction: Transaction): boolean => keepsAlways(transaction.route) && transaction.legs.every((leg) => leg.to.kind === 'partner');
+/**
+ * Whether another attempt adds little to what origins get: those before went to peers alone, which
+ * as a rule have a copy.
+ */
+export const isFree = (transaction: Transaction): boolean =>
+  keepsAlways(transaction.route) && transaction.legs.every((leg) => leg.to.kind === 'partner');
 
-export const mayTryMore = (work: Work, transaction: Transaction): boolean => (isFree(transaction) || mayRepeat(work.state, transaction.service)) && attemptsLeft(transaction) > 0;
+export const mayTryMore = (work: Work, transaction: Transaction): boolean =>
+  (isFree(transaction) || mayRepeat(work.state, transaction.service)) &&
+  attemptsLeft(transaction) > 0;
 
 /** Origins that a request may still be sent to, from here or through peers. */
 export const attemptsLeft = (transaction: Transaction): number => {
-  const most = Math.min(transaction.route.limits.attempts ?? Infinity, transaction.asked.attempts ?? Infinity);
+  const most = Math.min(
+    transaction.route.limits.attempts ?? Infinity,
+    transaction.asked.attempts ?? Infinity,
+  );
   return most === Infinity ? Infinity : most - Tally.spent(transaction.legs);
 };
 
-/** What a peer is granted of the attempts left: all but those kept for a retry beside the caller, which also outlives the peer. */
+/**
+ * What a peer is granted of the attempts left: all but those kept for a retry beside the caller,
+ * which also outlives the peer.
+ */
 export const grantFor = (left: number): number => Math.max(1, left - Weights.attemptsKept);
 
 /** Told to the peer that handed a request on: attempts at origins that were made for it here. */
 const spentHeader = 'reedyard-spent';
 
-export const spentFields = (transaction: Transaction | undefined): Readonly<Record<string, string>> => {
+export const spentFields = (
+  transaction: Transaction | undefined,
+): Readonly<Record<string, string>> => {
   const spent = Tally.spent(transaction?.legs ?? []);
   return Number.isFinite(spent) ? { [spentHeader]: String(spent) } : {};
 };
--- a/packages/lathe/src/caller-answer.ts
+++ b/packages/lathe/src/caller-answer.ts
@@ -27,11 +27,11 @@
 };
 
 const heldOf = (body: Exclude<Answer['body'], Problem>): Held =>
-  body.kind === 'copy'
-    ? { body: body.copy.body, size: body.copy.size, whole: true }
-    : body.answer;
+  body.kind === 'copy' ? { body: body.copy.body, size: body.copy.size, whole: true } : body.answer;
 
-/** The fields that the one who asked is shown with a status: a peer all, a caller by the dialect. */
+/**
+ * The fields that the one who asked is shown with a status: a peer all, a caller by the dialect.
+ */
 const shownFields = (
   { asked, dialect, hopFields }: AnswerTarget,
   answer: Answer,
--- a/packages/lathe/src/caller-connection.ts
+++ b/packages/lathe/src/caller-connection.ts
@@ -82,7 +82,10 @@
   const unanswered = state.unanswered.filter((each) => each !== number);
   const next = { ...state, unanswered };
   if (state.refusal === null || state.closing || unanswered.length > 0) return unchanged(next);
-  return { state: { ...next, closing: true }, effects: [{ kind: 'refuse', status: state.refusal }] };
+  return {
+    state: { ...next, closing: true },
+    effects: [{ kind: 'refuse', status: state.refusal }],
+  };
 };
 
 const unreadable = (state: CallerConnection, status: RefusalStatus): CallerConnectionStep => {
