--- a/packages/lathe/src/choice.ts
+++ b/packages/lathe/src/choice.ts
@@ -4,45 +4,73 @@
 import { Tally } from '@reedyard/tally';
 import type { OriginRow, PartnerRow } from '@reedyard/jig';
 import type { Proof } from './dialect.js';
-import { set, type Bucket, type LatheState, type Standing, type Transaction, type Work } from './state.js';
+import {
+  set,
+  type Bucket,
+  type LatheState,
+  type Standing,
+  type Transaction,
+  type Work,
+} from './state.js';
 
-const suspect = (state: LatheState, name: string): boolean => (state.suspects[name] ?? 0) > state.now;
+const suspect = (state: LatheState, name: string): boolean =>
+  (state.suspects[name] ?? 0) > state.now;
 
-export const originName = (row: OriginRow): string => `${row.service}/${row.instance}/${row.incarnation}`;
+export const originName = (row: OriginRow): string =>
+  `${row.service}/${row.instance}/${row.incarnation}`;
 
 /** Whether a route's reports may be fetched and kept here. */
-export const atHome = (homes: readonly string[] | undefined, region: string): boolean => homes === undefined || homes.includes(region);
+export const atHome = (homes: readonly string[] | undefined, region: string): boolean =>
+  homes === undefined || homes.includes(region);
 
 /** Whether a request on a route may run more than once. */
 export const isSafe = (route: Route, method: string): boolean =>
   route.repeat === 'safe' || (route.repeat !== 'never' && Tally.safe(method));
 
-/** The service of a request, drawn by the weights of its route; the one drawn before where the route still has it. */
+/**
+ * The service of a request, drawn by the weights of its route; the one drawn before where the route
+ * still has it.
+ */
 export const drawService = (route: Route, draw: number, before?: string): string => {
   const services = Routes.services(route);
   if (before !== undefined && services.some(({ service }) => service === before)) return before;
   let left = draw * services.reduce((sum, { weight }) => sum + weight, 0);
-  for (const { service, weight } of services) { left -= weight; if (left < 0) return service; }
+  for (const { service, weight } of services) {
+    left -= weight;
+    if (left < 0) return service;
+  }
   return Routes.mainService(route);
 };
 
 /** Partners that may be given this transaction, nearest first. */
-export const allowedPartners = (state: LatheState, transaction: Transaction): readonly PartnerRow[] => {
+export const allowedPartners = (
+  state: LatheState,
+  transaction: Transaction,
+): readonly PartnerRow[] => {
   const tried = new Set(transaction.legs.map((leg) => leg.to.id));
-  return (state.feed?.partners ?? []).filter((row) => atHome(transaction.route.homes, row.region) && !tried.has(row.id) && !suspect(state, row.id));
+  return (state.feed?.partners ?? []).filter(
+    (row) =>
+      atHome(transaction.route.homes, row.region) && !tried.has(row.id) && !suspect(state, row.id),
+  );
 };
 
 /**
  * The draw: this edge's row of the split for the object, over those that may serve it now. Without
  * a row the edge serves itself where it may, or else hands on to the nearest that may.
  */
-export const drawServer = (state: LatheState, transaction: Transaction): 'self' | PartnerRow | null => {
+export const drawServer = (
+  state: LatheState,
+  transaction: Transaction,
+): 'self' | PartnerRow | null => {
   const home = atHome(transaction.route.homes, state.self.region);
   if (transaction.asked.via !== null) return home ? 'self' : null;
   const split = state.feed?.split ?? {};
   const { name } = transaction.route;
   const holder = holderOf(transaction.key, state.holders[name] ?? []);
-  const row = (holder === undefined ? split[objectKey(name, transaction.asked.target)] ?? split[objectKey(name, null)] : split[groupKey(name, holder)]) ?? [];
+  const row =
+    (holder === undefined
+      ? (split[objectKey(name, transaction.asked.target)] ?? split[objectKey(name, null)])
+      : split[groupKey(name, holder)]) ?? [];
   if (home && row.every(([edge]) => edge === state.self.id)) return 'self';
   const partners = allowedPartners(state, transaction);
   const open = row.flatMap(([edge, share]): readonly (readonly ['self' | PartnerRow, number])[] => {
@@ -51,29 +79,43 @@
     return partner === undefined ? [] : [[partner, share]];
   });
   let left = (transaction.draws[0] ?? 0) * open.reduce((sum, [, share]) => sum + share, 0);
-  for (const [server, share] of open) { left -= share; if (left < 0) return server; }
+  for (const [server, share] of open) {
+    left -= share;
+    if (left < 0) return server;
+  }
   const last = open.at(-1);
   if (last !== undefined) return last[0];
-  return home ? 'self' : partners[0] ?? null;
+  return home ? 'self' : (partners[0] ?? null);
 };
 
 const most = (rate: number): number => Math.max(1, rate * Weights.burstSeconds);
 const filled = (bucket: Bucket, now: number): number =>
   Math.min(most(bucket.rate), bucket.tokens + (bucket.rate * Math.max(0, now - bucket.at)) / 1_000);
 
-/** Takes a token; a bucket begins empty, a changed rate counts only from now on, and a lowered one lets go of what it could not have saved. */
+/**
+ * Takes a token; a bucket begins empty, a changed rate counts only from now on, and a lowered one
+ * lets go of what it could not have saved.
+ */
 export const takeToken = (work: Work, name: string, rate: number): boolean => {
   if (rate === Infinity) return true;
   const old = work.state.buckets[name] ?? { tokens: 0, at: work.state.now, rate };
   const tokens = Math.min(most(rate), filled(old, work.state.now));
   const taken = tokens >= 1;
-  set(work, { buckets: { ...work.state.buckets, [name]: { tokens: taken ? tokens - 1 : tokens, at: work.state.now, rate } } });
+  set(work, {
+    buckets: {
+      ...work.state.buckets,
+      [name]: { tokens: taken ? tokens - 1 : tokens, at: work.state.now, rate },
+    },
+  });
   return taken;
 };
 
 export const giveBack = (work: Work, name: string): void => {
   const bucket = work.state.buckets[name];
-  if (bucket !== undefined) set(work, { buckets: { ...work.state.buckets, [name]: { ...bucket, tokens: bucket.tokens + 1 } } });
+  if (bucket !== undefined)
+    set(work, {
+      buckets: { ...work.state.buckets, [name]: { ...bucket, tokens: bucket.tokens + 1 } },
+    });
 };
 
 /** ms until a bucket has its next token; Infinity where it never will. */
@@ -87,50 +129,83 @@
 /** Nodes that share the origins with this one. */
 const nodes = (state: LatheState): number => (state.feed?.partners.length ?? 0) + 1;
 
-/** Requests that this node may have under way at an origin: its part of what that one works on and lets wait, and of the conns that it accepts. */
+/**
+ * Requests that this node may have under way at an origin: its part of what that one works on and
+ * lets wait, and of the conns that it accepts.
+ */
 export const roomAt = (state: LatheState, row: OriginRow): number => {
   const parts = nodes(state);
-  const slots = row.slots == null ? Infinity : Math.max(Weights.leastRoom, Math.ceil((row.slots * Weights.roomPerSlot) / parts));
-  const conns = row.conns == null ? Infinity : Math.max(1, Math.floor((row.conns * Weights.connShare) / parts));
+  const slots =
+    row.slots == null
+      ? Infinity
+      : Math.max(Weights.leastRoom, Math.ceil((row.slots * Weights.roomPerSlot) / parts));
+  const conns =
+    row.conns == null ? Infinity : Math.max(1, Math.floor((row.conns * Weights.connShare) / parts));
   return Math.min(slots, conns);
 };
 
-/** Requests at an origin: our own, and those of others as it last told, which count less the longer ago that was. */
+/**
+ * Requests at an origin: our own, and those of others as it last told, which count less the longer
+ * ago that was.
+ */
 const busyAt = (state: LatheState, name: string): number => {
   const own = state.outstanding[name] ?? 0;
   const load = state.standings[name]?.load;
   if (!load) return own;
-  return own + Math.max(0, load.running + load.waiting - load.own) * Math.exp((load.at - state.now) / Limits.loadMemory);
+  return (
+    own +
+    Math.max(0, load.running + load.waiting - load.own) *
+      Math.exp((load.at - state.now) / Limits.loadMemory)
+  );
 };
 
 /** ms that an origin's answers take; what was met there long ago counts as the mean of all. */
 export const answerMs = (state: LatheState, row: OriginRow, mean: number): number => {
   const known = state.standings[originName(row)];
-  return known === undefined ? mean : mean + (known.ms - mean) * Math.exp((known.heardAt - state.now) / Limits.standingMemory);
+  return known === undefined
+    ? mean
+    : mean + (known.ms - mean) * Math.exp((known.heardAt - state.now) / Limits.standingMemory);
 };
 
 /** ms that the answers of a service's origins take on average here; 0 where none was had. */
 export const meanMs = (state: LatheState, rows: readonly OriginRow[]): number => {
-  const known = rows.flatMap((row) => { const standing = state.standings[originName(row)]; return standing === undefined ? [] : [standing.ms]; });
+  const known = rows.flatMap((row) => {
+    const standing = state.standings[originName(row)];
+    return standing === undefined ? [] : [standing.ms];
+  });
   return known.length === 0 ? 0 : known.reduce((sum, ms) => sum + ms, 0) / known.length;
 };
 
-/** ms. What an attempt at an origin is likely to cost: its usual time, more where it is nearly full, and the bytes that pass between zones. */
+/**
+ * ms. What an attempt at an origin is likely to cost: its usual time, more where it is nearly full,
+ * and the bytes that pass between zones.
+ */
 const costOf = (state: LatheState, row: OriginRow, mean: number, replyBytes: number): number => {
   const ms = Math.max(1, answerMs(state, row, mean));
   const slots = row.slots ?? Math.max(1, (row.capacity * Math.max(1, mean)) / 1_000);
   const use = (busyAt(state, originName(row)) + 1) / slots;
-  const far = row.region !== state.self.region ? Weights.farRegionMs : row.hall !== state.self.hall ? replyBytes * Weights.zoneMsPerByte : 0;
+  const far =
+    row.region !== state.self.region
+      ? Weights.farRegionMs
+      : row.hall !== state.self.hall
+        ? replyBytes * Weights.zoneMsPerByte
+        : 0;
   return ms * (use <= 1 ? 1 + 0.5 * use * use : 1.5 * use) + far;
 };
 
 /**
- * Instances for an attempt, best first: the least likely cost of a few drawn by chance, so that nodes
- * which know the same don't all choose the same one; then the others by their cost.
+ * Instances for an attempt, best first: the least likely cost of a few drawn by chance, so that
+ * nodes which know the same don't all choose the same one; then the others by their cost.
  */
-export const rankOrigins = (state: LatheState, transaction: Transaction, replyBytes = 0): readonly OriginRow[] => {
+export const rankOrigins = (
+  state: LatheState,
+  transaction: Transaction,
+  replyBytes = 0,
+): readonly OriginRow[] => {
   const tried = new Set(transaction.legs.map((leg) => leg.to.id));
-  const rows = (state.feed?.origins ?? []).filter((row) => row.service === transaction.service && atHome(transaction.route.homes, row.region));
+  const rows = (state.feed?.origins ?? []).filter(
+    (row) => row.service === transaction.service && atHome(transaction.route.homes, row.region),
+  );
   const untried = rows.filter((row) => !tried.has(originName(row)));
   const trusted = untried.filter((row) => !suspect(state, originName(row)));
   // Where every one is suspected, a suspected one is still better than none.
@@ -140,7 +215,12 @@
   let left = [...costs];
   let best: (typeof costs)[number] | undefined;
   for (let drawn = 0; drawn < Weights.originsDrawn && left.length > 0; drawn += 1) {
-    const draw = transaction.draws[1 + ((transaction.legs.length * Weights.originsDrawn + drawn) % Math.max(1, transaction.draws.length - 1))] ?? 0.5;
+    const draw =
+      transaction.draws[
+        1 +
+          ((transaction.legs.length * Weights.originsDrawn + drawn) %
+            Math.max(1, transaction.draws.length - 1))
+      ] ?? 0.5;
     const one = left[Math.min(left.length - 1, Math.floor(draw * left.length))];
     left = left.filter((each) => each !== one);
     if (one !== undefined && (best === undefined || one.cost < best.cost)) best = one;
@@ -153,29 +233,66 @@
 export const suspectFor = (work: Work, name: string): void => {
   const failures = (work.state.standings[name]?.failures ?? 0) + 1;
   const known = work.state.standings[name];
-  const suspects = Object.fromEntries(Object.entries(work.state.suspects).filter(([, until]) => until > work.state.now));
+  const suspects = Object.fromEntries(
+    Object.entries(work.state.suspects).filter(([, until]) => until > work.state.now),
+  );
   set(work, {
-    suspects: { ...suspects, [name]: work.state.now + Math.min(Limits.longestSuspicion, Limits.suspicion * 2 ** Math.min(10, failures - 1)) },
-    ...(known === undefined ? {} : { standings: { ...work.state.standings, [name]: { ...known, failures } } }),
+    suspects: {
+      ...suspects,
+      [name]:
+        work.state.now +
+        Math.min(Limits.longestSuspicion, Limits.suspicion * 2 ** Math.min(10, failures - 1)),
+    },
+    ...(known === undefined
+      ? {}
+      : { standings: { ...work.state.standings, [name]: { ...known, failures } } }),
   });
 };
 
-/** Sets aside an origin that said that it was too full: only for the time in which that may change. */
-export const restFor = (work: Work, name: string): void => set(work, { suspects: { ...work.state.suspects, [name]: Math.max(work.state.suspects[name] ?? 0, work.state.now + Limits.fullRest) } });
+/**
+ * Sets aside an origin that said that it was too full: only for the time in which that may change.
+ */
+export const restFor = (work: Work, name: string): void =>
+  set(work, {
+    suspects: {
+      ...work.state.suspects,
+      [name]: Math.max(work.state.suspects[name] ?? 0, work.state.now + Limits.fullRest),
+    },
+  });
 
 /** Takes in what a sound answer of an origin shows. */
-export const tookStanding = (work: Work, name: string, ms: number, proof: Proof | undefined): void => {
+export const tookStanding = (
+  work: Work,
+  name: string,
+  ms: number,
+  proof: Proof | undefined,
+): void => {
   const old = work.state.standings[name];
   const told = proof?.load;
   const next: Standing = {
-    ms: old === undefined ? ms : old.ms + Weights.standingGain * (ms - old.ms), heardAt: work.state.now, failures: 0,
-    load: told ? { ...told, at: work.state.now, own: work.state.outstanding[name] ?? 0 } : old?.load ?? null,
+    ms: old === undefined ? ms : old.ms + Weights.standingGain * (ms - old.ms),
+    heardAt: work.state.now,
+    failures: 0,
+    load: told
+      ? { ...told, at: work.state.now, own: work.state.outstanding[name] ?? 0 }
+      : (old?.load ?? null),
   };
   set(work, { standings: { ...work.state.standings, [name]: next } });
 };
 
 export const earnRepeat = (work: Work, service: string): void =>
-  set(work, { repeats: { ...work.state.repeats, [service]: Math.min(Math.max(1, Math.min(Weights.repeatSaved, Weights.repeatSavedByAll / nodes(work.state))), (work.state.repeats[service] ?? 0) + Weights.repeatShare) } });
-export const mayRepeat = (state: LatheState, service: string): boolean => (state.repeats[service] ?? 0) >= 1;
+  set(work, {
+    repeats: {
+      ...work.state.repeats,
+      [service]: Math.min(
+        Math.max(1, Math.min(Weights.repeatSaved, Weights.repeatSavedByAll / nodes(work.state))),
+        (work.state.repeats[service] ?? 0) + Weights.repeatShare,
+      ),
+    },
+  });
+export const mayRepeat = (state: LatheState, service: string): boolean =>
+  (state.repeats[service] ?? 0) >= 1;
 export const spendRepeat = (work: Work, service: string): void =>
-  set(work, { repeats: { ...work.state.repeats, [service]: (work.state.repeats[service] ?? 0) - 1 } });
+  set(work, {
+    repeats: { ...work.state.repeats, [service]: (work.state.repeats[service] ?? 0) - 1 },
+  });
--- a/packages/lathe/src/connection.test.ts
+++ b/packages/lathe/src/connection.test.ts
@@ -33,20 +33,21 @@
 });
 
 /** Leaves a connection at rest where the sound reducer gives it up. */
-const keepOn = (kind: ConnectionEvent['kind']): Reduce => (state, event) => {
-  const step = Connections.reduce(state, event);
-  const givenUp = event.kind === kind && step.state.phase === 'closed' && state.phase !== 'closed';
-  return givenUp ? { ...step, state: rested(step.state) } : step;
-};
+const keepOn =
+  (kind: ConnectionEvent['kind']): Reduce =>
+  (state, event) => {
+    const step = Connections.reduce(state, event);
+    const givenUp =
+      event.kind === kind && step.state.phase === 'closed' && state.phase !== 'closed';
+    return givenUp ? { ...step, state: rested(step.state) } : step;
+  };
 
 const believing =
   (part: { readonly unsound?: null; readonly anonymous?: false }): Reduce =>
   (state, event) =>
     Connections.reduce(
       state,
-      event.kind === 'answer-head'
-        ? { ...event, evidence: { ...event.evidence, ...part } }
-        : event,
+      event.kind === 'answer-head' ? { ...event, evidence: { ...event.evidence, ...part } } : event,
     );
 
 /** Each safeguard planted out, and the invariant that breaks without it. */
--- a/packages/lathe/src/connection.ts
+++ b/packages/lathe/src/connection.ts
@@ -43,7 +43,7 @@
 /** What happens to the attempt that a connection carries; ignored once it carries another one. */
 export type AttemptEvent = { readonly attempt: number } & (
   | /** The first byte of the attempt is about to be handed to the socket. */
-  { readonly kind: 'handing' }
+    { readonly kind: 'handing' }
   | { readonly kind: 'written' }
   | {
       readonly kind: 'answer-head';
@@ -126,7 +126,13 @@
   const rested = event.now - state.idleSince;
   const stale = state.used > 0 && rested >= Math.min(event.mostIdleMs, state.idleLimitMs);
   if (state.phase === 'closed' || stale) return destroyed(state, [{ kind: 'unfit', attempt }]);
-  const carried: Carried = { attempt, sent: 'nothing', answer: 'none', restMs: null, unsound: null };
+  const carried: Carried = {
+    attempt,
+    sent: 'nothing',
+    answer: 'none',
+    restMs: null,
+    unsound: null,
+  };
   return { state: { ...state, phase: 'busy', carried }, effects: [{ kind: 'send', attempt }] };
 };
 
--- a/packages/lathe/src/conns.test.ts
+++ b/packages/lathe/src/conns.test.ts
@@ -13,12 +13,42 @@
     response.writeHead(200, { 'content-length': text.length, 'reedyard-stamp': 's/i/1' });
     response.end(text);
   });
-  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve); });
-  t.teardown(() => { server.closeAllConnections(); server.close(); });
-  const row = { service: 's', instance: 'i', incarnation: 1, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, hall: 'h', region: 'r', capacity: 1, cold: false, slots: null, conns: null, rate: 1 };
-  const send = (sendBy: number): Promise<string> => new Promise((resolve) => {
-    new OriginConns('127.0.0.1', ownDialect).send(row, { method: 'GET', path: '/x', headers: { host: 'a.example' }, body: Buffer.alloc(0), safe: true }, { origin: row, mark: 'm', leftMs: 1_000, headers: {} }, { sendBy, fresh: false }, { done: () => resolve('answered'), fail: (error) => resolve(`${error.why} ${error.sent}`) });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
   });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const row = {
+    service: 's',
+    instance: 'i',
+    incarnation: 1,
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    hall: 'h',
+    region: 'r',
+    capacity: 1,
+    cold: false,
+    slots: null,
+    conns: null,
+    rate: 1,
+  };
+  const send = (sendBy: number): Promise<string> =>
+    new Promise((resolve) => {
+      new OriginConns('127.0.0.1', ownDialect).send(
+        row,
+        {
+          method: 'GET',
+          path: '/x',
+          headers: { host: 'a.example' },
+          body: Buffer.alloc(0),
+          safe: true,
+        },
+        { origin: row, mark: 'm', leftMs: 1_000, headers: {} },
+        { sendBy, fresh: false },
+        { done: () => resolve('answered'), fail: (error) => resolve(`${error.why} ${error.sent}`) },
+      );
+    });
   t.is(await send(performance.now() + 60_000), 'answered');
   t.is(await send(performance.now()), 'lease nothing');
   t.is(paths.filter((path) => path === '/x').length, 1);
--- a/packages/lathe/src/conns.ts
+++ b/packages/lathe/src/conns.ts
@@ -146,7 +146,12 @@
       const foreign = headers['reedyard-leg'] !== out.headers['reedyard-leg'];
       return { evidence: { unsound: foreign ? 'foreign' : null, anonymous: false } };
     };
-    return this.#send({ name: peerName(row), address: row.address, identity: null, judge }, out, terms, ends);
+    return this.#send(
+      { name: peerName(row), address: row.address, identity: null, judge },
+      out,
+      terms,
+      ends,
+    );
   }
 
   #send(to: Destination, out: Outgoing, terms: SendTerms, ends: AttemptEnds): Underway {
--- a/packages/lathe/src/core.ts
+++ b/packages/lathe/src/core.ts
@@ -1,4 +1,7 @@
-/** The proxy as a reducer: events of callers, peers, origins, the agent and the clock, and the effects that follow. */
+/**
+ * The proxy as a reducer: events of callers, peers, origins, the agent and the clock, and the
+ * effects that follow.
+ */
 import type { Step } from '@reedyard/chute';
 import { Limits, Sizes } from '@reedyard/gauge';
 import type { ClaimReply } from '@reedyard/jig';
@@ -17,31 +20,81 @@
 
 const mayServe = (work: Work, id: number, via: string | null): boolean => {
   const { state } = work;
-  if (state.stoppingAt !== null && state.now - state.stoppingAt > Limits.leaveGrace) { turnAway(work, id, 503, 'Leaving', 'This node is leaving.', { connection: 'close' }); return false; }
-  if (state.now >= state.lease || state.policy === null || state.feed === null) { turnAway(work, id, 503, 'Not ready', 'This node is cut off from the control state.'); return false; }
-  if (via === null && state.emptiedAt !== null && state.now - state.emptiedAt > Limits.emptyGrace) { turnAway(work, id, 503, 'Hall emptied', 'This hall is emptied.', { connection: 'close' }); return false; }
+  if (state.stoppingAt !== null && state.now - state.stoppingAt > Limits.leaveGrace) {
+    turnAway(work, id, 503, 'Leaving', 'This node is leaving.', { connection: 'close' });
+    return false;
+  }
+  if (state.now >= state.lease || state.policy === null || state.feed === null) {
+    turnAway(work, id, 503, 'Not ready', 'This node is cut off from the control state.');
+    return false;
+  }
+  if (via === null && state.emptiedAt !== null && state.now - state.emptiedAt > Limits.emptyGrace) {
+    turnAway(work, id, 503, 'Hall emptied', 'This hall is emptied.', { connection: 'close' });
+    return false;
+  }
   return true;
 };
 
-const arrived = (work: Work, id: number, asked: Asked, draws: readonly number[], token: string): void => {
+const arrived = (
+  work: Work,
+  id: number,
+  asked: Asked,
+  draws: readonly number[],
+  token: string,
+): void => {
   const { state } = work;
   count(work, asked.via === null ? 'transactions' : 'transactions.partner');
   if (!mayServe(work, id, asked.via)) return;
   const route = Routes.find(state.routes, asked.host, asked.target);
   const refusal = refusalOf(route, asked, state.policy?.document.callers);
-  if (route === undefined || refusal !== null) { if (refusal !== null) turnAway(work, id, refusal.status, refusal.title, refusal.detail, refusal.more); return; }
-  if (Object.keys(state.transactions).length >= Sizes.transactions) { turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.'); return; }
+  if (route === undefined || refusal !== null) {
+    if (refusal !== null)
+      turnAway(work, id, refusal.status, refusal.title, refusal.detail, refusal.more);
+    return;
+  }
+  if (Object.keys(state.transactions).length >= Sizes.transactions) {
+    turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.');
+    return;
+  }
   const safe = isSafe(route, asked.method);
-  const callerKey = safe || route.repeat === 'never' || asked.via !== null ? null : headerText(asked.headers, 'idempotency-key');
+  const callerKey =
+    safe || route.repeat === 'never' || asked.via !== null
+      ? null
+      : headerText(asked.headers, 'idempotency-key');
   const transaction: Transaction = {
-    id, asked, route, serial: state.policy?.serial ?? 0, service: drawService(route, draws.at(-1) ?? 0), safe, key: Sieve.key(asked.host, asked.target), arrivedAt: state.now, limitAt: limitOf(route, asked, state.now),
-    draws, token, claimKey: callerKey === null ? null : Sieve.key(asked.host, `/${callerKey}`), legs: [],
-    phase: callerKey === null ? 'leg' : 'claiming', heldAt: 0, leads: false, callerGone: false,
+    id,
+    asked,
+    route,
+    serial: state.policy?.serial ?? 0,
+    service: drawService(route, draws.at(-1) ?? 0),
+    safe,
+    key: Sieve.key(asked.host, asked.target),
+    arrivedAt: state.now,
+    limitAt: limitOf(route, asked, state.now),
+    draws,
+    token,
+    claimKey: callerKey === null ? null : Sieve.key(asked.host, `/${callerKey}`),
+    legs: [],
+    phase: callerKey === null ? 'leg' : 'claiming',
+    heldAt: 0,
+    leads: false,
+    callerGone: false,
   };
   set(work, { transactions: { ...state.transactions, [id]: transaction } });
   // A forwarded request earned its repeat where its caller came to.
   if (asked.via === null) earnRepeat(work, transaction.service);
-  if (transaction.claimKey !== null) work.effects.push({ kind: 'ask', id, call: { kind: 'claim', key: transaction.claimKey, token, life: state.self.life, digest: asked.digest ?? '' } });
+  if (transaction.claimKey !== null)
+    work.effects.push({
+      kind: 'ask',
+      id,
+      call: {
+        kind: 'claim',
+        key: transaction.claimKey,
+        token,
+        life: state.self.life,
+        digest: asked.digest ?? '',
+      },
+    });
   else start(work, transaction);
 };
 
@@ -55,35 +108,70 @@
     else start(work, held);
     return;
   }
-  if (reply.kind === 'unreached') { giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed'); return; }
+  if (reply.kind === 'unreached') {
+    giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed');
+    return;
+  }
   if (reply.kind === 'other') {
     count(work, 'claims.other', 'status.422');
-    work.effects.push({ kind: 'answer', id, answer: {
-      status: 422, headers: { 'reedyard-outcome': 'not-run' },
-      body: { kind: 'problem', title: 'Key of another request', detail: 'Another request was sent with this key: another method, target or body. This one was not run.', outcome: 'not-run' },
-    } });
+    work.effects.push({
+      kind: 'answer',
+      id,
+      answer: {
+        status: 422,
+        headers: { 'reedyard-outcome': 'not-run' },
+        body: {
+          kind: 'problem',
+          title: 'Key of another request',
+          detail:
+            'Another request was sent with this key: another method, target or body. This one was not run.',
+          outcome: 'not-run',
+        },
+      },
+    });
     close(work, transaction);
     return;
   }
   const known = reply.state === 'pending' ? 'in-progress' : reply.state;
   count(work, 'claims.taken', 'status.409');
-  work.effects.push({ kind: 'answer', id, answer: {
-    status: 409, headers: { 'reedyard-outcome': known, ...(known === 'in-progress' ? { 'retry-after': String(Limits.retryAfterSeconds) } : {}) },
-    body: { kind: 'problem', title: 'Key already used', detail: `A request with this key was sent before; its outcome is: ${known}. It is not run again.`, outcome: known },
-  } });
+  work.effects.push({
+    kind: 'answer',
+    id,
+    answer: {
+      status: 409,
+      headers: {
+        'reedyard-outcome': known,
+        ...(known === 'in-progress' ? { 'retry-after': String(Limits.retryAfterSeconds) } : {}),
+      },
+      body: {
+        kind: 'problem',
+        title: 'Key already used',
+        detail: `A request with this key was sent before; its outcome is: ${known}. It is not run again.`,
+        outcome: known,
+      },
+    },
+  });
   close(work, transaction);
 };
 
 export const left = (work: Work, id: number): void => {
   const transaction = change(work, id, { callerGone: true });
-  // A leg that others wait for, or that may have run, is let finish; only safe ones alone are dropped.
-  if (transaction === undefined || !transaction.safe || transaction.leads || transaction.phase !== 'leg') return;
+  // A leg that others wait for, or that may have run, is let finish; only safe ones alone are
+  // dropped.
+  if (
+    transaction === undefined ||
+    !transaction.safe ||
+    transaction.leads ||
+    transaction.phase !== 'leg'
+  )
+    return;
   const live = transaction.legs.filter((leg) => leg.end === null);
   if (live.length === 0) return;
   let ended = transaction;
   for (const leg of live) {
     work.effects.push({ kind: 'abort', id, leg: leg.number });
-    ended = endLeg(work, ended, leg.number, { kind: 'failed', sent: 'maybe', why: 'caller' }) ?? ended;
+    ended =
+      endLeg(work, ended, leg.number, { kind: 'failed', sent: 'maybe', why: 'caller' }) ?? ended;
   }
   close(work, ended);
 };
@@ -91,27 +179,75 @@
 export const Lathe = {
   /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
   open: (self: LatheState['self'], now: number): LatheState => ({
-    self, now, lease: 0, life: '', flushes: 0, fedAt: now, purgeSeq: 0, policy: null, routes: new Map(), feed: null, holders: {}, emptiedAt: null, sieve: Sieve.empty, abroad: false,
-    transactions: {}, fetches: {}, unkept: {}, buckets: {}, repeats: {}, suspects: {}, outstanding: {}, standings: {}, replyBytes: {}, stoppingAt: null, counters: {},
-    period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 }, wants: {}, wanted: { since: now, counts: {} },
+    self,
+    now,
+    lease: 0,
+    life: '',
+    flushes: 0,
+    fedAt: now,
+    purgeSeq: 0,
+    policy: null,
+    routes: new Map(),
+    feed: null,
+    holders: {},
+    emptiedAt: null,
+    sieve: Sieve.empty,
+    abroad: false,
+    transactions: {},
+    fetches: {},
+    unkept: {},
+    buckets: {},
+    repeats: {},
+    suspects: {},
+    outstanding: {},
+    standings: {},
+    replyBytes: {},
+    stoppingAt: null,
+    counters: {},
+    period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
+    wants: {},
+    wanted: { since: now, counts: {} },
   }),
 
   /** Whether the platform may send callers here. @example Lathe.ready(state, 5) // false */
-  ready: (state: LatheState, now: number): boolean => now < state.lease && state.policy !== null && state.stoppingAt === null && state.emptiedAt === null && state.feed?.seated === true,
+  ready: (state: LatheState, now: number): boolean =>
+    now < state.lease &&
+    state.policy !== null &&
+    state.stoppingAt === null &&
+    state.emptiedAt === null &&
+    state.feed?.seated === true,
 
   /** @example Lathe.reduce(state, { kind: 'beat', now: 25 }).effects */
   reduce: (state: LatheState, event: LatheEvent): Step<LatheState, LatheEffect> => {
     const work: Work = { state: { ...state, now: Math.max(state.now, event.now) }, effects: [] };
     switch (event.kind) {
-      case 'arrived': arrived(work, event.id, event.asked, event.draws, event.token); break;
-      case 'answered': answered(work, event.id, event.leg, event.answer); break;
-      case 'failed': failed(work, event.id, event.leg, event.sent, event.why); break;
-      case 'claimed': claimed(work, event.id, event.reply); break;
-      case 'left': left(work, event.id); break;
-      case 'fed': fed(work, event.feed, event.askedAt); break;
-      case 'ask': question(work); break;
-      case 'beat': beat(work); break;
-      case 'stop': set(work, { stoppingAt: state.stoppingAt ?? work.state.now }); break;
+      case 'arrived':
+        arrived(work, event.id, event.asked, event.draws, event.token);
+        break;
+      case 'answered':
+        answered(work, event.id, event.leg, event.answer);
+        break;
+      case 'failed':
+        failed(work, event.id, event.leg, event.sent, event.why);
+        break;
+      case 'claimed':
+        claimed(work, event.id, event.reply);
+        break;
+      case 'left':
+        left(work, event.id);
+        break;
+      case 'fed':
+        fed(work, event.feed, event.askedAt);
+        break;
+      case 'ask':
+        question(work);
+        break;
+      case 'beat':
+        beat(work);
+        break;
+      case 'stop':
+        set(work, { stoppingAt: state.stoppingAt ?? work.state.now });
+        break;
     }
     return { state: work.state, effects: work.effects };
   },
--- a/packages/lathe/src/dialect.ts
+++ b/packages/lathe/src/dialect.ts
@@ -1,7 +1,10 @@
 import type { OriginRow } from '@reedyard/jig';
 import type { Headers } from '@reedyard/sieve';
 
-/** What an origin tells of itself with an answer: requests that it works on, that wait, and how many it works on at once. */
+/**
+ * What an origin tells of itself with an answer: requests that it works on, that wait, and how many
+ * it works on at once.
+ */
 export type Load = { readonly running: number; readonly waiting: number; readonly slots: number };
 
 /** What an origin's answer proves, as far as the next move depends on it. */
@@ -20,17 +23,31 @@
 };
 
 /** One attempt at an origin. */
-export type ToOrigin = { readonly origin: OriginRow; readonly mark: string; /** ms that its answer is waited for. */ readonly leftMs: number; readonly headers: Headers };
+export type ToOrigin = {
+  readonly origin: OriginRow;
+  readonly mark: string;
+  /** ms that its answer is waited for. */ readonly leftMs: number;
+  readonly headers: Headers;
+};
 
 /** What of an answer its caller is shown. */
-export type ToCaller = { readonly status: number; readonly headers: Headers; readonly asked: Headers; /** ms after which to come again, where the lathe itself says so. */ readonly retryMs: number | null };
+export type ToCaller = {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly asked: Headers;
+  /** ms after which to come again, where the lathe itself says so. */ readonly retryMs:
+    number | null;
+};
 
 /**
- * How a lathe is spoken to by callers and speaks to origins: names of header fields and what they mean.
- * It decides nothing. Peers speak the project's own way whatever the dialect.
+ * How a lathe is spoken to by callers and speaks to origins: names of header fields and what they
+ * mean. It decides nothing. Peers speak the project's own way whatever the dialect.
  */
 export type Dialect = {
-  /** Whether an origin proves who it is on each new connection, before anything else, or each request names the one it is meant for. */
+  /**
+   * Whether an origin proves who it is on each new connection, before anything else, or each
+   * request names the one it is meant for.
+   */
   readonly identity: 'asked' | 'named';
   readonly readyPath: string;
   readonly livePath: string | null;
@@ -43,21 +60,37 @@
   readonly toCaller: (answer: ToCaller) => Headers;
   /** Fields by which an origin vouches for an answer: shown only with the status that it gave. */
   readonly stamps: readonly string[];
-  /** Fields of a sample request and of an origin's sound answer to it, to warm up with; left out: no warming up. */
-  readonly sample?: { readonly asked: (number: number) => Readonly<Record<string, string>>; readonly answered: (asked: Headers) => Readonly<Record<string, string>> };
+  /**
+   * Fields of a sample request and of an origin's sound answer to it, to warm up with; left out: no
+   * warming up.
+   */
+  readonly sample?: {
+    readonly asked: (number: number) => Readonly<Record<string, string>>;
+    readonly answered: (asked: Headers) => Readonly<Record<string, string>>;
+  };
 };
 
 const origin = (row: OriginRow): string => `${row.service}/${row.instance}/${row.incarnation}`;
 
 /** The project's own way (docs/api.md). */
 export const ownDialect: Dialect = {
-  identity: 'asked', readyPath: '/.well-known/reedyard/ready', livePath: '/.well-known/reedyard/live',
+  identity: 'asked',
+  readyPath: '/.well-known/reedyard/ready',
+  livePath: '/.well-known/reedyard/live',
   deadlineMs: () => null,
   left: () => ({}),
   toOrigin: ({ origin: row, mark }) => ({ 'reedyard-leg': mark, 'reedyard-expect': origin(row) }),
   fromOrigin: (status, headers, { origin: row, mark }) => ({
-    unsound: headers['reedyard-leg'] !== mark ? 'foreign' : headers['reedyard-stamp'] !== origin(row) ? 'stamp' : null,
-    notRun: status === 503 && headers['reedyard-outcome'] === 'not-run', misdirected: false, load: null, coldMs: null,
+    unsound:
+      headers['reedyard-leg'] !== mark
+        ? 'foreign'
+        : headers['reedyard-stamp'] !== origin(row)
+          ? 'stamp'
+          : null,
+    notRun: status === 503 && headers['reedyard-outcome'] === 'not-run',
+    misdirected: false,
+    load: null,
+    coldMs: null,
   }),
   toCaller: ({ headers }) => headers,
   stamps: ['reedyard-stamp'],
--- a/packages/lathe/src/draining.test.ts
+++ b/packages/lathe/src/draining.test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { soundAnswer, startScriptedOrigin, type ScriptedOrigin } from './testing/scripted-origin.js';
+import {
+  soundAnswer,
+  startScriptedOrigin,
+  type ScriptedOrigin,
+} from './testing/scripted-origin.js';
 import { originRow, RawCaller, startHarness, until } from './testing/lathe-harness.js';
 
 /** An origin that holds back its answers until it is let go. */
--- a/packages/lathe/src/feeding.ts
+++ b/packages/lathe/src/feeding.ts
@@ -1,4 +1,7 @@
-/** Takes in what the agent feeds: the configuration, shares and peers in force, purges, and the lease. */
+/**
+ * Takes in what the agent feeds: the configuration, shares and peers in force, purges, and the
+ * lease.
+ */
 import { Limits } from '@reedyard/gauge';
 import type { Feed } from '@reedyard/jig';
 import { holdersOf } from '@reedyard/plumb';
@@ -11,25 +14,51 @@
 export const fed = (work: Work, feed: Feed, askedAt: number): void => {
   const { state } = work;
   const policy = feed.policy ?? state.policy;
-  if (policy !== null && policy.serial < (state.policy?.serial ?? 0)) { log(work, 'policy.older', { serial: policy.serial }); return; }
-  const gone = state.life !== '' && (feed.life !== state.life || feed.flushes !== state.flushes || askedAt - state.fedAt > Limits.fact / 2);
-  if (gone) log(work, 'copies.flushed', { why: feed.life !== state.life ? 'jig restarted' : 'was away' });
+  if (policy !== null && policy.serial < (state.policy?.serial ?? 0)) {
+    log(work, 'policy.older', { serial: policy.serial });
+    return;
+  }
+  const gone =
+    state.life !== '' &&
+    (feed.life !== state.life ||
+      feed.flushes !== state.flushes ||
+      askedAt - state.fedAt > Limits.fact / 2);
+  if (gone)
+    log(work, 'copies.flushed', { why: feed.life !== state.life ? 'jig restarted' : 'was away' });
   let sieve = gone ? Sieve.flush(state.sieve) : state.sieve;
   for (const { purge } of feed.purges) sieve = Sieve.purge(sieve, purge, state.now);
-  const routes = policy === state.policy || policy === null ? state.routes : Routes.table(policy.document.routes);
+  const routes =
+    policy === state.policy || policy === null
+      ? state.routes
+      : Routes.table(policy.document.routes);
   if (policy !== state.policy) {
     log(work, 'policy.in-force', { serial: policy?.serial ?? 0 });
     const table = routes;
-    sieve = Sieve.dropWhere(sieve, (copy) => state.now >= lifeEnd(Routes.find(table, ...Sieve.place(copy.key)), state, copy));
+    sieve = Sieve.dropWhere(
+      sieve,
+      (copy) => state.now >= lifeEnd(Routes.find(table, ...Sieve.place(copy.key)), state, copy),
+    );
   }
   const emptied = feed.emptied.includes(state.self.hall);
   set(work, {
     holders: feed.split === state.feed?.split ? state.holders : holdersOf(feed.split),
-    feed: { ...feed, policy: null, purges: [] }, life: feed.life, flushes: feed.flushes, fedAt: askedAt, purgeSeq: feed.purgeSeq, sieve,
-    lease: feed.leaseMs > 0 ? Math.max(state.lease, askedAt + feed.leaseMs) : state.lease, policy,
-    routes, abroad: state.abroad || feed.partners.some((row) => row.region !== state.self.region),
-    emptiedAt: emptied ? state.emptiedAt ?? state.now : null,
+    feed: { ...feed, policy: null, purges: [] },
+    life: feed.life,
+    flushes: feed.flushes,
+    fedAt: askedAt,
+    purgeSeq: feed.purgeSeq,
+    sieve,
+    lease: feed.leaseMs > 0 ? Math.max(state.lease, askedAt + feed.leaseMs) : state.lease,
+    policy,
+    routes,
+    abroad: state.abroad || feed.partners.some((row) => row.region !== state.self.region),
+    emptiedAt: emptied ? (state.emptiedAt ?? state.now) : null,
     // Nobody joins a fetch that was begun before a purge or under an older policy.
-    fetches: feed.purges.length > 0 || gone || policy !== state.policy ? Object.fromEntries(Object.entries(state.fetches).map(([key, fetch]) => [key, { ...fetch, closed: true }])) : state.fetches,
+    fetches:
+      feed.purges.length > 0 || gone || policy !== state.policy
+        ? Object.fromEntries(
+            Object.entries(state.fetches).map(([key, fetch]) => [key, { ...fetch, closed: true }]),
+          )
+        : state.fetches,
   });
 };
--- a/packages/lathe/src/feeds.ts
+++ b/packages/lathe/src/feeds.ts
@@ -5,7 +5,8 @@
 
 export const Feeds = {
   /** What the jig is told to be held. @example Feeds.holding(null) // null */
-  holding: (held: HeldFeed | null): Holding | null => (held === null ? null : { life: held.feed.life, revisions: held.revisions }),
+  holding: (held: HeldFeed | null): Holding | null =>
+    held === null ? null : { life: held.feed.life, revisions: held.revisions },
 
   /**
    * The whole feed from what the jig told and from what its question said was held.
--- a/packages/lathe/src/node-http-client.test.ts
+++ b/packages/lathe/src/node-http-client.test.ts
@@ -10,11 +10,16 @@
 } from './testing/scripted-origin.js';
 import { until } from './testing/lathe-harness.js';
 
-/** What the proxy relies on: Node's HTTP client and its agent send a request once, or not at all. */
+/**
+ * What the proxy relies on: Node's HTTP client and its agent send a request once, or not at all.
+ */
 const start = async (
   t: ExecutionContext,
   script: Script,
-): Promise<{ readonly origin: ScriptedOrigin; readonly ask: (path: string) => Promise<string> }> => {
+): Promise<{
+  readonly origin: ScriptedOrigin;
+  readonly ask: (path: string) => Promise<string>;
+}> => {
   const origin = await startScriptedOrigin(script);
   const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   t.teardown(async () => {
--- a/packages/lathe/src/origin-sockets.test.ts
+++ b/packages/lathe/src/origin-sockets.test.ts
@@ -78,7 +78,8 @@
 test('a surplus answer, with the last bytes or later, is given to nobody', async (t) => {
   const setting = await stage(t, (request, socket) => {
     const own = soundAnswer(request);
-    if (request.path === '/read/1') socket.write(own + answerOf(200, ownFields(request), 'surplus'));
+    if (request.path === '/read/1')
+      socket.write(own + answerOf(200, ownFields(request), 'surplus'));
     else socket.write(own);
   });
   for (const number of [1, 2, 3]) {
--- a/packages/lathe/src/present.ts
+++ b/packages/lathe/src/present.ts
@@ -3,7 +3,12 @@
 import type { Headers } from '@reedyard/sieve';
 
 /** How a whole answer is shown to one caller: a 304, a part, or all of it. */
-export type Shown = { readonly status: number; readonly headers: Headers; readonly from: number; readonly to: number };
+export type Shown = {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly from: number;
+  readonly to: number;
+};
 
 const text = (headers: Headers, name: string): string | undefined => {
   const value = headers[name];
@@ -16,24 +21,66 @@
  * @example
  * present('GET', { range: 'bytes=0-1' }, 200, { etag: '"a"' }, 10) // 206, bytes 0 to 2 of 10
  */
-export const present = (method: string, asked: Headers, status: number, headers: Headers, size: number): Shown => {
-  const whole: Shown = { status, headers: { ...headers, 'content-length': String(size) }, from: 0, to: size };
+export const present = (
+  method: string,
+  asked: Headers,
+  status: number,
+  headers: Headers,
+  size: number,
+): Shown => {
+  const whole: Shown = {
+    status,
+    headers: { ...headers, 'content-length': String(size) },
+    from: 0,
+    to: size,
+  };
   if (status !== 200 || (method !== 'GET' && method !== 'HEAD')) return whole;
-  const conditions = { 'if-none-match': text(asked, 'if-none-match'), 'if-modified-since': text(asked, 'if-modified-since') };
-  if ((conditions['if-none-match'] !== undefined || conditions['if-modified-since'] !== undefined)
-    && fresh(conditions, { etag: text(headers, 'etag'), 'last-modified': text(headers, 'last-modified') })) {
+  const conditions = {
+    'if-none-match': text(asked, 'if-none-match'),
+    'if-modified-since': text(asked, 'if-modified-since'),
+  };
+  if (
+    (conditions['if-none-match'] !== undefined || conditions['if-modified-since'] !== undefined) &&
+    fresh(conditions, {
+      etag: text(headers, 'etag'),
+      'last-modified': text(headers, 'last-modified'),
+    })
+  ) {
     const { 'content-length': _length, 'content-type': _type, ...rest } = headers;
     return { status: 304, headers: rest, from: 0, to: 0 };
   }
   const range = text(asked, 'range');
   const ifRange = text(asked, 'if-range');
-  if (method !== 'GET' || range === undefined || (ifRange !== undefined && ifRange !== text(headers, 'etag') && ifRange !== text(headers, 'last-modified'))) return whole;
+  if (
+    method !== 'GET' ||
+    range === undefined ||
+    (ifRange !== undefined &&
+      ifRange !== text(headers, 'etag') &&
+      ifRange !== text(headers, 'last-modified'))
+  )
+    return whole;
   const ranges = parseRange(size, range);
-  if (ranges === -1) return { status: 416, headers: { ...headers, 'content-range': `bytes */${size}`, 'content-length': '0' }, from: 0, to: 0 };
+  if (ranges === -1)
+    return {
+      status: 416,
+      headers: { ...headers, 'content-range': `bytes */${size}`, 'content-length': '0' },
+      from: 0,
+      to: 0,
+    };
   // Several ranges may be answered by the whole.
-  if (ranges === -2 || ranges.type !== 'bytes' || ranges.length !== 1 || ranges[0] === undefined) return whole;
+  if (ranges === -2 || ranges.type !== 'bytes' || ranges.length !== 1 || ranges[0] === undefined)
+    return whole;
   const { start, end } = ranges[0];
-  return { status: 206, headers: { ...headers, 'content-range': `bytes ${start}-${end}/${size}`, 'content-length': String(end - start + 1) }, from: start, to: end + 1 };
+  return {
+    status: 206,
+    headers: {
+      ...headers,
+      'content-range': `bytes ${start}-${end}/${size}`,
+      'content-length': String(end - start + 1),
+    },
+    from: start,
+    to: end + 1,
+  };
 };
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
--- a/packages/lathe/src/reporting.ts
+++ b/packages/lathe/src/reporting.ts
@@ -5,7 +5,9 @@
 import { set } from './state.js';
 import type { Work } from './state.js';
 
-/** Closes a period of measuring: what the own callers asked for, object by object for the busiest. */
+/**
+ * Closes a period of measuring: what the own callers asked for, object by object for the busiest.
+ */
 const measure = (work: Work): Measure | null => {
   const { state } = work;
   const { period } = state;
@@ -15,13 +17,23 @@
   const entries = Object.entries(period.bits).sort(([, a], [, b]) => b - a);
   const demand: Record<string, number> = {};
   entries.forEach(([key, bits], index) => {
-    const to = index < Sizes.busyObjects ? key : key.split(' ', 1)[0] ?? key;
+    const to = index < Sizes.busyObjects ? key : (key.split(' ', 1)[0] ?? key);
     demand[to] = (demand[to] ?? 0) + bits * perSecond;
   });
-  const hosts = new Map((state.policy?.document.routes ?? []).map((route) => [route.name, route.host]));
+  const hosts = new Map(
+    (state.policy?.document.routes ?? []).map((route) => [route.name, route.host]),
+  );
   const copies = Object.keys(demand).filter((key) => {
     const cut = key.indexOf(' ');
-    return cut > 0 && Sieve.find(state.sieve, Sieve.key(hosts.get(key.slice(0, cut)) ?? '', key.slice(cut + 1)), {}, state.now) !== undefined;
+    return (
+      cut > 0 &&
+      Sieve.find(
+        state.sieve,
+        Sieve.key(hosts.get(key.slice(0, cut)) ?? '', key.slice(cut + 1)),
+        {},
+        state.now,
+      ) !== undefined
+    );
   });
   set(work, {
     period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
@@ -29,7 +41,10 @@
   });
   const allBits = entries.reduce((sum, [, bits]) => sum + bits, 0);
   return {
-    demand, copies, servedBps: period.servedBits * perSecond, meanReplyBits: period.replies > 0 ? Math.max(allBits, period.servedBits) / period.replies : 0,
+    demand,
+    copies,
+    servedBps: period.servedBits * perSecond,
+    meanReplyBits: period.replies > 0 ? Math.max(allBits, period.servedBits) / period.replies : 0,
     fetchSeconds: period.fetched > 0 ? period.legMs / period.fetched / 1_000 : 0,
   };
 };
@@ -42,7 +57,12 @@
   const services = new Set([...Object.keys(wants), ...Object.keys(wanted.counts)]);
   set(work, {
     wanted: { since: now, counts: {} },
-    wants: Object.fromEntries([...services].map((service) => [service, 0.5 * (wants[service] ?? 0) + (0.5 * (wanted.counts[service] ?? 0) * 1_000) / ms])),
+    wants: Object.fromEntries(
+      [...services].map((service) => [
+        service,
+        0.5 * (wants[service] ?? 0) + (0.5 * (wanted.counts[service] ?? 0) * 1_000) / ms,
+      ]),
+    ),
   });
 };
 
@@ -51,8 +71,19 @@
   const measurement = measure(work);
   const { state } = work;
   const report: Report = {
-    policySerial: state.policy?.serial ?? 0, life: state.life, latheLife: state.self.life, purgeSeq: state.purgeSeq, stopping: state.stoppingAt !== null, wants: state.wants, measure: measurement,
-    counters: { ...state.counters, underWay: Object.keys(state.transactions).length, copies: state.sieve.copies.size, copyBytes: state.sieve.bytes },
+    policySerial: state.policy?.serial ?? 0,
+    life: state.life,
+    latheLife: state.self.life,
+    purgeSeq: state.purgeSeq,
+    stopping: state.stoppingAt !== null,
+    wants: state.wants,
+    measure: measurement,
+    counters: {
+      ...state.counters,
+      underWay: Object.keys(state.transactions).length,
+      copies: state.sieve.copies.size,
+      copyBytes: state.sieve.bytes,
+    },
   };
   work.effects.push({ kind: 'question', report });
 };
--- a/packages/lathe/src/request-rules.ts
+++ b/packages/lathe/src/request-rules.ts
@@ -1,4 +1,7 @@
-/** Rules that hold for one request by its route and its answer alone: what is refused, kept, joined, or taken for sound. Pure functions. */
+/**
+ * Rules that hold for one request by its route and its answer alone: what is refused, kept, joined,
+ * or taken for sound. Pure functions.
+ */
 import { Limits, Weights } from '@reedyard/gauge';
 import type { Copy } from '@reedyard/sieve';
 import { Routes } from '@reedyard/stencil';
@@ -14,53 +17,124 @@
 };
 
 /** Why a request gets nothing by its route, whatever the origins do; null where it may be made. */
-export const refusalOf = (route: Route | undefined, asked: Asked, callers: Policy['callers']): { readonly status: number; readonly title: string; readonly detail: string; readonly more?: Readonly<Record<string, string>> } | null => {
-  if (route === undefined) return { status: 404, title: 'No such place', detail: 'No policy has a route for this host and path.' };
-  if (!(route.methods as readonly string[]).includes(asked.method)) return { status: 405, title: 'Method not allowed', detail: `This route takes ${route.methods.join(', ')}.`, more: { allow: route.methods.join(', ') } };
+export const refusalOf = (
+  route: Route | undefined,
+  asked: Asked,
+  callers: Policy['callers'],
+): {
+  readonly status: number;
+  readonly title: string;
+  readonly detail: string;
+  readonly more?: Readonly<Record<string, string>>;
+} | null => {
+  if (route === undefined)
+    return {
+      status: 404,
+      title: 'No such place',
+      detail: 'No policy has a route for this host and path.',
+    };
+  if (!(route.methods as readonly string[]).includes(asked.method))
+    return {
+      status: 405,
+      title: 'Method not allowed',
+      detail: `This route takes ${route.methods.join(', ')}.`,
+      more: { allow: route.methods.join(', ') },
+    };
   const most = route.limits.bodyBytes ?? CallerBounds.of(callers).bodyBytes;
-  if (asked.bodyBytes > most) return { status: 413, title: 'Body too large', detail: `This route takes bodies of up to ${most} bytes.` };
-  if (route.key === 'required' && !isSafe(route, asked.method) && headerText(asked.headers, 'idempotency-key') === null) return { status: 400, title: 'Key wanted', detail: 'This route takes such a request only with an Idempotency-Key.' };
+  if (asked.bodyBytes > most)
+    return {
+      status: 413,
+      title: 'Body too large',
+      detail: `This route takes bodies of up to ${most} bytes.`,
+    };
+  if (
+    route.key === 'required' &&
+    !isSafe(route, asked.method) &&
+    headerText(asked.headers, 'idempotency-key') === null
+  )
+    return {
+      status: 400,
+      title: 'Key wanted',
+      detail: 'This route takes such a request only with an Idempotency-Key.',
+    };
   return null;
 };
 
-export const keeps = (route: Route, method: string): boolean => route.cache.keep !== 'never' && (method === 'GET' || method === 'HEAD');
+export const keeps = (route: Route, method: string): boolean =>
+  route.cache.keep !== 'never' && (method === 'GET' || method === 'HEAD');
 
 export const keepsAlways = (route: Route): boolean => route.cache.keep === 'always';
 
 export const joins = (transaction: Transaction): boolean =>
-  transaction.asked.method === 'GET' && keeps(transaction.route, 'GET') && (keepsAlways(transaction.route) || headerText(transaction.asked.headers, 'authorization') === null);
+  transaction.asked.method === 'GET' &&
+  keeps(transaction.route, 'GET') &&
+  (keepsAlways(transaction.route) ||
+    headerText(transaction.asked.headers, 'authorization') === null);
 
-/** Until when a request is worth serving: its route's limit, or less where its caller waits less. */
+/**
+ * Until when a request is worth serving: its route's limit, or less where its caller waits less.
+ */
 export const limitOf = (route: Route, asked: Asked, arrivedAt: number): number =>
-  arrivedAt + Math.min(route.limits.transactionMs ?? Limits.transaction, asked.deadlineMs ?? Infinity);
+  arrivedAt +
+  Math.min(route.limits.transactionMs ?? Limits.transaction, asked.deadlineMs ?? Infinity);
 
-/** ms that a request may wait for its turn: a refusal must leave time for another try within its target. */
+/**
+ * ms that a request may wait for its turn: a refusal must leave time for another try within its
+ * target.
+ */
 export const holdingOf = (transaction: Transaction): number =>
   Math.min(Limits.holding, (transaction.route.targetMs ?? Infinity) * Weights.holdingShare);
 
 /** ms. Until when a route lets a copy live here, whatever its origin allows. */
 export const lifeEnd = (route: Route | undefined, state: LatheState, copy: Copy): number =>
-  route === undefined || !Routes.allows(route, copy.service) || !keeps(route, 'GET') || !atHome(route.homes, state.self.region) ? 0
-    : route.cache.mostSeconds === undefined ? Infinity : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
+  route === undefined ||
+  !Routes.allows(route, copy.service) ||
+  !keeps(route, 'GET') ||
+  !atHome(route.homes, state.self.region)
+    ? 0
+    : route.cache.mostSeconds === undefined
+      ? Infinity
+      : copy.takenAt + (route.cache.mostSeconds - copy.bornAge) * 1_000;
 
-/** The service that an attempt went to: the request's own may have been drawn anew since, under a newer policy. */
+/**
+ * The service that an attempt went to: the request's own may have been drawn anew since, under a
+ * newer policy.
+ */
 export const serviceOf = (leg: Leg): string => leg.to.id.slice(0, leg.to.id.indexOf('/'));
 
 /** Why an answer can't be passed on, or null if it is sound. */
-export const unsound = (transaction: Transaction, number: number, answer: LegAnswer, routes: RouteTable): string | null => {
+export const unsound = (
+  transaction: Transaction,
+  number: number,
+  answer: LegAnswer,
+  routes: RouteTable,
+): string | null => {
   const leg = transaction.legs[number];
   if (leg === undefined) return 'unknown leg';
   if (answer.proof !== undefined) return answer.proof.unsound;
-  if (headerText(answer.headers, 'reedyard-leg') !== `${transaction.token}-${number}`) return 'foreign';
+  if (headerText(answer.headers, 'reedyard-leg') !== `${transaction.token}-${number}`)
+    return 'foreign';
   const stamp = headerText(answer.headers, 'reedyard-stamp');
   if (leg.to.kind === 'origin') return stamp === leg.to.id ? null : 'stamp';
   const notServed = answer.status >= 400 && headerText(answer.headers, 'reedyard-outcome') !== null;
   const madeBy = headerText(answer.headers, 'reedyard-service');
   // The partner may have served under a newer policy than the one that the leg was made under.
   const newer = Routes.find(routes, transaction.asked.host, transaction.asked.target);
-  const services = [...Routes.services(transaction.route), ...(newer === undefined ? [] : Routes.services(newer))];
-  return notServed || services.some(({ service }) => madeBy === service || stamp?.startsWith(`${service}/`) === true) ? null : 'stamp';
+  const services = [
+    ...Routes.services(transaction.route),
+    ...(newer === undefined ? [] : Routes.services(newer)),
+  ];
+  return notServed ||
+    services.some(({ service }) => madeBy === service || stamp?.startsWith(`${service}/`) === true)
+    ? null
+    : 'stamp';
 };
 
-/** An origin's own word, under a dialect that tells what did not run by a field: its 502 or 504 is its answer and is passed on. */
-export const passedOn = (answer: LegAnswer): boolean => answer.proof !== undefined && !answer.proof.notRun && (answer.status === 502 || answer.status === 504);
+/**
+ * An origin's own word, under a dialect that tells what did not run by a field: its 502 or 504 is
+ * its answer and is passed on.
+ */
+export const passedOn = (answer: LegAnswer): boolean =>
+  answer.proof !== undefined &&
+  !answer.proof.notRun &&
+  (answer.status === 502 || answer.status === 504);
--- a/packages/lathe/src/run.ts
+++ b/packages/lathe/src/run.ts
@@ -27,15 +27,26 @@
 const PEER_HEAD_BYTES = 8 * 1024;
 
 /** A whole number in a field, or null. */
-const countOf = (field: string | string[] | undefined): number | null => (typeof field === 'string' && /^\d{1,4}$/.test(field) ? Number(field) : null);
+const countOf = (field: string | string[] | undefined): number | null =>
+  typeof field === 'string' && /^\d{1,4}$/.test(field) ? Number(field) : null;
 
 /** What the shell keeps of a caller's request; the core knows it by its number alone. */
-type Open = { readonly request: http.IncomingMessage; readonly response: http.ServerResponse; readonly body: Buffer; readonly asked: Asked; readonly mark: string | null; readonly turn: CallerTurn };
+type Open = {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly body: Buffer;
+  readonly asked: Asked;
+  readonly mark: string | null;
+  readonly turn: CallerTurn;
+};
 
 export type LatheSettings = Settings & { readonly lathe: NonNullable<Settings['lathe']> };
 
 /** What a lathe needs of its surroundings: who answers for its jig, and where its log goes. */
-export type Around = { readonly scribe: Scribe; readonly askJig: (body: LatheCall, limitMs?: number) => Promise<unknown> };
+export type Around = {
+  readonly scribe: Scribe;
+  readonly askJig: (body: LatheCall, limitMs?: number) => Promise<unknown>;
+};
 
 /** A lathe without its ports: what takes requests, and what it is doing. */
 export type Opened = {
@@ -51,12 +62,17 @@
 };
 
 /**
- * Opens a lathe: its task and shell, which callers and peers reach through the servers that it makes.
+ * Opens a lathe: its task and shell, which callers and peers reach through the servers that it
+ * makes.
  *
  * @example
  * const lathe = openLathe(settings, ownDialect, { scribe, askJig: (body) => call('127.0.0.1:7002', '/feed', body) });
  */
-export const openLathe = (settings: LatheSettings, dialect: Dialect, { scribe, askJig }: Around): Opened => {
+export const openLathe = (
+  settings: LatheSettings,
+  dialect: Dialect,
+  { scribe, askJig }: Around,
+): Opened => {
   let ended = false;
   const via = `1.1 ${settings.name} (reedyard)`;
   const opened = new Map<number, Open>();
@@ -77,7 +93,9 @@
     if (!fromPeer) return bounds;
     return { ...CallerBounds.of(undefined), headBytes: bounds.headBytes + PEER_HEAD_BYTES };
   };
-  /** Puts the bounds of the config in force to work; they hold for the connections that are there. */
+  /**
+   * Puts the bounds of the config in force to work; they hold for the connections that are there.
+   */
   const applyBounds = (): void => {
     const callers = task.peek().policy?.document.callers;
     if (callers === boundsOf) return;
@@ -87,18 +105,40 @@
 
   const outgoing = (one: Open, effect: Extract<LatheEffect, { kind: 'open' }>): Outgoing => {
     const headers = passable(one.request.headers);
-    if (effect.keep) for (const name of ['range', 'if-range', 'if-none-match', 'if-modified-since']) delete headers[name];
+    if (effect.keep)
+      for (const name of ['range', 'if-range', 'if-none-match', 'if-modified-since'])
+        delete headers[name];
     if (effect.keep) headers['accept-encoding'] = 'identity';
     const forwardedFor = one.request.headers['x-forwarded-for'];
     const caller = one.request.socket.remoteAddress ?? '';
-    headers['x-forwarded-for'] = one.asked.via !== null && typeof forwardedFor === 'string' ? forwardedFor : [forwardedFor, caller].flat().filter((part) => part !== undefined).join(', ');
+    headers['x-forwarded-for'] =
+      one.asked.via !== null && typeof forwardedFor === 'string'
+        ? forwardedFor
+        : [forwardedFor, caller]
+            .flat()
+            .filter((part) => part !== undefined)
+            .join(', ');
     headers.via = [one.request.headers.via, via].filter((part) => part !== undefined).join(', ');
     headers.host = one.asked.host;
     Object.assign(headers, dialect.left(effect.limitMs));
-    if (effect.to.kind === 'partner') Object.assign(headers, { 'reedyard-leg': effect.mark, 'reedyard-via': settings.name, ...(Number.isFinite(effect.attempts) ? { 'reedyard-attempts': String(effect.attempts) } : {}) });
+    if (effect.to.kind === 'partner')
+      Object.assign(headers, {
+        'reedyard-leg': effect.mark,
+        'reedyard-via': settings.name,
+        ...(Number.isFinite(effect.attempts)
+          ? { 'reedyard-attempts': String(effect.attempts) }
+          : {}),
+      });
     delete headers['content-length'];
-    if (one.body.length > 0 || !['GET', 'HEAD', 'OPTIONS'].includes(one.asked.method)) headers['content-length'] = String(one.body.length);
-    return { method: one.asked.method, path: one.asked.target, headers, body: one.body, safe: effect.safe };
+    if (one.body.length > 0 || !['GET', 'HEAD', 'OPTIONS'].includes(one.asked.method))
+      headers['content-length'] = String(one.body.length);
+    return {
+      method: one.asked.method,
+      path: one.asked.target,
+      headers,
+      body: one.body,
+      safe: effect.safe,
+    };
   };
 
   const write = (id: number, { response, asked, turn, mark }: Open, answer: Answer): void => {
@@ -115,7 +155,11 @@
   };
 
   /** What a trial wants to know of each move; nothing unless the settings ask for it. */
-  const trace = settings.lathe.trace === true ? (event: string, fields: Readonly<Record<string, string | number>>): void => scribe.info(event, fields) : null;
+  const trace =
+    settings.lathe.trace === true
+      ? (event: string, fields: Readonly<Record<string, string | number>>): void =>
+          scribe.info(event, fields)
+      : null;
   const perform = (effect: LatheEffect, put: (event: LatheEvent) => boolean): void => {
     switch (effect.kind) {
       case 'open': {
@@ -130,7 +174,14 @@
         };
         const fail = (error: LegError): void => {
           attempts.delete(name);
-          put({ kind: 'failed', id: effect.id, leg: effect.leg, sent: error.sent, why: error.why, now: now() });
+          put({
+            kind: 'failed',
+            id: effect.id,
+            leg: effect.leg,
+            sent: error.sent,
+            why: error.why,
+            now: now(),
+          });
         };
         const out = outgoing(one, effect);
         // A second attempt of what may not run twice goes where no answer to the first can come.
@@ -140,42 +191,86 @@
           attempts.set(name, conns.sendToPeer(effect.to.row, out, terms, { done, fail }));
           return;
         }
-        const attempt = { origin: effect.to.row, mark: effect.mark, leftMs: effect.limitMs, headers: one.request.headers };
+        const attempt = {
+          origin: effect.to.row,
+          mark: effect.mark,
+          leftMs: effect.limitMs,
+          headers: one.request.headers,
+        };
         Object.assign(out.headers, dialect.toOrigin(attempt));
         attempts.set(name, conns.send(effect.to.row, out, attempt, terms, { done, fail }));
         return;
       }
-      case 'abort': { const name = `${effect.id}/${effect.leg}`; attempts.get(name)?.abort(); attempts.delete(name); return; }
+      case 'abort': {
+        const name = `${effect.id}/${effect.leg}`;
+        attempts.get(name)?.abort();
+        attempts.delete(name);
+        return;
+      }
       case 'answer': {
         const one = opened.get(effect.id);
-        if (effect.answer.body.kind === 'copy') trace?.('trace.copy', { serial: task.peek().policy?.serial ?? 0 });
+        if (effect.answer.body.kind === 'copy')
+          trace?.('trace.copy', { serial: task.peek().policy?.serial ?? 0 });
         if (one !== undefined) write(effect.id, one, effect.answer);
         opened.delete(effect.id);
         return;
       }
-      case 'closed': opened.delete(effect.id); return;
+      case 'closed':
+        opened.delete(effect.id);
+        return;
       case 'ask':
         askJig(effect.call, Limits.proposal + Limits.call).then(
-          (reply) => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: reply as ClaimReply, now: now() }); },
-          () => { if (effect.call.kind === 'claim') put({ kind: 'claimed', id: effect.id, reply: { kind: 'unreached' }, now: now() }); });
+          (reply) => {
+            if (effect.call.kind === 'claim')
+              put({ kind: 'claimed', id: effect.id, reply: reply as ClaimReply, now: now() });
+          },
+          () => {
+            if (effect.call.kind === 'claim')
+              put({ kind: 'claimed', id: effect.id, reply: { kind: 'unreached' }, now: now() });
+          },
+        );
         return;
       case 'question': {
         const askedAt = now();
-        askJig({ kind: 'feed', report: effect.report, held: Feeds.holding(held) }).then(
-          (reply) => {
-            held = Feeds.merge(held, reply as FeedTold);
-            const { feed } = held;
-            put({ kind: 'fed', feed, askedAt, now: now() });
-            conns.keepOnly(new Set([...feed.origins.map(originName), ...feed.partners.map(peerName)]));
-          },
-          () => undefined).finally(() => { if (!ended) setTimeout(() => put({ kind: 'ask', now: now() }), now() < task.peek().lease ? Beats.feed : Beats.lapsed); });
+        askJig({ kind: 'feed', report: effect.report, held: Feeds.holding(held) })
+          .then(
+            (reply) => {
+              held = Feeds.merge(held, reply as FeedTold);
+              const { feed } = held;
+              put({ kind: 'fed', feed, askedAt, now: now() });
+              conns.keepOnly(
+                new Set([...feed.origins.map(originName), ...feed.partners.map(peerName)]),
+              );
+            },
+            () => undefined,
+          )
+          .finally(() => {
+            if (!ended)
+              setTimeout(
+                () => put({ kind: 'ask', now: now() }),
+                now() < task.peek().lease ? Beats.feed : Beats.lapsed,
+              );
+          });
         return;
       }
-      case 'log': scribe.info(effect.event, effect.fields); return;
+      case 'log':
+        scribe.info(effect.event, effect.fields);
+        return;
     }
   };
   const task = Task.run<LatheState, LatheEvent, LatheEffect>({
-    initial: Lathe.open({ id: settings.name, hall: settings.hall, region: settings.region, capacityBps: settings.lathe.capacityBps, life: randomUUID() }, now()), reduce: Lathe.reduce, perform,
+    initial: Lathe.open(
+      {
+        id: settings.name,
+        hall: settings.hall,
+        region: settings.region,
+        capacityBps: settings.lathe.capacityBps,
+        life: randomUUID(),
+      },
+      now(),
+    ),
+    reduce: Lathe.reduce,
+    perform,
   });
 
   let beating: NodeJS.Timeout | undefined;
@@ -188,89 +283,181 @@
     }, ms);
   };
 
-  const refuse = (response: http.ServerResponse, turn: CallerTurn | null, status: number, title: string, detail: string): void => {
+  const refuse = (
+    response: http.ServerResponse,
+    turn: CallerTurn | null,
+    status: number,
+    title: string,
+    detail: string,
+  ): void => {
     const text = JSON.stringify({ type: 'about:blank', title, status, detail, outcome: 'not-run' });
     const close = turn === null || turn.closes(true);
     response.writeHead(status, {
-      'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(text),
-      'reedyard-outcome': 'not-run', ...(close ? { connection: 'close' } : {}),
+      'content-type': 'application/problem+json',
+      'content-length': Buffer.byteLength(text),
+      'reedyard-outcome': 'not-run',
+      ...(close ? { connection: 'close' } : {}),
     });
     response.end(text);
   };
   /** Refuses a request of which nothing was begun, and which perhaps was not read whole. */
-  const refuseUnread = (response: http.ServerResponse, turn: CallerTurn, status: number, title: string, detail: string): void => {
+  const refuseUnread = (
+    response: http.ServerResponse,
+    turn: CallerTurn,
+    status: number,
+    title: string,
+    detail: string,
+  ): void => {
     if (turn.begin(() => undefined)) refuse(response, turn, status, title, detail);
   };
   const wellKnown = (request: http.IncomingMessage, response: http.ServerResponse): boolean => {
     if (request.url !== dialect.readyPath && request.url !== dialect.livePath) return false;
     const good = request.url === dialect.livePath || Lathe.ready(task.peek(), now());
     const text = JSON.stringify({ ready: good });
-    response.writeHead(good ? 200 : 503, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...(good ? {} : { 'retry-after': String(Limits.retryAfterSeconds) }) });
+    response.writeHead(good ? 200 : 503, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...(good ? {} : { 'retry-after': String(Limits.retryAfterSeconds) }),
+    });
     response.end(text);
     return true;
   };
-  const take = (fromPartner: boolean) => (request: http.IncomingMessage, response: http.ServerResponse, turn: CallerTurn): void => {
-    const target = request.url ?? '/';
-    if (!fromPartner && settings.lathe.readyPort === undefined && wellKnown(request, response)) return;
-    const host = request.headers.host ?? '';
-    const path = target.split('?', 1)[0] ?? '/';
-    if (!target.startsWith('/') || host === '' || /\/(?:\.|%2e){1,2}(?:\/|$)/i.test(path)) { refuseUnread(response, turn, 400, 'Bad request', 'A request needs a host and a plain path.'); return; }
-    const { routes, policy } = task.peek();
-    const most = Routes.find(routes, host, target)?.limits.bodyBytes ?? CallerBounds.of(policy?.document.callers).bodyBytes;
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const id = nextId;
-    nextId += 1;
-    const begin = (): void => {
-      const partner = request.headers['reedyard-via'];
-      if (fromPartner) trace?.('trace.relay', { from: String(partner ?? ''), target });
-      const method = request.method ?? 'GET';
-      const digest = fromPartner || request.headers['idempotency-key'] === undefined ? null
-        : createHash('sha256').update(JSON.stringify([method, target])).update(Buffer.concat(chunks)).digest('base64');
-      const asked: Asked = { method, target, host, headers: passable(request.headers), via: fromPartner ? String(partner ?? 'unnamed') : null, bodyBytes: size, digest, deadlineMs: dialect.deadlineMs(request.headers), attempts: fromPartner ? countOf(request.headers['reedyard-attempts']) : null };
-      const mark = request.headers['reedyard-leg'];
-      const left = (): void => {
-        streams.get(id)?.destroy();
-        task.put({ kind: 'left', id, now: now() });
+  const take =
+    (fromPartner: boolean) =>
+    (request: http.IncomingMessage, response: http.ServerResponse, turn: CallerTurn): void => {
+      const target = request.url ?? '/';
+      if (!fromPartner && settings.lathe.readyPort === undefined && wellKnown(request, response))
+        return;
+      const host = request.headers.host ?? '';
+      const path = target.split('?', 1)[0] ?? '/';
+      if (!target.startsWith('/') || host === '' || /\/(?:\.|%2e){1,2}(?:\/|$)/i.test(path)) {
+        refuseUnread(
+          response,
+          turn,
+          400,
+          'Bad request',
+          'A request needs a host and a plain path.',
+        );
+        return;
+      }
+      const { routes, policy } = task.peek();
+      const most =
+        Routes.find(routes, host, target)?.limits.bodyBytes ??
+        CallerBounds.of(policy?.document.callers).bodyBytes;
+      const chunks: Buffer[] = [];
+      let size = 0;
+      const id = nextId;
+      nextId += 1;
+      const begin = (): void => {
+        const partner = request.headers['reedyard-via'];
+        if (fromPartner) trace?.('trace.relay', { from: String(partner ?? ''), target });
+        const method = request.method ?? 'GET';
+        const digest =
+          fromPartner || request.headers['idempotency-key'] === undefined
+            ? null
+            : createHash('sha256')
+                .update(JSON.stringify([method, target]))
+                .update(Buffer.concat(chunks))
+                .digest('base64');
+        const asked: Asked = {
+          method,
+          target,
+          host,
+          headers: passable(request.headers),
+          via: fromPartner ? String(partner ?? 'unnamed') : null,
+          bodyBytes: size,
+          digest,
+          deadlineMs: dialect.deadlineMs(request.headers),
+          attempts: fromPartner ? countOf(request.headers['reedyard-attempts']) : null,
+        };
+        const mark = request.headers['reedyard-leg'];
+        const left = (): void => {
+          streams.get(id)?.destroy();
+          task.put({ kind: 'left', id, now: now() });
+        };
+        if (!turn.begin(left)) return;
+        opened.set(id, {
+          request,
+          response,
+          body: Buffer.concat(chunks),
+          asked,
+          mark: fromPartner && typeof mark === 'string' ? mark : null,
+          turn,
+        });
+        const draws = Array.from({ length: Sizes.draws }, () => Math.random());
+        if (opened.size === 1) {
+          clearTimeout(beating);
+          beatIn(Beats.lathe);
+        }
+        if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) {
+          opened.delete(id);
+          refuse(response, turn, 503, 'Too busy', 'Too many events wait here.');
+        }
       };
-      if (!turn.begin(left)) return;
-      opened.set(id, { request, response, body: Buffer.concat(chunks), asked, mark: fromPartner && typeof mark === 'string' ? mark : null, turn });
-      const draws = Array.from({ length: Sizes.draws }, () => Math.random());
-      if (opened.size === 1) { clearTimeout(beating); beatIn(Beats.lathe); }
-      if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) { opened.delete(id); refuse(response, turn, 503, 'Too busy', 'Too many events wait here.'); }
+      request.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        if (size <= most) {
+          chunks.push(chunk);
+          return;
+        }
+        request.removeAllListeners('data');
+        request.removeAllListeners('end');
+        request.resume();
+        refuseUnread(
+          response,
+          turn,
+          413,
+          'Body too large',
+          `This route takes bodies of up to ${most} bytes.`,
+        );
+      });
+      request.on('end', begin);
+      request.on('error', () => response.destroy());
     };
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= most) { chunks.push(chunk); return; }
-      request.removeAllListeners('data');
-      request.removeAllListeners('end');
-      request.resume();
-      refuseUnread(response, turn, 413, 'Body too large', `This route takes bodies of up to ${most} bytes.`);
+  const serve = (fromPartner: boolean, port: number): Promise<http.Server> =>
+    new Promise((resolve, reject) => {
+      const of = openCallerServer(boundsFor(fromPartner), take(fromPartner));
+      const { server } = of;
+      servers.push({ of, fromPeer: fromPartner });
+      server.once('error', reject);
+      server.listen(port, settings.listen ?? settings.host, () => resolve(server));
+    });
+  const serveReady = (port: number): Promise<http.Server> =>
+    new Promise((resolve, reject) => {
+      const server = http.createServer((request, response) => {
+        if (!wellKnown(request, response))
+          refuse(response, null, 404, 'No such place', 'Only readiness is told here.');
+      });
+      server.once('error', reject);
+      server.listen(port, settings.listen ?? settings.host, () => resolve(server));
     });
-    request.on('end', begin);
-    request.on('error', () => response.destroy());
-  };
-  const serve = (fromPartner: boolean, port: number): Promise<http.Server> => new Promise((resolve, reject) => {
-    const of = openCallerServer(boundsFor(fromPartner), take(fromPartner));
-    const { server } = of;
-    servers.push({ of, fromPeer: fromPartner });
-    server.once('error', reject);
-    server.listen(port, settings.listen ?? settings.host, () => resolve(server));
-  });
-  const serveReady = (port: number): Promise<http.Server> => new Promise((resolve, reject) => {
-    const server = http.createServer((request, response) => { if (!wellKnown(request, response)) refuse(response, null, 404, 'No such place', 'Only readiness is told here.'); });
-    server.once('error', reject);
-    server.listen(port, settings.listen ?? settings.host, () => resolve(server));
-  });
   beatIn(Beats.latheIdle);
-  if (trace !== null) setInterval(() => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }), 1_000);
+  if (trace !== null)
+    setInterval(
+      () => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }),
+      1_000,
+    );
   task.put({ kind: 'ask', now: now() });
   return {
-    task, serve, serveReady,
+    task,
+    serve,
+    serveReady,
     // An answer is under way until the caller's connection has taken all of it.
-    underWay: () => Math.max(opened.size, servers.reduce((sum, { of }) => sum + of.unanswered(), 0)), begun: () => nextId - 1,
-    stop: () => { stopping = true; task.put({ kind: 'stop', now: now() }); },
-    end: () => { ended = true; clearTimeout(beating); conns.keepOnly(new Set()); },
+    underWay: () =>
+      Math.max(
+        opened.size,
+        servers.reduce((sum, { of }) => sum + of.unanswered(), 0),
+      ),
+    begun: () => nextId - 1,
+    stop: () => {
+      stopping = true;
+      task.put({ kind: 'stop', now: now() });
+    },
+    end: () => {
+      ended = true;
+      clearTimeout(beating);
+      conns.keepOnly(new Set());
+    },
   };
 };
 
@@ -280,15 +467,30 @@
  * @example
  * await runLathe(Vise.start('lathe', process.argv.slice(2)));
  */
-export const runLathe = async (settings: LatheSettings, dialect: Dialect = ownDialect): Promise<void> => {
+export const runLathe = async (
+  settings: LatheSettings,
+  dialect: Dialect = ownDialect,
+): Promise<void> => {
   const scribe = openScribe({ program: 'lathe', node: settings.name });
   const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
-  const lathe = openLathe(settings, dialect, { scribe, askJig: (body, limitMs) => call(feedAddress, '/feed', body, limitMs) });
-  const servers = [await lathe.serve(false, settings.lathe.port), await lathe.serve(true, settings.lathe.partnerPort)];
-  if (settings.lathe.readyPort !== undefined) servers.push(await lathe.serveReady(settings.lathe.readyPort));
+  const lathe = openLathe(settings, dialect, {
+    scribe,
+    askJig: (body, limitMs) => call(feedAddress, '/feed', body, limitMs),
+  });
+  const servers = [
+    await lathe.serve(false, settings.lathe.port),
+    await lathe.serve(true, settings.lathe.partnerPort),
+  ];
+  if (settings.lathe.readyPort !== undefined)
+    servers.push(await lathe.serveReady(settings.lathe.readyPort));
   scribe.info('started', { callers: settings.lathe.port, partners: settings.lathe.partnerPort });
   // Beside its start, and only until somebody really asks.
-  void warmUp(dialect, settings, () => lathe.begun() > 0).then(({ played, served }) => { if (played > 0) scribe.info('warmed', { requests: played, served }); }, () => undefined);
+  void warmUp(dialect, settings, () => lathe.begun() > 0).then(
+    ({ played, served }) => {
+      if (played > 0) scribe.info('warmed', { requests: played, served });
+    },
+    () => undefined,
+  );
 
   let warnedAt: number | null = null;
   const leave = (): void => {
@@ -301,7 +503,10 @@
     // Not ready first: callers are still answered until what is under way has ended.
     setInterval(() => {
       if ((lathe.underWay() === 0 && now() > since + graceMs) || now() > since + mostMs) {
-        servers.forEach((server) => { server.close(); server.closeAllConnections(); });
+        servers.forEach((server) => {
+          server.close();
+          server.closeAllConnections();
+        });
         scribe.info('stopped', { cutOff: lathe.underWay() });
         process.exit(0);
       }
--- a/packages/lathe/src/signals.test.ts
+++ b/packages/lathe/src/signals.test.ts
@@ -86,7 +86,11 @@
   revisions: { origins: 1, partners: 1, emptied: 1, split: 1, slices: 1 },
 });
 
-type Running = { readonly child: ChildProcess; readonly port: number; readonly output: () => string };
+type Running = {
+  readonly child: ChildProcess;
+  readonly port: number;
+  readonly output: () => string;
+};
 
 const startProgram = async (t: ExecutionContext, origin: ScriptedOrigin): Promise<Running> => {
   const feed = await serveCalls(
--- a/packages/lathe/src/stamps.test.ts
+++ b/packages/lathe/src/stamps.test.ts
@@ -22,7 +22,13 @@
 const startFleet = async (t: ExecutionContext, script: Script): Promise<Fleet> => {
   const origin = await startScriptedOrigin(script);
   const far = await startHarness({ origins: [originRow(origin.port)] }, 'far');
-  const peer = { id: 'far', hall: 'h', region: 'r', address: `127.0.0.1:${far.peerPort}`, delay: 0 };
+  const peer = {
+    id: 'far',
+    hall: 'h',
+    region: 'r',
+    address: `127.0.0.1:${far.peerPort}`,
+    delay: 0,
+  };
   const split = Object.fromEntries(
     ['read', 'order', 'kept'].map((route) => [`${route} @near`, [['far', 1]]]),
   ) as Harness['feed']['split'];
--- a/packages/lathe/src/state.ts
+++ b/packages/lathe/src/state.ts
@@ -15,20 +15,38 @@
   readonly bodyBytes: number;
   /** Tells apart requests of one key by method, target and body; null without a key. */
   readonly digest: string | null;
-  /** ms that its caller will wait, and origins that it may still be sent to; left out where nobody says. */
+  /**
+   * ms that its caller will wait, and origins that it may still be sent to; left out where nobody
+   * says.
+   */
   readonly deadlineMs?: number | null;
   readonly attempts?: number | null;
 };
 
 /** An answer to a leg, read whole up to Sizes.wholeBody, or still streaming. */
-export type LegAnswer = { readonly status: number; readonly headers: Headers; readonly body: unknown; readonly size: number; readonly whole: boolean; /** What an origin's answer proves, in the dialect that it was spoken to in; left out: by its own fields. */ readonly proof?: Proof };
+export type LegAnswer = {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: unknown;
+  readonly size: number;
+  readonly whole: boolean;
+  /**
+   * What an origin's answer proves, in the dialect that it was spoken to in; left out: by its own
+   * fields.
+   */
+  readonly proof?: Proof;
+};
 
-export type Target = { readonly kind: 'origin'; readonly row: OriginRow } | { readonly kind: 'partner'; readonly row: PartnerRow };
+export type Target =
+  | { readonly kind: 'origin'; readonly row: OriginRow }
+  | { readonly kind: 'partner'; readonly row: PartnerRow };
 
 export type Transaction = {
   readonly id: number;
   readonly asked: Asked;
-  /** The route under the policy with this serial; looked up again at each move under a newer one. */
+  /**
+   * The route under the policy with this serial; looked up again at each move under a newer one.
+   */
   readonly route: Route;
   readonly serial: number;
   /** The service drawn from the route's. */
@@ -52,7 +70,11 @@
 };
 
 /** One fetch that several transactions wait for. */
-export type Fetch = { readonly leader: number; readonly waiters: readonly number[]; readonly closed: boolean };
+export type Fetch = {
+  readonly leader: number;
+  readonly waiters: readonly number[];
+  readonly closed: boolean;
+};
 
 /** What was met at an origin lately. */
 export type Standing = {
@@ -68,7 +90,13 @@
 export type Bucket = { readonly tokens: number; readonly at: number; readonly rate: number };
 
 export type LatheState = {
-  readonly self: { readonly id: string; readonly hall: string; readonly region: string; readonly capacityBps: number; readonly life: string };
+  readonly self: {
+    readonly id: string;
+    readonly hall: string;
+    readonly region: string;
+    readonly capacityBps: number;
+    readonly life: string;
+  };
   readonly now: number;
   readonly lease: number;
   readonly life: string;
@@ -86,7 +114,9 @@
   readonly abroad: boolean;
   readonly transactions: Readonly<Record<number, Transaction>>;
   readonly fetches: Readonly<Record<string, Fetch>>;
-  /** Objects lately found not to be keepable: their requests are not made to wait for each other. */
+  /**
+   * Objects lately found not to be keepable: their requests are not made to wait for each other.
+   */
   readonly unkept: Readonly<Record<string, number>>;
   readonly buckets: Readonly<Record<string, Bucket>>;
   /** Repeats saved, by service. */
@@ -100,8 +130,12 @@
   readonly stoppingAt: number | null;
   readonly counters: Readonly<Record<string, number>>;
   readonly period: {
-    readonly since: number; readonly bits: Readonly<Record<string, number>>; readonly servedBits: number; readonly replies: number;
-    readonly legMs: number; readonly fetched: number;
+    readonly since: number;
+    readonly bits: Readonly<Record<string, number>>;
+    readonly servedBits: number;
+    readonly replies: number;
+    readonly legMs: number;
+    readonly fetched: number;
   };
   /** Legs a second that were wanted lately, and those counted since. */
   readonly wants: Readonly<Record<string, number>>;
@@ -109,10 +143,35 @@
 };
 
 export type LatheEvent =
-  | { readonly kind: 'arrived'; readonly id: number; readonly asked: Asked; readonly draws: readonly number[]; readonly token: string; readonly now: number }
-  | { readonly kind: 'answered'; readonly id: number; readonly leg: number; readonly answer: LegAnswer; readonly now: number }
-  | { readonly kind: 'failed'; readonly id: number; readonly leg: number; readonly sent: Sent; readonly why: string; readonly now: number }
-  | { readonly kind: 'claimed'; readonly id: number; readonly reply: ClaimReply; readonly now: number }
+  | {
+      readonly kind: 'arrived';
+      readonly id: number;
+      readonly asked: Asked;
+      readonly draws: readonly number[];
+      readonly token: string;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'answered';
+      readonly id: number;
+      readonly leg: number;
+      readonly answer: LegAnswer;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly id: number;
+      readonly leg: number;
+      readonly sent: Sent;
+      readonly why: string;
+      readonly now: number;
+    }
+  | {
+      readonly kind: 'claimed';
+      readonly id: number;
+      readonly reply: ClaimReply;
+      readonly now: number;
+    }
   | { readonly kind: 'left'; readonly id: number; readonly now: number }
   | { readonly kind: 'fed'; readonly feed: Feed; readonly askedAt: number; readonly now: number }
   | { readonly kind: 'ask'; readonly now: number }
@@ -125,35 +184,73 @@
   /** ms after which to come again; left out where the answer is not the lathe's own. */
   readonly retryMs?: number;
   readonly body:
-    | { readonly kind: 'problem'; readonly title: string; readonly detail: string; readonly outcome: string }
+    | {
+        readonly kind: 'problem';
+        readonly title: string;
+        readonly detail: string;
+        readonly outcome: string;
+      }
     | { readonly kind: 'copy'; readonly copy: Copy }
     | { readonly kind: 'leg'; readonly answer: LegAnswer };
 };
 
 export type LatheEffect =
-  | { readonly kind: 'open'; readonly id: number; readonly leg: number; readonly to: Target; readonly asked: Asked; readonly mark: string; readonly limitMs: number; readonly keep: boolean; readonly safe: boolean; /** Origins that it may be sent to through this attempt; Infinity without a bound. */ readonly attempts: number;
-    /** Nothing of the request is sent after this moment: what the leg was decided on is old then. */
-    readonly sendBy: number }
+  | {
+      readonly kind: 'open';
+      readonly id: number;
+      readonly leg: number;
+      readonly to: Target;
+      readonly asked: Asked;
+      readonly mark: string;
+      readonly limitMs: number;
+      readonly keep: boolean;
+      readonly safe: boolean;
+      /** Origins that it may be sent to through this attempt; Infinity without a bound. */
+      readonly attempts: number;
+      /**
+       * Nothing of the request is sent after this moment: what the leg was decided on is old then.
+       */
+      readonly sendBy: number;
+    }
   | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
   | { readonly kind: 'answer'; readonly id: number; readonly answer: Answer }
   /** A transaction is over: nothing more will be said of it. */
   | { readonly kind: 'closed'; readonly id: number }
   | { readonly kind: 'ask'; readonly id: number; readonly call: LatheCall }
   | { readonly kind: 'question'; readonly report: Report }
-  | { readonly kind: 'log'; readonly event: string; readonly fields: Readonly<Record<string, string | number | boolean>> };
+  | {
+      readonly kind: 'log';
+      readonly event: string;
+      readonly fields: Readonly<Record<string, string | number | boolean>>;
+    };
 
 export type Work = { state: LatheState; readonly effects: LatheEffect[] };
-export const set = (work: Work, change: Partial<LatheState>): void => { work.state = { ...work.state, ...change }; };
+export const set = (work: Work, change: Partial<LatheState>): void => {
+  work.state = { ...work.state, ...change };
+};
 export const count = (work: Work, ...names: readonly string[]): void => {
-  set(work, { counters: names.reduce((all, name) => ({ ...all, [name]: (all[name] ?? 0) + 1 }), work.state.counters) });
+  set(work, {
+    counters: names.reduce(
+      (all, name) => ({ ...all, [name]: (all[name] ?? 0) + 1 }),
+      work.state.counters,
+    ),
+  });
 };
-export const change = (work: Work, id: number, part: Partial<Transaction>): Transaction | undefined => {
+export const change = (
+  work: Work,
+  id: number,
+  part: Partial<Transaction>,
+): Transaction | undefined => {
   const old = work.state.transactions[id];
   if (old === undefined) return undefined;
   const next = { ...old, ...part };
   set(work, { transactions: { ...work.state.transactions, [id]: next } });
   return next;
 };
-export const log = (work: Work, event: string, fields: Readonly<Record<string, string | number | boolean>>): void => {
+export const log = (
+  work: Work,
+  event: string,
+  fields: Readonly<Record<string, string | number | boolean>>,
+): void => {
   work.effects.push({ kind: 'log', event, fields });
 };
--- a/packages/lathe/src/testing/caller-world.ts
+++ b/packages/lathe/src/testing/caller-world.ts
@@ -1,8 +1,8 @@
 /**
  * A small world around the reducer of a caller's connection, for a search through all its orders of
- * events: pipelined requests that come whole or not, answers that are ready in any order, bytes that
- * are no request, and a caller who leaves. The HTTP parser is modelled as it is: answers leave in
- * the order of their requests, and nothing follows one that closes the connection.
+ * events: pipelined requests that come whole or not, answers that are ready in any order, bytes
+ * that are no request, and a caller who leaves. The HTTP parser is modelled as it is: answers leave
+ * in the order of their requests, and nothing follows one that closes the connection.
  */
 import {
   CallerConnections,
@@ -60,7 +60,9 @@
 
 const withRequest = (world: World, number: number, part: Partial<Request>): World => ({
   ...world,
-  requests: world.requests.map((each, index) => (index === number - 1 ? { ...each, ...part } : each)),
+  requests: world.requests.map((each, index) =>
+    index === number - 1 ? { ...each, ...part } : each,
+  ),
 });
 
 const begin = (world: World, number: number): World => {
@@ -90,7 +92,10 @@
     case 'refuse':
       return refuse(world);
     case 'left':
-      return effect.numbers.reduce((now, number) => withRequest(now, number, { left: true }), world);
+      return effect.numbers.reduce(
+        (now, number) => withRequest(now, number, { left: true }),
+        world,
+      );
   }
 };
 
@@ -135,7 +140,9 @@
   const last = requests.at(-1);
   const whole = last === undefined || last.read;
   if (!unreadable && whole && requests.length < MOST_REQUESTS) {
-    found.push(dispatch({ ...world, requests: [...requests, unread] }, reduce, { kind: 'head-read' }));
+    found.push(
+      dispatch({ ...world, requests: [...requests, unread] }, reduce, { kind: 'head-read' }),
+    );
   }
   if (!unreadable && !whole) {
     const number = requests.length;
--- a/packages/lathe/src/testing/connection-world.ts
+++ b/packages/lathe/src/testing/connection-world.ts
@@ -123,7 +123,8 @@
   reading: Reading,
 ): World => {
   const { attempt, unsound } = effect;
-  if (unsound !== null) return endAttempt(world, attempt, { kind: 'failed', sent: 'maybe', why: unsound });
+  if (unsound !== null)
+    return endAttempt(world, attempt, { kind: 'failed', sent: 'maybe', why: unsound });
   if (reading === null || (reading.kind !== 'answer' && reading.kind !== 'cut-answer')) {
     return breakWith(world, 'delivered without an answer');
   }
@@ -144,12 +145,7 @@
   return endAttempt(checked, attempt, { kind: 'failed', sent, why });
 };
 
-const perform = (
-  world: World,
-  wire: number,
-  effect: ConnectionEffect,
-  reading: Reading,
-): World => {
+const perform = (world: World, wire: number, effect: ConnectionEffect, reading: Reading): World => {
   switch (effect.kind) {
     case 'deliver':
       return delivered(world, effect, reading);
@@ -189,7 +185,9 @@
 const checkForgotten = (world: World, wire: number): World => {
   const { state, carried = [] } = world.wires[wire] ?? {};
   const forgotten = carried.some((attempt) => world.attempts[attempt]?.end === null);
-  return state?.carried === null && forgotten ? breakWith(world, 'an attempt was forgotten') : world;
+  return state?.carried === null && forgotten
+    ? breakWith(world, 'an attempt was forgotten')
+    : world;
 };
 
 const legsOf = (world: World, request: number): readonly Leg[] =>
@@ -406,9 +404,16 @@
   let now = dispatch(world, options, wire, head, item).world;
   const whole = item.kind === 'answer';
   if (whole || item.streamed) {
-    const answered = whole && world.attempts[item.attempt]?.request === world.attempts[attempt]?.request;
+    const answered =
+      whole && world.attempts[item.attempt]?.request === world.attempts[attempt]?.request;
     now = { ...now, attempts: withAt(now.attempts, attempt, { answered }) };
-    now = dispatch(now, options, wire, { kind: 'answer-ready', attempt, whole, now: 0 }, item).world;
+    now = dispatch(
+      now,
+      options,
+      wire,
+      { kind: 'answer-ready', attempt, whole, now: 0 },
+      item,
+    ).world;
   }
   if (whole) return now;
   const { effects, world: after } = dispatch(
@@ -433,7 +438,11 @@
   const awaited = wire.state.phase === 'busy' && carried !== null && carried.sent !== 'nothing';
   switch (item.kind) {
     case 'fin':
-      return taint(dispatch(rest, options, index, { kind: 'half-closed' }).world, index, 'half-closed');
+      return taint(
+        dispatch(rest, options, index, { kind: 'half-closed' }).world,
+        index,
+        'half-closed',
+      );
     case 'reset':
       return taint(dispatch(rest, options, index, { kind: 'closed' }).world, index, 'reset');
     case 'garbage': {
--- a/packages/lathe/src/warm.test.ts
+++ b/packages/lathe/src/warm.test.ts
@@ -5,14 +5,35 @@
 import type { LatheSettings } from './run.js';
 import { warmUp } from './warm.js';
 
-const settings = Vise.check({
-  name: 'a', host: '127.0.0.1', hall: 'h', region: 'r', seeds: ['127.0.0.1:1'], founders: { c: '127.0.0.1:2' }, jig: { port: 0, apiPort: 0, feedPort: 0 }, lathe: { port: 0, partnerPort: 0, capacityBps: 1e8 },
-}, 'test') as LatheSettings;
+const settings = Vise.check(
+  {
+    name: 'a',
+    host: '127.0.0.1',
+    hall: 'h',
+    region: 'r',
+    seeds: ['127.0.0.1:1'],
+    founders: { c: '127.0.0.1:2' },
+    jig: { port: 0, apiPort: 0, feedPort: 0 },
+    lathe: { port: 0, partnerPort: 0, capacityBps: 1e8 },
+  },
+  'test',
+) as LatheSettings;
 /** A dialect in which an answer is sound once it carries the request's own number. */
 const numbered: Dialect = {
-  ...ownDialect, identity: 'named', toOrigin: () => ({}),
-  fromOrigin: (_status, headers, { headers: asked }) => ({ unsound: headers.number === asked.number ? null : 'foreign', notRun: false, misdirected: false, load: null, coldMs: null }),
-  sample: { asked: (number) => ({ number: String(number) }), answered: (asked) => ({ number: String(asked.number) }) },
+  ...ownDialect,
+  identity: 'named',
+  toOrigin: () => ({}),
+  fromOrigin: (_status, headers, { headers: asked }) => ({
+    unsound: headers.number === asked.number ? null : 'foreign',
+    notRun: false,
+    misdirected: false,
+    load: null,
+    coldMs: null,
+  }),
+  sample: {
+    asked: (number) => ({ number: String(number) }),
+    answered: (asked) => ({ number: String(asked.number) }),
+  },
 };
 
 test('warming up serves what it plays, ends once callers come, and is not done where the dialect has no sample', async (t) => {
@@ -20,7 +41,10 @@
   t.true(whole.played > 0 && whole.played <= Sizes.warmRequests + Sizes.warmAtOnce);
   t.is(whole.served, whole.played);
   let asked = 0;
-  const cut = await warmUp(numbered, settings, () => { asked += 1; return asked > 10; });
+  const cut = await warmUp(numbered, settings, () => {
+    asked += 1;
+    return asked > 10;
+  });
   t.true(cut.played <= 10 && cut.served === cut.played);
   t.deepEqual(await warmUp(ownDialect, settings, () => false), { played: 0, served: 0 });
 });
--- a/packages/lathe/src/warm.ts
+++ b/packages/lathe/src/warm.ts
@@ -13,15 +13,50 @@
 const places = ['/kept/', '/read/', '/order/'] as const;
 
 const route = (path: string, more: object): Policy['routes'][number] =>
-  ({ name: path, host: name, path, service: name, methods: ['GET', 'POST'], cache: { keep: 'never' }, limits: {}, tagsHeader: 'tags', ...more }) as Policy['routes'][number];
+  ({
+    name: path,
+    host: name,
+    path,
+    service: name,
+    methods: ['GET', 'POST'],
+    cache: { keep: 'never' },
+    limits: {},
+    tagsHeader: 'tags',
+    ...more,
+  }) as Policy['routes'][number];
 const policy: Policy = {
   services: { [name]: {} },
-  routes: [route('/kept/', { repeat: 'safe', cache: { keep: 'always', mostSeconds: 1 } }), route('/read/', { repeat: 'safe' }), route('/order/', { repeat: 'never' })],
+  routes: [
+    route('/kept/', { repeat: 'safe', cache: { keep: 'always', mostSeconds: 1 } }),
+    route('/read/', { repeat: 'safe' }),
+    route('/order/', { repeat: 'never' }),
+  ],
 };
 
 const feedOf = (origin: number, peers: number): Feed => ({
-  leaseMs: Limits.lease, life: name, flushes: 0, policy: { serial: 1, document: policy }, policySerial: 1, emptied: [], slices: { [name]: Infinity }, seated: true, purges: [], purgeSeq: 0,
-  origins: [0, 1].map((which) => ({ service: name, instance: `${name}-${which}`, incarnation: 0, address: `${host}:${origin}`, hall: name, region: name, capacity: 64, slots: 64, conns: 64, cold: false, rate: Infinity })),
+  leaseMs: Limits.lease,
+  life: name,
+  flushes: 0,
+  policy: { serial: 1, document: policy },
+  policySerial: 1,
+  emptied: [],
+  slices: { [name]: Infinity },
+  seated: true,
+  purges: [],
+  purgeSeq: 0,
+  origins: [0, 1].map((which) => ({
+    service: name,
+    instance: `${name}-${which}`,
+    incarnation: 0,
+    address: `${host}:${origin}`,
+    hall: name,
+    region: name,
+    capacity: 64,
+    slots: 64,
+    conns: 64,
+    cold: false,
+    rate: Infinity,
+  })),
   partners: [{ id: 'peer', hall: name, region: name, address: `${host}:${peers}`, delay: 0.001 }],
   split: { '/kept/ @peer': [['peer', 1]], [`/kept/ @${name}`]: [[name, 1]] },
 });
@@ -29,51 +64,112 @@
 const portOf = (server: http.Server): number => (server.address() as AddressInfo).port;
 
 /**
- * Plays some hundred requests through a second lathe in this process, with an origin and a peer on the loopback, so
- * that the code which serves callers is compiled before they come: the first seconds after a start are otherwise
- * several times as dear as later ones. Ends early once `until` says so. Gives how many requests it played, and how many of them were served.
+ * Plays some hundred requests through a second lathe in this process, with an origin and a peer on
+ * the loopback, so that the code which serves callers is compiled before they come: the first
+ * seconds after a start are otherwise several times as dear as later ones. Ends early once `until`
+ * says so. Gives how many requests it played, and how many of them were served.
  *
  * @example
  * await warmUp(dialect, settings, () => callersCame);
  */
-export const warmUp = async (dialect: Dialect, settings: LatheSettings, until: () => boolean): Promise<{ readonly played: number; readonly served: number }> => {
+export const warmUp = async (
+  dialect: Dialect,
+  settings: LatheSettings,
+  until: () => boolean,
+): Promise<{ readonly played: number; readonly served: number }> => {
   const { sample } = dialect;
   if (sample === undefined) return { played: 0, served: 0 };
   const body = Buffer.alloc(Sizes.warmBody, 'x');
   const origin = http.createServer((request, response) => {
     request.resume();
-    request.on('end', () => { response.writeHead(200, { ...sample.answered(request.headers), 'content-length': String(body.length) }); response.end(body); });
+    request.on('end', () => {
+      response.writeHead(200, {
+        ...sample.answered(request.headers),
+        'content-length': String(body.length),
+      });
+      response.end(body);
+    });
+  });
+  await new Promise<void>((resolve, reject) => {
+    origin.once('error', reject);
+    origin.listen(0, host, resolve);
   });
-  await new Promise<void>((resolve, reject) => { origin.once('error', reject); origin.listen(0, host, resolve); });
   const originPort = portOf(origin);
   let peers = 0;
-  const lathe = openLathe({ ...settings, name, host, hall: name, region: name, lathe: { port: 0, partnerPort: 0, capacityBps: settings.lathe.capacityBps, readyPort: 0 } }, dialect, {
-    scribe: quiet,
-    askJig: (asked: LatheCall) => Promise.resolve(asked.kind === 'feed' ? { ...feedOf(originPort, peers), revisions: { origins: 1, partners: 1, emptied: 1, split: 1, slices: 1 } } : { kind: 'granted' }),
-  });
+  const lathe = openLathe(
+    {
+      ...settings,
+      name,
+      host,
+      hall: name,
+      region: name,
+      lathe: { port: 0, partnerPort: 0, capacityBps: settings.lathe.capacityBps, readyPort: 0 },
+    },
+    dialect,
+    {
+      scribe: quiet,
+      askJig: (asked: LatheCall) =>
+        Promise.resolve(
+          asked.kind === 'feed'
+            ? {
+                ...feedOf(originPort, peers),
+                revisions: { origins: 1, partners: 1, emptied: 1, split: 1, slices: 1 },
+              }
+            : { kind: 'granted' },
+        ),
+    },
+  );
   const servers = [await lathe.serve(false, 0), await lathe.serve(true, 0)] as const;
   peers = portOf(servers[1]);
   const agent = new http.Agent({ keepAlive: true, maxSockets: Sizes.warmAtOnce });
   let played = 0;
   let served = 0;
-  const one = (number: number): Promise<void> => new Promise((resolve) => {
-    const place = places[number % places.length] ?? places[0];
-    const order = place === '/order/';
-    const request = http.request({ agent, host, port: portOf(servers[0]), method: order ? 'POST' : 'GET', path: `${place}${number % 50}`, headers: { ...sample.asked(number), host: name, ...(order ? { 'content-length': '4' } : {}) } }, (response) => {
-      response.resume();
-      if (response.statusCode === 200) served += 1;
-      response.on('end', resolve);
-      response.on('error', () => resolve());
+  const one = (number: number): Promise<void> =>
+    new Promise((resolve) => {
+      const place = places[number % places.length] ?? places[0];
+      const order = place === '/order/';
+      const request = http.request(
+        {
+          agent,
+          host,
+          port: portOf(servers[0]),
+          method: order ? 'POST' : 'GET',
+          path: `${place}${number % 50}`,
+          headers: {
+            ...sample.asked(number),
+            host: name,
+            ...(order ? { 'content-length': '4' } : {}),
+          },
+        },
+        (response) => {
+          response.resume();
+          if (response.statusCode === 200) served += 1;
+          response.on('end', resolve);
+          response.on('error', () => resolve());
+        },
+      );
+      request.on('error', () => resolve());
+      request.end(order ? 'warm' : undefined);
     });
-    request.on('error', () => resolve());
-    request.end(order ? 'warm' : undefined);
-  });
   const begunAt = performance.now();
-  const over = (): boolean => until() || played >= Sizes.warmRequests || performance.now() - begunAt > Limits.warming;
-  await new Promise((resolve) => { setTimeout(resolve, 2 * Beats.lapsed); });
-  await Promise.all(Array.from({ length: Sizes.warmAtOnce }, async () => { while (!over()) { played += 1; await one(played); } }));
+  const over = (): boolean =>
+    until() || played >= Sizes.warmRequests || performance.now() - begunAt > Limits.warming;
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2 * Beats.lapsed);
+  });
+  await Promise.all(
+    Array.from({ length: Sizes.warmAtOnce }, async () => {
+      while (!over()) {
+        played += 1;
+        await one(played);
+      }
+    }),
+  );
   agent.destroy();
   lathe.end();
-  for (const server of [origin, ...servers]) { server.close(); server.closeAllConnections(); }
+  for (const server of [origin, ...servers]) {
+    server.close();
+    server.closeAllConnections();
+  }
   return { played, served };
 };
--- a/packages/mallet/src/clockwork.ts
+++ b/packages/mallet/src/clockwork.ts
@@ -5,9 +5,13 @@
   #seed: number;
   readonly #heap: { at: number; order: number; act: () => void }[] = [];
 
-  constructor(seed: number) { this.#seed = seed | 0; }
+  constructor(seed: number) {
+    this.#seed = seed | 0;
+  }
 
-  now(): number { return this.#now; }
+  now(): number {
+    return this.#now;
+  }
 
   /** @example new Clockwork(1).chance() // always the same number in [0, 1) */
   chance(): number {
@@ -17,8 +21,12 @@
     return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
   }
 
-  between(low: number, high: number): number { return low + (high - low) * this.chance(); }
-  pick<T>(list: readonly T[]): T | undefined { return list[Math.floor(this.chance() * list.length)]; }
+  between(low: number, high: number): number {
+    return low + (high - low) * this.chance();
+  }
+  pick<T>(list: readonly T[]): T | undefined {
+    return list[Math.floor(this.chance() * list.length)];
+  }
 
   in(ms: number, act: () => void): void {
     const entry = { at: this.#now + Math.max(0, ms), order: this.#order, act };
@@ -35,8 +43,14 @@
     heap[index] = entry;
   }
 
-  static #before(left: { at: number; order: number }, right: { at: number; order: number } | undefined): boolean {
-    return right !== undefined && (left.at < right.at || (left.at === right.at && left.order < right.order));
+  static #before(
+    left: { at: number; order: number },
+    right: { at: number; order: number } | undefined,
+  ): boolean {
+    return (
+      right !== undefined &&
+      (left.at < right.at || (left.at === right.at && left.order < right.order))
+    );
   }
 
   /** Runs until a moment of virtual time. */
@@ -50,7 +64,10 @@
         for (;;) {
           const left = 2 * index + 1;
           if (left >= heap.length) break;
-          const child = left + 1 < heap.length && Clockwork.#before(heap[left + 1] as typeof last, heap[left]) ? left + 1 : left;
+          const child =
+            left + 1 < heap.length && Clockwork.#before(heap[left + 1] as typeof last, heap[left])
+              ? left + 1
+              : left;
           if (!Clockwork.#before(heap[child] as typeof last, last)) break;
           heap[index] = heap[child] as typeof last;
           index = child;
--- a/packages/mallet/src/cut-checks.ts
+++ b/packages/mallet/src/cut-checks.ts
@@ -4,7 +4,9 @@
 
 /** ms after a cut until its nodes are in touch again, by the users' rules. */
 const inTouchMs = 3_000;
-/** ms for which a node must have had a path to a majority before it is wrong about being cut off. */
+/**
+ * ms for which a node must have had a path to a majority before it is wrong about being cut off.
+ */
 const settledMs = 2_000;
 /** ms of silence after which a caller goes on to another node. */
 const patienceMs = 1_000;
@@ -30,8 +32,8 @@
 };
 
 /**
- * The history of the nodes in touch: what a node did from a cut until 3 s after it is left out. Runs
- * of orders stay in, whoever sent them.
+ * The history of the nodes in touch: what a node did from a cut until 3 s after it is left out.
+ * Runs of orders stay in, whoever sent them.
  */
 export const inTouch = (history: readonly Entry[]): readonly Entry[] => {
   const cuts = only(history, 'cut-off');
@@ -56,7 +58,9 @@
       what: `${node} serves on without a lease although it has reached a majority for ${Math.round(reachesMs)} ms`,
     }));
 
-/** A call without any end (status 0) was lost on its way: an agent's own longest wait ends before. */
+/**
+ * A call without any end (status 0) was lost on its way: an agent's own longest wait ends before.
+ */
 const lateAnswers = (history: readonly Entry[]): readonly Wrong[] =>
   only(history, 'called')
     .filter((call) => call.cutOff && call.steady && call.status !== 0)
--- a/packages/mallet/src/figures.ts
+++ b/packages/mallet/src/figures.ts
@@ -7,37 +7,86 @@
 import { scenarios } from './scenarios.js';
 
 /** Figures of one run, in virtual time: what docs/measurements.md holds. */
-const { values } = parseArgs({ options: {
-  example: { type: 'string', default: 'brandlhuber' }, scenario: { type: 'string', default: 'calm' }, seed: { type: 'string', default: '1' }, rate: { type: 'string', default: '830' }, capacity: { type: 'string' },
-  selection: { type: 'string', multiple: true, default: ['paper', 'proximity', 'random'] },
-} });
+const { values } = parseArgs({
+  options: {
+    example: { type: 'string', default: 'brandlhuber' },
+    scenario: { type: 'string', default: 'calm' },
+    seed: { type: 'string', default: '1' },
+    rate: { type: 'string', default: '830' },
+    capacity: { type: 'string' },
+    selection: { type: 'string', multiple: true, default: ['paper', 'proximity', 'random'] },
+  },
+});
 
-const quantile = (list: readonly number[], q: number): number => [...list].sort((a, b) => a - b)[Math.floor(q * (list.length - 1))] ?? 0;
+const quantile = (list: readonly number[], q: number): number =>
+  [...list].sort((a, b) => a - b)[Math.floor(q * (list.length - 1))] ?? 0;
 
 /** The highest load of a service in any 5 s, over its ceiling. */
 const peak = (history: readonly Entry[], service: string, ceiling: number): number => {
-  const times = history.flatMap((entry) => (entry.kind === 'leg' && entry.service === service ? [entry.at] : []));
+  const times = history.flatMap((entry) =>
+    entry.kind === 'leg' && entry.service === service ? [entry.at] : [],
+  );
   let [from, most] = [0, 0];
-  times.forEach((time, index) => { while ((times[from] ?? 0) <= time - 5_000) from += 1; most = Math.max(most, index - from + 1); });
+  times.forEach((time, index) => {
+    while ((times[from] ?? 0) <= time - 5_000) from += 1;
+    most = Math.max(most, index - from + 1);
+  });
   return most / (5 * ceiling);
 };
 
 /** Mean load of a service from 15 s on, over its ceiling. */
-const mean = (history: readonly Entry[], service: string, ceiling: number, seconds: number): number =>
-  history.filter((entry) => entry.kind === 'leg' && entry.service === service && entry.at > 15_000 && entry.at < 1_000 * (seconds - 2)).length / ((seconds - 17) * ceiling);
+const mean = (
+  history: readonly Entry[],
+  service: string,
+  ceiling: number,
+  seconds: number,
+): number =>
+  history.filter(
+    (entry) =>
+      entry.kind === 'leg' &&
+      entry.service === service &&
+      entry.at > 15_000 &&
+      entry.at < 1_000 * (seconds - 2),
+  ).length /
+  ((seconds - 17) * ceiling);
 
-const sumOf = (fleet: SimFleet, counter: string): number => [...fleet.boxes.values()].reduce((sum, box) => sum + (box.lathe?.state.counters[counter] ?? 0), 0);
+const sumOf = (fleet: SimFleet, counter: string): number =>
+  [...fleet.boxes.values()].reduce(
+    (sum, box) => sum + (box.lathe?.state.counters[counter] ?? 0),
+    0,
+  );
 
 for (const selection of values.selection as Selection[]) {
-  const report = run({ scenario: values.scenario, seed: Number(values.seed), example: values.example, rate: Number(values.rate), selection, ...(values.capacity === undefined ? {} : { capacityBps: Number(values.capacity) }) });
+  const report = run({
+    scenario: values.scenario,
+    seed: Number(values.seed),
+    example: values.example,
+    rate: Number(values.rate),
+    selection,
+    ...(values.capacity === undefined ? {} : { capacityBps: Number(values.capacity) }),
+  });
   const { fleet } = report;
   const { history } = fleet;
   const spanMinutes = fleet.clock.now() / 60_000;
-  const policy = history.find((entry): entry is Extract<Entry, { kind: 'put' }> => entry.kind === 'put')?.document;
+  const policy = history.find(
+    (entry): entry is Extract<Entry, { kind: 'put' }> => entry.kind === 'put',
+  )?.document;
   const own = sumOf(fleet, 'transactions');
   const waits = fleet.waits.filter((wait) => wait.at > 10_000).map((wait) => wait.ms);
-  const notices = [...fleet.boxes.values()].reduce((sum, box) => sum + (box.jig?.state.notices ?? 0), 0);
+  const notices = [...fleet.boxes.values()].reduce(
+    (sum, box) => sum + (box.jig?.state.notices ?? 0),
+    0,
+  );
   const part = (counter: string): string => `${((100 * sumOf(fleet, counter)) / own).toFixed(1)}%`;
-  process.stdout.write(`${values.example} ${values.scenario} seed=${values.seed} selection=${selection} asked=${own} served=${(100 * report.share).toFixed(2)}% copies=${part('served.copy')} forwarded=${part('forwarded')} fetched=${part('fetched')} joined=${part('joined')} legs/transaction=${(sumOf(fleet, 'legs') / own).toFixed(3)} repeats=${sumOf(fleet, 'repeats')} notices/min/edge=${(notices / spanMinutes / fleet.deployment.machines.filter((machine) => machine.kind === 'front').length).toFixed(1)}`
-    + ` peak-load ${Object.entries(policy?.services ?? {}).map(([name, service]) => `${name}=${(100 * peak(history, name, service.ceiling ?? NaN)).toFixed(0)}% (mean ${(100 * mean(history, name, service.ceiling ?? NaN, scenarios[values.scenario]?.seconds ?? 0)).toFixed(0)}%)`).join(' ')} wait-ms mean=${(waits.reduce((sum, ms) => sum + ms, 0) / waits.length).toFixed(1)} p50=${quantile(waits, 0.5).toFixed(1)} p95=${quantile(waits, 0.95).toFixed(1)} p99=${quantile(waits, 0.99).toFixed(1)} broken=${report.wrongs.length}\n`);
+  process.stdout.write(
+    `${values.example} ${values.scenario} seed=${values.seed} selection=${selection} asked=${own} served=${(100 * report.share).toFixed(2)}% copies=${part('served.copy')} forwarded=${part('forwarded')} fetched=${part('fetched')} joined=${part('joined')} legs/transaction=${(sumOf(fleet, 'legs') / own).toFixed(3)} repeats=${sumOf(fleet, 'repeats')} notices/min/edge=${(notices / spanMinutes / fleet.deployment.machines.filter((machine) => machine.kind === 'front').length).toFixed(1)}` +
+      ` peak-load ${Object.entries(policy?.services ?? {})
+        .map(
+          ([name, service]) =>
+            `${name}=${(100 * peak(history, name, service.ceiling ?? NaN)).toFixed(0)}% (mean ${(100 * mean(history, name, service.ceiling ?? NaN, scenarios[values.scenario]?.seconds ?? 0)).toFixed(0)}%)`,
+        )
+        .join(
+          ' ',
+        )} wait-ms mean=${(waits.reduce((sum, ms) => sum + ms, 0) / waits.length).toFixed(1)} p50=${quantile(waits, 0.5).toFixed(1)} p95=${quantile(waits, 0.95).toFixed(1)} p99=${quantile(waits, 0.99).toFixed(1)} broken=${report.wrongs.length}\n`,
+  );
 }
