--- a/packages/plumb/src/vectors.ts
+++ b/packages/plumb/src/vectors.ts
@@ -24,20 +24,25 @@
 /** What of a route the split must know. */
 export type ObjectRule = {
   readonly servers: (edge: string) => boolean;
-  /** Where the route's objects are placed for the clients of an edge: each at one of these, drawn by its name. Left out: nowhere, copies lie where they happened to be made. */
+  /**
+   * Where the route's objects are placed for the clients of an edge: each at one of these, drawn by
+   * its name. Left out: nowhere, copies lie where they happened to be made.
+   */
   readonly placed?: (client: string) => readonly string[];
 };
 
 /** An even spread of numbers over names, the same on every node. @example mixed('a') === mixed('a') // true */
 export const mixed = (text: string): number => {
   let hash = 2_166_136_261;
-  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
+  for (let index = 0; index < text.length; index += 1)
+    hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
   hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
   return (hash ^ (hash >>> 13)) >>> 0;
 };
 
 /**
- * Which of some edges holds an object, by rendezvous hashing: where one leaves, only its objects move.
+ * Which of some edges holds an object, by rendezvous hashing: where one leaves, only its objects
+ * move.
  *
  * @example
  * holderOf('a.example/1', ['front-1', 'front-2']) // the same one everywhere
@@ -46,7 +51,13 @@
   const seed = mixed(object);
   let best: string | undefined;
   let highest = -1;
-  for (const edge of edges) { const score = mixed(`${edge} ${seed}`); if (score > highest) { highest = score; best = edge; } }
+  for (const edge of edges) {
+    const score = mixed(`${edge} ${seed}`);
+    if (score > highest) {
+      highest = score;
+      best = edge;
+    }
+  }
   return best;
 };
 
@@ -67,28 +78,34 @@
 export type Split = Readonly<Record<string, Row>>;
 
 /** The key of an object told one by one, or of the rest of its route. */
-export const objectKey = (route: string, path: string | null): string => (path === null ? route : `${route} ${path}`);
+export const objectKey = (route: string, path: string | null): string =>
+  path === null ? route : `${route} ${path}`;
 /** @example routeOf('sheets /sheets/7') // 'sheets' */
 export const routeOf = (key: string): string => key.split(' ', 1)[0] ?? key;
 
 /** A change of delta or more; the last digits of a float don't count. */
-const changed = (next: number, old: number): boolean => Math.abs(next - old) >= Weights.delta - 1e-9;
+const changed = (next: number, old: number): boolean =>
+  Math.abs(next - old) >= Weights.delta - 1e-9;
 
 /**
  * Whether a vector must be sent: the paper's |u_new - u_old| >= delta, the same for the demand of
- * the edge's own clients (an edge at its limit shows no change of use), or a marked change of delay.
+ * the edge's own clients (an edge at its limit shows no change of use), or a marked change of
+ * delay.
  *
  * @example
  * mustSend({ ...old, utilisation: old.utilisation + 0.1 }, old) // true
  */
 export const mustSend = (next: Vector, sent: Vector | null): boolean =>
-  sent === null
-  || changed(next.utilisation, sent.utilisation)
-  || changed(next.offered, sent.offered)
-  || Object.entries(next.delays).some(([edge, delay]) => {
+  sent === null ||
+  changed(next.utilisation, sent.utilisation) ||
+  changed(next.offered, sent.offered) ||
+  Object.entries(next.delays).some(([edge, delay]) => {
     const old = sent.delays[edge];
     if (old === undefined) return true;
-    return Math.abs(delay - old) > Weights.delayFloor && Math.abs(delay - old) > Weights.delayChange * old;
+    return (
+      Math.abs(delay - old) > Weights.delayFloor &&
+      Math.abs(delay - old) > Weights.delayChange * old
+    );
   });
 
 /**
@@ -97,15 +114,27 @@
  * @example
  * splitFor('a', { a: vectorOfA, b: vectorOfB }, () => ({ servers: () => true }))
  */
-export const splitFor = (self: string, vectors: Readonly<Record<string, Vector>>, ruleOf: (route: string) => ObjectRule | null): { readonly split: Split; readonly iterations: number; readonly cost: number } => {
+export const splitFor = (
+  self: string,
+  vectors: Readonly<Record<string, Vector>>,
+  ruleOf: (route: string) => ObjectRule | null,
+): { readonly split: Split; readonly iterations: number; readonly cost: number } => {
   const edges = Object.keys(vectors).sort();
-  const list = edges.flatMap((edge) => { const vector = vectors[edge]; return vector === undefined ? [] : [vector]; });
-  const replies = list.filter((vector) => vector.meanReply > 0);
-  const meanReply = replies.length === 0 ? Weights.meanReply : replies.reduce((sum, vector) => sum + vector.meanReply, 0) / replies.length;
-  const keys = [...new Set(list.flatMap((vector) => Object.keys(vector.demand)))].sort().flatMap((key) => {
-    const rule = ruleOf(routeOf(key));
-    return rule === null ? [] : [{ key, rule }];
+  const list = edges.flatMap((edge) => {
+    const vector = vectors[edge];
+    return vector === undefined ? [] : [vector];
   });
+  const replies = list.filter((vector) => vector.meanReply > 0);
+  const meanReply =
+    replies.length === 0
+      ? Weights.meanReply
+      : replies.reduce((sum, vector) => sum + vector.meanReply, 0) / replies.length;
+  const keys = [...new Set(list.flatMap((vector) => Object.keys(vector.demand)))]
+    .sort()
+    .flatMap((key) => {
+      const rule = ruleOf(routeOf(key));
+      return rule === null ? [] : [{ key, rule }];
+    });
   const copies = list.map((vector) => new Set(vector.copies));
   const grouped = keys.flatMap(({ key, rule }) => {
     const { placed } = rule;
@@ -114,38 +143,61 @@
     return [...new Set(places.flat())].sort().map((holder) => ({
       key: groupKey(key, holder),
       object: {
-        demand: list.map((vector, k) => (places[k]?.includes(holder) === true ? (vector.demand[key] ?? 0) / meanReply / places[k].length : 0)),
+        demand: list.map((vector, k) =>
+          places[k]?.includes(holder) === true
+            ? (vector.demand[key] ?? 0) / meanReply / places[k].length
+            : 0,
+        ),
         // Its holder has a copy or makes one for all; the clients' own edge may make one for itself.
-        link: (j: number, k: number): number | null => (edges[j] === holder ? 0 : j === k && rule.servers(edges[j] ?? '') ? list[j]?.fetchDelay ?? Weights.fetchPenalty : null),
+        link: (j: number, k: number): number | null =>
+          edges[j] === holder
+            ? 0
+            : j === k && rule.servers(edges[j] ?? '')
+              ? (list[j]?.fetchDelay ?? Weights.fetchPenalty)
+              : null,
       },
     }));
   });
   const single = keys.filter(({ key, rule }) => rule.placed === undefined || key !== routeOf(key));
-  const delays = list.map((vector, j) => edges.map((edge, k) => (j === k ? 0 : vector.delays[edge] ?? list[k]?.delays[edges[j] ?? ''] ?? Weights.fetchPenalty)));
+  const delays = list.map((vector, j) =>
+    edges.map((edge, k) =>
+      j === k
+        ? 0
+        : (vector.delays[edge] ?? list[k]?.delays[edges[j] ?? ''] ?? Weights.fetchPenalty),
+    ),
+  );
   const solution = solve({
     capacities: list.map((vector) => vector.capacity / meanReply),
     delays,
-    objects: [...grouped.map(({ object }) => object), ...single.map(({ key, rule }) => {
-      const allowed = edges.map((edge) => rule.servers(edge));
-      const held = copies.map((set, j) => allowed[j] === true && set.has(key));
-      const anyHeld = held.some(Boolean);
-      return {
-        demand: list.map((vector) => (vector.demand[key] ?? 0) / meanReply),
-        link: (j: number, k: number): number | null => {
-          if (allowed[j] !== true) return null;
-          if (held[j] === true) return 0;
-          // No replica: the client's own edge may make one; others only where nobody has one.
-          return j === k || !anyHeld || allowed[k] !== true ? list[j]?.fetchDelay ?? Weights.fetchPenalty : null;
-        },
-      };
-    })],
+    objects: [
+      ...grouped.map(({ object }) => object),
+      ...single.map(({ key, rule }) => {
+        const allowed = edges.map((edge) => rule.servers(edge));
+        const held = copies.map((set, j) => allowed[j] === true && set.has(key));
+        const anyHeld = held.some(Boolean);
+        return {
+          demand: list.map((vector) => (vector.demand[key] ?? 0) / meanReply),
+          link: (j: number, k: number): number | null => {
+            if (allowed[j] !== true) return null;
+            if (held[j] === true) return 0;
+            // No replica: the client's own edge may make one; others only where nobody has one.
+            return j === k || !anyHeld || allowed[k] !== true
+              ? (list[j]?.fetchDelay ?? Weights.fetchPenalty)
+              : null;
+          },
+        };
+      }),
+    ],
   });
   const me = edges.indexOf(self);
   const split: Record<string, Row> = {};
   [...grouped, ...single].forEach(({ key }, i) => {
     const row = solution.flows[i]?.[me] ?? [];
     const total = row.reduce((sum, flow) => sum + flow, 0);
-    if (total > 0) split[key] = row.flatMap((flow, j) => (flow / total > 1e-4 ? [[edges[j] ?? '', flow / total] as const] : []));
+    if (total > 0)
+      split[key] = row.flatMap((flow, j) =>
+        flow / total > 1e-4 ? [[edges[j] ?? '', flow / total] as const] : [],
+      );
   });
   return { split, iterations: solution.iterations, cost: solution.cost };
 };
--- a/packages/pounce/src/modules.d.ts
+++ b/packages/pounce/src/modules.d.ts
@@ -3,7 +3,9 @@
   export default patches;
 }
 declare module 'json-templates' {
-  type Template = ((parameters: Readonly<Record<string, unknown>>) => unknown) & { readonly parameters: readonly { readonly key: string; readonly defaultValue?: unknown }[] };
+  type Template = ((parameters: Readonly<Record<string, unknown>>) => unknown) & {
+    readonly parameters: readonly { readonly key: string; readonly defaultValue?: unknown }[];
+  };
   const parse: (template: unknown) => Template;
   export default parse;
 }
--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -9,20 +9,53 @@
   static override enableJsonFlag = true;
   static override baseFlags = {
     // One text, split here: a list flag takes its environment variable letter by letter.
-    node: Flags.string({ char: 'n', env: 'REEDYARD_NODES', description: 'API of a node, IP:PORT; several, with commas between, are tried in turn', default: '127.0.0.1:7080' }),
+    node: Flags.string({
+      char: 'n',
+      env: 'REEDYARD_NODES',
+      description: 'API of a node, IP:PORT; several, with commas between, are tried in turn',
+      default: '127.0.0.1:7080',
+    }),
   };
-  static changeFlag = Flags.string({ description: 'change id: sent again with the same one, a change is made once', default: async () => randomUUID(), defaultHelp: async () => 'a random one' });
+  static changeFlag = Flags.string({
+    description: 'change id: sent again with the same one, a change is made once',
+    default: async () => randomUUID(),
+    defaultHelp: async () => 'a random one',
+  });
 
   static templateFlags = {
-    param: Flags.string({ multiple: true, description: 'parameter of the template, NAME=VALUE', default: [] as string[] }),
-    overlay: Flags.string({ multiple: true, description: 'overlay laid over the policy, a JSON merge patch; several in their order', default: [] as string[] }),
+    param: Flags.string({
+      multiple: true,
+      description: 'parameter of the template, NAME=VALUE',
+      default: [] as string[],
+    }),
+    overlay: Flags.string({
+      multiple: true,
+      description: 'overlay laid over the policy, a JSON merge patch; several in their order',
+      default: [] as string[],
+    }),
   };
 
-  /** The one whole policy that a file, its parameters and its overlays come to, checked as a node checks it. */
-  protected policyOf(file: string, flags: { readonly param: readonly string[]; readonly overlay: readonly string[] }): Policy {
-    try { return Stencil.policy(resolve(readDocument(file), parametersOf(flags.param), flags.overlay.map(readDocument))); } catch (thrown) {
-      if (thrown instanceof StencilError) throw new ClientError(exitCodes.refused, thrown.faults.map((fault) => `${fault.path}: ${fault.message}`).join('\n'), { faults: thrown.faults });
-      if (thrown instanceof PounceError) throw new ClientError(exitCodes.usage, `${file}: ${thrown.message}`);
+  /**
+   * The one whole policy that a file, its parameters and its overlays come to, checked as a node
+   * checks it.
+   */
+  protected policyOf(
+    file: string,
+    flags: { readonly param: readonly string[]; readonly overlay: readonly string[] },
+  ): Policy {
+    try {
+      return Stencil.policy(
+        resolve(readDocument(file), parametersOf(flags.param), flags.overlay.map(readDocument)),
+      );
+    } catch (thrown) {
+      if (thrown instanceof StencilError)
+        throw new ClientError(
+          exitCodes.refused,
+          thrown.faults.map((fault) => `${fault.path}: ${fault.message}`).join('\n'),
+          { faults: thrown.faults },
+        );
+      if (thrown instanceof PounceError)
+        throw new ClientError(exitCodes.usage, `${file}: ${thrown.message}`);
       throw thrown;
     }
   }
@@ -35,16 +68,27 @@
       .filter((node) => node !== '');
   }
 
-  protected async call(nodes: string, method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> {
+  protected async call(
+    nodes: string,
+    method: string,
+    target: string,
+    document?: unknown,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<unknown> {
     return ask(this.addressesOf(nodes), method, target, document, headers);
   }
 
   /** What people see where no `--json` is asked for. */
-  protected show(body: unknown): void { if (!this.jsonEnabled()) this.log(JSON.stringify(body, null, 2)); }
+  protected show(body: unknown): void {
+    if (!this.jsonEnabled()) this.log(JSON.stringify(body, null, 2));
+  }
 
   protected override async catch(error: Error & { exitCode?: number }): Promise<unknown> {
     if (error instanceof ClientError) {
-      if (this.jsonEnabled()) process.stdout.write(`${JSON.stringify({ error: error.message, exit: error.exit, problem: error.document }, null, 2)}\n`);
+      if (this.jsonEnabled())
+        process.stdout.write(
+          `${JSON.stringify({ error: error.message, exit: error.exit, problem: error.document }, null, 2)}\n`,
+        );
       else process.stderr.write(`${error.message}\n`);
       return this.exit(error.exit);
     }
@@ -72,7 +116,13 @@
 
   async run(): Promise<unknown> {
     const { args, flags } = await this.parse(HallCommand);
-    const body = await this.call(flags.node, 'PUT', `/v1/halls/${encodeURIComponent(args.hall)}`, { order: this.order }, { 'reedyard-change-id': flags.change });
+    const body = await this.call(
+      flags.node,
+      'PUT',
+      `/v1/halls/${encodeURIComponent(args.hall)}`,
+      { order: this.order },
+      { 'reedyard-change-id': flags.change },
+    );
     this.show(body);
     return body;
   }
--- a/packages/reedyard/src/client.ts
+++ b/packages/reedyard/src/client.ts
@@ -16,7 +16,14 @@
 
 /** A call that did not bring what was asked. */
 export class ClientError extends LayerError {
-  constructor(readonly exit: number, message: string, readonly document: unknown = null, options?: { readonly cause?: unknown }) { super(String(exit), message, options); }
+  constructor(
+    readonly exit: number,
+    message: string,
+    readonly document: unknown = null,
+    options?: { readonly cause?: unknown },
+  ) {
+    super(String(exit), message, options);
+  }
 }
 
 export type Reply = { readonly status: number; readonly body: unknown };
@@ -26,25 +33,59 @@
 /** ms. A node that is asked beside others: what the others said would grow old meanwhile. */
 const longestAnswerBeside = 2_000;
 
-const once = (node: string, method: string, target: string, text: string, headers: Readonly<Record<string, string>>, timeout = longestAnswer): Promise<Reply> => new Promise((resolve, reject) => {
-  const request = http.request(`http://${node}${target}`, {
-    method, timeout, headers: { accept: 'application/json', ...(text === '' ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...headers },
-  }, (response) => {
-    const chunks: Buffer[] = [];
-    response.on('data', (chunk: Buffer) => chunks.push(chunk));
-    response.on('error', reject);
-    response.on('end', () => {
-      try { resolve({ status: response.statusCode ?? 0, body: JSON.parse(Buffer.concat(chunks).toString('utf8')) }); } catch (thrown) { reject(thrown); }
-    });
+const once = (
+  node: string,
+  method: string,
+  target: string,
+  text: string,
+  headers: Readonly<Record<string, string>>,
+  timeout = longestAnswer,
+): Promise<Reply> =>
+  new Promise((resolve, reject) => {
+    const request = http.request(
+      `http://${node}${target}`,
+      {
+        method,
+        timeout,
+        headers: {
+          accept: 'application/json',
+          ...(text === ''
+            ? {}
+            : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }),
+          ...headers,
+        },
+      },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', reject);
+        response.on('end', () => {
+          try {
+            resolve({
+              status: response.statusCode ?? 0,
+              body: JSON.parse(Buffer.concat(chunks).toString('utf8')),
+            });
+          } catch (thrown) {
+            reject(thrown);
+          }
+        });
+      },
+    );
+    request.on('timeout', () => request.destroy(new Error(`no answer in ${timeout} ms`)));
+    request.on('error', reject);
+    request.end(text);
   });
-  request.on('timeout', () => request.destroy(new Error(`no answer in ${timeout} ms`)));
-  request.on('error', reject);
-  request.end(text);
-});
 
 const problemText = (reply: Reply): string => {
-  const problem = reply.body as { title?: string; detail?: string; faults?: readonly { path: string; message: string }[] };
-  return [`${reply.status} ${problem.title ?? ''}: ${problem.detail ?? ''}`, ...(problem.faults ?? []).map((fault) => `  ${fault.path}: ${fault.message}`)].join('\n');
+  const problem = reply.body as {
+    title?: string;
+    detail?: string;
+    faults?: readonly { path: string; message: string }[];
+  };
+  return [
+    `${reply.status} ${problem.title ?? ''}: ${problem.detail ?? ''}`,
+    ...(problem.faults ?? []).map((fault) => `  ${fault.path}: ${fault.message}`),
+  ].join('\n');
 };
 
 /**
@@ -54,14 +95,21 @@
  * @example
  * const status = await ask(['127.0.0.1:7080'], 'GET', '/v1/status');
  */
-export const ask = async (nodes: readonly string[], method: string, target: string, document?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<unknown> => {
+export const ask = async (
+  nodes: readonly string[],
+  method: string,
+  target: string,
+  document?: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<unknown> => {
   const text = document === undefined ? '' : JSON.stringify(document);
   const failures: string[] = [];
   for (const node of nodes) {
     try {
       const reply = await once(node, method, target, text, headers);
       if (reply.status < 400) return reply.body;
-      if (reply.status < 500) throw new ClientError(exitCodes.refused, problemText(reply), reply.body);
+      if (reply.status < 500)
+        throw new ClientError(exitCodes.refused, problemText(reply), reply.body);
       failures.push(`${node}: ${problemText(reply)}`);
     } catch (thrown) {
       if (thrown instanceof ClientError) throw thrown;
@@ -95,7 +143,9 @@
 
 /** A JSON document from a file, or from standard input for `-`. @example readDocument('policy.json') */
 export const readDocument = (file: string): unknown => {
-  try { return JSON.parse(readFileSync(file === '-' ? 0 : file, 'utf8')); } catch (thrown) {
+  try {
+    return JSON.parse(readFileSync(file === '-' ? 0 : file, 'utf8'));
+  } catch (thrown) {
     throw new ClientError(exitCodes.usage, `${file}: ${textOf(thrown)}`, null, { cause: thrown });
   }
 };
--- a/packages/reedyard/src/commands/describe.ts
+++ b/packages/reedyard/src/commands/describe.ts
@@ -3,8 +3,11 @@
 import { readDocument } from '../client.js';
 
 export default class Describe extends BaseCommand {
-  static override description = 'Send one self-description of an origin, as the origin itself does every few seconds.';
-  static override args = { file: Args.string({ required: true, description: 'JSON file, or - for standard input' }) };
+  static override description =
+    'Send one self-description of an origin, as the origin itself does every few seconds.';
+  static override args = {
+    file: Args.string({ required: true, description: 'JSON file, or - for standard input' }),
+  };
 
   async run(): Promise<unknown> {
     const { args, flags } = await this.parse(Describe);
--- a/packages/reedyard/src/commands/live.ts
+++ b/packages/reedyard/src/commands/live.ts
@@ -1,6 +1,7 @@
 import { ReadCommand } from '../base.js';
 
 export default class Live extends ReadCommand {
-  static override description = "Whether a node's jig runs at all: exit code 0 if it answers, 4 if not.";
+  static override description =
+    "Whether a node's jig runs at all: exit code 0 if it answers, 4 if not.";
   protected override readonly target = '/live';
 }
--- a/packages/reedyard/src/commands/policy/get.ts
+++ b/packages/reedyard/src/commands/policy/get.ts
@@ -1,6 +1,7 @@
 import { ReadCommand } from '../../base.js';
 
 export default class PolicyGet extends ReadCommand {
-  static override description = 'Read the policy through a majority of disks: never older than the newest acknowledged one.';
+  static override description =
+    'Read the policy through a majority of disks: never older than the newest acknowledged one.';
   protected override readonly target = '/v1/policy';
 }
--- a/packages/reedyard/src/commands/policy/put.ts
+++ b/packages/reedyard/src/commands/policy/put.ts
@@ -2,11 +2,20 @@
 import { BaseCommand } from '../../base.js';
 
 export default class PolicyPut extends BaseCommand {
-  static override description = 'Send the whole desired state. It is acknowledged once a majority of disks holds it.';
-  static override examples = ['<%= config.bin %> policy put examples/brandlhuber/policy.json --if-serial 3', '<%= config.bin %> policy put template.json --param ceiling=90 --overlay night.json'];
-  static override args = { file: Args.string({ required: true, description: 'JSON file, or - for standard input' }) };
+  static override description =
+    'Send the whole desired state. It is acknowledged once a majority of disks holds it.';
+  static override examples = [
+    '<%= config.bin %> policy put examples/brandlhuber/policy.json --if-serial 3',
+    '<%= config.bin %> policy put template.json --param ceiling=90 --overlay night.json',
+  ];
+  static override args = {
+    file: Args.string({ required: true, description: 'JSON file, or - for standard input' }),
+  };
   static override flags = {
-    'if-serial': Flags.integer({ description: 'only if the policy in force still has this serial', min: 0 }),
+    'if-serial': Flags.integer({
+      description: 'only if the policy in force still has this serial',
+      min: 0,
+    }),
     change: BaseCommand.changeFlag,
     ...BaseCommand.templateFlags,
   };
@@ -14,7 +23,8 @@
   async run(): Promise<unknown> {
     const { args, flags } = await this.parse(PolicyPut);
     const body = await this.call(flags.node, 'PUT', '/v1/policy', this.policyOf(args.file, flags), {
-      'reedyard-change-id': flags.change, ...(flags['if-serial'] === undefined ? {} : { 'if-match': `"${flags['if-serial']}"` }),
+      'reedyard-change-id': flags.change,
+      ...(flags['if-serial'] === undefined ? {} : { 'if-match': `"${flags['if-serial']}"` }),
     });
     this.show(body);
     return body;
--- a/packages/reedyard/src/commands/ready.ts
+++ b/packages/reedyard/src/commands/ready.ts
@@ -11,7 +11,8 @@
       this.show(body);
       return body;
     } catch (thrown) {
-      if (thrown instanceof ClientError && thrown.exit === exitCodes.unreached) throw new ClientError(exitCodes.not, thrown.message);
+      if (thrown instanceof ClientError && thrown.exit === exitCodes.unreached)
+        throw new ClientError(exitCodes.not, thrown.message);
       throw thrown;
     }
   }
--- a/packages/reedyard/src/reedyard.test.ts
+++ b/packages/reedyard/src/reedyard.test.ts
@@ -5,33 +5,80 @@
 import { fileURLToPath } from 'node:url';
 
 const program = fileURLToPath(new URL('../bin/run.js', import.meta.url));
-const run = (args: readonly string[], nodes: string, input = ''): Promise<{ code: number; out: string; err: string }> => new Promise((resolve) => {
-  const child = execFile(process.execPath, [program, ...args], { env: { ...process.env, REEDYARD_NODES: nodes } }, (error, out, err) => resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err }));
-  child.stdin?.end(input);
-});
+const run = (
+  args: readonly string[],
+  nodes: string,
+  input = '',
+): Promise<{ code: number; out: string; err: string }> =>
+  new Promise((resolve) => {
+    const child = execFile(
+      process.execPath,
+      [program, ...args],
+      { env: { ...process.env, REEDYARD_NODES: nodes } },
+      (error, out, err) =>
+        resolve({ code: typeof error?.code === 'number' ? error.code : 0, out, err }),
+    );
+    child.stdin?.end(input);
+  });
 
 test('the command line: nodes from the environment tried in turn, documents sent, exit codes kept', async (t) => {
   const heard: { method: string; url: string; change: string; text: string }[] = [];
   const server = http.createServer((request, response) => {
     let text = '';
-    request.on('data', (chunk) => { text += String(chunk); });
+    request.on('data', (chunk) => {
+      text += String(chunk);
+    });
     request.on('end', () => {
-      heard.push({ method: request.method ?? '', url: request.url ?? '', change: String(request.headers['reedyard-change-id'] ?? ''), text });
-      const status = request.url === '/v1/halls/nowhere' ? 422 : request.url === '/ready' ? 503 : 200;
+      heard.push({
+        method: request.method ?? '',
+        url: request.url ?? '',
+        change: String(request.headers['reedyard-change-id'] ?? ''),
+        text,
+      });
+      const status =
+        request.url === '/v1/halls/nowhere' ? 422 : request.url === '/ready' ? 503 : 200;
       response.writeHead(status, { 'content-type': 'application/json' });
-      response.end(JSON.stringify(status === 200 ? { serial: 4 } : { title: 'No', status, detail: 'because', faults: [{ path: '/x', message: 'wrong' }] }));
+      response.end(
+        JSON.stringify(
+          status === 200
+            ? { serial: 4 }
+            : {
+                title: 'No',
+                status,
+                detail: 'because',
+                faults: [{ path: '/x', message: 'wrong' }],
+              },
+        ),
+      );
     });
   });
-  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve); });
-  t.teardown(() => { server.close(); server.closeAllConnections(); });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
   const node = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const nodes = `127.0.0.1:1, ${node}`;
 
-  const policy = JSON.stringify({ services: { s: { ceiling: '{{c:5}}', coldRate: 1 } }, routes: [] });
-  const put = await run(['policy', 'put', '-', '--change', 'c-1', '--param', 'c=9', '--json'], nodes, policy);
+  const policy = JSON.stringify({
+    services: { s: { ceiling: '{{c:5}}', coldRate: 1 } },
+    routes: [],
+  });
+  const put = await run(
+    ['policy', 'put', '-', '--change', 'c-1', '--param', 'c=9', '--json'],
+    nodes,
+    policy,
+  );
   t.is(put.code, 0);
   t.deepEqual(JSON.parse(put.out), { serial: 4 });
-  t.deepEqual(heard[0], { method: 'PUT', url: '/v1/policy', change: 'c-1', text: '{"services":{"s":{"ceiling":9,"coldRate":1}},"routes":[]}' });
+  t.deepEqual(heard[0], {
+    method: 'PUT',
+    url: '/v1/policy',
+    change: 'c-1',
+    text: '{"services":{"s":{"ceiling":9,"coldRate":1}},"routes":[]}',
+  });
 
   const refused = await run(['hall', 'empty', 'nowhere'], nodes);
   t.is(refused.code, 3);
@@ -47,12 +94,27 @@
 });
 
 test('safe-to-stop: asks several nodes, believes the one with a lease, exit codes 0, 1 and 2', async (t) => {
-  const member = (name: string, state: string): object => ({ name, node: name, address: `10.0.0.9:${name.length}`, disk: name, zone: 'west', state, outcome: null, lastAnswerAgeMs: 1 });
+  const member = (name: string, state: string): object => ({
+    name,
+    node: name,
+    address: `10.0.0.9:${name.length}`,
+    disk: name,
+    zone: 'west',
+    state,
+    outcome: null,
+    lastAnswerAgeMs: 1,
+  });
   const statusOf = (leaseMs: number, states: readonly string[]): object => ({
     leaseMs,
     control: {
-      epoch: 2, members: states.map((state, index) => member(`m-${index}`, state)), recovering: [], quorum: 2,
-      lossesBorne: states.filter((state) => state === 'answering').length - 2, configuredLosses: 1, wantedMembers: 3, spares: [],
+      epoch: 2,
+      members: states.map((state, index) => member(`m-${index}`, state)),
+      recovering: [],
+      quorum: 2,
+      lossesBorne: states.filter((state) => state === 'answering').length - 2,
+      configuredLosses: 1,
+      wantedMembers: 3,
+      spares: [],
     },
   });
   const serve = async (status: object): Promise<string> => {
@@ -60,12 +122,21 @@
       response.writeHead(200, { 'content-type': 'application/json' });
       response.end(JSON.stringify(request.url === '/v1/status' ? status : { partners: [] }));
     });
-    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve); });
-    t.teardown(() => { server.close(); server.closeAllConnections(); });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => {
+      server.close();
+      server.closeAllConnections();
+    });
     return `127.0.0.1:${(server.address() as AddressInfo).port}`;
   };
   const all = ['answering', 'answering', 'answering'];
-  const [leased, cutOff, worried] = await Promise.all([serve(statusOf(900, all)), serve(statusOf(0, all)), serve(statusOf(900, [...all.slice(1), 'silent']))]);
+  const [leased, cutOff, worried] = await Promise.all([
+    serve(statusOf(900, all)),
+    serve(statusOf(0, all)),
+    serve(statusOf(900, [...all.slice(1), 'silent'])),
+  ]);
   const safe = await run(['safe-to-stop', 'm-1', '--json'], `127.0.0.1:1,${cutOff},${leased}`);
   t.is(safe.code, 0, safe.err);
   t.is((JSON.parse(safe.out) as { verdict: string }).verdict, 'safe');
--- a/packages/reedyard/src/safe-to-stop.test.ts
+++ b/packages/reedyard/src/safe-to-stop.test.ts
@@ -70,11 +70,8 @@
   machineOf('spare-1', '10.0.2.1', true),
 ];
 
-const judge = (
-  wanted: string,
-  control: ControlStatus,
-  losses: number | null = null,
-): StopVerdict => safeToStop(wanted, statusOf(control), machines, losses);
+const judge = (wanted: string, control: ControlStatus, losses: number | null = null): StopVerdict =>
+  safeToStop(wanted, statusOf(control), machines, losses);
 
 const all: readonly MemberState[] = Array.from({ length: 5 }, () => 'answering' as const);
 const oneOf = (state: MemberState): readonly MemberState[] => [...all.slice(0, 4), state];
@@ -100,7 +97,10 @@
 
 test('a member that was told to stop counts as gone for the others, though it still answers', (t) => {
   const control = controlOf(all);
-  const members = control.members.map((member) => ({ ...member, leaving: member.name === 'place-5' }));
+  const members = control.members.map((member) => ({
+    ...member,
+    leaving: member.name === 'place-5',
+  }));
   const { verdict, lossesBorneAfter, reasons } = judge('core-2', { ...control, members });
   t.deepEqual([verdict, lossesBorneAfter], ['unsafe', 0]);
   t.regex(reasons.join('\n'), /place-5 is leaving/);
--- a/packages/reedyard/src/safe-to-stop.ts
+++ b/packages/reedyard/src/safe-to-stop.ts
@@ -48,8 +48,7 @@
 export const believedStatus = (statuses: readonly NodeStatus[]): NodeStatus | null => {
   const leased = statuses.filter((status) => status.leaseMs > 0);
   const [best] = [...leased].sort(
-    (a, b) =>
-      b.control.epoch - a.control.epoch || a.control.lossesBorne - b.control.lossesBorne,
+    (a, b) => b.control.epoch - a.control.epoch || a.control.lossesBorne - b.control.lossesBorne,
   );
   return best ?? null;
 };
--- a/packages/scriber/src/index.ts
+++ b/packages/scriber/src/index.ts
@@ -15,8 +15,12 @@
  * line('policy.applied', { serial: 7, by: 'jig' }) // 'event=policy.applied serial=7 by=jig'
  */
 export const line = (event: string, fields: Fields): string =>
-  [`event=${quoted(event)}`, ...Object.entries(fields).flatMap(([key, value]) =>
-    value === undefined || value === null ? [] : [`${key}=${quoted(value)}`])].join(' ');
+  [
+    `event=${quoted(event)}`,
+    ...Object.entries(fields).flatMap(([key, value]) =>
+      value === undefined || value === null ? [] : [`${key}=${quoted(value)}`],
+    ),
+  ].join(' ');
 
 /** A log bound to one process. */
 export type Scribe = {
@@ -37,21 +41,35 @@
     type: 'hidden',
     // Where a line was logged from is not told, and finding it out costs a stack trace each.
     hideLogPositionForProduction: true,
-    attachedTransports: [(entry) => {
-      const meta = entry['_meta'] as { date: Date; logLevelName: string };
-      process.stderr.write(`time=${meta.date.toISOString()} level=${meta.logLevelName} ${String(entry['0'])}\n`);
-    }],
+    attachedTransports: [
+      (entry) => {
+        const meta = entry['_meta'] as { date: Date; logLevelName: string };
+        process.stderr.write(
+          `time=${meta.date.toISOString()} level=${meta.logLevelName} ${String(entry['0'])}\n`,
+        );
+      },
+    ],
   });
-  const lead = Object.entries(fixed).map(([key, value]) => `${key}=${quoted(value ?? '')}`).join(' ');
-  const write = (level: 'info' | 'warn' | 'error') => (event: string, fields: Fields = {}): void => {
-    logger[level](`${lead} ${line(event, fields)}`);
-  };
+  const lead = Object.entries(fixed)
+    .map(([key, value]) => `${key}=${quoted(value ?? '')}`)
+    .join(' ');
+  const write =
+    (level: 'info' | 'warn' | 'error') =>
+    (event: string, fields: Fields = {}): void => {
+      logger[level](`${lead} ${line(event, fields)}`);
+    };
   return { info: write('info'), warn: write('warn'), error: write('error') };
 };
 
-/** The base of every layer's errors: a code for programs, a text for people, the cause from below. */
+/**
+ * The base of every layer's errors: a code for programs, a text for people, the cause from below.
+ */
 export class LayerError extends Error {
-  constructor(readonly code: string, message: string, options?: { readonly cause?: unknown }) {
+  constructor(
+    readonly code: string,
+    message: string,
+    options?: { readonly cause?: unknown },
+  ) {
     super(message, options);
     this.name = new.target.name;
   }
@@ -63,4 +81,5 @@
  * @example
  * textOf(new Error('no')) // 'no'
  */
-export const textOf = (thrown: unknown): string => (thrown instanceof Error ? thrown.message : String(thrown));
+export const textOf = (thrown: unknown): string =>
+  thrown instanceof Error ? thrown.message : String(thrown);
--- a/packages/shuttle/src/index.ts
+++ b/packages/shuttle/src/index.ts
@@ -36,7 +36,12 @@
  */
 export const speakFrom = (host: string): void => {
   agent.destroy();
-  agent = new http.Agent({ keepAlive: true, maxSockets: 32, keepAliveMsecs: 5_000, localAddress: host } as http.AgentOptions);
+  agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: 32,
+    keepAliveMsecs: 5_000,
+    localAddress: host,
+  } as http.AgentOptions);
 };
 
 /**
@@ -45,23 +50,52 @@
  * @example
  * const reply = await call('127.0.0.1:7101', '/anvil', { kind: 'pull' });
  */
-export const call = (address: Address, path: string, body: unknown, limitMs: number = Limits.call): Promise<unknown> =>
+export const call = (
+  address: Address,
+  path: string,
+  body: unknown,
+  limitMs: number = Limits.call,
+): Promise<unknown> =>
   new Promise((resolve, reject) => {
-    const [host, port] = [address.slice(0, address.lastIndexOf(':')), address.slice(address.lastIndexOf(':') + 1)];
+    const [host, port] = [
+      address.slice(0, address.lastIndexOf(':')),
+      address.slice(address.lastIndexOf(':') + 1),
+    ];
     const payload = stringify(body);
-    const fail = (thrown: unknown): void => reject(new ShuttleError('lost', `call to ${address}${path}: ${textOf(thrown)}`, { cause: thrown }));
-    const request = http.request({
-      host, port, path, agent, method: 'POST',
-      headers: { 'content-type': 'application/x-devalue', 'content-length': Buffer.byteLength(payload) },
-    }, (response) => {
-      readWhole(response, Sizes.call).then((text) => {
-        clearTimeout(beat);
-        if (response.statusCode === 200) resolve(parse(text));
-        else fail(new Error(`answered ${response.statusCode}`));
-      }).catch(fail);
+    const fail = (thrown: unknown): void =>
+      reject(
+        new ShuttleError('lost', `call to ${address}${path}: ${textOf(thrown)}`, { cause: thrown }),
+      );
+    const request = http.request(
+      {
+        host,
+        port,
+        path,
+        agent,
+        method: 'POST',
+        headers: {
+          'content-type': 'application/x-devalue',
+          'content-length': Buffer.byteLength(payload),
+        },
+      },
+      (response) => {
+        readWhole(response, Sizes.call)
+          .then((text) => {
+            clearTimeout(beat);
+            if (response.statusCode === 200) resolve(parse(text));
+            else fail(new Error(`answered ${response.statusCode}`));
+          })
+          .catch(fail);
+      },
+    );
+    const beat = setTimeout(
+      () => request.destroy(new Error(`no answer in ${limitMs} ms`)),
+      limitMs,
+    );
+    request.on('error', (error) => {
+      clearTimeout(beat);
+      fail(error);
     });
-    const beat = setTimeout(() => request.destroy(new Error(`no answer in ${limitMs} ms`)), limitMs);
-    request.on('error', (error) => { clearTimeout(beat); fail(error); });
     request.end(payload);
   });
 
@@ -81,20 +115,35 @@
   new Promise((resolve, reject) => {
     const server = http.createServer((request, response) => {
       const answer = (status: number, text: string): void => {
-        if (!response.headersSent) response.writeHead(status, { 'content-length': Buffer.byteLength(text) });
+        if (!response.headersSent)
+          response.writeHead(status, { 'content-length': Buffer.byteLength(text) });
         response.end(text);
       };
       const handler = handlers[request.url ?? ''];
-      if (handler === undefined) { request.resume(); answer(404, ''); return; }
+      if (handler === undefined) {
+        request.resume();
+        answer(404, '');
+        return;
+      }
       readWhole(request, Sizes.call)
         .then((text) => handler(parse(text)))
         .then((reply) => answer(200, stringify(reply)))
         .catch((thrown: unknown) => answer(500, textOf(thrown)));
     });
     server.keepAliveTimeout = 30_000;
-    server.on('error', (error) => reject(new ShuttleError('listen', `${at.host}:${at.port}: ${textOf(error)}`, { cause: error })));
-    server.listen(at.port, at.host, () => resolve({
-      port: (server.address() as AddressInfo).port,
-      close: () => new Promise((done) => { server.close(() => done()); server.closeAllConnections(); }),
-    }));
+    server.on('error', (error) =>
+      reject(
+        new ShuttleError('listen', `${at.host}:${at.port}: ${textOf(error)}`, { cause: error }),
+      ),
+    );
+    server.listen(at.port, at.host, () =>
+      resolve({
+        port: (server.address() as AddressInfo).port,
+        close: () =>
+          new Promise((done) => {
+            server.close(() => done());
+            server.closeAllConnections();
+          }),
+      }),
+    );
   });
--- a/packages/sieve/src/index.ts
+++ b/packages/sieve/src/index.ts
@@ -24,7 +24,11 @@
 };
 
 /** A purge that was applied, and when. */
-export type Purged = { readonly objects: readonly string[]; readonly tags: readonly string[]; readonly at: number };
+export type Purged = {
+  readonly objects: readonly string[];
+  readonly tags: readonly string[];
+  readonly at: number;
+};
 
 export type SieveState = {
   /** Least lately used first. */
@@ -38,7 +42,9 @@
 
 /** Time stands still inside the library: ages are counted here, on a clock that does not jump. */
 class StillPolicy extends CachePolicy {
-  now(): number { return 0; }
+  now(): number {
+    return 0;
+  }
 }
 
 const textOf = (headers: Headers, name: string): string => {
@@ -60,13 +66,23 @@
 };
 
 export const Sieve = {
-  empty: { copies: OrderedMap<string, Copy>(), byTag: Table<string, Group<string>>(), bytes: 0, purges: [], purgedAt: Table<string, readonly number[]>() } as SieveState,
+  empty: {
+    copies: OrderedMap<string, Copy>(),
+    byTag: Table<string, Group<string>>(),
+    bytes: 0,
+    purges: [],
+    purgedAt: Table<string, readonly number[]>(),
+  } as SieveState,
 
   /** The key of an object. @example Sieve.key('A.example:80', '/x') // 'a.example/x' */
-  key: (host: string, target: string): string => `${host.toLowerCase().replace(/:\d+$/, '')}${target}`,
+  key: (host: string, target: string): string =>
+    `${host.toLowerCase().replace(/:\d+$/, '')}${target}`,
 
   /** The host and target of a key. @example Sieve.place('a.example/x') // ['a.example', '/x'] */
-  place: (key: string): readonly [host: string, target: string] => { const cut = key.indexOf('/'); return [key.slice(0, cut), key.slice(cut)]; },
+  place: (key: string): readonly [host: string, target: string] => {
+    const cut = key.indexOf('/');
+    return [key.slice(0, cut), key.slice(cut)];
+  },
 
   /** The key that a purge means. @example Sieve.purgeKey('http://a.example/x') // 'a.example/x' */
   purgeKey: (object: string): string => {
@@ -76,7 +92,10 @@
   },
 
   /** @example Sieve.tags({ 'surrogate-key': 'a b' }, 'surrogate-key') // ['a', 'b'] */
-  tags: (headers: Headers, name: string): readonly string[] => textOf(headers, name).split(/[\s,]+/).filter((tag) => tag !== ''),
+  tags: (headers: Headers, name: string): readonly string[] =>
+    textOf(headers, name)
+      .split(/[\s,]+/)
+      .filter((tag) => tag !== ''),
 
   /**
    * How long an answer may be kept, by RFC 9111; 0 where it may not. The leg's own time is age.
@@ -84,30 +103,44 @@
    * @example
    * Sieve.life({ method: 'GET', url: '/', headers: {} }, { status: 200, headers: { 'cache-control': 'max-age=60' } }, 100) // 59_900
    */
-  life: (request: { readonly method: string; readonly url: string; readonly headers: Headers }, answer: { readonly status: number; readonly headers: Headers }, legMs: number): number => {
+  life: (
+    request: { readonly method: string; readonly url: string; readonly headers: Headers },
+    answer: { readonly status: number; readonly headers: Headers },
+    legMs: number,
+  ): number => {
     const policy = new StillPolicy(
       { method: request.method, url: request.url, headers: plain(request.headers) },
       { status: answer.status, headers: plain(answer.headers) },
-      { shared: true, cacheHeuristic: 0 });
+      { shared: true, cacheHeuristic: 0 },
+    );
     return policy.storable() ? Math.max(0, policy.timeToLive() - legMs) : 0;
   },
 
   /** The fields that an answer varies by, as this request had them. @example Sieve.vary({ vary: 'accept' }, { accept: 'a' }) // { accept: 'a' } */
   vary: (answer: Headers, request: Headers): Readonly<Record<string, string>> =>
-    Object.fromEntries(textOf(answer, 'vary').split(',').map((name) => name.trim().toLowerCase()).filter((name) => name !== '')
-      .map((name) => [name, textOf(request, name)])),
+    Object.fromEntries(
+      textOf(answer, 'vary')
+        .split(',')
+        .map((name) => name.trim().toLowerCase())
+        .filter((name) => name !== '')
+        .map((name) => [name, textOf(request, name)]),
+    ),
 
   /** A fresh copy that fits the request. @example Sieve.find(state, 'a.example/x', {}, 5) */
   find: (state: SieveState, key: string, request: Headers, now: number): Copy | undefined => {
     const copy = state.copies.get(key);
     if (copy === undefined || now >= copy.freshUntil) return undefined;
-    return Object.entries(copy.vary).every(([name, value]) => textOf(request, name) === value) ? copy : undefined;
+    return Object.entries(copy.vary).every(([name, value]) => textOf(request, name) === value)
+      ? copy
+      : undefined;
   },
 
   /** Marks a copy as just used. @example Sieve.touch(state, 'a.example/x') */
   touch: (state: SieveState, key: string): SieveState => {
     const copy = state.copies.get(key);
-    return copy === undefined ? state : { ...state, copies: state.copies.delete(key).set(key, copy) };
+    return copy === undefined
+      ? state
+      : { ...state, copies: state.copies.delete(key).set(key, copy) };
   },
 
   /** Keeps a copy, and lets the least lately used go when memory is full. @example Sieve.keep(state, copy) */
@@ -116,7 +149,10 @@
     next = {
       ...next,
       copies: next.copies.set(copy.key, copy),
-      byTag: copy.tags.reduce((table, tag) => table.set(tag, (table.get(tag) ?? Group<string>()).add(copy.key)), next.byTag),
+      byTag: copy.tags.reduce(
+        (table, tag) => table.set(tag, (table.get(tag) ?? Group<string>()).add(copy.key)),
+        next.byTag,
+      ),
       bytes: next.bytes + copy.size,
     };
     while (next.bytes > most) {
@@ -128,31 +164,57 @@
   },
 
   /** Whether a purge that came after `since` means this object. @example Sieve.purgedSince(state, 'a.example/x', [], 5) */
-  purgedSince: (state: SieveState, key: string, tags: readonly string[], since: number): number | null => {
-    const first = Math.min(...[`object ${key}`, ...tags.map((tag) => `tag ${tag}`)].map((name) => state.purgedAt.get(name)?.find((at) => at >= since) ?? Infinity));
+  purgedSince: (
+    state: SieveState,
+    key: string,
+    tags: readonly string[],
+    since: number,
+  ): number | null => {
+    const first = Math.min(
+      ...[`object ${key}`, ...tags.map((tag) => `tag ${tag}`)].map(
+        (name) => state.purgedAt.get(name)?.find((at) => at >= since) ?? Infinity,
+      ),
+    );
     return first === Infinity ? null : first;
   },
 
   /** Takes objects and tagged groups out, and remembers it for fetches under way. @example Sieve.purge(state, { objects: [], tags: ['t'] }, 5) */
-  purge: (state: SieveState, purge: { readonly objects: readonly string[]; readonly tags: readonly string[] }, now: number): SieveState => {
+  purge: (
+    state: SieveState,
+    purge: { readonly objects: readonly string[]; readonly tags: readonly string[] },
+    now: number,
+  ): SieveState => {
     const objects = purge.objects.map(Sieve.purgeKey);
     const keys = [...objects, ...purge.tags.flatMap((tag) => [...(state.byTag.get(tag) ?? [])])];
-    const namesOf = (each: Purged): readonly string[] => [...each.objects.map((key) => `object ${key}`), ...each.tags.map((tag) => `tag ${tag}`)];
+    const namesOf = (each: Purged): readonly string[] => [
+      ...each.objects.map((key) => `object ${key}`),
+      ...each.tags.map((tag) => `tag ${tag}`),
+    ];
     const added: Purged = { objects, tags: purge.tags, at: now };
     const old = state.purges.filter((each) => now - each.at >= Limits.fact);
     return {
       ...keys.reduce(drop, state),
       purges: [...(old.length === 0 ? state.purges : state.purges.slice(old.length)), added],
       purgedAt: state.purgedAt.withMutations((table) => {
-        for (const each of old) for (const name of namesOf(each)) { const left = (table.get(name) ?? []).filter((at) => at > each.at); if (left.length === 0) table.delete(name); else table.set(name, left); }
+        for (const each of old)
+          for (const name of namesOf(each)) {
+            const left = (table.get(name) ?? []).filter((at) => at > each.at);
+            if (left.length === 0) table.delete(name);
+            else table.set(name, left);
+          }
         for (const name of namesOf(added)) table.set(name, [...(table.get(name) ?? []), now]);
       }),
     };
   },
 
   /** Takes everything out. @example Sieve.flush(state).bytes // 0 */
-  flush: (state: SieveState): SieveState => ({ ...Sieve.empty, purges: state.purges, purgedAt: state.purgedAt }),
+  flush: (state: SieveState): SieveState => ({
+    ...Sieve.empty,
+    purges: state.purges,
+    purgedAt: state.purgedAt,
+  }),
 
   /** Drops what is no longer fit. @example Sieve.dropWhere(state, (copy) => now >= copy.freshUntil) */
-  dropWhere: (state: SieveState, unfit: (copy: Copy) => boolean): SieveState => state.copies.filter(unfit).keySeq().toArray().reduce(drop, state),
+  dropWhere: (state: SieveState, unfit: (copy: Copy) => boolean): SieveState =>
+    state.copies.filter(unfit).keySeq().toArray().reduce(drop, state),
 } as const;
--- a/packages/sieve/src/sieve.test.ts
+++ b/packages/sieve/src/sieve.test.ts
@@ -1,30 +1,55 @@
 import test from 'ava';
 import { Sieve, type Copy } from './index.js';
 
-const copy = (key: string, tags: readonly string[], size = 10, freshUntil = 1_000): Copy => ({ key, service: 's', status: 200, headers: {}, body: key, size, tags, vary: {}, takenAt: 0, freshUntil, bornAge: 0 });
+const copy = (key: string, tags: readonly string[], size = 10, freshUntil = 1_000): Copy => ({
+  key,
+  service: 's',
+  status: 200,
+  headers: {},
+  body: key,
+  size,
+  tags,
+  vary: {},
+  takenAt: 0,
+  freshUntil,
+  bornAge: 0,
+});
 const request = { method: 'GET', url: '/x', headers: {} };
-const life = (headers: Record<string, string>, legMs = 0, asked: Record<string, string> = {}): number => Sieve.life({ ...request, headers: asked }, { status: 200, headers }, legMs);
+const life = (
+  headers: Record<string, string>,
+  legMs = 0,
+  asked: Record<string, string> = {},
+): number => Sieve.life({ ...request, headers: asked }, { status: 200, headers }, legMs);
 
 test('how long an answer is kept follows its headers, its age and the leg that brought it', (t) => {
   t.is(life({ 'cache-control': 'max-age=60' }), 60_000);
   t.is(life({ 'cache-control': 'max-age=60', age: '50' }), 10_000);
   t.is(life({ 'cache-control': 'max-age=60' }, 1_500), 58_500);
   t.is(life({ 'cache-control': 'max-age=60, s-maxage=5' }), 5_000);
-  t.is(life({ date: 'Tue, 01 Dec 2026 10:00:00 GMT', expires: 'Tue, 01 Dec 2026 10:00:30 GMT' }), 30_000);
-  for (const none of ['no-store', 'private', 'no-cache', 'max-age=0', '']) t.is(life({ 'cache-control': none }), 0, none);
+  t.is(
+    life({ date: 'Tue, 01 Dec 2026 10:00:00 GMT', expires: 'Tue, 01 Dec 2026 10:00:30 GMT' }),
+    30_000,
+  );
+  for (const none of ['no-store', 'private', 'no-cache', 'max-age=0', ''])
+    t.is(life({ 'cache-control': none }), 0, none);
   t.is(life({ 'cache-control': 'max-age=60', vary: '*' }), 0);
   t.is(life({ 'cache-control': 'max-age=60' }, 0, { authorization: 'x' }), 0);
 });
 
 test('purges by object and by tag, and remembers them for fetches under way', (t) => {
-  let state = [copy('a.example/1', ['t']), copy('a.example/2', ['t', 'u']), copy('a.example/3', [])].reduce((all, each) => Sieve.keep(all, each), Sieve.empty);
+  let state = [
+    copy('a.example/1', ['t']),
+    copy('a.example/2', ['t', 'u']),
+    copy('a.example/3', []),
+  ].reduce((all, each) => Sieve.keep(all, each), Sieve.empty);
   state = Sieve.purge(state, { objects: ['http://A.example:80/3'], tags: ['u'] }, 100);
   t.deepEqual([...state.copies.keys()], ['a.example/1']);
   t.is(state.bytes, 10);
   t.is(Sieve.purgedSince(state, 'a.example/3', [], 50), 100);
   t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 50), 100);
   t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 101), null);
-  // Of several, the first since then tells how long it was known; each is forgotten after its minute.
+  // Of several, the first since then tells how long it was known; each is forgotten after its
+  // minute.
   state = Sieve.purge(state, { objects: [], tags: ['u'] }, 400);
   t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 50), 100);
   t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 101), 400);
@@ -45,7 +70,10 @@
 });
 
 test('a copy answers only requests that agree in the fields it varies by', (t) => {
-  const state = Sieve.keep(Sieve.empty, { ...copy('1', []), vary: Sieve.vary({ vary: 'Accept-Language' }, { 'accept-language': 'de' }) });
+  const state = Sieve.keep(Sieve.empty, {
+    ...copy('1', []),
+    vary: Sieve.vary({ vary: 'Accept-Language' }, { 'accept-language': 'de' }),
+  });
   t.truthy(Sieve.find(state, '1', { 'accept-language': 'de' }, 1));
   t.is(Sieve.find(state, '1', { 'accept-language': 'fr' }, 1), undefined);
 });
--- a/packages/spindle/src/index.ts
+++ b/packages/spindle/src/index.ts
@@ -1,12 +1,21 @@
 import { Limits, Sizes } from '@reedyard/gauge';
 
 /**
- * One record: what an owner told last. A higher serial replaces; equal ones are the same. The value is left
- * out towards one who has it already: then the new serial is a heartbeat alone.
+ * One record: what an owner told last. A higher serial replaces; equal ones are the same. The value
+ * is left out towards one who has it already: then the new serial is a heartbeat alone.
  */
 export type Telling = { readonly serial: number; readonly value?: unknown };
-/** `since` is a serial from which on this value was told: who holds that serial or a later one has it. */
-type Held = { readonly serial: number; readonly value: unknown; readonly since: number; readonly seenAt: number; readonly forgotten: boolean };
+/**
+ * `since` is a serial from which on this value was told: who holds that serial or a later one has
+ * it.
+ */
+type Held = {
+  readonly serial: number;
+  readonly value: unknown;
+  readonly since: number;
+  readonly seenAt: number;
+  readonly forgotten: boolean;
+};
 
 /** A neighbour in the partial view. */
 export type Neighbour = { readonly id: string; readonly address: string; readonly age: number };
@@ -17,17 +26,35 @@
 };
 
 /** One exchange: what the asker holds, and a part of its view. */
-export type Exchange = { readonly from: { readonly id: string; readonly address: string }; readonly digest: Readonly<Record<string, number>>; readonly sample: readonly Neighbour[] };
-/** Its answer: what is newer there, what is wanted from the asker (and which serial is had), and a part of the view in return. */
-export type Exchanged = { readonly newer: Readonly<Record<string, Telling>>; readonly wants: Readonly<Record<string, number>>; readonly sample: readonly Neighbour[] };
+export type Exchange = {
+  readonly from: { readonly id: string; readonly address: string };
+  readonly digest: Readonly<Record<string, number>>;
+  readonly sample: readonly Neighbour[];
+};
+/**
+ * Its answer: what is newer there, what is wanted from the asker (and which serial is had), and a
+ * part of the view in return.
+ */
+export type Exchanged = {
+  readonly newer: Readonly<Record<string, Telling>>;
+  readonly wants: Readonly<Record<string, number>>;
+  readonly sample: readonly Neighbour[];
+};
 
-const lifeOf = (key: string): number => (key.startsWith('origin/') ? Limits.originForgotten : Limits.nodeForgotten);
+const lifeOf = (key: string): number =>
+  key.startsWith('origin/') ? Limits.originForgotten : Limits.nodeForgotten;
 
 /** Live records of each kind that was asked for, found once for each table of records. */
-const kinds = new WeakMap<SpindleState['records'], Map<string, readonly (readonly [key: string, value: unknown, seenAt: number])[]>>();
+const kinds = new WeakMap<
+  SpindleState['records'],
+  Map<string, readonly (readonly [key: string, value: unknown, seenAt: number])[]>
+>();
 
 /** What is told of a record to one who holds a serial of it: 0 for none. */
-const tellingFor = (held: Held, serial: number): Telling => (serial >= held.since && !held.forgotten ? { serial: held.serial } : { serial: held.serial, value: held.forgotten ? null : held.value });
+const tellingFor = (held: Held, serial: number): Telling =>
+  serial >= held.since && !held.forgotten
+    ? { serial: held.serial }
+    : { serial: held.serial, value: held.forgotten ? null : held.value };
 
 export const Spindle = {
   empty: { records: {}, view: [] } as SpindleState,
@@ -39,77 +66,149 @@
   },
 
   /** All live records of a kind. @example Spindle.all(state, 'origin/') // [[key, value, seenAt], …] */
-  all: (state: SpindleState, prefix: string): readonly (readonly [key: string, value: unknown, seenAt: number])[] => {
+  all: (
+    state: SpindleState,
+    prefix: string,
+  ): readonly (readonly [key: string, value: unknown, seenAt: number])[] => {
     let known = kinds.get(state.records);
-    if (known === undefined) { known = new Map(); kinds.set(state.records, known); }
+    if (known === undefined) {
+      known = new Map();
+      kinds.set(state.records, known);
+    }
     let found = known.get(prefix);
     if (found === undefined) {
-      found = Object.entries(state.records).flatMap(([key, held]) => (key.startsWith(prefix) && !held.forgotten ? [[key, held.value, held.seenAt] as const] : []));
+      found = Object.entries(state.records).flatMap(([key, held]) =>
+        key.startsWith(prefix) && !held.forgotten ? [[key, held.value, held.seenAt] as const] : [],
+      );
       known.set(prefix, found);
     }
     return found;
   },
 
   /**
-   * Tells something of one's own (or a guest's), above any serial seen. Where a guest numbers what it says,
-   * nodes that hear different words of it each take its number for the least serial, so that the later one wins.
+   * Tells something of one's own (or a guest's), above any serial seen. Where a guest numbers what
+   * it says, nodes that hear different words of it each take its number for the least serial, so
+   * that the later one wins.
    *
    * @example
    * Spindle.tell(state, 'node/a', {}, 5)
    */
-  tell: (state: SpindleState, key: string, value: unknown, now: number, least = 1): SpindleState => {
+  tell: (
+    state: SpindleState,
+    key: string,
+    value: unknown,
+    now: number,
+    least = 1,
+  ): SpindleState => {
     const serial = Math.max((state.records[key]?.serial ?? 0) + 1, least);
-    return { ...state, records: { ...state.records, [key]: { serial, value, since: serial, seenAt: now, forgotten: false } } };
+    return {
+      ...state,
+      records: {
+        ...state.records,
+        [key]: { serial, value, since: serial, seenAt: now, forgotten: false },
+      },
+    };
   },
 
   /**
-   * Tells a value of one's own again that has not changed: its new serial says that one lives. Only for a
-   * key that nobody else tells, since who has an earlier serial is not given the value again.
+   * Tells a value of one's own again that has not changed: its new serial says that one lives. Only
+   * for a key that nobody else tells, since who has an earlier serial is not given the value again.
    *
    * @example
    * Spindle.beat(state, 'node/a', 500)
    */
   beat: (state: SpindleState, key: string, now: number): SpindleState => {
     const held = state.records[key];
-    return held === undefined || held.forgotten ? state : { ...state, records: { ...state.records, [key]: { ...held, serial: held.serial + 1, seenAt: now } } };
+    return held === undefined || held.forgotten
+      ? state
+      : {
+          ...state,
+          records: { ...state.records, [key]: { ...held, serial: held.serial + 1, seenAt: now } },
+        };
   },
 
   /** Serials since the value under a key was last told whole. @example Spindle.beats(state, 'node/a') // 0 */
-  beats: (state: SpindleState, key: string): number => { const held = state.records[key]; return held === undefined ? 0 : held.serial - held.since; },
+  beats: (state: SpindleState, key: string): number => {
+    const held = state.records[key];
+    return held === undefined ? 0 : held.serial - held.since;
+  },
 
   /** Changes a value held here without telling it to others. @example Spindle.note(state, 'origin/s/i', value) */
   note: (state: SpindleState, key: string, value: unknown): SpindleState => {
     const held = state.records[key];
-    return held === undefined ? state : { ...state, records: { ...state.records, [key]: { ...held, value } } };
+    return held === undefined
+      ? state
+      : { ...state, records: { ...state.records, [key]: { ...held, value } } };
   },
 
   /** Takes in what others told; returns the keys that were news. @example Spindle.learn(state, newer, 5).news */
-  learn: (state: SpindleState, tellings: Readonly<Record<string, Telling>>, now: number): { readonly state: SpindleState; readonly news: readonly string[]; /** Those of them with a value. */ readonly values: readonly string[] } => {
+  learn: (
+    state: SpindleState,
+    tellings: Readonly<Record<string, Telling>>,
+    now: number,
+  ): {
+    readonly state: SpindleState;
+    readonly news: readonly string[];
+    /** Those of them with a value. */ readonly values: readonly string[];
+  } => {
     const added: Record<string, Held> = {};
     const values: string[] = [];
     for (const [key, { serial, ...rest }] of Object.entries(tellings)) {
       const held = state.records[key];
       if (serial <= (held?.serial ?? 0)) continue;
-      if ('value' in rest) { added[key] = { serial, value: rest.value, since: serial, seenAt: now, forgotten: rest.value === null }; values.push(key); }
-      else if (held !== undefined && !held.forgotten) added[key] = { ...held, serial, seenAt: now };
+      if ('value' in rest) {
+        added[key] = {
+          serial,
+          value: rest.value,
+          since: serial,
+          seenAt: now,
+          forgotten: rest.value === null,
+        };
+        values.push(key);
+      } else if (held !== undefined && !held.forgotten)
+        added[key] = { ...held, serial, seenAt: now };
     }
     const news = Object.keys(added);
-    return { state: news.length === 0 ? state : { ...state, records: { ...state.records, ...added } }, news, values };
+    return {
+      state: news.length === 0 ? state : { ...state, records: { ...state.records, ...added } },
+      news,
+      values,
+    };
   },
 
   /** Forgets what went silent; its serial stays, so that a late copy does not bring it back. @example Spindle.sweep(state, 99_000) */
-  sweep: (state: SpindleState, now: number): { readonly state: SpindleState; readonly gone: readonly string[] } => {
-    const gone = Object.entries(state.records).flatMap(([key, held]) => (!held.forgotten && now - held.seenAt > lifeOf(key) ? [key] : []));
+  sweep: (
+    state: SpindleState,
+    now: number,
+  ): { readonly state: SpindleState; readonly gone: readonly string[] } => {
+    const gone = Object.entries(state.records).flatMap(([key, held]) =>
+      !held.forgotten && now - held.seenAt > lifeOf(key) ? [key] : [],
+    );
     if (gone.length === 0) return { state, gone };
     return {
-      state: { ...state, records: { ...state.records, ...Object.fromEntries(gone.map((key) => [key, { ...(state.records[key] as Held), value: null, forgotten: true }])) } },
+      state: {
+        ...state,
+        records: {
+          ...state.records,
+          ...Object.fromEntries(
+            gone.map((key) => [
+              key,
+              { ...(state.records[key] as Held), value: null, forgotten: true },
+            ]),
+          ),
+        },
+      },
       gone,
     };
   },
 
   /** @example Spindle.digest(state) // { 'node/a': 12 } */
   digest: (state: SpindleState): Readonly<Record<string, number>> =>
-    Object.fromEntries(Object.entries(state.records).flatMap(([key, held]) => (held.forgotten ? [] : [[key, held.serial]]))),
+    Object.fromEntries(
+      Object.entries(state.records).flatMap(([key, held]) =>
+        held.forgotten ? [] : [[key, held.serial]],
+      ),
+    ),
 
   /**
    * What of ours is newer than a digest, and what of the digest we lack. A forgotten record is told
@@ -119,21 +218,41 @@
    * @example
    * Spindle.compare(state, {})
    */
-  compare: (state: SpindleState, digest: Readonly<Record<string, number>>): { readonly newer: Readonly<Record<string, Telling>>; readonly wants: Readonly<Record<string, number>> } => ({
-    newer: Object.fromEntries(Object.entries(state.records).flatMap(([key, held]) =>
-      (held.serial > (digest[key] ?? 0) && (!held.forgotten || digest[key] !== undefined) ? [[key, tellingFor(held, digest[key] ?? 0)]] : []))),
-    wants: Object.fromEntries(Object.entries(digest).flatMap(([key, serial]) => {
-      const held = state.records[key];
-      return serial > (held?.serial ?? 0) ? [[key, held === undefined || held.forgotten ? 0 : held.serial]] : [];
-    })),
+  compare: (
+    state: SpindleState,
+    digest: Readonly<Record<string, number>>,
+  ): {
+    readonly newer: Readonly<Record<string, Telling>>;
+    readonly wants: Readonly<Record<string, number>>;
+  } => ({
+    newer: Object.fromEntries(
+      Object.entries(state.records).flatMap(([key, held]) =>
+        held.serial > (digest[key] ?? 0) && (!held.forgotten || digest[key] !== undefined)
+          ? [[key, tellingFor(held, digest[key] ?? 0)]]
+          : [],
+      ),
+    ),
+    wants: Object.fromEntries(
+      Object.entries(digest).flatMap(([key, serial]) => {
+        const held = state.records[key];
+        return serial > (held?.serial ?? 0)
+          ? [[key, held === undefined || held.forgotten ? 0 : held.serial]]
+          : [];
+      }),
+    ),
   }),
 
   /** The records asked for, by the serials that the asker has. @example Spindle.pick(state, { 'node/a': 0 }) */
-  pick: (state: SpindleState, wants: Readonly<Record<string, number>>): Readonly<Record<string, Telling>> =>
-    Object.fromEntries(Object.entries(wants).flatMap(([key, serial]) => {
-      const held = state.records[key];
-      return held === undefined || held.forgotten ? [] : [[key, tellingFor(held, serial)]];
-    })),
+  pick: (
+    state: SpindleState,
+    wants: Readonly<Record<string, number>>,
+  ): Readonly<Record<string, Telling>> =>
+    Object.fromEntries(
+      Object.entries(wants).flatMap(([key, serial]) => {
+        const held = state.records[key];
+        return held === undefined || held.forgotten ? [] : [[key, tellingFor(held, serial)]];
+      }),
+    ),
 
   /**
    * A shuffle: neighbours received fill the view, and first push out those that were sent away.
@@ -141,7 +260,12 @@
    * @example
    * Spindle.shuffle([], 'me', [{ id: 'a', address: '127.0.0.1:1', age: 0 }], []) // the one received
    */
-  shuffle: (view: readonly Neighbour[], self: string, received: readonly Neighbour[], sent: readonly Neighbour[]): readonly Neighbour[] => {
+  shuffle: (
+    view: readonly Neighbour[],
+    self: string,
+    received: readonly Neighbour[],
+    sent: readonly Neighbour[],
+  ): readonly Neighbour[] => {
     const sentIds = new Set(sent.map((each) => each.id));
     const fresh = received.filter((each) => each.id !== self);
     const freshIds = new Set(fresh.map((each) => each.id));
@@ -151,12 +275,19 @@
       if (known === undefined || each.age < known.age) youngest.set(each.id, each);
     }
     // Kept first: what was received, then what was not offered away, then the rest.
-    const rank = (each: Neighbour): number => (freshIds.has(each.id) ? 0 : sentIds.has(each.id) ? 2 : 1);
-    return [...youngest.values()].sort((a, b) => rank(a) - rank(b) || a.age - b.age).slice(0, Sizes.view);
+    const rank = (each: Neighbour): number =>
+      freshIds.has(each.id) ? 0 : sentIds.has(each.id) ? 2 : 1;
+    return [...youngest.values()]
+      .sort((a, b) => rank(a) - rank(b) || a.age - b.age)
+      .slice(0, Sizes.view);
   },
 
   /** A part of the view to offer, with oneself as the newest. @example Spindle.sample(view, { id: 'me', address: '127.0.0.1:1' }, 0.3) */
-  sample: (view: readonly Neighbour[], self: { readonly id: string; readonly address: string }, chance: number): readonly Neighbour[] => {
+  sample: (
+    view: readonly Neighbour[],
+    self: { readonly id: string; readonly address: string },
+    chance: number,
+  ): readonly Neighbour[] => {
     const start = Math.floor(chance * view.length);
     const turned = [...view.slice(start), ...view.slice(0, start)];
     return [{ ...self, age: 0 }, ...turned.slice(0, Sizes.shuffle - 1)];
--- a/packages/stencil/src/stencil.test.ts
+++ b/packages/stencil/src/stencil.test.ts
@@ -2,26 +2,73 @@
 import { Routes, Stencil, StencilError, type Route } from './index.js';
 
 const service = { ceiling: 10, coldRate: 1 };
-const route = (name: string, path: string, more: object = {}): object => ({ name, host: 'a.example', path, service: 's', ...more });
-const faults = (raw: unknown): readonly string[] => { try { Stencil.policy(raw); return []; } catch (thrown) { return thrown instanceof StencilError ? thrown.faults.map((fault) => fault.path) : ['?']; } };
+const route = (name: string, path: string, more: object = {}): object => ({
+  name,
+  host: 'a.example',
+  path,
+  service: 's',
+  ...more,
+});
+const faults = (raw: unknown): readonly string[] => {
+  try {
+    Stencil.policy(raw);
+    return [];
+  } catch (thrown) {
+    return thrown instanceof StencilError ? thrown.faults.map((fault) => fault.path) : ['?'];
+  }
+};
 
 test('a policy that can not be taken names each fault by its place', (t) => {
   t.deepEqual(faults({ services: { s: service }, routes: [route('r', '/x/')] }), []);
-  t.deepEqual(faults({ services: { s: service }, routes: [route('r', '/x/', { service: 'none' })] }), ['/routes/0/service']);
-  t.deepEqual(faults({ services: { s: service }, routes: [route('r', '/x/'), route('q', '/x/')] }), ['/routes/1/path']);
-  t.deepEqual(faults({ services: { s: service }, routes: [route('r', '/x/'), route('r', '/y/')] }), ['/routes/1/name']);
-  t.deepEqual(faults({ services: { s: { ...service, ceiling: 0 } }, routes: [] }), ['/services/s/ceiling']);
+  t.deepEqual(
+    faults({ services: { s: service }, routes: [route('r', '/x/', { service: 'none' })] }),
+    ['/routes/0/service'],
+  );
+  t.deepEqual(
+    faults({ services: { s: service }, routes: [route('r', '/x/'), route('q', '/x/')] }),
+    ['/routes/1/path'],
+  );
+  t.deepEqual(
+    faults({ services: { s: service }, routes: [route('r', '/x/'), route('r', '/y/')] }),
+    ['/routes/1/name'],
+  );
+  t.deepEqual(faults({ services: { s: { ...service, ceiling: 0 } }, routes: [] }), [
+    '/services/s/ceiling',
+  ]);
   t.deepEqual(faults({ services: { s: service }, routes: [route('r', 'x')] }), ['/routes/0/path']);
   t.deepEqual(faults({ services: { s: { ...service, extra: 1 } }, routes: [] }), ['/services/s']);
   t.deepEqual(faults([]), ['/']);
-  t.throws(() => Stencil.description({ service: 's', instance: 'i', incarnation: 1, address: 'localhost:1', region: 'r', hall: 'h', capacity: 1 }), { instanceOf: StencilError });
+  t.throws(
+    () =>
+      Stencil.description({
+        service: 's',
+        instance: 'i',
+        incarnation: 1,
+        address: 'localhost:1',
+        region: 'r',
+        hall: 'h',
+        capacity: 1,
+      }),
+    { instanceOf: StencilError },
+  );
   t.throws(() => Stencil.purge({}), { instanceOf: StencilError });
   t.throws(() => Stencil.hallOrder({ order: 'close' }), { instanceOf: StencilError });
 });
 
 test('the longest prefix that ends where a segment ends is the route', (t) => {
-  const table = Routes.table(Stencil.policy({ services: { s: service }, routes: [route('all', '/'), route('a', '/a'), route('ab', '/a/b/'), { ...route('other', '/'), host: 'b.example' }] }).routes);
-  const find = (target: string, host = 'a.example'): string | undefined => Routes.find(table, host, target)?.name;
+  const table = Routes.table(
+    Stencil.policy({
+      services: { s: service },
+      routes: [
+        route('all', '/'),
+        route('a', '/a'),
+        route('ab', '/a/b/'),
+        { ...route('other', '/'), host: 'b.example' },
+      ],
+    }).routes,
+  );
+  const find = (target: string, host = 'a.example'): string | undefined =>
+    Routes.find(table, host, target)?.name;
   t.is(find('/a'), 'a');
   t.is(find('/a/x?y=/a/b/'), 'a');
   t.is(find('/ab'), 'all');
@@ -32,16 +79,36 @@
 
 test('a route may be split among services by weight', (t) => {
   const services = { s: service, u: {}, v: service };
-  const split = (parts: object, more: object = {}): object => ({ name: 'r', host: 'A.example', path: '/x/', services: parts, ...more });
-  const read = (raw: object): Route => Stencil.policy({ services, routes: [raw] }).routes[0] as Route;
-  const parts = [{ service: 's', weight: 0 }, { service: 'u', weight: 2.5 }, { service: 'v', weight: 1 }];
+  const split = (parts: object, more: object = {}): object => ({
+    name: 'r',
+    host: 'A.example',
+    path: '/x/',
+    services: parts,
+    ...more,
+  });
+  const read = (raw: object): Route =>
+    Stencil.policy({ services, routes: [raw] }).routes[0] as Route;
+  const parts = [
+    { service: 's', weight: 0 },
+    { service: 'u', weight: 2.5 },
+    { service: 'v', weight: 1 },
+  ];
   const shared = read(split(parts, { service: 's' }));
   t.deepEqual(shared.services, parts);
   t.deepEqual(Routes.services(shared), parts.slice(1));
   t.is(Routes.mainService(shared), 'u');
-  t.deepEqual(['s', 'u', 'v'].map((name) => Routes.allows(shared, name)), [false, true, true]);
+  t.deepEqual(
+    ['s', 'u', 'v'].map((name) => Routes.allows(shared, name)),
+    [false, true, true],
+  );
   t.deepEqual(Routes.services(read(route('r', '/x/') as object)), [{ service: 's', weight: 1 }]);
-  t.deepEqual(Routes.homesOf([{ ...shared, homes: ['north'] }, read(route('r', '/x/', { homes: ['west'] }))], 'v'), ['north']);
+  t.deepEqual(
+    Routes.homesOf(
+      [{ ...shared, homes: ['north'] }, read(route('r', '/x/', { homes: ['west'] }))],
+      'v',
+    ),
+    ['north'],
+  );
   t.is(Routes.find(Routes.table([shared]), 'a.EXAMPLE', '/x/1'), shared);
   const bad = (raw: object): readonly string[] => faults({ services, routes: [raw] });
   t.deepEqual(bad(split([{ service: 's', weight: 0 }])), ['/routes/0/services']);
@@ -49,23 +116,55 @@
   t.deepEqual(bad(split([{ service: 's', weight: -1 }])), ['/routes/0/services/0/weight']);
   t.deepEqual(bad({ name: 'r', host: 'a.example', path: '/x/' }), ['/routes/0/service']);
   t.deepEqual(bad(route('r', '/x/', { service: 'constructor' })), ['/routes/0/service']);
-  t.deepEqual(bad(route('r', '/x/', { cache: { keep: 'always' } })), ['/routes/0/cache/mostSeconds']);
+  t.deepEqual(bad(route('r', '/x/', { cache: { keep: 'always' } })), [
+    '/routes/0/cache/mostSeconds',
+  ]);
 });
 
 test('the newer fields of policies, descriptions and orders', (t) => {
   const document = {
-    version: 7, notes: { kept: [1, { as: null }] }, callers: { headBytes: 16_384, bodyBytes: 67_108_864, headMs: 3_000, idleMs: 15_000.5 },
+    version: 7,
+    notes: { kept: [1, { as: null }] },
+    callers: { headBytes: 16_384, bodyBytes: 67_108_864, headMs: 3_000, idleMs: 15_000.5 },
     services: { s: { coldSeconds: 3, instanceConns: 130, probePath: '/well', notes: { b: true } } },
-    routes: [{
-      name: 'a route', host: 'a.example', path: '/x/', service: 's', methods: ['GET'], repeat: 'safe', cache: { keep: 'always', mostSeconds: 0.25 }, targetMs: 150, priority: 0,
-      limits: { transactionMs: 3_600_000, bodyBytes: 67_108_864, attempts: 2 }, tagsHeader: 'surrogate-key', notes: {},
-    }],
+    routes: [
+      {
+        name: 'a route',
+        host: 'a.example',
+        path: '/x/',
+        service: 's',
+        methods: ['GET'],
+        repeat: 'safe',
+        cache: { keep: 'always', mostSeconds: 0.25 },
+        targetMs: 150,
+        priority: 0,
+        limits: { transactionMs: 3_600_000, bodyBytes: 67_108_864, attempts: 2 },
+        tagsHeader: 'surrogate-key',
+        notes: {},
+      },
+    ],
   };
   t.deepEqual(Stencil.policy(document) as unknown, document);
   t.deepEqual(faults({ services: {}, routes: [], version: -1 }), ['/version']);
-  const told = { service: 's', instance: 'i', incarnation: 0, address: '127.0.0.1:1', region: 'r', hall: 'h', state: 'cold', coldMs: 2_500, draining: false, slots: 8, sequence: 4, release: 'v1' };
+  const told = {
+    service: 's',
+    instance: 'i',
+    incarnation: 0,
+    address: '127.0.0.1:1',
+    region: 'r',
+    hall: 'h',
+    state: 'cold',
+    coldMs: 2_500,
+    draining: false,
+    slots: 8,
+    sequence: 4,
+    release: 'v1',
+  };
   t.deepEqual(Stencil.description(told) as unknown, told);
   t.throws(() => Stencil.description({ ...told, slots: undefined }), { instanceOf: StencilError });
   t.deepEqual(Stencil.hallOrder({ order: 'empty' }), { order: 'empty', of: 'all' });
-  t.deepEqual(Stencil.hallOrder({ order: 'take-back', of: 'origins' }), { order: 'take-back', of: 'origins' });
+  t.deepEqual(Stencil.hallOrder({ order: 'take-back', of: 'origins' }), {
+    order: 'take-back',
+    of: 'origins',
+  });
 });
--- a/packages/tally/src/index.ts
+++ b/packages/tally/src/index.ts
@@ -4,10 +4,13 @@
 /** How a leg ended. */
 export type LegEnd =
   | {
-    readonly kind: 'answered'; readonly status: number; readonly final: boolean; readonly notRun: boolean;
-    /** Attempts at origins that a peer says it made for this answer; null where nobody says. */
-    readonly spent?: number | null;
-  }
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly final: boolean;
+      readonly notRun: boolean;
+      /** Attempts at origins that a peer says it made for this answer; null where nobody says. */
+      readonly spent?: number | null;
+    }
   | { readonly kind: 'failed'; readonly sent: Sent; readonly why: string };
 
 /** One attempt of a transaction. */
@@ -17,7 +20,9 @@
   readonly openedAt: number;
   readonly limitAt: number;
   readonly end: LegEnd | null;
-  /** Attempts at origins that may be made through this one: those granted to a peer. Left out: one. */
+  /**
+   * Attempts at origins that may be made through this one: those granted to a peer. Left out: one.
+   */
   readonly granted?: number;
 };
 
@@ -28,13 +33,22 @@
   | { readonly kind: 'open' }
   | { readonly kind: 'wait' }
   | { readonly kind: 'relay' }
-  | { readonly kind: 'give-up'; readonly status: 502 | 503 | 504; readonly outcome: Outcome; readonly why: string };
+  | {
+      readonly kind: 'give-up';
+      readonly status: 502 | 503 | 504;
+      readonly outcome: Outcome;
+      readonly why: string;
+    };
 
 /** Legs of one transaction at most, where its route does not say. */
 const mostLegs = 3;
 
 const outcomeOf = (legs: readonly Leg[]): Outcome =>
-  legs.every(({ end }) => (end !== null && end.kind === 'failed' ? end.sent === 'nothing' : end !== null && end.notRun)) ? 'not-run' : 'unknown';
+  legs.every(({ end }) =>
+    end !== null && end.kind === 'failed' ? end.sent === 'nothing' : end !== null && end.notRun,
+  )
+    ? 'not-run'
+    : 'unknown';
 
 /** Attempts at origins that one attempt has used up, or may still use. */
 const spentBy = (leg: Leg): number => {
@@ -51,8 +65,9 @@
   outcomeOf,
 
   /**
-   * Attempts at origins that a request has used up over all nodes, as far as this node can know: a peer holds
-   * what it was granted until its answer says what it used, and for ever where no answer comes.
+   * Attempts at origins that a request has used up over all nodes, as far as this node can know: a
+   * peer holds what it was granted until its answer says what it used, and for ever where no answer
+   * comes.
    *
    * @example
    * Tally.spent([originLeg, peerLegGrantedTwoUnanswered]) // 3
@@ -66,13 +81,27 @@
    * @example
    * Tally.next({ safe: false, legs: [failedLeg('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
    */
-  next: (ledger: { readonly safe: boolean; readonly legs: readonly Leg[]; readonly now: number; readonly limitAt: number; readonly mayRepeat: boolean; readonly most?: number }): Move => {
+  next: (ledger: {
+    readonly safe: boolean;
+    readonly legs: readonly Leg[];
+    readonly now: number;
+    readonly limitAt: number;
+    readonly mayRepeat: boolean;
+    readonly most?: number;
+  }): Move => {
     const { legs } = ledger;
     const last = legs.at(-1);
     const outcome = outcomeOf(legs);
-    const giveUp = (why: string, late: boolean): Move =>
-      ({ kind: 'give-up', status: outcome === 'not-run' ? 503 : late ? 504 : 502, outcome, why });
-    if (last === undefined) return ledger.now >= ledger.limitAt ? giveUp('the limit was reached before a leg was made', true) : { kind: 'open' };
+    const giveUp = (why: string, late: boolean): Move => ({
+      kind: 'give-up',
+      status: outcome === 'not-run' ? 503 : late ? 504 : 502,
+      outcome,
+      why,
+    });
+    if (last === undefined)
+      return ledger.now >= ledger.limitAt
+        ? giveUp('the limit was reached before a leg was made', true)
+        : { kind: 'open' };
     if (legs.some((leg) => leg.end?.kind === 'answered' && leg.end.final)) return { kind: 'relay' };
     if (last.end === null || legs.some((leg) => leg.end === null)) return { kind: 'wait' };
     const why = last.end.kind === 'failed' ? last.end.why : `answered ${last.end.status}`;
@@ -85,17 +114,32 @@
   },
 
   /**
-   * Whether a second attempt may be made beside one that is silent (a hedge): only where running twice does
-   * no harm, only beside a single one, and only while its answer could still be of use.
+   * Whether a second attempt may be made beside one that is silent (a hedge): only where running
+   * twice does no harm, only beside a single one, and only while its answer could still be of use.
    *
    * @example
    * Tally.mayHedge({ safe: true, legs: [silentLeg], now: 200, limitAt: 800, mayRepeat: true, silentMs: 150 }) // true
    */
-  mayHedge: (ledger: { readonly safe: boolean; readonly legs: readonly Leg[]; readonly now: number; readonly limitAt: number; readonly mayRepeat: boolean; readonly most?: number; /** ms after which an attempt counts as silent. */ readonly silentMs: number }): boolean => {
+  mayHedge: (ledger: {
+    readonly safe: boolean;
+    readonly legs: readonly Leg[];
+    readonly now: number;
+    readonly limitAt: number;
+    readonly mayRepeat: boolean;
+    readonly most?: number;
+    /** ms after which an attempt counts as silent. */ readonly silentMs: number;
+  }): boolean => {
     const { legs } = ledger;
     const live = legs.filter((leg) => leg.end === null);
     const [only] = live;
-    return ledger.safe && ledger.mayRepeat && live.length === 1 && only !== undefined && legs.length < (ledger.most ?? mostLegs)
-      && ledger.now < ledger.limitAt && ledger.now - only.openedAt >= ledger.silentMs;
+    return (
+      ledger.safe &&
+      ledger.mayRepeat &&
+      live.length === 1 &&
+      only !== undefined &&
+      legs.length < (ledger.most ?? mostLegs) &&
+      ledger.now < ledger.limitAt &&
+      ledger.now - only.openedAt >= ledger.silentMs
+    );
   },
 } as const;
--- a/packages/tally/src/tally.test.ts
+++ b/packages/tally/src/tally.test.ts
@@ -1,15 +1,28 @@
 import test from 'ava';
 import { Tally, type Leg, type LegEnd } from './index.js';
 
-const leg = (number: number, end: LegEnd | null): Leg => ({ number, to: { kind: 'origin', id: `o${number}` }, openedAt: 0, limitAt: 10, end });
+const leg = (number: number, end: LegEnd | null): Leg => ({
+  number,
+  to: { kind: 'origin', id: `o${number}` },
+  openedAt: 0,
+  limitAt: 10,
+  end,
+});
 const ends: readonly LegEnd[] = [
-  { kind: 'failed', sent: 'nothing', why: 'connect' }, { kind: 'failed', sent: 'maybe', why: 'cut' }, { kind: 'failed', sent: 'maybe', why: 'limit' },
-  { kind: 'answered', status: 200, final: true, notRun: false }, { kind: 'answered', status: 503, final: false, notRun: true }, { kind: 'answered', status: 503, final: false, notRun: false },
+  { kind: 'failed', sent: 'nothing', why: 'connect' },
+  { kind: 'failed', sent: 'maybe', why: 'cut' },
+  { kind: 'failed', sent: 'maybe', why: 'limit' },
+  { kind: 'answered', status: 200, final: true, notRun: false },
+  { kind: 'answered', status: 503, final: false, notRun: true },
+  { kind: 'answered', status: 503, final: false, notRun: false },
 ];
 const ran = (end: LegEnd): boolean => (end.kind === 'failed' ? end.sent === 'maybe' : !end.notRun);
 
 test('over every ledger of up to three legs: an unsafe one is never made again once a leg may have run', (t) => {
-  const ledgers = ends.flatMap((a) => [[a], ...ends.flatMap((b) => [[a, b], ...ends.map((c) => [a, b, c])])]);
+  const ledgers = ends.flatMap((a) => [
+    [a],
+    ...ends.flatMap((b) => [[a, b], ...ends.map((c) => [a, b, c])]),
+  ]);
   t.is(ledgers.length, 6 + 36 + 216);
   for (const list of ledgers) {
     for (const mayRepeat of [true, false]) {
@@ -29,8 +42,20 @@
   t.is(Tally.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: true }).kind, 'open');
   t.is(Tally.next({ safe: true, legs, now: 9, limitAt: 9, mayRepeat: true }).kind, 'give-up');
   t.is(Tally.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: false }).kind, 'give-up');
-  t.is(Tally.next({ safe: true, legs: [leg(0, null)], now: 5, limitAt: 9, mayRepeat: true }).kind, 'wait');
-  t.is(Tally.next({ safe: true, legs: [0, 1, 2].map((n) => leg(n, ends[1] ?? null)), now: 5, limitAt: 9, mayRepeat: true }).kind, 'give-up');
+  t.is(
+    Tally.next({ safe: true, legs: [leg(0, null)], now: 5, limitAt: 9, mayRepeat: true }).kind,
+    'wait',
+  );
+  t.is(
+    Tally.next({
+      safe: true,
+      legs: [0, 1, 2].map((n) => leg(n, ends[1] ?? null)),
+      now: 5,
+      limitAt: 9,
+      mayRepeat: true,
+    }).kind,
+    'give-up',
+  );
 });
 
 test('beside a silent attempt a second one is made for a safe request alone, and nothing is given up while one is under way', (t) => {
@@ -44,7 +69,13 @@
   t.false(Tally.mayHedge({ ...hedge, most: 1 }));
   t.false(Tally.mayHedge({ ...hedge, legs: [silent, leg(1, null)] }));
   for (const end of ends) {
-    const move = Tally.next({ safe: true, legs: [silent, leg(1, end)], now: 5, limitAt: 9, mayRepeat: true });
+    const move = Tally.next({
+      safe: true,
+      legs: [silent, leg(1, end)],
+      now: 5,
+      limitAt: 9,
+      mayRepeat: true,
+    });
     t.is(move.kind, end.kind === 'answered' && end.final ? 'relay' : 'wait');
   }
 });
--- a/packages/trammel/src/trammel.test.ts
+++ b/packages/trammel/src/trammel.test.ts
@@ -3,34 +3,98 @@
 import { Stencil, type Description } from '@reedyard/stencil';
 import { plan, type Known } from './index.js';
 
-const node = (id: string, hall: string, region: string, want: number): NodeRecord => ({ id, hall, region, address: '', lathe: { callers: '', partners: '', capacityBps: 1 }, anvil: null, ready: true, staying: true, latheLife: '', wants: { store: want } });
-const origin = (instance: string, hall: string): Description => ({ service: 'store', instance, incarnation: 1, address: '10.0.0.1:1', region: 'r', hall, capacity: 60, state: 'warm', draining: false });
-const policy = Stencil.policy({ services: { store: { ceiling: 100, coldRate: 5 } }, routes: [{ name: 'sheets', host: 'a.example', path: '/sheets/', service: 'store' }] });
+const node = (id: string, hall: string, region: string, want: number): NodeRecord => ({
+  id,
+  hall,
+  region,
+  address: '',
+  lathe: { callers: '', partners: '', capacityBps: 1 },
+  anvil: null,
+  ready: true,
+  staying: true,
+  latheLife: '',
+  wants: { store: want },
+});
+const origin = (instance: string, hall: string): Description => ({
+  service: 'store',
+  instance,
+  incarnation: 1,
+  address: '10.0.0.1:1',
+  region: 'r',
+  hall,
+  capacity: 60,
+  state: 'warm',
+  draining: false,
+});
+const policy = Stencil.policy({
+  services: { store: { ceiling: 100, coldRate: 5 } },
+  routes: [{ name: 'sheets', host: 'a.example', path: '/sheets/', service: 'store' }],
+});
 const known: Known = {
-  policy, emptied: [], nodes: [node('a', 'west', 'r', 10), node('b', 'west', 'r', 10), node('c', 'north', 'r', 10)], origins: [origin('o1', 'west'), origin('o2', 'north')],
+  policy,
+  emptied: [],
+  nodes: [node('a', 'west', 'r', 10), node('b', 'west', 'r', 10), node('c', 'north', 'r', 10)],
+  origins: [origin('o1', 'west'), origin('o2', 'north')],
   slices: { store: { a: 33, b: 33, c: 33 } },
 };
 
 test('emptying a hall: its nodes and origins stop, its load goes to those left', (t) => {
   const moves = plan(known, { empty: ['west'] });
-  t.deepEqual(moves.nodes.map((each) => `${each.node} ${each.before} ${each.after}`), ['a serves emptied', 'b serves emptied']);
-  t.deepEqual(moves.origins, [{ origin: 'store/o1', before: 'takes work', after: 'its hall is emptied' }]);
-  t.deepEqual(moves.load.map((each) => [each.node, Math.round(each.after)]), [['a', 0], ['b', 0], ['c', 30]]);
+  t.deepEqual(
+    moves.nodes.map((each) => `${each.node} ${each.before} ${each.after}`),
+    ['a serves emptied', 'b serves emptied'],
+  );
+  t.deepEqual(moves.origins, [
+    { origin: 'store/o1', before: 'takes work', after: 'its hall is emptied' },
+  ]);
+  t.deepEqual(
+    moves.load.map((each) => [each.node, Math.round(each.after)]),
+    [
+      ['a', 0],
+      ['b', 0],
+      ['c', 30],
+    ],
+  );
   // One instance is left, and carries less than the ceiling.
   t.is(Math.round(moves.shares.find((each) => each.node === 'c')?.after ?? 0), 60);
   t.deepEqual(moves.warnings, []);
-  t.true(plan(known, { empty: ['west', 'north'] }).warnings.includes('no node would be left to serve callers'));
+  t.true(
+    plan(known, { empty: ['west', 'north'] }).warnings.includes(
+      'no node would be left to serve callers',
+    ),
+  );
 });
 
 test('a policy: routes, services, and what would lack', (t) => {
   const next = Stencil.policy({
-    services: { store: { ceiling: 20, coldRate: 5, instances: ['o2'] }, news: { ceiling: 5, coldRate: 1 } },
-    routes: [{ name: 'sheets', host: 'a.example', path: '/sheets/', service: 'store', homes: ['elsewhere'] }, { name: 'news', host: 'a.example', path: '/news/', service: 'news' }],
+    services: {
+      store: { ceiling: 20, coldRate: 5, instances: ['o2'] },
+      news: { ceiling: 5, coldRate: 1 },
+    },
+    routes: [
+      {
+        name: 'sheets',
+        host: 'a.example',
+        path: '/sheets/',
+        service: 'store',
+        homes: ['elsewhere'],
+      },
+      { name: 'news', host: 'a.example', path: '/news/', service: 'news' },
+    ],
   });
   const moves = plan(known, { policy: next });
-  t.deepEqual(moves.routes, { added: ['news'], removed: [], changed: [{ route: 'sheets', fields: ['homes'] }] });
-  t.deepEqual(moves.services.map((each) => `${each.service} ${each.change} ${each.ceiling.join(' ')}`), ['news added  5', 'store changed 100 20']);
-  t.deepEqual(moves.origins, [{ origin: 'store/o1', before: 'takes work', after: 'the policy does not name this instance' }]);
+  t.deepEqual(moves.routes, {
+    added: ['news'],
+    removed: [],
+    changed: [{ route: 'sheets', fields: ['homes'] }],
+  });
+  t.deepEqual(
+    moves.services.map((each) => `${each.service} ${each.change} ${each.ceiling.join(' ')}`),
+    ['news added  5', 'store changed 100 20'],
+  );
+  t.deepEqual(moves.origins, [
+    { origin: 'store/o1', before: 'takes work', after: 'the policy does not name this instance' },
+  ]);
   t.is(moves.warnings.length, 3);
   t.deepEqual(plan(known, { policy }).routes, { added: [], removed: [], changed: [] });
 });
--- a/packages/vise/src/vise.test.ts
+++ b/packages/vise/src/vise.test.ts
@@ -4,8 +4,27 @@
 import path from 'node:path';
 import { Vise, ViseError } from './index.js';
 
-const good = { name: 'core-1', host: '10.0.0.1', hall: 'west', region: 'home', seeds: ['10.0.0.1:7001'], founders: { 'core-1': '10.0.0.1:7101' }, jig: { port: 7001, apiPort: 7080, feedPort: 7002 }, anvil: { port: 7101 } };
-const fault = (raw: unknown): string => { const error = (() => { try { Vise.check(raw, 'core-1.json'); return null; } catch (thrown) { return thrown; } })(); return error instanceof ViseError ? error.message : 'none'; };
+const good = {
+  name: 'core-1',
+  host: '10.0.0.1',
+  hall: 'west',
+  region: 'home',
+  seeds: ['10.0.0.1:7001'],
+  founders: { 'core-1': '10.0.0.1:7101' },
+  jig: { port: 7001, apiPort: 7080, feedPort: 7002 },
+  anvil: { port: 7101 },
+};
+const fault = (raw: unknown): string => {
+  const error = (() => {
+    try {
+      Vise.check(raw, 'core-1.json');
+      return null;
+    } catch (thrown) {
+      return thrown;
+    }
+  })();
+  return error instanceof ViseError ? error.message : 'none';
+};
 
 test('good settings are taken, with their defaults', (t) => {
   t.is(Vise.check(good, 'x').dataFolder, 'data');
@@ -13,28 +32,56 @@
 });
 
 test('a fault names the file, the field, what was found and what is wanted', (t) => {
-  t.regex(fault({ ...good, host: 'localhost' }), /core-1\.json: host: found "localhost"; wanted an IP number/);
-  t.regex(fault({ ...good, name: 'Core 1' }), /name: found "Core 1"; wanted a name of small letters/);
+  t.regex(
+    fault({ ...good, host: 'localhost' }),
+    /core-1\.json: host: found "localhost"; wanted an IP number/,
+  );
+  t.regex(
+    fault({ ...good, name: 'Core 1' }),
+    /name: found "Core 1"; wanted a name of small letters/,
+  );
   t.regex(fault({ ...good, seeds: ['10.0.0.1'] }), /seeds\.0: found "10\.0\.0\.1"; wanted IP:PORT/);
   t.regex(fault({ ...good, jig: { ...good.jig, port: 70_000 } }), /jig\.port: found 70000/);
   t.regex(fault({ ...good, typo: 1 }), /typo/);
-  t.regex(fault({ ...good, founders: { other: '10.0.0.2:7101' } }), /wanted the founders to name core-1/);
+  t.regex(
+    fault({ ...good, founders: { other: '10.0.0.2:7101' } }),
+    /wanted the founders to name core-1/,
+  );
   t.regex(fault({}), /hall: found nothing/);
 });
 
 test('voters may found themselves from seeds, instead of founders that the settings name', (t) => {
   const { founders: _founders, ...rest } = good;
-  const voting = { losses: 1, firstStart: false, seeds: ['10.0.0.1:7101', '10.0.0.2:7101', '10.0.0.3:7101'] };
+  const voting = {
+    losses: 1,
+    firstStart: false,
+    seeds: ['10.0.0.1:7101', '10.0.0.2:7101', '10.0.0.3:7101'],
+  };
   t.deepEqual(Vise.check({ ...rest, voting }, 'x').voting, voting);
   const told = { ...voting, catchUpMs: 4_000 };
   t.deepEqual(Vise.check({ ...rest, voting: told }, 'x').voting, told);
   t.regex(fault({ ...rest, voting: { ...voting, catchUpMs: -1 } }), /voting.catchUpMs: found -1/);
-  t.regex(fault(rest), /core-1.json: founders: found nothing; wanted the founders, or voting instead/);
+  t.regex(
+    fault(rest),
+    /core-1.json: founders: found nothing; wanted the founders, or voting instead/,
+  );
   t.regex(fault({ ...good, voting }), /wanted either founders or voting, not both/);
-  t.regex(fault({ ...rest, voting: { ...voting, firstStart: undefined } }), /voting.firstStart: found nothing/);
-  t.regex(fault({ ...rest, voting: { ...voting, losses: 1.5 } }), /voting.losses: found 1.5; wanted a whole number/);
-  t.regex(fault({ ...rest, voting: { ...voting, seeds: [] } }), /voting.seeds: found \[\]; wanted at least one seed/);
-  t.regex(fault({ ...rest, voting: { ...voting, seeds: ['10.0.0.1:7101', '10.0.0.1:7101'] } }), /wanted each seed once/);
+  t.regex(
+    fault({ ...rest, voting: { ...voting, firstStart: undefined } }),
+    /voting.firstStart: found nothing/,
+  );
+  t.regex(
+    fault({ ...rest, voting: { ...voting, losses: 1.5 } }),
+    /voting.losses: found 1.5; wanted a whole number/,
+  );
+  t.regex(
+    fault({ ...rest, voting: { ...voting, seeds: [] } }),
+    /voting.seeds: found \[\]; wanted at least one seed/,
+  );
+  t.regex(
+    fault({ ...rest, voting: { ...voting, seeds: ['10.0.0.1:7101', '10.0.0.1:7101'] } }),
+    /wanted each seed once/,
+  );
   t.regex(fault({ ...rest, voting: { ...voting, seeds: ['core-1:7101'] } }), /wanted IP:PORT/);
 });
 
@@ -45,6 +92,9 @@
   t.is(read.jig.port, 8_001);
   t.is(read.hall, 'north');
   t.is(read.jig.apiPort, 7_080);
-  t.throws(() => Vise.read('/nowhere.json', []), { instanceOf: ViseError, message: /nowhere\.json: \(whole file\)/ });
+  t.throws(() => Vise.read('/nowhere.json', []), {
+    instanceOf: ViseError,
+    message: /nowhere\.json: \(whole file\)/,
+  });
   t.throws(() => Vise.read(file, ['nonsense']), { instanceOf: ViseError });
 });
--- a/packages/workbench/src/clocks.test.ts
+++ b/packages/workbench/src/clocks.test.ts
@@ -9,14 +9,35 @@
 import { pairsOf } from './trial.js';
 
 test('the wall clock jumps hours ahead and back in every process: copies, leases, keys and purges go on as before', async (t) => {
-  const fleet = await Fleet.lay(small, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), { preload: [fileURLToPath(new URL('./jump.js', import.meta.url))] });
+  const fleet = await Fleet.lay(small, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), {
+    preload: [fileURLToPath(new URL('./jump.js', import.meta.url))],
+  });
   t.teardown(() => fleet.end());
   fleet.startAll();
   await fleet.startOrigins();
-  await fleet.until('the policy', async () => (await api(fleet.apiOf('front-2'), 'PUT', '/v1/policy', policy)).status === 200);
+  await fleet.until(
+    'the policy',
+    async () => (await api(fleet.apiOf('front-2'), 'PUT', '/v1/policy', policy)).status === 200,
+  );
   await fleet.untilReady();
-  const get = (): Promise<Seen> => feel({ at: fleet.callersOf('front-1'), method: 'GET', host, target: '/sheets/1', service: 'store' });
-  const post = (key: string): Promise<Seen> => feel({ at: fleet.callersOf('front-2'), method: 'POST', host, target: '/handovers', service: 'application', key, job: key });
+  const get = (): Promise<Seen> =>
+    feel({
+      at: fleet.callersOf('front-1'),
+      method: 'GET',
+      host,
+      target: '/sheets/1',
+      service: 'store',
+    });
+  const post = (key: string): Promise<Seen> =>
+    feel({
+      at: fleet.callersOf('front-2'),
+      method: 'POST',
+      host,
+      target: '/handovers',
+      service: 'application',
+      key,
+      job: key,
+    });
   await fleet.until('a copy', async () => (await get()).served === 'copy');
   await fleet.until('a handover', async () => (await post('parcel-1')).status === 409);
   const first = (await get()).body;
@@ -26,7 +47,8 @@
   };
   for (const [index, hours] of [5, -5, 0].entries()) {
     for (const name of fleet.names()) fleet.signal(name, 'SIGUSR2');
-    // Kept for 60 s by its origin: five hours on by the wall clock it is the same copy, and the leases stand.
+    // Kept for 60 s by its origin: five hours on by the wall clock it is the same copy, and the
+    // leases stand.
     for (let each = 0; each < 20; each += 1) {
       const seen = await get();
       t.is(seen.status, 200);
@@ -35,11 +57,33 @@
     }
     t.is((await post('parcel-1')).status, 409);
     t.is((await post(`later-${index}`)).status, 200);
-    await fleet.until('a policy at that hour', async () => (await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', { ...policy, routes: [...policy.routes, { name: `extra-${index}`, host, path: `/extra-${index}/`, service: 'store' }] }, { 'reedyard-change-id': `jump-${index}` })).status === 200);
+    await fleet.until(
+      'a policy at that hour',
+      async () =>
+        (
+          await api(
+            fleet.apiOf('front-1'),
+            'PUT',
+            '/v1/policy',
+            {
+              ...policy,
+              routes: [
+                ...policy.routes,
+                { name: `extra-${index}`, host, path: `/extra-${index}/`, service: 'store' },
+              ],
+            },
+            { 'reedyard-change-id': `jump-${index}` },
+          )
+        ).status === 200,
+    );
     // The jump took place: the log, which alone tells the wall clock's time, shows it.
     await fleet.until('the log at that hour', () => Promise.resolve(hoursOff('front-1') === hours));
   }
   fleet.blanks.get('content-1')?.turn();
-  t.is((await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', { objects: [`${host}/sheets/1`] })).status, 200);
+  t.is(
+    (await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', { objects: [`${host}/sheets/1`] }))
+      .status,
+    200,
+  );
   await fleet.until('the purge in force', async () => (await get()).body.includes('generation=1'));
 });
--- a/packages/workbench/src/fleet.test.ts
+++ b/packages/workbench/src/fleet.test.ts
@@ -11,20 +11,46 @@
   t.teardown(() => fleet.end());
   fleet.startAll();
   await fleet.startOrigins();
-  await fleet.until('a majority of disks', async () => (await api(fleet.apiOf('front-2'), 'PUT', '/v1/policy', policy, { 'reedyard-change-id': 'first' })).status === 200);
+  await fleet.until(
+    'a majority of disks',
+    async () =>
+      (
+        await api(fleet.apiOf('front-2'), 'PUT', '/v1/policy', policy, {
+          'reedyard-change-id': 'first',
+        })
+      ).status === 200,
+  );
   await fleet.untilReady();
 
-  // A repeat under the same change id is harmless; a stale If-Match and a faulty policy change nothing.
-  t.is((await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy, { 'reedyard-change-id': 'first' })).status, 200);
-  t.is((await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy, { 'if-match': '7' })).status, 412);
-  const refused = await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', { ...policy, routes: [{ ...policy.routes[0], service: 'nobody', extra: 1 }] });
+  // A repeat under the same change id is harmless; a stale If-Match and a faulty policy change
+  // nothing.
+  t.is(
+    (
+      await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy, {
+        'reedyard-change-id': 'first',
+      })
+    ).status,
+    200,
+  );
+  t.is(
+    (await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy, { 'if-match': '7' })).status,
+    412,
+  );
+  const refused = await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', {
+    ...policy,
+    routes: [{ ...policy.routes[0], service: 'nobody', extra: 1 }],
+  });
   t.is(refused.status, 422);
   t.regex(JSON.stringify(refused.body), /\/routes\/0/);
   const read = await api(fleet.apiOf('core-3'), 'GET', '/v1/policy');
   t.is((read.body as { serial: number }).serial, 1);
 
-  const get = (node: string, target: string): ReturnType<typeof feel> => feel({ at: fleet.callersOf(node), method: 'GET', host, target, service: 'store' });
-  await fleet.until('a first answer', async () => (await get('front-1', '/sheets/1')).status === 200);
+  const get = (node: string, target: string): ReturnType<typeof feel> =>
+    feel({ at: fleet.callersOf(node), method: 'GET', host, target, service: 'store' });
+  await fleet.until(
+    'a first answer',
+    async () => (await get('front-1', '/sheets/1')).status === 200,
+  );
   const again = await get('front-1', '/sheets/1');
   t.is(again.status, 200);
   t.is(again.fault, null);
@@ -33,37 +59,141 @@
 
   // After a purge the next answer is of the new generation.
   fleet.blanks.get('content-1')?.turn();
-  t.is((await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', { objects: [`http://${host}/sheets/1`] })).status, 200);
-  await fleet.until('the purge in force', async () => (await get('front-1', '/sheets/1')).body.includes('generation=1'));
+  t.is(
+    (
+      await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', {
+        objects: [`http://${host}/sheets/1`],
+      })
+    ).status,
+    200,
+  );
+  await fleet.until('the purge in force', async () =>
+    (await get('front-1', '/sheets/1')).body.includes('generation=1'),
+  );
 
   // One key, three askers on two nodes: one run.
-  const post = (node: string, key: string): ReturnType<typeof feel> => feel({ at: fleet.callersOf(node), method: 'POST', host, target: '/handovers', service: 'application', key, job: key });
-  await fleet.until('an application share', async () => (await post('front-1', `warm-${Math.random()}`)).status === 200);
+  const post = (node: string, key: string): ReturnType<typeof feel> =>
+    feel({
+      at: fleet.callersOf(node),
+      method: 'POST',
+      host,
+      target: '/handovers',
+      service: 'application',
+      key,
+      job: key,
+    });
+  await fleet.until(
+    'an application share',
+    async () => (await post('front-1', `warm-${Math.random()}`)).status === 200,
+  );
   const before = fleet.blanks.get('app-1')?.ran().length ?? 0;
-  const three = await Promise.all([post('front-1', 'parcel-7'), post('front-2', 'parcel-7'), post('front-2', 'parcel-7')]);
+  const three = await Promise.all([
+    post('front-1', 'parcel-7'),
+    post('front-2', 'parcel-7'),
+    post('front-2', 'parcel-7'),
+  ]);
   t.true((fleet.blanks.get('app-1')?.ran().length ?? 0) - before <= 1);
   t.true(three.filter((each) => each.status === 200).length <= 1);
   t.true(three.every((each) => each.status === 200 || each.status === 409 || each.status === 503));
 
-  // The same key with another body is another request; a request without a key is refused. Neither is run.
+  // The same key with another body is another request; a request without a key is refused. Neither
+  // is run.
   const ran = fleet.blanks.get('app-1')?.ran().length ?? 0;
-  t.is((await feel({ at: fleet.callersOf('front-1'), method: 'POST', host, target: '/handovers', service: 'application', key: 'parcel-7', job: 'parcel-8' })).status, 422);
-  t.is((await feel({ at: fleet.callersOf('front-1'), method: 'POST', host, target: '/handovers', service: 'application', job: 'parcel-9' })).status, 400);
+  t.is(
+    (
+      await feel({
+        at: fleet.callersOf('front-1'),
+        method: 'POST',
+        host,
+        target: '/handovers',
+        service: 'application',
+        key: 'parcel-7',
+        job: 'parcel-8',
+      })
+    ).status,
+    422,
+  );
+  t.is(
+    (
+      await feel({
+        at: fleet.callersOf('front-1'),
+        method: 'POST',
+        host,
+        target: '/handovers',
+        service: 'application',
+        job: 'parcel-9',
+      })
+    ).status,
+    400,
+  );
   t.is(fleet.blanks.get('app-1')?.ran().length ?? 0, ran);
 
   // Several thousand routes: taken by one node, in force on another.
-  const many = { ...policy, routes: [...policy.routes, ...Array.from({ length: 4_000 }, (_, index) => ({ name: `many-${index}`, host: `h${index % 50}.example`, path: `/many/${index}/`, service: 'store' }))] };
-  await fleet.until('thousands of routes taken', async () => (await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', many, { 'reedyard-change-id': 'many' })).status === 200);
-  await fleet.until('thousands of routes in force', async () => (await feel({ at: fleet.callersOf('front-2'), method: 'GET', host: 'h49.example', target: '/many/3999/x', service: 'store' })).status === 200);
-  t.is((await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', 'x'.repeat(9 * 1024 * 1024))).status, 413);
+  const many = {
+    ...policy,
+    routes: [
+      ...policy.routes,
+      ...Array.from({ length: 4_000 }, (_, index) => ({
+        name: `many-${index}`,
+        host: `h${index % 50}.example`,
+        path: `/many/${index}/`,
+        service: 'store',
+      })),
+    ],
+  };
+  await fleet.until(
+    'thousands of routes taken',
+    async () =>
+      (
+        await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', many, {
+          'reedyard-change-id': 'many',
+        })
+      ).status === 200,
+  );
+  await fleet.until(
+    'thousands of routes in force',
+    async () =>
+      (
+        await feel({
+          at: fleet.callersOf('front-2'),
+          method: 'GET',
+          host: 'h49.example',
+          target: '/many/3999/x',
+          service: 'store',
+        })
+      ).status === 200,
+  );
+  t.is(
+    (await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', 'x'.repeat(9 * 1024 * 1024))).status,
+    413,
+  );
   t.is((await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', '{"services":')).status, 400);
 
-  // One anvil killed: still acknowledged. Two: refused with a time to come back, and callers are told not ready.
+  // One anvil killed: still acknowledged. Two: refused with a time to come back, and callers are
+  // told not ready.
   await fleet.kill('core-1');
-  await fleet.until('a policy without one anvil', async () => (await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', { ...policy, routes: policy.routes.slice(0, 1) }, { 'reedyard-change-id': 'fewer' })).status === 200);
-  await fleet.until('the newer policy in force', async () => (await post('front-2', 'x')).status === 404);
+  await fleet.until(
+    'a policy without one anvil',
+    async () =>
+      (
+        await api(
+          fleet.apiOf('front-1'),
+          'PUT',
+          '/v1/policy',
+          { ...policy, routes: policy.routes.slice(0, 1) },
+          { 'reedyard-change-id': 'fewer' },
+        )
+      ).status === 200,
+  );
+  await fleet.until(
+    'the newer policy in force',
+    async () => (await post('front-2', 'x')).status === 404,
+  );
   await fleet.kill('core-2');
-  await fleet.until('not ready without a majority', async () => (await get('front-1', '/sheets/1')).status === 503);
+  await fleet.until(
+    'not ready without a majority',
+    async () => (await get('front-1', '/sheets/1')).status === 503,
+  );
   const lost = await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', policy);
   t.is(lost.status, 503);
   t.truthy(lost.headers['retry-after']);
@@ -72,5 +202,8 @@
   fleet.start('core-1');
   fleet.start('core-2');
   await fleet.untilReady();
-  t.true(((await api(fleet.apiOf('core-1'), 'GET', '/v1/policy')).body as { serial: number }).serial >= 2);
+  t.true(
+    ((await api(fleet.apiOf('core-1'), 'GET', '/v1/policy')).body as { serial: number }).serial >=
+      2,
+  );
 });
--- a/packages/workbench/src/hollow-child.ts
+++ b/packages/workbench/src/hollow-child.ts
@@ -1,12 +1,25 @@
 import { textOf } from '@reedyard/scriber';
 import { HollowHost, type HostCalls } from './hollow-host.js';
 
-/** A process of a hollow fleet: does what the bench that started it asks, and ends when that one ends. */
+/**
+ * A process of a hollow fleet: does what the bench that started it asks, and ends when that one
+ * ends.
+ */
 const host = new HollowHost();
-process.on('message', (message: { readonly id: number; readonly method: keyof HostCalls; readonly words: readonly unknown[] }) => {
-  const method = host[message.method] as (...words: readonly unknown[]) => Promise<unknown>;
-  method.apply(host, [...message.words]).then(
-    (value) => process.send?.({ id: message.id, value }),
-    (thrown: unknown) => process.send?.({ id: message.id, fault: textOf(thrown) }));
+process.on(
+  'message',
+  (message: {
+    readonly id: number;
+    readonly method: keyof HostCalls;
+    readonly words: readonly unknown[];
+  }) => {
+    const method = host[message.method] as (...words: readonly unknown[]) => Promise<unknown>;
+    method.apply(host, [...message.words]).then(
+      (value) => process.send?.({ id: message.id, value }),
+      (thrown: unknown) => process.send?.({ id: message.id, fault: textOf(thrown) }),
+    );
+  },
+);
+process.on('disconnect', () => {
+  void host.close().finally(() => process.exit(0));
 });
-process.on('disconnect', () => { void host.close().finally(() => process.exit(0)); });
--- a/packages/workbench/src/hollow-host.ts
+++ b/packages/workbench/src/hollow-host.ts
@@ -4,9 +4,30 @@
 import os from 'node:os';
 import path from 'node:path';
 import { serialize } from 'node:v8';
-import { Anvil, type AnvilAsk, type AnvilEffect, type AnvilEvent, type AnvilRecord, type AnvilReply, type AnvilState } from '@reedyard/anvil';
+import {
+  Anvil,
+  type AnvilAsk,
+  type AnvilEffect,
+  type AnvilEvent,
+  type AnvilRecord,
+  type AnvilReply,
+  type AnvilState,
+} from '@reedyard/anvil';
 import { Beats, Hollow, Sizes } from '@reedyard/gauge';
-import { Jig, type Action, type FeedTold, type JigCall, type JigEffect, type JigEvent, type JigState, type LatheCall, type Measure, type NodeRecord, type Report, type Self } from '@reedyard/jig';
+import {
+  Jig,
+  type Action,
+  type FeedTold,
+  type JigCall,
+  type JigEffect,
+  type JigEvent,
+  type JigState,
+  type LatheCall,
+  type Measure,
+  type NodeRecord,
+  type Report,
+  type Self,
+} from '@reedyard/jig';
 import { Feeds, type HeldFeed } from '@reedyard/lathe';
 import { openNotch, type Notch } from '@reedyard/notch';
 import { LayerError, textOf } from '@reedyard/scriber';
@@ -15,32 +36,72 @@
 /** A hollow fleet that can't be run. */
 export class HollowError extends LayerError {}
 
-/** What a hollow node is counted as. The one that holds the duty and the seeds are jigs with more to do. */
+/**
+ * What a hollow node is counted as. The one that holds the duty and the seeds are jigs with more to
+ * do.
+ */
 export type Role = 'anvil' | 'holder' | 'seed' | 'jig' | 'lathe';
 
 /** Where each address is served: by which process, as which role. */
 export type Directory = Readonly<Record<string, { readonly port: number; readonly role: Role }>>;
 
-export type AnvilSpec = { readonly name: string; readonly address: string; readonly others: Readonly<Record<string, string>> };
+export type AnvilSpec = {
+  readonly name: string;
+  readonly address: string;
+  readonly others: Readonly<Record<string, string>>;
+};
 export type JigSpec = {
-  readonly self: Self; readonly role: Role; readonly seeds: readonly string[]; readonly founders: Readonly<Record<string, string>>;
-  readonly seed: number; readonly startAt: number; /** Records that it is told at once, so that a run need not begin with finding everybody. */ readonly known: readonly NodeRecord[];
+  readonly self: Self;
+  readonly role: Role;
+  readonly seeds: readonly string[];
+  readonly founders: Readonly<Record<string, string>>;
+  readonly seed: number;
+  readonly startAt: number;
+  /** Records that it is told at once, so that a run need not begin with finding everybody. */
+  readonly known: readonly NodeRecord[];
+};
+export type LatheSpec = {
+  readonly id: string;
+  readonly address: string;
+  readonly startAt: number;
+  readonly seed: number;
+  readonly services: number;
+  readonly objects: number;
+};
+export type OriginSpec = {
+  readonly node: string;
+  readonly description: Extract<Action, { kind: 'describe' }>['description'];
+  readonly startAt: number;
 };
-export type LatheSpec = { readonly id: string; readonly address: string; readonly startAt: number; readonly seed: number; readonly services: number; readonly objects: number };
-export type OriginSpec = { readonly node: string; readonly description: Extract<Action, { kind: 'describe' }>['description']; readonly startAt: number };
 
 /** What is to be done at a node's API in a step. */
 export type Order = { readonly node: string; readonly tag: string; readonly action: Action };
 /** Something whose arrival at every node is looked for. */
-export type Watch = { readonly tag: string; readonly what: 'config' | 'purge' | 'drain' | 'member'; readonly key: string };
+export type Watch = {
+  readonly tag: string;
+  readonly what: 'config' | 'purge' | 'drain' | 'member';
+  readonly key: string;
+};
 
 /** Messages and their bytes, heads and all; `from` asks, `to` answers. */
-export type Flow = { readonly from: Role; readonly to: Role; readonly kind: string; readonly calls: number; readonly askedBytes: number; readonly answeredBytes: number };
+export type Flow = {
+  readonly from: Role;
+  readonly to: Role;
+  readonly kind: string;
+  readonly calls: number;
+  readonly askedBytes: number;
+  readonly answeredBytes: number;
+};
 
 export type HostReport = {
   readonly flows: readonly Flow[];
   /** ms of a core inside the reducers, by role and event, and how many events there were. */
-  readonly reduced: readonly { readonly role: Role; readonly event: string; readonly ms: number; readonly events: number }[];
+  readonly reduced: readonly {
+    readonly role: Role;
+    readonly event: string;
+    readonly ms: number;
+    readonly events: number;
+  }[];
   /** ms of a core of the whole process. */
   readonly cpuMs: number;
   /** bytes of the heap that are in use after a full collection; 0 where none could be forced. */
@@ -49,7 +110,9 @@
   readonly lost: number;
   /** What the first lost calls were, and why. */
   readonly faults: readonly string[];
-  readonly answers: Readonly<Record<string, { readonly status: number; readonly at: number; readonly body: unknown }>>;
+  readonly answers: Readonly<
+    Record<string, { readonly status: number; readonly at: number; readonly body: unknown }>
+  >;
   /** ms of the fleet's clock at which each node had what was looked for. */
   readonly arrivals: Readonly<Record<string, readonly number[]>>;
   readonly logs: Readonly<Record<string, number>>;
@@ -85,25 +148,59 @@
 
 /** What kind of call a body is. Registers that are fetched are told apart by their keys. */
 const kindOf = (body: unknown): string => {
-  const inner = ((body as { readonly call?: unknown }).call ?? body) as { readonly kind?: string; readonly key?: string };
+  const inner = ((body as { readonly call?: unknown }).call ?? body) as {
+    readonly kind?: string;
+    readonly key?: string;
+  };
   const kind = inner.kind ?? 'other';
-  return typeof inner.key === 'string' && !inner.key.startsWith('claim/') ? `${kind}.${inner.key}` : kind;
+  return typeof inner.key === 'string' && !inner.key.startsWith('claim/')
+    ? `${kind}.${inner.key}`
+    : kind;
 };
 
 /** Bytes of a head as they go over the socket. */
 const headBytes = (first: string, headers: readonly (readonly [string, unknown])[]): number =>
-  headers.reduce((sum, [name, value]) => sum + name.length + String(value).length + 4, first.length + 4);
-
-type JigNode = { readonly spec: JigSpec; state: JigState; beatAt: number; /** When it wants to be woken, at the latest. */ wakeAt: number; next: number; readonly asking: Map<number, (reply: unknown) => void>; readonly orders: Map<number, string> };
-type AnvilNode = { readonly spec: AnvilSpec; state: AnvilState; readonly notch: Notch; beatAt: number; next: number; compacting: boolean; readonly asking: Map<number, (reply: AnvilReply) => void> };
-type LatheNode = { readonly spec: LatheSpec; askAt: number; asking: boolean; measuredAt: number; held: HeldFeed | null; policy: unknown; wants: Readonly<Record<string, number>>; wantsAt: number; draws: number };
+  headers.reduce(
+    (sum, [name, value]) => sum + name.length + String(value).length + 4,
+    first.length + 4,
+  );
+
+type JigNode = {
+  readonly spec: JigSpec;
+  state: JigState;
+  beatAt: number;
+  /** When it wants to be woken, at the latest. */ wakeAt: number;
+  next: number;
+  readonly asking: Map<number, (reply: unknown) => void>;
+  readonly orders: Map<number, string>;
+};
+type AnvilNode = {
+  readonly spec: AnvilSpec;
+  state: AnvilState;
+  readonly notch: Notch;
+  beatAt: number;
+  next: number;
+  compacting: boolean;
+  readonly asking: Map<number, (reply: AnvilReply) => void>;
+};
+type LatheNode = {
+  readonly spec: LatheSpec;
+  askAt: number;
+  asking: boolean;
+  measuredAt: number;
+  held: HeldFeed | null;
+  policy: unknown;
+  wants: Readonly<Record<string, number>>;
+  wantsAt: number;
+  draws: number;
+};
 
 let hosts = 0;
 
 /**
- * Many hollow nodes in one process: the product's reducers, its calls over loopback sockets and its log on
- * disk, under a clock that the fleet advances step by step. A step takes what it takes, so neither the machine's
- * speed nor its load is in what is counted.
+ * Many hollow nodes in one process: the product's reducers, its calls over loopback sockets and its
+ * log on disk, under a clock that the fleet advances step by step. A step takes what it takes, so
+ * neither the machine's speed nor its load is in what is counted.
  */
 export class HollowHost implements HostCalls {
   readonly #name: string;
@@ -123,7 +220,10 @@
   #waiting: (() => void)[] = [];
   readonly #flows = new Map<string, { calls: number; asked: number; answered: number }>();
   readonly #reduced = new Map<string, { ms: number; events: number }>();
-  readonly #answers: Record<string, { readonly status: number; readonly at: number; readonly body: unknown }> = {};
+  readonly #answers: Record<
+    string,
+    { readonly status: number; readonly at: number; readonly body: unknown }
+  > = {};
   readonly #arrivals: Record<string, number[]> = {};
   readonly #logs: Record<string, number> = {};
   #watches: { readonly watch: Watch; readonly left: Set<string> }[] = [];
@@ -131,10 +231,20 @@
   constructor() {
     hosts += 1;
     this.#name = `${process.pid}-${hosts}`;
-    subscribe('http.client.response.finish', (message) => this.#count(message as { readonly request: ClientRequest; readonly response: IncomingMessage }));
+    subscribe('http.client.response.finish', (message) =>
+      this.#count(
+        message as { readonly request: ClientRequest; readonly response: IncomingMessage },
+      ),
+    );
   }
 
-  #count({ request, response }: { readonly request: ClientRequest; readonly response: IncomingMessage }): void {
+  #count({
+    request,
+    response,
+  }: {
+    readonly request: ClientRequest;
+    readonly response: IncomingMessage;
+  }): void {
     const [place = '', tag = ''] = request.path.split('?');
     const [host, from, kind] = tag.split(';');
     if (host !== this.#name) return;
@@ -143,8 +253,14 @@
     const flow = this.#flows.get(key) ?? { calls: 0, asked: 0, answered: 0 };
     // The tag is the test's own; a real call names the path alone.
     flow.calls += 1;
-    flow.asked += headBytes(`POST /${place.split('/')[2] ?? ''} HTTP/1.1`, [...Object.entries(request.getHeaders()), ['Connection', 'keep-alive']]) + Number(request.getHeader('content-length') ?? 0);
-    flow.answered += headBytes('HTTP/1.1 200 OK', Object.entries(response.headers)) + Number(response.headers['content-length'] ?? 0);
+    flow.asked +=
+      headBytes(`POST /${place.split('/')[2] ?? ''} HTTP/1.1`, [
+        ...Object.entries(request.getHeaders()),
+        ['Connection', 'keep-alive'],
+      ]) + Number(request.getHeader('content-length') ?? 0);
+    flow.answered +=
+      headBytes('HTTP/1.1 200 OK', Object.entries(response.headers)) +
+      Number(response.headers['content-length'] ?? 0);
     this.#flows.set(key, flow);
   }
 
@@ -161,7 +277,10 @@
     return result;
   }
 
-  #begin(): void { this.#open += 1; this.#started += 1; }
+  #begin(): void {
+    this.#open += 1;
+    this.#started += 1;
+  }
   #end(): void {
     this.#open -= 1;
     if (this.#open > 0) return;
@@ -170,31 +289,62 @@
     waiting.forEach((each) => each());
   }
   /** Does something that others wait for; what it brings about is begun before it ends. */
-  #during<T>(work: Promise<T>, then: (result: T) => void, otherwise: (thrown: unknown) => void): void {
+  #during<T>(
+    work: Promise<T>,
+    then: (result: T) => void,
+    otherwise: (thrown: unknown) => void,
+  ): void {
     this.#begin();
-    work.then(then, otherwise).catch((thrown: unknown) => { this.#failed = thrown; }).finally(() => this.#end());
+    work
+      .then(then, otherwise)
+      .catch((thrown: unknown) => {
+        this.#failed = thrown;
+      })
+      .finally(() => this.#end());
   }
 
-  #call(role: Role, to: string, where: string, body: unknown, took: (reply: unknown) => void, lost: () => void): void {
+  #call(
+    role: Role,
+    to: string,
+    where: string,
+    body: unknown,
+    took: (reply: unknown) => void,
+    lost: () => void,
+  ): void {
     const place = this.#directory[to];
-    const sent = place === undefined ? Promise.reject(new HollowError('unknown', `nobody is at ${to}`))
-      : call(`127.0.0.1:${place.port}`, `/${to}${where}?${this.#name};${role};${kindOf(body)}`, body, Hollow.call);
+    const sent =
+      place === undefined
+        ? Promise.reject(new HollowError('unknown', `nobody is at ${to}`))
+        : call(
+            `127.0.0.1:${place.port}`,
+            `/${to}${where}?${this.#name};${role};${kindOf(body)}`,
+            body,
+            Hollow.call,
+          );
     this.#during(sent, took, (thrown) => {
       this.#lost += 1;
-      if (this.#faults.length < 10) this.#faults.push(`${(this.#now / 1_000).toFixed(2)} s ${role} ${kindOf(body)}: ${textOf(thrown)}`);
+      if (this.#faults.length < 10)
+        this.#faults.push(
+          `${(this.#now / 1_000).toFixed(2)} s ${role} ${kindOf(body)}: ${textOf(thrown)}`,
+        );
       lost();
     });
   }
 
   async listen(): Promise<number> {
-    const handlers = new Proxy<Record<string, (body: unknown) => Promise<unknown>>>({}, {
-      get: (_, url) => (body: unknown) => this.#asked(String(url).split('?', 1)[0] ?? '', body),
-    });
+    const handlers = new Proxy<Record<string, (body: unknown) => Promise<unknown>>>(
+      {},
+      {
+        get: (_, url) => (body: unknown) => this.#asked(String(url).split('?', 1)[0] ?? '', body),
+      },
+    );
     this.#listening = await serveCalls({ host: '127.0.0.1', port: 0 }, handlers);
     return this.#listening.port;
   }
 
-  async directory(known: Directory): Promise<void> { this.#directory = known; }
+  async directory(known: Directory): Promise<void> {
+    this.#directory = known;
+  }
 
   #asked(place: string, body: unknown): Promise<unknown> {
     const [, address = '', where] = place.split('/');
@@ -210,13 +360,23 @@
         const id = jig.next;
         jig.next += 1;
         jig.asking.set(id, resolve);
-        this.#reduceJig(jig, where === 'feed' ? { kind: 'fed', id, body: body as LatheCall, now: this.#now } : { kind: 'asked', id, body: body as JigCall, now: this.#now });
+        this.#reduceJig(
+          jig,
+          where === 'feed'
+            ? { kind: 'fed', id, body: body as LatheCall, now: this.#now }
+            : { kind: 'asked', id, body: body as JigCall, now: this.#now },
+        );
       } else reject(new HollowError('unknown', `nobody is at ${address}`));
     });
   }
 
   #reduceJig(node: JigNode, event: JigEvent): void {
-    const label = event.kind === 'returned' ? `returned.${node.state.pending[event.id]?.kind ?? 'late'}` : event.kind === 'asked' || event.kind === 'fed' ? `${event.kind}.${event.body.kind}` : event.kind;
+    const label =
+      event.kind === 'returned'
+        ? `returned.${node.state.pending[event.id]?.kind ?? 'late'}`
+        : event.kind === 'asked' || event.kind === 'fed'
+          ? `${event.kind}.${event.body.kind}`
+          : event.kind;
     const step = this.#timed(node.spec.role, label, () => Jig.reduce(node.state, event));
     node.state = step.state;
     for (const effect of step.effects) this.#performJig(node, effect);
@@ -225,19 +385,38 @@
   #performJig(node: JigNode, effect: JigEffect): void {
     switch (effect.kind) {
       case 'call':
-        this.#call(node.spec.role, effect.to, effect.path, effect.body,
-          (body) => this.#reduceJig(node, { kind: 'returned', id: effect.id, body: body as never, now: this.#now }),
-          () => this.#reduceJig(node, { kind: 'lost', id: effect.id, now: this.#now }));
+        this.#call(
+          node.spec.role,
+          effect.to,
+          effect.path,
+          effect.body,
+          (body) =>
+            this.#reduceJig(node, {
+              kind: 'returned',
+              id: effect.id,
+              body: body as never,
+              now: this.#now,
+            }),
+          () => this.#reduceJig(node, { kind: 'lost', id: effect.id, now: this.#now }),
+        );
+        return;
+      case 'tell':
+        node.asking.get(effect.id)?.(effect.body);
+        node.asking.delete(effect.id);
         return;
-      case 'tell': node.asking.get(effect.id)?.(effect.body); node.asking.delete(effect.id); return;
       case 'answer': {
         const tag = node.orders.get(effect.id);
         node.orders.delete(effect.id);
-        if (tag !== undefined && tag !== '') this.#answers[tag] = { status: effect.status, at: this.#now, body: effect.body };
+        if (tag !== undefined && tag !== '')
+          this.#answers[tag] = { status: effect.status, at: this.#now, body: effect.body };
         return;
       }
-      case 'wake': node.wakeAt = Math.min(node.wakeAt, this.#now + effect.inMs); return;
-      case 'log': this.#logs[effect.event] = (this.#logs[effect.event] ?? 0) + 1; return;
+      case 'wake':
+        node.wakeAt = Math.min(node.wakeAt, this.#now + effect.inMs);
+        return;
+      case 'log':
+        this.#logs[effect.event] = (this.#logs[effect.event] ?? 0) + 1;
+        return;
     }
   }
 
@@ -249,32 +428,77 @@
   }
 
   #performAnvil(node: AnvilNode, effect: AnvilEffect): void {
-    const failed = (thrown: unknown): void => { this.#failed = thrown; };
+    const failed = (thrown: unknown): void => {
+      this.#failed = thrown;
+    };
     switch (effect.kind) {
       case 'append':
         this.#during(node.notch.append(effect.records), () => undefined, failed);
-        if (node.notch.segmentBytes() > Math.max(Sizes.segment, node.notch.snapshotBytes() / 2) && !node.compacting) {
+        if (
+          node.notch.segmentBytes() > Math.max(Sizes.segment, node.notch.snapshotBytes() / 2) &&
+          !node.compacting
+        ) {
           node.compacting = true;
-          this.#during(node.notch.compact(() => Anvil.records(node.state)), () => { node.compacting = false; }, failed);
+          this.#during(
+            node.notch.compact(() => Anvil.records(node.state)),
+            () => {
+              node.compacting = false;
+            },
+            failed,
+          );
         }
         return;
       case 'tell':
-        this.#during(node.notch.settled(), () => { node.asking.get(effect.id)?.(effect.body); node.asking.delete(effect.id); }, failed);
+        this.#during(
+          node.notch.settled(),
+          () => {
+            node.asking.get(effect.id)?.(effect.body);
+            node.asking.delete(effect.id);
+          },
+          failed,
+        );
         return;
       case 'call':
-        this.#call('anvil', effect.to, '/anvil', effect.body,
-          (body) => this.#reduceAnvil(node, { kind: 'returned', id: effect.id, body: body as AnvilReply, now: this.#now }),
-          () => this.#reduceAnvil(node, { kind: 'lost', id: effect.id, now: this.#now }));
+        this.#call(
+          'anvil',
+          effect.to,
+          '/anvil',
+          effect.body,
+          (body) =>
+            this.#reduceAnvil(node, {
+              kind: 'returned',
+              id: effect.id,
+              body: body as AnvilReply,
+              now: this.#now,
+            }),
+          () => this.#reduceAnvil(node, { kind: 'lost', id: effect.id, now: this.#now }),
+        );
+        return;
+      case 'log':
+        this.#logs[effect.event] = (this.#logs[effect.event] ?? 0) + 1;
         return;
-      case 'log': this.#logs[effect.event] = (this.#logs[effect.event] ?? 0) + 1; return;
     }
   }
 
   async anvils(specs: readonly AnvilSpec[]): Promise<void> {
     for (const spec of specs) {
       const notch = await openNotch(path.join(this.#folder, spec.name));
-      const opened = Anvil.open({ name: spec.name, others: spec.others, records: notch.records as readonly AnvilRecord[], freshDisk: `disk-of-${spec.name}`, now: this.#now });
-      const node: AnvilNode = { spec, state: opened.state, notch, beatAt: this.#now, next: 1, compacting: false, asking: new Map() };
+      const opened = Anvil.open({
+        name: spec.name,
+        others: spec.others,
+        records: notch.records as readonly AnvilRecord[],
+        freshDisk: `disk-of-${spec.name}`,
+        now: this.#now,
+      });
+      const node: AnvilNode = {
+        spec,
+        state: opened.state,
+        notch,
+        beatAt: this.#now,
+        next: 1,
+        compacting: false,
+        asking: new Map(),
+      };
       this.#anvils.set(spec.address, node);
       for (const effect of opened.effects) this.#performAnvil(node, effect);
     }
@@ -283,73 +507,171 @@
   async jigs(specs: readonly JigSpec[]): Promise<void> {
     for (const spec of specs) {
       const node: JigNode = {
-        spec, beatAt: spec.startAt, wakeAt: Infinity, next: 1, asking: new Map(), orders: new Map(),
-        state: Jig.open({ self: spec.self, life: `life-of-${spec.self.id}`, seeds: spec.seeds, founders: spec.founders, seed: spec.seed, now: this.#now }),
+        spec,
+        beatAt: spec.startAt,
+        wakeAt: Infinity,
+        next: 1,
+        asking: new Map(),
+        orders: new Map(),
+        state: Jig.open({
+          self: spec.self,
+          life: `life-of-${spec.self.id}`,
+          seeds: spec.seeds,
+          founders: spec.founders,
+          seed: spec.seed,
+          now: this.#now,
+        }),
       };
       this.#jigs.set(spec.self.address, node);
       if (spec.known.length === 0) continue;
-      const tellings = Object.fromEntries(spec.known.map((record) => [`node/${record.id}`, { serial: 1, value: record }]));
-      this.#reduceJig(node, { kind: 'asked', id: 0, body: { kind: 'push', tellings }, now: this.#now });
+      const tellings = Object.fromEntries(
+        spec.known.map((record) => [`node/${record.id}`, { serial: 1, value: record }]),
+      );
+      this.#reduceJig(node, {
+        kind: 'asked',
+        id: 0,
+        body: { kind: 'push', tellings },
+        now: this.#now,
+      });
     }
   }
 
   async lathes(specs: readonly LatheSpec[]): Promise<void> {
     for (const spec of specs) {
-      this.#lathes.set(spec.id, { spec, askAt: spec.startAt, asking: false, measuredAt: spec.startAt, held: null, policy: null, wants: {}, wantsAt: -Infinity, draws: 0 });
+      this.#lathes.set(spec.id, {
+        spec,
+        askAt: spec.startAt,
+        asking: false,
+        measuredAt: spec.startAt,
+        held: null,
+        policy: null,
+        wants: {},
+        wantsAt: -Infinity,
+        draws: 0,
+      });
     }
   }
 
   async origins(specs: readonly OriginSpec[]): Promise<void> {
     const named = new Set(specs.map(({ description }) => description.instance));
-    this.#origins = [...this.#origins.filter(({ spec }) => !named.has(spec.description.instance)), ...specs.map((spec) => ({ spec, at: spec.startAt }))];
+    this.#origins = [
+      ...this.#origins.filter(({ spec }) => !named.has(spec.description.instance)),
+      ...specs.map((spec) => ({ spec, at: spec.startAt })),
+    ];
   }
 
   async watch(watches: readonly Watch[]): Promise<void> {
     this.#watches = watches.map((watch) => {
       this.#arrivals[watch.tag] ??= [];
-      return { watch, left: new Set(watch.what === 'member' ? [...this.#jigs.keys()] : [...[...this.#jigs.values()].filter(({ spec }) => spec.self.lathe === null).map(({ spec }) => spec.self.address), ...this.#lathes.keys()]) };
+      return {
+        watch,
+        left: new Set(
+          watch.what === 'member'
+            ? [...this.#jigs.keys()]
+            : [
+                ...[...this.#jigs.values()]
+                  .filter(({ spec }) => spec.self.lathe === null)
+                  .map(({ spec }) => spec.self.address),
+                ...this.#lathes.keys(),
+              ],
+        ),
+      };
     });
   }
 
   /** What a lathe tells: wants that move a little, and now and then what its callers asked for. */
   #reportOf(node: LatheNode): Report {
     const { spec } = node;
-    const draw = (): number => { node.draws += 1; return drawn(spec.seed, node.draws); };
+    const draw = (): number => {
+      node.draws += 1;
+      return drawn(spec.seed, node.draws);
+    };
     if (this.#now - node.wantsAt >= Beats.wants) {
       node.wantsAt = this.#now;
-      // As uneven as what callers that come by chance ask for in the time that a lathe counts, smoothed as it does.
+      // As uneven as what callers that come by chance ask for in the time that a lathe counts,
+      // smoothed as it does.
       const rate = Hollow.want / spec.services;
       const uneven = Math.min(0.9, 1 / Math.sqrt((rate * Beats.wants) / 1_000));
-      node.wants = Object.fromEntries(Array.from({ length: spec.services }, (_, index) => [`service-${index}`, rate * (1 + uneven * (2 * draw() - 1))]));
+      node.wants = Object.fromEntries(
+        Array.from({ length: spec.services }, (_, index) => [
+          `service-${index}`,
+          rate * (1 + uneven * (2 * draw() - 1)),
+        ]),
+      );
     }
     let measure: Measure | null = null;
     if (spec.objects > 0 && this.#now - node.measuredAt >= Beats.measure) {
       node.measuredAt = this.#now;
-      const demand = Object.fromEntries(Array.from({ length: spec.objects }, (_, index) => [`route-${index % spec.services} /s${index % spec.services}/${index}`, Hollow.demand * (0.5 + draw())]));
-      measure = { demand, copies: Object.keys(demand).slice(0, Math.ceil(spec.objects / 2)), servedBps: Object.values(demand).reduce((sum, bps) => sum + bps, 0), meanReplyBits: 96_000, fetchSeconds: 0.02 };
+      const demand = Object.fromEntries(
+        Array.from({ length: spec.objects }, (_, index) => [
+          `route-${index % spec.services} /s${index % spec.services}/${index}`,
+          Hollow.demand * (0.5 + draw()),
+        ]),
+      );
+      measure = {
+        demand,
+        copies: Object.keys(demand).slice(0, Math.ceil(spec.objects / 2)),
+        servedBps: Object.values(demand).reduce((sum, bps) => sum + bps, 0),
+        meanReplyBits: 96_000,
+        fetchSeconds: 0.02,
+      };
     }
     return {
-      policySerial: node.held?.feed.policySerial ?? 0, life: node.held?.feed.life ?? '', latheLife: `lathe-of-${spec.id}`, purgeSeq: node.held?.feed.purgeSeq ?? 0, stopping: false, wants: node.wants, measure,
-      counters: { transactions: node.draws, legs: node.draws, fetched: node.draws, forwarded: 0, repeats: 0, underWay: 0, copies: 0, copyBytes: 0 },
+      policySerial: node.held?.feed.policySerial ?? 0,
+      life: node.held?.feed.life ?? '',
+      latheLife: `lathe-of-${spec.id}`,
+      purgeSeq: node.held?.feed.purgeSeq ?? 0,
+      stopping: false,
+      wants: node.wants,
+      measure,
+      counters: {
+        transactions: node.draws,
+        legs: node.draws,
+        fetched: node.draws,
+        forwarded: 0,
+        repeats: 0,
+        underWay: 0,
+        copies: 0,
+        copyBytes: 0,
+      },
     };
   }
 
   #ask(node: LatheNode): void {
     node.asking = true;
     node.askAt = this.#now + Beats.feed;
-    this.#call('lathe', node.spec.address, '/feed', { kind: 'feed', report: this.#reportOf(node), held: Feeds.holding(node.held) } satisfies LatheCall, (body) => {
-      node.held = Feeds.merge(node.held, body as FeedTold);
-      const { feed } = node.held;
-      node.asking = false;
-      if (feed.policy !== null) node.policy = feed.policy.document;
-      for (const { watch, left } of this.#watches) {
-        if (!left.has(node.spec.id)) continue;
-        const here = watch.what === 'config' ? feed.policySerial >= Number(watch.key)
-          : watch.what === 'purge' ? feed.purges.some(({ purge }) => purge.tags.includes(watch.key))
-          : watch.what === 'drain' && !feed.origins.some((row) => row.instance === watch.key);
-        if (here) { left.delete(node.spec.id); this.#arrivals[watch.tag]?.push(this.#now); }
-      }
-    }, () => { node.asking = false; });
+    this.#call(
+      'lathe',
+      node.spec.address,
+      '/feed',
+      {
+        kind: 'feed',
+        report: this.#reportOf(node),
+        held: Feeds.holding(node.held),
+      } satisfies LatheCall,
+      (body) => {
+        node.held = Feeds.merge(node.held, body as FeedTold);
+        const { feed } = node.held;
+        node.asking = false;
+        if (feed.policy !== null) node.policy = feed.policy.document;
+        for (const { watch, left } of this.#watches) {
+          if (!left.has(node.spec.id)) continue;
+          const here =
+            watch.what === 'config'
+              ? feed.policySerial >= Number(watch.key)
+              : watch.what === 'purge'
+                ? feed.purges.some(({ purge }) => purge.tags.includes(watch.key))
+                : watch.what === 'drain' && !feed.origins.some((row) => row.instance === watch.key);
+          if (here) {
+            left.delete(node.spec.id);
+            this.#arrivals[watch.tag]?.push(this.#now);
+          }
+        }
+      },
+      () => {
+        node.asking = false;
+      },
+    );
   }
 
   /** Nodes without a lathe, and everybody for a new member: looked at after each step. */
@@ -359,11 +681,21 @@
         const node = this.#jigs.get(address);
         if (node === undefined) continue;
         const { state } = node;
-        const here = watch.what === 'config' ? ((state.registers.policy?.value as { readonly serial: number } | undefined)?.serial ?? 0) >= Number(watch.key)
-          : watch.what === 'purge' ? state.factKeys[`purge/${watch.key}`] !== undefined
-          : watch.what === 'drain' ? Object.keys(state.factKeys).some((key) => key.startsWith('drain/') && key.split('/')[2] === watch.key)
-          : state.spindle.records[`node/${watch.key}`] !== undefined;
-        if (here) { left.delete(address); this.#arrivals[watch.tag]?.push(this.#now); }
+        const here =
+          watch.what === 'config'
+            ? ((state.registers.policy?.value as { readonly serial: number } | undefined)?.serial ??
+                0) >= Number(watch.key)
+            : watch.what === 'purge'
+              ? state.factKeys[`purge/${watch.key}`] !== undefined
+              : watch.what === 'drain'
+                ? Object.keys(state.factKeys).some(
+                    (key) => key.startsWith('drain/') && key.split('/')[2] === watch.key,
+                  )
+                : state.spindle.records[`node/${watch.key}`] !== undefined;
+        if (here) {
+          left.delete(address);
+          this.#arrivals[watch.tag]?.push(this.#now);
+        }
       }
     }
   }
@@ -385,7 +717,8 @@
       node.beatAt += Beats.jig;
       this.#reduceJig(node, { kind: 'beat', now });
     }
-    for (const node of this.#lathes.values()) if (now >= node.askAt && !node.asking) this.#ask(node);
+    for (const node of this.#lathes.values())
+      if (now >= node.askAt && !node.asking) this.#ask(node);
     const order = (to: string, tag: string, action: Action): void => {
       const node = this.#jigs.get(to);
       if (node === undefined) return;
@@ -406,9 +739,15 @@
 
   async settled(): Promise<number> {
     // One turn at the least, so that what came in just now is seen.
-    await new Promise((resolve) => { setImmediate(resolve); });
-    while (this.#open > 0) await new Promise<void>((resolve) => { this.#waiting.push(resolve); });
-    if (this.#failed !== null) throw new HollowError('failed', String(this.#failed), { cause: this.#failed });
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    while (this.#open > 0)
+      await new Promise<void>((resolve) => {
+        this.#waiting.push(resolve);
+      });
+    if (this.#failed !== null)
+      throw new HollowError('failed', String(this.#failed), { cause: this.#failed });
     this.#look();
     return this.#started;
   }
@@ -418,15 +757,46 @@
     const collect = (globalThis as { readonly gc?: () => void }).gc;
     if (whole) collect?.();
     const memory = process.memoryUsage();
-    const sizes = (state: object): Readonly<Record<string, number>> => Object.fromEntries(Object.entries(state).map(([field, value]) => [field, serialize(JSON.parse(JSON.stringify(value ?? null))).length]));
+    const sizes = (state: object): Readonly<Record<string, number>> =>
+      Object.fromEntries(
+        Object.entries(state).map(([field, value]) => [
+          field,
+          serialize(JSON.parse(JSON.stringify(value ?? null))).length,
+        ]),
+      );
     const [jig, anvil] = [[...this.#jigs.values()].at(-1), [...this.#anvils.values()].at(-1)];
     return {
-      flows: [...this.#flows].map(([key, { calls, asked, answered }]) => { const [from, to, kind] = key.split(' '); return { from: from as Role, to: to as Role, kind: kind ?? '', calls, askedBytes: asked, answeredBytes: answered }; }),
-      reduced: [...this.#reduced].map(([key, sum]) => { const [role, event] = key.split(' '); return { role: role as Role, event: event ?? '', ...sum }; }),
+      flows: [...this.#flows].map(([key, { calls, asked, answered }]) => {
+        const [from, to, kind] = key.split(' ');
+        return {
+          from: from as Role,
+          to: to as Role,
+          kind: kind ?? '',
+          calls,
+          askedBytes: asked,
+          answeredBytes: answered,
+        };
+      }),
+      reduced: [...this.#reduced].map(([key, sum]) => {
+        const [role, event] = key.split(' ');
+        return { role: role as Role, event: event ?? '', ...sum };
+      }),
       cpuMs: (usage.user + usage.system) / 1_000,
-      heap: whole && collect !== undefined ? memory.heapUsed + memory.external : 0, rss: memory.rss, lost: this.#lost, faults: [...this.#faults],
-      answers: { ...this.#answers }, arrivals: Object.fromEntries(Object.entries(this.#arrivals).map(([tag, times]) => [tag, [...times]])), logs: { ...this.#logs },
-      stateBytes: !whole ? {} : { ...(jig === undefined ? {} : { [jig.spec.role]: sizes(jig.state) }), ...(anvil === undefined ? {} : { anvil: sizes(anvil.state) }) },
+      heap: whole && collect !== undefined ? memory.heapUsed + memory.external : 0,
+      rss: memory.rss,
+      lost: this.#lost,
+      faults: [...this.#faults],
+      answers: { ...this.#answers },
+      arrivals: Object.fromEntries(
+        Object.entries(this.#arrivals).map(([tag, times]) => [tag, [...times]]),
+      ),
+      logs: { ...this.#logs },
+      stateBytes: !whole
+        ? {}
+        : {
+            ...(jig === undefined ? {} : { [jig.spec.role]: sizes(jig.state) }),
+            ...(anvil === undefined ? {} : { anvil: sizes(anvil.state) }),
+          },
     };
   }
 
--- a/packages/workbench/src/hollow.test.ts
+++ b/packages/workbench/src/hollow.test.ts
@@ -4,11 +4,35 @@
 import { Beats } from '@reedyard/gauge';
 import { hollow, type HollowOptions, type HollowResult } from './hollow.js';
 
-const small: HollowOptions = { nodes: 8, anvils: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 2, lathes: 5, objects: 0, warm: 2, seconds: 4, seed: 1, processes: 0, probes: 1 };
+const small: HollowOptions = {
+  nodes: 8,
+  anvils: 3,
+  zones: 4,
+  regions: 2,
+  origins: 7,
+  services: 1,
+  routes: 10,
+  purges: 2,
+  lathes: 5,
+  objects: 0,
+  warm: 2,
+  seconds: 4,
+  seed: 1,
+  processes: 0,
+  probes: 1,
+};
 /** Calls or bytes that one node of a role sends in a second, of one kind. */
-const sent = (result: HollowResult, role: keyof HollowResult['roles'], kind: string, field: 'callsOut' | 'callsIn' | 'bytesOut' | 'bytesIn' = 'callsOut'): number => result.roles[role]?.byKind[kind]?.[field] ?? 0;
-/** How a figure grows from the smaller fleet to the larger one: its power of the number of nodes. */
-const power = (few: number, many: number, ratio: number): number => Math.log(many / few) / Math.log(ratio);
+const sent = (
+  result: HollowResult,
+  role: keyof HollowResult['roles'],
+  kind: string,
+  field: 'callsOut' | 'callsIn' | 'bytesOut' | 'bytesIn' = 'callsOut',
+): number => result.roles[role]?.byKind[kind]?.[field] ?? 0;
+/**
+ * How a figure grows from the smaller fleet to the larger one: its power of the number of nodes.
+ */
+const power = (few: number, many: number, ratio: number): number =>
+  Math.log(many / few) / Math.log(ratio);
 
 test('a hollow fleet in one process: what a node sends grows no faster with the fleet than the capacity page says', async (t) => {
   const few = await hollow(small);
@@ -16,31 +40,77 @@
   const ratio = 16 / 8;
   for (const result of [few, many]) {
     t.is(result.lost, 0);
-    for (const [what, spread] of Object.entries(result.times)) { t.is(spread.missing, 0, what); t.is(spread.nodes, result.options.nodes, what); }
-    // A pull of each anvil at each of its beats, an exchange and a feed at theirs, whatever the size of the fleet.
-    t.true(sent(result, 'jig', 'pull') <= (1_000 / Beats.pull) * 3 * 1.05, `${sent(result, 'jig', 'pull')} pulls`);
-    t.true(sent(result, 'jig', 'exchange') <= (1_000 / Beats.gossip) * 1.05, `${sent(result, 'jig', 'exchange')} exchanges`);
-    t.true(sent(result, 'lathe', 'feed') <= (1_000 / Beats.feed) * 1.05, `${sent(result, 'lathe', 'feed')} feeds`);
-    // A division at each of its beats at the most, fetched once; a push for an exchange at the most.
-    t.true(sent(result, 'jig', 'fetch.plan') <= (1_000 / Beats.division) * 1.3, `${sent(result, 'jig', 'fetch.plan')} fetches of the division`);
+    for (const [what, spread] of Object.entries(result.times)) {
+      t.is(spread.missing, 0, what);
+      t.is(spread.nodes, result.options.nodes, what);
+    }
+    // A pull of each anvil at each of its beats, an exchange and a feed at theirs, whatever the
+    // size of the fleet.
+    t.true(
+      sent(result, 'jig', 'pull') <= (1_000 / Beats.pull) * 3 * 1.05,
+      `${sent(result, 'jig', 'pull')} pulls`,
+    );
+    t.true(
+      sent(result, 'jig', 'exchange') <= (1_000 / Beats.gossip) * 1.05,
+      `${sent(result, 'jig', 'exchange')} exchanges`,
+    );
+    t.true(
+      sent(result, 'lathe', 'feed') <= (1_000 / Beats.feed) * 1.05,
+      `${sent(result, 'lathe', 'feed')} feeds`,
+    );
+    // A division at each of its beats at the most, fetched once; a push for an exchange at the
+    // most.
+    t.true(
+      sent(result, 'jig', 'fetch.plan') <= (1_000 / Beats.division) * 1.3,
+      `${sent(result, 'jig', 'fetch.plan')} fetches of the division`,
+    );
     t.true(sent(result, 'jig', 'push') <= sent(result, 'jig', 'exchange') * 1.05);
     // A ping to each other node with a lathe, once for each draw at the most.
-    t.true(sent(result, 'jig', 'ping') <= result.options.lathes / (Beats.pingDraw / 1_000), `${sent(result, 'jig', 'ping')} pings`);
+    t.true(
+      sent(result, 'jig', 'ping') <= result.options.lathes / (Beats.pingDraw / 1_000),
+      `${sent(result, 'jig', 'ping')} pings`,
+    );
     // An anvil hears from each node and of each ballot; nothing else asks it.
-    t.true((result.roles.anvil?.callsIn ?? Infinity) <= result.options.nodes * (1_000 / Beats.pull + 1_000 / Beats.division) + (1_000 / Beats.division) * 8, `${result.roles.anvil?.callsIn ?? NaN} calls to an anvil`);
+    t.true(
+      (result.roles.anvil?.callsIn ?? Infinity) <=
+        result.options.nodes * (1_000 / Beats.pull + 1_000 / Beats.division) +
+          (1_000 / Beats.division) * 8,
+      `${result.roles.anvil?.callsIn ?? NaN} calls to an anvil`,
+    );
   }
-  // Calls that must not grow with the fleet, and bytes that grow no faster than in proportion to it.
-  for (const kind of ['pull', 'exchange']) t.true(power(sent(few, 'jig', kind), sent(many, 'jig', kind), ratio) <= 0.15, kind);
-  for (const kind of ['exchange', 'fetch.plan']) t.true(power(sent(few, 'jig', kind, 'bytesIn') + sent(few, 'jig', kind, 'bytesOut'), sent(many, 'jig', kind, 'bytesIn') + sent(many, 'jig', kind, 'bytesOut'), ratio) <= 1.3, `bytes of ${kind}`);
-  t.true(power(sent(few, 'jig', 'pull', 'bytesIn'), sent(many, 'jig', 'pull', 'bytesIn'), ratio) <= 0.15, 'bytes of pulls');
-  t.true(power(few.roles.anvil?.callsIn ?? 0, many.roles.anvil?.callsIn ?? 0, ratio) <= 1.1, 'calls to an anvil');
+  // Calls that must not grow with the fleet, and bytes that grow no faster than in proportion to
+  // it.
+  for (const kind of ['pull', 'exchange'])
+    t.true(power(sent(few, 'jig', kind), sent(many, 'jig', kind), ratio) <= 0.15, kind);
+  for (const kind of ['exchange', 'fetch.plan'])
+    t.true(
+      power(
+        sent(few, 'jig', kind, 'bytesIn') + sent(few, 'jig', kind, 'bytesOut'),
+        sent(many, 'jig', kind, 'bytesIn') + sent(many, 'jig', kind, 'bytesOut'),
+        ratio,
+      ) <= 1.3,
+      `bytes of ${kind}`,
+    );
+  t.true(
+    power(sent(few, 'jig', 'pull', 'bytesIn'), sent(many, 'jig', 'pull', 'bytesIn'), ratio) <= 0.15,
+    'bytes of pulls',
+  );
+  t.true(
+    power(few.roles.anvil?.callsIn ?? 0, many.roles.anvil?.callsIn ?? 0, ratio) <= 1.1,
+    'calls to an anvil',
+  );
 });
 
 test('the hollow command names what is wrong with its words', (t) => {
   const main = fileURLToPath(new URL('./main.js', import.meta.url));
   for (const [words, told] of [
-    [[], /--nodes: found nothing; wanted a whole number/], [['--nodes', 'many'], /--nodes: found "many"/], [['--nodes', '3'], /more than the 3 of the anvils/], [['--nodes', '16', '--seconds', '0'], /--seconds: found "0"/],
-    [['--nodes', '16', '--nods', '3'], /nods/], [['--nodes', '16', 'x'], /found "x"/], [['--nodes', '20000', '--objects', '4'], /would take some .* GB; wanted at most/],
+    [[], /--nodes: found nothing; wanted a whole number/],
+    [['--nodes', 'many'], /--nodes: found "many"/],
+    [['--nodes', '3'], /more than the 3 of the anvils/],
+    [['--nodes', '16', '--seconds', '0'], /--seconds: found "0"/],
+    [['--nodes', '16', '--nods', '3'], /nods/],
+    [['--nodes', '16', 'x'], /found "x"/],
+    [['--nodes', '20000', '--objects', '4'], /would take some .* GB; wanted at most/],
   ] as const) {
     const ended = spawnSync(process.execPath, [main, 'hollow', ...words], { encoding: 'utf8' });
     t.is(ended.status, 2, words.join(' '));
--- a/packages/workbench/src/main.ts
+++ b/packages/workbench/src/main.ts
@@ -36,66 +36,158 @@
 `;
 if (process.argv[2] === 'hollow') process.exit(await runHollow(process.argv.slice(3)));
 if (process.argv[2] === 'slopes') process.exit(runSlopes(process.argv[3]));
-const { values, positionals } = parseArgs({ allowPositionals: true, options: {
-  rate: { type: 'string' }, folder: { type: 'string', default: '.run' }, 'no-policy': { type: 'boolean', default: false }, for: { type: 'string' }, scenario: { type: 'string' }, seed: { type: 'string', default: '1' }, seconds: { type: 'string' }, help: { type: 'boolean', default: false },
-} });
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: {
+    rate: { type: 'string' },
+    folder: { type: 'string', default: '.run' },
+    'no-policy': { type: 'boolean', default: false },
+    for: { type: 'string' },
+    scenario: { type: 'string' },
+    seed: { type: 'string', default: '1' },
+    seconds: { type: 'string' },
+    help: { type: 'boolean', default: false },
+  },
+});
 if (positionals[0] === 'trial') process.exit(await runTrial(positionals[1], values));
 const example = positionals[0];
-if (values.help || example === undefined) { process.stdout.write(help); process.exit(values.help ? 0 : 2); }
-const read = <T>(name: string): T => JSON.parse(readFileSync(path.join(example, name), 'utf8')) as T;
-const say = (text: string): void => { process.stdout.write(`${text}\n`); };
+if (values.help || example === undefined) {
+  process.stdout.write(help);
+  process.exit(values.help ? 0 : 2);
+}
+const read = <T>(name: string): T =>
+  JSON.parse(readFileSync(path.join(example, name), 'utf8')) as T;
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
 
-/** One kind of request in callers.json: a target with `#N` for a number under N, the low ones more often. */
-type CallerKind = { readonly weight: number; readonly method: string; readonly host: string; readonly target: string; readonly service: string; readonly key?: boolean };
+/**
+ * One kind of request in callers.json: a target with `#N` for a number under N, the low ones more
+ * often.
+ */
+type CallerKind = {
+  readonly weight: number;
+  readonly method: string;
+  readonly host: string;
+  readonly target: string;
+  readonly service: string;
+  readonly key?: boolean;
+};
 
 const laid = await (async (): Promise<Fleet | string> => {
-  try { return await Fleet.lay(read<Deployment>('deployment.json'), values.folder, { relays: true }); } catch (thrown) { return textOf(thrown); }
+  try {
+    return await Fleet.lay(read<Deployment>('deployment.json'), values.folder, { relays: true });
+  } catch (thrown) {
+    return textOf(thrown);
+  }
 })();
-if (typeof laid === 'string') { process.stderr.write(`${laid}\n`); process.exit(2); }
+if (typeof laid === 'string') {
+  process.stderr.write(`${laid}\n`);
+  process.exit(2);
+}
 const fleet = laid;
 let over = false;
-const end = async (code: number): Promise<void> => { if (over) return; over = true; await fleet.end(); process.exit(code); };
+const end = async (code: number): Promise<void> => {
+  if (over) return;
+  over = true;
+  await fleet.end();
+  process.exit(code);
+};
 process.on('SIGINT', () => void end(0));
 process.on('SIGTERM', () => void end(0));
 
 try {
   fleet.startAll();
   await fleet.startOrigins();
-  say(`started: ${fleet.names().length} machines, ${fleet.blanks.size} origins; settings and logs in ${values.folder}`);
+  say(
+    `started: ${fleet.names().length} machines, ${fleet.blanks.size} origins; settings and logs in ${values.folder}`,
+  );
   const front = fleet.names('front')[0] ?? '';
   if (!values['no-policy']) {
-    await fleet.until('the policy', async () => (await api(fleet.apiOf(front), 'PUT', '/v1/policy', read('policy.json'))).status === 200);
+    await fleet.until(
+      'the policy',
+      async () =>
+        (await api(fleet.apiOf(front), 'PUT', '/v1/policy', read('policy.json'))).status === 200,
+    );
     await fleet.untilReady();
     say('the policy is in force and every front is ready');
   }
-  for (const name of fleet.names()) say(`  ${name.padEnd(10)} api ${fleet.apiOf(name)}${fleet.names('front').includes(name) ? `  callers ${fleet.callersOf(name)}` : ''}`);
-} catch (thrown) { process.stderr.write(`${textOf(thrown)}\n`); await end(1); }
+  for (const name of fleet.names())
+    say(
+      `  ${name.padEnd(10)} api ${fleet.apiOf(name)}${fleet.names('front').includes(name) ? `  callers ${fleet.callersOf(name)}` : ''}`,
+    );
+} catch (thrown) {
+  process.stderr.write(`${textOf(thrown)}\n`);
+  await end(1);
+}
 
 const ready = new Map<string, boolean>();
 const watch = setInterval(() => {
   for (const name of fleet.names('front')) {
-    api(fleet.callersOf(name), 'GET', '/.well-known/reedyard/ready').then((answer) => ready.set(name, answer.status === 200), () => ready.set(name, false));
+    api(fleet.callersOf(name), 'GET', '/.well-known/reedyard/ready').then(
+      (answer) => ready.set(name, answer.status === 200),
+      () => ready.set(name, false),
+    );
   }
 }, 250);
-const kinds = (): readonly Kind[] => read<readonly CallerKind[]>('callers.json').map((kind) => ({
-  weight: kind.weight,
-  make: (chance) => ({
-    method: kind.method, host: kind.host, service: kind.service, target: kind.target.replace(/#(\d+)/g, (_, most: string) => String(Math.floor(Number(most) * chance() ** 2.5))),
-    ...(kind.key === true ? { key: `key-${Math.floor(chance() * 1e15)}` } : {}),
-  }),
-}));
-const load = values.rate === undefined ? null : startLoad({
-  rate: Number(values.rate), kinds: kinds(), chance: Math.random,
-  choose: () => { const up = fleet.names('front').filter((name) => ready.get(name) === true); const one = up[Math.floor(Math.random() * up.length)]; return one === undefined ? undefined : fleet.callersOf(one); },
-});
+const kinds = (): readonly Kind[] =>
+  read<readonly CallerKind[]>('callers.json').map((kind) => ({
+    weight: kind.weight,
+    make: (chance) => ({
+      method: kind.method,
+      host: kind.host,
+      service: kind.service,
+      target: kind.target.replace(/#(\d+)/g, (_, most: string) =>
+        String(Math.floor(Number(most) * chance() ** 2.5)),
+      ),
+      ...(kind.key === true ? { key: `key-${Math.floor(chance() * 1e15)}` } : {}),
+    }),
+  }));
+const load =
+  values.rate === undefined
+    ? null
+    : startLoad({
+        rate: Number(values.rate),
+        kinds: kinds(),
+        chance: Math.random,
+        choose: () => {
+          const up = fleet.names('front').filter((name) => ready.get(name) === true);
+          const one = up[Math.floor(Math.random() * up.length)];
+          return one === undefined ? undefined : fleet.callersOf(one);
+        },
+      });
 const report = async (): Promise<void> => {
-  if (load !== null) { const felt = sumUp(load.seen); say(`callers: ${felt.all} answers, by status ${JSON.stringify(felt.statuses)}, served by ${JSON.stringify(felt.served)}, faults ${felt.faults.length}${felt.faults.slice(0, 3).map((fault) => `\n  ${fault}`).join('')}`); }
+  if (load !== null) {
+    const felt = sumUp(load.seen);
+    say(
+      `callers: ${felt.all} answers, by status ${JSON.stringify(felt.statuses)}, served by ${JSON.stringify(felt.served)}, faults ${felt.faults.length}${felt.faults
+        .slice(0, 3)
+        .map((fault) => `\n  ${fault}`)
+        .join('')}`,
+    );
+  }
   for (const name of fleet.names('front')) {
-    const status = await api(fleet.apiOf(name), 'GET', '/v1/status').then((answer) => answer.body as { policySerial: number; lathe: Record<string, number>; notices: number; split: Record<string, readonly unknown[]> }, () => null);
-    if (status === null) { say(`  ${name.padEnd(10)} no answer`); continue; }
+    const status = await api(fleet.apiOf(name), 'GET', '/v1/status').then(
+      (answer) =>
+        answer.body as {
+          policySerial: number;
+          lathe: Record<string, number>;
+          notices: number;
+          split: Record<string, readonly unknown[]>;
+        },
+      () => null,
+    );
+    if (status === null) {
+      say(`  ${name.padEnd(10)} no answer`);
+      continue;
+    }
     const counter = (key: string): number => status.lathe?.[key] ?? 0;
-    const away = Object.values(status.split).filter((row) => row.some((pair) => (pair as [string, number])[0] !== name)).length;
-    say(`  ${name.padEnd(10)} serial ${status.policySerial}  transactions ${counter('transactions')}  copies ${counter('served.copy')}  forwarded ${counter('forwarded')}  fetched ${counter('fetched')}  legs ${counter('legs')}  repeats ${counter('repeats')}  notices ${status.notices}  rows ${Object.keys(status.split).length} (${away} with partners)`);
+    const away = Object.values(status.split).filter((row) =>
+      row.some((pair) => (pair as [string, number])[0] !== name),
+    ).length;
+    say(
+      `  ${name.padEnd(10)} serial ${status.policySerial}  transactions ${counter('transactions')}  copies ${counter('served.copy')}  forwarded ${counter('forwarded')}  fetched ${counter('fetched')}  legs ${counter('legs')}  repeats ${counter('repeats')}  notices ${status.notices}  rows ${Object.keys(status.split).length} (${away} with partners)`,
+    );
   }
 };
 
@@ -108,18 +200,44 @@
   cut: ([name = '', way]) => fleet.cut(name, way as 'both' | undefined),
   heal: () => fleet.heal(),
   wipe: ([name = '']) => fleet.wipe(name),
-  origin: ([instance = '', ...mode]) => fleet.blanks.get(instance)?.become(JSON.parse(mode.join(' ')) as object),
-  rename: ([instance = '', ...identity]) => fleet.blanks.get(instance)?.rename(JSON.parse(identity.join(' ')) as object),
+  origin: ([instance = '', ...mode]) =>
+    fleet.blanks.get(instance)?.become(JSON.parse(mode.join(' ')) as object),
+  rename: ([instance = '', ...identity]) =>
+    fleet.blanks.get(instance)?.rename(JSON.parse(identity.join(' ')) as object),
   report,
-  nodes: () => say([...fleet.names()].map((name) => `${name} ${fleet.apiOf(name)} ready ${String(ready.get(name) ?? '-')}`).join('\n')),
+  nodes: () =>
+    say(
+      [...fleet.names()]
+        .map((name) => `${name} ${fleet.apiOf(name)} ready ${String(ready.get(name) ?? '-')}`)
+        .join('\n'),
+    ),
   quit: () => end(0),
   help: () => say(help),
 };
-if (values.for !== undefined) setTimeout(() => { void (load === null ? Promise.resolve() : load.stop().then(() => undefined)).then(report).then(() => { clearInterval(watch); return end(0); }); }, 1_000 * Number(values.for));
+if (values.for !== undefined)
+  setTimeout(
+    () => {
+      void (load === null ? Promise.resolve() : load.stop().then(() => undefined))
+        .then(report)
+        .then(() => {
+          clearInterval(watch);
+          return end(0);
+        });
+    },
+    1_000 * Number(values.for),
+  );
 createInterface({ input: process.stdin }).on('line', (line) => {
   const [word = '', ...rest] = line.trim().split(/\s+/);
   if (word === '') return;
   const command = commands[word];
-  if (command === undefined) { say(`no command is named ${word}; try help`); return; }
-  Promise.resolve().then(() => command(rest)).then(() => say(`done: ${line.trim()}`), (thrown: unknown) => say(textOf(thrown)));
+  if (command === undefined) {
+    say(`no command is named ${word}; try help`);
+    return;
+  }
+  Promise.resolve()
+    .then(() => command(rest))
+    .then(
+      () => say(`done: ${line.trim()}`),
+      (thrown: unknown) => say(textOf(thrown)),
+    );
 });
--- a/packages/workbench/src/part-costs.ts
+++ b/packages/workbench/src/part-costs.ts
@@ -2,9 +2,9 @@
 import { splitFor, type Vector } from '@reedyard/plumb';
 
 /**
- * What parts of a jig cost that no hollow fleet of the target's size can afford to run on every node: one
- * computation of the split, and one round of pings with its answers. ms of a core, told as JSON.
- * `node packages/workbench/dist/part-costs.js > docs/capacity/parts.json`
+ * What parts of a jig cost that no hollow fleet of the target's size can afford to run on every
+ * node: one computation of the split, and one round of pings with its answers. ms of a core, told
+ * as JSON. `node packages/workbench/dist/part-costs.js > docs/capacity/parts.json`
  */
 const timed = (act: () => void): number => {
   const from = process.cpuUsage();
@@ -12,42 +12,116 @@
   const used = process.cpuUsage(from);
   return (used.user + used.system) / 1_000;
 };
-const vectorsOf = (edges: number, objects: number): Readonly<Record<string, Vector>> => Object.fromEntries(Array.from({ length: edges }, (_, edge) => {
-  const demand = Object.fromEntries(Array.from({ length: objects }, (__, object) => [`route-${object}`, 100_000 + 20_000 * ((edge * 7 + object * 13) % 10)]));
-  return [`front-${edge}`, {
-    demand, copies: Object.keys(demand).slice(0, objects / 2), capacity: 1e9, utilisation: 0.1, offered: 0.1, meanReply: 96_000, fetchDelay: 0.02,
-    delays: Object.fromEntries(Array.from({ length: edges }, (__, other) => [`front-${other}`, 0.001 * (1 + ((edge + other) % 5))])),
-  } satisfies Vector] as const;
-}));
+const vectorsOf = (edges: number, objects: number): Readonly<Record<string, Vector>> =>
+  Object.fromEntries(
+    Array.from({ length: edges }, (_, edge) => {
+      const demand = Object.fromEntries(
+        Array.from({ length: objects }, (__, object) => [
+          `route-${object}`,
+          100_000 + 20_000 * ((edge * 7 + object * 13) % 10),
+        ]),
+      );
+      return [
+        `front-${edge}`,
+        {
+          demand,
+          copies: Object.keys(demand).slice(0, objects / 2),
+          capacity: 1e9,
+          utilisation: 0.1,
+          offered: 0.1,
+          meanReply: 96_000,
+          fetchDelay: 0.02,
+          delays: Object.fromEntries(
+            Array.from({ length: edges }, (__, other) => [
+              `front-${other}`,
+              0.001 * (1 + ((edge + other) % 5)),
+            ]),
+          ),
+        } satisfies Vector,
+      ] as const;
+    }),
+  );
 
-const split = [4, 16].flatMap((objects) => [16, 32, 64, 128, 256].map((edges) => {
-  const vectors = vectorsOf(edges, objects);
-  const compute = (): void => { splitFor('front-0', vectors, () => ({ servers: () => true })); };
-  compute();
-  return { objects, edges, cpuMs: timed(compute), vectorBytes: JSON.stringify(vectors['front-0']).length };
-}));
+const split = [4, 16].flatMap((objects) =>
+  [16, 32, 64, 128, 256].map((edges) => {
+    const vectors = vectorsOf(edges, objects);
+    const compute = (): void => {
+      splitFor('front-0', vectors, () => ({ servers: () => true }));
+    };
+    compute();
+    return {
+      objects,
+      edges,
+      cpuMs: timed(compute),
+      vectorBytes: JSON.stringify(vectors['front-0']).length,
+    };
+  }),
+);
 
 const front = (index: number): Self => ({
-  id: `front-${index}`, hall: 'zone-1', region: 'region-1', address: `10.0.${Math.floor(index / 250)}.${index % 250}:7001`,
-  lathe: { callers: '10.0.0.1:8080', partners: '10.0.0.1:8081', capacityBps: 1e9 }, anvil: null,
+  id: `front-${index}`,
+  hall: 'zone-1',
+  region: 'region-1',
+  address: `10.0.${Math.floor(index / 250)}.${index % 250}:7001`,
+  lathe: { callers: '10.0.0.1:8080', partners: '10.0.0.1:8081', capacityBps: 1e9 },
+  anvil: null,
 });
 
-/** The second round of pings of a jig that knows so many others: its first beat brings the code into shape. */
+/**
+ * The second round of pings of a jig that knows so many others: its first beat brings the code into
+ * shape.
+ */
 const pings = [64, 128, 256, 512, 1_100].map((nodes) => {
-  const tellings = Object.fromEntries(Array.from({ length: nodes }, (_, index) => [`node/front-${index + 1}`, { serial: 1, value: { ...front(index + 1), ready: true, staying: true, latheLife: '', wants: {} } }]));
-  let state: JigState = Jig.open({ self: front(0), life: '', seeds: [], founders: {}, seed: 1, now: 0 });
-  state = Jig.reduce(state, { kind: 'asked', id: 0, body: { kind: 'push', tellings }, now: 0 }).state;
-  const round = (now: number): { readonly calls: number; readonly beatMs: number; readonly answersMs: number } => {
+  const tellings = Object.fromEntries(
+    Array.from({ length: nodes }, (_, index) => [
+      `node/front-${index + 1}`,
+      {
+        serial: 1,
+        value: { ...front(index + 1), ready: true, staying: true, latheLife: '', wants: {} },
+      },
+    ]),
+  );
+  let state: JigState = Jig.open({
+    self: front(0),
+    life: '',
+    seeds: [],
+    founders: {},
+    seed: 1,
+    now: 0,
+  });
+  state = Jig.reduce(state, {
+    kind: 'asked',
+    id: 0,
+    body: { kind: 'push', tellings },
+    now: 0,
+  }).state;
+  const round = (
+    now: number,
+  ): { readonly calls: number; readonly beatMs: number; readonly answersMs: number } => {
     let sent: readonly number[] = [];
     const beatMs = timed(() => {
       const step = Jig.reduce(state, { kind: 'beat', now });
       state = step.state;
-      sent = step.effects.flatMap((effect) => (effect.kind === 'call' && effect.path === '/jig' && effect.body.kind === 'ping' ? [effect.id] : []));
+      sent = step.effects.flatMap((effect) =>
+        effect.kind === 'call' && effect.path === '/jig' && effect.body.kind === 'ping'
+          ? [effect.id]
+          : [],
+      );
+    });
+    const answersMs = timed(() => {
+      for (const id of sent)
+        state = Jig.reduce(state, {
+          kind: 'returned',
+          id,
+          body: { kind: 'ok' },
+          now: now + 1,
+        }).state;
     });
-    const answersMs = timed(() => { for (const id of sent) state = Jig.reduce(state, { kind: 'returned', id, body: { kind: 'ok' }, now: now + 1 }).state; });
     return { calls: sent.length, beatMs, answersMs };
   };
   round(50);
   return { nodes, ...round(3_000) };
 });
-process.stdout.write(`${JSON.stringify({ command: 'node packages/workbench/dist/part-costs.js', split, pings }, null, 1)}\n`);
+process.stdout.write(
+  `${JSON.stringify({ command: 'node packages/workbench/dist/part-costs.js', split, pings }, null, 1)}\n`,
+);
--- a/packages/workbench/src/small.ts
+++ b/packages/workbench/src/small.ts
@@ -1,6 +1,8 @@
 import type { Deployment } from './index.js';
 
-/** The smallest fleet with everything in it: two fronts, three disks, one origin of each service. */
+/**
+ * The smallest fleet with everything in it: two fronts, three disks, one origin of each service.
+ */
 export const small: Deployment = {
   name: 'small',
   machines: [
@@ -22,6 +24,14 @@
   services: { store: { ceiling: 300, coldRate: 20 }, application: { ceiling: 300, coldRate: 20 } },
   routes: [
     { name: 'sheets', host: smallHost, path: '/sheets/', service: 'store' },
-    { name: 'handovers', host: smallHost, path: '/handovers', service: 'application', methods: ['POST'], cache: { keep: 'never' }, key: 'required' },
+    {
+      name: 'handovers',
+      host: smallHost,
+      path: '/handovers',
+      service: 'application',
+      methods: ['POST'],
+      cache: { keep: 'never' },
+      key: 'required',
+    },
   ],
 };
--- a/packages/workbench/src/sockets.test.ts
+++ b/packages/workbench/src/sockets.test.ts
@@ -9,43 +9,106 @@
 
 const host = 'depot.example';
 const policy = {
-  services: { store: { ceiling: 2_000, coldRate: 50 }, application: { ceiling: 2_000, coldRate: 50 } },
+  services: {
+    store: { ceiling: 2_000, coldRate: 50 },
+    application: { ceiling: 2_000, coldRate: 50 },
+  },
   routes: [
     { name: 'sheets', host, path: '/sheets/', service: 'store' },
     { name: 'live', host, path: '/live/', service: 'store', cache: { keep: 'never' } },
-    { name: 'handovers', host, path: '/handovers', service: 'application', methods: ['POST'], cache: { keep: 'never' }, limits: { bodyBytes: 1_000 } },
+    {
+      name: 'handovers',
+      host,
+      path: '/handovers',
+      service: 'application',
+      methods: ['POST'],
+      cache: { keep: 'never' },
+      limits: { bodyBytes: 1_000 },
+    },
   ],
 };
 
 /** Bytes sent as they are; what comes back until the other side closes or the limit passes. */
-const raw = (at: string, text: string): Promise<string> => new Promise((resolve) => {
-  const cut = at.lastIndexOf(':');
-  let got = '';
-  const socket = net.connect({ host: at.slice(0, cut), port: Number(at.slice(cut + 1)) }, () => socket.write(text));
-  socket.on('data', (chunk) => { got += String(chunk); });
-  socket.on('error', () => resolve(got));
-  socket.on('close', () => resolve(got));
-  socket.setTimeout(3_000, () => { socket.destroy(); });
-});
+const raw = (at: string, text: string): Promise<string> =>
+  new Promise((resolve) => {
+    const cut = at.lastIndexOf(':');
+    let got = '';
+    const socket = net.connect({ host: at.slice(0, cut), port: Number(at.slice(cut + 1)) }, () =>
+      socket.write(text),
+    );
+    socket.on('data', (chunk) => {
+      got += String(chunk);
+    });
+    socket.on('error', () => resolve(got));
+    socket.on('close', () => resolve(got));
+    socket.setTimeout(3_000, () => {
+      socket.destroy();
+    });
+  });
 
 test('over real sockets: origins that lie, lose, cut short or change who they are; callers that misbehave; a freeze and a cut', async (t) => {
-  const fleet = await Fleet.lay(small, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), { relays: true });
+  const fleet = await Fleet.lay(small, mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), {
+    relays: true,
+  });
   t.teardown(() => fleet.end());
   fleet.startAll();
   await fleet.startOrigins();
-  await fleet.until('the policy', async () => (await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy)).status === 200);
+  await fleet.until(
+    'the policy',
+    async () => (await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy)).status === 200,
+  );
   await fleet.untilReady();
   const [store, app] = [fleet.blanks.get('content-1'), fleet.blanks.get('app-1')];
-  if (store === undefined || app === undefined) { t.fail('no origins'); return; }
+  if (store === undefined || app === undefined) {
+    t.fail('no origins');
+    return;
+  }
   let number = 0;
-  const next = (): number => { number += 1; return number; };
-  const get = (target: string, more: { headers?: Record<string, string>; method?: string } = {}, node = 'front-1'): Promise<Seen> =>
-    feel({ at: fleet.callersOf(node), method: more.method ?? 'GET', host, target, service: 'store', ...(more.headers === undefined ? {} : { headers: more.headers }) });
-  const post = (job: string): Promise<Seen> => feel({ at: fleet.callersOf('front-1'), method: 'POST', host, target: '/handovers', service: 'application', job });
-  await fleet.until('both services', async () => (await get('/live/0')).status === 200 && (await post(`warm-${next()}`)).status === 200);
-  const settle = (blank: typeof store, target: () => Promise<Seen>): Promise<void> => { blank.become({ short: false, garbage: false, leftover: false, corrupt: false, lose: false, slowMs: 0 }); return fleet.until('sound again', async () => (await target()).status === 200); };
+  const next = (): number => {
+    number += 1;
+    return number;
+  };
+  const get = (
+    target: string,
+    more: { headers?: Record<string, string>; method?: string } = {},
+    node = 'front-1',
+  ): Promise<Seen> =>
+    feel({
+      at: fleet.callersOf(node),
+      method: more.method ?? 'GET',
+      host,
+      target,
+      service: 'store',
+      ...(more.headers === undefined ? {} : { headers: more.headers }),
+    });
+  const post = (job: string): Promise<Seen> =>
+    feel({
+      at: fleet.callersOf('front-1'),
+      method: 'POST',
+      host,
+      target: '/handovers',
+      service: 'application',
+      job,
+    });
+  await fleet.until(
+    'both services',
+    async () =>
+      (await get('/live/0')).status === 200 && (await post(`warm-${next()}`)).status === 200,
+  );
+  const settle = (blank: typeof store, target: () => Promise<Seen>): Promise<void> => {
+    blank.become({
+      short: false,
+      garbage: false,
+      leftover: false,
+      corrupt: false,
+      lose: false,
+      slowMs: 0,
+    });
+    return fleet.until('sound again', async () => (await target()).status === 200);
+  };
 
-  // No success out of a short, garbled or corrupted answer; each is told at once, with a time to come back.
+  // No success out of a short, garbled or corrupted answer; each is told at once, with a time to
+  // come back.
   for (const mode of [{ short: true }, { garbage: true }, { corrupt: true }]) {
     store.become(mode);
     const seen = await get(`/live/${next()}`);
@@ -67,8 +130,8 @@
   t.is(app.ran().filter((each) => each.id === 'lost-1').length, 1);
   await settle(app, () => post(`after-${next()}`));
 
-  // Another service at the address: nothing of a request reaches it. (Where the old conn closed under a
-  // request, that is told as unknown; the next one learns that it was not run.)
+  // Another service at the address: nothing of a request reaches it. (Where the old conn closed
+  // under a request, that is told as unknown; the next one learns that it was not run.)
   const before = app.ran().length;
   const got = app.got();
   app.rename({ service: 'stranger', instance: 'app-1', incarnation: 2 });
@@ -79,7 +142,10 @@
   t.is(app.ran().length, before);
   t.is(app.got(), got);
   app.rename({ service: 'application', instance: 'app-1', incarnation: 3 });
-  await fleet.until('the new incarnation', async () => (await post(`again-${next()}`)).status === 200);
+  await fleet.until(
+    'the new incarnation',
+    async () => (await post(`again-${next()}`)).status === 200,
+  );
 
   // Conditional, range and head requests, from an answer kept whole.
   const whole = await get('/sheets/7?size=3000');
@@ -88,7 +154,10 @@
   t.is(part.status, 206);
   t.is(part.body, whole.body.slice(10, 20));
   t.is((await get('/sheets/7?size=3000', { headers: { range: 'bytes=9000-' } })).status, 416);
-  t.is((await get('/sheets/7?size=3000', { headers: { 'if-none-match': '"store-0-3000"' } })).status, 304);
+  t.is(
+    (await get('/sheets/7?size=3000', { headers: { 'if-none-match': '"store-0-3000"' } })).status,
+    304,
+  );
   const head = await get('/sheets/7?size=3000', { method: 'HEAD' });
   t.is(head.status, 200);
   t.is(head.body, '');
@@ -110,13 +179,52 @@
   // Callers that misbehave.
   const at = fleet.callersOf('front-1');
   t.regex(await raw(at, 'nonsense\r\n\r\n'), /^HTTP\/1\.1 400/);
-  t.regex(await raw(at, `GET /a/../sheets/1 HTTP/1.1\r\nhost: ${host}\r\nconnection: close\r\n\r\n`), /^HTTP\/1\.1 400/);
-  t.regex(await raw(at, `GET /sheets/1 HTTP/1.1\r\nhost: ${host}\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`), /^HTTP\/1\.1 431/);
-  t.is((await feel({ at, method: 'POST', host, target: '/handovers', service: 'application', body: 'z'.repeat(2_000) })).status, 413);
-  t.is((await feel({ at, method: 'POST', host, target: '/sheets/1', service: 'store' })).status, 405);
-  t.is((await feel({ at, method: 'GET', host: 'nobody.example', target: '/', service: 'store' })).status, 404);
+  t.regex(
+    await raw(at, `GET /a/../sheets/1 HTTP/1.1\r\nhost: ${host}\r\nconnection: close\r\n\r\n`),
+    /^HTTP\/1\.1 400/,
+  );
+  t.regex(
+    await raw(at, `GET /sheets/1 HTTP/1.1\r\nhost: ${host}\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`),
+    /^HTTP\/1\.1 431/,
+  );
+  t.is(
+    (
+      await feel({
+        at,
+        method: 'POST',
+        host,
+        target: '/handovers',
+        service: 'application',
+        body: 'z'.repeat(2_000),
+      })
+    ).status,
+    413,
+  );
+  t.is(
+    (await feel({ at, method: 'POST', host, target: '/sheets/1', service: 'store' })).status,
+    405,
+  );
+  t.is(
+    (await feel({ at, method: 'GET', host: 'nobody.example', target: '/', service: 'store' }))
+      .status,
+    404,
+  );
   // A caller can't pass itself off as a partner or set the project's own fields.
-  t.is((await get(`/live/${next()}`, { headers: { 'reedyard-expect': 'stranger/x/1', 'reedyard-via': 'front-2', 'x-forwarded-for': '192.0.2.1', connection: 'x-hop', 'x-hop': '1', 'x-end': '2' } })).status, 200);
+  t.is(
+    (
+      await get(`/live/${next()}`, {
+        headers: {
+          'reedyard-expect': 'stranger/x/1',
+          'reedyard-via': 'front-2',
+          'x-forwarded-for': '192.0.2.1',
+          connection: 'x-hop',
+          'x-hop': '1',
+          'x-end': '2',
+        },
+      })
+    ).status,
+    200,
+  );
   const heard = store.heard();
   t.is(heard.host, host);
   t.regex(String(heard['x-forwarded-for']), /^192\.0\.2\.1, 127\./);
@@ -130,21 +238,37 @@
   t.is(old.status, 200);
   fleet.freeze('front-1');
   store.turn();
-  t.is((await api(fleet.apiOf('core-1'), 'POST', '/v1/purges', { objects: [`${host}/sheets/frozen`] })).status, 200);
+  t.is(
+    (await api(fleet.apiOf('core-1'), 'POST', '/v1/purges', { objects: [`${host}/sheets/frozen`] }))
+      .status,
+    200,
+  );
   const leaseOver = performance.now() + 2_200;
   await fleet.until('the lease to run out', () => Promise.resolve(performance.now() > leaseOver));
   const asked = get('/sheets/frozen');
   fleet.thaw('front-1');
   const thawed = await asked;
-  t.true(thawed.status === 503 || thawed.body.includes('generation=1'), `${thawed.status} ${thawed.body.slice(0, 40)}`);
-  await fleet.until('served anew', async () => (await get('/sheets/frozen')).body.includes('generation=1'));
+  t.true(
+    thawed.status === 503 || thawed.body.includes('generation=1'),
+    `${thawed.status} ${thawed.body.slice(0, 40)}`,
+  );
+  await fleet.until('served anew', async () =>
+    (await get('/sheets/frozen')).body.includes('generation=1'),
+  );
 
   // Cut off, a node says so; healed, it serves.
   fleet.cut('front-2');
-  await fleet.until('the cut noticed', async () => (await get('/sheets/7?size=3000', {}, 'front-2')).status === 503, 5_000);
+  await fleet.until(
+    'the cut noticed',
+    async () => (await get('/sheets/7?size=3000', {}, 'front-2')).status === 503,
+    5_000,
+  );
   fleet.heal();
   await fleet.untilReady(['front-2']);
-  await fleet.until('serving after the cut', async () => (await get('/sheets/7?size=3000', {}, 'front-2')).status === 200);
+  await fleet.until(
+    'serving after the cut',
+    async () => (await get('/sheets/7?size=3000', {}, 'front-2')).status === 200,
+  );
 
   // Stopped with a warning: not ready first, and what is under way ends well.
   store.become({ slowMs: 600 });
--- a/packages/workbench/src/trial.test.ts
+++ b/packages/workbench/src/trial.test.ts
@@ -8,8 +8,15 @@
 
 test('a trial of real processes through every kind of fault: the rules that no machine is too slow for are kept', async (t) => {
   const report = await trial({
-    example: 'brandlhuber', deployment: small, policy: exampleOf('brandlhuber').policy, scenario: 'everything', seed: 4, seconds: 24, rate: 60,
-    folder: mkdtempSync(path.join(os.tmpdir(), 'reedyard-')), rules: [1, 2, 3, 6, 12],
+    example: 'brandlhuber',
+    deployment: small,
+    policy: exampleOf('brandlhuber').policy,
+    scenario: 'everything',
+    seed: 4,
+    seconds: 24,
+    rate: 60,
+    folder: mkdtempSync(path.join(os.tmpdir(), 'reedyard-')),
+    rules: [1, 2, 3, 6, 12],
   });
   t.deepEqual(report.wrongs, []);
   t.true(report.faults.length > 0);
@@ -18,5 +25,14 @@
 });
 
 test('a line of a log is read back as its pairs', (t) => {
-  t.deepEqual(pairsOf('time=2026-01-01T00:00:00.000Z event=trace.stored keys="a.example/x b.example/y?z=\\"1\\""'), { time: '2026-01-01T00:00:00.000Z', event: 'trace.stored', keys: 'a.example/x b.example/y?z="1"' });
+  t.deepEqual(
+    pairsOf(
+      'time=2026-01-01T00:00:00.000Z event=trace.stored keys="a.example/x b.example/y?z=\\"1\\""',
+    ),
+    {
+      time: '2026-01-01T00:00:00.000Z',
+      event: 'trace.stored',
+      keys: 'a.example/x b.example/y?z="1"',
+    },
+  );
 });
