--- a/packages/workbench/src/trial.ts
+++ b/packages/workbench/src/trial.ts
@@ -2,23 +2,63 @@
 import http from 'node:http';
 import { feel } from '@reedyard/feeler';
 import type { Deployment } from '@reedyard/blueprint';
-import { available, Clockwork, judge, sampleOf, scenarios, startCallers, type CalledFleet, type Entry, type SimBody, type StageOrigin, type Wrong } from '@reedyard/mallet';
+import {
+  available,
+  Clockwork,
+  judge,
+  sampleOf,
+  scenarios,
+  startCallers,
+  type CalledFleet,
+  type Entry,
+  type SimBody,
+  type StageOrigin,
+  type Wrong,
+} from '@reedyard/mallet';
 import type { Policy } from '@reedyard/stencil';
 import { api, Fleet, WorkbenchError } from './index.js';
 
 /** One line of a log as its pairs. @example pairsOf('time=… event="a b" n=1').event // 'a b' */
 export const pairsOf = (line: string): Readonly<Record<string, string>> =>
-  Object.fromEntries([...line.matchAll(/([\w-]+)=("(?:[^"\\]|\\.)*"|\S*)/g)].map(([, key = '', value = '']) => [key, value.startsWith('"') ? JSON.parse(value) as string : value]));
+  Object.fromEntries(
+    [...line.matchAll(/([\w-]+)=("(?:[^"\\]|\\.)*"|\S*)/g)].map(([, key = '', value = '']) => [
+      key,
+      value.startsWith('"') ? (JSON.parse(value) as string) : value,
+    ]),
+  );
 
 /** A report's body, read back from what a stand-in origin sends. */
-const bodyOf = (method: string, target: string, text: string, startedAt: number): SimBody | null => {
+const bodyOf = (
+  method: string,
+  target: string,
+  text: string,
+  startedAt: number,
+): SimBody | null => {
   const tags = [...target.matchAll(/tag-(\w+)/g)].map((found) => found[1] ?? '');
   if (method === 'POST') {
     const { ran = '', by = '' } = JSON.parse(text) as { ran?: string; by?: string };
-    return { service: by.split('/', 1)[0] ?? '', target, job: ran, tags, madeAt: 0, sentAt: 0, maxAgeMs: Infinity };
+    return {
+      service: by.split('/', 1)[0] ?? '',
+      target,
+      job: ran,
+      tags,
+      madeAt: 0,
+      sentAt: 0,
+      maxAgeMs: Infinity,
+    };
   }
   const found = /^(\S+) (\S+) generation=\d+ made=(\d+) sent=(\d+) life=(\d+) /.exec(text);
-  return found === null ? null : { service: found[1] ?? '', target: found[2] ?? '', job: '', tags, madeAt: Number(found[3]) - startedAt, sentAt: Number(found[4]) - startedAt, maxAgeMs: Number(found[5]) };
+  return found === null
+    ? null
+    : {
+        service: found[1] ?? '',
+        target: found[2] ?? '',
+        job: '',
+        tags,
+        madeAt: Number(found[3]) - startedAt,
+        sentAt: Number(found[4]) - startedAt,
+        maxAgeMs: Number(found[5]),
+      };
 };
 
 /** A fleet of real processes that a scenario plays on, and that writes what the checkers judge. */
@@ -38,10 +78,21 @@
   #changes = 0;
   readonly #beats: NodeJS.Timeout[] = [];
 
-  constructor(readonly fleet: Fleet, seed: number) {
+  constructor(
+    readonly fleet: Fleet,
+    seed: number,
+  ) {
     this.clock = new Clockwork(seed);
     this.origins = fleet.deployment.origins.map((spec) => ({
-      spec, service: spec.service, instance: spec.instance, incarnation: 1, alive: true, cold: false, draining: false, silent: false, capacity: spec.capacity,
+      spec,
+      service: spec.service,
+      instance: spec.instance,
+      incarnation: 1,
+      alive: true,
+      cold: false,
+      draining: false,
+      silent: false,
+      capacity: spec.capacity,
       mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0, aged: 0, large: 0 },
     }));
     // Virtual time follows the true one; what is due runs in its own order.
@@ -50,39 +101,116 @@
     this.#beats.push(setInterval(() => this.#watch(), 500));
   }
 
-  get deployment(): Deployment { return this.fleet.deployment; }
-  get seeds(): readonly string[] { return this.#seeds; }
-  set seeds(names: readonly string[]) { this.#seeds = names; this.fleet.setSeeds(names.map((name) => name.split('/', 1)[0] ?? name)); }
-  #now(): number { return performance.now() - this.#began; }
+  get deployment(): Deployment {
+    return this.fleet.deployment;
+  }
+  get seeds(): readonly string[] {
+    return this.#seeds;
+  }
+  set seeds(names: readonly string[]) {
+    this.#seeds = names;
+    this.fleet.setSeeds(names.map((name) => name.split('/', 1)[0] ?? name));
+  }
+  #now(): number {
+    return performance.now() - this.#began;
+  }
   /** A moment of the wall clock, in ms since the trial began. */
-  at(wallMs: number): number { return wallMs - this.#startedAt; }
-  end(): void { this.#beats.forEach((beat) => clearInterval(beat)); }
+  at(wallMs: number): number {
+    return wallMs - this.#startedAt;
+  }
+  end(): void {
+    this.#beats.forEach((beat) => clearInterval(beat));
+  }
 
   /** What an origin heard, as it heard it. */
-  readonly heard = (request: http.IncomingMessage, by: { readonly service: string; readonly instance: string; readonly incarnation: number; readonly hall: string; readonly cold: boolean; readonly unsafe: boolean }): void => {
+  readonly heard = (
+    request: http.IncomingMessage,
+    by: {
+      readonly service: string;
+      readonly instance: string;
+      readonly incarnation: number;
+      readonly hall: string;
+      readonly cold: boolean;
+      readonly unsafe: boolean;
+    },
+  ): void => {
     const from = /.*1\.1 ([\w-]+) \(reedyard\)/.exec(String(request.headers.via ?? ''))?.[1] ?? '';
     const submission = Number(request.headers['x-submission'] ?? -1);
     const { service, instance, incarnation, hall, cold } = by;
     this.history.push({
-      kind: 'leg', at: this.#now(), from, region: this.deployment.machines.find((machine) => machine.name === from)?.region ?? '', service, instance, incarnation, hall, cold,
-      expected: String(request.headers['reedyard-expect'] ?? ''), host: request.headers.host ?? '', target: request.url ?? '', method: request.method ?? '', submission,
+      kind: 'leg',
+      at: this.#now(),
+      from,
+      region: this.deployment.machines.find((machine) => machine.name === from)?.region ?? '',
+      service,
+      instance,
+      incarnation,
+      hall,
+      cold,
+      expected: String(request.headers['reedyard-expect'] ?? ''),
+      host: request.headers.host ?? '',
+      target: request.url ?? '',
+      method: request.method ?? '',
+      submission,
     });
-    if (by.unsafe) this.history.push({ kind: 'ran', at: this.#now(), submission, job: String(request.headers['x-job'] ?? ''), key: String(request.headers['idempotency-key'] ?? '') || null });
+    if (by.unsafe)
+      this.history.push({
+        kind: 'ran',
+        at: this.#now(),
+        submission,
+        job: String(request.headers['x-job'] ?? ''),
+        key: String(request.headers['idempotency-key'] ?? '') || null,
+      });
   };
 
   /** Makes a stand-in origin what the scenario wants it to be. */
   #apply(origin: StageOrigin): void {
     const blank = this.fleet.blanks.get(origin.spec.instance);
     if (blank === undefined) return;
-    const wanted = JSON.stringify([origin.alive, origin.service, origin.instance, origin.incarnation, origin.cold, origin.draining, origin.silent, origin.capacity, origin.mode]);
+    const wanted = JSON.stringify([
+      origin.alive,
+      origin.service,
+      origin.instance,
+      origin.incarnation,
+      origin.cold,
+      origin.draining,
+      origin.silent,
+      origin.capacity,
+      origin.mode,
+    ]);
     const before = this.#applied.get(origin);
     if (before === wanted) return;
     this.#applied.set(origin, wanted);
-    const [wasAlive, service, instance, incarnation] = JSON.parse(before ?? '[true]') as [boolean, string?, string?, number?];
+    const [wasAlive, service, instance, incarnation] = JSON.parse(before ?? '[true]') as [
+      boolean,
+      string?,
+      string?,
+      number?,
+    ];
     if (wasAlive && !origin.alive) blank.crash();
-    if (before !== undefined && (service !== origin.service || instance !== origin.instance || incarnation !== origin.incarnation)) blank.rename({ service: origin.service, instance: origin.instance, incarnation: origin.incarnation });
+    if (
+      before !== undefined &&
+      (service !== origin.service ||
+        instance !== origin.instance ||
+        incarnation !== origin.incarnation)
+    )
+      blank.rename({
+        service: origin.service,
+        instance: origin.instance,
+        incarnation: origin.incarnation,
+      });
     const { foreign, ...mode } = origin.mode;
-    blank.become({ ...mode, leftover: foreign, state: origin.cold ? 'cold' : 'warm', draining: origin.draining, silent: origin.silent, capacity: origin.capacity }, origin.alive && !origin.silent);
+    blank.become(
+      {
+        ...mode,
+        leftover: foreign,
+        state: origin.cold ? 'cold' : 'warm',
+        draining: origin.draining,
+        silent: origin.silent,
+        capacity: origin.capacity,
+      },
+      origin.alive && !origin.silent,
+    );
     if (!wasAlive && origin.alive) blank.revive();
     this.#carry(origin, this.#now());
   }
@@ -91,70 +219,184 @@
     const name = `${service}/${instance}/${incarnation}`;
     if (this.#carries.get(name) === capacity) return;
     this.#carries.set(name, capacity);
-    this.history.push({ kind: 'carries', at: this.#now(), sentAt, service, instance, incarnation, capacity });
+    this.history.push({
+      kind: 'carries',
+      at: this.#now(),
+      sentAt,
+      service,
+      instance,
+      incarnation,
+      capacity,
+    });
   }
 
   /** Asks as the platform does who is ready, and who has the duty. */
   #watch(): void {
     for (const name of this.fleet.names('front')) {
       const box = this.fleet.callersOf(name);
-      const request = http.request(`http://${box}/.well-known/reedyard/ready`, { timeout: 400 }, (response) => { response.resume(); this.ready.set(name, response.statusCode === 200); });
+      const request = http.request(
+        `http://${box}/.well-known/reedyard/ready`,
+        { timeout: 400 },
+        (response) => {
+          response.resume();
+          this.ready.set(name, response.statusCode === 200);
+        },
+      );
       request.on('timeout', () => request.destroy(new Error('late')));
       request.on('error', () => this.ready.set(name, false));
       request.end();
     }
     const asked = this.clock.pick(this.places().filter((name) => this.runs(name)));
-    if (asked !== undefined) api(this.fleet.apiOf(asked), 'GET', '/v1/shares').then((answer) => { if (answer.status === 200) this.#holder = (answer.body as { holder: string | null }).holder ?? undefined; }, () => undefined);
+    if (asked !== undefined)
+      api(this.fleet.apiOf(asked), 'GET', '/v1/shares').then(
+        (answer) => {
+          if (answer.status === 200)
+            this.#holder = (answer.body as { holder: string | null }).holder ?? undefined;
+        },
+        () => undefined,
+      );
   }
 
-  places(): readonly string[] { return this.fleet.places(); }
-  runs(name: string): boolean { return this.fleet.runs(name, 'jig'); }
-  holder(): string | undefined { return this.#holder; }
-  start(name: string): void { this.fleet.start(name); }
-  kill(name: string): void { void this.fleet.kill(name); }
-  warn(name: string): void { void this.fleet.stop(name, 'lathe'); }
-  wipe(name: string): void { this.fleet.wipe(name); }
-  freeze(name: string): void { this.fleet.freeze(name); }
-  thaw(name: string): void { this.fleet.thaw(name); }
-  cut(from: string, to: string): void { this.fleet.cutWay(from, to); }
-  isolate(name: string, way: 'both' | 'out' | 'in' = 'both'): void { this.fleet.cut(name, way); }
-  heal(): void { this.fleet.heal(); }
+  places(): readonly string[] {
+    return this.fleet.places();
+  }
+  runs(name: string): boolean {
+    return this.fleet.runs(name, 'jig');
+  }
+  holder(): string | undefined {
+    return this.#holder;
+  }
+  start(name: string): void {
+    this.fleet.start(name);
+  }
+  kill(name: string): void {
+    void this.fleet.kill(name);
+  }
+  warn(name: string): void {
+    void this.fleet.stop(name, 'lathe');
+  }
+  wipe(name: string): void {
+    this.fleet.wipe(name);
+  }
+  freeze(name: string): void {
+    this.fleet.freeze(name);
+  }
+  thaw(name: string): void {
+    this.fleet.thaw(name);
+  }
+  cut(from: string, to: string): void {
+    this.fleet.cutWay(from, to);
+  }
+  isolate(name: string, way: 'both' | 'out' | 'in' = 'both'): void {
+    this.fleet.cut(name, way);
+  }
+  heal(): void {
+    this.fleet.heal();
+  }
   twin(name: string): string {
     const place = `${name}~2`;
     const machine = this.deployment.machines.find((each) => each.name === name);
-    if (machine !== undefined) void this.fleet.add(machine, true, true, place).then(() => this.fleet.start(place));
+    if (machine !== undefined)
+      void this.fleet.add(machine, true, true, place).then(() => this.fleet.start(place));
     return place;
   }
-  fault(what: string): void { this.history.push({ kind: 'fault', at: this.#now(), what }); }
+  fault(what: string): void {
+    this.history.push({ kind: 'fault', at: this.#now(), what });
+  }
 
   /** Sends an operator's call to some node until it is acknowledged. */
-  #operate(method: string, target: string, document: unknown, changeId: string, tries: number, done: (body: never) => void, node?: string): void {
+  #operate(
+    method: string,
+    target: string,
+    document: unknown,
+    changeId: string,
+    tries: number,
+    done: (body: never) => void,
+    node?: string,
+  ): void {
     const chosenNode = node ?? this.clock.pick(this.places().filter((name) => this.runs(name)));
-    const again = (): void => { if (tries > 0) this.clock.in(500, () => this.#operate(method, target, document, changeId, tries - 1, done)); };
-    if (chosenNode === undefined) { again(); return; }
-    api(this.fleet.apiOf(chosenNode), method, target, document, { 'reedyard-change-id': changeId }).then((answer) => {
+    const again = (): void => {
+      if (tries > 0)
+        this.clock.in(500, () =>
+          this.#operate(method, target, document, changeId, tries - 1, done),
+        );
+    };
+    if (chosenNode === undefined) {
+      again();
+      return;
+    }
+    api(this.fleet.apiOf(chosenNode), method, target, document, {
+      'reedyard-change-id': changeId,
+    }).then((answer) => {
       if (answer.status === 200) done(answer.body);
-      else if (answer.status === 422 || answer.status === 400) this.refused.push(`${method} ${target}: ${JSON.stringify(answer.body).slice(0, 200)}`);
+      else if (answer.status === 422 || answer.status === 400)
+        this.refused.push(`${method} ${target}: ${JSON.stringify(answer.body).slice(0, 200)}`);
       else again();
     }, again);
   }
-  #change(): string { this.#changes += 1; return `trial-${this.#changes}`; }
+  #change(): string {
+    this.#changes += 1;
+    return `trial-${this.#changes}`;
+  }
   put(document: Policy, done: () => void = () => undefined, node?: string): void {
     const changeId = this.#change();
     this.history.push({ kind: 'proposed', at: this.#now(), changeId, document });
-    this.#operate('PUT', '/v1/policy', document, changeId, 20, (body: { serial: number }) => { this.history.push({ kind: 'put', at: this.#now(), changeId, serial: body.serial, document }); done(); }, node);
+    this.#operate(
+      'PUT',
+      '/v1/policy',
+      document,
+      changeId,
+      20,
+      (body: { serial: number }) => {
+        this.history.push({
+          kind: 'put',
+          at: this.#now(),
+          changeId,
+          serial: body.serial,
+          document,
+        });
+        done();
+      },
+      node,
+    );
   }
   read(): void {
     const askedAt = this.#now();
-    this.#operate('GET', '/v1/policy', undefined, this.#change(), 0, (body: { serial: number }) => { this.history.push({ kind: 'read', at: this.#now(), askedAt, serial: body.serial }); });
+    this.#operate('GET', '/v1/policy', undefined, this.#change(), 0, (body: { serial: number }) => {
+      this.history.push({ kind: 'read', at: this.#now(), askedAt, serial: body.serial });
+    });
   }
-  purge(objects: readonly string[], tags: readonly string[], done: () => void = () => undefined): void {
+  purge(
+    objects: readonly string[],
+    tags: readonly string[],
+    done: () => void = () => undefined,
+  ): void {
     const turned = this.#now();
-    this.#operate('POST', '/v1/purges', { objects, tags }, this.#change(), 10, () => { this.history.push({ kind: 'purged', at: this.#now(), objects, tags, turned }); done(); });
+    this.#operate('POST', '/v1/purges', { objects, tags }, this.#change(), 10, () => {
+      this.history.push({ kind: 'purged', at: this.#now(), objects, tags, turned });
+      done();
+    });
   }
   hall(hall: string, order: 'empty' | 'take-back', done: () => void = () => undefined): void {
     const sentAt = this.#now();
-    this.#operate('PUT', `/v1/halls/${hall}`, { order }, this.#change(), 10, (body: { serial: number }) => { this.history.push({ kind: 'hall', at: this.#now(), sentAt, serial: body.serial, hall, order }); done(); });
+    this.#operate(
+      'PUT',
+      `/v1/halls/${hall}`,
+      { order },
+      this.#change(),
+      10,
+      (body: { serial: number }) => {
+        this.history.push({
+          kind: 'hall',
+          at: this.#now(),
+          sentAt,
+          serial: body.serial,
+          hall,
+          order,
+        });
+        done();
+      },
+    );
   }
   describe(origin: StageOrigin, noticed: () => void = () => undefined, node?: string): void {
     this.#apply(origin);
@@ -162,25 +404,92 @@
     const chosenNode = node ?? this.clock.pick(this.places().filter((name) => this.runs(name)));
     const blank = this.fleet.blanks.get(origin.spec.instance);
     if (chosenNode === undefined || blank === undefined || !origin.alive) return;
-    blank.announceTo(this.fleet.apiOf(chosenNode)).then((taken) => {
-      if (!taken || !draining || this.history.some((entry) => entry.kind === 'drained' && entry.instance === instance && entry.incarnation === incarnation)) return;
-      this.history.push({ kind: 'drained', at: this.#now(), instance, incarnation });
-      noticed();
-    }, () => undefined);
+    blank.announceTo(this.fleet.apiOf(chosenNode)).then(
+      (taken) => {
+        if (
+          !taken ||
+          !draining ||
+          this.history.some(
+            (entry) =>
+              entry.kind === 'drained' &&
+              entry.instance === instance &&
+              entry.incarnation === incarnation,
+          )
+        )
+          return;
+        this.history.push({ kind: 'drained', at: this.#now(), instance, incarnation });
+        noticed();
+      },
+      () => undefined,
+    );
   }
 
-  ask(node: string, request: { method: string; host: string; target: string; job: string; key: string | null; content?: string }, done: (status: number, outcome: string) => void): void {
+  ask(
+    node: string,
+    request: {
+      method: string;
+      host: string;
+      target: string;
+      job: string;
+      key: string | null;
+      content?: string;
+    },
+    done: (status: number, outcome: string) => void,
+  ): void {
     this.#submission += 1;
     const submission = this.#submission;
     const { method, host, target, job, key } = request;
     const machine = this.deployment.machines.find((each) => each.name === node);
-    this.history.push({ kind: 'asked', at: this.#now(), submission, job, node, hall: machine?.hall ?? '', method, target, key });
-    void feel({ at: this.fleet.callersOf(node), method, host, target, job, limitMs: 12_000, ...(key === null ? {} : { key }), headers: { 'x-submission': String(submission) } }).then((seen) => {
+    this.history.push({
+      kind: 'asked',
+      at: this.#now(),
+      submission,
+      job,
+      node,
+      hall: machine?.hall ?? '',
+      method,
+      target,
+      key,
+    });
+    void feel({
+      at: this.fleet.callersOf(node),
+      method,
+      host,
+      target,
+      job,
+      limitMs: 12_000,
+      ...(key === null ? {} : { key }),
+      headers: { 'x-submission': String(submission) },
+    }).then((seen) => {
       const good = seen.status >= 200 && seen.status < 300;
-      const problem = good || seen.body === '' ? '' : (() => { try { return (JSON.parse(seen.body) as { detail?: string }).detail ?? ''; } catch { return ''; } })();
+      const problem =
+        good || seen.body === ''
+          ? ''
+          : (() => {
+              try {
+                return (JSON.parse(seen.body) as { detail?: string }).detail ?? '';
+              } catch {
+                return '';
+              }
+            })();
       this.history.push({
-        kind: 'got', at: this.#now(), submission, job, node, status: seen.status, outcome: seen.outcome, served: seen.served, retryAfter: seen.retryAfter, why: problem, stamp: seen.stamp,
-        body: good ? bodyOf(method, target, seen.body, this.#startedAt) : null, whole: seen.fault === null, method, host, target, copied: seen.aged && seen.served !== 'origin',
+        kind: 'got',
+        at: this.#now(),
+        submission,
+        job,
+        node,
+        status: seen.status,
+        outcome: seen.outcome,
+        served: seen.served,
+        retryAfter: seen.retryAfter,
+        why: problem,
+        stamp: seen.stamp,
+        body: good ? bodyOf(method, target, seen.body, this.#startedAt) : null,
+        whole: seen.fault === null,
+        method,
+        host,
+        target,
+        copied: seen.aged && seen.served !== 'origin',
       });
       done(seen.status, seen.outcome);
     });
@@ -195,10 +504,32 @@
         const pairs = pairsOf(line);
         const at = this.at(Date.parse(pairs['time'] ?? ''));
         const { hall = '', region = '' } = machines.get(place) ?? {};
-        if (pairs['event'] === 'trace.leg' || pairs['event'] === 'trace.copy') this.history.push({ kind: 'acted', at, node: place, serial: Number(pairs['serial']) });
-        if (pairs['event'] === 'trace.leg' && Number(pairs['leg']) > 0) this.history.push({ kind: 'repeat', at });
-        if (pairs['event'] === 'trace.relay') this.history.push({ kind: 'relay', at, from: pairs['from'] ?? '', to: place, hall, target: pairs['target'] ?? '' });
-        if (pairs['event'] === 'trace.stored') for (const key of (pairs['keys'] ?? '').split(' ')) if (key !== '') { const cut = key.indexOf('/'); this.history.push({ kind: 'stored', at, node: place, region, host: key.slice(0, cut), target: key.slice(cut) }); }
+        if (pairs['event'] === 'trace.leg' || pairs['event'] === 'trace.copy')
+          this.history.push({ kind: 'acted', at, node: place, serial: Number(pairs['serial']) });
+        if (pairs['event'] === 'trace.leg' && Number(pairs['leg']) > 0)
+          this.history.push({ kind: 'repeat', at });
+        if (pairs['event'] === 'trace.relay')
+          this.history.push({
+            kind: 'relay',
+            at,
+            from: pairs['from'] ?? '',
+            to: place,
+            hall,
+            target: pairs['target'] ?? '',
+          });
+        if (pairs['event'] === 'trace.stored')
+          for (const key of (pairs['keys'] ?? '').split(' '))
+            if (key !== '') {
+              const cut = key.indexOf('/');
+              this.history.push({
+                kind: 'stored',
+                at,
+                node: place,
+                region,
+                host: key.slice(0, cut),
+                target: key.slice(cut),
+              });
+            }
       }
     }
     this.history.sort((a, b) => a.at - b.at);
@@ -206,23 +537,41 @@
 }
 
 export type TrialOptions = {
-  readonly example: string; readonly deployment: Deployment; readonly policy: Policy; readonly scenario: string; readonly seed: number; readonly folder: string;
-  readonly seconds?: number; readonly rate?: number; /** Which rules judge it; all where left out. */ readonly rules?: readonly number[];
+  readonly example: string;
+  readonly deployment: Deployment;
+  readonly policy: Policy;
+  readonly scenario: string;
+  readonly seed: number;
+  readonly folder: string;
+  readonly seconds?: number;
+  readonly rate?: number;
+  /** Which rules judge it; all where left out. */ readonly rules?: readonly number[];
 };
 export type TrialReport = {
-  readonly asked: number; readonly share: number; readonly rest: Readonly<Record<string, number>>; readonly wrongs: readonly Wrong[]; readonly refused: readonly string[];
-  readonly legs: number; readonly repeats: number; readonly faults: readonly { readonly at: number; readonly what: string }[];
+  readonly asked: number;
+  readonly share: number;
+  readonly rest: Readonly<Record<string, number>>;
+  readonly wrongs: readonly Wrong[];
+  readonly refused: readonly string[];
+  readonly legs: number;
+  readonly repeats: number;
+  readonly faults: readonly { readonly at: number; readonly what: string }[];
 };
 
 /**
- * Plays a scenario of the simulator on a whole fleet of real processes, and has the same checkers judge it.
+ * Plays a scenario of the simulator on a whole fleet of real processes, and has the same checkers
+ * judge it.
  *
  * @example
  * const report = await trial({ example: 'brandlhuber', deployment, policy, scenario: 'calm', seed: 1, folder: '.run' });
  */
 export const trial = async (options: TrialOptions): Promise<TrialReport> => {
   const scenario = scenarios[options.scenario];
-  if (scenario === undefined) throw new WorkbenchError('unknown', `no scenario is named ${options.scenario}; there are ${Object.keys(scenarios).join(', ')}`);
+  if (scenario === undefined)
+    throw new WorkbenchError(
+      'unknown',
+      `no scenario is named ${options.scenario}; there are ${Object.keys(scenarios).join(', ')}`,
+    );
   const used = scenario.policy?.(options.policy) ?? options.policy;
   const laid = await Fleet.lay(options.deployment, options.folder, { relays: true, trace: true });
   const fleet = new TrialFleet(laid, options.seed);
@@ -233,17 +582,39 @@
     fleet.put(used);
     const end = 1_000 * (options.seconds ?? scenario.seconds);
     const factor = { rate: options.rate ?? scenario.rate ?? 120, skew: null as string | null };
-    fleet.clock.in(6_000, () => startCallers(fleet, options.example, used, () => factor.rate, end - 2_000, () => factor.skew));
-    scenario.play({ fleet, policy: used, factor, end, sample: () => sampleOf(options.example, fleet.clock) });
-    await new Promise<void>((resolve) => { fleet.clock.in(end + 13_000, resolve); });
+    fleet.clock.in(6_000, () =>
+      startCallers(
+        fleet,
+        options.example,
+        used,
+        () => factor.rate,
+        end - 2_000,
+        () => factor.skew,
+      ),
+    );
+    scenario.play({
+      fleet,
+      policy: used,
+      factor,
+      end,
+      sample: () => sampleOf(options.example, fleet.clock),
+    });
+    await new Promise<void>((resolve) => {
+      fleet.clock.in(end + 13_000, resolve);
+    });
   } finally {
     fleet.end();
     await laid.end();
   }
   fleet.readLogs();
   return {
-    ...available(fleet.history, 8_000), wrongs: judge(fleet.history, options.rules), refused: fleet.refused,
-    legs: fleet.history.filter((entry) => entry.kind === 'acted').length, repeats: fleet.history.filter((entry) => entry.kind === 'repeat').length,
-    faults: fleet.history.flatMap((entry) => (entry.kind === 'fault' ? [{ at: entry.at, what: entry.what }] : [])),
+    ...available(fleet.history, 8_000),
+    wrongs: judge(fleet.history, options.rules),
+    refused: fleet.refused,
+    legs: fleet.history.filter((entry) => entry.kind === 'acted').length,
+    repeats: fleet.history.filter((entry) => entry.kind === 'repeat').length,
+    faults: fleet.history.flatMap((entry) =>
+      entry.kind === 'fault' ? [{ at: entry.at, what: entry.what }] : [],
+    ),
   };
 };
