--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -16,7 +16,7 @@
 
 await build({
   absWorkingDir: root,
-  entryPoints: ['lathe', 'jig', 'anvil'].map((program) => `platform/src/${program}.ts`),
+  entryPoints: ['proxy', 'agent', 'replica'].map((program) => `platform/src/${program}.ts`),
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
--- a/packages/jig/src/jig.test.ts
+++ b/packages/agent/src/agent.test.ts
@@ -1,25 +1,25 @@
 import test from 'ava';
 import { parse, stringify } from 'devalue';
-import { Beats, Limits, Weights } from '@reedyard/gauge';
-import { Spindle } from '@reedyard/spindle';
-import { Stencil, type Description } from '@reedyard/stencil';
+import { Beats, Limits, Weights } from '@reedyard/constants';
+import { Gossip } from '@reedyard/gossip';
+import { Schemas, type Description } from '@reedyard/schemas';
 import { Changes, type RegisterChange } from './changes.js';
-import { Jig } from './core.js';
+import { Agent } from './core.js';
 import { boundsOf, learn, originRows, originsOf } from './network.js';
 import { learnRegister } from './pulls.js';
-import type { JigState, Watched, Work } from './state.js';
-import type { Action, HallsValue, JigEffect, PolicyValue } from './terms.js';
+import type { AgentState, Watched, Work } from './state.js';
+import type { Action, HallsValue, AgentEffect, PolicyValue } from './terms.js';
 
 const self = {
   id: 'n',
   hall: 'west',
   region: 'r',
   address: '127.0.0.1:1',
-  lathe: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 },
-  anvil: null,
+  proxy: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 },
+  replica: null,
 };
-const opened = (now = 0): JigState =>
-  Jig.open({
+const opened = (now = 0): AgentState =>
+  Agent.open({
     self,
     life: 'l',
     seeds: [],
@@ -31,20 +31,20 @@
   const done = change(current);
   return done.kind === 'write' ? done.value : done.kind;
 };
-const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
+const learnt = (state: AgentState, key: Watched, round: number, value: unknown): AgentState => {
   const work: Work = { state, effects: [] };
   learnRegister(work, key, [round, 'x'], value);
   return work.state;
 };
 const acted = (
-  state: JigState,
+  state: AgentState,
   action: Action,
   now: number,
-): { readonly state: JigState; readonly effects: readonly JigEffect[] } =>
-  Jig.reduce(state, { kind: 'operator', id: 1, action, now });
+): { readonly state: AgentState; readonly effects: readonly AgentEffect[] } =>
+  Agent.reduce(state, { kind: 'operator', id: 1, action, now });
 const policyValue = (services: object, more: object = {}): PolicyValue => ({
   serial: 1,
-  document: Stencil.policy({ services, routes: [], ...more }),
+  document: Schemas.policy({ services, routes: [], ...more }),
   changes: [],
 });
 const told = (more: Partial<Description> = {}): Description => ({
@@ -67,13 +67,13 @@
   slices: shares,
   seated: [],
 });
-const answers = (effects: readonly JigEffect[]): readonly number[] =>
+const answers = (effects: readonly AgentEffect[]): readonly number[] =>
   effects.flatMap((effect) => (effect.kind === 'answer' ? [effect.status] : []));
 
 test('of two policies with a version the higher one stays, in whatever order they are written', (t) => {
   const put = (version: number | undefined, id: string) =>
     Changes.policy({
-      document: Stencil.policy({
+      document: Schemas.policy({
         services: {},
         routes: [],
         ...(version === undefined ? {} : { version }),
@@ -176,7 +176,7 @@
 
 test('an older description changes nothing, here and in what is heard from others', (t) => {
   const key = 'origin/s/i';
-  const known = (state: JigState): Description => Spindle.get(state.spindle, key) as Description;
+  const known = (state: AgentState): Description => Gossip.get(state.gossip, key) as Description;
   let state = acted(
     opened(),
     { kind: 'describe', description: told({ sequence: 5, state: 'cold' }) },
@@ -193,15 +193,15 @@
   t.deepEqual(
     [
       known(work.state).sequence,
-      work.state.spindle.records[key]?.serial,
-      work.state.spindle.records[key]?.seenAt,
+      work.state.gossip.records[key]?.serial,
+      work.state.gossip.records[key]?.seenAt,
     ],
     [5, 100, 1],
   );
   learn(work, { [key]: { serial: 101, value: told({ sequence: 6 }) } });
   t.is(known(work.state).sequence, 6);
   // The same words again are told only now and then; other ones at once.
-  const serial = (): number | undefined => state.spindle.records[key]?.serial;
+  const serial = (): number | undefined => state.gossip.records[key]?.serial;
   const before = serial() ?? 0;
   state = acted(
     state,
@@ -233,7 +233,7 @@
     ),
     ['withdrawn/i', 'withdrawn/i', 'withdrawn/i'],
   );
-  const posted: JigState = {
+  const posted: AgentState = {
     ...state,
     factKeys: { 'withdrawn/i': true },
     posted: { 'withdrawn/i': true },
@@ -273,7 +273,7 @@
     ],
   );
   t.deepEqual(parse(stringify(rows)), rows);
-  const fed = Jig.reduce(state, {
+  const fed = Agent.reduce(state, {
     kind: 'fed',
     id: 9,
     now: 2,
@@ -283,7 +283,7 @@
       report: {
         policySerial: 1,
         life: '',
-        latheLife: 'x',
+        proxyLife: 'x',
         purgeSeq: 0,
         stopping: false,
         wants: {},
@@ -318,7 +318,7 @@
   ] as const)
     for (const instance of ['i', 'j', 'k']) {
       const rates = nodes.map((id) => {
-        const opening = Jig.open({
+        const opening = Agent.open({
           self: { ...self, id },
           life: 'l',
           seeds: [],
@@ -355,7 +355,7 @@
   const cut = (servesOn: boolean, beats: readonly number[], now: number): number => {
     let state = learnt(
       {
-        ...Jig.open({
+        ...Agent.open({
           self: { ...self, servesOn },
           life: 'l',
           seeds: [],
@@ -369,8 +369,8 @@
       1,
       policyValue({}),
     );
-    for (const beat of beats) state = Jig.reduce(state, { kind: 'beat', now: beat }).state;
-    const { effects } = Jig.reduce(state, {
+    for (const beat of beats) state = Agent.reduce(state, { kind: 'beat', now: beat }).state;
+    const { effects } = Agent.reduce(state, {
       kind: 'fed',
       id: 9,
       now,
@@ -380,7 +380,7 @@
         report: {
           policySerial: 1,
           life: '',
-          latheLife: 'x',
+          proxyLife: 'x',
           purgeSeq: 0,
           stopping: false,
           wants: {},
@@ -398,7 +398,7 @@
     );
   };
   const steady = (until: number): readonly number[] =>
-    Array.from({ length: until / Beats.jig }, (_none, index) => (index + 1) * Beats.jig);
+    Array.from({ length: until / Beats.agent }, (_none, index) => (index + 1) * Beats.agent);
   const calm = Limits.calm + 2_000;
   t.is(cut(true, steady(1_000), 1_000), 500);
   t.is(cut(false, steady(calm), calm), 0);
--- a/packages/jig/src/answered-pulls.fixture.ts
+++ b/packages/agent/src/answered-pulls.fixture.ts
@@ -2,19 +2,19 @@
  * An agent with five founders, whose pulls are answered at once: for tests of what it makes of
  * them.
  */
-import type { AnvilReply, Voters } from '@reedyard/anvil';
-import { Jig } from './core.js';
+import type { ReplicaReply, Voters } from '@reedyard/replica';
+import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
-import type { JigState, Work } from './state.js';
-import type { JigEffect } from './terms.js';
+import type { AgentState, Work } from './state.js';
+import type { AgentEffect } from './terms.js';
 
 export const self = {
   id: 'core-1',
   hall: 'west',
   region: 'r',
   address: '127.0.0.1:1',
-  lathe: null,
-  anvil: { address: '127.0.0.1:11' },
+  proxy: null,
+  replica: { address: '127.0.0.1:11' },
 };
 export const names = ['core-1', 'core-2', 'core-3', 'core-4', 'core-5'];
 export const addresses = Object.fromEntries(
@@ -24,17 +24,21 @@
 export const disksOf = (suffix: string): Readonly<Record<string, string>> =>
   Object.fromEntries(names.map((name) => [name, `${name}/${suffix}`] as const));
 
-export const opened = (): JigState =>
-  Jig.open({ self, life: 'l', seeds: [], founders: addresses, seed: 1, now: 0 });
+export const opened = (): AgentState =>
+  Agent.open({ self, life: 'l', seeds: [], founders: addresses, seed: 1, now: 0 });
 
 /** The agent after it learnt of a membership. */
-export const withMembers = (state: JigState, epoch: number, disks: Voters['disks']): JigState => {
+export const withMembers = (
+  state: AgentState,
+  epoch: number,
+  disks: Voters['disks'],
+): AgentState => {
   const work: Work = { state, effects: [] };
   learnRegister(work, 'voters', [epoch, 'x'], { epoch, disks });
   return work.state;
 };
 
-export const pulled = (disk: string): AnvilReply => ({
+export const pulled = (disk: string): ReplicaReply => ({
   kind: 'pulled',
   disk,
   seq: 0,
@@ -44,21 +48,21 @@
   ballots: {},
 });
 
-type Step = { readonly state: JigState; readonly effects: readonly JigEffect[] };
+type Step = { readonly state: AgentState; readonly effects: readonly AgentEffect[] };
 
 /** What follows when the pulls of a step are answered at a moment; null for silence. */
 export const answeredPulls = (
   step: Step,
   now: number,
-  replyOf: (name: string) => AnvilReply | null,
+  replyOf: (name: string) => ReplicaReply | null,
 ): Step => {
-  const seen: JigEffect[] = [];
+  const seen: AgentEffect[] = [];
   const state = step.effects.reduce((reached, effect) => {
     if (effect.kind !== 'call') return reached;
     const pending = step.state.pending[effect.id];
     if (pending?.kind !== 'pull') return reached;
-    const body = replyOf(pending.anvil);
-    const next = Jig.reduce(
+    const body = replyOf(pending.replica);
+    const next = Agent.reduce(
       reached,
       body === null
         ? { kind: 'lost', id: effect.id, now }
@@ -72,14 +76,14 @@
 
 /** A beat that asks every replica, and what each of them answers at once; null for silence. */
 export const asked = (
-  before: JigState,
+  before: AgentState,
   now: number,
-  replyOf: (name: string) => AnvilReply | null,
-): JigState => {
-  const beat = Jig.reduce(before, { kind: 'beat', now });
+  replyOf: (name: string) => ReplicaReply | null,
+): AgentState => {
+  const beat = Agent.reduce(before, { kind: 'beat', now });
   return answeredPulls(beat, now, replyOf).state;
 };
 
-export const founded = (): JigState => withMembers(opened(), 3, disksOf('a'));
-export const allAnswer = (state: JigState, now: number): JigState =>
+export const founded = (): AgentState => withMembers(opened(), 3, disksOf('a'));
+export const allAnswer = (state: AgentState, now: number): AgentState =>
   asked(state, now, (name) => pulled(`${name}/a`));
--- a/packages/jig/src/answers.ts
+++ b/packages/agent/src/answers.ts
@@ -1,5 +1,5 @@
 /** Answers to operators and origins that several modules give. */
-import { Limits } from '@reedyard/gauge';
+import { Limits } from '@reedyard/constants';
 
 /** What an operator's or origin's call is answered. */
 export type ApiAnswer = {
--- a/packages/jig/src/api.ts
+++ b/packages/agent/src/api.ts
@@ -1,8 +1,8 @@
 import http from 'node:http';
 import { randomUUID } from 'node:crypto';
-import { Limits, Sizes } from '@reedyard/gauge';
-import { LayerError, textOf } from '@reedyard/scriber';
-import { Stencil, StencilError } from '@reedyard/stencil';
+import { Limits, Sizes } from '@reedyard/constants';
+import { LayerError, textOf } from '@reedyard/logging';
+import { Schemas, SchemaError } from '@reedyard/schemas';
 import type { Action } from './terms.js';
 
 /** A request to the operators' and origins' API that can't be taken. */
@@ -108,7 +108,7 @@
     return {
       kind: 'hall',
       hall,
-      ...Stencil.hallOrder(await readBody(request, Sizes.document)),
+      ...Schemas.hallOrder(await readBody(request, Sizes.document)),
       changeId: changeIdOf(request),
     };
   }
@@ -121,14 +121,14 @@
     wanted(['POST']);
     return {
       kind: 'describe',
-      description: Stencil.description(await readBody(request, Sizes.document)),
+      description: Schemas.description(await readBody(request, Sizes.document)),
     };
   }
   if (path === '/v1/purges') {
     wanted(['POST']);
     return {
       kind: 'purge',
-      purge: Stencil.purge(await readBody(request, Sizes.document)),
+      purge: Schemas.purge(await readBody(request, Sizes.document)),
       changeId: changeIdOf(request),
     };
   }
@@ -139,7 +139,7 @@
   if (method === 'PUT')
     return {
       kind: 'put-policy',
-      document: Stencil.policy(await readBody(request, Sizes.policy)),
+      document: Schemas.policy(await readBody(request, Sizes.policy)),
       ifMatch: ifMatchOf(request),
       changeId: changeIdOf(request),
     };
@@ -158,7 +158,7 @@
         ...thrown.more,
       },
     };
-  if (thrown instanceof StencilError)
+  if (thrown instanceof SchemaError)
     return {
       status: 422,
       body: {
--- a/packages/jig/src/ballots.test.ts
+++ b/packages/agent/src/ballots.test.ts
@@ -1,22 +1,22 @@
 import test from 'ava';
-import { Limits } from '@reedyard/gauge';
-import { Ballots, type Ballot } from '@reedyard/latch';
-import type { AnvilCall, AnvilReply } from '@reedyard/anvil';
-import { Stencil } from '@reedyard/stencil';
-import { Jig } from './core.js';
+import { Limits } from '@reedyard/constants';
+import { Ballots, type Ballot } from '@reedyard/consensus';
+import type { ReplicaCall, ReplicaReply } from '@reedyard/replica';
+import { Schemas } from '@reedyard/schemas';
+import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
-import type { JigState, Work } from './state.js';
-import type { Action, JigEffect, JigEvent } from './terms.js';
+import type { AgentState, Work } from './state.js';
+import type { Action, AgentEffect, AgentEvent } from './terms.js';
 
 const replicas = ['a', 'b', 'c'];
-const self = { id: 'n', hall: 'west', region: 'r', address: 'n/jig', lathe: null, anvil: null };
+const self = { id: 'n', hall: 'west', region: 'r', address: 'n/agent', proxy: null, replica: null };
 
 /** A call of the agent to a replica that has not been answered yet. */
-type Call = { readonly id: number; readonly to: string; readonly call: AnvilCall };
+type Call = { readonly id: number; readonly to: string; readonly call: ReplicaCall };
 
 /** An agent whose replicas are played by the test. */
 class Bench {
-  state: JigState;
+  state: AgentState;
   now = 0;
   calls: Call[] = [];
   readonly answers = new Map<number, { readonly status: number; readonly body: unknown }>();
@@ -25,21 +25,21 @@
 
   constructor(life = 'l') {
     const founders = Object.fromEntries(replicas.map((name) => [name, name]));
-    const opened = Jig.open({ self, life, seeds: [], founders, seed: 1, now: 0 });
+    const opened = Agent.open({ self, life, seeds: [], founders, seed: 1, now: 0 });
     const work: Work = { state: opened, effects: [] };
     const disks = Object.fromEntries(replicas.map((name) => [name, `disk-${name}`]));
     learnRegister(work, 'voters', [1, 'x'], { epoch: 1, disks });
     this.state = work.state;
   }
 
-  step(event: JigEvent): void {
-    const { state, effects } = Jig.reduce(this.state, event);
+  step(event: AgentEvent): void {
+    const { state, effects } = Agent.reduce(this.state, event);
     this.state = state;
     for (const effect of effects) this.#take(effect);
   }
 
-  #take(effect: JigEffect): void {
-    if (effect.kind === 'call' && effect.path === '/anvil') {
+  #take(effect: AgentEffect): void {
+    if (effect.kind === 'call' && effect.path === '/replica') {
       this.calls.push({ id: effect.id, to: effect.to, call: effect.body.call });
     }
     if (effect.kind === 'answer') this.answers.set(effect.id, effect);
@@ -60,7 +60,7 @@
     const due = this.calls.filter(({ call }) => call.kind === kind);
     this.calls = this.calls.filter(({ call }) => call.kind !== kind);
     for (const { id, to } of due) {
-      const body: AnvilReply = {
+      const body: ReplicaReply = {
         kind: 'vote',
         disk: `disk-${to}`,
         vote: { kind: 'yes', accepted },
@@ -73,7 +73,11 @@
     const due = this.calls.filter(({ call }) => call.kind === kind);
     this.calls = this.calls.filter(({ call }) => call.kind !== kind);
     for (const { id, to } of due) {
-      const body: AnvilReply = { kind: 'vote', disk: `disk-${to}`, vote: { kind: 'no', promised } };
+      const body: ReplicaReply = {
+        kind: 'vote',
+        disk: `disk-${to}`,
+        vote: { kind: 'no', promised },
+      };
       this.step({ kind: 'returned', id, body, now: this.now });
     }
   }
@@ -105,7 +109,7 @@
   kind: 'put-policy',
   ifMatch: null,
   changeId,
-  document: Stencil.policy({ version, services: {}, routes: [], notes: { note } }),
+  document: Schemas.policy({ version, services: {}, routes: [], notes: { note } }),
 });
 const closedIn = (body: unknown): readonly string[] =>
   (body as { readonly closedOrigins: readonly string[] }).closedOrigins;
--- a/packages/jig/src/ballots.ts
+++ b/packages/agent/src/ballots.ts
@@ -7,7 +7,7 @@
  * been given before could answer a read with a value that was replaced before the read was asked
  * for.
  */
-import { Limits } from '@reedyard/gauge';
+import { Limits } from '@reedyard/constants';
 import {
   Ballots,
   Proposer,
@@ -15,8 +15,8 @@
   type Change,
   type Changed,
   type Turn,
-} from '@reedyard/latch';
-import { votersKey, type AnvilReply } from '@reedyard/anvil';
+} from '@reedyard/consensus';
+import { votersKey, type ReplicaReply } from '@reedyard/replica';
 import { finish, type Outcome } from './completion.js';
 import type { Reading, RegisterChange } from './changes.js';
 import { learnRegister } from './pulls.js';
@@ -25,14 +25,14 @@
   chance,
   counts,
   log,
-  sendToAnvil,
+  sendToReplica,
   set,
   takeId,
   watched,
   without,
   type BallotRun,
   type IncludedChange,
-  type JigState,
+  type AgentState,
   type Purpose,
   type Pursuit,
   type Retries,
@@ -52,13 +52,13 @@
 const isWatched = (key: string): key is Watched => (watched as readonly string[]).includes(key);
 
 /** The changes that wait for a ballot on a register, the oldest first. */
-const waitingFor = (state: JigState, key: string): readonly IncludedChange[] =>
+const waitingFor = (state: AgentState, key: string): readonly IncludedChange[] =>
   Object.entries(state.pursuits).flatMap(([id, pursuit]) =>
     pursuit.key === key ? [{ id: Number(id), pursuit }] : [],
   );
 
 /** The changes of a ballot that are still wanted. */
-const wantedOf = (state: JigState, run: BallotRun): readonly IncludedChange[] =>
+const wantedOf = (state: AgentState, run: BallotRun): readonly IncludedChange[] =>
   run.included.filter(({ id }) => state.pursuits[id] !== undefined);
 
 /** What a change made of the value it was applied to, and what it left. */
@@ -102,17 +102,17 @@
   const { key } = turn.proposal;
   for (const move of turn.moves) {
     if (move.kind !== 'prepare' && move.kind !== 'accept') continue;
-    const anvil = work.state.anvils[move.to];
-    if (anvil === undefined) continue;
+    const replica = work.state.replicas[move.to];
+    if (replica === undefined) continue;
     const { ballot } = move;
     const call =
       move.kind === 'prepare'
         ? ({ kind: 'prepare', key, ballot } as const)
         : ({ kind: 'accept', key, ballot, value: move.value, disk: move.disk } as const);
-    sendToAnvil(work, anvil.address, call, {
+    sendToReplica(work, replica.address, call, {
       kind: 'vote',
       key,
-      anvil: move.to,
+      replica: move.to,
       phase: move.kind,
       ballot,
     });
@@ -135,7 +135,7 @@
     return;
   }
   const { state } = work;
-  const members = Object.keys(state.anvils);
+  const members = Object.keys(state.replicas);
   // A ballot belongs to one life of a process: a new one does not know which ballots the last one
   // opened.
   const proposer = `${state.self.id}/${state.life}`;
@@ -225,10 +225,10 @@
 export const tookVote = (
   work: Work,
   key: string,
-  anvil: string,
+  replica: string,
   phase: 'prepare' | 'accept',
   ballot: Ballot,
-  reply: AnvilReply,
+  reply: ReplicaReply,
 ): void => {
   const run = work.state.runs[key];
   if (run === undefined) return;
@@ -238,12 +238,12 @@
     openRun(work, key);
     return;
   }
-  if (reply.kind !== 'vote' || !counts(work.state, anvil, reply.disk)) return;
+  if (reply.kind !== 'vote' || !counts(work.state, replica, reply.disk)) return;
   const { vote } = reply;
   if (vote.kind === 'no' && Ballots.compare(vote.promised, work.state.highestBallot) > 0) {
     set(work, { highestBallot: vote.promised });
   }
-  advance(work, run, Proposer.voted(run.proposal, anvil, reply.disk, phase, ballot, vote));
+  advance(work, run, Proposer.voted(run.proposal, replica, reply.disk, phase, ballot, vote));
 };
 
 /** Goes on with a ballot after a vote. */
@@ -375,7 +375,7 @@
 };
 
 /** Whether a change is part of a ballot whose second phase is out. */
-const isProposed = (state: JigState, id: number): boolean =>
+const isProposed = (state: AgentState, id: number): boolean =>
   Object.values(state.runs).some(
     (run) =>
       run.proposal.phase === 'accept' &&
@@ -397,14 +397,14 @@
     which,
     { ...posting, acks: [], sentAt: -Infinity },
   ]);
-  const anvils = Object.entries(state.anvils).map(([name, view]) => [
+  const replicas = Object.entries(state.replicas).map(([name, view]) => [
     name,
     { ...view, pulled: null },
   ]);
   set(work, {
     runs: Object.fromEntries(runs),
     postings: Object.fromEntries(postings),
-    anvils: Object.fromEntries(anvils),
+    replicas: Object.fromEntries(replicas),
   });
   if (runs.length > 0) work.effects.push({ kind: 'wake', inMs: 0 });
 };
--- a/packages/jig/src/change-ids.ts
+++ b/packages/agent/src/change-ids.ts
@@ -5,8 +5,8 @@
  * whatever it has known for the whole repeat window is older than that. A node that has just
  * started has learnt nothing long ago, and lets nothing go.
  */
-import { Limits, Sizes } from '@reedyard/gauge';
-import { hallsOf, policyOf, set, type JigState, type Work } from './state.js';
+import { Limits, Sizes } from '@reedyard/constants';
+import { hallsOf, policyOf, set, type AgentState, type Work } from './state.js';
 
 /** A change that was made, and the serial that it made. */
 export type MadeChange = { readonly id: string; readonly serial: number };
@@ -21,7 +21,7 @@
 /** Bytes of one remembered change beside its id: quotes, names and the serial. */
 const bytesBesideId = 32;
 
-const serialOf = (state: JigState, key: Identified): number =>
+const serialOf = (state: AgentState, key: Identified): number =>
   (key === 'policy' ? policyOf(state) : hallsOf(state))?.serial ?? 0;
 
 /**
@@ -44,7 +44,7 @@
  * The newest serial that this node has known for the whole repeat window: changes up to it may be
  * forgotten.
  */
-export const lapsedSerial = (state: JigState, key: Identified): number =>
+export const lapsedSerial = (state: AgentState, key: Identified): number =>
   state.learntSerials[key].findLast((each) => state.now - each.at > Limits.repeatWindow)?.serial ??
   0;
 
--- a/packages/jig/src/changes.test.ts
+++ b/packages/agent/src/changes.test.ts
@@ -1,17 +1,17 @@
 import test from 'ava';
-import { Limits, Sizes } from '@reedyard/gauge';
-import { Stencil, type Policy } from '@reedyard/stencil';
+import { Limits, Sizes } from '@reedyard/constants';
+import { Schemas, type Policy } from '@reedyard/schemas';
 import { lapsedSerial } from './change-ids.js';
 import { Changes, type RegisterChange } from './changes.js';
 import { hasSameContent } from './content.js';
-import { Jig } from './core.js';
+import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
-import { hallsValueOf, type JigState, type Work } from './state.js';
+import { hallsValueOf, type AgentState, type Work } from './state.js';
 import type { PolicyValue } from './terms.js';
 
-const self = { id: 'n', hall: 'west', region: 'r', address: 'n/jig', lathe: null, anvil: null };
+const self = { id: 'n', hall: 'west', region: 'r', address: 'n/agent', proxy: null, replica: null };
 const document = (version: number | undefined, note: string): Policy =>
-  Stencil.policy({
+  Schemas.policy({
     ...(version === undefined ? {} : { version }),
     services: {},
     routes: [],
@@ -116,11 +116,11 @@
 });
 
 test('a serial counts as lapsed once this node has known it for the repeat window, by its own clock', (t) => {
-  let state: JigState = Jig.open({ self, life: 'l', seeds: [], founders: {}, seed: 1, now: 0 });
+  let state: AgentState = Agent.open({ self, life: 'l', seeds: [], founders: {}, seed: 1, now: 0 });
   const learn = (serial: number, now: number): void => {
     const work: Work = { state: { ...state, now }, effects: [] };
     learnRegister(work, 'halls', [serial, 'x'], { ...hallsValueOf(null), serial });
-    state = Jig.reduce(work.state, { kind: 'beat', now }).state;
+    state = Agent.reduce(work.state, { kind: 'beat', now }).state;
   };
   const at = (now: number): number => lapsedSerial({ ...state, now }, 'halls');
   for (let index = 1; index <= 500; index += 1) learn(index, 100 * index);
@@ -131,7 +131,7 @@
   // A node that has just started knows nothing to be old.
   t.is(
     lapsedSerial(
-      Jig.open({ self, life: 'm', seeds: [], founders: {}, seed: 1, now: 90_000 }),
+      Agent.open({ self, life: 'm', seeds: [], founders: {}, seed: 1, now: 90_000 }),
       'halls',
     ),
     0,
--- a/packages/jig/src/changes.ts
+++ b/packages/agent/src/changes.ts
@@ -3,10 +3,10 @@
  * proposes. Each is applied again in every ballot of its proposal, and knows its own earlier work
  * by an id or by content.
  */
-import type { Voters } from '@reedyard/anvil';
-import type { Changed } from '@reedyard/latch';
-import type { Plan } from '@reedyard/ladle';
-import type { HallOrder, Policy } from '@reedyard/stencil';
+import type { Voters } from '@reedyard/replica';
+import type { Changed } from '@reedyard/consensus';
+import type { Plan } from '@reedyard/quota-division';
+import type { HallOrder, Policy } from '@reedyard/schemas';
 import { findChange, rememberChange } from './change-ids.js';
 import { hasSameContent } from './content.js';
 import { hallsValueOf, without } from './state.js';
@@ -212,19 +212,23 @@
 
 /** Gives a place to another disk: one at a time, and only by the members just before. */
 const seat =
-  (known: Voters, anvil: string, disk: string, address?: string): RegisterChange =>
+  (known: Voters, replica: string, disk: string, address?: string): RegisterChange =>
   (current) => {
     const old = current as Voters | null;
     const isThere = (held: Voters): boolean =>
-      held.disks[anvil] === disk && (address === undefined || held.addresses?.[anvil] === address);
+      held.disks[replica] === disk &&
+      (address === undefined || held.addresses?.[replica] === address);
     if (old === null || isThere(old)) return keep;
     if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
     const addresses =
-      address === undefined ? {} : { addresses: { ...old.addresses, [anvil]: address } };
-    const disks = { ...old.disks, [anvil]: disk };
-    const predecessors = predecessorsWithout(old, old.disks[anvil] === disk ? undefined : anvil);
-    const isNewDisk = old.disks[anvil] !== disk;
-    const joinedIn = isNewDisk ? { joinedIn: { ...old.joinedIn, [anvil]: old.epoch + 1 } } : {};
+      address === undefined ? {} : { addresses: { ...old.addresses, [replica]: address } };
+    const disks = { ...old.disks, [replica]: disk };
+    const predecessors = predecessorsWithout(
+      old,
+      old.disks[replica] === disk ? undefined : replica,
+    );
+    const isNewDisk = old.disks[replica] !== disk;
+    const joinedIn = isNewDisk ? { joinedIn: { ...old.joinedIn, [replica]: old.epoch + 1 } } : {};
     const value = {
       ...old,
       epoch: old.epoch + 1,
@@ -238,18 +242,18 @@
 
 /** Gives a place up, and another, of a disk without one, in its stead. */
 const replace =
-  (known: Voters, gone: string, anvil: string, disk: string, address: string): RegisterChange =>
+  (known: Voters, gone: string, replica: string, disk: string, address: string): RegisterChange =>
   (current) => {
     const old = current as Voters | null;
-    if (old === null || old.disks[anvil] === disk) return keep;
+    if (old === null || old.disks[replica] === disk) return keep;
     if (old.epoch !== known.epoch || old.disks[gone] === undefined) {
       return { kind: 'refuse', reason: 'the voters have changed' };
     }
-    const disks = { ...without(old.disks, gone), [anvil]: disk };
-    const addresses = { ...without(old.addresses ?? {}, gone), [anvil]: address };
+    const disks = { ...without(old.disks, gone), [replica]: disk };
+    const addresses = { ...without(old.addresses ?? {}, gone), [replica]: address };
     const predecessor = { disk: old.disks[gone], address: old.addresses?.[gone] ?? '' };
-    const predecessors = { ...without(old.predecessors ?? {}, gone), [anvil]: predecessor };
-    const joinedIn = { ...without(old.joinedIn ?? {}, gone), [anvil]: old.epoch + 1 };
+    const predecessors = { ...without(old.predecessors ?? {}, gone), [replica]: predecessor };
+    const joinedIn = { ...without(old.joinedIn ?? {}, gone), [replica]: old.epoch + 1 };
     const value = { ...old, epoch: old.epoch + 1, disks, addresses, predecessors, joinedIn };
     return { kind: 'write', value: value satisfies Voters };
   };
--- a/packages/jig/src/completion.ts
+++ b/packages/agent/src/completion.ts
@@ -2,9 +2,9 @@
  * What is done with the end of each proposal: answers to its caller, and what this node notes for
  * itself.
  */
-import { Limits } from '@reedyard/gauge';
-import { Spindle } from '@reedyard/spindle';
-import type { Plan } from '@reedyard/ladle';
+import { Limits } from '@reedyard/constants';
+import { Gossip } from '@reedyard/gossip';
+import type { Plan } from '@reedyard/quota-division';
 import { refusal, unavailable, unreached, type ApiAnswer } from './answers.js';
 import { findChange } from './change-ids.js';
 import { Refusals } from './changes.js';
@@ -117,9 +117,9 @@
 /** A claim that is pending in a life that is over has no known outcome any more. */
 const claimState = (work: Work, claim: ClaimValue): ClaimState => {
   if (claim.state !== 'pending') return claim.state;
-  const record = Spindle.get(work.state.spindle, `node/${claim.node}`) as
+  const record = Gossip.get(work.state.gossip, `node/${claim.node}`) as
     NodeRecord | undefined | null;
-  return record && record.latheLife === claim.life ? 'pending' : 'unknown';
+  return record && record.proxyLife === claim.life ? 'pending' : 'unknown';
 };
 
 const claimReply = (work: Work, outcome: Outcome): ClaimReply => {
@@ -131,9 +131,9 @@
 
 const finishSeat = (work: Work, purpose: Purposed<'seat'>, outcome: Outcome): void => {
   if (outcome.kind !== 'chosen') return;
-  const { anvil, disk, instead } = purpose;
-  if (instead === undefined) log(work, 'voters.seated', { anvil, disk });
-  else log(work, 'voters.replaced', { anvil, disk, instead });
+  const { replica, disk, instead } = purpose;
+  if (instead === undefined) log(work, 'voters.seated', { replica, disk });
+  else log(work, 'voters.replaced', { replica, disk, instead });
 };
 
 /** Does what is to be done at the end of a proposal. */
--- a/packages/jig/src/core.ts
+++ b/packages/agent/src/core.ts
@@ -1,10 +1,10 @@
 /** The agent's reducer: takes each event to the module that it is about. */
 import { Map as Table } from 'immutable';
-import { Beats } from '@reedyard/gauge';
-import { Ballots, type Ballot } from '@reedyard/latch';
-import type { AnvilReply } from '@reedyard/anvil';
-import type { Step } from '@reedyard/chute';
-import { Spindle } from '@reedyard/spindle';
+import { Beats } from '@reedyard/constants';
+import { Ballots, type Ballot } from '@reedyard/consensus';
+import type { ReplicaReply } from '@reedyard/replica';
+import type { Step } from '@reedyard/task-loop';
+import { Gossip } from '@reedyard/gossip';
 import { dropCaller, tendPursuits, tookVote } from './ballots.js';
 import { noteSerials } from './change-ids.js';
 import { tendDuty } from './duty.js';
@@ -24,28 +24,24 @@
   tookRetold,
 } from './pulls.js';
 import { noteAnswer, noteLeaseLost } from './reachability.js';
-import { anvilView, noteBeat, send, set, without, type JigState, type Work } from './state.js';
+import { replicaView, noteBeat, send, set, without, type AgentState, type Work } from './state.js';
 import { sweep } from './sweep.js';
-import type { JigCall, JigEffect, JigEvent, JigReply, JigVoting, Self } from './terms.js';
+import type { AgentCall, AgentEffect, AgentEvent, AgentReply, AgentVoting, Self } from './terms.js';
 
-type ExchangeCall = Extract<JigCall, { kind: 'exchange' }>;
+type ExchangeCall = Extract<AgentCall, { kind: 'exchange' }>;
 
-const tookExchange = (work: Work, { exchange }: ExchangeCall): JigReply => {
+const tookExchange = (work: Work, { exchange }: ExchangeCall): AgentReply => {
   const { from, digest, sample } = exchange;
-  const { self, spindle, now } = work.state;
-  const mine = Spindle.sample(
-    spindle.view,
-    { id: self.id, address: self.address },
-    (now % 97) / 97,
-  );
-  const compared = Spindle.compare(spindle, digest);
-  const view = Spindle.shuffle(spindle.view, self.id, [...sample, { ...from, age: 0 }], mine);
-  set(work, { spindle: { ...spindle, view } });
+  const { self, gossip, now } = work.state;
+  const mine = Gossip.sample(gossip.view, { id: self.id, address: self.address }, (now % 97) / 97);
+  const compared = Gossip.compare(gossip, digest);
+  const view = Gossip.shuffle(gossip.view, self.id, [...sample, { ...from, age: 0 }], mine);
+  set(work, { gossip: { ...gossip, view } });
   return { kind: 'exchanged', exchanged: { ...compared, sample: mine } };
 };
 
-const asked = (work: Work, id: number, body: JigCall): void => {
-  const tell = (reply: JigReply): void => {
+const asked = (work: Work, id: number, body: AgentCall): void => {
+  const tell = (reply: AgentReply): void => {
     work.effects.push({ kind: 'tell', id, body: reply });
   };
   switch (body.kind) {
@@ -62,37 +58,44 @@
   }
 };
 
-const tookExchanged = (work: Work, to: string, reply: JigReply): void => {
+const tookExchanged = (work: Work, to: string, reply: AgentReply): void => {
   if (reply.kind !== 'exchanged') return;
   learn(work, reply.exchanged.newer);
-  const { self, spindle } = work.state;
-  const view = Spindle.shuffle(spindle.view, self.id, reply.exchanged.sample, []);
-  set(work, { spindle: { ...spindle, view } });
-  const wanted = Spindle.pick(work.state.spindle, reply.exchanged.wants);
+  const { self, gossip } = work.state;
+  const view = Gossip.shuffle(gossip.view, self.id, reply.exchanged.sample, []);
+  set(work, { gossip: { ...gossip, view } });
+  const wanted = Gossip.pick(work.state.gossip, reply.exchanged.wants);
   if (Object.keys(wanted).length > 0)
     send(work, to, { kind: 'push', tellings: wanted }, { kind: 'push' });
 };
 
-const returned = (work: Work, id: number, body: AnvilReply | JigReply): void => {
+const returned = (work: Work, id: number, body: ReplicaReply | AgentReply): void => {
   const pending = work.state.pending[id];
   if (pending === undefined) return;
   set(work, { pending: without(work.state.pending, id) });
-  if ('anvil' in pending) noteAnswer(work, pending.anvil);
+  if ('replica' in pending) noteAnswer(work, pending.replica);
   switch (pending.kind) {
     case 'pull':
-      tookPull(work, pending.anvil, pending.sentAt, body as AnvilReply);
+      tookPull(work, pending.replica, pending.sentAt, body as ReplicaReply);
       return;
     case 'look':
-      tookLook(work, pending.address, body as AnvilReply);
+      tookLook(work, pending.address, body as ReplicaReply);
       return;
     case 'fetch':
-      tookFetch(work, pending.key, body as AnvilReply);
+      tookFetch(work, pending.key, body as ReplicaReply);
       return;
     case 'vote':
-      tookVote(work, pending.key, pending.anvil, pending.phase, pending.ballot, body as AnvilReply);
+      tookVote(
+        work,
+        pending.key,
+        pending.replica,
+        pending.phase,
+        pending.ballot,
+        body as ReplicaReply,
+      );
       return;
     case 'post':
-      tookPost(work, pending.posting, pending.anvil, body as AnvilReply);
+      tookPost(work, pending.posting, pending.replica, body as ReplicaReply);
       return;
     case 'ping':
       tookPing(work, pending.edge, (work.state.now - pending.sentAt) / 1_000);
@@ -100,10 +103,10 @@
     case 'push':
       return;
     case 'retell':
-      tookRetold(work, pending.anvil, pending.epoch, pending.upTo, body as AnvilReply);
+      tookRetold(work, pending.replica, pending.epoch, pending.upTo, body as ReplicaReply);
       return;
     case 'exchange':
-      tookExchanged(work, pending.to, body as JigReply);
+      tookExchanged(work, pending.to, body as AgentReply);
       return;
   }
 };
@@ -112,17 +115,17 @@
   const pending = work.state.pending[id];
   if (pending === undefined) return;
   set(work, { pending: without(work.state.pending, id) });
-  if (pending.kind === 'pull') lostPull(work, pending.anvil);
+  if (pending.kind === 'pull') lostPull(work, pending.replica);
   if (pending.kind === 'exchange' && pending.partner !== null) {
-    const { spindle } = work.state;
-    const view = spindle.view.filter((each) => each.id !== pending.partner);
-    set(work, { spindle: { ...spindle, view } });
+    const { gossip } = work.state;
+    const view = gossip.view.filter((each) => each.id !== pending.partner);
+    set(work, { gossip: { ...gossip, view } });
   }
 };
 
 const beat = (work: Work): void => {
   const { now } = work.state;
-  const due = (name: keyof JigState['due'], every: number, act: () => void): void => {
+  const due = (name: keyof AgentState['due'], every: number, act: () => void): void => {
     if (now < work.state.due[name]) return;
     set(work, { due: { ...work.state.due, [name]: now + every } });
     act();
@@ -135,10 +138,10 @@
   tendPostings(work);
   due('pull', pullInterval(work.state), () => {
     pullAll(work);
-    if (work.state.self.anvil === null) tendMembership(work);
+    if (work.state.self.replica === null) tendMembership(work);
   });
   awaitOwnReplica(work);
-  if (work.state.self.anvil !== null) tendMembership(work);
+  if (work.state.self.replica !== null) tendMembership(work);
   pullOverdue(work);
   due('heartbeat', Beats.heartbeat, () => heartbeat(work));
   due('gossip', isJoining(work.state) ? Beats.lapsed : Beats.gossip, () => gossip(work));
@@ -149,12 +152,12 @@
   renewLease(work);
 };
 
-export const Jig = {
+export const Agent = {
   /**
-   * A jig that knows only itself, its seeds and the founding anvils.
+   * An agent that knows only itself, its seeds and the founding replicas.
    *
    * @example
-   * Jig.open({ self, life: 'l1', seeds: [], founders: { 'core-1': '127.0.0.1:7101' }, seed: 1, now: 0 })
+   * Agent.open({ self, life: 'l1', seeds: [], founders: { 'core-1': '127.0.0.1:7101' }, seed: 1, now: 0 })
    */
   open: (parts: {
     readonly self: Self;
@@ -164,8 +167,8 @@
     readonly seed: number;
     readonly now: number;
     /** Where voters found themselves from seeds; `founders` is then not looked at. */
-    readonly voting?: JigVoting | null;
-  }): JigState => {
+    readonly voting?: AgentVoting | null;
+  }): AgentState => {
     const founders = parts.voting ? [] : Object.entries(parts.founders);
     const { self, life, seeds, seed, now } = parts;
     return {
@@ -178,10 +181,10 @@
       pending: {},
       voting: parts.voting ?? null,
       openedAt: now,
-      ownAnvil: null,
+      ownReplica: null,
       spares: {},
-      anvils: Object.fromEntries(
-        founders.map(([name, address]) => [name, anvilView(address, now)]),
+      replicas: Object.fromEntries(
+        founders.map(([name, address]) => [name, replicaView(address, now)]),
       ),
       registers: {},
       highestBallot: Ballots.none as Ballot,
@@ -203,7 +206,7 @@
       runs: {},
       learntSerials: { policy: [], halls: [] },
       postings: {},
-      spindle: Spindle.empty,
+      gossip: Gossip.empty,
       delays: {},
       report: null,
       fedParts: {},
@@ -221,8 +224,8 @@
     };
   },
 
-  /** @example Jig.reduce(state, { kind: 'beat', now: 50 }).effects */
-  reduce: (state: JigState, event: JigEvent): Step<JigState, JigEffect> => {
+  /** @example Agent.reduce(state, { kind: 'beat', now: 50 }).effects */
+  reduce: (state: AgentState, event: AgentEvent): Step<AgentState, AgentEffect> => {
     const work: Work = { state: { ...state, now: Math.max(state.now, event.now) }, effects: [] };
     switch (event.kind) {
       case 'beat':
--- a/packages/jig/src/duty.ts
+++ b/packages/agent/src/duty.ts
@@ -1,4 +1,4 @@
-import { Beats, Limits } from '@reedyard/gauge';
+import { Beats, Limits } from '@reedyard/constants';
 import {
   differs,
   divide,
@@ -7,8 +7,8 @@
   type Plan,
   type Seat,
   type Slices,
-} from '@reedyard/ladle';
-import { Routes } from '@reedyard/stencil';
+} from '@reedyard/quota-division';
+import { Routes } from '@reedyard/schemas';
 import { pursue } from './ballots.js';
 import { Changes } from './changes.js';
 import { chance, log, planOf, policyOf, set, type Work } from './state.js';
--- a/packages/jig/src/feed.test.ts
+++ b/packages/agent/src/feed.test.ts
@@ -1,20 +1,20 @@
 import test from 'ava';
-import { Jig, type FeedTold, type Holding, type JigState, type Report } from './index.js';
+import { Agent, type FeedTold, type Holding, type AgentState, type Report } from './index.js';
 
 const self = {
   id: 'front-1',
   hall: 'west',
   region: 'home',
   address: '127.0.0.1:7001',
-  lathe: { callers: '127.0.0.1:8080', partners: '127.0.0.1:8081', capacityBps: 8e6 },
-  anvil: null,
+  proxy: { callers: '127.0.0.1:8080', partners: '127.0.0.1:8081', capacityBps: 8e6 },
+  replica: null,
 };
-const open = (life: string): JigState =>
-  Jig.open({ self, life, seeds: [], founders: { 'core-1': '127.0.0.2:7101' }, seed: 1, now: 0 });
+const open = (life: string): AgentState =>
+  Agent.open({ self, life, seeds: [], founders: { 'core-1': '127.0.0.2:7101' }, seed: 1, now: 0 });
 const report: Report = {
   policySerial: 0,
   life: '',
-  latheLife: 'l1',
+  proxyLife: 'l1',
   purgeSeq: 0,
   stopping: false,
   wants: {},
@@ -22,10 +22,10 @@
   counters: {},
 };
 const ask = (
-  state: JigState,
+  state: AgentState,
   held: Holding | null,
-): { readonly state: JigState; readonly told: FeedTold } => {
-  const step = Jig.reduce(state, {
+): { readonly state: AgentState; readonly told: FeedTold } => {
+  const step = Agent.reduce(state, {
     kind: 'fed',
     id: 1,
     body: { kind: 'feed', report, held },
@@ -41,7 +41,7 @@
   ['origins', 'partners', 'emptied', 'split', 'slices'].filter((part) => part in told);
 const all = ['origins', 'partners', 'emptied', 'split', 'slices'];
 
-test('a part of the feed goes to a lathe that does not hold it as it is, and to no other', (t) => {
+test('a part of the feed goes to a proxy that does not hold it as it is, and to no other', (t) => {
   const first = ask(open('j1'), null);
   t.deepEqual(parts(first.told), all);
   const holding = { life: 'j1', revisions: first.told.revisions };
@@ -51,7 +51,7 @@
   const split = ask({ ...same.state, split: { sheets: [['front-1', 1]] } }, holding);
   t.deepEqual(parts(split.told), ['split']);
   t.deepEqual(split.told.split, { sheets: [['front-1', 1]] });
-  // Its answer got lost: the lathe still holds the former one, and is told again.
+  // Its answer got lost: the proxy still holds the former one, and is told again.
   t.deepEqual(parts(ask(split.state, holding).told), ['split']);
   t.deepEqual(parts(ask(split.state, { life: 'j1', revisions: split.told.revisions }).told), []);
   // And back to what it was: that is a change too.
@@ -61,7 +61,7 @@
   );
 });
 
-test('what was held of another life of the jig, or by a lathe without memory, is told whole', (t) => {
+test('what was held of another life of the agent, or by a proxy without memory, is told whole', (t) => {
   const first = ask(open('j1'), null);
   t.deepEqual(parts(ask(open('j2'), { life: 'j1', revisions: first.told.revisions }).told), all);
   t.deepEqual(parts(ask(first.state, null).told), all);
--- a/packages/jig/src/feed.ts
+++ b/packages/agent/src/feed.ts
@@ -1,23 +1,31 @@
 /** What this machine's proxy is told: feeds of what changed, and answers to its claims. */
-import { rateOf } from '@reedyard/ladle';
-import type { Purge } from '@reedyard/stencil';
+import { rateOf } from '@reedyard/quota-division';
+import type { Purge } from '@reedyard/schemas';
 import { pursue } from './ballots.js';
 import { Changes } from './changes.js';
 import { boundsOf, heartbeat, originRows, partnerRows, tookMeasure } from './network.js';
 import { isUnreachable, mayActFor } from './reachability.js';
-import { bearsLosses, hallsOf, planOf, policyOf, set, type JigState, type Work } from './state.js';
+import {
+  bearsLosses,
+  hallsOf,
+  planOf,
+  policyOf,
+  set,
+  type AgentState,
+  type Work,
+} from './state.js';
 import {
   feedParts,
   type Feed,
   type FeedPart,
   type FeedTold,
   type Holding,
-  type LatheCall,
+  type ProxyCall,
   type Report,
   type Revisions,
 } from './terms.js';
 
-const purgesAfter = (state: JigState, seq: number): Feed['purges'] =>
+const purgesAfter = (state: AgentState, seq: number): Feed['purges'] =>
   state.facts.flatMap((fact) =>
     fact.seq > seq && fact.key.startsWith('purge/')
       ? [{ seq: fact.seq, purge: fact.value as Purge }]
@@ -28,11 +36,11 @@
  * Whether the division has given this node most of its slices; without services there is nothing to
  * divide.
  */
-export const isSeated = (state: JigState): boolean =>
+export const isSeated = (state: AgentState): boolean =>
   Object.keys(policyOf(state)?.document.services ?? {}).length === 0 ||
   planOf(state)?.seated.includes(state.self.id) === true;
 
-const slicesOf = (state: JigState): Feed['slices'] => {
+const slicesOf = (state: AgentState): Feed['slices'] => {
   const plan = planOf(state);
   const rates = Object.entries(boundsOf(state)).map(
     ([name, bound]) => [name, rateOf(plan?.slices[name] ?? {}, state.self.id, bound)] as const,
@@ -40,7 +48,7 @@
   return Object.fromEntries(rates);
 };
 
-const feed = (state: JigState, report: Report): Feed => {
+const feed = (state: AgentState, report: Report): Feed => {
   const policy = policyOf(state);
   const isNew = policy !== null && policy.serial !== report.policySerial;
   return {
@@ -60,10 +68,10 @@
   };
 };
 
-type FedParts = Required<JigState['fedParts']>;
+type FedParts = Required<AgentState['fedParts']>;
 
 /** The parts of a feed with their revisions; one that changed gets a new one. */
-const revisedParts = (before: JigState['fedParts'], whole: Feed): FedParts => {
+const revisedParts = (before: AgentState['fedParts'], whole: Feed): FedParts => {
   const parts = feedParts.map((part) => {
     const value = whole[part];
     const known = before[part];
@@ -75,7 +83,7 @@
   return Object.fromEntries(parts) as FedParts;
 };
 
-/** The feed without the parts that the lathe holds as they are. */
+/** The feed without the parts that the proxy holds as they are. */
 const feedFor = (work: Work, report: Report, held: Holding | null): FeedTold => {
   const whole = feed(work.state, report);
   const now = revisedParts(work.state.fedParts, whole);
@@ -95,7 +103,7 @@
   const before = work.state.report?.report;
   const isChanged =
     before === undefined ||
-    before.latheLife !== report.latheLife ||
+    before.proxyLife !== report.proxyLife ||
     before.stopping !== report.stopping;
   set(work, { report: { report, at: work.state.now } });
   if (isChanged) heartbeat(work);
@@ -103,7 +111,7 @@
 };
 
 /** Takes a call of this machine's proxy. */
-export const fed = (work: Work, id: number, body: LatheCall): void => {
+export const fed = (work: Work, id: number, body: ProxyCall): void => {
   switch (body.kind) {
     case 'feed':
       tookReport(work, body.report);
--- a/packages/jig/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,7 +1,7 @@
 export * from './terms.js';
-export { Jig } from './core.js';
-export type { JigState } from './state.js';
-export { runJig, type JigOptions, type JigSettings } from './run.js';
+export { Agent } from './core.js';
+export type { AgentState } from './state.js';
+export { runAgent, type AgentOptions, type AgentSettings } from './run.js';
 export {
   translatedServer,
   type Act,
--- a/packages/jig/src/lease.test.ts
+++ b/packages/agent/src/lease.test.ts
@@ -1,20 +1,20 @@
 import test from 'ava';
-import { Limits } from '@reedyard/gauge';
+import { Limits } from '@reedyard/constants';
 import { isLow } from './lease.js';
-import { AgentUnderTest, ballotOf, pulledReply, type ReplicaCall } from './replicas.fixture.js';
+import { AgentUnderTest, ballotOf, pulledReply, type AddressedCall } from './replicas.fixture.js';
 
-const pullsIn = (calls: readonly ReplicaCall[]): readonly ReplicaCall[] =>
+const pullsIn = (calls: readonly AddressedCall[]): readonly AddressedCall[] =>
   calls.filter(({ call }) => call.kind === 'pull');
-const fetchIn = (calls: readonly ReplicaCall[]): ReplicaCall | undefined =>
+const fetchIn = (calls: readonly AddressedCall[]): AddressedCall | undefined =>
   calls.find(({ call }) => call.kind === 'fetch');
 
 /** Answers pulls, all showing one ballot of a register, and gives the calls that follow. */
 const answerAll = (
   agent: AgentUnderTest,
-  calls: readonly ReplicaCall[],
+  calls: readonly AddressedCall[],
   round: number,
   now: number,
-): readonly ReplicaCall[] =>
+): readonly AddressedCall[] =>
   calls.flatMap((call) =>
     agent.answer(
       call,
--- a/packages/jig/src/lease.ts
+++ b/packages/agent/src/lease.ts
@@ -1,7 +1,7 @@
-import { Beats, Limits } from '@reedyard/gauge';
-import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
+import { Beats, Limits } from '@reedyard/constants';
+import { Ballots, majorityOf, type Ballot } from '@reedyard/consensus';
 import { log, set, watched } from './state.js';
-import type { AnvilView, JigState, Pulled, PullSeen, Watched, Work } from './state.js';
+import type { ReplicaView, AgentState, Pulled, PullSeen, Watched, Work } from './state.js';
 
 /**
  * The lease: the proof, from a majority of replicas, that this node knows all that was acknowledged
@@ -17,14 +17,14 @@
  * Whether all that a pull showed of a subject is known here. Once true it stays true: registers
  * only grow.
  */
-const isKnown = (state: JigState, { more, ballots }: PullSeen, subject: Subject): boolean => {
+const isKnown = (state: AgentState, { more, ballots }: PullSeen, subject: Subject): boolean => {
   if (subject === 'facts') return !more;
   const shown = ballots[subject] ?? Ballots.none;
   const known = state.registers[subject]?.ballot ?? Ballots.none;
   return Ballots.compare(shown, known) <= 0;
 };
 
-const isWhollyKnown = (state: JigState, seen: PullSeen): boolean =>
+const isWhollyKnown = (state: AgentState, seen: PullSeen): boolean =>
   subjects.every((subject) => isKnown(state, seen, subject));
 
 /** The pulls of one replica, the newest first. */
@@ -36,7 +36,7 @@
  * register that is being written shows a ballot that is not known here yet in nearly every pull,
  * and a pull whose ballots are learned later counts from then on.
  */
-export const stackPull = (state: JigState, before: Pulled | null, newest: PullSeen): Pulled => {
+export const stackPull = (state: AgentState, before: Pulled | null, newest: PullSeen): Pulled => {
   const live = pullsOf(before).filter((each) => state.now - each.sentAt < Limits.lease);
   const known = live.findIndex((each) => isWhollyKnown(state, each));
   const earlier = live
@@ -48,18 +48,18 @@
 /**
  * Whether a replica is known to have accepted a ballot of a register, now or a little while ago.
  */
-export const hasAccepted = (view: AnvilView, key: Watched, ballot: Ballot): boolean =>
+export const hasAccepted = (view: ReplicaView, key: Watched, ballot: Ballot): boolean =>
   pullsOf(view.pulled).some(
     (each) => Ballots.compare(each.ballots[key] ?? Ballots.none, ballot) === 0,
   );
 
 /** When the newest pull that shows nothing unknown of a subject was sent to a replica. */
-const knownSince = (state: JigState, view: AnvilView, subject: Subject): number | undefined =>
+const knownSince = (state: AgentState, view: ReplicaView, subject: Subject): number | undefined =>
   pullsOf(view.pulled).find((each) => isKnown(state, each, subject))?.sentAt;
 
 /** The sending of the oldest of a majority of pulls that show nothing unknown of a subject. */
-const provenSince = (state: JigState, subject: Subject): number => {
-  const views = Object.values(state.anvils);
+const provenSince = (state: AgentState, subject: Subject): number => {
+  const views = Object.values(state.replicas);
   const counted = views
     .flatMap((view) => knownSince(state, view, subject) ?? [])
     .sort((a, b) => b - a);
@@ -83,13 +83,13 @@
 };
 
 /** Whether the lease still holds, but a renewal that was due did not come. */
-export const isLow = (state: JigState): boolean => {
+export const isLow = (state: AgentState): boolean => {
   const left = state.lease - state.now;
   return left > 0 && left < Limits.leaseLow;
 };
 
 /** Whether a replica is to be asked again before its turn, to renew a lease that runs low. */
-export const isOverdue = (state: JigState, view: AnvilView): boolean => {
+export const isOverdue = (state: AgentState, view: ReplicaView): boolean => {
   if (state.now - view.askedAt < Beats.leaseLow) return false;
   const fresh = state.now - Beats.pull;
   return subjects.some((subject) => (knownSince(state, view, subject) ?? -Infinity) <= fresh);
@@ -100,7 +100,7 @@
  * lease ran out and after a replica that had been silent answers again; not for longer, since then
  * a majority is really away, and a large fleet that asks so often would only hinder its return.
  */
-export const pullInterval = (state: JigState): number => {
+export const pullInterval = (state: AgentState): number => {
   if (state.now < state.lease) return Beats.pull;
   const since = Math.max(state.lease, state.openedAt, state.returnedAt);
   return state.now - since < Limits.eager ? Beats.lapsed : Beats.pull;
--- a/packages/jig/src/membership.test.ts
+++ b/packages/agent/src/membership.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
-import { Beats, Limits } from '@reedyard/gauge';
-import type { AnvilReply, VotersTold } from '@reedyard/anvil';
-import { Jig } from './core.js';
-import type { JigEffect, JigEvent, NodeRecord } from './terms.js';
+import { Beats, Limits } from '@reedyard/constants';
+import type { ReplicaReply, VotersTold } from '@reedyard/replica';
+import { Agent } from './core.js';
+import type { AgentEffect, AgentEvent, NodeRecord } from './terms.js';
 
 // Which change of the membership an agent opens, and when: its reducer alone, answered by hand.
 
@@ -22,7 +22,7 @@
  */
 type Manner = 'answers' | 'silent' | 'leaving' | 'blank';
 
-class Agent {
+class AgentUnderTest {
   now = 0;
   readonly manners: Record<string, Manner> = { a: 'answers', b: 'answers', c: 'answers' };
   /** How many of the next calls to an address are lost. */
@@ -34,14 +34,14 @@
   #calls = 0;
 
   constructor(catchUpMs: number | undefined = 4_000) {
-    this.#state = Jig.open({
+    this.#state = Agent.open({
       self: {
         id: 'core-a',
         hall: 'zone-1',
         region: 'home',
         address: 'a/agent',
-        lathe: null,
-        anvil: { address: 'a' },
+        proxy: null,
+        replica: { address: 'a' },
       },
       life: 'life-1',
       seeds: ['b/agent'],
@@ -52,12 +52,12 @@
     });
   }
 
-  #take(effects: readonly JigEffect[]): void {
+  #take(effects: readonly AgentEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'log' && effect.event === 'membership.proposed') {
         this.proposals.push(`${String(effect.fields.instead)} by ${String(effect.fields.member)}`);
       }
-      if (effect.kind !== 'call' || effect.path !== '/anvil') continue;
+      if (effect.kind !== 'call' || effect.path !== '/replica') continue;
       const { call, voters } = effect.body;
       const isBallot = call.kind === 'prepare' && call.key === 'voters';
       if (isBallot) this.prepared.push({ at: this.now, to: effect.to });
@@ -67,7 +67,7 @@
     }
   }
 
-  #replyOf(address: string, voters: VotersTold | null): AnvilReply | null {
+  #replyOf(address: string, voters: VotersTold | null): ReplicaReply | null {
     const manner = this.manners[address] ?? 'silent';
     const drops = this.drops[address] ?? 0;
     if (drops > 0) {
@@ -83,8 +83,8 @@
     return { kind: 'pulled', disk, seq: 0, reset: false, more: false, facts: [], ballots, ...more };
   }
 
-  step(event: JigEvent): void {
-    const done = Jig.reduce(this.#state, event);
+  step(event: AgentEvent): void {
+    const done = Agent.reduce(this.#state, event);
     this.#state = done.state;
     this.#take(done.effects);
   }
@@ -96,11 +96,11 @@
       hall: 'zone-1',
       region: 'home',
       address: `${address}/agent`,
-      lathe: null,
-      anvil: { address, disk, fresh },
+      proxy: null,
+      replica: { address, disk, fresh },
       ready: false,
       staying: false,
-      latheLife: '',
+      proxyLife: '',
       wants: {},
     };
     this.#calls += 1;
@@ -114,7 +114,7 @@
    */
   runFor(ms: number, spare = this.manners[spareAddress] !== undefined): void {
     for (const end = this.now + ms; this.now < end;) {
-      this.now += Beats.jig;
+      this.now += Beats.agent;
       if (spare) this.hear('core-s', spareAddress, spareDisk, true);
       this.step({ kind: 'beat', now: this.now });
     }
@@ -122,8 +122,8 @@
 }
 
 /** An agent that has had a lease for a while, with or without a spare that answers it. */
-const settled = (spare: boolean, catchUpMs?: number): Agent => {
-  const agent = catchUpMs === undefined ? new Agent() : new Agent(catchUpMs);
+const settled = (spare: boolean, catchUpMs?: number): AgentUnderTest => {
+  const agent = catchUpMs === undefined ? new AgentUnderTest() : new AgentUnderTest(catchUpMs);
   agent.runFor(3_000);
   if (spare) agent.manners[spareAddress] = 'blank';
   agent.runFor(3_000);
@@ -139,7 +139,7 @@
   t.is(agent.proposals[0], 'c by s');
   const after = (agent.prepared[0]?.at ?? 0) - lostAt;
   const suspicion = 4_000 / 2 - Limits.joinBudget;
-  t.true(after >= suspicion - Beats.pull && after <= suspicion + 5 * Beats.jig, `${after} ms`);
+  t.true(after >= suspicion - Beats.pull && after <= suspicion + 5 * Beats.agent, `${after} ms`);
 });
 
 test('a longer time to catch up gives a member more time to answer', (t) => {
@@ -166,7 +166,7 @@
 });
 
 test('an agent that is not told how long a successor may take waits 8 s, also with a spare', (t) => {
-  const agent = new Agent(Infinity);
+  const agent = new AgentUnderTest(Infinity);
   agent.runFor(3_000);
   agent.manners[spareAddress] = 'blank';
   agent.runFor(3_000);
@@ -188,7 +188,7 @@
 });
 
 test('a spare that comes while two messages were just lost makes no silence of them', (t) => {
-  for (let offset = 0; offset < Beats.pull; offset += Beats.jig) {
+  for (let offset = 0; offset < Beats.pull; offset += Beats.agent) {
     const agent = settled(false);
     agent.runFor(offset);
     agent.drops.c = 2;
@@ -228,7 +228,7 @@
 
   const agent = settled(true);
   agent.manners.b = 'leaving';
-  agent.runFor(Beats.pull + 5 * Beats.jig);
+  agent.runFor(Beats.pull + 5 * Beats.agent);
   t.is(agent.proposals[0], 'b by s');
 });
 
@@ -241,7 +241,7 @@
 });
 
 test("an agent that has just begun gives no place to a blank disk at a member's address", (t) => {
-  const young = new Agent();
+  const young = new AgentUnderTest();
   young.manners.c = 'blank';
   young.runFor(800);
   t.deepEqual(young.prepared, []);
--- a/packages/jig/src/membership.ts
+++ b/packages/agent/src/membership.ts
@@ -1,20 +1,20 @@
-import { Beats, Limits } from '@reedyard/gauge';
-import type { AnvilReply, Voters } from '@reedyard/anvil';
+import { Beats, Limits } from '@reedyard/constants';
+import type { ReplicaReply, Voters } from '@reedyard/replica';
 import { pursue } from './ballots.js';
 import { Changes } from './changes.js';
-import { anvilsHeard, heartbeat, nodesOf, type ReplicaHeard } from './network.js';
+import { replicasHeard, heartbeat, nodesOf, type ReplicaHeard } from './network.js';
 import { pullNow } from './pulls.js';
 import {
   bearsLosses,
   chance,
   liveSpares,
   log,
-  sendToAnvil,
+  sendToReplica,
   set,
   votersOf,
   without,
-  type AnvilView,
-  type JigState,
+  type ReplicaView,
+  type AgentState,
   type Work,
 } from './state.js';
 
@@ -45,14 +45,14 @@
   readonly instead?: string;
 };
 
-const hasReplica = (state: JigState): boolean => state.self.anvil !== null;
+const hasReplica = (state: AgentState): boolean => state.self.replica !== null;
 
 /**
  * ms without any answer after which a member is suspected, where a spare is live: what is left of
  * half the time to catch up after the join itself. Not told how long that is, an agent waits as if
  * there were no spare.
  */
-export const suspicionMs = (state: JigState): number => {
+export const suspicionMs = (state: AgentState): number => {
   const catchUpMs = state.voting?.catchUpMs;
   if (catchUpMs === undefined) return Limits.voterSilence;
   const left = catchUpMs / 2 - Limits.joinBudget;
@@ -63,7 +63,7 @@
 // -----------------------------------------------------------
 
 const look = (work: Work, address: string): void => {
-  sendToAnvil(work, address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look', address });
+  sendToReplica(work, address, { kind: 'pull', cursor: null, keys: [] }, { kind: 'look', address });
 };
 
 /**
@@ -73,11 +73,11 @@
 export const discoverMembers = (work: Work): void => {
   const { state } = work;
   if (state.voting === null) return;
-  const own = state.self.anvil?.address;
+  const own = state.self.replica?.address;
   const heard = nodesOf(state).flatMap(({ record }) =>
-    record.anvil === null ? [] : [record.anvil.address],
+    record.replica === null ? [] : [record.replica.address],
   );
-  const known = Object.values(state.anvils).map((view) => view.address);
+  const known = Object.values(state.replicas).map((view) => view.address);
   const wanted = state.now < state.lease ? [] : [...state.voting.seeds, ...heard];
   const others = wanted.filter((each) => !known.includes(each));
   for (const address of new Set([...others, ...(own === undefined ? [] : [own])])) {
@@ -90,37 +90,41 @@
  * a place.
  */
 export const awaitOwnReplica = (work: Work): void => {
-  const { voting, self, ownAnvil } = work.state;
-  if (voting !== null && self.anvil !== null && ownAnvil === null) look(work, self.anvil.address);
+  const { voting, self, ownReplica } = work.state;
+  if (voting !== null && self.replica !== null && ownReplica === null)
+    look(work, self.replica.address);
 };
 
 /** What this machine's own replica tells of itself; news of it goes out by gossip at once. */
-export const noteOwnReplica = (work: Work, reply: AnvilReply): void => {
+export const noteOwnReplica = (work: Work, reply: ReplicaReply): void => {
   if (reply.kind === 'stale') return;
   const fresh = reply.kind === 'away' && reply.fresh;
-  const before = work.state.ownAnvil;
-  set(work, { ownAnvil: { disk: reply.disk, fresh, at: work.state.now } });
+  const before = work.state.ownReplica;
+  set(work, { ownReplica: { disk: reply.disk, fresh, at: work.state.now } });
   if (before !== null && before.disk === reply.disk && before.fresh === fresh) return;
   heartbeat(work);
   if (fresh) set(work, { due: { ...work.state.due, gossip: work.state.now } });
 };
 
 /** Whether the replica that was asked waits for a place. */
-export const noteSpare = (work: Work, address: string, reply: AnvilReply): void => {
+export const noteSpare = (work: Work, address: string, reply: ReplicaReply): void => {
   const { spares, now } = work.state;
   if (reply.kind === 'away' && reply.fresh) {
     set(work, { spares: { ...liveSpares(work.state), [address]: { disk: reply.disk, at: now } } });
   } else if (spares[address] !== undefined) set(work, { spares: without(spares, address) });
 };
 
-const isAlive = (state: JigState, each: ReplicaHeard): boolean =>
+const isAlive = (state: AgentState, each: ReplicaHeard): boolean =>
   each.id === state.self.id || state.now - each.seenAt < Limits.partnerSilence;
 
-/** Blank replicas that gossip tells of and that have no place, nor stand at the address of one. */
-const sparesHeard = (state: JigState, voters: Voters): readonly ReplicaHeard[] => {
+/**
+ * OriginStandIn replicas that gossip tells of and that have no place, nor stand at the address of
+ * one.
+ */
+const sparesHeard = (state: AgentState, voters: Voters): readonly ReplicaHeard[] => {
   const disks = Object.values(voters.disks);
   const addresses = Object.values(voters.addresses ?? {});
-  return anvilsHeard(state).filter(
+  return replicasHeard(state).filter(
     (each) =>
       isAlive(state, each) &&
       each.fresh &&
@@ -129,7 +133,7 @@
   );
 };
 
-const isSilent = (state: JigState, view: AnvilView, ms: number): boolean =>
+const isSilent = (state: AgentState, view: ReplicaView, ms: number): boolean =>
   state.now - view.heardAt > ms;
 
 /**
@@ -142,8 +146,8 @@
     const heardAt = work.state.spares[address]?.at ?? -Infinity;
     if (work.state.now - heardAt >= Limits.spareHeard / 2) look(work, address);
   }
-  for (const [name, view] of Object.entries(work.state.anvils)) {
-    const askedLately = work.state.now - view.askedAt < Beats.jig;
+  for (const [name, view] of Object.entries(work.state.replicas)) {
+    const askedLately = work.state.now - view.askedAt < Beats.agent;
     if (isSilent(work.state, view, Limits.probing) && !askedLately) pullNow(work, name);
   }
 };
@@ -152,8 +156,8 @@
 // --------------------------------------------------------------------------------
 
 /** A member's disk that gossip tells of at another address than the membership does. */
-const movedMember = (state: JigState, voters: Voters): MembershipChange | null => {
-  for (const each of anvilsHeard(state).filter((heard) => isAlive(state, heard))) {
+const movedMember = (state: AgentState, voters: Voters): MembershipChange | null => {
+  for (const each of replicasHeard(state).filter((heard) => isAlive(state, heard))) {
     const { disk, address } = each;
     const member = Object.keys(voters.disks).find((name) => voters.disks[name] === disk);
     if (member !== undefined && voters.addresses?.[member] !== address) {
@@ -168,12 +172,12 @@
  * compete.
  */
 const bestSpare = (
-  state: JigState,
+  state: AgentState,
   voters: Voters,
   spares: readonly ReplicaHeard[],
 ): ReplicaHeard | undefined => {
   const disks = Object.values(voters.disks);
-  const members = anvilsHeard(state).filter(
+  const members = replicasHeard(state).filter(
     (each) => isAlive(state, each) && disks.includes(each.disk),
   );
   const inZone = (zone: string): number => members.filter(({ hall }) => hall === zone).length;
@@ -184,17 +188,17 @@
  * Whether neither gossip nor any answer has told of a member's machine for long. Another member's
  * disk that came to its address is no word of it; a blank one is, and gets the place by itself.
  */
-const isGone = (state: JigState, member: string, voters: Voters): boolean => {
+const isGone = (state: AgentState, member: string, voters: Voters): boolean => {
   const disk = voters.disks[member];
   const address = voters.addresses?.[member];
   const heard = nodesOf(state).flatMap(({ record, seenAt }) => {
-    const replica = record.anvil;
+    const replica = record.replica;
     if (replica === null) return [];
     const isBlank = replica.disk === undefined || replica.fresh === true;
     const tells = replica.disk === disk || (replica.address === address && isBlank);
     return tells ? [record.id === state.self.id ? state.now : seenAt] : [];
   });
-  const answered = state.anvils[member]?.heardAt ?? state.now;
+  const answered = state.replicas[member]?.heardAt ?? state.now;
   return state.now - Math.max(answered, ...heard) > Limits.voterSilence;
 };
 
@@ -204,10 +208,10 @@
  * that was itself not held up suspects, and one replacement at a time: all members that are not
  * silent must be seen voting.
  */
-const memberToReplace = (state: JigState): string | null => {
+const memberToReplace = (state: AgentState): string | null => {
   const silence = suspicionMs(state);
   if (!hasReplica(state) || silence >= Limits.voterSilence) return null;
-  const views = Object.entries(state.anvils);
+  const views = Object.entries(state.replicas);
   const silent = views.filter(
     ([, view]) => isSilent(state, view, silence) && view.unanswered >= pullsToSuspect,
   );
@@ -236,7 +240,7 @@
 };
 
 /** The change that is due by what this agent knows: a move, a further member, or a replacement. */
-const dueChange = (state: JigState, voters: Voters): MembershipChange | null => {
+const dueChange = (state: AgentState, voters: Voters): MembershipChange | null => {
   const moved = movedMember(state, voters);
   if (moved !== null) return moved;
   const spares = sparesHeard(state, voters);
@@ -257,7 +261,7 @@
 // Opening a ballot
 // -----------------------------------------------------------------------------------
 
-const isBusy = (state: JigState): boolean =>
+const isBusy = (state: AgentState): boolean =>
   Object.values(state.pursuits).some((each) => each.purpose.kind === 'seat');
 
 const drawsToPropose = (work: Work): boolean =>
@@ -271,7 +275,7 @@
 
 const propose = (work: Work, voters: Voters, change: MembershipChange): void => {
   const { member, disk, address, instead } = change;
-  const named = { kind: 'seat', anvil: member, disk } as const;
+  const named = { kind: 'seat', replica: member, disk } as const;
   log(work, 'membership.proposed', { member, disk, instead: instead ?? '' });
   if (instead === undefined) {
     pursue(work, 'voters', Changes.seat(voters, member, disk, address), named);
@@ -297,11 +301,11 @@
  * Whether a member's disk lives at another address. An agent that only just began to hear may not
  * have heard of it yet. The last record of a dead disk at its own address tells nothing.
  */
-const livesElsewhere = (state: JigState, member: string, disk: string): boolean => {
+const livesElsewhere = (state: AgentState, member: string, disk: string): boolean => {
   if (state.voting === null) return false;
-  const own = state.anvils[member]?.address;
+  const own = state.replicas[member]?.address;
   if (state.now - state.openedAt < suspicionMs(state)) return true;
-  return anvilsHeard(state).some(
+  return replicasHeard(state).some(
     (each) =>
       each.disk === disk && each.address !== own && state.now - each.seenAt < Limits.partnerSilence,
   );
@@ -313,5 +317,9 @@
   const held = voters?.disks[member];
   if (voters === undefined || held === disk || isBusy(work.state)) return;
   if (livesElsewhere(work.state, member, held ?? '') || !drawsToOffer(work)) return;
-  pursue(work, 'voters', Changes.seat(voters, member, disk), { kind: 'seat', anvil: member, disk });
+  pursue(work, 'voters', Changes.seat(voters, member, disk), {
+    kind: 'seat',
+    replica: member,
+    disk,
+  });
 };
--- a/packages/jig/src/network.ts
+++ b/packages/agent/src/network.ts
@@ -1,8 +1,8 @@
-import { Beats, Limits, Sizes, Weights } from '@reedyard/gauge';
-import { Spindle, type Exchanged, type Neighbour } from '@reedyard/spindle';
-import { boundOf, rateOf } from '@reedyard/ladle';
-import { holderOf, mixed, mustSend, splitFor, type Vector } from '@reedyard/plumb';
-import type { Description } from '@reedyard/stencil';
+import { Beats, Limits, Sizes, Weights } from '@reedyard/constants';
+import { Gossip, type Exchanged, type Neighbour } from '@reedyard/gossip';
+import { boundOf, rateOf } from '@reedyard/quota-division';
+import { holderOf, mixed, mustSend, splitFor, type Vector } from '@reedyard/server-selection';
+import type { Description } from '@reedyard/schemas';
 import {
   chance,
   closedOf,
@@ -13,11 +13,11 @@
   send,
   set,
   votersOf,
-  type JigState,
+  type AgentState,
   type Work,
 } from './state.js';
 import { mayActFor } from './reachability.js';
-import type { JigCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
+import type { AgentCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
 
 /**
  * What is wanted, as it was told before where it is still about that: a record that changes is told
@@ -44,56 +44,56 @@
  */
 export const heartbeat = (work: Work, whole = false): void => {
   const { self, report, now } = work.state;
-  const own = work.state.ownAnvil;
+  const own = work.state.ownReplica;
   const key = `node/${self.id}`;
-  const told = Spindle.get(work.state.spindle, key) as NodeRecord | null | undefined;
+  const told = Gossip.get(work.state.gossip, key) as NodeRecord | null | undefined;
   const fed = report !== null && now - report.at < Limits.lease;
   const record: NodeRecord = {
     id: self.id,
     hall: self.hall,
     region: self.region,
     address: self.address,
-    lathe: self.lathe,
-    anvil:
-      self.anvil === null || own === null || now - own.at > Limits.lease
-        ? self.anvil
-        : { ...self.anvil, disk: own.disk, fresh: own.fresh },
-    ready: self.lathe !== null && fed && !report.report.stopping && mayActFor(work.state) > 0,
-    staying: self.lathe !== null && fed && !report.report.stopping,
-    latheLife: report?.report.latheLife ?? '',
+    proxy: self.proxy,
+    replica:
+      self.replica === null || own === null || now - own.at > Limits.lease
+        ? self.replica
+        : { ...self.replica, disk: own.disk, fresh: own.fresh },
+    ready: self.proxy !== null && fed && !report.report.stopping && mayActFor(work.state) > 0,
+    staying: self.proxy !== null && fed && !report.report.stopping,
+    proxyLife: report?.report.proxyLife ?? '',
     wants: fed ? steady(report.report.wants, told?.wants ?? {}) : {},
   };
   if (
     !whole &&
     told &&
-    Spindle.beats(work.state.spindle, key) < Sizes.beatsToWhole &&
+    Gossip.beats(work.state.gossip, key) < Sizes.beatsToWhole &&
     JSON.stringify(told) === JSON.stringify(record)
   ) {
-    set(work, { spindle: Spindle.beat(work.state.spindle, key, now) });
+    set(work, { gossip: Gossip.beat(work.state.gossip, key, now) });
     return;
   }
   // A life begins anywhere, so that the serials of two lives do not pass for one row.
   const least = told ? 1 : 1 + Math.floor(chance(work) * Sizes.firstSerial);
-  set(work, { spindle: Spindle.tell(work.state.spindle, key, record, now, least) });
+  set(work, { gossip: Gossip.tell(work.state.gossip, key, record, now, least) });
 };
 
 /** Every node heard of that is not forgotten. */
 export const nodesOf = (
-  state: JigState,
+  state: AgentState,
 ): readonly { readonly record: NodeRecord; readonly seenAt: number }[] =>
-  Spindle.all(state.spindle, 'node/').map(([, value, seenAt]) => ({
+  Gossip.all(state.gossip, 'node/').map(([, value, seenAt]) => ({
     record: value as NodeRecord,
     seenAt,
   }));
 
-const liveNow = (state: JigState, seenAt: number, id: string): boolean =>
+const liveNow = (state: AgentState, seenAt: number, id: string): boolean =>
   id === state.self.id || state.now - seenAt < Limits.partnerSilence;
 
-/** Nodes with a lathe that may be given forwarded requests or slices. */
-export const servingNodes = (state: JigState): readonly NodeRecord[] => {
+/** Nodes with a proxy that may be given forwarded requests or slices. */
+export const servingNodes = (state: AgentState): readonly NodeRecord[] => {
   const emptied = hallsOf(state)?.emptied ?? [];
   return nodesOf(state).flatMap(({ record, seenAt }) =>
-    record.lathe !== null &&
+    record.proxy !== null &&
     record.ready &&
     liveNow(state, seenAt, record.id) &&
     !emptied.includes(record.hall)
@@ -106,7 +106,7 @@
  * Nodes that hold slices. Those of a hall just emptied keep them while they still answer
  * stragglers.
  */
-export const seatedNodes = (state: JigState): readonly NodeRecord[] => {
+export const seatedNodes = (state: AgentState): readonly NodeRecord[] => {
   const settled = state.now - (state.registers.halls?.at ?? 0) > Limits.lease + Limits.emptyGrace;
   const emptied = settled ? (hallsOf(state)?.emptied ?? []) : [];
   return nodesOf(state).flatMap(({ record, seenAt }) =>
@@ -120,21 +120,21 @@
  * Whether this agent has only just begun, beside a blank replica that waits for a place: it makes
  * itself known fast.
  */
-export const isJoining = (state: JigState): boolean =>
+export const isJoining = (state: AgentState): boolean =>
   state.voting !== null &&
-  state.ownAnvil?.fresh === true &&
+  state.ownReplica?.fresh === true &&
   state.now - state.openedAt < Limits.eager;
 
 /** Agents of machines with a replica: who may give a blank one its place. */
-const replicaAgents = (state: JigState): readonly string[] =>
+const replicaAgents = (state: AgentState): readonly string[] =>
   nodesOf(state).flatMap(({ record }) =>
-    record.anvil !== null && record.id !== state.self.id ? [record.address] : [],
+    record.replica !== null && record.id !== state.self.id ? [record.address] : [],
   );
 
 /** Tells this node's own record to all who may give its replica a place. */
 const announce = (work: Work): void => {
   const { state } = work;
-  const tellings = Spindle.pick(state.spindle, { [`node/${state.self.id}`]: 0 });
+  const tellings = Gossip.pick(state.gossip, { [`node/${state.self.id}`]: 0 });
   const seeds = state.seeds.filter((seed) => seed !== state.self.address);
   for (const address of new Set([...replicaAgents(state), ...seeds])) {
     send(work, address, { kind: 'push', tellings }, { kind: 'push' });
@@ -152,7 +152,7 @@
   const seeds = state.seeds.filter((seed) => seed !== state.self.address);
   const anySeed = seeds[Math.floor(chance(work) * seeds.length)];
   const anyNode = nodes[Math.floor(chance(work) * nodes.length)];
-  const oldest = state.spindle.view.reduce<Neighbour | null>(
+  const oldest = state.gossip.view.reduce<Neighbour | null>(
     (best, each) => (best === null || each.age > best.age ? each : best),
     null,
   );
@@ -169,12 +169,12 @@
           : oldest.address;
   if (target === undefined) return;
   const self = { id: state.self.id, address: state.self.address };
-  const body: JigCall = {
+  const body: AgentCall = {
     kind: 'exchange',
     exchange: {
       from: self,
-      digest: Spindle.digest(state.spindle),
-      sample: Spindle.sample(state.spindle.view, self, chance(work)),
+      digest: Gossip.digest(state.gossip),
+      sample: Gossip.sample(state.gossip.view, self, chance(work)),
     },
   };
   send(work, target, body, {
@@ -183,9 +183,9 @@
     partner: oldest !== null && target === oldest.address ? oldest.id : null,
   });
   set(work, {
-    spindle: {
-      ...work.state.spindle,
-      view: work.state.spindle.view.map((each) =>
+    gossip: {
+      ...work.state.gossip,
+      view: work.state.gossip.view.map((each) =>
         oldest !== null && each.id === oldest.id
           ? { ...each, age: 0 }
           : { ...each, age: each.age + 1 },
@@ -197,25 +197,25 @@
 /** Takes in tellings; one's own that came back with a higher serial are told again above it. */
 export const learn = (work: Work, tellings: Exchanged['newer']): void => {
   const before = work.state;
-  const learned = Spindle.learn(before.spindle, tellings, before.now);
-  set(work, { spindle: learned.state });
+  const learned = Gossip.learn(before.gossip, tellings, before.now);
+  set(work, { gossip: learned.state });
   // Two nodes may each have heard an origin without the other: what it said later is told again
   // above.
   for (const key of learned.news) {
     const told = tellings[key]?.value as Description | null | undefined;
-    const held = before.spindle.records[key];
+    const held = before.gossip.records[key];
     if (key.startsWith('origin/') && told && held !== undefined && isOld(before, told))
-      set(work, { spindle: Spindle.tell(work.state.spindle, key, held.value, held.seenAt) });
+      set(work, { gossip: Gossip.tell(work.state.gossip, key, held.value, held.seenAt) });
   }
   const own = [`node/${work.state.self.id}`, `vector/${work.state.self.id}`];
   if (learned.news.includes(own[0] ?? '')) heartbeat(work, true);
   if (learned.news.includes(own[1] ?? '') && work.state.sent !== null) {
     set(work, {
-      spindle: Spindle.tell(work.state.spindle, own[1] ?? '', work.state.sent, work.state.now),
+      gossip: Gossip.tell(work.state.gossip, own[1] ?? '', work.state.sent, work.state.now),
     });
   }
   if (learned.news.some((key) => key.startsWith('vector/'))) set(work, { splitStale: true });
-  if (learned.values.some((key) => key.startsWith('node/'))) adoptAnvils(work);
+  if (learned.values.some((key) => key.startsWith('node/'))) adoptReplicas(work);
 };
 
 /** A replica as gossip tells of it. */
@@ -228,10 +228,10 @@
   readonly seenAt: number;
 };
 
-const findReplicas = (state: JigState): readonly ReplicaHeard[] => {
-  const heard = nodesOf(state).flatMap(({ record: { id, hall, anvil }, seenAt }) => {
-    if (anvil?.disk === undefined) return [];
-    const { address, disk, fresh = false } = anvil;
+const findReplicas = (state: AgentState): readonly ReplicaHeard[] => {
+  const heard = nodesOf(state).flatMap(({ record: { id, hall, replica }, seenAt }) => {
+    if (replica?.disk === undefined) return [];
+    const { address, disk, fresh = false } = replica;
     return [{ id, hall, address, disk, fresh, seenAt }];
   });
   const isOutdated = (each: ReplicaHeard): boolean =>
@@ -240,44 +240,47 @@
 };
 
 /** Found once for each table of records, since agents of members look ten times a second. */
-const replicasHeard = new WeakMap<JigState['spindle']['records'], readonly ReplicaHeard[]>();
+const heardByRecords = new WeakMap<AgentState['gossip']['records'], readonly ReplicaHeard[]>();
 
 /**
  * Replicas whose disk is known by gossip, each disk once: where it was heard of last. Where members
  * found themselves.
  */
-export const anvilsHeard = (state: JigState): readonly ReplicaHeard[] => {
-  const { records } = state.spindle;
-  const known = replicasHeard.get(records);
+export const replicasHeard = (state: AgentState): readonly ReplicaHeard[] => {
+  const { records } = state.gossip;
+  const known = heardByRecords.get(records);
   if (known !== undefined) return known;
   const found = findReplicas(state);
-  replicasHeard.set(records, found);
+  heardByRecords.set(records, found);
   return found;
 };
 
 /**
- * An anvil's machine may come back at another address; its name stays its place among the voters.
+ * A replica's machine may come back at another address; its name stays its place among the voters.
  * Where voters found themselves from seeds its disk tells its place, and a ballot then notes the
  * address.
  */
-const adoptAnvils = (work: Work): void => {
+const adoptReplicas = (work: Work): void => {
   const disks = votersOf(work.state)?.value.disks ?? {};
   const heard =
     work.state.voting === null
       ? nodesOf(work.state).flatMap(({ record }) =>
-          record.anvil === null ? [] : [{ place: record.id, address: record.anvil.address }],
+          record.replica === null ? [] : [{ place: record.id, address: record.replica.address }],
         )
-      : anvilsHeard(work.state).flatMap((each) =>
+      : replicasHeard(work.state).flatMap((each) =>
           Object.keys(disks)
             .filter((place) => disks[place] === each.disk)
             .map((place) => ({ place, address: each.address })),
         );
   for (const { place, address } of heard) {
-    const view = work.state.anvils[place];
+    const view = work.state.replicas[place];
     if (view !== undefined && address !== view.address) {
-      log(work, 'anvil.moved', { anvil: place, address });
+      log(work, 'replica.moved', { replica: place, address });
       set(work, {
-        anvils: { ...work.state.anvils, [place]: { ...view, address, call: null, pulled: null } },
+        replicas: {
+          ...work.state.replicas,
+          [place]: { ...view, address, call: null, pulled: null },
+        },
       });
     }
   }
@@ -285,9 +288,9 @@
 
 /** Pings partners that were not yet measured, and a drawn few of the others. */
 export const pingAll = (work: Work): void => {
-  if (work.state.self.lathe === null) return;
+  if (work.state.self.proxy === null) return;
   for (const { record } of nodesOf(work.state)) {
-    if (record.id === work.state.self.id || record.lathe === null) continue;
+    if (record.id === work.state.self.id || record.proxy === null) continue;
     if (work.state.delays[record.id] !== undefined && chance(work) >= Beats.pingDraw / Beats.ping)
       continue;
     send(
@@ -309,13 +312,13 @@
 };
 
 /** s. The least of the last two pings: what the path takes without the machine's own noise. */
-export const delayTo = (state: JigState, edge: string): number | null => {
+export const delayTo = (state: AgentState, edge: string): number | null => {
   const known = state.delays[edge];
   return known === undefined || known.length === 0 ? null : Math.min(...known);
 };
 
-const vectorOf = (state: JigState, measure: Measure): Vector => {
-  const capacity = state.self.lathe?.capacityBps ?? 0;
+const vectorOf = (state: AgentState, measure: Measure): Vector => {
+  const capacity = state.self.proxy?.capacityBps ?? 0;
   const asked = Object.values(measure.demand).reduce((sum, bps) => sum + bps, 0);
   return {
     demand: measure.demand,
@@ -344,7 +347,7 @@
     sentAt: now,
     notices: work.state.notices + 1,
     splitStale: true,
-    spindle: Spindle.tell(work.state.spindle, `vector/${work.state.self.id}`, vector, now),
+    gossip: Gossip.tell(work.state.gossip, `vector/${work.state.self.id}`, vector, now),
   });
 };
 
@@ -369,7 +372,7 @@
 /** Computes this edge's rows from the vectors it holds, once something they rest on has changed. */
 export const computeSplit = (work: Work): void => {
   const { state } = work;
-  if (state.self.lathe === null || state.now - state.splitAt < Beats.pull) return;
+  if (state.self.proxy === null || state.now - state.splitAt < Beats.pull) return;
   const serving = new Map(servingNodes(state).map((record) => [record.id, record]));
   const over = [...serving.keys()].sort().join(' ');
   if (!state.splitStale && over === state.splitOver) {
@@ -388,7 +391,7 @@
     .map(([id, hall]) => ({ id, hall }))
     .sort((a, b) => (a.id < b.id ? -1 : 1));
   const vectors: Record<string, Vector> = {};
-  for (const [key, value, seenAt] of Spindle.all(state.spindle, 'vector/')) {
+  for (const [key, value, seenAt] of Gossip.all(state.gossip, 'vector/')) {
     const edge = key.slice('vector/'.length);
     if (edge === me.id || (serving.has(edge) && state.now - seenAt < 3 * Beats.refresh))
       vectors[edge] = value as Vector;
@@ -427,7 +430,7 @@
 };
 
 /** Why an origin gets no traffic, or null if it does. */
-export const barred = (state: JigState, description: Description): string | null => {
+export const barred = (state: AgentState, description: Description): string | null => {
   const service = policyOf(state)?.document.services[description.service];
   if (service === undefined) return 'no policy allows this service';
   if (service.instances !== undefined && !service.instances.includes(description.instance))
@@ -452,7 +455,7 @@
  * Whether what an origin of a hall said at some time is too old to be trusted as warm: its hall was
  * taken back since.
  */
-export const inDoubt = (state: JigState, hall: string, heardAt: number): boolean =>
+export const inDoubt = (state: AgentState, hall: string, heardAt: number): boolean =>
   heardAt < (state.reopened[hall] ?? -Infinity) + Limits.warmDoubt;
 
 const isOlder = (told: Description, known: Description): boolean =>
@@ -463,9 +466,8 @@
     told.sequence < known.sequence);
 
 /** Whether a description is older than the one known of the same origin. */
-export const isOld = (state: JigState, description: Description): boolean => {
-  const known = Spindle.get(state.spindle, originKey(description)) as
-    Description | null | undefined;
+export const isOld = (state: AgentState, description: Description): boolean => {
+  const known = Gossip.get(state.gossip, originKey(description)) as Description | null | undefined;
   return known !== undefined && known !== null && isOlder(description, known);
 };
 
@@ -474,13 +476,13 @@
 
 /** Every origin heard of. Of two at one address only the one heard later counts. */
 export const originsOf = (
-  state: JigState,
+  state: AgentState,
 ): readonly {
   readonly description: Description;
   readonly heardAt: number;
   readonly barred: string | null;
 }[] => {
-  const all = Spindle.all(state.spindle, 'origin/').map(([, value, seenAt]) => ({
+  const all = Gossip.all(state.gossip, 'origin/').map(([, value, seenAt]) => ({
     description: value as Description,
     seenAt,
   }));
@@ -504,14 +506,14 @@
  * rendezvous hashing names for it: every node for itself comes to the same ones, as far as it knows
  * the same nodes.
  */
-const coldPartOf = (state: JigState, instance: string, rate: number): number => {
+const coldPartOf = (state: AgentState, instance: string, rate: number): number => {
   const plan = planOf(state);
   // A node that has only just come knows few others: the division names them all.
   if (plan === null) return 0;
   const names = [
     ...new Set([
       ...plan.seated,
-      ...nodesOf(state).flatMap(({ record }) => (record.lathe === null ? [] : [record.id])),
+      ...nodesOf(state).flatMap(({ record }) => (record.proxy === null ? [] : [record.id])),
     ]),
   ];
   const parts = Math.max(1, Math.min(names.length, Math.floor(rate / Weights.coldPart)));
@@ -523,7 +525,7 @@
 };
 
 /** Instances that take work, each with this node's slice of what it carries. */
-export const originRows = (state: JigState): readonly OriginRow[] => {
+export const originRows = (state: AgentState): readonly OriginRow[] => {
   const slices = planOf(state)?.slices ?? {};
   const services = policyOf(state)?.document.services ?? {};
   return originsOf(state).flatMap(({ description, heardAt, barred: why }): readonly OriginRow[] => {
@@ -558,7 +560,7 @@
  * What each service of the policy may get in all: its ceiling, or less where its instances carry
  * less.
  */
-export const boundsOf = (state: JigState): Readonly<Record<string, number>> => {
+export const boundsOf = (state: AgentState): Readonly<Record<string, number>> => {
   const admitted = originsOf(state)
     .filter((each) => each.barred === null)
     .map((each) => each.description);
@@ -573,17 +575,17 @@
   );
 };
 
-export const partnerRows = (state: JigState): readonly PartnerRow[] =>
+export const partnerRows = (state: AgentState): readonly PartnerRow[] =>
   servingNodes(state)
     .flatMap((record) =>
-      record.id === state.self.id || record.lathe === null
+      record.id === state.self.id || record.proxy === null
         ? []
         : [
             {
               id: record.id,
               hall: record.hall,
               region: record.region,
-              address: record.lathe.partners,
+              address: record.proxy.partners,
               delay: delayTo(state, record.id) ?? Weights.fetchPenalty,
             },
           ],
--- a/packages/jig/src/operators.ts
+++ b/packages/agent/src/operators.ts
@@ -2,10 +2,10 @@
  * Calls of operators and origins: orders, reads, descriptions, and what this node tells about
  * itself.
  */
-import { Beats, Limits } from '@reedyard/gauge';
-import { rateOf } from '@reedyard/ladle';
-import { Spindle } from '@reedyard/spindle';
-import type { Description } from '@reedyard/stencil';
+import { Beats, Limits } from '@reedyard/constants';
+import { rateOf } from '@reedyard/quota-division';
+import { Gossip } from '@reedyard/gossip';
+import type { Description } from '@reedyard/schemas';
 import { tooFewVoters, unreached, type ApiAnswer } from './answers.js';
 import { pursue } from './ballots.js';
 import { lapsedSerial } from './change-ids.js';
@@ -25,7 +25,15 @@
 import { post } from './postings.js';
 import { isUnreachable, mayActFor, unreachableAnswer } from './reachability.js';
 import { nodeStatus } from './status.js';
-import { bearsLosses, hallsOf, planOf, policyOf, set, type JigState, type Work } from './state.js';
+import {
+  bearsLosses,
+  hallsOf,
+  planOf,
+  policyOf,
+  set,
+  type AgentState,
+  type Work,
+} from './state.js';
 import type { Action } from './terms.js';
 
 type ActionOf<K extends Action['kind']> = Extract<Action, { kind: K }>;
@@ -35,8 +43,8 @@
 };
 
 /** Whether all of a description but its number was told already, lately enough. */
-const isTold = (state: JigState, key: string, told: Description): boolean => {
-  const held = state.spindle.records[key];
+const isTold = (state: AgentState, key: string, told: Description): boolean => {
+  const held = state.gossip.records[key];
   if (held === undefined || held.forgotten) return false;
   if (state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.hall, held.seenAt))
     return false;
@@ -73,7 +81,7 @@
 
 const describe = (work: Work, id: number, description: Description): void => {
   const key = originKey(description);
-  const known = (Spindle.get(work.state.spindle, key) as Description | null | undefined) ?? null;
+  const known = (Gossip.get(work.state.gossip, key) as Description | null | undefined) ?? null;
   if (known !== null && known.incarnation > description.incarnation) {
     answer(work, id, olderIncarnation(known));
     return;
@@ -81,11 +89,11 @@
   const isLate = known !== null && isOld(work.state, description);
   const told = toldOf(known, description, isLate);
   if (!isLate) {
-    const { spindle, now } = work.state;
+    const { gossip, now } = work.state;
     const next = isTold(work.state, key, told)
-      ? Spindle.note(spindle, key, told)
-      : Spindle.tell(spindle, key, told, now, told.sequence);
-    set(work, { spindle: next });
+      ? Gossip.note(gossip, key, told)
+      : Gossip.tell(gossip, key, told, now, told.sequence);
+    set(work, { gossip: next });
   }
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
@@ -96,32 +104,32 @@
   else postOnce(work, drainKey(told), id, done);
 };
 
-const whyNoLease = (state: JigState): string =>
+const whyNoLease = (state: AgentState): string =>
   isUnreachable(state)
     ? 'it is cut off from the control state'
     : 'replicas answer, but its lease is not renewed yet';
 
 /** Why no callers should come to this node, or null if they may. */
-const notReady = (state: JigState): string | null => {
+const notReady = (state: AgentState): string | null => {
   const policy = policyOf(state);
-  if (state.self.lathe === null) return 'this machine has no lathe';
+  if (state.self.proxy === null) return 'this machine has no proxy';
   if (mayActFor(state) <= 0) return whyNoLease(state);
   if (policy === null) return 'no policy is known';
   if (state.report === null || state.now - state.report.at >= Limits.lease)
-    return 'its lathe does not ask for news';
-  if (state.report.report.stopping) return 'its lathe is leaving';
+    return 'its proxy does not ask for news';
+  if (state.report.report.stopping) return 'its proxy is leaving';
   if (hallsOf(state)?.emptied.includes(state.self.hall) === true) return 'its hall is emptied';
   return isSeated(state) ? null : 'the division has not given it its slices yet';
 };
 
-const readiness = (state: JigState): ApiAnswer => {
+const readiness = (state: AgentState): ApiAnswer => {
   const why = notReady(state);
   if (why === null) return { status: 200, body: { ready: true } };
   const body = { type: 'about:blank', title: 'Not ready', status: 503, detail: why, ready: false };
   return { status: 503, body, retryAfter: Limits.retryAfterSeconds };
 };
 
-const shares = (state: JigState): ApiAnswer => {
+const shares = (state: AgentState): ApiAnswer => {
   if (isUnreachable(state)) return unreachableAnswer;
   if (state.now >= state.lease) return unreached('The read');
   const plan = planOf(state);
@@ -135,14 +143,14 @@
   return { status: 200, body: { holder, term, beat, services: Object.fromEntries(services) } };
 };
 
-const partners = (state: JigState): ApiAnswer => {
+const partners = (state: AgentState): ApiAnswer => {
   const rows = nodesOf(state).map(({ record, seenAt }) => ({
     ...record,
     self: record.id === state.self.id,
     silentMs: Math.round(state.now - seenAt),
     delaySeconds: delayTo(state, record.id),
   }));
-  const view = state.spindle.view.map((each) => each.id);
+  const view = state.gossip.view.map((each) => each.id);
   return { status: 200, body: { node: state.self.id, view, partners: rows } };
 };
 
@@ -174,7 +182,7 @@
   action.kind === 'withdraw';
 
 /** Whether an action can be acknowledged by a majority of replicas only. */
-const needsMajority = (state: JigState, action: Action): boolean => {
+const needsMajority = (state: AgentState, action: Action): boolean => {
   switch (action.kind) {
     case 'put-policy':
     case 'get-policy':
--- a/packages/jig/src/orders.model.test.ts
+++ b/packages/agent/src/orders.model.test.ts
@@ -4,7 +4,7 @@
  * so is shown by the tests of the consensus.
  */
 import test from 'ava';
-import { Stencil, type Policy } from '@reedyard/stencil';
+import { Schemas, type Policy } from '@reedyard/schemas';
 import { Changes, type RegisterChange } from './changes.js';
 import { hallsValueOf } from './state.js';
 import type { PolicyValue } from './terms.js';
@@ -216,7 +216,7 @@
 // Configurations ----------------------------------------------------------------------------------
 
 const document = (version: number, content: string): Policy =>
-  Stencil.policy({ version, services: {}, routes: [], notes: { content } });
+  Schemas.policy({ version, services: {}, routes: [], notes: { content } });
 
 type PolicyChange = (document: Policy, id: string) => RegisterChange;
 const sound: PolicyChange = (sent, changeId) =>
--- a/packages/jig/src/postings.ts
+++ b/packages/agent/src/postings.ts
@@ -2,12 +2,12 @@
  * Facts on their way to the replicas' journals: the caller is answered once a majority has them on
  * disk.
  */
-import { Limits } from '@reedyard/gauge';
-import { majorityOf } from '@reedyard/latch';
-import type { AnvilReply, Fact } from '@reedyard/anvil';
+import { Limits } from '@reedyard/constants';
+import { majorityOf } from '@reedyard/consensus';
+import type { ReplicaReply, Fact } from '@reedyard/replica';
 import { unreached } from './answers.js';
 import { isPostingStranded } from './reachability.js';
-import { counts, sendToAnvil, set, takeId, without, type Work } from './state.js';
+import { counts, sendToReplica, set, takeId, without, type Work } from './state.js';
 
 /** Posts facts; the waiting caller is answered with `done` once a majority has them on disk. */
 export const post = (work: Work, facts: readonly Fact[], id: number, done: unknown): void => {
@@ -17,12 +17,12 @@
   tendPostings(work);
 };
 
-export const tookPost = (work: Work, which: number, anvil: string, reply: AnvilReply): void => {
+export const tookPost = (work: Work, which: number, replica: string, reply: ReplicaReply): void => {
   const posting = work.state.postings[which];
   if (posting === undefined || reply.kind !== 'posted') return;
-  if (posting.acks.includes(anvil) || !counts(work.state, anvil, reply.disk)) return;
-  const acks = [...posting.acks, anvil];
-  if (acks.length < majorityOf(Object.keys(work.state.anvils).length)) {
+  if (posting.acks.includes(replica) || !counts(work.state, replica, reply.disk)) return;
+  const acks = [...posting.acks, replica];
+  if (acks.length < majorityOf(Object.keys(work.state.replicas).length)) {
     set(work, { postings: { ...work.state.postings, [which]: { ...posting, acks } } });
     return;
   }
@@ -46,10 +46,10 @@
       work.effects.push({ kind: 'answer', id: posting.id, ...unreached('The order') });
     } else if (now - posting.sentAt >= Limits.resend) {
       set(work, { postings: { ...work.state.postings, [which]: { ...posting, sentAt: now } } });
-      for (const [anvil, view] of Object.entries(work.state.anvils)) {
-        if (posting.acks.includes(anvil)) continue;
-        const pending = { kind: 'post', posting: which, anvil } as const;
-        sendToAnvil(work, view.address, { kind: 'post', facts: posting.facts }, pending);
+      for (const [replica, view] of Object.entries(work.state.replicas)) {
+        if (posting.acks.includes(replica)) continue;
+        const pending = { kind: 'post', posting: which, replica } as const;
+        sendToReplica(work, view.address, { kind: 'post', facts: posting.facts }, pending);
       }
     }
   }
--- a/packages/jig/src/pulls.ts
+++ b/packages/agent/src/pulls.ts
@@ -1,7 +1,7 @@
-import { Beats, Limits, Sizes } from '@reedyard/gauge';
-import { Ballots, majorityOf, type Ballot } from '@reedyard/latch';
-import { newerVoters, type AnvilReply, type Voters, type VotersTold } from '@reedyard/anvil';
-import type { Plan } from '@reedyard/ladle';
+import { Beats, Limits, Sizes } from '@reedyard/constants';
+import { Ballots, majorityOf, type Ballot } from '@reedyard/consensus';
+import { newerVoters, type ReplicaReply, type Voters, type VotersTold } from '@reedyard/replica';
+import type { Plan } from '@reedyard/quota-division';
 import { countAnew, pursue } from './ballots.js';
 import { hasAccepted, isLow, isOverdue, renewLease, stackPull } from './lease.js';
 import { discoverMembers, noteOwnReplica, noteSpare, offerOwnPlace } from './membership.js';
@@ -9,32 +9,32 @@
 import type { HallsValue } from './terms.js';
 import { replicaAnswer } from './status.js';
 import {
-  anvilView,
+  replicaView,
   chance,
   counts,
   hallsValueOf,
   log,
-  sendToAnvil,
+  sendToReplica,
   set,
   votersOf,
   watched,
   without,
-  type AnvilView,
-  type JigState,
+  type ReplicaView,
+  type AgentState,
   type Told,
   type Watched,
   type Work,
 } from './state.js';
 
-const change = (work: Work, name: string, part: Partial<AnvilView>): void => {
-  const view = work.state.anvils[name];
+const change = (work: Work, name: string, part: Partial<ReplicaView>): void => {
+  const view = work.state.replicas[name];
   if (view !== undefined)
-    set(work, { anvils: { ...work.state.anvils, [name]: { ...view, ...part } } });
+    set(work, { replicas: { ...work.state.replicas, [name]: { ...view, ...part } } });
 };
 
-const pull = (work: Work, name: string, view: AnvilView): void => {
-  const pending = { kind: 'pull', anvil: name, sentAt: work.state.now } as const;
-  const call = sendToAnvil(
+const pull = (work: Work, name: string, view: ReplicaView): void => {
+  const pending = { kind: 'pull', replica: name, sentAt: work.state.now } as const;
+  const call = sendToReplica(
     work,
     view.address,
     { kind: 'pull', cursor: view.cursor, keys: watched },
@@ -45,13 +45,13 @@
 
 /** Asks one member for what is new, whether or not an earlier call is under way. */
 export const pullNow = (work: Work, name: string): void => {
-  const view = work.state.anvils[name];
+  const view = work.state.replicas[name];
   if (view !== undefined) pull(work, name, view);
 };
 
-/** Asks every anvil for what is new; several times a second. */
+/** Asks every replica for what is new; several times a second. */
 export const pullAll = (work: Work): void => {
-  for (const [name, view] of Object.entries(work.state.anvils)) {
+  for (const [name, view] of Object.entries(work.state.replicas)) {
     if (view.call !== null && work.state.now - view.askedAt < Limits.pull) continue;
     pull(work, name, view);
   }
@@ -65,20 +65,20 @@
 export const pullOverdue = (work: Work): void => {
   const [low, probing] = [isLow(work.state), isProbing(work.state)];
   if (!low && !probing) return;
-  for (const [name, view] of Object.entries(work.state.anvils)) {
+  for (const [name, view] of Object.entries(work.state.replicas)) {
     const isDue = (low && isOverdue(work.state, view)) || (probing && isProbeDue(work.state, view));
     if (isDue) pull(work, name, view);
   }
 };
 
 /** What a replica tells of itself and of the committed membership, wherever it was asked from. */
-export const tookLook = (work: Work, address: string, reply: AnvilReply): void => {
+export const tookLook = (work: Work, address: string, reply: ReplicaReply): void => {
   if (reply.kind === 'stale' && reply.voters !== null) learnTold(work, reply.voters);
   noteSpare(work, address, reply);
-  if (address === work.state.self.anvil?.address) noteOwnReplica(work, reply);
+  if (address === work.state.self.replica?.address) noteOwnReplica(work, reply);
 };
 
-/** Voters that an anvil was told are chosen. */
+/** Voters that a replica was told are chosen. */
 const learnTold = (work: Work, told: VotersTold): void => {
   if (newerVoters(told, votersOf(work.state)))
     learnRegister(work, 'voters', told.ballot, told.value);
@@ -90,20 +90,20 @@
  */
 const takePlaces = (work: Work, before: Voters | undefined, voters: Voters): void => {
   if (work.state.voting === null) return;
-  const { anvils, now } = work.state;
+  const { replicas, now } = work.state;
   set(work, {
-    anvils: Object.fromEntries(
+    replicas: Object.fromEntries(
       Object.entries(voters.addresses ?? {}).map(([place, address]) => {
-        const view = anvils[place];
+        const view = replicas[place];
         const same =
           before?.disks[place] === voters.disks[place] &&
           (before?.addresses?.[place] === address || view?.address === address);
-        return [place, view !== undefined && same ? view : anvilView(address, now)];
+        return [place, view !== undefined && same ? view : replicaView(address, now)];
       }),
     ),
   });
   // A new member learns from this call that it is one.
-  for (const [name, view] of Object.entries(work.state.anvils)) {
+  for (const [name, view] of Object.entries(work.state.replicas)) {
     if (view.askedAt === -Infinity) pull(work, name, view);
   }
 };
@@ -158,10 +158,10 @@
 
 /** The newest ballot of a register that any replica shows, and the replicas that show it now. */
 const highestShown = (
-  state: JigState,
+  state: AgentState,
   key: Watched,
 ): { readonly ballot: Ballot; readonly at: readonly string[] } => {
-  const shown = Object.entries(state.anvils).flatMap(([name, view]) =>
+  const shown = Object.entries(state.replicas).flatMap(([name, view]) =>
     view.pulled === null ? [] : [{ name, ballot: view.pulled.ballots[key] ?? Ballots.none }],
   );
   const ballot = shown.reduce<Ballot>(
@@ -173,8 +173,8 @@
 };
 
 /** Whether a majority of replicas is known to have accepted a ballot: then it is chosen. */
-const isChosen = (state: JigState, key: Watched, ballot: Ballot): boolean => {
-  const views = Object.values(state.anvils);
+const isChosen = (state: AgentState, key: Watched, ballot: Ballot): boolean => {
+  const views = Object.values(state.replicas);
   return views.filter((view) => hasAccepted(view, key, ballot)).length >= majorityOf(views.length);
 };
 
@@ -186,7 +186,7 @@
   learnRegister(work, key, candidate.ballot, candidate.value);
 };
 
-const isFetching = (state: JigState, key: Watched): boolean =>
+const isFetching = (state: AgentState, key: Watched): boolean =>
   Object.values(state.pending).some(
     (each) => each.kind === 'fetch' && each.key === key && state.now - each.sentAt < Beats.pull,
   );
@@ -194,9 +194,9 @@
 /** Fetches a value from one of the replicas that show its ballot. */
 const fetchFrom = (work: Work, key: Watched, replicas: readonly string[]): void => {
   const chosenHolder = replicas[Math.floor(chance(work) * replicas.length)];
-  const view = chosenHolder === undefined ? undefined : work.state.anvils[chosenHolder];
+  const view = chosenHolder === undefined ? undefined : work.state.replicas[chosenHolder];
   if (isFetching(work.state, key) || view === undefined) return;
-  sendToAnvil(
+  sendToReplica(
     work,
     view.address,
     { kind: 'fetch', key },
@@ -228,8 +228,8 @@
   }
 };
 
-/** All that this node knows to have been chosen. Nothing of it changes while an anvil settles. */
-const toldBefore = (state: JigState): Told => ({
+/** All that this node knows to have been chosen. Nothing of it changes while a replica settles. */
+const toldBefore = (state: AgentState): Told => ({
   cells: [
     ...watched.flatMap((key) => {
       const known = state.registers[key];
@@ -242,9 +242,9 @@
   facts: state.facts.map(({ key, value }) => ({ key, value })),
 });
 
-/** Tells an anvil that founded the state anew the next page of what is known here. */
+/** Tells a replica that founded the state anew the next page of what is known here. */
 const retell = (work: Work, name: string, epoch: number): void => {
-  const view = work.state.anvils[name];
+  const view = work.state.replicas[name];
   if (view === undefined) return;
   const begun =
     view.retold !== null && view.retold.epoch === epoch
@@ -259,13 +259,13 @@
   };
   if (page.cells.length + page.facts.length === 0) return;
   if (from === 0)
-    log(work, 'register.retold', { anvil: name, registers: cells.length, facts: facts.length });
+    log(work, 'register.retold', { replica: name, registers: cells.length, facts: facts.length });
   change(work, name, { retold: { ...begun, sentAt: work.state.now } });
-  sendToAnvil(
+  sendToReplica(
     work,
     view.address,
     { kind: 'retell', ...page },
-    { kind: 'retell', anvil: name, epoch, upTo: from + page.cells.length + page.facts.length },
+    { kind: 'retell', replica: name, epoch, upTo: from + page.cells.length + page.facts.length },
   );
 };
 
@@ -275,16 +275,16 @@
   name: string,
   epoch: number,
   upTo: number,
-  reply: AnvilReply,
+  reply: ReplicaReply,
 ): void => {
-  const retold = work.state.anvils[name]?.retold;
+  const retold = work.state.replicas[name]?.retold;
   if (reply.kind !== 'retold' || !retold || retold.epoch !== epoch) return;
   change(work, name, { retold: { ...retold, count: upTo, sentAt: -Infinity } });
   retell(work, name, epoch);
 };
 
 /**
- * An anvil names only voters that it was told are chosen: one such word is enough. Where the state
+ * A replica names only voters that it was told are chosen: one such word is enough. Where the state
  * was founded anew after a loss, those who did so apart may differ, and a majority of places must
  * name the same.
  */
@@ -297,10 +297,10 @@
     learnTold(work, told);
     return;
   }
-  const named = Object.values(work.state.anvils).flatMap((view) =>
+  const named = Object.values(work.state.replicas).flatMap((view) =>
     view.named === null ? [] : [view.named],
   );
-  const majority = majorityOf(Object.keys(work.state.anvils).length);
+  const majority = majorityOf(Object.keys(work.state.replicas).length);
   for (const each of named) {
     if (
       named.filter((other) => Ballots.compare(other.ballot, each.ballot) === 0).length >= majority
@@ -309,7 +309,7 @@
   }
 };
 
-export const tookPull = (work: Work, name: string, sentAt: number, reply: AnvilReply): void => {
+export const tookPull = (work: Work, name: string, sentAt: number, reply: ReplicaReply): void => {
   change(work, name, { answered: replicaAnswer(work.state, name, reply) });
   const isBlank = reply.kind === 'away' && reply.fresh;
   if (counts(work.state, name, reply.disk) || isBlank) {
@@ -330,7 +330,7 @@
     if (isBlank) offerOwnPlace(work, name, reply.disk);
     return;
   }
-  const newest = work.state.anvils[name]?.pulled;
+  const newest = work.state.replicas[name]?.pulled;
   if (newest && newest.sentAt > sentAt) return;
   let { factSeq } = work.state;
   const added = reply.facts
@@ -368,7 +368,7 @@
 /**
  * Learns a fetched value if it is known to be chosen; else it is kept until pulls show that it is.
  */
-export const tookFetch = (work: Work, key: Watched, reply: AnvilReply): void => {
+export const tookFetch = (work: Work, key: Watched, reply: ReplicaReply): void => {
   if (reply.kind !== 'fetched' || reply.accepted === null) return;
   const { ballot } = reply.accepted;
   const kept = work.state.candidates[key];
--- a/packages/jig/src/reachability.test.ts
+++ b/packages/agent/src/reachability.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava';
-import type { AnvilReply } from '@reedyard/anvil';
-import { Beats, Limits } from '@reedyard/gauge';
-import { Jig } from './core.js';
+import type { ReplicaReply } from '@reedyard/replica';
+import { Beats, Limits } from '@reedyard/constants';
+import { Agent } from './core.js';
 import { drainKey } from './network.js';
 import { isUnreachable, mayActFor } from './reachability.js';
-import { AgentUnderTest, ballotOf, pulledReply, type ReplicaCall } from './replicas.fixture.js';
+import { AgentUnderTest, ballotOf, pulledReply, type AddressedCall } from './replicas.fixture.js';
 import type { Action } from './terms.js';
 
 const voters = {
@@ -26,13 +26,13 @@
 } as const;
 const draining = { ...description, draining: true };
 
-const answered = ({ replica, call }: ReplicaCall): AnvilReply | null =>
+const answered = ({ replica, call }: AddressedCall): ReplicaReply | null =>
   call.kind === 'pull' ? pulledReply(replica) : null;
 const silent = (): null => null;
 
 /** An agent that had a lease, and whose replicas then answered as given until a moment. */
 const afterwards = (
-  answer: (call: ReplicaCall) => AnvilReply | null,
+  answer: (call: AddressedCall) => ReplicaReply | null,
   until = 10_000,
 ): AgentUnderTest => {
   const agent = new AgentUnderTest(true);
@@ -42,7 +42,7 @@
 };
 
 /** What a replica may say to a pull without being counted. */
-const refusals: Readonly<Record<string, (replica: string) => AnvilReply>> = {
+const refusals: Readonly<Record<string, (replica: string) => ReplicaReply>> = {
   'it is no member': (replica) => ({
     kind: 'away',
     disk: `disk-${replica}`,
@@ -87,9 +87,9 @@
   const agent = afterwards(silent, 3_000);
   const over = agent.state.lease;
   // The feed just before has it last until the next one: no caller is refused in between.
-  agent.run(over - 4 * Beats.jig, silent);
+  agent.run(over - 4 * Beats.agent, silent);
   t.is(mayActFor(agent.state), over - agent.state.now);
-  agent.run(over - Beats.jig, silent);
+  agent.run(over - Beats.agent, silent);
   t.is(mayActFor(agent.state), Limits.cutOffLease);
   t.false(isUnreachable(agent.state));
   agent.run(over, silent);
@@ -98,7 +98,7 @@
   agent.run(30_000, silent);
   t.is(mayActFor(agent.state), Limits.cutOffLease);
   // What the answers show is not known here yet: in touch, and without a lease.
-  const news = ({ replica, call }: ReplicaCall): AnvilReply | null =>
+  const news = ({ replica, call }: AddressedCall): ReplicaReply | null =>
     call.kind === 'pull' ? pulledReply(replica, { policy: ballotOf(7) }) : null;
   agent.run(30_600, news);
   t.is(mayActFor(agent.state), 0);
@@ -174,9 +174,9 @@
     t.is(agent.operate(action, sentAt).length, 3, action.kind);
     const answeredAt = (
       until: number,
-      answer: (call: ReplicaCall) => AnvilReply | null,
+      answer: (call: AddressedCall) => ReplicaReply | null,
     ): number | undefined => {
-      for (let now = agent.state.now + Beats.jig; now <= until; now += Beats.jig) {
+      for (let now = agent.state.now + Beats.agent; now <= until; now += Beats.agent) {
         const calls = agent.beat(now);
         if (agent.answers().length > 0) return now;
         for (const call of calls) agent.answer(call, answer(call), now);
@@ -188,7 +188,7 @@
     t.is(answeredAt(sentAt + mostMs, answered), undefined, action.kind);
     const silentFrom = agent.state.now;
     const at = answeredAt(sentAt + 5_000, silent) ?? NaN;
-    t.true(at - silentFrom <= Limits.stranded + Beats.jig, `${action.kind} ${at - silentFrom}`);
+    t.true(at - silentFrom <= Limits.stranded + Beats.agent, `${action.kind} ${at - silentFrom}`);
     t.deepEqual(agent.answers(), [503]);
   }
 });
@@ -213,7 +213,12 @@
 test('a claim is not waited for by a node that is cut off', (t) => {
   const claim = { kind: 'claim', key: 'k', token: 'token', life: 'life', digest: 'd' } as const;
   const told = (agent: AgentUnderTest): unknown => {
-    const step = Jig.reduce(agent.state, { kind: 'fed', id: 9, now: agent.state.now, body: claim });
+    const step = Agent.reduce(agent.state, {
+      kind: 'fed',
+      id: 9,
+      now: agent.state.now,
+      body: claim,
+    });
     return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
   };
   t.deepEqual(told(afterwards(silent)), [{ kind: 'unreached' }]);
--- a/packages/jig/src/reachability.ts
+++ b/packages/agent/src/reachability.ts
@@ -1,8 +1,8 @@
-import { Beats, Limits } from '@reedyard/gauge';
-import { majorityOf } from '@reedyard/latch';
+import { Beats, Limits } from '@reedyard/constants';
+import { majorityOf } from '@reedyard/consensus';
 import { unavailable, type ApiAnswer } from './answers.js';
 import { isLate, log, set } from './state.js';
-import type { AnvilView, JigState, Posting, Purpose, Pursuit, Work } from './state.js';
+import type { ReplicaView, AgentState, Posting, Purpose, Pursuit, Work } from './state.js';
 
 /**
  * What this node can know of its connection to the replicas. Silence and refusal differ: a replica
@@ -13,12 +13,12 @@
  */
 
 /** How many replicas answered anything since a moment. */
-const answeredSince = (state: JigState, since: number): number =>
-  Object.values(state.anvils).filter((view) => view.answeredAt >= since).length;
+const answeredSince = (state: AgentState, since: number): number =>
+  Object.values(state.replicas).filter((view) => view.answeredAt >= since).length;
 
 /** Whether a majority of replicas answered anything since a moment. */
-export const majorityAnsweredSince = (state: JigState, since: number): boolean => {
-  const replicas = Object.keys(state.anvils).length;
+export const majorityAnsweredSince = (state: AgentState, since: number): boolean => {
+  const replicas = Object.keys(state.replicas).length;
   return replicas > 0 && answeredSince(state, since) >= majorityOf(replicas);
 };
 
@@ -26,31 +26,31 @@
  * Whether this process was itself held up lately: its answers waited as well, so silence proves
  * nothing.
  */
-const wasHeldUp = (state: JigState, withinMs: number): boolean =>
+const wasHeldUp = (state: AgentState, withinMs: number): boolean =>
   isLate(state) || state.now - state.lateAt <= withinMs;
 
 /** Whether a majority of replicas has been silent for so long that it can't be by chance. */
-const isMajoritySilent = (state: JigState): boolean =>
+const isMajoritySilent = (state: AgentState): boolean =>
   !majorityAnsweredSince(state, state.now - Limits.replicaSilence);
 
 /** Whether this node has neither a lease nor any answer from a majority of replicas. */
-export const isUnreachable = (state: JigState): boolean =>
+export const isUnreachable = (state: AgentState): boolean =>
   state.now >= state.lease && isMajoritySilent(state) && !wasHeldUp(state, Limits.replicaSilence);
 
 /** Notes that a replica answered, whatever it said. */
 export const noteAnswer = (work: Work, replica: string): void => {
   const { state } = work;
-  const view = state.anvils[replica];
+  const view = state.replicas[replica];
   if (view === undefined) return;
   const wasSilent = state.now - view.answeredAt >= Limits.replicaSilence;
   set(work, {
-    anvils: { ...state.anvils, [replica]: { ...view, answeredAt: state.now } },
+    replicas: { ...state.replicas, [replica]: { ...view, answeredAt: state.now } },
     ...(wasSilent ? { returnedAt: state.now } : {}),
   });
 };
 
 /** Whether this node may act without a lease: its operators want it, and it is provably cut off. */
-const mayServeOn = (state: JigState): boolean =>
+const mayServeOn = (state: AgentState): boolean =>
   state.self.servesOn === true &&
   state.registers.policy !== undefined &&
   isMajoritySilent(state) &&
@@ -62,7 +62,7 @@
  * feed would come between. A process that was itself held up can't tell, since its answers wait as
  * well: it refuses until it has pulled.
  */
-export const mayActFor = (state: JigState): number => {
+export const mayActFor = (state: AgentState): number => {
   const left = Math.max(0, state.lease - state.now);
   return mayServeOn(state) ? Math.max(left, Limits.cutOffLease) : left;
 };
@@ -72,7 +72,7 @@
   const { state } = work;
   if (state.lease <= beatBefore || state.lease > state.now) return;
   const answering = answeredSince(state, state.now - Limits.replicaSilence);
-  log(work, 'lease.lost', { answering, replicas: Object.keys(state.anvils).length });
+  log(work, 'lease.lost', { answering, replicas: Object.keys(state.replicas).length });
 };
 
 /** Orders and reads of the API: their callers go on to another node after a second of silence. */
@@ -80,7 +80,7 @@
   kind === 'put-policy' || kind === 'get-policy' || kind === 'hall';
 
 /** Whether a call has gone on for long enough, with too few answers since a moment to progress. */
-const isStuck = (state: JigState, openedAt: number, since: number): boolean =>
+const isStuck = (state: AgentState, openedAt: number, since: number): boolean =>
   state.now - openedAt >= Limits.stranded &&
   !majorityAnsweredSince(state, Math.max(openedAt, since)) &&
   !wasHeldUp(state, Limits.stranded);
@@ -89,17 +89,17 @@
  * Whether a proposal that a caller waits for can't progress, since a majority of replicas is
  * silent. While an order is open replicas are probed, so that a shorter silence tells.
  */
-export const isStranded = (state: JigState, { purpose, openedAt }: Pursuit): boolean => {
+export const isStranded = (state: AgentState, { purpose, openedAt }: Pursuit): boolean => {
   if (isOrder(purpose)) return isStuck(state, openedAt, state.now - Limits.stranded);
   return purpose.kind === 'claim' && isStuck(state, openedAt, state.now - Limits.replicaSilence);
 };
 
 /** The same for facts that wait for a majority of disks. */
-export const isPostingStranded = (state: JigState, { openedAt }: Posting): boolean =>
+export const isPostingStranded = (state: AgentState, { openedAt }: Posting): boolean =>
   isStuck(state, openedAt, state.now - Limits.stranded);
 
 /** Whether an order has been open for so long that replicas are probed for any answer. */
-export const isProbing = (state: JigState): boolean => {
+export const isProbing = (state: AgentState): boolean => {
   const orders = Object.values(state.pursuits).filter(({ purpose }) => isOrder(purpose));
   return [...orders, ...Object.values(state.postings)].some(
     ({ openedAt }) => state.now - openedAt >= Beats.leaseLow,
@@ -107,7 +107,7 @@
 };
 
 /** Whether a replica is to be asked for any answer. */
-export const isProbeDue = (state: JigState, view: AnvilView): boolean =>
+export const isProbeDue = (state: AgentState, view: ReplicaView): boolean =>
   state.now - Math.max(view.askedAt, view.answeredAt) >= Beats.leaseLow;
 
 /** The answer, at once, to what needs a majority at a node that reaches none: nothing was sent. */
--- a/packages/jig/src/replicas.fixture.ts
+++ b/packages/agent/src/replicas.fixture.ts
@@ -1,20 +1,20 @@
-import type { AnvilCall, AnvilReply, Voters } from '@reedyard/anvil';
-import type { Ballot } from '@reedyard/latch';
-import { Beats } from '@reedyard/gauge';
-import { Jig } from './core.js';
+import type { ReplicaCall, ReplicaReply, Voters } from '@reedyard/replica';
+import type { Ballot } from '@reedyard/consensus';
+import { Beats } from '@reedyard/constants';
+import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
-import type { JigState, Watched, Work } from './state.js';
-import type { Action, JigEffect } from './terms.js';
+import type { AgentState, Watched, Work } from './state.js';
+import type { Action, AgentEffect } from './terms.js';
 
 /**
  * An agent beside replicas whose answers a test makes up: for tests of leases and of reachability.
  */
 
 /** A call to a replica that is under way. */
-export type ReplicaCall = {
+export type AddressedCall = {
   readonly id: number;
   readonly replica: string;
-  readonly call: AnvilCall;
+  readonly call: ReplicaCall;
 };
 
 const addresses: Readonly<Record<string, string>> = {
@@ -28,8 +28,8 @@
   hall: 'west',
   region: 'r',
   address: '127.0.0.1:1',
-  lathe: null,
-  anvil: null,
+  proxy: null,
+  replica: null,
 };
 
 /** A ballot of some proposer. */
@@ -39,7 +39,7 @@
 export const pulledReply = (
   replica: string,
   ballots: Readonly<Record<string, Ballot>> = {},
-): AnvilReply => ({
+): ReplicaReply => ({
   kind: 'pulled',
   disk: `disk-${replica}`,
   seq: 0,
@@ -51,11 +51,11 @@
 
 /** An agent that beats on time and asks three replicas. */
 export class AgentUnderTest {
-  state: JigState;
-  effects: readonly JigEffect[] = [];
+  state: AgentState;
+  effects: readonly AgentEffect[] = [];
 
   constructor(servesOn = false) {
-    this.state = Jig.open({
+    this.state = Agent.open({
       self: { ...self, servesOn },
       life: 'l',
       seeds: [],
@@ -75,29 +75,29 @@
   }
 
   /** Lets a beat come at a moment, and tells what was asked of replicas in it. */
-  beat(now: number): readonly ReplicaCall[] {
-    return this.#take(Jig.reduce(this.state, { kind: 'beat', now }));
+  beat(now: number): readonly AddressedCall[] {
+    return this.#take(Agent.reduce(this.state, { kind: 'beat', now }));
   }
 
   /**
    * Lets beats come on time until a moment; `answer` makes up what each replica answers, if
    * anything.
    */
-  run(until: number, answer: (call: ReplicaCall) => AnvilReply | null): void {
-    for (let now = this.state.now + Beats.jig; now <= until; now += Beats.jig) {
+  run(until: number, answer: (call: AddressedCall) => ReplicaReply | null): void {
+    for (let now = this.state.now + Beats.agent; now <= until; now += Beats.agent) {
       for (const call of this.beat(now)) this.answer(call, answer(call), now);
     }
   }
 
   /** Gives an answer, or none. */
-  answer(call: ReplicaCall, body: AnvilReply | null, now: number): readonly ReplicaCall[] {
+  answer(call: AddressedCall, body: ReplicaReply | null, now: number): readonly AddressedCall[] {
     if (body === null) return [];
-    return this.#take(Jig.reduce(this.state, { kind: 'returned', id: call.id, body, now }));
+    return this.#take(Agent.reduce(this.state, { kind: 'returned', id: call.id, body, now }));
   }
 
   /** Asks for something as an operator does. */
-  operate(action: Action, now: number): readonly ReplicaCall[] {
-    return this.#take(Jig.reduce(this.state, { kind: 'operator', id: 1, action, now }));
+  operate(action: Action, now: number): readonly AddressedCall[] {
+    return this.#take(Agent.reduce(this.state, { kind: 'operator', id: 1, action, now }));
   }
 
   /** The statuses that the last step answered with. */
@@ -106,13 +106,13 @@
   }
 
   #take(step: {
-    readonly state: JigState;
-    readonly effects: readonly JigEffect[];
-  }): readonly ReplicaCall[] {
+    readonly state: AgentState;
+    readonly effects: readonly AgentEffect[];
+  }): readonly AddressedCall[] {
     this.state = step.state;
     this.effects = step.effects;
     return step.effects.flatMap((effect) => {
-      if (effect.kind !== 'call' || effect.path !== '/anvil') return [];
+      if (effect.kind !== 'call' || effect.path !== '/replica') return [];
       const replica = Object.keys(addresses).find((name) => addresses[name] === effect.to);
       return replica === undefined ? [] : [{ id: effect.id, replica, call: effect.body.call }];
     });
--- a/packages/jig/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -1,19 +1,19 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
-import { Beats, Limits } from '@reedyard/gauge';
-import { Task } from '@reedyard/chute';
-import { openScribe } from '@reedyard/scriber';
-import { call, serveCalls, speakFrom } from '@reedyard/shuttle';
-import type { Settings } from '@reedyard/vise';
+import { Beats, Limits } from '@reedyard/constants';
+import { Task } from '@reedyard/task-loop';
+import { openScribe } from '@reedyard/logging';
+import { call, serveCalls, speakFrom } from '@reedyard/rpc';
+import type { Settings } from '@reedyard/settings';
 import { apiServer, translatedServer, type Act, type Api, type Reply } from './api.js';
-import { Jig } from './core.js';
-import type { JigState } from './state.js';
-import type { JigCall, JigEffect, JigEvent, LatheCall } from './terms.js';
+import { Agent } from './core.js';
+import type { AgentState } from './state.js';
+import type { AgentCall, AgentEffect, AgentEvent, ProxyCall } from './terms.js';
 
 const now = (): number => performance.now();
 
-export type JigSettings = Settings & { readonly jig: NonNullable<Settings['jig']> };
-export type JigOptions = {
+export type AgentSettings = Settings & { readonly agent: NonNullable<Settings['agent']> };
+export type AgentOptions = {
   /**
    * Takes requests in another form than this API's; it decides nothing, and hands on what it was
    * asked for.
@@ -22,16 +22,19 @@
 };
 
 /**
- * Runs a jig until the process is told to end.
+ * Runs an agent until the process is told to end.
  *
  * @example
- * await runJig(Vise.start('jig', process.argv.slice(2)));
+ * await runAgent(SettingsReader.start('agent', process.argv.slice(2)));
  */
-export const runJig = async (settings: JigSettings, options: JigOptions = {}): Promise<void> => {
-  const scribe = openScribe({ program: 'jig', node: settings.name });
+export const runAgent = async (
+  settings: AgentSettings,
+  options: AgentOptions = {},
+): Promise<void> => {
+  const scribe = openScribe({ program: 'agent', node: settings.name });
   const asking = new Map<number, (reply: unknown) => void>();
   let next = 1;
-  const perform = (effect: JigEffect, put: (event: JigEvent) => boolean): void => {
+  const perform = (effect: AgentEffect, put: (event: AgentEvent) => boolean): void => {
     switch (effect.kind) {
       case 'call':
         call(effect.to, effect.path, effect.body).then(
@@ -62,23 +65,24 @@
   const { host } = settings;
   const listen = settings.listen ?? host;
   speakFrom(host);
-  const task = Task.run<JigState, JigEvent, JigEffect>({
-    initial: Jig.open({
+  const task = Task.run<AgentState, AgentEvent, AgentEffect>({
+    initial: Agent.open({
       self: {
         servesOn: settings.cutOff === 'serve',
         id: settings.name,
         hall: settings.hall,
         region: settings.region,
-        address: `${host}:${settings.jig.port}`,
-        lathe:
-          settings.lathe === undefined
+        address: `${host}:${settings.agent.port}`,
+        proxy:
+          settings.proxy === undefined
             ? null
             : {
-                callers: `${host}:${settings.lathe.port}`,
-                partners: `${host}:${settings.lathe.partnerPort}`,
-                capacityBps: settings.lathe.capacityBps,
+                callers: `${host}:${settings.proxy.port}`,
+                partners: `${host}:${settings.proxy.partnerPort}`,
+                capacityBps: settings.proxy.capacityBps,
               },
-        anvil: settings.anvil === undefined ? null : { address: `${host}:${settings.anvil.port}` },
+        replica:
+          settings.replica === undefined ? null : { address: `${host}:${settings.replica.port}` },
       },
       life: randomUUID(),
       seeds: settings.seeds,
@@ -87,10 +91,10 @@
       seed: randomInt(2 ** 31),
       now: now(),
     }),
-    reduce: Jig.reduce,
+    reduce: Agent.reduce,
     perform,
   });
-  const ask = <T>(event: (id: number) => JigEvent, signal?: AbortSignal): Promise<T> =>
+  const ask = <T>(event: (id: number) => AgentEvent, signal?: AbortSignal): Promise<T> =>
     new Promise((resolve, reject) => {
       const id = next;
       next += 1;
@@ -113,26 +117,28 @@
     });
 
   const calls = await serveCalls(
-    { host: listen, port: settings.jig.port },
-    { '/jig': (body) => ask((id) => ({ kind: 'asked', id, body: body as JigCall, now: now() })) },
+    { host: listen, port: settings.agent.port },
+    {
+      '/agent': (body) => ask((id) => ({ kind: 'asked', id, body: body as AgentCall, now: now() })),
+    },
   );
   // Only processes of this machine may feed from it.
   const feeds = await serveCalls(
-    { host: '127.0.0.1', port: settings.jig.feedPort },
-    { '/feed': (body) => ask((id) => ({ kind: 'fed', id, body: body as LatheCall, now: now() })) },
+    { host: '127.0.0.1', port: settings.agent.feedPort },
+    { '/feed': (body) => ask((id) => ({ kind: 'fed', id, body: body as ProxyCall, now: now() })) },
   );
   const act: Act = (action, signal) =>
     ask<Reply>((id) => ({ kind: 'operator', id, action, now: now() }), signal);
   const api = options.api === undefined ? apiServer(act) : translatedServer(options.api(act));
   await new Promise<void>((resolve, reject) => {
     api.once('error', reject);
-    api.listen(settings.jig.apiPort, listen, resolve);
+    api.listen(settings.agent.apiPort, listen, resolve);
   });
-  setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.jig);
+  setInterval(() => task.put({ kind: 'beat', now: now() }), Beats.agent);
   scribe.info('started', {
     calls: calls.port,
     feed: feeds.port,
-    api: settings.jig.apiPort,
+    api: settings.agent.apiPort,
     hall: settings.hall,
     region: settings.region,
   });
--- a/packages/jig/src/safeguards.test.ts
+++ b/packages/agent/src/safeguards.test.ts
@@ -2,11 +2,11 @@
  * Safeguards of the agent, each at the border of its reducer: red without the one that it names.
  */
 import test, { type ExecutionContext } from 'ava';
-import type { AnvilCall, AnvilReply, Voters } from '@reedyard/anvil';
-import { Limits } from '@reedyard/gauge';
-import type { Plan } from '@reedyard/ladle';
-import { Spindle } from '@reedyard/spindle';
-import { Stencil } from '@reedyard/stencil';
+import type { ReplicaCall, ReplicaReply, Voters } from '@reedyard/replica';
+import { Limits } from '@reedyard/constants';
+import type { Plan } from '@reedyard/quota-division';
+import { Gossip } from '@reedyard/gossip';
+import { Schemas } from '@reedyard/schemas';
 import {
   addresses,
   allAnswer,
@@ -18,35 +18,35 @@
   pulled,
 } from './answered-pulls.fixture.js';
 import { Changes } from './changes.js';
-import { Jig } from './core.js';
+import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
-import type { JigState, Watched, Work } from './state.js';
-import type { JigEffect, NodeRecord } from './terms.js';
+import type { AgentState, Watched, Work } from './state.js';
+import type { AgentEffect, NodeRecord } from './terms.js';
 
-const learnt = (state: JigState, key: Watched, round: number, value: unknown): JigState => {
+const learnt = (state: AgentState, key: Watched, round: number, value: unknown): AgentState => {
   const work: Work = { state, effects: [] };
   learnRegister(work, key, [round, 'x'], value);
   return work.state;
 };
 
-type ReplicaCall = { readonly id: number; readonly call: AnvilCall };
+type AddressedCall = { readonly id: number; readonly call: ReplicaCall };
 
-const replicaCalls = (effects: readonly JigEffect[]): readonly ReplicaCall[] =>
+const replicaCalls = (effects: readonly AgentEffect[]): readonly AddressedCall[] =>
   effects.flatMap((effect) =>
-    effect.kind === 'call' && effect.path === '/anvil'
+    effect.kind === 'call' && effect.path === '/replica'
       ? [{ id: effect.id, call: effect.body.call }]
       : [],
   );
 
 const returned = (
-  state: JigState,
+  state: AgentState,
   id: number,
-  body: AnvilReply,
+  body: ReplicaReply,
   now: number,
-): ReturnType<typeof Jig.reduce> => Jig.reduce(state, { kind: 'returned', id, body, now });
+): ReturnType<typeof Agent.reduce> => Agent.reduce(state, { kind: 'returned', id, body, now });
 
 test('the lease runs from the sending of the pulls, however late their answers come', (t) => {
-  const beat = Jig.reduce(founded(), { kind: 'beat', now: 100 });
+  const beat = Agent.reduce(founded(), { kind: 'beat', now: 100 });
   const { state } = answeredPulls(beat, 900, (name) => pulled(`${name}/a`));
   t.is(state.lease, 100 + Limits.lease);
 });
@@ -62,9 +62,9 @@
 
 test('a pull that shows a value or journal entries not known here brings no lease until they are', (t) => {
   const shown = { plan: [9, 'z'] as const };
-  const replyOf = (name: string): AnvilReply =>
-    ({ ...pulled(`${name}/a`), ballots: shown }) as AnvilReply;
-  const beat = Jig.reduce(founded(), { kind: 'beat', now: 100 });
+  const replyOf = (name: string): ReplicaReply =>
+    ({ ...pulled(`${name}/a`), ballots: shown }) as ReplicaReply;
+  const beat = Agent.reduce(founded(), { kind: 'beat', now: 100 });
   const answered = answeredPulls(beat, 110, replyOf);
   t.is(answered.state.lease, 0);
   const fetch = replicaCalls(answered.effects).find(({ call }) => call.kind === 'fetch');
@@ -72,8 +72,8 @@
   const accepted = { ballot: shown.plan, value };
   const reply = { kind: 'fetched', disk: 'core-1/a', accepted } as const;
   t.is(returned(answered.state, fetch?.id ?? -1, reply, 120).state.lease, 100 + Limits.lease);
-  const partial = (name: string): AnvilReply =>
-    ({ ...pulled(`${name}/a`), more: true }) as AnvilReply;
+  const partial = (name: string): ReplicaReply =>
+    ({ ...pulled(`${name}/a`), more: true }) as ReplicaReply;
   t.is(asked(founded(), 100, partial).lease, 0);
 });
 
@@ -88,7 +88,7 @@
 test('a purge is acknowledged once a majority of the very disks of the members has it, not before', (t) => {
   const purge = { objects: ['host.example/x'], tags: [] };
   const action = { kind: 'purge', purge, changeId: 'c' } as const;
-  const opened = Jig.reduce(allAnswer(founded(), 100), {
+  const opened = Agent.reduce(allAnswer(founded(), 100), {
     kind: 'operator',
     id: 7,
     action,
@@ -107,7 +107,7 @@
 });
 
 test('a quota leader that was succeeded writes no allocation over the newer term, and gives the leadership up', (t) => {
-  const config = Stencil.policy({ services: { s: { ceiling: 10 } }, routes: [] });
+  const config = Schemas.policy({ services: { s: { ceiling: 10 } }, routes: [] });
   const allocation = (term: number, holder: string): object => ({
     term,
     holder,
@@ -117,8 +117,8 @@
   });
   const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
   const leader = learnt(known, 'plan', 2, allocation(1, 'core-1'));
-  const leased: JigState = { ...leader, lease: 1e6, duty: { term: 1, held: [] } };
-  const beat = Jig.reduce(leased, { kind: 'beat', now: 2_000 });
+  const leased: AgentState = { ...leader, lease: 1e6, duty: { term: 1, held: [] } };
+  const beat = Agent.reduce(leased, { kind: 'beat', now: 2_000 });
   const prepares = replicaCalls(beat.effects).filter(
     ({ call }) => call.kind === 'prepare' && call.key === 'plan',
   );
@@ -143,7 +143,7 @@
 });
 
 test('the quota leadership is not taken from a leader that renewed since it was last seen', (t) => {
-  const config = Stencil.policy({ services: { s: { ceiling: 10 } }, routes: [] });
+  const config = Schemas.policy({ services: { s: { ceiling: 10 } }, routes: [] });
   const allocation = (beat: number): object => ({
     term: 1,
     holder: 'core-2',
@@ -152,10 +152,10 @@
     seated: [],
   });
   const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
-  let state: JigState = { ...learnt(known, 'plan', 2, allocation(1)), lease: 1e9 };
-  let prepares: readonly ReplicaCall[] = [];
+  let state: AgentState = { ...learnt(known, 'plan', 2, allocation(1)), lease: 1e9 };
+  let prepares: readonly AddressedCall[] = [];
   for (let now = 2 * Limits.vacancy; prepares.length === 0 && now < 1e5; now += 500) {
-    const step = Jig.reduce(state, { kind: 'beat', now });
+    const step = Agent.reduce(state, { kind: 'beat', now });
     ({ state } = step);
     prepares = replicaCalls(step.effects).filter(
       ({ call }) => call.kind === 'prepare' && call.key === 'plan',
@@ -197,18 +197,18 @@
   hall: 'west',
   region: 'r',
   address: `${id}:1`,
-  lathe: { callers: `${id}:2`, partners: `${id}:3`, capacityBps: 1e6 },
-  anvil: null,
+  proxy: { callers: `${id}:2`, partners: `${id}:3`, capacityBps: 1e6 },
+  replica: null,
   ready: true,
   staying: true,
-  latheLife: 'x',
+  proxyLife: 'x',
   wants: { s: wanted },
 });
 
 /** What the leader writes next, where an earlier allocation may still be acted on. */
 const nextShares = (t: ExecutionContext, heldUntil: number): Readonly<Record<string, number>> => {
   const now = 2_000;
-  const config = Stencil.policy({ services: { s: { ceiling: 100 } }, routes: [] });
+  const config = Schemas.policy({ services: { s: { ceiling: 100 } }, routes: [] });
   const plan = {
     term: 1,
     holder: 'core-1',
@@ -218,17 +218,17 @@
   };
   const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
   const told = [frontRecord('front-1', 0), frontRecord('front-2', 100)].reduce(
-    (spindle, record) => Spindle.tell(spindle, `node/${record.id}`, record, now),
-    known.spindle,
+    (gossip, record) => Gossip.tell(gossip, `node/${record.id}`, record, now),
+    known.gossip,
   );
   const held = [{ slices: { s: { 'front-1': 0.9 } }, until: heldUntil }];
   const leader = {
     ...learnt(known, 'plan', 2, plan),
-    spindle: told,
+    gossip: told,
     lease: 1e6,
     duty: { term: 1, held },
   };
-  const beat = Jig.reduce(leader, { kind: 'beat', now });
+  const beat = Agent.reduce(leader, { kind: 'beat', now });
   let { state } = beat;
   const accepted = { ballot: [2, 'x'] as const, value: plan };
   const accepts = replicaCalls(beat.effects)
--- a/packages/jig/src/state.ts
+++ b/packages/agent/src/state.ts
@@ -1,24 +1,24 @@
-import { Limits } from '@reedyard/gauge';
+import { Limits } from '@reedyard/constants';
 import type { Map as Table } from 'immutable';
-import type { AnvilAsk, AnvilCall, Cursor, Fact, Voters, VotersTold } from '@reedyard/anvil';
-import type { Ballot, Proposal } from '@reedyard/latch';
+import type { ReplicaAsk, ReplicaCall, Cursor, Fact, Voters, VotersTold } from '@reedyard/replica';
+import type { Ballot, Proposal } from '@reedyard/consensus';
 import type { Identified, LearntSerial } from './change-ids.js';
 import type { RegisterChange } from './changes.js';
-import type { SpindleState } from '@reedyard/spindle';
-import type { Plan, Slices } from '@reedyard/ladle';
-import type { Split, Vector } from '@reedyard/plumb';
+import type { GossipState } from '@reedyard/gossip';
+import type { Plan, Slices } from '@reedyard/quota-division';
+import type { Split, Vector } from '@reedyard/server-selection';
 import type {
   FeedPart,
   HallsValue,
-  JigCall,
-  JigEffect,
-  JigVoting,
+  AgentCall,
+  AgentEffect,
+  AgentVoting,
   PolicyValue,
   Report,
   Self,
 } from './terms.js';
 
-/** The registers that every jig watches. */
+/** The registers that every agent watches. */
 export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
 export type Watched = (typeof watched)[number];
 
@@ -59,8 +59,8 @@
  */
 export type Pulled = PullSeen & { readonly earlier: readonly PullSeen[] };
 
-/** How one anvil was last seen. */
-export type AnvilView = {
+/** How one replica was last seen. */
+export type ReplicaView = {
   readonly address: string;
   readonly cursor: Cursor | null;
   readonly call: number | null;
@@ -82,7 +82,7 @@
   readonly unanswered: number;
   /** Whether it last said that it was told to stop. */
   readonly leaving: boolean;
-  /** How much of what this node knows was told again to this anvil, in its present settling. */
+  /** How much of what this node knows was told again to this replica, in its present settling. */
   readonly retold: {
     readonly epoch: number;
     readonly told: Told;
@@ -91,7 +91,7 @@
   } | null;
 };
 
-/** What this node knows to have been chosen, as it was when an anvil first asked. */
+/** What this node knows to have been chosen, as it was when a replica first asked. */
 export type Told = {
   readonly cells: readonly (readonly [
     string,
@@ -114,7 +114,7 @@
   | { readonly kind: 'repair' }
   | {
       readonly kind: 'seat';
-      readonly anvil: string;
+      readonly replica: string;
       readonly disk: string;
       /** Whose place it is, where another machine gives it up. */ readonly instead?: string;
     };
@@ -166,46 +166,51 @@
 };
 
 export type Pending =
-  | { readonly kind: 'pull'; readonly anvil: string; readonly sentAt: number }
-  /** Asks an anvil that need have no place for the voters, and this machine's own for its disk. */
+  | { readonly kind: 'pull'; readonly replica: string; readonly sentAt: number }
+  /** Asks a replica that need have no place for the voters, and this machine's own for its disk. */
   | { readonly kind: 'look'; readonly address: string }
   | { readonly kind: 'fetch'; readonly key: Watched; readonly sentAt: number }
   | {
       readonly kind: 'vote';
       readonly key: string;
-      readonly anvil: string;
+      readonly replica: string;
       readonly phase: 'prepare' | 'accept';
       readonly ballot: Ballot;
     }
-  | { readonly kind: 'post'; readonly posting: number; readonly anvil: string }
+  | { readonly kind: 'post'; readonly posting: number; readonly replica: string }
   | { readonly kind: 'exchange'; readonly to: string; readonly partner: string | null }
   | { readonly kind: 'push' }
   | {
       readonly kind: 'retell';
-      readonly anvil: string;
+      readonly replica: string;
       readonly epoch: number;
       readonly upTo: number;
     }
   | { readonly kind: 'ping'; readonly edge: string; readonly sentAt: number };
 
-export type JigState = {
+export type AgentState = {
   readonly self: Self;
   readonly life: string;
   readonly seeds: readonly string[];
   /** Where voters found themselves from seeds; null where the settings name every founder. */
-  readonly voting: JigVoting | null;
+  readonly voting: AgentVoting | null;
   readonly openedAt: number;
-  /** This machine's own anvil as it last answered. */
-  readonly ownAnvil: { readonly disk: string; readonly fresh: boolean; readonly at: number } | null;
+  /** This machine's own replica as it last answered. */
+  readonly ownReplica: {
+    readonly disk: string;
+    readonly fresh: boolean;
+    readonly at: number;
+  } | null;
   /**
-   * Blank replicas that answered a call of this agent, by address: its own proof that they live.
+   * OriginStandIn replicas that answered a call of this agent, by address: its own proof that they
+   * live.
    */
   readonly spares: Readonly<Record<string, { readonly disk: string; readonly at: number }>>;
   readonly seed: number;
   readonly now: number;
   readonly nextId: number;
   readonly pending: Readonly<Record<number, Pending>>;
-  readonly anvils: Readonly<Record<string, AnvilView>>;
+  readonly replicas: Readonly<Record<string, ReplicaView>>;
   readonly registers: {
     readonly [K in Watched]?: {
       readonly ballot: Ballot;
@@ -227,7 +232,7 @@
   /** When the last beat came, and when one last came late. */
   readonly beatAt: number;
   readonly lateAt: number;
-  /** When an anvil that had been silent last answered again. */
+  /** When a replica that had been silent last answered again. */
   readonly returnedAt: number;
   readonly flushes: number;
   readonly facts: readonly (Fact & { readonly seq: number; readonly at: number })[];
@@ -246,10 +251,10 @@
   /** Serials of registers, and when this node learnt of them. */
   readonly learntSerials: Readonly<Record<Identified, readonly LearntSerial[]>>;
   readonly postings: Readonly<Record<number, Posting>>;
-  readonly spindle: SpindleState;
+  readonly gossip: GossipState;
   readonly delays: Readonly<Record<string, readonly number[]>>;
   readonly report: { readonly report: Report; readonly at: number } | null;
-  /** Parts of the feed as they were last told to the lathe. */
+  /** Parts of the feed as they were last told to the proxy. */
   readonly fedParts: {
     readonly [K in FeedPart]?: {
       readonly revision: number;
@@ -281,9 +286,9 @@
 };
 
 /** What a reducer works with inside one step; the states themselves never change. */
-export type Work = { state: JigState; readonly effects: JigEffect[] };
+export type Work = { state: AgentState; readonly effects: AgentEffect[] };
 
-export const set = (work: Work, change: Partial<JigState>): void => {
+export const set = (work: Work, change: Partial<AgentState>): void => {
   work.state = { ...work.state, ...change };
 };
 
@@ -306,8 +311,8 @@
   work: Work,
   pending: Pending,
   part:
-    | { readonly to: string; readonly path: '/anvil'; readonly body: AnvilAsk }
-    | { readonly to: string; readonly path: '/jig'; readonly body: JigCall },
+    | { readonly to: string; readonly path: '/replica'; readonly body: ReplicaAsk }
+    | { readonly to: string; readonly path: '/agent'; readonly body: AgentCall },
 ): number => {
   const id = takeId(work);
   set(work, { pending: { ...work.state.pending, [id]: pending } });
@@ -315,14 +320,19 @@
   return id;
 };
 
-export const send = (work: Work, to: string, body: JigCall, pending: Pending): number =>
-  sendTo(work, pending, { to, path: '/jig', body });
+export const send = (work: Work, to: string, body: AgentCall, pending: Pending): number =>
+  sendTo(work, pending, { to, path: '/agent', body });
 
-/** Asks an anvil, with the voters that the answer will be counted by. */
-export const sendToAnvil = (work: Work, to: string, call: AnvilCall, pending: Pending): number =>
+/** Asks a replica, with the voters that the answer will be counted by. */
+export const sendToReplica = (
+  work: Work,
+  to: string,
+  call: ReplicaCall,
+  pending: Pending,
+): number =>
   sendTo(work, pending, {
     to,
-    path: '/anvil',
+    path: '/replica',
     body: {
       voters: votersOf(work.state),
       call,
@@ -330,13 +340,13 @@
     },
   });
 
-/** Blank replicas that answered this agent lately. */
-export const liveSpares = (state: JigState): JigState['spares'] =>
+/** OriginStandIn replicas that answered this agent lately. */
+export const liveSpares = (state: AgentState): AgentState['spares'] =>
   Object.fromEntries(
     Object.entries(state.spares).filter(([, { at }]) => state.now - at < Limits.spareHeard),
   );
 
-export const anvilView = (address: string, now: number): AnvilView => ({
+export const replicaView = (address: string, now: number): ReplicaView => ({
   address,
   cursor: null,
   call: null,
@@ -352,19 +362,19 @@
 });
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
-export const bearsLosses = (state: JigState): boolean =>
+export const bearsLosses = (state: AgentState): boolean =>
   state.voting === null ||
   Object.keys(votersOf(state)?.value.disks ?? {}).length >= 2 * state.voting.losses + 1;
 
 /** The voters known to be chosen. */
-export const votersOf = (state: JigState): VotersTold | null => {
+export const votersOf = (state: AgentState): VotersTold | null => {
   const known = state.registers.voters;
   return known === undefined ? null : { ballot: known.ballot, value: known.value as Voters };
 };
 
-/** Whether an answer counts: it must come from the disk that holds the anvil's place. */
-export const counts = (state: JigState, anvil: string, disk: string): boolean =>
-  votersOf(state)?.value.disks[anvil] === disk;
+/** Whether an answer counts: it must come from the disk that holds the replica's place. */
+export const counts = (state: AgentState, replica: string, disk: string): boolean =>
+  votersOf(state)?.value.disks[replica] === disk;
 
 export const without = <T>(
   table: Readonly<Record<number | string, T>>,
@@ -383,7 +393,7 @@
 };
 
 /** Whether beats stopped for a while until now: whatever waits here waited for that. */
-export const isLate = (state: JigState): boolean => state.now - state.beatAt > Limits.lateBeat;
+export const isLate = (state: AgentState): boolean => state.now - state.beatAt > Limits.lateBeat;
 
 /** Notes that a beat came, and whether it came late. */
 export const noteBeat = (work: Work): void => {
@@ -391,7 +401,7 @@
   set(work, { beatAt: state.now, lateAt: isLate(state) ? state.now : state.lateAt });
 };
 
-export const policyOf = (state: JigState): PolicyValue | null =>
+export const policyOf = (state: AgentState): PolicyValue | null =>
   (state.registers.policy?.value ?? null) as PolicyValue | null;
 /** What the halls register holds; one written before orders for origins alone has fewer fields. */
 export const hallsValueOf = (value: unknown): HallsValue => {
@@ -406,9 +416,10 @@
     changes: known.changes ?? [],
   };
 };
-export const hallsOf = (state: JigState): HallsValue | null =>
+export const hallsOf = (state: AgentState): HallsValue | null =>
   state.registers.halls === undefined ? null : hallsValueOf(state.registers.halls.value);
 /** Halls whose origins get nothing. */
-export const closedOf = (state: JigState): readonly string[] => hallsOf(state)?.closedOrigins ?? [];
-export const planOf = (state: JigState): Plan | null =>
+export const closedOf = (state: AgentState): readonly string[] =>
+  hallsOf(state)?.closedOrigins ?? [];
+export const planOf = (state: AgentState): Plan | null =>
   (state.registers.plan?.value ?? null) as Plan | null;
--- a/packages/jig/src/status.test.ts
+++ b/packages/agent/src/status.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import { Limits } from '@reedyard/gauge';
-import type { AnvilReply } from '@reedyard/anvil';
+import { Limits } from '@reedyard/constants';
+import type { ReplicaReply } from '@reedyard/replica';
 import {
   addresses,
   allAnswer,
@@ -12,7 +12,7 @@
   self,
   withMembers,
 } from './answered-pulls.fixture.js';
-import { Jig } from './core.js';
+import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
 import { controlStatus, nodeStatus } from './status.js';
 import type { Work } from './state.js';
@@ -63,7 +63,7 @@
 });
 
 test('refusal, recovery and a blank disk are told apart from silence, and none is counted', (t) => {
-  const replies: Readonly<Record<string, AnvilReply | null>> = {
+  const replies: Readonly<Record<string, ReplicaReply | null>> = {
     'core-1': pulled('core-1/a'),
     'core-2': { kind: 'settling', disk: 'core-2/a', epoch: 3 },
     'core-3': { kind: 'away', disk: 'core-3/new', fresh: true, informed: true },
@@ -134,7 +134,7 @@
 test('with too few members found so far, what is wanted is shown beside what votes', (t) => {
   const seeds = ['127.0.0.1:11', '127.0.0.1:12', '127.0.0.1:13'];
   const parts = { self, life: 'l', seeds: [], founders: {}, seed: 1, now: 0 };
-  const state = Jig.open({ ...parts, voting: { losses: 2, seeds } });
+  const state = Agent.open({ ...parts, voting: { losses: 2, seeds } });
   const before = controlStatus(state);
   t.deepEqual([before.epoch, before.members.length, before.wantedMembers], [0, 0, 5]);
   t.true(before.lossesBorne < 0);
--- a/packages/jig/src/status.ts
+++ b/packages/agent/src/status.ts
@@ -5,12 +5,12 @@
  * state rests on their answers to this node's pulls alone, so two nodes may differ for a moment;
  * only the word of a node with a lease (`leaseMs` above 0) is backed by a majority.
  */
-import { Limits } from '@reedyard/gauge';
-import { majorityOf } from '@reedyard/latch';
-import type { AnvilReply } from '@reedyard/anvil';
-import type { Split } from '@reedyard/plumb';
-import type { Description } from '@reedyard/stencil';
-import { anvilsHeard, nodesOf, originsOf } from './network.js';
+import { Limits } from '@reedyard/constants';
+import { majorityOf } from '@reedyard/consensus';
+import type { ReplicaReply } from '@reedyard/replica';
+import type { Split } from '@reedyard/server-selection';
+import type { Description } from '@reedyard/schemas';
+import { replicasHeard, nodesOf, originsOf } from './network.js';
 import { isUnreachable } from './reachability.js';
 import {
   closedOf,
@@ -19,8 +19,8 @@
   planOf,
   policyOf,
   votersOf,
-  type AnvilView,
-  type JigState,
+  type ReplicaView,
+  type AgentState,
   type ReplicaAnswer,
   type ReplicaOutcome,
 } from './state.js';
@@ -94,7 +94,7 @@
   readonly control: ControlStatus;
   readonly duty: { readonly holder: string; readonly term: number } | null;
   readonly origins: readonly OriginStatus[];
-  readonly lathe: Readonly<Record<string, number>> | null;
+  readonly proxy: Readonly<Record<string, number>> | null;
   readonly notices: number;
   readonly splits: number;
   readonly split: Split;
@@ -111,7 +111,7 @@
 };
 
 /** What an answer to a pull tells of the replica that gave it. */
-const outcomeOf = (reply: AnvilReply, named: boolean): ReplicaOutcome => {
+const outcomeOf = (reply: ReplicaReply, named: boolean): ReplicaOutcome => {
   switch (reply.kind) {
     case 'pulled':
       return pulledOutcome(named, reply.readOnly === true);
@@ -132,13 +132,17 @@
  * @example
  * replicaAnswer(state, 'core-1', reply).outcome // 'counted'
  */
-export const replicaAnswer = (state: JigState, name: string, reply: AnvilReply): ReplicaAnswer => ({
+export const replicaAnswer = (
+  state: AgentState,
+  name: string,
+  reply: ReplicaReply,
+): ReplicaAnswer => ({
   at: state.now,
   disk: reply.disk,
   outcome: outcomeOf(reply, counts(state, name, reply.disk)),
 });
 
-const stateOf = (view: AnvilView, disk: string | null, now: number): MemberState => {
+const stateOf = (view: ReplicaView, disk: string | null, now: number): MemberState => {
   const { answered } = view;
   if (answered === null || now - answered.at >= Limits.lease) return 'silent';
   switch (answered.outcome) {
@@ -154,21 +158,21 @@
 
 /** The machine that a member runs on: by its disk, else by its address, else by its name. */
 const machineOf = (
-  state: JigState,
+  state: AgentState,
   member: { readonly name: string; readonly disk: string | null; readonly address: string },
 ): { readonly id: string; readonly hall: string } | null => {
   const records = [...nodesOf(state)]
     .sort((a, b) => b.seenAt - a.seenAt)
     .map(({ record }) => record);
   return (
-    records.find((record) => member.disk !== null && record.anvil?.disk === member.disk) ??
-    records.find((record) => record.anvil?.address === member.address) ??
+    records.find((record) => member.disk !== null && record.replica?.disk === member.disk) ??
+    records.find((record) => record.replica?.address === member.address) ??
     records.find((record) => state.voting === null && record.id === member.name) ??
     null
   );
 };
 
-const memberOf = (state: JigState, name: string, view: AnvilView): MemberStatus => {
+const memberOf = (state: AgentState, name: string, view: ReplicaView): MemberStatus => {
   const disk = votersOf(state)?.value.disks[name] ?? null;
   const machine = machineOf(state, { name, disk, address: view.address });
   return {
@@ -184,11 +188,11 @@
   };
 };
 
-const sparesOf = (state: JigState): readonly SpareStatus[] => {
+const sparesOf = (state: AgentState): readonly SpareStatus[] => {
   const disks = Object.values(votersOf(state)?.value.disks ?? {});
   const isLive = (id: string, seenAt: number): boolean =>
     id === state.self.id || state.now - seenAt < Limits.partnerSilence;
-  return anvilsHeard(state)
+  return replicasHeard(state)
     .filter((each) => each.fresh && !disks.includes(each.disk) && isLive(each.id, each.seenAt))
     .map((each) => ({ node: each.id, address: each.address, zone: each.hall }));
 };
@@ -196,8 +200,8 @@
 /**
  * Losses that the settings want borne: told where members found themselves, else what they allow.
  */
-const configuredLossesOf = (state: JigState): number =>
-  state.voting?.losses ?? Math.floor((Object.keys(state.anvils).length - 1) / 2);
+const configuredLossesOf = (state: AgentState): number =>
+  state.voting?.losses ?? Math.floor((Object.keys(state.replicas).length - 1) / 2);
 
 /**
  * The membership of the control state as this node sees it.
@@ -205,8 +209,8 @@
  * @example
  * controlStatus(state).lossesBorne // 2 with five of five members answering
  */
-export const controlStatus = (state: JigState): ControlStatus => {
-  const members = Object.entries(state.anvils).map(([name, view]) => memberOf(state, name, view));
+export const controlStatus = (state: AgentState): ControlStatus => {
+  const members = Object.entries(state.replicas).map(([name, view]) => memberOf(state, name, view));
   const answering = members.filter((member) => member.state === 'answering').length;
   const quorum = majorityOf(members.length);
   const configuredLosses = configuredLossesOf(state);
@@ -224,7 +228,7 @@
   };
 };
 
-const originStatuses = (state: JigState): readonly OriginStatus[] =>
+const originStatuses = (state: AgentState): readonly OriginStatus[] =>
   originsOf(state).map(({ description, barred }) => ({
     ...description,
     admitted: barred === null,
@@ -237,7 +241,7 @@
  * @example
  * nodeStatus(state).leaseMs // 1_240
  */
-export const nodeStatus = (state: JigState): NodeStatus => {
+export const nodeStatus = (state: AgentState): NodeStatus => {
   const plan = planOf(state);
   return {
     node: state.self.id,
@@ -251,7 +255,7 @@
     control: controlStatus(state),
     duty: plan === null ? null : { holder: plan.holder, term: plan.term },
     origins: originStatuses(state),
-    lathe: state.report?.report.counters ?? null,
+    proxy: state.report?.report.counters ?? null,
     notices: state.notices,
     splits: state.splits,
     split: state.split,
--- a/packages/jig/src/sweep.ts
+++ b/packages/agent/src/sweep.ts
@@ -1,7 +1,7 @@
 /** Lets go what has lapsed: records of gossip, facts, and claims of long ago. */
 import { Map as Table } from 'immutable';
-import { Limits } from '@reedyard/gauge';
-import { Spindle } from '@reedyard/spindle';
+import { Limits } from '@reedyard/constants';
+import { Gossip } from '@reedyard/gossip';
 import { set, type Work } from './state.js';
 
 /** Lets go facts that are no longer on the replicas' journals, with what is known of their keys. */
@@ -27,7 +27,7 @@
 };
 
 export const sweep = (work: Work): void => {
-  set(work, { spindle: Spindle.sweep(work.state.spindle, work.state.now).state });
+  set(work, { gossip: Gossip.sweep(work.state.gossip, work.state.now).state });
   sweepFacts(work);
   sweepClaims(work);
 };
--- a/packages/jig/src/terms.ts
+++ b/packages/agent/src/terms.ts
@@ -1,9 +1,9 @@
-import type { AnvilAsk, AnvilReply } from '@reedyard/anvil';
-import type { Description, HallOrder, Policy, Purge } from '@reedyard/stencil';
-import type { Exchange, Exchanged, Telling } from '@reedyard/spindle';
-import type { Split } from '@reedyard/plumb';
+import type { ReplicaAsk, ReplicaReply } from '@reedyard/replica';
+import type { Description, HallOrder, Policy, Purge } from '@reedyard/schemas';
+import type { Exchange, Exchanged, Telling } from '@reedyard/gossip';
+import type { Split } from '@reedyard/server-selection';
 
-/** Who and where a jig is, and what else runs on its machine. */
+/** Who and where an agent is, and what else runs on its machine. */
 export type Self = {
   /** Whether it serves on while provably cut off from a majority; left out: it does not. */
   readonly servesOn?: boolean;
@@ -11,16 +11,16 @@
   readonly hall: string;
   readonly region: string;
   readonly address: string;
-  readonly lathe: {
+  readonly proxy: {
     readonly callers: string;
     readonly partners: string;
     readonly capacityBps: number;
   } | null;
-  readonly anvil: { readonly address: string } | null;
+  readonly replica: { readonly address: string } | null;
 };
 
-/** Where voters found themselves from seeds: what a jig is told by its settings. */
-export type JigVoting = {
+/** Where voters found themselves from seeds: what an agent is told by its settings. */
+export type AgentVoting = {
   /** Lost disks that must be borne: there are to be 2 × losses + 1 voters. */
   readonly losses: number;
   /**
@@ -28,7 +28,7 @@
    * not told.
    */
   readonly catchUpMs?: number | undefined;
-  /** Anvils to ask for the voters. */
+  /** Replicas to ask for the voters. */
   readonly seeds: readonly string[];
 };
 
@@ -38,23 +38,23 @@
   readonly hall: string;
   readonly region: string;
   readonly address: string;
-  readonly lathe: Self['lathe'];
+  readonly proxy: Self['proxy'];
   /**
-   * Where its anvil is; and where voters found themselves from seeds, which disk it told last, and
-   * whether that is blank.
+   * Where its replica is; and where voters found themselves from seeds, which disk it told last,
+   * and whether that is blank.
    */
-  readonly anvil:
-    (NonNullable<Self['anvil']> & { readonly disk?: string; readonly fresh?: boolean }) | null;
-  /** Whether its lathe takes transactions. */
+  readonly replica:
+    (NonNullable<Self['replica']> & { readonly disk?: string; readonly fresh?: boolean }) | null;
+  /** Whether its proxy takes transactions. */
   readonly ready: boolean;
   /**
-   * Whether its lathe runs and is not leaving: it keeps its slices through a short loss of its
+   * Whether its proxy runs and is not leaving: it keeps its slices through a short loss of its
    * lease.
    */
   readonly staying: boolean;
-  /** Names the life of its lathe; a claim of another life is nobody's any more. */
-  readonly latheLife: string;
-  /** Legs a second that its lathe would like to make, by service. */
+  /** Names the life of its proxy; a claim of another life is nobody's any more. */
+  readonly proxyLife: string;
+  /** Legs a second that its proxy would like to make, by service. */
   readonly wants: Readonly<Record<string, number>>;
 };
 
@@ -88,7 +88,7 @@
   /** Of method, target and body. */ readonly digest: string;
 };
 
-/** What a lathe measured over one period. */
+/** What a proxy measured over one period. */
 export type Measure = {
   /** bps its own callers asked for, by object key. */
   readonly demand: Readonly<Record<string, number>>;
@@ -99,11 +99,11 @@
   readonly fetchSeconds: number;
 };
 
-/** What a lathe tells with each question for news. */
+/** What a proxy tells with each question for news. */
 export type Report = {
   readonly policySerial: number;
   readonly life: string;
-  readonly latheLife: string;
+  readonly proxyLife: string;
   readonly purgeSeq: number;
   readonly stopping: boolean;
   readonly wants: Readonly<Record<string, number>>;
@@ -136,21 +136,21 @@
   readonly delay: number;
 };
 
-/** What a jig feeds to its lathe. */
+/** What an agent feeds to its proxy. */
 export type Feed = {
   /** ms that the lease still runs, from the moment the question was sent. */
   readonly leaseMs: number;
-  /** Names this life of the jig; a new one makes old purge places worthless. */
+  /** Names this life of the agent; a new one makes old purge places worthless. */
   readonly life: string;
   readonly flushes: number;
-  /** Only where the lathe's serial is another. */
+  /** Only where the proxy's serial is another. */
   readonly policy: { readonly serial: number; readonly document: Policy } | null;
   readonly policySerial: number;
   readonly origins: readonly OriginRow[];
   readonly partners: readonly PartnerRow[];
   readonly emptied: readonly string[];
   readonly split: Split;
-  /** Legs a second that this lathe may make, by service; Infinity where nothing bounds them. */
+  /** Legs a second that this proxy may make, by service; Infinity where nothing bounds them. */
   readonly slices: Readonly<Record<string, number>>;
   /** Whether the division has given this node most of its slices: until then it is not ready. */
   readonly seated: boolean;
@@ -158,19 +158,19 @@
   readonly purgeSeq: number;
 };
 
-/** Parts of a feed that are told only to a lathe that does not hold them as they are. */
+/** Parts of a feed that are told only to a proxy that does not hold them as they are. */
 export const feedParts = ['origins', 'partners', 'emptied', 'split', 'slices'] as const;
 export type FeedPart = (typeof feedParts)[number];
-/** For each part a number that grows when it changes, within one life of the jig. */
+/** For each part a number that grows when it changes, within one life of the agent. */
 export type Revisions = Readonly<Record<FeedPart, number>>;
-/** A feed as it goes to the lathe: without the parts that it holds. */
+/** A feed as it goes to the proxy: without the parts that it holds. */
 export type FeedTold = Omit<Feed, FeedPart> &
   Partial<Pick<Feed, FeedPart>> & { readonly revisions: Revisions };
-/** What a lathe holds, and of which life of the jig. */
+/** What a proxy holds, and of which life of the agent. */
 export type Holding = { readonly life: string; readonly revisions: Revisions };
 
-/** What a lathe asks of its jig. */
-export type LatheCall =
+/** What a proxy asks of its agent. */
+export type ProxyCall =
   | { readonly kind: 'feed'; readonly report: Report; readonly held: Holding | null }
   | {
       readonly kind: 'claim';
@@ -193,12 +193,12 @@
   | { readonly kind: 'other' }
   | { readonly kind: 'unreached' };
 
-/** What jigs ask of each other. */
-export type JigCall =
+/** What agents ask of each other. */
+export type AgentCall =
   | { readonly kind: 'exchange'; readonly exchange: Exchange }
   | { readonly kind: 'push'; readonly tellings: Readonly<Record<string, Telling>> }
   | { readonly kind: 'ping' };
-export type JigReply =
+export type AgentReply =
   { readonly kind: 'exchanged'; readonly exchanged: Exchanged } | { readonly kind: 'ok' };
 
 /** What operators and origins ask. */
@@ -222,10 +222,10 @@
     }
   | { readonly kind: 'status' | 'shares' | 'partners' | 'ready' | 'live' };
 
-export type JigEvent =
+export type AgentEvent =
   | { readonly kind: 'beat'; readonly now: number }
-  | { readonly kind: 'asked'; readonly id: number; readonly body: JigCall; readonly now: number }
-  | { readonly kind: 'fed'; readonly id: number; readonly body: LatheCall; readonly now: number }
+  | { readonly kind: 'asked'; readonly id: number; readonly body: AgentCall; readonly now: number }
+  | { readonly kind: 'fed'; readonly id: number; readonly body: ProxyCall; readonly now: number }
   | {
       readonly kind: 'operator';
       readonly id: number;
@@ -235,7 +235,7 @@
   | {
       readonly kind: 'returned';
       readonly id: number;
-      readonly body: AnvilReply | JigReply;
+      readonly body: ReplicaReply | AgentReply;
       readonly now: number;
     }
   | { readonly kind: 'lost'; readonly id: number; readonly now: number }
@@ -244,22 +244,26 @@
   /** The time that a `wake` effect asked for has come. */
   | { readonly kind: 'woken'; readonly now: number };
 
-export type JigEffect =
+export type AgentEffect =
   | {
       readonly kind: 'call';
       readonly id: number;
       readonly to: string;
-      readonly path: '/anvil';
-      readonly body: AnvilAsk;
+      readonly path: '/replica';
+      readonly body: ReplicaAsk;
     }
   | {
       readonly kind: 'call';
       readonly id: number;
       readonly to: string;
-      readonly path: '/jig';
-      readonly body: JigCall;
+      readonly path: '/agent';
+      readonly body: AgentCall;
+    }
+  | {
+      readonly kind: 'tell';
+      readonly id: number;
+      readonly body: AgentReply | FeedTold | ClaimReply;
     }
-  | { readonly kind: 'tell'; readonly id: number; readonly body: JigReply | FeedTold | ClaimReply }
   | {
       readonly kind: 'answer';
       readonly id: number;
--- a/packages/jig/src/testing/membership-client-types.ts
+++ b/packages/agent/src/testing/membership-client-types.ts
@@ -1,6 +1,6 @@
 /** Test support: the state, calls, events and effects of a client of the membership model. */
-import type { AnvilAsk, AnvilReply, Cursor, VotersTold } from '@reedyard/anvil';
-import type { Ballot, Proposal } from '@reedyard/latch';
+import type { ReplicaAsk, ReplicaReply, Cursor, VotersTold } from '@reedyard/replica';
+import type { Ballot, Proposal } from '@reedyard/consensus';
 import type { Goal, WatchedKey } from './membership-goals.js';
 
 /** Why a call was made; comes back with its answer. */
@@ -23,7 +23,7 @@
   readonly place: string;
   readonly to: string;
   readonly purpose: Purpose;
-  readonly body: AnvilAsk;
+  readonly body: ReplicaAsk;
   readonly sentAt: number;
 };
 
@@ -92,7 +92,7 @@
   | {
       readonly kind: 'replied';
       readonly call: ClientCall;
-      readonly body: AnvilReply;
+      readonly body: ReplicaReply;
       readonly life: number;
     };
 
--- a/packages/jig/src/testing/membership-client.ts
+++ b/packages/agent/src/testing/membership-client.ts
@@ -6,10 +6,10 @@
  * agent does (a ballot of its own, a majority of pulls that show one ballot, a replica that was
  * told), begins anew under them, and proposes with the real `Proposer` and the real `Changes`.
  */
-import { newerVoters, votersKey } from '@reedyard/anvil';
-import type { AnvilCall, AnvilReply, Voters, VotersTold } from '@reedyard/anvil';
-import { Ballots, majorityOf, Proposer } from '@reedyard/latch';
-import type { Ballot, Move, Turn } from '@reedyard/latch';
+import { newerVoters, votersKey } from '@reedyard/replica';
+import type { ReplicaCall, ReplicaReply, Voters, VotersTold } from '@reedyard/replica';
+import { Ballots, majorityOf, Proposer } from '@reedyard/consensus';
+import type { Ballot, Move, Turn } from '@reedyard/consensus';
 import type {
   Attempt,
   Client,
@@ -59,7 +59,7 @@
 const placesOf = (client: Client): readonly string[] =>
   Object.keys(client.voters?.value.disks ?? {});
 
-const call = (work: Work, place: string, body: AnvilCall, purpose: Purpose): void => {
+const call = (work: Work, place: string, body: ReplicaCall, purpose: Purpose): void => {
   const { voters, life } = work.client;
   const to = voters?.value.addresses?.[place] ?? place;
   const ask = { voters, call: body };
@@ -81,7 +81,7 @@
   const key = keyOf(attempt.goal);
   if (move.kind === 'prepare' || move.kind === 'accept') {
     const { kind, to, ballot } = move;
-    const body: AnvilCall =
+    const body: ReplicaCall =
       move.kind === 'prepare'
         ? { kind: 'prepare', key, ballot }
         : { kind: 'accept', key, ballot, value: move.value, disk: move.disk };
@@ -200,7 +200,7 @@
   }
 };
 
-const tookPull = (work: Work, { place, sentAt }: ClientCall, body: AnvilReply): void => {
+const tookPull = (work: Work, { place, sentAt }: ClientCall, body: ReplicaReply): void => {
   if (body.kind !== 'pulled' || !counts(work.client, place, body.disk)) return;
   const { views, cursors, facts } = work.client;
   if ((views[place]?.sentAt ?? -1) > sentAt) return;
@@ -237,7 +237,7 @@
   } else call(work, holder, { kind: 'fetch', key }, { kind: 'fetch', key });
 };
 
-const tookFetch = (work: Work, key: WatchedKey, body: AnvilReply): void => {
+const tookFetch = (work: Work, key: WatchedKey, body: ReplicaReply): void => {
   if (body.kind !== 'fetched' || body.accepted === null) return;
   const { ballot, value } = body.accepted;
   const { views } = work.client;
@@ -279,11 +279,11 @@
 
 const post = (work: Work, fact: string): void => {
   set(work, { posting: { fact, acks: [] } });
-  const body: AnvilCall = { kind: 'post', facts: [{ key: fact, value: null }] };
+  const body: ReplicaCall = { kind: 'post', facts: [{ key: fact, value: null }] };
   placesOf(work.client).forEach((place) => call(work, place, body, { kind: 'post', fact }));
 };
 
-const tookPost = (work: Work, place: string, fact: string, body: AnvilReply): void => {
+const tookPost = (work: Work, place: string, fact: string, body: ReplicaReply): void => {
   const { posting } = work.client;
   if (body.kind !== 'posted' || posting?.fact !== fact || posting.acks.includes(place)) return;
   if (!counts(work.client, place, body.disk)) return;
--- a/packages/jig/src/testing/membership-cluster.ts
+++ b/packages/agent/src/testing/membership-cluster.ts
@@ -4,8 +4,8 @@
  * The replicas are the product's reducer, opened from the records that their disks kept. A cluster
  * holds only immutable values, so `fork` costs nothing and a search can try every next step.
  */
-import { Anvil } from '@reedyard/anvil';
-import type { AnvilEffect, AnvilEvent, AnvilRecord, AnvilState } from '@reedyard/anvil';
+import { Replica } from '@reedyard/replica';
+import type { ReplicaEffect, ReplicaEvent, ReplicaRecord, ReplicaState } from '@reedyard/replica';
 import { openClient, reduceClient } from './membership-client.js';
 import type { Client, ClientEffect, ClientEvent } from './membership-client-types.js';
 import {
@@ -25,14 +25,14 @@
 import type { History } from './membership-history.js';
 import { foundReplicas } from './membership-founding.js';
 import type { Mutation } from './membership-mutations.js';
-import type { Caller, Message, Replica, Told } from './membership-network.js';
+import type { Caller, Message, ModelReplica, Told } from './membership-network.js';
 
 /** How writes reach the disk: with each step, or only when the model says so. */
 export type Syncing = 'at-once' | 'later';
 
 /** Replicas, clients and messages, and the history that an observer makes of them. */
 export class Cluster {
-  replicas: Readonly<Record<string, Replica>> = {};
+  replicas: Readonly<Record<string, ModelReplica>> = {};
   clients: Readonly<Record<string, Client>> = {};
   messages: readonly Message[] = [];
   history: History;
@@ -88,7 +88,7 @@
   }
 
   /** Tells a running replica something. */
-  tellReplica(address: string, event: AnvilEvent): void {
+  tellReplica(address: string, event: ReplicaEvent): void {
     const replica = this.replicas[address];
     if (replica?.running === true) this.#reduce(replica, event, null);
   }
@@ -155,7 +155,7 @@
   /** Starts a process on a disk with these records. */
   plugIn(
     address: string,
-    records: readonly AnvilRecord[],
+    records: readonly ReplicaRecord[],
     life: number = (this.lives += 1),
     freshDisk = `disk-${life}`,
   ): void {
@@ -178,25 +178,25 @@
 
   #open(
     address: string,
-    records: readonly AnvilRecord[],
+    records: readonly ReplicaRecord[],
     freshDisk: string,
-  ): ReturnType<typeof Anvil.open> {
+  ): ReturnType<typeof Replica.open> {
     const seeded = { address, seeds: [], firstStart: false };
     const kept = this.mutation.replays?.(records) ?? records;
     const parts = { name: address, others: {}, seeded, records: kept, freshDisk, now: this.now };
-    return Anvil.open(parts);
+    return Replica.open(parts);
   }
 
-  #put(replica: Replica): void {
+  #put(replica: ModelReplica): void {
     this.replicas = { ...this.replicas, [replica.address]: replica };
   }
 
   #reduce(
-    replica: Replica,
-    event: AnvilEvent,
+    replica: ModelReplica,
+    event: ReplicaEvent,
     request: Extract<Message, { kind: 'request' }> | null,
   ): void {
-    const done = Anvil.reduce(replica.state, event);
+    const done = Replica.reduce(replica.state, event);
     const after = this.mutation.after?.(replica.state, done) ?? done;
     if (after.state === replica.state && after.effects.length === 0) return;
     const appended = after.effects.flatMap((effect) =>
@@ -219,7 +219,7 @@
     if (hasChanged) this.checkQuorums();
   }
 
-  #noteBegun(before: AnvilState, { voting, disk, told }: AnvilState): void {
+  #noteBegun(before: ReplicaState, { voting, disk, told }: ReplicaState): void {
     if (told !== null && told !== before.told) {
       this.history = noteTold(this.history, disk, told.value);
     }
@@ -227,7 +227,7 @@
     this.history = noteBegun(this.history, disk, told.value);
   }
 
-  #call(replica: Replica, effect: AnvilEffect): void {
+  #call(replica: ModelReplica, effect: ReplicaEffect): void {
     if (effect.kind !== 'call') return;
     const read = { from: replica.address, to: effect.to, id: effect.id };
     const body = this.mutation.reads?.(effect.body) ?? effect.body;
@@ -239,7 +239,7 @@
   }
 
   /** Sends an answer, and notes what it commits its replica to. */
-  #answer(replica: Replica, told: Told): void {
+  #answer(replica: ModelReplica, told: Told): void {
     const { request, body } = told;
     const { caller } = request;
     const { life } = replica;
--- a/packages/jig/src/testing/membership-founding.ts
+++ b/packages/agent/src/testing/membership-founding.ts
@@ -1,33 +1,39 @@
 /** Test support: founders that came to their members by the product's own founding. */
-import { Anvil } from '@reedyard/anvil';
-import type { AnvilEffect, AnvilEvent, AnvilRecord, AnvilState, VotersTold } from '@reedyard/anvil';
-import type { Replica } from './membership-network.js';
+import { Replica } from '@reedyard/replica';
+import type {
+  ReplicaEffect,
+  ReplicaEvent,
+  ReplicaRecord,
+  ReplicaState,
+  VotersTold,
+} from '@reedyard/replica';
+import type { ModelReplica } from './membership-network.js';
 
 /** Runs the product's founding among blank seeds, with every message delivered. */
 export const foundReplicas = (
   seeds: readonly string[],
 ): {
-  readonly replicas: Readonly<Record<string, Replica>>;
+  readonly replicas: Readonly<Record<string, ModelReplica>>;
   readonly voters: VotersTold;
   readonly lives: number;
 } => {
-  const states = new Map<string, AnvilState>();
-  const records = new Map<string, AnvilRecord[]>();
-  const perform = (address: string, effects: readonly AnvilEffect[]): void => {
+  const states = new Map<string, ReplicaState>();
+  const records = new Map<string, ReplicaRecord[]>();
+  const perform = (address: string, effects: readonly ReplicaEffect[]): void => {
     for (const effect of effects) {
       if (effect.kind === 'append') records.get(address)?.push(...effect.records);
       if (effect.kind === 'call') ask(address, effect);
     }
   };
-  const reduce = (address: string, event: AnvilEvent): readonly AnvilEffect[] => {
+  const reduce = (address: string, event: ReplicaEvent): readonly ReplicaEffect[] => {
     const state = states.get(address);
     if (state === undefined) return [];
-    const done = Anvil.reduce(state, event);
+    const done = Replica.reduce(state, event);
     states.set(address, done.state);
     perform(address, done.effects);
     return done.effects;
   };
-  const ask = (from: string, { to, id, body }: Extract<AnvilEffect, { kind: 'call' }>): void => {
+  const ask = (from: string, { to, id, body }: Extract<ReplicaEffect, { kind: 'call' }>): void => {
     const told = reduce(to, { kind: 'asked', id: 0, body, now: 0 }).find(
       (effect) => effect.kind === 'tell',
     );
@@ -37,7 +43,7 @@
     const seeded = { address, seeds, firstStart: true };
     const freshDisk = `disk-${index + 1}`;
     const parts = { name: address, others: {}, seeded, records: [], freshDisk, now: 0 };
-    const opened = Anvil.open(parts);
+    const opened = Replica.open(parts);
     records.set(address, []);
     states.set(address, opened.state);
     perform(address, opened.effects);
@@ -53,7 +59,7 @@
       const durable = records.get(address) ?? [];
       const seeded = { address, seeds: [], firstStart: false };
       const parts = { name: address, others: {}, seeded, records: durable, freshDisk: '', now: 0 };
-      const { state } = Anvil.open(parts);
+      const { state } = Replica.open(parts);
       if (!state.voting) throw new Error(`${address} does not vote`);
       const life = index + 1;
       return [address, { ...blankReplica, address, life, state, durable }];
--- a/packages/jig/src/testing/membership-goals.ts
+++ b/packages/agent/src/testing/membership-goals.ts
@@ -1,7 +1,7 @@
 /** Test support: what clients of the membership model want, as changes of registers. */
-import { votersKey } from '@reedyard/anvil';
-import type { Voters } from '@reedyard/anvil';
-import type { Change } from '@reedyard/latch';
+import { votersKey } from '@reedyard/replica';
+import type { Voters } from '@reedyard/replica';
+import type { Change } from '@reedyard/consensus';
 import { Changes } from '../changes.js';
 
 /** The register that clients append to; its value is all ids in the order of their choice. */
--- a/packages/jig/src/testing/membership-history.ts
+++ b/packages/agent/src/testing/membership-history.ts
@@ -2,10 +2,10 @@
  * Test support: what an observer who sees every disk and message knows of a run, and the checks
  * that it makes. Values are immutable, so that a search can fork them.
  */
-import { Anvil, votersKey } from '@reedyard/anvil';
-import type { AnvilState, Voters } from '@reedyard/anvil';
-import { Ballots, majorityOf } from '@reedyard/latch';
-import type { Ballot } from '@reedyard/latch';
+import { Replica, votersKey } from '@reedyard/replica';
+import type { ReplicaState, Voters } from '@reedyard/replica';
+import { Ballots, majorityOf } from '@reedyard/consensus';
+import type { Ballot } from '@reedyard/consensus';
 import { dataKey } from './membership-goals.js';
 
 /** The invariants, by the letter that docs/control-model.md gives them. */
@@ -34,14 +34,14 @@
 export type Violation = { readonly invariant: Invariant; readonly text: string };
 
 type Chosen = { readonly key: string; readonly ballot: Ballot; readonly value: unknown };
-type Tally = { readonly disks: readonly string[]; readonly value: unknown };
+type Attempts = { readonly disks: readonly string[]; readonly value: unknown };
 type Acknowledged = { readonly id: string; readonly step: number };
 
 export type History = {
   /** Every membership that was chosen. */
   readonly epochs: Readonly<Record<number, Voters>>;
   /** Disks that accepted a value, by register, ballot and the epoch that the caller counts by. */
-  readonly accepts: Readonly<Record<string, Tally>>;
+  readonly accepts: Readonly<Record<string, Attempts>>;
   /** In the order of their ballots. */
   readonly chosen: readonly Chosen[];
   readonly appended: readonly Acknowledged[];
@@ -232,18 +232,18 @@
 };
 
 /** Whether a replica, told of these members by a caller who counts by them, answers as one. */
-const answersAsMember = (state: AnvilState, voters: Voters): boolean => {
+const answersAsMember = (state: ReplicaState, voters: Voters): boolean => {
   const known = state.told?.value.epoch ?? 0;
   if (known >= voters.epoch) return known === voters.epoch;
   const told = { ballot: state.told?.ballot ?? Ballots.none, value: voters };
   const call = { kind: 'pull', cursor: null, keys: [] } as const;
   const event = { kind: 'asked', id: 0, body: { voters: told, call }, now: 0 } as const;
-  const { effects } = Anvil.reduce(state, event);
+  const { effects } = Replica.reduce(state, event);
   return effects.some((effect) => effect.kind === 'tell' && effect.body.kind === 'pulled');
 };
 
 /** Disks that a caller who counts by these members could still win over. */
-const gatherable = (disks: readonly AnvilState[], voters: Voters): readonly AnvilState[] => {
+const gatherable = (disks: readonly ReplicaState[], voters: Voters): readonly ReplicaState[] => {
   const members = Object.values(voters.disks);
   const found = disks.filter(
     (state) => state.voting && members.includes(state.disk) && answersAsMember(state, voters),
@@ -253,7 +253,7 @@
 
 type Gathered = {
   readonly voters: Voters;
-  readonly disks: readonly AnvilState[];
+  readonly disks: readonly ReplicaState[];
   readonly quorum: number;
 };
 
@@ -278,7 +278,7 @@
   return history;
 };
 
-const acceptedOf = ({ cells }: AnvilState): Chosen | null => {
+const acceptedOf = ({ cells }: ReplicaState): Chosen | null => {
   const accepted = cells.get(dataKey)?.accepted ?? null;
   return accepted === null ? null : { key: dataKey, ...accepted };
 };
@@ -310,7 +310,7 @@
 };
 
 /** Looks at every quorum that could still be gathered, under every epoch that was chosen. */
-export const checkQuorums = (history: History, disks: readonly AnvilState[]): History => {
+export const checkQuorums = (history: History, disks: readonly ReplicaState[]): History => {
   const gathered = Object.values(history.epochs).flatMap((voters) => {
     const found = gatherable(disks, voters);
     const quorum = majorityOf(Object.keys(voters.disks).length);
--- a/packages/jig/src/testing/membership-mutations.ts
+++ b/packages/agent/src/testing/membership-mutations.ts
@@ -2,50 +2,56 @@
  * Test support: planted faults. Each takes one safeguard of the membership protocol away by
  * changing what goes into a replica's reducer or comes out of it.
  */
-import { newerVoters, votersKey } from '@reedyard/anvil';
-import type { AnvilAsk, AnvilEffect, AnvilRecord, AnvilReply, AnvilState } from '@reedyard/anvil';
-import { Ballots, majorityOf } from '@reedyard/latch';
-import type { Cell } from '@reedyard/latch';
+import { newerVoters, votersKey } from '@reedyard/replica';
+import type {
+  ReplicaAsk,
+  ReplicaEffect,
+  ReplicaRecord,
+  ReplicaReply,
+  ReplicaState,
+} from '@reedyard/replica';
+import { Ballots, majorityOf } from '@reedyard/consensus';
+import type { Cell } from '@reedyard/consensus';
 import type { ClientFaults } from './membership-client-types.js';
 
-type Step = { readonly state: AnvilState; readonly effects: readonly AnvilEffect[] };
+type Step = { readonly state: ReplicaState; readonly effects: readonly ReplicaEffect[] };
 
 export type Mutation = {
   readonly name: string;
   /** What a replica hears of a call. */
-  readonly hears?: (state: AnvilState, ask: AnvilAsk) => AnvilAsk;
+  readonly hears?: (state: ReplicaState, ask: ReplicaAsk) => ReplicaAsk;
   /** What a replica makes of a step. */
-  readonly after?: (before: AnvilState, step: Step) => Step;
+  readonly after?: (before: ReplicaState, step: Step) => Step;
   /** The name that a wiped disk gets. */
   readonly wipedDisk?: (old: string) => string;
   /** The call by which a replica reads another. */
-  readonly reads?: (ask: AnvilAsk) => AnvilAsk;
+  readonly reads?: (ask: ReplicaAsk) => ReplicaAsk;
   /** What a replica that reads another gets to see of the answer. */
-  readonly shows?: (body: AnvilReply) => AnvilReply;
+  readonly shows?: (body: ReplicaReply) => ReplicaReply;
   /** What a restart finds on the disk. */
-  readonly replays?: (records: readonly AnvilRecord[]) => readonly AnvilRecord[];
+  readonly replays?: (records: readonly ReplicaRecord[]) => readonly ReplicaRecord[];
   readonly answersBeforeSync?: boolean;
   readonly client?: ClientFaults;
 };
 
 export const sound: Mutation = { name: 'none' };
 
-const hearsAsCurrent = (state: AnvilState, ask: AnvilAsk): AnvilAsk => {
+const hearsAsCurrent = (state: ReplicaState, ask: ReplicaAsk): ReplicaAsk => {
   const { told } = state;
   const isStale = told !== null && ask.voters !== null && newerVoters(told, ask.voters);
   return isStale && state.voting ? { ...ask, voters: told } : ask;
 };
 
-const isMembershipCall = ({ call }: AnvilAsk): boolean =>
+const isMembershipCall = ({ call }: ReplicaAsk): boolean =>
   (call.kind === 'prepare' || call.kind === 'accept') && call.key === votersKey;
 
-const isNamed = ({ told, disk }: AnvilState): boolean =>
+const isNamed = ({ told, disk }: ReplicaState): boolean =>
   told !== null && Object.values(told.value.disks).includes(disk);
 
 /** Lets a replica vote once it has read this many members. */
 const votesAfter =
   (enough: (members: number) => number) =>
-  (_before: AnvilState, step: Step): Step => {
+  (_before: ReplicaState, step: Step): Step => {
     const { state } = step;
     if (state.voting || state.told === null || !isNamed(state)) return step;
     const { epoch, disks } = state.told.value;
@@ -61,9 +67,9 @@
     };
   };
 
-const withoutBlanking = (before: AnvilState, step: Step): Step => {
+const withoutBlanking = (before: ReplicaState, step: Step): Step => {
   if (!before.voting || step.state.voting) return step;
-  const records: readonly AnvilRecord[] = [{ kind: 'blanked', disk: before.disk }];
+  const records: readonly ReplicaRecord[] = [{ kind: 'blanked', disk: before.disk }];
   const renamed = step.effects.map((effect) =>
     effect.kind === 'append' && effect.records.some((record) => record.kind === 'blanked')
       ? { ...effect, records: [...records, ...effect.records.slice(1)] }
--- a/packages/jig/src/testing/membership-network.ts
+++ b/packages/agent/src/testing/membership-network.ts
@@ -1,5 +1,11 @@
 /** Test support: the messages of a cluster, and a replica with its disk. */
-import type { AnvilAsk, AnvilRecord, AnvilReply, AnvilState, VotersTold } from '@reedyard/anvil';
+import type {
+  ReplicaAsk,
+  ReplicaRecord,
+  ReplicaReply,
+  ReplicaState,
+  VotersTold,
+} from '@reedyard/replica';
 import type { ClientCall } from './membership-client-types.js';
 
 /** A call of a replica that reads another before it votes. */
@@ -14,14 +20,14 @@
       readonly kind: 'request';
       readonly caller: Caller;
       readonly to: string;
-      readonly body: AnvilAsk;
+      readonly body: ReplicaAsk;
       readonly frozen?: boolean;
     }
   | {
       readonly kind: 'reply';
       readonly caller: Caller;
       readonly from: string;
-      readonly body: AnvilReply;
+      readonly body: ReplicaReply;
       /** The physical disk that answered. */
       readonly life: number;
       readonly frozen?: boolean;
@@ -30,20 +36,20 @@
 /** An answer, and the request that it is for. */
 export type Told = {
   readonly request: Extract<Message, { kind: 'request' }>;
-  readonly body: AnvilReply;
+  readonly body: ReplicaReply;
   /** The members that the replica went by when it made the answer. */
   readonly by: VotersTold | null;
 };
 
-export type Replica = {
+export type ModelReplica = {
   readonly address: string;
   /** Number of the physical disk; a wipe puts in another. */
   readonly life: number;
   /** What the process holds, or would hold if it were started now. */
-  readonly state: AnvilState;
+  readonly state: ReplicaState;
   readonly running: boolean;
-  readonly durable: readonly AnvilRecord[];
-  readonly unsynced: readonly AnvilRecord[];
+  readonly durable: readonly ReplicaRecord[];
+  readonly unsynced: readonly ReplicaRecord[];
   /** Answers that wait for the disk. */
   readonly waiting: readonly Told[];
 };
--- a/packages/jig/src/testing/membership-random.ts
+++ b/packages/agent/src/testing/membership-random.ts
@@ -2,19 +2,19 @@
  * Test support: long random runs of a cluster. Each number of a schedule is one step; the same
  * numbers give the same run.
  */
-import { Anvil } from '@reedyard/anvil';
-import type { Voters } from '@reedyard/anvil';
-import { majorityOf } from '@reedyard/latch';
+import { Replica } from '@reedyard/replica';
+import type { Voters } from '@reedyard/replica';
+import { majorityOf } from '@reedyard/consensus';
 import { Cluster } from './membership-cluster.js';
 import type { Syncing } from './membership-cluster.js';
-import type { Replica } from './membership-network.js';
+import type { ModelReplica } from './membership-network.js';
 import type { Goal } from './membership-goals.js';
 import type { Invariant, Violation } from './membership-history.js';
 import type { Mutation } from './membership-mutations.js';
 
 /**
- * Blank disks that no membership ever named; those that are blank now, though one may have named
- * them; or also such as were blank once, by old news.
+ * OriginStandIn disks that no membership ever named; those that are blank now, though one may have
+ * named them; or also such as were blank once, by old news.
  */
 export type Offers = 'never-named' | 'blank-now' | 'blank-once';
 
@@ -81,12 +81,12 @@
   }
 }
 
-type Blank = { readonly address: string; readonly disk: string };
+type OriginStandIn = { readonly address: string; readonly disk: string };
 
 class Run {
   readonly cluster: Cluster;
   readonly #options: RunOptions;
-  readonly #blanksSeen: Blank[] = [];
+  readonly #blanksSeen: OriginStandIn[] = [];
   #counter = 0;
   wipes = 0;
   crashes = 0;
@@ -137,7 +137,7 @@
   }
 
   /** Disks without a place, as gossip tells of them. */
-  blanks(draw: Draw): readonly Blank[] {
+  blanks(draw: Draw): readonly OriginStandIn[] {
     const now = Object.values(this.cluster.replicas)
       .filter(({ running, state }) => running && !state.voting)
       .map(({ address, state }) => ({ address, disk: state.disk }));
@@ -147,7 +147,7 @@
     return draw.next() < 0.5 ? this.#blanksSeen : now;
   }
 
-  #named({ disk }: Blank): boolean {
+  #named({ disk }: OriginStandIn): boolean {
     const epochs = Object.values(this.cluster.history.epochs);
     return epochs.some(({ disks }) => Object.values(disks).includes(disk));
   }
@@ -162,10 +162,10 @@
   }
 
   /** Whether a disk holds its place in the newest membership, on what it would be after a crash. */
-  isSound({ address, durable }: Replica, voters: Voters): boolean {
+  isSound({ address, durable }: ModelReplica, voters: Voters): boolean {
     const seeded = { address, seeds: [], firstStart: false };
     const parts = { name: address, others: {}, seeded, records: durable, freshDisk: '', now: 0 };
-    const { state } = Anvil.open(parts);
+    const { state } = Replica.open(parts);
     return state.voting && Object.values(voters.disks).includes(state.disk);
   }
 
