--- a/packages/jig/src/testing/membership-search.ts
+++ b/packages/agent/src/testing/membership-search.ts
@@ -3,11 +3,11 @@
  * answers and repeated requests. States that were met before, by a digest, are not gone on from.
  */
 import { createHash } from 'node:crypto';
-import type { AnvilAsk, AnvilState, VotersTold } from '@reedyard/anvil';
-import { Ballots } from '@reedyard/latch';
-import type { Cell } from '@reedyard/latch';
+import type { ReplicaAsk, ReplicaState, VotersTold } from '@reedyard/replica';
+import { Ballots } from '@reedyard/consensus';
+import type { Cell } from '@reedyard/consensus';
 import { Cluster } from './membership-cluster.js';
-import type { Message, ReadCall, Replica } from './membership-network.js';
+import type { Message, ReadCall, ModelReplica } from './membership-network.js';
 import type { Client, ClientCall, ClientEvent } from './membership-client-types.js';
 import type { History, Invariant, Violation } from './membership-history.js';
 
@@ -114,7 +114,7 @@
   );
 };
 
-const waits = ({ running, state: { voting, told, disk } }: Replica): boolean =>
+const waits = ({ running, state: { voting, told, disk } }: ModelReplica): boolean =>
   running && !voting && told !== null && Object.values(told.value.disks).includes(disk);
 
 const beats = (node: Node, bounds: Bounds): readonly Node[] => {
@@ -175,7 +175,7 @@
   return `${promised.join('/')}:${accepted.ballot.join('/')}=${text}`;
 };
 
-const textOfState = remembered((state: AnvilState): string => {
+const textOfState = remembered((state: ReplicaState): string => {
   const cells = [...state.cells].map(([key, cell]) => `${key} ${textOfCell(cell)}`).sort();
   const readings = Object.entries(state.readings)
     .map(([name, { state: how, disk, epoch, call }]) => [name, how, disk, epoch, call !== null])
@@ -202,7 +202,7 @@
 );
 
 /** A call by which a replica reads another counts while the replica waits for its answer. */
-const textOfRead = ({ from, to, id }: ReadCall, body: AnvilAsk, cluster: Cluster): string => {
+const textOfRead = ({ from, to, id }: ReadCall, body: ReplicaAsk, cluster: Cluster): string => {
   const readings = Object.values(cluster.replicas[from]?.state.readings ?? {});
   const isAwaited = readings.some(({ call }) => call === id);
   return `${from} ${isAwaited} ${to} ${textOfTold(body.voters)}`;
--- a/packages/tally/src/tally.test.ts
+++ b/packages/attempts/src/attempts.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { Tally, type Leg, type LegEnd } from './index.js';
+import { Attempts, type Leg, type LegEnd } from './index.js';
 
 const leg = (number: number, end: LegEnd | null): Leg => ({
   number,
@@ -27,7 +27,7 @@
   for (const list of ledgers) {
     for (const mayRepeat of [true, false]) {
       const legs = list.map((end, index) => leg(index, end));
-      const move = Tally.next({ safe: false, legs, now: 5, limitAt: 9, mayRepeat });
+      const move = Attempts.next({ safe: false, legs, now: 5, limitAt: 9, mayRepeat });
       if (list.some(ran) && move.kind === 'open') t.fail(JSON.stringify(list));
       // A 503 tells "not run", and is told only where no leg may have run; nothing else claims it.
       if (move.kind === 'give-up') t.is(move.status === 503, !list.some(ran));
@@ -39,15 +39,15 @@
 
 test('a safe one is made again within its limit and budget, then given up at once', (t) => {
   const legs = [leg(0, ends[1] ?? null)];
-  t.is(Tally.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: true }).kind, 'open');
-  t.is(Tally.next({ safe: true, legs, now: 9, limitAt: 9, mayRepeat: true }).kind, 'give-up');
-  t.is(Tally.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: false }).kind, 'give-up');
+  t.is(Attempts.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: true }).kind, 'open');
+  t.is(Attempts.next({ safe: true, legs, now: 9, limitAt: 9, mayRepeat: true }).kind, 'give-up');
+  t.is(Attempts.next({ safe: true, legs, now: 5, limitAt: 9, mayRepeat: false }).kind, 'give-up');
   t.is(
-    Tally.next({ safe: true, legs: [leg(0, null)], now: 5, limitAt: 9, mayRepeat: true }).kind,
+    Attempts.next({ safe: true, legs: [leg(0, null)], now: 5, limitAt: 9, mayRepeat: true }).kind,
     'wait',
   );
   t.is(
-    Tally.next({
+    Attempts.next({
       safe: true,
       legs: [0, 1, 2].map((n) => leg(n, ends[1] ?? null)),
       now: 5,
@@ -61,15 +61,15 @@
 test('beside a silent attempt a second one is made for a safe request alone, and nothing is given up while one is under way', (t) => {
   const silent = leg(0, null);
   const hedge = { safe: true, legs: [silent], now: 5, limitAt: 9, mayRepeat: true, silentMs: 5 };
-  t.true(Tally.mayHedge(hedge));
-  t.false(Tally.mayHedge({ ...hedge, safe: false }));
-  t.false(Tally.mayHedge({ ...hedge, mayRepeat: false }));
-  t.false(Tally.mayHedge({ ...hedge, now: 4 }));
-  t.false(Tally.mayHedge({ ...hedge, now: 9 }));
-  t.false(Tally.mayHedge({ ...hedge, most: 1 }));
-  t.false(Tally.mayHedge({ ...hedge, legs: [silent, leg(1, null)] }));
+  t.true(Attempts.mayHedge(hedge));
+  t.false(Attempts.mayHedge({ ...hedge, safe: false }));
+  t.false(Attempts.mayHedge({ ...hedge, mayRepeat: false }));
+  t.false(Attempts.mayHedge({ ...hedge, now: 4 }));
+  t.false(Attempts.mayHedge({ ...hedge, now: 9 }));
+  t.false(Attempts.mayHedge({ ...hedge, most: 1 }));
+  t.false(Attempts.mayHedge({ ...hedge, legs: [silent, leg(1, null)] }));
   for (const end of ends) {
-    const move = Tally.next({
+    const move = Attempts.next({
       safe: true,
       legs: [silent, leg(1, end)],
       now: 5,
--- a/packages/tally/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -58,8 +58,8 @@
   return Math.min(granted, leg.end.spent ?? granted);
 };
 
-export const Tally = {
-  /** @example Tally.safe('GET') // true */
+export const Attempts = {
+  /** @example Attempts.safe('GET') // true */
   safe: (method: string): boolean => method === 'GET' || method === 'HEAD' || method === 'OPTIONS',
 
   outcomeOf,
@@ -70,7 +70,7 @@
    * comes.
    *
    * @example
-   * Tally.spent([originLeg, peerLegGrantedTwoUnanswered]) // 3
+   * Attempts.spent([originLeg, peerLegGrantedTwoUnanswered]) // 3
    */
   spent: (legs: readonly Leg[]): number => legs.reduce((sum, leg) => sum + spentBy(leg), 0),
 
@@ -79,7 +79,7 @@
    * before it provably ran nothing.
    *
    * @example
-   * Tally.next({ safe: false, legs: [failedLeg('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
+   * Attempts.next({ safe: false, legs: [failedLeg('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
    */
   next: (ledger: {
     readonly safe: boolean;
@@ -118,7 +118,7 @@
    * twice does no harm, only beside a single one, and only while its answer could still be of use.
    *
    * @example
-   * Tally.mayHedge({ safe: true, legs: [silentLeg], now: 200, limitAt: 800, mayRepeat: true, silentMs: 150 }) // true
+   * Attempts.mayHedge({ safe: true, legs: [silentLeg], now: 200, limitAt: 800, mayRepeat: true, silentMs: 150 }) // true
    */
   mayHedge: (ledger: {
     readonly safe: boolean;
--- a/packages/sieve/src/sieve.test.ts
+++ b/packages/cache/src/cache.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { Sieve, type Copy } from './index.js';
+import { Cache, type Copy } from './index.js';
 
 const copy = (key: string, tags: readonly string[], size = 10, freshUntil = 1_000): Copy => ({
   key,
@@ -19,7 +19,7 @@
   headers: Record<string, string>,
   legMs = 0,
   asked: Record<string, string> = {},
-): number => Sieve.life({ ...request, headers: asked }, { status: 200, headers }, legMs);
+): number => Cache.life({ ...request, headers: asked }, { status: 200, headers }, legMs);
 
 test('how long an answer is kept follows its headers, its age and the leg that brought it', (t) => {
   t.is(life({ 'cache-control': 'max-age=60' }), 60_000);
@@ -41,39 +41,39 @@
     copy('a.example/1', ['t']),
     copy('a.example/2', ['t', 'u']),
     copy('a.example/3', []),
-  ].reduce((all, each) => Sieve.keep(all, each), Sieve.empty);
-  state = Sieve.purge(state, { objects: ['http://A.example:80/3'], tags: ['u'] }, 100);
+  ].reduce((all, each) => Cache.keep(all, each), Cache.empty);
+  state = Cache.purge(state, { objects: ['http://A.example:80/3'], tags: ['u'] }, 100);
   t.deepEqual([...state.copies.keys()], ['a.example/1']);
   t.is(state.bytes, 10);
-  t.is(Sieve.purgedSince(state, 'a.example/3', [], 50), 100);
-  t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 50), 100);
-  t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 101), null);
+  t.is(Cache.purgedSince(state, 'a.example/3', [], 50), 100);
+  t.is(Cache.purgedSince(state, 'a.example/9', ['u'], 50), 100);
+  t.is(Cache.purgedSince(state, 'a.example/9', ['u'], 101), null);
   // Of several, the first since then tells how long it was known; each is forgotten after its
   // minute.
-  state = Sieve.purge(state, { objects: [], tags: ['u'] }, 400);
-  t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 50), 100);
-  t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 101), 400);
-  state = Sieve.purge(state, { objects: ['a.example/7'], tags: [] }, 60_200);
-  t.is(Sieve.purgedSince(state, 'a.example/3', [], 0), null);
-  t.is(Sieve.purgedSince(state, 'a.example/9', ['u'], 0), 400);
+  state = Cache.purge(state, { objects: [], tags: ['u'] }, 400);
+  t.is(Cache.purgedSince(state, 'a.example/9', ['u'], 50), 100);
+  t.is(Cache.purgedSince(state, 'a.example/9', ['u'], 101), 400);
+  state = Cache.purge(state, { objects: ['a.example/7'], tags: [] }, 60_200);
+  t.is(Cache.purgedSince(state, 'a.example/3', [], 0), null);
+  t.is(Cache.purgedSince(state, 'a.example/9', ['u'], 0), 400);
   t.is(state.purgedAt.size, 2);
 });
 
 test('memory is bounded, the least lately used goes first, and nothing outlives its life', (t) => {
-  let state = Sieve.keep(Sieve.keep(Sieve.empty, copy('1', []), 25), copy('2', []), 25);
-  state = Sieve.touch(state, '1');
-  state = Sieve.keep(state, copy('3', []), 25);
+  let state = Cache.keep(Cache.keep(Cache.empty, copy('1', []), 25), copy('2', []), 25);
+  state = Cache.touch(state, '1');
+  state = Cache.keep(state, copy('3', []), 25);
   t.deepEqual([...state.copies.keys()], ['1', '3']);
-  t.truthy(Sieve.find(state, '1', {}, 999));
-  t.is(Sieve.find(state, '1', {}, 1_000), undefined);
-  t.is(Sieve.dropWhere(state, ({ freshUntil }) => freshUntil <= 1_000).bytes, 0);
+  t.truthy(Cache.find(state, '1', {}, 999));
+  t.is(Cache.find(state, '1', {}, 1_000), undefined);
+  t.is(Cache.dropWhere(state, ({ freshUntil }) => freshUntil <= 1_000).bytes, 0);
 });
 
 test('a copy answers only requests that agree in the fields it varies by', (t) => {
-  const state = Sieve.keep(Sieve.empty, {
+  const state = Cache.keep(Cache.empty, {
     ...copy('1', []),
-    vary: Sieve.vary({ vary: 'Accept-Language' }, { 'accept-language': 'de' }),
+    vary: Cache.vary({ vary: 'Accept-Language' }, { 'accept-language': 'de' }),
   });
-  t.truthy(Sieve.find(state, '1', { 'accept-language': 'de' }, 1));
-  t.is(Sieve.find(state, '1', { 'accept-language': 'fr' }, 1), undefined);
+  t.truthy(Cache.find(state, '1', { 'accept-language': 'de' }, 1));
+  t.is(Cache.find(state, '1', { 'accept-language': 'fr' }, 1), undefined);
 });
--- a/packages/sieve/src/index.ts
+++ b/packages/cache/src/index.ts
@@ -1,6 +1,6 @@
 import CachePolicy from 'http-cache-semantics';
 import { Map as Table, OrderedMap, Set as Group } from 'immutable';
-import { Limits, Sizes } from '@reedyard/gauge';
+import { Limits, Sizes } from '@reedyard/constants';
 
 export type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
 
@@ -30,7 +30,7 @@
   readonly at: number;
 };
 
-export type SieveState = {
+export type CacheState = {
   /** Least lately used first. */
   readonly copies: OrderedMap<string, Copy>;
   readonly byTag: Table<string, Group<string>>;
@@ -55,7 +55,7 @@
 const plain = (headers: Headers): Record<string, string> =>
   Object.fromEntries(Object.keys(headers).map((name) => [name, textOf(headers, name)]));
 
-const drop = (state: SieveState, key: string): SieveState => {
+const drop = (state: CacheState, key: string): CacheState => {
   const copy = state.copies.get(key);
   if (copy === undefined) return state;
   const byTag = copy.tags.reduce((table, tag) => {
@@ -65,33 +65,33 @@
   return { ...state, copies: state.copies.delete(key), byTag, bytes: state.bytes - copy.size };
 };
 
-export const Sieve = {
+export const Cache = {
   empty: {
     copies: OrderedMap<string, Copy>(),
     byTag: Table<string, Group<string>>(),
     bytes: 0,
     purges: [],
     purgedAt: Table<string, readonly number[]>(),
-  } as SieveState,
+  } as CacheState,
 
-  /** The key of an object. @example Sieve.key('A.example:80', '/x') // 'a.example/x' */
+  /** The key of an object. @example Cache.key('A.example:80', '/x') // 'a.example/x' */
   key: (host: string, target: string): string =>
     `${host.toLowerCase().replace(/:\d+$/, '')}${target}`,
 
-  /** The host and target of a key. @example Sieve.place('a.example/x') // ['a.example', '/x'] */
+  /** The host and target of a key. @example Cache.place('a.example/x') // ['a.example', '/x'] */
   place: (key: string): readonly [host: string, target: string] => {
     const cut = key.indexOf('/');
     return [key.slice(0, cut), key.slice(cut)];
   },
 
-  /** The key that a purge means. @example Sieve.purgeKey('http://a.example/x') // 'a.example/x' */
+  /** The key that a purge means. @example Cache.purgeKey('http://a.example/x') // 'a.example/x' */
   purgeKey: (object: string): string => {
     const bare = object.replace(/^https?:\/\//, '');
     const cut = bare.indexOf('/');
-    return cut < 0 ? Sieve.key(bare, '/') : Sieve.key(bare.slice(0, cut), bare.slice(cut));
+    return cut < 0 ? Cache.key(bare, '/') : Cache.key(bare.slice(0, cut), bare.slice(cut));
   },
 
-  /** @example Sieve.tags({ 'surrogate-key': 'a b' }, 'surrogate-key') // ['a', 'b'] */
+  /** @example Cache.tags({ 'surrogate-key': 'a b' }, 'surrogate-key') // ['a', 'b'] */
   tags: (headers: Headers, name: string): readonly string[] =>
     textOf(headers, name)
       .split(/[\s,]+/)
@@ -101,7 +101,7 @@
    * How long an answer may be kept, by RFC 9111; 0 where it may not. The leg's own time is age.
    *
    * @example
-   * Sieve.life({ method: 'GET', url: '/', headers: {} }, { status: 200, headers: { 'cache-control': 'max-age=60' } }, 100) // 59_900
+   * Cache.life({ method: 'GET', url: '/', headers: {} }, { status: 200, headers: { 'cache-control': 'max-age=60' } }, 100) // 59_900
    */
   life: (
     request: { readonly method: string; readonly url: string; readonly headers: Headers },
@@ -116,7 +116,7 @@
     return policy.storable() ? Math.max(0, policy.timeToLive() - legMs) : 0;
   },
 
-  /** The fields that an answer varies by, as this request had them. @example Sieve.vary({ vary: 'accept' }, { accept: 'a' }) // { accept: 'a' } */
+  /** The fields that an answer varies by, as this request had them. @example Cache.vary({ vary: 'accept' }, { accept: 'a' }) // { accept: 'a' } */
   vary: (answer: Headers, request: Headers): Readonly<Record<string, string>> =>
     Object.fromEntries(
       textOf(answer, 'vary')
@@ -126,8 +126,8 @@
         .map((name) => [name, textOf(request, name)]),
     ),
 
-  /** A fresh copy that fits the request. @example Sieve.find(state, 'a.example/x', {}, 5) */
-  find: (state: SieveState, key: string, request: Headers, now: number): Copy | undefined => {
+  /** A fresh copy that fits the request. @example Cache.find(state, 'a.example/x', {}, 5) */
+  find: (state: CacheState, key: string, request: Headers, now: number): Copy | undefined => {
     const copy = state.copies.get(key);
     if (copy === undefined || now >= copy.freshUntil) return undefined;
     return Object.entries(copy.vary).every(([name, value]) => textOf(request, name) === value)
@@ -135,16 +135,16 @@
       : undefined;
   },
 
-  /** Marks a copy as just used. @example Sieve.touch(state, 'a.example/x') */
-  touch: (state: SieveState, key: string): SieveState => {
+  /** Marks a copy as just used. @example Cache.touch(state, 'a.example/x') */
+  touch: (state: CacheState, key: string): CacheState => {
     const copy = state.copies.get(key);
     return copy === undefined
       ? state
       : { ...state, copies: state.copies.delete(key).set(key, copy) };
   },
 
-  /** Keeps a copy, and lets the least lately used go when memory is full. @example Sieve.keep(state, copy) */
-  keep: (state: SieveState, copy: Copy, most: number = Sizes.cache): SieveState => {
+  /** Keeps a copy, and lets the least lately used go when memory is full. @example Cache.keep(state, copy) */
+  keep: (state: CacheState, copy: Copy, most: number = Sizes.cache): CacheState => {
     let next = drop(state, copy.key);
     next = {
       ...next,
@@ -163,9 +163,9 @@
     return next;
   },
 
-  /** Whether a purge that came after `since` means this object. @example Sieve.purgedSince(state, 'a.example/x', [], 5) */
+  /** Whether a purge that came after `since` means this object. @example Cache.purgedSince(state, 'a.example/x', [], 5) */
   purgedSince: (
-    state: SieveState,
+    state: CacheState,
     key: string,
     tags: readonly string[],
     since: number,
@@ -178,13 +178,13 @@
     return first === Infinity ? null : first;
   },
 
-  /** Takes objects and tagged groups out, and remembers it for fetches under way. @example Sieve.purge(state, { objects: [], tags: ['t'] }, 5) */
+  /** Takes objects and tagged groups out, and remembers it for fetches under way. @example Cache.purge(state, { objects: [], tags: ['t'] }, 5) */
   purge: (
-    state: SieveState,
+    state: CacheState,
     purge: { readonly objects: readonly string[]; readonly tags: readonly string[] },
     now: number,
-  ): SieveState => {
-    const objects = purge.objects.map(Sieve.purgeKey);
+  ): CacheState => {
+    const objects = purge.objects.map(Cache.purgeKey);
     const keys = [...objects, ...purge.tags.flatMap((tag) => [...(state.byTag.get(tag) ?? [])])];
     const namesOf = (each: Purged): readonly string[] => [
       ...each.objects.map((key) => `object ${key}`),
@@ -207,14 +207,14 @@
     };
   },
 
-  /** Takes everything out. @example Sieve.flush(state).bytes // 0 */
-  flush: (state: SieveState): SieveState => ({
-    ...Sieve.empty,
+  /** Takes everything out. @example Cache.flush(state).bytes // 0 */
+  flush: (state: CacheState): CacheState => ({
+    ...Cache.empty,
     purges: state.purges,
     purgedAt: state.purgedAt,
   }),
 
-  /** Drops what is no longer fit. @example Sieve.dropWhere(state, (copy) => now >= copy.freshUntil) */
-  dropWhere: (state: SieveState, unfit: (copy: Copy) => boolean): SieveState =>
+  /** Drops what is no longer fit. @example Cache.dropWhere(state, (copy) => now >= copy.freshUntil) */
+  dropWhere: (state: CacheState, unfit: (copy: Copy) => boolean): CacheState =>
     state.copies.filter(unfit).keySeq().toArray().reduce(drop, state),
 } as const;
--- a/packages/pounce/src/pounce.test.ts
+++ b/packages/config-templates/src/config-templates.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { parametersOf, PounceError, resolve } from './index.js';
+import { parametersOf, TemplateError, resolve } from './index.js';
 
 const template = {
   services: { store: { ceiling: '{{ceiling:400}}', coldRate: '{{cold}}' } },
@@ -12,14 +12,14 @@
     routes: [{ name: 'sheets', host: 'www.a.example', path: '/s/', service: 'store' }],
   });
   t.is(
-    t.throws(() => resolve(template, { cold: 5 }, []), { instanceOf: PounceError })?.message,
+    t.throws(() => resolve(template, { cold: 5 }, []), { instanceOf: TemplateError })?.message,
     'parameters without a value: domain',
   );
   t.regex(
     t.throws(() => resolve(template, { cold: 5, domain: 'x', typo: 1 }, []))?.message ?? '',
     /no parameter typo/,
   );
-  t.throws(() => parametersOf(['nonsense']), { instanceOf: PounceError });
+  t.throws(() => parametersOf(['nonsense']), { instanceOf: TemplateError });
 });
 
 test('overlays change, add and remove, in their order, and leave what they were given as it was', (t) => {
--- a/packages/pounce/src/index.ts
+++ b/packages/config-templates/src/index.ts
@@ -1,9 +1,9 @@
 import patches from 'json-merge-patch';
 import parse from 'json-templates';
-import { LayerError } from '@reedyard/scriber';
+import { LayerError } from '@reedyard/logging';
 
 /** A template that can't be resolved. */
-export class PounceError extends LayerError {}
+export class TemplateError extends LayerError {}
 
 const clone = (value: unknown): unknown => JSON.parse(JSON.stringify(value)) as unknown;
 
@@ -37,12 +37,12 @@
     .filter(({ key, defaultValue }) => parameters[key] === undefined && defaultValue === undefined)
     .map(({ key }) => key);
   if (lacking.length > 0)
-    throw new PounceError('parameters', `parameters without a value: ${lacking.join(', ')}`);
+    throw new TemplateError('parameters', `parameters without a value: ${lacking.join(', ')}`);
   const unused = Object.keys(parameters).filter(
     (key) => !parsed.parameters.some((each) => each.key === key),
   );
   if (unused.length > 0)
-    throw new PounceError('parameters', `the template has no parameter ${unused.join(', ')}`);
+    throw new TemplateError('parameters', `the template has no parameter ${unused.join(', ')}`);
   const defaults = Object.fromEntries(
     parsed.parameters.flatMap(({ key, defaultValue }) =>
       defaultValue === undefined ? [] : [[key, typed(String(defaultValue))]],
@@ -82,7 +82,7 @@
   Object.fromEntries(
     pairs.map((pair) => {
       const cut = pair.indexOf('=');
-      if (cut < 1) throw new PounceError('parameters', `found "${pair}"; wanted NAME=VALUE`);
+      if (cut < 1) throw new TemplateError('parameters', `found "${pair}"; wanted NAME=VALUE`);
       return [pair.slice(0, cut), typed(pair.slice(cut + 1))];
     }),
   );
--- a/packages/latch/src/acceptor.ts
+++ b/packages/consensus/src/acceptor.ts
@@ -36,7 +36,7 @@
    * never opened twice.
    *
    * @example
-   * Acceptor.prepare(emptyCell, [1, 'jig']).vote // { kind: 'yes', accepted: null }
+   * Acceptor.prepare(emptyCell, [1, 'agent']).vote // { kind: 'yes', accepted: null }
    */
   prepare: (cell: Cell, ballot: Ballot): { readonly cell: Cell; readonly vote: Vote } =>
     Ballots.compare(ballot, cell.promised) >= 0
@@ -47,7 +47,7 @@
    * Second phase: take the value unless a higher ballot was promised.
    *
    * @example
-   * Acceptor.accept(emptyCell, [1, 'jig'], 'v').cell.accepted // { ballot: [1, 'jig'], value: 'v' }
+   * Acceptor.accept(emptyCell, [1, 'agent'], 'v').cell.accepted // { ballot: [1, 'agent'], value: 'v' }
    */
   accept: (
     cell: Cell,
--- a/packages/latch/src/proposer.ts
+++ b/packages/consensus/src/proposer.ts
@@ -12,7 +12,7 @@
  */
 export type Change = (current: unknown) => Changed;
 
-/** One anvil as a voter; disk names the life of its data, so votes of a wiped one never mix. */
+/** One replica as a voter; disk names the life of its data, so votes of a wiped one never mix. */
 export type Voter = string;
 
 export type Proposal = {
@@ -146,7 +146,7 @@
    * Opens a proposal over a register with a ballot above any seen.
    *
    * @example
-   * Proposer.open('policy', () => ({ kind: 'write', value: 1 }), ['a', 'b', 'c'], [0, ''], 'jig').moves.length // 3
+   * Proposer.open('policy', () => ({ kind: 'write', value: 1 }), ['a', 'b', 'c'], [0, ''], 'agent').moves.length // 3
    */
   open: (
     key: string,
@@ -179,7 +179,7 @@
    * Takes in a vote; a vote of an earlier try is passed over.
    *
    * @example
-   * Proposer.voted(proposal, 'a', 'disk-1', 'prepare', [1, 'jig'], { kind: 'yes', accepted: null })
+   * Proposer.voted(proposal, 'a', 'disk-1', 'prepare', [1, 'agent'], { kind: 'yes', accepted: null })
    */
   voted: (
     proposal: Proposal,
--- a/packages/gauge/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -6,14 +6,15 @@
 /** How often things are done. */
 export const Beats = {
   /**
-   * ms. A jig's own beat; every other beat is a multiple of it, so it bounds their jitter. To wake
-   * an idle
+   * ms. An agent's own beat; every other beat is a multiple of it, so it bounds their jitter. To
+   * wake an idle
    *  process costs some 0.13 ms, so ten times a second 0.13 % of a core. */
-  jig: 100,
+  agent: 100,
   /**
-   * ms. Pull from the anvils. Three pulls fit in a lease: one may be lost and the feed still has
+   * ms. Pull from the replicas. Three pulls fit in a lease: one may be lost and the feed still has
    * 0.25 s.
-   *  Each costs every jig a call to every anvil: twice as many saw nothing more than half as many.
+   *  Each costs every agent a call to every replica: twice as many saw nothing more than half as
+   * many.
    */
   pull: 500,
   /**
@@ -21,16 +22,16 @@
    * crosses 16 nodes
    *  in three or four of them: with its own beat this stays under the 2.5 s of silence. */
   gossip: 400,
-  /** ms. The lathe asks its jig for news. Adds at most this to the age of a snapshot. */
+  /** ms. The proxy asks its agent for news. Adds at most this to the age of a snapshot. */
   feed: 250,
   /** ms. A node's own record gets a new serial, which is its heartbeat. */
   heartbeat: 500,
   /** ms. The duty holder looks whether slices should move, and then publishes a division. */
   division: 500,
   /**
-   * ms. It renews its term with an unchanged division: each costs two syncs of every anvil and a
+   * ms. It renews its term with an unchanged division: each costs two syncs of every replica and a
    * fetch of
-   *  every jig. Two of them fit in the time after which it is given up. */
+   *  every agent. Two of them fit in the time after which it is given up. */
   renewal: 1_000,
   /**
    * ms. A ping to each partner in the network, on the average (the paper: every few minutes; a
@@ -39,7 +40,7 @@
   ping: 10_000,
   /** ms. Partners that were not yet measured are pinged, and of the others a drawn few. */
   pingDraw: 2_000,
-  /** ms. What a lathe's callers want of each service is counted anew: slices follow it. */
+  /** ms. What a proxy's callers want of each service is counted anew: slices follow it. */
   wants: 500,
   /** ms. Utilisation is measured (the paper: one minute; ours is shorter since 2 s rules bind). */
   measure: 2_000,
@@ -50,15 +51,15 @@
    * between
    *  two of its descriptions still twice within `originForgotten`, and a third of the bytes. */
   originTold: 3_000,
-  /** ms. Lathe's own beat: limits and holdings are looked at. */
-  lathe: 25,
+  /** ms. Proxy's own beat: limits and holdings are looked at. */
+  proxy: 25,
   /**
    * ms. The same while no transaction is under way: then only copies may have to be dropped, at the
    * latest
    *  1.5 + 0.3 + 0.1 s after what allowed them was known, under the brief's 2 s. */
-  latheIdle: 100,
+  proxyIdle: 100,
   /**
-   * ms. While there is no lease, pulls and the lathe's questions come this often: callers wait for
+   * ms. While there is no lease, pulls and the proxy's questions come this often: callers wait for
    * them.
    */
   lapsed: 100,
@@ -68,7 +69,7 @@
    *  it is over. Not at rest, where each pull renews it: the fleet's control traffic does not grow.
    */
   leaseLow: 200,
-  /** ms. An anvil that may not vote yet asks the others again. */
+  /** ms. A replica that may not vote yet asks the others again. */
   rejoin: 200,
 } as const;
 
@@ -93,12 +94,12 @@
    *  second for any word, and go on to another node. */
   stranded: 600,
   /**
-   * ms. In a fleet of several regions, a lathe without a lease this long drops its copies: a policy
+   * ms. In a fleet of several regions, a proxy without a lease this long drops its copies: a policy
    * it can't know of may have moved their homes. With the lease this stays under the brief's 2 s; a
    *  shorter loss, which a few lost messages bring, costs no copies. */
   unknowing: 300,
   /**
-   * ms. Told to a lathe that may serve on while it is cut off, from question to question: two
+   * ms. Told to a proxy that may serve on while it is cut off, from question to question: two
    * feeds.
    */
   cutOffLease: 600,
@@ -220,13 +221,14 @@
   /** ms. How long ago members must have answered to count as that majority. */
   retentionProof: 1_000,
   /**
-   * ms. Anvils that founded the state anew, after most disks were lost, take part in nothing until
-   * they
-   *  have heard no news this long from jigs that tell again what they knew: six of their pulls. */
+   * ms. Replicas that founded the state anew, after most disks were lost, take part in nothing
+   * until they
+   *  have heard no news this long from agents that tell again what they knew: six of their pulls.
+   */
   retelling: 1_500,
-  /** ms. Jigs remember the claims they made in spans of half the claims' life; three are kept. */
+  /** ms. Agents remember the claims they made in spans of half the claims' life; three are kept. */
   claimSpan: 1_800_000,
-  /** ms. A claim is kept this long of the anvil's own running time. */
+  /** ms. A claim is kept this long of the replica's own running time. */
   claim: 3_600_000,
   /** ms. Default limit of a whole transaction. */
   transaction: 10_000,
@@ -269,9 +271,9 @@
    * heard since is set aside.
    */
   stalled: 300,
-  /** ms. After an order to empty a hall was seen, its lathes still answer stragglers this long. */
+  /** ms. After an order to empty a hall was seen, its proxies still answer stragglers this long. */
   emptyGrace: 2_000,
-  /** ms. After the warning to stop, a lathe that is no longer ready still serves who comes: the
+  /** ms. After the warning to stop, a proxy that is no longer ready still serves who comes: the
    *  platform takes about a second to notice. */
   leaveGrace: 1_500,
   /** ms. SIGTERM to exit, at most. */
@@ -295,7 +297,7 @@
   /** bytes. A body up to this is read whole before its first byte is passed on, so that a short
    *  one becomes a clean 502; a larger one is streamed and never kept. */
   wholeBody: 2 * 1024 * 1024,
-  /** bytes. All copies of one lathe. */
+  /** bytes. All copies of one proxy. */
   cache: 256 * 1024 * 1024,
   /** bytes. A caller's body, when its route sets no limit. */
   callerBody: 1024 * 1024,
@@ -329,17 +331,17 @@
   /** bytes of log after which a snapshot is written and older segments are dropped. */
   segment: 8 * 1024 * 1024,
   /**
-   * claims that an anvil keeps: an hour of 139 a second, some 600 MB. A new one past that is
+   * claims that a replica keeps: an hour of 139 a second, some 600 MB. A new one past that is
    * refused.
    */
   claims: 500_000,
   /** lapsed claims let go in one sweep a second: some milliseconds. */
   claimSweep: 2_000,
-  /** registers in one page for an anvil that reads another: some 10 ms of encoding. */
+  /** registers in one page for a replica that reads another: some 10 ms of encoding. */
   dumpPage: 500,
-  /** registers and facts in one page of what a jig tells again. */
+  /** registers and facts in one page of what an agent tells again. */
   retellPage: 1_000,
-  /** anvils that one anvil lets read it at once: all others of a founding set of nine. */
+  /** replicas that one replica lets read it at once: all others of a founding set of nine. */
   readers: 8,
   /**
    * numbers drawn by chance for one request: who serves, three origins for each of three attempts,
@@ -347,13 +349,13 @@
    */
   draws: 11,
   /**
-   * requests that a lathe warms itself up with, at once, and bytes of an answer: after some hundred
+   * requests that a proxy warms itself up with, at once, and bytes of an answer: after some hundred
    * the code of each step is compiled.
    */
   warmRequests: 600,
   warmAtOnce: 4,
   warmBody: 6_000,
-  /** transactions at work in one lathe; more are turned away at once. */
+  /** transactions at work in one proxy; more are turned away at once. */
   transactions: 4_096,
   /** events waiting for one task. */
   inbox: 65_536,
@@ -453,7 +455,7 @@
 /** Numbers of the hollow fleet, the test that counts what each role sends and does. */
 export const Hollow = {
   /**
-   * ms. One step of the fleet's common clock: a fifth of a jig's beat, so that times are told to
+   * ms. One step of the fleet's common clock: a fifth of an agent's beat, so that times are told to
    * that.
    */
   step: 10,
@@ -462,7 +464,7 @@
   /** ms. An origin describes itself again: the bench's stand-ins do so as often. */
   describe: 1_000,
   /**
-   * ms. What is waited at most for anvils to found, for the duty to be taken, or for a change to
+   * ms. What is waited at most for replicas to found, for the duty to be taken, or for a change to
    * reach all.
    */
   patience: 20_000,
@@ -470,9 +472,9 @@
   warm: 4_000,
   /** real ms. A call that took this long is a fault of the test, not of what it measures. */
   call: 600_000,
-  /** requests a second that a lathe wants of all services: 1.1 million over 1,100 nodes. */
+  /** requests a second that a proxy wants of all services: 1.1 million over 1,100 nodes. */
   want: 1_000,
-  /** bps that a lathe's callers ask of one object. */
+  /** bps that a proxy's callers ask of one object. */
   demand: 200_000,
   /** requests a second that one origin carries. */
   capacity: 500,
--- a/packages/gauge/src/purity.test.ts
+++ b/packages/constants/src/purity.test.ts
@@ -6,15 +6,15 @@
 const packages = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 /** Where time, chance and I/O may come from: the shells, and what is for tests alone. */
 const shells = new Set([
-  'blank',
-  'feeler',
-  'workbench',
-  'mallet',
+  'origin-stand-in',
+  'client-stand-in',
+  'testbed',
+  'simulator',
   'reedyard',
-  'notch',
-  'scriber',
-  'shuttle',
-  'vise',
+  'write-ahead-log',
+  'logging',
+  'rpc',
+  'settings',
 ]);
 const shellFiles = new Set([
   'main.ts',
@@ -46,7 +46,7 @@
         'setInterval',
         "from 'node:",
       ]) {
-        if (text.includes(word) && !(name === 'stencil' && word === "from 'node:"))
+        if (text.includes(word) && !(name === 'schemas' && word === "from 'node:"))
           t.fail(`${name}/${file}: ${word}`);
       }
       read += 1;
--- a/packages/spindle/src/index.ts
+++ b/packages/gossip/src/index.ts
@@ -1,4 +1,4 @@
-import { Limits, Sizes } from '@reedyard/gauge';
+import { Limits, Sizes } from '@reedyard/constants';
 
 /**
  * One record: what an owner told last. A higher serial replaces; equal ones are the same. The value
@@ -20,7 +20,7 @@
 /** A neighbour in the partial view. */
 export type Neighbour = { readonly id: string; readonly address: string; readonly age: number };
 
-export type SpindleState = {
+export type GossipState = {
   readonly records: Readonly<Record<string, Held>>;
   readonly view: readonly Neighbour[];
 };
@@ -46,7 +46,7 @@
 
 /** Live records of each kind that was asked for, found once for each table of records. */
 const kinds = new WeakMap<
-  SpindleState['records'],
+  GossipState['records'],
   Map<string, readonly (readonly [key: string, value: unknown, seenAt: number])[]>
 >();
 
@@ -56,18 +56,18 @@
     ? { serial: held.serial }
     : { serial: held.serial, value: held.forgotten ? null : held.value };
 
-export const Spindle = {
-  empty: { records: {}, view: [] } as SpindleState,
+export const Gossip = {
+  empty: { records: {}, view: [] } as GossipState,
 
-  /** The value under a key, if it is known and not forgotten. @example Spindle.get(state, 'node/front-1') */
-  get: (state: SpindleState, key: string): unknown => {
+  /** The value under a key, if it is known and not forgotten. @example Gossip.get(state, 'node/front-1') */
+  get: (state: GossipState, key: string): unknown => {
     const held = state.records[key];
     return held === undefined || held.forgotten ? undefined : held.value;
   },
 
-  /** All live records of a kind. @example Spindle.all(state, 'origin/') // [[key, value, seenAt], …] */
+  /** All live records of a kind. @example Gossip.all(state, 'origin/') // [[key, value, seenAt], …] */
   all: (
-    state: SpindleState,
+    state: GossipState,
     prefix: string,
   ): readonly (readonly [key: string, value: unknown, seenAt: number])[] => {
     let known = kinds.get(state.records);
@@ -91,15 +91,9 @@
    * that the later one wins.
    *
    * @example
-   * Spindle.tell(state, 'node/a', {}, 5)
+   * Gossip.tell(state, 'node/a', {}, 5)
    */
-  tell: (
-    state: SpindleState,
-    key: string,
-    value: unknown,
-    now: number,
-    least = 1,
-  ): SpindleState => {
+  tell: (state: GossipState, key: string, value: unknown, now: number, least = 1): GossipState => {
     const serial = Math.max((state.records[key]?.serial ?? 0) + 1, least);
     return {
       ...state,
@@ -115,9 +109,9 @@
    * for a key that nobody else tells, since who has an earlier serial is not given the value again.
    *
    * @example
-   * Spindle.beat(state, 'node/a', 500)
+   * Gossip.beat(state, 'node/a', 500)
    */
-  beat: (state: SpindleState, key: string, now: number): SpindleState => {
+  beat: (state: GossipState, key: string, now: number): GossipState => {
     const held = state.records[key];
     return held === undefined || held.forgotten
       ? state
@@ -127,27 +121,27 @@
         };
   },
 
-  /** Serials since the value under a key was last told whole. @example Spindle.beats(state, 'node/a') // 0 */
-  beats: (state: SpindleState, key: string): number => {
+  /** Serials since the value under a key was last told whole. @example Gossip.beats(state, 'node/a') // 0 */
+  beats: (state: GossipState, key: string): number => {
     const held = state.records[key];
     return held === undefined ? 0 : held.serial - held.since;
   },
 
-  /** Changes a value held here without telling it to others. @example Spindle.note(state, 'origin/s/i', value) */
-  note: (state: SpindleState, key: string, value: unknown): SpindleState => {
+  /** Changes a value held here without telling it to others. @example Gossip.note(state, 'origin/s/i', value) */
+  note: (state: GossipState, key: string, value: unknown): GossipState => {
     const held = state.records[key];
     return held === undefined
       ? state
       : { ...state, records: { ...state.records, [key]: { ...held, value } } };
   },
 
-  /** Takes in what others told; returns the keys that were news. @example Spindle.learn(state, newer, 5).news */
+  /** Takes in what others told; returns the keys that were news. @example Gossip.learn(state, newer, 5).news */
   learn: (
-    state: SpindleState,
+    state: GossipState,
     tellings: Readonly<Record<string, Telling>>,
     now: number,
   ): {
-    readonly state: SpindleState;
+    readonly state: GossipState;
     readonly news: readonly string[];
     /** Those of them with a value. */ readonly values: readonly string[];
   } => {
@@ -176,11 +170,11 @@
     };
   },
 
-  /** Forgets what went silent; its serial stays, so that a late copy does not bring it back. @example Spindle.sweep(state, 99_000) */
+  /** Forgets what went silent; its serial stays, so that a late copy does not bring it back. @example Gossip.sweep(state, 99_000) */
   sweep: (
-    state: SpindleState,
+    state: GossipState,
     now: number,
-  ): { readonly state: SpindleState; readonly gone: readonly string[] } => {
+  ): { readonly state: GossipState; readonly gone: readonly string[] } => {
     const gone = Object.entries(state.records).flatMap(([key, held]) =>
       !held.forgotten && now - held.seenAt > lifeOf(key) ? [key] : [],
     );
@@ -202,8 +196,8 @@
     };
   },
 
-  /** @example Spindle.digest(state) // { 'node/a': 12 } */
-  digest: (state: SpindleState): Readonly<Record<string, number>> =>
+  /** @example Gossip.digest(state) // { 'node/a': 12 } */
+  digest: (state: GossipState): Readonly<Record<string, number>> =>
     Object.fromEntries(
       Object.entries(state.records).flatMap(([key, held]) =>
         held.forgotten ? [] : [[key, held.serial]],
@@ -216,10 +210,10 @@
    * back without memory learns above which serial to speak.
    *
    * @example
-   * Spindle.compare(state, {})
+   * Gossip.compare(state, {})
    */
   compare: (
-    state: SpindleState,
+    state: GossipState,
     digest: Readonly<Record<string, number>>,
   ): {
     readonly newer: Readonly<Record<string, Telling>>;
@@ -242,9 +236,9 @@
     ),
   }),
 
-  /** The records asked for, by the serials that the asker has. @example Spindle.pick(state, { 'node/a': 0 }) */
+  /** The records asked for, by the serials that the asker has. @example Gossip.pick(state, { 'node/a': 0 }) */
   pick: (
-    state: SpindleState,
+    state: GossipState,
     wants: Readonly<Record<string, number>>,
   ): Readonly<Record<string, Telling>> =>
     Object.fromEntries(
@@ -258,7 +252,7 @@
    * A shuffle: neighbours received fill the view, and first push out those that were sent away.
    *
    * @example
-   * Spindle.shuffle([], 'me', [{ id: 'a', address: '127.0.0.1:1', age: 0 }], []) // the one received
+   * Gossip.shuffle([], 'me', [{ id: 'a', address: '127.0.0.1:1', age: 0 }], []) // the one received
    */
   shuffle: (
     view: readonly Neighbour[],
@@ -282,7 +276,7 @@
       .slice(0, Sizes.view);
   },
 
-  /** A part of the view to offer, with oneself as the newest. @example Spindle.sample(view, { id: 'me', address: '127.0.0.1:1' }, 0.3) */
+  /** A part of the view to offer, with oneself as the newest. @example Gossip.sample(view, { id: 'me', address: '127.0.0.1:1' }, 0.3) */
   sample: (
     view: readonly Neighbour[],
     self: { readonly id: string; readonly address: string },
--- a/packages/scriber/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -12,7 +12,7 @@
  * One event as one line of key=value pairs.
  *
  * @example
- * line('policy.applied', { serial: 7, by: 'jig' }) // 'event=policy.applied serial=7 by=jig'
+ * line('policy.applied', { serial: 7, by: 'agent' }) // 'event=policy.applied serial=7 by=agent'
  */
 export const line = (event: string, fields: Fields): string =>
   [
@@ -33,8 +33,8 @@
  * Opens the log of a process on standard error.
  *
  * @example
- * const scribe = openScribe({ program: 'jig', node: 'front-1' });
- * scribe.info('started', { port: 7001 }); // time=… level=INFO program=jig node=front-1 event=started port=7001
+ * const scribe = openScribe({ program: 'agent', node: 'front-1' });
+ * scribe.info('started', { port: 7001 }); // time=… level=INFO program=agent node=front-1 event=started port=7001
  */
 export const openScribe = (fixed: Fields): Scribe => {
   const logger = new Logger({
--- a/packages/blank/src/index.ts
+++ b/packages/origin-stand-in/src/index.ts
@@ -27,7 +27,7 @@
   readonly draining: boolean;
 };
 
-export type BlankOptions = {
+export type OriginStandInOptions = {
   readonly service: string;
   readonly instance: string;
   readonly incarnation: number;
@@ -36,7 +36,7 @@
   readonly hall: string;
   readonly region: string;
   readonly capacity: number;
-  /** APIs of jigs to describe itself to, in turn. */
+  /** APIs of agents to describe itself to, in turn. */
   readonly apis: readonly string[];
   readonly announceMs: number;
   readonly mode?: Partial<Mode>;
@@ -60,14 +60,14 @@
 export type Ran = { readonly id: string; readonly at: number };
 
 /** A running stand-in origin. */
-export type Blank = {
+export type OriginStandIn = {
   readonly address: string;
   readonly mode: () => Mode;
   /** Changes its ways; describes itself at once unless told not to. */
   readonly become: (mode: Partial<Mode>, tell?: boolean) => void;
   /** Takes another identity at the same address. */
   readonly rename: (
-    identity: Partial<Pick<BlankOptions, 'service' | 'instance' | 'incarnation'>>,
+    identity: Partial<Pick<OriginStandInOptions, 'service' | 'instance' | 'incarnation'>>,
   ) => void;
   readonly ran: () => readonly Ran[];
   readonly got: () => number;
@@ -125,7 +125,7 @@
   share === true || (typeof share === 'number' && share > 0 && Math.random() < share);
 
 /** Starts a stand-in origin in this process. */
-export const startBlank = async (options: BlankOptions): Promise<Blank> => {
+export const startOriginStandIn = async (options: OriginStandInOptions): Promise<OriginStandIn> => {
   let identity = {
     service: options.service,
     instance: options.instance,
--- a/packages/blank/src/main.ts
+++ b/packages/origin-stand-in/src/main.ts
@@ -1,8 +1,8 @@
 #!/usr/bin/env node
 import { parseArgs } from 'node:util';
 import http from 'node:http';
-import { openScribe } from '@reedyard/scriber';
-import { startBlank, type Mode } from './index.js';
+import { openScribe } from '@reedyard/logging';
+import { startOriginStandIn, type Mode } from './index.js';
 
 const { values } = parseArgs({
   options: {
@@ -22,12 +22,16 @@
 });
 if (values.service === undefined || values.instance === undefined || values.api === undefined) {
   process.stderr.write(
-    'blank --service NAME --instance NAME --api IP:PORT [--api …] [--host IP] [--port N] [--control-port N] [--hall H] [--region R] [--capacity N] [--max-age S] [--cold]\n',
+    'origin-stand-in --service NAME --instance NAME --api IP:PORT [--api …] [--host IP] [--port N] [--control-port N] [--hall H] [--region R] [--capacity N] [--max-age S] [--cold]\n',
   );
   process.exit(2);
 }
-const scribe = openScribe({ program: 'blank', service: values.service, instance: values.instance });
-const blank = await startBlank({
+const scribe = openScribe({
+  program: 'origin-stand-in',
+  service: values.service,
+  instance: values.instance,
+});
+const standIn = await startOriginStandIn({
   service: values.service,
   instance: values.instance,
   incarnation: Number(values.incarnation),
@@ -41,7 +45,7 @@
   maxAge: Number(values['max-age']),
   mode: { state: values.cold ? 'cold' : 'warm' },
 });
-scribe.info('started', { address: blank.address });
+scribe.info('started', { address: standIn.address });
 
 // Commands of the bench: POST /become with a part of a mode, /rename, /turn; GET /ran.
 http
@@ -52,14 +56,16 @@
     });
     request.on('end', () => {
       const body = text === '' ? {} : (JSON.parse(text) as Record<string, unknown>);
-      if (request.url === '/become') blank.become(body as Partial<Mode>);
-      if (request.url === '/rename') blank.rename(body);
-      if (request.url === '/turn') blank.turn();
-      response.end(JSON.stringify({ ran: blank.ran(), got: blank.got(), mode: blank.mode() }));
+      if (request.url === '/become') standIn.become(body as Partial<Mode>);
+      if (request.url === '/rename') standIn.rename(body);
+      if (request.url === '/turn') standIn.turn();
+      response.end(
+        JSON.stringify({ ran: standIn.ran(), got: standIn.got(), mode: standIn.mode() }),
+      );
     });
   })
   .listen(Number(values['control-port']), values.host);
 process.on('SIGTERM', () => {
-  blank.become({ draining: true });
-  void blank.announce().then(() => process.exit(0));
+  standIn.become({ draining: true });
+  void standIn.announce().then(() => process.exit(0));
 });
--- a/packages/trammel/src/index.ts
+++ b/packages/planner/src/index.ts
@@ -1,6 +1,6 @@
-import type { NodeRecord } from '@reedyard/jig';
-import { boundOf, divide, rateOf, type Seat, type Slices } from '@reedyard/ladle';
-import { Routes, type Description, type Policy, type Route } from '@reedyard/stencil';
+import type { NodeRecord } from '@reedyard/agent';
+import { boundOf, divide, rateOf, type Seat, type Slices } from '@reedyard/quota-division';
+import { Routes, type Description, type Policy, type Route } from '@reedyard/schemas';
 
 /** What the fleet is now, as its own API tells it. */
 export type Known = {
@@ -118,7 +118,7 @@
       ...(intent.empty ?? []),
     ]),
   ];
-  const fronts = known.nodes.filter((node) => node.lathe !== null);
+  const fronts = known.nodes.filter((node) => node.proxy !== null);
   const left = fronts.filter((node) => !emptied.includes(node.hall));
   const seats: readonly Seat[] = left.map((node) => ({
     edge: node.id,
--- a/packages/trammel/src/trammel.test.ts
+++ b/packages/planner/src/planner.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import type { NodeRecord } from '@reedyard/jig';
-import { Stencil, type Description } from '@reedyard/stencil';
+import type { NodeRecord } from '@reedyard/agent';
+import { Schemas, type Description } from '@reedyard/schemas';
 import { plan, type Known } from './index.js';
 
 const node = (id: string, hall: string, region: string, want: number): NodeRecord => ({
@@ -8,11 +8,11 @@
   hall,
   region,
   address: '',
-  lathe: { callers: '', partners: '', capacityBps: 1 },
-  anvil: null,
+  proxy: { callers: '', partners: '', capacityBps: 1 },
+  replica: null,
   ready: true,
   staying: true,
-  latheLife: '',
+  proxyLife: '',
   wants: { store: want },
 });
 const origin = (instance: string, hall: string): Description => ({
@@ -26,7 +26,7 @@
   state: 'warm',
   draining: false,
 });
-const policy = Stencil.policy({
+const policy = Schemas.policy({
   services: { store: { ceiling: 100, coldRate: 5 } },
   routes: [{ name: 'sheets', host: 'a.example', path: '/sheets/', service: 'store' }],
 });
@@ -66,7 +66,7 @@
 });
 
 test('a policy: routes, services, and what would lack', (t) => {
-  const next = Stencil.policy({
+  const next = Schemas.policy({
     services: {
       store: { ceiling: 20, coldRate: 5, instances: ['o2'] },
       news: { ceiling: 5, coldRate: 1 },
--- a/packages/lathe/src/attempt-budget.ts
+++ b/packages/proxy/src/attempt-budget.ts
@@ -2,8 +2,8 @@
  * How many attempts at origins a request has left, what a peer is granted of them, and how both
  * tell each other what was used.
  */
-import { Weights } from '@reedyard/gauge';
-import { Tally } from '@reedyard/tally';
+import { Weights } from '@reedyard/constants';
+import { Attempts } from '@reedyard/attempts';
 import { mayRepeat } from './choice.js';
 import type { LegAnswer, Transaction, Work } from './state.js';
 import { headerText, keepsAlways } from './request-rules.js';
@@ -25,7 +25,7 @@
     transaction.route.limits.attempts ?? Infinity,
     transaction.asked.attempts ?? Infinity,
   );
-  return most === Infinity ? Infinity : most - Tally.spent(transaction.legs);
+  return most === Infinity ? Infinity : most - Attempts.spent(transaction.legs);
 };
 
 /**
@@ -40,7 +40,7 @@
 export const spentFields = (
   transaction: Transaction | undefined,
 ): Readonly<Record<string, string>> => {
-  const spent = Tally.spent(transaction?.legs ?? []);
+  const spent = Attempts.spent(transaction?.legs ?? []);
   return Number.isFinite(spent) ? { [spentHeader]: String(spent) } : {};
 };
 
--- a/packages/lathe/src/attempt-ends.ts
+++ b/packages/proxy/src/attempt-ends.ts
@@ -1,10 +1,10 @@
 /** Takes in how an attempt ended, and derives the next move from the ledger alone. */
-import { Weights } from '@reedyard/gauge';
-import { Sieve } from '@reedyard/sieve';
-import type { Copy } from '@reedyard/sieve';
-import { Routes } from '@reedyard/stencil';
-import { Tally } from '@reedyard/tally';
-import type { Leg, LegEnd, Sent } from '@reedyard/tally';
+import { Weights } from '@reedyard/constants';
+import { Cache } from '@reedyard/cache';
+import type { Copy } from '@reedyard/cache';
+import { Routes } from '@reedyard/schemas';
+import { Attempts } from '@reedyard/attempts';
+import type { Leg, LegEnd, Sent } from '@reedyard/attempts';
 import { mayRepeat, restFor, suspectFor, tookStanding } from './choice.js';
 import { change, count, log, set } from './state.js';
 import type { LegAnswer, Transaction, Work } from './state.js';
@@ -43,7 +43,7 @@
     return;
   }
   const { legs, safe, limitAt } = transaction;
-  const move = Tally.next({
+  const move = Attempts.next({
     safe,
     legs,
     now: work.state.now,
@@ -51,7 +51,7 @@
     mayRepeat: mayTryMore(work, transaction),
   });
   if (transaction.callerGone && move.kind === 'open') {
-    giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'its caller left');
+    giveUp(work, transaction, 503, Attempts.outcomeOf(transaction.legs), 'its caller left');
     return;
   }
   if (move.kind === 'open') startAgain(work, transaction);
@@ -82,9 +82,9 @@
     return;
   }
   const { safe } = transaction;
-  const tags = Sieve.tags(answer.headers, transaction.route.tagsHeader);
+  const tags = Cache.tags(answer.headers, transaction.route.tagsHeader);
   const purgedAt = keeps(transaction.route, transaction.asked.method)
-    ? Sieve.purgedSince(state.sieve, transaction.key, tags, leg.openedAt)
+    ? Cache.purgedSince(state.cache, transaction.key, tags, leg.openedAt)
     : null;
   // It may be what a purge was meant to take away, and the time for that is nearly over, or such a
   // purge can't have been heard of: what only reads is then not passed on.
@@ -171,7 +171,7 @@
     set(work, { period: { ...period, legMs: period.legMs + legMs, fetched: period.fetched + 1 } });
   } else count(work, 'forwarded');
   const copy = fromOrigin ? copyOf(work, transaction, leg, answer, tags, purgedAt) : null;
-  if (copy !== null) set(work, { sieve: Sieve.keep(work.state.sieve, copy) });
+  if (copy !== null) set(work, { cache: Cache.keep(work.state.cache, copy) });
   else if (transaction.leads)
     set(work, {
       unkept: {
@@ -238,7 +238,7 @@
       ? answer.status === 200
         ? (route.cache.mostSeconds ?? 0) * 1_000
         : 0
-      : Sieve.life(
+      : Cache.life(
           { method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers },
           answer,
           legMs,
@@ -252,7 +252,7 @@
     body: answer.body,
     size: answer.size,
     tags,
-    vary: Sieve.vary(answer.headers, transaction.asked.headers),
+    vary: Cache.vary(answer.headers, transaction.asked.headers),
     takenAt: state.now,
     freshUntil: state.now + life,
     bornAge:
--- a/packages/lathe/src/body-bound.test.ts
+++ b/packages/proxy/src/body-bound.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { soundAnswer, startScriptedOrigin } from './testing/scripted-origin.js';
-import { originRow, policyOf, RawCaller, startHarness } from './testing/lathe-harness.js';
+import { originRow, policyOf, RawCaller, startHarness } from './testing/proxy-harness.js';
 
 test("a body up to the config's bound on callers is taken where its route sets none", async (t) => {
   const origin = await startScriptedOrigin((request, socket) => {
--- a/packages/lathe/src/caller-answer.ts
+++ b/packages/proxy/src/caller-answer.ts
@@ -4,7 +4,7 @@
  */
 import type http from 'node:http';
 import type { Readable } from 'node:stream';
-import type { Headers } from '@reedyard/sieve';
+import type { Headers } from '@reedyard/cache';
 import type { Dialect } from './dialect.js';
 import { present, stamped } from './present.js';
 import type { Answer, Asked } from './state.js';
--- a/packages/lathe/src/caller-bounds.ts
+++ b/packages/proxy/src/caller-bounds.ts
@@ -2,8 +2,8 @@
  * How much a caller may send and how long it may take, from the configuration in force. A config
  * that leaves a bound out gets a default which turns no ordinary caller away.
  */
-import { Limits, Sizes } from '@reedyard/gauge';
-import type { Policy } from '@reedyard/stencil';
+import { Limits, Sizes } from '@reedyard/constants';
+import type { Policy } from '@reedyard/schemas';
 
 /** Bounds on what one caller sends over one connection. */
 export type CallerBounds = {
--- a/packages/lathe/src/caller-sockets.test.ts
+++ b/packages/proxy/src/caller-sockets.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import type { Socket } from 'node:net';
-import { Sizes } from '@reedyard/gauge';
+import { Sizes } from '@reedyard/constants';
 import {
   answerOf,
   ownFields,
@@ -17,7 +17,7 @@
   startHarness,
   until,
   type Harness,
-} from './testing/lathe-harness.js';
+} from './testing/proxy-harness.js';
 
 type Stage = { readonly origin: ScriptedOrigin; readonly harness: Harness };
 type Callers = Parameters<typeof policyOf>[0];
@@ -149,8 +149,8 @@
   await until(() => held.paths.length === 3);
   caller.socket.destroy();
   await until(() => origin.sockets.every((socket) => socket.closed));
-  await until(() => harness.lathe.underWay() === 0);
-  t.deepEqual(harness.lathe.task.peek().transactions, {});
+  await until(() => harness.proxy.underWay() === 0);
+  t.deepEqual(harness.proxy.task.peek().transactions, {});
 });
 
 test('while it stops, each pipelined request at work gets its answer, and the last one closes', async (t) => {
@@ -161,7 +161,7 @@
   caller.send('POST', '/order/2', 'r2', 'pay');
   caller.send('GET', '/read/3', 'r3');
   await until(() => held.paths.length === 3);
-  harness.lathe.stop();
+  harness.proxy.stop();
   held.release('/read/1');
   await caller.first(1);
   held.release('/order/2');
@@ -180,9 +180,9 @@
   caller.send('GET', '/read/1', 'r1');
   caller.send('GET', '/read/2', 'r2');
   await until(() => held.paths.length === 2);
-  harness.lathe.stop();
+  harness.proxy.stop();
   held.release('/read/2');
-  const { task } = harness.lathe;
+  const { task } = harness.proxy;
   await until(() => Object.keys(task.peek().transactions).length === 1);
   caller.send('POST', '/order/3', 'r3', 'pay');
   held.release('/read/1');
@@ -204,13 +204,13 @@
   caller.send('GET', '/read/large', 'r1');
   await until(() => caller.text.length > 0);
   caller.socket.pause();
-  await until(() => Object.keys(harness.lathe.task.peek().transactions).length === 0);
-  harness.lathe.stop();
-  t.is(harness.lathe.underWay(), 1);
+  await until(() => Object.keys(harness.proxy.task.peek().transactions).length === 0);
+  harness.proxy.stop();
+  t.is(harness.proxy.underWay(), 1);
   caller.socket.resume();
   await caller.first(1);
   t.is(caller.answers()[0]?.body.length, size);
-  await until(() => harness.lathe.underWay() === 0);
+  await until(() => harness.proxy.underWay() === 0);
 });
 
 test('resting connections are kept for the time in force, and told no other', async (t) => {
--- a/packages/lathe/src/choice.ts
+++ b/packages/proxy/src/choice.ts
@@ -1,19 +1,19 @@
-import { Limits, Weights } from '@reedyard/gauge';
-import { groupKey, holderOf, objectKey } from '@reedyard/plumb';
-import { Routes, type Route } from '@reedyard/stencil';
-import { Tally } from '@reedyard/tally';
-import type { OriginRow, PartnerRow } from '@reedyard/jig';
+import { Limits, Weights } from '@reedyard/constants';
+import { groupKey, holderOf, objectKey } from '@reedyard/server-selection';
+import { Routes, type Route } from '@reedyard/schemas';
+import { Attempts } from '@reedyard/attempts';
+import type { OriginRow, PartnerRow } from '@reedyard/agent';
 import type { Proof } from './dialect.js';
 import {
   set,
   type Bucket,
-  type LatheState,
+  type ProxyState,
   type Standing,
   type Transaction,
   type Work,
 } from './state.js';
 
-const suspect = (state: LatheState, name: string): boolean =>
+const suspect = (state: ProxyState, name: string): boolean =>
   (state.suspects[name] ?? 0) > state.now;
 
 export const originName = (row: OriginRow): string =>
@@ -25,7 +25,7 @@
 
 /** Whether a request on a route may run more than once. */
 export const isSafe = (route: Route, method: string): boolean =>
-  route.repeat === 'safe' || (route.repeat !== 'never' && Tally.safe(method));
+  route.repeat === 'safe' || (route.repeat !== 'never' && Attempts.safe(method));
 
 /**
  * The service of a request, drawn by the weights of its route; the one drawn before where the route
@@ -44,7 +44,7 @@
 
 /** Partners that may be given this transaction, nearest first. */
 export const allowedPartners = (
-  state: LatheState,
+  state: ProxyState,
   transaction: Transaction,
 ): readonly PartnerRow[] => {
   const tried = new Set(transaction.legs.map((leg) => leg.to.id));
@@ -59,7 +59,7 @@
  * a row the edge serves itself where it may, or else hands on to the nearest that may.
  */
 export const drawServer = (
-  state: LatheState,
+  state: ProxyState,
   transaction: Transaction,
 ): 'self' | PartnerRow | null => {
   const home = atHome(transaction.route.homes, state.self.region);
@@ -119,7 +119,7 @@
 };
 
 /** ms until a bucket has its next token; Infinity where it never will. */
-export const waitFor = (state: LatheState, name: string, rate: number, ahead: number): number => {
+export const waitFor = (state: ProxyState, name: string, rate: number, ahead: number): number => {
   if (rate === Infinity) return 0;
   const bucket = state.buckets[name];
   const tokens = bucket === undefined ? 0 : filled(bucket, state.now);
@@ -127,13 +127,13 @@
 };
 
 /** Nodes that share the origins with this one. */
-const nodes = (state: LatheState): number => (state.feed?.partners.length ?? 0) + 1;
+const nodes = (state: ProxyState): number => (state.feed?.partners.length ?? 0) + 1;
 
 /**
  * Requests that this node may have under way at an origin: its part of what that one works on and
  * lets wait, and of the conns that it accepts.
  */
-export const roomAt = (state: LatheState, row: OriginRow): number => {
+export const roomAt = (state: ProxyState, row: OriginRow): number => {
   const parts = nodes(state);
   const slots =
     row.slots == null
@@ -148,7 +148,7 @@
  * Requests at an origin: our own, and those of others as it last told, which count less the longer
  * ago that was.
  */
-const busyAt = (state: LatheState, name: string): number => {
+const busyAt = (state: ProxyState, name: string): number => {
   const own = state.outstanding[name] ?? 0;
   const load = state.standings[name]?.load;
   if (!load) return own;
@@ -160,7 +160,7 @@
 };
 
 /** ms that an origin's answers take; what was met there long ago counts as the mean of all. */
-export const answerMs = (state: LatheState, row: OriginRow, mean: number): number => {
+export const answerMs = (state: ProxyState, row: OriginRow, mean: number): number => {
   const known = state.standings[originName(row)];
   return known === undefined
     ? mean
@@ -168,7 +168,7 @@
 };
 
 /** ms that the answers of a service's origins take on average here; 0 where none was had. */
-export const meanMs = (state: LatheState, rows: readonly OriginRow[]): number => {
+export const meanMs = (state: ProxyState, rows: readonly OriginRow[]): number => {
   const known = rows.flatMap((row) => {
     const standing = state.standings[originName(row)];
     return standing === undefined ? [] : [standing.ms];
@@ -180,7 +180,7 @@
  * ms. What an attempt at an origin is likely to cost: its usual time, more where it is nearly full,
  * and the bytes that pass between zones.
  */
-const costOf = (state: LatheState, row: OriginRow, mean: number, replyBytes: number): number => {
+const costOf = (state: ProxyState, row: OriginRow, mean: number, replyBytes: number): number => {
   const ms = Math.max(1, answerMs(state, row, mean));
   const slots = row.slots ?? Math.max(1, (row.capacity * Math.max(1, mean)) / 1_000);
   const use = (busyAt(state, originName(row)) + 1) / slots;
@@ -198,7 +198,7 @@
  * nodes which know the same don't all choose the same one; then the others by their cost.
  */
 export const rankOrigins = (
-  state: LatheState,
+  state: ProxyState,
   transaction: Transaction,
   replyBytes = 0,
 ): readonly OriginRow[] => {
@@ -290,7 +290,7 @@
       ),
     },
   });
-export const mayRepeat = (state: LatheState, service: string): boolean =>
+export const mayRepeat = (state: ProxyState, service: string): boolean =>
   (state.repeats[service] ?? 0) >= 1;
 export const spendRepeat = (work: Work, service: string): void =>
   set(work, {
--- a/packages/lathe/src/connection.ts
+++ b/packages/proxy/src/connection.ts
@@ -9,7 +9,7 @@
  * - It rests for another attempt only after the last one was written whole and answered whole by an
  *   answer that was its own, with no byte beyond it, and while neither end has begun to close.
  */
-import type { Sent } from '@reedyard/tally';
+import type { Sent } from '@reedyard/attempts';
 
 /** What ties an answer to the attempt under way. */
 export type AnswerEvidence = {
--- a/packages/lathe/src/conns.ts
+++ b/packages/proxy/src/conns.ts
@@ -5,9 +5,9 @@
 import http from 'node:http';
 import net from 'node:net';
 import { performance } from 'node:perf_hooks';
-import { Limits } from '@reedyard/gauge';
-import type { OriginRow, PartnerRow } from '@reedyard/jig';
-import { textOf } from '@reedyard/scriber';
+import { Limits } from '@reedyard/constants';
+import type { OriginRow, PartnerRow } from '@reedyard/agent';
+import { textOf } from '@reedyard/logging';
 import { originName } from './choice.js';
 import type { Dialect, ToOrigin } from './dialect.js';
 import {
--- a/packages/lathe/src/core.ts
+++ b/packages/proxy/src/core.ts
@@ -2,14 +2,14 @@
  * The proxy as a reducer: events of callers, peers, origins, the agent and the clock, and the
  * effects that follow.
  */
-import type { Step } from '@reedyard/chute';
-import { Limits, Sizes } from '@reedyard/gauge';
-import type { ClaimReply } from '@reedyard/jig';
-import { Sieve } from '@reedyard/sieve';
-import { Routes } from '@reedyard/stencil';
+import type { Step } from '@reedyard/task-loop';
+import { Limits, Sizes } from '@reedyard/constants';
+import type { ClaimReply } from '@reedyard/agent';
+import { Cache } from '@reedyard/cache';
+import { Routes } from '@reedyard/schemas';
 import { drawService, earnRepeat, isSafe } from './choice.js';
 import { change, count, set } from './state.js';
-import type { Asked, LatheEffect, LatheEvent, LatheState, Transaction, Work } from './state.js';
+import type { Asked, ProxyEffect, ProxyEvent, ProxyState, Transaction, Work } from './state.js';
 import { answered, endLeg, failed } from './attempt-ends.js';
 import { close, giveUp, turnAway } from './ending.js';
 import { fed } from './feeding.js';
@@ -68,12 +68,12 @@
     serial: state.policy?.serial ?? 0,
     service: drawService(route, draws.at(-1) ?? 0),
     safe,
-    key: Sieve.key(asked.host, asked.target),
+    key: Cache.key(asked.host, asked.target),
     arrivedAt: state.now,
     limitAt: limitOf(route, asked, state.now),
     draws,
     token,
-    claimKey: callerKey === null ? null : Sieve.key(asked.host, `/${callerKey}`),
+    claimKey: callerKey === null ? null : Cache.key(asked.host, `/${callerKey}`),
     legs: [],
     phase: callerKey === null ? 'leg' : 'claiming',
     heldAt: 0,
@@ -176,9 +176,9 @@
   close(work, ended);
 };
 
-export const Lathe = {
-  /** @example Lathe.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
-  open: (self: LatheState['self'], now: number): LatheState => ({
+export const ProxyCore = {
+  /** @example ProxyCore.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
+  open: (self: ProxyState['self'], now: number): ProxyState => ({
     self,
     now,
     lease: 0,
@@ -191,7 +191,7 @@
     feed: null,
     holders: {},
     emptiedAt: null,
-    sieve: Sieve.empty,
+    cache: Cache.empty,
     abroad: false,
     transactions: {},
     fetches: {},
@@ -209,16 +209,16 @@
     wanted: { since: now, counts: {} },
   }),
 
-  /** Whether the platform may send callers here. @example Lathe.ready(state, 5) // false */
-  ready: (state: LatheState, now: number): boolean =>
+  /** Whether the platform may send callers here. @example ProxyCore.ready(state, 5) // false */
+  ready: (state: ProxyState, now: number): boolean =>
     now < state.lease &&
     state.policy !== null &&
     state.stoppingAt === null &&
     state.emptiedAt === null &&
     state.feed?.seated === true,
 
-  /** @example Lathe.reduce(state, { kind: 'beat', now: 25 }).effects */
-  reduce: (state: LatheState, event: LatheEvent): Step<LatheState, LatheEffect> => {
+  /** @example ProxyCore.reduce(state, { kind: 'beat', now: 25 }).effects */
+  reduce: (state: ProxyState, event: ProxyEvent): Step<ProxyState, ProxyEffect> => {
     const work: Work = { state: { ...state, now: Math.max(state.now, event.now) }, effects: [] };
     switch (event.kind) {
       case 'arrived':
--- a/packages/lathe/src/dialect.ts
+++ b/packages/proxy/src/dialect.ts
@@ -1,5 +1,5 @@
-import type { OriginRow } from '@reedyard/jig';
-import type { Headers } from '@reedyard/sieve';
+import type { OriginRow } from '@reedyard/agent';
+import type { Headers } from '@reedyard/cache';
 
 /**
  * What an origin tells of itself with an answer: requests that it works on, that wait, and how many
@@ -35,12 +35,12 @@
   readonly status: number;
   readonly headers: Headers;
   readonly asked: Headers;
-  /** ms after which to come again, where the lathe itself says so. */ readonly retryMs:
+  /** ms after which to come again, where the proxy itself says so. */ readonly retryMs:
     number | null;
 };
 
 /**
- * How a lathe is spoken to by callers and speaks to origins: names of header fields and what they
+ * How a proxy is spoken to by callers and speaks to origins: names of header fields and what they
  * mean. It decides nothing. Peers speak the project's own way whatever the dialect.
  */
 export type Dialect = {
--- a/packages/lathe/src/draining.test.ts
+++ b/packages/proxy/src/draining.test.ts
@@ -5,7 +5,7 @@
   startScriptedOrigin,
   type ScriptedOrigin,
 } from './testing/scripted-origin.js';
-import { originRow, RawCaller, startHarness, until } from './testing/lathe-harness.js';
+import { originRow, RawCaller, startHarness, until } from './testing/proxy-harness.js';
 
 /** An origin that holds back its answers until it is let go. */
 const startHolding = async (
@@ -37,7 +37,7 @@
   }
   await until(() => draining.requests.length === 2);
   harness.feed.origins = [rows.staying];
-  const { task } = harness.lathe;
+  const { task } = harness.proxy;
   await until(() => task.peek().feed?.origins[0]?.instance === 'i2');
   for (let number = 0; number < 20; number += 1) {
     const caller = await RawCaller.connect(harness.port);
--- a/packages/lathe/src/ending.ts
+++ b/packages/proxy/src/ending.ts
@@ -2,13 +2,13 @@
  * Ends requests: answers of the proxy itself and from copies, and what becomes of those that waited
  * for the same fetch.
  */
-import { Limits } from '@reedyard/gauge';
-import type { ClaimState } from '@reedyard/jig';
-import { objectKey } from '@reedyard/plumb';
-import type { Copy } from '@reedyard/sieve';
-import { Routes } from '@reedyard/stencil';
-import { Tally } from '@reedyard/tally';
-import type { Outcome } from '@reedyard/tally';
+import { Limits } from '@reedyard/constants';
+import type { ClaimState } from '@reedyard/agent';
+import { objectKey } from '@reedyard/server-selection';
+import type { Copy } from '@reedyard/cache';
+import { Routes } from '@reedyard/schemas';
+import { Attempts } from '@reedyard/attempts';
+import type { Outcome } from '@reedyard/attempts';
 import { spentFields } from './attempt-budget.js';
 import { drawService, isSafe } from './choice.js';
 import { change, count, log, set } from './state.js';
@@ -16,7 +16,7 @@
 import { headerText, keeps, keepsAlways, limitOf, refusalOf } from './request-rules.js';
 import { startAgain } from './serving.js';
 
-/** Answers that ask nothing of any origin: what the lathe itself has to say. */
+/** Answers that ask nothing of any origin: what the proxy itself has to say. */
 export const turnAway = (
   work: Work,
   id: number,
@@ -200,7 +200,7 @@
   }
 };
 
-/** Ends a transaction that provably ran nothing with an answer of the lathe's own. */
+/** Ends a transaction that provably ran nothing with an answer of the proxy's own. */
 const endUnrun = (
   work: Work,
   transaction: Transaction,
@@ -234,7 +234,7 @@
       }) ?? null
     );
   }
-  if (refusal !== null && Tally.outcomeOf(transaction.legs) === 'not-run')
+  if (refusal !== null && Attempts.outcomeOf(transaction.legs) === 'not-run')
     endUnrun(work, transaction, refusal);
   else giveUp(work, transaction, 502, 'unknown', 'a newer policy allows no other attempt');
   return null;
--- a/packages/lathe/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -6,9 +6,9 @@
 import http from 'node:http';
 import type net from 'node:net';
 import { performance } from 'node:perf_hooks';
-import { Limits } from '@reedyard/gauge';
-import { LayerError, textOf } from '@reedyard/scriber';
-import type { Sent } from '@reedyard/tally';
+import { Limits } from '@reedyard/constants';
+import { LayerError, textOf } from '@reedyard/logging';
+import type { Sent } from '@reedyard/attempts';
 import {
   Connections,
   type AnswerEvidence,
--- a/packages/lathe/src/feeding.ts
+++ b/packages/proxy/src/feeding.ts
@@ -2,11 +2,11 @@
  * Takes in what the agent feeds: the configuration, shares and peers in force, purges, and the
  * lease.
  */
-import { Limits } from '@reedyard/gauge';
-import type { Feed } from '@reedyard/jig';
-import { holdersOf } from '@reedyard/plumb';
-import { Sieve } from '@reedyard/sieve';
-import { Routes } from '@reedyard/stencil';
+import { Limits } from '@reedyard/constants';
+import type { Feed } from '@reedyard/agent';
+import { holdersOf } from '@reedyard/server-selection';
+import { Cache } from '@reedyard/cache';
+import { Routes } from '@reedyard/schemas';
 import { log, set } from './state.js';
 import type { Work } from './state.js';
 import { lifeEnd } from './request-rules.js';
@@ -24,9 +24,9 @@
       feed.flushes !== state.flushes ||
       askedAt - state.fedAt > Limits.fact / 2);
   if (gone)
-    log(work, 'copies.flushed', { why: feed.life !== state.life ? 'jig restarted' : 'was away' });
-  let sieve = gone ? Sieve.flush(state.sieve) : state.sieve;
-  for (const { purge } of feed.purges) sieve = Sieve.purge(sieve, purge, state.now);
+    log(work, 'copies.flushed', { why: feed.life !== state.life ? 'agent restarted' : 'was away' });
+  let cache = gone ? Cache.flush(state.cache) : state.cache;
+  for (const { purge } of feed.purges) cache = Cache.purge(cache, purge, state.now);
   const routes =
     policy === state.policy || policy === null
       ? state.routes
@@ -34,9 +34,9 @@
   if (policy !== state.policy) {
     log(work, 'policy.in-force', { serial: policy?.serial ?? 0 });
     const table = routes;
-    sieve = Sieve.dropWhere(
-      sieve,
-      (copy) => state.now >= lifeEnd(Routes.find(table, ...Sieve.place(copy.key)), state, copy),
+    cache = Cache.dropWhere(
+      cache,
+      (copy) => state.now >= lifeEnd(Routes.find(table, ...Cache.place(copy.key)), state, copy),
     );
   }
   const emptied = feed.emptied.includes(state.self.hall);
@@ -47,7 +47,7 @@
     flushes: feed.flushes,
     fedAt: askedAt,
     purgeSeq: feed.purgeSeq,
-    sieve,
+    cache,
     lease: feed.leaseMs > 0 ? Math.max(state.lease, askedAt + feed.leaseMs) : state.lease,
     policy,
     routes,
--- a/packages/lathe/src/feeds.ts
+++ b/packages/proxy/src/feeds.ts
@@ -1,15 +1,15 @@
-import type { Feed, FeedTold, Holding, Revisions } from '@reedyard/jig';
+import type { Feed, FeedTold, Holding, Revisions } from '@reedyard/agent';
 
-/** The last feed as a lathe's shell holds it. */
+/** The last feed as a proxy's shell holds it. */
 export type HeldFeed = { readonly feed: Feed; readonly revisions: Revisions };
 
 export const Feeds = {
-  /** What the jig is told to be held. @example Feeds.holding(null) // null */
+  /** What the agent is told to be held. @example Feeds.holding(null) // null */
   holding: (held: HeldFeed | null): Holding | null =>
     held === null ? null : { life: held.feed.life, revisions: held.revisions },
 
   /**
-   * The whole feed from what the jig told and from what its question said was held.
+   * The whole feed from what the agent told and from what its question said was held.
    *
    * @example
    * Feeds.merge(held, told).feed.origins // those told, or else those held
--- a/packages/lathe/src/node-http-client.test.ts
+++ b/packages/proxy/src/node-http-client.test.ts
@@ -1,14 +1,14 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import http from 'node:http';
-import { textOf } from '@reedyard/scriber';
+import { textOf } from '@reedyard/logging';
 import {
   answerOf,
   startScriptedOrigin,
   type Script,
   type ScriptedOrigin,
 } from './testing/scripted-origin.js';
-import { until } from './testing/lathe-harness.js';
+import { until } from './testing/proxy-harness.js';
 
 /**
  * What the proxy relies on: Node's HTTP client and its agent send a request once, or not at all.
--- a/packages/lathe/src/origin-sockets.test.ts
+++ b/packages/proxy/src/origin-sockets.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { Sizes } from '@reedyard/gauge';
+import { Sizes } from '@reedyard/constants';
 import {
   answerOf,
   ownFields,
@@ -16,7 +16,7 @@
   startHarness,
   until,
   type Harness,
-} from './testing/lathe-harness.js';
+} from './testing/proxy-harness.js';
 
 type Stage = { readonly origin: ScriptedOrigin; readonly harness: Harness };
 
@@ -215,7 +215,7 @@
   };
   const { port } = setting.origin;
   setting.harness.feed.origins = [originRow(port, 'i1'), originRow(port, 'i2')];
-  const { task } = setting.harness.lathe;
+  const { task } = setting.harness.proxy;
   await until(() => task.peek().feed?.origins.length === 2);
   const bodies: (string | undefined)[] = [];
   for (let number = 0; number < 8; number += 1) {
--- a/packages/lathe/src/present.ts
+++ b/packages/proxy/src/present.ts
@@ -1,6 +1,6 @@
 import fresh from 'fresh';
 import parseRange from 'range-parser';
-import type { Headers } from '@reedyard/sieve';
+import type { Headers } from '@reedyard/cache';
 
 /** How a whole answer is shown to one caller: a 304, a part, or all of it. */
 export type Shown = {
--- a/packages/lathe/src/lathe.test.ts
+++ b/packages/proxy/src/proxy.test.ts
@@ -1,18 +1,18 @@
 import test from 'ava';
-import { Limits } from '@reedyard/gauge';
-import type { Feed } from '@reedyard/jig';
-import { Stencil } from '@reedyard/stencil';
+import { Limits } from '@reedyard/constants';
+import type { Feed } from '@reedyard/agent';
+import { Schemas } from '@reedyard/schemas';
 import {
-  Lathe,
+  ProxyCore,
   present,
   type Asked,
-  type LatheEffect,
-  type LatheEvent,
-  type LatheState,
+  type ProxyEffect,
+  type ProxyEvent,
+  type ProxyState,
   type LegAnswer,
 } from './index.js';
 
-const policy = Stencil.policy({
+const policy = Schemas.policy({
   services: { store: { ceiling: 1_000, coldRate: 10 } },
   routes: [
     {
@@ -64,7 +64,7 @@
   bodyBytes: 0,
   digest: null,
 });
-const arrive = (id: number, method: string, now: number, target?: string): LatheEvent => ({
+const arrive = (id: number, method: string, now: number, target?: string): ProxyEvent => ({
   kind: 'arrived',
   id,
   asked: asked(method, target),
@@ -81,18 +81,18 @@
   ...part,
 });
 const play = (
-  events: readonly LatheEvent[],
-  from: LatheState,
-): { state: LatheState; effects: readonly LatheEffect[] } =>
-  events.reduce<{ state: LatheState; effects: readonly LatheEffect[] }>(
+  events: readonly ProxyEvent[],
+  from: ProxyState,
+): { state: ProxyState; effects: readonly ProxyEffect[] } =>
+  events.reduce<{ state: ProxyState; effects: readonly ProxyEffect[] }>(
     (all, event) => {
-      const step = Lathe.reduce(all.state, event);
+      const step = ProxyCore.reduce(all.state, event);
       return { state: step.state, effects: [...all.effects, ...step.effects] };
     },
     { state: from, effects: [] },
   );
-/** A lathe that has had its feed for a second, so that its buckets are filled. */
-const begun = (feed = feedOf()): LatheState =>
+/** A proxy that has had its feed for a second, so that its buckets are filled. */
+const begun = (feed = feedOf()): ProxyState =>
   play(
     [
       { kind: 'fed', feed, askedAt: 0, now: 0 },
@@ -108,15 +108,15 @@
       { kind: 'beat', now: 500 },
       { kind: 'fed', feed: { ...feed, policy: null }, askedAt: 900, now: 900 },
     ],
-    Lathe.open({ id: 'a', hall: 'w', region: 'near', capacityBps: 1e7, life: 'x' }, 0),
+    ProxyCore.open({ id: 'a', hall: 'w', region: 'near', capacityBps: 1e7, life: 'x' }, 0),
   ).state;
-const only = <K extends LatheEffect['kind']>(
-  effects: readonly LatheEffect[],
+const only = <K extends ProxyEffect['kind']>(
+  effects: readonly ProxyEffect[],
   kind: K,
   id: number,
-): readonly Extract<LatheEffect, { kind: K }>[] =>
+): readonly Extract<ProxyEffect, { kind: K }>[] =>
   effects.filter(
-    (effect): effect is Extract<LatheEffect, { kind: K }> =>
+    (effect): effect is Extract<ProxyEffect, { kind: K }> =>
       effect.kind === kind && 'id' in effect && effect.id === id,
   );
 
@@ -130,7 +130,7 @@
 test('one transaction, all orders of what can befall it: one answer at most, one end, and no second leg that may run twice', (t) => {
   let played = 0;
   for (const method of ['GET', 'POST']) {
-    const happenings: readonly ((now: number) => LatheEvent)[] = [
+    const happenings: readonly ((now: number) => ProxyEvent)[] = [
       (now) => ({ kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now }),
       (now) => ({ kind: 'failed', id: 1, leg: 0, sent: 'maybe', why: 'cut', now }),
       (now) => ({ kind: 'left', id: 1, now }),
@@ -199,7 +199,7 @@
     ],
     begun(),
   ).state;
-  t.is(kept.sieve.copies.size, 1);
+  t.is(kept.cache.copies.size, 1);
   t.is(only(play([arrive(2, 'GET', 1_100)], kept).effects, 'answer', 2)[0]?.answer.status, 200);
   const late = 900 + Limits.lease;
   t.is(only(play([arrive(2, 'GET', late)], kept).effects, 'answer', 2)[0]?.answer.status, 503);
@@ -243,7 +243,7 @@
   );
   t.is(only(effects, 'open', 1)[0]?.to.kind, 'partner');
   t.is(only(effects, 'answer', 1)[0]?.answer.status, 200);
-  t.is(state.sieve.copies.size, 0);
+  t.is(state.cache.copies.size, 0);
   const alone = play(
     [arrive(1, 'GET', 1_000, '/homed/1')],
     begun(feedOf({ partners: [] })),
@@ -254,7 +254,7 @@
 
 test('what arrives from a partner is served here, never handed on', (t) => {
   const split = { sheets: [['b', 1] as const] };
-  const from = (via: string | null): LatheEvent => ({
+  const from = (via: string | null): ProxyEvent => ({
     kind: 'arrived',
     id: 1,
     asked: { ...asked('GET'), via },
@@ -273,7 +273,7 @@
   const split = { sheets: [['a', 0.3] as const, ['b', 0.7] as const] };
   let away = 0;
   for (let each = 0; each < 100; each += 1) {
-    const event: LatheEvent = {
+    const event: ProxyEvent = {
       kind: 'arrived',
       id: 1,
       asked: asked('GET'),
@@ -304,7 +304,7 @@
   for (const [name, document] of Object.entries(next))
     for (const key of [true, false])
       for (const method of ['GET', 'POST']) {
-        const happenings: readonly ((now: number) => LatheEvent)[] = [
+        const happenings: readonly ((now: number) => ProxyEvent)[] = [
           (now) => ({ kind: 'claimed', id: 1, reply: { kind: 'granted' }, now }),
           (now) => ({
             kind: 'fed',
@@ -319,8 +319,8 @@
           (now) => ({ kind: 'failed', id: 1, leg: 0, sent: 'nothing', why: 'connect', now }),
           (now) => ({ kind: 'beat', now }),
         ];
-        const first: LatheEvent = {
-          ...(arrive(1, method, 1_000) as Extract<LatheEvent, { kind: 'arrived' }>),
+        const first: ProxyEvent = {
+          ...(arrive(1, method, 1_000) as Extract<ProxyEvent, { kind: 'arrived' }>),
           asked: {
             ...asked(method),
             headers: key ? { 'idempotency-key': 'k' } : {},
@@ -329,7 +329,7 @@
         };
         for (const order of orders(happenings)) {
           let state = begun();
-          const effects: LatheEffect[] = [];
+          const effects: ProxyEffect[] = [];
           let answers = 0;
           for (const [index, event] of [
             first,
@@ -337,7 +337,7 @@
             { kind: 'beat', now: 9_000 } as const,
             { kind: 'beat', now: 20_000 } as const,
           ].entries()) {
-            const step = Lathe.reduce(state, event);
+            const step = ProxyCore.reduce(state, event);
             state = step.state;
             effects.push(...step.effects);
             answers += only(step.effects, 'answer', 1).length;
@@ -378,7 +378,7 @@
     t.fail();
     return;
   }
-  const under = (routes: typeof policy.routes, now = 1_020): LatheState =>
+  const under = (routes: typeof policy.routes, now = 1_020): ProxyState =>
     play(
       [
         {
@@ -399,16 +399,16 @@
       ],
       kept,
     ).state;
-  t.is(under([sheets, homed]).sieve.copies.size, 1);
-  t.is(under([homed]).sieve.copies.size, 0);
-  t.is(under([{ ...sheets, service: 'other' }, homed]).sieve.copies.size, 0);
+  t.is(under([sheets, homed]).cache.copies.size, 1);
+  t.is(under([homed]).cache.copies.size, 0);
+  t.is(under([{ ...sheets, service: 'other' }, homed]).cache.copies.size, 0);
   t.is(
-    under([sheets, homed, { ...sheets, name: 'deeper', path: '/sheets/1', service: 'other' }]).sieve
+    under([sheets, homed, { ...sheets, name: 'deeper', path: '/sheets/1', service: 'other' }]).cache
       .copies.size,
     0,
   );
-  t.is(under([{ ...sheets, homes: ['far'] }, homed]).sieve.copies.size, 0);
-  t.is(under([{ ...sheets, cache: { keep: 'never' } }, homed]).sieve.copies.size, 0);
+  t.is(under([{ ...sheets, homes: ['far'] }, homed]).cache.copies.size, 0);
+  t.is(under([{ ...sheets, cache: { keep: 'never' } }, homed]).cache.copies.size, 0);
   const shorter = under([{ ...sheets, cache: { keep: 'origin', mostSeconds: 1 } }, homed]);
   t.is(
     only(play([arrive(2, 'GET', 1_900)], shorter).effects, 'answer', 2)[0]?.answer.headers[
@@ -417,13 +417,13 @@
     'copy',
   );
   t.is(only(play([arrive(2, 'GET', 2_015)], shorter).effects, 'open', 2).length, 1);
-  // Where there are other regions, a lathe that has long been without a lease keeps none.
+  // Where there are other regions, a proxy that has long been without a lease keeps none.
   t.is(
-    play([{ kind: 'beat', now: kept.lease + Limits.unknowing - 1 }], kept).state.sieve.copies.size,
+    play([{ kind: 'beat', now: kept.lease + Limits.unknowing - 1 }], kept).state.cache.copies.size,
     1,
   );
   t.is(
-    play([{ kind: 'beat', now: kept.lease + Limits.unknowing + 1 }], kept).state.sieve.copies.size,
+    play([{ kind: 'beat', now: kept.lease + Limits.unknowing + 1 }], kept).state.cache.copies.size,
     0,
   );
 });
@@ -457,7 +457,7 @@
     begun(),
   );
   t.is(only(effects, 'answer', 1)[0]?.answer.status, 200);
-  t.is(state.sieve.copies.size, 0);
+  t.is(state.cache.copies.size, 0);
   for (const id of [2, 3])
     t.deepEqual(
       only(effects, 'open', id).map(({ to }) => to.kind === 'origin' && to.row.service),
@@ -486,8 +486,8 @@
   t.is(only(without, 'answer', 1)[0]?.answer.status, 400);
   t.is(only(without, 'open', 1).length, 0);
   t.is(only(play([arrive(1, 'GET', 1_000)], state).effects, 'open', 1).length, 1);
-  const withKey: LatheEvent = {
-    ...(arrive(1, 'POST', 1_000) as Extract<LatheEvent, { kind: 'arrived' }>),
+  const withKey: ProxyEvent = {
+    ...(arrive(1, 'POST', 1_000) as Extract<ProxyEvent, { kind: 'arrived' }>),
     asked: { ...asked('POST'), headers: { 'idempotency-key': 'k' }, digest: 'd' },
   };
   const other = play(
@@ -539,7 +539,7 @@
     origins: [origin, { ...origin, service: 'other', instance: 'o2' }],
     slices: { store: 1_000, other: 1_000 },
   });
-  const saved: LatheState = { ...begun(), repeats: { store: 3, other: 3 } };
+  const saved: ProxyState = { ...begun(), repeats: { store: 3, other: 3 } };
   const { effects, state } = play(
     [
       arrive(1, 'GET', 1_000),
@@ -557,7 +557,7 @@
   );
   t.is(only(effects, 'answer', 1)[0]?.answer.status, 200);
   // What is from the store is nothing to keep for a route that is another service's by now.
-  t.is(state.sieve.copies.size, 0);
+  t.is(state.cache.copies.size, 0);
   const late = play(
     [
       {
@@ -585,7 +585,7 @@
   const two = feedOf({ origins: [origin, { ...origin, instance: 'o2', address: '10.0.0.3:1' }] });
   for (const method of ['GET', 'POST'])
     for (const first of [0, 1]) {
-      const state: LatheState = { ...begun(two), repeats: { store: 3 }, lease: 60_000 };
+      const state: ProxyState = { ...begun(two), repeats: { store: 3 }, lease: 60_000 };
       const opening = play(
         [
           arrive(1, method, 1_000),
@@ -628,8 +628,8 @@
     }
 });
 
-/** A lathe whose route allows so many attempts, and which hands each request to its peer. */
-const forwarding = (attempts: number): LatheState => {
+/** A proxy whose route allows so many attempts, and which hands each request to its peer. */
+const forwarding = (attempts: number): ProxyState => {
   const limited = {
     ...policy,
     routes: policy.routes.map((route) => ({ ...route, limits: { attempts } })),
@@ -643,7 +643,7 @@
 };
 
 test('attempts granted to a peer are counted until it says what it used: the sum over both nodes stays within the route', (t) => {
-  const turnedAway = (spent: string | null): LatheEvent => ({
+  const turnedAway = (spent: string | null): ProxyEvent => ({
     kind: 'answered',
     id: 1,
     leg: 0,
@@ -658,7 +658,7 @@
       },
     },
   });
-  const failed = (sent: 'nothing' | 'maybe'): LatheEvent => ({
+  const failed = (sent: 'nothing' | 'maybe'): ProxyEvent => ({
     kind: 'failed',
     id: 1,
     leg: 0,
@@ -666,11 +666,11 @@
     why: 'cut',
     now: 1_050,
   });
-  const silent: LatheEvent = { kind: 'beat', now: 2_000 };
+  const silent: ProxyEvent = { kind: 'beat', now: 2_000 };
   const cases: readonly (readonly [
     attempts: number,
     granted: number,
-    event: LatheEvent,
+    event: ProxyEvent,
     opens: number,
   ])[] = [
     [2, 1, silent, 2],
@@ -701,7 +701,7 @@
 });
 
 test('a request handed on is spent within its grant, and its answer tells what was used', (t) => {
-  const handed: LatheEvent = {
+  const handed: ProxyEvent = {
     kind: 'arrived',
     id: 1,
     asked: { ...asked('GET'), via: 'z', attempts: 1 },
--- a/packages/lathe/src/read-answer.ts
+++ b/packages/proxy/src/read-answer.ts
@@ -4,8 +4,8 @@
  */
 import type http from 'node:http';
 import { createHash } from 'node:crypto';
-import { Sizes } from '@reedyard/gauge';
-import { textOf } from '@reedyard/scriber';
+import { Sizes } from '@reedyard/constants';
+import { textOf } from '@reedyard/logging';
 
 const hopByHop = new Set([
   'connection',
--- a/packages/lathe/src/reporting.ts
+++ b/packages/proxy/src/reporting.ts
@@ -1,7 +1,7 @@
 /** Measures what callers ask for, and reports it to the agent with each question. */
-import { Beats, Sizes } from '@reedyard/gauge';
-import type { Measure, Report } from '@reedyard/jig';
-import { Sieve } from '@reedyard/sieve';
+import { Beats, Sizes } from '@reedyard/constants';
+import type { Measure, Report } from '@reedyard/agent';
+import { Cache } from '@reedyard/cache';
 import { set } from './state.js';
 import type { Work } from './state.js';
 
@@ -27,9 +27,9 @@
     const cut = key.indexOf(' ');
     return (
       cut > 0 &&
-      Sieve.find(
-        state.sieve,
-        Sieve.key(hosts.get(key.slice(0, cut)) ?? '', key.slice(cut + 1)),
+      Cache.find(
+        state.cache,
+        Cache.key(hosts.get(key.slice(0, cut)) ?? '', key.slice(cut + 1)),
         {},
         state.now,
       ) !== undefined
@@ -37,7 +37,7 @@
   });
   set(work, {
     period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
-    sieve: Sieve.dropWhere(state.sieve, (copy) => state.now >= copy.freshUntil),
+    cache: Cache.dropWhere(state.cache, (copy) => state.now >= copy.freshUntil),
   });
   const allBits = entries.reduce((sum, [, bits]) => sum + bits, 0);
   return {
@@ -73,7 +73,7 @@
   const report: Report = {
     policySerial: state.policy?.serial ?? 0,
     life: state.life,
-    latheLife: state.self.life,
+    proxyLife: state.self.life,
     purgeSeq: state.purgeSeq,
     stopping: state.stoppingAt !== null,
     wants: state.wants,
@@ -81,8 +81,8 @@
     counters: {
       ...state.counters,
       underWay: Object.keys(state.transactions).length,
-      copies: state.sieve.copies.size,
-      copyBytes: state.sieve.bytes,
+      copies: state.cache.copies.size,
+      copyBytes: state.cache.bytes,
     },
   };
   work.effects.push({ kind: 'question', report });
--- a/packages/lathe/src/request-rules.ts
+++ b/packages/proxy/src/request-rules.ts
@@ -2,14 +2,14 @@
  * Rules that hold for one request by its route and its answer alone: what is refused, kept, joined,
  * or taken for sound. Pure functions.
  */
-import { Limits, Weights } from '@reedyard/gauge';
-import type { Copy } from '@reedyard/sieve';
-import { Routes } from '@reedyard/stencil';
-import type { Policy, Route, RouteTable } from '@reedyard/stencil';
-import type { Leg } from '@reedyard/tally';
+import { Limits, Weights } from '@reedyard/constants';
+import type { Copy } from '@reedyard/cache';
+import { Routes } from '@reedyard/schemas';
+import type { Policy, Route, RouteTable } from '@reedyard/schemas';
+import type { Leg } from '@reedyard/attempts';
 import { CallerBounds } from './caller-bounds.js';
 import { atHome, isSafe } from './choice.js';
-import type { Asked, LatheState, LegAnswer, Transaction } from './state.js';
+import type { Asked, ProxyState, LegAnswer, Transaction } from './state.js';
 
 export const headerText = (headers: Asked['headers'], name: string): string | null => {
   const value = headers[name];
@@ -86,7 +86,7 @@
   Math.min(Limits.holding, (transaction.route.targetMs ?? Infinity) * Weights.holdingShare);
 
 /** ms. Until when a route lets a copy live here, whatever its origin allows. */
-export const lifeEnd = (route: Route | undefined, state: LatheState, copy: Copy): number =>
+export const lifeEnd = (route: Route | undefined, state: ProxyState, copy: Copy): number =>
   route === undefined ||
   !Routes.allows(route, copy.service) ||
   !keeps(route, 'GET') ||
--- a/packages/lathe/src/run.ts
+++ b/packages/proxy/src/run.ts
@@ -2,24 +2,24 @@
 import { createHash, randomUUID } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import type { Readable } from 'node:stream';
-import { Beats, Limits, Sizes } from '@reedyard/gauge';
-import { Task, type Chute } from '@reedyard/chute';
-import type { ClaimReply, FeedTold, LatheCall } from '@reedyard/jig';
-import { openScribe, type Scribe } from '@reedyard/scriber';
-import { call } from '@reedyard/shuttle';
-import { Routes } from '@reedyard/stencil';
-import type { Settings } from '@reedyard/vise';
+import { Beats, Limits, Sizes } from '@reedyard/constants';
+import { Task, type Inbox } from '@reedyard/task-loop';
+import type { ClaimReply, FeedTold, ProxyCall } from '@reedyard/agent';
+import { openScribe, type Scribe } from '@reedyard/logging';
+import { call } from '@reedyard/rpc';
+import { Routes } from '@reedyard/schemas';
+import type { Settings } from '@reedyard/settings';
 import { originName } from './choice.js';
 import { writeAnswer } from './caller-answer.js';
 import { CallerBounds } from './caller-bounds.js';
 import { openCallerServer, type CallerServer, type CallerTurn } from './caller-server.js';
 import { OriginConns, peerName, type LegError, type Outgoing, type Underway } from './conns.js';
 import { Feeds, type HeldFeed } from './feeds.js';
-import { Lathe } from './core.js';
+import { ProxyCore } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { passable } from './read-answer.js';
 import { warmUp } from './warm.js';
-import type { Answer, Asked, LatheEffect, LatheEvent, LatheState, LegAnswer } from './state.js';
+import type { Answer, Asked, ProxyEffect, ProxyEvent, ProxyState, LegAnswer } from './state.js';
 
 const now = (): number => performance.now();
 
@@ -40,17 +40,17 @@
   readonly turn: CallerTurn;
 };
 
-export type LatheSettings = Settings & { readonly lathe: NonNullable<Settings['lathe']> };
+export type ProxySettings = Settings & { readonly proxy: NonNullable<Settings['proxy']> };
 
-/** What a lathe needs of its surroundings: who answers for its jig, and where its log goes. */
+/** What a proxy needs of its surroundings: who answers for its agent, and where its log goes. */
 export type Around = {
   readonly scribe: Scribe;
-  readonly askJig: (body: LatheCall, limitMs?: number) => Promise<unknown>;
+  readonly askAgent: (body: ProxyCall, limitMs?: number) => Promise<unknown>;
 };
 
-/** A lathe without its ports: what takes requests, and what it is doing. */
+/** A proxy without its ports: what takes requests, and what it is doing. */
 export type Opened = {
-  readonly task: Chute<LatheEvent> & { readonly peek: () => LatheState };
+  readonly task: Inbox<ProxyEvent> & { readonly peek: () => ProxyState };
   readonly underWay: () => number;
   /** Requests that were ever begun here. */
   readonly begun: () => number;
@@ -62,16 +62,16 @@
 };
 
 /**
- * Opens a lathe: its task and shell, which callers and peers reach through the servers that it
+ * Opens a proxy: its task and shell, which callers and peers reach through the servers that it
  * makes.
  *
  * @example
- * const lathe = openLathe(settings, ownDialect, { scribe, askJig: (body) => call('127.0.0.1:7002', '/feed', body) });
+ * const proxy = openProxy(settings, ownDialect, { scribe, askAgent: (body) => call('127.0.0.1:7002', '/feed', body) });
  */
-export const openLathe = (
-  settings: LatheSettings,
+export const openProxy = (
+  settings: ProxySettings,
   dialect: Dialect,
-  { scribe, askJig }: Around,
+  { scribe, askAgent }: Around,
 ): Opened => {
   let ended = false;
   const via = `1.1 ${settings.name} (reedyard)`;
@@ -103,7 +103,7 @@
     for (const { of, fromPeer } of servers) of.setBounds(boundsFor(fromPeer));
   };
 
-  const outgoing = (one: Open, effect: Extract<LatheEffect, { kind: 'open' }>): Outgoing => {
+  const outgoing = (one: Open, effect: Extract<ProxyEffect, { kind: 'open' }>): Outgoing => {
     const headers = passable(one.request.headers);
     if (effect.keep)
       for (const name of ['range', 'if-range', 'if-none-match', 'if-modified-since'])
@@ -156,11 +156,11 @@
 
   /** What a trial wants to know of each move; nothing unless the settings ask for it. */
   const trace =
-    settings.lathe.trace === true
+    settings.proxy.trace === true
       ? (event: string, fields: Readonly<Record<string, string | number>>): void =>
           scribe.info(event, fields)
       : null;
-  const perform = (effect: LatheEffect, put: (event: LatheEvent) => boolean): void => {
+  const perform = (effect: ProxyEffect, put: (event: ProxyEvent) => boolean): void => {
     switch (effect.kind) {
       case 'open': {
         const one = opened.get(effect.id);
@@ -219,7 +219,7 @@
         opened.delete(effect.id);
         return;
       case 'ask':
-        askJig(effect.call, Limits.proposal + Limits.call).then(
+        askAgent(effect.call, Limits.proposal + Limits.call).then(
           (reply) => {
             if (effect.call.kind === 'claim')
               put({ kind: 'claimed', id: effect.id, reply: reply as ClaimReply, now: now() });
@@ -232,7 +232,7 @@
         return;
       case 'question': {
         const askedAt = now();
-        askJig({ kind: 'feed', report: effect.report, held: Feeds.holding(held) })
+        askAgent({ kind: 'feed', report: effect.report, held: Feeds.holding(held) })
           .then(
             (reply) => {
               held = Feeds.merge(held, reply as FeedTold);
@@ -258,18 +258,18 @@
         return;
     }
   };
-  const task = Task.run<LatheState, LatheEvent, LatheEffect>({
-    initial: Lathe.open(
+  const task = Task.run<ProxyState, ProxyEvent, ProxyEffect>({
+    initial: ProxyCore.open(
       {
         id: settings.name,
         hall: settings.hall,
         region: settings.region,
-        capacityBps: settings.lathe.capacityBps,
+        capacityBps: settings.proxy.capacityBps,
         life: randomUUID(),
       },
       now(),
     ),
-    reduce: Lathe.reduce,
+    reduce: ProxyCore.reduce,
     perform,
   });
 
@@ -279,7 +279,7 @@
       const idle = opened.size === 0 && Object.keys(task.peek().transactions).length === 0;
       task.put({ kind: 'beat', now: now() });
       applyBounds();
-      if (!ended) beatIn(idle ? Beats.latheIdle : Beats.lathe);
+      if (!ended) beatIn(idle ? Beats.proxyIdle : Beats.proxy);
     }, ms);
   };
 
@@ -312,7 +312,7 @@
   };
   const wellKnown = (request: http.IncomingMessage, response: http.ServerResponse): boolean => {
     if (request.url !== dialect.readyPath && request.url !== dialect.livePath) return false;
-    const good = request.url === dialect.livePath || Lathe.ready(task.peek(), now());
+    const good = request.url === dialect.livePath || ProxyCore.ready(task.peek(), now());
     const text = JSON.stringify({ ready: good });
     response.writeHead(good ? 200 : 503, {
       'content-type': 'application/json',
@@ -326,7 +326,7 @@
     (fromPartner: boolean) =>
     (request: http.IncomingMessage, response: http.ServerResponse, turn: CallerTurn): void => {
       const target = request.url ?? '/';
-      if (!fromPartner && settings.lathe.readyPort === undefined && wellKnown(request, response))
+      if (!fromPartner && settings.proxy.readyPort === undefined && wellKnown(request, response))
         return;
       const host = request.headers.host ?? '';
       const path = target.split('?', 1)[0] ?? '/';
@@ -387,7 +387,7 @@
         const draws = Array.from({ length: Sizes.draws }, () => Math.random());
         if (opened.size === 1) {
           clearTimeout(beating);
-          beatIn(Beats.lathe);
+          beatIn(Beats.proxy);
         }
         if (!task.put({ kind: 'arrived', id, asked, draws, token: randomUUID(), now: now() })) {
           opened.delete(id);
@@ -431,10 +431,10 @@
       server.once('error', reject);
       server.listen(port, settings.listen ?? settings.host, () => resolve(server));
     });
-  beatIn(Beats.latheIdle);
+  beatIn(Beats.proxyIdle);
   if (trace !== null)
     setInterval(
-      () => trace('trace.stored', { keys: [...task.peek().sieve.copies.keys()].join(' ') }),
+      () => trace('trace.stored', { keys: [...task.peek().cache.copies.keys()].join(' ') }),
       1_000,
     );
   task.put({ kind: 'ask', now: now() });
@@ -462,30 +462,30 @@
 };
 
 /**
- * Runs a lathe until it is told to stop.
+ * Runs a proxy until it is told to stop.
  *
  * @example
- * await runLathe(Vise.start('lathe', process.argv.slice(2)));
+ * await runProxy(SettingsReader.start('proxy', process.argv.slice(2)));
  */
-export const runLathe = async (
-  settings: LatheSettings,
+export const runProxy = async (
+  settings: ProxySettings,
   dialect: Dialect = ownDialect,
 ): Promise<void> => {
-  const scribe = openScribe({ program: 'lathe', node: settings.name });
-  const feedAddress = `127.0.0.1:${settings.jig.feedPort}`;
-  const lathe = openLathe(settings, dialect, {
+  const scribe = openScribe({ program: 'proxy', node: settings.name });
+  const feedAddress = `127.0.0.1:${settings.agent.feedPort}`;
+  const proxy = openProxy(settings, dialect, {
     scribe,
-    askJig: (body, limitMs) => call(feedAddress, '/feed', body, limitMs),
+    askAgent: (body, limitMs) => call(feedAddress, '/feed', body, limitMs),
   });
   const servers = [
-    await lathe.serve(false, settings.lathe.port),
-    await lathe.serve(true, settings.lathe.partnerPort),
+    await proxy.serve(false, settings.proxy.port),
+    await proxy.serve(true, settings.proxy.partnerPort),
   ];
-  if (settings.lathe.readyPort !== undefined)
-    servers.push(await lathe.serveReady(settings.lathe.readyPort));
-  scribe.info('started', { callers: settings.lathe.port, partners: settings.lathe.partnerPort });
+  if (settings.proxy.readyPort !== undefined)
+    servers.push(await proxy.serveReady(settings.proxy.readyPort));
+  scribe.info('started', { callers: settings.proxy.port, partners: settings.proxy.partnerPort });
   // Beside its start, and only until somebody really asks.
-  void warmUp(dialect, settings, () => lathe.begun() > 0).then(
+  void warmUp(dialect, settings, () => proxy.begun() > 0).then(
     ({ played, served }) => {
       if (played > 0) scribe.info('warmed', { requests: played, served });
     },
@@ -497,23 +497,23 @@
     if (warnedAt !== null) return;
     const since = now();
     warnedAt = since;
-    scribe.info('stopping', { underWay: lathe.underWay() });
-    lathe.stop();
-    const { graceMs = Limits.leaveGrace, mostMs = Limits.shutdown } = settings.lathe.leave ?? {};
+    scribe.info('stopping', { underWay: proxy.underWay() });
+    proxy.stop();
+    const { graceMs = Limits.leaveGrace, mostMs = Limits.shutdown } = settings.proxy.leave ?? {};
     // Not ready first: callers are still answered until what is under way has ended.
     setInterval(() => {
-      if ((lathe.underWay() === 0 && now() > since + graceMs) || now() > since + mostMs) {
+      if ((proxy.underWay() === 0 && now() > since + graceMs) || now() > since + mostMs) {
         servers.forEach((server) => {
           server.close();
           server.closeAllConnections();
         });
-        scribe.info('stopped', { cutOff: lathe.underWay() });
+        scribe.info('stopped', { cutOff: proxy.underWay() });
         process.exit(0);
       }
     }, Beats.feed);
   };
   // A hang-up ends a process by itself; nothing that is under way may suffer from it.
-  process.on('SIGHUP', () => scribe.info('hangup', { underWay: lathe.underWay() }));
+  process.on('SIGHUP', () => scribe.info('hangup', { underWay: proxy.underWay() }));
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
 };
--- a/packages/lathe/src/serving.ts
+++ b/packages/proxy/src/serving.ts
@@ -2,9 +2,9 @@
  * Moves a request on: who serves it, a copy, a fetch that it joins, or an attempt of its own. Never
  * opens an attempt without a lease or beyond its budget.
  */
-import { Limits } from '@reedyard/gauge';
-import { Sieve } from '@reedyard/sieve';
-import { Tally } from '@reedyard/tally';
+import { Limits } from '@reedyard/constants';
+import { Cache } from '@reedyard/cache';
+import { Attempts } from '@reedyard/attempts';
 import {
   allowedPartners,
   atHome,
@@ -25,12 +25,18 @@
 
 export const open = (work: Work, transaction: Transaction, to: Target): void => {
   if (lapsed(work)) {
-    giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), cutOff);
+    giveUp(work, transaction, 503, Attempts.outcomeOf(transaction.legs), cutOff);
     return;
   }
   const left = attemptsLeft(transaction);
   if (left <= 0) {
-    giveUp(work, transaction, 503, Tally.outcomeOf(transaction.legs), 'its attempts are used up');
+    giveUp(
+      work,
+      transaction,
+      503,
+      Attempts.outcomeOf(transaction.legs),
+      'its attempts are used up',
+    );
     return;
   }
   const granted = to.kind === 'origin' ? 1 : grantFor(left);
@@ -96,7 +102,7 @@
       work,
       transaction,
       503,
-      Tally.outcomeOf(transaction.legs),
+      Attempts.outcomeOf(transaction.legs),
       `no instance of ${service} can be reached`,
       Limits.retrySoon,
     );
@@ -136,7 +142,7 @@
       work,
       transaction,
       503,
-      Tally.outcomeOf(transaction.legs),
+      Attempts.outcomeOf(transaction.legs),
       `the share of ${service} is used up`,
       Number.isFinite(wait) ? Math.max(Limits.retrySoon, wait) : undefined,
     );
@@ -151,14 +157,14 @@
 /** This edge serves: from a copy, by joining a fetch under way, or by a leg of its own. */
 const serveHere = (work: Work, transaction: Transaction): void => {
   if (keeps(transaction.route, transaction.asked.method)) {
-    const copy = Sieve.find(
-      work.state.sieve,
+    const copy = Cache.find(
+      work.state.cache,
       transaction.key,
       transaction.asked.headers,
       work.state.now,
     );
     if (copy !== undefined && work.state.now < lifeEnd(transaction.route, work.state, copy)) {
-      set(work, { sieve: Sieve.touch(work.state.sieve, transaction.key) });
+      set(work, { cache: Cache.touch(work.state.cache, transaction.key) });
       answerCopy(work, transaction, copy);
       return;
     }
@@ -217,7 +223,7 @@
   // A copy that lies here costs nothing to reach.
   const here =
     keepsAlways(transaction.route) &&
-    Sieve.find(work.state.sieve, transaction.key, transaction.asked.headers, work.state.now) !==
+    Cache.find(work.state.cache, transaction.key, transaction.asked.headers, work.state.now) !==
       undefined;
   const server =
     here && atHome(transaction.route.homes, work.state.self.region)
@@ -249,7 +255,7 @@
       work,
       transaction,
       503,
-      Tally.outcomeOf(transaction.legs),
+      Attempts.outcomeOf(transaction.legs),
       'no other node that may serve it can be reached',
     );
   else open(work, transaction, { kind: 'partner', row: partner });
--- a/packages/lathe/src/signals.test.ts
+++ b/packages/proxy/src/signals.test.ts
@@ -6,8 +6,8 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { Sizes } from '@reedyard/gauge';
-import { serveCalls } from '@reedyard/shuttle';
+import { Sizes } from '@reedyard/constants';
+import { serveCalls } from '@reedyard/rpc';
 import {
   answerOf,
   startScriptedOrigin,
@@ -15,7 +15,7 @@
   type ScriptedOrigin,
   type SeenRequest,
 } from './testing/scripted-origin.js';
-import { originRow, policyOf, RawCaller, until } from './testing/lathe-harness.js';
+import { originRow, policyOf, RawCaller, until } from './testing/proxy-harness.js';
 
 const HOST = '127.0.0.1';
 const program = fileURLToPath(new URL('./main.js', import.meta.url));
@@ -108,8 +108,8 @@
     region: 'r',
     seeds: [`${HOST}:1`],
     founders: { c: `${HOST}:2` },
-    jig: { port: 0, apiPort: 0, feedPort: feed.port },
-    lathe: { port, partnerPort, capacityBps: 1e8, leave },
+    agent: { port: 0, apiPort: 0, feedPort: feed.port },
+    proxy: { port, partnerPort, capacityBps: 1e8, leave },
   };
   writeFileSync(file, JSON.stringify(settings));
   const child = spawn(process.execPath, [program, '--settings', file]);
--- a/packages/lathe/src/stamps.test.ts
+++ b/packages/proxy/src/stamps.test.ts
@@ -14,7 +14,7 @@
   startHarness,
   until,
   type Harness,
-} from './testing/lathe-harness.js';
+} from './testing/proxy-harness.js';
 
 type Fleet = { readonly near: Harness; readonly far: Harness };
 
@@ -105,7 +105,7 @@
     socket.write(answerOf(200, fields, request.path));
   });
   t.deepEqual(shown(await ask(far, 'GET', '/kept/1')), [200, true]);
-  await until(() => far.lathe.task.peek().sieve.copies.size === 1);
+  await until(() => far.proxy.task.peek().cache.copies.size === 1);
   const unsatisfiable = 'range: bytes=500-\r\n';
   const unchanged = 'if-none-match: "v1"\r\n';
   for (const at of [far, near]) {
--- a/packages/lathe/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -1,8 +1,8 @@
-import type { ClaimReply, Feed, LatheCall, OriginRow, PartnerRow, Report } from '@reedyard/jig';
-import type { Copy, Headers, SieveState } from '@reedyard/sieve';
+import type { ClaimReply, Feed, ProxyCall, OriginRow, PartnerRow, Report } from '@reedyard/agent';
+import type { Copy, Headers, CacheState } from '@reedyard/cache';
 import type { Load, Proof } from './dialect.js';
-import type { Policy, Route, RouteTable } from '@reedyard/stencil';
-import type { Leg, Sent } from '@reedyard/tally';
+import type { Policy, Route, RouteTable } from '@reedyard/schemas';
+import type { Leg, Sent } from '@reedyard/attempts';
 
 /** A caller's request, as far as the moves depend on it. Header names are in small letters. */
 export type Asked = {
@@ -89,7 +89,7 @@
 
 export type Bucket = { readonly tokens: number; readonly at: number; readonly rate: number };
 
-export type LatheState = {
+export type ProxyState = {
   readonly self: {
     readonly id: string;
     readonly hall: string;
@@ -109,7 +109,7 @@
   /** Edges at which a route's objects are placed, by route. */
   readonly holders: Readonly<Record<string, readonly string[]>>;
   readonly emptiedAt: number | null;
-  readonly sieve: SieveState;
+  readonly cache: CacheState;
   /** Whether partners in other regions were ever told of. */
   readonly abroad: boolean;
   readonly transactions: Readonly<Record<number, Transaction>>;
@@ -142,7 +142,7 @@
   readonly wanted: { readonly since: number; readonly counts: Readonly<Record<string, number>> };
 };
 
-export type LatheEvent =
+export type ProxyEvent =
   | {
       readonly kind: 'arrived';
       readonly id: number;
@@ -181,7 +181,7 @@
 export type Answer = {
   readonly status: number;
   readonly headers: Headers;
-  /** ms after which to come again; left out where the answer is not the lathe's own. */
+  /** ms after which to come again; left out where the answer is not the proxy's own. */
   readonly retryMs?: number;
   readonly body:
     | {
@@ -194,7 +194,7 @@
     | { readonly kind: 'leg'; readonly answer: LegAnswer };
 };
 
-export type LatheEffect =
+export type ProxyEffect =
   | {
       readonly kind: 'open';
       readonly id: number;
@@ -216,7 +216,7 @@
   | { readonly kind: 'answer'; readonly id: number; readonly answer: Answer }
   /** A transaction is over: nothing more will be said of it. */
   | { readonly kind: 'closed'; readonly id: number }
-  | { readonly kind: 'ask'; readonly id: number; readonly call: LatheCall }
+  | { readonly kind: 'ask'; readonly id: number; readonly call: ProxyCall }
   | { readonly kind: 'question'; readonly report: Report }
   | {
       readonly kind: 'log';
@@ -224,8 +224,8 @@
       readonly fields: Readonly<Record<string, string | number | boolean>>;
     };
 
-export type Work = { state: LatheState; readonly effects: LatheEffect[] };
-export const set = (work: Work, change: Partial<LatheState>): void => {
+export type Work = { state: ProxyState; readonly effects: ProxyEffect[] };
+export const set = (work: Work, change: Partial<ProxyState>): void => {
   work.state = { ...work.state, ...change };
 };
 export const count = (work: Work, ...names: readonly string[]): void => {
--- a/packages/lathe/src/testing/connection-world.ts
+++ b/packages/proxy/src/testing/connection-world.ts
@@ -4,7 +4,7 @@
  * that may answer, refuse, stay silent, answer twice, cut an answer short, send bytes that are no
  * answer, close, reset, or be replaced by another one at its address.
  */
-import { Tally, type Leg, type LegEnd } from '@reedyard/tally';
+import { Attempts, type Leg, type LegEnd } from '@reedyard/attempts';
 import {
   Connections,
   type Connection,
@@ -205,7 +205,7 @@
   const legs = legsOf(world, request);
   if (legs.length >= MOST_ATTEMPTS_EACH) return false;
   const ledger = { safe: false, legs, now: 0, limitAt: 9, mayRepeat: true };
-  return Tally.next(ledger).kind === 'open';
+  return Attempts.next(ledger).kind === 'open';
 };
 
 const freshWire = (world: World): Wire => ({
--- a/packages/lathe/src/testing/lathe-harness.ts
+++ b/packages/proxy/src/testing/proxy-harness.ts
@@ -3,12 +3,12 @@
 import net from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { performance } from 'node:perf_hooks';
-import type { Feed, LatheCall, OriginRow, PartnerRow } from '@reedyard/jig';
-import type { Policy } from '@reedyard/stencil';
-import { Vise } from '@reedyard/vise';
-import { Lathe } from '../core.js';
+import type { Feed, ProxyCall, OriginRow, PartnerRow } from '@reedyard/agent';
+import type { Policy } from '@reedyard/schemas';
+import { SettingsReader } from '@reedyard/settings';
+import { ProxyCore } from '../core.js';
 import { ownDialect, type Dialect } from '../dialect.js';
-import { openLathe, type LatheSettings, type Opened } from '../run.js';
+import { openProxy, type ProxySettings, type Opened } from '../run.js';
 
 const HOST = '127.0.0.1';
 const SERVICE = 'store';
@@ -81,7 +81,7 @@
 
 /** A running proxy with what it was told. */
 export type Harness = {
-  readonly lathe: Opened;
+  readonly proxy: Opened;
   readonly feed: FeedParts;
   readonly server: http.Server;
   readonly port: number;
@@ -101,8 +101,8 @@
   while (!holds()) await nextTurn();
 };
 
-const settingsOf = (name: string): LatheSettings =>
-  Vise.check(
+const settingsOf = (name: string): ProxySettings =>
+  SettingsReader.check(
     {
       name,
       host: HOST,
@@ -110,11 +110,11 @@
       region: 'r',
       seeds: [`${HOST}:1`],
       founders: { c: `${HOST}:2` },
-      jig: { port: 0, apiPort: 0, feedPort: 0 },
-      lathe: { port: 0, partnerPort: 0, capacityBps: 1e8, readyPort: 0 },
+      agent: { port: 0, apiPort: 0, feedPort: 0 },
+      proxy: { port: 0, partnerPort: 0, capacityBps: 1e8, readyPort: 0 },
     },
     'test',
-  ) as LatheSettings;
+  ) as ProxySettings;
 
 const feedOf = (parts: FeedParts): Feed => ({
   leaseMs: 600_000,
@@ -147,22 +147,22 @@
   const log = (event: string, fields: unknown): void => {
     logged.push(`${event} ${JSON.stringify(fields)}`);
   };
-  const askJig = (call: LatheCall): Promise<unknown> =>
+  const askAgent = (call: ProxyCall): Promise<unknown> =>
     Promise.resolve(call.kind === 'feed' ? { ...feedOf(feed), revisions } : { kind: 'granted' });
   const scribe = { info: log, warn: log, error: log };
-  const lathe = openLathe(settingsOf(name), namedDialect, { scribe, askJig });
-  const server = await lathe.serve(false, 0);
-  const peers = await lathe.serve(true, 0);
-  await until(() => Lathe.ready(lathe.task.peek(), performance.now()));
+  const proxy = openProxy(settingsOf(name), namedDialect, { scribe, askAgent });
+  const server = await proxy.serve(false, 0);
+  const peers = await proxy.serve(true, 0);
+  await until(() => ProxyCore.ready(proxy.task.peek(), performance.now()));
   return {
-    lathe,
+    proxy,
     feed,
     server,
     port: (server.address() as AddressInfo).port,
     peerPort: (peers.address() as AddressInfo).port,
     logged,
     close: () => {
-      lathe.end();
+      proxy.end();
       for (const each of [server, peers]) {
         each.close();
         each.closeAllConnections();
--- a/packages/lathe/src/upkeep.ts
+++ b/packages/proxy/src/upkeep.ts
@@ -2,9 +2,9 @@
  * What the clock brings about: attempts past their deadline, hedges beside silent ones, requests
  * that wait for their turn.
  */
-import { Limits, Weights } from '@reedyard/gauge';
-import { Sieve } from '@reedyard/sieve';
-import { Tally } from '@reedyard/tally';
+import { Limits, Weights } from '@reedyard/constants';
+import { Cache } from '@reedyard/cache';
+import { Attempts } from '@reedyard/attempts';
 import {
   allowedPartners,
   answerMs,
@@ -18,7 +18,7 @@
   takeToken,
 } from './choice.js';
 import { count, log, set } from './state.js';
-import type { LatheState, Transaction, Work } from './state.js';
+import type { ProxyState, Transaction, Work } from './state.js';
 import { mayTryMore } from './attempt-budget.js';
 import { failed } from './attempt-ends.js';
 import { giveUp, lapsed, underPolicy } from './ending.js';
@@ -28,7 +28,7 @@
  * ms after which an attempt counts as silent: a few times what its other end usually takes, and
  * early enough for a second one.
  */
-const silentAfter = (state: LatheState, transaction: Transaction): number => {
+const silentAfter = (state: ProxyState, transaction: Transaction): number => {
   const rows = (state.feed?.origins ?? []).filter((row) => row.service === transaction.service);
   const mean = meanMs(state, rows);
   const to = transaction.legs.find((leg) => leg.end === null)?.to.id;
@@ -72,7 +72,7 @@
   const may = mayTryMore(work, current);
   if (!may || !current.safe || current.legs.filter((leg) => leg.end === null).length !== 1) return;
   if (
-    !Tally.mayHedge({
+    !Attempts.mayHedge({
       safe: current.safe,
       legs: current.legs,
       now,
@@ -116,9 +116,9 @@
 };
 
 export const beat = (work: Work): void => {
-  const { abroad, now, lease, sieve } = work.state;
-  if (abroad && now - lease > Limits.unknowing && sieve.copies.size > 0) {
-    set(work, { sieve: Sieve.flush(sieve) });
+  const { abroad, now, lease, cache } = work.state;
+  if (abroad && now - lease > Limits.unknowing && cache.copies.size > 0) {
+    set(work, { cache: Cache.flush(cache) });
     log(work, 'copies.flushed', { why: 'homes may have moved' });
   }
   for (const transaction of Object.values(work.state.transactions)) {
--- a/packages/lathe/src/warm.test.ts
+++ b/packages/proxy/src/warm.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
-import { Vise } from '@reedyard/vise';
-import { Sizes } from '@reedyard/gauge';
+import { SettingsReader } from '@reedyard/settings';
+import { Sizes } from '@reedyard/constants';
 import { ownDialect, type Dialect } from './dialect.js';
-import type { LatheSettings } from './run.js';
+import type { ProxySettings } from './run.js';
 import { warmUp } from './warm.js';
 
-const settings = Vise.check(
+const settings = SettingsReader.check(
   {
     name: 'a',
     host: '127.0.0.1',
@@ -13,11 +13,11 @@
     region: 'r',
     seeds: ['127.0.0.1:1'],
     founders: { c: '127.0.0.1:2' },
-    jig: { port: 0, apiPort: 0, feedPort: 0 },
-    lathe: { port: 0, partnerPort: 0, capacityBps: 1e8 },
+    agent: { port: 0, apiPort: 0, feedPort: 0 },
+    proxy: { port: 0, partnerPort: 0, capacityBps: 1e8 },
   },
   'test',
-) as LatheSettings;
+) as ProxySettings;
 /** A dialect in which an answer is sound once it carries the request's own number. */
 const numbered: Dialect = {
   ...ownDialect,
--- a/packages/lathe/src/warm.ts
+++ b/packages/proxy/src/warm.ts
@@ -1,11 +1,11 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { performance } from 'node:perf_hooks';
-import { Beats, Limits, Sizes } from '@reedyard/gauge';
-import type { Feed, LatheCall } from '@reedyard/jig';
-import type { Policy } from '@reedyard/stencil';
+import { Beats, Limits, Sizes } from '@reedyard/constants';
+import type { Feed, ProxyCall } from '@reedyard/agent';
+import type { Policy } from '@reedyard/schemas';
 import type { Dialect } from './dialect.js';
-import { openLathe, type LatheSettings } from './run.js';
+import { openProxy, type ProxySettings } from './run.js';
 
 const host = '127.0.0.1';
 const name = 'warm';
@@ -64,7 +64,7 @@
 const portOf = (server: http.Server): number => (server.address() as AddressInfo).port;
 
 /**
- * Plays some hundred requests through a second lathe in this process, with an origin and a peer on
+ * Plays some hundred requests through a second proxy in this process, with an origin and a peer on
  * the loopback, so that the code which serves callers is compiled before they come: the first
  * seconds after a start are otherwise several times as dear as later ones. Ends early once `until`
  * says so. Gives how many requests it played, and how many of them were served.
@@ -74,7 +74,7 @@
  */
 export const warmUp = async (
   dialect: Dialect,
-  settings: LatheSettings,
+  settings: ProxySettings,
   until: () => boolean,
 ): Promise<{ readonly played: number; readonly served: number }> => {
   const { sample } = dialect;
@@ -96,19 +96,19 @@
   });
   const originPort = portOf(origin);
   let peers = 0;
-  const lathe = openLathe(
+  const proxy = openProxy(
     {
       ...settings,
       name,
       host,
       hall: name,
       region: name,
-      lathe: { port: 0, partnerPort: 0, capacityBps: settings.lathe.capacityBps, readyPort: 0 },
+      proxy: { port: 0, partnerPort: 0, capacityBps: settings.proxy.capacityBps, readyPort: 0 },
     },
     dialect,
     {
       scribe: quiet,
-      askJig: (asked: LatheCall) =>
+      askAgent: (asked: ProxyCall) =>
         Promise.resolve(
           asked.kind === 'feed'
             ? {
@@ -119,7 +119,7 @@
         ),
     },
   );
-  const servers = [await lathe.serve(false, 0), await lathe.serve(true, 0)] as const;
+  const servers = [await proxy.serve(false, 0), await proxy.serve(true, 0)] as const;
   peers = portOf(servers[1]);
   const agent = new http.Agent({ keepAlive: true, maxSockets: Sizes.warmAtOnce });
   let played = 0;
@@ -166,7 +166,7 @@
     }),
   );
   agent.destroy();
-  lathe.end();
+  proxy.end();
   for (const server of [origin, ...servers]) {
     server.close();
     server.closeAllConnections();
--- a/packages/ladle/src/index.ts
+++ b/packages/quota-division/src/index.ts
@@ -1,4 +1,4 @@
-import { Weights } from '@reedyard/gauge';
+import { Weights } from '@reedyard/constants';
 
 /** An edge that may hold slices, and where it stands. */
 export type Seat = { readonly edge: string; readonly hall: string; readonly region: string };
--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { Args, Command, Flags } from '@oclif/core';
-import { parametersOf, PounceError, resolve } from '@reedyard/pounce';
-import { Stencil, StencilError, type Policy } from '@reedyard/stencil';
+import { parametersOf, TemplateError, resolve } from '@reedyard/config-templates';
+import { Schemas, SchemaError, type Policy } from '@reedyard/schemas';
 import { ask, ClientError, exitCodes, readDocument } from './client.js';
 
 /** What every command has: nodes to ask, `--json`, and the exit codes. */
@@ -44,17 +44,17 @@
     flags: { readonly param: readonly string[]; readonly overlay: readonly string[] },
   ): Policy {
     try {
-      return Stencil.policy(
+      return Schemas.policy(
         resolve(readDocument(file), parametersOf(flags.param), flags.overlay.map(readDocument)),
       );
     } catch (thrown) {
-      if (thrown instanceof StencilError)
+      if (thrown instanceof SchemaError)
         throw new ClientError(
           exitCodes.refused,
           thrown.faults.map((fault) => `${fault.path}: ${fault.message}`).join('\n'),
           { faults: thrown.faults },
         );
-      if (thrown instanceof PounceError)
+      if (thrown instanceof TemplateError)
         throw new ClientError(exitCodes.usage, `${file}: ${thrown.message}`);
       throw thrown;
     }
--- a/packages/reedyard/src/client.ts
+++ b/packages/reedyard/src/client.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import { readFileSync } from 'node:fs';
-import { LayerError, textOf } from '@reedyard/scriber';
+import { LayerError, textOf } from '@reedyard/logging';
 
 /** Exit codes of `reedyard`; they stay as they are. */
 export const exitCodes = {
--- a/packages/reedyard/src/commands/live.ts
+++ b/packages/reedyard/src/commands/live.ts
@@ -2,6 +2,6 @@
 
 export default class Live extends ReadCommand {
   static override description =
-    "Whether a node's jig runs at all: exit code 0 if it answers, 4 if not.";
+    "Whether a node's agent runs at all: exit code 0 if it answers, 4 if not.";
   protected override readonly target = '/live';
 }
--- a/packages/reedyard/src/commands/plan.ts
+++ b/packages/reedyard/src/commands/plan.ts
@@ -1,7 +1,7 @@
 import { Flags } from '@oclif/core';
-import type { NodeRecord } from '@reedyard/jig';
-import type { Description, Policy } from '@reedyard/stencil';
-import { plan, type Moves } from '@reedyard/trammel';
+import type { NodeRecord } from '@reedyard/agent';
+import type { Description, Policy } from '@reedyard/schemas';
+import { plan, type Moves } from '@reedyard/planner';
 import { BaseCommand } from '../base.js';
 import { ClientError, exitCodes } from '../client.js';
 
--- a/packages/reedyard/src/commands/safe-to-stop.ts
+++ b/packages/reedyard/src/commands/safe-to-stop.ts
@@ -1,5 +1,5 @@
 import { Args, Flags } from '@oclif/core';
-import type { NodeStatus } from '@reedyard/jig';
+import type { NodeStatus } from '@reedyard/agent';
 import { BaseCommand } from '../base.js';
 import { askEach } from '../client.js';
 import { believedStatus, safeToStop, stopExitCodes } from '../safe-to-stop.js';
--- a/packages/reedyard/src/commands/status.ts
+++ b/packages/reedyard/src/commands/status.ts
@@ -1,4 +1,4 @@
-import type { NodeStatus } from '@reedyard/jig';
+import type { NodeStatus } from '@reedyard/agent';
 import { ReadCommand } from '../base.js';
 import { statusLines } from '../status-text.js';
 
--- a/packages/reedyard/src/safe-to-stop.test.ts
+++ b/packages/reedyard/src/safe-to-stop.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type { ControlStatus, MemberState, MemberStatus, NodeStatus } from '@reedyard/jig';
+import type { ControlStatus, MemberState, MemberStatus, NodeStatus } from '@reedyard/agent';
 import { believedStatus, safeToStop, type KnownMachine, type StopVerdict } from './safe-to-stop.js';
 import { statusLines } from './status-text.js';
 
@@ -47,7 +47,7 @@
   control,
   duty: { holder: 'core-1', term: 2 },
   origins: [],
-  lathe: null,
+  proxy: null,
   notices: 0,
   splits: 0,
   split: {},
@@ -56,8 +56,8 @@
 const machineOf = (id: string, host: string, hasReplica: boolean): KnownMachine => ({
   id,
   address: `${host}:7100`,
-  anvil: hasReplica ? { address: `${host}:7200` } : null,
-  lathe: null,
+  replica: hasReplica ? { address: `${host}:7200` } : null,
+  proxy: null,
 });
 
 const coreMachines = (count: number): readonly KnownMachine[] =>
--- a/packages/reedyard/src/safe-to-stop.ts
+++ b/packages/reedyard/src/safe-to-stop.ts
@@ -5,7 +5,7 @@
  * its view is backed by answers of a majority that are at most a lease old. The verdict holds for
  * the moment of asking: it reserves nothing.
  */
-import type { ControlStatus, MemberStatus, NodeStatus } from '@reedyard/jig';
+import type { ControlStatus, MemberStatus, NodeStatus } from '@reedyard/agent';
 
 /** Exit codes of `reedyard safe-to-stop`; they stay as they are. */
 export const stopExitCodes = { safe: 0, unsafe: 1, unknown: 2 } as const;
@@ -14,8 +14,8 @@
 export type KnownMachine = {
   readonly id: string;
   readonly address: string;
-  readonly anvil: { readonly address: string } | null;
-  readonly lathe: { readonly callers: string } | null;
+  readonly replica: { readonly address: string } | null;
+  readonly proxy: { readonly callers: string } | null;
 };
 
 /** What is to be judged: a machine, and the member of the control state on it, if any. */
@@ -61,8 +61,8 @@
 
 const addressesOf = (machine: KnownMachine): readonly string[] => [
   machine.address,
-  ...(machine.anvil === null ? [] : [machine.anvil.address]),
-  ...(machine.lathe === null ? [] : [machine.lathe.callers]),
+  ...(machine.replica === null ? [] : [machine.replica.address]),
+  ...(machine.proxy === null ? [] : [machine.proxy.callers]),
 ];
 
 /**
--- a/packages/reedyard/src/status-text.ts
+++ b/packages/reedyard/src/status-text.ts
@@ -1,5 +1,5 @@
 /** How `reedyard status` shows a node's status to people: plain text in columns. */
-import type { ControlStatus, MemberStatus, NodeStatus, OriginStatus } from '@reedyard/jig';
+import type { ControlStatus, MemberStatus, NodeStatus, OriginStatus } from '@reedyard/agent';
 
 const columnGap = '  ';
 const secondMs = 1_000;
--- a/packages/anvil/src/core.ts
+++ b/packages/replica/src/core.ts
@@ -1,27 +1,35 @@
 import { Map as Table, Set as Group } from 'immutable';
-import { Limits, Sizes } from '@reedyard/gauge';
-import { Acceptor, emptyCell, type Cell } from '@reedyard/latch';
-import type { Step } from '@reedyard/chute';
+import { Limits, Sizes } from '@reedyard/constants';
+import { Acceptor, emptyCell, type Cell } from '@reedyard/consensus';
+import type { Step } from '@reedyard/task-loop';
 import { keepFacts, pulled } from './journal.js';
 import { adopt } from './membership.js';
 import {
   newerVoters,
   votersKey,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilEvent,
-  type AnvilRecord,
-  type AnvilReply,
-  type AnvilVoting,
+  type ReplicaAsk,
+  type ReplicaEffect,
+  type ReplicaEvent,
+  type ReplicaRecord,
+  type ReplicaReply,
+  type ReplicaVoting,
   type Voters,
   type VotersTold,
 } from './messages.js';
 import { away, dumped, rejoin, returned, takeRetold } from './recovery.js';
 import { claimPrefix, minuteOf, vote, withoutClaim } from './registers.js';
 import { isPolled, notePoll, pollMembers, tendRetirement, tendStop } from './retirement.js';
-import { isNamed, isVoter, set, votersOf, type AnvilState, type Kept, type Work } from './state.js';
+import {
+  isNamed,
+  isVoter,
+  set,
+  votersOf,
+  type ReplicaState,
+  type Kept,
+  type Work,
+} from './state.js';
 
-const asked = (work: Work, id: number, ask: AnvilAsk, now: number): void => {
+const asked = (work: Work, id: number, ask: ReplicaAsk, now: number): void => {
   if (ask.spare === true) set(work, { spareHeardAt: now });
   const wasNamed = isNamed(work.state);
   adopt(work, ask.voters, now);
@@ -29,7 +37,7 @@
   tendRetirement(work, now);
   const { state } = work;
   const body = ask.call;
-  const tell = (reply: AnvilReply): void => {
+  const tell = (reply: ReplicaReply): void => {
     work.effects.push({ kind: 'tell', id, body: reply });
   };
   if (body.kind === 'dump') {
@@ -142,27 +150,27 @@
 };
 
 /** What came of a call of its own: to a member that goes on without it, or to one that it reads. */
-const answered = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
+const answered = (work: Work, id: number, body: ReplicaReply | null, now: number): void => {
   if (isPolled(work.state, id)) notePoll(work, id, body, now);
   else returned(work, id, body, now);
 };
 
-export const Anvil = {
+export const Replica = {
   /**
    * The state from what was on disk; a blank disk gets the new name given.
    *
    * @example
-   * Anvil.open({ name: 'core-1', others: {}, records: [], freshDisk: 'd1', now: 0 }).state.voting // true once its beat has run
+   * Replica.open({ name: 'core-1', others: {}, records: [], freshDisk: 'd1', now: 0 }).state.voting // true once its beat has run
    */
   open: (parts: {
     readonly name: string;
     readonly others: Readonly<Record<string, string>>;
-    readonly records: readonly AnvilRecord[];
+    readonly records: readonly ReplicaRecord[];
     readonly freshDisk: string;
     readonly now: number;
     /** Where voters found themselves from seeds; `others` is then not looked at. */
-    readonly seeded?: AnvilVoting | null;
-  }): Step<AnvilState, AnvilEffect> => {
+    readonly seeded?: ReplicaVoting | null;
+  }): Step<ReplicaState, ReplicaEffect> => {
     let disk: string | null = null;
     let voting = false;
     let votingEpoch = 0;
@@ -229,8 +237,8 @@
     };
   },
 
-  /** The whole state as records, for a snapshot. @example [...Anvil.records(state)].length // 1 for a new one */
-  *records(state: AnvilState): Iterable<AnvilRecord> {
+  /** The whole state as records, for a snapshot. @example [...Replica.records(state)].length // 1 for a new one */
+  *records(state: ReplicaState): Iterable<ReplicaRecord> {
     yield { kind: 'disk', disk: state.disk };
     if (state.voting) yield { kind: 'voting', epoch: state.votingEpoch };
     if (state.told !== null) yield { kind: 'told', voters: state.told };
@@ -240,8 +248,8 @@
       yield { kind: 'fact', seq, fact: { key, value } };
   },
 
-  /** @example Anvil.reduce(state, { kind: 'beat', now: 200 }) */
-  reduce: (state: AnvilState, event: AnvilEvent): Step<AnvilState, AnvilEffect> => {
+  /** @example Replica.reduce(state, { kind: 'beat', now: 200 }) */
+  reduce: (state: ReplicaState, event: ReplicaEvent): Step<ReplicaState, ReplicaEffect> => {
     const work: Work = { state, effects: [] };
     switch (event.kind) {
       case 'asked':
--- a/packages/anvil/src/history.test.ts
+++ b/packages/replica/src/history.test.ts
@@ -5,15 +5,15 @@
 import os from 'node:os';
 import path from 'node:path';
 import { stringify } from 'devalue';
-import { Sizes } from '@reedyard/gauge';
-import { openNotch, type Notch } from '@reedyard/notch';
+import { Sizes } from '@reedyard/constants';
+import { openWriteAheadLog, type WriteAheadLog } from '@reedyard/write-ahead-log';
 import {
-  Anvil,
+  Replica,
   votersKey,
-  type AnvilAsk,
-  type AnvilCall,
-  type AnvilRecord,
-  type AnvilReply,
+  type ReplicaAsk,
+  type ReplicaCall,
+  type ReplicaRecord,
+  type ReplicaReply,
   type Voters,
   type VotersTold,
 } from './index.js';
@@ -45,7 +45,7 @@
 const bytesIn = (folder: string): number =>
   readdirSync(folder).reduce((sum, name) => sum + statSync(path.join(folder, name)).size, 0);
 
-type Running = { readonly log: Notch; readonly host: ReplicaHost };
+type Running = { readonly log: WriteAheadLog; readonly host: ReplicaHost };
 
 /** Three replicas that reach each other, with a clock that is set by hand. */
 class Cluster {
@@ -66,12 +66,12 @@
   }
 
   async start(name: Name): Promise<void> {
-    const log = await openNotch(this.folder(name));
+    const log = await openWriteAheadLog(this.folder(name));
     this.#lives += 1;
-    const opened = Anvil.open({
+    const opened = Replica.open({
       name,
       others: Object.fromEntries(names.filter((each) => each !== name).map((each) => [each, each])),
-      records: log.records as readonly AnvilRecord[],
+      records: log.records as readonly ReplicaRecord[],
       freshDisk: `disk-${name}-${this.#lives}`,
       now: this.now,
     });
@@ -111,7 +111,7 @@
     }
   }
 
-  ask(name: Name, call: AnvilCall): Promise<AnvilReply> {
+  ask(name: Name, call: ReplicaCall): Promise<ReplicaReply> {
     const running = this.running.get(name);
     if (running === undefined) return Promise.reject(new Error(`${name} is down`));
     return running.host.ask({ voters: this.members, call });
@@ -154,12 +154,12 @@
     this.peakBytes.set(name, Math.max(bytes, this.peakBytes.get(name) ?? 0));
   }
 
-  async #askAll(callOf: () => AnvilCall): Promise<readonly (readonly [Name, AnvilReply])[]> {
+  async #askAll(callOf: () => ReplicaCall): Promise<readonly (readonly [Name, ReplicaReply])[]> {
     const up = names.filter((name) => this.running.has(name));
     return Promise.all(up.map(async (name) => [name, await this.ask(name, callOf())] as const));
   }
 
-  async #deliver(address: string, body: AnvilAsk): Promise<AnvilReply> {
+  async #deliver(address: string, body: ReplicaAsk): Promise<ReplicaReply> {
     const running = this.running.get(address);
     if (running === undefined) throw new Error(`${address} is down`);
     const reply = await running.host.ask(body);
@@ -314,9 +314,9 @@
   }
   t.true(images.length >= 3, `${images.length} images`);
   for (const image of images) {
-    const log = await openNotch(image);
-    const records = log.records as readonly AnvilRecord[];
-    const { state } = Anvil.open({ name: 'c', others: {}, records, freshDisk: 'x', now: 0 });
+    const log = await openWriteAheadLog(image);
+    const records = log.records as readonly ReplicaRecord[];
+    const { state } = Replica.open({ name: 'c', others: {}, records, freshDisk: 'x', now: 0 });
     const held = state.cells.get('config')?.accepted?.value as { readonly version: number };
     t.is(held.version, Number(image.split('-').at(-1)), image);
     await log.close();
--- a/packages/anvil/src/journal.ts
+++ b/packages/replica/src/journal.ts
@@ -1,6 +1,6 @@
-import { Sizes } from '@reedyard/gauge';
-import type { AnvilReply, Cursor, Fact } from './messages.js';
-import { set, type AnvilState, type Kept, type Work } from './state.js';
+import { Sizes } from '@reedyard/constants';
+import type { ReplicaReply, Cursor, Fact } from './messages.js';
+import { set, type ReplicaState, type Kept, type Work } from './state.js';
 
 /** The journal: entries written once, read by each agent from its cursor on. */
 
@@ -27,10 +27,10 @@
 };
 
 export const pulled = (
-  state: AnvilState,
+  state: ReplicaState,
   cursor: Cursor | null,
   keys: readonly string[],
-): AnvilReply => {
+): ReplicaReply => {
   const known =
     cursor !== null &&
     cursor.disk === state.disk &&
--- a/packages/anvil/src/membership.ts
+++ b/packages/replica/src/membership.ts
@@ -1,6 +1,6 @@
 import { Map as Table } from 'immutable';
-import { Limits } from '@reedyard/gauge';
-import { Ballots, emptyCell } from '@reedyard/latch';
+import { Limits } from '@reedyard/constants';
+import { Ballots, emptyCell } from '@reedyard/consensus';
 import {
   newerVoters,
   votersKey,
@@ -9,17 +9,17 @@
   type VotersTold,
 } from './messages.js';
 import { keepCell } from './registers.js';
-import { isNamed, isRetired, placeOf, set, type AnvilState, type Work } from './state.js';
+import { isNamed, isRetired, placeOf, set, type ReplicaState, type Work } from './state.js';
 
 /**
  * Membership as one replica knows it: which members are committed, and what follows for this disk.
  */
 
 /**
- * Whether this anvil may take part in founding the state: only at the very first start, at a seed's
- * address, blank and not told of voters.
+ * Whether this replica may take part in founding the state: only at the very first start, at a
+ * seed's address, blank and not told of voters.
  */
-export const mayFound = (state: AnvilState): boolean =>
+export const mayFound = (state: ReplicaState): boolean =>
   state.seeded !== null &&
   state.seeded.firstStart &&
   state.seeded.seeds.includes(state.seeded.address) &&
@@ -27,7 +27,7 @@
   !state.voting;
 
 /** Whom it reads before it votes: name and address. */
-export const othersOf = (state: AnvilState): Readonly<Record<string, string>> => {
+export const othersOf = (state: ReplicaState): Readonly<Record<string, string>> => {
   if (state.seeded === null) return state.others;
   const { address, seeds } = state.seeded;
   const voters = state.told?.value;
@@ -46,7 +46,7 @@
 
 /** The disk that this one took over from, where it took over from another machine. */
 export const predecessorOf = (
-  state: AnvilState,
+  state: ReplicaState,
 ): (Predecessor & { readonly reading: string }) | null => {
   const voters = state.told?.value;
   const place = voters === undefined || state.seeded === null ? undefined : placeOf(state, voters);
@@ -55,7 +55,7 @@
 };
 
 /**
- * After most disks were lost every voter waits for what jigs tell again: also one that kept its
+ * After most disks were lost every voter waits for what agents tell again: also one that kept its
  * disk, since it may lack what the others had, and one that read the others before they were told.
  */
 const settleFor = (work: Work, refounded: number, now: number): void => {
@@ -127,6 +127,6 @@
         { kind: 'place', seq: state.seq },
       ],
     },
-    { kind: 'log', event: 'anvil.replaced', fields: { epoch: told.value.epoch, disk } },
+    { kind: 'log', event: 'replica.replaced', fields: { epoch: told.value.epoch, disk } },
   );
 };
--- a/packages/anvil/src/messages.ts
+++ b/packages/replica/src/messages.ts
@@ -1,11 +1,11 @@
-import { Ballots, type Ballot, type Cell, type Vote } from '@reedyard/latch';
+import { Ballots, type Ballot, type Cell, type Vote } from '@reedyard/consensus';
 
 /** What a replica is asked, answers, writes to disk and does: the types of its messages. */
 
 /** One fact of the board: written once under its key, never changed. */
 export type Fact = { readonly key: string; readonly value: unknown };
 
-/** A place on one anvil's board, in one life of its disk. */
+/** A place on one replica's board, in one life of its disk. */
 export type Cursor = { readonly disk: string; readonly seq: number };
 
 /** Who votes: for each place, the disk that holds it. One place changes at a time. */
@@ -18,7 +18,7 @@
   readonly joinedIn?: Readonly<Record<string, number>>;
   /** The last epoch that was founded after a loss; left out where none was. */
   readonly refounded?: number;
-  /** Where each place's anvil is reached; left out where the settings name every founder. */
+  /** Where each place's replica is reached; left out where the settings name every founder. */
   readonly addresses?: Readonly<Record<string, string>>;
   /**
    * For a member that took over from another machine: the disk whose place it got, and where that
@@ -48,24 +48,24 @@
   told.value.epoch > known.value.epoch ||
   (told.value.epoch === known.value.epoch && Ballots.compare(told.ballot, known.ballot) > 0);
 
-/** Where voters found themselves from seeds: what one anvil is told by its settings. */
-export type AnvilVoting = {
+/** Where voters found themselves from seeds: what one replica is told by its settings. */
+export type ReplicaVoting = {
   readonly address: string;
-  /** Anvils that found the state among themselves. */ readonly seeds: readonly string[];
+  /** Replicas that found the state among themselves. */ readonly seeds: readonly string[];
   /** True only when the whole system starts for the very first time. */
   readonly firstStart: boolean;
 };
 
 /** A call, with the voters that the caller counts by. */
-export type AnvilAsk = {
+export type ReplicaAsk = {
   readonly voters: VotersTold | null;
-  readonly call: AnvilCall;
+  readonly call: ReplicaCall;
   /** The caller knows of a live blank replica that could take a member's place. */
   readonly spare?: true;
 };
 
-/** What may be asked of an anvil. */
-export type AnvilCall =
+/** What may be asked of a replica. */
+export type ReplicaCall =
   | { readonly kind: 'prepare'; readonly key: string; readonly ballot: Ballot }
   | {
       readonly kind: 'accept';
@@ -78,15 +78,15 @@
   | { readonly kind: 'pull'; readonly cursor: Cursor | null; readonly keys: readonly string[] }
   | { readonly kind: 'fetch'; readonly key: string }
   | { readonly kind: 'dump'; readonly after: string | null }
-  /** What a jig knows to have been chosen, told again after most disks were lost. */
+  /** What an agent knows to have been chosen, told again after most disks were lost. */
   | {
       readonly kind: 'retell';
       readonly cells: readonly (readonly [string, NonNullable<Cell['accepted']>])[];
       readonly facts: readonly Fact[];
     };
 
-/** What an anvil answers. */
-export type AnvilReply =
+/** What a replica answers. */
+export type ReplicaReply =
   /** It may not vote; a fresh disk, which never did, may be given a place. */
   | {
       readonly kind: 'away';
@@ -135,7 +135,7 @@
     };
 
 /** What goes to disk. Replaying a record twice changes nothing. */
-export type AnvilRecord =
+export type ReplicaRecord =
   | { readonly kind: 'disk'; readonly disk: string }
   /** It votes from now on, in the place that the membership of this epoch gives it. */
   | { readonly kind: 'voting'; readonly epoch?: number }
@@ -151,12 +151,12 @@
   | { readonly kind: 'cell'; readonly key: string; readonly cell: Cell }
   | { readonly kind: 'fact'; readonly seq: number; readonly fact: Fact };
 
-export type AnvilEvent =
-  | { readonly kind: 'asked'; readonly id: number; readonly body: AnvilAsk; readonly now: number }
+export type ReplicaEvent =
+  | { readonly kind: 'asked'; readonly id: number; readonly body: ReplicaAsk; readonly now: number }
   | {
       readonly kind: 'returned';
       readonly id: number;
-      readonly body: AnvilReply;
+      readonly body: ReplicaReply;
       readonly now: number;
     }
   | { readonly kind: 'lost'; readonly id: number; readonly now: number }
@@ -164,12 +164,12 @@
   /** The process was told to stop. */
   | { readonly kind: 'stop'; readonly now: number };
 
-export type AnvilEffect =
+export type ReplicaEffect =
   /** To disk, in order. */
-  | { readonly kind: 'append'; readonly records: readonly AnvilRecord[] }
+  | { readonly kind: 'append'; readonly records: readonly ReplicaRecord[] }
   /** Answer a call, only after all that was appended before is synced. */
-  | { readonly kind: 'tell'; readonly id: number; readonly body: AnvilReply }
-  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: AnvilAsk }
+  | { readonly kind: 'tell'; readonly id: number; readonly body: ReplicaReply }
+  | { readonly kind: 'call'; readonly id: number; readonly to: string; readonly body: ReplicaAsk }
   /** It was told to stop, and nothing waits for it any more. */
   | { readonly kind: 'end' }
   | {
--- a/packages/anvil/src/recovery.ts
+++ b/packages/replica/src/recovery.ts
@@ -1,12 +1,12 @@
-import { Beats, Limits, Sizes } from '@reedyard/gauge';
-import { Acceptor, Ballots, emptyCell, majorityOf, type Ballot } from '@reedyard/latch';
+import { Beats, Limits, Sizes } from '@reedyard/constants';
+import { Acceptor, Ballots, emptyCell, majorityOf, type Ballot } from '@reedyard/consensus';
 import { keepFacts } from './journal.js';
 import { adopt, mayFound, othersOf, predecessorOf } from './membership.js';
 import {
   votersKey,
-  type AnvilCall,
-  type AnvilReply,
-  type AnvilVoting,
+  type ReplicaCall,
+  type ReplicaReply,
+  type ReplicaVoting,
   type Voters,
 } from './messages.js';
 import { keepCell } from './registers.js';
@@ -17,14 +17,14 @@
   placeOf,
   set,
   votersOf,
-  type AnvilState,
+  type ReplicaState,
   type Reading,
   type Work,
 } from './state.js';
 
 /** Recovery: how a replica that may not vote yet reads the others, and how it is read by them. */
 
-export const away = (state: AnvilState): AnvilReply => ({
+export const away = (state: ReplicaState): ReplicaReply => ({
   kind: 'away',
   disk: state.disk,
   fresh: !state.voting,
@@ -35,7 +35,7 @@
  * One page of the registers for a reader. The keys are listed once, at its first page: a register
  * that is written later was not written under voters that the reader's place took part in.
  */
-export const dumped = (work: Work, after: string | null): AnvilReply => {
+export const dumped = (work: Work, after: string | null): ReplicaReply => {
   const { state } = work;
   // A retired replica accepts nothing more, so what it shows is all that it ever will.
   if (!isVoter(state) && !isRetired(state)) return away(state);
@@ -69,7 +69,7 @@
  */
 export const takeRetold = (
   work: Work,
-  told: Extract<AnvilCall, { kind: 'retell' }>,
+  told: Extract<ReplicaCall, { kind: 'retell' }>,
   now: number,
 ): void => {
   const { seq } = work.state;
@@ -99,7 +99,7 @@
   askedEpoch: 0,
   earlierCalls: [],
 };
-const readingOf = (state: AnvilState, name: string): Reading =>
+const readingOf = (state: ReplicaState, name: string): Reading =>
   state.readings[name] ?? blankReading;
 
 /**
@@ -147,7 +147,7 @@
  * less is borne, so it asks again soon, and gives a busy machine more time at each try; who only
  * waits to be named is in no haste.
  */
-const patienceFor = (state: AnvilState, reading: Reading): number =>
+const patienceFor = (state: ReplicaState, reading: Reading): number =>
   isNamed(state)
     ? Math.min(Limits.call, Limits.recoveryCall * (1 + reading.earlierCalls.length))
     : Limits.call;
@@ -237,7 +237,7 @@
  * or a later one, before it was read, so it votes no more; with a copy of its state this disk
  * counts wherever that one did.
  */
-const hasReadPredecessor = (state: AnvilState): boolean => {
+const hasReadPredecessor = (state: ReplicaState): boolean => {
   const predecessor = predecessorOf(state);
   if (predecessor === null) return false;
   const reading = readingOf(state, predecessor.reading);
@@ -255,7 +255,7 @@
     { kind: 'append', records: [{ kind: 'voting', epoch }] },
     {
       kind: 'log',
-      event: 'anvil.votes',
+      event: 'replica.votes',
       fields: { disk: work.state.disk, cells: work.state.cells.size, step },
     },
   );
@@ -268,7 +268,7 @@
  */
 const tryVoteSeeded = (
   work: Work,
-  seeded: AnvilVoting,
+  seeded: ReplicaVoting,
   others: Readonly<Record<string, Reading>>,
   now: number,
 ): void => {
@@ -295,7 +295,7 @@
   beginVoting(work, 'found');
 };
 
-export const returned = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
+export const returned = (work: Work, id: number, body: ReplicaReply | null, now: number): void => {
   const found = Object.entries(work.state.readings).find(
     ([, reading]) => reading.call === id || reading.earlierCalls.includes(id),
   );
--- a/packages/anvil/src/registers.ts
+++ b/packages/replica/src/registers.ts
@@ -1,6 +1,6 @@
 import { Set as Group } from 'immutable';
-import type { Cell, Vote } from '@reedyard/latch';
-import { set, type AnvilState, type Work } from './state.js';
+import type { Cell, Vote } from '@reedyard/consensus';
+import { set, type ReplicaState, type Work } from './state.js';
 
 /**
  * Registers: what was promised and accepted under each key, and when each claim was last written.
@@ -10,10 +10,10 @@
 export const minuteOf = (now: number): number => Math.floor(now / 60_000);
 
 export const withoutClaim = (
-  minutes: AnvilState['claimMinutes'],
+  minutes: ReplicaState['claimMinutes'],
   minute: number,
   key: string,
-): AnvilState['claimMinutes'] => {
+): ReplicaState['claimMinutes'] => {
   const left = (minutes.get(minute) ?? Group<string>()).delete(key);
   return left.isEmpty() ? minutes.delete(minute) : minutes.set(minute, left);
 };
--- a/packages/anvil/src/replica-host.test.ts
+++ b/packages/replica/src/replica-host.test.ts
@@ -1,13 +1,17 @@
 // The replica on a disk that is full, refuses, or hangs.
 import test, { type ExecutionContext } from 'ava';
-import { Limits } from '@reedyard/gauge';
-import { openNotch, type Notch } from '@reedyard/notch';
-import { ModelDisk, type DiskFault, type DiskOperation } from '@reedyard/notch/model-disk';
+import { Limits } from '@reedyard/constants';
+import { openWriteAheadLog, type WriteAheadLog } from '@reedyard/write-ahead-log';
 import {
-  Anvil,
-  type AnvilCall,
-  type AnvilRecord,
-  type AnvilReply,
+  ModelDisk,
+  type DiskFault,
+  type DiskOperation,
+} from '@reedyard/write-ahead-log/model-disk';
+import {
+  Replica,
+  type ReplicaCall,
+  type ReplicaRecord,
+  type ReplicaReply,
   type VotersTold,
 } from './index.js';
 import { ReplicaHost } from './replica-host.js';
@@ -43,10 +47,10 @@
 
   private constructor(
     readonly disk: ModelDisk,
-    log: Notch,
+    log: WriteAheadLog,
   ) {
-    const records = log.records as readonly AnvilRecord[];
-    const opened = Anvil.open({ name: 'a', others: {}, records, freshDisk: diskName, now: 0 });
+    const records = log.records as readonly ReplicaRecord[];
+    const opened = Replica.open({ name: 'a', others: {}, records, freshDisk: diskName, now: 0 });
     this.host = new ReplicaHost(opened, log, {
       now: () => this.now,
       call: () => Promise.reject(new Error('nobody is there')),
@@ -56,12 +60,12 @@
   }
 
   static async open(disk: ModelDisk): Promise<Bed> {
-    const bed = new Bed(disk, await openNotch(folder, disk.fileSystem));
+    const bed = new Bed(disk, await openWriteAheadLog(folder, disk.fileSystem));
     await settle();
     return bed;
   }
 
-  ask(call: AnvilCall): Promise<AnvilReply> {
+  ask(call: ReplicaCall): Promise<ReplicaReply> {
     return this.host.ask({ voters: members, call });
   }
 
@@ -71,15 +75,15 @@
     await settle();
   }
 
-  prepare(round: number, key = 'config'): Promise<AnvilReply> {
+  prepare(round: number, key = 'config'): Promise<ReplicaReply> {
     return this.ask({ kind: 'prepare', key, ballot: [round, 'proposer'] });
   }
 
-  accept(round: number, value: unknown, key = 'config'): Promise<AnvilReply> {
+  accept(round: number, value: unknown, key = 'config'): Promise<ReplicaReply> {
     return this.ask({ kind: 'accept', key, ballot: [round, 'proposer'], value, disk: diskName });
   }
 
-  pull(): Promise<AnvilReply> {
+  pull(): Promise<ReplicaReply> {
     return this.ask({ kind: 'pull', cursor: null, keys: ['config'] });
   }
 }
@@ -87,7 +91,7 @@
 /** A member that votes, on a disk of its own. */
 const votingDisk = async (): Promise<ModelDisk> => {
   const disk = new ModelDisk();
-  const log = await openNotch(folder, disk.fileSystem);
+  const log = await openWriteAheadLog(folder, disk.fileSystem);
   await log.append([
     { kind: 'disk', disk: diskName },
     { kind: 'cell', key: 'voters', cell: { promised: members.ballot, accepted: members } },
@@ -100,13 +104,13 @@
 
 /** What another process would read, and take part with, now. */
 const acceptedOnDisk = async (disk: ModelDisk): Promise<unknown> => {
-  const records = (await openNotch(folder, disk.copy().fileSystem))
-    .records as readonly AnvilRecord[];
-  const { state } = Anvil.open({ name: 'a', others: {}, records, freshDisk: 'another', now: 0 });
+  const records = (await openWriteAheadLog(folder, disk.copy().fileSystem))
+    .records as readonly ReplicaRecord[];
+  const { state } = Replica.open({ name: 'a', others: {}, records, freshDisk: 'another', now: 0 });
   return state.cells.get('config')?.accepted?.value;
 };
 
-const ballotShown = (reply: AnvilReply): unknown =>
+const ballotShown = (reply: ReplicaReply): unknown =>
   reply.kind === 'pulled' ? reply.ballots['config'] : reply.kind;
 
 test('with a full disk the replica refuses to vote at once, shows what is on disk, and votes again once there is room', async (t) => {
@@ -197,9 +201,9 @@
   await bed.tick(5_000);
   // The only member has nobody to read: it votes with the call that names it.
   t.is((await bed.pull()).kind, 'pulled');
-  const records = (await openNotch(folder, disk.copy().fileSystem)).records;
+  const records = (await openWriteAheadLog(folder, disk.copy().fileSystem)).records;
   t.deepEqual(records[0], { kind: 'disk', disk: diskName });
-  t.true(records.some((record) => (record as AnvilRecord).kind === 'voting'));
+  t.true(records.some((record) => (record as ReplicaRecord).kind === 'voting'));
 });
 
 /**
--- a/packages/anvil/src/replica-host.ts
+++ b/packages/replica/src/replica-host.ts
@@ -12,19 +12,25 @@
  *
  * Time, calls and logging are handed in.
  */
-import { Limits, Sizes } from '@reedyard/gauge';
-import type { Step } from '@reedyard/chute';
-import { Anvil } from './core.js';
-import type { AnvilAsk, AnvilEffect, AnvilEvent, AnvilRecord, AnvilReply } from './messages.js';
-import type { AnvilState } from './state.js';
+import { Limits, Sizes } from '@reedyard/constants';
+import type { Step } from '@reedyard/task-loop';
+import { Replica } from './core.js';
+import type {
+  ReplicaAsk,
+  ReplicaEffect,
+  ReplicaEvent,
+  ReplicaRecord,
+  ReplicaReply,
+} from './messages.js';
+import type { ReplicaState } from './state.js';
 
 /** The log as the replica needs it. */
 export type ReplicaLog = {
   readonly available: () => boolean;
   readonly failure: () => Error | null;
-  readonly append: (records: readonly AnvilRecord[]) => Promise<void>;
+  readonly append: (records: readonly ReplicaRecord[]) => Promise<void>;
   readonly recover: () => Promise<void>;
-  readonly compact: (state: () => Iterable<AnvilRecord>) => Promise<void>;
+  readonly compact: (state: () => Iterable<ReplicaRecord>) => Promise<void>;
   readonly segmentBytes: () => number;
   readonly snapshotBytes: () => number;
   readonly fragmented: () => boolean;
@@ -33,7 +39,7 @@
 /** What the host does outside. */
 export type ReplicaShell = {
   readonly now: () => number;
-  readonly call: (address: string, body: AnvilAsk) => Promise<AnvilReply>;
+  readonly call: (address: string, body: ReplicaAsk) => Promise<ReplicaReply>;
   /** Ends the process: it was told to stop, and nothing waits for it any more. */
   readonly end: () => void;
   readonly log: (
@@ -59,35 +65,35 @@
 
 type HeldAnswer = {
   readonly askedAt: number;
-  readonly reply: AnvilReply;
-  readonly resolve: (reply: AnvilReply) => void;
+  readonly reply: ReplicaReply;
+  readonly resolve: (reply: ReplicaReply) => void;
 };
 
 /** Records on their way to the disk, and what follows once they are there. */
 type PendingAppend = {
   readonly startedAt: number;
   /** The state that is on disk once these records are. */
-  state: AnvilState;
+  state: ReplicaState;
   readonly answers: HeldAnswer[];
 };
 
-type Asked = Extract<AnvilEvent, { kind: 'asked' }>;
-type TellEffect = Extract<AnvilEffect, { kind: 'tell' }>;
+type Asked = Extract<ReplicaEvent, { kind: 'asked' }>;
+type TellEffect = Extract<ReplicaEffect, { kind: 'tell' }>;
 
-const recordsIn = (effects: readonly AnvilEffect[]): readonly AnvilRecord[] =>
+const recordsIn = (effects: readonly ReplicaEffect[]): readonly ReplicaRecord[] =>
   effects.flatMap((effect) => (effect.kind === 'append' ? effect.records : []));
 
-const tellIn = (effects: readonly AnvilEffect[]): TellEffect | undefined =>
+const tellIn = (effects: readonly ReplicaEffect[]): TellEffect | undefined =>
   effects.find((effect): effect is TellEffect => effect.kind === 'tell');
 
 export class ReplicaHost {
   readonly #log: ReplicaLog;
   readonly #shell: ReplicaShell;
-  readonly #openingRecords: readonly AnvilRecord[];
+  readonly #openingRecords: readonly ReplicaRecord[];
   /** With all that was decided, also what is not on disk yet. */
-  #state: AnvilState;
+  #state: ReplicaState;
   /** As it is on disk. */
-  #durable: AnvilState;
+  #durable: ReplicaState;
   /** Whether what the disk held at the start, and the opening records, are durable. */
   #opened = false;
   #pending: PendingAppend[] = [];
@@ -103,7 +109,7 @@
   #snapshotFailureLogged = false;
   #nextAsk = 1;
 
-  constructor(opened: Step<AnvilState, AnvilEffect>, log: ReplicaLog, shell: ReplicaShell) {
+  constructor(opened: Step<ReplicaState, ReplicaEffect>, log: ReplicaLog, shell: ReplicaShell) {
     this.#log = log;
     this.#shell = shell;
     this.#state = opened.state;
@@ -114,12 +120,12 @@
   }
 
   /** The state with all that was decided. */
-  get state(): AnvilState {
+  get state(): ReplicaState {
     return this.#state;
   }
 
   /** The state that is on disk. */
-  get durableState(): AnvilState {
+  get durableState(): ReplicaState {
     return this.#durable;
   }
 
@@ -129,7 +135,7 @@
   }
 
   /** Answers a call, perhaps with a refusal; late answers are given to nobody. */
-  ask(body: AnvilAsk): Promise<AnvilReply> {
+  ask(body: ReplicaAsk): Promise<ReplicaReply> {
     if (!this.#opened) return Promise.resolve(this.#refusal());
     const id = this.#nextAsk;
     this.#nextAsk += 1;
@@ -164,10 +170,10 @@
    * A pull or fetch that changes nothing, answered as if it had come before what is not on disk
    * yet.
    */
-  #readDurable(event: Asked): AnvilReply | null {
+  #readDurable(event: Asked): ReplicaReply | null {
     const { kind } = event.body.call;
     if (kind !== 'pull' && kind !== 'fetch') return null;
-    const { effects } = Anvil.reduce(this.#durable, event);
+    const { effects } = Replica.reduce(this.#durable, event);
     if (recordsIn(effects).length > 0) return null;
     const reply = tellIn(effects)?.body ?? null;
     return reply?.kind === 'pulled' && !this.available ? { ...reply, readOnly: true } : reply;
@@ -185,8 +191,8 @@
   /**
    * Takes an event, or refuses it as if it had never come: if it needs a disk that takes nothing.
    */
-  #apply(event: AnvilEvent, resolve?: (reply: AnvilReply) => void): boolean {
-    const step = Anvil.reduce(this.#state, event);
+  #apply(event: ReplicaEvent, resolve?: (reply: ReplicaReply) => void): boolean {
+    const step = Replica.reduce(this.#state, event);
     const records = recordsIn(step.effects);
     if (records.length > 0 && !this.available) return false;
     if (resolve !== undefined && this.#heldAnswers >= mostHeldAnswers) return false;
@@ -203,7 +209,7 @@
     else last.state = this.#state;
   }
 
-  #perform(effect: AnvilEffect, resolve?: (reply: AnvilReply) => void): void {
+  #perform(effect: ReplicaEffect, resolve?: (reply: ReplicaReply) => void): void {
     switch (effect.kind) {
       case 'append':
         return;
@@ -222,14 +228,14 @@
     }
   }
 
-  #call(id: number, to: string, body: AnvilAsk): void {
+  #call(id: number, to: string, body: ReplicaAsk): void {
     this.#shell.call(to, body).then(
       (reply) => this.#apply({ kind: 'returned', id, body: reply, now: this.#shell.now() }),
       () => this.#apply({ kind: 'lost', id, now: this.#shell.now() }),
     );
   }
 
-  #answerOnceSynced(reply: AnvilReply, resolve: (reply: AnvilReply) => void): void {
+  #answerOnceSynced(reply: ReplicaReply, resolve: (reply: ReplicaReply) => void): void {
     const last = this.#pending.at(-1);
     if (last === undefined) {
       resolve(reply);
@@ -239,7 +245,7 @@
     last.answers.push({ askedAt: this.#shell.now(), reply, resolve });
   }
 
-  #append(records: readonly AnvilRecord[]): void {
+  #append(records: readonly ReplicaRecord[]): void {
     const pending: PendingAppend = {
       startedAt: this.#shell.now(),
       state: this.#state,
@@ -263,7 +269,7 @@
     this.#reportStall();
   }
 
-  #unlessLate({ askedAt, reply }: HeldAnswer): AnvilReply {
+  #unlessLate({ askedAt, reply }: HeldAnswer): ReplicaReply {
     return this.#shell.now() - askedAt > Limits.call ? this.#refusal() : reply;
   }
 
@@ -358,7 +364,7 @@
     if (this.#log.segmentBytes() <= most && !this.#log.fragmented()) return;
     this.#compacting = true;
     this.#log
-      .compact(() => Anvil.records(this.#durable))
+      .compact(() => Replica.records(this.#durable))
       .then(
         () => this.#compacted(),
         (thrown: unknown) => this.#compactionFailed(thrown),
@@ -381,7 +387,7 @@
     this.#shell.log('warn', 'snapshot.failed', { text });
   }
 
-  #refusal(): AnvilReply {
+  #refusal(): ReplicaReply {
     return { kind: 'unavailable', disk: this.#durable.disk };
   }
 }
--- a/packages/anvil/src/anvil.test.ts
+++ b/packages/replica/src/replica.test.ts
@@ -1,17 +1,17 @@
 import test from 'ava';
-import { Limits, Sizes } from '@reedyard/gauge';
-import { Anvil } from './core.js';
+import { Limits, Sizes } from '@reedyard/constants';
+import { Replica } from './core.js';
 import {
   votersKey,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilEvent,
-  type AnvilRecord,
-  type AnvilReply,
+  type ReplicaAsk,
+  type ReplicaEffect,
+  type ReplicaEvent,
+  type ReplicaRecord,
+  type ReplicaReply,
   type Voters,
 } from './messages.js';
 import { nextStep } from './recovery.js';
-import type { AnvilState } from './state.js';
+import type { ReplicaState } from './state.js';
 
 const chanceFrom = (seed: number): (() => number) => {
   let state = seed + 1;
@@ -24,14 +24,14 @@
   readonly to: string;
   readonly from: string;
   readonly id: number;
-  readonly ask?: AnvilAsk;
-  readonly reply?: AnvilReply;
+  readonly ask?: ReplicaAsk;
+  readonly reply?: ReplicaReply;
 };
 
-/** Anvils that talk over a bench where any message may come next, or get lost. */
+/** Replicas that talk over a bench where any message may come next, or get lost. */
 class Bench {
-  readonly states = new Map<string, AnvilState>();
-  readonly disks = new Map<string, AnvilRecord[]>();
+  readonly states = new Map<string, ReplicaState>();
+  readonly disks = new Map<string, ReplicaRecord[]>();
   flying: Flying[] = [];
   now = 0;
   readonly #asking = new Map<string, { from: string; id: number }>();
@@ -49,7 +49,7 @@
     const others = Object.fromEntries(
       this.names.filter((each) => each !== name).map((each) => [each, each]),
     );
-    const opened = Anvil.open({
+    const opened = Replica.open({
       name,
       others,
       records: this.disks.get(name) ?? [],
@@ -65,7 +65,7 @@
     this.open(name);
   }
 
-  perform(name: string, effects: readonly AnvilEffect[]): void {
+  perform(name: string, effects: readonly ReplicaEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'append')
         this.disks.set(name, [...(this.disks.get(name) ?? []), ...effect.records]);
@@ -78,10 +78,10 @@
       }
     }
   }
-  step(name: string, event: AnvilEvent): void {
+  step(name: string, event: ReplicaEvent): void {
     const state = this.states.get(name);
     if (state === undefined) return;
-    const done = Anvil.reduce(state, event);
+    const done = Replica.reduce(state, event);
     this.states.set(name, done.state);
     this.perform(name, done.effects);
   }
@@ -149,7 +149,7 @@
   }
 });
 
-test('a wiped anvil does not vote until the voters name its new disk and it has read the others', (t) => {
+test('a wiped replica does not vote until the voters name its new disk and it has read the others', (t) => {
   const bench = new Bench(['a', 'b', 'c'], chanceFrom(7));
   for (let each = 0; each < 600; each += 1) bench.tick(0);
   const before = bench.voters()[0];
@@ -157,7 +157,7 @@
   for (let each = 0; each < 600; each += 1) bench.tick(0.1);
   t.false(bench.states.get('c')?.voting);
   const told = {
-    ballot: [9, 'jig'] as const,
+    ballot: [9, 'agent'] as const,
     value: {
       epoch: (before?.epoch ?? 0) + 1,
       disks: { ...before?.disks, c: bench.states.get('c')?.disk ?? '' },
@@ -257,15 +257,15 @@
   );
 });
 
-test('an anvil that knows newer voters refuses a caller that counts by older ones', (t) => {
+test('a replica that knows newer voters refuses a caller that counts by older ones', (t) => {
   const bench = new Bench(['a', 'b', 'c'], chanceFrom(3));
   for (let each = 0; each < 600; each += 1) bench.tick(0);
   const [voters] = bench.voters();
   const ballot = bench.states.get('a')?.cells.get(votersKey)?.accepted?.ballot ?? [0, ''];
-  const asked = (epoch: number): AnvilReply | undefined => {
+  const asked = (epoch: number): ReplicaReply | undefined => {
     const state = bench.states.get('a');
     if (state === undefined || voters === undefined) return undefined;
-    const { effects } = Anvil.reduce(state, {
+    const { effects } = Replica.reduce(state, {
       kind: 'asked',
       id: 1,
       body: {
@@ -299,9 +299,9 @@
     return;
   }
   // Everything aged away, then a snapshot, then a restart.
-  const aged = Anvil.reduce(state, { kind: 'beat', now: 1e9 }).state;
+  const aged = Replica.reduce(state, { kind: 'beat', now: 1e9 }).state;
   t.is(aged.facts.length, 0);
-  bench.disks.set('a', [...Anvil.records(aged)]);
+  bench.disks.set('a', [...Replica.records(aged)]);
   bench.open('a');
   post('purge/3', 3);
   t.is(bench.states.get('a')?.facts[0]?.seq, 3);
@@ -312,13 +312,13 @@
   bench.step('a', { kind: 'beat', now: 100 });
   const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
   const disk = bench.states.get('a')?.disk ?? '';
-  let state = bench.states.get('a') as AnvilState;
-  const act = (event: AnvilEvent): readonly AnvilReply[] => {
-    const step = Anvil.reduce(state, event);
+  let state = bench.states.get('a') as ReplicaState;
+  const act = (event: ReplicaEvent): readonly ReplicaReply[] => {
+    const step = Replica.reduce(state, event);
     state = step.state;
     return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
   };
-  const ask = (call: AnvilAsk['call'], now: number): AnvilReply | undefined =>
+  const ask = (call: ReplicaAsk['call'], now: number): ReplicaReply | undefined =>
     act({ kind: 'asked', id: 1, body: { voters, call }, now })[0];
   const claim = (index: number, now: number): void => {
     ask({ kind: 'accept', key: `claim/k${index}`, ballot: [1, 'x'], value: index, disk }, now);
@@ -354,10 +354,10 @@
 
   const full = {
     ...state,
-    claimsSeen: { ...state.claimsSeen, size: Sizes.claims } as AnvilState['claimsSeen'],
+    claimsSeen: { ...state.claimsSeen, size: Sizes.claims } as ReplicaState['claimsSeen'],
   };
   const prepared = (key: string): string | undefined =>
-    Anvil.reduce(full, {
+    Replica.reduce(full, {
       kind: 'asked',
       id: 1,
       body: { voters, call: { kind: 'prepare', key, ballot: [9, 'x'] } },
--- a/packages/anvil/src/retirement.test.ts
+++ b/packages/replica/src/retirement.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava';
-import { Limits } from '@reedyard/gauge';
-import type { Ballot } from '@reedyard/latch';
-import { Anvil } from './core.js';
-import type { AnvilAsk, AnvilCall, AnvilEffect, AnvilEvent } from './messages.js';
-import { votersKey, type AnvilRecord, type AnvilReply, type VotersTold } from './messages.js';
-import type { AnvilState } from './state.js';
+import { Limits } from '@reedyard/constants';
+import type { Ballot } from '@reedyard/consensus';
+import { Replica } from './core.js';
+import type { ReplicaAsk, ReplicaCall, ReplicaEffect, ReplicaEvent } from './messages.js';
+import { votersKey, type ReplicaRecord, type ReplicaReply, type VotersTold } from './messages.js';
+import type { ReplicaState } from './state.js';
 
 // What a replica does once its place was given to another disk, or its process was told to stop.
 
@@ -28,40 +28,40 @@
   },
 );
 
-const pull: AnvilCall = { kind: 'pull', cursor: null, keys: [] };
-const dump: AnvilCall = { kind: 'dump', after: null };
-const prepare: AnvilCall = { kind: 'prepare', key: 'config', ballot: [9, 'agent'] };
-const entry: AnvilCall = { kind: 'post', facts: [{ key: 'purge/1', value: 1 }] };
+const pull: ReplicaCall = { kind: 'pull', cursor: null, keys: [] };
+const dump: ReplicaCall = { kind: 'dump', after: null };
+const prepare: ReplicaCall = { kind: 'prepare', key: 'config', ballot: [9, 'agent'] };
+const entry: ReplicaCall = { kind: 'post', facts: [{ key: 'purge/1', value: 1 }] };
 
 /** Records of a replica that voted in the first epoch. */
-const recordsOf = (disk: string): readonly AnvilRecord[] => [
+const recordsOf = (disk: string): readonly ReplicaRecord[] => [
   { kind: 'disk', disk },
   { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } },
   { kind: 'told', voters: first },
   { kind: 'voting' },
 ];
 
-class Replica {
-  state: AnvilState;
-  readonly records: AnvilRecord[];
-  sent: Extract<AnvilEffect, { kind: 'call' }>[] = [];
+class ReplicaUnderTest {
+  state: ReplicaState;
+  readonly records: ReplicaRecord[];
+  sent: Extract<ReplicaEffect, { kind: 'call' }>[] = [];
   ended = false;
   now = 0;
 
   constructor(
     readonly address: string,
-    records: readonly AnvilRecord[],
+    records: readonly ReplicaRecord[],
     freshDisk = 'never',
   ) {
     this.records = [...records];
     const seeded = { address, seeds: [address], firstStart: true };
-    const opened = Anvil.open({ name: address, others: {}, seeded, records, freshDisk, now: 0 });
+    const opened = Replica.open({ name: address, others: {}, seeded, records, freshDisk, now: 0 });
     this.state = opened.state;
     this.#take(opened.effects);
   }
 
-  #take(effects: readonly AnvilEffect[]): readonly AnvilReply[] {
-    const replies: AnvilReply[] = [];
+  #take(effects: readonly ReplicaEffect[]): readonly ReplicaReply[] {
+    const replies: ReplicaReply[] = [];
     for (const effect of effects) {
       if (effect.kind === 'append') this.records.push(...effect.records);
       if (effect.kind === 'call') this.sent.push(effect);
@@ -71,13 +71,17 @@
     return replies;
   }
 
-  step(event: AnvilEvent): readonly AnvilReply[] {
-    const done = Anvil.reduce(this.state, event);
+  step(event: ReplicaEvent): readonly ReplicaReply[] {
+    const done = Replica.reduce(this.state, event);
     this.state = done.state;
     return this.#take(done.effects);
   }
 
-  ask(voters: VotersTold, call: AnvilCall, more: Partial<AnvilAsk> = {}): AnvilReply | undefined {
+  ask(
+    voters: VotersTold,
+    call: ReplicaCall,
+    more: Partial<ReplicaAsk> = {},
+  ): ReplicaReply | undefined {
     return this.step({ kind: 'asked', id: 1, body: { voters, call, ...more }, now: this.now })[0];
   }
 
@@ -87,22 +91,22 @@
   }
 
   /** Answers what was asked of a machine last. */
-  answer(from: string, reply: AnvilReply): void {
+  answer(from: string, reply: ReplicaReply): void {
     const call = this.sent.filter((each) => each.to === from).at(-1);
     if (call === undefined) throw new Error(`nothing was asked of ${from}`);
     this.step({ kind: 'returned', id: call.id, body: reply, now: this.now });
   }
 }
 
-const fetched = (disk: string): AnvilReply => ({ kind: 'fetched', disk, accepted: null });
+const fetched = (disk: string): ReplicaReply => ({ kind: 'fetched', disk, accepted: null });
 
 test('a replaced replica votes no more, and keeps its data, readable, until its successor votes', (t) => {
-  const replica = new Replica('a', recordsOf('A'));
+  const replica = new ReplicaUnderTest('a', recordsOf('A'));
   replica.ask(first, entry);
   t.deepEqual(replica.ask(second, pull), { kind: 'away', disk: 'A', fresh: false, informed: true });
   t.is(replica.ask(second, prepare)?.kind, 'away');
   t.is(replica.ask(first, prepare)?.kind, 'stale');
-  for (const holder of [replica, new Replica('a', replica.records)]) {
+  for (const holder of [replica, new ReplicaUnderTest('a', replica.records)]) {
     holder.interval();
     const read = holder.ask(second, dump);
     t.is(read?.kind === 'dumped' ? read.facts.length : 0, 1);
@@ -118,20 +122,20 @@
     holder.answer('d', fetched('D'));
     const blank = { kind: 'away', disk: 'A/2', fresh: true, informed: true };
     t.deepEqual(holder.ask(second, pull), blank);
-    for (const records of [holder.records, [...Anvil.records(holder.state)]]) {
-      const { state } = new Replica('a', records);
+    for (const records of [holder.records, [...Replica.records(holder.state)]]) {
+      const { state } = new ReplicaUnderTest('a', records);
       t.deepEqual(
         [state.disk, state.voting, state.cells.size, state.facts.length],
         ['A/2', false, 0, 0],
       );
       t.is(state.told?.value.epoch, 2);
-      t.false(Anvil.reduce(state, { kind: 'beat', now: 5_000 }).state.voting);
+      t.false(Replica.reduce(state, { kind: 'beat', now: 5_000 }).state.voting);
     }
   }
 });
 
 test('a successor that answers as a blank disk does not vote: the data is kept', (t) => {
-  const replica = new Replica('a', recordsOf('A'));
+  const replica = new ReplicaUnderTest('a', recordsOf('A'));
   replica.ask(second, pull);
   replica.interval();
   replica.answer('d', { kind: 'away', disk: 'D', fresh: true, informed: true });
@@ -140,7 +144,7 @@
 });
 
 test('without a successor that votes the data is kept until a majority votes without it', (t) => {
-  const replica = new Replica('a', recordsOf('A'));
+  const replica = new ReplicaUnderTest('a', recordsOf('A'));
   replica.ask(second, pull);
   replica.interval(Limits.retention + 200);
   replica.answer('b', fetched('B'));
@@ -153,7 +157,7 @@
 });
 
 test('a successor that was replaced in its turn is not waited for', (t) => {
-  const replica = new Replica('a', recordsOf('A'));
+  const replica = new ReplicaUnderTest('a', recordsOf('A'));
   replica.ask(second, pull);
   replica.interval();
   replica.answer('b', { kind: 'stale', disk: 'B', voters: third });
@@ -164,7 +168,7 @@
   t.is(replica.state.disk, 'A/3');
 });
 
-const dumped = (disk: string, voters: VotersTold): AnvilReply => ({
+const dumped = (disk: string, voters: VotersTold): ReplicaReply => ({
   kind: 'dumped',
   disk,
   voters,
@@ -174,8 +178,8 @@
 });
 
 test('a successor votes once it has read its predecessor, or enough other members', (t) => {
-  const joining = (): Replica => {
-    const replica = new Replica('d', [], 'D');
+  const joining = (): ReplicaUnderTest => {
+    const replica = new ReplicaUnderTest('d', [], 'D');
     replica.ask(second, pull);
     t.deepEqual(replica.sent.map((each) => each.to).sort(), ['a', 'b', 'c']);
     t.true(replica.sent.every((each) => each.body.voters?.value.epoch === 2));
@@ -197,11 +201,11 @@
 });
 
 test('told to stop, a member without a spare ends at once; with one it says so and waits a while', (t) => {
-  const alone = new Replica('a', recordsOf('A'));
+  const alone = new ReplicaUnderTest('a', recordsOf('A'));
   alone.step({ kind: 'stop', now: alone.now });
   t.true(alone.ended);
 
-  const replica = new Replica('a', recordsOf('A'));
+  const replica = new ReplicaUnderTest('a', recordsOf('A'));
   replica.ask(first, pull, { spare: true });
   replica.step({ kind: 'stop', now: replica.now });
   const answer = replica.ask(first, pull, { spare: true });
@@ -214,8 +218,8 @@
 });
 
 test('told to stop, a replaced member ends once its successor votes, or has taken too long', (t) => {
-  const leaving = (): Replica => {
-    const replica = new Replica('a', recordsOf('A'));
+  const leaving = (): ReplicaUnderTest => {
+    const replica = new ReplicaUnderTest('a', recordsOf('A'));
     replica.ask(first, pull, { spare: true });
     replica.step({ kind: 'stop', now: replica.now });
     replica.ask(second, pull);
--- a/packages/anvil/src/retirement.ts
+++ b/packages/replica/src/retirement.ts
@@ -1,8 +1,8 @@
-import { Limits } from '@reedyard/gauge';
-import { majorityOf } from '@reedyard/latch';
+import { Limits } from '@reedyard/constants';
+import { majorityOf } from '@reedyard/consensus';
 import { adopt, blank } from './membership.js';
-import { votersKey, type AnvilReply, type Voters } from './messages.js';
-import { isRetired, isVoter, set, type AnvilState, type Retirement, type Work } from './state.js';
+import { votersKey, type ReplicaReply, type Voters } from './messages.js';
+import { isRetired, isVoter, set, type ReplicaState, type Retirement, type Work } from './state.js';
 
 /**
  * Retirement: what a replica does once its place was given to another disk, or its process was told
@@ -27,7 +27,7 @@
  * was replaced in its turn or has not come to vote for long, a majority of the members votes
  * without it.
  */
-const mayForget = (state: AnvilState, retirement: Retirement, now: number): boolean => {
+const mayForget = (state: ReplicaState, retirement: Retirement, now: number): boolean => {
   const voters = state.told?.value;
   if (voters === undefined) return false;
   const successor = successorOf(voters, state.disk);
@@ -85,11 +85,11 @@
 };
 
 /** Whether a call was one of those to the members that go on without it. */
-export const isPolled = (state: AnvilState, id: number): boolean =>
+export const isPolled = (state: ReplicaState, id: number): boolean =>
   state.retirement?.calls[id] !== undefined;
 
 /** Takes in what a member answered, or that it did not (null). */
-export const notePoll = (work: Work, id: number, body: AnvilReply | null, now: number): void => {
+export const notePoll = (work: Work, id: number, body: ReplicaReply | null, now: number): void => {
   const { retirement, told } = work.state;
   const member = retirement?.calls[id];
   if (retirement === null || told === null || member === undefined) return;
@@ -105,7 +105,7 @@
  * Whether a replica that was told to stop should still run: a member while a blank replica could
  * take its place, a replaced one until its successor has read it.
  */
-const isAwaited = (state: AnvilState, now: number): boolean => {
+const isAwaited = (state: ReplicaState, now: number): boolean => {
   const since = now - (state.stopAskedAt ?? now);
   if (isRetired(state)) return since < Limits.retention;
   const spareIsLive = now - state.spareHeardAt < Limits.lease;
--- a/packages/anvil/src/run.ts
+++ b/packages/replica/src/run.ts
@@ -2,38 +2,41 @@
 import { randomUUID } from 'node:crypto';
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
-import type { Step } from '@reedyard/chute';
-import { Beats, Limits } from '@reedyard/gauge';
-import { openNotch, type Notch } from '@reedyard/notch';
-import { openScribe, type Scribe } from '@reedyard/scriber';
-import { call, serveCalls, speakFrom, type Listening } from '@reedyard/shuttle';
-import type { Settings } from '@reedyard/vise';
-import { Anvil } from './core.js';
-import type { AnvilAsk, AnvilEffect, AnvilRecord, AnvilReply } from './messages.js';
-import type { AnvilState } from './state.js';
+import type { Step } from '@reedyard/task-loop';
+import { Beats, Limits } from '@reedyard/constants';
+import { openWriteAheadLog, type WriteAheadLog } from '@reedyard/write-ahead-log';
+import { openScribe, type Scribe } from '@reedyard/logging';
+import { call, serveCalls, speakFrom, type Listening } from '@reedyard/rpc';
+import type { Settings } from '@reedyard/settings';
+import { Replica } from './core.js';
+import type { ReplicaAsk, ReplicaEffect, ReplicaRecord, ReplicaReply } from './messages.js';
+import type { ReplicaState } from './state.js';
 import { ReplicaHost, type ReplicaShell } from './replica-host.js';
 
-export type AnvilSettings = Settings & { readonly anvil: NonNullable<Settings['anvil']> };
+export type ReplicaSettings = Settings & { readonly replica: NonNullable<Settings['replica']> };
 
-const callPath = '/anvil';
+const callPath = '/replica';
 
 const now = (): number => performance.now();
 
 /** The state from what the log holds; a blank disk gets a new name. */
-const openState = (settings: AnvilSettings, log: Notch): Step<AnvilState, AnvilEffect> => {
+const openState = (
+  settings: ReplicaSettings,
+  log: WriteAheadLog,
+): Step<ReplicaState, ReplicaEffect> => {
   const { founders = {}, voting, name, host } = settings;
   const others = Object.fromEntries(Object.entries(founders).filter(([each]) => each !== name));
-  const address = `${host}:${settings.anvil.port}`;
+  const address = `${host}:${settings.replica.port}`;
   const seeded =
     voting === undefined ? null : { address, seeds: voting.seeds, firstStart: voting.firstStart };
-  const records = log.takeRecords() as readonly AnvilRecord[];
-  return Anvil.open({ name, others, seeded, records, freshDisk: randomUUID(), now: now() });
+  const records = log.takeRecords() as readonly ReplicaRecord[];
+  return Replica.open({ name, others, seeded, records, freshDisk: randomUUID(), now: now() });
 };
 
 const shellOf = (scribe: Scribe, end: () => void): ReplicaShell => ({
   now,
   end,
-  call: (address, body) => call(address, callPath, body) as Promise<AnvilReply>,
+  call: (address, body) => call(address, callPath, body) as Promise<ReplicaReply>,
   log: (level, event, fields) => scribe[level](event, fields),
 });
 
@@ -45,7 +48,7 @@
 };
 
 /** Ends the process once its calls and its log are closed, and in time also if the disk hangs. */
-const closeAndExit = (listening: Listening | null, log: Notch, scribe: Scribe): void => {
+const closeAndExit = (listening: Listening | null, log: WriteAheadLog, scribe: Scribe): void => {
   const exit = (): never => {
     scribe.info('stopped');
     process.exit(0);
@@ -67,16 +70,16 @@
 };
 
 /**
- * Runs an anvil until the process is told to end.
+ * Runs a replica until the process is told to end.
  *
  * @example
- * await runAnvil(Vise.start('anvil', process.argv.slice(2)));
+ * await runReplica(SettingsReader.start('replica', process.argv.slice(2)));
  */
-export const runAnvil = async (settings: AnvilSettings): Promise<void> => {
-  const scribe = openScribe({ program: 'anvil', node: settings.name });
+export const runReplica = async (settings: ReplicaSettings): Promise<void> => {
+  const scribe = openScribe({ program: 'replica', node: settings.name });
   outliveFailedLogLines();
   speakFrom(settings.host);
-  const log = await openNotch(path.join(settings.dataFolder, 'anvil'));
+  const log = await openWriteAheadLog(path.join(settings.dataFolder, 'replica'));
   const opened = openState(settings, log);
   let listening: Listening | null = null;
   let isLeaving = false;
@@ -87,8 +90,8 @@
   };
   const replica = new ReplicaHost(opened, log, shellOf(scribe, leave));
   listening = await serveCalls(
-    { host: settings.listen ?? settings.host, port: settings.anvil.port },
-    { [callPath]: (body) => replica.ask(body as AnvilAsk) },
+    { host: settings.listen ?? settings.host, port: settings.replica.port },
+    { [callPath]: (body) => replica.ask(body as ReplicaAsk) },
   );
   setInterval(() => replica.tick(), Beats.rejoin);
   const { disk, voting } = opened.state;
--- a/packages/anvil/src/safeguards.test.ts
+++ b/packages/replica/src/safeguards.test.ts
@@ -3,12 +3,12 @@
  */
 import test from 'ava';
 import {
-  Anvil,
+  Replica,
   votersKey,
-  type AnvilCall,
-  type AnvilRecord,
-  type AnvilReply,
-  type AnvilState,
+  type ReplicaCall,
+  type ReplicaRecord,
+  type ReplicaReply,
+  type ReplicaState,
   type VotersTold,
 } from './index.js';
 
@@ -20,27 +20,27 @@
     addresses: { a: 'a', b: 'b', c: 'c' },
   },
 };
-const memberRecords: readonly AnvilRecord[] = [
+const memberRecords: readonly ReplicaRecord[] = [
   { kind: 'disk', disk: 'disk-a' },
   { kind: 'cell', key: votersKey, cell: { promised: membership.ballot, accepted: membership } },
   { kind: 'told', voters: membership },
   { kind: 'voting' },
 ];
 
-const opened = (records: readonly AnvilRecord[]): AnvilState => {
+const opened = (records: readonly ReplicaRecord[]): ReplicaState => {
   const seeded = { address: 'a', seeds: ['a', 'b', 'c'], firstStart: false };
-  return Anvil.open({ name: 'a', others: {}, seeded, records, freshDisk: 'never', now: 0 }).state;
+  return Replica.open({ name: 'a', others: {}, seeded, records, freshDisk: 'never', now: 0 }).state;
 };
 
 type Answered = {
-  readonly state: AnvilState;
-  readonly reply: AnvilReply | undefined;
-  readonly records: readonly AnvilRecord[];
+  readonly state: ReplicaState;
+  readonly reply: ReplicaReply | undefined;
+  readonly records: readonly ReplicaRecord[];
 };
 
-const asked = (state: AnvilState, call: AnvilCall): Answered => {
+const asked = (state: ReplicaState, call: ReplicaCall): Answered => {
   const body = { voters: membership, call };
-  const done = Anvil.reduce(state, { kind: 'asked', id: 1, body, now: 1 });
+  const done = Replica.reduce(state, { kind: 'asked', id: 1, body, now: 1 });
   const replies = done.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
   const records = done.effects.flatMap((effect) =>
     effect.kind === 'append' ? effect.records : [],
@@ -48,7 +48,7 @@
   return { state: done.state, reply: replies[0], records };
 };
 
-const acceptBy = (disk: string): AnvilCall => ({
+const acceptBy = (disk: string): ReplicaCall => ({
   kind: 'accept',
   key: 'policy',
   ballot: [2, 'p'],
@@ -65,7 +65,7 @@
   t.is(own.records.length, 1);
 });
 
-const pull = (disk: string, seq: number): AnvilCall => ({
+const pull = (disk: string, seq: number): ReplicaCall => ({
   kind: 'pull',
   cursor: { disk, seq },
   keys: [],
--- a/packages/anvil/src/state.ts
+++ b/packages/replica/src/state.ts
@@ -1,6 +1,6 @@
 import type { Map as Table, Set as Group } from 'immutable';
-import type { Cell } from '@reedyard/latch';
-import type { AnvilEffect, AnvilVoting, Fact, Voters, VotersTold } from './messages.js';
+import type { Cell } from '@reedyard/consensus';
+import type { ReplicaEffect, ReplicaVoting, Fact, Voters, VotersTold } from './messages.js';
 
 /** The state of a replica, and what every part of its reducer works with. */
 
@@ -19,7 +19,7 @@
   readonly earlierCalls: readonly number[];
 };
 
-export type AnvilState = {
+export type ReplicaState = {
   readonly name: string;
   /**
    * The others of the founding set: name and address. Not used where voters found themselves from
@@ -30,7 +30,7 @@
    * What the settings tell where voters found themselves from seeds; null where they name every
    * founder.
    */
-  readonly seeded: AnvilVoting | null;
+  readonly seeded: ReplicaVoting | null;
   /** The newest voters that it knows to be chosen: it votes by these alone. */
   readonly told: VotersTold | null;
   readonly disk: string;
@@ -40,8 +40,8 @@
   readonly votingEpoch: number;
   readonly cells: Table<string, Cell>;
   /**
-   * Minute of the anvil's running time in which each claim was last written, and the claims of each
-   * minute.
+   * Minute of the replica's running time in which each claim was last written, and the claims of
+   * each minute.
    */
   readonly claimsSeen: Table<string, number>;
   readonly claimMinutes: Table<number, Group<string>>;
@@ -55,7 +55,7 @@
   readonly readings: Readonly<Record<string, Reading>>;
   readonly nextCall: number;
   readonly sweptAt: number;
-  /** Until when it waits for what jigs tell again. */
+  /** Until when it waits for what agents tell again. */
   readonly settlingUntil: number;
   /** The last founding after a loss that it has settled for. */
   readonly settledFor: number;
@@ -76,35 +76,35 @@
   readonly votingAt: Readonly<Record<string, number>>;
 };
 
-export type Work = { state: AnvilState; readonly effects: AnvilEffect[] };
-export const set = (work: Work, change: Partial<AnvilState>): void => {
+export type Work = { state: ReplicaState; readonly effects: ReplicaEffect[] };
+export const set = (work: Work, change: Partial<ReplicaState>): void => {
   work.state = { ...work.state, ...change };
 };
 
-export const votersOf = (state: AnvilState): VotersTold | null => state.told;
+export const votersOf = (state: ReplicaState): VotersTold | null => state.told;
 
 /**
  * The place that voters give to this disk. Where they found themselves from seeds the disk alone
  * tells, since machines move.
  */
-export const placeOf = (state: AnvilState, voters: Voters): string | undefined =>
+export const placeOf = (state: ReplicaState, voters: Voters): string | undefined =>
   state.seeded === null
     ? voters.disks[state.name] === state.disk
       ? state.name
       : undefined
     : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
 
-export const isNamed = (state: AnvilState): boolean =>
+export const isNamed = (state: ReplicaState): boolean =>
   state.told !== null && placeOf(state, state.told.value) !== undefined;
 /** Whether its place was given away while it still holds what it voted for. */
-export const isRetired = (state: AnvilState): boolean =>
+export const isRetired = (state: ReplicaState): boolean =>
   state.seeded !== null && state.voting && state.told !== null && !isNamed(state);
 /**
  * Whether it may vote: it is named, and began to vote in this very place. Where its place was given
  * away and given back unheard of, others may have chosen meanwhile what it never read: then it
  * reads again first.
  */
-export const isVoter = (state: AnvilState): boolean => {
+export const isVoter = (state: ReplicaState): boolean => {
   const voters = state.told?.value;
   const place = voters === undefined ? undefined : placeOf(state, voters);
   if (!state.voting || place === undefined) return false;
