--- a/packages/anvil/src/voters.test.ts
+++ b/packages/replica/src/voters.test.ts
@@ -6,20 +6,20 @@
   type Change,
   type Proposal,
   type Turn,
-} from '@reedyard/latch';
-import { Anvil } from './core.js';
+} from '@reedyard/consensus';
+import { Replica } from './core.js';
 import {
   votersKey,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilEvent,
-  type AnvilRecord,
-  type AnvilReply,
-  type AnvilVoting,
+  type ReplicaAsk,
+  type ReplicaEffect,
+  type ReplicaEvent,
+  type ReplicaRecord,
+  type ReplicaReply,
+  type ReplicaVoting,
   type Voters,
   type VotersTold,
 } from './messages.js';
-import type { AnvilState } from './state.js';
+import type { ReplicaState } from './state.js';
 
 // Voters that found themselves from seeds, on a bench where any message may come next, or get lost.
 
@@ -36,26 +36,26 @@
   readonly to: string;
   readonly from: string;
   readonly id: number;
-  readonly ask?: AnvilAsk;
-  readonly reply?: AnvilReply;
+  readonly ask?: ReplicaAsk;
+  readonly reply?: ReplicaReply;
 };
 
 class Bench {
-  readonly states = new Map<string, AnvilState>();
-  readonly disks = new Map<string, readonly AnvilRecord[]>();
+  readonly states = new Map<string, ReplicaState>();
+  readonly disks = new Map<string, readonly ReplicaRecord[]>();
   flying: readonly Flying[] = [];
   now = 0;
   lives = 0;
   #asks = 0;
   readonly #asking = new Map<string, { from: string; id: number }>();
-  /** Who else may be asked, and may ask: not an anvil. */
-  onReply: (to: string, id: number, reply: AnvilReply) => void = () => undefined;
-  /** What an anvil hears of the voters that a caller counts by; a planted fault changes it. */
-  hears: (state: AnvilState, ask: AnvilAsk) => AnvilAsk = (_state, ask) => ask;
+  /** Who else may be asked, and may ask: not a replica. */
+  onReply: (to: string, id: number, reply: ReplicaReply) => void = () => undefined;
+  /** What a replica hears of the voters that a caller counts by; a planted fault changes it. */
+  hears: (state: ReplicaState, ask: ReplicaAsk) => ReplicaAsk = (_state, ask) => ask;
 
-  open(address: string, seeded: Omit<AnvilVoting, 'address'>): void {
+  open(address: string, seeded: Omit<ReplicaVoting, 'address'>): void {
     this.lives += 1;
-    const opened = Anvil.open({
+    const opened = Replica.open({
       name: address,
       others: {},
       seeded: { address, ...seeded },
@@ -72,7 +72,7 @@
   }
   /** Told when a replica came to vote by what its predecessor alone gave it. */
   onHandover: () => void = () => undefined;
-  perform(address: string, effects: readonly AnvilEffect[]): void {
+  perform(address: string, effects: readonly ReplicaEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'log' && effect.fields.step === 'handover') this.onHandover();
       if (effect.kind === 'append')
@@ -92,10 +92,10 @@
       }
     }
   }
-  step(address: string, event: AnvilEvent): void {
+  step(address: string, event: ReplicaEvent): void {
     const state = this.states.get(address);
     if (state === undefined) return;
-    const done = Anvil.reduce(state, event);
+    const done = Replica.reduce(state, event);
     this.states.set(address, done.state);
     this.perform(address, done.effects);
   }
@@ -188,14 +188,14 @@
 
 test('two seeds: all orders of their starts, beats and messages end in the same voters or in none yet', (t) => {
   type Node = {
-    readonly states: ReadonlyMap<string, AnvilState>;
+    readonly states: ReadonlyMap<string, ReplicaState>;
     readonly flying: readonly Flying[];
     readonly left: Readonly<Record<string, number>>;
   };
   const seeds = ['a', 'b'];
   const seen = new Set<string>();
   const founded = new Set<string>();
-  const note = (states: ReadonlyMap<string, AnvilState>): void => {
+  const note = (states: ReadonlyMap<string, ReplicaState>): void => {
     for (const state of states.values())
       if (state.voting)
         founded.add(
@@ -256,7 +256,7 @@
 const told = (
   epoch: number,
   disks: Readonly<Record<string, string>>,
-  ballot: Ballot = [epoch, 'jig'],
+  ballot: Ballot = [epoch, 'agent'],
 ): VotersTold => ({
   ballot,
   value: {
@@ -266,20 +266,20 @@
   },
 });
 
-/** One anvil with a kept disk of the first voters, and what it answers. */
+/** One replica with a kept disk of the first voters, and what it answers. */
 const voter = (): {
-  ask: (ask: AnvilAsk) => AnvilReply | undefined;
-  state: () => AnvilState;
-  records: () => readonly AnvilRecord[];
+  ask: (ask: ReplicaAsk) => ReplicaReply | undefined;
+  state: () => ReplicaState;
+  records: () => readonly ReplicaRecord[];
 } => {
   const first = told(1, { a: 'A', b: 'B', c: 'C' }, [1, 'founding']);
-  const records: AnvilRecord[] = [
+  const records: ReplicaRecord[] = [
     { kind: 'disk', disk: 'A' },
     { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } },
     { kind: 'told', voters: first },
     { kind: 'voting' },
   ];
-  let state = Anvil.open({
+  let state = Replica.open({
     name: 'a',
     others: {},
     seeded: { address: 'a', seeds: ['x', 'y', 'z'], firstStart: false },
@@ -289,7 +289,7 @@
   }).state;
   return {
     ask: (ask) => {
-      const done = Anvil.reduce(state, { kind: 'asked', id: 1, body: ask, now: 1 });
+      const done = Replica.reduce(state, { kind: 'asked', id: 1, body: ask, now: 1 });
       state = done.state;
       for (const effect of done.effects)
         if (effect.kind === 'append') records.push(...effect.records);
@@ -302,30 +302,32 @@
 const first = told(1, { a: 'A', b: 'B', c: 'C' }, [1, 'founding']);
 const second = told(2, { a: 'A', b: 'B', d: 'D' }, [2, 'p']);
 
-test('voters that an anvil accepted count only once it is told that they are chosen', (t) => {
-  const anvil = voter();
+test('voters that a replica accepted count only once it is told that they are chosen', (t) => {
+  const replica = voter();
   t.is(
-    anvil.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [2, 'p'] } })?.kind,
+    replica.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [2, 'p'] } })
+      ?.kind,
     'vote',
   );
   t.is(
-    anvil.ask({
+    replica.ask({
       voters: first,
       call: { kind: 'accept', key: votersKey, ballot: [2, 'p'], value: second.value, disk: 'A' },
     })?.kind,
     'vote',
   );
-  t.is(anvil.ask({ voters: first, call: pull })?.kind, 'pulled');
-  t.is(anvil.ask({ voters: second, call: pull })?.kind, 'pulled');
-  const stale = anvil.ask({ voters: first, call: pull });
+  t.is(replica.ask({ voters: first, call: pull })?.kind, 'pulled');
+  t.is(replica.ask({ voters: second, call: pull })?.kind, 'pulled');
+  const stale = replica.ask({ voters: first, call: pull });
   t.deepEqual(stale?.kind === 'stale' ? stale.voters : null, second);
   // Those who count by the set before decide nothing any more, not even who votes.
   t.is(
-    anvil.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [9, 'q'] } })?.kind,
+    replica.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [9, 'q'] } })
+      ?.kind,
     'stale',
   );
   t.is(
-    anvil.ask({
+    replica.ask({
       voters: first,
       call: { kind: 'accept', key: votersKey, ballot: [9, 'q'], value: second.value, disk: 'A' },
     })?.kind,
@@ -334,17 +336,17 @@
 });
 
 test('a later epoch under a lower ballot is newer, and stays so', (t) => {
-  const anvil = voter();
+  const replica = voter();
   const third = told(3, { a: 'A', d: 'D', e: 'E' }, [3, 'p']);
-  anvil.ask({ voters: { ...second, ballot: [9, 'q'] }, call: pull });
-  anvil.ask({ voters: third, call: pull });
-  t.is(anvil.state().told?.value.epoch, 3);
-  anvil.ask({ voters: { ...second, ballot: [10, 'q'] }, call: pull });
-  t.is(anvil.state().told?.value.epoch, 3);
-  t.is((anvil.state().cells.get(votersKey)?.accepted?.value as Voters).epoch, 3);
+  replica.ask({ voters: { ...second, ballot: [9, 'q'] }, call: pull });
+  replica.ask({ voters: third, call: pull });
+  t.is(replica.state().told?.value.epoch, 3);
+  replica.ask({ voters: { ...second, ballot: [10, 'q'] }, call: pull });
+  t.is(replica.state().told?.value.epoch, 3);
+  t.is((replica.state().cells.get(votersKey)?.accepted?.value as Voters).epoch, 3);
 });
 
-// A jig in short: it knows voters that are chosen, and opens ballots by them.
+// An agent in short: it knows voters that are chosen, and opens ballots by them.
 type Asker = {
   readonly name: string;
   voters: VotersTold;
@@ -402,7 +404,7 @@
   bench.onHandover = () => {
     handovers += 1;
   };
-  const send = (asker: Asker, place: string, ask: AnvilAsk['call']): void => {
+  const send = (asker: Asker, place: string, ask: ReplicaAsk['call']): void => {
     ids += 1;
     const address = asker.voters.value.addresses?.[place] ?? '';
     if (ask.kind === 'prepare' || ask.kind === 'accept')
@@ -488,7 +490,7 @@
     const into = chance() < 0.5 ? gone : (spares[Math.floor(chance() * spares.length)] ?? '');
     const state = bench.states.get(into);
     const goal = chance() < 0.5 ? 'count' : 'voters';
-    // Like a jig: only a disk that waits for a place is given one.
+    // Like an agent: only a disk that waits for a place is given one.
     if (goal === 'voters' && (state === undefined || state.voting)) return;
     asker.goal = goal;
     asker.since += 1;
@@ -594,7 +596,7 @@
   t.log(`${epochs} epochs, ${counts} counts, ${handovers} handovers`);
 });
 
-test('with anvils that do not heed by which voters a caller counts, a run is found where that breaks', (t) => {
+test('with replicas that do not heed by which voters a caller counts, a run is found where that breaks', (t) => {
   t.true(
     Array.from({ length: 400 }, (_, seed) => seed).some(
       (seed) => wrongsOf(turmoil(seed, 'members')).length > 0,
--- a/packages/shuttle/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,11 +1,11 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { parse, stringify } from 'devalue';
-import { Limits, Sizes } from '@reedyard/gauge';
-import { LayerError, textOf } from '@reedyard/scriber';
+import { Limits, Sizes } from '@reedyard/constants';
+import { LayerError, textOf } from '@reedyard/logging';
 
 /** A call that brought no answer, or a refused one. */
-export class ShuttleError extends LayerError {}
+export class RpcError extends LayerError {}
 
 /** Address of a process: an IP number and a port, as `127.0.0.1:7001`. */
 export type Address = string;
@@ -18,12 +18,12 @@
       size += chunk.length;
       if (size > most) {
         stream.destroy();
-        reject(new ShuttleError('too-large', `a call of over ${most} bytes`));
+        reject(new RpcError('too-large', `a call of over ${most} bytes`));
       } else chunks.push(chunk);
     });
     stream.on('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
     stream.on('error', reject);
-    stream.on('close', () => reject(new ShuttleError('cut', 'the conn closed inside a call')));
+    stream.on('close', () => reject(new RpcError('cut', 'the conn closed inside a call')));
   });
 
 let agent = new http.Agent({ keepAlive: true, maxSockets: 32, keepAliveMsecs: 5_000 });
@@ -48,7 +48,7 @@
  * Calls another process of the project and waits for its answer.
  *
  * @example
- * const reply = await call('127.0.0.1:7101', '/anvil', { kind: 'pull' });
+ * const reply = await call('127.0.0.1:7101', '/replica', { kind: 'pull' });
  */
 export const call = (
   address: Address,
@@ -64,7 +64,7 @@
     const payload = stringify(body);
     const fail = (thrown: unknown): void =>
       reject(
-        new ShuttleError('lost', `call to ${address}${path}: ${textOf(thrown)}`, { cause: thrown }),
+        new RpcError('lost', `call to ${address}${path}: ${textOf(thrown)}`, { cause: thrown }),
       );
     const request = http.request(
       {
@@ -132,9 +132,7 @@
     });
     server.keepAliveTimeout = 30_000;
     server.on('error', (error) =>
-      reject(
-        new ShuttleError('listen', `${at.host}:${at.port}: ${textOf(error)}`, { cause: error }),
-      ),
+      reject(new RpcError('listen', `${at.host}:${at.port}: ${textOf(error)}`, { cause: error })),
     );
     server.listen(at.port, at.host, () =>
       resolve({
--- a/packages/stencil/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -1,12 +1,12 @@
 import { isIP } from 'node:net';
 import { z } from 'zod';
-import { LayerError } from '@reedyard/scriber';
+import { LayerError } from '@reedyard/logging';
 
 /** One fault of a document: where, and what is wrong. */
 export type Fault = { readonly path: string; readonly message: string };
 
 /** A document that can't be taken. */
-export class StencilError extends LayerError {
+export class SchemaError extends LayerError {
   constructor(readonly faults: readonly Fault[]) {
     super('document', faults.map((fault) => `${fault.path}: ${fault.message}`).join('; '));
   }
@@ -211,7 +211,7 @@
   (raw: unknown): T => {
     const read = schema.safeParse(raw);
     if (read.success) return read.data;
-    throw new StencilError(
+    throw new SchemaError(
       read.error.issues.map((issue) => ({
         path: `/${issue.path.join('/')}`,
         message: issue.message,
@@ -265,18 +265,18 @@
       });
     places.set(place, index);
   });
-  if (faults.length > 0) throw new StencilError(faults);
+  if (faults.length > 0) throw new SchemaError(faults);
   return document;
 };
 
-export const Stencil = {
-  /** @example Stencil.policy({ services: {}, routes: [] }).routes // [] */
+export const Schemas = {
+  /** @example Schemas.policy({ services: {}, routes: [] }).routes // [] */
   policy: (raw: unknown): Policy => crossChecked(checked(policy as z.ZodType<Policy>)(raw)),
-  /** @example Stencil.description({ service: 'store' }) // throws, naming what lacks */
+  /** @example Schemas.description({ service: 'store' }) // throws, naming what lacks */
   description: checked(description as z.ZodType<Description>),
-  /** @example Stencil.purge({ tags: ['depot-7'] }).tags // ['depot-7'] */
+  /** @example Schemas.purge({ tags: ['depot-7'] }).tags // ['depot-7'] */
   purge: checked(purge as z.ZodType<Purge>),
-  /** @example Stencil.hallOrder({ order: 'empty' }).order // 'empty' */
+  /** @example Schemas.hallOrder({ order: 'empty' }).order // 'empty' */
   hallOrder: checked(hallOrder as z.ZodType<HallOrder>),
 } as const;
 
--- a/packages/stencil/src/stencil.test.ts
+++ b/packages/schemas/src/schemas.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { Routes, Stencil, StencilError, type Route } from './index.js';
+import { Routes, Schemas, SchemaError, type Route } from './index.js';
 
 const service = { ceiling: 10, coldRate: 1 };
 const route = (name: string, path: string, more: object = {}): object => ({
@@ -11,10 +11,10 @@
 });
 const faults = (raw: unknown): readonly string[] => {
   try {
-    Stencil.policy(raw);
+    Schemas.policy(raw);
     return [];
   } catch (thrown) {
-    return thrown instanceof StencilError ? thrown.faults.map((fault) => fault.path) : ['?'];
+    return thrown instanceof SchemaError ? thrown.faults.map((fault) => fault.path) : ['?'];
   }
 };
 
@@ -40,7 +40,7 @@
   t.deepEqual(faults([]), ['/']);
   t.throws(
     () =>
-      Stencil.description({
+      Schemas.description({
         service: 's',
         instance: 'i',
         incarnation: 1,
@@ -49,15 +49,15 @@
         hall: 'h',
         capacity: 1,
       }),
-    { instanceOf: StencilError },
+    { instanceOf: SchemaError },
   );
-  t.throws(() => Stencil.purge({}), { instanceOf: StencilError });
-  t.throws(() => Stencil.hallOrder({ order: 'close' }), { instanceOf: StencilError });
+  t.throws(() => Schemas.purge({}), { instanceOf: SchemaError });
+  t.throws(() => Schemas.hallOrder({ order: 'close' }), { instanceOf: SchemaError });
 });
 
 test('the longest prefix that ends where a segment ends is the route', (t) => {
   const table = Routes.table(
-    Stencil.policy({
+    Schemas.policy({
       services: { s: service },
       routes: [
         route('all', '/'),
@@ -87,7 +87,7 @@
     ...more,
   });
   const read = (raw: object): Route =>
-    Stencil.policy({ services, routes: [raw] }).routes[0] as Route;
+    Schemas.policy({ services, routes: [raw] }).routes[0] as Route;
   const parts = [
     { service: 's', weight: 0 },
     { service: 'u', weight: 2.5 },
@@ -144,7 +144,7 @@
       },
     ],
   };
-  t.deepEqual(Stencil.policy(document) as unknown, document);
+  t.deepEqual(Schemas.policy(document) as unknown, document);
   t.deepEqual(faults({ services: {}, routes: [], version: -1 }), ['/version']);
   const told = {
     service: 's',
@@ -160,10 +160,10 @@
     sequence: 4,
     release: 'v1',
   };
-  t.deepEqual(Stencil.description(told) as unknown, told);
-  t.throws(() => Stencil.description({ ...told, slots: undefined }), { instanceOf: StencilError });
-  t.deepEqual(Stencil.hallOrder({ order: 'empty' }), { order: 'empty', of: 'all' });
-  t.deepEqual(Stencil.hallOrder({ order: 'take-back', of: 'origins' }), {
+  t.deepEqual(Schemas.description(told) as unknown, told);
+  t.throws(() => Schemas.description({ ...told, slots: undefined }), { instanceOf: SchemaError });
+  t.deepEqual(Schemas.hallOrder({ order: 'empty' }), { order: 'empty', of: 'all' });
+  t.deepEqual(Schemas.hallOrder({ order: 'take-back', of: 'origins' }), {
     order: 'take-back',
     of: 'origins',
   });
--- a/packages/plumb/src/index.ts
+++ b/packages/server-selection/src/index.ts
@@ -1,4 +1,4 @@
-import { Weights } from '@reedyard/gauge';
+import { Weights } from '@reedyard/constants';
 
 /**
  * Server selection as optimal routing, after S. Bakiras, "Approximate Server Selection Algorithms
--- a/packages/plumb/src/vectors.ts
+++ b/packages/server-selection/src/vectors.ts
@@ -1,4 +1,4 @@
-import { Weights } from '@reedyard/gauge';
+import { Weights } from '@reedyard/constants';
 import { solve } from './index.js';
 
 /** What an edge tells the others: its load, its replicas, its delays. */
--- a/packages/vise/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -2,13 +2,13 @@
 import { isIP } from 'node:net';
 import { parseArgs } from 'node:util';
 import { z } from 'zod';
-import { LayerError, textOf } from '@reedyard/scriber';
+import { LayerError, textOf } from '@reedyard/logging';
 
 /**
  * Settings that can't be used; the text names the file, the field, what was found and what is
  * wanted.
  */
-export class ViseError extends LayerError {}
+export class SettingsError extends LayerError {}
 
 const name = z
   .string()
@@ -34,7 +34,7 @@
     listen: host.optional(),
     hall: name,
     region: name,
-    /** Jigs to begin with; any three that are likely up. */
+    /** Agents to begin with; any three that are likely up. */
     seeds: z.array(address).min(1, 'wanted at least one seed').max(9),
     /**
      * What a node does that provably can't reach a majority: refuse, or serve on by what it last
@@ -42,7 +42,7 @@
      */
     cutOff: z.enum(['refuse', 'serve']).default('refuse'),
     dataFolder: z.string().min(1).default('data'),
-    /** The anvils that founded the state: name and address. The same on every machine. */
+    /** The replicas that founded the state: name and address. The same on every machine. */
     founders: z
       .record(name, address)
       .refine((all) => Object.keys(all).length > 0, 'wanted at least one founder')
@@ -50,7 +50,7 @@
     /** Instead of the founders: voters found themselves from seeds, and change by ballots. */
     voting: z
       .strictObject({
-        /** Lost disks that must be borne: 2 × losses + 1 anvils vote. */
+        /** Lost disks that must be borne: 2 × losses + 1 replicas vote. */
         losses: z.number().int('wanted a whole number').min(0).max(4),
         /** True only when the whole system starts for the very first time. */
         firstStart: z.boolean(),
@@ -59,7 +59,7 @@
          * more loss must be borne.
          */
         catchUpMs: z.number().positive().max(600_000).optional(),
-        /** Anvils of the seeds' machines. */
+        /** Replicas of the seeds' machines. */
         seeds: z
           .array(address)
           .min(1, 'wanted at least one seed')
@@ -67,8 +67,8 @@
           .refine((all) => new Set(all).size === all.length, 'wanted each seed once'),
       })
       .optional(),
-    jig: z.strictObject({ port, apiPort: port, feedPort: port }),
-    lathe: z
+    agent: z.strictObject({ port, apiPort: port, feedPort: port }),
+    proxy: z
       .strictObject({
         port,
         partnerPort: port,
@@ -88,7 +88,7 @@
         /** Logs every move, for tests. */ trace: z.boolean().optional(),
       })
       .optional(),
-    anvil: z.strictObject({ port }).optional(),
+    replica: z.strictObject({ port }).optional(),
   })
   .superRefine((all, context) => {
     if (all.founders === undefined && all.voting === undefined)
@@ -104,14 +104,14 @@
         message: 'wanted either founders or voting, not both',
       });
     if (
-      all.anvil !== undefined &&
+      all.replica !== undefined &&
       all.founders !== undefined &&
       all.founders[all.name] === undefined
     ) {
       context.addIssue({
         code: 'custom',
         path: ['founders'],
-        message: `wanted the founders to name ${all.name}, since it has an anvil`,
+        message: `wanted the founders to name ${all.name}, since it has a replica`,
       });
     }
   });
@@ -155,12 +155,12 @@
   };
 };
 
-export const Vise = {
+export const SettingsReader = {
   /**
-   * Checks settings; throws a ViseError that lists every fault.
+   * Checks settings; throws a SettingsError that lists every fault.
    *
    * @example
-   * Vise.check({ name: 'Front 1' }, 'front-1.json') // throws: front-1.json: name: found "Front 1", wanted …
+   * SettingsReader.check({ name: 'Front 1' }, 'front-1.json') // throws: front-1.json: name: found "Front 1", wanted …
    */
   check: (raw: unknown, source: string): Settings => {
     const read = schema.safeParse(raw);
@@ -169,14 +169,14 @@
       const found = at(raw, issue.path);
       return `${source}: ${issue.path.join('.') || '(whole file)'}: found ${found === undefined ? 'nothing' : JSON.stringify(found)}; ${issue.message}`;
     });
-    throw new ViseError('settings', faults.join('\n'));
+    throw new SettingsError('settings', faults.join('\n'));
   },
 
   /**
    * Reads a settings file and lays `--set field=value` over it.
    *
    * @example
-   * Vise.read('front-1.json', ['jig.port=7001']).jig.port // 7001
+   * SettingsReader.read('front-1.json', ['agent.port=7001']).agent.port // 7001
    */
   read: (file: string | undefined, sets: readonly string[]): Settings => {
     let tree: Readonly<Record<string, unknown>> = {};
@@ -184,7 +184,7 @@
       try {
         tree = JSON.parse(readFileSync(file, 'utf8')) as Record<string, unknown>;
       } catch (thrown) {
-        throw new ViseError(
+        throw new SettingsError(
           'file',
           `${file}: (whole file): ${textOf(thrown)}; wanted a readable JSON file`,
           { cause: thrown },
@@ -193,10 +193,10 @@
     }
     for (const pair of sets) {
       const cut = pair.indexOf('=');
-      if (cut < 1) throw new ViseError('flag', `--set: found "${pair}"; wanted FIELD=VALUE`);
+      if (cut < 1) throw new SettingsError('flag', `--set: found "${pair}"; wanted FIELD=VALUE`);
       tree = withField(tree, pair.slice(0, cut), pair.slice(cut + 1));
     }
-    return Vise.check(tree, file ?? '(flags)');
+    return SettingsReader.check(tree, file ?? '(flags)');
   },
 
   /**
@@ -204,9 +204,9 @@
    * The part of the file for this program must be there.
    *
    * @example
-   * const settings = Vise.start('jig', process.argv.slice(2));
+   * const settings = SettingsReader.start('agent', process.argv.slice(2));
    */
-  start: <P extends 'jig' | 'lathe' | 'anvil'>(
+  start: <P extends 'agent' | 'proxy' | 'replica'>(
     program: P,
     argv: readonly string[],
   ): Settings & { readonly [K in P]: NonNullable<Settings[K]> } => {
@@ -222,13 +222,13 @@
       });
       if (values.help === true) {
         process.stdout.write(
-          `${program} --settings FILE [--set FIELD=VALUE …] [--check]\n\n  --settings FILE      the machine's settings (see docs/config.md)\n  --set FIELD=VALUE    one field over the file's, such as jig.port=7001\n  --check              check the settings and stop: 0 good, 2 not\n`,
+          `${program} --settings FILE [--set FIELD=VALUE …] [--check]\n\n  --settings FILE      the machine's settings (see docs/config.md)\n  --set FIELD=VALUE    one field over the file's, such as agent.port=7001\n  --check              check the settings and stop: 0 good, 2 not\n`,
         );
         process.exit(0);
       }
-      const settings = Vise.read(values.settings, values.set ?? []);
+      const settings = SettingsReader.read(values.settings, values.set ?? []);
       if (settings[program] === undefined)
-        throw new ViseError(
+        throw new SettingsError(
           'settings',
           `${values.settings ?? '(flags)'}: ${program}: found nothing; wanted the settings of this program`,
         );
--- a/packages/vise/src/vise.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
-import { Vise, ViseError } from './index.js';
+import { SettingsReader, SettingsError } from './index.js';
 
 const good = {
   name: 'core-1',
@@ -11,23 +11,23 @@
   region: 'home',
   seeds: ['10.0.0.1:7001'],
   founders: { 'core-1': '10.0.0.1:7101' },
-  jig: { port: 7001, apiPort: 7080, feedPort: 7002 },
-  anvil: { port: 7101 },
+  agent: { port: 7001, apiPort: 7080, feedPort: 7002 },
+  replica: { port: 7101 },
 };
 const fault = (raw: unknown): string => {
   const error = (() => {
     try {
-      Vise.check(raw, 'core-1.json');
+      SettingsReader.check(raw, 'core-1.json');
       return null;
     } catch (thrown) {
       return thrown;
     }
   })();
-  return error instanceof ViseError ? error.message : 'none';
+  return error instanceof SettingsError ? error.message : 'none';
 };
 
 test('good settings are taken, with their defaults', (t) => {
-  t.is(Vise.check(good, 'x').dataFolder, 'data');
+  t.is(SettingsReader.check(good, 'x').dataFolder, 'data');
   t.is(fault(good), 'none');
 });
 
@@ -41,7 +41,7 @@
     /name: found "Core 1"; wanted a name of small letters/,
   );
   t.regex(fault({ ...good, seeds: ['10.0.0.1'] }), /seeds\.0: found "10\.0\.0\.1"; wanted IP:PORT/);
-  t.regex(fault({ ...good, jig: { ...good.jig, port: 70_000 } }), /jig\.port: found 70000/);
+  t.regex(fault({ ...good, agent: { ...good.agent, port: 70_000 } }), /agent\.port: found 70000/);
   t.regex(fault({ ...good, typo: 1 }), /typo/);
   t.regex(
     fault({ ...good, founders: { other: '10.0.0.2:7101' } }),
@@ -57,9 +57,9 @@
     firstStart: false,
     seeds: ['10.0.0.1:7101', '10.0.0.2:7101', '10.0.0.3:7101'],
   };
-  t.deepEqual(Vise.check({ ...rest, voting }, 'x').voting, voting);
+  t.deepEqual(SettingsReader.check({ ...rest, voting }, 'x').voting, voting);
   const told = { ...voting, catchUpMs: 4_000 };
-  t.deepEqual(Vise.check({ ...rest, voting: told }, 'x').voting, told);
+  t.deepEqual(SettingsReader.check({ ...rest, voting: told }, 'x').voting, told);
   t.regex(fault({ ...rest, voting: { ...voting, catchUpMs: -1 } }), /voting.catchUpMs: found -1/);
   t.regex(
     fault(rest),
@@ -86,15 +86,15 @@
 });
 
 test('flags lie over the file', (t) => {
-  const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'vise-')), 'core-1.json');
+  const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'settings-')), 'core-1.json');
   writeFileSync(file, JSON.stringify(good));
-  const read = Vise.read(file, ['jig.port=8001', 'hall=north']);
-  t.is(read.jig.port, 8_001);
+  const read = SettingsReader.read(file, ['agent.port=8001', 'hall=north']);
+  t.is(read.agent.port, 8_001);
   t.is(read.hall, 'north');
-  t.is(read.jig.apiPort, 7_080);
-  t.throws(() => Vise.read('/nowhere.json', []), {
-    instanceOf: ViseError,
+  t.is(read.agent.apiPort, 7_080);
+  t.throws(() => SettingsReader.read('/nowhere.json', []), {
+    instanceOf: SettingsError,
     message: /nowhere\.json: \(whole file\)/,
   });
-  t.throws(() => Vise.read(file, ['nonsense']), { instanceOf: ViseError });
+  t.throws(() => SettingsReader.read(file, ['nonsense']), { instanceOf: SettingsError });
 });
--- a/packages/mallet/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -1,4 +1,4 @@
-import { Routes, type Policy, type Route, type RouteTable } from '@reedyard/stencil';
+import { Routes, type Policy, type Route, type RouteTable } from '@reedyard/schemas';
 import type { Entry, Wrong } from './history.js';
 
 type Of<K extends Entry['kind']> = Extract<Entry, { kind: K }>;
--- a/packages/mallet/src/figures.ts
+++ b/packages/simulator/src/figures.ts
@@ -52,7 +52,7 @@
 
 const sumOf = (fleet: SimFleet, counter: string): number =>
   [...fleet.boxes.values()].reduce(
-    (sum, box) => sum + (box.lathe?.state.counters[counter] ?? 0),
+    (sum, box) => sum + (box.proxy?.state.counters[counter] ?? 0),
     0,
   );
 
@@ -74,7 +74,7 @@
   const own = sumOf(fleet, 'transactions');
   const waits = fleet.waits.filter((wait) => wait.at > 10_000).map((wait) => wait.ms);
   const notices = [...fleet.boxes.values()].reduce(
-    (sum, box) => sum + (box.jig?.state.notices ?? 0),
+    (sum, box) => sum + (box.agent?.state.notices ?? 0),
     0,
   );
   const part = (counter: string): string => `${((100 * sumOf(fleet, counter)) / own).toFixed(1)}%`;
--- a/packages/mallet/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -1,37 +1,37 @@
 import {
-  Anvil,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilEvent,
-  type AnvilRecord,
-  type AnvilState,
-} from '@reedyard/anvil';
-import { Beats, Limits } from '@reedyard/gauge';
+  Replica,
+  type ReplicaAsk,
+  type ReplicaEffect,
+  type ReplicaEvent,
+  type ReplicaRecord,
+  type ReplicaState,
+} from '@reedyard/replica';
+import { Beats, Limits } from '@reedyard/constants';
 import {
-  Jig,
+  Agent,
   type Action,
   type ClaimReply,
   type Feed,
   type FeedTold,
-  type JigEffect,
-  type JigEvent,
-  type JigState,
-} from '@reedyard/jig';
+  type AgentEffect,
+  type AgentEvent,
+  type AgentState,
+} from '@reedyard/agent';
 import {
   Feeds,
-  Lathe,
+  ProxyCore,
   type HeldFeed,
   type Answer,
   type Asked,
-  type LatheEffect,
-  type LatheEvent,
-  type LatheState,
+  type ProxyEffect,
+  type ProxyEvent,
+  type ProxyState,
   type LegAnswer,
   type Target,
-} from '@reedyard/lathe';
-import { Sieve } from '@reedyard/sieve';
-import type { Description, Policy } from '@reedyard/stencil';
-import type { Deployment, Machine } from '@reedyard/blueprint';
+} from '@reedyard/proxy';
+import { Cache } from '@reedyard/cache';
+import type { Description, Policy } from '@reedyard/schemas';
+import type { Deployment, Machine } from '@reedyard/topology';
 import { Clockwork } from './clockwork.js';
 import type { CalledFleet, StageOrigin } from './scenarios.js';
 import type { Entry, SimBody } from './history.js';
@@ -47,11 +47,11 @@
   type Selection,
 } from './plants.js';
 
-type Program = 'jig' | 'lathe' | 'anvil';
+type Program = 'agent' | 'proxy' | 'replica';
 type Reducers = {
-  jig: { state: JigState; event: JigEvent; effect: JigEffect };
-  lathe: { state: LatheState; event: LatheEvent; effect: LatheEffect };
-  anvil: { state: AnvilState; event: AnvilEvent; effect: AnvilEffect };
+  agent: { state: AgentState; event: AgentEvent; effect: AgentEffect };
+  proxy: { state: ProxyState; event: ProxyEvent; effect: ProxyEffect };
+  replica: { state: ReplicaState; event: ReplicaEvent; effect: ReplicaEffect };
 };
 
 /** One life of one process. Its monotonic clock starts anywhere and runs on while it is frozen. */
@@ -70,13 +70,13 @@
 
 /** A disk: what is synced survives; what is not may be lost. */
 type Disk = {
-  synced: AnvilRecord[];
-  unsynced: AnvilRecord[];
+  synced: ReplicaRecord[];
+  unsynced: ReplicaRecord[];
   syncing: boolean;
   count: number;
   waiters: { readonly need: number; readonly act: () => void }[];
 };
-const blankDisk = (synced: AnvilRecord[] = []): Disk => ({
+const blankDisk = (synced: ReplicaRecord[] = []): Disk => ({
   synced,
   unsynced: [],
   syncing: false,
@@ -87,12 +87,12 @@
 type Box = {
   readonly machine: Machine;
   /** Name that it goes by; two machines may claim one. */ readonly as: string;
-  jig: Process<'jig'> | null;
-  lathe: Process<'lathe'> | null;
-  anvil: Process<'anvil'> | null;
+  agent: Process<'agent'> | null;
+  proxy: Process<'proxy'> | null;
+  replica: Process<'replica'> | null;
   disk: Disk;
   powered: boolean;
-  namePlate: readonly AnvilRecord[];
+  namePlate: readonly ReplicaRecord[];
 };
 
 /** A stand-in origin: an identity at an address. */
@@ -124,7 +124,7 @@
   readonly drift?: number;
   /** Nodes serve on while they are cut off. */
   readonly servesOn?: boolean;
-  /** Voters found themselves from the seeds' anvils, instead of being named by the settings. */
+  /** Voters found themselves from the seeds' replicas, instead of being named by the settings. */
   readonly voting?: { readonly losses: number; readonly catchUpMs?: number };
 };
 
@@ -146,7 +146,7 @@
   readonly counts = { messages: 0, events: 0 };
   /** Time to the last byte of each answer that callers got, ms. */
   readonly waits: { readonly at: number; readonly ms: number }[] = [];
-  /** When each lathe's link is free again: replies leave one after another at its capacity. */
+  /** When each proxy's link is free again: replies leave one after another at its capacity. */
   readonly #busyUntil = new Map<string, number>();
   #lives = 0;
   readonly #clockRates = new Map<string, number>();
@@ -166,14 +166,14 @@
     this.seeds = deployment.machines
       .filter((each) => each.kind !== 'front')
       .slice(0, 3)
-      .map((each) => `${each.name}/jig`);
+      .map((each) => `${each.name}/agent`);
     for (const machine of deployment.machines) {
       this.boxes.set(machine.name, {
         machine,
         as: machine.name,
-        jig: null,
-        lathe: null,
-        anvil: null,
+        agent: null,
+        proxy: null,
+        replica: null,
         powered: false,
         disk: blankDisk(),
         namePlate: [],
@@ -205,12 +205,13 @@
     return [...this.boxes.keys()];
   }
   runs(name: string): boolean {
-    return this.boxes.get(name)?.jig?.alive === true;
+    return this.boxes.get(name)?.agent?.alive === true;
   }
   /** The machine that has the duty. */
   holder(): string | undefined {
-    return [...this.boxes.values()].find((box) => box.jig !== null && box.jig.state.duty !== null)
-      ?.machine.name;
+    return [...this.boxes.values()].find(
+      (box) => box.agent !== null && box.agent.state.duty !== null,
+    )?.machine.name;
   }
 
   #machineAt(place: string): Machine | undefined {
@@ -225,9 +226,9 @@
       this.boxes.set(place, {
         machine: { ...box.machine, name: place },
         as: name,
-        jig: null,
-        lathe: null,
-        anvil: null,
+        agent: null,
+        proxy: null,
+        replica: null,
         powered: false,
         disk: blankDisk(),
         namePlate: [],
@@ -301,29 +302,29 @@
     if (!process.alive) return;
     this.counts.events += 1;
     const reduce = (
-      process.program === 'jig'
-        ? Jig.reduce
-        : process.program === 'lathe'
-          ? Lathe.reduce
-          : Anvil.reduce
+      process.program === 'agent'
+        ? Agent.reduce
+        : process.program === 'proxy'
+          ? ProxyCore.reduce
+          : Replica.reduce
     ) as (
       state: unknown,
       event: unknown,
     ) => { state: Reducers[P]['state']; effects: readonly Reducers[P]['effect'][] };
-    if (process.program === 'jig')
-      process.state = plantedAgent(this.tuning.plant, process.state as JigState, event.now);
+    if (process.program === 'agent')
+      process.state = plantedAgent(this.tuning.plant, process.state as AgentState, event.now);
     const step = reduce(process.state, event);
     process.state = step.state;
-    if (process.program === 'anvil' && this.tuning.plant === 'forget-when-replaced')
-      this.#forgetWhenReplaced(process as unknown as Process<'anvil'>);
-    if (process.program === 'jig') this.#tookStep(process as unknown as Process<'jig'>);
+    if (process.program === 'replica' && this.tuning.plant === 'forget-when-replaced')
+      this.#forgetWhenReplaced(process as unknown as Process<'replica'>);
+    if (process.program === 'agent') this.#tookStep(process as unknown as Process<'agent'>);
     for (const effect of step.effects) {
       if (!process.alive) return;
-      if (process.program === 'jig')
-        this.#jigEffect(process as unknown as Process<'jig'>, effect as JigEffect);
-      else if (process.program === 'lathe')
-        this.#latheEffect(process as unknown as Process<'lathe'>, effect as LatheEffect);
-      else this.#anvilEffect(process as unknown as Process<'anvil'>, effect as AnvilEffect);
+      if (process.program === 'agent')
+        this.#agentEffect(process as unknown as Process<'agent'>, effect as AgentEffect);
+      else if (process.program === 'proxy')
+        this.#proxyEffect(process as unknown as Process<'proxy'>, effect as ProxyEffect);
+      else this.#replicaEffect(process as unknown as Process<'replica'>, effect as ReplicaEffect);
     }
   }
 
@@ -331,14 +332,14 @@
    * A planted fault: a replica whose place was given away has nothing that its successor could
    * read.
    */
-  #forgetWhenReplaced(process: Process<'anvil'>): void {
+  #forgetWhenReplaced(process: Process<'replica'>): void {
     const { state } = process;
     const disk = `${state.disk}/forgotten`;
     if (state.retirement !== null)
       process.state = { ...state, voting: false, disk, retirement: null };
   }
 
-  #tookStep(process: Process<'jig'>): void {
+  #tookStep(process: Process<'agent'>): void {
     if (process.state.lease > this.#now(process)) this.#reach.tookLease(process.machine.name);
   }
 
@@ -372,16 +373,16 @@
     );
   }
 
-  /** The anvils of the machines that settings name as seeds. */
-  #anvilSeeds(): readonly string[] {
-    return this.seeds.map((seed) => seed.replace(/\/jig$/, '/anvil'));
+  /** The replicas of the machines that settings name as seeds. */
+  #replicaSeeds(): readonly string[] {
+    return this.seeds.map((seed) => seed.replace(/\/agent$/, '/replica'));
   }
 
   founders(): Record<string, string> {
     return Object.fromEntries(
       this.deployment.machines
         .filter((machine) => machine.kind !== 'front')
-        .map((machine) => [machine.name, `${machine.name}/anvil`]),
+        .map((machine) => [machine.name, `${machine.name}/replica`]),
     );
   }
 
@@ -392,21 +393,21 @@
     box.powered = true;
     this.#reach.changed(name);
     const { machine } = box;
-    if (machine.kind !== 'front' && box.anvil === null)
+    if (machine.kind !== 'front' && box.replica === null)
       this.clock.in(this.clock.between(50, 400), () => {
-        if (box.powered && box.anvil === null) this.#startAnvil(box);
+        if (box.powered && box.replica === null) this.#startReplica(box);
       });
-    if (box.jig === null)
+    if (box.agent === null)
       this.clock.in(this.clock.between(50, 400), () => {
-        if (box.powered && box.jig === null) this.#startJig(box);
+        if (box.powered && box.agent === null) this.#startAgent(box);
       });
-    if (machine.kind === 'front' && box.lathe === null)
+    if (machine.kind === 'front' && box.proxy === null)
       this.clock.in(this.clock.between(50, 400), () => {
-        if (box.powered && box.lathe === null) this.#startLathe(box);
+        if (box.powered && box.proxy === null) this.#startProxy(box);
       });
   }
 
-  #startAnvil(box: Box): void {
+  #startReplica(box: Box): void {
     this.#lives += 1;
     const { machine } = box;
     const others = Object.fromEntries(
@@ -417,17 +418,17 @@
       this.tuning.plant === 'wiped-votes' && box.disk.synced.length === 0
         ? box.namePlate
         : box.disk.synced;
-    let effects: readonly AnvilEffect[] = [];
-    const process = this.#make('anvil', machine, (now) => {
+    let effects: readonly ReplicaEffect[] = [];
+    const process = this.#make('replica', machine, (now) => {
       const seeded =
         this.tuning.voting === undefined
           ? null
           : {
-              address: `${machine.name}/anvil`,
-              seeds: this.#anvilSeeds(),
+              address: `${machine.name}/replica`,
+              seeds: this.#replicaSeeds(),
               firstStart: this.firstStart,
             };
-      const opened = Anvil.open({
+      const opened = Replica.open({
         name: box.as,
         others,
         seeded,
@@ -438,8 +439,8 @@
       effects = opened.effects;
       return opened.state;
     });
-    box.anvil = process;
-    effects.forEach((effect) => this.#anvilEffect(process, effect));
+    box.replica = process;
+    effects.forEach((effect) => this.#replicaEffect(process, effect));
     this.#every(process, Beats.rejoin, () => {
       this.#step(process, { kind: 'beat', now: this.#now(process) });
       this.#compact(box, process);
@@ -447,31 +448,31 @@
   }
 
   /** Compaction rewrites the disk from the state, as the real log does. */
-  #compact(box: Box, process: Process<'anvil'>): void {
+  #compact(box: Box, process: Process<'replica'>): void {
     if (box.disk.synced.length > 4_000 && box.disk.unsynced.length === 0)
-      box.disk.synced = [...Anvil.records(process.state)];
+      box.disk.synced = [...Replica.records(process.state)];
   }
 
-  #startJig(box: Box): void {
+  #startAgent(box: Box): void {
     this.#lives += 1;
     const { machine } = box;
     const fronts = machine.kind === 'front';
-    const process = this.#make('jig', machine, (now) =>
-      Jig.open({
+    const process = this.#make('agent', machine, (now) =>
+      Agent.open({
         self: {
           id: box.as,
           servesOn: this.tuning.servesOn === true,
           hall: machine.hall,
           region: machine.region,
-          address: `${machine.name}/jig`,
-          lathe: fronts
+          address: `${machine.name}/agent`,
+          proxy: fronts
             ? {
-                callers: `${machine.name}/lathe`,
+                callers: `${machine.name}/proxy`,
                 partners: `${machine.name}/partners`,
                 capacityBps: machine.capacityBps ?? 8e6,
               }
             : null,
-          anvil: fronts ? null : { address: `${machine.name}/anvil` },
+          replica: fronts ? null : { address: `${machine.name}/replica` },
         },
         life: `life-${this.#lives}`,
         seeds: this.seeds,
@@ -479,34 +480,34 @@
         voting:
           this.tuning.voting === undefined
             ? null
-            : { ...this.tuning.voting, seeds: this.#anvilSeeds() },
+            : { ...this.tuning.voting, seeds: this.#replicaSeeds() },
         seed: Math.floor(this.clock.chance() * 2 ** 31),
         now,
       }),
     );
-    box.jig = process;
-    this.#every(process, Beats.jig, () =>
+    box.agent = process;
+    this.#every(process, Beats.agent, () =>
       this.#step(process, { kind: 'beat', now: this.#now(process) }),
     );
   }
 
-  #startLathe(box: Box): void {
+  #startProxy(box: Box): void {
     this.#lives += 1;
     const { machine } = box;
-    const process = this.#make('lathe', machine, (now) =>
-      Lathe.open(
+    const process = this.#make('proxy', machine, (now) =>
+      ProxyCore.open(
         {
           id: machine.name,
           hall: machine.hall,
           region: machine.region,
           capacityBps: machine.capacityBps ?? 8e6,
-          life: `lathe-${this.#lives}`,
+          life: `proxy-${this.#lives}`,
         },
         now,
       ),
     );
-    box.lathe = process;
-    this.#every(process, Beats.lathe, () =>
+    box.proxy = process;
+    this.#every(process, Beats.proxy, () =>
       this.#step(process, { kind: 'beat', now: this.#now(process) }),
     );
     this.#step(process, { kind: 'ask', now: this.#now(process) });
@@ -523,14 +524,14 @@
     const box = this.boxes.get(name);
     if (box === undefined) return;
     this.#reach.changed(name);
-    this.#end(box.jig);
-    this.#end(box.lathe);
-    this.#end(box.anvil);
-    const lathe = box.lathe;
-    if (lathe !== null) for (const id of this.#callersOf(lathe)) id.done(null);
-    box.jig = null;
-    box.lathe = null;
-    box.anvil = null;
+    this.#end(box.agent);
+    this.#end(box.proxy);
+    this.#end(box.replica);
+    const proxy = box.proxy;
+    if (proxy !== null) for (const id of this.#callersOf(proxy)) id.done(null);
+    box.agent = null;
+    box.proxy = null;
+    box.replica = null;
     box.powered = false;
     const kept = Math.floor(this.clock.chance() * (box.disk.unsynced.length + 1));
     if (this.tuning.plant === 'forgetful-disks') {
@@ -539,15 +540,15 @@
     }
     box.disk = blankDisk([...box.disk.synced, ...box.disk.unsynced.slice(0, kept)]);
   }
-  /** The warning before a stop: the lathe leaves, the rest goes on until it is killed. */
+  /** The warning before a stop: the proxy leaves, the rest goes on until it is killed. */
   warn(name: string): void {
-    const lathe = this.boxes.get(name)?.lathe ?? null;
-    if (lathe !== null)
-      this.#inside(lathe, () => this.#step(lathe, { kind: 'stop', now: this.#now(lathe) }));
+    const proxy = this.boxes.get(name)?.proxy ?? null;
+    if (proxy !== null)
+      this.#inside(proxy, () => this.#step(proxy, { kind: 'stop', now: this.#now(proxy) }));
   }
   /** Tells a machine's replica to stop; it ends by itself, as soon as nothing waits for it. */
   stopReplica(name: string): void {
-    const replica = this.boxes.get(name)?.anvil ?? null;
+    const replica = this.boxes.get(name)?.replica ?? null;
     if (replica === null) return;
     this.#inside(replica, () => this.#step(replica, { kind: 'stop', now: this.#now(replica) }));
   }
@@ -566,12 +567,13 @@
   freeze(name: string): void {
     this.#reach.changed(name);
     const box = this.boxes.get(name);
-    for (const process of [box?.jig, box?.lathe, box?.anvil]) if (process) process.frozen = true;
+    for (const process of [box?.agent, box?.proxy, box?.replica])
+      if (process) process.frozen = true;
   }
   thaw(name: string): void {
     this.#reach.changed(name);
     const box = this.boxes.get(name);
-    for (const process of [box?.jig, box?.lathe, box?.anvil]) {
+    for (const process of [box?.agent, box?.proxy, box?.replica]) {
       if (!process || !process.frozen) continue;
       process.frozen = false;
       for (const act of process.waiting.splice(0)) act();
@@ -618,9 +620,9 @@
     });
   }
 
-  #askJig(
-    process: Process<'jig'>,
-    event: (id: number) => JigEvent,
+  #askAgent(
+    process: Process<'agent'>,
+    event: (id: number) => AgentEvent,
     reply: (body: unknown) => void,
   ): void {
     this.#inside(process, () => {
@@ -631,26 +633,26 @@
     });
   }
 
-  #jigEffect(process: Process<'jig'>, effect: JigEffect): void {
+  #agentEffect(process: Process<'agent'>, effect: AgentEffect): void {
     switch (effect.kind) {
       case 'call':
         this.#call(
           process,
           effect.to,
           (box, reply) => {
-            if (effect.path === '/jig') {
+            if (effect.path === '/agent') {
               const { body } = effect;
-              const target = box.jig;
+              const target = box.agent;
               if (target !== null)
-                this.#askJig(
+                this.#askAgent(
                   target,
                   (id) => ({ kind: 'asked', id, body, now: this.#now(target) }),
                   reply,
                 );
               return;
             }
-            const target = box.anvil;
-            if (target !== null) this.#askAnvil(target, effect.body, reply);
+            const target = box.replica;
+            if (target !== null) this.#askReplica(target, effect.body, reply);
           },
           (body) =>
             this.#step(process, {
@@ -682,7 +684,7 @@
     }
   }
 
-  #askAnvil(target: Process<'anvil'>, body: AnvilAsk, reply: (body: unknown) => void): void {
+  #askReplica(target: Process<'replica'>, body: ReplicaAsk, reply: (body: unknown) => void): void {
     this.#inside(target, () => {
       const id = target.nextAsk;
       target.nextAsk += 1;
@@ -699,7 +701,7 @@
     });
   }
 
-  #anvilEffect(process: Process<'anvil'>, effect: AnvilEffect): void {
+  #replicaEffect(process: Process<'replica'>, effect: ReplicaEffect): void {
     const box = this.boxes.get(process.machine.name);
     if (box === undefined) return;
     const { disk } = box;
@@ -728,7 +730,7 @@
           process,
           effect.to,
           (target, reply) => {
-            if (target.anvil !== null) this.#askAnvil(target.anvil, effect.body, reply);
+            if (target.replica !== null) this.#askReplica(target.replica, effect.body, reply);
           },
           (body) =>
             this.#step(process, {
@@ -741,9 +743,9 @@
         );
         return;
       case 'end':
-        if (box.anvil === process) {
+        if (box.replica === process) {
           this.#end(process);
-          box.anvil = null;
+          box.replica = null;
         }
         return;
       case 'log':
@@ -769,26 +771,27 @@
     });
   }
 
-  // Lathes ----------------------------------------------------------------------------------------
+  // Proxies
+  // ----------------------------------------------------------------------------------------
 
   readonly #callers = new Map<
-    Process<'lathe'>,
+    Process<'proxy'>,
     Map<number, Caller & { readonly mark: string | null }>
   >();
   readonly #legs = new Map<string, { aborted: boolean }>();
   readonly #submissions = new Map<
-    Process<'lathe'>,
+    Process<'proxy'>,
     Map<number, { readonly submission: number; readonly job: string }>
   >();
-  #callersOf(process: Process<'lathe'>): readonly Caller[] {
+  #callersOf(process: Process<'proxy'>): readonly Caller[] {
     const list = [...(this.#callers.get(process)?.values() ?? [])];
     this.#callers.delete(process);
     return list;
   }
 
-  /** Hands a request to a lathe. */
+  /** Hands a request to a proxy. */
   #arrive(
-    process: Process<'lathe'>,
+    process: Process<'proxy'>,
     asked: Asked,
     about: { submission: number; job: string },
     caller: Caller & { mark: string | null },
@@ -824,7 +827,7 @@
     });
   }
 
-  #latheEffect(process: Process<'lathe'>, effect: LatheEffect): void {
+  #proxyEffect(process: Process<'proxy'>, effect: ProxyEffect): void {
     const name = process.machine.name;
     const acted = (): void => {
       this.history.push({
@@ -849,10 +852,10 @@
           process,
           name,
           (_target, reply) => {
-            if (box?.jig) {
-              const jig = box.jig;
-              this.#askJig(
-                jig,
+            if (box?.agent) {
+              const agent = box.agent;
+              this.#askAgent(
+                agent,
                 (id) => ({
                   kind: 'fed',
                   id,
@@ -861,7 +864,7 @@
                     report: effect.report,
                     held: Feeds.holding(this.#held.get(process) ?? null),
                   },
-                  now: this.#now(jig),
+                  now: this.#now(agent),
                 }),
                 reply,
               );
@@ -869,7 +872,7 @@
           },
           (body) => {
             const held = Feeds.merge(this.#held.get(process) ?? null, body as FeedTold);
-            const agent = box?.jig;
+            const agent = box?.agent;
             if (agent && held.feed.leaseMs > 0 && agent.state.lease <= this.#now(agent))
               this.history.push({
                 kind: 'served-on',
@@ -947,11 +950,11 @@
           process,
           name,
           (_target, reply) => {
-            if (box?.jig) {
-              const jig = box.jig;
-              this.#askJig(
-                jig,
-                (id) => ({ kind: 'fed', id, body: effect.call, now: this.#now(jig) }),
+            if (box?.agent) {
+              const agent = box.agent;
+              this.#askAgent(
+                agent,
+                (id) => ({ kind: 'fed', id, body: effect.call, now: this.#now(agent) }),
                 reply,
               );
             }
@@ -1047,15 +1050,15 @@
   }
 
   /** The request as a peer is handed it, with the attempts at origins that it is granted. */
-  #granted(process: Process<'lathe'>, effect: Extract<LatheEffect, { kind: 'open' }>): Asked {
+  #granted(process: Process<'proxy'>, effect: Extract<ProxyEffect, { kind: 'open' }>): Asked {
     if (this.tuning.plant !== 'uncounted-grants')
       return { ...effect.asked, attempts: effect.attempts };
     process.state = plantedGrant(process.state, effect.id, effect.leg);
     return effect.asked;
   }
 
-  /** What each lathe's shell holds of its feed. */
-  readonly #held = new WeakMap<Process<'lathe'>, HeldFeed>();
+  /** What each proxy's shell holds of its feed. */
+  readonly #held = new WeakMap<Process<'proxy'>, HeldFeed>();
   readonly #partners = new Map<string, Feed['partners'][number]>();
   #everPartners(feed: Feed): void {
     for (const row of feed.partners) this.#partners.set(row.id, row);
@@ -1079,7 +1082,7 @@
   }
 
   #selectedRoutes = new Map<string, Feed['policy']>();
-  #select(feed: Feed, process: Process<'lathe'>): Feed {
+  #select(feed: Feed, process: Process<'proxy'>): Feed {
     const { selection = 'paper' } = this.tuning;
     if (feed.policy !== null) this.#selectedRoutes.set(process.machine.name, feed.policy);
     return {
@@ -1093,15 +1096,15 @@
   }
 
   /** A planted fault: an answer that came through a partner is kept all the same. */
-  #keepRelayed(process: Process<'lathe'>, answer: LegAnswer): void {
+  #keepRelayed(process: Process<'proxy'>, answer: LegAnswer): void {
     const body = answer.body as SimBody | null;
     if (body === null || body.maxAgeMs === Infinity) return;
     const now = this.#now(process);
     const host = [...process.state.routes.keys()][0] ?? '';
     process.state = {
       ...process.state,
-      sieve: Sieve.keep(process.state.sieve, {
-        key: Sieve.key(host, body.target),
+      cache: Cache.keep(process.state.cache, {
+        key: Cache.key(host, body.target),
         service: body.service,
         status: 200,
         headers: answer.headers,
@@ -1116,7 +1119,7 @@
     };
   }
 
-  /** ms until a reply has left a lathe. A relayed one costs a fifth: no look-up, no making. */
+  /** ms until a reply has left a proxy. A relayed one costs a fifth: no look-up, no making. */
   #leave(name: string, capacityBps: number, answer: Answer): number {
     if (answer.body.kind === 'problem') return 0;
     // A large one streams beside the others; what counts is when it begins.
@@ -1153,11 +1156,11 @@
 
   readonly #watchedAt = new Map<string, number>();
   /** Copies held, told a few times a second to the checker of rule 12. */
-  #watchCopies(process: Process<'lathe'>): void {
+  #watchCopies(process: Process<'proxy'>): void {
     const { name } = process.machine;
     if (this.clock.now() - (this.#watchedAt.get(name) ?? -Infinity) < 400) return;
     this.#watchedAt.set(name, this.clock.now());
-    for (const copy of process.state.sieve.copies.values()) {
+    for (const copy of process.state.cache.copies.values()) {
       const { target } = copy.body as SimBody;
       this.history.push({
         kind: 'stored',
@@ -1171,7 +1174,7 @@
   }
 
   #toOrigin(
-    process: Process<'lathe'>,
+    process: Process<'proxy'>,
     to: Extract<Target, { kind: 'origin' }>,
     asked: Asked,
     mark: string,
@@ -1314,7 +1317,7 @@
   }
 
   #toPartner(
-    process: Process<'lathe'>,
+    process: Process<'proxy'>,
     to: Extract<Target, { kind: 'partner' }>,
     asked: Asked,
     mark: string,
@@ -1326,17 +1329,17 @@
     const box = this.boxes.get(to.row.id);
     if (
       box === undefined ||
-      box.lathe === null ||
+      box.proxy === null ||
       this.#reach.isCut(from, to.row.id) ||
       this.#reach.isCut(to.row.id, from)
     ) {
-      this.clock.in(box !== undefined && box.lathe === null ? 1 : Limits.connect, () =>
+      this.clock.in(box !== undefined && box.proxy === null ? 1 : Limits.connect, () =>
         fail('nothing', 'connect'),
       );
       return;
     }
     this.#carry(from, to.row.id, () => {
-      if (box.lathe === null) {
+      if (box.proxy === null) {
         fail('maybe', 'cut');
         return;
       }
@@ -1348,7 +1351,7 @@
         hall: box.machine.hall,
         target: asked.target,
       });
-      this.#arrive(box.lathe, { ...asked, via: from }, about, {
+      this.#arrive(box.proxy, { ...asked, via: from }, about, {
         submission: about.submission,
         mark,
         done: (got) => {
@@ -1441,13 +1444,13 @@
    * A planted fault: an agent goes on for 4 s with an order that it has not acknowledged, though
    * its caller is gone.
    */
-  #goOn(jig: Process<'jig'>, action: Action): void {
+  #goOn(agent: Process<'agent'>, action: Action): void {
     for (let ms = 500; ms < Limits.proposal; ms += 500) {
       this.clock.in(ms, () => {
-        if (jig.alive)
-          this.#askJig(
-            jig,
-            (id) => ({ kind: 'operator', id, action, now: this.#now(jig) }),
+        if (agent.alive)
+          this.#askAgent(
+            agent,
+            (id) => ({ kind: 'operator', id, action, now: this.#now(agent) }),
             () => undefined,
           );
       });
@@ -1461,20 +1464,21 @@
     from = 'outside',
     node?: string,
   ): () => void {
-    const live = [...this.boxes.values()].filter((box) => box.jig !== null && !box.jig.frozen);
+    const live = [...this.boxes.values()].filter((box) => box.agent !== null && !box.agent.frozen);
     const box = node === undefined ? this.clock.pick(live) : this.boxes.get(node);
-    if (box?.jig === undefined || box.jig === null) {
+    if (box?.agent === undefined || box.agent === null) {
       done({ status: 0, body: null });
       return () => undefined;
     }
-    const { jig } = box;
+    const { agent } = box;
     let over = false;
     const [sentAt, cutOff] = [this.clock.now(), !this.#reach.reachesMajority(box.machine.name)];
     const end = (reply: { status: number; body: unknown }): void => {
       if (over) return;
       over = true;
       const { name } = box.machine;
-      const steady = box.jig === jig && !jig.frozen && this.#reach.isSteadySince(name, sentAt);
+      const steady =
+        box.agent === agent && !agent.frozen && this.#reach.isSteadySince(name, sentAt);
       if (action.kind !== 'describe')
         this.history.push({
           kind: 'called',
@@ -1488,7 +1492,7 @@
         });
       done(reply);
     };
-    const known = jig.state.registers.policy?.value as
+    const known = agent.state.registers.policy?.value as
       { serial: number; document: unknown } | undefined;
     if (
       this.tuning.plant === 'local-reads' &&
@@ -1504,21 +1508,21 @@
     let askedAs: number | null = null;
     let isGone = false;
     const drop = (): void =>
-      this.#inside(jig, () => {
-        if (askedAs !== null && jig.asking.delete(askedAs))
-          this.#step(jig, { kind: 'caller-gone', id: askedAs, now: this.#now(jig) });
+      this.#inside(agent, () => {
+        if (askedAs !== null && agent.asking.delete(askedAs))
+          this.#step(agent, { kind: 'caller-gone', id: askedAs, now: this.#now(agent) });
       });
     this.#carry(from, box.machine.name, () => {
-      this.#askJig(
-        jig,
+      this.#askAgent(
+        agent,
         (id) => {
           askedAs = id;
-          return { kind: 'operator', id, action, now: this.#now(jig) };
+          return { kind: 'operator', id, action, now: this.#now(agent) };
         },
         (reply) => {
           const told = plantedReply(this.tuning.plant, reply as { status: number; body: unknown });
           if (this.tuning.plant === 'callers-unheeded' && told.status === 503)
-            this.#goOn(jig, action);
+            this.#goOn(agent, action);
           this.#carry(box.machine.name, from, () => end(told));
         },
       );
@@ -1528,7 +1532,7 @@
       if (over) return;
       over = true;
       isGone = true;
-      if (this.tuning.plant === 'callers-unheeded') this.#goOn(jig, action);
+      if (this.tuning.plant === 'callers-unheeded') this.#goOn(agent, action);
       else this.#carry(from, box.machine.name, drop);
     };
   }
@@ -1638,13 +1642,13 @@
   watchReady(): void {
     for (const box of this.boxes.values()) {
       if (box.machine.kind !== 'front') continue;
-      const { lathe } = box;
+      const { proxy } = box;
       const answers =
-        lathe !== null &&
-        lathe.alive &&
-        !lathe.frozen &&
+        proxy !== null &&
+        proxy.alive &&
+        !proxy.frozen &&
         !this.#reach.isCut(box.machine.name, 'outside');
-      this.ready.set(box.machine.name, answers && Lathe.ready(lathe.state, this.#now(lathe)));
+      this.ready.set(box.machine.name, answers && ProxyCore.ready(proxy.state, this.#now(proxy)));
     }
     this.clock.in(500, () => this.watchReady());
   }
@@ -1667,7 +1671,7 @@
     const submission = this.#submission;
     const box = this.boxes.get(node);
     if (box === undefined) return;
-    const { lathe } = box;
+    const { proxy } = box;
     const askedAt = this.clock.now();
     let over = false;
     const end = (
@@ -1713,14 +1717,14 @@
       key: request.key,
     });
     this.clock.in(12_000, () => end(0, 'no answer'));
-    if (lathe === null) {
+    if (proxy === null) {
       this.clock.in(1, () => end(0, 'refused'));
       return;
     }
     const headers = { ...(request.key === null ? {} : { 'idempotency-key': request.key }) };
     this.clock.in(this.delay('outside', node), () =>
       this.#arrive(
-        lathe,
+        proxy,
         {
           method: request.method,
           target: request.target,
--- a/packages/mallet/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -1,7 +1,7 @@
-import type { Policy } from '@reedyard/stencil';
+import type { Policy } from '@reedyard/schemas';
 
 /**
- * What the checkers watch: only what callers, origins and operators can see, and what a lathe acts
+ * What the checkers watch: only what callers, origins and operators can see, and what a proxy acts
  * upon.
  */
 export type Entry =
@@ -74,7 +74,7 @@
       readonly key: string | null;
     }
   | { readonly kind: 'repeat'; readonly at: number }
-  /** A lathe acted under a policy: it answered from it or made a leg. */
+  /** A proxy acted under a policy: it answered from it or made a leg. */
   | { readonly kind: 'acted'; readonly at: number; readonly node: string; readonly serial: number }
   /** A policy was sent for the first time: from here on it may come into force. */
   | {
--- a/packages/mallet/src/long-cuts.ts
+++ b/packages/simulator/src/long-cuts.ts
@@ -109,7 +109,7 @@
   });
   clock.in(14_000, () => {
     const [first, second, third] = [...fleet.places()].sort(() => clock.chance() - 0.5);
-    fleet.seeds = [first, second, third].map((name) => `${name}/jig`);
+    fleet.seeds = [first, second, third].map((name) => `${name}/agent`);
     fleet.fault(`seeds are now ${fleet.seeds.join(', ')}`);
   });
   for (const [at, isInside] of [
--- a/packages/mallet/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -21,7 +21,7 @@
 });
 if (values.help) {
   process.stdout.write(
-    `mallet [--scenario NAME …] [--seed N | --from N --seeds COUNT] [--plant NAME] [--example NAME] [--rate N] [--faults]\n\n${Object.entries(
+    `simulator [--scenario NAME …] [--seed N | --from N --seeds COUNT] [--plant NAME] [--example NAME] [--rate N] [--faults]\n\n${Object.entries(
       scenarios,
     )
       .map(([name, scenario]) => `  ${name.padEnd(16)} ${scenario.what}`)
--- a/packages/mallet/src/order-client.ts
+++ b/packages/simulator/src/order-client.ts
@@ -3,7 +3,7 @@
  * silence or a 5xx it goes on to another node, with a pause that grows, and repeats the order
  * unchanged, as operators do.
  */
-import type { Action } from '@reedyard/jig';
+import type { Action } from '@reedyard/agent';
 import type { SimFleet } from './fleet.js';
 
 /** ms without an answer after which the client gives a node up. */
--- a/packages/mallet/src/order-trial.test.ts
+++ b/packages/simulator/src/order-trial.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type { Action, HallsValue } from '@reedyard/jig';
+import type { Action, HallsValue } from '@reedyard/agent';
 import { SimFleet } from './fleet.js';
 import { sendOrder } from './order-client.js';
 import { runOrderTrial } from './order-trial.js';
@@ -55,7 +55,7 @@
     }),
   );
   fleet.clock.runUntil(25_000);
-  const halls = fleet.boxes.get('core-1')?.jig?.state.registers.halls?.value as
+  const halls = fleet.boxes.get('core-1')?.agent?.state.registers.halls?.value as
     HallsValue | undefined;
   return isTakenBack && halls !== undefined && !halls.closedOrigins.includes('west');
 };
--- a/packages/mallet/src/order-trial.ts
+++ b/packages/simulator/src/order-trial.ts
@@ -4,9 +4,9 @@
  * race for the versions of the configuration; each zone has an operator of its own, who evacuates
  * it and takes it back in turn.
  */
-import { Limits } from '@reedyard/gauge';
-import type { Action, HallsValue, PolicyValue } from '@reedyard/jig';
-import type { Policy } from '@reedyard/stencil';
+import { Limits } from '@reedyard/constants';
+import type { Action, HallsValue, PolicyValue } from '@reedyard/agent';
+import type { Policy } from '@reedyard/schemas';
 import { SimFleet } from './fleet.js';
 import { sendOrder, type OrderOutcome } from './order-client.js';
 import type { Plant } from './plants.js';
@@ -145,9 +145,9 @@
 
   /** Agents that may act, with what they know of the zones. */
   #informed(): readonly HallsValue[] {
-    return [...this.fleet.boxes.values()].flatMap(({ jig }) => {
-      if (jig === null || jig.frozen || jig.state.now >= jig.state.lease) return [];
-      const halls = jig.state.registers.halls;
+    return [...this.fleet.boxes.values()].flatMap(({ agent }) => {
+      if (agent === null || agent.frozen || agent.state.now >= agent.state.lease) return [];
+      const halls = agent.state.registers.halls;
       return halls === undefined ? [] : [halls.value as HallsValue];
     });
   }
--- a/packages/mallet/src/plants.ts
+++ b/packages/simulator/src/plants.ts
@@ -1,7 +1,7 @@
-import type { Feed, JigState, LatheCall } from '@reedyard/jig';
-import { Limits } from '@reedyard/gauge';
-import type { LatheState } from '@reedyard/lathe';
-import type { Policy } from '@reedyard/stencil';
+import type { Feed, AgentState, ProxyCall } from '@reedyard/agent';
+import { Limits } from '@reedyard/constants';
+import type { ProxyState } from '@reedyard/proxy';
+import type { Policy } from '@reedyard/schemas';
 
 /**
  * Faults planted into the fleet, one at a time, to show that a checker can fail: each takes one
@@ -181,9 +181,9 @@
 };
 
 /**
- * What a lathe whose ledger does not count the attempts it granted to a peer makes of its state.
+ * What a proxy whose ledger does not count the attempts it granted to a peer makes of its state.
  */
-export const plantedGrant = (state: LatheState, id: number, leg: number): LatheState => {
+export const plantedGrant = (state: ProxyState, id: number, leg: number): ProxyState => {
   const transaction = state.transactions[id];
   if (transaction === undefined) return state;
   const legs = transaction.legs.map((each) =>
@@ -193,35 +193,38 @@
 };
 
 /** Whether a claim is granted without asking. */
-export const plantedClaim = (plant: Plant, call: LatheCall): boolean =>
+export const plantedClaim = (plant: Plant, call: ProxyCall): boolean =>
   plant === 'claims-granted' && call.kind === 'claim';
 
 /** What a planted fault makes of an agent's answer to an operator. */
 export const plantedReply = <T extends { readonly status: number }>(plant: Plant, reply: T): T =>
   plant === 'any-content-confirmed' && reply.status === 412 ? { ...reply, status: 200 } : reply;
 
-type Views = JigState['anvils'];
+type Views = AgentState['replicas'];
 const mapViews = (views: Views, change: (view: Views[string]) => Views[string]): Views =>
   Object.fromEntries(Object.entries(views).map(([name, view]) => [name, change(view)]));
 
 /** What a planted fault makes of an agent's state before each step. */
-export const plantedAgent = (plant: Plant, state: JigState, now: number): JigState => {
+export const plantedAgent = (plant: Plant, state: AgentState, now: number): AgentState => {
   switch (plant) {
     // Answers that do not count are taken for silence.
     case 'answers-ignored':
       return {
         ...state,
-        anvils: mapViews(state.anvils, (view) => ({ ...view, answeredAt: -Infinity })),
+        replicas: mapViews(state.replicas, (view) => ({ ...view, answeredAt: -Infinity })),
       };
     // Silence is not noticed: calls wait for their limit.
     case 'answers-assumed':
-      return { ...state, anvils: mapViews(state.anvils, (view) => ({ ...view, answeredAt: now })) };
+      return {
+        ...state,
+        replicas: mapViews(state.replicas, (view) => ({ ...view, answeredAt: now })),
+      };
     // Replicas that are silent do not count as members.
     case 'quorum-of-the-reached': {
-      const reached = Object.entries(state.anvils).filter(
+      const reached = Object.entries(state.replicas).filter(
         ([, view]) => now - view.answeredAt < Limits.replicaSilence,
       );
-      return reached.length === 0 ? state : { ...state, anvils: Object.fromEntries(reached) };
+      return reached.length === 0 ? state : { ...state, replicas: Object.fromEntries(reached) };
     }
     // A replica that answers again is not asked more often.
     case 'no-return':
--- a/packages/mallet/src/run.ts
+++ b/packages/simulator/src/run.ts
@@ -1,8 +1,8 @@
 import { readFileSync } from 'node:fs';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { Stencil, type Policy } from '@reedyard/stencil';
-import type { Deployment } from '@reedyard/blueprint';
+import { Schemas, type Policy } from '@reedyard/schemas';
+import type { Deployment } from '@reedyard/topology';
 import { available, judge } from './checks.js';
 import { inTouch, judgeCuts } from './cut-checks.js';
 import { SimFleet } from './fleet.js';
@@ -19,7 +19,7 @@
   deployment: JSON.parse(
     readFileSync(path.join(examples, name, 'deployment.json'), 'utf8'),
   ) as Deployment,
-  policy: Stencil.policy(
+  policy: Schemas.policy(
     JSON.parse(readFileSync(path.join(examples, name, 'policy.json'), 'utf8')),
   ),
 });
@@ -188,6 +188,6 @@
     wrongs,
     ...measured,
     fleet,
-    replay: `npm run mallet -- --scenario ${options.scenario} --seed ${options.seed}${options.plant === undefined || options.plant === 'none' ? '' : ` --plant ${options.plant}`}${options.example === undefined ? '' : ` --example ${options.example}`}`,
+    replay: `npm run simulator -- --scenario ${options.scenario} --seed ${options.seed}${options.plant === undefined || options.plant === 'none' ? '' : ` --plant ${options.plant}`}${options.example === undefined ? '' : ` --example ${options.example}`}`,
   };
 };
--- a/packages/mallet/src/scenarios.ts
+++ b/packages/simulator/src/scenarios.ts
@@ -1,5 +1,5 @@
-import { Routes, type Policy } from '@reedyard/stencil';
-import type { Deployment, Origin } from '@reedyard/blueprint';
+import { Routes, type Policy } from '@reedyard/schemas';
+import type { Deployment, Origin } from '@reedyard/topology';
 import type { Entry } from './history.js';
 import { longCuts } from './long-cuts.js';
 
@@ -37,7 +37,7 @@
   };
   readonly deployment: Deployment;
   readonly origins: readonly StageOrigin[];
-  /** What settings name as seeds to those that start from now on: machine/jig. */
+  /** What settings name as seeds to those that start from now on: machine/agent. */
   seeds: readonly string[];
   places(): readonly string[];
   runs(name: string): boolean;
@@ -100,7 +100,7 @@
   readonly loss?: number;
   readonly drift?: number;
   /** ms that a message may wait more, where processes are busy. */ readonly busyMs?: number;
-  /** Of each lathe, where it is not the deployment's. */ readonly capacityBps?: number;
+  /** Of each proxy, where it is not the deployment's. */ readonly capacityBps?: number;
   /**
    * Voters found themselves from three seeds, and the loss of so many disks must be borne. Of real
    * processes this is not played: there the settings name the founders.
@@ -420,7 +420,7 @@
   ...longCuts,
   calm: { what: 'nothing fails', seconds: 30, play: () => undefined },
   'crowded-hall': {
-    what: 'most callers come to one hall, more than its lathes can serve',
+    what: 'most callers come to one hall, more than its proxies can serve',
     seconds: 90,
     rate: 300,
     play: (stage) => {
@@ -1139,7 +1139,7 @@
     play: (stage) => {
       const { fleet } = stage;
       fleet.clock.in(10_000, () => {
-        fleet.seeds = ['front-1/jig', 'front-2/jig', 'core-3/jig'];
+        fleet.seeds = ['front-1/agent', 'front-2/agent', 'core-3/agent'];
         fleet.kill('store-1');
         fleet.kill('store-2');
         fleet.fault('two old seeds gone, new ones in the settings');
@@ -1172,7 +1172,7 @@
       };
       gone(10_000, 'core-1', 14_000, false);
       fleet.clock.in(20_500, () => {
-        fleet.seeds = ['core-2/jig', 'core-3/jig', 'front-1/jig'];
+        fleet.seeds = ['core-2/agent', 'core-3/agent', 'front-1/agent'];
       });
       gone(27_000, 'store-1', 1_000, true);
       gone(33_000, 'store-2', 13_000, true);
--- a/packages/mallet/src/second-loss.test.ts
+++ b/packages/simulator/src/second-loss.test.ts
@@ -82,7 +82,7 @@
     fleet.seeds = site
       .voting()
       .slice(0, 3)
-      .map((machine) => `${machine}/jig`);
+      .map((machine) => `${machine}/agent`);
     fleet.clock.in(fleet.clock.between(0, 300), () => fleet.kill(lost));
     site.runFor(fleet.clock.between(0, 1_500));
     fleet.start(successor);
@@ -178,7 +178,7 @@
         const { took, leaver } = leave(site, crash);
         times.push(took);
         site.runFor(6_000);
-        const running = site.fleet.boxes.get(leaver)?.anvil !== null;
+        const running = site.fleet.boxes.get(leaver)?.replica !== null;
         if (crash === 'nobody') t.false(running, `seed ${seed}: the leaver has ended`);
         t.true(site.keepsAcknowledged(), `seed ${seed}`);
         const others = site.voting().filter((each) => each !== leaver);
--- a/packages/mallet/src/second-loss.ts
+++ b/packages/simulator/src/second-loss.ts
@@ -1,5 +1,5 @@
-import type { Machine } from '@reedyard/blueprint';
-import type { Policy } from '@reedyard/stencil';
+import type { Machine } from '@reedyard/topology';
+import type { Policy } from '@reedyard/schemas';
 import { SimFleet, type Tuning } from './fleet.js';
 
 /**
@@ -83,7 +83,7 @@
    * still reads.
    */
   votingDisk(machine: string): string | null {
-    const replica = this.fleet.boxes.get(machine)?.anvil ?? null;
+    const replica = this.fleet.boxes.get(machine)?.replica ?? null;
     if (replica === null || !replica.alive || replica.frozen) return null;
     const { told, voting, disk } = replica.state;
     return voting && told !== null && Object.values(told.value.disks).includes(disk) ? disk : null;
@@ -101,7 +101,7 @@
       disks: [],
     };
     for (const box of this.fleet.boxes.values()) {
-      const told = box.anvil?.state.told ?? null;
+      const told = box.replica?.state.told ?? null;
       if (told === null || told.value.epoch <= newest.epoch) continue;
       newest = { epoch: told.value.epoch, disks: Object.values(told.value.disks) };
     }
--- a/packages/mallet/src/spread.ts
+++ b/packages/simulator/src/spread.ts
@@ -4,7 +4,7 @@
 import { exampleOf } from './run.js';
 
 /**
- * How long after its acknowledgement a policy is in force, or a purge applied, at the last lathe:
+ * How long after its acknowledgement a policy is in force, or a purge applied, at the last proxy:
  * virtual ms.
  */
 const { values } = parseArgs({
@@ -24,14 +24,14 @@
 for (const machine of deployment.machines) fleet.start(machine.name);
 fleet.clock.in(500, () => fleet.put(policy));
 fleet.clock.runUntil(8_000);
-const lathes = (): readonly { serial: number; purges: number }[] =>
+const proxies = (): readonly { serial: number; purges: number }[] =>
   [...fleet.boxes.values()].flatMap((box) =>
-    box.lathe === null
+    box.proxy === null
       ? []
-      : [{ serial: box.lathe.state.policy?.serial ?? 0, purges: box.lathe.state.purgeSeq }],
+      : [{ serial: box.proxy.state.policy?.serial ?? 0, purges: box.proxy.state.purgeSeq }],
   );
 
-/** Does something that is acknowledged, and watches until all lathes show it. */
+/** Does something that is acknowledged, and watches until all proxies show it. */
 const spread = (act: (done: () => void) => void, shown: () => boolean): number | null => {
   let told = 0;
   act(() => {
@@ -61,14 +61,14 @@
           },
           done,
         ),
-      () => lathes().every(({ serial }) => serial >= index + 2),
+      () => proxies().every(({ serial }) => serial >= index + 2),
     ),
   ),
 );
 line(
   'purge',
   times.map((index) => {
-    const before = Math.max(...lathes().map(({ purges }) => purges));
+    const before = Math.max(...proxies().map(({ purges }) => purges));
     let told = false;
     return spread(
       (done) => {
@@ -82,7 +82,7 @@
         };
         watch();
       },
-      () => told && lathes().every(({ purges }) => purges > before),
+      () => told && proxies().every(({ purges }) => purges > before),
     );
   }),
 );
--- a/packages/mallet/src/voters.test.ts
+++ b/packages/simulator/src/voters.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import type { Voters } from '@reedyard/anvil';
-import type { Policy } from '@reedyard/stencil';
+import type { Voters } from '@reedyard/replica';
+import type { Policy } from '@reedyard/schemas';
 import { SimFleet } from './fleet.js';
 
 // Voters that found themselves from seeds: a fleet of machines with disks alone, in virtual time.
@@ -26,14 +26,14 @@
   return fleet;
 };
 const votersOf = (fleet: SimFleet, index: number): Voters | undefined =>
-  fleet.boxes.get(machine(index))?.jig?.state.registers.voters?.value as Voters | undefined;
-/** Machines whose anvil is a place of the voters that a jig knows. */
+  fleet.boxes.get(machine(index))?.agent?.state.registers.voters?.value as Voters | undefined;
+/** Machines whose replica is a place of the voters that an agent knows. */
 const placesOf = (fleet: SimFleet, index: number): readonly string[] =>
   Object.values(votersOf(fleet, index)?.addresses ?? {})
-    .map((address) => address.replace('/anvil', ''))
+    .map((address) => address.replace('/replica', ''))
     .sort();
 const votes = (fleet: SimFleet, index: number): boolean => {
-  const state = fleet.boxes.get(machine(index))?.anvil?.state;
+  const state = fleet.boxes.get(machine(index))?.replica?.state;
   return (
     state !== undefined &&
     state.voting &&
@@ -135,7 +135,7 @@
         fleet.kill('core-1');
         fleet.wipe('core-1');
         fleet.heal();
-        fleet.seeds = ['core-3/jig', 'core-7/jig', 'core-8/jig'];
+        fleet.seeds = ['core-3/agent', 'core-7/agent', 'core-8/agent'];
         fleet.start('core-1');
       },
       'outside',
@@ -276,7 +276,7 @@
     for (const index of [2, 3, 4, 5]) fleet.kill(machine(index));
     runFor(fleet, 2_000);
     // Seeds that serve, but for one that never existed: none of them need vote.
-    fleet.seeds = ['core-4/jig', 'core-5/jig', 'core-9/jig'];
+    fleet.seeds = ['core-4/agent', 'core-5/agent', 'core-9/agent'];
     for (const index of [2, 3, 4, 5]) fleet.start(machine(index));
     runFor(fleet, 16_000);
     t.is(placesOf(fleet, 5).length, 3, `seed ${seed}`);
@@ -322,7 +322,7 @@
       const disk = [...disks, ...blanks][at];
       if (box !== undefined && disk !== undefined) box.disk = disk;
     });
-    fleet.seeds = ['core-4/jig', 'core-1/jig', 'core-2/jig'];
+    fleet.seeds = ['core-4/agent', 'core-1/agent', 'core-2/agent'];
     for (const index of [1, 2, 3, 4, 5, 6]) fleet.start(machine(index));
     runFor(fleet, 8_000);
     t.is(serialAt(fleet, 1), 1, `seed ${seed}`);
@@ -330,7 +330,7 @@
   }
 });
 
-test('a jig that was gone while every place changed hands finds the voters again', (t) => {
+test('an agent that was gone while every place changed hands finds the voters again', (t) => {
   for (const seed of seeds) {
     const fleet = founded(seed, 7);
     t.is(tryPut(fleet, 7, 'one'), 200);
@@ -339,7 +339,7 @@
       fleet.kill(machine(index));
       runFor(fleet, 14_000);
     }
-    fleet.seeds = ['core-4/jig', 'core-5/jig', 'core-6/jig'];
+    fleet.seeds = ['core-4/agent', 'core-5/agent', 'core-6/agent'];
     t.deepEqual(placesOf(fleet, 4), ['core-4', 'core-5', 'core-6'], `seed ${seed}`);
     fleet.thaw('core-7');
     runFor(fleet, 6_000);
--- a/packages/chute/src/index.ts
+++ b/packages/task-loop/src/index.ts
@@ -1,5 +1,5 @@
 import csp from 'js-csp';
-import { Sizes } from '@reedyard/gauge';
+import { Sizes } from '@reedyard/constants';
 
 /** What a reducer returns: the next state and what is to be done outside. */
 export type Step<S, F> = { readonly state: S; readonly effects: readonly F[] };
@@ -8,14 +8,14 @@
 export type Reducer<S, E, F> = (state: S, event: E) => Step<S, F>;
 
 /** A channel of one kind of event. */
-export type Chute<E> = {
-  /** Hands an event in; false once the chute is full or closed. */
+export type Inbox<E> = {
+  /** Hands an event in; false once the inbox is full or closed. */
   readonly put: (event: E) => boolean;
   readonly close: () => void;
 };
 
 /**
- * Runs a task: it alone owns its state, takes events from its chute one by one, reduces them and
+ * Runs a task: it alone owns its state, takes events from its inbox one by one, reduces them and
  * performs the effects in order.
  *
  * @example
@@ -27,7 +27,7 @@
     readonly initial: S;
     readonly reduce: Reducer<S, E, F>;
     readonly perform: (effect: F, put: (event: E) => boolean) => void;
-  }): Chute<E> & { readonly peek: () => S } => {
+  }): Inbox<E> & { readonly peek: () => S } => {
     const channel = csp.chan(csp.buffers.fixed(Sizes.inbox));
     let state = parts.initial;
     let waiting = 0;
--- a/packages/workbench/src/clocks.test.ts
+++ b/packages/testbed/src/clocks.test.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import { mkdtempSync, readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
-import { feel, type Seen } from '@reedyard/feeler';
+import { feel, type Seen } from '@reedyard/client-stand-in';
 import { api, Fleet } from './index.js';
 import { small, smallHost as host, smallPolicy as policy } from './small.js';
 import { pairsOf } from './trial.js';
@@ -42,7 +42,7 @@
   await fleet.until('a handover', async () => (await post('parcel-1')).status === 409);
   const first = (await get()).body;
   const hoursOff = (name: string): number => {
-    const last = readFileSync(fleet.logOf(name, 'jig'), 'utf8').trim().split('\n').at(-1) ?? '';
+    const last = readFileSync(fleet.logOf(name, 'agent'), 'utf8').trim().split('\n').at(-1) ?? '';
     return Math.round((Date.parse(pairsOf(last)['time'] ?? '') - Date.now()) / 3_600_000);
   };
   for (const [index, hours] of [5, -5, 0].entries()) {
@@ -79,7 +79,7 @@
     // The jump took place: the log, which alone tells the wall clock's time, shows it.
     await fleet.until('the log at that hour', () => Promise.resolve(hoursOff('front-1') === hours));
   }
-  fleet.blanks.get('content-1')?.turn();
+  fleet.originStandIns.get('content-1')?.turn();
   t.is(
     (await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', { objects: [`${host}/sheets/1`] }))
       .status,
--- a/packages/workbench/src/fleet.test.ts
+++ b/packages/testbed/src/fleet.test.ts
@@ -2,7 +2,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { mkdtempSync } from 'node:fs';
-import { feel } from '@reedyard/feeler';
+import { feel } from '@reedyard/client-stand-in';
 import { api, Fleet } from './index.js';
 import { small, smallHost as host, smallPolicy as policy } from './small.js';
 
@@ -58,7 +58,7 @@
   t.is((await get('front-1', '/elsewhere')).status, 404);
 
   // After a purge the next answer is of the new generation.
-  fleet.blanks.get('content-1')?.turn();
+  fleet.originStandIns.get('content-1')?.turn();
   t.is(
     (
       await api(fleet.apiOf('core-2'), 'POST', '/v1/purges', {
@@ -86,19 +86,19 @@
     'an application share',
     async () => (await post('front-1', `warm-${Math.random()}`)).status === 200,
   );
-  const before = fleet.blanks.get('app-1')?.ran().length ?? 0;
+  const before = fleet.originStandIns.get('app-1')?.ran().length ?? 0;
   const three = await Promise.all([
     post('front-1', 'parcel-7'),
     post('front-2', 'parcel-7'),
     post('front-2', 'parcel-7'),
   ]);
-  t.true((fleet.blanks.get('app-1')?.ran().length ?? 0) - before <= 1);
+  t.true((fleet.originStandIns.get('app-1')?.ran().length ?? 0) - before <= 1);
   t.true(three.filter((each) => each.status === 200).length <= 1);
   t.true(three.every((each) => each.status === 200 || each.status === 409 || each.status === 503));
 
   // The same key with another body is another request; a request without a key is refused. Neither
   // is run.
-  const ran = fleet.blanks.get('app-1')?.ran().length ?? 0;
+  const ran = fleet.originStandIns.get('app-1')?.ran().length ?? 0;
   t.is(
     (
       await feel({
@@ -126,7 +126,7 @@
     ).status,
     400,
   );
-  t.is(fleet.blanks.get('app-1')?.ran().length ?? 0, ran);
+  t.is(fleet.originStandIns.get('app-1')?.ran().length ?? 0, ran);
 
   // Several thousand routes: taken by one node, in force on another.
   const many = {
@@ -169,11 +169,11 @@
   );
   t.is((await api(fleet.apiOf('front-1'), 'PUT', '/v1/policy', '{"services":')).status, 400);
 
-  // One anvil killed: still acknowledged. Two: refused with a time to come back, and callers are
+  // One replica killed: still acknowledged. Two: refused with a time to come back, and callers are
   // told not ready.
   await fleet.kill('core-1');
   await fleet.until(
-    'a policy without one anvil',
+    'a policy without one replica',
     async () =>
       (
         await api(
--- a/packages/workbench/src/hollow-child.ts
+++ b/packages/testbed/src/hollow-child.ts
@@ -1,4 +1,4 @@
-import { textOf } from '@reedyard/scriber';
+import { textOf } from '@reedyard/logging';
 import { HollowHost, type HostCalls } from './hollow-host.js';
 
 /**
--- a/packages/workbench/src/hollow-host.ts
+++ b/packages/testbed/src/hollow-host.ts
@@ -5,52 +5,52 @@
 import path from 'node:path';
 import { serialize } from 'node:v8';
 import {
-  Anvil,
-  type AnvilAsk,
-  type AnvilEffect,
-  type AnvilEvent,
-  type AnvilRecord,
-  type AnvilReply,
-  type AnvilState,
-} from '@reedyard/anvil';
-import { Beats, Hollow, Sizes } from '@reedyard/gauge';
+  Replica,
+  type ReplicaAsk,
+  type ReplicaEffect,
+  type ReplicaEvent,
+  type ReplicaRecord,
+  type ReplicaReply,
+  type ReplicaState,
+} from '@reedyard/replica';
+import { Beats, Hollow, Sizes } from '@reedyard/constants';
 import {
-  Jig,
+  Agent,
   type Action,
   type FeedTold,
-  type JigCall,
-  type JigEffect,
-  type JigEvent,
-  type JigState,
-  type LatheCall,
+  type AgentCall,
+  type AgentEffect,
+  type AgentEvent,
+  type AgentState,
+  type ProxyCall,
   type Measure,
   type NodeRecord,
   type Report,
   type Self,
-} from '@reedyard/jig';
-import { Feeds, type HeldFeed } from '@reedyard/lathe';
-import { openNotch, type Notch } from '@reedyard/notch';
-import { LayerError, textOf } from '@reedyard/scriber';
-import { call, serveCalls, type Listening } from '@reedyard/shuttle';
+} from '@reedyard/agent';
+import { Feeds, type HeldFeed } from '@reedyard/proxy';
+import { openWriteAheadLog, type WriteAheadLog } from '@reedyard/write-ahead-log';
+import { LayerError, textOf } from '@reedyard/logging';
+import { call, serveCalls, type Listening } from '@reedyard/rpc';
 
 /** A hollow fleet that can't be run. */
 export class HollowError extends LayerError {}
 
 /**
- * What a hollow node is counted as. The one that holds the duty and the seeds are jigs with more to
- * do.
+ * What a hollow node is counted as. The one that holds the duty and the seeds are agents with more
+ * to do.
  */
-export type Role = 'anvil' | 'holder' | 'seed' | 'jig' | 'lathe';
+export type Role = 'replica' | 'holder' | 'seed' | 'agent' | 'proxy';
 
 /** Where each address is served: by which process, as which role. */
 export type Directory = Readonly<Record<string, { readonly port: number; readonly role: Role }>>;
 
-export type AnvilSpec = {
+export type ReplicaSpec = {
   readonly name: string;
   readonly address: string;
   readonly others: Readonly<Record<string, string>>;
 };
-export type JigSpec = {
+export type AgentSpec = {
   readonly self: Self;
   readonly role: Role;
   readonly seeds: readonly string[];
@@ -60,7 +60,7 @@
   /** Records that it is told at once, so that a run need not begin with finding everybody. */
   readonly known: readonly NodeRecord[];
 };
-export type LatheSpec = {
+export type ProxySpec = {
   readonly id: string;
   readonly address: string;
   readonly startAt: number;
@@ -124,9 +124,9 @@
 export type HostCalls = {
   listen: () => Promise<number>;
   directory: (known: Directory) => Promise<void>;
-  anvils: (specs: readonly AnvilSpec[]) => Promise<void>;
-  jigs: (specs: readonly JigSpec[]) => Promise<void>;
-  lathes: (specs: readonly LatheSpec[]) => Promise<void>;
+  replicas: (specs: readonly ReplicaSpec[]) => Promise<void>;
+  agents: (specs: readonly AgentSpec[]) => Promise<void>;
+  proxies: (specs: readonly ProxySpec[]) => Promise<void>;
   origins: (specs: readonly OriginSpec[]) => Promise<void>;
   watch: (watches: readonly Watch[]) => Promise<void>;
   /** One step of the common clock; resolves once nothing asked here is under way. */
@@ -165,26 +165,26 @@
     first.length + 4,
   );
 
-type JigNode = {
-  readonly spec: JigSpec;
-  state: JigState;
+type AgentNode = {
+  readonly spec: AgentSpec;
+  state: AgentState;
   beatAt: number;
   /** When it wants to be woken, at the latest. */ wakeAt: number;
   next: number;
   readonly asking: Map<number, (reply: unknown) => void>;
   readonly orders: Map<number, string>;
 };
-type AnvilNode = {
-  readonly spec: AnvilSpec;
-  state: AnvilState;
-  readonly notch: Notch;
+type ReplicaNode = {
+  readonly spec: ReplicaSpec;
+  state: ReplicaState;
+  readonly writeAheadLog: WriteAheadLog;
   beatAt: number;
   next: number;
   compacting: boolean;
-  readonly asking: Map<number, (reply: AnvilReply) => void>;
+  readonly asking: Map<number, (reply: ReplicaReply) => void>;
 };
-type LatheNode = {
-  readonly spec: LatheSpec;
+type ProxyNode = {
+  readonly spec: ProxySpec;
   askAt: number;
   asking: boolean;
   measuredAt: number;
@@ -205,9 +205,9 @@
 export class HollowHost implements HostCalls {
   readonly #name: string;
   readonly #folder = mkdtempSync(path.join(os.tmpdir(), 'reedyard-hollow-'));
-  readonly #jigs = new Map<string, JigNode>();
-  readonly #anvils = new Map<string, AnvilNode>();
-  readonly #lathes = new Map<string, LatheNode>();
+  readonly #agents = new Map<string, AgentNode>();
+  readonly #replicas = new Map<string, ReplicaNode>();
+  readonly #proxies = new Map<string, ProxyNode>();
   #origins: { readonly spec: OriginSpec; at: number }[] = [];
   #directory: Directory = {};
   #listening: Listening | null = null;
@@ -349,40 +349,45 @@
   #asked(place: string, body: unknown): Promise<unknown> {
     const [, address = '', where] = place.split('/');
     return new Promise((resolve, reject) => {
-      const jig = this.#jigs.get(address);
-      const anvil = this.#anvils.get(address);
-      if (where === 'anvil' && anvil !== undefined) {
-        const id = anvil.next;
-        anvil.next += 1;
-        anvil.asking.set(id, resolve);
-        this.#reduceAnvil(anvil, { kind: 'asked', id, body: body as AnvilAsk, now: this.#now });
-      } else if (jig !== undefined) {
-        const id = jig.next;
-        jig.next += 1;
-        jig.asking.set(id, resolve);
-        this.#reduceJig(
-          jig,
+      const agent = this.#agents.get(address);
+      const replica = this.#replicas.get(address);
+      if (where === 'replica' && replica !== undefined) {
+        const id = replica.next;
+        replica.next += 1;
+        replica.asking.set(id, resolve);
+        this.#reduceReplica(replica, {
+          kind: 'asked',
+          id,
+          body: body as ReplicaAsk,
+          now: this.#now,
+        });
+      } else if (agent !== undefined) {
+        const id = agent.next;
+        agent.next += 1;
+        agent.asking.set(id, resolve);
+        this.#reduceAgent(
+          agent,
           where === 'feed'
-            ? { kind: 'fed', id, body: body as LatheCall, now: this.#now }
-            : { kind: 'asked', id, body: body as JigCall, now: this.#now },
+            ? { kind: 'fed', id, body: body as ProxyCall, now: this.#now }
+            : { kind: 'asked', id, body: body as AgentCall, now: this.#now },
         );
       } else reject(new HollowError('unknown', `nobody is at ${address}`));
     });
   }
 
-  #reduceJig(node: JigNode, event: JigEvent): void {
+  #reduceAgent(node: AgentNode, event: AgentEvent): void {
     const label =
       event.kind === 'returned'
         ? `returned.${node.state.pending[event.id]?.kind ?? 'late'}`
         : event.kind === 'asked' || event.kind === 'fed'
           ? `${event.kind}.${event.body.kind}`
           : event.kind;
-    const step = this.#timed(node.spec.role, label, () => Jig.reduce(node.state, event));
+    const step = this.#timed(node.spec.role, label, () => Agent.reduce(node.state, event));
     node.state = step.state;
-    for (const effect of step.effects) this.#performJig(node, effect);
+    for (const effect of step.effects) this.#performAgent(node, effect);
   }
 
-  #performJig(node: JigNode, effect: JigEffect): void {
+  #performAgent(node: AgentNode, effect: AgentEffect): void {
     switch (effect.kind) {
       case 'call':
         this.#call(
@@ -391,13 +396,13 @@
           effect.path,
           effect.body,
           (body) =>
-            this.#reduceJig(node, {
+            this.#reduceAgent(node, {
               kind: 'returned',
               id: effect.id,
               body: body as never,
               now: this.#now,
             }),
-          () => this.#reduceJig(node, { kind: 'lost', id: effect.id, now: this.#now }),
+          () => this.#reduceAgent(node, { kind: 'lost', id: effect.id, now: this.#now }),
         );
         return;
       case 'tell':
@@ -420,27 +425,28 @@
     }
   }
 
-  #reduceAnvil(node: AnvilNode, event: AnvilEvent): void {
+  #reduceReplica(node: ReplicaNode, event: ReplicaEvent): void {
     const label = event.kind === 'asked' ? `asked.${kindOf(event.body)}` : event.kind;
-    const step = this.#timed('anvil', label, () => Anvil.reduce(node.state, event));
+    const step = this.#timed('replica', label, () => Replica.reduce(node.state, event));
     node.state = step.state;
-    for (const effect of step.effects) this.#performAnvil(node, effect);
+    for (const effect of step.effects) this.#performReplica(node, effect);
   }
 
-  #performAnvil(node: AnvilNode, effect: AnvilEffect): void {
+  #performReplica(node: ReplicaNode, effect: ReplicaEffect): void {
     const failed = (thrown: unknown): void => {
       this.#failed = thrown;
     };
     switch (effect.kind) {
       case 'append':
-        this.#during(node.notch.append(effect.records), () => undefined, failed);
+        this.#during(node.writeAheadLog.append(effect.records), () => undefined, failed);
         if (
-          node.notch.segmentBytes() > Math.max(Sizes.segment, node.notch.snapshotBytes() / 2) &&
+          node.writeAheadLog.segmentBytes() >
+            Math.max(Sizes.segment, node.writeAheadLog.snapshotBytes() / 2) &&
           !node.compacting
         ) {
           node.compacting = true;
           this.#during(
-            node.notch.compact(() => Anvil.records(node.state)),
+            node.writeAheadLog.compact(() => Replica.records(node.state)),
             () => {
               node.compacting = false;
             },
@@ -450,7 +456,7 @@
         return;
       case 'tell':
         this.#during(
-          node.notch.settled(),
+          node.writeAheadLog.settled(),
           () => {
             node.asking.get(effect.id)?.(effect.body);
             node.asking.delete(effect.id);
@@ -460,18 +466,18 @@
         return;
       case 'call':
         this.#call(
-          'anvil',
+          'replica',
           effect.to,
-          '/anvil',
+          '/replica',
           effect.body,
           (body) =>
-            this.#reduceAnvil(node, {
+            this.#reduceReplica(node, {
               kind: 'returned',
               id: effect.id,
-              body: body as AnvilReply,
+              body: body as ReplicaReply,
               now: this.#now,
             }),
-          () => this.#reduceAnvil(node, { kind: 'lost', id: effect.id, now: this.#now }),
+          () => this.#reduceReplica(node, { kind: 'lost', id: effect.id, now: this.#now }),
         );
         return;
       case 'log':
@@ -480,40 +486,40 @@
     }
   }
 
-  async anvils(specs: readonly AnvilSpec[]): Promise<void> {
+  async replicas(specs: readonly ReplicaSpec[]): Promise<void> {
     for (const spec of specs) {
-      const notch = await openNotch(path.join(this.#folder, spec.name));
-      const opened = Anvil.open({
+      const writeAheadLog = await openWriteAheadLog(path.join(this.#folder, spec.name));
+      const opened = Replica.open({
         name: spec.name,
         others: spec.others,
-        records: notch.records as readonly AnvilRecord[],
+        records: writeAheadLog.records as readonly ReplicaRecord[],
         freshDisk: `disk-of-${spec.name}`,
         now: this.#now,
       });
-      const node: AnvilNode = {
+      const node: ReplicaNode = {
         spec,
         state: opened.state,
-        notch,
+        writeAheadLog,
         beatAt: this.#now,
         next: 1,
         compacting: false,
         asking: new Map(),
       };
-      this.#anvils.set(spec.address, node);
-      for (const effect of opened.effects) this.#performAnvil(node, effect);
+      this.#replicas.set(spec.address, node);
+      for (const effect of opened.effects) this.#performReplica(node, effect);
     }
   }
 
-  async jigs(specs: readonly JigSpec[]): Promise<void> {
+  async agents(specs: readonly AgentSpec[]): Promise<void> {
     for (const spec of specs) {
-      const node: JigNode = {
+      const node: AgentNode = {
         spec,
         beatAt: spec.startAt,
         wakeAt: Infinity,
         next: 1,
         asking: new Map(),
         orders: new Map(),
-        state: Jig.open({
+        state: Agent.open({
           self: spec.self,
           life: `life-of-${spec.self.id}`,
           seeds: spec.seeds,
@@ -522,12 +528,12 @@
           now: this.#now,
         }),
       };
-      this.#jigs.set(spec.self.address, node);
+      this.#agents.set(spec.self.address, node);
       if (spec.known.length === 0) continue;
       const tellings = Object.fromEntries(
         spec.known.map((record) => [`node/${record.id}`, { serial: 1, value: record }]),
       );
-      this.#reduceJig(node, {
+      this.#reduceAgent(node, {
         kind: 'asked',
         id: 0,
         body: { kind: 'push', tellings },
@@ -536,9 +542,9 @@
     }
   }
 
-  async lathes(specs: readonly LatheSpec[]): Promise<void> {
+  async proxies(specs: readonly ProxySpec[]): Promise<void> {
     for (const spec of specs) {
-      this.#lathes.set(spec.id, {
+      this.#proxies.set(spec.id, {
         spec,
         askAt: spec.startAt,
         asking: false,
@@ -567,20 +573,20 @@
         watch,
         left: new Set(
           watch.what === 'member'
-            ? [...this.#jigs.keys()]
+            ? [...this.#agents.keys()]
             : [
-                ...[...this.#jigs.values()]
-                  .filter(({ spec }) => spec.self.lathe === null)
+                ...[...this.#agents.values()]
+                  .filter(({ spec }) => spec.self.proxy === null)
                   .map(({ spec }) => spec.self.address),
-                ...this.#lathes.keys(),
+                ...this.#proxies.keys(),
               ],
         ),
       };
     });
   }
 
-  /** What a lathe tells: wants that move a little, and now and then what its callers asked for. */
-  #reportOf(node: LatheNode): Report {
+  /** What a proxy tells: wants that move a little, and now and then what its callers asked for. */
+  #reportOf(node: ProxyNode): Report {
     const { spec } = node;
     const draw = (): number => {
       node.draws += 1;
@@ -588,7 +594,7 @@
     };
     if (this.#now - node.wantsAt >= Beats.wants) {
       node.wantsAt = this.#now;
-      // As uneven as what callers that come by chance ask for in the time that a lathe counts,
+      // As uneven as what callers that come by chance ask for in the time that a proxy counts,
       // smoothed as it does.
       const rate = Hollow.want / spec.services;
       const uneven = Math.min(0.9, 1 / Math.sqrt((rate * Beats.wants) / 1_000));
@@ -619,7 +625,7 @@
     return {
       policySerial: node.held?.feed.policySerial ?? 0,
       life: node.held?.feed.life ?? '',
-      latheLife: `lathe-of-${spec.id}`,
+      proxyLife: `proxy-of-${spec.id}`,
       purgeSeq: node.held?.feed.purgeSeq ?? 0,
       stopping: false,
       wants: node.wants,
@@ -637,18 +643,18 @@
     };
   }
 
-  #ask(node: LatheNode): void {
+  #ask(node: ProxyNode): void {
     node.asking = true;
     node.askAt = this.#now + Beats.feed;
     this.#call(
-      'lathe',
+      'proxy',
       node.spec.address,
       '/feed',
       {
         kind: 'feed',
         report: this.#reportOf(node),
         held: Feeds.holding(node.held),
-      } satisfies LatheCall,
+      } satisfies ProxyCall,
       (body) => {
         node.held = Feeds.merge(node.held, body as FeedTold);
         const { feed } = node.held;
@@ -674,11 +680,11 @@
     );
   }
 
-  /** Nodes without a lathe, and everybody for a new member: looked at after each step. */
+  /** Nodes without a proxy, and everybody for a new member: looked at after each step. */
   #look(): void {
     for (const { watch, left } of this.#watches) {
       for (const address of left) {
-        const node = this.#jigs.get(address);
+        const node = this.#agents.get(address);
         if (node === undefined) continue;
         const { state } = node;
         const here =
@@ -691,7 +697,7 @@
                 ? Object.keys(state.factKeys).some(
                     (key) => key.startsWith('drain/') && key.split('/')[2] === watch.key,
                   )
-                : state.spindle.records[`node/${watch.key}`] !== undefined;
+                : state.gossip.records[`node/${watch.key}`] !== undefined;
         if (here) {
           left.delete(address);
           this.#arrivals[watch.tag]?.push(this.#now);
@@ -703,29 +709,29 @@
   async step(now: number, orders: readonly Order[]): Promise<number> {
     this.#now = now;
     this.#begin();
-    for (const node of this.#anvils.values()) {
+    for (const node of this.#replicas.values()) {
       if (now < node.beatAt) continue;
       node.beatAt += Beats.rejoin;
-      this.#reduceAnvil(node, { kind: 'beat', now });
+      this.#reduceReplica(node, { kind: 'beat', now });
     }
-    for (const node of this.#jigs.values()) {
+    for (const node of this.#agents.values()) {
       if (now >= node.wakeAt) {
         node.wakeAt = Infinity;
-        this.#reduceJig(node, { kind: 'woken', now });
+        this.#reduceAgent(node, { kind: 'woken', now });
       }
       if (now < node.beatAt) continue;
-      node.beatAt += Beats.jig;
-      this.#reduceJig(node, { kind: 'beat', now });
+      node.beatAt += Beats.agent;
+      this.#reduceAgent(node, { kind: 'beat', now });
     }
-    for (const node of this.#lathes.values())
+    for (const node of this.#proxies.values())
       if (now >= node.askAt && !node.asking) this.#ask(node);
     const order = (to: string, tag: string, action: Action): void => {
-      const node = this.#jigs.get(to);
+      const node = this.#agents.get(to);
       if (node === undefined) return;
       const id = node.next;
       node.next += 1;
       node.orders.set(id, tag);
-      this.#reduceJig(node, { kind: 'operator', id, action, now });
+      this.#reduceAgent(node, { kind: 'operator', id, action, now });
     };
     for (const origin of this.#origins) {
       if (now < origin.at) continue;
@@ -764,7 +770,10 @@
           serialize(JSON.parse(JSON.stringify(value ?? null))).length,
         ]),
       );
-    const [jig, anvil] = [[...this.#jigs.values()].at(-1), [...this.#anvils.values()].at(-1)];
+    const [agent, replica] = [
+      [...this.#agents.values()].at(-1),
+      [...this.#replicas.values()].at(-1),
+    ];
     return {
       flows: [...this.#flows].map(([key, { calls, asked, answered }]) => {
         const [from, to, kind] = key.split(' ');
@@ -794,15 +803,17 @@
       stateBytes: !whole
         ? {}
         : {
-            ...(jig === undefined ? {} : { [jig.spec.role]: sizes(jig.state) }),
-            ...(anvil === undefined ? {} : { anvil: sizes(anvil.state) }),
+            ...(agent === undefined ? {} : { [agent.spec.role]: sizes(agent.state) }),
+            ...(replica === undefined ? {} : { replica: sizes(replica.state) }),
           },
     };
   }
 
   async close(): Promise<void> {
     await this.#listening?.close();
-    await Promise.all([...this.#anvils.values()].map(({ notch }) => notch.close()));
+    await Promise.all(
+      [...this.#replicas.values()].map(({ writeAheadLog }) => writeAheadLog.close()),
+    );
     rmSync(this.#folder, { recursive: true, force: true });
   }
 }
--- a/packages/workbench/src/hollow.test.ts
+++ b/packages/testbed/src/hollow.test.ts
@@ -1,19 +1,19 @@
 import test from 'ava';
 import { spawnSync } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
-import { Beats } from '@reedyard/gauge';
+import { Beats } from '@reedyard/constants';
 import { hollow, type HollowOptions, type HollowResult } from './hollow.js';
 
 const small: HollowOptions = {
   nodes: 8,
-  anvils: 3,
+  replicas: 3,
   zones: 4,
   regions: 2,
   origins: 7,
   services: 1,
   routes: 10,
   purges: 2,
-  lathes: 5,
+  proxies: 5,
   objects: 0,
   warm: 2,
   seconds: 4,
@@ -36,7 +36,7 @@
 
 test('a hollow fleet in one process: what a node sends grows no faster with the fleet than the capacity page says', async (t) => {
   const few = await hollow(small);
-  const many = await hollow({ ...small, nodes: 16, lathes: 13 });
+  const many = await hollow({ ...small, nodes: 16, proxies: 13 });
   const ratio = 16 / 8;
   for (const result of [few, many]) {
     t.is(result.lost, 0);
@@ -44,60 +44,61 @@
       t.is(spread.missing, 0, what);
       t.is(spread.nodes, result.options.nodes, what);
     }
-    // A pull of each anvil at each of its beats, an exchange and a feed at theirs, whatever the
+    // A pull of each replica at each of its beats, an exchange and a feed at theirs, whatever the
     // size of the fleet.
     t.true(
-      sent(result, 'jig', 'pull') <= (1_000 / Beats.pull) * 3 * 1.05,
-      `${sent(result, 'jig', 'pull')} pulls`,
+      sent(result, 'agent', 'pull') <= (1_000 / Beats.pull) * 3 * 1.05,
+      `${sent(result, 'agent', 'pull')} pulls`,
     );
     t.true(
-      sent(result, 'jig', 'exchange') <= (1_000 / Beats.gossip) * 1.05,
-      `${sent(result, 'jig', 'exchange')} exchanges`,
+      sent(result, 'agent', 'exchange') <= (1_000 / Beats.gossip) * 1.05,
+      `${sent(result, 'agent', 'exchange')} exchanges`,
     );
     t.true(
-      sent(result, 'lathe', 'feed') <= (1_000 / Beats.feed) * 1.05,
-      `${sent(result, 'lathe', 'feed')} feeds`,
+      sent(result, 'proxy', 'feed') <= (1_000 / Beats.feed) * 1.05,
+      `${sent(result, 'proxy', 'feed')} feeds`,
     );
     // A division at each of its beats at the most, fetched once; a push for an exchange at the
     // most.
     t.true(
-      sent(result, 'jig', 'fetch.plan') <= (1_000 / Beats.division) * 1.3,
-      `${sent(result, 'jig', 'fetch.plan')} fetches of the division`,
+      sent(result, 'agent', 'fetch.plan') <= (1_000 / Beats.division) * 1.3,
+      `${sent(result, 'agent', 'fetch.plan')} fetches of the division`,
     );
-    t.true(sent(result, 'jig', 'push') <= sent(result, 'jig', 'exchange') * 1.05);
-    // A ping to each other node with a lathe, once for each draw at the most.
+    t.true(sent(result, 'agent', 'push') <= sent(result, 'agent', 'exchange') * 1.05);
+    // A ping to each other node with a proxy, once for each draw at the most.
     t.true(
-      sent(result, 'jig', 'ping') <= result.options.lathes / (Beats.pingDraw / 1_000),
-      `${sent(result, 'jig', 'ping')} pings`,
+      sent(result, 'agent', 'ping') <= result.options.proxies / (Beats.pingDraw / 1_000),
+      `${sent(result, 'agent', 'ping')} pings`,
     );
-    // An anvil hears from each node and of each ballot; nothing else asks it.
+    // A replica hears from each node and of each ballot; nothing else asks it.
     t.true(
-      (result.roles.anvil?.callsIn ?? Infinity) <=
+      (result.roles.replica?.callsIn ?? Infinity) <=
         result.options.nodes * (1_000 / Beats.pull + 1_000 / Beats.division) +
           (1_000 / Beats.division) * 8,
-      `${result.roles.anvil?.callsIn ?? NaN} calls to an anvil`,
+      `${result.roles.replica?.callsIn ?? NaN} calls to a replica`,
     );
   }
   // Calls that must not grow with the fleet, and bytes that grow no faster than in proportion to
   // it.
   for (const kind of ['pull', 'exchange'])
-    t.true(power(sent(few, 'jig', kind), sent(many, 'jig', kind), ratio) <= 0.15, kind);
+    t.true(power(sent(few, 'agent', kind), sent(many, 'agent', kind), ratio) <= 0.15, kind);
   for (const kind of ['exchange', 'fetch.plan'])
     t.true(
       power(
-        sent(few, 'jig', kind, 'bytesIn') + sent(few, 'jig', kind, 'bytesOut'),
-        sent(many, 'jig', kind, 'bytesIn') + sent(many, 'jig', kind, 'bytesOut'),
+        sent(few, 'agent', kind, 'bytesIn') + sent(few, 'agent', kind, 'bytesOut'),
+        sent(many, 'agent', kind, 'bytesIn') + sent(many, 'agent', kind, 'bytesOut'),
         ratio,
       ) <= 1.3,
       `bytes of ${kind}`,
     );
   t.true(
-    power(sent(few, 'jig', 'pull', 'bytesIn'), sent(many, 'jig', 'pull', 'bytesIn'), ratio) <= 0.15,
+    power(sent(few, 'agent', 'pull', 'bytesIn'), sent(many, 'agent', 'pull', 'bytesIn'), ratio) <=
+      0.15,
     'bytes of pulls',
   );
   t.true(
-    power(few.roles.anvil?.callsIn ?? 0, many.roles.anvil?.callsIn ?? 0, ratio) <= 1.1,
-    'calls to an anvil',
+    power(few.roles.replica?.callsIn ?? 0, many.roles.replica?.callsIn ?? 0, ratio) <= 1.1,
+    'calls to a replica',
   );
 });
 
@@ -106,7 +107,7 @@
   for (const [words, told] of [
     [[], /--nodes: found nothing; wanted a whole number/],
     [['--nodes', 'many'], /--nodes: found "many"/],
-    [['--nodes', '3'], /more than the 3 of the anvils/],
+    [['--nodes', '3'], /more than the 3 of the replicas/],
     [['--nodes', '16', '--seconds', '0'], /--seconds: found "0"/],
     [['--nodes', '16', '--nods', '3'], /nods/],
     [['--nodes', '16', 'x'], /found "x"/],
--- a/packages/workbench/src/hollow.ts
+++ b/packages/testbed/src/hollow.ts
@@ -3,10 +3,10 @@
 import os from 'node:os';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
-import { Hollow } from '@reedyard/gauge';
-import type { NodeRecord, Self } from '@reedyard/jig';
-import { textOf } from '@reedyard/scriber';
-import type { Policy } from '@reedyard/stencil';
+import { Hollow } from '@reedyard/constants';
+import type { NodeRecord, Self } from '@reedyard/agent';
+import { textOf } from '@reedyard/logging';
+import type { Policy } from '@reedyard/schemas';
 import {
   drawn,
   HollowError,
@@ -15,8 +15,8 @@
   type Flow,
   type HostCalls,
   type HostReport,
-  type JigSpec,
-  type LatheSpec,
+  type AgentSpec,
+  type ProxySpec,
   type Order,
   type OriginSpec,
   type Role,
@@ -25,9 +25,9 @@
 
 /** What a hollow fleet is made of. */
 export type HollowOptions = {
-  /** Machines in all, with those of the anvils. */
+  /** Machines in all, with those of the replicas. */
   readonly nodes: number;
-  readonly anvils: number;
+  readonly replicas: number;
   readonly zones: number;
   readonly regions: number;
   readonly origins: number;
@@ -36,12 +36,12 @@
   /** Purges a second. */
   readonly purges: number;
   /**
-   * Machines that run a lathe; the others run a jig alone, which is neither pinged nor given
+   * Machines that run a proxy; the others run an agent alone, which is neither pinged nor given
    * shares.
    */
-  readonly lathes: number;
+  readonly proxies: number;
   /**
-   * Objects that each lathe measures one by one; without any no vector is told and no split
+   * Objects that each proxy measures one by one; without any no vector is told and no split
    * computed.
    */
   readonly objects: number;
@@ -49,7 +49,7 @@
   readonly warm: number;
   readonly seconds: number;
   readonly seed: number;
-  /** Processes that the jigs are spread over; 0: everything in this one. */
+  /** Processes that the agents are spread over; 0: everything in this one. */
   readonly processes: number;
   /**
    * Times a config change, a purge, a drain notice and a new member are sent and timed, after the
@@ -225,26 +225,26 @@
  * Runs a hollow fleet and counts what each role sends and does.
  *
  * @example
- * const result = await hollow({ nodes: 16, anvils: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 1, lathes: 13, objects: 0, warm: 4, seconds: 4, seed: 1, processes: 0, probes: 1 });
- * result.roles.jig?.callsOut // calls that one jig makes in a second
+ * const result = await hollow({ nodes: 16, replicas: 3, zones: 4, regions: 2, origins: 7, services: 1, routes: 10, purges: 1, proxies: 13, objects: 0, warm: 4, seconds: 4, seed: 1, processes: 0, probes: 1 });
+ * result.roles.agent?.callsOut // calls that one agent makes in a second
  */
 export const hollow = async (
   options: HollowOptions,
   tell: (text: string) => void = () => undefined,
 ): Promise<HollowResult> => {
-  const { nodes, anvils } = options;
+  const { nodes, replicas } = options;
   const parts: Part[] =
     options.processes === 0
-      ? ['anvils', 'holder', 'jigs-1', 'lathes'].map(here)
+      ? ['replicas', 'holder', 'agents-1', 'proxies'].map(here)
       : [
-          forked('anvils', 2_048),
+          forked('replicas', 2_048),
           forked('holder', 3_072),
           ...Array.from({ length: options.processes }, (_, index) =>
-            forked(`jigs-${index + 1}`, Math.floor(12_288 / options.processes)),
+            forked(`agents-${index + 1}`, Math.floor(12_288 / options.processes)),
           ),
-          forked('lathes', 2_048),
+          forked('proxies', 2_048),
         ];
-  const [anvilPart, holderPart, lathePart, ...jigParts] = [
+  const [replicaPart, holderPart, proxyPart, ...agentParts] = [
     parts[0],
     parts[1],
     parts.at(-1),
@@ -257,35 +257,35 @@
     const machine = (index: number): Self => {
       const ip = `10.${Math.floor(index / 62_500)}.${Math.floor(index / 250) % 250}.${(index % 250) + 1}`;
       const zone = index % options.zones;
-      const core = index < anvils;
+      const core = index < replicas;
       return {
         id: core ? `core-${index + 1}` : `front-${String(index + 1).padStart(4, '0')}`,
         hall: `zone-${zone}`,
         region: `region-${zone % options.regions}`,
         address: `${ip}:7001`,
-        lathe:
-          core || (index >= anvils + options.lathes && index < nodes)
+        proxy:
+          core || (index >= replicas + options.proxies && index < nodes)
             ? null
             : { callers: `${ip}:8080`, partners: `${ip}:8081`, capacityBps: 1_000_000_000 },
-        anvil: core ? { address: `${ip}:7101` } : null,
+        replica: core ? { address: `${ip}:7101` } : null,
       };
     };
     // The newcomers of the probes are machines beyond the fleet's own.
     const machines = Array.from({ length: nodes + options.probes }, (_, index) => machine(index));
     const members = machines.slice(0, nodes);
-    const holder = machines[anvils] as Self;
+    const holder = machines[replicas] as Self;
     const founders = Object.fromEntries(
-      machines.slice(0, anvils).map((self) => [self.id, self.anvil?.address ?? '']),
+      machines.slice(0, replicas).map((self) => [self.id, self.replica?.address ?? '']),
     );
-    const seeds = machines.slice(0, Math.min(3, anvils)).map((self) => self.address);
+    const seeds = machines.slice(0, Math.min(3, replicas)).map((self) => self.address);
     const partOf = (index: number): Part =>
-      machines[index] === holder ? holderPart : (jigParts[index % jigParts.length] as Part);
+      machines[index] === holder ? holderPart : (agentParts[index % agentParts.length] as Part);
     const roleOf = (index: number): Role =>
       machines[index] === holder
         ? 'holder'
         : seeds.includes(machines[index]?.address ?? '')
           ? 'seed'
-          : 'jig';
+          : 'agent';
     const directory: Directory = Object.fromEntries([
       ...machines.map(
         (self, index) =>
@@ -293,7 +293,7 @@
       ),
       ...Object.values(founders).map(
         (address) =>
-          [address, { port: ports.get(anvilPart) ?? 0, role: 'anvil' as const }] as const,
+          [address, { port: ports.get(replicaPart) ?? 0, role: 'replica' as const }] as const,
       ),
     ]);
     await Promise.all(parts.map(({ host }) => host.directory(directory)));
@@ -334,17 +334,21 @@
     for (let each = 0; each < 1_000 / Hollow.step; each += 1) await step();
     const empty = await reports(true);
 
-    await anvilPart.host.anvils(
-      machines.slice(0, anvils).map((self) => ({
+    await replicaPart.host.replicas(
+      machines.slice(0, replicas).map((self) => ({
         name: self.id,
-        address: self.anvil?.address ?? '',
+        address: self.replica?.address ?? '',
         others: Object.fromEntries(Object.entries(founders).filter(([name]) => name !== self.id)),
       })),
     );
-    await until('the anvils vote', async () => (await logged('anvil.votes')) >= anvils);
-    tell('the anvils vote');
+    await until('the replicas vote', async () => (await logged('replica.votes')) >= replicas);
+    tell('the replicas vote');
 
-    const jigSpec = (index: number, known: readonly NodeRecord[], startAt: number): JigSpec => ({
+    const agentSpec = (
+      index: number,
+      known: readonly NodeRecord[],
+      startAt: number,
+    ): AgentSpec => ({
       self: machines[index] as Self,
       role: roleOf(index),
       seeds,
@@ -353,7 +357,7 @@
       startAt,
       known,
     });
-    const latheSpec = (index: number, startAt: number): LatheSpec => ({
+    const proxySpec = (index: number, startAt: number): ProxySpec => ({
       id: machines[index]?.id ?? '',
       address: machines[index]?.address ?? '',
       startAt,
@@ -361,9 +365,9 @@
       services: options.services,
       objects: options.objects,
     });
-    const holderIndex = anvils;
-    await holderPart.host.jigs([jigSpec(holderIndex, [], now)]);
-    await lathePart.host.lathes([latheSpec(holderIndex, now)]);
+    const holderIndex = replicas;
+    await holderPart.host.agents([agentSpec(holderIndex, [], now)]);
+    await proxyPart.host.proxies([proxySpec(holderIndex, now)]);
     // The first one alone takes the duty, so that its process shows what the holder costs.
     let tries = 0;
     await until('the first policy', async () => {
@@ -391,7 +395,7 @@
       ...self,
       ready: false,
       staying: false,
-      latheLife: '',
+      proxyLife: '',
       wants: {},
     }));
     // One message a process, so that what all know is sent once.
@@ -401,21 +405,21 @@
         : [{ self, index, startAt: now + Hollow.spread * drawn(options.seed, 1_000_000 + index) }],
     );
     await Promise.all(
-      jigParts.map((part) =>
-        part.host.jigs(
+      agentParts.map((part) =>
+        part.host.agents(
           others
             .filter(({ index }) => partOf(index) === part)
-            .map(({ index, startAt }) => jigSpec(index, known, startAt)),
+            .map(({ index, startAt }) => agentSpec(index, known, startAt)),
         ),
       ),
     );
-    await lathePart.host.lathes(
+    await proxyPart.host.proxies(
       others
-        .filter(({ self }) => self.lathe !== null)
-        .map(({ index, startAt }) => latheSpec(index, startAt)),
+        .filter(({ self }) => self.proxy !== null)
+        .map(({ index, startAt }) => proxySpec(index, startAt)),
     );
     await Promise.all(
-      [holderPart, ...jigParts].map((part) =>
+      [holderPart, ...agentParts].map((part) =>
         part.host.origins(
           Array.from({ length: options.origins }, (_, index): OriginSpec => {
             const at = index % nodes;
@@ -491,8 +495,8 @@
       ];
       await Promise.all(parts.map(({ host }) => host.watch(watches)));
       const newcomer = nodes + probe;
-      await partOf(newcomer).host.jigs([jigSpec(newcomer, [], now)]);
-      await lathePart.host.lathes([latheSpec(newcomer, now)]);
+      await partOf(newcomer).host.agents([agentSpec(newcomer, [], now)]);
+      await proxyPart.host.proxies([proxySpec(newcomer, now)]);
       const begun = now;
       const leaving: readonly OriginSpec[] = [
         {
@@ -552,10 +556,10 @@
       machines
         .slice(0, nodes)
         .filter((self, index) =>
-          role === 'anvil'
-            ? self.anvil !== null
-            : role === 'lathe'
-              ? self.lathe !== null
+          role === 'replica'
+            ? self.replica !== null
+            : role === 'proxy'
+              ? self.proxy !== null
               : roleOf(index) === role,
         ).length;
     const sumFlows = (list: readonly HostReport[]): ReadonlyMap<string, Flow> => {
@@ -657,12 +661,12 @@
       };
     };
     const nodesIn = (part: Part): number =>
-      part === anvilPart
-        ? anvils
+      part === replicaPart
+        ? replicas
         : part === holderPart
           ? 1
-          : part === lathePart
-            ? options.lathes
+          : part === proxyPart
+            ? options.proxies
             : members.filter((_, index) => partOf(index) === part).length;
     const probeFlows = less(last, after);
     const steadyBytes = new Map<string, number>();
@@ -677,7 +681,7 @@
     return {
       options,
       roles: Object.fromEntries(
-        (['anvil', 'holder', 'seed', 'jig', 'lathe'] as const).flatMap((role) =>
+        (['replica', 'holder', 'seed', 'agent', 'proxy'] as const).flatMap((role) =>
           countOf(role) === 0 ? [] : [[role, figuresOf(role)]],
         ),
       ),
@@ -729,14 +733,14 @@
   }
 };
 
-const help = `workbench hollow --nodes N [--anvils A] [--zones Z] [--regions R] [--origins O] [--routes T] [--purges P]
-                 [--services S] [--lathes L] [--objects D] [--warm W] [--seconds S] [--probes K] [--processes J] [--seed X] [--json FILE]
+const help = `testbed hollow --nodes N [--replicas A] [--zones Z] [--regions R] [--origins O] [--routes T] [--purges P]
+                 [--services S] [--proxies L] [--objects D] [--warm W] [--seconds S] [--probes K] [--processes J] [--seed X] [--json FILE]
 
-  --nodes N      machines in all, those of the anvils among them
-  --lathes L     machines with a lathe (all but those of the anvils); each pings each other
-  --purges P     purges a second           --objects D    objects that each lathe measures (0: no vectors)
+  --nodes N      machines in all, those of the replicas among them
+  --proxies L     machines with a proxy (all but those of the replicas); each pings each other
+  --purges P     purges a second           --objects D    objects that each proxy measures (0: no vectors)
   --seconds S    s of the fleet's clock that are counted, after --warm W; --probes K changes are timed after them
-  --processes J  processes that the jigs are spread over; three more hold the anvils, the duty's holder, the lathes
+  --processes J  processes that the agents are spread over; three more hold the replicas, the duty's holder, the proxies
 `;
 
 const wordsOf = (
@@ -753,14 +757,14 @@
         allowPositionals: true,
         options: {
           nodes: text,
-          anvils: text,
+          replicas: text,
           zones: text,
           regions: text,
           origins: text,
           services: text,
           routes: text,
           purges: text,
-          lathes: text,
+          proxies: text,
           objects: text,
           warm: text,
           seconds: text,
@@ -802,18 +806,18 @@
       );
     return number;
   };
-  const anvils = read('anvils', 3, 1, 99);
+  const replicas = read('replicas', 3, 1, 99);
   const nodes = read('nodes', null, 2, 20_000);
-  if (nodes <= anvils)
+  if (nodes <= replicas)
     throw new HollowError(
       'usage',
-      `--nodes: found "${nodes}"; wanted more than the ${anvils} of the anvils`,
+      `--nodes: found "${nodes}"; wanted more than the ${replicas} of the replicas`,
     );
   const zones = read('zones', 4, 1, 1_000);
   const origins = read('origins', 7, 0, 10_000);
   const options: HollowOptions = {
     nodes,
-    anvils,
+    replicas,
     zones,
     regions: read('regions', 1, 1, zones),
     origins,
@@ -825,7 +829,7 @@
     ),
     routes: read('routes', 20, 1, 50_000),
     purges: read('purges', 1, 0, 1_000, false),
-    lathes: read('lathes', nodes - anvils, 1, nodes - anvils),
+    proxies: read('proxies', nodes - replicas, 1, nodes - replicas),
     objects: read('objects', 0, 0, 1_000),
     warm: read('warm', Hollow.warm / 1_000, 1, 3_600),
     seconds: read('seconds', 4, 1, 3_600),
@@ -907,7 +911,7 @@
     if (words.json !== undefined)
       writeFileSync(
         words.json,
-        `${JSON.stringify({ command: `npm run -s workbench -- hollow ${argv.join(' ')}`, ...result }, (_, value: unknown) => (typeof value === 'number' && !Number.isInteger(value) ? Number(value.toPrecision(6)) : value), 1)}\n`,
+        `${JSON.stringify({ command: `npm run -s testbed -- hollow ${argv.join(' ')}`, ...result }, (_, value: unknown) => (typeof value === 'number' && !Number.isInteger(value) ? Number(value.toPrecision(6)) : value), 1)}\n`,
       );
     return 0;
   } catch (thrown) {
--- a/packages/workbench/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -4,16 +4,20 @@
 import net from 'node:net';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { startBlank, type Blank, type BlankOptions } from '@reedyard/blank';
-import type { Deployment, Machine } from '@reedyard/blueprint';
-import { LayerError } from '@reedyard/scriber';
+import {
+  startOriginStandIn,
+  type OriginStandIn,
+  type OriginStandInOptions,
+} from '@reedyard/origin-stand-in';
+import type { Deployment, Machine } from '@reedyard/topology';
+import { LayerError } from '@reedyard/logging';
 
-export type { Deployment, Machine, Origin } from '@reedyard/blueprint';
+export type { Deployment, Machine, Origin } from '@reedyard/topology';
 
 /** A bench that can't be set up. */
-export class WorkbenchError extends LayerError {}
+export class TestbedError extends LayerError {}
 
-export type Program = 'jig' | 'lathe' | 'anvil';
+export type Program = 'agent' | 'proxy' | 'replica';
 
 /** ms one way between two regions. */
 const betweenRegions = 6;
@@ -48,7 +52,7 @@
 };
 
 /**
- * Asks a jig's API.
+ * Asks an agent's API.
  *
  * @example
  * await api('127.0.0.1:7080', 'GET', '/v1/status');
@@ -190,7 +194,7 @@
 /** A whole fleet on this machine; each of its machines has a loopback address of its own. */
 export class Fleet {
   readonly #members = new Map<string, Member>();
-  readonly blanks = new Map<string, Blank>();
+  readonly originStandIns = new Map<string, OriginStandIn>();
   /** Pairs of addresses between which nothing passes, one way each. */
   readonly #cuts = new Set<string>();
 
@@ -216,7 +220,7 @@
     const fleet = new Fleet(deployment, path.resolve(folder), network, options.preload ?? []);
     const owner = ownerOf(fleet.folder);
     if (owner !== null)
-      throw new WorkbenchError(
+      throw new TestbedError(
         'in use',
         `${fleet.folder}: in use by the bench of process ${owner}; wanted another --folder`,
       );
@@ -261,17 +265,17 @@
       seeds: disks.slice(0, 3).map((each) => `${this.#hostOf(machines.indexOf(each))}:7001`),
       founders,
       dataFolder: path.join(home, 'data'),
-      jig: { port: 7001, apiPort: 7080, feedPort: await freePort() },
+      agent: { port: 7001, apiPort: 7080, feedPort: await freePort() },
       ...(machine.kind === 'front'
         ? {
-            lathe: {
+            proxy: {
               port: 8080,
               partnerPort: 8081,
               capacityBps: machine.capacityBps ?? 80_000_000,
               ...(trace ? { trace } : {}),
             },
           }
-        : { anvil: { port: 7101 } }),
+        : { replica: { port: 7101 } }),
     };
     const settingsFile = path.join(home, 'settings.json');
     writeFileSync(settingsFile, `${JSON.stringify(settings, null, 2)}\n`);
@@ -326,12 +330,12 @@
 
   #member(name: string): Member {
     const member = this.#members.get(name);
-    if (member === undefined) throw new WorkbenchError('unknown', `no machine is named ${name}`);
+    if (member === undefined) throw new TestbedError('unknown', `no machine is named ${name}`);
     return member;
   }
 
   programs(name: string): readonly Program[] {
-    return this.#member(name).machine.kind === 'front' ? ['jig', 'lathe'] : ['anvil', 'jig'];
+    return this.#member(name).machine.kind === 'front' ? ['agent', 'proxy'] : ['replica', 'agent'];
   }
   apiOf(name: string): string {
     return `${this.#member(name).behind}:7080`;
@@ -429,12 +433,12 @@
     for (const name of this.names()) this.start(name);
   }
 
-  async startOrigins(heard?: BlankOptions['heard']): Promise<void> {
+  async startOrigins(heard?: OriginStandInOptions['heard']): Promise<void> {
     const apis = this.names().map((name) => this.apiOf(name));
     for (const [index, origin] of this.deployment.origins.entries()) {
-      this.blanks.set(
+      this.originStandIns.set(
         origin.instance,
-        await startBlank({
+        await startOriginStandIn({
           ...origin,
           incarnation: 1,
           host: `${this.network}.${200 + index}`,
@@ -454,7 +458,7 @@
     for (;;) {
       if (await holds().catch(() => false)) return;
       if (performance.now() > end)
-        throw new WorkbenchError(
+        throw new TestbedError(
           'limit',
           `${what}: not within ${limitMs} ms; logs are in ${this.folder}`,
         );
@@ -484,7 +488,7 @@
     for (const name of this.places()) this.thaw(name);
     await Promise.all([
       ...this.places().map((name) => this.kill(name)),
-      ...[...this.blanks.values()].map((blank) => blank.stop()),
+      ...[...this.originStandIns.values()].map((blank) => blank.stop()),
     ]);
     for (const member of this.#members.values()) member.relays.forEach((relay) => relay.close());
   }
--- a/packages/workbench/src/main.ts
+++ b/packages/testbed/src/main.ts
@@ -3,20 +3,20 @@
 import path from 'node:path';
 import { createInterface } from 'node:readline';
 import { parseArgs } from 'node:util';
-import { startLoad, sumUp, type Kind } from '@reedyard/feeler';
-import { textOf } from '@reedyard/scriber';
+import { startLoad, sumUp, type Kind } from '@reedyard/client-stand-in';
+import { textOf } from '@reedyard/logging';
 import { runHollow } from './hollow.js';
 import { api, Fleet, type Deployment, type Program } from './index.js';
 import { runSlopes } from './slopes.js';
 import { runTrial } from './trials.js';
 
-const help = `workbench FOLDER [--rate N] [--folder RUN] [--no-policy] [--for SECONDS]
-workbench trial FOLDER --scenario NAME [--seed N] [--seconds N] [--rate N] [--folder RUN]
-workbench hollow --nodes N [...]
-workbench slopes FOLDER
+const help = `testbed FOLDER [--rate N] [--folder RUN] [--no-policy] [--for SECONDS]
+testbed trial FOLDER --scenario NAME [--seed N] [--seconds N] [--rate N] [--folder RUN]
+testbed hollow --nodes N [...]
+testbed slopes FOLDER
 
   trial            plays a scenario of the simulator on real processes and judges it by the same
-                   checkers; exit code 1 if a rule broke. mallet --help names the scenarios
+                   checkers; exit code 1 if a rule broke. simulator --help names the scenarios
 
   hollow           counts what each role of a large fleet sends and does; hollow --help tells its flags
   slopes           fits the hollow runs kept in a folder (nodes-16.json, origins-70.json, ...): slopes.json and plots
@@ -28,7 +28,7 @@
   --for SECONDS    end by itself after so long
 
 Commands on standard input:
-  start|kill|stop NAME [jig|lathe|anvil]     freeze|thaw NAME [jig|lathe|anvil]
+  start|kill|stop NAME [agent|proxy|replica]     freeze|thaw NAME [agent|proxy|replica]
   cut NAME [both|in|out]     heal     wipe NAME (dead ones)
   origin INSTANCE {"slowMs":500,"lose":true,"garbage":true,"short":true,"leftover":true,"corrupt":true,"state":"cold","draining":true}
   rename INSTANCE {"service":"…","instance":"…","incarnation":2}
@@ -100,7 +100,7 @@
   fleet.startAll();
   await fleet.startOrigins();
   say(
-    `started: ${fleet.names().length} machines, ${fleet.blanks.size} origins; settings and logs in ${values.folder}`,
+    `started: ${fleet.names().length} machines, ${fleet.originStandIns.size} origins; settings and logs in ${values.folder}`,
   );
   const front = fleet.names('front')[0] ?? '';
   if (!values['no-policy']) {
@@ -171,7 +171,7 @@
       (answer) =>
         answer.body as {
           policySerial: number;
-          lathe: Record<string, number>;
+          proxy: Record<string, number>;
           notices: number;
           split: Record<string, readonly unknown[]>;
         },
@@ -181,7 +181,7 @@
       say(`  ${name.padEnd(10)} no answer`);
       continue;
     }
-    const counter = (key: string): number => status.lathe?.[key] ?? 0;
+    const counter = (key: string): number => status.proxy?.[key] ?? 0;
     const away = Object.values(status.split).filter((row) =>
       row.some((pair) => (pair as [string, number])[0] !== name),
     ).length;
@@ -201,9 +201,9 @@
   heal: () => fleet.heal(),
   wipe: ([name = '']) => fleet.wipe(name),
   origin: ([instance = '', ...mode]) =>
-    fleet.blanks.get(instance)?.become(JSON.parse(mode.join(' ')) as object),
+    fleet.originStandIns.get(instance)?.become(JSON.parse(mode.join(' ')) as object),
   rename: ([instance = '', ...identity]) =>
-    fleet.blanks.get(instance)?.rename(JSON.parse(identity.join(' ')) as object),
+    fleet.originStandIns.get(instance)?.rename(JSON.parse(identity.join(' ')) as object),
   report,
   nodes: () =>
     say(
--- a/packages/workbench/src/part-costs.ts
+++ b/packages/testbed/src/part-costs.ts
@@ -1,10 +1,10 @@
-import { Jig, type JigState, type Self } from '@reedyard/jig';
-import { splitFor, type Vector } from '@reedyard/plumb';
+import { Agent, type AgentState, type Self } from '@reedyard/agent';
+import { splitFor, type Vector } from '@reedyard/server-selection';
 
 /**
- * What parts of a jig cost that no hollow fleet of the target's size can afford to run on every
+ * What parts of an agent cost that no hollow fleet of the target's size can afford to run on every
  * node: one computation of the split, and one round of pings with its answers. ms of a core, told
- * as JSON. `node packages/workbench/dist/part-costs.js > docs/capacity/parts.json`
+ * as JSON. `node packages/testbed/dist/part-costs.js > docs/capacity/parts.json`
  */
 const timed = (act: () => void): number => {
   const from = process.cpuUsage();
@@ -63,13 +63,13 @@
   hall: 'zone-1',
   region: 'region-1',
   address: `10.0.${Math.floor(index / 250)}.${index % 250}:7001`,
-  lathe: { callers: '10.0.0.1:8080', partners: '10.0.0.1:8081', capacityBps: 1e9 },
-  anvil: null,
+  proxy: { callers: '10.0.0.1:8080', partners: '10.0.0.1:8081', capacityBps: 1e9 },
+  replica: null,
 });
 
 /**
- * The second round of pings of a jig that knows so many others: its first beat brings the code into
- * shape.
+ * The second round of pings of an agent that knows so many others: its first beat brings the code
+ * into shape.
  */
 const pings = [64, 128, 256, 512, 1_100].map((nodes) => {
   const tellings = Object.fromEntries(
@@ -77,11 +77,11 @@
       `node/front-${index + 1}`,
       {
         serial: 1,
-        value: { ...front(index + 1), ready: true, staying: true, latheLife: '', wants: {} },
+        value: { ...front(index + 1), ready: true, staying: true, proxyLife: '', wants: {} },
       },
     ]),
   );
-  let state: JigState = Jig.open({
+  let state: AgentState = Agent.open({
     self: front(0),
     life: '',
     seeds: [],
@@ -89,7 +89,7 @@
     seed: 1,
     now: 0,
   });
-  state = Jig.reduce(state, {
+  state = Agent.reduce(state, {
     kind: 'asked',
     id: 0,
     body: { kind: 'push', tellings },
@@ -100,17 +100,17 @@
   ): { readonly calls: number; readonly beatMs: number; readonly answersMs: number } => {
     let sent: readonly number[] = [];
     const beatMs = timed(() => {
-      const step = Jig.reduce(state, { kind: 'beat', now });
+      const step = Agent.reduce(state, { kind: 'beat', now });
       state = step.state;
       sent = step.effects.flatMap((effect) =>
-        effect.kind === 'call' && effect.path === '/jig' && effect.body.kind === 'ping'
+        effect.kind === 'call' && effect.path === '/agent' && effect.body.kind === 'ping'
           ? [effect.id]
           : [],
       );
     });
     const answersMs = timed(() => {
       for (const id of sent)
-        state = Jig.reduce(state, {
+        state = Agent.reduce(state, {
           kind: 'returned',
           id,
           body: { kind: 'ok' },
@@ -123,5 +123,5 @@
   return { nodes, ...round(3_000) };
 });
 process.stdout.write(
-  `${JSON.stringify({ command: 'node packages/workbench/dist/part-costs.js', split, pings }, null, 1)}\n`,
+  `${JSON.stringify({ command: 'node packages/testbed/dist/part-costs.js', split, pings }, null, 1)}\n`,
 );
--- a/packages/workbench/src/slopes.ts
+++ b/packages/testbed/src/slopes.ts
@@ -1,6 +1,6 @@
 import { readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
-import { textOf } from '@reedyard/scriber';
+import { textOf } from '@reedyard/logging';
 import { HollowError } from './hollow-host.js';
 import type { HollowResult } from './hollow.js';
 
@@ -96,7 +96,7 @@
   'services',
   'routes',
   'purges',
-  'anvils',
+  'replicas',
 ] as const;
 const valueOf = (thing: string, run: HollowResult): number =>
   thing === 'vectors'
@@ -170,7 +170,7 @@
 export const runSlopes = (folder: string | undefined): number => {
   try {
     if (folder === undefined)
-      throw new HollowError('usage', 'found no folder; wanted: workbench slopes FOLDER');
+      throw new HollowError('usage', 'found no folder; wanted: testbed slopes FOLDER');
     const names = readdirSync(folder).filter((name) => /^[a-z]+-[\d.]+\.json$/.test(name));
     if (names.length === 0)
       throw new HollowError(
@@ -218,7 +218,7 @@
         )
         .join(',\n')}\n}\n`,
     );
-    for (const role of ['anvil', 'holder', 'seed', 'jig', 'lathe']) {
+    for (const role of ['replica', 'holder', 'seed', 'agent', 'proxy']) {
       const own = (series['nodes'] ?? []).filter(
         ({ figure }) =>
           figure.startsWith(`${role} `) &&
@@ -247,7 +247,7 @@
         writeFileSync(
           path.join(folder, `${role}.svg`),
           plot(`${role}: bytes a second, in and out, by kind of call`, total, {
-            name: role === 'lathe' ? '10 KB/s (its calls stay on its machine)' : '10 KB/s',
+            name: role === 'proxy' ? '10 KB/s (its calls stay on its machine)' : '10 KB/s',
             y: 10_000,
           }),
         );
--- a/packages/workbench/src/sockets.test.ts
+++ b/packages/testbed/src/sockets.test.ts
@@ -3,7 +3,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { mkdtempSync } from 'node:fs';
-import { feel, type Seen } from '@reedyard/feeler';
+import { feel, type Seen } from '@reedyard/client-stand-in';
 import { api, Fleet } from './index.js';
 import { small } from './small.js';
 
@@ -58,7 +58,7 @@
     async () => (await api(fleet.apiOf('core-1'), 'PUT', '/v1/policy', policy)).status === 200,
   );
   await fleet.untilReady();
-  const [store, app] = [fleet.blanks.get('content-1'), fleet.blanks.get('app-1')];
+  const [store, app] = [fleet.originStandIns.get('content-1'), fleet.originStandIns.get('app-1')];
   if (store === undefined || app === undefined) {
     t.fail('no origins');
     return;
@@ -233,7 +233,7 @@
   t.is(heard['x-hop'], undefined);
   t.is(heard['x-end'], '2');
 
-  // Frozen through a purge, a lathe serves no old copy when it thaws.
+  // Frozen through a purge, a proxy serves no old copy when it thaws.
   const old = await get('/sheets/frozen');
   t.is(old.status, 200);
   fleet.freeze('front-1');
@@ -275,7 +275,7 @@
   const sofar = store.got();
   const underWay = get(`/live/${next()}`);
   await fleet.until('a leg under way', () => Promise.resolve(store.got() > sofar));
-  const stopped = fleet.stop('front-1', 'lathe');
+  const stopped = fleet.stop('front-1', 'proxy');
   t.is((await underWay).status, 200);
   await stopped;
 });
--- a/packages/workbench/src/trial.test.ts
+++ b/packages/testbed/src/trial.test.ts
@@ -2,7 +2,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { mkdtempSync } from 'node:fs';
-import { exampleOf } from '@reedyard/mallet';
+import { exampleOf } from '@reedyard/simulator';
 import { small } from './small.js';
 import { pairsOf, trial } from './trial.js';
 
@@ -20,7 +20,7 @@
   });
   t.deepEqual(report.wrongs, []);
   t.true(report.faults.length > 0);
-  // It saw something: callers asked, lathes made legs or answered from copies.
+  // It saw something: callers asked, proxies made legs or answered from copies.
   t.true(report.asked > 200 && report.legs > 100, JSON.stringify(report));
 });
 
--- a/packages/workbench/src/trial.ts
+++ b/packages/testbed/src/trial.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import http from 'node:http';
-import { feel } from '@reedyard/feeler';
-import type { Deployment } from '@reedyard/blueprint';
+import { feel } from '@reedyard/client-stand-in';
+import type { Deployment } from '@reedyard/topology';
 import {
   available,
   Clockwork,
@@ -14,9 +14,9 @@
   type SimBody,
   type StageOrigin,
   type Wrong,
-} from '@reedyard/mallet';
-import type { Policy } from '@reedyard/stencil';
-import { api, Fleet, WorkbenchError } from './index.js';
+} from '@reedyard/simulator';
+import type { Policy } from '@reedyard/schemas';
+import { api, Fleet, TestbedError } from './index.js';
 
 /** One line of a log as its pairs. @example pairsOf('time=… event="a b" n=1').event // 'a b' */
 export const pairsOf = (line: string): Readonly<Record<string, string>> =>
@@ -165,7 +165,7 @@
 
   /** Makes a stand-in origin what the scenario wants it to be. */
   #apply(origin: StageOrigin): void {
-    const blank = this.fleet.blanks.get(origin.spec.instance);
+    const blank = this.fleet.originStandIns.get(origin.spec.instance);
     if (blank === undefined) return;
     const wanted = JSON.stringify([
       origin.alive,
@@ -261,7 +261,7 @@
     return this.fleet.places();
   }
   runs(name: string): boolean {
-    return this.fleet.runs(name, 'jig');
+    return this.fleet.runs(name, 'agent');
   }
   holder(): string | undefined {
     return this.#holder;
@@ -273,7 +273,7 @@
     void this.fleet.kill(name);
   }
   warn(name: string): void {
-    void this.fleet.stop(name, 'lathe');
+    void this.fleet.stop(name, 'proxy');
   }
   wipe(name: string): void {
     this.fleet.wipe(name);
@@ -402,7 +402,7 @@
     this.#apply(origin);
     const { instance, incarnation, draining } = origin;
     const chosenNode = node ?? this.clock.pick(this.places().filter((name) => this.runs(name)));
-    const blank = this.fleet.blanks.get(origin.spec.instance);
+    const blank = this.fleet.originStandIns.get(origin.spec.instance);
     if (chosenNode === undefined || blank === undefined || !origin.alive) return;
     blank.announceTo(this.fleet.apiOf(chosenNode)).then(
       (taken) => {
@@ -495,11 +495,11 @@
     });
   }
 
-  /** What the lathes' logs tell of their moves. */
+  /** What the proxies' logs tell of their moves. */
   readLogs(): void {
     const machines = new Map(this.deployment.machines.map((machine) => [machine.name, machine]));
     for (const place of this.fleet.names('front')) {
-      for (const line of readFileSync(this.fleet.logOf(place, 'lathe'), 'utf8').split('\n')) {
+      for (const line of readFileSync(this.fleet.logOf(place, 'proxy'), 'utf8').split('\n')) {
         if (!line.includes('event=trace.')) continue;
         const pairs = pairsOf(line);
         const at = this.at(Date.parse(pairs['time'] ?? ''));
@@ -568,7 +568,7 @@
 export const trial = async (options: TrialOptions): Promise<TrialReport> => {
   const scenario = scenarios[options.scenario];
   if (scenario === undefined)
-    throw new WorkbenchError(
+    throw new TestbedError(
       'unknown',
       `no scenario is named ${options.scenario}; there are ${Object.keys(scenarios).join(', ')}`,
     );
--- a/packages/workbench/src/trials.ts
+++ b/packages/testbed/src/trials.ts
@@ -1,9 +1,9 @@
 import { existsSync, readFileSync } from 'node:fs';
 import path from 'node:path';
-import { scenarios } from '@reedyard/mallet';
-import { textOf } from '@reedyard/scriber';
-import { Stencil } from '@reedyard/stencil';
-import { WorkbenchError, type Deployment } from './index.js';
+import { scenarios } from '@reedyard/simulator';
+import { textOf } from '@reedyard/logging';
+import { Schemas } from '@reedyard/schemas';
+import { TestbedError, type Deployment } from './index.js';
 import { trial } from './trial.js';
 
 type Words = {
@@ -17,7 +17,7 @@
 const numberOf = (name: string, text: string | undefined): number | undefined => {
   if (text === undefined) return undefined;
   if (!/^\d+(?:\.\d+)?$/.test(text) || Number(text) <= 0)
-    throw new WorkbenchError('usage', `--${name}: found "${text}"; wanted a number over 0`);
+    throw new TestbedError('usage', `--${name}: found "${text}"; wanted a number over 0`);
   return Number(text);
 };
 
@@ -32,13 +32,13 @@
   try {
     const file = (name: string): string => path.join(example ?? '', name);
     if (example === undefined || !existsSync(file('deployment.json')))
-      throw new WorkbenchError(
+      throw new TestbedError(
         'usage',
         `no example at ${example ?? '(nothing)'}; wanted a folder with deployment.json and policy.json`,
       );
     const scenario = words.scenario ?? '';
     if (scenarios[scenario] === undefined)
-      throw new WorkbenchError(
+      throw new TestbedError(
         'usage',
         `no scenario is named "${scenario}"; there are ${Object.keys(scenarios).join(', ')}`,
       );
@@ -51,7 +51,7 @@
     const report = await trial({
       example: name,
       deployment: JSON.parse(readFileSync(file('deployment.json'), 'utf8')) as Deployment,
-      policy: Stencil.policy(JSON.parse(readFileSync(file('policy.json'), 'utf8'))),
+      policy: Schemas.policy(JSON.parse(readFileSync(file('policy.json'), 'utf8'))),
       scenario,
       seed,
       folder: words.folder ?? '.run',
@@ -73,7 +73,7 @@
     for (const wrong of report.wrongs)
       say(`  rule ${wrong.rule} at ${(wrong.at / 1_000).toFixed(3)} s: ${wrong.what}`);
     say(
-      `  replay: npm run -s workbench -- trial ${example} --scenario ${scenario} --seed ${seed}${seconds === undefined ? '' : ` --seconds ${seconds}`}${rate === undefined ? '' : ` --rate ${rate}`}`,
+      `  replay: npm run -s testbed -- trial ${example} --scenario ${scenario} --seed ${seed}${seconds === undefined ? '' : ` --seconds ${seconds}`}${rate === undefined ? '' : ` --rate ${rate}`}`,
     );
     return report.wrongs.length === 0 ? 0 : 1;
   } catch (thrown) {
--- a/packages/notch/src/disk-faults.test.ts
+++ b/packages/write-ahead-log/src/disk-faults.test.ts
@@ -1,6 +1,6 @@
 // A disk that is full or refuses, at every operation of the log.
 import test, { type ExecutionContext } from 'ava';
-import { NotchError, openNotch, type Notch } from './index.js';
+import { WriteAheadLogError, openWriteAheadLog, type WriteAheadLog } from './index.js';
 import { ModelDisk, type DiskFault, type DiskOperation } from './model-disk.js';
 
 const folder = 'model';
@@ -45,19 +45,19 @@
   readonly refused: Set<number>;
 };
 
-const append = async (log: Notch, history: History, record: number): Promise<void> => {
+const append = async (log: WriteAheadLog, history: History, record: number): Promise<void> => {
   history.issued.push(record);
   try {
     await log.append([record]);
     history.acknowledged.push(record);
   } catch (thrown) {
-    if (!(thrown instanceof NotchError)) throw thrown;
+    if (!(thrown instanceof WriteAheadLogError)) throw thrown;
     history.refused.add(record);
   }
 };
 
 /** As its user does: recovers after a failure, and snapshots just what was acknowledged. */
-const play = async (log: Notch, history: History, from: number): Promise<void> => {
+const play = async (log: WriteAheadLog, history: History, from: number): Promise<void> => {
   for (let record = from; record < from + 8; record += 1) {
     if (!log.available()) await log.recover().catch(() => undefined);
     await append(log, history, record);
@@ -86,7 +86,7 @@
 };
 
 const reopen = async (disk: ModelDisk): Promise<readonly unknown[]> =>
-  (await openNotch(folder, disk.fileSystem)).records;
+  (await openWriteAheadLog(folder, disk.fileSystem)).records;
 
 test('a disk that refuses any operations, for long or short, loses nothing that was acknowledged', async (t) => {
   let runs = 0;
@@ -98,7 +98,7 @@
         const disk = new ModelDisk();
         const history: History = { issued: [], acknowledged: [], refused: new Set() };
         const seen = faultAt(disk, first, count, fault);
-        const log = await openNotch(folder, disk.fileSystem);
+        const log = await openWriteAheadLog(folder, disk.fileSystem);
         await play(log, history, 1);
         operations = seen();
         // The process ends while the power stays on, and the power fails.
@@ -120,17 +120,17 @@
 test('a log opens with a disk that takes nothing, shows what is there, and goes on once it does', async (t) => {
   const disk = new ModelDisk();
   const history: History = { issued: [], acknowledged: [], refused: new Set() };
-  await play(await openNotch(folder, disk.fileSystem), history, 1);
+  await play(await openWriteAheadLog(folder, disk.fileSystem), history, 1);
   const before = disk.files();
   for (const code of ['ENOSPC', 'EDQUOT', 'EIO', 'EROFS']) {
     const full = ModelDisk.of(before);
     full.hook = (operation) => (refusable.has(operation) ? { kind: 'fail', code } : null);
-    const log = await openNotch(folder, full.fileSystem);
+    const log = await openWriteAheadLog(folder, full.fileSystem);
     t.false(log.available());
     t.is(log.failure()?.code, code === 'ENOSPC' || code === 'EDQUOT' ? 'full' : 'disk');
     t.deepEqual(log.records, history.acknowledged);
-    await t.throwsAsync(log.append([1]), { instanceOf: NotchError });
-    await t.throwsAsync(log.recover(), { instanceOf: NotchError });
+    await t.throwsAsync(log.append([1]), { instanceOf: WriteAheadLogError });
+    await t.throwsAsync(log.recover(), { instanceOf: WriteAheadLogError });
     t.deepEqual(full.files(), before);
     full.hook = () => null;
     await log.recover();
@@ -142,7 +142,7 @@
 test('a first start with a full disk opens an empty log', async (t) => {
   const disk = new ModelDisk();
   disk.hook = (operation) => (refusable.has(operation) ? { kind: 'fail', code: 'ENOSPC' } : null);
-  const log = await openNotch(folder, disk.fileSystem);
+  const log = await openWriteAheadLog(folder, disk.fileSystem);
   t.deepEqual([log.records, log.available()], [[], false]);
   disk.hook = () => null;
   await log.recover();
@@ -152,7 +152,7 @@
 
 test('a sync that fails is never tried again on the same file', async (t) => {
   const disk = new ModelDisk();
-  const log = await openNotch(folder, disk.fileSystem);
+  const log = await openWriteAheadLog(folder, disk.fileSystem);
   await log.append([1]);
   const touched: string[] = [];
   let failing = true;
@@ -178,14 +178,14 @@
 
 test('a snapshot that finds no room is removed, appends go on, and the next one takes its place', async (t) => {
   const disk = new ModelDisk();
-  const log = await openNotch(folder, disk.fileSystem);
+  const log = await openWriteAheadLog(folder, disk.fileSystem);
   await log.append([1, 2, 3]);
   const refuse = (operation: DiskOperation, name: string): DiskFault | null =>
     operation === 'write' && name.startsWith('snapshot') ? { kind: 'fail', code: 'ENOSPC' } : null;
   disk.hook = refuse;
   const error = await t.throwsAsync(
     log.compact(() => [1, 2, 3]),
-    { instanceOf: NotchError },
+    { instanceOf: WriteAheadLogError },
   );
   t.is(error?.code, 'full');
   t.true(log.available());
@@ -203,7 +203,7 @@
 
 test('while a sync hangs, a later append waits with it and none is acknowledged', async (t) => {
   const disk = new ModelDisk();
-  const log = await openNotch(folder, disk.fileSystem);
+  const log = await openWriteAheadLog(folder, disk.fileSystem);
   let release: (() => void) | null = null;
   disk.hook = (operation) =>
     operation === 'sync'
@@ -225,15 +225,15 @@
 
 test('restarts without appends leave no more files, and many with a few make a snapshot due', async (t) => {
   const disk = new ModelDisk();
-  await (await openNotch(folder, disk.fileSystem)).append(['kept']);
+  await (await openWriteAheadLog(folder, disk.fileSystem)).append(['kept']);
   for (let start = 0; start < 10; start += 1) {
-    await openNotch(folder, disk.fileSystem);
+    await openWriteAheadLog(folder, disk.fileSystem);
     t.is(disk.files().size, 2);
   }
-  let log = await openNotch(folder, disk.fileSystem);
+  let log = await openWriteAheadLog(folder, disk.fileSystem);
   for (let start = 0; start < 70 && !log.fragmented(); start += 1) {
     await log.append([start]);
-    log = await openNotch(folder, disk.fileSystem);
+    log = await openWriteAheadLog(folder, disk.fileSystem);
   }
   t.true(log.fragmented());
   await log.compact(() => log.records);
--- a/packages/notch/src/errors.ts
+++ b/packages/write-ahead-log/src/errors.ts
@@ -1,5 +1,5 @@
 /** What goes wrong with a write-ahead log, in a form that programs can tell apart. */
-import { LayerError, textOf } from '@reedyard/scriber';
+import { LayerError, textOf } from '@reedyard/logging';
 
 /**
  * An error of the log. Its `code` is one of
@@ -9,14 +9,14 @@
  *
  * After `full` and `disk` the log can be recovered once the disk takes writes again.
  */
-export class NotchError extends LayerError {}
+export class WriteAheadLogError extends LayerError {}
 
 const outOfSpaceCodes: ReadonlySet<string> = new Set(['ENOSPC', 'EDQUOT']);
 
 /** Turns anything that a file system throws into an error of the log. */
-export const toLogError = (thrown: unknown, folder: string): NotchError => {
-  if (thrown instanceof NotchError) return thrown;
+export const toLogError = (thrown: unknown, folder: string): WriteAheadLogError => {
+  if (thrown instanceof WriteAheadLogError) return thrown;
   const systemCode = (thrown as NodeJS.ErrnoException).code ?? '';
   const code = outOfSpaceCodes.has(systemCode) ? 'full' : 'disk';
-  return new NotchError(code, `${folder}: ${textOf(thrown)}`, { cause: thrown });
+  return new WriteAheadLogError(code, `${folder}: ${textOf(thrown)}`, { cause: thrown });
 };
--- a/packages/notch/src/index.ts
+++ b/packages/write-ahead-log/src/index.ts
@@ -1,4 +1,4 @@
 /** A write-ahead log in segments, with snapshots beside it. */
-export { NotchError } from './errors.js';
+export { WriteAheadLogError } from './errors.js';
 export { nodeFileSystem, type LogFileSystem, type WritableFile } from './file-system.js';
-export { openNotch, type Notch } from './log.js';
+export { openWriteAheadLog, type WriteAheadLog } from './log.js';
--- a/packages/notch/src/log.ts
+++ b/packages/write-ahead-log/src/log.ts
@@ -4,7 +4,7 @@
  * from there on; the log takes appends again after `recover`, which begins a new segment that
  * fences the old one.
  */
-import { NotchError, toLogError } from './errors.js';
+import { WriteAheadLogError, toLogError } from './errors.js';
 import { nodeFileSystem, type LogFileSystem, type WritableFile } from './file-system.js';
 import { encodeFrame, encodeRecord } from './frames.js';
 import {
@@ -22,7 +22,7 @@
 const mostSegments = 64;
 
 /** An open log. */
-export type Notch = {
+export type WriteAheadLog = {
   /** What was on disk at opening, oldest first; empty once it was taken. */
   readonly records: readonly unknown[];
   /** Gives `records` away, so that what newer ones replaced need not stay in memory. */
@@ -30,7 +30,7 @@
   /** Whether appends are taken. If not, `recover` must succeed first. */
   readonly available: () => boolean;
   /** Why appends are not taken. */
-  readonly failure: () => NotchError | null;
+  readonly failure: () => WriteAheadLogError | null;
   /**
    * Adds records; resolves once they and all before them are synced. One sync serves all that wait.
    * All that wait are rejected, and will not come back, if a write or sync fails and the log is
@@ -72,7 +72,7 @@
 type WaitingAppend = {
   readonly payloads: readonly Buffer[];
   readonly resolve: () => void;
-  readonly reject: (error: NotchError) => void;
+  readonly reject: (error: WriteAheadLogError) => void;
 };
 
 const alreadyExists = (thrown: unknown): boolean =>
@@ -80,12 +80,12 @@
 
 const closeQuietly = (file: WritableFile): Promise<void> => file.close().catch(() => undefined);
 
-class WriteAheadLog implements Notch {
+class SegmentedLog implements WriteAheadLog {
   records: readonly unknown[];
   readonly #files: LogFileSystem;
   readonly #folder: string;
   #segment: OpenSegment | null = null;
-  #failure: NotchError | null = null;
+  #failure: WriteAheadLogError | null = null;
   /** Where the chain ends for the next segment, and what its header must carry on. */
   #previous: SegmentEnd | null;
   #carried: readonly unknown[];
@@ -124,7 +124,7 @@
     return this.#segment !== null;
   }
 
-  failure(): NotchError | null {
+  failure(): WriteAheadLogError | null {
     return this.#failure;
   }
 
@@ -229,7 +229,7 @@
 
   #writableSegment(): OpenSegment {
     if (this.#segment !== null) return this.#segment;
-    throw this.#failure ?? new NotchError('disk', `${this.#folder}: the log is closed`);
+    throw this.#failure ?? new WriteAheadLogError('disk', `${this.#folder}: the log is closed`);
   }
 
   /** Nothing more is ever written to this segment. */
@@ -325,15 +325,15 @@
  * false, and `recover` must succeed before anything that `records` tells may be shown to others.
  *
  * @example
- * const log = await openNotch('/var/lib/reedyard/core-1');
+ * const log = await openWriteAheadLog('/var/lib/reedyard/core-1');
  * await log.append([{ kind: 'voting' }]); // on disk from here on
  */
-export const openNotch = async (
+export const openWriteAheadLog = async (
   folder: string,
   files: LogFileSystem = nodeFileSystem(folder),
-): Promise<Notch> => {
+): Promise<WriteAheadLog> => {
   try {
-    const log = new WriteAheadLog(files, folder, await recoverLog(files, folder));
+    const log = new SegmentedLog(files, folder, await recoverLog(files, folder));
     await log.recover().catch(() => undefined);
     return log;
   } catch (thrown) {
--- a/packages/notch/src/power-loss.test.ts
+++ b/packages/write-ahead-log/src/power-loss.test.ts
@@ -1,7 +1,7 @@
 // Every state that a loss of power, or the end of the process, can leave at every operation of the
 // log.
 import test, { type ExecutionContext } from 'ava';
-import { openNotch, type Notch } from './index.js';
+import { openWriteAheadLog, type WriteAheadLog } from './index.js';
 import { ModelDisk, type DiskOperation } from './model-disk.js';
 
 const folder = 'model';
@@ -35,18 +35,18 @@
     this.moments.push({ disk: this.disk.copy(), history: copyOf(this.history) });
   }
 
-  async open(): Promise<Notch> {
-    return openNotch(folder, this.disk.fileSystem);
+  async open(): Promise<WriteAheadLog> {
+    return openWriteAheadLog(folder, this.disk.fileSystem);
   }
 
-  async append(log: Notch, ...records: number[]): Promise<void> {
+  async append(log: WriteAheadLog, ...records: number[]): Promise<void> {
     this.history.issued.push(...records);
     await log.append(records);
     this.history.acknowledged.push(...records);
     this.mark();
   }
 
-  async compact(log: Notch): Promise<void> {
+  async compact(log: WriteAheadLog): Promise<void> {
     await log.compact(() => [...this.history.acknowledged]);
     this.mark();
   }
@@ -60,7 +60,7 @@
 };
 
 const reopen = async (disk: ModelDisk): Promise<readonly unknown[]> =>
-  (await openNotch(folder, disk.fileSystem)).records;
+  (await openWriteAheadLog(folder, disk.fileSystem)).records;
 
 /** Opens, appends, compacts with appends meanwhile, ends, and opens again. */
 const play = async (recorder: Recorder, first: number): Promise<void> => {
@@ -200,12 +200,12 @@
 
 test('a record that looks like the end of a snapshot does not end one', async (t) => {
   const disk = new ModelDisk();
-  const log = await openNotch(folder, disk.fileSystem);
+  const log = await openWriteAheadLog(folder, disk.fileSystem);
   await log.append(['a']);
   await log.compact(() => [{ records: 0 }, 'b']);
   const written = disk.files().get('snapshot-00000002') ?? Buffer.alloc(0);
   const before = new ModelDisk();
-  const again = await openNotch(folder, before.fileSystem);
+  const again = await openWriteAheadLog(folder, before.fileSystem);
   await again.append(['a']);
   const images: ModelDisk[] = [];
   before.hook = (operation) => {
--- a/packages/notch/src/recovery.ts
+++ b/packages/write-ahead-log/src/recovery.ts
@@ -6,7 +6,7 @@
  * to a whole snapshot or the first segment of all. Only the last batch of the newest segment may be
  * missing in part: everything else is known to have been synced, and a gap in it is damage.
  */
-import { NotchError } from './errors.js';
+import { WriteAheadLogError } from './errors.js';
 import { scanFrames, type Frame, type Scan } from './frames.js';
 import type { LogFileSystem } from './file-system.js';
 import {
@@ -59,8 +59,8 @@
   readonly scan: (kind: FileKind, number: number) => Promise<Scan>;
 };
 
-const damaged = (source: Source, name: string, what: string): NotchError =>
-  new NotchError(
+const damaged = (source: Source, name: string, what: string): WriteAheadLogError =>
+  new WriteAheadLogError(
     'damaged',
     `${source.folder}: ${name}: ${what}; restore the file or wipe the data folder`,
   );
--- a/packages/notch/src/notch.test.ts
+++ b/packages/write-ahead-log/src/write-ahead-log.test.ts
@@ -10,10 +10,10 @@
   truncateSync,
   writeFileSync,
 } from 'node:fs';
-import { NotchError, openNotch } from './index.js';
+import { WriteAheadLogError, openWriteAheadLog } from './index.js';
 import { encodeFrame, encodeRecord, scanFrames } from './frames.js';
 
-const folder = (): string => mkdtempSync(path.join(os.tmpdir(), 'notch-'));
+const folder = (): string => mkdtempSync(path.join(os.tmpdir(), 'write-ahead-log-'));
 const firstSegment = 'segment-00000001';
 const fileId = 2;
 
@@ -28,7 +28,7 @@
 
 test('cut at every byte, a log gives back exactly the records that were whole, and goes on from there', async (t) => {
   const home = folder();
-  const log = await openNotch(home);
+  const log = await openWriteAheadLog(home);
   const header = readFileSync(path.join(home, firstSegment)).length;
   const records = [
     { kind: 'cell', n: 1 },
@@ -48,12 +48,12 @@
     const copy = folder();
     copyFileSync(file, path.join(copy, firstSegment));
     truncateSync(path.join(copy, firstSegment), cut);
-    const again = await openNotch(copy);
+    const again = await openWriteAheadLog(copy);
     const kept = records.slice(0, ends.filter((end) => end <= cut).length);
     t.deepEqual(again.records, kept, `cut at ${cut}`);
     await again.append(['later']);
     await again.close();
-    const third = await openNotch(copy);
+    const third = await openWriteAheadLog(copy);
     t.deepEqual(third.records, [...kept, 'later']);
     await third.close();
   }
@@ -61,7 +61,7 @@
 
 test('a damaged middle is refused at every byte of it', async (t) => {
   const home = folder();
-  const log = await openNotch(home);
+  const log = await openWriteAheadLog(home);
   // Each is acknowledged before the next: only the last may be what an unsynced write left.
   for (const record of ['first', 'second', 'third']) await log.append([record]);
   await log.close();
@@ -70,14 +70,16 @@
   for (let at = 0; at < until; at += 1) {
     const bytes = Buffer.from(whole);
     bytes.writeUInt8(bytes.readUInt8(at) ^ 0x20, at);
-    const error = await t.throwsAsync(openNotch(folderWith(bytes)), { instanceOf: NotchError });
+    const error = await t.throwsAsync(openWriteAheadLog(folderWith(bytes)), {
+      instanceOf: WriteAheadLogError,
+    });
     t.is(error?.code, 'damaged', `byte ${at}`);
   }
 });
 
 test('a gap at every byte of one unsynced write ends the log there, also with whole records behind it', async (t) => {
   const home = folder();
-  const log = await openNotch(home);
+  const log = await openWriteAheadLog(home);
   await log.append(['synced']);
   const before = readFileSync(path.join(home, firstSegment)).length;
   await log.append(['first', 'second', 'third']);
@@ -90,7 +92,7 @@
   for (let at = before; at < whole.length; at += 1) {
     const bytes = Buffer.from(whole);
     bytes.fill(0, at, Math.min(at + 16, bytes.length));
-    const again = await openNotch(folderWith(bytes));
+    const again = await openWriteAheadLog(folderWith(bytes));
     const kept = ['first', 'second', 'third'].slice(0, ends.filter((end) => end <= at).length);
     t.deepEqual(again.records, ['synced', ...kept], `byte ${at}`);
     await again.close();
@@ -109,14 +111,14 @@
 
 test('compaction keeps the state and bounds the files; a snapshot without its end counts for nothing', async (t) => {
   const home = folder();
-  const log = await openNotch(home);
+  const log = await openWriteAheadLog(home);
   for (let n = 0; n < 50; n += 1) await log.append([{ n }]);
   await log.compact(() => [{ state: 49 }]);
   await log.append([{ n: 50 }]);
   await log.close();
   const [segment, snapshot] = ['segment-00000002', 'snapshot-00000002'];
   t.deepEqual(readdirSync(home).sort(), [segment, snapshot]);
-  const again = await openNotch(home);
+  const again = await openWriteAheadLog(home);
   t.deepEqual(again.records, [{ state: 49 }, { n: 50 }]);
   await again.close();
   // The next segment was begun, and its snapshot is there in part.
@@ -126,7 +128,7 @@
     for (const name of readdirSync(home))
       copyFileSync(path.join(home, name), path.join(crashed, name));
     writeFileSync(path.join(crashed, 'snapshot-00000003'), whole.subarray(0, cut));
-    const third = await openNotch(crashed);
+    const third = await openWriteAheadLog(crashed);
     t.deepEqual(third.records, [{ state: 49 }, { n: 50 }]);
     t.false(readdirSync(crashed).includes('snapshot-00000003'));
     await third.close();
@@ -136,7 +138,7 @@
 test('a missing segment is refused', async (t) => {
   const home = folder();
   for (const record of ['a', 'b', 'c']) {
-    const log = await openNotch(home);
+    const log = await openWriteAheadLog(home);
     await log.append([record]);
     await log.close();
   }
@@ -148,8 +150,8 @@
     for (const name of names.filter((each) => each !== missing)) {
       copyFileSync(path.join(home, name), path.join(copy, name));
     }
-    await t.throwsAsync(openNotch(copy), {
-      instanceOf: NotchError,
+    await t.throwsAsync(openWriteAheadLog(copy), {
+      instanceOf: WriteAheadLogError,
       message: new RegExp(`${missing}: is missing`),
     });
   }
@@ -157,7 +159,7 @@
 
 test('while a snapshot is written, appends are synced and kept', async (t) => {
   const home = folder();
-  const log = await openNotch(home);
+  const log = await openWriteAheadLog(home);
   await log.append(['before']);
   const order: string[] = [];
   let appended: Promise<void> | null = null;
@@ -179,17 +181,17 @@
   t.deepEqual(order, ['append', 'snapshot']);
   t.true(log.snapshotBytes() > 60 * 70_000);
   await log.close();
-  const again = await openNotch(home);
+  const again = await openWriteAheadLog(home);
   t.deepEqual([again.records.length, again.records.at(-1)], [61, 'meanwhile']);
   await again.close();
 });
 
 test('as many records as an hour of orders leaves are read at a start', async (t) => {
   const home = folder();
-  const log = await openNotch(home);
+  const log = await openWriteAheadLog(home);
   await log.append(Array.from({ length: 200_000 }, (_, index) => index));
   await log.close();
-  const again = await openNotch(home);
+  const again = await openWriteAheadLog(home);
   t.is(again.records.length, 200_000);
   await again.close();
 });
