--- a/packages/agent/src/agent.test.ts
+++ b/packages/agent/src/agent.test.ts
@@ -8,14 +8,14 @@
 import { boundsOf, learn, originRows, originsOf } from './network.js';
 import { learnRegister } from './pulls.js';
 import type { AgentState, Watched, Work } from './state.js';
-import type { Action, HallsValue, AgentEffect, PolicyValue } from './terms.js';
+import type { Action, ZonesValue, AgentEffect, PolicyValue } from './terms.js';
 
 const self = {
   id: 'n',
-  hall: 'west',
+  zone: 'west',
   region: 'r',
   address: '127.0.0.1:1',
-  proxy: { callers: '127.0.0.1:2', partners: '127.0.0.1:3', capacityBps: 1e6 },
+  proxy: { callers: '127.0.0.1:2', peers: '127.0.0.1:3', capacityBps: 1e6 },
   replica: null,
 };
 const opened = (now = 0): AgentState =>
@@ -43,7 +43,7 @@
 ): { readonly state: AgentState; readonly effects: readonly AgentEffect[] } =>
   Agent.reduce(state, { kind: 'operator', id: 1, action, now });
 const policyValue = (services: object, more: object = {}): PolicyValue => ({
-  serial: 1,
+  revision: 1,
   document: Schemas.policy({ services, routes: [], ...more }),
   changes: [],
 });
@@ -53,7 +53,7 @@
   incarnation: 0,
   address: '127.0.0.1:20',
   region: 'r',
-  hall: 'west',
+  zone: 'west',
   slots: 8,
   state: 'warm',
   draining: false,
@@ -96,23 +96,23 @@
   }
   const seven = written(put(7, 'a'), null) as PolicyValue;
   t.is(written(put(7, 'b'), seven), 'keep');
-  t.is((written(put(8, 'b'), seven) as PolicyValue).serial, 2);
+  t.is((written(put(8, 'b'), seven) as PolicyValue).revision, 2);
   const plain = written(put(undefined, 'b'), seven) as PolicyValue;
-  t.deepEqual([plain.serial, plain.document.version], [2, undefined]);
+  t.deepEqual([plain.revision, plain.document.version], [2, undefined]);
   t.is((written(put(1, 'c'), plain) as PolicyValue).document.version, 1);
 });
 
-test('orders for the origins of a hall leave its nodes alone', (t) => {
+test('orders for the origins of a zone leave its nodes alone', (t) => {
   const order = (
     current: unknown,
     what: 'empty' | 'take-back',
     of: 'all' | 'origins',
     id: string,
-  ): HallsValue =>
+  ): ZonesValue =>
     written(
-      Changes.zone({ hall: 'west', order: what, of, changeId: id, lapsed: 0 }),
+      Changes.zone({ zone: 'west', order: what, of, changeId: id, lapsed: 0 }),
       current,
-    ) as HallsValue;
+    ) as ZonesValue;
   const closed = order(null, 'empty', 'origins', '1');
   t.deepEqual([closed.emptied, closed.closedOrigins, closed.reopened], [[], ['west'], {}]);
   const whole = order(closed, 'empty', 'all', '2');
@@ -122,7 +122,7 @@
   const open = order(still, 'take-back', 'all', '4');
   t.deepEqual([open.emptied, open.closedOrigins, open.reopened], [[], [], { west: 4 }]);
   // A value written before there were such orders.
-  const older = order({ serial: 3, emptied: ['west'], changes: [] }, 'take-back', 'all', '5');
+  const older = order({ revision: 3, emptied: ['west'], changes: [] }, 'take-back', 'all', '5');
   t.deepEqual([older.emptied, older.closedOrigins, older.reopened], [[], [], { west: 4 }]);
   t.deepEqual(
     originRows(
@@ -133,18 +133,18 @@
           1,
           policyValue({ s: {} }),
         ),
-        'halls',
+        'zones',
         1,
-        { serial: 3, emptied: ['west'], changes: [] },
+        { revision: 3, emptied: ['west'], changes: [] },
       ),
     ),
     [],
   );
 });
 
-test('after a hall is taken back its origins count as cold until they are heard again', (t) => {
-  const halls = (serial: number, closed: readonly string[], reopened: object): object => ({
-    serial,
+test('after a zone is taken back its origins count as cold until they are heard again', (t) => {
+  const zones = (revision: number, closed: readonly string[], reopened: object): object => ({
+    revision,
     emptied: [],
     closedOrigins: closed,
     reopened,
@@ -162,15 +162,15 @@
   const colds = (): readonly boolean[] => originRows(state).map((row) => row.cold);
   hear(10, 1);
   t.deepEqual(colds(), [false]);
-  state = learnt({ ...state, now: 20 }, 'halls', 1, halls(1, ['west'], {}));
-  t.deepEqual([colds(), originsOf(state)[0]?.barred], [[], 'the origins of its hall get nothing']);
-  state = learnt({ ...state, now: 2_000 }, 'halls', 2, halls(2, [], { west: 2 }));
+  state = learnt({ ...state, now: 20 }, 'zones', 1, zones(1, ['west'], {}));
+  t.deepEqual([colds(), originsOf(state)[0]?.barred], [[], 'the origins of its zone get nothing']);
+  state = learnt({ ...state, now: 2_000 }, 'zones', 2, zones(2, [], { west: 2 }));
   t.deepEqual([colds(), originRows(state)[0]?.rate], [[true], 4 * Weights.coldShare]);
   hear(2_000 + Limits.warmDoubt - 1, 2);
   t.deepEqual(colds(), [true]);
   hear(2_000 + Limits.warmDoubt, 3);
   t.deepEqual([colds(), originRows(state)[0]?.rate], [[false], Infinity]);
-  state = learnt({ ...state, now: 3_000 }, 'halls', 3, halls(3, ['east'], { west: 2 }));
+  state = learnt({ ...state, now: 3_000 }, 'zones', 3, zones(3, ['east'], { west: 2 }));
   t.deepEqual(colds(), [false]);
 });
 
@@ -189,34 +189,34 @@
   );
   t.deepEqual([answers(late.effects), known(late.state)], [[200], known(state)]);
   const work: Work = { state, effects: [] };
-  learn(work, { [key]: { serial: 99, value: told({ sequence: 4 }) } });
+  learn(work, { [key]: { revision: 99, value: told({ sequence: 4 }) } });
   t.deepEqual(
     [
       known(work.state).sequence,
-      work.state.gossip.records[key]?.serial,
+      work.state.gossip.records[key]?.revision,
       work.state.gossip.records[key]?.seenAt,
     ],
     [5, 100, 1],
   );
-  learn(work, { [key]: { serial: 101, value: told({ sequence: 6 }) } });
+  learn(work, { [key]: { revision: 101, value: told({ sequence: 6 }) } });
   t.is(known(work.state).sequence, 6);
   // The same words again are told only now and then; other ones at once.
-  const serial = (): number | undefined => state.gossip.records[key]?.serial;
-  const before = serial() ?? 0;
+  const revision = (): number | undefined => state.gossip.records[key]?.revision;
+  const before = revision() ?? 0;
   state = acted(
     state,
     { kind: 'describe', description: told({ sequence: 6, state: 'cold' }) },
     1_000,
   ).state;
-  t.deepEqual([serial(), known(state).sequence], [before, 6]);
+  t.deepEqual([revision(), known(state).sequence], [before, 6]);
   state = acted(state, { kind: 'describe', description: told({ sequence: 7 }) }, 1_100).state;
-  t.is(serial(), 7);
+  t.is(revision(), 7);
   state = acted(
     state,
     { kind: 'describe', description: told({ sequence: 8 }) },
     1_100 + Beats.originTold,
   ).state;
-  t.is(serial(), 8);
+  t.is(revision(), 8);
 });
 
 test('a withdrawn instance gets nothing, and the notice is posted once', (t) => {
@@ -227,7 +227,7 @@
   t.deepEqual(answers(asked.effects), []);
   t.deepEqual(
     asked.effects.flatMap((effect) =>
-      effect.kind === 'call' && 'voters' in effect.body && effect.body.call.kind === 'post'
+      effect.kind === 'call' && 'members' in effect.body && effect.body.call.kind === 'post'
         ? [effect.body.call.facts[0]?.key]
         : [],
     ),
@@ -281,7 +281,7 @@
       kind: 'feed',
       held: null,
       report: {
-        policySerial: 1,
+        policyRevision: 1,
         life: '',
         proxyLife: 'x',
         purgeSeq: 0,
@@ -378,7 +378,7 @@
         kind: 'feed',
         held: null,
         report: {
-          policySerial: 1,
+          policyRevision: 1,
           life: '',
           proxyLife: 'x',
           purgeSeq: 0,
--- a/packages/agent/src/answered-pulls.fixture.ts
+++ b/packages/agent/src/answered-pulls.fixture.ts
@@ -2,7 +2,7 @@
  * An agent with five founders, whose pulls are answered at once: for tests of what it makes of
  * them.
  */
-import type { ReplicaReply, Voters } from '@reedyard/replica';
+import type { ReplicaReply, Members } from '@reedyard/replica';
 import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
 import type { AgentState, Work } from './state.js';
@@ -10,7 +10,7 @@
 
 export const self = {
   id: 'core-1',
-  hall: 'west',
+  zone: 'west',
   region: 'r',
   address: '127.0.0.1:1',
   proxy: null,
@@ -31,10 +31,10 @@
 export const withMembers = (
   state: AgentState,
   epoch: number,
-  disks: Voters['disks'],
+  disks: Members['disks'],
 ): AgentState => {
   const work: Work = { state, effects: [] };
-  learnRegister(work, 'voters', [epoch, 'x'], { epoch, disks });
+  learnRegister(work, 'members', [epoch, 'x'], { epoch, disks });
   return work.state;
 };
 
--- a/packages/agent/src/answers.ts
+++ b/packages/agent/src/answers.ts
@@ -17,7 +17,7 @@
  * A refusal that holds: the call is not to be repeated.
  *
  * @example
- * refusal(412, 'Stale serial', 'Serial 7 is in force.').status // 412
+ * refusal(412, 'Stale revision', 'Revision 7 is in force.').status // 412
  */
 export const refusal = (status: number, title: string, detail: string): ApiAnswer =>
   problem(status, title, detail);
@@ -36,7 +36,7 @@
   );
 
 /** Told while fewer disks vote than are needed to bear the losses that must be borne. */
-export const tooFewVoters: ApiAnswer = unavailable(
-  'Too few voters',
+export const tooFewMembers: ApiAnswer = unavailable(
+  'Too few members',
   'Too few machines with a disk vote as yet; nothing was changed. Repeat it.',
 );
--- a/packages/agent/src/api.ts
+++ b/packages/agent/src/api.ts
@@ -82,7 +82,7 @@
   if (given === undefined) return null;
   const found = /^"?(\d{1,15})"?$/.exec(given);
   if (found === null)
-    throw new ApiError(400, 'Bad If-Match', 'If-Match takes the serial of a policy.');
+    throw new ApiError(400, 'Bad If-Match', 'If-Match takes the revision of a policy.');
   return Number(found[1]);
 };
 
@@ -90,7 +90,7 @@
   '/v1/policy': 'get-policy',
   '/v1/status': 'status',
   '/v1/shares': 'shares',
-  '/v1/partners': 'partners',
+  '/v1/peers': 'peers',
   '/ready': 'ready',
   '/live': 'live',
 };
@@ -102,13 +102,13 @@
     if (!allowed.includes(method))
       throw new ApiError(405, 'Method not allowed', `${path} takes ${allowed.join(', ')}.`);
   };
-  const hall = /^\/v1\/halls\/([a-z0-9][a-z0-9-]{0,62})$/.exec(path)?.[1];
-  if (hall !== undefined) {
+  const zone = /^\/v1\/zones\/([a-z0-9][a-z0-9-]{0,62})$/.exec(path)?.[1];
+  if (zone !== undefined) {
     wanted(['PUT']);
     return {
-      kind: 'hall',
-      hall,
-      ...Schemas.hallOrder(await readBody(request, Sizes.document)),
+      kind: 'zone',
+      zone,
+      ...Schemas.zoneOrder(await readBody(request, Sizes.document)),
       changeId: changeIdOf(request),
     };
   }
@@ -191,12 +191,14 @@
         .catch(problemOf)
         .then((reply) => {
           const text = JSON.stringify(reply.body);
-          const serial = (reply.body as { readonly serial?: unknown }).serial;
+          const revision = (reply.body as { readonly revision?: unknown }).revision;
           response.writeHead(reply.status, {
             'content-type': reply.status >= 400 ? 'application/problem+json' : 'application/json',
             'content-length': Buffer.byteLength(text),
             ...(reply.retryAfter === undefined ? {} : { 'retry-after': String(reply.retryAfter) }),
-            ...(typeof serial === 'number' && reply.status === 200 ? { etag: `"${serial}"` } : {}),
+            ...(typeof revision === 'number' && reply.status === 200
+              ? { etag: `"${revision}"` }
+              : {}),
             ...(reply.status === 413 ? { connection: 'close' } : {}),
           });
           response.end(text);
--- a/packages/agent/src/ballots.test.ts
+++ b/packages/agent/src/ballots.test.ts
@@ -9,7 +9,7 @@
 import type { Action, AgentEffect, AgentEvent } from './terms.js';
 
 const replicas = ['a', 'b', 'c'];
-const self = { id: 'n', hall: 'west', region: 'r', address: 'n/agent', proxy: null, replica: null };
+const self = { id: 'n', zone: 'west', region: 'r', address: 'n/agent', proxy: null, replica: null };
 
 /** A call of the agent to a replica that has not been answered yet. */
 type Call = { readonly id: number; readonly to: string; readonly call: ReplicaCall };
@@ -28,7 +28,7 @@
     const opened = Agent.open({ self, life, seeds: [], founders, seed: 1, now: 0 });
     const work: Work = { state: opened, effects: [] };
     const disks = Object.fromEntries(replicas.map((name) => [name, `disk-${name}`]));
-    learnRegister(work, 'voters', [1, 'x'], { epoch: 1, disks });
+    learnRegister(work, 'members', [1, 'x'], { epoch: 1, disks });
     this.state = work.state;
   }
 
@@ -98,9 +98,9 @@
   }
 }
 
-const zoneOrder = (hall: string, order: 'empty' | 'take-back', changeId: string): Action => ({
-  kind: 'hall',
-  hall,
+const zoneOrder = (zone: string, order: 'empty' | 'take-back', changeId: string): Action => ({
+  kind: 'zone',
+  zone,
   order,
   of: 'origins',
   changeId,
@@ -142,12 +142,12 @@
     orders.map((id) => bench.statusOf(id)),
     orders.map(() => 200),
   );
-  const serials = orders.map(
-    (id) => (bench.answers.get(id)?.body as { readonly serial: number }).serial,
+  const revisions = orders.map(
+    (id) => (bench.answers.get(id)?.body as { readonly revision: number }).revision,
   );
-  t.deepEqual(serials, [1, 2, 3, 4, 5, 6, 7, 8]);
+  t.deepEqual(revisions, [1, 2, 3, 4, 5, 6, 7, 8]);
   t.deepEqual(bench.state.runs, {});
-  t.deepEqual(bench.state.pursuits, {});
+  t.deepEqual(bench.state.proposalRuns, {});
 });
 
 test('changes of one ballot are made in the order in which they came, and each is told its own end', (t) => {
@@ -210,7 +210,7 @@
   bench.now = 5_000;
   bench.step({ kind: 'woken', now: bench.now });
   t.deepEqual(bench.ballots('prepare'), []);
-  t.deepEqual([bench.state.runs, bench.state.pursuits], [{}, {}]);
+  t.deepEqual([bench.state.runs, bench.state.proposalRuns], [{}, {}]);
 });
 
 test('an order that was outvoted by a later one for its zone is not made after it', (t) => {
@@ -221,7 +221,7 @@
   bench.now = 300;
   bench.step({ kind: 'woken', now: bench.now });
   const value = {
-    serial: 5,
+    revision: 5,
     emptied: [],
     closedOrigins: [],
     reopened: {},
--- a/packages/agent/src/ballots.ts
+++ b/packages/agent/src/ballots.ts
@@ -16,7 +16,7 @@
   type Changed,
   type Turn,
 } from '@reedyard/consensus';
-import { votersKey, type ReplicaReply } from '@reedyard/replica';
+import { membersKey, type ReplicaReply } from '@reedyard/replica';
 import { finish, type Outcome } from './completion.js';
 import type { Reading, RegisterChange } from './changes.js';
 import { learnRegister } from './pulls.js';
@@ -34,7 +34,7 @@
   type IncludedChange,
   type AgentState,
   type Purpose,
-  type Pursuit,
+  type ProposalRun,
   type Retries,
   type Watched,
   type Work,
@@ -53,13 +53,13 @@
 
 /** The changes that wait for a ballot on a register, the oldest first. */
 const waitingFor = (state: AgentState, key: string): readonly IncludedChange[] =>
-  Object.entries(state.pursuits).flatMap(([id, pursuit]) =>
-    pursuit.key === key ? [{ id: Number(id), pursuit }] : [],
+  Object.entries(state.proposalRuns).flatMap(([id, proposalRun]) =>
+    proposalRun.key === key ? [{ id: Number(id), proposalRun }] : [],
   );
 
 /** The changes of a ballot that are still wanted. */
 const wantedOf = (state: AgentState, run: BallotRun): readonly IncludedChange[] =>
-  run.included.filter(({ id }) => state.pursuits[id] !== undefined);
+  run.included.filter(({ id }) => state.proposalRuns[id] !== undefined);
 
 /** What a change made of the value it was applied to, and what it left. */
 type Applied = IncludedChange & { readonly changed: Changed; readonly value: unknown };
@@ -70,12 +70,14 @@
  */
 const applyAll = (included: readonly IncludedChange[], read: unknown): readonly Applied[] => {
   let current = read;
-  return included.map(({ id, pursuit }) => {
+  return included.map(({ id, proposalRun }) => {
     const reading: Reading | undefined =
-      pursuit.firstRead === null ? undefined : { first: pursuit.firstRead.value, now: read };
-    const changed = pursuit.change(current, reading);
+      proposalRun.firstRead === null
+        ? undefined
+        : { first: proposalRun.firstRead.value, now: read };
+    const changed = proposalRun.change(current, reading);
     if (changed.kind === 'write') current = changed.value;
-    return { id, pursuit, changed, value: current };
+    return { id, proposalRun, changed, value: current };
   });
 };
 
@@ -121,8 +123,8 @@
 
 /** Drops the changes of a register whose callers are gone. */
 const dropAbandoned = (work: Work, key: string): void => {
-  for (const { id, pursuit } of waitingFor(work.state, key)) {
-    if (pursuit.isAbandoned) set(work, { pursuits: without(work.state.pursuits, id) });
+  for (const { id, proposalRun } of waitingFor(work.state, key)) {
+    if (proposalRun.isAbandoned) set(work, { proposalRuns: without(work.state.proposalRuns, id) });
   }
 };
 
@@ -156,10 +158,12 @@
 
 /** Notes what the register held when changes were first applied. */
 const noteFirstRead = (work: Work, run: BallotRun, read: unknown): void => {
-  const noted = wantedOf(work.state, run).flatMap(({ id, pursuit }) =>
-    pursuit.firstRead === null ? [[id, { ...pursuit, firstRead: { value: read } }] as const] : [],
+  const noted = wantedOf(work.state, run).flatMap(({ id, proposalRun }) =>
+    proposalRun.firstRead === null
+      ? [[id, { ...proposalRun, firstRead: { value: read } }] as const]
+      : [],
   );
-  set(work, { pursuits: { ...work.state.pursuits, ...Object.fromEntries(noted) } });
+  set(work, { proposalRuns: { ...work.state.proposalRuns, ...Object.fromEntries(noted) } });
 };
 
 const outcomeOf = ({ changed, value }: Applied): Outcome =>
@@ -174,12 +178,12 @@
   chosen: { readonly ballot: Ballot | null; readonly value: unknown; readonly read: unknown },
 ): void => {
   const { key } = run.proposal;
-  const isWanted = ({ id }: Applied): boolean => work.state.pursuits[id] !== undefined;
+  const isWanted = ({ id }: Applied): boolean => work.state.proposalRuns[id] !== undefined;
   const applied = applyAll(run.included, chosen.read).filter(isWanted);
-  const pursuits = applied.reduce((left, { id }) => without(left, id), work.state.pursuits);
-  set(work, { pursuits, runs: without(work.state.runs, key) });
+  const proposalRuns = applied.reduce((left, { id }) => without(left, id), work.state.proposalRuns);
+  set(work, { proposalRuns, runs: without(work.state.runs, key) });
   if (chosen.ballot !== null) learnChosen(work, key, chosen.ballot, chosen.value);
-  for (const each of applied) finish(work, each.pursuit.purpose, outcomeOf(each));
+  for (const each of applied) finish(work, each.proposalRun.purpose, outcomeOf(each));
   if (work.state.runs[key] === undefined) openRun(work, key);
 };
 
@@ -208,9 +212,14 @@
 };
 
 /** Proposes a change of a register; what becomes of it is told by its purpose. */
-export const pursue = (work: Work, key: string, change: RegisterChange, purpose: Purpose): void => {
+export const propose = (
+  work: Work,
+  key: string,
+  change: RegisterChange,
+  purpose: Purpose,
+): void => {
   const id = takeId(work);
-  const pursuit: Pursuit = {
+  const proposalRun: ProposalRun = {
     key,
     change,
     purpose,
@@ -218,7 +227,7 @@
     firstRead: null,
     isAbandoned: false,
   };
-  set(work, { pursuits: { ...work.state.pursuits, [id]: pursuit } });
+  set(work, { proposalRuns: { ...work.state.proposalRuns, [id]: proposalRun } });
   if (work.state.runs[key] === undefined) openRun(work, key);
 };
 
@@ -234,7 +243,7 @@
   if (run === undefined) return;
   if (reply.kind === 'full') {
     // There is no room for another key: told at once, not after its whole limit.
-    for (const { id, pursuit } of wantedOf(work.state, run)) giveUp(work, id, pursuit);
+    for (const { id, proposalRun } of wantedOf(work.state, run)) giveUp(work, id, proposalRun);
     openRun(work, key);
     return;
   }
@@ -269,11 +278,11 @@
 };
 
 const timeoutOf = (purpose: Purpose): number =>
-  purpose.kind === 'hall' ? Limits.zoneOrder : Limits.proposal;
+  purpose.kind === 'zone' ? Limits.zoneOrder : Limits.proposal;
 
-const giveUp = (work: Work, id: number, pursuit: Pursuit): void => {
-  set(work, { pursuits: without(work.state.pursuits, id) });
-  finish(work, pursuit.purpose, { kind: 'unknown' });
+const giveUp = (work: Work, id: number, proposalRun: ProposalRun): void => {
+  set(work, { proposalRuns: without(work.state.proposalRuns, id) });
+  finish(work, proposalRun.purpose, { kind: 'unknown' });
 };
 
 /**
@@ -301,7 +310,7 @@
  */
 const unanswered = ({ proposal }: BallotRun): Turn['moves'] => {
   const { ballot, promises, proposed: value } = proposal;
-  return proposal.voters.flatMap((to): Turn['moves'] => {
+  return proposal.members.flatMap((to): Turn['moves'] => {
     const promise = promises[to];
     if (proposal.refusedBy.includes(to) || proposal.accepts.includes(to)) return [];
     if (promise === undefined) return [{ kind: 'prepare', to, ballot }];
@@ -314,8 +323,9 @@
 /** ms that one phase of a ballot may take at most: little at first where members change. */
 const longestPhaseOf = (run: BallotRun, now: number): number => {
   const [oldest] = run.included;
-  const isYoung = oldest !== undefined && now - oldest.pursuit.openedAt < Limits.membershipHaste;
-  return isYoung && run.proposal.key === votersKey ? Limits.membershipPhase : Limits.ballotPhase;
+  const isYoung =
+    oldest !== undefined && now - oldest.proposalRun.openedAt < Limits.membershipHaste;
+  return isYoung && run.proposal.key === membersKey ? Limits.membershipPhase : Limits.ballotPhase;
 };
 
 /**
@@ -342,18 +352,18 @@
 };
 
 /** Looks after ballots that wait or hang, and changes that have taken too long. */
-export const tendPursuits = (work: Work): void => {
-  for (const [id, pursuit] of Object.entries(work.state.pursuits)) {
-    const isOverdue = work.state.now - pursuit.openedAt > timeoutOf(pursuit.purpose);
-    if (!isOverdue && !isStranded(work.state, pursuit)) continue;
-    giveUp(work, Number(id), pursuit);
-    leaveOut(work, pursuit.key);
+export const tendProposalRuns = (work: Work): void => {
+  for (const [id, proposalRun] of Object.entries(work.state.proposalRuns)) {
+    const isOverdue = work.state.now - proposalRun.openedAt > timeoutOf(proposalRun.purpose);
+    if (!isOverdue && !isStranded(work.state, proposalRun)) continue;
+    giveUp(work, Number(id), proposalRun);
+    leaveOut(work, proposalRun.key);
   }
   for (const [key, run] of Object.entries(work.state.runs)) tendRun(work, key, run);
 };
 
 const isCallersPurpose = (purpose: Purpose, caller: number): boolean =>
-  (purpose.kind === 'put-policy' || purpose.kind === 'get-policy' || purpose.kind === 'hall') &&
+  (purpose.kind === 'put-policy' || purpose.kind === 'get-policy' || purpose.kind === 'zone') &&
   purpose.id === caller;
 
 /**
@@ -362,15 +372,17 @@
  * undo an order that follows.
  */
 export const dropCaller = (work: Work, caller: number): void => {
-  for (const [id, pursuit] of Object.entries(work.state.pursuits)) {
-    if (!isCallersPurpose(pursuit.purpose, caller)) continue;
+  for (const [id, proposalRun] of Object.entries(work.state.proposalRuns)) {
+    if (!isCallersPurpose(proposalRun.purpose, caller)) continue;
     if (isProposed(work.state, Number(id))) {
-      set(work, { pursuits: { ...work.state.pursuits, [id]: { ...pursuit, isAbandoned: true } } });
+      set(work, {
+        proposalRuns: { ...work.state.proposalRuns, [id]: { ...proposalRun, isAbandoned: true } },
+      });
       continue;
     }
-    set(work, { pursuits: without(work.state.pursuits, id) });
-    log(work, 'order.dropped', { kind: pursuit.purpose.kind });
-    leaveOut(work, pursuit.key);
+    set(work, { proposalRuns: without(work.state.proposalRuns, id) });
+    log(work, 'order.dropped', { kind: proposalRun.purpose.kind });
+    leaveOut(work, proposalRun.key);
   }
 };
 
--- a/packages/agent/src/change-ids.ts
+++ b/packages/agent/src/change-ids.ts
@@ -1,66 +1,66 @@
 /**
  * Ids of the changes that a register took lately, kept in its value: a change that is sent again
  * under its id, by whichever node, is made once. An id is remembered for as long as it may be sent
- * again. Registers know no time, so each node notes when it learnt a serial, by its own clock:
+ * again. Registers know no time, so each node notes when it learnt a revision, by its own clock:
  * whatever it has known for the whole repeat window is older than that. A node that has just
  * started has learnt nothing long ago, and lets nothing go.
  */
 import { Limits, Sizes } from '@reedyard/constants';
-import { hallsOf, policyOf, set, type AgentState, type Work } from './state.js';
+import { zonesOf, policyOf, set, type AgentState, type Work } from './state.js';
 
-/** A change that was made, and the serial that it made. */
-export type MadeChange = { readonly id: string; readonly serial: number };
+/** A change that was made, and the revision that it made. */
+export type MadeChange = { readonly id: string; readonly revision: number };
 
-/** A serial of a register, and when this node learnt of it. */
-export type LearntSerial = { readonly serial: number; readonly at: number };
+/** A revision of a register, and when this node learnt of it. */
+export type LearntRevision = { readonly revision: number; readonly at: number };
 
 /** Registers whose changes have ids. */
-export const identified = ['policy', 'halls'] as const;
+export const identified = ['policy', 'zones'] as const;
 export type Identified = (typeof identified)[number];
 
-/** Bytes of one remembered change beside its id: quotes, names and the serial. */
+/** Bytes of one remembered change beside its id: quotes, names and the revision. */
 const bytesBesideId = 32;
 
-const serialOf = (state: AgentState, key: Identified): number =>
-  (key === 'policy' ? policyOf(state) : hallsOf(state))?.serial ?? 0;
+const revisionOf = (state: AgentState, key: Identified): number =>
+  (key === 'policy' ? policyOf(state) : zonesOf(state))?.revision ?? 0;
 
 /**
- * Notes serials that are new since the last time; of those that are over the window the newest one
- * is enough.
+ * Notes revisions that are new since the last time; of those that are over the window the newest
+ * one is enough.
  */
-export const noteSerials = (work: Work): void => {
+export const noteRevisions = (work: Work): void => {
   const { now } = work.state;
   for (const key of identified) {
-    const learnt = work.state.learntSerials[key];
-    const serial = serialOf(work.state, key);
-    if (serial === (learnt.at(-1)?.serial ?? 0)) continue;
+    const learnt = work.state.learntRevisions[key];
+    const revision = revisionOf(work.state, key);
+    if (revision === (learnt.at(-1)?.revision ?? 0)) continue;
     const over = learnt.filter((each) => now - each.at > Limits.repeatWindow);
-    const kept = [...over.slice(-1), ...learnt.slice(over.length), { serial, at: now }];
-    set(work, { learntSerials: { ...work.state.learntSerials, [key]: kept } });
+    const kept = [...over.slice(-1), ...learnt.slice(over.length), { revision, at: now }];
+    set(work, { learntRevisions: { ...work.state.learntRevisions, [key]: kept } });
   }
 };
 
 /**
- * The newest serial that this node has known for the whole repeat window: changes up to it may be
+ * The newest revision that this node has known for the whole repeat window: changes up to it may be
  * forgotten.
  */
-export const lapsedSerial = (state: AgentState, key: Identified): number =>
-  state.learntSerials[key].findLast((each) => state.now - each.at > Limits.repeatWindow)?.serial ??
-  0;
+export const lapsedRevision = (state: AgentState, key: Identified): number =>
+  state.learntRevisions[key].findLast((each) => state.now - each.at > Limits.repeatWindow)
+    ?.revision ?? 0;
 
 /**
  * Adds a change, and lets those go that may no longer be sent again. Past the bound in bytes the
  * oldest go first.
  *
  * @example
- * rememberChange([{ id: 'a', serial: 1 }], { id: 'b', serial: 2 }, 1) // [{ id: 'b', serial: 2 }]
+ * rememberChange([{ id: 'a', revision: 1 }], { id: 'b', revision: 2 }, 1) // [{ id: 'b', revision: 2 }]
  */
 export const rememberChange = (
   known: readonly MadeChange[],
   made: MadeChange,
   lapsed: number,
 ): readonly MadeChange[] => {
-  const live = [...known.filter((each) => each.serial > lapsed), made];
+  const live = [...known.filter((each) => each.revision > lapsed), made];
   let bytes = 0;
   const from = live.findLastIndex((each) => {
     bytes += each.id.length + bytesBesideId;
--- a/packages/agent/src/changes.test.ts
+++ b/packages/agent/src/changes.test.ts
@@ -1,15 +1,15 @@
 import test from 'ava';
 import { Limits, Sizes } from '@reedyard/constants';
 import { Schemas, type Policy } from '@reedyard/schemas';
-import { lapsedSerial } from './change-ids.js';
+import { lapsedRevision } from './change-ids.js';
 import { Changes, type RegisterChange } from './changes.js';
 import { hasSameContent } from './content.js';
 import { Agent } from './core.js';
 import { learnRegister } from './pulls.js';
-import { hallsValueOf, type AgentState, type Work } from './state.js';
+import { zonesValueOf, type AgentState, type Work } from './state.js';
 import type { PolicyValue } from './terms.js';
 
-const self = { id: 'n', hall: 'west', region: 'r', address: 'n/agent', proxy: null, replica: null };
+const self = { id: 'n', zone: 'west', region: 'r', address: 'n/agent', proxy: null, replica: null };
 const document = (version: number | undefined, note: string): Policy =>
   Schemas.policy({
     ...(version === undefined ? {} : { version }),
@@ -20,11 +20,11 @@
 const put = (sent: Policy, changeId: string, ifMatch: number | null = null): RegisterChange =>
   Changes.policy({ document: sent, ifMatch, changeId, lapsed: 0 });
 const zone = (
-  hall: string,
+  zone: string,
   order: 'empty' | 'take-back',
   changeId: string,
   lapsed = 0,
-): RegisterChange => Changes.zone({ hall, order, of: 'origins', changeId, lapsed });
+): RegisterChange => Changes.zone({ zone, order, of: 'origins', changeId, lapsed });
 
 /** The value that a change leaves. */
 const after = (change: RegisterChange, current: unknown): unknown => {
@@ -45,11 +45,11 @@
   t.deepEqual(put(document(undefined, 'x'), 'b', 0)(first), { kind: 'keep' });
   t.deepEqual(put(document(undefined, 'y'), 'b', 0)(first), {
     kind: 'refuse',
-    reason: 'stale-serial',
+    reason: 'stale-revision',
   });
   t.deepEqual(put(document(undefined, 'x'), 'b', 7)(first), {
     kind: 'refuse',
-    reason: 'stale-serial',
+    reason: 'stale-revision',
   });
   const versioned = after(put(document(7, 'x'), 'a', 0), null);
   for (const ifMatch of [null, 0, 1])
@@ -58,7 +58,10 @@
     kind: 'refuse',
     reason: 'version-taken',
   });
-  t.deepEqual(put(document(7, 'x'), 'b', 7)(versioned), { kind: 'refuse', reason: 'stale-serial' });
+  t.deepEqual(put(document(7, 'x'), 'b', 7)(versioned), {
+    kind: 'refuse',
+    reason: 'stale-revision',
+  });
 });
 
 test('content is compared by its fields, in whatever order they were sent', (t) => {
@@ -91,7 +94,7 @@
     ),
   );
   for (const order of orders) value = after(order, value);
-  t.is(hallsValueOf(value).serial, 500);
+  t.is(zonesValueOf(value).revision, 500);
   t.true(orders.every((order) => order(value).kind === 'keep'));
   let policy: unknown = null;
   const puts = Array.from({ length: 500 }, (_, index) =>
@@ -105,49 +108,49 @@
   let value: unknown = null;
   for (let index = 0; index < 5_000; index += 1)
     value = after(zone('west', 'empty', `${index}-${'x'.repeat(100)}`), value);
-  const { changes } = hallsValueOf(value);
+  const { changes } = zonesValueOf(value);
   t.true(JSON.stringify(changes).length < 1.1 * Sizes.recentChangeBytes);
-  t.is(changes.at(-1)?.serial, 5_000);
-  const later = hallsValueOf(after(zone('west', 'empty', 'new', 4_990), value));
+  t.is(changes.at(-1)?.revision, 5_000);
+  const later = zonesValueOf(after(zone('west', 'empty', 'new', 4_990), value));
   t.deepEqual(
-    later.changes.map((each) => each.serial),
+    later.changes.map((each) => each.revision),
     [4_991, 4_992, 4_993, 4_994, 4_995, 4_996, 4_997, 4_998, 4_999, 5_000, 5_001],
   );
 });
 
-test('a serial counts as lapsed once this node has known it for the repeat window, by its own clock', (t) => {
+test('a revision counts as lapsed once this node has known it for the repeat window, by its own clock', (t) => {
   let state: AgentState = Agent.open({ self, life: 'l', seeds: [], founders: {}, seed: 1, now: 0 });
-  const learn = (serial: number, now: number): void => {
+  const learn = (revision: number, now: number): void => {
     const work: Work = { state: { ...state, now }, effects: [] };
-    learnRegister(work, 'halls', [serial, 'x'], { ...hallsValueOf(null), serial });
+    learnRegister(work, 'zones', [revision, 'x'], { ...zonesValueOf(null), revision });
     state = Agent.reduce(work.state, { kind: 'beat', now }).state;
   };
-  const at = (now: number): number => lapsedSerial({ ...state, now }, 'halls');
+  const at = (now: number): number => lapsedRevision({ ...state, now }, 'zones');
   for (let index = 1; index <= 500; index += 1) learn(index, 100 * index);
   t.is(at(50_000), (50_000 - Limits.repeatWindow) / 100 - 1);
   t.is(at(50_000 + Limits.repeatWindow), 499);
   t.is(at(50_001 + Limits.repeatWindow), 500);
-  t.true(state.learntSerials.halls.length <= Limits.repeatWindow / 100 + 2);
+  t.true(state.learntRevisions.zones.length <= Limits.repeatWindow / 100 + 2);
   // A node that has just started knows nothing to be old.
   t.is(
-    lapsedSerial(
+    lapsedRevision(
       Agent.open({ self, life: 'm', seeds: [], founders: {}, seed: 1, now: 90_000 }),
-      'halls',
+      'zones',
     ),
     0,
   );
 });
 
-test('every chosen order leaves its serial with its zone, also one that finds it so already', (t) => {
-  const closed = hallsValueOf(after(zone('west', 'empty', '1'), null));
-  const again = hallsValueOf(after(zone('west', 'empty', '2'), closed));
+test('every chosen order leaves its revision with its zone, also one that finds it so already', (t) => {
+  const closed = zonesValueOf(after(zone('west', 'empty', '1'), null));
+  const again = zonesValueOf(after(zone('west', 'empty', '2'), closed));
   t.deepEqual([again.closedOrigins, again.lastOrders, again.reopened], [['west'], { west: 2 }, {}]);
-  const open = hallsValueOf(after(zone('west', 'take-back', '3'), again));
+  const open = zonesValueOf(after(zone('west', 'take-back', '3'), again));
   t.deepEqual([open.closedOrigins, open.lastOrders, open.reopened], [[], { west: 3 }, { west: 3 }]);
   // A second take-back opens nothing: origins are not taken for cold once more.
-  t.deepEqual(hallsValueOf(after(zone('west', 'take-back', '4'), open)).reopened, { west: 3 });
+  t.deepEqual(zonesValueOf(after(zone('west', 'take-back', '4'), open)).reopened, { west: 3 });
   // An order for another zone overtakes nothing.
-  const reading = { first: closed, now: hallsValueOf(after(zone('east', 'empty', '5'), closed)) };
+  const reading = { first: closed, now: zonesValueOf(after(zone('east', 'empty', '5'), closed)) };
   t.is(zone('west', 'take-back', '6')(reading.now, reading).kind, 'write');
   t.is(zone('west', 'take-back', '6')(open, { first: closed, now: open }).kind, 'keep');
   t.is(zone('west', 'empty', '6')(open, { first: closed, now: open }).kind, 'refuse');
--- a/packages/agent/src/changes.ts
+++ b/packages/agent/src/changes.ts
@@ -3,14 +3,14 @@
  * proposes. Each is applied again in every ballot of its proposal, and knows its own earlier work
  * by an id or by content.
  */
-import type { Voters } from '@reedyard/replica';
+import type { Members } from '@reedyard/replica';
 import type { Changed } from '@reedyard/consensus';
 import type { Plan } from '@reedyard/quota-division';
-import type { HallOrder, Policy } from '@reedyard/schemas';
+import type { ZoneOrder, Policy } from '@reedyard/schemas';
 import { findChange, rememberChange } from './change-ids.js';
 import { hasSameContent } from './content.js';
-import { hallsValueOf, without } from './state.js';
-import type { ClaimState, ClaimValue, HallsValue, PolicyValue } from './terms.js';
+import { zonesValueOf, without } from './state.js';
+import type { ClaimState, ClaimValue, ZonesValue, PolicyValue } from './terms.js';
 
 /**
  * What the register held when a change was first applied, and what it holds in the present ballot.
@@ -22,7 +22,7 @@
 
 /** Why an operator's change was refused. */
 export const Refusals = {
-  staleSerial: 'stale-serial',
+  staleRevision: 'stale-revision',
   /** Another configuration is held under the same version. */
   versionTaken: 'version-taken',
   /** Another order for the same zone was chosen since this one first read the register. */
@@ -36,7 +36,7 @@
   readonly document: Policy;
   readonly ifMatch: number | null;
   readonly changeId: string;
-  /** Changes up to this serial may be forgotten. */
+  /** Changes up to this revision may be forgotten. */
   readonly lapsed: number;
 };
 
@@ -59,43 +59,43 @@
     const old = current as PolicyValue | null;
     if (findChange(old?.changes ?? [], changeId) !== undefined) return keep;
     const order = old === null ? 'newer' : compareVersions(old.document, document);
-    const serial = old?.serial ?? 0;
-    // Sent again under the serial that it replaced: it was taken then.
-    const isRepeat = ifMatch === serial - 1;
-    const mayBeHeld = isRepeat || (order === 'equal' && (ifMatch === null || ifMatch === serial));
+    const revision = old?.revision ?? 0;
+    // Sent again under the revision that it replaced: it was taken then.
+    const isRepeat = ifMatch === revision - 1;
+    const mayBeHeld = isRepeat || (order === 'equal' && (ifMatch === null || ifMatch === revision));
     if (old !== null && mayBeHeld && hasSameContent(old.document, document)) return keep;
-    if (ifMatch !== null && ifMatch !== serial)
-      return { kind: 'refuse', reason: Refusals.staleSerial };
+    if (ifMatch !== null && ifMatch !== revision)
+      return { kind: 'refuse', reason: Refusals.staleRevision };
     if (order === 'older') return keep;
     if (order === 'equal') return { kind: 'refuse', reason: Refusals.versionTaken };
-    const made = { id: changeId, serial: serial + 1 };
+    const made = { id: changeId, revision: revision + 1 };
     const changes = rememberChange(old?.changes ?? [], made, lapsed);
     return {
       kind: 'write',
-      value: { serial: made.serial, document, changes } satisfies PolicyValue,
+      value: { revision: made.revision, document, changes } satisfies PolicyValue,
     };
   };
 
 /** An order for a zone, with what tells a repeat of it from a new one. */
-export type ZoneOrder = {
-  readonly hall: string;
-  readonly order: HallOrder['order'];
-  readonly of: HallOrder['of'];
+export type ZoneOrderChange = {
+  readonly zone: string;
+  readonly order: ZoneOrder['order'];
+  readonly of: ZoneOrder['of'];
   readonly changeId: string;
-  /** Changes up to this serial may be forgotten. */
+  /** Changes up to this revision may be forgotten. */
   readonly lapsed: number;
 };
 
 /** The lists of zones after an order. */
 const zonesAfter = (
-  old: HallsValue,
-  { hall, order, of }: ZoneOrder,
-): Pick<HallsValue, 'emptied' | 'closedOrigins'> => {
-  const others = (halls: readonly string[]): readonly string[] =>
-    halls.filter((each) => each !== hall);
-  const withZone = (halls: readonly string[], isIn: boolean): readonly string[] =>
-    isIn ? [...others(halls), hall] : others(halls);
-  const isEmptied = of === 'origins' ? old.emptied.includes(hall) : order === 'empty';
+  old: ZonesValue,
+  { zone, order, of }: ZoneOrderChange,
+): Pick<ZonesValue, 'emptied' | 'closedOrigins'> => {
+  const others = (zones: readonly string[]): readonly string[] =>
+    zones.filter((each) => each !== zone);
+  const withZone = (zones: readonly string[], isIn: boolean): readonly string[] =>
+    isIn ? [...others(zones), zone] : others(zones);
+  const isEmptied = of === 'origins' ? old.emptied.includes(zone) : order === 'empty';
   // While a zone is emptied as a whole, its origins can't be taken back by themselves.
   const isClosed = order === 'empty' || isEmptied;
   return {
@@ -105,41 +105,41 @@
 };
 
 const isInForce = (
-  old: HallsValue,
-  next: Pick<HallsValue, 'emptied' | 'closedOrigins'>,
-  hall: string,
+  old: ZonesValue,
+  next: Pick<ZonesValue, 'emptied' | 'closedOrigins'>,
+  zone: string,
 ): boolean =>
-  old.emptied.includes(hall) === next.emptied.includes(hall) &&
-  old.closedOrigins.includes(hall) === next.closedOrigins.includes(hall);
+  old.emptied.includes(zone) === next.emptied.includes(zone) &&
+  old.closedOrigins.includes(zone) === next.closedOrigins.includes(zone);
 
 /** Whether another order for the zone was chosen since this one first read the register. */
-const isOvertaken = (reading: Reading | undefined, hall: string): boolean =>
+const isOvertaken = (reading: Reading | undefined, zone: string): boolean =>
   reading !== undefined &&
-  hallsValueOf(reading.first).lastOrders[hall] !== hallsValueOf(reading.now).lastOrders[hall];
+  zonesValueOf(reading.first).lastOrders[zone] !== zonesValueOf(reading.now).lastOrders[zone];
 
 /**
- * Carries out an order for a zone. Every order that is chosen leaves its serial with the zone, also
- * one that changes nothing else: an older order that is still being proposed finds then that it was
- * overtaken, and does not undo it.
+ * Carries out an order for a zone. Every order that is chosen leaves its revision with the zone,
+ * also one that changes nothing else: an older order that is still being proposed finds then that
+ * it was overtaken, and does not undo it.
  */
 const zone =
-  (sent: ZoneOrder): RegisterChange =>
+  (sent: ZoneOrderChange): RegisterChange =>
   (current, reading) => {
-    const old = hallsValueOf(current);
+    const old = zonesValueOf(current);
     if (findChange(old.changes, sent.changeId) !== undefined) return keep;
-    const { hall } = sent;
+    const { zone } = sent;
     const next = zonesAfter(old, sent);
-    if (isOvertaken(reading, hall)) {
-      return isInForce(old, next, hall) ? keep : { kind: 'refuse', reason: Refusals.overtaken };
+    if (isOvertaken(reading, zone)) {
+      return isInForce(old, next, zone) ? keep : { kind: 'refuse', reason: Refusals.overtaken };
     }
-    const serial = old.serial + 1;
-    const isReopened = old.closedOrigins.includes(hall) && !next.closedOrigins.includes(hall);
-    const value: HallsValue = {
+    const revision = old.revision + 1;
+    const isReopened = old.closedOrigins.includes(zone) && !next.closedOrigins.includes(zone);
+    const value: ZonesValue = {
       ...next,
-      serial,
-      reopened: isReopened ? { ...old.reopened, [hall]: serial } : old.reopened,
-      lastOrders: { ...old.lastOrders, [hall]: serial },
-      changes: rememberChange(old.changes, { id: sent.changeId, serial }, sent.lapsed),
+      revision,
+      reopened: isReopened ? { ...old.reopened, [zone]: revision } : old.reopened,
+      lastOrders: { ...old.lastOrders, [zone]: revision },
+      changes: rememberChange(old.changes, { id: sent.changeId, revision }, sent.lapsed),
     };
     return { kind: 'write', value };
   };
@@ -183,7 +183,7 @@
   };
 
 /** Takes the quota leadership where it was found vacant, unless anything moved since. */
-const takeDuty =
+const takeQuotaLeadership =
   (seen: Plan | null, goal: Plan): RegisterChange =>
   (current) => {
     const old = current as Plan | null;
@@ -202,24 +202,24 @@
  * none.
  */
 const predecessorsWithout = (
-  voters: Voters,
+  members: Members,
   member: string | undefined,
-): Pick<Voters, 'predecessors'> => {
-  if (voters.predecessors === undefined) return {};
-  if (member === undefined) return { predecessors: voters.predecessors };
-  return { predecessors: without(voters.predecessors, member) };
+): Pick<Members, 'predecessors'> => {
+  if (members.predecessors === undefined) return {};
+  if (member === undefined) return { predecessors: members.predecessors };
+  return { predecessors: without(members.predecessors, member) };
 };
 
 /** Gives a place to another disk: one at a time, and only by the members just before. */
 const seat =
-  (known: Voters, replica: string, disk: string, address?: string): RegisterChange =>
+  (known: Members, replica: string, disk: string, address?: string): RegisterChange =>
   (current) => {
-    const old = current as Voters | null;
-    const isThere = (held: Voters): boolean =>
+    const old = current as Members | null;
+    const isThere = (held: Members): boolean =>
       held.disks[replica] === disk &&
       (address === undefined || held.addresses?.[replica] === address);
     if (old === null || isThere(old)) return keep;
-    if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the voters have changed' };
+    if (old.epoch !== known.epoch) return { kind: 'refuse', reason: 'the members have changed' };
     const addresses =
       address === undefined ? {} : { addresses: { ...old.addresses, [replica]: address } };
     const disks = { ...old.disks, [replica]: disk };
@@ -237,17 +237,17 @@
       ...predecessors,
       ...joinedIn,
     };
-    return { kind: 'write', value: value satisfies Voters };
+    return { kind: 'write', value: value satisfies Members };
   };
 
 /** Gives a place up, and another, of a disk without one, in its stead. */
 const replace =
-  (known: Voters, gone: string, replica: string, disk: string, address: string): RegisterChange =>
+  (known: Members, gone: string, replica: string, disk: string, address: string): RegisterChange =>
   (current) => {
-    const old = current as Voters | null;
+    const old = current as Members | null;
     if (old === null || old.disks[replica] === disk) return keep;
     if (old.epoch !== known.epoch || old.disks[gone] === undefined) {
-      return { kind: 'refuse', reason: 'the voters have changed' };
+      return { kind: 'refuse', reason: 'the members have changed' };
     }
     const disks = { ...without(old.disks, gone), [replica]: disk };
     const addresses = { ...without(old.addresses ?? {}, gone), [replica]: address };
@@ -255,8 +255,17 @@
     const predecessors = { ...without(old.predecessors ?? {}, gone), [replica]: predecessor };
     const joinedIn = { ...without(old.joinedIn ?? {}, gone), [replica]: old.epoch + 1 };
     const value = { ...old, epoch: old.epoch + 1, disks, addresses, predecessors, joinedIn };
-    return { kind: 'write', value: value satisfies Voters };
+    return { kind: 'write', value: value satisfies Members };
   };
 
 /** Every change that is made to a register. */
-export const Changes = { policy, zone, claim, settle, plan, takeDuty, seat, replace } as const;
+export const Changes = {
+  policy,
+  zone,
+  claim,
+  settle,
+  plan,
+  takeQuotaLeadership,
+  seat,
+  replace,
+} as const;
--- a/packages/agent/src/completion.ts
+++ b/packages/agent/src/completion.ts
@@ -8,7 +8,7 @@
 import { refusal, unavailable, unreached, type ApiAnswer } from './answers.js';
 import { findChange } from './change-ids.js';
 import { Refusals } from './changes.js';
-import { hallsValueOf, log, set, type Purpose, type Work } from './state.js';
+import { zonesValueOf, log, set, type Purpose, type Work } from './state.js';
 import type { ClaimReply, ClaimState, ClaimValue, NodeRecord, PolicyValue } from './terms.js';
 
 /** How a change of a register ended, and what the register held after it. */
@@ -24,13 +24,13 @@
 };
 
 const refusedPolicy = (reason: string, value: PolicyValue | null): ApiAnswer => {
-  const serial = value?.serial ?? 0;
+  const revision = value?.revision ?? 0;
   const isTaken = reason === Refusals.versionTaken;
   const detail = isTaken
     ? `another policy is in force under version ${value?.document.version ?? 0}`
-    : `the policy in force has serial ${serial}`;
-  const refused = refusal(412, isTaken ? 'Version taken' : 'Stale serial', detail);
-  return { ...refused, body: { ...(refused.body as object), serial } };
+    : `the policy in force has revision ${revision}`;
+  const refused = refusal(412, isTaken ? 'Version taken' : 'Stale revision', detail);
+  return { ...refused, body: { ...(refused.body as object), revision } };
 };
 
 const finishPutPolicy = (work: Work, purpose: Purposed<'put-policy'>, outcome: Outcome): void => {
@@ -42,18 +42,19 @@
   if (outcome.kind === 'refused') {
     log(work, 'policy.refused', {
       reason: outcome.reason,
-      serial: value?.serial ?? 0,
+      revision: value?.revision ?? 0,
       change: purpose.changeId,
     });
     answer(work, purpose.id, refusedPolicy(outcome.reason, value));
     return;
   }
-  const serial = findChange(value?.changes ?? [], purpose.changeId)?.serial ?? value?.serial ?? 0;
-  log(work, 'policy.acknowledged', { serial, change: purpose.changeId });
+  const revision =
+    findChange(value?.changes ?? [], purpose.changeId)?.revision ?? value?.revision ?? 0;
+  log(work, 'policy.acknowledged', { revision, change: purpose.changeId });
   // The version in force: an older configuration is acknowledged though it is not this one.
   const version = value?.document.version;
   const body = {
-    serial,
+    revision,
     changeId: purpose.changeId,
     ...(version === undefined ? {} : { version }),
   };
@@ -67,27 +68,27 @@
   }
   const value = outcome.value as PolicyValue | null;
   const policy = value?.document ?? { services: {}, routes: [] };
-  answer(work, purpose.id, { status: 200, body: { serial: value?.serial ?? 0, policy } });
+  answer(work, purpose.id, { status: 200, body: { revision: value?.revision ?? 0, policy } });
 };
 
-const finishZone = (work: Work, purpose: Purposed<'hall'>, outcome: Outcome): void => {
+const finishZone = (work: Work, purpose: Purposed<'zone'>, outcome: Outcome): void => {
   if (outcome.kind === 'unknown') {
     answer(work, purpose.id, unreached('The order'));
     return;
   }
-  const value = hallsValueOf(outcome.value);
+  const value = zonesValueOf(outcome.value);
   if (outcome.kind === 'refused') {
-    log(work, 'halls.overtaken', { serial: value.serial });
+    log(work, 'zones.overtaken', { revision: value.revision });
     const detail =
       'Another order for this zone was made meanwhile; nothing was changed. Repeat it.';
     answer(work, purpose.id, unavailable('Overtaken', detail));
     return;
   }
-  const serial = findChange(value.changes, purpose.changeId)?.serial ?? value.serial;
+  const revision = findChange(value.changes, purpose.changeId)?.revision ?? value.revision;
   const { emptied, closedOrigins } = value;
   const lists = { emptied: emptied.join(','), closedOrigins: closedOrigins.join(',') };
-  log(work, 'halls.acknowledged', { serial: value.serial, ...lists });
-  answer(work, purpose.id, { status: 200, body: { serial, emptied, closedOrigins } });
+  log(work, 'zones.acknowledged', { revision: value.revision, ...lists });
+  answer(work, purpose.id, { status: 200, body: { revision, emptied, closedOrigins } });
 };
 
 const finishPlan = (work: Work, { goal }: Purposed<'plan'>, outcome: Outcome): void => {
@@ -99,19 +100,23 @@
     own.term !== goal.term ||
     own.beat !== goal.beat
   ) {
-    if (state.duty !== null) log(work, 'duty.lost', { term: goal.term, how: outcome.kind });
-    set(work, { duty: null });
+    if (state.quotaLeadership !== null)
+      log(work, 'quota-leadership.lost', { term: goal.term, how: outcome.kind });
+    set(work, { quotaLeadership: null });
     return;
   }
-  if (state.duty === null || state.duty.term !== own.term) {
-    log(work, 'duty.won', { term: own.term });
-    set(work, { duty: { term: own.term, held: [] } });
+  if (state.quotaLeadership === null || state.quotaLeadership.term !== own.term) {
+    log(work, 'quota-leadership.won', { term: own.term });
+    set(work, { quotaLeadership: { term: own.term, held: [] } });
     return;
   }
   // Chosen now: from here on its forerunners last one lease more, no longer.
   const last = state.now + Limits.regrant;
-  const held = state.duty.held.map((each) => ({ ...each, until: Math.min(each.until, last) }));
-  set(work, { duty: { ...state.duty, held } });
+  const held = state.quotaLeadership.held.map((each) => ({
+    ...each,
+    until: Math.min(each.until, last),
+  }));
+  set(work, { quotaLeadership: { ...state.quotaLeadership, held } });
 };
 
 /** A claim that is pending in a life that is over has no known outcome any more. */
@@ -132,8 +137,8 @@
 const finishSeat = (work: Work, purpose: Purposed<'seat'>, outcome: Outcome): void => {
   if (outcome.kind !== 'chosen') return;
   const { replica, disk, instead } = purpose;
-  if (instead === undefined) log(work, 'voters.seated', { replica, disk });
-  else log(work, 'voters.replaced', { replica, disk, instead });
+  if (instead === undefined) log(work, 'members.seated', { replica, disk });
+  else log(work, 'members.replaced', { replica, disk, instead });
 };
 
 /** Does what is to be done at the end of a proposal. */
@@ -145,7 +150,7 @@
     case 'get-policy':
       finishGetPolicy(work, purpose, outcome);
       return;
-    case 'hall':
+    case 'zone':
       finishZone(work, purpose, outcome);
       return;
     case 'plan':
--- a/packages/agent/src/core.ts
+++ b/packages/agent/src/core.ts
@@ -5,9 +5,9 @@
 import type { ReplicaReply } from '@reedyard/replica';
 import type { Step } from '@reedyard/task-loop';
 import { Gossip } from '@reedyard/gossip';
-import { dropCaller, tendPursuits, tookVote } from './ballots.js';
-import { noteSerials } from './change-ids.js';
-import { tendDuty } from './duty.js';
+import { dropCaller, tendProposalRuns, tookVote } from './ballots.js';
+import { noteRevisions } from './change-ids.js';
+import { tendQuotaLeadership } from './quota-leadership.js';
 import { fed } from './feed.js';
 import { awaitOwnReplica, tendMembership } from './membership.js';
 import { computeSplit, gossip, heartbeat, isJoining, learn, pingAll, tookPing } from './network.js';
@@ -21,7 +21,7 @@
   tookFetch,
   tookLook,
   tookPull,
-  tookRetold,
+  tookRestored,
 } from './pulls.js';
 import { noteAnswer, noteLeaseLost } from './reachability.js';
 import { replicaView, noteBeat, send, set, without, type AgentState, type Work } from './state.js';
@@ -102,8 +102,8 @@
       return;
     case 'push':
       return;
-    case 'retell':
-      tookRetold(work, pending.replica, pending.epoch, pending.upTo, body as ReplicaReply);
+    case 'restore':
+      tookRestored(work, pending.replica, pending.epoch, pending.upTo, body as ReplicaReply);
       return;
     case 'exchange':
       tookExchanged(work, pending.to, body as AgentReply);
@@ -116,9 +116,9 @@
   if (pending === undefined) return;
   set(work, { pending: without(work.state.pending, id) });
   if (pending.kind === 'pull') lostPull(work, pending.replica);
-  if (pending.kind === 'exchange' && pending.partner !== null) {
+  if (pending.kind === 'exchange' && pending.peer !== null) {
     const { gossip } = work.state;
-    const view = gossip.view.filter((each) => each.id !== pending.partner);
+    const view = gossip.view.filter((each) => each.id !== pending.peer);
     set(work, { gossip: { ...gossip, view } });
   }
 };
@@ -133,8 +133,8 @@
   const { beatAt } = work.state;
   noteBeat(work);
   noteLeaseLost(work, beatAt);
-  noteSerials(work);
-  tendPursuits(work);
+  noteRevisions(work);
+  tendProposalRuns(work);
   tendPostings(work);
   due('pull', pullInterval(work.state), () => {
     pullAll(work);
@@ -147,7 +147,7 @@
   due('gossip', isJoining(work.state) ? Beats.lapsed : Beats.gossip, () => gossip(work));
   due('ping', Beats.pingDraw, () => pingAll(work));
   due('sweep', Beats.heartbeat, () => sweep(work));
-  due('division', Beats.division, () => tendDuty(work));
+  due('division', Beats.division, () => tendQuotaLeadership(work));
   computeSplit(work);
   renewLease(work);
 };
@@ -166,7 +166,7 @@
     readonly founders: Readonly<Record<string, string>>;
     readonly seed: number;
     readonly now: number;
-    /** Where voters found themselves from seeds; `founders` is then not looked at. */
+    /** Where members found themselves from seeds; `founders` is then not looked at. */
     readonly voting?: AgentVoting | null;
   }): AgentState => {
     const founders = parts.voting ? [] : Object.entries(parts.founders);
@@ -202,9 +202,9 @@
       reopened: {},
       claims: [Table(), Table(), Table()],
       claimsFrom: now,
-      pursuits: {},
+      proposalRuns: {},
       runs: {},
-      learntSerials: { policy: [], halls: [] },
+      learntRevisions: { policy: [], zones: [] },
       postings: {},
       gossip: Gossip.empty,
       delays: {},
@@ -219,7 +219,7 @@
       splitOver: '',
       splits: 0,
       planSeen: { term: 0, beat: 0, at: now },
-      duty: null,
+      quotaLeadership: null,
       due: { pull: 0, gossip: 0, heartbeat: 0, division: 0, ping: 0, sweep: 0 },
     };
   },
@@ -250,7 +250,7 @@
         dropCaller(work, event.id);
         break;
       case 'woken':
-        tendPursuits(work);
+        tendProposalRuns(work);
         break;
     }
     return { state: work.state, effects: work.effects };
--- a/packages/agent/src/feed.test.ts
+++ b/packages/agent/src/feed.test.ts
@@ -3,16 +3,16 @@
 
 const self = {
   id: 'front-1',
-  hall: 'west',
+  zone: 'west',
   region: 'home',
   address: '127.0.0.1:7001',
-  proxy: { callers: '127.0.0.1:8080', partners: '127.0.0.1:8081', capacityBps: 8e6 },
+  proxy: { callers: '127.0.0.1:8080', peers: '127.0.0.1:8081', capacityBps: 8e6 },
   replica: null,
 };
 const open = (life: string): AgentState =>
   Agent.open({ self, life, seeds: [], founders: { 'core-1': '127.0.0.2:7101' }, seed: 1, now: 0 });
 const report: Report = {
-  policySerial: 0,
+  policyRevision: 0,
   life: '',
   proxyLife: 'l1',
   purgeSeq: 0,
@@ -38,8 +38,8 @@
   };
 };
 const parts = (told: FeedTold): readonly string[] =>
-  ['origins', 'partners', 'emptied', 'split', 'slices'].filter((part) => part in told);
-const all = ['origins', 'partners', 'emptied', 'split', 'slices'];
+  ['origins', 'peers', 'emptied', 'split', 'slices'].filter((part) => part in told);
+const all = ['origins', 'peers', 'emptied', 'split', 'slices'];
 
 test('a part of the feed goes to a proxy that does not hold it as it is, and to no other', (t) => {
   const first = ask(open('j1'), null);
--- a/packages/agent/src/feed.ts
+++ b/packages/agent/src/feed.ts
@@ -1,13 +1,13 @@
 /** What this machine's proxy is told: feeds of what changed, and answers to its claims. */
 import { rateOf } from '@reedyard/quota-division';
 import type { Purge } from '@reedyard/schemas';
-import { pursue } from './ballots.js';
+import { propose } from './ballots.js';
 import { Changes } from './changes.js';
-import { boundsOf, heartbeat, originRows, partnerRows, tookMeasure } from './network.js';
+import { boundsOf, heartbeat, originRows, peerRows, tookMeasure } from './network.js';
 import { isUnreachable, mayActFor } from './reachability.js';
 import {
   bearsLosses,
-  hallsOf,
+  zonesOf,
   planOf,
   policyOf,
   set,
@@ -50,16 +50,16 @@
 
 const feed = (state: AgentState, report: Report): Feed => {
   const policy = policyOf(state);
-  const isNew = policy !== null && policy.serial !== report.policySerial;
+  const isNew = policy !== null && policy.revision !== report.policyRevision;
   return {
     leaseMs: mayActFor(state),
     life: state.life,
     flushes: state.flushes,
-    policy: isNew ? { serial: policy.serial, document: policy.document } : null,
-    policySerial: policy?.serial ?? 0,
+    policy: isNew ? { revision: policy.revision, document: policy.document } : null,
+    policyRevision: policy?.revision ?? 0,
     origins: originRows(state),
-    partners: partnerRows(state),
-    emptied: hallsOf(state)?.emptied ?? [],
+    peers: peerRows(state),
+    emptied: zonesOf(state)?.emptied ?? [],
     split: state.split,
     slices: slicesOf(state),
     seated: isSeated(state),
@@ -123,11 +123,11 @@
         return;
       }
       const change = Changes.claim(body.token, work.state.self.id, body.life, body.digest);
-      pursue(work, `claim/${body.key}`, change, { kind: 'claim', id });
+      propose(work, `claim/${body.key}`, change, { kind: 'claim', id });
       return;
     }
     case 'settle':
-      pursue(work, `claim/${body.key}`, Changes.settle(body.token, body.state), {
+      propose(work, `claim/${body.key}`, Changes.settle(body.token, body.state), {
         kind: 'settle',
         id,
       });
--- a/packages/agent/src/lease.test.ts
+++ b/packages/agent/src/lease.test.ts
@@ -80,7 +80,7 @@
   const agent = new AgentUnderTest();
   const shown: Readonly<Record<string, object>> = {
     a: { policy: ballotOf(9) },
-    b: { halls: ballotOf(9) },
+    b: { zones: ballotOf(9) },
     c: { plan: ballotOf(9) },
   };
   for (const call of pullsIn(agent.beat(100)))
--- a/packages/agent/src/membership-reoffer.test.ts
+++ b/packages/agent/src/membership-reoffer.test.ts
@@ -35,7 +35,7 @@
   [address, disk]: readonly [string, string],
   apart: readonly string[],
 ): void => {
-  const known = cluster.clients.p?.voters?.value;
+  const known = cluster.clients.p?.members?.value;
   if (known === undefined) throw new Error('the client knows no members');
   propose(cluster, 'p', { kind: 'replace', known, gone, place: address, disk, address }, apart);
 };
@@ -80,7 +80,7 @@
   // Epoch 4 gives the place of e to d, which is blank still.
   cluster.messages = [];
   replace(cluster, 'e', ['d', 'disk-4'], ['d']);
-  t.is(cluster.clients.p?.voters?.value.epoch, 4);
+  t.is(cluster.clients.p?.members?.value.epoch, 4);
   // The answers of epoch 2 come; then a client of epoch 4 reaches a and d alone.
   cluster.messages = slow;
   settle(cluster);
@@ -88,7 +88,7 @@
     cluster.tellClient(name, { kind: 'look', address: 'b' });
     settle(cluster);
   }
-  t.is(cluster.clients.q?.voters?.value.epoch, 4);
+  t.is(cluster.clients.q?.members?.value.epoch, 4);
   propose(cluster, 'q', { kind: 'append', id: 'q1' }, ['b', 'e']);
   t.deepEqual(cluster.history.violations, []);
 });
--- a/packages/agent/src/membership.test.ts
+++ b/packages/agent/src/membership.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava';
 import { Beats, Limits } from '@reedyard/constants';
-import type { ReplicaReply, VotersTold } from '@reedyard/replica';
+import type { ReplicaReply, CommittedMembership } from '@reedyard/replica';
 import { Agent } from './core.js';
 import type { AgentEffect, AgentEvent, NodeRecord } from './terms.js';
 
 // Which change of the membership an agent opens, and when: its reducer alone, answered by hand.
 
-const committed: VotersTold = {
+const committed: CommittedMembership = {
   ballot: [1, 'founding'],
   value: {
     epoch: 1,
@@ -37,7 +37,7 @@
     this.#state = Agent.open({
       self: {
         id: 'core-a',
-        hall: 'zone-1',
+        zone: 'zone-1',
         region: 'home',
         address: 'a/agent',
         proxy: null,
@@ -58,16 +58,16 @@
         this.proposals.push(`${String(effect.fields.instead)} by ${String(effect.fields.member)}`);
       }
       if (effect.kind !== 'call' || effect.path !== '/replica') continue;
-      const { call, voters } = effect.body;
-      const isBallot = call.kind === 'prepare' && call.key === 'voters';
+      const { call, members } = effect.body;
+      const isBallot = call.kind === 'prepare' && call.key === 'members';
       if (isBallot) this.prepared.push({ at: this.now, to: effect.to });
-      const reply = isBallot ? null : this.#replyOf(effect.to, voters);
+      const reply = isBallot ? null : this.#replyOf(effect.to, members);
       if (reply !== null)
         this.step({ kind: 'returned', id: effect.id, body: reply, now: this.now });
     }
   }
 
-  #replyOf(address: string, voters: VotersTold | null): ReplicaReply | null {
+  #replyOf(address: string, members: CommittedMembership | null): ReplicaReply | null {
     const manner = this.manners[address] ?? 'silent';
     const drops = this.drops[address] ?? 0;
     if (drops > 0) {
@@ -77,9 +77,9 @@
     const disk = `disk-${address}`;
     if (manner === 'silent') return null;
     if (manner === 'blank') return { kind: 'away', disk: spareDisk, fresh: true, informed: true };
-    if (voters === null) return { kind: 'stale', disk, voters: committed };
+    if (members === null) return { kind: 'stale', disk, members: committed };
     const more = manner === 'leaving' ? { leaving: true as const } : {};
-    const ballots = { voters: committed.ballot };
+    const ballots = { members: committed.ballot };
     return { kind: 'pulled', disk, seq: 0, reset: false, more: false, facts: [], ballots, ...more };
   }
 
@@ -93,7 +93,7 @@
   hear(id: string, address: string, disk: string, fresh: boolean): void {
     const record: NodeRecord = {
       id,
-      hall: 'zone-1',
+      zone: 'zone-1',
       region: 'home',
       address: `${address}/agent`,
       proxy: null,
@@ -104,7 +104,7 @@
       wants: {},
     };
     this.#calls += 1;
-    const tellings = { [`node/${id}`]: { serial: this.#calls, value: record } };
+    const tellings = { [`node/${id}`]: { revision: this.#calls, value: record } };
     const body = { kind: 'push', tellings } as const;
     this.step({ kind: 'asked', id: this.#calls, body, now: this.now });
   }
--- a/packages/agent/src/membership.ts
+++ b/packages/agent/src/membership.ts
@@ -1,6 +1,6 @@
 import { Beats, Limits } from '@reedyard/constants';
-import type { ReplicaReply, Voters } from '@reedyard/replica';
-import { pursue } from './ballots.js';
+import type { ReplicaReply, Members } from '@reedyard/replica';
+import { propose } from './ballots.js';
 import { Changes } from './changes.js';
 import { replicasHeard, heartbeat, nodesOf, type ReplicaHeard } from './network.js';
 import { pullNow } from './pulls.js';
@@ -11,7 +11,7 @@
   log,
   sendToReplica,
   set,
-  votersOf,
+  membersOf,
   without,
   type ReplicaView,
   type AgentState,
@@ -54,9 +54,9 @@
  */
 export const suspicionMs = (state: AgentState): number => {
   const catchUpMs = state.voting?.catchUpMs;
-  if (catchUpMs === undefined) return Limits.voterSilence;
+  if (catchUpMs === undefined) return Limits.memberSilence;
   const left = catchUpMs / 2 - Limits.joinBudget;
-  return Math.min(Limits.voterSilence, Math.max(Limits.leastSuspicion, left));
+  return Math.min(Limits.memberSilence, Math.max(Limits.leastSuspicion, left));
 };
 
 // What this agent finds out about replicas
@@ -115,15 +115,15 @@
 };
 
 const isAlive = (state: AgentState, each: ReplicaHeard): boolean =>
-  each.id === state.self.id || state.now - each.seenAt < Limits.partnerSilence;
+  each.id === state.self.id || state.now - each.seenAt < Limits.peerSilence;
 
 /**
  * OriginStandIn replicas that gossip tells of and that have no place, nor stand at the address of
  * one.
  */
-const sparesHeard = (state: AgentState, voters: Voters): readonly ReplicaHeard[] => {
-  const disks = Object.values(voters.disks);
-  const addresses = Object.values(voters.addresses ?? {});
+const sparesHeard = (state: AgentState, members: Members): readonly ReplicaHeard[] => {
+  const disks = Object.values(members.disks);
+  const addresses = Object.values(members.addresses ?? {});
   return replicasHeard(state).filter(
     (each) =>
       isAlive(state, each) &&
@@ -139,8 +139,8 @@
 /**
  * Keeps an eye on spares, and, while one is live, on members that have not answered the last pull.
  */
-const probe = (work: Work, voters: Voters): void => {
-  const spares = sparesHeard(work.state, voters);
+const probe = (work: Work, members: Members): void => {
+  const spares = sparesHeard(work.state, members);
   if (spares.length === 0) return;
   for (const { address } of spares) {
     const heardAt = work.state.spares[address]?.at ?? -Infinity;
@@ -156,11 +156,11 @@
 // --------------------------------------------------------------------------------
 
 /** A member's disk that gossip tells of at another address than the membership does. */
-const movedMember = (state: AgentState, voters: Voters): MembershipChange | null => {
+const movedMember = (state: AgentState, members: Members): MembershipChange | null => {
   for (const each of replicasHeard(state).filter((heard) => isAlive(state, heard))) {
     const { disk, address } = each;
-    const member = Object.keys(voters.disks).find((name) => voters.disks[name] === disk);
-    if (member !== undefined && voters.addresses?.[member] !== address) {
+    const member = Object.keys(members.disks).find((name) => members.disks[name] === disk);
+    if (member !== undefined && members.addresses?.[member] !== address) {
       return { member, disk, address };
     }
   }
@@ -173,24 +173,24 @@
  */
 const bestSpare = (
   state: AgentState,
-  voters: Voters,
+  members: Members,
   spares: readonly ReplicaHeard[],
 ): ReplicaHeard | undefined => {
-  const disks = Object.values(voters.disks);
-  const members = replicasHeard(state).filter(
+  const disks = Object.values(members.disks);
+  const living = replicasHeard(state).filter(
     (each) => isAlive(state, each) && disks.includes(each.disk),
   );
-  const inZone = (zone: string): number => members.filter(({ hall }) => hall === zone).length;
-  return [...spares].sort((a, b) => inZone(a.hall) - inZone(b.hall) || (a.id < b.id ? -1 : 1))[0];
+  const inZone = (zone: string): number => living.filter((each) => each.zone === zone).length;
+  return [...spares].sort((a, b) => inZone(a.zone) - inZone(b.zone) || (a.id < b.id ? -1 : 1))[0];
 };
 
 /**
  * Whether neither gossip nor any answer has told of a member's machine for long. Another member's
  * disk that came to its address is no word of it; a blank one is, and gets the place by itself.
  */
-const isGone = (state: AgentState, member: string, voters: Voters): boolean => {
-  const disk = voters.disks[member];
-  const address = voters.addresses?.[member];
+const isGone = (state: AgentState, member: string, members: Members): boolean => {
+  const disk = members.disks[member];
+  const address = members.addresses?.[member];
   const heard = nodesOf(state).flatMap(({ record, seenAt }) => {
     const replica = record.replica;
     if (replica === null) return [];
@@ -199,7 +199,7 @@
     return tells ? [record.id === state.self.id ? state.now : seenAt] : [];
   });
   const answered = state.replicas[member]?.heardAt ?? state.now;
-  return state.now - Math.max(answered, ...heard) > Limits.voterSilence;
+  return state.now - Math.max(answered, ...heard) > Limits.memberSilence;
 };
 
 /**
@@ -210,7 +210,7 @@
  */
 const memberToReplace = (state: AgentState): string | null => {
   const silence = suspicionMs(state);
-  if (!hasReplica(state) || silence >= Limits.voterSilence) return null;
+  if (!hasReplica(state) || silence >= Limits.memberSilence) return null;
   const views = Object.entries(state.replicas);
   const silent = views.filter(
     ([, view]) => isSilent(state, view, silence) && view.unanswered >= pullsToSuspect,
@@ -226,13 +226,13 @@
 };
 
 const changeForSpare = (
-  voters: Voters,
+  members: Members,
   spare: ReplicaHeard,
   instead?: string,
 ): MembershipChange => {
-  const taken = Object.keys(voters.disks).includes(spare.address);
+  const taken = Object.keys(members.disks).includes(spare.address);
   return {
-    member: taken ? `${spare.address}/${voters.epoch + 1}` : spare.address,
+    member: taken ? `${spare.address}/${members.epoch + 1}` : spare.address,
     disk: spare.disk,
     address: spare.address,
     ...(instead === undefined ? {} : { instead }),
@@ -240,29 +240,29 @@
 };
 
 /** The change that is due by what this agent knows: a move, a further member, or a replacement. */
-const dueChange = (state: AgentState, voters: Voters): MembershipChange | null => {
-  const moved = movedMember(state, voters);
+const dueChange = (state: AgentState, members: Members): MembershipChange | null => {
+  const moved = movedMember(state, members);
   if (moved !== null) return moved;
-  const spares = sparesHeard(state, voters);
-  const spare = bestSpare(state, voters, spares);
+  const spares = sparesHeard(state, members);
+  const spare = bestSpare(state, members, spares);
   if (spare === undefined) return null;
-  if (!bearsLosses(state)) return changeForSpare(voters, spare);
+  if (!bearsLosses(state)) return changeForSpare(members, spare);
   const live = liveSpares(state);
   const answering = spares.filter((each) => live[each.address]?.disk === each.disk);
-  const liveSpare = bestSpare(state, voters, answering);
+  const liveSpare = bestSpare(state, members, answering);
   const suspected = memberToReplace(state);
   if (liveSpare !== undefined && suspected !== null) {
-    return changeForSpare(voters, liveSpare, suspected);
+    return changeForSpare(members, liveSpare, suspected);
   }
-  const gone = Object.keys(voters.disks).find((member) => isGone(state, member, voters));
-  return gone === undefined ? null : changeForSpare(voters, spare, gone);
+  const gone = Object.keys(members.disks).find((member) => isGone(state, member, members));
+  return gone === undefined ? null : changeForSpare(members, spare, gone);
 };
 
 // Opening a ballot
 // -----------------------------------------------------------------------------------
 
 const isBusy = (state: AgentState): boolean =>
-  Object.values(state.pursuits).some((each) => each.purpose.kind === 'seat');
+  Object.values(state.proposalRuns).some((each) => each.purpose.kind === 'seat');
 
 const drawsToPropose = (work: Work): boolean =>
   chance(work) < (hasReplica(work.state) ? proposeChance : helpChance);
@@ -273,28 +273,28 @@
  */
 const drawsToOffer = (work: Work): boolean => hasReplica(work.state) || chance(work) < helpChance;
 
-const propose = (work: Work, voters: Voters, change: MembershipChange): void => {
+const proposeChange = (work: Work, members: Members, change: MembershipChange): void => {
   const { member, disk, address, instead } = change;
   const named = { kind: 'seat', replica: member, disk } as const;
   log(work, 'membership.proposed', { member, disk, instead: instead ?? '' });
   if (instead === undefined) {
-    pursue(work, 'voters', Changes.seat(voters, member, disk, address), named);
+    propose(work, 'members', Changes.seat(members, member, disk, address), named);
   } else {
-    const register = Changes.replace(voters, instead, member, disk, address);
-    pursue(work, 'voters', register, { ...named, instead });
+    const register = Changes.replace(members, instead, member, disk, address);
+    propose(work, 'members', register, { ...named, instead });
   }
 };
 
 /** Opens the change that is due, if any: one at a time, and only by an agent with a lease. */
 export const tendMembership = (work: Work): void => {
   const { state } = work;
-  const voters = votersOf(state)?.value;
-  if (state.voting === null || voters?.addresses === undefined) return;
+  const members = membersOf(state)?.value;
+  if (state.voting === null || members?.addresses === undefined) return;
   if (state.now >= state.lease) return;
-  if (hasReplica(state)) probe(work, voters);
+  if (hasReplica(state)) probe(work, members);
   if (isBusy(work.state) || !drawsToPropose(work)) return;
-  const change = dueChange(work.state, voters);
-  if (change !== null) propose(work, voters, change);
+  const change = dueChange(work.state, members);
+  if (change !== null) proposeChange(work, members, change);
 };
 
 /**
@@ -307,17 +307,17 @@
   if (state.now - state.openedAt < suspicionMs(state)) return true;
   return replicasHeard(state).some(
     (each) =>
-      each.disk === disk && each.address !== own && state.now - each.seenAt < Limits.partnerSilence,
+      each.disk === disk && each.address !== own && state.now - each.seenAt < Limits.peerSilence,
   );
 };
 
 /** A blank disk that answers at a member's own address gets its place back. */
 export const offerOwnPlace = (work: Work, member: string, disk: string): void => {
-  const voters = votersOf(work.state)?.value;
-  const held = voters?.disks[member];
-  if (voters === undefined || held === disk || isBusy(work.state)) return;
+  const members = membersOf(work.state)?.value;
+  const held = members?.disks[member];
+  if (members === undefined || held === disk || isBusy(work.state)) return;
   if (livesElsewhere(work.state, member, held ?? '') || !drawsToOffer(work)) return;
-  pursue(work, 'voters', Changes.seat(voters, member, disk), {
+  propose(work, 'members', Changes.seat(members, member, disk), {
     kind: 'seat',
     replica: member,
     disk,
--- a/packages/agent/src/network.ts
+++ b/packages/agent/src/network.ts
@@ -6,18 +6,18 @@
 import {
   chance,
   closedOf,
-  hallsOf,
+  zonesOf,
   log,
   planOf,
   policyOf,
   send,
   set,
-  votersOf,
+  membersOf,
   type AgentState,
   type Work,
 } from './state.js';
 import { mayActFor } from './reachability.js';
-import type { AgentCall, Measure, NodeRecord, OriginRow, PartnerRow } from './terms.js';
+import type { AgentCall, Measure, NodeRecord, OriginRow, PeerRow } from './terms.js';
 
 /**
  * What is wanted, as it was told before where it is still about that: a record that changes is told
@@ -39,7 +39,7 @@
   );
 
 /**
- * Tells this node's own record again; each new serial is a heartbeat. It is told whole where it
+ * Tells this node's own record again; each new revision is a heartbeat. It is told whole where it
  * changed, where a life begins and now and then.
  */
 export const heartbeat = (work: Work, whole = false): void => {
@@ -50,7 +50,7 @@
   const fed = report !== null && now - report.at < Limits.lease;
   const record: NodeRecord = {
     id: self.id,
-    hall: self.hall,
+    zone: self.zone,
     region: self.region,
     address: self.address,
     proxy: self.proxy,
@@ -72,8 +72,8 @@
     set(work, { gossip: Gossip.beat(work.state.gossip, key, now) });
     return;
   }
-  // A life begins anywhere, so that the serials of two lives do not pass for one row.
-  const least = told ? 1 : 1 + Math.floor(chance(work) * Sizes.firstSerial);
+  // A life begins anywhere, so that the revisions of two lives do not pass for one row.
+  const least = told ? 1 : 1 + Math.floor(chance(work) * Sizes.firstRevision);
   set(work, { gossip: Gossip.tell(work.state.gossip, key, record, now, least) });
 };
 
@@ -87,30 +87,30 @@
   }));
 
 const liveNow = (state: AgentState, seenAt: number, id: string): boolean =>
-  id === state.self.id || state.now - seenAt < Limits.partnerSilence;
+  id === state.self.id || state.now - seenAt < Limits.peerSilence;
 
 /** Nodes with a proxy that may be given forwarded requests or slices. */
 export const servingNodes = (state: AgentState): readonly NodeRecord[] => {
-  const emptied = hallsOf(state)?.emptied ?? [];
+  const emptied = zonesOf(state)?.emptied ?? [];
   return nodesOf(state).flatMap(({ record, seenAt }) =>
     record.proxy !== null &&
     record.ready &&
     liveNow(state, seenAt, record.id) &&
-    !emptied.includes(record.hall)
+    !emptied.includes(record.zone)
       ? [record]
       : [],
   );
 };
 
 /**
- * Nodes that hold slices. Those of a hall just emptied keep them while they still answer
+ * Nodes that hold slices. Those of a zone just emptied keep them while they still answer
  * stragglers.
  */
 export const seatedNodes = (state: AgentState): readonly NodeRecord[] => {
-  const settled = state.now - (state.registers.halls?.at ?? 0) > Limits.lease + Limits.emptyGrace;
-  const emptied = settled ? (hallsOf(state)?.emptied ?? []) : [];
+  const settled = state.now - (state.registers.zones?.at ?? 0) > Limits.lease + Limits.emptyGrace;
+  const emptied = settled ? (zonesOf(state)?.emptied ?? []) : [];
   return nodesOf(state).flatMap(({ record, seenAt }) =>
-    record.staying && liveNow(state, seenAt, record.id) && !emptied.includes(record.hall)
+    record.staying && liveNow(state, seenAt, record.id) && !emptied.includes(record.zone)
       ? [record]
       : [],
   );
@@ -180,7 +180,7 @@
   send(work, target, body, {
     kind: 'exchange',
     to: target,
-    partner: oldest !== null && target === oldest.address ? oldest.id : null,
+    peer: oldest !== null && target === oldest.address ? oldest.id : null,
   });
   set(work, {
     gossip: {
@@ -194,7 +194,7 @@
   });
 };
 
-/** Takes in tellings; one's own that came back with a higher serial are told again above it. */
+/** Takes in tellings; one's own that came back with a higher revision are told again above it. */
 export const learn = (work: Work, tellings: Exchanged['newer']): void => {
   const before = work.state;
   const learned = Gossip.learn(before.gossip, tellings, before.now);
@@ -221,7 +221,7 @@
 /** A replica as gossip tells of it. */
 export type ReplicaHeard = {
   readonly id: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly address: string;
   readonly disk: string;
   readonly fresh: boolean;
@@ -229,10 +229,10 @@
 };
 
 const findReplicas = (state: AgentState): readonly ReplicaHeard[] => {
-  const heard = nodesOf(state).flatMap(({ record: { id, hall, replica }, seenAt }) => {
+  const heard = nodesOf(state).flatMap(({ record: { id, zone, replica }, seenAt }) => {
     if (replica?.disk === undefined) return [];
     const { address, disk, fresh = false } = replica;
-    return [{ id, hall, address, disk, fresh, seenAt }];
+    return [{ id, zone, address, disk, fresh, seenAt }];
   });
   const isOutdated = (each: ReplicaHeard): boolean =>
     heard.some((other) => other.disk === each.disk && other.seenAt > each.seenAt);
@@ -256,12 +256,12 @@
 };
 
 /**
- * A replica's machine may come back at another address; its name stays its place among the voters.
- * Where voters found themselves from seeds its disk tells its place, and a ballot then notes the
+ * A replica's machine may come back at another address; its name stays its place among the members.
+ * Where members found themselves from seeds its disk tells its place, and a ballot then notes the
  * address.
  */
 const adoptReplicas = (work: Work): void => {
-  const disks = votersOf(work.state)?.value.disks ?? {};
+  const disks = membersOf(work.state)?.value.disks ?? {};
   const heard =
     work.state.voting === null
       ? nodesOf(work.state).flatMap(({ record }) =>
@@ -286,7 +286,7 @@
   }
 };
 
-/** Pings partners that were not yet measured, and a drawn few of the others. */
+/** Pings peers that were not yet measured, and a drawn few of the others. */
 export const pingAll = (work: Work): void => {
   if (work.state.self.proxy === null) return;
   for (const { record } of nodesOf(work.state)) {
@@ -357,12 +357,12 @@
  * route, at those of another one.
  */
 const placesOf = (
-  allowed: readonly { readonly id: string; readonly hall: string }[],
-  members: readonly { readonly id: string; readonly hall: string }[],
+  allowed: readonly { readonly id: string; readonly zone: string }[],
+  members: readonly { readonly id: string; readonly zone: string }[],
 ): ((client: string) => readonly string[]) => {
   const byZone = new Map<string, string[]>();
-  for (const { id, hall } of allowed) byZone.set(hall, [...(byZone.get(hall) ?? []), id]);
-  const zones = new Map(members.map(({ id, hall }) => [id, hall]));
+  for (const { id, zone } of allowed) byZone.set(zone, [...(byZone.get(zone) ?? []), id]);
+  const zones = new Map(members.map(({ id, zone }) => [id, zone]));
   return (client) => {
     const zone = zones.get(client) ?? '';
     return byZone.get(zone) ?? byZone.get(holderOf(zone, [...byZone.keys()]) ?? '') ?? [];
@@ -384,11 +384,11 @@
   const me = { id: state.self.id, region: state.self.region };
   const members = [
     ...new Map([
-      ...[...serving.values()].map(({ id, hall }) => [id, hall] as const),
-      [me.id, state.self.hall] as const,
+      ...[...serving.values()].map(({ id, zone }) => [id, zone] as const),
+      [me.id, state.self.zone] as const,
     ]),
   ]
-    .map(([id, hall]) => ({ id, hall }))
+    .map(([id, zone]) => ({ id, zone }))
     .sort((a, b) => (a.id < b.id ? -1 : 1));
   const vectors: Record<string, Vector> = {};
   for (const [key, value, seenAt] of Gossip.all(state.gossip, 'vector/')) {
@@ -438,10 +438,10 @@
   if (state.factKeys[withdrawnKey(description.instance)] !== undefined) return 'withdrawn';
   if (description.draining || state.factKeys[drainKey(description)] !== undefined)
     return 'draining';
-  if (closedOf(state).includes(description.hall))
-    return hallsOf(state)?.emptied.includes(description.hall) === true
-      ? 'its hall is emptied'
-      : 'the origins of its hall get nothing';
+  if (closedOf(state).includes(description.zone))
+    return zonesOf(state)?.emptied.includes(description.zone) === true
+      ? 'its zone is emptied'
+      : 'the origins of its zone get nothing';
   return null;
 };
 
@@ -452,11 +452,11 @@
 export const withdrawnKey = (instance: string): string => `withdrawn/${instance}`;
 
 /**
- * Whether what an origin of a hall said at some time is too old to be trusted as warm: its hall was
+ * Whether what an origin of a zone said at some time is too old to be trusted as warm: its zone was
  * taken back since.
  */
-export const inDoubt = (state: AgentState, hall: string, heardAt: number): boolean =>
-  heardAt < (state.reopened[hall] ?? -Infinity) + Limits.warmDoubt;
+export const inDoubt = (state: AgentState, zone: string, heardAt: number): boolean =>
+  heardAt < (state.reopened[zone] ?? -Infinity) + Limits.warmDoubt;
 
 const isOlder = (told: Description, known: Description): boolean =>
   told.incarnation < known.incarnation ||
@@ -530,7 +530,7 @@
   const services = policyOf(state)?.document.services ?? {};
   return originsOf(state).flatMap(({ description, heardAt, barred: why }): readonly OriginRow[] => {
     if (why !== null) return [];
-    const cold = description.state === 'cold' || inDoubt(state, description.hall, heardAt);
+    const cold = description.state === 'cold' || inDoubt(state, description.zone, heardAt);
     const mine = slices[description.service] ?? {};
     const carried = rateOf(mine, state.self.id, description.capacity ?? Infinity);
     const service = services[description.service];
@@ -544,7 +544,7 @@
         instance: description.instance,
         incarnation: description.incarnation,
         address: description.address,
-        hall: description.hall,
+        zone: description.zone,
         region: description.region,
         capacity: description.capacity ?? description.slots ?? 1,
         slots: description.slots ?? null,
@@ -575,7 +575,7 @@
   );
 };
 
-export const partnerRows = (state: AgentState): readonly PartnerRow[] =>
+export const peerRows = (state: AgentState): readonly PeerRow[] =>
   servingNodes(state)
     .flatMap((record) =>
       record.id === state.self.id || record.proxy === null
@@ -583,9 +583,9 @@
         : [
             {
               id: record.id,
-              hall: record.hall,
+              zone: record.zone,
               region: record.region,
-              address: record.proxy.partners,
+              address: record.proxy.peers,
               delay: delayTo(state, record.id) ?? Weights.fetchPenalty,
             },
           ],
--- a/packages/agent/src/operators.ts
+++ b/packages/agent/src/operators.ts
@@ -6,9 +6,9 @@
 import { rateOf } from '@reedyard/quota-division';
 import { Gossip } from '@reedyard/gossip';
 import type { Description } from '@reedyard/schemas';
-import { tooFewVoters, unreached, type ApiAnswer } from './answers.js';
-import { pursue } from './ballots.js';
-import { lapsedSerial } from './change-ids.js';
+import { tooFewMembers, unreached, type ApiAnswer } from './answers.js';
+import { propose } from './ballots.js';
+import { lapsedRevision } from './change-ids.js';
 import { Changes } from './changes.js';
 import { isSeated } from './feed.js';
 import {
@@ -27,7 +27,7 @@
 import { nodeStatus } from './status.js';
 import {
   bearsLosses,
-  hallsOf,
+  zonesOf,
   planOf,
   policyOf,
   set,
@@ -46,7 +46,7 @@
 const isTold = (state: AgentState, key: string, told: Description): boolean => {
   const held = state.gossip.records[key];
   if (held === undefined || held.forgotten) return false;
-  if (state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.hall, held.seenAt))
+  if (state.now - held.seenAt >= Beats.originTold || inDoubt(state, told.zone, held.seenAt))
     return false;
   const known = held.value as Description;
   const fields = new Set([...Object.keys(told), ...Object.keys(known)] as (keyof Description)[]);
@@ -98,7 +98,7 @@
   const why = barred(work.state, told);
   const done = { recorded: true, admitted: why === null, ...(why === null ? {} : { reason: why }) };
   if (!told.draining) answer(work, id, { status: 200, body: done });
-  else if (!bearsLosses(work.state)) answer(work, id, tooFewVoters);
+  else if (!bearsLosses(work.state)) answer(work, id, tooFewMembers);
   else if (isUnreachable(work.state) && work.state.posted[drainKey(told)] !== true)
     answer(work, id, unreachableAnswer);
   else postOnce(work, drainKey(told), id, done);
@@ -118,7 +118,7 @@
   if (state.report === null || state.now - state.report.at >= Limits.lease)
     return 'its proxy does not ask for news';
   if (state.report.report.stopping) return 'its proxy is leaving';
-  if (hallsOf(state)?.emptied.includes(state.self.hall) === true) return 'its hall is emptied';
+  if (zonesOf(state)?.emptied.includes(state.self.zone) === true) return 'its zone is emptied';
   return isSeated(state) ? null : 'the division has not given it its slices yet';
 };
 
@@ -143,7 +143,7 @@
   return { status: 200, body: { holder, term, beat, services: Object.fromEntries(services) } };
 };
 
-const partners = (state: AgentState): ApiAnswer => {
+const peers = (state: AgentState): ApiAnswer => {
   const rows = nodesOf(state).map(({ record, seenAt }) => ({
     ...record,
     self: record.id === state.self.id,
@@ -151,7 +151,7 @@
     delaySeconds: delayTo(state, record.id),
   }));
   const view = state.gossip.view.map((each) => each.id);
-  return { status: 200, body: { node: state.self.id, view, partners: rows } };
+  return { status: 200, body: { node: state.self.id, view, peers: rows } };
 };
 
 const putPolicy = (
@@ -159,25 +159,25 @@
   id: number,
   { document, ifMatch, changeId }: ActionOf<'put-policy'>,
 ): void => {
-  const lapsed = lapsedSerial(work.state, 'policy');
+  const lapsed = lapsedRevision(work.state, 'policy');
   const change = Changes.policy({ document, ifMatch, changeId, lapsed });
-  pursue(work, 'policy', change, { kind: 'put-policy', id, changeId });
+  propose(work, 'policy', change, { kind: 'put-policy', id, changeId });
 };
 
 const orderZone = (
   work: Work,
   id: number,
-  { hall, order, of, changeId }: ActionOf<'hall'>,
+  { zone, order, of, changeId }: ActionOf<'zone'>,
 ): void => {
-  const lapsed = lapsedSerial(work.state, 'halls');
-  const change = Changes.zone({ hall, order, of, changeId, lapsed });
-  pursue(work, 'halls', change, { kind: 'hall', id, changeId });
+  const lapsed = lapsedRevision(work.state, 'zones');
+  const change = Changes.zone({ zone, order, of, changeId, lapsed });
+  propose(work, 'zones', change, { kind: 'zone', id, changeId });
 };
 
 /** Whether an action changes what must survive the loss of disks. */
 const isOrder = (action: Action): boolean =>
   action.kind === 'put-policy' ||
-  action.kind === 'hall' ||
+  action.kind === 'zone' ||
   action.kind === 'purge' ||
   action.kind === 'withdraw';
 
@@ -186,7 +186,7 @@
   switch (action.kind) {
     case 'put-policy':
     case 'get-policy':
-    case 'hall':
+    case 'zone':
     case 'purge':
       return true;
     case 'withdraw':
@@ -200,7 +200,7 @@
 export const operator = (work: Work, id: number, action: Action): void => {
   const { state } = work;
   if (isOrder(action) && !bearsLosses(state)) {
-    answer(work, id, tooFewVoters);
+    answer(work, id, tooFewMembers);
     return;
   }
   if (needsMajority(state, action) && isUnreachable(state)) {
@@ -212,9 +212,9 @@
       putPolicy(work, id, action);
       return;
     case 'get-policy':
-      pursue(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id });
+      propose(work, 'policy', () => ({ kind: 'keep' }), { kind: 'get-policy', id });
       return;
-    case 'hall':
+    case 'zone':
       orderZone(work, id, action);
       return;
     case 'purge': {
@@ -234,8 +234,8 @@
     case 'shares':
       answer(work, id, shares(state));
       return;
-    case 'partners':
-      answer(work, id, partners(state));
+    case 'peers':
+      answer(work, id, peers(state));
       return;
     case 'ready':
       answer(work, id, readiness(state));
--- a/packages/agent/src/orders.model.test.ts
+++ b/packages/agent/src/orders.model.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava';
 import { Schemas, type Policy } from '@reedyard/schemas';
 import { Changes, type RegisterChange } from './changes.js';
-import { hallsValueOf } from './state.js';
+import { zonesValueOf } from './state.js';
 import type { PolicyValue } from './terms.js';
 
 /**
@@ -301,7 +301,7 @@
 const zoneChange =
   (order: 'empty' | 'take-back') =>
   (changeId: string): RegisterChange =>
-    Changes.zone({ hall: 'west', order, of: 'origins', changeId, lapsed: 0 });
+    Changes.zone({ zone: 'west', order, of: 'origins', changeId, lapsed: 0 });
 
 /**
  * One operator that evacuates a zone and takes it back, each until it is acknowledged or given up.
@@ -323,7 +323,7 @@
  * the take-back is sent.
  */
 const wrongZone = (world: World): string | null => {
-  const isClosed = hallsValueOf(world.value).closedOrigins.includes('west');
+  const isClosed = zonesValueOf(world.value).closedOrigins.includes('west');
   const isTakeBackSent = world.attempts.some((each) => each.order === 1);
   if (world.ends[1] === 'acknowledged' && isClosed) return lateReaders(world);
   if (world.ends[0] === 'acknowledged' && !isTakeBackSent && !isClosed)
--- a/packages/agent/src/pulls.ts
+++ b/packages/agent/src/pulls.ts
@@ -1,22 +1,27 @@
 import { Beats, Limits, Sizes } from '@reedyard/constants';
 import { Ballots, majorityOf, type Ballot } from '@reedyard/consensus';
-import { newerVoters, type ReplicaReply, type Voters, type VotersTold } from '@reedyard/replica';
+import {
+  newerMembers,
+  type ReplicaReply,
+  type Members,
+  type CommittedMembership,
+} from '@reedyard/replica';
 import type { Plan } from '@reedyard/quota-division';
-import { countAnew, pursue } from './ballots.js';
+import { countAnew, propose } from './ballots.js';
 import { hasAccepted, isLow, isOverdue, renewLease, stackPull } from './lease.js';
 import { discoverMembers, noteOwnReplica, noteSpare, offerOwnPlace } from './membership.js';
 import { isProbeDue, isProbing } from './reachability.js';
-import type { HallsValue } from './terms.js';
+import type { ZonesValue } from './terms.js';
 import { replicaAnswer } from './status.js';
 import {
   replicaView,
   chance,
   counts,
-  hallsValueOf,
+  zonesValueOf,
   log,
   sendToReplica,
   set,
-  votersOf,
+  membersOf,
   watched,
   without,
   type ReplicaView,
@@ -73,30 +78,30 @@
 
 /** What a replica tells of itself and of the committed membership, wherever it was asked from. */
 export const tookLook = (work: Work, address: string, reply: ReplicaReply): void => {
-  if (reply.kind === 'stale' && reply.voters !== null) learnTold(work, reply.voters);
+  if (reply.kind === 'stale' && reply.members !== null) learnTold(work, reply.members);
   noteSpare(work, address, reply);
   if (address === work.state.self.replica?.address) noteOwnReplica(work, reply);
 };
 
-/** Voters that a replica was told are chosen. */
-const learnTold = (work: Work, told: VotersTold): void => {
-  if (newerVoters(told, votersOf(work.state)))
-    learnRegister(work, 'voters', told.ballot, told.value);
+/** Members that a replica was told are chosen. */
+const learnTold = (work: Work, told: CommittedMembership): void => {
+  if (newerMembers(told, membersOf(work.state)))
+    learnRegister(work, 'members', told.ballot, told.value);
 };
 
 /**
- * The places that are asked and counted are those of the voters; what is known of a place's disk is
- * kept.
+ * The places that are asked and counted are those of the members; what is known of a place's disk
+ * is kept.
  */
-const takePlaces = (work: Work, before: Voters | undefined, voters: Voters): void => {
+const takePlaces = (work: Work, before: Members | undefined, members: Members): void => {
   if (work.state.voting === null) return;
   const { replicas, now } = work.state;
   set(work, {
     replicas: Object.fromEntries(
-      Object.entries(voters.addresses ?? {}).map(([place, address]) => {
+      Object.entries(members.addresses ?? {}).map(([place, address]) => {
         const view = replicas[place];
         const same =
-          before?.disks[place] === voters.disks[place] &&
+          before?.disks[place] === members.disks[place] &&
           (before?.addresses?.[place] === address || view?.address === address);
         return [place, view !== undefined && same ? view : replicaView(address, now)];
       }),
@@ -109,15 +114,15 @@
 };
 
 /**
- * Halls taken back since the orders known before: what their origins said until now is not trusted.
+ * Zones taken back since the orders known before: what their origins said until now is not trusted.
  */
-const noteReopened = (work: Work, before: HallsValue, now: HallsValue): void => {
-  const opened = Object.entries(now.reopened).filter(([, serial]) => serial > before.serial);
+const noteReopened = (work: Work, before: ZonesValue, now: ZonesValue): void => {
+  const opened = Object.entries(now.reopened).filter(([, revision]) => revision > before.revision);
   if (opened.length > 0)
     set(work, {
       reopened: {
         ...work.state.reopened,
-        ...Object.fromEntries(opened.map(([hall]) => [hall, work.state.now])),
+        ...Object.fromEntries(opened.map(([zone]) => [zone, work.state.now])),
       },
     });
 };
@@ -128,8 +133,8 @@
   // A ballot may write an epoch again after the next one was chosen.
   if (
     known !== undefined &&
-    (key === 'voters'
-      ? !newerVoters({ ballot, value: value as Voters }, votersOf(work.state))
+    (key === 'members'
+      ? !newerMembers({ ballot, value: value as Members }, membersOf(work.state))
       : Ballots.compare(ballot, known.ballot) <= 0)
   )
     return;
@@ -144,15 +149,18 @@
     const { planSeen } = work.state;
     if (plan.term !== planSeen.term || plan.beat !== planSeen.beat)
       set(work, { planSeen: { term: plan.term, beat: plan.beat, at: work.state.now } });
-  } else if (key === 'voters') {
-    const voters = value as Voters;
-    log(work, 'voters.in-force', { epoch: voters.epoch, voters: Object.keys(voters.disks).length });
-    takePlaces(work, known?.value as Voters | undefined, voters);
+  } else if (key === 'members') {
+    const members = value as Members;
+    log(work, 'members.in-force', {
+      epoch: members.epoch,
+      members: Object.keys(members.disks).length,
+    });
+    takePlaces(work, known?.value as Members | undefined, members);
     countAnew(work);
     // Those who don't know them yet learn them now, not with the next regular pull.
     set(work, { due: { ...work.state.due, pull: work.state.now } });
-  } else log(work, `${key}.in-force`, { serial: (value as { serial: number }).serial });
-  if (key === 'halls') noteReopened(work, hallsValueOf(known?.value), hallsValueOf(value));
+  } else log(work, `${key}.in-force`, { revision: (value as { revision: number }).revision });
+  if (key === 'zones') noteReopened(work, zonesValueOf(known?.value), zonesValueOf(value));
   renewLease(work);
 };
 
@@ -212,9 +220,11 @@
     set(work, { hanging: { ...state.hanging, [key]: { ballot, since: state.now } } });
     return;
   }
-  const repairing = Object.values(state.pursuits).some((pursuit) => pursuit.key === key);
+  const repairing = Object.values(state.proposalRuns).some(
+    (proposalRun) => proposalRun.key === key,
+  );
   if (state.now - seen.since <= Limits.hanging || repairing || chance(work) >= 0.1) return;
-  pursue(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
+  propose(work, key, () => ({ kind: 'keep' }), { kind: 'repair' });
 };
 
 /** What the last pulls show of each register: fetch what is chosen, repair what hangs. */
@@ -233,7 +243,7 @@
   cells: [
     ...watched.flatMap((key) => {
       const known = state.registers[key];
-      return key === 'voters' || known === undefined
+      return key === 'members' || known === undefined
         ? []
         : [[key, { ballot: known.ballot, value: known.value }] as const];
     }),
@@ -243,56 +253,56 @@
 });
 
 /** Tells a replica that founded the state anew the next page of what is known here. */
-const retell = (work: Work, name: string, epoch: number): void => {
+const restore = (work: Work, name: string, epoch: number): void => {
   const view = work.state.replicas[name];
   if (view === undefined) return;
   const begun =
-    view.retold !== null && view.retold.epoch === epoch
-      ? view.retold
+    view.restored !== null && view.restored.epoch === epoch
+      ? view.restored
       : { epoch, told: toldBefore(work.state), count: 0, sentAt: -Infinity };
   if (work.state.now - begun.sentAt < Limits.pull) return;
   const { cells, facts } = begun.told;
-  const [from, to] = [begun.count, begun.count + Sizes.retellPage];
+  const [from, to] = [begun.count, begun.count + Sizes.restorePage];
   const page = {
     cells: cells.slice(from, to),
     facts: facts.slice(Math.max(0, from - cells.length), Math.max(0, to - cells.length)),
   };
   if (page.cells.length + page.facts.length === 0) return;
   if (from === 0)
-    log(work, 'register.retold', { replica: name, registers: cells.length, facts: facts.length });
-  change(work, name, { retold: { ...begun, sentAt: work.state.now } });
+    log(work, 'register.restored', { replica: name, registers: cells.length, facts: facts.length });
+  change(work, name, { restored: { ...begun, sentAt: work.state.now } });
   sendToReplica(
     work,
     view.address,
-    { kind: 'retell', ...page },
-    { kind: 'retell', replica: name, epoch, upTo: from + page.cells.length + page.facts.length },
+    { kind: 'restore', ...page },
+    { kind: 'restore', replica: name, epoch, upTo: from + page.cells.length + page.facts.length },
   );
 };
 
 /** The page was taken: the next one follows. */
-export const tookRetold = (
+export const tookRestored = (
   work: Work,
   name: string,
   epoch: number,
   upTo: number,
   reply: ReplicaReply,
 ): void => {
-  const retold = work.state.replicas[name]?.retold;
-  if (reply.kind !== 'retold' || !retold || retold.epoch !== epoch) return;
-  change(work, name, { retold: { ...retold, count: upTo, sentAt: -Infinity } });
-  retell(work, name, epoch);
+  const restored = work.state.replicas[name]?.restored;
+  if (reply.kind !== 'restored' || !restored || restored.epoch !== epoch) return;
+  change(work, name, { restored: { ...restored, count: upTo, sentAt: -Infinity } });
+  restore(work, name, epoch);
 };
 
 /**
- * A replica names only voters that it was told are chosen: one such word is enough. Where the state
- * was founded anew after a loss, those who did so apart may differ, and a majority of places must
- * name the same.
+ * A replica names only members that it was told are chosen: one such word is enough. Where the
+ * state was founded anew after a loss, those who did so apart may differ, and a majority of places
+ * must name the same.
  */
-const learnVoters = (work: Work, told: VotersTold | null): void => {
+const learnMembers = (work: Work, told: CommittedMembership | null): void => {
   if (
     told !== null &&
-    (told.value.refounded ?? 0) === (votersOf(work.state)?.value.refounded ?? 0) &&
-    votersOf(work.state) !== null
+    (told.value.refounded ?? 0) === (membersOf(work.state)?.value.refounded ?? 0) &&
+    membersOf(work.state) !== null
   ) {
     learnTold(work, told);
     return;
@@ -305,7 +315,7 @@
     if (
       named.filter((other) => Ballots.compare(other.ballot, each.ballot) === 0).length >= majority
     )
-      learnRegister(work, 'voters', each.ballot, each.value);
+      learnRegister(work, 'members', each.ballot, each.value);
   }
 };
 
@@ -316,13 +326,13 @@
     change(work, name, { heardAt: work.state.now, unanswered: 0 });
   }
   if (reply.kind === 'stale') {
-    change(work, name, { call: null, pulled: null, named: reply.voters });
-    learnVoters(work, reply.voters);
+    change(work, name, { call: null, pulled: null, named: reply.members });
+    learnMembers(work, reply.members);
     return;
   }
-  if (reply.kind === 'settling' && counts(work.state, name, reply.disk)) {
+  if (reply.kind === 'recovering' && counts(work.state, name, reply.disk)) {
     change(work, name, { call: null, pulled: null });
-    retell(work, name, reply.epoch);
+    restore(work, name, reply.epoch);
     return;
   }
   if (reply.kind !== 'pulled' || !counts(work.state, name, reply.disk)) {
--- a/packages/agent/src/duty.ts
+++ b/packages/agent/src/quota-leadership.ts
@@ -9,24 +9,24 @@
   type Slices,
 } from '@reedyard/quota-division';
 import { Routes } from '@reedyard/schemas';
-import { pursue } from './ballots.js';
+import { propose } from './ballots.js';
 import { Changes } from './changes.js';
 import { chance, log, planOf, policyOf, set, type Work } from './state.js';
 import { boundsOf, seatedNodes } from './network.js';
 
 const busy = (work: Work): boolean =>
-  Object.values(work.state.pursuits).some((pursuit) => pursuit.purpose.kind === 'plan');
+  Object.values(work.state.proposalRuns).some((proposalRun) => proposalRun.purpose.kind === 'plan');
 
 /** The holder's beat: renew the term and move slices to where the demand is. */
 const renew = (work: Work, current: Plan): void => {
   const { state } = work;
-  const duty = state.duty;
-  if (duty === null) return;
-  const held = duty.held.filter((each) => each.until > state.now);
+  const quotaLeadership = state.quotaLeadership;
+  if (quotaLeadership === null) return;
+  const held = quotaLeadership.held.filter((each) => each.until > state.now);
   const nodes = seatedNodes(state);
   const seats: readonly Seat[] = nodes.map((record) => ({
     edge: record.id,
-    hall: record.hall,
+    zone: record.zone,
     region: record.region,
   }));
   const policy = policyOf(state)?.document;
@@ -77,34 +77,34 @@
   };
   // What is in force now may be held by others for a lease after its successor is chosen.
   set(work, {
-    duty: {
-      ...duty,
+    quotaLeadership: {
+      ...quotaLeadership,
       held: [
         ...held,
         { slices: current.slices, until: state.now + Limits.regrant + Limits.proposal },
       ],
     },
   });
-  pursue(work, 'plan', Changes.plan(goal), { kind: 'plan', goal });
+  propose(work, 'plan', Changes.plan(goal), { kind: 'plan', goal });
 };
 
-/** Renews the duty where this node has it, and takes it where nobody does. */
-export const tendDuty = (work: Work): void => {
+/** Renews the quota leadership where this node has it, and takes it where nobody does. */
+export const tendQuotaLeadership = (work: Work): void => {
   const { state } = work;
   if (state.now >= state.lease || busy(work)) return;
   const current = planOf(state);
   if (
-    state.duty !== null &&
+    state.quotaLeadership !== null &&
     current !== null &&
     current.holder === state.self.id &&
-    current.term === state.duty.term
+    current.term === state.quotaLeadership.term
   ) {
     renew(work, current);
     return;
   }
-  if (state.duty !== null) {
-    log(work, 'duty.lost', { term: state.duty.term, how: 'another holder' });
-    set(work, { duty: null });
+  if (state.quotaLeadership !== null) {
+    log(work, 'quota-leadership.lost', { term: state.quotaLeadership.term, how: 'another holder' });
+    set(work, { quotaLeadership: null });
   }
   if (policyOf(state) === null) return;
   const vacant = current === null || state.now - state.planSeen.at > Limits.vacancy;
@@ -116,5 +116,5 @@
     slices: current?.slices ?? {},
     seated: current?.seated ?? [],
   };
-  pursue(work, 'plan', Changes.takeDuty(current, goal), { kind: 'plan', goal });
+  propose(work, 'plan', Changes.takeQuotaLeadership(current, goal), { kind: 'plan', goal });
 };
--- a/packages/agent/src/reachability.test.ts
+++ b/packages/agent/src/reachability.test.ts
@@ -7,7 +7,7 @@
 import { AgentUnderTest, ballotOf, pulledReply, type AddressedCall } from './replicas.fixture.js';
 import type { Action } from './terms.js';
 
-const voters = {
+const members = {
   ballot: ballotOf(1),
   value: { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } },
 };
@@ -18,7 +18,7 @@
   incarnation: 0,
   address: '127.0.0.1:20',
   region: 'r',
-  hall: 'west',
+  zone: 'west',
   slots: 8,
   state: 'warm',
   draining: false,
@@ -55,9 +55,13 @@
     fresh: true,
     informed: true,
   }),
-  'it was told of other members': (replica) => ({ kind: 'stale', disk: `disk-${replica}`, voters }),
+  'it was told of other members': (replica) => ({
+    kind: 'stale',
+    disk: `disk-${replica}`,
+    members,
+  }),
   'it waits for what was known': (replica) => ({
-    kind: 'settling',
+    kind: 'recovering',
     disk: `disk-${replica}`,
     epoch: 1,
   }),
@@ -65,7 +69,7 @@
     ...pulledReply(replica),
     disk: `new-${replica}`,
   }),
-  'it shows what is not known here': (replica) => pulledReply(replica, { halls: ballotOf(9) }),
+  'it shows what is not known here': (replica) => pulledReply(replica, { zones: ballotOf(9) }),
 };
 
 for (const [what, reply] of Object.entries(refusals)) {
@@ -112,7 +116,7 @@
     agent.run(until, ({ replica, call }) => {
       if (call.kind !== 'pull' || replica !== 'a') return null;
       count += 1;
-      return answers ? { kind: 'settling', disk: 'disk-a', epoch: 1 } : null;
+      return answers ? { kind: 'recovering', disk: 'disk-a', epoch: 1 } : null;
     });
     return count;
   };
@@ -124,7 +128,7 @@
 const needMajority: readonly Action[] = [
   { kind: 'put-policy', document, ifMatch: null, changeId: 'one' },
   { kind: 'get-policy' },
-  { kind: 'hall', hall: 'west', order: 'empty', of: 'all', changeId: 'two' },
+  { kind: 'zone', zone: 'west', order: 'empty', of: 'all', changeId: 'two' },
   { kind: 'purge', purge: { objects: ['x/y'], tags: [] }, changeId: 'three' },
   { kind: 'withdraw', instance: 'i' },
   { kind: 'describe', description: draining },
@@ -157,7 +161,7 @@
     return;
   }
   const refused = afterwards(({ replica, call }) =>
-    call.kind === 'pull' ? { kind: 'settling', disk: `disk-${replica}`, epoch: 1 } : null,
+    call.kind === 'pull' ? { kind: 'recovering', disk: `disk-${replica}`, epoch: 1 } : null,
   );
   t.is(refused.operate(order, refused.state.now).length, 3);
   const started = new AgentUnderTest();
@@ -184,7 +188,7 @@
       return undefined;
     };
     // A majority answers other calls: a slow ballot may yet succeed.
-    const mostMs = action.kind === 'hall' ? Limits.zoneOrder / 2 : 2_000;
+    const mostMs = action.kind === 'zone' ? Limits.zoneOrder / 2 : 2_000;
     t.is(answeredAt(sentAt + mostMs, answered), undefined, action.kind);
     const silentFrom = agent.state.now;
     const at = answeredAt(sentAt + 5_000, silent) ?? NaN;
--- a/packages/agent/src/reachability.ts
+++ b/packages/agent/src/reachability.ts
@@ -2,7 +2,7 @@
 import { majorityOf } from '@reedyard/consensus';
 import { unavailable, type ApiAnswer } from './answers.js';
 import { isLate, log, set } from './state.js';
-import type { ReplicaView, AgentState, Posting, Purpose, Pursuit, Work } from './state.js';
+import type { ReplicaView, AgentState, Posting, Purpose, ProposalRun, Work } from './state.js';
 
 /**
  * What this node can know of its connection to the replicas. Silence and refusal differ: a replica
@@ -77,7 +77,7 @@
 
 /** Orders and reads of the API: their callers go on to another node after a second of silence. */
 const isOrder = ({ kind }: Purpose): boolean =>
-  kind === 'put-policy' || kind === 'get-policy' || kind === 'hall';
+  kind === 'put-policy' || kind === 'get-policy' || kind === 'zone';
 
 /** Whether a call has gone on for long enough, with too few answers since a moment to progress. */
 const isStuck = (state: AgentState, openedAt: number, since: number): boolean =>
@@ -89,7 +89,7 @@
  * Whether a proposal that a caller waits for can't progress, since a majority of replicas is
  * silent. While an order is open replicas are probed, so that a shorter silence tells.
  */
-export const isStranded = (state: AgentState, { purpose, openedAt }: Pursuit): boolean => {
+export const isStranded = (state: AgentState, { purpose, openedAt }: ProposalRun): boolean => {
   if (isOrder(purpose)) return isStuck(state, openedAt, state.now - Limits.stranded);
   return purpose.kind === 'claim' && isStuck(state, openedAt, state.now - Limits.replicaSilence);
 };
@@ -100,7 +100,7 @@
 
 /** Whether an order has been open for so long that replicas are probed for any answer. */
 export const isProbing = (state: AgentState): boolean => {
-  const orders = Object.values(state.pursuits).filter(({ purpose }) => isOrder(purpose));
+  const orders = Object.values(state.proposalRuns).filter(({ purpose }) => isOrder(purpose));
   return [...orders, ...Object.values(state.postings)].some(
     ({ openedAt }) => state.now - openedAt >= Beats.leaseLow,
   );
--- a/packages/agent/src/replicas.fixture.ts
+++ b/packages/agent/src/replicas.fixture.ts
@@ -1,4 +1,4 @@
-import type { ReplicaCall, ReplicaReply, Voters } from '@reedyard/replica';
+import type { ReplicaCall, ReplicaReply, Members } from '@reedyard/replica';
 import type { Ballot } from '@reedyard/consensus';
 import { Beats } from '@reedyard/constants';
 import { Agent } from './core.js';
@@ -22,10 +22,10 @@
   b: '10.0.0.2:1',
   c: '10.0.0.3:1',
 };
-const voters: Voters = { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } };
+const members: Members = { epoch: 1, disks: { a: 'disk-a', b: 'disk-b', c: 'disk-c' } };
 const self = {
   id: 'n',
-  hall: 'west',
+  zone: 'west',
   region: 'r',
   address: '127.0.0.1:1',
   proxy: null,
@@ -46,7 +46,7 @@
   reset: false,
   more: false,
   facts: [],
-  ballots: { voters: ballotOf(1), ...ballots },
+  ballots: { members: ballotOf(1), ...ballots },
 });
 
 /** An agent that beats on time and asks three replicas. */
@@ -63,8 +63,8 @@
       seed: 1,
       now: 0,
     });
-    this.learn('voters', 1, voters);
-    this.learn('policy', 1, { serial: 1, document: { services: {}, routes: [] }, changes: [] });
+    this.learn('members', 1, members);
+    this.learn('policy', 1, { revision: 1, document: { services: {}, routes: [] }, changes: [] });
   }
 
   /** Lets it know a value as chosen. */
--- a/packages/agent/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -70,7 +70,7 @@
       self: {
         servesOn: settings.cutOff === 'serve',
         id: settings.name,
-        hall: settings.hall,
+        zone: settings.zone,
         region: settings.region,
         address: `${host}:${settings.agent.port}`,
         proxy:
@@ -78,7 +78,7 @@
             ? null
             : {
                 callers: `${host}:${settings.proxy.port}`,
-                partners: `${host}:${settings.proxy.partnerPort}`,
+                peers: `${host}:${settings.proxy.peerPort}`,
                 capacityBps: settings.proxy.capacityBps,
               },
         replica:
@@ -139,7 +139,7 @@
     calls: calls.port,
     feed: feeds.port,
     api: settings.agent.apiPort,
-    hall: settings.hall,
+    zone: settings.zone,
     region: settings.region,
   });
 
--- a/packages/agent/src/safeguards.test.ts
+++ b/packages/agent/src/safeguards.test.ts
@@ -2,7 +2,7 @@
  * Safeguards of the agent, each at the border of its reducer: red without the one that it names.
  */
 import test, { type ExecutionContext } from 'ava';
-import type { ReplicaCall, ReplicaReply, Voters } from '@reedyard/replica';
+import type { ReplicaCall, ReplicaReply, Members } from '@reedyard/replica';
 import { Limits } from '@reedyard/constants';
 import type { Plan } from '@reedyard/quota-division';
 import { Gossip } from '@reedyard/gossip';
@@ -115,9 +115,9 @@
     slices: {},
     seated: [],
   });
-  const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
+  const known = learnt(founded(), 'policy', 1, { revision: 1, document: config, changes: [] });
   const leader = learnt(known, 'plan', 2, allocation(1, 'core-1'));
-  const leased: AgentState = { ...leader, lease: 1e6, duty: { term: 1, held: [] } };
+  const leased: AgentState = { ...leader, lease: 1e6, quotaLeadership: { term: 1, held: [] } };
   const beat = Agent.reduce(leased, { kind: 'beat', now: 2_000 });
   const prepares = replicaCalls(beat.effects).filter(
     ({ call }) => call.kind === 'prepare' && call.key === 'plan',
@@ -139,7 +139,7 @@
     call.kind === 'accept' ? [call.value] : [],
   );
   t.false(JSON.stringify(written).includes('"holder":"core-1"'));
-  t.is(state.duty, null);
+  t.is(state.quotaLeadership, null);
 });
 
 test('the quota leadership is not taken from a leader that renewed since it was last seen', (t) => {
@@ -151,7 +151,7 @@
     slices: {},
     seated: [],
   });
-  const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
+  const known = learnt(founded(), 'policy', 1, { revision: 1, document: config, changes: [] });
   let state: AgentState = { ...learnt(known, 'plan', 2, allocation(1)), lease: 1e9 };
   let prepares: readonly AddressedCall[] = [];
   for (let now = 2 * Limits.vacancy; prepares.length === 0 && now < 1e5; now += 500) {
@@ -187,17 +187,17 @@
   const replaces = Changes.replace(known, 'core-1', 'core-6', 'core-6/a', '127.0.0.1:16');
   for (const change of [joins, replaces]) {
     const made = change(known);
-    t.is(made.kind === 'write' ? (made.value as Voters).epoch : made.kind, 4);
+    t.is(made.kind === 'write' ? (made.value as Members).epoch : made.kind, 4);
     t.is(change(later).kind, 'refuse');
   }
 });
 
 const frontRecord = (id: string, wanted: number): NodeRecord => ({
   id,
-  hall: 'west',
+  zone: 'west',
   region: 'r',
   address: `${id}:1`,
-  proxy: { callers: `${id}:2`, partners: `${id}:3`, capacityBps: 1e6 },
+  proxy: { callers: `${id}:2`, peers: `${id}:3`, capacityBps: 1e6 },
   replica: null,
   ready: true,
   staying: true,
@@ -216,7 +216,7 @@
     slices: { s: { 'front-1': 0.1 } },
     seated: [],
   };
-  const known = learnt(founded(), 'policy', 1, { serial: 1, document: config, changes: [] });
+  const known = learnt(founded(), 'policy', 1, { revision: 1, document: config, changes: [] });
   const told = [frontRecord('front-1', 0), frontRecord('front-2', 100)].reduce(
     (gossip, record) => Gossip.tell(gossip, `node/${record.id}`, record, now),
     known.gossip,
@@ -226,7 +226,7 @@
     ...learnt(known, 'plan', 2, plan),
     gossip: told,
     lease: 1e6,
-    duty: { term: 1, held },
+    quotaLeadership: { term: 1, held },
   };
   const beat = Agent.reduce(leader, { kind: 'beat', now });
   let { state } = beat;
--- a/packages/agent/src/state.ts
+++ b/packages/agent/src/state.ts
@@ -1,15 +1,22 @@
 import { Limits } from '@reedyard/constants';
 import type { Map as Table } from 'immutable';
-import type { ReplicaAsk, ReplicaCall, Cursor, Fact, Voters, VotersTold } from '@reedyard/replica';
+import type {
+  ReplicaAsk,
+  ReplicaCall,
+  Cursor,
+  Fact,
+  Members,
+  CommittedMembership,
+} from '@reedyard/replica';
 import type { Ballot, Proposal } from '@reedyard/consensus';
-import type { Identified, LearntSerial } from './change-ids.js';
+import type { Identified, LearntRevision } from './change-ids.js';
 import type { RegisterChange } from './changes.js';
 import type { GossipState } from '@reedyard/gossip';
 import type { Plan, Slices } from '@reedyard/quota-division';
 import type { Split, Vector } from '@reedyard/server-selection';
 import type {
   FeedPart,
-  HallsValue,
+  ZonesValue,
   AgentCall,
   AgentEffect,
   AgentVoting,
@@ -19,7 +26,7 @@
 } from './terms.js';
 
 /** The registers that every agent watches. */
-export const watched = ['voters', 'policy', 'halls', 'plan'] as const;
+export const watched = ['members', 'policy', 'zones', 'plan'] as const;
 export type Watched = (typeof watched)[number];
 
 /** What a replica's last answer to a pull came to. */
@@ -76,14 +83,14 @@
   readonly answeredAt: number;
   /** The counted pulls; null where none counts any more. */
   readonly pulled: Pulled | null;
-  /** The voters that it named when it found ours out of date. */
-  readonly named: VotersTold | null;
+  /** The members that it named when it found ours out of date. */
+  readonly named: CommittedMembership | null;
   /** Pulls that were sent since it last answered one. */
   readonly unanswered: number;
   /** Whether it last said that it was told to stop. */
   readonly leaving: boolean;
-  /** How much of what this node knows was told again to this replica, in its present settling. */
-  readonly retold: {
+  /** How much of what this node knows was told again to this replica, in its present recovering. */
+  readonly restored: {
     readonly epoch: number;
     readonly told: Told;
     readonly count: number;
@@ -107,7 +114,7 @@
 export type Purpose =
   | { readonly kind: 'put-policy'; readonly id: number; readonly changeId: string }
   | { readonly kind: 'get-policy'; readonly id: number }
-  | { readonly kind: 'hall'; readonly id: number; readonly changeId: string }
+  | { readonly kind: 'zone'; readonly id: number; readonly changeId: string }
   | { readonly kind: 'plan'; readonly goal: Plan }
   | { readonly kind: 'claim'; readonly id: number }
   | { readonly kind: 'settle'; readonly id: number }
@@ -120,7 +127,7 @@
     };
 
 /** One change that is to be made to a register, until its ballot is decided or its time is over. */
-export type Pursuit = {
+export type ProposalRun = {
   readonly key: string;
   readonly change: RegisterChange;
   readonly purpose: Purpose;
@@ -132,7 +139,7 @@
 };
 
 /** A change that is part of a ballot. */
-export type IncludedChange = { readonly id: number; readonly pursuit: Pursuit };
+export type IncludedChange = { readonly id: number; readonly proposalRun: ProposalRun };
 
 /** How often a ballot was outvoted, and how often too few answered in time. */
 export type Retries = { readonly outvoted: number; readonly timedOut: number };
@@ -167,7 +174,9 @@
 
 export type Pending =
   | { readonly kind: 'pull'; readonly replica: string; readonly sentAt: number }
-  /** Asks a replica that need have no place for the voters, and this machine's own for its disk. */
+  /**
+   * Asks a replica that need have no place for the members, and this machine's own for its disk.
+   */
   | { readonly kind: 'look'; readonly address: string }
   | { readonly kind: 'fetch'; readonly key: Watched; readonly sentAt: number }
   | {
@@ -178,10 +187,10 @@
       readonly ballot: Ballot;
     }
   | { readonly kind: 'post'; readonly posting: number; readonly replica: string }
-  | { readonly kind: 'exchange'; readonly to: string; readonly partner: string | null }
+  | { readonly kind: 'exchange'; readonly to: string; readonly peer: string | null }
   | { readonly kind: 'push' }
   | {
-      readonly kind: 'retell';
+      readonly kind: 'restore';
       readonly replica: string;
       readonly epoch: number;
       readonly upTo: number;
@@ -192,7 +201,7 @@
   readonly self: Self;
   readonly life: string;
   readonly seeds: readonly string[];
-  /** Where voters found themselves from seeds; null where the settings name every founder. */
+  /** Where members found themselves from seeds; null where the settings name every founder. */
   readonly voting: AgentVoting | null;
   readonly openedAt: number;
   /** This machine's own replica as it last answered. */
@@ -240,16 +249,16 @@
   readonly factSeq: number;
   /** Keys of facts that this node saw a majority of disks take. */
   readonly posted: Readonly<Record<string, true>>;
-  /** When this node learnt that a hall's origins were taken back. */
+  /** When this node learnt that a zone's origins were taken back. */
   readonly reopened: Readonly<Record<string, number>>;
   /** The newest span of them first. */
   readonly claims: readonly Claims[];
   readonly claimsFrom: number;
-  readonly pursuits: Readonly<Record<number, Pursuit>>;
+  readonly proposalRuns: Readonly<Record<number, ProposalRun>>;
   /** The ballots under way, by register. */
   readonly runs: Readonly<Record<string, BallotRun>>;
-  /** Serials of registers, and when this node learnt of them. */
-  readonly learntSerials: Readonly<Record<Identified, readonly LearntSerial[]>>;
+  /** Revisions of registers, and when this node learnt of them. */
+  readonly learntRevisions: Readonly<Record<Identified, readonly LearntRevision[]>>;
   readonly postings: Readonly<Record<number, Posting>>;
   readonly gossip: GossipState;
   readonly delays: Readonly<Record<string, readonly number[]>>;
@@ -273,7 +282,7 @@
   readonly splitOver: string;
   readonly splits: number;
   readonly planSeen: { readonly term: number; readonly beat: number; readonly at: number };
-  readonly duty: {
+  readonly quotaLeadership: {
     readonly term: number;
     readonly held: readonly {
       readonly slices: Readonly<Record<string, Slices>>;
@@ -323,7 +332,7 @@
 export const send = (work: Work, to: string, body: AgentCall, pending: Pending): number =>
   sendTo(work, pending, { to, path: '/agent', body });
 
-/** Asks a replica, with the voters that the answer will be counted by. */
+/** Asks a replica, with the members that the answer will be counted by. */
 export const sendToReplica = (
   work: Work,
   to: string,
@@ -334,7 +343,7 @@
     to,
     path: '/replica',
     body: {
-      voters: votersOf(work.state),
+      members: membersOf(work.state),
       call,
       ...(Object.keys(liveSpares(work.state)).length > 0 ? { spare: true as const } : {}),
     },
@@ -358,23 +367,23 @@
   named: null,
   unanswered: 0,
   leaving: false,
-  retold: null,
+  restored: null,
 });
 
 /** Whether changes may be acknowledged: not while the loss of `losses` disks could undo them. */
 export const bearsLosses = (state: AgentState): boolean =>
   state.voting === null ||
-  Object.keys(votersOf(state)?.value.disks ?? {}).length >= 2 * state.voting.losses + 1;
+  Object.keys(membersOf(state)?.value.disks ?? {}).length >= 2 * state.voting.losses + 1;
 
-/** The voters known to be chosen. */
-export const votersOf = (state: AgentState): VotersTold | null => {
-  const known = state.registers.voters;
-  return known === undefined ? null : { ballot: known.ballot, value: known.value as Voters };
+/** The members known to be chosen. */
+export const membersOf = (state: AgentState): CommittedMembership | null => {
+  const known = state.registers.members;
+  return known === undefined ? null : { ballot: known.ballot, value: known.value as Members };
 };
 
 /** Whether an answer counts: it must come from the disk that holds the replica's place. */
 export const counts = (state: AgentState, replica: string, disk: string): boolean =>
-  votersOf(state)?.value.disks[replica] === disk;
+  membersOf(state)?.value.disks[replica] === disk;
 
 export const without = <T>(
   table: Readonly<Record<number | string, T>>,
@@ -403,12 +412,12 @@
 
 export const policyOf = (state: AgentState): PolicyValue | null =>
   (state.registers.policy?.value ?? null) as PolicyValue | null;
-/** What the halls register holds; one written before orders for origins alone has fewer fields. */
-export const hallsValueOf = (value: unknown): HallsValue => {
-  const known = (value ?? {}) as Partial<HallsValue>;
+/** What the zones register holds; one written before orders for origins alone has fewer fields. */
+export const zonesValueOf = (value: unknown): ZonesValue => {
+  const known = (value ?? {}) as Partial<ZonesValue>;
   const emptied = known.emptied ?? [];
   return {
-    serial: known.serial ?? 0,
+    revision: known.revision ?? 0,
     emptied,
     closedOrigins: known.closedOrigins ?? emptied,
     reopened: known.reopened ?? {},
@@ -416,10 +425,10 @@
     changes: known.changes ?? [],
   };
 };
-export const hallsOf = (state: AgentState): HallsValue | null =>
-  state.registers.halls === undefined ? null : hallsValueOf(state.registers.halls.value);
-/** Halls whose origins get nothing. */
+export const zonesOf = (state: AgentState): ZonesValue | null =>
+  state.registers.zones === undefined ? null : zonesValueOf(state.registers.zones.value);
+/** Zones whose origins get nothing. */
 export const closedOf = (state: AgentState): readonly string[] =>
-  hallsOf(state)?.closedOrigins ?? [];
+  zonesOf(state)?.closedOrigins ?? [];
 export const planOf = (state: AgentState): Plan | null =>
   (state.registers.plan?.value ?? null) as Plan | null;
--- a/packages/agent/src/status.test.ts
+++ b/packages/agent/src/status.test.ts
@@ -65,9 +65,9 @@
 test('refusal, recovery and a blank disk are told apart from silence, and none is counted', (t) => {
   const replies: Readonly<Record<string, ReplicaReply | null>> = {
     'core-1': pulled('core-1/a'),
-    'core-2': { kind: 'settling', disk: 'core-2/a', epoch: 3 },
+    'core-2': { kind: 'recovering', disk: 'core-2/a', epoch: 3 },
     'core-3': { kind: 'away', disk: 'core-3/new', fresh: true, informed: true },
-    'core-4': { kind: 'stale', disk: 'core-4/a', voters: null },
+    'core-4': { kind: 'stale', disk: 'core-4/a', members: null },
     'core-5': pulled('core-5/old'),
   };
   const state = asked(founded(), 100, (name) => replies[name] ?? null);
@@ -142,7 +142,7 @@
   const disks = { a: 'da', b: 'db', c: 'dc' };
   const places = { a: seeds[0] ?? '', b: seeds[1] ?? '', c: seeds[2] ?? '' };
   const members = { epoch: 1, disks, addresses: places };
-  learnRegister(work, 'voters', [1, 'founding'], members);
+  learnRegister(work, 'members', [1, 'founding'], members);
   const control = controlStatus(work.state);
   t.deepEqual([control.members.length, control.quorum, control.wantedMembers], [3, 2, 5]);
 });
--- a/packages/agent/src/status.ts
+++ b/packages/agent/src/status.ts
@@ -15,10 +15,10 @@
 import {
   closedOf,
   counts,
-  hallsOf,
+  zonesOf,
   planOf,
   policyOf,
-  votersOf,
+  membersOf,
   type ReplicaView,
   type AgentState,
   type ReplicaAnswer,
@@ -82,17 +82,17 @@
 /** Everything that `GET /v1/status` answers. */
 export type NodeStatus = {
   readonly node: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   /** What is left of this node's lease; 0 where it has none. */
   readonly leaseMs: number;
   /** Whether no majority of replicas answers this node at all. */
   readonly unreachable: boolean;
-  readonly policySerial: number;
-  readonly emptiedHalls: readonly string[];
+  readonly policyRevision: number;
+  readonly emptiedZones: readonly string[];
   readonly closedOrigins: readonly string[];
   readonly control: ControlStatus;
-  readonly duty: { readonly holder: string; readonly term: number } | null;
+  readonly quotaLeadership: { readonly holder: string; readonly term: number } | null;
   readonly origins: readonly OriginStatus[];
   readonly proxy: Readonly<Record<string, number>> | null;
   readonly notices: number;
@@ -115,7 +115,7 @@
   switch (reply.kind) {
     case 'pulled':
       return pulledOutcome(named, reply.readOnly === true);
-    case 'settling':
+    case 'recovering':
       return 'recovering';
     case 'away':
       return awayOutcome(named, reply.fresh);
@@ -160,7 +160,7 @@
 const machineOf = (
   state: AgentState,
   member: { readonly name: string; readonly disk: string | null; readonly address: string },
-): { readonly id: string; readonly hall: string } | null => {
+): { readonly id: string; readonly zone: string } | null => {
   const records = [...nodesOf(state)]
     .sort((a, b) => b.seenAt - a.seenAt)
     .map(({ record }) => record);
@@ -173,14 +173,14 @@
 };
 
 const memberOf = (state: AgentState, name: string, view: ReplicaView): MemberStatus => {
-  const disk = votersOf(state)?.value.disks[name] ?? null;
+  const disk = membersOf(state)?.value.disks[name] ?? null;
   const machine = machineOf(state, { name, disk, address: view.address });
   return {
     name,
     node: machine?.id ?? null,
     address: view.address,
     disk,
-    zone: machine?.hall ?? null,
+    zone: machine?.zone ?? null,
     state: stateOf(view, disk, state.now),
     outcome: view.answered?.outcome ?? null,
     lastAnswerAgeMs: view.answered === null ? null : Math.round(state.now - view.answered.at),
@@ -189,12 +189,12 @@
 };
 
 const sparesOf = (state: AgentState): readonly SpareStatus[] => {
-  const disks = Object.values(votersOf(state)?.value.disks ?? {});
+  const disks = Object.values(membersOf(state)?.value.disks ?? {});
   const isLive = (id: string, seenAt: number): boolean =>
-    id === state.self.id || state.now - seenAt < Limits.partnerSilence;
+    id === state.self.id || state.now - seenAt < Limits.peerSilence;
   return replicasHeard(state)
     .filter((each) => each.fresh && !disks.includes(each.disk) && isLive(each.id, each.seenAt))
-    .map((each) => ({ node: each.id, address: each.address, zone: each.hall }));
+    .map((each) => ({ node: each.id, address: each.address, zone: each.zone }));
 };
 
 /**
@@ -215,7 +215,7 @@
   const quorum = majorityOf(members.length);
   const configuredLosses = configuredLossesOf(state);
   return {
-    epoch: votersOf(state)?.value.epoch ?? 0,
+    epoch: membersOf(state)?.value.epoch ?? 0,
     members,
     recovering: members
       .filter((member) => member.state === 'recovering')
@@ -245,15 +245,15 @@
   const plan = planOf(state);
   return {
     node: state.self.id,
-    hall: state.self.hall,
+    zone: state.self.zone,
     region: state.self.region,
     leaseMs: Math.max(0, Math.round(state.lease - state.now)),
     unreachable: isUnreachable(state),
-    policySerial: policyOf(state)?.serial ?? 0,
-    emptiedHalls: hallsOf(state)?.emptied ?? [],
+    policyRevision: policyOf(state)?.revision ?? 0,
+    emptiedZones: zonesOf(state)?.emptied ?? [],
     closedOrigins: closedOf(state),
     control: controlStatus(state),
-    duty: plan === null ? null : { holder: plan.holder, term: plan.term },
+    quotaLeadership: plan === null ? null : { holder: plan.holder, term: plan.term },
     origins: originStatuses(state),
     proxy: state.report?.report.counters ?? null,
     notices: state.notices,
--- a/packages/agent/src/terms.ts
+++ b/packages/agent/src/terms.ts
@@ -1,5 +1,5 @@
 import type { ReplicaAsk, ReplicaReply } from '@reedyard/replica';
-import type { Description, HallOrder, Policy, Purge } from '@reedyard/schemas';
+import type { Description, ZoneOrder, Policy, Purge } from '@reedyard/schemas';
 import type { Exchange, Exchanged, Telling } from '@reedyard/gossip';
 import type { Split } from '@reedyard/server-selection';
 
@@ -8,44 +8,44 @@
   /** Whether it serves on while provably cut off from a majority; left out: it does not. */
   readonly servesOn?: boolean;
   readonly id: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly address: string;
   readonly proxy: {
     readonly callers: string;
-    readonly partners: string;
+    readonly peers: string;
     readonly capacityBps: number;
   } | null;
   readonly replica: { readonly address: string } | null;
 };
 
-/** Where voters found themselves from seeds: what an agent is told by its settings. */
+/** Where members found themselves from seeds: what an agent is told by its settings. */
 export type AgentVoting = {
-  /** Lost disks that must be borne: there are to be 2 × losses + 1 voters. */
+  /** Lost disks that must be borne: there are to be 2 × losses + 1 members. */
   readonly losses: number;
   /**
    * ms. How long a successor may take, from its start, until another loss must be borne; left out:
    * not told.
    */
   readonly catchUpMs?: number | undefined;
-  /** Replicas to ask for the voters. */
+  /** Replicas to ask for the members. */
   readonly seeds: readonly string[];
 };
 
-/** A node's own record, told by gossip; a new serial of it is a heartbeat. */
+/** A node's own record, told by gossip; a new revision of it is a heartbeat. */
 export type NodeRecord = {
   readonly id: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly address: string;
   readonly proxy: Self['proxy'];
   /**
-   * Where its replica is; and where voters found themselves from seeds, which disk it told last,
+   * Where its replica is; and where members found themselves from seeds, which disk it told last,
    * and whether that is blank.
    */
   readonly replica:
     (NonNullable<Self['replica']> & { readonly disk?: string; readonly fresh?: boolean }) | null;
-  /** Whether its proxy takes transactions. */
+  /** Whether its proxy takes requests. */
   readonly ready: boolean;
   /**
    * Whether its proxy runs and is not leaving: it keeps its slices through a short loss of its
@@ -54,28 +54,28 @@
   readonly staying: boolean;
   /** Names the life of its proxy; a claim of another life is nobody's any more. */
   readonly proxyLife: string;
-  /** Legs a second that its proxy would like to make, by service. */
+  /** Attempts a second that its proxy would like to make, by service. */
   readonly wants: Readonly<Record<string, number>>;
 };
 
 /** What the policy register holds. */
 export type PolicyValue = {
-  readonly serial: number;
+  readonly revision: number;
   readonly document: Policy;
-  readonly changes: readonly { readonly id: string; readonly serial: number }[];
+  readonly changes: readonly { readonly id: string; readonly revision: number }[];
 };
 
-/** What the halls register holds. */
-export type HallsValue = {
-  readonly serial: number;
+/** What the zones register holds. */
+export type ZonesValue = {
+  readonly revision: number;
   readonly emptied: readonly string[];
-  /** Halls whose origins get nothing: the emptied ones, and those of which only the origins are. */
+  /** Zones whose origins get nothing: the emptied ones, and those of which only the origins are. */
   readonly closedOrigins: readonly string[];
-  /** Halls whose origins were taken back, and the serial that did. */
+  /** Zones whose origins were taken back, and the revision that did. */
   readonly reopened: Readonly<Record<string, number>>;
-  /** For each hall the serial of the last order for it that was chosen. */
+  /** For each zone the revision of the last order for it that was chosen. */
   readonly lastOrders: Readonly<Record<string, number>>;
-  readonly changes: readonly { readonly id: string; readonly serial: number }[];
+  readonly changes: readonly { readonly id: string; readonly revision: number }[];
 };
 
 /** What a claim's register holds: never a body. */
@@ -93,7 +93,7 @@
   /** bps its own callers asked for, by object key. */
   readonly demand: Readonly<Record<string, number>>;
   readonly copies: readonly string[];
-  /** bps it served in all, for its callers and for partners. */
+  /** bps it served in all, for its callers and for peers. */
   readonly servedBps: number;
   readonly meanReplyBits: number;
   readonly fetchSeconds: number;
@@ -101,7 +101,7 @@
 
 /** What a proxy tells with each question for news. */
 export type Report = {
-  readonly policySerial: number;
+  readonly policyRevision: number;
   readonly life: string;
   readonly proxyLife: string;
   readonly purgeSeq: number;
@@ -116,7 +116,7 @@
   readonly instance: string;
   readonly incarnation: number;
   readonly address: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly cold: boolean;
   /** How much it carries beside others of its service: requests a second, or its slots. */
@@ -125,12 +125,12 @@
   readonly slots: number | null;
   /** Connections that it accepts from all nodes together. */
   readonly conns: number | null;
-  /** Legs a second that this node may make to it; Infinity where nothing bounds them. */
+  /** Attempts a second that this node may make to it; Infinity where nothing bounds them. */
   readonly rate: number;
 };
-export type PartnerRow = {
+export type PeerRow = {
   readonly id: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly address: string;
   readonly delay: number;
@@ -143,14 +143,14 @@
   /** Names this life of the agent; a new one makes old purge places worthless. */
   readonly life: string;
   readonly flushes: number;
-  /** Only where the proxy's serial is another. */
-  readonly policy: { readonly serial: number; readonly document: Policy } | null;
-  readonly policySerial: number;
+  /** Only where the proxy's revision is another. */
+  readonly policy: { readonly revision: number; readonly document: Policy } | null;
+  readonly policyRevision: number;
   readonly origins: readonly OriginRow[];
-  readonly partners: readonly PartnerRow[];
+  readonly peers: readonly PeerRow[];
   readonly emptied: readonly string[];
   readonly split: Split;
-  /** Legs a second that this proxy may make, by service; Infinity where nothing bounds them. */
+  /** Attempts a second that this proxy may make, by service; Infinity where nothing bounds them. */
   readonly slices: Readonly<Record<string, number>>;
   /** Whether the division has given this node most of its slices: until then it is not ready. */
   readonly seated: boolean;
@@ -159,7 +159,7 @@
 };
 
 /** Parts of a feed that are told only to a proxy that does not hold them as they are. */
-export const feedParts = ['origins', 'partners', 'emptied', 'split', 'slices'] as const;
+export const feedParts = ['origins', 'peers', 'emptied', 'split', 'slices'] as const;
 export type FeedPart = (typeof feedParts)[number];
 /** For each part a number that grows when it changes, within one life of the agent. */
 export type Revisions = Readonly<Record<FeedPart, number>>;
@@ -214,13 +214,13 @@
   | { readonly kind: 'withdraw'; readonly instance: string }
   | { readonly kind: 'purge'; readonly purge: Purge; readonly changeId: string }
   | {
-      readonly kind: 'hall';
-      readonly hall: string;
-      readonly order: HallOrder['order'];
-      readonly of: HallOrder['of'];
+      readonly kind: 'zone';
+      readonly zone: string;
+      readonly order: ZoneOrder['order'];
+      readonly of: ZoneOrder['of'];
       readonly changeId: string;
     }
-  | { readonly kind: 'status' | 'shares' | 'partners' | 'ready' | 'live' };
+  | { readonly kind: 'status' | 'shares' | 'peers' | 'ready' | 'live' };
 
 export type AgentEvent =
   | { readonly kind: 'beat'; readonly now: number }
--- a/packages/agent/src/testing/membership-client-types.ts
+++ b/packages/agent/src/testing/membership-client-types.ts
@@ -1,5 +1,5 @@
 /** Test support: the state, calls, events and effects of a client of the membership model. */
-import type { ReplicaAsk, ReplicaReply, Cursor, VotersTold } from '@reedyard/replica';
+import type { ReplicaAsk, ReplicaReply, Cursor, CommittedMembership } from '@reedyard/replica';
 import type { Ballot, Proposal } from '@reedyard/consensus';
 import type { Goal, WatchedKey } from './membership-goals.js';
 
@@ -44,7 +44,7 @@
 export type Client = {
   readonly name: string;
   readonly life: number;
-  readonly voters: VotersTold | null;
+  readonly members: CommittedMembership | null;
   readonly highest: Ballot;
   readonly attempts: Readonly<Record<number, Attempt>>;
   readonly nextAttempt: number;
--- a/packages/agent/src/testing/membership-client.ts
+++ b/packages/agent/src/testing/membership-client.ts
@@ -6,8 +6,8 @@
  * agent does (a ballot of its own, a majority of pulls that show one ballot, a replica that was
  * told), begins anew under them, and proposes with the real `Proposer` and the real `Changes`.
  */
-import { newerVoters, votersKey } from '@reedyard/replica';
-import type { ReplicaCall, ReplicaReply, Voters, VotersTold } from '@reedyard/replica';
+import { newerMembers, membersKey } from '@reedyard/replica';
+import type { ReplicaCall, ReplicaReply, Members, CommittedMembership } from '@reedyard/replica';
 import { Ballots, majorityOf, Proposer } from '@reedyard/consensus';
 import type { Ballot, Move, Turn } from '@reedyard/consensus';
 import type {
@@ -36,11 +36,11 @@
  * @example
  * openClient('p', null).leaseFrom // -1
  */
-export const openClient = (name: string, voters: VotersTold | null): Client => ({
+export const openClient = (name: string, members: CommittedMembership | null): Client => ({
   name,
   life: 1,
-  voters,
-  highest: voters?.ballot ?? Ballots.none,
+  members,
+  highest: members?.ballot ?? Ballots.none,
   attempts: {},
   nextAttempt: 1,
   posting: null,
@@ -57,12 +57,12 @@
 };
 
 const placesOf = (client: Client): readonly string[] =>
-  Object.keys(client.voters?.value.disks ?? {});
+  Object.keys(client.members?.value.disks ?? {});
 
 const call = (work: Work, place: string, body: ReplicaCall, purpose: Purpose): void => {
-  const { voters, life } = work.client;
-  const to = voters?.value.addresses?.[place] ?? place;
-  const ask = { voters, call: body };
+  const { members, life } = work.client;
+  const to = members?.value.addresses?.[place] ?? place;
+  const ask = { members, call: body };
   const sent = { life, place, to, purpose, body: ask, sentAt: work.step };
   work.effects.push({ kind: 'call', call: sent });
 };
@@ -111,8 +111,8 @@
 
 /** Takes in a value that is known to be chosen. */
 const learn = (work: Work, key: WatchedKey, ballot: Ballot, value: unknown): void => {
-  if (key === votersKey) {
-    learnVoters(work, { ballot, value: value as Voters });
+  if (key === membersKey) {
+    learnMembers(work, { ballot, value: value as Members });
     return;
   }
   const known = work.client.data?.ballot ?? Ballots.none;
@@ -126,9 +126,9 @@
   if (Ballots.compare(ballot, work.client.highest) > 0) set(work, { highest: ballot });
 };
 
-const learnVoters = (work: Work, told: VotersTold): void => {
-  if (!newerVoters(told, work.client.voters)) return;
-  set(work, { voters: told, views: {}, hanging: [] });
+const learnMembers = (work: Work, told: CommittedMembership): void => {
+  if (!newerMembers(told, work.client.members)) return;
+  set(work, { members: told, views: {}, hanging: [] });
   raise(work, told.ballot);
   countAnew(work);
 };
@@ -158,7 +158,7 @@
   Ballots.compare(client.highest, proposal.highest) > 0 ? client.highest : proposal.highest;
 
 const counts = (client: Client, place: string, disk: string): boolean =>
-  client.voters?.value.disks[place] === disk;
+  client.members?.value.disks[place] === disk;
 
 const tookVote = (work: Work, event: Extract<ClientEvent, { kind: 'replied' }>): void => {
   const { purpose, place } = event.call;
@@ -194,7 +194,7 @@
 
 const pull = (work: Work): void => {
   for (const place of placesOf(work.client)) {
-    const disk = work.client.voters?.value.disks[place] ?? '';
+    const disk = work.client.members?.value.disks[place] ?? '';
     const cursor = work.client.cursors[disk] ?? null;
     call(work, place, { kind: 'pull', cursor, keys: watchedKeys }, { kind: 'pull' });
   }
@@ -216,7 +216,7 @@
 };
 
 const knownBallot = (client: Client, key: WatchedKey): Ballot =>
-  (key === votersKey ? client.voters?.ballot : client.data?.ballot) ?? Ballots.none;
+  (key === membersKey ? client.members?.ballot : client.data?.ballot) ?? Ballots.none;
 
 /** What a majority of pulls shows is fetched; what only a minority shows hangs. */
 const watch = (work: Work, key: WatchedKey): void => {
@@ -266,7 +266,7 @@
   work.effects.push({
     kind: 'lease',
     from,
-    epoch: client.voters?.value.epoch ?? 0,
+    epoch: client.members?.value.epoch ?? 0,
     data: (client.data?.value ?? '') as string,
     facts: client.facts,
   });
@@ -297,8 +297,8 @@
   const { purpose, place } = event.call;
   const { body } = event;
   if (event.call.life !== work.client.life) return;
-  if (body.kind === 'stale' && body.voters !== null) {
-    learnVoters(work, body.voters);
+  if (body.kind === 'stale' && body.members !== null) {
+    learnMembers(work, body.members);
     return;
   }
   if (purpose.kind === 'vote') tookVote(work, event);
--- a/packages/agent/src/testing/membership-cluster.ts
+++ b/packages/agent/src/testing/membership-cluster.ts
@@ -62,13 +62,13 @@
     readonly mutation: Mutation;
     readonly syncing: Syncing;
   }): Cluster {
-    const { replicas, voters, lives } = foundReplicas(parts.founders);
-    const cluster = new Cluster(parts.mutation, parts.syncing, beginHistory(voters.value));
+    const { replicas, members, lives } = foundReplicas(parts.founders);
+    const cluster = new Cluster(parts.mutation, parts.syncing, beginHistory(members.value));
     cluster.replicas = replicas;
     cluster.lives = lives;
     for (const address of parts.spares) cluster.plugIn(address, []);
     cluster.clients = Object.fromEntries(
-      parts.clients.map((name) => [name, openClient(name, voters)]),
+      parts.clients.map((name) => [name, openClient(name, members)]),
     );
     return cluster;
   }
@@ -249,18 +249,18 @@
 
   #noteAnswer({ request, body, by }: Told): void {
     const { caller } = request;
-    const { voters, call } = request.body;
+    const { members, call } = request.body;
     const commits = ['vote', 'posted', 'pulled', 'fetched'].includes(body.kind);
     if (commits) this.history = noteVoting(this.history, body.disk, by?.value);
     if (caller.kind === 'replica' && body.kind === 'dumped' && body.next === null) {
       const reader = this.replicas[caller.read.from]?.state.disk ?? '';
-      const epoch = body.voters?.value.epoch ?? 0;
+      const epoch = body.members?.value.epoch ?? 0;
       this.history = noteRead(this.history, reader, body.disk, epoch);
     }
     const accepts = call.kind === 'accept' && body.kind === 'vote' && body.vote.kind === 'yes';
-    if (!accepts || voters === null) return;
+    if (!accepts || members === null) return;
     const { key, ballot, value } = call;
-    this.history = noteAccept(this.history, body.disk, voters.value, { key, ballot, value });
+    this.history = noteAccept(this.history, body.disk, members.value, { key, ballot, value });
   }
 
   #deliverReply(message: Extract<Message, { kind: 'reply' }>): void {
--- a/packages/agent/src/testing/membership-founding.ts
+++ b/packages/agent/src/testing/membership-founding.ts
@@ -5,7 +5,7 @@
   ReplicaEvent,
   ReplicaRecord,
   ReplicaState,
-  VotersTold,
+  CommittedMembership,
 } from '@reedyard/replica';
 import type { ModelReplica } from './membership-network.js';
 
@@ -14,7 +14,7 @@
   seeds: readonly string[],
 ): {
   readonly replicas: Readonly<Record<string, ModelReplica>>;
-  readonly voters: VotersTold;
+  readonly members: CommittedMembership;
   readonly lives: number;
 } => {
   const states = new Map<string, ReplicaState>();
@@ -52,8 +52,8 @@
   for (const { address, round } of rounds) {
     reduce(address, { kind: 'beat', now: (round + 1) * foundingRound });
   }
-  const voters = states.get(seeds[0] ?? '')?.told;
-  if (voters === null || voters === undefined) throw new Error('the seeds did not found');
+  const members = states.get(seeds[0] ?? '')?.told;
+  if (members === null || members === undefined) throw new Error('the seeds did not found');
   const replicas = Object.fromEntries(
     seeds.map((address, index) => {
       const durable = records.get(address) ?? [];
@@ -65,7 +65,7 @@
       return [address, { ...blankReplica, address, life, state, durable }];
     }),
   );
-  return { replicas, voters, lives: seeds.length };
+  return { replicas, members, lives: seeds.length };
 };
 
 /** ms between the beats of founding: longer than any wait of a replica for an answer. */
--- a/packages/agent/src/testing/membership-goals.ts
+++ b/packages/agent/src/testing/membership-goals.ts
@@ -1,12 +1,12 @@
 /** Test support: what clients of the membership model want, as changes of registers. */
-import { votersKey } from '@reedyard/replica';
-import type { Voters } from '@reedyard/replica';
+import { membersKey } from '@reedyard/replica';
+import type { Members } from '@reedyard/replica';
 import type { Change } from '@reedyard/consensus';
 import { Changes } from '../changes.js';
 
 /** The register that clients append to; its value is all ids in the order of their choice. */
 export const dataKey = 'data';
-export const watchedKeys = [votersKey, dataKey] as const;
+export const watchedKeys = [membersKey, dataKey] as const;
 export type WatchedKey = (typeof watchedKeys)[number];
 
 /** What a proposal is for. */
@@ -14,14 +14,14 @@
   | { readonly kind: 'append'; readonly id: string }
   | {
       readonly kind: 'join';
-      readonly known: Voters;
+      readonly known: Members;
       readonly place: string;
       readonly disk: string;
       readonly address?: string;
     }
   | {
       readonly kind: 'replace';
-      readonly known: Voters;
+      readonly known: Members;
       readonly gone: string;
       readonly place: string;
       readonly disk: string;
@@ -49,5 +49,5 @@
 /** The register that a goal is about. */
 export const keyOf = (goal: Goal): WatchedKey => {
   if (goal.kind === 'append') return dataKey;
-  return goal.kind === 'repair' ? goal.key : votersKey;
+  return goal.kind === 'repair' ? goal.key : membersKey;
 };
--- a/packages/agent/src/testing/membership-history.ts
+++ b/packages/agent/src/testing/membership-history.ts
@@ -2,8 +2,8 @@
  * Test support: what an observer who sees every disk and message knows of a run, and the checks
  * that it makes. Values are immutable, so that a search can fork them.
  */
-import { Replica, votersKey } from '@reedyard/replica';
-import type { ReplicaState, Voters } from '@reedyard/replica';
+import { Replica, membersKey } from '@reedyard/replica';
+import type { ReplicaState, Members } from '@reedyard/replica';
 import { Ballots, majorityOf } from '@reedyard/consensus';
 import type { Ballot } from '@reedyard/consensus';
 import { dataKey } from './membership-goals.js';
@@ -39,7 +39,7 @@
 
 export type History = {
   /** Every membership that was chosen. */
-  readonly epochs: Readonly<Record<number, Voters>>;
+  readonly epochs: Readonly<Record<number, Members>>;
   /** Disks that accepted a value, by register, ballot and the epoch that the caller counts by. */
   readonly accepts: Readonly<Record<string, Attempts>>;
   /** In the order of their ballots. */
@@ -59,9 +59,9 @@
  * The history of a state that was just founded.
  *
  * @example
- * beginHistory(voters).violations // []
+ * beginHistory(members).violations // []
  */
-export const beginHistory = (founders: Voters): History => ({
+export const beginHistory = (founders: Members): History => ({
   epochs: { [founders.epoch]: founders },
   accepts: {},
   chosen: [],
@@ -79,22 +79,22 @@
 });
 
 const describe = ({ key, ballot, value }: Chosen): string =>
-  `${key} ${ballot.join('/')} ${key === votersKey ? describeVoters(value as Voters) : String(value)}`;
+  `${key} ${ballot.join('/')} ${key === membersKey ? describeMembers(value as Members) : String(value)}`;
 
-const describeVoters = (voters: Voters): string =>
-  `${voters.epoch}:${Object.entries(voters.disks)
+const describeMembers = (members: Members): string =>
+  `${members.epoch}:${Object.entries(members.disks)
     .map(([place, disk]) => `${place}=${disk}`)
     .sort()
     .join(',')}`;
 
 const sameValue = (key: string, left: unknown, right: unknown): boolean =>
-  key === votersKey
-    ? describeVoters(left as Voters) === describeVoters(right as Voters)
+  key === membersKey
+    ? describeMembers(left as Members) === describeMembers(right as Members)
     : left === right;
 
 const descends = (key: string, earlier: unknown, later: unknown): boolean => {
-  if (key !== votersKey) return (later as string).startsWith(earlier as string);
-  const [before, after] = [earlier as Voters, later as Voters];
+  if (key !== membersKey) return (later as string).startsWith(earlier as string);
+  const [before, after] = [earlier as Members, later as Members];
   return after.epoch > before.epoch || sameValue(key, before, after);
 };
 
@@ -119,37 +119,37 @@
       next = violate(next, 'chosen-values-descend', text);
     }
   }
-  return fresh.key === votersKey ? noteEpoch(next, fresh.value as Voters) : next;
+  return fresh.key === membersKey ? noteEpoch(next, fresh.value as Members) : next;
 };
 
-const noteEpoch = (history: History, voters: Voters): History => {
-  const known = history.epochs[voters.epoch];
+const noteEpoch = (history: History, members: Members): History => {
+  const known = history.epochs[members.epoch];
   if (known === undefined) {
-    return { ...history, epochs: { ...history.epochs, [voters.epoch]: voters } };
+    return { ...history, epochs: { ...history.epochs, [members.epoch]: members } };
   }
-  if (sameValue(votersKey, known, voters)) return history;
-  const text = `${describeVoters(known)} and ${describeVoters(voters)}`;
+  if (sameValue(membersKey, known, members)) return history;
+  const text = `${describeMembers(known)} and ${describeMembers(members)}`;
   return violate(history, 'one-membership-an-epoch', text);
 };
 
 /** A replica goes by these members from now on: they must have been chosen. */
-export const noteTold = (history: History, disk: string, voters: Voters): History => {
-  const known = history.epochs[voters.epoch];
-  if (known !== undefined && sameValue(votersKey, known, voters)) return history;
-  return violate(history, 'told-is-chosen', `${disk} goes by ${describeVoters(voters)}`);
+export const noteTold = (history: History, disk: string, members: Members): History => {
+  const known = history.epochs[members.epoch];
+  if (known !== undefined && sameValue(membersKey, known, members)) return history;
+  return violate(history, 'told-is-chosen', `${disk} goes by ${describeMembers(members)}`);
 };
 
 /** A disk has accepted a value for a caller that counts by these members. */
 export const noteAccept = (
   history: History,
   disk: string,
-  callersVoters: Voters,
+  callersMembers: Members,
   accepted: Chosen,
 ): History => {
-  const members = Object.values(callersVoters.disks);
+  const members = Object.values(callersMembers.disks);
   if (!members.includes(disk)) return history;
   const { key, ballot, value } = accepted;
-  const name = `${key} ${ballot.join('/')} ${callersVoters.epoch}`;
+  const name = `${key} ${ballot.join('/')} ${callersMembers.epoch}`;
   const before = history.accepts[name];
   if (before !== undefined && !sameValue(key, before.value, value)) {
     const text = `${describe({ key, ballot, value: before.value })} and ${describe(accepted)}`;
@@ -175,7 +175,7 @@
   Object.values(history.epochs[1]?.disks ?? {}).includes(disk);
 
 /** A disk that is no founder begins to vote: it must have read enough of the others. */
-export const noteBegun = (history: History, disk: string, told: Voters): History => {
+export const noteBegun = (history: History, disk: string, told: Members): History => {
   const members = Object.values(told.disks);
   const needed = members.length - majorityOf(members.length) + 1;
   const joined = joinedAt(history, disk, told);
@@ -187,7 +187,7 @@
 };
 
 /** A disk answers as a member: it must have begun to vote since it became one. */
-export const noteVoting = (history: History, disk: string, told: Voters | undefined): History => {
+export const noteVoting = (history: History, disk: string, told: Members | undefined): History => {
   if (told === undefined || isFounder(history, disk)) return history;
   const joined = joinedAt(history, disk, told);
   const begun = history.begun[disk] ?? 0;
@@ -197,7 +197,7 @@
 };
 
 /** The epoch from which on a disk has been a member without a gap, up to the one told. */
-const joinedAt = (history: History, disk: string, told: Voters): number => {
+const joinedAt = (history: History, disk: string, told: Members): number => {
   let epoch = told.epoch;
   while (Object.values(history.epochs[epoch - 1]?.disks ?? {}).includes(disk)) epoch -= 1;
   return epoch;
@@ -232,27 +232,27 @@
 };
 
 /** Whether a replica, told of these members by a caller who counts by them, answers as one. */
-const answersAsMember = (state: ReplicaState, voters: Voters): boolean => {
+const answersAsMember = (state: ReplicaState, members: Members): boolean => {
   const known = state.told?.value.epoch ?? 0;
-  if (known >= voters.epoch) return known === voters.epoch;
-  const told = { ballot: state.told?.ballot ?? Ballots.none, value: voters };
+  if (known >= members.epoch) return known === members.epoch;
+  const told = { ballot: state.told?.ballot ?? Ballots.none, value: members };
   const call = { kind: 'pull', cursor: null, keys: [] } as const;
-  const event = { kind: 'asked', id: 0, body: { voters: told, call }, now: 0 } as const;
+  const event = { kind: 'asked', id: 0, body: { members: told, call }, now: 0 } as const;
   const { effects } = Replica.reduce(state, event);
   return effects.some((effect) => effect.kind === 'tell' && effect.body.kind === 'pulled');
 };
 
 /** Disks that a caller who counts by these members could still win over. */
-const gatherable = (disks: readonly ReplicaState[], voters: Voters): readonly ReplicaState[] => {
-  const members = Object.values(voters.disks);
+const gatherable = (disks: readonly ReplicaState[], members: Members): readonly ReplicaState[] => {
+  const named = Object.values(members.disks);
   const found = disks.filter(
-    (state) => state.voting && members.includes(state.disk) && answersAsMember(state, voters),
+    (state) => state.voting && named.includes(state.disk) && answersAsMember(state, members),
   );
-  return found.length >= majorityOf(members.length) ? found : [];
+  return found.length >= majorityOf(named.length) ? found : [];
 };
 
 type Gathered = {
-  readonly voters: Voters;
+  readonly members: Members;
   readonly disks: readonly ReplicaState[];
   readonly quorum: number;
 };
@@ -271,7 +271,7 @@
   for (const [index, left] of gathered.entries()) {
     for (const right of gathered.slice(index + 1)) {
       if (!canBeDisjoint(left, right)) continue;
-      const text = `${describeVoters(left.voters)} and ${describeVoters(right.voters)}`;
+      const text = `${describeMembers(left.members)} and ${describeMembers(right.members)}`;
       return violate(history, 'quorums-of-epochs-meet', text);
     }
   }
@@ -287,7 +287,7 @@
   Ballots.compare(left?.ballot ?? Ballots.none, right?.ballot ?? Ballots.none);
 
 /** Every quorum that could read must find the newest chosen value, or one that descends from it. */
-const checkReadable = (history: History, { disks, quorum, voters }: Gathered): History => {
+const checkReadable = (history: History, { disks, quorum, members }: Gathered): History => {
   const sorted = disks.map(acceptedOf).sort(byBallot);
   const newest = history.chosen
     .filter(({ key }) => key === dataKey)
@@ -298,7 +298,7 @@
     .find((held) => newest !== undefined && !descends(dataKey, newest.value, held?.value ?? ''));
   if (bad !== undefined && newest !== undefined) {
     const shown = bad === null ? 'nothing' : describe(bad);
-    const text = `epoch ${voters.epoch} may read ${shown} where ${describe(newest)} was chosen`;
+    const text = `epoch ${members.epoch} may read ${shown} where ${describe(newest)} was chosen`;
     return violate(history, 'acknowledged-is-readable', text);
   }
   const lost = history.posted.find(
@@ -306,15 +306,15 @@
   );
   return lost === undefined
     ? history
-    : violate(history, 'acknowledged-is-readable', `fact ${lost.id} in epoch ${voters.epoch}`);
+    : violate(history, 'acknowledged-is-readable', `fact ${lost.id} in epoch ${members.epoch}`);
 };
 
 /** Looks at every quorum that could still be gathered, under every epoch that was chosen. */
 export const checkQuorums = (history: History, disks: readonly ReplicaState[]): History => {
-  const gathered = Object.values(history.epochs).flatMap((voters) => {
-    const found = gatherable(disks, voters);
-    const quorum = majorityOf(Object.keys(voters.disks).length);
-    return found.length === 0 ? [] : [{ voters, disks: found, quorum }];
+  const gathered = Object.values(history.epochs).flatMap((members) => {
+    const found = gatherable(disks, members);
+    const quorum = majorityOf(Object.keys(members.disks).length);
+    return found.length === 0 ? [] : [{ members, disks: found, quorum }];
   });
   return gathered.reduce(checkReadable, checkMeeting(history, gathered));
 };
--- a/packages/agent/src/testing/membership-mutations.ts
+++ b/packages/agent/src/testing/membership-mutations.ts
@@ -2,7 +2,7 @@
  * Test support: planted faults. Each takes one safeguard of the membership protocol away by
  * changing what goes into a replica's reducer or comes out of it.
  */
-import { newerVoters, votersKey } from '@reedyard/replica';
+import { newerMembers, membersKey } from '@reedyard/replica';
 import type {
   ReplicaAsk,
   ReplicaEffect,
@@ -38,12 +38,12 @@
 
 const hearsAsCurrent = (state: ReplicaState, ask: ReplicaAsk): ReplicaAsk => {
   const { told } = state;
-  const isStale = told !== null && ask.voters !== null && newerVoters(told, ask.voters);
-  return isStale && state.voting ? { ...ask, voters: told } : ask;
+  const isStale = told !== null && ask.members !== null && newerMembers(told, ask.members);
+  return isStale && state.voting ? { ...ask, members: told } : ask;
 };
 
 const isMembershipCall = ({ call }: ReplicaAsk): boolean =>
-  (call.kind === 'prepare' || call.kind === 'accept') && call.key === votersKey;
+  (call.kind === 'prepare' || call.kind === 'accept') && call.key === membersKey;
 
 const isNamed = ({ told, disk }: ReplicaState): boolean =>
   told !== null && Object.values(told.value.disks).includes(disk);
@@ -111,7 +111,7 @@
   },
   readsWithoutTelling: {
     name: 'a successor does not tell whom it reads of its epoch',
-    reads: (ask) => ({ ...ask, voters: null }),
+    reads: (ask) => ({ ...ask, members: null }),
   },
   takesNoPromises: {
     name: 'a successor takes over what was accepted, not what was promised',
--- a/packages/agent/src/testing/membership-network.ts
+++ b/packages/agent/src/testing/membership-network.ts
@@ -4,7 +4,7 @@
   ReplicaRecord,
   ReplicaReply,
   ReplicaState,
-  VotersTold,
+  CommittedMembership,
 } from '@reedyard/replica';
 import type { ClientCall } from './membership-client-types.js';
 
@@ -38,7 +38,7 @@
   readonly request: Extract<Message, { kind: 'request' }>;
   readonly body: ReplicaReply;
   /** The members that the replica went by when it made the answer. */
-  readonly by: VotersTold | null;
+  readonly by: CommittedMembership | null;
 };
 
 export type ModelReplica = {
--- a/packages/agent/src/testing/membership-random.ts
+++ b/packages/agent/src/testing/membership-random.ts
@@ -3,7 +3,7 @@
  * numbers give the same run.
  */
 import { Replica } from '@reedyard/replica';
-import type { Voters } from '@reedyard/replica';
+import type { Members } from '@reedyard/replica';
 import { majorityOf } from '@reedyard/consensus';
 import { Cluster } from './membership-cluster.js';
 import type { Syncing } from './membership-cluster.js';
@@ -156,25 +156,25 @@
     return this.#blanksSeen.some((blank) => blank.disk === disk);
   }
 
-  newestVoters(): Voters {
+  newestMembers(): Members {
     const epochs = Object.values(this.cluster.history.epochs);
     return epochs.reduce((best, each) => (each.epoch > best.epoch ? each : best));
   }
 
   /** Whether a disk holds its place in the newest membership, on what it would be after a crash. */
-  isSound({ address, durable }: ModelReplica, voters: Voters): boolean {
+  isSound({ address, durable }: ModelReplica, members: Members): boolean {
     const seeded = { address, seeds: [], firstStart: false };
     const parts = { name: address, others: {}, seeded, records: durable, freshDisk: '', now: 0 };
     const { state } = Replica.open(parts);
-    return state.voting && Object.values(voters.disks).includes(state.disk);
+    return state.voting && Object.values(members.disks).includes(state.disk);
   }
 
   /** A wipe may leave no fewer than a majority of sound disks: at most f are lost at once. */
   mayWipe(address: string): boolean {
-    const voters = this.newestVoters();
+    const members = this.newestMembers();
     const others = Object.values(this.cluster.replicas).filter((each) => each.address !== address);
-    const sound = others.filter((each) => this.isSound(each, voters)).length;
-    return sound >= majorityOf(Object.keys(voters.disks).length);
+    const sound = others.filter((each) => this.isSound(each, members)).length;
+    return sound >= majorityOf(Object.keys(members.disks).length);
   }
 }
 
@@ -222,7 +222,7 @@
   if (replica === undefined) return;
   if (!replica.running) {
     cluster.start(replica.address);
-    const isMember = Object.values(run.newestVoters().disks).includes(replica.state.disk);
+    const isMember = Object.values(run.newestMembers().disks).includes(replica.state.disk);
     if (replica.state.voting && !isMember) run.returns += 1;
   } else if (draw.next() < crashShare) {
     cluster.stop(replica.address, draw.index(replica.unsynced.length + 1));
@@ -245,7 +245,7 @@
   });
 };
 
-const membershipGoal = (run: Run, draw: Draw, known: Voters): Goal | null => {
+const membershipGoal = (run: Run, draw: Draw, known: Members): Goal | null => {
   const places = Object.keys(known.disks);
   const members = Object.values(known.disks);
   const blank = draw.pick(run.blanks(draw).filter(({ disk }) => !members.includes(disk)));
@@ -261,7 +261,7 @@
 
 const changeMembers = (run: Run, draw: Draw): void => {
   const name = draw.pick(clientNames) ?? '';
-  const known = run.cluster.clients[name]?.voters?.value;
+  const known = run.cluster.clients[name]?.members?.value;
   const goal = known === undefined ? null : membershipGoal(run, draw, known);
   if (goal !== null) run.cluster.tellClient(name, { kind: 'propose', goal });
 };
--- a/packages/agent/src/testing/membership-scenarios.ts
+++ b/packages/agent/src/testing/membership-scenarios.ts
@@ -8,8 +8,8 @@
 const propose = (name: string, goal: (client: KnownMembers) => Goal | null): Operation => ({
   kind: 'client',
   name,
-  event: ({ voters }) => {
-    const made = voters === null ? null : goal({ known: voters.value });
+  event: ({ members }) => {
+    const made = members === null ? null : goal({ known: members.value });
     return made === null ? null : { kind: 'propose', goal: made };
   },
 });
@@ -35,7 +35,7 @@
 const tell = (name: string, epoch: number, address: string): Operation => ({
   kind: 'client',
   name,
-  event: ({ voters }) => ((voters?.value.epoch ?? 0) >= epoch ? { kind: 'look', address } : null),
+  event: ({ members }) => ((members?.value.epoch ?? 0) >= epoch ? { kind: 'look', address } : null),
 });
 
 const outpaced = (name: string, rounds: number): Operation => ({
@@ -45,7 +45,7 @@
 });
 
 const repairMembership = (name: string): Operation =>
-  propose(name, () => ({ kind: 'repair', key: 'voters' }));
+  propose(name, () => ({ kind: 'repair', key: 'members' }));
 
 const wipe = (address: string): Operation => ({ kind: 'wipe', address });
 
--- a/packages/agent/src/testing/membership-search.ts
+++ b/packages/agent/src/testing/membership-search.ts
@@ -3,7 +3,7 @@
  * answers and repeated requests. States that were met before, by a digest, are not gone on from.
  */
 import { createHash } from 'node:crypto';
-import type { ReplicaAsk, ReplicaState, VotersTold } from '@reedyard/replica';
+import type { ReplicaAsk, ReplicaState, CommittedMembership } from '@reedyard/replica';
 import { Ballots } from '@reedyard/consensus';
 import type { Cell } from '@reedyard/consensus';
 import { Cluster } from './membership-cluster.js';
@@ -164,7 +164,7 @@
   };
 };
 
-const textOfTold = (told: VotersTold | null): string =>
+const textOfTold = (told: CommittedMembership | null): string =>
   told === null ? '-' : `${told.value.epoch}@${told.ballot.join('/')}`;
 
 const textOfCell = (cell: Cell): string => {
@@ -193,19 +193,19 @@
     const accepts = [...proposal.accepts].sort();
     return [goal.kind, ballot, highest, phase, refusedBy, promises, accepts];
   });
-  const { voters, highest, data, views, leaseFrom } = client;
-  return JSON.stringify([textOfTold(voters), highest, attempts, data, views, leaseFrom]);
+  const { members, highest, data, views, leaseFrom } = client;
+  return JSON.stringify([textOfTold(members), highest, attempts, data, views, leaseFrom]);
 });
 
 const textOfCall = remembered(({ purpose, to, body }: ClientCall): string =>
-  JSON.stringify([purpose, to, textOfTold(body.voters), body.call]),
+  JSON.stringify([purpose, to, textOfTold(body.members), body.call]),
 );
 
 /** A call by which a replica reads another counts while the replica waits for its answer. */
 const textOfRead = ({ from, to, id }: ReadCall, body: ReplicaAsk, cluster: Cluster): string => {
   const readings = Object.values(cluster.replicas[from]?.state.readings ?? {});
   const isAwaited = readings.some(({ call }) => call === id);
-  return `${from} ${isAwaited} ${to} ${textOfTold(body.voters)}`;
+  return `${from} ${isAwaited} ${to} ${textOfTold(body.members)}`;
 };
 
 const textOfMessage = (message: Message, cluster: Cluster): string => {
--- a/packages/attempts/src/index.ts
+++ b/packages/attempts/src/index.ts
@@ -1,8 +1,8 @@
-/** How far a failed leg may have got. */
+/** How far a failed attempt may have got. */
 export type Sent = 'nothing' | 'maybe';
 
-/** How a leg ended. */
-export type LegEnd =
+/** How an attempt ended. */
+export type AttemptEnd =
   | {
       readonly kind: 'answered';
       readonly status: number;
@@ -13,20 +13,20 @@
     }
   | { readonly kind: 'failed'; readonly sent: Sent; readonly why: string };
 
-/** One attempt of a transaction. */
-export type Leg = {
+/** One attempt of a request. */
+export type Attempt = {
   readonly number: number;
-  readonly to: { readonly kind: 'origin' | 'partner'; readonly id: string };
+  readonly to: { readonly kind: 'origin' | 'peer'; readonly id: string };
   readonly openedAt: number;
   readonly limitAt: number;
-  readonly end: LegEnd | null;
+  readonly end: AttemptEnd | null;
   /**
    * Attempts at origins that may be made through this one: those granted to a peer. Left out: one.
    */
   readonly granted?: number;
 };
 
-/** What a caller learns of a transaction that was given up. */
+/** What a caller learns of a request that was given up. */
 export type Outcome = 'not-run' | 'unknown';
 
 export type Move =
@@ -40,22 +40,22 @@
       readonly why: string;
     };
 
-/** Legs of one transaction at most, where its route does not say. */
-const mostLegs = 3;
+/** Attempts of one request at most, where its route does not say. */
+const mostAttempts = 3;
 
-const outcomeOf = (legs: readonly Leg[]): Outcome =>
-  legs.every(({ end }) =>
+const outcomeOf = (attempts: readonly Attempt[]): Outcome =>
+  attempts.every(({ end }) =>
     end !== null && end.kind === 'failed' ? end.sent === 'nothing' : end !== null && end.notRun,
   )
     ? 'not-run'
     : 'unknown';
 
 /** Attempts at origins that one attempt has used up, or may still use. */
-const spentBy = (leg: Leg): number => {
-  const granted = leg.granted ?? 1;
-  if (leg.to.kind === 'origin' || leg.end === null) return granted;
-  if (leg.end.kind === 'failed') return leg.end.sent === 'nothing' ? 0 : granted;
-  return Math.min(granted, leg.end.spent ?? granted);
+const spentBy = (attempt: Attempt): number => {
+  const granted = attempt.granted ?? 1;
+  if (attempt.to.kind === 'origin' || attempt.end === null) return granted;
+  if (attempt.end.kind === 'failed') return attempt.end.sent === 'nothing' ? 0 : granted;
+  return Math.min(granted, attempt.end.spent ?? granted);
 };
 
 export const Attempts = {
@@ -70,28 +70,29 @@
    * comes.
    *
    * @example
-   * Attempts.spent([originLeg, peerLegGrantedTwoUnanswered]) // 3
+   * Attempts.spent([originAttempt, peerAttemptGrantedTwoUnanswered]) // 3
    */
-  spent: (legs: readonly Leg[]): number => legs.reduce((sum, leg) => sum + spentBy(leg), 0),
+  spent: (attempts: readonly Attempt[]): number =>
+    attempts.reduce((sum, attempt) => sum + spentBy(attempt), 0),
 
   /**
-   * The next move, from the ledger alone. An unsafe transaction gets a second leg only if every leg
-   * before it provably ran nothing.
+   * The next move, from the ledger alone. An unsafe request gets a second attempt only if every
+   * attempt before it provably ran nothing.
    *
    * @example
-   * Attempts.next({ safe: false, legs: [failedLeg('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
+   * Attempts.next({ safe: false, attempts: [failedAttempt('maybe')], now: 5, limitAt: 9, mayRepeat: true }) // give-up, 502, unknown
    */
   next: (ledger: {
     readonly safe: boolean;
-    readonly legs: readonly Leg[];
+    readonly attempts: readonly Attempt[];
     readonly now: number;
     readonly limitAt: number;
     readonly mayRepeat: boolean;
     readonly most?: number;
   }): Move => {
-    const { legs } = ledger;
-    const last = legs.at(-1);
-    const outcome = outcomeOf(legs);
+    const { attempts } = ledger;
+    const last = attempts.at(-1);
+    const outcome = outcomeOf(attempts);
     const giveUp = (why: string, late: boolean): Move => ({
       kind: 'give-up',
       status: outcome === 'not-run' ? 503 : late ? 504 : 502,
@@ -100,15 +101,17 @@
     });
     if (last === undefined)
       return ledger.now >= ledger.limitAt
-        ? giveUp('the limit was reached before a leg was made', true)
+        ? giveUp('the limit was reached before an attempt was made', true)
         : { kind: 'open' };
-    if (legs.some((leg) => leg.end?.kind === 'answered' && leg.end.final)) return { kind: 'relay' };
-    if (last.end === null || legs.some((leg) => leg.end === null)) return { kind: 'wait' };
+    if (attempts.some((attempt) => attempt.end?.kind === 'answered' && attempt.end.final))
+      return { kind: 'relay' };
+    if (last.end === null || attempts.some((attempt) => attempt.end === null))
+      return { kind: 'wait' };
     const why = last.end.kind === 'failed' ? last.end.why : `answered ${last.end.status}`;
     const late = last.end.kind === 'failed' && last.end.why === 'limit';
     if (!ledger.safe && outcome === 'unknown') return giveUp(why, late);
     if (ledger.now >= ledger.limitAt) return giveUp(why, true);
-    if (legs.length >= (ledger.most ?? mostLegs)) return giveUp(why, late);
+    if (attempts.length >= (ledger.most ?? mostAttempts)) return giveUp(why, late);
     if (!ledger.mayRepeat) return giveUp(why, late);
     return { kind: 'open' };
   },
@@ -118,26 +121,26 @@
    * twice does no harm, only beside a single one, and only while its answer could still be of use.
    *
    * @example
-   * Attempts.mayHedge({ safe: true, legs: [silentLeg], now: 200, limitAt: 800, mayRepeat: true, silentMs: 150 }) // true
+   * Attempts.mayHedge({ safe: true, attempts: [silentAttempt], now: 200, limitAt: 800, mayRepeat: true, silentMs: 150 }) // true
    */
   mayHedge: (ledger: {
     readonly safe: boolean;
-    readonly legs: readonly Leg[];
+    readonly attempts: readonly Attempt[];
     readonly now: number;
     readonly limitAt: number;
     readonly mayRepeat: boolean;
     readonly most?: number;
     /** ms after which an attempt counts as silent. */ readonly silentMs: number;
   }): boolean => {
-    const { legs } = ledger;
-    const live = legs.filter((leg) => leg.end === null);
+    const { attempts } = ledger;
+    const live = attempts.filter((attempt) => attempt.end === null);
     const [only] = live;
     return (
       ledger.safe &&
       ledger.mayRepeat &&
       live.length === 1 &&
       only !== undefined &&
-      legs.length < (ledger.most ?? mostLegs) &&
+      attempts.length < (ledger.most ?? mostAttempts) &&
       ledger.now < ledger.limitAt &&
       ledger.now - only.openedAt >= ledger.silentMs
     );
--- a/packages/cache/src/cache.test.ts
+++ b/packages/cache/src/cache.test.ts
@@ -17,11 +17,11 @@
 const request = { method: 'GET', url: '/x', headers: {} };
 const life = (
   headers: Record<string, string>,
-  legMs = 0,
+  attemptMs = 0,
   asked: Record<string, string> = {},
-): number => Cache.life({ ...request, headers: asked }, { status: 200, headers }, legMs);
+): number => Cache.life({ ...request, headers: asked }, { status: 200, headers }, attemptMs);
 
-test('how long an answer is kept follows its headers, its age and the leg that brought it', (t) => {
+test('how long an answer is kept follows its headers, its age and the attempt that brought it', (t) => {
   t.is(life({ 'cache-control': 'max-age=60' }), 60_000);
   t.is(life({ 'cache-control': 'max-age=60', age: '50' }), 10_000);
   t.is(life({ 'cache-control': 'max-age=60' }, 1_500), 58_500);
--- a/packages/cache/src/index.ts
+++ b/packages/cache/src/index.ts
@@ -98,7 +98,7 @@
       .filter((tag) => tag !== ''),
 
   /**
-   * How long an answer may be kept, by RFC 9111; 0 where it may not. The leg's own time is age.
+   * How long an answer may be kept, by RFC 9111; 0 where it may not. The attempt's own time is age.
    *
    * @example
    * Cache.life({ method: 'GET', url: '/', headers: {} }, { status: 200, headers: { 'cache-control': 'max-age=60' } }, 100) // 59_900
@@ -106,14 +106,14 @@
   life: (
     request: { readonly method: string; readonly url: string; readonly headers: Headers },
     answer: { readonly status: number; readonly headers: Headers },
-    legMs: number,
+    attemptMs: number,
   ): number => {
     const policy = new StillPolicy(
       { method: request.method, url: request.url, headers: plain(request.headers) },
       { status: answer.status, headers: plain(answer.headers) },
       { shared: true, cacheHeuristic: 0 },
     );
-    return policy.storable() ? Math.max(0, policy.timeToLive() - legMs) : 0;
+    return policy.storable() ? Math.max(0, policy.timeToLive() - attemptMs) : 0;
   },
 
   /** The fields that an answer varies by, as this request had them. @example Cache.vary({ vary: 'accept' }, { accept: 'a' }) // { accept: 'a' } */
--- a/packages/consensus/src/consensus.test.ts
+++ b/packages/consensus/src/consensus.test.ts
@@ -12,7 +12,7 @@
   type Proposal,
 } from './index.js';
 
-const voters = ['a', 'b', 'c'];
+const members = ['a', 'b', 'c'];
 type Message = { readonly which: 0 | 1; readonly move: Move };
 type World = {
   readonly cells: Readonly<Record<string, Cell>>;
@@ -29,8 +29,8 @@
   };
 
 const opened = (): World => {
-  const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
-  const second = Proposer.open('r', append('y'), voters, Ballots.none, 'q');
+  const first = Proposer.open('r', append('x'), members, Ballots.none, 'p');
+  const second = Proposer.open('r', append('y'), members, Ballots.none, 'q');
   return {
     cells: { a: emptyCell, b: emptyCell, c: emptyCell },
     proposals: [first.proposal, second.proposal],
@@ -69,7 +69,7 @@
         : Proposer.open(
             'r',
             turn.proposal.change,
-            voters,
+            members,
             turn.proposal.highest,
             which === 0 ? 'p' : 'q',
           );
@@ -170,7 +170,7 @@
 /** A world in which every first message is sent twice. */
 const sentTwice = (second: string): World => {
   const world = opened();
-  const other = Proposer.open('r', append('y'), voters, Ballots.none, second);
+  const other = Proposer.open('r', append('y'), members, Ballots.none, second);
   const moves: readonly Message[] = other.moves.map((move) => ({ which: 1, move }));
   const flying = [...world.flying.filter(({ which }) => which === 0), ...moves];
   return {
@@ -189,14 +189,14 @@
 });
 
 test('a vote of another life of a disk is told apart by the accept that names it', (t) => {
-  const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
+  const first = Proposer.open('r', append('x'), members, Ballots.none, 'p');
   let proposal = first.proposal;
   let moves: readonly Move[] = [];
-  for (const voter of ['a', 'b'])
+  for (const member of ['a', 'b'])
     ({ proposal, moves } = Proposer.voted(
       proposal,
-      voter,
-      `life-1-${voter}`,
+      member,
+      `life-1-${member}`,
       'prepare',
       proposal.ballot,
       { kind: 'yes', accepted: null },
@@ -209,7 +209,7 @@
 
 test('a value that hangs on a minority is written again before a read tells it', (t) => {
   const held: Cell = { promised: [1, 'p'], accepted: { ballot: [1, 'p'], value: ['x'] } };
-  let { proposal } = Proposer.open('r', () => ({ kind: 'keep' }), voters, [1, 'p'] as Ballot, 'q');
+  let { proposal } = Proposer.open('r', () => ({ kind: 'keep' }), members, [1, 'p'] as Ballot, 'q');
   let moves: readonly Move[] = [];
   ({ proposal, moves } = Proposer.voted(proposal, 'a', 'd', 'prepare', proposal.ballot, {
     kind: 'yes',
@@ -227,17 +227,17 @@
 });
 
 test('a promise that comes late is used: one refusal among a bare majority does not leave a ballot hanging', (t) => {
-  const first = Proposer.open('r', append('x'), voters, Ballots.none, 'p');
+  const first = Proposer.open('r', append('x'), members, Ballots.none, 'p');
   let { proposal } = first;
   let moves: readonly Move[] = [];
-  const vote = (voter: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
+  const vote = (member: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
     const cast = isTaken
       ? ({ kind: 'yes', accepted: null } as const)
       : ({ kind: 'no', promised: [9, 'q'] } as const);
     ({ proposal, moves } = Proposer.voted(
       proposal,
-      voter,
-      `disk-${voter}`,
+      member,
+      `disk-${member}`,
       phase,
       proposal.ballot,
       cast,
@@ -259,25 +259,25 @@
   );
 });
 
-test('a voter that refused either phase counts once; a majority of them ends the ballot', (t) => {
+test('a member that refused either phase counts once; a majority of them ends the ballot', (t) => {
   const first = Proposer.open('r', append('x'), ['a', 'b', 'c', 'd', 'e'], Ballots.none, 'p');
   let { proposal } = first;
   let moves: readonly Move[] = [];
-  const vote = (voter: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
+  const vote = (member: string, phase: 'prepare' | 'accept', isTaken: boolean): void => {
     const cast = isTaken
       ? ({ kind: 'yes', accepted: null } as const)
       : ({ kind: 'no', promised: [9, 'q'] } as const);
     ({ proposal, moves } = Proposer.voted(
       proposal,
-      voter,
-      `disk-${voter}`,
+      member,
+      `disk-${member}`,
       phase,
       proposal.ballot,
       cast,
     ));
   };
   vote('d', 'prepare', false);
-  for (const voter of ['a', 'b', 'c']) vote(voter, 'prepare', true);
+  for (const member of ['a', 'b', 'c']) vote(member, 'prepare', true);
   vote('a', 'accept', false);
   t.deepEqual(moves, []);
   vote('b', 'accept', false);
--- a/packages/consensus/src/proposer.ts
+++ b/packages/consensus/src/proposer.ts
@@ -12,32 +12,32 @@
  */
 export type Change = (current: unknown) => Changed;
 
-/** One replica as a voter; disk names the life of its data, so votes of a wiped one never mix. */
-export type Voter = string;
+/** One replica as a member; disk names the life of its data, so votes of a wiped one never mix. */
+export type Member = string;
 
 export type Proposal = {
   readonly key: string;
   readonly change: Change;
-  readonly voters: readonly Voter[];
+  readonly members: readonly Member[];
   readonly ballot: Ballot;
   readonly highest: Ballot;
   readonly phase: 'prepare' | 'accept' | 'done';
-  readonly promises: Readonly<Record<Voter, { readonly disk: string; readonly vote: Vote }>>;
-  /** Voters that promised a higher ballot, in either phase. */
-  readonly refusedBy: readonly Voter[];
+  readonly promises: Readonly<Record<Member, { readonly disk: string; readonly vote: Vote }>>;
+  /** Members that promised a higher ballot, in either phase. */
+  readonly refusedBy: readonly Member[];
   /** What the change was applied to; known once a majority has promised. */
   readonly read: unknown;
   readonly proposed: unknown;
   readonly verdict: Changed | null;
-  readonly accepts: readonly Voter[];
+  readonly accepts: readonly Member[];
 };
 
 /** What the proposer wants sent, or how it ended. */
 export type Move =
-  | { readonly kind: 'prepare'; readonly to: Voter; readonly ballot: Ballot }
+  | { readonly kind: 'prepare'; readonly to: Member; readonly ballot: Ballot }
   | {
       readonly kind: 'accept';
-      readonly to: Voter;
+      readonly to: Member;
       readonly ballot: Ballot;
       readonly value: unknown;
       readonly disk: string;
@@ -64,10 +64,10 @@
 });
 
 const toAccept = (proposal: Proposal): Turn => {
-  const promises = Object.entries(proposal.promises).flatMap(([voter, { disk, vote }]) =>
-    vote.kind === 'yes' ? [{ voter, disk, accepted: vote.accepted }] : [],
+  const promises = Object.entries(proposal.promises).flatMap(([member, { disk, vote }]) =>
+    vote.kind === 'yes' ? [{ member, disk, accepted: vote.accepted }] : [],
   );
-  if (promises.length < majorityOf(proposal.voters.length)) return still(proposal);
+  if (promises.length < majorityOf(proposal.members.length)) return still(proposal);
   const newest = promises.reduce<{ ballot: Ballot; value: unknown } | null>(
     (best, { accepted }) =>
       accepted !== null && (best === null || Ballots.compare(accepted.ballot, best.ballot) > 0)
@@ -85,7 +85,7 @@
             ({ accepted }) =>
               accepted !== null && Ballots.compare(accepted.ballot, newest.ballot) === 0,
           ).length;
-    if (held >= majorityOf(proposal.voters.length)) {
+    if (held >= majorityOf(proposal.members.length)) {
       return ended(
         { ...proposal, read: current },
         changed.kind === 'keep'
@@ -104,9 +104,9 @@
   const proposed = changed.kind === 'write' ? changed.value : current;
   return {
     proposal: { ...proposal, phase: 'accept', read: current, proposed, verdict: changed },
-    moves: promises.map(({ voter, disk }) => ({
+    moves: promises.map(({ member, disk }) => ({
       kind: 'accept',
-      to: voter,
+      to: member,
       ballot: proposal.ballot,
       value: proposed,
       disk,
@@ -115,29 +115,30 @@
 };
 
 /**
- * A voter promised a higher ballot: without it, and others like it, there may be no majority left.
+ * A member promised a higher ballot: without it, and others like it, there may be no majority left.
  */
-const refused = (proposal: Proposal, voter: Voter, promised: Ballot): Turn => {
+const refused = (proposal: Proposal, member: Member, promised: Ballot): Turn => {
   const highest = Ballots.compare(promised, proposal.highest) > 0 ? promised : proposal.highest;
-  const refusedBy = proposal.refusedBy.includes(voter)
+  const refusedBy = proposal.refusedBy.includes(member)
     ? proposal.refusedBy
-    : [...proposal.refusedBy, voter];
+    : [...proposal.refusedBy, member];
   const next = { ...proposal, highest, refusedBy };
-  const isOutvoted = refusedBy.length > proposal.voters.length - majorityOf(proposal.voters.length);
+  const isOutvoted =
+    refusedBy.length > proposal.members.length - majorityOf(proposal.members.length);
   return isOutvoted ? { proposal: next, moves: [{ kind: 'outvoted' }] } : still(next);
 };
 
 /**
- * A promise that comes after the second phase has begun: the voter may take the value as well.
+ * A promise that comes after the second phase has begun: the member may take the value as well.
  * Without it the refusal of one of a bare majority would leave the ballot hanging.
  */
-const lateToAccept = (proposal: Proposal, voter: Voter, disk: string, vote: Vote): Turn => {
-  if (proposal.promises[voter] !== undefined) return still(proposal);
-  const promises = { ...proposal.promises, [voter]: { disk, vote } };
+const lateToAccept = (proposal: Proposal, member: Member, disk: string, vote: Vote): Turn => {
+  if (proposal.promises[member] !== undefined) return still(proposal);
+  const promises = { ...proposal.promises, [member]: { disk, vote } };
   const { ballot, proposed: value } = proposal;
   return {
     proposal: { ...proposal, promises },
-    moves: [{ kind: 'accept', to: voter, ballot, value, disk }],
+    moves: [{ kind: 'accept', to: member, ballot, value, disk }],
   };
 };
 
@@ -151,7 +152,7 @@
   open: (
     key: string,
     change: Change,
-    voters: readonly Voter[],
+    members: readonly Member[],
     above: Ballot,
     proposer: string,
   ): Turn => {
@@ -160,7 +161,7 @@
       proposal: {
         key,
         change,
-        voters,
+        members,
         ballot,
         highest: ballot,
         phase: 'prepare',
@@ -171,7 +172,7 @@
         verdict: null,
         accepts: [],
       },
-      moves: voters.map((to) => ({ kind: 'prepare', to, ballot })),
+      moves: members.map((to) => ({ kind: 'prepare', to, ballot })),
     };
   },
 
@@ -183,7 +184,7 @@
    */
   voted: (
     proposal: Proposal,
-    voter: Voter,
+    member: Member,
     disk: string,
     phase: 'prepare' | 'accept',
     ballot: Ballot,
@@ -192,14 +193,17 @@
     if (proposal.phase === 'done' || Ballots.compare(ballot, proposal.ballot) !== 0)
       return still(proposal);
     if (proposal.phase === 'prepare' && phase === 'accept') return still(proposal);
-    if (vote.kind === 'no') return refused(proposal, voter, vote.promised);
+    if (vote.kind === 'no') return refused(proposal, member, vote.promised);
     if (phase === 'prepare' && proposal.phase === 'accept')
-      return lateToAccept(proposal, voter, disk, vote);
+      return lateToAccept(proposal, member, disk, vote);
     if (phase === 'prepare')
-      return toAccept({ ...proposal, promises: { ...proposal.promises, [voter]: { disk, vote } } });
-    if (proposal.accepts.includes(voter)) return still(proposal);
-    const next = { ...proposal, accepts: [...proposal.accepts, voter] };
-    if (next.accepts.length < majorityOf(next.voters.length)) return still(next);
+      return toAccept({
+        ...proposal,
+        promises: { ...proposal.promises, [member]: { disk, vote } },
+      });
+    if (proposal.accepts.includes(member)) return still(proposal);
+    const next = { ...proposal, accepts: [...proposal.accepts, member] };
+    if (next.accepts.length < majorityOf(next.members.length)) return still(next);
     return ended(
       next,
       next.verdict?.kind === 'refuse'
