--- a/packages/constants/src/index.ts
+++ b/packages/constants/src/index.ts
@@ -18,15 +18,15 @@
    */
   pull: 500,
   /**
-   * ms. One gossip exchange with one partner. Each also answers one as often, so a heartbeat
+   * ms. One gossip exchange with one peer. Each also answers one as often, so a heartbeat
    * crosses 16 nodes
    *  in three or four of them: with its own beat this stays under the 2.5 s of silence. */
   gossip: 400,
   /** ms. The proxy asks its agent for news. Adds at most this to the age of a snapshot. */
   feed: 250,
-  /** ms. A node's own record gets a new serial, which is its heartbeat. */
+  /** ms. A node's own record gets a new revision, which is its heartbeat. */
   heartbeat: 500,
-  /** ms. The duty holder looks whether slices should move, and then publishes a division. */
+  /** ms. The quota leader looks whether slices should move, and then publishes a division. */
   division: 500,
   /**
    * ms. It renews its term with an unchanged division: each costs two syncs of every replica and a
@@ -34,11 +34,11 @@
    *  every agent. Two of them fit in the time after which it is given up. */
   renewal: 1_000,
   /**
-   * ms. A ping to each partner in the network, on the average (the paper: every few minutes; a
+   * ms. A ping to each peer in the network, on the average (the paper: every few minutes; a
    * changed delay
    *  must be seen inside one closing fault, so seconds here). */
   ping: 10_000,
-  /** ms. Partners that were not yet measured are pinged, and of the others a drawn few. */
+  /** ms. Peers that were not yet measured are pinged, and of the others a drawn few. */
   pingDraw: 2_000,
   /** ms. What a proxy's callers want of each service is counted anew: slices follow it. */
   wants: 500,
@@ -54,7 +54,7 @@
   /** ms. Proxy's own beat: limits and holdings are looked at. */
   proxy: 25,
   /**
-   * ms. The same while no transaction is under way: then only copies may have to be dropped, at the
+   * ms. The same while no request is under way: then only copies may have to be dropped, at the
    * latest
    *  1.5 + 0.3 + 0.1 s after what allowed them was known, under the brief's 2 s. */
   proxyIdle: 100,
@@ -121,7 +121,7 @@
    *  plus the slack of a beat. */
   regrant: 1_700,
   /**
-   * ms. A duty holder whose beat stood still this long is given up: two missed renewals, seen half
+   * ms. A quota leader whose beat stood still this long is given up: two missed renewals, seen half
    * a pull late. It must stay over `regrant`: a new holder counts only the division it finds, and
    * those before
    *  that must have lapsed by then. */
@@ -164,14 +164,14 @@
   membershipHaste: 1_000,
   /** ms. A whole proposal (all tries) before its caller is told it is unknown. */
   proposal: 4_000,
-  /** ms. A partner whose heartbeat stood still this long gets no forwarded requests. */
-  partnerSilence: 2_500,
+  /** ms. A peer whose heartbeat stood still this long gets no forwarded requests. */
+  peerSilence: 2_500,
   /** ms. A node's record is dropped after this silence. */
   nodeForgotten: 30_000,
   /** ms. An origin that does not describe itself this long is forgotten; it speaks every few s. */
   originForgotten: 10_000,
   /**
-   * ms. After a hall was taken back its origins count as cold until a description is heard this
+   * ms. After a zone was taken back its origins count as cold until a description is heard this
    * much later:
    *  an earlier one may have been under way for a few exchanges of gossip. */
   warmDoubt: 500,
@@ -180,12 +180,12 @@
    */
   fact: 60_000,
   /**
-   * ms. A voter whose machine was silent this long, in gossip and to every pull, is taken for gone,
-   * and its
+   * ms. A member whose machine was silent this long, in gossip and to every pull, is taken for
+   * gone, and its
    *  place given to another: longer than a restart, and than a cut of 6 s with 2 s to be heard of
    * again.
    */
-  voterSilence: 8_000,
+  memberSilence: 8_000,
   /**
    * ms. A page that a recovering replica asked for is asked for again, then after twice as long,
    * and so on: far
@@ -225,15 +225,15 @@
    * until they
    *  have heard no news this long from agents that tell again what they knew: six of their pulls.
    */
-  retelling: 1_500,
+  restoring: 1_500,
   /** ms. Agents remember the claims they made in spans of half the claims' life; three are kept. */
   claimSpan: 1_800_000,
   /** ms. A claim is kept this long of the replica's own running time. */
   claim: 3_600_000,
-  /** ms. Default limit of a whole transaction. */
-  transaction: 10_000,
-  /** ms. Default limit of one leg to an origin. */
-  leg: 4_000,
+  /** ms. Default limit of a whole request. */
+  request: 10_000,
+  /** ms. Default limit of one attempt to an origin. */
+  attempt: 4_000,
   /** ms. Opening a conn and proving who is at its other end. */
   connect: 1_000,
   /** ms. Opening a conn where nothing has to be proved first: regions are some 35 ms apart, and a
@@ -244,8 +244,8 @@
    */
   holding: 400,
   /**
-   * ms. An instance that failed a leg gets no ordinary traffic for this long; twice as long each
-   * time
+   * ms. An instance that failed an attempt gets no ordinary traffic for this long; twice as long
+   * each time
    *  that it fails again before a sound answer, up to the longest. */
   suspicion: 1_000,
   /** ms. A dead instance is then tried by each node at most this seldom, until it is forgotten. */
@@ -271,7 +271,7 @@
    * heard since is set aside.
    */
   stalled: 300,
-  /** ms. After an order to empty a hall was seen, its proxies still answer stragglers this long. */
+  /** ms. After an order to empty a zone was seen, its proxies still answer stragglers this long. */
   emptyGrace: 2_000,
   /** ms. After the warning to stop, a proxy that is no longer ready still serves who comes: the
    *  platform takes about a second to notice. */
@@ -312,17 +312,18 @@
   /** objects told one by one in a vector; the rest of a route counts as one. */
   busyObjects: 32,
   /**
-   * heartbeats after which a node's record is told whole though nothing changed: a serial that two
-   * lives of
+   * heartbeats after which a node's record is told whole though nothing changed: a revision that
+   * two lives of
    *  a node came to alike is then set right within 8 s. */
   beatsToWhole: 16,
   /**
-   * A life's first serial lies anywhere under this, so that two lives hardly come to the same one.
+   * A life's first revision lies anywhere under this, so that two lives hardly come to the same
+   * one.
    */
-  firstSerial: 2 ** 20,
-  /** partners in a partial view. */
+  firstRevision: 2 ** 20,
+  /** peers in a partial view. */
   view: 8,
-  /** partners swapped in one shuffle. */
+  /** peers swapped in one shuffle. */
   shuffle: 4,
   /**
    * bytes of the change ids remembered in a register: some 900 changes within the repeat window.
@@ -340,7 +341,7 @@
   /** registers in one page for a replica that reads another: some 10 ms of encoding. */
   dumpPage: 500,
   /** registers and facts in one page of what an agent tells again. */
-  retellPage: 1_000,
+  restorePage: 1_000,
   /** replicas that one replica lets read it at once: all others of a founding set of nine. */
   readers: 8,
   /**
@@ -355,8 +356,8 @@
   warmRequests: 600,
   warmAtOnce: 4,
   warmBody: 6_000,
-  /** transactions at work in one proxy; more are turned away at once. */
-  transactions: 4_096,
+  /** requests at work in one proxy; more are turned away at once. */
+  requests: 4_096,
   /** events waiting for one task. */
   inbox: 65_536,
   /** purge facts in one call. */
@@ -381,7 +382,7 @@
   fetchPenalty: 0.02,
   /** bits. A mean reply where none was measured (the paper's 12 KB). */
   meanReply: 96_000,
-  /** repeats earned by one transaction. Under the brief's fifth. */
+  /** repeats earned by one request. Under the brief's fifth. */
   repeatShare: 0.15,
   /** repeats a node may have saved, and all nodes together: the brief's slack is 60. */
   repeatSaved: 3,
@@ -464,8 +465,8 @@
   /** ms. An origin describes itself again: the bench's stand-ins do so as often. */
   describe: 1_000,
   /**
-   * ms. What is waited at most for replicas to found, for the duty to be taken, or for a change to
-   * reach all.
+   * ms. What is waited at most for replicas to found, for the quota leadership to be taken, or for
+   * a change to reach all.
    */
   patience: 20_000,
   /** ms. Nodes run this long before anything is counted: two pings, four divisions, one lease. */
--- a/packages/gossip/src/gossip.test.ts
+++ b/packages/gossip/src/gossip.test.ts
@@ -13,7 +13,7 @@
   return [nextA, Gossip.learn(b, Gossip.pick(nextA, compared.wants), now).state];
 };
 
-test('two that exchange hold the same, the higher serial wins, in either order', (t) => {
+test('two that exchange hold the same, the higher revision wins, in either order', (t) => {
   let a = Gossip.tell(Gossip.tell(Gossip.empty, 'node/a', 1, 0), 'node/x', 'old', 0);
   let b = Gossip.tell(
     Gossip.tell(Gossip.tell(Gossip.empty, 'node/b', 2, 0), 'node/x', 'older', 0),
@@ -37,8 +37,8 @@
   const swept = Gossip.sweep(told, Limits.originForgotten + 1);
   t.deepEqual(swept.gone, ['origin/s/i']);
   t.is(Gossip.get(exchange(swept.state, told, 20_000)[0], 'origin/s/i'), undefined);
-  // The owner came back without memory: it speaks below the serial that others have put away, hears
-  // of that, and speaks above it.
+  // The owner came back without memory: it speaks below the revision that others have put away,
+  // hears of that, and speaks above it.
   let owner = Gossip.tell(Gossip.empty, 'origin/s/i', 'back', 20_000);
   [owner] = exchange(owner, swept.state, 20_000);
   owner = Gossip.tell(owner, 'origin/s/i', 'back', 20_100);
@@ -48,30 +48,30 @@
 test('a heartbeat carries no value to one who has it, and the value to one who has not', (t) => {
   const told = Gossip.tell(Gossip.empty, 'node/a', { long: 'value' }, 0);
   const beaten = Gossip.beat(Gossip.beat(told, 'node/a', 500), 'node/a', 1_000);
-  t.deepEqual(Gossip.compare(beaten, Gossip.digest(told)).newer, { 'node/a': { serial: 3 } });
+  t.deepEqual(Gossip.compare(beaten, Gossip.digest(told)).newer, { 'node/a': { revision: 3 } });
   t.deepEqual(Gossip.compare(beaten, {}).newer, {
-    'node/a': { serial: 3, value: { long: 'value' } },
+    'node/a': { revision: 3, value: { long: 'value' } },
   });
   t.deepEqual(Gossip.pick(beaten, Gossip.compare(told, Gossip.digest(beaten)).wants), {
-    'node/a': { serial: 3 },
+    'node/a': { revision: 3 },
   });
   t.deepEqual(Gossip.pick(beaten, Gossip.compare(Gossip.empty, Gossip.digest(beaten)).wants), {
-    'node/a': { serial: 3, value: { long: 'value' } },
+    'node/a': { revision: 3, value: { long: 'value' } },
   });
   const [heard] = exchange(told, beaten, 2_000);
   t.deepEqual(Gossip.all(heard, 'node/'), [['node/a', { long: 'value' }, 2_000]]);
   // It is no sign of life of a record that was put away meanwhile, nor of one that was never had.
   const swept = Gossip.sweep(told, Limits.nodeForgotten + 1).state;
-  t.deepEqual(Gossip.learn(swept, { 'node/a': { serial: 3 } }, 40_000), {
+  t.deepEqual(Gossip.learn(swept, { 'node/a': { revision: 3 } }, 40_000), {
     state: swept,
     news: [],
     values: [],
   });
-  t.deepEqual(Gossip.learn(Gossip.empty, { 'node/a': { serial: 3 } }, 0).news, []);
+  t.deepEqual(Gossip.learn(Gossip.empty, { 'node/a': { revision: 3 } }, 0).news, []);
   t.is(Gossip.get(exchange(swept, beaten, 40_000)[0], 'node/a') !== undefined, true);
 });
 
-test('a changed value reaches those who hold any earlier serial, also over one who had only heartbeats since', (t) => {
+test('a changed value reaches those who hold any earlier revision, also over one who had only heartbeats since', (t) => {
   const first = Gossip.tell(Gossip.empty, 'node/a', 'old', 0);
   const early = first;
   const changed = Gossip.beat(
--- a/packages/gossip/src/index.ts
+++ b/packages/gossip/src/index.ts
@@ -1,16 +1,16 @@
 import { Limits, Sizes } from '@reedyard/constants';
 
 /**
- * One record: what an owner told last. A higher serial replaces; equal ones are the same. The value
- * is left out towards one who has it already: then the new serial is a heartbeat alone.
+ * One record: what an owner told last. A higher revision replaces; equal ones are the same. The
+ * value is left out towards one who has it already: then the new revision is a heartbeat alone.
  */
-export type Telling = { readonly serial: number; readonly value?: unknown };
+export type Telling = { readonly revision: number; readonly value?: unknown };
 /**
- * `since` is a serial from which on this value was told: who holds that serial or a later one has
- * it.
+ * `since` is a revision from which on this value was told: who holds that revision or a later one
+ * has it.
  */
 type Held = {
-  readonly serial: number;
+  readonly revision: number;
   readonly value: unknown;
   readonly since: number;
   readonly seenAt: number;
@@ -32,7 +32,7 @@
   readonly sample: readonly Neighbour[];
 };
 /**
- * Its answer: what is newer there, what is wanted from the asker (and which serial is had), and a
+ * Its answer: what is newer there, what is wanted from the asker (and which revision is had), and a
  * part of the view in return.
  */
 export type Exchanged = {
@@ -50,11 +50,11 @@
   Map<string, readonly (readonly [key: string, value: unknown, seenAt: number])[]>
 >();
 
-/** What is told of a record to one who holds a serial of it: 0 for none. */
-const tellingFor = (held: Held, serial: number): Telling =>
-  serial >= held.since && !held.forgotten
-    ? { serial: held.serial }
-    : { serial: held.serial, value: held.forgotten ? null : held.value };
+/** What is told of a record to one who holds a revision of it: 0 for none. */
+const tellingFor = (held: Held, revision: number): Telling =>
+  revision >= held.since && !held.forgotten
+    ? { revision: held.revision }
+    : { revision: held.revision, value: held.forgotten ? null : held.value };
 
 export const Gossip = {
   empty: { records: {}, view: [] } as GossipState,
@@ -86,27 +86,28 @@
   },
 
   /**
-   * Tells something of one's own (or a guest's), above any serial seen. Where a guest numbers what
-   * it says, nodes that hear different words of it each take its number for the least serial, so
-   * that the later one wins.
+   * Tells something of one's own (or a guest's), above any revision seen. Where a guest numbers
+   * what it says, nodes that hear different words of it each take its number for the least
+   * revision, so that the later one wins.
    *
    * @example
    * Gossip.tell(state, 'node/a', {}, 5)
    */
   tell: (state: GossipState, key: string, value: unknown, now: number, least = 1): GossipState => {
-    const serial = Math.max((state.records[key]?.serial ?? 0) + 1, least);
+    const revision = Math.max((state.records[key]?.revision ?? 0) + 1, least);
     return {
       ...state,
       records: {
         ...state.records,
-        [key]: { serial, value, since: serial, seenAt: now, forgotten: false },
+        [key]: { revision, value, since: revision, seenAt: now, forgotten: false },
       },
     };
   },
 
   /**
-   * Tells a value of one's own again that has not changed: its new serial says that one lives. Only
-   * for a key that nobody else tells, since who has an earlier serial is not given the value again.
+   * Tells a value of one's own again that has not changed: its new revision says that one lives.
+   * Only for a key that nobody else tells, since who has an earlier revision is not given the value
+   * again.
    *
    * @example
    * Gossip.beat(state, 'node/a', 500)
@@ -117,14 +118,17 @@
       ? state
       : {
           ...state,
-          records: { ...state.records, [key]: { ...held, serial: held.serial + 1, seenAt: now } },
+          records: {
+            ...state.records,
+            [key]: { ...held, revision: held.revision + 1, seenAt: now },
+          },
         };
   },
 
-  /** Serials since the value under a key was last told whole. @example Gossip.beats(state, 'node/a') // 0 */
+  /** Revisions since the value under a key was last told whole. @example Gossip.beats(state, 'node/a') // 0 */
   beats: (state: GossipState, key: string): number => {
     const held = state.records[key];
-    return held === undefined ? 0 : held.serial - held.since;
+    return held === undefined ? 0 : held.revision - held.since;
   },
 
   /** Changes a value held here without telling it to others. @example Gossip.note(state, 'origin/s/i', value) */
@@ -147,20 +151,20 @@
   } => {
     const added: Record<string, Held> = {};
     const values: string[] = [];
-    for (const [key, { serial, ...rest }] of Object.entries(tellings)) {
+    for (const [key, { revision, ...rest }] of Object.entries(tellings)) {
       const held = state.records[key];
-      if (serial <= (held?.serial ?? 0)) continue;
+      if (revision <= (held?.revision ?? 0)) continue;
       if ('value' in rest) {
         added[key] = {
-          serial,
+          revision,
           value: rest.value,
-          since: serial,
+          since: revision,
           seenAt: now,
           forgotten: rest.value === null,
         };
         values.push(key);
       } else if (held !== undefined && !held.forgotten)
-        added[key] = { ...held, serial, seenAt: now };
+        added[key] = { ...held, revision, seenAt: now };
     }
     const news = Object.keys(added);
     return {
@@ -170,7 +174,7 @@
     };
   },
 
-  /** Forgets what went silent; its serial stays, so that a late copy does not bring it back. @example Gossip.sweep(state, 99_000) */
+  /** Forgets what went silent; its revision stays, so that a late copy does not bring it back. @example Gossip.sweep(state, 99_000) */
   sweep: (
     state: GossipState,
     now: number,
@@ -200,14 +204,14 @@
   digest: (state: GossipState): Readonly<Record<string, number>> =>
     Object.fromEntries(
       Object.entries(state.records).flatMap(([key, held]) =>
-        held.forgotten ? [] : [[key, held.serial]],
+        held.forgotten ? [] : [[key, held.revision]],
       ),
     ),
 
   /**
    * What of ours is newer than a digest, and what of the digest we lack. A forgotten record is told
-   * (with the value null) only to one who offers an older serial of it, so that an owner who came
-   * back without memory learns above which serial to speak.
+   * (with the value null) only to one who offers an older revision of it, so that an owner who came
+   * back without memory learns above which revision to speak.
    *
    * @example
    * Gossip.compare(state, {})
@@ -221,30 +225,30 @@
   } => ({
     newer: Object.fromEntries(
       Object.entries(state.records).flatMap(([key, held]) =>
-        held.serial > (digest[key] ?? 0) && (!held.forgotten || digest[key] !== undefined)
+        held.revision > (digest[key] ?? 0) && (!held.forgotten || digest[key] !== undefined)
           ? [[key, tellingFor(held, digest[key] ?? 0)]]
           : [],
       ),
     ),
     wants: Object.fromEntries(
-      Object.entries(digest).flatMap(([key, serial]) => {
+      Object.entries(digest).flatMap(([key, revision]) => {
         const held = state.records[key];
-        return serial > (held?.serial ?? 0)
-          ? [[key, held === undefined || held.forgotten ? 0 : held.serial]]
+        return revision > (held?.revision ?? 0)
+          ? [[key, held === undefined || held.forgotten ? 0 : held.revision]]
           : [];
       }),
     ),
   }),
 
-  /** The records asked for, by the serials that the asker has. @example Gossip.pick(state, { 'node/a': 0 }) */
+  /** The records asked for, by the revisions that the asker has. @example Gossip.pick(state, { 'node/a': 0 }) */
   pick: (
     state: GossipState,
     wants: Readonly<Record<string, number>>,
   ): Readonly<Record<string, Telling>> =>
     Object.fromEntries(
-      Object.entries(wants).flatMap(([key, serial]) => {
+      Object.entries(wants).flatMap(([key, revision]) => {
         const held = state.records[key];
-        return held === undefined || held.forgotten ? [] : [[key, tellingFor(held, serial)]];
+        return held === undefined || held.forgotten ? [] : [[key, tellingFor(held, revision)]];
       }),
     ),
 
--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -12,7 +12,7 @@
  * One event as one line of key=value pairs.
  *
  * @example
- * line('policy.applied', { serial: 7, by: 'agent' }) // 'event=policy.applied serial=7 by=agent'
+ * line('policy.applied', { revision: 7, by: 'agent' }) // 'event=policy.applied revision=7 by=agent'
  */
 export const line = (event: string, fields: Fields): string =>
   [
--- a/packages/origin-stand-in/src/index.ts
+++ b/packages/origin-stand-in/src/index.ts
@@ -33,7 +33,7 @@
   readonly incarnation: number;
   readonly host: string;
   readonly port: number;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly capacity: number;
   /** APIs of agents to describe itself to, in turn. */
@@ -49,7 +49,7 @@
       readonly service: string;
       readonly instance: string;
       readonly incarnation: number;
-      readonly hall: string;
+      readonly zone: string;
       readonly cold: boolean;
       readonly unsafe: boolean;
     },
@@ -169,7 +169,7 @@
     }
     const marks = {
       'reedyard-stamp': stamp,
-      'reedyard-leg': String(request.headers['reedyard-leg'] ?? ''),
+      'reedyard-attempt': String(request.headers['reedyard-attempt'] ?? ''),
     };
     if (request.headers['reedyard-expect'] !== stamp) {
       response.writeHead(503, { ...marks, 'reedyard-outcome': 'not-run', 'content-length': 0 });
@@ -179,7 +179,7 @@
     const unsafe = request.method !== 'GET' && request.method !== 'HEAD';
     options.heard?.(request, {
       ...identity,
-      hall: options.hall,
+      zone: options.zone,
       cold: mode.state === 'cold',
       unsafe,
     });
@@ -272,7 +272,7 @@
     ...identity,
     address,
     region: options.region,
-    hall: options.hall,
+    zone: options.zone,
     capacity: mode.capacity,
     state: mode.state,
     draining: mode.draining,
--- a/packages/origin-stand-in/src/main.ts
+++ b/packages/origin-stand-in/src/main.ts
@@ -12,7 +12,7 @@
     host: { type: 'string', default: '127.0.0.1' },
     port: { type: 'string', default: '0' },
     'control-port': { type: 'string', default: '0' },
-    hall: { type: 'string', default: 'hall-1' },
+    zone: { type: 'string', default: 'zone-1' },
     region: { type: 'string', default: 'region-1' },
     capacity: { type: 'string', default: '200' },
     api: { type: 'string', multiple: true },
@@ -22,7 +22,7 @@
 });
 if (values.service === undefined || values.instance === undefined || values.api === undefined) {
   process.stderr.write(
-    'origin-stand-in --service NAME --instance NAME --api IP:PORT [--api …] [--host IP] [--port N] [--control-port N] [--hall H] [--region R] [--capacity N] [--max-age S] [--cold]\n',
+    'origin-stand-in --service NAME --instance NAME --api IP:PORT [--api …] [--host IP] [--port N] [--control-port N] [--zone H] [--region R] [--capacity N] [--max-age S] [--cold]\n',
   );
   process.exit(2);
 }
@@ -37,7 +37,7 @@
   incarnation: Number(values.incarnation),
   host: values.host,
   port: Number(values.port),
-  hall: values.hall,
+  zone: values.zone,
   region: values.region,
   capacity: Number(values.capacity),
   apis: values.api,
--- a/packages/planner/src/index.ts
+++ b/packages/planner/src/index.ts
@@ -6,7 +6,7 @@
 export type Known = {
   readonly policy: Policy;
   readonly emptied: readonly string[];
-  /** Halls whose origins get nothing, the emptied ones among them. */
+  /** Zones whose origins get nothing, the emptied ones among them. */
   readonly closedOrigins?: readonly string[];
   readonly nodes: readonly NodeRecord[];
   readonly origins: readonly Description[];
@@ -48,7 +48,8 @@
     readonly after: number;
   }[];
   /**
-   * Legs a second that each node's callers would ask for, and what its slices would let through.
+   * Attempts a second that each node's callers would ask for, and what its slices would let
+   * through.
    */
   readonly load: readonly {
     readonly node: string;
@@ -89,16 +90,16 @@
   if (service.instances !== undefined && !service.instances.includes(origin.instance))
     return 'the policy does not name this instance';
   if (origin.draining) return 'draining';
-  return emptied.includes(origin.hall)
-    ? 'its hall is emptied'
-    : closed.includes(origin.hall)
-      ? 'the origins of its hall get nothing'
+  return emptied.includes(origin.zone)
+    ? 'its zone is emptied'
+    : closed.includes(origin.zone)
+      ? 'the origins of its zone get nothing'
       : 'takes work';
 };
 
 /**
- * What an intent would move. The same division as the duty holder's is worked out over what the
- * nodes now ask for; callers of an emptied hall count as spread over the nodes that are left.
+ * What an intent would move. The same division as the quota leader's is worked out over what the
+ * nodes now ask for; callers of an emptied zone count as spread over the nodes that are left.
  *
  * @example
  * plan(known, { empty: ['west'] }).nodes // the nodes of west: serves -> emptied
@@ -107,28 +108,28 @@
   const policy = intent.policy ?? known.policy;
   const emptied = [
     ...new Set([
-      ...known.emptied.filter((hall) => intent.takeBack?.includes(hall) !== true),
+      ...known.emptied.filter((zone) => intent.takeBack?.includes(zone) !== true),
       ...(intent.empty ?? []),
     ]),
   ];
   const wereClosed = known.closedOrigins ?? known.emptied;
   const closed = [
     ...new Set([
-      ...wereClosed.filter((hall) => intent.takeBack?.includes(hall) !== true),
+      ...wereClosed.filter((zone) => intent.takeBack?.includes(zone) !== true),
       ...(intent.empty ?? []),
     ]),
   ];
   const fronts = known.nodes.filter((node) => node.proxy !== null);
-  const left = fronts.filter((node) => !emptied.includes(node.hall));
+  const left = fronts.filter((node) => !emptied.includes(node.zone));
   const seats: readonly Seat[] = left.map((node) => ({
     edge: node.id,
-    hall: node.hall,
+    zone: node.zone,
     region: node.region,
   }));
   const wantOf = (node: NodeRecord, service: string): number => node.wants[service] ?? 0;
   const displaced = (service: string): number =>
     fronts
-      .filter((node) => emptied.includes(node.hall))
+      .filter((node) => emptied.includes(node.zone))
       .reduce((sum, node) => sum + wantOf(node, service), 0);
   const wantsAfter = (service: string): Slices =>
     Object.fromEntries(
@@ -171,7 +172,7 @@
   const load = fronts.map((node) => ({
     node: node.id,
     before: Object.values(node.wants).reduce((sum, rate) => sum + rate, 0),
-    after: emptied.includes(node.hall)
+    after: emptied.includes(node.zone)
       ? 0
       : services.reduce(
           (sum, service) =>
@@ -221,7 +222,7 @@
     }),
     nodes: fronts.flatMap((node) => {
       const [before, after] = [known.emptied, emptied].map(
-        (halls) => (halls.includes(node.hall) ? 'emptied' : 'serves') as 'serves' | 'emptied',
+        (zones) => (zones.includes(node.zone) ? 'emptied' : 'serves') as 'serves' | 'emptied',
       );
       return before === undefined || after === undefined || before === after
         ? []
--- a/packages/planner/src/planner.test.ts
+++ b/packages/planner/src/planner.test.ts
@@ -3,25 +3,25 @@
 import { Schemas, type Description } from '@reedyard/schemas';
 import { plan, type Known } from './index.js';
 
-const node = (id: string, hall: string, region: string, want: number): NodeRecord => ({
+const node = (id: string, zone: string, region: string, want: number): NodeRecord => ({
   id,
-  hall,
+  zone,
   region,
   address: '',
-  proxy: { callers: '', partners: '', capacityBps: 1 },
+  proxy: { callers: '', peers: '', capacityBps: 1 },
   replica: null,
   ready: true,
   staying: true,
   proxyLife: '',
   wants: { store: want },
 });
-const origin = (instance: string, hall: string): Description => ({
+const origin = (instance: string, zone: string): Description => ({
   service: 'store',
   instance,
   incarnation: 1,
   address: '10.0.0.1:1',
   region: 'r',
-  hall,
+  zone,
   capacity: 60,
   state: 'warm',
   draining: false,
@@ -38,14 +38,14 @@
   slices: { store: { a: 33, b: 33, c: 33 } },
 };
 
-test('emptying a hall: its nodes and origins stop, its load goes to those left', (t) => {
+test('emptying a zone: its nodes and origins stop, its load goes to those left', (t) => {
   const moves = plan(known, { empty: ['west'] });
   t.deepEqual(
     moves.nodes.map((each) => `${each.node} ${each.before} ${each.after}`),
     ['a serves emptied', 'b serves emptied'],
   );
   t.deepEqual(moves.origins, [
-    { origin: 'store/o1', before: 'takes work', after: 'its hall is emptied' },
+    { origin: 'store/o1', before: 'takes work', after: 'its zone is emptied' },
   ]);
   t.deepEqual(
     moves.load.map((each) => [each.node, Math.round(each.after)]),
--- a/packages/proxy/src/attempt-budget.ts
+++ b/packages/proxy/src/attempt-budget.ts
@@ -5,27 +5,26 @@
 import { Weights } from '@reedyard/constants';
 import { Attempts } from '@reedyard/attempts';
 import { mayRepeat } from './choice.js';
-import type { LegAnswer, Transaction, Work } from './state.js';
+import type { AttemptAnswer, ProxyRequest, Work } from './state.js';
 import { headerText, keepsAlways } from './request-rules.js';
 
 /**
  * Whether another attempt adds little to what origins get: those before went to peers alone, which
  * as a rule have a copy.
  */
-export const isFree = (transaction: Transaction): boolean =>
-  keepsAlways(transaction.route) && transaction.legs.every((leg) => leg.to.kind === 'partner');
+export const isFree = (request: ProxyRequest): boolean =>
+  keepsAlways(request.route) && request.attempts.every((attempt) => attempt.to.kind === 'peer');
 
-export const mayTryMore = (work: Work, transaction: Transaction): boolean =>
-  (isFree(transaction) || mayRepeat(work.state, transaction.service)) &&
-  attemptsLeft(transaction) > 0;
+export const mayTryMore = (work: Work, request: ProxyRequest): boolean =>
+  (isFree(request) || mayRepeat(work.state, request.service)) && attemptsLeft(request) > 0;
 
 /** Origins that a request may still be sent to, from here or through peers. */
-export const attemptsLeft = (transaction: Transaction): number => {
+export const attemptsLeft = (request: ProxyRequest): number => {
   const most = Math.min(
-    transaction.route.limits.attempts ?? Infinity,
-    transaction.asked.attempts ?? Infinity,
+    request.route.limits.attempts ?? Infinity,
+    request.asked.attempts ?? Infinity,
   );
-  return most === Infinity ? Infinity : most - Attempts.spent(transaction.legs);
+  return most === Infinity ? Infinity : most - Attempts.spent(request.attempts);
 };
 
 /**
@@ -38,13 +37,13 @@
 const spentHeader = 'reedyard-spent';
 
 export const spentFields = (
-  transaction: Transaction | undefined,
+  request: ProxyRequest | undefined,
 ): Readonly<Record<string, string>> => {
-  const spent = Attempts.spent(transaction?.legs ?? []);
+  const spent = Attempts.spent(request?.attempts ?? []);
   return Number.isFinite(spent) ? { [spentHeader]: String(spent) } : {};
 };
 
-export const spentAt = (answer: LegAnswer): number | null => {
+export const spentAt = (answer: AttemptAnswer): number | null => {
   const told = headerText(answer.headers, spentHeader);
   return told !== null && /^\d{1,3}$/.test(told) ? Number(told) : null;
 };
--- a/packages/proxy/src/attempt-ends.ts
+++ b/packages/proxy/src/attempt-ends.ts
@@ -4,10 +4,10 @@
 import type { Copy } from '@reedyard/cache';
 import { Routes } from '@reedyard/schemas';
 import { Attempts } from '@reedyard/attempts';
-import type { Leg, LegEnd, Sent } from '@reedyard/attempts';
+import type { Attempt, AttemptEnd, Sent } from '@reedyard/attempts';
 import { mayRepeat, restFor, suspectFor, tookStanding } from './choice.js';
 import { change, count, log, set } from './state.js';
-import type { LegAnswer, Transaction, Work } from './state.js';
+import type { AttemptAnswer, ProxyRequest, Work } from './state.js';
 import { attemptsLeft, mayTryMore, spentAt, spentFields } from './attempt-budget.js';
 import { close, forget, giveUp, lapsed, leaderEnded, measured, settle } from './ending.js';
 import {
@@ -21,70 +21,70 @@
 } from './request-rules.js';
 import { startAgain } from './serving.js';
 
-export const endLeg = (
+export const endAttempt = (
   work: Work,
-  transaction: Transaction,
+  request: ProxyRequest,
   number: number,
-  end: LegEnd,
-): Transaction | undefined => {
-  const leg = transaction.legs[number];
-  if (leg === undefined || leg.end !== null) return undefined;
-  const under = (work.state.outstanding[leg.to.id] ?? 1) - 1;
-  const { [leg.to.id]: _gone, ...others } = work.state.outstanding;
-  set(work, { outstanding: under > 0 ? { ...others, [leg.to.id]: under } : others });
-  return change(work, transaction.id, {
-    legs: transaction.legs.map((each) => (each.number === number ? { ...each, end } : each)),
+  end: AttemptEnd,
+): ProxyRequest | undefined => {
+  const attempt = request.attempts[number];
+  if (attempt === undefined || attempt.end !== null) return undefined;
+  const under = (work.state.outstanding[attempt.to.id] ?? 1) - 1;
+  const { [attempt.to.id]: _gone, ...others } = work.state.outstanding;
+  set(work, { outstanding: under > 0 ? { ...others, [attempt.to.id]: under } : others });
+  return change(work, request.id, {
+    attempts: request.attempts.map((each) => (each.number === number ? { ...each, end } : each)),
   });
 };
 
-const derive = (work: Work, transaction: Transaction): void => {
-  if (transaction.phase === 'over') {
-    if (transaction.legs.every((leg) => leg.end !== null)) forget(work, transaction);
+const derive = (work: Work, request: ProxyRequest): void => {
+  if (request.phase === 'over') {
+    if (request.attempts.every((attempt) => attempt.end !== null)) forget(work, request);
     return;
   }
-  const { legs, safe, limitAt } = transaction;
+  const { attempts, safe, limitAt } = request;
   const move = Attempts.next({
     safe,
-    legs,
+    attempts,
     now: work.state.now,
     limitAt,
-    mayRepeat: mayTryMore(work, transaction),
+    mayRepeat: mayTryMore(work, request),
   });
-  if (transaction.callerGone && move.kind === 'open') {
-    giveUp(work, transaction, 503, Attempts.outcomeOf(transaction.legs), 'its caller left');
+  if (request.callerGone && move.kind === 'open') {
+    giveUp(work, request, 503, Attempts.outcomeOf(request.attempts), 'its caller left');
     return;
   }
-  if (move.kind === 'open') startAgain(work, transaction);
-  else if (move.kind === 'give-up') giveUp(work, transaction, move.status, move.outcome, move.why);
+  if (move.kind === 'open') startAgain(work, request);
+  else if (move.kind === 'give-up') giveUp(work, request, move.status, move.outcome, move.why);
 };
 
 export const failed = (work: Work, id: number, number: number, sent: Sent, why: string): void => {
-  const transaction = work.state.transactions[id];
-  if (transaction === undefined) return;
-  const ended = endLeg(work, transaction, number, { kind: 'failed', sent, why });
+  const request = work.state.requests[id];
+  if (request === undefined) return;
+  const ended = endAttempt(work, request, number, { kind: 'failed', sent, why });
   if (ended === undefined) return;
-  const name = ended.legs[number]?.to.id ?? '';
+  const name = ended.attempts[number]?.to.id ?? '';
   if (why !== 'purged' && why !== 'lease') suspectFor(work, name);
-  count(work, `leg-failed.${why}`);
-  log(work, 'leg.failed', { id, leg: number, to: name, sent, why });
+  count(work, `attempt-failed.${why}`);
+  log(work, 'attempt.failed', { id, attempt: number, to: name, sent, why });
   derive(work, ended);
 };
 
-export const answered = (work: Work, id: number, number: number, answer: LegAnswer): void => {
-  const transaction = work.state.transactions[id];
-  const leg = transaction?.legs[number];
-  if (transaction === undefined || leg === undefined || leg.end !== null) return;
+export const answered = (work: Work, id: number, number: number, answer: AttemptAnswer): void => {
+  const request = work.state.requests[id];
+  const attempt = request?.attempts[number];
+  if (request === undefined || attempt === undefined || attempt.end !== null) return;
   const { state } = work;
-  const bad = unsound(transaction, number, answer, state.routes);
+  const bad = unsound(request, number, answer, state.routes);
   if (bad !== null) {
-    work.effects.push({ kind: 'abort', id, leg: number });
+    work.effects.push({ kind: 'abort', id, attempt: number });
     failed(work, id, number, 'maybe', bad);
     return;
   }
-  const { safe } = transaction;
-  const tags = Cache.tags(answer.headers, transaction.route.tagsHeader);
-  const purgedAt = keeps(transaction.route, transaction.asked.method)
-    ? Cache.purgedSince(state.cache, transaction.key, tags, leg.openedAt)
+  const { safe } = request;
+  const tags = Cache.tags(answer.headers, request.route.tagsHeader);
+  const purgedAt = keeps(request.route, request.asked.method)
+    ? Cache.purgedSince(state.cache, request.key, tags, attempt.openedAt)
     : null;
   // It may be what a purge was meant to take away, and the time for that is nearly over, or such a
   // purge can't have been heard of: what only reads is then not passed on.
@@ -94,13 +94,13 @@
       : purgedAt !== null && state.now - purgedAt > 250
         ? 'purged'
         : null;
-  if (doubtful !== null && transaction.phase !== 'over') {
-    work.effects.push({ kind: 'abort', id, leg: number });
+  if (doubtful !== null && request.phase !== 'over') {
+    work.effects.push({ kind: 'abort', id, attempt: number });
     failed(work, id, number, 'maybe', doubtful);
     return;
   }
   if (answer.proof?.misdirected === true) {
-    work.effects.push({ kind: 'abort', id, leg: number });
+    work.effects.push({ kind: 'abort', id, attempt: number });
     failed(work, id, number, 'nothing', 'identity');
     return;
   }
@@ -117,46 +117,46 @@
     answer.status === 504;
   const mayTryAgain =
     safe &&
-    leg.to.kind === 'origin' &&
+    attempt.to.kind === 'origin' &&
     answer.status >= 500 &&
-    mayRepeat(state, transaction.service) &&
-    attemptsLeft(transaction) > 0 &&
-    state.now < transaction.limitAt;
+    mayRepeat(state, request.service) &&
+    attemptsLeft(request) > 0 &&
+    state.now < request.limitAt;
   // A word of being turned away is passed on for an unsafe request only where it is proved.
   const final =
     (!turnedAway ||
       (safe && answer.status === 429 && answer.proof === undefined) ||
       passedOn(answer)) &&
     !mayTryAgain;
-  const ended = endLeg(work, transaction, number, {
+  const ended = endAttempt(work, request, number, {
     kind: 'answered',
     status: answer.status,
     final,
     notRun,
-    spent: leg.to.kind === 'partner' ? spentAt(answer) : null,
+    spent: attempt.to.kind === 'peer' ? spentAt(answer) : null,
   });
   if (ended === undefined) return;
-  if (!notRun) tookStanding(work, leg.to.id, state.now - leg.openedAt, answer.proof);
-  if (leg.to.kind === 'origin' && notRun) restFor(work, leg.to.id);
+  if (!notRun) tookStanding(work, attempt.to.id, state.now - attempt.openedAt, answer.proof);
+  if (attempt.to.kind === 'origin' && notRun) restFor(work, attempt.to.id);
   // What is read whole leaves its conn ready for the next.
   const drop = (): void => {
-    if (!answer.whole) work.effects.push({ kind: 'abort', id, leg: number });
+    if (!answer.whole) work.effects.push({ kind: 'abort', id, attempt: number });
   };
-  if (transaction.phase === 'over') {
+  if (request.phase === 'over') {
     drop();
     derive(work, ended);
     return;
   }
   if (!final) {
     drop();
-    if (leg.to.kind === 'partner' && notRun) suspectFor(work, leg.to.id);
+    if (attempt.to.kind === 'peer' && notRun) suspectFor(work, attempt.to.id);
     derive(work, ended);
     return;
   }
-  const fromOrigin = leg.to.kind === 'origin';
-  const legMs = state.now - leg.openedAt;
+  const fromOrigin = attempt.to.kind === 'origin';
+  const attemptMs = state.now - attempt.openedAt;
   if (fromOrigin) {
-    const name = transaction.route.name;
+    const name = request.route.name;
     const old = state.replyBytes[name];
     set(work, {
       replyBytes: {
@@ -168,23 +168,25 @@
   if (fromOrigin) {
     count(work, 'fetched');
     const { period } = work.state;
-    set(work, { period: { ...period, legMs: period.legMs + legMs, fetched: period.fetched + 1 } });
+    set(work, {
+      period: { ...period, attemptMs: period.attemptMs + attemptMs, fetched: period.fetched + 1 },
+    });
   } else count(work, 'forwarded');
-  const copy = fromOrigin ? copyOf(work, transaction, leg, answer, tags, purgedAt) : null;
+  const copy = fromOrigin ? copyOf(work, request, attempt, answer, tags, purgedAt) : null;
   if (copy !== null) set(work, { cache: Cache.keep(work.state.cache, copy) });
-  else if (transaction.leads)
+  else if (request.leads)
     set(work, {
       unkept: {
         ...Object.fromEntries(
           Object.entries(work.state.unkept).filter(([, until]) => until > state.now),
         ),
-        [transaction.key]: state.now + 5_000,
+        [request.key]: state.now + 5_000,
       },
     });
   settle(work, ended, answer.status < 500 ? 'ran' : 'unknown');
-  measured(work, transaction, answer.size, fromOrigin);
+  measured(work, request, answer.size, fromOrigin);
   count(work, `status.${answer.status}`);
-  if (!transaction.callerGone) {
+  if (!request.callerGone) {
     work.effects.push({
       kind: 'answer',
       id,
@@ -193,17 +195,17 @@
         headers: {
           ...answer.headers,
           ...spentFields(ended),
-          ...(transaction.asked.via === null
+          ...(request.asked.via === null
             ? {}
-            : { 'reedyard-service': fromOrigin ? serviceOf(leg) : transaction.service }),
+            : { 'reedyard-service': fromOrigin ? serviceOf(attempt) : request.service }),
           'reedyard-served': fromOrigin
-            ? transaction.asked.via === null
+            ? request.asked.via === null
               ? 'origin'
-              : 'partner-origin'
-            : 'partner',
+              : 'peer-origin'
+            : 'peer',
           ...(safe ? {} : { 'reedyard-outcome': answer.status < 500 ? 'ran' : 'unknown' }),
         },
-        body: { kind: 'leg', answer },
+        body: { kind: 'attempt', answer },
       },
     });
   } else drop();
@@ -217,48 +219,43 @@
  */
 const copyOf = (
   work: Work,
-  transaction: Transaction,
-  leg: Leg,
-  answer: LegAnswer,
+  request: ProxyRequest,
+  attempt: Attempt,
+  answer: AttemptAnswer,
   tags: readonly string[],
   purgedAt: number | null,
 ): Copy | null => {
   const { state } = work;
-  if (
-    transaction.asked.method !== 'GET' ||
-    !answer.whole ||
-    answer.status === 206 ||
-    purgedAt !== null
-  )
+  if (request.asked.method !== 'GET' || !answer.whole || answer.status === 206 || purgedAt !== null)
     return null;
-  const route = Routes.find(state.routes, transaction.asked.host, transaction.asked.target);
-  const legMs = state.now - leg.openedAt;
+  const route = Routes.find(state.routes, request.asked.host, request.asked.target);
+  const attemptMs = state.now - attempt.openedAt;
   const life =
     route !== undefined && keepsAlways(route)
       ? answer.status === 200
         ? (route.cache.mostSeconds ?? 0) * 1_000
         : 0
       : Cache.life(
-          { method: 'GET', url: transaction.asked.target, headers: transaction.asked.headers },
+          { method: 'GET', url: request.asked.target, headers: request.asked.headers },
           answer,
-          legMs,
+          attemptMs,
         );
-  const { ['reedyard-leg']: _mark, ...headers } = answer.headers;
+  const { ['reedyard-attempt']: _mark, ...headers } = answer.headers;
   const copy: Copy = {
-    key: transaction.key,
-    service: serviceOf(leg),
+    key: request.key,
+    service: serviceOf(attempt),
     status: answer.status,
     headers,
     body: answer.body,
     size: answer.size,
     tags,
-    vary: Cache.vary(answer.headers, transaction.asked.headers),
+    vary: Cache.vary(answer.headers, request.asked.headers),
     takenAt: state.now,
     freshUntil: state.now + life,
     bornAge:
       route !== undefined && keepsAlways(route)
         ? 0
-        : Number(headerText(answer.headers, 'age') ?? 0) + legMs / 1_000,
+        : Number(headerText(answer.headers, 'age') ?? 0) + attemptMs / 1_000,
   };
   return life > 0 && state.now < lifeEnd(route, state, copy) ? copy : null;
 };
--- a/packages/proxy/src/body-bound.test.ts
+++ b/packages/proxy/src/body-bound.test.ts
@@ -6,7 +6,7 @@
   const origin = await startScriptedOrigin((request, socket) => {
     socket.write(soundAnswer(request));
   });
-  const policy = { serial: 1, document: policyOf({ bodyBytes: 5_000_000 }) };
+  const policy = { revision: 1, document: policyOf({ bodyBytes: 5_000_000 }) };
   const harness = await startHarness({ policy, origins: [originRow(origin.port)] });
   t.teardown(async () => {
     harness.close();
--- a/packages/proxy/src/caller-answer.ts
+++ b/packages/proxy/src/caller-answer.ts
@@ -39,7 +39,7 @@
   headers: Headers,
 ): http.OutgoingHttpHeaders => {
   const vouched = stamped(status, originStatusOf(answer), headers, dialect.stamps);
-  const { 'reedyard-leg': _correlation, connection: _connection, ...peerFields } = vouched;
+  const { 'reedyard-attempt': _correlation, connection: _connection, ...peerFields } = vouched;
   const { 'reedyard-spent': _spent, ...callerFields } = peerFields;
   const retryMs = answer.retryMs ?? null;
   const shown =
@@ -66,7 +66,7 @@
 const writeWhole = (target: AnswerTarget, answer: Answer, held: Held): void => {
   const { response, asked } = target;
   const { status, headers } = answer;
-  const bodiless = asked.method === 'HEAD' && answer.body.kind === 'leg';
+  const bodiless = asked.method === 'HEAD' && answer.body.kind === 'attempt';
   if (bodiless || status === 204 || status === 304) {
     response.writeHead(status, shownFields(target, answer, status, headers));
     response.end();
--- a/packages/proxy/src/caller-sockets.test.ts
+++ b/packages/proxy/src/caller-sockets.test.ts
@@ -47,7 +47,7 @@
   limits: object = {},
 ): Promise<Stage> => {
   const origin = await startScriptedOrigin(script);
-  const policy = { serial: 1, document: policyOf(callers, limits) };
+  const policy = { revision: 1, document: policyOf(callers, limits) };
   const harness = await startHarness({ policy, origins: [originRow(origin.port)] });
   t.teardown(async () => {
     harness.close();
@@ -142,7 +142,7 @@
 
 test('a caller who leaves takes all its pipelined requests along', async (t) => {
   const held = new HeldAnswers();
-  const never = { transactionMs: 600_000, legMs: 600_000 };
+  const never = { requestMs: 600_000, attemptMs: 600_000 };
   const { origin, harness } = await stage(t, held.script, {}, never);
   const caller = await RawCaller.connect(harness.port);
   for (const number of [1, 2, 3]) caller.send('GET', `/read/${number}`, `r${number}`);
@@ -150,7 +150,7 @@
   caller.socket.destroy();
   await until(() => origin.sockets.every((socket) => socket.closed));
   await until(() => harness.proxy.underWay() === 0);
-  t.deepEqual(harness.proxy.task.peek().transactions, {});
+  t.deepEqual(harness.proxy.task.peek().requests, {});
 });
 
 test('while it stops, each pipelined request at work gets its answer, and the last one closes', async (t) => {
@@ -183,7 +183,7 @@
   harness.proxy.stop();
   held.release('/read/2');
   const { task } = harness.proxy;
-  await until(() => Object.keys(task.peek().transactions).length === 1);
+  await until(() => Object.keys(task.peek().requests).length === 1);
   caller.send('POST', '/order/3', 'r3', 'pay');
   held.release('/read/1');
   await until(() => ended(caller));
@@ -204,7 +204,7 @@
   caller.send('GET', '/read/large', 'r1');
   await until(() => caller.text.length > 0);
   caller.socket.pause();
-  await until(() => Object.keys(harness.proxy.task.peek().transactions).length === 0);
+  await until(() => Object.keys(harness.proxy.task.peek().requests).length === 0);
   harness.proxy.stop();
   t.is(harness.proxy.underWay(), 1);
   caller.socket.resume();
@@ -237,11 +237,11 @@
   await until(() => accepted.length === 1 && harness.server.keepAliveTimeout === 45_900);
   t.deepEqual(await restOf(caller, 'r1'), ['45', true]);
   // A newer config holds for the connections that are there.
-  harness.feed.policy = { serial: 2, document: policyOf({ idleMs: 90_000 }) };
+  harness.feed.policy = { revision: 2, document: policyOf({ idleMs: 90_000 }) };
   await until(() => harness.server.keepAliveTimeout === 90_900);
   t.deepEqual(await restOf(caller, 'r2'), ['90', true]);
   // One that says nothing goes back to the default.
-  harness.feed.policy = { serial: 3, document: policyOf() };
+  harness.feed.policy = { revision: 3, document: policyOf() };
   await until(() => harness.server.keepAliveTimeout === 30_900);
   t.deepEqual(await restOf(caller, 'r3'), ['30', true]);
 });
--- a/packages/proxy/src/choice.ts
+++ b/packages/proxy/src/choice.ts
@@ -2,14 +2,14 @@
 import { groupKey, holderOf, objectKey } from '@reedyard/server-selection';
 import { Routes, type Route } from '@reedyard/schemas';
 import { Attempts } from '@reedyard/attempts';
-import type { OriginRow, PartnerRow } from '@reedyard/agent';
+import type { OriginRow, PeerRow } from '@reedyard/agent';
 import type { Proof } from './dialect.js';
 import {
   set,
   type Bucket,
   type ProxyState,
   type Standing,
-  type Transaction,
+  type ProxyRequest,
   type Work,
 } from './state.js';
 
@@ -42,15 +42,12 @@
   return Routes.mainService(route);
 };
 
-/** Partners that may be given this transaction, nearest first. */
-export const allowedPartners = (
-  state: ProxyState,
-  transaction: Transaction,
-): readonly PartnerRow[] => {
-  const tried = new Set(transaction.legs.map((leg) => leg.to.id));
-  return (state.feed?.partners ?? []).filter(
+/** Peers that may be given this request, nearest first. */
+export const allowedPeers = (state: ProxyState, request: ProxyRequest): readonly PeerRow[] => {
+  const tried = new Set(request.attempts.map((attempt) => attempt.to.id));
+  return (state.feed?.peers ?? []).filter(
     (row) =>
-      atHome(transaction.route.homes, row.region) && !tried.has(row.id) && !suspect(state, row.id),
+      atHome(request.route.homes, row.region) && !tried.has(row.id) && !suspect(state, row.id),
   );
 };
 
@@ -58,34 +55,31 @@
  * The draw: this edge's row of the split for the object, over those that may serve it now. Without
  * a row the edge serves itself where it may, or else hands on to the nearest that may.
  */
-export const drawServer = (
-  state: ProxyState,
-  transaction: Transaction,
-): 'self' | PartnerRow | null => {
-  const home = atHome(transaction.route.homes, state.self.region);
-  if (transaction.asked.via !== null) return home ? 'self' : null;
+export const drawServer = (state: ProxyState, request: ProxyRequest): 'self' | PeerRow | null => {
+  const home = atHome(request.route.homes, state.self.region);
+  if (request.asked.via !== null) return home ? 'self' : null;
   const split = state.feed?.split ?? {};
-  const { name } = transaction.route;
-  const holder = holderOf(transaction.key, state.holders[name] ?? []);
+  const { name } = request.route;
+  const holder = holderOf(request.key, state.holders[name] ?? []);
   const row =
     (holder === undefined
-      ? (split[objectKey(name, transaction.asked.target)] ?? split[objectKey(name, null)])
+      ? (split[objectKey(name, request.asked.target)] ?? split[objectKey(name, null)])
       : split[groupKey(name, holder)]) ?? [];
   if (home && row.every(([edge]) => edge === state.self.id)) return 'self';
-  const partners = allowedPartners(state, transaction);
-  const open = row.flatMap(([edge, share]): readonly (readonly ['self' | PartnerRow, number])[] => {
+  const peers = allowedPeers(state, request);
+  const open = row.flatMap(([edge, share]): readonly (readonly ['self' | PeerRow, number])[] => {
     if (edge === state.self.id) return home ? [['self', share]] : [];
-    const partner = partners.find((each) => each.id === edge);
-    return partner === undefined ? [] : [[partner, share]];
+    const peer = peers.find((each) => each.id === edge);
+    return peer === undefined ? [] : [[peer, share]];
   });
-  let left = (transaction.draws[0] ?? 0) * open.reduce((sum, [, share]) => sum + share, 0);
+  let left = (request.draws[0] ?? 0) * open.reduce((sum, [, share]) => sum + share, 0);
   for (const [server, share] of open) {
     left -= share;
     if (left < 0) return server;
   }
   const last = open.at(-1);
   if (last !== undefined) return last[0];
-  return home ? 'self' : (partners[0] ?? null);
+  return home ? 'self' : (peers[0] ?? null);
 };
 
 const most = (rate: number): number => Math.max(1, rate * Weights.burstSeconds);
@@ -127,7 +121,7 @@
 };
 
 /** Nodes that share the origins with this one. */
-const nodes = (state: ProxyState): number => (state.feed?.partners.length ?? 0) + 1;
+const nodes = (state: ProxyState): number => (state.feed?.peers.length ?? 0) + 1;
 
 /**
  * Requests that this node may have under way at an origin: its part of what that one works on and
@@ -187,7 +181,7 @@
   const far =
     row.region !== state.self.region
       ? Weights.farRegionMs
-      : row.hall !== state.self.hall
+      : row.zone !== state.self.zone
         ? replyBytes * Weights.zoneMsPerByte
         : 0;
   return ms * (use <= 1 ? 1 + 0.5 * use * use : 1.5 * use) + far;
@@ -199,12 +193,12 @@
  */
 export const rankOrigins = (
   state: ProxyState,
-  transaction: Transaction,
+  request: ProxyRequest,
   replyBytes = 0,
 ): readonly OriginRow[] => {
-  const tried = new Set(transaction.legs.map((leg) => leg.to.id));
+  const tried = new Set(request.attempts.map((attempt) => attempt.to.id));
   const rows = (state.feed?.origins ?? []).filter(
-    (row) => row.service === transaction.service && atHome(transaction.route.homes, row.region),
+    (row) => row.service === request.service && atHome(request.route.homes, row.region),
   );
   const untried = rows.filter((row) => !tried.has(originName(row)));
   const trusted = untried.filter((row) => !suspect(state, originName(row)));
@@ -216,10 +210,10 @@
   let best: (typeof costs)[number] | undefined;
   for (let drawn = 0; drawn < Weights.originsDrawn && left.length > 0; drawn += 1) {
     const draw =
-      transaction.draws[
+      request.draws[
         1 +
-          ((transaction.legs.length * Weights.originsDrawn + drawn) %
-            Math.max(1, transaction.draws.length - 1))
+          ((request.attempts.length * Weights.originsDrawn + drawn) %
+            Math.max(1, request.draws.length - 1))
       ] ?? 0.5;
     const one = left[Math.min(left.length - 1, Math.floor(draw * left.length))];
     left = left.filter((each) => each !== one);
--- a/packages/proxy/src/conns.test.ts
+++ b/packages/proxy/src/conns.test.ts
@@ -5,7 +5,7 @@
 import { OriginConns } from './conns.js';
 import { ownDialect } from './dialect.js';
 
-test('a leg is not sent over a conn that came too late for what it was decided on', async (t) => {
+test('an attempt is not sent over a conn that came too late for what it was decided on', async (t) => {
   const paths: string[] = [];
   const server = http.createServer((request, response) => {
     paths.push(request.url ?? '');
@@ -25,7 +25,7 @@
     instance: 'i',
     incarnation: 1,
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    hall: 'h',
+    zone: 'h',
     region: 'r',
     capacity: 1,
     cold: false,
--- a/packages/proxy/src/conns.ts
+++ b/packages/proxy/src/conns.ts
@@ -6,13 +6,13 @@
 import net from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { Limits } from '@reedyard/constants';
-import type { OriginRow, PartnerRow } from '@reedyard/agent';
+import type { OriginRow, PeerRow } from '@reedyard/agent';
 import { textOf } from '@reedyard/logging';
 import { originName } from './choice.js';
 import type { Dialect, ToOrigin } from './dialect.js';
 import {
   Exchange,
-  LegError,
+  AttemptError,
   OpenConnection,
   type AttemptEnds,
   type Judgement,
@@ -20,7 +20,7 @@
   type Underway,
 } from './exchange.js';
 
-export { LegError, type AttemptEnds, type Outgoing, type Underway } from './exchange.js';
+export { AttemptError, type AttemptEnds, type Outgoing, type Underway } from './exchange.js';
 
 const IDENTITY_PATH = '/.well-known/reedyard-identity';
 /** bytes. A proof of identity is a few names. */
@@ -96,7 +96,7 @@
   });
 
 /** The name under which connections to a peer are kept. */
-export const peerName = (row: PartnerRow): string => `peer ${row.id} ${row.address}`;
+export const peerName = (row: PeerRow): string => `peer ${row.id} ${row.address}`;
 
 /** Connections to origins and peers. */
 export class OriginConns {
@@ -141,9 +141,9 @@
   }
 
   /** Hands a request on to a peer. */
-  sendToPeer(row: PartnerRow, out: Outgoing, terms: SendTerms, ends: AttemptEnds): Underway {
+  sendToPeer(row: PeerRow, out: Outgoing, terms: SendTerms, ends: AttemptEnds): Underway {
     const judge = ({ headers }: http.IncomingMessage): Judgement => {
-      const foreign = headers['reedyard-leg'] !== out.headers['reedyard-leg'];
+      const foreign = headers['reedyard-attempt'] !== out.headers['reedyard-attempt'];
       return { evidence: { unsound: foreign ? 'foreign' : null, anonymous: false } };
     };
     return this.#send(
@@ -160,7 +160,7 @@
     let aborted = false;
     let exchange: Exchange | null = null;
     const failUnsent = (why: string, cause: unknown): void => {
-      if (!aborted) ends.fail(new LegError('nothing', why, textOf(cause), { cause }));
+      if (!aborted) ends.fail(new AttemptError('nothing', why, textOf(cause), { cause }));
     };
     const use = (connection: OpenConnection): void => {
       if (aborted || performance.now() >= terms.sendBy) {
--- a/packages/proxy/src/core.ts
+++ b/packages/proxy/src/core.ts
@@ -9,8 +9,8 @@
 import { Routes } from '@reedyard/schemas';
 import { drawService, earnRepeat, isSafe } from './choice.js';
 import { change, count, set } from './state.js';
-import type { Asked, ProxyEffect, ProxyEvent, ProxyState, Transaction, Work } from './state.js';
-import { answered, endLeg, failed } from './attempt-ends.js';
+import type { Asked, ProxyEffect, ProxyEvent, ProxyState, ProxyRequest, Work } from './state.js';
+import { answered, endAttempt, failed } from './attempt-ends.js';
 import { close, giveUp, turnAway } from './ending.js';
 import { fed } from './feeding.js';
 import { question } from './reporting.js';
@@ -29,7 +29,7 @@
     return false;
   }
   if (via === null && state.emptiedAt !== null && state.now - state.emptiedAt > Limits.emptyGrace) {
-    turnAway(work, id, 503, 'Hall emptied', 'This hall is emptied.', { connection: 'close' });
+    turnAway(work, id, 503, 'Zone emptied', 'This zone is emptied.', { connection: 'close' });
     return false;
   }
   return true;
@@ -43,7 +43,7 @@
   token: string,
 ): void => {
   const { state } = work;
-  count(work, asked.via === null ? 'transactions' : 'transactions.partner');
+  count(work, asked.via === null ? 'requests' : 'requests.peer');
   if (!mayServe(work, id, asked.via)) return;
   const route = Routes.find(state.routes, asked.host, asked.target);
   const refusal = refusalOf(route, asked, state.policy?.document.callers);
@@ -52,8 +52,8 @@
       turnAway(work, id, refusal.status, refusal.title, refusal.detail, refusal.more);
     return;
   }
-  if (Object.keys(state.transactions).length >= Sizes.transactions) {
-    turnAway(work, id, 503, 'Too busy', 'Too many transactions are under way here.');
+  if (Object.keys(state.requests).length >= Sizes.requests) {
+    turnAway(work, id, 503, 'Too busy', 'Too many requests are under way here.');
     return;
   }
   const safe = isSafe(route, asked.method);
@@ -61,11 +61,11 @@
     safe || route.repeat === 'never' || asked.via !== null
       ? null
       : headerText(asked.headers, 'idempotency-key');
-  const transaction: Transaction = {
+  const request: ProxyRequest = {
     id,
     asked,
     route,
-    serial: state.policy?.serial ?? 0,
+    revision: state.policy?.revision ?? 0,
     service: drawService(route, draws.at(-1) ?? 0),
     safe,
     key: Cache.key(asked.host, asked.target),
@@ -74,42 +74,42 @@
     draws,
     token,
     claimKey: callerKey === null ? null : Cache.key(asked.host, `/${callerKey}`),
-    legs: [],
-    phase: callerKey === null ? 'leg' : 'claiming',
+    attempts: [],
+    phase: callerKey === null ? 'attempt' : 'claiming',
     heldAt: 0,
     leads: false,
     callerGone: false,
   };
-  set(work, { transactions: { ...state.transactions, [id]: transaction } });
+  set(work, { requests: { ...state.requests, [id]: request } });
   // A forwarded request earned its repeat where its caller came to.
-  if (asked.via === null) earnRepeat(work, transaction.service);
-  if (transaction.claimKey !== null)
+  if (asked.via === null) earnRepeat(work, request.service);
+  if (request.claimKey !== null)
     work.effects.push({
       kind: 'ask',
       id,
       call: {
         kind: 'claim',
-        key: transaction.claimKey,
+        key: request.claimKey,
         token,
         life: state.self.life,
         digest: asked.digest ?? '',
       },
     });
-  else start(work, transaction);
+  else start(work, request);
 };
 
 const claimed = (work: Work, id: number, reply: ClaimReply): void => {
-  const transaction = work.state.transactions[id];
-  if (transaction === undefined || transaction.phase !== 'claiming') return;
+  const request = work.state.requests[id];
+  if (request === undefined || request.phase !== 'claiming') return;
   if (reply.kind === 'granted') {
-    const held = change(work, id, { phase: 'leg' });
+    const held = change(work, id, { phase: 'attempt' });
     if (held === undefined) return;
     if (held.callerGone) giveUp(work, held, 503, 'not-run', 'its caller left');
     else start(work, held);
     return;
   }
   if (reply.kind === 'unreached') {
-    giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed');
+    giveUp(work, request, 503, 'not-run', 'its key could not be claimed');
     return;
   }
   if (reply.kind === 'other') {
@@ -129,7 +129,7 @@
         },
       },
     });
-    close(work, transaction);
+    close(work, request);
     return;
   }
   const known = reply.state === 'pending' ? 'in-progress' : reply.state;
@@ -151,33 +151,29 @@
       },
     },
   });
-  close(work, transaction);
+  close(work, request);
 };
 
 export const left = (work: Work, id: number): void => {
-  const transaction = change(work, id, { callerGone: true });
-  // A leg that others wait for, or that may have run, is let finish; only safe ones alone are
+  const request = change(work, id, { callerGone: true });
+  // An attempt that others wait for, or that may have run, is let finish; only safe ones alone are
   // dropped.
-  if (
-    transaction === undefined ||
-    !transaction.safe ||
-    transaction.leads ||
-    transaction.phase !== 'leg'
-  )
+  if (request === undefined || !request.safe || request.leads || request.phase !== 'attempt')
     return;
-  const live = transaction.legs.filter((leg) => leg.end === null);
+  const live = request.attempts.filter((attempt) => attempt.end === null);
   if (live.length === 0) return;
-  let ended = transaction;
-  for (const leg of live) {
-    work.effects.push({ kind: 'abort', id, leg: leg.number });
+  let ended = request;
+  for (const attempt of live) {
+    work.effects.push({ kind: 'abort', id, attempt: attempt.number });
     ended =
-      endLeg(work, ended, leg.number, { kind: 'failed', sent: 'maybe', why: 'caller' }) ?? ended;
+      endAttempt(work, ended, attempt.number, { kind: 'failed', sent: 'maybe', why: 'caller' }) ??
+      ended;
   }
   close(work, ended);
 };
 
 export const ProxyCore = {
-  /** @example ProxyCore.open({ id: 'front-1', hall: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
+  /** @example ProxyCore.open({ id: 'front-1', zone: 'a', region: 'eu', capacityBps: 8e7, life: 'l1' }, 0).lease // 0: nothing is served yet */
   open: (self: ProxyState['self'], now: number): ProxyState => ({
     self,
     now,
@@ -193,7 +189,7 @@
     emptiedAt: null,
     cache: Cache.empty,
     abroad: false,
-    transactions: {},
+    requests: {},
     fetches: {},
     unkept: {},
     buckets: {},
@@ -204,7 +200,7 @@
     replyBytes: {},
     stoppingAt: null,
     counters: {},
-    period: { since: now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
+    period: { since: now, bits: {}, servedBits: 0, replies: 0, attemptMs: 0, fetched: 0 },
     wants: {},
     wanted: { since: now, counts: {} },
   }),
@@ -225,10 +221,10 @@
         arrived(work, event.id, event.asked, event.draws, event.token);
         break;
       case 'answered':
-        answered(work, event.id, event.leg, event.answer);
+        answered(work, event.id, event.attempt, event.answer);
         break;
       case 'failed':
-        failed(work, event.id, event.leg, event.sent, event.why);
+        failed(work, event.id, event.attempt, event.sent, event.why);
         break;
       case 'claimed':
         claimed(work, event.id, event.reply);
--- a/packages/proxy/src/dialect.ts
+++ b/packages/proxy/src/dialect.ts
@@ -79,10 +79,13 @@
   livePath: '/.well-known/reedyard/live',
   deadlineMs: () => null,
   left: () => ({}),
-  toOrigin: ({ origin: row, mark }) => ({ 'reedyard-leg': mark, 'reedyard-expect': origin(row) }),
+  toOrigin: ({ origin: row, mark }) => ({
+    'reedyard-attempt': mark,
+    'reedyard-expect': origin(row),
+  }),
   fromOrigin: (status, headers, { origin: row, mark }) => ({
     unsound:
-      headers['reedyard-leg'] !== mark
+      headers['reedyard-attempt'] !== mark
         ? 'foreign'
         : headers['reedyard-stamp'] !== origin(row)
           ? 'stamp'
--- a/packages/proxy/src/draining.test.ts
+++ b/packages/proxy/src/draining.test.ts
@@ -55,5 +55,5 @@
   t.is(draining.requests.length, 2);
   // Its connections are not kept for another request.
   await until(() => draining.sockets.every((socket) => socket.closed || socket.readableEnded));
-  t.true(harness.logged.every((line) => !line.startsWith('leg.failed')));
+  t.true(harness.logged.every((line) => !line.startsWith('attempt.failed')));
 });
--- a/packages/proxy/src/ending.ts
+++ b/packages/proxy/src/ending.ts
@@ -12,7 +12,7 @@
 import { spentFields } from './attempt-budget.js';
 import { drawService, isSafe } from './choice.js';
 import { change, count, log, set } from './state.js';
-import type { Answer, Transaction, Work } from './state.js';
+import type { Answer, ProxyRequest, Work } from './state.js';
 import { headerText, keeps, keepsAlways, limitOf, refusalOf } from './request-rules.js';
 import { startAgain } from './serving.js';
 
@@ -36,7 +36,7 @@
       status,
       headers: {
         'reedyard-outcome': outcome,
-        ...spentFields(work.state.transactions[id]),
+        ...spentFields(work.state.requests[id]),
         ...(waits ? { 'retry-after': String(Math.ceil(retryMs / 1_000)) } : {}),
         ...more,
       },
@@ -46,45 +46,40 @@
   });
 };
 
-export const settle = (work: Work, transaction: Transaction, state: ClaimState): void => {
-  if (transaction.claimKey === null) return;
+export const settle = (work: Work, request: ProxyRequest, state: ClaimState): void => {
+  if (request.claimKey === null) return;
   work.effects.push({
     kind: 'ask',
-    id: transaction.id,
-    call: { kind: 'settle', key: transaction.claimKey, token: transaction.token, state },
+    id: request.id,
+    call: { kind: 'settle', key: request.claimKey, token: request.token, state },
   });
 };
 
-export const forget = (work: Work, transaction: Transaction): void => {
-  const { [transaction.id]: _gone, ...rest } = work.state.transactions;
-  set(work, { transactions: rest });
+export const forget = (work: Work, request: ProxyRequest): void => {
+  const { [request.id]: _gone, ...rest } = work.state.requests;
+  set(work, { requests: rest });
 };
 
 /**
  * Its caller has heard the last of it. An attempt beside the one that served is let end: breaking
  * it off helps nobody.
  */
-export const close = (work: Work, transaction: Transaction): void => {
-  const known = work.state.transactions[transaction.id];
-  if (known !== undefined && known.legs.some((leg) => leg.end === null))
-    change(work, transaction.id, { phase: 'over' });
-  else forget(work, transaction);
-  work.effects.push({ kind: 'closed', id: transaction.id });
+export const close = (work: Work, request: ProxyRequest): void => {
+  const known = work.state.requests[request.id];
+  if (known !== undefined && known.attempts.some((attempt) => attempt.end === null))
+    change(work, request.id, { phase: 'over' });
+  else forget(work, request);
+  work.effects.push({ kind: 'closed', id: request.id });
 };
 
 /** Counts an answer in the vectors' measurements: demand only for this edge's own callers. */
-export const measured = (
-  work: Work,
-  transaction: Transaction,
-  size: number,
-  here: boolean,
-): void => {
+export const measured = (work: Work, request: ProxyRequest, size: number, here: boolean): void => {
   const bits = 8 * (size + 300);
   const { period } = work.state;
-  const own = transaction.asked.via === null;
+  const own = request.asked.via === null;
   const busy = objectKey(
-    transaction.route.name,
-    keepsAlways(transaction.route) ? null : transaction.asked.target,
+    request.route.name,
+    keepsAlways(request.route) ? null : request.asked.target,
   );
   set(work, {
     period: {
@@ -103,9 +98,9 @@
 
 export const cutOff = 'this node is cut off from the control state';
 
-export const answerCopy = (work: Work, transaction: Transaction, copy: Copy): void => {
+export const answerCopy = (work: Work, request: ProxyRequest, copy: Copy): void => {
   if (lapsed(work)) {
-    giveUp(work, transaction, 503, 'not-run', cutOff);
+    giveUp(work, request, 503, 'not-run', cutOff);
     return;
   }
   const age = Math.floor(copy.bornAge + (work.state.now - copy.takenAt) / 1_000);
@@ -114,21 +109,21 @@
     headers: {
       ...copy.headers,
       age: String(age),
-      ...spentFields(transaction),
-      ...(transaction.asked.via === null ? {} : { 'reedyard-service': copy.service }),
-      'reedyard-served': transaction.asked.via === null ? 'copy' : 'partner-copy',
+      ...spentFields(request),
+      ...(request.asked.via === null ? {} : { 'reedyard-service': copy.service }),
+      'reedyard-served': request.asked.via === null ? 'copy' : 'peer-copy',
     },
     body: { kind: 'copy', copy },
   };
   count(work, 'served.copy');
-  measured(work, transaction, copy.size, true);
-  work.effects.push({ kind: 'answer', id: transaction.id, answer });
-  close(work, transaction);
+  measured(work, request, copy.size, true);
+  work.effects.push({ kind: 'answer', id: request.id, answer });
+  close(work, request);
 };
 
 export const giveUp = (
   work: Work,
-  transaction: Transaction,
+  request: ProxyRequest,
   reached: 502 | 503 | 504,
   outcome: Outcome,
   why: string,
@@ -136,12 +131,12 @@
 ): void => {
   // A 503 says "not run" and nothing else.
   const status = reached === 503 && outcome === 'unknown' ? 502 : reached;
-  settle(work, transaction, outcome);
+  settle(work, request, outcome);
   count(work, 'given-up');
-  if (!transaction.callerGone) {
+  if (!request.callerGone) {
     turnAway(
       work,
-      transaction.id,
+      request.id,
       status,
       status === 503 ? 'Not served' : 'No sound answer',
       outcome === 'not-run' ? `It was not run: ${why}.` : `It is not known whether it ran: ${why}.`,
@@ -150,23 +145,23 @@
       retryMs,
     );
   }
-  log(work, 'transaction.given-up', {
-    id: transaction.id,
-    route: transaction.route.name,
+  log(work, 'request.given-up', {
+    id: request.id,
+    route: request.route.name,
     status,
     outcome,
     why,
-    legs: transaction.legs.length,
+    attempts: request.attempts.length,
   });
-  close(work, transaction);
+  close(work, request);
   // Its waiters share its fate, but for a caller who left.
-  leaderEnded(work, transaction, null, transaction.callerGone ? null : { status, outcome, why });
+  leaderEnded(work, request, null, request.callerGone ? null : { status, outcome, why });
 };
 
 /** A leader's fetch is over: its waiters are answered from it, or go on by themselves. */
 export const leaderEnded = (
   work: Work,
-  leader: Transaction,
+  leader: ProxyRequest,
   kept: Copy | null,
   failure: {
     readonly status: 502 | 503 | 504;
@@ -180,7 +175,7 @@
   const { [leader.key]: _gone, ...rest } = work.state.fetches;
   set(work, { fetches: rest });
   for (const id of fetch.waiters) {
-    const waiter = work.state.transactions[id];
+    const waiter = work.state.requests[id];
     if (waiter === undefined) continue;
     if (failure !== null) {
       giveUp(work, waiter, failure.status, failure.outcome, failure.why);
@@ -200,42 +195,42 @@
   }
 };
 
-/** Ends a transaction that provably ran nothing with an answer of the proxy's own. */
+/** Ends a request that provably ran nothing with an answer of the proxy's own. */
 const endUnrun = (
   work: Work,
-  transaction: Transaction,
+  request: ProxyRequest,
   refusal: NonNullable<ReturnType<typeof refusalOf>>,
 ): void => {
-  settle(work, transaction, 'not-run');
-  if (!transaction.callerGone)
-    turnAway(work, transaction.id, refusal.status, refusal.title, refusal.detail, refusal.more);
-  close(work, transaction);
-  leaderEnded(work, transaction, null, null);
+  settle(work, request, 'not-run');
+  if (!request.callerGone)
+    turnAway(work, request.id, refusal.status, refusal.title, refusal.detail, refusal.more);
+  close(work, request);
+  leaderEnded(work, request, null, null);
 };
 
 /**
- * The policy in force rules at each move: the transaction under the route that it has now. Null
+ * The policy in force rules at each move: the request under the route that it has now. Null
  * once it was ended because that policy lets it go no further: as if it came now where nothing ran,
- * and with an unknown outcome where a leg may have run.
+ * and with an unknown outcome where an attempt may have run.
  */
-export const underPolicy = (work: Work, transaction: Transaction): Transaction | null => {
-  const serial = work.state.policy?.serial ?? 0;
-  if (transaction.serial === serial) return transaction;
-  const route = Routes.find(work.state.routes, transaction.asked.host, transaction.asked.target);
-  const refusal = refusalOf(route, transaction.asked, work.state.policy?.document.callers);
+export const underPolicy = (work: Work, request: ProxyRequest): ProxyRequest | null => {
+  const revision = work.state.policy?.revision ?? 0;
+  if (request.revision === revision) return request;
+  const route = Routes.find(work.state.routes, request.asked.host, request.asked.target);
+  const refusal = refusalOf(route, request.asked, work.state.policy?.document.callers);
   if (route !== undefined && refusal === null) {
     return (
-      change(work, transaction.id, {
+      change(work, request.id, {
         route,
-        serial,
-        service: drawService(route, transaction.draws.at(-1) ?? 0, transaction.service),
-        safe: isSafe(route, transaction.asked.method),
-        limitAt: limitOf(route, transaction.asked, transaction.arrivedAt),
+        revision,
+        service: drawService(route, request.draws.at(-1) ?? 0, request.service),
+        safe: isSafe(route, request.asked.method),
+        limitAt: limitOf(route, request.asked, request.arrivedAt),
       }) ?? null
     );
   }
-  if (refusal !== null && Attempts.outcomeOf(transaction.legs) === 'not-run')
-    endUnrun(work, transaction, refusal);
-  else giveUp(work, transaction, 502, 'unknown', 'a newer policy allows no other attempt');
+  if (refusal !== null && Attempts.outcomeOf(request.attempts) === 'not-run')
+    endUnrun(work, request, refusal);
+  else giveUp(work, request, 502, 'unknown', 'a newer policy allows no other attempt');
   return null;
 };
--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -18,10 +18,10 @@
 } from './connection.js';
 import type { Proof } from './dialect.js';
 import { readAnswer, type ReadAnswer } from './read-answer.js';
-import type { LegAnswer } from './state.js';
+import type { AttemptAnswer } from './state.js';
 
 /** An attempt that brought no sound answer. */
-export class LegError extends LayerError {
+export class AttemptError extends LayerError {
   constructor(
     readonly sent: Sent,
     readonly why: string,
@@ -47,8 +47,8 @@
 
 /** How an attempt ends: one of the two is called, once, and never before `send` has returned. */
 export type AttemptEnds = {
-  readonly done: (answer: LegAnswer) => void;
-  readonly fail: (error: LegError) => void;
+  readonly done: (answer: AttemptAnswer) => void;
+  readonly fail: (error: AttemptError) => void;
 };
 
 /** What an answer's status and fields show. */
@@ -113,7 +113,7 @@
 
 /** One attempt over a connection that was assigned to it. */
 export class Exchange {
-  #ready: LegAnswer | null = null;
+  #ready: AttemptAnswer | null = null;
   #request: http.ClientRequest | null = null;
   #response: http.IncomingMessage | null = null;
   #judgement: Judgement | null = null;
@@ -217,7 +217,7 @@
         if (this.#ready !== null) done(this.#withUnsound(this.#ready, effect.unsound));
         return;
       case 'fail':
-        fail(new LegError(effect.sent, effect.why, this.#failure.message, this.#failure));
+        fail(new AttemptError(effect.sent, effect.why, this.#failure.message, this.#failure));
         return;
       case 'cut':
         this.#response?.destroy(new Error('the answer was cut short'));
@@ -235,7 +235,7 @@
   }
 
   /** What the connection knows against an answer goes with what its fields prove. */
-  #withUnsound(answer: LegAnswer, unsound: string | null): LegAnswer {
+  #withUnsound(answer: AttemptAnswer, unsound: string | null): AttemptAnswer {
     const { proof } = answer;
     return proof === undefined || unsound === null
       ? answer
--- a/packages/proxy/src/feeding.ts
+++ b/packages/proxy/src/feeding.ts
@@ -14,8 +14,8 @@
 export const fed = (work: Work, feed: Feed, askedAt: number): void => {
   const { state } = work;
   const policy = feed.policy ?? state.policy;
-  if (policy !== null && policy.serial < (state.policy?.serial ?? 0)) {
-    log(work, 'policy.older', { serial: policy.serial });
+  if (policy !== null && policy.revision < (state.policy?.revision ?? 0)) {
+    log(work, 'policy.older', { revision: policy.revision });
     return;
   }
   const gone =
@@ -32,14 +32,14 @@
       ? state.routes
       : Routes.table(policy.document.routes);
   if (policy !== state.policy) {
-    log(work, 'policy.in-force', { serial: policy?.serial ?? 0 });
+    log(work, 'policy.in-force', { revision: policy?.revision ?? 0 });
     const table = routes;
     cache = Cache.dropWhere(
       cache,
       (copy) => state.now >= lifeEnd(Routes.find(table, ...Cache.place(copy.key)), state, copy),
     );
   }
-  const emptied = feed.emptied.includes(state.self.hall);
+  const emptied = feed.emptied.includes(state.self.zone);
   set(work, {
     holders: feed.split === state.feed?.split ? state.holders : holdersOf(feed.split),
     feed: { ...feed, policy: null, purges: [] },
@@ -51,7 +51,7 @@
     lease: feed.leaseMs > 0 ? Math.max(state.lease, askedAt + feed.leaseMs) : state.lease,
     policy,
     routes,
-    abroad: state.abroad || feed.partners.some((row) => row.region !== state.self.region),
+    abroad: state.abroad || feed.peers.some((row) => row.region !== state.self.region),
     emptiedAt: emptied ? (state.emptiedAt ?? state.now) : null,
     // Nobody joins a fetch that was begun before a purge or under an older policy.
     fetches:
--- a/packages/proxy/src/origin-sockets.test.ts
+++ b/packages/proxy/src/origin-sockets.test.ts
@@ -22,7 +22,7 @@
 
 const stage = async (t: ExecutionContext, script: Script, limits: object = {}): Promise<Stage> => {
   const origin = await startScriptedOrigin(script);
-  const policy = { serial: 1, document: policyOf({}, limits) };
+  const policy = { revision: 1, document: policyOf({}, limits) };
   const harness = await startHarness({ policy, origins: [originRow(origin.port)] });
   t.teardown(async () => {
     harness.close();
--- a/packages/proxy/src/proxy.test.ts
+++ b/packages/proxy/src/proxy.test.ts
@@ -9,7 +9,7 @@
   type ProxyEffect,
   type ProxyEvent,
   type ProxyState,
-  type LegAnswer,
+  type AttemptAnswer,
 } from './index.js';
 
 const policy = Schemas.policy({
@@ -30,7 +30,7 @@
   instance: 'o1',
   incarnation: 1,
   address: '10.0.0.1:1',
-  hall: 'w',
+  zone: 'w',
   region: 'near',
   capacity: 100,
   cold: false,
@@ -38,15 +38,15 @@
   conns: null,
   rate: 1_000,
 };
-const partner = { id: 'b', hall: 'w', region: 'far', address: '10.0.0.2:1', delay: 0.001 };
+const peer = { id: 'b', zone: 'w', region: 'far', address: '10.0.0.2:1', delay: 0.001 };
 const feedOf = (part: Partial<Feed> = {}): Feed => ({
   leaseMs: Limits.lease,
   life: 'l',
   flushes: 0,
-  policy: { serial: 1, document: policy },
-  policySerial: 1,
+  policy: { revision: 1, document: policy },
+  policyRevision: 1,
   origins: [origin],
-  partners: [partner],
+  peers: [peer],
   emptied: [],
   split: {},
   slices: { store: 1_000 },
@@ -72,12 +72,16 @@
   token: `t${id}`,
   now,
 });
-const answer = (mark: string, part: Partial<LegAnswer> = {}): LegAnswer => ({
+const answer = (mark: string, part: Partial<AttemptAnswer> = {}): AttemptAnswer => ({
   status: 200,
   size: 3,
   whole: true,
   body: 'abc',
-  headers: { 'reedyard-stamp': 'store/o1/1', 'reedyard-leg': mark, 'cache-control': 'max-age=60' },
+  headers: {
+    'reedyard-stamp': 'store/o1/1',
+    'reedyard-attempt': mark,
+    'cache-control': 'max-age=60',
+  },
   ...part,
 });
 const play = (
@@ -108,7 +112,7 @@
       { kind: 'beat', now: 500 },
       { kind: 'fed', feed: { ...feed, policy: null }, askedAt: 900, now: 900 },
     ],
-    ProxyCore.open({ id: 'a', hall: 'w', region: 'near', capacityBps: 1e7, life: 'x' }, 0),
+    ProxyCore.open({ id: 'a', zone: 'w', region: 'near', capacityBps: 1e7, life: 'x' }, 0),
   ).state;
 const only = <K extends ProxyEffect['kind']>(
   effects: readonly ProxyEffect[],
@@ -127,14 +131,14 @@
         orders([...list.slice(0, index), ...list.slice(index + 1)]).map((rest) => [each, ...rest]),
       );
 
-test('one transaction, all orders of what can befall it: one answer at most, one end, and no second leg that may run twice', (t) => {
+test('one request, all orders of what can befall it: one answer at most, one end, and no second attempt that may run twice', (t) => {
   let played = 0;
   for (const method of ['GET', 'POST']) {
     const happenings: readonly ((now: number) => ProxyEvent)[] = [
-      (now) => ({ kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now }),
-      (now) => ({ kind: 'failed', id: 1, leg: 0, sent: 'maybe', why: 'cut', now }),
+      (now) => ({ kind: 'answered', id: 1, attempt: 0, answer: answer('t1-0'), now }),
+      (now) => ({ kind: 'failed', id: 1, attempt: 0, sent: 'maybe', why: 'cut', now }),
       (now) => ({ kind: 'left', id: 1, now }),
-      (now) => ({ kind: 'beat', now: now + Limits.leg }),
+      (now) => ({ kind: 'beat', now: now + Limits.attempt }),
       (now) => ({
         kind: 'fed',
         feed: feedOf({
@@ -145,7 +149,7 @@
         askedAt: now,
         now,
       }),
-      (now) => ({ kind: 'answered', id: 1, leg: 1, answer: answer('t1-1'), now }),
+      (now) => ({ kind: 'answered', id: 1, attempt: 1, answer: answer('t1-1'), now }),
     ];
     for (const order of orders(happenings)) {
       const { state, effects } = play(
@@ -167,21 +171,21 @@
         `${method} ${order.map((make) => make(0).kind).join(' ')}`,
       );
       t.true(gone >= 0 && opens.length >= 1);
-      t.is(Object.keys(state.transactions).length, 0);
+      t.is(Object.keys(state.requests).length, 0);
       if (method === 'POST') t.is(opens.length, 1);
     }
   }
   t.is(played, 1_440);
 });
 
-test('an answer of another mark, stamp or leg is never passed on', (t) => {
+test('an answer of another mark, stamp or attempt is never passed on', (t) => {
   for (const bad of [
     answer('t9-0'),
-    answer('t1-0', { headers: { 'reedyard-leg': 't1-0' } }),
-    answer('t1-0', { headers: { 'reedyard-stamp': 'store/o1/2', 'reedyard-leg': 't1-0' } }),
+    answer('t1-0', { headers: { 'reedyard-attempt': 't1-0' } }),
+    answer('t1-0', { headers: { 'reedyard-stamp': 'store/o1/2', 'reedyard-attempt': 't1-0' } }),
   ]) {
     const { effects } = play(
-      [arrive(1, 'POST', 1_000), { kind: 'answered', id: 1, leg: 0, answer: bad, now: 1_010 }],
+      [arrive(1, 'POST', 1_000), { kind: 'answered', id: 1, attempt: 0, answer: bad, now: 1_010 }],
       begun(),
     );
     const [given] = only(effects, 'answer', 1);
@@ -191,11 +195,11 @@
   }
 });
 
-test('once the lease is over: no copy, no leg, no read passed on; what ran is still told', (t) => {
+test('once the lease is over: no copy, no attempt, no read passed on; what ran is still told', (t) => {
   const kept = play(
     [
       arrive(1, 'GET', 1_000),
-      { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 1_010 },
+      { kind: 'answered', id: 1, attempt: 0, answer: answer('t1-0'), now: 1_010 },
     ],
     begun(),
   ).state;
@@ -208,7 +212,7 @@
       play(
         [
           arrive(2, 'GET', 1_100, '/sheets/2'),
-          { kind: 'answered', id: 2, leg: 0, answer: answer('t2-0'), now: late },
+          { kind: 'answered', id: 2, attempt: 0, answer: answer('t2-0'), now: late },
         ],
         kept,
       ).effects,
@@ -222,7 +226,7 @@
       play(
         [
           arrive(2, 'POST', 1_100),
-          { kind: 'answered', id: 2, leg: 0, answer: answer('t2-0'), now: late },
+          { kind: 'answered', id: 2, attempt: 0, answer: answer('t2-0'), now: late },
         ],
         kept,
       ).effects,
@@ -233,26 +237,23 @@
   );
 });
 
-test('outside its homes a route is relayed to a partner inside, unkept; without one it is not served', (t) => {
+test('outside its homes a route is relayed to a peer inside, unkept; without one it is not served', (t) => {
   const { state, effects } = play(
     [
       arrive(1, 'GET', 1_000, '/homed/1'),
-      { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 1_010 },
+      { kind: 'answered', id: 1, attempt: 0, answer: answer('t1-0'), now: 1_010 },
     ],
     begun(),
   );
-  t.is(only(effects, 'open', 1)[0]?.to.kind, 'partner');
+  t.is(only(effects, 'open', 1)[0]?.to.kind, 'peer');
   t.is(only(effects, 'answer', 1)[0]?.answer.status, 200);
   t.is(state.cache.copies.size, 0);
-  const alone = play(
-    [arrive(1, 'GET', 1_000, '/homed/1')],
-    begun(feedOf({ partners: [] })),
-  ).effects;
+  const alone = play([arrive(1, 'GET', 1_000, '/homed/1')], begun(feedOf({ peers: [] }))).effects;
   t.is(only(alone, 'answer', 1)[0]?.answer.status, 503);
   t.is(only(alone, 'open', 1).length, 0);
 });
 
-test('what arrives from a partner is served here, never handed on', (t) => {
+test('what arrives from a peer is served here, never handed on', (t) => {
   const split = { sheets: [['b', 1] as const] };
   const from = (via: string | null): ProxyEvent => ({
     kind: 'arrived',
@@ -262,10 +263,7 @@
     token: 't1',
     now: 1_000,
   });
-  t.is(
-    only(play([from(null)], begun(feedOf({ split }))).effects, 'open', 1)[0]?.to.kind,
-    'partner',
-  );
+  t.is(only(play([from(null)], begun(feedOf({ split }))).effects, 'open', 1)[0]?.to.kind, 'peer');
   t.is(only(play([from('b')], begun(feedOf({ split }))).effects, 'open', 1)[0]?.to.kind, 'origin');
 });
 
@@ -281,13 +279,13 @@
       token: 't1',
       now: 1_000,
     };
-    if (only(play([event], begun(feedOf({ split }))).effects, 'open', 1)[0]?.to.kind === 'partner')
+    if (only(play([event], begun(feedOf({ split }))).effects, 'open', 1)[0]?.to.kind === 'peer')
       away += 1;
   }
   t.is(away, 70);
 });
 
-test('the policy in force rules at each move: in all orders of a claim, a policy, a failed leg and a beat, no leg is made that the newest policy bars', (t) => {
+test('the policy in force rules at each move: in all orders of a claim, a policy, a failed attempt and a beat, no attempt is made that the newest policy bars', (t) => {
   const [sheets, homed] = policy.routes;
   if (sheets === undefined || homed === undefined) {
     t.fail();
@@ -299,7 +297,7 @@
     moved: { services, routes: [{ ...sheets, service: 'other' }, homed] },
     away: { ...policy, routes: [{ ...sheets, homes: ['far'] }, homed] },
     methods: { ...policy, routes: [{ ...sheets, methods: ['OPTIONS'] }, homed] },
-    sooner: { ...policy, routes: [{ ...sheets, limits: { transactionMs: 5 } }, homed] },
+    sooner: { ...policy, routes: [{ ...sheets, limits: { requestMs: 5 } }, homed] },
   };
   for (const [name, document] of Object.entries(next))
     for (const key of [true, false])
@@ -309,14 +307,14 @@
           (now) => ({
             kind: 'fed',
             feed: feedOf({
-              policy: { serial: 2, document },
-              policySerial: 2,
+              policy: { revision: 2, document },
+              policyRevision: 2,
               slices: { store: 1_000, other: 1_000 },
             }),
             askedAt: now,
             now,
           }),
-          (now) => ({ kind: 'failed', id: 1, leg: 0, sent: 'nothing', why: 'connect', now }),
+          (now) => ({ kind: 'failed', id: 1, attempt: 0, sent: 'nothing', why: 'connect', now }),
           (now) => ({ kind: 'beat', now }),
         ];
         const first: ProxyEvent = {
@@ -343,16 +341,16 @@
             answers += only(step.effects, 'answer', 1).length;
             const opens = only(step.effects, 'open', 1);
             const label = `${name} ${method} ${key ? 'key' : 'no key'} at ${index}`;
-            if (state.policy?.serial === 2)
+            if (state.policy?.revision === 2)
               t.false(
                 opens.some(({ to }) => to.kind === 'origin' && name !== 'sooner'),
                 label,
               );
-            if (state.policy?.serial === 2 && (name === 'removed' || name === 'methods'))
+            if (state.policy?.revision === 2 && (name === 'removed' || name === 'methods'))
               t.is(opens.length, 0, label);
           }
           t.true(answers <= 1);
-          t.is(Object.keys(state.transactions).length, 0);
+          t.is(Object.keys(state.requests).length, 0);
           // A key whose request provably ran nothing may be used again.
           const [given] = only(effects, 'answer', 1);
           if (key && method === 'POST' && given?.answer.headers['reedyard-outcome'] === 'not-run')
@@ -369,7 +367,7 @@
   const kept = play(
     [
       arrive(1, 'GET', 1_000),
-      { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 1_010 },
+      { kind: 'answered', id: 1, attempt: 0, answer: answer('t1-0'), now: 1_010 },
     ],
     begun(),
   ).state;
@@ -385,13 +383,13 @@
           kind: 'fed',
           feed: feedOf({
             policy: {
-              serial: 2,
+              revision: 2,
               document: {
                 services: { ...policy.services, other: { ceiling: 9, coldRate: 1 } },
                 routes,
               },
             },
-            policySerial: 2,
+            policyRevision: 2,
           }),
           askedAt: now,
           now,
@@ -439,8 +437,8 @@
     routes: [{ ...sheets, service: 'other' }, homed],
   };
   const feed = feedOf({
-    policy: { serial: 2, document: moved },
-    policySerial: 2,
+    policy: { revision: 2, document: moved },
+    policyRevision: 2,
     origins: [origin, { ...origin, service: 'other', instance: 'o2' }],
     slices: { other: 1_000 },
   });
@@ -451,7 +449,7 @@
       { kind: 'fed', feed, askedAt: 1_002, now: 1_002 },
       arrive(3, 'GET', 1_003),
       { kind: 'beat', now: 1_400 },
-      { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 1_410 },
+      { kind: 'answered', id: 1, attempt: 0, answer: answer('t1-0'), now: 1_410 },
       { kind: 'beat', now: 1_600 },
     ],
     begun(),
@@ -475,7 +473,7 @@
     [
       {
         kind: 'fed',
-        feed: feedOf({ policy: { serial: 2, document: wanted }, policySerial: 2 }),
+        feed: feedOf({ policy: { revision: 2, document: wanted }, policyRevision: 2 }),
         askedAt: 950,
         now: 950,
       },
@@ -534,8 +532,8 @@
     routes: [{ ...sheets, service: 'other' }, homed],
   };
   const feed = feedOf({
-    policy: { serial: 2, document: moved },
-    policySerial: 2,
+    policy: { revision: 2, document: moved },
+    policyRevision: 2,
     origins: [origin, { ...origin, service: 'other', instance: 'o2' }],
     slices: { store: 1_000, other: 1_000 },
   });
@@ -547,7 +545,7 @@
       { kind: 'beat', now: 1_700 },
       { kind: 'beat', now: 2_300 },
       { kind: 'beat', now: 2_900 },
-      { kind: 'answered', id: 1, leg: 0, answer: answer('t1-0'), now: 2_910 },
+      { kind: 'answered', id: 1, attempt: 0, answer: answer('t1-0'), now: 2_910 },
     ],
     { ...saved, lease: 9_000 },
   );
@@ -563,11 +561,11 @@
       {
         kind: 'answered',
         id: 1,
-        leg: 1,
+        attempt: 1,
         answer: answer('t1-1', {
           headers: {
             'reedyard-stamp': 'other/o2/1',
-            'reedyard-leg': 't1-1',
+            'reedyard-attempt': 't1-1',
             'cache-control': 'max-age=60',
           },
         }),
@@ -577,7 +575,7 @@
     state,
   );
   t.is(only(late.effects, 'answer', 1).length, 0);
-  t.is(Object.keys(late.state.transactions).length, 0);
+  t.is(Object.keys(late.state.requests).length, 0);
   t.deepEqual(late.state.outstanding, {});
 });
 
@@ -602,28 +600,28 @@
       }
       t.deepEqual(opens.map(({ to }) => to.kind).sort(), ['origin', 'origin']);
       t.not(opens[0]?.to.row, opens[1]?.to.row);
-      const reply = (leg: number): LegAnswer => {
-        const to = opens[leg]?.to;
-        return answer(`t1-${leg}`, {
+      const reply = (attempt: number): AttemptAnswer => {
+        const to = opens[attempt]?.to;
+        return answer(`t1-${attempt}`, {
           headers: {
             'reedyard-stamp': to?.kind === 'origin' ? `store/${to.row.instance}/1` : '',
-            'reedyard-leg': `t1-${leg}`,
+            'reedyard-attempt': `t1-${attempt}`,
           },
         });
       };
       const served = play(
-        [{ kind: 'answered', id: 1, leg: first, answer: reply(first), now: 3_210 }],
+        [{ kind: 'answered', id: 1, attempt: first, answer: reply(first), now: 3_210 }],
         opening.state,
       );
       t.is(only(served.effects, 'answer', 1)[0]?.answer.status, 200);
       t.is(only(served.effects, 'closed', 1).length, 1);
       // The other one is let end, and is answered to nobody.
       const ended = play(
-        [{ kind: 'answered', id: 1, leg: 1 - first, answer: reply(1 - first), now: 3_220 }],
+        [{ kind: 'answered', id: 1, attempt: 1 - first, answer: reply(1 - first), now: 3_220 }],
         served.state,
       );
       t.is(only(ended.effects, 'answer', 1).length + only(ended.effects, 'closed', 1).length, 0);
-      t.is(Object.keys(ended.state.transactions).length, 0);
+      t.is(Object.keys(ended.state.requests).length, 0);
       t.deepEqual(ended.state.outstanding, {});
     }
 });
@@ -635,7 +633,7 @@
     routes: policy.routes.map((route) => ({ ...route, limits: { attempts } })),
   };
   const feed = feedOf({
-    policy: { serial: 1, document: limited },
+    policy: { revision: 1, document: limited },
     split: { sheets: [['b', 1] as const] },
     origins: [origin, { ...origin, instance: 'o2', address: '10.0.0.3:1' }],
   });
@@ -646,13 +644,13 @@
   const turnedAway = (spent: string | null): ProxyEvent => ({
     kind: 'answered',
     id: 1,
-    leg: 0,
+    attempt: 0,
     now: 1_050,
     answer: {
       ...answer('t1-0'),
       status: 503,
       headers: {
-        'reedyard-leg': 't1-0',
+        'reedyard-attempt': 't1-0',
         'reedyard-outcome': 'not-run',
         ...(spent === null ? {} : { 'reedyard-spent': spent }),
       },
@@ -661,7 +659,7 @@
   const failed = (sent: 'nothing' | 'maybe'): ProxyEvent => ({
     kind: 'failed',
     id: 1,
-    leg: 0,
+    attempt: 0,
     sent,
     why: 'cut',
     now: 1_050,
@@ -693,7 +691,7 @@
       forwarding(attempts),
     );
     const opened = only(effects, 'open', 1);
-    t.is(opened[0]?.to.kind, 'partner', label);
+    t.is(opened[0]?.to.kind, 'peer', label);
     t.is(opened[0]?.attempts, granted, label);
     t.is(opened.length, opens, label);
     t.true(opened.reduce((sum, each) => sum + each.attempts, 0) <= attempts || opens === 2, label);
@@ -716,7 +714,7 @@
   ).effects;
   t.is(only(silent, 'open', 1).length, 1);
   const cut = play(
-    [handed, { kind: 'failed', id: 1, leg: 0, sent: 'maybe', why: 'cut', now: 1_050 }],
+    [handed, { kind: 'failed', id: 1, attempt: 0, sent: 'maybe', why: 'cut', now: 1_050 }],
     state,
   ).effects;
   t.is(only(cut, 'open', 1).length, 1);
--- a/packages/proxy/src/reporting.ts
+++ b/packages/proxy/src/reporting.ts
@@ -36,7 +36,7 @@
     );
   });
   set(work, {
-    period: { since: state.now, bits: {}, servedBits: 0, replies: 0, legMs: 0, fetched: 0 },
+    period: { since: state.now, bits: {}, servedBits: 0, replies: 0, attemptMs: 0, fetched: 0 },
     cache: Cache.dropWhere(state.cache, (copy) => state.now >= copy.freshUntil),
   });
   const allBits = entries.reduce((sum, [, bits]) => sum + bits, 0);
@@ -45,7 +45,7 @@
     copies,
     servedBps: period.servedBits * perSecond,
     meanReplyBits: period.replies > 0 ? Math.max(allBits, period.servedBits) / period.replies : 0,
-    fetchSeconds: period.fetched > 0 ? period.legMs / period.fetched / 1_000 : 0,
+    fetchSeconds: period.fetched > 0 ? period.attemptMs / period.fetched / 1_000 : 0,
   };
 };
 
@@ -71,7 +71,7 @@
   const measurement = measure(work);
   const { state } = work;
   const report: Report = {
-    policySerial: state.policy?.serial ?? 0,
+    policyRevision: state.policy?.revision ?? 0,
     life: state.life,
     proxyLife: state.self.life,
     purgeSeq: state.purgeSeq,
@@ -80,7 +80,7 @@
     measure: measurement,
     counters: {
       ...state.counters,
-      underWay: Object.keys(state.transactions).length,
+      underWay: Object.keys(state.requests).length,
       copies: state.cache.copies.size,
       copyBytes: state.cache.bytes,
     },
--- a/packages/proxy/src/request-rules.ts
+++ b/packages/proxy/src/request-rules.ts
@@ -6,10 +6,10 @@
 import type { Copy } from '@reedyard/cache';
 import { Routes } from '@reedyard/schemas';
 import type { Policy, Route, RouteTable } from '@reedyard/schemas';
-import type { Leg } from '@reedyard/attempts';
+import type { Attempt } from '@reedyard/attempts';
 import { CallerBounds } from './caller-bounds.js';
 import { atHome, isSafe } from './choice.js';
-import type { Asked, ProxyState, LegAnswer, Transaction } from './state.js';
+import type { Asked, ProxyState, AttemptAnswer, ProxyRequest } from './state.js';
 
 export const headerText = (headers: Asked['headers'], name: string): string | null => {
   const value = headers[name];
@@ -65,25 +65,23 @@
 
 export const keepsAlways = (route: Route): boolean => route.cache.keep === 'always';
 
-export const joins = (transaction: Transaction): boolean =>
-  transaction.asked.method === 'GET' &&
-  keeps(transaction.route, 'GET') &&
-  (keepsAlways(transaction.route) ||
-    headerText(transaction.asked.headers, 'authorization') === null);
+export const joins = (request: ProxyRequest): boolean =>
+  request.asked.method === 'GET' &&
+  keeps(request.route, 'GET') &&
+  (keepsAlways(request.route) || headerText(request.asked.headers, 'authorization') === null);
 
 /**
  * Until when a request is worth serving: its route's limit, or less where its caller waits less.
  */
 export const limitOf = (route: Route, asked: Asked, arrivedAt: number): number =>
-  arrivedAt +
-  Math.min(route.limits.transactionMs ?? Limits.transaction, asked.deadlineMs ?? Infinity);
+  arrivedAt + Math.min(route.limits.requestMs ?? Limits.request, asked.deadlineMs ?? Infinity);
 
 /**
  * ms that a request may wait for its turn: a refusal must leave time for another try within its
  * target.
  */
-export const holdingOf = (transaction: Transaction): number =>
-  Math.min(Limits.holding, (transaction.route.targetMs ?? Infinity) * Weights.holdingShare);
+export const holdingOf = (request: ProxyRequest): number =>
+  Math.min(Limits.holding, (request.route.targetMs ?? Infinity) * Weights.holdingShare);
 
 /** ms. Until when a route lets a copy live here, whatever its origin allows. */
 export const lifeEnd = (route: Route | undefined, state: ProxyState, copy: Copy): number =>
@@ -100,28 +98,29 @@
  * The service that an attempt went to: the request's own may have been drawn anew since, under a
  * newer policy.
  */
-export const serviceOf = (leg: Leg): string => leg.to.id.slice(0, leg.to.id.indexOf('/'));
+export const serviceOf = (attempt: Attempt): string =>
+  attempt.to.id.slice(0, attempt.to.id.indexOf('/'));
 
 /** Why an answer can't be passed on, or null if it is sound. */
 export const unsound = (
-  transaction: Transaction,
+  request: ProxyRequest,
   number: number,
-  answer: LegAnswer,
+  answer: AttemptAnswer,
   routes: RouteTable,
 ): string | null => {
-  const leg = transaction.legs[number];
-  if (leg === undefined) return 'unknown leg';
+  const attempt = request.attempts[number];
+  if (attempt === undefined) return 'unknown attempt';
   if (answer.proof !== undefined) return answer.proof.unsound;
-  if (headerText(answer.headers, 'reedyard-leg') !== `${transaction.token}-${number}`)
+  if (headerText(answer.headers, 'reedyard-attempt') !== `${request.token}-${number}`)
     return 'foreign';
   const stamp = headerText(answer.headers, 'reedyard-stamp');
-  if (leg.to.kind === 'origin') return stamp === leg.to.id ? null : 'stamp';
+  if (attempt.to.kind === 'origin') return stamp === attempt.to.id ? null : 'stamp';
   const notServed = answer.status >= 400 && headerText(answer.headers, 'reedyard-outcome') !== null;
   const madeBy = headerText(answer.headers, 'reedyard-service');
-  // The partner may have served under a newer policy than the one that the leg was made under.
-  const newer = Routes.find(routes, transaction.asked.host, transaction.asked.target);
+  // The peer may have served under a newer policy than the one that the attempt was made under.
+  const newer = Routes.find(routes, request.asked.host, request.asked.target);
   const services = [
-    ...Routes.services(transaction.route),
+    ...Routes.services(request.route),
     ...(newer === undefined ? [] : Routes.services(newer)),
   ];
   return notServed ||
@@ -134,7 +133,7 @@
  * An origin's own word, under a dialect that tells what did not run by a field: its 502 or 504 is
  * its answer and is passed on.
  */
-export const passedOn = (answer: LegAnswer): boolean =>
+export const passedOn = (answer: AttemptAnswer): boolean =>
   answer.proof !== undefined &&
   !answer.proof.notRun &&
   (answer.status === 502 || answer.status === 504);
--- a/packages/proxy/src/run.ts
+++ b/packages/proxy/src/run.ts
@@ -13,13 +13,13 @@
 import { writeAnswer } from './caller-answer.js';
 import { CallerBounds } from './caller-bounds.js';
 import { openCallerServer, type CallerServer, type CallerTurn } from './caller-server.js';
-import { OriginConns, peerName, type LegError, type Outgoing, type Underway } from './conns.js';
+import { OriginConns, peerName, type AttemptError, type Outgoing, type Underway } from './conns.js';
 import { Feeds, type HeldFeed } from './feeds.js';
 import { ProxyCore } from './core.js';
 import { ownDialect, type Dialect } from './dialect.js';
 import { passable } from './read-answer.js';
 import { warmUp } from './warm.js';
-import type { Answer, Asked, ProxyEffect, ProxyEvent, ProxyState, LegAnswer } from './state.js';
+import type { Answer, Asked, ProxyEffect, ProxyEvent, ProxyState, AttemptAnswer } from './state.js';
 
 const now = (): number => performance.now();
 
@@ -54,7 +54,7 @@
   readonly underWay: () => number;
   /** Requests that were ever begun here. */
   readonly begun: () => number;
-  readonly serve: (fromPartner: boolean, port: number) => Promise<http.Server>;
+  readonly serve: (fromPeer: boolean, port: number) => Promise<http.Server>;
   readonly serveReady: (port: number) => Promise<http.Server>;
   readonly stop: () => void;
   /** Ends its timers, where the process goes on without it. */
@@ -121,12 +121,12 @@
     headers.via = [one.request.headers.via, via].filter((part) => part !== undefined).join(', ');
     headers.host = one.asked.host;
     Object.assign(headers, dialect.left(effect.limitMs));
-    if (effect.to.kind === 'partner')
+    if (effect.to.kind === 'peer')
       Object.assign(headers, {
-        'reedyard-leg': effect.mark,
+        'reedyard-attempt': effect.mark,
         'reedyard-via': settings.name,
         ...(Number.isFinite(effect.attempts)
-          ? { 'reedyard-attempts': String(effect.attempts) }
+          ? { 'reedyard-attempts-left': String(effect.attempts) }
           : {}),
       });
     delete headers['content-length'];
@@ -145,7 +145,7 @@
     const close = turn.closes(stopping || answer.headers.connection === 'close');
     const hopFields = {
       via,
-      ...(mark === null ? {} : { 'reedyard-leg': mark }),
+      ...(mark === null ? {} : { 'reedyard-attempt': mark }),
       ...(close ? { connection: 'close' } : {}),
     };
     const stream = writeAnswer({ response, asked, dialect, hopFields }, answer);
@@ -165,19 +165,19 @@
       case 'open': {
         const one = opened.get(effect.id);
         if (one === undefined) return;
-        const name = `${effect.id}/${effect.leg}`;
-        const done = (answer: LegAnswer): void => {
+        const name = `${effect.id}/${effect.attempt}`;
+        const done = (answer: AttemptAnswer): void => {
           // One that still comes can be broken off until its end.
           if (answer.whole) attempts.delete(name);
           else (answer.body as Readable).on('close', () => attempts.delete(name));
-          put({ kind: 'answered', id: effect.id, leg: effect.leg, answer, now: now() });
+          put({ kind: 'answered', id: effect.id, attempt: effect.attempt, answer, now: now() });
         };
-        const fail = (error: LegError): void => {
+        const fail = (error: AttemptError): void => {
           attempts.delete(name);
           put({
             kind: 'failed',
             id: effect.id,
-            leg: effect.leg,
+            attempt: effect.attempt,
             sent: error.sent,
             why: error.why,
             now: now(),
@@ -185,9 +185,12 @@
         };
         const out = outgoing(one, effect);
         // A second attempt of what may not run twice goes where no answer to the first can come.
-        const terms = { sendBy: effect.sendBy, fresh: !effect.safe && effect.leg > 0 };
-        trace?.('trace.leg', { serial: task.peek().policy?.serial ?? 0, leg: effect.leg });
-        if (effect.to.kind === 'partner') {
+        const terms = { sendBy: effect.sendBy, fresh: !effect.safe && effect.attempt > 0 };
+        trace?.('trace.attempt', {
+          revision: task.peek().policy?.revision ?? 0,
+          attempt: effect.attempt,
+        });
+        if (effect.to.kind === 'peer') {
           attempts.set(name, conns.sendToPeer(effect.to.row, out, terms, { done, fail }));
           return;
         }
@@ -202,7 +205,7 @@
         return;
       }
       case 'abort': {
-        const name = `${effect.id}/${effect.leg}`;
+        const name = `${effect.id}/${effect.attempt}`;
         attempts.get(name)?.abort();
         attempts.delete(name);
         return;
@@ -210,7 +213,7 @@
       case 'answer': {
         const one = opened.get(effect.id);
         if (effect.answer.body.kind === 'copy')
-          trace?.('trace.copy', { serial: task.peek().policy?.serial ?? 0 });
+          trace?.('trace.copy', { revision: task.peek().policy?.revision ?? 0 });
         if (one !== undefined) write(effect.id, one, effect.answer);
         opened.delete(effect.id);
         return;
@@ -239,7 +242,7 @@
               const { feed } = held;
               put({ kind: 'fed', feed, askedAt, now: now() });
               conns.keepOnly(
-                new Set([...feed.origins.map(originName), ...feed.partners.map(peerName)]),
+                new Set([...feed.origins.map(originName), ...feed.peers.map(peerName)]),
               );
             },
             () => undefined,
@@ -262,7 +265,7 @@
     initial: ProxyCore.open(
       {
         id: settings.name,
-        hall: settings.hall,
+        zone: settings.zone,
         region: settings.region,
         capacityBps: settings.proxy.capacityBps,
         life: randomUUID(),
@@ -276,7 +279,7 @@
   let beating: NodeJS.Timeout | undefined;
   const beatIn = (ms: number): void => {
     beating = setTimeout(() => {
-      const idle = opened.size === 0 && Object.keys(task.peek().transactions).length === 0;
+      const idle = opened.size === 0 && Object.keys(task.peek().requests).length === 0;
       task.put({ kind: 'beat', now: now() });
       applyBounds();
       if (!ended) beatIn(idle ? Beats.proxyIdle : Beats.proxy);
@@ -323,10 +326,10 @@
     return true;
   };
   const take =
-    (fromPartner: boolean) =>
+    (fromPeer: boolean) =>
     (request: http.IncomingMessage, response: http.ServerResponse, turn: CallerTurn): void => {
       const target = request.url ?? '/';
-      if (!fromPartner && settings.proxy.readyPort === undefined && wellKnown(request, response))
+      if (!fromPeer && settings.proxy.readyPort === undefined && wellKnown(request, response))
         return;
       const host = request.headers.host ?? '';
       const path = target.split('?', 1)[0] ?? '/';
@@ -349,11 +352,11 @@
       const id = nextId;
       nextId += 1;
       const begin = (): void => {
-        const partner = request.headers['reedyard-via'];
-        if (fromPartner) trace?.('trace.relay', { from: String(partner ?? ''), target });
+        const peer = request.headers['reedyard-via'];
+        if (fromPeer) trace?.('trace.relay', { from: String(peer ?? ''), target });
         const method = request.method ?? 'GET';
         const digest =
-          fromPartner || request.headers['idempotency-key'] === undefined
+          fromPeer || request.headers['idempotency-key'] === undefined
             ? null
             : createHash('sha256')
                 .update(JSON.stringify([method, target]))
@@ -364,13 +367,13 @@
           target,
           host,
           headers: passable(request.headers),
-          via: fromPartner ? String(partner ?? 'unnamed') : null,
+          via: fromPeer ? String(peer ?? 'unnamed') : null,
           bodyBytes: size,
           digest,
           deadlineMs: dialect.deadlineMs(request.headers),
-          attempts: fromPartner ? countOf(request.headers['reedyard-attempts']) : null,
+          attempts: fromPeer ? countOf(request.headers['reedyard-attempts-left']) : null,
         };
-        const mark = request.headers['reedyard-leg'];
+        const mark = request.headers['reedyard-attempt'];
         const left = (): void => {
           streams.get(id)?.destroy();
           task.put({ kind: 'left', id, now: now() });
@@ -381,7 +384,7 @@
           response,
           body: Buffer.concat(chunks),
           asked,
-          mark: fromPartner && typeof mark === 'string' ? mark : null,
+          mark: fromPeer && typeof mark === 'string' ? mark : null,
           turn,
         });
         const draws = Array.from({ length: Sizes.draws }, () => Math.random());
@@ -414,11 +417,11 @@
       request.on('end', begin);
       request.on('error', () => response.destroy());
     };
-  const serve = (fromPartner: boolean, port: number): Promise<http.Server> =>
+  const serve = (fromPeer: boolean, port: number): Promise<http.Server> =>
     new Promise((resolve, reject) => {
-      const of = openCallerServer(boundsFor(fromPartner), take(fromPartner));
+      const of = openCallerServer(boundsFor(fromPeer), take(fromPeer));
       const { server } = of;
-      servers.push({ of, fromPeer: fromPartner });
+      servers.push({ of, fromPeer: fromPeer });
       server.once('error', reject);
       server.listen(port, settings.listen ?? settings.host, () => resolve(server));
     });
@@ -479,11 +482,11 @@
   });
   const servers = [
     await proxy.serve(false, settings.proxy.port),
-    await proxy.serve(true, settings.proxy.partnerPort),
+    await proxy.serve(true, settings.proxy.peerPort),
   ];
   if (settings.proxy.readyPort !== undefined)
     servers.push(await proxy.serveReady(settings.proxy.readyPort));
-  scribe.info('started', { callers: settings.proxy.port, partners: settings.proxy.partnerPort });
+  scribe.info('started', { callers: settings.proxy.port, peers: settings.proxy.peerPort });
   // Beside its start, and only until somebody really asks.
   void warmUp(dialect, settings, () => proxy.begun() > 0).then(
     ({ played, served }) => {
--- a/packages/proxy/src/serving.ts
+++ b/packages/proxy/src/serving.ts
@@ -6,7 +6,7 @@
 import { Cache } from '@reedyard/cache';
 import { Attempts } from '@reedyard/attempts';
 import {
-  allowedPartners,
+  allowedPeers,
   atHome,
   drawServer,
   giveBack,
@@ -18,45 +18,39 @@
   waitFor,
 } from './choice.js';
 import { change, count, set } from './state.js';
-import type { Target, Transaction, Work } from './state.js';
+import type { Target, ProxyRequest, Work } from './state.js';
 import { attemptsLeft, grantFor, isFree } from './attempt-budget.js';
 import { answerCopy, cutOff, giveUp, lapsed, underPolicy } from './ending.js';
 import { holdingOf, joins, keeps, keepsAlways, lifeEnd } from './request-rules.js';
 
-export const open = (work: Work, transaction: Transaction, to: Target): void => {
+export const open = (work: Work, request: ProxyRequest, to: Target): void => {
   if (lapsed(work)) {
-    giveUp(work, transaction, 503, Attempts.outcomeOf(transaction.legs), cutOff);
+    giveUp(work, request, 503, Attempts.outcomeOf(request.attempts), cutOff);
     return;
   }
-  const left = attemptsLeft(transaction);
+  const left = attemptsLeft(request);
   if (left <= 0) {
-    giveUp(
-      work,
-      transaction,
-      503,
-      Attempts.outcomeOf(transaction.legs),
-      'its attempts are used up',
-    );
+    giveUp(work, request, 503, Attempts.outcomeOf(request.attempts), 'its attempts are used up');
     return;
   }
   const granted = to.kind === 'origin' ? 1 : grantFor(left);
-  const number = transaction.legs.length;
+  const number = request.attempts.length;
   const id = to.kind === 'origin' ? originName(to.row) : to.row.id;
-  const legLimit = Math.min(
-    transaction.limitAt,
+  const attemptLimit = Math.min(
+    request.limitAt,
     work.state.now +
-      (transaction.route.limits.legMs ?? Limits.leg) +
-      (to.kind === 'partner' ? Limits.holding : 0),
+      (request.route.limits.attemptMs ?? Limits.attempt) +
+      (to.kind === 'peer' ? Limits.holding : 0),
   );
-  const next = change(work, transaction.id, {
-    phase: 'leg',
-    legs: [
-      ...transaction.legs,
+  const next = change(work, request.id, {
+    phase: 'attempt',
+    attempts: [
+      ...request.attempts,
       {
         number,
         to: { kind: to.kind, id },
         openedAt: work.state.now,
-        limitAt: legLimit,
+        limitAt: attemptLimit,
         end: null,
         granted,
       },
@@ -64,23 +58,23 @@
   });
   if (next === undefined) return;
   if (number > 0) {
-    if (!isFree(transaction)) spendRepeat(work, transaction.service);
+    if (!isFree(request)) spendRepeat(work, request.service);
     count(work, 'repeats');
   }
-  count(work, 'legs', to.kind === 'origin' ? 'legs.origin' : 'legs.partner');
+  count(work, 'attempts', to.kind === 'origin' ? 'attempts.origin' : 'attempts.peer');
   set(work, {
     outstanding: { ...work.state.outstanding, [id]: (work.state.outstanding[id] ?? 0) + 1 },
   });
   work.effects.push({
     kind: 'open',
-    id: transaction.id,
-    leg: number,
+    id: request.id,
+    attempt: number,
     to,
-    asked: transaction.asked,
-    mark: `${transaction.token}-${number}`,
-    limitMs: legLimit - work.state.now,
-    keep: joins(transaction) && to.kind === 'origin',
-    safe: transaction.safe,
+    asked: request.asked,
+    mark: `${request.token}-${number}`,
+    limitMs: attemptLimit - work.state.now,
+    keep: joins(request) && to.kind === 'origin',
+    safe: request.safe,
     attempts: granted,
     sendBy: work.state.lease,
   });
@@ -90,19 +84,15 @@
  * An attempt at an origin, if the slice has a token now and an instance room; else a short holding,
  * or the final answer at once.
  */
-export const legToOrigin = (work: Work, transaction: Transaction): void => {
-  const { service } = transaction;
-  const ranked = rankOrigins(
-    work.state,
-    transaction,
-    work.state.replyBytes[transaction.route.name] ?? 0,
-  );
+export const attemptToOrigin = (work: Work, request: ProxyRequest): void => {
+  const { service } = request;
+  const ranked = rankOrigins(work.state, request, work.state.replyBytes[request.route.name] ?? 0);
   if (ranked.length === 0) {
     giveUp(
       work,
-      transaction,
+      request,
       503,
-      Attempts.outcomeOf(transaction.legs),
+      Attempts.outcomeOf(request.attempts),
       `no instance of ${service} can be reached`,
       Limits.retrySoon,
     );
@@ -118,13 +108,13 @@
       takeToken(work, `instance/${originName(row)}`, row.rate),
     );
     if (chosenRow !== undefined) {
-      open(work, transaction, { kind: 'origin', row: chosenRow });
+      open(work, request, { kind: 'origin', row: chosenRow });
       return;
     }
     giveBack(work, bucket);
   }
-  const ahead = Object.values(work.state.transactions).filter(
-    (each) => each.phase === 'holding' && each.service === service && each.id !== transaction.id,
+  const ahead = Object.values(work.state.requests).filter(
+    (each) => each.phase === 'holding' && each.service === service && each.id !== request.id,
   ).length;
   const wait = Math.max(
     waitFor(work.state, bucket, rate, ahead),
@@ -132,73 +122,67 @@
       ...ranked.map((row) => waitFor(work.state, `instance/${originName(row)}`, row.rate, 0)),
     ),
   );
-  const heldAt = transaction.phase === 'holding' ? transaction.heldAt : work.state.now;
+  const heldAt = request.phase === 'holding' ? request.heldAt : work.state.now;
   if (
-    work.state.now + (transaction.phase === 'holding' ? 0 : wait) - heldAt >
-      holdingOf(transaction) ||
-    work.state.now >= transaction.limitAt
+    work.state.now + (request.phase === 'holding' ? 0 : wait) - heldAt > holdingOf(request) ||
+    work.state.now >= request.limitAt
   ) {
     giveUp(
       work,
-      transaction,
+      request,
       503,
-      Attempts.outcomeOf(transaction.legs),
+      Attempts.outcomeOf(request.attempts),
       `the share of ${service} is used up`,
       Number.isFinite(wait) ? Math.max(Limits.retrySoon, wait) : undefined,
     );
     return;
   }
-  if (transaction.phase !== 'holding') {
+  if (request.phase !== 'holding') {
     count(work, 'held');
-    change(work, transaction.id, { phase: 'holding', heldAt });
+    change(work, request.id, { phase: 'holding', heldAt });
   }
 };
 
-/** This edge serves: from a copy, by joining a fetch under way, or by a leg of its own. */
-const serveHere = (work: Work, transaction: Transaction): void => {
-  if (keeps(transaction.route, transaction.asked.method)) {
-    const copy = Cache.find(
-      work.state.cache,
-      transaction.key,
-      transaction.asked.headers,
-      work.state.now,
-    );
-    if (copy !== undefined && work.state.now < lifeEnd(transaction.route, work.state, copy)) {
-      set(work, { cache: Cache.touch(work.state.cache, transaction.key) });
-      answerCopy(work, transaction, copy);
+/** This edge serves: from a copy, by joining a fetch under way, or by an attempt of its own. */
+const serveHere = (work: Work, request: ProxyRequest): void => {
+  if (keeps(request.route, request.asked.method)) {
+    const copy = Cache.find(work.state.cache, request.key, request.asked.headers, work.state.now);
+    if (copy !== undefined && work.state.now < lifeEnd(request.route, work.state, copy)) {
+      set(work, { cache: Cache.touch(work.state.cache, request.key) });
+      answerCopy(work, request, copy);
       return;
     }
   }
   if (
-    joins(transaction) &&
-    transaction.legs.length === 0 &&
-    (work.state.unkept[transaction.key] ?? 0) <= work.state.now
+    joins(request) &&
+    request.attempts.length === 0 &&
+    (work.state.unkept[request.key] ?? 0) <= work.state.now
   ) {
-    const fetch = work.state.fetches[transaction.key];
+    const fetch = work.state.fetches[request.key];
     if (fetch !== undefined && !fetch.closed) {
-      change(work, transaction.id, { phase: 'joined' });
+      change(work, request.id, { phase: 'joined' });
       set(work, {
         fetches: {
           ...work.state.fetches,
-          [transaction.key]: { ...fetch, waiters: [...fetch.waiters, transaction.id] },
+          [request.key]: { ...fetch, waiters: [...fetch.waiters, request.id] },
         },
       });
       count(work, 'joined');
       return;
     }
     if (fetch === undefined) {
-      const leader = change(work, transaction.id, { leads: true });
+      const leader = change(work, request.id, { leads: true });
       set(work, {
         fetches: {
           ...work.state.fetches,
-          [transaction.key]: { leader: transaction.id, waiters: [], closed: false },
+          [request.key]: { leader: request.id, waiters: [], closed: false },
         },
       });
       if (leader !== undefined) fetchHere(work, leader);
       return;
     }
   }
-  fetchHere(work, transaction);
+  fetchHere(work, request);
 };
 
 const want = (work: Work, service: string): void => {
@@ -211,52 +195,50 @@
   });
 };
 
-const fetchHere = (work: Work, transaction: Transaction): void => {
-  want(work, transaction.service);
-  legToOrigin(work, transaction);
+const fetchHere = (work: Work, request: ProxyRequest): void => {
+  want(work, request.service);
+  attemptToOrigin(work, request);
 };
 
-/** First leg: the policy's draw says who serves. */
-export const start = (work: Work, given: Transaction): void => {
-  const transaction = underPolicy(work, given);
-  if (transaction === null) return;
+/** First attempt: the policy's draw says who serves. */
+export const start = (work: Work, given: ProxyRequest): void => {
+  const request = underPolicy(work, given);
+  if (request === null) return;
   // A copy that lies here costs nothing to reach.
   const here =
-    keepsAlways(transaction.route) &&
-    Cache.find(work.state.cache, transaction.key, transaction.asked.headers, work.state.now) !==
-      undefined;
+    keepsAlways(request.route) &&
+    Cache.find(work.state.cache, request.key, request.asked.headers, work.state.now) !== undefined;
   const server =
-    here && atHome(transaction.route.homes, work.state.self.region)
+    here && atHome(request.route.homes, work.state.self.region)
       ? 'self'
-      : drawServer(work.state, transaction);
+      : drawServer(work.state, request);
   if (server === null) {
-    giveUp(work, transaction, 503, 'not-run', 'no node that may serve it can be reached');
+    giveUp(work, request, 503, 'not-run', 'no node that may serve it can be reached');
     return;
   }
   if (server === 'self') {
-    serveHere(work, transaction);
+    serveHere(work, request);
     return;
   }
-  open(work, transaction, { kind: 'partner', row: server });
+  open(work, request, { kind: 'peer', row: server });
 };
 
-/** A later move: itself where it may, else another partner. */
-export const startAgain = (work: Work, given: Transaction): void => {
-  const transaction = underPolicy(work, given);
-  if (transaction === null) return;
-  if (atHome(transaction.route.homes, work.state.self.region)) {
-    serveHere(work, transaction);
+/** A later move: itself where it may, else another peer. */
+export const startAgain = (work: Work, given: ProxyRequest): void => {
+  const request = underPolicy(work, given);
+  if (request === null) return;
+  if (atHome(request.route.homes, work.state.self.region)) {
+    serveHere(work, request);
     return;
   }
-  const partner =
-    transaction.asked.via === null ? allowedPartners(work.state, transaction)[0] : undefined;
-  if (partner === undefined)
+  const peer = request.asked.via === null ? allowedPeers(work.state, request)[0] : undefined;
+  if (peer === undefined)
     giveUp(
       work,
-      transaction,
+      request,
       503,
-      Attempts.outcomeOf(transaction.legs),
+      Attempts.outcomeOf(request.attempts),
       'no other node that may serve it can be reached',
     );
-  else open(work, transaction, { kind: 'partner', row: partner });
+  else open(work, request, { kind: 'peer', row: peer });
 };
--- a/packages/proxy/src/signals.test.ts
+++ b/packages/proxy/src/signals.test.ts
@@ -24,8 +24,8 @@
 const stamp = 'store/i1/0';
 
 const sound = (request: SeenRequest, body = request.path): string => {
-  const correlation = request.headers['reedyard-leg'] ?? '';
-  return answerOf(200, { 'reedyard-stamp': stamp, 'reedyard-leg': correlation }, body);
+  const correlation = request.headers['reedyard-attempt'] ?? '';
+  return answerOf(200, { 'reedyard-stamp': stamp, 'reedyard-attempt': correlation }, body);
 };
 
 /** An origin that proves who it is and holds back all else until the test lets it go. */
@@ -73,17 +73,17 @@
   leaseMs: 600_000,
   life: 'life',
   flushes: 0,
-  policy: { serial: 1, document: policyOf({}, { transactionMs: 600_000, legMs: 600_000 }) },
-  policySerial: 1,
+  policy: { revision: 1, document: policyOf({}, { requestMs: 600_000, attemptMs: 600_000 }) },
+  policyRevision: 1,
   origins: [originRow(origin.port)],
-  partners: [],
+  peers: [],
   emptied: [],
   split: {},
   slices: { store: 1e9 },
   seated: true,
   purges: [],
   purgeSeq: 0,
-  revisions: { origins: 1, partners: 1, emptied: 1, split: 1, slices: 1 },
+  revisions: { origins: 1, peers: 1, emptied: 1, split: 1, slices: 1 },
 });
 
 type Running = {
@@ -97,19 +97,19 @@
     { host: HOST, port: 0 },
     { '/feed': () => Promise.resolve(feedOf(origin)) },
   );
-  const [port = 0, partnerPort = 0] = await freePorts(2);
+  const [port = 0, peerPort = 0] = await freePorts(2);
   const folder = mkdtempSync(path.join(tmpdir(), 'reedyard-signals-'));
   const file = path.join(folder, 'settings.json');
   const leave = { graceMs: 300, mostMs: 600_000 };
   const settings = {
     name: 'a',
     host: HOST,
-    hall: 'h',
+    zone: 'h',
     region: 'r',
     seeds: [`${HOST}:1`],
     founders: { c: `${HOST}:2` },
     agent: { port: 0, apiPort: 0, feedPort: feed.port },
-    proxy: { port, partnerPort, capacityBps: 1e8, leave },
+    proxy: { port, peerPort, capacityBps: 1e8, leave },
   };
   writeFileSync(file, JSON.stringify(settings));
   const child = spawn(process.execPath, [program, '--settings', file]);
--- a/packages/proxy/src/stamps.test.ts
+++ b/packages/proxy/src/stamps.test.ts
@@ -24,7 +24,7 @@
   const far = await startHarness({ origins: [originRow(origin.port)] }, 'far');
   const peer = {
     id: 'far',
-    hall: 'h',
+    zone: 'h',
     region: 'r',
     address: `127.0.0.1:${far.peerPort}`,
     delay: 0,
@@ -32,7 +32,7 @@
   const split = Object.fromEntries(
     ['read', 'order', 'kept'].map((route) => [`${route} @near`, [['far', 1]]]),
   ) as Harness['feed']['split'];
-  const near = await startHarness({ partners: [peer], split }, 'near');
+  const near = await startHarness({ peers: [peer], split }, 'near');
   t.teardown(async () => {
     near.close();
     far.close();
@@ -126,10 +126,10 @@
     socket.write(soundAnswer(request));
   });
   const address = `127.0.0.1:${dying.port}`;
-  const peer = { id: 'far', hall: 'h', region: 'r', address, delay: 0 };
+  const peer = { id: 'far', zone: 'h', region: 'r', address, delay: 0 };
   const split = { 'order @near': [['far', 1]] } as Harness['feed']['split'];
   const origins = [originRow(origin.port)];
-  const near = await startHarness({ origins, partners: [peer], split }, 'near');
+  const near = await startHarness({ origins, peers: [peer], split }, 'near');
   t.teardown(async () => {
     near.close();
     await dying.close();
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -1,8 +1,8 @@
-import type { ClaimReply, Feed, ProxyCall, OriginRow, PartnerRow, Report } from '@reedyard/agent';
+import type { ClaimReply, Feed, ProxyCall, OriginRow, PeerRow, Report } from '@reedyard/agent';
 import type { Copy, Headers, CacheState } from '@reedyard/cache';
 import type { Load, Proof } from './dialect.js';
 import type { Policy, Route, RouteTable } from '@reedyard/schemas';
-import type { Leg, Sent } from '@reedyard/attempts';
+import type { Attempt, Sent } from '@reedyard/attempts';
 
 /** A caller's request, as far as the moves depend on it. Header names are in small letters. */
 export type Asked = {
@@ -10,7 +10,7 @@
   readonly target: string;
   readonly host: string;
   readonly headers: Headers;
-  /** The partner that handed it on; null from a caller. */
+  /** The peer that handed it on; null from a caller. */
   readonly via: string | null;
   readonly bodyBytes: number;
   /** Tells apart requests of one key by method, target and body; null without a key. */
@@ -23,8 +23,8 @@
   readonly attempts?: number | null;
 };
 
-/** An answer to a leg, read whole up to Sizes.wholeBody, or still streaming. */
-export type LegAnswer = {
+/** An answer to an attempt, read whole up to Sizes.wholeBody, or still streaming. */
+export type AttemptAnswer = {
   readonly status: number;
   readonly headers: Headers;
   readonly body: unknown;
@@ -39,16 +39,16 @@
 
 export type Target =
   | { readonly kind: 'origin'; readonly row: OriginRow }
-  | { readonly kind: 'partner'; readonly row: PartnerRow };
+  | { readonly kind: 'peer'; readonly row: PeerRow };
 
-export type Transaction = {
+export type ProxyRequest = {
   readonly id: number;
   readonly asked: Asked;
   /**
-   * The route under the policy with this serial; looked up again at each move under a newer one.
+   * The route under the policy with this revision; looked up again at each move under a newer one.
    */
   readonly route: Route;
-  readonly serial: number;
+  readonly revision: number;
   /** The service drawn from the route's. */
   readonly service: string;
   /** Whether it may run more than once. */
@@ -61,15 +61,15 @@
   readonly token: string;
   /** The register that its idempotency key claims. */
   readonly claimKey: string | null;
-  readonly legs: readonly Leg[];
+  readonly attempts: readonly Attempt[];
   /** `over`: its caller has an answer; attempts beside that one are let end. */
-  readonly phase: 'claiming' | 'joined' | 'holding' | 'leg' | 'over';
+  readonly phase: 'claiming' | 'joined' | 'holding' | 'attempt' | 'over';
   readonly heldAt: number;
   readonly leads: boolean;
   readonly callerGone: boolean;
 };
 
-/** One fetch that several transactions wait for. */
+/** One fetch that several requests wait for. */
 export type Fetch = {
   readonly leader: number;
   readonly waiters: readonly number[];
@@ -92,7 +92,7 @@
 export type ProxyState = {
   readonly self: {
     readonly id: string;
-    readonly hall: string;
+    readonly zone: string;
     readonly region: string;
     readonly capacityBps: number;
     readonly life: string;
@@ -103,16 +103,16 @@
   readonly flushes: number;
   readonly fedAt: number;
   readonly purgeSeq: number;
-  readonly policy: { readonly serial: number; readonly document: Policy } | null;
+  readonly policy: { readonly revision: number; readonly document: Policy } | null;
   readonly routes: RouteTable;
   readonly feed: Feed | null;
   /** Edges at which a route's objects are placed, by route. */
   readonly holders: Readonly<Record<string, readonly string[]>>;
   readonly emptiedAt: number | null;
   readonly cache: CacheState;
-  /** Whether partners in other regions were ever told of. */
+  /** Whether peers in other regions were ever told of. */
   readonly abroad: boolean;
-  readonly transactions: Readonly<Record<number, Transaction>>;
+  readonly requests: Readonly<Record<number, ProxyRequest>>;
   readonly fetches: Readonly<Record<string, Fetch>>;
   /**
    * Objects lately found not to be keepable: their requests are not made to wait for each other.
@@ -134,10 +134,10 @@
     readonly bits: Readonly<Record<string, number>>;
     readonly servedBits: number;
     readonly replies: number;
-    readonly legMs: number;
+    readonly attemptMs: number;
     readonly fetched: number;
   };
-  /** Legs a second that were wanted lately, and those counted since. */
+  /** Attempts a second that were wanted lately, and those counted since. */
   readonly wants: Readonly<Record<string, number>>;
   readonly wanted: { readonly since: number; readonly counts: Readonly<Record<string, number>> };
 };
@@ -154,14 +154,14 @@
   | {
       readonly kind: 'answered';
       readonly id: number;
-      readonly leg: number;
-      readonly answer: LegAnswer;
+      readonly attempt: number;
+      readonly answer: AttemptAnswer;
       readonly now: number;
     }
   | {
       readonly kind: 'failed';
       readonly id: number;
-      readonly leg: number;
+      readonly attempt: number;
       readonly sent: Sent;
       readonly why: string;
       readonly now: number;
@@ -191,14 +191,14 @@
         readonly outcome: string;
       }
     | { readonly kind: 'copy'; readonly copy: Copy }
-    | { readonly kind: 'leg'; readonly answer: LegAnswer };
+    | { readonly kind: 'attempt'; readonly answer: AttemptAnswer };
 };
 
 export type ProxyEffect =
   | {
       readonly kind: 'open';
       readonly id: number;
-      readonly leg: number;
+      readonly attempt: number;
       readonly to: Target;
       readonly asked: Asked;
       readonly mark: string;
@@ -208,13 +208,14 @@
       /** Origins that it may be sent to through this attempt; Infinity without a bound. */
       readonly attempts: number;
       /**
-       * Nothing of the request is sent after this moment: what the leg was decided on is old then.
+       * Nothing of the request is sent after this moment: what the attempt was decided on is old
+       * then.
        */
       readonly sendBy: number;
     }
-  | { readonly kind: 'abort'; readonly id: number; readonly leg: number }
+  | { readonly kind: 'abort'; readonly id: number; readonly attempt: number }
   | { readonly kind: 'answer'; readonly id: number; readonly answer: Answer }
-  /** A transaction is over: nothing more will be said of it. */
+  /** A request is over: nothing more will be said of it. */
   | { readonly kind: 'closed'; readonly id: number }
   | { readonly kind: 'ask'; readonly id: number; readonly call: ProxyCall }
   | { readonly kind: 'question'; readonly report: Report }
@@ -239,12 +240,12 @@
 export const change = (
   work: Work,
   id: number,
-  part: Partial<Transaction>,
-): Transaction | undefined => {
-  const old = work.state.transactions[id];
+  part: Partial<ProxyRequest>,
+): ProxyRequest | undefined => {
+  const old = work.state.requests[id];
   if (old === undefined) return undefined;
   const next = { ...old, ...part };
-  set(work, { transactions: { ...work.state.transactions, [id]: next } });
+  set(work, { requests: { ...work.state.requests, [id]: next } });
   return next;
 };
 export const log = (
--- a/packages/proxy/src/testing/connection-world.ts
+++ b/packages/proxy/src/testing/connection-world.ts
@@ -4,7 +4,7 @@
  * that may answer, refuse, stay silent, answer twice, cut an answer short, send bytes that are no
  * answer, close, reset, or be replaced by another one at its address.
  */
-import { Attempts, type Leg, type LegEnd } from '@reedyard/attempts';
+import { Attempts, type Attempt, type AttemptEnd } from '@reedyard/attempts';
 import {
   Connections,
   type Connection,
@@ -44,7 +44,7 @@
 };
 
 /** An attempt as it really went. */
-export type Attempt = {
+export type ModelAttempt = {
   readonly request: number;
   readonly wire: number;
   /** Whether a byte of it was handed to a socket, and all of it. */
@@ -53,13 +53,13 @@
   readonly answered: boolean;
   /** Whether an origin began to work on it. */
   readonly ran: boolean;
-  readonly end: LegEnd | null;
+  readonly end: AttemptEnd | null;
 };
 
 /** The whole world. */
 export type World = {
   readonly wires: readonly Wire[];
-  readonly attempts: readonly Attempt[];
+  readonly attempts: readonly ModelAttempt[];
   /** How often each request ran. */
   readonly runs: readonly number[];
   readonly duplicates: number;
@@ -109,7 +109,7 @@
 const breakWith = (world: World, why: string): World =>
   world.broken === null ? { ...world, broken: why } : world;
 
-const endAttempt = (world: World, attempt: number, end: LegEnd): World =>
+const endAttempt = (world: World, attempt: number, end: AttemptEnd): World =>
   world.attempts[attempt]?.end === null
     ? { ...world, attempts: withAt(world.attempts, attempt, { end }) }
     : breakWith(world, `attempt ${attempt} ended twice`);
@@ -190,7 +190,7 @@
     : world;
 };
 
-const legsOf = (world: World, request: number): readonly Leg[] =>
+const attemptsOf = (world: World, request: number): readonly Attempt[] =>
   world.attempts
     .filter((attempt) => attempt.request === request)
     .map((attempt, number) => ({
@@ -202,9 +202,9 @@
     }));
 
 const mayOpen = (world: World, request: number): boolean => {
-  const legs = legsOf(world, request);
-  if (legs.length >= MOST_ATTEMPTS_EACH) return false;
-  const ledger = { safe: false, legs, now: 0, limitAt: 9, mayRepeat: true };
+  const attempts = attemptsOf(world, request);
+  if (attempts.length >= MOST_ATTEMPTS_EACH) return false;
+  const ledger = { safe: false, attempts, now: 0, limitAt: 9, mayRepeat: true };
   return Attempts.next(ledger).kind === 'open';
 };
 
@@ -231,7 +231,7 @@
   if (!effects.some((effect) => effect.kind === 'send')) return null;
   const used = next.wires[wire];
   if (used === undefined) return null;
-  const opened: Attempt = {
+  const opened: ModelAttempt = {
     request,
     wire,
     handed: false,
@@ -252,9 +252,9 @@
   const found: World[] = [];
   for (let request = 0; request < world.runs.length; request += 1) {
     // Requests are alike: the first to come is the first.
-    if (request > 0 && legsOf(world, request - 1).length === 0) continue;
+    if (request > 0 && attemptsOf(world, request - 1).length === 0) continue;
     if (!mayOpen(world, request)) continue;
-    const repeat = legsOf(world, request).length > 0;
+    const repeat = attemptsOf(world, request).length > 0;
     world.wires.forEach((wire, index) => {
       if (repeat && options.freshRepeats) return;
       if (wire.state.phase !== 'idle') return;
@@ -324,7 +324,7 @@
     : next;
 };
 
-const provesNotRun = (end: LegEnd | null): boolean =>
+const provesNotRun = (end: AttemptEnd | null): boolean =>
   end?.kind === 'failed' ? end.sent === 'nothing' : end?.notRun === true;
 
 /** What an origin does with a request that reached it. */
--- a/packages/proxy/src/testing/proxy-harness.ts
+++ b/packages/proxy/src/testing/proxy-harness.ts
@@ -3,7 +3,7 @@
 import net from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { performance } from 'node:perf_hooks';
-import type { Feed, ProxyCall, OriginRow, PartnerRow } from '@reedyard/agent';
+import type { Feed, ProxyCall, OriginRow, PeerRow } from '@reedyard/agent';
 import type { Policy } from '@reedyard/schemas';
 import { SettingsReader } from '@reedyard/settings';
 import { ProxyCore } from '../core.js';
@@ -62,7 +62,7 @@
   instance,
   incarnation: 0,
   address: `${HOST}:${port}`,
-  hall: 'h',
+  zone: 'h',
   region: 'r',
   capacity: 100,
   cold: false,
@@ -73,9 +73,9 @@
 
 /** What the proxy is fed; tests change it as they go. */
 export type FeedParts = {
-  policy: { readonly serial: number; readonly document: Policy };
+  policy: { readonly revision: number; readonly document: Policy };
   origins: readonly OriginRow[];
-  partners: readonly PartnerRow[];
+  peers: readonly PeerRow[];
   split: Feed['split'];
 };
 
@@ -106,12 +106,12 @@
     {
       name,
       host: HOST,
-      hall: 'h',
+      zone: 'h',
       region: 'r',
       seeds: [`${HOST}:1`],
       founders: { c: `${HOST}:2` },
       agent: { port: 0, apiPort: 0, feedPort: 0 },
-      proxy: { port: 0, partnerPort: 0, capacityBps: 1e8, readyPort: 0 },
+      proxy: { port: 0, peerPort: 0, capacityBps: 1e8, readyPort: 0 },
     },
     'test',
   ) as ProxySettings;
@@ -121,9 +121,9 @@
   life: 'life',
   flushes: 0,
   policy: parts.policy,
-  policySerial: parts.policy.serial,
+  policyRevision: parts.policy.revision,
   origins: parts.origins,
-  partners: parts.partners,
+  peers: parts.peers,
   emptied: [],
   split: parts.split,
   slices: { [SERVICE]: Infinity },
@@ -132,7 +132,7 @@
   purgeSeq: 0,
 });
 
-const revisions = { origins: 1, partners: 1, emptied: 1, split: 1, slices: 1 };
+const revisions = { origins: 1, peers: 1, emptied: 1, split: 1, slices: 1 };
 
 /**
  * Starts a proxy and waits until it is ready.
@@ -141,8 +141,8 @@
  * const harness = await startHarness({ origins: [originRow(origin.port)] });
  */
 export const startHarness = async (parts: Partial<FeedParts>, name = 'a'): Promise<Harness> => {
-  const policy = { serial: 1, document: policyOf() };
-  const feed: FeedParts = { policy, origins: [], partners: [], split: {}, ...parts };
+  const policy = { revision: 1, document: policyOf() };
+  const feed: FeedParts = { policy, origins: [], peers: [], split: {}, ...parts };
   const logged: string[] = [];
   const log = (event: string, fields: unknown): void => {
     logged.push(`${event} ${JSON.stringify(fields)}`);
--- a/packages/proxy/src/upkeep.ts
+++ b/packages/proxy/src/upkeep.ts
@@ -6,7 +6,7 @@
 import { Cache } from '@reedyard/cache';
 import { Attempts } from '@reedyard/attempts';
 import {
-  allowedPartners,
+  allowedPeers,
   answerMs,
   atHome,
   giveBack,
@@ -18,26 +18,26 @@
   takeToken,
 } from './choice.js';
 import { count, log, set } from './state.js';
-import type { ProxyState, Transaction, Work } from './state.js';
+import type { ProxyState, ProxyRequest, Work } from './state.js';
 import { mayTryMore } from './attempt-budget.js';
 import { failed } from './attempt-ends.js';
 import { giveUp, lapsed, underPolicy } from './ending.js';
-import { legToOrigin, open, startAgain } from './serving.js';
+import { attemptToOrigin, open, startAgain } from './serving.js';
 
 /**
  * ms after which an attempt counts as silent: a few times what its other end usually takes, and
  * early enough for a second one.
  */
-const silentAfter = (state: ProxyState, transaction: Transaction): number => {
-  const rows = (state.feed?.origins ?? []).filter((row) => row.service === transaction.service);
+const silentAfter = (state: ProxyState, request: ProxyRequest): number => {
+  const rows = (state.feed?.origins ?? []).filter((row) => row.service === request.service);
   const mean = meanMs(state, rows);
-  const to = transaction.legs.find((leg) => leg.end === null)?.to.id;
+  const to = request.attempts.find((attempt) => attempt.end === null)?.to.id;
   const row = rows.find((each) => originName(each) === to);
   const met = row === undefined ? mean : answerMs(state, row, mean);
-  const usual = met > 0 ? met : (transaction.route.targetMs ?? 0) * Weights.silentShare;
+  const usual = met > 0 ? met : (request.route.targetMs ?? 0) * Weights.silentShare;
   return Math.min(
     Math.max(Limits.leastSilence, Weights.silentTimes * usual),
-    Weights.silentShare * (transaction.limitAt - transaction.arrivedAt),
+    Weights.silentShare * (request.limitAt - request.arrivedAt),
   );
 };
 
@@ -45,36 +45,41 @@
  * Looks after one request's attempts that are under way: those over their limit, stalled origins,
  * and a second attempt beside a silent one.
  */
-const tendLegs = (work: Work, transaction: Transaction): void => {
+const tendAttempts = (work: Work, request: ProxyRequest): void => {
   const { now } = work.state;
-  for (const leg of transaction.legs) {
-    if (leg.end !== null) continue;
-    if (now >= leg.limitAt) {
-      work.effects.push({ kind: 'abort', id: transaction.id, leg: leg.number });
-      failed(work, transaction.id, leg.number, 'maybe', 'limit');
+  for (const attempt of request.attempts) {
+    if (attempt.end !== null) continue;
+    if (now >= attempt.limitAt) {
+      work.effects.push({ kind: 'abort', id: request.id, attempt: attempt.number });
+      failed(work, request.id, attempt.number, 'maybe', 'limit');
       continue;
     }
-    if (now - leg.openedAt < Limits.stalled) continue;
-    const standing = work.state.standings[leg.to.id];
-    const heard = standing !== undefined && standing.heardAt >= leg.openedAt;
+    if (now - attempt.openedAt < Limits.stalled) continue;
+    const standing = work.state.standings[attempt.to.id];
+    const heard = standing !== undefined && standing.heardAt >= attempt.openedAt;
     if (
       !heard &&
-      now - leg.openedAt > Weights.stalledTimes * (standing?.ms ?? 0) &&
-      (work.state.suspects[leg.to.id] ?? 0) <= now
+      now - attempt.openedAt > Weights.stalledTimes * (standing?.ms ?? 0) &&
+      (work.state.suspects[attempt.to.id] ?? 0) <= now
     ) {
       count(work, 'stalled');
-      suspectFor(work, leg.to.id);
+      suspectFor(work, attempt.to.id);
     }
   }
-  const current = work.state.transactions[transaction.id];
-  if (current === undefined || current.phase !== 'leg' || current.callerGone || lapsed(work))
+  const current = work.state.requests[request.id];
+  if (current === undefined || current.phase !== 'attempt' || current.callerGone || lapsed(work))
     return;
   const may = mayTryMore(work, current);
-  if (!may || !current.safe || current.legs.filter((leg) => leg.end === null).length !== 1) return;
+  if (
+    !may ||
+    !current.safe ||
+    current.attempts.filter((attempt) => attempt.end === null).length !== 1
+  )
+    return;
   if (
     !Attempts.mayHedge({
       safe: current.safe,
-      legs: current.legs,
+      attempts: current.attempts,
       now,
       limitAt: current.limitAt,
       mayRepeat: may,
@@ -85,10 +90,10 @@
   const given = underPolicy(work, current);
   if (given === null) return;
   if (!atHome(given.route.homes, work.state.self.region)) {
-    const [partner] = given.asked.via === null ? allowedPartners(work.state, given) : [];
-    if (partner !== undefined) {
+    const [peer] = given.asked.via === null ? allowedPeers(work.state, given) : [];
+    if (peer !== undefined) {
       count(work, 'hedged');
-      open(work, given, { kind: 'partner', row: partner });
+      open(work, given, { kind: 'peer', row: peer });
     }
     return;
   }
@@ -98,7 +103,7 @@
     work.state.replyBytes[given.route.name] ?? 0,
   ).filter(
     (row) =>
-      !given.legs.some((leg) => leg.to.id === originName(row)) &&
+      !given.attempts.some((attempt) => attempt.to.id === originName(row)) &&
       (work.state.outstanding[originName(row)] ?? 0) < roomAt(work.state, row),
   );
   const [row] = ranked;
@@ -121,19 +126,19 @@
     set(work, { cache: Cache.flush(cache) });
     log(work, 'copies.flushed', { why: 'homes may have moved' });
   }
-  for (const transaction of Object.values(work.state.transactions)) {
-    if (work.state.transactions[transaction.id] === undefined) continue;
-    if (transaction.phase === 'holding') {
+  for (const request of Object.values(work.state.requests)) {
+    if (work.state.requests[request.id] === undefined) continue;
+    if (request.phase === 'holding') {
       // Under a newer policy it may be another's to serve, or another service's.
-      if (transaction.serial !== (work.state.policy?.serial ?? 0)) startAgain(work, transaction);
-      else legToOrigin(work, transaction);
+      if (request.revision !== (work.state.policy?.revision ?? 0)) startAgain(work, request);
+      else attemptToOrigin(work, request);
       continue;
     }
-    if (transaction.phase === 'leg' || transaction.phase === 'over') {
-      tendLegs(work, transaction);
-    } else if (transaction.phase === 'joined' && work.state.now >= transaction.limitAt)
-      giveUp(work, transaction, 504, 'unknown', 'limit');
-    else if (transaction.phase === 'claiming' && work.state.now >= transaction.limitAt)
-      giveUp(work, transaction, 503, 'not-run', 'its key could not be claimed in time');
+    if (request.phase === 'attempt' || request.phase === 'over') {
+      tendAttempts(work, request);
+    } else if (request.phase === 'joined' && work.state.now >= request.limitAt)
+      giveUp(work, request, 504, 'unknown', 'limit');
+    else if (request.phase === 'claiming' && work.state.now >= request.limitAt)
+      giveUp(work, request, 503, 'not-run', 'its key could not be claimed in time');
   }
 };
--- a/packages/proxy/src/warm.test.ts
+++ b/packages/proxy/src/warm.test.ts
@@ -9,12 +9,12 @@
   {
     name: 'a',
     host: '127.0.0.1',
-    hall: 'h',
+    zone: 'h',
     region: 'r',
     seeds: ['127.0.0.1:1'],
     founders: { c: '127.0.0.1:2' },
     agent: { port: 0, apiPort: 0, feedPort: 0 },
-    proxy: { port: 0, partnerPort: 0, capacityBps: 1e8 },
+    proxy: { port: 0, peerPort: 0, capacityBps: 1e8 },
   },
   'test',
 ) as ProxySettings;
--- a/packages/proxy/src/warm.ts
+++ b/packages/proxy/src/warm.ts
@@ -37,8 +37,8 @@
   leaseMs: Limits.lease,
   life: name,
   flushes: 0,
-  policy: { serial: 1, document: policy },
-  policySerial: 1,
+  policy: { revision: 1, document: policy },
+  policyRevision: 1,
   emptied: [],
   slices: { [name]: Infinity },
   seated: true,
@@ -49,7 +49,7 @@
     instance: `${name}-${which}`,
     incarnation: 0,
     address: `${host}:${origin}`,
-    hall: name,
+    zone: name,
     region: name,
     capacity: 64,
     slots: 64,
@@ -57,7 +57,7 @@
     cold: false,
     rate: Infinity,
   })),
-  partners: [{ id: 'peer', hall: name, region: name, address: `${host}:${peers}`, delay: 0.001 }],
+  peers: [{ id: 'peer', zone: name, region: name, address: `${host}:${peers}`, delay: 0.001 }],
   split: { '/kept/ @peer': [['peer', 1]], [`/kept/ @${name}`]: [[name, 1]] },
 });
 
@@ -101,9 +101,9 @@
       ...settings,
       name,
       host,
-      hall: name,
+      zone: name,
       region: name,
-      proxy: { port: 0, partnerPort: 0, capacityBps: settings.proxy.capacityBps, readyPort: 0 },
+      proxy: { port: 0, peerPort: 0, capacityBps: settings.proxy.capacityBps, readyPort: 0 },
     },
     dialect,
     {
@@ -113,7 +113,7 @@
           asked.kind === 'feed'
             ? {
                 ...feedOf(originPort, peers),
-                revisions: { origins: 1, partners: 1, emptied: 1, split: 1, slices: 1 },
+                revisions: { origins: 1, peers: 1, emptied: 1, split: 1, slices: 1 },
               }
             : { kind: 'granted' },
         ),
--- a/packages/quota-division/src/index.ts
+++ b/packages/quota-division/src/index.ts
@@ -1,20 +1,20 @@
 import { Weights } from '@reedyard/constants';
 
 /** An edge that may hold slices, and where it stands. */
-export type Seat = { readonly edge: string; readonly hall: string; readonly region: string };
+export type Seat = { readonly edge: string; readonly zone: string; readonly region: string };
 
 /** By edge: shares of a service, which add up to one; or requests a second that edges want. */
 export type Slices = Readonly<Record<string, number>>;
 
 /**
- * The division of every service, under one duty holder's term. It tells shares, not rates: what a
+ * The division of every service, under one quota leader's term. It tells shares, not rates: what a
  * share comes to follows from what each node knows now of the ceiling and of the instances, so that
  * a lowered ceiling needs no new division.
  */
 export type Plan = {
   readonly term: number;
   readonly holder: string;
-  /** Grows with each renewal; a still one means that the duty is vacant. */
+  /** Grows with each renewal; a still one means that the quota leadership is vacant. */
   readonly beat: number;
   readonly slices: Readonly<Record<string, Slices>>;
   /**
@@ -89,10 +89,10 @@
   bound === Infinity ? Infinity : (slices[edge] ?? 0) * usable(bound, Object.keys(slices).length);
 
 /**
- * Divides a bound from region to hall to edge, each time by what is asked for, into shares.
+ * Divides a bound from region to zone to edge, each time by what is asked for, into shares.
  *
  * @example
- * divide(100, [{ edge: 'a', hall: 'h', region: 'r' }, { edge: 'b', hall: 'h', region: 'r' }], { a: 30, b: 10 })
+ * divide(100, [{ edge: 'a', zone: 'h', region: 'r' }, { edge: 'b', zone: 'h', region: 'r' }], { a: 30, b: 10 })
  */
 export const divide = (bound: number, seats: readonly Seat[], wants: Slices): Slices => {
   const out: Record<string, number> = {};
@@ -122,7 +122,7 @@
     bound === Infinity
       ? Math.max(1, 2 * wantOf(seats))
       : Math.max(1e-9, usable(bound, seats.length));
-  level(total, seats, [(seat) => seat.region, (seat) => seat.hall, (seat) => seat.edge]);
+  level(total, seats, [(seat) => seat.region, (seat) => seat.zone, (seat) => seat.edge]);
   return Object.fromEntries(Object.entries(out).map(([edge, rate]) => [edge, rate / total]));
 };
 
--- a/packages/quota-division/src/quota-division.test.ts
+++ b/packages/quota-division/src/quota-division.test.ts
@@ -7,7 +7,7 @@
   ['b', 'w', 'r'],
   ['c', 'n', 'r'],
   ['d', 's', 'q'],
-].map(([edge = '', hall = '', region = '']) => ({ edge, hall, region }));
+].map(([edge = '', zone = '', region = '']) => ({ edge, zone, region }));
 
 test('a division never adds up to more than the ceiling, gives what is asked where it can, and leaves nobody out', (t) => {
   const easy = divide(100, seats, { a: 10, b: 5, c: 20 });
--- a/packages/reedyard/src/base.ts
+++ b/packages/reedyard/src/base.ts
@@ -108,18 +108,18 @@
   }
 }
 
-/** A command that gives one order for a hall. */
-export abstract class HallCommand extends BaseCommand {
-  static override args = { hall: Args.string({ required: true, description: 'name of the hall' }) };
+/** A command that gives one order for a zone. */
+export abstract class ZoneCommand extends BaseCommand {
+  static override args = { zone: Args.string({ required: true, description: 'name of the zone' }) };
   static override flags = { change: BaseCommand.changeFlag };
   protected abstract readonly order: 'empty' | 'take-back';
 
   async run(): Promise<unknown> {
-    const { args, flags } = await this.parse(HallCommand);
+    const { args, flags } = await this.parse(ZoneCommand);
     const body = await this.call(
       flags.node,
       'PUT',
-      `/v1/halls/${encodeURIComponent(args.hall)}`,
+      `/v1/zones/${encodeURIComponent(args.zone)}`,
       { order: this.order },
       { 'reedyard-change-id': flags.change },
     );
--- a/packages/reedyard/src/commands/partners.ts
+++ b/packages/reedyard/src/commands/peers.ts
@@ -1,7 +1,7 @@
 import { ReadCommand } from '../base.js';
 
-export default class Partners extends ReadCommand {
+export default class Peers extends ReadCommand {
   static override description =
     'The nodes that a node knows, its partial view, and the delays it pinged.';
-  protected override readonly target = '/v1/partners';
+  protected override readonly target = '/v1/peers';
 }
--- a/packages/reedyard/src/commands/plan.ts
+++ b/packages/reedyard/src/commands/plan.ts
@@ -7,15 +7,15 @@
 
 export default class Plan extends BaseCommand {
   static override description =
-    'Show what a policy or hall orders would move: routes, services, origins, shares and load by node. Nothing is sent.';
+    'Show what a policy or zone orders would move: routes, services, origins, shares and load by node. Nothing is sent.';
   static override examples = [
     '<%= config.bin %> plan --policy next.json',
     '<%= config.bin %> plan --empty west',
   ];
   static override flags = {
     policy: Flags.string({ description: 'policy to plan, a JSON file or - for standard input' }),
-    empty: Flags.string({ multiple: true, description: 'hall to empty' }),
-    'take-back': Flags.string({ multiple: true, description: 'hall to take back' }),
+    empty: Flags.string({ multiple: true, description: 'zone to empty' }),
+    'take-back': Flags.string({ multiple: true, description: 'zone to take back' }),
     ...BaseCommand.templateFlags,
   };
 
@@ -26,30 +26,30 @@
     const next = flags.policy === undefined ? undefined : this.policyOf(flags.policy, flags);
     const read = async <T>(target: string): Promise<T> =>
       (await this.call(flags.node, 'GET', target)) as T;
-    const [{ policy }, status, { partners }, { services }] = await Promise.all([
+    const [{ policy }, status, { peers }, { services }] = await Promise.all([
       read<{ policy: Policy }>('/v1/policy'),
-      read<{ emptiedHalls: string[]; closedOrigins?: string[]; origins: Description[] }>(
+      read<{ emptiedZones: string[]; closedOrigins?: string[]; origins: Description[] }>(
         '/v1/status',
       ),
-      read<{ partners: NodeRecord[] }>('/v1/partners'),
+      read<{ peers: NodeRecord[] }>('/v1/peers'),
       read<{ services: Record<string, { slices: Record<string, number> }> }>('/v1/shares'),
     ]);
-    const halls = new Set(partners.map((node) => node.hall));
+    const zones = new Set(peers.map((node) => node.zone));
     const unknown = [...(flags.empty ?? []), ...(flags['take-back'] ?? [])].filter(
-      (hall) => !halls.has(hall),
+      (zone) => !zones.has(zone),
     );
     if (unknown.length > 0)
       throw new ClientError(
         exitCodes.refused,
-        `no node stands in ${unknown.join(', ')}; halls are ${[...halls].sort().join(', ')}`,
+        `no node stands in ${unknown.join(', ')}; zones are ${[...zones].sort().join(', ')}`,
       );
     const moves = plan(
       {
         policy,
-        emptied: status.emptiedHalls,
+        emptied: status.emptiedZones,
         ...(status.closedOrigins === undefined ? {} : { closedOrigins: status.closedOrigins }),
         origins: status.origins,
-        nodes: partners,
+        nodes: peers,
         slices: Object.fromEntries(
           Object.entries(services).map(([name, each]) => [name, each.slices]),
         ),
--- a/packages/reedyard/src/commands/safe-to-stop.ts
+++ b/packages/reedyard/src/commands/safe-to-stop.ts
@@ -40,13 +40,13 @@
     const addresses = this.addressesOf(nodes);
     const [statuses, lists] = await Promise.all([
       askEach(addresses, '/v1/status'),
-      askEach(addresses, '/v1/partners'),
+      askEach(addresses, '/v1/peers'),
     ]);
     return addresses.flatMap((address) => {
       const status = statuses.get(address) as Partial<NodeStatus> | undefined;
-      const list = lists.get(address) as { readonly partners: readonly KnownMachine[] } | undefined;
+      const list = lists.get(address) as { readonly peers: readonly KnownMachine[] } | undefined;
       if (status?.control === undefined) return [];
-      return [{ status: status as NodeStatus, machines: list?.partners ?? [] }];
+      return [{ status: status as NodeStatus, machines: list?.peers ?? [] }];
     });
   }
 
--- /dev/null
+++ b/packages/reedyard/src/commands/zone/take-back.ts
@@ -0,0 +1,6 @@
+import { ZoneCommand } from '../../base.js';
+
+export default class ZoneTakeBack extends ZoneCommand {
+  static override description = 'Take an emptied zone back into service.';
+  protected override readonly order = 'take-back';
+}
--- a/packages/reedyard/src/reedyard.test.ts
+++ b/packages/reedyard/src/reedyard.test.ts
@@ -36,12 +36,12 @@
         text,
       });
       const status =
-        request.url === '/v1/halls/nowhere' ? 422 : request.url === '/ready' ? 503 : 200;
+        request.url === '/v1/zones/nowhere' ? 422 : request.url === '/ready' ? 503 : 200;
       response.writeHead(status, { 'content-type': 'application/json' });
       response.end(
         JSON.stringify(
           status === 200
-            ? { serial: 4 }
+            ? { revision: 4 }
             : {
                 title: 'No',
                 status,
@@ -72,7 +72,7 @@
     policy,
   );
   t.is(put.code, 0);
-  t.deepEqual(JSON.parse(put.out), { serial: 4 });
+  t.deepEqual(JSON.parse(put.out), { revision: 4 });
   t.deepEqual(heard[0], {
     method: 'PUT',
     url: '/v1/policy',
@@ -80,7 +80,7 @@
     text: '{"services":{"s":{"ceiling":9,"coldRate":1}},"routes":[]}',
   });
 
-  const refused = await run(['hall', 'empty', 'nowhere'], nodes);
+  const refused = await run(['zone', 'empty', 'nowhere'], nodes);
   t.is(refused.code, 3);
   t.regex(refused.err, /422 No: because\n {2}\/x: wrong/);
   t.is((await run(['policy', 'put', '-'], nodes, '{"services":')).code, 2);
@@ -120,7 +120,7 @@
   const serve = async (status: object): Promise<string> => {
     const server = http.createServer((request, response) => {
       response.writeHead(200, { 'content-type': 'application/json' });
-      response.end(JSON.stringify(request.url === '/v1/status' ? status : { partners: [] }));
+      response.end(JSON.stringify(request.url === '/v1/status' ? status : { peers: [] }));
     });
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
--- a/packages/reedyard/src/safe-to-stop.ts
+++ b/packages/reedyard/src/safe-to-stop.ts
@@ -10,7 +10,7 @@
 /** Exit codes of `reedyard safe-to-stop`; they stay as they are. */
 export const stopExitCodes = { safe: 0, unsafe: 1, unknown: 2 } as const;
 
-/** A machine that a node has heard of, as `GET /v1/partners` lists it. */
+/** A machine that a node has heard of, as `GET /v1/peers` lists it. */
 export type KnownMachine = {
   readonly id: string;
   readonly address: string;
--- a/packages/reedyard/src/status-text.ts
+++ b/packages/reedyard/src/status-text.ts
@@ -86,14 +86,14 @@
  * statusLines(status).join('\n')
  */
 export const statusLines = (status: NodeStatus): readonly string[] => [
-  `node ${status.node}, zone ${status.hall}, region ${status.region}`,
+  `node ${status.node}, zone ${status.zone}, region ${status.region}`,
   `lease: ${leaseText(status)}`,
   ...controlLines(status.control),
-  `config: revision ${status.policySerial}`,
-  `evacuated zones: ${listed(status.emptiedHalls)}; ` +
+  `config: revision ${status.policyRevision}`,
+  `evacuated zones: ${listed(status.emptiedZones)}; ` +
     `zones whose origins are closed: ${listed(status.closedOrigins)}`,
-  status.duty === null
+  status.quotaLeadership === null
     ? 'quota leader: none yet'
-    : `quota leader: ${status.duty.holder}, term ${status.duty.term}`,
+    : `quota leader: ${status.quotaLeadership.holder}, term ${status.quotaLeadership.term}`,
   ...originLines(status.origins),
 ];
--- a/packages/replica/src/core.ts
+++ b/packages/replica/src/core.ts
@@ -5,25 +5,25 @@
 import { keepFacts, pulled } from './journal.js';
 import { adopt } from './membership.js';
 import {
-  newerVoters,
-  votersKey,
+  newerMembers,
+  membersKey,
   type ReplicaAsk,
   type ReplicaEffect,
   type ReplicaEvent,
   type ReplicaRecord,
   type ReplicaReply,
   type ReplicaVoting,
-  type Voters,
-  type VotersTold,
+  type Members,
+  type CommittedMembership,
 } from './messages.js';
-import { away, dumped, rejoin, returned, takeRetold } from './recovery.js';
+import { away, dumped, rejoin, returned, takeRestored } from './recovery.js';
 import { claimPrefix, minuteOf, vote, withoutClaim } from './registers.js';
 import { isPolled, notePoll, pollMembers, tendRetirement, tendStop } from './retirement.js';
 import {
   isNamed,
-  isVoter,
+  isMember,
   set,
-  votersOf,
+  membersOf,
   type ReplicaState,
   type Kept,
   type Work,
@@ -32,8 +32,8 @@
 const asked = (work: Work, id: number, ask: ReplicaAsk, now: number): void => {
   if (ask.spare === true) set(work, { spareHeardAt: now });
   const wasNamed = isNamed(work.state);
-  adopt(work, ask.voters, now);
-  if (!wasNamed && isNamed(work.state) && !isVoter(work.state)) rejoin(work, now);
+  adopt(work, ask.members, now);
+  if (!wasNamed && isNamed(work.state) && !isMember(work.state)) rejoin(work, now);
   tendRetirement(work, now);
   const { state } = work;
   const body = ask.call;
@@ -44,8 +44,8 @@
     tell(dumped(work, body.after));
     return;
   }
-  const mine = votersOf(state);
-  const [epoch, known] = [ask.voters?.value.epoch ?? 0, mine?.value.epoch ?? 0];
+  const mine = membersOf(state);
+  const [epoch, known] = [ask.members?.value.epoch ?? 0, mine?.value.epoch ?? 0];
   if (!state.voting && (state.seeded === null || epoch >= known)) {
     tell(away(state));
     return;
@@ -53,18 +53,18 @@
   // Only the newest set that is known to be chosen counts, and only by the disks that it names.
   // What it accepted but was not told of changes nothing: the earlier set, which decides on it,
   // goes on.
-  const onVoters = (body.kind === 'prepare' || body.kind === 'accept') && body.key === votersKey;
+  const onMembers = (body.kind === 'prepare' || body.kind === 'accept') && body.key === membersKey;
   if (epoch < known) {
-    tell({ kind: 'stale', disk: state.disk, voters: mine });
+    tell({ kind: 'stale', disk: state.disk, members: mine });
     return;
   }
-  if (body.kind === 'retell') {
-    takeRetold(work, body, now);
-    tell({ kind: 'retold', disk: state.disk });
+  if (body.kind === 'restore') {
+    takeRestored(work, body, now);
+    tell({ kind: 'restored', disk: state.disk });
     return;
   }
-  if (!onVoters && now < state.settlingUntil) {
-    tell({ kind: 'settling', disk: state.disk, epoch: known });
+  if (!onMembers && now < state.recoveringUntil) {
+    tell({ kind: 'recovering', disk: state.disk, epoch: known });
     return;
   }
   if (
@@ -76,7 +76,7 @@
     tell({ kind: 'full', disk: state.disk });
     return;
   }
-  if (!isVoter(state)) {
+  if (!isMember(state)) {
     tell(away(state));
     return;
   }
@@ -168,13 +168,13 @@
     readonly records: readonly ReplicaRecord[];
     readonly freshDisk: string;
     readonly now: number;
-    /** Where voters found themselves from seeds; `others` is then not looked at. */
+    /** Where members found themselves from seeds; `others` is then not looked at. */
     readonly seeded?: ReplicaVoting | null;
   }): Step<ReplicaState, ReplicaEffect> => {
     let disk: string | null = null;
     let voting = false;
     let votingEpoch = 0;
-    let told: VotersTold | null = null;
+    let told: CommittedMembership | null = null;
     let seq = 0;
     const cells = new Map<string, Cell>();
     const facts = new Map<string, Kept>();
@@ -190,7 +190,7 @@
         cells.clear();
         facts.clear();
       } else if (record.kind === 'told')
-        told = told === null || newerVoters(record.voters, told) ? record.voters : told;
+        told = told === null || newerMembers(record.members, told) ? record.members : told;
       else if (record.kind === 'place') seq = Math.max(seq, record.seq);
       else if (record.kind === 'cell') cells.set(record.key, record.cell);
       else {
@@ -198,10 +198,10 @@
         seq = Math.max(seq, record.seq);
       }
     }
-    // A disk of before voters were noted as told.
-    const accepted = cells.get(votersKey)?.accepted ?? null;
+    // A disk of before members were noted as told.
+    const accepted = cells.get(membersKey)?.accepted ?? null;
     told ??=
-      accepted === null ? null : { ballot: accepted.ballot, value: accepted.value as Voters };
+      accepted === null ? null : { ballot: accepted.ballot, value: accepted.value as Members };
     const claims = [...cells.keys()].filter((key) => key.startsWith(claimPrefix));
     const kept = [...facts.values()].sort((a, b) => a.seq - b.seq);
     return {
@@ -224,7 +224,7 @@
         readings: {},
         nextCall: 1,
         sweptAt: parts.now,
-        settlingUntil: -Infinity,
+        recoveringUntil: -Infinity,
         settledFor: told?.value.refounded ?? 0,
         retirement: null,
         stopAskedAt: null,
@@ -241,7 +241,7 @@
   *records(state: ReplicaState): Iterable<ReplicaRecord> {
     yield { kind: 'disk', disk: state.disk };
     if (state.voting) yield { kind: 'voting', epoch: state.votingEpoch };
-    if (state.told !== null) yield { kind: 'told', voters: state.told };
+    if (state.told !== null) yield { kind: 'told', members: state.told };
     yield { kind: 'place', seq: state.seq };
     for (const [key, cell] of state.cells) yield { kind: 'cell', key, cell };
     for (const { seq, key, value } of state.facts)
@@ -268,7 +268,7 @@
       case 'beat':
         tendRetirement(work, event.now);
         pollMembers(work);
-        if (!isVoter(work.state)) rejoin(work, event.now);
+        if (!isMember(work.state)) rejoin(work, event.now);
         sweep(work, event.now);
         tendStop(work, event.now);
         break;
--- a/packages/replica/src/history.test.ts
+++ b/packages/replica/src/history.test.ts
@@ -9,13 +9,13 @@
 import { openWriteAheadLog, type WriteAheadLog } from '@reedyard/write-ahead-log';
 import {
   Replica,
-  votersKey,
+  membersKey,
   type ReplicaAsk,
   type ReplicaCall,
   type ReplicaRecord,
   type ReplicaReply,
-  type Voters,
-  type VotersTold,
+  type Members,
+  type CommittedMembership,
 } from './index.js';
 import { ReplicaHost } from './replica-host.js';
 
@@ -56,7 +56,7 @@
   /** Bytes and number of the pages that replicas read from each other. */
   pageBytes = 0;
   pages = 0;
-  members: VotersTold | null = null;
+  members: CommittedMembership | null = null;
   #round = 0;
   #lives = 0;
   readonly #calls = new Set<Promise<unknown>>();
@@ -114,7 +114,7 @@
   ask(name: Name, call: ReplicaCall): Promise<ReplicaReply> {
     const running = this.running.get(name);
     if (running === undefined) return Promise.reject(new Error(`${name} is down`));
-    return running.host.ask({ voters: this.members, call });
+    return running.host.ask({ members: this.members, call });
   }
 
   /** Writes a register by a majority; tells whether one was reached. */
@@ -130,7 +130,7 @@
       disks.map(([name, disk]) => this.ask(name, { kind: 'accept', key, ballot, value, disk })),
     );
     if (accepted.filter((reply) => reply.kind === 'vote').length < 2) return false;
-    if (key === votersKey) this.members = { ballot, value: value as Voters };
+    if (key === membersKey) this.members = { ballot, value: value as Members };
     return true;
   }
 
@@ -199,7 +199,7 @@
   const before = cluster.members?.value;
   const disk = cluster.running.get(name)?.host.durableState.disk ?? '';
   const disks = { ...before?.disks, [name]: disk };
-  await cluster.write(votersKey, { epoch: (before?.epoch ?? 0) + 1, disks });
+  await cluster.write(membersKey, { epoch: (before?.epoch ?? 0) + 1, disks });
 };
 
 type Figures = {
--- a/packages/replica/src/voters.test.ts
+++ b/packages/replica/src/members.test.ts
@@ -9,19 +9,20 @@
 } from '@reedyard/consensus';
 import { Replica } from './core.js';
 import {
-  votersKey,
+  membersKey,
   type ReplicaAsk,
   type ReplicaEffect,
   type ReplicaEvent,
   type ReplicaRecord,
   type ReplicaReply,
   type ReplicaVoting,
-  type Voters,
-  type VotersTold,
+  type Members,
+  type CommittedMembership,
 } from './messages.js';
 import type { ReplicaState } from './state.js';
 
-// Voters that found themselves from seeds, on a bench where any message may come next, or get lost.
+// Members that found themselves from seeds, on a bench where any message may come next, or get
+// lost.
 
 const chanceFrom = (seed: number): (() => number) => {
   let state = seed + 1;
@@ -50,7 +51,7 @@
   readonly #asking = new Map<string, { from: string; id: number }>();
   /** Who else may be asked, and may ask: not a replica. */
   onReply: (to: string, id: number, reply: ReplicaReply) => void = () => undefined;
-  /** What a replica hears of the voters that a caller counts by; a planted fault changes it. */
+  /** What a replica hears of the members that a caller counts by; a planted fault changes it. */
   hears: (state: ReplicaState, ask: ReplicaAsk) => ReplicaAsk = (_state, ask) => ask;
 
   open(address: string, seeded: Omit<ReplicaVoting, 'address'>): void {
@@ -140,7 +141,7 @@
   }
 }
 
-test('three seeds found the same voters in whatever order they start and hear of each other; nobody else founds', (t) => {
+test('three seeds found the same members in whatever order they start and hear of each other; nobody else founds', (t) => {
   const seeds = ['a', 'b', 'c'];
   for (let seed = 0; seed < 600; seed += 1) {
     const bench = new Bench();
@@ -186,7 +187,7 @@
   }
 });
 
-test('two seeds: all orders of their starts, beats and messages end in the same voters or in none yet', (t) => {
+test('two seeds: all orders of their starts, beats and messages end in the same members or in none yet', (t) => {
   type Node = {
     readonly states: ReadonlyMap<string, ReplicaState>;
     readonly flying: readonly Flying[];
@@ -257,7 +258,7 @@
   epoch: number,
   disks: Readonly<Record<string, string>>,
   ballot: Ballot = [epoch, 'agent'],
-): VotersTold => ({
+): CommittedMembership => ({
   ballot,
   value: {
     epoch,
@@ -266,8 +267,8 @@
   },
 });
 
-/** One replica with a kept disk of the first voters, and what it answers. */
-const voter = (): {
+/** One replica with a kept disk of the first members, and what it answers. */
+const member = (): {
   ask: (ask: ReplicaAsk) => ReplicaReply | undefined;
   state: () => ReplicaState;
   records: () => readonly ReplicaRecord[];
@@ -275,8 +276,8 @@
   const first = told(1, { a: 'A', b: 'B', c: 'C' }, [1, 'founding']);
   const records: ReplicaRecord[] = [
     { kind: 'disk', disk: 'A' },
-    { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } },
-    { kind: 'told', voters: first },
+    { kind: 'cell', key: membersKey, cell: { promised: first.ballot, accepted: first } },
+    { kind: 'told', members: first },
     { kind: 'voting' },
   ];
   let state = Replica.open({
@@ -302,62 +303,62 @@
 const first = told(1, { a: 'A', b: 'B', c: 'C' }, [1, 'founding']);
 const second = told(2, { a: 'A', b: 'B', d: 'D' }, [2, 'p']);
 
-test('voters that a replica accepted count only once it is told that they are chosen', (t) => {
-  const replica = voter();
+test('members that a replica accepted count only once it is told that they are chosen', (t) => {
+  const replica = member();
   t.is(
-    replica.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [2, 'p'] } })
+    replica.ask({ members: first, call: { kind: 'prepare', key: membersKey, ballot: [2, 'p'] } })
       ?.kind,
     'vote',
   );
   t.is(
     replica.ask({
-      voters: first,
-      call: { kind: 'accept', key: votersKey, ballot: [2, 'p'], value: second.value, disk: 'A' },
+      members: first,
+      call: { kind: 'accept', key: membersKey, ballot: [2, 'p'], value: second.value, disk: 'A' },
     })?.kind,
     'vote',
   );
-  t.is(replica.ask({ voters: first, call: pull })?.kind, 'pulled');
-  t.is(replica.ask({ voters: second, call: pull })?.kind, 'pulled');
-  const stale = replica.ask({ voters: first, call: pull });
-  t.deepEqual(stale?.kind === 'stale' ? stale.voters : null, second);
+  t.is(replica.ask({ members: first, call: pull })?.kind, 'pulled');
+  t.is(replica.ask({ members: second, call: pull })?.kind, 'pulled');
+  const stale = replica.ask({ members: first, call: pull });
+  t.deepEqual(stale?.kind === 'stale' ? stale.members : null, second);
   // Those who count by the set before decide nothing any more, not even who votes.
   t.is(
-    replica.ask({ voters: first, call: { kind: 'prepare', key: votersKey, ballot: [9, 'q'] } })
+    replica.ask({ members: first, call: { kind: 'prepare', key: membersKey, ballot: [9, 'q'] } })
       ?.kind,
     'stale',
   );
   t.is(
     replica.ask({
-      voters: first,
-      call: { kind: 'accept', key: votersKey, ballot: [9, 'q'], value: second.value, disk: 'A' },
+      members: first,
+      call: { kind: 'accept', key: membersKey, ballot: [9, 'q'], value: second.value, disk: 'A' },
     })?.kind,
     'stale',
   );
 });
 
 test('a later epoch under a lower ballot is newer, and stays so', (t) => {
-  const replica = voter();
+  const replica = member();
   const third = told(3, { a: 'A', d: 'D', e: 'E' }, [3, 'p']);
-  replica.ask({ voters: { ...second, ballot: [9, 'q'] }, call: pull });
-  replica.ask({ voters: third, call: pull });
+  replica.ask({ members: { ...second, ballot: [9, 'q'] }, call: pull });
+  replica.ask({ members: third, call: pull });
   t.is(replica.state().told?.value.epoch, 3);
-  replica.ask({ voters: { ...second, ballot: [10, 'q'] }, call: pull });
+  replica.ask({ members: { ...second, ballot: [10, 'q'] }, call: pull });
   t.is(replica.state().told?.value.epoch, 3);
-  t.is((replica.state().cells.get(votersKey)?.accepted?.value as Voters).epoch, 3);
+  t.is((replica.state().cells.get(membersKey)?.accepted?.value as Members).epoch, 3);
 });
 
-// An agent in short: it knows voters that are chosen, and opens ballots by them.
+// An agent in short: it knows members that are chosen, and opens ballots by them.
 type Asker = {
   readonly name: string;
-  voters: VotersTold;
+  members: CommittedMembership;
   highest: Ballot;
   proposal: Proposal | null;
-  goal: 'count' | 'voters';
+  goal: 'count' | 'members';
   since: number;
 };
 
 /**
- * Places change hands, and disks are wiped, while askers that know different voters count a
+ * Places change hands, and disks are wiped, while askers that know different members count a
  * register up. Returns what must not be: two values chosen for one epoch, or a count given twice.
  */
 const turmoil = (seed: number, deaf: 'none' | 'members' | 'read'): readonly string[] => {
@@ -371,8 +372,8 @@
   for (const [place, disk] of Object.entries(founders)) {
     bench.disks.set(place, [
       { kind: 'disk', disk },
-      { kind: 'cell', key: votersKey, cell: { promised: founding.ballot, accepted: founding } },
-      { kind: 'told', voters: founding },
+      { kind: 'cell', key: membersKey, cell: { promised: founding.ballot, accepted: founding } },
+      { kind: 'told', members: founding },
       { kind: 'voting' },
     ]);
   }
@@ -381,15 +382,15 @@
   all.forEach((address) => bench.open(address, { seeds: [], firstStart: false }));
   // Who is read does not hear of the epoch that the reader joins.
   if (deaf === 'read')
-    bench.hears = (_state, ask) => (ask.call.kind === 'dump' ? { ...ask, voters: null } : ask);
+    bench.hears = (_state, ask) => (ask.call.kind === 'dump' ? { ...ask, members: null } : ask);
   if (deaf === 'members')
     bench.hears = (state, ask) =>
-      state.told !== null && state.voting && ask.voters !== null
-        ? { ...ask, voters: state.told }
+      state.told !== null && state.voting && ask.members !== null
+        ? { ...ask, members: state.told }
         : ask;
   const askers: Asker[] = ['p', 'q', 'r'].map((name) => ({
     name,
-    voters: founding,
+    members: founding,
     highest: [1, ''],
     proposal: null,
     goal: 'count',
@@ -397,7 +398,7 @@
   }));
   const calls = new Map<
     string,
-    { asker: Asker; voter: string; phase: 'prepare' | 'accept'; ballot: Ballot }
+    { asker: Asker; member: string; phase: 'prepare' | 'accept'; ballot: Ballot }
   >();
   let ids = 0;
   let handovers = 0;
@@ -406,24 +407,24 @@
   };
   const send = (asker: Asker, place: string, ask: ReplicaAsk['call']): void => {
     ids += 1;
-    const address = asker.voters.value.addresses?.[place] ?? '';
+    const address = asker.members.value.addresses?.[place] ?? '';
     if (ask.kind === 'prepare' || ask.kind === 'accept')
       calls.set(`${asker.name}/${ids}`, {
         asker,
-        voter: place,
+        member: place,
         phase: ask.kind,
         ballot: ask.ballot,
       });
     bench.flying = [
       ...bench.flying,
-      { to: address, from: asker.name, id: ids, ask: { voters: asker.voters, call: ask } },
+      { to: address, from: asker.name, id: ids, ask: { members: asker.members, call: ask } },
     ];
   };
-  const learn = (asker: Asker, next: VotersTold): void => {
+  const learn = (asker: Asker, next: CommittedMembership): void => {
     if (
-      next.value.epoch < asker.voters.value.epoch ||
-      (next.value.epoch === asker.voters.value.epoch &&
-        Ballots.compare(next.ballot, asker.voters.ballot) <= 0)
+      next.value.epoch < asker.members.value.epoch ||
+      (next.value.epoch === asker.members.value.epoch &&
+        Ballots.compare(next.ballot, asker.members.ballot) <= 0)
     )
       return;
     const text = JSON.stringify(Object.entries(next.value.disks).sort());
@@ -431,7 +432,7 @@
     if (known !== undefined && known !== text)
       wrongs.push(`epoch ${next.value.epoch}: ${known} and ${text}`);
     chosen.set(next.value.epoch, text);
-    asker.voters = next;
+    asker.members = next;
     asker.proposal = null;
   };
   const play = (asker: Asker, turn: Turn): void => {
@@ -452,8 +453,8 @@
           asker.highest = turn.proposal.highest;
         asker.proposal = null;
         if (move.kind !== 'chosen' || move.ballot === null) continue;
-        if (asker.goal === 'voters')
-          learn(asker, { ballot: move.ballot, value: move.value as Voters });
+        if (asker.goal === 'members')
+          learn(asker, { ballot: move.ballot, value: move.value as Members });
         else if (move.wrote) {
           const { count, by } = move.value as { count: number; by: string };
           if (by !== `${asker.name}/${asker.since}`) continue;
@@ -467,31 +468,31 @@
     const call = calls.get(`${to}/${id}`);
     const asker = askers.find((each) => each.name === to);
     if (asker === undefined) return;
-    if (reply.kind === 'stale' && reply.voters !== null) learn(asker, reply.voters);
+    if (reply.kind === 'stale' && reply.members !== null) learn(asker, reply.members);
     if (
       reply.kind !== 'vote' ||
       call === undefined ||
       asker.proposal === null ||
-      asker.voters.value.disks[call.voter] !== reply.disk
+      asker.members.value.disks[call.member] !== reply.disk
     )
       return;
     play(
       asker,
-      Proposer.voted(asker.proposal, call.voter, reply.disk, call.phase, call.ballot, reply.vote),
+      Proposer.voted(asker.proposal, call.member, reply.disk, call.phase, call.ballot, reply.vote),
     );
   };
   const open = (asker: Asker): void => {
-    const { voters } = asker;
-    const places = Object.keys(voters.value.disks);
+    const { members } = asker;
+    const places = Object.keys(members.value.disks);
     const spares = all.filter(
-      (address) => !Object.values(voters.value.addresses ?? {}).includes(address),
+      (address) => !Object.values(members.value.addresses ?? {}).includes(address),
     );
     const gone = places[Math.floor(chance() * places.length)] ?? '';
     const into = chance() < 0.5 ? gone : (spares[Math.floor(chance() * spares.length)] ?? '');
     const state = bench.states.get(into);
-    const goal = chance() < 0.5 ? 'count' : 'voters';
+    const goal = chance() < 0.5 ? 'count' : 'members';
     // Like an agent: only a disk that waits for a place is given one.
-    if (goal === 'voters' && (state === undefined || state.voting)) return;
+    if (goal === 'members' && (state === undefined || state.voting)) return;
     asker.goal = goal;
     asker.since += 1;
     const by = `${asker.name}/${asker.since}`;
@@ -505,9 +506,9 @@
               : { kind: 'write', value: { count: (old?.count ?? 0) + 1, by } };
           }
         : (current) => {
-            const old = current as Voters;
+            const old = current as Members;
             const disk = state?.disk ?? '';
-            if (old.epoch !== voters.value.epoch) return { kind: 'keep' };
+            if (old.epoch !== members.value.epoch) return { kind: 'keep' };
             const without = grows
               ? old.disks
               : Object.fromEntries(Object.entries(old.disks).filter(([place]) => place !== gone));
@@ -530,7 +531,7 @@
             };
           };
     const turn = Proposer.open(
-      asker.goal === 'count' ? 'count' : votersKey,
+      asker.goal === 'count' ? 'count' : membersKey,
       change,
       places,
       asker.highest,
@@ -567,7 +568,7 @@
       bench.step(up[Math.floor(chance() * up.length)] ?? '', { kind: 'beat', now: bench.now });
       const asker = askers[Math.floor(chance() * askers.length)];
       if (asker !== undefined && chance() < 0.3) {
-        const places = Object.keys(asker.voters.value.disks);
+        const places = Object.keys(asker.members.value.disks);
         send(asker, places[Math.floor(chance() * places.length)] ?? '', pull);
       }
     } else bench.deliver(Math.floor(chance() ** 2 * bench.flying.length), chance() < 0.05);
@@ -580,7 +581,7 @@
 const figure = (told_: readonly string[], what: string): number =>
   Number(told_.find((each) => each.startsWith(`${what} `))?.slice(what.length + 1) ?? 0);
 
-test('places change hands and disks are wiped while askers know different voters: one value for each epoch, no count twice', (t) => {
+test('places change hands and disks are wiped while askers know different members: one value for each epoch, no count twice', (t) => {
   let [epochs, counts, handovers] = [0, 0, 0];
   for (let seed = 0; seed < 400; seed += 1) {
     const found = turmoil(seed, 'none');
@@ -596,7 +597,7 @@
   t.log(`${epochs} epochs, ${counts} counts, ${handovers} handovers`);
 });
 
-test('with replicas that do not heed by which voters a caller counts, a run is found where that breaks', (t) => {
+test('with replicas that do not heed by which members a caller counts, a run is found where that breaks', (t) => {
   t.true(
     Array.from({ length: 400 }, (_, seed) => seed).some(
       (seed) => wrongsOf(turmoil(seed, 'members')).length > 0,
--- a/packages/replica/src/membership.ts
+++ b/packages/replica/src/membership.ts
@@ -2,11 +2,11 @@
 import { Limits } from '@reedyard/constants';
 import { Ballots, emptyCell } from '@reedyard/consensus';
 import {
-  newerVoters,
-  votersKey,
+  newerMembers,
+  membersKey,
   type Predecessor,
-  type Voters,
-  type VotersTold,
+  type Members,
+  type CommittedMembership,
 } from './messages.js';
 import { keepCell } from './registers.js';
 import { isNamed, isRetired, placeOf, set, type ReplicaState, type Work } from './state.js';
@@ -17,7 +17,7 @@
 
 /**
  * Whether this replica may take part in founding the state: only at the very first start, at a
- * seed's address, blank and not told of voters.
+ * seed's address, blank and not told of members.
  */
 export const mayFound = (state: ReplicaState): boolean =>
   state.seeded !== null &&
@@ -30,11 +30,11 @@
 export const othersOf = (state: ReplicaState): Readonly<Record<string, string>> => {
   if (state.seeded === null) return state.others;
   const { address, seeds } = state.seeded;
-  const voters = state.told?.value;
-  const place = voters === undefined ? undefined : placeOf(state, voters);
-  if (voters !== undefined && place !== undefined)
+  const members = state.told?.value;
+  const place = members === undefined ? undefined : placeOf(state, members);
+  if (members !== undefined && place !== undefined)
     return Object.fromEntries(
-      Object.entries(voters.addresses ?? {}).filter(([name]) => name !== place),
+      Object.entries(members.addresses ?? {}).filter(([name]) => name !== place),
     );
   return mayFound(state)
     ? Object.fromEntries(seeds.filter((seed) => seed !== address).map((seed) => [seed, seed]))
@@ -48,49 +48,50 @@
 export const predecessorOf = (
   state: ReplicaState,
 ): (Predecessor & { readonly reading: string }) | null => {
-  const voters = state.told?.value;
-  const place = voters === undefined || state.seeded === null ? undefined : placeOf(state, voters);
-  const found = place === undefined ? undefined : voters?.predecessors?.[place];
+  const members = state.told?.value;
+  const place =
+    members === undefined || state.seeded === null ? undefined : placeOf(state, members);
+  const found = place === undefined ? undefined : members?.predecessors?.[place];
   return found === undefined ? null : { ...found, reading: predecessorReading(found.disk) };
 };
 
 /**
- * After most disks were lost every voter waits for what agents tell again: also one that kept its
+ * After most disks were lost every member waits for what agents tell again: also one that kept its
  * disk, since it may lack what the others had, and one that read the others before they were told.
  */
 const settleFor = (work: Work, refounded: number, now: number): void => {
   if (refounded > work.state.settledFor)
-    set(work, { settledFor: refounded, settlingUntil: now + Limits.retelling });
+    set(work, { settledFor: refounded, recoveringUntil: now + Limits.restoring });
 };
 
-/** Takes in voters that are known to be chosen, if they are newer than those it knew. */
-export const adopt = (work: Work, told: VotersTold | null, now: number): void => {
+/** Takes in members that are known to be chosen, if they are newer than those it knew. */
+export const adopt = (work: Work, told: CommittedMembership | null, now: number): void => {
   const before = work.state;
-  if (told === null || !newerVoters(told, before.told)) return;
+  if (told === null || !newerMembers(told, before.told)) return;
   const epochBefore = before.told?.value.epoch ?? 0;
   set(work, { told });
-  const cell = before.cells.get(votersKey) ?? emptyCell;
+  const cell = before.cells.get(membersKey) ?? emptyCell;
   const accepted =
     cell.accepted === null
       ? null
-      : { ballot: cell.accepted.ballot, value: cell.accepted.value as Voters };
-  if (newerVoters(told, accepted))
+      : { ballot: cell.accepted.ballot, value: cell.accepted.value as Members };
+  if (newerMembers(told, accepted))
     keepCell(
       work,
-      votersKey,
+      membersKey,
       {
         promised: Ballots.compare(cell.promised, told.ballot) > 0 ? cell.promised : told.ballot,
         accepted: told,
       },
       now,
     );
-  // After the register itself: told of voters, it must show no older ones to a ballot.
-  work.effects.push({ kind: 'append', records: [{ kind: 'told', voters: told }] });
+  // After the register itself: told of members, it must show no older ones to a ballot.
+  work.effects.push({ kind: 'append', records: [{ kind: 'told', members: told }] });
   settleFor(work, told.value.refounded ?? 0, now);
   if (told.value.epoch > epochBefore)
     work.effects.push({
       kind: 'log',
-      event: 'voters.learned',
+      event: 'members.learned',
       fields: { epoch: told.value.epoch, seated: isNamed(work.state) },
     });
 };
@@ -123,7 +124,7 @@
       kind: 'append',
       records: [
         { kind: 'blanked', disk },
-        { kind: 'told', voters: told },
+        { kind: 'told', members: told },
         { kind: 'place', seq: state.seq },
       ],
     },
--- a/packages/replica/src/messages.ts
+++ b/packages/replica/src/messages.ts
@@ -9,7 +9,7 @@
 export type Cursor = { readonly disk: string; readonly seq: number };
 
 /** Who votes: for each place, the disk that holds it. One place changes at a time. */
-export type Voters = {
+export type Members = {
   readonly epoch: number;
   readonly disks: Readonly<Record<string, string>>;
   /**
@@ -31,24 +31,27 @@
  * is enough to vote.
  */
 export type Predecessor = { readonly disk: string; readonly address: string };
-/** Voters that are known to be chosen. */
-export type VotersTold = { readonly ballot: Ballot; readonly value: Voters };
-export const votersKey = 'voters';
+/** Members that are known to be chosen. */
+export type CommittedMembership = { readonly ballot: Ballot; readonly value: Members };
+export const membersKey = 'members';
 
 /**
- * Whether voters known to be chosen are newer than others: epochs are chosen one after the other,
+ * Whether members known to be chosen are newer than others: epochs are chosen one after the other,
  * so the epoch counts first. The same epoch may have been written again under a higher ballot, even
  * after the next was chosen.
  *
  * @example
- * newerVoters({ ballot: [3, 'x'], value: { epoch: 2, disks: {} } }, { ballot: [9, 'y'], value: { epoch: 1, disks: {} } }) // true
+ * newerMembers({ ballot: [3, 'x'], value: { epoch: 2, disks: {} } }, { ballot: [9, 'y'], value: { epoch: 1, disks: {} } }) // true
  */
-export const newerVoters = (told: VotersTold, known: VotersTold | null): boolean =>
+export const newerMembers = (
+  told: CommittedMembership,
+  known: CommittedMembership | null,
+): boolean =>
   known === null ||
   told.value.epoch > known.value.epoch ||
   (told.value.epoch === known.value.epoch && Ballots.compare(told.ballot, known.ballot) > 0);
 
-/** Where voters found themselves from seeds: what one replica is told by its settings. */
+/** Where members found themselves from seeds: what one replica is told by its settings. */
 export type ReplicaVoting = {
   readonly address: string;
   /** Replicas that found the state among themselves. */ readonly seeds: readonly string[];
@@ -56,9 +59,9 @@
   readonly firstStart: boolean;
 };
 
-/** A call, with the voters that the caller counts by. */
+/** A call, with the members that the caller counts by. */
 export type ReplicaAsk = {
-  readonly voters: VotersTold | null;
+  readonly members: CommittedMembership | null;
   readonly call: ReplicaCall;
   /** The caller knows of a live blank replica that could take a member's place. */
   readonly spare?: true;
@@ -80,7 +83,7 @@
   | { readonly kind: 'dump'; readonly after: string | null }
   /** What an agent knows to have been chosen, told again after most disks were lost. */
   | {
-      readonly kind: 'retell';
+      readonly kind: 'restore';
       readonly cells: readonly (readonly [string, NonNullable<Cell['accepted']>])[];
       readonly facts: readonly Fact[];
     };
@@ -92,10 +95,10 @@
       readonly kind: 'away';
       readonly disk: string;
       readonly fresh: boolean;
-      /** Whether it has heard of voters. */ readonly informed: boolean;
+      /** Whether it has heard of members. */ readonly informed: boolean;
     }
-  /** The caller counts by voters that are no longer in force. */
-  | { readonly kind: 'stale'; readonly disk: string; readonly voters: VotersTold | null }
+  /** The caller counts by members that are no longer in force. */
+  | { readonly kind: 'stale'; readonly disk: string; readonly members: CommittedMembership | null }
   | { readonly kind: 'vote'; readonly disk: string; readonly vote: Vote }
   /** Its disk takes no writes, or none in time: it counts as lost until it does. */
   | { readonly kind: 'unavailable'; readonly disk: string }
@@ -106,8 +109,8 @@
    * It founded the state anew and wants to be told again what is known; until then it takes part in
    * nothing.
    */
-  | { readonly kind: 'settling'; readonly disk: string; readonly epoch: number }
-  | { readonly kind: 'retold'; readonly disk: string }
+  | { readonly kind: 'recovering'; readonly disk: string; readonly epoch: number }
+  | { readonly kind: 'restored'; readonly disk: string }
   | {
       readonly kind: 'pulled';
       readonly disk: string;
@@ -128,7 +131,7 @@
   | {
       readonly kind: 'dumped';
       readonly disk: string;
-      /** The voters that it knows to be chosen. */ readonly voters: VotersTold | null;
+      /** The members that it knows to be chosen. */ readonly members: CommittedMembership | null;
       readonly cells: readonly (readonly [string, Cell])[];
       readonly facts: readonly Fact[];
       readonly next: string | null;
@@ -144,8 +147,8 @@
    * name.
    */
   | { readonly kind: 'blanked'; readonly disk: string }
-  /** Voters that it was told are chosen. */
-  | { readonly kind: 'told'; readonly voters: VotersTold }
+  /** Members that it was told are chosen. */
+  | { readonly kind: 'told'; readonly members: CommittedMembership }
   /** The last place given on the board; kept apart, since the facts themselves age away. */
   | { readonly kind: 'place'; readonly seq: number }
   | { readonly kind: 'cell'; readonly key: string; readonly cell: Cell }
