--- a/packages/replica/src/recovery.ts
+++ b/packages/replica/src/recovery.ts
@@ -3,20 +3,20 @@
 import { keepFacts } from './journal.js';
 import { adopt, mayFound, othersOf, predecessorOf } from './membership.js';
 import {
-  votersKey,
+  membersKey,
   type ReplicaCall,
   type ReplicaReply,
   type ReplicaVoting,
-  type Voters,
+  type Members,
 } from './messages.js';
 import { keepCell } from './registers.js';
 import {
   isNamed,
   isRetired,
-  isVoter,
+  isMember,
   placeOf,
   set,
-  votersOf,
+  membersOf,
   type ReplicaState,
   type Reading,
   type Work,
@@ -33,12 +33,12 @@
 
 /**
  * One page of the registers for a reader. The keys are listed once, at its first page: a register
- * that is written later was not written under voters that the reader's place took part in.
+ * that is written later was not written under members that the reader's place took part in.
  */
 export const dumped = (work: Work, after: string | null): ReplicaReply => {
   const { state } = work;
   // A retired replica accepts nothing more, so what it shows is all that it ever will.
-  if (!isVoter(state) && !isRetired(state)) return away(state);
+  if (!isMember(state) && !isRetired(state)) return away(state);
   const [given = '', at = '0'] = after === null ? [] : after.split(':');
   const known = state.dumps[given];
   const reading = known === undefined ? String(state.nextCall) : given;
@@ -56,7 +56,7 @@
   return {
     kind: 'dumped',
     disk: state.disk,
-    voters: state.told,
+    members: state.told,
     next: more ? `${reading}:${from + page.length}` : null,
     cells: page.map((key) => [key, state.cells.get(key) ?? emptyCell]),
     facts: more ? [] : state.facts.map(({ key, value }) => ({ key, value })),
@@ -67,9 +67,9 @@
  * Takes over what was chosen before: the ballots are those it was chosen in. News makes it wait for
  * more.
  */
-export const takeRetold = (
+export const takeRestored = (
   work: Work,
-  told: Extract<ReplicaCall, { kind: 'retell' }>,
+  told: Extract<ReplicaCall, { kind: 'restore' }>,
   now: number,
 ): void => {
   const { seq } = work.state;
@@ -77,7 +77,7 @@
   for (const [key, accepted] of told.cells) {
     const mine = work.state.cells.get(key) ?? emptyCell;
     if (
-      key === votersKey ||
+      key === membersKey ||
       (mine.accepted !== null && Ballots.compare(accepted.ballot, mine.accepted.ballot) <= 0)
     )
       continue;
@@ -85,8 +85,8 @@
     news = true;
   }
   keepFacts(work, told.facts, now);
-  if ((news || work.state.seq > seq) && now < work.state.settlingUntil)
-    set(work, { settlingUntil: now + Limits.retelling });
+  if ((news || work.state.seq > seq) && now < work.state.recoveringUntil)
+    set(work, { recoveringUntil: now + Limits.restoring });
 };
 
 const blankReading: Reading = {
@@ -105,19 +105,19 @@
 /**
  * How a disk that does not vote comes to do so, from what it has read of the others.
  *
- * - `vote`: the voters name it, and it has read enough of the other voters, each after telling it
- * of these voters. With n voters, a majority that counted a lost vote of this place left at least
+ * - `vote`: the members name it, and it has read enough of the other members, each after telling it
+ * of these members. With n members, a majority that counted a lost vote of this place left at least
  *  majority-1 others, so n-majority+1 of them always meet it; and whoever was told of the new
- * voters takes no more part in a choice by the old ones.
+ * members takes no more part in a choice by the old ones.
  * - `found`: every other one was reached and too few have anything to make a majority.
  *
  * @example
- * nextStep({ name: 'a', disk: 'd', voters: null, others: { b: { state: 'blank', disk: 'e', epoch: 0 } } }) // 'found'
+ * nextStep({ name: 'a', disk: 'd', members: null, others: { b: { state: 'blank', disk: 'e', epoch: 0 } } }) // 'found'
  */
 export const nextStep = (me: {
   readonly name: string;
   readonly disk: string;
-  readonly voters: Voters | null;
+  readonly members: Members | null;
   readonly others: Readonly<
     Record<
       string,
@@ -128,11 +128,13 @@
   const others = Object.entries(me.others);
   const count = others.length + 1;
   const majority = majorityOf(count);
-  const voters = me.voters;
-  if (voters !== null && voters.disks[me.name] === me.disk) {
+  const members = me.members;
+  if (members !== null && members.disks[me.name] === me.disk) {
     const met = others.filter(
       ([name, other]) =>
-        other.state === 'done' && other.epoch >= voters.epoch && other.disk === voters.disks[name],
+        other.state === 'done' &&
+        other.epoch >= members.epoch &&
+        other.disk === members.disks[name],
     ).length;
     if (met >= count - majority + 1) return 'vote';
   }
@@ -153,7 +155,7 @@
     : Limits.call;
 
 export const rejoin = (work: Work, now: number): void => {
-  const epoch = votersOf(work.state)?.value.epoch ?? 0;
+  const epoch = membersOf(work.state)?.value.epoch ?? 0;
   const predecessor = predecessorOf(work.state);
   const targets = {
     ...othersOf(work.state),
@@ -183,7 +185,7 @@
       kind: 'call',
       id,
       to: address,
-      body: { voters: votersOf(work.state), call: { kind: 'dump', after: reading.after } },
+      body: { members: membersOf(work.state), call: { kind: 'dump', after: reading.after } },
     });
   }
   tryVote(work, now);
@@ -191,8 +193,8 @@
 
 const tryVote = (work: Work, now: number): void => {
   const { state } = work;
-  if (isVoter(state)) return;
-  const known = votersOf(state);
+  if (isMember(state)) return;
+  const known = membersOf(state);
   const others = Object.fromEntries(
     Object.keys(othersOf(state)).map((name) => [name, readingOf(state, name)]),
   );
@@ -203,12 +205,12 @@
   const step = nextStep({
     name: state.name,
     disk: state.disk,
-    voters: known?.value ?? null,
+    members: known?.value ?? null,
     others,
   });
   if (step === 'wait') return;
   if (step === 'found') {
-    // All that found at once come to the same voters under the same ballot.
+    // All that found at once come to the same members under the same ballot.
     const disks = {
       ...known?.value.disks,
       ...Object.fromEntries(Object.entries(others).map(([name, other]) => [name, other.disk])),
@@ -262,9 +264,10 @@
 };
 
 /**
- * Where voters found themselves from seeds. A disk that the voters name votes once it has read
- * enough, as ever; one that the first voters name has no earlier votes to lose. Founding takes
- * every seed reached, blank, and without word of any voters: nothing is ever founded a second time.
+ * Where members found themselves from seeds. A disk that the members name votes once it has read
+ * enough, as ever; one that the first members name has no earlier votes to lose. Founding takes
+ * every seed reached, blank, and without word of any members: nothing is ever founded a second
+ * time.
  */
 const tryVoteSeeded = (
   work: Work,
@@ -273,12 +276,12 @@
   now: number,
 ): void => {
   const { state } = work;
-  const voters = state.told?.value;
-  const place = voters === undefined ? undefined : placeOf(state, voters);
-  if (voters !== undefined && place !== undefined) {
+  const members = state.told?.value;
+  const place = members === undefined ? undefined : placeOf(state, members);
+  if (members !== undefined && place !== undefined) {
     if (
-      voters.epoch === 1 ||
-      nextStep({ name: place, disk: state.disk, voters, others }) === 'vote'
+      members.epoch === 1 ||
+      nextStep({ name: place, disk: state.disk, members, others }) === 'vote'
     )
       beginVoting(work, 'vote');
     else if (hasReadPredecessor(state)) beginVoting(work, 'handover');
@@ -290,7 +293,7 @@
     ...Object.fromEntries(Object.entries(others).map(([name, other]) => [name, other.disk])),
     [seeded.address]: state.disk,
   };
-  // All that found at once come to the same voters under the same ballot.
+  // All that found at once come to the same members under the same ballot.
   adopt(work, { ballot: [1, 'founding'], value: { epoch: 1, disks, addresses } }, now);
   beginVoting(work, 'found');
 };
@@ -299,7 +302,7 @@
   const found = Object.entries(work.state.readings).find(
     ([, reading]) => reading.call === id || reading.earlierCalls.includes(id),
   );
-  if (found === undefined || isVoter(work.state)) return;
+  if (found === undefined || isMember(work.state)) return;
   const [name, reading] = found;
   const note = (next: Partial<Reading>): void =>
     set(work, {
@@ -323,14 +326,14 @@
     note({});
     return;
   }
-  adopt(work, body.voters, now);
+  adopt(work, body.members, now);
   if (work.state.readings[name] === undefined) return;
   for (const [key, cell] of body.cells) {
     const mine = work.state.cells.get(key) ?? emptyCell;
-    // Voters that another accepted need not be chosen: of that register only what was promised is
+    // Members that another accepted need not be chosen: of that register only what was promised is
     // taken over.
     const merged =
-      key === votersKey
+      key === membersKey
         ? { ...mine, promised: Acceptor.merge(mine, cell).promised }
         : Acceptor.merge(mine, cell);
     if (Ballots.compare(merged.promised, mine.promised) !== 0 || merged.accepted !== mine.accepted)
--- a/packages/replica/src/replica-host.test.ts
+++ b/packages/replica/src/replica-host.test.ts
@@ -12,13 +12,13 @@
   type ReplicaCall,
   type ReplicaRecord,
   type ReplicaReply,
-  type VotersTold,
+  type CommittedMembership,
 } from './index.js';
 import { ReplicaHost } from './replica-host.js';
 
 const folder = 'model';
 const diskName = 'disk-a';
-const members: VotersTold = {
+const members: CommittedMembership = {
   ballot: [1, 'founding'],
   value: { epoch: 1, disks: { a: diskName, b: 'disk-b', c: 'disk-c' } },
 };
@@ -66,7 +66,7 @@
   }
 
   ask(call: ReplicaCall): Promise<ReplicaReply> {
-    return this.host.ask({ voters: members, call });
+    return this.host.ask({ members: members, call });
   }
 
   async tick(ms: number): Promise<void> {
@@ -94,8 +94,8 @@
   const log = await openWriteAheadLog(folder, disk.fileSystem);
   await log.append([
     { kind: 'disk', disk: diskName },
-    { kind: 'cell', key: 'voters', cell: { promised: members.ballot, accepted: members } },
-    { kind: 'told', voters: members },
+    { kind: 'cell', key: 'members', cell: { promised: members.ballot, accepted: members } },
+    { kind: 'told', members: members },
     { kind: 'voting' },
   ]);
   await log.close();
--- a/packages/replica/src/replica.test.ts
+++ b/packages/replica/src/replica.test.ts
@@ -2,13 +2,13 @@
 import { Limits, Sizes } from '@reedyard/constants';
 import { Replica } from './core.js';
 import {
-  votersKey,
+  membersKey,
   type ReplicaAsk,
   type ReplicaEffect,
   type ReplicaEvent,
   type ReplicaRecord,
   type ReplicaReply,
-  type Voters,
+  type Members,
 } from './messages.js';
 import { nextStep } from './recovery.js';
 import type { ReplicaState } from './state.js';
@@ -118,28 +118,29 @@
     if (message.ask !== undefined)
       this.step(message.to, { kind: 'asked', id: this.#asks, body: message.ask, now: this.now });
   }
-  voters(): readonly (Voters | undefined)[] {
+  members(): readonly (Members | undefined)[] {
     return this.names.map(
-      (name) => this.states.get(name)?.cells.get(votersKey)?.accepted?.value as Voters | undefined,
+      (name) =>
+        this.states.get(name)?.cells.get(membersKey)?.accepted?.value as Members | undefined,
     );
   }
 }
 
-test('founding: in whatever order they hear of each other, and whatever is lost, all come to the same voters', (t) => {
+test('founding: in whatever order they hear of each other, and whatever is lost, all come to the same members', (t) => {
   for (let seed = 0; seed < 400; seed += 1) {
     const bench = new Bench(
       seed % 2 === 0 ? ['a', 'b', 'c'] : ['a', 'b', 'c', 'd', 'e'],
       chanceFrom(seed),
     );
     for (let each = 0; each < 900; each += 1) bench.tick(seed % 4 < 2 ? 0 : 0.15);
-    const voters = bench.voters();
+    const members = bench.members();
     t.true(
       [...bench.states.values()].every((state) => state.voting),
       `seed ${seed}`,
     );
     t.is(
       new Set(
-        voters.map((each) =>
+        members.map((each) =>
           JSON.stringify([each?.epoch, Object.entries(each?.disks ?? {}).sort()]),
         ),
       ).size,
@@ -149,10 +150,10 @@
   }
 });
 
-test('a wiped replica does not vote until the voters name its new disk and it has read the others', (t) => {
+test('a wiped replica does not vote until the members name its new disk and it has read the others', (t) => {
   const bench = new Bench(['a', 'b', 'c'], chanceFrom(7));
   for (let each = 0; each < 600; each += 1) bench.tick(0);
-  const before = bench.voters()[0];
+  const before = bench.members()[0];
   bench.wipe('c');
   for (let each = 0; each < 600; each += 1) bench.tick(0.1);
   t.false(bench.states.get('c')?.voting);
@@ -166,13 +167,13 @@
   bench.step('c', {
     kind: 'asked',
     id: 9_999,
-    body: { voters: told, call: { kind: 'pull', cursor: null, keys: [] } },
+    body: { members: told, call: { kind: 'pull', cursor: null, keys: [] } },
     now: bench.now,
   });
   for (let each = 0; each < 600; each += 1) bench.tick(0.1);
   t.true(bench.states.get('c')?.voting);
   // Whom it read was told first: nobody of them goes on in the old epoch.
-  t.true(bench.voters().every((each) => each?.epoch === told.value.epoch));
+  t.true(bench.members().every((each) => each?.epoch === told.value.epoch));
 });
 
 test('when a disk that does not vote may come to do so', (t) => {
@@ -191,7 +192,7 @@
     others: Parameters<typeof nextStep>[0]['others'],
     epoch = 2,
   ): ReturnType<typeof nextStep> =>
-    nextStep({ name: 'a', disk: name, voters: { epoch, disks }, others });
+    nextStep({ name: 'a', disk: name, members: { epoch, disks }, others });
   t.is(
     me('1', {
       b: other('done', '2'),
@@ -257,38 +258,38 @@
   );
 });
 
-test('a replica that knows newer voters refuses a caller that counts by older ones', (t) => {
+test('a replica that knows newer members refuses a caller that counts by older ones', (t) => {
   const bench = new Bench(['a', 'b', 'c'], chanceFrom(3));
   for (let each = 0; each < 600; each += 1) bench.tick(0);
-  const [voters] = bench.voters();
-  const ballot = bench.states.get('a')?.cells.get(votersKey)?.accepted?.ballot ?? [0, ''];
+  const [members] = bench.members();
+  const ballot = bench.states.get('a')?.cells.get(membersKey)?.accepted?.ballot ?? [0, ''];
   const asked = (epoch: number): ReplicaReply | undefined => {
     const state = bench.states.get('a');
-    if (state === undefined || voters === undefined) return undefined;
+    if (state === undefined || members === undefined) return undefined;
     const { effects } = Replica.reduce(state, {
       kind: 'asked',
       id: 1,
       body: {
-        voters: { ballot, value: { ...voters, epoch } },
+        members: { ballot, value: { ...members, epoch } },
         call: { kind: 'pull', cursor: null, keys: [] },
       },
       now: bench.now,
     });
     return effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []))[0];
   };
-  t.is(asked(voters?.epoch ?? 0)?.kind, 'pulled');
-  t.is(asked((voters?.epoch ?? 0) - 1)?.kind, 'stale');
+  t.is(asked(members?.epoch ?? 0)?.kind, 'pulled');
+  t.is(asked((members?.epoch ?? 0) - 1)?.kind, 'stale');
 });
 
 test('a place on the board survives a restart, so no cursor skips a fact', (t) => {
   const bench = new Bench(['a'], chanceFrom(1));
   bench.step('a', { kind: 'beat', now: 100 });
-  const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
+  const members = { ballot: [1, 'founding'] as const, value: bench.members()[0] as Members };
   const post = (key: string, id: number): void =>
     bench.step('a', {
       kind: 'asked',
       id,
-      body: { voters, call: { kind: 'post', facts: [{ key, value: 1 }] } },
+      body: { members, call: { kind: 'post', facts: [{ key, value: 1 }] } },
       now: bench.now,
     });
   post('purge/1', 1);
@@ -310,7 +311,7 @@
 test('many claims: read page by page while more are written, let go after an hour, and refused when there is no room', (t) => {
   const bench = new Bench(['a'], chanceFrom(1));
   bench.step('a', { kind: 'beat', now: 100 });
-  const voters = { ballot: [1, 'founding'] as const, value: bench.voters()[0] as Voters };
+  const members = { ballot: [1, 'founding'] as const, value: bench.members()[0] as Members };
   const disk = bench.states.get('a')?.disk ?? '';
   let state = bench.states.get('a') as ReplicaState;
   const act = (event: ReplicaEvent): readonly ReplicaReply[] => {
@@ -319,7 +320,7 @@
     return step.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
   };
   const ask = (call: ReplicaAsk['call'], now: number): ReplicaReply | undefined =>
-    act({ kind: 'asked', id: 1, body: { voters, call }, now })[0];
+    act({ kind: 'asked', id: 1, body: { members, call }, now })[0];
   const claim = (index: number, now: number): void => {
     ask({ kind: 'accept', key: `claim/k${index}`, ballot: [1, 'x'], value: index, disk }, now);
   };
@@ -360,7 +361,7 @@
     Replica.reduce(full, {
       kind: 'asked',
       id: 1,
-      body: { voters, call: { kind: 'prepare', key, ballot: [9, 'x'] } },
+      body: { members, call: { kind: 'prepare', key, ballot: [9, 'x'] } },
       now: over,
     }).effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body.kind] : []))[0];
   t.is(prepared('claim/new'), 'full');
--- a/packages/replica/src/retirement.test.ts
+++ b/packages/replica/src/retirement.test.ts
@@ -3,7 +3,12 @@
 import type { Ballot } from '@reedyard/consensus';
 import { Replica } from './core.js';
 import type { ReplicaAsk, ReplicaCall, ReplicaEffect, ReplicaEvent } from './messages.js';
-import { votersKey, type ReplicaRecord, type ReplicaReply, type VotersTold } from './messages.js';
+import {
+  membersKey,
+  type ReplicaRecord,
+  type ReplicaReply,
+  type CommittedMembership,
+} from './messages.js';
 import type { ReplicaState } from './state.js';
 
 // What a replica does once its place was given to another disk, or its process was told to stop.
@@ -11,8 +16,8 @@
 const membership = (
   epoch: number,
   disks: Readonly<Record<string, string>>,
-  more: Partial<VotersTold['value']> = {},
-): VotersTold => {
+  more: Partial<CommittedMembership['value']> = {},
+): CommittedMembership => {
   const ballot: Ballot = [epoch, epoch === 1 ? 'founding' : 'agent'];
   const addresses = Object.fromEntries(Object.keys(disks).map((member) => [member, member]));
   return { ballot, value: { epoch, disks, addresses, ...more } };
@@ -36,8 +41,8 @@
 /** Records of a replica that voted in the first epoch. */
 const recordsOf = (disk: string): readonly ReplicaRecord[] => [
   { kind: 'disk', disk },
-  { kind: 'cell', key: votersKey, cell: { promised: first.ballot, accepted: first } },
-  { kind: 'told', voters: first },
+  { kind: 'cell', key: membersKey, cell: { promised: first.ballot, accepted: first } },
+  { kind: 'told', members: first },
   { kind: 'voting' },
 ];
 
@@ -78,11 +83,11 @@
   }
 
   ask(
-    voters: VotersTold,
+    members: CommittedMembership,
     call: ReplicaCall,
     more: Partial<ReplicaAsk> = {},
   ): ReplicaReply | undefined {
-    return this.step({ kind: 'asked', id: 1, body: { voters, call, ...more }, now: this.now })[0];
+    return this.step({ kind: 'asked', id: 1, body: { members, call, ...more }, now: this.now })[0];
   }
 
   interval(ms = 200): void {
@@ -110,7 +115,7 @@
     holder.interval();
     const read = holder.ask(second, dump);
     t.is(read?.kind === 'dumped' ? read.facts.length : 0, 1);
-    t.is(read?.kind === 'dumped' ? read.voters?.value.epoch : 0, 2);
+    t.is(read?.kind === 'dumped' ? read.members?.value.epoch : 0, 2);
     holder.answer('b', fetched('B'));
     holder.answer('c', fetched('C'));
     t.is(holder.ask(second, pull)?.kind, 'away');
@@ -160,7 +165,7 @@
   const replica = new ReplicaUnderTest('a', recordsOf('A'));
   replica.ask(second, pull);
   replica.interval();
-  replica.answer('b', { kind: 'stale', disk: 'B', voters: third });
+  replica.answer('b', { kind: 'stale', disk: 'B', members: third });
   t.is(replica.state.disk, 'A');
   replica.interval();
   replica.answer('b', fetched('B'));
@@ -168,10 +173,10 @@
   t.is(replica.state.disk, 'A/3');
 });
 
-const dumped = (disk: string, voters: VotersTold): ReplicaReply => ({
+const dumped = (disk: string, members: CommittedMembership): ReplicaReply => ({
   kind: 'dumped',
   disk,
-  voters,
+  members,
   cells: [],
   facts: [],
   next: null,
@@ -182,7 +187,7 @@
     const replica = new ReplicaUnderTest('d', [], 'D');
     replica.ask(second, pull);
     t.deepEqual(replica.sent.map((each) => each.to).sort(), ['a', 'b', 'c']);
-    t.true(replica.sent.every((each) => each.body.voters?.value.epoch === 2));
+    t.true(replica.sent.every((each) => each.body.members?.value.epoch === 2));
     return replica;
   };
   const fromPredecessor = joining();
--- a/packages/replica/src/retirement.ts
+++ b/packages/replica/src/retirement.ts
@@ -1,8 +1,15 @@
 import { Limits } from '@reedyard/constants';
 import { majorityOf } from '@reedyard/consensus';
 import { adopt, blank } from './membership.js';
-import { votersKey, type ReplicaReply, type Voters } from './messages.js';
-import { isRetired, isVoter, set, type ReplicaState, type Retirement, type Work } from './state.js';
+import { membersKey, type ReplicaReply, type Members } from './messages.js';
+import {
+  isRetired,
+  isMember,
+  set,
+  type ReplicaState,
+  type Retirement,
+  type Work,
+} from './state.js';
 
 /**
  * Retirement: what a replica does once its place was given to another disk, or its process was told
@@ -16,10 +23,10 @@
 const begin = (now: number): Retirement => ({ since: now, calls: {}, votingAt: {} });
 
 /** The disk that took this one's place, while it is still a member. */
-const successorOf = (voters: Voters, disk: string): string | undefined => {
+const successorOf = (members: Members, disk: string): string | undefined => {
   const [member] =
-    Object.entries(voters.predecessors ?? {}).find(([, each]) => each.disk === disk) ?? [];
-  return member === undefined ? undefined : voters.disks[member];
+    Object.entries(members.predecessors ?? {}).find(([, each]) => each.disk === disk) ?? [];
+  return member === undefined ? undefined : members.disks[member];
 };
 
 /**
@@ -28,12 +35,12 @@
  * without it.
  */
 const mayForget = (state: ReplicaState, retirement: Retirement, now: number): boolean => {
-  const voters = state.told?.value;
-  if (voters === undefined) return false;
-  const successor = successorOf(voters, state.disk);
+  const members = state.told?.value;
+  if (members === undefined) return false;
+  const successor = successorOf(members, state.disk);
   if (successor !== undefined && retirement.votingAt[successor] !== undefined) return true;
   if (successor !== undefined && now - retirement.since < Limits.retention) return false;
-  const disks = Object.values(voters.disks);
+  const disks = Object.values(members.disks);
   const votes = (disk: string): boolean =>
     now - (retirement.votingAt[disk] ?? -Infinity) < Limits.retentionProof;
   return disks.filter(votes).length >= majorityOf(disks.length);
@@ -47,7 +54,7 @@
   let id = work.state.nextCall;
   for (const [member, address] of Object.entries(told.value.addresses ?? {})) {
     calls[id] = member;
-    const body = { voters: told, call: { kind: 'fetch', key: votersKey } } as const;
+    const body = { members: told, call: { kind: 'fetch', key: membersKey } } as const;
     work.effects.push({ kind: 'call', id, to: address, body });
     id += 1;
   }
@@ -97,7 +104,7 @@
   const votes = body?.kind === 'fetched' && body.disk === told.value.disks[member];
   const votingAt = votes ? { ...retirement.votingAt, [body.disk]: now } : retirement.votingAt;
   set(work, { retirement: { ...retirement, calls, votingAt } });
-  if (body?.kind === 'stale') adopt(work, body.voters, now);
+  if (body?.kind === 'stale') adopt(work, body.members, now);
   tendRetirement(work, now);
 };
 
@@ -109,7 +116,7 @@
   const since = now - (state.stopAskedAt ?? now);
   if (isRetired(state)) return since < Limits.retention;
   const spareIsLive = now - state.spareHeardAt < Limits.lease;
-  return isVoter(state) && spareIsLive && since < Limits.handover;
+  return isMember(state) && spareIsLive && since < Limits.handover;
 };
 
 /** Lets the process end, once it was told to stop and nothing waits for it. */
--- a/packages/replica/src/safeguards.test.ts
+++ b/packages/replica/src/safeguards.test.ts
@@ -4,15 +4,15 @@
 import test from 'ava';
 import {
   Replica,
-  votersKey,
+  membersKey,
   type ReplicaCall,
   type ReplicaRecord,
   type ReplicaReply,
   type ReplicaState,
-  type VotersTold,
+  type CommittedMembership,
 } from './index.js';
 
-const membership: VotersTold = {
+const membership: CommittedMembership = {
   ballot: [1, 'founding'],
   value: {
     epoch: 1,
@@ -22,8 +22,8 @@
 };
 const memberRecords: readonly ReplicaRecord[] = [
   { kind: 'disk', disk: 'disk-a' },
-  { kind: 'cell', key: votersKey, cell: { promised: membership.ballot, accepted: membership } },
-  { kind: 'told', voters: membership },
+  { kind: 'cell', key: membersKey, cell: { promised: membership.ballot, accepted: membership } },
+  { kind: 'told', members: membership },
   { kind: 'voting' },
 ];
 
@@ -39,7 +39,7 @@
 };
 
 const asked = (state: ReplicaState, call: ReplicaCall): Answered => {
-  const body = { voters: membership, call };
+  const body = { members: membership, call };
   const done = Replica.reduce(state, { kind: 'asked', id: 1, body, now: 1 });
   const replies = done.effects.flatMap((effect) => (effect.kind === 'tell' ? [effect.body] : []));
   const records = done.effects.flatMap((effect) =>
--- a/packages/replica/src/state.ts
+++ b/packages/replica/src/state.ts
@@ -1,6 +1,12 @@
 import type { Map as Table, Set as Group } from 'immutable';
 import type { Cell } from '@reedyard/consensus';
-import type { ReplicaEffect, ReplicaVoting, Fact, Voters, VotersTold } from './messages.js';
+import type {
+  ReplicaEffect,
+  ReplicaVoting,
+  Fact,
+  Members,
+  CommittedMembership,
+} from './messages.js';
 
 /** The state of a replica, and what every part of its reducer works with. */
 
@@ -22,19 +28,19 @@
 export type ReplicaState = {
   readonly name: string;
   /**
-   * The others of the founding set: name and address. Not used where voters found themselves from
+   * The others of the founding set: name and address. Not used where members found themselves from
    * seeds.
    */
   readonly others: Readonly<Record<string, string>>;
   /**
-   * What the settings tell where voters found themselves from seeds; null where they name every
+   * What the settings tell where members found themselves from seeds; null where they name every
    * founder.
    */
   readonly seeded: ReplicaVoting | null;
-  /** The newest voters that it knows to be chosen: it votes by these alone. */
-  readonly told: VotersTold | null;
+  /** The newest members that it knows to be chosen: it votes by these alone. */
+  readonly told: CommittedMembership | null;
   readonly disk: string;
-  /** Whether this disk has ever voted; it does so now if the voters name it. */
+  /** Whether this disk has ever voted; it does so now if the members name it. */
   readonly voting: boolean;
   /** The epoch that it last began to vote in: what it read reaches up to there. */
   readonly votingEpoch: number;
@@ -56,7 +62,7 @@
   readonly nextCall: number;
   readonly sweptAt: number;
   /** Until when it waits for what agents tell again. */
-  readonly settlingUntil: number;
+  readonly recoveringUntil: number;
   /** The last founding after a loss that it has settled for. */
   readonly settledFor: number;
   /** Set while its place is given away and it keeps its data for the successor. */
@@ -81,18 +87,18 @@
   work.state = { ...work.state, ...change };
 };
 
-export const votersOf = (state: ReplicaState): VotersTold | null => state.told;
+export const membersOf = (state: ReplicaState): CommittedMembership | null => state.told;
 
 /**
- * The place that voters give to this disk. Where they found themselves from seeds the disk alone
+ * The place that members give to this disk. Where they found themselves from seeds the disk alone
  * tells, since machines move.
  */
-export const placeOf = (state: ReplicaState, voters: Voters): string | undefined =>
+export const placeOf = (state: ReplicaState, members: Members): string | undefined =>
   state.seeded === null
-    ? voters.disks[state.name] === state.disk
+    ? members.disks[state.name] === state.disk
       ? state.name
       : undefined
-    : Object.keys(voters.disks).find((place) => voters.disks[place] === state.disk);
+    : Object.keys(members.disks).find((place) => members.disks[place] === state.disk);
 
 export const isNamed = (state: ReplicaState): boolean =>
   state.told !== null && placeOf(state, state.told.value) !== undefined;
@@ -104,9 +110,9 @@
  * away and given back unheard of, others may have chosen meanwhile what it never read: then it
  * reads again first.
  */
-export const isVoter = (state: ReplicaState): boolean => {
-  const voters = state.told?.value;
-  const place = voters === undefined ? undefined : placeOf(state, voters);
+export const isMember = (state: ReplicaState): boolean => {
+  const members = state.told?.value;
+  const place = members === undefined ? undefined : placeOf(state, members);
   if (!state.voting || place === undefined) return false;
-  return (voters?.joinedIn?.[place] ?? 0) <= state.votingEpoch;
+  return (members?.joinedIn?.[place] ?? 0) <= state.votingEpoch;
 };
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -108,8 +108,8 @@
         .positive()
         .max(64 * 1024 * 1024)
         .optional(),
-      transactionMs: z.number().int().positive().max(3_600_000).optional(),
-      legMs: z.number().int().positive().max(60_000).optional(),
+      requestMs: z.number().int().positive().max(3_600_000).optional(),
+      attemptMs: z.number().int().positive().max(60_000).optional(),
       /** Origins that one request may be sent to. */
       attempts: z.number().int().positive().max(1_000).optional(),
     })
@@ -168,7 +168,7 @@
     incarnation: z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER),
     address,
     region: name,
-    hall: name,
+    zone: name,
     /** Requests a second that it carries; may be left out if `slots` is given. */
     capacity: z.number().positive().max(1e7).optional(),
     /** Requests that it works on at once. */
@@ -199,12 +199,12 @@
   .refine((all) => all.objects.length + all.tags.length > 0, 'wanted at least one object or tag');
 export type Purge = z.infer<typeof purge>;
 
-const hallOrder = z.strictObject({
+const zoneOrder = z.strictObject({
   order: z.enum(['empty', 'take-back']),
   /** `origins`: nothing more is sent to its origins, but its nodes go on taking callers. */
   of: z.enum(['all', 'origins']).default('all'),
 });
-export type HallOrder = z.infer<typeof hallOrder>;
+export type ZoneOrder = z.infer<typeof zoneOrder>;
 
 const checked =
   <T>(schema: z.ZodType<T>) =>
@@ -276,8 +276,8 @@
   description: checked(description as z.ZodType<Description>),
   /** @example Schemas.purge({ tags: ['depot-7'] }).tags // ['depot-7'] */
   purge: checked(purge as z.ZodType<Purge>),
-  /** @example Schemas.hallOrder({ order: 'empty' }).order // 'empty' */
-  hallOrder: checked(hallOrder as z.ZodType<HallOrder>),
+  /** @example Schemas.zoneOrder({ order: 'empty' }).order // 'empty' */
+  zoneOrder: checked(zoneOrder as z.ZodType<ZoneOrder>),
 } as const;
 
 /** Routes by host and path. */
--- a/packages/schemas/src/schemas.test.ts
+++ b/packages/schemas/src/schemas.test.ts
@@ -46,13 +46,13 @@
         incarnation: 1,
         address: 'localhost:1',
         region: 'r',
-        hall: 'h',
+        zone: 'h',
         capacity: 1,
       }),
     { instanceOf: SchemaError },
   );
   t.throws(() => Schemas.purge({}), { instanceOf: SchemaError });
-  t.throws(() => Schemas.hallOrder({ order: 'close' }), { instanceOf: SchemaError });
+  t.throws(() => Schemas.zoneOrder({ order: 'close' }), { instanceOf: SchemaError });
 });
 
 test('the longest prefix that ends where a segment ends is the route', (t) => {
@@ -138,7 +138,7 @@
         cache: { keep: 'always', mostSeconds: 0.25 },
         targetMs: 150,
         priority: 0,
-        limits: { transactionMs: 3_600_000, bodyBytes: 67_108_864, attempts: 2 },
+        limits: { requestMs: 3_600_000, bodyBytes: 67_108_864, attempts: 2 },
         tagsHeader: 'surrogate-key',
         notes: {},
       },
@@ -152,7 +152,7 @@
     incarnation: 0,
     address: '127.0.0.1:1',
     region: 'r',
-    hall: 'h',
+    zone: 'h',
     state: 'cold',
     coldMs: 2_500,
     draining: false,
@@ -162,8 +162,8 @@
   };
   t.deepEqual(Schemas.description(told) as unknown, told);
   t.throws(() => Schemas.description({ ...told, slots: undefined }), { instanceOf: SchemaError });
-  t.deepEqual(Schemas.hallOrder({ order: 'empty' }), { order: 'empty', of: 'all' });
-  t.deepEqual(Schemas.hallOrder({ order: 'take-back', of: 'origins' }), {
+  t.deepEqual(Schemas.zoneOrder({ order: 'empty' }), { order: 'empty', of: 'all' });
+  t.deepEqual(Schemas.zoneOrder({ order: 'take-back', of: 'origins' }), {
     order: 'take-back',
     of: 'origins',
   });
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -32,7 +32,7 @@
     host,
     /** The address to listen on, where it is another. */
     listen: host.optional(),
-    hall: name,
+    zone: name,
     region: name,
     /** Agents to begin with; any three that are likely up. */
     seeds: z.array(address).min(1, 'wanted at least one seed').max(9),
@@ -47,7 +47,7 @@
       .record(name, address)
       .refine((all) => Object.keys(all).length > 0, 'wanted at least one founder')
       .optional(),
-    /** Instead of the founders: voters found themselves from seeds, and change by ballots. */
+    /** Instead of the founders: members found themselves from seeds, and change by ballots. */
     voting: z
       .strictObject({
         /** Lost disks that must be borne: 2 × losses + 1 replicas vote. */
@@ -71,7 +71,7 @@
     proxy: z
       .strictObject({
         port,
-        partnerPort: port,
+        peerPort: port,
         capacityBps: z.number().positive(),
         /** Where readiness is told, if not beside callers. */
         readyPort: port.optional(),
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -7,7 +7,7 @@
 const good = {
   name: 'core-1',
   host: '10.0.0.1',
-  hall: 'west',
+  zone: 'west',
   region: 'home',
   seeds: ['10.0.0.1:7001'],
   founders: { 'core-1': '10.0.0.1:7101' },
@@ -47,10 +47,10 @@
     fault({ ...good, founders: { other: '10.0.0.2:7101' } }),
     /wanted the founders to name core-1/,
   );
-  t.regex(fault({}), /hall: found nothing/);
+  t.regex(fault({}), /zone: found nothing/);
 });
 
-test('voters may found themselves from seeds, instead of founders that the settings name', (t) => {
+test('members may found themselves from seeds, instead of founders that the settings name', (t) => {
   const { founders: _founders, ...rest } = good;
   const voting = {
     losses: 1,
@@ -88,9 +88,9 @@
 test('flags lie over the file', (t) => {
   const file = path.join(mkdtempSync(path.join(os.tmpdir(), 'settings-')), 'core-1.json');
   writeFileSync(file, JSON.stringify(good));
-  const read = SettingsReader.read(file, ['agent.port=8001', 'hall=north']);
+  const read = SettingsReader.read(file, ['agent.port=8001', 'zone=north']);
   t.is(read.agent.port, 8_001);
-  t.is(read.hall, 'north');
+  t.is(read.zone, 'north');
   t.is(read.agent.apiPort, 7_080);
   t.throws(() => SettingsReader.read('/nowhere.json', []), {
     instanceOf: SettingsError,
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -61,7 +61,7 @@
     const newer =
       put === undefined
         ? []
-        : puts.filter((each) => each.serial > put.serial).map((each) => each.at);
+        : puts.filter((each) => each.revision > put.revision).map((each) => each.at);
     return {
       from: proposed.at,
       until: Math.min(Infinity, ...newer) + grace,
@@ -204,10 +204,10 @@
 
   // 4. A request reaches a service that no policy in force allowed, also at a reused address.
   4: (history) =>
-    only(history, 'leg').flatMap((entry): readonly Wrong[] => {
+    only(history, 'attempt').flatMap((entry): readonly Wrong[] => {
       const me = `${entry.service}/${entry.instance}/${entry.incarnation}`;
       if (entry.expected !== me)
-        return [{ rule: 4, at: entry.at, what: `a leg for ${entry.expected} reached ${me}` }];
+        return [{ rule: 4, at: entry.at, what: `an attempt for ${entry.expected} reached ${me}` }];
       const allows = (span: Span): boolean => {
         const route = routeIn(span, entry);
         const service = span.document.services[entry.service];
@@ -259,25 +259,25 @@
       ...lateAnswers,
       ...only(history, 'acted').flatMap((entry) => {
         const due = puts.reduce(
-          (best, put) => (put.at <= entry.at - 2_000 ? Math.max(best, put.serial) : best),
+          (best, put) => (put.at <= entry.at - 2_000 ? Math.max(best, put.revision) : best),
           0,
         );
         const before = highest.get(entry.node) ?? 0;
-        highest.set(entry.node, Math.max(before, entry.serial));
-        if (entry.serial < due)
+        highest.set(entry.node, Math.max(before, entry.revision));
+        if (entry.revision < due)
           return [
             {
               rule: 5,
               at: entry.at,
-              what: `${entry.node} acted under ${entry.serial} although ${due} was acknowledged over 2 s before`,
+              what: `${entry.node} acted under ${entry.revision} although ${due} was acknowledged over 2 s before`,
             },
           ];
-        return entry.serial < before
+        return entry.revision < before
           ? [
               {
                 rule: 5,
                 at: entry.at,
-                what: `${entry.node} fell back from ${before} to ${entry.serial}`,
+                what: `${entry.node} fell back from ${before} to ${entry.revision}`,
               },
             ]
           : [];
@@ -286,16 +286,16 @@
   },
 
   // 6. The policy read back is older than the newest acknowledged one; and two acknowledged ones
-  // never share a serial.
+  // never share a revision.
   6: (history) => {
     const puts = only(history, 'put');
-    const twins = [...groupBy(puts, (put) => String(put.serial))].flatMap(([serial, list]) =>
+    const twins = [...groupBy(puts, (put) => String(put.revision))].flatMap(([revision, list]) =>
       new Set(list.map((put) => JSON.stringify(put.document))).size > 1
         ? [
             {
               rule: 6,
               at: list[1]?.at ?? 0,
-              what: `two policies were acknowledged under serial ${serial}`,
+              what: `two policies were acknowledged under revision ${revision}`,
             },
           ]
         : [],
@@ -304,15 +304,15 @@
       ...twins,
       ...only(history, 'read').flatMap((entry) => {
         const due = puts.reduce(
-          (best, put) => (put.at <= entry.askedAt ? Math.max(best, put.serial) : best),
+          (best, put) => (put.at <= entry.askedAt ? Math.max(best, put.revision) : best),
           0,
         );
-        return entry.serial < due
+        return entry.revision < due
           ? [
               {
                 rule: 6,
                 at: entry.at,
-                what: `read ${entry.serial} although ${due} was acknowledged`,
+                what: `read ${entry.revision} although ${due} was acknowledged`,
               },
             ]
           : [];
@@ -323,7 +323,7 @@
   // 7. A draining origin gets new work more than 2 s after its notice.
   7: (history) => {
     const notices = only(history, 'drained');
-    return only(history, 'leg').flatMap((entry) => {
+    return only(history, 'attempt').flatMap((entry) => {
       const notice = notices.find(
         (each) =>
           each.instance === entry.instance &&
@@ -342,30 +342,30 @@
     });
   },
 
-  // 8. An emptied hall gets requests more than 5 s after the order.
+  // 8. An emptied zone gets requests more than 5 s after the order.
   8: (history) => {
-    const orders = only(history, 'hall');
-    // The order with the highest serial holds, however late the word of an earlier one came; and a
-    // hall may be used again from the moment that its taking back was sent.
-    const emptiedAt = (hall: string, at: number): number | null => {
+    const orders = only(history, 'zone');
+    // The order with the highest revision holds, however late the word of an earlier one came; and
+    // a zone may be used again from the moment that its taking back was sent.
+    const emptiedAt = (zone: string, at: number): number | null => {
       const known = orders.filter(
-        (order) => order.hall === hall && (order.order === 'empty' ? order.at : order.sentAt) <= at,
+        (order) => order.zone === zone && (order.order === 'empty' ? order.at : order.sentAt) <= at,
       );
-      const last = known.reduce<Of<'hall'> | null>(
-        (best, order) => (best === null || order.serial > best.serial ? order : best),
+      const last = known.reduce<Of<'zone'> | null>(
+        (best, order) => (best === null || order.revision > best.revision ? order : best),
         null,
       );
       return last !== null && last.order === 'empty' ? last.at : null;
     };
     return history.flatMap((entry): readonly Wrong[] => {
-      if (entry.kind !== 'asked' && entry.kind !== 'leg' && entry.kind !== 'relay') return [];
-      const since = emptiedAt(entry.hall, entry.at);
+      if (entry.kind !== 'asked' && entry.kind !== 'attempt' && entry.kind !== 'relay') return [];
+      const since = emptiedAt(entry.zone, entry.at);
       return since !== null && entry.at > since + 5_000
         ? [
             {
               rule: 8,
               at: entry.at,
-              what: `${entry.hall} got ${entry.kind === 'asked' ? 'a caller' : entry.kind === 'relay' ? 'a forwarded request' : 'a leg'} ${Math.round(entry.at - since)} ms after the order`,
+              what: `${entry.zone} got ${entry.kind === 'asked' ? 'a caller' : entry.kind === 'relay' ? 'a forwarded request' : 'an attempt'} ${Math.round(entry.at - since)} ms after the order`,
             },
           ]
         : [];
@@ -419,15 +419,15 @@
   // 10. A service gets over a tenth above its ceiling in any 5 s; a cold origin over 1.5 times its
   // rate.
   10: (history) => {
-    const legs = only(history, 'leg');
+    const attempts = only(history, 'attempt');
     const over = (
-      list: readonly Of<'leg'>[],
+      list: readonly Of<'attempt'>[],
       what: string,
       allowed: (from: number, to: number) => number,
       share: number,
     ): readonly Wrong[] =>
       overloads(
-        list.map((leg) => leg.at),
+        list.map((attempt) => attempt.at),
         allowed,
         share,
       )
@@ -437,27 +437,28 @@
           at,
           what: `${what} got ${most} in 5 s; ${limit.toFixed(0)} are allowed`,
         }));
-    const services = [...groupBy(legs, (leg) => leg.service)].flatMap(([service, list]) =>
-      over(
-        list,
-        service,
-        (from, to) =>
-          allowance(
-            history,
-            (policy) =>
-              policy.services[service] === undefined
-                ? 0
-                : (policy.services[service]?.ceiling ?? Infinity),
-            from,
-            to,
-          ),
-        1.1,
-      ),
+    const services = [...groupBy(attempts, (attempt) => attempt.service)].flatMap(
+      ([service, list]) =>
+        over(
+          list,
+          service,
+          (from, to) =>
+            allowance(
+              history,
+              (policy) =>
+                policy.services[service] === undefined
+                  ? 0
+                  : (policy.services[service]?.ceiling ?? Infinity),
+              from,
+              to,
+            ),
+          1.1,
+        ),
     );
     const cold = [
       ...groupBy(
-        legs.filter((leg) => leg.cold),
-        (leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`,
+        attempts.filter((attempt) => attempt.cold),
+        (attempt) => `${attempt.service}/${attempt.instance}/${attempt.incarnation}`,
       ),
     ].flatMap(([name, list]) =>
       over(
@@ -481,7 +482,10 @@
       (entry) => `${entry.service}/${entry.instance}/${entry.incarnation}`,
     );
     const instances = [
-      ...groupBy(legs, (leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`),
+      ...groupBy(
+        attempts,
+        (attempt) => `${attempt.service}/${attempt.instance}/${attempt.incarnation}`,
+      ),
     ].flatMap(([name, list]) => {
       const words = told.get(name) ?? [];
       const until = (index: number): number => (words[index + 1]?.at ?? Infinity) + spread;
@@ -524,7 +528,7 @@
   // 12. A report with home regions is fetched or stored outside those of every policy in force.
   12: (history) =>
     history.flatMap((entry): readonly Wrong[] => {
-      if (entry.kind !== 'leg' && entry.kind !== 'stored') return [];
+      if (entry.kind !== 'attempt' && entry.kind !== 'stored') return [];
       const routes = during(history, entry.at).flatMap((span): readonly Route[] => {
         const route = routeIn(span, entry);
         return route === undefined ? [] : [route];
@@ -539,7 +543,7 @@
         {
           rule: 12,
           at: entry.at,
-          what: `${entry.target} was ${entry.kind === 'leg' ? 'fetched' : 'stored'} in ${entry.region}`,
+          what: `${entry.target} was ${entry.kind === 'attempt' ? 'fetched' : 'stored'} in ${entry.region}`,
         },
       ];
     }),
@@ -581,19 +585,19 @@
   14: (history) =>
     [
       ...groupBy(
-        only(history, 'leg').filter((leg) => leg.submission >= 0),
-        (leg) => String(leg.submission),
+        only(history, 'attempt').filter((attempt) => attempt.submission >= 0),
+        (attempt) => String(attempt.submission),
       ),
-    ].flatMap(([submission, legs]): readonly Wrong[] => {
+    ].flatMap(([submission, attempts]): readonly Wrong[] => {
       const origins = new Set(
-        legs.map((leg) => `${leg.service}/${leg.instance}/${leg.incarnation}`),
+        attempts.map((attempt) => `${attempt.service}/${attempt.instance}/${attempt.incarnation}`),
       );
-      const most = mostAttempts(history, legs);
+      const most = mostAttempts(history, attempts);
       return origins.size > most
         ? [
             {
               rule: 14,
-              at: legs.at(-1)?.at ?? 0,
+              at: attempts.at(-1)?.at ?? 0,
               what: `request ${submission} ran at ${origins.size} origins; ${most} are allowed`,
             },
           ]
@@ -604,8 +608,8 @@
 /**
  * The most origins that one request may be sent to, by any policy in force while it was under way.
  */
-const mostAttempts = (history: readonly Entry[], legs: readonly Of<'leg'>[]): number => {
-  const [first, last] = [legs[0], legs.at(-1)];
+const mostAttempts = (history: readonly Entry[], attempts: readonly Of<'attempt'>[]): number => {
+  const [first, last] = [attempts[0], attempts.at(-1)];
   if (first === undefined || last === undefined) return Infinity;
   return Math.max(
     ...during(history, first.at, last.at).map(
@@ -625,7 +629,7 @@
     ? history
     : history.filter(
         (entry, index) =>
-          (index >= lost && !(entry.kind === 'leg' && entry.at < lostAt + 100)) ||
+          (index >= lost && !(entry.kind === 'attempt' && entry.at < lostAt + 100)) ||
           entry.kind === 'carries',
       );
 };
--- a/packages/simulator/src/cut-checks.ts
+++ b/packages/simulator/src/cut-checks.ts
@@ -23,7 +23,7 @@
     case 'asked':
     case 'stored':
       return entry.node;
-    case 'leg':
+    case 'attempt':
     case 'relay':
       return entry.from;
     default:
--- a/packages/simulator/src/figures.ts
+++ b/packages/simulator/src/figures.ts
@@ -24,7 +24,7 @@
 /** The highest load of a service in any 5 s, over its ceiling. */
 const peak = (history: readonly Entry[], service: string, ceiling: number): number => {
   const times = history.flatMap((entry) =>
-    entry.kind === 'leg' && entry.service === service ? [entry.at] : [],
+    entry.kind === 'attempt' && entry.service === service ? [entry.at] : [],
   );
   let [from, most] = [0, 0];
   times.forEach((time, index) => {
@@ -43,7 +43,7 @@
 ): number =>
   history.filter(
     (entry) =>
-      entry.kind === 'leg' &&
+      entry.kind === 'attempt' &&
       entry.service === service &&
       entry.at > 15_000 &&
       entry.at < 1_000 * (seconds - 2),
@@ -71,7 +71,7 @@
   const policy = history.find(
     (entry): entry is Extract<Entry, { kind: 'put' }> => entry.kind === 'put',
   )?.document;
-  const own = sumOf(fleet, 'transactions');
+  const own = sumOf(fleet, 'requests');
   const waits = fleet.waits.filter((wait) => wait.at > 10_000).map((wait) => wait.ms);
   const notices = [...fleet.boxes.values()].reduce(
     (sum, box) => sum + (box.agent?.state.notices ?? 0),
@@ -79,7 +79,7 @@
   );
   const part = (counter: string): string => `${((100 * sumOf(fleet, counter)) / own).toFixed(1)}%`;
   process.stdout.write(
-    `${values.example} ${values.scenario} seed=${values.seed} selection=${selection} asked=${own} served=${(100 * report.share).toFixed(2)}% copies=${part('served.copy')} forwarded=${part('forwarded')} fetched=${part('fetched')} joined=${part('joined')} legs/transaction=${(sumOf(fleet, 'legs') / own).toFixed(3)} repeats=${sumOf(fleet, 'repeats')} notices/min/edge=${(notices / spanMinutes / fleet.deployment.machines.filter((machine) => machine.kind === 'front').length).toFixed(1)}` +
+    `${values.example} ${values.scenario} seed=${values.seed} selection=${selection} asked=${own} served=${(100 * report.share).toFixed(2)}% copies=${part('served.copy')} forwarded=${part('forwarded')} fetched=${part('fetched')} joined=${part('joined')} attempts/request=${(sumOf(fleet, 'attempts') / own).toFixed(3)} repeats=${sumOf(fleet, 'repeats')} notices/min/edge=${(notices / spanMinutes / fleet.deployment.machines.filter((machine) => machine.kind === 'front').length).toFixed(1)}` +
       ` peak-load ${Object.entries(policy?.services ?? {})
         .map(
           ([name, service]) =>
--- a/packages/simulator/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -26,7 +26,7 @@
   type ProxyEffect,
   type ProxyEvent,
   type ProxyState,
-  type LegAnswer,
+  type AttemptAnswer,
   type Target,
 } from '@reedyard/proxy';
 import { Cache } from '@reedyard/cache';
@@ -96,7 +96,7 @@
 };
 
 /** A stand-in origin: an identity at an address. */
-export type SimOrigin = StageOrigin & { readonly address: string; previous: LegAnswer | null };
+export type SimOrigin = StageOrigin & { readonly address: string; previous: AttemptAnswer | null };
 
 /** What a submission is to become: an answer to the caller. */
 type Caller = {
@@ -124,7 +124,7 @@
   readonly drift?: number;
   /** Nodes serve on while they are cut off. */
   readonly servesOn?: boolean;
-  /** Voters found themselves from the seeds' replicas, instead of being named by the settings. */
+  /** Members found themselves from the seeds' replicas, instead of being named by the settings. */
   readonly voting?: { readonly losses: number; readonly catchUpMs?: number };
 };
 
@@ -139,7 +139,7 @@
   /** What settings name as seeds to those that start from now on. */
   seeds: readonly string[] = [];
   /**
-   * What settings say where voters found themselves: whether the whole system starts for the very
+   * What settings say where members found themselves: whether the whole system starts for the very
    * first time.
    */
   firstStart = true;
@@ -207,10 +207,10 @@
   runs(name: string): boolean {
     return this.boxes.get(name)?.agent?.alive === true;
   }
-  /** The machine that has the duty. */
+  /** The machine that has the quotaLeadership. */
   holder(): string | undefined {
     return [...this.boxes.values()].find(
-      (box) => box.agent !== null && box.agent.state.duty !== null,
+      (box) => box.agent !== null && box.agent.state.quotaLeadership !== null,
     )?.machine.name;
   }
 
@@ -236,12 +236,12 @@
     this.start(place);
     return place;
   }
-  #where(place: string): { hall: string; region: string } {
+  #where(place: string): { zone: string; region: string } {
     const machine = this.#machineAt(place);
     if (machine !== undefined) return machine;
     return (
       this.origins.find((origin) => origin.address === place)?.spec ?? {
-        hall: 'outside',
+        zone: 'outside',
         region: 'outside',
       }
     );
@@ -255,7 +255,7 @@
         ? 0.05
         : a.region !== b.region && a.region !== 'outside' && b.region !== 'outside'
           ? this.tuning.regionsMs / 2
-          : a.hall !== b.hall
+          : a.zone !== b.zone
             ? 0.4
             : 0.2;
     return base + this.clock.chance() * (0.3 + (from === to ? 0 : (this.tuning.busyMs ?? 0)));
@@ -462,13 +462,13 @@
         self: {
           id: box.as,
           servesOn: this.tuning.servesOn === true,
-          hall: machine.hall,
+          zone: machine.zone,
           region: machine.region,
           address: `${machine.name}/agent`,
           proxy: fronts
             ? {
                 callers: `${machine.name}/proxy`,
-                partners: `${machine.name}/partners`,
+                peers: `${machine.name}/peers`,
                 capacityBps: machine.capacityBps ?? 8e6,
               }
             : null,
@@ -498,7 +498,7 @@
       ProxyCore.open(
         {
           id: machine.name,
-          hall: machine.hall,
+          zone: machine.zone,
           region: machine.region,
           capacityBps: machine.capacityBps ?? 8e6,
           life: `proxy-${this.#lives}`,
@@ -560,7 +560,7 @@
       (record) =>
         record.kind === 'disk' ||
         record.kind === 'voting' ||
-        (record.kind === 'cell' && record.key === 'voters'),
+        (record.kind === 'cell' && record.key === 'members'),
     );
     box.disk = blankDisk();
   }
@@ -691,11 +691,11 @@
       target.asking.set(id, reply);
       const { told } = target.state;
       const heard =
-        this.tuning.plant === 'deaf-voters' &&
+        this.tuning.plant === 'deaf-members' &&
         target.state.voting &&
         told !== null &&
-        body.voters !== null
-          ? { ...body, voters: told }
+        body.members !== null
+          ? { ...body, members: told }
           : body;
       this.#step(target, { kind: 'asked', id, body: heard, now: this.#now(target) });
     });
@@ -778,7 +778,7 @@
     Process<'proxy'>,
     Map<number, Caller & { readonly mark: string | null }>
   >();
-  readonly #legs = new Map<string, { aborted: boolean }>();
+  readonly #attempts = new Map<string, { aborted: boolean }>();
   readonly #submissions = new Map<
     Process<'proxy'>,
     Map<number, { readonly submission: number; readonly job: string }>
@@ -834,7 +834,7 @@
         kind: 'acted',
         at: this.clock.now(),
         node: name,
-        serial: process.state.policy?.serial ?? 0,
+        revision: process.state.policy?.revision ?? 0,
       });
     };
     switch (effect.kind) {
@@ -881,7 +881,7 @@
                 reachesMs: this.#reach.reachesMs(name),
               });
             this.#held.set(process, held);
-            this.#everPartners(held.feed);
+            this.#everPeers(held.feed);
             const feed =
               this.tuning.plant === 'old-rates' ? this.#oldRates(name, held.feed) : held.feed;
             for (const row of feed.origins) this.#drained.set(row.address, row);
@@ -892,7 +892,7 @@
                   this.tuning.plant,
                   feed,
                   [...this.#drained.values()],
-                  [...this.#partners.values()].filter((row) => row.id !== name),
+                  [...this.#peers.values()].filter((row) => row.id !== name),
                 ),
                 process,
               ),
@@ -902,10 +902,10 @@
             if (this.tuning.plant === 'route-at-arrival')
               process.state = {
                 ...process.state,
-                transactions: Object.fromEntries(
-                  Object.entries(process.state.transactions).map(([id, each]) => [
+                requests: Object.fromEntries(
+                  Object.entries(process.state.requests).map(([id, each]) => [
                     id,
-                    { ...each, serial: process.state.policy?.serial ?? 0 },
+                    { ...each, revision: process.state.policy?.revision ?? 0 },
                   ]),
                 ),
               };
@@ -967,17 +967,17 @@
       }
       case 'open': {
         acted();
-        if (effect.leg > 0) this.history.push({ kind: 'repeat', at: this.clock.now() });
+        if (effect.attempt > 0) this.history.push({ kind: 'repeat', at: this.clock.now() });
         const about = this.#submissions.get(process)?.get(effect.id) ?? { submission: -1, job: '' };
         const state = { aborted: false };
-        this.#legs.set(`${name}/${process.clockFrom}/${effect.id}/${effect.leg}`, state);
-        const done = (answer: LegAnswer): void =>
+        this.#attempts.set(`${name}/${process.clockFrom}/${effect.id}/${effect.attempt}`, state);
+        const done = (answer: AttemptAnswer): void =>
           this.#inside(process, () => {
             if (!state.aborted)
               this.#step(process, {
                 kind: 'answered',
                 id: effect.id,
-                leg: effect.leg,
+                attempt: effect.attempt,
                 answer,
                 now: this.#now(process),
               });
@@ -988,7 +988,7 @@
               this.#step(process, {
                 kind: 'failed',
                 id: effect.id,
-                leg: effect.leg,
+                attempt: effect.attempt,
                 sent: this.tuning.plant === 'repeat-unsafe' ? 'nothing' : sent,
                 why,
                 now: this.#now(process),
@@ -1006,7 +1006,7 @@
             fail,
           );
         else
-          this.#toPartner(
+          this.#toPeer(
             process,
             effect.to,
             this.#granted(process, effect),
@@ -1021,8 +1021,10 @@
         this.#submissions.get(process)?.delete(effect.id);
         return;
       case 'abort': {
-        const leg = this.#legs.get(`${name}/${process.clockFrom}/${effect.id}/${effect.leg}`);
-        if (leg !== undefined) leg.aborted = true;
+        const attempt = this.#attempts.get(
+          `${name}/${process.clockFrom}/${effect.id}/${effect.attempt}`,
+        );
+        if (attempt !== undefined) attempt.aborted = true;
         return;
       }
       case 'answer': {
@@ -1030,11 +1032,12 @@
         this.#callers.get(process)?.delete(effect.id);
         if (
           this.tuning.plant === 'keep-relayed' &&
-          effect.answer.body.kind === 'leg' &&
-          effect.answer.headers['reedyard-served'] === 'partner'
+          effect.answer.body.kind === 'attempt' &&
+          effect.answer.headers['reedyard-served'] === 'peer'
         )
           this.#keepRelayed(process, effect.answer.body.answer);
-        // A leg's answer was decided when the leg was made; a copy is decided on here and now.
+        // An attempt's answer was decided when the attempt was made; a copy is decided on here and
+        // now.
         if (effect.answer.body.kind === 'copy') acted();
         if (caller !== undefined) {
           const shown = this.#shown(effect.answer, caller.mark);
@@ -1053,15 +1056,15 @@
   #granted(process: Process<'proxy'>, effect: Extract<ProxyEffect, { kind: 'open' }>): Asked {
     if (this.tuning.plant !== 'uncounted-grants')
       return { ...effect.asked, attempts: effect.attempts };
-    process.state = plantedGrant(process.state, effect.id, effect.leg);
+    process.state = plantedGrant(process.state, effect.id, effect.attempt);
     return effect.asked;
   }
 
   /** What each proxy's shell holds of its feed. */
   readonly #held = new WeakMap<Process<'proxy'>, HeldFeed>();
-  readonly #partners = new Map<string, Feed['partners'][number]>();
-  #everPartners(feed: Feed): void {
-    for (const row of feed.partners) this.#partners.set(row.id, row);
+  readonly #peers = new Map<string, Feed['peers'][number]>();
+  #everPeers(feed: Feed): void {
+    for (const row of feed.peers) this.#peers.set(row.id, row);
   }
 
   readonly #highest = new Map<string, Readonly<Record<string, number>>>();
@@ -1095,8 +1098,8 @@
     };
   }
 
-  /** A planted fault: an answer that came through a partner is kept all the same. */
-  #keepRelayed(process: Process<'proxy'>, answer: LegAnswer): void {
+  /** A planted fault: an answer that came through a peer is kept all the same. */
+  #keepRelayed(process: Process<'proxy'>, answer: AttemptAnswer): void {
     const body = answer.body as SimBody | null;
     if (body === null || body.maxAgeMs === Infinity) return;
     const now = this.#now(process);
@@ -1123,9 +1126,9 @@
   #leave(name: string, capacityBps: number, answer: Answer): number {
     if (answer.body.kind === 'problem') return 0;
     // A large one streams beside the others; what counts is when it begins.
-    if (answer.body.kind === 'leg' && !answer.body.answer.whole) return 0;
+    if (answer.body.kind === 'attempt' && !answer.body.answer.whole) return 0;
     const size = answer.body.kind === 'copy' ? answer.body.copy.size : answer.body.answer.size;
-    const relayed = answer.headers['reedyard-served'] === 'partner';
+    const relayed = answer.headers['reedyard-served'] === 'peer';
     const work = ((8 * (size + 300)) / capacityBps) * 1_000 * (relayed ? 0.2 : 1);
     const until = Math.max(this.clock.now(), this.#busyUntil.get(name) ?? 0) + work;
     this.#busyUntil.set(name, until);
@@ -1136,13 +1139,13 @@
     const body =
       answer.body.kind === 'copy'
         ? (answer.body.copy.body as SimBody)
-        : answer.body.kind === 'leg'
+        : answer.body.kind === 'attempt'
           ? (answer.body.answer.body as SimBody)
           : null;
     const headers = {
       ...answer.headers,
       ...(answer.body.kind === 'copy' ? { 'sim-copied': 'yes' } : {}),
-      ...(mark === null ? {} : { 'reedyard-leg': mark }),
+      ...(mark === null ? {} : { 'reedyard-attempt': mark }),
     };
     return {
       status: answer.status,
@@ -1180,7 +1183,7 @@
     mark: string,
     sendBy: number,
     about: { submission: number; job: string },
-    done: (answer: LegAnswer) => void,
+    done: (answer: AttemptAnswer) => void,
     fail: (sent: 'nothing' | 'maybe', why: string) => void,
   ): void {
     const from = process.machine;
@@ -1227,14 +1230,14 @@
           }
           const unsafe = asked.method !== 'GET' && asked.method !== 'HEAD';
           this.history.push({
-            kind: 'leg',
+            kind: 'attempt',
             at: this.clock.now(),
             from: from.name,
             region: from.region,
             service: origin.service,
             instance: origin.instance,
             incarnation: origin.incarnation,
-            hall: origin.spec.hall,
+            zone: origin.spec.zone,
             cold: origin.cold,
             expected,
             host: asked.host,
@@ -1269,7 +1272,7 @@
                   size: 10,
                   whole: true,
                   body: null,
-                  headers: { 'reedyard-stamp': identity(), 'reedyard-leg': mark },
+                  headers: { 'reedyard-stamp': identity(), 'reedyard-attempt': mark },
                 });
               else fail('maybe', 'short');
               return;
@@ -1285,14 +1288,14 @@
               sentAt,
               maxAgeMs,
             };
-            const answer: LegAnswer = {
+            const answer: AttemptAnswer = {
               status: 200,
               size: large ? 3_000_000 : 2_000,
               whole: !large,
               body,
               headers: {
                 'reedyard-stamp': identity(),
-                'reedyard-leg': mark,
+                'reedyard-attempt': mark,
                 'content-length': large ? '3000000' : '2000',
                 ...(origin.mode.aged > 0 ? { age: String(origin.mode.aged) } : {}),
                 ...(unsafe
@@ -1307,7 +1310,7 @@
               foreign === null
                 ? answer
                 : this.tuning.plant === 'no-marks'
-                  ? { ...foreign, headers: { ...foreign.headers, 'reedyard-leg': mark } }
+                  ? { ...foreign, headers: { ...foreign.headers, 'reedyard-attempt': mark } }
                   : foreign;
             this.#carry(row.address, from.name, () => done(sent));
           });
@@ -1316,13 +1319,13 @@
     );
   }
 
-  #toPartner(
+  #toPeer(
     process: Process<'proxy'>,
-    to: Extract<Target, { kind: 'partner' }>,
+    to: Extract<Target, { kind: 'peer' }>,
     asked: Asked,
     mark: string,
     about: { submission: number; job: string },
-    done: (answer: LegAnswer) => void,
+    done: (answer: AttemptAnswer) => void,
     fail: (sent: 'nothing' | 'maybe', why: string) => void,
   ): void {
     const from = process.machine.name;
@@ -1348,7 +1351,7 @@
         at: this.clock.now(),
         from,
         to: to.row.id,
-        hall: box.machine.hall,
+        zone: box.machine.zone,
         target: asked.target,
       });
       this.#arrive(box.proxy, { ...asked, via: from }, about, {
@@ -1362,7 +1365,7 @@
           this.#carry(to.row.id, from, () =>
             done({
               status: got.status,
-              headers: got.headers as LegAnswer['headers'],
+              headers: got.headers as AttemptAnswer['headers'],
               body: got.body,
               size: 2_000,
               whole: true,
@@ -1389,7 +1392,7 @@
       incarnation: origin.incarnation,
       address: this.#addressOf(origin),
       region: origin.spec.region,
-      hall: origin.spec.hall,
+      zone: origin.spec.zone,
       capacity: origin.capacity,
       state: origin.cold ? 'cold' : 'warm',
       draining: origin.draining,
@@ -1493,14 +1496,14 @@
       done(reply);
     };
     const known = agent.state.registers.policy?.value as
-      { serial: number; document: unknown } | undefined;
+      { revision: number; document: unknown } | undefined;
     if (
       this.tuning.plant === 'local-reads' &&
       action.kind === 'get-policy' &&
       known !== undefined
     ) {
       this.clock.in(2, () =>
-        end({ status: 200, body: { serial: known.serial, policy: known.document } }),
+        end({ status: 200, body: { revision: known.revision, policy: known.document } }),
       );
       return () => undefined;
     }
@@ -1552,10 +1555,10 @@
               kind: 'put',
               at: this.clock.now(),
               changeId,
-              serial:
-                this.tuning.plant === 'same-serials'
+              revision:
+                this.tuning.plant === 'same-revisions'
                   ? 1
-                  : (reply.body as { serial: number }).serial,
+                  : (reply.body as { revision: number }).revision,
               document,
             });
             done();
@@ -1576,7 +1579,7 @@
             kind: 'read',
             at: this.clock.now(),
             askedAt,
-            serial: (reply.body as { serial: number }).serial,
+            revision: (reply.body as { revision: number }).revision,
           });
       },
       'outside',
@@ -1606,8 +1609,8 @@
       );
     attempt(10);
   }
-  hall(
-    hall: string,
+  zone(
+    zone: string,
     order: 'empty' | 'take-back',
     done: () => void = () => undefined,
     node?: string,
@@ -1617,15 +1620,15 @@
     const sentAt = this.clock.now();
     const attempt = (left: number): unknown =>
       this.operate(
-        { kind: 'hall', hall, order, of: 'all', changeId },
+        { kind: 'zone', zone, order, of: 'all', changeId },
         (reply) => {
           if (reply.status === 200) {
             this.history.push({
-              kind: 'hall',
+              kind: 'zone',
               at: this.clock.now(),
               sentAt,
-              serial: (reply.body as { serial: number }).serial,
-              hall,
+              revision: (reply.body as { revision: number }).revision,
+              zone,
               order,
             });
             done();
@@ -1711,7 +1714,7 @@
       submission,
       job: request.job,
       node,
-      hall: box.machine.hall,
+      zone: box.machine.zone,
       method: request.method,
       target: request.target,
       key: request.key,
--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -12,7 +12,7 @@
       readonly submission: number;
       readonly job: string;
       readonly node: string;
-      readonly hall: string;
+      readonly zone: string;
       readonly method: string;
       readonly target: string;
       readonly key: string | null;
@@ -37,18 +37,18 @@
       readonly method: string;
       readonly host: string;
       readonly target: string;
-      /** Whether a copy answered, here or at a partner. */ readonly copied: boolean;
+      /** Whether a copy answered, here or at a peer. */ readonly copied: boolean;
     }
-  /** A leg reached an origin. */
+  /** An attempt reached an origin. */
   | {
-      readonly kind: 'leg';
+      readonly kind: 'attempt';
       readonly at: number;
       readonly from: string;
       readonly region: string;
       readonly service: string;
       readonly instance: string;
       readonly incarnation: number;
-      readonly hall: string;
+      readonly zone: string;
       readonly cold: boolean;
       readonly expected: string;
       readonly host: string;
@@ -56,13 +56,13 @@
       readonly method: string;
       readonly submission: number;
     }
-  /** A forwarded request reached a partner. */
+  /** A forwarded request reached a peer. */
   | {
       readonly kind: 'relay';
       readonly at: number;
       readonly from: string;
       readonly to: string;
-      readonly hall: string;
+      readonly zone: string;
       readonly target: string;
     }
   /** An origin ran an unsafe request. */
@@ -74,8 +74,13 @@
       readonly key: string | null;
     }
   | { readonly kind: 'repeat'; readonly at: number }
-  /** A proxy acted under a policy: it answered from it or made a leg. */
-  | { readonly kind: 'acted'; readonly at: number; readonly node: string; readonly serial: number }
+  /** A proxy acted under a policy: it answered from it or made an attempt. */
+  | {
+      readonly kind: 'acted';
+      readonly at: number;
+      readonly node: string;
+      readonly revision: number;
+    }
   /** A policy was sent for the first time: from here on it may come into force. */
   | {
       readonly kind: 'proposed';
@@ -83,19 +88,19 @@
       readonly changeId: string;
       readonly document: Policy;
     }
-  /** It was acknowledged under a serial. */
+  /** It was acknowledged under a revision. */
   | {
       readonly kind: 'put';
       readonly at: number;
       readonly changeId: string;
-      readonly serial: number;
+      readonly revision: number;
       readonly document: Policy;
     }
   | {
       readonly kind: 'read';
       readonly at: number;
       readonly askedAt: number;
-      readonly serial: number;
+      readonly revision: number;
     }
   /**
    * An instance first said what it carries; `at` is when it was taken, `sentAt` when it was sent.
@@ -115,13 +120,13 @@
       readonly instance: string;
       readonly incarnation: number;
     }
-  /** An order for a hall was acknowledged under a serial; `sentAt` is when it was first sent. */
+  /** An order for a zone was acknowledged under a revision; `sentAt` is when it was first sent. */
   | {
-      readonly kind: 'hall';
+      readonly kind: 'zone';
       readonly at: number;
       readonly sentAt: number;
-      readonly serial: number;
-      readonly hall: string;
+      readonly revision: number;
+      readonly zone: string;
       readonly order: 'empty' | 'take-back';
     }
   /**
--- a/packages/simulator/src/voters.test.ts
+++ b/packages/simulator/src/members.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
-import type { Voters } from '@reedyard/replica';
+import type { Members } from '@reedyard/replica';
 import type { Policy } from '@reedyard/schemas';
 import { SimFleet } from './fleet.js';
 
-// Voters that found themselves from seeds: a fleet of machines with disks alone, in virtual time.
+// Members that found themselves from seeds: a fleet of machines with disks alone, in virtual time.
 
 const policy: Policy = { services: {}, routes: [] };
 const machine = (index: number): string => `core-${index}`;
@@ -12,7 +12,7 @@
 const yard = (seed: number, count: number, losses: number, up: readonly number[]): SimFleet => {
   const machines = Array.from({ length: count }, (_, index) => ({
     name: machine(index + 1),
-    hall: `hall-${index + 1}`,
+    zone: `zone-${index + 1}`,
     region: 'home',
     kind: 'core' as const,
   }));
@@ -25,11 +25,11 @@
   up.forEach((index) => fleet.start(machine(index)));
   return fleet;
 };
-const votersOf = (fleet: SimFleet, index: number): Voters | undefined =>
-  fleet.boxes.get(machine(index))?.agent?.state.registers.voters?.value as Voters | undefined;
-/** Machines whose replica is a place of the voters that an agent knows. */
+const membersOf = (fleet: SimFleet, index: number): Members | undefined =>
+  fleet.boxes.get(machine(index))?.agent?.state.registers.members?.value as Members | undefined;
+/** Machines whose replica is a place of the members that an agent knows. */
 const placesOf = (fleet: SimFleet, index: number): readonly string[] =>
-  Object.values(votersOf(fleet, index)?.addresses ?? {})
+  Object.values(membersOf(fleet, index)?.addresses ?? {})
     .map((address) => address.replace('/replica', ''))
     .sort();
 const votes = (fleet: SimFleet, index: number): boolean => {
@@ -66,9 +66,9 @@
 };
 const tryPut = (fleet: SimFleet, index: number, changeId: string): number =>
   answerOf(fleet, index, { kind: 'put-policy', document: policy, ifMatch: null, changeId }).status;
-const serialAt = (fleet: SimFleet, index: number): number | undefined => {
+const revisionAt = (fleet: SimFleet, index: number): number | undefined => {
   const { status, body } = answerOf(fleet, index, { kind: 'get-policy' });
-  return status === 200 ? (body as { serial: number }).serial : undefined;
+  return status === 200 ? (body as { revision: number }).revision : undefined;
 };
 const founded = (seed: number, count: number, losses = 1): SimFleet => {
   const fleet = yard(
@@ -83,11 +83,11 @@
 };
 const seeds = Array.from({ length: 12 }, (_, index) => index + 1);
 
-test('three seeds found the first voters, and changes are taken; a fourth machine waits', (t) => {
+test('three seeds found the first members, and changes are taken; a fourth machine waits', (t) => {
   for (const seed of seeds) {
     const fleet = founded(seed, 4);
     t.deepEqual(placesOf(fleet, 4), ['core-1', 'core-2', 'core-3'], `seed ${seed}`);
-    t.is(votersOf(fleet, 4)?.epoch, 1);
+    t.is(membersOf(fleet, 4)?.epoch, 1);
     t.false(votes(fleet, 4));
     t.is(tryPut(fleet, 4, 'one'), 200);
   }
@@ -97,12 +97,12 @@
   for (const seed of seeds) {
     const fleet = yard(seed, 4, 1, [1, 3, 4]);
     runFor(fleet, 20_000);
-    t.is(votersOf(fleet, 1), undefined);
+    t.is(membersOf(fleet, 1), undefined);
     t.is(tryPut(fleet, 1, 'early'), 503);
     fleet.start('core-2');
     runFor(fleet, 5_000);
     t.deepEqual(placesOf(fleet, 4), ['core-1', 'core-2', 'core-3'], `seed ${seed}`);
-    t.is(serialAt(fleet, 4), 0);
+    t.is(revisionAt(fleet, 4), 0);
   }
 });
 
@@ -117,7 +117,7 @@
     runFor(later, 20_000);
     for (const index of [1, 2, 3, 4]) {
       t.false(votes(later, index));
-      t.is(votersOf(later, index), undefined);
+      t.is(membersOf(later, index), undefined);
     }
   }
 });
@@ -145,7 +145,7 @@
     t.true(done, `seed ${seed}`);
     t.true(votes(fleet, 1), `seed ${seed}`);
     t.deepEqual(placesOf(fleet, 1), ['core-1', 'core-2', 'core-3']);
-    for (const index of [1, 2, 3]) t.is(serialAt(fleet, index), 1);
+    for (const index of [1, 2, 3]) t.is(revisionAt(fleet, index), 1);
   }
 });
 
@@ -187,7 +187,7 @@
     // A reply that is lost is missed after 8 s only.
     runFor(fleet, 12_000);
     t.is(acknowledged, 60, `seed ${seed}`);
-    t.is(serialAt(fleet, 1), 60);
+    t.is(revisionAt(fleet, 1), 60);
   }
 });
 
@@ -198,16 +198,16 @@
     runFor(fleet, 6_000);
     fleet.heal();
     runFor(fleet, 6_000);
-    t.is(votersOf(fleet, 2)?.epoch, 1, `seed ${seed}`);
-    // Two sides: the one with a single voter and the spare has no majority.
+    t.is(membersOf(fleet, 2)?.epoch, 1, `seed ${seed}`);
+    // Two sides: the one with a single member and the spare has no majority.
     for (const a of ['core-1', 'core-4'])
       for (const b of ['core-2', 'core-3']) {
         fleet.cut(a, b);
         fleet.cut(b, a);
       }
     runFor(fleet, 20_000);
-    t.is(votersOf(fleet, 1)?.epoch, 1, `seed ${seed}`);
-    t.is(votersOf(fleet, 2)?.epoch, 1, `seed ${seed}`);
+    t.is(membersOf(fleet, 1)?.epoch, 1, `seed ${seed}`);
+    t.is(membersOf(fleet, 2)?.epoch, 1, `seed ${seed}`);
     fleet.heal();
     runFor(fleet, 4_000);
     t.is(tryPut(fleet, 4, 'after'), 200);
@@ -236,11 +236,11 @@
     );
     t.is(
       answerOf(fleet, 2, {
-        kind: 'hall',
-        hall: 'hall-1',
+        kind: 'zone',
+        zone: 'zone-1',
         order: 'empty',
         of: 'all',
-        changeId: 'hall',
+        changeId: 'zone',
       }).status,
       503,
     );
@@ -257,12 +257,12 @@
       fleet.wipe(machine(index));
     }
     runFor(fleet, 1_000);
-    t.is(serialAt(fleet, 4), 1);
+    t.is(revisionAt(fleet, 4), 1);
     for (const index of [1, 2]) fleet.start(machine(index));
     runFor(fleet, 8_000);
     for (const index of [1, 2, 3, 4, 5]) t.true(votes(fleet, index), `seed ${seed} ${index}`);
     t.is(tryPut(fleet, 1, 'two'), 200);
-    t.is(serialAt(fleet, 1), 2);
+    t.is(revisionAt(fleet, 1), 2);
   }
 });
 
@@ -271,7 +271,7 @@
     const fleet = founded(seed, 5);
     t.is(tryPut(fleet, 4, 'one'), 200);
     fleet.kill('core-1');
-    // Anywhere in the step to the next voters, or after it.
+    // Anywhere in the step to the next members, or after it.
     runFor(fleet, 8_000 + fleet.clock.between(0, 2_500));
     for (const index of [2, 3, 4, 5]) fleet.kill(machine(index));
     runFor(fleet, 2_000);
@@ -281,15 +281,15 @@
     runFor(fleet, 16_000);
     t.is(placesOf(fleet, 5).length, 3, `seed ${seed}`);
     t.false(placesOf(fleet, 5).includes('core-1'), `seed ${seed}`);
-    t.is(serialAt(fleet, 5), 1, `seed ${seed}`);
+    t.is(revisionAt(fleet, 5), 1, `seed ${seed}`);
     fleet.start('core-1');
     runFor(fleet, 4_000);
-    t.is(serialAt(fleet, 1), 1, `seed ${seed}`);
+    t.is(revisionAt(fleet, 1), 1, `seed ${seed}`);
     t.is(tryPut(fleet, 1, 'two'), 200);
   }
 });
 
-test('a voter that comes back with its disk at the address of another, which is gone: both places are looked after', (t) => {
+test('a member that comes back with its disk at the address of another, which is gone: both places are looked after', (t) => {
   for (const seed of seeds) {
     const fleet = founded(seed, 4);
     t.is(tryPut(fleet, 3, 'one'), 200);
@@ -306,7 +306,7 @@
     runFor(fleet, 16_000);
     t.deepEqual(placesOf(fleet, 3), ['core-1', 'core-3', 'core-4'], `seed ${seed}`);
     for (const index of [1, 3, 4]) t.true(votes(fleet, index), `seed ${seed}`);
-    t.is(serialAt(fleet, 4), 1);
+    t.is(revisionAt(fleet, 4), 1);
   }
 });
 
@@ -325,12 +325,12 @@
     fleet.seeds = ['core-4/agent', 'core-1/agent', 'core-2/agent'];
     for (const index of [1, 2, 3, 4, 5, 6]) fleet.start(machine(index));
     runFor(fleet, 8_000);
-    t.is(serialAt(fleet, 1), 1, `seed ${seed}`);
+    t.is(revisionAt(fleet, 1), 1, `seed ${seed}`);
     t.deepEqual(placesOf(fleet, 1), ['core-4', 'core-5', 'core-6'], `seed ${seed}`);
   }
 });
 
-test('an agent that was gone while every place changed hands finds the voters again', (t) => {
+test('an agent that was gone while every place changed hands finds the members again', (t) => {
   for (const seed of seeds) {
     const fleet = founded(seed, 7);
     t.is(tryPut(fleet, 7, 'one'), 200);
@@ -343,12 +343,12 @@
     t.deepEqual(placesOf(fleet, 4), ['core-4', 'core-5', 'core-6'], `seed ${seed}`);
     fleet.thaw('core-7');
     runFor(fleet, 6_000);
-    t.is(serialAt(fleet, 7), 1, `seed ${seed}`);
+    t.is(revisionAt(fleet, 7), 1, `seed ${seed}`);
     t.deepEqual(placesOf(fleet, 7), ['core-4', 'core-5', 'core-6'], `seed ${seed}`);
   }
 });
 
-test('a voter that comes back at another address with its disk keeps its place', (t) => {
+test('a member that comes back at another address with its disk keeps its place', (t) => {
   for (const seed of seeds) {
     const fleet = founded(seed, 4);
     fleet.kill('core-1');
--- a/packages/simulator/src/order-times.ts
+++ b/packages/simulator/src/order-times.ts
@@ -83,8 +83,8 @@
       const node = places[(first + (setup.isSpread ? each : 0)) % places.length];
       const action = (attempt: number) =>
         ({
-          kind: 'hall',
-          hall: `zone-${each}`,
+          kind: 'zone',
+          zone: `zone-${each}`,
           order,
           of: 'origins',
           changeId: `${round}-${each}-${attempt}`,
--- a/packages/simulator/src/order-trial.test.ts
+++ b/packages/simulator/src/order-trial.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type { Action, HallsValue } from '@reedyard/agent';
+import type { Action, ZonesValue } from '@reedyard/agent';
 import { SimFleet } from './fleet.js';
 import { sendOrder } from './order-client.js';
 import { runOrderTrial } from './order-trial.js';
@@ -36,8 +36,8 @@
   fleet.clock.runUntil(8_000);
   const send = (order: 'empty' | 'take-back', firstNode: string, done: () => void): void => {
     const action = (attempt: number): Action => ({
-      kind: 'hall',
-      hall: 'west',
+      kind: 'zone',
+      zone: 'west',
       order,
       of: 'origins',
       changeId: `${order}-${attempt}`,
@@ -55,9 +55,9 @@
     }),
   );
   fleet.clock.runUntil(25_000);
-  const halls = fleet.boxes.get('core-1')?.agent?.state.registers.halls?.value as
-    HallsValue | undefined;
-  return isTakenBack && halls !== undefined && !halls.closedOrigins.includes('west');
+  const zones = fleet.boxes.get('core-1')?.agent?.state.registers.zones?.value as
+    ZonesValue | undefined;
+  return isTakenBack && zones !== undefined && !zones.closedOrigins.includes('west');
 };
 
 test.serial(
--- a/packages/simulator/src/order-trial.ts
+++ b/packages/simulator/src/order-trial.ts
@@ -5,7 +5,7 @@
  * it and takes it back in turn.
  */
 import { Limits } from '@reedyard/constants';
-import type { Action, HallsValue, PolicyValue } from '@reedyard/agent';
+import type { Action, ZonesValue, PolicyValue } from '@reedyard/agent';
 import type { Policy } from '@reedyard/schemas';
 import { SimFleet } from './fleet.js';
 import { sendOrder, type OrderOutcome } from './order-client.js';
@@ -127,8 +127,8 @@
     this.zoneEnds.set(zone, ends);
     const order = ends.at(-1)?.order === 'empty' ? 'take-back' : 'empty';
     const action = (): Action => ({
-      kind: 'hall',
-      hall: zone,
+      kind: 'zone',
+      zone: zone,
       order,
       of: 'origins',
       changeId: this.#nextId(),
@@ -144,11 +144,11 @@
   }
 
   /** Agents that may act, with what they know of the zones. */
-  #informed(): readonly HallsValue[] {
+  #informed(): readonly ZonesValue[] {
     return [...this.fleet.boxes.values()].flatMap(({ agent }) => {
       if (agent === null || agent.frozen || agent.state.now >= agent.state.lease) return [];
-      const halls = agent.state.registers.halls;
-      return halls === undefined ? [] : [halls.value as HallsValue];
+      const zones = agent.state.registers.zones;
+      return zones === undefined ? [] : [zones.value as ZonesValue];
     });
   }
 
@@ -156,10 +156,10 @@
   #checkZone(zone: string): void {
     const last = this.zoneEnds.get(zone)?.at(-1);
     if (last === undefined || last.outcome.kind !== 'acknowledged') return;
-    const { serial } = last.outcome.body as { readonly serial: number };
-    for (const halls of this.#informed()) {
-      if (halls.serial < serial) continue;
-      const isClosed = halls.closedOrigins.includes(zone);
+    const { revision } = last.outcome.body as { readonly revision: number };
+    for (const zones of this.#informed()) {
+      if (zones.revision < revision) continue;
+      const isClosed = zones.closedOrigins.includes(zone);
       if (isClosed !== (last.order === 'empty'))
         this.wrongs.push(`${zone}: an acknowledged ${last.order} was undone`);
     }
--- a/packages/simulator/src/planted.ts
+++ b/packages/simulator/src/planted.ts
@@ -19,7 +19,7 @@
 export const cases: readonly Case[] = [
   {
     rule: 1,
-    what: 'a leg that may have run is made again',
+    what: 'an attempt that may have run is made again',
     plant: 'repeat-unsafe',
     scenario: 'lost-answers',
   },
@@ -62,7 +62,7 @@
   },
   {
     rule: 4,
-    what: 'a transaction keeps the route that it found at arrival',
+    what: 'a request keeps the route that it found at arrival',
     plant: 'route-at-arrival',
     scenario: 'policies',
     seeds: 4,
@@ -97,11 +97,16 @@
   {
     rule: 6,
     what: 'replicas do not heed who votes',
-    plant: 'deaf-voters',
+    plant: 'deaf-members',
     scenario: 'core-replaced',
     seeds: 16,
   },
-  { rule: 6, what: 'two policies get one serial', plant: 'same-serials', scenario: 'operators' },
+  {
+    rule: 6,
+    what: 'two policies get one revision',
+    plant: 'same-revisions',
+    scenario: 'operators',
+  },
   { rule: 7, what: 'drain notices are not heeded', plant: 'deaf-drain', scenario: 'drains' },
   {
     rule: 9,
@@ -112,19 +117,19 @@
   },
   {
     rule: 8,
-    what: 'partners in emptied halls get forwarded requests',
+    what: 'peers in emptied zones get forwarded requests',
     plant: 'deaf-relays',
     scenario: 'region-emptied',
     seeds: 3,
   },
   {
     rule: 8,
-    what: 'nodes in emptied halls say they are ready',
+    what: 'nodes in emptied zones say they are ready',
     plant: 'deaf-ready',
-    scenario: 'halls',
+    scenario: 'zones',
     seeds: 3,
   },
-  { rule: 8, what: 'hall orders are not heeded', plant: 'deaf-halls', scenario: 'halls' },
+  { rule: 8, what: 'zone orders are not heeded', plant: 'deaf-zones', scenario: 'zones' },
   { rule: 9, what: 'purges are not heeded', plant: 'deaf-purges', scenario: 'purges' },
   { rule: 9, what: 'purged tags are not heeded', plant: 'deaf-tags', scenario: 'copies', seeds: 2 },
   {
@@ -163,7 +168,7 @@
   { rule: 12, what: 'homes are not heeded', plant: 'no-homes', scenario: 'homes' },
   {
     rule: 12,
-    what: 'an answer that came through a partner is kept',
+    what: 'an answer that came through a peer is kept',
     plant: 'keep-relayed',
     scenario: 'homes',
   },
--- a/packages/simulator/src/plants.ts
+++ b/packages/simulator/src/plants.ts
@@ -17,13 +17,13 @@
   'no-marks',
   'wiped-votes',
   'deaf-drain',
-  'deaf-halls',
+  'deaf-zones',
   'deaf-purges',
   'no-buckets',
   'free-repeats',
   'no-homes',
   'forgetful-disks',
-  'deaf-voters',
+  'deaf-members',
   'route-at-arrival',
   'no-capacities',
   'no-cold-rates',
@@ -37,7 +37,7 @@
   'wild-clocks',
   'claims-of-any-content',
   'earn-twice',
-  'same-serials',
+  'same-revisions',
   'short-as-whole',
   'keep-relayed',
   'uncounted-grants',
@@ -62,7 +62,7 @@
   plant: Plant,
   feed: Feed,
   drained: Feed['origins'],
-  partners: Feed['partners'],
+  peers: Feed['peers'],
 ): Feed => {
   switch (plant) {
     case 'deaf-lease':
@@ -75,7 +75,7 @@
           ...drained.filter((row) => !feed.origins.some((each) => each.address === row.address)),
         ],
       };
-    case 'deaf-halls':
+    case 'deaf-zones':
       return {
         ...feed,
         emptied: [],
@@ -85,7 +85,7 @@
         ],
       };
     case 'deaf-relays':
-      return { ...feed, partners };
+      return { ...feed, peers };
     case 'deaf-ready':
       return { ...feed, emptied: [] };
     case 'deaf-tags':
@@ -170,7 +170,7 @@
 export const selected = (selection: Selection, feed: Feed, self: string): Feed => {
   if (selection === 'paper') return feed;
   if (selection === 'proximity') return { ...feed, split: {} };
-  const edges = [self, ...feed.partners.map((row) => row.id)];
+  const edges = [self, ...feed.peers.map((row) => row.id)];
   const row = edges.map((edge) => [edge, 1 / edges.length] as const);
   return {
     ...feed,
@@ -183,13 +183,13 @@
 /**
  * What a proxy whose ledger does not count the attempts it granted to a peer makes of its state.
  */
-export const plantedGrant = (state: ProxyState, id: number, leg: number): ProxyState => {
-  const transaction = state.transactions[id];
-  if (transaction === undefined) return state;
-  const legs = transaction.legs.map((each) =>
-    each.number === leg ? { ...each, granted: 0 } : each,
+export const plantedGrant = (state: ProxyState, id: number, attempt: number): ProxyState => {
+  const request = state.requests[id];
+  if (request === undefined) return state;
+  const attempts = request.attempts.map((each) =>
+    each.number === attempt ? { ...each, granted: 0 } : each,
   );
-  return { ...state, transactions: { ...state.transactions, [id]: { ...transaction, legs } } };
+  return { ...state, requests: { ...state.requests, [id]: { ...request, attempts } } };
 };
 
 /** Whether a claim is granted without asking. */
--- a/packages/simulator/src/run.ts
+++ b/packages/simulator/src/run.ts
@@ -66,7 +66,7 @@
 };
 
 /**
- * Starts callers: each goes to a ready node of its own hall, or to any ready one where its hall has
+ * Starts callers: each goes to a ready node of its own zone, or to any ready one where its zone has
  * none.
  */
 export const startCallers = (
@@ -80,24 +80,24 @@
   const { clock } = fleet;
   const host = policy.routes[0]?.host ?? '';
   const fronts = fleet.deployment.machines.filter((machine) => machine.kind === 'front');
-  const halls = [...new Set(fronts.map((machine) => machine.hall))];
+  const zones = [...new Set(fronts.map((machine) => machine.zone))];
   let job = 0;
-  const choose = (hall: string): string | undefined => {
+  const choose = (zone: string): string | undefined => {
     const ready = fronts.filter((machine) => fleet.ready.get(machine.name) === true);
-    const own = ready.filter((machine) => machine.hall === hall);
+    const own = ready.filter((machine) => machine.zone === zone);
     return clock.pick(own.length > 0 ? own : ready)?.name;
   };
   const one = (): void => {
     if (clock.now() > until) return;
     clock.in((-Math.log(1 - clock.chance()) * 1_000) / rate(), one);
-    const hall = skew() ?? clock.pick(halls) ?? '';
+    const zone = skew() ?? clock.pick(zones) ?? '';
     const sample = sampleOf(example, fleet.clock);
     job += 1;
     const unsafe = sample.method === 'POST';
     const name = `job-${job}`;
     const key = unsafe ? name : null;
     const attempt = (left: number): void => {
-      const node = choose(hall);
+      const node = choose(zone);
       if (node === undefined) {
         fleet.history.push({ kind: 'unplaced', at: clock.now() });
         return;
@@ -109,7 +109,7 @@
       });
       // A caller uses its key once more for another order.
       if (key !== null && left === 2 && clock.chance() < 0.05) {
-        const other = choose(hall);
+        const other = choose(zone);
         if (other !== undefined)
           clock.in(800 * clock.chance(), () =>
             fleet.ask(other, { ...sample, host, job: `${name}-other`, key }, () => undefined),
@@ -117,7 +117,7 @@
       }
       // An impatient caller sends the same key twice at once.
       if (key !== null && left === 2 && clock.chance() < 0.1) {
-        const other = choose(hall);
+        const other = choose(zone);
         if (other !== undefined)
           fleet.ask(other, { ...sample, host, job: name, key }, () => undefined);
       }
--- a/packages/simulator/src/scenarios.test.ts
+++ b/packages/simulator/src/scenarios.test.ts
@@ -10,7 +10,7 @@
   ['core-split', 0.85],
   ['wipes', 0.95],
   ['operators', 0.93],
-  ['hall-power', 0.95],
+  ['zone-power', 0.95],
   ['rolling', 0.97],
   ['seeds-changed', 0.98],
   ['closing', 0.95],
@@ -22,8 +22,8 @@
   ['founding', 0.97],
   ['busy', 0.97],
   ['loss-after-ack', 0.7],
-  ['voters-replaced', 0.85],
-  ['voters-grow', 0.95],
+  ['members-replaced', 0.85],
+  ['members-grow', 0.95],
 ] as const) {
   test.serial(`${scenario}: every rule kept, and callers served`, async (t) => {
     // Lets the runner tell what is done so far before the next long run.
@@ -46,7 +46,7 @@
   for (const name of ['front-5', 'front-6', 'front-7']) t.true(late.includes(name), name);
 });
 
-test('four of five disks lost while a key is claimed twice: every voter is told of the claim before it votes', (t) => {
+test('four of five disks lost while a key is claimed twice: every member is told of the claim before it votes', (t) => {
   t.deepEqual(run({ scenario: 'disks-wiped', seed: 3_000, example: 'association' }).wrongs, []);
 });
 
@@ -67,7 +67,7 @@
     t.true(
       fleet.history.some(
         (entry) =>
-          entry.kind === 'leg' &&
+          entry.kind === 'attempt' &&
           entry.instance === each.instance &&
           entry.incarnation > each.incarnation,
       ),
--- a/packages/simulator/src/scenarios.ts
+++ b/packages/simulator/src/scenarios.ts
@@ -60,7 +60,7 @@
     done?: () => void,
     node?: string,
   ): void;
-  hall(hall: string, order: 'empty' | 'take-back', done?: () => void, node?: string): void;
+  zone(zone: string, order: 'empty' | 'take-back', done?: () => void, node?: string): void;
   describe(origin: StageOrigin, noticed?: () => void, node?: string): void;
   fault(what: string): void;
 };
@@ -102,7 +102,7 @@
   /** ms that a message may wait more, where processes are busy. */ readonly busyMs?: number;
   /** Of each proxy, where it is not the deployment's. */ readonly capacityBps?: number;
   /**
-   * Voters found themselves from three seeds, and the loss of so many disks must be borne. Of real
+   * Members found themselves from three seeds, and the loss of so many disks must be borne. Of real
    * processes this is not played: there the settings name the founders.
    */
   readonly voting?: { readonly losses: number };
@@ -120,8 +120,8 @@
   ...names(fleet, 'core'),
   ...names(fleet, 'store'),
 ];
-const halls = (fleet: StageFleet): readonly string[] => [
-  ...new Set(fleet.deployment.machines.map((machine) => machine.hall)),
+const zones = (fleet: StageFleet): readonly string[] => [
+  ...new Set(fleet.deployment.machines.map((machine) => machine.zone)),
 ];
 
 /** Does something again and again between two moments. */
@@ -317,7 +317,7 @@
       policy,
       clock,
       () => true,
-      (route) => [{ ...route, limits: { ...route.limits, transactionMs: 600, legMs: 300 } }],
+      (route) => [{ ...route, limits: { ...route.limits, requestMs: 600, attemptMs: 300 } }],
     ),
 };
 
@@ -401,11 +401,11 @@
     if (fleet.clock.chance() < 0.5) fleet.purge([], [String(Math.floor(8 * fleet.clock.chance()))]);
     else fleet.purge([`http://${policy.routes[0]?.host ?? ''}${sample().target}`], []);
   },
-  hall: ({ fleet }) => {
-    const hall = fleet.clock.pick(halls(fleet));
-    if (hall !== undefined) {
-      fleet.hall(hall, 'empty');
-      fleet.clock.in(9_000, () => fleet.hall(hall, 'take-back'));
+  zone: ({ fleet }) => {
+    const zone = fleet.clock.pick(zones(fleet));
+    if (zone !== undefined) {
+      fleet.zone(zone, 'empty');
+      fleet.clock.in(9_000, () => fleet.zone(zone, 'take-back'));
     }
   },
   read: ({ fleet }) => fleet.read(),
@@ -419,8 +419,8 @@
 export const scenarios: Readonly<Record<string, Scenario>> = {
   ...longCuts,
   calm: { what: 'nothing fails', seconds: 30, play: () => undefined },
-  'crowded-hall': {
-    what: 'most callers come to one hall, more than its proxies can serve',
+  'crowded-zone': {
+    what: 'most callers come to one zone, more than its proxies can serve',
     seconds: 90,
     rate: 300,
     play: (stage) => {
@@ -485,7 +485,7 @@
     },
   },
   freezes: {
-    what: 'machines freeze and thaw while policies change, halls empty and objects are purged',
+    what: 'machines freeze and thaw while policies change, zones empty and objects are purged',
     seconds: 45,
     play: (stage) => {
       every(stage, 8_000, 38_000, 2_000, () => faults.freeze?.(stage));
@@ -622,17 +622,17 @@
       every(stage, 11_000, 36_000, 7_000, () => faults.cut?.(stage));
     },
   },
-  halls: {
-    what: 'halls are emptied and taken back while nodes freeze and are cut',
+  zones: {
+    what: 'zones are emptied and taken back while nodes freeze and are cut',
     seconds: 50,
     play: (stage) => {
-      every(stage, 8_000, 36_000, 12_000, () => faults.hall?.(stage));
+      every(stage, 8_000, 36_000, 12_000, () => faults.zone?.(stage));
       every(stage, 9_000, 40_000, 5_000, () => faults.freeze?.(stage));
       every(stage, 11_000, 40_000, 7_000, () => faults.cut?.(stage));
     },
   },
   'region-emptied': {
-    what: 'all halls of a region are emptied one after another and taken back, with homed reports; nodes freeze and are cut',
+    what: 'all zones of a region are emptied one after another and taken back, with homed reports; nodes freeze and are cut',
     seconds: 50,
     example: 'association',
     play: (stage) => {
@@ -646,13 +646,13 @@
           ...new Set(
             fleet.deployment.machines
               .filter((machine) => machine.region === region)
-              .map((machine) => machine.hall),
+              .map((machine) => machine.zone),
           ),
         ];
         fleet.fault(`${region} emptied`);
-        own.forEach((hall, index) => {
-          fleet.clock.in(300 * index, () => fleet.hall(hall, 'empty'));
-          fleet.clock.in(10_000 + 300 * index, () => fleet.hall(hall, 'take-back'));
+        own.forEach((zone, index) => {
+          fleet.clock.in(300 * index, () => fleet.zone(zone, 'empty'));
+          fleet.clock.in(10_000 + 300 * index, () => fleet.zone(zone, 'take-back'));
         });
       });
       every(stage, 9_000, 40_000, 5_000, () => faults.freeze?.(stage));
@@ -781,10 +781,10 @@
         fleet.clock.in(at, () => {
           putOne(stage);
           faults.drain?.(stage);
-          fleet.hall(fleet.clock.pick(halls(fleet)) ?? '', 'empty');
+          fleet.zone(fleet.clock.pick(zones(fleet)) ?? '', 'empty');
         });
         fleet.clock.in(at + 2_500, () => {
-          for (const hall of halls(fleet)) fleet.hall(hall, 'take-back');
+          for (const zone of zones(fleet)) fleet.zone(zone, 'take-back');
           faults.purge?.(stage);
         });
         fleet.clock.in(at + 5_000, () => wipe(count));
@@ -844,7 +844,7 @@
     },
   },
   'loss-after-ack': {
-    what: 'every machine loses power just after a policy, a purge, a hall order or a drain notice was acknowledged; all return',
+    what: 'every machine loses power just after a policy, a purge, a zone order or a drain notice was acknowledged; all return',
     seconds: 75,
     play: (stage) => {
       const { fleet } = stage;
@@ -858,7 +858,7 @@
       const acts: readonly (() => void)[] = [
         () => fleet.put(variant(stage.policy, 1), lose),
         () => fleet.purge([], ['1', '2', '3'], lose),
-        () => fleet.hall('west', 'empty', lose),
+        () => fleet.zone('west', 'empty', lose),
         () => {
           const origin = fleet.clock.pick(fleet.origins.filter((each) => !each.draining));
           if (origin !== undefined) {
@@ -868,7 +868,7 @@
         },
       ];
       acts.forEach((act, index) => fleet.clock.in(12_000 + 14_000 * index, act));
-      fleet.clock.in(50_000, () => fleet.hall('west', 'take-back'));
+      fleet.clock.in(50_000, () => fleet.zone('west', 'take-back'));
       every(stage, 9_000, 70_000, 700, () => faults.read?.(stage));
     },
   },
@@ -886,7 +886,7 @@
     },
   },
   ceilings: {
-    what: 'demand far above a low ceiling that moves between halls, while the duty holder and others are killed, frozen and cut',
+    what: 'demand far above a low ceiling that moves between zones, while the quota leader and others are killed, frozen and cut',
     seconds: 60,
     rate: 300,
     policy: (policy) => ({
@@ -901,7 +901,7 @@
     play: (stage) => {
       const { fleet } = stage;
       every(stage, 12_000, 52_000, 8_000, () => {
-        stage.factor.skew = fleet.clock.pick([...halls(fleet), null]) ?? null;
+        stage.factor.skew = fleet.clock.pick([...zones(fleet), null]) ?? null;
       });
       every(stage, 14_000, 52_000, 7_000, () => {
         const holder = fleet.holder();
@@ -920,7 +920,7 @@
     },
   },
   saturated: {
-    what: 'demand far above a low ceiling, nothing fails; halfway all callers move to one hall',
+    what: 'demand far above a low ceiling, nothing fails; halfway all callers move to one zone',
     seconds: 50,
     rate: 300,
     policy: (policy) => ({
@@ -957,7 +957,7 @@
     },
   },
   lowered: {
-    what: 'ceilings and cold rates lowered and raised while demand stays and the duty holder is killed',
+    what: 'ceilings and cold rates lowered and raised while demand stays and the quota leader is killed',
     seconds: 50,
     rate: 400,
     play: (stage) => {
@@ -1036,7 +1036,7 @@
     },
   },
   'repeats-relayed': {
-    what: 'every origin fails most of what it gets, while one hall is crowded and hands most of it to partners',
+    what: 'every origin fails most of what it gets, while one zone is crowded and hands most of it to peers',
     seconds: 60,
     rate: 400,
     capacityBps: 3_000_000,
@@ -1098,19 +1098,19 @@
       every(stage, 9_000, 45_000, 2_000, () => faults.read?.(stage));
     },
   },
-  'hall-power': {
-    what: 'a hall loses power, with its machines and origins, and comes back',
+  'zone-power': {
+    what: 'a zone loses power, with its machines and origins, and comes back',
     seconds: 45,
     play: (stage) => {
       const { fleet } = stage;
       fleet.clock.in(12_000, () => {
-        const hall = fleet.clock.pick(halls(fleet)) ?? '';
+        const zone = fleet.clock.pick(zones(fleet)) ?? '';
         const lost = fleet.deployment.machines
-          .filter((machine) => machine.hall === hall)
+          .filter((machine) => machine.zone === zone)
           .map((machine) => machine.name);
-        fleet.fault(`${hall} lost power`);
+        fleet.fault(`${zone} lost power`);
         lost.forEach((name) => fleet.kill(name));
-        for (const origin of fleet.origins.filter((each) => each.spec.hall === hall))
+        for (const origin of fleet.origins.filter((each) => each.spec.zone === zone))
           replaceOrigin(fleet, origin, 12_000);
         fleet.clock.in(12_000, () => lost.forEach((name) => fleet.start(name)));
       });
@@ -1158,8 +1158,8 @@
       every(stage, 9_000, 42_000, 5_000, () => putOne(stage));
     },
   },
-  'voters-replaced': {
-    what: 'three seeds found the voters; machines with a voter go, their places pass to others, they return; disks are wiped, and all machines lose power once',
+  'members-replaced': {
+    what: 'three seeds found the members; machines with a member go, their places pass to others, they return; disks are wiped, and all machines lose power once',
     seconds: 75,
     voting: { losses: 1 },
     play: (stage) => {
@@ -1189,8 +1189,8 @@
       every(stage, 9_000, 66_000, 900, () => faults.purge?.(stage));
     },
   },
-  'voters-grow': {
-    what: 'three seeds found the voters, and two more places are added; then two disks at once are wiped, again and again',
+  'members-grow': {
+    what: 'three seeds found the members, and two more places are added; then two disks at once are wiped, again and again',
     seconds: 45,
     voting: { losses: 2 },
     play: (stage) => {
@@ -1237,17 +1237,17 @@
     },
   },
   closing: {
-    what: 'a day that ends with a fault: a hall loses power, others freeze, origins drain, just before the end',
+    what: 'a day that ends with a fault: a zone loses power, others freeze, origins drain, just before the end',
     seconds: 40,
     play: (stage) => {
       const { fleet, end } = stage;
       every(stage, 9_000, end, 2_000, () => faults.purge?.(stage));
       fleet.clock.in(end - 4_000, () => {
-        const hall = fleet.clock.pick(halls(fleet)) ?? '';
+        const zone = fleet.clock.pick(zones(fleet)) ?? '';
         putOne(stage);
-        for (const machine of fleet.deployment.machines.filter((each) => each.hall === hall))
+        for (const machine of fleet.deployment.machines.filter((each) => each.zone === zone))
           fleet.kill(machine.name);
-        fleet.fault(`${hall} lost power for good`);
+        fleet.fault(`${zone} lost power for good`);
         faults.freeze?.(stage);
         faults.drain?.(stage);
         faults.purge?.(stage);
--- a/packages/simulator/src/second-loss.ts
+++ b/packages/simulator/src/second-loss.ts
@@ -38,13 +38,13 @@
 const machinesOf = ({ members, successors }: SiteOptions): readonly Machine[] => [
   ...Array.from({ length: members + successors }, (_, index) => ({
     name: coreName(index + 1),
-    hall: `zone-${(index % members) + 1}`,
+    zone: `zone-${(index % members) + 1}`,
     region: 'home',
     kind: 'core' as const,
   })),
   ...Array.from({ length: frontCount }, (_, index) => ({
     name: `front-${index + 1}`,
-    hall: `zone-${(index % members) + 1}`,
+    zone: `zone-${(index % members) + 1}`,
     region: 'home',
     kind: 'front' as const,
   })),
@@ -186,14 +186,14 @@
 
   /** Whether some node reads back a state with all that was acknowledged. */
   keepsAcknowledged(): boolean {
-    let serial = -1;
-    for (let tries = 0; tries < 5 && serial < 0; tries += 1) {
+    let revision = -1;
+    for (let tries = 0; tries < 5 && revision < 0; tries += 1) {
       this.fleet.operate({ kind: 'get-policy' }, ({ status, body }) => {
-        if (status === 200) serial = (body as { readonly serial: number }).serial;
+        if (status === 200) revision = (body as { readonly revision: number }).revision;
       });
       this.runFor(2_000);
     }
-    return serial >= this.acknowledged;
+    return revision >= this.acknowledged;
   }
 
   /** A machine with a replica that votes now. */
--- a/packages/simulator/src/spread.ts
+++ b/packages/simulator/src/spread.ts
@@ -24,11 +24,11 @@
 for (const machine of deployment.machines) fleet.start(machine.name);
 fleet.clock.in(500, () => fleet.put(policy));
 fleet.clock.runUntil(8_000);
-const proxies = (): readonly { serial: number; purges: number }[] =>
+const proxies = (): readonly { revision: number; purges: number }[] =>
   [...fleet.boxes.values()].flatMap((box) =>
     box.proxy === null
       ? []
-      : [{ serial: box.proxy.state.policy?.serial ?? 0, purges: box.proxy.state.purgeSeq }],
+      : [{ revision: box.proxy.state.policy?.revision ?? 0, purges: box.proxy.state.purgeSeq }],
   );
 
 /** Does something that is acknowledged, and watches until all proxies show it. */
@@ -57,11 +57,14 @@
         fleet.put(
           {
             ...policy,
-            routes: policy.routes.map((route) => ({ ...route, limits: { legMs: 4_000 + index } })),
+            routes: policy.routes.map((route) => ({
+              ...route,
+              limits: { attemptMs: 4_000 + index },
+            })),
           },
           done,
         ),
-      () => proxies().every(({ serial }) => serial >= index + 2),
+      () => proxies().every(({ revision }) => revision >= index + 2),
     ),
   ),
 );
--- a/packages/testbed/src/fleet.test.ts
+++ b/packages/testbed/src/fleet.test.ts
@@ -43,7 +43,7 @@
   t.is(refused.status, 422);
   t.regex(JSON.stringify(refused.body), /\/routes\/0/);
   const read = await api(fleet.apiOf('core-3'), 'GET', '/v1/policy');
-  t.is((read.body as { serial: number }).serial, 1);
+  t.is((read.body as { revision: number }).revision, 1);
 
   const get = (node: string, target: string): ReturnType<typeof feel> =>
     feel({ at: fleet.callersOf(node), method: 'GET', host, target, service: 'store' });
@@ -203,7 +203,7 @@
   fleet.start('core-2');
   await fleet.untilReady();
   t.true(
-    ((await api(fleet.apiOf('core-1'), 'GET', '/v1/policy')).body as { serial: number }).serial >=
-      2,
+    ((await api(fleet.apiOf('core-1'), 'GET', '/v1/policy')).body as { revision: number })
+      .revision >= 2,
   );
 });
--- a/packages/testbed/src/hollow-host.ts
+++ b/packages/testbed/src/hollow-host.ts
@@ -37,8 +37,8 @@
 export class HollowError extends LayerError {}
 
 /**
- * What a hollow node is counted as. The one that holds the duty and the seeds are agents with more
- * to do.
+ * What a hollow node is counted as. The one that holds the quota leadership and the seeds are
+ * agents with more to do.
  */
 export type Role = 'replica' | 'holder' | 'seed' | 'agent' | 'proxy';
 
@@ -531,7 +531,7 @@
       this.#agents.set(spec.self.address, node);
       if (spec.known.length === 0) continue;
       const tellings = Object.fromEntries(
-        spec.known.map((record) => [`node/${record.id}`, { serial: 1, value: record }]),
+        spec.known.map((record) => [`node/${record.id}`, { revision: 1, value: record }]),
       );
       this.#reduceAgent(node, {
         kind: 'asked',
@@ -623,7 +623,7 @@
       };
     }
     return {
-      policySerial: node.held?.feed.policySerial ?? 0,
+      policyRevision: node.held?.feed.policyRevision ?? 0,
       life: node.held?.feed.life ?? '',
       proxyLife: `proxy-of-${spec.id}`,
       purgeSeq: node.held?.feed.purgeSeq ?? 0,
@@ -631,8 +631,8 @@
       wants: node.wants,
       measure,
       counters: {
-        transactions: node.draws,
-        legs: node.draws,
+        requests: node.draws,
+        attempts: node.draws,
         fetched: node.draws,
         forwarded: 0,
         repeats: 0,
@@ -664,7 +664,7 @@
           if (!left.has(node.spec.id)) continue;
           const here =
             watch.what === 'config'
-              ? feed.policySerial >= Number(watch.key)
+              ? feed.policyRevision >= Number(watch.key)
               : watch.what === 'purge'
                 ? feed.purges.some(({ purge }) => purge.tags.includes(watch.key))
                 : watch.what === 'drain' && !feed.origins.some((row) => row.instance === watch.key);
@@ -689,8 +689,8 @@
         const { state } = node;
         const here =
           watch.what === 'config'
-            ? ((state.registers.policy?.value as { readonly serial: number } | undefined)?.serial ??
-                0) >= Number(watch.key)
+            ? ((state.registers.policy?.value as { readonly revision: number } | undefined)
+                ?.revision ?? 0) >= Number(watch.key)
             : watch.what === 'purge'
               ? state.factKeys[`purge/${watch.key}`] !== undefined
               : watch.what === 'drain'
--- a/packages/testbed/src/hollow.ts
+++ b/packages/testbed/src/hollow.ts
@@ -260,13 +260,13 @@
       const core = index < replicas;
       return {
         id: core ? `core-${index + 1}` : `front-${String(index + 1).padStart(4, '0')}`,
-        hall: `zone-${zone}`,
+        zone: `zone-${zone}`,
         region: `region-${zone % options.regions}`,
         address: `${ip}:7001`,
         proxy:
           core || (index >= replicas + options.proxies && index < nodes)
             ? null
-            : { callers: `${ip}:8080`, partners: `${ip}:8081`, capacityBps: 1_000_000_000 },
+            : { callers: `${ip}:8080`, peers: `${ip}:8081`, capacityBps: 1_000_000_000 },
         replica: core ? { address: `${ip}:7101` } : null,
       };
     };
@@ -368,7 +368,7 @@
     const holderIndex = replicas;
     await holderPart.host.agents([agentSpec(holderIndex, [], now)]);
     await proxyPart.host.proxies([proxySpec(holderIndex, now)]);
-    // The first one alone takes the duty, so that its process shows what the holder costs.
+    // The first one alone takes the quota leadership, so that its process shows what the holder costs.
     let tries = 0;
     await until('the first policy', async () => {
       if ((await answerOf(`first-${tries}`))?.status === 200) return true;
@@ -388,8 +388,8 @@
       await until('an answer', async () => (await answerOf(`first-${tries}`)) !== undefined);
       return (await answerOf(`first-${tries}`))?.status === 200;
     });
-    await until('the duty', async () => (await logged('duty.won')) > 0);
-    tell('the duty is held');
+    await until('the quotaLeadership', async () => (await logged('quota-leadership.won')) > 0);
+    tell('the quotaLeadership is held');
 
     const known: readonly NodeRecord[] = members.map((self) => ({
       ...self,
@@ -432,7 +432,7 @@
                 incarnation: 1,
                 address: `10.200.${Math.floor(index / 250)}.${(index % 250) + 1}:9000`,
                 region: machines[at]?.region ?? '',
-                hall: machines[at]?.hall ?? '',
+                zone: machines[at]?.zone ?? '',
                 capacity: Hollow.capacity,
                 state: 'warm',
                 draining: false,
@@ -484,9 +484,9 @@
     const probesFrom = now;
     for (let probe = 0; probe < options.probes; probe += 1) {
       const draining = options.origins - 1 - probe;
-      const serial = 2 + probe;
+      const revision = 2 + probe;
       const watches: readonly Watch[] = [
-        { tag: `config-${probe}`, what: 'config', key: String(serial) },
+        { tag: `config-${probe}`, what: 'config', key: String(revision) },
         { tag: `purge-${probe}`, what: 'purge', key: `probe-${probe}` },
         ...(draining < 0
           ? []
@@ -508,7 +508,7 @@
             incarnation: 1,
             address: `10.200.${Math.floor(draining / 250)}.${(draining % 250) + 1}:9000`,
             region: machines[draining % nodes]?.region ?? '',
-            hall: machines[draining % nodes]?.hall ?? '',
+            zone: machines[draining % nodes]?.zone ?? '',
             capacity: Hollow.capacity,
             state: 'warm',
             draining: true,
@@ -740,7 +740,7 @@
   --proxies L     machines with a proxy (all but those of the replicas); each pings each other
   --purges P     purges a second           --objects D    objects that each proxy measures (0: no vectors)
   --seconds S    s of the fleet's clock that are counted, after --warm W; --probes K changes are timed after them
-  --processes J  processes that the agents are spread over; three more hold the replicas, the duty's holder, the proxies
+  --processes J  processes that the agents are spread over; three more hold the replicas, the quota leader, the proxies
 `;
 
 const wordsOf = (
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -260,7 +260,7 @@
       name: machine.name,
       host,
       ...(relayed ? { listen: behind } : {}),
-      hall: machine.hall,
+      zone: machine.zone,
       region: machine.region,
       seeds: disks.slice(0, 3).map((each) => `${this.#hostOf(machines.indexOf(each))}:7001`),
       founders,
@@ -270,7 +270,7 @@
         ? {
             proxy: {
               port: 8080,
-              partnerPort: 8081,
+              peerPort: 8081,
               capacityBps: machine.capacityBps ?? 80_000_000,
               ...(trace ? { trace } : {}),
             },
--- a/packages/testbed/src/main.ts
+++ b/packages/testbed/src/main.ts
@@ -170,7 +170,7 @@
     const status = await api(fleet.apiOf(name), 'GET', '/v1/status').then(
       (answer) =>
         answer.body as {
-          policySerial: number;
+          policyRevision: number;
           proxy: Record<string, number>;
           notices: number;
           split: Record<string, readonly unknown[]>;
@@ -186,7 +186,7 @@
       row.some((pair) => (pair as [string, number])[0] !== name),
     ).length;
     say(
-      `  ${name.padEnd(10)} serial ${status.policySerial}  transactions ${counter('transactions')}  copies ${counter('served.copy')}  forwarded ${counter('forwarded')}  fetched ${counter('fetched')}  legs ${counter('legs')}  repeats ${counter('repeats')}  notices ${status.notices}  rows ${Object.keys(status.split).length} (${away} with partners)`,
+      `  ${name.padEnd(10)} revision ${status.policyRevision}  requests ${counter('requests')}  copies ${counter('served.copy')}  forwarded ${counter('forwarded')}  fetched ${counter('fetched')}  attempts ${counter('attempts')}  repeats ${counter('repeats')}  notices ${status.notices}  rows ${Object.keys(status.split).length} (${away} with peers)`,
     );
   }
 };
--- a/packages/testbed/src/part-costs.ts
+++ b/packages/testbed/src/part-costs.ts
@@ -60,10 +60,10 @@
 
 const front = (index: number): Self => ({
   id: `front-${index}`,
-  hall: 'zone-1',
+  zone: 'zone-1',
   region: 'region-1',
   address: `10.0.${Math.floor(index / 250)}.${index % 250}:7001`,
-  proxy: { callers: '10.0.0.1:8080', partners: '10.0.0.1:8081', capacityBps: 1e9 },
+  proxy: { callers: '10.0.0.1:8080', peers: '10.0.0.1:8081', capacityBps: 1e9 },
   replica: null,
 });
 
@@ -76,7 +76,7 @@
     Array.from({ length: nodes }, (_, index) => [
       `node/front-${index + 1}`,
       {
-        serial: 1,
+        revision: 1,
         value: { ...front(index + 1), ready: true, staying: true, proxyLife: '', wants: {} },
       },
     ]),
--- a/packages/testbed/src/small.ts
+++ b/packages/testbed/src/small.ts
@@ -6,15 +6,15 @@
 export const small: Deployment = {
   name: 'small',
   machines: [
-    { name: 'front-1', hall: 'west', region: 'home', kind: 'front', capacityBps: 8_000_000 },
-    { name: 'front-2', hall: 'north', region: 'home', kind: 'front', capacityBps: 8_000_000 },
-    { name: 'core-1', hall: 'west', region: 'home', kind: 'core' },
-    { name: 'core-2', hall: 'north', region: 'home', kind: 'core' },
-    { name: 'core-3', hall: 'north', region: 'home', kind: 'core' },
+    { name: 'front-1', zone: 'west', region: 'home', kind: 'front', capacityBps: 8_000_000 },
+    { name: 'front-2', zone: 'north', region: 'home', kind: 'front', capacityBps: 8_000_000 },
+    { name: 'core-1', zone: 'west', region: 'home', kind: 'core' },
+    { name: 'core-2', zone: 'north', region: 'home', kind: 'core' },
+    { name: 'core-3', zone: 'north', region: 'home', kind: 'core' },
   ],
   origins: [
-    { service: 'store', instance: 'content-1', hall: 'west', region: 'home', capacity: 500 },
-    { service: 'application', instance: 'app-1', hall: 'north', region: 'home', capacity: 500 },
+    { service: 'store', instance: 'content-1', zone: 'west', region: 'home', capacity: 500 },
+    { service: 'application', instance: 'app-1', zone: 'north', region: 'home', capacity: 500 },
   ],
 };
 
--- a/packages/testbed/src/sockets.test.ts
+++ b/packages/testbed/src/sockets.test.ts
@@ -209,7 +209,7 @@
       .status,
     404,
   );
-  // A caller can't pass itself off as a partner or set the project's own fields.
+  // A caller can't pass itself off as a peer or set the project's own fields.
   t.is(
     (
       await get(`/live/${next()}`, {
@@ -274,7 +274,7 @@
   store.become({ slowMs: 600 });
   const sofar = store.got();
   const underWay = get(`/live/${next()}`);
-  await fleet.until('a leg under way', () => Promise.resolve(store.got() > sofar));
+  await fleet.until('an attempt under way', () => Promise.resolve(store.got() > sofar));
   const stopped = fleet.stop('front-1', 'proxy');
   t.is((await underWay).status, 200);
   await stopped;
--- a/packages/testbed/src/trial.test.ts
+++ b/packages/testbed/src/trial.test.ts
@@ -20,8 +20,8 @@
   });
   t.deepEqual(report.wrongs, []);
   t.true(report.faults.length > 0);
-  // It saw something: callers asked, proxies made legs or answered from copies.
-  t.true(report.asked > 200 && report.legs > 100, JSON.stringify(report));
+  // It saw something: callers asked, proxies made attempts or answered from copies.
+  t.true(report.asked > 200 && report.attempts > 100, JSON.stringify(report));
 });
 
 test('a line of a log is read back as its pairs', (t) => {
--- a/packages/testbed/src/trial.ts
+++ b/packages/testbed/src/trial.ts
@@ -129,23 +129,23 @@
       readonly service: string;
       readonly instance: string;
       readonly incarnation: number;
-      readonly hall: string;
+      readonly zone: string;
       readonly cold: boolean;
       readonly unsafe: boolean;
     },
   ): void => {
     const from = /.*1\.1 ([\w-]+) \(reedyard\)/.exec(String(request.headers.via ?? ''))?.[1] ?? '';
     const submission = Number(request.headers['x-submission'] ?? -1);
-    const { service, instance, incarnation, hall, cold } = by;
+    const { service, instance, incarnation, zone, cold } = by;
     this.history.push({
-      kind: 'leg',
+      kind: 'attempt',
       at: this.#now(),
       from,
       region: this.deployment.machines.find((machine) => machine.name === from)?.region ?? '',
       service,
       instance,
       incarnation,
-      hall,
+      zone,
       cold,
       expected: String(request.headers['reedyard-expect'] ?? ''),
       host: request.headers.host ?? '',
@@ -230,7 +230,7 @@
     });
   }
 
-  /** Asks as the platform does who is ready, and who has the duty. */
+  /** Asks as the platform does who is ready, and who has the quotaLeadership. */
   #watch(): void {
     for (const name of this.fleet.names('front')) {
       const box = this.fleet.callersOf(name);
@@ -347,12 +347,12 @@
       document,
       changeId,
       20,
-      (body: { serial: number }) => {
+      (body: { revision: number }) => {
         this.history.push({
           kind: 'put',
           at: this.#now(),
           changeId,
-          serial: body.serial,
+          revision: body.revision,
           document,
         });
         done();
@@ -362,9 +362,16 @@
   }
   read(): void {
     const askedAt = this.#now();
-    this.#operate('GET', '/v1/policy', undefined, this.#change(), 0, (body: { serial: number }) => {
-      this.history.push({ kind: 'read', at: this.#now(), askedAt, serial: body.serial });
-    });
+    this.#operate(
+      'GET',
+      '/v1/policy',
+      undefined,
+      this.#change(),
+      0,
+      (body: { revision: number }) => {
+        this.history.push({ kind: 'read', at: this.#now(), askedAt, revision: body.revision });
+      },
+    );
   }
   purge(
     objects: readonly string[],
@@ -377,21 +384,21 @@
       done();
     });
   }
-  hall(hall: string, order: 'empty' | 'take-back', done: () => void = () => undefined): void {
+  zone(zone: string, order: 'empty' | 'take-back', done: () => void = () => undefined): void {
     const sentAt = this.#now();
     this.#operate(
       'PUT',
-      `/v1/halls/${hall}`,
+      `/v1/zones/${zone}`,
       { order },
       this.#change(),
       10,
-      (body: { serial: number }) => {
+      (body: { revision: number }) => {
         this.history.push({
-          kind: 'hall',
+          kind: 'zone',
           at: this.#now(),
           sentAt,
-          serial: body.serial,
-          hall,
+          revision: body.revision,
+          zone,
           order,
         });
         done();
@@ -446,7 +453,7 @@
       submission,
       job,
       node,
-      hall: machine?.hall ?? '',
+      zone: machine?.zone ?? '',
       method,
       target,
       key,
@@ -503,10 +510,15 @@
         if (!line.includes('event=trace.')) continue;
         const pairs = pairsOf(line);
         const at = this.at(Date.parse(pairs['time'] ?? ''));
-        const { hall = '', region = '' } = machines.get(place) ?? {};
-        if (pairs['event'] === 'trace.leg' || pairs['event'] === 'trace.copy')
-          this.history.push({ kind: 'acted', at, node: place, serial: Number(pairs['serial']) });
-        if (pairs['event'] === 'trace.leg' && Number(pairs['leg']) > 0)
+        const { zone = '', region = '' } = machines.get(place) ?? {};
+        if (pairs['event'] === 'trace.attempt' || pairs['event'] === 'trace.copy')
+          this.history.push({
+            kind: 'acted',
+            at,
+            node: place,
+            revision: Number(pairs['revision']),
+          });
+        if (pairs['event'] === 'trace.attempt' && Number(pairs['attempt']) > 0)
           this.history.push({ kind: 'repeat', at });
         if (pairs['event'] === 'trace.relay')
           this.history.push({
@@ -514,7 +526,7 @@
             at,
             from: pairs['from'] ?? '',
             to: place,
-            hall,
+            zone,
             target: pairs['target'] ?? '',
           });
         if (pairs['event'] === 'trace.stored')
@@ -553,7 +565,7 @@
   readonly rest: Readonly<Record<string, number>>;
   readonly wrongs: readonly Wrong[];
   readonly refused: readonly string[];
-  readonly legs: number;
+  readonly attempts: number;
   readonly repeats: number;
   readonly faults: readonly { readonly at: number; readonly what: string }[];
 };
@@ -611,7 +623,7 @@
     ...available(fleet.history, 8_000),
     wrongs: judge(fleet.history, options.rules),
     refused: fleet.refused,
-    legs: fleet.history.filter((entry) => entry.kind === 'acted').length,
+    attempts: fleet.history.filter((entry) => entry.kind === 'acted').length,
     repeats: fleet.history.filter((entry) => entry.kind === 'repeat').length,
     faults: fleet.history.flatMap((entry) =>
       entry.kind === 'fault' ? [{ at: entry.at, what: entry.what }] : [],
--- a/packages/testbed/src/trials.ts
+++ b/packages/testbed/src/trials.ts
@@ -62,7 +62,7 @@
       say(`  fault at ${(at / 1_000).toFixed(3)} s: ${what}`);
     for (const text of report.refused) say(`  refused: ${text}`);
     say(
-      `trial example=${name} scenario=${scenario} seed=${seed} asked=${report.asked} served=${(100 * report.share).toFixed(2)}% legs-and-copies=${report.legs} repeats=${report.repeats} rest=${JSON.stringify(
+      `trial example=${name} scenario=${scenario} seed=${seed} asked=${report.asked} served=${(100 * report.share).toFixed(2)}% attempts-and-copies=${report.attempts} repeats=${report.repeats} rest=${JSON.stringify(
         Object.fromEntries(
           Object.entries(report.rest)
             .sort(([, a], [, b]) => b - a)
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -1,6 +1,6 @@
 export type Machine = {
   readonly name: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly kind: 'front' | 'store' | 'core';
   readonly capacityBps?: number;
@@ -8,7 +8,7 @@
 export type Origin = {
   readonly service: string;
   readonly instance: string;
-  readonly hall: string;
+  readonly zone: string;
   readonly region: string;
   readonly capacity: number;
   readonly maxAge?: number;
