--- a/packages/agent/src/lease.ts
+++ b/packages/agent/src/lease.ts
@@ -105,3 +105,10 @@
   const since = Math.max(state.lease, state.openedAt, state.returnedAt);
   return state.now - since < Limits.eager ? Beats.lapsed : Beats.pull;
 };
+
+/**
+ * ms after which a pull without an answer is sent again. Sooner while this node asks eagerly: a few
+ * lost messages must not pass for silence.
+ */
+export const pullPatience = (state: AgentState): number =>
+  pullInterval(state) === Beats.lapsed ? Beats.leaseLow : Limits.pull;
--- a/packages/agent/src/pulls.ts
+++ b/packages/agent/src/pulls.ts
@@ -8,7 +8,7 @@
 } from '@reedyard/replica';
 import type { Plan } from '@reedyard/quota-division';
 import { countAnew, propose } from './ballots.js';
-import { hasAccepted, isLow, isOverdue, renewLease, stackPull } from './lease.js';
+import { hasAccepted, isLow, isOverdue, pullPatience, renewLease, stackPull } from './lease.js';
 import { discoverMembers, noteOwnReplica, noteSpare, offerOwnPlace } from './membership.js';
 import { isProbeDue, isProbing } from './reachability.js';
 import type { ZonesValue } from './terms.js';
@@ -56,8 +56,9 @@
 
 /** Asks every replica for what is new; several times a second. */
 export const pullAll = (work: Work): void => {
+  const patience = pullPatience(work.state);
   for (const [name, view] of Object.entries(work.state.replicas)) {
-    if (view.call !== null && work.state.now - view.askedAt < Limits.pull) continue;
+    if (view.call !== null && work.state.now - view.askedAt < patience) continue;
     pull(work, name, view);
   }
   discoverMembers(work);
