A value that a replica copied from another counts as read, but not as its vote

Cause: a disk that reads others before it votes takes over the newest value that any of them holds, and the highest promise. What it held then counted like a vote of its own: a proposer that found the same ballot at a majority took it for chosen without writing it again, and so did an agent that saw it in a majority of pulls. But an acceptor that has promised a ballot may hold a copy of a value of a lower one, which it could not have voted for. With a successor that reads its predecessor alone: a has accepted p1 in ballot 2; q has the promises of b and c for ballot 11, and b accepts q1 in it. d takes over from c, reads a and c, and votes. A retry of p finds p1 at a and d and acknowledges it; a ballot by b and d finds q1 as the newest, and p1 is lost.

Ruled out: to drop what was copied (a successor that reads a majority needs it), and to keep the reads of the predecessor apart: two successors one after the other can both copy a value of one member in a membership of four or five, and make a majority of it (reasoned, not run).

Now a copy is marked on disk, in votes and in pulls; only votes of the predecessor, cast in the very place, are taken over as votes. A replica that comes back to vote in another place marks its own old votes as copies, and a predecessor that is a member again is not read as one.

--- a/packages/agent/src/lease.ts
+++ b/packages/agent/src/lease.ts
@@ -41,7 +41,7 @@
   const known = live.findIndex((each) => isWhollyKnown(state, each));
   const earlier = live
     .slice(0, known < 0 ? live.length : known + 1)
-    .map(({ sentAt, more, ballots }) => ({ sentAt, more, ballots }));
+    .map(({ earlier: _earlier, ...seen }: PullSeen & Partial<Pulled>) => seen);
   return { ...newest, earlier };
 };
 
@@ -50,7 +50,9 @@
  */
 export const hasAccepted = (view: ReplicaView, key: Watched, ballot: Ballot): boolean =>
   pullsOf(view.pulled).some(
-    (each) => Ballots.compare(each.ballots[key] ?? Ballots.none, ballot) === 0,
+    (each) =>
+      each.copied?.includes(key) !== true &&
+      Ballots.compare(each.ballots[key] ?? Ballots.none, ballot) === 0,
   );
 
 /** When the newest pull that shows nothing unknown of a subject was sent to a replica. */
--- a/packages/agent/src/pulls.ts
+++ b/packages/agent/src/pulls.ts
@@ -364,6 +364,7 @@
     sentAt,
     more: reply.more,
     ballots: reply.ballots,
+    ...(reply.copied === undefined ? {} : { copied: reply.copied }),
   });
   change(work, name, {
     call: null,
--- a/packages/agent/src/state.ts
+++ b/packages/agent/src/state.ts
@@ -59,6 +59,8 @@
   readonly sentAt: number;
   readonly more: boolean;
   readonly ballots: Readonly<Record<string, Ballot>>;
+  /** Registers whose value the replica copied from another: it has not voted for it. */
+  readonly copied?: readonly string[];
 };
 
 /**
--- a/packages/agent/src/testing/membership-client-types.ts
+++ b/packages/agent/src/testing/membership-client-types.ts
@@ -36,7 +36,12 @@
   readonly outvoted: boolean;
 };
 /** What the newest counted pull of a place showed. */
-export type View = { readonly sentAt: number; readonly ballots: Readonly<Record<string, Ballot>> };
+export type View = {
+  readonly sentAt: number;
+  readonly ballots: Readonly<Record<string, Ballot>>;
+  /** Registers whose value the replica copied from another. */
+  readonly copied: readonly string[];
+};
 /** A value that is known to be chosen. */
 export type Known = { readonly ballot: Ballot; readonly value: unknown };
 
--- a/packages/agent/src/testing/membership-client.ts
+++ b/packages/agent/src/testing/membership-client.ts
@@ -208,7 +208,7 @@
   set(work, {
     facts: [...facts, ...added],
     cursors: { ...cursors, [body.disk]: { disk: body.disk, seq: body.seq } },
-    views: { ...views, [place]: { sentAt, ballots: body.ballots } },
+    views: { ...views, [place]: { sentAt, ballots: body.ballots, copied: body.copied ?? [] } },
     hanging: [],
   });
   watchedKeys.forEach((key) => watch(work, key));
@@ -218,6 +218,10 @@
 const knownBallot = (client: Client, key: WatchedKey): Ballot =>
   (key === membersKey ? client.members?.ballot : client.data?.ballot) ?? Ballots.none;
 
+/** Whether a replica shows a ballot that it accepted itself. */
+const votedFor = (view: View, key: WatchedKey, ballot: Ballot): boolean =>
+  !view.copied.includes(key) && Ballots.compare(view.ballots[key] ?? Ballots.none, ballot) === 0;
+
 /** What a majority of pulls shows is fetched; what only a minority shows hangs. */
 const watch = (work: Work, key: WatchedKey): void => {
   const { client } = work;
@@ -232,7 +236,8 @@
   const holders = shown.filter(([, ballot]) => Ballots.compare(ballot, highest) === 0);
   const holder = holders[0]?.[0];
   if (holder === undefined) return;
-  if (holders.length < majorityOf(placesOf(client).length)) {
+  const votes = Object.values(client.views).filter((view) => votedFor(view, key, highest));
+  if (votes.length < majorityOf(placesOf(client).length)) {
     set(work, { hanging: [...client.hanging, key] });
   } else call(work, holder, { kind: 'fetch', key }, { kind: 'fetch', key });
 };
@@ -241,9 +246,7 @@
   if (body.kind !== 'fetched' || body.accepted === null) return;
   const { ballot, value } = body.accepted;
   const { views } = work.client;
-  const holders = Object.values(views).filter(
-    (view) => Ballots.compare(view.ballots[key] ?? Ballots.none, ballot) === 0,
-  );
+  const holders = Object.values(views).filter((view) => votedFor(view, key, ballot));
   if (holders.length < majorityOf(placesOf(work.client).length)) return;
   work.effects.push({ kind: 'chosen', key, ballot, value });
   learn(work, key, ballot, value);
--- a/packages/consensus/src/acceptor.ts
+++ b/packages/consensus/src/acceptor.ts
@@ -1,10 +1,18 @@
 /** A ballot: a round and who opened it. Any two are ordered. */
 export type Ballot = readonly [round: number, proposer: string];
 
+/** A value as an acceptor holds it. */
+export type Accepted = {
+  readonly ballot: Ballot;
+  readonly value: unknown;
+  /** It was copied from another acceptor, and counts as read, but not as a vote of this one. */
+  readonly copied?: true;
+};
+
 /** What an acceptor keeps of one register. */
 export type Cell = {
   readonly promised: Ballot;
-  readonly accepted: { readonly ballot: Ballot; readonly value: unknown } | null;
+  readonly accepted: Accepted | null;
 };
 
 export const Ballots = {
@@ -29,6 +37,14 @@
   | { readonly kind: 'yes'; readonly accepted: Cell['accepted'] }
   | { readonly kind: 'no'; readonly promised: Ballot };
 
+/** The newer of two accepted values; of one ballot, a vote rather than a copy. */
+const newerAccepted = (left: Accepted | null, right: Accepted | null): Accepted | null => {
+  if (left === null || right === null) return left ?? right;
+  const order = Ballots.compare(left.ballot, right.ballot);
+  if (order !== 0) return order > 0 ? left : right;
+  return left.copied === true ? right : left;
+};
+
 export const Acceptor = {
   /**
    * First phase: promise to take part in no ballot below this one. A prepare that is sent again
@@ -68,13 +84,17 @@
    */
   merge: (left: Cell, right: Cell): Cell => ({
     promised: Ballots.compare(left.promised, right.promised) >= 0 ? left.promised : right.promised,
-    accepted:
-      left.accepted === null
-        ? right.accepted
-        : right.accepted === null
-          ? left.accepted
-          : Ballots.compare(left.accepted.ballot, right.accepted.ballot) >= 0
-            ? left.accepted
-            : right.accepted,
+    accepted: newerAccepted(left.accepted, right.accepted),
   }),
+
+  /**
+   * A cell as another acceptor takes it over: its value must be read, but is no vote of that one.
+   * An acceptor that promised a ballot may hold a copy of a value of a lower one, which it could
+   * not have voted for any more.
+   *
+   * @example
+   * Acceptor.copyOf({ promised: [2, 'a'], accepted: { ballot: [1, 'a'], value: 'v' } }).accepted?.copied // true
+   */
+  copyOf: (cell: Cell): Cell =>
+    cell.accepted === null ? cell : { ...cell, accepted: { ...cell.accepted, copied: true } },
 } as const;
--- a/packages/consensus/src/proposer.ts
+++ b/packages/consensus/src/proposer.ts
@@ -83,7 +83,9 @@
         ? promises.length
         : promises.filter(
             ({ accepted }) =>
-              accepted !== null && Ballots.compare(accepted.ballot, newest.ballot) === 0,
+              accepted !== null &&
+              accepted.copied !== true &&
+              Ballots.compare(accepted.ballot, newest.ballot) === 0,
           ).length;
     if (held >= majorityOf(proposal.members.length)) {
       return ended(
--- a/packages/replica/src/journal.ts
+++ b/packages/replica/src/journal.ts
@@ -47,6 +47,7 @@
       return accepted ? [[key, accepted.ballot]] : [];
     }),
   );
+  const copied = keys.filter((key) => state.cells.get(key)?.accepted?.copied === true);
   return {
     kind: 'pulled',
     disk: state.disk,
@@ -55,6 +56,7 @@
     more: facts.length < fresh.length,
     facts: facts.map(({ key, value }) => ({ key, value })),
     ballots,
+    ...(copied.length === 0 ? {} : { copied }),
     ...(state.stopAskedAt === null ? {} : { leaving: true as const }),
   };
 };
--- a/packages/replica/src/membership.ts
+++ b/packages/replica/src/membership.ts
@@ -52,7 +52,15 @@
   const place =
     members === undefined || state.seeded === null ? undefined : placeOf(state, members);
   const found = place === undefined ? undefined : members?.predecessors?.[place];
-  return found === undefined ? null : { ...found, reading: predecessorReading(found.disk) };
+  // A disk that is a member again goes on voting, in a place of its own: its votes must not count
+  // twice.
+  if (
+    members === undefined ||
+    found === undefined ||
+    Object.values(members.disks).includes(found.disk)
+  )
+    return null;
+  return { ...found, reading: predecessorReading(found.disk) };
 };
 
 /**
--- a/packages/replica/src/messages.ts
+++ b/packages/replica/src/messages.ts
@@ -119,6 +119,11 @@
       readonly more: boolean;
       readonly facts: readonly Fact[];
       readonly ballots: Readonly<Record<string, Ballot>>;
+      /**
+       * Registers whose value it copied from another replica: they tell what to learn, but count as
+       * no vote.
+       */
+      readonly copied?: readonly string[];
       /**
        * Its disk takes no writes: what it shows is sound, but it votes for nothing and counts as
        * lost.
--- a/packages/replica/src/recovery.ts
+++ b/packages/replica/src/recovery.ts
@@ -231,7 +231,7 @@
         now,
       );
   }
-  beginVoting(work, step);
+  beginVoting(work, step, now);
 };
 
 /**
@@ -250,7 +250,16 @@
   );
 };
 
-const beginVoting = (work: Work, step: string): void => {
+/** A disk that comes back to vote in another place: none of its earlier votes counts there. */
+const forgetVotes = (work: Work, now: number): void => {
+  for (const [key, cell] of work.state.cells) {
+    const isVote = cell.accepted !== null && cell.accepted.copied !== true;
+    if (key !== membersKey && isVote) keepCell(work, key, Acceptor.copyOf(cell), now);
+  }
+};
+
+const beginVoting = (work: Work, step: string, now: number): void => {
+  if (work.state.voting) forgetVotes(work, now);
   const epoch = work.state.told?.value.epoch ?? 0;
   set(work, { voting: true, votingEpoch: epoch, readings: {} });
   work.effects.push(
@@ -283,8 +292,8 @@
       members.epoch === 1 ||
       nextStep({ name: place, disk: state.disk, members, others }) === 'vote'
     )
-      beginVoting(work, 'vote');
-    else if (hasReadPredecessor(state)) beginVoting(work, 'handover');
+      beginVoting(work, 'vote', now);
+    else if (hasReadPredecessor(state)) beginVoting(work, 'handover', now);
     return;
   }
   if (!mayFound(state) || Object.values(others).some((other) => other.state !== 'blank')) return;
@@ -295,7 +304,7 @@
   };
   // All that found at once come to the same members under the same ballot.
   adopt(work, { ballot: [1, 'founding'], value: { epoch: 1, disks, addresses } }, now);
-  beginVoting(work, 'found');
+  beginVoting(work, 'found', now);
 };
 
 export const returned = (work: Work, id: number, body: ReplicaReply | null, now: number): void => {
@@ -328,7 +337,11 @@
   }
   adopt(work, body.members, now);
   if (work.state.readings[name] === undefined) return;
-  for (const [key, cell] of body.cells) {
+  const isPredecessor =
+    name === predecessorOf(work.state)?.reading && body.disk === predecessorOf(work.state)?.disk;
+  for (const [key, shown] of body.cells) {
+    // Only the predecessor's votes were cast in this place.
+    const cell = isPredecessor ? shown : Acceptor.copyOf(shown);
     const mine = work.state.cells.get(key) ?? emptyCell;
     // Members that another accepted need not be chosen: of that register only what was promised is
     // taken over.
