A replaced replica that had not come to vote in its last place is not read in place of others

Cause: a successor may vote after it has read its predecessor alone, since that one holds all votes of the place. That does not hold for a disk that voted in an earlier place, got another by old news that it is blank, and was replaced there before it had read the others: told of neither, it answered its successor as a replaced replica, without what was chosen in the place in between.

Ruled out: that the successor can tell by the disk's name, which stays the same over both places.

Now the membership tells in which epoch the predecessor had got its place, and a replaced replica whose votes are older answers that it has nothing to give; the successor reads enough other members.

--- a/packages/agent/src/changes.ts
+++ b/packages/agent/src/changes.ts
@@ -251,7 +251,12 @@
     }
     const disks = { ...without(old.disks, gone), [replica]: disk };
     const addresses = { ...without(old.addresses ?? {}, gone), [replica]: address };
-    const predecessor = { disk: old.disks[gone], address: old.addresses?.[gone] ?? '' };
+    const since = old.joinedIn?.[gone];
+    const predecessor = {
+      disk: old.disks[gone],
+      address: old.addresses?.[gone] ?? '',
+      ...(since === undefined ? {} : { joinedIn: since }),
+    };
     const predecessors = { ...without(old.predecessors ?? {}, gone), [replica]: predecessor };
     const joinedIn = { ...without(old.joinedIn ?? {}, gone), [replica]: old.epoch + 1 };
     const value = { ...old, epoch: old.epoch + 1, disks, addresses, predecessors, joinedIn };
--- a/packages/replica/src/messages.ts
+++ b/packages/replica/src/messages.ts
@@ -30,7 +30,12 @@
  * The disk that gave a member its place. Once told of that, its state is frozen, and a copy of it
  * is enough to vote.
  */
-export type Predecessor = { readonly disk: string; readonly address: string };
+export type Predecessor = {
+  readonly disk: string;
+  readonly address: string;
+  /** The epoch in which its place had been given to it; left out for the disks of the founding. */
+  readonly joinedIn?: number;
+};
 /** Members that are known to be chosen. */
 export type CommittedMembership = { readonly ballot: Ballot; readonly value: Members };
 export const membersKey = 'members';
--- a/packages/replica/src/recovery.ts
+++ b/packages/replica/src/recovery.ts
@@ -31,6 +31,16 @@
   informed: state.told !== null,
 });
 
+/**
+ * Whether a replaced disk had come to vote in the place that was taken from it. If not, others may
+ * have chosen in that place, before it, what it never read.
+ */
+const votedInLastPlace = (state: ReplicaState): boolean => {
+  const predecessors = Object.values(state.told?.value.predecessors ?? {});
+  const place = predecessors.find(({ disk }) => disk === state.disk);
+  return (place?.joinedIn ?? 0) <= state.votingEpoch;
+};
+
 /**
  * One page of the registers for a reader. The keys are listed once, at its first page: a register
  * that is written later was not written under members that the reader's place took part in.
@@ -38,7 +48,7 @@
 export const dumped = (work: Work, after: string | null): ReplicaReply => {
   const { state } = work;
   // A retired replica accepts nothing more, so what it shows is all that it ever will.
-  if (!isMember(state) && !isRetired(state)) return away(state);
+  if (!isMember(state) && !(isRetired(state) && votedInLastPlace(state))) return away(state);
   const [given = '', at = '0'] = after === null ? [] : after.split(':');
   const known = state.dumps[given];
   const reading = known === undefined ? String(state.nextCall) : given;
