model: the membership model fits a successor that reads its predecessor alone

Planted and found: a predecessor read before it is told, one that votes on, one that forgets before it is read, one that had not voted in its last place, a copy counted as a vote, a disk that votes in any place.

--- a/packages/agent/src/testing/membership-cluster.ts
+++ b/packages/agent/src/testing/membership-cluster.ts
@@ -219,18 +219,19 @@
     if (hasChanged) this.checkQuorums();
   }
 
-  #noteBegun(before: ReplicaState, { voting, disk, told }: ReplicaState): void {
+  #noteBegun(before: ReplicaState, { voting, votingEpoch, disk, told }: ReplicaState): void {
     if (told !== null && told !== before.told) {
       this.history = noteTold(this.history, disk, told.value);
     }
-    if (before.voting || !voting || told === null) return;
+    const hasBegun = voting && (!before.voting || votingEpoch !== before.votingEpoch);
+    if (!hasBegun || told === null) return;
     this.history = noteBegun(this.history, disk, told.value);
   }
 
   #call(replica: ModelReplica, effect: ReplicaEffect): void {
     if (effect.kind !== 'call') return;
     const read = { from: replica.address, to: effect.to, id: effect.id };
-    const body = this.mutation.reads?.(effect.body) ?? effect.body;
+    const body = this.mutation.reads?.(effect.body, effect.to) ?? effect.body;
     this.#send({ kind: 'request', caller: { kind: 'replica', read }, to: effect.to, body });
   }
 
--- a/packages/agent/src/testing/membership-mutations.ts
+++ b/packages/agent/src/testing/membership-mutations.ts
@@ -25,7 +25,7 @@
   /** The name that a wiped disk gets. */
   readonly wipedDisk?: (old: string) => string;
   /** The call by which a replica reads another. */
-  readonly reads?: (ask: ReplicaAsk) => ReplicaAsk;
+  readonly reads?: (ask: ReplicaAsk, to: string) => ReplicaAsk;
   /** What a replica that reads another gets to see of the answer. */
   readonly shows?: (body: ReplicaReply) => ReplicaReply;
   /** What a restart finds on the disk. */
@@ -83,6 +83,57 @@
   { ...cell, promised: cell.accepted?.ballot ?? Ballots.none },
 ];
 
+const isPredecessorAt = (ask: ReplicaAsk, address: string): boolean => {
+  const { addresses = {}, predecessors = {} } = ask.members?.value ?? {};
+  const isMember = Object.values(addresses).includes(address);
+  return !isMember && Object.values(predecessors).some((each) => each.address === address);
+};
+
+const isRetired = (state: ReplicaState): boolean => state.voting && !isNamed(state);
+
+/** A replica that is told of members without it tells so to its reader, and goes on as before. */
+const votesOn = (before: ReplicaState, step: Step): Step => {
+  if (!before.voting || !isNamed(before) || isNamed(step.state)) return step;
+  const effects = step.effects.filter(({ kind }) => kind === 'tell');
+  return { state: before, effects };
+};
+
+/** A replaced replica keeps its name, but none of its data. */
+const forgetsAtOnce = (_before: ReplicaState, step: Step): Step => {
+  const { state } = step;
+  if (!isRetired(state)) return step;
+  const isEmpty = state.cells.isEmpty() && state.facts.length === 0;
+  const emptied = isEmpty ? state : { ...state, cells: state.cells.clear(), facts: [] };
+  const effects = step.effects.map((effect) =>
+    effect.kind === 'tell' && effect.body.kind === 'dumped'
+      ? { ...effect, body: { ...effect.body, cells: [], facts: [] } }
+      : effect,
+  );
+  return { state: emptied, effects };
+};
+
+const countsCopiedCells = (_before: ReplicaState, step: Step): Step => {
+  const cells = step.state.cells.map((cell): Cell => {
+    if (cell.accepted?.copied !== true) return cell;
+    const { ballot, value } = cell.accepted;
+    return { ...cell, accepted: { ballot, value } };
+  });
+  return { ...step, state: { ...step.state, cells } };
+};
+
+/** Tells of members as if every replaced disk had been a founder. */
+const withoutPredecessorEpochs = (ask: ReplicaAsk): ReplicaAsk => {
+  if (ask.members === null) return ask;
+  const { value } = ask.members;
+  const predecessors = Object.fromEntries(
+    Object.entries(value.predecessors ?? {}).map(([place, { disk, address }]) => [
+      place,
+      { disk, address },
+    ]),
+  );
+  return { ...ask, members: { ...ask.members, value: { ...value, predecessors } } };
+};
+
 /** Every planted fault, by a short name. */
 export const mutations = {
   votesBeforeReading: { name: 'a successor votes before it has read', after: votesAfter(() => 0) },
@@ -113,6 +164,31 @@
     name: 'a successor does not tell whom it reads of its epoch',
     reads: (ask) => ({ ...ask, members: null }),
   },
+  readsPredecessorUntold: {
+    name: 'a successor does not tell its predecessor of its epoch before it reads it',
+    reads: (ask, to) => (isPredecessorAt(ask, to) ? { ...ask, members: null } : ask),
+  },
+  predecessorVotesOn: {
+    name: 'a predecessor goes on voting after it was read',
+    after: votesOn,
+  },
+  predecessorForgets: {
+    name: 'a predecessor forgets its data before its successor has read it',
+    after: forgetsAtOnce,
+  },
+  readsIdlePredecessor: {
+    name: 'a predecessor is read that did not vote in its last place',
+    hears: (_state, ask) => withoutPredecessorEpochs(ask),
+  },
+  countsCopies: {
+    name: 'a copied value counts as a vote',
+    after: countsCopiedCells,
+  },
+  votesInAnyPlace: {
+    name: 'a disk votes in every place once it has voted in one',
+    after: (_before, step) =>
+      step.state.voting ? { ...step, state: { ...step.state, votingEpoch: Infinity } } : step,
+  },
   takesNoPromises: {
     name: 'a successor takes over what was accepted, not what was promised',
     shows: (body) =>
--- a/packages/agent/src/testing/membership-random.ts
+++ b/packages/agent/src/testing/membership-random.ts
@@ -166,7 +166,10 @@
     const seeded = { address, seeds: [], firstStart: false };
     const parts = { name: address, others: {}, seeded, records: durable, freshDisk: '', now: 0 };
     const { state } = Replica.open(parts);
-    return state.voting && Object.values(members.disks).includes(state.disk);
+    const place = Object.keys(members.disks).find((each) => members.disks[each] === state.disk);
+    return (
+      state.voting && place !== undefined && (members.joinedIn?.[place] ?? 0) <= state.votingEpoch
+    );
   }
 
   /** A wipe may leave no fewer than a majority of sound disks: at most f are lost at once. */
--- a/packages/agent/src/testing/membership-search.ts
+++ b/packages/agent/src/testing/membership-search.ts
@@ -3,6 +3,7 @@
  * answers and repeated requests. States that were met before, by a digest, are not gone on from.
  */
 import { createHash } from 'node:crypto';
+import { isMember } from '@reedyard/replica';
 import type { ReplicaAsk, ReplicaState, CommittedMembership } from '@reedyard/replica';
 import { Ballots } from '@reedyard/consensus';
 import type { Cell } from '@reedyard/consensus';
@@ -31,8 +32,11 @@
   readonly beats: number;
   /** Whether answers to replicas that read others are steps of their own. */
   readonly delaysReads?: boolean;
-  /** Whether prepares are lost whose attempt needs no more promises. */
-  readonly losesIdlePrepares: boolean;
+  /**
+   * Whether prepares are lost whose attempt needs no more promises, and reads that nobody waits
+   * for.
+   */
+  readonly losesIdleCalls: boolean;
   /** More states than this are not looked at. */
   readonly states: number;
 };
@@ -114,8 +118,8 @@
   );
 };
 
-const waits = ({ running, state: { voting, told, disk } }: ModelReplica): boolean =>
-  running && !voting && told !== null && Object.values(told.value.disks).includes(disk);
+const waits = ({ running, state }: ModelReplica): boolean =>
+  running && !isMember(state) && Object.values(state.told?.value.disks ?? {}).includes(state.disk);
 
 const beats = (node: Node, bounds: Bounds): readonly Node[] => {
   if (node.beats >= bounds.beats) return [];
@@ -172,7 +176,8 @@
   if (accepted === null) return promised.join('/');
   const value = accepted.value as { epoch?: number; disks?: unknown } | string;
   const text = typeof value === 'string' ? value : JSON.stringify(value.disks);
-  return `${promised.join('/')}:${accepted.ballot.join('/')}=${text}`;
+  const copied = accepted.copied === true ? ' copied' : '';
+  return `${promised.join('/')}:${accepted.ballot.join('/')}=${text}${copied}`;
 };
 
 const textOfState = remembered((state: ReplicaState): string => {
@@ -180,7 +185,14 @@
   const readings = Object.entries(state.readings)
     .map(([name, { state: how, disk, epoch, call }]) => [name, how, disk, epoch, call !== null])
     .sort();
-  return JSON.stringify([state.disk, state.voting, textOfTold(state.told), cells, readings]);
+  return JSON.stringify([
+    state.disk,
+    state.voting,
+    state.votingEpoch,
+    textOfTold(state.told),
+    cells,
+    readings,
+  ]);
 });
 
 const textOfClient = remembered((client: Client): string => {
@@ -217,11 +229,11 @@
 };
 
 const textOfHistory = remembered((history: History): string => {
-  const { accepts, chosen, appended, reads, begun } = history;
+  const { accepts, chosen, appended, reads, begun, handedOver } = history;
   const tallies = Object.entries(accepts).map(([name, { disks }]) => `${name} ${disks.join()}`);
   const ballots = chosen.map(({ key, ballot }) => `${key} ${ballot.join('/')}`);
   const ids = appended.map(({ id }) => id);
-  return JSON.stringify([tallies.sort(), ballots.sort(), ids.sort(), reads, begun]);
+  return JSON.stringify([tallies.sort(), ballots.sort(), ids.sort(), reads, begun, handedOver]);
 });
 
 /** Equal for two states that go on alike. */
@@ -237,6 +249,14 @@
   return createHash('md5').update(parts.join('\n')).digest('base64');
 };
 
+const isIdle = (message: Message, cluster: Cluster): boolean => {
+  if (message.caller.kind === 'replica') return isIdleRead(message.caller.read, cluster);
+  return isIdlePrepare(message, cluster);
+};
+
+const isIdleRead = ({ from, id }: ReadCall, { replicas }: Cluster): boolean =>
+  !Object.values(replicas[from]?.state.readings ?? {}).some(({ call }) => call === id);
+
 const isIdlePrepare = (message: Message, { clients }: Cluster): boolean => {
   if (message.kind === 'reply' || message.caller.kind === 'replica') return false;
   const { name, call } = message.caller;
@@ -250,9 +270,9 @@
 const nextOf = (node: Node, search: Search): readonly Node[] => {
   const { bounds } = search;
   const next = [...beats(node, bounds), ...beginnings(node, search), ...exchanges(node, bounds)];
-  if (!bounds.losesIdlePrepares) return next;
+  if (!bounds.losesIdleCalls) return next;
   for (const { cluster } of next) {
-    cluster.messages = cluster.messages.filter((message) => !isIdlePrepare(message, cluster));
+    cluster.messages = cluster.messages.filter((message) => !isIdle(message, cluster));
   }
   return next;
 };
