--- a/packages/simulator/src/second-loss.test.ts
+++ b/packages/simulator/src/second-loss.test.ts
@@ -122,6 +122,55 @@
   },
 );
 
+test.serial(
+  'disks wiped one after the other, each when the one before has had its time: orders are acknowledged, and nothing is lost',
+  async (t) => {
+    const times: (number | null)[] = [];
+    for (const seed of seeds) {
+      await turn();
+      const site = siteFor(seed);
+      for (let round = 0; round < 5; round += 1) {
+        const lost = site.anyVoting();
+        site.fleet.kill(lost);
+        site.fleet.wipe(lost);
+        times.push(site.timeToAcknowledge(acknowledgement));
+        site.fleet.start(lost);
+        site.runFor(site.options.catchUpMs ?? 0);
+      }
+      t.true(site.keepsAcknowledged(), `seed ${seed}`);
+      t.is(site.voting().length, site.options.members, `seed ${seed}`);
+    }
+    const figures = figuresOf(times);
+    show(t, 'order after each wiped disk', figures);
+    t.is(figures.failed, 0, JSON.stringify(times));
+  },
+);
+
+test.serial(
+  'all machines lose power, one of them its disk as well, right after an acknowledgement: it votes again within half of the time to catch up, and nothing is lost',
+  async (t) => {
+    const times: (number | null)[] = [];
+    for (const seed of seeds) {
+      await turn();
+      const site = siteFor(seed);
+      t.not(site.timeToAcknowledge(acknowledgement), null, `seed ${seed}`);
+      const machines = [...site.fleet.boxes.keys()].filter(
+        (each) => site.fleet.boxes.get(each)?.powered === true,
+      );
+      const lost = site.anyVoting();
+      machines.forEach((each) => site.fleet.kill(each));
+      site.fleet.wipe(lost);
+      site.runFor(1_500);
+      machines.forEach((each) => site.fleet.start(each));
+      times.push(site.timeToMember(lost, longest));
+      t.true(site.keepsAcknowledged(), `seed ${seed}`);
+    }
+    const figures = figuresOf(times);
+    show(t, 'wiped while all lost power, from their start', figures);
+    t.true(figures.p99 <= 2_000, JSON.stringify(figures));
+  },
+);
+
 type Crash = 'nobody' | 'second member' | 'leaver' | 'leaver, and back' | 'successor' | 'agent';
 const crashes: readonly Crash[] = [
   'nobody',
