--- a/packages/agent/src/testing/membership-client.ts
+++ b/packages/agent/src/testing/membership-client.ts
@@ -69,9 +69,13 @@
 
 const open = (work: Work, number: number, goal: Goal, above: Ballot): void => {
   const { client } = work;
-  const turn = Proposer.open(keyOf(goal), changeOf(goal), placesOf(client), above, client.name);
+  // As an agent does: a ballot is used once, and names the life of its process.
+  const higher = Ballots.compare(above, client.highest) > 0 ? above : client.highest;
+  const proposer = `${client.name}/${client.life}`;
+  const turn = Proposer.open(keyOf(goal), changeOf(goal), placesOf(client), higher, proposer);
   const attempt = { goal, proposal: turn.proposal, promisedBy: {}, outvoted: false };
-  set(work, { attempts: { ...client.attempts, [number]: attempt } });
+  const attempts = { ...client.attempts, [number]: attempt };
+  set(work, { attempts, highest: turn.proposal.ballot });
   turn.moves.forEach((move) => perform(work, number, move));
 };
 
