--- a/packages/simulator/src/planted.ts
+++ b/packages/simulator/src/planted.ts
@@ -65,7 +65,7 @@
     what: 'a request keeps the route that it found at arrival',
     plant: 'route-at-arrival',
     scenario: 'policies',
-    seeds: 4,
+    seeds: 8,
   },
   {
     rule: 4,
