--- a/packages/simulator/src/second-loss.test.ts
+++ b/packages/simulator/src/second-loss.test.ts
@@ -249,7 +249,7 @@
       const site = siteFor(seed, {
         members: 3,
         losses: 1,
-        busyMs: 40,
+        busyMs: 100,
         plant: 'forget-when-replaced',
       });
       if (leave(site, 'second member').took === null) failed.push(seed);
