--- a/packages/proxy/src/testing/proxy-harness.ts
+++ b/packages/proxy/src/testing/proxy-harness.ts
@@ -32,18 +32,17 @@
   stamps: ['x-stamp'],
 };
 
-const routeOf = (name: string, more: object): Policy['routes'][number] =>
-  ({
-    name,
-    host: 'a.example',
-    path: `/${name}/`,
-    service: SERVICE,
-    methods: ['GET', 'POST'],
-    cache: { keep: 'never' },
-    limits: {},
-    tagsHeader: 'tags',
-    ...more,
-  });
+const routeOf = (name: string, more: object): Policy['routes'][number] => ({
+  name,
+  host: 'a.example',
+  path: `/${name}/`,
+  service: SERVICE,
+  methods: ['GET', 'POST'],
+  cache: { keep: 'never' },
+  limits: {},
+  tagsHeader: 'tags',
+  ...more,
+});
 
 /** A config with routes that may be repeated, that may not, and whose objects are kept. */
 export const policyOf = (callers: Policy['callers'] = {}, limits: object = {}): Policy => ({
