--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -18,6 +18,8 @@
 /** How long a process that was started again is not counted. */
 const inTouchMs = 3_000;
 const allowedLosses = 3;
+/** How long both origins work on a request. */
+const workMs = 250;
 
 const fleet = new Fleet({
   fronts: 3,
@@ -46,7 +48,7 @@
       }
     }
     socket.write(bytes);
-  }, 100);
+  }, workMs);
 };
 
 const finish = async (code, text) => {
@@ -96,7 +98,7 @@
   }
   let number = 0;
   const clients = fleet.fronts.flatMap((front) =>
-    Array.from({ length: 10 }, (_, index) => {
+    Array.from({ length: 20 }, (_, index) => {
       const isUnsafe = index % 2 === 0;
       const next = () => {
         number += 1;
@@ -104,7 +106,7 @@
           ? { method: 'POST', target: `/confirm/${number}`, body: `order ${number}` }
           : { method: 'GET', target: `/status/${number}` };
       };
-      return new KeptClient({ front, next, seen, pauseMs: 80 });
+      return new KeptClient({ front, next, seen, pauseMs: 50 });
     }),
   );
   const runs = clients.map((client) => client.run());
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -4,7 +4,7 @@
 import { newRequestId, sleep } from './fleet.mjs';
 
 export class KeptClient {
-  /** `next` returns the method, target and body of the next request. */
+  /** `next` returns the next request; the client pauses for `pauseMs` on average. */
   constructor({ front, next, pauseMs = 0, timeLeftMs = 2_500, seen }) {
     Object.assign(this, { front, next, pauseMs, timeLeftMs, seen });
     this.agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
@@ -15,7 +15,7 @@
     while (!this.isOver) {
       const outcome = await this.#send(this.next());
       this.seen.push(outcome);
-      await sleep(outcome.status === 0 ? 200 : this.pauseMs);
+      await sleep(outcome.status === 0 ? 200 : 2 * Math.random() * this.pauseMs);
     }
     this.agent.destroy();
   }
--- a/review/lib/origin.mjs
+++ b/review/lib/origin.mjs
@@ -9,7 +9,7 @@
 const headEnd = Buffer.from('\r\n\r\n');
 
 export class Origin {
-  constructor({ fleet, id, service, host, port, zone, slots = 32, answer }) {
+  constructor({ fleet, id, service, host, port, zone, slots = 64, answer }) {
     Object.assign(this, { fleet, id, service, host, port, zone, slots, answer });
     this.callCount = 0;
     this.state = 'ready';
