--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -23,7 +23,6 @@
 
 const fleet = new Fleet({
   fronts: 3,
-  octet: 81,
   recordFile: path.join(import.meta.dirname, 'record.txt'),
 });
 const seen = [];
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -7,6 +7,7 @@
  * core machine's address lead the seed ports that a front machine derives from them to the core's.
  */
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
@@ -102,24 +103,31 @@
   });
 
 export class Fleet {
-  constructor({ fronts, octet, zones, recordFile }) {
-    const net16 = `127.${octet}`;
+  constructor({ fronts, zones, frontZones, recordFile }) {
+    // Addresses and ports of its own for each run; a port that is taken ends the run (exit 2).
+    const net16 = `127.${randomInt(64, 250)}`;
+    const firstPort = 20_000 + 1_000 * randomInt(0, 11);
     this.folder = mkdtempSync(path.join(tmpdir(), 'reedyard-review-'));
     this.startedAt = Date.now();
     this.recordFile = recordFile;
     this.lines = [];
     this.servers = [];
     this.programs = [];
-    this.core = { name: 'core-1', host: `${net16}.0.1`, base: 20_000, control: 20_080 };
+    this.core = {
+      name: 'core-1',
+      host: `${net16}.0.1`,
+      base: firstPort,
+      control: firstPort + 80,
+    };
     this.zones = zones ?? { 'zone-a': 'region-a', 'zone-b': 'region-a' };
     const names = Object.keys(this.zones);
     this.fronts = Array.from({ length: fronts }, (_, index) => ({
       name: `front-${index + 1}`,
       host: `${net16}.1.${index + 1}`,
-      base: 21_000 + 100 * index,
+      base: firstPort + 100 + 20 * index,
       port: 18_080,
       readyPort: 18_081,
-      zone: names[index % names.length],
+      zone: frontZones?.[index] ?? names[index % names.length],
     }));
     this.originHost = (index) => `${net16}.2.${index + 1}`;
   }
@@ -178,6 +186,8 @@
 
   async start() {
     const { core, fronts } = this;
+    for (const name of ['SIGINT', 'SIGTERM'])
+      process.once(name, () => void this.stop().then(() => process.exit(2)));
     mkdirSync(path.join(this.folder, core.name));
     core.settingsFile = this.#settings(core, true);
     for (const { base } of fronts) {
