--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -97,7 +97,7 @@
   }
   let number = 0;
   const clients = fleet.fronts.flatMap((front) =>
-    Array.from({ length: 20 }, (_, index) => {
+    Array.from({ length: 30 }, (_, index) => {
       const isUnsafe = index % 2 === 0;
       const next = () => {
         number += 1;
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -86,17 +86,28 @@
   }
 }
 
-/** Leads connections to one address on to another. */
-const forward = (host, port, toHost, toPort) =>
+/**
+ * Leads connections to one address on to another. `isCut` says whether the connections of a sender are
+ * held: nothing passes on them any more in either direction, and nothing is closed.
+ */
+const forward = (host, port, toHost, toPort, isCut) =>
   new Promise((resolve, reject) => {
     const server = net.createServer((from) => {
+      const sender = from.remoteAddress;
       const to = net.connect({ host: toHost, port: toPort });
-      from.on('error', () => to.destroy());
-      to.on('error', () => from.destroy());
-      from.on('close', () => to.destroy());
-      to.on('close', () => from.destroy());
-      from.pipe(to);
-      to.pipe(from);
+      let isHeld = false;
+      const pass = (source, target) => {
+        source.on('data', (chunk) => {
+          isHeld ||= isCut(sender);
+          if (!isHeld) target.write(chunk);
+        });
+        source.on('error', () => undefined);
+        source.on('close', () => {
+          if (!isCut(sender)) target.destroy();
+        });
+      };
+      pass(from, to);
+      pass(to, from);
     });
     server.on('error', reject);
     server.listen(port, host, () => resolve(server));
@@ -106,16 +117,20 @@
   constructor({ fronts, zones, frontZones, recordFile }) {
     // Addresses and ports of its own for each run; a port that is taken ends the run (exit 2).
     const net16 = `127.${randomInt(64, 250)}`;
-    const firstPort = 20_000 + 1_000 * randomInt(0, 11);
+    const firstPort = 20_000 + 250 * randomInt(0, 46);
     this.folder = mkdtempSync(path.join(tmpdir(), 'reedyard-review-'));
     this.startedAt = Date.now();
     this.recordFile = recordFile;
     this.lines = [];
     this.servers = [];
+    /** Addresses of the machines that are cut off from the core. */
+    this.cutHosts = new Set();
     this.programs = [];
     this.core = {
       name: 'core-1',
       host: `${net16}.0.1`,
+      // The core's programs listen here; everyone reaches them through the forwarders on `host`.
+      listen: `${net16}.0.2`,
       base: firstPort,
       control: firstPort + 80,
     };
@@ -170,9 +185,12 @@
     };
     const template = readFileSync(path.join(root, 'deploy/settings.json'), 'utf8');
     const file = path.join(this.folder, `${machine.name}.json`);
+    const own = machine.listen === undefined ? '' : `, "listen": "${machine.listen}"`;
     writeFileSync(
       file,
-      template.replace('{{.|json}}', () => JSON.stringify(platform)),
+      template
+        .replace('"cutOff": "serve"', `"cutOff": "serve"${own}`)
+        .replace('{{.|json}}', () => JSON.stringify(platform)),
     );
     return file;
   }
@@ -190,9 +208,12 @@
       process.once(name, () => void this.stop().then(() => process.exit(2)));
     mkdirSync(path.join(this.folder, core.name));
     core.settingsFile = this.#settings(core, true);
-    for (const { base } of fronts) {
-      for (const offset of [0, 4])
-        this.servers.push(await forward(core.host, base + offset, core.host, core.base + offset));
+    const isCut = (address) => this.cutHosts.has(address);
+    const lead = async (port, toPort) =>
+      this.servers.push(await forward(core.host, port, core.listen, toPort, isCut));
+    await lead(core.control, core.control);
+    for (const base of [core.base, ...fronts.map((front) => front.base)]) {
+      for (const offset of [0, 4]) await lead(base + offset, core.base + offset);
     }
     this.#add(core, 'replica', 'replica');
     this.#add(core, 'agent', 'core-agent');
