--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -113,11 +113,19 @@
     server.listen(port, host, () => resolve(server));
   });
 
+/** Offset of the port at which an agent serves its own machine's proxy, always on 127.0.0.1. */
+const feedOffset = 2;
+
+const isFree = (host, port) =>
+  new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+
 export class Fleet {
   constructor({ fronts, zones, frontZones, recordFile }) {
-    // Addresses and ports of its own for each run; a port that is taken ends the run (exit 2).
     const net16 = `127.${randomInt(64, 250)}`;
-    const firstPort = 20_000 + 250 * randomInt(0, 46);
     this.folder = mkdtempSync(path.join(tmpdir(), 'reedyard-review-'));
     this.startedAt = Date.now();
     this.recordFile = recordFile;
@@ -131,15 +139,15 @@
       host: `${net16}.0.1`,
       // The core's programs listen here; everyone reaches them through the forwarders on `host`.
       listen: `${net16}.0.2`,
-      base: firstPort,
-      control: firstPort + 80,
+      base: 0,
+      control: 0,
     };
     this.zones = zones ?? { 'zone-a': 'region-a', 'zone-b': 'region-a' };
     const names = Object.keys(this.zones);
     this.fronts = Array.from({ length: fronts }, (_, index) => ({
       name: `front-${index + 1}`,
       host: `${net16}.1.${index + 1}`,
-      base: firstPort + 100 + 20 * index,
+      base: 0,
       port: 18_080,
       readyPort: 18_081,
       zone: frontZones?.[index] ?? names[index % names.length],
@@ -202,8 +210,24 @@
     program.start();
   }
 
+  /** Draws the machines' ports until those that all machines share an address for are free. */
+  async #drawPorts() {
+    const { core, fronts } = this;
+    for (let draw = 0; draw < 40; draw += 1) {
+      const firstPort = 20_000 + 250 * randomInt(0, 46);
+      const bases = [firstPort, ...fronts.map((_front, index) => firstPort + 100 + 20 * index)];
+      const free = await Promise.all(bases.map((base) => isFree('127.0.0.1', base + feedOffset)));
+      if (!free.every(Boolean)) continue;
+      Object.assign(core, { base: firstPort, control: firstPort + 80 });
+      fronts.forEach((front, index) => Object.assign(front, { base: bases[index + 1] }));
+      return;
+    }
+    throw new Error('no free ports were found');
+  }
+
   async start() {
     const { core, fronts } = this;
+    await this.#drawPorts();
     for (const name of ['SIGINT', 'SIGTERM'])
       process.once(name, () => void this.stop().then(() => process.exit(2)));
     mkdirSync(path.join(this.folder, core.name));
