--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -114,12 +114,63 @@
     request.end(payload);
   });
 
+/** Links between machines that can be cut: what is sent over a cut one waits until it is joined. */
+const openLinks = () => {
+  const links = new Set();
+  let isCut = () => false;
+  const join = (link) => {
+    if (link.isJoined) return;
+    link.isJoined = true;
+    if (link.outer === null) {
+      link.outer = net.connect(link.port, link.host);
+      link.outer.on('error', () => link.inner.destroy());
+      link.outer.on('close', () => link.inner.destroy());
+    }
+    link.inner.pipe(link.outer);
+    link.outer.pipe(link.inner);
+  };
+  const part = (link) => {
+    if (!link.isJoined) return;
+    link.isJoined = false;
+    link.inner.unpipe(link.outer);
+    link.outer.unpipe(link.inner);
+    link.inner.pause();
+    link.outer.pause();
+  };
+  const adjust = (link) => (isCut(link.from, link.to) ? part(link) : join(link));
+  return {
+    accept: (inner, { to, host, port }) => {
+      const from = inner.remoteAddress;
+      const link = { inner, outer: null, from, to, host, port, isJoined: false };
+      links.add(link);
+      inner.on('error', () => undefined);
+      inner.on('close', () => {
+        links.delete(link);
+        link.outer?.destroy();
+      });
+      adjust(link);
+    },
+    setCut: (next) => {
+      isCut = next;
+      links.forEach(adjust);
+    },
+    close: () => links.forEach(({ inner }) => inner.destroy()),
+  };
+};
+
 /**
  * Opens the deployment. `machines` are { name, kind: 'front' | 'core', zone }. The first core machine
  * is the only seed. Since all machines share one host, each has its own range of ports; forwarders
- * lead the seed's ports, as each machine computes them from its own range, to the real ones.
+ * lead the seed's ports, as each machine computes them from its own range, to the real ones. With
+ * `hasLinks`, machines reach each other only through forwarders, which `cut` can part.
  */
-export const openFleet = async ({ machines, losses = 1, record, memoryMb = 350 }) => {
+export const openFleet = async ({
+  machines,
+  losses = 1,
+  record,
+  memoryMb = 350,
+  hasLinks = false,
+}) => {
   const folder = mkdtempSync(path.join(os.tmpdir(), 'review-'));
   const prefix = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
   const taken = new Set();
@@ -135,27 +186,32 @@
   const nodes = [];
   for (const [index, machine] of machines.entries()) {
     const base = await freeBase();
-    nodes.push({ ...machine, host: `${prefix}.${index + 1}`, base, processes: {} });
+    const host = `${prefix}.${index + 1}`;
+    // Where the machine's processes listen; others know it by `host`.
+    const listen = hasLinks ? `${prefix}.${100 + index}` : host;
+    nodes.push({ ...machine, host, listen, base, processes: {} });
   }
   const seed = nodes.find((node) => node.kind === 'core');
+  const links = openLinks();
   const forwarders = [];
+  const forward = async (node, port, targetPort) => {
+    const server = net.createServer((inner) =>
+      links.accept(inner, { to: node.host, host: node.listen, port: targetPort }),
+    );
+    await new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, node.host, resolve);
+    });
+    forwarders.push(server);
+  };
   for (const node of nodes) {
-    if (node === seed) continue;
-    for (const offset of [0, 4]) {
-      const server = net.createServer((inner) => {
-        const outer = net.connect(seed.base + offset, seed.host);
-        inner.pipe(outer).pipe(inner);
-        inner.on('error', () => outer.destroy());
-        outer.on('error', () => inner.destroy());
-      });
-      await new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(node.base + offset, seed.host, resolve);
-      });
-      forwarders.push(server);
-    }
+    if (node !== seed)
+      for (const offset of [0, 4]) await forward(seed, node.base + offset, seed.base + offset);
+    if (hasLinks)
+      for (const offset of node.kind === 'core' ? [0, 4] : [0, 3])
+        await forward(node, node.base + offset, node.base + offset);
   }
-  const addressOf = (node, offset) => `${node.host}:${node.base + offset}`;
+  const addressOf = (node, offset) => `${node.listen}:${node.base + offset}`;
   const settingsOf = (node) => ({
     nodeName: node.name,
     role: node.kind,
@@ -187,7 +243,9 @@
     const home = path.join(folder, node.name);
     mkdirSync(path.join(home, 'data'), { recursive: true });
     const settings = path.join(home, 'node.json');
-    writeFileSync(settings, template.replace('{{.|json}}', JSON.stringify(settingsOf(node))));
+    const filled = JSON.parse(template.replace('{{.|json}}', JSON.stringify(settingsOf(node))));
+    if (hasLinks) filled.own.listen = node.listen;
+    writeFileSync(settings, JSON.stringify(filled));
     const log = openSync(path.join(home, `${role}.log`), 'a');
     const child = spawn(program, args, {
       cwd: root,
@@ -223,9 +281,23 @@
         if (entry.ended === null) process.kill(entry.pid, 'SIGKILL');
       }
     forwarders.forEach((server) => server.close());
+    links.close();
     await sleep(200);
     rmSync(folder, { recursive: true, force: true });
   };
+  /** Cuts the links between some machines and all others that `isOther` names; null joins all. */
+  const cut = (parted, others) => {
+    const hosts = (named) => new Set(named.map((node) => node.host));
+    const [left, right] = [hosts(parted ?? []), hosts(others ?? [])];
+    links.setCut(
+      (from, to) => (left.has(from) && right.has(to)) || (left.has(to) && right.has(from)),
+    );
+    record(
+      parted === null
+        ? 'all links are joined'
+        : `links cut between ${parted.map(({ name }) => name)} and ${others.map(({ name }) => name)}`,
+    );
+  };
   nodes.forEach(start);
   const byName = Object.fromEntries(nodes.map((node) => [node.name, node]));
   const fronts = nodes.filter((node) => node.kind === 'front');
@@ -272,6 +344,7 @@
     signal,
     logOf,
     close,
+    cut,
     clientAddress,
     controls,
     order,
