--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,120 +1,112 @@
-// One origin in trouble spoils the status line of one answer while other requests are under way.
+// A front machine gets SIGTERM while an origin is at work on requests that it finishes well inside graceS.
+import { Buffer } from 'node:buffer';
 import { configOf, openClient, openFleet, openOrigin, runCase, sleep } from '../lib-2/fleet.mjs';
 
 const host = 'portal.example';
+/** The origin's work on a small answer, and the time in which it hands out a large one. */
+const workMs = 2_200;
+const largeParts = 28;
+const partMs = 100;
 
 await runCase(import.meta.dirname, async ({ record, trouble, onClose }) => {
   const fleet = await openFleet({
     record,
     machines: [
       { name: 'front-west-1', kind: 'front', zone: 'west' },
+      { name: 'front-west-2', kind: 'front', zone: 'west' },
       { name: 'core-west-1', kind: 'core', zone: 'west' },
       { name: 'core-north-1', kind: 'core', zone: 'north' },
       { name: 'core-south-1', kind: 'core', zone: 'south' },
     ],
   });
   onClose(fleet.close);
-  const sound = await openOrigin({
+  const origin = await openOrigin({
     fleet,
     record,
-    service: 'orders',
-    id: 'i-orders-1',
+    service: 'alarms',
+    id: 'i-alarms-1',
     zone: 'west',
     index: 1,
-    work: async () => {
-      await sleep(1_500);
-      return { body: 'the order is filed' };
+    work: async ({ response, run, base }) => {
+      if (run.target.includes('large')) {
+        const part = Buffer.alloc(100_000, 'x');
+        response.writeHead(200, {
+          ...base,
+          'server-seal': `i-alarms-1.${run.requestId}`,
+          'content-length': largeParts * part.length,
+        });
+        for (let sent = 0; sent < largeParts && !response.destroyed; sent += 1) {
+          response.write(part);
+          await sleep(partMs);
+        }
+        response.end();
+        return null;
+      }
+      await sleep(run.target.includes('slow') ? workMs : 5);
+      run.answeredAt = Date.now();
+      return { body: 'no alarm' };
     },
   });
-  onClose(sound.close);
-  const ill = await openOrigin({
-    fleet,
-    record,
-    service: 'reports',
-    id: 'i-reports-1',
-    zone: 'west',
-    index: 2,
-    work: ({ request, response, base, run }) => {
-      if (!trouble || run.target !== '/reports/spoilt') return { body: 'a report' };
-      // The answer that it would give, with one byte of its status line spoilt.
-      const text = `HTTP/1.1 000 OK\r\nRequest-Id: ${base['request-id']}\r\nServer-Seal: s\r\nContent-Length: 8\r\n\r\na report`;
-      record(`origin i-reports-1 spoils the answer to ${request.url}`);
-      response.socket.end(text);
-      return null;
-    },
-  });
-  onClose(ill.close);
-  const route = { host, timeoutMs: 5_000, targetMs: 500, priority: 1, tries: 2, cacheForS: null };
+  onClose(origin.close);
+  const route = { host, timeoutMs: 5_000, targetMs: 400, priority: 1, tries: 2 };
   await fleet.order(
     'PUT',
     '/api/config',
     configOf(
       3,
       [
-        { ...route, name: 'r-orders', pathStart: '/orders/', kind: 'no_retry', service: 'orders' },
         {
           ...route,
-          name: 'r-reports',
-          pathStart: '/reports/',
+          name: 'r-alarms',
+          pathStart: '/alarms/',
           kind: 'retry_safe',
-          service: 'reports',
+          service: 'alarms',
         },
       ],
-      [
-        { name: 'orders', healthPath: '/health', maxConns: 130 },
-        { name: 'reports', healthPath: '/health', maxConns: 130 },
-      ],
+      [{ name: 'alarms', healthPath: '/health', maxConns: 130 }],
     ),
   );
   const [front] = fleet.fronts;
-  await fleet.ready(front);
+  for (const node of fleet.fronts) await fleet.ready(node);
   await sleep(5_000);
-  const clients = Array.from({ length: 8 }, () => openClient(fleet.clientAddress(front)));
+  const clients = Array.from({ length: 10 }, () => openClient(fleet.clientAddress(front)));
   onClose(() => clients.forEach((client) => client.close()));
-  const send = async (client, method, target, requestId, body) => {
-    record(`client sends ${method} ${target} ${requestId}`);
-    const reply = await client.send(method, target, {
+  let stoppedAt = Infinity;
+  const send = async (client, target, requestId) => {
+    record(`client sends GET ${target} ${requestId}`);
+    const reply = await client.send('GET', target, {
       requestId,
-      body,
       hostName: host,
       timeLeftMs: 5_000,
     });
+    const at = Date.now() - stoppedAt;
+    const how = reply.cut === true ? ` (cut: ${reply.text})` : '';
     record(
-      `client gets ${reply.status}${reply.cut === true ? ` (cut: ${reply.text})` : ''} for ${requestId} after ${reply.ms} ms`,
+      `client gets ${reply.status}${how} for ${requestId} after ${reply.ms} ms${at > 0 ? `, ${at} ms after SIGTERM` : ''}${reply.status >= 500 ? `: ${reply.text}` : ''}`,
     );
     return reply;
   };
-  // Each connection has carried requests before, so it is a kept one. One answer of some seventy is
-  // spoilt later, which is under 0.02 of the origin's answers.
-  for (let round = 0; round < 8; round += 1)
-    for (const [index, client] of clients.entries())
-      await send(client, 'GET', '/reports/plain', `plain-${round}-${index}`);
-  const orders = clients
-    .slice(0, 6)
-    .map((client, index) =>
-      send(client, 'POST', '/orders/new', `order-${index}`, `order ${index}`),
-    );
-  await sleep(500);
-  const spoilt = await send(clients[7], 'GET', '/reports/spoilt', 'spoilt');
-  const replies = await Promise.all(orders);
-  const lost = replies.filter(
-    (reply, index) =>
-      reply.cut === true && sound.runs.some((run) => run.requestId === `order-${index}`),
+  for (const [index, client] of clients.entries())
+    await send(client, '/alarms/plain', `plain-${index}`);
+  const pending = clients.map((client, index) =>
+    index < 8
+      ? send(client, `/alarms/slow-${index}`, `slow-${index}`)
+      : send(client, `/alarms/large-${index}`, `large-${index}`),
   );
   await sleep(300);
-  const { ended } = front.processes.proxy;
-  record(
-    `orders that the sound origin ran and whose connection ended without an answer: ${lost.length}; the spoilt one got ${spoilt.status}`,
+  if (trouble) {
+    stoppedAt = Date.now();
+    fleet.signal(front, 'SIGTERM');
+  }
+  const replies = await Promise.all(pending);
+  const isOwn = (reply) => reply.status >= 500 && reply.headers['server-seal'] === undefined;
+  const isUnsealed = (reply) => reply.status !== 200 || reply.headers['server-seal'] === undefined;
+  const brokenOff = replies.filter(
+    (reply, index) =>
+      isOwn(reply) && origin.runs.some((run) => run.target === `/alarms/large-${index}` && run.cut),
   );
   record(
-    ended === null
-      ? 'the proxy still runs'
-      : `the proxy ended by itself (code ${ended.code}, signal ${ended.signal}): ${fleet
-          .logOf(front, 'proxy')
-          .split('\n')
-          .filter((line) => /Error/.test(line))
-          .slice(0, 2)
-          .join(' | ')}`,
+    `requests under way at SIGTERM: ${replies.length}; without the origin's answer: ${replies.filter(isUnsealed).length}; broken off while the origin was sending, with an answer of the system's own in its place: ${brokenOff.length}`,
   );
-  return lost.length > 3;
+  return brokenOff.length > 0;
 });
