--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -24,7 +24,7 @@
 
 /** A record of what was sent, answered and run; one line each, in milliseconds since the start. */
 export const openRecord = (folder) => {
-  const file = path.join(folder, 'record.txt');
+  const file = process.env.RECORD ?? path.join(folder, 'record.txt');
   writeFileSync(file, '');
   return (text) => {
     const line = `${String(Date.now() - startedAt).padStart(6)} ${text}`;
