--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -164,10 +164,12 @@
 
   #handleResponse(response: http.IncomingMessage): void {
     this.#response = response;
-    this.#assessment = this.options.assessResponse(response);
+    const assessment = this.#assess(response);
+    if (assessment === null) return;
+    this.#assessment = assessment;
     const keepAliveMs = keepAliveMsOf(response.headers);
     const { attempt, outgoing } = this.options;
-    const { evidence } = this.#assessment;
+    const { evidence } = assessment;
     this.#dispatch({ kind: 'answer-head', attempt, keepAliveMs, evidence });
     readResponse(outgoing.method, response, {
       ready: (readResult) => this.#handleReady(response, readResult),
@@ -178,6 +180,19 @@
     });
   }
 
+  /** Assesses a response head; null, with the attempt ended, if the wire format can't read it. */
+  #assess(response: http.IncomingMessage): ResponseAssessment | null {
+    const { attempt, assessResponse } = this.options;
+    try {
+      return assessResponse(response);
+    } catch (thrown) {
+      response.on('error', () => undefined);
+      this.#failure = { message: errorMessage(thrown), cause: thrown };
+      this.#dispatch({ kind: 'answer-unusable', attempt, why: 'unreadable' });
+      return null;
+    }
+  }
+
   #handleReady(response: http.IncomingMessage, readResult: ReadResponse): void {
     const originEvidence = this.#assessment?.originEvidence;
     this.#readyResponse = {
--- a/packages/proxy/src/local-responses.ts
+++ b/packages/proxy/src/local-responses.ts
@@ -36,6 +36,30 @@
   if (turn.begin(() => undefined)) writeRejection(response, turn, rejection);
 };
 
+/**
+ * Responds to a request whose own response could not be written: it may have been executed. A
+ * response that was begun is cut short, so that it can't look complete.
+ */
+export const writeUnknownOutcome = (response: http.ServerResponse): void => {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const text = JSON.stringify({
+    type: 'about:blank',
+    title: 'No sound answer',
+    status: 502,
+    detail: 'It is not known whether it ran: its response could not be passed on.',
+    outcome: 'unknown',
+  });
+  response.writeHead(502, {
+    'content-type': 'application/problem+json',
+    'content-length': Buffer.byteLength(text),
+    'reedyard-outcome': 'unknown',
+  });
+  response.end(text);
+};
+
 /** Responds to a health check. */
 export const writeHealth = (response: http.ServerResponse, isHealthy: boolean): void => {
   const text = JSON.stringify({ ready: isHealthy });
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -14,24 +14,30 @@
   proposalTimeoutMs,
   type ProxyQuery,
 } from '@reedyard/agent';
-import type { Logger } from '@reedyard/logging';
+import { errorMessage, type Logger } from '@reedyard/logging';
 import { callTimeoutMs } from '@reedyard/rpc';
 import { Routes } from '@reedyard/schemas';
 import type { Settings } from '@reedyard/settings';
 import { type EventQueue, Task } from '@reedyard/task-loop';
 import { writeClientResponse } from './client-response-writer.js';
 import { ClientLimits } from './client-limits.js';
+import { confineErrors } from './confined-reducer.js';
 import { type InboundServer, type RequestTurn, openInboundServer } from './inbound-server.js';
 import { originIdOf } from './endpoint-selection.js';
 import { clientRequestOf, isPlainTarget, readBody } from './client-request-reader.js';
-import { type AttemptError, OriginConnections, peerKeyOf } from './origin-connections.js';
+import { AttemptError, OriginConnections, peerKeyOf } from './origin-connections.js';
 import { ProxyCore } from './core.js';
 import type { WireFormat } from './wire-format.js';
 import type { InFlightAttempt } from './exchange.js';
 import { feedIntervalMs } from './feed-timing.js';
 import { Feeds, type FeedSnapshot } from './feed-snapshot.js';
 import { outgoingRequest, type ProxyName } from './outgoing-request.js';
-import { rejectUnread, writeHealth, writeRejection } from './local-responses.js';
+import {
+  rejectUnread,
+  writeHealth,
+  writeRejection,
+  writeUnknownOutcome,
+} from './local-responses.js';
 import type {
   ClientResponse,
   AttemptResponse,
@@ -128,7 +134,7 @@
         },
         now(),
       ),
-      reduce: ProxyCore.reduce,
+      reduce: confineErrors(ProxyCore.reduce),
       perform: (effect) => this.#perform(effect),
     });
     this.#scheduleTick(idleProxyTickIntervalMs);
@@ -337,7 +343,22 @@
 
   // Effects of the reducer
 
+  /** Performs an effect; an error in an effect of a request ends that request alone. */
   #perform(effect: ProxyEffect): void {
+    try {
+      this.#performEffect(effect);
+    } catch (thrown) {
+      if (!('requestId' in effect)) throw thrown;
+      const { requestId: id, kind } = effect;
+      const why = errorMessage(thrown);
+      this.#dependencies.logger.error('request.error', { id, effect: kind, why });
+      if (effect.kind === 'send-attempt')
+        this.#onAttemptFailed(effect, new AttemptError('maybe', 'error', why, { cause: thrown }));
+      if (effect.kind === 'send-answer') this.#replaceAnswer(effect);
+    }
+  }
+
+  #performEffect(effect: ProxyEffect): void {
     switch (effect.kind) {
       case 'send-attempt':
         this.#sendAttempt(effect);
@@ -437,6 +458,15 @@
     stream.on('close', () => this.#streams.delete(id));
   }
 
+  /** Ends a response that could not be written, along with the stream that it is forwarded from. */
+  #replaceAnswer({ requestId, answer: { body } }: EffectOf<'send-answer'>): void {
+    if (body.kind === 'attempt' && !body.answer.isComplete)
+      (body.answer.body as Readable).destroy();
+    const open = this.#openRequests.get(requestId);
+    this.#openRequests.delete(requestId);
+    if (open !== undefined) writeUnknownOutcome(open.response);
+  }
+
   /** Sends a query to the agent; the reducer waits only for the reply to a claim. */
   #queryAgent({ requestId, query }: EffectOf<'query-agent'>): void {
     const onReply = (reply: ClaimReply): void => {
--- a/packages/proxy/src/response-reader.ts
+++ b/packages/proxy/src/response-reader.ts
@@ -63,6 +63,17 @@
   readonly unusable: (why: string, message: string, cause?: unknown) => void;
 };
 
+/** The lowest and the highest status of a final response (RFC 9110, section 15). */
+const minFinalStatus = 200;
+const maxFinalStatus = 599;
+
+/**
+ * Whether a status is one of a final response. Node's parser accepts any three digits, and reports a
+ * 101 without an upgrade as a response.
+ */
+const isFinalStatus = (status: number): boolean =>
+  status >= minFinalStatus && status <= maxFinalStatus;
+
 const isLengthKnown = (method: string, response: http.IncomingMessage): boolean =>
   method === 'HEAD' ||
   response.statusCode === 204 ||
@@ -88,12 +99,17 @@
   response: http.IncomingMessage,
   { ready, unusable }: ResponseCallbacks,
 ): void => {
+  const status = response.statusCode ?? 0;
+  if (!isFinalStatus(status)) {
+    response.on('error', () => undefined);
+    unusable('status', `${status} is not the status of a final response`);
+    return;
+  }
   if (!isLengthKnown(method, response)) {
     response.on('error', () => undefined);
     unusable('no-length', 'the response has neither a content-length nor a transfer-encoding');
     return;
   }
-  const status = response.statusCode ?? 0;
   const headers = forwardableHeaders(response.headers, true);
   const chunks: Buffer[] = [];
   let size = 0;
--- a/packages/proxy/src/testing/proxy-harness.ts
+++ b/packages/proxy/src/testing/proxy-harness.ts
@@ -146,7 +146,11 @@
  * @example
  * const harness = await startHarness({ origins: [originEndpoint(origin.port)] });
  */
-export const startHarness = async (parts: Partial<FeedParts>, name = 'a'): Promise<Harness> => {
+export const startHarness = async (
+  parts: Partial<FeedParts>,
+  name = 'a',
+  wireFormat = testWireFormat,
+): Promise<Harness> => {
   const policy = { revision: 1, document: policyOf() };
   const feed: FeedParts = { policy, origins: [], peers: [], split: {}, ...parts };
   const logged: string[] = [];
@@ -156,7 +160,7 @@
   const queryAgent = (query: ProxyQuery): Promise<unknown> =>
     Promise.resolve(query.kind === 'feed' ? { ...feedOf(feed), revisions } : { kind: 'granted' });
   const logger = { info: log, warn: log, error: log };
-  const proxy = openProxy(settingsOf(name), testWireFormat, { logger, queryAgent });
+  const proxy = openProxy(settingsOf(name), wireFormat, { logger, queryAgent });
   const server = await proxy.serve(false, 0);
   const peerServer = await proxy.serve(true, 0);
   await waitUntil(() => ProxyCore.ready(proxy.task.peek(), performance.now()));
