--- a/packages/agent/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -10,7 +10,7 @@
   type ReplicaReply,
 } from '@reedyard/replica';
 import { call, type RpcServer, serveCalls, setLocalAddress } from '@reedyard/rpc';
-import type { Settings } from '@reedyard/settings';
+import { type Settings, shutdownTimeoutMs } from '@reedyard/settings';
 import { Task } from '@reedyard/task-loop';
 import {
   type ActionHandler,
@@ -19,6 +19,7 @@
   apiAdapterServer,
   apiServer,
 } from './api/api-server.js';
+import { isProxyDraining } from './feed/proxy-drain.js';
 import type {
   AgentEffect,
   AgentEvent,
@@ -185,11 +186,43 @@
   return server;
 };
 
-/** Stops gracefully on a signal: exits when the servers are closed, and after one lease at the latest. */
-const exitOnSignals = (logger: Logger, api: http.Server, servers: readonly RpcServer[]): void => {
+/** The parts of a running agent that its shutdown needs. */
+type RunningAgent = {
+  readonly logger: Logger;
+  readonly api: http.Server;
+  readonly servers: readonly RpcServer[];
+  readonly peek: () => AgentState;
+  /** The maximum time until this machine's proxy exits, in milliseconds. */
+  readonly proxyShutdownMs: number;
+};
+
+/** Resolves when this machine's proxy has drained its requests, or its time for that is over. */
+const waitForProxy = ({ peek, proxyShutdownMs }: RunningAgent): Promise<void> => {
+  const stopRequestedAt = now();
+  return new Promise((resolve) => {
+    const timer = setInterval(() => {
+      const isOverdue = now() - stopRequestedAt >= proxyShutdownMs;
+      if (!isOverdue && isProxyDraining(peek(), stopRequestedAt, now())) return;
+      clearInterval(timer);
+      resolve();
+    }, agentTickIntervalMs);
+  });
+};
+
+/**
+ * Stops gracefully on a signal: takes no more orders, serves this machine's proxy and the other
+ * agents until the proxy has drained, then closes the servers, and exits after one lease at the
+ * latest.
+ */
+const exitOnSignals = (agent: RunningAgent): void => {
+  const { logger, api, servers } = agent;
+  let isShuttingDown = false;
   const shutDown = async (): Promise<void> => {
+    if (isShuttingDown) return;
+    isShuttingDown = true;
     logger.info('stopping');
     api.close();
+    if (agent.peek().lastProxyReport !== null) await waitForProxy(agent);
     setTimeout(() => process.exit(0), leaseDurationMs).unref();
     for (const server of servers) await server.close();
     process.exit(0);
@@ -228,5 +261,11 @@
     zone,
     region,
   });
-  exitOnSignals(logger, apiHttpServer, [agentServer, feedServer]);
+  exitOnSignals({
+    logger,
+    api: apiHttpServer,
+    servers: [agentServer, feedServer],
+    peek: task.peek,
+    proxyShutdownMs: settings.proxy?.leave?.mostMs ?? shutdownTimeoutMs,
+  });
 };
--- a/packages/origin-stand-in/src/origin-stand-in.ts
+++ b/packages/origin-stand-in/src/origin-stand-in.ts
@@ -12,7 +12,7 @@
  * probability per response.
  */
 export type OriginMode = {
-  /** Delay before each response, in milliseconds. */
+  /** Delay before each response but that to an identity query, in milliseconds. */
   readonly slowMs: number;
   /** Executes unsafe requests, then closes the connection without a response. */
   readonly lose: boolean | number;
@@ -134,6 +134,9 @@
   return head + 'x'.repeat(Math.max(0, size - head.length));
 };
 
+/** The path at which an origin tells its identity. */
+const identityPath = '/.well-known/reedyard-identity';
+
 /** Draws whether a fault occurs; true is always, a number is its probability. */
 const isTriggered = (probability: boolean | number): boolean =>
   probability === true ||
@@ -173,7 +176,7 @@
   ): void => {
     const target = request.url ?? '/';
     const stamp = `${identity.service}/${identity.instance}/${identity.incarnation}`;
-    if (target === '/.well-known/reedyard-identity') {
+    if (target === identityPath) {
       const text = JSON.stringify(identity);
       response.writeHead(200, {
         'content-type': 'application/json',
@@ -264,14 +267,15 @@
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
     request.on('end', () => {
-      if (request.url !== '/.well-known/reedyard-identity') {
+      const isIdentityQuery = request.url === identityPath;
+      if (!isIdentityQuery) {
         receivedCount += 1;
         lastHeaders = request.headers;
       }
       const sendResponse = (): void => {
         if (!response.destroyed) respond(request, response, Buffer.concat(chunks));
       };
-      if (mode.slowMs > 0) setTimeout(sendResponse, mode.slowMs);
+      if (mode.slowMs > 0 && !isIdentityQuery) setTimeout(sendResponse, mode.slowMs);
       else sendResponse();
     });
   });
--- a/packages/proxy/src/attempt-results.ts
+++ b/packages/proxy/src/attempt-results.ts
@@ -132,14 +132,16 @@
   }
   const { isIdempotent } = request;
   const tags = Cache.tagsOf(response.headers, request.route.tagsHeader);
-  const purgedAt = mayCache(request.route, request.clientRequest.method)
+  const isCacheable = mayCache(request.route, request.clientRequest.method);
+  const purgedAt = isCacheable
     ? Cache.firstPurgeSince(state.cache, request.key, tags, attempt.openedAt)
     : null;
   // The response may contain an object that was purged during the attempt, and the time within which
   // a purge must take effect is nearly over. Without a lease, this node may not even know of such a
-  // purge. A response to a request that is safe to repeat is then not relayed.
+  // purge. A response to a cacheable request that is safe to repeat is then not relayed. All other
+  // responses rest on nothing that can change after the attempt was opened.
   const staleReason =
-    isIdempotent && isLeaseExpired(transition)
+    isCacheable && isIdempotent && isLeaseExpired(transition)
       ? 'lease'
       : purgedAt !== null && state.now - purgedAt > 250
         ? 'purged'
--- a/packages/proxy/src/proxy.test.ts
+++ b/packages/proxy/src/proxy.test.ts
@@ -186,6 +186,22 @@
   );
 });
 
+// Guards against a node without a lease dropping answers that no purge concerns (review case 4).
+test('after the lease expires, a response on a route without a cache is relayed, also to a safe request', (t) => {
+  const { state } = applyEvents([arrivalOf(1, 'GET', 1_000, '/alarms/1')], startedProxy());
+  const late = 900 + leaseDurationMs + 1;
+  const response = responseOf('t1-0');
+  const { effects } = ProxyCore.reduce(state, {
+    kind: 'attempt-answered',
+    requestId: 1,
+    attempt: 0,
+    answer: response,
+    now: late,
+  });
+  t.is(effectsOf(effects, 'send-answer', 1)[0]?.answer.status, 200);
+  t.is(effectsOf(effects, 'abort-attempt', 1).length, 0);
+});
+
 test('outside its home regions, a route is forwarded to a peer inside and not cached; without such a peer it is not served', (t) => {
   const { state, effects } = applyEvents(
     [
--- a/packages/proxy/src/testing/reducer-harness.ts
+++ b/packages/proxy/src/testing/reducer-harness.ts
@@ -10,7 +10,7 @@
   type ProxyState,
 } from '../index.js';
 
-/** A configuration with a route without homes, and one whose home is another region. */
+/** A configuration with a cacheable route, one that is not cacheable, and one with homes elsewhere. */
 export const policy = Schemas.policy({
   services: { store: { ceiling: 1_000, coldRate: 10 } },
   routes: [
@@ -21,6 +21,13 @@
       service: 'store',
       methods: ['GET', 'POST'],
     },
+    {
+      name: 'alarms',
+      host: 'a.example',
+      path: '/alarms/',
+      service: 'store',
+      cache: { keep: 'never' },
+    },
     { name: 'homed', host: 'a.example', path: '/homed/', service: 'store', homes: ['far'] },
   ],
 });
