--- a/packages/agent/src/control/reachability.ts
+++ b/packages/agent/src/control/reachability.ts
@@ -98,6 +98,9 @@
   isMajorityUnresponsive(state) &&
   !wasDelayed(state, minUndelayedMs);
 
+/** The rest of the lease, in milliseconds; 0 without one. */
+export const leaseLeftMs = (state: AgentState): number => Math.max(0, state.leaseUntil - state.now);
+
 /**
  * How long this node may serve from the state that it knows, in milliseconds: the rest of its lease,
  * or, where it may serve while isolated, at least until the proxy's next queries. The latter applies
@@ -106,8 +109,8 @@
  * as well: it refuses until it has polled.
  */
 export const servingAllowanceMs = (state: AgentState): number => {
-  const leaseLeftMs = Math.max(0, state.leaseUntil - state.now);
-  return mayServeIsolated(state) ? Math.max(leaseLeftMs, isolatedAllowanceMs) : leaseLeftMs;
+  const leaseMs = leaseLeftMs(state);
+  return mayServeIsolated(state) ? Math.max(leaseMs, isolatedAllowanceMs) : leaseMs;
 };
 
 /**
--- a/packages/agent/src/feed/feed.ts
+++ b/packages/agent/src/feed/feed.ts
@@ -1,7 +1,7 @@
 /** The agent's replies to this machine's proxy: feeds with the parts that changed, and claim replies. */
 import { rateOf } from '@reedyard/quota-division';
 import type { Purge } from '@reedyard/schemas';
-import { servingAllowanceMs, isUnreachable } from '../control/reachability.js';
+import { isUnreachable, leaseLeftMs, servingAllowanceMs } from '../control/reachability.js';
 import { policyOf, quotaAllocationOf, toleratesLosses, zonesOf } from '../control/registers.js';
 import { publishHeartbeat } from '../gossip/node-record.js';
 import {
@@ -50,6 +50,7 @@
   const isPolicyNew = policy !== null && policy.revision !== report.policyRevision;
   return {
     leaseMs: servingAllowanceMs(state),
+    provenLeaseMs: leaseLeftMs(state),
     life: state.incarnation,
     flushes: state.cacheFlushCount,
     policy: isPolicyNew ? { revision: policy.revision, document: policy.document } : null,
--- a/packages/agent/src/messages.ts
+++ b/packages/agent/src/messages.ts
@@ -149,6 +149,11 @@
 export type Feed = {
   /** The remaining lease in milliseconds, counted from when the proxy sent its feed request. */
   readonly leaseMs: number;
+  /**
+   * The part of `leaseMs` that replies of a majority prove; less where the node serves while it is
+   * isolated. Undefined from an agent of the last version, which doesn't distinguish the two.
+   */
+  readonly provenLeaseMs?: number;
   /** The id of this incarnation of the agent; purge positions are valid within one incarnation only. */
   readonly life: string;
   readonly flushes: number;
--- a/packages/proxy/src/attempt-budget.ts
+++ b/packages/proxy/src/attempt-budget.ts
@@ -2,7 +2,7 @@
  * How many attempts at origins a request has left, how many of them a peer is granted, and the header
  * with which a peer reports how many it consumed.
  */
-import { consumedAttempts } from '@reedyard/attempts';
+import { type Attempt, consumedAttempts } from '@reedyard/attempts';
 import { hasRetryBudget } from './endpoint-selection.js';
 import { headerText, isAlwaysCached } from './request-rules.js';
 import type { AttemptResponse, ProxyRequest, Transition } from './state.js';
@@ -14,12 +14,23 @@
  */
 const reservedAttempts = 1;
 
+/** Whether an attempt went to a peer that refused it, and that made no attempt at an origin for it. */
+const isRefusedByPeer = ({ to, result }: Attempt): boolean =>
+  to.kind === 'peer' &&
+  result?.kind === 'answered' &&
+  result.provablyNotExecuted &&
+  result.consumedAttempts === 0;
+
 /**
- * Whether another attempt needs no retry token: all previous attempts went to peers, which usually
- * have a cached copy, so that another one adds little load on origins.
+ * Whether another attempt needs no retry token: all previous attempts went to peers, which refused
+ * them without any load on origins, or which usually have a cached copy, so that another one adds
+ * little load on origins.
  */
 export const isExemptFromRetryBudget = (request: ProxyRequest): boolean =>
-  isAlwaysCached(request.route) && request.attempts.every((attempt) => attempt.to.kind === 'peer');
+  request.attempts.every(
+    (attempt) =>
+      (attempt.to.kind === 'peer' && isAlwaysCached(request.route)) || isRefusedByPeer(attempt),
+  );
 
 /** Whether the route's maximum number of attempts and the retry budget allow another attempt. */
 export const mayRetry = (transition: Transition, request: ProxyRequest): boolean =>
--- a/packages/proxy/src/attempt-results.ts
+++ b/packages/proxy/src/attempt-results.ts
@@ -16,9 +16,11 @@
 } from './attempt-budget.js';
 import {
   ejectEndpoint,
+  fullOriginPauseMs,
   hasRetryBudget,
+  pauseEndpoint,
+  peerWithoutLeasePauseMs,
   recordResponse,
-  pauseFullOrigin,
 } from './endpoint-selection.js';
 import {
   closeRequest,
@@ -35,6 +37,8 @@
   mayCache,
   isAlwaysCached,
   isOriginGatewayError,
+  isUnexecutedRefusal,
+  refusalReasonOf,
   serviceOfAttempt,
   rejectionReasonOf,
 } from './request-rules.js';
@@ -113,6 +117,17 @@
   decideNext(transition, ended);
 };
 
+/**
+ * Passes over a peer that did not run a request: for a short time if it has no lease, until it may
+ * have one again, and not at all if it only disagrees about the route of this request.
+ */
+const passOverPeer = (transition: Transition, id: string, response: AttemptResponse): void => {
+  const reason = refusalReasonOf(response);
+  if (reason === 'policy') return;
+  if (reason === 'lease') pauseEndpoint(transition, id, peerWithoutLeasePauseMs);
+  else ejectEndpoint(transition, id);
+};
+
 /** Handles a response to an attempt: validates it, then responds to the client, retries, or fails. */
 export const handleAttemptResponse = (
   transition: Transition,
@@ -141,7 +156,7 @@
   // purge. A response to a cacheable request that is safe to repeat is then not relayed. All other
   // responses rest on nothing that can change after the attempt was opened.
   const staleReason =
-    isCacheable && isIdempotent && isLeaseExpired(transition)
+    isCacheable && isIdempotent && isLeaseExpired(transition, request)
       ? 'lease'
       : purgedAt !== null && state.now - purgedAt > 250
         ? 'purged'
@@ -157,8 +172,7 @@
     return;
   }
   const isProvablyNotRun =
-    response.originEvidence?.notRun ??
-    (headerText(response.headers, 'reedyard-outcome') === 'not-run' && response.status === 503);
+    response.originEvidence?.notRun ?? isUnexecutedRefusal(attempt, response);
   const isRejected =
     isProvablyNotRun ||
     response.status === 408 ||
@@ -195,7 +209,8 @@
       state.now - attempt.openedAt,
       response.originEvidence,
     );
-  if (attempt.to.kind === 'origin' && isProvablyNotRun) pauseFullOrigin(transition, attempt.to.id);
+  if (attempt.to.kind === 'origin' && isProvablyNotRun)
+    pauseEndpoint(transition, attempt.to.id, fullOriginPauseMs);
   // A complete response leaves its connection ready for the next request; others must be aborted.
   const abortIfIncomplete = (): void => {
     if (!response.isComplete)
@@ -208,7 +223,8 @@
   }
   if (!isFinal) {
     abortIfIncomplete();
-    if (attempt.to.kind === 'peer' && isProvablyNotRun) ejectEndpoint(transition, attempt.to.id);
+    if (attempt.to.kind === 'peer' && isProvablyNotRun)
+      passOverPeer(transition, attempt.to.id, response);
     decideNext(transition, ended);
     return;
   }
--- a/packages/proxy/src/client-request-reader.ts
+++ b/packages/proxy/src/client-request-reader.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import type http from 'node:http';
 import type { WireFormat } from './wire-format.js';
+import { readPeerRequestFields } from './peer-request-fields.js';
 import { forwardableHeaders } from './response-reader.js';
 import type { ClientRequest } from './state.js';
 
@@ -34,10 +35,6 @@
   return target.startsWith('/') && !/\/(?:\.|%2e){1,2}(?:\/|$)/i.test(path);
 };
 
-/** The number in a field of up to four digits; null for any other value. */
-const attemptCountOf = (field: string | string[] | undefined): number | null =>
-  typeof field === 'string' && /^\d{1,4}$/.test(field) ? Number(field) : null;
-
 /** Distinguishes requests with the same idempotency key. */
 const digestOf = (method: string, target: string, body: Buffer): string =>
   createHash('sha256')
@@ -54,16 +51,15 @@
 ): ClientRequest => {
   const { headers, method = 'GET', url: target = '/' } = request;
   const hasDigest = !isFromPeer && headers['idempotency-key'] !== undefined;
-  const peer = headers['reedyard-via'];
+  const peerParts = isFromPeer ? readPeerRequestFields(headers) : { via: null, attempts: null };
   return {
     method,
     target,
     host: headers.host ?? '',
     headers: forwardableHeaders(headers),
-    via: isFromPeer ? String(peer ?? 'unnamed') : null,
     bodyBytes: body.length,
     digest: hasDigest ? digestOf(method, target, body) : null,
     deadlineMs: wireFormat.deadlineMs(headers),
-    attempts: isFromPeer ? attemptCountOf(headers['reedyard-attempts-left']) : null,
+    ...peerParts,
   };
 };
--- a/packages/proxy/src/core.ts
+++ b/packages/proxy/src/core.ts
@@ -12,7 +12,7 @@
 import { applyFeed } from './feed-handler.js';
 import { requestFeed } from './reporting.js';
 import { maxRequestsInFlight } from './request-limit.js';
-import { headerText, deadlineOf, refusalOf } from './request-rules.js';
+import { headerText, deadlineOf, refusalHeaders, refusalOf } from './request-rules.js';
 import { startRequest } from './serving.js';
 import { unreadyServingMs } from './shutdown-timing.js';
 import {
@@ -28,7 +28,11 @@
 } from './state.js';
 import { tick } from './tick-handler.js';
 
-const mayServe = (transition: Transition, id: number, via: string | null): boolean => {
+const mayServe = (
+  transition: Transition,
+  id: number,
+  { via, requiresLease = false }: ClientRequest,
+): boolean => {
   const { state } = transition;
   if (state.stoppingAt !== null && state.now - state.stoppingAt > unreadyServingMs) {
     sendProblem(transition, id, 503, 'Leaving', 'This node is stopping.', { connection: 'close' });
@@ -38,6 +42,17 @@
     sendProblem(transition, id, 503, 'Not ready', 'This node is isolated from the control state.');
     return false;
   }
+  if (requiresLease && state.now >= state.provenUntil) {
+    sendProblem(
+      transition,
+      id,
+      503,
+      'No lease',
+      'This node serves by what it last knew, and its peer has a lease.',
+      refusalHeaders('lease'),
+    );
+    return false;
+  }
   if (
     via === null &&
     state.evacuatedAt !== null &&
@@ -60,7 +75,7 @@
 ): void => {
   const { state } = transition;
   count(transition, clientRequest.via === null ? 'requests' : 'requests.peer');
-  if (!mayServe(transition, id, clientRequest.via)) return;
+  if (!mayServe(transition, id, clientRequest)) return;
   const route = Routes.find(state.routes, clientRequest.host, clientRequest.target);
   const refusal = refusalOf(route, clientRequest, state.policy?.document.callers);
   if (route === undefined || refusal !== null) {
@@ -82,7 +97,7 @@
     clientRequest,
     route,
     revision: state.policy?.revision ?? 0,
-    service: drawService(route, randomNumbers.at(-1) ?? 0),
+    service: clientRequest.service ?? drawService(route, randomNumbers.at(-1) ?? 0),
     isIdempotent,
     key: Cache.key(clientRequest.host, clientRequest.target),
     arrivedAt: state.now,
@@ -208,6 +223,7 @@
     self,
     now,
     leaseUntil: 0,
+    provenUntil: 0,
     life: '',
     cacheFlushCount: 0,
     feedRequestedAt: now,
--- a/packages/proxy/src/endpoint-selection.ts
+++ b/packages/proxy/src/endpoint-selection.ts
@@ -22,7 +22,10 @@
  * How long an origin that rejected a request as full is passed over, so that it can finish some, in
  * milliseconds.
  */
-const fullOriginPauseMs = 150;
+export const fullOriginPauseMs = 150;
+
+/** How long a peer that has no lease is passed over: one feed of it, in milliseconds. */
+export const peerWithoutLeasePauseMs = 250;
 
 /**
  * The time constant with which an origin's load report decays, in milliseconds: a few times the
@@ -365,15 +368,12 @@
   });
 };
 
-/** Ejects an origin that rejected a request as full, only for a short time in which that may change. */
-export const pauseFullOrigin = (transition: Transition, name: string): void =>
+/** Passes over an endpoint that rejected a request, only for a short time in which that may change. */
+export const pauseEndpoint = (transition: Transition, name: string, pauseMs: number): void =>
   update(transition, {
     ejectedUntil: {
       ...transition.state.ejectedUntil,
-      [name]: Math.max(
-        transition.state.ejectedUntil[name] ?? 0,
-        transition.state.now + fullOriginPauseMs,
-      ),
+      [name]: Math.max(transition.state.ejectedUntil[name] ?? 0, transition.state.now + pauseMs),
     },
   });
 
--- a/packages/proxy/src/feed-handler.ts
+++ b/packages/proxy/src/feed-handler.ts
@@ -41,6 +41,7 @@
         state.now >= copyExpiresAtMs(Routes.find(table, ...Cache.splitKey(copy.key)), state, copy),
     );
   }
+  const provenLeaseMs = feed.provenLeaseMs ?? feed.leaseMs;
   const isEvacuated = feed.emptied.includes(state.self.zone);
   update(transition, {
     ownersByRoute:
@@ -53,6 +54,8 @@
     cache,
     leaseUntil:
       feed.leaseMs > 0 ? Math.max(state.leaseUntil, askedAt + feed.leaseMs) : state.leaseUntil,
+    provenUntil:
+      provenLeaseMs > 0 ? Math.max(state.provenUntil, askedAt + provenLeaseMs) : state.provenUntil,
     policy,
     routes,
     hasRemotePeers:
--- a/packages/proxy/src/outgoing-request.ts
+++ b/packages/proxy/src/outgoing-request.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type { OutgoingRequest } from './exchange.js';
 import type { WireFormat } from './wire-format.js';
+import { peerRequestFields } from './peer-request-fields.js';
 import { forwardableHeaders } from './response-reader.js';
 import type { ClientRequest, ProxyEffect } from './state.js';
 
@@ -40,17 +41,6 @@
   return [received, client].flat().filter(isDefined).join(', ');
 };
 
-const peerFields = (
-  { attemptId, delegatedAttempts }: SendAttempt,
-  node: string,
-): Readonly<Record<string, string>> => ({
-  'reedyard-attempt': attemptId,
-  'reedyard-via': node,
-  ...(Number.isFinite(delegatedAttempts)
-    ? { 'reedyard-attempts-left': String(delegatedAttempts) }
-    : {}),
-});
-
 const headersOf = (
   incoming: IncomingParts,
   effect: SendAttempt,
@@ -67,7 +57,7 @@
   headers.via = [request.headers.via, name.via].filter(isDefined).join(', ');
   headers.host = clientRequest.host;
   Object.assign(headers, wireFormat.remainingTimeFields(effect.timeoutMs));
-  if (effect.to.kind === 'peer') Object.assign(headers, peerFields(effect, name.node));
+  if (effect.to.kind === 'peer') Object.assign(headers, peerRequestFields(effect, name.node));
   delete headers['content-length'];
   if (body.length > 0 || !methodsWithoutBody.includes(clientRequest.method))
     headers['content-length'] = String(body.length);
--- a/packages/proxy/src/request-completion.ts
+++ b/packages/proxy/src/request-completion.ts
@@ -9,13 +9,21 @@
 import { objectKey } from '@reedyard/server-selection';
 import { consumedAttemptsHeaders } from './attempt-budget.js';
 import { drawService, isIdempotentRequest } from './endpoint-selection.js';
-import { deadlineOf, headerText, mayCache, isAlwaysCached, refusalOf } from './request-rules.js';
+import {
+  deadlineOf,
+  headerText,
+  mayCache,
+  isAlwaysCached,
+  type Refusal,
+  refusalOf,
+} from './request-rules.js';
 import { continueRequest } from './serving.js';
 import {
   type ClientResponse,
   count,
   log,
   type ProxyRequest,
+  type ProxyState,
   type Transition,
   update,
   updateRequest,
@@ -110,11 +118,20 @@
 };
 
 /**
- * Whether the lease has expired. It is checked at each use, so that a process that was frozen notices
- * before it handles pending requests.
+ * Until when a request may be served: while this node has a lease or an allowance, or a lease alone if
+ * the peer that forwarded it has one.
+ */
+export const leaseEndOf = (
+  { leaseUntil, provenUntil }: ProxyState,
+  { clientRequest }: ProxyRequest,
+): number => (clientRequest.requiresLease === true ? provenUntil : leaseUntil);
+
+/**
+ * Whether the lease that a request needs has expired. It is checked at each use, so that a process
+ * that was frozen notices before it handles pending requests.
  */
-export const isLeaseExpired = (transition: Transition): boolean =>
-  transition.state.now >= transition.state.leaseUntil;
+export const isLeaseExpired = ({ state }: Transition, request: ProxyRequest): boolean =>
+  state.now >= leaseEndOf(state, request);
 
 /** The reason in the response to a client whose node has no lease. */
 export const isolatedNodeDetail = 'this node is isolated from the control state';
@@ -125,7 +142,7 @@
   request: ProxyRequest,
   copy: CachedResponse,
 ): void => {
-  if (isLeaseExpired(transition)) {
+  if (isLeaseExpired(transition, request)) {
     failRequest(transition, request, 503, 'not-run', isolatedNodeDetail);
     return;
   }
@@ -235,11 +252,7 @@
 };
 
 /** Rejects a request of which provably nothing ran, with a problem document of the proxy itself. */
-const endUnexecuted = (
-  transition: Transition,
-  request: ProxyRequest,
-  refusal: NonNullable<ReturnType<typeof refusalOf>>,
-): void => {
+const endUnexecuted = (transition: Transition, request: ProxyRequest, refusal: Refusal): void => {
   settleClaim(transition, request, 'not-run');
   if (!request.hasClientLeft)
     sendProblem(
--- a/packages/proxy/src/request-rules.ts
+++ b/packages/proxy/src/request-rules.ts
@@ -25,17 +25,73 @@
   return value === undefined ? null : typeof value === 'string' ? value : value.join(',');
 };
 
-/** The response that rejects a request by its route alone; null if the request is allowed. */
-export const refusalOf = (
-  route: Route | undefined,
-  clientRequest: ClientRequest,
-  callers: Policy['callers'],
-): {
+/** A response that rejects a request without running it. */
+export type Refusal = {
   readonly status: number;
   readonly title: string;
   readonly detail: string;
   readonly more?: Readonly<Record<string, string>>;
-} | null => {
+};
+
+/** The header field that tells the forwarding peer why its request is refused. */
+const refusalHeader = 'reedyard-refusal';
+
+/**
+ * Why a node refuses a request of a peer: it has no lease, and the peer has one, or its policy does
+ * not let it serve the request as the peer's policy does.
+ */
+export type RefusalReason = 'lease' | 'policy';
+
+/** The header fields of a refusal of a peer's request. */
+export const refusalHeaders = (reason: RefusalReason): Readonly<Record<string, string>> => ({
+  [refusalHeader]: reason,
+});
+
+/** Why a peer refused a request; null if it gives no reason that is known here. */
+export const refusalReasonOf = (response: AttemptResponse): RefusalReason | null => {
+  const reason = headerText(response.headers, refusalHeader);
+  return reason === 'lease' || reason === 'policy' ? reason : null;
+};
+
+/**
+ * Whether a response refuses its request and states that nothing was run. A peer decides nothing for
+ * the client of another node: whatever status it refuses with, this node serves the request elsewhere.
+ */
+export const isUnexecutedRefusal = ({ to }: Attempt, response: AttemptResponse): boolean =>
+  headerText(response.headers, 'reedyard-outcome') === 'not-run' &&
+  (response.status === 503 || (to.kind === 'peer' && response.status >= 400));
+
+const otherPolicyRefusal: Refusal = {
+  status: 503,
+  title: 'Other policy',
+  detail: 'The policy of this node does not let it serve the request as its peer would.',
+  more: refusalHeaders('policy'),
+};
+
+/**
+ * The response that rejects a request by the policy alone; null if the request is allowed. A peer's
+ * request is served as both policies allow it, by the service that the peer drew, or left to the
+ * peer: only the node that the client reached refuses by its policy.
+ */
+export const refusalOf = (
+  route: Route | undefined,
+  clientRequest: ClientRequest,
+  callers: Policy['callers'],
+): Refusal | null => {
+  const refusal = routeRefusalOf(route, clientRequest, callers);
+  if (clientRequest.via === null) return refusal;
+  const { service = null } = clientRequest;
+  const isAllowed =
+    refusal === null && route !== undefined && (service === null || Routes.allows(route, service));
+  return isAllowed ? null : otherPolicyRefusal;
+};
+
+/** The response that rejects a client's request by its route alone; null if the request is allowed. */
+const routeRefusalOf = (
+  route: Route | undefined,
+  clientRequest: ClientRequest,
+  callers: Policy['callers'],
+): Refusal | null => {
   if (route === undefined)
     return {
       status: 404,
--- a/packages/proxy/src/serving.ts
+++ b/packages/proxy/src/serving.ts
@@ -25,6 +25,7 @@
   respondFromCache,
   failRequest,
   isLeaseExpired,
+  leaseEndOf,
   isolatedNodeDetail,
   applyCurrentPolicy,
 } from './request-completion.js';
@@ -65,7 +66,7 @@
   request: ProxyRequest,
   to: AttemptTarget,
 ): void => {
-  if (isLeaseExpired(transition)) {
+  if (isLeaseExpired(transition, request)) {
     failRequest(transition, request, 503, outcomeOf(request.attempts), isolatedNodeDetail);
     return;
   }
@@ -120,7 +121,9 @@
     isCacheable: mayJoinFetch(request) && to.kind === 'origin',
     isIdempotent: request.isIdempotent,
     delegatedAttempts: granted,
-    sendBy: transition.state.leaseUntil,
+    service: request.service,
+    requiresLease: transition.state.now < transition.state.provenUntil,
+    sendBy: leaseEndOf(transition.state, request),
   });
 };
 
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -27,6 +27,13 @@
   readonly deadlineMs?: number | null;
   /** How many attempts at origins are left; undefined or null if the request does not say. */
   readonly attempts?: number | null;
+  /** The service that the forwarding peer drew; undefined or null if the request does not say. */
+  readonly service?: string | null;
+  /**
+   * Whether the forwarding peer has a lease: its answer must then rest on a lease here as well, not
+   * on what an isolated node last knew.
+   */
+  readonly requiresLease?: boolean;
 };
 
 /** A response to an attempt: complete if it has at most maxBufferedBodyBytes, else still streaming. */
@@ -111,7 +118,10 @@
     readonly life: string;
   };
   readonly now: number;
+  /** Until when this node may serve: the end of its lease, or of its allowance while isolated. */
   readonly leaseUntil: number;
+  /** Until when a lease proves that what this node knows is current. */
+  readonly provenUntil: number;
   /** The incarnation of the agent that sent the last feed; empty before the first one. */
   readonly life: string;
   readonly cacheFlushCount: number;
@@ -235,6 +245,9 @@
       readonly isIdempotent: boolean;
       /** How many attempts at origins may be made through this one; Infinity without a limit. */
       readonly delegatedAttempts: number;
+      readonly service: string;
+      /** Whether a peer may serve the request only under a lease of its own. */
+      readonly requiresLease: boolean;
       /**
        * The time after which no byte of the request may be sent, because the state that the attempt
        * was decided on is then outdated.
--- a/packages/proxy/src/testing/proxy-harness.ts
+++ b/packages/proxy/src/testing/proxy-harness.ts
@@ -83,6 +83,8 @@
   origins: readonly OriginEndpoint[];
   peers: readonly PeerEndpoint[];
   split: Feed['split'];
+  /** The proven part of the lease in milliseconds; undefined for all of it. */
+  provenLeaseMs?: number;
 };
 
 /** A running proxy with its feed, its ports and its log. */
@@ -123,6 +125,7 @@
   ) as ProxySettings;
 
 const feedOf = (parts: FeedParts): Feed => ({
+  ...(parts.provenLeaseMs === undefined ? {} : { provenLeaseMs: parts.provenLeaseMs }),
   leaseMs: 600_000,
   life: 'life',
   flushes: 0,
--- a/packages/proxy/src/tick-handler.ts
+++ b/packages/proxy/src/tick-handler.ts
@@ -113,7 +113,7 @@
     current === undefined ||
     current.phase !== 'attempt' ||
     current.hasClientLeft ||
-    isLeaseExpired(transition)
+    isLeaseExpired(transition, current)
   )
     return;
   const hasRetryBudget = mayRetry(transition, current);
--- a/packages/simulator/src/simulated-fleet.ts
+++ b/packages/simulator/src/simulated-fleet.ts
@@ -1183,10 +1183,12 @@
     process: Process<'proxy'>,
     effect: Extract<ProxyEffect, { kind: 'send-attempt' }>,
   ): ClientRequest {
+    const { service, requiresLease, delegatedAttempts } = effect;
+    const request = { ...effect.clientRequest, service, requiresLease };
     if (this.tuning.plant !== 'uncounted-grants')
-      return { ...effect.clientRequest, attempts: effect.delegatedAttempts };
+      return { ...request, attempts: delegatedAttempts };
     process.state = withUncountedGrant(process.state, effect.requestId, effect.attempt);
-    return effect.clientRequest;
+    return request;
   }
 
   /** Last feed of each proxy process, merged from its agent's replies. */
