Testbed: feed ports of fleets that run at the same time never meet

Cause: all feeds are on 127.0.0.1, and their ports were free ports of the system's range for outgoing connections, drawn long before the agents listen on them.

--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -23,16 +23,41 @@
 /** Simulated one-way delay between two regions, in milliseconds. */
 const interRegionDelayMs = 6;
 const packages = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
-const findFreePort = (): Promise<number> =>
-  new Promise((resolve, reject) => {
+/**
+ * The ports for feeds, which all testbeds of this machine share: below those that the system gives
+ * to outgoing connections, and apart for testbeds that run at the same time.
+ */
+const firstFeedPort = 10_000;
+const feedPortsPerTestbed = 110;
+const feedPortBlocks = 200;
+
+/** Ports that fleets of this process have, whether their agents listen yet or not. */
+const assignedFeedPorts = new Set<number>();
+
+const isPortFree = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
     const server = net.createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as net.AddressInfo;
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 
+/**
+ * The first free port for the feed of a node, from its own place among the testbed's ports on.
+ *
+ * @throws TestbedError if none is free
+ */
+export const findFeedPort = async (nodeIndex: number): Promise<number> => {
+  const block = process.pid % feedPortBlocks;
+  for (let offset = 0; offset < feedPortBlocks; offset += 1) {
+    const nextBlock = (block + offset) % feedPortBlocks;
+    const port = firstFeedPort + nextBlock * feedPortsPerTestbed + nodeIndex;
+    if (assignedFeedPorts.has(port)) continue;
+    assignedFeedPorts.add(port);
+    if (await isPortFree(port)) return port;
+  }
+  throw new TestbedError('in use', `no port for the feed of node ${nodeIndex} is free`);
+};
+
 const ownerFileName = 'bench.pid';
 /** Process id of another running testbed that uses a folder, or null. */
 const otherOwnerOf = (folder: string): number | null => {
@@ -282,7 +307,7 @@
         .map((each) => `${this.#hostOf(machines.indexOf(each))}:7001`),
       founders,
       dataFolder: path.join(nodeFolder, 'data'),
-      agent: { port: 7001, apiPort: 7080, feedPort: await findFreePort() },
+      agent: { port: 7001, apiPort: 7080, feedPort: await findFeedPort(index) },
       ...(machine.kind === 'front'
         ? {
             proxy: {
