--- a/packages/cache/src/cache.test.ts
+++ b/packages/cache/src/cache.test.ts
@@ -72,6 +72,21 @@
   t.is(state.purgedAt.size, 2);
 });
 
+// Guards against an acknowledged purge that ends nothing, since its tag contains a comma (review case 5).
+test('a tag that contains a comma is purged as a whole, and its parts are purged as well', (t) => {
+  const tagsOf = (field: string): readonly string[] =>
+    Cache.tagsOf({ 'surrogate-key': field }, 'surrogate-key');
+  t.deepEqual(tagsOf('icing,jura maps'), ['icing,jura', 'icing', 'jura', 'maps']);
+  t.deepEqual(tagsOf('a, b'), ['a,', 'a', 'b']);
+  t.deepEqual(tagsOf('a,a a'), ['a,a', 'a']);
+  t.deepEqual(tagsOf(' , '), []);
+  for (const tag of ['icing,jura', 'icing', 'jura', 'maps']) {
+    const kept = Cache.keep(Cache.empty, responseOf('a.example/1', tagsOf('icing,jura maps')));
+    const purged = Cache.purge(kept, { objects: [], tags: [tag] }, 100);
+    t.is(purged.copies.size, 0, tag);
+  }
+});
+
 test('the cache evicts the least recently used response when it is full, and serves no stale response', (t) => {
   let state = Cache.keep(Cache.keep(Cache.empty, responseOf('1', []), 25), responseOf('2', []), 25);
   state = Cache.touch(state, '1');
--- a/packages/cache/src/cache.ts
+++ b/packages/cache/src/cache.ts
@@ -111,15 +111,21 @@
   },
 
   /**
-   * The cache tags in a response header.
+   * The cache tags in a response header, each once. Origins separate tags by spaces or by commas, and
+   * a comma may belong to a tag: a word that contains commas counts as a whole and in its parts, so
+   * that no purge misses it.
    *
    * @example
-   * Cache.tagsOf({ 'surrogate-key': 'a b' }, 'surrogate-key') // ['a', 'b']
+   * Cache.tagsOf({ 'surrogate-key': 'a b,c' }, 'surrogate-key') // ['a', 'b,c', 'b', 'c']
    */
-  tagsOf: (headers: Headers, name: string): readonly string[] =>
-    textOf(headers, name)
-      .split(/[\s,]+/)
-      .filter((tag) => tag !== ''),
+  tagsOf: (headers: Headers, name: string): readonly string[] => {
+    const words = textOf(headers, name)
+      .split(/\s+/)
+      .filter((word) => /[^,]/.test(word));
+    return [...new Set(words.flatMap((word) => [word, ...word.split(',')]))].filter(
+      (tag) => tag !== '',
+    );
+  },
 
   /**
    * How long a response may be cached under RFC 9111, in milliseconds; 0 if it may not be cached.
--- a/packages/schemas/src/schemas.ts
+++ b/packages/schemas/src/schemas.ts
@@ -133,7 +133,10 @@
    * can't be recognized.
    */
   key: z.enum(['required', 'optional']).optional(),
-  /** Response header with the purge tags of an object, separated by spaces or commas. */
+  /**
+   * Response header with the purge tags of an object, separated by spaces or commas. A word that
+   * contains commas can be purged as a whole, too.
+   */
   tagsHeader: z
     .string()
     .regex(/^[a-z0-9-]+$/)
