--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -17,7 +17,7 @@
   Connections,
 } from './connection.js';
 import type { OriginEvidence } from './wire-format.js';
-import { readResponse, type ReadResponse } from './response-reader.js';
+import { isLengthKnown, readResponse, type ReadResponse } from './response-reader.js';
 import type { AttemptResponse } from './state.js';
 
 /** An attempt without a usable response. */
@@ -55,6 +55,8 @@
 export type ResponseAssessment = {
   readonly evidence: MatchEvidence;
   readonly originEvidence?: OriginEvidence;
+  /** Whether the response may have no length and end with its connection. */
+  readonly mayBeUnbounded: boolean;
 };
 
 /** A socket, the state of its connection, and an HTTP agent that uses no other socket. */
@@ -167,11 +169,13 @@
     const assessment = this.#assess(response);
     if (assessment === null) return;
     this.#assessment = assessment;
-    const keepAliveMs = keepAliveMsOf(response.headers);
     const { attempt, outgoing } = this.options;
-    const { evidence } = assessment;
+    const { evidence, mayBeUnbounded } = assessment;
+    const isBounded = isLengthKnown(outgoing.method, response);
+    const keepAliveMs = isBounded ? keepAliveMsOf(response.headers) : null;
+    if (!isBounded) this.#reportReset();
     this.#dispatch({ kind: 'answer-head', attempt, keepAliveMs, evidence });
-    readResponse(outgoing.method, response, {
+    readResponse(outgoing.method, response, mayBeUnbounded, {
       ready: (readResult) => this.#handleReady(response, readResult),
       unusable: (why, message, cause) => {
         this.#failure = { message, cause };
@@ -180,6 +184,19 @@
     });
   }
 
+  /**
+   * Reports a reset that ends a response without a length. Node reports a reset that arrives together
+   * with data as an orderly end, but a socket that was reset has no peer any more. This runs before
+   * Node's own handler, which would complete the response.
+   */
+  #reportReset(): void {
+    const { socket } = this.options.connection;
+    socket.prependOnceListener('end', () => {
+      if (socket.remoteAddress === undefined)
+        this.#reportLoss('cut', new Error('the connection was reset'));
+    });
+  }
+
   /** Assesses a response head; null, with the attempt ended, if the wire format can't read it. */
   #assess(response: http.IncomingMessage): ResponseAssessment | null {
     const { attempt, assessResponse } = this.options;
--- a/packages/proxy/src/origin-connections.ts
+++ b/packages/proxy/src/origin-connections.ts
@@ -146,7 +146,7 @@
       const status = response.statusCode ?? 0;
       const originEvidence = this.wireFormat.readOriginResponse(status, response.headers, attempt);
       const { mismatch, anonymous = false } = originEvidence;
-      return { originEvidence, evidence: { mismatch, anonymous } };
+      return { originEvidence, evidence: { mismatch, anonymous }, mayBeUnbounded: true };
     };
     const identity = this.wireFormat.identity === 'asked' ? originId : null;
     return this.#send(
@@ -166,7 +166,10 @@
   ): InFlightAttempt {
     const assessResponse = ({ headers }: http.IncomingMessage): ResponseAssessment => {
       const isForeign = headers['reedyard-attempt'] !== outgoing.headers['reedyard-attempt'];
-      return { evidence: { mismatch: isForeign ? 'foreign' : null, anonymous: false } };
+      return {
+        evidence: { mismatch: isForeign ? 'foreign' : null, anonymous: false },
+        mayBeUnbounded: false,
+      };
     };
     return this.#send(
       { key: peerKeyOf(peer), address: peer.address, identity: null, assessResponse },
--- a/packages/proxy/src/response-reader.ts
+++ b/packages/proxy/src/response-reader.ts
@@ -1,6 +1,7 @@
 /**
  * Reads one HTTP response of an origin or a peer: buffers a small one completely and streams a large
- * one. A response whose end can't be distinguished from a broken connection is unusable.
+ * one. A response without a length ends with its connection: it is complete if the other end closed
+ * the connection in order, and cut short if it was reset.
  */
 import { createHash } from 'node:crypto';
 import type http from 'node:http';
@@ -74,7 +75,8 @@
 const isFinalStatus = (status: number): boolean =>
   status >= minFinalStatus && status <= maxFinalStatus;
 
-const isLengthKnown = (method: string, response: http.IncomingMessage): boolean =>
+/** Whether the end of a response can be told without the end of its connection. */
+export const isLengthKnown = (method: string, response: http.IncomingMessage): boolean =>
   method === 'HEAD' ||
   response.statusCode === 204 ||
   response.statusCode === 304 ||
@@ -89,14 +91,16 @@
 };
 
 /**
- * Reads a response completely, or provides it as a stream once it is too large to buffer.
+ * Reads a response completely, or provides it as a stream once it is too large to buffer. Only
+ * origins send responses without a length (`mayBeUnbounded`); a peer frames all of its own.
  *
  * @example
- * readResponse('GET', response, { ready: forward, unusable: fail });
+ * readResponse('GET', response, true, { ready: forward, unusable: fail });
  */
 export const readResponse = (
   method: string,
   response: http.IncomingMessage,
+  mayBeUnbounded: boolean,
   { ready, unusable }: ResponseCallbacks,
 ): void => {
   const status = response.statusCode ?? 0;
@@ -105,7 +109,7 @@
     unusable('status', `${status} is not the status of a final response`);
     return;
   }
-  if (!isLengthKnown(method, response)) {
+  if (!mayBeUnbounded && !isLengthKnown(method, response)) {
     response.on('error', () => undefined);
     unusable('no-length', 'the response has neither a content-length nor a transfer-encoding');
     return;
