--- a/packages/proxy/src/attempt-results.ts
+++ b/packages/proxy/src/attempt-results.ts
@@ -291,6 +291,7 @@
             ? {}
             : { 'reedyard-outcome': response.status < 500 ? 'ran' : 'unknown' }),
         },
+        ...(response.isComplete ? {} : { endBy: request.deadlineAt }),
         body: { kind: 'attempt', answer: response },
       },
     });
--- a/packages/proxy/src/origin-sockets.test.ts
+++ b/packages/proxy/src/origin-sockets.test.ts
@@ -203,6 +203,26 @@
   t.false(client.text.endsWith('\r\n0\r\n\r\n'));
 });
 
+// Guards against streamed responses that are held without an end after their route's timeout (review case 7).
+test('a streamed response whose origin falls silent is ended at the deadline of its request', async (t) => {
+  const length = maxBufferedBodyBytes + 1_000_000;
+  const setup = await startSetup(
+    t,
+    (request, socket) => {
+      const fields = { ...responseFieldsFor(request), 'content-length': String(length) };
+      socket.write(responseBytes(200, fields, '') + 'x'.repeat(length - 10_000));
+    },
+    { requestMs: 1_000 },
+  );
+  const client = await RawClient.connect(setup.harness.port);
+  client.send('GET', '/read/silent', 'silent');
+  await waitUntil(() => client.ended || client.closed);
+  t.true(client.text.length > maxBufferedBodyBytes && client.text.length < length);
+  const [socket] = setup.origin.sockets;
+  await waitUntil(() => socket?.destroyed === true || socket?.readableEnded === true);
+  await waitUntil(() => setup.harness.proxy.inFlightCount() === 0);
+});
+
 test('a response sent before the origin read the complete request is used, and its connection is not reused', async (t) => {
   const moreThanSocketBuffers = 24 * 1024 * 1024;
   const setup = await startSetup(
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -455,7 +455,14 @@
     const stream = writeClientResponse({ response, clientRequest, wireFormat, hopFields }, answer);
     if (stream === null) return;
     this.#streams.set(id, stream);
-    stream.on('close', () => this.#streams.delete(id));
+    const remainingMs = Math.max(0, (answer.endBy ?? Infinity) - now());
+    const timer = Number.isFinite(remainingMs)
+      ? setTimeout(() => stream.destroy(new Error('the deadline of its request')), remainingMs)
+      : undefined;
+    stream.on('close', () => {
+      clearTimeout(timer);
+      this.#streams.delete(id);
+    });
   }
 
   /** Ends a response that could not be written, along with the stream that it is forwarded from. */
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -220,6 +220,8 @@
   readonly headers: Headers;
   /** When to retry, in milliseconds; undefined if the response isn't the proxy's own. */
   readonly retryMs?: number;
+  /** When a response that is still streaming is ended; undefined if it is complete. */
+  readonly endBy?: number;
   readonly body:
     | {
         readonly kind: 'problem';
