--- a/packages/proxy/src/client-request-reader.ts
+++ b/packages/proxy/src/client-request-reader.ts
@@ -3,30 +3,62 @@
 import type http from 'node:http';
 import type { WireFormat } from './wire-format.js';
 import { readPeerRequestFields } from './peer-request-fields.js';
+import type { BodyReservation } from './request-body-budget.js';
 import { forwardableHeaders } from './response-reader.js';
 import type { ClientRequest } from './state.js';
 
-/** Reads a body; calls `onEnd` with the complete body, or `onTooLarge` once it exceeds the limit. */
+/** Why a body is not read: it exceeds the limit of its route, or the memory for all bodies is used up. */
+export type BodyRejection = 'too-large' | 'no-memory';
+
+/** The limits of a body, and what is called once it was read or is not read further. */
+export type BodyReading = {
+  readonly maxBytes: number;
+  readonly reservation: BodyReservation;
+  readonly onEnd: (body: Buffer) => void;
+  readonly onRejected: (rejection: BodyRejection) => void;
+};
+
+/** The announced length of a body in bytes; null if there is none. */
+const announcedLengthOf = (request: http.IncomingMessage): number | null => {
+  const field = request.headers['content-length'];
+  return field === undefined ? null : Number(field);
+};
+
+/**
+ * Reads a body. The memory for a body whose length is announced is reserved before it is read, and is
+ * taken once; that of any other is reserved as it arrives.
+ */
 export const readBody = (
   request: http.IncomingMessage,
-  maxBytes: number,
-  onEnd: (body: Buffer) => void,
-  onTooLarge: () => void,
+  { maxBytes, reservation, onEnd, onRejected }: BodyReading,
 ): void => {
+  const announcedLength = announcedLengthOf(request);
+  const reject = (rejection: BodyRejection): void => {
+    request.removeAllListeners('data');
+    request.removeAllListeners('end');
+    request.resume();
+    reservation.release();
+    onRejected(rejection);
+  };
+  if (announcedLength !== null && announcedLength > maxBytes) {
+    reject('too-large');
+    return;
+  }
+  if (announcedLength !== null && !reservation.reserve(announcedLength)) {
+    reject('no-memory');
+    return;
+  }
+  const whole = announcedLength === null ? null : Buffer.allocUnsafeSlow(announcedLength);
   const chunks: Buffer[] = [];
   let size = 0;
   request.on('data', (chunk: Buffer) => {
     size += chunk.length;
-    if (size <= maxBytes) {
-      chunks.push(chunk);
-      return;
-    }
-    request.removeAllListeners('data');
-    request.removeAllListeners('end');
-    request.resume();
-    onTooLarge();
+    if (size > maxBytes) reject('too-large');
+    else if (whole !== null) chunk.copy(whole, size - chunk.length);
+    else if (reservation.reserve(chunk.length)) chunks.push(chunk);
+    else reject('no-memory');
   });
-  request.on('end', () => onEnd(Buffer.concat(chunks)));
+  request.on('end', () => onEnd(whole ?? Buffer.concat(chunks)));
 };
 
 /** Whether the target is an absolute path without dot segments. */
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -27,6 +27,7 @@
 import { clientRequestOf, isPlainTarget, readBody } from './client-request-reader.js';
 import { AttemptError, OriginConnections, peerKeyOf } from './origin-connections.js';
 import { ProxyCore } from './core.js';
+import { RequestBodyBudget } from './request-body-budget.js';
 import type { WireFormat } from './wire-format.js';
 import type { InFlightAttempt } from './exchange.js';
 import { feedIntervalMs } from './feed-timing.js';
@@ -57,6 +58,13 @@
 /** Maximum size of the fields that a node adds to a request that it forwards to a peer, in bytes. */
 const peerHeadBytes = 8 * 1024;
 
+/** The rejection of a body that the memory for all bodies does not suffice for. */
+const bodiesTooLarge = {
+  status: 503,
+  title: 'Too busy',
+  detail: 'The bodies of other requests take the memory of this node.',
+};
+
 /** Interval between two log lines that list the cached responses, in milliseconds. */
 const storedTraceIntervalMs = 1_000;
 
@@ -105,6 +113,7 @@
   /** Response streams that are being forwarded, by request. */
   readonly #streams = new Map<number, Readable>();
   readonly #servers: { readonly server: InboundServer; readonly isForPeers: boolean }[] = [];
+  readonly #bodyBudget = new RequestBodyBudget();
   #feed: FeedSnapshot | null = null;
   #nextRequestId = 1;
   /** The configured limits on clients that the servers currently enforce. */
@@ -260,17 +269,20 @@
     const id = this.#nextRequestId;
     this.#nextRequestId += 1;
     const maxBytes = this.#maxBodyBytes(host, target);
-    readBody(
-      request,
+    const reservation = this.#bodyBudget.open();
+    response.once('close', reservation.release);
+    const tooLarge = {
+      status: 413,
+      title: 'Body too large',
+      detail: `This route takes bodies of up to ${maxBytes} bytes.`,
+    };
+    readBody(request, {
       maxBytes,
-      (body) => this.#startRequest(id, request, response, turn, body, isFromPeer),
-      () =>
-        rejectUnread(response, turn, {
-          status: 413,
-          title: 'Body too large',
-          detail: `This route takes bodies of up to ${maxBytes} bytes.`,
-        }),
-    );
+      reservation,
+      onEnd: (body) => this.#startRequest(id, request, response, turn, body, isFromPeer),
+      onRejected: (rejection) =>
+        rejectUnread(response, turn, rejection === 'too-large' ? tooLarge : bodiesTooLarge),
+    });
     request.on('error', () => response.destroy());
   }
 
--- /dev/null
+++ b/packages/proxy/src/request-body-budget.test.ts
@@ -0,0 +1,70 @@
+import test from 'ava';
+import { RequestBodyBudget } from './request-body-budget.js';
+import {
+  originEndpoint,
+  policyOf,
+  RawClient,
+  startHarness,
+  waitUntil,
+} from './testing/proxy-harness.js';
+import { startScriptedOrigin, validResponse } from './testing/scripted-origin.js';
+
+test('bodies are held up to the budget together, and a single one whatever its size', (t) => {
+  const budget = new RequestBodyBudget(100);
+  const [first, second, third] = [budget.open(), budget.open(), budget.open()];
+  t.true(first.reserve(90));
+  t.true(second.reserve(10));
+  t.false(second.reserve(1));
+  t.false(third.reserve(1));
+  t.is(budget.heldBytes, 100);
+  first.release();
+  first.release();
+  t.is(budget.heldBytes, 10);
+  t.true(third.reserve(90));
+  second.release();
+  t.true(third.reserve(1_000), 'alone, it may exceed the budget');
+  third.release();
+  t.is(budget.heldBytes, 0);
+});
+
+// Guards against large bodies that take a proxy over its memory with the orders of others (review case 8).
+test('a body beyond the memory for all bodies is refused as not run, and others are served', async (t) => {
+  const origin = await startScriptedOrigin((request, socket) =>
+    socket.write(validResponse(request)),
+  );
+  const document = policyOf({ bodyBytes: 64 * 1024 * 1024 });
+  const harness = await startHarness({
+    policy: { revision: 1, document },
+    origins: [originEndpoint(origin.port)],
+  });
+  t.teardown(async () => {
+    harness.close();
+    await origin.close();
+  });
+  const largeBytes = 60 * 1024 * 1024;
+  const sendPart = async (id: string): Promise<RawClient> => {
+    const client = await RawClient.connect(harness.port);
+    client.send('POST', '/order/large', id, '', `content-length: ${largeBytes}\r\n`);
+    return client;
+  };
+  const first = await sendPart('first');
+  await waitUntil(() => harness.proxy.begunCount() === 1);
+  const second = await sendPart('second');
+  t.is((await second.waitForResponses(1))[0]?.status, 503);
+  t.regex(second.responses()[0]?.head ?? '', /reedyard-outcome: not-run/i);
+  const small = await RawClient.connect(harness.port);
+  small.send('POST', '/order/small', 'small', 'pay');
+  t.is((await small.waitForResponses(1))[0]?.status, 200);
+  first.socket.destroy();
+  // The first client leaves: its part of the memory is free again, so that a body is read further.
+  for (let number = 0; number < 100; number += 1) {
+    const later = await sendPart(`later-${number}`);
+    const other = await RawClient.connect(harness.port);
+    other.send('POST', '/order/small', `small-${number}`, 'pay');
+    t.is((await other.waitForResponses(1))[0]?.status, 200);
+    const isRefused = later.responses().length > 0;
+    later.socket.destroy();
+    if (!isRefused) return;
+  }
+  t.fail('the memory of a client that left is never free again');
+});
