Simulator, testbed: a soak of stops, garbled answers and cut-off nodes

The scenario soak plays in overlapping series: SIGTERM and restart of whole machines, status lines and bodies that are garbled, long and slow answers, and front machines cut off from all disks while configurations and purges come. Pinned clients use one connection each until it ends, whether their machine is ready or not. Its own rules: 18 (an answer of a sound origin is lost at a stop), 19 (a 404 for a route in force), 20 (a process ends by itself). The trial can stop whole machines, records cuts and ends of processes, and judges connected nodes alone where nodes serve on.

--- a/packages/client-stand-in/src/client-stand-in.ts
+++ b/packages/client-stand-in/src/client-stand-in.ts
@@ -43,9 +43,11 @@
   readonly key?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeoutMs?: number;
+  /** The connections to use; those that all requests share if omitted. */
+  readonly agent?: http.Agent;
 };
 
-const agent = new http.Agent({ keepAlive: true, maxSockets: 512 });
+const sharedAgent = new http.Agent({ keepAlive: true, maxSockets: 512 });
 
 /** Why a successful response is unsound, or null. Partial content isn't checked. */
 const faultOf = (
@@ -109,7 +111,7 @@
     const body = spec.body ?? (spec.method === 'POST' ? JSON.stringify({ job }) : '');
     const request = http.request(
       {
-        agent,
+        agent: spec.agent ?? sharedAgent,
         host: spec.at.slice(0, colonIndex),
         port: Number(spec.at.slice(colonIndex + 1)),
         method: spec.method,
--- a/packages/origin-stand-in/src/origin-stand-in.ts
+++ b/packages/origin-stand-in/src/origin-stand-in.ts
@@ -18,6 +18,8 @@
   readonly lose: boolean | number;
   /** Responds with bytes that aren't valid HTTP. */
   readonly garbage: boolean | number;
+  /** Responds with a status line that differs in one bit: its status is 000. */
+  readonly garbledStatus: boolean | number;
   /** Sends a body shorter than its content-length. */
   readonly short: boolean | number;
   /** Sends a second, unsolicited response after each response. */
@@ -51,7 +53,7 @@
   readonly mode?: Partial<OriginMode>;
   /** `max-age` of cacheable responses, in seconds. */
   readonly maxAge: number;
-  /** Called for each request that names this origin's identity, before the response is sent. */
+  /** Called for each request that names this origin's identity, as soon as it was read. */
   readonly onRequest?: (
     request: http.IncomingMessage,
     context: {
@@ -153,6 +155,7 @@
     slowMs: 0,
     lose: false,
     garbage: false,
+    garbledStatus: false,
     short: false,
     leftover: false,
     corrupt: false,
@@ -169,13 +172,25 @@
   let lastHeaders: http.IncomingHttpHeaders = {};
   const executedRequests: ExecutedRequest[] = [];
 
+  const stampOf = (): string => `${identity.service}/${identity.instance}/${identity.incarnation}`;
+
+  const reportRequest = (request: http.IncomingMessage): void => {
+    if (request.headers['reedyard-expect'] !== stampOf()) return;
+    options.onRequest?.(request, {
+      ...identity,
+      zone: options.zone,
+      cold: mode.state === 'cold',
+      unsafe: request.method !== 'GET' && request.method !== 'HEAD',
+    });
+  };
+
   const respond = (
     request: http.IncomingMessage,
     response: http.ServerResponse,
     body: Buffer,
   ): void => {
     const target = request.url ?? '/';
-    const stamp = `${identity.service}/${identity.instance}/${identity.incarnation}`;
+    const stamp = stampOf();
     if (target === identityPath) {
       const text = JSON.stringify(identity);
       response.writeHead(200, {
@@ -199,12 +214,6 @@
       return;
     }
     const isUnsafe = request.method !== 'GET' && request.method !== 'HEAD';
-    options.onRequest?.(request, {
-      ...identity,
-      zone: options.zone,
-      cold: mode.state === 'cold',
-      unsafe: isUnsafe,
-    });
     if (isUnsafe)
       executedRequests.push({
         id: String(request.headers['x-job'] ?? body.toString('utf8').slice(0, 100)),
@@ -247,6 +256,11 @@
           }),
       ...(tags === '' ? {} : { 'surrogate-key': tags }),
     };
+    if (isTriggered(mode.garbledStatus)) {
+      const fields = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+      request.socket.end(`HTTP/1.1 000 OK\r\n${fields.join('')}\r\n${text}`);
+      return;
+    }
     response.writeHead(200, headers);
     if (isShort) {
       response.write(text);
@@ -271,6 +285,7 @@
       if (!isIdentityQuery) {
         receivedCount += 1;
         lastHeaders = request.headers;
+        reportRequest(request);
       }
       const sendResponse = (): void => {
         if (!response.destroyed) respond(request, response, Buffer.concat(chunks));
--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -189,6 +189,16 @@
       readonly afterMs: number;
     }
   /** The scenario injected a fault or another event. */
+  /** A machine was asked to stop. */
+  | { readonly kind: 'stopped'; readonly at: number; readonly node: string }
+  /** A process ended although nobody had asked it to, or with an error. */
+  | {
+      readonly kind: 'ended';
+      readonly at: number;
+      readonly node: string;
+      readonly program: string;
+      readonly how: string;
+    }
   | { readonly kind: 'fault'; readonly at: number; readonly label: string };
 
 /** The body of a simulated response. */
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -15,5 +15,7 @@
   type Report,
   type RunOptions,
 } from './run.js';
+export { connectedHistory } from './partition-checks.js';
 export { scenarios } from './scenarios.js';
-export type { FleetUnderLoad, ScenarioOrigin } from './scenarios/environment.js';
+export { findSoakViolations } from './soak-checks.js';
+export type { FleetUnderLoad, Scenario, ScenarioOrigin } from './scenarios/environment.js';
--- a/packages/simulator/src/scenarios.ts
+++ b/packages/simulator/src/scenarios.ts
@@ -10,6 +10,7 @@
 import { originScenarios } from './scenarios/origin-scenarios.js';
 import { policyScenarios } from './scenarios/policy-scenarios.js';
 import { quotaScenarios } from './scenarios/quota-scenarios.js';
+import { soakScenarios } from './scenarios/soak-scenarios.js';
 import { zoneScenarios } from './scenarios/zone-scenarios.js';
 
 /** All scenarios, by name. Each causes the situations that some of the rules are about. */
@@ -25,4 +26,5 @@
   ...quotaScenarios,
   ...machineScenarios,
   ...mixedScenarios,
+  ...soakScenarios,
 };
--- a/packages/simulator/src/scenarios/environment.ts
+++ b/packages/simulator/src/scenarios/environment.ts
@@ -9,6 +9,7 @@
   slowMs: number;
   lose: number;
   garbage: number;
+  /** Share of responses whose status line names a status that no response has. */ garbledStatus: number;
   short: number;
   foreign: number;
   /** Age of its responses when they are sent, in seconds. */ aged: number;
@@ -48,6 +49,8 @@
   start(name: string): void;
   kill(name: string): void;
   warn(name: string): void;
+  /** Asks all programs of a machine to stop, and starts them again `downMs` after they ended. */
+  stop(name: string, downMs: number): void;
   wipe(name: string): void;
   freeze(name: string): void;
   thaw(name: string): void;
@@ -113,6 +116,11 @@
    */
   readonly voting?: { readonly losses: number };
   readonly policy?: (policy: Policy) => Policy;
+  /**
+   * How many clients of each front machine send one request after the other over a connection of
+   * their own until it ends, whether the machine is ready or not. Only for fleets of real processes.
+   */
+  readonly pinnedClients?: number;
   /** Whether nodes keep serving while they are isolated; only connected nodes are judged then. */
   readonly servesOn?: boolean;
   readonly play: (environment: ScenarioEnvironment) => void;
--- a/packages/simulator/src/simulated-fleet.ts
+++ b/packages/simulator/src/simulated-fleet.ts
@@ -164,6 +164,9 @@
   readonly voting?: { readonly losses: number; readonly catchUpMs?: number };
 };
 
+/** How long a machine that is asked to stop takes until it is down, in milliseconds. */
+const stopDurationMs = 4_000;
+
 /**
  * Feeds the reducers of all processes with events and carries out their effects in virtual time.
  */
@@ -237,7 +240,16 @@
         draining: false,
         capacity: spec.capacity,
         silent: false,
-        mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0, aged: 0, large: 0 },
+        mode: {
+          slowMs: 5,
+          lose: 0,
+          garbage: 0,
+          garbledStatus: 0,
+          short: 0,
+          foreign: 0,
+          aged: 0,
+          large: 0,
+        },
         previous: null,
       });
     }
@@ -620,6 +632,15 @@
         this.#dispatch(proxy, { kind: 'stop-requested', now: this.#processTime(proxy) }),
       );
   }
+  /** Requests a graceful shutdown of the proxy, kills the machine, and starts it after `downMs`. */
+  stop(name: string, downMs: number): void {
+    this.history.push({ kind: 'stopped', at: this.clock.now(), node: name });
+    this.warn(name);
+    this.clock.schedule(stopDurationMs, () => {
+      this.kill(name);
+      this.clock.schedule(downMs, () => this.start(name));
+    });
+  }
   /** Requests a graceful shutdown of a replica, which exits as soon as it is no longer needed. */
   stopReplica(name: string): void {
     const replica = this.machines.get(name)?.replica ?? null;
@@ -1405,6 +1426,10 @@
               onFailure('maybe', 'garbled');
               return;
             }
+            if (origin.mode.garbledStatus > 0 && this.clock.random() < origin.mode.garbledStatus) {
+              onFailure('maybe', 'status');
+              return;
+            }
             if (this.clock.random() < origin.mode.short) {
               if (this.tuning.plant === 'short-as-whole')
                 onResponse({
--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -23,6 +23,7 @@
 /** Simulated one-way delay between two regions, in milliseconds. */
 const interRegionDelayMs = 6;
 const packages = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
+
 /**
  * The ports for feeds, which all testbeds of this machine share: below those that the system gives
  * to outgoing connections, and apart for testbeds that run at the same time.
@@ -227,6 +228,9 @@
  * A complete fleet on this machine, in which each simulated machine has its own loopback address.
  */
 export class Fleet {
+  /** Called when a process ends with an error, or without having been sent a signal. */
+  onUnexpectedExit: (name: string, program: Program, how: string) => void = () => undefined;
+  readonly #signalled = new WeakSet<ChildProcess>();
   readonly #nodes = new Map<string, FleetNode>();
   readonly originStandIns = new Map<string, OriginStandIn>();
   /** Blocked directions, as `FROM>TO` addresses. */
@@ -237,6 +241,7 @@
     readonly folder: string,
     readonly network: string,
     readonly preload: readonly string[],
+    readonly servesOn: boolean,
   ) {}
 
   /**
@@ -251,13 +256,21 @@
     options: {
       readonly relays?: boolean;
       readonly trace?: boolean;
+      /** Whether nodes keep serving while they are isolated. */
+      readonly servesOn?: boolean;
       /** Modules that each program loads before its main module. */
       readonly preload?: readonly string[];
     } = {},
   ): Promise<Fleet> {
     // A separate loopback network, so that several testbeds can run at the same time.
     const network = `127.${10 + (process.pid % 200)}.${1 + Math.floor(Math.random() * 250)}`;
-    const fleet = new Fleet(deployment, path.resolve(folder), network, options.preload ?? []);
+    const fleet = new Fleet(
+      deployment,
+      path.resolve(folder),
+      network,
+      options.preload ?? [],
+      options.servesOn === true,
+    );
     const ownerPid = otherOwnerOf(fleet.folder);
     if (ownerPid !== null)
       throw new TestbedError(
@@ -307,6 +320,7 @@
         .map((each) => `${this.#hostOf(machines.indexOf(each))}:7001`),
       founders,
       dataFolder: path.join(nodeFolder, 'data'),
+      ...(this.servesOn ? { cutOff: 'serve' } : {}),
       agent: { port: 7001, apiPort: 7080, feedPort: await findFeedPort(index) },
       ...(machine.kind === 'front'
         ? {
@@ -410,8 +424,11 @@
         { stdio: ['ignore', logFile, logFile] },
       );
       closeSync(logFile);
-      child.on('exit', () => {
+      child.on('exit', (code, signal) => {
         if (node.processes.get(program) === child) node.processes.delete(program);
+        const isError = code !== null && code !== 0;
+        if (isError || !this.#signalled.has(child))
+          this.onUnexpectedExit(name, program, `code ${code}, signal ${signal}`);
       });
       node.processes.set(program, child);
     }
@@ -424,6 +441,7 @@
         if (child.exitCode !== null || child.signalCode !== null) resolve();
         else child.once('exit', () => resolve());
       });
+      if (signal === 'SIGTERM' || signal === 'SIGKILL') this.#signalled.add(child);
       child.kill(signal);
       return [exit];
     });
--- a/packages/testbed/src/trial.ts
+++ b/packages/testbed/src/trial.ts
@@ -7,10 +7,13 @@
 import type { Policy } from '@reedyard/schemas';
 import {
   availability,
+  connectedHistory,
   type Entry,
+  findSoakViolations,
   findViolations,
   type FleetUnderLoad,
   randomRequest,
+  type Scenario,
   type ScenarioOrigin,
   scenarios,
   type SimulatedBody,
@@ -21,6 +24,16 @@
 import type { Deployment } from '@reedyard/topology';
 import { api, Fleet, TestbedError } from './index.js';
 
+/** How long the programs of a machine may take to stop before they are killed, in milliseconds. */
+const stopTimeoutMs = 6_000;
+
+/** The pauses of a pinned client after a success, and after any other end, in milliseconds. */
+const pinnedPauseMs = 200;
+const pinnedRetryMs = 250;
+
+/** From how many objects of a route the pinned clients draw. */
+const objectsPerRoute = 200;
+
 /**
  * Parses the fields of a log line.
  *
@@ -87,12 +100,17 @@
   #lastSubmission = 0;
   #changeCount = 0;
   readonly #timers: NodeJS.Timeout[] = [];
+  /** Since when each front machine has had a blocked path. */
+  readonly #cutSince = new Map<string, number>();
+  #isEnding = false;
 
   constructor(
     readonly fleet: Fleet,
     seed: number,
   ) {
     this.clock = new VirtualClock(seed);
+    fleet.onUnexpectedExit = (node, program, how) =>
+      this.history.push({ kind: 'ended', at: this.#now(), node, program, how });
     this.origins = fleet.deployment.origins.map((spec) => ({
       spec,
       service: spec.service,
@@ -103,7 +121,16 @@
       draining: false,
       silent: false,
       capacity: spec.capacity,
-      mode: { slowMs: 5, lose: 0, garbage: 0, short: 0, foreign: 0, aged: 0, large: 0 },
+      mode: {
+        slowMs: 5,
+        lose: 0,
+        garbage: 0,
+        garbledStatus: 0,
+        short: 0,
+        foreign: 0,
+        aged: 0,
+        large: 0,
+      },
     }));
     // Virtual time follows real time; due timers run in the order of the virtual clock.
     this.#timers.push(
@@ -133,6 +160,7 @@
     return wallClockMs - this.#startedAtWallClock;
   }
   stopTimers(): void {
+    this.#isEnding = true;
     this.#timers.forEach((timer) => clearInterval(timer));
   }
 
@@ -292,6 +320,14 @@
   warn(name: string): void {
     void this.fleet.stop(name, 'proxy');
   }
+  stop(name: string, downMs: number): void {
+    this.history.push({ kind: 'stopped', at: this.#now(), node: name });
+    const killTimer = setTimeout(() => void this.fleet.kill(name), stopTimeoutMs);
+    void this.fleet.stop(name).then(() => {
+      clearTimeout(killTimer);
+      if (!this.#isEnding) this.clock.schedule(downMs, () => this.start(name));
+    });
+  }
   wipe(name: string): void {
     this.fleet.wipe(name);
   }
@@ -302,14 +338,25 @@
     this.fleet.thaw(name);
   }
   cut(from: string, to: string): void {
+    this.#recordCut(from);
+    this.#recordCut(to);
     this.fleet.blockDirection(from, to);
   }
   isolate(name: string, direction: 'both' | 'out' | 'in' = 'both'): void {
+    this.#recordCut(name);
     this.fleet.cut(name, direction);
   }
   heal(): void {
+    for (const [node, from] of this.#cutSince)
+      this.history.push({ kind: 'cut-off', at: this.#now(), node, from });
+    this.#cutSince.clear();
     this.fleet.heal();
   }
+  /** Records that a front machine may be cut off; one with a disk reaches the other disks. */
+  #recordCut(name: string): void {
+    const isFront = this.fleet.names('front').includes(name);
+    if (isFront && !this.#cutSince.has(name)) this.#cutSince.set(name, this.#now());
+  }
   startDuplicate(name: string): string {
     const twinName = `${name}~2`;
     const machine = this.deployment.machines.find((candidate) => candidate.name === name);
@@ -464,6 +511,7 @@
       content?: string;
     },
     done: (status: number, outcome: string) => void,
+    agent?: http.Agent,
   ): void {
     this.#lastSubmission += 1;
     const submission = this.#lastSubmission;
@@ -488,6 +536,7 @@
       job,
       timeoutMs: 12_000,
       ...(key === null ? {} : { key }),
+      ...(agent === undefined ? {} : { agent }),
       headers: { 'x-submission': String(submission) },
     }).then((result) => {
       const isSuccess = result.status >= 200 && result.status < 300;
@@ -526,6 +575,36 @@
     });
   }
 
+  /**
+   * Starts a client that sends one request after the other to one front machine, over one connection
+   * for as long as that lasts, whether the machine is ready or not.
+   */
+  startPinnedClient(
+    node: string,
+    until: number,
+    nextRequest: () => { readonly method: string; readonly host: string; readonly target: string },
+  ): void {
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    let count = 0;
+    const sendNext = (): void => {
+      if (this.#now() > until) {
+        agent.destroy();
+        return;
+      }
+      count += 1;
+      const request = nextRequest();
+      const job = `pinned-${node}-${this.#lastSubmission}-${count}`;
+      const key = request.method === 'POST' ? job : null;
+      const done = (status: number): void =>
+        this.clock.schedule(
+          status >= 200 && status < 300 ? pinnedPauseMs : pinnedRetryMs,
+          sendNext,
+        );
+      this.submit(node, { ...request, job, key }, done, agent);
+    };
+    sendNext();
+  }
+
   /** Adds the events in the proxies' logs to the history, and sorts the history by time. */
   readProxyLogs(): void {
     const machines = new Map(this.deployment.machines.map((machine) => [machine.name, machine]));
@@ -572,6 +651,48 @@
   }
 }
 
+/** The newest acknowledged policy of a history, or the given one. */
+const newestPolicy = (history: readonly Entry[], first: Policy): Policy =>
+  history.findLast((entry) => entry.kind === 'put')?.document ?? first;
+
+/** A request on a random route of a policy; the routes take GET, or POST alone. */
+const requestOnRandomRoute = (
+  policy: Policy,
+  clock: VirtualClock,
+): { readonly method: string; readonly host: string; readonly target: string } => {
+  const route = clock.pick(policy.routes);
+  const isPost = route !== undefined && !(route.methods as readonly string[]).includes('GET');
+  const number = Math.floor(objectsPerRoute * clock.random());
+  const { host = '', path: target = '/' } = route ?? {};
+  return isPost
+    ? { method: 'POST', host, target }
+    : { method: 'GET', host, target: `${target}${number}` };
+};
+
+const startPinnedClients = (
+  fleet: TrialFleet,
+  clientsPerMachine: number,
+  policy: Policy,
+  until: number,
+): void => {
+  for (const node of fleet.fleet.names('front'))
+    for (let count = 0; count < clientsPerMachine; count += 1)
+      fleet.startPinnedClient(node, until, () =>
+        requestOnRandomRoute(newestPolicy(fleet.history, policy), fleet.clock),
+      );
+};
+
+/** The violations of a trial; while nodes serve on, only connected nodes are judged. */
+const violationsOf = (
+  scenario: Scenario,
+  history: readonly Entry[],
+  rules?: readonly number[],
+): readonly Violation[] => {
+  if (scenario.servesOn !== true) return findViolations(history, rules);
+  const connected = connectedHistory(history);
+  return [...findViolations(connected, rules), ...findSoakViolations(connected, rules)];
+};
+
 /** Scenario of a trial and where it runs. */
 export type TrialOptions = {
   readonly example: string;
@@ -618,6 +739,7 @@
   const processFleet = await Fleet.create(options.deployment, options.folder, {
     relays: true,
     trace: true,
+    ...(scenario.servesOn === true ? { servesOn: true } : {}),
   });
   const fleet = new TrialFleet(processFleet, options.seed);
   try {
@@ -641,6 +763,9 @@
         () => traffic.crowdedZone,
       ),
     );
+    fleet.clock.schedule(8_000, () =>
+      startPinnedClients(fleet, scenario.pinnedClients ?? 0, scenarioPolicy, endMs - 2_000),
+    );
     scenario.play({
       fleet,
       policy: scenarioPolicy,
@@ -658,7 +783,7 @@
   fleet.readProxyLogs();
   return {
     ...availability(fleet.history, 8_000),
-    violations: findViolations(fleet.history, options.rules),
+    violations: violationsOf(scenario, fleet.history, options.rules),
     refused: fleet.refused,
     attempts: fleet.history.filter((entry) => entry.kind === 'acted').length,
     repeats: fleet.history.filter((entry) => entry.kind === 'repeat').length,
