Testbed: a test waits for the machine that it reads from

Cause: the test waited for the front machines, which are ready by the two other replicas; the agent of the machine that it reads from listened later (its log: started after the read).

Change: it asks that machine until it answers 200, within the usual limit, and then holds the revision to what it was held to before.

--- a/packages/testbed/src/fleet.test.ts
+++ b/packages/testbed/src/fleet.test.ts
@@ -209,8 +209,12 @@
   fleet.start('core-1');
   fleet.start('core-2');
   await fleet.waitUntilReady();
-  t.true(
-    ((await api(fleet.apiAddressOf('core-1'), 'GET', '/v1/policy')).body as { revision: number })
-      .revision >= 2,
-  );
+  // The front machines may be ready, by the other replicas, before the agent of this one listens.
+  let revision = 0;
+  await fleet.waitUntil('a read of the policy from a restarted machine', async () => {
+    const response = await api(fleet.apiAddressOf('core-1'), 'GET', '/v1/policy');
+    revision = (response.body as { revision?: number }).revision ?? 0;
+    return response.status === 200;
+  });
+  t.true(revision >= 2);
 });
