Programs: the log tells how a process ended, and what memory it took

Change: process.ended with code and memory, process.failed with the origin of the error, process.idle with code 5 for an empty event loop, process.memory each 10 s; 'stopping' names its signal, also in the replica.

--- a/packages/agent/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -2,7 +2,7 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import type http from 'node:http';
 import { performance } from 'node:perf_hooks';
-import { type Logger, openLogger } from '@reedyard/logging';
+import { type Logger, logProcessEnd, openLogger } from '@reedyard/logging';
 import {
   decodeReplicaReply,
   encodeReplicaRequest,
@@ -217,18 +217,18 @@
 const exitOnSignals = (agent: RunningAgent): void => {
   const { logger, api, servers } = agent;
   let isShuttingDown = false;
-  const shutDown = async (): Promise<void> => {
+  const shutDown = async (signal: NodeJS.Signals): Promise<void> => {
     if (isShuttingDown) return;
     isShuttingDown = true;
-    logger.info('stopping');
+    logger.info('stopping', { signal });
     api.close();
     if (agent.peek().lastProxyReport !== null) await waitForProxy(agent);
     setTimeout(() => process.exit(0), leaseDurationMs).unref();
     for (const server of servers) await server.close();
     process.exit(0);
   };
-  process.on('SIGTERM', () => void shutDown());
-  process.on('SIGINT', () => void shutDown());
+  process.on('SIGTERM', (signal) => void shutDown(signal));
+  process.on('SIGINT', (signal) => void shutDown(signal));
 };
 
 /**
@@ -242,6 +242,7 @@
   options: AgentOptions = {},
 ): Promise<void> => {
   const logger = openLogger({ program: 'agent', node: settings.name });
+  logProcessEnd(logger);
   setLocalAddress(settings.host);
   const incomingRequests = new IncomingRequests({ put: (event) => task.put(event), now });
   const task = Task.run<AgentState, AgentEvent, AgentEffect>({
--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -1,4 +1,4 @@
-/** Logs key=value lines, and defines errors with codes. */
+/** Logs key=value lines and how a process ends, and defines errors with codes. */
 export {
   CodedError,
   errorMessage,
@@ -7,3 +7,4 @@
   type Logger,
   openLogger,
 } from './logging.js';
+export { emptyEventLoopExitCode, logProcessEnd, type ObservedProcess } from './process-end.js';
--- a/packages/proxy/src/run.ts
+++ b/packages/proxy/src/run.ts
@@ -1,7 +1,7 @@
 /** The proxy process: its ports, its signal handlers and its exit. */
 import type http from 'node:http';
 import { performance } from 'node:perf_hooks';
-import { type Logger, openLogger } from '@reedyard/logging';
+import { type Logger, logProcessEnd, openLogger } from '@reedyard/logging';
 import { call } from '@reedyard/rpc';
 import { shutdownTimeoutMs } from '@reedyard/settings';
 import { reedyardWireFormat, type WireFormat } from './wire-format.js';
@@ -58,11 +58,11 @@
 ): void => {
   const { graceMs = unreadyServingMs, mostMs = shutdownTimeoutMs } = settings.proxy.leave ?? {};
   let isShuttingDown = false;
-  const shutDown = (): void => {
+  const shutDown = (signal: NodeJS.Signals): void => {
     if (isShuttingDown) return;
     isShuttingDown = true;
     const startedAt = now();
-    logger.info('stopping', { underWay: proxy.inFlightCount() });
+    logger.info('stopping', { signal, underWay: proxy.inFlightCount() });
     proxy.stop();
     setInterval(() => {
       const isDrained = proxy.inFlightCount() === 0 && now() > startedAt + graceMs;
@@ -84,6 +84,7 @@
   wireFormat: WireFormat = reedyardWireFormat,
 ): Promise<void> => {
   const logger = openLogger({ program: 'proxy', node: settings.name });
+  logProcessEnd(logger);
   const feedAddress = `127.0.0.1:${settings.agent.feedPort}`;
   const proxy = openProxy(settings, wireFormat, {
     logger,
--- a/packages/replica/src/run.ts
+++ b/packages/replica/src/run.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
-import { openLogger, type Logger } from '@reedyard/logging';
+import { logProcessEnd, openLogger, type Logger } from '@reedyard/logging';
 import { call, callTimeoutMs, type RpcServer, serveCalls, setLocalAddress } from '@reedyard/rpc';
 import { type Settings, shutdownTimeoutMs } from '@reedyard/settings';
 import type { Step } from '@reedyard/task-loop';
@@ -78,8 +78,9 @@
 };
 
 /** Stops the replica on a signal. It ends the process itself, or a timer does. */
-const stopOnSignals = (replica: ReplicaHost, shutDown: () => void): void => {
-  const stop = (): void => {
+const stopOnSignals = (replica: ReplicaHost, shutDown: () => void, logger: Logger): void => {
+  const stop = (signal: NodeJS.Signals): void => {
+    logger.info('stopping', { signal });
     setTimeout(shutDown, shutdownTimeoutMs).unref();
     replica.stop();
   };
@@ -96,6 +97,7 @@
 export const runReplica = async (settings: ReplicaSettings): Promise<void> => {
   const logger = openLogger({ program: 'replica', node: settings.name });
   ignoreLogErrors();
+  logProcessEnd(logger);
   setLocalAddress(settings.host);
   const log = await openReplicaLog(path.join(settings.dataFolder, 'replica'));
   const opened = openState(settings, log);
@@ -117,5 +119,5 @@
   setInterval(() => replica.tick(), replicaTickIntervalMs);
   const { diskId: disk, hasBegunVoting: voting } = opened.state;
   logger.info('started', { port: server.port, disk, voting });
-  stopOnSignals(replica, shutDown);
+  stopOnSignals(replica, shutDown, logger);
 };
