Programs: a start waits for the ports of its predecessor, the log opens after its port

What callers saw: a machine whose processes were started again while the old ones still drained had none after that: the new ones ended with code 4, then the old ones left. Cause: every program opened its ports once and ended with code 4 (EADDRINUSE) if a port was in use. The replica opened its log before its port, so a successor could read and write the log that its predecessor still wrote to. The replica opens its port first, and keeps it until its log is closed, so one process at a time writes to the log. Why this works: the port is given back by the kernel when the predecessor is gone, however it ends; waiting longer than any shutdown takes means the start succeeds, or the port belongs to somebody else.

--- a/packages/agent/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -9,7 +9,15 @@
   leaseDurationMs,
   type ReplicaReply,
 } from '@reedyard/replica';
-import { call, type RpcServer, serveCalls, setLocalAddress } from '@reedyard/rpc';
+import {
+  call,
+  listen,
+  type PortWait,
+  portWait,
+  type RpcServer,
+  serveCalls,
+  setLocalAddress,
+} from '@reedyard/rpc';
 import { type Settings, shutdownTimeoutMs } from '@reedyard/settings';
 import { Task } from '@reedyard/task-loop';
 import {
@@ -132,6 +140,7 @@
 const serveAgents = (
   settings: AgentSettings,
   incomingRequests: IncomingRequests,
+  wait: PortWait,
 ): Promise<RpcServer> =>
   serveCalls(
     { host: settings.listen ?? settings.host, port: settings.agent.port },
@@ -144,12 +153,14 @@
           now: now(),
         })),
     },
+    wait,
   );
 
 /** Serves this machine's proxy, on the loopback interface only. */
 const serveProxy = (
   settings: AgentSettings,
   incomingRequests: IncomingRequests,
+  wait: PortWait,
 ): Promise<RpcServer> =>
   serveCalls(
     { host: '127.0.0.1', port: settings.agent.feedPort },
@@ -162,6 +173,7 @@
           now: now(),
         })),
     },
+    wait,
   );
 
 /** Serves the HTTP API for operators and origins. */
@@ -169,6 +181,7 @@
   settings: AgentSettings,
   incomingRequests: IncomingRequests,
   options: AgentOptions,
+  wait: PortWait,
 ): Promise<http.Server> => {
   const handleAction: ActionHandler = (action, signal) =>
     incomingRequests.submit<ActionResponse>(
@@ -179,10 +192,8 @@
     options.api === undefined
       ? apiServer(handleAction)
       : apiAdapterServer(options.api(handleAction));
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(settings.agent.apiPort, settings.listen ?? settings.host, resolve);
-  });
+  const address = { host: settings.listen ?? settings.host, port: settings.agent.apiPort };
+  await listen(server, address, wait);
   return server;
 };
 
@@ -250,9 +261,10 @@
     reduce: reduceAgent,
     perform: (effect, put) => perform(effect, put, incomingRequests, logger),
   });
-  const agentServer = await serveAgents(settings, incomingRequests);
-  const feedServer = await serveProxy(settings, incomingRequests);
-  const apiHttpServer = await serveApi(settings, incomingRequests, options);
+  const wait = portWait(logger);
+  const agentServer = await serveAgents(settings, incomingRequests, wait);
+  const feedServer = await serveProxy(settings, incomingRequests, wait);
+  const apiHttpServer = await serveApi(settings, incomingRequests, options, wait);
   setInterval(() => task.put({ kind: 'tick', now: now() }), agentTickIntervalMs);
   const { zone, region, agent } = settings;
   logger.info('started', {
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -15,7 +15,7 @@
   type ProxyQuery,
 } from '@reedyard/agent';
 import { errorMessage, type Logger } from '@reedyard/logging';
-import { callTimeoutMs } from '@reedyard/rpc';
+import { callTimeoutMs, listen, portWait } from '@reedyard/rpc';
 import { Routes } from '@reedyard/schemas';
 import type { Settings } from '@reedyard/settings';
 import { type EventQueue, Task } from '@reedyard/task-loop';
@@ -198,12 +198,14 @@
     this.#connections.closeIdleExcept(new Set());
   }
 
-  #listen(server: http.Server, port: number): Promise<http.Server> {
-    const { listen, host } = this.#settings;
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, listen ?? host, () => resolve(server));
-    });
+  async #listen(server: http.Server, port: number): Promise<http.Server> {
+    const { listen: listeningHost, host } = this.#settings;
+    await listen(
+      server,
+      { host: listeningHost ?? host, port },
+      portWait(this.#dependencies.logger),
+    );
+    return server;
   }
 
   /** The limits of a server; peers add fields to a request head, so theirs may be larger. */
--- a/packages/replica/src/run.ts
+++ b/packages/replica/src/run.ts
@@ -3,7 +3,14 @@
 import path from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { logProcessEnd, openLogger, type Logger } from '@reedyard/logging';
-import { call, callTimeoutMs, type RpcServer, serveCalls, setLocalAddress } from '@reedyard/rpc';
+import {
+  call,
+  callTimeoutMs,
+  portWait,
+  RpcError,
+  serveCalls,
+  setLocalAddress,
+} from '@reedyard/rpc';
 import { type Settings, shutdownTimeoutMs } from '@reedyard/settings';
 import type { Step } from '@reedyard/task-loop';
 import type { ReplicaEffect } from './events.js';
@@ -65,16 +72,17 @@
   process.stderr.on('error', () => undefined);
 };
 
-/** Ends the process once its server and log are closed, or after a timeout if the disk hangs. */
-const closeAndExit = (server: RpcServer | null, log: ReplicaLog, logger: Logger): void => {
+/**
+ * Ends the process once its log is closed, or after a timeout if the disk hangs. The port stays in
+ * use until then, so that no successor opens the log while this process still writes to it.
+ */
+const closeAndExit = (log: ReplicaLog, logger: Logger): void => {
   const exit = (): never => {
     logger.info('stopped');
     process.exit(0);
   };
   setTimeout(exit, callTimeoutMs);
-  void Promise.resolve(server?.close())
-    .then(() => log.close())
-    .then(exit);
+  void log.close().then(exit);
 };
 
 /** Stops the replica on a signal. It ends the process itself, or a timer does. */
@@ -88,8 +96,33 @@
   process.once('SIGINT', stop);
 };
 
+/** A replica's port, which is open before its log is. */
+type ReplicaPort = {
+  readonly port: number;
+  /** Passes requests to a replica, or to none. */
+  readonly setReplica: (replica: ReplicaHost | null) => void;
+};
+
+/** Opens the port. Calls fail as long as there is no replica that handles them. */
+const openPort = async (settings: ReplicaSettings, logger: Logger): Promise<ReplicaPort> => {
+  let current: ReplicaHost | null = null;
+  const handleCall = async (body: unknown): Promise<unknown> => {
+    if (current === null) throw new RpcError('not-open', 'the replica is starting or stopping');
+    return encodeReplicaReply(await current.handleRequest(decodeReplicaRequest(body)));
+  };
+  const address = { host: settings.listen ?? settings.host, port: settings.replica.port };
+  const { port } = await serveCalls(address, { [callPath]: handleCall }, portWait(logger));
+  return {
+    port,
+    setReplica: (replica) => {
+      current = replica;
+    },
+  };
+};
+
 /**
- * Runs a replica until the process is requested to stop.
+ * Runs a replica until the process is requested to stop. The port is opened before the log: only
+ * one process at a time has it, so only one writes to the log.
  *
  * @example
  * await runReplica(SettingsReader.start('replica', process.argv.slice(2)));
@@ -99,25 +132,20 @@
   ignoreLogErrors();
   logProcessEnd(logger);
   setLocalAddress(settings.host);
+  const replicaPort = await openPort(settings, logger);
   const log = await openReplicaLog(path.join(settings.dataFolder, 'replica'));
   const opened = openState(settings, log);
-  let server: RpcServer | null = null;
   let isShuttingDown = false;
   const shutDown = (): void => {
     if (isShuttingDown) return;
     isShuttingDown = true;
-    closeAndExit(server, log, logger);
+    replicaPort.setReplica(null);
+    closeAndExit(log, logger);
   };
   const replica = new ReplicaHost(opened, log, environmentOf(logger, shutDown));
-  server = await serveCalls(
-    { host: settings.listen ?? settings.host, port: settings.replica.port },
-    {
-      [callPath]: async (body) =>
-        encodeReplicaReply(await replica.handleRequest(decodeReplicaRequest(body))),
-    },
-  );
+  replicaPort.setReplica(replica);
   setInterval(() => replica.tick(), replicaTickIntervalMs);
   const { diskId: disk, hasBegunVoting: voting } = opened.state;
-  logger.info('started', { port: server.port, disk, voting });
+  logger.info('started', { port: replicaPort.port, disk, voting });
   stopOnSignals(replica, shutDown, logger);
 };
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -7,4 +7,11 @@
   serveCalls,
   setLocalAddress,
 } from './rpc.js';
+export {
+  listen,
+  type ListenAddress,
+  type PortWait,
+  portWait,
+  portWaitTimeoutMs,
+} from './listen.js';
 export { callTimeoutMs } from './limits.js';
--- a/packages/rpc/src/rpc.ts
+++ b/packages/rpc/src/rpc.ts
@@ -5,6 +5,7 @@
 import { parse, stringify } from 'devalue';
 import { CodedError, errorMessage } from '@reedyard/logging';
 import { callTimeoutMs, maxCallBytes } from './limits.js';
+import { listen, type ListenAddress, noPortWait, type PortWait } from './listen.js';
 
 /** Thrown for a call that got no reply or a refusal, and for a server that can't listen. */
 export class RpcError extends CodedError {}
@@ -107,52 +108,53 @@
 /** A server that listens for calls. */
 export type RpcServer = { readonly port: number; readonly close: () => Promise<void> };
 
+/** Handles the calls of one path: maps the body of a call to that of its reply. */
+export type CallHandler = (body: unknown) => Promise<unknown>;
+
+const callServer = (handlers: Readonly<Record<string, CallHandler>>): http.Server =>
+  http.createServer((request, response) => {
+    const sendReply = (status: number, text: string): void => {
+      if (!response.headersSent)
+        response.writeHead(status, { 'content-length': Buffer.byteLength(text) });
+      response.end(text);
+    };
+    const handler = handlers[request.url ?? ''];
+    if (handler === undefined) {
+      request.resume();
+      sendReply(404, '');
+      return;
+    }
+    readBody(request, maxCallBytes)
+      .then((text) => handler(parse(text)))
+      .then((reply) => sendReply(200, stringify(reply)))
+      .catch((thrown: unknown) => sendReply(500, errorMessage(thrown)));
+  });
+
+const closeServer = (server: http.Server): Promise<void> =>
+  new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+
 /**
- * Serves calls of other processes of the project.
+ * Serves calls of other processes of the project. Waits for a port that is in use, if `wait` is given.
  *
  * @example
  * const server = await serveCalls({ host: '127.0.0.1', port: 0 }, { '/echo': async (body) => body });
  */
-export const serveCalls = (
-  listenAddress: { readonly host: string; readonly port: number },
-  handlers: Readonly<Record<string, (body: unknown) => Promise<unknown>>>,
-): Promise<RpcServer> =>
-  new Promise((resolve, reject) => {
-    const server = http.createServer((request, response) => {
-      const sendReply = (status: number, text: string): void => {
-        if (!response.headersSent)
-          response.writeHead(status, { 'content-length': Buffer.byteLength(text) });
-        response.end(text);
-      };
-      const handler = handlers[request.url ?? ''];
-      if (handler === undefined) {
-        request.resume();
-        sendReply(404, '');
-        return;
-      }
-      readBody(request, maxCallBytes)
-        .then((text) => handler(parse(text)))
-        .then((reply) => sendReply(200, stringify(reply)))
-        .catch((thrown: unknown) => sendReply(500, errorMessage(thrown)));
-    });
-    server.keepAliveTimeout = 30_000;
-    server.on('error', (error) =>
-      reject(
-        new RpcError(
-          'listen',
-          `${listenAddress.host}:${listenAddress.port}: ${errorMessage(error)}`,
-          { cause: error },
-        ),
-      ),
-    );
-    server.listen(listenAddress.port, listenAddress.host, () =>
-      resolve({
-        port: (server.address() as AddressInfo).port,
-        close: () =>
-          new Promise((resolveClosed) => {
-            server.close(() => resolveClosed());
-            server.closeAllConnections();
-          }),
-      }),
-    );
-  });
+export const serveCalls = async (
+  address: ListenAddress,
+  handlers: Readonly<Record<string, CallHandler>>,
+  wait: PortWait = noPortWait,
+): Promise<RpcServer> => {
+  const server = callServer(handlers);
+  server.keepAliveTimeout = 30_000;
+  try {
+    await listen(server, address, wait);
+  } catch (thrown) {
+    const text = `${address.host}:${address.port}: ${errorMessage(thrown)}`;
+    throw new RpcError('listen', text, { cause: thrown });
+  }
+  const { port } = server.address() as AddressInfo;
+  return { port, close: () => closeServer(server) };
+};
--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -412,39 +412,60 @@
     const node = this.#nodeOf(name);
     for (const program of this.programsOf(name)) {
       if ((only !== undefined && only !== program) || node.processes.has(program)) continue;
-      const logFile = openSync(path.join(node.folder, `${program}.log`), 'a');
-      const child = spawn(
-        process.execPath,
-        [
-          ...this.preload.flatMap((module) => ['--import', module]),
-          path.join(packages, program, 'dist/main.js'),
-          '--settings',
-          node.settingsFile,
-        ],
-        { stdio: ['ignore', logFile, logFile] },
-      );
-      closeSync(logFile);
-      child.on('exit', (code, signal) => {
-        if (node.processes.get(program) === child) node.processes.delete(program);
-        const isError = code !== null && code !== 0;
-        if (isError || !this.#signalled.has(child))
-          this.onUnexpectedExit(name, program, `code ${code}, signal ${signal}`);
-      });
-      node.processes.set(program, child);
+      this.#startProgram(node, program);
     }
   }
 
-  #signal(name: string, signal: NodeJS.Signals, only?: Program): Promise<void> {
-    const exits = [...this.#nodeOf(name).processes].flatMap(([program, child]) => {
-      if (only !== undefined && only !== program) return [];
-      const exit = new Promise<void>((resolve) => {
-        if (child.exitCode !== null || child.signalCode !== null) resolve();
-        else child.once('exit', () => resolve());
-      });
-      if (signal === 'SIGTERM' || signal === 'SIGKILL') this.#signalled.add(child);
-      child.kill(signal);
-      return [exit];
+  /**
+   * Starts a node's programs although their predecessors still run. Returns a function that sends
+   * the predecessors a signal, and resolves once they have ended.
+   */
+  startSuccessors(name: string): (signal: NodeJS.Signals) => Promise<void> {
+    const node = this.#nodeOf(name);
+    const predecessors = [...node.processes.values()];
+    for (const program of this.programsOf(name)) this.#startProgram(node, program);
+    return async (signal) => {
+      await Promise.all(predecessors.map((child) => this.#signalChild(child, signal)));
+    };
+  }
+
+  #startProgram(node: FleetNode, program: Program): void {
+    const logFile = openSync(path.join(node.folder, `${program}.log`), 'a');
+    const child = spawn(
+      process.execPath,
+      [
+        ...this.preload.flatMap((module) => ['--import', module]),
+        path.join(packages, program, 'dist/main.js'),
+        '--settings',
+        node.settingsFile,
+      ],
+      { stdio: ['ignore', logFile, logFile] },
+    );
+    closeSync(logFile);
+    child.on('exit', (code, signal) => {
+      if (node.processes.get(program) === child) node.processes.delete(program);
+      const isError = code !== null && code !== 0;
+      if (isError || !this.#signalled.has(child))
+        this.onUnexpectedExit(node.machine.name, program, `code ${code}, signal ${signal}`);
+    });
+    node.processes.set(program, child);
+  }
+
+  /** Sends a signal to a process; resolves once the process has ended. */
+  #signalChild(child: ChildProcess, signal: NodeJS.Signals): Promise<void> {
+    const exit = new Promise<void>((resolve) => {
+      if (child.exitCode !== null || child.signalCode !== null) resolve();
+      else child.once('exit', () => resolve());
     });
+    if (signal === 'SIGTERM' || signal === 'SIGKILL') this.#signalled.add(child);
+    child.kill(signal);
+    return exit;
+  }
+
+  #signal(name: string, signal: NodeJS.Signals, only?: Program): Promise<void> {
+    const exits = [...this.#nodeOf(name).processes].flatMap(([program, child]) =>
+      only === undefined || only === program ? [this.#signalChild(child, signal)] : [],
+    );
     return Promise.all(exits).then(() => undefined);
   }
 
