Logging: a log that can't be written doesn't end the program

What callers saw: a proxy or an agent ended with code 1, and its machine was gone, at the first log line after the reader of its standard error had gone or the disk of its log file was full. Cause: an error event of standard error without a handler counts as an uncaught error; only the replica had a handler. Change: openLogger ignores errors of standard error in every program; the lines are lost.

--- a/packages/logging/src/logging.ts
+++ b/packages/logging/src/logging.ts
@@ -24,6 +24,17 @@
     ),
   ].join(' ');
 
+const ignoreError = (): void => undefined;
+
+/**
+ * Ignores errors of standard error, so that the process goes on when its log can't be written: the
+ * reader of a pipe has gone, or a disk is full. The lines are lost.
+ */
+const ignoreOutputErrors = (): void => {
+  if (!process.stderr.listeners('error').includes(ignoreError))
+    process.stderr.on('error', ignoreError);
+};
+
 /** Writes log lines with the common fields of one process. */
 export type Logger = {
   readonly info: (event: string, fields?: LogFields) => void;
@@ -32,13 +43,14 @@
 };
 
 /**
- * Opens a logger that writes to standard error.
+ * Opens a logger that writes to standard error. Lines that can't be written are lost.
  *
  * @example
  * const logger = openLogger({ program: 'agent', node: 'front-1' });
  * logger.info('started', { port: 7001 }); // time=… level=INFO program=agent node=front-1 event=started port=7001
  */
 export const openLogger = (commonFields: LogFields): Logger => {
+  ignoreOutputErrors();
   const logger = new TransportLogger({
     type: 'hidden',
     // The lines don't state their code position; determining it costs a stack trace per line.
--- a/packages/replica/src/run.ts
+++ b/packages/replica/src/run.ts
@@ -64,14 +64,6 @@
   log: (level, event, fields) => logger[level](event, fields),
 });
 
-/**
- * Ignores errors of stderr. If it is redirected to a file on a full disk, log lines are lost, but
- * the process goes on.
- */
-const ignoreLogErrors = (): void => {
-  process.stderr.on('error', () => undefined);
-};
-
 /**
  * Ends the process once its log is closed, or after a timeout if the disk hangs. The port stays in
  * use until then, so that no successor opens the log while this process still writes to it.
@@ -129,7 +121,6 @@
  */
 export const runReplica = async (settings: ReplicaSettings): Promise<void> => {
   const logger = openLogger({ program: 'replica', node: settings.name });
-  ignoreLogErrors();
   logProcessEnd(logger);
   setLocalAddress(settings.host);
   const replicaPort = await openPort(settings, logger);
