Agent, replica: a message of an unknown form fails alone, the process goes on

What callers saw: an agent ended with code 1 at a single message whose form it didn't know, and with it the lease of its proxy; gossip would carry a damaged record on to all other agents. Cause: a program took what another process sent as well-formed. The agent's reducer threw on it, and an error in its task is an uncaught error; a reply of a replica's peer or of the agent's feed that could not be handled was an unhandled rejection. Change: message-checks.ts checks requests and replies of agents where they are read; of gossip records of a known kind, one that lacks a field is left out. confined-reducer.ts drops a message that the reducer can't handle: the state is the one before it (reducers are pure), a request fails, a reply counts as lost. An error in a tick still ends the process. The replica's peer replies and the proxy's feed are confined likewise.

--- a/packages/agent/src/incoming-requests.ts
+++ b/packages/agent/src/incoming-requests.ts
@@ -17,6 +17,18 @@
   }
 }
 
+/** The reducer could not handle the request. */
+export class UnhandledRequestError extends CodedError {
+  constructor(why: string) {
+    super('unhandled', `the request could not be handled: ${why}`);
+  }
+}
+
+type PendingRequest = {
+  readonly resolve: (reply: unknown) => void;
+  readonly reject: (error: CodedError) => void;
+};
+
 /** The functions of the agent's process that incoming requests use. */
 export type IncomingRequestsOptions = {
   /** Enqueues an event for the reducer; false when the queue is full. */
@@ -28,7 +40,7 @@
 /** Assigns an id to each request, and resolves its promise with the reply that carries the id. */
 export class IncomingRequests {
   readonly #options: IncomingRequestsOptions;
-  readonly #resolvers = new Map<number, (reply: unknown) => void>();
+  readonly #pending = new Map<number, PendingRequest>();
   #nextRequestId = 1;
 
   constructor(options: IncomingRequestsOptions) {
@@ -50,21 +62,27 @@
         reject(new ClientDisconnectedError());
         return;
       }
-      this.#resolvers.set(requestId, resolve as (reply: unknown) => void);
+      this.#pending.set(requestId, { resolve: resolve as (reply: unknown) => void, reject });
       if (this.#options.put(toEvent(requestId))) return;
-      this.#resolvers.delete(requestId);
+      this.#pending.delete(requestId);
       reject(new OverloadedError());
     });
   }
 
   /** Resolves a request with its reply, unless its client has disconnected. */
   reply(requestId: number, reply: unknown): void {
-    this.#resolvers.get(requestId)?.(reply);
-    this.#resolvers.delete(requestId);
+    this.#pending.get(requestId)?.resolve(reply);
+    this.#pending.delete(requestId);
+  }
+
+  /** Rejects a request that could not be handled, unless its client has disconnected. */
+  fail(requestId: number, why: string): void {
+    this.#pending.get(requestId)?.reject(new UnhandledRequestError(why));
+    this.#pending.delete(requestId);
   }
 
   #disconnect(requestId: number): void {
-    if (!this.#resolvers.delete(requestId)) return;
+    if (!this.#pending.delete(requestId)) return;
     this.#options.put({ kind: 'caller-disconnected', requestId, now: this.#options.now() });
   }
 }
--- a/packages/agent/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -27,17 +27,12 @@
   apiAdapterServer,
   apiServer,
 } from './api/api-server.js';
+import { confineAgentErrors, type ConfinedAgentEffect } from './confined-reducer.js';
 import { isProxyDraining } from './feed/proxy-drain.js';
-import type {
-  AgentEffect,
-  AgentEvent,
-  AgentReply,
-  AgentRequest,
-  NodeIdentity,
-  ProxyQuery,
-} from './messages.js';
+import type { AgentEvent, AgentReply, NodeIdentity, ProxyQuery } from './messages.js';
 import { openAgent } from './open-agent.js';
 import { reduceAgent } from './reducer.js';
+import { readAgentReply, readAgentRequest } from './message-checks.js';
 import type { AgentState } from './state.js';
 import { agentTickIntervalMs } from './tick-delay.js';
 import { IncomingRequests } from './incoming-requests.js';
@@ -45,12 +40,12 @@
 /** The time of this process's monotonic clock, in milliseconds. */
 const now = (): number => performance.now();
 
-type SendRequestEffect = Extract<AgentEffect, { kind: 'send-request' }>;
+type SendRequestEffect = Extract<ConfinedAgentEffect, { kind: 'send-request' }>;
 
 /** Sends a request; a replica's request and reply are converted between memory and wire format. */
 const sendRequest = async (effect: SendRequestEffect): Promise<ReplicaReply | AgentReply> => {
   if (effect.path === '/agent')
-    return (await call(effect.to, effect.path, effect.request)) as AgentReply;
+    return readAgentReply(await call(effect.to, effect.path, effect.request));
   const body = encodeReplicaRequest(effect.request);
   return decodeReplicaReply(await call(effect.to, effect.path, body));
 };
@@ -100,7 +95,7 @@
 
 /** Executes an effect of the reducer. */
 const perform = (
-  effect: AgentEffect,
+  effect: ConfinedAgentEffect,
   put: (event: AgentEvent) => boolean,
   incomingRequests: IncomingRequests,
   logger: Logger,
@@ -117,6 +112,9 @@
     case 'send-reply':
       incomingRequests.reply(effect.requestId, effect.reply);
       return;
+    case 'fail-request':
+      incomingRequests.fail(effect.requestId, effect.why);
+      return;
     case 'send-answer': {
       const { requestId, status, body, retryAfter } = effect;
       const response: ActionResponse = {
@@ -145,13 +143,15 @@
   serveCalls(
     { host: settings.listen ?? settings.host, port: settings.agent.port },
     {
-      '/agent': (body) =>
-        incomingRequests.submit((requestId) => ({
+      '/agent': async (body) => {
+        const request = readAgentRequest(body);
+        return incomingRequests.submit((requestId) => ({
           kind: 'agent-request-received',
           requestId,
-          request: body as AgentRequest,
+          request,
           now: now(),
-        })),
+        }));
+      },
     },
     wait,
   );
@@ -256,9 +256,9 @@
   logProcessEnd(logger);
   setLocalAddress(settings.host);
   const incomingRequests = new IncomingRequests({ put: (event) => task.put(event), now });
-  const task = Task.run<AgentState, AgentEvent, AgentEffect>({
+  const task = Task.run<AgentState, AgentEvent, ConfinedAgentEffect>({
     initial: openState(settings),
-    reduce: reduceAgent,
+    reduce: confineAgentErrors(reduceAgent),
     perform: (effect, put) => perform(effect, put, incomingRequests, logger),
   });
   const wait = portWait(logger);
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -509,14 +509,22 @@
         (reply) => this.#onFeedReceived(reply as FeedReply, askedAt),
         () => undefined,
       )
+      .catch((thrown: unknown) => {
+        // The reply is of an unforeseen form; the feed is still the one before it.
+        this.#dependencies.logger.error('message.error', {
+          event: 'feed-received',
+          why: errorMessage(thrown),
+        });
+      })
       .finally(() => this.#scheduleFeed());
   }
 
   #onFeedReceived(reply: FeedReply, askedAt: number): void {
-    this.#feed = Feeds.merge(this.#feed, reply);
-    const { feed } = this.#feed;
-    this.task.put({ kind: 'feed-received', feed, askedAt, now: now() });
+    const snapshot = Feeds.merge(this.#feed, reply);
+    const { feed } = snapshot;
     const keys = [...feed.origins.map(originIdOf), ...feed.peers.map(peerKeyOf)];
+    this.#feed = snapshot;
+    this.task.put({ kind: 'feed-received', feed, askedAt, now: now() });
     this.#connections.closeIdleExcept(new Set(keys));
   }
 
--- a/packages/replica/src/replica-host.ts
+++ b/packages/replica/src/replica-host.ts
@@ -12,6 +12,7 @@
  *
  * Time, calls and logging are injected.
  */
+import { errorMessage } from '@reedyard/logging';
 import { callTimeoutMs } from '@reedyard/rpc';
 import type { Step } from '@reedyard/task-loop';
 import type { ReplicaEffect, ReplicaEvent } from './events.js';
@@ -235,16 +236,17 @@
   }
 
   #call(requestId: number, address: string, request: ReplicaRequest): void {
-    this.#environment.call(address, request).then(
-      (reply) =>
-        this.#apply({
-          kind: 'reply-received',
-          requestId,
-          reply,
-          now: this.#environment.now(),
-        }),
-      () => this.#apply({ kind: 'request-failed', requestId, now: this.#environment.now() }),
-    );
+    const { now, log } = this.#environment;
+    const fail = (): void => void this.#apply({ kind: 'request-failed', requestId, now: now() });
+    this.#environment.call(address, request).then((reply) => {
+      try {
+        this.#apply({ kind: 'reply-received', requestId, reply, now: now() });
+      } catch (thrown) {
+        // The reply is of an unforeseen form; the state is still the one before it.
+        log('error', 'message.error', { event: 'reply-received', why: errorMessage(thrown) });
+        fail();
+      }
+    }, fail);
   }
 
   #replyOnceSynced(reply: ReplicaReply, resolve: (reply: ReplicaReply) => void): void {
--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -398,6 +398,10 @@
   apiAddressOf(name: string): string {
     return `${this.#nodeOf(name).programHost}:7080`;
   }
+  /** The address at which a node's agent or replica serves calls of other processes. */
+  callAddressOf(name: string, program: 'agent' | 'replica'): string {
+    return `${this.#nodeOf(name).programHost}:${program === 'agent' ? 7001 : 7101}`;
+  }
   clientAddressOf(name: string): string {
     return `${this.#nodeOf(name).programHost}:8080`;
   }
