--- a/packages/proxy/src/signals.test.ts
+++ b/packages/proxy/src/signals.test.ts
@@ -1,25 +1,14 @@
-import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import net from 'node:net';
-import { tmpdir } from 'node:os';
-import path from 'node:path';
-import { fileURLToPath } from 'node:url';
 import test from 'ava';
-import type { ExecutionContext } from 'ava';
-import { serveCalls } from '@reedyard/rpc';
 import { maxBufferedBodyBytes } from './buffering.js';
-import { originEndpoint, policyOf, RawClient, waitUntil } from './testing/proxy-harness.js';
+import { RawClient, waitUntil } from './testing/proxy-harness.js';
+import { startProxyProgram } from './testing/proxy-program.js';
 import {
   responseBytes,
   type Script,
-  type ScriptedOrigin,
   type ReceivedRequest,
   startScriptedOrigin,
 } from './testing/scripted-origin.js';
 
-const HOST = '127.0.0.1';
-const program = fileURLToPath(new URL('./main.js', import.meta.url));
-
 const identity = { service: 'store', instance: 'i1', incarnation: 0 };
 const originId = 'store/i1/0';
 
@@ -60,82 +49,6 @@
   }
 }
 
-/** Ports on which nothing currently listens. */
-const freePorts = async (count: number): Promise<readonly number[]> => {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = net.createServer();
-      await new Promise<void>((resolve) => {
-        server.listen(0, HOST, resolve);
-      });
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-};
-
-const feedOf = (origin: ScriptedOrigin): object => ({
-  leaseMs: 600_000,
-  life: 'life',
-  flushes: 0,
-  policy: { revision: 1, document: policyOf({}, { requestMs: 600_000, attemptMs: 600_000 }) },
-  policyRevision: 1,
-  origins: [originEndpoint(origin.port)],
-  peers: [],
-  emptied: [],
-  split: {},
-  slices: { store: 1e9 },
-  seated: true,
-  purges: [],
-  purgeSeq: 0,
-  revisions: { origins: 1, peers: 1, emptied: 1, split: 1, slices: 1 },
-});
-
-type Running = {
-  readonly child: ChildProcess;
-  readonly port: number;
-  readonly output: () => string;
-};
-
-const startProgram = async (t: ExecutionContext, origin: ScriptedOrigin): Promise<Running> => {
-  const feed = await serveCalls(
-    { host: HOST, port: 0 },
-    { '/feed': () => Promise.resolve(feedOf(origin)) },
-  );
-  const [port = 0, peerPort = 0] = await freePorts(2);
-  const folder = mkdtempSync(path.join(tmpdir(), 'reedyard-signals-'));
-  const file = path.join(folder, 'settings.json');
-  const leave = { graceMs: 300, mostMs: 600_000 };
-  const settings = {
-    name: 'a',
-    host: HOST,
-    zone: 'h',
-    region: 'r',
-    seeds: [`${HOST}:1`],
-    founders: { c: `${HOST}:2` },
-    agent: { port: 0, apiPort: 0, feedPort: feed.port },
-    proxy: { port, peerPort, capacityBps: 1e8, leave },
-  };
-  writeFileSync(file, JSON.stringify(settings));
-  const child = spawn(process.execPath, [program, '--settings', file]);
-  let output = '';
-  child.stdout.on('data', (chunk: Buffer) => {
-    output += chunk.toString();
-  });
-  child.stderr.on('data', (chunk: Buffer) => {
-    output += chunk.toString();
-  });
-  t.teardown(async () => {
-    child.kill('SIGKILL');
-    await feed.close();
-    rmSync(folder, { recursive: true });
-  });
-  await waitUntil(() => output.includes('policy.in-force') || child.exitCode !== null);
-  return { child, port, output: () => output };
-};
-
 /** Sends pipelined requests, one request that is not idempotent, and one with a streamed response. */
 const sendRequests = async (port: number): Promise<readonly RawClient[]> => {
   const [pipelined, ordering, streaming] = await Promise.all([
@@ -156,7 +69,7 @@
   const delaying = new DelayingOrigin();
   const origin = await startScriptedOrigin(delaying.script);
   t.teardown(() => origin.close());
-  const { child, port, output } = await startProgram(t, origin);
+  const { child, port, output } = await startProxyProgram(t, origin.port);
   const clients = await sendRequests(port);
   await waitUntil(
     () => delaying.delayedCount === 5 && (clients[2]?.text.length ?? 0) > maxBufferedBodyBytes,
