--- a/packages/cache/src/cache.test.ts
+++ b/packages/cache/src/cache.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { Cache, type CachedResponse } from './index.js';
+import { Cache, type CachedResponse, copyOverheadBytes } from './index.js';
 
 const responseOf = (
   key: string,
@@ -88,15 +88,28 @@
 });
 
 test('the cache evicts the least recently used response when it is full, and serves no stale response', (t) => {
-  let state = Cache.keep(Cache.keep(Cache.empty, responseOf('1', []), 25), responseOf('2', []), 25);
+  const maxBytes = 2 * copyOverheadBytes + 25;
+  let state = Cache.keep(Cache.empty, responseOf('1', []), maxBytes);
+  state = Cache.keep(state, responseOf('2', []), maxBytes);
   state = Cache.touch(state, '1');
-  state = Cache.keep(state, responseOf('3', []), 25);
+  state = Cache.keep(state, responseOf('3', []), maxBytes);
   t.deepEqual([...state.copies.keys()], ['1', '3']);
   t.truthy(Cache.find(state, '1', {}, 999));
   t.is(Cache.find(state, '1', {}, 1_000), undefined);
   t.is(Cache.evictWhere(state, ({ freshUntil }) => freshUntil <= 1_000).bytes, 0);
 });
 
+// Guards against many small copies taking far more memory than their bodies.
+test('a copy counts with its header fields and index entries, not with its body alone', (t) => {
+  const maxBytes = 3 * copyOverheadBytes;
+  const state = ['1', '2', '3'].reduce(
+    (cache, key) => Cache.keep(cache, responseOf(key, []), maxBytes),
+    Cache.empty,
+  );
+  t.deepEqual([...state.copies.keys()], ['2', '3']);
+  t.is(Cache.memoryBytes(state), 2 * (copyOverheadBytes + 10));
+});
+
 test('a cached response serves only requests with equal values of the fields that it varies by', (t) => {
   const state = Cache.keep(Cache.empty, {
     ...responseOf('1', []),
--- a/packages/cache/src/cache.ts
+++ b/packages/cache/src/cache.ts
@@ -9,8 +9,11 @@
  */
 export const purgeRetentionMs = 60_000;
 
-/** The maximum total size of the cached responses of one proxy, in bytes. */
-export const maxCacheBytes = 256 * 1024 * 1024;
+/** The memory for the cached responses of one proxy if its settings don't say, in bytes. */
+export const defaultMaxCacheBytes = 64 * 1024 * 1024;
+
+/** The memory that a cached response takes beside its body: its header fields and index entries, in bytes. */
+export const copyOverheadBytes = 3 * 1024;
 
 /** Header fields by lower-case name. */
 export type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -47,6 +50,7 @@
   /** Cached responses by key, least recently used first. */
   readonly copies: OrderedMap<string, CachedResponse>;
   readonly byTag: ImmutableMap<string, ImmutableSet<string>>;
+  /** The size of all bodies, in bytes. */
   readonly bytes: number;
   readonly purges: readonly AppliedPurge[];
   /** When each object and each tag was purged within the retention time, oldest first. */
@@ -184,14 +188,21 @@
       : { ...state, copies: state.copies.delete(key).set(key, copy) };
   },
 
+  /** The memory that the cache takes, in bytes. @example Cache.memoryBytes(Cache.empty) // 0 */
+  memoryBytes: ({ bytes, copies }: CacheState): number => bytes + copies.size * copyOverheadBytes,
+
   /**
-   * Stores a response, and evicts the least recently used ones while the cache exceeds its maximum
-   * size.
+   * Stores a response, and evicts the least recently used ones while the cache takes more memory
+   * than its maximum.
    *
    * @example
    * Cache.keep(state, copy)
    */
-  keep: (state: CacheState, copy: CachedResponse, maxBytes: number = maxCacheBytes): CacheState => {
+  keep: (
+    state: CacheState,
+    copy: CachedResponse,
+    maxBytes: number = defaultMaxCacheBytes,
+  ): CacheState => {
     let next = evict(state, copy.key);
     next = {
       ...next,
@@ -202,7 +213,7 @@
       ),
       bytes: next.bytes + copy.sizeBytes,
     };
-    while (next.bytes > maxBytes) {
+    while (Cache.memoryBytes(next) > maxBytes) {
       const oldest = next.copies.keySeq().first();
       if (oldest === undefined) break;
       next = evict(next, oldest);
--- a/packages/cache/src/index.ts
+++ b/packages/cache/src/index.ts
@@ -5,6 +5,7 @@
   type CachedResponse,
   type CacheState,
   type Headers,
-  maxCacheBytes,
+  copyOverheadBytes,
+  defaultMaxCacheBytes,
   purgeRetentionMs,
 } from './cache.js';
--- a/packages/proxy/src/attempt-results.ts
+++ b/packages/proxy/src/attempt-results.ts
@@ -257,8 +257,10 @@
   const copy = isFromOrigin
     ? cachedResponseOf(transition, request, attempt, response, tags, purgedAt)
     : null;
-  if (copy !== null) update(transition, { cache: Cache.keep(transition.state.cache, copy) });
-  else if (request.isFetchLeader)
+  if (copy !== null) {
+    const { cache, self } = transition.state;
+    update(transition, { cache: Cache.keep(cache, copy, self.maxCacheBytes) });
+  } else if (request.isFetchLeader)
     update(transition, {
       uncacheableKeys: {
         ...Object.fromEntries(
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -28,6 +28,7 @@
 import { AttemptError, OriginConnections, peerKeyOf } from './origin-connections.js';
 import { ProxyCore } from './core.js';
 import { RequestBodyBudget } from './request-body-budget.js';
+import { divideMemory } from './memory-division.js';
 import type { WireFormat } from './wire-format.js';
 import type { InFlightAttempt } from './exchange.js';
 import { feedIntervalMs } from './feed-timing.js';
@@ -130,6 +131,7 @@
     this.#name = { via: `1.1 ${settings.name} (reedyard)`, node: settings.name };
     this.#connections = new OriginConnections(settings.host, wireFormat);
     const { logger } = dependencies;
+    const memory = divideMemory(settings.proxy.memoryBytes);
     this.#trace =
       settings.proxy.trace === true ? (event, fields) => logger.info(event, fields) : null;
     this.task = Task.run<ProxyState, ProxyEvent, ProxyEffect>({
@@ -139,6 +141,7 @@
           zone: settings.zone,
           region: settings.region,
           capacityBps: settings.proxy.capacityBps,
+          maxCacheBytes: memory.cacheBytes,
           life: randomUUID(),
         },
         now(),
--- a/packages/proxy/src/state.ts
+++ b/packages/proxy/src/state.ts
@@ -114,6 +114,8 @@
     readonly zone: string;
     readonly region: string;
     readonly capacityBps: number;
+    /** The memory for cached responses, in bytes; undefined for the default. */
+    readonly maxCacheBytes?: number;
     /** The incarnation of this proxy. */
     readonly life: string;
   };
--- a/packages/proxy/src/testing/overload.ts
+++ b/packages/proxy/src/testing/overload.ts
@@ -39,8 +39,12 @@
       ? responseBytes(200, {}, JSON.stringify(identity))
       : responseBytes(
           200,
-          { 'reedyard-stamp': 'store/i1/0', 'reedyard-attempt': correlationId },
-          request.path,
+          {
+            'reedyard-stamp': 'store/i1/0',
+            'reedyard-attempt': correlationId,
+            'cache-control': 'max-age=60',
+          },
+          request.path.padEnd(Number(/bytes=(\d+)/.exec(request.path)?.[1] ?? 0), 'x'),
         ),
   );
 };
@@ -122,7 +126,7 @@
   }
 
   /** Repeats an ordinary request until it is served; the timeout of the test ends it otherwise. */
-  async #untilServed(method: string, path: string, body: string): Promise<void> {
+  async serve(method: string, path: string, body = ''): Promise<void> {
     while (!this.#hasExited) {
       const status = await this.#request(method, path, body).catch(() => null);
       if (status === 200) return;
@@ -131,8 +135,8 @@
 
   /** Checks that the proxy lives, stays within its bounds and serves ordinary requests. */
   async check(t: ExecutionContext): Promise<void> {
-    await this.#untilServed('GET', '/read/1', '');
-    await this.#untilServed('POST', '/order/1', 'pay');
+    await this.serve('GET', '/read/1');
+    await this.serve('POST', '/order/1', 'pay');
     const { exitCode, signalCode } = this.program.child;
     t.deepEqual(
       { exitCode, signalCode },
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -78,6 +78,8 @@
         port: portSchema,
         peerPort: portSchema,
         capacityBps: z.number().positive(),
+        /** The memory that the process may take, in bytes. */
+        memoryBytes: z.number().int().positive().optional(),
         /** Port of the readiness check, if it is not the port for clients. */
         readyPort: portSchema.optional(),
         /**
