Requests: a budget counts the blocks that a body really takes, and what is beside it

What callers saw: 20 clients with bodies in chunks of one byte, 400 KB each, ended a proxy (heap limit, SIGABRT), and with it the requests of everybody else. Cause: the budget counted payload. Each chunk was held as a buffer object of its own, some hundred bytes for one, and a body without a length was held twice while it was put together. Change: request-body.ts (rpc, so that the agent can share it) copies chunks into blocks of 4 KiB to 1 MiB that the budget counts when they are allocated, and passes them on as parts, so nothing is put together any more. Each request counts with 8 KiB beside its body; an answer of 64 KiB or more counts until its client has taken it.

--- a/packages/proxy/src/exchange.ts
+++ b/packages/proxy/src/exchange.ts
@@ -8,6 +8,7 @@
 import { performance } from 'node:perf_hooks';
 import type { SendProgress } from '@reedyard/attempts';
 import { CodedError, errorMessage } from '@reedyard/logging';
+import type { RequestBody } from '@reedyard/rpc';
 import { idleCloseMarginMs, idleConnectionMs } from './connection-timing.js';
 import {
   type MatchEvidence,
@@ -37,7 +38,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: Record<string, string | string[]>;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   /** Whether the request may be executed more than once. */
   readonly safe: boolean;
 };
@@ -154,7 +155,9 @@
     request.on('close', () => this.#handleRequestClose());
     this.#dispatch({ kind: 'handing', attempt });
     try {
-      request.end(outgoing.body);
+      const { parts } = outgoing.body;
+      for (const part of parts.slice(0, -1)) request.write(part);
+      request.end(parts.at(-1));
     } catch (thrown) {
       this.#reportLoss('cut', thrown);
     }
--- a/packages/proxy/src/origin-connections.test.ts
+++ b/packages/proxy/src/origin-connections.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { emptyBody } from '@reedyard/rpc';
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { performance } from 'node:perf_hooks';
@@ -41,7 +42,7 @@
           method: 'GET',
           path: '/x',
           headers: { host: 'a.example' },
-          body: Buffer.alloc(0),
+          body: emptyBody,
           safe: true,
         },
         { origin, correlationId: 'm', remainingMs: 1_000, headers: {} },
--- a/packages/proxy/src/outgoing-request.ts
+++ b/packages/proxy/src/outgoing-request.ts
@@ -1,5 +1,6 @@
 /** Builds the request to an origin or a peer from the client's request. */
 import type http from 'node:http';
+import type { RequestBody } from '@reedyard/rpc';
 import type { OutgoingRequest } from './exchange.js';
 import type { WireFormat } from './wire-format.js';
 import { peerRequestFields } from './peer-request-fields.js';
@@ -10,7 +11,7 @@
 export type IncomingParts = {
   readonly request: http.IncomingMessage;
   readonly clientRequest: ClientRequest;
-  readonly body: Buffer;
+  readonly body: RequestBody;
 };
 
 /** The names by which this proxy identifies itself to the next hop. */
@@ -59,8 +60,8 @@
   Object.assign(headers, wireFormat.remainingTimeFields(effect.timeoutMs));
   if (effect.to.kind === 'peer') Object.assign(headers, peerRequestFields(effect, name.node));
   delete headers['content-length'];
-  if (body.length > 0 || !methodsWithoutBody.includes(clientRequest.method))
-    headers['content-length'] = String(body.length);
+  if (body.sizeBytes > 0 || !methodsWithoutBody.includes(clientRequest.method))
+    headers['content-length'] = String(body.sizeBytes);
   return headers;
 };
 
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -15,7 +15,15 @@
   type ProxyQuery,
 } from '@reedyard/agent';
 import { errorMessage, type Logger } from '@reedyard/logging';
-import { callTimeoutMs, listen, portWait } from '@reedyard/rpc';
+import {
+  callTimeoutMs,
+  listen,
+  MemoryBudget,
+  portWait,
+  readRequestBody,
+  type RequestBody,
+  type Reservation,
+} from '@reedyard/rpc';
 import { Routes } from '@reedyard/schemas';
 import type { Settings } from '@reedyard/settings';
 import { type EventQueue, Task } from '@reedyard/task-loop';
@@ -24,10 +32,9 @@
 import { confineErrors } from './confined-reducer.js';
 import { type InboundServer, type RequestTurn, openInboundServer } from './inbound-server.js';
 import { originIdOf } from './endpoint-selection.js';
-import { clientRequestOf, isPlainTarget, readBody } from './client-request-reader.js';
+import { clientRequestOf, isPlainTarget } from './client-request-reader.js';
 import { AttemptError, OriginConnections, peerKeyOf } from './origin-connections.js';
 import { ProxyCore } from './core.js';
-import { RequestBodyBudget } from './request-body-budget.js';
 import { divideMemory } from './memory-division.js';
 import type { WireFormat } from './wire-format.js';
 import type { InFlightAttempt } from './exchange.js';
@@ -66,6 +73,9 @@
   detail: 'The bodies of other requests take the memory of this node.',
 };
 
+/** Size from which an answer counts as held while its client takes it, in bytes. */
+const minCountedAnswerBytes = 64 * 1024;
+
 /** Interval between two log lines that list the cached responses, in milliseconds. */
 const storedTraceIntervalMs = 1_000;
 
@@ -80,15 +90,20 @@
   readonly queryAgent: (query: ProxyQuery, timeoutMs?: number) => Promise<unknown>;
 };
 
-/** A client's request while it is open; the reducer refers to it by its id. */
-type OpenRequest = {
+/** A request that was read. */
+type ReceivedRequest = {
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
-  readonly body: Buffer;
+  readonly body: RequestBody;
+  readonly reservation: Reservation;
+  readonly turn: RequestTurn;
+};
+
+/** A client's request while it is open; the reducer refers to it by its id. */
+type OpenRequest = ReceivedRequest & {
   readonly clientRequest: ClientRequest;
   /** Id of the peer's attempt that sent this request; null for a client's request. */
   readonly attemptId: string | null;
-  readonly turn: RequestTurn;
 };
 
 type EffectOf<Kind extends ProxyEffect['kind']> = Extract<ProxyEffect, { kind: Kind }>;
@@ -114,7 +129,8 @@
   /** Response streams that are being forwarded, by request. */
   readonly #streams = new Map<number, Readable>();
   readonly #servers: { readonly server: InboundServer; readonly isForPeers: boolean }[] = [];
-  readonly #bodyBudget = new RequestBodyBudget();
+  /** The memory for requests that are read and answers that wait for their clients. */
+  readonly #memoryBudget: MemoryBudget;
   #feed: FeedSnapshot | null = null;
   #nextRequestId = 1;
   /** The configured limits on clients that the servers currently enforce. */
@@ -132,6 +148,7 @@
     this.#connections = new OriginConnections(settings.host, wireFormat);
     const { logger } = dependencies;
     const memory = divideMemory(settings.proxy.memoryBytes);
+    this.#memoryBudget = new MemoryBudget(memory.requestBytes);
     this.#trace =
       settings.proxy.trace === true ? (event, fields) => logger.info(event, fields) : null;
     this.task = Task.run<ProxyState, ProxyEvent, ProxyEffect>({
@@ -274,17 +291,18 @@
     const id = this.#nextRequestId;
     this.#nextRequestId += 1;
     const maxBytes = this.#maxBodyBytes(host, target);
-    const reservation = this.#bodyBudget.open();
+    const reservation = this.#memoryBudget.open();
     response.once('close', reservation.release);
     const tooLarge = {
       status: 413,
       title: 'Body too large',
       detail: `This route takes bodies of up to ${maxBytes} bytes.`,
     };
-    readBody(request, {
+    readRequestBody(request, {
       maxBytes,
       reservation,
-      onEnd: (body) => this.#startRequest(id, request, response, turn, body, isFromPeer),
+      onEnd: (body) =>
+        this.#startRequest(id, { request, response, turn, body, reservation }, isFromPeer),
       onRejected: (rejection) =>
         rejectUnread(response, turn, rejection === 'too-large' ? tooLarge : bodiesTooLarge),
     });
@@ -306,14 +324,8 @@
   }
 
   /** Starts a request that was read, unless its connection no longer starts requests. */
-  #startRequest(
-    id: number,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    turn: RequestTurn,
-    body: Buffer,
-    isFromPeer: boolean,
-  ): void {
+  #startRequest(id: number, received: ReceivedRequest, isFromPeer: boolean): void {
+    const { request, response, turn, body } = received;
     const clientRequest = clientRequestOf(request, body, isFromPeer, this.#wireFormat);
     if (isFromPeer) {
       const peer = String(request.headers['reedyard-via'] ?? '');
@@ -322,7 +334,7 @@
     if (!turn.begin(this.#onClientLeft(id))) return;
     const attemptField = request.headers['reedyard-attempt'];
     const attemptId = isFromPeer && typeof attemptField === 'string' ? attemptField : null;
-    this.#openRequests.set(id, { request, response, body, clientRequest, attemptId, turn });
+    this.#openRequests.set(id, { ...received, clientRequest, attemptId });
     this.#startTickingIfFirst();
     const event: ProxyEvent = {
       kind: 'request-arrived',
@@ -470,7 +482,10 @@
     };
     const wireFormat = this.#wireFormat;
     const stream = writeClientResponse({ response, clientRequest, wireFormat, hopFields }, answer);
-    if (stream === null) return;
+    if (stream === null) {
+      this.#holdAnswer(open, answer);
+      return;
+    }
     this.#streams.set(id, stream);
     const remainingMs = Math.max(0, (answer.endBy ?? Infinity) - now());
     const timer = Number.isFinite(remainingMs)
@@ -491,6 +506,14 @@
     if (open !== undefined) writeUnknownOutcome(open.response);
   }
 
+  /** Counts a large answer until its client has taken it. */
+  #holdAnswer({ response, reservation }: OpenRequest, { body }: ClientResponse): void {
+    if (body.kind === 'problem' || response.writableFinished || response.destroyed) return;
+    const sizeBytes = body.kind === 'copy' ? body.copy.sizeBytes : body.answer.size;
+    if (sizeBytes < minCountedAnswerBytes) return;
+    reservation.take(sizeBytes);
+  }
+
   /** Sends a query to the agent; the reducer waits only for the reply to a claim. */
   #queryAgent({ requestId, query }: EffectOf<'query-agent'>): void {
     const onReply = (reply: ClaimReply): void => {
--- a/packages/proxy/src/request-body-budget.test.ts
+++ b/packages/proxy/src/request-body-budget.test.ts
@@ -1,5 +1,4 @@
 import test from 'ava';
-import { RequestBodyBudget } from './request-body-budget.js';
 import {
   originEndpoint,
   policyOf,
@@ -9,24 +8,6 @@
 } from './testing/proxy-harness.js';
 import { startScriptedOrigin, validResponse } from './testing/scripted-origin.js';
 
-test('bodies are held up to the budget together, and a single one whatever its size', (t) => {
-  const budget = new RequestBodyBudget(100);
-  const [first, second, third] = [budget.open(), budget.open(), budget.open()];
-  t.true(first.reserve(90));
-  t.true(second.reserve(10));
-  t.false(second.reserve(1));
-  t.false(third.reserve(1));
-  t.is(budget.heldBytes, 100);
-  first.release();
-  first.release();
-  t.is(budget.heldBytes, 10);
-  t.true(third.reserve(90));
-  second.release();
-  t.true(third.reserve(1_000), 'alone, it may exceed the budget');
-  third.release();
-  t.is(budget.heldBytes, 0);
-});
-
 // Guards against large bodies that take a proxy over its memory with the orders of others (review case 8).
 test('a body beyond the memory for all bodies is refused as not run, and others are served', async (t) => {
   const origin = await startScriptedOrigin((request, socket) =>
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -14,4 +14,12 @@
   portWait,
   portWaitTimeoutMs,
 } from './listen.js';
+export { MemoryBudget, requestOverheadBytes, type Reservation } from './memory-budget.js';
+export {
+  type BodyRejection,
+  discardBody,
+  emptyBody,
+  readRequestBody,
+  type RequestBody,
+} from './request-body.js';
 export { callTimeoutMs } from './limits.js';
