Requests: who makes no progress loses its memory before others are refused

What callers saw: clients that stopped just short of the end of their bodies kept all memory for bodies for a minute or more, and every ordinary order was refused meanwhile. Change: MemoryBudget knows who waits for its client and when it last made progress. If memory is short, those without progress for 2 s lose theirs, the longest without first: a body gets 408 (not run) and its connection closes, an answer that its client doesn't take is cut. Requests that wait for an origin, and clients that send, are never evicted; what then finds no room gets 503 as before.

--- a/packages/proxy/src/overload/request-bodies.test.ts
+++ b/packages/proxy/src/overload/request-bodies.test.ts
@@ -13,6 +13,18 @@
   await proxy.check(t);
 });
 
+// Guards against bodies that stop holding all memory, so that others are refused until they time out.
+test.serial('bodies of all sizes that fill the memory and stop short of their end', async (t) => {
+  t.timeout(timeoutMs);
+  const proxy = await OverloadedProxy.start(t);
+  for (const bodyBytes of [maxBodyBytes, 1_000_000, 100_000, 10_000, 1_000, 2]) {
+    const head = bodyHead('/order/flood', `content-length: ${bodyBytes}\r\n`);
+    const body = Buffer.alloc(Math.floor(0.99 * bodyBytes), 'x');
+    await Promise.all(Array.from({ length: 20 }, () => proxy.flood([head, body])));
+  }
+  await proxy.check(t);
+});
+
 // Guards against a body in large chunks being held in more memory than its bytes.
 test.serial('large bodies in large chunks that stop just short of their end', async (t) => {
   t.timeout(timeoutMs);
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -17,6 +17,7 @@
 import { errorMessage, type Logger } from '@reedyard/logging';
 import {
   callTimeoutMs,
+  discardBody,
   listen,
   MemoryBudget,
   portWait,
@@ -73,6 +74,13 @@
   detail: 'The bodies of other requests take the memory of this node.',
 };
 
+/** The rejection of a body whose client stopped sending it while others needed its memory. */
+const bodyTooSlow = {
+  status: 408,
+  title: 'Request too slow',
+  detail: 'The body stopped arriving, and other requests needed its memory.',
+};
+
 /** Size from which an answer counts as held while its client takes it, in bytes. */
 const minCountedAnswerBytes = 64 * 1024;
 
@@ -291,7 +299,7 @@
     const id = this.#nextRequestId;
     this.#nextRequestId += 1;
     const maxBytes = this.#maxBodyBytes(host, target);
-    const reservation = this.#memoryBudget.open();
+    const reservation = this.#memoryBudget.open(() => this.#evictRequest(request, response, turn));
     response.once('close', reservation.release);
     const tooLarge = {
       status: 413,
@@ -309,6 +317,20 @@
     request.on('error', () => response.destroy());
   }
 
+  /** Ends a request whose client makes no progress, since others need its memory. */
+  #evictRequest(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    turn: RequestTurn,
+  ): void {
+    if (request.complete) {
+      response.destroy();
+      return;
+    }
+    discardBody(request);
+    rejectUnread(response, turn, bodyTooSlow);
+  }
+
   #answerHealthCheck(request: http.IncomingMessage, response: http.ServerResponse): boolean {
     const { readyPath, livePath } = this.#wireFormat;
     const isLiveCheck = request.url === livePath;
@@ -511,6 +533,7 @@
     if (body.kind === 'problem' || response.writableFinished || response.destroyed) return;
     const sizeBytes = body.kind === 'copy' ? body.copy.sizeBytes : body.answer.size;
     if (sizeBytes < minCountedAnswerBytes) return;
+    reservation.waitsForClient(true);
     reservation.take(sizeBytes);
   }
 
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -14,7 +14,12 @@
   portWait,
   portWaitTimeoutMs,
 } from './listen.js';
-export { MemoryBudget, requestOverheadBytes, type Reservation } from './memory-budget.js';
+export {
+  MemoryBudget,
+  requestOverheadBytes,
+  type Reservation,
+  stalledAfterMs,
+} from './memory-budget.js';
 export {
   type BodyRejection,
   discardBody,
--- a/packages/rpc/src/request-body.ts
+++ b/packages/rpc/src/request-body.ts
@@ -119,10 +119,12 @@
     hasBlock ? Buffer.allocUnsafeSlow(announcedLength) : null,
   );
   request.on('data', (chunk: Buffer) => {
+    reservation.progress();
     if (blocks.sizeBytes + chunk.length > maxBytes) reject('too-large');
     else if (!blocks.append(chunk)) reject('no-memory');
   });
   request.on('end', () => {
+    reservation.waitsForClient(false);
     onEnd(blocks.toBody());
   });
 };
