Proxy: the memory of requests sent ahead is released when their connection closes

What callers saw: after clients had sent requests ahead and closed their connections, orders with bodies were refused for good (503), although nobody held any memory. Cause: a request's part of the budget was returned at the close of its response, but Node emits no close for a response that waits behind another one on its connection. The part was never returned. Change: the connection itself calls back at the end of each of its requests, whether the response was written or the connection has closed.

--- a/packages/proxy/src/inbound-server.ts
+++ b/packages/proxy/src/inbound-server.ts
@@ -18,6 +18,11 @@
 
 /** The position of one request on its connection. */
 export type RequestTurn = {
+  /**
+   * Registers a callback for the end of the request: its response was written, or its connection has
+   * closed. Node emits no `close` for a response that waits behind another one.
+   */
+  readonly onOver: (callback: () => void) => void;
   /**
    * Reports that the request was read; `onClientLeft` is called if the client closes the connection
    * before the response is written. Returns false if the request must not be started.
@@ -60,6 +65,8 @@
   /** The request that is being read; released once it is started. */
   #reading: http.IncomingMessage | null = null;
   readonly #clientLeftCallbacks = new Map<number, () => void>();
+  /** What is called at the end of each open request, by its number. */
+  readonly #overCallbacks = new Map<number, (() => void)[]>();
 
   constructor(private readonly socket: Socket) {}
 
@@ -102,8 +109,11 @@
     response.once('finish', () => {
       this.#clientLeftCallbacks.delete(number);
       this.dispatch({ kind: 'answer-flushed', number });
+      this.#endRequest(number);
     });
+    this.#overCallbacks.set(number, []);
     return {
+      onOver: (callback) => this.#overCallbacks.get(number)?.push(callback),
       begin: (onClientLeft) => {
         if (this.#reading === request) this.#reading = null;
         const isStarted = this.dispatch({ kind: 'request-read', number }).length > 0;
@@ -117,6 +127,18 @@
     };
   }
 
+  /** Ends all requests, since the connection has closed. */
+  endAllRequests(): void {
+    this.dispatch({ kind: 'closed' });
+    for (const number of [...this.#overCallbacks.keys()]) this.#endRequest(number);
+  }
+
+  #endRequest(number: number): void {
+    const callbacks = this.#overCallbacks.get(number) ?? [];
+    this.#overCallbacks.delete(number);
+    for (const callback of callbacks) callback();
+  }
+
   #refuse(status: RefusalStatus): void {
     if (!this.socket.writable) return;
     const text = `HTTP/1.1 ${status} ${reasonPhrases[status]}\r\n`;
@@ -153,7 +175,7 @@
     socket.setTimeout(ClientLimits.keepAliveTimeoutMs(limits));
     socket.once('close', () => {
       connections.delete(socket);
-      connection.dispatch({ kind: 'closed' });
+      connection.endAllRequests();
     });
   });
   server.on('request', (request, response) => {
--- a/packages/proxy/src/proxy-host.ts
+++ b/packages/proxy/src/proxy-host.ts
@@ -300,7 +300,7 @@
     this.#nextRequestId += 1;
     const maxBytes = this.#maxBodyBytes(host, target);
     const reservation = this.#memoryBudget.open(() => this.#evictRequest(request, response, turn));
-    response.once('close', reservation.release);
+    turn.onOver(reservation.release);
     const tooLarge = {
       status: 413,
       title: 'Body too large',
--- a/packages/proxy/src/request-body-budget.test.ts
+++ b/packages/proxy/src/request-body-budget.test.ts
@@ -49,3 +49,27 @@
   }
   t.fail('the memory of a client that left is never free again');
 });
+
+// Guards against memory that is never free again, since a response behind another one emits no close.
+test('the bodies of requests sent ahead are released when their connection closes', async (t) => {
+  const origin = await startScriptedOrigin(() => undefined);
+  const document = policyOf({ bodyBytes: 64 * 1024 * 1024 });
+  const harness = await startHarness({
+    policy: { revision: 1, document },
+    origins: [originEndpoint(origin.port)],
+  });
+  t.teardown(async () => {
+    harness.close();
+    await origin.close();
+  });
+  const largeBody = 'x'.repeat(60 * 1024 * 1024);
+  const leaving = await RawClient.connect(harness.port);
+  leaving.send('GET', '/read/silent', 'first');
+  leaving.send('POST', '/nowhere', 'second', largeBody);
+  await waitUntil(() => harness.proxy.inFlightCount() === 2);
+  leaving.socket.destroy();
+  await waitUntil(() => harness.proxy.inFlightCount() === 0);
+  const later = await RawClient.connect(harness.port);
+  later.send('POST', '/nowhere', 'later', largeBody);
+  t.is((await later.waitForResponses(1))[0]?.status, 404);
+});
