Task loop: the events of a turn are handled before more input is read

What callers saw: with many requests sent ahead, the queue of a proxy's task grew by thousands of events in each turn of the event loop, until the heap limit ended the process. Cause: the loop took one event in each turn, while one turn reads hundreds of requests from each connection, so reading outran handling however cheap the events were (16,882 requests waited for the reducer while none was in its state). Change: a turn handles up to 1,024 events, in the same order.

--- a/packages/task-loop/src/task.ts
+++ b/packages/task-loop/src/task.ts
@@ -2,6 +2,12 @@
 
 import csp from 'js-csp';
 
+/**
+ * Maximum number of events that a task handles in one turn of the event loop. A turn may read
+ * hundreds of requests: their events are handled before more are read.
+ */
+const maxEventsPerTurn = 1_024;
+
 /** Maximum number of events in the queue of one task. */
 export const maxQueuedEvents = 65_536;
 
@@ -45,14 +51,20 @@
       csp.putAsync(channel, event);
       return true;
     };
+    const handle = (event: Event): void => {
+      queuedCount -= 1;
+      const step = options.reduce(state, event);
+      state = step.state;
+      for (const effect of step.effects) options.perform(effect, put);
+    };
     csp.go(function* loop() {
       for (;;) {
-        const event = yield csp.take(channel);
-        if (event === csp.CLOSED) return;
-        queuedCount -= 1;
-        const step = options.reduce(state, event as Event);
-        state = step.state;
-        for (const effect of step.effects) options.perform(effect, put);
+        let event = yield csp.take(channel);
+        for (let handled = 0; event !== csp.NO_VALUE; handled += 1) {
+          if (event === csp.CLOSED) return;
+          handle(event as Event);
+          event = handled < maxEventsPerTurn ? csp.poll(channel) : csp.NO_VALUE;
+        }
       }
     });
     return {
