Proxy: connections and the requests that they send ahead are limited

What callers saw: 60 clients that sent 20,000 requests each ahead, at paths without a route, and read no answer, ended a proxy (heap limit, SIGABRT). Cause: the parser emits all requests of the bytes that it has read, 64 KiB at a time and on every connection of a turn, and nothing bounded them; nor was there a bound on connections below the descriptors of the process. Change: connection-limits.ts.

--- a/packages/proxy/src/client-sockets.test.ts
+++ b/packages/proxy/src/client-sockets.test.ts
@@ -79,6 +79,20 @@
   t.is(client.text.match(/x-stamp/g)?.length, 2);
 });
 
+test('a client that sends hundreds of requests ahead gets all responses in order', async (t) => {
+  const { harness } = await startSetup(t, (request, socket) => {
+    socket.write(validResponse(request));
+  });
+  const client = await RawClient.connect(harness.port);
+  const paths = Array.from({ length: 300 }, (_, number) => `/read/${number}`);
+  for (const path of paths) client.send('GET', path, path);
+  const responses = await client.waitForResponses(paths.length);
+  t.deepEqual(
+    responses.map(({ status, body }) => [status, body]),
+    paths.map((path) => [200, path]),
+  );
+});
+
 test('unparsable bytes after a request in flight are rejected only after its response', async (t) => {
   const cases = {
     400: 'no request at all\r\n\r\n',
--- a/packages/proxy/src/inbound-server.ts
+++ b/packages/proxy/src/inbound-server.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import { ClientLimits } from './client-limits.js';
+import { ConnectionLimits, type LimitedConnection } from './connection-limits.js';
 import {
   ClientConnections,
   type ClientConnection,
@@ -60,8 +61,9 @@
 };
 
 /** One connection: the reducer's state, and the callbacks for a client that closes it. */
-class TrackedConnection {
+class TrackedConnection implements LimitedConnection {
   #state: ClientConnection = ClientConnections.open;
+  #lastActiveAt = performance.now();
   /** The request that is being read; released once it is started. */
   #reading: http.IncomingMessage | null = null;
   readonly #clientLeftCallbacks = new Map<number, () => void>();
@@ -70,6 +72,18 @@
 
   constructor(private readonly socket: Socket) {}
 
+  get openRequestCount(): number {
+    return this.#overCallbacks.size;
+  }
+
+  get waitsForClient(): boolean {
+    return this.#state.unanswered.length === 0;
+  }
+
+  get lastActiveAt(): number {
+    return this.#lastActiveAt;
+  }
+
   get unanswered(): number {
     return this.#state.unanswered.length;
   }
@@ -104,6 +118,7 @@
     // sets that limit on the socket, and the first request head removes it.
     if (this.#state.newestNumber === 0) this.socket.setTimeout(0);
     this.#reading = request;
+    this.#lastActiveAt = performance.now();
     this.dispatch({ kind: 'head-read' });
     const number = this.#state.newestNumber;
     response.once('finish', () => {
@@ -136,9 +151,24 @@
   #endRequest(number: number): void {
     const callbacks = this.#overCallbacks.get(number) ?? [];
     this.#overCallbacks.delete(number);
+    this.#lastActiveAt = performance.now();
     for (const callback of callbacks) callback();
   }
 
+  pause(): boolean {
+    if (this.socket.isPaused()) return false;
+    this.socket.pause();
+    return true;
+  }
+
+  resume(): void {
+    if (!this.socket.destroyed) this.socket.resume();
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+
   #refuse(status: RefusalStatus): void {
     if (!this.socket.writable) return;
     const text = `HTTP/1.1 ${status} ${reasonPhrases[status]}\r\n`;
@@ -169,19 +199,26 @@
     server.keepAliveTimeout = ClientLimits.keepAliveTimeoutMs(next);
   };
   setLimits(initialLimits);
+  const connectionLimits = new ConnectionLimits();
   server.on('connection', (socket: Socket) => {
     const connection = new TrackedConnection(socket);
     connections.set(socket, connection);
+    connectionLimits.add(connection);
     socket.setTimeout(ClientLimits.keepAliveTimeoutMs(limits));
     socket.once('close', () => {
       connections.delete(socket);
+      connectionLimits.remove(connection);
       connection.endAllRequests();
     });
   });
   server.on('request', (request, response) => {
     const { socket } = request;
-    const connection = connections.get(socket) ?? new TrackedConnection(socket);
-    handle(request, response, connection.openTurn(request, response));
+    const connection = connections.get(socket);
+    // The rest of the bytes that were read from a connection which was closed meanwhile.
+    if (connection === undefined || socket.destroyed) return;
+    const turn = connection.openTurn(request, response);
+    turn.onOver(() => connectionLimits.requestClosed(connection));
+    if (connectionLimits.requestOpened(connection)) handle(request, response, turn);
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const status = refusalStatusOf(error);
