Requests: one without a body is never refused for the memory of bodies

What callers saw: since requests count with 8 KiB beside their bodies, a read got 503 while large bodies that still arrived filled the memory for requests. Cause: the count of every request went through the same refusal as a body. Result: proxy/request-body-budget 'a request without a body is served while bodies take all memory' failed before (503), passes now; a small order is still refused there, as before.

--- a/packages/proxy/src/request-body-budget.test.ts
+++ b/packages/proxy/src/request-body-budget.test.ts
@@ -73,3 +73,31 @@
   later.send('POST', '/nowhere', 'later', largeBody);
   t.is((await later.waitForResponses(1))[0]?.status, 404);
 });
+
+// Guards against reads being refused while bodies that still arrive fill the memory.
+test('a request without a body is served while bodies take all memory', async (t) => {
+  const origin = await startScriptedOrigin((request, socket) =>
+    socket.write(validResponse(request)),
+  );
+  const document = policyOf({ bodyBytes: 64 * 1024 * 1024 });
+  const harness = await startHarness({
+    policy: { revision: 1, document },
+    origins: [originEndpoint(origin.port)],
+  });
+  t.teardown(async () => {
+    harness.close();
+    await origin.close();
+  });
+  // Together with what each request takes beside its body, a quarter of 350,000,000 but some bytes.
+  for (const [index, bodyBytes] of [62_914_560, 24_560_000, 100].entries()) {
+    const client = await RawClient.connect(harness.port);
+    client.send('POST', '/order/part', 'part', '', `content-length: ${bodyBytes}\r\n`);
+    await waitUntil(() => harness.proxy.begunCount() === index + 1);
+  }
+  const reader = await RawClient.connect(harness.port);
+  reader.send('GET', '/read/1', 'read');
+  const writer = await RawClient.connect(harness.port);
+  writer.send('POST', '/order/1', 'order', 'pay');
+  t.is((await reader.waitForResponses(1))[0]?.status, 200);
+  t.is((await writer.waitForResponses(1))[0]?.status, 503);
+});
--- a/packages/rpc/src/request-body.ts
+++ b/packages/rpc/src/request-body.ts
@@ -109,7 +109,9 @@
     reject('too-large');
     return;
   }
-  if (!reservation.reserve(requestOverheadBytes + (announcedLength ?? 0))) {
+  // A request without a body is never refused for memory: their number has a limit of its own.
+  if (announcedLength === 0) reservation.take(requestOverheadBytes);
+  else if (!reservation.reserve(requestOverheadBytes + (announcedLength ?? 0))) {
     reject('no-memory');
     return;
   }
