--- a/packages/simulator/src/purity.test.ts
+++ b/packages/simulator/src/purity.test.ts
@@ -33,6 +33,8 @@
   'response-reader.ts',
   'scripted-origin.ts',
   'proxy-harness.ts',
+  'proxy-program.ts',
+  'overload.ts',
   'membership-search.ts',
 ]);
 
